Set down the design, the folders, the core types and the inner protocol

Cause: the project needs one shape before its parts are written. Change: design page, packages by concern, frozen values in model, message data classes with a strict codec in wire, error types, event catalogue.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for developers; all use the virtual environment in .venv.
+
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+INSTALLED := $(VENV)/.installed
+SOURCES := apricotpost standins demo bench tests
+
+.PHONY: demo test lint format bench clean
+
+$(INSTALLED): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(INSTALLED)
+	$(BIN)/python -m demo
+
+test: $(INSTALLED)
+	$(BIN)/python -m nose2
+
+lint: $(INSTALLED)
+	$(BIN)/black --quiet --check --diff $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+
+format: $(INSTALLED)
+	$(BIN)/black --quiet $(SOURCES)
+
+bench: $(INSTALLED)
+	$(BIN)/python -m bench all
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/apricotpost/wire/__init__.py
@@ -0,0 +1,81 @@
+"""Inner protocol: messages, codec and sockets."""
+
+from apricotpost.wire.codec import decode
+from apricotpost.wire.codec import encode
+from apricotpost.wire.codec import Message
+from apricotpost.wire.messages import Ack
+from apricotpost.wire.messages import Answer
+from apricotpost.wire.messages import Call
+from apricotpost.wire.messages import Cancel
+from apricotpost.wire.messages import ConfigDelta
+from apricotpost.wire.messages import ConfigDigest
+from apricotpost.wire.messages import ConfigRefused
+from apricotpost.wire.messages import ConfigRequest
+from apricotpost.wire.messages import ConfigSnapshot
+from apricotpost.wire.messages import EvidenceReport
+from apricotpost.wire.messages import Join
+from apricotpost.wire.messages import Members
+from apricotpost.wire.messages import MembersRequest
+from apricotpost.wire.messages import NotRun
+from apricotpost.wire.messages import NotRunReason
+from apricotpost.wire.messages import OutcomeUnknown
+from apricotpost.wire.messages import Ping
+from apricotpost.wire.messages import PingRequest
+from apricotpost.wire.messages import UnknownReason
+from apricotpost.wire.messages import Welcome
+from apricotpost.wire.messages import WithdrawalNotice
+from apricotpost.wire import sockets
+from apricotpost.wire.tasks import BackendResult
+from apricotpost.wire.tasks import BackendServerAnnounced
+from apricotpost.wire.tasks import CallRequest
+from apricotpost.wire.tasks import CallResult
+from apricotpost.wire.tasks import ConfigCommitted
+from apricotpost.wire.tasks import ConfigRead
+from apricotpost.wire.tasks import GateControl
+from apricotpost.wire.tasks import GateReport
+from apricotpost.wire.tasks import Outcome
+from apricotpost.wire.tasks import ReadConfig
+from apricotpost.wire.tasks import StatusReply
+from apricotpost.wire.tasks import StatusRequest
+from apricotpost.wire.tasks import WorkerReady
+
+__all__ = [
+    "Ack",
+    "Answer",
+    "BackendResult",
+    "BackendServerAnnounced",
+    "Call",
+    "CallRequest",
+    "CallResult",
+    "Cancel",
+    "ConfigCommitted",
+    "ConfigDelta",
+    "ConfigDigest",
+    "ConfigRead",
+    "ConfigRefused",
+    "ConfigRequest",
+    "ConfigSnapshot",
+    "EvidenceReport",
+    "GateControl",
+    "GateReport",
+    "Join",
+    "Members",
+    "MembersRequest",
+    "Message",
+    "NotRun",
+    "NotRunReason",
+    "Outcome",
+    "OutcomeUnknown",
+    "Ping",
+    "PingRequest",
+    "ReadConfig",
+    "StatusReply",
+    "StatusRequest",
+    "UnknownReason",
+    "Welcome",
+    "WithdrawalNotice",
+    "WorkerReady",
+    "decode",
+    "encode",
+    "sockets",
+]
--- /dev/null
+++ b/apricotpost/wire/messages.py
@@ -0,0 +1,256 @@
+"""Messages between nodes and between the tasks of a node."""
+
+import dataclasses
+import enum
+
+from apricotpost import model
+
+__all__ = [
+    "Ack",
+    "Answer",
+    "Call",
+    "Cancel",
+    "ConfigDelta",
+    "ConfigDigest",
+    "ConfigRefused",
+    "ConfigRequest",
+    "ConfigSnapshot",
+    "EvidenceReport",
+    "Join",
+    "Members",
+    "MembersRequest",
+    "NotRun",
+    "NotRunReason",
+    "OutcomeUnknown",
+    "Ping",
+    "PingRequest",
+    "UnknownReason",
+    "Welcome",
+    "WithdrawalNotice",
+]
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class NotRunReason(enum.StrEnum):
+    """Why a call was refused before it reached the backend server."""
+
+    GATE_FULL = "gate-full"
+    DRAINING = "draining"
+    DEADLINE_PASSED = "deadline-passed"
+    CANCELLED = "cancelled"
+    DATA_CENTRE_OUT = "data-centre-out"
+    VERSION_WITHDRAWN = "version-withdrawn"
+    COLD = "cold"
+    NO_BACKEND_SERVER = "no-backend-server"
+    NOT_SENT = "not-sent"
+    NOT_READY = "not-ready"
+    NO_ROUTE = "no-route"
+    LOOP = "loop"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    DUPLICATE_CALL = "duplicate-call"
+
+
+class UnknownReason(enum.StrEnum):
+    """Why the outcome of a call is not known."""
+
+    TIMEOUT = "timeout"
+    CONNECTION_LOST = "connection-lost"
+    BODY_INCOMPLETE = "body-incomplete"
+    NODE_LOST = "node-lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """A caller's request on its way to a backend server.
+
+    Parameters
+    ----------
+    call : str
+        Unique identifier of this attempt.
+    deadline : float
+        Unix time in seconds after which the call must not start.
+    depth : int
+        Number of calls above this one.
+    retried : bool
+        Whether this attempt, or one above it, is a retry.
+    config_version : int
+        Configuration version under which it was routed.
+    """
+
+    call: str
+    route: str
+    service: str
+    version: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline: float
+    idempotent: bool
+    depth: int
+    retried: bool
+    config_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """The backend server's whole answer; ``checksum`` covers the body."""
+
+    call: str
+    status: int
+    headers: Headers
+    body: bytes
+    checksum: int
+    load: model.Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotRun:
+    """A refusal: the call did not reach the backend server."""
+
+    call: str
+    reason: NotRunReason
+    load: model.Load | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OutcomeUnknown:
+    """The call may have run."""
+
+    call: str
+    reason: UnknownReason
+    load: model.Load | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cancel:
+    """The caller no longer waits for this call."""
+
+    call: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigDigest:
+    """Configuration version that the sender holds."""
+
+    sender: str
+    version: int
+    checksum: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigRequest:
+    """Asks for everything after ``have``."""
+
+    sender: str
+    have: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigDelta:
+    """Consecutive deltas, oldest first."""
+
+    sender: str
+    deltas: tuple[model.Delta, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigSnapshot:
+    """A complete configuration."""
+
+    sender: str
+    snapshot: model.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigRefused:
+    """The sender found a configuration version invalid."""
+
+    sender: str
+    version: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ping:
+    """Liveness probe with instance records to spread."""
+
+    sender: str
+    sequence: int
+    records: tuple[model.InstanceRecord, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ack:
+    """Answer to a probe of ``subject``."""
+
+    sender: str
+    sequence: int
+    subject: str
+    records: tuple[model.InstanceRecord, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PingRequest:
+    """Asks the receiver to probe ``target`` for the sender."""
+
+    sender: str
+    sequence: int
+    target: str
+    target_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MembersRequest:
+    """Asks for all instance records."""
+
+    sender: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Members:
+    """All instance records of the sender."""
+
+    sender: str
+    records: tuple[model.InstanceRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Join:
+    """A starting node introduces itself."""
+
+    sender: str
+    record: model.InstanceRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Welcome:
+    """Answer to `Join`.
+
+    ``floor`` is the configuration version that the joining node's address
+    was last known to hold.
+    """
+
+    sender: str
+    version: int
+    checksum: str
+    floor: int
+    records: tuple[model.InstanceRecord, ...]
+    withdrawals: tuple[model.Withdrawal, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EvidenceReport:
+    """Cumulative outcome counts of the sender's backend server."""
+
+    sender: str
+    evidence: tuple[model.Evidence, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawalNotice:
+    """Withdrawals that the sender knows."""
+
+    sender: str
+    withdrawals: tuple[model.Withdrawal, ...]
--- /dev/null
+++ b/apricotpost/wire/sockets.py
@@ -0,0 +1,134 @@
+"""ZeroMQ sockets with the options that the protocol relies on."""
+
+from collections.abc import Sequence
+
+import zmq
+
+from apricotpost import errors
+from apricotpost.wire import codec
+
+__all__ = [
+    "Context",
+    "Poller",
+    "Socket",
+    "bind_router",
+    "connect_dealer",
+    "connect_peer",
+    "receive",
+    "receive_routed",
+    "send",
+    "send_routed",
+]
+
+Context = zmq.Context[zmq.Socket[bytes]]
+Poller = zmq.Poller
+Socket = zmq.Socket[bytes]
+
+# Frames above this size are refused before they are read into memory.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# A peer that does not answer a connect is tried again after these pauses.
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2000
+# TCP connections without a sign of life are closed after this time.
+HEARTBEAT_INTERVAL_MS = 2000
+HEARTBEAT_TIMEOUT_MS = 6000
+
+
+def bind_router(context: Context, address: str) -> Socket:
+    """Make a ROUTER socket bound to an address.
+
+    Raises
+    ------
+    apricotpost.errors.PortOccupied
+        The address is in use or not one of this instance's.
+    """
+    socket = context.socket(zmq.ROUTER)
+    socket.linger = 0
+    socket.maxmsgsize = MAX_MESSAGE_BYTES
+    try:
+        socket.bind(address)
+    except zmq.ZMQError as error:
+        socket.close()
+        raise errors.PortOccupied(
+            f"cannot listen on {address}: {error}"
+        ) from error
+    return socket
+
+
+def connect_dealer(context: Context, address: str) -> Socket:
+    """Make a DEALER socket connected to a task of this process."""
+    socket = context.socket(zmq.DEALER)
+    socket.linger = 0
+    socket.connect(address)
+    return socket
+
+
+def connect_peer(context: Context, address: str) -> Socket:
+    """Make a DEALER socket connected to another node.
+
+    ``IMMEDIATE`` keeps messages from queueing for a peer that has no
+    established connection, so a failed send means that nothing was sent.
+    """
+    socket = context.socket(zmq.DEALER)
+    socket.linger = 0
+    socket.immediate = True
+    socket.maxmsgsize = MAX_MESSAGE_BYTES
+    socket.reconnect_ivl = RECONNECT_MIN_MS
+    socket.reconnect_ivl_max = RECONNECT_MAX_MS
+    socket.heartbeat_ivl = HEARTBEAT_INTERVAL_MS
+    socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+    socket.connect(address)
+    return socket
+
+
+def send(socket: Socket, message: codec.Message) -> bool:
+    """Send a message without blocking.
+
+    Returns
+    -------
+    bool
+        Whether it was handed to a connection. If not, nothing was sent.
+    """
+    return _send_frames(socket, codec.encode(message))
+
+
+def send_routed(
+    socket: Socket, identity: bytes, message: codec.Message
+) -> bool:
+    """Send a message to one peer of a ROUTER socket without blocking."""
+    return _send_frames(socket, [identity, *codec.encode(message)])
+
+
+def receive(socket: Socket) -> codec.Message:
+    """Receive one message from a DEALER socket.
+
+    Raises
+    ------
+    apricotpost.errors.MalformedMessage
+        The frames are not a known message.
+    """
+    return codec.decode(socket.recv_multipart(zmq.NOBLOCK))
+
+
+def receive_routed(socket: Socket) -> tuple[bytes, codec.Message]:
+    """Receive one message and its sender's identity from a ROUTER socket.
+
+    Raises
+    ------
+    apricotpost.errors.MalformedMessage
+        The frames are not a known message.
+    """
+    frames = socket.recv_multipart(zmq.NOBLOCK)
+    return frames[0], codec.decode(frames[1:])
+
+
+def _send_frames(socket: Socket, frames: Sequence[bytes]) -> bool:
+    try:
+        socket.send_multipart(frames, zmq.NOBLOCK)
+    except zmq.Again:
+        return False
+    except zmq.ZMQError as error:
+        if error.errno == zmq.EHOSTUNREACH:
+            return False
+        raise
+    return True
--- /dev/null
+++ b/apricotpost/wire/tasks.py
@@ -0,0 +1,178 @@
+"""Messages between the tasks of one node; they never leave the process."""
+
+import dataclasses
+import enum
+
+from apricotpost import model
+
+__all__ = [
+    "BackendResult",
+    "BackendServerAnnounced",
+    "CallRequest",
+    "CallResult",
+    "ConfigCommitted",
+    "ConfigRead",
+    "GateControl",
+    "GateReport",
+    "KINDS",
+    "Outcome",
+    "ReadConfig",
+    "StatusReply",
+    "StatusRequest",
+    "WorkerReady",
+]
+
+
+class Outcome(enum.StrEnum):
+    """What is known about a call when it ends."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallRequest:
+    """Ingress asks dispatch to carry a call out."""
+
+    route: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: float
+    depth: int
+    retried: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallResult:
+    """Dispatch tells ingress how a call ended.
+
+    ``retried`` says whether a failed attempt was repeated, here or below.
+    """
+
+    outcome: Outcome
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: str = ""
+    attempts: int = 0
+    retried: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerReady:
+    """A backend worker waits for its first call."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendResult:
+    """A backend worker finished a call.
+
+    ``duration_ms`` is the time the backend server took, in milliseconds.
+    """
+
+    call: str
+    outcome: Outcome
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: str = ""
+    duration_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendServerAnnounced:
+    """The backend server beside this node introduced itself.
+
+    ``leaving`` says that it asks for no more calls.
+    """
+
+    service: str
+    version: str
+    address: str
+    slots: int
+    connections: int
+    cold: bool = True
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GateControl:
+    """Control tells the gate to start a drain."""
+
+    drain: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GateReport:
+    """The gate tells control its load and outcome counts once a second."""
+
+    load: model.Load
+    backend_server_up: bool
+    evidence: tuple[model.Evidence, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReadConfig:
+    """Control asks the platform task for everything after ``have``."""
+
+    have: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigRead:
+    """What the platform task found.
+
+    ``available`` says whether the table answered. ``snapshot`` is set when
+    the deltas after ``have`` were not all there.
+    """
+
+    available: bool
+    head: int = 0
+    deltas: tuple[model.Delta, ...] = ()
+    snapshot: model.Snapshot | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigCommitted:
+    """An administration thread committed a version at this node."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StatusRequest:
+    """Asks control for its state."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StatusReply:
+    """State of a node for operators."""
+
+    instance: str
+    data_centre: str
+    ready: bool
+    version: int
+    checksum: str
+    instances: tuple[model.InstanceRecord, ...]
+    withdrawals: tuple[model.Withdrawal, ...]
+    load: model.Load | None = None
+    counters: tuple[tuple[str, int], ...] = ()
+
+
+KINDS: dict[int, type] = {
+    100: CallRequest,
+    101: CallResult,
+    102: WorkerReady,
+    103: BackendResult,
+    104: BackendServerAnnounced,
+    105: GateControl,
+    106: GateReport,
+    107: ReadConfig,
+    108: ConfigRead,
+    109: ConfigCommitted,
+    110: StatusRequest,
+    111: StatusReply,
+}
