--- /dev/null
+++ b/apricotpost/config/checksums.py
@@ -0,0 +1,34 @@
+"""Checksum of a configuration."""
+
+import dataclasses
+
+import msgspec
+import xxhash
+
+from apricotpost import model
+
+__all__ = ["compute_checksum", "seal"]
+
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")
+
+
+def compute_checksum(snapshot: model.Snapshot) -> str:
+    """Compute the checksum of a snapshot's content.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Its ``checksum`` member is left out.
+
+    Returns
+    -------
+    str
+        XXH128 in hexadecimal. It detects errors, not attacks.
+    """
+    content = dataclasses.replace(snapshot, checksum="")
+    return xxhash.xxh128_hexdigest(_ENCODER.encode(content))
+
+
+def seal(snapshot: model.Snapshot) -> model.Snapshot:
+    """Return the snapshot with its checksum filled in."""
+    return dataclasses.replace(snapshot, checksum=compute_checksum(snapshot))
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -85,10 +85,12 @@
     """
     if not logger.isEnabledFor(event.level):
         return
+    # logging takes a single mapping as the values of named fields.
+    arguments = (fields,) if fields else ()
     logger.log(
         event.level,
         f"AP-{event.number} {event.text}",
-        fields,
+        *arguments,
         extra={"event": event.number, "fields": fields},
     )
 
--- /dev/null
+++ b/apricotpost/node/addresses.py
@@ -0,0 +1,14 @@
+"""Names of the sockets inside a node and forms of addresses."""
+
+__all__ = ["BACKEND", "CONTROL", "DISPATCH", "GATE", "PLATFORM", "tcp"]
+
+BACKEND = "inproc://backend"
+CONTROL = "inproc://control"
+DISPATCH = "inproc://dispatch"
+GATE = "inproc://gate"
+PLATFORM = "inproc://platform"
+
+
+def tcp(address: str) -> str:
+    """Return the ZeroMQ endpoint of an IP:PORT address."""
+    return f"tcp://{address}"
--- /dev/null
+++ b/apricotpost/node/announcements.py
@@ -0,0 +1,91 @@
+"""WSGI application for the announcements of the backend server."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import threading
+import typing
+
+import msgspec
+
+from apricotpost.node import addresses
+from apricotpost.settings import schema
+from apricotpost import wire
+
+__all__ = ["PATH", "make_app"]
+
+PATH = "/-/backend-server"
+MAX_BODY_BYTES = 16 * 1024
+
+Count = typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Announcement:
+    service: schema.Name
+    version: schema.Name
+    address: schema.HostPort
+    slots: Count
+    connections: Count = 100
+    cold: bool = True
+    leaving: bool = False
+
+
+_DECODER = msgspec.json.Decoder(_Announcement)
+
+
+def make_app(
+    context: wire.sockets.Context,
+    other: Callable[..., Iterable[bytes]],
+) -> Callable[..., Iterable[bytes]]:
+    """Make an application that takes announcements.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Of this process.
+    other : callable
+        WSGI application for all other paths.
+    """
+    local = threading.local()
+
+    def app(
+        environ: dict[str, typing.Any], start: Callable[..., typing.Any]
+    ) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != PATH:
+            return other(environ, start)
+        if getattr(local, "sockets", None) is None:
+            local.sockets = (
+                wire.sockets.connect_dealer(context, addresses.GATE),
+                wire.sockets.connect_dealer(context, addresses.CONTROL),
+            )
+        status, body = _announce(environ, local.sockets)
+        start(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    return app
+
+
+def _announce(
+    environ: dict[str, typing.Any],
+    sockets: tuple[wire.sockets.Socket, ...],
+) -> tuple[str, bytes]:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        return "413 Content Too Large", b""
+    try:
+        found = _DECODER.decode(environ["wsgi.input"].read(length))
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        return "400 Bad Request", str(error).encode()
+    message = wire.BackendServerAnnounced(
+        service=found.service,
+        version=found.version,
+        address=found.address,
+        slots=found.slots,
+        connections=found.connections,
+        cold=found.cold,
+        leaving=found.leaving,
+    )
+    for socket in sockets:
+        wire.sockets.send(socket, message)
+    return "200 OK", b"{}"
--- /dev/null
+++ b/apricotpost/node/gate.py
@@ -0,0 +1,257 @@
+"""Task that admits calls to the backend server beside the node."""
+
+import collections
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import logging
+import threading
+import time
+
+import xxhash
+import zmq
+
+from apricotpost.admission import gate
+from apricotpost.admission import limits
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import model
+from apricotpost.node import addresses
+from apricotpost.node import backend
+from apricotpost.node import views
+from apricotpost import wire
+
+__all__ = ["run"]
+
+LOG = logging.getLogger(__name__)
+TICK_SECONDS = 0.05
+REPORT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Task:
+    """What the gate task owns."""
+
+    context: wire.sockets.Context
+    current: views.Current
+    data_centre: str
+    calls: wire.sockets.Socket
+    commands: wire.sockets.Socket
+    backend: wire.sockets.Socket
+    control: wire.sockets.Socket
+    state: gate.GateState
+    idle: collections.deque[bytes]
+    backlog: collections.deque[wire.Call]
+    workers: list[threading.Thread]
+    ticked_at: float = 0.0
+    reported_at: float = 0.0
+
+
+def run(
+    *,
+    context: wire.sockets.Context,
+    current: views.Current,
+    data_centre: str,
+    call_address: str,
+) -> None:
+    """Admit and run calls until the task is asked to stop.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Of this process.
+    current : Current
+        Reference to the view in force.
+    data_centre : str
+        Own data centre.
+    call_address : str
+        Endpoint on which other nodes send calls.
+
+    Raises
+    ------
+    apricotpost.errors.PortOccupied
+        The call address is in use.
+    """
+    with contextlib.ExitStack() as stack:
+        task = _Task(
+            context=context,
+            current=current,
+            data_centre=data_centre,
+            calls=stack.enter_context(
+                wire.sockets.bind_router(context, call_address)
+            ),
+            commands=stack.enter_context(
+                wire.sockets.bind_router(context, addresses.GATE)
+            ),
+            backend=stack.enter_context(
+                wire.sockets.bind_router(context, addresses.BACKEND)
+            ),
+            control=stack.enter_context(
+                wire.sockets.connect_dealer(context, addresses.CONTROL)
+            ),
+            state=gate.GateState(limit=limits.start(slots=1, cold=True)),
+            idle=collections.deque(),
+            backlog=collections.deque(),
+            workers=[],
+        )
+        poller = wire.sockets.Poller()
+        for socket in (task.calls, task.commands, task.backend):
+            poller.register(socket, zmq.POLLIN)
+        while _turn(task, poller):
+            pass
+        _stop_workers(task)
+
+
+def _turn(task: _Task, poller: wire.sockets.Poller) -> bool:
+    """Handle what has arrived; return whether to go on."""
+    ready = dict(poller.poll(int(TICK_SECONDS * 1000)))
+    if task.backend in ready:
+        _receive(task, task.backend, _on_backend)
+    if task.commands in ready:
+        if not _receive(task, task.commands, _on_command):
+            return False
+    if task.calls in ready:
+        _receive(task, task.calls, _on_call)
+    now = time.monotonic()
+    if now - task.ticked_at >= TICK_SECONDS:
+        task.ticked_at = now
+        _handle(task, gate.Tick())
+    if now - task.reported_at >= REPORT_SECONDS:
+        task.reported_at = now
+        _report(task)
+    return True
+
+
+def _receive(
+    task: _Task,
+    socket: wire.sockets.Socket,
+    handler: Callable[[_Task, bytes, wire.Message], bool],
+) -> bool:
+    """Hand all waiting messages of a socket to a handler."""
+    while True:
+        try:
+            identity, message = wire.sockets.receive_routed(socket)
+        except zmq.Again:
+            return True
+        except errors.MalformedMessage as error:
+            events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
+            continue
+        if not handler(task, identity, message):
+            return False
+
+
+def _on_call(task: _Task, identity: bytes, message: wire.Message) -> bool:
+    if isinstance(message, wire.Call):
+        _handle(task, gate.Arrived(reply_to=identity, call=message))
+    elif isinstance(message, wire.Cancel):
+        _handle(task, gate.Cancelled(call=message.call))
+    return True
+
+
+def _on_backend(task: _Task, identity: bytes, message: wire.Message) -> bool:
+    if isinstance(message, wire.BackendResult):
+        checksum = xxhash.xxh64_intdigest(message.body)
+        _handle(task, gate.Finished(result=message), checksum)
+    # The last worker to finish has the warmest connection and goes first.
+    task.idle.append(identity)
+    if task.backlog:
+        _hand_out(task, task.backlog.popleft())
+    return True
+
+
+def _on_command(task: _Task, identity: bytes, message: wire.Message) -> bool:
+    if isinstance(message, wire.StopTask):
+        return False
+    if isinstance(message, wire.BackendServerAnnounced):
+        _handle(task, gate.Announced(announcement=message))
+        _start_workers(task, message.slots)
+    elif isinstance(message, wire.GateControl) and message.drain:
+        _handle(
+            task,
+            gate.DrainStarted(
+                refuse_from=time.monotonic() + message.notice_seconds
+            ),
+        )
+    elif isinstance(message, wire.StatusRequest):
+        wire.sockets.send_routed(task.commands, identity, _describe(task))
+    return True
+
+
+def _handle(task: _Task, event: gate.Event, checksum: int = 0) -> None:
+    task.state, actions = gate.handle(
+        task.state,
+        event,
+        now=time.monotonic(),
+        wall=time.time(),
+        policy=_policy(task),
+        checksum=checksum,
+    )
+    for action in actions:
+        if isinstance(action, gate.Run):
+            _hand_out(task, action.call)
+        else:
+            wire.sockets.send_routed(
+                task.calls, action.reply_to, action.message
+            )
+
+
+def _policy(task: _Task) -> gate.Policy:
+    view = task.current.view
+    announced = task.state.announced
+    withdrawn = announced is not None and any(
+        (entry.service, entry.version)
+        == (announced.service, announced.version)
+        for entry in view.withdrawals
+    )
+    out = any(
+        centre.name == task.data_centre
+        and centre.state is model.DataCentreState.OUT
+        for centre in view.snapshot.data_centres
+    )
+    return gate.Policy(
+        ready=view.ready, data_centre_out=out, withdrawn=withdrawn
+    )
+
+
+def _hand_out(task: _Task, call: wire.Call) -> None:
+    """Give a call to an idle worker, or keep it until one is idle."""
+    if not task.idle:
+        task.backlog.append(call)
+        return
+    announced = task.state.announced
+    address = announced.address if announced is not None else ""
+    job = wire.BackendJob(call=call, address=address)
+    wire.sockets.send_routed(task.backend, task.idle.pop(), job)
+
+
+def _start_workers(task: _Task, slots: int) -> None:
+    while len(task.workers) < slots:
+        worker = threading.Thread(
+            target=backend.run,
+            kwargs={"context": task.context},
+            name=f"backend-{len(task.workers)}",
+            daemon=True,
+        )
+        worker.start()
+        task.workers.append(worker)
+
+
+def _stop_workers(task: _Task) -> None:
+    while task.idle:
+        wire.sockets.send_routed(
+            task.backend, task.idle.pop(), wire.StopTask()
+        )
+    for worker in task.workers:
+        worker.join(1.0)
+
+
+def _describe(task: _Task) -> wire.GateReport:
+    return wire.GateReport(
+        load=gate.describe_load(task.state),
+        backend_server_up=task.state.announced is not None
+        and not task.state.announced.leaving,
+    )
+
+
+def _report(task: _Task) -> None:
+    wire.sockets.send(task.control, _describe(task))
--- /dev/null
+++ b/apricotpost/node/ingress.py
@@ -0,0 +1,245 @@
+"""WSGI application that takes callers' requests."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import threading
+import time
+import typing
+
+import zmq
+
+from apricotpost import model
+from apricotpost.node import addresses
+from apricotpost.node import views
+from apricotpost import routing
+from apricotpost.routing import contexts
+from apricotpost import wire
+
+__all__ = ["MAX_BODY_BYTES", "Ingress", "make_app"]
+
+Environ = dict[str, typing.Any]
+StartResponse = Callable[..., typing.Any]
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# Dispatch answers by the deadline; after this extra time it has failed.
+GRACE_SECONDS = 1.0
+_REASON_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(kw_only=True)
+class Ingress:
+    """What the threads of one listening address share.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Of this process.
+    current : Current
+        Reference to the view in force.
+    instance : str
+        Name of the instance, part of request identifiers.
+    trusted : bool
+        Whether callers are the backend server beside the node.
+    """
+
+    context: wire.sockets.Context
+    current: views.Current
+    instance: str
+    trusted: bool
+    started_ns: int = dataclasses.field(default_factory=time.time_ns)
+    numbers: typing.Iterator[int] = dataclasses.field(
+        default_factory=itertools.count
+    )
+    local: threading.local = dataclasses.field(default_factory=threading.local)
+    draining: bool = False
+
+
+def make_app(ingress: Ingress) -> Callable[..., Iterable[bytes]]:
+    """Make the WSGI application."""
+
+    def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        result = _serve(ingress, environ)
+        return _write(ingress, environ, result, start)
+
+    return app
+
+
+def _serve(ingress: Ingress, environ: Environ) -> wire.CallResult:
+    body = _read_body(environ)
+    if isinstance(body, wire.CallResult):
+        return body
+    table = _table(ingress)
+    if not table.ready:
+        return _not_run(503, wire.NotRunReason.NOT_READY)
+    route = routing.match_route(
+        table,
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"] or "/",
+    )
+    if route is None or (route.internal and not ingress.trusted):
+        return _not_run(404, wire.NotRunReason.NO_ROUTE)
+    return _dispatch(ingress, _make_request(ingress, environ, route, body))
+
+
+def _read_body(environ: Environ) -> bytes | wire.CallResult:
+    stream = environ["wsgi.input"]
+    text = environ.get("CONTENT_LENGTH")
+    if not text:
+        if "HTTP_TRANSFER_ENCODING" not in environ:
+            return b""
+        body = stream.read(MAX_BODY_BYTES + 1)
+        if len(body) > MAX_BODY_BYTES:
+            return _bad_request(413, "body-too-large")
+        return bytes(body)
+    length = int(text)
+    if length > MAX_BODY_BYTES:
+        return _bad_request(413, "body-too-large")
+    body = stream.read(length)
+    if len(body) != length:
+        return _bad_request(400, "body-incomplete")
+    return bytes(body)
+
+
+def _table(ingress: Ingress) -> routing.RoutingTable:
+    """Return the tables of the view in force, cached by thread."""
+    view = ingress.current.view
+    local = ingress.local
+    if getattr(local, "view", None) is not view:
+        local.table = routing.build_table(view)
+        local.view = view
+    return typing.cast(routing.RoutingTable, local.table)
+
+
+def _make_request(
+    ingress: Ingress, environ: Environ, route: model.Route, body: bytes
+) -> wire.CallRequest:
+    headers = _headers(environ)
+    context = contexts.read_context(
+        {name.lower(): value for name, value in headers},
+        wall=time.time(),
+        timeout_ms=route.timeout_ms,
+        trusted=ingress.trusted,
+    )
+    number = next(ingress.numbers)
+    return wire.CallRequest(
+        request=f"{ingress.instance}-{ingress.started_ns:x}-{number:x}",
+        route=route.name,
+        method=environ["REQUEST_METHOD"],
+        target=_target(environ),
+        headers=contexts.strip_headers(headers),
+        body=body,
+        deadline=context.deadline,
+        depth=context.depth,
+        retried=context.retried,
+    )
+
+
+def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _target(environ: Environ) -> str:
+    target = str(environ.get("REQUEST_URI") or environ["PATH_INFO"])
+    if not target.startswith("/"):
+        target = str(environ["PATH_INFO"])
+        if environ.get("QUERY_STRING"):
+            target += "?" + str(environ["QUERY_STRING"])
+    return target
+
+
+def _dispatch(ingress: Ingress, request: wire.CallRequest) -> wire.CallResult:
+    """Hand a request to dispatch and wait for its result."""
+    socket = _socket(ingress)
+    wire.sockets.send(socket, request)
+    gives_up_at = request.deadline + GRACE_SECONDS
+    while True:
+        remaining_ms = int((gives_up_at - time.time()) * 1000)
+        if remaining_ms <= 0 or not socket.poll(remaining_ms, zmq.POLLIN):
+            return wire.CallResult(
+                request=request.request,
+                outcome=wire.Outcome.UNKNOWN,
+                status=504,
+                reason=wire.UnknownReason.TIMEOUT.value,
+            )
+        result = wire.sockets.receive(socket)
+        if (
+            isinstance(result, wire.CallResult)
+            and result.request == request.request
+        ):
+            return result
+
+
+def _socket(ingress: Ingress) -> wire.sockets.Socket:
+    """Return the calling thread's socket to dispatch."""
+    local = ingress.local
+    if getattr(local, "socket", None) is None:
+        local.socket = wire.sockets.connect_dealer(
+            ingress.context, addresses.DISPATCH
+        )
+    return typing.cast(wire.sockets.Socket, local.socket)
+
+
+def _write(
+    ingress: Ingress,
+    environ: Environ,
+    result: wire.CallResult,
+    start: StartResponse,
+) -> Iterable[bytes]:
+    headers = list(contexts.strip_headers(result.headers))
+    body = result.body
+    if result.outcome is not wire.Outcome.ANSWERED:
+        body = _error_body(result)
+        headers = [("Content-Type", "application/json")]
+        headers.append((contexts.REASON_HEADER, result.reason))
+    headers.append((contexts.OUTCOME_HEADER, result.outcome.value))
+    if result.retried:
+        headers.append((contexts.RETRIED_HEADER, "1"))
+    if environ["REQUEST_METHOD"] != "HEAD" and result.status >= 200:
+        headers.append(("Content-Length", str(len(body))))
+    if ingress.draining:
+        headers.append(("Connection", "close"))
+    phrase = _REASON_PHRASES.get(result.status, "Status")
+    start(f"{result.status} {phrase}", headers)
+    return [body]
+
+
+def _error_body(result: wire.CallResult) -> bytes:
+    return (
+        f'{{"outcome": "{result.outcome.value}", '
+        f'"reason": "{result.reason}", "attempts": {result.attempts}}}'
+    ).encode()
+
+
+def _not_run(status: int, reason: wire.NotRunReason) -> wire.CallResult:
+    return wire.CallResult(
+        request="",
+        outcome=wire.Outcome.NOT_RUN,
+        status=status,
+        reason=reason.value,
+    )
+
+
+def _bad_request(status: int, reason: str) -> wire.CallResult:
+    return wire.CallResult(
+        request="",
+        outcome=wire.Outcome.NOT_RUN,
+        status=status,
+        reason=reason,
+    )
--- /dev/null
+++ b/apricotpost/node/main.py
@@ -0,0 +1,274 @@
+"""Program ``apricotpost-node``: the process beside a backend server."""
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import logging
+import pathlib
+import queue
+import random
+import signal
+import sys
+import threading
+import time
+
+from cheroot import wsgi
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import model
+from apricotpost.node import addresses
+from apricotpost.node import announcements
+from apricotpost.node import control
+from apricotpost.node import dispatch
+from apricotpost.node import gate
+from apricotpost.node import ingress
+from apricotpost.node import platform as platform_task
+from apricotpost.node import views
+from apricotpost import platform
+from apricotpost import settings
+from apricotpost import wire
+
+__all__ = ["main", "run"]
+
+LOG = logging.getLogger(__name__)
+DESCRIPTION = "Carry the calls of one backend server and its configuration."
+EXAMPLES = """examples:
+  apricotpost-node /etc/apricotpost/node.jsonc
+  apricotpost-node --check /etc/apricotpost/node.jsonc
+"""
+JOIN_SECONDS = 5.0
+
+App = Callable[..., Iterable[bytes]]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Node:
+    """What the main thread owns."""
+
+    options: settings.NodeSettings
+    context: wire.sockets.Context
+    current: views.Current
+    stack: contextlib.ExitStack
+    signals: queue.SimpleQueue[int]
+    failures: list[BaseException] = dataclasses.field(default_factory=list)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the command line.
+
+    Returns
+    -------
+    int
+        0 after a drain, 2 for wrong settings, 3 for an occupied address.
+    """
+    parser = argparse.ArgumentParser(
+        prog="apricotpost-node",
+        description=DESCRIPTION,
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("settings", type=pathlib.Path)
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parsed = parser.parse_args(arguments)
+    try:
+        options = settings.load(parsed.settings)
+        if parsed.check:
+            return 0
+        events.configure(style=options.logs.style, level=options.logs.level)
+        run(options)
+    except errors.ApricotpostError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        for fault in error.faults:
+            print(f"  {fault}", file=sys.stderr)
+        return error.exit_code
+    return 0
+
+
+def run(options: settings.NodeSettings) -> None:
+    """Run a node until SIGTERM and drain it.
+
+    Parameters
+    ----------
+    options : NodeSettings
+        Checked settings.
+
+    Raises
+    ------
+    apricotpost.errors.PortOccupied
+        A listening address is in use.
+    """
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda received, _: signals.put(received))
+    with contextlib.ExitStack() as stack:
+        context: wire.sockets.Context = stack.enter_context(
+            wire.sockets.make_context()
+        )
+        node = _Node(
+            options=options,
+            context=context,
+            current=views.Current(
+                view=model.View(snapshot=model.EMPTY_SNAPSHOT)
+            ),
+            stack=stack,
+            signals=signals,
+        )
+        _start_tasks(node)
+        servers = _start_servers(node)
+        events.emit(
+            LOG,
+            events.NODE_STARTED,
+            instance=options.instance,
+            data_centre=options.data_centre,
+        )
+        signals.get()
+        _drain(node, servers)
+    if node.failures:
+        raise node.failures[0]
+    events.emit(LOG, events.NODE_STOPPED)
+
+
+def _start_tasks(node: _Node) -> None:
+    options = node.options
+    store = platform.open_store(
+        table_url=options.platform.table_url,
+        object_url=options.platform.object_url,
+        table_name=options.platform.table,
+        bucket=options.platform.bucket,
+        timeout_seconds=options.platform.timeout_seconds,
+    )
+    seed = f"{options.instance}-{time.time_ns()}"
+    _start(
+        node,
+        addresses.PLATFORM,
+        lambda: platform_task.run(context=node.context, store=store),
+    )
+    _start(
+        node,
+        addresses.CONTROL,
+        lambda: control.run(
+            context=node.context,
+            current=node.current,
+            options=options,
+            rng=random.Random(seed + "-control"),
+        ),
+    )
+    _start(
+        node,
+        addresses.GATE,
+        lambda: gate.run(
+            context=node.context,
+            current=node.current,
+            data_centre=options.data_centre,
+            call_address=addresses.tcp(options.addresses.call),
+        ),
+    )
+    _start(
+        node,
+        addresses.DISPATCH,
+        lambda: dispatch.run(
+            context=node.context,
+            current=node.current,
+            data_centre=options.data_centre,
+            rng=random.Random(seed + "-dispatch"),
+        ),
+    )
+
+
+def _start(node: _Node, address: str, target: Callable[[], None]) -> None:
+    """Start a task whose commands arrive at an address."""
+
+    def guarded() -> None:
+        try:
+            target()
+        except Exception as error:
+            events.emit(LOG, events.TASK_FAILED, task=address, error=error)
+            node.failures.append(error)
+            node.signals.put(signal.SIGTERM)
+
+    thread = threading.Thread(target=guarded, name=address, daemon=True)
+
+    def stop() -> None:
+        socket = wire.sockets.connect_dealer(node.context, address)
+        wire.sockets.send(socket, wire.StopTask())
+        thread.join(JOIN_SECONDS)
+        socket.close()
+
+    thread.start()
+    node.stack.callback(stop)
+
+
+def _start_servers(node: _Node) -> list[ingress.Ingress]:
+    options = node.options
+    outside = ingress.Ingress(
+        context=node.context,
+        current=node.current,
+        instance=options.instance + "-o",
+        trusted=False,
+    )
+    inside = ingress.Ingress(
+        context=node.context,
+        current=node.current,
+        instance=options.instance + "-l",
+        trusted=True,
+    )
+    _serve(
+        node,
+        options.addresses.ingress,
+        ingress.make_app(outside),
+        options.ingress_threads,
+    )
+    _serve(
+        node,
+        options.addresses.local,
+        announcements.make_app(node.context, ingress.make_app(inside)),
+        options.local_threads,
+    )
+    return [outside, inside]
+
+
+def _serve(node: _Node, address: str, app: App, threads: int) -> None:
+    host, _, port = address.rpartition(":")
+    server = wsgi.Server(
+        (host.strip("[]"), int(port)),
+        app,
+        numthreads=threads,
+        request_queue_size=1024,
+        max=threads,
+    )
+    server.max_request_body_size = 0
+    try:
+        server.prepare()
+    except OSError as error:
+        raise errors.PortOccupied(
+            f"cannot listen on {address}: {error}"
+        ) from error
+    thread = threading.Thread(target=server.serve, name=address, daemon=True)
+    thread.start()
+
+    def stop() -> None:
+        server.stop()
+        thread.join(JOIN_SECONDS)
+
+    node.stack.callback(stop)
+
+
+def _drain(node: _Node, servers: list[ingress.Ingress]) -> None:
+    events.emit(LOG, events.DRAIN_STARTED)
+    for server in servers:
+        server.draining = True
+    socket = wire.sockets.connect_dealer(node.context, addresses.GATE)
+    notice = node.options.times.leave_notice_seconds
+    wire.sockets.send(
+        socket, wire.GateControl(drain=True, notice_seconds=notice)
+    )
+    socket.close()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/apricotpost/node/platform.py
@@ -0,0 +1,61 @@
+"""Task that reads the configuration from the platform."""
+
+import contextlib
+import logging
+
+import zmq
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost.node import addresses
+from apricotpost import platform
+from apricotpost import wire
+
+__all__ = ["run"]
+
+LOG = logging.getLogger(__name__)
+WAIT_MS = 1000
+
+
+def run(*, context: wire.sockets.Context, store: platform.Store) -> None:
+    """Answer control's requests until asked to stop.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Of this process.
+    store : apricotpost.platform.Store
+        Owned by this task from here on.
+    """
+    with contextlib.ExitStack() as stack:
+        stack.callback(store.channel.pool.clear)
+        socket = stack.enter_context(
+            wire.sockets.bind_router(context, addresses.PLATFORM)
+        )
+        available = True
+        while True:
+            if not socket.poll(WAIT_MS, zmq.POLLIN):
+                continue
+            identity, message = wire.sockets.receive_routed(socket)
+            if isinstance(message, wire.StopTask):
+                return
+            if isinstance(message, wire.ReadConfig):
+                found = _read(store, message.have, available)
+                available = found.available
+                wire.sockets.send_routed(socket, identity, found)
+
+
+def _read(
+    store: platform.Store, have: int, was_available: bool
+) -> wire.ConfigRead:
+    try:
+        head, deltas, snapshot = platform.read_newer(store, have)
+    except errors.ApricotpostError as error:
+        if was_available:
+            events.emit(LOG, events.PLATFORM_LOST, error=error)
+        return wire.ConfigRead(available=False)
+    if not was_available:
+        events.emit(LOG, events.PLATFORM_BACK)
+    return wire.ConfigRead(
+        available=True, head=head, deltas=deltas, snapshot=snapshot
+    )
--- /dev/null
+++ b/apricotpost/platform/__init__.py
@@ -0,0 +1,29 @@
+"""The platform's table service and object store."""
+
+from apricotpost.platform.http import Channel
+from apricotpost.platform.http import open_channel
+from apricotpost.platform import objects
+from apricotpost.platform.store import Change
+from apricotpost.platform.store import commit
+from apricotpost.platform.store import Fence
+from apricotpost.platform.store import open_store
+from apricotpost.platform.store import read_head
+from apricotpost.platform.store import read_newer
+from apricotpost.platform.store import read_snapshot
+from apricotpost.platform.store import Store
+from apricotpost.platform import table
+
+__all__ = [
+    "Change",
+    "Channel",
+    "Fence",
+    "Store",
+    "commit",
+    "objects",
+    "open_channel",
+    "open_store",
+    "read_head",
+    "read_newer",
+    "read_snapshot",
+    "table",
+]
--- /dev/null
+++ b/apricotpost/routing/retries.py
@@ -0,0 +1,80 @@
+"""Which failed attempts are repeated."""
+
+import dataclasses
+
+from apricotpost import wire
+
+__all__ = [
+    "Budget",
+    "MAX_ATTEMPTS",
+    "earn",
+    "may_retry_failure",
+    "may_retry_not_run",
+    "spend",
+]
+
+MAX_ATTEMPTS = 3
+TOKENS_PER_CALL = 0.1
+MAX_TOKENS = 10.0
+RETRIED_STATUSES = frozenset((502, 503, 504))
+# Another backend server does not change these.
+_FINAL_REASONS = frozenset(
+    (
+        wire.NotRunReason.DEADLINE_PASSED,
+        wire.NotRunReason.CANCELLED,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Budget:
+    """Tokens that this node may spend on retries."""
+
+    tokens: float = MAX_TOKENS
+
+
+def earn(budget: Budget) -> Budget:
+    """Credit the budget for one call."""
+    return Budget(tokens=min(budget.tokens + TOKENS_PER_CALL, MAX_TOKENS))
+
+
+def spend(budget: Budget) -> Budget:
+    """Charge the budget for one retry."""
+    return Budget(tokens=budget.tokens - 1.0)
+
+
+def may_retry_not_run(reason: wire.NotRunReason, *, attempts: int) -> bool:
+    """Tell whether a call that was not run may go to another server.
+
+    Nothing ran, so this holds for calls that may not be repeated, too.
+    """
+    return attempts < MAX_ATTEMPTS and reason not in _FINAL_REASONS
+
+
+def may_retry_failure(
+    budget: Budget,
+    *,
+    idempotent: bool,
+    retried: bool,
+    attempts: int,
+) -> bool:
+    """Tell whether a call that may have run may be repeated.
+
+    Parameters
+    ----------
+    budget : Budget
+        Of this node.
+    idempotent : bool
+        Whether the route allows it.
+    retried : bool
+        Whether this call, one above or one below it is a retry already;
+        retries at several depths would multiply.
+    attempts : int
+        Attempts so far.
+    """
+    return (
+        idempotent
+        and not retried
+        and attempts < MAX_ATTEMPTS
+        and budget.tokens >= 1.0
+    )
--- /dev/null
+++ b/apricotpost/settings/__init__.py
@@ -0,0 +1,23 @@
+"""Settings in JSON with comments."""
+
+from apricotpost.settings.loader import load
+from apricotpost.settings.loader import parse
+from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import LogSettings
+from apricotpost.settings.schema import MetricSettings
+from apricotpost.settings.schema import NodeSettings
+from apricotpost.settings.schema import PlatformSettings
+from apricotpost.settings.schema import TimeSettings
+from apricotpost.settings.schema import TokenSettings
+
+__all__ = [
+    "AddressSettings",
+    "LogSettings",
+    "MetricSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "TimeSettings",
+    "TokenSettings",
+    "load",
+    "parse",
+]
--- /dev/null
+++ b/apricotpost/settings/schema.py
@@ -0,0 +1,169 @@
+"""Settings of a node; each has a type, a unit, a range and a default."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+__all__ = [
+    "AddressSettings",
+    "LogSettings",
+    "MetricSettings",
+    "NodeSettings",
+    "PlatformSettings",
+    "TimeSettings",
+    "TokenSettings",
+]
+
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=63)
+]
+HostPort = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
+]
+Hash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Threads = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AddressSettings:
+    """Addresses on which the node listens, each as IP:PORT.
+
+    Parameters
+    ----------
+    ingress : str
+        Callers from outside.
+    local : str
+        The backend server beside the node.
+    admin : str
+        Operators.
+    call, control : str
+        Other nodes.
+    """
+
+    ingress: HostPort
+    local: HostPort
+    admin: HostPort
+    call: HostPort
+    control: HostPort
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformSettings:
+    """The platform's services.
+
+    Parameters
+    ----------
+    table_url, object_url : str
+        HTTP endpoints.
+    table, bucket : str
+        Names of the table and the bucket.
+    timeout_seconds : float
+        Longest wait for one answer, in seconds.
+    """
+
+    table_url: str
+    object_url: str
+    table: Name = "apricotpost"
+    bucket: Name = "apricotpost"
+    timeout_seconds: Seconds = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TokenSettings:
+    """One administration token.
+
+    Parameters
+    ----------
+    sha256 : str
+        SHA-256 of the token, in hexadecimal.
+    author : str
+        Who it was given to.
+    team : str
+        Team whose services it may change.
+    rights : tuple of {'read', 'change', 'data-centres'}
+        What it allows.
+    """
+
+    sha256: Hash
+    author: str
+    team: Name
+    rights: tuple[typing.Literal["read", "change", "data-centres"], ...] = (
+        "read",
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TimeSettings:
+    """Times in seconds.
+
+    Parameters
+    ----------
+    drain_seconds : float
+        Longest drain after SIGTERM.
+    leave_notice_seconds : float
+        Time for callers to hear that the instance leaves.
+    poll_seconds : float
+        Pause between two reads of the table by a reader.
+    bake_seconds : float
+        Time at full share before a rollout is done.
+    step_seconds : float
+        Shortest time between two steps of a rollout.
+    """
+
+    drain_seconds: Seconds = 30.0
+    leave_notice_seconds: Seconds = 2.0
+    poll_seconds: Seconds = 1.0
+    bake_seconds: Seconds = 60.0
+    step_seconds: Seconds = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LogSettings:
+    """Log output: format and lowest level."""
+
+    style: typing.Literal["text", "json"] = "text"
+    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MetricSettings:
+    """Metrics: address of the statsd server and prefix of the names."""
+
+    statsd: HostPort | None = None
+    prefix: Name = "apricotpost"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeSettings:
+    """All settings of a node.
+
+    Parameters
+    ----------
+    instance, data_centre, region : str
+        Name and place of the instance.
+    addresses : AddressSettings
+        Where the node listens.
+    seeds : tuple of str
+        Control addresses of some other nodes, as IP:PORT.
+    platform : PlatformSettings
+        The platform's services.
+    ingress_threads : int
+        Threads that serve callers from outside.
+    local_threads : int
+        Threads that serve the backend server beside the node.
+    """
+
+    instance: Name
+    data_centre: Name
+    region: Name
+    addresses: AddressSettings
+    platform: PlatformSettings
+    seeds: tuple[HostPort, ...] = ()
+    tokens: tuple[TokenSettings, ...] = ()
+    times: TimeSettings = TimeSettings()
+    logs: LogSettings = LogSettings()
+    metrics: MetricSettings = MetricSettings()
+    ingress_threads: Threads = 24
+    local_threads: Threads = 12
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -25,6 +25,7 @@
 from apricotpost.wire.messages import Welcome
 from apricotpost.wire.messages import WithdrawalNotice
 from apricotpost.wire import sockets
+from apricotpost.wire.tasks import BackendJob
 from apricotpost.wire.tasks import BackendResult
 from apricotpost.wire.tasks import BackendServerAnnounced
 from apricotpost.wire.tasks import CallRequest
@@ -37,11 +38,13 @@
 from apricotpost.wire.tasks import ReadConfig
 from apricotpost.wire.tasks import StatusReply
 from apricotpost.wire.tasks import StatusRequest
+from apricotpost.wire.tasks import StopTask
 from apricotpost.wire.tasks import WorkerReady
 
 __all__ = [
     "Ack",
     "Answer",
+    "BackendJob",
     "BackendResult",
     "BackendServerAnnounced",
     "Call",
@@ -71,6 +74,7 @@
     "ReadConfig",
     "StatusReply",
     "StatusRequest",
+    "StopTask",
     "UnknownReason",
     "Welcome",
     "WithdrawalNotice",
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -14,6 +14,7 @@
     "bind_router",
     "connect_dealer",
     "connect_peer",
+    "make_context",
     "receive",
     "receive_routed",
     "send",
@@ -24,6 +25,8 @@
 Poller = zmq.Poller
 Socket = zmq.Socket[bytes]
 
+# Two sockets for each of 1,200 peers and those of the own tasks.
+MAX_SOCKETS = 4096
 # Frames above this size are refused before they are read into memory.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 # A peer that does not answer a connect is tried again after these pauses.
@@ -34,6 +37,13 @@
 HEARTBEAT_TIMEOUT_MS = 6000
 
 
+def make_context() -> Context:
+    """Make the context of a process, without a limit on its sockets."""
+    context = zmq.Context()
+    context.max_sockets = MAX_SOCKETS
+    return context
+
+
 def bind_router(context: Context, address: str) -> Socket:
     """Make a ROUTER socket bound to an address.
 
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -4,8 +4,10 @@
 import enum
 
 from apricotpost import model
+from apricotpost.wire import messages
 
 __all__ = [
+    "BackendJob",
     "BackendResult",
     "BackendServerAnnounced",
     "CallRequest",
@@ -19,6 +21,7 @@
     "ReadConfig",
     "StatusReply",
     "StatusRequest",
+    "StopTask",
     "WorkerReady",
 ]
 
@@ -33,8 +36,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallRequest:
-    """Ingress asks dispatch to carry a call out."""
+    """Ingress asks dispatch to carry a call out.
 
+    ``request`` is unique; the result repeats it, so that a late result is
+    never taken for that of a later request.
+    """
+
+    request: str
     route: str
     method: str
     target: str
@@ -52,6 +60,7 @@
     ``retried`` says whether a failed attempt was repeated, here or below.
     """
 
+    request: str
     outcome: Outcome
     status: int
     headers: tuple[tuple[str, str], ...] = ()
@@ -61,6 +70,17 @@
     retried: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendJob:
+    """The gate hands a call to a backend worker.
+
+    ``address`` is that of the backend server, as IP:PORT.
+    """
+
+    call: messages.Call
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerReady:
     """A backend worker waits for its first call."""
@@ -100,9 +120,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GateControl:
-    """Control tells the gate to start a drain."""
+    """Control tells the gate to start a drain.
+
+    New calls are refused after ``notice_seconds``.
+    """
 
     drain: bool
+    notice_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -162,6 +186,11 @@
     counters: tuple[tuple[str, int], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopTask:
+    """Asks a task to close its sockets and end."""
+
+
 KINDS: dict[int, type] = {
     100: CallRequest,
     101: CallResult,
@@ -175,4 +204,6 @@
     109: ConfigCommitted,
     110: StatusRequest,
     111: StatusReply,
+    112: StopTask,
+    113: BackendJob,
 }
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,184 @@
+"""Stand-in for the platform: a table service and an object store.
+
+Speaks the parts of the DynamoDB JSON and S3 REST protocols that a node uses.
+``POST /-/faults`` injects outages, slowness and lost answers.
+"""
+
+import argparse
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import json
+import signal
+import threading
+import time
+import typing
+
+from cheroot import wsgi
+
+from standins import platform_tables
+
+__all__ = ["Faults", "State", "main", "make_app", "serve"]
+
+Environ = dict[str, typing.Any]
+StartResponse = Callable[..., typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Faults:
+    """Faults in force.
+
+    Parameters
+    ----------
+    table_down, objects_down : bool
+        Requests are refused with status 503 and nothing is carried out.
+    delay_seconds : float
+        Pause before each request is carried out.
+    lose_answers : int
+        So many next writes are carried out and answered with status 500.
+    """
+
+    table_down: bool = False
+    objects_down: bool = False
+    delay_seconds: float = 0.0
+    lose_answers: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class State:
+    """All that the stand-in holds."""
+
+    tables: platform_tables.Tables = dataclasses.field(
+        default_factory=platform_tables.Tables
+    )
+    objects: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    faults: Faults = Faults()
+    requests: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def make_app(state: State) -> Callable[..., Iterable[bytes]]:
+    """Make the WSGI application."""
+
+    def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        status, answer = _handle(state, environ, body)
+        start(status, [("Content-Length", str(len(answer)))])
+        return [answer]
+
+    return app
+
+
+def _handle(state: State, environ: Environ, body: bytes) -> tuple[str, bytes]:
+    path = environ["PATH_INFO"]
+    if path == "/-/faults":
+        state.faults = Faults(**json.loads(body))
+        return "200 OK", b"{}"
+    if path == "/-/counters":
+        return "200 OK", json.dumps(_counters(state)).encode()
+    if state.faults.delay_seconds:
+        time.sleep(state.faults.delay_seconds)
+    target = environ.get("HTTP_X_AMZ_TARGET")
+    if target:
+        return _handle_table(state, target.rpartition(".")[2], body)
+    return _handle_object(state, environ["REQUEST_METHOD"], path, body)
+
+
+def _counters(state: State) -> dict[str, int]:
+    return {
+        "items_read": state.tables.reads,
+        "items_written": state.tables.writes,
+        **state.requests,
+    }
+
+
+def _handle_table(
+    state: State, operation: str, body: bytes
+) -> tuple[str, bytes]:
+    state.requests[operation] += 1
+    if state.faults.table_down:
+        return "503 Service Unavailable", _fault("ServiceUnavailable", "")
+    operations = {
+        "GetItem": platform_tables.get_item,
+        "Query": platform_tables.query,
+        "TransactWriteItems": platform_tables.transact,
+    }
+    if operation not in operations:
+        return "400 Bad Request", _fault("UnknownOperation", operation)
+    try:
+        answer = operations[operation](state.tables, json.loads(body))
+    except platform_tables.ConditionFailed as error:
+        return "400 Bad Request", _fault(
+            "TransactionCanceledException", str(error)
+        )
+    if operation == "TransactWriteItems" and state.faults.lose_answers:
+        state.faults = dataclasses.replace(
+            state.faults, lose_answers=state.faults.lose_answers - 1
+        )
+        return "500 Internal Server Error", _fault("InternalServerError", "")
+    return "200 OK", json.dumps(answer).encode()
+
+
+def _handle_object(
+    state: State, method: str, path: str, body: bytes
+) -> tuple[str, bytes]:
+    state.requests["object " + method] += 1
+    if state.faults.objects_down:
+        return "503 Service Unavailable", b""
+    if method == "PUT":
+        state.objects[path] = body
+        return "200 OK", b""
+    if method == "GET" and path in state.objects:
+        return "200 OK", state.objects[path]
+    return "404 Not Found", b""
+
+
+def _fault(kind: str, message: str) -> bytes:
+    return json.dumps(
+        {"__type": f"com.amazonaws.dynamodb.v20120810#{kind}"}
+        | {"message": message}
+    ).encode()
+
+
+@contextlib.contextmanager
+def serve(
+    app: Callable[..., Iterable[bytes]],
+    *,
+    host: str,
+    port: int,
+    threads: int,
+) -> typing.Iterator[int]:
+    """Serve an application from a thread; yields the port."""
+    server = wsgi.Server(
+        (host, port), app, numthreads=threads, request_queue_size=1024
+    )
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield int(server.bind_addr[1])
+    finally:
+        server.stop()
+        thread.join(5)
+
+
+def main() -> int:
+    """Run the stand-in until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    options = parser.parse_args()
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    app = make_app(State())
+    with serve(app, host=options.host, port=options.port, threads=32):
+        stopped.wait()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
