--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,83 @@
+"""Run benchmarks: ``python -m bench list|all|NAME [--json] [--full]``."""
+
+import argparse
+import importlib
+import json
+import pathlib
+import sys
+import typing
+
+__all__ = ["BENCHMARKS", "main"]
+
+BENCHMARKS = {
+    "balance": "Choice of the backend server against other policies.",
+    "control_cost": "Bytes, processor time and memory of control per node.",
+    "convergence": "From accepted to in force on every node.",
+    "data_centre_move": "Service while a data centre leaves and returns.",
+    "handover": "Hand-overs between tasks: threads against asyncio.",
+    "keyed_calls": "Cost of calls with an Idempotency-Key.",
+    "moves": "Good versions on time, bad versions taken back.",
+    "overhead": "Latency and processor time added to a call.",
+    "restart_storm": "Load on table and peers when a data centre restarts.",
+}
+BASELINE = pathlib.Path(__file__).with_name("baseline.json")
+
+Result = dict[str, typing.Any]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the command line.
+
+    Returns
+    -------
+    int
+        0 when every figure is within its bound, 1 when one is not.
+    """
+    parser = argparse.ArgumentParser(prog="python -m bench")
+    parser.add_argument("name", choices=["list", "all", *BENCHMARKS])
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument(
+        "--full", action="store_true", help="larger fleets, several minutes"
+    )
+    options = parser.parse_args(arguments)
+    if options.name == "list":
+        for name, text in BENCHMARKS.items():
+            print(f"{name:18} {text}")
+        return 0
+    names = list(BENCHMARKS) if options.name == "all" else [options.name]
+    results = [run_benchmark(name, options.full) for name in names]
+    if options.json:
+        for result in results:
+            print(json.dumps(result))
+    else:
+        _print_table(results)
+    return 0 if all(result["holds"] for result in results) else 1
+
+
+def run_benchmark(name: str, full: bool) -> Result:
+    """Run one benchmark and compare it with its target and its baseline."""
+    module = importlib.import_module(f"bench.{name}")
+    result: Result = module.run(full)
+    baseline = json.loads(BASELINE.read_text()).get(name)
+    if baseline is not None and not full:
+        # A figure may be worse than its baseline by this factor.
+        limit = baseline["value"] * baseline["factor"]
+        result["regression_limit"] = limit
+        result["regressed"] = result["value"] > limit
+    return result
+
+
+def _print_table(results: list[Result]) -> None:
+    print(f"{'name':18} {'value':>12} {'target':>12} {'unit':10} holds")
+    for result in results:
+        holds = "yes" if result["holds"] else "NO"
+        if result.get("regressed"):
+            holds += ", worse than the baseline"
+        print(
+            f"{result['name']:18} {result['value']:12.4g} "
+            f"{result['target']:12.4g} {result['unit']:10} {holds}"
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,181 @@
+"""Callers that send requests at a steady rate and keep every outcome."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import dataclasses
+import itertools
+import threading
+import time
+import typing
+
+import urllib3
+
+__all__ = ["Load", "Record", "percentile_ms", "run_load", "summarize"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Record:
+    """One request and its outcome.
+
+    Parameters
+    ----------
+    at : float
+        Start in seconds of the monotonic clock.
+    request : str
+        Value of ``X-Request-Id``.
+    path : str
+        What was called.
+    status : int
+        HTTP status, 0 where no answer came.
+    outcome : str
+        Value of ``X-Apricotpost-Outcome``, or the caller's own error.
+    version : str
+        Backend server version that answered.
+    seconds : float
+        Duration.
+    echoed : str
+        Request identifier inside the answer.
+    """
+
+    at: float
+    request: str
+    path: str
+    status: int
+    outcome: str
+    version: str
+    seconds: float
+    echoed: str = ""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Load:
+    """Running callers and what they have recorded."""
+
+    records: list[Record] = dataclasses.field(default_factory=list)
+    stopped: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+
+
+@contextlib.contextmanager
+def run_load(
+    addresses: Sequence[str] | Callable[[], Sequence[str]],
+    *,
+    per_second: float,
+    requests: Sequence[tuple[str, str]],
+    threads: int = 16,
+    timeout_seconds: float = 10.0,
+) -> typing.Iterator[Load]:
+    """Send requests to ingress addresses while the block runs.
+
+    Parameters
+    ----------
+    addresses : sequence of str or callable
+        IP:PORT of the nodes, used in turn.
+    per_second : float
+        Requests a second of all threads together.
+    requests : sequence of tuple
+        Method and path, used in turn.
+    threads : int
+        Callers; each waits for its answer before its next request.
+    timeout_seconds : float
+        Longest wait of a caller, in seconds.
+    """
+    load = Load()
+    numbers = itertools.count()
+    started = time.monotonic()
+    targets = addresses if callable(addresses) else lambda: addresses
+    pool = urllib3.PoolManager(
+        num_pools=64, maxsize=threads, retries=False, block=False
+    )
+
+    def work() -> None:
+        while not load.stopped.is_set():
+            number = next(numbers)
+            due = started + number / per_second
+            if load.stopped.wait(max(due - time.monotonic(), 0)):
+                return
+            nodes = targets()
+            method, path = requests[number % len(requests)]
+            url = f"http://{nodes[number % len(nodes)]}{path}"
+            load.records.append(
+                _send(pool, method, url, f"r{number}", timeout_seconds)
+            )
+
+    workers = [
+        threading.Thread(target=work, daemon=True) for _ in range(threads)
+    ]
+    for worker in workers:
+        worker.start()
+    try:
+        yield load
+    finally:
+        load.stopped.set()
+        for worker in workers:
+            worker.join(timeout_seconds + 1)
+        pool.clear()
+
+
+def summarize(records: Sequence[Record]) -> dict[str, typing.Any]:
+    """Count outcomes and give percentiles of the answered requests."""
+    outcomes = collections.Counter(
+        f"{record.status} {record.outcome}" for record in records
+    )
+    good = [record for record in records if record.status == 200]
+    return {
+        "requests": len(records),
+        "good": len(good),
+        "success": len(good) / len(records) if records else 0.0,
+        "p50_ms": percentile_ms(good, 0.50),
+        "p99_ms": percentile_ms(good, 0.99),
+        "outcomes": dict(outcomes),
+    }
+
+
+def percentile_ms(records: Sequence[Record], share: float) -> float:
+    """Return a percentile of the durations in milliseconds."""
+    durations = sorted(record.seconds for record in records)
+    if not durations:
+        return 0.0
+    return durations[int(len(durations) * share)] * 1000
+
+
+def _send(
+    pool: urllib3.PoolManager,
+    method: str,
+    url: str,
+    request: str,
+    timeout_seconds: float,
+) -> Record:
+    started = time.monotonic()
+    status, outcome, version, echoed = 0, "", "", ""
+    try:
+        response = pool.request(
+            method,
+            url,
+            body=b"report" if method == "POST" else None,
+            headers={"X-Request-Id": request},
+            timeout=timeout_seconds,
+            redirect=False,
+        )
+        status = response.status
+        outcome = response.headers.get("X-Apricotpost-Outcome", "")
+        reason = response.headers.get("X-Apricotpost-Reason", "")
+        outcome = f"{outcome} {reason}".strip()
+        version = response.headers.get("X-Backend-Version", "")
+        if status == 200:
+            echoed = response.json().get("request", "")
+    except urllib3.exceptions.HTTPError as error:
+        outcome = type(error).__name__
+    return Record(
+        at=started,
+        request=request,
+        path=url.partition("//")[2].partition("/")[2],
+        status=status,
+        outcome=outcome,
+        version=version,
+        seconds=time.monotonic() - started,
+        echoed=echoed,
+    )
