--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "moves": "Good versions on time, bad versions taken back.",
     "overhead": "Latency and processor time added to a call.",
     "restart_storm": "Load on table and peers when a data centre restarts.",
+    "state_at_target": "Memory and processor time of the state at 1,200.",
 }
 BASELINE = pathlib.Path(__file__).with_name("baseline.json")
 
