Detect failures with SWIM as pure decisions

Cause: membership sent every record to two peers twice a second. Change: probes with a bounded number of piggybacked records, suspicion, refutation, partition handling, expiry and repair by digest.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -62,6 +62,16 @@
 )
 PLATFORM_LOST = _event(210, logging.WARNING, "table not reachable: %(error)s")
 PLATFORM_BACK = _event(211, logging.INFO, "table reachable again")
+CONFIG_STOPPED = _event(
+    203,
+    logging.ERROR,
+    "configuration %(version)s spreads no further, refused by %(refusers)s",
+)
+WITHDRAWAL_NOTED = _event(
+    204,
+    logging.WARNING,
+    "version %(version)s of %(service)s is withdrawn: %(reason)s",
+)
 # Messages between nodes: 300 to 399.
 MESSAGE_MALFORMED = _event(
     300, logging.WARNING, "malformed message dropped: %(error)s"
@@ -69,6 +79,7 @@
 INSTANCE_STATE = _event(
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
+CONTROL_COUNTERS = _event(320, logging.DEBUG, "control counters %(counters)s")
 
 
 def emit(logger: logging.Logger, event: Event, **fields: typing.Any) -> None:
--- /dev/null
+++ b/apricotpost/membership/exchanges.py
@@ -0,0 +1,152 @@
+"""Joins, repairs, expiry and what messages tell about their senders."""
+
+import dataclasses
+import random
+
+from apricotpost.membership import members
+from apricotpost.membership import records
+from apricotpost import model
+from apricotpost import wire
+
+__all__ = ["expire", "handle", "hear", "live_names", "maintain"]
+
+
+def handle(
+    state: members.Membership, event: members.Received, now: float
+) -> members.Step:
+    """Handle the messages that exchange all records."""
+    message = event.message
+    if isinstance(message, wire.Members):
+        return records.merge(state, message.records, now), ()
+    if isinstance(message, wire.Join):
+        state = records.merge(state, (message.record,), now)
+        if not message.whole:
+            return state, ()
+        return state, _list_members(state, event.reply_to)
+    if isinstance(message, wire.MembersRequest):
+        if message.digest == records.compute_digest(state):
+            return state, ()
+        return state, _list_members(state, event.reply_to)
+    return state, ()
+
+
+def hear(
+    state: members.Membership,
+    message: wire.Ping | wire.Ack,
+    now: float,
+) -> members.Membership:
+    """Take over what a probe or its answer tells."""
+    state = records.merge(state, message.records, now)
+    known = state.members.get(message.sender)
+    if known is None or known.record.config_version >= message.version:
+        return state
+    newer = dataclasses.replace(known.record, config_version=message.version)
+    return records.merge(state, (newer,), now)
+
+
+def live_names(state: members.Membership) -> list[str]:
+    """List the other instances that are not gone, sorted."""
+    return sorted(
+        name
+        for name, member in state.members.items()
+        if name != state.own and not records.is_gone(member.record)
+    )
+
+
+def expire(state: members.Membership, now: float) -> members.Membership:
+    """Declare suspects down and forget instances that are long gone."""
+    limit = now - state.parameters.suspicion_seconds
+    for name, since in tuple(state.suspects.items()):
+        member = state.members.get(name)
+        if since > limit or member is None:
+            continue
+        if records.is_partitioned(state, member.record.data_centre):
+            continue
+        down = dataclasses.replace(
+            member.record, state=model.InstanceState.DOWN
+        )
+        state = records.put(state, down, now)
+    relays = {
+        sequence: relay
+        for sequence, relay in state.relays.items()
+        if now - relay.started_at < state.parameters.period_seconds
+    }
+    if len(relays) != len(state.relays):
+        state = dataclasses.replace(state, relays=relays)
+    if now < state.expire_at:
+        return state
+    horizon = now - state.parameters.expiry_seconds
+    kept = {
+        name: member
+        for name, member in state.members.items()
+        if name == state.own
+        or not records.is_gone(member.record)
+        or member.since > horizon
+    }
+    return dataclasses.replace(
+        state,
+        members=kept,
+        expire_at=now + state.parameters.expiry_seconds / 10,
+    )
+
+
+def maintain(
+    state: members.Membership, rng: random.Random, now: float
+) -> members.Step:
+    """Compare records with a random peer and try a down instance."""
+    actions: list[members.Action] = []
+    parameters = state.parameters
+    if now >= state.repair_at:
+        state = dataclasses.replace(
+            state, repair_at=now + parameters.repair_seconds
+        )
+        names = live_names(state)
+        if names:
+            request = wire.MembersRequest(
+                sender=state.own, digest=records.compute_digest(state)
+            )
+            actions.append(_send_to(state, rng.choice(names), request))
+    if now >= state.revive_at:
+        state = dataclasses.replace(
+            state, revive_at=now + parameters.revive_seconds
+        )
+        gone = sorted(
+            name
+            for name, member in state.members.items()
+            if member.record.state is model.InstanceState.DOWN
+        )
+        if gone:
+            target = state.members[rng.choice(gone)].record
+            # Sequence 0 belongs to no probe; the answer refutes the record.
+            ping = wire.Ping(
+                sender=state.own,
+                sequence=0,
+                version=state.record.config_version,
+                records=(target,),
+            )
+            actions.append(_send_to(state, target.instance, ping))
+    return state, tuple(actions)
+
+
+def _list_members(
+    state: members.Membership, reply_to: bytes
+) -> tuple[members.Action, ...]:
+    size = state.parameters.records_per_exchange
+    found = [state.members[name].record for name in sorted(state.members)]
+    return tuple(
+        members.Reply(
+            reply_to=reply_to,
+            message=wire.Members(
+                sender=state.own, records=tuple(found[at : at + size])
+            ),
+        )
+        for at in range(0, len(found), size)
+    )
+
+
+def _send_to(
+    state: members.Membership, name: str, message: wire.Message
+) -> members.Send:
+    return members.Send(
+        address=state.members[name].record.control_address, message=message
+    )
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -110,6 +110,8 @@
         Time at full share before a rollout is done.
     step_seconds : float
         Shortest time between two steps of a rollout.
+    join_seconds : float
+        Longest random pause before a started node joins.
     """
 
     drain_seconds: Seconds = 30.0
@@ -117,6 +119,7 @@
     poll_seconds: Seconds = 1.0
     bake_seconds: Seconds = 60.0
     step_seconds: Seconds = 5.0
+    join_seconds: Seconds = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -34,6 +34,7 @@
 from apricotpost.wire.tasks import ConfigRead
 from apricotpost.wire.tasks import GateControl
 from apricotpost.wire.tasks import GateReport
+from apricotpost.wire.tasks import LeaveAnnounced
 from apricotpost.wire.tasks import Outcome
 from apricotpost.wire.tasks import ReadConfig
 from apricotpost.wire.tasks import StatusReply
@@ -62,6 +63,7 @@
     "GateControl",
     "GateReport",
     "Join",
+    "LeaveAnnounced",
     "Members",
     "MembersRequest",
     "Message",
--- a/apricotpost/wire/messages.py
+++ b/apricotpost/wire/messages.py
@@ -132,19 +132,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigDigest:
-    """Configuration version that the sender holds."""
+    """Configuration version that the sender holds.
+
+    ``withdrawn`` lists the rollouts whose withdrawal the sender knows.
+    """
 
     sender: str
     version: int
     checksum: str
+    withdrawn: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRequest:
-    """Asks for everything after ``have``."""
+    """Asks for everything after ``have``.
+
+    ``whole`` asks for a snapshot, for a sender that refused a delta.
+    """
 
     sender: str
     have: int
+    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,29 +173,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRefused:
-    """The sender found a configuration version invalid."""
+    """Instances that found a configuration version invalid."""
 
     sender: str
     version: int
     reason: str
+    refusers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ping:
-    """Liveness probe with instance records to spread."""
+    """Liveness probe with instance records to spread.
+
+    ``version`` is the configuration version that the sender holds.
+    """
 
     sender: str
     sequence: int
+    version: int = 0
     records: tuple[model.InstanceRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ack:
-    """Answer to a probe of ``subject``."""
+    """Answer to a probe of ``subject``.
+
+    ``known`` says whether the sender has a record of the prober.
+    """
 
     sender: str
     sequence: int
     subject: str
+    version: int = 0
+    known: bool = True
     records: tuple[model.InstanceRecord, ...] = ()
 
 
@@ -203,14 +221,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MembersRequest:
-    """Asks for all instance records."""
+    """Asks for all instance records unless the digests are equal."""
 
     sender: str
+    digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Members:
-    """All instance records of the sender."""
+    """A part of the sender's instance records."""
 
     sender: str
     records: tuple[model.InstanceRecord, ...]
@@ -218,10 +237,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Join:
-    """A starting node introduces itself."""
+    """A starting node introduces itself.
+
+    ``whole`` asks for all instance records, which follow as `Members`.
+    """
 
     sender: str
     record: model.InstanceRecord
+    whole: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -236,7 +259,7 @@
     version: int
     checksum: str
     floor: int
-    records: tuple[model.InstanceRecord, ...]
+    records: tuple[model.InstanceRecord, ...] = ()
     withdrawals: tuple[model.Withdrawal, ...] = ()
 
 
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -13,12 +13,15 @@
     "Socket",
     "bind_router",
     "connect_dealer",
+    "connect_control_peer",
     "connect_peer",
     "make_context",
     "receive",
     "receive_routed",
+    "receive_sized",
     "send",
     "send_routed",
+    "send_sized",
 ]
 
 Context = zmq.Context[zmq.Socket[bytes]]
@@ -35,6 +38,9 @@
 # TCP connections without a sign of life are closed after this time.
 HEARTBEAT_INTERVAL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
+# Control messages that wait for a connection; later ones are dropped, since
+# a peer that cannot be reached is repaired by comparison.
+CONTROL_QUEUE_MESSAGES = 32
 
 
 def make_context() -> Context:
@@ -91,6 +97,22 @@
     return socket
 
 
+def connect_control_peer(context: Context, address: str) -> Socket:
+    """Make a DEALER socket to the control address of another node.
+
+    Messages wait for the connection, and there are no heartbeats: probes
+    find dead peers, and the socket closes when it is not used.
+    """
+    socket = context.socket(zmq.DEALER)
+    socket.linger = 0
+    socket.sndhwm = CONTROL_QUEUE_MESSAGES
+    socket.maxmsgsize = MAX_MESSAGE_BYTES
+    socket.reconnect_ivl = RECONNECT_MIN_MS
+    socket.reconnect_ivl_max = RECONNECT_MAX_MS
+    socket.connect(address)
+    return socket
+
+
 def send(socket: Socket, message: codec.Message) -> bool:
     """Send a message without blocking.
 
@@ -109,6 +131,38 @@
     return _send_frames(socket, [identity, *codec.encode(message)])
 
 
+def send_sized(
+    socket: Socket, message: codec.Message, identity: bytes | None = None
+) -> int:
+    """Send a message, to one peer of a ROUTER socket if it is named.
+
+    Returns
+    -------
+    int
+        Bytes of the kind and body frames; 0 if nothing was sent.
+    """
+    frames = codec.encode(message)
+    prefix = [] if identity is None else [identity]
+    if not _send_frames(socket, [*prefix, *frames]):
+        return 0
+    return sum(map(len, frames))
+
+
+def receive_sized(
+    socket: Socket, *, routed: bool
+) -> tuple[bytes, codec.Message, int]:
+    """Receive a message with its sender's identity and size in bytes.
+
+    Raises
+    ------
+    apricotpost.errors.MalformedMessage
+        The frames are not a known message.
+    """
+    frames = socket.recv_multipart(zmq.NOBLOCK)
+    identity = frames.pop(0) if routed else b""
+    return identity, codec.decode(frames), sum(map(len, frames))
+
+
 def receive(socket: Socket) -> codec.Message:
     """Receive one message from a DEALER socket.
 
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -17,6 +17,7 @@
     "GateControl",
     "GateReport",
     "KINDS",
+    "LeaveAnnounced",
     "Outcome",
     "ReadConfig",
     "StatusReply",
@@ -161,9 +162,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigCommitted:
-    """An administration thread committed a version at this node."""
+    """A version was committed at this node.
+
+    With its ``delta`` it spreads even when the table goes out at once.
+    """
 
     version: int
+    delta: model.Delta | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaveAnnounced:
+    """The node is about to drain and tells its peers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -206,4 +216,5 @@
     111: StatusReply,
     112: StopTask,
     113: BackendJob,
+    114: LeaveAnnounced,
 }
