--- a/apricotpost/config/__init__.py
+++ b/apricotpost/config/__init__.py
@@ -2,6 +2,7 @@
 
 from apricotpost.config.checksums import compute_checksum
 from apricotpost.config.checksums import seal
+from apricotpost.config.deltas import apply_chain
 from apricotpost.config.deltas import apply_delta
 from apricotpost.config.deltas import apply_snapshot
 from apricotpost.config.deltas import compute_delta
@@ -9,6 +10,7 @@
 from apricotpost.config.validation import validate
 
 __all__ = [
+    "apply_chain",
     "apply_delta",
     "apply_snapshot",
     "compute_checksum",
--- a/apricotpost/config/deltas.py
+++ b/apricotpost/config/deltas.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import typing
 
@@ -10,7 +11,7 @@
 from apricotpost import errors
 from apricotpost import model
 
-__all__ = ["apply_delta", "apply_snapshot", "compute_delta"]
+__all__ = ["apply_chain", "apply_delta", "apply_snapshot", "compute_delta"]
 
 T = typing.TypeVar("T")
 
@@ -64,12 +65,64 @@
     apricotpost.errors.ConfigurationInvalid
         The result fails validation or its checksum.
     """
+    return apply_chain(snapshot, (delta,))
+
+
+def apply_chain(
+    snapshot: model.Snapshot, chain: Sequence[model.Delta]
+) -> model.Snapshot:
+    """Apply consecutive deltas as one change; only the result is checked.
+
+    A version that is refused does not bar the way to its correction.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Configuration in force; it stays unchanged.
+    chain : sequence of apricotpost.model.Delta
+        At least one, the first of which starts at the version in force.
+
+    Returns
+    -------
+    apricotpost.model.Snapshot
+        The whole, checked result.
+
+    Raises
+    ------
+    apricotpost.errors.ApricotpostError
+        As `apply_delta`.
+    """
+    result = snapshot
+    for delta in chain:
+        result = _apply(result, delta)
+    _check(result)
+    return result
+
+
+def apply_snapshot(
+    current: model.Snapshot, snapshot: model.Snapshot
+) -> model.Snapshot:
+    """Check that a received snapshot may replace the one in force.
+
+    Raises
+    ------
+    apricotpost.errors.ConfigurationOutdated
+        The snapshot is not newer.
+    apricotpost.errors.ConfigurationInvalid
+        It fails validation or its checksum.
+    """
+    _require_newer(current, snapshot.version)
+    _check(snapshot)
+    return snapshot
+
+
+def _apply(snapshot: model.Snapshot, delta: model.Delta) -> model.Snapshot:
     _require_newer(snapshot, delta.version)
     if delta.base != snapshot.version:
         raise errors.DeltaBaseMissing(
             f"delta starts at {delta.base}, version {snapshot.version} held"
         )
-    result = dataclasses.replace(
+    return dataclasses.replace(
         snapshot,
         version=delta.version,
         checksum=delta.checksum,
@@ -95,25 +148,6 @@
             _by_identifier,
         ),
     )
-    _check(result)
-    return result
-
-
-def apply_snapshot(
-    current: model.Snapshot, snapshot: model.Snapshot
-) -> model.Snapshot:
-    """Check that a received snapshot may replace the one in force.
-
-    Raises
-    ------
-    apricotpost.errors.ConfigurationOutdated
-        The snapshot is not newer.
-    apricotpost.errors.ConfigurationInvalid
-        It fails validation or its checksum.
-    """
-    _require_newer(current, snapshot.version)
-    _check(snapshot)
-    return snapshot
 
 
 def _require_newer(snapshot: model.Snapshot, version: int) -> None:
--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -86,6 +86,7 @@
     return dataclasses.replace(
         state,
         members=kept,
+        revision=state.revision + (len(kept) < len(state.members)),
         expire_at=now + state.parameters.expiry_seconds / 10,
     )
 
--- a/apricotpost/membership/members.py
+++ b/apricotpost/membership/members.py
@@ -97,6 +97,8 @@
         When each suspect was first suspected.
     updates : tuple of Update
         Records to spread, the least often sent first.
+    revision : int
+        Rises with each change but that of a version held.
     order : tuple of str
         Instances still to be probed in this round.
     """
@@ -106,6 +108,7 @@
     members: Mapping[str, Member] = dataclasses.field(default_factory=dict)
     suspects: Mapping[str, float] = dataclasses.field(default_factory=dict)
     updates: tuple[Update, ...] = ()
+    revision: int = 0
     order: tuple[str, ...] = ()
     probe: Probe | None = None
     relays: Mapping[int, Relay] = dataclasses.field(default_factory=dict)
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -72,11 +72,16 @@
 ) -> members.Membership:
     """Store a record and queue it for spreading."""
     name = record.instance
+    known = state.members.get(name)
+    if known is not None:
+        # A restarted instance starts at 0; others remember what it held.
+        version = max(record.config_version, known.record.config_version)
+        record = dataclasses.replace(record, config_version=version)
     suspects = state.suspects
-    if record.state is model.InstanceState.SUSPECT:
-        suspects = {name: now, **suspects}
-    elif name in suspects:
+    if name in suspects:
         suspects = {k: v for k, v in suspects.items() if k != name}
+    if record.state is model.InstanceState.SUSPECT:
+        suspects = {**suspects, name: now}
     others = tuple(entry for entry in state.updates if entry.instance != name)
     return dataclasses.replace(
         state,
@@ -86,6 +91,7 @@
         },
         suspects=suspects,
         updates=(members.Update(instance=name), *others),
+        revision=state.revision + 1,
     )
 
 
@@ -139,7 +145,7 @@
     for member in state.members.values():
         record = member.record
         text = f"{record.instance} {record.incarnation} {record.state}"
-        digest ^= xxhash.xxh64_intdigest(text)
+        digest ^= xxhash.xxh64_intdigest(text.encode())
     return digest
 
 
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -1,53 +1,31 @@
 """Task that holds the configuration and the instance records."""
 
 import contextlib
-import dataclasses
 import logging
 import random
 import time
-import typing
 
 import zmq
 
-from apricotpost import config
 from apricotpost import errors
 from apricotpost import events
+from apricotpost import membership
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import control_config
+from apricotpost.node import control_peers
+from apricotpost.node import control_records
+from apricotpost.node import control_state
 from apricotpost.node import views
 from apricotpost import settings
+from apricotpost import spread
 from apricotpost import wire
 
 __all__ = ["run"]
 
 LOG = logging.getLogger(__name__)
-GOSSIP_SECONDS = 0.5
-FANOUT = 2
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Task:
-    """What the control task owns."""
-
-    context: wire.sockets.Context
-    current: views.Current
-    options: settings.NodeSettings
-    rng: random.Random
-    stack: contextlib.ExitStack
-    control: wire.sockets.Socket
-    commands: wire.sockets.Socket
-    platform: wire.sockets.Socket
-    record: model.InstanceRecord
-    records: dict[str, model.InstanceRecord]
-    peers: dict[str, wire.sockets.Socket] = dataclasses.field(
-        default_factory=dict
-    )
-    poller: wire.sockets.Poller = dataclasses.field(
-        default_factory=wire.sockets.Poller
-    )
-    reading: bool = False
-    gossiped_at: float = 0.0
-    read_at: float = 0.0
+MAX_WAIT_SECONDS = 1.0
+HOUSEKEEPING_SECONDS = 5.0
 
 
 def run(
@@ -71,152 +49,204 @@
         Source of the random choices.
     """
     with contextlib.ExitStack() as stack:
-        record = _own_record(options)
-        task = _Task(
-            context=context,
+        router = stack.enter_context(
+            wire.sockets.bind_router(
+                context, addresses.tcp(options.addresses.control)
+            )
+        )
+        commands = stack.enter_context(
+            wire.sockets.bind_router(context, addresses.CONTROL)
+        )
+        poller = wire.sockets.Poller()
+        peers = control_peers.Peers(
+            context=context, router=router, poller=poller
+        )
+        stack.callback(control_peers.close, peers)
+        task = _make_task(
             current=current,
             options=options,
             rng=rng,
-            stack=stack,
-            control=stack.enter_context(
-                wire.sockets.bind_router(
-                    context, addresses.tcp(options.addresses.control)
-                )
-            ),
-            commands=stack.enter_context(
-                wire.sockets.bind_router(context, addresses.CONTROL)
-            ),
+            peers=peers,
             platform=stack.enter_context(
                 wire.sockets.connect_dealer(context, addresses.PLATFORM)
             ),
-            record=record,
-            records={record.instance: record},
+            rollout=stack.enter_context(
+                wire.sockets.connect_dealer(context, addresses.ROLLOUT)
+            ),
         )
-        for socket in (task.control, task.commands, task.platform):
-            task.poller.register(socket, zmq.POLLIN)
-        while _turn(task):
+        for socket in (router, commands, task.platform, task.rollout):
+            poller.register(socket, zmq.POLLIN)
+        while _turn(task, commands):
             pass
 
 
-def _own_record(options: settings.NodeSettings) -> model.InstanceRecord:
-    return model.InstanceRecord(
+def _make_task(
+    *,
+    current: views.Current,
+    options: settings.NodeSettings,
+    rng: random.Random,
+    peers: control_peers.Peers,
+    platform: wire.sockets.Socket,
+    rollout: wire.sockets.Socket,
+) -> control_state.ControlTask:
+    now = time.monotonic()
+    record = model.InstanceRecord(
         instance=options.instance,
         data_centre=options.data_centre,
         region=options.region,
         call_address=addresses.tcp(options.addresses.call),
         control_address=addresses.tcp(options.addresses.control),
+        # Above that of an earlier process with the same name.
         incarnation=time.time_ns(),
     )
+    members = membership.start(record, now, draw=rng.getrandbits(32))
+    seeds = tuple(addresses.tcp(seed) for seed in options.seeds)
+    return control_state.ControlTask(
+        current=current,
+        options=options,
+        rng=rng,
+        peers=peers,
+        platform=platform,
+        rollout=rollout,
+        members=members,
+        distribution=spread.start(
+            options.instance,
+            now,
+            draw=rng.getrandbits(32),
+            policy=spread.Policy(
+                poll_seconds=options.times.poll_seconds,
+                join_jitter_seconds=options.times.join_seconds,
+            ),
+        ),
+        roster=spread.make_roster(members, seeds),
+    )
 
 
-def _turn(task: _Task) -> bool:
-    for socket, _ in task.poller.poll(int(GOSSIP_SECONDS * 500)):
-        routed = socket in (task.control, task.commands)
-        try:
-            while True:
-                identity, message = (
-                    wire.sockets.receive_routed(socket)
-                    if routed
-                    else (b"", wire.sockets.receive(socket))
-                )
-                if isinstance(message, wire.StopTask):
-                    return False
-                _on_message(task, socket, identity, message)
-        except zmq.Again:
-            continue
-        except errors.MalformedMessage as error:
-            events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
+def _turn(
+    task: control_state.ControlTask, commands: wire.sockets.Socket
+) -> bool:
+    """Handle what has arrived and what is due; return whether to go on."""
+    for socket, _ in task.peers.poller.poll(_wait_ms(task)):
+        if socket is commands:
+            if not _receive_commands(task, commands):
+                return False
+        elif socket is task.platform or socket is task.rollout:
+            _receive_answers(task, socket)
+        else:
+            for reply_to, message in control_peers.receive(task.peers, socket):
+                _on_peer(task, reply_to, message)
     now = time.monotonic()
-    if now - task.gossiped_at >= GOSSIP_SECONDS:
-        task.gossiped_at = now
-        _gossip(task)
-    if not task.reading and now - task.read_at >= 1.0:
-        task.read_at = now
-        task.reading = True
-        have = task.current.view.snapshot.version
-        wire.sockets.send(task.platform, wire.ReadConfig(have=have))
+    if now >= membership.next_tick(task.members):
+        control_records.handle(
+            task, membership.Tick(draw=task.rng.getrandbits(32))
+        )
+    if now >= spread.next_tick(task.distribution, task.roster):
+        control_config.handle(task, spread.Tick())
+    control_records.spread_version(task, now)
+    if now - task.housekept_at >= HOUSEKEEPING_SECONDS:
+        task.housekept_at = now
+        _housekeep(task, now)
     return True
 
 
-def _on_message(
-    task: _Task,
-    socket: wire.sockets.Socket,
-    identity: bytes,
-    message: typing.Any,
+def _wait_ms(task: control_state.ControlTask) -> int:
+    due = min(
+        membership.next_tick(task.members),
+        spread.next_tick(task.distribution, task.roster),
+    )
+    wait = min(max(due - time.monotonic(), 0.0), MAX_WAIT_SECONDS)
+    return int(wait * 1000) + 1
+
+
+def _housekeep(task: control_state.ControlTask, now: float) -> None:
+    control_peers.close_idle(task.peers, now)
+    if LOG.isEnabledFor(events.CONTROL_COUNTERS.level):
+        counters = dict(control_config.describe(task).counters)
+        events.emit(LOG, events.CONTROL_COUNTERS, counters=counters)
+
+
+def _on_peer(
+    task: control_state.ControlTask, reply_to: bytes, message: wire.Message
 ) -> None:
-    if isinstance(message, wire.Members):
-        for record in message.records:
-            _merge(task, record)
-    elif isinstance(message, wire.BackendServerAnnounced):
-        state = (
-            model.InstanceState.LEAVING
-            if message.leaving
-            else model.InstanceState.UP
-        )
-        task.record = dataclasses.replace(
-            task.record,
-            service=message.service,
-            version=message.version,
-            slots=message.slots,
-            state=state,
-            incarnation=time.time_ns(),
-        )
-        task.records[task.record.instance] = task.record
-        _publish(task)
-    elif isinstance(message, wire.ConfigRead):
-        task.reading = False
-        _on_config(task, message)
-
-
-def _merge(task: _Task, record: model.InstanceRecord) -> None:
-    known = task.records.get(record.instance)
-    if known is None or record.incarnation > known.incarnation:
-        task.records[record.instance] = record
-        _publish(task)
-
-
-def _on_config(task: _Task, found: wire.ConfigRead) -> None:
-    snapshot = task.current.view.snapshot
-    try:
-        if found.snapshot is not None:
-            snapshot = config.apply_snapshot(snapshot, found.snapshot)
-        for delta in found.deltas:
-            snapshot = config.apply_delta(snapshot, delta)
-    except errors.ApricotpostError as error:
-        events.emit(
-            LOG, events.CONFIG_REFUSED, version=found.head, reason=error
+    """Hand a message of another node to the decisions that it concerns."""
+    if isinstance(message, wire.EvidenceReport):
+        control_config.pass_evidence(task, message)
+    elif isinstance(
+        message,
+        (
+            wire.Ping,
+            wire.Ack,
+            wire.PingRequest,
+            wire.Members,
+            wire.MembersRequest,
+        ),
+    ):
+        control_records.handle(
+            task, membership.Received(message=message, reply_to=reply_to)
         )
-        return
-    if snapshot is not task.current.view.snapshot:
-        task.current.view = dataclasses.replace(
-            task.current.view, snapshot=snapshot, ready=True
+    else:
+        floor = 0
+        if isinstance(message, wire.Join):
+            known = task.members.members.get(message.sender)
+            floor = 0 if known is None else known.record.config_version
+            control_records.handle(
+                task, membership.Received(message=message, reply_to=reply_to)
+            )
+        control_config.handle(
+            task,
+            spread.Received(message=message, reply_to=reply_to, floor=floor),
         )
-        events.emit(LOG, events.CONFIG_APPLIED, version=snapshot.version)
 
 
-def _publish(task: _Task) -> None:
-    records = tuple(task.records[name] for name in sorted(task.records))
-    task.current.view = dataclasses.replace(
-        task.current.view, instances=records
-    )
+def _receive_commands(
+    task: control_state.ControlTask, commands: wire.sockets.Socket
+) -> bool:
+    while True:
+        try:
+            identity, message = wire.sockets.receive_routed(commands)
+        except zmq.Again:
+            return True
+        except errors.MalformedMessage as error:
+            events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
+            continue
+        if isinstance(message, wire.StopTask):
+            return False
+        if isinstance(message, wire.StatusRequest):
+            reply = control_config.describe(task)
+            wire.sockets.send_routed(commands, identity, reply)
+        else:
+            _on_command(task, message)
 
 
-def _gossip(task: _Task) -> None:
-    known = [
-        record.control_address
-        for record in task.records.values()
-        if record.instance != task.record.instance
-    ]
-    targets = known or [addresses.tcp(seed) for seed in task.options.seeds]
-    targets = [
-        target for target in targets if target != task.record.control_address
-    ]
-    message = wire.Members(
-        sender=task.record.instance, records=tuple(task.records.values())
-    )
-    for address in task.rng.sample(targets, min(FANOUT, len(targets))):
-        if address not in task.peers:
-            task.peers[address] = task.stack.enter_context(
-                wire.sockets.connect_peer(task.context, address)
-            )
-        wire.sockets.send(task.peers[address], message)
+def _on_command(
+    task: control_state.ControlTask, message: wire.Message
+) -> None:
+    if isinstance(message, wire.BackendServerAnnounced):
+        control_records.announce(task, message)
+    elif isinstance(message, wire.GateReport):
+        control_records.note_report(task, message)
+        control_config.forward_evidence(task, message.evidence)
+    elif isinstance(message, wire.LeaveAnnounced):
+        control_records.leave(task)
+    elif isinstance(message, wire.ConfigCommitted):
+        event = spread.Committed(version=message.version, delta=message.delta)
+        control_config.handle(task, event)
+    elif isinstance(message, wire.WithdrawalNotice):
+        control_config.handle(task, spread.Received(message=message))
+
+
+def _receive_answers(
+    task: control_state.ControlTask, socket: wire.sockets.Socket
+) -> None:
+    while True:
+        try:
+            message = wire.sockets.receive(socket)
+        except zmq.Again:
+            return
+        except errors.MalformedMessage as error:
+            events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
+            continue
+        if isinstance(message, wire.ConfigRead):
+            control_config.handle(task, spread.TableRead(found=message))
+        else:
+            _on_command(task, message)
--- /dev/null
+++ b/apricotpost/node/control_peers.py
@@ -0,0 +1,126 @@
+"""Sockets of the control task to and from other nodes."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import logging
+
+import zmq
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import wire
+
+__all__ = ["Peers", "close", "close_idle", "receive", "reply", "send"]
+
+LOG = logging.getLogger(__name__)
+# A probe reaches a peer about once in the number of live nodes, in seconds.
+# Fleets below this size keep their connections, larger ones do not hold one
+# for each node.
+IDLE_SECONDS = 30.0
+_ROUTER, _DEALER = b"r", b"d"
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Link:
+    """A connection to a peer and when it was last used."""
+
+    address: str
+    socket: wire.sockets.Socket
+    used_at: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class Peers:
+    """The bound socket and the connections that are open."""
+
+    context: wire.sockets.Context
+    router: wire.sockets.Socket
+    poller: wire.sockets.Poller
+    links: dict[str, _Link] = dataclasses.field(default_factory=dict)
+    by_socket: dict[wire.sockets.Socket, _Link] = dataclasses.field(
+        default_factory=dict
+    )
+    counters: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def send(
+    peers: Peers, address: str, message: wire.Message, now: float
+) -> None:
+    """Send a message to a control address, connecting if need be."""
+    link = peers.links.get(address)
+    if link is None:
+        socket = wire.sockets.connect_control_peer(peers.context, address)
+        link = _Link(address=address, socket=socket, used_at=now)
+        peers.links[address] = link
+        peers.by_socket[socket] = link
+        peers.poller.register(socket, zmq.POLLIN)
+    link.used_at = now
+    _count_sent(peers, wire.sockets.send_sized(link.socket, message))
+
+
+def reply(
+    peers: Peers, reply_to: bytes, message: wire.Message, now: float
+) -> None:
+    """Answer a message on the connection on which it came in."""
+    kind, name = reply_to[:1], reply_to[1:]
+    if kind == _ROUTER:
+        size = wire.sockets.send_sized(peers.router, message, name)
+        _count_sent(peers, size)
+    elif kind == _DEALER:
+        send(peers, name.decode(), message, now)
+
+
+def receive(
+    peers: Peers, socket: wire.sockets.Socket
+) -> Iterator[tuple[bytes, wire.Message]]:
+    """Yield the waiting messages of a socket and the way back."""
+    routed = socket is peers.router
+    link = peers.by_socket.get(socket)
+    while not socket.closed:
+        try:
+            identity, message, size = wire.sockets.receive_sized(
+                socket, routed=routed
+            )
+        except zmq.Again:
+            return
+        except errors.MalformedMessage as error:
+            peers.counters["malformed_messages"] += 1
+            events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
+            continue
+        peers.counters["received_messages"] += 1
+        peers.counters["received_bytes"] += size
+        if routed:
+            yield _ROUTER + identity, message
+        elif link is not None:
+            yield _DEALER + link.address.encode(), message
+
+
+def close_idle(peers: Peers, now: float) -> None:
+    """Close the connections that were not used for a while."""
+    for link in tuple(peers.links.values()):
+        if now - link.used_at > IDLE_SECONDS:
+            _close_link(peers, link)
+
+
+def close(peers: Peers) -> None:
+    """Close all connections."""
+    for link in tuple(peers.links.values()):
+        _close_link(peers, link)
+
+
+def _close_link(peers: Peers, link: _Link) -> None:
+    peers.poller.unregister(link.socket)
+    del peers.links[link.address]
+    del peers.by_socket[link.socket]
+    link.socket.close()
+
+
+def _count_sent(peers: Peers, size: int) -> None:
+    if size:
+        peers.counters["sent_messages"] += 1
+        peers.counters["sent_bytes"] += size
+    else:
+        peers.counters["dropped_messages"] += 1
--- /dev/null
+++ b/apricotpost/node/control_records.py
@@ -0,0 +1,203 @@
+"""Instance records in the control task."""
+
+from collections.abc import Mapping
+import dataclasses
+import logging
+import time
+
+from apricotpost import events
+from apricotpost import membership
+from apricotpost import model
+from apricotpost.node import control_peers
+from apricotpost.node import control_state
+from apricotpost import spread
+from apricotpost import wire
+
+__all__ = [
+    "announce",
+    "handle",
+    "leave",
+    "note_report",
+    "note_version",
+    "publish",
+    "spread_version",
+]
+
+LOG = logging.getLogger(__name__)
+# A report that the gate made before it heard of a new backend server is
+# older than the announcement.
+REPORT_GRACE_SECONDS = 1.5
+# Above this size the versions that others hold are learnt from probes and
+# comparisons only: records that change with each version would cost more
+# than all else.
+MAX_VERSION_SPREAD_MEMBERS = 64
+MIN_VERSION_SPREAD_SECONDS = 2.0
+
+
+def handle(task: control_state.ControlTask, event: membership.Event) -> None:
+    """Carry out a step of the membership."""
+    now = time.monotonic()
+    before = task.members
+    task.members, actions = membership.handle(task.members, event, now)
+    for action in actions:
+        if isinstance(action, membership.Send):
+            control_peers.send(task.peers, action.address, action.message, now)
+        else:
+            control_peers.reply(
+                task.peers, action.reply_to, action.message, now
+            )
+    if task.members.revision != before.revision:
+        _report_changes(task, before.members)
+        task.roster = spread.make_roster(task.members, task.roster.seeds)
+        publish(task)
+
+
+def announce(
+    task: control_state.ControlTask, message: wire.BackendServerAnnounced
+) -> None:
+    """Take over the announcement of the backend server."""
+    if message != task.announced:
+        task.announced_at = time.monotonic()
+    task.announced = message
+    task.backend_server_up = True
+    _update_own(task)
+
+
+def note_report(
+    task: control_state.ControlTask, report: wire.GateReport
+) -> None:
+    """Take over what the gate says about the backend server."""
+    task.load = report.load
+    if time.monotonic() - task.announced_at > REPORT_GRACE_SECONDS:
+        task.backend_server_up = report.backend_server_up
+        _update_own(task)
+
+
+def leave(task: control_state.ControlTask) -> None:
+    """Tell peers that this node is about to drain."""
+    task.leaving = True
+    _update_own(task)
+
+
+def note_version(task: control_state.ControlTask) -> None:
+    """Put the version held into the own record; probes carry it."""
+    version = task.distribution.snapshot.version
+    if version != task.members.record.config_version:
+        record = dataclasses.replace(
+            task.members.record, config_version=version
+        )
+        handle(task, _own_changed(task, record, spreads=False))
+
+
+def spread_version(task: control_state.ControlTask, now: float) -> None:
+    """Spread the own record again when the version held has changed.
+
+    The pause grows with the fleet, which bounds the cost for each node.
+    """
+    record = task.members.record
+    size = len(task.members.members)
+    pause = max(MIN_VERSION_SPREAD_SECONDS, float(size))
+    if record.config_version == task.announced_version:
+        return
+    if size > MAX_VERSION_SPREAD_MEMBERS:
+        return
+    if now - task.version_spread_at < pause:
+        return
+    task.version_spread_at = now
+    task.announced_version = record.config_version
+    handle(task, _own_changed(task, record, spreads=True))
+
+
+def publish(task: control_state.ControlTask) -> None:
+    """Replace the view if something that the call path reads changed."""
+    view = task.current.view
+    snapshot = task.distribution.snapshot
+    withdrawals = tuple(
+        task.distribution.notices[name]
+        for name in sorted(task.distribution.notices)
+    )
+    visible = tuple(membership.list_visible(task.members))
+    if (
+        view.snapshot is snapshot
+        and view.ready == task.distribution.ready
+        and view.withdrawals == withdrawals
+        and _call_fields(view.instances) == _call_fields(visible)
+    ):
+        return
+    task.current.view = model.View(
+        snapshot=snapshot,
+        instances=visible,
+        withdrawals=withdrawals,
+        ready=task.distribution.ready,
+    )
+
+
+def _update_own(task: control_state.ControlTask) -> None:
+    """Spread the own record if what is known of the backend server changed.
+
+    A starting instance with a service has lost its backend server; callers
+    see it as down, while its node goes on answering probes.
+    """
+    record = task.members.record
+    announced = task.announced
+    state = model.InstanceState.STARTING
+    if announced is not None:
+        record = dataclasses.replace(
+            record,
+            service=announced.service,
+            version=announced.version,
+            slots=announced.slots,
+        )
+        if task.backend_server_up:
+            state = model.InstanceState.UP
+    if task.leaving or (announced is not None and announced.leaving):
+        state = model.InstanceState.LEAVING
+    record = dataclasses.replace(record, state=state)
+    if record != task.members.record:
+        handle(task, _own_changed(task, record, spreads=True))
+
+
+def _own_changed(
+    task: control_state.ControlTask,
+    record: model.InstanceRecord,
+    *,
+    spreads: bool,
+) -> membership.OwnChanged:
+    return membership.OwnChanged(
+        record=record, draw=task.rng.getrandbits(32), spread=spreads
+    )
+
+
+def _call_fields(
+    records: tuple[model.InstanceRecord, ...],
+) -> list[tuple[str, ...]]:
+    return [
+        (
+            record.instance,
+            record.data_centre,
+            record.call_address,
+            record.control_address,
+            record.service,
+            record.version,
+            record.state,
+            str(record.slots),
+        )
+        for record in records
+    ]
+
+
+def _report_changes(
+    task: control_state.ControlTask,
+    before: Mapping[str, membership.Member],
+) -> None:
+    if not LOG.isEnabledFor(events.INSTANCE_STATE.level):
+        return
+    for name, member in task.members.members.items():
+        known = before.get(name)
+        if known is None or known.record.state != member.record.state:
+            events.emit(
+                LOG,
+                events.INSTANCE_STATE,
+                instance=name,
+                state=member.record.state.value,
+            )
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -262,6 +262,9 @@
     events.emit(LOG, events.DRAIN_STARTED)
     for server in servers:
         server.draining = True
+    socket = wire.sockets.connect_dealer(node.context, addresses.CONTROL)
+    wire.sockets.send(socket, wire.LeaveAnnounced())
+    socket.close()
     socket = wire.sockets.connect_dealer(node.context, addresses.GATE)
     notice = node.options.times.leave_notice_seconds
     wire.sockets.send(
--- /dev/null
+++ b/apricotpost/spread/decisions.py
@@ -0,0 +1,246 @@
+"""Decisions of the distribution: compare, read, join, and what follows."""
+
+import dataclasses
+import random
+
+from apricotpost.spread import joins
+from apricotpost.spread import notices
+from apricotpost.spread import refusals
+from apricotpost.spread import state as states
+from apricotpost.spread import versions
+from apricotpost import wire
+
+__all__ = ["handle", "next_tick", "start"]
+
+
+def start(
+    own: str, now: float, *, draw: int, policy: states.Policy | None = None
+) -> states.SpreadState:
+    """Return the state of a started node with an empty memory."""
+    policy = policy or states.Policy()
+    rng = random.Random(draw)
+    return states.SpreadState(
+        own=own,
+        policy=policy,
+        joining=states.Joining(
+            ask_at=now + rng.random() * policy.join_jitter_seconds
+        ),
+        digest_at=now + rng.random() * policy.digest_seconds,
+        read_at=now + rng.random() * policy.poll_seconds,
+    )
+
+
+def next_tick(state: states.SpreadState, roster: states.Roster) -> float:
+    """Return when the next tick is due, in monotonic seconds."""
+    due = [state.digest_at]
+    if _is_reader(state, roster) and not state.reading:
+        due.append(state.read_at)
+    if joins.is_open(state, roster):
+        due.append(joins.next_tick(state))
+    return min(due)
+
+
+def handle(
+    state: states.SpreadState,
+    event: states.Event,
+    now: float,
+    *,
+    roster: states.Roster,
+    draw: int,
+) -> states.Step:
+    """Decide what follows from an event.
+
+    Parameters
+    ----------
+    state : SpreadState
+        State before.
+    event : Event
+        What happened.
+    now : float
+        Monotonic clock in seconds.
+    roster : Roster
+        Whom the node can reach.
+    draw : int
+        Seed of the random choices.
+    """
+    rng = random.Random(draw)
+    held = state.snapshot.version
+    if isinstance(event, states.Received):
+        state, actions = _receive(state, event, now, roster, rng)
+    elif isinstance(event, states.TableRead):
+        state, actions = _take_read(state, event.found, now, roster, rng)
+    elif isinstance(event, states.Committed):
+        state, actions = _commit(state, event, now, roster, rng)
+    else:
+        state, actions = _tick(state, now, roster, rng)
+    if state.snapshot.version != held:
+        state = notices.drop_ended(state, now)
+    return joins.settle(state), actions
+
+
+def _receive(
+    state: states.SpreadState,
+    event: states.Received,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    message = event.message
+    if isinstance(message, wire.ConfigDelta):
+        return versions.take_deltas(
+            state, message.deltas, now, roster, rng, event.reply_to
+        )
+    if isinstance(message, wire.ConfigSnapshot):
+        return versions.take_snapshot(
+            state, message.snapshot, now, roster, rng
+        )
+    if isinstance(message, wire.ConfigDigest):
+        return _compare(state, message, event.reply_to, now)
+    if isinstance(message, wire.ConfigRequest):
+        return versions.serve(state, message, event.reply_to, now, roster)
+    if isinstance(message, wire.ConfigRefused):
+        return refusals.note(state, message, roster)
+    if isinstance(message, wire.Join):
+        return state, (joins.welcome(state, event.reply_to, event.floor),)
+    if isinstance(message, wire.Welcome):
+        state, actions = joins.take_welcome(
+            state, message, event.reply_to, now
+        )
+        state, more = notices.note(
+            state, message.withdrawals, now, roster, rng
+        )
+        return state, (*actions, *more)
+    if isinstance(message, wire.WithdrawalNotice):
+        return notices.note(state, message.withdrawals, now, roster, rng)
+    return state, ()
+
+
+def _compare(
+    state: states.SpreadState,
+    message: wire.ConfigDigest,
+    reply_to: bytes,
+    now: float,
+) -> states.Step:
+    actions: list[states.Action] = []
+    held = state.snapshot.version
+    missing = notices.find_missing(state, message)
+    if message.version > held:
+        state, request = versions.request(
+            state, message.version, reply_to, now
+        )
+        actions.extend(request)
+    elif message.version < held or missing:
+        actions.append(
+            states.Reply(
+                reply_to=reply_to, message=versions.make_digest(state)
+            )
+        )
+    actions.extend(notices.offer(state, message, reply_to))
+    return state, tuple(actions)
+
+
+def _take_read(
+    state: states.SpreadState,
+    found: wire.ConfigRead,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    policy = state.policy
+    again = state.read_again and found.available
+    failures = 0 if found.available else state.read_failures + 1
+    pause = min(
+        policy.poll_seconds * 2 ** min(failures, 10),
+        max(policy.poll_backoff_seconds, policy.poll_seconds),
+    )
+    state = dataclasses.replace(
+        state,
+        reading=again,
+        read_again=False,
+        read_failures=failures,
+        read_at=now + pause * (0.5 + rng.random()),
+        joining=joins.note_read(state.joining, found),
+    )
+    actions: tuple[states.Action, ...] = ()
+    if found.snapshot is not None:
+        state, actions = versions.take_snapshot(
+            state, found.snapshot, now, roster, rng
+        )
+    if found.deltas:
+        state, more = versions.take_deltas(
+            state, found.deltas, now, roster, rng
+        )
+        actions = (*actions, *more)
+    if again:
+        read = states.ReadTable(have=state.snapshot.version)
+        actions = (*actions, read)
+    return state, actions
+
+
+def _commit(
+    state: states.SpreadState,
+    event: states.Committed,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    actions: tuple[states.Action, ...] = ()
+    if event.delta is not None:
+        state, actions = versions.take_deltas(
+            state, (event.delta,), now, roster, rng
+        )
+    if state.snapshot.version >= event.version:
+        return state, actions
+    if state.reading:
+        return dataclasses.replace(state, read_again=True), actions
+    state, read = versions.read_table(state)
+    return state, (*actions, read)
+
+
+def _tick(
+    state: states.SpreadState,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    actions: list[states.Action] = []
+    if joins.is_open(state, roster):
+        state, more = joins.advance(state, now, roster, rng)
+        actions.extend(more)
+    reads = _is_reader(state, roster) and not state.reading
+    if reads and now >= state.read_at:
+        state, read = versions.read_table(state)
+        actions.append(read)
+    if now < state.digest_at:
+        return state, tuple(actions)
+    state, more = refusals.pass_on(state, roster, rng)
+    actions.extend(more)
+    state = notices.drop_ended(state, now)
+    policy = state.policy
+    # Jitter keeps nodes that were started together from staying in step.
+    state = dataclasses.replace(
+        state,
+        digest_at=now + policy.digest_seconds * (0.75 + rng.random() / 2),
+        round=state.round + 1,
+    )
+    distant = state.round % policy.far_digest_every == 0
+    peers = (roster.far if distant else roster.near) or roster.near
+    peers = peers or roster.far
+    if peers:
+        actions.append(
+            states.Send(
+                address=rng.choice(peers).address,
+                message=versions.make_digest(state),
+            )
+        )
+    return state, tuple(actions)
+
+
+def _is_reader(state: states.SpreadState, roster: states.Roster) -> bool:
+    """Return whether this node polls the table.
+
+    A started node that knows nobody yet would take itself for a reader, and
+    the return of a data centre would be a storm of reads.
+    """
+    knows = state.ready or roster.near or roster.far or not roster.seeds
+    return roster.reader and bool(knows)
--- /dev/null
+++ b/apricotpost/spread/versions.py
@@ -0,0 +1,223 @@
+"""Take, refuse, push and serve configuration versions."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from apricotpost import config
+from apricotpost import errors
+from apricotpost import model
+from apricotpost.spread import refusals
+from apricotpost.spread import state as states
+from apricotpost import wire
+
+__all__ = [
+    "is_blocked",
+    "make_digest",
+    "read_table",
+    "request",
+    "serve",
+    "take_deltas",
+    "take_snapshot",
+]
+
+
+def take_deltas(
+    state: states.SpreadState,
+    deltas: Sequence[model.Delta],
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+    reply_to: bytes = b"",
+) -> states.Step:
+    """Apply the deltas that are new, or ask for those in between.
+
+    Parameters
+    ----------
+    state : SpreadState
+        State before.
+    deltas : sequence of apricotpost.model.Delta
+        Consecutive, oldest first.
+    now : float
+        Monotonic clock in seconds.
+    roster : Roster
+        Whom the node can reach.
+    rng : random.Random
+        For the choice of peers.
+    reply_to : bytes
+        Way back to the sender; empty for the table.
+    """
+    held = state.snapshot.version
+    chain = [delta for delta in deltas if delta.version > held]
+    # A node that is not ready yet has no older version to keep.
+    while chain and state.ready:
+        if not refusals.is_stopped(state, chain[-1].version, roster):
+            break
+        chain.pop()
+    if not chain:
+        return state, ()
+    if chain[0].base != held or not _is_consecutive(chain):
+        if not reply_to:
+            return state, ()
+        return request(state, chain[-1].version, reply_to, now)
+    actions: list[states.Action] = []
+    while chain and not is_blocked(state, chain[-1].version, now):
+        try:
+            snapshot = config.apply_chain(state.snapshot, chain)
+        except errors.ApricotpostError as error:
+            state, refusal = _refuse(
+                state, chain.pop().version, error.message, now, roster, rng
+            )
+            actions.extend(refusal)
+            continue
+        kept = (*state.deltas, *chain)[-state.policy.kept_deltas :]
+        state = dataclasses.replace(state, snapshot=snapshot, deltas=kept)
+        actions.extend(_push(state, chain, roster, rng))
+        break
+    return state, tuple(actions)
+
+
+def take_snapshot(
+    state: states.SpreadState,
+    snapshot: model.Snapshot,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    """Replace the version held by a newer, valid snapshot."""
+    version = snapshot.version
+    if version <= state.snapshot.version or is_blocked(state, version, now):
+        return state, ()
+    try:
+        taken = config.apply_snapshot(state.snapshot, snapshot)
+    except errors.ApricotpostError as error:
+        return _refuse(state, version, error.message, now, roster, rng)
+    state = dataclasses.replace(state, snapshot=taken, deltas=())
+    return state, _push(state, (), roster, rng)
+
+
+def request(
+    state: states.SpreadState, version: int, reply_to: bytes, now: float
+) -> states.Step:
+    """Ask a peer for what leads to a version, unless just asked."""
+    asked, asked_at = state.requested
+    recent = now - asked_at < state.policy.request_seconds
+    if is_blocked(state, version, now) or (recent and asked >= version):
+        return state, ()
+    message = wire.ConfigRequest(sender=state.own, have=state.snapshot.version)
+    return dataclasses.replace(state, requested=(version, now)), (
+        states.Reply(reply_to=reply_to, message=message),
+    )
+
+
+def serve(
+    state: states.SpreadState,
+    message: wire.ConfigRequest,
+    reply_to: bytes,
+    now: float,
+    roster: states.Roster,
+) -> states.Step:
+    """Answer a request with deltas or, at a bounded rate, a snapshot."""
+    version = state.snapshot.version
+    if message.have >= version or refusals.is_stopped(state, version, roster):
+        return state, ()
+    for at, delta in enumerate(state.deltas):
+        if delta.base == message.have:
+            answer = wire.ConfigDelta(
+                sender=state.own, deltas=state.deltas[at:]
+            )
+            return state, (states.Reply(reply_to=reply_to, message=answer),)
+    second, served = state.snapshots
+    if second != int(now):
+        second, served = int(now), 0
+    if served >= state.policy.snapshots_per_second:
+        return state, ()
+    whole = wire.ConfigSnapshot(sender=state.own, snapshot=state.snapshot)
+    state = dataclasses.replace(state, snapshots=(second, served + 1))
+    return state, (states.Reply(reply_to=reply_to, message=whole),)
+
+
+def read_table(
+    state: states.SpreadState,
+) -> tuple[states.SpreadState, states.ReadTable]:
+    """Start a read of the table."""
+    return dataclasses.replace(state, reading=True), states.ReadTable(
+        have=state.snapshot.version
+    )
+
+
+def make_digest(state: states.SpreadState) -> wire.ConfigDigest:
+    """Describe what the node holds."""
+    return wire.ConfigDigest(
+        sender=state.own,
+        version=state.snapshot.version,
+        checksum=state.snapshot.checksum,
+        withdrawn=tuple(sorted(state.notices)),
+    )
+
+
+def is_blocked(state: states.SpreadState, version: int, now: float) -> bool:
+    """Return whether this node refused a version a short time ago."""
+    at = state.refused.get(version)
+    return at is not None and now - at < state.policy.refused_seconds
+
+
+def _is_consecutive(chain: Sequence[model.Delta]) -> bool:
+    return all(
+        later.base == earlier.version
+        for earlier, later in zip(chain, chain[1:], strict=False)
+    )
+
+
+def _push(
+    state: states.SpreadState,
+    chain: Sequence[model.Delta],
+    roster: states.Roster,
+    rng: random.Random,
+) -> tuple[states.Action, ...]:
+    if refusals.is_stopped(state, state.snapshot.version, roster):
+        return ()
+    message: wire.Message = make_digest(state)
+    if 0 < len(chain) <= state.policy.push_deltas:
+        message = wire.ConfigDelta(sender=state.own, deltas=tuple(chain))
+    return tuple(
+        states.Send(address=peer.address, message=message)
+        for peer in refusals.pick_peers(state, roster, rng)
+    )
+
+
+def _refuse(
+    state: states.SpreadState,
+    version: int,
+    reason: str,
+    now: float,
+    roster: states.Roster,
+    rng: random.Random,
+) -> states.Step:
+    first = version not in state.refused
+    refused = {
+        number: at
+        for number, at in state.refused.items()
+        if number >= state.snapshot.version
+    }
+    state = dataclasses.replace(state, refused={**refused, version: now})
+    if not first:
+        return state, ()
+    state, actions = refusals.add(
+        state, version, frozenset((state.own,)), roster
+    )
+    message = wire.ConfigRefused(
+        sender=state.own,
+        version=version,
+        reason=reason,
+        refusers=(state.own,),
+    )
+    reports = tuple(
+        states.Send(address=peer.address, message=message)
+        for peer in refusals.pick_peers(state, roster, rng)
+    )
+    return state, (
+        states.Refused(version=version, reason=reason),
+        *actions,
+        *reports,
+    )
--- a/apricotpost/wire/messages.py
+++ b/apricotpost/wire/messages.py
@@ -145,14 +145,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRequest:
-    """Asks for everything after ``have``.
-
-    ``whole`` asks for a snapshot, for a sender that refused a delta.
-    """
+    """Asks for everything after ``have``."""
 
     sender: str
     have: int
-    whole: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -120,8 +120,9 @@
     version: str,
     region: str = "lv-riga",
     behaviour: dict[str, typing.Any] | None = None,
+    with_backend_server: bool = True,
 ) -> Member:
-    """Start a node and the backend server beside it."""
+    """Start a node and, if asked for, the backend server beside it."""
     ports = [f"{HOST}:{port}" for port in free_ports(6)]
     member = Member(
         instance=instance,
@@ -140,7 +141,8 @@
     write_settings(fleet, member)
     fleet.members.append(member)
     start_node(fleet, member)
-    start_backend_server(fleet, member, behaviour=behaviour)
+    if with_backend_server:
+        start_backend_server(fleet, member, behaviour=behaviour)
     return member
 
 
--- /dev/null
+++ b/standins/observations.py
@@ -0,0 +1,163 @@
+"""Observe a fleet of real processes from outside, and change it."""
+
+import ast
+import dataclasses
+import datetime
+import re
+import time
+import typing
+
+from apricotpost import config
+from apricotpost import model
+from apricotpost import platform
+from standins import fleet as fleets
+
+__all__ = [
+    "commit_next",
+    "find_readers",
+    "list_applied",
+    "list_ready",
+    "make_configuration",
+    "read_counters",
+    "set_faults",
+    "wait_for_version",
+]
+
+_APPLIED = re.compile(r"^(\S+ \S+) .*AP-200 configuration (\d+) in force")
+_READY = re.compile(r"^(\S+ \S+) .*AP-101 ready with version (\d+)")
+_COUNTERS = re.compile(r"AP-320 control counters (\{.*\})")
+
+
+def make_configuration(timeout_ms: int = 1000) -> model.Snapshot:
+    """Return a small configuration with one service and one route."""
+    return model.Snapshot(
+        version=0,
+        services=(
+            model.Service(
+                name="portal",
+                team="baltkalns",
+                versions=(model.VersionShare(version="v1", share=1000),),
+            ),
+        ),
+        routes=(
+            model.Route(
+                name="records",
+                service="portal",
+                prefix="/records",
+                methods=("GET",),
+                idempotent=True,
+                timeout_ms=timeout_ms,
+            ),
+        ),
+        data_centres=tuple(
+            model.DataCentre(name=f"dc{number}", region="lv-riga")
+            for number in range(1, 5)
+        ),
+    )
+
+
+def commit_next(fleet: fleets.Fleet, before: model.Snapshot) -> model.Snapshot:
+    """Commit a change of one route straight to the table."""
+    version = before.version + 1
+    route = dataclasses.replace(before.routes[0], timeout_ms=1000 + version)
+    after = config.seal(
+        dataclasses.replace(before, version=version, routes=(route,))
+    )
+    store = platform.open_store(
+        table_url=fleet.platform_url,
+        object_url=fleet.platform_url,
+        table_name="apricotpost",
+        bucket="apricotpost",
+        timeout_seconds=5.0,
+    )
+    change = platform.Change(
+        before=before,
+        after=after,
+        author="stand-ins",
+        reason="change of a route",
+        request=f"change-{version}",
+        at=time.time(),
+    )
+    platform.commit(store, change)
+    store.channel.pool.clear()
+    return after
+
+
+def list_applied(
+    fleet: fleets.Fleet, member: fleets.Member
+) -> list[tuple[int, float]]:
+    """Return the versions a node put in force and when (Unix time)."""
+    return _scan(fleet, member, _APPLIED)
+
+
+def list_ready(
+    fleet: fleets.Fleet, member: fleets.Member
+) -> list[tuple[int, float]]:
+    """Return with which versions a node became ready and when."""
+    return _scan(fleet, member, _READY)
+
+
+def wait_for_version(
+    fleet: fleets.Fleet,
+    members: typing.Iterable[fleets.Member],
+    version: int,
+    *,
+    seconds: float,
+) -> bool:
+    """Wait until the nodes hold a version."""
+    waiting = list(members)
+
+    def done() -> bool:
+        waiting[:] = [
+            member
+            for member in waiting
+            if not any(
+                found >= version for found, _ in list_applied(fleet, member)
+            )
+        ]
+        return not waiting
+
+    return fleets.wait_for(done, seconds=seconds) is not None
+
+
+def read_counters(
+    fleet: fleets.Fleet, member: fleets.Member
+) -> dict[str, int]:
+    """Return the last control counters that a node logged."""
+    found = _COUNTERS.findall(_read_log(fleet, member))
+    return dict(ast.literal_eval(found[-1])) if found else {}
+
+
+def find_readers(
+    fleet: fleets.Fleet, members: typing.Iterable[fleets.Member]
+) -> list[fleets.Member]:
+    """Return the nodes, the one with the most reads of the table first."""
+    return sorted(
+        members,
+        key=lambda member: read_counters(fleet, member).get("table_reads", 0),
+        reverse=True,
+    )
+
+
+def set_faults(fleet: fleets.Fleet, **faults: typing.Any) -> None:
+    """Put faults of the platform stand-in in force."""
+    fleets.call_json(fleet, fleet.platform_url, "/-/faults", faults)
+
+
+def _scan(
+    fleet: fleets.Fleet, member: fleets.Member, pattern: re.Pattern[str]
+) -> list[tuple[int, float]]:
+    found = []
+    for line in _read_log(fleet, member).splitlines():
+        match = pattern.match(line)
+        if match:
+            at = datetime.datetime.strptime(
+                match.group(1), "%Y-%m-%d %H:%M:%S,%f"
+            )
+            found.append((int(match.group(2)), at.timestamp()))
+    return found
+
+
+def _read_log(fleet: fleets.Fleet, member: fleets.Member) -> str:
+    path = fleet.folder / f"{member.instance}-node.log"
+    return path.read_text() if path.exists() else ""
