--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -8,7 +8,7 @@
 from apricotpost import model
 from apricotpost import wire
 
-__all__ = ["expire", "handle", "hear", "live_names", "maintain"]
+__all__ = ["expire", "handle", "hear", "live_names", "maintain", "send_to"]
 
 
 def handle(
@@ -27,6 +27,9 @@
         if message.digest == records.compute_digest(state):
             return state, ()
         return state, _list_members(state, event.reply_to)
+    if isinstance(message, wire.ConfigDigest):
+        sender, version = message.sender, message.version
+        return _hear_version(state, sender, version, now), ()
     return state, ()
 
 
@@ -37,11 +40,7 @@
 ) -> members.Membership:
     """Take over what a probe or its answer tells."""
     state = records.merge(state, message.records, now)
-    known = state.members.get(message.sender)
-    if known is None or known.record.config_version >= message.version:
-        return state
-    newer = dataclasses.replace(known.record, config_version=message.version)
-    return records.merge(state, (newer,), now)
+    return _hear_version(state, message.sender, message.version, now)
 
 
 def live_names(state: members.Membership) -> list[str]:
@@ -61,6 +60,12 @@
         if since > limit or member is None:
             continue
         if records.is_partitioned(state, member.record.data_centre):
+            # When the cut ends, the rest gets twice the time to refute,
+            # since all of them do so at once.
+            later = now + state.parameters.suspicion_seconds
+            state = dataclasses.replace(
+                state, suspects={**state.suspects, name: later}
+            )
             continue
         down = dataclasses.replace(
             member.record, state=model.InstanceState.DOWN
@@ -75,13 +80,21 @@
         state = dataclasses.replace(state, relays=relays)
     if now < state.expire_at:
         return state
-    horizon = now - state.parameters.expiry_seconds
+    centres = {entry.record.data_centre for entry in state.members.values()}
+    cut_off = {c for c in centres if records.is_partitioned(state, c)}
+    parameters = state.parameters
     kept = {
         name: member
         for name, member in state.members.items()
         if name == state.own
         or not records.is_gone(member.record)
-        or member.since > horizon
+        or now - member.since
+        < parameters.expiry_seconds
+        * (
+            parameters.cut_off_expiries
+            if member.record.data_centre in cut_off
+            else 1
+        )
     }
     return dataclasses.replace(
         state,
@@ -106,7 +119,7 @@
             request = wire.MembersRequest(
                 sender=state.own, digest=records.compute_digest(state)
             )
-            actions.append(_send_to(state, rng.choice(names), request))
+            actions.append(send_to(state, rng.choice(names), request))
     if now >= state.revive_at:
         state = dataclasses.replace(
             state, revive_at=now + parameters.revive_seconds
@@ -125,10 +138,20 @@
                 version=state.record.config_version,
                 records=(target,),
             )
-            actions.append(_send_to(state, target.instance, ping))
+            actions.append(send_to(state, target.instance, ping))
     return state, tuple(actions)
 
 
+def _hear_version(
+    state: members.Membership, sender: str, version: int, now: float
+) -> members.Membership:
+    known = state.members.get(sender)
+    if known is None or known.record.config_version >= version:
+        return state
+    newer = dataclasses.replace(known.record, config_version=version)
+    return records.merge(state, (newer,), now)
+
+
 def _list_members(
     state: members.Membership, reply_to: bytes
 ) -> tuple[members.Action, ...]:
@@ -145,9 +168,10 @@
     )
 
 
-def _send_to(
+def send_to(
     state: members.Membership, name: str, message: wire.Message
 ) -> members.Send:
+    """Address a message to a member."""
     return members.Send(
         address=state.members[name].record.control_address, message=message
     )
--- a/apricotpost/membership/members.py
+++ b/apricotpost/membership/members.py
@@ -33,6 +33,8 @@
     indirect_probes: int = 2
     suspicion_seconds: float = 3.0
     expiry_seconds: float = 600.0
+    # Regions lose each other for an hour; their records outlast that.
+    cut_off_expiries: int = 12
     # A repair compares digests, so it costs little where nothing is missing.
     repair_seconds: float = 60.0
     # Down instances are tried now and then, so that both sides of a cut
@@ -99,6 +101,8 @@
         Records to spread, the least often sent first.
     revision : int
         Rises with each change but that of a version held.
+    accused : str
+        Instance that did not answer this node's last failed probe.
     order : tuple of str
         Instances still to be probed in this round.
     """
@@ -109,6 +113,7 @@
     suspects: Mapping[str, float] = dataclasses.field(default_factory=dict)
     updates: tuple[Update, ...] = ()
     revision: int = 0
+    accused: str = ""
     order: tuple[str, ...] = ()
     probe: Probe | None = None
     relays: Mapping[int, Relay] = dataclasses.field(default_factory=dict)
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -45,10 +45,7 @@
         due.append(state.probe.started_at + state.parameters.probe_seconds)
     if state.suspects:
         first = min(state.suspects.values())
-        end = first + state.parameters.suspicion_seconds
-        # Suspects behind a cut stay; they are looked at once a period.
-        if end > state.ticked_at:
-            due.append(end)
+        due.append(first + state.parameters.suspicion_seconds)
     return min(due)
 
 
@@ -80,7 +77,9 @@
     if isinstance(message, wire.Ping):
         known = message.sender in state.members
         state = exchanges.hear(state, message, now)
-        state, updates = records.take_updates(state, message.sender)
+        state, updates = records.take_updates(
+            state, message.sender, message.records
+        )
         ack = wire.Ack(
             sender=state.own,
             sequence=message.sequence,
@@ -177,7 +176,7 @@
         state, ping = _make_ping(state, name)
         if raised not in ping.records:
             ping = dataclasses.replace(ping, records=(raised, *ping.records))
-        actions.append(_send_to(state, name, ping))
+        actions.append(exchanges.send_to(state, name, ping))
     return state, tuple(actions)
 
 
@@ -228,19 +227,21 @@
         state, probe=dataclasses.replace(probe, relayed=True)
     )
     return state, tuple(
-        _send_to(state, name, request) for name in rng.sample(names, count)
+        exchanges.send_to(state, name, request)
+        for name in rng.sample(names, count)
     )
 
 
 def _start_period(
     state: members.Membership, rng: random.Random, now: float
 ) -> members.Step:
-    state = _fail_probe(state, now)
+    state, warnings = _warn_accused(_fail_probe(state, now))
     parameters = state.parameters
     state = dataclasses.replace(
         state, period_at=now + parameters.period_seconds
     )
     state, extra = exchanges.maintain(state, rng, now)
+    extra = (*warnings, *extra)
     order = state.order or _shuffle(state, rng)
     while order:
         name, order = order[0], order[1:]
@@ -252,7 +253,7 @@
             sequence=ping.sequence, target=name, started_at=now
         )
         state = dataclasses.replace(state, order=order, probe=probe)
-        return state, (*extra, _send_to(state, name, ping))
+        return state, (*extra, exchanges.send_to(state, name, ping))
     return dataclasses.replace(state, order=()), extra
 
 
@@ -270,18 +271,26 @@
     suspect = dataclasses.replace(
         member.record, state=model.InstanceState.SUSPECT
     )
-    return records.put(state, suspect, now)
+    state = records.put(state, suspect, now)
+    return dataclasses.replace(state, accused=probe.target)
+
+
+def _warn_accused(state: members.Membership) -> members.Step:
+    """Tell the accused of the suspicion, so that it can refute in time.
+
+    Its refutation then spreads right behind the suspicion. Without this, it
+    hears of it only when a node that knows of it happens to probe it.
+    """
+    accused = state.members.get(state.accused)
+    if accused is None:
+        return state, ()
+    if accused.record.state is not model.InstanceState.SUSPECT:
+        return dataclasses.replace(state, accused=""), ()
+    state, ping = _make_ping(state, state.accused)
+    return state, (exchanges.send_to(state, state.accused, ping),)
 
 
 def _shuffle(state: members.Membership, rng: random.Random) -> tuple[str, ...]:
     names = exchanges.live_names(state)
     rng.shuffle(names)
     return tuple(names)
-
-
-def _send_to(
-    state: members.Membership, name: str, message: wire.Message
-) -> members.Send:
-    return members.Send(
-        address=state.members[name].record.control_address, message=message
-    )
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -102,7 +102,9 @@
 
 
 def take_updates(
-    state: members.Membership, about: str = ""
+    state: members.Membership,
+    about: str = "",
+    heard: Iterable[model.InstanceRecord] = (),
 ) -> tuple[members.Membership, tuple[model.InstanceRecord, ...]]:
     """Take the records for one message, the least often sent first.
 
@@ -112,10 +114,13 @@
         State before.
     about : str
         Receiver, which is told first when it is held for suspect or gone.
+    heard : iterable of apricotpost.model.InstanceRecord
+        What the receiver said; outdated records are corrected.
     """
     limit = state.parameters.records_per_message
     known = state.members.get(about)
     first = () if known is None or _is_well(known.record) else (known.record,)
+    first = (*first, *_correct(state, heard))[:limit]
     taken = state.updates[: limit - len(first)]
     if not taken:
         return state, first
@@ -152,18 +157,22 @@
 def is_partitioned(state: members.Membership, data_centre: str) -> bool:
     """Return whether another data centre is taken for cut off.
 
-    That is so when more than half of its instances are suspect at once.
+    That is so when more than half of its instances failed without leaving.
+    Those that were found first may be down already.
     """
-    if not state.suspects or data_centre == state.record.data_centre:
+    if data_centre == state.record.data_centre:
         return False
     there = [
-        entry.record
+        entry.record.state
         for entry in state.members.values()
         if entry.record.data_centre == data_centre
-        and not is_gone(entry.record)
+        and entry.record.state is not model.InstanceState.LEAVING
     ]
-    suspect = sum(record.instance in state.suspects for record in there)
-    return 2 * suspect > len(there)
+    failed = sum(
+        found in (model.InstanceState.SUSPECT, model.InstanceState.DOWN)
+        for found in there
+    )
+    return 2 * failed > len(there)
 
 
 def list_visible(
@@ -194,6 +203,15 @@
         yield record
 
 
+def _correct(
+    state: members.Membership, heard: Iterable[model.InstanceRecord]
+) -> Iterator[model.InstanceRecord]:
+    for record in heard:
+        known = state.members.get(record.instance)
+        if known is not None and supersedes(known.record, record):
+            yield known.record
+
+
 def _is_well(record: model.InstanceRecord) -> bool:
     return _RANKS[record.state] == 0
 
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -189,6 +189,7 @@
         if isinstance(message, wire.Join):
             known = task.members.members.get(message.sender)
             floor = 0 if known is None else known.record.config_version
+        if isinstance(message, (wire.Join, wire.ConfigDigest)):
             control_records.handle(
                 task, membership.Received(message=message, reply_to=reply_to)
             )
