--- /dev/null
+++ b/apricotpost/admin/changes.py
@@ -0,0 +1,269 @@
+"""Changes of the configuration: snapshot and request to new snapshot."""
+
+from collections.abc import Iterable
+import dataclasses
+import typing
+
+from apricotpost.admin import definitions
+from apricotpost.admin import requests
+from apricotpost.admin import sheet
+from apricotpost.admin import tokens
+from apricotpost import config
+from apricotpost import errors
+from apricotpost import model
+
+__all__ = ["apply_change", "plan_rollout"]
+
+# Share of the new version when a rollout starts, in thousandths.
+FIRST_SHARE = 10
+_ACTIVE = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
+
+
+def apply_change(
+    snapshot: model.Snapshot,
+    request: requests.ChangeRequest,
+    *,
+    actor: tokens.Actor,
+    policy: requests.Policy,
+    now: float,
+) -> requests.Applied:
+    """Apply a request to a configuration.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Configuration in force.
+    request : ChangeRequest
+        What is asked for.
+    actor : Actor
+        Who asks.
+    policy : Policy
+        Shortest times of moves.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    Applied
+        Its snapshot is valid and one version newer, or the one before.
+
+    Raises
+    ------
+    apricotpost.errors.AccessDenied
+        The actor may not make this change.
+    apricotpost.errors.ConfigurationInvalid
+        The result has faults.
+    apricotpost.errors.RequestInvalid, apricotpost.errors.SheetInvalid
+        The request has faults; all are listed.
+    apricotpost.errors.ResourceUnknown
+        The request names something that does not exist.
+    """
+    if isinstance(request, requests.SheetChange):
+        applied = _apply_sheet(snapshot, request, actor, policy, now)
+    elif isinstance(request, requests.Definitions):
+        applied = definitions.apply_definitions(snapshot, request, actor)
+    elif isinstance(request, requests.DataCentreChange):
+        applied = _apply_data_centre(snapshot, request, actor, policy, now)
+    else:
+        applied = _withdraw(snapshot, request, actor, now)
+    return _seal(snapshot, applied)
+
+
+def plan_rollout(
+    snapshot: model.Snapshot,
+    service: str,
+    version: str,
+    finish_by: float,
+    now: float,
+) -> model.Snapshot:
+    """Start a rollout of a service to a version.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Configuration in force.
+    service, version : str
+        What to move, and to where.
+    finish_by, now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    apricotpost.model.Snapshot
+        With the rollout; not sealed.
+    """
+    entry = next(each for each in snapshot.services if each.name == service)
+    old = max(entry.versions, key=lambda share: share.share).version
+    rollout = model.Rollout(
+        identifier=f"{service}-{snapshot.version + 1:012d}",
+        service=service,
+        old=old,
+        new=version,
+        state=model.RolloutState.RUNNING,
+        share=FIRST_SHARE,
+        started_at=now,
+        finish_by=finish_by,
+        changed_at=now,
+    )
+    shares = (
+        model.VersionShare(version=old, share=model.TOTAL_SHARE - FIRST_SHARE),
+        model.VersionShare(version=version, share=FIRST_SHARE),
+    )
+    kept = [each for each in snapshot.rollouts if each.service != service]
+    return dataclasses.replace(
+        snapshot,
+        services=_put(
+            snapshot.services, dataclasses.replace(entry, versions=shares)
+        ),
+        rollouts=tuple(
+            sorted([*kept, rollout], key=lambda each: each.identifier)
+        ),
+    )
+
+
+def _apply_sheet(
+    snapshot: model.Snapshot,
+    request: requests.SheetChange,
+    actor: tokens.Actor,
+    policy: requests.Policy,
+    now: float,
+) -> requests.Applied:
+    checked = sheet.check_sheet(
+        request.text, snapshot, actor=actor, policy=policy, now=now
+    )
+    after = snapshot
+    changed: list[str] = []
+    moves: list[requests.DataCentreMove] = []
+    for move in checked.moves:
+        if isinstance(move, requests.VersionMove):
+            after = plan_rollout(
+                after, move.service, move.version, move.finish_by, now
+            )
+            changed.append(f"service {move.service} to {move.version}")
+        else:
+            after = _set_data_centre(after, move)
+            changed.append(f"data centre {move.data_centre} {move.state}")
+            moves.append(move)
+    return requests.Applied(
+        snapshot=after,
+        changed=tuple(changed),
+        unchanged=checked.unchanged,
+        moves=tuple(moves),
+    )
+
+
+def _apply_data_centre(
+    snapshot: model.Snapshot,
+    request: requests.DataCentreChange,
+    actor: tokens.Actor,
+    policy: requests.Policy,
+    now: float,
+) -> requests.Applied:
+    tokens.require_right(actor, tokens.DATA_CENTRES)
+    centre = _find(snapshot.data_centres, "data centre", request.name)
+    sentence = f"data centre {request.name} {request.state}"
+    if centre.state is request.state:
+        return requests.Applied(snapshot=snapshot, unchanged=(sentence,))
+    shortest = now + policy.data_centre_seconds
+    if request.finish_by and request.finish_by < shortest:
+        raise errors.RequestInvalid(
+            "finish_by is too soon: the move takes at least "
+            f"{policy.data_centre_seconds:.0f} s"
+        )
+    move = requests.DataCentreMove(
+        data_centre=request.name,
+        state=request.state,
+        finish_by=request.finish_by or shortest,
+    )
+    return requests.Applied(
+        snapshot=_set_data_centre(snapshot, move),
+        changed=(sentence,),
+        moves=(move,),
+    )
+
+
+def _withdraw(
+    snapshot: model.Snapshot,
+    request: requests.WithdrawRollout,
+    actor: tokens.Actor,
+    now: float,
+) -> requests.Applied:
+    tokens.require_right(actor, tokens.CHANGE)
+    rollout = _find(snapshot.rollouts, "rollout", request.rollout)
+    service = _find(snapshot.services, "service", rollout.service)
+    if service.team != actor.team:
+        raise errors.AccessDenied(
+            f"{service.name} belongs to team {service.team}; "
+            f"{actor.author} of team {actor.team} may not change it"
+        )
+    sentence = f"rollout {rollout.identifier} withdrawn"
+    if rollout.state is model.RolloutState.WITHDRAWN:
+        return requests.Applied(snapshot=snapshot, unchanged=(sentence,))
+    if rollout.state not in _ACTIVE:
+        raise errors.RequestInvalid(
+            f"rollout {rollout.identifier} is {rollout.state.value}; "
+            f"submit a sheet that names {rollout.old} to return to it"
+        )
+    ended = dataclasses.replace(
+        rollout,
+        state=model.RolloutState.WITHDRAWN,
+        share=0,
+        changed_at=now,
+        reason=request.reason,
+    )
+    old = model.VersionShare(version=rollout.old, share=model.TOTAL_SHARE)
+    after = dataclasses.replace(
+        snapshot,
+        services=_put(
+            snapshot.services, dataclasses.replace(service, versions=(old,))
+        ),
+        rollouts=tuple(
+            ended if each is rollout else each for each in snapshot.rollouts
+        ),
+    )
+    return requests.Applied(
+        snapshot=after, changed=(sentence,), withdrawn=(ended,)
+    )
+
+
+def _set_data_centre(
+    snapshot: model.Snapshot, move: requests.DataCentreMove
+) -> model.Snapshot:
+    centre = _find(snapshot.data_centres, "data centre", move.data_centre)
+    return dataclasses.replace(
+        snapshot,
+        data_centres=_put(
+            snapshot.data_centres,
+            dataclasses.replace(centre, state=move.state),
+        ),
+    )
+
+
+def _seal(
+    before: model.Snapshot, applied: requests.Applied
+) -> requests.Applied:
+    content = dataclasses.replace(
+        applied.snapshot, version=before.version, checksum=before.checksum
+    )
+    if content == before:
+        return dataclasses.replace(applied, snapshot=before)
+    after = config.seal(
+        dataclasses.replace(content, version=before.version + 1)
+    )
+    config.validate(after)
+    return dataclasses.replace(applied, snapshot=after)
+
+
+def _find(entries: Iterable[typing.Any], what: str, name: str) -> typing.Any:
+    for entry in entries:
+        if name == getattr(entry, "identifier", getattr(entry, "name", "")):
+            return entry
+    raise errors.ResourceUnknown(f"there is no {what} {name!r}")
+
+
+def _put(
+    entries: Iterable[typing.Any], changed: typing.Any
+) -> tuple[typing.Any, ...]:
+    return tuple(
+        changed if entry.name == changed.name else entry for entry in entries
+    )
--- /dev/null
+++ b/apricotpost/admin/commits.py
@@ -0,0 +1,295 @@
+"""Commit a change on the newest configuration, once for each request."""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import typing
+
+import msgspec
+
+from apricotpost.admin import moves
+from apricotpost.admin import requests
+from apricotpost.admin import tokens
+from apricotpost import config
+from apricotpost import errors
+from apricotpost import model
+from apricotpost import platform
+from apricotpost.platform import table
+
+__all__ = ["Accepted", "Submission", "make_identifier", "read_current"]
+__all__ += ["submit"]
+
+# A change without a base version is tried on so many newer versions.
+MAX_ATTEMPTS = 5
+
+_RESULTS = "result"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Submission:
+    """A change to commit.
+
+    Parameters
+    ----------
+    actor : Actor
+        Who asks.
+    request : str
+        Identifier of the request; a repetition has the same one.
+    digest : str
+        Hash of what was asked; tells a repetition from another change.
+    reason : str
+        Kept in the audit record.
+    base : int, optional
+        Version on which the change must build.
+    """
+
+    actor: tokens.Actor
+    request: str
+    digest: str
+    reason: str
+    base: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted:
+    """Result of an accepted change.
+
+    ``rollouts`` and ``moves`` identify what `apricotpost-ctl watch` follows.
+    """
+
+    version: int
+    base: int
+    request: str
+    changed: tuple[str, ...] = ()
+    unchanged: tuple[str, ...] = ()
+    rollouts: tuple[str, ...] = ()
+    moves: tuple[str, ...] = ()
+
+
+def make_identifier(actor: tokens.Actor, key: str) -> str:
+    """Return the request identifier of a client's key.
+
+    It is scoped by author and has at most the 36 characters that the table
+    takes.
+    """
+    text = f"{actor.team}\n{actor.author}\n{key}"
+    return "k-" + hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def read_current(
+    store: platform.Store, held: model.Snapshot
+) -> model.Snapshot:
+    """Read the newest configuration, starting from the one held.
+
+    Raises
+    ------
+    apricotpost.errors.PlatformError
+        The platform did not answer.
+    """
+    _, deltas, snapshot = platform.read_newer(store, held.version)
+    if snapshot is not None:
+        held = config.apply_snapshot(held, snapshot)
+    for delta in deltas:
+        held = config.apply_delta(held, delta)
+    return held
+
+
+def submit(
+    store: platform.Store,
+    submission: Submission,
+    apply: Callable[[model.Snapshot], requests.Applied],
+    *,
+    held: model.Snapshot,
+    now: float,
+) -> Accepted:
+    """Apply a change to the newest configuration and commit it.
+
+    Parameters
+    ----------
+    store : apricotpost.platform.Store
+        Where to read and write.
+    submission : Submission
+        Who asks, and as which request.
+    apply : callable
+        Returns the change applied to a snapshot.
+    held : apricotpost.model.Snapshot
+        Configuration of this node, from which reading starts.
+    now : float
+        Unix time in seconds.
+
+    Raises
+    ------
+    apricotpost.errors.ChangeConflict
+        Another change was accepted first; the message names it.
+    apricotpost.errors.PlatformError
+        The platform did not answer.
+    apricotpost.errors.RequestInvalid
+        The identifier belongs to a request with other content.
+
+    Notes
+    -----
+    The configuration is read before the request identifier: a repetition that
+    runs at the same time either finds the first result or loses the commit.
+    """
+    for attempt in range(1, MAX_ATTEMPTS + 1):
+        held = read_current(store, held)
+        first = _find_first(store, submission)
+        if first is not None:
+            return first
+        _check_base(store, submission, held)
+        applied = apply(held)
+        accepted = _describe(submission, held, applied)
+        try:
+            _write(store, submission, held, applied, accepted, now)
+        except errors.ChangeConflict:
+            if attempt == MAX_ATTEMPTS or submission.base is not None:
+                raise
+            continue
+        return _confirm(store, submission, accepted)
+    raise AssertionError("every attempt returns or raises")
+
+
+def _find_first(
+    store: platform.Store, submission: Submission
+) -> Accepted | None:
+    """Return the result of an earlier submission of the same request."""
+    item = table.get(
+        store.table, table.Key(pk=_RESULTS, sk=submission.request)
+    )
+    if item is None:
+        return None
+    if item.attributes["digest"] != submission.digest:
+        raise errors.RequestInvalid(
+            f"request identifier {submission.request} belongs to another "
+            f"change, accepted as version {item.attributes['version']!s}"
+        )
+    return msgspec.json.decode(str(item.attributes["result"]), type=Accepted)
+
+
+def _check_base(
+    store: platform.Store, submission: Submission, held: model.Snapshot
+) -> None:
+    if submission.base is None or submission.base == held.version:
+        return
+    if submission.base > held.version:
+        raise errors.ChangeConflict(
+            f"base version {submission.base} does not exist; the newest is "
+            f"{held.version}"
+        )
+    lost_to = submission.base + 1
+    record = table.get(
+        store.table, table.Key(pk="audit", sk=f"{lost_to:012d}")
+    )
+    who: typing.Any = record.attributes if record is not None else {}
+    raise errors.ChangeConflict(
+        f"version {lost_to} was accepted first, from "
+        f"{who.get('author', 'unknown')}: {who.get('reason', '')}; "
+        f"the newest version is {held.version}"
+    )
+
+
+def _describe(
+    submission: Submission, before: model.Snapshot, applied: requests.Applied
+) -> Accepted:
+    after = applied.snapshot
+    known = {entry.identifier for entry in before.rollouts}
+    started = [
+        entry.identifier
+        for entry in after.rollouts
+        if entry.identifier not in known
+    ]
+    return Accepted(
+        version=after.version,
+        base=before.version,
+        request=submission.request,
+        changed=applied.changed,
+        unchanged=applied.unchanged,
+        rollouts=tuple(started),
+        moves=tuple(
+            _move_identifier(after.version, move) for move in applied.moves
+        ),
+    )
+
+
+def _write(
+    store: platform.Store,
+    submission: Submission,
+    before: model.Snapshot,
+    applied: requests.Applied,
+    accepted: Accepted,
+    now: float,
+) -> None:
+    result = table.Put(
+        item=table.Item(
+            key=table.Key(pk=_RESULTS, sk=submission.request),
+            attributes={
+                "digest": submission.digest,
+                "version": accepted.version,
+                "result": msgspec.json.encode(accepted).decode(),
+            },
+        )
+    )
+    if applied.snapshot == before:
+        # The result is kept, so that a repetition does not act later.
+        table.transact(store.table, (result,), token=submission.request)
+        return
+    platform.commit(
+        store,
+        platform.Change(
+            before=before,
+            after=applied.snapshot,
+            author=submission.actor.author,
+            reason=submission.reason,
+            request=submission.request,
+            at=now,
+            extra=(result, *_extra_writes(submission, applied, now)),
+        ),
+    )
+
+
+def _extra_writes(
+    submission: Submission, applied: requests.Applied, now: float
+) -> typing.Iterator[table.Write]:
+    version = applied.snapshot.version
+    for move in applied.moves:
+        yield moves.pending_write(
+            moves.PendingMove(
+                identifier=_move_identifier(version, move),
+                data_centre=move.data_centre,
+                state=move.state.value,
+                version=version,
+                started_at=now,
+                finish_by=move.finish_by,
+                author=submission.actor.author,
+            )
+        )
+    for rollout in applied.withdrawn:
+        yield table.Put(
+            item=table.Item(
+                key=table.Key(pk=moves.OUTCOME, sk=rollout.identifier),
+                attributes={
+                    "kind": "rollout",
+                    "service": rollout.service,
+                    "old": rollout.old,
+                    "new": rollout.new,
+                    "result": rollout.state.value,
+                    "reason": rollout.reason,
+                    "at_ms": int(now * 1000),
+                    "author": submission.actor.author,
+                },
+            )
+        )
+
+
+def _confirm(
+    store: platform.Store, submission: Submission, accepted: Accepted
+) -> Accepted:
+    """Return the stored result, which may be that of a repetition."""
+    try:
+        return _find_first(store, submission) or accepted
+    except errors.PlatformError:
+        return accepted
+
+
+def _move_identifier(version: int, move: requests.DataCentreMove) -> str:
+    return f"{version:012d}-{move.data_centre}"
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -18,6 +18,7 @@
     "PlatformUnavailable",
     "PortOccupied",
     "RequestInvalid",
+    "ResourceUnknown",
     "SettingsInvalid",
     "SheetInvalid",
     "TransactionRejected",
@@ -172,3 +173,11 @@
 
     code = "AP506"
     exit_code = 4
+
+
+class ResourceUnknown(ApricotpostError):
+    """An administration request names something that does not exist."""
+
+    code = "AP507"
+    exit_code = 2
+    status = 404
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings in JSON with comments."""
 
+from apricotpost.settings.loader import find_faults
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
@@ -18,6 +19,7 @@
     "PlatformSettings",
     "TimeSettings",
     "TokenSettings",
+    "find_faults",
     "load",
     "parse",
 ]
--- a/apricotpost/settings/loader.py
+++ b/apricotpost/settings/loader.py
@@ -12,7 +12,7 @@
 from apricotpost import errors
 from apricotpost.settings import schema
 
-__all__ = ["load", "parse"]
+__all__ = ["find_faults", "load", "parse"]
 
 _UNITS = {"_seconds": "seconds", "_ms": "milliseconds", "_bytes": "bytes"}
 
@@ -48,7 +48,7 @@
         raise errors.SettingsInvalid(
             f"settings are not JSON with comments: {error}"
         ) from error
-    faults = tuple(_find_faults(raw, schema.NodeSettings, "$"))
+    faults = tuple(find_faults(raw, schema.NodeSettings, "$"))
     if faults:
         raise errors.SettingsInvalid(
             f"settings have {len(faults)} faults", faults=faults
@@ -56,16 +56,27 @@
     return msgspec.convert(raw, schema.NodeSettings)
 
 
-def _find_faults(
+def find_faults(
     value: typing.Any, kind: typing.Any, path: str
 ) -> Iterator[str]:
+    """Yield each difference between a decoded value and a type.
+
+    Parameters
+    ----------
+    value : object
+        Decoded JSON.
+    kind : type
+        A data class, a tuple of one type or a type of `msgspec`.
+    path : str
+        Where the value stands, put before each fault.
+    """
     if dataclasses.is_dataclass(kind):
         yield from _find_object_faults(value, kind, path)
         return
     item = _list_item(kind)
     if item is not None and isinstance(value, list):
         for index, entry in enumerate(value):
-            yield from _find_faults(entry, item, f"{path}[{index}]")
+            yield from find_faults(entry, item, f"{path}[{index}]")
         return
     try:
         msgspec.convert(value, kind)
@@ -86,7 +97,7 @@
     for field in dataclasses.fields(kind):
         child = f"{path}.{field.name}"
         if field.name in value:
-            yield from _find_faults(
+            yield from find_faults(
                 value[field.name], hints[field.name], child
             )
         elif field.default is dataclasses.MISSING:
