Serve the administration API on every node

Cause: operators change and read the configuration over HTTP. Change: WSGI application, moves task that records ends of data centre moves.

--- a/apricotpost/admin/changes.py
+++ b/apricotpost/admin/changes.py
@@ -95,7 +95,7 @@
     entry = next(each for each in snapshot.services if each.name == service)
     old = max(entry.versions, key=lambda share: share.share).version
     rollout = model.Rollout(
-        identifier=f"{service}-{snapshot.version + 1:012d}",
+        identifier=f"{snapshot.version + 1:012d}-{service}",
         service=service,
         old=old,
         new=version,
--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -1,14 +1,13 @@
 """Commit a change on the newest configuration, once for each request."""
 
 from collections.abc import Callable
-import dataclasses
 import hashlib
 import typing
 
 import msgspec
 
-from apricotpost.admin import moves
 from apricotpost.admin import requests
+from apricotpost.admin import submissions
 from apricotpost.admin import tokens
 from apricotpost import config
 from apricotpost import errors
@@ -16,8 +15,12 @@
 from apricotpost import platform
 from apricotpost.platform import table
 
-__all__ = ["Accepted", "Submission", "make_identifier", "read_current"]
-__all__ += ["submit"]
+__all__ = [
+    "check",
+    "make_identifier",
+    "read_current",
+    "submit",
+]
 
 # A change without a base version is tried on so many newer versions.
 MAX_ATTEMPTS = 5
@@ -25,47 +28,6 @@
 _RESULTS = "result"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Submission:
-    """A change to commit.
-
-    Parameters
-    ----------
-    actor : Actor
-        Who asks.
-    request : str
-        Identifier of the request; a repetition has the same one.
-    digest : str
-        Hash of what was asked; tells a repetition from another change.
-    reason : str
-        Kept in the audit record.
-    base : int, optional
-        Version on which the change must build.
-    """
-
-    actor: tokens.Actor
-    request: str
-    digest: str
-    reason: str
-    base: int | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Accepted:
-    """Result of an accepted change.
-
-    ``rollouts`` and ``moves`` identify what `apricotpost-ctl watch` follows.
-    """
-
-    version: int
-    base: int
-    request: str
-    changed: tuple[str, ...] = ()
-    unchanged: tuple[str, ...] = ()
-    rollouts: tuple[str, ...] = ()
-    moves: tuple[str, ...] = ()
-
-
 def make_identifier(actor: tokens.Actor, key: str) -> str:
     """Return the request identifier of a client's key.
 
@@ -96,12 +58,12 @@
 
 def submit(
     store: platform.Store,
-    submission: Submission,
+    submission: submissions.Submission,
     apply: Callable[[model.Snapshot], requests.Applied],
     *,
     held: model.Snapshot,
     now: float,
-) -> Accepted:
+) -> submissions.Accepted:
     """Apply a change to the newest configuration and commit it.
 
     Parameters
@@ -149,9 +111,28 @@
     raise AssertionError("every attempt returns or raises")
 
 
+def check(
+    store: platform.Store,
+    submission: submissions.Submission,
+    apply: Callable[[model.Snapshot], requests.Applied],
+    *,
+    held: model.Snapshot,
+) -> submissions.Accepted:
+    """Return what `submit` would accept, without writing anything.
+
+    Raises
+    ------
+    apricotpost.errors.ApricotpostError
+        As in `submit`.
+    """
+    held = read_current(store, held)
+    _check_base(store, submission, held)
+    return _describe(submission, held, apply(held))
+
+
 def _find_first(
-    store: platform.Store, submission: Submission
-) -> Accepted | None:
+    store: platform.Store, submission: submissions.Submission
+) -> submissions.Accepted | None:
     """Return the result of an earlier submission of the same request."""
     item = table.get(
         store.table, table.Key(pk=_RESULTS, sk=submission.request)
@@ -163,11 +144,15 @@
             f"request identifier {submission.request} belongs to another "
             f"change, accepted as version {item.attributes['version']!s}"
         )
-    return msgspec.json.decode(str(item.attributes["result"]), type=Accepted)
+    return msgspec.json.decode(
+        str(item.attributes["result"]), type=submissions.Accepted
+    )
 
 
 def _check_base(
-    store: platform.Store, submission: Submission, held: model.Snapshot
+    store: platform.Store,
+    submission: submissions.Submission,
+    held: model.Snapshot,
 ) -> None:
     if submission.base is None or submission.base == held.version:
         return
@@ -189,8 +174,10 @@
 
 
 def _describe(
-    submission: Submission, before: model.Snapshot, applied: requests.Applied
-) -> Accepted:
+    submission: submissions.Submission,
+    before: model.Snapshot,
+    applied: requests.Applied,
+) -> submissions.Accepted:
     after = applied.snapshot
     known = {entry.identifier for entry in before.rollouts}
     started = [
@@ -198,7 +185,7 @@
         for entry in after.rollouts
         if entry.identifier not in known
     ]
-    return Accepted(
+    return submissions.Accepted(
         version=after.version,
         base=before.version,
         request=submission.request,
@@ -206,17 +193,18 @@
         unchanged=applied.unchanged,
         rollouts=tuple(started),
         moves=tuple(
-            _move_identifier(after.version, move) for move in applied.moves
+            submissions.move_identifier(after.version, move)
+            for move in applied.moves
         ),
     )
 
 
 def _write(
     store: platform.Store,
-    submission: Submission,
+    submission: submissions.Submission,
     before: model.Snapshot,
     applied: requests.Applied,
-    accepted: Accepted,
+    accepted: submissions.Accepted,
     now: float,
 ) -> None:
     result = table.Put(
@@ -242,54 +230,21 @@
             reason=submission.reason,
             request=submission.request,
             at=now,
-            extra=(result, *_extra_writes(submission, applied, now)),
+            extra=(
+                result,
+                *submissions.extra_writes(submission, applied, now),
+            ),
         ),
     )
 
 
-def _extra_writes(
-    submission: Submission, applied: requests.Applied, now: float
-) -> typing.Iterator[table.Write]:
-    version = applied.snapshot.version
-    for move in applied.moves:
-        yield moves.pending_write(
-            moves.PendingMove(
-                identifier=_move_identifier(version, move),
-                data_centre=move.data_centre,
-                state=move.state.value,
-                version=version,
-                started_at=now,
-                finish_by=move.finish_by,
-                author=submission.actor.author,
-            )
-        )
-    for rollout in applied.withdrawn:
-        yield table.Put(
-            item=table.Item(
-                key=table.Key(pk=moves.OUTCOME, sk=rollout.identifier),
-                attributes={
-                    "kind": "rollout",
-                    "service": rollout.service,
-                    "old": rollout.old,
-                    "new": rollout.new,
-                    "result": rollout.state.value,
-                    "reason": rollout.reason,
-                    "at_ms": int(now * 1000),
-                    "author": submission.actor.author,
-                },
-            )
-        )
-
-
 def _confirm(
-    store: platform.Store, submission: Submission, accepted: Accepted
-) -> Accepted:
+    store: platform.Store,
+    submission: submissions.Submission,
+    accepted: submissions.Accepted,
+) -> submissions.Accepted:
     """Return the stored result, which may be that of a repetition."""
     try:
         return _find_first(store, submission) or accepted
     except errors.PlatformError:
         return accepted
-
-
-def _move_identifier(version: int, move: requests.DataCentreMove) -> str:
-    return f"{version:012d}-{move.data_centre}"
--- /dev/null
+++ b/apricotpost/admin/reads.py
@@ -0,0 +1,213 @@
+"""What operators see: values for JSON answers, from the view and the table."""
+
+from collections.abc import Iterable
+import typing
+
+from apricotpost.admin import moves
+from apricotpost import errors
+from apricotpost import model
+from apricotpost import platform
+from apricotpost.platform import table
+
+__all__ = [
+    "PAGE_ITEMS",
+    "describe_rollout",
+    "describe_status",
+    "read_audit",
+    "read_history",
+    "read_move",
+]
+
+PAGE_ITEMS = 200
+# History starts so many configuration versions ago unless asked otherwise.
+HISTORY_VERSIONS = 5000
+
+Json = dict[str, typing.Any]
+
+
+def describe_status(view: model.View, *, now: float) -> Json:
+    """Summarise a view: versions, shares, rollouts and instances."""
+    snapshot = view.snapshot
+    return {
+        "ready": view.ready,
+        "version": snapshot.version,
+        "checksum": snapshot.checksum,
+        "services": snapshot.services,
+        "data_centres": [
+            {
+                "name": centre.name,
+                "region": centre.region,
+                "state": centre.state,
+                "instances": _count_instances(view, centre.name),
+            }
+            for centre in snapshot.data_centres
+        ],
+        "rollouts": [
+            describe_rollout(entry, view.withdrawals, now=now)
+            for entry in snapshot.rollouts
+        ],
+        "withdrawals": view.withdrawals,
+    }
+
+
+def describe_rollout(
+    rollout: model.Rollout,
+    withdrawals: Iterable[model.Withdrawal],
+    *,
+    now: float,
+) -> Json:
+    """Describe a rollout as nodes treat it at this moment.
+
+    A withdrawal, or the passing of ``finish_by`` while it is running, counts
+    before it is durable.
+    """
+    state, reason = rollout.state, rollout.reason
+    for entry in withdrawals:
+        if entry.rollout == rollout.identifier:
+            state, reason = model.RolloutState.WITHDRAWN, entry.reason
+    if state is model.RolloutState.RUNNING and now > rollout.finish_by:
+        state = model.RolloutState.WITHDRAWN
+        reason = "full share was not reached by finish_by"
+    return {
+        "kind": "rollout",
+        "identifier": rollout.identifier,
+        "service": rollout.service,
+        "old": rollout.old,
+        "new": rollout.new,
+        "state": state,
+        "share": rollout.share,
+        "started_at": rollout.started_at,
+        "finish_by": rollout.finish_by,
+        "changed_at": rollout.changed_at,
+        "reason": reason,
+    }
+
+
+def read_history(
+    store: platform.Store, view: model.View, *, after: str, limit: int
+) -> Json:
+    """Read ended moves by identifier, and data centre moves under way.
+
+    Parameters
+    ----------
+    store : apricotpost.platform.Store
+        Where to read.
+    view : apricotpost.model.View
+        From which the progress of moves is counted.
+    after : str
+        Only greater identifiers are returned; empty for the recent ones.
+    limit : int
+        Largest number of outcomes.
+
+    Raises
+    ------
+    apricotpost.errors.PlatformError
+        The table did not answer.
+    """
+    oldest = max(view.snapshot.version - HISTORY_VERSIONS, 0)
+    ended = table.query(
+        store.table,
+        pk=moves.OUTCOME,
+        after=after or f"{oldest:012d}",
+        limit=limit,
+    )
+    pending = table.query(store.table, pk=moves.PENDING)
+    return {
+        "outcomes": [_describe_outcome(item) for item in ended],
+        "pending": [_describe_pending(item, view) for item in pending],
+        "next": ended[-1].key.sk if len(ended) == limit else "",
+    }
+
+
+def read_move(
+    store: platform.Store, view: model.View, identifier: str, *, now: float
+) -> Json:
+    """Read how one rollout or data centre move stands.
+
+    Raises
+    ------
+    apricotpost.errors.PlatformError
+        The table did not answer.
+    apricotpost.errors.ResourceUnknown
+        There is no such move.
+    """
+    for rollout in view.snapshot.rollouts:
+        if rollout.identifier == identifier:
+            return describe_rollout(rollout, view.withdrawals, now=now)
+    key = table.Key(pk=moves.PENDING, sk=identifier)
+    pending = table.get(store.table, key)
+    if pending is not None:
+        return _describe_pending(pending, view)
+    ended = table.get(store.table, table.Key(pk=moves.OUTCOME, sk=identifier))
+    if ended is None:
+        raise errors.ResourceUnknown(f"there is no move {identifier!r}")
+    return _describe_outcome(ended)
+
+
+def read_audit(store: platform.Store, *, before: int, limit: int) -> Json:
+    """Read the audit records below a version, newest first.
+
+    Raises
+    ------
+    apricotpost.errors.PlatformError
+        The table did not answer.
+    """
+    oldest = max(before - limit, 1)
+    items = table.query(
+        store.table, pk="audit", after=f"{oldest - 1:012d}", limit=limit
+    )
+    records = [
+        dict(item.attributes)
+        for item in reversed(items)
+        if int(item.key.sk) < before
+    ]
+    return {"records": records, "next": oldest if oldest > 1 else 0}
+
+
+def _count_instances(view: model.View, data_centre: str) -> Json:
+    records = [
+        record
+        for record in view.instances
+        if record.data_centre == data_centre
+    ]
+    counts: dict[str, int] = {state.value: 0 for state in model.InstanceState}
+    for record in records:
+        counts[record.state.value] += 1
+    counts["behind"] = sum(
+        record.config_version < view.snapshot.version
+        for record in records
+        if record.state is not model.InstanceState.DOWN
+    )
+    return counts
+
+
+def _describe_pending(item: table.Item, view: model.View) -> Json:
+    move = moves.decode_pending(item)
+    progress = moves.measure_progress(move, view.instances)
+    return {
+        "kind": "data-centre",
+        "identifier": move.identifier,
+        "data_centre": move.data_centre,
+        "to": move.state,
+        "version": move.version,
+        "state": "running",
+        "started_at": move.started_at,
+        "finish_by": move.finish_by,
+        "reported": progress.reported,
+        "outstanding": progress.outstanding,
+        "author": move.author,
+        "reason": "",
+    }
+
+
+def _describe_outcome(item: table.Item) -> Json:
+    """Describe an outcome; bytes are left out, as they are not for people."""
+    values: Json = {
+        name: value
+        for name, value in item.attributes.items()
+        if not isinstance(value, bytes)
+    }
+    if "state" in values and values.get("kind") == "data-centre":
+        values["to"] = values.pop("state")
+    state = str(values.get("result", values.get("state", "")))
+    return {"identifier": item.key.sk, **values, "state": state}
--- a/apricotpost/admin/tokens.py
+++ b/apricotpost/admin/tokens.py
@@ -8,8 +8,14 @@
 from apricotpost import errors
 from apricotpost import settings
 
-__all__ = ["Actor", "CHANGE", "DATA_CENTRES", "READ", "authenticate"]
-__all__ += ["require_right"]
+__all__ = [
+    "Actor",
+    "CHANGE",
+    "DATA_CENTRES",
+    "READ",
+    "authenticate",
+    "require_right",
+]
 
 READ = "read"
 CHANGE = "change"
--- a/apricotpost/node/addresses.py
+++ b/apricotpost/node/addresses.py
@@ -1,11 +1,24 @@
 """Names of the sockets inside a node and forms of addresses."""
 
-__all__ = ["BACKEND", "CONTROL", "DISPATCH", "GATE", "PLATFORM", "tcp"]
+__all__ = [
+    "BACKEND",
+    "CONTROL",
+    "DISPATCH",
+    "GATE",
+    "LEVELS",
+    "MEASUREMENTS",
+    "MOVES",
+    "PLATFORM",
+    "tcp",
+]
 
 BACKEND = "inproc://backend"
 CONTROL = "inproc://control"
 DISPATCH = "inproc://dispatch"
 GATE = "inproc://gate"
+LEVELS = "inproc://levels"
+MEASUREMENTS = "inproc://measurements"
+MOVES = "inproc://moves"
 PLATFORM = "inproc://platform"
 
 
--- /dev/null
+++ b/apricotpost/node/admin.py
@@ -0,0 +1,47 @@
+"""Connects the administration API to the tasks of the node."""
+
+import logging
+import threading
+import typing
+
+from apricotpost import admin
+from apricotpost import events
+from apricotpost.node import addresses
+from apricotpost.node import views
+from apricotpost import settings
+from apricotpost import wire
+
+__all__ = ["THREADS", "make_admin"]
+
+LOG = logging.getLogger(__name__)
+THREADS = 2
+
+
+def make_admin(
+    *,
+    context: wire.sockets.Context,
+    current: views.Current,
+    options: settings.NodeSettings,
+) -> admin.Admin:
+    """Return what the administration threads share."""
+    local = threading.local()
+
+    def announce(version: int, author: str) -> None:
+        events.emit(
+            LOG, events.CONFIG_COMMITTED, version=version, author=author
+        )
+        if getattr(local, "control", None) is None:
+            local.control = wire.sockets.connect_dealer(
+                context, addresses.CONTROL
+            )
+        wire.sockets.send(local.control, wire.ConfigCommitted(version=version))
+
+    def read_levels() -> typing.Any:
+        return {}
+
+    return admin.Admin(
+        options=options,
+        read_view=lambda: current.view,
+        announce=announce,
+        read_levels=read_levels,
+    )
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -16,18 +16,20 @@
 
 from cheroot import wsgi
 
+from apricotpost import admin
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import admin as admin_glue
 from apricotpost.node import announcements
 from apricotpost.node import control
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
+from apricotpost.node import moves
 from apricotpost.node import platform as platform_task
 from apricotpost.node import views
-from apricotpost import platform
 from apricotpost import settings
 from apricotpost import wire
 
@@ -135,13 +137,7 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
-    store = platform.open_store(
-        table_url=options.platform.table_url,
-        object_url=options.platform.object_url,
-        table_name=options.platform.table,
-        bucket=options.platform.bucket,
-        timeout_seconds=options.platform.timeout_seconds,
-    )
+    store = platform_task.open_store(options)
     seed = f"{options.instance}-{time.time_ns()}"
     _start(
         node,
@@ -178,6 +174,16 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
+    _start(
+        node,
+        addresses.MOVES,
+        lambda: moves.run(
+            context=node.context,
+            current=node.current,
+            instance=options.instance,
+            store=platform_task.open_store(options),
+        ),
+    )
 
 
 def _start(node: _Node, address: str, target: Callable[[], None]) -> None:
@@ -229,6 +235,16 @@
         announcements.make_app(node.context, ingress.make_app(inside)),
         options.local_threads,
     )
+    _serve(
+        node,
+        options.addresses.admin,
+        admin.make_app(
+            admin_glue.make_admin(
+                context=node.context, current=node.current, options=options
+            )
+        ),
+        admin_glue.THREADS,
+    )
     return [outside, inside]
 
 
--- /dev/null
+++ b/apricotpost/node/moves.py
@@ -0,0 +1,136 @@
+"""Task that records the ends of data centre moves."""
+
+import contextlib
+import dataclasses
+import logging
+import time
+import uuid
+
+import xxhash
+import zmq
+
+from apricotpost.admin import moves
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import model
+from apricotpost.node import addresses
+from apricotpost.node import views
+from apricotpost import platform
+from apricotpost.platform import table
+from apricotpost import wire
+
+__all__ = ["is_recorder", "run"]
+
+LOG = logging.getLogger(__name__)
+# One node of the fleet reads the pending moves at this interval.
+POLL_SECONDS = 1.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Task:
+    """What the task owns."""
+
+    current: views.Current
+    instance: str
+    store: platform.Store
+    overdue: set[str] = dataclasses.field(default_factory=set)
+
+
+def run(
+    *,
+    context: wire.sockets.Context,
+    current: views.Current,
+    instance: str,
+    store: platform.Store,
+) -> None:
+    """Record the ends of moves until asked to stop.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Of this process.
+    current : Current
+        Reference to the view in force.
+    instance : str
+        Own name.
+    store : apricotpost.platform.Store
+        Owned by this task from here on.
+    """
+    with contextlib.ExitStack() as stack:
+        stack.callback(store.channel.pool.clear)
+        socket = stack.enter_context(
+            wire.sockets.bind_router(context, addresses.MOVES)
+        )
+        task = _Task(current=current, instance=instance, store=store)
+        while True:
+            if socket.poll(int(POLL_SECONDS * 1000), zmq.POLLIN):
+                _, message = wire.sockets.receive_routed(socket)
+                if isinstance(message, wire.StopTask):
+                    return
+            elif is_recorder(task.current.view, instance):
+                _record_ends(task)
+
+
+def is_recorder(view: model.View, instance: str) -> bool:
+    """Whether this node is the first of the fleet by rendezvous hash.
+
+    Nodes with different views may both be; the condition on the record lets
+    only one of them write.
+    """
+    live = [
+        record.instance
+        for record in view.instances
+        if record.state
+        in (model.InstanceState.UP, model.InstanceState.STARTING)
+    ]
+    return view.ready and instance == min(live, key=_rank, default="")
+
+
+def _rank(instance: str) -> int:
+    return xxhash.xxh64_intdigest(f"moves/{instance}".encode())
+
+
+def _record_ends(task: _Task) -> None:
+    try:
+        for item in table.query(task.store.table, pk=moves.PENDING):
+            _record_end(task, moves.decode_pending(item))
+    except errors.PlatformError:
+        # The move stays pending; the platform task logs the outage.
+        return
+
+
+def _record_end(task: _Task, move: moves.PendingMove) -> None:
+    view, now = task.current.view, time.time()
+    outcome = moves.decide_outcome(move, view, now)
+    if outcome is None:
+        _log_overdue(task, move, now)
+        return
+    try:
+        table.transact(
+            task.store.table,
+            moves.end_writes(outcome),
+            token=uuid.uuid4().hex,
+        )
+    except errors.TransactionRejected:
+        return  # Another node recorded it first.
+    events.emit(
+        LOG,
+        events.MOVE_LATE if outcome.late else events.MOVE_DONE,
+        move=move.identifier,
+        seconds=outcome.at - move.started_at,
+    )
+
+
+def _log_overdue(task: _Task, move: moves.PendingMove, now: float) -> None:
+    """Log once that a move is late, with the first outstanding instances."""
+    if now <= move.finish_by or move.identifier in task.overdue:
+        return
+    task.overdue.add(move.identifier)
+    progress = moves.measure_progress(move, task.current.view.instances)
+    events.emit(
+        LOG,
+        events.MOVE_OVERDUE,
+        move=move.identifier,
+        outstanding=", ".join(progress.outstanding[:5])
+        or "no instance is known",
+    )
--- a/apricotpost/node/platform.py
+++ b/apricotpost/node/platform.py
@@ -9,14 +9,26 @@
 from apricotpost import events
 from apricotpost.node import addresses
 from apricotpost import platform
+from apricotpost import settings
 from apricotpost import wire
 
-__all__ = ["run"]
+__all__ = ["open_store", "run"]
 
 LOG = logging.getLogger(__name__)
 WAIT_MS = 1000
 
 
+def open_store(options: settings.NodeSettings) -> platform.Store:
+    """Make a store with a connection of its own."""
+    return platform.open_store(
+        table_url=options.platform.table_url,
+        object_url=options.platform.object_url,
+        table_name=options.platform.table,
+        bucket=options.platform.bucket,
+        timeout_seconds=options.platform.timeout_seconds,
+    )
+
+
 def run(*, context: wire.sockets.Context, store: platform.Store) -> None:
     """Answer control's requests until asked to stop.
 
--- a/apricotpost/settings/loader.py
+++ b/apricotpost/settings/loader.py
@@ -97,9 +97,7 @@
     for field in dataclasses.fields(kind):
         child = f"{path}.{field.name}"
         if field.name in value:
-            yield from find_faults(
-                value[field.name], hints[field.name], child
-            )
+            yield from find_faults(value[field.name], hints[field.name], child)
         elif field.default is dataclasses.MISSING:
             yield f"{child}: missing"
 
