Add apricotpost-ctl

Cause: operators need one command line for the sheet, moves and audit. Change: client that tries several nodes, commands, tables and watch; a request takes effect once, whichever attempt of it is accepted.

--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import hashlib
 import typing
+import uuid
 
 import msgspec
 
@@ -31,11 +32,11 @@
 def make_identifier(actor: tokens.Actor, key: str) -> str:
     """Return the request identifier of a client's key.
 
-    It is scoped by author and has at most the 36 characters that the table
-    takes.
+    It is scoped by author and leaves room for a suffix within the 36
+    characters that the table takes.
     """
     text = f"{actor.team}\n{actor.author}\n{key}"
-    return "k-" + hashlib.sha256(text.encode()).hexdigest()[:32]
+    return hashlib.sha256(text.encode()).hexdigest()[:24]
 
 
 def read_current(
@@ -90,8 +91,10 @@
 
     Notes
     -----
-    The configuration is read before the request identifier: a repetition that
-    runs at the same time either finds the first result or loses the commit.
+    The result is put on condition that there is none, so a request takes
+    effect once, however often and at however many nodes it is repeated. Each
+    attempt has an identifier of its own, because one whose answer was lost
+    may be given up for good.
     """
     for attempt in range(1, MAX_ATTEMPTS + 1):
         held = read_current(store, held)
@@ -105,9 +108,12 @@
             _write(store, submission, held, applied, accepted, now)
         except errors.ChangeConflict:
             if attempt == MAX_ATTEMPTS or submission.base is not None:
+                first = _find_first(store, submission)
+                if first is not None:
+                    return first
                 raise
             continue
-        return _confirm(store, submission, accepted)
+        return accepted
     raise AssertionError("every attempt returns or raises")
 
 
@@ -215,11 +221,13 @@
                 "version": accepted.version,
                 "result": msgspec.json.encode(accepted).decode(),
             },
-        )
+        ),
+        condition=table.absent(),
     )
+    identifier = f"{submission.request}-{uuid.uuid4().hex[:8]}"
     if applied.snapshot == before:
         # The result is kept, so that a repetition does not act later.
-        table.transact(store.table, (result,), token=submission.request)
+        _write_result(store, result, identifier)
         return
     platform.commit(
         store,
@@ -228,7 +236,7 @@
             after=applied.snapshot,
             author=submission.actor.author,
             reason=submission.reason,
-            request=submission.request,
+            request=identifier,
             at=now,
             extra=(
                 result,
@@ -238,13 +246,12 @@
     )
 
 
-def _confirm(
-    store: platform.Store,
-    submission: submissions.Submission,
-    accepted: submissions.Accepted,
-) -> submissions.Accepted:
-    """Return the stored result, which may be that of a repetition."""
+def _write_result(
+    store: platform.Store, result: table.Put, identifier: str
+) -> None:
     try:
-        return _find_first(store, submission) or accepted
-    except errors.PlatformError:
-        return accepted
+        table.transact(store.table, (result,), token=identifier)
+    except errors.TransactionRejected as error:
+        raise errors.ChangeConflict(
+            "a repetition of this request was accepted first"
+        ) from error
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -25,8 +25,8 @@
 
 # A version in force within 8 s and 2 s for differences of clocks.
 CONVERGENCE_SECONDS = 10.0
-# Steps after the first until full share.
-ROLLOUT_STEPS = 4
+# Shares of a rollout, each held for a step time at least.
+ROLLOUT_STEPS = 5
 
 KEY_HEADER = "idempotency-key"
 BASE_HEADER = "if-match"
--- /dev/null
+++ b/apricotpost/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/apricotpost/ctl/client.py
@@ -0,0 +1,154 @@
+"""HTTP client of the administration API that tries several nodes."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import json
+import pathlib
+import typing
+
+import urllib3
+
+from apricotpost import errors
+
+__all__ = ["Client", "call", "open_client", "read_nodes", "read_token"]
+
+NODES_VARIABLE = "APRICOTPOST_NODES"
+TOKEN_VARIABLE = "APRICOTPOST_TOKEN"
+# Longer than a node waits for the platform in the worst case.
+TIMEOUT_SECONDS = 20.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Client:
+    """Nodes, in the order in which they are tried, and the token."""
+
+    nodes: tuple[str, ...]
+    token: str
+    pool: urllib3.PoolManager
+
+
+def open_client(*, nodes: Iterable[str], token: str) -> Client:
+    """Make a client; nothing is connected yet."""
+    return Client(
+        nodes=tuple(nodes),
+        token=token,
+        pool=urllib3.PoolManager(retries=False),
+    )
+
+
+def read_nodes(given: Iterable[str], environ: Mapping[str, str]) -> list[str]:
+    """Return the nodes of the command line or of the environment.
+
+    Raises
+    ------
+    apricotpost.errors.RequestInvalid
+        There is none.
+    """
+    names = list(given) or environ.get(NODES_VARIABLE, "").split(",")
+    nodes = [name.strip() for name in names if name.strip()]
+    if not nodes:
+        raise errors.RequestInvalid(
+            f"no node: give --node IP:PORT or set {NODES_VARIABLE}"
+        )
+    return nodes
+
+
+def read_token(path: pathlib.Path | None, environ: Mapping[str, str]) -> str:
+    """Return the token of a file or of the environment.
+
+    It is not taken from the command line, which other users can see.
+
+    Raises
+    ------
+    apricotpost.errors.RequestInvalid
+        There is none.
+    """
+    token = environ.get(TOKEN_VARIABLE, "")
+    if path is not None:
+        try:
+            token = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise errors.RequestInvalid(
+                f"cannot read token file {path}: {error}"
+            ) from error
+    if not token.strip():
+        raise errors.RequestInvalid(
+            f"no token: give --token-file or set {TOKEN_VARIABLE}"
+        )
+    return token.strip()
+
+
+def call(
+    client: Client,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+) -> typing.Any:
+    """Send a request to the first node that can carry it out.
+
+    A change must have an ``Idempotency-Key``, since it is sent to the next
+    node when an answer is lost.
+
+    Raises
+    ------
+    apricotpost.errors.NodeRefused
+        A node refused the request.
+    apricotpost.errors.NodeUnreachable
+        No node answered.
+    """
+    failures: list[str] = []
+    refusal: errors.NodeRefused | None = None
+    for node in client.nodes:
+        try:
+            return _call_node(client, node, method, path, body, headers or {})
+        except urllib3.exceptions.HTTPError as error:
+            failures.append(f"{node}: {error}")
+        except errors.NodeRefused as error:
+            if error.status < 500:
+                raise
+            refusal = error
+    if refusal is not None:
+        raise refusal
+    raise errors.NodeUnreachable("no node answered", faults=failures)
+
+
+def _call_node(
+    client: Client,
+    node: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: Mapping[str, str],
+) -> typing.Any:
+    response = client.pool.request(
+        method,
+        f"http://{node}{path}",
+        body=body,
+        headers={"Authorization": f"Bearer {client.token}", **headers},
+        timeout=urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS, read=TIMEOUT_SECONDS
+        ),
+        redirect=False,
+    )
+    answer = _decode(node, response.data)
+    if response.status == 200:
+        return answer
+    raise errors.NodeRefused(
+        str(answer.get("message", f"status {response.status}")),
+        code=str(answer.get("code", "AP000")),
+        status=response.status,
+        faults=answer.get("faults", ()),
+    )
+
+
+def _decode(node: str, body: bytes) -> typing.Any:
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise urllib3.exceptions.HTTPError(
+            f"{node} does not speak the administration API"
+        ) from error
--- /dev/null
+++ b/apricotpost/ctl/main.py
@@ -0,0 +1,179 @@
+"""Program ``apricotpost-ctl``: change and read the configuration."""
+
+import argparse
+import os
+import pathlib
+import sys
+
+from apricotpost.ctl import client
+from apricotpost.ctl import commands
+from apricotpost import errors
+
+__all__ = ["main", "make_parser"]
+
+DESCRIPTION = "Change and read the configuration of apricotpost."
+EPILOG = """exit codes:
+  0  done
+  2  bad input: wrong arguments, faults in the sheet or the definitions
+  3  refused (token, team or rights) or lost to another change
+  4  no node answered, or the platform is not available
+  5  a watched move was withdrawn
+
+environment:
+  APRICOTPOST_NODES  admin addresses IP:PORT, separated by commas
+  APRICOTPOST_TOKEN  token, unless --token-file is given
+
+examples:
+  apricotpost-ctl check morning.csv
+  apricotpost-ctl submit morning.csv --watch
+  apricotpost-ctl watch
+  apricotpost-ctl data-centre out riga-2 --reason "power work"
+  apricotpost-ctl withdraw 000000000042-portal --reason "wrong totals"
+"""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the command line.
+
+    Returns
+    -------
+    int
+        Exit code; see the help text.
+    """
+    options = make_parser().parse_args(arguments)
+    try:
+        session = commands.Session(
+            client=client.open_client(
+                nodes=client.read_nodes(options.node, os.environ),
+                token=client.read_token(options.token_file, os.environ),
+            ),
+            options=options,
+            write=_write,
+            warn=_warn,
+        )
+        return commands.COMMANDS[options.command](session)
+    except errors.ApricotpostError as error:
+        _warn(f"{error.code}: {error.message}")
+        for fault in error.faults:
+            _warn(f"  {fault}")
+        return error.exit_code
+    except KeyboardInterrupt:
+        return 130
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="apricotpost-ctl",
+        description=DESCRIPTION,
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    adders = parser.add_subparsers(dest="command", required=True)
+    common = _common_options()
+    check = adders.add_parser(
+        "check", parents=[common], help="check a sheet; change nothing"
+    )
+    check.add_argument("sheet", help="CSV file, or - for standard input")
+    check.set_defaults(request=None, base=None)
+    submit = adders.add_parser(
+        "submit",
+        parents=[common, _change_options("morning sheet")],
+        help="submit a sheet",
+    )
+    submit.add_argument("sheet", help="CSV file, or - for standard input")
+    apply = adders.add_parser(
+        "apply",
+        parents=[common, _change_options()],
+        help="put services, routes and data centres",
+    )
+    apply.add_argument("file", help="JSON with comments, or -")
+    move = adders.add_parser(
+        "data-centre",
+        parents=[common, _change_options()],
+        help="take a data centre out or return it",
+    )
+    move.add_argument("state", choices=["out", "in"])
+    move.add_argument("name")
+    move.add_argument("--finish-by", default="", metavar="TIME")
+    withdraw = adders.add_parser(
+        "withdraw",
+        parents=[common, _change_options("withdrawn by an operator")],
+        help="end a rollout",
+    )
+    withdraw.add_argument("rollout")
+    _add_reads(adders, common)
+    return parser
+
+
+def _add_reads(
+    adders: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    common: argparse.ArgumentParser,
+) -> None:
+    adders.add_parser(
+        "status", parents=[common], help="show versions and moves"
+    )
+    watch = adders.add_parser(
+        "watch", parents=[common], help="follow moves until they end"
+    )
+    watch.add_argument("moves", nargs="*", help="default: all that run")
+    history = adders.add_parser(
+        "history", parents=[common], help="show how moves ended"
+    )
+    history.add_argument("--after", default="", metavar="MOVE")
+    history.add_argument("--limit", type=int, default=200)
+    audit = adders.add_parser(
+        "audit", parents=[common], help="show who changed what"
+    )
+    audit.add_argument("--before", type=int, default=0, metavar="VERSION")
+    audit.add_argument("--limit", type=int, default=50)
+
+
+def _common_options() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument(
+        "--node",
+        action="append",
+        default=[],
+        metavar="IP:PORT",
+        help="admin address of a node; repeat it for others to try",
+    )
+    parser.add_argument(
+        "--token-file", type=pathlib.Path, help="file that holds the token"
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="print JSON instead of tables"
+    )
+    return parser
+
+
+def _change_options(reason: str = "") -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument("--reason", default=reason, help="kept in the audit")
+    parser.add_argument(
+        "--base",
+        type=int,
+        metavar="VERSION",
+        help="refuse the change if another was accepted after this version",
+    )
+    parser.add_argument(
+        "--request",
+        metavar="KEY",
+        help="identifier of an earlier try, whose result is returned",
+    )
+    parser.add_argument(
+        "--watch", action="store_true", help="follow the moves until they end"
+    )
+    return parser
+
+
+def _write(text: str) -> None:
+    print(text, flush=True)
+
+
+def _warn(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -12,6 +12,7 @@
     "DeltaBaseMissing",
     "LeaseLost",
     "MalformedMessage",
+    "NodeRefused",
     "NodeUnreachable",
     "PlatformError",
     "PlatformOutcomeUnknown",
@@ -25,6 +26,18 @@
 ]
 
 
+# Exit code of a command for the status of the node's answer.
+_EXIT_CODES = {
+    400: 2,
+    404: 2,
+    422: 2,
+    401: 3,
+    403: 3,
+    409: 3,
+    503: 4,
+}
+
+
 class ApricotpostError(Exception):
     """Base of all errors of this package.
 
@@ -168,6 +181,18 @@
     status = 409
 
 
+class NodeRefused(ApricotpostError):
+    """A node answered with an error, whose code and status it keeps."""
+
+    def __init__(
+        self, message: str, *, code: str, status: int, faults: Iterable[str]
+    ) -> None:
+        super().__init__(message, faults=faults)
+        self.code = code
+        self.status = status
+        self.exit_code = _EXIT_CODES.get(status, 1)
+
+
 class NodeUnreachable(ApricotpostError):
     """No node answered on the administration interface."""
 
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -69,31 +69,31 @@
 INSTANCE_STATE = _event(
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
-# Administration: 400 to 499.
+# Administration: 500 to 599.
 ADMIN_REFUSED = _event(
-    400,
+    500,
     logging.WARNING,
     "administration request %(method)s %(path)s refused: "
     "%(code)s %(message)s",
 )
 ADMIN_FAILED = _event(
-    401,
+    501,
     logging.ERROR,
     "administration request %(path)s failed: %(error)s",
 )
 MOVE_DONE = _event(
-    410,
+    510,
     logging.INFO,
     "data centre move %(move)s done after %(seconds).1f s",
 )
 MOVE_LATE = _event(
-    411,
+    511,
     logging.WARNING,
     "data centre move %(move)s done after %(seconds).1f s, later than its "
     "finish_by",
 )
 MOVE_OVERDUE = _event(
-    412,
+    512,
     logging.ERROR,
     "data centre move %(move)s is past its finish_by; outstanding: "
     "%(outstanding)s",
