--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -62,6 +62,7 @@
     submission: submissions.Submission,
     apply: Callable[[model.Snapshot], requests.Applied],
     *,
+    announce: Callable[[model.Delta], None],
     held: model.Snapshot,
     now: float,
 ) -> submissions.Accepted:
@@ -75,6 +76,8 @@
         Who asks, and as which request.
     apply : callable
         Returns the change applied to a snapshot.
+    announce : callable
+        Called with the change once it is committed.
     held : apricotpost.model.Snapshot
         Configuration of this node, from which reading starts.
     now : float
@@ -113,6 +116,8 @@
                     return first
                 raise
             continue
+        if applied.snapshot != held:
+            announce(config.compute_delta(held, applied.snapshot))
         return accepted
     raise AssertionError("every attempt returns or raises")
 
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -52,7 +52,7 @@
 
     options: settings.NodeSettings
     read_view: Callable[[], model.View]
-    announce: Callable[[int, str], None]
+    announce: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
     local: threading.local = dataclasses.field(default_factory=threading.local)
 
@@ -203,9 +203,14 @@
     submission = _make_submission(request, change.reason)
     if request.query.get("check"):
         return commits.check(store, submission, apply, held=held)
-    accepted = commits.submit(store, submission, apply, held=held, now=now)
-    admin.announce(accepted.version, request.actor.author)
-    return accepted
+    return commits.submit(
+        store,
+        submission,
+        apply,
+        announce=lambda delta: admin.announce(delta, request.actor.author),
+        held=held,
+        now=now,
+    )
 
 
 def _make_submission(request: Request, reason: str) -> submissions.Submission:
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -6,6 +6,7 @@
 
 from apricotpost import admin
 from apricotpost import events
+from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import views
 from apricotpost import settings
@@ -26,15 +27,21 @@
     """Return what the administration threads share."""
     local = threading.local()
 
-    def announce(version: int, author: str) -> None:
+    def announce(delta: model.Delta, author: str) -> None:
         events.emit(
-            LOG, events.CONFIG_COMMITTED, version=version, author=author
+            LOG,
+            events.CONFIG_COMMITTED,
+            version=delta.version,
+            author=author,
         )
         if getattr(local, "control", None) is None:
             local.control = wire.sockets.connect_dealer(
                 context, addresses.CONTROL
             )
-        wire.sockets.send(local.control, wire.ConfigCommitted(version=version))
+        wire.sockets.send(
+            local.control,
+            wire.ConfigCommitted(version=delta.version, delta=delta),
+        )
 
     def read_levels() -> typing.Any:
         return {}
