--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -80,6 +80,35 @@
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
 CONTROL_COUNTERS = _event(320, logging.DEBUG, "control counters %(counters)s")
+# Administration: 500 to 599.
+ADMIN_REFUSED = _event(
+    500,
+    logging.WARNING,
+    "administration request %(method)s %(path)s refused: "
+    "%(code)s %(message)s",
+)
+ADMIN_FAILED = _event(
+    501,
+    logging.ERROR,
+    "administration request %(path)s failed: %(error)s",
+)
+MOVE_DONE = _event(
+    510,
+    logging.INFO,
+    "data centre move %(move)s done after %(seconds).1f s",
+)
+MOVE_LATE = _event(
+    511,
+    logging.WARNING,
+    "data centre move %(move)s done after %(seconds).1f s, later than its "
+    "finish_by",
+)
+MOVE_OVERDUE = _event(
+    512,
+    logging.ERROR,
+    "data centre move %(move)s is past its finish_by; outstanding: "
+    "%(outstanding)s",
+)
 
 
 def emit(logger: logging.Logger, event: Event, **fields: typing.Any) -> None:
