Sort the platform's failures by what was and was not written

Cause: a cancelled transaction counted as a failed condition whatever its reasons, a lost answer was settled by one read while the write could still arrive, request tokens were cut to 36 characters, pages of queries were not followed, and malformed records ended the reading task.

Change: refusals are sorted by the codes of the protocol; a lost answer is settled for good by a mark under the request identifier; tokens are hashes; queries follow LastEvaluatedKey; answers have a total time and size; limits of a transaction are checked before it is sent; requests can be signed (SigV4).

--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -13,8 +13,10 @@
     "LeaseLost",
     "MalformedMessage",
     "NodeUnreachable",
+    "PlatformDataDamaged",
     "PlatformError",
     "PlatformOutcomeUnknown",
+    "PlatformThrottled",
     "PlatformUnavailable",
     "PortOccupied",
     "RequestInvalid",
@@ -114,8 +116,20 @@
     code = "AP402"
 
 
+class PlatformThrottled(PlatformUnavailable):
+    """The table is over its rate or busy with the same item."""
+
+    code = "AP405"
+
+
+class PlatformDataDamaged(PlatformError):
+    """A record or an object of the platform cannot be used as it is."""
+
+    code = "AP406"
+
+
 class TransactionRejected(PlatformError):
-    """A condition of a table transaction did not hold."""
+    """A condition of a write to the table did not hold."""
 
     code = "AP403"
     status = 409
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -62,6 +62,11 @@
 )
 PLATFORM_LOST = _event(210, logging.WARNING, "table not reachable: %(error)s")
 PLATFORM_BACK = _event(211, logging.INFO, "table reachable again")
+SNAPSHOT_DAMAGED = _event(
+    212,
+    logging.ERROR,
+    "stored snapshot not usable, reading all deltas instead: %(error)s",
+)
 # Messages between nodes: 300 to 399.
 MESSAGE_MALFORMED = _event(
     300, logging.WARNING, "malformed message dropped: %(error)s"
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -1,11 +1,14 @@
 """The platform's table service and object store."""
 
+from apricotpost.platform.changes import Change
+from apricotpost.platform.changes import Fence
+from apricotpost.platform.commits import commit
 from apricotpost.platform.http import Channel
 from apricotpost.platform.http import open_channel
 from apricotpost.platform import objects
-from apricotpost.platform.store import Change
-from apricotpost.platform.store import commit
-from apricotpost.platform.store import Fence
+from apricotpost.platform.signing import Credentials
+from apricotpost.platform.signing import read_credentials
+from apricotpost.platform.store import bounded
 from apricotpost.platform.store import open_store
 from apricotpost.platform.store import read_head
 from apricotpost.platform.store import read_newer
@@ -16,12 +19,15 @@
 __all__ = [
     "Change",
     "Channel",
+    "Credentials",
     "Fence",
     "Store",
+    "bounded",
     "commit",
     "objects",
     "open_channel",
     "open_store",
+    "read_credentials",
     "read_head",
     "read_newer",
     "read_snapshot",
--- /dev/null
+++ b/apricotpost/platform/changes.py
@@ -0,0 +1,114 @@
+"""A change of the configuration and the writes that it consists of."""
+
+import dataclasses
+
+import msgspec
+
+from apricotpost import config
+from apricotpost import model
+from apricotpost.platform import store as stores
+from apricotpost.platform import table
+
+__all__ = ["Change", "Fence", "change_writes", "request_key"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fence:
+    """Proof that the writer still holds a lease."""
+
+    key: table.Key
+    holder: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """A new configuration and who asked for it.
+
+    Parameters
+    ----------
+    before, after : apricotpost.model.Snapshot
+        Sealed; ``after`` has the next version number.
+    author, reason : str
+        Kept in the audit record.
+    request : str
+        Unique identifier of the request.
+    at : float
+        Unix time in seconds.
+    fence : Fence, optional
+        Checked in the same transaction.
+    extra : tuple of Write
+        Carried out in the same transaction.
+    """
+
+    before: model.Snapshot
+    after: model.Snapshot
+    author: str
+    reason: str
+    request: str
+    at: float
+    fence: Fence | None = None
+    extra: tuple[table.Write, ...] = ()
+
+
+def change_writes(change: Change) -> list[table.Write]:
+    """Return the writes of a change, which are carried out together."""
+    version = change.after.version
+    delta = config.compute_delta(change.before, change.after)
+    record: dict[str, table.Value] = {
+        "author": change.author,
+        "reason": change.reason,
+        "request": change.request,
+        "at_ms": int(change.at * 1000),
+        "base": change.before.version,
+        "version": version,
+    }
+    head_condition = (
+        table.equals(version=change.before.version)
+        if change.before.version
+        else table.absent()
+    )
+    writes: list[table.Write] = [
+        table.Put(
+            item=table.Item(key=stores.HEAD, attributes={"version": version}),
+            condition=head_condition,
+        ),
+        table.Put(
+            item=table.Item(
+                key=stores.numbered("version", version),
+                attributes={**record, "delta": msgspec.msgpack.encode(delta)},
+            ),
+            condition=table.absent(),
+        ),
+        table.Put(
+            item=table.Item(
+                key=stores.numbered("audit", version), attributes=record
+            )
+        ),
+        table.Put(
+            item=table.Item(
+                key=request_key(change.request),
+                attributes={
+                    "version": version,
+                    "checksum": change.after.checksum,
+                },
+            ),
+            condition=table.absent(),
+        ),
+    ]
+    if change.fence is not None:
+        writes.append(
+            table.Check(
+                key=change.fence.key,
+                condition=table.equals(
+                    holder=change.fence.holder, fence=change.fence.number
+                ),
+            )
+        )
+    writes.extend(change.extra)
+    return writes
+
+
+def request_key(request: str) -> table.Key:
+    """Return the key of the record of a request identifier."""
+    return table.Key(pk="request", sk=request)
--- a/apricotpost/platform/objects.py
+++ b/apricotpost/platform/objects.py
@@ -19,9 +19,18 @@
     bucket: str
 
 
-def put_object(store: ObjectStore, body: bytes) -> str:
+def put_object(store: ObjectStore, body: bytes, *, prefix: str = "") -> str:
     """Store a body under its hash, which makes a repeat harmless.
 
+    Parameters
+    ----------
+    store : ObjectStore
+        Where to write.
+    body : bytes
+        What to write.
+    prefix : str
+        Start of the name, for a rule of the bucket on its expiry.
+
     Returns
     -------
     str
@@ -29,12 +38,15 @@
 
     Raises
     ------
-    apricotpost.errors.PlatformError
-        It may not have been stored.
+    apricotpost.errors.PlatformUnavailable
+        It was not stored.
+    apricotpost.errors.PlatformOutcomeUnknown
+        It may have been stored.
     """
-    name = xxhash.xxh128_hexdigest(body)
+    name = prefix + xxhash.xxh128_hexdigest(body)
     reply = http.request(
         store.channel,
+        service="s3",
         method="PUT",
         url=_url(store, name),
         headers={"Content-Type": "application/octet-stream"},
@@ -42,7 +54,7 @@
     )
     if reply.status not in (200, 201, 204):
         raise errors.PlatformUnavailable(
-            f"object store refused a write: status {reply.status}"
+            f"object {name} was not stored: status {reply.status}"
         )
     return name
 
@@ -52,18 +64,31 @@
 
     Raises
     ------
-    apricotpost.errors.PlatformError
-        It is missing, damaged or not reachable.
+    apricotpost.errors.PlatformUnavailable
+        The object store did not answer or refused.
+    apricotpost.errors.PlatformDataDamaged
+        The object is missing or is not the one that was stored.
     """
-    reply = http.request(
-        store.channel, method="GET", url=_url(store, name), headers={}
-    )
+    try:
+        reply = http.request(
+            store.channel,
+            service="s3",
+            method="GET",
+            url=_url(store, name),
+            headers={},
+        )
+    except errors.PlatformOutcomeUnknown as error:
+        raise errors.PlatformUnavailable(
+            f"object {name} could not be read: {error.message}"
+        ) from error
+    if reply.status == 404:
+        raise errors.PlatformDataDamaged(f"object {name} is missing")
     if reply.status != 200:
         raise errors.PlatformUnavailable(
-            f"object {name}: status {reply.status}"
+            f"object {name} could not be read: status {reply.status}"
         )
-    if xxhash.xxh128_hexdigest(reply.body) != name:
-        raise errors.PlatformUnavailable(f"object {name} is damaged")
+    if xxhash.xxh128_hexdigest(reply.body) != name.rpartition("/")[2]:
+        raise errors.PlatformDataDamaged(f"object {name} is damaged")
     return reply.body
 
 
--- a/apricotpost/platform/table.py
+++ b/apricotpost/platform/table.py
@@ -5,16 +5,26 @@
 Amazon DynamoDB API Reference, version 2012-08-10.
 """
 
-import base64
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import typing
 
 import msgspec
 
 from apricotpost import errors
+from apricotpost.platform import faults
 from apricotpost.platform import http
+from apricotpost.platform import items
+from apricotpost.platform.items import absent
+from apricotpost.platform.items import Check
+from apricotpost.platform.items import Condition
+from apricotpost.platform.items import Delete
+from apricotpost.platform.items import equals
+from apricotpost.platform.items import Item
+from apricotpost.platform.items import Key
+from apricotpost.platform.items import Put
+from apricotpost.platform.items import Value
+from apricotpost.platform.items import Write
 
 __all__ = [
     "Check",
@@ -24,19 +34,19 @@
     "Key",
     "Put",
     "Table",
+    "Value",
     "Write",
     "absent",
+    "delete",
     "equals",
     "get",
+    "put",
+    "put_or_get",
     "query",
     "transact",
 ]
 
 _TARGET = "DynamoDB_20120810."
-# Limit of the protocol for one transaction.
-MAX_TRANSACTION_WRITES = 100
-
-Value = str | int | bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,88 +58,23 @@
     name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Key:
-    """Partition and sort key of an item."""
-
-    pk: str
-    sk: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Item:
-    """An item: its key and its attributes."""
-
-    key: Key
-    attributes: Mapping[str, Value]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Condition:
-    """Condition of a write: an expression and its values."""
-
-    expression: str
-    names: Mapping[str, str] = dataclasses.field(default_factory=dict)
-    values: Mapping[str, Value] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Put:
-    """Write of a whole item."""
-
-    item: Item
-    condition: Condition | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Check:
-    """Check of an item that is not written."""
-
-    key: Key
-    condition: Condition
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Delete:
-    """Removal of an item."""
-
-    key: Key
-    condition: Condition | None = None
-
-
-Write = Put | Check | Delete
-
-
-def absent() -> Condition:
-    """Return the condition that no item has this key."""
-    return Condition(expression="attribute_not_exists(pk)")
-
-
-def equals(**values: Value) -> Condition:
-    """Return the condition that attributes have these values."""
-    terms = [f"#{name} = :{name}" for name in values]
-    return Condition(
-        expression=" AND ".join(terms),
-        names={f"#{name}": name for name in values},
-        values={f":{name}": value for name, value in values.items()},
-    )
-
-
 def get(table: Table, key: Key) -> Item | None:
     """Read one item with a consistent read.
 
     Raises
     ------
-    apricotpost.errors.PlatformError
+    apricotpost.errors.PlatformUnavailable
         The table did not answer.
+    apricotpost.errors.PlatformDataDamaged
+        The answer is not an item.
     """
     answer = _read(
         table,
         "GetItem",
-        {"Key": _encode_key(key), "ConsistentRead": True},
+        {"Key": items.encode_key(key), "ConsistentRead": True},
     )
     raw = answer.get("Item")
-    return _decode_item(raw) if raw else None
+    return items.decode_item(raw) if raw else None
 
 
 def query(
@@ -137,6 +82,9 @@
 ) -> tuple[Item, ...]:
     """Read the items of a partition in the order of their sort keys.
 
+    The table may return fewer items than asked for in one answer, even none;
+    only ``LastEvaluatedKey`` tells whether there are more.
+
     Parameters
     ----------
     table : Table
@@ -150,23 +98,86 @@
 
     Raises
     ------
-    apricotpost.errors.PlatformError
+    apricotpost.errors.PlatformUnavailable
         The table did not answer.
+    apricotpost.errors.PlatformDataDamaged
+        An answer is malformed.
     """
-    answer = _read(
-        table,
-        "Query",
-        {
-            "KeyConditionExpression": "pk = :pk AND sk > :sk",
-            "ExpressionAttributeValues": {
-                ":pk": {"S": pk},
-                ":sk": {"S": after or " "},
-            },
-            "ConsistentRead": True,
-            "Limit": limit,
-        },
-    )
-    return tuple(_decode_item(raw) for raw in answer.get("Items", ()))
+    found: list[Item] = []
+    start = after
+    body: dict[str, typing.Any] = _query_body(pk, after)
+    while len(found) < limit:
+        body["Limit"] = limit - len(found)
+        answer = _read(table, "Query", body)
+        raw_items = answer.get("Items", ())
+        found.extend(items.decode_item(raw) for raw in raw_items)
+        last = answer.get("LastEvaluatedKey")
+        if not last:
+            break
+        position = items.decode_item(last).key.sk
+        if position <= start:
+            raise errors.PlatformDataDamaged(
+                f"Query of {pk}: the pages do not advance past {start!r}"
+            )
+        start = position
+        body["ExclusiveStartKey"] = last
+    return tuple(found[:limit])
+
+
+def put(table: Table, write: Put) -> None:
+    """Write one item.
+
+    Raises
+    ------
+    apricotpost.errors.TransactionRejected
+        The condition did not hold; nothing was written.
+    apricotpost.errors.PlatformUnavailable
+        Nothing was written.
+    apricotpost.errors.PlatformOutcomeUnknown
+        It may have been written.
+    """
+    _write(table, "PutItem", items.encode_write(table.name, write))
+
+
+def put_or_get(table: Table, write: Put) -> Item | None:
+    """Write one item, or return the one that stands in the way.
+
+    Returns
+    -------
+    Item or None
+        None when the item was written. Otherwise nothing was written, and
+        this is the item for which the condition did not hold.
+
+    Raises
+    ------
+    apricotpost.errors.TransactionRejected
+        The condition did not hold, and the item has gone since.
+    apricotpost.errors.PlatformUnavailable
+        Nothing was written.
+    apricotpost.errors.PlatformOutcomeUnknown
+        It may have been written.
+    """
+    fields = items.encode_write(table.name, write)
+    # Saves the read of the other item after a rejection.
+    fields["ReturnValuesOnConditionCheckFailure"] = "ALL_OLD"
+    reply = _post(table, "PutItem", fields)
+    if reply.status == 200:
+        faults.decode_answer("PutItem", reply)
+        return None
+    fault = faults.decode_fault(reply)
+    if not faults.is_rejection(fault):
+        raise faults.failure("PutItem", reply, fault)
+    if fault.get("Item"):
+        return items.decode_item(fault["Item"])
+    current = get(table, write.item.key)
+    if current is None:
+        raise errors.TransactionRejected("PutItem: nothing was written")
+    return current
+
+
+def delete(table: Table, write: Delete) -> None:
+    """Remove one item; see `put` for the failures."""
+    _write(table, "DeleteItem", items.encode_write(table.name, write))
 
 
 def transact(table: Table, writes: Iterable[Write], *, token: str) -> None:
@@ -177,54 +188,85 @@
     table : Table
         Where to write.
     writes : iterable of Write
-        At most 100.
+        At most 100, each of another item.
     token : str
-        Identifier of the request, at most 36 characters.
+        Identifier of the request, at most 36 characters. The table takes a
+        repeated token for the same request, so it must be unique.
 
     Raises
     ------
+    apricotpost.errors.RequestInvalid
+        The writes exceed a limit of the protocol; nothing was written.
     apricotpost.errors.TransactionRejected
         A condition did not hold; nothing was written.
+    apricotpost.errors.PlatformThrottled
+        The table is over its rate or busy; nothing was written.
     apricotpost.errors.PlatformUnavailable
         Nothing was written.
     apricotpost.errors.PlatformOutcomeUnknown
         It may have been carried out.
     """
-    items = [_encode_write(table.name, write) for write in writes]
-    body: dict[str, object] = {
-        "TransactItems": items,
+    entries = tuple(writes)
+    items.check_limits(entries)
+    body = {
+        "TransactItems": [
+            {_KINDS[type(entry)]: items.encode_write(table.name, entry)}
+            for entry in entries
+        ],
         "ClientRequestToken": token,
     }
-    reply = _post(table, "TransactWriteItems", body)
-    if reply.status == 200:
-        return
-    fault = _decode_fault(reply)
-    if "TransactionCanceled" in fault or "ConditionalCheck" in fault:
-        raise errors.TransactionRejected(f"transaction rejected: {fault}")
-    raise errors.PlatformUnavailable(f"transaction refused: {fault}")
+    _write(table, "TransactWriteItems", body)
+
+
+_KINDS = {Put: "Put", Check: "ConditionCheck", Delete: "Delete"}
+
+
+def _query_body(pk: str, after: str) -> dict[str, typing.Any]:
+    values = {":pk": {"S": pk}}
+    expression = "pk = :pk"
+    if after:
+        values[":sk"] = {"S": after}
+        expression += " AND sk > :sk"
+    return {
+        "KeyConditionExpression": expression,
+        "ExpressionAttributeValues": values,
+        "ConsistentRead": True,
+    }
 
 
 def _read(
-    table: Table, operation: str, body: dict[str, object]
+    table: Table, operation: str, body: dict[str, typing.Any]
 ) -> dict[str, typing.Any]:
+    """Read; every failure means that nothing is known and nothing changed."""
     body["TableName"] = table.name
-    reply = _post(table, operation, body)
-    if reply.status != 200:
-        raise errors.PlatformUnavailable(
-            f"{operation} refused: {_decode_fault(reply)}"
-        )
     try:
-        answer = msgspec.json.decode(reply.body)
-    except msgspec.DecodeError as error:
+        reply = _post(table, operation, body)
+    except errors.PlatformOutcomeUnknown as error:
         raise errors.PlatformUnavailable(
-            f"{operation}: malformed answer: {error}"
+            f"{operation}: the table did not answer a read: {error.message}"
         ) from error
-    return dict(answer)
+    if reply.status != 200:
+        raise faults.failure(operation, reply, faults.decode_fault(reply))
+    try:
+        return faults.decode_answer(operation, reply)
+    except errors.PlatformOutcomeUnknown as error:
+        raise errors.PlatformDataDamaged(error.message) from error
+
+
+def _write(table: Table, operation: str, body: dict[str, typing.Any]) -> None:
+    reply = _post(table, operation, body)
+    if reply.status == 200:
+        faults.decode_answer(operation, reply)
+        return
+    raise faults.failure(operation, reply, faults.decode_fault(reply))
 
 
-def _post(table: Table, operation: str, body: dict[str, object]) -> http.Reply:
+def _post(
+    table: Table, operation: str, body: dict[str, typing.Any]
+) -> http.Reply:
     return http.request(
         table.channel,
+        service="dynamodb",
         method="POST",
         url=table.url,
         headers={
@@ -233,65 +275,3 @@
         },
         body=msgspec.json.encode(body),
     )
-
-
-def _decode_fault(reply: http.Reply) -> str:
-    return reply.body[:300].decode("utf-8", "replace")
-
-
-def _encode_write(table: str, write: Write) -> dict[str, object]:
-    fields: dict[str, object] = {"TableName": table}
-    condition = write.condition
-    if condition is not None:
-        fields["ConditionExpression"] = condition.expression
-        if condition.names:
-            fields["ExpressionAttributeNames"] = dict(condition.names)
-        if condition.values:
-            fields["ExpressionAttributeValues"] = {
-                name: _encode_value(value)
-                for name, value in condition.values.items()
-            }
-    if isinstance(write, Put):
-        fields["Item"] = _encode_item(write.item)
-        return {"Put": fields}
-    fields["Key"] = _encode_key(write.key)
-    return {
-        "Delete" if isinstance(write, Delete) else "ConditionCheck": fields
-    }
-
-
-def _encode_key(key: Key) -> dict[str, object]:
-    return {"pk": {"S": key.pk}, "sk": {"S": key.sk}}
-
-
-def _encode_item(item: Item) -> dict[str, object]:
-    encoded = _encode_key(item.key)
-    for name, value in item.attributes.items():
-        encoded[name] = _encode_value(value)
-    return encoded
-
-
-def _encode_value(value: Value) -> dict[str, object]:
-    if isinstance(value, int):
-        return {"N": str(value)}
-    if isinstance(value, bytes):
-        return {"B": value}
-    return {"S": value}
-
-
-def _decode_item(raw: typing.Any) -> Item:
-    attributes = {
-        name: _decode_value(value)
-        for name, value in raw.items()
-        if name not in ("pk", "sk")
-    }
-    key = Key(pk=raw["pk"]["S"], sk=raw["sk"]["S"])
-    return Item(key=key, attributes=attributes)
-
-
-def _decode_value(raw: typing.Any) -> Value:
-    if "N" in raw:
-        return int(raw["N"])
-    if "B" in raw:
-        return base64.b64decode(raw["B"])
-    return str(raw["S"])
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,11 +18,21 @@
 
 from cheroot import wsgi
 
+from standins import platform_signatures
 from standins import platform_tables
 
-__all__ = ["Faults", "State", "main", "make_app", "serve"]
+__all__ = ["Faults", "State", "handle", "main", "make_app", "serve"]
 
 Environ = dict[str, typing.Any]
+
+_OPERATIONS = {
+    "DeleteItem": platform_tables.delete_item,
+    "GetItem": platform_tables.get_item,
+    "PutItem": platform_tables.put_item,
+    "Query": platform_tables.query,
+    "TransactWriteItems": platform_tables.transact,
+}
+_WRITES = frozenset(("DeleteItem", "PutItem", "TransactWriteItems"))
 StartResponse = Callable[..., typing.Any]
 
 
@@ -38,12 +48,15 @@
         Pause before each request is carried out.
     lose_answers : int
         So many next writes are carried out and answered with status 500.
+    throttle : int
+        So many next writes to the table are refused as over the rate.
     """
 
     table_down: bool = False
     objects_down: bool = False
     delay_seconds: float = 0.0
     lose_answers: int = 0
+    throttle: int = 0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -58,6 +71,8 @@
     requests: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    keys: dict[str, str] = dataclasses.field(default_factory=dict)
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
 def make_app(state: State) -> Callable[..., Iterable[bytes]]:
@@ -80,18 +95,35 @@
         return "200 OK", b"{}"
     if path == "/-/counters":
         return "200 OK", json.dumps(_counters(state)).encode()
+    if state.keys:
+        fault = platform_signatures.find_fault(environ, body, state.keys)
+        if fault:
+            return "403 Forbidden", _fault(fault, "")
+    return handle(
+        state,
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        target=environ.get("HTTP_X_AMZ_TARGET", ""),
+        body=body,
+    )
+
+
+def handle(
+    state: State, *, method: str, path: str, target: str, body: bytes
+) -> tuple[str, bytes]:
+    """Carry out one request; returns its status and the answer's body."""
     if state.faults.delay_seconds:
         time.sleep(state.faults.delay_seconds)
-    target = environ.get("HTTP_X_AMZ_TARGET")
     if target:
         return _handle_table(state, target.rpartition(".")[2], body)
-    return _handle_object(state, environ["REQUEST_METHOD"], path, body)
+    return _handle_object(state, method, path, body)
 
 
 def _counters(state: State) -> dict[str, int]:
     return {
         "items_read": state.tables.reads,
         "items_written": state.tables.writes,
+        "items_rejected": state.tables.rejected,
         **state.requests,
     }
 
@@ -102,27 +134,34 @@
     state.requests[operation] += 1
     if state.faults.table_down:
         return "503 Service Unavailable", _fault("ServiceUnavailable", "")
-    operations = {
-        "GetItem": platform_tables.get_item,
-        "Query": platform_tables.query,
-        "TransactWriteItems": platform_tables.transact,
-    }
-    if operation not in operations:
-        return "400 Bad Request", _fault("UnknownOperation", operation)
-    try:
-        answer = operations[operation](state.tables, json.loads(body))
-    except platform_tables.ConditionFailed as error:
+    if operation not in _OPERATIONS:
+        return "400 Bad Request", _fault("UnknownOperationException", "")
+    if operation in _WRITES and _take(state, "throttle"):
         return "400 Bad Request", _fault(
-            "TransactionCanceledException", str(error)
+            "ProvisionedThroughputExceededException", "over the rate"
         )
-    if operation == "TransactWriteItems" and state.faults.lose_answers:
-        state.faults = dataclasses.replace(
-            state.faults, lose_answers=state.faults.lose_answers - 1
+    try:
+        answer = _OPERATIONS[operation](state.tables, json.loads(body))
+    except platform_tables.Refused as error:
+        return "400 Bad Request", _fault(
+            error.kind, str(error), **error.fields
         )
+    if operation in _WRITES and _take(state, "lose_answers"):
         return "500 Internal Server Error", _fault("InternalServerError", "")
     return "200 OK", json.dumps(answer).encode()
 
 
+def _take(state: State, name: str) -> bool:
+    """Use up one of a number of faults."""
+    with state.lock:
+        left = getattr(state.faults, name)
+        if left:
+            state.faults = dataclasses.replace(
+                state.faults, **{name: left - 1}
+            )
+        return bool(left)
+
+
 def _handle_object(
     state: State, method: str, path: str, body: bytes
 ) -> tuple[str, bytes]:
@@ -137,10 +176,11 @@
     return "404 Not Found", b""
 
 
-def _fault(kind: str, message: str) -> bytes:
+def _fault(kind: str, message: str, **fields: typing.Any) -> bytes:
     return json.dumps(
         {"__type": f"com.amazonaws.dynamodb.v20120810#{kind}"}
         | {"message": message}
+        | fields
     ).encode()
 
 
@@ -171,10 +211,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument(
+        "--key",
+        action="append",
+        default=[],
+        help="ACCESS:SECRET; requests must be signed with one of these",
+    )
     options = parser.parse_args()
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    app = make_app(State())
+    keys = dict(entry.split(":", 1) for entry in options.key)
+    app = make_app(State(keys=keys))
     with serve(app, host=options.host, port=options.port, threads=32):
         stopped.wait()
     return 0
