--- a/apricotpost/platform/http.py
+++ b/apricotpost/platform/http.py
@@ -142,6 +142,13 @@
         redirect=False,
         preload_content=False,
     )
+    framed = {"content-length", "transfer-encoding"} & {
+        name.lower() for name in response.headers
+    }
+    if not framed and response.status != 204:
+        # Without a length, an answer that was cut off looks complete.
+        response.close()
+        raise urllib3.exceptions.ProtocolError("the answer has no length")
     return response.status, _read_body(response, ends_at)
 
 
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -70,7 +70,10 @@
             Exchange(operation=operation, carry_out=carry_out)
         )
         return urllib3.HTTPResponse(
-            body=io.BytesIO(answer), status=status, preload_content=False
+            body=io.BytesIO(answer),
+            headers={"Content-Length": str(len(answer))},
+            status=status,
+            preload_content=False,
         )
 
     def clear(self) -> None:
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,100 @@
+"""Tests of what each failure of an exchange with the platform means."""
+
+import contextlib
+import logging
+import socket
+import threading
+import unittest
+
+from apricotpost import errors
+from apricotpost.platform import http
+
+__all__ = ["ExchangeTest"]
+
+BODY = b'{"ok": 1}'
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+
+
+class ExchangeTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        # urllib3 logs a cut head with a stack trace.
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def exchange(self, chunks, *, pause=0.0, timeout=5.0):
+        """Send a request to a server that answers with these chunks."""
+        listener = self.stack.enter_context(socket.create_server(("", 0)))
+        ended = threading.Event()
+        self.stack.callback(ended.set)
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(65536)
+                for chunk in chunks:
+                    connection.sendall(chunk)
+                    if ended.wait(pause):
+                        return
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        self.stack.callback(thread.join)
+        self.stack.callback(ended.set)
+        return self.request(listener.getsockname()[1], timeout)
+
+    def request(self, port, timeout=5.0):
+        channel = http.open_channel(timeout_seconds=timeout)
+        self.stack.callback(channel.pool.clear)
+        return http.request(
+            channel,
+            service="dynamodb",
+            method="POST",
+            url=f"http://127.0.0.1:{port}/",
+            headers={},
+            body=b"{}",
+        )
+
+    def test_whole_answer(self):
+        """Guards against a body that is lost when it comes in pieces."""
+        reply = self.exchange([HEAD, BODY[:4], BODY[4:]])
+        self.assertEqual((200, BODY), (reply.status, reply.body))
+
+    def test_refused_connection_was_not_sent(self):
+        """Guards against a refusal that is reported as unknown."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        with self.assertRaises(errors.PlatformUnavailable):
+            self.request(port)
+
+    def test_no_time_left_sends_nothing(self):
+        """Guards against a request that outlives its caller."""
+        with self.assertRaises(errors.PlatformUnavailable):
+            self.request(9, timeout=0.0)
+
+    def test_answer_without_certainty(self):
+        """Guards against a write reported as not done though it may be."""
+        cases = {
+            "closed without an answer": [],
+            "cut inside the head": [HEAD[:20]],
+            "cut inside the body": [HEAD, BODY[:4]],
+            "not HTTP": [b"\0\1\2 garbage\r\n\r\n"],
+            "status 500": [HEAD.replace(b"200 OK", b"500 No"), BODY],
+            "status 503": [HEAD.replace(b"200 OK", b"503 No"), BODY],
+        }
+        for name, chunks in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(errors.PlatformOutcomeUnknown):
+                    self.exchange(chunks)
+
+    def test_silence_ends_with_the_time_out(self):
+        """Guards against a thread held by a platform that hangs."""
+        with self.assertRaises(errors.PlatformOutcomeUnknown):
+            self.exchange([b""], pause=30.0, timeout=0.2)
+
+    def test_dripping_answer_ends_with_the_time_out(self):
+        """Guards against a time-out that starts anew with each byte."""
+        head = HEAD.replace(b": 9", b": 40")
+        with self.assertRaises(errors.PlatformOutcomeUnknown):
+            self.exchange([head, *[b"x"] * 40], pause=0.05, timeout=0.3)
