Run calls with Idempotency-Key at most once

Cause: a call that may not be repeated had no protection against the caller's own repeats.

Change: the ingress takes a record on condition that the key is free, runs the call, and stores the first outcome; lost answers are settled by reading whose record it is; failed steps are tried again for 60 s by a task that starts with the first one.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -67,6 +67,17 @@
     logging.ERROR,
     "stored snapshot not usable, reading all deltas instead: %(error)s",
 )
+# Keyed calls: 220 to 229.
+OUTCOME_NOT_STORED = _event(
+    220,
+    logging.ERROR,
+    "record of key %(key)s on route %(route)s stays as it is: %(error)s",
+)
+OUTCOME_UNREADABLE = _event(
+    221,
+    logging.ERROR,
+    "outcome of key %(key)s on route %(route)s not readable: %(error)s",
+)
 # Messages between nodes: 300 to 399.
 MESSAGE_MALFORMED = _event(
     300, logging.WARNING, "malformed message dropped: %(error)s"
--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -12,6 +12,7 @@
 
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import keyed_calls
 from apricotpost.node import views
 from apricotpost import routing
 from apricotpost.routing import contexts
@@ -29,7 +30,9 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    409: "Conflict",
     413: "Content Too Large",
+    422: "Unprocessable Content",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -50,12 +53,15 @@
         Name of the instance, part of request identifiers.
     trusted : bool
         Whether callers are the backend server beside the node.
+    keyed : KeyedCalls
+        State of the calls with ``Idempotency-Key``.
     """
 
     context: wire.sockets.Context
     current: views.Current
     instance: str
     trusted: bool
+    keyed: keyed_calls.KeyedCalls
     started_ns: int = dataclasses.field(default_factory=time.time_ns)
     numbers: typing.Iterator[int] = dataclasses.field(
         default_factory=itertools.count
@@ -88,7 +94,14 @@
     )
     if route is None or (route.internal and not ingress.trusted):
         return _not_run(404, wire.NotRunReason.NO_ROUTE)
-    return _dispatch(ingress, _make_request(ingress, environ, route, body))
+    request = _make_request(ingress, environ, route, body)
+    return keyed_calls.carry(
+        ingress.keyed,
+        key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+        route=route,
+        request=request,
+        dispatch=lambda: _dispatch(ingress, request),
+    )
 
 
 def _read_body(environ: Environ) -> bytes | wire.CallResult:
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -25,9 +25,10 @@
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
+from apricotpost.node import keyed_calls
 from apricotpost.node import platform as platform_task
+from apricotpost.node import stores
 from apricotpost.node import views
-from apricotpost import platform
 from apricotpost import settings
 from apricotpost import wire
 
@@ -135,13 +136,7 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
-    store = platform.open_store(
-        table_url=options.platform.table_url,
-        object_url=options.platform.object_url,
-        table_name=options.platform.table,
-        bucket=options.platform.bucket,
-        timeout_seconds=options.platform.timeout_seconds,
-    )
+    store = stores.open_store(options.platform)
     seed = f"{options.instance}-{time.time_ns()}"
     _start(
         node,
@@ -205,17 +200,25 @@
 
 def _start_servers(node: _Node) -> list[ingress.Ingress]:
     options = node.options
+    threads = min(options.ingress_threads, options.local_threads)
+    keyed = keyed_calls.KeyedCalls(
+        open_store=lambda: stores.open_store(options.platform),
+        table_slots=threading.BoundedSemaphore(max(threads // 2, 1)),
+    )
+    node.stack.callback(keyed_calls.close, keyed)
     outside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-o",
         trusted=False,
+        keyed=keyed,
     )
     inside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-l",
         trusted=True,
+        keyed=keyed,
     )
     _serve(
         node,
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -3,6 +3,7 @@
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import CredentialSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
 from apricotpost.settings.schema import NodeSettings
@@ -12,6 +13,7 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
@@ -22,6 +23,9 @@
     str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
 ]
 Hash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Variable = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]*$")
+]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Threads = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
 
@@ -49,6 +53,26 @@
     control: HostPort
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CredentialSettings:
+    """Names of the environment variables that hold the credentials.
+
+    Parameters
+    ----------
+    region : str
+        Region of the platform in signatures.
+    access_key_variable, secret_key_variable : str
+        Names of variables; the values never appear in the settings.
+    session_token_variable : str
+        For temporary credentials.
+    """
+
+    region: Name
+    access_key_variable: Variable = "AWS_ACCESS_KEY_ID"
+    secret_key_variable: Variable = "AWS_SECRET_ACCESS_KEY"
+    session_token_variable: Variable | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlatformSettings:
     """The platform's services.
@@ -61,6 +85,8 @@
         Names of the table and the bucket.
     timeout_seconds : float
         Longest wait for one answer, in seconds.
+    credentials : CredentialSettings, optional
+        Requests are signed with these.
     """
 
     table_url: str
@@ -68,6 +94,7 @@
     table: Name = "apricotpost"
     bucket: Name = "apricotpost"
     timeout_seconds: Seconds = 2.0
+    credentials: CredentialSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
