--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -4,6 +4,7 @@
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import CredentialSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
 from apricotpost.settings.schema import NodeSettings
@@ -13,6 +14,7 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
