--- /dev/null
+++ b/tests/spread/test_decisions.py
@@ -0,0 +1,247 @@
+"""Tests of single rules of the distribution."""
+
+import dataclasses
+import unittest
+
+from apricotpost import config
+from apricotpost import model
+from apricotpost import spread
+from apricotpost import wire
+from tests.spread import fleets
+
+__all__ = ["JoinTest", "NoticeTest", "ReadTest", "RefusalTest"]
+
+
+def make_delta(base):
+    return config.compute_delta(
+        fleets.make_snapshot(base), fleets.make_snapshot(base + 1)
+    )
+
+
+class RefusalTest(unittest.TestCase):
+    def open(self, refusing):
+        fleet = fleets.open_fleet(12)
+        # The readers accept the version; otherwise it never spreads.
+        self.refusing = [
+            name for name in fleet.nodes if not fleet.roster(name).reader
+        ][:refusing]
+        for name in self.refusing:
+            fleet.nodes[name].damages = frozenset((2,))
+        fleet.commit()
+        return fleet
+
+    def test_version_refused_by_half_stops(self):
+        """Guards against a bad version that goes on spreading."""
+        fleet = self.open(8)
+        fleet.run(8)
+        held = [fleet.nodes[n].state.snapshot for n in self.refusing]
+        self.assertEqual([fleets.make_snapshot(1)] * 8, held)
+        stops = [a for a in fleet.actions if isinstance(a, spread.Stopped)]
+        self.assertEqual(12, len(stops))
+        fleet.sent.clear()
+        fleet.run(20)
+        pushed = [
+            message
+            for _, _, message in fleet.sent
+            if isinstance(message, (wire.ConfigDelta, wire.ConfigSnapshot))
+        ]
+        self.assertEqual([], pushed)
+
+    def test_correction_reaches_those_that_refused(self):
+        """Guards against a refused version that bars all later ones."""
+        fleet = self.open(8)
+        fleet.run(8)
+        fleet.commit()
+        fleet.run(8)
+        self.assertEqual({3}, fleet.versions())
+
+    def test_damaged_copy_is_fetched_again(self):
+        """Guards against one damaged message that locks a node out."""
+        fleet = self.open(1)
+        fleet.run(2)
+        fleet.nodes[self.refusing[0]].damages = frozenset()
+        fleet.run(spread.Policy().refused_seconds + 6)
+        self.assertEqual({2}, fleet.versions())
+
+    def test_joining_node_is_not_held_up_by_a_stopped_version(self):
+        """Guards against a restart that waits for a stopped version."""
+        fleet = self.open(8)
+        fleet.run(8)
+        fleet.restart(self.refusing[0])
+        fleet.run(15)
+        self.assertTrue(fleet.nodes[self.refusing[0]].state.ready)
+
+
+class ReadTest(unittest.TestCase):
+    def test_two_nodes_of_a_data_centre_read(self):
+        """Guards against reads that grow with the fleet."""
+        fleet = fleets.open_fleet(40, centres=2)
+        fleet.run(20)
+        # Four readers, each once a second with up to half of it as jitter.
+        self.assertLessEqual(fleet.read_count, 4 * 20 * 2)
+        self.assertGreaterEqual(fleet.read_count, 4 * 20 / 1.5)
+
+    def test_reads_back_off_while_the_table_is_out(self):
+        """Guards against a storm of reads in an outage."""
+        fleet = fleets.open_fleet(12, centres=1)
+        fleet.table_out = True
+        fleet.run(20)
+        fleet.read_count = 0
+        fleet.run(40)
+        # Two readers with pauses of at least 2 s.
+        self.assertLessEqual(fleet.read_count, 2 * 40 / 2)
+
+    def test_committed_delta_spreads_without_the_table(self):
+        """Guards against an accepted version lost in an outage."""
+        fleet = fleets.open_fleet(12)
+        fleet.commit()
+        fleet.table_out = True
+        fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
+        fleet.run(8)
+        self.assertEqual({2}, fleet.versions())
+
+    def test_commit_during_a_read_is_read_at_once(self):
+        """Guards against a commit that waits for the next poll."""
+        fleet = fleets.open_fleet(3)
+        state = dataclasses.replace(fleet.nodes["n0"].state, reading=True)
+        fleet.nodes["n0"].state = state
+        fleet.handle("n0", spread.Committed(version=2))
+        old = wire.ConfigRead(available=True, head=1)
+        fleet.handle("n0", spread.TableRead(found=old))
+        self.assertEqual("n0", fleet.reads[0][0])
+
+
+class JoinTest(unittest.TestCase):
+    def test_restarted_data_centre_causes_bounded_reads(self):
+        """Guards against a storm of reads and snapshots on a return."""
+        fleet = fleets.open_fleet(80, centres=4, versions=200)
+        herd = [
+            name
+            for name, node in fleet.nodes.items()
+            if node.record.data_centre == "dc1"
+        ]
+        for name in herd:
+            fleet.restart(name)
+        fleet.read_count = 0
+        fleet.run(8)
+        self.assertEqual({200}, fleet.versions())
+        # One check for each node, and the polls of eight readers.
+        self.assertLessEqual(fleet.read_count, len(herd) + 8 * 8 * 2)
+        snapshots = [
+            target
+            for _, target, message in fleet.sent
+            if isinstance(message, wire.ConfigSnapshot)
+        ]
+        self.assertLessEqual(len(snapshots), 3 * len(herd))
+
+    def test_snapshots_are_served_at_a_bounded_rate(self):
+        """Guards against a node that only serves snapshots."""
+        fleet = fleets.open_fleet(2)
+        for number in range(50):
+            asked = wire.ConfigRequest(sender="n1", have=0)
+            event = spread.Received(message=asked, reply_to=b"n1")
+            fleet.now = number / 100
+            fleet.handle("n0", event)
+        self.assertEqual(20, len(fleet.pending))
+
+    def test_stale_welcome_and_stale_read_do_not_make_ready(self):
+        """Guards against a return to an older version after a restart."""
+        fleet = fleets.open_fleet(2, versions=3)
+        fleet.restart("n0")
+        state = fleet.nodes["n0"].state
+        state = dataclasses.replace(state, snapshot=fleets.make_snapshot(2))
+        fleet.nodes["n0"].state = state
+        stale = wire.Welcome(sender="n1", version=2, checksum="", floor=3)
+        fleet.handle("n0", spread.Received(message=stale, reply_to=b"n1"))
+        old = wire.ConfigRead(available=True, head=2)
+        fleet.handle("n0", spread.TableRead(found=old))
+        self.assertFalse(fleet.nodes["n0"].state.ready)
+
+    def test_node_without_peers_and_table_stays_not_ready(self):
+        """Guards against calls routed without a configuration."""
+        fleet = fleets.open_fleet(6)
+        fleet.table_out = True
+        fleet.restart("n0")
+        fleet.cut = {"dc0"}
+        for name in ("n2", "n4"):
+            fleet.restart(name)
+        fleet.run(30)
+        self.assertEqual({1, -1}, fleet.versions())
+        fleet.cut = set()
+        fleet.run(12)
+        self.assertEqual({1}, fleet.versions())
+
+
+class NoticeTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = fleets.open_fleet(12)
+        first = self.fleet.history[1]
+        self.rollout = model.Rollout(
+            identifier="r1",
+            service=first.services[0].name,
+            old="v1",
+            new="v2",
+            state=model.RolloutState.RUNNING,
+            share=10,
+            started_at=0.0,
+            finish_by=900.0,
+            changed_at=0.0,
+        )
+        self.notice = wire.WithdrawalNotice(
+            sender="n0",
+            withdrawals=(
+                model.Withdrawal(
+                    rollout="r1", service="s", version="v2", reason="", at=1.0
+                ),
+            ),
+        )
+
+    def hold(self, state, version):
+        """Let all nodes hold a version with the rollout in a state."""
+        rollout = dataclasses.replace(self.rollout, state=state)
+        first = self.fleet.history[1]
+        service = dataclasses.replace(
+            first.services[0],
+            versions=(
+                model.VersionShare(version="v1", share=990),
+                model.VersionShare(version="v2", share=10),
+            ),
+        )
+        self.fleet.history.append(
+            config.seal(
+                dataclasses.replace(
+                    first,
+                    version=version,
+                    rollouts=(rollout,),
+                    services=(service, *first.services[1:]),
+                )
+            )
+        )
+        self.fleet.run(6)
+        self.assertEqual({version}, self.fleet.versions())
+
+    def holders(self):
+        nodes = self.fleet.nodes.values()
+        return sum("r1" in node.state.notices for node in nodes)
+
+    def test_notice_reaches_all_and_ends_with_its_rollout(self):
+        """Guards against a bad version that some nodes still choose."""
+        self.hold(model.RolloutState.RUNNING, 2)
+        event = spread.Received(message=self.notice)
+        self.fleet.handle("n0", event)
+        # The first pushes are lost; comparisons repair them.
+        self.fleet.pending.clear()
+        self.fleet.run(16)
+        self.assertEqual(12, self.holders())
+        self.hold(model.RolloutState.WITHDRAWN, 3)
+        self.assertEqual(0, self.holders())
+        self.fleet.handle("n0", event)
+        self.assertEqual(0, self.holders())
+
+    def test_notice_of_an_unknown_rollout_dies_out(self):
+        """Guards against notices that nodes bring back to each other."""
+        self.fleet.handle("n0", spread.Received(message=self.notice))
+        self.fleet.run(10)
+        self.assertEqual(12, self.holders())
+        self.fleet.run(spread.Policy().notice_seconds + 10)
+        self.assertEqual(0, self.holders())
