--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -37,6 +38,8 @@
 HOST = "127.0.0.1"
 TOKEN = "operator-token-of-the-stand-ins"
 STOP_SECONDS = 40.0
+PORTS = (10_000, 32_000)
+_RANDOM = random.SystemRandom()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -73,12 +76,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on."""
+    """Return ports of the loopback address that nobody listens on.
+
+    They lie below the range from which outgoing connections take theirs,
+    since a node that starts a moment later would find its port in use.
+    """
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for entry in sockets:
-            entry.bind((HOST, 0))
-        return [int(entry.getsockname()[1]) for entry in sockets]
+        while len(found) < count:
+            port = _RANDOM.randrange(*PORTS)
+            entry = stack.enter_context(socket.socket())
+            try:
+                entry.bind((HOST, port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
 
 
 @contextlib.contextmanager
