Report service levels by route

Cause: owners need to see how fast error budgets are used. Change: objectives in the settings, a task that counts calls in rings, a report as text, JSON and HTML.

--- a/apricotpost/model/__init__.py
+++ b/apricotpost/model/__init__.py
@@ -17,6 +17,10 @@
 from apricotpost.model.instances import Load
 from apricotpost.model.instances import View
 from apricotpost.model.instances import Withdrawal
+from apricotpost.model.levels import LevelBucket
+from apricotpost.model.levels import LevelCounts
+from apricotpost.model.levels import Objective
+from apricotpost.model.levels import RouteLevel
 
 __all__ = [
     "DataCentre",
@@ -26,10 +30,14 @@
     "Evidence",
     "InstanceRecord",
     "InstanceState",
+    "LevelBucket",
+    "LevelCounts",
     "Load",
+    "Objective",
     "Rollout",
     "RolloutState",
     "Route",
+    "RouteLevel",
     "Service",
     "Snapshot",
     "TOTAL_SHARE",
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -8,6 +8,7 @@
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import levels
 from apricotpost.node import views
 from apricotpost import settings
 from apricotpost import wire
@@ -44,7 +45,13 @@
         )
 
     def read_levels() -> typing.Any:
-        return {}
+        reply = levels.ask(context)
+        return {
+            "instance": options.instance,
+            "since": reply.since,
+            "at": reply.at,
+            "levels": reply.levels,
+        }
 
     return admin.Admin(
         options=options,
--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -12,6 +12,7 @@
 
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import levels
 from apricotpost.node import views
 from apricotpost import routing
 from apricotpost.routing import contexts
@@ -88,7 +89,13 @@
     )
     if route is None or (route.internal and not ingress.trusted):
         return _not_run(404, wire.NotRunReason.NO_ROUTE)
-    return _dispatch(ingress, _make_request(ingress, environ, route, body))
+    request = _make_request(ingress, environ, route, body)
+    return levels.measured(
+        ingress.context,
+        ingress.local,
+        route.name,
+        lambda: _dispatch(ingress, request),
+    )
 
 
 def _read_body(environ: Environ) -> bytes | wire.CallResult:
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -27,6 +27,7 @@
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
+from apricotpost.node import levels
 from apricotpost.node import moves
 from apricotpost.node import platform as platform_task
 from apricotpost.node import views
@@ -174,6 +175,15 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
+    _start(
+        node,
+        addresses.LEVELS,
+        lambda: levels.run(
+            context=node.context,
+            current=node.current,
+            options=options.levels,
+        ),
+    )
     _start(
         node,
         addresses.MOVES,
--- /dev/null
+++ b/apricotpost/report/main.py
@@ -0,0 +1,162 @@
+"""Program ``apricotpost-report``: burn of the error budgets."""
+
+import argparse
+from collections.abc import Iterable
+from concurrent import futures
+import os
+import pathlib
+import sys
+import time
+
+import msgspec
+
+from apricotpost.ctl import client
+from apricotpost import errors
+from apricotpost.report import burn
+from apricotpost.report import pages
+from apricotpost.report import texts
+
+__all__ = ["ask_nodes", "main"]
+
+DESCRIPTION = "Show service levels and how fast error budgets are used."
+EPILOG = """exit codes:
+  0  all nodes answered
+  2  bad input
+  3  the token is not accepted
+  4  no node answered
+
+The admin addresses of nodes come from --node or APRICOTPOST_NODES. With
+--port every instance that the first node knows is asked at its own IP.
+
+examples:
+  apricotpost-report --port 7003 --node 10.0.0.5:7003
+  apricotpost-report --format html > levels.html
+"""
+CONCURRENT_NODES = 16
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the command line; see the help text for the exit codes."""
+    options = _parse(arguments)
+    try:
+        nodes = client.read_nodes(options.node, os.environ)
+        token = client.read_token(options.token_file, os.environ)
+        if options.port:
+            nodes = _find_nodes(nodes, token, options.port)
+        answers, failures = ask_nodes(nodes, token)
+        reports = burn.merge_nodes(answers)
+    except errors.ApricotpostError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        for fault in error.faults:
+            print(f"  {fault}", file=sys.stderr)
+        return error.exit_code
+    notes = _make_notes(answers, failures)
+    print(_format(options.format, reports, notes))
+    return 0
+
+
+def ask_nodes(
+    nodes: Iterable[str], token: str
+) -> tuple[tuple[burn.NodeLevels, ...], tuple[str, ...]]:
+    """Read the levels of nodes.
+
+    Returns
+    -------
+    answers : tuple of NodeLevels
+        Of the nodes that answered.
+    failures : tuple of str
+        Why others did not.
+
+    Raises
+    ------
+    apricotpost.errors.NodeUnreachable
+        No node answered.
+    apricotpost.errors.NodeRefused
+        A node does not accept the token.
+    """
+    answers: list[burn.NodeLevels] = []
+    failures: list[str] = []
+    with futures.ThreadPoolExecutor(CONCURRENT_NODES) as pool:
+        asked = {
+            node: pool.submit(_ask_node, node, token)
+            for node in dict.fromkeys(nodes)
+        }
+        for node, future in asked.items():
+            try:
+                answers.append(future.result())
+            except errors.NodeRefused as error:
+                if error.status in (401, 403):
+                    raise
+                failures.append(f"{node}: {error.message}")
+            except errors.ApricotpostError as error:
+                failures.append(f"{node}: {error.message}")
+    if not answers:
+        raise errors.NodeUnreachable("no node answered", faults=failures)
+    return tuple(answers), tuple(failures)
+
+
+def _ask_node(node: str, token: str) -> burn.NodeLevels:
+    connection = client.open_client(nodes=(node,), token=token)
+    answer = client.call(connection, "GET", "/v1/levels")
+    connection.pool.clear()
+    return burn.decode_node(answer)
+
+
+def _find_nodes(nodes: Iterable[str], token: str, port: int) -> list[str]:
+    connection = client.open_client(nodes=nodes, token=token)
+    answer = client.call(connection, "GET", "/v1/instances")
+    hosts = {
+        record["call_address"].removeprefix("tcp://").rpartition(":")[0]
+        for record in answer["instances"]
+        if record["state"] != "down"
+    }
+    return [f"{host}:{port}" for host in sorted(hosts)]
+
+
+def _make_notes(
+    answers: Iterable[burn.NodeLevels], failures: Iterable[str]
+) -> list[str]:
+    entries = tuple(answers)
+    newest = max(entries, key=lambda entry: entry.since)
+    hours = (newest.at - newest.since) / 3600
+    notes = [
+        f"{len(entries)} nodes answered.",
+        "A node loses its counts when it restarts; the last that did, "
+        f"{newest.instance}, has counted for {hours:.1f} h.",
+        "The budget is that of the last 3 days.",
+    ]
+    return notes + [f"Not counted: {failure}" for failure in failures]
+
+
+def _format(
+    style: str, reports: tuple[burn.RouteReport, ...], notes: list[str]
+) -> str:
+    if style == "json":
+        return msgspec.json.encode(texts.describe(reports, notes)).decode()
+    if style == "html":
+        return pages.format_page(reports, notes, now=time.time())
+    return texts.format_text(reports, notes)
+
+
+def _parse(arguments: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="apricotpost-report",
+        description=DESCRIPTION,
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--node", action="append", default=[], metavar="IP:PORT"
+    )
+    parser.add_argument("--port", type=int, help="admin port of all instances")
+    parser.add_argument(
+        "--token-file", type=pathlib.Path, help="file that holds the token"
+    )
+    parser.add_argument(
+        "--format", choices=["text", "json", "html"], default="text"
+    )
+    return parser.parse_args(arguments)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -4,19 +4,23 @@
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import LevelSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
 from apricotpost.settings.schema import NodeSettings
 from apricotpost.settings.schema import PlatformSettings
+from apricotpost.settings.schema import RouteLevelSettings
 from apricotpost.settings.schema import TimeSettings
 from apricotpost.settings.schema import TokenSettings
 
 __all__ = [
     "AddressSettings",
+    "LevelSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RouteLevelSettings",
     "TimeSettings",
     "TokenSettings",
     "find_faults",
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -7,10 +7,12 @@
 
 __all__ = [
     "AddressSettings",
+    "LevelSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RouteLevelSettings",
     "TimeSettings",
     "TokenSettings",
 ]
@@ -23,6 +25,8 @@
 ]
 Hash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=50, lt=100)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=60_000)]
 Threads = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
 
 
@@ -135,6 +139,50 @@
     prefix: Name = "apricotpost"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteLevelSettings:
+    """Service level objective of one route.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    availability_percent : float
+        Share of calls that must not fail, in percent.
+    latency_ms : float
+        Longest duration of a call that is not slow, in milliseconds.
+    latency_percent : float
+        Share of answered calls that must not be slow, in percent.
+    """
+
+    route: str
+    availability_percent: Percent = 99.9
+    latency_ms: Milliseconds = 500.0
+    latency_percent: Percent = 99.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LevelSettings:
+    """Service level objectives of all routes.
+
+    Parameters
+    ----------
+    availability_percent : float
+        Share of calls that must not fail, in percent.
+    latency_ms : float
+        Longest duration of a call that is not slow, in milliseconds.
+    latency_percent : float
+        Share of answered calls that must not be slow, in percent.
+    routes : tuple of RouteLevelSettings
+        Routes with other objectives.
+    """
+
+    availability_percent: Percent = 99.9
+    latency_ms: Milliseconds = 500.0
+    latency_percent: Percent = 99.0
+    routes: tuple[RouteLevelSettings, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeSettings:
     """All settings of a node.
@@ -165,5 +213,6 @@
     times: TimeSettings = TimeSettings()
     logs: LogSettings = LogSettings()
     metrics: MetricSettings = MetricSettings()
+    levels: LevelSettings = LevelSettings()
     ingress_threads: Threads = 24
     local_threads: Threads = 12
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -28,12 +28,15 @@
 from apricotpost.wire.tasks import BackendJob
 from apricotpost.wire.tasks import BackendResult
 from apricotpost.wire.tasks import BackendServerAnnounced
+from apricotpost.wire.tasks import CallMeasured
 from apricotpost.wire.tasks import CallRequest
 from apricotpost.wire.tasks import CallResult
 from apricotpost.wire.tasks import ConfigCommitted
 from apricotpost.wire.tasks import ConfigRead
 from apricotpost.wire.tasks import GateControl
 from apricotpost.wire.tasks import GateReport
+from apricotpost.wire.tasks import LevelsReply
+from apricotpost.wire.tasks import LevelsRequest
 from apricotpost.wire.tasks import Outcome
 from apricotpost.wire.tasks import ReadConfig
 from apricotpost.wire.tasks import StatusReply
@@ -48,6 +51,7 @@
     "BackendResult",
     "BackendServerAnnounced",
     "Call",
+    "CallMeasured",
     "CallRequest",
     "CallResult",
     "Cancel",
@@ -62,6 +66,8 @@
     "GateControl",
     "GateReport",
     "Join",
+    "LevelsReply",
+    "LevelsRequest",
     "Members",
     "MembersRequest",
     "Message",
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -10,6 +10,7 @@
     "BackendJob",
     "BackendResult",
     "BackendServerAnnounced",
+    "CallMeasured",
     "CallRequest",
     "CallResult",
     "ConfigCommitted",
@@ -17,6 +18,8 @@
     "GateControl",
     "GateReport",
     "KINDS",
+    "LevelsReply",
+    "LevelsRequest",
     "Outcome",
     "ReadConfig",
     "StatusReply",
@@ -190,6 +193,36 @@
     counters: tuple[tuple[str, int], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallMeasured:
+    """Ingress tells the levels task how a call ended.
+
+    ``duration_ms`` is the time that the caller waited, in milliseconds.
+    """
+
+    route: str
+    failed: bool
+    duration_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LevelsRequest:
+    """Asks the levels task for its counts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LevelsReply:
+    """Service levels that a node counted.
+
+    ``since`` and ``at`` are Unix times in seconds: when counting started,
+    and when the counts were read.
+    """
+
+    since: float
+    at: float
+    levels: tuple[model.RouteLevel, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopTask:
     """Asks a task to close its sockets and end."""
@@ -210,4 +243,7 @@
     111: StatusReply,
     112: StopTask,
     113: BackendJob,
+    120: CallMeasured,
+    121: LevelsRequest,
+    122: LevelsReply,
 }
