Write the operators' pages

Cause: operators need the sheet, alarms and runbooks in plain English. Change: pages for operators, settings, events and terms; the settings page is made from the schema, the events page is compared with the catalogue.

--- a/apricotpost/report/main.py
+++ b/apricotpost/report/main.py
@@ -120,7 +120,7 @@
     newest = max(entries, key=lambda entry: entry.since)
     hours = (newest.at - newest.since) / 3600
     notes = [
-        f"{len(entries)} nodes answered.",
+        f"Nodes that answered: {len(entries)}.",
         "A node loses its counts when it restarts; the last that did, "
         f"{newest.instance}, has counted for {hours:.1f} h.",
         "The budget is that of the last 3 days.",
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -125,7 +125,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LogSettings:
-    """Log output: format and lowest level."""
+    """Log output on standard error.
+
+    Parameters
+    ----------
+    style : {'text', 'json'}
+        Format of the records.
+    level : str
+        Lowest level that is written.
+    """
 
     style: typing.Literal["text", "json"] = "text"
     level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
@@ -133,7 +141,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MetricSettings:
-    """Metrics: address of the statsd server and prefix of the names."""
+    """Metrics.
+
+    Parameters
+    ----------
+    statsd : str, optional
+        Address of the statsd server; without it nothing is sent.
+    prefix : str
+        First part of the names.
+    """
 
     statsd: HostPort | None = None
     prefix: Name = "apricotpost"
@@ -197,6 +213,16 @@
         Control addresses of some other nodes, as IP:PORT.
     platform : PlatformSettings
         The platform's services.
+    tokens : tuple of TokenSettings
+        Tokens of the administration API; without any it refuses everyone.
+    times : TimeSettings
+        Times in seconds.
+    logs : LogSettings
+        Log output.
+    metrics : MetricSettings
+        Metrics.
+    levels : LevelSettings
+        Service level objectives.
     ingress_threads : int
         Threads that serve callers from outside.
     local_threads : int
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,29 @@
+"""Tests that the catalogue of events and its page agree."""
+
+import logging
+import pathlib
+import re
+import unittest
+
+from apricotpost import events
+
+__all__ = ["EventsPageTest"]
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "events.md"
+ROW = re.compile(r"\| AP-(\d+) \| (\w+) \| (.+?) \| (.+) \|")
+
+
+class EventsPageTest(unittest.TestCase):
+    def test_page_lists_exactly_the_catalogue(self):
+        """Guards against an event that operators cannot look up."""
+        rows = [
+            (int(number), level, text)
+            for number, level, text, _ in ROW.findall(
+                PAGE.read_text(encoding="utf-8")
+            )
+        ]
+        expected = [
+            (entry.number, logging.getLevelName(entry.level), entry.text)
+            for _, entry in sorted(events.CATALOGUE.items())
+        ]
+        self.assertEqual(expected, rows)
