--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -28,6 +28,7 @@
 from apricotpost.wire.tasks import BackendJob
 from apricotpost.wire.tasks import BackendResult
 from apricotpost.wire.tasks import BackendServerAnnounced
+from apricotpost.wire.tasks import CallMeasured
 from apricotpost.wire.tasks import CallRequest
 from apricotpost.wire.tasks import CallResult
 from apricotpost.wire.tasks import ConfigCommitted
@@ -35,6 +36,8 @@
 from apricotpost.wire.tasks import GateControl
 from apricotpost.wire.tasks import GateReport
 from apricotpost.wire.tasks import LeaveAnnounced
+from apricotpost.wire.tasks import LevelsReply
+from apricotpost.wire.tasks import LevelsRequest
 from apricotpost.wire.tasks import Outcome
 from apricotpost.wire.tasks import ReadConfig
 from apricotpost.wire.tasks import StatusReply
@@ -49,6 +52,7 @@
     "BackendResult",
     "BackendServerAnnounced",
     "Call",
+    "CallMeasured",
     "CallRequest",
     "CallResult",
     "Cancel",
@@ -64,6 +68,8 @@
     "GateReport",
     "Join",
     "LeaveAnnounced",
+    "LevelsReply",
+    "LevelsRequest",
     "Members",
     "MembersRequest",
     "Message",
