--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -19,6 +19,7 @@
 from apricotpost.node import addresses
 from apricotpost.node import backend
 from apricotpost.node import views
+from apricotpost.rollout import evidence
 from apricotpost import wire
 
 __all__ = ["run"]
@@ -35,6 +36,8 @@
     context: wire.sockets.Context
     current: views.Current
     data_centre: str
+    instance: str
+    epoch: int
     calls: wire.sockets.Socket
     commands: wire.sockets.Socket
     backend: wire.sockets.Socket
@@ -45,6 +48,7 @@
     workers: list[threading.Thread]
     ticked_at: float = 0.0
     reported_at: float = 0.0
+    tally: evidence.Tally = evidence.Tally()
 
 
 def run(
@@ -53,6 +57,7 @@
     current: views.Current,
     data_centre: str,
     call_address: str,
+    instance: str = "",
 ) -> None:
     """Admit and run calls until the task is asked to stop.
 
@@ -66,6 +71,8 @@
         Own data centre.
     call_address : str
         Endpoint on which other nodes send calls.
+    instance : str
+        Own name, under which the outcome counts are reported.
 
     Raises
     ------
@@ -77,6 +84,8 @@
             context=context,
             current=current,
             data_centre=data_centre,
+            instance=instance,
+            epoch=time.time_ns(),
             calls=stack.enter_context(
                 wire.sockets.bind_router(context, call_address)
             ),
@@ -150,6 +159,7 @@
 
 def _on_backend(task: _Task, identity: bytes, message: wire.Message) -> bool:
     if isinstance(message, wire.BackendResult):
+        _count(task, message)
         checksum = xxhash.xxh64_intdigest(message.body)
         _handle(task, gate.Finished(result=message), checksum)
     # The last worker to finish has the warmest connection and goes first.
@@ -245,11 +255,43 @@
         worker.join(1.0)
 
 
+def _count(task: _Task, result: wire.BackendResult) -> None:
+    """Add a finished call to the evidence about its version."""
+    waiting = task.state.running.get(result.call)
+    if waiting is None:
+        return
+    call = waiting.call
+    routes = task.current.view.snapshot.routes
+    timeout_ms = next(
+        (entry.timeout_ms for entry in routes if entry.name == call.route), 0
+    )
+    ended = time.monotonic() - waiting.since
+    granted_seconds = call.deadline - time.time() + ended
+    finished = evidence.Finished(
+        answered=result.outcome is wire.Outcome.ANSWERED,
+        status=result.status,
+        timed_out=result.reason == wire.UnknownReason.TIMEOUT.value,
+        expired=result.reason == wire.NotRunReason.DEADLINE_PASSED.value,
+        granted_share=granted_seconds * 1000 / max(timeout_ms, 1),
+        alone=len(task.state.running) == 1,
+        cold=any(
+            name.lower() == gate.COLD_HEADER and value == "1"
+            for name, value in result.headers
+        ),
+        duration_ms=result.duration_ms,
+    )
+    key = (call.service, call.version, call.route)
+    task.tally = evidence.count(task.tally, key, finished)
+
+
 def _describe(task: _Task) -> wire.GateReport:
     return wire.GateReport(
         load=gate.describe_load(task.state),
         backend_server_up=task.state.announced is not None
         and not task.state.announced.leaving,
+        evidence=evidence.describe(
+            task.tally, instance=task.instance, epoch=task.epoch
+        ),
     )
 
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -166,6 +166,7 @@
             current=node.current,
             data_centre=options.data_centre,
             call_address=addresses.tcp(options.addresses.call),
+            instance=options.instance,
         ),
     )
     _start(
