--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -18,6 +18,7 @@
     "PlatformUnavailable",
     "PortOccupied",
     "RequestInvalid",
+    "RolloutRefused",
     "SettingsInvalid",
     "SheetInvalid",
     "TransactionRejected",
@@ -172,3 +173,11 @@
 
     code = "AP506"
     exit_code = 4
+
+
+class RolloutRefused(ApricotpostError):
+    """A rollout cannot be started; the message says why."""
+
+    code = "AP601"
+    exit_code = 3
+    status = 409
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -70,6 +70,37 @@
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
 
+# Rollouts: 400 to 499.
+ROLLOUT_STARTED = _event(
+    400,
+    logging.INFO,
+    "rollout %(rollout)s observed: %(service)s from %(old)s to %(new)s",
+)
+ROLLOUT_STEP = _event(
+    401, logging.INFO, "rollout %(rollout)s: share %(share)s of 1000"
+)
+ROLLOUT_HELD = _event(
+    402, logging.INFO, "rollout %(rollout)s held: %(reason)s"
+)
+ROLLOUT_WITHDRAWN = _event(
+    403, logging.WARNING, "rollout %(rollout)s withdrawn: %(reason)s"
+)
+ROLLOUT_DONE = _event(404, logging.INFO, "rollout %(rollout)s done")
+ROLLOUT_BAD = _event(
+    405, logging.WARNING, "version %(version)s is bad: %(reason)s"
+)
+LEASE_TAKEN = _event(
+    410, logging.INFO, "lease of %(service)s taken with number %(fence)s"
+)
+LEASE_LOST = _event(
+    411, logging.WARNING, "lease of %(service)s lost: %(reason)s"
+)
+ROLLOUT_RETRY = _event(
+    412,
+    logging.WARNING,
+    "rollout %(rollout)s: table failed, again in %(seconds).1f s: %(error)s",
+)
+
 
 def emit(logger: logging.Logger, event: Event, **fields: typing.Any) -> None:
     """Log one event.
