Test all routes of a rollout together besides each route

Cause: after full share the old version has 2 % of the calls, too few on a single route to show a fault of every route. Change: one more test over all routes that both versions answer; a version that is still suspect after three bake times is withdrawn.

--- a/apricotpost/rollout/steps.py
+++ b/apricotpost/rollout/steps.py
@@ -41,8 +41,8 @@
 HEADROOM = 2.0
 # From this share on the new version may not depend on one server.
 PAIR_SHARE = 250
-# A bake ends at the latest after so many bake times, even when the evidence
-# is not clear: it would have reached a verdict.
+# A bake ends at the latest after so many bake times. A version that is
+# still suspect then is withdrawn.
 MAX_BAKES = 3.0
 
 
@@ -283,6 +283,8 @@
     if waited < times.bake_seconds:
         return Hold(reason="baking")
     if waited >= MAX_BAKES * times.bake_seconds:
+        if judgement.suspect:
+            return Withdraw(reason=judgement.doubt)
         return Finish()
     if judgement.doubt:
         return Hold(reason=judgement.doubt)
--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/verdicts.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from apricotpost.rollout import evidence
-from apricotpost.rollout import routes
+from apricotpost.rollout import route_trials
 from apricotpost.rollout import sequential
 
 __all__ = [
@@ -38,6 +38,9 @@
         Share of the new version, in thousandths.
     routes : mapping
         Tests by route.
+    overall : RouteTrial
+        Test of all routes together that both versions answer. It finds a
+        fault of every route before the calls of any single one suffice.
     heard_at : float
         Last time that calls of the new version were reported.
     busy_slots : float
@@ -52,7 +55,8 @@
     new: str
     started_at: float
     observed_at: float
-    routes: Mapping[str, routes.RouteTrial] = dataclasses.field(
+    overall: route_trials.RouteTrial
+    routes: Mapping[str, route_trials.RouteTrial] = dataclasses.field(
         default_factory=dict
     )
     heard_at: float = float("-inf")
@@ -70,6 +74,8 @@
         Why the new version must be withdrawn, or empty.
     doubt : str
         Why no step forward is allowed yet, or empty.
+    suspect : bool
+        Whether the doubt is that the new version may be worse.
     calls : int
         Calls of the new version since the last step.
     heard_at : float
@@ -82,6 +88,7 @@
 
     bad: str = ""
     doubt: str = ""
+    suspect: bool = False
     calls: int = 0
     heard_at: float = float("-inf")
     busy_slots: float = 0.0
@@ -99,6 +106,7 @@
         new=new,
         started_at=now,
         observed_at=now,
+        overall=route_trials.start(now),
     )
 
 
@@ -131,23 +139,33 @@
     if share != trial.share:
         trial = _start_step(trial, share)
     names = {key[2] for key in found if key[0] == service}
-    pooled = evidence.Counts()
+    pooled_new, pooled_old = evidence.Counts(), evidence.Counts()
     heard_at = trial.heard_at
     known = dict(trial.routes)
     for name in sorted(names | known.keys()):
         new = found.get((service, trial.new, name), evidence.Counts())
         old = found.get((service, trial.old, name), evidence.Counts())
-        pooled = evidence.add(pooled, old)
         if new.calls:
             heard_at = now
-        before = known.get(name) or routes.start(now)
-        known[name] = routes.collect(before, new, old, share)
+        before = known.get(name) or route_trials.start(now)
+        known[name] = route_trials.collect(before, new, old, share)
+        if known[name].old_calls:
+            pooled_new = evidence.add(pooled_new, new)
+            pooled_old = evidence.add(pooled_old, old)
     for name, entry in known.items():
-        known[name] = routes.close_slice(entry, pooled, baking=baking, now=now)
+        known[name] = route_trials.close_slice(
+            entry, pooled_old, baking=baking, now=now
+        )
+    overall = route_trials.collect(
+        trial.overall, pooled_new, pooled_old, share
+    )
     seconds = max(now - trial.observed_at, 0.1)
     trial = dataclasses.replace(
         trial,
         routes=known,
+        overall=route_trials.close_slice(
+            overall, pooled_old, baking=baking, now=now
+        ),
         heard_at=heard_at,
         observed_at=now,
         busy_slots=_average_busy(trial, found, service, seconds),
@@ -161,18 +179,21 @@
     doubt = ""
     if calls < MIN_CALLS:
         doubt = f"{calls} calls of {trial.new}, {MIN_CALLS} are needed"
-    for name, entry in trial.routes.items():
-        worst = max(routes.levels(entry).values())
+    suspect = False
+    for name, entry in _all_trials(trial):
+        worst = max(route_trials.levels(entry).values())
         if worst >= SUSPICION:
-            doubt = f"route {name} may be worse (level {worst:.1f})"
-        elif routes.is_missing(entry):
+            suspect = True
+            doubt = f"{name} may be worse (level {worst:.1f})"
+        elif route_trials.is_missing(entry):
             doubt = (
-                f"route {name}: {entry.step_calls} usable answers of "
+                f"{name}: {entry.step_calls} usable answers of "
                 f"{trial.new}, about {entry.expected:.0f} expected"
             )
     return Judgement(
         bad=trial.bad,
         doubt=doubt,
+        suspect=suspect,
         calls=calls,
         heard_at=trial.heard_at,
         busy_slots=trial.busy_slots,
@@ -181,11 +202,11 @@
 
 
 def _find_bad(trial: Trial) -> str:
-    for name, entry in trial.routes.items():
-        for what, found in routes.levels(entry).items():
+    for name, entry in _all_trials(trial):
+        for what, found in route_trials.levels(entry).items():
             if found >= sequential.ALARM:
                 return (
-                    f"more {what} than {trial.old} on route {name} "
+                    f"more {what} than {trial.old} on {name} "
                     f"(level {found:.1f})"
                 )
     return ""
@@ -209,18 +230,28 @@
     return max(present, BUSY_MEMORY * trial.busy_slots)
 
 
+def _all_trials(
+    trial: Trial,
+) -> tuple[tuple[str, route_trials.RouteTrial], ...]:
+    named = [(f"route {name}", entry) for name, entry in trial.routes.items()]
+    return (*named, ("all routes", trial.overall))
+
+
 def _start_step(trial: Trial, share: int) -> Trial:
     known = {
         name: dataclasses.replace(entry, step_calls=0, expected=0.0)
         for name, entry in trial.routes.items()
     }
-    return dataclasses.replace(trial, share=share, routes=known)
+    overall = dataclasses.replace(trial.overall, step_calls=0, expected=0.0)
+    return dataclasses.replace(
+        trial, share=share, routes=known, overall=overall
+    )
 
 
 def _summarize(trial: Trial) -> str:
     parts = []
-    for name, entry in sorted(trial.routes.items()):
-        found = routes.levels(entry)
+    for name, entry in _all_trials(trial):
+        found = route_trials.levels(entry)
         parts.append(
             f"{name}: {entry.new_calls} calls of {trial.new}, "
             f"{entry.old_calls} of {trial.old}, levels "
