--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -2,7 +2,9 @@
 
 from apricotpost.platform.http import Channel
 from apricotpost.platform.http import open_channel
+from apricotpost.platform import leases
 from apricotpost.platform import objects
+from apricotpost.platform import outcomes
 from apricotpost.platform.store import Change
 from apricotpost.platform.store import commit
 from apricotpost.platform.store import Fence
@@ -19,9 +21,11 @@
     "Fence",
     "Store",
     "commit",
+    "leases",
     "objects",
     "open_channel",
     "open_store",
+    "outcomes",
     "read_head",
     "read_newer",
     "read_snapshot",
