--- a/apricotpost/node/addresses.py
+++ b/apricotpost/node/addresses.py
@@ -1,12 +1,21 @@
 """Names of the sockets inside a node and forms of addresses."""
 
-__all__ = ["BACKEND", "CONTROL", "DISPATCH", "GATE", "PLATFORM", "tcp"]
+__all__ = [
+    "BACKEND",
+    "CONTROL",
+    "DISPATCH",
+    "GATE",
+    "PLATFORM",
+    "ROLLOUT",
+    "tcp",
+]
 
 BACKEND = "inproc://backend"
 CONTROL = "inproc://control"
 DISPATCH = "inproc://dispatch"
 GATE = "inproc://gate"
 PLATFORM = "inproc://platform"
+ROLLOUT = "inproc://rollout"
 
 
 def tcp(address: str) -> str:
--- /dev/null
+++ b/apricotpost/node/holders.py
@@ -0,0 +1,256 @@
+"""Lease and commits of a rollout's holder.
+
+Every write is conditional on the configuration version that it is based on
+and on the fencing number of the lease. After a failure nothing is repeated
+as it was: the head is read again and the decision is made anew, so a write
+whose answer was lost either shows in the head or excludes the next one.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+import re
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import model
+from apricotpost.node import rollout_changes
+from apricotpost import platform
+from apricotpost.rollout import steps
+from apricotpost.rollout import watch
+
+__all__ = ["Holder", "act", "leave"]
+
+LOG = logging.getLogger(__name__)
+BACKOFF_MIN_SECONDS = 0.5
+BACKOFF_MAX_SECONDS = 8.0
+# Control reads a committed version at once; if it does not show up in the
+# view after this time, control is asked again.
+CATCH_UP_SECONDS = 3.0
+_DIGITS = re.compile(r"[0-9]+")
+
+
+@dataclasses.dataclass(kw_only=True)
+class Holder:
+    """State of a node as the holder of its service's rollout.
+
+    Parameters
+    ----------
+    name : str
+        Unique to this run of the process.
+    store : apricotpost.platform.Store
+        Owned by the same task.
+    times : Times
+        Settings.
+    clock : callable
+        Returns Unix time in seconds.
+    committed : callable
+        Gets each configuration version that control should read.
+    rng : random.Random
+        Spreads the retries.
+    """
+
+    name: str
+    store: platform.Store
+    times: steps.Times
+    clock: Callable[[], float]
+    committed: Callable[[int], None]
+    rng: random.Random
+    lease: platform.leases.Lease | None = None
+    renewed_at: float = 0.0
+    retry_at: float = 0.0
+    failures: int = 0
+    awaited: int = 0
+    asked_at: float = 0.0
+    held: str = ""
+
+
+def act(holder: Holder, sight: watch.Sight | None) -> None:
+    """Do what the open rollout needs, if this node is to be its holder.
+
+    Parameters
+    ----------
+    holder : Holder
+        Changed in place.
+    sight : Sight, optional
+        The open rollout; without one nothing touches the table but the
+        release of a lease.
+    """
+    if sight is None or not sight.is_first:
+        leave(holder)
+        return
+    if holder.clock() < holder.retry_at:
+        return
+    try:
+        lease = _hold_lease(holder, sight.rollout.service)
+        if _is_behind(holder, sight.snapshot):
+            return
+        decision = _decide(holder, sight)
+        if isinstance(decision, steps.Hold):
+            _log_hold(holder, sight, decision)
+            return
+        _carry_out(holder, sight, lease)
+        holder.failures = 0
+    except errors.LeaseLost as error:
+        _drop_lease(holder, sight, error)
+    except errors.ChangeConflict:
+        # An operator's change came first; the decision is made anew on it.
+        _await(holder, sight.snapshot.version + 1)
+    except errors.ApricotpostError as error:
+        _back_off(holder, sight, error)
+
+
+def leave(holder: Holder) -> None:
+    """Release the lease, if there is one."""
+    lease, holder.lease = holder.lease, None
+    holder.held = ""
+    if lease is None:
+        return
+    try:
+        platform.leases.release(holder.store, lease)
+    except errors.PlatformError as error:
+        # It ends by time.
+        events.emit(
+            LOG, events.LEASE_LOST, service=lease.service, reason=error
+        )
+
+
+def _hold_lease(holder: Holder, service: str) -> platform.leases.Lease:
+    now = holder.clock()
+    lease = holder.lease
+    if lease is not None and lease.service != service:
+        leave(holder)
+        lease = None
+    if lease is None or not platform.leases.is_usable(lease, now=now):
+        holder.lease = None
+        lease = platform.leases.acquire(
+            holder.store, service=service, holder=holder.name, now=now
+        )
+        events.emit(
+            LOG, events.LEASE_TAKEN, service=service, fence=lease.fence
+        )
+        holder.renewed_at, holder.failures = now, 0
+    elif now - holder.renewed_at >= platform.leases.RENEW_SECONDS:
+        lease = platform.leases.renew(holder.store, lease, now=now)
+        holder.renewed_at, holder.failures = now, 0
+    holder.lease = lease
+    return lease
+
+
+def _is_behind(holder: Holder, snapshot: model.Snapshot) -> bool:
+    """Whether the view lacks a version that is known to exist."""
+    if snapshot.version >= holder.awaited:
+        return False
+    if holder.clock() - holder.asked_at >= CATCH_UP_SECONDS:
+        _await(holder, holder.awaited)
+    return True
+
+
+def _await(holder: Holder, version: int) -> None:
+    holder.awaited = version
+    holder.asked_at = holder.clock()
+    holder.committed(version)
+
+
+def _decide(holder: Holder, sight: watch.Sight) -> steps.Decision:
+    return steps.decide(
+        sight.rollout,
+        sight.judgement,
+        sight.facts,
+        holder.clock(),
+        holder.times,
+    )
+
+
+def _carry_out(
+    holder: Holder, sight: watch.Sight, lease: platform.leases.Lease
+) -> None:
+    head = platform.read_head(holder.store)
+    if head > sight.snapshot.version:
+        _await(holder, head)
+        return
+    # The read may have taken long; only the present time counts.
+    decision = _decide(holder, sight)
+    now = holder.clock()
+    if isinstance(decision, steps.Hold):
+        return
+    if not platform.leases.is_usable(lease, now=now):
+        return
+    change = rollout_changes.make_change(
+        sight,
+        decision,
+        holder=holder.name,
+        fence=platform.leases.fence_of(lease),
+        now=now,
+    )
+    version = platform.commit(holder.store, change)
+    _log_commit(sight, decision)
+    holder.held = ""
+    _await(holder, version)
+
+
+def _log_commit(sight: watch.Sight, decision: steps.Decision) -> None:
+    rollout = sight.rollout.identifier
+    if isinstance(decision, steps.Withdraw):
+        events.emit(
+            LOG,
+            events.ROLLOUT_WITHDRAWN,
+            rollout=rollout,
+            reason=decision.reason,
+        )
+    elif isinstance(decision, steps.Finish):
+        events.emit(LOG, events.ROLLOUT_DONE, rollout=rollout)
+    else:
+        share = steps.BAKING_SHARE
+        if isinstance(decision, steps.Advance):
+            share = decision.share
+        events.emit(LOG, events.ROLLOUT_STEP, rollout=rollout, share=share)
+
+
+def _log_hold(
+    holder: Holder, sight: watch.Sight, decision: steps.Hold
+) -> None:
+    """Log a reason once, not each time that a figure in it changes."""
+    kind = _DIGITS.sub("", decision.reason)
+    if kind == holder.held:
+        return
+    holder.held = kind
+    events.emit(
+        LOG,
+        events.ROLLOUT_HELD,
+        rollout=sight.rollout.identifier,
+        reason=decision.reason,
+    )
+
+
+def _drop_lease(
+    holder: Holder, sight: watch.Sight, error: errors.ApricotpostError
+) -> None:
+    if holder.lease is not None:
+        events.emit(
+            LOG,
+            events.LEASE_LOST,
+            service=sight.rollout.service,
+            reason=error,
+        )
+    holder.lease = None
+    holder.retry_at = holder.clock() + platform.leases.RENEW_SECONDS
+
+
+def _back_off(
+    holder: Holder, sight: watch.Sight, error: errors.ApricotpostError
+) -> None:
+    seconds = min(
+        BACKOFF_MIN_SECONDS * 2.0**holder.failures, BACKOFF_MAX_SECONDS
+    )
+    seconds *= 0.5 + holder.rng.random() / 2
+    holder.failures += 1
+    holder.retry_at = holder.clock() + seconds
+    events.emit(
+        LOG,
+        events.ROLLOUT_RETRY,
+        rollout=sight.rollout.identifier,
+        seconds=seconds,
+        error=error,
+    )
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -26,6 +26,7 @@
 from apricotpost.node import gate
 from apricotpost.node import ingress
 from apricotpost.node import platform as platform_task
+from apricotpost.node import rollouts
 from apricotpost.node import views
 from apricotpost import platform
 from apricotpost import settings
@@ -135,18 +136,13 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
-    store = platform.open_store(
-        table_url=options.platform.table_url,
-        object_url=options.platform.object_url,
-        table_name=options.platform.table,
-        bucket=options.platform.bucket,
-        timeout_seconds=options.platform.timeout_seconds,
-    )
     seed = f"{options.instance}-{time.time_ns()}"
     _start(
         node,
         addresses.PLATFORM,
-        lambda: platform_task.run(context=node.context, store=store),
+        lambda: platform_task.run(
+            context=node.context, store=_open_store(options)
+        ),
     )
     _start(
         node,
@@ -179,6 +175,27 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
+    _start(
+        node,
+        addresses.ROLLOUT,
+        lambda: rollouts.run(
+            context=node.context,
+            current=node.current,
+            options=options,
+            store=_open_store(options),
+            rng=random.Random(seed + "-rollout"),
+        ),
+    )
+
+
+def _open_store(options: settings.NodeSettings) -> platform.Store:
+    return platform.open_store(
+        table_url=options.platform.table_url,
+        object_url=options.platform.object_url,
+        table_name=options.platform.table,
+        bucket=options.platform.bucket,
+        timeout_seconds=options.platform.timeout_seconds,
+    )
 
 
 def _start(node: _Node, address: str, target: Callable[[], None]) -> None:
--- a/apricotpost/rollout/steps.py
+++ b/apricotpost/rollout/steps.py
@@ -28,6 +28,8 @@
 BAKING_SHARE = 980
 # A version reaches everyone within 8 s; clocks differ by less than 2 s.
 MARGIN_SECONDS = 10.0
+# The commit of full share may take so long: a lost answer is read back.
+COMMIT_SECONDS = 4.0
 # Evidence older than this is no reason for a step forward.
 FRESH_SECONDS = 5.0
 # With much time left a step still does not wait longer than this.
@@ -144,7 +146,7 @@
 
 def shortest_seconds(times: Times) -> float:
     """Return the least time from the start of a rollout to its end."""
-    return len(SHARES) * times.step_seconds + MARGIN_SECONDS
+    return len(SHARES) * times.step_seconds + MARGIN_SECONDS + COMMIT_SECONDS
 
 
 def count_servers(
@@ -198,7 +200,7 @@
     now: float,
     times: Times,
 ) -> Decision:
-    left = rollout.finish_by - MARGIN_SECONDS - now
+    left = rollout.finish_by - MARGIN_SECONDS - COMMIT_SECONDS - now
     ahead = [share for share in SHARES if share > rollout.share]
     waited = now - rollout.changed_at
     shortest = max(times.step_seconds - waited, 0.0)
--- /dev/null
+++ b/apricotpost/rollout/watch.py
@@ -0,0 +1,182 @@
+"""What a node of a service keeps while a rollout of it is open."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+import xxhash
+
+from apricotpost import model
+from apricotpost.rollout import evidence
+from apricotpost.rollout import plans
+from apricotpost.rollout import steps
+from apricotpost.rollout import verdicts
+
+__all__ = ["Sight", "Watch", "find_first", "look", "receive"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Watch:
+    """Evidence, its evaluation and the ages of backend servers.
+
+    Parameters
+    ----------
+    book : Book
+        Counts received.
+    trial : Trial, optional
+        Evidence about the open rollout.
+    up_since : mapping
+        Version and Unix time since when an instance is up with it.
+    """
+
+    book: evidence.Book = evidence.Book()
+    trial: verdicts.Trial | None = None
+    up_since: Mapping[str, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sight:
+    """An open rollout as this node sees it at one moment.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Configuration in force.
+    rollout : apricotpost.model.Rollout
+        Open rollout of the service.
+    judgement : Judgement
+        Verdict of this node.
+    facts : Facts
+        Backend servers, and a withdrawal by any node.
+    is_first : bool
+        Whether this node is to be the holder.
+    """
+
+    snapshot: model.Snapshot
+    rollout: model.Rollout
+    judgement: verdicts.Judgement
+    facts: steps.Facts
+    is_first: bool
+
+
+def receive(watch: Watch, found: Iterable[model.Evidence]) -> Watch:
+    """Account for a report of a gate."""
+    return dataclasses.replace(watch, book=evidence.receive(watch.book, found))
+
+
+def look(
+    watch: Watch, view: model.View, *, instance: str, now: float
+) -> tuple[Watch, Sight | None]:
+    """Evaluate the evidence since the last look.
+
+    Parameters
+    ----------
+    watch : Watch
+        State before.
+    view : apricotpost.model.View
+        View in force.
+    instance : str
+        Own name; rollouts of other services are none of its business.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    watch : Watch
+        State after.
+    sight : Sight, optional
+        The open rollout of the own service, if there is one.
+    """
+    service = _service_of(view, instance)
+    members = [entry for entry in view.instances if entry.service == service]
+    book, found = evidence.drain(watch.book)
+    names = [entry.instance for entry in members]
+    watch = Watch(
+        book=evidence.forget(book, names),
+        trial=watch.trial,
+        up_since=_note_ages(watch.up_since, members, now),
+    )
+    rollout = plans.find_open(view.snapshot, service) if service else None
+    if rollout is None:
+        return dataclasses.replace(watch, trial=None), None
+    trial = watch.trial
+    if trial is None or trial.rollout != rollout.identifier:
+        trial = verdicts.start(
+            rollout=rollout.identifier,
+            old=rollout.old,
+            new=rollout.new,
+            share=rollout.share,
+            now=now,
+        )
+    trial = verdicts.observe(
+        trial,
+        found,
+        service=service,
+        share=rollout.share,
+        baking=rollout.state is model.RolloutState.BAKING,
+        now=now,
+    )
+    watch = dataclasses.replace(watch, trial=trial)
+    sight = Sight(
+        snapshot=view.snapshot,
+        rollout=rollout,
+        judgement=verdicts.judge(trial),
+        facts=steps.count_servers(
+            rollout,
+            members,
+            {name: since for name, (_, since) in watch.up_since.items()},
+            now,
+            _find_withdrawal(view, rollout),
+        ),
+        is_first=find_first(service, members) == instance,
+    )
+    return watch, sight
+
+
+def find_first(
+    service: str, instances: Iterable[model.InstanceRecord]
+) -> str | None:
+    """Return the live node that is first by rendezvous hash."""
+    live = [
+        entry.instance
+        for entry in instances
+        if entry.service == service and entry.state is model.InstanceState.UP
+    ]
+    return max(
+        live,
+        key=lambda name: xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
+        default=None,
+    )
+
+
+def _service_of(view: model.View, instance: str) -> str:
+    for entry in view.instances:
+        if entry.instance == instance:
+            return entry.service
+    return ""
+
+
+def _note_ages(
+    known: Mapping[str, tuple[str, float]],
+    members: Iterable[model.InstanceRecord],
+    now: float,
+) -> dict[str, tuple[str, float]]:
+    ages: dict[str, tuple[str, float]] = {}
+    for entry in members:
+        if entry.state is not model.InstanceState.UP:
+            continue
+        before = known.get(entry.instance)
+        same = before is not None and before[0] == entry.version
+        ages[entry.instance] = (
+            before if same and before is not None else (entry.version, now)
+        )
+    return ages
+
+
+def _find_withdrawal(view: model.View, rollout: model.Rollout) -> str:
+    for entry in view.withdrawals:
+        if entry.rollout == rollout.identifier:
+            return entry.reason or "withdrawn"
+    return ""
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -12,78 +12,28 @@
 import random
 import typing
 
+import msgspec
+
 from apricotpost import config
 from apricotpost import model
 from apricotpost import rollout as rollouts
 from apricotpost.rollout import evidence
 from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
+from apricotpost.rollout import watch
+from bench import rollout_faults
+
+__all__ = ["Result", "Record", "play"]
 
-__all__ = ["BAD_KINDS", "Case", "GOOD_KINDS", "Result", "make_case", "play"]
+Record = Callable[[dict[str, typing.Any]], None]
 
 SERVICE = "portal"
-OLD, NEW = "v1", "v2"
+OLD, NEW = rollout_faults.OLD, rollout_faults.NEW
 ROUTES = (("search", 0.6), ("record", 0.3), ("export", 0.1))
 STARTED_AT = 1000.0
 # Time for a committed step to reach all callers.
 SPREAD_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Fault:
-    """What is wrong with calls at some moment.
-
-    Parameters
-    ----------
-    failure_rate : float
-        Part of the calls that fail.
-    slow_factor : float
-        Factor on latencies.
-    """
-
-    failure_rate: float = 0.0
-    slow_factor: float = 1.0
-
-
-Faults = Callable[[float, int, str, str], Fault]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Case:
-    """One rollout and how its versions behave.
-
-    Parameters
-    ----------
-    kind : str
-        Name of the kind of badness or noise.
-    bad : bool
-        Whether the new version must be withdrawn.
-    calls_per_second : float
-        Of the whole service.
-    servers : int
-        Of each version.
-    finish_seconds : float
-        Time until ``finish_by``.
-    spread : float
-        Standard deviation of the logarithm of latencies.
-    faults : callable
-        ``(seconds since the start, share, route, version) -> Fault``.
-    """
-
-    kind: str
-    seed: int
-    bad: bool
-    calls_per_second: float
-    servers: int
-    finish_seconds: float
-    median_ms: float
-    spread: float
-    base_failures: float
-    faults: Faults
-    bake_seconds: float = 60.0
-    cold_calls: int = 20
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
     """How a rollout ended and what the new version got until then."""
@@ -105,7 +55,7 @@
 class _Fleet:
     """Counts of all gates and the calls of the second in progress."""
 
-    case: Case
+    case: rollout_faults.Case
     rng: random.Random
     tallies: dict[str, evidence.Tally]
     phases: dict[str, float]
@@ -116,9 +66,7 @@
     fault_at: float | None = None
 
 
-def play(
-    case: Case, record: Callable[[dict[str, typing.Any]], None] | None = None
-) -> Result:
+def play(case: rollout_faults.Case, record: Record | None = None) -> Result:
     """Play a rollout to its end.
 
     Parameters
@@ -128,41 +76,30 @@
     record : callable, optional
         Gets each event of a trace.
     """
-    rng = random.Random(f"{case.kind}-{case.seed}")
-    fleet = _make_fleet(case, rng)
-    snapshot = _first_snapshot(case)
+    fleet = _make_fleet(case, random.Random(f"{case.kind}-{case.seed}"))
+    note = record or (lambda event: None)
     times = steps.Times(bake_seconds=case.bake_seconds)
     instances = _instances(case)
-    up_since = {entry.instance: STARTED_AT - 60 for entry in instances}
-    entry = rollouts.find_open(snapshot, SERVICE)
-    assert entry is not None
-    book = evidence.Book()
-    trial = verdicts.start(
-        rollout=entry.identifier, old=OLD, new=NEW, share=0, now=STARTED_AT
-    )
-    _note(record, kind="start", rollout=_encode(entry), at=STARTED_AT)
+    view = model.View(snapshot=_first_snapshot(case), instances=instances)
+    note({"event": "instances", "instances": msgspec.to_builtins(instances)})
+    note(_configuration(view))
     shares = [(STARTED_AT, 0)]
     full_at = None
+    state = watch.Watch()
     now = STARTED_AT
     while True:
         now += 1.0
-        effective = _effective(shares, now)
-        for report in _second(fleet, now - 1.0 - STARTED_AT, effective):
-            book = evidence.receive(book, report)
-            _note(record, kind="evidence", at=now, evidence=report)
-        book, found = evidence.drain(book)
-        trial = verdicts.observe(
-            trial,
-            found,
-            service=SERVICE,
-            share=entry.share,
-            baking=entry.state is model.RolloutState.BAKING,
-            now=now,
+        share = _effective(shares, now)
+        for report in _second(fleet, now - 1.0 - STARTED_AT, share):
+            state = watch.receive(state, report)
+            note(_evidence(report))
+        state, sight = watch.look(
+            state, view, instance=instances[0].instance, now=now
         )
-        facts = steps.count_servers(entry, instances, up_since, now)
-        _note(record, kind="decide", at=now, facts=dataclasses.asdict(facts))
+        note({"event": "look", "at": now})
+        assert sight is not None
         decision = steps.decide(
-            entry, verdicts.judge(trial), facts, now, times
+            sight.rollout, sight.judgement, sight.facts, now, times
         )
         if isinstance(decision, steps.Withdraw | steps.Finish):
             return _result(fleet, decision, now, full_at)
@@ -173,14 +110,25 @@
             share = decision.share
         else:
             full_at = now
-        snapshot = rollouts.step_rollout(snapshot, entry, share, now)
-        entry = rollouts.find_open(snapshot, SERVICE)
-        assert entry is not None
-        shares.append((now, entry.share))
-        _note(record, kind="committed", rollout=_encode(entry), at=now)
+        snapshot = rollouts.step_rollout(
+            view.snapshot, sight.rollout, share, now
+        )
+        view = dataclasses.replace(view, snapshot=snapshot)
+        shares.append((now, min(share, steps.BAKING_SHARE)))
+        note(_configuration(view))
+
 
+def _configuration(view: model.View) -> dict[str, typing.Any]:
+    snapshot = msgspec.to_builtins(view.snapshot)
+    return {"event": "configuration", "snapshot": snapshot}
 
-def _first_snapshot(case: Case) -> model.Snapshot:
+
+def _evidence(report: tuple[model.Evidence, ...]) -> dict[str, typing.Any]:
+    counts = [dataclasses.astuple(entry) for entry in report]
+    return {"event": "evidence", "counts": counts}
+
+
+def _first_snapshot(case: rollout_faults.Case) -> model.Snapshot:
     versions = (model.VersionShare(version=OLD, share=1000),)
     service = model.Service(name=SERVICE, team="demo", versions=versions)
     first = model.Snapshot(version=1, services=(service,))
@@ -190,7 +138,7 @@
     return config.seal(planned)
 
 
-def _instances(case: Case) -> tuple[model.InstanceRecord, ...]:
+def _instances(case: rollout_faults.Case) -> tuple[model.InstanceRecord, ...]:
     return tuple(
         model.InstanceRecord(
             instance=f"{version}-{number}",
@@ -208,7 +156,7 @@
     )
 
 
-def _make_fleet(case: Case, rng: random.Random) -> _Fleet:
+def _make_fleet(case: rollout_faults.Case, rng: random.Random) -> _Fleet:
     names = [entry.instance for entry in _instances(case)]
     return _Fleet(
         case=case,
@@ -331,118 +279,3 @@
         faulty_calls=fleet.faulty_calls,
         all_calls=fleet.all_calls,
     )
-
-
-def _encode(entry: model.Rollout) -> dict[str, typing.Any]:
-    return dataclasses.asdict(entry)
-
-
-def _note(
-    record: Callable[[dict[str, typing.Any]], None] | None,
-    **event: typing.Any,
-) -> None:
-    if record is not None:
-        record(event)
-
-
-def _healthy(at: float, share: int, route: str, version: str) -> Fault:
-    return Fault()
-
-
-def _only_new(fault: Fault) -> Faults:
-    return lambda at, share, route, version: (
-        fault if version == NEW else Fault()
-    )
-
-
-def _when(
-    condition: Callable[[float, int, str], bool], fault: Fault
-) -> Faults:
-    def faults(at: float, share: int, route: str, version: str) -> Fault:
-        if version == NEW and condition(at, share, route):
-            return fault
-        return Fault()
-
-    return faults
-
-
-def _general(at: float, share: int, route: str, version: str) -> Fault:
-    return Fault(slow_factor=4.0) if 15 <= at < 40 else Fault()
-
-
-def _dependency(at: float, share: int, route: str, version: str) -> Fault:
-    return Fault(failure_rate=0.5) if 20 <= at < 35 else Fault()
-
-
-def _outage(at: float, share: int, route: str, version: str) -> Fault:
-    return Fault(failure_rate=1.0) if 22 <= at < 27 else Fault()
-
-
-def _old_fails(at: float, share: int, route: str, version: str) -> Fault:
-    return Fault(failure_rate=0.2) if version == OLD else Fault()
-
-
-def _little_different(
-    at: float, share: int, route: str, version: str
-) -> Fault:
-    return Fault(slow_factor=1.1) if version == NEW else Fault()
-
-
-def _late(at: float, share: int, route: str) -> bool:
-    return at >= 45.0
-
-
-GOOD_KINDS: dict[str, Faults] = {
-    "good": _healthy,
-    "good-general-slowdown": _general,
-    "good-failing-dependency": _dependency,
-    "good-short-outage": _outage,
-    "good-old-fails": _old_fails,
-    "good-10-percent-slower": _little_different,
-}
-BAD_KINDS: dict[str, Faults] = {
-    "fails-always": _only_new(Fault(failure_rate=1.0)),
-    "fails-20-percent": _only_new(Fault(failure_rate=0.2)),
-    "fails-5-percent": _only_new(Fault(failure_rate=0.05)),
-    "slow-5-times": _only_new(Fault(slow_factor=5.0)),
-    "slow-2-times": _only_new(Fault(slow_factor=2.0)),
-    "fails-on-one-route": _when(
-        lambda at, share, route: route == "export", Fault(failure_rate=0.5)
-    ),
-    "slow-on-one-route": _when(
-        lambda at, share, route: route == "export", Fault(slow_factor=4.0)
-    ),
-    "fails-later": _when(_late, Fault(failure_rate=0.3)),
-    "slow-later": _when(_late, Fault(slow_factor=4.0)),
-    "fails-under-load": _when(
-        lambda at, share, route: share >= 500, Fault(failure_rate=0.3)
-    ),
-    "slow-under-load": _when(
-        lambda at, share, route: share >= 500, Fault(slow_factor=4.0)
-    ),
-    "fails-after-full-share": _when(
-        lambda at, share, route: share >= 980, Fault(failure_rate=0.3)
-    ),
-    "slow-after-full-share": _when(
-        lambda at, share, route: share >= 980, Fault(slow_factor=4.0)
-    ),
-}
-
-
-def make_case(kind: str, seed: int, **changes: typing.Any) -> Case:
-    """Make a case of a kind; the seed draws the service around it."""
-    rng = random.Random(f"case-{kind}-{seed}")
-    bad = kind in BAD_KINDS
-    case = Case(
-        kind=kind,
-        seed=seed,
-        bad=bad,
-        calls_per_second=rng.choice((40.0, 83.0, 200.0)),
-        servers=rng.choice((2, 4)),
-        finish_seconds=rng.choice((120.0, 180.0, 300.0)),
-        median_ms=rng.choice((2.0, 5.0, 12.0, 40.0)),
-        spread=rng.choice((0.1, 0.3, 0.6)),
-        base_failures=rng.choice((0.0, 0.001, 0.01)),
-        faults=BAD_KINDS[kind] if bad else GOOD_KINDS[kind],
-    )
-    return dataclasses.replace(case, **changes)
