Test evidence, verdicts, steps, leases and the holder under failures

Change: tests on the stand-in's tables in process, with lost, late and refused writes, and a property test with two holders.

--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import logging
 import random
@@ -107,13 +108,9 @@
     holder.held = ""
     if lease is None:
         return
-    try:
+    # A lease that cannot be released ends by time.
+    with contextlib.suppress(errors.PlatformError):
         platform.leases.release(holder.store, lease)
-    except errors.PlatformError as error:
-        # It ends by time.
-        events.emit(
-            LOG, events.LEASE_LOST, service=lease.service, reason=error
-        )
 
 
 def _hold_lease(holder: Holder, service: str) -> platform.leases.Lease:
--- /dev/null
+++ b/tests/node/test_holders.py
@@ -0,0 +1,317 @@
+"""Tests of the holder's commits on the stand-in's tables."""
+
+import dataclasses
+import logging
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from apricotpost import config
+from apricotpost import model
+from apricotpost.node import holders
+from apricotpost import platform
+from apricotpost import rollout as rollouts
+from apricotpost.rollout import steps
+from apricotpost.rollout import verdicts
+from apricotpost.rollout import watch
+from standins import platform as standin
+from tests.platform import local
+
+__all__ = ["HolderTest", "PropertyTest"]
+
+STARTED_AT = 1000.0
+FINISH_BY = STARTED_AT + 120.0
+SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
+
+
+def setUpModule():
+    logging.disable(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.disable(logging.NOTSET)
+
+
+class World:
+    """A table, a clock and holders that see it through views."""
+
+    def __init__(self, names=("a", "b")):
+        self.state = standin.State()
+        self.now = STARTED_AT
+        self.pools = {}
+        self.holders = {}
+        self.asked = []
+        for name in names:
+            pool = local.LocalPool(state=self.state)
+            self.pools[name] = pool
+            self.holders[name] = holders.Holder(
+                name=name,
+                store=local.make_store(pool),
+                times=steps.Times(bake_seconds=20.0),
+                clock=lambda: self.now,
+                committed=self.asked.append,
+                rng=random.Random(1),
+            )
+        self.reader = local.make_store(local.LocalPool(state=self.state))
+        self.snapshot = self._commit_first()
+
+    def _commit_first(self):
+        service = model.Service(
+            name="portal",
+            team="t",
+            versions=(model.VersionShare(version="v1", share=1000),),
+        )
+        first = config.seal(model.Snapshot(version=1, services=(service,)))
+        planned = rollouts.plan_rollout(
+            first, "portal", "v2", FINISH_BY, STARTED_AT
+        )
+        second = config.seal(dataclasses.replace(planned, version=2))
+        for before, after in (
+            (model.EMPTY_SNAPSHOT, first),
+            (first, second),
+        ):
+            self.commit(before, after)
+        return second
+
+    def commit(self, before, after):
+        platform.commit(
+            self.reader,
+            platform.Change(
+                before=before,
+                after=after,
+                author="operator",
+                reason="sheet",
+                request=f"operator-{after.version}",
+                at=self.now,
+            ),
+        )
+
+    def read(self):
+        head = platform.read_head(self.reader)
+        return platform.read_snapshot(self.reader, head)
+
+    def rollout(self):
+        return self.read().rollouts[0]
+
+    def good(self):
+        return verdicts.Judgement(calls=50, heard_at=self.now)
+
+    def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
+        snapshot = snapshot or self.read()
+        rollout = rollouts.find_open(snapshot, "portal")
+        sight = None
+        if rollout is not None:
+            sight = watch.Sight(
+                snapshot=snapshot,
+                rollout=rollout,
+                judgement=judgement or self.good(),
+                facts=facts,
+                is_first=True,
+            )
+        holders.act(self.holders[name], sight)
+
+    def outcomes(self):
+        return platform.outcomes.read_outcomes(self.reader)
+
+
+class HolderTest(unittest.TestCase):
+    def setUp(self):
+        self.world = World()
+
+    def play(self, name, seconds, judgement=None):
+        for _ in range(seconds):
+            self.world.now += 1.0
+            self.world.act(name, judgement)
+
+    def test_good_version_is_done_on_time(self):
+        """Guards against a good version that misses finish_by."""
+        seen = []
+        for _ in range(150):
+            self.world.now += 1.0
+            self.world.act("a")
+            rollout = self.world.rollout()
+            if not seen or seen[-1][0] != rollout.share:
+                seen.append((rollout.share, self.world.now))
+        self.assertEqual(
+            [10, 50, 250, 500, 980, 1000], [share for share, _ in seen]
+        )
+        self.assertLessEqual(seen[4][1], FINISH_BY - 10.0)
+        (outcome,) = self.world.outcomes()
+        self.assertEqual("done", outcome.state)
+        (service,) = self.world.read().services
+        self.assertEqual(("v2",), tuple(v.version for v in service.versions))
+
+    def test_paused_holder_changes_nothing(self):
+        """Guards against a step by a holder whose lease was taken."""
+        world = self.world
+        self.play("a", 2)
+        stale = world.read()
+        before = world.rollout().share
+        # The write of the paused holder arrives after the take-over.
+        world.pools["a"].fault = "late"
+        world.now += 20.0
+        world.holders["a"].lease = dataclasses.replace(
+            world.holders["a"].lease, expires_at=world.now + 10.0
+        )
+        world.holders["a"].renewed_at = world.now
+        world.act("a", snapshot=stale)
+        self.assertTrue(world.pools["a"].late)
+        world.act("b", facts=dataclasses.replace(SERVERS, new_servers=0))
+        self.assertEqual(2, world.holders["b"].lease.fence)
+        world.pools["a"].carry_out_late()
+        self.assertEqual(before, world.rollout().share)
+
+    def test_lost_answer_does_not_step_twice(self):
+        """Guards against a second step after a commit that took effect."""
+        self.world.act("a")
+        self.world.pools["a"].fault = "lost"
+        self.play("a", 25)
+        versions = self.world.read().version
+        changes = platform.table.query(self.world.reader.table, pk="audit")
+        self.assertEqual(versions, len(changes))
+        self.assertEqual(50, self.world.rollout().share)
+
+    def test_operators_change_wins_and_the_step_follows(self):
+        """Guards against an operator's change undone by a step."""
+        world = self.world
+        stale = world.read()
+        route = model.Route(
+            name="r",
+            service="portal",
+            prefix="/",
+            methods=("GET",),
+            idempotent=True,
+        )
+        after = dataclasses.replace(stale, version=3, routes=(route,))
+        world.commit(stale, config.seal(after))
+        world.act("a", snapshot=stale)
+        self.assertEqual(0, world.rollout().share)
+        self.assertEqual([3], world.asked)
+        world.act("a")
+        self.assertEqual(10, world.rollout().share)
+        self.assertEqual((route,), world.read().routes)
+
+    def test_withdrawal_becomes_durable_when_the_table_is_back(self):
+        """Guards against a withdrawal forgotten during an outage."""
+        world = self.world
+        self.play("a", 10)
+        bad = verdicts.Judgement(bad="fails", summary="figures")
+        world.pools["a"].fault = "down"
+        self.play("a", 30, bad)
+        self.assertEqual((), world.outcomes())
+        # Back-off: far fewer attempts than seconds.
+        self.assertLess(world.pools["a"].requests, 45)
+        world.pools["a"].fault = ""
+        self.play("a", 10, bad)
+        (outcome,) = world.outcomes()
+        self.assertEqual(("withdrawn", "fails"), _end(outcome))
+        self.assertEqual("figures", outcome.evidence)
+
+    def test_finish_by_passes_while_the_table_is_down(self):
+        """Guards against a step after finish_by when the table is back."""
+        world = self.world
+        self.play("a", 10)
+        world.pools["a"].fault = "down"
+        world.now = FINISH_BY + 1.0
+        world.act("a")
+        world.pools["a"].fault = ""
+        self.play("a", 20)
+        (outcome,) = world.outcomes()
+        self.assertEqual("withdrawn", outcome.state)
+        self.assertIn("finish_by", outcome.reason)
+
+    def test_no_open_rollout_means_no_table_traffic(self):
+        """Guards against table traffic that grows with the fleet."""
+        for _ in range(10):
+            holders.act(self.world.holders["a"], None)
+        self.assertEqual(0, self.world.pools["a"].requests)
+
+
+def _end(outcome):
+    return outcome.state, outcome.reason
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("a", "b")),
+        strategies.sampled_from(("", "", "", "down", "lost", "unsent")),
+        strategies.sampled_from(
+            ("good", "good", "good", "stale", "few", "bad")
+        ),
+        strategies.sampled_from((0.3, 1.0, 4.0, 12.0)),
+        strategies.booleans(),
+    ),
+    min_size=10,
+    max_size=60,
+)
+
+
+class PropertyTest(unittest.TestCase):
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=100, database=None
+    )
+    @hypothesis.given(EVENTS)
+    def test_rules_hold_under_failures(self, events):
+        """Guards against breaks of sections 8 and 12 under failures.
+
+        Two nodes believe to be the holder, with old views, lost answers,
+        outages, pauses and evidence of every kind.
+        """
+        world = World()
+        old = world.read()
+        for name, fault, kind, seconds, lagging in events:
+            world.now += seconds
+            world.pools[name].fault = fault
+            judgement = _judgement(kind, world)
+            before = world.read()
+            world.act(name, judgement, snapshot=old if lagging else None)
+            after = world.read()
+            _check(self, world, before, after, kind)
+            if not lagging:
+                old = after
+
+
+def _judgement(kind, world):
+    return {
+        "good": world.good(),
+        "stale": verdicts.Judgement(calls=50, heard_at=world.now - 6.0),
+        "few": verdicts.Judgement(
+            calls=3, doubt="3 calls of v2", heard_at=world.now
+        ),
+        "bad": verdicts.Judgement(bad="fails", heard_at=world.now),
+    }[kind]
+
+
+def _check(test, world, before, after, kind):
+    old, new = before.rollouts[0], after.rollouts[0]
+    test.assertLessEqual(after.version, before.version + 1)
+    if old.state in (model.RolloutState.DONE, model.RolloutState.WITHDRAWN):
+        test.assertEqual(before, after)
+        test.assertEqual(1, len(world.outcomes()))
+        return
+    if new.share > old.share:
+        test.assertTrue(kind == "good" or old.share == 0, "no evidence")
+        test.assertIn((old.share, new.share), _STEPS)
+        if old.share:
+            gap = new.changed_at - old.changed_at
+            test.assertGreaterEqual(gap, 5.0)
+    if new.state is model.RolloutState.BAKING and new != old:
+        test.assertLessEqual(world.now, FINISH_BY - 10.0)
+    if new.state is model.RolloutState.WITHDRAWN:
+        test.assertEqual(0, new.share)
+        test.assertEqual(
+            (model.VersionShare(version="v1", share=1000),),
+            after.services[0].versions,
+        )
+
+
+_STEPS = (
+    (0, 10),
+    (10, 50),
+    (50, 250),
+    (250, 500),
+    (500, 980),
+    (980, 1000),
+)
--- /dev/null
+++ b/tests/platform/local.py
@@ -0,0 +1,98 @@
+"""Stores on the stand-in's tables in this process, with faults."""
+
+import dataclasses
+import typing
+
+import urllib3
+
+from apricotpost import platform
+from apricotpost.platform import http
+from apricotpost.platform import objects
+from apricotpost.platform import table
+from standins import platform as standin
+
+__all__ = ["LocalPool", "make_store"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Response:
+    status: int
+    data: bytes
+
+
+@dataclasses.dataclass(kw_only=True)
+class LocalPool:
+    """Takes the place of the connection pool.
+
+    Parameters
+    ----------
+    state : standins.platform.State
+        Shared by all stores of a test.
+    fault : str
+        Applies to writes, and "down" to everything: "down" refuses,
+        "lost" carries the write out and loses the answer, "unsent" loses
+        the request, "late" keeps it for `carry_out_late`.
+    """
+
+    state: standin.State
+    fault: str = ""
+    requests: int = 0
+    late: list[tuple[str, bytes]] = dataclasses.field(default_factory=list)
+
+    def request(
+        self,
+        method: str,
+        url: str,
+        *,
+        body: bytes | None,
+        headers: dict[str, str],
+        **_: typing.Any,
+    ) -> _Response:
+        """Carry out one request or fail in the way that is set."""
+        self.requests += 1
+        if self.fault == "down":
+            raise urllib3.exceptions.ConnectTimeoutError("down")
+        operation = headers.get("X-Amz-Target", "")
+        write = operation.endswith("TransactWriteItems")
+        if write and self.fault == "late":
+            self.late.append((operation, body or b""))
+        if write and self.fault in ("late", "unsent"):
+            raise urllib3.exceptions.ReadTimeoutError(None, url, "no answer")
+        status, answer = _carry_out(self.state, method, url, operation, body)
+        if write and self.fault == "lost":
+            raise urllib3.exceptions.ProtocolError("connection reset")
+        return _Response(status=int(status[:3]), data=answer)
+
+    def carry_out_late(self) -> None:
+        """Carry out the writes that were delayed."""
+        for operation, body in self.late:
+            _carry_out(self.state, "POST", "/", operation, body)
+        self.late.clear()
+
+    def clear(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+def make_store(pool: LocalPool) -> platform.Store:
+    """Make a store on a pool."""
+    channel = http.Channel(
+        pool=typing.cast(urllib3.PoolManager, pool), timeout_seconds=1.0
+    )
+    return platform.Store(
+        channel=channel,
+        table=table.Table(channel=channel, url="/", name="apricotpost"),
+        objects=objects.ObjectStore(channel=channel, url="", bucket="b"),
+    )
+
+
+def _carry_out(
+    state: standin.State,
+    method: str,
+    url: str,
+    operation: str,
+    body: bytes | None,
+) -> tuple[str, bytes]:
+    environ = {"PATH_INFO": url, "REQUEST_METHOD": method}
+    if operation:
+        environ["HTTP_X_AMZ_TARGET"] = operation
+    return standin._handle(state, environ, body or b"")
--- /dev/null
+++ b/tests/rollout/test_evidence.py
@@ -0,0 +1,101 @@
+"""Tests of counting calls and of merging counts."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from apricotpost import model
+from apricotpost.rollout import evidence
+
+__all__ = ["ClassifyTest", "ReceiveTest"]
+
+KEY = ("portal", "v2", "search")
+
+
+def make_report(calls, epoch=1, failures=0, instance="i1"):
+    """Return a report of cumulative counts."""
+    return (
+        model.Evidence(
+            instance=instance,
+            service="portal",
+            version="v2",
+            route="search",
+            epoch=epoch,
+            calls=calls,
+            failures=failures,
+            latency_counts=(0, calls - failures),
+        ),
+    )
+
+
+class ClassifyTest(unittest.TestCase):
+    def check(self, kind, **fields):
+        finished = evidence.Finished(**fields)
+        self.assertIs(kind, evidence.classify(finished))
+
+    def test_callers_faults_and_shedding_count_as_neither(self):
+        """Guards against a good version blamed for its callers or load."""
+        neither = evidence.CallKind.NEITHER
+        self.check(neither, answered=True, status=404)
+        self.check(neither, answered=True, status=503)
+        self.check(neither, answered=True, status=503, alone=True, cold=True)
+        self.check(neither, answered=False, expired=True)
+        self.check(neither, answered=False, timed_out=True, granted_share=0.1)
+
+    def test_failures_of_the_version_count(self):
+        """Guards against a bad version whose failures are not seen."""
+        failure = evidence.CallKind.FAILURE
+        self.check(failure, answered=True, status=500)
+        self.check(failure, answered=True, status=503, alone=True)
+        self.check(failure, answered=False)
+        self.check(failure, answered=False, timed_out=True)
+
+    def test_cold_header_does_not_hide_slowness_for_ever(self):
+        """Guards against a slow version that always calls itself cold."""
+        tally = evidence.Tally()
+        finished = evidence.Finished(
+            answered=True, status=200, cold=True, duration_ms=50.0
+        )
+        for _ in range(evidence.MAX_COLD_CALLS + 3):
+            tally = evidence.count(tally, KEY, finished)
+        self.assertEqual(3, sum(tally.counts[KEY].latencies))
+
+
+class ReceiveTest(unittest.TestCase):
+    def test_restart_counts_from_zero(self):
+        """Guards against negative counts after a node's restart."""
+        book = evidence.Book()
+        for report in (
+            make_report(100),
+            make_report(110, failures=1),
+            make_report(5, epoch=2),
+        ):
+            book = evidence.receive(book, report)
+        self.assertEqual(15, book.fresh[KEY].calls)
+        self.assertEqual(1, book.fresh[KEY].failures)
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 30), min_size=1),
+        strategies.randoms(use_true_random=False),
+    )
+    def test_repeated_and_late_reports_change_nothing(self, increments, rng):
+        """Guards against evidence that is counted twice or out of order."""
+        totals = [7]
+        for increment in increments:
+            totals.append(totals[-1] + increment)
+        reports = [make_report(total) for total in totals]
+        disturbed = [reports[0]]
+        for index, report in enumerate(reports):
+            disturbed.append(report)
+            disturbed.append(reports[rng.randrange(index + 1)])
+        book = evidence.Book()
+        counted = 0
+        for report in disturbed:
+            book = evidence.receive(book, report)
+            if rng.random() < 0.5:
+                book, found = evidence.drain(book)
+                counted += sum(counts.calls for counts in found.values())
+        counted += sum(counts.calls for counts in book.fresh.values())
+        self.assertEqual(sum(increments), counted)
