--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/verdicts.py
@@ -18,7 +18,10 @@
 
 # Calls of the new version that a step forward needs.
 MIN_CALLS = 20
-# A step forward waits while the evidence is above this level (1 in 20).
+# A step forward waits while the evidence favours "worse" at all: shares of
+# about one half tell most, and the full share tells least.
+DOUBT = 0.0
+# A version above this level (1 in 20) at the end of the bake is withdrawn.
 SUSPICION = 3.0
 # A busier second is remembered for some ten seconds.
 BUSY_MEMORY = 0.9
@@ -182,8 +185,8 @@
     suspect = False
     for name, entry in _all_trials(trial):
         worst = max(route_trials.levels(entry).values())
-        if worst >= SUSPICION:
-            suspect = True
+        suspect = suspect or worst >= SUSPICION
+        if worst >= DOUBT:
             doubt = f"{name} may be worse (level {worst:.1f})"
         elif route_trials.is_missing(entry):
             doubt = (
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -33,6 +33,9 @@
 # Time for a committed step to reach all callers.
 SPREAD_SECONDS = 1.0
 
+# Full share counts as on time so long before finish_by.
+ON_TIME_SECONDS = 10.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
@@ -45,6 +48,7 @@
     reason: str
     seconds: float
     full_at: float | None
+    on_time: bool
     fault_at: float | None
     new_calls: int
     faulty_calls: int
@@ -274,6 +278,8 @@
         reason=decision.reason if withdrawn else "",
         seconds=now - STARTED_AT,
         full_at=None if full_at is None else full_at - STARTED_AT,
+        on_time=full_at is not None
+        and full_at <= STARTED_AT + case.finish_seconds - ON_TIME_SECONDS,
         fault_at=fleet.fault_at,
         new_calls=fleet.new_calls,
         faulty_calls=fleet.faulty_calls,
