Hand the committed delta to control

Cause: a step should spread even when the table goes out just after it. Change: the holder sends ConfigCommitted with its delta.

--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -13,6 +13,7 @@
 import random
 import re
 
+from apricotpost import config
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import model
@@ -47,7 +48,8 @@
     clock : callable
         Returns Unix time in seconds.
     committed : callable
-        Gets each configuration version that control should read.
+        Gets each configuration version that control should read, and its
+        delta if this node committed it.
     rng : random.Random
         Spreads the retries.
     """
@@ -56,7 +58,7 @@
     store: platform.Store
     times: steps.Times
     clock: Callable[[], float]
-    committed: Callable[[int], None]
+    committed: Callable[[int, model.Delta | None], None]
     rng: random.Random
     lease: platform.leases.Lease | None = None
     renewed_at: float = 0.0
@@ -144,10 +146,12 @@
     return True
 
 
-def _await(holder: Holder, version: int) -> None:
+def _await(
+    holder: Holder, version: int, delta: model.Delta | None = None
+) -> None:
     holder.awaited = version
     holder.asked_at = holder.clock()
-    holder.committed(version)
+    holder.committed(version, delta)
 
 
 def _decide(holder: Holder, sight: watch.Sight) -> steps.Decision:
@@ -184,7 +188,7 @@
     version = platform.commit(holder.store, change)
     _log_commit(sight, decision)
     holder.held = ""
-    _await(holder, version)
+    _await(holder, version, config.compute_delta(change.before, change.after))
 
 
 def _log_commit(sight: watch.Sight, decision: steps.Decision) -> None:
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -80,7 +80,9 @@
                 bake_seconds=options.times.bake_seconds,
             ),
             clock=time.time,
-            committed=lambda version: _tell_committed(control, version),
+            committed=lambda version, delta: _tell_committed(
+                control, version, delta
+            ),
             rng=rng,
         )
         task = _Task(
@@ -95,8 +97,11 @@
         holders.leave(holder)
 
 
-def _tell_committed(control: wire.sockets.Socket, version: int) -> None:
-    wire.sockets.send(control, wire.ConfigCommitted(version=version))
+def _tell_committed(
+    control: wire.sockets.Socket, version: int, delta: model.Delta | None
+) -> None:
+    message = wire.ConfigCommitted(version=version, delta=delta)
+    wire.sockets.send(control, message)
 
 
 def _turn(task: _Task) -> bool:
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -161,9 +161,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigCommitted:
-    """An administration thread committed a version at this node."""
+    """A version was committed at this node.
+
+    With its ``delta`` it spreads even when the table goes out at once.
+    """
 
     version: int
+    delta: model.Delta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -51,7 +51,7 @@
                 store=local.make_store(pool),
                 times=steps.Times(bake_seconds=20.0),
                 clock=lambda: self.now,
-                committed=self.asked.append,
+                committed=lambda version, _: self.asked.append(version),
                 rng=random.Random(1),
             )
         self.reader = local.make_store(local.LocalPool(state=self.state))
