--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -12,19 +12,35 @@
     "DeltaBaseMissing",
     "LeaseLost",
     "MalformedMessage",
+    "NodeRefused",
     "NodeUnreachable",
+    "PlatformDataDamaged",
     "PlatformError",
     "PlatformOutcomeUnknown",
+    "PlatformThrottled",
     "PlatformUnavailable",
     "PortOccupied",
     "RequestInvalid",
     "RolloutRefused",
+    "ResourceUnknown",
     "SettingsInvalid",
     "SheetInvalid",
     "TransactionRejected",
 ]
 
 
+# Exit code of a command for the status of the node's answer.
+_EXIT_CODES = {
+    400: 2,
+    404: 2,
+    422: 2,
+    401: 3,
+    403: 3,
+    409: 3,
+    503: 4,
+}
+
+
 class ApricotpostError(Exception):
     """Base of all errors of this package.
 
@@ -115,8 +131,20 @@
     code = "AP402"
 
 
+class PlatformThrottled(PlatformUnavailable):
+    """The table is over its rate or busy with the same item."""
+
+    code = "AP405"
+
+
+class PlatformDataDamaged(PlatformError):
+    """A record or an object of the platform cannot be used as it is."""
+
+    code = "AP406"
+
+
 class TransactionRejected(PlatformError):
-    """A condition of a table transaction did not hold."""
+    """A condition of a write to the table did not hold."""
 
     code = "AP403"
     status = 409
@@ -168,6 +196,18 @@
     status = 409
 
 
+class NodeRefused(ApricotpostError):
+    """A node answered with an error, whose code and status it keeps."""
+
+    def __init__(
+        self, message: str, *, code: str, status: int, faults: Iterable[str]
+    ) -> None:
+        super().__init__(message, faults=faults)
+        self.code = code
+        self.status = status
+        self.exit_code = _EXIT_CODES.get(status, 1)
+
+
 class NodeUnreachable(ApricotpostError):
     """No node answered on the administration interface."""
 
@@ -181,3 +221,11 @@
     code = "AP601"
     exit_code = 3
     status = 409
+
+
+class ResourceUnknown(ApricotpostError):
+    """An administration request names something that does not exist."""
+
+    code = "AP507"
+    exit_code = 2
+    status = 404
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -62,6 +62,32 @@
 )
 PLATFORM_LOST = _event(210, logging.WARNING, "table not reachable: %(error)s")
 PLATFORM_BACK = _event(211, logging.INFO, "table reachable again")
+CONFIG_STOPPED = _event(
+    203,
+    logging.ERROR,
+    "configuration %(version)s spreads no further, refused by %(refusers)s",
+)
+WITHDRAWAL_NOTED = _event(
+    204,
+    logging.WARNING,
+    "version %(version)s of %(service)s is withdrawn: %(reason)s",
+)
+SNAPSHOT_DAMAGED = _event(
+    212,
+    logging.ERROR,
+    "stored snapshot not usable, reading all deltas instead: %(error)s",
+)
+# Keyed calls: 220 to 229.
+OUTCOME_NOT_STORED = _event(
+    220,
+    logging.ERROR,
+    "record of key %(key)s on route %(route)s stays as it is: %(error)s",
+)
+OUTCOME_UNREADABLE = _event(
+    221,
+    logging.ERROR,
+    "outcome of key %(key)s on route %(route)s not readable: %(error)s",
+)
 # Messages between nodes: 300 to 399.
 MESSAGE_MALFORMED = _event(
     300, logging.WARNING, "malformed message dropped: %(error)s"
@@ -69,6 +95,36 @@
 INSTANCE_STATE = _event(
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
+CONTROL_COUNTERS = _event(320, logging.DEBUG, "control counters %(counters)s")
+# Administration: 500 to 599.
+ADMIN_REFUSED = _event(
+    500,
+    logging.WARNING,
+    "administration request %(method)s %(path)s refused: "
+    "%(code)s %(message)s",
+)
+ADMIN_FAILED = _event(
+    501,
+    logging.ERROR,
+    "administration request %(path)s failed: %(error)s",
+)
+MOVE_DONE = _event(
+    510,
+    logging.INFO,
+    "data centre move %(move)s done after %(seconds).1f s",
+)
+MOVE_LATE = _event(
+    511,
+    logging.WARNING,
+    "data centre move %(move)s done after %(seconds).1f s, later than its "
+    "finish_by",
+)
+MOVE_OVERDUE = _event(
+    512,
+    logging.ERROR,
+    "data centre move %(move)s is past its finish_by; outstanding: "
+    "%(outstanding)s",
+)
 
 # Rollouts: 400 to 499.
 ROLLOUT_STARTED = _event(
--- a/apricotpost/node/addresses.py
+++ b/apricotpost/node/addresses.py
@@ -7,6 +7,10 @@
     "GATE",
     "PLATFORM",
     "ROLLOUT",
+    "LEVELS",
+    "MEASUREMENTS",
+    "MOVES",
+    "PLATFORM",
     "tcp",
 ]
 
@@ -14,6 +18,9 @@
 CONTROL = "inproc://control"
 DISPATCH = "inproc://dispatch"
 GATE = "inproc://gate"
+LEVELS = "inproc://levels"
+MEASUREMENTS = "inproc://measurements"
+MOVES = "inproc://moves"
 PLATFORM = "inproc://platform"
 ROLLOUT = "inproc://rollout"
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -16,19 +16,23 @@
 
 from cheroot import wsgi
 
+from apricotpost import admin
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import admin as admin_glue
 from apricotpost.node import announcements
 from apricotpost.node import control
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
+from apricotpost.node import keyed_calls
+from apricotpost.node import moves
 from apricotpost.node import platform as platform_task
 from apricotpost.node import rollouts
+from apricotpost.node import stores
 from apricotpost.node import views
-from apricotpost import platform
 from apricotpost import settings
 from apricotpost import wire
 
@@ -136,13 +140,12 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
+    store = stores.open_store(options.platform)
     seed = f"{options.instance}-{time.time_ns()}"
     _start(
         node,
         addresses.PLATFORM,
-        lambda: platform_task.run(
-            context=node.context, store=_open_store(options)
-        ),
+        lambda: platform_task.run(context=node.context, store=store),
     )
     _start(
         node,
@@ -182,19 +185,19 @@
             context=node.context,
             current=node.current,
             options=options,
-            store=_open_store(options),
+            store=stores.open_store(options.platform),
             rng=random.Random(seed + "-rollout"),
         ),
     )
-
-
-def _open_store(options: settings.NodeSettings) -> platform.Store:
-    return platform.open_store(
-        table_url=options.platform.table_url,
-        object_url=options.platform.object_url,
-        table_name=options.platform.table,
-        bucket=options.platform.bucket,
-        timeout_seconds=options.platform.timeout_seconds,
+    _start(
+        node,
+        addresses.MOVES,
+        lambda: moves.run(
+            context=node.context,
+            current=node.current,
+            instance=options.instance,
+            store=stores.open_store(options.platform),
+        ),
     )
 
 
@@ -223,17 +226,25 @@
 
 def _start_servers(node: _Node) -> list[ingress.Ingress]:
     options = node.options
+    threads = min(options.ingress_threads, options.local_threads)
+    keyed = keyed_calls.KeyedCalls(
+        open_store=lambda: stores.open_store(options.platform),
+        table_slots=threading.BoundedSemaphore(max(threads // 2, 1)),
+    )
+    node.stack.callback(keyed_calls.close, keyed)
     outside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-o",
         trusted=False,
+        keyed=keyed,
     )
     inside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-l",
         trusted=True,
+        keyed=keyed,
     )
     _serve(
         node,
@@ -247,6 +258,16 @@
         announcements.make_app(node.context, ingress.make_app(inside)),
         options.local_threads,
     )
+    _serve(
+        node,
+        options.addresses.admin,
+        admin.make_app(
+            admin_glue.make_admin(
+                context=node.context, current=node.current, options=options
+            )
+        ),
+        admin_glue.THREADS,
+    )
     return [outside, inside]
 
 
@@ -280,6 +301,9 @@
     events.emit(LOG, events.DRAIN_STARTED)
     for server in servers:
         server.draining = True
+    socket = wire.sockets.connect_dealer(node.context, addresses.CONTROL)
+    wire.sockets.send(socket, wire.LeaveAnnounced())
+    socket.close()
     socket = wire.sockets.connect_dealer(node.context, addresses.GATE)
     notice = node.options.times.leave_notice_seconds
     wire.sockets.send(
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -40,13 +40,14 @@
     before, rollout = sight.snapshot, sight.rollout
     extra: tuple[platform.table.Write, ...] = ()
     reason = _describe(rollout, decision)
+    author = f"rollout at {holder}"
     if isinstance(decision, steps.Finish | steps.Withdraw):
         done = isinstance(decision, steps.Finish)
         text = "" if isinstance(decision, steps.Finish) else decision.reason
         after = rollouts.end_rollout(
             before, rollout, done=done, reason=text, now=now
         )
-        extra = (_outcome_write(sight, after),)
+        extra = (_outcome_write(sight, after, author),)
     else:
         share = model.TOTAL_SHARE
         if isinstance(decision, steps.Advance):
@@ -58,7 +59,7 @@
     return platform.Change(
         before=before,
         after=after,
-        author=f"rollout at {holder}",
+        author=author,
         reason=reason,
         request=xxhash.xxh128_hexdigest(request.encode()),
         at=now,
@@ -68,7 +69,7 @@
 
 
 def _outcome_write(
-    sight: watch.Sight, after: model.Snapshot
+    sight: watch.Sight, after: model.Snapshot, author: str
 ) -> platform.table.Put:
     ended = next(
         entry
@@ -76,7 +77,10 @@
         if entry.identifier == sight.rollout.identifier
     )
     return platform.outcomes.outcome_write(
-        sight.rollout, ended, evidence=sight.judgement.summary
+        sight.rollout,
+        ended,
+        evidence=sight.judgement.summary,
+        author=author,
     )
 
 
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -35,7 +35,7 @@
     commands: wire.sockets.Socket
     control: wire.sockets.Socket
     holder: holders.Holder
-    watch: watch.Watch = watch.Watch()
+    seen: watch.Watch = watch.Watch()
     looked_at: float = 0.0
     observed: str = ""
     reported_bad: str = ""
@@ -128,14 +128,14 @@
         if isinstance(message, wire.StopTask):
             return False
         if isinstance(message, wire.EvidenceReport):
-            task.watch = watch.receive(task.watch, message.evidence)
+            task.seen = watch.receive(task.seen, message.evidence)
 
 
 def _look(task: _Task) -> None:
     """Judge first: a withdrawal must not wait for the table."""
     now = time.time()
-    task.watch, sight = watch.look(
-        task.watch, task.current.view, instance=task.instance, now=now
+    task.seen, sight = watch.look(
+        task.seen, task.current.view, instance=task.instance, now=now
     )
     if sight is not None:
         _log_start(task, sight.rollout)
--- a/apricotpost/platform/leases.py
+++ b/apricotpost/platform/leases.py
@@ -19,6 +19,7 @@
 import xxhash
 
 from apricotpost import errors
+from apricotpost.platform import changes
 from apricotpost.platform import store as stores
 from apricotpost.platform import table
 
@@ -133,9 +134,9 @@
     return now < lease.expires_at - MARGIN_SECONDS
 
 
-def fence_of(lease: Lease) -> stores.Fence:
+def fence_of(lease: Lease) -> changes.Fence:
     """Return the proof that changes of the holder carry."""
-    return stores.Fence(
+    return changes.Fence(
         key=_key(lease.service), holder=lease.holder, number=lease.fence
     )
 
--- a/apricotpost/rollout/plans.py
+++ b/apricotpost/rollout/plans.py
@@ -67,14 +67,15 @@
             f"service {service}: {len(carrying)} versions carry calls, "
             "expected 1"
         )
-    earliest = now + steps.shortest_seconds(steps.Times())
-    if finish_by < earliest:
+    if finish_by <= now + steps.MARGIN_SECONDS:
+        # The settings' step time decides how much more is needed.
         raise errors.RolloutRefused(
             f"service {service}: finish_by is {finish_by - now:.0f} s ahead, "
-            f"a rollout takes at least {earliest - now:.0f} s"
+            f"full share is due {steps.MARGIN_SECONDS:.0f} s before it"
         )
     rollout = model.Rollout(
-        identifier=f"{service}-{version}-{int(now * 1000)}",
+        # Sorts by configuration version in the history.
+        identifier=f"{snapshot.version + 1:012d}-{service}",
         service=service,
         old=carrying[0],
         new=version,
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -1,8 +1,10 @@
 """Settings in JSON with comments."""
 
+from apricotpost.settings.loader import find_faults
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import CredentialSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
 from apricotpost.settings.schema import NodeSettings
@@ -12,12 +14,14 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
     "PlatformSettings",
     "TimeSettings",
     "TokenSettings",
+    "find_faults",
     "load",
     "parse",
 ]
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -17,6 +17,7 @@
     "GateControl",
     "GateReport",
     "KINDS",
+    "LeaveAnnounced",
     "Outcome",
     "ReadConfig",
     "StatusReply",
@@ -170,6 +171,11 @@
     delta: model.Delta | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaveAnnounced:
+    """The node is about to drain and tells its peers."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StatusRequest:
     """Asks control for its state."""
@@ -210,4 +216,5 @@
     111: StatusReply,
     112: StopTask,
     113: BackendJob,
+    114: LeaveAnnounced,
 }
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -113,7 +113,7 @@
         holders.act(self.holders[name], sight)
 
     def outcomes(self):
-        return platform.outcomes.read_outcomes(self.reader)
+        return platform.table.query(self.reader.table, pk="outcome")
 
 
 class HolderTest(unittest.TestCase):
@@ -139,7 +139,7 @@
         )
         self.assertLessEqual(seen[4][1], FINISH_BY - 10.0)
         (outcome,) = self.world.outcomes()
-        self.assertEqual("done", outcome.state)
+        self.assertEqual("done", outcome.attributes["result"])
         (service,) = self.world.read().services
         self.assertEqual(("v2",), tuple(v.version for v in service.versions))
 
@@ -207,7 +207,7 @@
         self.play("a", 10, bad)
         (outcome,) = world.outcomes()
         self.assertEqual(("withdrawn", "fails"), _end(outcome))
-        self.assertEqual("figures", outcome.evidence)
+        self.assertEqual("figures", outcome.attributes["evidence"])
 
     def test_finish_by_passes_while_the_table_is_down(self):
         """Guards against a step after finish_by when the table is back."""
@@ -219,8 +219,8 @@
         world.pools["a"].fault = ""
         self.play("a", 20)
         (outcome,) = world.outcomes()
-        self.assertEqual("withdrawn", outcome.state)
-        self.assertIn("finish_by", outcome.reason)
+        self.assertEqual("withdrawn", outcome.attributes["result"])
+        self.assertIn("finish_by", outcome.attributes["reason"])
 
     def test_no_open_rollout_means_no_table_traffic(self):
         """Guards against table traffic that grows with the fleet."""
@@ -230,7 +230,7 @@
 
 
 def _end(outcome):
-    return outcome.state, outcome.reason
+    return outcome.attributes["result"], outcome.attributes["reason"]
 
 
 EVENTS = strategies.lists(
--- a/tests/platform/local.py
+++ b/tests/platform/local.py
@@ -1,6 +1,7 @@
 """Stores on the stand-in's tables in this process, with faults."""
 
 import dataclasses
+import io
 import typing
 
 import urllib3
@@ -17,7 +18,15 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Response:
     status: int
-    data: bytes
+    body: io.BytesIO
+    headers: dict[str, str]
+
+    def read1(self, size: int) -> bytes:
+        """Read a part of the body."""
+        return self.body.read(size)
+
+    def release_conn(self) -> None:
+        """Do nothing; there is no connection."""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -61,7 +70,11 @@
         status, answer = _carry_out(self.state, method, url, operation, body)
         if write and self.fault == "lost":
             raise urllib3.exceptions.ProtocolError("connection reset")
-        return _Response(status=int(status[:3]), data=answer)
+        return _Response(
+            status=int(status[:3]),
+            body=io.BytesIO(answer),
+            headers={"Content-Length": str(len(answer))},
+        )
 
     def carry_out_late(self) -> None:
         """Carry out the writes that were delayed."""
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -129,7 +129,7 @@
         for snapshot, service, version, finish_by, reason in (
             (first, "other", "v2", 2000.0, "does not exist"),
             (first, "portal", "v1", 2000.0, "already in force"),
-            (first, "portal", "v2", 1020.0, "takes at least"),
+            (first, "portal", "v2", 1009.0, "full share is due"),
             (second, "portal", "v3", 2000.0, "still running"),
         ):
             with self.subTest(reason):
