--- a/apricotpost/admin/changes.py
+++ b/apricotpost/admin/changes.py
@@ -11,11 +11,10 @@
 from apricotpost import config
 from apricotpost import errors
 from apricotpost import model
+from apricotpost import rollout as rollouts
 
-__all__ = ["apply_change", "plan_rollout"]
+__all__ = ["apply_change"]
 
-# Share of the new version when a rollout starts, in thousandths.
-FIRST_SHARE = 10
 _ACTIVE = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
 
 
@@ -69,58 +68,6 @@
     return _seal(snapshot, applied)
 
 
-def plan_rollout(
-    snapshot: model.Snapshot,
-    service: str,
-    version: str,
-    finish_by: float,
-    now: float,
-) -> model.Snapshot:
-    """Start a rollout of a service to a version.
-
-    Parameters
-    ----------
-    snapshot : apricotpost.model.Snapshot
-        Configuration in force.
-    service, version : str
-        What to move, and to where.
-    finish_by, now : float
-        Unix time in seconds.
-
-    Returns
-    -------
-    apricotpost.model.Snapshot
-        With the rollout; not sealed.
-    """
-    entry = next(each for each in snapshot.services if each.name == service)
-    old = max(entry.versions, key=lambda share: share.share).version
-    rollout = model.Rollout(
-        identifier=f"{snapshot.version + 1:012d}-{service}",
-        service=service,
-        old=old,
-        new=version,
-        state=model.RolloutState.RUNNING,
-        share=FIRST_SHARE,
-        started_at=now,
-        finish_by=finish_by,
-        changed_at=now,
-    )
-    shares = (
-        model.VersionShare(version=old, share=model.TOTAL_SHARE - FIRST_SHARE),
-        model.VersionShare(version=version, share=FIRST_SHARE),
-    )
-    kept = [each for each in snapshot.rollouts if each.service != service]
-    return dataclasses.replace(
-        snapshot,
-        services=_put(
-            snapshot.services, dataclasses.replace(entry, versions=shares)
-        ),
-        rollouts=tuple(
-            sorted([*kept, rollout], key=lambda each: each.identifier)
-        ),
-    )
-
-
 def _apply_sheet(
     snapshot: model.Snapshot,
     request: requests.SheetChange,
@@ -136,7 +83,7 @@
     moves: list[requests.DataCentreMove] = []
     for move in checked.moves:
         if isinstance(move, requests.VersionMove):
-            after = plan_rollout(
+            after = rollouts.plan_rollout(
                 after, move.service, move.version, move.finish_by, now
             )
             changed.append(f"service {move.service} to {move.version}")
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -21,6 +21,7 @@
     "PlatformUnavailable",
     "PortOccupied",
     "RequestInvalid",
+    "RolloutRefused",
     "ResourceUnknown",
     "SettingsInvalid",
     "SheetInvalid",
@@ -214,6 +215,14 @@
     exit_code = 4
 
 
+class RolloutRefused(ApricotpostError):
+    """A rollout cannot be started; the message says why."""
+
+    code = "AP601"
+    exit_code = 3
+    status = 409
+
+
 class ResourceUnknown(ApricotpostError):
     """An administration request names something that does not exist."""
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -31,6 +31,7 @@
 from apricotpost.node import levels
 from apricotpost.node import moves
 from apricotpost.node import platform as platform_task
+from apricotpost.node import rollouts
 from apricotpost.node import stores
 from apricotpost.node import views
 from apricotpost import settings
@@ -165,6 +166,7 @@
             current=node.current,
             data_centre=options.data_centre,
             call_address=addresses.tcp(options.addresses.call),
+            instance=options.instance,
         ),
     )
     _start(
@@ -186,6 +188,17 @@
             options=options.levels,
         ),
     )
+    _start(
+        node,
+        addresses.ROLLOUT,
+        lambda: rollouts.run(
+            context=node.context,
+            current=node.current,
+            options=options,
+            store=stores.open_store(options.platform),
+            rng=random.Random(seed + "-rollout"),
+        ),
+    )
     _start(
         node,
         addresses.MOVES,
