--- a/demo/steps.py
+++ b/demo/steps.py
@@ -87,15 +87,14 @@
         "move.csv",
         [f"portal,v2,,,{worlds.sheet_time(MOVE_SECONDS + 10)}"],
     )
-    submitted = worlds.ctl(world, "submit", str(sheet))
-    watched = worlds.ctl(world, "watch", "--service", "portal")
+    watched = worlds.ctl(world, "submit", str(sheet), "--watch")
     seconds = time.monotonic() - started
     tail = _records_since(world, time.monotonic() - 1.0, settle=1.0)
     versions = {r.version for r in tail if r.path.startswith("records")}
     return _outcome(
         "move portal from v1 to v2 by the morning sheet",
         f"done within {MOVE_SECONDS + 10:.0f} s, v2 answers",
-        f"{_last_line(watched.stdout) or submitted.stderr}; "
+        f"{_last_line(watched.stdout) or watched.stderr}; "
         f"answers from {sorted(versions)}",
         watched.returncode == 0 and versions == {"v2"},
         seconds,
@@ -146,8 +145,7 @@
         "bad.csv",
         [f"portal,v3,,,{worlds.sheet_time(120)}"],
     )
-    worlds.ctl(world, "submit", str(sheet))
-    watched = worlds.ctl(world, "watch", "--service", "portal")
+    watched = worlds.ctl(world, "submit", str(sheet), "--watch")
     seconds = time.monotonic() - started
     time.sleep(1.0)
     since = time.monotonic()
@@ -236,7 +234,7 @@
 
 
 def _version(world: World) -> typing.Any:
-    result = worlds.ctl(world, "--json", "status")
+    result = worlds.ctl(world, "status", "--json")
     return json.loads(result.stdout or "{}").get("version")
 
 
