--- a/tests/platform/local.py
+++ b/tests/platform/local.py
@@ -105,7 +105,6 @@
     operation: str,
     body: bytes | None,
 ) -> tuple[str, bytes]:
-    environ = {"PATH_INFO": url, "REQUEST_METHOD": method}
-    if operation:
-        environ["HTTP_X_AMZ_TARGET"] = operation
-    return standin._handle(state, environ, body or b"")
+    return standin.handle(
+        state, method=method, path=url, target=operation, body=body or b""
+    )
