Split the decisions about calls and keep a late first attempt open

An attempt that may be repeated was given up at half of its time, so a route that needs more than half of its timeout always failed. A refused retry replaced the answer of the first attempt. Two random choices could be the same backend server, and a path with '..' could match a public route.

--- a/apricotpost/routing/choices.py
+++ b/apricotpost/routing/choices.py
@@ -173,7 +173,10 @@
     ]
     pool = near or usable
     first = pool[int(draws[0] * len(pool))]
-    second = pool[int(draws[1] * len(pool))]
+    if len(pool) == 1:
+        return first
+    others = [entry for entry in pool if entry is not first]
+    second = others[int(draws[1] * len(others))]
     if estimate_load(second, loads, now=now) < estimate_load(
         first, loads, now=now
     ):
--- /dev/null
+++ b/apricotpost/routing/outcomes.py
@@ -0,0 +1,258 @@
+"""Decisions that follow the end of an attempt: finish or retry."""
+
+import dataclasses
+
+from apricotpost.routing import contexts
+from apricotpost.routing import flights
+from apricotpost.routing import peers
+from apricotpost.routing import retries
+from apricotpost.routing import sending
+from apricotpost.routing import tables
+from apricotpost import wire
+
+__all__ = ["after_message", "after_not_run", "expire"]
+
+# Pause for a server that refuses because it leaves; by then the view says so.
+LEAVING_BACKOFF_SECONDS = 5.0
+
+_LEAVING_REASONS = frozenset(
+    (
+        wire.NotRunReason.DRAINING,
+        wire.NotRunReason.DATA_CENTRE_OUT,
+        wire.NotRunReason.VERSION_WITHDRAWN,
+        wire.NotRunReason.NOT_READY,
+    )
+)
+
+
+def after_message(
+    state: flights.CallState,
+    message: wire.Answer | wire.NotRun | wire.OutcomeUnknown,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    """Decide what follows a gate's message."""
+    attempt = state.attempts.get(message.call)
+    if attempt is None:
+        # The attempt was given up; its late answer belongs to nobody.
+        return state, ()
+    state = peers.note_load(state, attempt.instance, message.load, now)
+    if isinstance(message, wire.NotRun):
+        state = _note_refusal(state, attempt, message.reason, now)
+        return after_not_run(state, attempt, message.reason, now, table, draws)
+    if isinstance(message, wire.OutcomeUnknown):
+        state = peers.note_failure(state, attempt.instance, now)
+        result = _unknown(attempt, message.reason)
+        return _after_failure(state, attempt, result, now, table, draws)
+    return _after_answer(state, attempt, message, now, table, draws)
+
+
+def after_not_run(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    reason: wire.NotRunReason,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    """Try another server; nothing of this attempt ran."""
+    state = peers.drop(state, attempt)
+    if attempt.sibling in state.attempts:
+        return _leave_to_sibling(state, attempt), ()
+    attempt = dataclasses.replace(
+        attempt, tried=attempt.tried | {attempt.instance}
+    )
+    if attempt.abandoned or not retries.may_retry_not_run(
+        reason, attempts=attempt.number
+    ):
+        return sending.refuse(state, attempt, reason)
+    return sending.send(state, attempt, now, table, draws, reason)
+
+
+def expire(
+    state: flights.CallState,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    """Give up attempts at their deadline, send others a second time."""
+    actions: list[flights.Action] = []
+    for call in tuple(state.attempts):
+        attempt = state.attempts.get(call)
+        if attempt is None or attempt.gives_up_at > now.wall:
+            continue
+        if now.wall < attempt.request.deadline:
+            state, more = _send_second(state, attempt, now, table, draws)
+        else:
+            state, more = _give_up(state, attempt, now)
+        actions.extend(more)
+    return state, tuple(actions)
+
+
+def _note_refusal(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    reason: wire.NotRunReason,
+    now: flights.Now,
+) -> flights.CallState:
+    if reason in _LEAVING_REASONS:
+        return peers.exclude(
+            state, attempt.instance, now, LEAVING_BACKOFF_SECONDS
+        )
+    if reason is wire.NotRunReason.NOT_SENT:
+        return peers.note_failure(state, attempt.instance, now)
+    return state
+
+
+def _after_answer(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    message: wire.Answer,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    retried_below = (contexts.RETRIED_HEADER, "1") in message.headers
+    result = wire.CallResult(
+        request=attempt.request.request,
+        outcome=wire.Outcome.ANSWERED,
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+        attempts=attempt.number,
+        retried=attempt.retried or retried_below,
+    )
+    if message.status not in retries.RETRIED_STATUSES:
+        state = peers.note_success(state, attempt.instance)
+        return sending.finish(state, attempt, result)
+    if retried_below:
+        return sending.finish(state, attempt, result)
+    return _after_failure(state, attempt, result, now, table, draws)
+
+
+def _after_failure(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    result: wire.CallResult,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    """Repeat a call that may have run, or finish it with its result."""
+    if attempt.sibling in state.attempts:
+        return _leave_to_sibling(peers.drop(state, attempt), attempt), ()
+    if not _may_repeat(state, attempt, now, table):
+        return sending.finish(state, attempt, result)
+    return sending.send(
+        dataclasses.replace(
+            peers.drop(state, attempt), budget=retries.spend(state.budget)
+        ),
+        dataclasses.replace(
+            attempt,
+            retried=True,
+            tried=attempt.tried | {attempt.instance},
+            fallback=result,
+        ),
+        now,
+        table,
+        draws,
+    )
+
+
+def _send_second(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> flights.Step:
+    """Send a late call to another server and keep the first attempt open.
+
+    A backend server that needs more than half of the time still answers its
+    caller; one that is frozen does not use up all of the time.
+    """
+    deadline = attempt.request.deadline
+    waiting = dataclasses.replace(attempt, gives_up_at=deadline)
+    kept = dataclasses.replace(
+        state, attempts={**state.attempts, attempt.call: waiting}
+    )
+    if not _may_repeat(state, attempt, now, table):
+        return kept, ()
+    kept = peers.note_failure(kept, attempt.instance, now)
+    fallback = _unknown(attempt, wire.UnknownReason.TIMEOUT)
+    second = dataclasses.replace(
+        waiting,
+        retried=True,
+        tried=attempt.tried | {attempt.instance},
+        fallback=fallback,
+        sibling=attempt.call,
+    )
+    sent, actions = sending.send(kept, second, now, table, draws)
+    if not isinstance(actions[0], flights.SendCall):
+        return kept, ()
+    first = dataclasses.replace(
+        waiting,
+        retried=True,
+        fallback=fallback,
+        sibling=actions[0].call.call,
+    )
+    sent = dataclasses.replace(
+        sent,
+        attempts={**sent.attempts, first.call: first},
+        budget=retries.spend(sent.budget),
+    )
+    return sent, actions
+
+
+def _give_up(
+    state: flights.CallState, attempt: flights.Attempt, now: flights.Now
+) -> flights.Step:
+    cancel = flights.CancelCall(instance=attempt.instance, call=attempt.call)
+    state = peers.note_failure(state, attempt.instance, now)
+    result = _unknown(attempt, wire.UnknownReason.TIMEOUT)
+    state, actions = sending.finish(state, attempt, result)
+    return state, (cancel, *actions)
+
+
+def _may_repeat(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    now: flights.Now,
+    table: tables.RoutingTable,
+) -> bool:
+    route = table.routes.get(attempt.request.route)
+    return (
+        route is not None
+        and not attempt.abandoned
+        and now.wall < attempt.request.deadline
+        and retries.may_retry_failure(
+            state.budget,
+            idempotent=route.idempotent,
+            retried=attempt.retried,
+            attempts=attempt.number,
+        )
+    )
+
+
+def _leave_to_sibling(
+    state: flights.CallState, attempt: flights.Attempt
+) -> flights.CallState:
+    sibling = dataclasses.replace(state.attempts[attempt.sibling], sibling="")
+    return dataclasses.replace(
+        state, attempts={**state.attempts, sibling.call: sibling}
+    )
+
+
+def _unknown(
+    attempt: flights.Attempt, reason: wire.UnknownReason
+) -> wire.CallResult:
+    timeout = reason is wire.UnknownReason.TIMEOUT
+    return wire.CallResult(
+        request=attempt.request.request,
+        outcome=wire.Outcome.UNKNOWN,
+        status=504 if timeout else 502,
+        reason=reason.value,
+        attempts=attempt.number,
+        retried=attempt.retried,
+    )
--- /dev/null
+++ b/apricotpost/routing/sending.py
@@ -0,0 +1,200 @@
+"""Decisions about where an attempt goes and how long it may take."""
+
+import dataclasses
+
+from apricotpost import model
+from apricotpost.routing import choices
+from apricotpost.routing import flights
+from apricotpost.routing import peers
+from apricotpost.routing import retries
+from apricotpost.routing import tables
+from apricotpost import wire
+
+__all__ = ["finish", "refuse", "send"]
+
+# Part of the remaining time after which a call that may be repeated is sent
+# to a second backend server; the first attempt stays open.
+ATTEMPT_SHARE = 0.5
+
+
+def send(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+    otherwise: wire.NotRunReason = wire.NotRunReason.NO_BACKEND_SERVER,
+) -> flights.Step:
+    """Send the next attempt, or refuse the call.
+
+    Parameters
+    ----------
+    state : CallState
+        State before.
+    attempt : Attempt
+        The previous attempt, already dropped, or an empty first one.
+    now : Now
+        When.
+    table : RoutingTable
+        Derived from the view in force.
+    draws : Draws
+        Random numbers for the choice.
+    otherwise : apricotpost.wire.NotRunReason
+        Reason when no backend server is left.
+    """
+    request = attempt.request
+    if not table.ready:
+        return refuse(state, attempt, wire.NotRunReason.NOT_READY)
+    if now.wall >= request.deadline:
+        return refuse(state, attempt, wire.NotRunReason.DEADLINE_PASSED)
+    route = table.routes.get(request.route)
+    if route is None:
+        return refuse(state, attempt, wire.NotRunReason.NO_ROUTE)
+    chosen = _choose(state, attempt, route, now, table, draws)
+    if chosen is None:
+        return refuse(state, attempt, otherwise)
+    sequence = state.sequence + 1
+    attempt = dataclasses.replace(
+        attempt,
+        call=f"{request.request}.{sequence}",
+        number=attempt.number + 1,
+        instance=chosen.instance,
+        gives_up_at=_attempt_deadline(attempt, route, state, now),
+    )
+    call = _make_call(attempt, route, chosen, table)
+    state = dataclasses.replace(state, sequence=sequence)
+    state = peers.note_sent(state, attempt)
+    return state, (flights.SendCall(instance=chosen, call=call),)
+
+
+def refuse(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    reason: wire.NotRunReason,
+) -> flights.Step:
+    """Finish a call as not run, unless an attempt may have run."""
+    if attempt.fallback is not None:
+        result = dataclasses.replace(
+            attempt.fallback, attempts=attempt.number, retried=True
+        )
+        return finish(state, attempt, result)
+    status = 404 if reason is wire.NotRunReason.NO_ROUTE else 503
+    result = wire.CallResult(
+        request=attempt.request.request,
+        outcome=wire.Outcome.NOT_RUN,
+        status=status,
+        reason=reason.value,
+        attempts=attempt.number,
+        retried=attempt.retried,
+    )
+    return finish(state, attempt, result)
+
+
+def finish(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    result: wire.CallResult,
+) -> flights.Step:
+    """Hand over the one result and cancel what is still open."""
+    state = peers.drop(state, attempt)
+    actions: list[flights.Action] = []
+    sibling = state.attempts.get(attempt.sibling)
+    if sibling is not None:
+        state = peers.drop(state, sibling)
+        actions.append(
+            flights.CancelCall(instance=sibling.instance, call=sibling.call)
+        )
+    actions.append(flights.Finish(reply_to=attempt.reply_to, result=result))
+    return state, tuple(actions)
+
+
+def _choose(
+    state: flights.CallState,
+    attempt: flights.Attempt,
+    route: model.Route,
+    now: flights.Now,
+    table: tables.RoutingTable,
+    draws: flights.Draws,
+) -> model.InstanceRecord | None:
+    version = choices.choose_version(
+        table,
+        table.services[route.service],
+        wall=now.wall,
+        draw=draws.version,
+    )
+    if version is None:
+        return None
+    candidates = [
+        entry
+        for entry in table.backend_servers[(route.service, version)]
+        if entry.instance not in attempt.tried
+    ]
+    if not candidates and attempt.tried:
+        candidates = _other_versions(attempt, route, now, table)
+    return choices.choose_backend_server(
+        candidates,
+        state.loads,
+        data_centre=state.data_centre,
+        now=now.monotonic,
+        draws=(draws.first, draws.second),
+    )
+
+
+def _other_versions(
+    attempt: flights.Attempt,
+    route: model.Route,
+    now: flights.Now,
+    table: tables.RoutingTable,
+) -> list[model.InstanceRecord]:
+    """List untried servers of any version that has a share."""
+    service = table.services[route.service]
+    shares = choices.effective_shares(table, service, wall=now.wall)
+    return [
+        entry
+        for version, share in shares.items()
+        if share
+        for entry in table.backend_servers.get((service.name, version), ())
+        if entry.instance not in attempt.tried
+    ]
+
+
+def _attempt_deadline(
+    attempt: flights.Attempt,
+    route: model.Route,
+    state: flights.CallState,
+    now: flights.Now,
+) -> float:
+    """Leave time for a second attempt where one is allowed."""
+    deadline = attempt.request.deadline
+    if not retries.may_retry_failure(
+        state.budget,
+        idempotent=route.idempotent,
+        retried=attempt.retried,
+        attempts=attempt.number + 1,
+    ):
+        return deadline
+    return now.wall + (deadline - now.wall) * ATTEMPT_SHARE
+
+
+def _make_call(
+    attempt: flights.Attempt,
+    route: model.Route,
+    chosen: model.InstanceRecord,
+    table: tables.RoutingTable,
+) -> wire.Call:
+    request = attempt.request
+    return wire.Call(
+        call=attempt.call,
+        route=route.name,
+        service=route.service,
+        version=chosen.version,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        deadline=request.deadline,
+        idempotent=route.idempotent,
+        depth=request.depth,
+        retried=attempt.retried,
+        config_version=table.version,
+    )
--- a/apricotpost/routing/tables.py
+++ b/apricotpost/routing/tables.py
@@ -70,8 +70,11 @@
 ) -> model.Route | None:
     """Find the route with the longest prefix of a path.
 
-    A prefix matches whole path segments only.
+    A prefix matches whole path segments only. A path with ".." matches no
+    route: a backend server might resolve it to a path of an internal route.
     """
+    if "/../" in path + "/":
+        return None
     for route in table.by_method.get(method, ()):
         prefix = route.prefix.rstrip("/")
         if path == prefix or path.startswith(prefix + "/"):
