Bound retries over nested calls by the budget of the deepest node

Change: an answer whose retry the budget refused carries the retry mark, so that nodes above do not retry it.

--- a/apricotpost/routing/outcomes.py
+++ b/apricotpost/routing/outcomes.py
@@ -143,6 +143,9 @@
     if attempt.sibling in state.attempts:
         return _leave_to_sibling(peers.drop(state, attempt), attempt), ()
     if not _may_repeat(state, attempt, now, table):
+        if state.budget.tokens < 1.0:
+            # Nodes above must not spend their budgets on this call instead.
+            result = dataclasses.replace(result, retried=True)
         return sending.finish(state, attempt, result)
     return sending.send(
         dataclasses.replace(
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -67,8 +67,11 @@
         announced = make_announcement(**changes)
         self.handle(gate.Announced(announcement=announced))
 
-    def arrive(self, name: str, **changes) -> tuple[typing.Any, ...]:
-        call = make_call(name, **changes)
+    def arrive(
+        self, name: str, seconds: float = 4.0, **changes
+    ) -> tuple[typing.Any, ...]:
+        left = self.seconds - 100.0 + seconds
+        call = make_call(name, seconds=left, **changes)
         return self.handle(gate.Arrived(reply_to=b"d", call=call))
 
     def finish(self, name: str, **changes) -> tuple[typing.Any, ...]:
@@ -136,7 +139,8 @@
         self.assertEqual(["deadline-passed"], self.reasons(actions[1:]))
         self.gate.seconds += 10.0
         self.assertEqual(
-            ["deadline-passed"], self.reasons(self.gate.arrive("late"))
+            ["deadline-passed"],
+            self.reasons(self.gate.arrive("late", seconds=0.0)),
         )
 
     def test_queued_call_does_not_run_at_another_version(self):
--- /dev/null
+++ b/tests/routing/test_amplification.py
@@ -0,0 +1,111 @@
+"""Retries over nested calls, and overload, by the decisions alone."""
+
+import collections
+import random
+import unittest
+
+from apricotpost.routing import calls
+from apricotpost import wire
+from tests.admission import test_gate
+from tests.routing import builders
+
+__all__ = ["AmplificationTest", "OverloadTest"]
+
+DEPTH = 18
+
+
+class Chain:
+    """Services that call each other; the deepest one always fails.
+
+    With ``marks``, backend servers pass the retry mark on in both ways, as
+    section 12 of the design asks; without, they drop it on answers.
+    """
+
+    def __init__(self, *, marks):
+        self.marks = marks
+        self.executions = collections.Counter()
+        self.nodes = [
+            builders.Calls(table=builders.make_table()) for _ in range(DEPTH)
+        ]
+
+    def call(self, depth, number, *, retried=False):
+        """Call the service at a depth; returns status and retry mark."""
+        request = builders.make_request(
+            f"{depth}.{number}.{sum(self.executions.values())}",
+            depth=depth,
+            retried=retried,
+        )
+        node = self.nodes[depth]
+        action = node.submit(request)
+        while isinstance(action, calls.SendCall):
+            status, marked = self.execute(depth, number, action.call.retried)
+            headers = (("X-Apricotpost-Retried", "1"),) if marked else ()
+            action = node.answer(
+                action.call.call, status=status, headers=headers
+            )[-1]
+        return action.result.status, action.result.retried
+
+    def execute(self, depth, number, retried):
+        self.executions[depth] += 1
+        if depth + 1 == DEPTH:
+            return 503, False
+        status, below = self.call(depth + 1, number, retried=retried)
+        return status, below and self.marks
+
+
+class AmplificationTest(unittest.TestCase):
+    def test_one_failure_is_retried_once_over_all_depths(self):
+        """Guards against retries that multiply to 2 to the power of 18."""
+        chain = Chain(marks=True)
+        self.assertEqual((503, True), chain.call(0, 0))
+        self.assertEqual(2, chain.executions[DEPTH - 1])
+        self.assertEqual(1, chain.executions[0])
+
+    def test_without_marks_on_answers_retries_grow_linearly(self):
+        """Guards against growth where backend servers drop the mark."""
+        chain = Chain(marks=False)
+        chain.call(0, 0)
+        self.assertEqual(DEPTH + 1, chain.executions[DEPTH - 1])
+
+    def test_budget_bounds_the_retries_of_a_long_outage(self):
+        """Guards against an outage in which retries double the load."""
+        chain = Chain(marks=True)
+        for number in range(200):
+            chain.call(0, number)
+        executions = chain.executions[DEPTH - 1]
+        self.assertLessEqual(executions, 200 * 1.1 + 10)
+
+
+class OverloadTest(unittest.TestCase):
+    def test_twice_the_load_still_serves_what_fits(self):
+        """Guards against a collapse when more calls come than fit."""
+        rng = random.Random(18)
+        found = test_gate.make_gate()
+        found.run_and_finish(30)
+        slots, service, steps = 8, 0.1, 3000
+        finishes, served, refused = {}, 0, 0
+        for step in range(steps):
+            found.seconds += 0.01
+            done = [k for k, at in finishes.items() if at <= found.seconds]
+            actions = [
+                action
+                for name in done
+                if finishes.pop(name)
+                for action in found.finish(name, duration_ms=100.0)
+            ]
+            if step % 100 == 0:
+                found.announce()
+            # 1.6 calls in 10 ms are 160 a second; 80 fit into 8 slots.
+            for number in range(2 if rng.random() < 0.6 else 1):
+                actions += found.arrive(f"{step}.{number}", seconds=2.0)
+            for action in actions:
+                if isinstance(action, test_gate.gate.Run):
+                    finishes[action.call.call] = found.seconds + service
+                elif isinstance(action.message, wire.NotRun):
+                    refused += 1
+                else:
+                    served += 1
+            self.assertLessEqual(len(finishes), slots)
+        fits = steps * 0.01 * slots / service
+        self.assertGreaterEqual(served, 0.9 * fits)
+        self.assertGreater(refused, 0)
--- a/tests/routing/test_calls.py
+++ b/tests/routing/test_calls.py
@@ -80,6 +80,7 @@
         first = self.once.submit(builders.make_request())
         actions = self.once.advance(4.0)
         self.assertEqual(504, actions[-1].result.status)
+        self.once.submit(builders.make_request("r2", seconds=9.0))
         self.assertEqual((), self.once.answer(first.call.call))
 
     def test_failed_send_is_not_run(self):
