Prove calls under failure with real processes

Cause: kills, freezes, graceful stops and broken answers were not tested.

Change: five tests with real nodes: a killed node, a frozen node, a stop under load, a second signal, and a fake backend server that answers late, crossed, in half or not at all. Event 107 for an ended notice period.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -55,6 +55,7 @@
     logging.WARNING,
     "drain ended after %(seconds)s s with calls in flight",
 )
+NOTICE_ENDED = _event(107, logging.INFO, "notice period ended by a signal")
 # Configuration: 200 to 299.
 CONFIG_APPLIED = _event(
     200, logging.INFO, "configuration %(version)s in force"
--- a/apricotpost/node/shutdown.py
+++ b/apricotpost/node/shutdown.py
@@ -61,6 +61,7 @@
         quiet_since = started
         while time.monotonic() - started < times.drain_seconds:
             if _is_signalled(signals):
+                events.emit(LOG, events.NOTICE_ENDED)
                 _refuse_calls(gate, 0.0)
                 closes_at = min(closes_at, time.monotonic() + QUIET_SECONDS)
             if _is_busy(gate, servers):
--- /dev/null
+++ b/tests/node/test_call_processes.py
@@ -0,0 +1,161 @@
+"""Tests of the call path with real processes that die, freeze or leave."""
+
+import contextlib
+import http.client
+import signal
+import time
+import unittest
+
+from standins import fleet as fleets
+from tests.node import loads
+
+__all__ = ["CallProcessTest"]
+
+BEHAVIOUR = {"slots": 12, "service_ms": 5.0, "warm_after": 1}
+
+
+class CallProcessTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.stack = contextlib.ExitStack()
+        cls.addClassCleanup(cls.stack.close)
+        cls.fleet = cls.stack.enter_context(fleets.open_fleet())
+        fleets.commit_first(
+            cls.fleet, loads.snapshot("certdesk", "fieldbook", "portal")
+        )
+        cls.entry, cls.one, cls.two, cls.fake = (
+            fleets.start_member(
+                cls.fleet,
+                instance=f"node-{number}",
+                data_centre="riga-1",
+                service=service,
+                version="v1",
+                behaviour=BEHAVIOUR,
+            )
+            for number, service in enumerate(
+                ("certdesk", "portal", "portal", "fieldbook")
+            )
+        )
+        cls.wait_ready(cls.entry.ingress, "/portal/x")
+        cls.wait_ready(cls.entry.ingress, "/fieldbook/x")
+
+    @classmethod
+    def wait_ready(cls, address, path, *, served_by=()):
+        """Wait until calls succeed and reach all given backend servers."""
+
+        def is_ready():
+            connection = http.client.HTTPConnection(address, timeout=10)
+            found = loads.send(connection, path)
+            connection.close()
+            return found.status == 200 and all(
+                found.request and loads.executions(cls.fleet, member) != before
+                for member, before in seen
+            )
+
+        seen = [(m, loads.executions(cls.fleet, m)) for m in served_by]
+        assert fleets.wait_for(is_ready, seconds=30) is not None
+
+    def check_executions(self, results):
+        """Check P7 to P9 for all results."""
+        counts = loads.executions(self.fleet, self.one, self.two)
+        for result in results:
+            count = counts.get(result.request, 0)
+            self.assertLessEqual(count, 1, result)
+            if result.outcome == "not-run":
+                self.assertEqual(0, count, result)
+            if result.status == 200:
+                self.assertEqual(1, count, result)
+                self.assertIn(result.request.encode(), result.body)
+
+    def test_killed_node_repeats_no_call(self):
+        """Guards against posts that run twice when their node dies."""
+        self.wait_ready(
+            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+        )
+        with loads.load([self.entry.ingress], "/portal/x") as results:
+            time.sleep(0.5)
+            self.one.node.kill()
+            self.one.node.wait()
+            time.sleep(1.0)
+        fleets.start_node(self.fleet, self.one)
+        self.check_executions(results)
+        good = [r for r in results if r.status == 200]
+        self.assertGreater(len(good), len(results) * 0.8, loads.dump(results))
+
+    def test_frozen_node_runs_nothing_late(self):
+        """Guards against calls that run after their callers gave up."""
+        self.wait_ready(
+            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+        )
+        with loads.load(
+            [self.entry.ingress], "/portal/x", timeout_ms=300
+        ) as results:
+            time.sleep(0.3)
+            self.one.node.send_signal(signal.SIGSTOP)
+            time.sleep(0.5)
+            before = loads.executions(self.fleet, self.one)
+        time.sleep(0.4)
+        self.one.node.send_signal(signal.SIGCONT)
+        time.sleep(0.5)
+        self.assertEqual(before, loads.executions(self.fleet, self.one))
+        self.check_executions(results)
+        lost = [r for r in results if r.outcome == "unknown"]
+        self.assertTrue(lost, "no call was at the frozen node")
+
+    def test_graceful_stop_fails_no_call(self):
+        """Guards against a shutdown that interrupts requests."""
+        self.wait_ready(
+            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+        )
+        addresses = [self.entry.ingress, self.two.ingress]
+        with loads.load(addresses, "/portal/x") as results:
+            time.sleep(0.3)
+            self.two.node.send_signal(signal.SIGTERM)
+            code = self.two.node.wait(30)
+            time.sleep(0.3)
+        fleets.start_node(self.fleet, self.two)
+        self.assertEqual(0, code)
+        bad = [r for r in results if r.status != 200]
+        self.assertEqual([], bad)
+        self.assertTrue(any(r.closes for r in results))
+        self.check_executions(results)
+
+    def test_second_signal_ends_the_notice_only(self):
+        """Guards against a second SIGTERM that cuts accepted calls."""
+        self.two.node.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.two.node.send_signal(signal.SIGTERM)
+        self.assertEqual(0, self.two.node.wait(30))
+        fleets.start_node(self.fleet, self.two)
+        log = self.fleet.folder / f"{self.two.instance}-node.log"
+        self.assertNotIn("Traceback", log.read_text())
+        self.assertIn("AP-107", log.read_text())
+
+    def test_broken_and_crossed_answers(self):
+        """Guards against half a body, and another request's answer (P7)."""
+        fleets.stop(self.fake.backend_server)
+        with loads.serve_faults() as address:
+            loads.announce(self.fleet, self.fake, address)
+            self.wait_ready(self.entry.ingress, "/fieldbook/x")
+            expected = {
+                "half": "body-incomplete",
+                "half-chunk": "body-incomplete",
+                "hang-up": "connection-lost",
+            }
+            for path, reason in expected.items():
+                connection = http.client.HTTPConnection(self.entry.ingress)
+                found = loads.send(connection, f"/fieldbook/{path}")
+                connection.close()
+                self.assertEqual(
+                    (502, "unknown", reason),
+                    (found.status, found.outcome, found.reason),
+                )
+            with loads.load(
+                [self.entry.ingress], "/fieldbook/crossed", timeout_ms=200
+            ) as results:
+                time.sleep(1.0)
+        statuses = {r.status for r in results}
+        self.assertEqual({200, 504}, statuses & {200, 504})
+        for result in results:
+            if result.status == 200:
+                self.assertEqual(result.request.encode(), result.body)
