--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -28,6 +28,7 @@
 from apricotpost.wire.tasks import BackendJob
 from apricotpost.wire.tasks import BackendResult
 from apricotpost.wire.tasks import BackendServerAnnounced
+from apricotpost.wire.tasks import CallerLeft
 from apricotpost.wire.tasks import CallMeasured
 from apricotpost.wire.tasks import CallRequest
 from apricotpost.wire.tasks import CallResult
@@ -55,6 +56,7 @@
     "CallMeasured",
     "CallRequest",
     "CallResult",
+    "CallerLeft",
     "Cancel",
     "ConfigCommitted",
     "ConfigDelta",
