Remember the old version by calls instead of by slices

Cause: after full share the old version has few calls a slice; its faded counts stayed below the 20 calls that a percentile needs, so slow calls were not tested at all, and its failure rate was overestimated. Change: both memories fade by calls.

--- a/apricotpost/rollout/route_trials.py
+++ b/apricotpost/rollout/route_trials.py
@@ -19,7 +19,8 @@
 MAX_SLICE_SECONDS = 30.0
 # Calls of the old version before its 90th percentile is used.
 MIN_REFERENCE_CALLS = 20.0
-REFERENCE_MEMORY = 0.9
+# The percentile is that of about so many calls.
+REFERENCE_CALLS = 200.0
 SLOW_PART = 0.1
 # A route with so many expected calls of the new version, and less than a
 # quarter of them counted, is answered differently by the new version.
@@ -208,11 +209,12 @@
 ) -> tuple[float, ...]:
     if not latencies:
         return reference
+    kept = max(1 - sum(latencies) / REFERENCE_CALLS, 0.0)
     length = max(len(reference), len(latencies))
     known = reference + (0.0,) * (length - len(reference))
     added = latencies + (0,) * (length - len(latencies))
     return tuple(
-        REFERENCE_MEMORY * before + count
+        kept * before + count
         for before, count in zip(known, added, strict=True)
     )
 
--- a/apricotpost/rollout/sequential.py
+++ b/apricotpost/rollout/sequential.py
@@ -39,8 +39,9 @@
 # fault reaches the two versions' counts up to two slices apart. Two slices
 # alone must not raise the alarm.
 MAX_GAIN = 0.45 * ALARM
-# Weight of the past when the old version's event rate is estimated anew.
-RATE_MEMORY = 0.9
+# The old version's event rate is estimated from about so many calls. Memory
+# by calls and not by time keeps the estimate sharp when calls are few.
+MEMORY_CALLS = 200.0
 MAX_SAVED_EVENTS = 10.0
 
 
@@ -119,11 +120,12 @@
         max(log + min(_log_ratio(tested, rate, excess), MAX_GAIN), FLOOR)
         for log, excess in zip(test.logs, plan.excesses, strict=True)
     )
+    kept = max(1 - found.old_calls / MEMORY_CALLS, 0.0)
     return Test(
         logs=logs,
         saved=saved,
-        old_calls=RATE_MEMORY * test.old_calls + found.old_calls,
-        old_events=RATE_MEMORY * test.old_events + found.old_events,
+        old_calls=kept * test.old_calls + found.old_calls,
+        old_events=kept * test.old_events + found.old_events,
     )
 
 
