Add cases of quiet, new and rejected routes, and fewer expected calls

Cause: a version that rejects a route with status 404 was missed where few calls were expected, and after a step the expectation was too high. Change: expected calls are counted over the whole rollout before full share, with an allowance for chance; five more kinds of cases and traces.

--- a/apricotpost/rollout/route_trials.py
+++ b/apricotpost/rollout/route_trials.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from apricotpost import model
 from apricotpost.rollout import evidence
 from apricotpost.rollout import sequential
 
@@ -22,10 +23,13 @@
 # The percentile is that of about so many calls.
 REFERENCE_CALLS = 200.0
 SLOW_PART = 0.1
-# A route with so many expected calls of the new version, and less than a
-# quarter of them counted, is answered differently by the new version.
-MIN_EXPECTED_CALLS = 40.0
+# A route on which less than a quarter of the expected calls of the new
+# version are counted, after an allowance for chance, is answered
+# differently by the new version.
 MIN_EXPECTED_PART = 0.25
+EXPECTED_ALLOWANCE_CALLS = 8.0
+# Above this share calls of the old version are too few to expect from.
+FULL_SHARE = 900
 # Calls on a route of which the old version has seen none.
 NEW_ROUTE_CALLS = 20
 
@@ -68,7 +72,9 @@
     step_calls : int
         Calls of the new version since the last step.
     expected : float
-        Calls of the new version expected since the last step.
+        Calls of the new version to be expected from those of the old one
+        before full share; with full share a call of the old version stands
+        for 49, which says nothing.
     """
 
     failures: sequential.Test
@@ -100,7 +106,9 @@
     entry: RouteTrial, new: evidence.Counts, old: evidence.Counts, share: int
 ) -> RouteTrial:
     """Add calls to the present slice."""
-    expected = old.calls * share / max(1000 - share, 1)
+    expected = 0.0
+    if share < FULL_SHARE:
+        expected = old.calls * share / (model.TOTAL_SHARE - share)
     return dataclasses.replace(
         entry,
         new=evidence.add(entry.new, new),
@@ -145,10 +153,8 @@
 
 def is_missing(entry: RouteTrial) -> bool:
     """Whether the new version gives far fewer usable answers than due."""
-    return (
-        entry.expected >= MIN_EXPECTED_CALLS
-        and entry.step_calls < MIN_EXPECTED_PART * entry.expected
-    )
+    expected = entry.expected - EXPECTED_ALLOWANCE_CALLS
+    return entry.new_calls < MIN_EXPECTED_PART * expected
 
 
 def _test_slice(entry: RouteTrial, *, baking: bool, now: float) -> RouteTrial:
--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/verdicts.py
@@ -189,8 +189,9 @@
         if worst >= DOUBT:
             doubt = f"{name} may be worse (level {worst:.1f})"
         elif route_trials.is_missing(entry):
+            suspect = True
             doubt = (
-                f"{name}: {entry.step_calls} usable answers of "
+                f"{name}: {entry.new_calls} usable answers of "
                 f"{trial.new}, about {entry.expected:.0f} expected"
             )
     return Judgement(
@@ -242,10 +243,10 @@
 
 def _start_step(trial: Trial, share: int) -> Trial:
     known = {
-        name: dataclasses.replace(entry, step_calls=0, expected=0.0)
+        name: dataclasses.replace(entry, step_calls=0)
         for name, entry in trial.routes.items()
     }
-    overall = dataclasses.replace(trial.overall, step_calls=0, expected=0.0)
+    overall = dataclasses.replace(trial.overall, step_calls=0)
     return dataclasses.replace(
         trial, share=share, routes=known, overall=overall
     )
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -28,7 +28,6 @@
 
 SERVICE = "portal"
 OLD, NEW = rollout_faults.OLD, rollout_faults.NEW
-ROUTES = (("search", 0.6), ("record", 0.3), ("export", 0.1))
 STARTED_AT = 1000.0
 # Time for a committed step to reach all callers.
 SPREAD_SECONDS = 1.0
@@ -203,8 +202,8 @@
     rng = fleet.rng
     version = NEW if rng.random() * 1000 < share else OLD
     number = int(rng.random() * fleet.case.servers)
-    draw = rng.random()
-    for route, part in ROUTES:
+    draw = rng.random() * sum(part for _, part in fleet.case.routes)
+    for route, part in fleet.case.routes:
         draw -= part
         if draw < 0:
             break
@@ -238,7 +237,7 @@
     duration *= fault.slow_factor * (2.0 if cold else 1.0)
     finished = evidence.Finished(
         answered=True,
-        status=500 if failed else 200,
+        status=404 if fault.rejected else 500 if failed else 200,
         cold=cold,
         duration_ms=duration,
     )
--- a/bench/rollout_faults.py
+++ b/bench/rollout_faults.py
@@ -16,6 +16,7 @@
 ]
 
 OLD, NEW = "v1", "v2"
+ROUTES = (("search", 0.6), ("record", 0.3), ("export", 0.1))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -28,10 +29,13 @@
         Part of the calls that fail.
     slow_factor : float
         Factor on latencies.
+    rejected : bool
+        Whether calls are answered with status 404.
     """
 
     failure_rate: float = 0.0
     slow_factor: float = 1.0
+    rejected: bool = False
 
 
 Faults = Callable[[float, int, str, str], Fault]
@@ -71,6 +75,7 @@
     faults: Faults
     bake_seconds: float = 60.0
     cold_calls: int = 20
+    routes: tuple[tuple[str, float], ...] = ROUTES
 
 
 def _healthy(at: float, share: int, route: str, version: str) -> Fault:
@@ -120,6 +125,16 @@
     return at >= 45.0
 
 
+def _new_route(at: float, share: int, route: str, version: str) -> Fault:
+    return Fault(rejected=route == "preview" and version == OLD)
+
+
+def _bad_new_route(at: float, share: int, route: str, version: str) -> Fault:
+    if route == "preview" and version == NEW:
+        return Fault(failure_rate=0.5)
+    return _new_route(at, share, route, version)
+
+
 GOOD_KINDS: dict[str, Faults] = {
     "good": _healthy,
     "good-general-slowdown": _general,
@@ -127,6 +142,9 @@
     "good-short-outage": _outage,
     "good-old-fails": _old_fails,
     "good-10-percent-slower": _little_different,
+    "good-quiet-route": _healthy,
+    "good-low-traffic": _healthy,
+    "good-new-route": _new_route,
 }
 BAD_KINDS: dict[str, Faults] = {
     "fails-always": _only_new(Fault(failure_rate=1.0)),
@@ -154,6 +172,16 @@
     "slow-after-full-share": _when(
         lambda at, share, route: share >= 980, Fault(slow_factor=4.0)
     ),
+    "fails-on-new-route": _bad_new_route,
+    "rejects-one-route": _when(
+        lambda at, share, route: route == "export", Fault(rejected=True)
+    ),
+}
+_CHANGES: dict[str, dict[str, typing.Any]] = {
+    "good-quiet-route": {"routes": (*ROUTES, ("quiet", 0.0005))},
+    "good-low-traffic": {"calls_per_second": 8.0, "finish_seconds": 900.0},
+    "good-new-route": {"routes": (("preview", 0.1), *ROUTES)},
+    "fails-on-new-route": {"routes": (("preview", 0.1), *ROUTES)},
 }
 
 
@@ -173,4 +201,5 @@
         base_failures=rng.choice((0.0, 0.001, 0.01)),
         faults=BAD_KINDS[kind] if bad else GOOD_KINDS[kind],
     )
+    changes = {**changes, **_CHANGES.get(kind, {})}
     return dataclasses.replace(case, **changes)
