--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -13,6 +13,7 @@
 from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import keyed_calls
+from apricotpost.node import levels
 from apricotpost.node import views
 from apricotpost import routing
 from apricotpost.routing import contexts
@@ -95,12 +96,17 @@
     if route is None or (route.internal and not ingress.trusted):
         return _not_run(404, wire.NotRunReason.NO_ROUTE)
     request = _make_request(ingress, environ, route, body)
-    return keyed_calls.carry(
-        ingress.keyed,
-        key=environ.get("HTTP_IDEMPOTENCY_KEY"),
-        route=route,
-        request=request,
-        dispatch=lambda: _dispatch(ingress, request),
+    return levels.measured(
+        ingress.context,
+        ingress.local,
+        route.name,
+        lambda: keyed_calls.carry(
+            ingress.keyed,
+            key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+            route=route,
+            request=request,
+            dispatch=lambda: _dispatch(ingress, request),
+        ),
     )
 
 
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -5,20 +5,24 @@
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
 from apricotpost.settings.schema import CredentialSettings
+from apricotpost.settings.schema import LevelSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
 from apricotpost.settings.schema import NodeSettings
 from apricotpost.settings.schema import PlatformSettings
+from apricotpost.settings.schema import RouteLevelSettings
 from apricotpost.settings.schema import TimeSettings
 from apricotpost.settings.schema import TokenSettings
 
 __all__ = [
     "AddressSettings",
     "CredentialSettings",
+    "LevelSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RouteLevelSettings",
     "TimeSettings",
     "TokenSettings",
     "find_faults",
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -8,10 +8,12 @@
 __all__ = [
     "AddressSettings",
     "CredentialSettings",
+    "LevelSettings",
     "LogSettings",
     "MetricSettings",
     "NodeSettings",
     "PlatformSettings",
+    "RouteLevelSettings",
     "TimeSettings",
     "TokenSettings",
 ]
@@ -27,6 +29,8 @@
     str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]*$")
 ]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=50, lt=100)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=60_000)]
 Threads = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
 
 
@@ -151,7 +155,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LogSettings:
-    """Log output: format and lowest level."""
+    """Log output on standard error.
+
+    Parameters
+    ----------
+    style : {'text', 'json'}
+        Format of the records.
+    level : str
+        Lowest level that is written.
+    """
 
     style: typing.Literal["text", "json"] = "text"
     level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
@@ -159,12 +171,64 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MetricSettings:
-    """Metrics: address of the statsd server and prefix of the names."""
+    """Metrics.
+
+    Parameters
+    ----------
+    statsd : str, optional
+        Address of the statsd server; without it nothing is sent.
+    prefix : str
+        First part of the names.
+    """
 
     statsd: HostPort | None = None
     prefix: Name = "apricotpost"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RouteLevelSettings:
+    """Service level objective of one route.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route.
+    availability_percent : float
+        Share of calls that must not fail, in percent.
+    latency_ms : float
+        Longest duration of a call that is not slow, in milliseconds.
+    latency_percent : float
+        Share of answered calls that must not be slow, in percent.
+    """
+
+    route: str
+    availability_percent: Percent = 99.9
+    latency_ms: Milliseconds = 500.0
+    latency_percent: Percent = 99.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LevelSettings:
+    """Service level objectives of all routes.
+
+    Parameters
+    ----------
+    availability_percent : float
+        Share of calls that must not fail, in percent.
+    latency_ms : float
+        Longest duration of a call that is not slow, in milliseconds.
+    latency_percent : float
+        Share of answered calls that must not be slow, in percent.
+    routes : tuple of RouteLevelSettings
+        Routes with other objectives.
+    """
+
+    availability_percent: Percent = 99.9
+    latency_ms: Milliseconds = 500.0
+    latency_percent: Percent = 99.0
+    routes: tuple[RouteLevelSettings, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeSettings:
     """All settings of a node.
@@ -179,6 +243,16 @@
         Control addresses of some other nodes, as IP:PORT.
     platform : PlatformSettings
         The platform's services.
+    tokens : tuple of TokenSettings
+        Tokens of the administration API; without any it refuses everyone.
+    times : TimeSettings
+        Times in seconds.
+    logs : LogSettings
+        Log output.
+    metrics : MetricSettings
+        Metrics.
+    levels : LevelSettings
+        Service level objectives.
     ingress_threads : int
         Threads that serve callers from outside.
     local_threads : int
@@ -195,5 +269,6 @@
     times: TimeSettings = TimeSettings()
     logs: LogSettings = LogSettings()
     metrics: MetricSettings = MetricSettings()
+    levels: LevelSettings = LevelSettings()
     ingress_threads: Threads = 24
     local_threads: Threads = 12
