Test the single steps of keyed calls

Cause: late removals and late outcomes of a former owner were not covered.

Change: tests of each step, the decisions, the later tries and what callers are told.

--- a/apricotpost/idempotency/keys.py
+++ b/apricotpost/idempotency/keys.py
@@ -51,7 +51,7 @@
 
     The key may be quoted, as the structured headers of HTTP have it.
     """
-    text = text.strip()
+    text = text.strip(" \t")
     if len(text) >= 2 and text[0] == text[-1] == '"':
         text = text[1:-1]
     return text if _KEY.fullmatch(text) else None
--- /dev/null
+++ b/tests/idempotency/test_decisions.py
@@ -0,0 +1,90 @@
+"""Tests of the decisions about keys, records and later tries."""
+
+import dataclasses
+import unittest
+
+from apricotpost import idempotency
+from apricotpost.idempotency import backlog
+from apricotpost.idempotency import records
+from tests.idempotency import test_calls
+
+__all__ = ["BacklogTest", "DecideTest", "KeyTest"]
+
+CLAIM = test_calls.make_claim()
+OTHER = test_calls.make_claim("two")
+
+
+class KeyTest(unittest.TestCase):
+    def test_syntax(self):
+        """Guards against two keys joined by a comma, and unbounded keys."""
+        for text in ("a", '"a"', "8e03978e-40d5-43e8-bc93-6894a57f9324"):
+            self.assertEqual(text.strip('"'), idempotency.parse_key(text))
+        for text in ("", '""', "a, b", "a b", "ä", "a\n", '"a', "x" * 129):
+            self.assertIsNone(idempotency.parse_key(text))
+
+    def test_fingerprint_keeps_parts_apart(self):
+        """Guards against another request taken for a repeat."""
+        cases = (
+            ("POST", "/a", b"b"),
+            ("POST", "/ab", b""),
+            ("PUT", "/a", b"b"),
+        )
+        hashes = {
+            idempotency.fingerprint(method=method, target=target, body=body)
+            for method, target, body in cases
+        }
+        self.assertEqual(3, len(hashes))
+
+
+class DecideTest(unittest.TestCase):
+    def test_each_verdict(self):
+        """Guards against a verdict that lets a second call run."""
+        started = records.started(CLAIM)
+        done = dataclasses.replace(started, outcome=b"x")
+        other = test_calls.make_claim("two", body=b"other")
+        cases = (
+            (None, OTHER, 1000, "run"),
+            (started, CLAIM, 1000, "run"),
+            (started, OTHER, 1004, "in-progress"),
+            (started, OTHER, 1005, "conflict"),
+            (started, other, 1005, "mismatch"),
+            (done, OTHER, 1005, "replay"),
+            (done, other, 1005, "mismatch"),
+            (done, other, 1000 + 24 * 3600, "run"),
+        )
+        for record, claim, now, expected in cases:
+            self.assertEqual(expected, records.decide(record, claim, now))
+
+
+class BacklogTest(unittest.TestCase):
+    def make_job(self, size=0):
+        outcome = records.Outcome(status=200, headers=(), body=bytes(size))
+        return backlog.Job(
+            kind=backlog.JobKind.FINISH,
+            claim=CLAIM,
+            outcome=outcome,
+            since=1000.0,
+        )
+
+    def test_tries_end(self):
+        """Guards against tries without pause or without end."""
+        state, _ = backlog.add(backlog.Backlog(), self.make_job(), 1000.0)
+        now, again, tries = 1000.0, True, 0
+        while again:
+            self.assertEqual((state, None), backlog.take_due(state, now + 0.4))
+            now = backlog.next_due(state)
+            state, job = backlog.take_due(state, now)
+            state, again = backlog.put_off(state, job, now)
+            tries += 1
+        self.assertLessEqual(now, 1060.0)
+        self.assertEqual((10, ()), (tries, state.jobs))
+
+    def test_room_is_bounded(self):
+        """Guards against a node that fills its memory in an outage."""
+        state = backlog.Backlog()
+        for _ in range(3):
+            state, added = backlog.add(state, self.make_job(3 << 20), 0.0)
+        self.assertFalse(added)
+        for _ in range(backlog.MAX_JOBS):
+            state, added = backlog.add(state, self.make_job(), 0.0)
+        self.assertFalse(added)
