--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -40,6 +40,8 @@
 STOP_SECONDS = 40.0
 PORTS = (10_000, 32_000)
 _RANDOM = random.SystemRandom()
+# A member that is still starting does not listen on its ports yet.
+_HANDED_OUT: set[int] = set()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -86,10 +88,13 @@
         while len(found) < count:
             port = _RANDOM.randrange(*PORTS)
             entry = stack.enter_context(socket.socket())
+            if port in _HANDED_OUT:
+                continue
             try:
                 entry.bind((HOST, port))
             except OSError:
                 continue
+            _HANDED_OUT.add(port)
             found.append(port)
     return found
 
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -101,6 +101,7 @@
         }
         queue.cut = lambda source, target: sides[source] != sides[target]
         queue.run(60)
+        self.assertLessEqual(queue.largest, 6)
         view = {
             record.instance: record.state
             for record in membership.list_visible(queue.states["n0"])
@@ -119,6 +120,8 @@
             int(target[1:]) < 6
         )
         queue.run(40)
+        # Within a data centre a failed half is down, not cut off.
+        self.assertEqual(6, queue.seen("n11").count("down"))
         queue.cut = None
         queue.run(60)
         for name in queue.states:
@@ -145,9 +148,20 @@
         self.merge(old)
         new = self.merge(fleets.make_record("b", incarnation=6))
         self.assertEqual(model.InstanceState.UP, new.state)
-        self.assertEqual(9, self.merge(old).config_version or 9)
+        self.assertEqual(9, new.config_version)
         self.assertEqual(6, self.merge(old).incarnation)
 
+    def test_suspect_of_a_frozen_node_is_not_down_at_once(self):
+        """Guards against a node that condemns others when it resumes."""
+        up = fleets.make_record("b")
+        self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
+        for at in (2.0, 22.0):
+            self.state, _ = membership.handle(
+                self.state, membership.Tick(draw=1), at
+            )
+        found = self.state.members["b"].record.state
+        self.assertEqual(model.InstanceState.SUSPECT, found)
+
     def test_worse_state_wins_at_equal_incarnation(self):
         """Guards against a late record that revives a dead instance."""
         up = fleets.make_record("b")
--- a/tests/spread/fleets.py
+++ b/tests/spread/fleets.py
@@ -1,5 +1,6 @@
 """A fake network and platform around many distribution states."""
 
+import collections
 import dataclasses
 import random
 
@@ -83,7 +84,9 @@
     sent: list[tuple[str, str, wire.Message]] = dataclasses.field(
         default_factory=list
     )
-    read_count: int = 0
+    read_counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     actions: list[spread.Action] = dataclasses.field(default_factory=list)
 
     def commit(self) -> None:
@@ -137,7 +140,7 @@
     def take_up(self, name: str, action: spread.Action) -> None:
         """Put what an action causes under way."""
         if isinstance(action, spread.ReadTable):
-            self.read_count += 1
+            self.read_counts[name] += 1
             self.reads.append((name, self.life(name), self.read(name, action)))
         elif isinstance(action, spread.Send):
             self.pending.append((name, action.address, action.message))
--- a/tests/spread/test_decisions.py
+++ b/tests/spread/test_decisions.py
@@ -4,9 +4,11 @@
 import unittest
 
 from apricotpost import config
+from apricotpost import membership
 from apricotpost import model
 from apricotpost import spread
 from apricotpost import wire
+from tests.membership import fleets as records
 from tests.spread import fleets
 
 __all__ = ["JoinTest", "NoticeTest", "ReadTest", "RefusalTest"]
@@ -60,16 +62,27 @@
         fleet = self.open(1)
         fleet.run(2)
         fleet.nodes[self.refusing[0]].damages = frozenset()
-        fleet.run(spread.Policy().refused_seconds + 6)
+        # Refused copies are tried again after 10 s.
+        fleet.run(16)
         self.assertEqual({2}, fleet.versions())
 
     def test_joining_node_is_not_held_up_by_a_stopped_version(self):
         """Guards against a restart that waits for a stopped version."""
         fleet = self.open(8)
         fleet.run(8)
-        fleet.restart(self.refusing[0])
+        accepting = next(n for n in fleet.nodes if fleet.roster(n).reader)
+        for name in (self.refusing[0], accepting):
+            fleet.restart(name)
+        refused = wire.ConfigRefused(
+            sender="n1",
+            version=2,
+            reason="",
+            refusers=tuple(self.refusing),
+        )
+        fleet.handle(accepting, spread.Received(message=refused))
         fleet.run(15)
-        self.assertTrue(fleet.nodes[self.refusing[0]].state.ready)
+        for name in (self.refusing[0], accepting):
+            self.assertTrue(fleet.nodes[name].state.ready, name)
 
 
 class ReadTest(unittest.TestCase):
@@ -78,18 +91,19 @@
         fleet = fleets.open_fleet(40, centres=2)
         fleet.run(20)
         # Four readers, each once a second with up to half of it as jitter.
-        self.assertLessEqual(fleet.read_count, 4 * 20 * 2)
-        self.assertGreaterEqual(fleet.read_count, 4 * 20 / 1.5)
+        self.assertEqual(4, len(fleet.read_counts))
+        self.assertLessEqual(fleet.read_counts.total(), 4 * 20 * 2)
+        self.assertGreaterEqual(fleet.read_counts.total(), 4 * 20 / 1.5)
 
     def test_reads_back_off_while_the_table_is_out(self):
         """Guards against a storm of reads in an outage."""
         fleet = fleets.open_fleet(12, centres=1)
         fleet.table_out = True
         fleet.run(20)
-        fleet.read_count = 0
+        fleet.read_counts.clear()
         fleet.run(40)
         # Two readers with pauses of at least 2 s.
-        self.assertLessEqual(fleet.read_count, 2 * 40 / 2)
+        self.assertLessEqual(fleet.read_counts.total(), 2 * 40 / 2)
 
     def test_committed_delta_spreads_without_the_table(self):
         """Guards against an accepted version lost in an outage."""
@@ -110,6 +124,49 @@
         fleet.handle("n0", spread.TableRead(found=old))
         self.assertEqual("n0", fleet.reads[0][0])
 
+    def test_readers_are_the_same_two_for_all(self):
+        """Guards against nodes that disagree on who reads."""
+        known = {
+            f"n{number}": membership.Member(
+                record=records.make_record(f"n{number}"), since=0.0
+            )
+            for number in range(40)
+        }
+        readers = [
+            name
+            for name in known
+            if spread.make_roster(
+                membership.Membership(own=name, members=known), ()
+            ).reader
+        ]
+        self.assertEqual(2, len(readers))
+        # The next by rank takes over from one that is down.
+        gone = dataclasses.replace(
+            known[readers[0]].record, state=model.InstanceState.DOWN
+        )
+        known[readers[0]] = membership.Member(record=gone, since=0.0)
+        others = [
+            name
+            for name in known
+            if name != readers[0]
+            and spread.make_roster(
+                membership.Membership(own=name, members=known), ()
+            ).reader
+        ]
+        self.assertEqual(2, len(others))
+        self.assertIn(readers[1], others)
+
+    def test_comparison_repairs_lost_pushes(self):
+        """Guards against a node that misses a version for good."""
+        fleet = fleets.open_fleet(40)
+        fleet.commit()
+        fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
+        fleet.table_out = True
+        fleet.pending.clear()
+        fleet.reads.clear()
+        fleet.run(30)
+        self.assertEqual({2}, fleet.versions())
+
 
 class JoinTest(unittest.TestCase):
     def test_restarted_data_centre_causes_bounded_reads(self):
@@ -122,11 +179,15 @@
         ]
         for name in herd:
             fleet.restart(name)
-        fleet.read_count = 0
         fleet.run(8)
         self.assertEqual({200}, fleet.versions())
-        # One check for each node, and the polls of eight readers.
-        self.assertLessEqual(fleet.read_count, len(herd) + 8 * 8 * 2)
+        # One check for each node, and the polls of the readers.
+        counts = {
+            fleet.read_counts[name]
+            for name in herd
+            if not fleet.roster(name).reader
+        }
+        self.assertEqual({1}, counts)
         snapshots = [
             target
             for _, target, message in fleet.sent
@@ -144,6 +205,17 @@
             fleet.handle("n0", event)
         self.assertEqual(20, len(fleet.pending))
 
+    def test_stale_peers_do_not_make_ready(self):
+        """Guards against a node that trusts peers which lag behind it."""
+        fleet = fleets.open_fleet(6, versions=2)
+        fleet.commit()
+        fleet.restart("n0")
+        stale = wire.Welcome(sender="n1", version=2, checksum="", floor=0)
+        fleet.handle("n0", spread.Received(message=stale, reply_to=b"n1"))
+        whole = wire.ConfigSnapshot(sender="n1", snapshot=fleet.history[2])
+        fleet.handle("n0", spread.Received(message=whole, reply_to=b"n1"))
+        self.assertFalse(fleet.nodes["n0"].state.ready)
+
     def test_stale_welcome_and_stale_read_do_not_make_ready(self):
         """Guards against a return to an older version after a restart."""
         fleet = fleets.open_fleet(2, versions=3)
