Do not repeat a full exchange of records to others

Cause: a started node spread all records that it got from its seeds, 242 bytes each, which grows with the fleet; 36 nodes spent 1,431 bytes/s each while that lasted. Change: records of a full exchange are stored and not passed on.

--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -17,7 +17,8 @@
     """Handle the messages that exchange all records."""
     message = event.message
     if isinstance(message, wire.Members):
-        return records.merge(state, message.records, now), ()
+        state = records.merge(state, message.records, now, passes_on=False)
+        return state, ()
     if isinstance(message, wire.Join):
         state = records.merge(state, (message.record,), now)
         if not message.whole:
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -53,8 +53,24 @@
     state: members.Membership,
     records: Iterable[model.InstanceRecord],
     now: float,
+    *,
+    passes_on: bool = True,
 ) -> members.Membership:
-    """Merge records from another node and refute those about oneself."""
+    """Merge records from another node and refute those about oneself.
+
+    Parameters
+    ----------
+    state : Membership
+        State before.
+    records : iterable of apricotpost.model.InstanceRecord
+        What the other node knows.
+    now : float
+        Monotonic clock in seconds.
+    passes_on : bool
+        Whether records that are new to this node are spread. Those of a
+        full exchange are old to the others, and a started node would repeat
+        the whole fleet to them.
+    """
     for record in records:
         if record.instance == state.own:
             state = _refute(state, record, now)
@@ -63,12 +79,16 @@
         if known is not None and not supersedes(record, known.record):
             state = _note_version(state, known, record)
         elif known is not None or record.state is not model.InstanceState.DOWN:
-            state = put(state, record, now)
+            state = put(state, record, now, passes_on=passes_on)
     return state
 
 
 def put(
-    state: members.Membership, record: model.InstanceRecord, now: float
+    state: members.Membership,
+    record: model.InstanceRecord,
+    now: float,
+    *,
+    passes_on: bool = True,
 ) -> members.Membership:
     """Store a record and queue it for spreading."""
     name = record.instance
@@ -90,7 +110,9 @@
             name: members.Member(record=record, since=now),
         },
         suspects=suspects,
-        updates=(members.Update(instance=name), *others),
+        updates=(
+            (members.Update(instance=name), *others) if passes_on else others
+        ),
         revision=state.revision + 1,
     )
 
--- a/apricotpost/spread/refusals.py
+++ b/apricotpost/spread/refusals.py
@@ -63,9 +63,12 @@
     state: states.SpreadState, version: int, roster: states.Roster
 ) -> bool:
     """Return whether half of the live members refused a version."""
+    known = state.refusals.get(version)
+    if not known:
+        return False
     live = {peer.instance for peer in (*roster.near, *roster.far)}
     live.add(state.own)
-    refusers = state.refusals.get(version, frozenset()) & live
+    refusers = known & live
     return bool(refusers) and 2 * len(refusers) >= len(live)
 
 
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -203,6 +203,33 @@
             )
         self.assertNotIn("b", self.state.members)
 
+    def test_records_of_a_cut_off_data_centre_outlast_an_hour(self):
+        """Guards against regions that do not find each other again."""
+        kept = {}
+        for failed in (1, 3):
+            state = membership.start(fleets.make_record("a"), 0.0, draw=1)
+            far = [fleets.make_record(f"f{k}", "b") for k in range(4)]
+            down = [
+                dataclasses.replace(entry, state=model.InstanceState.DOWN)
+                for entry in far[:failed]
+            ]
+            state = membership.merge(state, (*far, *down), 0.0)
+            state, _ = membership.handle(
+                state, membership.Tick(draw=1), 3600.0
+            )
+            kept[failed] = len(state.members)
+        self.assertEqual({1: 4, 3: 5}, kept)
+
+    def test_full_exchange_is_not_repeated_to_others(self):
+        """Guards against a start whose cost grows with the fleet."""
+        known = tuple(fleets.make_record(f"n{k}") for k in range(100))
+        message = wire.Members(sender="n0", records=known)
+        state, _ = membership.handle(
+            self.state, membership.Received(message=message), 1.0
+        )
+        self.assertEqual(101, len(state.members))
+        self.assertEqual(("a",), tuple(e.instance for e in state.updates))
+
     def test_unknown_node_is_told_to_introduce_itself(self):
         """Guards against a node that was forgotten during a long freeze."""
         ping = wire.Ping(sender="z", sequence=1)
