--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -40,6 +40,8 @@
     ----------
     options : NodeSettings
         Settings of the node.
+    open_store : callable
+        Makes a connection to the platform for one thread.
     read_view : callable
         Returns the view in force.
     announce : callable
@@ -51,6 +53,7 @@
     """
 
     options: settings.NodeSettings
+    open_store: Callable[[], platform.Store]
     read_view: Callable[[], model.View]
     announce: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
@@ -251,14 +254,7 @@
     """Return the calling thread's connection to the platform."""
     local = admin.local
     if getattr(local, "store", None) is None:
-        options = admin.options.platform
-        local.store = platform.open_store(
-            table_url=options.table_url,
-            object_url=options.object_url,
-            table_name=options.table,
-            bucket=options.bucket,
-            timeout_seconds=options.timeout_seconds,
-        )
+        local.store = admin.open_store()
     return typing.cast(platform.Store, local.store)
 
 
--- a/apricotpost/node/addresses.py
+++ b/apricotpost/node/addresses.py
@@ -5,6 +5,8 @@
     "CONTROL",
     "DISPATCH",
     "GATE",
+    "PLATFORM",
+    "ROLLOUT",
     "LEVELS",
     "MEASUREMENTS",
     "MOVES",
@@ -20,6 +22,7 @@
 MEASUREMENTS = "inproc://measurements"
 MOVES = "inproc://moves"
 PLATFORM = "inproc://platform"
+ROLLOUT = "inproc://rollout"
 
 
 def tcp(address: str) -> str:
--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -12,6 +12,7 @@
 
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import keyed_calls
 from apricotpost.node import levels
 from apricotpost.node import views
 from apricotpost import routing
@@ -30,7 +31,9 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    409: "Conflict",
     413: "Content Too Large",
+    422: "Unprocessable Content",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -51,12 +54,15 @@
         Name of the instance, part of request identifiers.
     trusted : bool
         Whether callers are the backend server beside the node.
+    keyed : KeyedCalls
+        State of the calls with ``Idempotency-Key``.
     """
 
     context: wire.sockets.Context
     current: views.Current
     instance: str
     trusted: bool
+    keyed: keyed_calls.KeyedCalls
     started_ns: int = dataclasses.field(default_factory=time.time_ns)
     numbers: typing.Iterator[int] = dataclasses.field(
         default_factory=itertools.count
@@ -94,7 +100,13 @@
         ingress.context,
         ingress.local,
         route.name,
-        lambda: _dispatch(ingress, request),
+        lambda: keyed_calls.carry(
+            ingress.keyed,
+            key=environ.get("HTTP_IDEMPOTENCY_KEY"),
+            route=route,
+            request=request,
+            dispatch=lambda: _dispatch(ingress, request),
+        ),
     )
 
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -27,9 +27,9 @@
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
-from apricotpost.node import levels
-from apricotpost.node import moves
+from apricotpost.node import keyed_calls
 from apricotpost.node import platform as platform_task
+from apricotpost.node import stores
 from apricotpost.node import views
 from apricotpost import settings
 from apricotpost import wire
@@ -138,7 +138,7 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
-    store = platform_task.open_store(options)
+    store = stores.open_store(options.platform)
     seed = f"{options.instance}-{time.time_ns()}"
     _start(
         node,
@@ -175,24 +175,11 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
-    _start(
-        node,
-        addresses.LEVELS,
-        lambda: levels.run(
-            context=node.context,
-            current=node.current,
-            options=options.levels,
-        ),
-    )
-    _start(
-        node,
-        addresses.MOVES,
-        lambda: moves.run(
-            context=node.context,
-            current=node.current,
-            instance=options.instance,
-            store=platform_task.open_store(options),
-        ),
+    admin_glue.start_tasks(
+        lambda address, target: _start(node, address, target),
+        context=node.context,
+        current=node.current,
+        options=options,
     )
 
 
@@ -221,17 +208,25 @@
 
 def _start_servers(node: _Node) -> list[ingress.Ingress]:
     options = node.options
+    threads = min(options.ingress_threads, options.local_threads)
+    keyed = keyed_calls.KeyedCalls(
+        open_store=lambda: stores.open_store(options.platform),
+        table_slots=threading.BoundedSemaphore(max(threads // 2, 1)),
+    )
+    node.stack.callback(keyed_calls.close, keyed)
     outside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-o",
         trusted=False,
+        keyed=keyed,
     )
     inside = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-l",
         trusted=True,
+        keyed=keyed,
     )
     _serve(
         node,
@@ -288,6 +283,9 @@
     events.emit(LOG, events.DRAIN_STARTED)
     for server in servers:
         server.draining = True
+    socket = wire.sockets.connect_dealer(node.context, addresses.CONTROL)
+    wire.sockets.send(socket, wire.LeaveAnnounced())
+    socket.close()
     socket = wire.sockets.connect_dealer(node.context, addresses.GATE)
     notice = node.options.times.leave_notice_seconds
     wire.sockets.send(
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -4,6 +4,7 @@
 from apricotpost.settings.loader import load
 from apricotpost.settings.loader import parse
 from apricotpost.settings.schema import AddressSettings
+from apricotpost.settings.schema import CredentialSettings
 from apricotpost.settings.schema import LevelSettings
 from apricotpost.settings.schema import LogSettings
 from apricotpost.settings.schema import MetricSettings
@@ -15,6 +16,7 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LevelSettings",
     "LogSettings",
     "MetricSettings",
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "AddressSettings",
+    "CredentialSettings",
     "LevelSettings",
     "LogSettings",
     "MetricSettings",
@@ -24,6 +25,9 @@
     str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
 ]
 Hash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Variable = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]*$")
+]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Percent = typing.Annotated[float, msgspec.Meta(ge=50, lt=100)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=60_000)]
@@ -53,6 +57,26 @@
     control: HostPort
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CredentialSettings:
+    """Names of the environment variables that hold the credentials.
+
+    Parameters
+    ----------
+    region : str
+        Region of the platform in signatures.
+    access_key_variable, secret_key_variable : str
+        Names of variables; the values never appear in the settings.
+    session_token_variable : str
+        For temporary credentials.
+    """
+
+    region: Name
+    access_key_variable: Variable = "AWS_ACCESS_KEY_ID"
+    secret_key_variable: Variable = "AWS_SECRET_ACCESS_KEY"
+    session_token_variable: Variable | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlatformSettings:
     """The platform's services.
@@ -65,6 +89,8 @@
         Names of the table and the bucket.
     timeout_seconds : float
         Longest wait for one answer, in seconds.
+    credentials : CredentialSettings, optional
+        Requests are signed with these.
     """
 
     table_url: str
@@ -72,6 +98,7 @@
     table: Name = "apricotpost"
     bucket: Name = "apricotpost"
     timeout_seconds: Seconds = 2.0
+    credentials: CredentialSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -114,6 +141,8 @@
         Time at full share before a rollout is done.
     step_seconds : float
         Shortest time between two steps of a rollout.
+    join_seconds : float
+        Longest random pause before a started node joins.
     """
 
     drain_seconds: Seconds = 30.0
@@ -121,6 +150,7 @@
     poll_seconds: Seconds = 1.0
     bake_seconds: Seconds = 60.0
     step_seconds: Seconds = 5.0
+    join_seconds: Seconds = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -35,6 +35,7 @@
 from apricotpost.wire.tasks import ConfigRead
 from apricotpost.wire.tasks import GateControl
 from apricotpost.wire.tasks import GateReport
+from apricotpost.wire.tasks import LeaveAnnounced
 from apricotpost.wire.tasks import LevelsReply
 from apricotpost.wire.tasks import LevelsRequest
 from apricotpost.wire.tasks import Outcome
@@ -68,6 +69,7 @@
     "Join",
     "LevelsReply",
     "LevelsRequest",
+    "LeaveAnnounced",
     "Members",
     "MembersRequest",
     "Message",
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -20,6 +20,7 @@
     "KINDS",
     "LevelsReply",
     "LevelsRequest",
+    "LeaveAnnounced",
     "Outcome",
     "ReadConfig",
     "StatusReply",
@@ -173,6 +174,11 @@
     delta: model.Delta | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaveAnnounced:
+    """The node is about to drain and tells its peers."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StatusRequest:
     """Asks control for its state."""
@@ -246,4 +252,5 @@
     120: CallMeasured,
     121: LevelsRequest,
     122: LevelsReply,
+    114: LeaveAnnounced,
 }
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -10,6 +10,7 @@
 
 from apricotpost import admin
 from apricotpost import model
+from apricotpost.node import stores
 from apricotpost import settings
 from standins import platform as stand_in
 
@@ -77,6 +78,7 @@
         api.app = admin.make_app(
             admin.Admin(
                 options=options,
+                open_store=lambda: stores.open_store(options.platform),
                 read_view=lambda: api.view,
                 announce=lambda delta, author: api.announced.append(delta),
                 read_levels=lambda: {},
