--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -19,15 +19,11 @@
 from apricotpost import errors
 from apricotpost import model
 from apricotpost import platform
+from apricotpost.rollout import steps
 from apricotpost import settings
 
 __all__ = ["Admin", "Request", "find_handler", "make_policy"]
 
-# A version in force within 8 s and 2 s for differences of clocks.
-CONVERGENCE_SECONDS = 10.0
-# Shares of a rollout, each held for a step time at least.
-ROLLOUT_STEPS = 5
-
 KEY_HEADER = "idempotency-key"
 BASE_HEADER = "if-match"
 
@@ -104,9 +100,10 @@
 def make_policy(times: settings.TimeSettings) -> requests.Policy:
     """Return the shortest times of moves that the settings allow."""
     return requests.Policy(
-        rollout_seconds=ROLLOUT_STEPS * times.step_seconds
-        + CONVERGENCE_SECONDS,
-        data_centre_seconds=CONVERGENCE_SECONDS,
+        rollout_seconds=steps.shortest_seconds(
+            steps.Times(step_seconds=times.step_seconds)
+        ),
+        data_centre_seconds=steps.MARGIN_SECONDS,
     )
 
 
@@ -132,7 +129,7 @@
     return reads.read_history(
         _store(admin),
         admin.read_view(),
-        after=request.query.get("after", ""),
+        service=request.query.get("service", ""),
         limit=_number(request, "limit", reads.PAGE_ITEMS, 1000),
     )
 
--- a/apricotpost/admin/reads.py
+++ b/apricotpost/admin/reads.py
@@ -19,8 +19,9 @@
 ]
 
 PAGE_ITEMS = 200
-# History starts so many configuration versions ago unless asked otherwise.
-HISTORY_VERSIONS = 5000
+# History reads at most so many outcomes, about 40 days at the target size.
+MAX_PAGES = 20
+QUERY_ITEMS = 1000
 
 Json = dict[str, typing.Any]
 
@@ -84,9 +85,9 @@
 
 
 def read_history(
-    store: platform.Store, view: model.View, *, after: str, limit: int
+    store: platform.Store, view: model.View, *, service: str, limit: int
 ) -> Json:
-    """Read ended moves by identifier, and data centre moves under way.
+    """Read the last ended moves, and data centre moves under way.
 
     Parameters
     ----------
@@ -94,8 +95,8 @@
         Where to read.
     view : apricotpost.model.View
         From which the progress of moves is counted.
-    after : str
-        Only greater identifiers are returned; empty for the recent ones.
+    service : str
+        Only its rollouts are returned; empty for all moves.
     limit : int
         Largest number of outcomes.
 
@@ -104,18 +105,18 @@
     apricotpost.errors.PlatformError
         The table did not answer.
     """
-    oldest = max(view.snapshot.version - HISTORY_VERSIONS, 0)
-    ended = table.query(
-        store.table,
-        pk=moves.OUTCOME,
-        after=after or f"{oldest:012d}",
-        limit=limit,
-    )
-    pending = table.query(store.table, pk=moves.PENDING)
+    # Identifiers of rollouts start with the service, those of data centre
+    # moves with a number; neither sorts by the time of the end.
+    ended = [
+        _describe_outcome(item)
+        for item in _read_outcomes(store, service)
+        if not service or item.attributes.get("service") == service
+    ]
+    ended.sort(key=lambda entry: int(entry.get("at_ms", 0)), reverse=True)
+    pending = () if service else table.query(store.table, pk=moves.PENDING)
     return {
-        "outcomes": [_describe_outcome(item) for item in ended],
+        "outcomes": ended[:limit],
         "pending": [_describe_pending(item, view) for item in pending],
-        "next": ended[-1].key.sk if len(ended) == limit else "",
     }
 
 
@@ -164,6 +165,22 @@
     return {"records": records, "next": oldest if oldest > 1 else 0}
 
 
+def _read_outcomes(
+    store: platform.Store, service: str
+) -> typing.Iterator[table.Item]:
+    after = f"{service}-" if service else ""
+    for _ in range(MAX_PAGES):
+        page = table.query(
+            store.table, pk=moves.OUTCOME, after=after, limit=QUERY_ITEMS
+        )
+        yield from page
+        if len(page) < QUERY_ITEMS:
+            return
+        after = page[-1].key.sk
+        if service and not after.startswith(f"{service}-"):
+            return
+
+
 def _count_instances(view: model.View, data_centre: str) -> Json:
     records = [
         record
--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -120,7 +120,7 @@
     history = adders.add_parser(
         "history", parents=[common], help="show how moves ended"
     )
-    history.add_argument("--after", default="", metavar="MOVE")
+    history.add_argument("--service", default="")
     history.add_argument("--limit", type=int, default=200)
     audit = adders.add_parser(
         "audit", parents=[common], help="show who changed what"
--- a/apricotpost/ctl/tables.py
+++ b/apricotpost/ctl/tables.py
@@ -90,14 +90,11 @@
 
 def format_history(answer: Json) -> str:
     """Show moves under way and ended moves."""
-    rows = [_history_row(entry) for entry in answer["outcomes"]]
-    rows += [_history_row(entry) for entry in answer["pending"]]
-    text = format_table(
+    rows = [_history_row(entry) for entry in answer["pending"]]
+    rows += [_history_row(entry) for entry in answer["outcomes"]]
+    return format_table(
         ("MOVE", "WHAT", "STATE", "ENDED", "TOOK", "REASON"), rows
     )
-    if answer["next"]:
-        text += f"\nmore: apricotpost-ctl history --after {answer['next']}"
-    return text
 
 
 def format_audit(answer: Json) -> str:
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -29,6 +29,7 @@
 from apricotpost.node import ingress
 from apricotpost.node import keyed_calls
 from apricotpost.node import platform as platform_task
+from apricotpost.node import rollouts
 from apricotpost.node import stores
 from apricotpost.node import views
 from apricotpost import settings
@@ -163,6 +164,7 @@
             current=node.current,
             data_centre=options.data_centre,
             call_address=addresses.tcp(options.addresses.call),
+            instance=options.instance,
         ),
     )
     _start(
@@ -175,6 +177,17 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
+    _start(
+        node,
+        addresses.ROLLOUT,
+        lambda: rollouts.run(
+            context=node.context,
+            current=node.current,
+            options=options,
+            store=stores.open_store(options.platform),
+            rng=random.Random(seed + "-rollout"),
+        ),
+    )
     admin_glue.start_tasks(
         lambda address, target: _start(node, address, target),
         context=node.context,
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -5,7 +5,9 @@
 from apricotpost.platform.commits import commit
 from apricotpost.platform.http import Channel
 from apricotpost.platform.http import open_channel
+from apricotpost.platform import leases
 from apricotpost.platform import objects
+from apricotpost.platform import outcomes
 from apricotpost.platform.signing import Credentials
 from apricotpost.platform.signing import read_credentials
 from apricotpost.platform.store import bounded
@@ -24,9 +26,11 @@
     "Store",
     "bounded",
     "commit",
+    "leases",
     "objects",
     "open_channel",
     "open_store",
+    "outcomes",
     "read_credentials",
     "read_head",
     "read_newer",
