Count the progress of moves on the versions instances hold by now

Cause: the view keeps old configuration versions of instances, because it is replaced only for what the call path reads; a move between two nodes was never done.

--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -40,6 +40,8 @@
         Makes a connection to the platform for one thread.
     read_view : callable
         Returns the view in force.
+    read_fleet : callable
+        Returns it with the versions that instances hold by now.
     announce : callable
         Tells control that this node committed a version.
     read_levels : callable
@@ -51,6 +53,7 @@
     options: settings.NodeSettings
     open_store: Callable[[], platform.Store]
     read_view: Callable[[], model.View]
+    read_fleet: Callable[[], model.View]
     announce: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
     local: threading.local = dataclasses.field(default_factory=threading.local)
@@ -113,7 +116,7 @@
         "data_centre": admin.options.data_centre,
         "region": admin.options.region,
         "now": time.time(),
-        **reads.describe_status(admin.read_view(), now=time.time()),
+        **reads.describe_status(admin.read_fleet(), now=time.time()),
     }
 
 
@@ -122,13 +125,13 @@
 
 
 def _get_instances(admin: Admin, request: Request) -> typing.Any:
-    return {"instances": admin.read_view().instances}
+    return {"instances": admin.read_fleet().instances}
 
 
 def _get_history(admin: Admin, request: Request) -> typing.Any:
     return reads.read_history(
         _store(admin),
-        admin.read_view(),
+        admin.read_fleet(),
         service=request.query.get("service", ""),
         limit=_number(request, "limit", reads.PAGE_ITEMS, 1000),
     )
@@ -136,7 +139,7 @@
 
 def _get_move(admin: Admin, request: Request) -> typing.Any:
     return reads.read_move(
-        _store(admin), admin.read_view(), request.name, now=time.time()
+        _store(admin), admin.read_fleet(), request.name, now=time.time()
     )
 
 
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -11,6 +11,7 @@
 from apricotpost.node import addresses
 from apricotpost.node import levels
 from apricotpost.node import moves
+from apricotpost.node import status
 from apricotpost.node import stores
 from apricotpost.node import views
 from apricotpost import settings
@@ -60,6 +61,7 @@
         options=options,
         open_store=lambda: stores.open_store(options.platform),
         read_view=lambda: current.view,
+        read_fleet=lambda: status.read_fleet(context, current),
         announce=announce,
         read_levels=read_levels,
     )
--- a/apricotpost/node/moves.py
+++ b/apricotpost/node/moves.py
@@ -14,6 +14,7 @@
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import addresses
+from apricotpost.node import status
 from apricotpost.node import views
 from apricotpost import platform
 from apricotpost.platform import table
@@ -30,8 +31,8 @@
 class _Task:
     """What the task owns."""
 
+    context: wire.sockets.Context
     current: views.Current
-    instance: str
     store: platform.Store
     overdue: set[str] = dataclasses.field(default_factory=set)
 
@@ -61,7 +62,7 @@
         socket = stack.enter_context(
             wire.sockets.bind_router(context, addresses.MOVES)
         )
-        task = _Task(current=current, instance=instance, store=store)
+        task = _Task(context=context, current=current, store=store)
         while True:
             if socket.poll(int(POLL_SECONDS * 1000), zmq.POLLIN):
                 _, message = wire.sockets.receive_routed(socket)
@@ -92,18 +93,24 @@
 
 def _record_ends(task: _Task) -> None:
     try:
-        for item in table.query(task.store.table, pk=moves.PENDING):
-            _record_end(task, moves.decode_pending(item))
-    except errors.PlatformError:
+        pending = table.query(task.store.table, pk=moves.PENDING)
+        if not pending:
+            return
+        view = status.read_fleet(task.context, task.current)
+        for item in pending:
+            _record_end(task, moves.decode_pending(item), view)
+    except (errors.PlatformError, errors.NodeUnreachable):
         # The move stays pending; the platform task logs the outage.
         return
 
 
-def _record_end(task: _Task, move: moves.PendingMove) -> None:
-    view, now = task.current.view, time.time()
+def _record_end(
+    task: _Task, move: moves.PendingMove, view: model.View
+) -> None:
+    now = time.time()
     outcome = moves.decide_outcome(move, view, now)
     if outcome is None:
-        _log_overdue(task, move, now)
+        _log_overdue(task, move, view, now)
         return
     try:
         table.transact(
@@ -121,12 +128,14 @@
     )
 
 
-def _log_overdue(task: _Task, move: moves.PendingMove, now: float) -> None:
+def _log_overdue(
+    task: _Task, move: moves.PendingMove, view: model.View, now: float
+) -> None:
     """Log once that a move is late, with the first outstanding instances."""
     if now <= move.finish_by or move.identifier in task.overdue:
         return
     task.overdue.add(move.identifier)
-    progress = moves.measure_progress(move, task.current.view.instances)
+    progress = moves.measure_progress(move, view.instances)
     events.emit(
         LOG,
         events.MOVE_OVERDUE,
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -80,6 +80,7 @@
                 options=options,
                 open_store=lambda: stores.open_store(options.platform),
                 read_view=lambda: api.view,
+                read_fleet=lambda: api.view,
                 announce=lambda delta, author: api.announced.append(delta),
                 read_levels=lambda: {},
             )
