Show the history of the last versions first

Cause: identifiers of rollouts start with the version that began them now. Change: history reads from a version on and shows how long rollouts took.

--- a/apricotpost/admin/reads.py
+++ b/apricotpost/admin/reads.py
@@ -19,8 +19,9 @@
 ]
 
 PAGE_ITEMS = 200
-# History reads at most so many outcomes, about 40 days at the target size.
-MAX_PAGES = 20
+# History shows the moves of so many versions, about 3 days at the target
+# size.
+HISTORY_VERSIONS = 10_000
 QUERY_ITEMS = 1000
 
 Json = dict[str, typing.Any]
@@ -105,11 +106,9 @@
     apricotpost.errors.PlatformError
         The table did not answer.
     """
-    # Identifiers of rollouts start with the service, those of data centre
-    # moves with a number; neither sorts by the time of the end.
     ended = [
         _describe_outcome(item)
-        for item in _read_outcomes(store, service)
+        for item in _read_outcomes(store, view.snapshot.version)
         if not service or item.attributes.get("service") == service
     ]
     ended.sort(key=lambda entry: int(entry.get("at_ms", 0)), reverse=True)
@@ -166,10 +165,14 @@
 
 
 def _read_outcomes(
-    store: platform.Store, service: str
+    store: platform.Store, version: int
 ) -> typing.Iterator[table.Item]:
-    after = f"{service}-" if service else ""
-    for _ in range(MAX_PAGES):
+    """Yield the ends of moves that began in the last versions.
+
+    Their identifiers start with the configuration version that began them.
+    """
+    after = f"{max(version - HISTORY_VERSIONS, 0):012d}"
+    while True:
         page = table.query(
             store.table, pk=moves.OUTCOME, after=after, limit=QUERY_ITEMS
         )
@@ -177,8 +180,6 @@
         if len(page) < QUERY_ITEMS:
             return
         after = page[-1].key.sk
-        if service and not after.startswith(f"{service}-"):
-            return
 
 
 def _count_instances(view: model.View, data_centre: str) -> Json:
--- a/apricotpost/ctl/tables.py
+++ b/apricotpost/ctl/tables.py
@@ -167,12 +167,13 @@
 
 
 def _history_row(entry: Json) -> Sequence[typing.Any]:
-    took = entry.get("taken_ms", 0) / 1000
+    ended, started = entry.get("at_ms", 0), entry.get("started_at_ms", 0)
+    took = max(ended - started, 0) / 1000 if started else 0.0
     return (
         entry["identifier"],
         _what(entry),
         entry["state"],
-        format_time(entry.get("at_ms", 0) / 1000),
+        format_time(ended / 1000),
         f"{took:.1f} s" if took else "-",
         entry.get("reason", ""),
     )
