--- a/apricotpost/node/levels.py
+++ b/apricotpost/node/levels.py
@@ -113,7 +113,8 @@
         or result.status >= 500,
         duration_ms=(time.monotonic() - started) * 1000,
     )
-    # A full queue loses the count, never the call.
+    # A full queue, of about a thousand for each thread, loses the count but
+    # never the call.
     wire.sockets.send(local.measurements, measurement)
     return result
 
