--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -50,6 +50,12 @@
     logging.INFO,
     "backend server of %(service)s %(version)s announced at %(address)s",
 )
+DRAIN_CUT = _event(
+    106,
+    logging.WARNING,
+    "drain ended after %(seconds)s s with calls in flight",
+)
+NOTICE_ENDED = _event(107, logging.INFO, "notice period ended by a signal")
 # Configuration: 200 to 299.
 CONFIG_APPLIED = _event(
     200, logging.INFO, "configuration %(version)s in force"
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -13,6 +13,7 @@
     "CallMeasured",
     "CallRequest",
     "CallResult",
+    "CallerLeft",
     "ConfigCommitted",
     "ConfigRead",
     "GateControl",
@@ -57,6 +58,16 @@
     retried: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLeft:
+    """Ingress tells dispatch that a request's caller hung up.
+
+    The result is still handed over, as the call may have run.
+    """
+
+    request: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallResult:
     """Dispatch tells ingress how a call ended.
@@ -124,9 +135,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GateControl:
-    """Control tells the gate to start a drain.
+    """The main thread tells the gate to start a drain.
 
-    New calls are refused after ``notice_seconds``.
+    New calls are refused after ``notice_seconds``; a later message can only
+    shorten that time.
     """
 
     drain: bool
@@ -253,4 +265,5 @@
     121: LevelsRequest,
     122: LevelsReply,
     114: LeaveAnnounced,
+    115: CallerLeft,
 }
