--- a/apricotpost/admin/changes.py
+++ b/apricotpost/admin/changes.py
@@ -151,25 +151,12 @@
             f"rollout {rollout.identifier} is {rollout.state.value}; "
             f"submit a sheet that names {rollout.old} to return to it"
         )
-    ended = dataclasses.replace(
-        rollout,
-        state=model.RolloutState.WITHDRAWN,
-        share=0,
-        changed_at=now,
-        reason=request.reason,
-    )
-    old = model.VersionShare(version=rollout.old, share=model.TOTAL_SHARE)
-    after = dataclasses.replace(
-        snapshot,
-        services=_put(
-            snapshot.services, dataclasses.replace(service, versions=(old,))
-        ),
-        rollouts=tuple(
-            ended if each is rollout else each for each in snapshot.rollouts
-        ),
+    after = rollouts.end_rollout(
+        snapshot, rollout, done=False, reason=request.reason, now=now
     )
+    ended = _find(after.rollouts, "rollout", request.rollout)
     return requests.Applied(
-        snapshot=after, changed=(sentence,), withdrawn=(ended,)
+        snapshot=after, changed=(sentence,), withdrawn=((rollout, ended),)
     )
 
 
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -19,15 +19,11 @@
 from apricotpost import errors
 from apricotpost import model
 from apricotpost import platform
+from apricotpost.rollout import steps
 from apricotpost import settings
 
 __all__ = ["Admin", "Request", "find_handler", "make_policy"]
 
-# A version in force within 8 s and 2 s for differences of clocks.
-CONVERGENCE_SECONDS = 10.0
-# Shares of a rollout, each held for a step time at least.
-ROLLOUT_STEPS = 5
-
 KEY_HEADER = "idempotency-key"
 BASE_HEADER = "if-match"
 
@@ -40,8 +36,12 @@
     ----------
     options : NodeSettings
         Settings of the node.
+    open_store : callable
+        Makes a connection to the platform for one thread.
     read_view : callable
         Returns the view in force.
+    read_fleet : callable
+        Returns it with the versions that instances hold by now.
     announce : callable
         Tells control that this node committed a version.
     read_levels : callable
@@ -51,7 +51,9 @@
     """
 
     options: settings.NodeSettings
+    open_store: Callable[[], platform.Store]
     read_view: Callable[[], model.View]
+    read_fleet: Callable[[], model.View]
     announce: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
     local: threading.local = dataclasses.field(default_factory=threading.local)
@@ -101,9 +103,14 @@
 def make_policy(times: settings.TimeSettings) -> requests.Policy:
     """Return the shortest times of moves that the settings allow."""
     return requests.Policy(
-        rollout_seconds=ROLLOUT_STEPS * times.step_seconds
-        + CONVERGENCE_SECONDS,
-        data_centre_seconds=CONVERGENCE_SECONDS,
+        # A rollout is planned with the usual step time at least.
+        rollout_seconds=max(
+            steps.shortest_seconds(steps.Times()),
+            steps.shortest_seconds(
+                steps.Times(step_seconds=times.step_seconds)
+            ),
+        ),
+        data_centre_seconds=steps.MARGIN_SECONDS,
     )
 
 
@@ -113,7 +120,7 @@
         "data_centre": admin.options.data_centre,
         "region": admin.options.region,
         "now": time.time(),
-        **reads.describe_status(admin.read_view(), now=time.time()),
+        **reads.describe_status(admin.read_fleet(), now=time.time()),
     }
 
 
@@ -122,21 +129,21 @@
 
 
 def _get_instances(admin: Admin, request: Request) -> typing.Any:
-    return {"instances": admin.read_view().instances}
+    return {"instances": admin.read_fleet().instances}
 
 
 def _get_history(admin: Admin, request: Request) -> typing.Any:
     return reads.read_history(
         _store(admin),
-        admin.read_view(),
-        after=request.query.get("after", ""),
+        admin.read_fleet(),
+        service=request.query.get("service", ""),
         limit=_number(request, "limit", reads.PAGE_ITEMS, 1000),
     )
 
 
 def _get_move(admin: Admin, request: Request) -> typing.Any:
     return reads.read_move(
-        _store(admin), admin.read_view(), request.name, now=time.time()
+        _store(admin), admin.read_fleet(), request.name, now=time.time()
     )
 
 
@@ -251,14 +258,7 @@
     """Return the calling thread's connection to the platform."""
     local = admin.local
     if getattr(local, "store", None) is None:
-        options = admin.options.platform
-        local.store = platform.open_store(
-            table_url=options.table_url,
-            object_url=options.object_url,
-            table_name=options.table,
-            bucket=options.bucket,
-            timeout_seconds=options.timeout_seconds,
-        )
+        local.store = admin.open_store()
     return typing.cast(platform.Store, local.store)
 
 
--- a/apricotpost/admin/requests.py
+++ b/apricotpost/admin/requests.py
@@ -142,15 +142,15 @@
         What changes and what already held, one sentence each.
     moves : tuple of DataCentreMove
         Data centre moves, whose end is recorded later.
-    withdrawn : tuple of apricotpost.model.Rollout
-        Rollouts that the change ended.
+    withdrawn : tuple of (apricotpost.model.Rollout, ...)
+        Rollouts that the change ended, each before and after.
     """
 
     snapshot: model.Snapshot
     changed: tuple[str, ...] = ()
     unchanged: tuple[str, ...] = ()
     moves: tuple[DataCentreMove, ...] = ()
-    withdrawn: tuple[model.Rollout, ...] = ()
+    withdrawn: tuple[tuple[model.Rollout, model.Rollout], ...] = ()
 
 
 def decode(body: bytes, kind: type[T]) -> T:
--- a/apricotpost/admin/submissions.py
+++ b/apricotpost/admin/submissions.py
@@ -6,6 +6,7 @@
 from apricotpost.admin import moves
 from apricotpost.admin import requests
 from apricotpost.admin import tokens
+from apricotpost import platform
 from apricotpost.platform import table
 
 __all__ = ["Accepted", "Submission", "extra_writes", "move_identifier"]
@@ -69,21 +70,12 @@
                 author=submission.actor.author,
             )
         )
-    for rollout in applied.withdrawn:
-        yield table.Put(
-            item=table.Item(
-                key=table.Key(pk=moves.OUTCOME, sk=rollout.identifier),
-                attributes={
-                    "kind": "rollout",
-                    "service": rollout.service,
-                    "old": rollout.old,
-                    "new": rollout.new,
-                    "result": rollout.state.value,
-                    "reason": rollout.reason,
-                    "at_ms": int(now * 1000),
-                    "author": submission.actor.author,
-                },
-            )
+    for before, after in applied.withdrawn:
+        yield platform.outcomes.outcome_write(
+            before,
+            after,
+            evidence="",
+            author=submission.actor.author,
         )
 
 
--- a/apricotpost/ctl/commands.py
+++ b/apricotpost/ctl/commands.py
@@ -106,7 +106,7 @@
 
 def _history(session: Session) -> int:
     query = urllib.parse.urlencode(
-        {"after": session.options.after, "limit": session.options.limit}
+        {"service": session.options.service, "limit": session.options.limit}
     )
     answer = client.call(session.client, "GET", f"/v1/history?{query}")
     _show(session, answer, tables.format_history(answer))
--- a/apricotpost/ctl/tables.py
+++ b/apricotpost/ctl/tables.py
@@ -90,14 +90,11 @@
 
 def format_history(answer: Json) -> str:
     """Show moves under way and ended moves."""
-    rows = [_history_row(entry) for entry in answer["outcomes"]]
-    rows += [_history_row(entry) for entry in answer["pending"]]
-    text = format_table(
+    rows = [_history_row(entry) for entry in answer["pending"]]
+    rows += [_history_row(entry) for entry in answer["outcomes"]]
+    return format_table(
         ("MOVE", "WHAT", "STATE", "ENDED", "TOOK", "REASON"), rows
     )
-    if answer["next"]:
-        text += f"\nmore: apricotpost-ctl history --after {answer['next']}"
-    return text
 
 
 def format_audit(answer: Json) -> str:
@@ -170,12 +167,13 @@
 
 
 def _history_row(entry: Json) -> Sequence[typing.Any]:
-    took = entry.get("taken_ms", 0) / 1000
+    ended, started = entry.get("at_ms", 0), entry.get("started_at_ms", 0)
+    took = max(ended - started, 0) / 1000 if started else 0.0
     return (
         entry["identifier"],
         _what(entry),
         entry["state"],
-        format_time(entry.get("at_ms", 0) / 1000),
+        format_time(ended / 1000),
         f"{took:.1f} s" if took else "-",
         entry.get("reason", ""),
     )
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -1,5 +1,6 @@
 """Connects the administration API to the tasks of the node."""
 
+from collections.abc import Callable
 import logging
 import threading
 import typing
@@ -9,11 +10,14 @@
 from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import levels
+from apricotpost.node import moves
+from apricotpost.node import status
+from apricotpost.node import stores
 from apricotpost.node import views
 from apricotpost import settings
 from apricotpost import wire
 
-__all__ = ["THREADS", "make_admin"]
+__all__ = ["THREADS", "make_admin", "start_tasks"]
 
 LOG = logging.getLogger(__name__)
 THREADS = 2
@@ -55,7 +59,46 @@
 
     return admin.Admin(
         options=options,
+        open_store=lambda: stores.open_store(options.platform),
         read_view=lambda: current.view,
+        read_fleet=lambda: status.read_fleet(context, current),
         announce=announce,
         read_levels=read_levels,
     )
+
+
+def start_tasks(
+    start: Callable[[str, Callable[[], None]], None],
+    *,
+    context: wire.sockets.Context,
+    current: views.Current,
+    options: settings.NodeSettings,
+) -> None:
+    """Start the tasks that work for operators.
+
+    Parameters
+    ----------
+    start : callable
+        Starts a task whose commands arrive at an address.
+    context : zmq.Context
+        Of this process.
+    current : Current
+        Reference to the view in force.
+    options : NodeSettings
+        Settings of the node.
+    """
+    start(
+        addresses.LEVELS,
+        lambda: levels.run(
+            context=context, current=current, options=options.levels
+        ),
+    )
+    start(
+        addresses.MOVES,
+        lambda: moves.run(
+            context=context,
+            current=current,
+            instance=options.instance,
+            store=stores.open_store(options.platform),
+        ),
+    )
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -29,8 +29,6 @@
 from apricotpost.node import gate
 from apricotpost.node import ingress
 from apricotpost.node import keyed_calls
-from apricotpost.node import levels
-from apricotpost.node import moves
 from apricotpost.node import platform as platform_task
 from apricotpost.node import rollouts
 from apricotpost.node import shutdown
@@ -188,15 +186,6 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
-    _start(
-        node,
-        addresses.LEVELS,
-        lambda: levels.run(
-            context=node.context,
-            current=node.current,
-            options=options.levels,
-        ),
-    )
     _start(
         node,
         addresses.ROLLOUT,
@@ -208,15 +197,11 @@
             rng=random.Random(seed + "-rollout"),
         ),
     )
-    _start(
-        node,
-        addresses.MOVES,
-        lambda: moves.run(
-            context=node.context,
-            current=node.current,
-            instance=options.instance,
-            store=stores.open_store(options.platform),
-        ),
+    admin_glue.start_tasks(
+        lambda address, target: _start(node, address, target),
+        context=node.context,
+        current=node.current,
+        options=options,
     )
 
 
--- a/apricotpost/settings/pages.py
+++ b/apricotpost/settings/pages.py
@@ -30,6 +30,7 @@
 _FORMS = {
     schema.HostPort: "IP:PORT",
     schema.Hash: "64 hexadecimal digits",
+    schema.Variable: "name of an environment variable",
     schema.Name: "name of lower case letters, digits, `.` and `-`",
 }
 
@@ -60,11 +61,9 @@
     if dataclasses.is_dataclass(hint):
         return hint, ""
     arguments = typing.get_args(hint)
-    if typing.get_origin(hint) is tuple and dataclasses.is_dataclass(
-        arguments[0]
-    ):
-        return arguments[0], "[]"
-    return None, ""
+    if not arguments or not dataclasses.is_dataclass(arguments[0]):
+        return None, ""
+    return arguments[0], "[]" if typing.get_origin(hint) is tuple else ""
 
 
 def _rows(kind: typing.Any, path: str) -> Iterator[str]:
@@ -121,7 +120,7 @@
     ):
         if bound is not None:
             bounds.append(f"{word} {bound:g}")
-    return f"{_TYPES[kind]}, {', '.join(bounds)}"
+    return ", ".join([_TYPES[kind], *bounds])
 
 
 def _describe_default(field: "dataclasses.Field[typing.Any]") -> str:
