Test the worker's connection and the ingress application

Cause: two mutations survived the process tests: a result of another request accepted by ingress, and a connection kept after a time-out.

Change: tests of backend.send against a fake server and of the WSGI application against a fake dispatch.

Measured result: both mutations fail now.

--- /dev/null
+++ b/tests/node/test_backend.py
@@ -0,0 +1,57 @@
+"""Tests of the worker's connection to the backend server."""
+
+import time
+import unittest
+
+from apricotpost.node import backend
+from apricotpost import wire
+from standins import fleet as fleets
+from tests.admission import test_gate
+from tests.node import loads
+
+__all__ = ["SendTest"]
+
+
+class SendTest(unittest.TestCase):
+    def setUp(self):
+        self.address = self.enterContext(loads.serve_faults())
+        self.connection = backend.Connection()
+
+    def send(self, path, body=b"q1", *, seconds=2.0, address=None):
+        deadline = time.time() + seconds
+        call = test_gate.make_call(
+            "a.1", target=path, method="POST", body=body
+        )
+        job = wire.BackendJob(
+            call=test_gate.dataclasses.replace(call, deadline=deadline),
+            address=address or self.address,
+        )
+        return backend.send(self.connection, job)
+
+    def test_answer_after_a_time_out_is_its_own(self):
+        """Guards against a late answer read by the next call (P7)."""
+        late = self.send("/crossed", seconds=0.1)
+        self.assertEqual("timeout", late.reason)
+        found = self.send("/x", body=b"q2")
+        self.assertEqual((200, b"q2"), (found.status, found.body))
+
+    def test_connection_is_kept(self):
+        """Guards against a new connection for each call."""
+        self.send("/x")
+        channel = self.connection.channel
+        self.send("/x", body=b"")
+        self.send("/x")
+        self.assertIs(channel, self.connection.channel)
+
+    def test_refused_connection_is_not_run(self):
+        """Guards against an unknown outcome where nothing was sent."""
+        (port,) = fleets.free_ports(1)
+        found = self.send("/x", address=f"{fleets.HOST}:{port}")
+        self.assertEqual(
+            (wire.Outcome.NOT_RUN, "not-sent"), (found.outcome, found.reason)
+        )
+
+    def test_call_past_its_deadline_is_not_sent(self):
+        """Guards against a worker that was frozen and sends a late call."""
+        found = self.send("/x", seconds=-1.0)
+        self.assertEqual("deadline-passed", found.reason)
--- /dev/null
+++ b/tests/node/test_ingress.py
@@ -0,0 +1,111 @@
+"""Tests of the application that takes callers' requests."""
+
+import dataclasses
+import io
+import threading
+import unittest
+
+from apricotpost import model
+from apricotpost.node import addresses
+from apricotpost.node import ingress
+from apricotpost.node import views
+from apricotpost import wire
+from tests.node import loads
+
+__all__ = ["IngressTest"]
+
+
+class IngressTest(unittest.TestCase):
+    def setUp(self):
+        context = wire.sockets.make_context()
+        self.addCleanup(context.term)
+        self.router = wire.sockets.bind_router(context, addresses.DISPATCH)
+        self.addCleanup(self.router.close)
+        snapshot = loads.snapshot("portal")
+        routes = snapshot.routes + (
+            model.Route(
+                name="records",
+                service="portal",
+                prefix="/portal/internal",
+                methods=("GET",),
+                idempotent=True,
+                internal=True,
+            ),
+        )
+        view = model.View(
+            snapshot=dataclasses.replace(snapshot, routes=routes), ready=True
+        )
+        self.ingress = ingress.Ingress(
+            context=context,
+            current=views.Current(view=view),
+            instance="i1",
+            trusted=False,
+        )
+        self.addCleanup(self.close_socket)
+
+    def close_socket(self):
+        socket = getattr(self.ingress.local, "socket", None)
+        if socket is not None:
+            socket.close()
+
+    def call(self, path, *, method="GET", results=()):
+        """Call the application while a thread answers as dispatch."""
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "wsgi.input": io.BytesIO(),
+        }
+        found = {}
+
+        def start(status, headers):
+            found.update(status=status, headers=dict(headers))
+
+        thread = threading.Thread(target=self.answer, args=(results,))
+        thread.start()
+        found["body"] = b"".join(
+            ingress.make_app(self.ingress)(environ, start)
+        )
+        thread.join()
+        return found
+
+    def answer(self, results):
+        if results and self.router.poll(5000):
+            identity, request = wire.sockets.receive_routed(self.router)
+            for result in results:
+                name = result.request or request.request
+                result = dataclasses.replace(result, request=name)
+                wire.sockets.send_routed(self.router, identity, result)
+
+    def make_result(self, **changes):
+        result = wire.CallResult(
+            request="", outcome=wire.Outcome.ANSWERED, status=200, body=b"own"
+        )
+        return dataclasses.replace(result, **changes)
+
+    def test_late_result_of_another_request_is_dropped(self):
+        """Guards against a result handed to the next request (P7)."""
+        other = self.make_result(request="old", body=b"other")
+        found = self.call("/portal/x", results=(other, self.make_result()))
+        self.assertEqual(b"own", found["body"])
+
+    def test_outside_caller_reaches_no_internal_route(self):
+        """Guards against internal routes that outside callers reach."""
+        for path in ("/portal/internal/x", "/portal/a/../internal/x"):
+            found = self.call(path)
+            self.assertEqual("404 Not Found", found["status"])
+            self.assertEqual(
+                "not-run", found["headers"]["X-Apricotpost-Outcome"]
+            )
+
+    def test_answers_have_the_phrase_and_length_of_their_status(self):
+        """Guards against answers that callers cannot parse."""
+        empty = self.make_result(status=204, body=b"")
+        found = self.call("/portal/x", results=(empty,))
+        self.assertEqual("204 No Content", found["status"])
+        self.assertNotIn("Content-Length", found["headers"])
+
+    def test_draining_node_closes_connections(self):
+        """Guards against callers that stay with a leaving node (P11)."""
+        self.ingress.draining = True
+        found = self.call("/portal/x", results=(self.make_result(),))
+        self.assertEqual("close", found["headers"]["Connection"])
