Copy the state of calls with constructors

Cause: dataclasses.replace took about half of the time of a decision of dispatch; five copies were made for each call.

Change: constructors in the functions that run for each call, one copy less.

--- a/apricotpost/routing/calls.py
+++ b/apricotpost/routing/calls.py
@@ -120,7 +120,13 @@
     )
     if request.depth > contexts.MAX_DEPTH:
         return sending.refuse(state, attempt, wire.NotRunReason.LOOP)
-    state = dataclasses.replace(state, budget=retries.earn(state.budget))
+    state = CallState(
+        data_centre=state.data_centre,
+        attempts=state.attempts,
+        loads=state.loads,
+        budget=retries.earn(state.budget),
+        sequence=state.sequence,
+    )
     return sending.send(state, attempt, now, table, draws)
 
 
--- a/apricotpost/routing/peers.py
+++ b/apricotpost/routing/peers.py
@@ -15,6 +15,9 @@
     "note_success",
 ]
 
+# The functions that run for each call use constructors: `dataclasses.replace`
+# takes several times as long.
+
 # Back-off of a backend server after failures in a row: doubles from the
 # first to the last figure.
 BACKOFF_MIN_SECONDS = 0.5
@@ -27,15 +30,20 @@
 ) -> flights.CallState:
     """Add an attempt that is about to be sent."""
     peer = _peer(state, attempt.instance)
-    peer = dataclasses.replace(
-        peer,
+    peer = choices.PeerLoad(
+        reported=peer.reported,
+        reported_at=peer.reported_at,
         sent_since=peer.sent_since + 1,
         unanswered=peer.unanswered + 1,
+        excluded_until=peer.excluded_until,
+        failures=peer.failures,
     )
-    return dataclasses.replace(
-        state,
+    return flights.CallState(
+        data_centre=state.data_centre,
         attempts={**state.attempts, attempt.call: attempt},
         loads={**state.loads, attempt.instance: peer},
+        budget=state.budget,
+        sequence=state.sequence + 1,
     )
 
 
@@ -48,11 +56,20 @@
     remaining = dict(state.attempts)
     del remaining[attempt.call]
     peer = _peer(state, attempt.instance)
-    peer = dataclasses.replace(peer, unanswered=max(peer.unanswered - 1, 0))
-    return dataclasses.replace(
-        state,
+    peer = choices.PeerLoad(
+        reported=peer.reported,
+        reported_at=peer.reported_at,
+        sent_since=peer.sent_since,
+        unanswered=max(peer.unanswered - 1, 0),
+        excluded_until=peer.excluded_until,
+        failures=peer.failures,
+    )
+    return flights.CallState(
+        data_centre=state.data_centre,
         attempts=remaining,
         loads={**state.loads, attempt.instance: peer},
+        budget=state.budget,
+        sequence=state.sequence,
     )
 
 
@@ -65,11 +82,13 @@
     """Store the load that came with an answer."""
     if load is None:
         return state
-    peer = dataclasses.replace(
-        _peer(state, instance),
+    peer = _peer(state, instance)
+    peer = choices.PeerLoad(
         reported=load,
         reported_at=now.monotonic,
-        sent_since=0,
+        unanswered=peer.unanswered,
+        excluded_until=peer.excluded_until,
+        failures=peer.failures,
     )
     return _put(state, instance, peer)
 
@@ -113,4 +132,10 @@
 def _put(
     state: flights.CallState, instance: str, peer: choices.PeerLoad
 ) -> flights.CallState:
-    return dataclasses.replace(state, loads={**state.loads, instance: peer})
+    return flights.CallState(
+        data_centre=state.data_centre,
+        attempts=state.attempts,
+        loads={**state.loads, instance: peer},
+        budget=state.budget,
+        sequence=state.sequence,
+    )
--- a/apricotpost/routing/retries.py
+++ b/apricotpost/routing/retries.py
@@ -35,6 +35,8 @@
 
 def earn(budget: Budget) -> Budget:
     """Credit the budget for one call."""
+    if budget.tokens == MAX_TOKENS:
+        return budget
     return Budget(tokens=min(budget.tokens + TOKENS_PER_CALL, MAX_TOKENS))
 
 
--- a/apricotpost/routing/sending.py
+++ b/apricotpost/routing/sending.py
@@ -53,16 +53,19 @@
     chosen = _choose(state, attempt, route, now, table, draws)
     if chosen is None:
         return refuse(state, attempt, otherwise)
-    sequence = state.sequence + 1
-    attempt = dataclasses.replace(
-        attempt,
-        call=f"{request.request}.{sequence}",
+    attempt = flights.Attempt(
+        reply_to=attempt.reply_to,
+        request=request,
+        call=f"{request.request}.{state.sequence + 1}",
         number=attempt.number + 1,
         instance=chosen.instance,
+        tried=attempt.tried,
+        retried=attempt.retried,
         gives_up_at=_attempt_deadline(attempt, route, state, now),
+        sibling=attempt.sibling,
+        fallback=attempt.fallback,
     )
     call = _make_call(attempt, route, chosen, table)
-    state = dataclasses.replace(state, sequence=sequence)
     state = peers.note_sent(state, attempt)
     return state, (flights.SendCall(instance=chosen, call=call),)
 
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -30,6 +30,7 @@
 
     def test_answer_after_a_time_out_is_its_own(self):
         """Guards against a late answer read by the next call (P7)."""
+        self.send("/x")
         late = self.send("/crossed", seconds=0.1)
         self.assertEqual("timeout", late.reason)
         found = self.send("/x", body=b"q2")
