Let a worker give up at the call's deadline

Cause: urllib3 sets the socket's time-out again from the connection's own attribute, so a worker waited for the connect time-out of 1 s instead.

--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -174,6 +174,8 @@
     remaining = call.deadline - time.time()
     if remaining <= 0:
         raise TimeoutError
+    # urllib3 sets the socket's time-out again from this attribute.
+    channel.timeout = remaining
     if channel.sock is not None:
         channel.sock.settimeout(remaining)
 
