Test a call that takes longer than the connect time-out

Change: a test with an answer after 1.2 s.

Measured result: the test fails without the time-out attribute (seen).

--- a/tests/node/loads.py
+++ b/tests/node/loads.py
@@ -165,6 +165,8 @@
             return False
         if path.endswith("/hang-up"):
             return False
+        if path.endswith("/slow"):
+            time.sleep(1.2)
         if path.endswith("/crossed"):
             # Even requests are answered late, so that answers overtake.
             time.sleep(0.3 if int(body[1:]) % 2 else 0.0)
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -36,6 +36,11 @@
         found = self.send("/x", body=b"q2")
         self.assertEqual((200, b"q2"), (found.status, found.body))
 
+    def test_slow_call_has_time_until_its_deadline(self):
+        """Guards against a call cut at the time-out for connecting."""
+        found = self.send("/slow", seconds=5.0)
+        self.assertEqual((200, b"q1"), (found.status, found.body))
+
     def test_connection_is_kept(self):
         """Guards against a new connection for each call."""
         self.send("/x")
