--- a/apricotpost/node/dispatch.py
+++ b/apricotpost/node/dispatch.py
@@ -13,6 +13,7 @@
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.node import addresses
+from apricotpost.node import metrics
 from apricotpost.node import views
 from apricotpost import routing
 from apricotpost.routing import calls
@@ -47,9 +48,13 @@
     poller: wire.sockets.Poller
     state: calls.CallState
     table: routing.RoutingTable
+    metrics: metrics.Recorder
     table_of: typing.Any = None
     peers: dict[str, _Peer] = dataclasses.field(default_factory=dict)
     connecting: set[str] = dataclasses.field(default_factory=set)
+    started: dict[str, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def run(
@@ -58,6 +63,7 @@
     current: views.Current,
     data_centre: str,
     rng: random.Random,
+    recorder: metrics.Recorder,
 ) -> None:
     """Carry calls until the task is asked to stop.
 
@@ -71,6 +77,8 @@
         Own data centre.
     rng : random.Random
         Source of the random choices.
+    recorder : apricotpost.node.metrics.Recorder
+        Takes outcome and latency of each call.
     """
     with contextlib.ExitStack() as stack:
         router = stack.enter_context(
@@ -86,6 +94,7 @@
             poller=poller,
             state=calls.CallState(data_centre=data_centre),
             table=routing.build_table(current.view),
+            metrics=recorder,
         )
         stack.callback(_close_peers, task)
         while _turn(task):
@@ -107,6 +116,7 @@
     expiry = calls.next_expiry(task.state)
     if expiry is not None and expiry <= time.time():
         _handle(task, calls.TimedOut())
+    task.metrics.flush()
     return True
 
 
@@ -143,6 +153,7 @@
     if isinstance(message, wire.StopTask):
         return False
     if isinstance(message, wire.CallRequest):
+        task.started[message.request] = (message.route, time.monotonic())
         _handle(task, calls.Submitted(reply_to=identity, request=message))
     elif isinstance(message, wire.CallerLeft):
         _handle(task, calls.CallerGone(request=message.request))
@@ -196,6 +207,7 @@
 def _carry_out(task: _Task, action: calls.Action) -> calls.SendFailed | None:
     if isinstance(action, calls.Finish):
         wire.sockets.send_routed(task.router, action.reply_to, action.result)
+        _record(task, action.result)
         return None
     if isinstance(action, calls.SendCall):
         return _send(task, action)
@@ -206,6 +218,12 @@
     return None
 
 
+def _record(task: _Task, result: wire.CallResult) -> None:
+    route, since = task.started.pop(result.request, ("", 0.0))
+    taken_ms = (time.monotonic() - since) * 1000
+    task.metrics.call(route, result.outcome.value, taken_ms)
+
+
 def _send(task: _Task, action: calls.SendCall) -> calls.SendFailed | None:
     """Send a call; a new connection has a moment to be established."""
     name = action.instance.instance
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -18,6 +18,7 @@
 from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import backend
+from apricotpost.node import metrics
 from apricotpost.node import views
 from apricotpost import routing
 from apricotpost import wire
@@ -44,6 +45,7 @@
     idle: collections.deque[bytes]
     backlog: collections.deque[wire.Call]
     workers: list[threading.Thread]
+    metrics: metrics.Recorder
     policy: gate.Policy = gate.Policy(ready=False)
     policy_of: tuple[model.View | None, wire.BackendServerAnnounced | None] = (
         None,
@@ -58,6 +60,7 @@
     current: views.Current,
     data_centre: str,
     call_address: str,
+    recorder: metrics.Recorder,
 ) -> None:
     """Admit and run calls until the task is asked to stop.
 
@@ -71,6 +74,8 @@
         Own data centre.
     call_address : str
         Endpoint on which other nodes send calls.
+    recorder : apricotpost.node.metrics.Recorder
+        Takes the load once a second.
 
     Raises
     ------
@@ -98,6 +103,7 @@
             idle=collections.deque(),
             backlog=collections.deque(),
             workers=[],
+            metrics=recorder,
         )
         poller = wire.sockets.Poller()
         for socket in (task.calls, task.commands, task.backend):
@@ -126,6 +132,8 @@
     if now - task.reported_at >= REPORT_SECONDS:
         task.reported_at = now
         _report(task)
+        task.metrics.load(gate.describe_load(task.state))
+        task.metrics.flush()
     return True
 
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -26,6 +26,7 @@
 from apricotpost.node import dispatch
 from apricotpost.node import gate
 from apricotpost.node import ingress
+from apricotpost.node import metrics
 from apricotpost.node import platform as platform_task
 from apricotpost.node import shutdown
 from apricotpost.node import views
@@ -175,6 +176,7 @@
             current=node.current,
             data_centre=options.data_centre,
             call_address=addresses.tcp(options.addresses.call),
+            recorder=metrics.make_recorder(options.metrics),
         ),
     )
     _start(
@@ -185,6 +187,7 @@
             current=node.current,
             data_centre=options.data_centre,
             rng=random.Random(seed + "-dispatch"),
+            recorder=metrics.make_recorder(options.metrics),
         ),
     )
 
