--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -19,6 +19,7 @@
 from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import backend
+from apricotpost.node import metrics
 from apricotpost.node import views
 from apricotpost.rollout import evidence
 from apricotpost import routing
@@ -48,6 +49,7 @@
     idle: collections.deque[bytes]
     backlog: collections.deque[wire.Call]
     workers: list[threading.Thread]
+    metrics: metrics.Recorder
     policy: gate.Policy = gate.Policy(ready=False)
     policy_of: tuple[model.View | None, wire.BackendServerAnnounced | None] = (
         None,
@@ -63,6 +65,7 @@
     current: views.Current,
     data_centre: str,
     call_address: str,
+    recorder: metrics.Recorder,
     instance: str = "",
 ) -> None:
     """Admit and run calls until the task is asked to stop.
@@ -79,6 +82,8 @@
         Endpoint on which other nodes send calls.
     instance : str
         Own name, under which the outcome counts are reported.
+    recorder : apricotpost.node.metrics.Recorder
+        Takes the load once a second.
 
     Raises
     ------
@@ -108,6 +113,7 @@
             idle=collections.deque(),
             backlog=collections.deque(),
             workers=[],
+            metrics=recorder,
         )
         poller = wire.sockets.Poller()
         for socket in (task.calls, task.commands, task.backend):
@@ -136,6 +142,8 @@
     if now - task.reported_at >= REPORT_SECONDS:
         task.reported_at = now
         _report(task)
+        task.metrics.load(gate.describe_load(task.state))
+        task.metrics.flush()
     return True
 
 
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -29,6 +29,7 @@
 from apricotpost.node import gate
 from apricotpost.node import ingress
 from apricotpost.node import keyed_calls
+from apricotpost.node import metrics
 from apricotpost.node import platform as platform_task
 from apricotpost.node import rollouts
 from apricotpost.node import shutdown
@@ -174,6 +175,7 @@
             data_centre=options.data_centre,
             call_address=addresses.tcp(options.addresses.call),
             instance=options.instance,
+            recorder=metrics.make_recorder(options.metrics),
         ),
     )
     _start(
@@ -184,6 +186,7 @@
             current=node.current,
             data_centre=options.data_centre,
             rng=random.Random(seed + "-dispatch"),
+            recorder=metrics.make_recorder(options.metrics),
         ),
     )
     _start(
