Keep the node's main module short

Change: the administration glue makes its own application; errors are described in one place; an empty view is the default.

--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -53,9 +53,7 @@
         )
         return commands.COMMANDS[options.command](session)
     except errors.ApricotpostError as error:
-        _warn(f"{error.code}: {error.message}")
-        for fault in error.faults:
-            _warn(f"  {fault}")
+        _warn(errors.describe(error))
         return error.exit_code
     except KeyboardInterrupt:
         return 130
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -26,6 +26,7 @@
     "SettingsInvalid",
     "SheetInvalid",
     "TransactionRejected",
+    "describe",
 ]
 
 
@@ -229,3 +230,9 @@
     code = "AP507"
     exit_code = 2
     status = 404
+
+
+def describe(error: ApricotpostError) -> str:
+    """Return the code, the message and each fault on a line of its own."""
+    head = f"{error.code}: {error.message}"
+    return "\n".join([head, *(f"  {fault}" for fault in error.faults)])
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -1,6 +1,7 @@
 """Connects the administration API to the tasks of the node."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import threading
 import typing
@@ -17,19 +18,21 @@
 from apricotpost import settings
 from apricotpost import wire
 
-__all__ = ["THREADS", "make_admin", "start_tasks"]
+__all__ = ["THREADS", "make_app", "start_tasks"]
 
 LOG = logging.getLogger(__name__)
 THREADS = 2
 
+App = Callable[..., Iterable[bytes]]
 
-def make_admin(
+
+def make_app(
     *,
     context: wire.sockets.Context,
     current: views.Current,
     options: settings.NodeSettings,
-) -> admin.Admin:
-    """Return what the administration threads share."""
+) -> App:
+    """Make the WSGI application of the admin address."""
     local = threading.local()
 
     def announce(delta: model.Delta, author: str) -> None:
@@ -57,7 +60,7 @@
             "levels": reply.levels,
         }
 
-    return admin.Admin(
+    shared = admin.Admin(
         options=options,
         open_store=lambda: stores.open_store(options.platform),
         read_view=lambda: current.view,
@@ -65,6 +68,7 @@
         announce=announce,
         read_levels=read_levels,
     )
+    return admin.make_app(shared)
 
 
 def start_tasks(
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import contextlib
 import dataclasses
+import functools
 import logging
 import pathlib
 import queue
@@ -16,12 +17,10 @@
 
 from cheroot import wsgi
 
-from apricotpost import admin
 from apricotpost import errors
 from apricotpost import events
-from apricotpost import model
 from apricotpost.node import addresses
-from apricotpost.node import admin as admin_glue
+from apricotpost.node import admin
 from apricotpost.node import announcements
 from apricotpost.node import callers
 from apricotpost.node import control
@@ -89,9 +88,7 @@
         events.configure(style=options.logs.style, level=options.logs.level)
         run(options)
     except errors.ApricotpostError as error:
-        print(f"{error.code}: {error.message}", file=sys.stderr)
-        for fault in error.faults:
-            print(f"  {fault}", file=sys.stderr)
+        print(errors.describe(error), file=sys.stderr)
         return error.exit_code
     return 0
 
@@ -119,9 +116,7 @@
         node = _Node(
             options=options,
             context=context,
-            current=views.Current(
-                view=model.View(snapshot=model.EMPTY_SNAPSHOT)
-            ),
+            current=views.Current(),
             stack=stack,
             signals=signals,
         )
@@ -148,15 +143,14 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
+    start = functools.partial(_start, node)
     store = stores.open_store(options.platform)
     seed = f"{options.instance}-{time.time_ns()}"
-    _start(
-        node,
+    start(
         addresses.PLATFORM,
         lambda: platform_task.run(context=node.context, store=store),
     )
-    _start(
-        node,
+    start(
         addresses.CONTROL,
         lambda: control.run(
             context=node.context,
@@ -165,8 +159,7 @@
             rng=random.Random(seed + "-control"),
         ),
     )
-    _start(
-        node,
+    start(
         addresses.GATE,
         lambda: gate.run(
             context=node.context,
@@ -176,8 +169,7 @@
             instance=options.instance,
         ),
     )
-    _start(
-        node,
+    start(
         addresses.DISPATCH,
         lambda: dispatch.run(
             context=node.context,
@@ -186,8 +178,7 @@
             rng=random.Random(seed + "-dispatch"),
         ),
     )
-    _start(
-        node,
+    start(
         addresses.ROLLOUT,
         lambda: rollouts.run(
             context=node.context,
@@ -197,8 +188,8 @@
             rng=random.Random(seed + "-rollout"),
         ),
     )
-    admin_glue.start_tasks(
-        lambda address, target: _start(node, address, target),
+    admin.start_tasks(
+        start,
         context=node.context,
         current=node.current,
         options=options,
@@ -266,11 +257,9 @@
         node,
         options.addresses.admin,
         admin.make_app(
-            admin_glue.make_admin(
-                context=node.context, current=node.current, options=options
-            )
+            context=node.context, current=node.current, options=options
         ),
-        admin_glue.THREADS,
+        admin.THREADS,
     )
     return outside
 
--- a/apricotpost/node/views.py
+++ b/apricotpost/node/views.py
@@ -11,4 +11,4 @@
 class Current:
     """Holds the view in force; only the control task replaces it."""
 
-    view: model.View
+    view: model.View = model.View(snapshot=model.EMPTY_SNAPSHOT)
--- a/apricotpost/report/main.py
+++ b/apricotpost/report/main.py
@@ -46,9 +46,7 @@
         answers, failures = ask_nodes(nodes, token)
         reports = burn.merge_nodes(answers)
     except errors.ApricotpostError as error:
-        print(f"{error.code}: {error.message}", file=sys.stderr)
-        for fault in error.faults:
-            print(f"  {fault}", file=sys.stderr)
+        print(errors.describe(error), file=sys.stderr)
         return error.exit_code
     notes = _make_notes(answers, failures)
     print(_format(options.format, reports, notes))
