--- a/apricotpost/admission/adaptation.py
+++ b/apricotpost/admission/adaptation.py
@@ -33,8 +33,9 @@
         name.lower() == COLD_HEADER and value == "1"
         for name, value in result.headers
     )
+    before = limit
     limit = limits.note_word(limit, says_cold, now)
-    if result.status >= 500:
+    if result.status >= 500 or limit.cold_at != before.cold_at:
         return limit
     return limits.note_success(limit, route, result.duration_ms, now)
 
