--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -1,19 +1,15 @@
 """Latency and processor time that the nodes add to a call."""
 
-import concurrent.futures
 import contextlib
-import dataclasses
 import http.client
-import multiprocessing
-import random
 import statistics
-import threading
 import time
 import typing
 
 import psutil
 
 from apricotpost import model
+from bench import streams
 from standins import fleet as fleets
 
 __all__ = ["open_pair", "run"]
@@ -21,39 +17,11 @@
 TARGET_MS = 2.0
 RATE = 83.0
 RISING_RATES = (83.0, 166.0, 250.0, 330.0, 420.0, 500.0)
-THREADS = 8
-SEED = 83
-# Time for the sending processes to start.
-START_SECONDS = 1.5
 # A rate is beyond the knee when calls of the 99th percentile wait longer.
 KNEE_MS = 50.0
 SERVICE_MS = 2.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Target:
-    """Where a stream of calls goes."""
-
-    address: str
-    path: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Sample:
-    """Latencies of one stream of calls, in milliseconds."""
-
-    latencies_ms: tuple[float, ...]
-    failed: int
-    calls: int
-
-    def percentile(self, share: float) -> float:
-        """Return the latency that this share of the calls stays under."""
-        ordered = sorted(self.latencies_ms)
-        if not ordered:
-            return float("inf")
-        return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
-
-
 def run(full: bool) -> dict[str, typing.Any]:
     """Compare calls through the system with direct calls.
 
@@ -132,20 +100,20 @@
 
 def _warm_up(members: list[fleets.Member]) -> None:
     targets = [*_through(members), *_direct(members)]
-    _run_streams(targets, rate=RATE, seconds=2.0, from_schedule=False)
+    streams.run_streams(targets, rate=RATE, seconds=2.0, from_schedule=False)
 
 
-def _through(members: list[fleets.Member]) -> list[Target]:
+def _through(members: list[fleets.Member]) -> list[streams.Target]:
     one, two = members
     return [
-        Target(address=one.ingress, path=f"/{two.service}/x"),
-        Target(address=two.ingress, path=f"/{one.service}/x"),
+        streams.Target(address=one.ingress, path=f"/{two.service}/x"),
+        streams.Target(address=two.ingress, path=f"/{one.service}/x"),
     ]
 
 
-def _direct(members: list[fleets.Member]) -> list[Target]:
+def _direct(members: list[fleets.Member]) -> list[streams.Target]:
     return [
-        Target(address=member.backend, path=f"/{member.service}/x")
+        streams.Target(address=member.backend, path=f"/{member.service}/x")
         for member in members
     ]
 
@@ -155,7 +123,7 @@
 ) -> dict[str, float]:
     nodes = _node_processes(members)
     before = _processor_seconds(nodes)
-    samples = _run_streams(
+    samples = streams.run_streams(
         [*_through(members), *_direct(members)],
         rate=RATE,
         seconds=seconds,
@@ -165,7 +133,7 @@
     idle_before = _processor_seconds(nodes)
     time.sleep(2.0)
     idle = (_processor_seconds(nodes) - idle_before) / 2.0 * seconds
-    through, direct = _join(samples[:2]), _join(samples[2:])
+    through, direct = streams.join(samples[:2]), streams.join(samples[2:])
     return {
         "rate": RATE,
         "seconds": seconds,
@@ -188,8 +156,8 @@
 ) -> list[dict[str, typing.Any]]:
     found = []
     for rate in RISING_RATES:
-        sample = _join(
-            _run_streams(
+        sample = streams.join(
+            streams.run_streams(
                 _through(members), rate=rate, seconds=6.0, from_schedule=True
             )
         )
@@ -209,114 +177,7 @@
     return found
 
 
-def _run_streams(
-    targets: list[Target],
-    *,
-    rate: float,
-    seconds: float,
-    from_schedule: bool,
-) -> list[Sample]:
-    """Send calls to all targets at once, with exponential gaps.
-
-    Each target has a sending process of its own, so that the interpreter
-    lock of the sender does not delay the calls that are measured.
-    """
-    starts_at = time.time() + START_SECONDS
-    with concurrent.futures.ProcessPoolExecutor(
-        len(targets), mp_context=multiprocessing.get_context("spawn")
-    ) as pool:
-        futures = [
-            pool.submit(
-                _send_all,
-                target,
-                rate=rate,
-                seconds=seconds,
-                from_schedule=from_schedule,
-                starts_at=starts_at,
-                seed=SEED + 100 * index,
-            )
-            for index, target in enumerate(targets)
-        ]
-        return [_collect(future.result()) for future in futures]
-
-
-def _send_all(
-    target: Target,
-    *,
-    rate: float,
-    seconds: float,
-    from_schedule: bool,
-    starts_at: float,
-    seed: int,
-) -> list[list[float]]:
-    time.sleep(max(starts_at - time.time(), 0))
-    found: list[list[float]] = [[] for _ in range(THREADS)]
-    threads = [
-        threading.Thread(
-            target=_send_stream,
-            args=(target, rate / THREADS, seconds, part),
-            kwargs={
-                "from_schedule": from_schedule,
-                "rng": random.Random(seed + number),
-            },
-        )
-        for number, part in enumerate(found)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return found
-
-
-def _collect(parts: list[list[float]]) -> Sample:
-    found = [value for part in parts for value in part]
-    good = tuple(value for value in found if value >= 0)
-    return Sample(
-        latencies_ms=good, failed=len(found) - len(good), calls=len(found)
-    )
-
-
-def _join(samples: list[Sample]) -> Sample:
-    return Sample(
-        latencies_ms=tuple(
-            value for entry in samples for value in entry.latencies_ms
-        ),
-        failed=sum(entry.failed for entry in samples),
-        calls=sum(entry.calls for entry in samples),
-    )
-
-
-def _send_stream(
-    target: Target,
-    rate: float,
-    seconds: float,
-    found: list[float],
-    *,
-    from_schedule: bool,
-    rng: random.Random,
-) -> None:
-    connection = http.client.HTTPConnection(target.address, timeout=10)
-    started = time.perf_counter()
-    due = started + rng.expovariate(rate)
-    while due - started < seconds:
-        time.sleep(max(due - time.perf_counter(), 0))
-        since = due if from_schedule else time.perf_counter()
-        try:
-            connection.request("GET", target.path)
-            answer = connection.getresponse()
-            answer.read()
-            good = answer.status == 200
-        except (OSError, http.client.HTTPException):
-            connection.close()
-            good = False
-        taken_ms = (time.perf_counter() - since) * 1000
-        found.append(taken_ms if good else -1.0)
-        due += rng.expovariate(rate)
-    connection.close()
-
-
-def _call(target: Target) -> int:
+def _call(target: streams.Target) -> int:
     connection = http.client.HTTPConnection(target.address, timeout=5)
     try:
         connection.request("GET", target.path)
