--- a/apricotpost/admission/adaptation.py
+++ b/apricotpost/admission/adaptation.py
@@ -35,8 +35,9 @@
         return limits.note_lost(limit, route, result.duration_ms, now)
     if result.status == SHED_STATUS:
         return limits.note_overload(limit, now)
+    before = limit
     limit = limits.note_word(limit, says_cold(result), now)
-    if result.status >= 500:
+    if result.status >= 500 or limit.cold_at != before.cold_at:
         return limit
     return limits.note_success(limit, route, result.duration_ms, now)
 
