--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -34,6 +34,13 @@
                 with_backend_server=False,
             )
         self.require_version(1)
+        # A pushed version may be in force before the join has ended.
+        self.wait_for(
+            lambda: all(
+                observations.list_ready(self.fleet, member)
+                for member in self.fleet.members
+            )
+        )
 
     def require_version(self, version):
         self.assertTrue(
