--- a/tests/spread/test_decisions.py
+++ b/tests/spread/test_decisions.py
@@ -167,6 +167,17 @@
         fleet.run(30)
         self.assertEqual({2}, fleet.versions())
 
+    def test_late_messages_do_not_bring_an_older_version_back(self):
+        """Guards against updates that overtook each other."""
+        fleet = fleets.open_fleet(3, versions=3)
+        for message in (
+            wire.ConfigSnapshot(sender="n1", snapshot=fleet.history[2]),
+            wire.ConfigDelta(sender="n1", deltas=(make_delta(1),)),
+        ):
+            event = spread.Received(message=message, reply_to=b"n1")
+            fleet.handle("n0", event)
+        self.assertEqual({3}, fleet.versions())
+
 
 class JoinTest(unittest.TestCase):
     def test_restarted_data_centre_causes_bounded_reads(self):
@@ -205,6 +216,21 @@
             fleet.handle("n0", event)
         self.assertEqual(20, len(fleet.pending))
 
+    def test_silent_seeds_are_asked_again_within_a_second(self):
+        """Guards against a return that waits for seeds that also failed."""
+        fleet = fleets.open_fleet(6)
+        fleet.restart("n0")
+        for pause in (2.0, 1.0):
+            fleet.pending.clear()
+            fleet.now += pause
+            fleet.tick("n0")
+            joins = [
+                message
+                for _, _, message in fleet.pending
+                if isinstance(message, wire.Join)
+            ]
+            self.assertEqual(3, len(joins))
+
     def test_stale_peers_do_not_make_ready(self):
         """Guards against a node that trusts peers which lag behind it."""
         fleet = fleets.open_fleet(6, versions=2)
