--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/verdicts.py
@@ -1,4 +1,19 @@
-"""Verdict on a new version, from the evidence about both versions."""
+"""Verdict on a new version, from the evidence about both versions.
+
+Notes
+-----
+Measured with ``bench/verdict_rates.py``, tests of failures over 100 s at 80
+calls a second: no alarm in 10,000 tests without a difference. With 30 % more
+failures: no miss in 5,000 tests with an old version that fails in at most
+1 % of its calls, and 89 misses in 2,500 with one that fails in 10 %, all of
+them at a share of 10. Against an old version that fails in half of its calls
+most tests at shares of 10 and 980 miss within 100 s.
+
+Measured with ``bench/moves.py``, 2,372 rollouts: none of 891 good versions
+was withdrawn by a verdict (two had too few calls to finish on time), and all
+1,481 bad ones were withdrawn. A version that always fails got at most 17
+calls, one that fails in 20 % of its calls at most 93.
+"""
 
 from collections.abc import Mapping
 import dataclasses
