--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -11,7 +11,6 @@
 import xxhash
 import zmq
 
-from apricotpost import admission
 from apricotpost.admission import gate
 from apricotpost.admission import limits
 from apricotpost import errors
@@ -19,6 +18,7 @@
 from apricotpost import model
 from apricotpost.node import addresses
 from apricotpost.node import backend
+from apricotpost.node import gate_evidence
 from apricotpost.node import views
 from apricotpost.rollout import evidence
 from apricotpost import routing
@@ -285,23 +285,13 @@
     waiting = task.state.running.get(result.call)
     if waiting is None:
         return
-    call = waiting.call
-    routes = task.current.view.snapshot.routes
-    timeout_ms = next(
-        (entry.timeout_ms for entry in routes if entry.name == call.route), 0
-    )
-    ended = time.monotonic() - waiting.since
-    granted_seconds = call.deadline - time.time() + ended
-    finished = evidence.Finished(
-        answered=result.outcome is wire.Outcome.ANSWERED,
-        status=result.status,
-        timed_out=result.reason == wire.UnknownReason.TIMEOUT.value,
-        expired=result.reason == wire.NotRunReason.DEADLINE_PASSED.value,
-        granted_share=granted_seconds * 1000 / max(timeout_ms, 1),
+    finished = gate_evidence.describe_finished(
+        result,
+        waiting,
+        snapshot=task.current.view.snapshot,
         alone=len(task.state.running) == 1,
-        cold=admission.says_cold(result),
-        duration_ms=result.duration_ms,
     )
+    call = waiting.call
     key = (call.service, call.version, call.route)
     task.tally = evidence.count(task.tally, key, finished)
 
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import logging
-import random
 import unittest
 
 import hypothesis
@@ -12,19 +11,12 @@
 from apricotpost import model
 from apricotpost.node import holders
 from apricotpost import platform
-from apricotpost import rollout as rollouts
-from apricotpost.rollout import steps
 from apricotpost.rollout import verdicts
-from apricotpost.rollout import watch
-from standins import platform as standin
+from tests.node import worlds
 from tests.platform import local
 
 __all__ = ["HolderTest", "PropertyTest"]
 
-STARTED_AT = 1000.0
-FINISH_BY = STARTED_AT + 120.0
-SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
-
 
 def setUpModule():
     logging.disable(logging.CRITICAL)
@@ -34,91 +26,9 @@
     logging.disable(logging.NOTSET)
 
 
-class World:
-    """A table, a clock and holders that see it through views."""
-
-    def __init__(self, names=("a", "b")):
-        self.state = standin.State()
-        self.now = STARTED_AT
-        self.pools = {}
-        self.holders = {}
-        self.asked = []
-        for name in names:
-            pool = local.LocalPool(state=self.state)
-            self.pools[name] = pool
-            self.holders[name] = holders.Holder(
-                name=name,
-                store=local.make_store(pool),
-                times=steps.Times(bake_seconds=20.0),
-                clock=lambda: self.now,
-                committed=lambda version, _: self.asked.append(version),
-                rng=random.Random(1),
-            )
-        self.reader = local.make_store(local.LocalPool(state=self.state))
-        self.snapshot = self._commit_first()
-
-    def _commit_first(self):
-        service = model.Service(
-            name="portal",
-            team="t",
-            versions=(model.VersionShare(version="v1", share=1000),),
-        )
-        first = config.seal(model.Snapshot(version=1, services=(service,)))
-        planned = rollouts.plan_rollout(
-            first, "portal", "v2", FINISH_BY, STARTED_AT
-        )
-        second = config.seal(dataclasses.replace(planned, version=2))
-        for before, after in (
-            (model.EMPTY_SNAPSHOT, first),
-            (first, second),
-        ):
-            self.commit(before, after)
-        return second
-
-    def commit(self, before, after):
-        platform.commit(
-            self.reader,
-            platform.Change(
-                before=before,
-                after=after,
-                author="operator",
-                reason="sheet",
-                request=f"operator-{after.version}",
-                at=self.now,
-            ),
-        )
-
-    def read(self):
-        head = platform.read_head(self.reader)
-        return platform.read_snapshot(self.reader, head)
-
-    def rollout(self):
-        return self.read().rollouts[0]
-
-    def good(self):
-        return verdicts.Judgement(calls=50, heard_at=self.now)
-
-    def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
-        snapshot = snapshot or self.read()
-        rollout = rollouts.find_open(snapshot, "portal")
-        sight = None
-        if rollout is not None:
-            sight = watch.Sight(
-                snapshot=snapshot,
-                rollout=rollout,
-                judgement=judgement or self.good(),
-                facts=facts,
-                is_first=True,
-            )
-        holders.act(self.holders[name], sight)
-
-    def outcomes(self):
-        return platform.table.query(self.reader.table, pk="outcome")
-
-
 class HolderTest(unittest.TestCase):
     def setUp(self):
-        self.world = World()
+        self.world = worlds.World()
 
     def play(self, name, seconds, judgement=None):
         for _ in range(seconds):
@@ -137,7 +47,7 @@
         self.assertEqual(
             [10, 50, 250, 500, 980, 1000], [share for share, _ in seen]
         )
-        self.assertLessEqual(seen[4][1], FINISH_BY - 10.0)
+        self.assertLessEqual(seen[4][1], worlds.FINISH_BY - 10.0)
         (outcome,) = self.world.outcomes()
         self.assertEqual("done", outcome.attributes["result"])
         (service,) = self.world.read().services
@@ -160,7 +70,9 @@
             world.act("a", snapshot=stale)
         (write,) = world.pools["a"].late
         self.assertIn(b"version", write[1])
-        world.act("b", facts=dataclasses.replace(SERVERS, new_servers=0))
+        world.act(
+            "b", facts=dataclasses.replace(worlds.SERVERS, new_servers=0)
+        )
         self.assertEqual(2, world.holders["b"].lease.fence)
         world.pools["a"].carry_out_late()
         self.assertEqual(before, world.rollout().share)
@@ -217,7 +129,7 @@
         world = self.world
         self.play("a", 10)
         world.pools["a"].fault = "down"
-        world.now = FINISH_BY + 1.0
+        world.now = worlds.FINISH_BY + 1.0
         world.act("a")
         world.pools["a"].fault = ""
         self.play("a", 20)
@@ -262,7 +174,7 @@
         Two nodes believe to be the holder, with old views, lost answers,
         outages, pauses and evidence of every kind.
         """
-        world = World()
+        world = worlds.World()
         old = world.read()
         for name, fault, kind, seconds, lagging in events:
             world.now += seconds
@@ -301,7 +213,7 @@
             gap = new.changed_at - old.changed_at
             test.assertGreaterEqual(gap, 5.0)
     if new.state is model.RolloutState.BAKING and new != old:
-        test.assertLessEqual(world.now, FINISH_BY - 10.0)
+        test.assertLessEqual(world.now, worlds.FINISH_BY - 10.0)
     if new.state is model.RolloutState.WITHDRAWN:
         test.assertEqual(0, new.share)
         test.assertEqual(
--- /dev/null
+++ b/tests/node/worlds.py
@@ -0,0 +1,103 @@
+"""A table, a clock and holders of a rollout, for tests."""
+
+import dataclasses
+import random
+
+from apricotpost import config
+from apricotpost import model
+from apricotpost.node import holders
+from apricotpost import platform
+from apricotpost import rollout as rollouts
+from apricotpost.rollout import steps
+from apricotpost.rollout import verdicts
+from apricotpost.rollout import watch
+from standins import platform as standin
+from tests.platform import local
+
+__all__ = ["FINISH_BY", "SERVERS", "World"]
+
+STARTED_AT = 1000.0
+FINISH_BY = STARTED_AT + 120.0
+SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
+
+
+class World:
+    """A table, a clock and holders that see it through views."""
+
+    def __init__(self, names=("a", "b")):
+        self.state = standin.State()
+        self.now = STARTED_AT
+        self.pools = {}
+        self.holders = {}
+        self.asked = []
+        for name in names:
+            pool = local.LocalPool(state=self.state)
+            self.pools[name] = pool
+            self.holders[name] = holders.Holder(
+                name=name,
+                store=local.make_store(pool),
+                times=steps.Times(bake_seconds=20.0),
+                clock=lambda: self.now,
+                committed=lambda version, _: self.asked.append(version),
+                rng=random.Random(1),
+            )
+        self.reader = local.make_store(local.LocalPool(state=self.state))
+        self.snapshot = self._commit_first()
+
+    def _commit_first(self):
+        service = model.Service(
+            name="portal",
+            team="t",
+            versions=(model.VersionShare(version="v1", share=1000),),
+        )
+        first = config.seal(model.Snapshot(version=1, services=(service,)))
+        planned = rollouts.plan_rollout(
+            first, "portal", "v2", FINISH_BY, STARTED_AT
+        )
+        second = config.seal(dataclasses.replace(planned, version=2))
+        for before, after in (
+            (model.EMPTY_SNAPSHOT, first),
+            (first, second),
+        ):
+            self.commit(before, after)
+        return second
+
+    def commit(self, before, after):
+        platform.commit(
+            self.reader,
+            platform.Change(
+                before=before,
+                after=after,
+                author="operator",
+                reason="sheet",
+                request=f"operator-{after.version}",
+                at=self.now,
+            ),
+        )
+
+    def read(self):
+        head = platform.read_head(self.reader)
+        return platform.read_snapshot(self.reader, head)
+
+    def rollout(self):
+        return self.read().rollouts[0]
+
+    def good(self):
+        return verdicts.Judgement(calls=50, heard_at=self.now)
+
+    def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
+        snapshot = snapshot or self.read()
+        rollout = rollouts.find_open(snapshot, "portal")
+        sight = None
+        if rollout is not None:
+            sight = watch.Sight(
+                snapshot=snapshot,
+                rollout=rollout,
+                judgement=judgement or self.good(),
+                facts=facts,
+                is_first=True,
+            )
+        holders.act(self.holders[name], sight)
+
+    def outcomes(self):
+        return platform.table.query(self.reader.table, pk="outcome")
