Give the holder's tests a busy service

Cause: the tests name the steps 10, 50, 250 and 500, which since are those of a service with enough calls for the smallest share; their evidence carried no rate of calls, so that the first step was 50. Change: the evidence of these tests says 10,000 calls a second. No check changes; test_quiet covers the other case.

--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -191,11 +191,22 @@
 def _judgement(kind, world):
     return {
         "good": world.good(),
-        "stale": verdicts.Judgement(calls=50, heard_at=world.now - 6.0),
+        "stale": verdicts.Judgement(
+            calls=50,
+            calls_per_second=worlds.BUSY_PER_SECOND,
+            heard_at=world.now - 6.0,
+        ),
         "few": verdicts.Judgement(
-            calls=3, doubt="3 calls of v2", heard_at=world.now
+            calls=3,
+            calls_per_second=worlds.BUSY_PER_SECOND,
+            doubt="3 calls of v2",
+            heard_at=world.now,
+        ),
+        "bad": verdicts.Judgement(
+            bad="fails",
+            calls_per_second=worlds.BUSY_PER_SECOND,
+            heard_at=world.now,
         ),
-        "bad": verdicts.Judgement(bad="fails", heard_at=world.now),
     }[kind]
 
 
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -17,6 +17,8 @@
 __all__ = ["FINISH_BY", "SERVERS", "World"]
 
 STARTED_AT = 1000.0
+# Enough calls for the smallest first share.
+BUSY_PER_SECOND = 10_000.0
 FINISH_BY = STARTED_AT + 120.0
 SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
 
@@ -83,7 +85,9 @@
         return self.read().rollouts[0]
 
     def good(self):
-        return verdicts.Judgement(calls=50, heard_at=self.now)
+        return verdicts.Judgement(
+            calls_per_second=BUSY_PER_SECOND, calls=50, heard_at=self.now
+        )
 
     def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
         snapshot = snapshot or self.read()
