Prove that an outage at the end of a keyed call loses no outcome

Cause: with the later tries taken out, no test with real processes failed.

Change: the table goes down between begin and answer of a call.

--- a/tests/node/test_keyed_processes.py
+++ b/tests/node/test_keyed_processes.py
@@ -150,3 +150,19 @@
             self.assertEqual((409, "unknown"), (repeated.status, outcome))
         self.assertLessEqual(self.executions("killed"), 1)
         self.assertEqual(200, self.post(second, "another").status)
+
+    def test_table_down_between_begin_and_answer(self):
+        """Guards against an outcome that an outage loses for good."""
+        first, second = self.members
+        self.set_service_ms(800)
+        with concurrent.futures.ThreadPoolExecutor(1) as threads:
+            pending = threads.submit(self.post, first, "outage")
+            time.sleep(0.3)
+            self.inject(table_down=True)
+            self.assertEqual(200, pending.result().status)
+        refused = self.post(second, "outage")
+        reason = refused.headers["X-Apricotpost-Reason"]
+        self.assertEqual("platform-unavailable", reason)
+        self.inject()
+        self.assert_replayed_everywhere("outage")
+        self.assertEqual(1, self.executions("outage"))
