Choose the backend server by its latency, too

Cause: the choice compared loads only, so that a server four times slower got calls until its queue grew; the 99th percentile was that of the slow server. Change: answers carry the gate's average latency; of two random servers the one with the shorter expected time is taken. A server with an old report counts as fast as the other, so that it is tried again.

--- a/apricotpost/admission/gate.py
+++ b/apricotpost/admission/gate.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from apricotpost.admission import adaptation
+from apricotpost.admission import limits
 from apricotpost.admission import recent
 from apricotpost.admission import states
 from apricotpost.admission.states import Action
@@ -91,6 +92,7 @@
         limit=int(state.limit.value),
         queued=len(state.queue),
         cold=state.limit.cold,
+        usual_ms=limits.average_ms(state.limit),
     )
 
 
--- a/apricotpost/admission/limits.py
+++ b/apricotpost/admission/limits.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 __all__ = [
+    "average_ms",
     "COLD_LIMIT",
     "Limit",
     "note_cold",
@@ -165,6 +166,13 @@
     return float(limit.slots)
 
 
+def average_ms(limit: Limit) -> float:
+    """Return the usual latency over all routes, 0 before the first."""
+    if not limit.usual_ms:
+        return 0.0
+    return sum(limit.usual_ms.values()) / len(limit.usual_ms)
+
+
 def _is_slow(usual_ms: float, duration_ms: float) -> bool:
     return (
         usual_ms > 0
--- a/apricotpost/model/instances.py
+++ b/apricotpost/model/instances.py
@@ -64,12 +64,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
-    """Load of one backend server as its node reports it."""
+    """Load of one backend server as its node reports it.
+
+    ``usual_ms`` is the moving average of its latency in milliseconds, 0
+    while it is not known.
+    """
 
     in_flight: int
     limit: int
     queued: int
     cold: bool = False
+    usual_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/apricotpost/routing/choices.py
+++ b/apricotpost/routing/choices.py
@@ -137,7 +137,7 @@
     now: float,
     draws: tuple[float, float],
 ) -> model.InstanceRecord | None:
-    """Choose the less loaded of two random backend servers.
+    """Choose the faster of two random backend servers.
 
     Parameters
     ----------
@@ -177,11 +177,8 @@
         return first
     others = [entry for entry in pool if entry is not first]
     second = others[int(draws[1] * len(others))]
-    if estimate_load(second, loads, now=now) < estimate_load(
-        first, loads, now=now
-    ):
-        return second
-    return first
+    waits = _estimate_waits((first, second), loads, now=now)
+    return second if waits[1] < waits[0] else first
 
 
 def estimate_load(
@@ -199,3 +196,38 @@
         return peer.unanswered / limit
     busy = peer.reported.in_flight + peer.reported.queued
     return max(busy + peer.sent_since, peer.unanswered) / limit
+
+
+def _estimate_waits(
+    pair: tuple[model.InstanceRecord, model.InstanceRecord],
+    loads: Mapping[str, PeerLoad],
+    *,
+    now: float,
+) -> list[float]:
+    """Estimate how long one more call would take at each of two servers.
+
+    A server whose latency is not known counts as fast as the other, so that
+    it gets a call and a new report even when it used to be slow.
+    """
+    usual = [_usual_ms(entry, loads, now=now) for entry in pair]
+    known = [value for value in usual if value]
+    other = known[0] if known else 1.0
+    return [
+        (estimate_load(entry, loads, now=now) + 1 / max(entry.slots, 1))
+        * (value or other)
+        for entry, value in zip(pair, usual, strict=True)
+    ]
+
+
+def _usual_ms(
+    entry: model.InstanceRecord,
+    loads: Mapping[str, PeerLoad],
+    *,
+    now: float,
+) -> float:
+    peer = loads.get(entry.instance, UNKNOWN_PEER)
+    if peer.reported is None:
+        return 0.0
+    if now - peer.reported_at > LOAD_REPORT_SECONDS:
+        return 0.0
+    return peer.reported.usual_ms
--- a/bench/balance.py
+++ b/bench/balance.py
@@ -40,6 +40,7 @@
     )
     served: int = 0
     cold: bool = False
+    usual_ms: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -170,7 +171,8 @@
             _note_sent(caller, server)
             server.queue.append((now, next(order), caller))
         else:
-            server, caller, since = data
+            server, caller, since, duration = data
+            _note_duration(server, duration)
             server.busy -= 1
             server.served += 1
             _note_answer(caller, server, now)
@@ -178,8 +180,10 @@
         while server.queue and server.busy < SLOTS:
             since, _, owner = server.queue.pop(0)
             server.busy += 1
-            ends = now + rng.expovariate(1 / _duration(server))
-            entry = (ends, next(order), "finish", (server, owner, since))
+            duration = rng.expovariate(1 / _duration(server))
+            ends = now + duration
+            data = (server, owner, since, duration)
+            entry = (ends, next(order), "finish", data)
             heapq.heappush(events, entry)
     return latencies
 
@@ -202,6 +206,12 @@
     return SERVICE_SECONDS * server.factor * (COLD_FACTOR if cold else 1.0)
 
 
+def _note_duration(server: _Server, duration: float) -> None:
+    """Average the latency as the gate does."""
+    before = server.usual_ms or duration * 1000
+    server.usual_ms = before + 0.05 * (duration * 1000 - before)
+
+
 def _note_sent(caller: _Caller, server: _Server) -> None:
     name = server.record.instance
     load = caller.loads[name]
@@ -218,7 +228,10 @@
     caller.loads[name] = dataclasses.replace(
         load,
         reported=model.Load(
-            in_flight=server.busy, limit=SLOTS, queued=len(server.queue)
+            in_flight=server.busy,
+            limit=SLOTS,
+            queued=len(server.queue),
+            usual_ms=server.usual_ms,
         ),
         reported_at=now,
         sent_since=0,
