Build the routing table once for each view

Cause: each ingress thread and dispatch built and kept a routing table of its own for every view. Change: views.Current holds one reference to a frozen pair of view and table, which the control task replaces with views.swap; ingress, dispatch and gate only read it.

--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -10,6 +10,7 @@
 from apricotpost import model
 from apricotpost.node import control_peers
 from apricotpost.node import control_state
+from apricotpost.node import views
 from apricotpost import spread
 from apricotpost import wire
 
@@ -104,12 +105,13 @@
         and _call_fields(view.instances) == _call_fields(visible)
     ):
         return
-    task.current.view = model.View(
+    following = model.View(
         snapshot=snapshot,
         instances=visible,
         withdrawals=withdrawals,
         ready=task.distribution.ready,
     )
+    views.swap(task.current, following)
 
 
 def _update_own(task: control_state.ControlTask) -> None:
--- a/apricotpost/node/dispatch.py
+++ b/apricotpost/node/dispatch.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import time
-import typing
 
 import xxhash
 import zmq
@@ -15,7 +14,6 @@
 from apricotpost.node import addresses
 from apricotpost.node import metrics
 from apricotpost.node import views
-from apricotpost import routing
 from apricotpost.routing import calls
 from apricotpost import wire
 
@@ -47,9 +45,8 @@
     router: wire.sockets.Socket
     poller: wire.sockets.Poller
     state: calls.CallState
-    table: routing.RoutingTable
+    derived: views.Derived
     metrics: metrics.Recorder
-    table_of: typing.Any = None
     peers: dict[str, _Peer] = dataclasses.field(default_factory=dict)
     connecting: set[str] = dataclasses.field(default_factory=set)
     started: dict[str, tuple[str, float]] = dataclasses.field(
@@ -93,7 +90,7 @@
             router=router,
             poller=poller,
             state=calls.CallState(data_centre=data_centre),
-            table=routing.build_table(current.view),
+            derived=current.derived,
             metrics=recorder,
         )
         stack.callback(_close_peers, task)
@@ -132,12 +129,11 @@
 
 
 def _refresh_table(task: _Task) -> None:
-    view = task.current.view
-    if view is task.table_of:
+    derived = task.current.derived
+    if derived is task.derived:
         return
-    task.table = routing.build_table(view)
-    task.table_of = view
-    known = {record.instance for record in view.instances}
+    task.derived = derived
+    known = {record.instance for record in derived.view.instances}
     for name in [name for name in task.peers if name not in known]:
         _disconnect(task, name)
 
@@ -191,7 +187,7 @@
             task.state,
             pending.pop(0),
             calls.Now(monotonic=time.monotonic(), wall=time.time()),
-            table=task.table,
+            table=task.derived.table,
             draws=calls.Draws(
                 version=task.rng.random(),
                 first=task.rng.random(),
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -22,7 +22,6 @@
 from apricotpost.node import metrics
 from apricotpost.node import views
 from apricotpost.rollout import evidence
-from apricotpost import routing
 from apricotpost import wire
 
 __all__ = ["run"]
@@ -50,11 +49,6 @@
     backlog: collections.deque[wire.Call]
     workers: list[threading.Thread]
     metrics: metrics.Recorder
-    policy: gate.Policy = gate.Policy(ready=False)
-    policy_of: tuple[model.View | None, wire.BackendServerAnnounced | None] = (
-        None,
-        None,
-    )
     reported_at: float = 0.0
     tally: evidence.Tally = evidence.Tally()
 
@@ -228,31 +222,19 @@
 
 
 def _policy(task: _Task) -> gate.Policy:
-    """Return what the view says about the backend server, cached by view."""
-    view = task.current.view
+    """Return what the view in force says about the backend server."""
+    derived = task.current.derived
     announced = task.state.announced
-    if task.policy_of[0] is not view or task.policy_of[1] is not announced:
-        task.policy = _derive_policy(task.data_centre, view, announced)
-        task.policy_of = (view, announced)
-    return task.policy
-
-
-def _derive_policy(
-    data_centre: str,
-    view: model.View,
-    announced: wire.BackendServerAnnounced | None,
-) -> gate.Policy:
     out = any(
-        centre.name == data_centre
+        centre.name == task.data_centre
         and centre.state is model.DataCentreState.OUT
-        for centre in view.snapshot.data_centres
+        for centre in derived.view.snapshot.data_centres
     )
     return gate.Policy(
-        ready=view.ready,
+        ready=derived.table.ready,
         data_centre_out=out,
         withdrawn=announced is not None
-        and (announced.service, announced.version)
-        in routing.find_withdrawn(view),
+        and (announced.service, announced.version) in derived.table.withdrawn,
     )
 
 
--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -77,7 +77,7 @@
     body = _read_body(environ)
     if isinstance(body, wire.CallResult):
         return body
-    table = _table(ingress)
+    table = ingress.current.derived.table
     if not table.ready:
         return _not_run(503, wire.NotRunReason.NOT_READY)
     route = routing.match_route(
@@ -125,16 +125,6 @@
     return bytes(body)
 
 
-def _table(ingress: Ingress) -> routing.RoutingTable:
-    """Return the tables of the view in force, cached by thread."""
-    view = ingress.current.view
-    local = ingress.local
-    if getattr(local, "view", None) is not view:
-        local.table = routing.build_table(view)
-        local.view = view
-    return typing.cast(routing.RoutingTable, local.table)
-
-
 def _make_request(
     ingress: Ingress, environ: Environ, route: model.Route, body: bytes
 ) -> wire.CallRequest:
