Send evidence to three judges only

Cause: while a rollout was open, each node of the service sent all its counts once a second to each other node of it: 14 at the target size.

Change: the counts go to the first three live nodes of the service by rendezvous hash, of which the first is the holder. A judge gets a route's counts when they changed, and all of them every 5 s and at first. A judge starts from a full report; after 15 s without a report of a node it starts anew, as the calls in between may belong to another step or rollout. The recorded traces leave out unchanged counts, so their replay passes no time.

--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -8,6 +8,7 @@
 from apricotpost.node import control_peers
 from apricotpost.node import control_records
 from apricotpost.node import control_state
+from apricotpost.rollout import judges
 from apricotpost import spread
 from apricotpost import wire
 
@@ -57,7 +58,7 @@
 def forward_evidence(
     task: control_state.ControlTask, evidence: tuple[model.Evidence, ...]
 ) -> None:
-    """Send the own gate's evidence to the nodes of the same service."""
+    """Send the own gate's evidence to the judges of the same service."""
     if not evidence:
         return
     own = task.members.record
@@ -65,12 +66,21 @@
     pass_evidence(task, report)
     now = time.monotonic()
     _watch_rollouts(task, now)
-    if own.service not in task.watched:
-        return
-    for peer in (*task.roster.near, *task.roster.far):
-        record = task.members.members[peer.instance].record
-        if record.service == own.service:
-            control_peers.send(task.peers, peer.address, report, now)
+    addresses: dict[str, str] = {}
+    if own.service in task.watched:
+        # The rollout task finds the holder in the same view.
+        instances = task.current.view.instances
+        for record in judges.find_judges(own.service, instances):
+            if record.instance != own.instance:
+                addresses[record.instance] = record.control_address
+    task.deliveries, parcels = judges.plan_reports(
+        task.deliveries, evidence, tuple(addresses), now
+    )
+    for parcel in parcels:
+        report = wire.EvidenceReport(
+            sender=own.instance, evidence=parcel.evidence, full=parcel.full
+        )
+        control_peers.send(task.peers, addresses[parcel.judge], report, now)
 
 
 def describe(task: control_state.ControlTask) -> wire.StatusReply:
--- a/apricotpost/node/control_state.py
+++ b/apricotpost/node/control_state.py
@@ -7,6 +7,7 @@
 from apricotpost import model
 from apricotpost.node import control_peers
 from apricotpost.node import views
+from apricotpost.rollout import judges
 from apricotpost import settings
 from apricotpost import spread
 from apricotpost import wire
@@ -26,6 +27,8 @@
         When it last changed, in monotonic seconds.
     watched : dict
         Services whose rollout was open, and until when it counts as such.
+    deliveries : Deliveries
+        Evidence that the judges of the open rollout were sent.
     """
 
     current: views.Current
@@ -43,6 +46,7 @@
     leaving: bool = False
     load: model.Load | None = None
     watched: dict[str, float] = dataclasses.field(default_factory=dict)
+    deliveries: judges.Deliveries = judges.Deliveries()
     table_reads: int = 0
     refusals: int = 0
     housekept_at: float = 0.0
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -128,7 +128,12 @@
         if isinstance(message, wire.StopTask):
             return False
         if isinstance(message, wire.EvidenceReport):
-            task.seen = watch.receive(task.seen, message.evidence)
+            task.seen = watch.receive(
+                task.seen,
+                message.evidence,
+                full=message.full,
+                now=time.monotonic(),
+            )
 
 
 def _look(task: _Task) -> None:
--- a/apricotpost/rollout/watch.py
+++ b/apricotpost/rollout/watch.py
@@ -4,15 +4,18 @@
 from collections.abc import Mapping
 import dataclasses
 
-import xxhash
-
 from apricotpost import model
 from apricotpost.rollout import evidence
+from apricotpost.rollout import judges
 from apricotpost.rollout import plans
 from apricotpost.rollout import steps
 from apricotpost.rollout import verdicts
 
-__all__ = ["Sight", "Watch", "find_first", "look", "receive"]
+__all__ = ["Sight", "Watch", "look", "receive"]
+
+# After two full reports in a row were lost, or while this node was no judge,
+# the calls in between may belong to another step or rollout.
+GAP_SECONDS = 3 * judges.FULL_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,6 +26,9 @@
     ----------
     book : Book
         Counts received.
+    heard : mapping
+        When each instance with counts in the book last reported, in
+        monotonic seconds.
     trial : Trial, optional
         Evidence about the open rollout.
     up_since : mapping
@@ -30,6 +36,7 @@
     """
 
     book: evidence.Book = evidence.Book()
+    heard: Mapping[str, float] = dataclasses.field(default_factory=dict)
     trial: verdicts.Trial | None = None
     up_since: Mapping[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict
@@ -61,9 +68,30 @@
     is_first: bool
 
 
-def receive(watch: Watch, found: Iterable[model.Evidence]) -> Watch:
-    """Account for a report of a gate."""
-    return dataclasses.replace(watch, book=evidence.receive(watch.book, found))
+def receive(
+    watch: Watch,
+    found: Iterable[model.Evidence],
+    *,
+    full: bool,
+    now: float,
+) -> Watch:
+    """Account for a report of a gate.
+
+    Notes
+    -----
+    The first report, or the first after a gap, must be full: it sets the
+    starting point. Had a partial one set it, the older calls of the routes
+    left out of it would later count as new ones.
+    """
+    heard = {
+        name: at for name, at in watch.heard.items() if now - at <= GAP_SECONDS
+    }
+    book = evidence.forget(watch.book, heard)
+    usable = [entry for entry in found if full or entry.instance in heard]
+    heard.update((entry.instance, now) for entry in usable)
+    return dataclasses.replace(
+        watch, book=evidence.receive(book, usable), heard=heard
+    )
 
 
 def look(
@@ -95,6 +123,7 @@
     names = [entry.instance for entry in members]
     watch = Watch(
         book=evidence.forget(book, names),
+        heard={name: at for name, at in watch.heard.items() if name in names},
         trial=watch.trial,
         up_since=_note_ages(watch.up_since, members, now),
     )
@@ -130,25 +159,16 @@
             now,
             _find_withdrawal(view, rollout),
         ),
-        is_first=find_first(service, members) == instance,
+        is_first=_is_first(service, members, instance),
     )
     return watch, sight
 
 
-def find_first(
-    service: str, instances: Iterable[model.InstanceRecord]
-) -> str | None:
-    """Return the live node that is first by rendezvous hash."""
-    live = [
-        entry.instance
-        for entry in instances
-        if entry.service == service and entry.state is model.InstanceState.UP
-    ]
-    return max(
-        live,
-        key=lambda name: xxhash.xxh64_intdigest(f"{service}/{name}".encode()),
-        default=None,
-    )
+def _is_first(
+    service: str, members: Iterable[model.InstanceRecord], instance: str
+) -> bool:
+    found = judges.find_judges(service, members)
+    return bool(found) and found[0].instance == instance
 
 
 def _service_of(view: model.View, instance: str) -> str:
--- a/apricotpost/wire/messages.py
+++ b/apricotpost/wire/messages.py
@@ -261,10 +261,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EvidenceReport:
-    """Cumulative outcome counts of the sender's backend server."""
+    """Cumulative outcome counts of the sender's backend server.
+
+    A report that is not full leaves out the routes that did not change.
+    """
 
     sender: str
     evidence: tuple[model.Evidence, ...]
+    full: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -94,7 +94,7 @@
         now += 1.0
         share = _effective(shares, now)
         for report in _second(fleet, now - 1.0 - STARTED_AT, share):
-            state = watch.receive(state, report)
+            state = watch.receive(state, report, full=True, now=now)
             note(_evidence(report))
         state, sight = watch.look(
             state, view, instance=instances[0].instance, now=now
--- /dev/null
+++ b/tests/rollout/test_judges.py
@@ -0,0 +1,176 @@
+"""Tests of who judges a rollout and who gets which counts."""
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from apricotpost import model
+from apricotpost.rollout import evidence
+from apricotpost.rollout import judges
+from apricotpost.rollout import watch
+from tests.rollout import test_watch
+
+__all__ = ["JudgesTest", "ReportsTest", "TakeOverTest"]
+
+NAMES = tuple(f"p{number}" for number in range(15))
+ROUTES = ("records", "search", "export")
+
+
+def make_counts(calls, instance="p0"):
+    """Return the counts of a gate, by the calls of each route."""
+    return tuple(
+        model.Evidence(
+            instance=instance,
+            service="portal",
+            version="v2",
+            route=route,
+            epoch=1,
+            calls=number,
+            failures=0,
+            latency_counts=(number,),
+        )
+        for route, number in zip(ROUTES, calls, strict=False)
+    )
+
+
+class JudgesTest(unittest.TestCase):
+    def test_dead_judge_is_replaced_by_the_next(self):
+        """Guards against evidence that goes to nodes that cannot judge."""
+        records = [test_watch.make_instance(name) for name in NAMES]
+        records.append(test_watch.make_instance("f", service="fieldbook"))
+        first = judges.find_judges("portal", records)
+        self.assertEqual(judges.JUDGES, len(first))
+        self.assertNotIn("f", [entry.instance for entry in first])
+        dead = dataclasses.replace(first[0], state=model.InstanceState.SUSPECT)
+        changed = [dead if entry == first[0] else entry for entry in records]
+        after = judges.find_judges("portal", reversed(changed))
+        self.assertEqual(first[1:], after[:2])
+        self.assertNotIn(after[2], first)
+
+    def test_holder_is_the_first_judge(self):
+        """Guards against a holder that is not sent the evidence."""
+        for size in range(1, 8):
+            instances = tuple(
+                test_watch.make_instance(name) for name in NAMES[:size]
+            )
+            view = dataclasses.replace(
+                test_watch.make_view(), instances=instances
+            )
+            holders = [
+                name
+                for name in NAMES[:size]
+                if test_watch.look(view, name).is_first
+            ]
+            first = judges.find_judges("portal", instances)[0]
+            self.assertEqual([first.instance], holders)
+
+
+class ReportsTest(unittest.TestCase):
+    def setUp(self):
+        self.state = judges.Deliveries()
+
+    def plan(self, calls, now, names=("x",)):
+        """Return by judge whether the report is full and its routes."""
+        self.state, parcels = judges.plan_reports(
+            self.state, make_counts(calls), names, now
+        )
+        return {
+            parcel.judge: (
+                parcel.full,
+                [entry.route for entry in parcel.evidence],
+            )
+            for parcel in parcels
+        }
+
+    def test_only_changed_routes_go_between_full_reports(self):
+        """Guards against bytes for counts that the judge has."""
+        full = {"x": (True, list(ROUTES))}
+        self.assertEqual(full, self.plan((1, 1, 1), 0.0))
+        changed = {"x": (False, ["search"])}
+        self.assertEqual(changed, self.plan((1, 2, 1), 1.0))
+        self.assertEqual({}, self.plan((1, 2, 1), 2.0))
+        self.assertEqual({}, self.plan((1, 2, 1), 4.9))
+        self.assertEqual(full, self.plan((1, 2, 1), 5.0))
+        self.assertEqual({}, self.plan((1, 2, 1), 6.0))
+
+    def test_new_judge_gets_a_full_report(self):
+        """Guards against a judge without a starting point."""
+        self.plan((1, 1, 1), 0.0)
+        full = (True, list(ROUTES))
+        self.assertEqual(
+            {"x": (False, ["search"]), "y": full},
+            self.plan((1, 2, 1), 1.0, ("x", "y")),
+        )
+        self.plan((1, 2, 1), 2.0, ("x",))
+        self.assertEqual({"y": full}, self.plan((1, 2, 1), 3.0, ("x", "y")))
+
+
+class TakeOverTest(unittest.TestCase):
+    def receive(self, state, calls, now, *, full=True):
+        """Return the state and the new calls by route."""
+        counts = [entry for entry in make_counts(calls) if entry.calls]
+        state = watch.receive(state, counts, full=full, now=now)
+        book, found = evidence.drain(state.book)
+        fresh = {key[2]: entry.calls for key, entry in found.items()}
+        return dataclasses.replace(state, book=book), fresh
+
+    def test_new_judge_counts_from_its_first_full_report(self):
+        """Guards against old calls as new ones, and against none ever."""
+        state, fresh = self.receive(
+            watch.Watch(), (0, 900, 0), 100.0, full=False
+        )
+        self.assertEqual({}, fresh)
+        state, fresh = self.receive(state, (700, 901, 0), 101.0)
+        self.assertEqual({}, fresh)
+        state, fresh = self.receive(state, (0, 904, 1), 102.0, full=False)
+        self.assertEqual({"search": 3, "export": 1}, fresh)
+
+    def test_judge_of_earlier_times_starts_anew(self):
+        """Guards against the calls of a gap as calls of one second."""
+        state, _ = self.receive(watch.Watch(), (10, 10, 10), 100.0)
+        state, fresh = self.receive(state, (11, 0, 0), 115.0, full=False)
+        self.assertEqual({"records": 1}, fresh)
+        state, fresh = self.receive(state, (50, 0, 0), 131.0, full=False)
+        self.assertEqual({}, fresh)
+        state, fresh = self.receive(state, (60, 60, 60), 132.0)
+        self.assertEqual({}, fresh)
+        _, fresh = self.receive(state, (0, 61, 0), 133.0, full=False)
+        self.assertEqual({"search": 1}, fresh)
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=100, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(ROUTES), strategies.booleans()
+            ),
+            max_size=30,
+        )
+    )
+    def test_lost_reports_lose_and_double_no_calls(self, seconds):
+        """Guards against counts that a lost report leaves wrong."""
+        sent, state = judges.Deliveries(), watch.Watch()
+        calls, now = [5, 5, 5], 0.0
+        # Reports arrive at first and at last; the gap stays below the limit.
+        plan = [("search", True), *seconds]
+        plan.extend([("search", True)] * 6)
+        heard = now
+        for route, arrives in plan:
+            calls[ROUTES.index(route)] += 1
+            sent, parcels = judges.plan_reports(
+                sent, make_counts(calls), ("x",), now
+            )
+            for parcel in parcels:
+                if arrives or now - heard >= 14.0:
+                    heard = now
+                    state = watch.receive(
+                        state, parcel.evidence, full=parcel.full, now=now
+                    )
+            now += 1.0
+        _, fresh = evidence.drain(state.book)
+        found = sum(entry.calls for entry in fresh.values())
+        # The call of the first second belongs to the starting point.
+        self.assertEqual(len(plan) - 1, found)
--- a/tests/rollout/test_traces.py
+++ b/tests/rollout/test_traces.py
@@ -58,7 +58,11 @@
                 decision = None
             elif kind == "evidence":
                 self.assertIsNone(decision, "a step is missing")
-                state = watch.receive(state, _decode(event["counts"]))
+                # Traces leave out unchanged counts and have no lost reports,
+                # so the time of a report says nothing about a gap.
+                state = watch.receive(
+                    state, _decode(event["counts"]), full=True, now=0.0
+                )
             elif kind == "look":
                 state, decision = _look(state, view, event["at"])
             else:
