Keep suspects callable on a leaving node

Cause: one of about 400 calls of test_graceful_stop_fails_no_call was refused as no-backend-server by the draining node in a run of the whole suite. A leaving node is no longer sent records, so that it declares a suspect down whose refutation it never hears; the test stops a node shortly after another one was frozen. That this was the cause of that one refusal was not traced. Ruled out: the cut-off rule (one data centre) and the gate's refusals (another reason). Measured: the new test fails before and passes after; the process tests of calls pass twice.

--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -60,6 +60,10 @@
         member = state.members.get(name)
         if since > limit or member is None:
             continue
+        if state.record.state is model.InstanceState.LEAVING:
+            # Nobody tells a leaving node of a refutation any more, and its
+            # last calls still need the suspect.
+            continue
         if records.is_partitioned(state, member.record.data_centre):
             # When the cut ends, the rest gets twice the time to refute,
             # since all of them do so at once.
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -165,6 +165,25 @@
         found = self.state.members["b"].record.state
         self.assertEqual(model.InstanceState.SUSPECT, found)
 
+    def test_leaving_node_declares_nobody_down(self):
+        """Guards against a drain that refuses calls for want of servers.
+
+        A leaving node hears no refutations, so that a suspect from before
+        its drain used to be down for the drain's last calls.
+        """
+        up = fleets.make_record("b")
+        self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
+        leaving = dataclasses.replace(
+            self.state.record, state=model.InstanceState.LEAVING
+        )
+        change = membership.OwnChanged(record=leaving, draw=1, spread=True)
+        self.state, _ = membership.handle(self.state, change, 0.5)
+        for second in range(1, 12):
+            tick = membership.Tick(draw=1)
+            self.state, _ = membership.handle(self.state, tick, float(second))
+        found = self.state.members["b"].record.state
+        self.assertEqual(model.InstanceState.SUSPECT, found)
+
     def test_worse_state_wins_at_equal_incarnation(self):
         """Guards against a late record that revives a dead instance."""
         up = fleets.make_record("b")
