--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -13,8 +13,8 @@
 from apricotpost import config
 from apricotpost import errors
 from apricotpost import model
-from apricotpost import platform
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import table
 
 __all__ = [
     "check",
@@ -39,9 +39,7 @@
     return hashlib.sha256(text.encode()).hexdigest()[:24]
 
 
-def read_current(
-    store: platform.Store, held: model.Snapshot
-) -> model.Snapshot:
+def read_current(store: storage.Store, held: model.Snapshot) -> model.Snapshot:
     """Read the newest configuration, starting from the one held.
 
     Raises
@@ -49,7 +47,7 @@
     apricotpost.errors.PlatformError
         The platform did not answer.
     """
-    _, deltas, snapshot = platform.read_newer(store, held.version)
+    _, deltas, snapshot = storage.read_newer(store, held.version)
     if snapshot is not None:
         held = config.apply_snapshot(held, snapshot)
     for delta in deltas:
@@ -58,7 +56,7 @@
 
 
 def submit(
-    store: platform.Store,
+    store: storage.Store,
     submission: submissions.Submission,
     apply: Callable[[model.Snapshot], requests.Applied],
     *,
@@ -70,7 +68,7 @@
 
     Parameters
     ----------
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Where to read and write.
     submission : Submission
         Who asks, and as which request.
@@ -122,7 +120,7 @@
 
 
 def check(
-    store: platform.Store,
+    store: storage.Store,
     submission: submissions.Submission,
     apply: Callable[[model.Snapshot], requests.Applied],
     *,
@@ -141,7 +139,7 @@
 
 
 def _find_first(
-    store: platform.Store, submission: submissions.Submission
+    store: storage.Store, submission: submissions.Submission
 ) -> submissions.Accepted | None:
     """Return the result of an earlier submission of the same request."""
     item = table.get(
@@ -160,7 +158,7 @@
 
 
 def _check_base(
-    store: platform.Store,
+    store: storage.Store,
     submission: submissions.Submission,
     held: model.Snapshot,
 ) -> None:
@@ -210,7 +208,7 @@
 
 
 def _write(
-    store: platform.Store,
+    store: storage.Store,
     submission: submissions.Submission,
     before: model.Snapshot,
     applied: requests.Applied,
@@ -233,9 +231,9 @@
         # The result is kept, so that a repetition does not act later.
         _write_result(store, result, identifier)
         return
-    platform.commit(
+    storage.commit(
         store,
-        platform.Change(
+        storage.Change(
             before=before,
             after=applied.snapshot,
             author=submission.actor.author,
@@ -251,7 +249,7 @@
 
 
 def _write_result(
-    store: platform.Store, result: table.Put, identifier: str
+    store: storage.Store, result: table.Put, identifier: str
 ) -> None:
     try:
         table.transact(store.table, (result,), token=identifier)
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -18,9 +18,9 @@
 from apricotpost.admin import tokens
 from apricotpost import errors
 from apricotpost import model
-from apricotpost import platform
 from apricotpost.rollout import steps
 from apricotpost import settings
+from apricotpost import storage
 
 __all__ = ["Admin", "Request", "find_handler", "make_policy"]
 
@@ -51,7 +51,7 @@
     """
 
     options: settings.NodeSettings
-    open_store: Callable[[], platform.Store]
+    open_store: Callable[[], storage.Store]
     read_view: Callable[[], model.View]
     read_fleet: Callable[[], model.View]
     announce: Callable[[model.Delta, str], None]
@@ -144,7 +144,7 @@
 
 
 def _get_audit(admin: Admin, request: Request) -> typing.Any:
-    newest = platform.read_head(_store(admin)) + 1
+    newest = storage.read_head(_store(admin)) + 1
     return reads.read_audit(
         _store(admin),
         before=_number(request, "before", newest, newest),
@@ -250,12 +250,12 @@
     return min(int(text), most)
 
 
-def _store(admin: Admin) -> platform.Store:
+def _store(admin: Admin) -> storage.Store:
     """Return the calling thread's connection to the platform."""
     local = admin.local
     if getattr(local, "store", None) is None:
         local.store = admin.open_store()
-    return typing.cast(platform.Store, local.store)
+    return typing.cast(storage.Store, local.store)
 
 
 _NAME = r"([A-Za-z0-9][A-Za-z0-9._+-]*)"
--- a/apricotpost/admin/moves.py
+++ b/apricotpost/admin/moves.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from apricotpost import model
-from apricotpost.platform import table
+from apricotpost.storage import table
 
 __all__ = [
     "MoveOutcome",
--- a/apricotpost/admin/reads.py
+++ b/apricotpost/admin/reads.py
@@ -6,8 +6,8 @@
 from apricotpost.admin import moves
 from apricotpost import errors
 from apricotpost import model
-from apricotpost import platform
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import table
 
 __all__ = [
     "PAGE_ITEMS",
@@ -86,13 +86,13 @@
 
 
 def read_history(
-    store: platform.Store, view: model.View, *, service: str, limit: int
+    store: storage.Store, view: model.View, *, service: str, limit: int
 ) -> Json:
     """Read the last ended moves, and data centre moves under way.
 
     Parameters
     ----------
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Where to read.
     view : apricotpost.model.View
         From which the progress of moves is counted.
@@ -120,7 +120,7 @@
 
 
 def read_move(
-    store: platform.Store, view: model.View, identifier: str, *, now: float
+    store: storage.Store, view: model.View, identifier: str, *, now: float
 ) -> Json:
     """Read how one rollout or data centre move stands.
 
@@ -144,7 +144,7 @@
     return _describe_outcome(ended)
 
 
-def read_audit(store: platform.Store, *, before: int, limit: int) -> Json:
+def read_audit(store: storage.Store, *, before: int, limit: int) -> Json:
     """Read the audit records below a version, newest first.
 
     Raises
@@ -165,7 +165,7 @@
 
 
 def _read_outcomes(
-    store: platform.Store, version: int
+    store: storage.Store, version: int
 ) -> typing.Iterator[table.Item]:
     """Yield the ends of moves that began in the last versions.
 
--- a/apricotpost/admin/submissions.py
+++ b/apricotpost/admin/submissions.py
@@ -6,8 +6,8 @@
 from apricotpost.admin import moves
 from apricotpost.admin import requests
 from apricotpost.admin import tokens
-from apricotpost import platform
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import table
 
 __all__ = ["Accepted", "Submission", "extra_writes", "move_identifier"]
 
@@ -71,7 +71,7 @@
             )
         )
     for before, after in applied.withdrawn:
-        yield platform.outcomes.outcome_write(
+        yield storage.outcomes.outcome_write(
             before,
             after,
             evidence="",
--- /dev/null
+++ b/apricotpost/admission/ranked.py
@@ -0,0 +1,295 @@
+"""Queue before a backend server: by rank, within what it bears.
+
+Answers overload: a request that cannot be served in its time is refused when
+it arrives, so that its client can come back, and never after it has waited.
+The order is that of criticality (Beyer et al., Site Reliability Engineering,
+chapter 21); the wait is predicted by Little's law from the mean service time.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from apricotpost import wire
+
+__all__ = [
+    "Entry",
+    "RankedQueue",
+    "Refusal",
+    "add",
+    "admit",
+    "describe",
+    "finish",
+    "next_start",
+    "note_rejection",
+    "remove",
+    "set_backend",
+    "start",
+]
+
+# A cold backend server is counted in windows of a second that start anywhere.
+COLD_WINDOW_SECONDS = 1.0
+# Part of the bearable cold rate that is used, since the request may arrive
+# a little later than it was sent.
+COLD_MARGIN = 0.9
+# Weight of a new measurement in the mean service time.
+SERVICE_TIME_WEIGHT = 0.1
+FIRST_SERVICE_MS = 100.0
+# A queued request whose time left is below this part of the usual service
+# time will not be answered in time.
+HOPELESS_PART = 0.6
+# After a rejection the limit grows back by one in this time.
+REGROWTH_SECONDS = 0.15
+MIN_RETRY_MS = 40.0
+# Weight of a request in the recent share of failures.
+FAILURE_WEIGHT = 0.08
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """A request at the gate; times are of the monotonic clock, in seconds.
+
+    Parameters
+    ----------
+    call : str
+        Identifier of the attempt.
+    rank : int
+        Lower is more urgent.
+    route : str
+        Requests of a route have similar service times.
+    patient : bool
+        Whether it waits although it misses its objective.
+    arrived, expires, objective : float
+        When it came, and by when it has to be answered.
+    work : object
+        What runs it; not looked at here.
+    """
+
+    call: str
+    rank: int
+    route: str
+    patient: bool
+    arrived: float
+    expires: float
+    objective: float
+    work: typing.Any = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """Why a request does not run, and when there may be room."""
+
+    reason: wire.NotRunReason
+    retry_ms: float
+
+
+class RankedQueue:
+    """State of the queue.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the backend server processes at the same time.
+    """
+
+    def __init__(self, *, slots: int = 0) -> None:
+        self.slots = slots
+        self.limit = float(slots)
+        self.limit_at = 0.0
+        self.running: dict[str, Entry] = {}
+        self.queue: list[Entry] = []
+        self.service_ms: dict[str, float] = {}
+        self.mean_ms = FIRST_SERVICE_MS
+        self.failing = 0.0
+        self.cold_until = 0.0
+        self.cold_rate = 0.0
+        self.sent: collections.deque[float] = collections.deque()
+
+
+def set_backend(
+    state: RankedQueue, *, slots: int, limit: float, now: float
+) -> None:
+    """Start to serve a backend server.
+
+    Parameters
+    ----------
+    state : RankedQueue
+        State of the queue.
+    slots : int
+        Requests that it processes at the same time.
+    limit : float
+        Requests to begin with; less than `slots` if requests of which this
+        node knows nothing may still run there.
+    now : float
+        Monotonic time, in seconds.
+    """
+    state.slots = slots
+    state.limit = min(limit, float(slots))
+    state.limit_at = now
+    state.failing = 0.0
+
+
+def admit(state: RankedQueue, entry: Entry, now: float) -> Refusal | None:
+    """Decide whether a request may wait; None means that it may."""
+    left_ms = (entry.expires - now) * 1000.0
+    usual_ms = state.service_ms.get(entry.route, state.mean_ms)
+    if left_ms <= usual_ms * HOPELESS_PART:
+        return Refusal(reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0)
+    wait_ms = predict_wait_ms(state, entry, now)
+    if wait_ms <= 0.0:
+        return None
+    answer_ms = wait_ms + usual_ms
+    late = answer_ms > (entry.objective - now) * 1000.0
+    if answer_ms <= left_ms and (entry.patient or not late):
+        return None
+    reason = wire.NotRunReason.GATE_FULL
+    if now < state.cold_until:
+        reason = wire.NotRunReason.COLD
+    return Refusal(reason=reason, retry_ms=max(wait_ms, MIN_RETRY_MS))
+
+
+def predict_wait_ms(state: RankedQueue, entry: Entry, now: float) -> float:
+    """Return how long a request would wait, in milliseconds."""
+    limit = current_limit(state, now)
+    if limit < 1:
+        return 1000.0
+    ahead = sum(other.rank <= entry.rank for other in state.queue)
+    over = ahead + 1 + len(state.running) - limit
+    wait_ms = max(over, 0) * state.mean_ms / limit
+    if now < state.cold_until and state.cold_rate > 0:
+        room = cold_room(state, now)
+        if ahead + 1 > room:
+            cold_ms = (ahead + 1 - room) / state.cold_rate * 1000.0
+            wait_ms = max(wait_ms, cold_ms)
+    return wait_ms
+
+
+def current_limit(state: RankedQueue, now: float) -> int:
+    """Return how many requests may run at the same time."""
+    grown = state.limit + (now - state.limit_at) / REGROWTH_SECONDS
+    return min(int(grown), state.slots)
+
+
+def cold_room(state: RankedQueue, now: float) -> int:
+    """Return how many more requests a cold backend server bears now."""
+    while state.sent and now - state.sent[0] >= COLD_WINDOW_SECONDS:
+        state.sent.popleft()
+    return max(int(state.cold_rate * COLD_MARGIN) - len(state.sent), 0)
+
+
+def add(state: RankedQueue, entry: Entry) -> None:
+    """Put an admitted request into the queue."""
+    state.queue.append(entry)
+
+
+def remove(state: RankedQueue, call: str) -> Entry | None:
+    """Take a request out of the queue."""
+    for index, entry in enumerate(state.queue):
+        if entry.call == call:
+            return state.queue.pop(index)
+    return None
+
+
+def start(
+    state: RankedQueue, now: float
+) -> tuple[list[Entry], list[tuple[Entry, Refusal]]]:
+    """Return the requests that run now and those that no longer can.
+
+    Among requests of one rank, those that can still meet their objective
+    go first: an answer after the objective is worth less to its caller.
+    """
+    refused = _take_hopeless(state, now)
+    started: list[Entry] = []
+    cold = now < state.cold_until and state.cold_rate > 0
+    while state.queue and len(state.running) < current_limit(state, now):
+        if cold and not cold_room(state, now):
+            break
+        best = min(state.queue, key=lambda entry: _order(state, entry, now))
+        state.queue.remove(best)
+        state.running[best.call] = best
+        state.sent.append(now)
+        started.append(best)
+    return started, refused
+
+
+def next_start(state: RankedQueue, now: float) -> float | None:
+    """Return when `start` has something to do without a further event."""
+    if not state.queue:
+        return None
+    if now < state.cold_until and state.sent and not cold_room(state, now):
+        return state.sent[0] + COLD_WINDOW_SECONDS
+    if len(state.running) < state.slots:
+        return now + REGROWTH_SECONDS
+    return now + 0.05
+
+
+def finish(
+    state: RankedQueue, call: str, *, ran_ms: float | None, failed: bool
+) -> Entry | None:
+    """Account for the end of a running request.
+
+    Parameters
+    ----------
+    state : RankedQueue
+        State of the queue.
+    call : str
+        Identifier of the attempt.
+    ran_ms : float or None
+        Service time; None if it was not served.
+    failed : bool
+        Whether it failed.
+    """
+    entry = state.running.pop(call, None)
+    if entry is None:
+        return None
+    state.failing += FAILURE_WEIGHT * (float(failed) - state.failing)
+    if ran_ms is not None:
+        usual = state.service_ms.get(entry.route, ran_ms)
+        usual += SERVICE_TIME_WEIGHT * (ran_ms - usual)
+        state.service_ms[entry.route] = usual
+        state.mean_ms += SERVICE_TIME_WEIGHT * (ran_ms - state.mean_ms)
+    return entry
+
+
+def note_rejection(state: RankedQueue, now: float) -> None:
+    """Lower the limit: the backend server was full before it was reached."""
+    state.limit = max(len(state.running) - 1.0, 1.0)
+    state.limit_at = now
+
+
+def describe(state: RankedQueue, now: float) -> wire.ServerLoad:
+    """Return the load that answers carry back to callers."""
+    limit = current_limit(state, now)
+    if now < state.cold_until and state.cold_rate > 0:
+        bearable = state.cold_rate * state.mean_ms / 1000.0
+        limit = min(limit, max(int(bearable), 1))
+    return wire.ServerLoad(
+        running=len(state.running),
+        queued=len(state.queue),
+        limit=limit,
+        usual_ms=round(state.mean_ms, 1),
+        failing=round(state.failing, 3),
+    )
+
+
+def _take_hopeless(
+    state: RankedQueue, now: float
+) -> list[tuple[Entry, Refusal]]:
+    refused = []
+    for entry in tuple(state.queue):
+        usual_ms = state.service_ms.get(entry.route, state.mean_ms)
+        if (entry.expires - now) * 1000.0 <= usual_ms * HOPELESS_PART:
+            state.queue.remove(entry)
+            refusal = Refusal(
+                reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0
+            )
+            refused.append((entry, refusal))
+    return refused
+
+
+def _order(
+    state: RankedQueue, entry: Entry, now: float
+) -> tuple[int, bool, float]:
+    usual_ms = state.service_ms.get(entry.route, state.mean_ms)
+    late = (entry.objective - now) * 1000.0 < usual_ms
+    return (entry.rank, late, entry.arrived)
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -10,6 +10,7 @@
     "ConfigurationInvalid",
     "ConfigurationOutdated",
     "DeltaBaseMissing",
+    "HistoryLost",
     "LeaseLost",
     "MalformedMessage",
     "NodeRefused",
@@ -144,6 +145,12 @@
     code = "AP406"
 
 
+class HistoryLost(PlatformError):
+    """The changes that a watch asks for are no longer kept."""
+
+    code = "AP407"
+
+
 class TransactionRejected(PlatformError):
     """A condition of a write to the table did not hold."""
 
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -164,6 +164,104 @@
 )
 
 
+# Event-loop node, requests: 600 to 699.
+REQUEST_SERVED = _event(
+    600, logging.INFO, "request %(request)s %(outcome)s with %(status)s"
+)
+REQUEST_ENDED = _event(
+    601,
+    logging.WARNING,
+    "request %(request)s %(outcome)s with %(status)s: %(reason)s",
+)
+REQUEST_UNROUTED = _event(
+    602,
+    logging.WARNING,
+    "request %(request)s for %(host)s not routed: %(reason)s",
+)
+ANSWER_LATE = _event(
+    603, logging.INFO, "answer to %(call)s came after its request had ended"
+)
+GATE_REJECTED = _event(
+    610,
+    logging.WARNING,
+    "backend server %(backend)s turned request %(request)s away",
+)
+GATE_FAILED = _event(
+    611,
+    logging.WARNING,
+    "request %(request)s failed at backend server %(backend)s: %(reason)s",
+)
+DECISIONS_SUPPRESSED = _event(
+    620, logging.WARNING, "%(lines)s lines about requests were not written"
+)
+LINES_DROPPED = _event(
+    621, logging.ERROR, "%(lines)s lines were dropped, output is blocked"
+)
+
+# Event-loop node, state: 700 to 799.
+SIDECAR_STARTED = _event(
+    700, logging.INFO, "node %(instance)s started in %(data_centre)s"
+)
+SIDECAR_STOPPING = _event(
+    701, logging.INFO, "node %(instance)s got SIGTERM and drains"
+)
+SIDECAR_STOPPED = _event(
+    702, logging.INFO, "node %(instance)s stopped with %(open)s requests open"
+)
+SETTINGS_RELOADED = _event(
+    703, logging.INFO, "settings reloaded after %(cause)s"
+)
+SETTINGS_REFUSED = _event(
+    704, logging.ERROR, "changed settings refused: %(error)s"
+)
+TASK_ENDED = _event(705, logging.ERROR, "task %(task)s failed: %(error)s")
+READINESS_CHANGED = _event(706, logging.INFO, "readiness is now %(ready)s")
+BACKEND_STATE = _event(
+    710, logging.INFO, "backend server %(backend)s is %(state)s"
+)
+BACKEND_LEFT = _event(
+    711, logging.INFO, "backend server %(backend)s deregistered"
+)
+BACKEND_UNREACHABLE = _event(
+    712, logging.WARNING, "backend server %(backend)s refuses connections"
+)
+BEAT_MALFORMED = _event(
+    713, logging.WARNING, "announcement refused: %(error)s"
+)
+LINK_CHANGED = _event(
+    720, logging.INFO, "connection to node %(node)s is %(state)s"
+)
+LINK_MALFORMED = _event(
+    721, logging.WARNING, "message of another node refused: %(error)s"
+)
+NODE_MET = _event(722, logging.INFO, "node %(node)s met with boot %(boot)s")
+STORE_LOST = _event(730, logging.WARNING, "store lost: %(error)s")
+STORE_REGAINED = _event(
+    731, logging.INFO, "store regained after %(seconds)s s"
+)
+READER_CHANGED = _event(
+    732, logging.INFO, "this node reads the store: %(reader)s"
+)
+ORDERS_APPLIED = _event(
+    733,
+    logging.INFO,
+    "orders up to revision %(revision)s in force, configuration %(version)s",
+)
+ORDERS_REFUSED = _event(
+    734, logging.ERROR, "orders refused, the last ones stay: %(error)s"
+)
+TRIAL_CHANGED = _event(
+    740,
+    logging.INFO,
+    "rollout of %(service)s to %(version)s is %(phase)s: %(reason)s",
+)
+TRIAL_UNWRITTEN = _event(
+    741,
+    logging.WARNING,
+    "status of the rollout of %(service)s not written: %(error)s",
+)
+
+
 def emit(logger: logging.Logger, event: Event, **fields: typing.Any) -> None:
     """Log one event.
 
--- /dev/null
+++ b/apricotpost/http/__init__.py
@@ -0,0 +1,33 @@
+"""HTTP/1.1 on the event loop: one front and one client for every address."""
+
+from apricotpost.http.client import Client
+from apricotpost.http.client import Failure
+from apricotpost.http.client import Handle
+from apricotpost.http.client import Result
+from apricotpost.http.messages import encode_request
+from apricotpost.http.messages import encode_response
+from apricotpost.http.messages import find_header
+from apricotpost.http.messages import Headers
+from apricotpost.http.messages import Request
+from apricotpost.http.messages import Response
+from apricotpost.http.messages import strip_hop_headers
+from apricotpost.http.server import Exchange
+from apricotpost.http.server import Front
+from apricotpost.http.server import Limits
+
+__all__ = [
+    "Client",
+    "Exchange",
+    "Failure",
+    "Front",
+    "Handle",
+    "Headers",
+    "Limits",
+    "Request",
+    "Response",
+    "Result",
+    "encode_request",
+    "encode_response",
+    "find_header",
+    "strip_hop_headers",
+]
--- /dev/null
+++ b/apricotpost/http/messages.py
@@ -0,0 +1,117 @@
+"""HTTP messages as values, and their encoding."""
+
+from collections.abc import Iterable
+import dataclasses
+import http
+
+__all__ = [
+    "Headers",
+    "Request",
+    "Response",
+    "encode_request",
+    "encode_response",
+    "find_header",
+    "strip_hop_headers",
+]
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# RFC 9110, section 7.6.1: these concern one connection only.
+_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_CONTENT_LENGTH = b"content-length"
+_REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request with its whole body."""
+
+    method: bytes
+    target: bytes
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """A response with its whole body."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first header of a lower-case name."""
+    for key, value in headers:
+        if len(key) == len(name) and key.lower() == name:
+            return value
+    return None
+
+
+def strip_hop_headers(headers: Headers, also: Iterable[bytes] = ()) -> Headers:
+    """Drop the headers of one connection and the lengths.
+
+    Parameters
+    ----------
+    headers : Headers
+        As received.
+    also : iterable of bytes
+        Further names to drop, in lower case.
+    """
+    dropped = {*_HOP_HEADERS, _CONTENT_LENGTH, *also}
+    named = find_header(headers, b"connection")
+    if named is not None:
+        dropped.update(n.strip().lower() for n in named.split(b","))
+    return tuple(h for h in headers if h[0].lower() not in dropped)
+
+
+def encode_request(request: Request) -> bytes:
+    """Encode a request that keeps its connection open."""
+    lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+    lines.extend(b"%b: %b\r\n" % header for header in request.headers)
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(b"\r\n")
+    lines.append(request.body)
+    return b"".join(lines)
+
+
+def encode_response(
+    response: Response, *, close: bool, head: bool = False
+) -> bytes:
+    """Encode a response.
+
+    Parameters
+    ----------
+    response : Response
+        What to send.
+    close : bool
+        Whether the connection closes afterwards.
+    head : bool
+        Whether the request was HEAD, whose response has no body.
+    """
+    reason = _REASONS.get(response.status, b"Unknown")
+    lines = [b"HTTP/1.1 %d %b\r\n" % (response.status, reason)]
+    lines.extend(b"%b: %b\r\n" % header for header in response.headers)
+    if response.status >= 200 and response.status not in (204, 304):
+        lines.append(b"Content-Length: %d\r\n" % len(response.body))
+    if close:
+        lines.append(b"Connection: close\r\n")
+    lines.append(b"\r\n")
+    if not head:
+        lines.append(response.body)
+    return b"".join(lines)
--- a/apricotpost/idempotency/backlog.py
+++ b/apricotpost/idempotency/backlog.py
@@ -6,7 +6,7 @@
 from apricotpost.idempotency import calls
 from apricotpost.idempotency import keys
 from apricotpost.idempotency import records
-from apricotpost import platform
+from apricotpost import storage
 
 __all__ = [
     "Backlog",
@@ -104,7 +104,7 @@
     return min((job.due for job in backlog.jobs), default=None)
 
 
-def attempt(store: platform.Store, job: Job) -> bool:
+def attempt(store: storage.Store, job: Job) -> bool:
     """Try a job again; returns whether it is done.
 
     A second owner of the key is not possible: each write is on condition
--- a/apricotpost/idempotency/calls.py
+++ b/apricotpost/idempotency/calls.py
@@ -6,8 +6,8 @@
 from apricotpost import errors
 from apricotpost.idempotency import keys
 from apricotpost.idempotency import records
-from apricotpost import platform
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import table
 
 __all__ = [
     "Begun",
@@ -48,7 +48,7 @@
 
 
 def begin(
-    store: platform.Store,
+    store: storage.Store,
     claim: keys.Claim,
     *,
     clock: Callable[[], float],
@@ -97,7 +97,7 @@
 
 
 def finish(
-    store: platform.Store, claim: keys.Claim, outcome: records.Outcome
+    store: storage.Store, claim: keys.Claim, outcome: records.Outcome
 ) -> None:
     """Store the outcome of a call that ran.
 
@@ -113,7 +113,7 @@
     if len(body) <= MAX_INLINE_BYTES:
         record = dataclasses.replace(record, outcome=body)
     else:
-        name = platform.objects.put_object(
+        name = storage.objects.put_object(
             store.objects, body, prefix=OBJECT_PREFIX
         )
         record = dataclasses.replace(record, outcome_object=name)
@@ -122,7 +122,7 @@
 
 
 def finish_again(
-    store: platform.Store, claim: keys.Claim, outcome: records.Outcome
+    store: storage.Store, claim: keys.Claim, outcome: records.Outcome
 ) -> None:
     """Store an outcome unless the record shows that it is stored.
 
@@ -139,7 +139,7 @@
     finish(store, claim, outcome)
 
 
-def abandon(store: platform.Store, claim: keys.Claim) -> None:
+def abandon(store: storage.Store, claim: keys.Claim) -> None:
     """Free the key of a call that was not run.
 
     Raises
@@ -157,7 +157,7 @@
         return
 
 
-def release(store: platform.Store, claim: keys.Claim) -> bool:
+def release(store: storage.Store, claim: keys.Claim) -> bool:
     """Free the key of a call that did not run, if its record is there.
 
     Returns
@@ -177,7 +177,7 @@
     return True
 
 
-def replay(store: platform.Store, record: records.Record) -> records.Outcome:
+def replay(store: storage.Store, record: records.Record) -> records.Outcome:
     """Return the stored outcome of a record.
 
     Raises
@@ -188,12 +188,12 @@
     body = record.outcome
     if body is None:
         name = record.outcome_object or ""
-        body = platform.objects.get_object(store.objects, name)
+        body = storage.objects.get_object(store.objects, name)
     return records.decode_outcome(body)
 
 
 def _resolve(
-    store: platform.Store, claim: keys.Claim, clock: Callable[[], float]
+    store: storage.Store, claim: keys.Claim, clock: Callable[[], float]
 ) -> Begun:
     """Settle a lost answer by reading whose record it is."""
     limited = _until(store, claim.deadline, clock)
@@ -234,6 +234,6 @@
 
 
 def _until(
-    store: platform.Store, deadline: float, clock: Callable[[], float]
-) -> platform.Store:
-    return platform.bounded(store, deadline - clock())
+    store: storage.Store, deadline: float, clock: Callable[[], float]
+) -> storage.Store:
+    return storage.bounded(store, deadline - clock())
--- a/apricotpost/idempotency/records.py
+++ b/apricotpost/idempotency/records.py
@@ -7,7 +7,7 @@
 
 from apricotpost import errors
 from apricotpost.idempotency import keys
-from apricotpost.platform import table
+from apricotpost.storage import table
 
 __all__ = [
     "LIFETIME_SECONDS",
--- /dev/null
+++ b/apricotpost/membership/fleet.py
@@ -0,0 +1,87 @@
+"""Nodes of the fleet as they describe themselves."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from apricotpost import wire
+
+__all__ = [
+    "Fleet",
+    "KnownNode",
+    "is_reader",
+    "learn",
+    "live_nodes",
+    "newest_orders",
+]
+
+# States come every half a second within a data centre; two may be late.
+SILENT_SECONDS = 1.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KnownNode:
+    """Newest state of a node, and when it was heard, in monotonic seconds."""
+
+    state: wire.NodeState
+    heard: float
+
+
+class Fleet:
+    """Known nodes by name.
+
+    Parameters
+    ----------
+    node, data_centre : str
+        The node that keeps this.
+    """
+
+    def __init__(self, *, node: str, data_centre: str) -> None:
+        self.node = node
+        self.data_centre = data_centre
+        self.nodes: dict[str, KnownNode] = {}
+
+
+def learn(fleet: Fleet, state: wire.NodeState, now: float) -> bool:
+    """Take a state and tell whether the node's process is a new one.
+
+    States may overtake each other; an older one changes nothing.
+    """
+    known = fleet.nodes.get(state.node)
+    if known is not None:
+        newest = (known.state.boot, known.state.sequence)
+        if (state.boot, state.sequence) <= newest:
+            return False
+    fleet.nodes[state.node] = KnownNode(state=state, heard=now)
+    return known is None or known.state.boot != state.boot
+
+
+def live_nodes(
+    fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
+) -> Iterable[wire.NodeState]:
+    """Yield the nodes that were heard within a time, in seconds."""
+    for known in fleet.nodes.values():
+        if now - known.heard <= within:
+            yield known.state
+
+
+def is_reader(fleet: Fleet, now: float, *, reaches_store: bool) -> bool:
+    """Tell whether this node watches the store for its data centre.
+
+    The first node by name that reaches the store does. A node that cannot
+    hear the others watches by itself.
+    """
+    if not reaches_store:
+        return False
+    return not any(
+        state.node < fleet.node
+        and state.data_centre == fleet.data_centre
+        and state.store
+        and not state.leaving
+        for state in live_nodes(fleet, now)
+        if state.node != fleet.node
+    )
+
+
+def newest_orders(fleet: Fleet) -> int:
+    """Return the newest store revision that any node holds."""
+    return max((k.state.orders for k in fleet.nodes.values()), default=0)
--- a/apricotpost/model/__init__.py
+++ b/apricotpost/model/__init__.py
@@ -21,12 +21,24 @@
 from apricotpost.model.levels import LevelCounts
 from apricotpost.model.levels import Objective
 from apricotpost.model.levels import RouteLevel
+from apricotpost.model.traffic import BackendBeat
+from apricotpost.model.traffic import BackendState
+from apricotpost.model.traffic import ClientLimits
+from apricotpost.model.traffic import RolloutOrder
+from apricotpost.model.traffic import ServiceRule
+from apricotpost.model.traffic import Target
+from apricotpost.model.traffic import TrafficConfig
+from apricotpost.model.traffic import TrafficRoute
 
 __all__ = [
+    "EMPTY_SNAPSHOT",
+    "TOTAL_SHARE",
+    "BackendBeat",
+    "BackendState",
+    "ClientLimits",
     "DataCentre",
     "DataCentreState",
     "Delta",
-    "EMPTY_SNAPSHOT",
     "Evidence",
     "InstanceRecord",
     "InstanceState",
@@ -35,12 +47,16 @@
     "Load",
     "Objective",
     "Rollout",
+    "RolloutOrder",
     "RolloutState",
     "Route",
     "RouteLevel",
     "Service",
+    "ServiceRule",
     "Snapshot",
-    "TOTAL_SHARE",
+    "Target",
+    "TrafficConfig",
+    "TrafficRoute",
     "VersionShare",
     "View",
     "Withdrawal",
--- a/apricotpost/node/at_most_once.py
+++ b/apricotpost/node/at_most_once.py
@@ -12,7 +12,7 @@
 from apricotpost.idempotency import backlog
 from apricotpost.node import keyed_calls
 from apricotpost.node import outcome_retries
-from apricotpost import platform
+from apricotpost import storage
 from apricotpost import wire
 
 __all__ = ["KEY_INVALID", "carry"]
@@ -95,14 +95,14 @@
 
 
 def _answer(
-    store: platform.Store,
+    store: storage.Store,
     begun: idempotency.Begun,
     request: wire.CallRequest,
     now: float,
 ) -> wire.CallResult:
     verdict = begun.verdict
     if verdict is idempotency.Verdict.REPLAY and begun.record is not None:
-        limited = platform.bounded(store, request.deadline - now)
+        limited = storage.bounded(store, request.deadline - now)
         return _replayed(request, idempotency.replay(limited, begun.record))
     if verdict is idempotency.Verdict.MISMATCH:
         return _not_run(request, 422, KEY_MISMATCH)
@@ -140,7 +140,7 @@
         if free:
             # The caller may repeat at once, so the wait is worth its time
             # even when the call's own time is up.
-            store = platform.bounded(
+            store = storage.bounded(
                 keyed_calls.get_store(keyed), FINISH_SECONDS
             )
             try:
@@ -152,9 +152,9 @@
 
 def _bounded_store(
     keyed: keyed_calls.KeyedCalls, claim: idempotency.Claim
-) -> platform.Store:
+) -> storage.Store:
     left = claim.deadline - keyed.clock()
-    return platform.bounded(
+    return storage.bounded(
         keyed_calls.get_store(keyed), min(left, FINISH_SECONDS)
     )
 
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -19,9 +19,9 @@
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import rollout_changes
-from apricotpost import platform
 from apricotpost.rollout import steps
 from apricotpost.rollout import watch
+from apricotpost import storage
 
 __all__ = ["Holder", "act", "leave"]
 
@@ -42,7 +42,7 @@
     ----------
     name : str
         Unique to this run of the process.
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Owned by the same task.
     times : Times
         Settings.
@@ -56,12 +56,12 @@
     """
 
     name: str
-    store: platform.Store
+    store: storage.Store
     times: steps.Times
     clock: Callable[[], float]
     committed: Callable[[int, model.Delta | None], None]
     rng: random.Random
-    lease: platform.leases.Lease | None = None
+    lease: storage.leases.Lease | None = None
     renewed_at: float = 0.0
     retry_at: float = 0.0
     failures: int = 0
@@ -113,26 +113,26 @@
         return
     # A lease that cannot be released ends by time.
     with contextlib.suppress(errors.PlatformError):
-        platform.leases.release(holder.store, lease)
+        storage.leases.release(holder.store, lease)
 
 
-def _hold_lease(holder: Holder, service: str) -> platform.leases.Lease:
+def _hold_lease(holder: Holder, service: str) -> storage.leases.Lease:
     now = holder.clock()
     lease = holder.lease
     if lease is not None and lease.service != service:
         leave(holder)
         lease = None
-    if lease is None or not platform.leases.is_usable(lease, now=now):
+    if lease is None or not storage.leases.is_usable(lease, now=now):
         holder.lease = None
-        lease = platform.leases.acquire(
+        lease = storage.leases.acquire(
             holder.store, service=service, holder=holder.name, now=now
         )
         events.emit(
             LOG, events.LEASE_TAKEN, service=service, fence=lease.fence
         )
         holder.renewed_at, holder.failures = now, 0
-    elif now - holder.renewed_at >= platform.leases.RENEW_SECONDS:
-        lease = platform.leases.renew(holder.store, lease, now=now)
+    elif now - holder.renewed_at >= storage.leases.RENEW_SECONDS:
+        lease = storage.leases.renew(holder.store, lease, now=now)
         holder.renewed_at, holder.failures = now, 0
     holder.lease = lease
     return lease
@@ -168,7 +168,7 @@
 def _carry_out(
     holder: Holder,
     sight: watch.Sight,
-    lease: platform.leases.Lease,
+    lease: storage.leases.Lease,
     decision: steps.Decision,
 ) -> None:
     now = holder.clock()
@@ -176,10 +176,10 @@
         sight,
         decision,
         holder=holder.name,
-        fence=platform.leases.fence_of(lease),
+        fence=storage.leases.fence_of(lease),
         now=now,
     )
-    version = platform.commit(holder.store, change)
+    version = storage.commit(holder.store, change)
     _log_commit(sight, decision)
     holder.held = ""
     _await(holder, version, config.compute_delta(change.before, change.after))
@@ -230,7 +230,7 @@
             reason=error,
         )
     holder.lease = None
-    holder.retry_at = holder.clock() + platform.leases.RENEW_SECONDS
+    holder.retry_at = holder.clock() + storage.leases.RENEW_SECONDS
 
 
 def _back_off(
--- a/apricotpost/node/keyed_calls.py
+++ b/apricotpost/node/keyed_calls.py
@@ -9,7 +9,7 @@
 import typing
 
 from apricotpost import model
-from apricotpost import platform
+from apricotpost import storage
 from apricotpost import wire
 
 __all__ = ["Dispatch", "KeyedCalls", "carry", "close", "get_store"]
@@ -36,11 +36,11 @@
         Returns Unix time in seconds.
     """
 
-    open_store: Callable[[], platform.Store]
+    open_store: Callable[[], storage.Store]
     table_slots: threading.Semaphore
     clock: Callable[[], float] = time.time
     local: threading.local = dataclasses.field(default_factory=threading.local)
-    stores: list[platform.Store] = dataclasses.field(default_factory=list)
+    stores: list[storage.Store] = dataclasses.field(default_factory=list)
     inbox: queue.Queue[typing.Any] = dataclasses.field(
         default_factory=lambda: queue.Queue(INBOX_JOBS)
     )
@@ -84,12 +84,12 @@
     )
 
 
-def get_store(keyed: KeyedCalls) -> platform.Store:
+def get_store(keyed: KeyedCalls) -> storage.Store:
     """Return the calling thread's store."""
     if getattr(keyed.local, "store", None) is None:
         keyed.local.store = keyed.open_store()
         keyed.stores.append(keyed.local.store)
-    return typing.cast(platform.Store, keyed.local.store)
+    return typing.cast(storage.Store, keyed.local.store)
 
 
 def close(keyed: KeyedCalls) -> None:
--- a/apricotpost/node/moves.py
+++ b/apricotpost/node/moves.py
@@ -16,8 +16,8 @@
 from apricotpost.node import addresses
 from apricotpost.node import status
 from apricotpost.node import views
-from apricotpost import platform
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import table
 from apricotpost import wire
 
 __all__ = ["is_recorder", "run"]
@@ -33,7 +33,7 @@
 
     context: wire.sockets.Context
     current: views.Current
-    store: platform.Store
+    store: storage.Store
     overdue: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -42,7 +42,7 @@
     context: wire.sockets.Context,
     current: views.Current,
     instance: str,
-    store: platform.Store,
+    store: storage.Store,
 ) -> None:
     """Record the ends of moves until asked to stop.
 
@@ -54,7 +54,7 @@
         Reference to the view in force.
     instance : str
         Own name.
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Owned by this task from here on.
     """
     with contextlib.ExitStack() as stack:
--- a/apricotpost/node/outcome_retries.py
+++ b/apricotpost/node/outcome_retries.py
@@ -10,7 +10,7 @@
 from apricotpost import events
 from apricotpost import idempotency
 from apricotpost.idempotency import backlog
-from apricotpost import platform
+from apricotpost import storage
 from apricotpost import wire
 
 __all__ = ["emit_loss", "run", "try_job"]
@@ -25,7 +25,7 @@
 def run(
     *,
     inbox: queue.Queue[typing.Any],
-    open_store: Callable[[], platform.Store],
+    open_store: Callable[[], storage.Store],
     clock: Callable[[], float],
 ) -> None:
     """Try jobs again until asked to stop.
@@ -52,13 +52,13 @@
             state, job = backlog.take_due(state, clock())
             if job is not None:
                 state = try_job(store, state, job, clock)
-        limited = platform.bounded(store, LAST_TRY_SECONDS)
+        limited = storage.bounded(store, LAST_TRY_SECONDS)
         for job in state.jobs[:LAST_TRIES]:
             try_job(limited, state, job, clock)
 
 
 def try_job(
-    store: platform.Store,
+    store: storage.Store,
     state: backlog.Backlog,
     job: backlog.Job,
     clock: Callable[[], float],
--- a/apricotpost/node/platform.py
+++ b/apricotpost/node/platform.py
@@ -8,7 +8,7 @@
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.node import addresses
-from apricotpost import platform
+from apricotpost import storage
 from apricotpost import wire
 
 __all__ = ["run"]
@@ -17,14 +17,14 @@
 WAIT_MS = 1000
 
 
-def run(*, context: wire.sockets.Context, store: platform.Store) -> None:
+def run(*, context: wire.sockets.Context, store: storage.Store) -> None:
     """Answer control's requests until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
         Of this process.
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Owned by this task from here on.
     """
     with contextlib.ExitStack() as stack:
@@ -46,10 +46,10 @@
 
 
 def _read(
-    store: platform.Store, have: int, was_available: bool
+    store: storage.Store, have: int, was_available: bool
 ) -> wire.ConfigRead:
     try:
-        head, deltas, snapshot = platform.read_newer(store, have)
+        head, deltas, snapshot = storage.read_newer(store, have)
     except errors.ApricotpostError as error:
         if was_available:
             events.emit(LOG, events.PLATFORM_LOST, error=error)
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -6,10 +6,10 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost import platform
 from apricotpost import rollout as rollouts
 from apricotpost.rollout import steps
 from apricotpost.rollout import watch
+from apricotpost import storage
 
 __all__ = ["make_change"]
 
@@ -19,9 +19,9 @@
     decision: steps.Decision,
     *,
     holder: str,
-    fence: platform.Fence,
+    fence: storage.Fence,
     now: float,
-) -> platform.Change:
+) -> storage.Change:
     """Make the change that carries out a decision other than to hold.
 
     Parameters
@@ -32,13 +32,13 @@
         Step or end.
     holder : str
         Unique name of the holder.
-    fence : apricotpost.platform.Fence
+    fence : apricotpost.storage.Fence
         Proof that the holder has the lease.
     now : float
         Unix time in seconds.
     """
     before, rollout = sight.snapshot, sight.rollout
-    extra: tuple[platform.table.Write, ...] = ()
+    extra: tuple[storage.table.Write, ...] = ()
     reason = _describe(rollout, decision)
     author = f"rollout at {holder}"
     if isinstance(decision, steps.Finish | steps.Withdraw):
@@ -56,7 +56,7 @@
     after = config.seal(dataclasses.replace(after, version=before.version + 1))
     # Unique to this attempt: an equal identifier would count as carried out.
     request = f"{holder}/{rollout.identifier}/{before.version}/{now!r}"
-    return platform.Change(
+    return storage.Change(
         before=before,
         after=after,
         author=author,
@@ -70,13 +70,13 @@
 
 def _outcome_write(
     sight: watch.Sight, after: model.Snapshot, author: str
-) -> platform.table.Put:
+) -> storage.table.Put:
     ended = next(
         entry
         for entry in after.rollouts
         if entry.identifier == sight.rollout.identifier
     )
-    return platform.outcomes.outcome_write(
+    return storage.outcomes.outcome_write(
         sight.rollout,
         ended,
         evidence=sight.judgement.summary,
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -14,10 +14,10 @@
 from apricotpost.node import addresses
 from apricotpost.node import holders
 from apricotpost.node import views
-from apricotpost import platform
 from apricotpost.rollout import steps
 from apricotpost.rollout import watch
 from apricotpost import settings
+from apricotpost import storage
 from apricotpost import wire
 
 __all__ = ["run"]
@@ -46,7 +46,7 @@
     context: wire.sockets.Context,
     current: views.Current,
     options: settings.NodeSettings,
-    store: platform.Store,
+    store: storage.Store,
     rng: random.Random,
 ) -> None:
     """Judge and step rollouts until asked to stop.
@@ -59,7 +59,7 @@
         Reference to the view in force.
     options : NodeSettings
         Settings of the node.
-    store : apricotpost.platform.Store
+    store : apricotpost.storage.Store
         Owned by this task from here on.
     rng : random.Random
         Spreads the retries.
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -1,39 +1,58 @@
-"""The platform's table service and object store."""
+"""Adapter of the users' platform: its names, formats and calls.
 
-from apricotpost.platform.changes import Change
-from apricotpost.platform.changes import Fence
-from apricotpost.platform.commits import commit
-from apricotpost.platform.http import Channel
-from apricotpost.platform.http import open_channel
-from apricotpost.platform import leases
-from apricotpost.platform import objects
-from apricotpost.platform import outcomes
-from apricotpost.platform.signing import Credentials
-from apricotpost.platform.signing import read_credentials
-from apricotpost.platform.store import bounded
-from apricotpost.platform.store import open_store
-from apricotpost.platform.store import read_head
-from apricotpost.platform.store import read_newer
-from apricotpost.platform.store import read_snapshot
+Nothing here decides, and nothing outside uses the platform's names.
+"""
+
+from apricotpost.platform.announcements import parse_announcement
+from apricotpost.platform.announcements import parse_beat
+from apricotpost.platform.announcements import Withdrawal
+from apricotpost.platform.configuration import parse_configuration
+from apricotpost.platform.headers import backend_instance
+from apricotpost.platform.headers import call_headers
+from apricotpost.platform.headers import is_not_run
+from apricotpost.platform.headers import NotRunStatus
+from apricotpost.platform.headers import read_head
+from apricotpost.platform.headers import refusal_headers
+from apricotpost.platform.headers import RequestHead
+from apricotpost.platform.headers import response_faults
+from apricotpost.platform.orders import CONFIGURATION
+from apricotpost.platform.orders import encode_status
+from apricotpost.platform.orders import EVACUATIONS
+from apricotpost.platform.orders import ORDERS
+from apricotpost.platform.orders import parse_rollout
+from apricotpost.platform.orders import ROLLOUTS
+from apricotpost.platform.orders import STATUS
+from apricotpost.platform.orders import status_key
+from apricotpost.platform.orders import TrialState
+from apricotpost.platform.store import Change
+from apricotpost.platform.store import Page
+from apricotpost.platform.store import Row
 from apricotpost.platform.store import Store
-from apricotpost.platform import table
 
 __all__ = [
+    "CONFIGURATION",
     "Change",
-    "Channel",
-    "Credentials",
-    "Fence",
+    "EVACUATIONS",
+    "NotRunStatus",
+    "ORDERS",
+    "Page",
+    "ROLLOUTS",
+    "RequestHead",
+    "Row",
+    "STATUS",
     "Store",
-    "bounded",
-    "commit",
-    "leases",
-    "objects",
-    "open_channel",
-    "open_store",
-    "outcomes",
-    "read_credentials",
+    "TrialState",
+    "Withdrawal",
+    "backend_instance",
+    "call_headers",
+    "encode_status",
+    "is_not_run",
+    "parse_announcement",
+    "parse_beat",
+    "parse_configuration",
+    "parse_rollout",
     "read_head",
-    "read_newer",
-    "read_snapshot",
-    "table",
+    "refusal_headers",
+    "response_faults",
+    "status_key",
 ]
--- a/apricotpost/platform/store.py
+++ b/apricotpost/platform/store.py
@@ -1,235 +1,272 @@
-"""Reads of the configuration in the table and the object store."""
+"""Client of the platform's store."""
 
+import asyncio
+import base64
+from collections.abc import Iterable
 import dataclasses
-import logging
-import typing
+from urllib import parse
 
 import msgspec
 
-from apricotpost import config
 from apricotpost import errors
-from apricotpost import events
-from apricotpost import model
-from apricotpost.platform import http
-from apricotpost.platform import objects
-from apricotpost.platform import signing
-from apricotpost.platform import table
-
-__all__ = [
-    "HEAD",
-    "SNAPSHOT",
-    "Store",
-    "bounded",
-    "numbered",
-    "open_store",
-    "read_head",
-    "read_newer",
-    "read_number",
-    "read_snapshot",
-]
-
-LOG = logging.getLogger(__name__)
-
-# More missing deltas than this are replaced by a snapshot.
-MAX_DELTAS = 64
-DELTAS_PER_QUERY = 100
-
-HEAD = table.Key(pk="config", sk="head")
-SNAPSHOT = table.Key(pk="config", sk="snapshot")
-_DELTA = msgspec.msgpack.Decoder(model.Delta)
-_SNAPSHOT = msgspec.msgpack.Decoder(model.Snapshot)
+from apricotpost import http
+
+__all__ = ["Change", "Page", "Row", "Store"]
+
+# An answer takes 4 ms and a slow store takes 50 times as long, on top of the
+# wait for a rate limit of a second.
+CALL_SECONDS = 2.0
+# A watch whose answer is this late sits on a silent connection.
+WATCH_MARGIN_SECONDS = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Store:
-    """The platform's services as one thread uses them."""
-
-    channel: http.Channel
-    table: table.Table
-    objects: objects.ObjectStore
-
-
-def open_store(
-    *,
-    table_url: str,
-    object_url: str,
-    table_name: str,
-    bucket: str,
-    timeout_seconds: float,
-    credentials: signing.Credentials | None = None,
-) -> Store:
-    """Make a store with a connection of its own."""
-    channel = http.open_channel(
-        timeout_seconds=timeout_seconds, credentials=credentials
-    )
-    return Store(
-        channel=channel,
-        table=table.Table(channel=channel, url=table_url, name=table_name),
-        objects=objects.ObjectStore(
-            channel=channel, url=object_url, bucket=bucket
-        ),
-    )
-
-
-def bounded(store: Store, seconds: float) -> Store:
-    """Return the store with at most this time for one answer."""
-    channel = http.bounded(store.channel, seconds)
-    return Store(
-        channel=channel,
-        table=dataclasses.replace(store.table, channel=channel),
-        objects=dataclasses.replace(store.objects, channel=channel),
-    )
-
-
-def read_head(store: Store) -> int:
-    """Read the current configuration version.
-
-    Raises
-    ------
-    apricotpost.errors.PlatformError
-        The table did not answer, or its answer is damaged.
+class Row:
+    """A row, or where one was removed.
+
+    Parameters
+    ----------
+    table, key : str
+        Where it stands.
+    value : bytes
+        Empty if removed.
+    revision : int
+        Of the last change; grows over all tables.
+    removed : bool
+        Whether the row is gone.
     """
-    item = table.get(store.table, HEAD)
-    return read_number(item, "version") if item is not None else 0
+
+    table: str
+    key: str
+    value: bytes
+    revision: int
+    removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Page:
+    """Rows, and the store's newest revision when they were read."""
+
+    rows: tuple[Row, ...]
+    revision: int
 
 
-def read_newer(
-    store: Store, have: int
-) -> tuple[int, tuple[model.Delta, ...], model.Snapshot | None]:
-    """Read what leads from a version to the current one.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """Conditional write.
 
     Parameters
     ----------
-    store : Store
-        Where to read.
-    have : int
-        Version held.
-
-    Returns
-    -------
-    head : int
-        Current version.
-    deltas : tuple of apricotpost.model.Delta
-        Consecutive deltas after ``have``.
-    snapshot : apricotpost.model.Snapshot, optional
-        The whole configuration, where the deltas were too many.
-
-    Raises
-    ------
-    apricotpost.errors.PlatformError
-        The platform did not answer, or a record is damaged.
-    apricotpost.errors.ConfigurationInvalid
-        The records do not add up.
+    expected : tuple of (table, key, revision)
+        Revisions that the rows must have; 0 means that there is no row.
+    put : tuple of (table, key, value)
+        Rows to write.
+    remove : tuple of (table, key)
+        Rows to remove.
     """
-    head = read_head(store)
-    if head <= have:
-        return head, (), None
-    if head - have > MAX_DELTAS:
-        return head, (), read_snapshot(store, head)
-    return head, tuple(_read_deltas(store, have, head)), None
-
-
-def read_snapshot(store: Store, version: int) -> model.Snapshot:
-    """Build a version from the last stored snapshot and later deltas.
-
-    A snapshot that is missing or damaged is replaced by all deltas from the
-    first; while the object store does not answer, the caller waits, because
-    all nodes reading all deltas would overload the table.
-
-    Raises
-    ------
-    apricotpost.errors.PlatformError
-        The platform did not answer, or a record is damaged.
-    apricotpost.errors.ConfigurationInvalid
-        The records do not add up.
-    """
-    base = model.EMPTY_SNAPSHOT
-    item = table.get(store.table, SNAPSHOT)
-    if item is not None and read_number(item, "version") <= version:
-        try:
-            base = _read_object(store, item)
-        except errors.PlatformDataDamaged as error:
-            events.emit(LOG, events.SNAPSHOT_DAMAGED, error=error)
-    for delta in _read_deltas(store, base.version, version):
-        base = config.apply_delta(base, delta)
-    return base
 
+    expected: tuple[tuple[str, str, int], ...] = ()
+    put: tuple[tuple[str, str, bytes], ...] = ()
+    remove: tuple[tuple[str, str], ...] = ()
+
+
+class _Row(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    ver: int = 0
+    value: str = ""
+    tombstone: bool = False
+    part: str = ""
+
+
+class _Rows(msgspec.Struct, frozen=True):
+    ver: int
+    rows: tuple[_Row, ...] = ()
+    has_more: bool = False
 
-def read_number(item: table.Item, name: str) -> int:
-    """Return a number of an item.
 
-    Raises
-    ------
-    apricotpost.errors.PlatformDataDamaged
-        The item has no such number.
+class _Written(msgspec.Struct, frozen=True):
+    ver: int = 0
+
+
+_ROWS = msgspec.json.Decoder(_Rows)
+_WRITTEN = msgspec.json.Decoder(_Written)
+
+
+class Store:
+    """Calls of the store on one client.
+
+    Parameters
+    ----------
+    client : http.Client
+        Of the store's address.
+    host : str
+        For the Host header.
     """
-    value = item.attributes.get(name)
-    if not isinstance(value, int):
-        raise errors.PlatformDataDamaged(
-            f"item {item.key.pk}/{item.key.sk} has no number {name!r}"
-        )
-    return value
-
-
-def numbered(partition: str, version: int) -> table.Key:
-    """Return the key of a record of one version."""
-    return table.Key(pk=partition, sk=_number(version))
-
-
-def _read_object(store: Store, item: table.Item) -> model.Snapshot:
-    name = str(item.attributes.get("name"))
-    body = objects.get_object(store.objects, name)
-    try:
-        snapshot = _SNAPSHOT.decode(body)
-    except msgspec.DecodeError as error:
-        raise errors.PlatformDataDamaged(
-            f"object {name} is not a snapshot: {error}"
-        ) from error
-    if snapshot.version != read_number(item, "version"):
-        raise errors.PlatformDataDamaged(
-            f"object {name} holds version {snapshot.version}"
+
+    def __init__(self, *, client: http.Client, host: str) -> None:
+        self.client = client
+        self.host = host.encode()
+        self.calls = 0
+
+    async def read(self, table: str) -> Page:
+        """Read all rows of a table.
+
+        Raises
+        ------
+        apricotpost.errors.PlatformError
+            The store does not answer, refuses or sends garbage.
+        """
+        rows: list[Row] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": ""}
+            if start:
+                query["from"] = start
+            found = await self._get("/v1/rows-get", query)
+            rows.extend(_decode_rows(found.rows))
+            if not found.has_more or not rows:
+                return Page(rows=tuple(rows), revision=found.ver)
+            # The smallest key after the last one.
+            start = rows[-1].key + "\x00"
+
+    async def watch(self, table: str, after: int, seconds: float) -> Page:
+        """Wait for changes of a table after a revision.
+
+        Raises
+        ------
+        apricotpost.errors.HistoryLost
+            The changes after that revision are no longer kept.
+        apricotpost.errors.PlatformError
+            The store does not answer, refuses or sends garbage.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "wait_ms": str(int(seconds * 1000)),
+        }
+        found = await self._get(
+            "/v1/rows-feed", query, timeout=seconds + WATCH_MARGIN_SECONDS
         )
-    return snapshot
-
-
-def _read_deltas(
-    store: Store, have: int, head: int
-) -> typing.Iterator[model.Delta]:
-    while have < head:
-        found = table.query(
-            store.table,
-            pk="version",
-            after=_number(have),
-            limit=min(head - have, DELTAS_PER_QUERY),
+        rows = tuple(_decode_rows(found.rows))
+        return Page(rows=rows, revision=found.ver)
+
+    async def write(self, change: Change) -> int:
+        """Write under conditions and return the revision.
+
+        Raises
+        ------
+        apricotpost.errors.TransactionRejected
+            A condition does not hold.
+        apricotpost.errors.PlatformOutcomeUnknown
+            No answer; the write may have been done or be done later.
+        apricotpost.errors.PlatformError
+            The store refused and did nothing.
+        """
+        body = msgspec.json.encode(
+            {
+                "expected_revision": [
+                    {"table": t, "part": "", "key": k, "ver": r}
+                    for t, k, r in change.expected
+                ],
+                "put": [
+                    {
+                        "table": t,
+                        "part": "",
+                        "key": k,
+                        "value": base64.b64encode(v).decode(),
+                    }
+                    for t, k, v in change.put
+                ],
+                "remove": [
+                    {"table": t, "part": "", "key": k}
+                    for t, k in change.remove
+                ],
+            }
         )
-        if not found:
+        request = self._request(b"POST", "/v1/rows-tx", body)
+        response = await self._send(request, CALL_SECONDS)
+        if response.status == 412:
+            raise errors.TransactionRejected("a row was changed by another")
+        _check_status(response)
+        try:
+            return _WRITTEN.decode(response.body).ver
+        except msgspec.DecodeError as error:
+            raise errors.PlatformOutcomeUnknown(
+                f"answer to a write cannot be decoded: {error}"
+            ) from error
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout: float = CALL_SECONDS,
+    ) -> _Rows:
+        target = f"{path}?{parse.urlencode(query)}"
+        response = await self._send(self._request(b"GET", target), timeout)
+        _check_status(response)
+        try:
+            return _ROWS.decode(response.body)
+        except msgspec.DecodeError as error:
             raise errors.PlatformDataDamaged(
-                f"there is no record of version {have + 1}"
-            )
-        for item in found:
-            have += 1
-            yield _decode_delta(item, have)
-
-
-def _decode_delta(item: table.Item, version: int) -> model.Delta:
-    body = item.attributes.get("delta")
-    if not isinstance(body, bytes):
-        raise errors.PlatformDataDamaged(
-            f"the record of version {item.key.sk} has no delta"
+                f"answer of the store cannot be decoded: {error}"
+            ) from error
+
+    def _request(
+        self, method: bytes, target: str, body: bytes = b""
+    ) -> http.Request:
+        headers: http.Headers = ((b"Host", self.host),)
+        if body:
+            headers += ((b"Content-Type", b"application/json"),)
+        return http.Request(
+            method=method, target=target.encode(), headers=headers, body=body
         )
-    try:
-        delta = _DELTA.decode(body)
-    except msgspec.DecodeError as error:
-        raise errors.PlatformDataDamaged(
-            f"the delta of version {item.key.sk} is malformed: {error}"
-        ) from error
-    if delta.version != version:
-        raise errors.PlatformDataDamaged(
-            f"record {item.key.sk} holds the delta of version "
-            f"{delta.version}; expected {version}"
+
+    async def _send(
+        self, request: http.Request, timeout: float
+    ) -> http.Response:
+        self.calls += 1
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[http.Result] = loop.create_future()
+
+        def finish(result: http.Result) -> None:
+            if not ended.done():
+                ended.set_result(result)
+
+        handle = self.client.send(request, finish, timeout=timeout)
+        try:
+            result = await ended
+        except asyncio.CancelledError:
+            handle.cancel()
+            raise
+        if result.response is not None:
+            return result.response
+        if result.failure is http.Failure.NOT_CONNECTED:
+            raise errors.PlatformUnavailable("no connection to the store")
+        raise errors.PlatformOutcomeUnknown(
+            f"no answer of the store: {result.failure}"
         )
-    return delta
 
 
-def _number(version: int) -> str:
-    return f"{version:012d}"
+def _check_status(response: http.Response) -> None:
+    status = response.status
+    if status == 200:
+        return
+    if status == 410:
+        raise errors.HistoryLost("the store no longer keeps these changes")
+    if status == 429:
+        raise errors.PlatformThrottled("the store is over its rate")
+    raise errors.PlatformUnavailable(f"the store answered {status}")
+
+
+def _decode_rows(rows: Iterable[_Row]) -> Iterable[Row]:
+    for row in rows:
+        if row.part:
+            continue
+        yield Row(
+            table=row.table,
+            key=row.key,
+            value=base64.b64decode(row.value),
+            revision=row.ver,
+            removed=row.tombstone,
+        )
--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -9,6 +9,7 @@
 from apricotpost import model
 
 __all__ = [
+    "BOUNDS_MS",
     "BOUNDS_MS",
     "Book",
     "CallKind",
@@ -22,7 +23,9 @@
     "describe",
     "drain",
     "forget",
+    "increment",
     "receive",
+    "subtract",
 ]
 
 # Upper bounds of the latency buckets; they grow by 1.5 from 1 ms to above
@@ -171,7 +174,7 @@
         if finished.cold and cold < MAX_COLD_CALLS:
             cold_calls = {**cold_calls, key: cold + 1}
         else:
-            latencies = _increment(latencies, bucket_of(finished.duration_ms))
+            latencies = increment(latencies, bucket_of(finished.duration_ms))
     after = Counts(
         calls=before.calls + 1, failures=failures, latencies=latencies
     )
@@ -220,7 +223,7 @@
         before = Counts()
         if known is not None and known.epoch == entry.epoch:
             before = _counts_of(known)
-        increment = _subtract(_counts_of(entry), before)
+        increment = subtract(_counts_of(entry), before)
         fresh[key[1:]] = add(fresh.get(key[1:], Counts()), increment)
     return Book(last=last, fresh=fresh)
 
@@ -266,7 +269,8 @@
     )
 
 
-def _subtract(after: Counts, before: Counts) -> Counts:
+def subtract(after: Counts, before: Counts) -> Counts:
+    """Return what cumulative counts gained since earlier ones."""
     return Counts(
         calls=after.calls - before.calls,
         failures=max(after.failures - before.failures, 0),
@@ -286,6 +290,7 @@
     )
 
 
-def _increment(latencies: tuple[int, ...], bucket: int) -> tuple[int, ...]:
+def increment(latencies: tuple[int, ...], bucket: int) -> tuple[int, ...]:
+    """Count one more latency in a bucket."""
     padded = latencies + (0,) * (bucket + 1 - len(latencies))
     return padded[:bucket] + (padded[bucket] + 1,) + padded[bucket + 1 :]
--- /dev/null
+++ b/apricotpost/routing/placement.py
@@ -0,0 +1,188 @@
+"""Choice of the backend server that finishes a request first.
+
+The time to finish is the usual time of the route, times the learnt relative
+speed of the copy (peak-sensitive exponential mean), plus the wait in its
+queue, plus the price of leaving the data centre.
+"""
+
+import dataclasses
+
+__all__ = [
+    "Candidate",
+    "Copy",
+    "Speeds",
+    "estimate_ms",
+    "learn_failure",
+    "learn_load",
+    "learn_time",
+    "note_sent",
+    "order",
+]
+
+# Weight of a measurement in the usual time of a route and in the relative
+# speed of a copy.
+ROUTE_WEIGHT = 0.05
+SPEED_WEIGHT = 0.12
+FAILURE_WEIGHT = 0.15
+# A copy that failed is tried again: the evidence halves in this time.
+FAILURE_HALF_LIFE_SECONDS = 3.0
+# A failure costs the caller about as much as this wait.
+FAILURE_MS = 1200.0
+# Bytes between data centres are paid for; leaving is worth it only where it
+# shortens the answer by at least this.
+REMOTE_PENALTY_MS = 45.0
+# Backend servers slow down when they are nearly full.
+CROWDED_PART = 0.75
+CROWDED_SLOWDOWN = 0.6
+# Requests of other nodes arrive between two reports of the load.
+BALANCE_PART = 0.35
+# A copy that has not reported for this long may be gone.
+STALE_SECONDS = 1.3
+STALE_MS = 300.0
+FIRST_ROUTE_MS = 100.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """A backend server that may run the request.
+
+    Parameters
+    ----------
+    node, backend : str
+        Who it is.
+    same_data_centre : bool
+        Whether the request stays in the data centre.
+    silent_seconds : float
+        Since its node was last heard.
+    """
+
+    node: str
+    backend: str
+    same_data_centre: bool
+    silent_seconds: float = 0.0
+
+
+class Copy:
+    """What is known of one backend server."""
+
+    __slots__ = (
+        "failed_at",
+        "failing",
+        "limit",
+        "occupied",
+        "sent_since",
+        "speed",
+        "usual_ms",
+    )
+
+    def __init__(self) -> None:
+        self.speed = 1.0
+        self.occupied = 0
+        self.sent_since = 0
+        self.limit = 1
+        self.usual_ms = FIRST_ROUTE_MS
+        self.failing = 0.0
+        self.failed_at = 0.0
+
+
+class Speeds:
+    """Learnt times of routes and copies."""
+
+    def __init__(self) -> None:
+        self.routes: dict[str, float] = {}
+        self.copies: dict[str, Copy] = {}
+
+    def copy(self, backend: str) -> Copy:
+        """Return what is known of a backend server."""
+        found = self.copies.get(backend)
+        if found is None:
+            found = self.copies[backend] = Copy()
+        return found
+
+
+def learn_time(
+    speeds: Speeds, *, route: str, backend: str, ran_ms: float
+) -> None:
+    """Account for a served request."""
+    usual = speeds.routes.get(route)
+    if usual is None:
+        speeds.routes[route] = max(ran_ms, 1.0)
+        return
+    copy = speeds.copy(backend)
+    copy.speed += SPEED_WEIGHT * (min(ran_ms / usual, 8.0) - copy.speed)
+    usual += ROUTE_WEIGHT * (min(ran_ms, 4.0 * usual) - usual)
+    speeds.routes[route] = max(usual, 1.0)
+
+
+def learn_load(
+    speeds: Speeds,
+    *,
+    backend: str,
+    running: int,
+    queued: int,
+    limit: int,
+    usual_ms: float,
+) -> None:
+    """Account for a report of a backend server's load."""
+    copy = speeds.copy(backend)
+    copy.occupied = running + queued
+    copy.limit = max(limit, 1)
+    copy.usual_ms = usual_ms
+    copy.sent_since = 0
+
+
+def learn_failure(
+    speeds: Speeds, *, backend: str, failed: bool, now: float
+) -> None:
+    """Account for the end of a request, in monotonic seconds."""
+    copy = speeds.copy(backend)
+    recent = _recent_failing(copy, now)
+    copy.failing = recent + FAILURE_WEIGHT * (float(failed) - recent)
+    copy.failed_at = now
+
+
+def note_sent(speeds: Speeds, backend: str) -> None:
+    """Count a request that no report includes yet."""
+    speeds.copy(backend).sent_since += 1
+
+
+def estimate_ms(
+    speeds: Speeds, candidate: Candidate, *, route: str, now: float
+) -> float:
+    """Return the expected time to finish, in milliseconds."""
+    copy = speeds.copy(candidate.backend)
+    usual = speeds.routes.get(route, FIRST_ROUTE_MS)
+    occupied = copy.occupied + copy.sent_since
+    fill = occupied / copy.limit
+    serve_ms = usual * copy.speed
+    serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
+    serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
+    wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
+    total = serve_ms + wait_ms + FAILURE_MS * _recent_failing(copy, now)
+    if not candidate.same_data_centre:
+        total += REMOTE_PENALTY_MS
+    if candidate.silent_seconds > STALE_SECONDS:
+        total += STALE_MS * candidate.silent_seconds
+    return total
+
+
+def order(
+    speeds: Speeds,
+    candidates: list[Candidate],
+    *,
+    route: str,
+    now: float,
+) -> list[Candidate]:
+    """Sort backend servers, the one that finishes first in front."""
+    return sorted(
+        candidates,
+        key=lambda c: estimate_ms(speeds, c, route=route, now=now),
+    )
+
+
+def _recent_failing(copy: Copy, now: float) -> float:
+    if not copy.failing:
+        return 0.0
+    age = max(now - copy.failed_at, 0.0)
+    halved: float = copy.failing * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
+    return halved
--- a/apricotpost/routing/retries.py
+++ b/apricotpost/routing/retries.py
@@ -28,21 +28,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Budget:
-    """Tokens that this node may spend on retries."""
+    """Tokens that this node may spend on retries.
+
+    Parameters
+    ----------
+    tokens : float
+        What is left; one retry costs one.
+    limit : float
+        Most tokens that are saved up.
+    per_call : float
+        Tokens earned by a call.
+    """
 
     tokens: float = MAX_TOKENS
+    limit: float = MAX_TOKENS
+    per_call: float = TOKENS_PER_CALL
 
 
 def earn(budget: Budget) -> Budget:
     """Credit the budget for one call."""
-    if budget.tokens == MAX_TOKENS:
+    if budget.tokens == budget.limit:
         return budget
-    return Budget(tokens=min(budget.tokens + TOKENS_PER_CALL, MAX_TOKENS))
+    return dataclasses.replace(
+        budget, tokens=min(budget.tokens + budget.per_call, budget.limit)
+    )
 
 
 def spend(budget: Budget) -> Budget:
     """Charge the budget for one retry."""
-    return Budget(tokens=budget.tokens - 1.0)
+    return dataclasses.replace(budget, tokens=budget.tokens - 1.0)
 
 
 def may_retry_not_run(reason: wire.NotRunReason, *, attempts: int) -> bool:
--- /dev/null
+++ b/apricotpost/routing/splits.py
@@ -0,0 +1,37 @@
+"""Division of a route's requests among services by weight."""
+
+from apricotpost import model
+
+__all__ = ["Splits", "choose_service"]
+
+
+class Splits:
+    """Credits of each service of each divided route."""
+
+    def __init__(self) -> None:
+        self.credits: dict[str, dict[str, float]] = {}
+
+
+def choose_service(splits: Splits, route: model.TrafficRoute) -> str:
+    """Return the service that gets the next request of a route.
+
+    Smooth weighted round robin: after every cycle each service has had
+    exactly its weight. A service without room keeps its turn, so that the
+    shares hold also under overload.
+    """
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    known = splits.credits.setdefault(route.name, {})
+    credits = {
+        target.service: known.get(target.service, 0.0) + target.weight / total
+        for target in route.targets
+    }
+    chosen = max(
+        (t for t in route.targets if t.weight > 0),
+        key=lambda target: credits[target.service],
+        default=route.targets[0],
+    )
+    credits[chosen.service] -= 1.0
+    splits.credits[route.name] = credits
+    return chosen.service
--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -2,7 +2,9 @@
 
 from apricotpost.settings.loader import find_faults
 from apricotpost.settings.loader import load
+from apricotpost.settings.loader import load_as
 from apricotpost.settings.loader import parse
+from apricotpost.settings.loader import parse_as
 from apricotpost.settings.schema import AddressSettings
 from apricotpost.settings.schema import CredentialSettings
 from apricotpost.settings.schema import LevelSettings
@@ -27,5 +29,7 @@
     "TokenSettings",
     "find_faults",
     "load",
+    "load_as",
     "parse",
+    "parse_as",
 ]
--- a/apricotpost/settings/loader.py
+++ b/apricotpost/settings/loader.py
@@ -12,7 +12,9 @@
 from apricotpost import errors
 from apricotpost.settings import schema
 
-__all__ = ["find_faults", "load", "parse"]
+__all__ = ["find_faults", "load", "load_as", "parse", "parse_as"]
+
+Kind = typing.TypeVar("Kind")
 
 _UNITS = {"_seconds": "seconds", "_ms": "milliseconds", "_bytes": "bytes"}
 
@@ -20,6 +22,17 @@
 def load(path: pathlib.Path) -> schema.NodeSettings:
     """Read and check a settings file.
 
+    Raises
+    ------
+    apricotpost.errors.SettingsInvalid
+        The file cannot be read or has faults; all are listed.
+    """
+    return load_as(path, schema.NodeSettings)
+
+
+def load_as(path: pathlib.Path, kind: type[Kind]) -> Kind:
+    """Read and check a settings file of some program.
+
     Raises
     ------
     apricotpost.errors.SettingsInvalid
@@ -31,12 +44,23 @@
         raise errors.SettingsInvalid(
             f"cannot read settings {path}: {error}"
         ) from error
-    return parse(text)
+    return parse_as(text, kind)
 
 
 def parse(text: str) -> schema.NodeSettings:
     """Check the text of a settings file.
 
+    Raises
+    ------
+    apricotpost.errors.SettingsInvalid
+        The text has faults; all are listed.
+    """
+    return parse_as(text, schema.NodeSettings)
+
+
+def parse_as(text: str, kind: type[Kind]) -> Kind:
+    """Check the text of a settings file of some program.
+
     Raises
     ------
     apricotpost.errors.SettingsInvalid
@@ -48,12 +72,12 @@
         raise errors.SettingsInvalid(
             f"settings are not JSON with comments: {error}"
         ) from error
-    faults = tuple(find_faults(raw, schema.NodeSettings, "$"))
+    faults = tuple(find_faults(raw, kind, "$"))
     if faults:
         raise errors.SettingsInvalid(
             f"settings have {len(faults)} faults", faults=faults
         )
-    return msgspec.convert(raw, schema.NodeSettings)
+    return msgspec.convert(raw, kind)
 
 
 def find_faults(
--- /dev/null
+++ b/apricotpost/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The node as tasks of one event loop."""
--- /dev/null
+++ b/apricotpost/sidecar/entry.py
@@ -0,0 +1,468 @@
+"""Task that takes callers' requests and answers them."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+from apricotpost import events
+from apricotpost import http
+from apricotpost import platform
+from apricotpost.routing import placement
+from apricotpost.routing import prefixes
+from apricotpost.routing import retries
+from apricotpost.routing import splits
+from apricotpost.sidecar import flights
+from apricotpost.sidecar import logs
+from apricotpost.sidecar import metrics
+from apricotpost.sidecar import options
+from apricotpost.sidecar import roster
+from apricotpost.sidecar import views
+from apricotpost import wire
+
+__all__ = ["Entry"]
+
+_LOG = logging.getLogger(__name__)
+
+# The backend server's own answer to a passed deadline is awaited so long.
+ANSWER_SLACK_SECONDS = 0.08
+# An answer may come on another connection after the first was reset.
+LOST_ANSWER_SECONDS = 0.6
+# A client whose request found no configuration or no backend server.
+NOT_READY_RETRY_MS = 300
+# Calls of running requests go before all others: their callers hold slots.
+NESTED_RANK = -1000
+# Part of the fleet's retry budget that is handed out to the nodes.
+BUDGET_PART = 0.5
+
+SendOffer = Callable[[str, wire.Offer], bool]
+
+
+class Entry:
+    """State of the task.
+
+    Parameters
+    ----------
+    settings : options.Options
+        Of the node.
+    boot : str
+        Identifies this process.
+    read_view : callable
+        Returns the orders in force.
+    servers : roster.Roster
+        Known backend servers.
+    send_offer : callable
+        Hands an offer to a node; False means that nothing was sent.
+    send_cancel : callable
+        Tells a node that a caller is gone.
+    instruments : metrics.Metrics
+        Counters.
+    draws : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.Options,
+        boot: str,
+        read_view: Callable[[], views.TrafficView],
+        servers: roster.Roster,
+        send_offer: SendOffer,
+        send_cancel: Callable[[str, wire.Cancel], None],
+        instruments: metrics.Metrics,
+        draws: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.prefix = f"{settings.instance}/{boot}/"
+        self.read_view = read_view
+        self.servers = servers
+        self.send_offer = send_offer
+        self.send_cancel = send_cancel
+        self.instruments = instruments
+        self.draws = draws
+        self.loop = asyncio.get_running_loop()
+        self.speeds = placement.Speeds()
+        self.splits = splits.Splits()
+        self.budgets: dict[str, retries.Budget] = {}
+        self.flights: dict[str, flights.Flight] = {}
+        self.next_call = 0
+        self.turns: dict[str, float] = {}
+        self.decisions = logs.Decisions(logger=_LOG)
+        self.backend_host = settings.backend_address.rpartition(":")[0]
+
+    # Requests.
+
+    def handle(self, exchange: http.Exchange) -> None:
+        """Take a request of a caller."""
+        head = platform.read_head(exchange.request)
+        view = self.read_view()
+        if not head.request_id:
+            self.answer_own(exchange, head, 400, "no-request-id")
+            return
+        if not view.version:
+            self.answer_own(
+                exchange,
+                head,
+                503,
+                wire.NotRunReason.NOT_READY,
+                NOT_READY_RETRY_MS,
+            )
+            return
+        route = prefixes.match_prefix(view.routes, head.host, head.path)
+        if route is None:
+            self.answer_own(exchange, head, 404, wire.NotRunReason.NO_ROUTE)
+            return
+        service = splits.choose_service(self.splits, route)
+        flight = flights.Flight(
+            exchange=exchange,
+            head=head,
+            route=route,
+            service=service,
+            nested=exchange.connection.is_from(self.backend_host),
+            turn=self.take_turn(service),
+        )
+        budget = self.budgets.get(service) or self.make_budget()
+        self.budgets[service] = retries.earn(budget)
+
+        def leave() -> None:
+            self.abandon(flight)
+
+        exchange.on_gone = leave
+        flight.timer = self.loop.call_at(
+            flight.expires + ANSWER_SLACK_SECONDS, self.expire, flight
+        )
+        self.offer(flight)
+
+    def take_turn(self, service: str) -> float:
+        """Return the request's place in the division among versions.
+
+        Places follow the golden ratio, which spreads any number of them
+        evenly between 0 and 1.
+        """
+        turn = self.turns.get(service)
+        if turn is None:
+            turn = self.draws.random()
+        turn = (turn + 0.6180339887498949) % 1.0
+        self.turns[service] = turn
+        return turn
+
+    def make_budget(self) -> retries.Budget:
+        """Return this node's part of the retry budget of a service."""
+        bounds = self.settings.bounds
+        nodes = max(self.servers.count_nodes(), 1)
+        limit = max(bounds.retry_slack * BUDGET_PART / nodes, 1.0)
+        return retries.Budget(
+            tokens=limit, limit=limit, per_call=bounds.retry_ratio * 0.5
+        )
+
+    def candidates(self, flight: flights.Flight) -> list[placement.Candidate]:
+        """Return the backend servers that may run a request."""
+        return self.servers.candidates(
+            self.read_view(),
+            flight.service,
+            turn=flight.turn,
+            regions=flight.route.regions,
+            now=self.loop.time(),
+        )
+
+    def offer(self, flight: flights.Flight) -> None:
+        """Offer a request to the best backend server."""
+        now = self.loop.time()
+        found = self.candidates(flight)
+        fresh = [c for c in found if c.node not in flight.tried]
+        # A patient offer goes to the shortest queue, tried before or not.
+        pool = found if flight.patient and not flight.runs else fresh
+        for candidate in placement.order(
+            self.speeds, pool or [], route=flight.route.name, now=now
+        ):
+            if self.send(flight, candidate, now):
+                return
+            flight.tried.add(candidate.node)
+        flight.reason = flight.reason or wire.NotRunReason.NO_BACKEND_SERVER
+        if flight.runs:
+            self.fail(flight, 502)
+        else:
+            flight.retry_ms = flight.retry_ms or NOT_READY_RETRY_MS
+            self.refuse(flight)
+
+    def send(
+        self,
+        flight: flights.Flight,
+        candidate: placement.Candidate,
+        now: float,
+    ) -> bool:
+        """Send an offer; False means that nothing was sent."""
+        self.next_call += 1
+        request = flight.exchange.request
+        flight.call = f"{self.prefix}{self.next_call}"
+        flight.node = candidate.node
+        flight.backend = candidate.backend
+        rank = flight.route.rank + (NESTED_RANK if flight.nested else 0)
+        offer = wire.Offer(
+            call=flight.call,
+            request=flight.head.request_id,
+            backend=candidate.backend,
+            route=flight.route.name,
+            service=flight.service,
+            version=self.servers.version_of(candidate.node),
+            caller=self.settings.service,
+            rank=rank,
+            idempotent=flight.route.idempotent,
+            patient=flight.patient,
+            left_ms=int((flight.expires - now) * 1000),
+            objective_ms=int((flight.objective - now) * 1000),
+            method=request.method,
+            target=request.target,
+            headers=flight.headers,
+            body=request.body,
+        )
+        self.flights[flight.call] = flight
+        flight.offers += 1
+        flight.tried.add(candidate.node)
+        placement.note_sent(self.speeds, candidate.backend)
+        if self.send_offer(candidate.node, offer):
+            return True
+        self.flights.pop(flight.call, None)
+        return False
+
+    # Answers.
+
+    def take(self, message: wire.Message) -> None:
+        """Take the answer of a gate."""
+        flight = self.flights.pop(message.call, None)
+        if message.load is not None and flight is not None:
+            self.learn_load(flight.backend, message.load)
+        if flight is None:
+            if isinstance(message, wire.Delivered):
+                self.decisions.report(events.ANSWER_LATE, call=message.call)
+            return
+        if isinstance(message, wire.Delivered):
+            self.take_delivered(flight, message)
+        elif isinstance(message, wire.Refused):
+            self.take_refused(flight, message)
+        else:
+            self.take_failed(flight, message.reason)
+
+    def learn_load(self, backend: str, load: wire.ServerLoad) -> None:
+        """Take a report of a backend server's load."""
+        placement.learn_load(
+            self.speeds,
+            backend=backend,
+            running=load.running,
+            queued=load.queued,
+            limit=load.limit,
+            usual_ms=load.usual_ms,
+        )
+
+    def take_delivered(
+        self, flight: flights.Flight, message: wire.Delivered
+    ) -> None:
+        """Answer the caller, or try a failed request once more."""
+        now = self.loop.time()
+        failed = message.status >= 500
+        placement.learn_failure(
+            self.speeds, backend=flight.backend, failed=failed, now=now
+        )
+        if not failed:
+            placement.learn_time(
+                self.speeds,
+                route=flight.route.name,
+                backend=flight.backend,
+                ran_ms=message.ran_ms,
+            )
+        flight.arrivals += 1
+        flight.runs += 1
+        if failed and self.repeat(flight, f"status-{message.status}"):
+            return
+        response = http.Response(
+            status=message.status, headers=message.headers, body=message.body
+        )
+        self.end(flight, response, "answered", "")
+
+    def take_refused(
+        self, flight: flights.Flight, message: wire.Refused
+    ) -> None:
+        """Try another backend server, or refuse the request."""
+        flight.arrivals += int(message.offered)
+        flight.reason = message.reason
+        wait = message.retry_ms
+        if not flight.retry_ms or 0 < wait < flight.retry_ms:
+            flight.retry_ms = wait
+        now = self.loop.time()
+        others = sum(
+            c.node not in flight.tried for c in self.candidates(flight)
+        )
+        verdict = flights.after_refusal(
+            flight, message, now=now, others=others
+        )
+        if message.offered and verdict.next is flights.Next.OFFER:
+            self.spend(flight.service)
+        if verdict.next is flights.Next.OFFER:
+            flight.patient = verdict.patient
+            self.instruments.retries.labels(message.reason).inc()
+            self.offer(flight)
+        elif flight.runs:
+            self.fail(flight, 502)
+        else:
+            self.refuse(flight)
+
+    def take_failed(self, flight: flights.Flight, reason: str) -> None:
+        """Repeat a request whose outcome is unknown, or say so."""
+        placement.learn_failure(
+            self.speeds,
+            backend=flight.backend,
+            failed=True,
+            now=self.loop.time(),
+        )
+        flight.arrivals += 1
+        flight.runs += 1
+        flight.reason = reason
+        if not self.repeat(flight, reason):
+            self.fail(flight, 502)
+
+    def repeat(self, flight: flights.Flight, reason: str) -> bool:
+        """Send a failed request to another backend server if it may be."""
+        budget = self.budgets[flight.service]
+        others = sum(
+            c.node not in flight.tried for c in self.candidates(flight)
+        )
+        verdict = flights.after_failure(
+            flight,
+            budget,
+            usual_ms=self.speeds.routes.get(flight.route.name, 0.0),
+            now=self.loop.time(),
+            others=others,
+        )
+        if verdict.next is not flights.Next.OFFER:
+            return False
+        self.spend(flight.service)
+        self.instruments.retries.labels(reason).inc()
+        flight.patient = verdict.patient
+        self.offer(flight)
+        return True
+
+    def spend(self, service: str) -> None:
+        """Charge the retry budget of a service."""
+        self.budgets[service] = retries.spend(self.budgets[service])
+
+    # Ends.
+
+    def node_lost(self, node: str) -> None:
+        """Settle the requests at a node whose connection is lost."""
+        lost = [f for f in self.flights.values() if f.node == node]
+        for flight in lost:
+            if flight.route.idempotent:
+                self.flights.pop(flight.call, None)
+                self.take_failed(flight, wire.UnknownReason.NODE_LOST)
+                continue
+            self.loop.call_later(
+                LOST_ANSWER_SECONDS, self.give_up, flight, flight.call
+            )
+
+    def give_up(self, flight: flights.Flight, call: str) -> None:
+        """Answer a request whose answer has not come another way."""
+        if self.flights.pop(call, None) is None:
+            return
+        flight.runs += 1
+        flight.reason = wire.UnknownReason.NODE_LOST
+        self.fail(flight, 502)
+
+    def expire(self, flight: flights.Flight) -> None:
+        """Answer a request whose time is over."""
+        if self.flights.pop(flight.call, None) is None:
+            return
+        self.send_cancel(flight.node, wire.Cancel(call=flight.call))
+        flight.reason = wire.UnknownReason.TIMEOUT
+        self.fail(flight, 504)
+
+    def abandon(self, flight: flights.Flight) -> None:
+        """End a request whose caller has hung up."""
+        if flight.timer is not None:
+            flight.timer.cancel()
+        self.instruments.requests.labels("abandoned", "caller-gone").inc()
+        if self.flights.pop(flight.call, None) is not None:
+            self.send_cancel(flight.node, wire.Cancel(call=flight.call))
+
+    def refuse(self, flight: flights.Flight) -> None:
+        """Answer that a request has not run and will not run."""
+        if flight.timer is not None:
+            flight.timer.cancel()
+        seconds = flights.refusal_seconds(flight.retry_ms, self.draws.random())
+        response = http.Response(
+            status=503,
+            headers=platform.refusal_headers(flight.head.request_id, seconds),
+        )
+        self.end(flight, response, "refused", flight.reason)
+
+    def fail(self, flight: flights.Flight, status: int) -> None:
+        """Answer that the outcome of a request is unknown."""
+        response = http.Response(
+            status=status,
+            headers=platform.refusal_headers(flight.head.request_id, 0.0),
+        )
+        self.end(flight, response, "failed", flight.reason)
+
+    def end(
+        self,
+        flight: flights.Flight,
+        response: http.Response,
+        outcome: str,
+        reason: str,
+    ) -> None:
+        """Answer a request and log the decision."""
+        if flight.timer is not None:
+            flight.timer.cancel()
+        flight.exchange.respond(response)
+        seconds = self.loop.time() - flight.exchange.arrived
+        self.instruments.requests.labels(outcome, reason).inc()
+        self.instruments.latency.observe(seconds)
+        report = self.decisions.report
+        event = events.REQUEST_ENDED
+        if outcome == "answered":
+            report = self.decisions.report_served
+            event = events.REQUEST_SERVED
+        report(
+            event,
+            request=flight.head.request_id,
+            route=flight.route.name,
+            service=flight.service,
+            outcome=outcome,
+            reason=reason,
+            status=response.status,
+            backend=flight.backend,
+            node=flight.node,
+            offers=flight.offers,
+            runs=flight.runs,
+            ms=round(seconds * 1000),
+            version=self.read_view().version,
+        )
+
+    def answer_own(
+        self,
+        exchange: http.Exchange,
+        head: platform.RequestHead,
+        status: int,
+        reason: str,
+        retry_ms: int = 0,
+    ) -> None:
+        """Answer a request that matches no route or cannot be served."""
+        seconds = 0.0
+        if retry_ms:
+            seconds = flights.refusal_seconds(retry_ms, self.draws.random())
+        exchange.respond(
+            http.Response(
+                status=status,
+                headers=platform.refusal_headers(head.request_id, seconds),
+            )
+        )
+        self.instruments.requests.labels("refused", reason).inc()
+        self.decisions.report(
+            events.REQUEST_UNROUTED,
+            request=head.request_id,
+            host=head.host,
+            path=head.path[:80],
+            status=status,
+            reason=reason,
+            version=self.read_view().version,
+        )
--- /dev/null
+++ b/apricotpost/sidecar/flights.py
@@ -0,0 +1,182 @@
+"""State of one caller's request, and the decisions on its attempts."""
+
+import asyncio
+import dataclasses
+import enum
+
+from apricotpost import http
+from apricotpost import model
+from apricotpost import platform
+from apricotpost.routing import retries
+from apricotpost import wire
+
+__all__ = [
+    "Flight",
+    "Next",
+    "Verdict",
+    "after_failure",
+    "after_refusal",
+    "refusal_seconds",
+]
+
+# Offers to gates for one request; each costs a round trip and no run.
+MAX_OFFERS = 5
+# The last offer may wait beyond the objective, so few strict ones go first.
+STRICT_OFFERS = 3
+# A second run is not worth it with less than this part of the usual time.
+MIN_LEFT_PART = 0.8
+# Clients that were refused together should not come back together.
+RETRY_SPREAD = (0.7, 1.4)
+MIN_RETRY_SECONDS = 0.03
+MAX_RETRY_SECONDS = 2.0
+
+# Offers that another backend server may take.
+_MOVABLE = frozenset(wire.NotRunReason) - {
+    wire.NotRunReason.DEADLINE_PASSED,
+    wire.NotRunReason.CANCELLED,
+}
+
+
+class Next(enum.Enum):
+    """What follows after an attempt."""
+
+    OFFER = "offer"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """What follows, and whether the next offer may wait in a queue."""
+
+    next: Next
+    patient: bool = False
+
+
+class Flight:
+    """One request of a caller; times are monotonic, in seconds."""
+
+    __slots__ = (
+        "arrivals",
+        "backend",
+        "call",
+        "data_centre_only",
+        "exchange",
+        "expires",
+        "head",
+        "headers",
+        "nested",
+        "node",
+        "objective",
+        "offers",
+        "patient",
+        "reason",
+        "retry_ms",
+        "route",
+        "runs",
+        "service",
+        "timer",
+        "tried",
+        "turn",
+        "version",
+    )
+
+    def __init__(
+        self,
+        *,
+        exchange: http.Exchange,
+        head: platform.RequestHead,
+        route: model.TrafficRoute,
+        service: str,
+        nested: bool,
+        turn: float,
+    ) -> None:
+        left_ms = route.timeout_ms
+        if head.deadline_ms is not None:
+            left_ms = min(left_ms, head.deadline_ms)
+        self.exchange = exchange
+        self.head = head
+        self.route = route
+        self.service = service
+        self.nested = nested
+        self.turn = turn
+        self.headers = http.strip_hop_headers(exchange.request.headers)
+        self.expires = exchange.arrived + left_ms / 1000.0
+        self.objective = exchange.arrived + route.objective_ms / 1000.0
+        self.call = ""
+        self.node = ""
+        self.backend = ""
+        self.version = ""
+        self.offers = 0
+        # Requests that a backend server got, and those that may have run.
+        self.arrivals = 0
+        self.runs = 0
+        self.patient = False
+        self.tried: set[str] = set()
+        self.reason = ""
+        self.retry_ms = 0
+        self.timer: asyncio.TimerHandle | None = None
+
+
+def after_refusal(
+    flight: Flight, refused: wire.Refused, *, now: float, others: int
+) -> Verdict:
+    """Decide after a gate has not run the request.
+
+    Parameters
+    ----------
+    flight : Flight
+        The request, with this attempt counted.
+    refused : wire.Refused
+        Answer of the gate.
+    now : float
+        Monotonic time, in seconds.
+    others : int
+        Backend servers that were not tried yet.
+    """
+    if refused.reason not in _MOVABLE or now >= flight.expires:
+        return Verdict(next=Next.REFUSE)
+    if flight.offers >= MAX_OFFERS or flight.patient:
+        return Verdict(next=Next.REFUSE)
+    if flight.arrivals >= flight.route.max_attempts:
+        return Verdict(next=Next.REFUSE)
+    if others and flight.offers < STRICT_OFFERS:
+        return Verdict(next=Next.OFFER)
+    return Verdict(next=Next.OFFER, patient=True)
+
+
+def after_failure(
+    flight: Flight,
+    budget: retries.Budget,
+    *,
+    usual_ms: float,
+    now: float,
+    others: int,
+) -> Verdict:
+    """Decide after an attempt that may have run and failed."""
+    left_ms = (flight.expires - now) * 1000.0
+    if (
+        flight.route.idempotent
+        and flight.arrivals < flight.route.max_attempts
+        and flight.offers < MAX_OFFERS
+        and budget.tokens >= 1.0
+        and left_ms > usual_ms * MIN_LEFT_PART
+        and others
+    ):
+        return Verdict(next=Next.OFFER, patient=True)
+    return Verdict(next=Next.FAIL)
+
+
+def refusal_seconds(retry_ms: float, draw: float) -> float:
+    """Return when a refused client may come back.
+
+    Parameters
+    ----------
+    retry_ms : float
+        When there is room again, as the gate predicts.
+    draw : float
+        Between 0 and 1.
+    """
+    low, high = RETRY_SPREAD
+    seconds = retry_ms / 1000.0 * (low + (high - low) * draw)
+    return min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
--- /dev/null
+++ b/apricotpost/sidecar/gate.py
@@ -0,0 +1,495 @@
+"""Task of the backend server beside the node: admits and runs requests."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from apricotpost.admission import ranked
+from apricotpost import events
+from apricotpost import http
+from apricotpost import model
+from apricotpost import platform
+from apricotpost.rollout import evidence
+from apricotpost.rollout import trials
+from apricotpost.sidecar import beats
+from apricotpost.sidecar import logs
+from apricotpost.sidecar import metrics
+from apricotpost.sidecar import options
+from apricotpost.sidecar import views
+from apricotpost import wire
+
+__all__ = ["Gate", "Reply"]
+
+_LOG = logging.getLogger(__name__)
+
+# A backend server whose heartbeats stop for so many periods is not used.
+SILENT_BEATS = 4.0
+# Idle time after which a kept connection is not trusted with a request that
+# may not be repeated: a server that closed it is noticed within this time.
+TRUSTED_IDLE_SECONDS = 0.25
+# The backend server ends late requests by itself; its response is awaited.
+LATE_RESPONSE_SECONDS = 0.3
+# Part of the slots that is used at first for a backend server that may
+# still run requests of an earlier process of this node.
+UNKNOWN_START_PART = 0.5
+FIRST_BEATS = 3
+
+Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
+
+
+class Work:
+    """A request at the gate and who waits for it."""
+
+    __slots__ = ("fresh", "handle", "offer", "reply", "started")
+
+    def __init__(self, *, offer: wire.Offer, reply: Reply) -> None:
+        self.offer = offer
+        self.reply = reply
+        self.handle: http.Handle | None = None
+        self.started = 0.0
+        self.fresh = False
+
+
+class Gate:
+    """State of the gate.
+
+    Parameters
+    ----------
+    settings : options.Options
+        Of the node.
+    read_view : callable
+        Returns the orders in force.
+    on_change : callable
+        Called when the backend server appears, drains or goes.
+    instruments : metrics.Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.Options,
+        read_view: Callable[[], views.TrafficView],
+        on_change: Callable[[], None],
+        instruments: metrics.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.read_view = read_view
+        self.on_change = on_change
+        self.instruments = instruments
+        self.loop = asyncio.get_running_loop()
+        self.queue = ranked.RankedQueue()
+        self.presence = beats.Presence()
+        self.counts: dict[str, evidence.Counts] = {}
+        self.leaving = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.decisions = logs.Decisions(logger=_LOG)
+        host, port = options.split_address(settings.backend_address)
+        self.client = http.Client(host=host, port=port)
+
+    # Announcements.
+
+    def take_beat(self, beat: model.BackendBeat) -> None:
+        """Take a heartbeat of the backend server."""
+        now = self.loop.time()
+        before = self.presence.current
+        news = beats.take_beat(self.presence, beat, now)
+        if news is beats.News.NONE:
+            return
+        if news is beats.News.OTHER:
+            self.start_incarnation(beat, now)
+        self.update_cold(beat, now)
+        if before is None or before.state is not beat.state:
+            events.emit(
+                _LOG,
+                events.BACKEND_STATE,
+                backend=beat.backend,
+                service=beat.service,
+                version=beat.version,
+                state=str(beat.state),
+                sequence=beat.sequence,
+            )
+        if news is not beats.News.SAME:
+            self.on_change()
+            self.refuse_queue()
+        self.pump()
+
+    def start_incarnation(self, beat: model.BackendBeat, now: float) -> None:
+        """Forget what was known of the backend server before."""
+        limit = float(beat.slots)
+        if beat.sequence > FIRST_BEATS and not self.queue.slots:
+            limit = max(beat.slots * UNKNOWN_START_PART, 1.0)
+        ranked.set_backend(self.queue, slots=beat.slots, limit=limit, now=now)
+        self.counts = {}
+        self.client.drop_idle()
+
+    def update_cold(self, beat: model.BackendBeat, now: float) -> None:
+        """Bound the rate while the backend server is cold."""
+        rule = self.read_view().services.get(beat.service)
+        self.queue.cold_rate = rule.cold_per_second if rule else 0.0
+        self.queue.cold_until = max(
+            now + beat.cold_ms / 1000.0, self.presence.assumed_cold_until
+        )
+
+    def assume_cold(self) -> None:
+        """Bound the rate until two heartbeats tell that it is not cold."""
+        self.presence.assumed_cold_until = (
+            self.loop.time() + 2 * self.settings.heartbeat_ms / 1000.0
+        )
+        if self.presence.current is not None:
+            self.update_cold(self.presence.current, self.loop.time())
+
+    def take_withdrawal(self, withdrawal: platform.Withdrawal) -> None:
+        """Take the deregistration of the backend server."""
+        if not beats.withdraw(
+            self.presence, withdrawal.backend, withdrawal.born
+        ):
+            return
+        events.emit(_LOG, events.BACKEND_LEFT, backend=withdrawal.backend)
+        self.on_change()
+        self.refuse_queue()
+
+    def describe(self) -> wire.ServerState | None:
+        """Return what other nodes are told of the backend server."""
+        current = self.presence.current
+        if current is None:
+            return None
+        now = self.loop.time()
+        return wire.ServerState(
+            backend=current.backend,
+            service=current.service,
+            version=current.version,
+            ready=self.find_refusal(current.service) is None,
+            cold=now < self.queue.cold_until,
+            load=ranked.describe(self.queue, now),
+        )
+
+    def describe_counts(self) -> tuple[wire.VersionCounts, ...]:
+        """Return the evidence while the service is on trial."""
+        current = self.presence.current
+        if current is None:
+            return ()
+        trial = self.read_view().trials.get(current.service)
+        if trial is None or trial.phase in trials.FINAL:
+            return ()
+        return tuple(
+            wire.VersionCounts(
+                route=route,
+                calls=counts.calls,
+                failures=counts.failures,
+                latencies=counts.latencies,
+            )
+            for route, counts in self.counts.items()
+        )
+
+    # Requests.
+
+    def offer(self, offer: wire.Offer, reply: Reply) -> None:
+        """Admit or refuse a request; `pump` starts it."""
+        now = self.loop.time()
+        reason = self.find_refusal(offer.service)
+        current = self.presence.current
+        if reason is None and (
+            current is None
+            or current.backend != offer.backend
+            or current.version != offer.version
+        ):
+            reason = wire.NotRunReason.NO_BACKEND_SERVER
+        if reason is not None:
+            refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
+            self.refuse(offer, reply, refusal)
+            return
+        entry = ranked.Entry(
+            call=offer.call,
+            rank=offer.rank,
+            route=offer.route,
+            patient=offer.patient,
+            arrived=now,
+            expires=now + offer.left_ms / 1000.0,
+            objective=now + offer.objective_ms / 1000.0,
+            work=Work(offer=offer, reply=reply),
+        )
+        refused = ranked.admit(self.queue, entry, now)
+        if refused is not None:
+            self.refuse(offer, reply, refused)
+            return
+        ranked.add(self.queue, entry)
+
+    def find_refusal(self, service: str) -> wire.NotRunReason | None:
+        """Return why no request of a service may run now."""
+        current = self.presence.current
+        if current is None or current.service != service:
+            return wire.NotRunReason.NO_BACKEND_SERVER
+        if self.leaving or current.state is model.BackendState.DRAINING:
+            return wire.NotRunReason.DRAINING
+        silent = self.loop.time() - self.presence.heard
+        if (
+            self.presence.unreachable
+            or silent > SILENT_BEATS * self.settings.heartbeat_ms / 1000.0
+        ):
+            return wire.NotRunReason.NOT_READY
+        view = self.read_view()
+        if self.settings.data_centre in view.evacuated:
+            return wire.NotRunReason.DATA_CENTRE_OUT
+        trial = view.trials.get(service)
+        if (
+            trial is not None
+            and trial.phase is trials.Phase.ROLLED_BACK
+            and trial.new == current.version
+        ):
+            return wire.NotRunReason.VERSION_WITHDRAWN
+        return None
+
+    def cancel(self, call: str) -> None:
+        """End a request whose caller is gone.
+
+        One that may not be repeated runs to its end once it has started.
+        """
+        entry = ranked.remove(self.queue, call)
+        if entry is not None:
+            return
+        entry = self.queue.running.get(call)
+        if entry is None or not entry.work.offer.idempotent:
+            return
+        ranked.finish(self.queue, call, ran_ms=None, failed=False)
+        if entry.work.handle is not None:
+            entry.work.handle.cancel()
+        self.pump()
+
+    def refuse_queue(self) -> None:
+        """Refuse what waits if the backend server takes no more requests."""
+        current = self.presence.current
+        service = current.service if current is not None else ""
+        reason = self.find_refusal(service)
+        if reason is None:
+            return
+        waiting, self.queue.queue = self.queue.queue, []
+        refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
+        for entry in waiting:
+            self.refuse(entry.work.offer, entry.work.reply, refusal)
+
+    def refuse(
+        self,
+        offer: wire.Offer,
+        reply: Reply,
+        refusal: ranked.Refusal,
+        *,
+        offered: bool = False,
+    ) -> None:
+        """Answer that a request has not run and will not run here."""
+        self.instruments.offers.labels("refused", refusal.reason).inc()
+        load = None
+        if self.presence.current is not None:
+            load = ranked.describe(self.queue, self.loop.time())
+        reply(
+            wire.Refused(
+                call=offer.call,
+                reason=refusal.reason,
+                retry_ms=int(refusal.retry_ms),
+                offered=offered,
+                load=load,
+            )
+        )
+
+    def pump(self) -> None:
+        """Start the requests that have room."""
+        now = self.loop.time()
+        started, refused = ranked.start(self.queue, now)
+        for entry, refusal in refused:
+            self.refuse(entry.work.offer, entry.work.reply, refusal)
+        for entry in started:
+            entry.work.started = now
+            self.run(entry)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = ranked.next_start(self.queue, now)
+        if due is not None:
+            self.timer = self.loop.call_at(due, self.pump)
+
+    def run(self, entry: ranked.Entry) -> None:
+        """Send a request to the backend server."""
+        work: Work = entry.work
+        offer = work.offer
+        left = entry.expires - self.loop.time()
+        request = http.Request(
+            method=offer.method,
+            target=offer.target,
+            headers=platform.call_headers(
+                offer.headers,
+                backend=offer.backend,
+                left_ms=max(int(left * 1000), 1),
+                caller=offer.caller,
+            ),
+            body=offer.body,
+        )
+        max_idle = None if offer.idempotent else TRUSTED_IDLE_SECONDS
+        if work.fresh:
+            max_idle = -1.0
+
+        def finish(result: http.Result) -> None:
+            self.finish(entry, result)
+
+        work.handle = self.client.send(
+            request,
+            finish,
+            timeout=left + LATE_RESPONSE_SECONDS,
+            max_idle=max_idle,
+        )
+
+    def finish(self, entry: ranked.Entry, result: http.Result) -> None:
+        """Answer the caller with what became of a request."""
+        work: Work = entry.work
+        offer = work.offer
+        now = self.loop.time()
+        if (
+            result.failure is http.Failure.CONNECTION_LOST
+            and result.reused
+            and offer.idempotent
+            and not work.fresh
+        ):
+            # The server had closed the kept connection.
+            work.fresh = True
+            self.run(entry)
+            return
+        ran_ms = (now - work.started) * 1000.0
+        response = result.response
+        if response is None:
+            self.fail(entry, result.failure, ran_ms)
+        elif platform.is_not_run(response):
+            self.take_rejection(entry, response)
+        else:
+            fault = platform.response_faults(response, offer.request)
+            if fault:
+                self.fail(entry, http.Failure.MALFORMED, ran_ms, fault)
+            else:
+                self.deliver(entry, response, ran_ms)
+        self.pump()
+
+    def deliver(
+        self, entry: ranked.Entry, response: http.Response, ran_ms: float
+    ) -> None:
+        """Hand the response to the caller."""
+        offer = entry.work.offer
+        failed = response.status >= 500
+        ranked.finish(self.queue, offer.call, ran_ms=ran_ms, failed=failed)
+        self.count(offer.route, failed=failed, ran_ms=ran_ms)
+        self.instruments.offers.labels("answered", response.status).inc()
+        entry.work.reply(
+            wire.Delivered(
+                call=offer.call,
+                status=response.status,
+                headers=http.strip_hop_headers(response.headers),
+                body=response.body,
+                ran_ms=round(ran_ms, 1),
+                load=ranked.describe(self.queue, self.loop.time()),
+            )
+        )
+
+    def take_rejection(
+        self, entry: ranked.Entry, response: http.Response
+    ) -> None:
+        """Pass on that the backend server has not run a request."""
+        offer = entry.work.offer
+        now = self.loop.time()
+        ranked.finish(self.queue, offer.call, ran_ms=None, failed=False)
+        reason = wire.NotRunReason.GATE_FULL
+        if response.status == platform.NotRunStatus.MISDIRECTED:
+            reason = wire.NotRunReason.NO_BACKEND_SERVER
+            self.presence.unreachable = True
+            self.on_change()
+        else:
+            ranked.note_rejection(self.queue, now)
+        self.decisions.report(
+            events.GATE_REJECTED,
+            request=offer.request,
+            backend=offer.backend,
+            status=response.status,
+            running=len(self.queue.running),
+        )
+        retry_ms = self.queue.mean_ms
+        self.refuse(
+            offer,
+            entry.work.reply,
+            ranked.Refusal(reason=reason, retry_ms=retry_ms),
+            offered=True,
+        )
+
+    def fail(
+        self,
+        entry: ranked.Entry,
+        failure: http.Failure | None,
+        ran_ms: float,
+        fault: str = "",
+    ) -> None:
+        """Answer that there is no usable response."""
+        offer = entry.work.offer
+        if failure is http.Failure.NOT_CONNECTED:
+            ranked.finish(self.queue, offer.call, ran_ms=None, failed=False)
+            self.lose_backend(offer)
+            refusal = ranked.Refusal(
+                reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
+            )
+            self.refuse(offer, entry.work.reply, refusal)
+            return
+        ranked.finish(self.queue, offer.call, ran_ms=None, failed=True)
+        self.count(offer.route, failed=True, ran_ms=ran_ms)
+        reason = wire.UnknownReason.CONNECTION_LOST
+        if failure is not None:
+            reason = _REASONS[failure]
+        self.instruments.offers.labels("failed", reason).inc()
+        self.decisions.report(
+            events.GATE_FAILED,
+            request=offer.request,
+            backend=offer.backend,
+            reason=str(failure),
+            fault=fault,
+            ran_ms=round(ran_ms),
+        )
+        entry.work.reply(
+            wire.Failed(
+                call=offer.call,
+                reason=reason,
+                ran_ms=round(ran_ms, 1),
+                load=ranked.describe(self.queue, self.loop.time()),
+            )
+        )
+
+    def lose_backend(self, offer: wire.Offer) -> None:
+        """Use the backend server no more until its next heartbeat."""
+        if self.presence.unreachable:
+            return
+        self.presence.unreachable = True
+        events.emit(_LOG, events.BACKEND_UNREACHABLE, backend=offer.backend)
+        self.on_change()
+        self.refuse_queue()
+
+    def count(self, route: str, *, failed: bool, ran_ms: float) -> None:
+        """Keep the evidence on the version."""
+        known = self.counts.get(route, evidence.Counts())
+        latencies = known.latencies
+        if not failed:
+            bucket = evidence.bucket_of(ran_ms)
+            latencies = evidence.increment(latencies, bucket)
+        self.counts[route] = evidence.Counts(
+            calls=known.calls + 1,
+            failures=known.failures + int(failed),
+            latencies=latencies,
+        )
+
+    def is_idle(self) -> bool:
+        """Tell whether no request runs or waits."""
+        return not self.queue.running and not self.queue.queue
+
+    def close(self) -> None:
+        """Close the connections to the backend server."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.client.close()
+
+
+_REASONS = {
+    http.Failure.CONNECTION_LOST: wire.UnknownReason.CONNECTION_LOST,
+    http.Failure.MALFORMED: wire.UnknownReason.BODY_INCOMPLETE,
+    http.Failure.TIMED_OUT: wire.UnknownReason.TIMEOUT,
+}
--- /dev/null
+++ b/apricotpost/sidecar/logs.py
@@ -0,0 +1,134 @@
+"""Structured logs to standard output that never block the event loop."""
+
+import collections
+import logging
+import os
+import time
+
+import msgspec
+
+from apricotpost import events
+
+__all__ = ["Decisions", "OutputHandler", "configure"]
+
+# Lines that wait for a slow reader of standard output; more are dropped and
+# counted.
+MAX_WAITING_LINES = 2000
+MAX_LINE_BYTES = 4096
+# Lines about refused and failed requests in a second, and the part of the
+# served requests that is logged.
+MAX_DECISIONS_PER_SECOND = 40
+SERVED_PER_LINE = 200
+
+
+class OutputHandler(logging.Handler):
+    """Keeps lines until the event loop writes them.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines are written; it does not block.
+    """
+
+    def __init__(self, *, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lines: collections.deque[bytes] = collections.deque()
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one record."""
+        if len(self.lines) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self.lines.append(_format(record))
+
+    def write_lines(self) -> None:
+        """Write what fits without waiting."""
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            events.emit(
+                logging.getLogger(__name__),
+                events.LINES_DROPPED,
+                lines=dropped,
+            )
+        while self.lines:
+            line = self.lines[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is nowhere to say so.
+                self.lines.clear()
+                return
+            if written < len(line):
+                self.lines[0] = line[written:]
+                return
+            self.lines.popleft()
+
+
+class Decisions:
+    """Lines about requests: all refusals and failures up to a rate.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Where they go.
+    """
+
+    def __init__(self, *, logger: logging.Logger) -> None:
+        self.logger = logger
+        self.second = 0
+        self.lines = 0
+        self.suppressed = 0
+        self.served = 0
+
+    def report(self, event: events.Event, **fields: object) -> None:
+        """Log a refusal or failure."""
+        second = int(time.monotonic())
+        if second != self.second:
+            if self.suppressed:
+                events.emit(
+                    self.logger,
+                    events.DECISIONS_SUPPRESSED,
+                    lines=self.suppressed,
+                )
+            self.second = second
+            self.lines = 0
+            self.suppressed = 0
+        self.lines += 1
+        if self.lines > MAX_DECISIONS_PER_SECOND:
+            self.suppressed += 1
+            return
+        events.emit(self.logger, event, **fields)
+
+    def report_served(self, event: events.Event, **fields: object) -> None:
+        """Log one of many served requests."""
+        self.served += 1
+        if self.served % SERVED_PER_LINE == 1:
+            events.emit(self.logger, event, **fields)
+
+
+def configure(*, descriptor: int = 1) -> OutputHandler:
+    """Send all records of this process to a descriptor as JSON lines."""
+    os.set_blocking(descriptor, False)
+    handler = OutputHandler(descriptor=descriptor)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    return handler
+
+
+def _format(record: logging.LogRecord) -> bytes:
+    line = {
+        "time": round(record.created, 3),
+        "steady": round(time.monotonic(), 3),
+        "level": record.levelname,
+        "event": getattr(record, "event", 0),
+        "message": record.getMessage(),
+        **getattr(record, "fields", {}),
+    }
+    if record.exc_info:
+        line["error"] = repr(record.exc_info[1])
+    return msgspec.json.encode(line, enc_hook=str)[:MAX_LINE_BYTES] + b"\n"
--- /dev/null
+++ b/apricotpost/sidecar/node.py
@@ -0,0 +1,436 @@
+"""Wires the tasks of a node and runs them until SIGTERM."""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import logging
+import os
+import pathlib
+import random
+import signal
+import time
+import typing
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost import http
+from apricotpost.membership import fleet
+from apricotpost import platform
+from apricotpost.sidecar import entry
+from apricotpost.sidecar import gate
+from apricotpost.sidecar import gossip
+from apricotpost.sidecar import links
+from apricotpost.sidecar import logs
+from apricotpost.sidecar import metrics
+from apricotpost.sidecar import options
+from apricotpost.sidecar import orders
+from apricotpost.sidecar import rollouts
+from apricotpost.sidecar import roster
+from apricotpost.sidecar import views
+from apricotpost import wire
+
+__all__ = ["Node", "run"]
+
+_LOG = logging.getLogger(__name__)
+
+FLUSH_SECONDS = 0.2
+SETTINGS_CHECK_SECONDS = 1.0
+# The platform takes a node out after two missed readiness checks, one a
+# second; until then its clients still come.
+STOP_MIN_SECONDS = 2.6
+# Left of the grace period for the last answers to be written.
+STOP_MARGIN_SECONDS = 0.6
+STOP_CHECK_SECONDS = 0.05
+# Other nodes need this long to learn that this one leaves.
+LEAVE_SECONDS = 0.3
+
+
+class Node:
+    """All tasks of a node.
+
+    Parameters
+    ----------
+    settings : options.Options
+        Of the node.
+    path : pathlib.Path
+        Where the settings stand.
+    output : logs.OutputHandler
+        Takes the log lines.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.Options,
+        path: pathlib.Path,
+        output: logs.OutputHandler,
+    ) -> None:
+        self.settings = settings
+        self.path = path
+        self.output = output
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        self.ready = False
+        boot = time.time_ns() // 1_000_000
+        draws = random.Random(f"{settings.instance}-{boot}")
+        self.metrics = metrics.Metrics()
+        self.known = fleet.Fleet(
+            node=settings.instance, data_centre=settings.data_centre
+        )
+        self.links = links.Links(
+            address=settings.addresses.links,
+            on_inbox=self.take_inbox,
+            on_answer=self.take_answer,
+            on_batch=self.end_batch,
+            on_change=self.link_changed,
+        )
+        self.servers = roster.Roster(
+            known=self.known,
+            regions=settings.data_centres,
+            is_connected=self.links.is_connected,
+        )
+        self.gossip = gossip.Gossip(
+            settings=settings,
+            boot=boot,
+            known=self.known,
+            servers=self.servers,
+            on_state=self.state_learnt,
+        )
+        self.gate = gate.Gate(
+            settings=settings,
+            read_view=self.read_view,
+            on_change=self.gossip.announce,
+            instruments=self.metrics,
+        )
+        self.gossip.gate = self.gate
+        self.gossip.links = self.links
+        store_host, store_port = options.split_address(settings.store.address)
+        self.store_client = http.Client(host=store_host, port=store_port)
+        self.store = platform.Store(
+            client=self.store_client, host=settings.store.address
+        )
+        self.orders = orders.Orders(
+            settings=settings,
+            store=self.store,
+            known=self.known,
+            peers=self.gossip,
+            on_view=self.view_changed,
+            draws=draws,
+        )
+        self.orders.links = self.links
+        self.rollouts = rollouts.Rollouts(
+            settings=settings,
+            store=self.store,
+            known=self.known,
+            servers=self.servers,
+            source=self.orders,
+        )
+        self.rollouts.links = self.links
+        self.entry = entry.Entry(
+            settings=settings,
+            boot=format(boot, "x"),
+            read_view=self.read_view,
+            servers=self.servers,
+            send_offer=self.send_offer,
+            send_cancel=self.send_cancel,
+            instruments=self.metrics,
+            draws=draws,
+        )
+        self.fronts = {
+            settings.addresses.callers: self.entry.handle,
+            settings.addresses.readiness: self.answer_readiness,
+            settings.addresses.announcements: self.answer_announcement,
+            settings.addresses.metrics: self.answer_scrape,
+        }
+        self.open_fronts: dict[str, http.Front] = {}
+
+    # Messages between the tasks.
+
+    def read_view(self) -> views.TrafficView:
+        """Return the orders in force."""
+        return self.orders.view
+
+    def send_offer(self, name: str, offer: wire.Offer) -> bool:
+        """Hand an offer to a node; False means that nothing was sent."""
+        if name != self.settings.instance:
+            return self.links.send(name, offer)
+        self.gate.offer(offer, self.entry.take)
+        self.gate.pump()
+        return True
+
+    def send_cancel(self, name: str, cancel: wire.Cancel) -> None:
+        """Tell a node that a caller is gone."""
+        if name == self.settings.instance:
+            self.gate.cancel(cancel.call)
+        else:
+            self.links.send(name, cancel)
+
+    def take_inbox(self, identity: bytes, message: wire.Message) -> None:
+        """Take a message that another node sent by itself."""
+        if isinstance(message, wire.Offer):
+            self.gate.offer(message, self.make_reply(identity, message))
+        elif isinstance(message, wire.Cancel):
+            self.gate.cancel(message.call)
+        elif isinstance(message, wire.NodeState):
+            self.gossip.take_state(message)
+        elif isinstance(message, wire.OrdersPush):
+            self.orders.take_push(message)
+        elif isinstance(message, wire.OrdersPull):
+            self.orders.take_pull(message)
+        elif isinstance(message, wire.TrialNotice):
+            self.rollouts.take_notice(message)
+        elif isinstance(message, ANSWERS):
+            self.entry.take(message)
+        else:
+            events.emit(
+                _LOG, events.LINK_MALFORMED, error=type(message).__name__
+            )
+
+    def make_reply(self, identity: bytes, offer: wire.Offer) -> gate.Reply:
+        """Return what answers an offer.
+
+        If the connection of the offer is lost, the answer takes the one
+        that this node has opened to the sender.
+        """
+        sender = offer.call.split("/", 1)[0]
+
+        def reply(
+            message: wire.Delivered | wire.Refused | wire.Failed,
+        ) -> None:
+            if not self.links.reply(identity, message):
+                self.links.send(sender, message)
+
+        return reply
+
+    def take_answer(self, name: str, message: wire.Message) -> None:
+        """Take a message on a connection that this node has opened."""
+        if isinstance(message, ANSWERS):
+            self.entry.take(message)
+
+    def end_batch(self) -> None:
+        """Start the offers that were not cancelled in the same batch."""
+        self.gate.pump()
+
+    def link_changed(self, name: str, connected: bool) -> None:
+        """Note that a node can or cannot be reached."""
+        state = "open" if connected else "lost"
+        events.emit(_LOG, events.LINK_CHANGED, node=name, state=state)
+        if connected:
+            self.gossip.greet(name)
+            self.rollouts.greet(name)
+        else:
+            self.entry.node_lost(name)
+
+    def state_learnt(self, state: wire.NodeState, newer: bool) -> None:
+        """Use the state of a node."""
+        server = state.server
+        if server is not None:
+            self.entry.learn_load(server.backend, server.load)
+        self.rollouts.take_state(state)
+        if newer:
+            self.rollouts.greet(state.node)
+
+    def view_changed(
+        self, before: views.TrafficView, after: views.TrafficView
+    ) -> None:
+        """Carry out changed orders."""
+        own = self.settings.data_centre
+        if own in before.evacuated and own not in after.evacuated:
+            # The backend servers may have become cold meanwhile.
+            self.gate.assume_cold()
+        self.gate.refuse_queue()
+        self.metrics.configuration.set(after.version)
+        limits = after.limits
+        front = self.open_fronts.get(self.settings.addresses.callers)
+        if limits is not None and front is not None:
+            front.limits = http.Limits(
+                header_bytes=limits.header_bytes,
+                body_bytes=limits.body_bytes,
+                header_seconds=limits.header_ms / 1000.0,
+                idle_seconds=limits.idle_ms / 1000.0,
+            )
+
+    # Addresses.
+
+    def answer_readiness(self, exchange: http.Exchange) -> None:
+        """Answer whether clients may come."""
+        ready = bool(self.orders.view.version) and not self.stopping.is_set()
+        if ready != self.ready:
+            self.ready = ready
+            events.emit(_LOG, events.READINESS_CHANGED, ready=ready)
+        exchange.respond(http.Response(status=200 if ready else 503))
+
+    def answer_announcement(self, exchange: http.Exchange) -> None:
+        """Answer a call of the backend server."""
+        try:
+            found = platform.parse_announcement(exchange.request)
+        except errors.MalformedMessage as error:
+            events.emit(_LOG, events.BEAT_MALFORMED, error=error.message)
+            exchange.respond(http.Response(status=400))
+            return
+        if found is None:
+            exchange.respond(http.Response(status=404))
+            return
+        if isinstance(found, platform.Withdrawal):
+            self.gate.take_withdrawal(found)
+        else:
+            self.gate.take_beat(found)
+        exchange.respond(
+            http.Response(
+                status=200,
+                headers=((b"Content-Type", b"application/json"),),
+                body=b"{}",
+            )
+        )
+
+    def answer_scrape(self, exchange: http.Exchange) -> None:
+        """Answer a scrape of the metrics."""
+        self.metrics.running.set(len(self.gate.queue.running))
+        self.metrics.queued.set(len(self.gate.queue.queue))
+        self.metrics.store_calls.set(self.store.calls)
+        self.metrics.orders.set(self.orders.book.revision)
+        self.metrics.peers.set(
+            sum(link.connected for link in self.links.links.values())
+        )
+        metrics.respond_to_scrape(self.metrics, exchange)
+
+    # Life.
+
+    async def listen(self, stack: contextlib.AsyncExitStack) -> None:
+        """Open all addresses."""
+        for address, handler in self.fronts.items():
+            front = http.Front(handler=handler, limits=http.Limits())
+            stack.callback(front.close)
+            await front.listen(*options.split_address(address))
+            self.open_fronts[address] = front
+
+    async def flush_logs(self) -> None:
+        """Write log lines at intervals."""
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            self.output.write_lines()
+
+    async def watch_settings(self) -> None:
+        """Take up changed settings that came without a signal."""
+        seen = _stamp(self.path)
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+            stamp = _stamp(self.path)
+            if stamp != seen:
+                seen = stamp
+                self.reload("a change of the file")
+
+    def reload(self, cause: str) -> None:
+        """Check and take up the settings; bad ones change nothing."""
+        try:
+            settings = options.load_options(self.path)
+        except errors.SettingsInvalid as error:
+            events.emit(
+                _LOG,
+                events.SETTINGS_REFUSED,
+                error=error.message,
+                faults=error.faults[:5],
+            )
+            return
+        self.entry.settings = settings
+        self.gate.settings = settings
+        events.emit(_LOG, events.SETTINGS_RELOADED, cause=cause)
+
+    async def drain(self) -> None:
+        """Refuse new work, finish what runs and answer it."""
+        events.emit(
+            _LOG, events.SIDECAR_STOPPING, instance=self.settings.instance
+        )
+        began = self.loop.time()
+        grace = self.settings.bounds.grace_seconds
+        self.gossip.leaving = True
+        self.gossip.publish(far=True)
+        callers = self.open_fronts[self.settings.addresses.callers]
+        callers.start_closing()
+        self.loop.call_later(LEAVE_SECONDS, self.leave)
+        while self.loop.time() - began < grace - STOP_MARGIN_SECONDS:
+            await asyncio.sleep(STOP_CHECK_SECONDS)
+            if self.loop.time() - began < STOP_MIN_SECONDS:
+                continue
+            if not callers.open_exchanges() and self.gate.is_idle():
+                break
+        events.emit(
+            _LOG,
+            events.SIDECAR_STOPPED,
+            instance=self.settings.instance,
+            open=callers.open_exchanges(),
+        )
+
+    def leave(self) -> None:
+        """Take no more offers; the backend server may still run some."""
+        self.gate.leaving = True
+
+
+ANSWERS = (wire.Delivered, wire.Refused, wire.Failed)
+
+
+async def run(
+    *,
+    settings: options.Options,
+    path: pathlib.Path,
+    output: logs.OutputHandler,
+) -> int:
+    """Run a node until SIGTERM and return its exit code."""
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(output.write_lines)
+        node = Node(settings=settings, path=path, output=output)
+        stack.callback(node.links.close)
+        stack.callback(node.gate.close)
+        stack.callback(node.store_client.close)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, node.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, node.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, node.reload, "SIGHUP")
+        await node.listen(stack)
+        events.emit(
+            _LOG,
+            events.SIDECAR_STARTED,
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+        )
+        tasks: dict[str, Coroutine[typing.Any, typing.Any, None]] = {
+            "gossip": node.gossip.run(),
+            "orders": node.orders.run(),
+            "rollouts": node.rollouts.run(),
+            "logs": node.flush_logs(),
+            "settings": node.watch_settings(),
+        }
+        running = [
+            loop.create_task(_guard(name, task, node.stopping))
+            for name, task in tasks.items()
+        ]
+        await node.stopping.wait()
+        await node.drain()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+    return 0
+
+
+async def _guard(
+    name: str,
+    task: Coroutine[typing.Any, typing.Any, None],
+    stopping: asyncio.Event,
+) -> None:
+    """Drain the node if one of its tasks fails; it is started again."""
+    try:
+        await task
+    except asyncio.CancelledError:
+        raise
+    except Exception as error:
+        events.emit(_LOG, events.TASK_ENDED, task=name, error=repr(error))
+        _LOG.exception("task %s failed", name)
+        stopping.set()
+
+
+def _stamp(path: pathlib.Path) -> tuple[int, int]:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return (0, 0)
+    return (found.st_mtime_ns, found.st_size)
--- /dev/null
+++ b/apricotpost/sidecar/options.py
@@ -0,0 +1,147 @@
+"""Settings of the event-loop node."""
+
+from collections.abc import Mapping
+import dataclasses
+import pathlib
+import typing
+
+import msgspec
+
+from apricotpost import settings
+
+__all__ = [
+    "AddressOptions",
+    "BoundOptions",
+    "Options",
+    "StoreOptions",
+    "load_options",
+    "split_address",
+]
+
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+HostPort = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
+]
+Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=600_000)]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Ratio = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AddressOptions:
+    """Addresses on which the node listens, each as IP:PORT.
+
+    Parameters
+    ----------
+    callers : str
+        Clients and the backend server beside the node.
+    readiness : str
+        Readiness checks of the platform.
+    announcements : str
+        Heartbeats of the backend server.
+    links : str
+        Other nodes.
+    metrics : str
+        Scrapes of metrics.
+    """
+
+    callers: HostPort
+    readiness: HostPort
+    announcements: HostPort
+    links: HostPort
+    metrics: HostPort
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreOptions:
+    """The platform's store.
+
+    Parameters
+    ----------
+    address : str
+        IP:PORT.
+    """
+
+    address: HostPort
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BoundOptions:
+    """Bounds that operators promise to callers.
+
+    Parameters
+    ----------
+    drain_ms : float
+        Time in which a leaving backend server still takes requests.
+    grace_seconds : float
+        Time between SIGTERM and the end of the process.
+    retry_ratio : float
+        Retries of the fleet, as a part of the requests.
+    retry_slack : int
+        Retries of the fleet in each window beyond that part.
+    retry_window_seconds : float
+        Length of a window.
+    """
+
+    drain_ms: Milliseconds
+    grace_seconds: Seconds
+    retry_ratio: Ratio
+    retry_slack: Count
+    retry_window_seconds: Seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """All settings of a node.
+
+    Parameters
+    ----------
+    instance, data_centre, region : str
+        Where the node runs.
+    data_centres : mapping
+        Region of each data centre.
+    addresses : AddressOptions
+        Where it listens.
+    backend_address : str
+        IP:PORT of the backend server beside the node.
+    service : str
+        Service of that backend server.
+    heartbeat_ms : float
+        Time between two heartbeats of the backend server.
+    memory_mb : float
+        Memory that the process may use.
+    store : StoreOptions
+        The platform's store.
+    bounds : BoundOptions
+        Bounds to keep.
+    """
+
+    instance: Name
+    data_centre: Name
+    region: Name
+    data_centres: Mapping[str, str]
+    addresses: AddressOptions
+    backend_address: HostPort
+    service: Name
+    heartbeat_ms: Milliseconds
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0)]
+    store: StoreOptions
+    bounds: BoundOptions
+
+
+def load_options(path: pathlib.Path) -> Options:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    apricotpost.errors.SettingsInvalid
+        The file cannot be read or has faults; all are listed.
+    """
+    return settings.load_as(path, Options)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split IP:PORT."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/apricotpost/sidecar/orders.py
@@ -0,0 +1,311 @@
+"""Task that keeps the operators' orders in force on this node."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+import random
+import typing
+
+import msgspec
+
+from apricotpost import errors
+from apricotpost import events
+from apricotpost.membership import fleet
+from apricotpost import platform
+from apricotpost.sidecar import gossip
+from apricotpost.sidecar import links
+from apricotpost.sidecar import options
+from apricotpost.sidecar import views
+from apricotpost.spread import orders
+from apricotpost import wire
+
+__all__ = ["Orders"]
+
+_LOG = logging.getLogger(__name__)
+
+Step = Callable[[], Coroutine[typing.Any, typing.Any, None]]
+
+# A silent connection to the store must show before an order is late: orders
+# are in force within 2 s, counted from 3 s after the fault.
+WATCH_SECONDS = 2.0
+# Pauses after a failed call of the store, growing by a factor of two.
+MIN_PAUSE_SECONDS = 0.15
+MAX_PAUSE_SECONDS = 1.5
+CHECK_SECONDS = 0.2
+# A node that lags behind another for so long asks for what it misses.
+LAG_SECONDS = 0.3
+# The table in which nodes find each other.
+NODES = "nodes"
+
+
+class _NodeRow(msgspec.Struct, frozen=True):
+    address: str
+    data_centre: str
+
+
+class Orders:
+    """State of the task.
+
+    Parameters
+    ----------
+    settings : options.Options
+        Of the node.
+    store : platform.Store
+        The platform's store.
+    known : fleet.Fleet
+        States of all nodes.
+    peers : gossip.Gossip
+        Told of the revision and of the store's state.
+    on_view : callable
+        Called with the view before and after a change.
+    draws : random.Random
+        Spreads retries in time.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.Options,
+        store: platform.Store,
+        known: fleet.Fleet,
+        peers: gossip.Gossip,
+        on_view: Callable[[views.TrafficView, views.TrafficView], None],
+        draws: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.known = known
+        self.peers = peers
+        self.on_view = on_view
+        self.draws = draws
+        self.loop = asyncio.get_running_loop()
+        self.book = orders.OrderBook()
+        self.view = views.EMPTY
+        self.links: links.Links | None = None
+        self.reader = False
+        self.lost_at: float | None = None
+        self.pause = MIN_PAUSE_SECONDS
+        self.lagging_since: float | None = None
+
+    async def run(self) -> None:
+        """Register, then read or wait for what others have read."""
+        await self.retry(self.join)
+        while True:
+            now = self.loop.time()
+            reader = fleet.is_reader(self.known, now, reaches_store=True)
+            if reader != self.reader:
+                self.reader = reader
+                events.emit(_LOG, events.READER_CHANGED, reader=reader)
+            if reader or self.lost_at is not None:
+                await self.attempt(self.watch)
+            else:
+                await self.catch_up()
+                await asyncio.sleep(CHECK_SECONDS)
+
+    async def retry(self, step: Step) -> None:
+        """Repeat a step until the store has done it."""
+        while not await self.attempt(step):
+            continue
+
+    async def attempt(self, step: Step) -> bool:
+        """Call the store once; wait after a failure."""
+        try:
+            await step()
+        except errors.PlatformError as error:
+            self.note_lost(error)
+            spread = self.draws.uniform(0.6, 1.4)
+            await asyncio.sleep(self.pause * spread)
+            self.pause = min(self.pause * 2, MAX_PAUSE_SECONDS)
+            return False
+        self.note_regained()
+        return True
+
+    async def join(self) -> None:
+        """Register this node and read who else is there and the orders."""
+        row = _NodeRow(
+            address=self.settings.addresses.links,
+            data_centre=self.settings.data_centre,
+        )
+        put = (NODES, self.settings.instance, msgspec.json.encode(row))
+        await self.store.write(platform.Change(put=(put,)))
+        await self.read_all()
+        await self.read_nodes()
+
+    async def read_nodes(self) -> None:
+        """Meet the nodes that have registered."""
+        page = await self.store.read(NODES)
+        for row in page.rows:
+            try:
+                found = msgspec.json.decode(row.value, type=_NodeRow)
+            except msgspec.DecodeError as error:
+                events.emit(_LOG, events.LINK_MALFORMED, error=str(error))
+                continue
+            self.peers.meet(row.key, found.address, found.data_centre)
+
+    async def read_all(self) -> None:
+        """Read all orders."""
+        page = await self.store.read(platform.ORDERS)
+        rows = tuple(map(_order_row, page.rows))
+        before = self.book.revision
+        news = orders.replace_all(self.book, rows, revision=page.revision)
+        self.apply(news)
+        self.push(
+            wire.OrdersPush(
+                after=before, revision=self.book.revision, rows=tuple(news)
+            )
+        )
+
+    async def watch(self) -> None:
+        """Wait for changed orders and hand them to the data centre."""
+        after = self.book.revision
+        try:
+            page = await self.store.watch(
+                platform.ORDERS, after, WATCH_SECONDS
+            )
+        except errors.HistoryLost:
+            await self.read_all()
+            return
+        if page.revision <= after:
+            return
+        rows = tuple(map(_order_row, page.rows))
+        push = wire.OrdersPush(after=after, revision=page.revision, rows=rows)
+        self.take_push(push)
+        if rows:
+            self.push(push)
+
+    def push(self, message: wire.OrdersPush) -> None:
+        """Send changed orders to the nodes of this data centre."""
+        if self.links is None or not message.rows:
+            return
+        for name, known in self.known.nodes.items():
+            if known.state.data_centre == self.settings.data_centre:
+                self.links.send(name, message)
+
+    def take_push(self, message: wire.OrdersPush) -> None:
+        """Take changed orders."""
+        news = orders.merge(
+            self.book,
+            message.rows,
+            after=message.after,
+            revision=message.revision,
+        )
+        self.apply(news)
+
+    def take_pull(self, message: wire.OrdersPull) -> None:
+        """Send another node the orders that it lacks."""
+        if self.links is None or message.after >= self.book.revision:
+            return
+        self.links.send(
+            message.node,
+            wire.OrdersPush(
+                after=message.after,
+                revision=self.book.revision,
+                rows=orders.changed_after(self.book, message.after),
+            ),
+        )
+
+    def apply(self, news: list[wire.OrderRow]) -> None:
+        """Put changed orders in force."""
+        self.peers.orders = self.book.revision
+        if not news:
+            return
+        before = self.view
+        self.view, faults = views.apply_orders(before, news)
+        for fault in faults:
+            events.emit(
+                _LOG,
+                events.ORDERS_REFUSED,
+                error=fault.message,
+                faults=fault.faults[:5],
+            )
+        events.emit(
+            _LOG,
+            events.ORDERS_APPLIED,
+            revision=self.book.revision,
+            version=self.view.version,
+            keys=[row.key for row in news][:10],
+        )
+        self.on_view(before, self.view)
+        self.peers.announce()
+
+    def replace_view(self, view: views.TrafficView) -> None:
+        """Put a view with another state of rollouts in force."""
+        before, self.view = self.view, view
+        self.on_view(before, view)
+
+    async def catch_up(self) -> None:
+        """Ask for missing orders if another node is ahead for long."""
+        newest = fleet.newest_orders(self.known)
+        now = self.loop.time()
+        if newest <= self.book.revision:
+            self.lagging_since = None
+            return
+        if self.lagging_since is None:
+            self.lagging_since = now
+        if now - self.lagging_since < LAG_SECONDS:
+            return
+        self.lagging_since = None
+        if not self.ask_near(now):
+            await self.attempt(self.watch)
+
+    def ask_near(self, now: float) -> bool:
+        """Ask a node of this data centre for the missing orders."""
+        if self.links is None:
+            return False
+        for state in fleet.live_nodes(self.known, now):
+            if (
+                state.orders > self.book.revision
+                and state.data_centre == self.settings.data_centre
+            ):
+                return self.ask(state.node)
+        return False
+
+    def ask_far(self) -> None:
+        """Ask any node for missing orders while the store is lost."""
+        ahead = [
+            state
+            for state in fleet.live_nodes(self.known, self.loop.time())
+            if state.orders > self.book.revision
+        ]
+        near = [s for s in ahead if s.data_centre == self.settings.data_centre]
+        if ahead:
+            self.ask(self.draws.choice(near or ahead).node)
+
+    def ask(self, node: str) -> bool:
+        """Ask a node for the orders that this one lacks."""
+        if self.links is None:
+            return False
+        message = wire.OrdersPull(
+            node=self.settings.instance, after=self.book.revision
+        )
+        return self.links.send(node, message)
+
+    def note_lost(self, error: errors.PlatformError) -> None:
+        """Note a failed call of the store."""
+        if self.lost_at is None:
+            self.lost_at = self.loop.time()
+            events.emit(_LOG, events.STORE_LOST, error=error.message)
+            self.peers.reaches_store = False
+            self.peers.announce()
+        self.ask_far()
+
+    def note_regained(self) -> None:
+        """Note a call of the store that was answered."""
+        self.pause = MIN_PAUSE_SECONDS
+        if self.lost_at is None:
+            return
+        seconds = round(self.loop.time() - self.lost_at, 1)
+        self.lost_at = None
+        events.emit(_LOG, events.STORE_REGAINED, seconds=seconds)
+        self.peers.reaches_store = True
+        self.peers.announce()
+
+
+def _order_row(row: platform.Row) -> wire.OrderRow:
+    return wire.OrderRow(
+        key=row.key,
+        value=row.value,
+        revision=row.revision,
+        removed=row.removed,
+    )
--- /dev/null
+++ b/apricotpost/sidecar/views.py
@@ -0,0 +1,154 @@
+"""What the call path reads of the orders in force."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from apricotpost import errors
+from apricotpost import model
+from apricotpost import platform
+from apricotpost.rollout import trials
+from apricotpost.routing import prefixes
+from apricotpost import wire
+
+__all__ = [
+    "EMPTY",
+    "TrafficView",
+    "apply_orders",
+    "choose_version",
+    "with_trial",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TrafficView:
+    """Orders in force; replaced as a whole.
+
+    Parameters
+    ----------
+    version : int
+        Of the configuration; 0 if there is none yet.
+    routes : PrefixTable
+        Routes by host and prefix.
+    services : mapping
+        Rules of each service.
+    limits : model.ClientLimits or None
+        What clients may send.
+    evacuated : frozenset of str
+        Data centres that get no requests.
+    rollouts : mapping
+        Revision and order of each service's rollout.
+    trials : mapping
+        Where the rollout of each service stands.
+    """
+
+    version: int = 0
+    routes: prefixes.PrefixTable = dataclasses.field(default_factory=dict)
+    services: Mapping[str, model.ServiceRule] = dataclasses.field(
+        default_factory=dict
+    )
+    limits: model.ClientLimits | None = None
+    evacuated: frozenset[str] = frozenset()
+    rollouts: Mapping[str, tuple[int, model.RolloutOrder]] = dataclasses.field(
+        default_factory=dict
+    )
+    trials: Mapping[str, trials.Trial] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+EMPTY = TrafficView()
+
+
+def apply_orders(
+    view: TrafficView, rows: Iterable[wire.OrderRow]
+) -> tuple[TrafficView, list[errors.ApricotpostError]]:
+    """Return the view after changed orders, and what was refused.
+
+    A row that cannot be decoded leaves what was in force before.
+    """
+    faults: list[errors.ApricotpostError] = []
+    for row in rows:
+        try:
+            view = _apply(view, row)
+        except errors.ApricotpostError as error:
+            faults.append(error)
+    return view, faults
+
+
+def with_trial(view: TrafficView, trial: trials.Trial) -> TrafficView:
+    """Return the view with a service's trial replaced."""
+    return dataclasses.replace(
+        view, trials={**view.trials, trial.service: trial}
+    )
+
+
+def choose_version(
+    view: TrafficView, service: str, versions: Iterable[str], turn: float
+) -> frozenset[str]:
+    """Return the versions of a service that may get a request.
+
+    Parameters
+    ----------
+    view : TrafficView
+        Orders in force.
+    service : str
+        The service.
+    versions : iterable of str
+        Versions with a backend server that takes requests, the one that was
+        known first in front.
+    turn : float
+        Of this request, between 0 and 1; the new version of a trial gets
+        those below its share.
+    """
+    known = tuple(versions)
+    trial = view.trials.get(service)
+    if trial is None:
+        # A version without an order waits for its order to be seen.
+        return frozenset(known[:1])
+    if trial.phase is trials.Phase.ROLLED_BACK:
+        return frozenset(v for v in known if v != trial.new)
+    others = frozenset(v for v in known if v != trial.new)
+    if trial.new not in known:
+        return others
+    if turn < trials.share_of_new(trial) or not others:
+        return frozenset((trial.new,))
+    return others
+
+
+def _apply(view: TrafficView, row: wire.OrderRow) -> TrafficView:
+    key = row.key
+    if key == platform.CONFIGURATION:
+        return _apply_configuration(view, row)
+    if key.startswith(platform.EVACUATIONS):
+        name = frozenset((key[len(platform.EVACUATIONS) :],))
+        kept = view.evacuated - name
+        return dataclasses.replace(
+            view, evacuated=kept if row.removed else kept | name
+        )
+    if key.startswith(platform.ROLLOUTS):
+        service = key[len(platform.ROLLOUTS) :]
+        rollouts = dict(view.rollouts)
+        rollouts.pop(service, None)
+        if not row.removed:
+            order = platform.parse_rollout(row.value)
+            rollouts[service] = (row.revision, order)
+        return dataclasses.replace(view, rollouts=rollouts)
+    return view
+
+
+def _apply_configuration(view: TrafficView, row: wire.OrderRow) -> TrafficView:
+    if row.removed:
+        return view
+    found = platform.parse_configuration(row.value)
+    if found.version <= view.version:
+        raise errors.ConfigurationOutdated(
+            f"configuration {found.version} is not newer than {view.version}"
+        )
+    return dataclasses.replace(
+        view,
+        version=found.version,
+        routes=prefixes.build_prefixes(found.routes),
+        services=found.services,
+        limits=found.limits,
+    )
--- a/apricotpost/platform/changes.py
+++ b/apricotpost/storage/changes.py
@@ -6,8 +6,8 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost.platform import store as stores
-from apricotpost.platform import table
+from apricotpost.storage import store as stores
+from apricotpost.storage import table
 
 __all__ = ["Change", "Fence", "change_writes", "request_key"]
 
--- a/apricotpost/platform/commits.py
+++ b/apricotpost/storage/commits.py
@@ -8,10 +8,10 @@
 
 from apricotpost import config
 from apricotpost import errors
-from apricotpost.platform import changes
-from apricotpost.platform import objects
-from apricotpost.platform import store as stores
-from apricotpost.platform import table
+from apricotpost.storage import changes
+from apricotpost.storage import objects
+from apricotpost.storage import store as stores
+from apricotpost.storage import table
 
 __all__ = ["SNAPSHOT_EVERY_VERSIONS", "commit"]
 
--- a/apricotpost/platform/faults.py
+++ b/apricotpost/storage/faults.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from apricotpost import errors
-from apricotpost.platform import http
+from apricotpost.storage import http
 
 __all__ = ["decode_answer", "decode_fault", "failure", "is_rejection"]
 
--- a/apricotpost/platform/http.py
+++ b/apricotpost/storage/http.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from apricotpost import errors
-from apricotpost.platform import signing
+from apricotpost.storage import signing
 
 __all__ = ["Channel", "Reply", "bounded", "open_channel", "request"]
 
--- a/apricotpost/platform/leases.py
+++ b/apricotpost/storage/leases.py
@@ -19,9 +19,9 @@
 import xxhash
 
 from apricotpost import errors
-from apricotpost.platform import changes
-from apricotpost.platform import store as stores
-from apricotpost.platform import table
+from apricotpost.storage import changes
+from apricotpost.storage import store as stores
+from apricotpost.storage import table
 
 __all__ = [
     "LEASE_SECONDS",
--- a/apricotpost/platform/objects.py
+++ b/apricotpost/storage/objects.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from apricotpost import errors
-from apricotpost.platform import http
+from apricotpost.storage import http
 
 __all__ = ["ObjectStore", "get_object", "put_object"]
 
--- a/apricotpost/platform/outcomes.py
+++ b/apricotpost/storage/outcomes.py
@@ -1,7 +1,7 @@
 """Records of ended rollouts, as ``outcome/<rollout>`` in the table."""
 
 from apricotpost import model
-from apricotpost.platform import table
+from apricotpost.storage import table
 
 __all__ = ["outcome_write"]
 
--- a/apricotpost/platform/table.py
+++ b/apricotpost/storage/table.py
@@ -12,19 +12,19 @@
 import msgspec
 
 from apricotpost import errors
-from apricotpost.platform import faults
-from apricotpost.platform import http
-from apricotpost.platform import items
-from apricotpost.platform.items import absent
-from apricotpost.platform.items import Check
-from apricotpost.platform.items import Condition
-from apricotpost.platform.items import Delete
-from apricotpost.platform.items import equals
-from apricotpost.platform.items import Item
-from apricotpost.platform.items import Key
-from apricotpost.platform.items import Put
-from apricotpost.platform.items import Value
-from apricotpost.platform.items import Write
+from apricotpost.storage import faults
+from apricotpost.storage import http
+from apricotpost.storage import items
+from apricotpost.storage.items import absent
+from apricotpost.storage.items import Check
+from apricotpost.storage.items import Condition
+from apricotpost.storage.items import Delete
+from apricotpost.storage.items import equals
+from apricotpost.storage.items import Item
+from apricotpost.storage.items import Key
+from apricotpost.storage.items import Put
+from apricotpost.storage.items import Value
+from apricotpost.storage.items import Write
 
 __all__ = [
     "Check",
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -1,5 +1,17 @@
 """Inner protocol: messages, codec and sockets."""
 
+from apricotpost.wire.carriage import Delivered
+from apricotpost.wire.carriage import Failed
+from apricotpost.wire.carriage import NodeState
+from apricotpost.wire.carriage import Offer
+from apricotpost.wire.carriage import OrderRow
+from apricotpost.wire.carriage import OrdersPull
+from apricotpost.wire.carriage import OrdersPush
+from apricotpost.wire.carriage import Refused
+from apricotpost.wire.carriage import ServerLoad
+from apricotpost.wire.carriage import ServerState
+from apricotpost.wire.carriage import TrialNotice
+from apricotpost.wire.carriage import VersionCounts
 from apricotpost.wire.codec import decode
 from apricotpost.wire.codec import encode
 from apricotpost.wire.codec import Message
@@ -65,27 +77,39 @@
     "ConfigRefused",
     "ConfigRequest",
     "ConfigSnapshot",
+    "Delivered",
     "EvidenceReport",
+    "Failed",
     "GateControl",
     "GateReport",
     "Join",
+    "LeaveAnnounced",
     "LevelsReply",
     "LevelsRequest",
-    "LeaveAnnounced",
     "Members",
     "MembersRequest",
     "Message",
+    "NodeState",
     "NotRun",
     "NotRunReason",
+    "Offer",
+    "OrderRow",
+    "OrdersPull",
+    "OrdersPush",
     "Outcome",
     "OutcomeUnknown",
     "Ping",
     "PingRequest",
     "ReadConfig",
+    "Refused",
+    "ServerLoad",
+    "ServerState",
     "StatusReply",
     "StatusRequest",
     "StopTask",
+    "TrialNotice",
     "UnknownReason",
+    "VersionCounts",
     "Welcome",
     "WithdrawalNotice",
     "WorkerReady",
--- a/apricotpost/wire/codec.py
+++ b/apricotpost/wire/codec.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from apricotpost import errors
+from apricotpost.wire import carriage
 from apricotpost.wire import messages
 from apricotpost.wire import tasks
 
@@ -33,7 +34,7 @@
     30: messages.EvidenceReport,
     31: messages.WithdrawalNotice,
 }
-for _number, _type in tasks.KINDS.items():
+for _number, _type in (*tasks.KINDS.items(), *carriage.KINDS.items()):
     KINDS[_number] = _type
 
 Message = typing.Any
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -1,6 +1,7 @@
 """ZeroMQ sockets with the options that the protocol relies on."""
 
 from collections.abc import Sequence
+import sys
 import typing
 
 import zmq
@@ -13,12 +14,16 @@
     "Context",
     "Poller",
     "Socket",
+    "bind_links",
     "bind_router",
-    "connect_dealer",
     "connect_control_peer",
+    "connect_dealer",
+    "connect_link",
     "connect_peer",
+    "is_readable",
     "make_context",
     "receive",
+    "receive_link_event",
     "receive_routed",
     "receive_sized",
     "send",
@@ -41,6 +46,14 @@
 # TCP connections without a sign of life are closed after this time.
 HEARTBEAT_INTERVAL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
+# Links between event-loop nodes: calls last about a second, so a silent
+# connection is given up while its callers still wait.
+LINK_HEARTBEAT_INTERVAL_MS = 700
+LINK_HEARTBEAT_TIMEOUT_MS = 1500
+LINK_CONNECT_MS = 1000
+LINK_RECONNECT_MAX_MS = 400
+# A request or response body, and room for its headers.
+MAX_LINK_MESSAGE_BYTES = 65 * 1024 * 1024
 # Control messages that wait for a connection; later ones are dropped, since
 # a peer that cannot be reached is repaired by comparison.
 CONTROL_QUEUE_MESSAGES = 32
@@ -54,6 +67,8 @@
 _NOBLOCK_SNDMORE = int(zmq.NOBLOCK | zmq.SNDMORE)
 _RCVMORE = int(zmq.RCVMORE)
 _POLLIN = int(zmq.POLLIN)
+_EVENTS = int(zmq.EVENTS)
+_HANDSHAKE_SUCCEEDED = int(zmq.EVENT_HANDSHAKE_SUCCEEDED)
 
 
 def make_context() -> Context:
@@ -126,6 +141,75 @@
     return socket
 
 
+def bind_links(context: Context, address: str) -> Socket:
+    """Make the ROUTER socket that other event-loop nodes connect to.
+
+    A message for a peer that is gone is refused instead of dropped.
+
+    Raises
+    ------
+    apricotpost.errors.PortOccupied
+        The address is in use or not one of this instance's.
+    """
+    socket = context.socket(zmq.ROUTER)
+    _set_link_options(socket)
+    socket.router_mandatory = True
+    try:
+        socket.bind(address)
+    except zmq.ZMQError as error:
+        socket.close()
+        raise errors.PortOccupied(
+            f"cannot listen on {address}: {error}"
+        ) from error
+    return socket
+
+
+def connect_link(context: Context, address: str) -> tuple[Socket, Socket]:
+    """Connect to another event-loop node.
+
+    Returns
+    -------
+    tuple of zmq.Socket
+        A DEALER socket, and one that reports connects and disconnects.
+    """
+    socket = context.socket(zmq.DEALER)
+    _set_link_options(socket)
+    socket.immediate = True
+    socket.reconnect_ivl = RECONNECT_MIN_MS
+    socket.reconnect_ivl_max = LINK_RECONNECT_MAX_MS
+    socket.connect_timeout = LINK_CONNECT_MS
+    monitor = socket.get_monitor_socket(
+        zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+    )
+    socket.connect(address)
+    return socket, monitor
+
+
+def is_readable(socket: Socket) -> bool:
+    """Tell whether a message has arrived."""
+    return bool(typing.cast(int, _GET(socket, _EVENTS)) & _POLLIN)
+
+
+def receive_link_event(monitor: Socket) -> bool:
+    """Return whether the next reported event is a connect.
+
+    Raises
+    ------
+    zmq.Again
+        No event has been reported.
+    """
+    frames = _receive_frames(monitor, _NOBLOCK)
+    event = int.from_bytes(frames[0][:2], sys.byteorder)
+    return event == _HANDSHAKE_SUCCEEDED
+
+
+def _set_link_options(socket: Socket) -> None:
+    socket.linger = 0
+    socket.maxmsgsize = MAX_LINK_MESSAGE_BYTES
+    socket.heartbeat_ivl = LINK_HEARTBEAT_INTERVAL_MS
+    socket.heartbeat_timeout = LINK_HEARTBEAT_TIMEOUT_MS
+
+
 def send(socket: Socket, message: codec.Message) -> bool:
     """Send a message without blocking.
 
--- a/bench/keyed_calls.py
+++ b/bench/keyed_calls.py
@@ -7,7 +7,7 @@
 import urllib3
 
 from apricotpost import model
-from apricotpost import platform
+from apricotpost import storage
 from standins import fleet as fleets
 
 __all__ = ["run"]
@@ -102,7 +102,7 @@
 
 def _time_puts(fleet: fleets.Fleet, count: int) -> list[float]:
     """Time single writes to the table, which the added latency consists of."""
-    store = platform.open_store(
+    store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
         table_name="bench",
@@ -111,10 +111,10 @@
     )
     values = []
     for number in range(count):
-        key = platform.table.Key(pk="bench", sk=str(number))
-        item = platform.table.Item(key=key, attributes={"n": number})
+        key = storage.table.Key(pk="bench", sk=str(number))
+        item = storage.table.Item(key=key, attributes={"n": number})
         started = time.perf_counter()
-        platform.table.put(store.table, platform.table.Put(item=item))
+        storage.table.put(store.table, storage.table.Put(item=item))
         values.append((time.perf_counter() - started) * 1000)
     store.channel.pool.clear()
     return values
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -8,10 +8,10 @@
 
 import urllib3
 
-from apricotpost import platform as client
-from apricotpost.platform import http
-from apricotpost.platform import objects
-from apricotpost.platform import table
+from apricotpost import storage as client
+from apricotpost.storage import http
+from apricotpost.storage import objects
+from apricotpost.storage import table
 from standins import platform
 
 __all__ = ["Exchange", "open_store"]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,7 +18,7 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost import platform
+from apricotpost import storage
 
 __all__ = [
     "Fleet",
@@ -305,16 +305,16 @@
 def commit_first(fleet: Fleet, snapshot: model.Snapshot) -> model.Snapshot:
     """Commit the first configuration straight to the table."""
     sealed = config.seal(dataclasses.replace(snapshot, version=1))
-    store = platform.open_store(
+    store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
         table_name="apricotpost",
         bucket="apricotpost",
         timeout_seconds=5.0,
     )
-    platform.commit(
+    storage.commit(
         store,
-        platform.Change(
+        storage.Change(
             before=model.EMPTY_SNAPSHOT,
             after=sealed,
             author="stand-ins",
--- a/standins/observations.py
+++ b/standins/observations.py
@@ -9,7 +9,7 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost import platform
+from apricotpost import storage
 from standins import fleet as fleets
 
 __all__ = [
@@ -65,14 +65,14 @@
     after = config.seal(
         dataclasses.replace(before, version=version, routes=(route,))
     )
-    store = platform.open_store(
+    store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
         table_name="apricotpost",
         bucket="apricotpost",
         timeout_seconds=5.0,
     )
-    change = platform.Change(
+    change = storage.Change(
         before=before,
         after=after,
         author="stand-ins",
@@ -80,7 +80,7 @@
         request=f"change-{version}",
         at=time.time(),
     )
-    platform.commit(store, change)
+    storage.commit(store, change)
     store.channel.pool.clear()
     return after
 
--- a/standins/operations.py
+++ b/standins/operations.py
@@ -11,7 +11,7 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost import platform
+from apricotpost import storage
 from standins import fleet
 
 __all__ = [
@@ -24,9 +24,9 @@
 
 
 @contextlib.contextmanager
-def open_store(opened: fleet.Fleet) -> typing.Iterator[platform.Store]:
+def open_store(opened: fleet.Fleet) -> typing.Iterator[storage.Store]:
     """Open a connection to the platform stand-in."""
-    store = platform.open_store(
+    store = storage.open_store(
         table_url=opened.platform_url,
         object_url=opened.platform_url,
         table_name="apricotpost",
@@ -47,12 +47,12 @@
 ) -> int:
     """Commit a change straight to the table; returns the version."""
     with open_store(opened) as store:
-        before = platform.read_snapshot(store, platform.read_head(store))
+        before = storage.read_snapshot(store, storage.read_head(store))
         version = before.version + 1
         after = config.seal(dataclasses.replace(edit(before), version=version))
-        return platform.commit(
+        return storage.commit(
             store,
-            platform.Change(
+            storage.Change(
                 before=before,
                 after=after,
                 author="stand-ins",
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -10,10 +10,10 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost.node import holders
-from apricotpost import platform
 from apricotpost.rollout import verdicts
+from apricotpost import storage
 from tests.node import worlds
-from tests.platform import local
+from tests.storage import local
 
 __all__ = ["HolderTest", "PropertyTest"]
 
@@ -83,7 +83,7 @@
         self.world.pools["a"].fault = "lost"
         self.play("a", 25)
         versions = self.world.read().version
-        changes = platform.table.query(self.world.reader.table, pk="audit")
+        changes = storage.table.query(self.world.reader.table, pk="audit")
         self.assertEqual(versions, len(changes))
         self.assertEqual(50, self.world.rollout().share)
 
--- a/tests/node/test_withdrawal.py
+++ b/tests/node/test_withdrawal.py
@@ -11,8 +11,8 @@
 
 from apricotpost import config
 from apricotpost import model
-from apricotpost import platform
 from apricotpost import rollout as rollouts
+from apricotpost import storage
 from standins import fleet
 
 __all__ = ["WithdrawalTest"]
@@ -76,7 +76,7 @@
         (rollout,) = planned.rollouts
         stepped = rollouts.step_rollout(planned, rollout, 250, now)
         after = config.seal(dataclasses.replace(stepped, version=2))
-        self.store = platform.open_store(
+        self.store = storage.open_store(
             table_url=self.fleet.platform_url,
             object_url=self.fleet.platform_url,
             table_name="apricotpost",
@@ -84,7 +84,7 @@
             timeout_seconds=5.0,
         )
         self.addCleanup(self.store.channel.pool.clear)
-        change = platform.Change(
+        change = storage.Change(
             before=first,
             after=after,
             author="operator",
@@ -92,7 +92,7 @@
             request="rollout",
             at=now,
         )
-        platform.commit(self.store, change)
+        storage.commit(self.store, change)
 
     def call(self):
         """Call one of the old version's nodes over and over."""
@@ -130,7 +130,7 @@
         )
 
     def outcomes(self):
-        return platform.table.query(self.store.table, pk="outcome")
+        return storage.table.query(self.store.table, pk="outcome")
 
     def test_bad_version_is_withdrawn_while_the_table_is_down(self):
         """Guards against a withdrawal that waits for the platform."""
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -6,13 +6,13 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost.node import holders
-from apricotpost import platform
 from apricotpost import rollout as rollouts
 from apricotpost.rollout import steps
 from apricotpost.rollout import verdicts
 from apricotpost.rollout import watch
+from apricotpost import storage
 from standins import platform as standin
-from tests.platform import local
+from tests.storage import local
 
 __all__ = ["FINISH_BY", "SERVERS", "World"]
 
@@ -65,9 +65,9 @@
         return second
 
     def commit(self, before, after):
-        platform.commit(
+        storage.commit(
             self.reader,
-            platform.Change(
+            storage.Change(
                 before=before,
                 after=after,
                 author="operator",
@@ -78,8 +78,8 @@
         )
 
     def read(self):
-        head = platform.read_head(self.reader)
-        return platform.read_snapshot(self.reader, head)
+        head = storage.read_head(self.reader)
+        return storage.read_snapshot(self.reader, head)
 
     def rollout(self):
         return self.read().rollouts[0]
@@ -104,4 +104,4 @@
         holders.act(self.holders[name], sight)
 
     def outcomes(self):
-        return platform.table.query(self.reader.table, pk="outcome")
+        return storage.table.query(self.reader.table, pk="outcome")
--- a/tests/platform/local.py
+++ b/tests/storage/local.py
@@ -6,10 +6,10 @@
 
 import urllib3
 
-from apricotpost import platform
-from apricotpost.platform import http
-from apricotpost.platform import objects
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import http
+from apricotpost.storage import objects
+from apricotpost.storage import table
 from standins import platform as standin
 
 __all__ = ["LocalPool", "Paused", "make_store"]
@@ -93,12 +93,12 @@
         """Do nothing; there is no connection."""
 
 
-def make_store(pool: LocalPool) -> platform.Store:
+def make_store(pool: LocalPool) -> storage.Store:
     """Make a store on a pool."""
     channel = http.Channel(
         pool=typing.cast(urllib3.PoolManager, pool), timeout_seconds=1.0
     )
-    return platform.Store(
+    return storage.Store(
         channel=channel,
         table=table.Table(channel=channel, url="/", name="apricotpost"),
         objects=objects.ObjectStore(channel=channel, url="", bucket="b"),
--- a/tests/platform/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -9,8 +9,8 @@
 from apricotpost import config
 from apricotpost import errors
 from apricotpost import model
-from apricotpost import platform
-from apricotpost.platform import store as stores
+from apricotpost import storage
+from apricotpost.storage import store as stores
 from standins import direct
 from standins import platform as standin
 
@@ -34,7 +34,7 @@
             version=version, services=(make_service(number or version),)
         )
     )
-    return platform.Change(
+    return storage.Change(
         before=before,
         after=after,
         author=author,
@@ -66,7 +66,7 @@
         raise LOST
 
     def commit(self, change):
-        return platform.commit(self.store, change, pause=self.pauses.append)
+        return storage.commit(self.store, change, pause=self.pauses.append)
 
     def commit_until(self, version):
         snapshot = model.EMPTY_SNAPSHOT
@@ -82,7 +82,7 @@
         """Guards against a change that is reported as lost but in force."""
         self.script = {"TransactWriteItems": ["lost"]}
         self.assertEqual(1, self.commit(make_change(model.EMPTY_SNAPSHOT)))
-        self.assertEqual(1, platform.read_head(self.store))
+        self.assertEqual(1, storage.read_head(self.store))
         self.assertEqual(1, self.state.requests["TransactWriteItems"])
 
     def test_lost_request_is_refused_for_good(self):
@@ -94,7 +94,7 @@
         self.assertIn("nothing was written", str(caught.exception))
         status, _ = self.late[0].carry_out()
         self.assertEqual(400, status)
-        self.assertEqual(0, platform.read_head(self.store))
+        self.assertEqual(0, storage.read_head(self.store))
         with self.assertRaises(errors.ChangeConflict) as caught:
             self.commit(change)
         self.assertIn("new request identifier", str(caught.exception))
@@ -125,7 +125,7 @@
         with self.assertRaises(errors.PlatformOutcomeUnknown) as caught:
             self.commit(make_change(model.EMPTY_SNAPSHOT))
         self.assertIn("request ilze-1", str(caught.exception))
-        self.assertEqual(1, platform.read_head(self.store))
+        self.assertEqual(1, storage.read_head(self.store))
 
     def test_table_down_while_the_request_is_marked(self):
         """Guards against a refusal that is not final."""
@@ -160,7 +160,7 @@
         first = make_change(model.EMPTY_SNAPSHOT, request="x" * 40 + "1")
         self.commit(first)
         self.commit(make_change(first.after, request="x" * 40 + "2"))
-        self.assertEqual(2, platform.read_head(self.store))
+        self.assertEqual(2, storage.read_head(self.store))
 
     def test_throttled_commit_is_sent_again(self):
         """Guards against an operator's change lost to a busy second."""
@@ -178,15 +178,15 @@
 
     def test_lost_lease(self):
         """Guards against a paused holder that changes the configuration."""
-        fence = platform.Fence(
-            key=platform.table.Key(pk="lease", sk="portal"),
+        fence = storage.Fence(
+            key=storage.table.Key(pk="lease", sk="portal"),
             holder="n1",
             number=1,
         )
         change = make_change(model.EMPTY_SNAPSHOT)
         with self.assertRaises(errors.LeaseLost):
             self.commit(dataclasses.replace(change, fence=fence))
-        self.assertEqual(0, platform.read_head(self.store))
+        self.assertEqual(0, storage.read_head(self.store))
 
 
 class SnapshotTest(_Case):
@@ -194,18 +194,18 @@
         """Guards against commits that wait for the object store."""
         self.state.faults = standin.Faults(objects_down=True)
         last = self.commit_until(17)
-        self.assertEqual(17, platform.read_head(self.store))
-        self.assertEqual(last, platform.read_snapshot(self.store, 17))
+        self.assertEqual(17, storage.read_head(self.store))
+        self.assertEqual(last, storage.read_snapshot(self.store, 17))
         self.state.faults = standin.Faults()
         self.commit(make_change(last))
-        item = platform.table.get(self.store.table, stores.SNAPSHOT)
+        item = storage.table.get(self.store.table, stores.SNAPSHOT)
         self.assertEqual(18, item.attributes["version"])
 
     def test_rebuilt_from_object_and_deltas(self):
         """Guards against a restart that reads every delta ever made."""
         last = self.commit_until(18)
         before = self.state.requests["Query"]
-        self.assertEqual(last, platform.read_snapshot(self.store, 18))
+        self.assertEqual(last, storage.read_snapshot(self.store, 18))
         self.assertEqual(before + 1, self.state.requests["Query"])
         self.assertEqual(1, self.state.requests["object GET"])
 
@@ -228,7 +228,7 @@
             if body is None:
                 del self.state.objects[name]
             with self.assertLogs(stores.LOG, "ERROR"):
-                found = platform.read_snapshot(self.store, 17)
+                found = storage.read_snapshot(self.store, 17)
             self.assertEqual(last, found)
 
     def test_unreachable_object_store(self):
@@ -236,8 +236,8 @@
         self.commit_until(17)
         self.state.faults = standin.Faults(objects_down=True)
         with self.assertRaises(errors.PlatformUnavailable):
-            platform.read_snapshot(self.store, 17)
-        head, deltas, _ = platform.read_newer(self.store, 10)
+            storage.read_snapshot(self.store, 17)
+        head, deltas, _ = storage.read_newer(self.store, 10)
         self.assertEqual((17, 7), (head, len(deltas)))
 
     def test_damaged_records_have_a_type(self):
@@ -256,8 +256,8 @@
             if damaged is None:
                 del rows["000000000002"]
             with self.assertRaises(errors.PlatformDataDamaged):
-                platform.read_newer(self.store, 0)
+                storage.read_newer(self.store, 0)
         config_rows = self.state.tables.items["apricotpost"]["config"]
         del config_rows["head"]["version"]
         with self.assertRaises(errors.PlatformDataDamaged):
-            platform.read_head(self.store)
+            storage.read_head(self.store)
--- a/tests/platform/test_http.py
+++ b/tests/storage/test_http.py
@@ -7,7 +7,7 @@
 import unittest
 
 from apricotpost import errors
-from apricotpost.platform import http
+from apricotpost.storage import http
 
 __all__ = ["ExchangeTest"]
 
--- a/tests/platform/test_leases.py
+++ b/tests/storage/test_leases.py
@@ -3,9 +3,9 @@
 import unittest
 
 from apricotpost import errors
-from apricotpost.platform import leases
+from apricotpost.storage import leases
 from standins import platform as standin
-from tests.platform import local
+from tests.storage import local
 
 __all__ = ["LeaseTest"]
 
--- a/tests/platform/test_signing.py
+++ b/tests/storage/test_signing.py
@@ -3,9 +3,9 @@
 import unittest
 
 from apricotpost import errors
-from apricotpost import platform
-from apricotpost.platform import signing
-from apricotpost.platform import table
+from apricotpost import storage
+from apricotpost.storage import signing
+from apricotpost.storage import table
 from standins import platform as standin
 
 __all__ = ["SigningTest"]
@@ -50,26 +50,26 @@
         with standin.serve(app, host="127.0.0.1", port=0, threads=2) as port:
             right = self.open(port, secret)
             self.assertIsNone(table.get(right.table, table.Key(pk="p", sk="")))
-            name = platform.objects.put_object(
+            name = storage.objects.put_object(
                 right.objects, b"body", prefix="outcomes/"
             )
             self.assertEqual(
-                b"body", platform.objects.get_object(right.objects, name)
+                b"body", storage.objects.get_object(right.objects, name)
             )
             wrong = self.open(port, "another-secret")
             with self.assertRaises(errors.PlatformUnavailable):
                 table.get(wrong.table, table.Key(pk="p", sk=""))
             with self.assertRaises(errors.PlatformUnavailable):
-                platform.objects.put_object(wrong.objects, b"body")
+                storage.objects.put_object(wrong.objects, b"body")
 
     def open(self, port, secret):
-        credentials = platform.read_credentials(
+        credentials = storage.read_credentials(
             region="lv-riga",
             access_key_variable="KEY",
             secret_key_variable="SECRET",
             environment={"KEY": "AK1", "SECRET": secret},
         )
-        store = platform.open_store(
+        store = storage.open_store(
             table_url=f"http://127.0.0.1:{port}",
             object_url=f"http://127.0.0.1:{port}",
             table_name="apricotpost",
@@ -83,7 +83,7 @@
     def test_missing_variable_is_named(self):
         """Guards against a node that starts without its credentials."""
         with self.assertRaises(errors.SettingsInvalid) as caught:
-            platform.read_credentials(
+            storage.read_credentials(
                 region="lv-riga",
                 access_key_variable="KEY",
                 secret_key_variable="SECRET",
--- a/tests/platform/test_table.py
+++ b/tests/storage/test_table.py
@@ -4,7 +4,7 @@
 import unittest
 
 from apricotpost import errors
-from apricotpost.platform import table
+from apricotpost.storage import table
 from standins import direct
 from standins import platform
 
