--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -169,7 +169,7 @@
         current = self.presence.current
         if current is None:
             return ()
-        trial = self.read_view().trials.get(current.service)
+        trial = self.read_view().service_trials.get(current.service)
         if trial is None or trial.phase in trials.FINAL:
             return ()
         return tuple(
@@ -231,7 +231,7 @@
         view = self.read_view()
         if self.settings.data_centre in view.evacuated:
             return wire.NotRunReason.DATA_CENTRE_OUT
-        trial = view.trials.get(service)
+        trial = view.service_trials.get(service)
         if (
             trial is not None
             and trial.phase is trials.Phase.ROLLED_BACK
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -88,7 +88,7 @@
             await asyncio.sleep(TICK_SECONDS)
             for service in tuple(self.source.view.rollouts):
                 self.begin(service)
-            for trial in tuple(self.source.view.trials.values()):
+            for trial in tuple(self.source.view.service_trials.values()):
                 await self.attend(trial)
 
     async def read_rows(self) -> None:
@@ -127,7 +127,7 @@
     def begin(self, service: str) -> None:
         """Start the trial of an order that is not known yet."""
         revision, order = self.source.view.rollouts[service]
-        known = self.source.view.trials.get(service)
+        known = self.source.view.service_trials.get(service)
         if known is not None and known.order >= revision:
             return
         seen = self.servers.versions.get(service, [])
@@ -167,7 +167,7 @@
         """Take the evidence of a node."""
         if state.server is None or not state.counts:
             return
-        trial = self.source.view.trials.get(state.server.service)
+        trial = self.source.view.service_trials.get(state.server.service)
         judge = self.judges.get(state.server.service)
         if trial is not None and judge is not None:
             trials.observe(judge, state, trial)
@@ -175,7 +175,7 @@
     def take_notice(self, notice: wire.TrialNotice) -> None:
         """Take the state of a trial that another node has found."""
         phase = trials.Phase(notice.phase)
-        known = self.source.view.trials.get(notice.service)
+        known = self.source.view.service_trials.get(notice.service)
         if known is not None:
             if known.order > notice.order or known.phase is phase:
                 return
@@ -204,7 +204,7 @@
 
     def greet(self, name: str) -> None:
         """Tell a node that has just become connected of all trials."""
-        for trial in self.source.view.trials.values():
+        for trial in self.source.view.service_trials.values():
             self.tell(trial, name)
 
     def tell(self, trial: trials.Trial, name: str) -> None:
--- a/apricotpost/sidecar/roster.py
+++ b/apricotpost/sidecar/roster.py
@@ -118,7 +118,7 @@
             and self.is_reachable(entry.node)
         ]
         present = {entry.server.version for entry in usable}
-        if len(present) > 1 or service in view.trials:
+        if len(present) > 1 or service in view.service_trials:
             order = [v for v in self.versions[service] if v in present]
             allowed = views.choose_version(view, service, order, turn)
             usable = [e for e in usable if e.server.version in allowed]
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -38,7 +38,7 @@
         Data centres that get no requests.
     rollouts : mapping
         Revision and order of each service's rollout.
-    trials : mapping
+    service_trials : mapping
         Where the rollout of each service stands.
     """
 
@@ -52,7 +52,7 @@
     rollouts: Mapping[str, tuple[int, model.RolloutOrder]] = dataclasses.field(
         default_factory=dict
     )
-    trials: Mapping[str, trials.Trial] = dataclasses.field(
+    service_trials: Mapping[str, trials.Trial] = dataclasses.field(
         default_factory=dict
     )
 
@@ -79,7 +79,7 @@
 def with_trial(view: TrafficView, trial: trials.Trial) -> TrafficView:
     """Return the view with a service's trial replaced."""
     return dataclasses.replace(
-        view, trials={**view.trials, trial.service: trial}
+        view, service_trials={**view.service_trials, trial.service: trial}
     )
 
 
@@ -102,7 +102,7 @@
         those below its share.
     """
     known = tuple(versions)
-    trial = view.trials.get(service)
+    trial = view.service_trials.get(service)
     if trial is None:
         # A version without an order waits for its order to be seen.
         return frozenset(known[:1])
