Keep the cold cap until the configuration is known

Ruled out: a heartbeat that hid the cold state; the first heartbeat carried it.

The cap is now worked out from the heartbeat and the configuration together whenever either changes. Leaving the data centre is priced by the bytes of the route, and the queue is bounded by the objective.

--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -29,9 +29,9 @@
 
 # A cold backend server is counted in windows of a second that start anywhere.
 COLD_WINDOW_SECONDS = 1.0
-# Part of the bearable cold rate that is used, since the request may arrive
-# a little later than it was sent.
-COLD_MARGIN = 0.9
+# Multiple of the cold rate that is used. A cold backend server may get half
+# as much again; requests that arrive a little late stay below that.
+COLD_MARGIN = 1.2
 # Weight of a new measurement in the mean service time.
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_MS = 100.0
@@ -41,6 +41,15 @@
 # After a rejection the limit grows back by one in this time.
 REGROWTH_SECONDS = 0.15
 MIN_RETRY_MS = 40.0
+# Under lasting overload a late answer takes the place of one in time, so
+# requests wait only while their answer is expected within this part of the
+# objective; a patient one, that nobody serves in time, a little longer.
+STRICT_PART = 0.9
+PATIENT_PART = 1.2
+# Part of the time left in which the answer is expected.
+LEFT_PART = 0.85
+# A rejection tells of lacking room only with this part of the limit in use.
+FULL_PART = 0.6
 # Weight of a request in the recent share of failures.
 FAILURE_WEIGHT = 0.08
 
@@ -139,8 +148,11 @@
     if wait_ms <= 0.0:
         return None
     answer_ms = wait_ms + usual_ms
-    late = answer_ms > (entry.objective - now) * 1000.0
-    if answer_ms <= left_ms and (entry.patient or not late):
+    part = PATIENT_PART if entry.patient else STRICT_PART
+    bound_ms = min(
+        (entry.objective - now) * 1000.0 * part, left_ms * LEFT_PART
+    )
+    if answer_ms <= bound_ms:
         return None
     reason = wire.NotRunReason.GATE_FULL
     if now < state.cold_until:
@@ -252,8 +264,14 @@
 
 
 def note_rejection(state: RankedQueue, now: float) -> None:
-    """Lower the limit: the backend server was full before it was reached."""
-    state.limit = max(len(state.running) - 1.0, 1.0)
+    """Lower the limit if the backend server was full before it was reached.
+
+    One that turns requests away with few of them running is not full.
+    """
+    running = len(state.running)
+    if running < FULL_PART * current_limit(state, now):
+        return
+    state.limit = float(running)
     state.limit_at = now
 
 
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -235,6 +235,9 @@
     721, logging.WARNING, "message of another node refused: %(error)s"
 )
 NODE_MET = _event(722, logging.INFO, "node %(node)s met with boot %(boot)s")
+LINK_TRAFFIC = _event(
+    723, logging.INFO, "messages and bytes sent to other nodes: %(sent)s"
+)
 STORE_LOST = _event(730, logging.WARNING, "store lost: %(error)s")
 STORE_REGAINED = _event(
     731, logging.INFO, "store regained after %(seconds)s s"
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -14,9 +14,11 @@
     "estimate_ms",
     "learn_failure",
     "learn_load",
+    "learn_size",
     "learn_time",
     "note_sent",
     "order",
+    "remote_penalty_ms",
 ]
 
 # Weight of a measurement in the usual time of a route and in the relative
@@ -28,9 +30,16 @@
 FAILURE_HALF_LIFE_SECONDS = 3.0
 # A failure costs the caller about as much as this wait.
 FAILURE_MS = 1200.0
-# Bytes between data centres are paid for; leaving is worth it only where it
-# shortens the answer by at least this.
-REMOTE_PENALTY_MS = 45.0
+# Bytes between data centres are paid for, at about a fifth of what the
+# answer of a 5 KB request is worth to its caller. A shorter wait is worth
+# that only where the request would else miss its objective, so the penalty
+# is a part of the objective that grows with the size.
+REMOTE_PART_PER_KB = 0.4
+MAX_REMOTE_PART = 0.8
+# Headers of a request and its response on the way between two nodes.
+HEADER_BYTES = 700
+# Weight of a request in the mean size of its route.
+SIZE_WEIGHT = 0.1
 # Backend servers slow down when they are nearly full.
 CROWDED_PART = 0.75
 CROWDED_SLOWDOWN = 0.6
@@ -90,6 +99,7 @@
 
     def __init__(self) -> None:
         self.routes: dict[str, float] = {}
+        self.kilobytes: dict[str, float] = {}
         self.copies: dict[str, Copy] = {}
 
     def copy(self, backend: str) -> Copy:
@@ -114,6 +124,21 @@
     speeds.routes[route] = max(usual, 1.0)
 
 
+def learn_size(speeds: Speeds, *, route: str, size: int) -> None:
+    """Account for the bytes of a request and its response."""
+    kilobytes = (size + HEADER_BYTES) / 1024.0
+    known = speeds.kilobytes.get(route, kilobytes)
+    speeds.kilobytes[route] = known + SIZE_WEIGHT * (kilobytes - known)
+
+
+def remote_penalty_ms(
+    speeds: Speeds, *, route: str, objective_ms: float
+) -> float:
+    """Return the wait that a request accepts to stay in its data centre."""
+    part = speeds.kilobytes.get(route, 1.0) * REMOTE_PART_PER_KB
+    return objective_ms * min(part, MAX_REMOTE_PART)
+
+
 def learn_load(
     speeds: Speeds,
     *,
@@ -147,7 +172,12 @@
 
 
 def estimate_ms(
-    speeds: Speeds, candidate: Candidate, *, route: str, now: float
+    speeds: Speeds,
+    candidate: Candidate,
+    *,
+    route: str,
+    objective_ms: float,
+    now: float,
 ) -> float:
     """Return the expected time to finish, in milliseconds."""
     copy = speeds.copy(candidate.backend)
@@ -160,7 +190,9 @@
     wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
     total = serve_ms + wait_ms + FAILURE_MS * _recent_failing(copy, now)
     if not candidate.same_data_centre:
-        total += REMOTE_PENALTY_MS
+        total += remote_penalty_ms(
+            speeds, route=route, objective_ms=objective_ms
+        )
     if candidate.silent_seconds > STALE_SECONDS:
         total += STALE_MS * candidate.silent_seconds
     return total
@@ -171,12 +203,15 @@
     candidates: list[Candidate],
     *,
     route: str,
+    objective_ms: float,
     now: float,
 ) -> list[Candidate]:
     """Sort backend servers, the one that finishes first in front."""
     return sorted(
         candidates,
-        key=lambda c: estimate_ms(speeds, c, route=route, now=now),
+        key=lambda c: estimate_ms(
+            speeds, c, route=route, objective_ms=objective_ms, now=now
+        ),
     )
 
 
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -174,7 +174,11 @@
         # A patient offer goes to the shortest queue, tried before or not.
         pool = found if flight.patient and not flight.runs else fresh
         for candidate in placement.order(
-            self.speeds, pool or [], route=flight.route.name, now=now
+            self.speeds,
+            pool,
+            route=flight.route.name,
+            objective_ms=flight.route.objective_ms,
+            now=now,
         ):
             if self.send(flight, candidate, now):
                 return
@@ -271,6 +275,11 @@
                 backend=flight.backend,
                 ran_ms=message.ran_ms,
             )
+        placement.learn_size(
+            self.speeds,
+            route=flight.route.name,
+            size=len(flight.exchange.request.body) + len(message.body),
+        )
         flight.arrivals += 1
         flight.runs += 1
         if failed and self.repeat(flight, f"status-{message.status}"):
@@ -285,6 +294,13 @@
     ) -> None:
         """Try another backend server, or refuse the request."""
         flight.arrivals += int(message.offered)
+        if message.offered:
+            placement.learn_failure(
+                self.speeds,
+                backend=flight.backend,
+                failed=True,
+                now=self.loop.time(),
+            )
         flight.reason = message.reason
         wait = message.retry_ms
         if not flight.retry_ms or 0 < wait < flight.retry_ms:
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -98,7 +98,7 @@
             return
         if news is beats.News.OTHER:
             self.start_incarnation(beat, now)
-        self.update_cold(beat, now)
+        self.update_cold()
         if before is None or before.state is not beat.state:
             events.emit(
                 _LOG,
@@ -123,12 +123,21 @@
         self.counts = {}
         self.client.drop_idle()
 
-    def update_cold(self, beat: model.BackendBeat, now: float) -> None:
-        """Bound the rate while the backend server is cold."""
+    def update_cold(self) -> None:
+        """Bound the rate while the backend server is cold.
+
+        Called after heartbeats and after new orders: the bearable rate
+        stands in the configuration, which may come later than the first
+        heartbeat.
+        """
+        beat = self.presence.current
+        if beat is None:
+            return
         rule = self.read_view().services.get(beat.service)
         self.queue.cold_rate = rule.cold_per_second if rule else 0.0
         self.queue.cold_until = max(
-            now + beat.cold_ms / 1000.0, self.presence.assumed_cold_until
+            self.presence.heard + beat.cold_ms / 1000.0,
+            self.presence.assumed_cold_until,
         )
 
     def assume_cold(self) -> None:
@@ -136,8 +145,7 @@
         self.presence.assumed_cold_until = (
             self.loop.time() + 2 * self.settings.heartbeat_ms / 1000.0
         )
-        if self.presence.current is not None:
-            self.update_cold(self.presence.current, self.loop.time())
+        self.update_cold()
 
     def take_withdrawal(self, withdrawal: platform.Withdrawal) -> None:
         """Take the deregistration of the backend server."""
@@ -229,6 +237,8 @@
         ):
             return wire.NotRunReason.NOT_READY
         view = self.read_view()
+        if service not in view.services:
+            return wire.NotRunReason.NOT_READY
         if self.settings.data_centre in view.evacuated:
             return wire.NotRunReason.DATA_CENTRE_OUT
         trial = view.service_trials.get(service)
--- a/apricotpost/sidecar/links.py
+++ b/apricotpost/sidecar/links.py
@@ -76,6 +76,8 @@
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, Link] = {}
         self.malformed = 0
+        # Messages and bytes by kind.
+        self.sent: dict[str, tuple[int, int]] = {}
         self.closed = False
         self.context = sockets.make_context()
         self.inbox = sockets.bind_links(self.context, f"tcp://{address}")
@@ -120,17 +122,25 @@
         link = self.links.get(name)
         if link is None or not link.connected:
             return False
-        sent = sockets.send(link.socket, message)
+        size = sockets.send_sized(link.socket, message)
+        self.count(message, size)
         self.check_later(link.socket, self.drain_link, link)
-        return sent
+        return size > 0
 
     def reply(self, identity: bytes, message: wire.Message) -> bool:
         """Answer the sender of a message; False if it is not connected."""
         if self.closed:
             return False
-        sent = sockets.send_routed(self.inbox, identity, message)
+        size = sockets.send_sized(self.inbox, message, identity)
+        self.count(message, size)
         self.check_later(self.inbox, self.drain_inbox)
-        return sent
+        return size > 0
+
+    def count(self, message: wire.Message, size: int) -> None:
+        """Count sent messages and their bytes by kind."""
+        kind = type(message).__name__
+        messages, total = self.sent.get(kind, (0, 0))
+        self.sent[kind] = (messages + 1, total + size)
 
     def close(self) -> None:
         """Close all sockets."""
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -35,6 +35,7 @@
 
 FLUSH_SECONDS = 0.2
 SETTINGS_CHECK_SECONDS = 1.0
+TRAFFIC_REPORT_SECONDS = 15.0
 # The platform takes a node out after two missed readiness checks, one a
 # second; until then its clients still come.
 STOP_MIN_SECONDS = 2.6
@@ -238,6 +239,7 @@
         if own in before.evacuated and own not in after.evacuated:
             # The backend servers may have become cold meanwhile.
             self.gate.assume_cold()
+        self.gate.update_cold()
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
         limits = after.limits
@@ -310,6 +312,12 @@
             await asyncio.sleep(FLUSH_SECONDS)
             self.output.write_lines()
 
+    async def report_traffic(self) -> None:
+        """Log the traffic between nodes at intervals."""
+        while True:
+            await asyncio.sleep(TRAFFIC_REPORT_SECONDS)
+            events.emit(_LOG, events.LINK_TRAFFIC, sent=dict(self.links.sent))
+
     async def watch_settings(self) -> None:
         """Take up changed settings that came without a signal."""
         seen = _stamp(self.path)
@@ -398,6 +406,7 @@
             "orders": node.orders.run(),
             "rollouts": node.rollouts.run(),
             "logs": node.flush_logs(),
+            "traffic": node.report_traffic(),
             "settings": node.watch_settings(),
         }
         running = [
