Find a version that fails under load before it is completed

While all requests went to the new version, no slice held requests of both, and the sequential test has no evidence without both. A played version that fails half of its requests under load was completed. Ruled out: too high an alarm level; the level stayed at 0.

The service moves to 70 percent first, and the old version keeps the rest as its comparison; then it gets nothing for 0.8 s, so that its requests end, and the order is completed. Tests of the event-loop node with processes, and of its decisions, come with this.

--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -29,14 +29,18 @@
 
 # Part of the requests of a running trial; with the final test it stays below
 # a tenth of all requests of the order's time.
-TRIAL_SHARE = 0.06
+TRIAL_SHARE = 0.05
+# Part that shows a fault under load. The old version keeps the rest: without
+# its requests in the same slice of time there is nothing to compare with.
+MOVING_SHARE = 0.7
 # Parts of the order's time: when the service moves, and when a trial without
 # enough calls is given up.
 MOVE_PART = 0.6
 GIVE_UP_PART = 0.8
-# The old version's requests end, and the new one is seen under full load,
-# before the old one is stopped.
-MOVE_SECONDS = 1.3
+# Two slices of evidence under load.
+MOVE_SECONDS = 1.2
+# The old version's requests end before it is stopped.
+SETTLE_SECONDS = 0.8
 MIN_CALLS = 15
 # Evidence that is not yet an alarm but too much for a move.
 DOUBT = 2.5
@@ -54,6 +58,7 @@
 
     RUNNING = "running"
     MOVING = "moving"
+    SETTLING = "settling"
     COMPLETED = "completed"
     ROLLED_BACK = "rolled-back"
 
@@ -121,6 +126,8 @@
     """Return the part of new requests that the new version gets."""
     if trial.phase is Phase.RUNNING:
         return TRIAL_SHARE
+    if trial.phase is Phase.MOVING:
+        return MOVING_SHARE
     if trial.phase is Phase.ROLLED_BACK:
         return 0.0
     return 1.0
@@ -201,6 +208,10 @@
             return trial
         if level >= DOUBT:
             return _enter(trial, Phase.ROLLED_BACK, now, "doubt remains")
+        return _enter(trial, Phase.SETTLING, now, "")
+    if trial.phase is Phase.SETTLING:
+        if now - trial.since < SETTLE_SECONDS:
+            return trial
         return _enter(trial, Phase.COMPLETED, now, "")
     if elapsed >= trial.seconds * GIVE_UP_PART:
         reason = "too few calls" if new_calls < MIN_CALLS else "doubt remains"
--- a/apricotpost/sidecar/metrics.py
+++ b/apricotpost/sidecar/metrics.py
@@ -65,6 +65,11 @@
             "Requests that wait for the backend server.",
             registry=self.registry,
         )
+        self.servers = prometheus_client.Gauge(
+            "apricotpost_servers_known",
+            "Backend servers of the fleet that take requests.",
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Gauge(
             "apricotpost_orders_revision",
             "Store revision up to which all orders are held.",
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -291,6 +291,7 @@
         self.metrics.queued.set(len(self.gate.queue.queue))
         self.metrics.store_calls.set(self.store.calls)
         self.metrics.orders.set(self.orders.book.revision)
+        self.metrics.servers.set(sum(map(len, self.servers.services.values())))
         self.metrics.peers.set(
             sum(link.connected for link in self.links.links.values())
         )
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -31,6 +31,7 @@
 _STATUS = {
     trials.Phase.RUNNING: platform.TrialState.RUNNING,
     trials.Phase.MOVING: platform.TrialState.RUNNING,
+    trials.Phase.SETTLING: platform.TrialState.RUNNING,
     trials.Phase.COMPLETED: platform.TrialState.COMPLETED,
     trials.Phase.ROLLED_BACK: platform.TrialState.ROLLED_BACK,
 }
--- /dev/null
+++ b/standins/mesh.py
@@ -0,0 +1,500 @@
+"""Stand-ins around event-loop nodes: backend servers, clients, processes."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from apricotpost import http
+from standins import rows
+
+__all__ = ["Backend", "Caller", "Mesh", "NodeProcess", "make_config"]
+
+HEARTBEAT_SECONDS = 0.3
+START_SECONDS = 10.0
+
+
+def make_config(
+    version: int,
+    *,
+    routes: list[dict[str, object]],
+    services: tuple[str, ...] = ("portal",),
+) -> bytes:
+    """Return a configuration as operators write it."""
+    resources = [
+        {
+            "resource_type": "routes",
+            "metadata": {"name": f"r{i}"},
+            "spec": {
+                "host": "mesh.example",
+                "type": "safe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 500,
+                "priority": 1,
+                "max_attempts": 2,
+                **spec,
+            },
+        }
+        for i, spec in enumerate(routes)
+    ]
+    resources += [
+        {
+            "resource_type": "services",
+            "metadata": {"name": name},
+            "spec": {
+                "health_path": "/health",
+                "max_connections": 100,
+                "cold_start_s": 1.0,
+                "cold_per_s": 20.0,
+            },
+        }
+        for name in services
+    ]
+    return msgspec.json.encode({"version": version, "resources": resources})
+
+
+class Backend:
+    """A backend server that counts what it runs and can misbehave.
+
+    Parameters
+    ----------
+    identifier, service, version, host : str
+        Who and where it is.
+    """
+
+    def __init__(
+        self,
+        *,
+        identifier: str,
+        service: str = "portal",
+        version: str = "v1",
+        host: str = "127.0.0.1",
+    ) -> None:
+        self.identifier = identifier
+        self.service = service
+        self.version = version
+        self.host = host
+        self.slots = 8
+        self.state = "ready"
+        self.cold_ms = 0
+        self.work_seconds = 0.005
+        self.mode = "answer"
+        self.sequence = 0
+        self.born = time.time_ns() // 1_000_000
+        self.runs: list[str] = []
+        self.requests: list[http.Request] = []
+        self.at_once = 0
+        self.most_at_once = 0
+        self.cancelled = 0
+        self.front = http.Front(handler=self.handle, limits=http.Limits())
+        self.address = ""
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        """Listen on a free port."""
+        await self.front.listen(self.host, 0)
+        port = self.front.server.sockets[0].getsockname()[1]
+        self.address = f"{self.host}:{port}"
+
+    def close(self) -> None:
+        """Crash."""
+        for task in self.tasks:
+            task.cancel()
+        self.front.close()
+
+    def handle(self, exchange: http.Exchange) -> None:
+        """Run a request in a task of its own."""
+        task = asyncio.get_running_loop().create_task(self.run(exchange))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self, exchange: http.Exchange) -> None:
+        """Run a request as `mode` says."""
+        headers = {
+            k.lower().decode(): v.decode() for k, v in exchange.request.headers
+        }
+        identifier = headers.get("x-request-id", "")
+        if headers.get("x-expect-instance") != self.identifier:
+            exchange.respond(http.Response(status=421))
+            return
+        if self.mode == "shed":
+            not_run = ((b"X-Not-Executed", b"1"),)
+            exchange.respond(http.Response(status=503, headers=not_run))
+            return
+        self.runs.append(identifier)
+        self.requests.append(exchange.request)
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        gone = asyncio.Event()
+        exchange.on_gone = gone.set
+        try:
+            async with asyncio.timeout(self.work_seconds):
+                await gone.wait()
+            self.cancelled += 1
+            return
+        except TimeoutError:
+            pass
+        finally:
+            self.at_once -= 1
+        self.answer(exchange, identifier)
+
+    def answer(self, exchange: http.Exchange, identifier: str) -> None:
+        """Answer as `mode` says."""
+        if self.mode == "reset":
+            exchange.connection.transport.abort()
+            return
+        if self.mode == "cut":
+            exchange.connection.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+                b"X-Response-Seal: s\r\nX-Request-Id: "
+                + identifier.encode()
+                + b"\r\n\r\nhalf"
+            )
+            exchange.connection.close()
+            return
+        if self.mode == "wrong":
+            identifier = "another"
+        exchange.respond(
+            http.Response(
+                status=500 if self.mode == "fail" else 200,
+                headers=(
+                    (b"X-Request-Id", identifier.encode()),
+                    (b"X-Response-Seal", b"seal-" + identifier.encode()),
+                ),
+                body=b"body of " + exchange.request.target,
+            )
+        )
+
+    def beat(self) -> bytes:
+        """Return the body of the next heartbeat."""
+        self.sequence += 1
+        return msgspec.json.encode(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": "dc-a",
+                "version": self.version,
+                "slots": self.slots,
+                "state": self.state,
+                "cold_remaining_ms": self.cold_ms,
+                "seq": self.sequence,
+                "born": self.born,
+            }
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """Addresses of a node."""
+
+    callers: str
+    readiness: str
+    announcements: str
+    links: str
+    metrics: str
+
+
+class NodeProcess:
+    """A node as a process of its own, with the backend server beside it.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Who and where it is.
+    folder : pathlib.Path
+        Where its settings and its log are kept.
+    backend : Backend
+        Its backend server.
+    store : str
+        Address of the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        folder: pathlib.Path,
+        backend: Backend,
+        store: str,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.backend = backend
+        self.store = store
+        self.path = folder / f"{name}.jsonc"
+        self.log = folder / f"{name}.log"
+        self.ports = Ports(
+            **{f.name: _free_address() for f in dataclasses.fields(Ports)}
+        )
+        self.process: subprocess.Popen[bytes] | None = None
+        self.write_settings()
+
+    def write_settings(self, **changes: object) -> None:
+        """Write the settings file."""
+        content = {
+            "instance": self.name,
+            "data_centre": self.data_centre,
+            "region": "r",
+            "data_centres": {"dc-a": "r", "dc-b": "r"},
+            "addresses": dataclasses.asdict(self.ports),
+            "backend_address": self.backend.address,
+            "service": self.backend.service,
+            "heartbeat_ms": HEARTBEAT_SECONDS * 1000,
+            "memory_mb": 300,
+            "store": {"address": self.store},
+            "bounds": {
+                "drain_ms": 2000,
+                "grace_seconds": 6,
+                "retry_ratio": 0.2,
+                "retry_slack": 50,
+                "retry_window_seconds": 10,
+            },
+            **changes,
+        }
+        text = "// settings of a test\n" + json.dumps(content)
+        self.path.write_text(text, encoding="utf-8")
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "apricotpost.sidecar.main", self.path],
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def lines(self) -> list[dict[str, object]]:
+        """Return the log lines so far."""
+        text = self.log.read_text(encoding="utf-8")
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith("{") and line.endswith("}")
+        ]
+
+
+class Caller:
+    """A client of nodes."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.clients: dict[str, http.Client] = {}
+
+    async def call(
+        self,
+        address: str,
+        path: str = "/records/1",
+        *,
+        method: bytes = b"GET",
+        body: bytes = b"",
+        deadline_ms: int = 2000,
+        headers: http.Headers = (),
+    ) -> http.Result:
+        """Send one request and wait for its end."""
+        self.sent += 1
+        return await self.send(
+            address,
+            http.Request(
+                method=method,
+                target=path.encode(),
+                headers=(
+                    (b"Host", b"mesh.example"),
+                    (b"X-Request-Id", b"q%d" % self.sent),
+                    (b"X-Deadline-Ms", b"%d" % deadline_ms),
+                    *headers,
+                ),
+                body=body,
+            ),
+            timeout=deadline_ms / 1000 + 1.0,
+        )
+
+    async def send(
+        self, address: str, request: http.Request, *, timeout: float = 3.0
+    ) -> http.Result:
+        """Send any request and wait for its end."""
+        client = self.clients.get(address)
+        if client is None:
+            host, _, port = address.rpartition(":")
+            client = http.Client(host=host, port=int(port))
+            self.clients[address] = client
+        ended = asyncio.get_running_loop().create_future()
+        handle = client.send(request, ended.set_result, timeout=timeout)
+        try:
+            return await ended
+        except asyncio.CancelledError:
+            handle.cancel()
+            raise
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self.clients.values():
+            client.close()
+
+
+class Mesh:
+    """A store and some nodes with their backend servers.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings and logs.
+    """
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = rows.RowStore()
+        self.nodes: list[NodeProcess] = []
+        self.caller = Caller()
+        self.beats: asyncio.Task[None] | None = None
+
+    async def start(
+        self,
+        places: tuple[str, ...],
+        *,
+        services: tuple[str, ...] = (),
+        routes: list[dict[str, object]] | None = None,
+    ) -> None:
+        """Start one node for each data centre named, and wait for them."""
+        await self.store.listen()
+        routes = routes or [{"prefix": "/records/", "service": "portal"}]
+        named = tuple(dict.fromkeys(("portal", *services)))
+        config = make_config(1, routes=routes, services=named)
+        self.store.put("op", "config", config)
+        for index, place in enumerate(places):
+            service = services[index] if services else "portal"
+            await self.add(place, service=service)
+        self.beats = asyncio.get_running_loop().create_task(self.beat_all())
+        await self.wait_ready()
+
+    async def add(
+        self, place: str, *, service: str = "portal", version: str = "v1"
+    ) -> NodeProcess:
+        """Start one more node and backend server."""
+        index = len(self.nodes)
+        backend = Backend(
+            identifier=f"b{index}",
+            service=service,
+            version=version,
+            # A client that shares the address would count as its backend.
+            host=f"127.0.2.{index + 1}",
+        )
+        await backend.listen()
+        node = NodeProcess(
+            name=f"n{index}",
+            data_centre=place,
+            folder=self.folder,
+            backend=backend,
+            store=self.store.address,
+        )
+        node.start()
+        self.nodes.append(node)
+        return node
+
+    async def beat_all(self) -> None:
+        """Send the heartbeats of all backend servers."""
+        while True:
+            await asyncio.gather(*(self.beat(node) for node in self.nodes))
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def beat(self, node: NodeProcess) -> http.Result:
+        """Send one heartbeat."""
+        return await self.announce(
+            node, "Heartbeat", node.backend.identifier, node.backend.beat()
+        )
+
+    async def announce(
+        self, node: NodeProcess, call: str, identifier: str, body: bytes
+    ) -> http.Result:
+        """Send a call of a backend server to its node."""
+        return await self.caller.send(
+            node.ports.announcements,
+            http.Request(
+                method=b"POST",
+                target=f"/v1/Instances.{call}/{identifier}".encode(),
+                headers=((b"Host", b"node"),),
+                body=body,
+            ),
+            timeout=1.0,
+        )
+
+    async def wait_ready(self) -> None:
+        """Wait until every node serves a request of every other one."""
+        for node in self.nodes:
+            await self.wait_for(node, self.is_ready)
+
+    async def wait_for(self, node, check) -> None:
+        """Wait until a check of a node holds.
+
+        Raises
+        ------
+        TimeoutError
+            It does not hold in time.
+        """
+        async with asyncio.timeout(START_SECONDS):
+            while not await check(node):
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self, node: NodeProcess) -> bool:
+        """Tell whether a node is ready and knows all others."""
+        request = http.Request(
+            method=b"GET",
+            target=b"/v1/ready",
+            headers=((b"Host", b"node"),),
+        )
+        result = await self.caller.send(node.ports.readiness, request)
+        if result.response is None or result.response.status != 200:
+            return False
+        peers = await self.metric(node, "apricotpost_peers_connected")
+        servers = await self.metric(node, "apricotpost_servers_known")
+        return peers >= len(self.nodes) - 1 and servers >= len(self.nodes)
+
+    async def metric(self, node: NodeProcess, name: str) -> float:
+        """Return a metric of a node, summed over its labels."""
+        request = http.Request(
+            method=b"GET",
+            target=b"/metrics",
+            headers=((b"Host", b"node"),),
+        )
+        result = await self.caller.send(node.ports.metrics, request)
+        if result.response is None:
+            return 0.0
+        return sum(
+            float(line.split()[-1])
+            for line in result.response.body.decode().splitlines()
+            if line.split("{")[0].split(" ")[0] == name
+        )
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        if self.beats is not None:
+            self.beats.cancel()
+        for node in self.nodes:
+            node.kill()
+            node.backend.close()
+        self.caller.close()
+        self.store.close()
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- /dev/null
+++ b/tests/routing/test_placement.py
@@ -0,0 +1,105 @@
+"""Tests of the choice of a backend server by its time to finish."""
+
+import random
+import unittest
+
+from apricotpost.routing import placement
+
+__all__ = ["PlacementTest"]
+
+
+def make(name, *, near=True, silent=0.0):
+    return placement.Candidate(
+        node=name, backend=name, same_data_centre=near, silent_seconds=silent
+    )
+
+
+def choose(speeds, candidates, now=0.0):
+    found = placement.order(
+        speeds, candidates, route="r", objective_ms=500, now=now
+    )
+    return found[0].node
+
+
+def report(speeds, name, running, limit=12):
+    placement.learn_load(
+        speeds,
+        backend=name,
+        running=running,
+        queued=0,
+        limit=limit,
+        usual_ms=160.0,
+    )
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.speeds = placement.Speeds()
+        self.speeds.routes["r"] = 160.0
+
+    def test_prefers_the_faster_copy(self):
+        """Guards against slow copies that get as much as fast ones."""
+        for _ in range(50):
+            for name, ran_ms in (("slow", 256.0), ("fast", 112.0)):
+                placement.learn_time(
+                    self.speeds, route="r", backend=name, ran_ms=ran_ms
+                )
+        report(self.speeds, "slow", 4)
+        report(self.speeds, "fast", 4)
+        found = choose(self.speeds, [make("slow"), make("fast")])
+        self.assertEqual("fast", found)
+
+    def test_stays_in_the_data_centre_for_a_short_wait(self):
+        """Guards against bytes that are paid for without need."""
+        placement.learn_size(self.speeds, route="r", size=5000)
+        report(self.speeds, "near", 10)
+        report(self.speeds, "far", 0)
+        pair = [make("near"), make("far", near=False)]
+        self.assertEqual("near", choose(self.speeds, pair))
+
+    def test_leaves_the_data_centre_for_a_full_server(self):
+        """Guards against a queue while others are idle."""
+        placement.learn_size(self.speeds, route="r", size=5000)
+        report(self.speeds, "near", 60)
+        report(self.speeds, "far", 0)
+        pair = [make("near"), make("far", near=False)]
+        self.assertEqual("far", choose(self.speeds, pair))
+
+    def test_avoids_a_failing_copy_and_tries_it_again(self):
+        """Guards against a faulty copy that is chosen for its speed.
+
+        After some seconds without evidence it gets a request again.
+        """
+        for name in ("bad", "good"):
+            report(self.speeds, name, 2 if name == "good" else 0)
+        for _ in range(10):
+            placement.learn_failure(
+                self.speeds, backend="bad", failed=True, now=0.0
+            )
+        pair = [make("bad"), make("good")]
+        self.assertEqual("good", choose(self.speeds, pair))
+        self.assertEqual("bad", choose(self.speeds, pair, now=60.0))
+
+    def test_avoids_a_silent_node(self):
+        """Guards against requests to a node that was cut off or froze."""
+        pair = [make("silent", silent=2.5), make("heard")]
+        report(self.speeds, "silent", 0)
+        report(self.speeds, "heard", 6)
+        self.assertEqual("heard", choose(self.speeds, pair))
+
+    def test_load_is_spread_between_reports(self):
+        """Guards against all requests to one copy until its next report.
+
+        Load: 24 requests between two reports, two copies with 12 slots.
+        """
+        draws = random.Random(1)
+        pair = [make("a"), make("b")]
+        draws.shuffle(pair)
+        for name in ("a", "b"):
+            report(self.speeds, name, 0)
+        counts = {"a": 0, "b": 0}
+        for _ in range(24):
+            name = choose(self.speeds, pair)
+            placement.note_sent(self.speeds, name)
+            counts[name] += 1
+        self.assertEqual({"a": 12, "b": 12}, counts)
--- /dev/null
+++ b/tests/sidecar/builders.py
@@ -0,0 +1,54 @@
+"""Values for tests of the event-loop node."""
+
+from apricotpost import model
+from apricotpost import wire
+
+__all__ = ["make_beat", "make_load", "make_server", "make_state"]
+
+
+def make_load(**changes):
+    values = {"running": 0, "queued": 0, "limit": 8, "usual_ms": 100.0}
+    return wire.ServerLoad(**{**values, **changes})
+
+
+def make_server(**changes):
+    values = {
+        "backend": "b",
+        "service": "portal",
+        "version": "v1",
+        "ready": True,
+        "cold": False,
+        "load": make_load(),
+    }
+    return wire.ServerState(**{**values, **changes})
+
+
+def make_state(**changes):
+    values = {
+        "node": "a",
+        "data_centre": "dc-a",
+        "address": "127.0.0.1:1",
+        "boot": 1,
+        "sequence": 1,
+        "leaving": False,
+        "store": True,
+        "orders": 0,
+        "server": None,
+    }
+    return wire.NodeState(**{**values, **changes})
+
+
+def make_beat(**changes):
+    values = {
+        "backend": "b",
+        "born": 1000,
+        "sequence": 1,
+        "service": "portal",
+        "version": "v1",
+        "data_centre": "dc-a",
+        "address": "127.0.0.1:1",
+        "slots": 8,
+        "state": model.BackendState.READY,
+        "cold_ms": 0,
+    }
+    return model.BackendBeat(**{**values, **changes})
