Take no kept connection that is closing

A kept connection that had received bytes nobody asked for was aborted, and was still handed to the next request until the loop reported its end. That request was lost. Ruled out: a second response in the same bytes, which was closed properly. A connection that is closing now carries no request.

--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -158,7 +158,7 @@
         while self.idle:
             connection = self.idle[-1]
             age = now - connection.idle_since
-            if connection.transport is None or age > connection.keep_seconds:
+            if not connection.is_open() or age > connection.keep_seconds:
                 self.idle.pop()
                 connection.abort()
                 continue
@@ -231,11 +231,15 @@
         self.head = request.method == b"HEAD"
         self.parser = httptools.HttpResponseParser(self)
         self.reset_message()
-        if self.transport is None:
+        if not self.is_open():
             self.fail(Failure.CONNECTION_LOST)
             return
         self.transport.write(messages.encode_request(request))
 
+    def is_open(self) -> bool:
+        """Tell whether the connection can carry a request."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -310,7 +314,7 @@
 
     def keep(self, headers: messages.Headers) -> None:
         """Keep the connection for later requests where that is safe."""
-        if self.transport is None:
+        if not self.is_open():
             return
         if (
             self.extra
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,138 @@
+"""Tests of the HTTP front with raw bytes over loopback."""
+
+import asyncio
+import unittest
+
+from apricotpost import http
+
+__all__ = ["FrontTest"]
+
+HEAD = b"Host: h\r\n"
+
+
+class FrontTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **limits):
+        self.exchanges = []
+        self.gone = []
+        self.answer = True
+        self.front = http.Front(
+            handler=self.handle, limits=http.Limits(**limits)
+        )
+        await self.front.listen("127.0.0.1", 0)
+        self.addCleanup(self.front.close)
+        port = self.front.server.sockets[0].getsockname()[1]
+        reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.reader = reader
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+        exchange.on_gone = lambda: self.gone.append(exchange)
+        if self.answer:
+            exchange.respond(
+                http.Response(status=200, body=exchange.request.body)
+            )
+
+    async def talk(self, data, *, until_close=True):
+        self.writer.write(data)
+        async with asyncio.timeout(3):
+            if until_close:
+                return await self.reader.read()
+            return await self.reader.readuntil(b"\r\n\r\n")
+
+    async def test_answers_pipelined_requests_in_order(self):
+        """Guards against answers that belong to another request."""
+        await self.start()
+        self.answer = False
+        self.writer.write(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
+        self.writer.write(
+            b"GET /2 HTTP/1.1\r\n" + HEAD + b"Connection: close\r\n\r\n"
+        )
+        async with asyncio.timeout(3):
+            while len(self.exchanges) < 2:
+                await asyncio.sleep(0.01)
+        for index in (1, 0):
+            body = self.exchanges[index].request.target
+            self.exchanges[index].respond(http.Response(status=200, body=body))
+        data = await self.reader.read()
+        self.assertLess(data.index(b"/1"), data.index(b"/2"))
+        self.assertIn(b"Connection: close", data)
+
+    async def test_takes_chunked_bodies(self):
+        """Guards against bodies without a length."""
+        await self.start()
+        data = await self.talk(
+            b"POST / HTTP/1.1\r\n" + HEAD + b"Connection: close\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde"
+            b"\r\n0\r\n\r\n"
+        )
+        self.assertTrue(data.endswith(b"\r\n\r\nabcde"))
+
+    async def test_refuses_ambiguous_requests(self):
+        """Guards against requests that are smuggled inside others."""
+        cases = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n",
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+            b"Content-Length: 5\r\n\r\nabcde",
+            b"GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"nonsense\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n",
+        )
+        for case in cases:
+            await self.start()
+            data = await self.talk(case)
+            self.assertTrue(data.startswith(b"HTTP/1.1 400"), case)
+            self.assertEqual([], self.exchanges, case)
+
+    async def test_bounds_heads_and_bodies(self):
+        """Guards against clients that send without end."""
+        await self.start(header_bytes=200, body_bytes=10)
+        data = await self.talk(
+            b"GET / HTTP/1.1\r\n" + HEAD + b"A: " + b"a" * 300 + b"\r\n\r\n"
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 431"))
+        await self.start(header_bytes=200, body_bytes=10)
+        data = await self.talk(
+            b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 11\r\n\r\n"
+            b"aaaaaaaaaaa"
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 413"))
+
+    async def test_ends_late_heads_and_idle_connections(self):
+        """Guards against connections that are held for nothing."""
+        await self.start(header_seconds=0.5, idle_seconds=0.5)
+        data = await self.talk(b"GET / HTTP/1.1\r\nHos")
+        self.assertTrue(data.startswith(b"HTTP/1.1 408"))
+        await self.start(header_seconds=0.5, idle_seconds=0.5)
+        self.assertEqual(b"", await self.talk(b""))
+
+    async def test_tells_that_a_client_has_hung_up(self):
+        """Guards against work for callers that are gone."""
+        await self.start()
+        self.answer = False
+        self.writer.write(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
+        async with asyncio.timeout(3):
+            while not self.exchanges:
+                await asyncio.sleep(0.01)
+            self.writer.close()
+            while not self.gone:
+                await asyncio.sleep(0.01)
+
+    async def test_closing_front_ends_connections_after_their_answer(self):
+        """Guards against requests that cross a close."""
+        await self.start()
+        self.front.start_closing()
+        data = await self.talk(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
+        self.assertIn(b"HTTP/1.1 200", data)
+        self.assertIn(b"Connection: close", data)
+
+    async def test_expected_continue_is_sent(self):
+        """Guards against clients that wait to send their body."""
+        await self.start()
+        data = await self.talk(
+            b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n",
+            until_close=False,
+        )
+        self.assertTrue(data.startswith(b"HTTP/1.1 100"))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,69 @@
+"""Tests of the client of the store against a failing stand-in."""
+
+import unittest
+
+from apricotpost import errors
+from apricotpost import http
+from apricotpost import platform
+from standins import rows
+
+__all__ = ["StoreTest"]
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.standin = rows.RowStore()
+        await self.standin.listen()
+        self.addCleanup(self.standin.close)
+        host, _, port = self.standin.address.rpartition(":")
+        client = http.Client(host=host, port=int(port))
+        self.addCleanup(client.close)
+        self.store = platform.Store(client=client, host=host)
+
+    async def test_reads_every_page(self):
+        """Guards against rows beyond the first page that are lost."""
+        for index in range(rows.MAX_ROWS + 20):
+            self.standin.put("t", f"k{index:04}", b"v")
+        page = await self.store.read("t")
+        self.assertEqual(rows.MAX_ROWS + 20, len(page.rows))
+
+    async def test_conditions_hold(self):
+        """Guards against two writers that both succeed."""
+        change = platform.Change(
+            expected=(("t", "k", 0),), put=(("t", "k", b"v"),)
+        )
+        await self.store.write(change)
+        with self.assertRaises(errors.TransactionRejected):
+            await self.store.write(change)
+
+    async def test_watch_sees_changes_and_removals(self):
+        """Guards against removed rows that stay."""
+        self.standin.put("t", "k", b"v")
+        self.standin.remove("t", "k")
+        page = await self.store.watch("t", 0, 0.1)
+        self.assertEqual([False, True], [row.removed for row in page.rows])
+        page = await self.store.watch("t", page.revision, 0.1)
+        self.assertEqual((), page.rows)
+
+    async def test_failures_have_types(self):
+        """Guards against failures that look like an empty answer."""
+        for status, kind in (
+            (503, errors.PlatformUnavailable),
+            (429, errors.PlatformThrottled),
+        ):
+            self.standin.conditions = rows.Conditions(status=status)
+            with self.assertRaises(kind):
+                await self.store.read("t")
+        self.standin.conditions = rows.Conditions(lose_answers=True)
+        with self.assertRaises(errors.PlatformOutcomeUnknown):
+            await self.store.write(platform.Change(put=(("t", "k", b"v"),)))
+        self.standin.conditions = rows.Conditions()
+        self.standin.drop_history()
+        with self.assertRaises(errors.HistoryLost):
+            await self.store.watch("t", 0, 0.1)
+
+    async def test_silent_watch_ends(self):
+        """Guards against a watch on a connection that went silent."""
+        self.standin.conditions = rows.Conditions(silent=True)
+        with self.assertRaises(errors.PlatformOutcomeUnknown):
+            await self.store.watch("t", 0, 0.1)
