Read the trials of a rollout before its order; bound buffered bodies

A node that started after a bad version was rolled back began the trial anew until it had read the row of the trial, and gave the bad version its share again. Trials are read before the orders, and carry their elapsed time.

States of other data centres come every 1.5 s, but their servers counted as silent after 1.3 s; the bounds now differ. Request bodies of all connections are bounded by the memory of the settings.

--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -33,12 +33,15 @@
         Longest time for a request head.
     idle_seconds : float
         Longest time without a request.
+    buffered_bytes : int
+        Bodies of all requests that are held at the same time.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 64 * 1024 * 1024
     header_seconds: float = 3.0
     idle_seconds: float = 15.0
+    buffered_bytes: int = 128 * 1024 * 1024
 
 
 class Exchange:
@@ -87,6 +90,7 @@
         if self.output is not None:
             return
         self.on_gone = None
+        self.connection.front.buffered -= len(self.request.body)
         if close or self.connection.front.closing:
             self.keep_alive = False
         self.output = messages.encode_response(
@@ -113,6 +117,7 @@
         self.limits = limits
         self.connections: set[Connection] = set()
         self.closing = False
+        self.buffered = 0
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -187,7 +192,10 @@
         if self.timer is not None:
             self.timer.cancel()
         self.transport = None
+        self.front.buffered -= self.body_bytes
         for exchange in self.exchanges:
+            if exchange.output is None:
+                self.front.buffered -= len(exchange.request.body)
             if exchange.on_gone is not None:
                 exchange.on_gone()
                 exchange.on_gone = None
@@ -308,11 +316,14 @@
         """Take a part of the body."""
         if self.broken:
             return
-        self.body_bytes += len(body)
-        if self.body_bytes > self.front.limits.body_bytes:
+        if self.body_bytes + len(body) > self.front.limits.body_bytes:
             self.refuse(413)
             return
+        self.body_bytes += len(body)
+        self.front.buffered += len(body)
         self.body.append(body)
+        if self.front.buffered > self.front.limits.buffered_bytes:
+            self.refuse(503)
 
     def on_message_complete(self) -> None:
         """Hand the request to the handler."""
@@ -330,6 +341,8 @@
             keep_alive=self.parser.should_keep_alive(),
             arrived=self.loop.time(),
         )
+        # The exchange accounts for the body from now.
+        self.body_bytes = 0
         self.exchanges.append(exchange)
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
             self.reading_paused = True
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -12,6 +12,7 @@
     "learn",
     "live_nodes",
     "newest_orders",
+    "touch",
 ]
 
 # States come every half a second within a data centre; two may be late.
@@ -55,6 +56,13 @@
     return known is None or known.state.boot != state.boot
 
 
+def touch(fleet: Fleet, node: str, now: float) -> None:
+    """Note a sign of life that is not a state."""
+    known = fleet.nodes.get(node)
+    if known is not None:
+        fleet.nodes[node] = dataclasses.replace(known, heard=now)
+
+
 def live_nodes(
     fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
 ) -> Iterable[wire.NodeState]:
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -45,8 +45,10 @@
 CROWDED_SLOWDOWN = 0.6
 # Requests of other nodes arrive between two reports of the load.
 BALANCE_PART = 0.35
-# A copy that has not reported for this long may be gone.
-STALE_SECONDS = 1.3
+# A copy that has not reported for this long may be gone. States come every
+# half a second within a data centre and every 1.5 s from others.
+STALE_NEAR_SECONDS = 1.2
+STALE_FAR_SECONDS = 2.2
 STALE_MS = 300.0
 FIRST_ROUTE_MS = 100.0
 
@@ -189,11 +191,13 @@
     serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
     wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
     total = serve_ms + wait_ms + FAILURE_MS * _recent_failing(copy, now)
+    stale_seconds = STALE_NEAR_SECONDS
     if not candidate.same_data_centre:
+        stale_seconds = STALE_FAR_SECONDS
         total += remote_penalty_ms(
             speeds, route=route, objective_ms=objective_ms
         )
-    if candidate.silent_seconds > STALE_SECONDS:
+    if candidate.silent_seconds > stale_seconds:
         total += STALE_MS * candidate.silent_seconds
     return total
 
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -34,6 +34,8 @@
 NESTED_RANK = -1000
 # Part of the fleet's retry budget that is handed out to the nodes.
 BUDGET_PART = 0.5
+# Part of the allowed ratio; the rest is for runs that are counted late.
+RATIO_PART = 0.75
 
 SendOffer = Callable[[str, wire.Offer], bool]
 
@@ -153,7 +155,7 @@
         nodes = max(self.servers.count_nodes(), 1)
         limit = max(bounds.retry_slack * BUDGET_PART / nodes, 1.0)
         return retries.Budget(
-            tokens=limit, limit=limit, per_call=bounds.retry_ratio * 0.5
+            tokens=limit, limit=limit, per_call=bounds.retry_ratio * RATIO_PART
         )
 
     def candidates(self, flight: flights.Flight) -> list[placement.Candidate]:
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -35,6 +35,8 @@
 
 FLUSH_SECONDS = 0.2
 SETTINGS_CHECK_SECONDS = 1.0
+# Part of the memory for request bodies; each is copied once on its way.
+BUFFER_PART = 0.3
 TRAFFIC_REPORT_SECONDS = 15.0
 # The platform takes a node out after two missed readiness checks, one a
 # second; until then its clients still come.
@@ -127,6 +129,7 @@
             source=self.orders,
         )
         self.rollouts.links = self.links
+        self.orders.before_orders = self.rollouts.read_rows
         self.entry = entry.Entry(
             settings=settings,
             boot=format(boot, "x"),
@@ -205,6 +208,7 @@
 
     def take_answer(self, name: str, message: wire.Message) -> None:
         """Take a message on a connection that this node has opened."""
+        fleet.touch(self.known, name, self.loop.time())
         if isinstance(message, ANSWERS):
             self.entry.take(message)
 
@@ -239,6 +243,9 @@
         if own in before.evacuated and own not in after.evacuated:
             # The backend servers may have become cold meanwhile.
             self.gate.assume_cold()
+        for service in after.rollouts:
+            if after.rollouts[service] != before.rollouts.get(service):
+                self.rollouts.begin(service)
         self.gate.update_cold()
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
@@ -250,8 +257,13 @@
                 body_bytes=limits.body_bytes,
                 header_seconds=limits.header_ms / 1000.0,
                 idle_seconds=limits.idle_ms / 1000.0,
+                buffered_bytes=self.buffer_bytes(),
             )
 
+    def buffer_bytes(self) -> int:
+        """Return the memory that bodies of requests may take."""
+        return int(self.settings.memory_mb * BUFFER_PART * 1024 * 1024)
+
     # Addresses.
 
     def answer_readiness(self, exchange: http.Exchange) -> None:
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -83,6 +83,8 @@
         self.book = orders.OrderBook()
         self.view = views.EMPTY
         self.links: links.Links | None = None
+        # Reads what earlier processes left in the store, before the orders.
+        self.before_orders: Step | None = None
         self.reader = False
         self.lost_at: float | None = None
         self.pause = MIN_PAUSE_SECONDS
@@ -129,6 +131,8 @@
         )
         put = (NODES, self.settings.instance, msgspec.json.encode(row))
         await self.store.write(platform.Change(put=(put,)))
+        if self.before_orders is not None:
+            await self.before_orders()
         await self.read_all()
         await self.read_nodes()
 
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -129,7 +129,10 @@
         """Start the trial of an order that is not known yet."""
         revision, order = self.source.view.rollouts[service]
         known = self.source.view.service_trials.get(service)
-        if known is not None and known.order >= revision:
+        if known is not None and known.order == revision:
+            self.set_seconds(known, order.seconds)
+            return
+        if known is not None and known.order > revision:
             return
         seen = self.servers.versions.get(service, [])
         old = next((v for v in seen if v != order.version), "")
@@ -149,6 +152,16 @@
             )
         )
 
+    def set_seconds(self, trial: trials.Trial, seconds: float) -> None:
+        """Complete a trial that was learnt before its order."""
+        if not trial.seconds:
+            self.source.replace_view(
+                views.with_trial(
+                    self.source.view,
+                    dataclasses.replace(trial, seconds=seconds),
+                )
+            )
+
     def put(self, trial: trials.Trial) -> None:
         """Put a state of a trial in force on this node."""
         events.emit(
@@ -193,7 +206,7 @@
                 old=notice.old,
                 new=notice.version,
                 order=notice.order,
-                started=now,
+                started=now - notice.elapsed,
                 seconds=seconds,
             )
             self.judges.setdefault(notice.service, trials.Judge())
@@ -221,6 +234,7 @@
                 phase=str(trial.phase),
                 old=trial.old,
                 reason=trial.reason,
+                elapsed=round(self.loop.time() - trial.started, 2),
             ),
         )
 
@@ -235,7 +249,8 @@
         judge = self.judges.setdefault(trial.service, trials.Judge())
         now = self.loop.time()
         holder = self.is_holder(now)
-        if trial.phase not in trials.FINAL:
+        # Without its order, only the phase of the trial is known.
+        if trial.phase not in trials.FINAL and trial.seconds:
             level = trials.judge_slice(judge, trial, now)
             after = trials.advance(
                 trial,
--- a/apricotpost/wire/carriage.py
+++ b/apricotpost/wire/carriage.py
@@ -242,6 +242,8 @@
         Version before.
     reason : str
         Why.
+    elapsed : float
+        Seconds since the order was seen.
     """
 
     service: str
@@ -250,6 +252,7 @@
     phase: str
     old: str
     reason: str
+    elapsed: float = 0.0
 
 
 KINDS: dict[int, type] = {
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -136,3 +136,23 @@
             until_close=False,
         )
         self.assertTrue(data.startswith(b"HTTP/1.1 100"))
+
+    async def test_bodies_of_all_requests_are_bounded(self):
+        """Guards against a process that is killed for its memory."""
+        await self.start(buffered_bytes=10)
+        self.answer = False
+        head = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 8\r\n\r\n"
+        self.writer.write(head + b"a" * 8)
+        self.writer.write(head + b"a" * 8)
+        async with asyncio.timeout(3):
+            while not self.exchanges or self.front.buffered <= 10:
+                await asyncio.sleep(0.01)
+        self.exchanges[0].respond(http.Response(status=200))
+        data = await self.reader.read()
+        self.assertIn(b"HTTP/1.1 503", data)
+        self.assertEqual(1, len(self.exchanges))
+        self.writer.close()
+        async with asyncio.timeout(3):
+            while self.front.connections:
+                await asyncio.sleep(0.01)
+        self.assertEqual(0, self.front.buffered)
