Refuse requests late in a stop; bound rejections; report evidence faster

New requests are refused 2.6 s after SIGTERM and open ones are answered; rejections need budget; while most requests are at stake, evidence goes to all nodes every 0.25 s and less of it is enough.

--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -141,6 +141,11 @@
         """Announce the end of connections with every response from now."""
         self.closing = True
 
+    def stop_listening(self) -> None:
+        """Take no new connections; those that are open stay."""
+        if self.server is not None:
+            self.server.close()
+
     def open_exchanges(self) -> int:
         """Return how many requests have no complete response yet."""
         return sum(len(c.exchanges) for c in self.connections)
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -34,8 +34,9 @@
 NESTED_RANK = -1000
 # Part of the fleet's retry budget that is handed out to the nodes.
 BUDGET_PART = 0.5
-# Part of the allowed ratio; the rest is for runs that are counted late.
-RATIO_PART = 0.75
+# Part of the allowed ratio. The calls that a repeated run makes count as
+# repeats at the services that it calls, and those are not seen here.
+RATIO_PART = 0.35
 
 SendOffer = Callable[[str, wire.Offer], bool]
 
@@ -91,6 +92,7 @@
         self.next_call = 0
         self.turns: dict[str, float] = {}
         self.decisions = logs.Decisions(logger=_LOG)
+        self.stopping = False
         self.backend_host = settings.backend_address.rpartition(":")[0]
 
     # Requests.
@@ -111,6 +113,15 @@
                 NOT_READY_RETRY_MS,
             )
             return
+        if self.stopping:
+            self.answer_own(
+                exchange,
+                head,
+                503,
+                wire.NotRunReason.DRAINING,
+                NOT_READY_RETRY_MS,
+            )
+            return
         route = prefixes.match_prefix(view.routes, head.host, head.path)
         if route is None:
             self.answer_own(exchange, head, 404, wire.NotRunReason.NO_ROUTE)
@@ -312,7 +323,11 @@
             c.node not in flight.tried for c in self.candidates(flight)
         )
         verdict = flights.after_refusal(
-            flight, message, now=now, others=others
+            flight,
+            message,
+            self.budgets[flight.service],
+            now=now,
+            others=others,
         )
         if message.offered and verdict.next is flights.Next.OFFER:
             self.spend(flight.service)
@@ -402,6 +417,17 @@
         if self.flights.pop(flight.call, None) is not None:
             self.send_cancel(flight.node, wire.Cancel(call=flight.call))
 
+    def stop_taking(self) -> None:
+        """Refuse new requests; those that were taken are finished."""
+        self.stopping = True
+
+    def settle_all(self) -> None:
+        """Answer what is still open at the end of the process."""
+        for flight in tuple(self.flights.values()):
+            self.flights.pop(flight.call, None)
+            flight.reason = wire.UnknownReason.TIMEOUT
+            self.fail(flight, 504)
+
     def refuse(self, flight: flights.Flight) -> None:
         """Answer that a request has not run and will not run."""
         if flight.timer is not None:
--- a/apricotpost/sidecar/flights.py
+++ b/apricotpost/sidecar/flights.py
@@ -119,7 +119,12 @@
 
 
 def after_refusal(
-    flight: Flight, refused: wire.Refused, *, now: float, others: int
+    flight: Flight,
+    refused: wire.Refused,
+    budget: retries.Budget,
+    *,
+    now: float,
+    others: int,
 ) -> Verdict:
     """Decide after a gate has not run the request.
 
@@ -129,6 +134,8 @@
         The request, with this attempt counted.
     refused : wire.Refused
         Answer of the gate.
+    budget : retries.Budget
+        Charged if the backend server itself turned the request away.
     now : float
         Monotonic time, in seconds.
     others : int
@@ -140,6 +147,8 @@
         return Verdict(next=Next.REFUSE)
     if flight.arrivals >= flight.route.max_attempts:
         return Verdict(next=Next.REFUSE)
+    if refused.offered and budget.tokens < 1.0:
+        return Verdict(next=Next.REFUSE)
     if others and flight.offers < STRICT_OFFERS:
         return Verdict(next=Next.OFFER)
     return Verdict(next=Next.OFFER, patient=True)
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -190,6 +190,14 @@
             for route, counts in self.counts.items()
         )
 
+    def is_loaded_trial(self) -> bool:
+        """Tell whether a new version carries most of the requests."""
+        current = self.presence.current
+        if current is None:
+            return False
+        trial = self.read_view().service_trials.get(current.service)
+        return trial is not None and trial.phase in trials.LOADED
+
     # Requests.
 
     def offer(self, offer: wire.Offer, reply: Reply) -> None:
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -18,6 +18,9 @@
 
 # States within a data centre, where bytes are free, and to others.
 NEAR_SECONDS = 0.5
+# While a new version carries most requests of this node's service, its
+# evidence goes to all nodes at this interval.
+LOADED_SECONDS = 0.25
 # Every so many rounds the state goes to the other data centres, too.
 FAR_ROUNDS = 3
 # A node that was not heard for so long is forgotten.
@@ -69,9 +72,10 @@
         """Publish at intervals."""
         while True:
             self.round += 1
-            self.publish(far=self.round % FAR_ROUNDS == 0)
+            loaded = self.gate is not None and self.gate.is_loaded_trial()
+            self.publish(far=loaded or self.round % FAR_ROUNDS == 0)
             self.forget_lost()
-            await asyncio.sleep(NEAR_SECONDS)
+            await asyncio.sleep(LOADED_SECONDS if loaded else NEAR_SECONDS)
 
     def announce(self) -> None:
         """Publish a change to all nodes, once for several changes."""
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -39,10 +39,11 @@
 BUFFER_PART = 0.3
 TRAFFIC_REPORT_SECONDS = 15.0
 # The platform takes a node out after two missed readiness checks, one a
-# second; until then its clients still come.
+# second; until then its clients still come. Later requests are refused: one
+# that is taken then may not end within the grace period.
 STOP_MIN_SECONDS = 2.6
 # Left of the grace period for the last answers to be written.
-STOP_MARGIN_SECONDS = 0.6
+STOP_MARGIN_SECONDS = 0.4
 STOP_CHECK_SECONDS = 0.05
 # Other nodes need this long to learn that this one leaves.
 LEAVE_SECONDS = 0.3
@@ -369,12 +370,15 @@
         callers = self.open_fronts[self.settings.addresses.callers]
         callers.start_closing()
         self.loop.call_later(LEAVE_SECONDS, self.leave)
+        self.loop.call_later(STOP_MIN_SECONDS, self.entry.stop_taking)
+        self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
         while self.loop.time() - began < grace - STOP_MARGIN_SECONDS:
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if self.loop.time() - began < STOP_MIN_SECONDS:
                 continue
             if not callers.open_exchanges() and self.gate.is_idle():
                 break
+        self.entry.settle_all()
         events.emit(
             _LOG,
             events.SIDECAR_STOPPED,
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -261,7 +261,7 @@
             decides = holder or (
                 # Each node takes a bad version back by itself.
                 after.phase is trials.Phase.ROLLED_BACK
-                and trials.is_alarm(level)
+                and trials.is_alarm(trial, level)
             )
             if after is not trial and decides:
                 if after.phase is trials.Phase.COMPLETED:
--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -300,6 +300,30 @@
             ended = loop.run_in_executor(None, node.process.wait, 7)
             self.assertEqual(0, await ended)
 
+    async def test_late_request_after_stop_is_refused(self):
+        """Guards against a request that is taken and never answered.
+
+        A node under SIGTERM took requests until its end, and closed their
+        connections without an answer.
+        """
+        await self.start("dc-a")
+        self.backends[0].work_seconds = 4.5
+        running = asyncio.create_task(self.call_all(1, deadline_ms=9000))
+        await asyncio.sleep(0.1)
+        kept = [
+            asyncio.create_task(self.call_all(1, deadline_ms=9000))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.1)
+        self.nodes[0].signal(signal.SIGTERM)
+        await asyncio.sleep(3.2)
+        before = self.ran()
+        found = await self.call_all(1, deadline_ms=9000)
+        self.assertIn(found[0], (503, http.Failure.NOT_CONNECTED))
+        self.assertEqual(before, self.ran())
+        for task in (running, *kept):
+            self.assertIsInstance((await task)[0], int)
+
     async def test_bad_settings_change_nothing(self):
         """Guards against a reload that breaks a running node."""
         await self.start("dc-a")
