Show a fault under load on one server of a new version

Ruled out: late evidence; it came every 0.25 s.

One server of the new version now gets what each will get later, and second attempts go to the old version.

--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -31,15 +31,17 @@
 # Part of the requests of a running trial; with the final test it stays below
 # a tenth of all requests of the order's time.
 TRIAL_SHARE = 0.04
-# Part that shows a fault under load. The old version keeps the rest: without
-# its requests in the same slice of time there is nothing to compare with.
-MOVING_SHARE = 0.6
+# A fault under load shows on one server that gets what each will get later,
+# which exposes fewer requests than loading all of them. The old version
+# keeps the rest: without its requests in the same slice of time there is
+# nothing to compare with.
+MAX_MOVING_SHARE = 0.5
 # Parts of the order's time: when the service moves, and when a trial without
 # enough calls is given up.
-MOVE_PART = 0.6
+MOVE_PART = 0.55
 GIVE_UP_PART = 0.8
 # Evidence under load: requests end, are reported, and fill three slices.
-MOVE_SECONDS = 1.6
+MOVE_SECONDS = 2.4
 # While most requests are at stake, less evidence is enough: a good version
 # is taken back in about one of 150 rollouts.
 MOVING_ALARM = 5.0
@@ -61,7 +63,9 @@
     """Where a trial stands."""
 
     RUNNING = "running"
+    # One server of the new version is under its full load.
     MOVING = "moving"
+    # All requests go to the new version.
     SETTLING = "settling"
     COMPLETED = "completed"
     ROLLED_BACK = "rolled-back"
@@ -130,12 +134,20 @@
     return level >= sequential.ALARM
 
 
-def share_of_new(trial: Trial) -> float:
-    """Return the part of new requests that the new version gets."""
+def share_of_new(trial: Trial, servers: int) -> float:
+    """Return the part of new requests that the new version gets.
+
+    Parameters
+    ----------
+    trial : Trial
+        Its state.
+    servers : int
+        Backend servers of the new version.
+    """
     if trial.phase is Phase.RUNNING:
         return TRIAL_SHARE
     if trial.phase is Phase.MOVING:
-        return MOVING_SHARE
+        return min(1.0 / max(servers, 1), MAX_MOVING_SHARE)
     if trial.phase is Phase.ROLLED_BACK:
         return 0.0
     return 1.0
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -38,6 +38,9 @@
 # repeats at the services that it calls, and those are not seen here.
 RATIO_PART = 0.35
 
+# Place of a request that a version on trial does not get.
+LAST_TURN = 1.0
+
 SendOffer = Callable[[str, wire.Offer], bool]
 
 
@@ -182,6 +185,9 @@
     def offer(self, flight: flights.Flight) -> None:
         """Offer a request to the best backend server."""
         now = self.loop.time()
+        if flight.offers:
+            # A second attempt is not made with a version on trial.
+            flight.turn = LAST_TURN
         found = self.candidates(flight)
         fresh = [c for c in found if c.node not in flight.tried]
         # A patient offer goes to the shortest queue, tried before or not.
--- a/apricotpost/sidecar/flights.py
+++ b/apricotpost/sidecar/flights.py
@@ -60,7 +60,6 @@
         "arrivals",
         "backend",
         "call",
-        "data_centre_only",
         "exchange",
         "expires",
         "head",
--- a/apricotpost/sidecar/roster.py
+++ b/apricotpost/sidecar/roster.py
@@ -119,9 +119,7 @@
         ]
         present = {entry.server.version for entry in usable}
         if len(present) > 1 or service in view.service_trials:
-            order = [v for v in self.versions[service] if v in present]
-            allowed = views.choose_version(view, service, order, turn)
-            usable = [e for e in usable if e.server.version in allowed]
+            usable = self.filter_versions(view, service, usable, turn)
         heard = [(entry, self.silence(entry.node, now)) for entry in usable]
         recent = [pair for pair in heard if pair[1] < LOST_SECONDS]
         return [
@@ -134,6 +132,29 @@
             for entry, silence in recent or heard
         ]
 
+    def filter_versions(
+        self,
+        view: views.TrafficView,
+        service: str,
+        usable: list[_Server],
+        turn: float,
+    ) -> list[_Server]:
+        """Keep the backend servers of the versions that may be used."""
+        found = [entry.server.version for entry in usable]
+        trial = view.service_trials.get(service)
+        allowed = views.choose_version(
+            view,
+            service,
+            [v for v in self.versions.get(service, ()) if v in found],
+            turn=turn,
+            servers=found.count(trial.new) if trial is not None else 0,
+        )
+        kept = [e for e in usable if e.server.version in allowed]
+        if views.loads_one_server(view, service, allowed):
+            # All nodes choose the same one.
+            return sorted(kept, key=lambda e: e.server.backend)[:1]
+        return kept
+
     def is_reachable(self, node: str) -> bool:
         """Tell whether requests can be sent to a node."""
         return node == self.known.node or self.is_connected(node)
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -16,6 +16,7 @@
     "TrafficView",
     "apply_orders",
     "choose_version",
+    "loads_one_server",
     "with_trial",
 ]
 
@@ -84,7 +85,12 @@
 
 
 def choose_version(
-    view: TrafficView, service: str, versions: Iterable[str], turn: float
+    view: TrafficView,
+    service: str,
+    versions: Iterable[str],
+    *,
+    turn: float,
+    servers: int,
 ) -> frozenset[str]:
     """Return the versions of a service that may get a request.
 
@@ -100,6 +106,8 @@
     turn : float
         Of this request, between 0 and 1; the new version of a trial gets
         those below its share.
+    servers : int
+        Backend servers of the new version that take requests.
     """
     known = tuple(versions)
     trial = view.service_trials.get(service)
@@ -111,11 +119,23 @@
     others = frozenset(v for v in known if v != trial.new)
     if trial.new not in known:
         return others
-    if turn < trials.share_of_new(trial) or not others:
+    if turn < trials.share_of_new(trial, servers) or not others:
         return frozenset((trial.new,))
     return others
 
 
+def loads_one_server(
+    view: TrafficView, service: str, versions: frozenset[str]
+) -> bool:
+    """Tell whether a request is part of the load on one new server."""
+    trial = view.service_trials.get(service)
+    return (
+        trial is not None
+        and trial.phase is trials.Phase.MOVING
+        and versions == frozenset((trial.new,))
+    )
+
+
 def _apply(view: TrafficView, row: wire.OrderRow) -> TrafficView:
     key = row.key
     if key == platform.CONFIGURATION:
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -11,6 +11,7 @@
 __all__ = ["TrialTest"]
 
 RATE = 150.0
+SERVERS = 4
 SECONDS = 15.0
 
 
@@ -20,7 +21,7 @@
     def __init__(self, *, seed, new, old=None):
         self.draws = random.Random(seed)
         self.versions = {
-            "v1": old or (lambda now, share: (0.001, 1.0)),
+            "v1": old or (lambda now, load: (0.001, 1.0)),
             "v2": new,
         }
         self.counts = {}
@@ -57,10 +58,14 @@
         return now
 
     def serve(self, now):
-        share = trials.share_of_new(self.trial)
+        share = trials.share_of_new(self.trial, SERVERS)
+        # Load of a server, as a part of what it has after the rollout.
+        load = share
+        if self.trial.phase is trials.Phase.MOVING:
+            load = share * SERVERS
         for _ in range(int(RATE * 0.05)):
             version = "v2" if self.draws.random() < share else "v1"
-            failing, slower = self.versions[version](now, share)
+            failing, slower = self.versions[version](now, load)
             failed = self.draws.random() < failing
             self.exposed += version == "v2"
             if version == "v2" and (failed or slower > 3):
@@ -111,7 +116,7 @@
     def test_good_version_is_completed_in_time(self):
         """Guards against good versions that are not finished."""
         for seed in range(20):
-            played = Played(seed=seed, new=lambda now, share: (0.001, 1.0))
+            played = Played(seed=seed, new=lambda now, load: (0.001, 1.0))
             now = played.play()
             self.assertIs(trials.Phase.COMPLETED, played.trial.phase)
             self.assertLess(now, SECONDS - 2.0)
@@ -119,32 +124,32 @@
     def test_version_on_slow_copies_is_good(self):
         """Guards against a good version that only has slower servers."""
         for seed in range(10):
-            played = Played(seed=seed, new=lambda now, share: (0.001, 1.6))
+            played = Played(seed=seed, new=lambda now, load: (0.001, 1.6))
             played.play()
             self.assertIs(trials.Phase.COMPLETED, played.trial.phase)
 
     def test_failing_version_is_rolled_back(self):
         """Guards against a version that fails half of its requests."""
-        self.check_bad(lambda now, share: (0.5, 1.0))
+        self.check_bad(lambda now, load: (0.5, 1.0))
 
     def test_slow_version_is_rolled_back(self):
         """Guards against a version that answers eight times slower."""
         self.check_bad(
-            lambda now, share: (0.0, 8.0 if now * 20 % 2 < 1 else 1.0)
+            lambda now, load: (0.0, 8.0 if now * 20 % 2 < 1 else 1.0)
         )
 
     def test_late_failures_are_found(self):
         """Guards against a version that is good for its first seconds."""
-        self.check_bad(lambda now, share: (0.45 if now > 3 else 0.0, 1.0))
+        self.check_bad(lambda now, load: (0.45 if now > 3 else 0.0, 1.0))
 
     def test_failures_under_load_are_found_before_the_end(self):
         """Guards against a version that fails under the whole load only."""
-        self.check_bad(lambda now, share: (0.5 if share > 0.5 else 0.0, 1.0))
+        self.check_bad(lambda now, load: (0.5 if load > 0.9 else 0.0, 1.0))
 
     def test_fault_of_both_versions_is_no_evidence(self):
         """Guards against a rollback for a failing dependency."""
 
-        def both(now, share):
+        def both(now, load):
             return (0.4 if 3 < now < 6 else 0.001, 1.0)
 
         for seed in range(10):
