--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "moves": "Good versions on time, bad versions taken back.",
     "overhead": "Latency and processor time added to a call.",
     "restart_storm": "Load on table and peers when a data centre restarts.",
+    "sidecar_overhead": "Latency that two event-loop nodes add to a call.",
     "state_at_target": "Memory and processor time of the state at 1,200.",
     "verdict_rates": "False alarms and misses of a rollout's verdict.",
 }
