--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -331,6 +331,38 @@
         for task in (running, *kept):
             self.assertIsInstance((await task)[0], int)
 
+    async def test_late_heartbeat_after_restart_revives_nothing(self):
+        """Guards against a left server that a new process uses again.
+
+        The process before had acknowledged the deregistration; a heartbeat
+        that was sent earlier reaches the new one.
+        """
+        await self.start("dc-a")
+        node = self.nodes[0]
+        self.mesh.beats.cancel()
+        late = node.backend.beat()
+        await self.mesh.announce(node, "Deregister", "b0", b"")
+        node.kill()
+        node.start()
+        ready = await self.wait_listening(node)
+        self.assertTrue(ready)
+        await self.mesh.announce(node, "Heartbeat", "b0", late)
+        await asyncio.sleep(0.2)
+        self.assertEqual([503], await self.call_all(1))
+
+    async def wait_listening(self, node):
+        request = http.Request(
+            method=b"GET", target=b"/v1/ready", headers=((b"Host", b"n"),)
+        )
+        async with asyncio.timeout(5):
+            while True:
+                found = await self.mesh.caller.send(
+                    node.ports.readiness, request
+                )
+                if found.response and found.response.status == 200:
+                    return True
+                await asyncio.sleep(0.05)
+
     async def test_bad_settings_change_nothing(self):
         """Guards against a reload that breaks a running node."""
         await self.start("dc-a")
