Confirm a backend server that a restarted node meets in mid-life

Cause: a node that restarts knows nothing of what its earlier process had acknowledged.

Ruled out: a row in the store for each leaving server (a priced call, and not written if the store is away), and waiting for a second heartbeat only (1.5 s without the server after each restart).

Change: a new process that meets a server at a heartbeat other than its first asks the server's health path, and uses it if it says that it serves, or after a second heartbeat that comes half a period later.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -228,6 +228,11 @@
 BEAT_MALFORMED = _event(
     713, logging.WARNING, "announcement refused: %(error)s"
 )
+BACKEND_HEALTH = _event(
+    714,
+    logging.INFO,
+    "health check of backend server %(backend)s: %(status)s",
+)
 LINK_CHANGED = _event(
     720, logging.INFO, "connection to node %(node)s is %(state)s"
 )
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -9,7 +9,9 @@
 from apricotpost.platform.configuration import parse_configuration
 from apricotpost.platform.headers import backend_instance
 from apricotpost.platform.headers import call_headers
+from apricotpost.platform.headers import health_request
 from apricotpost.platform.headers import is_not_run
+from apricotpost.platform.headers import is_well
 from apricotpost.platform.headers import NotRunStatus
 from apricotpost.platform.headers import read_head
 from apricotpost.platform.headers import refusal_headers
@@ -46,7 +48,9 @@
     "backend_instance",
     "call_headers",
     "encode_status",
+    "health_request",
     "is_not_run",
+    "is_well",
     "parse_announcement",
     "parse_beat",
     "parse_configuration",
--- a/apricotpost/platform/headers.py
+++ b/apricotpost/platform/headers.py
@@ -10,7 +10,9 @@
     "RequestHead",
     "backend_instance",
     "call_headers",
+    "health_request",
     "is_not_run",
+    "is_well",
     "read_head",
     "refusal_headers",
     "response_faults",
@@ -128,6 +130,20 @@
     return "" if value is None else value.decode("latin-1")
 
 
+def health_request(path: str, host: str) -> http.Request:
+    """Return the request that asks a backend server whether it is well."""
+    return http.Request(
+        method=b"GET",
+        target=path.encode("latin-1"),
+        headers=((b"Host", host.encode("latin-1")),),
+    )
+
+
+def is_well(response: http.Response) -> bool:
+    """Tell whether a backend server is healthy and not leaving."""
+    return response.status == 200
+
+
 def refusal_headers(request_id: str, retry_seconds: float) -> http.Headers:
     """Return the headers of a response of our own."""
     headers: http.Headers = ()
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -32,7 +32,14 @@
 # Part of the slots that is used at first for a backend server that may
 # still run requests of an earlier process of this node.
 UNKNOWN_START_PART = 0.5
+# A new server may have sent so many heartbeats before its node listened.
 FIRST_BEATS = 3
+# A health check of an idle server takes some milliseconds; a full one may
+# never answer it.
+HEALTH_SECONDS = 0.5
+# Part of the heartbeat period after which a second heartbeat shows that the
+# first one was not late: two held up together arrive together.
+CONFIRM_PART = 0.5
 
 Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
 
@@ -82,6 +89,7 @@
         self.presence = beats.Presence()
         self.counts: dict[str, evidence.Counts] = {}
         self.leaving = False
+        self.checking = False
         self.timer: asyncio.TimerHandle | None = None
         self.decisions = logs.Decisions(logger=_LOG)
         host, port = options.split_address(settings.backend_address)
@@ -93,7 +101,12 @@
         """Take a heartbeat of the backend server."""
         now = self.loop.time()
         before = self.presence.current
-        news = beats.take_beat(self.presence, beat, now)
+        news = beats.take_beat(
+            self.presence,
+            beat,
+            now,
+            confirm_seconds=CONFIRM_PART * self.settings.heartbeat_ms / 1000.0,
+        )
         if news is beats.News.NONE:
             return
         if news is beats.News.OTHER:
@@ -112,8 +125,51 @@
         if news is not beats.News.SAME:
             self.on_change()
             self.refuse_queue()
+        self.check_health()
         self.pump()
 
+    def check_health(self) -> None:
+        """Ask a backend server that was met in mid-life whether it serves."""
+        current = self.presence.current
+        if current is None or self.presence.confirmed or self.checking:
+            return
+        rule = self.read_view().services.get(current.service)
+        if rule is None:
+            return
+        self.checking = True
+
+        def take(result: http.Result) -> None:
+            self.checking = False
+            self.take_health(current, result)
+
+        self.client.send(
+            platform.health_request(rule.health_path, current.address),
+            take,
+            timeout=HEALTH_SECONDS,
+        )
+
+    def take_health(
+        self, asked: model.BackendBeat, result: http.Result
+    ) -> None:
+        """Use the backend server if it says that it serves."""
+        response = result.response
+        status = response.status if response else str(result.failure)
+        well = (
+            response is not None
+            and platform.is_well(response)
+            and platform.backend_instance(response.headers) == asked.backend
+        )
+        events.emit(
+            _LOG,
+            events.BACKEND_HEALTH,
+            backend=asked.backend,
+            well=well,
+            status=status,
+            sequence=asked.sequence,
+        )
+        if well and beats.confirm(self.presence, asked.backend):
+            self.on_change()
+
     def start_incarnation(self, beat: model.BackendBeat, now: float) -> None:
         """Forget what was known of the backend server before."""
         limit = float(beat.slots)
@@ -139,6 +195,7 @@
             self.presence.heard + beat.cold_ms / 1000.0,
             self.presence.assumed_cold_until,
         )
+        self.check_health()
 
     def assume_cold(self) -> None:
         """Bound the rate until two heartbeats tell that it is not cold."""
@@ -241,6 +298,7 @@
         silent = self.loop.time() - self.presence.heard
         if (
             self.presence.unreachable
+            or not self.presence.confirmed
             or silent > SILENT_BEATS * self.settings.heartbeat_ms / 1000.0
         ):
             return wire.NotRunReason.NOT_READY
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -122,6 +122,9 @@
             k.lower().decode(): v.decode() for k, v in exchange.request.headers
         }
         identifier = headers.get("x-request-id", "")
+        if exchange.request.target == b"/health":
+            self.answer_health(exchange)
+            return
         if headers.get("x-expect-instance") != self.identifier:
             exchange.respond(http.Response(status=421))
             return
@@ -146,6 +149,15 @@
             self.at_once -= 1
         self.answer(exchange, identifier)
 
+    def answer_health(self, exchange: http.Exchange) -> None:
+        """Answer whether requests are taken."""
+        exchange.respond(
+            http.Response(
+                status=200 if self.state == "ready" else 503,
+                headers=((b"X-Instance-Id", self.identifier.encode()),),
+            )
+        )
+
     def answer(self, exchange: http.Exchange, identifier: str) -> None:
         """Answer as `mode` says."""
         if self.mode == "reset":
--- a/tests/sidecar/test_beats.py
+++ b/tests/sidecar/test_beats.py
@@ -57,3 +57,55 @@
         self.presence.unreachable = True
         self.assertIs(beats.News.CHANGED, self.take(sequence=2))
         self.assertFalse(self.presence.unreachable)
+
+
+class ConfirmationTest(unittest.TestCase):
+    """A process that starts beside a running backend server."""
+
+    def setUp(self):
+        self.presence = beats.Presence()
+
+    def take(self, now, **changes):
+        return beats.take_beat(
+            self.presence, make_beat(**changes), now, confirm_seconds=0.7
+        )
+
+    def test_server_in_mid_life_is_not_used_at_once(self):
+        """Guards against a late heartbeat of a server that has left.
+
+        The deregistration had been acknowledged by an earlier process.
+        """
+        self.assertIs(beats.News.OTHER, self.take(0.0, sequence=7))
+        self.assertFalse(self.presence.confirmed)
+
+    def test_server_that_has_just_started_is_used(self):
+        """Guards against a pause at the start of a fleet."""
+        self.take(0.0, sequence=1)
+        self.assertTrue(self.presence.confirmed)
+
+    def test_its_own_answer_confirms_it(self):
+        """Guards against a server that waits for its next heartbeat."""
+        self.take(0.0, sequence=7)
+        self.assertFalse(beats.confirm(self.presence, "another"))
+        self.assertTrue(beats.confirm(self.presence, "b"))
+        self.assertFalse(beats.confirm(self.presence, "b"))
+        self.assertTrue(self.presence.confirmed)
+
+    def test_second_heartbeat_confirms_it(self):
+        """Guards against a server whose health answer is false."""
+        self.take(0.0, sequence=7)
+        self.assertIs(beats.News.CHANGED, self.take(1.5, sequence=8))
+        self.assertTrue(self.presence.confirmed)
+
+    def test_two_late_heartbeats_confirm_nothing(self):
+        """Guards against heartbeats that were held up together."""
+        self.take(0.0, sequence=7)
+        self.assertIs(beats.News.SAME, self.take(0.1, sequence=8))
+        self.assertFalse(self.presence.confirmed)
+
+    def test_successor_is_used_at_once(self):
+        """Guards against a pause when a server is replaced."""
+        self.take(0.0, backend="old", sequence=1)
+        beats.withdraw(self.presence, "old", 0)
+        self.take(1.0, backend="new", born=2000, sequence=9)
+        self.assertTrue(self.presence.confirmed)
