Carry states between data centres by relays, connect on demand

Cause: every node sent its state to every other node and kept two sockets for each. It would not fit 1,200 nodes.

Ruled out: a longer interval alone (states must be known within a drain time), and relays within the data centre as well (if both relays die, all nodes look silent at once and read the store).

Change: two relays of each data centre, its first live nodes by name, send batches of states to the relays of the others each second and changes at once; each state travels on two ways, with its age. A node connects to its data centre, and for each service that it calls to six servers elsewhere, chosen by rendezvous hashing. Trial notices are repeated by the relays.

--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -42,17 +42,30 @@
         self.nodes: dict[str, KnownNode] = {}
 
 
-def learn(fleet: Fleet, state: wire.NodeState, now: float) -> bool:
+def learn(
+    fleet: Fleet, state: wire.NodeState, now: float, *, age: float = 0.0
+) -> bool:
     """Take a state and tell whether the node's process is a new one.
 
     States may overtake each other; an older one changes nothing.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Known nodes.
+    state : wire.NodeState
+        The state.
+    now : float
+        Monotonic time, in seconds.
+    age : float
+        How long ago the node was heard by the one that handed it on.
     """
     known = fleet.nodes.get(state.node)
     if known is not None:
         newest = (known.state.boot, known.state.sequence)
         if (state.boot, state.sequence) <= newest:
             return False
-    fleet.nodes[state.node] = KnownNode(state=state, heard=now)
+    fleet.nodes[state.node] = KnownNode(state=state, heard=now - age)
     return known is None or known.state.boot != state.boot
 
 
--- /dev/null
+++ b/apricotpost/membership/relays.py
@@ -0,0 +1,159 @@
+"""Which nodes carry states between data centres, and who connects to whom.
+
+Every node tells the nodes of its data centre of itself. Two relays of each
+data centre send the states of all its nodes to the relays of the others, which
+hand them on. So the bytes between data centres grow with the number of nodes
+and not with its square, and a node needs a connection to another data centre
+only for the backend servers that it calls. These are chosen by rendezvous
+hashing (Thaler and Ravishankar, 1998), so that the callers spread over them.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import xxhash
+
+from apricotpost.membership import fleet
+from apricotpost import wire
+
+__all__ = [
+    "FAR_SILENT_SECONDS",
+    "RELAYS",
+    "far_servers",
+    "far_targets",
+    "fresh_states",
+    "is_relay",
+    "relays_of",
+]
+
+# One relay may be lost without a gap.
+RELAYS = 2
+# States of other data centres are sent each second and are up to half a
+# second old by then; one of them may be lost.
+FAR_SILENT_SECONDS = 3.2
+# Backend servers of a service and version that a node can call in each of
+# the other data centres together.
+FAR_SERVERS = 6
+# Older states are not handed on: the node is silent or gone.
+HANDED_ON_SECONDS = 5.0
+
+
+def relays_of(
+    known: fleet.Fleet, data_centre: str, now: float
+) -> tuple[str, ...]:
+    """Return the relays of a data centre: its first live nodes by name."""
+    within = FAR_SILENT_SECONDS
+    if data_centre == known.data_centre:
+        within = fleet.SILENT_SECONDS
+    found = sorted(
+        name
+        for name, node in known.nodes.items()
+        if node.state.data_centre == data_centre
+        and not node.state.leaving
+        and (name == known.node or now - node.heard <= within)
+    )
+    return tuple(found[:RELAYS])
+
+
+def is_relay(known: fleet.Fleet, now: float) -> bool:
+    """Tell whether this node is a relay."""
+    return known.node in relays_of(known, known.data_centre, now)
+
+
+def far_targets(known: fleet.Fleet, now: float) -> tuple[str, ...]:
+    """Return the nodes to which this relay sends its data centre's states.
+
+    The first relay serves the first ones of the other data centres, the
+    second one the second: each state arrives on two ways.
+    """
+    own = relays_of(known, known.data_centre, now)
+    if known.node not in own:
+        return ()
+    place = own.index(known.node)
+    found: list[str] = []
+    for data_centre in _far_data_centres(known):
+        relays = relays_of(known, data_centre, now)
+        if len(own) == 1:
+            found.extend(relays)
+        elif relays:
+            found.append(relays[place % len(relays)])
+    return tuple(found)
+
+
+def fresh_states(
+    known: fleet.Fleet,
+    now: float,
+    *,
+    wanted: Callable[[wire.NodeState], bool],
+) -> tuple[wire.AgedState, ...]:
+    """Return the states of this data centre that are handed on.
+
+    Parameters
+    ----------
+    known : fleet.Fleet
+        States of all nodes.
+    now : float
+        Monotonic time, in seconds.
+    wanted : callable
+        Tells whether a state is sent.
+    """
+    return tuple(
+        wire.AgedState(
+            state=node.state, age_ms=max(int((now - node.heard) * 1000), 0)
+        )
+        for node in known.nodes.values()
+        if node.state.data_centre == known.data_centre
+        and node.state.boot
+        and now - node.heard <= HANDED_ON_SECONDS
+        and wanted(node.state)
+    )
+
+
+def far_servers(
+    known: fleet.Fleet,
+    now: float,
+    *,
+    services: Iterable[str],
+    all_of: Iterable[tuple[str, str]] = (),
+) -> set[str]:
+    """Return the nodes of other data centres that this node may call.
+
+    Parameters
+    ----------
+    known : fleet.Fleet
+        States of all nodes.
+    now : float
+        Monotonic time, in seconds.
+    services : iterable of str
+        Services that this node calls.
+    all_of : iterable of tuple of str
+        Services and versions of which every server is wanted: during a
+        trial all nodes load the same one.
+    """
+    whole = frozenset(all_of)
+    called = frozenset(services)
+    groups: dict[tuple[str, str], list[str]] = {}
+    for name, node in known.nodes.items():
+        server = node.state.server
+        if (
+            server is None
+            or server.service not in called
+            or node.state.data_centre == known.data_centre
+            or now - node.heard > FAR_SILENT_SECONDS
+        ):
+            continue
+        groups.setdefault((server.service, server.version), []).append(name)
+    found: set[str] = set()
+    for group, names in groups.items():
+        names.sort(key=lambda name: _score(known.node, name))
+        found.update(names if group in whole else names[:FAR_SERVERS])
+    return found
+
+
+def _far_data_centres(known: fleet.Fleet) -> list[str]:
+    found = {node.state.data_centre for node in known.nodes.values()}
+    return sorted(found - {known.data_centre})
+
+
+def _score(node: str, other: str) -> int:
+    return xxhash.xxh64_intdigest(f"{node}>{other}".encode())
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import random
 
@@ -61,6 +62,8 @@
         Hands an offer to a node; False means that nothing was sent.
     send_cancel : callable
         Tells a node that a caller is gone.
+    on_service : callable
+        Called when a service is called for the first time.
     instruments : metrics.Metrics
         Counters.
     draws : random.Random
@@ -76,6 +79,7 @@
         servers: roster.Roster,
         send_offer: SendOffer,
         send_cancel: Callable[[str, wire.Cancel], None],
+        on_service: Callable[[], None],
         instruments: metrics.Metrics,
         draws: random.Random,
     ) -> None:
@@ -85,6 +89,7 @@
         self.servers = servers
         self.send_offer = send_offer
         self.send_cancel = send_cancel
+        self.on_service = on_service
         self.instruments = instruments
         self.draws = draws
         self.loop = asyncio.get_running_loop()
@@ -158,7 +163,8 @@
         """
         turn = self.turns.get(service)
         if turn is None:
-            turn = self.draws.random()
+            turn = self.turns[service] = self.draws.random()
+            self.on_service()
         turn = (turn + 0.6180339887498949) % 1.0
         self.turns[service] = turn
         return turn
@@ -249,6 +255,14 @@
         self.flights.pop(flight.call, None)
         return False
 
+    def called_services(self) -> Iterable[str]:
+        """Return the services that were called."""
+        return self.turns
+
+    def is_busy(self, node: str) -> bool:
+        """Tell whether requests are under way at a node."""
+        return any(flight.node == node for flight in self.flights.values())
+
     # Answers.
 
     def take(self, message: wire.Message) -> None:
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -1,11 +1,19 @@
-"""Task that tells other nodes of this one and learns of them."""
+"""Task that tells other nodes of this one and learns of them.
+
+A node sends its state to the nodes of its data centre. A relay
+(`apricotpost.membership.relays`) also sends those of its data centre to other
+relays, and hands on what it receives from them.
+"""
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 
 from apricotpost import events
 from apricotpost.membership import fleet
+from apricotpost.membership import relays
+from apricotpost.sidecar import contacts
 from apricotpost.sidecar import gate
 from apricotpost.sidecar import links
 from apricotpost.sidecar import options
@@ -16,13 +24,15 @@
 
 _LOG = logging.getLogger(__name__)
 
-# States within a data centre, where bytes are free, and to others.
+# States within a data centre, where bytes are free.
 NEAR_SECONDS = 0.5
-# While a new version carries most requests of this node's service, its
-# evidence goes to all nodes at this interval.
+# While a new version carries most requests of a service, the evidence on it
+# goes to all nodes at this interval.
 LOADED_SECONDS = 0.25
-# Every so many rounds the state goes to the other data centres, too.
-FAR_ROUNDS = 3
+# Every so many rounds all states go to the other data centres, too.
+FAR_ROUNDS = 2
+# Changes that come together are handed on together.
+GATHER_SECONDS = 0.02
 # A node that was not heard for so long is forgotten.
 FORGET_SECONDS = 180.0
 
@@ -66,16 +76,27 @@
         self.orders = 0
         self.links: links.Links | None = None
         self.gate: gate.Gate | None = None
+        self.contacts: contacts.Contacts | None = None
         self.pending = False
+        # Nodes whose changed states a relay has still to hand on.
+        self.changed: set[str] = set()
 
     async def run(self) -> None:
         """Publish at intervals."""
         while True:
             self.round += 1
             loaded = self.gate is not None and self.gate.is_loaded_trial()
-            self.publish(far=loaded or self.round % FAR_ROUNDS == 0)
+            self.publish()
+            judged = self.send_far(whole=self.round % FAR_ROUNDS == 0)
             self.forget_lost()
-            await asyncio.sleep(LOADED_SECONDS if loaded else NEAR_SECONDS)
+            self.update_contacts()
+            fast = loaded or judged
+            await asyncio.sleep(LOADED_SECONDS if fast else NEAR_SECONDS)
+
+    def update_contacts(self) -> None:
+        """Open the connections that are wanted now."""
+        if self.contacts is not None:
+            self.contacts.update(self.loop.time())
 
     def announce(self) -> None:
         """Publish a change to all nodes, once for several changes."""
@@ -86,20 +107,90 @@
     def publish_change(self) -> None:
         """Publish what `announce` asked for."""
         self.pending = False
-        self.publish(far=True)
+        self.publish()
+        self.hand_on_later(self.settings.instance)
 
-    def publish(self, *, far: bool) -> None:
-        """Send this node's state."""
+    def publish(self) -> None:
+        """Send this node's state to its data centre."""
         state = self.describe()
         fleet.learn(self.known, state, self.loop.time())
         self.servers.rebuild()
+        self.send_near(state)
+        self.on_state(state, False)
+
+    def send_near(self, message: wire.Message) -> None:
+        """Send a message to the other nodes of this data centre."""
         if self.links is None:
             return
-        for name, known in self.known.nodes.items():
-            near = known.state.data_centre == self.settings.data_centre
-            if name != self.settings.instance and (near or far):
-                self.links.send(name, state)
-        self.on_state(state, False)
+        self.links.send_all(
+            (
+                name
+                for name, known in self.known.nodes.items()
+                if known.state.data_centre == self.settings.data_centre
+                and name != self.settings.instance
+            ),
+            message,
+        )
+
+    # Other data centres.
+
+    def send_far(self, *, whole: bool) -> bool:
+        """Send states to the other data centres if this node is a relay.
+
+        Parameters
+        ----------
+        whole : bool
+            Whether all states are due; else those with evidence are sent.
+
+        Returns
+        -------
+        bool
+            Whether there is evidence.
+        """
+        now = self.loop.time()
+        targets = relays.far_targets(self.known, now)
+        if not targets:
+            return False
+        states = relays.fresh_states(
+            self.known, now, wanted=lambda state: whole or bool(state.counts)
+        )
+        self.send_batch(targets, states)
+        return any(aged.state.counts for aged in states)
+
+    def hand_on_later(self, node: str) -> None:
+        """Hand a changed state on to the other data centres."""
+        if not self.changed:
+            self.loop.call_later(GATHER_SECONDS, self.hand_on)
+        self.changed.add(node)
+
+    def hand_on(self) -> None:
+        """Send the changed states to the other data centres."""
+        changed, self.changed = self.changed, set()
+        now = self.loop.time()
+        targets = relays.far_targets(self.known, now)
+        states = relays.fresh_states(
+            self.known, now, wanted=lambda state: state.node in changed
+        )
+        self.send_batch(targets, states)
+
+    def send_batch(
+        self, targets: Iterable[str], states: tuple[wire.AgedState, ...]
+    ) -> None:
+        """Send states to other relays."""
+        if self.links is not None and states:
+            batch = wire.StateBatch(states=states, handed_on=False)
+            self.links.send_all(targets, batch)
+
+    def take_batch(self, batch: wire.StateBatch) -> None:
+        """Take states that relays have sent."""
+        if not batch.handed_on:
+            self.send_near(
+                wire.StateBatch(states=batch.states, handed_on=True)
+            )
+        for aged in batch.states:
+            self.take_state(aged.state, age=aged.age_ms / 1000.0)
+
+    # States.
 
     def describe(self) -> wire.NodeState:
         """Return this node's state."""
@@ -117,28 +208,40 @@
             counts=self.gate.describe_counts() if self.gate else (),
         )
 
-    def take_state(self, state: wire.NodeState) -> None:
-        """Take the state of another node."""
+    def take_state(self, state: wire.NodeState, *, age: float = 0.0) -> None:
+        """Take the state of another node.
+
+        Parameters
+        ----------
+        state : wire.NodeState
+            The state.
+        age : float
+            How long ago its node was heard, in seconds.
+        """
         if state.node == self.settings.instance:
             self.outlive(state)
             return
         before = self.known.nodes.get(state.node)
-        newer = fleet.learn(self.known, state, self.loop.time())
-        known = self.known.nodes[state.node]
-        if known.state is not state:
+        newer = fleet.learn(self.known, state, self.loop.time(), age=age)
+        if self.known.nodes[state.node].state is not state:
             return
-        if self.links is not None:
-            self.links.connect(state.node, state.address)
+        near = state.data_centre == self.settings.data_centre
         if newer:
-            events.emit(
-                _LOG, events.NODE_MET, node=state.node, boot=state.boot
-            )
-            if self.links is not None:
-                self.links.send(state.node, self.describe())
+            self.meet_process(state, near=near)
         if before is None or _differs(before.state, state):
             self.servers.rebuild()
+            if near and relays.is_relay(self.known, self.loop.time()):
+                self.hand_on_later(state.node)
         self.on_state(state, newer)
 
+    def meet_process(self, state: wire.NodeState, *, near: bool) -> None:
+        """Introduce this node to a new process of another one."""
+        events.emit(_LOG, events.NODE_MET, node=state.node, boot=state.boot)
+        if self.contacts is not None and near:
+            self.contacts.open(state.node, self.loop.time())
+        if self.links is not None:
+            self.links.send(state.node, self.describe())
+
     def outlive(self, state: wire.NodeState) -> None:
         """Order this process after an earlier one of the same node."""
         if state.boot > self.boot:
@@ -146,7 +249,7 @@
             self.announce()
 
     def meet(self, name: str, address: str, data_centre: str) -> None:
-        """Connect to a node that the store lists."""
+        """Note a node that the store lists; `update_contacts` follows."""
         if name == self.settings.instance or name in self.known.nodes:
             return
         unheard = wire.NodeState(
@@ -161,8 +264,11 @@
             server=None,
         )
         fleet.learn(self.known, unheard, self.loop.time())
-        if self.links is not None:
-            self.links.connect(name, address)
+
+    def reach(self, name: str) -> None:
+        """Open the connection to a node."""
+        if self.contacts is not None:
+            self.contacts.open(name, self.loop.time())
 
     def greet(self, name: str) -> None:
         """Send the state to a node that has just become connected."""
@@ -177,14 +283,16 @@
                 continue
             del self.known.nodes[name]
             self.servers.rebuild()
-            if self.links is not None:
-                self.links.disconnect(name)
+            if self.contacts is not None:
+                self.contacts.close(name)
 
 
 def _differs(before: wire.NodeState, after: wire.NodeState) -> bool:
     """Tell whether the index of backend servers changes."""
     if before.leaving != after.leaving or before.address != after.address:
         return True
+    if before.boot != after.boot:
+        return True
     first, second = before.server, after.server
     if first is None or second is None:
         return first is not second
--- a/apricotpost/sidecar/links.py
+++ b/apricotpost/sidecar/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 
 import zmq
@@ -17,6 +18,9 @@
 
 # Messages that are handled before other events of the loop get a turn.
 BATCH_MESSAGES = 200
+# A caller gives up a lost answer of a request that may not be repeated after
+# 0.6 s.
+SOON_SECONDS = 0.6
 
 OnInbox = Callable[[bytes, wire.Message], None]
 OnAnswer = Callable[[str, wire.Message], None]
@@ -26,7 +30,14 @@
 class Link:
     """Connection to one other node."""
 
-    __slots__ = ("address", "connected", "monitor", "name", "socket")
+    __slots__ = (
+        "address",
+        "connected",
+        "monitor",
+        "name",
+        "socket",
+        "waiting",
+    )
 
     def __init__(
         self,
@@ -41,6 +52,8 @@
         self.socket = socket
         self.monitor = monitor
         self.connected = False
+        # Answers to send once it is connected, and until when.
+        self.waiting: list[tuple[float, wire.Message]] = []
 
 
 class Links:
@@ -127,6 +140,27 @@
         self.check_later(link.socket, self.drain_link, link)
         return size > 0
 
+    def send_all(self, names: Iterable[str], message: wire.Message) -> None:
+        """Send a message to several nodes, those that are connected."""
+        frames = wire.encode(message)
+        for name in names:
+            link = self.links.get(name)
+            if link is not None and link.connected:
+                size = sockets.send_encoded(link.socket, frames)
+                self.count(message, size)
+                self.check_later(link.socket, self.drain_link, link)
+
+    def send_soon(self, name: str, message: wire.Message) -> None:
+        """Send a message now, or when the connection is open.
+
+        An answer whose way back is lost takes this one. After
+        `SOON_SECONDS` nobody waits for it.
+        """
+        link = self.links.get(name)
+        if link is None or self.send(name, message):
+            return
+        link.waiting.append((self.loop.time() + SOON_SECONDS, message))
+
     def reply(self, identity: bytes, message: wire.Message) -> bool:
         """Answer the sender of a message; False if it is not connected."""
         if self.closed:
@@ -196,6 +230,15 @@
             if connected != link.connected:
                 link.connected = connected
                 self.on_change(link.name, connected)
+                self.send_waiting(link)
+
+    def send_waiting(self, link: Link) -> None:
+        """Send the answers that waited for the connection."""
+        waiting, link.waiting = link.waiting, []
+        now = self.loop.time()
+        for until, message in waiting:
+            if now < until:
+                self.send_soon(link.name, message)
 
     def check_later(
         self,
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -16,6 +16,8 @@
 from apricotpost import http
 from apricotpost.membership import fleet
 from apricotpost import platform
+from apricotpost.rollout import trials
+from apricotpost.sidecar import contacts
 from apricotpost.sidecar import entry
 from apricotpost.sidecar import gate
 from apricotpost.sidecar import gossip
@@ -138,9 +140,18 @@
             servers=self.servers,
             send_offer=self.send_offer,
             send_cancel=self.send_cancel,
+            on_service=self.gossip.update_contacts,
             instruments=self.metrics,
             draws=draws,
         )
+        self.contacts = contacts.Contacts(
+            known=self.known,
+            connections=self.links,
+            called_services=self.entry.called_services,
+            whole_versions=self.versions_on_trial,
+            is_busy=self.entry.is_busy,
+        )
+        self.gossip.contacts = self.contacts
         self.fronts = {
             settings.addresses.callers: self.entry.handle,
             settings.addresses.readiness: self.answer_readiness,
@@ -155,6 +166,14 @@
         """Return the orders in force."""
         return self.orders.view
 
+    def versions_on_trial(self) -> list[tuple[str, str]]:
+        """Return services and their new versions while these are judged."""
+        return [
+            (trial.service, trial.new)
+            for trial in self.orders.view.service_trials.values()
+            if trial.phase not in trials.FINAL
+        ]
+
     def send_offer(self, name: str, offer: wire.Offer) -> bool:
         """Hand an offer to a node; False means that nothing was sent."""
         if name != self.settings.instance:
@@ -178,6 +197,8 @@
             self.gate.cancel(message.call)
         elif isinstance(message, wire.NodeState):
             self.gossip.take_state(message)
+        elif isinstance(message, wire.StateBatch):
+            self.gossip.take_batch(message)
         elif isinstance(message, wire.OrdersPush):
             self.orders.take_push(message)
         elif isinstance(message, wire.OrdersPull):
@@ -203,7 +224,8 @@
             message: wire.Delivered | wire.Refused | wire.Failed,
         ) -> None:
             if not self.links.reply(identity, message):
-                self.links.send(sender, message)
+                self.contacts.open(sender, self.loop.time())
+                self.links.send_soon(sender, message)
 
         return reply
 
@@ -366,7 +388,7 @@
         began = self.loop.time()
         grace = self.settings.bounds.grace_seconds
         self.gossip.leaving = True
-        self.gossip.publish(far=True)
+        self.gossip.publish_change()
         callers = self.open_fronts[self.settings.addresses.callers]
         callers.start_closing()
         self.loop.call_later(LEAVE_SECONDS, self.leave)
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -14,6 +14,7 @@
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.membership import fleet
+from apricotpost.membership import relays
 from apricotpost import platform
 from apricotpost.sidecar import gossip
 from apricotpost.sidecar import links
@@ -151,6 +152,7 @@
                 events.emit(_LOG, events.LINK_MALFORMED, error=str(error))
                 continue
             self.peers.meet(row.key, found.address, found.data_centre)
+        self.peers.update_contacts()
 
     async def read_all(self) -> None:
         """Read all orders."""
@@ -208,9 +210,7 @@
         message = wire.OrdersPush(
             after=after, revision=self.book.revision, rows=rows
         )
-        for name, known in self.known.nodes.items():
-            if known.state.data_centre == self.settings.data_centre:
-                self.links.send(name, message)
+        self.peers.send_near(message)
 
     def take_push(self, message: wire.OrdersPush) -> None:
         """Take changed orders of another node.
@@ -318,14 +318,21 @@
 
     def ask_far(self) -> None:
         """Ask any node for missing orders while the store is lost."""
+        now = self.loop.time()
         ahead = [
             state
-            for state in fleet.live_nodes(self.known, self.loop.time())
+            for state in fleet.live_nodes(
+                self.known, now, within=relays.FAR_SILENT_SECONDS
+            )
             if state.orders > self.book.revision
         ]
         near = [s for s in ahead if s.data_centre == self.settings.data_centre]
-        if ahead:
-            self.ask(self.draws.choice(near or ahead).node)
+        if not ahead:
+            return
+        chosen = self.draws.choice(near or ahead).node
+        if not self.ask(chosen):
+            # The next attempt finds it connected.
+            self.peers.reach(chosen)
 
     def ask(self, node: str) -> bool:
         """Ask a node for the orders that this one lacks."""
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -9,6 +9,7 @@
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.membership import fleet
+from apricotpost.membership import relays
 from apricotpost import platform
 from apricotpost.rollout import trials
 from apricotpost.sidecar import links
@@ -23,6 +24,10 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.2
+# Relays tell of trials again at this interval while they run, and for a
+# while after their end.
+REPEAT_SECONDS = 1.0
+RECENT_SECONDS = 10.0
 # States of other data centres come every 1.5 s.
 HOLDER_SILENCE_SECONDS = 3.2
 # The table that orders the decisions of several holders: a row changes only
@@ -81,7 +86,7 @@
         # Revision and content of the row of each service, once read.
         self.rows: dict[str, tuple[int, _TrialRow]] = {}
         self.rows_read = False
-        self.writing: set[str] = set()
+        self.repeated = 0.0
 
     async def run(self) -> None:
         """Look after all orders at intervals."""
@@ -91,6 +96,7 @@
                 self.begin(service)
             for trial in tuple(self.source.view.service_trials.values()):
                 await self.attend(trial)
+            self.repeat_notices()
 
     async def read_rows(self) -> None:
         """Read the trials of earlier processes and other holders.
@@ -210,11 +216,12 @@
                 seconds=seconds,
             )
             self.judges.setdefault(notice.service, trials.Judge())
-        self.put(
-            dataclasses.replace(
-                known, phase=phase, since=now, reason=notice.reason
-            )
+        trial = dataclasses.replace(
+            known, phase=phase, since=now, reason=notice.reason
         )
+        self.put(trial)
+        if relays.is_relay(self.known, now):
+            self.tell_all(trial)
 
     def greet(self, name: str) -> None:
         """Tell a node that has just become connected of all trials."""
@@ -238,8 +245,27 @@
             ),
         )
 
+    def repeat_notices(self) -> None:
+        """Tell of recent trials again if this node is a relay.
+
+        A notice that was lost would leave nodes of another data centre with
+        an older phase.
+        """
+        now = self.loop.time()
+        if now - self.repeated < REPEAT_SECONDS:
+            return
+        self.repeated = now
+        if not relays.is_relay(self.known, now):
+            return
+        for trial in self.source.view.service_trials.values():
+            if (
+                trial.phase not in trials.FINAL
+                or now - trial.since < RECENT_SECONDS
+            ):
+                self.tell_all(trial)
+
     def tell_all(self, trial: trials.Trial) -> None:
-        """Send the state of a trial to all nodes."""
+        """Send the state of a trial to all nodes that are connected."""
         for name in self.known.nodes:
             if name != self.settings.instance:
                 self.tell(trial, name)
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -1,5 +1,6 @@
 """Inner protocol: messages, codec and sockets."""
 
+from apricotpost.wire.carriage import AgedState
 from apricotpost.wire.carriage import Delivered
 from apricotpost.wire.carriage import Failed
 from apricotpost.wire.carriage import NodeState
@@ -12,6 +13,7 @@
 from apricotpost.wire.carriage import Refused
 from apricotpost.wire.carriage import ServerLoad
 from apricotpost.wire.carriage import ServerState
+from apricotpost.wire.carriage import StateBatch
 from apricotpost.wire.carriage import TrialNotice
 from apricotpost.wire.carriage import VersionCounts
 from apricotpost.wire.codec import decode
@@ -61,6 +63,7 @@
 from apricotpost.wire.tasks import WorkerReady
 
 __all__ = [
+    "AgedState",
     "Ack",
     "Answer",
     "BackendJob",
@@ -108,6 +111,7 @@
     "Refused",
     "ServerLoad",
     "ServerState",
+    "StateBatch",
     "StatusReply",
     "StatusRequest",
     "StopTask",
--- a/apricotpost/wire/carriage.py
+++ b/apricotpost/wire/carriage.py
@@ -11,6 +11,7 @@
 from apricotpost.wire import messages
 
 __all__ = [
+    "AgedState",
     "Delivered",
     "Failed",
     "KINDS",
@@ -24,6 +25,7 @@
     "Refused",
     "ServerLoad",
     "ServerState",
+    "StateBatch",
     "TrialNotice",
     "VersionCounts",
 ]
@@ -207,6 +209,28 @@
     counts: tuple[VersionCounts, ...] = ()
 
 
+class AgedState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A state and how many milliseconds ago its node was heard."""
+
+    state: NodeState
+    age_ms: int
+
+
+class StateBatch(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """States of a data centre's nodes, sent by one of its relays.
+
+    Parameters
+    ----------
+    states : tuple of AgedState
+        The states.
+    handed_on : bool
+        Whether a relay of the receiver's data centre has sent it.
+    """
+
+    states: tuple[AgedState, ...]
+    handed_on: bool
+
+
 class OrderRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A row of the operators, as read from the store."""
 
@@ -298,4 +322,5 @@
     71: OrdersPush,
     72: OrdersPull,
     73: TrialNotice,
+    74: StateBatch,
 }
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -27,6 +27,7 @@
     "receive_routed",
     "receive_sized",
     "send",
+    "send_encoded",
     "send_routed",
     "send_sized",
     "wait",
@@ -228,6 +229,17 @@
     return _send_frames(socket, [identity, *codec.encode(message)])
 
 
+def send_encoded(socket: Socket, frames: Sequence[bytes]) -> int:
+    """Send the frames of an encoded message without blocking.
+
+    Returns
+    -------
+    int
+        Bytes of the frames; 0 if nothing was sent.
+    """
+    return sum(map(len, frames)) if _send_frames(socket, frames) else 0
+
+
 def send_sized(
     socket: Socket, message: codec.Message, identity: bytes | None = None
 ) -> int:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -477,7 +477,8 @@
             return False
         peers = await self.metric(node, "apricotpost_peers_connected")
         servers = await self.metric(node, "apricotpost_servers_known")
-        return peers >= len(self.nodes) - 1 and servers >= len(self.nodes)
+        near = [n for n in self.nodes if n.data_centre == node.data_centre]
+        return peers >= len(near) - 1 and servers >= len(self.nodes)
 
     async def metric(self, node: NodeProcess, name: str) -> float:
         """Return a metric of a node, summed over its labels."""
--- /dev/null
+++ b/tests/membership/test_relays.py
@@ -0,0 +1,124 @@
+"""Tests of the nodes that carry states between data centres."""
+
+import unittest
+
+from apricotpost.membership import fleet
+from apricotpost.membership import relays
+from tests.sidecar import builders
+
+__all__ = ["FarServerTest", "RelayTest"]
+
+
+def make_fleet(own, **data_centres):
+    """Return a fleet seen by a node, with node names by data centre."""
+    known = fleet.Fleet(node=own, data_centre=own[:1])
+    for data_centre, names in data_centres.items():
+        for name in names:
+            state = builders.make_state(node=name, data_centre=data_centre)
+            fleet.learn(known, state, 0.0)
+    return known
+
+
+class RelayTest(unittest.TestCase):
+    def test_two_relays_send_on_two_ways(self):
+        """Guards against a data centre whose states hang on one node."""
+        names = {"a": ("a1", "a2", "a3"), "b": ("b1", "b2"), "c": ("c1",)}
+        found = {
+            name: relays.far_targets(make_fleet(name, **names), 0.0)
+            for name in names["a"]
+        }
+        self.assertEqual(("b1", "c1"), found["a1"])
+        self.assertEqual(("b2", "c1"), found["a2"])
+        self.assertEqual((), found["a3"])
+
+    def test_lone_relay_sends_to_both_others(self):
+        """Guards against states that pass through one relay only."""
+        known = make_fleet("a1", a=("a1",), b=("b1", "b2", "b3"))
+        self.assertEqual(("b1", "b2"), relays.far_targets(known, 0.0))
+
+    def test_silent_or_leaving_relay_is_replaced(self):
+        """Guards against states that stop with a relay."""
+        known = make_fleet("a3", a=("a1", "a2", "a3"), b=("b1",))
+        self.assertFalse(relays.is_relay(known, 0.0))
+        later = fleet.SILENT_SECONDS + 0.1
+        self.assertTrue(relays.is_relay(known, later))
+        state = builders.make_state(
+            node="a1", data_centre="a", sequence=2, leaving=True
+        )
+        fleet.learn(known, state, 0.0)
+        self.assertTrue(relays.is_relay(known, 0.0))
+
+    def test_only_states_of_the_own_data_centre_are_handed_on(self):
+        """Guards against states that travel in circles, and against old ones.
+
+        A node that the store lists and nobody has heard has no process.
+        """
+        known = make_fleet("a1", a=("a1", "a2"), b=("b1",))
+        unheard = builders.make_state(node="a9", data_centre="a", boot=0)
+        fleet.learn(known, unheard, 0.0)
+        found = relays.fresh_states(known, 0.3, wanted=lambda state: True)
+        self.assertEqual(["a1", "a2"], sorted(s.state.node for s in found))
+        self.assertEqual({300}, {aged.age_ms for aged in found})
+        late = relays.HANDED_ON_SECONDS + 0.1
+        self.assertFalse(
+            relays.fresh_states(known, late, wanted=lambda state: True)
+        )
+
+    def test_age_counts_from_the_node_itself(self):
+        """Guards against a dead node that looks alive behind its relay."""
+        known = make_fleet("a1", a=("a1",))
+        state = builders.make_state(node="b1", data_centre="b")
+        fleet.learn(known, state, 10.0, age=4.0)
+        self.assertEqual(6.0, known.nodes["b1"].heard)
+
+
+class FarServerTest(unittest.TestCase):
+    def make(self, count):
+        known = make_fleet("a1", a=("a1",))
+        for index in range(count):
+            version = "v2" if index % 5 == 0 else "v1"
+            state = builders.make_state(
+                node=f"b{index}",
+                data_centre="b",
+                server=builders.make_server(
+                    backend=f"s{index}", version=version
+                ),
+            )
+            fleet.learn(known, state, 0.0)
+        return known
+
+    def find(self, known, **options):
+        return relays.far_servers(known, 0.0, services=("portal",), **options)
+
+    def test_connections_do_not_grow_with_the_fleet(self):
+        """Guards against two sockets for each node of the fleet."""
+        found = self.find(self.make(200))
+        # For each of the two versions.
+        self.assertEqual(2 * relays.FAR_SERVERS, len(found))
+
+    def test_every_server_of_a_version_on_trial_is_reached(self):
+        """Guards against a load test that each node does elsewhere."""
+        found = self.find(self.make(200), all_of=[("portal", "v2")])
+        self.assertEqual(relays.FAR_SERVERS + 40, len(found))
+
+    def test_callers_spread_over_the_servers(self):
+        """Guards against servers that no other data centre calls."""
+        names = {f"a{i}" for i in range(60)}
+        counts = {}
+        for name in names:
+            known = self.make(40)
+            known.node = name
+            for server in self.find(known):
+                counts[server] = counts.get(server, 0) + 1
+        self.assertEqual(40, len(counts))
+
+    def test_own_data_centre_and_other_services_are_left_out(self):
+        """Guards against connections that nobody uses."""
+        known = self.make(3)
+        self.assertEqual(
+            set(), relays.far_servers(known, 0.0, services=("other",))
+        )
+        silent = relays.FAR_SILENT_SECONDS + 1
+        self.assertEqual(
+            set(), relays.far_servers(known, silent, services=("portal",))
+        )
--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -83,6 +83,34 @@
         self.assertEqual(b"kept", headers[b"x-own"])
         self.assertLessEqual(int(headers[b"x-deadline-ms"]), 2000)
 
+    async def test_call_reaches_a_server_behind_the_relays(self):
+        """Guards against servers that only the relays know.
+
+        The third nodes of both data centres are no relays and have no
+        connection before the call.
+        """
+        routes = [{"prefix": "/reports/", "service": "fieldbook"}]
+        services = ("portal",) * 5 + ("fieldbook",)
+        places = ("dc-a",) * 3 + ("dc-b",) * 3
+        await self.start(*places, services=services, routes=routes)
+        caller = self.nodes[2]
+        peers = await self.mesh.metric(caller, "apricotpost_peers_connected")
+        self.assertEqual(2, peers)
+        statuses = []
+        for _ in range(20):
+            result = await self.call(caller.ports.callers, "/reports/1")
+            statuses.append(result.response.status)
+            await asyncio.sleep(0.02)
+        self.assertIn(200, statuses)
+        self.assertEqual({200}, set(statuses[10:]))
+        self.backends[5].state = "draining"
+        await self.mesh.beat(self.nodes[5])
+        await asyncio.sleep(0.5)
+        before = len(self.backends[5].runs)
+        result = await self.call(caller.ports.callers, "/reports/1")
+        self.assertEqual(503, result.response.status)
+        self.assertEqual(before, len(self.backends[5].runs))
+
     async def test_lost_answer_of_unsafe_request_is_not_repeated(self):
         """Guards against a request that runs twice."""
         await self.start("dc-a", "dc-a")
