Judge the speed of a copy by what its node reports, too

An entry node learnt the speed of a copy from its own requests only: at 80 nodes and 41 copies that is one in three seconds.

Ruled out: a heavier weight of the own requests (their times vary as much as their mean).

Change: the load of a backend server carries how many requests are behind its mean time; the relative speed is that mean against the mean of all copies, and own requests count as much as it once there are ten. The mean starts with the first request and not with 100 ms.

--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -35,6 +35,8 @@
 # Weight of a new measurement in the mean service time.
 SERVICE_TIME_WEIGHT = 0.1
 FIRST_SERVICE_MS = 100.0
+# Served requests are counted so far: more say nothing of the recent ones.
+MAX_SERVED = 30
 # A queued request whose time left is below this part of the usual service
 # time will not be answered in time.
 HOPELESS_PART = 0.6
@@ -109,6 +111,7 @@
         self.queue: list[Entry] = []
         self.service_ms: dict[str, float] = {}
         self.mean_ms = FIRST_SERVICE_MS
+        self.served = 0
         self.failing = 0.0
         self.cold_until = 0.0
         self.cold_rate = 0.0
@@ -136,6 +139,7 @@
     state.limit = min(limit, float(slots))
     state.limit_at = now
     state.failing = 0.0
+    state.served = 0
 
 
 def admit(state: RankedQueue, entry: Entry, now: float) -> Refusal | None:
@@ -259,7 +263,9 @@
         usual = state.service_ms.get(entry.route, ran_ms)
         usual += SERVICE_TIME_WEIGHT * (ran_ms - usual)
         state.service_ms[entry.route] = usual
-        state.mean_ms += SERVICE_TIME_WEIGHT * (ran_ms - state.mean_ms)
+        state.served = min(state.served + 1, MAX_SERVED)
+        weight = max(SERVICE_TIME_WEIGHT, 1.0 / state.served)
+        state.mean_ms += weight * (ran_ms - state.mean_ms)
     return entry
 
 
@@ -287,6 +293,7 @@
         limit=limit,
         usual_ms=round(state.mean_ms, 1),
         failing=round(state.failing, 3),
+        served=state.served,
     )
 
 
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -1,8 +1,10 @@
 """Choice of the backend server that finishes a request first.
 
-The time to finish is the usual time of the route, times the learnt relative
-speed of the copy (peak-sensitive exponential mean), plus the wait in its
-queue, plus the price of leaving the data centre.
+The time to finish is the usual time of the route, times the relative speed of
+the copy, plus the wait in its queue, plus the price of leaving the data
+centre. The speed is learnt from the own requests (exponential mean) and from
+the mean time that the copy's node reports: in a large fleet, a node sends too
+few requests to each copy to learn it by itself.
 """
 
 import dataclasses
@@ -16,8 +18,10 @@
     "learn_load",
     "learn_size",
     "learn_time",
+    "mean_reported_ms",
     "note_sent",
     "order",
+    "relative_speed",
     "remote_penalty_ms",
 ]
 
@@ -51,6 +55,13 @@
 STALE_FAR_SECONDS = 2.2
 STALE_MS = 300.0
 FIRST_ROUTE_MS = 100.0
+# Own requests that count as much as the report on a copy, and reported ones
+# that count as much as no knowledge.
+OWN_SAMPLES = 10
+REPORT_SAMPLES = 4
+# Bounds of the speed that a report may tell: it covers all routes of the
+# service, which differ.
+REPORTED_SPEED = (0.4, 4.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,13 +92,17 @@
         "failing",
         "limit",
         "occupied",
+        "samples",
         "sent_since",
+        "served",
         "speed",
         "usual_ms",
     )
 
     def __init__(self) -> None:
         self.speed = 1.0
+        self.samples = 0
+        self.served = 0
         self.occupied = 0
         self.sent_since = 0
         self.limit = 1
@@ -121,6 +136,7 @@
         speeds.routes[route] = max(ran_ms, 1.0)
         return
     copy = speeds.copy(backend)
+    copy.samples = min(copy.samples + 1, OWN_SAMPLES)
     copy.speed += SPEED_WEIGHT * (min(ran_ms / usual, 8.0) - copy.speed)
     usual += ROUTE_WEIGHT * (min(ran_ms, 4.0 * usual) - usual)
     speeds.routes[route] = max(usual, 1.0)
@@ -149,12 +165,28 @@
     queued: int,
     limit: int,
     usual_ms: float,
+    served: int = 0,
 ) -> None:
-    """Account for a report of a backend server's load."""
+    """Account for a report of a backend server's load.
+
+    Parameters
+    ----------
+    speeds : Speeds
+        What is known.
+    backend : str
+        The backend server.
+    running, queued, limit : int
+        Requests there and before it, and how many may run.
+    usual_ms : float
+        Mean time of its recent requests.
+    served : int
+        Requests behind that mean.
+    """
     copy = speeds.copy(backend)
     copy.occupied = running + queued
     copy.limit = max(limit, 1)
     copy.usual_ms = usual_ms
+    copy.served = served
     copy.sent_since = 0
 
 
@@ -180,13 +212,30 @@
     route: str,
     objective_ms: float,
     now: float,
+    mean_ms: float = 0.0,
 ) -> float:
-    """Return the expected time to finish, in milliseconds."""
+    """Return the expected time to finish, in milliseconds.
+
+    Parameters
+    ----------
+    speeds : Speeds
+        What is known of routes and copies.
+    candidate : Candidate
+        The backend server.
+    route : str
+        Route of the request.
+    objective_ms : float
+        Its latency objective.
+    now : float
+        Monotonic time, in seconds.
+    mean_ms : float
+        Mean time that the copies of the service report; 0 if unknown.
+    """
     copy = speeds.copy(candidate.backend)
     usual = speeds.routes.get(route, FIRST_ROUTE_MS)
     occupied = copy.occupied + copy.sent_since
     fill = occupied / copy.limit
-    serve_ms = usual * copy.speed
+    serve_ms = usual * relative_speed(copy, mean_ms)
     serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
     serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
     wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
@@ -202,6 +251,36 @@
     return total
 
 
+def mean_reported_ms(speeds: Speeds, candidates: list[Candidate]) -> float:
+    """Return the mean time that copies report, in milliseconds.
+
+    0 if none has served a request.
+    """
+    copies = [speeds.copy(c.backend) for c in candidates]
+    known = [copy.usual_ms for copy in copies if copy.served]
+    return sum(known) / len(known) if known else 0.0
+
+
+def relative_speed(copy: Copy, mean_ms: float) -> float:
+    """Return a copy's time divided by the usual one.
+
+    Parameters
+    ----------
+    copy : Copy
+        What is known of it.
+    mean_ms : float
+        Mean time that the copies of the service report; 0 if unknown.
+    """
+    reported = 1.0
+    if mean_ms > 0.0 and copy.served:
+        low, high = REPORTED_SPEED
+        weight = copy.served / (copy.served + REPORT_SAMPLES)
+        found = min(max(copy.usual_ms / mean_ms, low), high)
+        reported += weight * (found - 1.0)
+    own = copy.samples / (copy.samples + OWN_SAMPLES)
+    return reported + own * (copy.speed - reported)
+
+
 def order(
     speeds: Speeds,
     candidates: list[Candidate],
@@ -211,10 +290,16 @@
     now: float,
 ) -> list[Candidate]:
     """Sort backend servers, the one that finishes first in front."""
+    mean_ms = mean_reported_ms(speeds, candidates)
     return sorted(
         candidates,
         key=lambda c: estimate_ms(
-            speeds, c, route=route, objective_ms=objective_ms, now=now
+            speeds,
+            c,
+            route=route,
+            objective_ms=objective_ms,
+            now=now,
+            mean_ms=mean_ms,
         ),
     )
 
--- a/apricotpost/wire/carriage.py
+++ b/apricotpost/wire/carriage.py
@@ -44,6 +44,8 @@
         Mean time of a request there.
     failing : float
         Recent share of failed requests.
+    served : int
+        Requests behind `usual_ms`, up to some tens.
     """
 
     running: int
@@ -51,6 +53,7 @@
     limit: int
     usual_ms: float
     failing: float = 0.0
+    served: int = 0
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -21,14 +21,15 @@
     return found[0].node
 
 
-def report(speeds, name, running, limit=12):
+def report(speeds, name, running, limit=12, usual_ms=160.0, served=0):
     placement.learn_load(
         speeds,
         backend=name,
         running=running,
         queued=0,
         limit=limit,
-        usual_ms=160.0,
+        usual_ms=usual_ms,
+        served=served,
     )
 
 
@@ -49,6 +50,34 @@
         found = choose(self.speeds, [make("slow"), make("fast")])
         self.assertEqual("fast", found)
 
+    def test_reports_tell_the_speed_before_own_requests(self):
+        """Guards against slow copies in a fleet where each node calls few.
+
+        Load: 80 nodes call 41 copies, so that a node sends each copy one
+        request in three seconds.
+        """
+        report(self.speeds, "slow", 3, usual_ms=330.0, served=20)
+        report(self.speeds, "fast", 5, usual_ms=150.0, served=20)
+        pair = [make("slow"), make("fast")]
+        self.assertEqual("fast", choose(self.speeds, pair))
+
+    def test_few_reported_requests_tell_little(self):
+        """Guards against one long request that sets a copy aside."""
+        report(self.speeds, "unlucky", 0, usual_ms=480.0, served=1)
+        report(self.speeds, "usual", 8, usual_ms=160.0, served=20)
+        copy = self.speeds.copy("unlucky")
+        self.assertLess(placement.relative_speed(copy, 320.0), 1.2)
+
+    def test_own_requests_outweigh_a_report_of_other_routes(self):
+        """Guards against a copy that is judged by its short requests."""
+        for _ in range(60):
+            placement.learn_time(
+                self.speeds, route="r", backend="steady", ran_ms=160.0
+            )
+        report(self.speeds, "steady", 0, usual_ms=320.0, served=30)
+        copy = self.speeds.copy("steady")
+        self.assertLess(placement.relative_speed(copy, 160.0), 1.5)
+
     def test_stays_in_the_data_centre_for_a_short_wait(self):
         """Guards against bytes that are paid for without need."""
         placement.learn_size(self.speeds, route="r", size=5000)
