Hedge requests that may be repeated

Ruled out: a shorter timeout of the first attempt, which breaks off work that would have ended.

Change: after 2.5 times the usual time of the route a second server is asked, within the retry budget, max_attempts and the time left. The first answer counts, the other attempt is cancelled. A flight holds its open attempts.

Before: no hedges.

--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -154,6 +154,11 @@
             flight.expires + ANSWER_SLACK_SECONDS, self.expire, flight
         )
         self.offer(flight)
+        usual_ms = self.speeds.routes.get(route.name, 0.0)
+        if route.idempotent and flight.open and usual_ms:
+            flight.hedge = self.loop.call_later(
+                flights.hedge_seconds(usual_ms), self.hedge, flight
+            )
 
     def take_turn(self, service: str) -> float:
         """Return the request's place in the division among versions.
@@ -189,7 +194,18 @@
         )
 
     def offer(self, flight: flights.Flight) -> None:
-        """Offer a request to the best backend server."""
+        """Offer a request to the best backend server, or answer it."""
+        if self.send_best(flight):
+            return
+        flight.reason = flight.reason or wire.NotRunReason.NO_BACKEND_SERVER
+        if flight.runs:
+            self.fail(flight, 502)
+        else:
+            flight.retry_ms = flight.retry_ms or NOT_READY_RETRY_MS
+            self.refuse(flight)
+
+    def send_best(self, flight: flights.Flight) -> bool:
+        """Send an offer to the best backend server that takes it."""
         now = self.loop.time()
         if flight.offers:
             # A second attempt is not made with a version on trial.
@@ -206,14 +222,29 @@
             now=now,
         ):
             if self.send(flight, candidate, now):
-                return
+                return True
             flight.tried.add(candidate.node)
-        flight.reason = flight.reason or wire.NotRunReason.NO_BACKEND_SERVER
-        if flight.runs:
-            self.fail(flight, 502)
-        else:
-            flight.retry_ms = flight.retry_ms or NOT_READY_RETRY_MS
-            self.refuse(flight)
+        return False
+
+    def hedge(self, flight: flights.Flight) -> None:
+        """Ask a second backend server while the first one runs."""
+        flight.hedge = None
+        if not flights.may_hedge(
+            flight,
+            self.budgets[flight.service],
+            usual_ms=self.speeds.routes.get(flight.route.name, 0.0),
+            now=self.loop.time(),
+            others=self.count_others(flight),
+        ):
+            return
+        flight.hedged = True
+        if self.send_best(flight):
+            self.spend(flight.service)
+            self.instruments.retries.labels("hedged").inc()
+
+    def count_others(self, flight: flights.Flight) -> int:
+        """Return how many backend servers were not tried yet."""
+        return sum(c.node not in flight.tried for c in self.candidates(flight))
 
     def send(
         self,
@@ -247,39 +278,61 @@
             body=request.body,
         )
         self.flights[flight.call] = flight
+        flight.open[flight.call] = flights.Attempt(
+            node=candidate.node, backend=candidate.backend
+        )
         flight.offers += 1
         flight.tried.add(candidate.node)
         placement.note_sent(self.speeds, candidate.backend)
         if self.send_offer(candidate.node, offer):
             return True
-        self.flights.pop(flight.call, None)
+        self.close_attempt(flight.call)
         return False
 
+    def close_attempt(
+        self, call: str
+    ) -> tuple[flights.Flight, flights.Attempt] | None:
+        """Return the request and the attempt that an answer belongs to."""
+        flight = self.flights.pop(call, None)
+        if flight is None:
+            return None
+        return flight, flight.open.pop(call)
+
+    def cancel_attempts(self, flight: flights.Flight) -> None:
+        """Tell the nodes of all open attempts that nobody waits."""
+        for call, attempt in tuple(flight.open.items()):
+            self.close_attempt(call)
+            self.send_cancel(attempt.node, wire.Cancel(call=call))
+
     def called_services(self) -> Iterable[str]:
         """Return the services that were called."""
         return self.turns
 
     def is_busy(self, node: str) -> bool:
         """Tell whether requests are under way at a node."""
-        return any(flight.node == node for flight in self.flights.values())
+        return any(
+            flight.open[call].node == node
+            for call, flight in self.flights.items()
+        )
 
     # Answers.
 
     def take(self, message: wire.Message) -> None:
         """Take the answer of a gate."""
-        flight = self.flights.pop(message.call, None)
-        if message.load is not None and flight is not None:
-            self.learn_load(flight.backend, message.load)
-        if flight is None:
+        found = self.close_attempt(message.call)
+        if found is None:
             if isinstance(message, wire.Delivered):
                 self.decisions.report(events.ANSWER_LATE, call=message.call)
             return
+        flight, attempt = found
+        if message.load is not None:
+            self.learn_load(attempt.backend, message.load)
         if isinstance(message, wire.Delivered):
-            self.take_delivered(flight, message)
+            self.take_delivered(flight, attempt, message)
         elif isinstance(message, wire.Refused):
-            self.take_refused(flight, message)
+            self.take_refused(flight, attempt, message)
         else:
-            self.take_failed(flight, message.reason)
+            self.take_failed(flight, attempt, message.reason)
 
     def learn_load(self, backend: str, load: wire.ServerLoad) -> None:
         """Take a report of a backend server's load."""
@@ -290,22 +343,26 @@
             queued=load.queued,
             limit=load.limit,
             usual_ms=load.usual_ms,
+            served=load.served,
         )
 
     def take_delivered(
-        self, flight: flights.Flight, message: wire.Delivered
+        self,
+        flight: flights.Flight,
+        attempt: flights.Attempt,
+        message: wire.Delivered,
     ) -> None:
         """Answer the caller, or try a failed request once more."""
         now = self.loop.time()
         failed = message.status >= 500
         placement.learn_failure(
-            self.speeds, backend=flight.backend, failed=failed, now=now
+            self.speeds, backend=attempt.backend, failed=failed, now=now
         )
         if not failed:
             placement.learn_time(
                 self.speeds,
                 route=flight.route.name,
-                backend=flight.backend,
+                backend=attempt.backend,
                 ran_ms=message.ran_ms,
             )
         placement.learn_size(
@@ -315,39 +372,45 @@
         )
         flight.arrivals += 1
         flight.runs += 1
+        if failed and flight.open:
+            # The other attempt may still succeed.
+            return
         if failed and self.repeat(flight, f"status-{message.status}"):
             return
+        flight.node = attempt.node
+        flight.backend = attempt.backend
         response = http.Response(
             status=message.status, headers=message.headers, body=message.body
         )
         self.end(flight, response, "answered", "")
 
     def take_refused(
-        self, flight: flights.Flight, message: wire.Refused
+        self,
+        flight: flights.Flight,
+        attempt: flights.Attempt,
+        message: wire.Refused,
     ) -> None:
         """Try another backend server, or refuse the request."""
         flight.arrivals += int(message.offered)
         if message.offered:
             placement.learn_failure(
                 self.speeds,
-                backend=flight.backend,
+                backend=attempt.backend,
                 failed=True,
                 now=self.loop.time(),
             )
+        if flight.open:
+            return
         flight.reason = message.reason
         wait = message.retry_ms
         if not flight.retry_ms or 0 < wait < flight.retry_ms:
             flight.retry_ms = wait
-        now = self.loop.time()
-        others = sum(
-            c.node not in flight.tried for c in self.candidates(flight)
-        )
         verdict = flights.after_refusal(
             flight,
             message,
             self.budgets[flight.service],
-            now=now,
-            others=others,
+            now=self.loop.time(),
+            others=self.count_others(flight),
         )
         if message.offered and verdict.next is flights.Next.OFFER:
             self.spend(flight.service)
@@ -360,32 +423,32 @@
         else:
             self.refuse(flight)
 
-    def take_failed(self, flight: flights.Flight, reason: str) -> None:
+    def take_failed(
+        self, flight: flights.Flight, attempt: flights.Attempt, reason: str
+    ) -> None:
         """Repeat a request whose outcome is unknown, or say so."""
         placement.learn_failure(
             self.speeds,
-            backend=flight.backend,
+            backend=attempt.backend,
             failed=True,
             now=self.loop.time(),
         )
         flight.arrivals += 1
         flight.runs += 1
         flight.reason = reason
+        if flight.open:
+            return
         if not self.repeat(flight, reason):
             self.fail(flight, 502)
 
     def repeat(self, flight: flights.Flight, reason: str) -> bool:
         """Send a failed request to another backend server if it may be."""
-        budget = self.budgets[flight.service]
-        others = sum(
-            c.node not in flight.tried for c in self.candidates(flight)
-        )
         verdict = flights.after_failure(
             flight,
-            budget,
+            self.budgets[flight.service],
             usual_ms=self.speeds.routes.get(flight.route.name, 0.0),
             now=self.loop.time(),
-            others=others,
+            others=self.count_others(flight),
         )
         if verdict.next is not flights.Next.OFFER:
             return False
@@ -403,19 +466,24 @@
 
     def node_lost(self, node: str) -> None:
         """Settle the requests at a node whose connection is lost."""
-        lost = [f for f in self.flights.values() if f.node == node]
-        for flight in lost:
-            if flight.route.idempotent:
-                self.flights.pop(flight.call, None)
-                self.take_failed(flight, wire.UnknownReason.NODE_LOST)
+        lost = [
+            (call, flight)
+            for call, flight in self.flights.items()
+            if flight.open[call].node == node
+        ]
+        for call, flight in lost:
+            if not flight.route.idempotent:
+                self.loop.call_later(
+                    LOST_ANSWER_SECONDS, self.give_up, flight, call
+                )
                 continue
-            self.loop.call_later(
-                LOST_ANSWER_SECONDS, self.give_up, flight, flight.call
-            )
+            found = self.close_attempt(call)
+            if found is not None:
+                self.take_failed(*found, wire.UnknownReason.NODE_LOST)
 
     def give_up(self, flight: flights.Flight, call: str) -> None:
         """Answer a request whose answer has not come another way."""
-        if self.flights.pop(call, None) is None:
+        if self.close_attempt(call) is None:
             return
         flight.runs += 1
         flight.reason = wire.UnknownReason.NODE_LOST
@@ -423,19 +491,17 @@
 
     def expire(self, flight: flights.Flight) -> None:
         """Answer a request whose time is over."""
-        if self.flights.pop(flight.call, None) is None:
+        if not flight.open:
             return
-        self.send_cancel(flight.node, wire.Cancel(call=flight.call))
+        self.cancel_attempts(flight)
         flight.reason = wire.UnknownReason.TIMEOUT
         self.fail(flight, 504)
 
     def abandon(self, flight: flights.Flight) -> None:
         """End a request whose caller has hung up."""
-        if flight.timer is not None:
-            flight.timer.cancel()
+        flights.stop_timers(flight)
         self.instruments.requests.labels("abandoned", "caller-gone").inc()
-        if self.flights.pop(flight.call, None) is not None:
-            self.send_cancel(flight.node, wire.Cancel(call=flight.call))
+        self.cancel_attempts(flight)
 
     def stop_taking(self) -> None:
         """Refuse new requests; those that were taken are finished."""
@@ -443,15 +509,14 @@
 
     def settle_all(self) -> None:
         """Answer what is still open at the end of the process."""
-        for flight in tuple(self.flights.values()):
-            self.flights.pop(flight.call, None)
+        for flight in set(self.flights.values()):
+            for call in tuple(flight.open):
+                self.close_attempt(call)
             flight.reason = wire.UnknownReason.TIMEOUT
             self.fail(flight, 504)
 
     def refuse(self, flight: flights.Flight) -> None:
         """Answer that a request has not run and will not run."""
-        if flight.timer is not None:
-            flight.timer.cancel()
         seconds = flights.refusal_seconds(flight.retry_ms, self.draws.random())
         response = http.Response(
             status=503,
@@ -475,8 +540,8 @@
         reason: str,
     ) -> None:
         """Answer a request and log the decision."""
-        if flight.timer is not None:
-            flight.timer.cancel()
+        flights.stop_timers(flight)
+        self.cancel_attempts(flight)
         flight.exchange.respond(response)
         seconds = self.loop.time() - flight.exchange.arrived
         self.instruments.requests.labels(outcome, reason).inc()
--- a/apricotpost/sidecar/flights.py
+++ b/apricotpost/sidecar/flights.py
@@ -11,12 +11,16 @@
 from apricotpost import wire
 
 __all__ = [
+    "Attempt",
     "Flight",
     "Next",
     "Verdict",
     "after_failure",
     "after_refusal",
+    "hedge_seconds",
+    "may_hedge",
     "refusal_seconds",
+    "stop_timers",
 ]
 
 # Offers to gates for one request; each costs a round trip and no run.
@@ -25,6 +29,12 @@
 STRICT_OFFERS = 3
 # A second run is not worth it with less than this part of the usual time.
 MIN_LEFT_PART = 0.8
+# A repeatable request is sent to a second server when the first has not
+# answered after this multiple of the usual time (a hedged request: Dean and
+# Barroso, The Tail at Scale, 2013). About one in twenty requests of the
+# observed log-normal times takes longer.
+HEDGE_MULTIPLE = 2.5
+MIN_HEDGE_SECONDS = 0.05
 # Clients that were refused together should not come back together.
 RETRY_SPREAD = (0.7, 1.4)
 MIN_RETRY_SECONDS = 0.03
@@ -53,6 +63,14 @@
     patient: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """An offer that has no answer yet."""
+
+    node: str
+    backend: str
+
+
 class Flight:
     """One request of a caller; times are monotonic, in seconds."""
 
@@ -64,10 +82,13 @@
         "expires",
         "head",
         "headers",
+        "hedge",
+        "hedged",
         "nested",
         "node",
         "objective",
         "offers",
+        "open",
         "patient",
         "reason",
         "retry_ms",
@@ -115,6 +136,10 @@
         self.reason = ""
         self.retry_ms = 0
         self.timer: asyncio.TimerHandle | None = None
+        # Offers without an answer by call; two while a request is hedged.
+        self.open: dict[str, Attempt] = {}
+        self.hedge: asyncio.TimerHandle | None = None
+        self.hedged = False
 
 
 def after_refusal(
@@ -175,6 +200,61 @@
     return Verdict(next=Next.FAIL)
 
 
+def stop_timers(flight: Flight) -> None:
+    """Stop what was to happen later to a request."""
+    for timer in (flight.timer, flight.hedge):
+        if timer is not None:
+            timer.cancel()
+
+
+def hedge_seconds(usual_ms: float) -> float:
+    """Return after which time a second server is asked, too.
+
+    Parameters
+    ----------
+    usual_ms : float
+        Usual time of the route.
+    """
+    return max(usual_ms * HEDGE_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
+
+
+def may_hedge(
+    flight: Flight,
+    budget: retries.Budget,
+    *,
+    usual_ms: float,
+    now: float,
+    others: int,
+) -> bool:
+    """Tell whether a request goes to a second server while the first runs.
+
+    Parameters
+    ----------
+    flight : Flight
+        The request.
+    budget : retries.Budget
+        Charged for it as for a retry.
+    usual_ms : float
+        Usual time of the route; 0 if it is not known.
+    now : float
+        Monotonic time, in seconds.
+    others : int
+        Backend servers that were not tried yet.
+    """
+    left_ms = (flight.expires - now) * 1000.0
+    return (
+        usual_ms > 0
+        and flight.route.idempotent
+        and len(flight.open) == 1
+        and not flight.hedged
+        and flight.arrivals + 1 < flight.route.max_attempts
+        and flight.offers < MAX_OFFERS
+        and budget.tokens >= 1.0
+        and left_ms > usual_ms * MIN_LEFT_PART
+        and others > 0
+    )
+
+
 def refusal_seconds(retry_ms: float, draw: float) -> float:
     """Return when a refused client may come back.
 
--- a/tests/sidecar/test_flights.py
+++ b/tests/sidecar/test_flights.py
@@ -10,7 +10,7 @@
 from apricotpost.sidecar import flights
 from apricotpost import wire
 
-__all__ = ["FlightTest"]
+__all__ = ["FlightTest", "HedgeTest"]
 
 FULL = wire.NotRunReason.GATE_FULL
 
@@ -132,3 +132,47 @@
         self.assertLessEqual(
             flights.refusal_seconds(99_000, 1.0), flights.MAX_RETRY_SECONDS
         )
+
+
+class HedgeTest(unittest.TestCase):
+    """A second server is asked while the first one has not answered."""
+
+    def may(self, flight, *, tokens=3.0, now=0.3, others=1, usual_ms=100.0):
+        return flights.may_hedge(
+            flight,
+            retries.Budget(tokens=tokens),
+            usual_ms=usual_ms,
+            now=now,
+            others=others,
+        )
+
+    def make(self, **options):
+        flight = make_flight(**options)
+        flight.open["c1"] = flights.Attempt(node="a", backend="b")
+        return flight
+
+    def test_a_request_that_is_late_is_sent_once_more(self):
+        """Guards against callers that wait for a server that hangs."""
+        self.assertTrue(self.may(self.make()))
+
+    def test_bounds(self):
+        """Guards against hedges that double the load or run twice."""
+        self.assertFalse(self.may(self.make(idempotent=False)))
+        self.assertFalse(self.may(self.make(), tokens=0.9))
+        self.assertFalse(self.may(self.make(), others=0))
+        self.assertFalse(self.may(self.make(), now=0.95))
+        self.assertFalse(self.may(self.make(), usual_ms=0.0))
+        self.assertFalse(self.may(self.make(max_attempts=1)))
+        self.assertFalse(self.may(self.make(arrivals=1)))
+        again = self.make()
+        again.hedged = True
+        self.assertFalse(self.may(again))
+
+    def test_an_answered_request_is_not_sent(self):
+        """Guards against work for a caller that has its answer."""
+        self.assertFalse(self.may(make_flight()))
+
+    def test_time_follows_the_usual_time_of_the_route(self):
+        """Guards against hedges of ordinary requests."""
+        self.assertEqual(0.5, flights.hedge_seconds(200.0))
+        self.assertEqual(flights.MIN_HEDGE_SECONDS, flights.hedge_seconds(1.0))
--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -126,6 +126,36 @@
         self.backends[0].mode = "reset"
         self.assertEqual([200, 200], await self.call_all(2))
 
+    async def test_slow_server_is_hedged(self):
+        """Guards against a repeatable request that waits for a hung server.
+
+        Load: one of two servers takes 3 s instead of 20 ms.
+        """
+        await self.start("dc-a", "dc-a")
+        for backend in self.backends:
+            backend.work_seconds = 0.02
+        for _ in range(20):
+            await self.call_all(2)
+        self.backends[0].work_seconds = 3.0
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        found = await self.call_all(2)
+        self.assertEqual([200, 200], found)
+        self.assertLess(loop.time() - began, 1.0)
+        await self.wait_until(lambda: self.backends[0].cancelled, seconds=0.5)
+
+    async def test_request_that_may_not_be_repeated_is_not_hedged(self):
+        """Guards against a hedge that runs a request twice."""
+        await self.start("dc-a", "dc-a")
+        for _ in range(20):
+            await self.call_all(2, "/reports/1", method=b"POST")
+        before = self.ran()
+        for backend in self.backends:
+            backend.work_seconds = 0.8
+        found = await self.call_all(4, "/reports/1", method=b"POST")
+        self.assertEqual([200] * 4, found)
+        self.assertEqual(before + 4, self.ran())
+
     async def test_wrong_and_cut_answers_are_not_delivered(self):
         """Guards against a half answer or that of another request."""
         await self.start("dc-a")
