Add a randomized soak of event-loop nodes with faults from outside

A node can advertise another address than it listens on, which the proxy needs and address translation, too.

A fleet that was not ready within 10 s in 2 of 14 starts was traced: the stand-in chose ports from the range of outgoing connections, and one was taken before its node listened (address already in use in the node's log). Ports now come from below that range.

Not covered: clocks (setting them needs privileges), rollouts.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
-SOURCES := apricotpost standins demo bench tests
+SOURCES := apricotpost standins demo bench soak tests
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench soak clean
 
 $(INSTALLED): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,5 +30,10 @@
 bench: $(INSTALLED)
 	$(BIN)/python -m bench all
 
+# Seeds 1 to SEEDS; see `python -m soak --help`.
+SEEDS ?= 3
+soak: $(INSTALLED)
+	$(BIN)/python -m soak --seeds $(SEEDS)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -198,7 +198,7 @@
         return wire.NodeState(
             node=self.settings.instance,
             data_centre=self.settings.data_centre,
-            address=self.settings.addresses.links,
+            address=self.settings.addresses.for_peers(),
             boot=self.boot,
             sequence=self.sequence,
             leaving=self.leaving,
--- a/apricotpost/sidecar/options.py
+++ b/apricotpost/sidecar/options.py
@@ -44,6 +44,8 @@
         Other nodes.
     metrics : str
         Scrapes of metrics.
+    advertised : str or None
+        Address that other nodes connect to, if it is not `links`.
     """
 
     callers: HostPort
@@ -51,6 +53,11 @@
     announcements: HostPort
     links: HostPort
     metrics: HostPort
+    advertised: HostPort | None = None
+
+    def for_peers(self) -> str:
+        """Return the address that other nodes connect to."""
+        return self.advertised or self.links
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -132,7 +132,7 @@
     async def join(self) -> None:
         """Register this node and read who else is there and the orders."""
         row = _NodeRow(
-            address=self.settings.addresses.links,
+            address=self.settings.addresses.for_peers(),
             data_centre=self.settings.data_centre,
         )
         put = (NODES, self.settings.instance, msgspec.json.encode(row))
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of event-loop nodes as processes, with injected faults."""
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -19,6 +20,13 @@
 __all__ = ["Backend", "Caller", "Mesh", "NodeProcess", "make_config"]
 
 HEARTBEAT_SECONDS = 0.3
+# Ports below those that the system gives to outgoing connections: one of
+# these may be taken between its choice and the start of the node.
+FIRST_PORT = 20000
+PORTS = 10000
+_PORTS = itertools.cycle(
+    FIRST_PORT + (os.getpid() * 101 + index) % PORTS for index in range(PORTS)
+)
 START_SECONDS = 10.0
 
 
@@ -90,6 +98,8 @@
         self.sequence = 0
         self.born = time.time_ns() // 1_000_000
         self.runs: list[str] = []
+        # Monotonic time of each run, in seconds.
+        self.run_times: list[float] = []
         self.requests: list[http.Request] = []
         self.at_once = 0
         self.most_at_once = 0
@@ -98,9 +108,9 @@
         self.address = ""
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def listen(self) -> None:
-        """Listen on a free port."""
-        await self.front.listen(self.host, 0)
+    async def listen(self, port: int = 0) -> None:
+        """Listen on a port; 0 takes a free one."""
+        await self.front.listen(self.host, port)
         port = self.front.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
 
@@ -133,6 +143,7 @@
             exchange.respond(http.Response(status=503, headers=not_run))
             return
         self.runs.append(identifier)
+        self.run_times.append(time.monotonic())
         self.requests.append(exchange.request)
         self.at_once += 1
         self.most_at_once = max(self.most_at_once, self.at_once)
@@ -227,6 +238,8 @@
         Its backend server.
     store : str
         Address of the store.
+    host : str
+        Address on which it listens.
     """
 
     def __init__(
@@ -237,6 +250,7 @@
         folder: pathlib.Path,
         backend: Backend,
         store: str,
+        host: str = "127.0.0.1",
     ) -> None:
         self.name = name
         self.data_centre = data_centre
@@ -245,7 +259,7 @@
         self.path = folder / f"{name}.jsonc"
         self.log = folder / f"{name}.log"
         self.ports = Ports(
-            **{f.name: _free_address() for f in dataclasses.fields(Ports)}
+            **{f.name: _free_address(host) for f in dataclasses.fields(Ports)}
         )
         self.process: subprocess.Popen[bytes] | None = None
         self.write_settings()
@@ -507,7 +521,12 @@
         self.store.close()
 
 
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+def _free_address(host: str) -> str:
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return f"{host}:{port}"
+    raise RuntimeError("no free port")
