Judge a backend server by reported failures and by given-up requests

Cause: a hung or grey server was avoided only by nodes that had failed there themselves, and requests that were hedged and cancelled left no trace: the server was known by its fast answers, and so was a bad version of a rollout. Requests that timed out at the entry did not count either.

Ruled out: health checks (they mislead and are priced).

Change: the report on a server carries its recent share of failures, which halves in 3 s without requests; placement uses it at 0.7 of own evidence. A request that is given up after more than the usual time counts with the time that has passed, at the gate for its mean and for the evidence on versions, at the entry for the copy's speed. A timeout counts as a failure of the server. Entry is split: choice of the server, budgets and replies have modules.

--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -22,6 +22,7 @@
     "finish",
     "next_start",
     "note_rejection",
+    "recent_failing",
     "remove",
     "set_backend",
     "start",
@@ -54,6 +55,7 @@
 FULL_PART = 0.6
 # Weight of a request in the recent share of failures.
 FAILURE_WEIGHT = 0.08
+FAILING_HALF_LIFE_SECONDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,6 +115,7 @@
         self.mean_ms = FIRST_SERVICE_MS
         self.served = 0
         self.failing = 0.0
+        self.failing_at = 0.0
         self.cold_until = 0.0
         self.cold_rate = 0.0
         self.sent: collections.deque[float] = collections.deque()
@@ -240,7 +243,12 @@
 
 
 def finish(
-    state: RankedQueue, call: str, *, ran_ms: float | None, failed: bool
+    state: RankedQueue,
+    call: str,
+    *,
+    ran_ms: float | None,
+    failed: bool,
+    now: float,
 ) -> Entry | None:
     """Account for the end of a running request.
 
@@ -254,10 +262,14 @@
         Service time; None if it was not served.
     failed : bool
         Whether it failed.
+    now : float
+        Monotonic time, in seconds.
     """
     entry = state.running.pop(call, None)
     if entry is None:
         return None
+    state.failing = recent_failing(state, now)
+    state.failing_at = now
     state.failing += FAILURE_WEIGHT * (float(failed) - state.failing)
     if ran_ms is not None:
         usual = state.service_ms.get(entry.route, ran_ms)
@@ -269,6 +281,17 @@
     return entry
 
 
+def recent_failing(state: RankedQueue, now: float) -> float:
+    """Return the share of recent requests that failed.
+
+    It halves while no request ends, so that a server that nobody chooses for
+    its failures is tried again.
+    """
+    age = max(now - state.failing_at, 0.0)
+    halved: float = state.failing * 0.5 ** (age / FAILING_HALF_LIFE_SECONDS)
+    return halved
+
+
 def note_rejection(state: RankedQueue, now: float) -> None:
     """Lower the limit if the backend server was full before it was reached.
 
@@ -292,7 +315,7 @@
         queued=len(state.queue),
         limit=limit,
         usual_ms=round(state.mean_ms, 1),
-        failing=round(state.failing, 3),
+        failing=round(recent_failing(state, now), 3),
         served=state.served,
     )
 
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -34,6 +34,9 @@
 FAILURE_HALF_LIFE_SECONDS = 3.0
 # A failure costs the caller about as much as this wait.
 FAILURE_MS = 1200.0
+# Reported failures count less than the own ones: requests of other callers
+# may fail for reasons of their own.
+REPORTED_FAILING_PART = 0.7
 # Bytes between data centres are paid for, at about a fifth of what the
 # answer of a 5 KB request is worth to its caller. A shorter wait is worth
 # that only where the request would else miss its objective, so the penalty
@@ -92,6 +95,7 @@
         "failing",
         "limit",
         "occupied",
+        "reported_failing",
         "samples",
         "sent_since",
         "served",
@@ -109,6 +113,7 @@
         self.usual_ms = FIRST_ROUTE_MS
         self.failing = 0.0
         self.failed_at = 0.0
+        self.reported_failing = 0.0
 
 
 class Speeds:
@@ -166,6 +171,7 @@
     limit: int,
     usual_ms: float,
     served: int = 0,
+    failing: float = 0.0,
 ) -> None:
     """Account for a report of a backend server's load.
 
@@ -181,12 +187,15 @@
         Mean time of its recent requests.
     served : int
         Requests behind that mean.
+    failing : float
+        Share of its recent requests that failed.
     """
     copy = speeds.copy(backend)
     copy.occupied = running + queued
     copy.limit = max(limit, 1)
     copy.usual_ms = usual_ms
     copy.served = served
+    copy.reported_failing = failing
     copy.sent_since = 0
 
 
@@ -239,7 +248,11 @@
     serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
     serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
     wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
-    total = serve_ms + wait_ms + FAILURE_MS * _recent_failing(copy, now)
+    failing = max(
+        _recent_failing(copy, now),
+        copy.reported_failing * REPORTED_FAILING_PART,
+    )
+    total = serve_ms + wait_ms + FAILURE_MS * failing
     stale_seconds = STALE_NEAR_SECONDS
     if not candidate.same_data_centre:
         stale_seconds = STALE_FAR_SECONDS
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -2,29 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
-import logging
 import random
 
-from apricotpost import events
 from apricotpost import http
 from apricotpost import platform
 from apricotpost.routing import placement
 from apricotpost.routing import prefixes
-from apricotpost.routing import retries
-from apricotpost.routing import splits
+from apricotpost.sidecar import budgets
+from apricotpost.sidecar import choice
 from apricotpost.sidecar import flights
-from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
+from apricotpost.sidecar import replies
 from apricotpost.sidecar import roster
 from apricotpost.sidecar import views
 from apricotpost import wire
 
 __all__ = ["Entry"]
 
-_LOG = logging.getLogger(__name__)
-
 # The backend server's own answer to a passed deadline is awaited so long.
 ANSWER_SLACK_SECONDS = 0.08
 # An answer may come on another connection after the first was reset.
@@ -33,14 +28,6 @@
 NOT_READY_RETRY_MS = 300
 # Calls of running requests go before all others: their callers hold slots.
 NESTED_RANK = -1000
-# Part of the fleet's retry budget that is handed out to the nodes.
-BUDGET_PART = 0.5
-# Part of the allowed ratio. The calls that a repeated run makes count as
-# repeats at the services that it calls, and those are not seen here.
-RATIO_PART = 0.35
-# Part of the allowed ratio that is saved up for failures that come together.
-BURST_PART = 0.3
-
 # Place of a request that a version on trial does not get.
 LAST_TURN = 1.0
 
@@ -91,20 +78,30 @@
         self.servers = servers
         self.send_offer = send_offer
         self.send_cancel = send_cancel
-        self.on_service = on_service
         self.instruments = instruments
-        self.draws = draws
         self.loop = asyncio.get_running_loop()
-        self.speeds = placement.Speeds()
-        self.splits = splits.Splits()
-        self.budgets: dict[str, retries.Budget] = {}
+        self.choice = choice.Choice(
+            read_view=read_view,
+            servers=servers,
+            on_service=on_service,
+            draws=draws,
+        )
+        self.budgets = budgets.Budgets(
+            bounds=settings.bounds, count_nodes=servers.count_nodes
+        )
+        self.replies = replies.Replies(
+            read_view=read_view, instruments=instruments, draws=draws
+        )
         self.flights: dict[str, flights.Flight] = {}
         self.next_call = 0
-        self.turns: dict[str, float] = {}
-        self.decisions = logs.Decisions(logger=_LOG)
         self.stopping = False
         self.backend_host = settings.backend_address.rpartition(":")[0]
 
+    def take_settings(self, settings: options.Options) -> None:
+        """Take up changed settings."""
+        self.settings = settings
+        self.budgets.bounds = settings.bounds
+
     # Requests.
 
     def handle(self, exchange: http.Exchange) -> None:
@@ -112,10 +109,10 @@
         head = platform.read_head(exchange.request)
         view = self.read_view()
         if not head.request_id:
-            self.answer_own(exchange, head, 400, "no-request-id")
+            self.replies.answer_own(exchange, head, 400, "no-request-id")
             return
         if not view.version:
-            self.answer_own(
+            self.replies.answer_own(
                 exchange,
                 head,
                 503,
@@ -124,7 +121,7 @@
             )
             return
         if self.stopping:
-            self.answer_own(
+            self.replies.answer_own(
                 exchange,
                 head,
                 503,
@@ -134,18 +131,20 @@
             return
         route = prefixes.match_prefix(view.routes, head.host, head.path)
         if route is None:
-            self.answer_own(exchange, head, 404, wire.NotRunReason.NO_ROUTE)
+            self.replies.answer_own(
+                exchange, head, 404, wire.NotRunReason.NO_ROUTE
+            )
             return
-        service = splits.choose_service(self.splits, route)
+        service = self.choice.choose_service(route)
         flight = flights.Flight(
             exchange=exchange,
             head=head,
             route=route,
             service=service,
             nested=exchange.connection.is_from(self.backend_host),
-            turn=self.take_turn(service),
+            turn=self.choice.take_turn(service),
         )
-        self.earn(service)
+        self.budgets.earn(service, self.loop.time())
 
         def leave() -> None:
             self.abandon(flight)
@@ -155,54 +154,12 @@
             flight.expires + ANSWER_SLACK_SECONDS, self.expire, flight
         )
         self.offer(flight)
-        usual_ms = self.speeds.routes.get(route.name, 0.0)
+        usual_ms = self.choice.usual_ms(route.name)
         if route.idempotent and flight.open and usual_ms:
             flight.hedge = self.loop.call_later(
                 flights.hedge_seconds(usual_ms), self.hedge, flight
             )
 
-    def take_turn(self, service: str) -> float:
-        """Return the request's place in the division among versions.
-
-        Places follow the golden ratio, which spreads any number of them
-        evenly between 0 and 1.
-        """
-        turn = self.turns.get(service)
-        if turn is None:
-            turn = self.turns[service] = self.draws.random()
-            self.on_service()
-        turn = (turn + 0.6180339887498949) % 1.0
-        self.turns[service] = turn
-        return turn
-
-    def earn(self, service: str) -> None:
-        """Credit this node's part of the retry budget of a service."""
-        bounds = self.settings.bounds
-        nodes = max(self.servers.count_nodes(), 1)
-        base = max(bounds.retry_slack * BUDGET_PART / nodes, 1.0)
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = retries.Budget(
-                tokens=base, per_call=bounds.retry_ratio * RATIO_PART
-            )
-        self.budgets[service] = retries.earn_in_window(
-            budget,
-            base=base,
-            burst=bounds.retry_ratio * BURST_PART,
-            window=bounds.retry_window_seconds,
-            now=self.loop.time(),
-        )
-
-    def candidates(self, flight: flights.Flight) -> list[placement.Candidate]:
-        """Return the backend servers that may run a request."""
-        return self.servers.candidates(
-            self.read_view(),
-            flight.service,
-            turn=flight.turn,
-            regions=flight.route.regions,
-            now=self.loop.time(),
-        )
-
     def offer(self, flight: flights.Flight) -> None:
         """Offer a request to the best backend server, or answer it."""
         if self.send_best(flight):
@@ -220,17 +177,7 @@
         if flight.offers:
             # A second attempt is not made with a version on trial.
             flight.turn = LAST_TURN
-        found = self.candidates(flight)
-        fresh = [c for c in found if c.node not in flight.tried]
-        # A patient offer goes to the shortest queue, tried before or not.
-        pool = found if flight.patient and not flight.runs else fresh
-        for candidate in placement.order(
-            self.speeds,
-            pool,
-            route=flight.route.name,
-            objective_ms=flight.route.objective_ms,
-            now=now,
-        ):
+        for candidate in self.choice.order(flight):
             if self.send(flight, candidate, now):
                 return True
             flight.tried.add(candidate.node)
@@ -241,21 +188,17 @@
         flight.hedge = None
         if not flights.may_hedge(
             flight,
-            self.budgets[flight.service],
-            usual_ms=self.speeds.routes.get(flight.route.name, 0.0),
+            self.budgets.of(flight.service),
+            usual_ms=self.choice.usual_ms(flight.route.name),
             now=self.loop.time(),
-            others=self.count_others(flight),
+            others=self.choice.count_others(flight),
         ):
             return
         flight.hedged = True
         if self.send_best(flight):
-            self.spend(flight.service)
+            self.budgets.spend(flight.service)
             self.instruments.retries.labels("hedged").inc()
 
-    def count_others(self, flight: flights.Flight) -> int:
-        """Return how many backend servers were not tried yet."""
-        return sum(c.node not in flight.tried for c in self.candidates(flight))
-
     def send(
         self,
         flight: flights.Flight,
@@ -289,11 +232,11 @@
         )
         self.flights[flight.call] = flight
         flight.open[flight.call] = flights.Attempt(
-            node=candidate.node, backend=candidate.backend
+            node=candidate.node, backend=candidate.backend, sent=now
         )
         flight.offers += 1
         flight.tried.add(candidate.node)
-        placement.note_sent(self.speeds, candidate.backend)
+        self.choice.note_sent(candidate.backend)
         if self.send_offer(candidate.node, offer):
             return True
         self.close_attempt(flight.call)
@@ -314,10 +257,6 @@
             self.close_attempt(call)
             self.send_cancel(attempt.node, wire.Cancel(call=call))
 
-    def called_services(self) -> Iterable[str]:
-        """Return the services that were called."""
-        return self.turns
-
     def is_busy(self, node: str) -> bool:
         """Tell whether requests are under way at a node."""
         return any(
@@ -332,11 +271,11 @@
         found = self.close_attempt(message.call)
         if found is None:
             if isinstance(message, wire.Delivered):
-                self.decisions.report(events.ANSWER_LATE, call=message.call)
+                self.replies.report_late(message.call)
             return
         flight, attempt = found
         if message.load is not None:
-            self.learn_load(attempt.backend, message.load)
+            self.choice.learn_load(attempt.backend, message.load)
         if isinstance(message, wire.Delivered):
             self.take_delivered(flight, attempt, message)
         elif isinstance(message, wire.Refused):
@@ -344,18 +283,6 @@
         else:
             self.take_failed(flight, attempt, message.reason)
 
-    def learn_load(self, backend: str, load: wire.ServerLoad) -> None:
-        """Take a report of a backend server's load."""
-        placement.learn_load(
-            self.speeds,
-            backend=backend,
-            running=load.running,
-            queued=load.queued,
-            limit=load.limit,
-            usual_ms=load.usual_ms,
-            served=load.served,
-        )
-
     def take_delivered(
         self,
         flight: flights.Flight,
@@ -363,23 +290,15 @@
         message: wire.Delivered,
     ) -> None:
         """Answer the caller, or try a failed request once more."""
-        now = self.loop.time()
         failed = message.status >= 500
-        placement.learn_failure(
-            self.speeds, backend=attempt.backend, failed=failed, now=now
-        )
+        self.choice.learn_outcome(attempt.backend, failed=failed)
         if not failed:
-            placement.learn_time(
-                self.speeds,
-                route=flight.route.name,
-                backend=attempt.backend,
+            self.choice.learn_served(
+                flight,
+                attempt.backend,
                 ran_ms=message.ran_ms,
+                response_bytes=len(message.body),
             )
-        placement.learn_size(
-            self.speeds,
-            route=flight.route.name,
-            size=len(flight.exchange.request.body) + len(message.body),
-        )
         flight.arrivals += 1
         flight.runs += 1
         if failed and flight.open:
@@ -389,6 +308,8 @@
             return
         flight.node = attempt.node
         flight.backend = attempt.backend
+        for other in flight.open.values():
+            self.choice.learn_outrun(flight, other)
         response = http.Response(
             status=message.status, headers=message.headers, body=message.body
         )
@@ -403,12 +324,7 @@
         """Try another backend server, or refuse the request."""
         flight.arrivals += int(message.offered)
         if message.offered:
-            placement.learn_failure(
-                self.speeds,
-                backend=attempt.backend,
-                failed=True,
-                now=self.loop.time(),
-            )
+            self.choice.learn_outcome(attempt.backend, failed=True)
         if flight.open:
             return
         flight.reason = message.reason
@@ -418,12 +334,12 @@
         verdict = flights.after_refusal(
             flight,
             message,
-            self.budgets[flight.service],
+            self.budgets.of(flight.service),
             now=self.loop.time(),
-            others=self.count_others(flight),
+            others=self.choice.count_others(flight),
         )
         if message.offered and verdict.next is flights.Next.OFFER:
-            self.spend(flight.service)
+            self.budgets.spend(flight.service)
         if verdict.next is flights.Next.OFFER:
             flight.patient = verdict.patient
             self.instruments.retries.labels(message.reason).inc()
@@ -437,12 +353,7 @@
         self, flight: flights.Flight, attempt: flights.Attempt, reason: str
     ) -> None:
         """Repeat a request whose outcome is unknown, or say so."""
-        placement.learn_failure(
-            self.speeds,
-            backend=attempt.backend,
-            failed=True,
-            now=self.loop.time(),
-        )
+        self.choice.learn_outcome(attempt.backend, failed=True)
         flight.arrivals += 1
         flight.runs += 1
         flight.reason = reason
@@ -455,23 +366,19 @@
         """Send a failed request to another backend server if it may be."""
         verdict = flights.after_failure(
             flight,
-            self.budgets[flight.service],
-            usual_ms=self.speeds.routes.get(flight.route.name, 0.0),
+            self.budgets.of(flight.service),
+            usual_ms=self.choice.usual_ms(flight.route.name),
             now=self.loop.time(),
-            others=self.count_others(flight),
+            others=self.choice.count_others(flight),
         )
         if verdict.next is not flights.Next.OFFER:
             return False
-        self.spend(flight.service)
+        self.budgets.spend(flight.service)
         self.instruments.retries.labels(reason).inc()
         flight.patient = verdict.patient
         self.offer(flight)
         return True
 
-    def spend(self, service: str) -> None:
-        """Charge the retry budget of a service."""
-        self.budgets[service] = retries.spend(self.budgets[service])
-
     # Ends.
 
     def node_lost(self, node: str) -> None:
@@ -503,6 +410,8 @@
         """Answer a request whose time is over."""
         if not flight.open:
             return
+        for attempt in flight.open.values():
+            self.choice.learn_outcome(attempt.backend, failed=True)
         self.cancel_attempts(flight)
         flight.reason = wire.UnknownReason.TIMEOUT
         self.fail(flight, 504)
@@ -527,7 +436,7 @@
 
     def refuse(self, flight: flights.Flight) -> None:
         """Answer that a request has not run and will not run."""
-        seconds = flights.refusal_seconds(flight.retry_ms, self.draws.random())
+        seconds = self.replies.return_seconds(flight.retry_ms)
         response = http.Response(
             status=503,
             headers=platform.refusal_headers(flight.head.request_id, seconds),
@@ -552,56 +461,4 @@
         """Answer a request and log the decision."""
         flights.stop_timers(flight)
         self.cancel_attempts(flight)
-        flight.exchange.respond(response)
-        seconds = self.loop.time() - flight.exchange.arrived
-        self.instruments.requests.labels(outcome, reason).inc()
-        self.instruments.latency.observe(seconds)
-        report = self.decisions.report
-        event = events.REQUEST_ENDED
-        if outcome == "answered":
-            report = self.decisions.report_served
-            event = events.REQUEST_SERVED
-        report(
-            event,
-            request=flight.head.request_id,
-            route=flight.route.name,
-            service=flight.service,
-            outcome=outcome,
-            reason=reason,
-            status=response.status,
-            backend=flight.backend,
-            node=flight.node,
-            offers=flight.offers,
-            runs=flight.runs,
-            ms=round(seconds * 1000),
-            version=self.read_view().version,
-        )
-
-    def answer_own(
-        self,
-        exchange: http.Exchange,
-        head: platform.RequestHead,
-        status: int,
-        reason: str,
-        retry_ms: int = 0,
-    ) -> None:
-        """Answer a request that matches no route or cannot be served."""
-        seconds = 0.0
-        if retry_ms:
-            seconds = flights.refusal_seconds(retry_ms, self.draws.random())
-        exchange.respond(
-            http.Response(
-                status=status,
-                headers=platform.refusal_headers(head.request_id, seconds),
-            )
-        )
-        self.instruments.requests.labels("refused", reason).inc()
-        self.decisions.report(
-            events.REQUEST_UNROUTED,
-            request=head.request_id,
-            host=head.host,
-            path=head.path[:80],
-            status=status,
-            reason=reason,
-            version=self.read_view().version,
-        )
+        self.replies.end(flight, response, outcome, reason)
--- a/apricotpost/sidecar/flights.py
+++ b/apricotpost/sidecar/flights.py
@@ -65,10 +65,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """An offer that has no answer yet."""
+    """An offer that has no answer yet; `sent` is in monotonic seconds."""
 
     node: str
     backend: str
+    sent: float
 
 
 class Flight:
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -327,7 +327,20 @@
         entry = self.queue.running.get(call)
         if entry is None or not entry.work.offer.idempotent:
             return
-        ranked.finish(self.queue, call, ran_ms=None, failed=False)
+        now = self.loop.time()
+        elapsed_ms = (now - entry.work.started) * 1000.0
+        usual_ms = self.queue.service_ms.get(entry.route, self.queue.mean_ms)
+        if elapsed_ms > usual_ms:
+            # The least that it would have taken: a server whose requests are
+            # all given up must not look fast.
+            self.count(entry.route, failed=False, ran_ms=elapsed_ms)
+        ranked.finish(
+            self.queue,
+            call,
+            ran_ms=elapsed_ms if elapsed_ms > usual_ms else None,
+            failed=False,
+            now=now,
+        )
         if entry.work.handle is not None:
             entry.work.handle.cancel()
         self.pump()
@@ -448,7 +461,13 @@
         """Hand the response to the caller."""
         offer = entry.work.offer
         failed = response.status >= 500
-        ranked.finish(self.queue, offer.call, ran_ms=ran_ms, failed=failed)
+        ranked.finish(
+            self.queue,
+            offer.call,
+            ran_ms=ran_ms,
+            failed=failed,
+            now=self.loop.time(),
+        )
         self.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.labels("answered", response.status).inc()
         entry.work.reply(
@@ -468,7 +487,9 @@
         """Pass on that the backend server has not run a request."""
         offer = entry.work.offer
         now = self.loop.time()
-        ranked.finish(self.queue, offer.call, ran_ms=None, failed=False)
+        ranked.finish(
+            self.queue, offer.call, ran_ms=None, failed=False, now=now
+        )
         reason = wire.NotRunReason.GATE_FULL
         if response.status == platform.NotRunStatus.MISDIRECTED:
             reason = wire.NotRunReason.NO_BACKEND_SERVER
@@ -501,14 +522,26 @@
         """Answer that there is no usable response."""
         offer = entry.work.offer
         if failure is http.Failure.NOT_CONNECTED:
-            ranked.finish(self.queue, offer.call, ran_ms=None, failed=False)
+            ranked.finish(
+                self.queue,
+                offer.call,
+                ran_ms=None,
+                failed=False,
+                now=self.loop.time(),
+            )
             self.lose_backend(offer)
             refusal = ranked.Refusal(
                 reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
             )
             self.refuse(offer, entry.work.reply, refusal)
             return
-        ranked.finish(self.queue, offer.call, ran_ms=None, failed=True)
+        ranked.finish(
+            self.queue,
+            offer.call,
+            ran_ms=None,
+            failed=True,
+            now=self.loop.time(),
+        )
         self.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -147,7 +147,7 @@
         self.contacts = contacts.Contacts(
             known=self.known,
             connections=self.links,
-            called_services=self.entry.called_services,
+            called_services=self.entry.choice.called_services,
             whole_versions=self.versions_on_trial,
             is_busy=self.entry.is_busy,
         )
@@ -253,7 +253,7 @@
         """Use the state of a node."""
         server = state.server
         if server is not None:
-            self.entry.learn_load(server.backend, server.load)
+            self.entry.choice.learn_load(server.backend, server.load)
         self.rollouts.take_state(state)
         if newer:
             self.rollouts.greet(state.node)
@@ -376,7 +376,7 @@
                 faults=error.faults[:5],
             )
             return
-        self.entry.settings = settings
+        self.entry.take_settings(settings)
         self.gate.settings = settings
         events.emit(_LOG, events.SETTINGS_RELOADED, cause=cause)
 
