Bound the calls of a store that is away

Ruled out: a longer pause for all (orders must be in force 2 s after the store is back).

Change: a node that has lost the store is no reader. The first two nodes of a data centre probe often, the others each 6 s, also while a neighbour reaches the store. A start reads the rollouts only if there are orders for some.

Before: 23 calls of 6 nodes in 5 s of an outage (the new test, bound 20).

--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -12,11 +12,16 @@
     "learn",
     "live_nodes",
     "newest_orders",
+    "probe_seconds",
     "touch",
 ]
 
 # States come every half a second within a data centre; two may be late.
 SILENT_SECONDS = 1.6
+# Nodes of a data centre that look for the return of the store, and the pause
+# of those that have others to do so.
+PROBERS = 2
+SLOW_PROBE_SECONDS = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +108,30 @@
     )
 
 
+def probe_seconds(fleet: Fleet, now: float) -> float:
+    """Return how long a node that lost the store waits between its probes.
+
+    Two nodes of each data centre probe often. The others get the orders from
+    their neighbours, and hundreds of nodes would else call a store that has
+    just returned.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Known nodes.
+    now : float
+        Monotonic time, in seconds.
+    """
+    before = 0
+    for state in live_nodes(fleet, now):
+        if state.node == fleet.node or state.data_centre != fleet.data_centre:
+            continue
+        if state.store and not state.leaving:
+            return SLOW_PROBE_SECONDS
+        before += state.node < fleet.node
+    return SLOW_PROBE_SECONDS if before >= PROBERS else 0.0
+
+
 def newest_orders(fleet: Fleet) -> int:
     """Return the newest store revision that any node holds."""
     return max((k.state.orders for k in fleet.nodes.values()), default=0)
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -132,7 +132,7 @@
             source=self.orders,
         )
         self.rollouts.links = self.links
-        self.orders.before_orders = self.rollouts.read_rows
+        self.orders.before_rollouts = self.rollouts.read_rows
         self.entry = entry.Entry(
             settings=settings,
             boot=format(boot, "x"),
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -89,10 +89,11 @@
         # Decoded routes of the configuration in force.
         self.routes = platform.RouteCache()
         self.links: links.Links | None = None
-        # Reads what earlier processes left in the store, before the orders.
-        self.before_orders: Step | None = None
+        # Reads where the rollouts stand before their orders are in force.
+        self.before_rollouts: Step | None = None
         self.reader = False
         self.lost_at: float | None = None
+        self.probed_at = 0.0
         self.pause = MIN_PAUSE_SECONDS
         self.lagging_since: float | None = None
 
@@ -101,16 +102,26 @@
         await self.retry(self.join)
         while True:
             now = self.loop.time()
-            reader = fleet.is_reader(self.known, now, reaches_store=True)
+            reader = fleet.is_reader(
+                self.known, now, reaches_store=self.lost_at is None
+            )
             if reader != self.reader:
                 self.reader = reader
                 events.emit(_LOG, events.READER_CHANGED, reader=reader)
-            if reader or self.lost_at is not None:
+            if reader or self.may_probe(now):
+                self.probed_at = now
                 await self.attempt(self.watch)
             else:
                 await self.catch_up()
                 await asyncio.sleep(CHECK_SECONDS)
 
+    def may_probe(self, now: float) -> bool:
+        """Tell whether to look for the return of a lost store now."""
+        if self.lost_at is None:
+            return False
+        pause = fleet.probe_seconds(self.known, now)
+        return now - self.probed_at >= pause
+
     async def retry(self, step: Step) -> None:
         """Repeat a step until the store has done it."""
         while not await self.attempt(step):
@@ -137,8 +148,6 @@
         )
         put = (NODES, self.settings.instance, msgspec.json.encode(row))
         await self.store.write(platform.Change(put=(put,)))
-        if self.before_orders is not None:
-            await self.before_orders()
         await self.read_all()
         await self.read_nodes()
 
@@ -158,6 +167,10 @@
         """Read all orders."""
         page = await self.store.read(platform.ORDERS)
         rows = tuple(map(_order_row, page.rows))
+        if self.before_rollouts is not None and any(
+            row.key.startswith(platform.ROLLOUTS) for row in rows
+        ):
+            await self.before_rollouts()
         after = self.book.revision
         held = dict(self.book.rows)
         news = orders.replace_all(self.book, rows, revision=page.revision)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -48,3 +48,29 @@
         self.assertFalse(
             fleet.is_reader(self.fleet, later, reaches_store=False)
         )
+
+    def test_two_nodes_probe_a_lost_store(self):
+        """Guards against a fleet that calls a store that has just returned.
+
+        Every node of an 8 s outage called it each second, since no node with
+        a lower name reached it.
+        """
+        self.learn(node="a1", store=False)
+        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
+        self.learn(node="c", store=False)
+        self.learn(node="a9", data_centre="dc-b", store=False)
+        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
+        self.learn(node="a2", store=False)
+        slow = fleet.SLOW_PROBE_SECONDS
+        self.assertEqual(slow, fleet.probe_seconds(self.fleet, 0.0))
+        # The two have gone silent.
+        later = fleet.SILENT_SECONDS + 0.1
+        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, later))
+
+    def test_neighbour_that_reaches_the_store_is_enough(self):
+        """Guards against priced calls that tell nothing new."""
+        self.learn(node="c", store=True)
+        slow = fleet.SLOW_PROBE_SECONDS
+        self.assertEqual(slow, fleet.probe_seconds(self.fleet, 0.0))
+        self.learn(node="c", sequence=2, store=True, leaving=True)
+        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -349,6 +349,28 @@
             await asyncio.sleep(0.5)
             self.assertEqual([200] * 8, await self.call_all(8))
 
+    async def test_outage_is_probed_by_two_nodes_of_a_data_centre(self):
+        """Guards against calls that grow with the fleet while nobody serves.
+
+        6 nodes called each 1.1 s at the mean. Two still do; the others call
+        once when they lose the store, and each 6 s.
+        """
+        await self.start(*("dc-a",) * 6)
+        self.mesh.store.conditions = rows.Conditions(status=503)
+        await asyncio.sleep(3.0)
+        before = len(self.mesh.store.calls)
+        await asyncio.sleep(5.0)
+        self.assertLess(len(self.mesh.store.calls) - before, 20)
+        self.mesh.store.conditions = rows.Conditions()
+        config = mesh.make_config(
+            9, routes=[{"prefix": "/new/", "service": "portal"}]
+        )
+        self.mesh.store.put("op", "config", config)
+        await asyncio.sleep(2.5)
+        for node in self.nodes:
+            result = await self.call(node.ports.callers, "/new/1")
+            self.assertEqual(200, result.response.status)
+
     async def test_restarted_node_learns_from_peers_without_store(self):
         """Guards against a node that waits for the store to return."""
         await self.start("dc-a", "dc-a")
