Tell from logs what became of a request

Cause: an on-call engineer had to search the logs of several nodes by hand.

Change: apricotpost-ctl explain ID FILE... joins the logs of nodes and shows the lines about a request and the changes that the nodes that took part noted in the 5 s before.

--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -7,11 +7,14 @@
 
 from apricotpost.ctl import client
 from apricotpost.ctl import commands
+from apricotpost.ctl import explain
 from apricotpost import errors
 
 __all__ = ["main", "make_parser"]
 
 DESCRIPTION = "Change and read the configuration of apricotpost."
+# A change that explains a decision was made a few seconds before it.
+EXPLAIN_SECONDS = 5.0
 EPILOG = """exit codes:
   0  done
   2  bad input: wrong arguments, faults in the sheet or the definitions
@@ -29,6 +32,7 @@
   apricotpost-ctl watch
   apricotpost-ctl data-centre out riga-2 --reason "power work"
   apricotpost-ctl withdraw 000000000042-portal --reason "wrong totals"
+  apricotpost-ctl explain 9c41d07be2a35f68 logs/*.log
 """
 
 
@@ -42,6 +46,8 @@
     """
     options = make_parser().parse_args(arguments)
     try:
+        if options.command == "explain":
+            return _explain(options)
         session = commands.Session(
             client=client.open_client(
                 nodes=client.read_nodes(options.node, os.environ),
@@ -120,6 +126,17 @@
     )
     history.add_argument("--service", default="")
     history.add_argument("--limit", type=int, default=200)
+    story = adders.add_parser(
+        "explain", help="tell from logs what became of a request"
+    )
+    story.add_argument("request", help="identifier of the request")
+    story.add_argument("logs", nargs="+", type=pathlib.Path, metavar="FILE")
+    story.add_argument(
+        "--seconds",
+        type=float,
+        default=EXPLAIN_SECONDS,
+        help="how far back changes of the nodes are shown",
+    )
     audit = adders.add_parser(
         "audit", parents=[common], help="show who changed what"
     )
@@ -165,6 +182,18 @@
     return parser
 
 
+def _explain(options: argparse.Namespace) -> int:
+    lines = explain.read_logs(options.logs)
+    story = explain.tell(lines, options.request, seconds=options.seconds)
+    for line in story:
+        _write(line)
+    if not story:
+        _warn(
+            f"no line about request {options.request}; served ones are sampled"
+        )
+    return 0 if story else 2
+
+
 def _write(text: str) -> None:
     print(text, flush=True)
 
