Prefer warm servers, hedge nothing while a version is judged

A hedge gives a slow request up at 2.5 times the usual time, while 3 times count as slow, so a slow version of a rollout could have passed.

Change: placement doubles the time of cold servers; services on trial are not hedged. The evidence of a gate has a module of its own.

--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -50,6 +50,8 @@
 # Backend servers slow down when they are nearly full.
 CROWDED_PART = 0.75
 CROWDED_SLOWDOWN = 0.6
+# A backend server that has just started takes about twice as long.
+COLD_SLOWDOWN = 2.0
 # Requests of other nodes arrive between two reports of the load.
 BALANCE_PART = 0.35
 # A copy that has not reported for this long may be gone. States come every
@@ -79,12 +81,15 @@
         Whether the request stays in the data centre.
     silent_seconds : float
         Since its node was last heard.
+    cold : bool
+        Whether it has just started and is slower than later.
     """
 
     node: str
     backend: str
     same_data_centre: bool
     silent_seconds: float = 0.0
+    cold: bool = False
 
 
 class Copy:
@@ -245,6 +250,8 @@
     occupied = copy.occupied + copy.sent_since
     fill = occupied / copy.limit
     serve_ms = usual * relative_speed(copy, mean_ms)
+    if candidate.cold:
+        serve_ms *= COLD_SLOWDOWN
     serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
     serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
     wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
--- a/apricotpost/sidecar/choice.py
+++ b/apricotpost/sidecar/choice.py
@@ -6,6 +6,7 @@
 import random
 
 from apricotpost import model
+from apricotpost.rollout import trials
 from apricotpost.routing import placement
 from apricotpost.routing import splits
 from apricotpost.sidecar import flights
@@ -105,6 +106,15 @@
         """Return the usual time of a route; 0 if it is not known."""
         return self.speeds.routes.get(route, 0.0)
 
+    def may_hedge(self, service: str) -> bool:
+        """Tell whether slow requests of a service are hedged now.
+
+        While a version is judged its slow requests are evidence, and a hedge
+        ends them before they count as slow.
+        """
+        trial = self.read_view().service_trials.get(service)
+        return trial is None or trial.phase in trials.FINAL
+
     # Evidence.
 
     def note_sent(self, backend: str) -> None:
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -186,13 +186,14 @@
     def hedge(self, flight: flights.Flight) -> None:
         """Ask a second backend server while the first one runs."""
         flight.hedge = None
-        if not flights.may_hedge(
+        allowed = self.choice.may_hedge(flight.service) and flights.may_hedge(
             flight,
             self.budgets.of(flight.service),
             usual_ms=self.choice.usual_ms(flight.route.name),
             now=self.loop.time(),
             others=self.choice.count_others(flight),
-        ):
+        )
+        if not allowed:
             return
         flight.hedged = True
         if self.send_best(flight):
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -9,12 +9,12 @@
 from apricotpost import http
 from apricotpost import model
 from apricotpost import platform
-from apricotpost.rollout import evidence
 from apricotpost.rollout import trials
 from apricotpost.sidecar import beats
 from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
+from apricotpost.sidecar import tallies
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -87,7 +87,7 @@
         self.loop = asyncio.get_running_loop()
         self.queue = ranked.RankedQueue()
         self.presence = beats.Presence()
-        self.counts: dict[str, evidence.Counts] = {}
+        self.tallies = tallies.Tallies(read_view=read_view)
         self.leaving = False
         self.checking = False
         self.timer: asyncio.TimerHandle | None = None
@@ -176,7 +176,7 @@
         if beat.sequence > FIRST_BEATS and not self.queue.slots:
             limit = max(beat.slots * UNKNOWN_START_PART, 1.0)
         ranked.set_backend(self.queue, slots=beat.slots, limit=limit, now=now)
-        self.counts = {}
+        self.tallies.reset()
         self.client.drop_idle()
 
     def update_cold(self) -> None:
@@ -229,32 +229,6 @@
             load=ranked.describe(self.queue, now),
         )
 
-    def describe_counts(self) -> tuple[wire.VersionCounts, ...]:
-        """Return the evidence while the service is on trial."""
-        current = self.presence.current
-        if current is None:
-            return ()
-        trial = self.read_view().service_trials.get(current.service)
-        if trial is None or trial.phase in trials.FINAL:
-            return ()
-        return tuple(
-            wire.VersionCounts(
-                route=route,
-                calls=counts.calls,
-                failures=counts.failures,
-                latencies=counts.latencies,
-            )
-            for route, counts in self.counts.items()
-        )
-
-    def is_loaded_trial(self) -> bool:
-        """Tell whether a new version carries most of the requests."""
-        current = self.presence.current
-        if current is None:
-            return False
-        trial = self.read_view().service_trials.get(current.service)
-        return trial is not None and trial.phase in trials.LOADED
-
     # Requests.
 
     def offer(self, offer: wire.Offer, reply: Reply) -> None:
@@ -333,7 +307,7 @@
         if elapsed_ms > usual_ms:
             # The least that it would have taken: a server whose requests are
             # all given up must not look fast.
-            self.count(entry.route, failed=False, ran_ms=elapsed_ms)
+            self.tallies.count(entry.route, failed=False, ran_ms=elapsed_ms)
         ranked.finish(
             self.queue,
             call,
@@ -468,7 +442,7 @@
             failed=failed,
             now=self.loop.time(),
         )
-        self.count(offer.route, failed=failed, ran_ms=ran_ms)
+        self.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.labels("answered", response.status).inc()
         entry.work.reply(
             wire.Delivered(
@@ -542,7 +516,7 @@
             failed=True,
             now=self.loop.time(),
         )
-        self.count(offer.route, failed=True, ran_ms=ran_ms)
+        self.tallies.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
             reason = _REASONS[failure]
@@ -573,19 +547,6 @@
         self.on_change()
         self.refuse_queue()
 
-    def count(self, route: str, *, failed: bool, ran_ms: float) -> None:
-        """Keep the evidence on the version."""
-        known = self.counts.get(route, evidence.Counts())
-        latencies = known.latencies
-        if not failed:
-            bucket = evidence.bucket_of(ran_ms)
-            latencies = evidence.increment(latencies, bucket)
-        self.counts[route] = evidence.Counts(
-            calls=known.calls + 1,
-            failures=known.failures + int(failed),
-            latencies=latencies,
-        )
-
     def is_idle(self) -> bool:
         """Tell whether no request runs or waits."""
         return not self.queue.running and not self.queue.queue
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -85,7 +85,7 @@
         """Publish at intervals."""
         while True:
             self.round += 1
-            loaded = self.gate is not None and self.gate.is_loaded_trial()
+            loaded = self.is_loaded()
             self.publish()
             judged = self.send_far(whole=self.round % FAR_ROUNDS == 0)
             self.forget_lost()
@@ -192,9 +192,22 @@
 
     # States.
 
+    def is_loaded(self) -> bool:
+        """Tell whether the evidence of this node is needed often."""
+        server = self.gate.describe() if self.gate is not None else None
+        return (
+            server is not None
+            and self.gate is not None
+            and self.gate.tallies.is_loaded_trial(server.service)
+        )
+
     def describe(self) -> wire.NodeState:
         """Return this node's state."""
         self.sequence += 1
+        server = self.gate.describe() if self.gate is not None else None
+        counts: tuple[wire.VersionCounts, ...] = ()
+        if server is not None and self.gate is not None:
+            counts = self.gate.tallies.describe(server.service)
         return wire.NodeState(
             node=self.settings.instance,
             data_centre=self.settings.data_centre,
@@ -204,8 +217,8 @@
             leaving=self.leaving,
             store=self.reaches_store,
             orders=self.orders,
-            server=self.gate.describe() if self.gate is not None else None,
-            counts=self.gate.describe_counts() if self.gate else (),
+            server=server,
+            counts=counts,
         )
 
     def take_state(self, state: wire.NodeState, *, age: float = 0.0) -> None:
--- a/apricotpost/sidecar/roster.py
+++ b/apricotpost/sidecar/roster.py
@@ -128,6 +128,7 @@
                 backend=entry.server.backend,
                 same_data_centre=entry.data_centre == self.known.data_centre,
                 silent_seconds=silence,
+                cold=entry.server.cold,
             )
             for entry, silence in recent or heard
         ]
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -8,9 +8,13 @@
 __all__ = ["PlacementTest"]
 
 
-def make(name, *, near=True, silent=0.0):
+def make(name, *, near=True, silent=0.0, cold=False):
     return placement.Candidate(
-        node=name, backend=name, same_data_centre=near, silent_seconds=silent
+        node=name,
+        backend=name,
+        same_data_centre=near,
+        silent_seconds=silent,
+        cold=cold,
     )
 
 
@@ -71,6 +75,18 @@
         pair = [make("grey"), make("sound")]
         self.assertEqual("sound", choose(self.speeds, pair))
 
+    def test_started_server_is_used_once_the_others_are_full(self):
+        """Guards against requests that are late at a cold server.
+
+        Load: a release starts idle servers beside others that are half full.
+        """
+        report(self.speeds, "cold", 0)
+        pair = [make("cold", cold=True), make("warm")]
+        report(self.speeds, "warm", 6)
+        self.assertEqual("warm", choose(self.speeds, pair))
+        report(self.speeds, "warm", 30)
+        self.assertEqual("cold", choose(self.speeds, pair))
+
     def test_few_reported_requests_tell_little(self):
         """Guards against one long request that sets a copy aside."""
         report(self.speeds, "unlucky", 0, usual_ms=480.0, served=1)
