Connect to usable servers elsewhere, to more if there are none near

Cause: a node chose its six servers of other data centres among all that were alive, also among those that were evacuated, leaving or not ready.

Change: only usable servers take a place; a node whose data centre has at most two usable ones of a service and version connects to 18.

--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 import xxhash
@@ -34,6 +35,11 @@
 # Backend servers of a service and version that a node can call in each of
 # the other data centres together.
 FAR_SERVERS = 6
+# As many if its own data centre has nearly none, so that fast ones are among
+# them and the load spreads.
+FAR_SERVERS_ALONE = 18
+# Backend servers of a service in the own data centre that are few.
+FEW_NEAR = 2
 # Older states are not handed on: the node is silent or gone.
 HANDED_ON_SECONDS = 5.0
 
@@ -115,6 +121,7 @@
     *,
     services: Iterable[str],
     all_of: Iterable[tuple[str, str]] = (),
+    evacuated: Collection[str] = (),
 ) -> set[str]:
     """Return the nodes of other data centres that this node may call.
 
@@ -129,24 +136,36 @@
     all_of : iterable of tuple of str
         Services and versions of which every server is wanted: during a
         trial all nodes load the same one.
+    evacuated : collection of str
+        Data centres that get no requests.
     """
     whole = frozenset(all_of)
     called = frozenset(services)
-    groups: dict[tuple[str, str], list[str]] = {}
+    near: dict[tuple[str, str], int] = {}
+    far: dict[tuple[str, str], list[str]] = {}
     for name, node in known.nodes.items():
-        server = node.state.server
+        state = node.state
+        server = state.server
         if (
             server is None
             or server.service not in called
-            or node.state.data_centre == known.data_centre
+            or not server.ready
+            or state.leaving
+            or state.data_centre in evacuated
             or now - node.heard > FAR_SILENT_SECONDS
         ):
             continue
-        groups.setdefault((server.service, server.version), []).append(name)
+        group = (server.service, server.version)
+        if state.data_centre == known.data_centre:
+            near[group] = near.get(group, 0) + 1
+        else:
+            far.setdefault(group, []).append(name)
     found: set[str] = set()
-    for group, names in groups.items():
+    for group, names in far.items():
         names.sort(key=lambda name: _score(known.node, name))
-        found.update(names if group in whole else names[:FAR_SERVERS])
+        alone = near.get(group, 0) <= FEW_NEAR
+        count = FAR_SERVERS_ALONE if alone else FAR_SERVERS
+        found.update(names if group in whole else names[:count])
     return found
 
 
--- a/apricotpost/sidecar/contacts.py
+++ b/apricotpost/sidecar/contacts.py
@@ -1,6 +1,7 @@
 """Connections of this node: which are opened and kept."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from apricotpost.membership import fleet
@@ -27,6 +28,8 @@
         Returns the services that this node calls.
     whole_versions : callable
         Returns services and versions of which every server is wanted.
+    evacuated : callable
+        Returns the data centres that get no requests.
     is_busy : callable
         Tells whether requests are under way at a node.
     """
@@ -38,12 +41,14 @@
         connections: links.Links,
         called_services: Callable[[], Iterable[str]],
         whole_versions: Callable[[], Iterable[tuple[str, str]]],
+        evacuated: Callable[[], Collection[str]],
         is_busy: Callable[[str], bool],
     ) -> None:
         self.known = known
         self.connections = connections
         self.called_services = called_services
         self.whole_versions = whole_versions
+        self.evacuated = evacuated
         self.is_busy = is_busy
         self.wanted_at: dict[str, float] = {}
 
@@ -59,6 +64,7 @@
             now,
             services=self.called_services(),
             all_of=self.whole_versions(),
+            evacuated=self.evacuated(),
         )
         wanted = near | far | set(relays.far_targets(self.known, now))
         wanted.discard(self.known.node)
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -149,6 +149,7 @@
             connections=self.links,
             called_services=self.entry.choice.called_services,
             whole_versions=self.versions_on_trial,
+            evacuated=lambda: self.orders.view.evacuated,
             is_busy=self.entry.is_busy,
         )
         self.gossip.contacts = self.contacts
@@ -269,6 +270,8 @@
         for service in after.rollouts:
             if after.rollouts[service] != before.rollouts.get(service):
                 self.rollouts.begin(service)
+        if before.evacuated != after.evacuated:
+            self.gossip.update_contacts()
         self.gate.update_cold()
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
