--- a/apricotpost/ctl/explain.py
+++ b/apricotpost/ctl/explain.py
@@ -1,4 +1,4 @@
-"""Story of one request from the logs of several nodes."""
+"""Log lines about one request from the logs of several nodes."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -11,7 +11,7 @@
 from apricotpost import errors
 from apricotpost import events
 
-__all__ = ["LogLine", "read_logs", "tell"]
+__all__ = ["LogLine", "read_logs", "summarize_request"]
 
 # Events that change what a node believes: they explain a decision that was
 # made a few seconds later.
@@ -109,7 +109,7 @@
     return sorted(found, key=lambda line: line.time)
 
 
-def tell(
+def summarize_request(
     lines: Sequence[LogLine], request: str, *, seconds: float
 ) -> list[str]:
     """Return the lines about a request and what went before them.
--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -126,12 +126,14 @@
     )
     history.add_argument("--service", default="")
     history.add_argument("--limit", type=int, default=200)
-    story = adders.add_parser(
+    explain_parser = adders.add_parser(
         "explain", help="tell from logs what became of a request"
     )
-    story.add_argument("request", help="identifier of the request")
-    story.add_argument("logs", nargs="+", type=pathlib.Path, metavar="FILE")
-    story.add_argument(
+    explain_parser.add_argument("request", help="identifier of the request")
+    explain_parser.add_argument(
+        "logs", nargs="+", type=pathlib.Path, metavar="FILE"
+    )
+    explain_parser.add_argument(
         "--seconds",
         type=float,
         default=EXPLAIN_SECONDS,
@@ -184,14 +186,16 @@
 
 def _explain(options: argparse.Namespace) -> int:
     lines = explain.read_logs(options.logs)
-    story = explain.tell(lines, options.request, seconds=options.seconds)
-    for line in story:
+    summary = explain.summarize_request(
+        lines, options.request, seconds=options.seconds
+    )
+    for line in summary:
         _write(line)
-    if not story:
+    if not summary:
         _warn(
             f"no line about request {options.request}; served ones are sampled"
         )
-    return 0 if story else 2
+    return 0 if summary else 2
 
 
 def _write(text: str) -> None:
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -40,8 +40,8 @@
 FAR_SERVERS_ALONE = 18
 # Backend servers of a service in the own data centre that are few.
 FEW_NEAR = 2
-# Older states are not handed on: the node is silent or gone.
-HANDED_ON_SECONDS = 5.0
+# Older states are not forwarded: the node is silent or gone.
+FORWARD_SECONDS = 5.0
 
 
 def relays_of(
@@ -92,7 +92,7 @@
     *,
     wanted: Callable[[wire.NodeState], bool],
 ) -> tuple[wire.AgedState, ...]:
-    """Return the states of this data centre that are handed on.
+    """Return the states of this data centre to forward.
 
     Parameters
     ----------
@@ -110,7 +110,7 @@
         for node in known.nodes.values()
         if node.state.data_centre == known.data_centre
         and node.state.boot
-        and now - node.heard <= HANDED_ON_SECONDS
+        and now - node.heard <= FORWARD_SECONDS
         and wanted(node.state)
     )
 
--- a/apricotpost/sidecar/choice.py
+++ b/apricotpost/sidecar/choice.py
@@ -161,7 +161,7 @@
             size=len(flight.exchange.request.body) + response_bytes,
         )
 
-    def learn_outrun(
+    def learn_given_up(
         self, flight: flights.Flight, attempt: flights.Attempt
     ) -> None:
         """Take an attempt whose hedge was faster.
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -310,7 +310,7 @@
         flight.node = attempt.node
         flight.backend = attempt.backend
         for other in flight.open.values():
-            self.choice.learn_outrun(flight, other)
+            self.choice.learn_given_up(flight, other)
         response = http.Response(
             status=message.status, headers=message.headers, body=message.body
         )
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -2,7 +2,7 @@
 
 A node sends its state to the nodes of its data centre. A relay
 (`apricotpost.membership.relays`) also sends those of its data centre to other
-relays, and hands on what it receives from them.
+relays, and forwards what it receives from them.
 """
 
 import asyncio
@@ -31,7 +31,7 @@
 LOADED_SECONDS = 0.25
 # Every so many rounds all states go to the other data centres, too.
 FAR_ROUNDS = 2
-# Changes that come together are handed on together.
+# Changes that come together are forwarded together.
 GATHER_SECONDS = 0.02
 # A node that was not heard for so long is forgotten.
 FORGET_SECONDS = 180.0
@@ -78,7 +78,7 @@
         self.gate: gate.Gate | None = None
         self.contacts: contacts.Contacts | None = None
         self.pending = False
-        # Nodes whose changed states a relay has still to hand on.
+        # Nodes whose changed states a relay has still to forward.
         self.changed: set[str] = set()
 
     async def run(self) -> None:
@@ -108,7 +108,7 @@
         """Publish what `announce` asked for."""
         self.pending = False
         self.publish()
-        self.hand_on_later(self.settings.instance)
+        self.forward_later(self.settings.instance)
 
     def publish(self) -> None:
         """Send this node's state to its data centre."""
@@ -157,13 +157,13 @@
         self.send_batch(targets, states)
         return any(aged.state.counts for aged in states)
 
-    def hand_on_later(self, node: str) -> None:
-        """Hand a changed state on to the other data centres."""
+    def forward_later(self, node: str) -> None:
+        """Forward a changed state to the other data centres."""
         if not self.changed:
-            self.loop.call_later(GATHER_SECONDS, self.hand_on)
+            self.loop.call_later(GATHER_SECONDS, self.forward_changed)
         self.changed.add(node)
 
-    def hand_on(self) -> None:
+    def forward_changed(self) -> None:
         """Send the changed states to the other data centres."""
         changed, self.changed = self.changed, set()
         now = self.loop.time()
@@ -178,14 +178,14 @@
     ) -> None:
         """Send states to other relays."""
         if self.links is not None and states:
-            batch = wire.StateBatch(states=states, handed_on=False)
+            batch = wire.StateBatch(states=states, forwarded=False)
             self.links.send_all(targets, batch)
 
     def take_batch(self, batch: wire.StateBatch) -> None:
         """Take states that relays have sent."""
-        if not batch.handed_on:
+        if not batch.forwarded:
             self.send_near(
-                wire.StateBatch(states=batch.states, handed_on=True)
+                wire.StateBatch(states=batch.states, forwarded=True)
             )
         for aged in batch.states:
             self.take_state(aged.state, age=aged.age_ms / 1000.0)
@@ -244,7 +244,7 @@
         if before is None or _differs(before.state, state):
             self.servers.rebuild()
             if near and relays.is_relay(self.known, self.loop.time()):
-                self.hand_on_later(state.node)
+                self.forward_later(state.node)
         self.on_state(state, newer)
 
     def meet_process(self, state: wire.NodeState, *, near: bool) -> None:
--- a/apricotpost/wire/carriage.py
+++ b/apricotpost/wire/carriage.py
@@ -226,12 +226,12 @@
     ----------
     states : tuple of AgedState
         The states.
-    handed_on : bool
+    forwarded : bool
         Whether a relay of the receiver's data centre has sent it.
     """
 
     states: tuple[AgedState, ...]
-    handed_on: bool
+    forwarded: bool
 
 
 class OrderRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -81,10 +81,10 @@
 
 def _proxy_action(which: str, mode: proxy.Mode) -> Action:
     async def act(fleet: world.World, fault: schedule.Fault) -> None:
-        gate: proxy.Proxy = getattr(fleet.places[fault.node], which)
-        gate.set_mode(mode)
+        chosen: proxy.Proxy = getattr(fleet.places[fault.node], which)
+        chosen.set_mode(mode)
         await asyncio.sleep(fault.seconds)
-        gate.set_mode(proxy.Mode.PASS)
+        chosen.set_mode(proxy.Mode.PASS)
 
     return act
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -179,8 +179,8 @@
         for place in self.places:
             if place.node.process.poll() is None:
                 place.node.signal(signal.SIGCONT)
-            for gate in (place.to_node, place.to_backend, place.to_store):
-                gate.close()
+            for own in (place.to_node, place.to_backend, place.to_store):
+                own.close()
         for backend in self.backends:
             backend.close()
         await self.mesh.close()
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -1,4 +1,4 @@
-"""Tests of the story of a request, also with the logs of real nodes."""
+"""Tests of the summary of a request, also with the logs of real nodes."""
 
 import asyncio
 import contextlib
@@ -31,8 +31,10 @@
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         return path
 
-    def tell(self, request, *paths):
-        return explain.tell(explain.read_logs(paths), request, seconds=5.0)
+    def summarize(self, request, *paths):
+        return explain.summarize_request(
+            explain.read_logs(paths), request, seconds=5.0
+        )
 
     def test_lines_of_the_nodes_that_took_part_are_joined(self):
         """Guards against a cause that stands in the log of another node."""
@@ -52,15 +54,15 @@
         )
         gate = self.write("n1", make_line(101.0, 700, "started"), "Traceback")
         other = self.write("n2", make_line(101.5, 720, "not involved"))
-        story = self.tell("q", entry, gate, other)
-        self.assertEqual(3, len(story))
+        summary = self.summarize("q", entry, gate, other)
+        self.assertEqual(3, len(summary))
         for text, line in zip(
-            ("started", "is lost", "reason=node-lost"), story, strict=True
+            ("started", "is lost", "reason=node-lost"), summary, strict=True
         ):
             self.assertIn(text, line)
 
     def test_unknown_request_and_unreadable_file(self):
-        """Guards against an empty story that looks like an answer."""
+        """Guards against an empty summary that looks like an answer."""
         path = self.write("n0", make_line(1.0, 601, "failed", request="q"))
         for arguments in (
             ["explain", "other", str(path)],
@@ -103,7 +105,7 @@
                     ["explain", request, *(str(n.log) for n in world.nodes)]
                 )
         self.assertEqual(0, code)
-        story = text.getvalue()
-        self.assertIn("n0", story)
-        self.assertIn("connection-lost", story)
-        self.assertIn("n1", story)
+        summary = text.getvalue()
+        self.assertIn("n0", summary)
+        self.assertIn("connection-lost", summary)
+        self.assertIn("n1", summary)
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -48,7 +48,7 @@
         fleet.learn(known, state, 0.0)
         self.assertTrue(relays.is_relay(known, 0.0))
 
-    def test_only_states_of_the_own_data_centre_are_handed_on(self):
+    def test_only_states_of_the_own_data_centre_are_forwarded(self):
         """Guards against states that travel in circles, and against old ones.
 
         A node that the store lists and nobody has heard has no process.
@@ -59,7 +59,7 @@
         found = relays.fresh_states(known, 0.3, wanted=lambda state: True)
         self.assertEqual(["a1", "a2"], sorted(s.state.node for s in found))
         self.assertEqual({300}, {aged.age_ms for aged in found})
-        late = relays.HANDED_ON_SECONDS + 0.1
+        late = relays.FORWARD_SECONDS + 0.1
         self.assertFalse(
             relays.fresh_states(known, late, wanted=lambda state: True)
         )
--- a/tests/sidecar/test_choice.py
+++ b/tests/sidecar/test_choice.py
@@ -55,7 +55,7 @@
             self.assertEqual(phase in trials.FINAL, allowed, phase)
             self.assertTrue(self.choice.may_hedge("fieldbook"))
 
-    async def test_outrun_server_becomes_slow(self):
+    async def test_given_up_server_becomes_slow(self):
         """Guards against a hung server that keeps its good name."""
         self.choice.speeds.routes["r"] = 10.0
         flight = types.SimpleNamespace(route=types.SimpleNamespace(name="r"))
@@ -63,7 +63,7 @@
             node="n1", backend="b1", sent=self.choice.loop.time() - 1.0
         )
         for _ in range(5):
-            self.choice.learn_outrun(flight, attempt)
+            self.choice.learn_given_up(flight, attempt)
         self.assertGreater(self.choice.speeds.copy("b1").speed, 2.0)
 
     async def test_turns_spread_evenly(self):
--- a/tests/sidecar/test_processes.py
+++ b/tests/sidecar/test_processes.py
@@ -144,7 +144,7 @@
         self.assertLess(loop.time() - began, 1.0)
         await self.wait_until(lambda: self.backends[0].cancelled, seconds=0.5)
 
-    async def test_outrun_server_is_known_as_slow(self):
+    async def test_given_up_server_is_known_as_slow(self):
         """Guards against a server that is judged by its fast answers only.
 
         Its slow requests are hedged and given up, so none of them ends.
