Import modules on first use and write the metrics without a client library

Cause: after a loss of power nothing is served until the nodes run, and on 0.43 of a core the start takes 1.7 s. The imports of the node took 0.92 s of processor time (busy machine) and 37.9 MB; the target is 32 MB.

Change: packages of which only the thread-based node uses the names are attached by lazy_loader with a stub; sidecar.instruments writes the text format of Prometheus, whose client library imports http.server and urllib.request. It stays as the parser of the tests (decision 0011).

--- a/apricotpost/admission/__init__.py
+++ b/apricotpost/admission/__init__.py
@@ -1,9 +1,7 @@
 """Admission of calls to the local backend server."""
 
-from apricotpost.admission.adaptation import says_cold
-from apricotpost.admission import gate
-from apricotpost.admission import limits
-from apricotpost.admission.limits import Limit
-from apricotpost.admission import recent
+import lazy_loader
 
-__all__ = ["Limit", "gate", "limits", "recent", "says_cold"]
+# Modules are imported on first use: a process that needs a few of them starts
+# faster and takes less memory. The names stand in the stub beside this file.
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/apricotpost/rollout/__init__.py
+++ b/apricotpost/rollout/__init__.py
@@ -1,19 +1,7 @@
 """Rollouts: evidence, verdicts, steps and their configuration changes."""
 
-from apricotpost.rollout import evidence
-from apricotpost.rollout.plans import end_rollout
-from apricotpost.rollout.plans import find_open
-from apricotpost.rollout.plans import plan_rollout
-from apricotpost.rollout.plans import step_rollout
-from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
+import lazy_loader
 
-__all__ = [
-    "end_rollout",
-    "evidence",
-    "find_open",
-    "plan_rollout",
-    "step_rollout",
-    "steps",
-    "verdicts",
-]
+# Modules are imported on first use: a process that needs a few of them starts
+# faster and takes less memory. The names stand in the stub beside this file.
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/apricotpost/routing/__init__.py
+++ b/apricotpost/routing/__init__.py
@@ -1,27 +1,7 @@
 """Routes, choices, retries and the calls in flight."""
 
-from apricotpost.routing import calls
-from apricotpost.routing.choices import choose_backend_server
-from apricotpost.routing.choices import choose_version
-from apricotpost.routing.choices import effective_shares
-from apricotpost.routing.choices import PeerLoad
-from apricotpost.routing import contexts
-from apricotpost.routing.retries import Budget
-from apricotpost.routing.tables import build_table
-from apricotpost.routing.tables import find_withdrawn
-from apricotpost.routing.tables import match_route
-from apricotpost.routing.tables import RoutingTable
+import lazy_loader
 
-__all__ = [
-    "Budget",
-    "PeerLoad",
-    "RoutingTable",
-    "build_table",
-    "calls",
-    "choose_backend_server",
-    "choose_version",
-    "contexts",
-    "effective_shares",
-    "find_withdrawn",
-    "match_route",
-]
+# Modules are imported on first use: a process that needs a few of them starts
+# faster and takes less memory. The names stand in the stub beside this file.
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- /dev/null
+++ b/apricotpost/routing/__init__.pyi
@@ -0,0 +1,11 @@
+from . import calls as calls
+from .choices import choose_backend_server as choose_backend_server
+from .choices import choose_version as choose_version
+from .choices import effective_shares as effective_shares
+from .choices import PeerLoad as PeerLoad
+from . import contexts as contexts
+from .retries import Budget as Budget
+from .tables import build_table as build_table
+from .tables import find_withdrawn as find_withdrawn
+from .tables import match_route as match_route
+from .tables import RoutingTable as RoutingTable
--- a/apricotpost/sidecar/entry.py
+++ b/apricotpost/sidecar/entry.py
@@ -210,7 +210,7 @@
         flight.hedged = True
         if self.send_best(flight):
             self.budgets.spend(flight.service)
-            self.instruments.retries.labels("hedged").inc()
+            self.instruments.retries.add("hedged")
 
     def send(
         self,
@@ -355,7 +355,7 @@
             self.budgets.spend(flight.service)
         if verdict.next is flights.Next.OFFER:
             flight.patient = verdict.patient
-            self.instruments.retries.labels(message.reason).inc()
+            self.instruments.retries.add(message.reason)
             self.offer(flight)
         elif flight.runs:
             self.fail(flight, 502)
@@ -387,7 +387,7 @@
         if verdict.next is not flights.Next.OFFER:
             return False
         self.budgets.spend(flight.service)
-        self.instruments.retries.labels(reason).inc()
+        self.instruments.retries.add(reason)
         flight.patient = verdict.patient
         self.offer(flight)
         return True
@@ -432,7 +432,7 @@
     def abandon(self, flight: flights.Flight) -> None:
         """End a request whose caller has hung up."""
         flights.stop_timers(flight)
-        self.instruments.requests.labels("abandoned", "caller-gone").inc()
+        self.instruments.requests.add("abandoned", "caller-gone")
         self.cancel_attempts(flight)
 
     def stop_taking(self) -> None:
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -340,7 +340,7 @@
         offered: bool = False,
     ) -> None:
         """Answer that a request has not run and will not run here."""
-        self.instruments.offers.labels("refused", refusal.reason).inc()
+        self.instruments.offers.add("refused", refusal.reason)
         load = None
         if self.presence.current is not None:
             load = ranked.describe(self.queue, self.loop.time())
@@ -443,7 +443,7 @@
             now=self.loop.time(),
         )
         self.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
-        self.instruments.offers.labels("answered", response.status).inc()
+        self.instruments.offers.add("answered", response.status)
         entry.work.reply(
             wire.Delivered(
                 call=offer.call,
@@ -520,7 +520,7 @@
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
             reason = _REASONS[failure]
-        self.instruments.offers.labels("failed", reason).inc()
+        self.instruments.offers.add("failed", reason)
         self.decisions.report(
             events.GATE_FAILED,
             request=offer.request,
--- a/apricotpost/sidecar/replies.py
+++ b/apricotpost/sidecar/replies.py
@@ -54,7 +54,7 @@
         """Answer a request that was offered to backend servers."""
         flight.exchange.respond(response)
         seconds = self.loop.time() - flight.exchange.arrived
-        self.instruments.requests.labels(outcome, reason).inc()
+        self.instruments.requests.add(outcome, reason)
         self.instruments.latency.observe(seconds)
         report = self.decisions.report
         event = events.REQUEST_ENDED
@@ -110,7 +110,7 @@
                 headers=platform.refusal_headers(head.request_id, seconds),
             )
         )
-        self.instruments.requests.labels("refused", reason).inc()
+        self.instruments.requests.add("refused", reason)
         self.decisions.report(
             events.REQUEST_UNROUTED,
             request=head.request_id,
--- /dev/null
+++ b/tests/sidecar/test_instruments.py
@@ -0,0 +1,53 @@
+"""Tests of the instruments and their text."""
+
+import unittest
+
+from prometheus_client import parser
+
+from apricotpost.sidecar import instruments
+from apricotpost.sidecar import metrics
+
+__all__ = ["InstrumentTest"]
+
+
+def parse(families):
+    """Return the samples as the parser of Prometheus reads them."""
+    text = instruments.format_text(families).decode()
+    return {
+        (sample.name, tuple(sorted(sample.labels.items()))): sample.value
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class InstrumentTest(unittest.TestCase):
+    def test_counts_by_label_values(self):
+        """Guards against a scrape that other tools cannot read."""
+        counter = instruments.Counter("calls", "Calls.", ("reason",))
+        for reason in ("full", "full", 'a "b"\\\n'):
+            counter.add(reason)
+        found = parse([counter])
+        self.assertEqual(2, found["calls_total", (("reason", "full"),)])
+        self.assertEqual(1, found["calls_total", (("reason", 'a "b"\\\n'),)])
+
+    def test_buckets_include_the_smaller_ones(self):
+        """Guards against latencies that seem faster than they are."""
+        histogram = instruments.Histogram("seconds", "Time.", (0.1, 0.5))
+        for value in (0.1, 0.2, 0.4, 9.0):
+            histogram.observe(value)
+        found = parse([histogram])
+        bounds = ("0.1", "0.5", "+Inf")
+        counts = [found["seconds_bucket", (("le", b),)] for b in bounds]
+        self.assertEqual([1, 3, 4], counts)
+        self.assertEqual(4, found["seconds_count", ()])
+        self.assertAlmostEqual(9.7, found["seconds_sum", ()])
+
+    def test_all_instruments_of_a_node_are_told(self):
+        """Guards against an instrument that the scrape leaves out."""
+        found = metrics.Metrics()
+        found.requests.add("refused", "gate-full")
+        found.peers.set(3)
+        names = {name for name, _ in parse(vars(found).values())}
+        self.assertIn("apricotpost_requests_total", names)
+        self.assertIn("apricotpost_request_seconds_bucket", names)
+        self.assertIn("apricotpost_peers_connected", names)
