Listen to the neighbours before watching the store after a start

Ruled out: changes of orders (six by second 19).

Change: a node whose data centre has other registered nodes listens 0.8 s, more than one interval of states, before its first watch. It has read all orders just before.

--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -37,6 +37,9 @@
 MIN_PAUSE_SECONDS = 0.15
 MAX_PAUSE_SECONDS = 1.5
 CHECK_SECONDS = 0.2
+# A node that has started hears its neighbours, which tell their states each
+# half a second, before it takes itself for the reader of its data centre.
+SETTLE_SECONDS = 0.8
 # A node that lags behind another for so long asks for what it misses.
 LAG_SECONDS = 0.3
 # The table in which nodes find each other.
@@ -100,6 +103,8 @@
     async def run(self) -> None:
         """Register, then read or wait for what others have read."""
         await self.retry(self.join)
+        if self.has_neighbours():
+            await asyncio.sleep(SETTLE_SECONDS)
         while True:
             now = self.loop.time()
             reader = fleet.is_reader(
@@ -115,6 +120,14 @@
                 await self.catch_up()
                 await asyncio.sleep(CHECK_SECONDS)
 
+    def has_neighbours(self) -> bool:
+        """Tell whether other nodes of this data centre have registered."""
+        return any(
+            name != self.settings.instance
+            and node.state.data_centre == self.settings.data_centre
+            for name, node in self.known.nodes.items()
+        )
+
     def may_probe(self, now: float) -> bool:
         """Tell whether to look for the return of a lost store now."""
         if self.lost_at is None:
