Move the state of the backend server out of the gate

Ruled out: moving the decisions into beats (they are pure; health checks and the queue's limits are not).

Change: sidecar.server holds presence, coldness, health and evidence; the gate keeps requests.

--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -9,12 +9,11 @@
 from apricotpost import http
 from apricotpost import model
 from apricotpost import platform
-from apricotpost.rollout import trials
 from apricotpost.sidecar import beats
 from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
-from apricotpost.sidecar import tallies
+from apricotpost.sidecar import server
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -22,24 +21,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A backend server whose heartbeats stop for so many periods is not used.
-SILENT_BEATS = 4.0
 # Idle time after which a kept connection is not trusted with a request that
 # may not be repeated: a server that closed it is noticed within this time.
 TRUSTED_IDLE_SECONDS = 0.25
 # The backend server ends late requests by itself; its response is awaited.
 LATE_RESPONSE_SECONDS = 0.3
-# Part of the slots that is used at first for a backend server that may
-# still run requests of an earlier process of this node.
-UNKNOWN_START_PART = 0.5
-# A new server may have sent so many heartbeats before its node listened.
-FIRST_BEATS = 3
-# A health check of an idle server takes some milliseconds; a full one may
-# never answer it.
-HEALTH_SECONDS = 0.5
-# Part of the heartbeat period after which a second heartbeat shows that the
-# first one was not late: two held up together arrive together.
-CONFIRM_PART = 0.5
 
 Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
 
@@ -80,162 +66,47 @@
         on_change: Callable[[], None],
         instruments: metrics.Metrics,
     ) -> None:
-        self.settings = settings
-        self.read_view = read_view
-        self.on_change = on_change
         self.instruments = instruments
         self.loop = asyncio.get_running_loop()
         self.queue = ranked.RankedQueue()
-        self.presence = beats.Presence()
-        self.tallies = tallies.Tallies(read_view=read_view)
-        self.leaving = False
-        self.checking = False
         self.timer: asyncio.TimerHandle | None = None
         self.decisions = logs.Decisions(logger=_LOG)
         host, port = options.split_address(settings.backend_address)
         self.client = http.Client(host=host, port=port)
+        self.server = server.Server(
+            settings=settings,
+            read_view=read_view,
+            on_change=on_change,
+            queue=self.queue,
+            client=self.client,
+        )
 
     # Announcements.
 
     def take_beat(self, beat: model.BackendBeat) -> None:
         """Take a heartbeat of the backend server."""
-        now = self.loop.time()
-        before = self.presence.current
-        news = beats.take_beat(
-            self.presence,
-            beat,
-            now,
-            confirm_seconds=CONFIRM_PART * self.settings.heartbeat_ms / 1000.0,
-        )
-        if news is beats.News.NONE:
-            return
-        if news is beats.News.OTHER:
-            self.start_incarnation(beat, now)
-        self.update_cold()
-        if before is None or before.state is not beat.state:
-            events.emit(
-                _LOG,
-                events.BACKEND_STATE,
-                backend=beat.backend,
-                service=beat.service,
-                version=beat.version,
-                state=str(beat.state),
-                sequence=beat.sequence,
-            )
-        if news is not beats.News.SAME:
-            self.on_change()
+        news = self.server.take_beat(beat)
+        if news in (beats.News.CHANGED, beats.News.OTHER):
             self.refuse_queue()
-        self.check_health()
-        self.pump()
-
-    def check_health(self) -> None:
-        """Ask a backend server that was met in mid-life whether it serves."""
-        current = self.presence.current
-        if current is None or self.presence.confirmed or self.checking:
-            return
-        rule = self.read_view().services.get(current.service)
-        if rule is None:
-            return
-        self.checking = True
-
-        def take(result: http.Result) -> None:
-            self.checking = False
-            self.take_health(current, result)
-
-        self.client.send(
-            platform.health_request(rule.health_path, current.address),
-            take,
-            timeout=HEALTH_SECONDS,
-        )
-
-    def take_health(
-        self, asked: model.BackendBeat, result: http.Result
-    ) -> None:
-        """Use the backend server if it says that it serves."""
-        response = result.response
-        status = response.status if response else str(result.failure)
-        well = (
-            response is not None
-            and platform.is_well(response)
-            and platform.backend_instance(response.headers) == asked.backend
-        )
-        events.emit(
-            _LOG,
-            events.BACKEND_HEALTH,
-            backend=asked.backend,
-            well=well,
-            status=status,
-            sequence=asked.sequence,
-        )
-        if well and beats.confirm(self.presence, asked.backend):
-            self.on_change()
-
-    def start_incarnation(self, beat: model.BackendBeat, now: float) -> None:
-        """Forget what was known of the backend server before."""
-        limit = float(beat.slots)
-        if beat.sequence > FIRST_BEATS and not self.queue.slots:
-            limit = max(beat.slots * UNKNOWN_START_PART, 1.0)
-        ranked.set_backend(self.queue, slots=beat.slots, limit=limit, now=now)
-        self.tallies.reset()
-        self.client.drop_idle()
-
-    def update_cold(self) -> None:
-        """Bound the rate while the backend server is cold.
-
-        Called after heartbeats and after new orders: the bearable rate
-        stands in the configuration, which may come later than the first
-        heartbeat.
-        """
-        beat = self.presence.current
-        if beat is None:
-            return
-        rule = self.read_view().services.get(beat.service)
-        self.queue.cold_rate = rule.cold_per_second if rule else 0.0
-        self.queue.cold_until = max(
-            self.presence.heard + beat.cold_ms / 1000.0,
-            self.presence.assumed_cold_until,
-        )
-        self.check_health()
-
-    def assume_cold(self) -> None:
-        """Bound the rate until two heartbeats tell that it is not cold."""
-        self.presence.assumed_cold_until = (
-            self.loop.time() + 2 * self.settings.heartbeat_ms / 1000.0
-        )
-        self.update_cold()
+        if news is not beats.News.NONE:
+            self.pump()
 
     def take_withdrawal(self, withdrawal: platform.Withdrawal) -> None:
         """Take the deregistration of the backend server."""
-        if not beats.withdraw(
-            self.presence, withdrawal.backend, withdrawal.born
-        ):
-            return
-        events.emit(_LOG, events.BACKEND_LEFT, backend=withdrawal.backend)
-        self.on_change()
-        self.refuse_queue()
-
-    def describe(self) -> wire.ServerState | None:
-        """Return what other nodes are told of the backend server."""
-        current = self.presence.current
-        if current is None:
-            return None
-        now = self.loop.time()
-        return wire.ServerState(
-            backend=current.backend,
-            service=current.service,
-            version=current.version,
-            ready=self.find_refusal(current.service) is None,
-            cold=now < self.queue.cold_until,
-            load=ranked.describe(self.queue, now),
-        )
+        if self.server.take_withdrawal(withdrawal):
+            self.refuse_queue()
+
+    def leave(self) -> None:
+        """Take no more offers; the backend server may still run some."""
+        self.server.leaving = True
 
     # Requests.
 
     def offer(self, offer: wire.Offer, reply: Reply) -> None:
         """Admit or refuse a request; `pump` starts it."""
         now = self.loop.time()
-        reason = self.find_refusal(offer.service)
-        current = self.presence.current
+        reason = self.server.find_refusal(offer.service)
+        current = self.server.presence.current
         if reason is None and (
             current is None
             or current.backend != offer.backend
@@ -262,34 +133,6 @@
             return
         ranked.add(self.queue, entry)
 
-    def find_refusal(self, service: str) -> wire.NotRunReason | None:
-        """Return why no request of a service may run now."""
-        current = self.presence.current
-        if current is None or current.service != service:
-            return wire.NotRunReason.NO_BACKEND_SERVER
-        if self.leaving or current.state is model.BackendState.DRAINING:
-            return wire.NotRunReason.DRAINING
-        silent = self.loop.time() - self.presence.heard
-        if (
-            self.presence.unreachable
-            or not self.presence.confirmed
-            or silent > SILENT_BEATS * self.settings.heartbeat_ms / 1000.0
-        ):
-            return wire.NotRunReason.NOT_READY
-        view = self.read_view()
-        if service not in view.services:
-            return wire.NotRunReason.NOT_READY
-        if self.settings.data_centre in view.evacuated:
-            return wire.NotRunReason.DATA_CENTRE_OUT
-        trial = view.service_trials.get(service)
-        if (
-            trial is not None
-            and trial.phase is trials.Phase.ROLLED_BACK
-            and trial.new == current.version
-        ):
-            return wire.NotRunReason.VERSION_WITHDRAWN
-        return None
-
     def cancel(self, call: str) -> None:
         """End a request whose caller is gone.
 
@@ -307,7 +150,9 @@
         if elapsed_ms > usual_ms:
             # The least that it would have taken: a server whose requests are
             # all given up must not look fast.
-            self.tallies.count(entry.route, failed=False, ran_ms=elapsed_ms)
+            self.server.tallies.count(
+                entry.route, failed=False, ran_ms=elapsed_ms
+            )
         ranked.finish(
             self.queue,
             call,
@@ -321,9 +166,9 @@
 
     def refuse_queue(self) -> None:
         """Refuse what waits if the backend server takes no more requests."""
-        current = self.presence.current
+        current = self.server.presence.current
         service = current.service if current is not None else ""
-        reason = self.find_refusal(service)
+        reason = self.server.find_refusal(service)
         if reason is None:
             return
         waiting, self.queue.queue = self.queue.queue, []
@@ -342,7 +187,7 @@
         """Answer that a request has not run and will not run here."""
         self.instruments.offers.add("refused", refusal.reason)
         load = None
-        if self.presence.current is not None:
+        if self.server.presence.current is not None:
             load = ranked.describe(self.queue, self.loop.time())
         reply(
             wire.Refused(
@@ -442,7 +287,7 @@
             failed=failed,
             now=self.loop.time(),
         )
-        self.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
+        self.server.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.add("answered", response.status)
         entry.work.reply(
             wire.Delivered(
@@ -467,8 +312,7 @@
         reason = wire.NotRunReason.GATE_FULL
         if response.status == platform.NotRunStatus.MISDIRECTED:
             reason = wire.NotRunReason.NO_BACKEND_SERVER
-            self.presence.unreachable = True
-            self.on_change()
+            self.server.set_aside()
         else:
             ranked.note_rejection(self.queue, now)
         self.decisions.report(
@@ -503,7 +347,8 @@
                 failed=False,
                 now=self.loop.time(),
             )
-            self.lose_backend(offer)
+            if self.server.lose(offer.backend):
+                self.refuse_queue()
             refusal = ranked.Refusal(
                 reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
             )
@@ -516,7 +361,7 @@
             failed=True,
             now=self.loop.time(),
         )
-        self.tallies.count(offer.route, failed=True, ran_ms=ran_ms)
+        self.server.tallies.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
             reason = _REASONS[failure]
@@ -538,15 +383,6 @@
             )
         )
 
-    def lose_backend(self, offer: wire.Offer) -> None:
-        """Use the backend server no more until its next heartbeat."""
-        if self.presence.unreachable:
-            return
-        self.presence.unreachable = True
-        events.emit(_LOG, events.BACKEND_UNREACHABLE, backend=offer.backend)
-        self.on_change()
-        self.refuse_queue()
-
     def is_idle(self) -> bool:
         """Tell whether no request runs or waits."""
         return not self.queue.running and not self.queue.queue
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -198,20 +198,20 @@
 
     def is_loaded(self) -> bool:
         """Tell whether the evidence of this node is needed often."""
-        server = self.gate.describe() if self.gate is not None else None
+        server = self.gate.server.describe() if self.gate is not None else None
         return (
             server is not None
             and self.gate is not None
-            and self.gate.tallies.is_loaded_trial(server.service)
+            and self.gate.server.tallies.is_loaded_trial(server.service)
         )
 
     def describe(self) -> wire.NodeState:
         """Return this node's state."""
         self.sequence += 1
-        server = self.gate.describe() if self.gate is not None else None
+        server = self.gate.server.describe() if self.gate is not None else None
         counts: tuple[wire.VersionCounts, ...] = ()
         if server is not None and self.gate is not None:
-            counts = self.gate.tallies.describe(server.service)
+            counts = self.gate.server.tallies.describe(server.service)
         return wire.NodeState(
             node=self.settings.instance,
             data_centre=self.settings.data_centre,
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -266,13 +266,13 @@
         own = self.settings.data_centre
         if own in before.evacuated and own not in after.evacuated:
             # The backend servers may have become cold meanwhile.
-            self.gate.assume_cold()
+            self.gate.server.assume_cold()
         for service in after.rollouts:
             if after.rollouts[service] != before.rollouts.get(service):
                 self.rollouts.begin(service)
         if before.evacuated != after.evacuated:
             self.gossip.update_contacts()
-        self.gate.update_cold()
+        self.gate.server.update_cold()
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
         limits = after.limits
@@ -380,7 +380,7 @@
             )
             return
         self.entry.take_settings(settings)
-        self.gate.settings = settings
+        self.gate.server.settings = settings
         events.emit(_LOG, events.SETTINGS_RELOADED, cause=cause)
 
     async def drain(self) -> None:
@@ -394,7 +394,7 @@
         self.gossip.publish_change()
         callers = self.open_fronts[self.settings.addresses.callers]
         callers.start_closing()
-        self.loop.call_later(LEAVE_SECONDS, self.leave)
+        self.loop.call_later(LEAVE_SECONDS, self.gate.leave)
         self.loop.call_later(STOP_MIN_SECONDS, self.entry.stop_taking)
         self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
         while self.loop.time() - began < grace - STOP_MARGIN_SECONDS:
@@ -411,10 +411,6 @@
             open=callers.open_exchanges(),
         )
 
-    def leave(self) -> None:
-        """Take no more offers; the backend server may still run some."""
-        self.gate.leaving = True
-
 
 ANSWERS = (wire.Delivered, wire.Refused, wire.Failed)
 
--- /dev/null
+++ b/tests/sidecar/test_server.py
@@ -0,0 +1,84 @@
+"""Tests of the state of the backend server beside a node."""
+
+import types
+import unittest
+
+from apricotpost.admission import ranked
+from apricotpost import model
+from apricotpost.sidecar import server
+from apricotpost.sidecar import views
+from apricotpost import wire
+from tests.sidecar import builders
+
+__all__ = ["ServerTest"]
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.changes = 0
+        self.dropped = 0
+        self.queue = ranked.RankedQueue()
+        rule = types.SimpleNamespace(cold_per_second=12.0, health_path="/h")
+        view = types.SimpleNamespace(
+            services={"portal": rule}, evacuated=(), service_trials={}
+        )
+        self.server = server.Server(
+            settings=types.SimpleNamespace(
+                heartbeat_ms=1000, data_centre="dc-a"
+            ),
+            read_view=lambda: view,
+            on_change=self.count_change,
+            queue=self.queue,
+            client=types.SimpleNamespace(drop_idle=self.count_drop),
+        )
+
+    def count_change(self):
+        self.changes += 1
+
+    def count_drop(self):
+        self.dropped += 1
+
+    def refusal(self):
+        return self.server.find_refusal("portal")
+
+    async def test_announced_server_takes_requests(self):
+        """Guards against a server that is used before it is known."""
+        reason = wire.NotRunReason.NO_BACKEND_SERVER
+        self.assertIs(reason, self.refusal())
+        self.server.take_beat(builders.make_beat())
+        self.assertIsNone(self.refusal())
+        self.assertEqual(8, self.queue.slots)
+        self.assertEqual((1, 1), (self.changes, self.dropped))
+
+    async def test_lost_server_is_told_once_and_comes_back(self):
+        """Guards against a change for each request that finds no server."""
+        self.server.take_beat(builders.make_beat())
+        self.assertTrue(self.server.lose("b"))
+        self.assertFalse(self.server.lose("b"))
+        self.assertIs(wire.NotRunReason.NOT_READY, self.refusal())
+        self.assertEqual(2, self.changes)
+        self.server.take_beat(builders.make_beat(sequence=2))
+        self.assertIsNone(self.refusal())
+
+    async def test_draining_server_and_leaving_node_take_nothing(self):
+        """Guards against requests after an acknowledgement."""
+        draining = model.BackendState.DRAINING
+        self.server.take_beat(builders.make_beat())
+        self.server.leaving = True
+        self.assertIs(wire.NotRunReason.DRAINING, self.refusal())
+        self.server.leaving = False
+        self.server.take_beat(builders.make_beat(sequence=2, state=draining))
+        self.assertIs(wire.NotRunReason.DRAINING, self.refusal())
+
+    async def test_cold_server_is_bounded(self):
+        """Guards against a burst on a server that has just started."""
+        self.server.take_beat(builders.make_beat(cold_ms=3000))
+        self.assertEqual(12.0, self.queue.cold_rate)
+        left = self.queue.cold_until - self.server.loop.time()
+        self.assertAlmostEqual(3.0, left, delta=0.2)
+
+    async def test_unknown_configuration_refuses(self):
+        """Guards against requests without limits for the server."""
+        self.server.read_view = lambda: views.EMPTY
+        self.server.take_beat(builders.make_beat())
+        self.assertIs(wire.NotRunReason.NOT_READY, self.refusal())
