Let the gate answer the backend server's calls

Cause: node.py wires tasks and also decoded announcements and filled gauges.

Change: Gate.answer_announcement; metrics.update sets the gauges. No behaviour changes. tests.sidecar CallTest, instruments and server: 23 passed.

--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -5,6 +5,7 @@
 import logging
 
 from apricotpost.admission import ranked
+from apricotpost import errors
 from apricotpost import events
 from apricotpost import http
 from apricotpost import model
@@ -83,6 +84,29 @@
 
     # Announcements.
 
+    def answer_announcement(self, exchange: http.Exchange) -> None:
+        """Answer a call of the backend server."""
+        try:
+            found = platform.parse_announcement(exchange.request)
+        except errors.MalformedMessage as error:
+            events.emit(_LOG, events.BEAT_MALFORMED, error=error.message)
+            exchange.respond(http.Response(status=400))
+            return
+        if found is None:
+            exchange.respond(http.Response(status=404))
+            return
+        if isinstance(found, platform.Withdrawal):
+            self.take_withdrawal(found)
+        else:
+            self.take_beat(found)
+        exchange.respond(
+            http.Response(
+                status=200,
+                headers=((b"Content-Type", b"application/json"),),
+                body=b"{}",
+            )
+        )
+
     def take_beat(self, beat: model.BackendBeat) -> None:
         """Take a heartbeat of the backend server."""
         news = self.server.take_beat(beat)
--- a/apricotpost/sidecar/metrics.py
+++ b/apricotpost/sidecar/metrics.py
@@ -3,7 +3,7 @@
 from apricotpost import http
 from apricotpost.sidecar import instruments
 
-__all__ = ["Metrics", "respond_to_scrape"]
+__all__ = ["Metrics", "respond_to_scrape", "update"]
 
 LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -74,6 +74,12 @@
         )
 
 
+def update(metrics: Metrics, **values: float) -> None:
+    """Set the gauges that are read at a scrape, by name."""
+    for name, value in values.items():
+        getattr(metrics, name).set(value)
+
+
 def respond_to_scrape(metrics: Metrics, exchange: http.Exchange) -> None:
     """Answer a scrape."""
     body = instruments.format_text(vars(metrics).values())
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -156,7 +156,7 @@
         self.fronts = {
             settings.addresses.callers: self.entry.handle,
             settings.addresses.readiness: self.answer_readiness,
-            settings.addresses.announcements: self.answer_announcement,
+            settings.addresses.announcements: self.gate.answer_announcement,
             settings.addresses.metrics: self.answer_scrape,
         }
         self.open_fronts: dict[str, http.Front] = {}
@@ -300,38 +300,16 @@
             events.emit(_LOG, events.READINESS_CHANGED, ready=ready)
         exchange.respond(http.Response(status=200 if ready else 503))
 
-    def answer_announcement(self, exchange: http.Exchange) -> None:
-        """Answer a call of the backend server."""
-        try:
-            found = platform.parse_announcement(exchange.request)
-        except errors.MalformedMessage as error:
-            events.emit(_LOG, events.BEAT_MALFORMED, error=error.message)
-            exchange.respond(http.Response(status=400))
-            return
-        if found is None:
-            exchange.respond(http.Response(status=404))
-            return
-        if isinstance(found, platform.Withdrawal):
-            self.gate.take_withdrawal(found)
-        else:
-            self.gate.take_beat(found)
-        exchange.respond(
-            http.Response(
-                status=200,
-                headers=((b"Content-Type", b"application/json"),),
-                body=b"{}",
-            )
-        )
-
     def answer_scrape(self, exchange: http.Exchange) -> None:
         """Answer a scrape of the metrics."""
-        self.metrics.running.set(len(self.gate.queue.running))
-        self.metrics.queued.set(len(self.gate.queue.queue))
-        self.metrics.store_calls.set(self.store.calls)
-        self.metrics.orders.set(self.orders.book.revision)
-        self.metrics.servers.set(sum(map(len, self.servers.services.values())))
-        self.metrics.peers.set(
-            sum(link.connected for link in self.links.links.values())
+        metrics.update(
+            self.metrics,
+            running=len(self.gate.queue.running),
+            queued=len(self.gate.queue.queue),
+            store_calls=self.store.calls,
+            orders=self.orders.book.revision,
+            servers=sum(map(len, self.servers.services.values())),
+            peers=sum(link.connected for link in self.links.links.values()),
         )
         metrics.respond_to_scrape(self.metrics, exchange)
 
