Report a soak run as text and as a page with plots

Ruled out: drawing the SVG by hand (matplotlib does it); reading the reasons from answers (a caller sees the status only, so the nodes' logs are read).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,11 +9,14 @@
 One seed again, with the logs of its processes kept::
 
     python -m soak --seed 17 --keep out/soak-17
+
+Its report as text and as a page with plots::
+
+    python -m soak --seed 17 --report out/soak-17.html
 """
 
 import argparse
 import asyncio
-from collections import Counter
 import contextlib
 import os
 import pathlib
@@ -23,6 +26,7 @@
 
 from soak import checks
 from soak import faults
+from soak import report
 from soak import schedule
 from soak import world
 from standins import mesh
@@ -38,7 +42,7 @@
 
 async def run_seed(
     *, seed: int, seconds: float, nodes: int, folder: pathlib.Path
-) -> tuple[list[checks.Violation], Counter[int]]:
+) -> report.Outcome:
     """Run one seed.
 
     Parameters
@@ -54,8 +58,8 @@
 
     Returns
     -------
-    tuple
-        Broken promises, and the number of answers by status.
+    report.Outcome
+        Broken promises, answers and faults.
     """
     drawn = schedule.draw(seed=seed, seconds=seconds, nodes=nodes)
     network = 1 + os.getpid() % NETWORKS
@@ -65,8 +69,8 @@
             await fleet.start(nodes)
         except TimeoutError:
             detail = f"not ready within {mesh.START_SECONDS} s"
-            found = [checks.Violation(promise="start", detail=detail)]
-            return found, Counter()
+            failed = checks.Violation(promise="start", detail=detail)
+            return report.Outcome(seed=seed, violations=(failed,))
         started = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for fault in drawn:
@@ -89,7 +93,16 @@
             ),
             *fleet.check_resources(),
         ]
-        return found, Counter(answer.status for answer in answers)
+        return report.Outcome(
+            seed=seed,
+            violations=tuple(found),
+            answers=answers,
+            faults=drawn,
+            started=started,
+            reasons=report.count_reasons(
+                place.node.log for place in fleet.places
+            ),
+        )
     finally:
         await fleet.close()
 
@@ -112,6 +125,12 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="folder for settings and logs"
     )
+    parser.add_argument(
+        "--report",
+        type=pathlib.Path,
+        help="HTML page to write; a text report is printed, too. With "
+        "several seeds it shows the last one.",
+    )
     options = parser.parse_args(arguments)
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -123,7 +142,7 @@
                 )
             folder = folder / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            found, statuses = asyncio.run(
+            outcome = asyncio.run(
                 run_seed(
                     seed=seed,
                     seconds=options.seconds,
@@ -131,11 +150,15 @@
                     folder=folder,
                 )
             )
-        broken += bool(found)
-        verdict = "BROKEN" if found else "held"
-        print(f"seed {seed}: {verdict}, answers {dict(statuses)}", flush=True)
-        for violation in found:
+        broken += bool(outcome.violations)
+        verdict = "BROKEN" if outcome.violations else "held"
+        statuses = dict(outcome.statuses())
+        print(f"seed {seed}: {verdict}, answers {statuses}", flush=True)
+        for violation in outcome.violations:
             print(f"  {violation.promise}: {violation.detail}", flush=True)
+        if options.report is not None:
+            print(report.format_text(outcome), flush=True)
+            report.write_page(outcome, options.report)
     print(f"{options.seeds} runs, {broken} with a broken promise")
     return 1 if broken else 0
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -24,7 +24,7 @@
                 self.subTest(seed=seed),
                 tempfile.TemporaryDirectory() as folder,
             ):
-                found, statuses = asyncio.run(
+                outcome = asyncio.run(
                     soak.run_seed(
                         seed=seed,
                         seconds=SECONDS,
@@ -32,5 +32,5 @@
                         folder=pathlib.Path(folder),
                     )
                 )
-                self.assertEqual([], found)
-                self.assertGreater(statuses[200], 500)
+                self.assertEqual((), outcome.violations)
+                self.assertGreater(outcome.statuses()[200], 500)
