Order a bad version in half of the soak's runs

Ruled out: drawing it as one kind among the others: a rollout needs its whole time, and the faults of known seeds would change. It has a stream of its own.

Change: a ninth node with a server of version v2, which fails every request, and the order in the store. Checked: at most a tenth of the service's requests and 50, and none after the rollback.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -88,6 +88,7 @@
             *checks.check_answers(answers),
             *checks.check_configurations(answers),
             *checks.check_departures(runs, fleet.departures),
+            *checks.check_exposure(runs, fleet.rollouts, BOUNDS),
             *checks.check_recovery(
                 answers, since=calm, share=BOUNDS.recovery_share
             ),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,15 +8,19 @@
     "Answer",
     "Bounds",
     "Departure",
+    "Rollout",
     "Run",
     "Violation",
     "check_answers",
     "check_configurations",
     "check_departures",
+    "check_exposure",
     "check_recovery",
     "check_runs",
 ]
 
+# Bad answers after which a version has to be withdrawn.
+BAD_ANSWERS = 50
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -33,11 +37,22 @@
     recovery_share : float
         Part of the repeatable requests that succeed once all faults are
         over.
+    exposure_share, exposure_slack : float, int
+        Requests that a bad version may get: a part of those of its service,
+        and so many more.
+    rollback : float
+        Requests to a bad version after its 50th bad answer.
+    stretch : float
+        Added to that while the store is disturbed.
     """
 
     drain: float = 2.0
     evacuation: float = 5.0
     recovery_share: float = 0.9
+    exposure_share: float = 0.1
+    exposure_slack: int = 50
+    rollback: float = 5.0
+    stretch: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,6 +116,26 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rollout:
+    """A bad version that was ordered.
+
+    Parameters
+    ----------
+    backend : str
+        The server that runs it.
+    others : frozenset of str
+        All other servers of its service.
+    since, until : float
+        Order and deadline, in monotonic seconds.
+    """
+
+    backend: str
+    others: frozenset[str]
+    since: float
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Violation:
     """A promise that was broken."""
@@ -203,6 +238,40 @@
     return found
 
 
+def check_exposure(
+    runs: Iterable[Run], rollouts: Iterable[Rollout], bounds: Bounds
+) -> list[Violation]:
+    """Check how much a bad version gets, and that it gets no more later.
+
+    The second check allows the longest time of the promise, since faults
+    of the store are drawn without regard to the rollout.
+    """
+    found = []
+    ordered = sorted(runs, key=lambda run: run.at)
+    for rollout in rollouts:
+        bad = [run for run in ordered if run.backend == rollout.backend]
+        within = [r for r in bad if rollout.since <= r.at <= rollout.until]
+        others = sum(
+            run.backend in rollout.others
+            and rollout.since <= run.at <= rollout.until
+            for run in ordered
+        )
+        allowed = bounds.exposure_slack + bounds.exposure_share * (
+            others + len(within)
+        )
+        if len(within) > allowed:
+            detail = f"{len(within)} runs, {allowed:.0f} allowed"
+            found.append(Violation(promise="exposure", detail=detail))
+        if len(bad) < BAD_ANSWERS:
+            continue
+        end = bad[BAD_ANSWERS - 1].at + bounds.rollback + bounds.stretch
+        late = sum(run.at > end for run in bad)
+        if late:
+            detail = f"{late} runs after the rollback"
+            found.append(Violation(promise="rollback", detail=detail))
+    return found
+
+
 def check_recovery(
     answers: Iterable[Answer], *, since: float, share: float
 ) -> list[Violation]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import json
 import signal
 import time
 import typing
@@ -176,6 +177,31 @@
     )
 
 
+async def _roll_out(fleet: world.World, fault: schedule.Fault) -> None:
+    """Order a version of which every answer is a failure."""
+    service = world.SERVICES[0]
+    others = frozenset(
+        backend.identifier
+        for backend in fleet.backends
+        if backend.service == service
+    )
+    place = await fleet.add(len(fleet.places), service=service, version="v2")
+    place.backend.mode = "fail"
+    order = {"service": service, "to": "v2", "duration_s": fault.seconds}
+    fleet.mesh.store.put(
+        "op", f"rollout/{service}", json.dumps(order).encode()
+    )
+    since = time.monotonic()
+    fleet.rollouts.append(
+        checks.Rollout(
+            backend=place.backend.identifier,
+            others=others,
+            since=since,
+            until=since + fault.seconds,
+        )
+    )
+
+
 _KINDS = schedule.Kind
 ACTIONS: dict[schedule.Kind, Action] = {
     _KINDS.KILL: _kill,
@@ -203,4 +229,5 @@
     _KINDS.SERVER_REPLACED: _replace,
     _KINDS.CONFIGURATION: _configure,
     _KINDS.EVACUATION: _evacuate,
+    _KINDS.ROLLOUT_BAD: _roll_out,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -38,6 +38,7 @@
     # Operators.
     CONFIGURATION = "configuration"
     EVACUATION = "evacuation"
+    ROLLOUT_BAD = "rollout-bad"
 
 
 # Kinds that concern one node or its backend server.
@@ -68,6 +69,11 @@
 SHORTEST_SECONDS = 0.3
 # Part of the faults that are followed by the same one once more.
 SERIES_PART = 0.25
+# A rollout is judged within 12 to 20 s on the users' sites. At most one is
+# under way in a run, begun early enough to be judged in a short one.
+ROLLOUT_PART = 0.5
+ROLLOUT_SECONDS = 8.0
+LATEST_ROLLOUT_SECONDS = 2.0
 # Without faults at the start and, to see the recovery, at the end.
 LEAD_SECONDS = 1.0
 RECOVERY_SECONDS = 6.0
@@ -106,9 +112,9 @@
         Number of nodes.
     """
     draws = random.Random(seed)
-    kinds = tuple(Kind)
+    kinds = tuple(kind for kind in Kind if kind is not Kind.ROLLOUT_BAD)
     end = seconds - RECOVERY_SECONDS
-    found: list[Fault] = []
+    found = list(_draw_rollout(seed, end))
     at = LEAD_SECONDS
     while True:
         at += draws.expovariate(FAULTS_PER_SECOND)
@@ -122,3 +128,12 @@
         if draws.random() < SERIES_PART and again + lasts <= end:
             found.append(Fault(at=again, seconds=lasts, kind=kind, node=node))
     return tuple(sorted(found, key=lambda fault: fault.at))
+
+
+def _draw_rollout(seed: int, end: float) -> tuple[Fault, ...]:
+    """Return the rollout of a run, if any, without changing its faults."""
+    draws = random.Random(f"rollout {seed}")
+    at = draws.uniform(0.0, LATEST_ROLLOUT_SECONDS)
+    if draws.random() >= ROLLOUT_PART or at + ROLLOUT_SECONDS > end:
+        return ()
+    return (Fault(at=at, seconds=ROLLOUT_SECONDS, kind=Kind.ROLLOUT_BAD),)
--- a/soak/world.py
+++ b/soak/world.py
@@ -73,6 +73,7 @@
         self.backends: list[mesh.Backend] = []
         self.answers: dict[str, checks.Answer] = {}
         self.departures: list[checks.Departure] = []
+        self.rollouts: list[checks.Rollout] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 1
         self.requests = 0
@@ -87,18 +88,20 @@
         for index in range(nodes):
             await self.add(index)
         loop = asyncio.get_running_loop()
-        for place in self.places:
-            self.tasks.append(loop.create_task(self.announce_all(place)))
         await self.mesh.wait_ready()
         for place in self.places:
             for _ in range(CALLERS):
                 self.tasks.append(loop.create_task(self.call_all(place)))
 
-    async def add(self, index: int) -> None:
+    async def add(
+        self, index: int, *, service: str = "", version: str = "v1"
+    ) -> Place:
         """Start one node with its backend server."""
         data_centre = ("dc-a", "dc-b")[index % 2]
         host = f"{self.backend_net}.{index + 1}"
         backend = self.make_backend(f"b{index}-1", index, host)
+        backend.service = service or backend.service
+        backend.version = version
         await backend.listen()
         to_backend = proxy.Proxy(target=backend.address, host=host)
         await to_backend.listen()
@@ -125,16 +128,19 @@
         )
         node.start()
         self.mesh.nodes.append(node)
-        self.places.append(
-            Place(
-                node=node,
-                data_centre=data_centre,
-                backend=backend,
-                to_node=to_node,
-                to_backend=to_backend,
-                to_store=to_store,
-            )
+        place = Place(
+            node=node,
+            data_centre=data_centre,
+            backend=backend,
+            to_node=to_node,
+            to_backend=to_backend,
+            to_store=to_store,
         )
+        self.places.append(place)
+        announcing = self.announce_all(place)
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(announcing))
+        return place
 
     def make_backend(
         self, identifier: str, index: int, host: str
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -19,8 +19,8 @@
     return checks.Answer(**{**values, **changes})
 
 
-def make_run(request="q", at=1.0):
-    return checks.Run(request=request, backend="b", at=at)
+def make_run(request="q", at=1.0, backend="b"):
+    return checks.Run(request=request, backend=backend, at=at)
 
 
 def promises(violations):
@@ -76,6 +76,31 @@
         )
         self.assertEqual([], checks.check_configurations([served, restarted]))
 
+    def check_exposure(self, bad, others, until=9.0):
+        rollout = checks.Rollout(
+            backend="new", others=frozenset(("b",)), since=1.0, until=until
+        )
+        runs = [make_run(at=at, backend="new") for at in bad]
+        runs += [make_run(at=at) for at in others]
+        bounds = checks.Bounds()
+        return promises(checks.check_exposure(runs, [rollout], bounds))
+
+    def test_bad_version_with_too_many_requests(self):
+        """Guards against a check that misses an exposed version."""
+        bad = [2.0] * 60
+        self.assertEqual([], self.check_exposure(bad, [2.0] * 40))
+        self.assertEqual(["exposure"], self.check_exposure(bad, [2.0] * 30))
+        # Requests to the others before the order do not count.
+        self.assertEqual(["exposure"], self.check_exposure(bad, [0.5] * 400))
+
+    def test_bad_version_that_is_not_withdrawn(self):
+        """Guards against a check that misses requests after the rollback."""
+        bad = [2.0] * 50
+        others = [3.0] * 1000
+        self.assertEqual([], self.check_exposure([*bad, 11.9], others))
+        late = [*bad, 12.1]
+        self.assertEqual(["rollback"], self.check_exposure(late, others))
+
     def test_run_after_a_departure(self):
         """Guards against a check that misses work for a left server."""
         gone = checks.Departure(
