Find the nodes of a data centre again after a long cut

Cause: relays send to the nodes that were heard in the last 3.2 s, and a connection that nobody wants is closed after 30 s. Found by reading.

Ruled out: keeping all connections (two sockets for each node of the fleet).

Change: a relay tries the known nodes of a silent data centre in turn, 3 s each; after 10 s of silence it reads the list of nodes again, at most once a minute, and takes up changed addresses of silent nodes. The tests of relays and orders failed first.

--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+import msgspec
+
 from apricotpost import wire
 
 __all__ = [
@@ -11,7 +13,9 @@
     "is_reader",
     "learn",
     "live_nodes",
+    "move",
     "newest_orders",
+    "silent_data_centres",
     "probe_seconds",
     "touch",
 ]
@@ -81,6 +85,13 @@
         fleet.nodes[node] = dataclasses.replace(known, heard=now)
 
 
+def move(fleet: Fleet, node: str, address: str) -> None:
+    """Note the address at which a silent node has registered."""
+    known = fleet.nodes[node]
+    state = msgspec.structs.replace(known.state, address=address)
+    fleet.nodes[node] = dataclasses.replace(known, state=state)
+
+
 def live_nodes(
     fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
 ) -> Iterable[wire.NodeState]:
@@ -132,6 +143,27 @@
     return SLOW_PROBE_SECONDS if before >= PROBERS else 0.0
 
 
+def silent_data_centres(
+    fleet: Fleet, now: float, data_centres: Iterable[str], *, within: float
+) -> tuple[str, ...]:
+    """Return the data centres of which no node was heard within a time.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Known nodes.
+    now : float
+        Monotonic time, in seconds.
+    data_centres : iterable of str
+        All data centres.
+    within : float
+        In seconds.
+    """
+    heard = {s.data_centre for s in live_nodes(fleet, now, within=within)}
+    heard.add(fleet.data_centre)
+    return tuple(name for name in data_centres if name not in heard)
+
+
 def newest_orders(fleet: Fleet) -> int:
     """Return the newest store revision that any node holds."""
     return max((k.state.orders for k in fleet.nodes.values()), default=0)
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -35,6 +35,10 @@
 
 # One relay may be lost without a gap.
 RELAYS = 2
+# A data centre of which nobody is heard is cut off or without power, perhaps
+# for an hour. A relay tries its nodes in turn, each for so long that a
+# connection can be made.
+TRY_SECONDS = 3.0
 # The first relay sends all states every so many rounds of half a second, the
 # second one less often: its states are needed only if the first one is lost,
 # and what changes goes on both ways at once.
@@ -84,7 +88,8 @@
     """Return the nodes to which this relay sends its data centre's states.
 
     The first relay serves the first ones of the other data centres, the
-    second one the second: each state arrives on two ways.
+    second one the second: each state arrives on two ways. Of a data centre
+    that is silent the known nodes are tried in turn.
     """
     own = relays_of(known, known.data_centre, now)
     if known.node not in own:
@@ -93,6 +98,8 @@
     found: list[str] = []
     for data_centre in _far_data_centres(known):
         relays = relays_of(known, data_centre, now)
+        if not relays:
+            relays = _silent_node(known, data_centre, now, place)
         if len(own) == 1:
             found.extend(relays)
         elif relays:
@@ -233,5 +240,18 @@
     return sorted(found - {known.data_centre})
 
 
+def _silent_node(
+    known: fleet.Fleet, data_centre: str, now: float, place: int
+) -> tuple[str, ...]:
+    names = sorted(
+        name
+        for name, node in known.nodes.items()
+        if node.state.data_centre == data_centre
+    )
+    if not names:
+        return ()
+    return (names[(int(now / TRY_SECONDS) + place) % len(names)],)
+
+
 def _score(node: str, other: str) -> int:
     return xxhash.xxh64_intdigest(f"{node}>{other}".encode())
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -267,7 +267,12 @@
 
     def meet(self, name: str, address: str, data_centre: str) -> None:
         """Note a node that the store lists; `update_contacts` follows."""
-        if name == self.settings.instance or name in self.known.nodes:
+        if name == self.settings.instance:
+            return
+        known = self.known.nodes.get(name)
+        if known is not None:
+            if self.loop.time() - known.heard > relays.FAR_SILENT_SECONDS:
+                fleet.move(self.known, name, address)
             return
         unheard = wire.NodeState(
             node=name,
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -40,6 +40,11 @@
 # A node that has started hears its neighbours, which tell their states each
 # half a second, before it takes itself for the reader of its data centre.
 SETTLE_SECONDS = 0.8
+# A data centre that is silent for so long is cut off, not just disturbed: its
+# nodes may be others by the time it returns. Relays read the list again then,
+# at intervals, for which 6 data centres pay 0.2 calls a second together.
+LONG_SILENT_SECONDS = 10.0
+REREAD_SECONDS = 60.0
 # A node that lags behind another for so long asks for what it misses.
 LAG_SECONDS = 0.3
 # The table in which nodes find each other.
@@ -99,6 +104,7 @@
         self.probed_at = 0.0
         self.pause = MIN_PAUSE_SECONDS
         self.lagging_since: float | None = None
+        self.listed_at = 0.0
 
     async def run(self) -> None:
         """Register, then read or wait for what others have read."""
@@ -113,7 +119,9 @@
             if reader != self.reader:
                 self.reader = reader
                 events.emit(_LOG, events.READER_CHANGED, reader=reader)
-            if reader or self.may_probe(now):
+            if self.misses_data_centre(now):
+                await self.attempt(self.read_nodes)
+            elif reader or self.may_probe(now):
                 self.probed_at = now
                 await self.attempt(self.watch)
             else:
@@ -128,6 +136,22 @@
             for name, node in self.known.nodes.items()
         )
 
+    def misses_data_centre(self, now: float) -> bool:
+        """Tell whether to look for the nodes of a silent data centre now."""
+        return (
+            now - self.listed_at >= REREAD_SECONDS
+            and self.lost_at is None
+            and relays.is_relay(self.known, now)
+            and bool(
+                fleet.silent_data_centres(
+                    self.known,
+                    now,
+                    self.settings.data_centres,
+                    within=LONG_SILENT_SECONDS,
+                )
+            )
+        )
+
     def may_probe(self, now: float) -> bool:
         """Tell whether to look for the return of a lost store now."""
         if self.lost_at is None:
@@ -166,6 +190,7 @@
 
     async def read_nodes(self) -> None:
         """Meet the nodes that have registered."""
+        self.listed_at = self.loop.time()
         page = await self.store.read(NODES)
         for row in page.rows:
             try:
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -23,6 +23,26 @@
         self.assertEqual(0, fleet.newest_orders(self.fleet))
         self.assertTrue(self.learn(node="a", boot=3, sequence=1))
 
+    def test_silent_node_is_moved_and_keeps_its_order(self):
+        """Guards against an old state that is taken for a new one."""
+        self.learn(node="a", boot=2, sequence=5)
+        fleet.move(self.fleet, "a", "127.0.0.1:9")
+        self.assertEqual("127.0.0.1:9", self.fleet.nodes["a"].state.address)
+        self.assertFalse(self.learn(node="a", boot=2, sequence=4))
+
+    def test_data_centre_is_silent_without_a_live_node(self):
+        """Guards against a search for nodes that are heard."""
+        self.learn(node="a", data_centre="dc-b")
+        names = ("dc-a", "dc-b", "dc-c")
+
+        def silent(now):
+            return fleet.silent_data_centres(
+                self.fleet, now, names, within=10.0
+            )
+
+        self.assertEqual(("dc-c",), silent(9.0))
+        self.assertEqual(("dc-b", "dc-c"), silent(11.0))
+
     def test_first_node_of_the_data_centre_reads(self):
         """Guards against many readers, and against none."""
         self.learn(node="c")
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -53,6 +53,25 @@
         fleet.learn(known, state, 0.0)
         self.assertTrue(relays.is_relay(known, 0.0))
 
+    def test_silent_data_centre_is_tried_again_and_again(self):
+        """Guards against data centres that never meet again.
+
+        Fault: no message passes between two regions for an hour. Each side
+        takes all nodes of the other one for silent.
+        """
+        known = make_fleet("a1", a=("a1", "a2"), b=("b1", "b2", "b3"))
+        later = 3600.0
+        for name in ("a1", "a2"):
+            state = builders.make_state(node=name, data_centre="a", sequence=2)
+            fleet.learn(known, state, later)
+        tried = {
+            relays.far_targets(known, later + i * relays.TRY_SECONDS)
+            for i in range(3)
+        }
+        self.assertEqual({("b1",), ("b2",), ("b3",)}, tried)
+        unknown = make_fleet("a1", a=("a1",))
+        self.assertEqual((), relays.far_targets(unknown, 0.0))
+
     def test_only_states_of_the_own_data_centre_are_forwarded(self):
         """Guards against states that travel in circles, and against old ones.
 
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -18,11 +18,13 @@
 
     def __init__(self):
         self.watches = 0
+        self.reads = []
 
     async def write(self, change):
         return 1
 
     async def read(self, table):
+        self.reads.append(table)
         return platform.Page(rows=(), revision=1)
 
     async def watch(self, table, after, seconds):
@@ -44,7 +46,10 @@
         addresses = types.SimpleNamespace(for_peers=lambda: "127.0.0.1:1")
         return orders.Orders(
             settings=types.SimpleNamespace(
-                instance="n2", data_centre="dc-a", addresses=addresses
+                instance="n2",
+                data_centre="dc-a",
+                data_centres={"dc-a": "west", "dc-b": "west"},
+                addresses=addresses,
             ),
             store=self.store,
             known=self.known,
@@ -91,3 +96,26 @@
         self.hear("n1", boot=0)
         await self.run_for(task, orders.SETTLE_SECONDS + 0.2)
         self.assertEqual(1, self.store.watches)
+
+    async def test_relay_looks_for_the_nodes_of_a_silent_data_centre(self):
+        """Guards against data centres that never meet again.
+
+        Fault: two regions are cut from each other for an hour, and all nodes
+        of the other one have been replaced by then.
+        """
+        task = self.make()
+        await task.read_nodes()
+        now = asyncio.get_running_loop().time()
+        self.assertFalse(task.misses_data_centre(now))
+        later = now + orders.REREAD_SECONDS
+        own = builders.make_state(node="n2", data_centre="dc-a")
+        fleet.learn(self.known, own, later)
+        self.assertTrue(task.misses_data_centre(later))
+        other = builders.make_state(node="n9", data_centre="dc-b")
+        fleet.learn(self.known, other, later)
+        self.assertFalse(task.misses_data_centre(later))
+        silent = later + orders.LONG_SILENT_SECONDS + 0.1
+        fleet.touch(self.known, "n2", silent)
+        self.assertTrue(task.misses_data_centre(silent))
+        task.lost_at = later
+        self.assertFalse(task.misses_data_centre(silent))
