Split the tests of node processes and the stand-in of the fleet

Ruled out: changing any test; the 28 tests are moved as they were (15 in test_calls, 13 in test_faults), the base class to cases.

--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 from apricotpost import http
 from soak import checks
 from soak import proxy
+from standins import backends
 from standins import mesh
 
 __all__ = ["Place", "World"]
@@ -40,7 +41,7 @@
 
     node: mesh.NodeProcess
     data_centre: str
-    backend: mesh.Backend
+    backend: backends.Backend
     to_node: proxy.Proxy
     to_backend: proxy.Proxy
     to_store: proxy.Proxy
@@ -70,7 +71,7 @@
         self.host = f"127.{network}.0.1"
         self.backend_net = f"127.{network}.2"
         self.places: list[Place] = []
-        self.backends: list[mesh.Backend] = []
+        self.backends: list[backends.Backend] = []
         self.answers: dict[str, checks.Answer] = {}
         self.departures: list[checks.Departure] = []
         self.rollouts: list[checks.Rollout] = []
@@ -144,9 +145,9 @@
 
     def make_backend(
         self, identifier: str, index: int, host: str
-    ) -> mesh.Backend:
+    ) -> backends.Backend:
         """Make a backend server of one of the services."""
-        backend = mesh.Backend(
+        backend = backends.Backend(
             identifier=identifier,
             service=SERVICES[index // 2 % len(SERVICES)],
             host=host,
--- /dev/null
+++ b/tests/sidecar/cases.py
@@ -0,0 +1,50 @@
+"""Base of the tests with event-loop nodes as processes."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from standins import mesh
+
+__all__ = ["MeshCase", "SAFE", "UNSAFE"]
+
+SAFE = {"prefix": "/records/", "service": "portal"}
+UNSAFE = {"prefix": "/reports/", "service": "portal", "type": "unsafe"}
+
+
+class MeshCase(unittest.IsolatedAsyncioTestCase):
+    """Base of the tests with processes."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.mesh = mesh.Mesh(folder=pathlib.Path(folder.name))
+        self.addAsyncCleanup(self.mesh.close)
+        self.call = self.mesh.caller.call
+
+    async def start(self, *places, **options):
+        routes = options.pop("routes", [SAFE, UNSAFE])
+        await self.mesh.start(places, routes=routes, **options)
+        self.nodes = self.mesh.nodes
+        self.backends = [node.backend for node in self.nodes]
+
+    async def call_all(self, count, path="/records/1", **options):
+        results = await asyncio.gather(
+            *(
+                self.call(self.nodes[0].ports.callers, path, **options)
+                for _ in range(count)
+            )
+        )
+        return [
+            result.response.status if result.response else result.failure
+            for result in results
+        ]
+
+    async def wait_until(self, check, seconds=3.0):
+        async with asyncio.timeout(seconds):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    def ran(self):
+        return sum(len(backend.runs) for backend in self.backends)
--- /dev/null
+++ b/tests/sidecar/test_faults.py
@@ -0,0 +1,223 @@
+"""Tests of orders, outages and restarts with nodes as processes."""
+
+import asyncio
+import signal
+
+from apricotpost import http
+from standins import mesh
+from standins import rows
+from tests.sidecar import cases
+
+__all__ = ["FaultTest", "OrderTest"]
+
+
+class OrderTest(cases.MeshCase):
+    """Orders of the operators."""
+
+    async def wait_status(self, path, status, *, seconds=2.0, node=0):
+        address = self.nodes[node].ports.callers
+        async with asyncio.timeout(seconds):
+            while True:
+                result = await self.call(address, path)
+                if result.response and result.response.status == status:
+                    return
+                await asyncio.sleep(0.02)
+
+    def put_config(self, version, routes):
+        config = mesh.make_config(version, routes=routes)
+        self.mesh.store.put("op", "config", config)
+
+    async def test_configuration_is_in_force_and_stays(self):
+        """Guards against late and returning configurations."""
+        await self.start("dc-a", "dc-a", "dc-b")
+        self.put_config(5, [{"prefix": "/new/", "service": "portal"}])
+        for node in range(3):
+            await self.wait_status("/new/1", 200, node=node)
+            await self.wait_status("/records/1", 404, node=node)
+        self.put_config(4, [cases.SAFE])
+        await asyncio.sleep(0.5)
+        await self.wait_status("/new/1", 200, seconds=0.2)
+
+    async def test_undecodable_configuration_changes_nothing(self):
+        """Guards against a bad row that takes routes away."""
+        await self.start("dc-a")
+        self.mesh.store.put("op", "config", b'{"version": 9, "resou')
+        await asyncio.sleep(0.5)
+        self.assertEqual([200], await self.call_all(1))
+        numbers = {line["event"] for line in self.nodes[0].lines()}
+        self.assertIn(734, numbers)
+
+    async def test_evacuated_data_centre_gets_nothing(self):
+        """Guards against work in a data centre that is taken out."""
+        await self.start("dc-a", "dc-b")
+        self.mesh.store.put("op", "evacuate/dc-a", b"{}")
+        await asyncio.sleep(1.0)
+        before = len(self.backends[0].runs)
+        self.assertEqual([200] * 10, await self.call_all(10))
+        self.assertEqual(before, len(self.backends[0].runs))
+        self.mesh.store.remove("op", "evacuate/dc-a")
+        await asyncio.sleep(1.0)
+        await self.call_all(10)
+        self.assertGreater(len(self.backends[0].runs), before)
+
+    async def test_lost_history_is_read_anew(self):
+        """Guards against a watch that never continues."""
+        await self.start("dc-a")
+        self.mesh.store.put("other", "row", b"x")
+        self.mesh.store.drop_history()
+        self.put_config(7, [{"prefix": "/new/", "service": "portal"}])
+        self.mesh.store.drop_history()
+        await self.wait_status("/new/1", 200, seconds=4.0)
+
+
+class FaultTest(cases.MeshCase):
+    """Nodes and stores that fail."""
+
+    async def test_calls_go_on_while_the_store_is_down(self):
+        """Guards against a call path that needs the store."""
+        await self.start("dc-a", "dc-a")
+        for conditions in (
+            rows.Conditions(status=503),
+            rows.Conditions(silent=True),
+        ):
+            self.mesh.store.conditions = conditions
+            await asyncio.sleep(0.5)
+            self.assertEqual([200] * 8, await self.call_all(8))
+
+    async def test_outage_is_probed_by_two_nodes_of_a_data_centre(self):
+        """Guards against calls that grow with the fleet while nobody serves.
+
+        6 nodes called each 1.1 s at the mean. Two still do; the others call
+        once when they lose the store, and each 6 s.
+        """
+        await self.start(*("dc-a",) * 6)
+        self.mesh.store.conditions = rows.Conditions(status=503)
+        await asyncio.sleep(3.0)
+        before = len(self.mesh.store.calls)
+        await asyncio.sleep(5.0)
+        self.assertLess(len(self.mesh.store.calls) - before, 20)
+        self.mesh.store.conditions = rows.Conditions()
+        config = mesh.make_config(
+            9, routes=[{"prefix": "/new/", "service": "portal"}]
+        )
+        self.mesh.store.put("op", "config", config)
+        await asyncio.sleep(2.5)
+        for node in self.nodes:
+            result = await self.call(node.ports.callers, "/new/1")
+            self.assertEqual(200, result.response.status)
+
+    async def test_restarted_node_learns_from_peers_without_store(self):
+        """Guards against a node that waits for the store to return."""
+        await self.start("dc-a", "dc-a")
+        self.mesh.store.conditions = rows.Conditions(status=503)
+        self.nodes[1].kill()
+        self.nodes[1].start()
+        await self.mesh.wait_for(self.nodes[1], self.mesh.is_ready)
+        address = self.nodes[1].ports.callers
+        result = await self.call(address)
+        self.assertEqual(200, result.response.status)
+
+    async def test_killed_node_costs_no_safe_request(self):
+        """Guards against requests that die with another node."""
+        await self.start("dc-a", "dc-a")
+        for backend in self.backends:
+            backend.work_seconds = 0.2
+        calls = asyncio.create_task(self.call_all(8))
+        await asyncio.sleep(0.1)
+        self.nodes[1].kill()
+        self.assertEqual([200] * 8, await calls)
+
+    async def test_stop_cuts_no_request(self):
+        """Guards against a stop that breaks running requests off."""
+        await self.start("dc-a", "dc-a")
+        for backend in self.backends:
+            backend.work_seconds = 0.8
+        calls = asyncio.create_task(
+            self.call_all(8, "/reports/1", method=b"POST")
+        )
+        await asyncio.sleep(0.2)
+        self.nodes[0].signal(signal.SIGTERM)
+        self.nodes[1].signal(signal.SIGTERM)
+        self.assertEqual([200] * 8, await calls)
+        loop = asyncio.get_running_loop()
+        for node in self.nodes:
+            ended = loop.run_in_executor(None, node.process.wait, 7)
+            self.assertEqual(0, await ended)
+
+    async def test_late_request_after_stop_is_refused(self):
+        """Guards against a request that is taken and never answered.
+
+        A node under SIGTERM took requests until its end, and closed their
+        connections without an answer.
+        """
+        await self.start("dc-a")
+        self.backends[0].work_seconds = 4.5
+        running = asyncio.create_task(self.call_all(1, deadline_ms=9000))
+        await asyncio.sleep(0.1)
+        kept = [
+            asyncio.create_task(self.call_all(1, deadline_ms=9000))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.1)
+        self.nodes[0].signal(signal.SIGTERM)
+        await asyncio.sleep(3.2)
+        before = self.ran()
+        found = await self.call_all(1, deadline_ms=9000)
+        self.assertIn(found[0], (503, http.Failure.NOT_CONNECTED))
+        self.assertEqual(before, self.ran())
+        for task in (running, *kept):
+            self.assertIsInstance((await task)[0], int)
+
+    async def test_late_heartbeat_after_restart_revives_nothing(self):
+        """Guards against a left server that a new process uses again.
+
+        The process before had acknowledged the deregistration; a heartbeat
+        that was sent earlier reaches the new one.
+        """
+        await self.start("dc-a")
+        node = self.nodes[0]
+        self.mesh.beats.cancel()
+        node.backend.sequence = 20
+        late = node.backend.beat()
+        node.backend.state = "draining"
+        await self.mesh.announce(node, "Deregister", "b0", b"")
+        node.kill()
+        node.start()
+        ready = await self.wait_listening(node)
+        self.assertTrue(ready)
+        await self.mesh.announce(node, "Heartbeat", "b0", late)
+        await asyncio.sleep(0.2)
+        self.assertEqual([503], await self.call_all(1))
+
+    async def wait_listening(self, node):
+        request = http.Request(
+            method=b"GET", target=b"/v1/ready", headers=((b"Host", b"n"),)
+        )
+        async with asyncio.timeout(5):
+            while True:
+                found = await self.mesh.caller.send(
+                    node.ports.readiness, request
+                )
+                if found.response and found.response.status == 200:
+                    return True
+                await asyncio.sleep(0.05)
+
+    async def test_bad_settings_change_nothing(self):
+        """Guards against a reload that breaks a running node."""
+        await self.start("dc-a")
+        self.nodes[0].path.write_text("{ not settings", encoding="utf-8")
+        self.nodes[0].signal(signal.SIGHUP)
+        await asyncio.sleep(0.5)
+        self.assertEqual([200], await self.call_all(1))
+        numbers = {line["event"] for line in self.nodes[0].lines()}
+        self.assertIn(704, numbers)
+
+    async def test_malformed_heartbeat_is_ignored(self):
+        """Guards against an announcement of another writer."""
+        await self.start("dc-a")
+        for body in (b"{", b'{"service": 3}', b"\xff\xfe", b"[]"):
+            result = await self.mesh.announce(
+                self.nodes[0], "Heartbeat", "b0", body
+            )
+            self.assertEqual(400, result.response.status)
+        self.assertEqual([200], await self.call_all(1))
