--- a/apricotpost/sidecar/flights.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -12,9 +12,9 @@
 
 __all__ = [
     "Attempt",
-    "Flight",
-    "Next",
-    "Verdict",
+    "ActiveRequest",
+    "NextAction",
+    "RetryDecision",
     "after_failure",
     "after_refusal",
     "hedge_seconds",
@@ -54,7 +54,7 @@
 }
 
 
-class Next(enum.Enum):
+class NextAction(enum.Enum):
     """What follows after an attempt."""
 
     OFFER = "offer"
@@ -63,11 +63,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
+class RetryDecision:
     """What follows, and whether the next offer may wait in a queue."""
 
-    next: Next
-    patient: bool = False
+    action: NextAction
+    accepts_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,36 +76,36 @@
 
     node: str
     backend: str
-    sent: float
+    sent_at: float
 
 
-class Flight:
+class ActiveRequest:
     """One request of a caller; times are monotonic, in seconds."""
 
     __slots__ = (
-        "arrivals",
+        "backend_attempts",
         "backend",
         "call",
         "exchange",
-        "expires",
+        "expires_at",
         "head",
         "headers",
-        "hedge",
+        "hedge_timer",
         "hedged",
         "nested",
         "node",
-        "objective",
+        "objective_at",
         "offers",
-        "open",
-        "patient",
+        "open_attempts",
+        "accepts_late",
         "reason",
         "retry_ms",
         "route",
-        "runs",
+        "possible_executions",
         "service",
-        "timer",
-        "tried",
-        "turn",
+        "deadline_timer",
+        "tried_nodes",
+        "version_draw",
         "version",
     )
 
@@ -117,7 +117,7 @@
         route: model.TrafficRoute,
         service: str,
         nested: bool,
-        turn: float,
+        version_draw: float,
     ) -> None:
         left_ms = route.timeout_ms
         if head.deadline_ms is not None:
@@ -127,42 +127,42 @@
         self.route = route
         self.service = service
         self.nested = nested
-        self.turn = turn
+        self.version_draw = version_draw
         self.headers = http.strip_hop_headers(exchange.request.headers)
-        self.expires = exchange.arrived + left_ms / 1000.0
-        self.objective = exchange.arrived + route.objective_ms / 1000.0
+        self.expires_at = exchange.arrived + left_ms / 1000.0
+        self.objective_at = exchange.arrived + route.objective_ms / 1000.0
         self.call = ""
         self.node = ""
         self.backend = ""
         self.version = ""
         self.offers = 0
         # Requests that a backend server got, and those that may have run.
-        self.arrivals = 0
-        self.runs = 0
-        self.patient = False
-        self.tried: set[str] = set()
+        self.backend_attempts = 0
+        self.possible_executions = 0
+        self.accepts_late = False
+        self.tried_nodes: set[str] = set()
         self.reason = ""
         self.retry_ms = 0
-        self.timer: asyncio.TimerHandle | None = None
+        self.deadline_timer: asyncio.TimerHandle | None = None
         # Offers without an answer by call; two while a request is hedged.
-        self.open: dict[str, Attempt] = {}
-        self.hedge: asyncio.TimerHandle | None = None
+        self.open_attempts: dict[str, Attempt] = {}
+        self.hedge_timer: asyncio.TimerHandle | None = None
         self.hedged = False
 
 
 def after_refusal(
-    flight: Flight,
+    active: ActiveRequest,
     refused: wire.Refused,
     budget: retries.Budget,
     *,
     now: float,
-    others: int,
-) -> Verdict:
+    untried: int,
+) -> RetryDecision:
     """Decide after a gate has not run the request.
 
     Parameters
     ----------
-    flight : Flight
+    active : ActiveRequest
         The request, with this attempt counted.
     refused : wire.Refused
         Answer of the gate.
@@ -170,47 +170,47 @@
         Charged if the backend server itself turned the request away.
     now : float
         Monotonic time, in seconds.
-    others : int
+    untried : int
         Backend servers that were not tried yet.
     """
-    if refused.reason not in _MOVABLE or now >= flight.expires:
-        return Verdict(next=Next.REFUSE)
-    if flight.offers >= MAX_OFFERS or flight.patient:
-        return Verdict(next=Next.REFUSE)
-    if flight.arrivals >= flight.route.max_attempts:
-        return Verdict(next=Next.REFUSE)
+    if refused.reason not in _MOVABLE or now >= active.expires_at:
+        return RetryDecision(action=NextAction.REFUSE)
+    if active.offers >= MAX_OFFERS or active.accepts_late:
+        return RetryDecision(action=NextAction.REFUSE)
+    if active.backend_attempts >= active.route.max_attempts:
+        return RetryDecision(action=NextAction.REFUSE)
     if refused.offered and budget.tokens < 1.0:
-        return Verdict(next=Next.REFUSE)
-    if others and flight.offers < STRICT_OFFERS:
-        return Verdict(next=Next.OFFER)
-    return Verdict(next=Next.OFFER, patient=True)
+        return RetryDecision(action=NextAction.REFUSE)
+    if untried and active.offers < STRICT_OFFERS:
+        return RetryDecision(action=NextAction.OFFER)
+    return RetryDecision(action=NextAction.OFFER, accepts_late=True)
 
 
 def after_failure(
-    flight: Flight,
+    active: ActiveRequest,
     budget: retries.Budget,
     *,
     usual_ms: float,
     now: float,
-    others: int,
-) -> Verdict:
+    untried: int,
+) -> RetryDecision:
     """Decide after an attempt that may have run and failed."""
-    left_ms = (flight.expires - now) * 1000.0
+    left_ms = (active.expires_at - now) * 1000.0
     if (
-        flight.route.idempotent
-        and flight.arrivals < flight.route.max_attempts
-        and flight.offers < MAX_OFFERS
+        active.route.idempotent
+        and active.backend_attempts < active.route.max_attempts
+        and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
         and left_ms > usual_ms * MIN_LEFT_PART
-        and others
+        and untried
     ):
-        return Verdict(next=Next.OFFER, patient=True)
-    return Verdict(next=Next.FAIL)
+        return RetryDecision(action=NextAction.OFFER, accepts_late=True)
+    return RetryDecision(action=NextAction.FAIL)
 
 
-def stop_timers(flight: Flight) -> None:
+def stop_timers(active: ActiveRequest) -> None:
     """Stop what was to happen later to a request."""
-    for timer in (flight.timer, flight.hedge):
+    for timer in (active.deadline_timer, active.hedge_timer):
         if timer is not None:
             timer.cancel()
 
@@ -237,35 +237,35 @@
     return max(usual_ms * RECHECK_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
 
-def is_overdue(flight: Flight, *, usual_ms: float, now: float) -> bool:
+def is_overdue(active: ActiveRequest, *, usual_ms: float, now: float) -> bool:
     """Tell whether a request is late whatever its work may be.
 
     Parameters
     ----------
-    flight : Flight
+    active : ActiveRequest
         The request.
     usual_ms : float
         Usual time of the route.
     now : float
         Monotonic time, in seconds.
     """
-    waited_ms = (now - flight.exchange.arrived) * 1000.0
+    waited_ms = (now - active.exchange.arrived) * 1000.0
     return waited_ms >= usual_ms * OVERDUE_MULTIPLE
 
 
 def may_hedge(
-    flight: Flight,
+    active: ActiveRequest,
     budget: retries.Budget,
     *,
     usual_ms: float,
     now: float,
-    others: int,
+    untried: int,
 ) -> bool:
     """Tell whether a request goes to a second server while the first runs.
 
     Parameters
     ----------
-    flight : Flight
+    active : ActiveRequest
         The request.
     budget : retries.Budget
         Charged for it as for a retry.
@@ -273,20 +273,20 @@
         Usual time of the route; 0 if it is not known.
     now : float
         Monotonic time, in seconds.
-    others : int
+    untried : int
         Backend servers that were not tried yet.
     """
-    left_ms = (flight.expires - now) * 1000.0
+    left_ms = (active.expires_at - now) * 1000.0
     return (
         usual_ms > 0
-        and flight.route.idempotent
-        and len(flight.open) == 1
-        and not flight.hedged
-        and flight.arrivals + 1 < flight.route.max_attempts
-        and flight.offers < MAX_OFFERS
+        and active.route.idempotent
+        and len(active.open_attempts) == 1
+        and not active.hedged
+        and active.backend_attempts + 1 < active.route.max_attempts
+        and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
         and left_ms > usual_ms * MIN_LEFT_PART
-        and others > 0
+        and untried > 0
     )
 
 
--- a/apricotpost/sidecar/server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -10,13 +10,13 @@
 from apricotpost import model
 from apricotpost import platform
 from apricotpost.rollout import trials
-from apricotpost.sidecar import beats
+from apricotpost.sidecar import heartbeats
 from apricotpost.sidecar import options
-from apricotpost.sidecar import tallies
+from apricotpost.sidecar import outcome_counters
 from apricotpost.sidecar import views
 from apricotpost import wire
 
-__all__ = ["Server"]
+__all__ = ["BackendServer"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -35,7 +35,7 @@
 CONFIRM_PART = 0.5
 
 
-class Server:
+class BackendServer:
     """Presence, state and health of the backend server.
 
     Parameters
@@ -67,40 +67,42 @@
         self.queue = queue
         self.client = client
         self.loop = asyncio.get_running_loop()
-        self.presence = beats.Presence()
-        self.tallies = tallies.Tallies(read_view=read_view)
+        self.presence = heartbeats.Presence()
+        self.outcomes = outcome_counters.OutcomeCounters(read_view=read_view)
         self.leaving = False
         self.checking = False
 
-    def take_beat(self, beat: model.BackendBeat) -> beats.News:
+    def handle_heartbeat(
+        self, heartbeat: model.BackendBeat
+    ) -> heartbeats.HeartbeatEffect:
         """Take a heartbeat and tell what it changed."""
         now = self.loop.time()
         before = self.presence.current
-        news = beats.take_beat(
+        effect = heartbeats.record_heartbeat(
             self.presence,
-            beat,
+            heartbeat,
             now,
             confirm_seconds=CONFIRM_PART * self.settings.heartbeat_ms / 1000.0,
         )
-        if news is beats.News.NONE:
-            return news
-        if news is beats.News.OTHER:
-            self.start_incarnation(beat, now)
+        if effect is heartbeats.HeartbeatEffect.NONE:
+            return effect
+        if effect is heartbeats.HeartbeatEffect.OTHER:
+            self.start_incarnation(heartbeat, now)
         self.update_cold()
-        if before is None or before.state is not beat.state:
+        if before is None or before.state is not heartbeat.state:
             events.emit(
                 _LOG,
                 events.BACKEND_STATE,
-                backend=beat.backend,
-                service=beat.service,
-                version=beat.version,
-                state=str(beat.state),
-                sequence=beat.sequence,
+                backend=heartbeat.backend,
+                service=heartbeat.service,
+                version=heartbeat.version,
+                state=str(heartbeat.state),
+                sequence=heartbeat.sequence,
             )
-        if news is not beats.News.SAME:
+        if effect is not heartbeats.HeartbeatEffect.SAME:
             self.on_change()
         self.check_health()
-        return news
+        return effect
 
     def check_health(self) -> None:
         """Ask a backend server that was met in mid-life whether it serves."""
@@ -112,17 +114,17 @@
             return
         self.checking = True
 
-        def take(result: http.Result) -> None:
+        def handle(result: http.Result) -> None:
             self.checking = False
-            self.take_health(current, result)
+            self.handle_health(current, result)
 
         self.client.send(
             platform.health_request(rule.health_path, current.address),
-            take,
+            handle,
             timeout=HEALTH_SECONDS,
         )
 
-    def take_health(
+    def handle_health(
         self, asked: model.BackendBeat, result: http.Result
     ) -> None:
         """Use the backend server if it says that it serves."""
@@ -141,16 +143,20 @@
             status=status,
             sequence=asked.sequence,
         )
-        if well and beats.confirm(self.presence, asked.backend):
+        if well and heartbeats.confirm(self.presence, asked.backend):
             self.on_change()
 
-    def start_incarnation(self, beat: model.BackendBeat, now: float) -> None:
+    def start_incarnation(
+        self, heartbeat: model.BackendBeat, now: float
+    ) -> None:
         """Forget what was known of the backend server before."""
-        limit = float(beat.slots)
-        if beat.sequence > FIRST_BEATS and not self.queue.slots:
-            limit = max(beat.slots * UNKNOWN_START_PART, 1.0)
-        ranked.set_backend(self.queue, slots=beat.slots, limit=limit, now=now)
-        self.tallies.reset()
+        limit = float(heartbeat.slots)
+        if heartbeat.sequence > FIRST_BEATS and not self.queue.slots:
+            limit = max(heartbeat.slots * UNKNOWN_START_PART, 1.0)
+        ranked.set_backend(
+            self.queue, slots=heartbeat.slots, limit=limit, now=now
+        )
+        self.outcomes.reset()
         self.client.drop_idle()
 
     def update_cold(self) -> None:
@@ -160,13 +166,13 @@
         stands in the configuration, which may come later than the first
         heartbeat.
         """
-        beat = self.presence.current
-        if beat is None:
+        heartbeat = self.presence.current
+        if heartbeat is None:
             return
-        rule = self.read_view().services.get(beat.service)
+        rule = self.read_view().services.get(heartbeat.service)
         self.queue.cold_rate = rule.cold_per_second if rule else 0.0
         self.queue.cold_until = max(
-            self.presence.heard + beat.cold_ms / 1000.0,
+            self.presence.heard_at + heartbeat.cold_ms / 1000.0,
             self.presence.assumed_cold_until,
         )
         self.check_health()
@@ -178,13 +184,15 @@
         )
         self.update_cold()
 
-    def take_withdrawal(self, withdrawal: platform.Withdrawal) -> bool:
+    def handle_deregistration(
+        self, deregistration: platform.Withdrawal
+    ) -> bool:
         """Take a deregistration and tell whether it is of this server."""
-        if not beats.withdraw(
-            self.presence, withdrawal.backend, withdrawal.born
+        if not heartbeats.deregister(
+            self.presence, deregistration.backend, deregistration.born
         ):
             return False
-        events.emit(_LOG, events.BACKEND_LEFT, backend=withdrawal.backend)
+        events.emit(_LOG, events.BACKEND_LEFT, backend=deregistration.backend)
         self.on_change()
         return True
 
@@ -210,7 +218,7 @@
             return wire.NotRunReason.NO_BACKEND_SERVER
         if self.leaving or current.state is model.BackendState.DRAINING:
             return wire.NotRunReason.DRAINING
-        silent = self.loop.time() - self.presence.heard
+        silent = self.loop.time() - self.presence.heard_at
         if (
             self.presence.unreachable
             or not self.presence.confirmed
@@ -236,7 +244,7 @@
         self.presence.unreachable = True
         self.on_change()
 
-    def lose(self, backend: str) -> bool:
+    def mark_unreachable(self, backend: str) -> bool:
         """Note a failed connection and tell whether it is the first one."""
         if self.presence.unreachable:
             return False
--- a/apricotpost/sidecar/contacts.py
+++ b/apricotpost/sidecar/connections.py
@@ -8,21 +8,21 @@
 from apricotpost.membership import relays
 from apricotpost.sidecar import links
 
-__all__ = ["Contacts"]
+__all__ = ["ConnectionManager"]
 
 # A connection that is no longer wanted is closed after this time, so that a
 # choice that changes to and fro does not open connections each time.
 KEEP_SECONDS = 30.0
 
 
-class Contacts:
+class ConnectionManager:
     """Opens and closes the connections to other nodes.
 
     Parameters
     ----------
     known : fleet.Fleet
         States of all nodes.
-    connections : links.Links
+    peer_links : links.Links
         The sockets.
     called_services : callable
         Returns the services that this node calls.
@@ -38,43 +38,43 @@
         self,
         *,
         known: fleet.Fleet,
-        connections: links.Links,
+        peer_links: links.Links,
         called_services: Callable[[], Iterable[str]],
         whole_versions: Callable[[], Iterable[tuple[str, str]]],
         evacuated: Callable[[], Collection[str]],
         is_busy: Callable[[str], bool],
     ) -> None:
         self.known = known
-        self.connections = connections
+        self.peer_links = peer_links
         self.called_services = called_services
         self.whole_versions = whole_versions
         self.evacuated = evacuated
         self.is_busy = is_busy
         self.wanted_at: dict[str, float] = {}
 
-    def choose(self, now: float) -> set[str]:
+    def wanted_nodes(self, now: float) -> set[str]:
         """Return the nodes to which a connection is wanted."""
-        near = {
+        local = {
             name
             for name, node in self.known.nodes.items()
             if node.state.data_centre == self.known.data_centre
         }
-        far = relays.far_servers(
+        remote = relays.far_servers(
             self.known,
             now,
             services=self.called_services(),
             all_of=self.whole_versions(),
             evacuated=self.evacuated(),
         )
-        wanted = near | far | set(relays.far_targets(self.known, now))
+        wanted = local | remote | set(relays.far_targets(self.known, now))
         wanted.discard(self.known.node)
         return wanted
 
     def update(self, now: float) -> None:
         """Open the wanted connections and close those long unwanted."""
-        for name in self.choose(now):
+        for name in self.wanted_nodes(now):
             self.open(name, now)
-        for name in tuple(self.connections.links):
+        for name in tuple(self.peer_links.links):
             idle = now - self.wanted_at.setdefault(name, now)
             if idle > KEEP_SECONDS and not self.is_busy(name):
                 self.close(name)
@@ -85,9 +85,9 @@
         if node is None or name == self.known.node:
             return
         self.wanted_at[name] = now
-        self.connections.connect(name, node.state.address)
+        self.peer_links.connect(name, node.state.address)
 
     def close(self, name: str) -> None:
         """Close the connection to a node, if any."""
         self.wanted_at.pop(name, None)
-        self.connections.disconnect(name)
+        self.peer_links.disconnect(name)
--- /dev/null
+++ b/apricotpost/sidecar/dispatcher.py
@@ -0,0 +1,493 @@
+"""Task that takes callers' requests and answers them."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from apricotpost import http
+from apricotpost import platform
+from apricotpost.routing import placement
+from apricotpost.routing import prefixes
+from apricotpost.sidecar import active_requests
+from apricotpost.sidecar import load_balancer
+from apricotpost.sidecar import metrics
+from apricotpost.sidecar import options
+from apricotpost.sidecar import responses
+from apricotpost.sidecar import retry_budgets
+from apricotpost.sidecar import server_index
+from apricotpost.sidecar import views
+from apricotpost import wire
+
+__all__ = ["Dispatcher"]
+
+# The backend server's own answer to a passed deadline is awaited so long.
+ANSWER_SLACK_SECONDS = 0.08
+# An answer may come on another connection after the first was reset.
+LOST_ANSWER_SECONDS = 0.6
+# A client whose request found no configuration or no backend server.
+NOT_READY_RETRY_MS = 300
+# Calls of running requests go before all others: their callers hold slots.
+NESTED_RANK = -1000
+# Place of a request that a version on trial does not get.
+LAST_VERSION_DRAW = 1.0
+
+SendOffer = Callable[[str, wire.Offer], bool]
+
+
+class Dispatcher:
+    """State of the task.
+
+    Parameters
+    ----------
+    settings : options.Options
+        Of the node.
+    boot : str
+        Identifies this process.
+    read_view : callable
+        Returns the orders in force.
+    servers : server_index.ServerIndex
+        Known backend servers.
+    send_offer : callable
+        Hands an offer to a node; False means that nothing was sent.
+    send_cancel : callable
+        Tells a node that a caller is gone.
+    on_service : callable
+        Called when a service is called for the first time.
+    instruments : metrics.Metrics
+        Counters.
+    rng : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.Options,
+        boot: str,
+        read_view: Callable[[], views.TrafficView],
+        servers: server_index.ServerIndex,
+        send_offer: SendOffer,
+        send_cancel: Callable[[str, wire.Cancel], None],
+        on_service: Callable[[], None],
+        instruments: metrics.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.prefix = f"{settings.instance}/{boot}/"
+        self.read_view = read_view
+        self.servers = servers
+        self.send_offer = send_offer
+        self.send_cancel = send_cancel
+        self.instruments = instruments
+        self.loop = asyncio.get_running_loop()
+        self.balancer = load_balancer.LoadBalancer(
+            read_view=read_view,
+            servers=servers,
+            on_service=on_service,
+            rng=rng,
+        )
+        self.budgets = retry_budgets.RetryBudgets(
+            bounds=settings.bounds, count_nodes=servers.count_nodes
+        )
+        self.responder = responses.Responder(
+            read_view=read_view, instruments=instruments, rng=rng
+        )
+        self.active: dict[str, active_requests.ActiveRequest] = {}
+        self.next_call = 0
+        self.stopping = False
+        self.backend_host = settings.backend_address.rpartition(":")[0]
+
+    def apply_settings(self, settings: options.Options) -> None:
+        """Take up changed settings."""
+        self.settings = settings
+        self.budgets.bounds = settings.bounds
+
+    # Requests.
+
+    def handle(self, exchange: http.Exchange) -> None:
+        """Take a request of a caller."""
+        head = platform.read_head(exchange.request)
+        view = self.read_view()
+        if not head.request_id:
+            self.responder.respond_locally(
+                exchange, head, 400, "no-request-id"
+            )
+            return
+        if not view.version:
+            self.responder.respond_locally(
+                exchange,
+                head,
+                503,
+                wire.NotRunReason.NOT_READY,
+                NOT_READY_RETRY_MS,
+            )
+            return
+        if self.stopping:
+            self.responder.respond_locally(
+                exchange,
+                head,
+                503,
+                wire.NotRunReason.DRAINING,
+                NOT_READY_RETRY_MS,
+            )
+            return
+        route = prefixes.match_prefix(view.routes, head.host, head.path)
+        if route is None:
+            self.responder.respond_locally(
+                exchange, head, 404, wire.NotRunReason.NO_ROUTE
+            )
+            return
+        service = self.balancer.choose_service(route)
+        active = active_requests.ActiveRequest(
+            exchange=exchange,
+            head=head,
+            route=route,
+            service=service,
+            nested=exchange.connection.is_from(self.backend_host),
+            version_draw=self.balancer.next_version_draw(service),
+        )
+        self.budgets.earn(service, self.loop.time())
+
+        def leave() -> None:
+            self.abandon(active)
+
+        exchange.on_gone = leave
+        active.deadline_timer = self.loop.call_at(
+            active.expires_at + ANSWER_SLACK_SECONDS, self.expire, active
+        )
+        self.offer(active)
+        usual_ms = self.balancer.usual_ms(route.name)
+        if route.idempotent and active.open_attempts and usual_ms:
+            active.hedge_timer = self.loop.call_later(
+                active_requests.hedge_seconds(usual_ms), self.hedge, active
+            )
+
+    def offer(self, active: active_requests.ActiveRequest) -> None:
+        """Offer a request to the best backend server, or answer it."""
+        if self.send_best(active):
+            return
+        active.reason = active.reason or wire.NotRunReason.NO_BACKEND_SERVER
+        if active.possible_executions:
+            self.fail(active, 502)
+        else:
+            active.retry_ms = active.retry_ms or NOT_READY_RETRY_MS
+            self.refuse(active)
+
+    def send_best(self, active: active_requests.ActiveRequest) -> bool:
+        """Send an offer to the best backend server that takes it."""
+        now = self.loop.time()
+        if active.offers:
+            # A second attempt is not made with a version on trial.
+            active.version_draw = LAST_VERSION_DRAW
+        for candidate in self.balancer.rank_candidates(active):
+            if self.send(active, candidate, now):
+                return True
+            active.tried_nodes.add(candidate.node)
+        return False
+
+    def hedge(self, active: active_requests.ActiveRequest) -> None:
+        """Ask a second backend server while the first one runs.
+
+        If that seems sound it is looked at again until the request is
+        overdue.
+        """
+        active.hedge_timer = None
+        now = self.loop.time()
+        usual_ms = self.balancer.usual_ms(active.route.name)
+        allowed = self.balancer.may_hedge(
+            active.service
+        ) and active_requests.may_hedge(
+            active,
+            self.budgets.of(active.service),
+            usual_ms=usual_ms,
+            now=now,
+            untried=self.balancer.count_untried(active),
+        )
+        if not allowed:
+            return
+        overdue = active_requests.is_overdue(
+            active, usual_ms=usual_ms, now=now
+        )
+        if not overdue and not self.balancer.is_suspect(active):
+            active.hedge_timer = self.loop.call_later(
+                active_requests.recheck_seconds(usual_ms), self.hedge, active
+            )
+            return
+        active.hedged = True
+        if self.send_best(active):
+            self.budgets.spend(active.service)
+            self.instruments.retries.add("hedged")
+
+    def send(
+        self,
+        active: active_requests.ActiveRequest,
+        candidate: placement.Candidate,
+        now: float,
+    ) -> bool:
+        """Send an offer; False means that nothing was sent."""
+        self.next_call += 1
+        request = active.exchange.request
+        active.call = f"{self.prefix}{self.next_call}"
+        active.node = candidate.node
+        active.backend = candidate.backend
+        rank = active.route.rank + (NESTED_RANK if active.nested else 0)
+        offer = wire.Offer(
+            call=active.call,
+            request=active.head.request_id,
+            backend=candidate.backend,
+            route=active.route.name,
+            service=active.service,
+            version=self.servers.version_of(candidate.node),
+            caller=self.settings.service,
+            rank=rank,
+            idempotent=active.route.idempotent,
+            patient=active.accepts_late,
+            left_ms=int((active.expires_at - now) * 1000),
+            objective_ms=int((active.objective_at - now) * 1000),
+            method=request.method,
+            target=request.target,
+            headers=active.headers,
+            body=request.body,
+        )
+        self.active[active.call] = active
+        active.open_attempts[active.call] = active_requests.Attempt(
+            node=candidate.node, backend=candidate.backend, sent_at=now
+        )
+        active.offers += 1
+        active.tried_nodes.add(candidate.node)
+        self.balancer.record_sent(candidate.backend)
+        if self.send_offer(candidate.node, offer):
+            return True
+        self.close_attempt(active.call)
+        return False
+
+    def close_attempt(
+        self, call: str
+    ) -> tuple[active_requests.ActiveRequest, active_requests.Attempt] | None:
+        """Return the request and the attempt that an answer belongs to."""
+        active = self.active.pop(call, None)
+        if active is None:
+            return None
+        return active, active.open_attempts.pop(call)
+
+    def cancel_attempts(self, active: active_requests.ActiveRequest) -> None:
+        """Tell the nodes of all open attempts that nobody waits."""
+        for call, attempt in tuple(active.open_attempts.items()):
+            self.close_attempt(call)
+            self.send_cancel(attempt.node, wire.Cancel(call=call))
+
+    def is_busy(self, node: str) -> bool:
+        """Tell whether requests are under way at a node."""
+        return any(
+            active.open_attempts[call].node == node
+            for call, active in self.active.items()
+        )
+
+    # Answers.
+
+    def handle_answer(self, message: wire.Message) -> None:
+        """Take the answer of a gate."""
+        found = self.close_attempt(message.call)
+        if found is None:
+            if isinstance(message, wire.Delivered):
+                self.responder.report_late(message.call)
+            return
+        active, attempt = found
+        if message.load is not None:
+            self.balancer.record_load(attempt.backend, message.load)
+        if isinstance(message, wire.Delivered):
+            self.handle_delivered(active, attempt, message)
+        elif isinstance(message, wire.Refused):
+            self.handle_refused(active, attempt, message)
+        else:
+            self.handle_failed(active, attempt, message.reason)
+
+    def handle_delivered(
+        self,
+        active: active_requests.ActiveRequest,
+        attempt: active_requests.Attempt,
+        message: wire.Delivered,
+    ) -> None:
+        """Answer the caller, or try a failed request once more."""
+        failed = message.status >= 500
+        self.balancer.record_outcome(attempt.backend, failed=failed)
+        if not failed:
+            self.balancer.record_served(
+                active,
+                attempt.backend,
+                ran_ms=message.ran_ms,
+                response_bytes=len(message.body),
+            )
+        active.backend_attempts += 1
+        active.possible_executions += 1
+        if failed and active.open_attempts:
+            # The other attempt may still succeed.
+            return
+        if failed and self.repeat(active, f"status-{message.status}"):
+            return
+        active.node = attempt.node
+        active.backend = attempt.backend
+        for other in active.open_attempts.values():
+            self.balancer.record_cancelled(active, other)
+        response = http.Response(
+            status=message.status, headers=message.headers, body=message.body
+        )
+        self.end(active, response, "answered", "")
+
+    def handle_refused(
+        self,
+        active: active_requests.ActiveRequest,
+        attempt: active_requests.Attempt,
+        message: wire.Refused,
+    ) -> None:
+        """Try another backend server, or refuse the request."""
+        active.backend_attempts += int(message.offered)
+        if message.offered:
+            self.balancer.record_outcome(attempt.backend, failed=True)
+        if active.open_attempts:
+            return
+        active.reason = message.reason
+        wait = message.retry_ms
+        if not active.retry_ms or 0 < wait < active.retry_ms:
+            active.retry_ms = wait
+        decision = active_requests.after_refusal(
+            active,
+            message,
+            self.budgets.of(active.service),
+            now=self.loop.time(),
+            untried=self.balancer.count_untried(active),
+        )
+        if (
+            message.offered
+            and decision.action is active_requests.NextAction.OFFER
+        ):
+            self.budgets.spend(active.service)
+        if decision.action is active_requests.NextAction.OFFER:
+            active.accepts_late = decision.accepts_late
+            self.instruments.retries.add(message.reason)
+            self.offer(active)
+        elif active.possible_executions:
+            self.fail(active, 502)
+        else:
+            self.refuse(active)
+
+    def handle_failed(
+        self,
+        active: active_requests.ActiveRequest,
+        attempt: active_requests.Attempt,
+        reason: str,
+    ) -> None:
+        """Repeat a request whose outcome is unknown, or say so."""
+        self.balancer.record_outcome(attempt.backend, failed=True)
+        active.backend_attempts += 1
+        active.possible_executions += 1
+        active.reason = reason
+        if active.open_attempts:
+            return
+        if not self.repeat(active, reason):
+            self.fail(active, 502)
+
+    def repeat(
+        self, active: active_requests.ActiveRequest, reason: str
+    ) -> bool:
+        """Send a failed request to another backend server if it may be."""
+        decision = active_requests.after_failure(
+            active,
+            self.budgets.of(active.service),
+            usual_ms=self.balancer.usual_ms(active.route.name),
+            now=self.loop.time(),
+            untried=self.balancer.count_untried(active),
+        )
+        if decision.action is not active_requests.NextAction.OFFER:
+            return False
+        self.budgets.spend(active.service)
+        self.instruments.retries.add(reason)
+        active.accepts_late = decision.accepts_late
+        self.offer(active)
+        return True
+
+    # Ends.
+
+    def handle_node_lost(self, node: str) -> None:
+        """Settle the requests at a node whose connection is lost."""
+        lost = [
+            (call, active)
+            for call, active in self.active.items()
+            if active.open_attempts[call].node == node
+        ]
+        for call, active in lost:
+            if not active.route.idempotent:
+                self.loop.call_later(
+                    LOST_ANSWER_SECONDS, self.give_up, active, call
+                )
+                continue
+            found = self.close_attempt(call)
+            if found is not None:
+                self.handle_failed(*found, wire.UnknownReason.NODE_LOST)
+
+    def give_up(
+        self, active: active_requests.ActiveRequest, call: str
+    ) -> None:
+        """Answer a request whose answer has not come another way."""
+        if self.close_attempt(call) is None:
+            return
+        active.possible_executions += 1
+        active.reason = wire.UnknownReason.NODE_LOST
+        self.fail(active, 502)
+
+    def expire(self, active: active_requests.ActiveRequest) -> None:
+        """Answer a request whose time is over."""
+        if not active.open_attempts:
+            return
+        for attempt in active.open_attempts.values():
+            self.balancer.record_outcome(attempt.backend, failed=True)
+        self.cancel_attempts(active)
+        active.reason = wire.UnknownReason.TIMEOUT
+        self.fail(active, 504)
+
+    def abandon(self, active: active_requests.ActiveRequest) -> None:
+        """End a request whose caller has hung up."""
+        active_requests.stop_timers(active)
+        self.instruments.requests.add("abandoned", "caller-gone")
+        self.cancel_attempts(active)
+
+    def stop_accepting(self) -> None:
+        """Refuse new requests; those that were taken are finished."""
+        self.stopping = True
+
+    def settle_all(self) -> None:
+        """Answer what is still open at the end of the process."""
+        for active in set(self.active.values()):
+            for call in tuple(active.open_attempts):
+                self.close_attempt(call)
+            active.reason = wire.UnknownReason.TIMEOUT
+            self.fail(active, 504)
+
+    def refuse(self, active: active_requests.ActiveRequest) -> None:
+        """Answer that a request has not run and will not run."""
+        seconds = self.responder.retry_after_seconds(active.retry_ms)
+        response = http.Response(
+            status=503,
+            headers=platform.refusal_headers(active.head.request_id, seconds),
+        )
+        self.end(active, response, "refused", active.reason)
+
+    def fail(self, active: active_requests.ActiveRequest, status: int) -> None:
+        """Answer that the outcome of a request is unknown."""
+        response = http.Response(
+            status=status,
+            headers=platform.refusal_headers(active.head.request_id, 0.0),
+        )
+        self.end(active, response, "failed", active.reason)
+
+    def end(
+        self,
+        active: active_requests.ActiveRequest,
+        response: http.Response,
+        outcome: str,
+        reason: str,
+    ) -> None:
+        """Answer a request and log the decision."""
+        active_requests.stop_timers(active)
+        self.cancel_attempts(active)
+        self.responder.finish_request(active, response, outcome, reason)
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -10,11 +10,11 @@
 from apricotpost import http
 from apricotpost import model
 from apricotpost import platform
-from apricotpost.sidecar import beats
+from apricotpost.sidecar import backend_server
+from apricotpost.sidecar import heartbeats
 from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
-from apricotpost.sidecar import server
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -31,17 +31,17 @@
 Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
 
 
-class Work:
+class PendingOffer:
     """A request at the gate and who waits for it."""
 
-    __slots__ = ("fresh", "handle", "offer", "reply", "started")
+    __slots__ = ("use_new_connection", "handle", "offer", "reply", "started")
 
     def __init__(self, *, offer: wire.Offer, reply: Reply) -> None:
         self.offer = offer
         self.reply = reply
         self.handle: http.Handle | None = None
         self.started = 0.0
-        self.fresh = False
+        self.use_new_connection = False
 
 
 class Gate:
@@ -74,7 +74,7 @@
         self.decisions = logs.Decisions(logger=_LOG)
         host, port = options.split_address(settings.backend_address)
         self.client = http.Client(host=host, port=port)
-        self.server = server.Server(
+        self.server = backend_server.BackendServer(
             settings=settings,
             read_view=read_view,
             on_change=on_change,
@@ -96,9 +96,9 @@
             exchange.respond(http.Response(status=404))
             return
         if isinstance(found, platform.Withdrawal):
-            self.take_withdrawal(found)
+            self.handle_deregistration(found)
         else:
-            self.take_beat(found)
+            self.handle_heartbeat(found)
         exchange.respond(
             http.Response(
                 status=200,
@@ -107,20 +107,25 @@
             )
         )
 
-    def take_beat(self, beat: model.BackendBeat) -> None:
+    def handle_heartbeat(self, heartbeat: model.BackendBeat) -> None:
         """Take a heartbeat of the backend server."""
-        news = self.server.take_beat(beat)
-        if news in (beats.News.CHANGED, beats.News.OTHER):
+        effect = self.server.handle_heartbeat(heartbeat)
+        if effect in (
+            heartbeats.HeartbeatEffect.CHANGED,
+            heartbeats.HeartbeatEffect.OTHER,
+        ):
             self.refuse_queue()
-        if news is not beats.News.NONE:
-            self.pump()
+        if effect is not heartbeats.HeartbeatEffect.NONE:
+            self.start_queued()
 
-    def take_withdrawal(self, withdrawal: platform.Withdrawal) -> None:
+    def handle_deregistration(
+        self, deregistration: platform.Withdrawal
+    ) -> None:
         """Take the deregistration of the backend server."""
-        if self.server.take_withdrawal(withdrawal):
+        if self.server.handle_deregistration(deregistration):
             self.refuse_queue()
 
-    def leave(self) -> None:
+    def stop_accepting(self) -> None:
         """Take no more offers; the backend server may still run some."""
         self.server.leaving = True
 
@@ -149,7 +154,7 @@
             arrived=now,
             expires=now + offer.left_ms / 1000.0,
             objective=now + offer.objective_ms / 1000.0,
-            work=Work(offer=offer, reply=reply),
+            work=PendingOffer(offer=offer, reply=reply),
         )
         refused = ranked.admit(self.queue, entry, now)
         if refused is not None:
@@ -174,7 +179,7 @@
         if elapsed_ms > usual_ms:
             # The least that it would have taken: a server whose requests are
             # all given up must not look fast.
-            self.server.tallies.count(
+            self.server.outcomes.count(
                 entry.route, failed=False, ran_ms=elapsed_ms
             )
         ranked.finish(
@@ -186,7 +191,7 @@
         )
         if entry.work.handle is not None:
             entry.work.handle.cancel()
-        self.pump()
+        self.start_queued()
 
     def refuse_queue(self) -> None:
         """Refuse what waits if the backend server takes no more requests."""
@@ -223,7 +228,7 @@
             )
         )
 
-    def pump(self) -> None:
+    def start_queued(self) -> None:
         """Start the requests that have room."""
         now = self.loop.time()
         started, refused = ranked.start(self.queue, now)
@@ -237,12 +242,12 @@
             self.timer = None
         due = ranked.next_start(self.queue, now)
         if due is not None:
-            self.timer = self.loop.call_at(due, self.pump)
+            self.timer = self.loop.call_at(due, self.start_queued)
 
     def run(self, entry: ranked.Entry) -> None:
         """Send a request to the backend server."""
-        work: Work = entry.work
-        offer = work.offer
+        pending: PendingOffer = entry.work
+        offer = pending.offer
         left = entry.expires - self.loop.time()
         request = http.Request(
             method=offer.method,
@@ -256,13 +261,13 @@
             body=offer.body,
         )
         max_idle = None if offer.idempotent else TRUSTED_IDLE_SECONDS
-        if work.fresh:
+        if pending.use_new_connection:
             max_idle = -1.0
 
         def finish(result: http.Result) -> None:
             self.finish(entry, result)
 
-        work.handle = self.client.send(
+        pending.handle = self.client.send(
             request,
             finish,
             timeout=left + LATE_RESPONSE_SECONDS,
@@ -271,32 +276,32 @@
 
     def finish(self, entry: ranked.Entry, result: http.Result) -> None:
         """Answer the caller with what became of a request."""
-        work: Work = entry.work
-        offer = work.offer
+        pending: PendingOffer = entry.work
+        offer = pending.offer
         now = self.loop.time()
         if (
             result.failure is http.Failure.CONNECTION_LOST
             and result.reused
             and offer.idempotent
-            and not work.fresh
+            and not pending.use_new_connection
         ):
             # The server had closed the kept connection.
-            work.fresh = True
+            pending.use_new_connection = True
             self.run(entry)
             return
-        ran_ms = (now - work.started) * 1000.0
+        ran_ms = (now - pending.started) * 1000.0
         response = result.response
         if response is None:
             self.fail(entry, result.failure, ran_ms)
         elif platform.is_not_run(response):
-            self.take_rejection(entry, response)
+            self.handle_rejection(entry, response)
         else:
             fault = platform.response_faults(response, offer.request)
             if fault:
                 self.fail(entry, http.Failure.MALFORMED, ran_ms, fault)
             else:
                 self.deliver(entry, response, ran_ms)
-        self.pump()
+        self.start_queued()
 
     def deliver(
         self, entry: ranked.Entry, response: http.Response, ran_ms: float
@@ -311,7 +316,7 @@
             failed=failed,
             now=self.loop.time(),
         )
-        self.server.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
+        self.server.outcomes.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.add("answered", response.status)
         entry.work.reply(
             wire.Delivered(
@@ -324,7 +329,7 @@
             )
         )
 
-    def take_rejection(
+    def handle_rejection(
         self, entry: ranked.Entry, response: http.Response
     ) -> None:
         """Pass on that the backend server has not run a request."""
@@ -371,7 +376,7 @@
                 failed=False,
                 now=self.loop.time(),
             )
-            if self.server.lose(offer.backend):
+            if self.server.mark_unreachable(offer.backend):
                 self.refuse_queue()
             refusal = ranked.Refusal(
                 reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
@@ -385,7 +390,7 @@
             failed=True,
             now=self.loop.time(),
         )
-        self.server.tallies.count(offer.route, failed=True, ran_ms=ran_ms)
+        self.server.outcomes.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
             reason = _REASONS[failure]
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -14,11 +14,11 @@
 from apricotpost import events
 from apricotpost.membership import fleet
 from apricotpost.membership import relays
-from apricotpost.sidecar import contacts
+from apricotpost.sidecar import connections
 from apricotpost.sidecar import gate
 from apricotpost.sidecar import links
 from apricotpost.sidecar import options
-from apricotpost.sidecar import roster
+from apricotpost.sidecar import server_index
 from apricotpost import wire
 
 __all__ = ["Gossip"]
@@ -26,7 +26,7 @@
 _LOG = logging.getLogger(__name__)
 
 # States within a data centre, where bytes are free.
-NEAR_SECONDS = 0.5
+LOCAL_SECONDS = 0.5
 # While a new version carries most requests of a service, the evidence on it
 # goes to all nodes at this interval.
 LOADED_SECONDS = 0.25
@@ -47,7 +47,7 @@
         Orders the processes of this node.
     known : fleet.Fleet
         States of all nodes.
-    servers : roster.Roster
+    servers : server_index.ServerIndex
         Index of the backend servers, rebuilt after changes.
     on_state : callable
         Called with every newer state.
@@ -59,7 +59,7 @@
         settings: options.Options,
         boot: int,
         known: fleet.Fleet,
-        servers: roster.Roster,
+        servers: server_index.ServerIndex,
         on_state: Callable[[wire.NodeState, bool], None],
     ) -> None:
         self.settings = settings
@@ -75,7 +75,7 @@
         self.orders = 0
         self.links: links.Links | None = None
         self.gate: gate.Gate | None = None
-        self.contacts: contacts.Contacts | None = None
+        self.connections: connections.ConnectionManager | None = None
         self.pending = False
         # Nodes whose changed states a relay has still to forward.
         self.changed: set[str] = set()
@@ -86,18 +86,18 @@
             self.round += 1
             loaded = self.is_loaded()
             self.publish()
-            judged = self.send_far()
-            self.forget_lost()
+            judged = self.send_remote()
+            self.remove_silent_nodes()
             self.update_contacts()
             fast = loaded or judged
-            await asyncio.sleep(LOADED_SECONDS if fast else NEAR_SECONDS)
+            await asyncio.sleep(LOADED_SECONDS if fast else LOCAL_SECONDS)
 
     def update_contacts(self) -> None:
         """Open the connections that are wanted now."""
-        if self.contacts is not None:
-            self.contacts.update(self.loop.time())
+        if self.connections is not None:
+            self.connections.update(self.loop.time())
 
-    def announce(self) -> None:
+    def schedule_publish(self) -> None:
         """Publish a change to all nodes, once for several changes."""
         if not self.pending:
             self.pending = True
@@ -107,17 +107,17 @@
         """Publish what `announce` asked for."""
         self.pending = False
         self.publish()
-        self.forward_later(self.settings.instance)
+        self.schedule_forward(self.settings.instance)
 
     def publish(self) -> None:
         """Send this node's state to its data centre."""
         state = self.describe()
         fleet.learn(self.known, state, self.loop.time())
         self.servers.rebuild()
-        self.send_near(state)
+        self.send_local(state)
         self.on_state(state, False)
 
-    def send_near(self, message: wire.Message) -> None:
+    def send_local(self, message: wire.Message) -> None:
         """Send a message to the other nodes of this data centre."""
         if self.links is None:
             return
@@ -133,7 +133,7 @@
 
     # Other data centres.
 
-    def send_far(self) -> bool:
+    def send_remote(self) -> bool:
         """Send states to the other data centres if this node is a relay.
 
         States with evidence go each round, all of them less often.
@@ -154,7 +154,7 @@
         self.send_batch(targets, states)
         return any(aged.state.counts for aged in states)
 
-    def forward_later(self, node: str) -> None:
+    def schedule_forward(self, node: str) -> None:
         """Forward a changed state to the other data centres."""
         if not self.changed:
             self.loop.call_later(GATHER_SECONDS, self.forward_changed)
@@ -180,7 +180,7 @@
             )
             self.links.send_all(targets, batch)
 
-    def take_batch(self, batch: wire.StateBatch) -> None:
+    def handle_batch(self, batch: wire.StateBatch) -> None:
         """Take states that relays have sent."""
         try:
             states = relays.unpack_states(batch.states)
@@ -188,11 +188,11 @@
             events.emit(_LOG, events.LINK_MALFORMED, error=error.message)
             return
         if not batch.forwarded:
-            self.send_near(
+            self.send_local(
                 wire.StateBatch(states=batch.states, forwarded=True)
             )
         for aged in states:
-            self.take_state(aged.state, age=aged.age_ms / 1000.0)
+            self.handle_state(aged.state, age=aged.age_ms / 1000.0)
 
     # States.
 
@@ -202,7 +202,7 @@
         return (
             server is not None
             and self.gate is not None
-            and self.gate.server.tallies.is_loaded_trial(server.service)
+            and self.gate.server.outcomes.is_loaded_trial(server.service)
         )
 
     def describe(self) -> wire.NodeState:
@@ -211,7 +211,7 @@
         server = self.gate.server.describe() if self.gate is not None else None
         counts: tuple[wire.VersionCounts, ...] = ()
         if server is not None and self.gate is not None:
-            counts = self.gate.server.tallies.describe(server.service)
+            counts = self.gate.server.outcomes.describe(server.service)
         return wire.NodeState(
             node=self.settings.instance,
             data_centre=self.settings.data_centre,
@@ -225,7 +225,7 @@
             counts=counts,
         )
 
-    def take_state(self, state: wire.NodeState, *, age: float = 0.0) -> None:
+    def handle_state(self, state: wire.NodeState, *, age: float = 0.0) -> None:
         """Take the state of another node.
 
         Parameters
@@ -236,36 +236,40 @@
             How long ago its node was heard, in seconds.
         """
         if state.node == self.settings.instance:
-            self.outlive(state)
+            self.supersede_boot(state)
             return
         before = self.known.nodes.get(state.node)
         newer = fleet.learn(self.known, state, self.loop.time(), age=age)
         if self.known.nodes[state.node].state is not state:
             return
-        near = state.data_centre == self.settings.data_centre
+        local = state.data_centre == self.settings.data_centre
         if newer:
-            self.meet_process(state, near=near)
+            self.handle_new_process(state, local=local)
         if before is None or _differs(before.state, state):
             self.servers.rebuild()
-            if near and relays.is_relay(self.known, self.loop.time()):
-                self.forward_later(state.node)
+            if local and relays.is_relay(self.known, self.loop.time()):
+                self.schedule_forward(state.node)
         self.on_state(state, newer)
 
-    def meet_process(self, state: wire.NodeState, *, near: bool) -> None:
+    def handle_new_process(
+        self, state: wire.NodeState, *, local: bool
+    ) -> None:
         """Introduce this node to a new process of another one."""
         events.emit(_LOG, events.NODE_MET, node=state.node, boot=state.boot)
-        if self.contacts is not None and near:
-            self.contacts.open(state.node, self.loop.time())
-        if self.links is not None and self.is_news_for(state.node):
+        if self.connections is not None and local:
+            self.connections.open(state.node, self.loop.time())
+        if self.links is not None and self.needs_own_state(state.node):
             self.links.send(state.node, self.describe())
 
-    def outlive(self, state: wire.NodeState) -> None:
+    def supersede_boot(self, state: wire.NodeState) -> None:
         """Order this process after an earlier one of the same node."""
         if state.boot > self.boot:
             self.boot = state.boot + 1
-            self.announce()
+            self.schedule_publish()
 
-    def meet(self, name: str, address: str, data_centre: str) -> None:
+    def add_listed_node(
+        self, name: str, address: str, data_centre: str
+    ) -> None:
         """Note a node that the store lists; `update_contacts` follows."""
         if name == self.settings.instance:
             return
@@ -287,21 +291,21 @@
         )
         fleet.learn(self.known, unheard, self.loop.time())
 
-    def reach(self, name: str) -> None:
+    def connect(self, name: str) -> None:
         """Open the connection to a node."""
-        if self.contacts is not None:
-            self.contacts.open(name, self.loop.time())
+        if self.connections is not None:
+            self.connections.open(name, self.loop.time())
 
-    def greet(self, name: str) -> None:
+    def send_state_to(self, name: str) -> None:
         """Send the state to a node that has just become connected.
 
         One in another data centre has it from the relays, unless these are
         the ones that meet or nothing was heard from there.
         """
-        if self.links is not None and self.is_news_for(name):
+        if self.links is not None and self.needs_own_state(name):
             self.links.send(name, self.describe())
 
-    def is_news_for(self, name: str) -> bool:
+    def needs_own_state(self, name: str) -> bool:
         """Tell whether a node may not know this one from its relays."""
         known = self.known.nodes.get(name)
         now = self.loop.time()
@@ -312,7 +316,7 @@
             or now - known.heard > relays.FAR_SILENT_SECONDS
         )
 
-    def forget_lost(self) -> None:
+    def remove_silent_nodes(self) -> None:
         """Drop nodes that were not heard for a long time."""
         now = self.loop.time()
         for name, known in tuple(self.known.nodes.items()):
@@ -320,8 +324,8 @@
                 continue
             del self.known.nodes[name]
             self.servers.rebuild()
-            if self.contacts is not None:
-                self.contacts.close(name)
+            if self.connections is not None:
+                self.connections.close(name)
 
 
 def _differs(before: wire.NodeState, after: wire.NodeState) -> bool:
--- a/apricotpost/sidecar/beats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -6,18 +6,18 @@
 
 __all__ = [
     "FIRST_SEQUENCE",
-    "News",
+    "HeartbeatEffect",
     "Presence",
     "confirm",
-    "take_beat",
-    "withdraw",
+    "record_heartbeat",
+    "deregister",
 ]
 
 # Sequence number of the heartbeat with which a backend server starts.
 FIRST_SEQUENCE = 1
 
 
-class News(enum.Enum):
+class HeartbeatEffect(enum.Enum):
     """What a heartbeat changed."""
 
     # It is older than what is known.
@@ -40,20 +40,20 @@
     def __init__(self) -> None:
         self.current: model.BackendBeat | None = None
         self.confirmed = True
-        self.heard = 0.0
+        self.heard_at = 0.0
         self.unreachable = False
         self.assumed_cold_until = 0.0
         # Start of the newest incarnation that left, by identifier.
-        self.gone: dict[str, int] = {}
+        self.departed: dict[str, int] = {}
 
 
-def take_beat(
+def record_heartbeat(
     presence: Presence,
-    beat: model.BackendBeat,
+    heartbeat: model.BackendBeat,
     now: float,
     *,
     confirm_seconds: float = 0.0,
-) -> News:
+) -> HeartbeatEffect:
     """Take a heartbeat and tell what it changed.
 
     A heartbeat may arrive after its sender has left or has been replaced,
@@ -63,39 +63,41 @@
     ----------
     presence : Presence
         State.
-    beat : model.BackendBeat
+    heartbeat : model.BackendBeat
         The heartbeat.
     now : float
         Monotonic time, in seconds.
     confirm_seconds : float
         A second heartbeat that comes so much later confirms the server.
     """
-    left = presence.gone.get(beat.backend)
-    if left is not None and beat.born <= left:
-        return News.NONE
+    left = presence.departed.get(heartbeat.backend)
+    if left is not None and heartbeat.born <= left:
+        return HeartbeatEffect.NONE
     current = presence.current
-    if current is not None and _is_older(beat, current):
-        return News.NONE
+    if current is not None and _is_older(heartbeat, current):
+        return HeartbeatEffect.NONE
     was_usable = presence.confirmed and not presence.unreachable
     other = current is None or (current.backend, current.born) != (
-        beat.backend,
-        beat.born,
+        heartbeat.backend,
+        heartbeat.born,
     )
     if other:
-        unknown = current is None and not presence.gone
-        presence.confirmed = not unknown or beat.sequence <= FIRST_SEQUENCE
-    elif now - presence.heard >= confirm_seconds:
+        unknown = current is None and not presence.departed
+        presence.confirmed = (
+            not unknown or heartbeat.sequence <= FIRST_SEQUENCE
+        )
+    elif now - presence.heard_at >= confirm_seconds:
         presence.confirmed = True
-    presence.current = beat
-    presence.heard = now
+    presence.current = heartbeat
+    presence.heard_at = now
     presence.unreachable = False
     if other:
-        return News.OTHER
-    if current is not None and current.state is not beat.state:
-        return News.CHANGED
+        return HeartbeatEffect.OTHER
+    if current is not None and current.state is not heartbeat.state:
+        return HeartbeatEffect.CHANGED
     if presence.confirmed and not was_usable:
-        return News.CHANGED
-    return News.SAME
+        return HeartbeatEffect.CHANGED
+    return HeartbeatEffect.SAME
 
 
 def confirm(presence: Presence, backend: str) -> bool:
@@ -113,7 +115,7 @@
     return True
 
 
-def withdraw(presence: Presence, backend: str, born: int) -> bool:
+def deregister(presence: Presence, backend: str, started_at_ms: int) -> bool:
     """Note that an incarnation leaves; tell whether it was the current one.
 
     Parameters
@@ -122,21 +124,25 @@
         State.
     backend : str
         Identifier.
-    born : int
+    started_at_ms : int
         Start of the incarnation; 0 if it did not say.
     """
     current = presence.current
     same = current is not None and current.backend == backend
-    if same and current is not None and not born:
-        born = current.born
-    presence.gone[backend] = max(presence.gone.get(backend, 0), born)
-    if not same or current is None or current.born > born:
+    if same and current is not None and not started_at_ms:
+        started_at_ms = current.born
+    presence.departed[backend] = max(
+        presence.departed.get(backend, 0), started_at_ms
+    )
+    if not same or current is None or current.born > started_at_ms:
         return False
     presence.current = None
     return True
 
 
-def _is_older(beat: model.BackendBeat, current: model.BackendBeat) -> bool:
-    if beat.backend == current.backend and beat.born == current.born:
-        return beat.sequence <= current.sequence
-    return beat.born < current.born
+def _is_older(
+    heartbeat: model.BackendBeat, current: model.BackendBeat
+) -> bool:
+    if heartbeat.backend == current.backend and heartbeat.born == current.born:
+        return heartbeat.sequence <= current.sequence
+    return heartbeat.born < current.born
--- a/apricotpost/sidecar/choice.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -9,30 +9,30 @@
 from apricotpost.rollout import trials
 from apricotpost.routing import placement
 from apricotpost.routing import splits
-from apricotpost.sidecar import flights
-from apricotpost.sidecar import roster
+from apricotpost.sidecar import active_requests
+from apricotpost.sidecar import server_index
 from apricotpost.sidecar import views
 from apricotpost import wire
 
-__all__ = ["Choice"]
+__all__ = ["LoadBalancer"]
 
 # Fraction of the golden ratio: its multiples spread any number of places
 # evenly between 0 and 1.
 GOLDEN_FRACTION = 0.6180339887498949
 
 
-class Choice:
+class LoadBalancer:
     """Learnt speeds, divisions among services and versions.
 
     Parameters
     ----------
     read_view : callable
         Returns the orders in force.
-    servers : roster.Roster
+    servers : server_index.ServerIndex
         Known backend servers.
     on_service : callable
         Called when a service is called for the first time.
-    draws : random.Random
+    rng : random.Random
         Source of randomness.
     """
 
@@ -40,65 +40,71 @@
         self,
         *,
         read_view: Callable[[], views.TrafficView],
-        servers: roster.Roster,
+        servers: server_index.ServerIndex,
         on_service: Callable[[], None],
-        draws: random.Random,
+        rng: random.Random,
     ) -> None:
         self.read_view = read_view
         self.servers = servers
         self.on_service = on_service
-        self.draws = draws
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.speeds = placement.Speeds()
         self.splits = splits.Splits()
         # Last place in the division among versions, by service.
-        self.turns: dict[str, float] = {}
+        self.version_draws: dict[str, float] = {}
 
     def choose_service(self, route: model.TrafficRoute) -> str:
         """Return the service that gets the next request of a route."""
         return splits.choose_service(self.splits, route)
 
-    def take_turn(self, service: str) -> float:
+    def next_version_draw(self, service: str) -> float:
         """Return the request's place in the division among versions."""
-        turn = self.turns.get(service)
-        if turn is None:
-            turn = self.turns[service] = self.draws.random()
+        version_draw = self.version_draws.get(service)
+        if version_draw is None:
+            version_draw = self.version_draws[service] = self.rng.random()
             self.on_service()
-        turn = (turn + GOLDEN_FRACTION) % 1.0
-        self.turns[service] = turn
-        return turn
+        version_draw = (version_draw + GOLDEN_FRACTION) % 1.0
+        self.version_draws[service] = version_draw
+        return version_draw
 
     def called_services(self) -> Iterable[str]:
         """Return the services that were called."""
-        return self.turns
+        return self.version_draws
 
-    def candidates(self, flight: flights.Flight) -> list[placement.Candidate]:
+    def candidates(
+        self, active: active_requests.ActiveRequest
+    ) -> list[placement.Candidate]:
         """Return the backend servers that may run a request."""
         return self.servers.candidates(
             self.read_view(),
-            flight.service,
-            turn=flight.turn,
-            regions=flight.route.regions,
+            active.service,
+            version_draw=active.version_draw,
+            regions=active.route.regions,
             now=self.loop.time(),
         )
 
-    def count_others(self, flight: flights.Flight) -> int:
+    def count_untried(self, active: active_requests.ActiveRequest) -> int:
         """Return how many backend servers were not tried yet."""
-        return sum(c.node not in flight.tried for c in self.candidates(flight))
+        return sum(
+            c.node not in active.tried_nodes for c in self.candidates(active)
+        )
 
-    def order(self, flight: flights.Flight) -> list[placement.Candidate]:
+    def rank_candidates(
+        self, active: active_requests.ActiveRequest
+    ) -> list[placement.Candidate]:
         """Return backend servers for the next offer, the best in front.
 
         A patient offer goes to the shortest queue, tried before or not.
         """
-        found = self.candidates(flight)
-        if not flight.patient or flight.runs:
-            found = [c for c in found if c.node not in flight.tried]
+        found = self.candidates(active)
+        if not active.accepts_late or active.possible_executions:
+            found = [c for c in found if c.node not in active.tried_nodes]
         return placement.order(
             self.speeds,
             found,
-            route=flight.route.name,
-            objective_ms=flight.route.objective_ms,
+            route=active.route.name,
+            objective_ms=active.route.objective_ms,
             now=self.loop.time(),
         )
 
@@ -115,10 +121,10 @@
         trial = self.read_view().service_trials.get(service)
         return trial is None or trial.phase in trials.FINAL
 
-    def is_suspect(self, flight: flights.Flight) -> bool:
+    def is_suspect(self, active: active_requests.ActiveRequest) -> bool:
         """Tell whether the server of the open attempt seems to be faulty."""
         mean_ms = placement.mean_reported_ms(
-            self.speeds, self.candidates(flight)
+            self.speeds, self.candidates(active)
         )
         return any(
             placement.is_suspect(
@@ -127,16 +133,16 @@
                 now=self.loop.time(),
                 mean_ms=mean_ms,
             )
-            for attempt in flight.open.values()
+            for attempt in active.open_attempts.values()
         )
 
     # Evidence.
 
-    def note_sent(self, backend: str) -> None:
+    def record_sent(self, backend: str) -> None:
         """Count an offer that no report includes yet."""
         placement.note_sent(self.speeds, backend)
 
-    def learn_load(self, backend: str, load: wire.ServerLoad) -> None:
+    def record_load(self, backend: str, load: wire.ServerLoad) -> None:
         """Take a report of a backend server's load."""
         placement.learn_load(
             self.speeds,
@@ -150,15 +156,15 @@
             quiet_ms=load.quiet_ms,
         )
 
-    def learn_outcome(self, backend: str, *, failed: bool) -> None:
+    def record_outcome(self, backend: str, *, failed: bool) -> None:
         """Take the outcome of an attempt."""
         placement.learn_failure(
             self.speeds, backend=backend, failed=failed, now=self.loop.time()
         )
 
-    def learn_served(
+    def record_served(
         self,
-        flight: flights.Flight,
+        active: active_requests.ActiveRequest,
         backend: str,
         *,
         ran_ms: float,
@@ -167,18 +173,20 @@
         """Take the time and size of a served request."""
         placement.learn_time(
             self.speeds,
-            route=flight.route.name,
+            route=active.route.name,
             backend=backend,
             ran_ms=ran_ms,
         )
         placement.learn_size(
             self.speeds,
-            route=flight.route.name,
-            size=len(flight.exchange.request.body) + response_bytes,
+            route=active.route.name,
+            size=len(active.exchange.request.body) + response_bytes,
         )
 
-    def learn_given_up(
-        self, flight: flights.Flight, attempt: flights.Attempt
+    def record_cancelled(
+        self,
+        active: active_requests.ActiveRequest,
+        attempt: active_requests.Attempt,
     ) -> None:
         """Take an attempt whose hedge was faster.
 
@@ -187,7 +195,7 @@
         """
         placement.learn_time(
             self.speeds,
-            route=flight.route.name,
+            route=active.route.name,
             backend=attempt.backend,
-            ran_ms=(self.loop.time() - attempt.sent) * 1000.0,
+            ran_ms=(self.loop.time() - attempt.sent_at) * 1000.0,
         )
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -17,8 +17,8 @@
 from apricotpost.membership import fleet
 from apricotpost import platform
 from apricotpost.rollout import trials
-from apricotpost.sidecar import contacts
-from apricotpost.sidecar import entry
+from apricotpost.sidecar import connections
+from apricotpost.sidecar import dispatcher
 from apricotpost.sidecar import gate
 from apricotpost.sidecar import gossip
 from apricotpost.sidecar import links
@@ -27,7 +27,7 @@
 from apricotpost.sidecar import options
 from apricotpost.sidecar import orders
 from apricotpost.sidecar import rollouts
-from apricotpost.sidecar import roster
+from apricotpost.sidecar import server_index
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -78,19 +78,19 @@
         self.stopping = asyncio.Event()
         self.ready = False
         boot = time.time_ns() // 1_000_000
-        draws = random.Random(f"{settings.instance}-{boot}")
+        rng = random.Random(f"{settings.instance}-{boot}")
         self.metrics = metrics.Metrics()
         self.known = fleet.Fleet(
             node=settings.instance, data_centre=settings.data_centre
         )
         self.links = links.Links(
             address=settings.addresses.links,
-            on_inbox=self.take_inbox,
-            on_answer=self.take_answer,
+            on_inbox=self.handle_inbox,
+            on_answer=self.handle_answer,
             on_batch=self.end_batch,
-            on_change=self.link_changed,
+            on_change=self.handle_link_change,
         )
-        self.servers = roster.Roster(
+        self.servers = server_index.ServerIndex(
             known=self.known,
             regions=settings.data_centres,
             is_connected=self.links.is_connected,
@@ -100,12 +100,12 @@
             boot=boot,
             known=self.known,
             servers=self.servers,
-            on_state=self.state_learnt,
+            on_state=self.handle_state,
         )
         self.gate = gate.Gate(
             settings=settings,
             read_view=self.read_view,
-            on_change=self.gossip.announce,
+            on_change=self.gossip.schedule_publish,
             instruments=self.metrics,
         )
         self.gossip.gate = self.gate
@@ -120,8 +120,8 @@
             store=self.store,
             known=self.known,
             peers=self.gossip,
-            on_view=self.view_changed,
-            draws=draws,
+            on_view=self.handle_view_change,
+            rng=rng,
         )
         self.orders.links = self.links
         self.rollouts = rollouts.Rollouts(
@@ -133,7 +133,7 @@
         )
         self.rollouts.links = self.links
         self.orders.before_rollouts = self.rollouts.read_rows
-        self.entry = entry.Entry(
+        self.dispatcher = dispatcher.Dispatcher(
             settings=settings,
             boot=format(boot, "x"),
             read_view=self.read_view,
@@ -142,19 +142,19 @@
             send_cancel=self.send_cancel,
             on_service=self.gossip.update_contacts,
             instruments=self.metrics,
-            draws=draws,
+            rng=rng,
         )
-        self.contacts = contacts.Contacts(
+        self.connections = connections.ConnectionManager(
             known=self.known,
-            connections=self.links,
-            called_services=self.entry.choice.called_services,
+            peer_links=self.links,
+            called_services=self.dispatcher.balancer.called_services,
             whole_versions=self.versions_on_trial,
             evacuated=lambda: self.orders.view.evacuated,
-            is_busy=self.entry.is_busy,
+            is_busy=self.dispatcher.is_busy,
         )
-        self.gossip.contacts = self.contacts
+        self.gossip.connections = self.connections
         self.fronts = {
-            settings.addresses.callers: self.entry.handle,
+            settings.addresses.callers: self.dispatcher.handle,
             settings.addresses.readiness: self.answer_readiness,
             settings.addresses.announcements: self.gate.answer_announcement,
             settings.addresses.metrics: self.answer_scrape,
@@ -179,8 +179,8 @@
         """Hand an offer to a node; False means that nothing was sent."""
         if name != self.settings.instance:
             return self.links.send(name, offer)
-        self.gate.offer(offer, self.entry.take)
-        self.gate.pump()
+        self.gate.offer(offer, self.dispatcher.handle_answer)
+        self.gate.start_queued()
         return True
 
     def send_cancel(self, name: str, cancel: wire.Cancel) -> None:
@@ -190,24 +190,24 @@
         else:
             self.links.send(name, cancel)
 
-    def take_inbox(self, identity: bytes, message: wire.Message) -> None:
+    def handle_inbox(self, identity: bytes, message: wire.Message) -> None:
         """Take a message that another node sent by itself."""
         if isinstance(message, wire.Offer):
             self.gate.offer(message, self.make_reply(identity, message))
         elif isinstance(message, wire.Cancel):
             self.gate.cancel(message.call)
         elif isinstance(message, wire.NodeState):
-            self.gossip.take_state(message)
+            self.gossip.handle_state(message)
         elif isinstance(message, wire.StateBatch):
-            self.gossip.take_batch(message)
+            self.gossip.handle_batch(message)
         elif isinstance(message, wire.OrdersPush):
-            self.orders.take_push(message)
+            self.orders.handle_push(message)
         elif isinstance(message, wire.OrdersPull):
-            self.orders.take_pull(message)
+            self.orders.handle_pull(message)
         elif isinstance(message, wire.TrialNotice):
-            self.rollouts.take_notice(message)
+            self.rollouts.handle_notice(message)
         elif isinstance(message, ANSWERS):
-            self.entry.take(message)
+            self.dispatcher.handle_answer(message)
         else:
             events.emit(
                 _LOG, events.LINK_MALFORMED, error=type(message).__name__
@@ -225,41 +225,41 @@
             message: wire.Delivered | wire.Refused | wire.Failed,
         ) -> None:
             if not self.links.reply(identity, message):
-                self.contacts.open(sender, self.loop.time())
+                self.connections.open(sender, self.loop.time())
                 self.links.send_soon(sender, message)
 
         return reply
 
-    def take_answer(self, name: str, message: wire.Message) -> None:
+    def handle_answer(self, name: str, message: wire.Message) -> None:
         """Take a message on a connection that this node has opened."""
         fleet.touch(self.known, name, self.loop.time())
         if isinstance(message, ANSWERS):
-            self.entry.take(message)
+            self.dispatcher.handle_answer(message)
 
     def end_batch(self) -> None:
         """Start the offers that were not cancelled in the same batch."""
-        self.gate.pump()
+        self.gate.start_queued()
 
-    def link_changed(self, name: str, connected: bool) -> None:
+    def handle_link_change(self, name: str, connected: bool) -> None:
         """Note that a node can or cannot be reached."""
         state = "open" if connected else "lost"
         events.emit(_LOG, events.LINK_CHANGED, node=name, state=state)
         if connected:
-            self.gossip.greet(name)
-            self.rollouts.greet(name)
+            self.gossip.send_state_to(name)
+            self.rollouts.send_all_notices(name)
         else:
-            self.entry.node_lost(name)
+            self.dispatcher.handle_node_lost(name)
 
-    def state_learnt(self, state: wire.NodeState, newer: bool) -> None:
+    def handle_state(self, state: wire.NodeState, newer: bool) -> None:
         """Use the state of a node."""
         server = state.server
         if server is not None:
-            self.entry.choice.learn_load(server.backend, server.load)
-        self.rollouts.take_state(state)
+            self.dispatcher.balancer.record_load(server.backend, server.load)
+        self.rollouts.handle_state(state)
         if newer:
-            self.rollouts.greet(state.node)
+            self.rollouts.send_all_notices(state.node)
 
-    def view_changed(
+    def handle_view_change(
         self, before: views.TrafficView, after: views.TrafficView
     ) -> None:
         """Carry out changed orders."""
@@ -269,7 +269,7 @@
             self.gate.server.assume_cold()
         for service in after.rollouts:
             if after.rollouts[service] != before.rollouts.get(service):
-                self.rollouts.begin(service)
+                self.rollouts.start_trial(service)
         if before.evacuated != after.evacuated:
             self.gossip.update_contacts()
         self.gate.server.update_cold()
@@ -357,7 +357,7 @@
                 faults=error.faults[:5],
             )
             return
-        self.entry.take_settings(settings)
+        self.dispatcher.apply_settings(settings)
         self.gate.server.settings = settings
         events.emit(_LOG, events.SETTINGS_RELOADED, cause=cause)
 
@@ -372,8 +372,8 @@
         self.gossip.publish_change()
         callers = self.open_fronts[self.settings.addresses.callers]
         callers.start_closing()
-        self.loop.call_later(LEAVE_SECONDS, self.gate.leave)
-        self.loop.call_later(STOP_MIN_SECONDS, self.entry.stop_taking)
+        self.loop.call_later(LEAVE_SECONDS, self.gate.stop_accepting)
+        self.loop.call_later(STOP_MIN_SECONDS, self.dispatcher.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
         while self.loop.time() - began < grace - STOP_MARGIN_SECONDS:
             await asyncio.sleep(STOP_CHECK_SECONDS)
@@ -381,7 +381,7 @@
                 continue
             if not callers.open_exchanges() and self.gate.is_idle():
                 break
-        self.entry.settle_all()
+        self.dispatcher.settle_all()
         events.emit(
             _LOG,
             events.SIDECAR_STOPPED,
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -71,7 +71,7 @@
         Told of the revision and of the store's state.
     on_view : callable
         Called with the view before and after a change.
-    draws : random.Random
+    rng : random.Random
         Spreads retries in time.
     """
 
@@ -83,14 +83,14 @@
         known: fleet.Fleet,
         peers: gossip.Gossip,
         on_view: Callable[[views.TrafficView, views.TrafficView], None],
-        draws: random.Random,
+        rng: random.Random,
     ) -> None:
         self.settings = settings
         self.store = store
         self.known = known
         self.peers = peers
         self.on_view = on_view
-        self.draws = draws
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.book = orders.OrderBook()
         self.view = views.EMPTY
@@ -169,12 +169,12 @@
         try:
             await step()
         except errors.PlatformError as error:
-            self.note_lost(error)
-            spread = self.draws.uniform(0.6, 1.4)
+            self.record_store_lost(error)
+            spread = self.rng.uniform(0.6, 1.4)
             await asyncio.sleep(self.pause * spread)
             self.pause = min(self.pause * 2, MAX_PAUSE_SECONDS)
             return False
-        self.note_regained()
+        self.record_store_regained()
         return True
 
     async def join(self) -> None:
@@ -198,7 +198,9 @@
             except msgspec.DecodeError as error:
                 events.emit(_LOG, events.LINK_MALFORMED, error=str(error))
                 continue
-            self.peers.meet(row.key, found.address, found.data_centre)
+            self.peers.add_listed_node(
+                row.key, found.address, found.data_centre
+            )
         self.peers.update_contacts()
 
     async def read_all(self) -> None:
@@ -261,9 +263,9 @@
         message = wire.OrdersPush(
             after=after, revision=self.book.revision, rows=rows
         )
-        self.peers.send_near(message)
+        self.peers.send_local(message)
 
-    def take_push(self, message: wire.OrdersPush) -> None:
+    def handle_push(self, message: wire.OrdersPush) -> None:
         """Take changed orders of another node.
 
         If a patch does not fit to what is held here, the gap stays and
@@ -295,7 +297,7 @@
         )
         self.apply(news)
 
-    def take_pull(self, message: wire.OrdersPull) -> None:
+    def handle_pull(self, message: wire.OrdersPull) -> None:
         """Send another node the orders that it lacks."""
         if self.links is None or message.after >= self.book.revision:
             return
@@ -333,7 +335,7 @@
             keys=[row.key for row in news][:10],
         )
         self.on_view(before, self.view)
-        self.peers.announce()
+        self.peers.schedule_publish()
 
     def replace_view(self, view: views.TrafficView) -> None:
         """Put a view with another state of rollouts in force."""
@@ -352,10 +354,10 @@
         if now - self.lagging_since < LAG_SECONDS:
             return
         self.lagging_since = None
-        if not self.ask_near(now):
+        if not self.request_from_local_peer(now):
             await self.attempt(self.watch)
 
-    def ask_near(self, now: float) -> bool:
+    def request_from_local_peer(self, now: float) -> bool:
         """Ask a node of this data centre for the missing orders."""
         if self.links is None:
             return False
@@ -364,10 +366,10 @@
                 state.orders > self.book.revision
                 and state.data_centre == self.settings.data_centre
             ):
-                return self.ask(state.node)
+                return self.request_orders(state.node)
         return False
 
-    def ask_far(self) -> None:
+    def request_from_remote_peer(self) -> None:
         """Ask any node for missing orders while the store is lost."""
         now = self.loop.time()
         ahead = [
@@ -377,15 +379,17 @@
             )
             if state.orders > self.book.revision
         ]
-        near = [s for s in ahead if s.data_centre == self.settings.data_centre]
+        local = [
+            s for s in ahead if s.data_centre == self.settings.data_centre
+        ]
         if not ahead:
             return
-        chosen = self.draws.choice(near or ahead).node
-        if not self.ask(chosen):
+        chosen = self.rng.choice(local or ahead).node
+        if not self.request_orders(chosen):
             # The next attempt finds it connected.
-            self.peers.reach(chosen)
+            self.peers.connect(chosen)
 
-    def ask(self, node: str) -> bool:
+    def request_orders(self, node: str) -> bool:
         """Ask a node for the orders that this one lacks."""
         if self.links is None:
             return False
@@ -394,16 +398,16 @@
         )
         return self.links.send(node, message)
 
-    def note_lost(self, error: errors.PlatformError) -> None:
+    def record_store_lost(self, error: errors.PlatformError) -> None:
         """Note a failed call of the store."""
         if self.lost_at is None:
             self.lost_at = self.loop.time()
             events.emit(_LOG, events.STORE_LOST, error=error.message)
             self.peers.reaches_store = False
-            self.peers.announce()
-        self.ask_far()
+            self.peers.schedule_publish()
+        self.request_from_remote_peer()
 
-    def note_regained(self) -> None:
+    def record_store_regained(self) -> None:
         """Note a call of the store that was answered."""
         self.pause = MIN_PAUSE_SECONDS
         if self.lost_at is None:
@@ -412,7 +416,7 @@
         self.lost_at = None
         events.emit(_LOG, events.STORE_REGAINED, seconds=seconds)
         self.peers.reaches_store = True
-        self.peers.announce()
+        self.peers.schedule_publish()
 
 
 def _order_row(row: platform.Row) -> wire.OrderRow:
--- a/apricotpost/sidecar/tallies.py
+++ b/apricotpost/sidecar/outcome_counters.py
@@ -7,10 +7,10 @@
 from apricotpost.sidecar import views
 from apricotpost import wire
 
-__all__ = ["Tallies"]
+__all__ = ["OutcomeCounters"]
 
 
-class Tallies:
+class OutcomeCounters:
     """Responses by route since the backend server was met.
 
     Parameters
--- a/apricotpost/sidecar/replies.py
+++ b/apricotpost/sidecar/responses.py
@@ -8,17 +8,17 @@
 from apricotpost import events
 from apricotpost import http
 from apricotpost import platform
-from apricotpost.sidecar import flights
+from apricotpost.sidecar import active_requests
 from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import views
 
-__all__ = ["Replies"]
+__all__ = ["Responder"]
 
 _LOG = logging.getLogger(__name__)
 
 
-class Replies:
+class Responder:
     """Answers requests and reports each outcome once.
 
     Parameters
@@ -27,7 +27,7 @@
         Returns the orders in force.
     instruments : metrics.Metrics
         Counters.
-    draws : random.Random
+    rng : random.Random
         Spreads the times at which refused clients return.
     """
 
@@ -36,24 +36,24 @@
         *,
         read_view: Callable[[], views.TrafficView],
         instruments: metrics.Metrics,
-        draws: random.Random,
+        rng: random.Random,
     ) -> None:
         self.read_view = read_view
         self.instruments = instruments
-        self.draws = draws
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.decisions = logs.Decisions(logger=_LOG)
 
-    def end(
+    def finish_request(
         self,
-        flight: flights.Flight,
+        active: active_requests.ActiveRequest,
         response: http.Response,
         outcome: str,
         reason: str,
     ) -> None:
         """Answer a request that was offered to backend servers."""
-        flight.exchange.respond(response)
-        seconds = self.loop.time() - flight.exchange.arrived
+        active.exchange.respond(response)
+        seconds = self.loop.time() - active.exchange.arrived
         self.instruments.requests.add(outcome, reason)
         self.instruments.latency.observe(seconds)
         report = self.decisions.report
@@ -63,22 +63,22 @@
             event = events.REQUEST_SERVED
         report(
             event,
-            request=flight.head.request_id,
-            route=flight.route.name,
-            service=flight.service,
+            request=active.head.request_id,
+            route=active.route.name,
+            service=active.service,
             outcome=outcome,
             reason=reason,
             status=response.status,
-            backend=flight.backend,
-            node=flight.node,
-            offers=flight.offers,
-            runs=flight.runs,
-            hedged=flight.hedged,
+            backend=active.backend,
+            node=active.node,
+            offers=active.offers,
+            runs=active.possible_executions,
+            hedged=active.hedged,
             ms=round(seconds * 1000),
             version=self.read_view().version,
         )
 
-    def answer_own(
+    def respond_locally(
         self,
         exchange: http.Exchange,
         head: platform.RequestHead,
@@ -103,7 +103,7 @@
         """
         seconds = 0.0
         if retry_ms:
-            seconds = self.return_seconds(retry_ms)
+            seconds = self.retry_after_seconds(retry_ms)
         exchange.respond(
             http.Response(
                 status=status,
@@ -121,9 +121,9 @@
             version=self.read_view().version,
         )
 
-    def return_seconds(self, retry_ms: int) -> float:
+    def retry_after_seconds(self, retry_ms: int) -> float:
         """Return when a refused client may come back."""
-        return flights.refusal_seconds(retry_ms, self.draws.random())
+        return active_requests.refusal_seconds(retry_ms, self.rng.random())
 
     def report_late(self, call: str) -> None:
         """Report an answer that came after its request had ended."""
--- a/apricotpost/sidecar/budgets.py
+++ b/apricotpost/sidecar/retry_budgets.py
@@ -5,7 +5,7 @@
 from apricotpost.routing import retries
 from apricotpost.sidecar import options
 
-__all__ = ["Budgets"]
+__all__ = ["RetryBudgets"]
 
 # Part of the fleet's retry budget that is handed out to the nodes.
 BUDGET_PART = 0.5
@@ -16,7 +16,7 @@
 BURST_PART = 0.3
 
 
-class Budgets:
+class RetryBudgets:
     """Budgets by service.
 
     Parameters
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -15,7 +15,7 @@
 from apricotpost.sidecar import links
 from apricotpost.sidecar import options
 from apricotpost.sidecar import orders
-from apricotpost.sidecar import roster
+from apricotpost.sidecar import server_index
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -60,7 +60,7 @@
         The platform's store.
     known : fleet.Fleet
         States of all nodes.
-    servers : roster.Roster
+    servers : server_index.ServerIndex
         Tells which versions are there.
     source : orders.Orders
         Holds the view.
@@ -72,7 +72,7 @@
         settings: options.Options,
         store: platform.Store,
         known: fleet.Fleet,
-        servers: roster.Roster,
+        servers: server_index.ServerIndex,
         source: orders.Orders,
     ) -> None:
         self.settings = settings
@@ -93,9 +93,9 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             for service in tuple(self.source.view.rollouts):
-                self.begin(service)
+                self.start_trial(service)
             for trial in tuple(self.source.view.service_trials.values()):
-                await self.attend(trial)
+                await self.advance_trial(trial)
             self.repeat_notices()
 
     async def read_rows(self) -> None:
@@ -115,12 +115,12 @@
                 events.emit(_LOG, events.ORDERS_REFUSED, error=str(error))
                 continue
             self.rows[row.key] = (row.revision, found)
-            self.adopt_row(row.key, found)
+            self.apply_row(row.key, found)
         self.rows_read = True
 
-    def adopt_row(self, service: str, row: _TrialRow) -> None:
+    def apply_row(self, service: str, row: _TrialRow) -> None:
         """Take over what the store says of a trial."""
-        self.take_notice(
+        self.handle_notice(
             wire.TrialNotice(
                 service=service,
                 version=row.version,
@@ -131,7 +131,7 @@
             )
         )
 
-    def begin(self, service: str) -> None:
+    def start_trial(self, service: str) -> None:
         """Start the trial of an order that is not known yet."""
         revision, order = self.source.view.rollouts[service]
         known = self.source.view.service_trials.get(service)
@@ -146,7 +146,7 @@
             old = known.new
         now = self.loop.time()
         self.judges[service] = trials.Judge()
-        self.put(
+        self.apply_trial(
             trials.Trial(
                 service=service,
                 old=old,
@@ -168,7 +168,7 @@
                 )
             )
 
-    def put(self, trial: trials.Trial) -> None:
+    def apply_trial(self, trial: trials.Trial) -> None:
         """Put a state of a trial in force on this node."""
         events.emit(
             _LOG,
@@ -183,7 +183,7 @@
             self.servers.settle_version(trial.service, trial.new)
         self.source.replace_view(views.with_trial(self.source.view, trial))
 
-    def take_state(self, state: wire.NodeState) -> None:
+    def handle_state(self, state: wire.NodeState) -> None:
         """Take the evidence of a node."""
         if state.server is None or not state.counts:
             return
@@ -192,7 +192,7 @@
         if trial is not None and judge is not None:
             trials.observe(judge, state, trial)
 
-    def take_notice(self, notice: wire.TrialNotice) -> None:
+    def handle_notice(self, notice: wire.TrialNotice) -> None:
         """Take the state of a trial that another node has found."""
         phase = trials.Phase(notice.phase)
         known = self.source.view.service_trials.get(notice.service)
@@ -219,16 +219,16 @@
         trial = dataclasses.replace(
             known, phase=phase, since=now, reason=notice.reason
         )
-        self.put(trial)
+        self.apply_trial(trial)
         if relays.is_relay(self.known, now):
-            self.tell_all(trial)
+            self.broadcast_notice(trial)
 
-    def greet(self, name: str) -> None:
+    def send_all_notices(self, name: str) -> None:
         """Tell a node that has just become connected of all trials."""
         for trial in self.source.view.service_trials.values():
-            self.tell(trial, name)
+            self.send_notice(trial, name)
 
-    def tell(self, trial: trials.Trial, name: str) -> None:
+    def send_notice(self, trial: trials.Trial, name: str) -> None:
         """Send the state of a trial to a node."""
         if self.links is None:
             return
@@ -262,15 +262,15 @@
                 trial.phase not in trials.FINAL
                 or now - trial.since < RECENT_SECONDS
             ):
-                self.tell_all(trial)
+                self.broadcast_notice(trial)
 
-    def tell_all(self, trial: trials.Trial) -> None:
+    def broadcast_notice(self, trial: trials.Trial) -> None:
         """Send the state of a trial to all nodes that are connected."""
         for name in self.known.nodes:
             if name != self.settings.instance:
-                self.tell(trial, name)
+                self.send_notice(trial, name)
 
-    async def attend(self, trial: trials.Trial) -> None:
+    async def advance_trial(self, trial: trials.Trial) -> None:
         """Judge a trial, and take it further if this node is the holder."""
         judge = self.judges.setdefault(trial.service, trials.Judge())
         now = self.loop.time()
@@ -293,8 +293,8 @@
                 if after.phase is trials.Phase.COMPLETED:
                     await self.complete(after)
                     return
-                self.put(after)
-                self.tell_all(after)
+                self.apply_trial(after)
+                self.broadcast_notice(after)
                 trial = after
         if holder:
             await self.write_status(trial)
@@ -302,8 +302,8 @@
     async def complete(self, trial: trials.Trial) -> None:
         """Complete a trial once the store holds that it is."""
         if await self.write_status(trial):
-            self.put(trial)
-            self.tell_all(trial)
+            self.apply_trial(trial)
+            self.broadcast_notice(trial)
 
     def is_holder(self, now: float) -> bool:
         """Tell whether this node writes the status.
--- a/apricotpost/sidecar/roster.py
+++ b/apricotpost/sidecar/server_index.py
@@ -9,7 +9,7 @@
 from apricotpost.sidecar import views
 from apricotpost import wire
 
-__all__ = ["Roster"]
+__all__ = ["ServerIndex"]
 
 # A node that was not heard for so long takes no new requests while others
 # can.
@@ -23,7 +23,7 @@
     server: wire.ServerState
 
 
-class Roster:
+class ServerIndex:
     """Index of the fleet's backend servers.
 
     Parameters
@@ -91,7 +91,7 @@
         view: views.TrafficView,
         service: str,
         *,
-        turn: float,
+        version_draw: float,
         regions: tuple[str, ...],
         now: float,
     ) -> list[placement.Candidate]:
@@ -103,7 +103,7 @@
             Orders in force.
         service : str
             Service of the request.
-        turn : float
+        version_draw : float
             Place in the division among versions.
         regions : tuple of str
             Where it may run; empty means everywhere.
@@ -119,7 +119,7 @@
         ]
         present = {entry.server.version for entry in usable}
         if len(present) > 1 or service in view.service_trials:
-            usable = self.filter_versions(view, service, usable, turn)
+            usable = self.filter_versions(view, service, usable, version_draw)
         heard = [(entry, self.silence(entry.node, now)) for entry in usable]
         recent = [pair for pair in heard if pair[1] < LOST_SECONDS]
         return [
@@ -138,7 +138,7 @@
         view: views.TrafficView,
         service: str,
         usable: list[_Server],
-        turn: float,
+        version_draw: float,
     ) -> list[_Server]:
         """Keep the backend servers of the versions that may be used."""
         found = [entry.server.version for entry in usable]
@@ -147,7 +147,7 @@
             view,
             service,
             [v for v in self.versions.get(service, ()) if v in found],
-            turn=turn,
+            version_draw=version_draw,
             servers=found.count(trial.new) if trial is not None else 0,
         )
         kept = [e for e in usable if e.server.version in allowed]
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -100,7 +100,7 @@
     service: str,
     versions: Iterable[str],
     *,
-    turn: float,
+    version_draw: float,
     servers: int,
 ) -> frozenset[str]:
     """Return the versions of a service that may get a request.
@@ -114,7 +114,7 @@
     versions : iterable of str
         Versions with a backend server that takes requests, the one that was
         known first in front.
-    turn : float
+    version_draw : float
         Of this request, between 0 and 1; the new version of a trial gets
         those below its share.
     servers : int
@@ -130,7 +130,7 @@
     others = frozenset(v for v in known if v != trial.new)
     if trial.new not in known:
         return others
-    if turn < trials.share_of_new(trial, servers) or not others:
+    if version_draw < trials.share_of_new(trial, servers) or not others:
         return frozenset((trial.new,))
     return others
 
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -3,7 +3,7 @@
 from apricotpost import model
 from apricotpost import wire
 
-__all__ = ["make_beat", "make_load", "make_server", "make_state"]
+__all__ = ["make_heartbeat", "make_load", "make_server", "make_state"]
 
 
 def make_load(**changes):
@@ -38,7 +38,7 @@
     return wire.NodeState(**{**values, **changes})
 
 
-def make_beat(**changes):
+def make_heartbeat(**changes):
     values = {
         "backend": "b",
         "born": 1000,
--- a/tests/sidecar/test_server.py
+++ b/tests/sidecar/test_backend_server.py
@@ -5,15 +5,15 @@
 
 from apricotpost.admission import ranked
 from apricotpost import model
-from apricotpost.sidecar import server
+from apricotpost.sidecar import backend_server
 from apricotpost.sidecar import views
 from apricotpost import wire
 from tests.sidecar import builders
 
-__all__ = ["ServerTest"]
+__all__ = ["BackendServerTest"]
 
 
-class ServerTest(unittest.IsolatedAsyncioTestCase):
+class BackendServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.changes = 0
         self.dropped = 0
@@ -22,7 +22,7 @@
         view = types.SimpleNamespace(
             services={"portal": rule}, evacuated=(), service_trials={}
         )
-        self.server = server.Server(
+        self.server = backend_server.BackendServer(
             settings=types.SimpleNamespace(
                 heartbeat_ms=1000, data_centre="dc-a"
             ),
@@ -45,34 +45,36 @@
         """Guards against a server that is used before it is known."""
         reason = wire.NotRunReason.NO_BACKEND_SERVER
         self.assertIs(reason, self.refusal())
-        self.server.take_beat(builders.make_beat())
+        self.server.handle_heartbeat(builders.make_heartbeat())
         self.assertIsNone(self.refusal())
         self.assertEqual(8, self.queue.slots)
         self.assertEqual((1, 1), (self.changes, self.dropped))
 
     async def test_lost_server_is_told_once_and_comes_back(self):
         """Guards against a change for each request that finds no server."""
-        self.server.take_beat(builders.make_beat())
-        self.assertTrue(self.server.lose("b"))
-        self.assertFalse(self.server.lose("b"))
+        self.server.handle_heartbeat(builders.make_heartbeat())
+        self.assertTrue(self.server.mark_unreachable("b"))
+        self.assertFalse(self.server.mark_unreachable("b"))
         self.assertIs(wire.NotRunReason.NOT_READY, self.refusal())
         self.assertEqual(2, self.changes)
-        self.server.take_beat(builders.make_beat(sequence=2))
+        self.server.handle_heartbeat(builders.make_heartbeat(sequence=2))
         self.assertIsNone(self.refusal())
 
     async def test_draining_server_and_leaving_node_take_nothing(self):
         """Guards against requests after an acknowledgement."""
         draining = model.BackendState.DRAINING
-        self.server.take_beat(builders.make_beat())
+        self.server.handle_heartbeat(builders.make_heartbeat())
         self.server.leaving = True
         self.assertIs(wire.NotRunReason.DRAINING, self.refusal())
         self.server.leaving = False
-        self.server.take_beat(builders.make_beat(sequence=2, state=draining))
+        self.server.handle_heartbeat(
+            builders.make_heartbeat(sequence=2, state=draining)
+        )
         self.assertIs(wire.NotRunReason.DRAINING, self.refusal())
 
     async def test_cold_server_is_bounded(self):
         """Guards against a burst on a server that has just started."""
-        self.server.take_beat(builders.make_beat(cold_ms=3000))
+        self.server.handle_heartbeat(builders.make_heartbeat(cold_ms=3000))
         self.assertEqual(12.0, self.queue.cold_rate)
         left = self.queue.cold_until - self.server.loop.time()
         self.assertAlmostEqual(3.0, left, delta=0.2)
@@ -80,5 +82,5 @@
     async def test_unknown_configuration_refuses(self):
         """Guards against requests without limits for the server."""
         self.server.read_view = lambda: views.EMPTY
-        self.server.take_beat(builders.make_beat())
+        self.server.handle_heartbeat(builders.make_heartbeat())
         self.assertIs(wire.NotRunReason.NOT_READY, self.refusal())
--- a/tests/sidecar/test_beats.py
+++ b/tests/sidecar/test_heartbeats.py
@@ -3,59 +3,70 @@
 import unittest
 
 from apricotpost import model
-from apricotpost.sidecar import beats
-from tests.sidecar.builders import make_beat
+from apricotpost.sidecar import heartbeats
+from tests.sidecar.builders import make_heartbeat
 
-__all__ = ["BeatTest"]
+__all__ = ["HeartbeatTest"]
 
 
-class BeatTest(unittest.TestCase):
+class HeartbeatTest(unittest.TestCase):
     def setUp(self):
-        self.presence = beats.Presence()
+        self.presence = heartbeats.Presence()
 
     def take(self, **changes):
-        return beats.take_beat(self.presence, make_beat(**changes), 0.0)
+        return heartbeats.record_heartbeat(
+            self.presence, make_heartbeat(**changes), 0.0
+        )
 
     def test_late_heartbeat_does_not_end_a_drain(self):
         """Guards against a leaving server that becomes ready again."""
         self.take(sequence=5)
         self.take(sequence=7, state=model.BackendState.DRAINING)
-        self.assertIs(beats.News.NONE, self.take(sequence=6))
+        self.assertIs(heartbeats.HeartbeatEffect.NONE, self.take(sequence=6))
         self.assertIs(model.BackendState.DRAINING, self.presence.current.state)
 
     def test_heartbeat_of_the_former_server_is_ignored(self):
         """Guards against the sender's successor being replaced."""
         self.take(backend="old", born=1000, sequence=90)
-        self.assertIs(beats.News.OTHER, self.take(backend="new", born=2000))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.OTHER,
+            self.take(backend="new", born=2000),
+        )
         late = self.take(backend="old", born=1000, sequence=91)
-        self.assertIs(beats.News.NONE, late)
+        self.assertIs(heartbeats.HeartbeatEffect.NONE, late)
         self.assertEqual("new", self.presence.current.backend)
 
     def test_same_identifier_may_start_again(self):
         """Guards against a reborn server whose count starts anew."""
         self.take(born=1000, sequence=50)
-        self.assertIs(beats.News.OTHER, self.take(born=3000, sequence=1))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.OTHER, self.take(born=3000, sequence=1)
+        )
 
     def test_left_server_does_not_return_by_a_late_heartbeat(self):
         """Guards against requests to a server that has deregistered."""
         self.take(sequence=5)
-        self.assertTrue(beats.withdraw(self.presence, "b", 0))
-        self.assertIs(beats.News.NONE, self.take(sequence=6))
+        self.assertTrue(heartbeats.deregister(self.presence, "b", 0))
+        self.assertIs(heartbeats.HeartbeatEffect.NONE, self.take(sequence=6))
         self.assertIsNone(self.presence.current)
-        self.assertIs(beats.News.OTHER, self.take(born=2000, sequence=1))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.OTHER, self.take(born=2000, sequence=1)
+        )
 
     def test_late_deregistration_of_the_former_incarnation(self):
         """Guards against a reborn server that is taken for gone."""
         self.take(born=1000)
         self.take(born=2000)
-        self.assertFalse(beats.withdraw(self.presence, "b", 1000))
+        self.assertFalse(heartbeats.deregister(self.presence, "b", 1000))
         self.assertIsNotNone(self.presence.current)
 
     def test_heartbeat_makes_an_unreachable_server_usable(self):
         """Guards against a server that is never tried again."""
         self.take(sequence=1)
         self.presence.unreachable = True
-        self.assertIs(beats.News.CHANGED, self.take(sequence=2))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.CHANGED, self.take(sequence=2)
+        )
         self.assertFalse(self.presence.unreachable)
 
 
@@ -63,11 +74,11 @@
     """A process that starts beside a running backend server."""
 
     def setUp(self):
-        self.presence = beats.Presence()
+        self.presence = heartbeats.Presence()
 
     def take(self, now, **changes):
-        return beats.take_beat(
-            self.presence, make_beat(**changes), now, confirm_seconds=0.7
+        return heartbeats.record_heartbeat(
+            self.presence, make_heartbeat(**changes), now, confirm_seconds=0.7
         )
 
     def test_server_in_mid_life_is_not_used_at_once(self):
@@ -75,7 +86,9 @@
 
         The deregistration had been acknowledged by an earlier process.
         """
-        self.assertIs(beats.News.OTHER, self.take(0.0, sequence=7))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.OTHER, self.take(0.0, sequence=7)
+        )
         self.assertFalse(self.presence.confirmed)
 
     def test_server_that_has_just_started_is_used(self):
@@ -86,26 +99,30 @@
     def test_its_own_answer_confirms_it(self):
         """Guards against a server that waits for its next heartbeat."""
         self.take(0.0, sequence=7)
-        self.assertFalse(beats.confirm(self.presence, "another"))
-        self.assertTrue(beats.confirm(self.presence, "b"))
-        self.assertFalse(beats.confirm(self.presence, "b"))
+        self.assertFalse(heartbeats.confirm(self.presence, "another"))
+        self.assertTrue(heartbeats.confirm(self.presence, "b"))
+        self.assertFalse(heartbeats.confirm(self.presence, "b"))
         self.assertTrue(self.presence.confirmed)
 
     def test_second_heartbeat_confirms_it(self):
         """Guards against a server whose health answer is false."""
         self.take(0.0, sequence=7)
-        self.assertIs(beats.News.CHANGED, self.take(1.5, sequence=8))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.CHANGED, self.take(1.5, sequence=8)
+        )
         self.assertTrue(self.presence.confirmed)
 
     def test_two_late_heartbeats_confirm_nothing(self):
         """Guards against heartbeats that were held up together."""
         self.take(0.0, sequence=7)
-        self.assertIs(beats.News.SAME, self.take(0.1, sequence=8))
+        self.assertIs(
+            heartbeats.HeartbeatEffect.SAME, self.take(0.1, sequence=8)
+        )
         self.assertFalse(self.presence.confirmed)
 
     def test_successor_is_used_at_once(self):
         """Guards against a pause when a server is replaced."""
         self.take(0.0, backend="old", sequence=1)
-        beats.withdraw(self.presence, "old", 0)
+        heartbeats.deregister(self.presence, "old", 0)
         self.take(1.0, backend="new", born=2000, sequence=9)
         self.assertTrue(self.presence.confirmed)
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -55,7 +55,7 @@
             known=self.known,
             peers=peers,
             on_view=lambda before, after: None,
-            draws=random.Random(1),
+            rng=random.Random(1),
         )
 
     def hear(self, node, data_centre="dc-a", boot=1):
--- a/tests/sidecar/test_views.py
+++ b/tests/sidecar/test_views.py
@@ -5,7 +5,7 @@
 from apricotpost.membership import fleet
 from apricotpost import model
 from apricotpost.rollout import trials
-from apricotpost.sidecar import roster
+from apricotpost.sidecar import server_index
 from apricotpost.sidecar import views
 from apricotpost import wire
 from standins import mesh
@@ -67,12 +67,16 @@
         view, _ = views.apply_orders(view, rows)
         self.assertEqual((frozenset(), {}), (view.evacuated, view.rollouts))
 
-    def choose(self, phase, turn, versions=("v1", "v2"), servers=4):
+    def choose(self, phase, version_draw, versions=("v1", "v2"), servers=4):
         view = views.EMPTY
         if phase is not None:
             view = views.with_trial(view, make_trial(phase))
         return views.choose_version(
-            view, "portal", versions, turn=turn, servers=servers
+            view,
+            "portal",
+            versions,
+            version_draw=version_draw,
+            servers=servers,
         )
 
     def test_version_without_order_waits(self):
@@ -91,8 +95,8 @@
             (phases.COMPLETED, 0.99, {"v2"}),
             (phases.ROLLED_BACK, 0.0, {"v1"}),
         )
-        for phase, turn, expected in cases:
-            self.assertEqual(expected, self.choose(phase, turn), phase)
+        for phase, version_draw, expected in cases:
+            self.assertEqual(expected, self.choose(phase, version_draw), phase)
 
     def test_missing_version_is_replaced_by_the_other(self):
         """Guards against refusals while a version has no servers."""
@@ -112,7 +116,7 @@
     def setUp(self):
         self.fleet = fleet.Fleet(node="n0", data_centre="dc-a")
         self.cut = set()
-        self.roster = roster.Roster(
+        self.index = server_index.ServerIndex(
             known=self.fleet,
             regions={"dc-a": "r1", "dc-b": "r2"},
             is_connected=lambda name: name not in self.cut,
@@ -126,11 +130,11 @@
             server=builders.make_server(backend=f"b-{node}", **server),
         )
         fleet.learn(self.fleet, state, now)
-        self.roster.rebuild()
+        self.index.rebuild()
 
-    def find(self, view=views.EMPTY, *, turn=0.5, regions=(), now=0.1):
-        found = self.roster.candidates(
-            view, "portal", turn=turn, regions=regions, now=now
+    def find(self, view=views.EMPTY, *, version_draw=0.5, regions=(), now=0.1):
+        found = self.index.candidates(
+            view, "portal", version_draw=version_draw, regions=regions, now=now
         )
         return {candidate.node for candidate in found}
 
@@ -166,5 +170,5 @@
         for name in ("n2", "n3", "n4"):
             self.add(name, version="v2")
         view = views.with_trial(views.EMPTY, make_trial(trials.Phase.MOVING))
-        self.assertEqual({"n2"}, self.find(view, turn=0.1))
-        self.assertEqual({"n1"}, self.find(view, turn=0.9))
+        self.assertEqual({"n2"}, self.find(view, version_draw=0.1))
+        self.assertEqual({"n1"}, self.find(view, version_draw=0.9))
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -7,7 +7,7 @@
 import unittest
 
 from apricotpost import http
-from apricotpost.sidecar import contacts
+from apricotpost.sidecar import connections
 
 from soak import __main__ as soak
 from soak import proxy
@@ -90,7 +90,7 @@
         for place in self.world.places:
             place.to_node.set_mode(proxy.Mode.SILENT)
         await self.wait_for(503, 10.0)
-        await asyncio.sleep(contacts.KEEP_SECONDS + 5.0)
+        await asyncio.sleep(connections.KEEP_SECONDS + 5.0)
         for place in self.world.places:
             place.to_node.set_mode(proxy.Mode.PASS)
         await self.wait_for(200, 15.0)
