--- a/apricotpost/admission/__init__.pyi
+++ b/apricotpost/admission/__init__.pyi
@@ -1,4 +1,4 @@
-from .adaptation import says_cold as says_cold
+from .adaptation import reports_cold as reports_cold
 from . import gate as gate
 from . import limits as limits
 from .limits import Limit as Limit
--- a/apricotpost/admission/adaptation.py
+++ b/apricotpost/admission/adaptation.py
@@ -9,9 +9,9 @@
 __all__ = [
     "ANNOUNCEMENT_SECONDS",
     "adapt",
-    "announce",
-    "note_return",
-    "says_cold",
+    "apply_announcement",
+    "record_return_to_service",
+    "reports_cold",
 ]
 
 # A backend server that does not repeat its announcement is taken for dead.
@@ -30,19 +30,19 @@
     if result.outcome is wire.Outcome.NOT_RUN:
         if result.reason != wire.NotRunReason.NOT_SENT:
             return limit
-        return limits.note_overload(limit, now)
+        return limits.record_overload(limit, now)
     if result.outcome is wire.Outcome.UNKNOWN:
-        return limits.note_lost(limit, route, result.duration_ms, now)
+        return limits.record_lost(limit, route, result.duration_ms, now)
     if result.status == SHED_STATUS:
-        return limits.note_overload(limit, now)
+        return limits.record_overload(limit, now)
     before = limit
-    limit = limits.note_word(limit, says_cold(result), now)
+    limit = limits.record_cold_report(limit, reports_cold(result), now)
     if result.status >= 500 or limit.cold_at != before.cold_at:
         return limit
-    return limits.note_success(limit, route, result.duration_ms, now)
+    return limits.record_success(limit, route, result.duration_ms, now)
 
 
-def says_cold(result: wire.BackendResult) -> bool:
+def reports_cold(result: wire.BackendResult) -> bool:
     """Tell whether the backend server called itself cold."""
     return any(
         name.lower() == COLD_HEADER and value == "1"
@@ -50,7 +50,7 @@
     )
 
 
-def announce(
+def apply_announcement(
     state: states.GateState,
     announcement: wire.BackendServerAnnounced,
     now: float,
@@ -76,7 +76,7 @@
             now=now,
         )
     elif before is not None and announcement.cold and not before.cold:
-        limit = limits.note_cold(limit, now)
+        limit = limits.record_cold(limit, now)
     if announcement.slots != limit.slots:
         limit = limits.set_slots(limit, announcement.slots)
     return dataclasses.replace(
@@ -88,7 +88,7 @@
     )
 
 
-def note_return(
+def record_return_to_service(
     state: states.GateState, policy: states.Policy, now: float
 ) -> states.GateState:
     """Start cold when the data centre takes new work again."""
@@ -96,7 +96,7 @@
         return state
     limit = state.limit
     if not policy.data_centre_out:
-        limit = limits.note_cold(limit, now)
+        limit = limits.record_cold(limit, now)
     return dataclasses.replace(
         state, was_out=policy.data_centre_out, limit=limit
     )
--- a/apricotpost/admission/gate.py
+++ b/apricotpost/admission/gate.py
@@ -71,7 +71,7 @@
     checksum : int
         Of the body of a finished call.
     """
-    state = adaptation.note_return(state, policy, now)
+    state = adaptation.record_return_to_service(state, policy, now)
     if isinstance(event, Arrived):
         return _arrive(state, event, now, wall, policy)
     if isinstance(event, Finished):
@@ -79,7 +79,10 @@
     if isinstance(event, Cancelled):
         return _cancel(state, event.call)
     if isinstance(event, Announced):
-        return adaptation.announce(state, event.announcement, now), ()
+        return (
+            adaptation.apply_announcement(state, event.announcement, now),
+            (),
+        )
     if isinstance(event, DrainStarted):
         return _drain(state, event.refuse_from), ()
     return _start_queued(state, now, wall, policy)
--- a/apricotpost/admission/limits.py
+++ b/apricotpost/admission/limits.py
@@ -7,11 +7,11 @@
     "average_ms",
     "COLD_LIMIT",
     "Limit",
-    "note_cold",
-    "note_lost",
-    "note_overload",
-    "note_success",
-    "note_word",
+    "record_cold",
+    "record_lost",
+    "record_overload",
+    "record_success",
+    "record_cold_report",
     "set_slots",
     "start",
 ]
@@ -50,7 +50,7 @@
         Slow completions in a row.
     halved_at : float
         Last decrease, in seconds of the monotonic clock.
-    says_cold : bool
+    reports_cold : bool
         Whether the last answer said that the backend server is cold.
     cold_at : float
         Last cold start, in seconds of the monotonic clock.
@@ -62,7 +62,7 @@
     usual_ms: Mapping[str, float] = dataclasses.field(default_factory=dict)
     slow: int = 0
     halved_at: float = float("-inf")
-    says_cold: bool = False
+    reports_cold: bool = False
     cold_at: float = float("-inf")
 
 
@@ -74,7 +74,7 @@
     """
     value = COLD_LIMIT if cold else max(slots / 2, COLD_LIMIT)
     return Limit(
-        value=value, slots=slots, cold=True, says_cold=cold, cold_at=now
+        value=value, slots=slots, cold=True, reports_cold=cold, cold_at=now
     )
 
 
@@ -85,7 +85,7 @@
     )
 
 
-def note_success(
+def record_success(
     limit: Limit, route: str, duration_ms: float, now: float
 ) -> Limit:
     """Account for a successful completion.
@@ -104,7 +104,7 @@
     usual_ms = limit.usual_ms.get(route, 0.0)
     if _is_slow(usual_ms, duration_ms):
         if limit.slow + 1 >= SLOW_IN_A_ROW:
-            return note_cold(limit, now)
+            return record_cold(limit, now)
         return dataclasses.replace(limit, slow=limit.slow + 1)
     # Doubles in about one round of answers while cold, then adds one.
     gain = 1.0 if limit.cold else 1.0 / limit.value
@@ -119,7 +119,7 @@
     )
 
 
-def note_overload(limit: Limit, now: float) -> Limit:
+def record_overload(limit: Limit, now: float) -> Limit:
     """Halve the limit after a shed answer, a time-out or a refusal."""
     if now - limit.halved_at < HALVE_PAUSE_SECONDS:
         return limit
@@ -131,7 +131,7 @@
     )
 
 
-def note_lost(
+def record_lost(
     limit: Limit, route: str, duration_ms: float, now: float
 ) -> Limit:
     """Account for a call without a whole answer.
@@ -141,19 +141,19 @@
     """
     if duration_ms < limit.usual_ms.get(route, 0.0):
         return limit
-    return note_overload(limit, now)
+    return record_overload(limit, now)
 
 
-def note_word(limit: Limit, says_cold: bool, now: float) -> Limit:
+def record_cold_report(limit: Limit, reports_cold: bool, now: float) -> Limit:
     """Account for what an answer says: a warm server may turn cold."""
-    if says_cold == limit.says_cold:
+    if reports_cold == limit.reports_cold:
         return limit
-    if says_cold and not limit.cold:
-        limit = note_cold(limit, now)
-    return dataclasses.replace(limit, says_cold=says_cold)
+    if reports_cold and not limit.cold:
+        limit = record_cold(limit, now)
+    return dataclasses.replace(limit, reports_cold=reports_cold)
 
 
-def note_cold(limit: Limit, now: float) -> Limit:
+def record_cold(limit: Limit, now: float) -> Limit:
     """Return to the start of the cold ramp."""
     return dataclasses.replace(
         limit, value=COLD_LIMIT, cold=True, usual_ms={}, slow=0, cold_at=now
@@ -161,7 +161,7 @@
 
 
 def _highest(limit: Limit, now: float) -> float:
-    if limit.says_cold and now - limit.cold_at < COLD_WORD_SECONDS:
+    if limit.reports_cold and now - limit.cold_at < COLD_WORD_SECONDS:
         return max(limit.slots * COLD_SHARE, COLD_LIMIT)
     return float(limit.slots)
 
--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -13,15 +13,15 @@
 from apricotpost import wire
 
 __all__ = [
-    "Entry",
+    "QueuedRequest",
     "RankedQueue",
     "Refusal",
-    "add",
+    "enqueue",
     "admit",
-    "describe",
+    "describe_load",
     "finish",
     "next_start",
-    "note_rejection",
+    "record_rejection",
     "recent_failing",
     "remove",
     "set_backend",
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Entry:
+class QueuedRequest:
     """A request at the gate; times are of the monotonic clock, in seconds.
 
     Parameters
@@ -70,22 +70,22 @@
         Lower is more urgent.
     route : str
         Requests of a route have similar service times.
-    patient : bool
+    accepts_late : bool
         Whether it waits although it misses its objective.
     arrived, expires, objective : float
         When it came, and by when it has to be answered.
-    work : object
+    payload : object
         What runs it; not looked at here.
     """
 
     call: str
     rank: int
     route: str
-    patient: bool
-    arrived: float
-    expires: float
-    objective: float
-    work: typing.Any = None
+    accepts_late: bool
+    arrived_at: float
+    expires_at: float
+    objective_at: float
+    payload: typing.Any = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,8 +109,8 @@
         self.slots = slots
         self.limit = float(slots)
         self.limit_at = 0.0
-        self.running: dict[str, Entry] = {}
-        self.queue: list[Entry] = []
+        self.running: dict[str, QueuedRequest] = {}
+        self.queue: list[QueuedRequest] = []
         self.service_ms: dict[str, float] = {}
         self.mean_ms = FIRST_SERVICE_MS
         self.served = 0
@@ -147,19 +147,21 @@
     state.served = 0
 
 
-def admit(state: RankedQueue, entry: Entry, now: float) -> Refusal | None:
+def admit(
+    state: RankedQueue, queued: QueuedRequest, now: float
+) -> Refusal | None:
     """Decide whether a request may wait; None means that it may."""
-    left_ms = (entry.expires - now) * 1000.0
-    usual_ms = state.service_ms.get(entry.route, state.mean_ms)
+    left_ms = (queued.expires_at - now) * 1000.0
+    usual_ms = state.service_ms.get(queued.route, state.mean_ms)
     if left_ms <= usual_ms * HOPELESS_PART:
         return Refusal(reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0)
-    wait_ms = predict_wait_ms(state, entry, now)
+    wait_ms = predict_wait_ms(state, queued, now)
     if wait_ms <= 0.0:
         return None
     answer_ms = wait_ms + usual_ms
-    part = PATIENT_PART if entry.patient else STRICT_PART
+    part = PATIENT_PART if queued.accepts_late else STRICT_PART
     bound_ms = min(
-        (entry.objective - now) * 1000.0 * part, left_ms * LEFT_PART
+        (queued.objective_at - now) * 1000.0 * part, left_ms * LEFT_PART
     )
     if answer_ms <= bound_ms:
         return None
@@ -169,12 +171,14 @@
     return Refusal(reason=reason, retry_ms=max(wait_ms, MIN_RETRY_MS))
 
 
-def predict_wait_ms(state: RankedQueue, entry: Entry, now: float) -> float:
+def predict_wait_ms(
+    state: RankedQueue, queued: QueuedRequest, now: float
+) -> float:
     """Return how long a request would wait, in milliseconds."""
     limit = current_limit(state, now)
     if limit < 1:
         return 1000.0
-    ahead = sum(other.rank <= entry.rank for other in state.queue)
+    ahead = sum(other.rank <= queued.rank for other in state.queue)
     over = ahead + 1 + len(state.running) - limit
     wait_ms = max(over, 0) * state.mean_ms / limit
     if now < state.cold_until and state.cold_rate > 0:
@@ -198,34 +202,34 @@
     return max(int(state.cold_rate * COLD_MARGIN) - len(state.sent), 0)
 
 
-def add(state: RankedQueue, entry: Entry) -> None:
+def enqueue(state: RankedQueue, queued: QueuedRequest) -> None:
     """Put an admitted request into the queue."""
-    state.queue.append(entry)
+    state.queue.append(queued)
 
 
-def remove(state: RankedQueue, call: str) -> Entry | None:
+def remove(state: RankedQueue, call: str) -> QueuedRequest | None:
     """Take a request out of the queue."""
-    for index, entry in enumerate(state.queue):
-        if entry.call == call:
+    for index, queued in enumerate(state.queue):
+        if queued.call == call:
             return state.queue.pop(index)
     return None
 
 
 def start(
     state: RankedQueue, now: float
-) -> tuple[list[Entry], list[tuple[Entry, Refusal]]]:
+) -> tuple[list[QueuedRequest], list[tuple[QueuedRequest, Refusal]]]:
     """Return the requests that run now and those that no longer can.
 
     Among requests of one rank, those that can still meet their objective
     go first: an answer after the objective is worth less to its caller.
     """
     refused = _take_hopeless(state, now)
-    started: list[Entry] = []
+    started: list[QueuedRequest] = []
     cold = now < state.cold_until and state.cold_rate > 0
     while state.queue and len(state.running) < current_limit(state, now):
         if cold and not cold_room(state, now):
             break
-        best = min(state.queue, key=lambda entry: _order(state, entry, now))
+        best = min(state.queue, key=lambda queued: _order(state, queued, now))
         state.queue.remove(best)
         if not state.running:
             state.quiet_since = now
@@ -253,7 +257,7 @@
     ran_ms: float | None,
     failed: bool,
     now: float,
-) -> Entry | None:
+) -> QueuedRequest | None:
     """Account for the end of a running request.
 
     Parameters
@@ -269,21 +273,21 @@
     now : float
         Monotonic time, in seconds.
     """
-    entry = state.running.pop(call, None)
-    if entry is None:
+    queued = state.running.pop(call, None)
+    if queued is None:
         return None
     state.failing = recent_failing(state, now)
     state.failing_at = now
     state.failing += FAILURE_WEIGHT * (float(failed) - state.failing)
     if ran_ms is not None:
         state.quiet_since = now
-        usual = state.service_ms.get(entry.route, ran_ms)
+        usual = state.service_ms.get(queued.route, ran_ms)
         usual += SERVICE_TIME_WEIGHT * (ran_ms - usual)
-        state.service_ms[entry.route] = usual
+        state.service_ms[queued.route] = usual
         state.served = min(state.served + 1, MAX_SERVED)
         weight = max(SERVICE_TIME_WEIGHT, 1.0 / state.served)
         state.mean_ms += weight * (ran_ms - state.mean_ms)
-    return entry
+    return queued
 
 
 def recent_failing(state: RankedQueue, now: float) -> float:
@@ -297,7 +301,7 @@
     return halved
 
 
-def note_rejection(state: RankedQueue, now: float) -> None:
+def record_rejection(state: RankedQueue, now: float) -> None:
     """Lower the limit if the backend server was full before it was reached.
 
     One that turns requests away with few of them running is not full.
@@ -309,7 +313,7 @@
     state.limit_at = now
 
 
-def describe(state: RankedQueue, now: float) -> wire.ServerLoad:
+def describe_load(state: RankedQueue, now: float) -> wire.ServerLoad:
     """Return the load that answers carry back to callers."""
     limit = current_limit(state, now)
     if now < state.cold_until and state.cold_rate > 0:
@@ -334,22 +338,22 @@
 
 def _take_hopeless(
     state: RankedQueue, now: float
-) -> list[tuple[Entry, Refusal]]:
+) -> list[tuple[QueuedRequest, Refusal]]:
     refused = []
-    for entry in tuple(state.queue):
-        usual_ms = state.service_ms.get(entry.route, state.mean_ms)
-        if (entry.expires - now) * 1000.0 <= usual_ms * HOPELESS_PART:
-            state.queue.remove(entry)
+    for queued in tuple(state.queue):
+        usual_ms = state.service_ms.get(queued.route, state.mean_ms)
+        if (queued.expires_at - now) * 1000.0 <= usual_ms * HOPELESS_PART:
+            state.queue.remove(queued)
             refusal = Refusal(
                 reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0
             )
-            refused.append((entry, refusal))
+            refused.append((queued, refusal))
     return refused
 
 
 def _order(
-    state: RankedQueue, entry: Entry, now: float
+    state: RankedQueue, queued: QueuedRequest, now: float
 ) -> tuple[int, bool, float]:
-    usual_ms = state.service_ms.get(entry.route, state.mean_ms)
-    late = (entry.objective - now) * 1000.0 < usual_ms
-    return (entry.rank, late, entry.arrived)
+    usual_ms = state.service_ms.get(queued.route, state.mean_ms)
+    late = (queued.objective_at - now) * 1000.0 < usual_ms
+    return (queued.rank, late, queued.arrived_at)
--- a/apricotpost/node/gate_evidence.py
+++ b/apricotpost/node/gate_evidence.py
@@ -49,6 +49,6 @@
         expired=result.reason == wire.NotRunReason.DEADLINE_PASSED.value,
         granted_share=granted_seconds * 1000 / max(timeout_ms, 1),
         alone=alone,
-        cold=admission.says_cold(result),
+        cold=admission.reports_cold(result),
         duration_ms=result.duration_ms,
     )
--- a/apricotpost/routing/calls.py
+++ b/apricotpost/routing/calls.py
@@ -2,22 +2,22 @@
 
 import dataclasses
 
+from apricotpost.routing import call_states
+from apricotpost.routing.call_states import Action
+from apricotpost.routing.call_states import Answered
+from apricotpost.routing.call_states import Attempt
+from apricotpost.routing.call_states import CallerGone
+from apricotpost.routing.call_states import CallState
+from apricotpost.routing.call_states import CancelCall
+from apricotpost.routing.call_states import Draws
+from apricotpost.routing.call_states import Event
+from apricotpost.routing.call_states import Finish
+from apricotpost.routing.call_states import Now
+from apricotpost.routing.call_states import SendCall
+from apricotpost.routing.call_states import SendFailed
+from apricotpost.routing.call_states import Submitted
+from apricotpost.routing.call_states import TimedOut
 from apricotpost.routing import contexts
-from apricotpost.routing import flights
-from apricotpost.routing.flights import Action
-from apricotpost.routing.flights import Answered
-from apricotpost.routing.flights import Attempt
-from apricotpost.routing.flights import CallerGone
-from apricotpost.routing.flights import CallState
-from apricotpost.routing.flights import CancelCall
-from apricotpost.routing.flights import Draws
-from apricotpost.routing.flights import Event
-from apricotpost.routing.flights import Finish
-from apricotpost.routing.flights import Now
-from apricotpost.routing.flights import SendCall
-from apricotpost.routing.flights import SendFailed
-from apricotpost.routing.flights import Submitted
-from apricotpost.routing.flights import TimedOut
 from apricotpost.routing import outcomes
 from apricotpost.routing import peers
 from apricotpost.routing import retries
@@ -52,7 +52,7 @@
     *,
     table: tables.RoutingTable,
     draws: Draws,
-) -> flights.Step:
+) -> call_states.Step:
     """Decide what follows from an event.
 
     Parameters
@@ -86,7 +86,7 @@
     attempt = state.attempts.get(event.call)
     if attempt is None:
         return state, ()
-    state = peers.note_failure(state, attempt.instance, now)
+    state = peers.record_failure(state, attempt.instance, now)
     return outcomes.after_not_run(
         state, attempt, wire.NotRunReason.NOT_SENT, now, table, draws
     )
@@ -106,7 +106,7 @@
     now: Now,
     table: tables.RoutingTable,
     draws: Draws,
-) -> flights.Step:
+) -> call_states.Step:
     request = event.request
     attempt = Attempt(
         reply_to=event.reply_to,
@@ -130,7 +130,7 @@
     return sending.send(state, attempt, now, table, draws)
 
 
-def _abandon(state: CallState, request: str) -> flights.Step:
+def _abandon(state: CallState, request: str) -> call_states.Step:
     """Cancel what is queued; the outcome is still handed over."""
     found = [
         dataclasses.replace(attempt, abandoned=True)
--- a/apricotpost/routing/choices.py
+++ b/apricotpost/routing/choices.py
@@ -165,13 +165,13 @@
     usable = usable or list(candidates)
     if not usable:
         return None
-    near = [
+    local = [
         entry
         for entry in usable
         if entry.data_centre == data_centre
         and estimate_load(entry, loads, now=now) < LOCAL_PREFERENCE_LOAD
     ]
-    pool = near or usable
+    pool = local or usable
     first = pool[int(draws[0] * len(pool))]
     if len(pool) == 1:
         return first
--- a/apricotpost/routing/outcomes.py
+++ b/apricotpost/routing/outcomes.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from apricotpost.routing import call_states
 from apricotpost.routing import contexts
-from apricotpost.routing import flights
 from apricotpost.routing import peers
 from apricotpost.routing import retries
 from apricotpost.routing import sending
@@ -26,38 +26,38 @@
 
 
 def after_message(
-    state: flights.CallState,
+    state: call_states.CallState,
     message: wire.Answer | wire.NotRun | wire.OutcomeUnknown,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     """Decide what follows a gate's message."""
     attempt = state.attempts.get(message.call)
     if attempt is None:
         # The attempt was given up; its late answer belongs to nobody.
         return state, ()
-    state = peers.note_load(state, attempt.instance, message.load, now)
+    state = peers.record_load(state, attempt.instance, message.load, now)
     if isinstance(message, wire.NotRun):
-        state = _note_refusal(state, attempt, message.reason, now)
+        state = _record_refusal(state, attempt, message.reason, now)
         return after_not_run(state, attempt, message.reason, now, table, draws)
     if isinstance(message, wire.OutcomeUnknown):
-        state = peers.note_failure(state, attempt.instance, now)
+        state = peers.record_failure(state, attempt.instance, now)
         result = _unknown(attempt, message.reason)
         return _after_failure(state, attempt, result, now, table, draws)
     return _after_answer(state, attempt, message, now, table, draws)
 
 
 def after_not_run(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     reason: wire.NotRunReason,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     """Try another server; nothing of this attempt ran."""
-    state = peers.drop(state, attempt)
+    state = peers.remove(state, attempt)
     if attempt.sibling in state.attempts:
         return _leave_to_sibling(state, attempt), ()
     attempt = dataclasses.replace(
@@ -71,13 +71,13 @@
 
 
 def expire(
-    state: flights.CallState,
-    now: flights.Now,
+    state: call_states.CallState,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     """Give up attempts at their deadline, send others a second time."""
-    actions: list[flights.Action] = []
+    actions: list[call_states.Action] = []
     for call in tuple(state.attempts):
         attempt = state.attempts.get(call)
         if attempt is None or attempt.gives_up_at > now.wall:
@@ -90,29 +90,29 @@
     return state, tuple(actions)
 
 
-def _note_refusal(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+def _record_refusal(
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     reason: wire.NotRunReason,
-    now: flights.Now,
-) -> flights.CallState:
+    now: call_states.Now,
+) -> call_states.CallState:
     if reason in _LEAVING_REASONS:
         return peers.exclude(
             state, attempt.instance, now, LEAVING_BACKOFF_SECONDS
         )
     if reason is wire.NotRunReason.NOT_SENT:
-        return peers.note_failure(state, attempt.instance, now)
+        return peers.record_failure(state, attempt.instance, now)
     return state
 
 
 def _after_answer(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     message: wire.Answer,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     retried_below = (contexts.RETRIED_HEADER, "1") in message.headers
     result = wire.CallResult(
         request=attempt.request.request,
@@ -124,7 +124,7 @@
         retried=attempt.retried or retried_below,
     )
     if message.status not in retries.RETRIED_STATUSES:
-        state = peers.note_success(state, attempt.instance)
+        state = peers.record_success(state, attempt.instance)
         return sending.finish(state, attempt, result)
     if retried_below:
         return sending.finish(state, attempt, result)
@@ -132,16 +132,16 @@
 
 
 def _after_failure(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     result: wire.CallResult,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     """Repeat a call that may have run, or finish it with its result."""
     if attempt.sibling in state.attempts:
-        return _leave_to_sibling(peers.drop(state, attempt), attempt), ()
+        return _leave_to_sibling(peers.remove(state, attempt), attempt), ()
     if not _may_repeat(state, attempt, now, table):
         if state.budget.tokens < 1.0:
             # Nodes above must not spend their budgets on this call instead.
@@ -149,7 +149,7 @@
         return sending.finish(state, attempt, result)
     return sending.send(
         dataclasses.replace(
-            peers.drop(state, attempt), budget=retries.spend(state.budget)
+            peers.remove(state, attempt), budget=retries.spend(state.budget)
         ),
         dataclasses.replace(
             attempt,
@@ -164,12 +164,12 @@
 
 
 def _send_second(
-    state: flights.CallState,
-    attempt: flights.Attempt,
-    now: flights.Now,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
-) -> flights.Step:
+    draws: call_states.Draws,
+) -> call_states.Step:
     """Send a late call to another server and keep the first attempt open.
 
     A backend server that needs more than half of the time still answers its
@@ -182,7 +182,7 @@
     )
     if not _may_repeat(state, attempt, now, table):
         return kept, ()
-    kept = peers.note_failure(kept, attempt.instance, now)
+    kept = peers.record_failure(kept, attempt.instance, now)
     fallback = _unknown(attempt, wire.UnknownReason.TIMEOUT)
     second = dataclasses.replace(
         waiting,
@@ -192,7 +192,7 @@
         sibling=attempt.call,
     )
     sent, actions = sending.send(kept, second, now, table, draws)
-    if not isinstance(actions[0], flights.SendCall):
+    if not isinstance(actions[0], call_states.SendCall):
         return kept, ()
     first = dataclasses.replace(
         waiting,
@@ -209,19 +209,23 @@
 
 
 def _give_up(
-    state: flights.CallState, attempt: flights.Attempt, now: flights.Now
-) -> flights.Step:
-    cancel = flights.CancelCall(instance=attempt.instance, call=attempt.call)
-    state = peers.note_failure(state, attempt.instance, now)
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
+    now: call_states.Now,
+) -> call_states.Step:
+    cancel = call_states.CancelCall(
+        instance=attempt.instance, call=attempt.call
+    )
+    state = peers.record_failure(state, attempt.instance, now)
     result = _unknown(attempt, wire.UnknownReason.TIMEOUT)
     state, actions = sending.finish(state, attempt, result)
     return state, (cancel, *actions)
 
 
 def _may_repeat(
-    state: flights.CallState,
-    attempt: flights.Attempt,
-    now: flights.Now,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
+    now: call_states.Now,
     table: tables.RoutingTable,
 ) -> bool:
     route = table.routes.get(attempt.request.route)
@@ -239,8 +243,8 @@
 
 
 def _leave_to_sibling(
-    state: flights.CallState, attempt: flights.Attempt
-) -> flights.CallState:
+    state: call_states.CallState, attempt: call_states.Attempt
+) -> call_states.CallState:
     sibling = dataclasses.replace(state.attempts[attempt.sibling], sibling="")
     return dataclasses.replace(
         state, attempts={**state.attempts, sibling.call: sibling}
@@ -248,7 +252,7 @@
 
 
 def _unknown(
-    attempt: flights.Attempt, reason: wire.UnknownReason
+    attempt: call_states.Attempt, reason: wire.UnknownReason
 ) -> wire.CallResult:
     timeout = reason is wire.UnknownReason.TIMEOUT
     return wire.CallResult(
--- a/apricotpost/routing/peers.py
+++ b/apricotpost/routing/peers.py
@@ -3,16 +3,16 @@
 import dataclasses
 
 from apricotpost import model
+from apricotpost.routing import call_states
 from apricotpost.routing import choices
-from apricotpost.routing import flights
 
 __all__ = [
-    "drop",
+    "remove",
     "exclude",
-    "note_failure",
-    "note_load",
-    "note_sent",
-    "note_success",
+    "record_failure",
+    "record_load",
+    "record_sent",
+    "record_success",
 ]
 
 # The functions that run for each call use constructors: `dataclasses.replace`
@@ -25,9 +25,9 @@
 MAX_DOUBLINGS = 4
 
 
-def note_sent(
-    state: flights.CallState, attempt: flights.Attempt
-) -> flights.CallState:
+def record_sent(
+    state: call_states.CallState, attempt: call_states.Attempt
+) -> call_states.CallState:
     """Add an attempt that is about to be sent."""
     peer = _peer(state, attempt.instance)
     peer = choices.PeerLoad(
@@ -38,7 +38,7 @@
         excluded_until=peer.excluded_until,
         failures=peer.failures,
     )
-    return flights.CallState(
+    return call_states.CallState(
         data_centre=state.data_centre,
         attempts={**state.attempts, attempt.call: attempt},
         loads={**state.loads, attempt.instance: peer},
@@ -47,9 +47,9 @@
     )
 
 
-def drop(
-    state: flights.CallState, attempt: flights.Attempt
-) -> flights.CallState:
+def remove(
+    state: call_states.CallState, attempt: call_states.Attempt
+) -> call_states.CallState:
     """Forget an attempt; a later answer to it belongs to nobody."""
     if attempt.call not in state.attempts:
         return state
@@ -64,7 +64,7 @@
         excluded_until=peer.excluded_until,
         failures=peer.failures,
     )
-    return flights.CallState(
+    return call_states.CallState(
         data_centre=state.data_centre,
         attempts=remaining,
         loads={**state.loads, attempt.instance: peer},
@@ -73,12 +73,12 @@
     )
 
 
-def note_load(
-    state: flights.CallState,
+def record_load(
+    state: call_states.CallState,
     instance: str,
     load: model.Load | None,
-    now: flights.Now,
-) -> flights.CallState:
+    now: call_states.Now,
+) -> call_states.CallState:
     """Store the load that came with an answer."""
     if load is None:
         return state
@@ -93,7 +93,9 @@
     return _put(state, instance, peer)
 
 
-def note_success(state: flights.CallState, instance: str) -> flights.CallState:
+def record_success(
+    state: call_states.CallState, instance: str
+) -> call_states.CallState:
     """End the back-off of a backend server that answered."""
     peer = _peer(state, instance)
     if not peer.failures and not peer.excluded_until:
@@ -102,9 +104,9 @@
     return _put(state, instance, peer)
 
 
-def note_failure(
-    state: flights.CallState, instance: str, now: flights.Now
-) -> flights.CallState:
+def record_failure(
+    state: call_states.CallState, instance: str, now: call_states.Now
+) -> call_states.CallState:
     """Start or lengthen the back-off of a backend server."""
     peer = _peer(state, instance)
     doublings = min(peer.failures, MAX_DOUBLINGS)
@@ -114,25 +116,25 @@
 
 
 def exclude(
-    state: flights.CallState,
+    state: call_states.CallState,
     instance: str,
-    now: flights.Now,
+    now: call_states.Now,
     seconds: float,
-) -> flights.CallState:
+) -> call_states.CallState:
     """Choose a backend server again only after a pause."""
     until = now.monotonic + seconds
     peer = dataclasses.replace(_peer(state, instance), excluded_until=until)
     return _put(state, instance, peer)
 
 
-def _peer(state: flights.CallState, instance: str) -> choices.PeerLoad:
+def _peer(state: call_states.CallState, instance: str) -> choices.PeerLoad:
     return state.loads.get(instance, choices.UNKNOWN_PEER)
 
 
 def _put(
-    state: flights.CallState, instance: str, peer: choices.PeerLoad
-) -> flights.CallState:
-    return flights.CallState(
+    state: call_states.CallState, instance: str, peer: choices.PeerLoad
+) -> call_states.CallState:
+    return call_states.CallState(
         data_centre=state.data_centre,
         attempts=state.attempts,
         loads={**state.loads, instance: peer},
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -1,37 +1,38 @@
 """Choice of the backend server that finishes a request first.
 
 The time to finish is the usual time of the route, times the relative speed of
-the copy, plus the wait in its queue, plus the price of leaving the data
-centre. The speed is learnt from the own requests (exponential mean) and from
-the mean time that the copy's node reports: in a large fleet, a node sends too
-few requests to each copy to learn it by itself.
+the backend server, plus the wait in its queue, plus the price of leaving the
+data centre. The speed is learnt from the own requests (exponential mean) and
+from the mean time that the backend server's node reports: in a large fleet, a
+node sends too few requests to each backend server to learn it by itself.
 """
 
 import dataclasses
 
 __all__ = [
     "Candidate",
-    "Copy",
-    "Speeds",
+    "ServerStats",
+    "LatencyModel",
     "estimate_ms",
     "is_suspect",
-    "learn_failure",
-    "learn_load",
-    "learn_size",
-    "learn_time",
+    "record_outcome",
+    "record_load",
+    "record_size",
+    "record_latency",
     "mean_reported_ms",
-    "note_sent",
-    "order",
+    "record_sent",
+    "rank_candidates",
     "relative_speed",
     "remote_penalty_ms",
 ]
 
 # Weight of a measurement in the usual time of a route and in the relative
-# speed of a copy.
+# speed of a backend server.
 ROUTE_WEIGHT = 0.05
 SPEED_WEIGHT = 0.12
 FAILURE_WEIGHT = 0.15
-# A copy that failed is tried again: the evidence halves in this time.
+# A backend server that failed is tried again: the evidence halves in this
+# time.
 FAILURE_HALF_LIFE_SECONDS = 3.0
 # A failure costs the caller about as much as this wait.
 FAILURE_MS = 1200.0
@@ -55,10 +56,10 @@
 COLD_SLOWDOWN = 2.0
 # Requests of other nodes arrive between two reports of the load.
 BALANCE_PART = 0.35
-# A copy that has not reported for this long may be gone. States come every
-# half a second within a data centre and every 1.5 s from others.
-STALE_NEAR_SECONDS = 1.2
-STALE_FAR_SECONDS = 2.2
+# A backend server that has not reported for this long may be gone. States come
+# every half a second within a data centre and every 1.5 s from others.
+STALE_LOCAL_SECONDS = 1.2
+STALE_REMOTE_SECONDS = 2.2
 STALE_MS = 300.0
 FIRST_ROUTE_MS = 100.0
 # A server is suspect when it has not answered anybody for this multiple of
@@ -67,8 +68,8 @@
 QUIET_MULTIPLE = 1.5
 SUSPECT_SPEED = 2.0
 SUSPECT_FAILING = 0.15
-# Own requests that count as much as the report on a copy, and reported ones
-# that count as much as no knowledge.
+# Own requests that count as much as the report on a backend server, and
+# reported ones that count as much as no knowledge.
 OWN_SAMPLES = 10
 REPORT_SAMPLES = 4
 # Bounds of the speed that a report may tell: it covers all routes of the
@@ -99,7 +100,7 @@
     cold: bool = False
 
 
-class Copy:
+class ServerStats:
     """What is known of one backend server."""
 
     __slots__ = (
@@ -130,54 +131,54 @@
         self.quiet_ms = 0
 
 
-class Speeds:
-    """Learnt times of routes and copies."""
+class LatencyModel:
+    """Learnt times of routes and backend servers."""
 
     def __init__(self) -> None:
         self.routes: dict[str, float] = {}
         self.kilobytes: dict[str, float] = {}
-        self.copies: dict[str, Copy] = {}
+        self.servers: dict[str, ServerStats] = {}
 
-    def copy(self, backend: str) -> Copy:
+    def server(self, backend: str) -> ServerStats:
         """Return what is known of a backend server."""
-        found = self.copies.get(backend)
+        found = self.servers.get(backend)
         if found is None:
-            found = self.copies[backend] = Copy()
+            found = self.servers[backend] = ServerStats()
         return found
 
 
-def learn_time(
-    speeds: Speeds, *, route: str, backend: str, ran_ms: float
+def record_latency(
+    latency_model: LatencyModel, *, route: str, backend: str, ran_ms: float
 ) -> None:
     """Account for a served request."""
-    usual = speeds.routes.get(route)
+    usual = latency_model.routes.get(route)
     if usual is None:
-        speeds.routes[route] = max(ran_ms, 1.0)
+        latency_model.routes[route] = max(ran_ms, 1.0)
         return
-    copy = speeds.copy(backend)
-    copy.samples = min(copy.samples + 1, OWN_SAMPLES)
-    copy.speed += SPEED_WEIGHT * (min(ran_ms / usual, 8.0) - copy.speed)
+    server = latency_model.server(backend)
+    server.samples = min(server.samples + 1, OWN_SAMPLES)
+    server.speed += SPEED_WEIGHT * (min(ran_ms / usual, 8.0) - server.speed)
     usual += ROUTE_WEIGHT * (min(ran_ms, 4.0 * usual) - usual)
-    speeds.routes[route] = max(usual, 1.0)
+    latency_model.routes[route] = max(usual, 1.0)
 
 
-def learn_size(speeds: Speeds, *, route: str, size: int) -> None:
+def record_size(latency_model: LatencyModel, *, route: str, size: int) -> None:
     """Account for the bytes of a request and its response."""
     kilobytes = (size + HEADER_BYTES) / 1024.0
-    known = speeds.kilobytes.get(route, kilobytes)
-    speeds.kilobytes[route] = known + SIZE_WEIGHT * (kilobytes - known)
+    known = latency_model.kilobytes.get(route, kilobytes)
+    latency_model.kilobytes[route] = known + SIZE_WEIGHT * (kilobytes - known)
 
 
 def remote_penalty_ms(
-    speeds: Speeds, *, route: str, objective_ms: float
+    latency_model: LatencyModel, *, route: str, objective_ms: float
 ) -> float:
     """Return the wait that a request accepts to stay in its data centre."""
-    part = speeds.kilobytes.get(route, 1.0) * REMOTE_PART_PER_KB
+    part = latency_model.kilobytes.get(route, 1.0) * REMOTE_PART_PER_KB
     return objective_ms * min(part, MAX_REMOTE_PART)
 
 
-def learn_load(
-    speeds: Speeds,
+def record_load(
+    latency_model: LatencyModel,
     *,
     backend: str,
     running: int,
@@ -192,7 +193,7 @@
 
     Parameters
     ----------
-    speeds : Speeds
+    latency_model : LatencyModel
         What is known.
     backend : str
         The backend server.
@@ -207,33 +208,33 @@
     quiet_ms : int
         Time without an answer while requests run there.
     """
-    copy = speeds.copy(backend)
-    copy.occupied = running + queued
-    copy.limit = max(limit, 1)
-    copy.usual_ms = usual_ms
-    copy.served = served
-    copy.reported_failing = failing
-    copy.quiet_ms = quiet_ms
-    copy.sent_since = 0
-
-
-def learn_failure(
-    speeds: Speeds, *, backend: str, failed: bool, now: float
+    server = latency_model.server(backend)
+    server.occupied = running + queued
+    server.limit = max(limit, 1)
+    server.usual_ms = usual_ms
+    server.served = served
+    server.reported_failing = failing
+    server.quiet_ms = quiet_ms
+    server.sent_since = 0
+
+
+def record_outcome(
+    latency_model: LatencyModel, *, backend: str, failed: bool, now: float
 ) -> None:
     """Account for the end of a request, in monotonic seconds."""
-    copy = speeds.copy(backend)
-    recent = _recent_failing(copy, now)
-    copy.failing = recent + FAILURE_WEIGHT * (float(failed) - recent)
-    copy.failed_at = now
+    server = latency_model.server(backend)
+    recent = _recent_failing(server, now)
+    server.failing = recent + FAILURE_WEIGHT * (float(failed) - recent)
+    server.failed_at = now
 
 
-def note_sent(speeds: Speeds, backend: str) -> None:
+def record_sent(latency_model: LatencyModel, backend: str) -> None:
     """Count a request that no report includes yet."""
-    speeds.copy(backend).sent_since += 1
+    latency_model.server(backend).sent_since += 1
 
 
 def estimate_ms(
-    speeds: Speeds,
+    latency_model: LatencyModel,
     candidate: Candidate,
     *,
     route: str,
@@ -245,8 +246,8 @@
 
     Parameters
     ----------
-    speeds : Speeds
-        What is known of routes and copies.
+    latency_model : LatencyModel
+        What is known of routes and backend servers.
     candidate : Candidate
         The backend server.
     route : str
@@ -256,62 +257,66 @@
     now : float
         Monotonic time, in seconds.
     mean_ms : float
-        Mean time that the copies of the service report; 0 if unknown.
+        Mean time that the backend servers of the service report; 0 if unknown.
     """
-    copy = speeds.copy(candidate.backend)
-    usual = speeds.routes.get(route, FIRST_ROUTE_MS)
-    occupied = copy.occupied + copy.sent_since
-    fill = occupied / copy.limit
-    serve_ms = usual * relative_speed(copy, mean_ms)
+    server = latency_model.server(candidate.backend)
+    usual = latency_model.routes.get(route, FIRST_ROUTE_MS)
+    occupied = server.occupied + server.sent_since
+    fill = occupied / server.limit
+    serve_ms = usual * relative_speed(server, mean_ms)
     if candidate.cold:
         serve_ms *= COLD_SLOWDOWN
     serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
     serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
-    wait_ms = max(occupied + 1 - copy.limit, 0) * copy.usual_ms / copy.limit
-    total = serve_ms + wait_ms + FAILURE_MS * _known_failing(copy, now)
-    stale_seconds = STALE_NEAR_SECONDS
+    wait_ms = (
+        max(occupied + 1 - server.limit, 0) * server.usual_ms / server.limit
+    )
+    total = serve_ms + wait_ms + FAILURE_MS * _known_failing(server, now)
+    stale_seconds = STALE_LOCAL_SECONDS
     if not candidate.same_data_centre:
-        stale_seconds = STALE_FAR_SECONDS
+        stale_seconds = STALE_REMOTE_SECONDS
         total += remote_penalty_ms(
-            speeds, route=route, objective_ms=objective_ms
+            latency_model, route=route, objective_ms=objective_ms
         )
     if candidate.silent_seconds > stale_seconds:
         total += STALE_MS * candidate.silent_seconds
     return total
 
 
-def mean_reported_ms(speeds: Speeds, candidates: list[Candidate]) -> float:
-    """Return the mean time that copies report, in milliseconds.
+def mean_reported_ms(
+    latency_model: LatencyModel, candidates: list[Candidate]
+) -> float:
+    """Return the mean time that backend servers report, in milliseconds.
 
     0 if none has served a request.
     """
-    copies = [speeds.copy(c.backend) for c in candidates]
-    known = [copy.usual_ms for copy in copies if copy.served]
+    servers = [latency_model.server(c.backend) for c in candidates]
+    known = [server.usual_ms for server in servers if server.served]
     return sum(known) / len(known) if known else 0.0
 
 
-def relative_speed(copy: Copy, mean_ms: float) -> float:
-    """Return a copy's time divided by the usual one.
+def relative_speed(server: ServerStats, mean_ms: float) -> float:
+    """Return a backend server's time divided by the usual one.
 
     Parameters
     ----------
-    copy : Copy
+    server : ServerStats
         What is known of it.
     mean_ms : float
-        Mean time that the copies of the service report; 0 if unknown.
+        Mean time that the backend servers of the service report; 0 if unknown.
     """
     reported = 1.0
-    if mean_ms > 0.0 and copy.served:
+    if mean_ms > 0.0 and server.served:
         low, high = REPORTED_SPEED
-        weight = copy.served / (copy.served + REPORT_SAMPLES)
-        found = min(max(copy.usual_ms / mean_ms, low), high)
+        weight = server.served / (server.served + REPORT_SAMPLES)
+        found = min(max(server.usual_ms / mean_ms, low), high)
         reported += weight * (found - 1.0)
-    own = copy.samples / (copy.samples + OWN_SAMPLES)
-    return reported + own * (copy.speed - reported)
+    own = server.samples / (server.samples + OWN_SAMPLES)
+    return reported + own * (server.speed - reported)
 
 
-def order(
-    speeds: Speeds,
+def rank_candidates(
+    latency_model: LatencyModel,
     candidates: list[Candidate],
     *,
     route: str,
@@ -319,11 +324,11 @@
     now: float,
 ) -> list[Candidate]:
     """Sort backend servers, the one that finishes first in front."""
-    mean_ms = mean_reported_ms(speeds, candidates)
+    mean_ms = mean_reported_ms(latency_model, candidates)
     return sorted(
         candidates,
         key=lambda c: estimate_ms(
-            speeds,
+            latency_model,
             c,
             route=route,
             objective_ms=objective_ms,
@@ -334,7 +339,7 @@
 
 
 def is_suspect(
-    speeds: Speeds, backend: str, *, now: float, mean_ms: float
+    latency_model: LatencyModel, backend: str, *, now: float, mean_ms: float
 ) -> bool:
     """Tell whether a late answer is rather the server's fault.
 
@@ -343,33 +348,33 @@
 
     Parameters
     ----------
-    speeds : Speeds
-        What is known of the copies.
+    latency_model : LatencyModel
+        What is known of the backend servers.
     backend : str
         The backend server.
     now : float
         Monotonic time, in seconds.
     mean_ms : float
-        Mean time that the copies of the service report; 0 if unknown.
+        Mean time that the backend servers of the service report; 0 if unknown.
     """
-    copy = speeds.copy(backend)
+    server = latency_model.server(backend)
     return (
-        copy.quiet_ms > QUIET_MULTIPLE * copy.usual_ms
-        or relative_speed(copy, mean_ms) >= SUSPECT_SPEED
-        or _known_failing(copy, now) >= SUSPECT_FAILING
+        server.quiet_ms > QUIET_MULTIPLE * server.usual_ms
+        or relative_speed(server, mean_ms) >= SUSPECT_SPEED
+        or _known_failing(server, now) >= SUSPECT_FAILING
     )
 
 
-def _known_failing(copy: Copy, now: float) -> float:
+def _known_failing(server: ServerStats, now: float) -> float:
     return max(
-        _recent_failing(copy, now),
-        copy.reported_failing * REPORTED_FAILING_PART,
+        _recent_failing(server, now),
+        server.reported_failing * REPORTED_FAILING_PART,
     )
 
 
-def _recent_failing(copy: Copy, now: float) -> float:
-    if not copy.failing:
+def _recent_failing(server: ServerStats, now: float) -> float:
+    if not server.failing:
         return 0.0
-    age = max(now - copy.failed_at, 0.0)
-    halved: float = copy.failing * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
+    age = max(now - server.failed_at, 0.0)
+    halved: float = server.failing * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
     return halved
--- a/apricotpost/routing/sending.py
+++ b/apricotpost/routing/sending.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from apricotpost import model
+from apricotpost.routing import call_states
 from apricotpost.routing import choices
-from apricotpost.routing import flights
 from apricotpost.routing import peers
 from apricotpost.routing import retries
 from apricotpost.routing import tables
@@ -18,13 +18,13 @@
 
 
 def send(
-    state: flights.CallState,
-    attempt: flights.Attempt,
-    now: flights.Now,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
+    draws: call_states.Draws,
     otherwise: wire.NotRunReason = wire.NotRunReason.NO_BACKEND_SERVER,
-) -> flights.Step:
+) -> call_states.Step:
     """Send the next attempt, or refuse the call.
 
     Parameters
@@ -53,7 +53,7 @@
     chosen = _choose(state, attempt, route, now, table, draws)
     if chosen is None:
         return refuse(state, attempt, otherwise)
-    attempt = flights.Attempt(
+    attempt = call_states.Attempt(
         reply_to=attempt.reply_to,
         request=request,
         call=f"{request.request}.{state.sequence + 1}",
@@ -66,15 +66,15 @@
         fallback=attempt.fallback,
     )
     call = _make_call(attempt, route, chosen, table)
-    state = peers.note_sent(state, attempt)
-    return state, (flights.SendCall(instance=chosen, call=call),)
+    state = peers.record_sent(state, attempt)
+    return state, (call_states.SendCall(instance=chosen, call=call),)
 
 
 def refuse(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     reason: wire.NotRunReason,
-) -> flights.Step:
+) -> call_states.Step:
     """Finish a call as not run, unless an attempt may have run."""
     if attempt.fallback is not None:
         result = dataclasses.replace(
@@ -94,30 +94,34 @@
 
 
 def finish(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     result: wire.CallResult,
-) -> flights.Step:
+) -> call_states.Step:
     """Hand over the one result and cancel what is still open."""
-    state = peers.drop(state, attempt)
-    actions: list[flights.Action] = []
+    state = peers.remove(state, attempt)
+    actions: list[call_states.Action] = []
     sibling = state.attempts.get(attempt.sibling)
     if sibling is not None:
-        state = peers.drop(state, sibling)
+        state = peers.remove(state, sibling)
         actions.append(
-            flights.CancelCall(instance=sibling.instance, call=sibling.call)
+            call_states.CancelCall(
+                instance=sibling.instance, call=sibling.call
+            )
         )
-    actions.append(flights.Finish(reply_to=attempt.reply_to, result=result))
+    actions.append(
+        call_states.Finish(reply_to=attempt.reply_to, result=result)
+    )
     return state, tuple(actions)
 
 
 def _choose(
-    state: flights.CallState,
-    attempt: flights.Attempt,
+    state: call_states.CallState,
+    attempt: call_states.Attempt,
     route: model.Route,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
-    draws: flights.Draws,
+    draws: call_states.Draws,
 ) -> model.InstanceRecord | None:
     version = choices.choose_version(
         table,
@@ -144,9 +148,9 @@
 
 
 def _other_versions(
-    attempt: flights.Attempt,
+    attempt: call_states.Attempt,
     route: model.Route,
-    now: flights.Now,
+    now: call_states.Now,
     table: tables.RoutingTable,
 ) -> list[model.InstanceRecord]:
     """List untried servers of any version that has a share."""
@@ -162,10 +166,10 @@
 
 
 def _attempt_deadline(
-    attempt: flights.Attempt,
+    attempt: call_states.Attempt,
     route: model.Route,
-    state: flights.CallState,
-    now: flights.Now,
+    state: call_states.CallState,
+    now: call_states.Now,
 ) -> float:
     """Leave time for a second attempt where one is allowed."""
     deadline = attempt.request.deadline
@@ -180,7 +184,7 @@
 
 
 def _make_call(
-    attempt: flights.Attempt,
+    attempt: call_states.Attempt,
     route: model.Route,
     chosen: model.InstanceRecord,
     table: tables.RoutingTable,
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -208,7 +208,7 @@
             version=current.version,
             ready=self.find_refusal(current.service) is None,
             cold=now < self.queue.cold_until,
-            load=ranked.describe(self.queue, now),
+            load=ranked.describe_load(self.queue, now),
         )
 
     def find_refusal(self, service: str) -> wire.NotRunReason | None:
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -241,7 +241,7 @@
             caller=self.settings.service,
             rank=rank,
             idempotent=active.route.idempotent,
-            patient=active.accepts_late,
+            accepts_late=active.accepts_late,
             left_ms=int((active.expires_at - now) * 1000),
             objective_ms=int((active.objective_at - now) * 1000),
             method=request.method,
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -146,41 +146,41 @@
             refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
             self.refuse(offer, reply, refusal)
             return
-        entry = ranked.Entry(
+        queued = ranked.QueuedRequest(
             call=offer.call,
             rank=offer.rank,
             route=offer.route,
-            patient=offer.patient,
-            arrived=now,
-            expires=now + offer.left_ms / 1000.0,
-            objective=now + offer.objective_ms / 1000.0,
-            work=PendingOffer(offer=offer, reply=reply),
+            accepts_late=offer.accepts_late,
+            arrived_at=now,
+            expires_at=now + offer.left_ms / 1000.0,
+            objective_at=now + offer.objective_ms / 1000.0,
+            payload=PendingOffer(offer=offer, reply=reply),
         )
-        refused = ranked.admit(self.queue, entry, now)
+        refused = ranked.admit(self.queue, queued, now)
         if refused is not None:
             self.refuse(offer, reply, refused)
             return
-        ranked.add(self.queue, entry)
+        ranked.enqueue(self.queue, queued)
 
     def cancel(self, call: str) -> None:
         """End a request whose caller is gone.
 
         One that may not be repeated runs to its end once it has started.
         """
-        entry = ranked.remove(self.queue, call)
-        if entry is not None:
+        queued = ranked.remove(self.queue, call)
+        if queued is not None:
             return
-        entry = self.queue.running.get(call)
-        if entry is None or not entry.work.offer.idempotent:
+        queued = self.queue.running.get(call)
+        if queued is None or not queued.payload.offer.idempotent:
             return
         now = self.loop.time()
-        elapsed_ms = (now - entry.work.started) * 1000.0
-        usual_ms = self.queue.service_ms.get(entry.route, self.queue.mean_ms)
+        elapsed_ms = (now - queued.payload.started) * 1000.0
+        usual_ms = self.queue.service_ms.get(queued.route, self.queue.mean_ms)
         if elapsed_ms > usual_ms:
             # The least that it would have taken: a server whose requests are
             # all given up must not look fast.
             self.server.outcomes.count(
-                entry.route, failed=False, ran_ms=elapsed_ms
+                queued.route, failed=False, ran_ms=elapsed_ms
             )
         ranked.finish(
             self.queue,
@@ -189,8 +189,8 @@
             failed=False,
             now=now,
         )
-        if entry.work.handle is not None:
-            entry.work.handle.cancel()
+        if queued.payload.handle is not None:
+            queued.payload.handle.cancel()
         self.start_queued()
 
     def refuse_queue(self) -> None:
@@ -202,8 +202,8 @@
             return
         waiting, self.queue.queue = self.queue.queue, []
         refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
-        for entry in waiting:
-            self.refuse(entry.work.offer, entry.work.reply, refusal)
+        for queued in waiting:
+            self.refuse(queued.payload.offer, queued.payload.reply, refusal)
 
     def refuse(
         self,
@@ -217,7 +217,7 @@
         self.instruments.offers.add("refused", refusal.reason)
         load = None
         if self.server.presence.current is not None:
-            load = ranked.describe(self.queue, self.loop.time())
+            load = ranked.describe_load(self.queue, self.loop.time())
         reply(
             wire.Refused(
                 call=offer.call,
@@ -232,11 +232,11 @@
         """Start the requests that have room."""
         now = self.loop.time()
         started, refused = ranked.start(self.queue, now)
-        for entry, refusal in refused:
-            self.refuse(entry.work.offer, entry.work.reply, refusal)
-        for entry in started:
-            entry.work.started = now
-            self.run(entry)
+        for queued, refusal in refused:
+            self.refuse(queued.payload.offer, queued.payload.reply, refusal)
+        for queued in started:
+            queued.payload.started = now
+            self.run(queued)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -244,11 +244,11 @@
         if due is not None:
             self.timer = self.loop.call_at(due, self.start_queued)
 
-    def run(self, entry: ranked.Entry) -> None:
+    def run(self, queued: ranked.QueuedRequest) -> None:
         """Send a request to the backend server."""
-        pending: PendingOffer = entry.work
+        pending: PendingOffer = queued.payload
         offer = pending.offer
-        left = entry.expires - self.loop.time()
+        left = queued.expires_at - self.loop.time()
         request = http.Request(
             method=offer.method,
             target=offer.target,
@@ -265,7 +265,7 @@
             max_idle = -1.0
 
         def finish(result: http.Result) -> None:
-            self.finish(entry, result)
+            self.finish(queued, result)
 
         pending.handle = self.client.send(
             request,
@@ -274,9 +274,11 @@
             max_idle=max_idle,
         )
 
-    def finish(self, entry: ranked.Entry, result: http.Result) -> None:
+    def finish(
+        self, queued: ranked.QueuedRequest, result: http.Result
+    ) -> None:
         """Answer the caller with what became of a request."""
-        pending: PendingOffer = entry.work
+        pending: PendingOffer = queued.payload
         offer = pending.offer
         now = self.loop.time()
         if (
@@ -287,27 +289,30 @@
         ):
             # The server had closed the kept connection.
             pending.use_new_connection = True
-            self.run(entry)
+            self.run(queued)
             return
         ran_ms = (now - pending.started) * 1000.0
         response = result.response
         if response is None:
-            self.fail(entry, result.failure, ran_ms)
+            self.fail(queued, result.failure, ran_ms)
         elif platform.is_not_run(response):
-            self.handle_rejection(entry, response)
+            self.handle_rejection(queued, response)
         else:
             fault = platform.response_faults(response, offer.request)
             if fault:
-                self.fail(entry, http.Failure.MALFORMED, ran_ms, fault)
+                self.fail(queued, http.Failure.MALFORMED, ran_ms, fault)
             else:
-                self.deliver(entry, response, ran_ms)
+                self.deliver(queued, response, ran_ms)
         self.start_queued()
 
     def deliver(
-        self, entry: ranked.Entry, response: http.Response, ran_ms: float
+        self,
+        queued: ranked.QueuedRequest,
+        response: http.Response,
+        ran_ms: float,
     ) -> None:
         """Hand the response to the caller."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         failed = response.status >= 500
         ranked.finish(
             self.queue,
@@ -318,22 +323,22 @@
         )
         self.server.outcomes.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.add("answered", response.status)
-        entry.work.reply(
+        queued.payload.reply(
             wire.Delivered(
                 call=offer.call,
                 status=response.status,
                 headers=http.strip_hop_headers(response.headers),
                 body=response.body,
                 ran_ms=round(ran_ms, 1),
-                load=ranked.describe(self.queue, self.loop.time()),
+                load=ranked.describe_load(self.queue, self.loop.time()),
             )
         )
 
     def handle_rejection(
-        self, entry: ranked.Entry, response: http.Response
+        self, queued: ranked.QueuedRequest, response: http.Response
     ) -> None:
         """Pass on that the backend server has not run a request."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         now = self.loop.time()
         ranked.finish(
             self.queue, offer.call, ran_ms=None, failed=False, now=now
@@ -343,7 +348,7 @@
             reason = wire.NotRunReason.NO_BACKEND_SERVER
             self.server.set_aside()
         else:
-            ranked.note_rejection(self.queue, now)
+            ranked.record_rejection(self.queue, now)
         self.decisions.report(
             events.GATE_REJECTED,
             request=offer.request,
@@ -354,20 +359,20 @@
         retry_ms = self.queue.mean_ms
         self.refuse(
             offer,
-            entry.work.reply,
+            queued.payload.reply,
             ranked.Refusal(reason=reason, retry_ms=retry_ms),
             offered=True,
         )
 
     def fail(
         self,
-        entry: ranked.Entry,
+        queued: ranked.QueuedRequest,
         failure: http.Failure | None,
         ran_ms: float,
         fault: str = "",
     ) -> None:
         """Answer that there is no usable response."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         if failure is http.Failure.NOT_CONNECTED:
             ranked.finish(
                 self.queue,
@@ -381,7 +386,7 @@
             refusal = ranked.Refusal(
                 reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
             )
-            self.refuse(offer, entry.work.reply, refusal)
+            self.refuse(offer, queued.payload.reply, refusal)
             return
         ranked.finish(
             self.queue,
@@ -403,12 +408,12 @@
             fault=fault,
             ran_ms=round(ran_ms),
         )
-        entry.work.reply(
+        queued.payload.reply(
             wire.Failed(
                 call=offer.call,
                 reason=reason,
                 ran_ms=round(ran_ms, 1),
-                load=ranked.describe(self.queue, self.loop.time()),
+                load=ranked.describe_load(self.queue, self.loop.time()),
             )
         )
 
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -104,7 +104,7 @@
             self.loop.call_soon(self.publish_change)
 
     def publish_change(self) -> None:
-        """Publish what `announce` asked for."""
+        """Publish what `schedule_publish` asked for."""
         self.pending = False
         self.publish()
         self.schedule_forward(self.settings.instance)
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -49,7 +49,7 @@
         self.on_service = on_service
         self.rng = rng
         self.loop = asyncio.get_running_loop()
-        self.speeds = placement.Speeds()
+        self.latency_model = placement.LatencyModel()
         self.splits = splits.Splits()
         # Last place in the division among versions, by service.
         self.version_draws: dict[str, float] = {}
@@ -100,8 +100,8 @@
         found = self.candidates(active)
         if not active.accepts_late or active.possible_executions:
             found = [c for c in found if c.node not in active.tried_nodes]
-        return placement.order(
-            self.speeds,
+        return placement.rank_candidates(
+            self.latency_model,
             found,
             route=active.route.name,
             objective_ms=active.route.objective_ms,
@@ -110,7 +110,7 @@
 
     def usual_ms(self, route: str) -> float:
         """Return the usual time of a route; 0 if it is not known."""
-        return self.speeds.routes.get(route, 0.0)
+        return self.latency_model.routes.get(route, 0.0)
 
     def may_hedge(self, service: str) -> bool:
         """Tell whether slow requests of a service are hedged now.
@@ -124,11 +124,11 @@
     def is_suspect(self, active: active_requests.ActiveRequest) -> bool:
         """Tell whether the server of the open attempt seems to be faulty."""
         mean_ms = placement.mean_reported_ms(
-            self.speeds, self.candidates(active)
+            self.latency_model, self.candidates(active)
         )
         return any(
             placement.is_suspect(
-                self.speeds,
+                self.latency_model,
                 attempt.backend,
                 now=self.loop.time(),
                 mean_ms=mean_ms,
@@ -140,12 +140,12 @@
 
     def record_sent(self, backend: str) -> None:
         """Count an offer that no report includes yet."""
-        placement.note_sent(self.speeds, backend)
+        placement.record_sent(self.latency_model, backend)
 
     def record_load(self, backend: str, load: wire.ServerLoad) -> None:
         """Take a report of a backend server's load."""
-        placement.learn_load(
-            self.speeds,
+        placement.record_load(
+            self.latency_model,
             backend=backend,
             running=load.running,
             queued=load.queued,
@@ -158,8 +158,11 @@
 
     def record_outcome(self, backend: str, *, failed: bool) -> None:
         """Take the outcome of an attempt."""
-        placement.learn_failure(
-            self.speeds, backend=backend, failed=failed, now=self.loop.time()
+        placement.record_outcome(
+            self.latency_model,
+            backend=backend,
+            failed=failed,
+            now=self.loop.time(),
         )
 
     def record_served(
@@ -171,14 +174,14 @@
         response_bytes: int,
     ) -> None:
         """Take the time and size of a served request."""
-        placement.learn_time(
-            self.speeds,
+        placement.record_latency(
+            self.latency_model,
             route=active.route.name,
             backend=backend,
             ran_ms=ran_ms,
         )
-        placement.learn_size(
-            self.speeds,
+        placement.record_size(
+            self.latency_model,
             route=active.route.name,
             size=len(active.exchange.request.body) + response_bytes,
         )
@@ -193,8 +196,8 @@
         What has passed is the least that it would have taken. Without that,
         a slow server would be known by its fast answers only.
         """
-        placement.learn_time(
-            self.speeds,
+        placement.record_latency(
+            self.latency_model,
             route=active.route.name,
             backend=attempt.backend,
             ran_ms=(self.loop.time() - attempt.sent_at) * 1000.0,
--- a/apricotpost/wire/carriage.py
+++ b/apricotpost/wire/carriage.py
@@ -78,7 +78,7 @@
         Priority; 0 is the most urgent, below are nested requests.
     idempotent : bool
         Whether the request may run more than once.
-    patient : bool
+    accepts_late : bool
         Whether it waits in the queue even if it misses its objective.
     left_ms, objective_ms : int
         Time left for the answer, and time left to meet the objective.
@@ -95,7 +95,7 @@
     caller: str
     rank: int
     idempotent: bool
-    patient: bool
+    accepts_late: bool
     left_ms: int
     objective_ms: int
     method: bytes
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -250,7 +250,7 @@
         limit = limits.start(slots=8, cold=False)
         for number in range(60):
             slow = number % 6 > 2
-            limit = limits.note_success(
+            limit = limits.record_success(
                 limit,
                 "export" if slow else "preview",
                 90.0 if slow else 2.0,
--- a/tests/admission/test_ranked.py
+++ b/tests/admission/test_ranked.py
@@ -12,14 +12,14 @@
 def make_entry(
     name, *, rank=1, at=0.0, left=1.0, objective=0.5, patient=False
 ):
-    return ranked.Entry(
+    return ranked.QueuedRequest(
         call=name,
         rank=rank,
         route="r",
-        patient=patient,
-        arrived=at,
-        expires=at + left,
-        objective=at + objective,
+        accepts_late=patient,
+        arrived_at=at,
+        expires_at=at + left,
+        objective_at=at + objective,
     )
 
 
@@ -30,10 +30,10 @@
     return queue
 
 
-def offer(queue, entry, now=0.0):
-    refusal = ranked.admit(queue, entry, now)
+def offer(queue, queued, now=0.0):
+    refusal = ranked.admit(queue, queued, now)
     if refusal is None:
-        ranked.add(queue, entry)
+        ranked.enqueue(queue, queued)
     return refusal
 
 
@@ -42,14 +42,14 @@
         """Guards against urgent requests behind less urgent ones."""
         queue = make_queue(slots=1)
         for name, rank in (("low", 2), ("nested", -1000), ("high", 0)):
-            ranked.add(queue, make_entry(name, rank=rank))
+            ranked.enqueue(queue, make_entry(name, rank=rank))
         started = []
         while queue.queue:
             found, _ = ranked.start(queue, 0.0)
-            started.extend(entry.call for entry in found)
-            for entry in found:
+            started.extend(queued.call for queued in found)
+            for queued in found:
                 ranked.finish(
-                    queue, entry.call, ran_ms=100.0, failed=False, now=0.0
+                    queue, queued.call, ran_ms=100.0, failed=False, now=0.0
                 )
         self.assertEqual(["nested", "high", "low"], started)
 
@@ -57,7 +57,7 @@
         """Guards against a server that hangs when it cannot queue."""
         queue = make_queue(slots=3)
         for index in range(9):
-            ranked.add(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_entry(str(index)))
         ranked.start(queue, 0.0)
         ranked.start(queue, 0.01)
         self.assertEqual(3, len(queue.running))
@@ -97,14 +97,14 @@
                         queue, name, ran_ms=100.0, failed=False, now=0.0
                     )
                     served += 1
-                    in_time += now <= entries[name].objective
+                    in_time += now <= entries[name].objective_at
             if draws.random() < 0.04:
-                entry = make_entry(str(tick), at=now)
-                entries[entry.call] = entry
-                offer(queue, entry, now)
+                queued = make_entry(str(tick), at=now)
+                entries[queued.call] = queued
+                offer(queue, queued, now)
             started, refused = ranked.start(queue, now)
             self.assertEqual([], refused)
-            ends.extend((now + 0.1, entry.call) for entry in started)
+            ends.extend((now + 0.1, queued.call) for queued in started)
         self.assertGreater(served, 0.95 * 20 * 20)
         self.assertGreater(in_time, 0.98 * served)
 
@@ -118,10 +118,10 @@
             now = tick / 1000
             offer(queue, make_entry(str(tick), at=now), now)
             started, _ = ranked.start(queue, now)
-            for entry in started:
+            for queued in started:
                 sent.append(now)
                 ranked.finish(
-                    queue, entry.call, ran_ms=1.0, failed=False, now=0.0
+                    queue, queued.call, ran_ms=1.0, failed=False, now=0.0
                 )
         for first in sent:
             count = sum(first <= at < first + 1.0 for at in sent)
@@ -132,10 +132,10 @@
         """Guards against sending on to a server that has no room."""
         queue = make_queue(slots=10)
         for index in range(8):
-            ranked.add(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_entry(str(index)))
         ranked.start(queue, 0.0)
         ranked.finish(queue, "7", ran_ms=None, failed=False, now=0.0)
-        ranked.note_rejection(queue, 0.0)
+        ranked.record_rejection(queue, 0.0)
         self.assertEqual(7, ranked.current_limit(queue, 0.0))
         self.assertEqual(10, ranked.current_limit(queue, 5.0))
 
@@ -146,32 +146,32 @@
         full; in a trial the limit fell to 1 and stayed there.
         """
         queue = make_queue(slots=10)
-        ranked.add(queue, make_entry("a"))
+        ranked.enqueue(queue, make_entry("a"))
         ranked.start(queue, 0.0)
         ranked.finish(queue, "a", ran_ms=None, failed=False, now=0.0)
-        ranked.note_rejection(queue, 0.0)
+        ranked.record_rejection(queue, 0.0)
         self.assertEqual(10, ranked.current_limit(queue, 0.0))
 
     def test_hopeless_requests_are_refused_from_the_queue(self):
         """Guards against runs whose answer comes after the deadline."""
         queue = make_queue(slots=1)
-        ranked.add(queue, make_entry("late", left=0.2))
+        ranked.enqueue(queue, make_entry("late", left=0.2))
         started, refused = ranked.start(queue, 0.19)
         self.assertEqual([], started)
-        self.assertEqual(["late"], [entry.call for entry, _ in refused])
+        self.assertEqual(["late"], [queued.call for queued, _ in refused])
 
     def test_server_without_answers_is_told(self):
         """Guards against callers that take a hung server for a busy one."""
         queue = make_queue()
-        self.assertEqual(0, ranked.describe(queue, 5.0).quiet_ms)
+        self.assertEqual(0, ranked.describe_load(queue, 5.0).quiet_ms)
         for name, now in (("a", 5.0), ("b", 5.1)):
             offer(queue, make_entry(name, at=now), now)
             ranked.start(queue, now)
-        self.assertEqual(500, ranked.describe(queue, 5.5).quiet_ms)
+        self.assertEqual(500, ranked.describe_load(queue, 5.5).quiet_ms)
         ranked.finish(queue, "a", ran_ms=600.0, failed=False, now=5.6)
-        self.assertEqual(100, ranked.describe(queue, 5.7).quiet_ms)
+        self.assertEqual(100, ranked.describe_load(queue, 5.7).quiet_ms)
         ranked.finish(queue, "b", ran_ms=None, failed=False, now=5.8)
-        self.assertEqual(0, ranked.describe(queue, 9.0).quiet_ms)
+        self.assertEqual(0, ranked.describe_load(queue, 9.0).quiet_ms)
 
     def test_failures_are_forgotten_while_nobody_calls(self):
         """Guards against a server that is never tried again.
@@ -180,9 +180,9 @@
         """
         queue = make_queue()
         for index in range(30):
-            ranked.add(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_entry(str(index)))
             ranked.start(queue, 0.0)
             ranked.finish(queue, str(index), ran_ms=None, failed=True, now=1.0)
-        self.assertGreater(ranked.describe(queue, 1.0).failing, 0.8)
+        self.assertGreater(ranked.describe_load(queue, 1.0).failing, 0.8)
         later = 1.0 + 2 * ranked.FAILING_HALF_LIFE_SECONDS
-        self.assertLess(ranked.describe(queue, later).failing, 0.25)
+        self.assertLess(ranked.describe_load(queue, later).failing, 0.25)
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -8,26 +8,26 @@
 __all__ = ["PlacementTest"]
 
 
-def make(name, *, near=True, silent=0.0, cold=False):
+def make(name, *, local=True, silent=0.0, cold=False):
     return placement.Candidate(
         node=name,
         backend=name,
-        same_data_centre=near,
+        same_data_centre=local,
         silent_seconds=silent,
         cold=cold,
     )
 
 
-def choose(speeds, candidates, now=0.0):
-    found = placement.order(
-        speeds, candidates, route="r", objective_ms=500, now=now
+def choose(latency_model, candidates, now=0.0):
+    found = placement.rank_candidates(
+        latency_model, candidates, route="r", objective_ms=500, now=now
     )
     return found[0].node
 
 
-def report(speeds, name, running, limit=12, usual_ms=160.0, **load):
-    placement.learn_load(
-        speeds,
+def report(latency_model, name, running, limit=12, usual_ms=160.0, **load):
+    placement.record_load(
+        latency_model,
         backend=name,
         running=running,
         queued=0,
@@ -39,59 +39,59 @@
 
 class PlacementTest(unittest.TestCase):
     def setUp(self):
-        self.speeds = placement.Speeds()
-        self.speeds.routes["r"] = 160.0
+        self.latency_model = placement.LatencyModel()
+        self.latency_model.routes["r"] = 160.0
 
-    def test_prefers_the_faster_copy(self):
-        """Guards against slow copies that get as much as fast ones."""
+    def test_prefers_the_faster_server(self):
+        """Guards against slow servers that get as much as fast ones."""
         for _ in range(50):
             for name, ran_ms in (("slow", 256.0), ("fast", 112.0)):
-                placement.learn_time(
-                    self.speeds, route="r", backend=name, ran_ms=ran_ms
+                placement.record_latency(
+                    self.latency_model, route="r", backend=name, ran_ms=ran_ms
                 )
-        report(self.speeds, "slow", 4)
-        report(self.speeds, "fast", 4)
-        found = choose(self.speeds, [make("slow"), make("fast")])
+        report(self.latency_model, "slow", 4)
+        report(self.latency_model, "fast", 4)
+        found = choose(self.latency_model, [make("slow"), make("fast")])
         self.assertEqual("fast", found)
 
     def test_reports_tell_the_speed_before_own_requests(self):
-        """Guards against slow copies in a fleet where each node calls few.
+        """Guards against slow servers in a fleet where each node calls few.
 
-        Load: 80 nodes call 41 copies, so that a node sends each copy one
-        request in three seconds.
+        Load: 80 nodes call 41 backend servers, so that a node sends each
+        backend server one request in three seconds.
         """
-        report(self.speeds, "slow", 3, usual_ms=330.0, served=20)
-        report(self.speeds, "fast", 5, usual_ms=150.0, served=20)
+        report(self.latency_model, "slow", 3, usual_ms=330.0, served=20)
+        report(self.latency_model, "fast", 5, usual_ms=150.0, served=20)
         pair = [make("slow"), make("fast")]
-        self.assertEqual("fast", choose(self.speeds, pair))
+        self.assertEqual("fast", choose(self.latency_model, pair))
 
-    def test_reported_failures_set_a_copy_aside(self):
-        """Guards against a faulty copy that each node has to find itself."""
-        report(self.speeds, "grey", 1, failing=0.4)
-        report(self.speeds, "sound", 6)
+    def test_reported_failures_set_a_server_aside(self):
+        """Guards against a faulty server that each node has to find itself."""
+        report(self.latency_model, "grey", 1, failing=0.4)
+        report(self.latency_model, "sound", 6)
         pair = [make("grey"), make("sound")]
-        self.assertEqual("sound", choose(self.speeds, pair))
+        self.assertEqual("sound", choose(self.latency_model, pair))
 
     def test_started_server_is_used_once_the_others_are_full(self):
         """Guards against requests that are late at a cold server.
 
         Load: a release starts idle servers beside others that are half full.
         """
-        report(self.speeds, "cold", 0)
+        report(self.latency_model, "cold", 0)
         pair = [make("cold", cold=True), make("warm")]
-        report(self.speeds, "warm", 6)
-        self.assertEqual("warm", choose(self.speeds, pair))
-        report(self.speeds, "warm", 30)
-        self.assertEqual("cold", choose(self.speeds, pair))
+        report(self.latency_model, "warm", 6)
+        self.assertEqual("warm", choose(self.latency_model, pair))
+        report(self.latency_model, "warm", 30)
+        self.assertEqual("cold", choose(self.latency_model, pair))
 
     def test_silent_slow_or_failing_server_is_suspect(self):
         """Guards against waiting for a server that hangs."""
 
         def suspect(**changes):
             values = {"served": 30, "usual_ms": 100.0, **changes}
-            report(self.speeds, "s", 4, **values)
+            report(self.latency_model, "s", 4, **values)
             return placement.is_suspect(
-                self.speeds, "s", now=0.0, mean_ms=100.0
+                self.latency_model, "s", now=0.0, mean_ms=100.0
             )
 
         self.assertFalse(suspect())
@@ -101,73 +101,73 @@
         self.assertTrue(suspect(failing=0.3))
 
     def test_few_reported_requests_tell_little(self):
-        """Guards against one long request that sets a copy aside."""
-        report(self.speeds, "unlucky", 0, usual_ms=480.0, served=1)
-        report(self.speeds, "usual", 8, usual_ms=160.0, served=20)
-        copy = self.speeds.copy("unlucky")
-        self.assertLess(placement.relative_speed(copy, 320.0), 1.2)
+        """Guards against one long request that sets a backend server aside."""
+        report(self.latency_model, "unlucky", 0, usual_ms=480.0, served=1)
+        report(self.latency_model, "usual", 8, usual_ms=160.0, served=20)
+        server = self.latency_model.server("unlucky")
+        self.assertLess(placement.relative_speed(server, 320.0), 1.2)
 
     def test_own_requests_outweigh_a_report_of_other_routes(self):
-        """Guards against a copy that is judged by its short requests."""
+        """Guards against a server that is judged by its short requests."""
         for _ in range(60):
-            placement.learn_time(
-                self.speeds, route="r", backend="steady", ran_ms=160.0
+            placement.record_latency(
+                self.latency_model, route="r", backend="steady", ran_ms=160.0
             )
-        report(self.speeds, "steady", 0, usual_ms=320.0, served=30)
-        copy = self.speeds.copy("steady")
-        self.assertLess(placement.relative_speed(copy, 160.0), 1.5)
+        report(self.latency_model, "steady", 0, usual_ms=320.0, served=30)
+        server = self.latency_model.server("steady")
+        self.assertLess(placement.relative_speed(server, 160.0), 1.5)
 
     def test_stays_in_the_data_centre_for_a_short_wait(self):
         """Guards against bytes that are paid for without need."""
-        placement.learn_size(self.speeds, route="r", size=5000)
-        report(self.speeds, "near", 10)
-        report(self.speeds, "far", 0)
-        pair = [make("near"), make("far", near=False)]
-        self.assertEqual("near", choose(self.speeds, pair))
+        placement.record_size(self.latency_model, route="r", size=5000)
+        report(self.latency_model, "near", 10)
+        report(self.latency_model, "far", 0)
+        pair = [make("near"), make("far", local=False)]
+        self.assertEqual("near", choose(self.latency_model, pair))
 
     def test_leaves_the_data_centre_for_a_full_server(self):
         """Guards against a queue while others are idle."""
-        placement.learn_size(self.speeds, route="r", size=5000)
-        report(self.speeds, "near", 60)
-        report(self.speeds, "far", 0)
-        pair = [make("near"), make("far", near=False)]
-        self.assertEqual("far", choose(self.speeds, pair))
+        placement.record_size(self.latency_model, route="r", size=5000)
+        report(self.latency_model, "near", 60)
+        report(self.latency_model, "far", 0)
+        pair = [make("near"), make("far", local=False)]
+        self.assertEqual("far", choose(self.latency_model, pair))
 
-    def test_avoids_a_failing_copy_and_tries_it_again(self):
-        """Guards against a faulty copy that is chosen for its speed.
+    def test_avoids_a_failing_server_and_tries_it_again(self):
+        """Guards against a faulty backend server that is chosen for its speed.
 
         After some seconds without evidence it gets a request again.
         """
         for name in ("bad", "good"):
-            report(self.speeds, name, 2 if name == "good" else 0)
+            report(self.latency_model, name, 2 if name == "good" else 0)
         for _ in range(10):
-            placement.learn_failure(
-                self.speeds, backend="bad", failed=True, now=0.0
+            placement.record_outcome(
+                self.latency_model, backend="bad", failed=True, now=0.0
             )
         pair = [make("bad"), make("good")]
-        self.assertEqual("good", choose(self.speeds, pair))
-        self.assertEqual("bad", choose(self.speeds, pair, now=60.0))
+        self.assertEqual("good", choose(self.latency_model, pair))
+        self.assertEqual("bad", choose(self.latency_model, pair, now=60.0))
 
     def test_avoids_a_silent_node(self):
         """Guards against requests to a node that was cut off or froze."""
         pair = [make("silent", silent=2.5), make("heard")]
-        report(self.speeds, "silent", 0)
-        report(self.speeds, "heard", 6)
-        self.assertEqual("heard", choose(self.speeds, pair))
+        report(self.latency_model, "silent", 0)
+        report(self.latency_model, "heard", 6)
+        self.assertEqual("heard", choose(self.latency_model, pair))
 
     def test_load_is_spread_between_reports(self):
-        """Guards against all requests to one copy until its next report.
+        """Guards against all requests to one server until its next report.
 
-        Load: 24 requests between two reports, two copies with 12 slots.
+        Load: 24 requests between two reports, two servers with 12 slots.
         """
         draws = random.Random(1)
         pair = [make("a"), make("b")]
         draws.shuffle(pair)
         for name in ("a", "b"):
-            report(self.speeds, name, 0)
+            report(self.latency_model, name, 0)
         counts = {"a": 0, "b": 0}
         for _ in range(24):
-            name = choose(self.speeds, pair)
-            placement.note_sent(self.speeds, name)
+            name = choose(self.latency_model, pair)
+            placement.record_sent(self.latency_model, name)
             counts[name] += 1
         self.assertEqual({"a": 12, "b": 12}, counts)
--- a/tests/sidecar/test_load_balancer.py
+++ b/tests/sidecar/test_load_balancer.py
@@ -57,14 +57,14 @@
 
     async def test_given_up_server_becomes_slow(self):
         """Guards against a hung server that keeps its good name."""
-        self.balancer.speeds.routes["r"] = 10.0
+        self.balancer.latency_model.routes["r"] = 10.0
         active = types.SimpleNamespace(route=types.SimpleNamespace(name="r"))
         attempt = active_requests.Attempt(
             node="n1", backend="b1", sent_at=self.balancer.loop.time() - 1.0
         )
         for _ in range(5):
             self.balancer.record_cancelled(active, attempt)
-        self.assertGreater(self.balancer.speeds.copy("b1").speed, 2.0)
+        self.assertGreater(self.balancer.latency_model.server("b1").speed, 2.0)
 
     async def test_turns_spread_evenly(self):
         """Guards against a share of a new version that comes in clumps."""
