--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -8,7 +8,14 @@
 from apricotpost import model
 from apricotpost import wire
 
-__all__ = ["expire", "handle", "hear", "live_names", "maintain", "send_to"]
+__all__ = [
+    "expire",
+    "handle",
+    "record_contact",
+    "live_names",
+    "maintain",
+    "send_to",
+]
 
 
 def handle(
@@ -30,18 +37,18 @@
         return state, _list_members(state, event.reply_to)
     if isinstance(message, wire.ConfigDigest):
         sender, version = message.sender, message.version
-        return _hear_version(state, sender, version, now), ()
+        return _record_version(state, sender, version, now), ()
     return state, ()
 
 
-def hear(
+def record_contact(
     state: members.Membership,
     message: wire.Ping | wire.Ack,
     now: float,
 ) -> members.Membership:
     """Take over what a probe or its answer tells."""
     state = records.merge(state, message.records, now)
-    return _hear_version(state, message.sender, message.version, now)
+    return _record_version(state, message.sender, message.version, now)
 
 
 def live_names(state: members.Membership) -> list[str]:
@@ -147,7 +154,7 @@
     return state, tuple(actions)
 
 
-def _hear_version(
+def _record_version(
     state: members.Membership, sender: str, version: int, now: float
 ) -> members.Membership:
     known = state.members.get(sender)
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -11,13 +11,13 @@
     "Fleet",
     "KnownNode",
     "is_reader",
-    "learn",
+    "record_state",
     "live_nodes",
-    "move",
+    "set_address",
     "newest_orders",
     "silent_data_centres",
     "probe_seconds",
-    "touch",
+    "record_contact",
 ]
 
 # States come every half a second within a data centre; two may be late.
@@ -33,7 +33,7 @@
     """Newest state of a node, and when it was heard, in monotonic seconds."""
 
     state: wire.NodeState
-    heard: float
+    heard_at: float
 
 
 class Fleet:
@@ -51,7 +51,7 @@
         self.nodes: dict[str, KnownNode] = {}
 
 
-def learn(
+def record_state(
     fleet: Fleet, state: wire.NodeState, now: float, *, age: float = 0.0
 ) -> bool:
     """Take a state and tell whether the node's process is a new one.
@@ -74,18 +74,18 @@
         newest = (known.state.boot, known.state.sequence)
         if (state.boot, state.sequence) <= newest:
             return False
-    fleet.nodes[state.node] = KnownNode(state=state, heard=now - age)
+    fleet.nodes[state.node] = KnownNode(state=state, heard_at=now - age)
     return known is None or known.state.boot != state.boot
 
 
-def touch(fleet: Fleet, node: str, now: float) -> None:
+def record_contact(fleet: Fleet, node: str, now: float) -> None:
     """Note a sign of life that is not a state."""
     known = fleet.nodes.get(node)
     if known is not None:
-        fleet.nodes[node] = dataclasses.replace(known, heard=now)
+        fleet.nodes[node] = dataclasses.replace(known, heard_at=now)
 
 
-def move(fleet: Fleet, node: str, address: str) -> None:
+def set_address(fleet: Fleet, node: str, address: str) -> None:
     """Note the address at which a silent node has registered."""
     known = fleet.nodes[node]
     state = msgspec.structs.replace(known.state, address=address)
@@ -97,7 +97,7 @@
 ) -> Iterable[wire.NodeState]:
     """Yield the nodes that were heard within a time, in seconds."""
     for known in fleet.nodes.values():
-        if now - known.heard <= within:
+        if now - known.heard_at <= within:
             yield known.state
 
 
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -76,7 +76,7 @@
     message = event.message
     if isinstance(message, wire.Ping):
         known = message.sender in state.members
-        state = exchanges.hear(state, message, now)
+        state = exchanges.record_contact(state, message, now)
         state, updates = records.take_updates(
             state, message.sender, message.records
         )
@@ -99,7 +99,7 @@
 def _acknowledge(
     state: members.Membership, message: wire.Ack, now: float
 ) -> members.Step:
-    state = exchanges.hear(state, message, now)
+    state = exchanges.record_contact(state, message, now)
     if not message.known:
         state = records.put(state, state.record, now)
     probe = state.probe
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -21,15 +21,15 @@
 from apricotpost import wire
 
 __all__ = [
-    "FAR_SILENT_SECONDS",
+    "REMOTE_SILENT_SECONDS",
     "RELAYS",
-    "far_servers",
-    "far_targets",
-    "fresh_states",
+    "remote_servers",
+    "remote_targets",
+    "recent_states",
     "is_relay",
     "pack_states",
     "relays_of",
-    "sends_all",
+    "sends_full_round",
     "unpack_states",
 ]
 
@@ -49,15 +49,15 @@
 MAX_PACKED_BYTES = 4 * 1024 * 1024
 # States of other data centres are sent each second and are up to half a
 # second old by then; one of them may be lost.
-FAR_SILENT_SECONDS = 3.2
+REMOTE_SILENT_SECONDS = 3.2
 # Backend servers of a service and version that a node can call in each of
 # the other data centres together.
-FAR_SERVERS = 6
+REMOTE_SERVERS = 6
 # As many if its own data centre has nearly none, so that fast ones are among
 # them and the load spreads.
-FAR_SERVERS_ALONE = 18
+REMOTE_SERVERS_ALONE = 18
 # Backend servers of a service in the own data centre that are few.
-FEW_NEAR = 2
+FEW_LOCAL = 2
 # Older states are not forwarded: the node is silent or gone.
 FORWARD_SECONDS = 5.0
 
@@ -66,7 +66,7 @@
     known: fleet.Fleet, data_centre: str, now: float
 ) -> tuple[str, ...]:
     """Return the relays of a data centre: its first live nodes by name."""
-    within = FAR_SILENT_SECONDS
+    within = REMOTE_SILENT_SECONDS
     if data_centre == known.data_centre:
         within = fleet.SILENT_SECONDS
     found = sorted(
@@ -74,7 +74,7 @@
         for name, node in known.nodes.items()
         if node.state.data_centre == data_centre
         and not node.state.leaving
-        and (name == known.node or now - node.heard <= within)
+        and (name == known.node or now - node.heard_at <= within)
     )
     return tuple(found[:RELAYS])
 
@@ -84,7 +84,7 @@
     return known.node in relays_of(known, known.data_centre, now)
 
 
-def far_targets(known: fleet.Fleet, now: float) -> tuple[str, ...]:
+def remote_targets(known: fleet.Fleet, now: float) -> tuple[str, ...]:
     """Return the nodes to which this relay sends its data centre's states.
 
     The first relay serves the first ones of the other data centres, the
@@ -96,7 +96,7 @@
         return ()
     place = own.index(known.node)
     found: list[str] = []
-    for data_centre in _far_data_centres(known):
+    for data_centre in _remote_data_centres(known):
         relays = relays_of(known, data_centre, now)
         if not relays:
             relays = _silent_node(known, data_centre, now, place)
@@ -107,7 +107,7 @@
     return tuple(found)
 
 
-def sends_all(known: fleet.Fleet, now: float, number: int) -> bool:
+def sends_full_round(known: fleet.Fleet, now: float, number: int) -> bool:
     """Tell whether this relay sends all states in a round.
 
     Parameters
@@ -146,7 +146,7 @@
         ) from error
 
 
-def fresh_states(
+def recent_states(
     known: fleet.Fleet,
     now: float,
     *,
@@ -165,17 +165,17 @@
     """
     return tuple(
         wire.AgedState(
-            state=node.state, age_ms=max(int((now - node.heard) * 1000), 0)
+            state=node.state, age_ms=max(int((now - node.heard_at) * 1000), 0)
         )
         for node in known.nodes.values()
         if node.state.data_centre == known.data_centre
         and node.state.boot
-        and now - node.heard <= FORWARD_SECONDS
+        and now - node.heard_at <= FORWARD_SECONDS
         and wanted(node.state)
     )
 
 
-def far_servers(
+def remote_servers(
     known: fleet.Fleet,
     now: float,
     *,
@@ -201,8 +201,8 @@
     """
     whole = frozenset(all_of)
     called = frozenset(services)
-    near: dict[tuple[str, str], int] = {}
-    far: dict[tuple[str, str], list[str]] = {}
+    local: dict[tuple[str, str], int] = {}
+    remote: dict[tuple[str, str], list[str]] = {}
     for name, node in known.nodes.items():
         state = node.state
         server = state.server
@@ -212,19 +212,19 @@
             or not server.ready
             or state.leaving
             or state.data_centre in evacuated
-            or now - node.heard > FAR_SILENT_SECONDS
+            or now - node.heard_at > REMOTE_SILENT_SECONDS
         ):
             continue
         group = (server.service, server.version)
         if state.data_centre == known.data_centre:
-            near[group] = near.get(group, 0) + 1
+            local[group] = local.get(group, 0) + 1
         else:
-            far.setdefault(group, []).append(name)
+            remote.setdefault(group, []).append(name)
     found: set[str] = set()
-    for group, names in far.items():
+    for group, names in remote.items():
         names.sort(key=lambda name: _score(known.node, name))
-        alone = near.get(group, 0) <= FEW_NEAR
-        count = FAR_SERVERS_ALONE if alone else FAR_SERVERS
+        alone = local.get(group, 0) <= FEW_LOCAL
+        count = REMOTE_SERVERS_ALONE if alone else REMOTE_SERVERS
         found.update(names if group in whole else names[:count])
     return found
 
@@ -235,7 +235,7 @@
 _DECODER = msgspec.msgpack.Decoder(tuple[wire.AgedState, ...])
 
 
-def _far_data_centres(known: fleet.Fleet) -> list[str]:
+def _remote_data_centres(known: fleet.Fleet) -> list[str]:
     found = {node.state.data_centre for node in known.nodes.values()}
     return sorted(found - {known.data_centre})
 
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -118,7 +118,7 @@
                 join_jitter_seconds=options.times.join_seconds,
             ),
         ),
-        roster=spread.make_roster(members, seeds),
+        cluster=spread.make_cluster_view(members, seeds),
     )
 
 
@@ -140,7 +140,7 @@
         control_records.handle(
             task, membership.Tick(draw=task.rng.getrandbits(32))
         )
-    if now >= spread.next_tick(task.distribution, task.roster):
+    if now >= spread.next_tick(task.distribution, task.cluster):
         control_config.handle(task, spread.Tick())
     if now - task.housekept_at >= HOUSEKEEPING_SECONDS:
         task.housekept_at = now
@@ -151,7 +151,7 @@
 def _wait_ms(task: control_state.ControlTask) -> int:
     due = min(
         membership.next_tick(task.members),
-        spread.next_tick(task.distribution, task.roster),
+        spread.next_tick(task.distribution, task.cluster),
     )
     wait = min(max(due - time.monotonic(), 0.0), MAX_WAIT_SECONDS)
     return int(wait * 1000) + 1
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -28,7 +28,7 @@
         task.distribution,
         event,
         now,
-        roster=task.roster,
+        cluster=task.cluster,
         draw=task.rng.getrandbits(32),
     )
     for action in actions:
@@ -73,14 +73,14 @@
         for record in judges.find_judges(own.service, instances):
             if record.instance != own.instance:
                 addresses[record.instance] = record.control_address
-    task.deliveries, parcels = judges.plan_reports(
-        task.deliveries, evidence, tuple(addresses), now
+    task.sent_reports, reports = judges.plan_reports(
+        task.sent_reports, evidence, tuple(addresses), now
     )
-    for parcel in parcels:
+    for planned in reports:
         report = wire.EvidenceReport(
-            sender=own.instance, evidence=parcel.evidence, full=parcel.full
+            sender=own.instance, evidence=planned.evidence, full=planned.full
         )
-        control_peers.send(task.peers, addresses[parcel.judge], report, now)
+        control_peers.send(task.peers, addresses[planned.judge], report, now)
 
 
 def describe(task: control_state.ControlTask) -> wire.StatusReply:
--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -43,7 +43,9 @@
             )
     if task.members.revision != before.revision:
         _report_changes(task, before.members)
-        task.roster = spread.make_roster(task.members, task.roster.seeds)
+        task.cluster = spread.make_cluster_view(
+            task.members, task.cluster.seeds
+        )
         publish(task)
 
 
--- a/apricotpost/node/control_state.py
+++ b/apricotpost/node/control_state.py
@@ -27,7 +27,7 @@
         When it last changed, in monotonic seconds.
     watched : dict
         Services whose rollout was open, and until when it counts as such.
-    deliveries : Deliveries
+    sent_reports : SentReports
         Evidence that the judges of the open rollout were sent.
     """
 
@@ -39,14 +39,14 @@
     rollout: wire.sockets.Socket
     members: membership.Membership
     distribution: spread.SpreadState
-    roster: spread.Roster
+    cluster: spread.ClusterView
     announced: wire.BackendServerAnnounced | None = None
     announced_at: float = 0.0
     backend_server_up: bool = False
     leaving: bool = False
     load: model.Load | None = None
     watched: dict[str, float] = dataclasses.field(default_factory=dict)
-    deliveries: judges.Deliveries = judges.Deliveries()
+    sent_reports: judges.SentReports = judges.SentReports()
     table_reads: int = 0
     refusals: int = 0
     housekept_at: float = 0.0
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -50,7 +50,7 @@
     workers: list[threading.Thread]
     metrics: metrics.Recorder
     reported_at: float = 0.0
-    tally: evidence.Tally = evidence.Tally()
+    outcomes: evidence.OutcomeCounts = evidence.OutcomeCounts()
 
 
 def run(
@@ -283,7 +283,7 @@
     )
     call = waiting.call
     key = (call.service, call.version, call.route)
-    task.tally = evidence.count(task.tally, key, finished)
+    task.outcomes = evidence.count(task.outcomes, key, finished)
 
 
 def _describe(task: _Task) -> wire.GateReport:
@@ -292,7 +292,7 @@
         backend_server_up=task.state.announced is not None
         and not task.state.announced.leaving,
         evidence=evidence.describe(
-            task.tally, instance=task.instance, epoch=task.epoch
+            task.outcomes, instance=task.instance, epoch=task.epoch
         ),
     )
 
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -70,39 +70,39 @@
     held: str = ""
 
 
-def act(holder: Holder, sight: watch.Sight | None) -> None:
+def act(holder: Holder, observation: watch.Observation | None) -> None:
     """Do what the open rollout needs, if this node is to be its holder.
 
     Parameters
     ----------
     holder : Holder
         Changed in place.
-    sight : Sight, optional
+    observation : Observation, optional
         The open rollout; without one nothing touches the table but the
         release of a lease.
     """
-    if sight is None or not sight.is_first:
+    if observation is None or not observation.is_first:
         leave(holder)
         return
     if holder.clock() < holder.retry_at:
         return
     try:
-        lease = _hold_lease(holder, sight.rollout.service)
-        if _is_behind(holder, sight.snapshot):
+        lease = _hold_lease(holder, observation.rollout.service)
+        if _is_behind(holder, observation.snapshot):
             return
-        decision = _decide(holder, sight)
+        decision = _decide(holder, observation)
         if isinstance(decision, steps.Hold):
-            _log_hold(holder, sight, decision)
+            _log_hold(holder, observation, decision)
             return
-        _carry_out(holder, sight, lease, decision)
+        _carry_out(holder, observation, lease, decision)
         holder.failures = 0
     except errors.LeaseLost as error:
-        _drop_lease(holder, sight, error)
+        _drop_lease(holder, observation, error)
     except errors.ChangeConflict:
         # An operator's change came first; the decision is made anew on it.
-        _await(holder, sight.snapshot.version + 1)
+        _await(holder, observation.snapshot.version + 1)
     except errors.ApricotpostError as error:
-        _back_off(holder, sight, error)
+        _back_off(holder, observation, error)
 
 
 def leave(holder: Holder) -> None:
@@ -155,11 +155,11 @@
     holder.committed(version, delta)
 
 
-def _decide(holder: Holder, sight: watch.Sight) -> steps.Decision:
+def _decide(holder: Holder, observation: watch.Observation) -> steps.Decision:
     return steps.decide(
-        sight.rollout,
-        sight.judgement,
-        sight.facts,
+        observation.rollout,
+        observation.judgement,
+        observation.facts,
         holder.clock(),
         holder.times,
     )
@@ -167,26 +167,28 @@
 
 def _carry_out(
     holder: Holder,
-    sight: watch.Sight,
+    observation: watch.Observation,
     lease: storage.leases.Lease,
     decision: steps.Decision,
 ) -> None:
     now = holder.clock()
     change = rollout_changes.make_change(
-        sight,
+        observation,
         decision,
         holder=holder.name,
         fence=storage.leases.fence_of(lease),
         now=now,
     )
     version = storage.commit(holder.store, change)
-    _log_commit(sight, decision)
+    _log_commit(observation, decision)
     holder.held = ""
     _await(holder, version, config.compute_delta(change.before, change.after))
 
 
-def _log_commit(sight: watch.Sight, decision: steps.Decision) -> None:
-    rollout = sight.rollout.identifier
+def _log_commit(
+    observation: watch.Observation, decision: steps.Decision
+) -> None:
+    rollout = observation.rollout.identifier
     if isinstance(decision, steps.Withdraw):
         events.emit(
             LOG,
@@ -204,7 +206,7 @@
 
 
 def _log_hold(
-    holder: Holder, sight: watch.Sight, decision: steps.Hold
+    holder: Holder, observation: watch.Observation, decision: steps.Hold
 ) -> None:
     """Log a reason once, not each time that a figure in it changes."""
     kind = _DIGITS.sub("", decision.reason)
@@ -214,19 +216,21 @@
     events.emit(
         LOG,
         events.ROLLOUT_HELD,
-        rollout=sight.rollout.identifier,
+        rollout=observation.rollout.identifier,
         reason=decision.reason,
     )
 
 
 def _drop_lease(
-    holder: Holder, sight: watch.Sight, error: errors.ApricotpostError
+    holder: Holder,
+    observation: watch.Observation,
+    error: errors.ApricotpostError,
 ) -> None:
     if holder.lease is not None:
         events.emit(
             LOG,
             events.LEASE_LOST,
-            service=sight.rollout.service,
+            service=observation.rollout.service,
             reason=error,
         )
     holder.lease = None
@@ -234,7 +238,9 @@
 
 
 def _back_off(
-    holder: Holder, sight: watch.Sight, error: errors.ApricotpostError
+    holder: Holder,
+    observation: watch.Observation,
+    error: errors.ApricotpostError,
 ) -> None:
     seconds = min(
         BACKOFF_MIN_SECONDS * 2.0**holder.failures, BACKOFF_MAX_SECONDS
@@ -245,7 +251,7 @@
     events.emit(
         LOG,
         events.ROLLOUT_RETRY,
-        rollout=sight.rollout.identifier,
+        rollout=observation.rollout.identifier,
         seconds=seconds,
         error=error,
     )
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -15,7 +15,7 @@
 
 
 def make_change(
-    sight: watch.Sight,
+    observation: watch.Observation,
     decision: steps.Decision,
     *,
     holder: str,
@@ -26,7 +26,7 @@
 
     Parameters
     ----------
-    sight : Sight
+    observation : Observation
         What the decision is based on.
     decision : Decision
         Step or end.
@@ -37,7 +37,7 @@
     now : float
         Unix time in seconds.
     """
-    before, rollout = sight.snapshot, sight.rollout
+    before, rollout = observation.snapshot, observation.rollout
     extra: tuple[storage.table.Write, ...] = ()
     reason = _describe(rollout, decision)
     author = f"rollout at {holder}"
@@ -47,7 +47,7 @@
         after = rollouts.end_rollout(
             before, rollout, done=done, reason=text, now=now
         )
-        extra = (_outcome_write(sight, after, author),)
+        extra = (_outcome_write(observation, after, author),)
     else:
         share = model.TOTAL_SHARE
         if isinstance(decision, steps.Advance):
@@ -69,17 +69,17 @@
 
 
 def _outcome_write(
-    sight: watch.Sight, after: model.Snapshot, author: str
+    observation: watch.Observation, after: model.Snapshot, author: str
 ) -> storage.table.Put:
     ended = next(
         entry
         for entry in after.rollouts
-        if entry.identifier == sight.rollout.identifier
+        if entry.identifier == observation.rollout.identifier
     )
     return storage.outcomes.outcome_write(
-        sight.rollout,
+        observation.rollout,
         ended,
-        evidence=sight.judgement.summary,
+        evidence=observation.judgement.summary,
         author=author,
     )
 
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -139,14 +139,14 @@
 def _look(task: _Task) -> None:
     """Judge first: a withdrawal must not wait for the table."""
     now = time.time()
-    task.seen, sight = watch.look(
+    task.seen, observation = watch.evaluate(
         task.seen, task.current.view, instance=task.instance, now=now
     )
-    if sight is not None:
-        _log_start(task, sight.rollout)
-        if sight.judgement.bad and not sight.facts.withdrawn:
-            _withdraw(task, sight, now)
-    holders.act(task.holder, sight)
+    if observation is not None:
+        _log_start(task, observation.rollout)
+        if observation.judgement.bad and not observation.facts.withdrawn:
+            _withdraw(task, observation, now)
+    holders.act(task.holder, observation)
 
 
 def _log_start(task: _Task, rollout: model.Rollout) -> None:
@@ -163,22 +163,22 @@
     )
 
 
-def _withdraw(task: _Task, sight: watch.Sight, now: float) -> None:
+def _withdraw(task: _Task, observation: watch.Observation, now: float) -> None:
     """Tell control, again each second until the view has it."""
-    rollout = sight.rollout
+    rollout = observation.rollout
     if task.reported_bad != rollout.identifier:
         task.reported_bad = rollout.identifier
         events.emit(
             LOG,
             events.ROLLOUT_BAD,
             version=rollout.new,
-            reason=sight.judgement.bad,
+            reason=observation.judgement.bad,
         )
     notice = model.Withdrawal(
         rollout=rollout.identifier,
         service=rollout.service,
         version=rollout.new,
-        reason=sight.judgement.bad,
+        reason=observation.judgement.bad,
         at=now,
     )
     wire.sockets.send(
--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -11,18 +11,18 @@
 __all__ = [
     "BOUNDS_MS",
     "BOUNDS_MS",
-    "Book",
+    "EvidenceStore",
     "CallKind",
     "Counts",
     "Finished",
-    "Tally",
+    "OutcomeCounts",
     "add",
     "bucket_of",
     "classify",
     "count",
     "describe",
-    "drain",
-    "forget",
+    "take_undrained",
+    "remove_instances",
     "increment",
     "receive",
     "subtract",
@@ -97,7 +97,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Tally:
+class OutcomeCounts:
     """Cumulative counts of one gate by service, version and route."""
 
     counts: Mapping[Key, Counts] = dataclasses.field(default_factory=dict)
@@ -105,22 +105,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Book:
+class EvidenceStore:
     """What a rollout task received.
 
     Parameters
     ----------
-    last : mapping
+    newest : mapping
         Newest cumulative counts by instance, service, version and route.
-    fresh : mapping
-        Sums over all instances since the last `drain`, by service, version
+    undrained : mapping
+        Sums over all instances since the last `take_undrained`, by service, version
         and route.
     """
 
-    last: Mapping[tuple[str, str, str, str], model.Evidence] = (
+    newest: Mapping[tuple[str, str, str, str], model.Evidence] = (
         dataclasses.field(default_factory=dict)
     )
-    fresh: Mapping[Key, Counts] = dataclasses.field(default_factory=dict)
+    undrained: Mapping[Key, Counts] = dataclasses.field(default_factory=dict)
 
 
 def bucket_of(duration_ms: float) -> int:
@@ -156,7 +156,9 @@
     return CallKind.SUCCESS
 
 
-def count(tally: Tally, key: Key, finished: Finished) -> Tally:
+def count(
+    outcomes: OutcomeCounts, key: Key, finished: Finished
+) -> OutcomeCounts:
     """Add one finished call to a gate's counts.
 
     Latencies of a cold server are left out: they describe its age, not
@@ -164,11 +166,11 @@
     """
     kind = classify(finished)
     if kind is CallKind.NEITHER:
-        return tally
-    before = tally.counts.get(key, Counts())
+        return outcomes
+    before = outcomes.counts.get(key, Counts())
     failures = before.failures + (kind is CallKind.FAILURE)
     latencies = before.latencies
-    cold_calls = tally.cold_calls
+    cold_calls = outcomes.cold_calls
     if kind is CallKind.SUCCESS:
         cold = cold_calls.get(key, 0)
         if finished.cold and cold < MAX_COLD_CALLS:
@@ -178,11 +180,13 @@
     after = Counts(
         calls=before.calls + 1, failures=failures, latencies=latencies
     )
-    return Tally(counts={**tally.counts, key: after}, cold_calls=cold_calls)
+    return OutcomeCounts(
+        counts={**outcomes.counts, key: after}, cold_calls=cold_calls
+    )
 
 
 def describe(
-    tally: Tally, *, instance: str, epoch: int
+    outcomes: OutcomeCounts, *, instance: str, epoch: int
 ) -> tuple[model.Evidence, ...]:
     """Return a gate's counts in the form that nodes exchange."""
     return tuple(
@@ -196,11 +200,13 @@
             failures=counts.failures,
             latency_counts=counts.latencies,
         )
-        for (service, version, route), counts in tally.counts.items()
+        for (service, version, route), counts in outcomes.counts.items()
     )
 
 
-def receive(book: Book, evidence: Iterable[model.Evidence]) -> Book:
+def receive(
+    store: EvidenceStore, evidence: Iterable[model.Evidence]
+) -> EvidenceStore:
     """Account for cumulative counts from a gate.
 
     Notes
@@ -210,34 +216,40 @@
     than the known ones are dropped, so a report that arrives twice or
     late changes nothing. After a restart (higher epoch) counts start at 0.
     """
-    last = dict(book.last)
-    fresh = dict(book.fresh)
+    newest = dict(store.newest)
+    undrained = dict(store.undrained)
     for entry in evidence:
         key = (entry.instance, entry.service, entry.version, entry.route)
-        known = last.get(key)
+        known = newest.get(key)
         if known is not None and not _is_newer(entry, known):
             continue
-        last[key] = entry
-        if known is None and not _is_known(book, entry):
+        newest[key] = entry
+        if known is None and not _is_known(store, entry):
             continue
         before = Counts()
         if known is not None and known.epoch == entry.epoch:
             before = _counts_of(known)
         increment = subtract(_counts_of(entry), before)
-        fresh[key[1:]] = add(fresh.get(key[1:], Counts()), increment)
-    return Book(last=last, fresh=fresh)
+        undrained[key[1:]] = add(undrained.get(key[1:], Counts()), increment)
+    return EvidenceStore(newest=newest, undrained=undrained)
 
 
-def drain(book: Book) -> tuple[Book, Mapping[Key, Counts]]:
+def take_undrained(
+    store: EvidenceStore,
+) -> tuple[EvidenceStore, Mapping[Key, Counts]]:
     """Take the sums since the last call."""
-    return Book(last=book.last), book.fresh
+    return EvidenceStore(newest=store.newest), store.undrained
 
 
-def forget(book: Book, instances: Iterable[str]) -> Book:
+def remove_instances(
+    store: EvidenceStore, instances: Iterable[str]
+) -> EvidenceStore:
     """Keep only the counts of the given instances."""
     kept = frozenset(instances)
-    last = {key: entry for key, entry in book.last.items() if key[0] in kept}
-    return dataclasses.replace(book, last=last)
+    newest = {
+        key: entry for key, entry in store.newest.items() if key[0] in kept
+    }
+    return dataclasses.replace(store, newest=newest)
 
 
 def add(left: Counts, right: Counts) -> Counts:
@@ -253,11 +265,11 @@
     return (entry.epoch, entry.calls) > (known.epoch, known.calls)
 
 
-def _is_known(book: Book, entry: model.Evidence) -> bool:
+def _is_known(store: EvidenceStore, entry: model.Evidence) -> bool:
     """Whether this run of the instance has reported before."""
     return any(
         key[0] == entry.instance and known.epoch == entry.epoch
-        for key, known in book.last.items()
+        for key, known in store.newest.items()
     )
 
 
--- a/apricotpost/rollout/judges.py
+++ b/apricotpost/rollout/judges.py
@@ -11,9 +11,9 @@
 __all__ = [
     "FULL_SECONDS",
     "JUDGES",
-    "Deliveries",
-    "Delivery",
-    "Parcel",
+    "SentReports",
+    "SentReport",
+    "ReportPlan",
     "find_judges",
     "plan_reports",
 ]
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Delivery:
+class SentReport:
     """What a judge was sent.
 
     Parameters
@@ -42,14 +42,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Deliveries:
+class SentReports:
     """What each present judge was sent, by its name."""
 
-    by_judge: Mapping[str, Delivery] = dataclasses.field(default_factory=dict)
+    by_judge: Mapping[str, SentReport] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Parcel:
+class ReportPlan:
     """Counts that one judge is to be sent now."""
 
     judge: str
@@ -70,16 +72,16 @@
 
 
 def plan_reports(
-    state: Deliveries,
+    state: SentReports,
     evidence: tuple[model.Evidence, ...],
     judges: Sequence[str],
     now: float,
-) -> tuple[Deliveries, tuple[Parcel, ...]]:
+) -> tuple[SentReports, tuple[ReportPlan, ...]]:
     """Decide which judge gets which counts.
 
     Parameters
     ----------
-    state : Deliveries
+    state : SentReports
         State before.
     evidence : tuple of Evidence
         All counts of the own gate.
@@ -89,17 +91,21 @@
     now : float
         Monotonic time in seconds.
     """
-    by_judge: dict[str, Delivery] = {}
-    parcels: list[Parcel] = []
+    by_judge: dict[str, SentReport] = {}
+    reports: list[ReportPlan] = []
     everything = frozenset(evidence)
     for judge in judges:
         known = state.by_judge.get(judge)
         if known is None or now - known.full_at >= FULL_SECONDS:
-            by_judge[judge] = Delivery(full_at=now, sent=everything)
-            parcels.append(Parcel(judge=judge, evidence=evidence, full=True))
+            by_judge[judge] = SentReport(full_at=now, sent=everything)
+            reports.append(
+                ReportPlan(judge=judge, evidence=evidence, full=True)
+            )
             continue
         by_judge[judge] = dataclasses.replace(known, sent=everything)
         changed = tuple(entry for entry in evidence if entry not in known.sent)
         if changed:
-            parcels.append(Parcel(judge=judge, evidence=changed, full=False))
-    return Deliveries(by_judge=by_judge), tuple(parcels)
+            reports.append(
+                ReportPlan(judge=judge, evidence=changed, full=False)
+            )
+    return SentReports(by_judge=by_judge), tuple(reports)
--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -25,7 +25,7 @@
     "judge_slice",
     "may_follow",
     "observe",
-    "share_of_new",
+    "new_version_share",
 ]
 
 # Part of the requests of a running trial; with the final test it stays below
@@ -134,7 +134,7 @@
     return level >= sequential.ALARM
 
 
-def share_of_new(trial: Trial, servers: int) -> float:
+def new_version_share(trial: Trial, servers: int) -> float:
     """Return the part of new requests that the new version gets.
 
     Parameters
--- a/apricotpost/rollout/watch.py
+++ b/apricotpost/rollout/watch.py
@@ -11,7 +11,7 @@
 from apricotpost.rollout import steps
 from apricotpost.rollout import verdicts
 
-__all__ = ["Sight", "Watch", "look", "receive"]
+__all__ = ["Observation", "Watch", "evaluate", "receive"]
 
 # After two full reports in a row were lost, or while this node was no judge,
 # the calls in between may belong to another step or rollout.
@@ -24,9 +24,9 @@
 
     Parameters
     ----------
-    book : Book
+    evidence_store : EvidenceStore
         Counts received.
-    heard : mapping
+    heard_at : mapping
         When each instance with counts in the book last reported, in
         monotonic seconds.
     trial : Trial, optional
@@ -35,8 +35,8 @@
         Version and Unix time since when an instance is up with it.
     """
 
-    book: evidence.Book = evidence.Book()
-    heard: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    evidence_store: evidence.EvidenceStore = evidence.EvidenceStore()
+    heard_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
     trial: verdicts.Trial | None = None
     up_since: Mapping[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict
@@ -44,7 +44,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Sight:
+class Observation:
     """An open rollout as this node sees it at one moment.
 
     Parameters
@@ -84,19 +84,21 @@
     left out of it would later count as new ones.
     """
     heard = {
-        name: at for name, at in watch.heard.items() if now - at <= GAP_SECONDS
+        name: at
+        for name, at in watch.heard_at.items()
+        if now - at <= GAP_SECONDS
     }
-    book = evidence.forget(watch.book, heard)
+    store = evidence.remove_instances(watch.evidence_store, heard)
     usable = [entry for entry in found if full or entry.instance in heard]
     heard.update((entry.instance, now) for entry in usable)
     return dataclasses.replace(
-        watch, book=evidence.receive(book, usable), heard=heard
+        watch, evidence_store=evidence.receive(store, usable), heard_at=heard
     )
 
 
-def look(
+def evaluate(
     watch: Watch, view: model.View, *, instance: str, now: float
-) -> tuple[Watch, Sight | None]:
+) -> tuple[Watch, Observation | None]:
     """Evaluate the evidence since the last look.
 
     Parameters
@@ -114,16 +116,18 @@
     -------
     watch : Watch
         State after.
-    sight : Sight, optional
+    observation : Observation, optional
         The open rollout of the own service, if there is one.
     """
     service = _service_of(view, instance)
     members = [entry for entry in view.instances if entry.service == service]
-    book, found = evidence.drain(watch.book)
+    store, found = evidence.take_undrained(watch.evidence_store)
     names = [entry.instance for entry in members]
     watch = Watch(
-        book=evidence.forget(book, names),
-        heard={name: at for name, at in watch.heard.items() if name in names},
+        evidence_store=evidence.remove_instances(store, names),
+        heard_at={
+            name: at for name, at in watch.heard_at.items() if name in names
+        },
         trial=watch.trial,
         up_since=_note_ages(watch.up_since, members, now),
     )
@@ -148,7 +152,7 @@
         now=now,
     )
     watch = dataclasses.replace(watch, trial=trial)
-    sight = Sight(
+    observation = Observation(
         snapshot=view.snapshot,
         rollout=rollout,
         judgement=verdicts.judge(trial),
@@ -161,7 +165,7 @@
         ),
         is_first=_is_first(service, members, instance),
     )
-    return watch, sight
+    return watch, observation
 
 
 def _is_first(
--- a/apricotpost/sidecar/connections.py
+++ b/apricotpost/sidecar/connections.py
@@ -59,14 +59,14 @@
             for name, node in self.known.nodes.items()
             if node.state.data_centre == self.known.data_centre
         }
-        remote = relays.far_servers(
+        remote = relays.remote_servers(
             self.known,
             now,
             services=self.called_services(),
             all_of=self.whole_versions(),
             evacuated=self.evacuated(),
         )
-        wanted = local | remote | set(relays.far_targets(self.known, now))
+        wanted = local | remote | set(relays.remote_targets(self.known, now))
         wanted.discard(self.known.node)
         return wanted
 
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -112,7 +112,7 @@
     def publish(self) -> None:
         """Send this node's state to its data centre."""
         state = self.describe()
-        fleet.learn(self.known, state, self.loop.time())
+        fleet.record_state(self.known, state, self.loop.time())
         self.servers.rebuild()
         self.send_local(state)
         self.on_state(state, False)
@@ -144,11 +144,11 @@
             Whether there is evidence.
         """
         now = self.loop.time()
-        targets = relays.far_targets(self.known, now)
+        targets = relays.remote_targets(self.known, now)
         if not targets:
             return False
-        whole = relays.sends_all(self.known, now, self.round)
-        states = relays.fresh_states(
+        whole = relays.sends_full_round(self.known, now, self.round)
+        states = relays.recent_states(
             self.known, now, wanted=lambda state: whole or bool(state.counts)
         )
         self.send_batch(targets, states)
@@ -164,8 +164,8 @@
         """Send the changed states to the other data centres."""
         changed, self.changed = self.changed, set()
         now = self.loop.time()
-        targets = relays.far_targets(self.known, now)
-        states = relays.fresh_states(
+        targets = relays.remote_targets(self.known, now)
+        states = relays.recent_states(
             self.known, now, wanted=lambda state: state.node in changed
         )
         self.send_batch(targets, states)
@@ -239,7 +239,9 @@
             self.supersede_boot(state)
             return
         before = self.known.nodes.get(state.node)
-        newer = fleet.learn(self.known, state, self.loop.time(), age=age)
+        newer = fleet.record_state(
+            self.known, state, self.loop.time(), age=age
+        )
         if self.known.nodes[state.node].state is not state:
             return
         local = state.data_centre == self.settings.data_centre
@@ -275,8 +277,11 @@
             return
         known = self.known.nodes.get(name)
         if known is not None:
-            if self.loop.time() - known.heard > relays.FAR_SILENT_SECONDS:
-                fleet.move(self.known, name, address)
+            if (
+                self.loop.time() - known.heard_at
+                > relays.REMOTE_SILENT_SECONDS
+            ):
+                fleet.set_address(self.known, name, address)
             return
         unheard = wire.NodeState(
             node=name,
@@ -289,7 +294,7 @@
             orders=0,
             server=None,
         )
-        fleet.learn(self.known, unheard, self.loop.time())
+        fleet.record_state(self.known, unheard, self.loop.time())
 
     def connect(self, name: str) -> None:
         """Open the connection to a node."""
@@ -313,14 +318,14 @@
             known is None
             or known.state.data_centre == self.settings.data_centre
             or relays.is_relay(self.known, now)
-            or now - known.heard > relays.FAR_SILENT_SECONDS
+            or now - known.heard_at > relays.REMOTE_SILENT_SECONDS
         )
 
     def remove_silent_nodes(self) -> None:
         """Drop nodes that were not heard for a long time."""
         now = self.loop.time()
         for name, known in tuple(self.known.nodes.items()):
-            if now - known.heard < FORGET_SECONDS:
+            if now - known.heard_at < FORGET_SECONDS:
                 continue
             del self.known.nodes[name]
             self.servers.rebuild()
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -232,7 +232,7 @@
 
     def handle_answer(self, name: str, message: wire.Message) -> None:
         """Take a message on a connection that this node has opened."""
-        fleet.touch(self.known, name, self.loop.time())
+        fleet.record_contact(self.known, name, self.loop.time())
         if isinstance(message, ANSWERS):
             self.dispatcher.handle_answer(message)
 
@@ -307,7 +307,7 @@
             running=len(self.gate.queue.running),
             queued=len(self.gate.queue.queue),
             store_calls=self.store.calls,
-            orders=self.orders.book.revision,
+            orders=self.orders.order_store.revision,
             servers=sum(map(len, self.servers.services.values())),
             peers=sum(link.connected for link in self.links.links.values()),
         )
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -92,7 +92,7 @@
         self.on_view = on_view
         self.rng = rng
         self.loop = asyncio.get_running_loop()
-        self.book = orders.OrderBook()
+        self.order_store = orders.OrderStore()
         self.view = views.EMPTY
         # Decoded routes of the configuration in force.
         self.routes = platform.RouteCache()
@@ -211,15 +211,17 @@
             row.key.startswith(platform.ROLLOUTS) for row in rows
         ):
             await self.before_rollouts()
-        after = self.book.revision
-        held = dict(self.book.rows)
-        news = orders.replace_all(self.book, rows, revision=page.revision)
+        after = self.order_store.revision
+        held = dict(self.order_store.rows)
+        news = orders.replace_all(
+            self.order_store, rows, revision=page.revision
+        )
         self.apply(news)
         self.push(news, held, after=after)
 
     async def watch(self) -> None:
         """Wait for changed orders and hand them to the data centre."""
-        after = self.book.revision
+        after = self.order_store.revision
         try:
             page = await self.store.watch(
                 platform.ORDERS, after, WATCH_SECONDS
@@ -229,9 +231,9 @@
             return
         if page.revision <= after:
             return
-        held = dict(self.book.rows)
+        held = dict(self.order_store.rows)
         news = orders.merge(
-            self.book,
+            self.order_store,
             map(_order_row, page.rows),
             after=after,
             revision=page.revision,
@@ -261,7 +263,7 @@
         if self.links is None or not rows:
             return
         message = wire.OrdersPush(
-            after=after, revision=self.book.revision, rows=rows
+            after=after, revision=self.order_store.revision, rows=rows
         )
         self.peers.send_local(message)
 
@@ -274,15 +276,15 @@
         rows = []
         revision = message.revision
         for packed in message.rows:
-            if patches.is_current(packed, self.book):
+            if patches.is_current(packed, self.order_store):
                 continue
             try:
-                row = patches.unpack(packed, self.book)
+                row = patches.unpack(packed, self.order_store)
             except errors.MalformedMessage as error:
                 row = None
                 events.emit(_LOG, events.LINK_MALFORMED, error=error.message)
             if row is None:
-                revision = self.book.revision
+                revision = self.order_store.revision
                 events.emit(
                     _LOG,
                     events.ORDERS_GAP,
@@ -293,29 +295,31 @@
                 continue
             rows.append(row)
         news = orders.merge(
-            self.book, rows, after=message.after, revision=revision
+            self.order_store, rows, after=message.after, revision=revision
         )
         self.apply(news)
 
     def handle_pull(self, message: wire.OrdersPull) -> None:
         """Send another node the orders that it lacks."""
-        if self.links is None or message.after >= self.book.revision:
+        if self.links is None or message.after >= self.order_store.revision:
             return
         self.links.send(
             message.node,
             wire.OrdersPush(
                 after=message.after,
-                revision=self.book.revision,
+                revision=self.order_store.revision,
                 rows=tuple(
                     patches.pack(row, None)
-                    for row in orders.changed_after(self.book, message.after)
+                    for row in orders.changed_after(
+                        self.order_store, message.after
+                    )
                 ),
             ),
         )
 
     def apply(self, news: list[wire.OrderRow]) -> None:
         """Put changed orders in force."""
-        self.peers.orders = self.book.revision
+        self.peers.orders = self.order_store.revision
         if not news:
             return
         before = self.view
@@ -330,7 +334,7 @@
         events.emit(
             _LOG,
             events.ORDERS_APPLIED,
-            revision=self.book.revision,
+            revision=self.order_store.revision,
             version=self.view.version,
             keys=[row.key for row in news][:10],
         )
@@ -346,7 +350,7 @@
         """Ask for missing orders if another node is ahead for long."""
         newest = fleet.newest_orders(self.known)
         now = self.loop.time()
-        if newest <= self.book.revision:
+        if newest <= self.order_store.revision:
             self.lagging_since = None
             return
         if self.lagging_since is None:
@@ -363,7 +367,7 @@
             return False
         for state in fleet.live_nodes(self.known, now):
             if (
-                state.orders > self.book.revision
+                state.orders > self.order_store.revision
                 and state.data_centre == self.settings.data_centre
             ):
                 return self.request_orders(state.node)
@@ -375,9 +379,9 @@
         ahead = [
             state
             for state in fleet.live_nodes(
-                self.known, now, within=relays.FAR_SILENT_SECONDS
+                self.known, now, within=relays.REMOTE_SILENT_SECONDS
             )
-            if state.orders > self.book.revision
+            if state.orders > self.order_store.revision
         ]
         local = [
             s for s in ahead if s.data_centre == self.settings.data_centre
@@ -394,7 +398,7 @@
         if self.links is None:
             return False
         message = wire.OrdersPull(
-            node=self.settings.instance, after=self.book.revision
+            node=self.settings.instance, after=self.order_store.revision
         )
         return self.links.send(node, message)
 
--- a/apricotpost/sidecar/server_index.py
+++ b/apricotpost/sidecar/server_index.py
@@ -164,4 +164,4 @@
         """Return for how many seconds a node was not heard."""
         if node == self.known.node:
             return 0.0
-        return now - self.known.nodes[node].heard
+        return now - self.known.nodes[node].heard_at
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -130,7 +130,7 @@
     others = frozenset(v for v in known if v != trial.new)
     if trial.new not in known:
         return others
-    if version_draw < trials.share_of_new(trial, servers) or not others:
+    if version_draw < trials.new_version_share(trial, servers) or not others:
         return frozenset((trial.new,))
     return others
 
--- a/apricotpost/spread/__init__.pyi
+++ b/apricotpost/spread/__init__.pyi
@@ -1,7 +1,7 @@
 from .decisions import handle as handle
 from .decisions import next_tick as next_tick
 from .decisions import start as start
-from .readers import make_roster as make_roster
+from .readers import make_cluster_view as make_cluster_view
 from .readers import rank as rank
 from .state import Action as Action
 from .state import Committed as Committed
@@ -14,7 +14,7 @@
 from .state import Received as Received
 from .state import Refused as Refused
 from .state import Reply as Reply
-from .state import Roster as Roster
+from .state import ClusterView as ClusterView
 from .state import Send as Send
 from .state import SpreadState as SpreadState
 from .state import Step as Step
--- a/apricotpost/spread/decisions.py
+++ b/apricotpost/spread/decisions.py
@@ -30,12 +30,12 @@
     )
 
 
-def next_tick(state: states.SpreadState, roster: states.Roster) -> float:
+def next_tick(state: states.SpreadState, cluster: states.ClusterView) -> float:
     """Return when the next tick is due, in monotonic seconds."""
     due = [state.digest_at]
-    if _is_reader(state, roster) and not state.reading:
+    if _is_reader(state, cluster) and not state.reading:
         due.append(state.read_at)
-    if joins.is_open(state, roster):
+    if joins.is_open(state, cluster):
         due.append(joins.next_tick(state))
     return min(due)
 
@@ -45,7 +45,7 @@
     event: states.Event,
     now: float,
     *,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     draw: int,
 ) -> states.Step:
     """Decide what follows from an event.
@@ -58,7 +58,7 @@
         What happened.
     now : float
         Monotonic clock in seconds.
-    roster : Roster
+    cluster : ClusterView
         Whom the node can reach.
     draw : int
         Seed of the random choices.
@@ -66,13 +66,15 @@
     rng = random.Random(draw)
     held = state.snapshot.version
     if isinstance(event, states.Received):
-        state, actions = _receive(state, event, now, roster, rng)
+        state, actions = _receive(state, event, now, cluster, rng)
     elif isinstance(event, states.TableRead):
-        state, actions = _take_read(state, event.found, now, roster, rng)
+        state, actions = _handle_table_read(
+            state, event.found, now, cluster, rng
+        )
     elif isinstance(event, states.Committed):
-        state, actions = _commit(state, event, now, roster, rng)
+        state, actions = _commit(state, event, now, cluster, rng)
     else:
-        state, actions = _tick(state, now, roster, rng)
+        state, actions = _tick(state, now, cluster, rng)
     if state.snapshot.version != held:
         state = notices.drop_ended(state, now)
     return joins.settle(state), actions
@@ -82,36 +84,36 @@
     state: states.SpreadState,
     event: states.Received,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     message = event.message
     if isinstance(message, wire.ConfigDelta):
-        return versions.take_deltas(
-            state, message.deltas, now, roster, rng, event.reply_to
+        return versions.handle_deltas(
+            state, message.deltas, now, cluster, rng, event.reply_to
         )
     if isinstance(message, wire.ConfigSnapshot):
-        return versions.take_snapshot(
-            state, message.snapshot, now, roster, rng
+        return versions.handle_snapshot(
+            state, message.snapshot, now, cluster, rng
         )
     if isinstance(message, wire.ConfigDigest):
         return _compare(state, message, event.reply_to, now)
     if isinstance(message, wire.ConfigRequest):
-        return versions.serve(state, message, event.reply_to, now, roster)
+        return versions.serve(state, message, event.reply_to, now, cluster)
     if isinstance(message, wire.ConfigRefused):
-        return refusals.note(state, message, roster)
+        return refusals.record(state, message, cluster)
     if isinstance(message, wire.Join):
         return state, (joins.welcome(state, event.reply_to, event.floor),)
     if isinstance(message, wire.Welcome):
-        state, actions = joins.take_welcome(
+        state, actions = joins.handle_welcome(
             state, message, event.reply_to, now
         )
-        state, more = notices.note(
-            state, message.withdrawals, now, roster, rng
+        state, more = notices.record(
+            state, message.withdrawals, now, cluster, rng
         )
         return state, (*actions, *more)
     if isinstance(message, wire.WithdrawalNotice):
-        return notices.note(state, message.withdrawals, now, roster, rng)
+        return notices.record(state, message.withdrawals, now, cluster, rng)
     return state, ()
 
 
@@ -139,11 +141,11 @@
     return state, tuple(actions)
 
 
-def _take_read(
+def _handle_table_read(
     state: states.SpreadState,
     found: wire.ConfigRead,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     policy = state.policy
@@ -159,16 +161,16 @@
         read_again=False,
         read_failures=failures,
         read_at=now + pause * (0.5 + rng.random()),
-        joining=joins.note_read(state.joining, found),
+        joining=joins.record_table_read(state.joining, found),
     )
     actions: tuple[states.Action, ...] = ()
     if found.snapshot is not None:
-        state, actions = versions.take_snapshot(
-            state, found.snapshot, now, roster, rng
+        state, actions = versions.handle_snapshot(
+            state, found.snapshot, now, cluster, rng
         )
     if found.deltas:
-        state, more = versions.take_deltas(
-            state, found.deltas, now, roster, rng
+        state, more = versions.handle_deltas(
+            state, found.deltas, now, cluster, rng
         )
         actions = (*actions, *more)
     if again:
@@ -181,13 +183,13 @@
     state: states.SpreadState,
     event: states.Committed,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     actions: tuple[states.Action, ...] = ()
     if event.delta is not None:
-        state, actions = versions.take_deltas(
-            state, (event.delta,), now, roster, rng
+        state, actions = versions.handle_deltas(
+            state, (event.delta,), now, cluster, rng
         )
     if state.snapshot.version >= event.version:
         return state, actions
@@ -200,20 +202,20 @@
 def _tick(
     state: states.SpreadState,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     actions: list[states.Action] = []
-    if joins.is_open(state, roster):
-        state, more = joins.advance(state, now, roster, rng)
+    if joins.is_open(state, cluster):
+        state, more = joins.advance(state, now, cluster, rng)
         actions.extend(more)
-    reads = _is_reader(state, roster) and not state.reading
+    reads = _is_reader(state, cluster) and not state.reading
     if reads and now >= state.read_at:
         state, read = versions.read_table(state)
         actions.append(read)
     if now < state.digest_at:
         return state, tuple(actions)
-    state, more = refusals.pass_on(state, roster, rng)
+    state, more = refusals.forward(state, cluster, rng)
     actions.extend(more)
     state = notices.drop_ended(state, now)
     policy = state.policy
@@ -223,9 +225,9 @@
         digest_at=now + policy.digest_seconds * (0.75 + rng.random() / 2),
         round=state.round + 1,
     )
-    distant = state.round % policy.far_digest_every == 0
-    peers = (roster.far if distant else roster.near) or roster.near
-    peers = peers or roster.far
+    distant = state.round % policy.remote_digest_every == 0
+    peers = (cluster.remote if distant else cluster.local) or cluster.local
+    peers = peers or cluster.remote
     if peers:
         actions.append(
             states.Send(
@@ -236,11 +238,11 @@
     return state, tuple(actions)
 
 
-def _is_reader(state: states.SpreadState, roster: states.Roster) -> bool:
+def _is_reader(state: states.SpreadState, cluster: states.ClusterView) -> bool:
     """Return whether this node polls the table.
 
     A started node that knows nobody yet would take itself for a reader, and
     the return of a data centre would be a storm of reads.
     """
-    knows = state.ready or roster.near or roster.far or not roster.seeds
-    return roster.reader and bool(knows)
+    knows = state.ready or cluster.local or cluster.remote or not cluster.seeds
+    return cluster.reader and bool(knows)
--- a/apricotpost/spread/joins.py
+++ b/apricotpost/spread/joins.py
@@ -11,16 +11,16 @@
     "advance",
     "is_open",
     "next_tick",
-    "note_read",
+    "record_table_read",
     "settle",
-    "take_welcome",
+    "handle_welcome",
     "welcome",
 ]
 
 
-def is_open(state: states.SpreadState, roster: states.Roster) -> bool:
+def is_open(state: states.SpreadState, cluster: states.ClusterView) -> bool:
     """Return whether the node is not ready or has found nobody yet."""
-    alone = bool(roster.seeds) and not roster.near and not roster.far
+    alone = bool(cluster.seeds) and not cluster.local and not cluster.remote
     return not state.ready or alone
 
 
@@ -32,13 +32,13 @@
 def advance(
     state: states.SpreadState,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     """Ask peers, and check the table once they have answered."""
     actions: list[states.Action] = []
     if now >= state.joining.ask_at:
-        state, asked = _ask(state, now, roster, rng)
+        state, asked = _ask(state, now, cluster, rng)
         actions.extend(asked)
     due = min(_read_times(state))
     if not state.reading and now >= due:
@@ -65,7 +65,7 @@
     )
 
 
-def take_welcome(
+def handle_welcome(
     state: states.SpreadState,
     message: wire.Welcome,
     reply_to: bytes,
@@ -86,7 +86,7 @@
     return versions.request(state, message.version, reply_to, now)
 
 
-def note_read(
+def record_table_read(
     joining: states.Joining, found: wire.ConfigRead
 ) -> states.Joining:
     """Take over what a read of the table says about the floor."""
@@ -117,14 +117,14 @@
 def _ask(
     state: states.SpreadState,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     joining = state.joining
     first = now if joining.asked_at is None else joining.asked_at
-    targets = [peer.address for peer in (*roster.near, *roster.far)]
+    targets = [peer.address for peer in (*cluster.local, *cluster.remote)]
     # Seeds count as well while only few others are known.
-    targets.extend(seed for seed in roster.seeds if seed not in targets)
+    targets.extend(seed for seed in cluster.seeds if seed not in targets)
     count = min(state.policy.join_peers, len(targets))
     if not targets:
         # There is nobody to wait for.
@@ -141,13 +141,13 @@
             ask_at=now + pause,
         ),
     )
-    whole = not roster.near and not roster.far
+    whole = not cluster.local and not cluster.remote
     return state, tuple(
         states.Send(
             address=address,
             message=wire.Join(
                 sender=state.own,
-                record=roster.record,
+                record=cluster.record,
                 whole=whole and at < 1,
             ),
         )
--- a/apricotpost/spread/notices.py
+++ b/apricotpost/spread/notices.py
@@ -9,17 +9,17 @@
 from apricotpost.spread import state as states
 from apricotpost import wire
 
-__all__ = ["drop_ended", "find_missing", "note", "offer"]
+__all__ = ["drop_ended", "find_missing", "record", "offer"]
 
 TOMBSTONE_TIMES = 10
 _OPEN = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
 
 
-def note(
+def record(
     state: states.SpreadState,
     withdrawals: Iterable[model.Withdrawal],
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     """Take over withdrawals and push those that are new."""
@@ -42,7 +42,7 @@
         *(states.Noted(withdrawal=entry) for entry in new.values()),
         *(
             states.Send(address=peer.address, message=message)
-            for peer in refusals.pick_peers(state, roster, rng)
+            for peer in refusals.pick_peers(state, cluster, rng)
         ),
     )
 
--- a/apricotpost/spread/orders.py
+++ b/apricotpost/spread/orders.py
@@ -5,14 +5,14 @@
 from apricotpost import wire
 
 __all__ = [
-    "OrderBook",
+    "OrderStore",
     "changed_after",
     "merge",
     "replace_all",
 ]
 
 
-class OrderBook:
+class OrderStore:
     """Newest known row of every key.
 
     ``revision`` is the store's revision up to which no change is missing.
@@ -24,7 +24,7 @@
 
 
 def merge(
-    book: OrderBook,
+    order_store: OrderStore,
     rows: Iterable[wire.OrderRow],
     *,
     after: int,
@@ -39,41 +39,43 @@
     """
     news = []
     for row in rows:
-        known = book.rows.get(row.key)
+        known = order_store.rows.get(row.key)
         if known is not None and known.revision >= row.revision:
             continue
-        book.rows[row.key] = row
+        order_store.rows[row.key] = row
         news.append(row)
-    if after <= book.revision < revision:
-        book.revision = revision
+    if after <= order_store.revision < revision:
+        order_store.revision = revision
     return news
 
 
 def replace_all(
-    book: OrderBook, rows: Iterable[wire.OrderRow], *, revision: int
+    order_store: OrderStore, rows: Iterable[wire.OrderRow], *, revision: int
 ) -> list[wire.OrderRow]:
     """Take all rows of the table as of a revision.
 
     Rows that the table lacks were removed, unless they are newer. An answer
     of a store that lags behind changes nothing.
     """
-    if revision < book.revision:
+    if revision < order_store.revision:
         return []
     found = {row.key: row for row in rows}
     gone = [
         wire.OrderRow(key=key, value=b"", revision=revision, removed=True)
-        for key, known in book.rows.items()
+        for key, known in order_store.rows.items()
         if key not in found and not known.removed and known.revision < revision
     ]
     return merge(
-        book,
+        order_store,
         [*found.values(), *gone],
-        after=book.revision,
+        after=order_store.revision,
         revision=revision,
     )
 
 
-def changed_after(book: OrderBook, revision: int) -> tuple[wire.OrderRow, ...]:
+def changed_after(
+    order_store: OrderStore, revision: int
+) -> tuple[wire.OrderRow, ...]:
     """Return the rows that changed after a revision, oldest first."""
-    rows = [r for r in book.rows.values() if r.revision > revision]
+    rows = [r for r in order_store.rows.values() if r.revision > revision]
     return tuple(sorted(rows, key=lambda row: row.revision))
--- a/apricotpost/spread/patches.py
+++ b/apricotpost/spread/patches.py
@@ -55,7 +55,7 @@
 
 
 def unpack(
-    packed: wire.PackedRow, book: orders.OrderBook
+    packed: wire.PackedRow, order_store: orders.OrderStore
 ) -> wire.OrderRow | None:
     """Restore a row; None if its base is not held here.
 
@@ -68,7 +68,7 @@
     if packed.form is not wire.PackedForm.PLAIN:
         dictionary = None
         if packed.form is wire.PackedForm.PATCH:
-            base = book.rows.get(packed.key)
+            base = order_store.rows.get(packed.key)
             if base is None or base.revision != packed.base:
                 return None
             dictionary = _dictionary(base.value)
@@ -88,9 +88,9 @@
     )
 
 
-def is_current(packed: wire.PackedRow, book: orders.OrderBook) -> bool:
+def is_current(packed: wire.PackedRow, order_store: orders.OrderStore) -> bool:
     """Tell whether a row of this revision or a newer one is held."""
-    known = book.rows.get(packed.key)
+    known = order_store.rows.get(packed.key)
     return known is not None and known.revision >= packed.revision
 
 
--- a/apricotpost/spread/readers.py
+++ b/apricotpost/spread/readers.py
@@ -8,7 +8,7 @@
 from apricotpost import model
 from apricotpost.spread import state as states
 
-__all__ = ["READERS", "make_roster", "rank"]
+__all__ = ["READERS", "make_cluster_view", "rank"]
 
 READERS = 2
 _GONE = (model.InstanceState.LEAVING, model.InstanceState.DOWN)
@@ -23,34 +23,34 @@
     )
 
 
-def make_roster(
+def make_cluster_view(
     known: membership.Membership, seeds: tuple[str, ...]
-) -> states.Roster:
-    """Derive the roster from the instance records."""
+) -> states.ClusterView:
+    """Derive the cluster view from the instance records."""
     own = known.record
-    near: list[states.Peer] = []
-    far: list[states.Peer] = []
+    local: list[states.Peer] = []
+    remote: list[states.Peer] = []
     for name in sorted(known.members):
         record = known.members[name].record
         if name == known.own or record.state in _GONE:
             continue
         peer = states.Peer(instance=name, address=record.control_address)
         if record.data_centre == own.data_centre:
-            near.append(peer)
+            local.append(peer)
         elif record.state is not model.InstanceState.SUSPECT:
-            far.append(peer)
+            remote.append(peer)
     # A suspect may be dead for seconds; a doubled reader is harmless.
     candidates = [known.own]
     candidates.extend(
         peer.instance
-        for peer in near
+        for peer in local
         if known.members[peer.instance].record.state
         is not model.InstanceState.SUSPECT
     )
-    return states.Roster(
+    return states.ClusterView(
         record=own,
-        near=tuple(near),
-        far=tuple(far),
+        local=tuple(local),
+        remote=tuple(remote),
         reader=known.own in rank(candidates, own.data_centre)[:READERS],
         seeds=tuple(seed for seed in seeds if seed != own.control_address),
     )
--- a/apricotpost/spread/state.py
+++ b/apricotpost/spread/state.py
@@ -18,7 +18,7 @@
     "Received",
     "Refused",
     "Reply",
-    "Roster",
+    "ClusterView",
     "Send",
     "SpreadState",
     "Step",
@@ -36,9 +36,9 @@
     # Below the 8 s of convergence, so that a return of the table is noticed.
     poll_backoff_seconds: float = 4.0
     digest_seconds: float = 2.0
-    far_digest_every: int = 5
-    push_near: int = 3
-    push_far: int = 1
+    remote_digest_every: int = 5
+    push_local: int = 3
+    push_remote: int = 1
     push_deltas: int = 8
     kept_deltas: int = 64
     snapshots_per_second: int = 20
@@ -65,14 +65,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Roster:
+class ClusterView:
     """What the distribution needs of the instance records.
 
     Parameters
     ----------
     record : apricotpost.model.InstanceRecord
         Own record.
-    near, far : tuple of Peer
+    local, remote : tuple of Peer
         Live nodes of the own and of the other data centres.
     reader : bool
         Whether this node reads the table.
@@ -81,8 +81,8 @@
     """
 
     record: model.InstanceRecord
-    near: tuple[Peer, ...] = ()
-    far: tuple[Peer, ...] = ()
+    local: tuple[Peer, ...] = ()
+    remote: tuple[Peer, ...] = ()
     reader: bool = True
     seeds: tuple[str, ...] = ()
 
--- a/apricotpost/spread/versions.py
+++ b/apricotpost/spread/versions.py
@@ -17,16 +17,16 @@
     "read_table",
     "request",
     "serve",
-    "take_deltas",
-    "take_snapshot",
+    "handle_deltas",
+    "handle_snapshot",
 ]
 
 
-def take_deltas(
+def handle_deltas(
     state: states.SpreadState,
     deltas: Sequence[model.Delta],
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
     reply_to: bytes = b"",
 ) -> states.Step:
@@ -40,7 +40,7 @@
         Consecutive, oldest first.
     now : float
         Monotonic clock in seconds.
-    roster : Roster
+    cluster : ClusterView
         Whom the node can reach.
     rng : random.Random
         For the choice of peers.
@@ -51,7 +51,7 @@
     chain = [delta for delta in deltas if delta.version > held]
     # A node that is not ready yet has no older version to keep.
     while chain and state.ready:
-        if not refusals.is_stopped(state, chain[-1].version, roster):
+        if not refusals.is_stopped(state, chain[-1].version, cluster):
             break
         chain.pop()
     if not chain:
@@ -66,22 +66,22 @@
             snapshot = config.apply_chain(state.snapshot, chain)
         except errors.ApricotpostError as error:
             state, refusal = _refuse(
-                state, chain.pop().version, error.message, now, roster, rng
+                state, chain.pop().version, error.message, now, cluster, rng
             )
             actions.extend(refusal)
             continue
         kept = (*state.deltas, *chain)[-state.policy.kept_deltas :]
         state = dataclasses.replace(state, snapshot=snapshot, deltas=kept)
-        actions.extend(_push(state, chain, roster, rng))
+        actions.extend(_push(state, chain, cluster, rng))
         break
     return state, tuple(actions)
 
 
-def take_snapshot(
+def handle_snapshot(
     state: states.SpreadState,
     snapshot: model.Snapshot,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     """Replace the version held by a newer, valid snapshot."""
@@ -91,9 +91,9 @@
     try:
         taken = config.apply_snapshot(state.snapshot, snapshot)
     except errors.ApricotpostError as error:
-        return _refuse(state, version, error.message, now, roster, rng)
+        return _refuse(state, version, error.message, now, cluster, rng)
     state = dataclasses.replace(state, snapshot=taken, deltas=())
-    return state, _push(state, (), roster, rng)
+    return state, _push(state, (), cluster, rng)
 
 
 def request(
@@ -115,11 +115,11 @@
     message: wire.ConfigRequest,
     reply_to: bytes,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
 ) -> states.Step:
     """Answer a request with deltas or, at a bounded rate, a snapshot."""
     version = state.snapshot.version
-    if message.have >= version or refusals.is_stopped(state, version, roster):
+    if message.have >= version or refusals.is_stopped(state, version, cluster):
         return state, ()
     for at, delta in enumerate(state.deltas):
         if delta.base == message.have:
@@ -172,17 +172,17 @@
 def _push(
     state: states.SpreadState,
     chain: Sequence[model.Delta],
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> tuple[states.Action, ...]:
-    if refusals.is_stopped(state, state.snapshot.version, roster):
+    if refusals.is_stopped(state, state.snapshot.version, cluster):
         return ()
     message: wire.Message = make_digest(state)
     if 0 < len(chain) <= state.policy.push_deltas:
         message = wire.ConfigDelta(sender=state.own, deltas=tuple(chain))
     return tuple(
         states.Send(address=peer.address, message=message)
-        for peer in refusals.pick_peers(state, roster, rng)
+        for peer in refusals.pick_peers(state, cluster, rng)
     )
 
 
@@ -191,7 +191,7 @@
     version: int,
     reason: str,
     now: float,
-    roster: states.Roster,
+    cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     first = version not in state.refused
@@ -204,7 +204,7 @@
     if not first:
         return state, ()
     state, actions = refusals.add(
-        state, version, frozenset((state.own,)), roster
+        state, version, frozenset((state.own,)), cluster
     )
     message = wire.ConfigRefused(
         sender=state.own,
@@ -214,7 +214,7 @@
     )
     reports = tuple(
         states.Send(address=peer.address, message=message)
-        for peer in refusals.pick_peers(state, roster, rng)
+        for peer in refusals.pick_peers(state, cluster, rng)
     )
     return state, (
         states.Refused(version=version, reason=reason),
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -60,7 +60,7 @@
 
     case: rollout_faults.Case
     rng: random.Random
-    tallies: dict[str, evidence.Tally]
+    outcomes: dict[str, evidence.OutcomeCounts]
     phases: dict[str, float]
     versions: dict[str, str]
     new_calls: int = 0
@@ -96,13 +96,17 @@
         for report in _second(fleet, now - 1.0 - STARTED_AT, share):
             state = watch.receive(state, report, full=True, now=now)
             note(_evidence(report))
-        state, sight = watch.look(
+        state, observation = watch.evaluate(
             state, view, instance=instances[0].instance, now=now
         )
         note({"event": "look", "at": now})
-        assert sight is not None
+        assert observation is not None
         decision = steps.decide(
-            sight.rollout, sight.judgement, sight.facts, now, times
+            observation.rollout,
+            observation.judgement,
+            observation.facts,
+            now,
+            times,
         )
         if isinstance(decision, steps.Withdraw | steps.Finish):
             return _result(fleet, decision, now, full_at)
@@ -114,7 +118,7 @@
         else:
             full_at = now
         snapshot = rollouts.step_rollout(
-            view.snapshot, sight.rollout, share, now
+            view.snapshot, observation.rollout, share, now
         )
         view = dataclasses.replace(view, snapshot=snapshot)
         shares.append((now, min(share, steps.BAKING_SHARE)))
@@ -164,7 +168,7 @@
     return _Fleet(
         case=case,
         rng=rng,
-        tallies={name: evidence.Tally() for name in names},
+        outcomes={name: evidence.OutcomeCounts() for name in names},
         phases={name: rng.random() for name in names},
         versions={name: name.partition("-")[0] for name in names},
     )
@@ -230,7 +234,7 @@
             fleet.fault_at = at if fleet.fault_at is None else fleet.fault_at
     failed = rng.random() < max(case.base_failures, fault.failure_rate)
     served = sum(
-        counts.calls for counts in fleet.tallies[name].counts.values()
+        counts.calls for counts in fleet.outcomes[name].counts.values()
     )
     cold = version == NEW and served < case.cold_calls
     duration = case.median_ms * math.exp(rng.gauss(0.0, case.spread))
@@ -241,13 +245,13 @@
         cold=cold,
         duration_ms=duration,
     )
-    fleet.tallies[name] = evidence.count(
-        fleet.tallies[name], (SERVICE, version, route), finished
+    fleet.outcomes[name] = evidence.count(
+        fleet.outcomes[name], (SERVICE, version, route), finished
     )
 
 
 def _report(fleet: _Fleet, name: str) -> tuple[model.Evidence, ...]:
-    return evidence.describe(fleet.tallies[name], instance=name, epoch=1)
+    return evidence.describe(fleet.outcomes[name], instance=name, epoch=1)
 
 
 def _poisson(rng: random.Random, mean: float) -> int:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -346,8 +346,8 @@
             return False
         peers = await self.metric(node, "apricotpost_peers_connected")
         servers = await self.metric(node, "apricotpost_servers_known")
-        near = [n for n in self.nodes if n.data_centre == node.data_centre]
-        return peers >= len(near) - 1 and servers >= len(self.nodes)
+        local = [n for n in self.nodes if n.data_centre == node.data_centre]
+        return peers >= len(local) - 1 and servers >= len(self.nodes)
 
     async def metric(self, node: NodeProcess, name: str) -> float:
         """Return a metric of a node, summed over its labels."""
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -13,7 +13,9 @@
         self.fleet = fleet.Fleet(node="b", data_centre="dc-a")
 
     def learn(self, *, now=0.0, **changes):
-        return fleet.learn(self.fleet, builders.make_state(**changes), now)
+        return fleet.record_state(
+            self.fleet, builders.make_state(**changes), now
+        )
 
     def test_older_states_change_nothing(self):
         """Guards against states that overtake each other."""
@@ -26,7 +28,7 @@
     def test_silent_node_is_moved_and_keeps_its_order(self):
         """Guards against an old state that is taken for a new one."""
         self.learn(node="a", boot=2, sequence=5)
-        fleet.move(self.fleet, "a", "127.0.0.1:9")
+        fleet.set_address(self.fleet, "a", "127.0.0.1:9")
         self.assertEqual("127.0.0.1:9", self.fleet.nodes["a"].state.address)
         self.assertFalse(self.learn(node="a", boot=2, sequence=4))
 
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -107,8 +107,8 @@
             record.instance: record.state
             for record in membership.list_visible(queue.states["n0"])
         }
-        far = {view[name] for name in sides if sides[name] != "dc0"}
-        self.assertEqual({model.InstanceState.DOWN}, far)
+        remote = {view[name] for name in sides if sides[name] != "dc0"}
+        self.assertEqual({model.InstanceState.DOWN}, remote)
         queue.cut = None
         queue.run(40)
         for name in sides:
@@ -227,12 +227,12 @@
         kept = {}
         for failed in (1, 3):
             state = membership.start(fleets.make_record("a"), 0.0, draw=1)
-            far = [fleets.make_record(f"f{k}", "b") for k in range(4)]
+            remote = [fleets.make_record(f"f{k}", "b") for k in range(4)]
             down = [
                 dataclasses.replace(entry, state=model.InstanceState.DOWN)
-                for entry in far[:failed]
+                for entry in remote[:failed]
             ]
-            state = membership.merge(state, (*far, *down), 0.0)
+            state = membership.merge(state, (*remote, *down), 0.0)
             state, _ = membership.handle(
                 state, membership.Tick(draw=1), 3600.0
             )
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -20,7 +20,7 @@
     for data_centre, names in data_centres.items():
         for name in names:
             state = builders.make_state(node=name, data_centre=data_centre)
-            fleet.learn(known, state, 0.0)
+            fleet.record_state(known, state, 0.0)
     return known
 
 
@@ -29,7 +29,7 @@
         """Guards against a data centre whose states hang on one node."""
         names = {"a": ("a1", "a2", "a3"), "b": ("b1", "b2"), "c": ("c1",)}
         found = {
-            name: relays.far_targets(make_fleet(name, **names), 0.0)
+            name: relays.remote_targets(make_fleet(name, **names), 0.0)
             for name in names["a"]
         }
         self.assertEqual(("b1", "c1"), found["a1"])
@@ -39,7 +39,7 @@
     def test_lone_relay_sends_to_both_others(self):
         """Guards against states that pass through one relay only."""
         known = make_fleet("a1", a=("a1",), b=("b1", "b2", "b3"))
-        self.assertEqual(("b1", "b2"), relays.far_targets(known, 0.0))
+        self.assertEqual(("b1", "b2"), relays.remote_targets(known, 0.0))
 
     def test_silent_or_leaving_relay_is_replaced(self):
         """Guards against states that stop with a relay."""
@@ -50,7 +50,7 @@
         state = builders.make_state(
             node="a1", data_centre="a", sequence=2, leaving=True
         )
-        fleet.learn(known, state, 0.0)
+        fleet.record_state(known, state, 0.0)
         self.assertTrue(relays.is_relay(known, 0.0))
 
     def test_silent_data_centre_is_tried_again_and_again(self):
@@ -63,14 +63,14 @@
         later = 3600.0
         for name in ("a1", "a2"):
             state = builders.make_state(node=name, data_centre="a", sequence=2)
-            fleet.learn(known, state, later)
+            fleet.record_state(known, state, later)
         tried = {
-            relays.far_targets(known, later + i * relays.TRY_SECONDS)
+            relays.remote_targets(known, later + i * relays.TRY_SECONDS)
             for i in range(3)
         }
         self.assertEqual({("b1",), ("b2",), ("b3",)}, tried)
         unknown = make_fleet("a1", a=("a1",))
-        self.assertEqual((), relays.far_targets(unknown, 0.0))
+        self.assertEqual((), relays.remote_targets(unknown, 0.0))
 
     def test_only_states_of_the_own_data_centre_are_forwarded(self):
         """Guards against states that travel in circles, and against old ones.
@@ -79,13 +79,13 @@
         """
         known = make_fleet("a1", a=("a1", "a2"), b=("b1",))
         unheard = builders.make_state(node="a9", data_centre="a", boot=0)
-        fleet.learn(known, unheard, 0.0)
-        found = relays.fresh_states(known, 0.3, wanted=lambda state: True)
+        fleet.record_state(known, unheard, 0.0)
+        found = relays.recent_states(known, 0.3, wanted=lambda state: True)
         self.assertEqual(["a1", "a2"], sorted(s.state.node for s in found))
         self.assertEqual({300}, {aged.age_ms for aged in found})
         late = relays.FORWARD_SECONDS + 0.1
         self.assertFalse(
-            relays.fresh_states(known, late, wanted=lambda state: True)
+            relays.recent_states(known, late, wanted=lambda state: True)
         )
 
     def test_second_relay_sends_all_states_less_often(self):
@@ -93,11 +93,13 @@
         counts = {}
         for name in ("a1", "a2"):
             known = make_fleet(name, a=("a1", "a2"), b=("b1",))
-            rounds = [relays.sends_all(known, 0.0, i) for i in range(40)]
+            rounds = [
+                relays.sends_full_round(known, 0.0, i) for i in range(40)
+            ]
             counts[name] = sum(rounds)
         self.assertEqual({"a1": 20, "a2": 10}, counts)
         late = fleet.SILENT_SECONDS + 0.1
-        self.assertTrue(relays.sends_all(known, late, 2))
+        self.assertTrue(relays.sends_full_round(known, late, 2))
 
     def test_states_are_packed(self):
         """Guards against states that are lost or grow on their way."""
@@ -131,8 +133,8 @@
         """Guards against a dead node that looks alive behind its relay."""
         known = make_fleet("a1", a=("a1",))
         state = builders.make_state(node="b1", data_centre="b")
-        fleet.learn(known, state, 10.0, age=4.0)
-        self.assertEqual(6.0, known.nodes["b1"].heard)
+        fleet.record_state(known, state, 10.0, age=4.0)
+        self.assertEqual(6.0, known.nodes["b1"].heard_at)
 
 
 class FarServerTest(unittest.TestCase):
@@ -147,22 +149,24 @@
                     backend=f"s{index}", version=version
                 ),
             )
-            fleet.learn(known, state, 0.0)
+            fleet.record_state(known, state, 0.0)
         return known
 
     def find(self, known, **options):
-        return relays.far_servers(known, 0.0, services=("portal",), **options)
+        return relays.remote_servers(
+            known, 0.0, services=("portal",), **options
+        )
 
     def test_connections_do_not_grow_with_the_fleet(self):
         """Guards against two sockets for each node of the fleet."""
         found = self.find(self.make(200))
         # For each of the two versions; none of them is near.
-        self.assertEqual(2 * relays.FAR_SERVERS_ALONE, len(found))
+        self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(found))
 
     def test_every_server_of_a_version_on_trial_is_reached(self):
         """Guards against a load test that each node does elsewhere."""
         found = self.find(self.make(200), all_of=[("portal", "v2")])
-        self.assertEqual(relays.FAR_SERVERS_ALONE + 40, len(found))
+        self.assertEqual(relays.REMOTE_SERVERS_ALONE + 40, len(found))
 
     def add_near(self, known, count, **server):
         for index in range(count):
@@ -171,7 +175,7 @@
                 data_centre="a",
                 server=builders.make_server(backend=f"n{index}", **server),
             )
-            fleet.learn(known, state, 0.0)
+            fleet.record_state(known, state, 0.0)
 
     def test_evacuated_and_leaving_servers_take_no_place(self):
         """Guards against connections to servers that get no requests.
@@ -184,7 +188,7 @@
         state = builders.make_state(
             node="c1", data_centre="c", server=builders.make_server()
         )
-        fleet.learn(known, state, 0.0)
+        fleet.record_state(known, state, 0.0)
         found = self.find(known, evacuated=("b",))
         self.assertEqual({"c1"}, found)
         for change in (
@@ -197,7 +201,7 @@
                 sequence=known.nodes["c1"].state.sequence + 1,
                 **change,
             )
-            fleet.learn(known, state, 0.0)
+            fleet.record_state(known, state, 0.0)
             self.assertEqual(set(), self.find(known, evacuated=("b",)))
 
     def test_more_servers_if_the_own_data_centre_has_none(self):
@@ -209,10 +213,10 @@
         self.add_near(known, 5, version="v1")
         found = self.find(known)
         # None of the second version is near.
-        many = relays.FAR_SERVERS + relays.FAR_SERVERS_ALONE
+        many = relays.REMOTE_SERVERS + relays.REMOTE_SERVERS_ALONE
         self.assertEqual(many, len(found))
         alone = self.find(known, evacuated=("a",))
-        self.assertEqual(2 * relays.FAR_SERVERS_ALONE, len(alone))
+        self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(alone))
 
     def test_callers_spread_over_the_servers(self):
         """Guards against servers that no other data centre calls."""
@@ -229,9 +233,9 @@
         """Guards against connections that nobody uses."""
         known = self.make(3)
         self.assertEqual(
-            set(), relays.far_servers(known, 0.0, services=("other",))
+            set(), relays.remote_servers(known, 0.0, services=("other",))
         )
-        silent = relays.FAR_SILENT_SECONDS + 1
+        silent = relays.REMOTE_SILENT_SECONDS + 1
         self.assertEqual(
-            set(), relays.far_servers(known, silent, services=("portal",))
+            set(), relays.remote_servers(known, silent, services=("portal",))
         )
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -92,16 +92,16 @@
     def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
         snapshot = snapshot or self.read()
         rollout = rollouts.find_open(snapshot, "portal")
-        sight = None
+        observation = None
         if rollout is not None:
-            sight = watch.Sight(
+            observation = watch.Observation(
                 snapshot=snapshot,
                 rollout=rollout,
                 judgement=judgement or self.good(),
                 facts=facts,
                 is_first=True,
             )
-        holders.act(self.holders[name], sight)
+        holders.act(self.holders[name], observation)
 
     def outcomes(self):
         return storage.table.query(self.reader.table, pk="outcome")
--- a/tests/rollout/test_evidence.py
+++ b/tests/rollout/test_evidence.py
@@ -53,27 +53,27 @@
 
     def test_cold_header_does_not_hide_slowness_for_ever(self):
         """Guards against a slow version that always calls itself cold."""
-        tally = evidence.Tally()
+        outcomes = evidence.OutcomeCounts()
         finished = evidence.Finished(
             answered=True, status=200, cold=True, duration_ms=50.0
         )
         for _ in range(evidence.MAX_COLD_CALLS + 3):
-            tally = evidence.count(tally, KEY, finished)
-        self.assertEqual(3, sum(tally.counts[KEY].latencies))
+            outcomes = evidence.count(outcomes, KEY, finished)
+        self.assertEqual(3, sum(outcomes.counts[KEY].latencies))
 
 
 class ReceiveTest(unittest.TestCase):
     def test_restart_counts_from_zero(self):
         """Guards against negative counts after a node's restart."""
-        book = evidence.Book()
+        store = evidence.EvidenceStore()
         for report in (
             make_report(100),
             make_report(110, failures=1),
             make_report(5, epoch=2),
         ):
-            book = evidence.receive(book, report)
-        self.assertEqual(15, book.fresh[KEY].calls)
-        self.assertEqual(1, book.fresh[KEY].failures)
+            store = evidence.receive(store, report)
+        self.assertEqual(15, store.undrained[KEY].calls)
+        self.assertEqual(1, store.undrained[KEY].failures)
 
     @hypothesis.settings(derandomize=True, deadline=None, database=None)
     @hypothesis.given(
@@ -90,12 +90,12 @@
         for index, report in enumerate(reports):
             disturbed.append(report)
             disturbed.append(reports[rng.randrange(index + 1)])
-        book = evidence.Book()
+        store = evidence.EvidenceStore()
         counted = 0
         for report in disturbed:
-            book = evidence.receive(book, report)
+            store = evidence.receive(store, report)
             if rng.random() < 0.5:
-                book, found = evidence.drain(book)
+                store, found = evidence.take_undrained(store)
                 counted += sum(counts.calls for counts in found.values())
-        counted += sum(counts.calls for counts in book.fresh.values())
+        counted += sum(counts.calls for counts in store.undrained.values())
         self.assertEqual(sum(increments), counted)
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -69,19 +69,19 @@
 
 class ReportsTest(unittest.TestCase):
     def setUp(self):
-        self.state = judges.Deliveries()
+        self.state = judges.SentReports()
 
     def plan(self, calls, now, names=("x",)):
         """Return by judge whether the report is full and its routes."""
-        self.state, parcels = judges.plan_reports(
+        self.state, reports = judges.plan_reports(
             self.state, make_counts(calls), names, now
         )
         return {
-            parcel.judge: (
-                parcel.full,
-                [entry.route for entry in parcel.evidence],
+            report.judge: (
+                report.full,
+                [entry.route for entry in report.evidence],
             )
-            for parcel in parcels
+            for report in reports
         }
 
     def test_only_changed_routes_go_between_full_reports(self):
@@ -112,9 +112,9 @@
         """Return the state and the new calls by route."""
         counts = [entry for entry in make_counts(calls) if entry.calls]
         state = watch.receive(state, counts, full=full, now=now)
-        book, found = evidence.drain(state.book)
+        store, found = evidence.take_undrained(state.evidence_store)
         fresh = {key[2]: entry.calls for key, entry in found.items()}
-        return dataclasses.replace(state, book=book), fresh
+        return dataclasses.replace(state, evidence_store=store), fresh
 
     def test_new_judge_counts_from_its_first_full_report(self):
         """Guards against old calls as new ones, and against none ever."""
@@ -152,7 +152,7 @@
     )
     def test_lost_reports_lose_and_double_no_calls(self, seconds):
         """Guards against counts that a lost report leaves wrong."""
-        sent, state = judges.Deliveries(), watch.Watch()
+        sent, state = judges.SentReports(), watch.Watch()
         calls, now = [5, 5, 5], 0.0
         # Reports arrive at first and at last; the gap stays below the limit.
         plan = [("search", True), *seconds]
@@ -160,17 +160,17 @@
         heard = now
         for route, arrives in plan:
             calls[ROUTES.index(route)] += 1
-            sent, parcels = judges.plan_reports(
+            sent, reports = judges.plan_reports(
                 sent, make_counts(calls), ("x",), now
             )
-            for parcel in parcels:
+            for report in reports:
                 if arrives or now - heard >= 14.0:
                     heard = now
                     state = watch.receive(
-                        state, parcel.evidence, full=parcel.full, now=now
+                        state, report.evidence, full=report.full, now=now
                     )
             now += 1.0
-        _, fresh = evidence.drain(state.book)
+        _, fresh = evidence.take_undrained(state.evidence_store)
         found = sum(entry.calls for entry in fresh.values())
         # The call of the first second belongs to the starting point.
         self.assertEqual(len(plan) - 1, found)
--- a/tests/rollout/test_traces.py
+++ b/tests/rollout/test_traces.py
@@ -97,9 +97,13 @@
 
 def _look(state, view, at):
     instance = view.instances[0].instance
-    state, sight = watch.look(state, view, instance=instance, now=at)
+    state, observation = watch.evaluate(state, view, instance=instance, now=at)
     decision = steps.decide(
-        sight.rollout, sight.judgement, sight.facts, at, TIMES
+        observation.rollout,
+        observation.judgement,
+        observation.facts,
+        at,
+        TIMES,
     )
     if isinstance(decision, steps.Hold):
         return state, None
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -58,7 +58,7 @@
         return now
 
     def serve(self, now):
-        share = trials.share_of_new(self.trial, SERVERS)
+        share = trials.new_version_share(self.trial, SERVERS)
         # Load of a server, as a part of what it has after the rollout.
         load = share
         if self.trial.phase is trials.Phase.MOVING:
--- a/tests/rollout/test_watch.py
+++ b/tests/rollout/test_watch.py
@@ -49,7 +49,7 @@
 
 def look(view, instance, state=None, now=1001.0):
     """Return what an instance sees."""
-    return watch.look(
+    return watch.evaluate(
         state or watch.Watch(), view, instance=instance, now=now
     )[1]
 
@@ -99,7 +99,9 @@
     def test_server_that_changes_its_version_is_cold_again(self):
         """Guards against slots that are counted before the warm-up."""
         view = make_view()
-        state, _ = watch.look(watch.Watch(), view, instance="p1", now=1000.0)
+        state, _ = watch.evaluate(
+            watch.Watch(), view, instance="p1", now=1000.0
+        )
         instances = tuple(
             (
                 dataclasses.replace(entry, version="v2")
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -41,7 +41,7 @@
             orders=0,
             reaches_store=True,
             update_contacts=lambda: None,
-            announce=lambda: None,
+            schedule_publish=lambda: None,
         )
         addresses = types.SimpleNamespace(for_peers=lambda: "127.0.0.1:1")
         return orders.Orders(
@@ -62,7 +62,9 @@
         state = builders.make_state(
             node=node, data_centre=data_centre, boot=boot, store=bool(boot)
         )
-        fleet.learn(self.known, state, asyncio.get_running_loop().time())
+        fleet.record_state(
+            self.known, state, asyncio.get_running_loop().time()
+        )
 
     async def run_for(self, task, seconds):
         running = asyncio.ensure_future(task.run())
@@ -109,13 +111,13 @@
         self.assertFalse(task.misses_data_centre(now))
         later = now + orders.REREAD_SECONDS
         own = builders.make_state(node="n2", data_centre="dc-a")
-        fleet.learn(self.known, own, later)
+        fleet.record_state(self.known, own, later)
         self.assertTrue(task.misses_data_centre(later))
         other = builders.make_state(node="n9", data_centre="dc-b")
-        fleet.learn(self.known, other, later)
+        fleet.record_state(self.known, other, later)
         self.assertFalse(task.misses_data_centre(later))
         silent = later + orders.LONG_SILENT_SECONDS + 0.1
-        fleet.touch(self.known, "n2", silent)
+        fleet.record_contact(self.known, "n2", silent)
         self.assertTrue(task.misses_data_centre(silent))
         task.lost_at = later
         self.assertFalse(task.misses_data_centre(silent))
--- a/tests/sidecar/test_views.py
+++ b/tests/sidecar/test_views.py
@@ -129,7 +129,7 @@
             leaving=leaving,
             server=builders.make_server(backend=f"b-{node}", **server),
         )
-        fleet.learn(self.fleet, state, now)
+        fleet.record_state(self.fleet, state, now)
         self.index.rebuild()
 
     def find(self, view=views.EMPTY, *, version_draw=0.5, regions=(), now=0.1):
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -83,9 +83,9 @@
         that nobody wants are closed. Before, the requests were refused for
         as long as the processes lived.
         """
-        near = self.world.places[2]
-        near.backend.state = "draining"
-        await self.world.mesh.beat(near.node)
+        local = self.world.places[2]
+        local.backend.state = "draining"
+        await self.world.mesh.beat(local.node)
         await self.wait_for(200, 5.0)
         for place in self.world.places:
             place.to_node.set_mode(proxy.Mode.SILENT)
--- a/tests/spread/fleets.py
+++ b/tests/spread/fleets.py
@@ -93,23 +93,25 @@
         """Commit the next version to the table."""
         self.history.append(make_snapshot(len(self.history)))
 
-    def roster(self, name: str) -> spread.Roster:
+    def cluster(self, name: str) -> spread.ClusterView:
         """Return whom a node knows."""
         node = self.nodes[name]
         others = [other for other in self.nodes if other != name]
         centre = node.record.data_centre
         if not node.knows_fleet:
-            return spread.Roster(record=node.record, seeds=tuple(others[:3]))
-        near, far = [], []
+            return spread.ClusterView(
+                record=node.record, seeds=tuple(others[:3])
+            )
+        local, remote = [], []
         for other in others:
             same = self.nodes[other].record.data_centre == centre
             peer = spread.Peer(instance=other, address=other)
-            (near if same else far).append(peer)
-        candidates = [name, *(peer.instance for peer in near)]
-        return spread.Roster(
+            (local if same else remote).append(peer)
+        candidates = [name, *(peer.instance for peer in local)]
+        return spread.ClusterView(
             record=node.record,
-            near=tuple(near),
-            far=tuple(far),
+            local=tuple(local),
+            remote=tuple(remote),
             reader=name in spread.rank(candidates, centre)[:2],
             seeds=tuple(others[:3]),
         )
@@ -122,7 +124,7 @@
             node.state,
             event,
             self.now,
-            roster=self.roster(name),
+            cluster=self.cluster(name),
             draw=self.rng.getrandbits(32),
         )
         held = node.state.snapshot
@@ -236,7 +238,7 @@
     def tick(self, name: str) -> None:
         """Let a node do what is due."""
         state = self.nodes[name].state
-        if self.now >= spread.next_tick(state, self.roster(name)):
+        if self.now >= spread.next_tick(state, self.cluster(name)):
             self.handle(name, spread.Tick())
 
     def run(self, seconds: float) -> None:
--- a/tests/spread/test_decisions.py
+++ b/tests/spread/test_decisions.py
@@ -25,7 +25,7 @@
         fleet = fleets.open_fleet(12)
         # The readers accept the version; otherwise it never spreads.
         self.refusing = [
-            name for name in fleet.nodes if not fleet.roster(name).reader
+            name for name in fleet.nodes if not fleet.cluster(name).reader
         ][:refusing]
         for name in self.refusing:
             fleet.nodes[name].damages = frozenset((2,))
@@ -70,7 +70,7 @@
         """Guards against a restart that waits for a stopped version."""
         fleet = self.open(8)
         fleet.run(8)
-        accepting = next(n for n in fleet.nodes if fleet.roster(n).reader)
+        accepting = next(n for n in fleet.nodes if fleet.cluster(n).reader)
         for name in (self.refusing[0], accepting):
             fleet.restart(name)
         refused = wire.ConfigRefused(
@@ -135,7 +135,7 @@
         readers = [
             name
             for name in known
-            if spread.make_roster(
+            if spread.make_cluster_view(
                 membership.Membership(own=name, members=known), ()
             ).reader
         ]
@@ -149,7 +149,7 @@
             name
             for name in known
             if name != readers[0]
-            and spread.make_roster(
+            and spread.make_cluster_view(
                 membership.Membership(own=name, members=known), ()
             ).reader
         ]
@@ -196,7 +196,7 @@
         counts = {
             fleet.read_counts[name]
             for name in herd
-            if not fleet.roster(name).reader
+            if not fleet.cluster(name).reader
         }
         self.assertEqual({1}, counts)
         snapshots = [
--- a/tests/spread/test_orders.py
+++ b/tests/spread/test_orders.py
@@ -21,25 +21,25 @@
 class OrderBookTest(unittest.TestCase):
     def test_a_gap_does_not_count_as_seen(self):
         """Guards against orders that are lost between two messages."""
-        book = orders.OrderBook()
-        orders.merge(book, [make_row("a", 3)], after=0, revision=3)
-        orders.merge(book, [make_row("c", 9)], after=7, revision=9)
-        self.assertEqual(3, book.revision)
-        self.assertIn("c", book.rows)
+        order_store = orders.OrderStore()
+        orders.merge(order_store, [make_row("a", 3)], after=0, revision=3)
+        orders.merge(order_store, [make_row("c", 9)], after=7, revision=9)
+        self.assertEqual(3, order_store.revision)
+        self.assertIn("c", order_store.rows)
 
     def test_missing_rows_of_a_full_read_are_removed(self):
         """Guards against an evacuation that never ends."""
-        book = orders.OrderBook()
-        orders.merge(book, [make_row("e", 3)], after=0, revision=3)
-        news = orders.replace_all(book, [make_row("c", 2)], revision=8)
+        order_store = orders.OrderStore()
+        orders.merge(order_store, [make_row("e", 3)], after=0, revision=3)
+        news = orders.replace_all(order_store, [make_row("c", 2)], revision=8)
         gone = [row for row in news if row.removed]
         self.assertEqual(["e"], [row.key for row in gone])
 
     def test_an_older_full_read_changes_nothing(self):
         """Guards against a store that answers with an old state."""
-        book = orders.OrderBook()
-        orders.merge(book, [make_row("e", 9)], after=0, revision=9)
-        self.assertEqual([], orders.replace_all(book, [], revision=5))
+        order_store = orders.OrderStore()
+        orders.merge(order_store, [make_row("e", 9)], after=0, revision=9)
+        self.assertEqual([], orders.replace_all(order_store, [], revision=5))
 
     @settings(derandomize=True, max_examples=200)
     @given(strategies.data())
@@ -54,14 +54,14 @@
             (low, high, [make_row(k, r) for k, r in changes[low:high]])
             for low, high in zip(edges, edges[1:], strict=False)
         ]
-        book = orders.OrderBook()
+        order_store = orders.OrderStore()
         newest = {}
         for low, high, rows in data.draw(strategies.permutations(pushes)):
-            orders.merge(book, rows, after=low, revision=high)
-            for key, row in book.rows.items():
+            orders.merge(order_store, rows, after=low, revision=high)
+            for key, row in order_store.rows.items():
                 self.assertGreaterEqual(row.revision, newest.get(key, 0))
                 newest[key] = row.revision
         self.assertEqual({"k0": 7, "k1": 8, "k2": 6}, newest)
         # What a node lacks is what it asks for.
-        lacking = orders.changed_after(book, book.revision)
-        self.assertTrue(book.revision == 8 or lacking or not cuts)
+        lacking = orders.changed_after(order_store, order_store.revision)
+        self.assertTrue(order_store.revision == 8 or lacking or not cuts)
--- a/tests/spread/test_patches.py
+++ b/tests/spread/test_patches.py
@@ -28,12 +28,12 @@
 
 class PatchTest(unittest.TestCase):
     def setUp(self):
-        self.book = orders.OrderBook()
+        self.order_store = orders.OrderStore()
         self.old = make_row(make_value(3000), 4)
         self.new = make_row(make_value(3000, changed=1500), 9)
 
     def hold(self, row):
-        orders.merge(self.book, [row], after=0, revision=row.revision)
+        orders.merge(self.order_store, [row], after=0, revision=row.revision)
 
     def test_small_change_takes_few_bytes(self):
         """Guards against seconds on a slow link for a large configuration.
@@ -43,20 +43,20 @@
         self.hold(self.old)
         packed = patches.pack(self.new, self.old)
         self.assertLess(len(packed.value), len(self.new.value) / 100)
-        self.assertEqual(self.new, patches.unpack(packed, self.book))
+        self.assertEqual(self.new, patches.unpack(packed, self.order_store))
 
     def test_patch_on_another_base_is_not_applied(self):
         """Guards against a configuration that nobody has written."""
         packed = patches.pack(self.new, self.old)
-        self.assertIsNone(patches.unpack(packed, self.book))
+        self.assertIsNone(patches.unpack(packed, self.order_store))
         self.hold(make_row(make_value(3000, changed=7), 6))
-        self.assertIsNone(patches.unpack(packed, self.book))
+        self.assertIsNone(patches.unpack(packed, self.order_store))
 
     def test_whole_row_needs_no_base(self):
         """Guards against a node that cannot join."""
         packed = patches.pack(self.new, None)
         self.assertLess(len(packed.value), len(self.new.value) / 3)
-        self.assertEqual(self.new, patches.unpack(packed, self.book))
+        self.assertEqual(self.new, patches.unpack(packed, self.order_store))
 
     def test_damaged_value_is_refused(self):
         """Guards against bytes of another writer."""
@@ -68,7 +68,7 @@
             form=wire.PackedForm.WHOLE,
         )
         with self.assertRaises(errors.MalformedMessage):
-            patches.unpack(packed, self.book)
+            patches.unpack(packed, self.order_store)
 
     def test_short_and_removed_rows_are_sent_as_they_are(self):
         """Guards against a removal that is lost."""
@@ -77,7 +77,7 @@
         )
         packed = patches.pack(row, make_row(b"{}", 2))
         self.assertIs(wire.PackedForm.PLAIN, packed.form)
-        self.assertEqual(row, patches.unpack(packed, self.book))
-        self.assertFalse(patches.is_current(packed, self.book))
+        self.assertEqual(row, patches.unpack(packed, self.order_store))
+        self.assertFalse(patches.is_current(packed, self.order_store))
         self.hold(row)
-        self.assertTrue(patches.is_current(packed, self.book))
+        self.assertTrue(patches.is_current(packed, self.order_store))
