Name listeners, heartbeats and health answers plainly

http.Front is a Listener, http.Handle a RequestHandle, BackendBeat a Heartbeat, platform.Withdrawal a Deregistration, config.seal with_checksum. The key born of the platform's messages stays.

--- a/apricotpost/admin/changes.py
+++ b/apricotpost/admin/changes.py
@@ -181,7 +181,7 @@
     )
     if content == before:
         return dataclasses.replace(applied, snapshot=before)
-    after = config.seal(
+    after = config.with_checksum(
         dataclasses.replace(content, version=before.version + 1)
     )
     config.validate(after)
--- a/apricotpost/config/__init__.py
+++ b/apricotpost/config/__init__.py
@@ -1,7 +1,7 @@
 """Checks, checksums and deltas of the configuration."""
 
 from apricotpost.config.checksums import compute_checksum
-from apricotpost.config.checksums import seal
+from apricotpost.config.checksums import with_checksum
 from apricotpost.config.deltas import apply_chain
 from apricotpost.config.deltas import apply_delta
 from apricotpost.config.deltas import apply_snapshot
@@ -16,6 +16,6 @@
     "compute_checksum",
     "compute_delta",
     "find_faults",
-    "seal",
+    "with_checksum",
     "validate",
 ]
--- a/apricotpost/config/checksums.py
+++ b/apricotpost/config/checksums.py
@@ -7,7 +7,7 @@
 
 from apricotpost import model
 
-__all__ = ["compute_checksum", "seal"]
+__all__ = ["compute_checksum", "with_checksum"]
 
 _ENCODER = msgspec.msgpack.Encoder(order="deterministic")
 
@@ -29,6 +29,6 @@
     return xxhash.xxh128_hexdigest(_ENCODER.encode(content))
 
 
-def seal(snapshot: model.Snapshot) -> model.Snapshot:
+def with_checksum(snapshot: model.Snapshot) -> model.Snapshot:
     """Return the snapshot with its checksum filled in."""
     return dataclasses.replace(snapshot, checksum=compute_checksum(snapshot))
--- a/apricotpost/http/__init__.py
+++ b/apricotpost/http/__init__.py
@@ -2,7 +2,7 @@
 
 from apricotpost.http.client import Client
 from apricotpost.http.client import Failure
-from apricotpost.http.client import Handle
+from apricotpost.http.client import RequestHandle
 from apricotpost.http.client import Result
 from apricotpost.http.messages import encode_request
 from apricotpost.http.messages import encode_response
@@ -12,15 +12,15 @@
 from apricotpost.http.messages import Response
 from apricotpost.http.messages import strip_hop_headers
 from apricotpost.http.server import Exchange
-from apricotpost.http.server import Front
 from apricotpost.http.server import Limits
+from apricotpost.http.server import Listener
 
 __all__ = [
     "Client",
     "Exchange",
     "Failure",
-    "Front",
-    "Handle",
+    "Listener",
+    "RequestHandle",
     "Headers",
     "Limits",
     "Request",
--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -11,7 +11,7 @@
 
 from apricotpost.http import messages
 
-__all__ = ["Client", "Failure", "Handle", "Result"]
+__all__ = ["Client", "Failure", "RequestHandle", "Result"]
 
 # A connection that is used this close to its announced end may cross the
 # server's close.
@@ -52,7 +52,7 @@
 Done = Callable[[Result], None]
 
 
-class Handle:
+class RequestHandle:
     """A request that is under way."""
 
     __slots__ = ("connection", "done", "task", "timer")
@@ -129,7 +129,7 @@
         *,
         timeout: float,
         max_idle: float | None = None,
-    ) -> Handle:
+    ) -> RequestHandle:
         """Send a request.
 
         Parameters
@@ -143,16 +143,16 @@
         max_idle : float, optional
             Longest idle time, in seconds, of a connection used for it.
         """
-        handle = Handle(done=done)
+        handle = RequestHandle(done=done)
         handle.timer = self.loop.call_later(timeout, handle.expire)
-        connection = self.take_idle(max_idle)
+        connection = self.acquire_idle(max_idle)
         if connection is not None:
             connection.start(request, handle)
         else:
             handle.task = self.loop.create_task(self.open(request, handle))
         return handle
 
-    def take_idle(self, max_idle: float | None) -> "Connection | None":
+    def acquire_idle(self, max_idle: float | None) -> "Connection | None":
         """Return a kept connection that is fresh enough, if any."""
         now = self.loop.time()
         while self.idle:
@@ -168,7 +168,9 @@
             return connection
         return None
 
-    async def open(self, request: messages.Request, handle: Handle) -> None:
+    async def open(
+        self, request: messages.Request, handle: RequestHandle
+    ) -> None:
         """Open a connection and send the request on it."""
         try:
             async with asyncio.timeout(self.connect_seconds):
@@ -191,7 +193,7 @@
         for connection in tuple(self.connections):
             connection.abort()
 
-    def drop_idle(self) -> None:
+    def close_idle(self) -> None:
         """Close the connections that carry no request."""
         for connection in tuple(self.idle):
             connection.abort()
@@ -204,7 +206,7 @@
     def __init__(self, *, client: Client) -> None:
         self.client = client
         self.transport: typing.Any = None
-        self.handle: Handle | None = None
+        self.handle: RequestHandle | None = None
         self.parser: typing.Any = None
         self.head = False
         self.uses = 0
@@ -223,7 +225,7 @@
         self.status = 0
         self.keep_alive = False
 
-    def start(self, request: messages.Request, handle: Handle) -> None:
+    def start(self, request: messages.Request, handle: RequestHandle) -> None:
         """Send a request."""
         self.uses += 1
         self.handle = handle
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -10,7 +10,7 @@
 
 from apricotpost.http import messages
 
-__all__ = ["Exchange", "Front", "Limits"]
+__all__ = ["Exchange", "Listener", "Limits"]
 
 BACKLOG_CONNECTIONS = 1024
 # Requests of one connection that are handled at the same time.
@@ -55,15 +55,15 @@
         The whole request.
     keep_alive : bool
         Whether the client keeps the connection.
-    arrived : float
+    arrived_at : float
         Monotonic time, in seconds.
     """
 
     __slots__ = (
-        "arrived",
+        "arrived_at",
         "connection",
         "keep_alive",
-        "on_gone",
+        "on_disconnect",
         "output",
         "request",
     )
@@ -74,13 +74,13 @@
         connection: "Connection",
         request: messages.Request,
         keep_alive: bool,
-        arrived: float,
+        arrived_at: float,
     ) -> None:
         self.connection = connection
         self.request = request
         self.keep_alive = keep_alive
-        self.arrived = arrived
-        self.on_gone: Callable[[], None] | None = None
+        self.arrived_at = arrived_at
+        self.on_disconnect: Callable[[], None] | None = None
         self.output: bytes | None = None
 
     def respond(
@@ -89,9 +89,9 @@
         """Send the response as soon as those before it are sent."""
         if self.output is not None:
             return
-        self.on_gone = None
-        self.connection.front.buffered -= len(self.request.body)
-        if close or self.connection.front.closing:
+        self.on_disconnect = None
+        self.connection.listener.buffered -= len(self.request.body)
+        if close or self.connection.listener.closing:
             self.keep_alive = False
         self.output = messages.encode_response(
             response,
@@ -101,7 +101,7 @@
         self.connection.flush()
 
 
-class Front:
+class Listener:
     """A listening address.
 
     Parameters
@@ -130,7 +130,7 @@
         """
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: Connection(front=self, loop=loop),
+            lambda: Connection(listener=self, loop=loop),
             host,
             port,
             backlog=BACKLOG_CONNECTIONS,
@@ -162,9 +162,9 @@
     """One client's connection."""
 
     def __init__(
-        self, *, front: Front, loop: asyncio.AbstractEventLoop
+        self, *, listener: Listener, loop: asyncio.AbstractEventLoop
     ) -> None:
-        self.front = front
+        self.listener = listener
         self.loop = loop
         self.transport: typing.Any = None
         self.peer_host = ""
@@ -186,24 +186,24 @@
         self.transport = transport
         peer = transport.get_extra_info("peername")
         self.peer_host = peer[0] if peer else ""
-        self.front.connections.add(self)
+        self.listener.connections.add(self)
         self.timer = self.loop.call_later(
             TIMEOUT_CHECK_SECONDS, self.check_timeouts
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the handlers of open requests that the client is gone."""
-        self.front.connections.discard(self)
+        self.listener.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
         self.transport = None
-        self.front.buffered -= self.body_bytes
+        self.listener.buffered -= self.body_bytes
         for exchange in self.exchanges:
             if exchange.output is None:
-                self.front.buffered -= len(exchange.request.body)
-            if exchange.on_gone is not None:
-                exchange.on_gone()
-                exchange.on_gone = None
+                self.listener.buffered -= len(exchange.request.body)
+            if exchange.on_disconnect is not None:
+                exchange.on_disconnect()
+                exchange.on_disconnect = None
         self.exchanges.clear()
 
     def is_from(self, host: str) -> bool:
@@ -240,7 +240,7 @@
             connection=self,
             request=messages.Request(method=b"GET", target=b""),
             keep_alive=False,
-            arrived=self.loop.time(),
+            arrived_at=self.loop.time(),
         )
         self.exchanges.append(exchange)
         exchange.respond(messages.Response(status=status), close=True)
@@ -266,7 +266,7 @@
         """End a connection that is idle or whose request head is late."""
         if self.transport is None:
             return
-        limits = self.front.limits
+        limits = self.listener.limits
         idle = self.loop.time() - self.last_activity
         if not self.exchanges:
             if self.in_message and idle > limits.header_seconds:
@@ -303,7 +303,7 @@
     def count_header(self, size: int) -> None:
         """Refuse a head that is too large."""
         self.header_bytes += size
-        if self.header_bytes > self.front.limits.header_bytes:
+        if self.header_bytes > self.listener.limits.header_bytes:
             self.refuse(431)
 
     def on_headers_complete(self) -> None:
@@ -321,13 +321,13 @@
         """Take a part of the body."""
         if self.broken:
             return
-        if self.body_bytes + len(body) > self.front.limits.body_bytes:
+        if self.body_bytes + len(body) > self.listener.limits.body_bytes:
             self.refuse(413)
             return
         self.body_bytes += len(body)
-        self.front.buffered += len(body)
+        self.listener.buffered += len(body)
         self.body.append(body)
-        if self.front.buffered > self.front.limits.buffered_bytes:
+        if self.listener.buffered > self.listener.limits.buffered_bytes:
             self.refuse(503)
 
     def on_message_complete(self) -> None:
@@ -344,7 +344,7 @@
                 body=b"".join(self.body),
             ),
             keep_alive=self.parser.should_keep_alive(),
-            arrived=self.loop.time(),
+            arrived_at=self.loop.time(),
         )
         # The exchange accounts for the body from now.
         self.body_bytes = 0
@@ -352,4 +352,4 @@
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
             self.reading_paused = True
             self.transport.pause_reading()
-        self.front.handler(exchange)
+        self.listener.handler(exchange)
--- a/apricotpost/idempotency/backlog.py
+++ b/apricotpost/idempotency/backlog.py
@@ -15,8 +15,8 @@
     "add",
     "attempt",
     "next_due",
-    "put_off",
-    "take_due",
+    "reschedule",
+    "pop_due",
 ]
 
 # An outage of the table that lasts longer leaves records `started`.
@@ -81,7 +81,7 @@
     return Backlog(jobs=(*backlog.jobs, waiting)), True
 
 
-def take_due(backlog: Backlog, now: float) -> tuple[Backlog, Job | None]:
+def pop_due(backlog: Backlog, now: float) -> tuple[Backlog, Job | None]:
     """Take out the first job that is due."""
     for job in backlog.jobs:
         if job.due <= now:
@@ -90,7 +90,7 @@
     return backlog, None
 
 
-def put_off(backlog: Backlog, job: Job, now: float) -> tuple[Backlog, bool]:
+def reschedule(backlog: Backlog, job: Job, now: float) -> tuple[Backlog, bool]:
     """Put back a job that failed again; returns whether it is tried again."""
     pause = min(PAUSE_MIN_SECONDS * 2.0 ** (job.tries + 1), PAUSE_MAX_SECONDS)
     if now + pause > job.since + GIVE_UP_SECONDS:
--- a/apricotpost/model/__init__.py
+++ b/apricotpost/model/__init__.py
@@ -21,9 +21,9 @@
 from apricotpost.model.levels import LevelCounts
 from apricotpost.model.levels import Objective
 from apricotpost.model.levels import RouteLevel
-from apricotpost.model.traffic import BackendBeat
 from apricotpost.model.traffic import BackendState
 from apricotpost.model.traffic import ClientLimits
+from apricotpost.model.traffic import Heartbeat
 from apricotpost.model.traffic import RolloutOrder
 from apricotpost.model.traffic import ServiceRule
 from apricotpost.model.traffic import Target
@@ -33,7 +33,7 @@
 __all__ = [
     "EMPTY_SNAPSHOT",
     "TOTAL_SHARE",
-    "BackendBeat",
+    "Heartbeat",
     "BackendState",
     "ClientLimits",
     "DataCentre",
--- a/apricotpost/model/traffic.py
+++ b/apricotpost/model/traffic.py
@@ -5,7 +5,7 @@
 import enum
 
 __all__ = [
-    "BackendBeat",
+    "Heartbeat",
     "BackendState",
     "ClientLimits",
     "RolloutOrder",
@@ -120,14 +120,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class BackendBeat:
+class Heartbeat:
     """Heartbeat of a backend server.
 
     Parameters
     ----------
     backend : str
         Identifier of the backend server.
-    born : int
+    started_at_ms : int
         Unix milliseconds of its start; orders its incarnations.
     sequence : int
         Counts its heartbeats since the start.
@@ -142,7 +142,7 @@
     """
 
     backend: str
-    born: int
+    started_at_ms: int
     sequence: int
     service: str
     version: str
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -222,9 +222,9 @@
     task: control_state.ControlTask, message: wire.Message
 ) -> None:
     if isinstance(message, wire.BackendServerAnnounced):
-        control_records.announce(task, message)
+        control_records.handle_announcement(task, message)
     elif isinstance(message, wire.GateReport):
-        control_records.note_report(task, message)
+        control_records.record_report(task, message)
         control_config.forward_evidence(task, message.evidence)
     elif isinstance(message, wire.LeaveAnnounced):
         control_records.leave(task)
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -34,7 +34,7 @@
     for action in actions:
         _carry_out(task, action, now)
     if task.distribution.snapshot is not before.snapshot:
-        control_records.note_version(task)
+        control_records.record_version(task)
         version = task.distribution.snapshot.version
         control_records.publish(task)
         events.emit(LOG, events.CONFIG_APPLIED, version=version)
--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -15,11 +15,11 @@
 from apricotpost import wire
 
 __all__ = [
-    "announce",
+    "handle_announcement",
     "handle",
     "leave",
-    "note_report",
-    "note_version",
+    "record_report",
+    "record_version",
     "publish",
 ]
 
@@ -49,7 +49,7 @@
         publish(task)
 
 
-def announce(
+def handle_announcement(
     task: control_state.ControlTask, message: wire.BackendServerAnnounced
 ) -> None:
     """Take over the announcement of the backend server."""
@@ -60,7 +60,7 @@
     _update_own(task)
 
 
-def note_report(
+def record_report(
     task: control_state.ControlTask, report: wire.GateReport
 ) -> None:
     """Take over what the gate says about the backend server."""
@@ -76,7 +76,7 @@
     _update_own(task)
 
 
-def note_version(task: control_state.ControlTask) -> None:
+def record_version(task: control_state.ControlTask) -> None:
     """Put the version held into the own record.
 
     Probes, their answers and digests carry it, so that each node hears it
--- a/apricotpost/node/outcome_retries.py
+++ b/apricotpost/node/outcome_retries.py
@@ -49,7 +49,7 @@
                 break
             if message is not None:
                 state = _add(state, message, clock())
-            state, job = backlog.take_due(state, clock())
+            state, job = backlog.pop_due(state, clock())
             if job is not None:
                 state = try_job(store, state, job, clock)
         limited = storage.bounded(store, LAST_TRY_SECONDS)
@@ -74,7 +74,7 @@
         failure: Exception | None = error
     else:
         failure = None
-    state, again = backlog.put_off(state, job, clock())
+    state, again = backlog.reschedule(state, job, clock())
     if not again and failure is not None:
         emit_loss(LOG, job.claim, failure)
     return state
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -53,7 +53,9 @@
         if isinstance(decision, steps.Advance):
             share = decision.share
         after = rollouts.step_rollout(before, rollout, share, now)
-    after = config.seal(dataclasses.replace(after, version=before.version + 1))
+    after = config.with_checksum(
+        dataclasses.replace(after, version=before.version + 1)
+    )
     # Unique to this attempt: an equal identifier would count as carried out.
     request = f"{holder}/{rollout.identifier}/{before.version}/{now!r}"
     return storage.Change(
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -3,21 +3,21 @@
 Nothing here decides, and nothing outside uses the platform's names.
 """
 
+from apricotpost.platform.announcements import Deregistration
 from apricotpost.platform.announcements import parse_announcement
-from apricotpost.platform.announcements import parse_beat
-from apricotpost.platform.announcements import Withdrawal
+from apricotpost.platform.announcements import parse_heartbeat
 from apricotpost.platform.configuration import parse_configuration
 from apricotpost.platform.configuration import RouteCache
 from apricotpost.platform.headers import backend_instance
 from apricotpost.platform.headers import call_headers
+from apricotpost.platform.headers import find_response_fault
 from apricotpost.platform.headers import health_request
+from apricotpost.platform.headers import is_healthy
 from apricotpost.platform.headers import is_not_run
-from apricotpost.platform.headers import is_well
 from apricotpost.platform.headers import NotRunStatus
 from apricotpost.platform.headers import read_head
 from apricotpost.platform.headers import refusal_headers
 from apricotpost.platform.headers import RequestHead
-from apricotpost.platform.headers import response_faults
 from apricotpost.platform.orders import CONFIGURATION
 from apricotpost.platform.orders import encode_status
 from apricotpost.platform.orders import EVACUATIONS
@@ -46,19 +46,19 @@
     "STATUS",
     "Store",
     "TrialState",
-    "Withdrawal",
+    "Deregistration",
     "backend_instance",
     "call_headers",
     "encode_status",
     "health_request",
     "is_not_run",
-    "is_well",
+    "is_healthy",
     "parse_announcement",
-    "parse_beat",
+    "parse_heartbeat",
     "parse_configuration",
     "parse_rollout",
     "read_head",
     "refusal_headers",
-    "response_faults",
+    "find_response_fault",
     "status_key",
 ]
--- a/apricotpost/platform/announcements.py
+++ b/apricotpost/platform/announcements.py
@@ -9,13 +9,13 @@
 from apricotpost import http
 from apricotpost import model
 
-__all__ = ["Withdrawal", "parse_announcement", "parse_beat"]
+__all__ = ["Deregistration", "parse_announcement", "parse_heartbeat"]
 
-_BEAT_PATH = b"/v1/Instances.Heartbeat/"
+_HEARTBEAT_PATH = b"/v1/Instances.Heartbeat/"
 _LEAVE_PATH = b"/v1/Instances.Deregister/"
 
 
-class _Beat(msgspec.Struct, frozen=True):
+class _Heartbeat(msgspec.Struct, frozen=True):
     service: str
     address: str
     zone: str
@@ -33,26 +33,26 @@
     born: int = 0
 
 
-_BEAT = msgspec.json.Decoder(_Beat)
+_HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
 _LEAVE = msgspec.json.Decoder(_Leave)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Withdrawal:
+class Deregistration:
     """A backend server says that it is going."""
 
     backend: str
-    born: int
+    started_at_ms: int
 
 
 def parse_announcement(
     request: http.Request,
-) -> model.BackendBeat | Withdrawal | None:
+) -> model.Heartbeat | Deregistration | None:
     """Decode a call of a backend server.
 
     Returns
     -------
-    model.BackendBeat or Withdrawal or None
+    model.Heartbeat or Deregistration or None
         None if the path is none of these calls.
 
     Raises
@@ -63,16 +63,18 @@
     path = request.target.split(b"?", 1)[0]
     if request.method != b"POST":
         return None
-    if path.startswith(_BEAT_PATH):
-        backend = path[len(_BEAT_PATH) :].decode("latin-1")
-        return parse_beat(backend, request.body)
+    if path.startswith(_HEARTBEAT_PATH):
+        backend = path[len(_HEARTBEAT_PATH) :].decode("latin-1")
+        return parse_heartbeat(backend, request.body)
     if path.startswith(_LEAVE_PATH):
         backend = path[len(_LEAVE_PATH) :].decode("latin-1")
-        return Withdrawal(backend=backend, born=_read_born(request.body))
+        return Deregistration(
+            backend=backend, started_at_ms=_read_started_at_ms(request.body)
+        )
     return None
 
 
-def parse_beat(backend: str, body: bytes) -> model.BackendBeat:
+def parse_heartbeat(backend: str, body: bytes) -> model.Heartbeat:
     """Decode the body of a heartbeat.
 
     Raises
@@ -81,28 +83,28 @@
         A field is missing or has another type.
     """
     try:
-        beat = _BEAT.decode(body)
+        heartbeat = _HEARTBEAT.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.MalformedMessage(
             f"heartbeat of {backend} cannot be decoded: {error}"
         ) from error
-    if not backend or beat.slots < 1:
+    if not backend or heartbeat.slots < 1:
         raise errors.MalformedMessage(f"heartbeat of {backend!r} has no slots")
-    return model.BackendBeat(
+    return model.Heartbeat(
         backend=backend,
-        born=beat.born,
-        sequence=beat.seq,
-        service=beat.service,
-        version=beat.version,
-        data_centre=beat.zone,
-        address=beat.address,
-        slots=beat.slots,
-        state=model.BackendState(beat.state),
-        cold_ms=max(beat.cold_remaining_ms, 0),
+        started_at_ms=heartbeat.born,
+        sequence=heartbeat.seq,
+        service=heartbeat.service,
+        version=heartbeat.version,
+        data_centre=heartbeat.zone,
+        address=heartbeat.address,
+        slots=heartbeat.slots,
+        state=model.BackendState(heartbeat.state),
+        cold_ms=max(heartbeat.cold_remaining_ms, 0),
     )
 
 
-def _read_born(body: bytes) -> int:
+def _read_started_at_ms(body: bytes) -> int:
     if not body.strip():
         return 0
     try:
--- a/apricotpost/platform/headers.py
+++ b/apricotpost/platform/headers.py
@@ -12,10 +12,10 @@
     "call_headers",
     "health_request",
     "is_not_run",
-    "is_well",
+    "is_healthy",
     "read_head",
     "refusal_headers",
-    "response_faults",
+    "find_response_fault",
 ]
 
 _REQUEST_ID = b"x-request-id"
@@ -111,7 +111,7 @@
     )
 
 
-def response_faults(response: http.Response, request_id: str) -> str:
+def find_response_fault(response: http.Response, request_id: str) -> str:
     """Return why a response cannot be the backend server's own, or ''."""
     echoed = http.find_header(response.headers, _REQUEST_ID)
     if echoed is None or echoed.decode("latin-1") != request_id:
@@ -139,7 +139,7 @@
     )
 
 
-def is_well(response: http.Response) -> bool:
+def is_healthy(response: http.Response) -> bool:
     """Tell whether a backend server is healthy and not leaving."""
     return response.status == 200
 
--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -113,8 +113,8 @@
     newest : mapping
         Newest cumulative counts by instance, service, version and route.
     undrained : mapping
-        Sums over all instances since the last `take_undrained`, by service, version
-        and route.
+        Sums over all instances since the last `take_undrained`, by service,
+        version and route.
     """
 
     newest: Mapping[tuple[str, str, str, str], model.Evidence] = (
--- a/apricotpost/sidecar/active_requests.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -129,8 +129,8 @@
         self.nested = nested
         self.version_draw = version_draw
         self.headers = http.strip_hop_headers(exchange.request.headers)
-        self.expires_at = exchange.arrived + left_ms / 1000.0
-        self.objective_at = exchange.arrived + route.objective_ms / 1000.0
+        self.expires_at = exchange.arrived_at + left_ms / 1000.0
+        self.objective_at = exchange.arrived_at + route.objective_ms / 1000.0
         self.call = ""
         self.node = ""
         self.backend = ""
@@ -249,7 +249,7 @@
     now : float
         Monotonic time, in seconds.
     """
-    waited_ms = (now - active.exchange.arrived) * 1000.0
+    waited_ms = (now - active.exchange.arrived_at) * 1000.0
     return waited_ms >= usual_ms * OVERDUE_MULTIPLE
 
 
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -73,7 +73,7 @@
         self.checking = False
 
     def handle_heartbeat(
-        self, heartbeat: model.BackendBeat
+        self, heartbeat: model.Heartbeat
     ) -> heartbeats.HeartbeatEffect:
         """Take a heartbeat and tell what it changed."""
         now = self.loop.time()
@@ -125,14 +125,14 @@
         )
 
     def handle_health(
-        self, asked: model.BackendBeat, result: http.Result
+        self, asked: model.Heartbeat, result: http.Result
     ) -> None:
         """Use the backend server if it says that it serves."""
         response = result.response
         status = response.status if response else str(result.failure)
         well = (
             response is not None
-            and platform.is_well(response)
+            and platform.is_healthy(response)
             and platform.backend_instance(response.headers) == asked.backend
         )
         events.emit(
@@ -147,7 +147,7 @@
             self.on_change()
 
     def start_incarnation(
-        self, heartbeat: model.BackendBeat, now: float
+        self, heartbeat: model.Heartbeat, now: float
     ) -> None:
         """Forget what was known of the backend server before."""
         limit = float(heartbeat.slots)
@@ -157,7 +157,7 @@
             self.queue, slots=heartbeat.slots, limit=limit, now=now
         )
         self.outcomes.reset()
-        self.client.drop_idle()
+        self.client.close_idle()
 
     def update_cold(self) -> None:
         """Bound the rate while the backend server is cold.
@@ -185,11 +185,11 @@
         self.update_cold()
 
     def handle_deregistration(
-        self, deregistration: platform.Withdrawal
+        self, deregistration: platform.Deregistration
     ) -> bool:
         """Take a deregistration and tell whether it is of this server."""
         if not heartbeats.deregister(
-            self.presence, deregistration.backend, deregistration.born
+            self.presence, deregistration.backend, deregistration.started_at_ms
         ):
             return False
         events.emit(_LOG, events.BACKEND_LEFT, backend=deregistration.backend)
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -151,7 +151,7 @@
         def leave() -> None:
             self.abandon(active)
 
-        exchange.on_gone = leave
+        exchange.on_disconnect = leave
         active.deadline_timer = self.loop.call_at(
             active.expires_at + ANSWER_SLACK_SECONDS, self.expire, active
         )
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -39,7 +39,7 @@
     def __init__(self, *, offer: wire.Offer, reply: Reply) -> None:
         self.offer = offer
         self.reply = reply
-        self.handle: http.Handle | None = None
+        self.handle: http.RequestHandle | None = None
         self.started = 0.0
         self.use_new_connection = False
 
@@ -95,7 +95,7 @@
         if found is None:
             exchange.respond(http.Response(status=404))
             return
-        if isinstance(found, platform.Withdrawal):
+        if isinstance(found, platform.Deregistration):
             self.handle_deregistration(found)
         else:
             self.handle_heartbeat(found)
@@ -107,7 +107,7 @@
             )
         )
 
-    def handle_heartbeat(self, heartbeat: model.BackendBeat) -> None:
+    def handle_heartbeat(self, heartbeat: model.Heartbeat) -> None:
         """Take a heartbeat of the backend server."""
         effect = self.server.handle_heartbeat(heartbeat)
         if effect in (
@@ -119,7 +119,7 @@
             self.start_queued()
 
     def handle_deregistration(
-        self, deregistration: platform.Withdrawal
+        self, deregistration: platform.Deregistration
     ) -> None:
         """Take the deregistration of the backend server."""
         if self.server.handle_deregistration(deregistration):
@@ -298,7 +298,7 @@
         elif platform.is_not_run(response):
             self.handle_rejection(queued, response)
         else:
-            fault = platform.response_faults(response, offer.request)
+            fault = platform.find_response_fault(response, offer.request)
             if fault:
                 self.fail(queued, http.Failure.MALFORMED, ran_ms, fault)
             else:
--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -38,7 +38,7 @@
     """
 
     def __init__(self) -> None:
-        self.current: model.BackendBeat | None = None
+        self.current: model.Heartbeat | None = None
         self.confirmed = True
         self.heard_at = 0.0
         self.unreachable = False
@@ -49,7 +49,7 @@
 
 def record_heartbeat(
     presence: Presence,
-    heartbeat: model.BackendBeat,
+    heartbeat: model.Heartbeat,
     now: float,
     *,
     confirm_seconds: float = 0.0,
@@ -63,7 +63,7 @@
     ----------
     presence : Presence
         State.
-    heartbeat : model.BackendBeat
+    heartbeat : model.Heartbeat
         The heartbeat.
     now : float
         Monotonic time, in seconds.
@@ -71,15 +71,15 @@
         A second heartbeat that comes so much later confirms the server.
     """
     left = presence.departed.get(heartbeat.backend)
-    if left is not None and heartbeat.born <= left:
+    if left is not None and heartbeat.started_at_ms <= left:
         return HeartbeatEffect.NONE
     current = presence.current
     if current is not None and _is_older(heartbeat, current):
         return HeartbeatEffect.NONE
     was_usable = presence.confirmed and not presence.unreachable
-    other = current is None or (current.backend, current.born) != (
+    other = current is None or (current.backend, current.started_at_ms) != (
         heartbeat.backend,
-        heartbeat.born,
+        heartbeat.started_at_ms,
     )
     if other:
         unknown = current is None and not presence.departed
@@ -130,19 +130,20 @@
     current = presence.current
     same = current is not None and current.backend == backend
     if same and current is not None and not started_at_ms:
-        started_at_ms = current.born
+        started_at_ms = current.started_at_ms
     presence.departed[backend] = max(
         presence.departed.get(backend, 0), started_at_ms
     )
-    if not same or current is None or current.born > started_at_ms:
+    if not same or current is None or current.started_at_ms > started_at_ms:
         return False
     presence.current = None
     return True
 
 
-def _is_older(
-    heartbeat: model.BackendBeat, current: model.BackendBeat
-) -> bool:
-    if heartbeat.backend == current.backend and heartbeat.born == current.born:
+def _is_older(heartbeat: model.Heartbeat, current: model.Heartbeat) -> bool:
+    if (
+        heartbeat.backend == current.backend
+        and heartbeat.started_at_ms == current.started_at_ms
+    ):
         return heartbeat.sequence <= current.sequence
-    return heartbeat.born < current.born
+    return heartbeat.started_at_ms < current.started_at_ms
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -153,13 +153,13 @@
             is_busy=self.dispatcher.is_busy,
         )
         self.gossip.connections = self.connections
-        self.fronts = {
+        self.handlers = {
             settings.addresses.callers: self.dispatcher.handle,
             settings.addresses.readiness: self.answer_readiness,
             settings.addresses.announcements: self.gate.answer_announcement,
             settings.addresses.metrics: self.answer_scrape,
         }
-        self.open_fronts: dict[str, http.Front] = {}
+        self.listeners: dict[str, http.Listener] = {}
 
     # Messages between the tasks.
 
@@ -276,9 +276,9 @@
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
         limits = after.limits
-        front = self.open_fronts.get(self.settings.addresses.callers)
-        if limits is not None and front is not None:
-            front.limits = http.Limits(
+        listener = self.listeners.get(self.settings.addresses.callers)
+        if limits is not None and listener is not None:
+            listener.limits = http.Limits(
                 header_bytes=limits.header_bytes,
                 body_bytes=limits.body_bytes,
                 header_seconds=limits.header_ms / 1000.0,
@@ -317,11 +317,11 @@
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> None:
         """Open all addresses."""
-        for address, handler in self.fronts.items():
-            front = http.Front(handler=handler, limits=http.Limits())
-            stack.callback(front.close)
-            await front.listen(*options.split_address(address))
-            self.open_fronts[address] = front
+        for address, handler in self.handlers.items():
+            listener = http.Listener(handler=handler, limits=http.Limits())
+            stack.callback(listener.close)
+            await listener.listen(*options.split_address(address))
+            self.listeners[address] = listener
 
     async def flush_logs(self) -> None:
         """Write log lines at intervals."""
@@ -370,7 +370,7 @@
         grace = self.settings.bounds.grace_seconds
         self.gossip.leaving = True
         self.gossip.publish_change()
-        callers = self.open_fronts[self.settings.addresses.callers]
+        callers = self.listeners[self.settings.addresses.callers]
         callers.start_closing()
         self.loop.call_later(LEAVE_SECONDS, self.gate.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, self.dispatcher.stop_accepting)
--- a/apricotpost/sidecar/responses.py
+++ b/apricotpost/sidecar/responses.py
@@ -53,7 +53,7 @@
     ) -> None:
         """Answer a request that was offered to backend servers."""
         active.exchange.respond(response)
-        seconds = self.loop.time() - active.exchange.arrived
+        seconds = self.loop.time() - active.exchange.arrived_at
         self.instruments.requests.add(outcome, reason)
         self.instruments.latency.observe(seconds)
         report = self.decisions.report
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -142,7 +142,7 @@
     planned = rollouts.plan_rollout(
         first, SERVICE, NEW, STARTED_AT + case.finish_seconds, STARTED_AT
     )
-    return config.seal(planned)
+    return config.with_checksum(planned)
 
 
 def _instances(case: rollout_faults.Case) -> tuple[model.InstanceRecord, ...]:
--- a/bench/state_at_target.py
+++ b/bench/state_at_target.py
@@ -34,7 +34,7 @@
 
 def make_view(instances: int, services: int) -> model.View:
     """Return a ready view of the given size."""
-    snapshot = config.seal(_make_snapshot(services))
+    snapshot = config.with_checksum(_make_snapshot(services))
     records = tuple(
         _make_record(number, services) for number in range(instances)
     )
@@ -120,7 +120,7 @@
         finish_by=3600.0,
         changed_at=0.0,
     )
-    return config.seal(
+    return config.with_checksum(
         dataclasses.replace(
             snapshot,
             version=snapshot.version + 1,
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -45,21 +45,23 @@
         self.at_once = 0
         self.most_at_once = 0
         self.cancelled = 0
-        self.front = http.Front(handler=self.handle, limits=http.Limits())
+        self.listener = http.Listener(
+            handler=self.handle, limits=http.Limits()
+        )
         self.address = ""
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, port: int = 0) -> None:
         """Listen on a port; 0 takes a free one."""
-        await self.front.listen(self.host, port)
-        port = self.front.server.sockets[0].getsockname()[1]
+        await self.listener.listen(self.host, port)
+        port = self.listener.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
 
     def close(self) -> None:
         """Crash."""
         for task in self.tasks:
             task.cancel()
-        self.front.close()
+        self.listener.close()
 
     def handle(self, exchange: http.Exchange) -> None:
         """Run a request in a task of its own."""
@@ -89,7 +91,7 @@
         self.at_once += 1
         self.most_at_once = max(self.most_at_once, self.at_once)
         gone = asyncio.Event()
-        exchange.on_gone = gone.set
+        exchange.on_disconnect = gone.set
         try:
             async with asyncio.timeout(self.work_seconds):
                 await gone.wait()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -304,7 +304,7 @@
 
 def commit_first(fleet: Fleet, snapshot: model.Snapshot) -> model.Snapshot:
     """Commit the first configuration straight to the table."""
-    sealed = config.seal(dataclasses.replace(snapshot, version=1))
+    sealed = config.with_checksum(dataclasses.replace(snapshot, version=1))
     store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
--- a/standins/observations.py
+++ b/standins/observations.py
@@ -62,7 +62,7 @@
     """Commit a change of one route straight to the table."""
     version = before.version + 1
     route = dataclasses.replace(before.routes[0], timeout_ms=1000 + version)
-    after = config.seal(
+    after = config.with_checksum(
         dataclasses.replace(before, version=version, routes=(route,))
     )
     store = storage.open_store(
--- a/standins/operations.py
+++ b/standins/operations.py
@@ -49,7 +49,9 @@
     with open_store(opened) as store:
         before = storage.read_snapshot(store, storage.read_head(store))
         version = before.version + 1
-        after = config.seal(dataclasses.replace(edit(before), version=version))
+        after = config.with_checksum(
+            dataclasses.replace(edit(before), version=version)
+        )
         return storage.commit(
             store,
             storage.Change(
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -53,21 +53,23 @@
         self.conditions = Conditions()
         self.calls: list[str] = []
         self.changed = asyncio.Event()
-        self.front = http.Front(handler=self.handle, limits=http.Limits())
+        self.listener = http.Listener(
+            handler=self.handle, limits=http.Limits()
+        )
         self.address = ""
         self.waiting: set[asyncio.Task[None]] = set()
 
     async def listen(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
-        await self.front.listen(host, 0)
-        port = self.front.server.sockets[0].getsockname()[1]
+        await self.listener.listen(host, 0)
+        port = self.listener.server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
     def close(self) -> None:
         """Stop to listen."""
         for task in self.waiting:
             task.cancel()
-        self.front.close()
+        self.listener.close()
 
     def put(self, table: str, key: str, value: bytes) -> int:
         """Write a row as an operator does."""
--- a/tests/config/test_deltas.py
+++ b/tests/config/test_deltas.py
@@ -12,7 +12,7 @@
 
 def make_snapshot(version: int = 1) -> model.Snapshot:
     """Return a small valid configuration."""
-    return config.seal(
+    return config.with_checksum(
         model.Snapshot(
             version=version,
             services=(
@@ -39,7 +39,7 @@
     def setUp(self):
         self.first = make_snapshot()
         route = dataclasses.replace(self.first.routes[0], timeout_ms=100)
-        self.second = config.seal(
+        self.second = config.with_checksum(
             dataclasses.replace(self.first, version=2, routes=(route,))
         )
         self.delta = config.compute_delta(self.first, self.second)
@@ -65,7 +65,7 @@
 
     def test_dangling_route_is_refused_whole(self):
         """Guards against a route to a service that was removed."""
-        broken = config.seal(
+        broken = config.with_checksum(
             dataclasses.replace(self.first, version=2, services=())
         )
         delta = config.compute_delta(self.first, broken)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -5,28 +5,28 @@
 
 from apricotpost import http
 
-__all__ = ["FrontTest"]
+__all__ = ["ListenerTest"]
 
 HEAD = b"Host: h\r\n"
 
 
-class FrontTest(unittest.IsolatedAsyncioTestCase):
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, **limits):
         self.exchanges = []
         self.gone = []
         self.answer = True
-        self.front = http.Front(
+        self.listener = http.Listener(
             handler=self.handle, limits=http.Limits(**limits)
         )
-        await self.front.listen("127.0.0.1", 0)
-        self.addCleanup(self.front.close)
-        port = self.front.server.sockets[0].getsockname()[1]
+        await self.listener.listen("127.0.0.1", 0)
+        self.addCleanup(self.listener.close)
+        port = self.listener.server.sockets[0].getsockname()[1]
         reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
         self.reader = reader
 
     def handle(self, exchange):
         self.exchanges.append(exchange)
-        exchange.on_gone = lambda: self.gone.append(exchange)
+        exchange.on_disconnect = lambda: self.gone.append(exchange)
         if self.answer:
             exchange.respond(
                 http.Response(status=200, body=exchange.request.body)
@@ -122,7 +122,7 @@
     async def test_closing_front_ends_connections_after_their_answer(self):
         """Guards against requests that cross a close."""
         await self.start()
-        self.front.start_closing()
+        self.listener.start_closing()
         data = await self.talk(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
         self.assertIn(b"HTTP/1.1 200", data)
         self.assertIn(b"Connection: close", data)
@@ -145,7 +145,7 @@
         self.writer.write(head + b"a" * 8)
         self.writer.write(head + b"a" * 8)
         async with asyncio.timeout(3):
-            while not self.exchanges or self.front.buffered <= 10:
+            while not self.exchanges or self.listener.buffered <= 10:
                 await asyncio.sleep(0.01)
         self.exchanges[0].respond(http.Response(status=200))
         data = await self.reader.read()
@@ -153,6 +153,6 @@
         self.assertEqual(1, len(self.exchanges))
         self.writer.close()
         async with asyncio.timeout(3):
-            while self.front.connections:
+            while self.listener.connections:
                 await asyncio.sleep(0.01)
-        self.assertEqual(0, self.front.buffered)
+        self.assertEqual(0, self.listener.buffered)
--- a/tests/idempotency/test_decisions.py
+++ b/tests/idempotency/test_decisions.py
@@ -71,10 +71,10 @@
         state, _ = backlog.add(backlog.Backlog(), self.make_job(), 1000.0)
         now, again, tries = 1000.0, True, 0
         while again:
-            self.assertEqual((state, None), backlog.take_due(state, now + 0.4))
+            self.assertEqual((state, None), backlog.pop_due(state, now + 0.4))
             now = backlog.next_due(state)
-            state, job = backlog.take_due(state, now)
-            state, again = backlog.put_off(state, job, now)
+            state, job = backlog.pop_due(state, now)
+            state, again = backlog.reschedule(state, job, now)
             tries += 1
         self.assertLessEqual(now, 1060.0)
         self.assertEqual((10, ()), (tries, state.jobs))
--- a/tests/node/test_control_task.py
+++ b/tests/node/test_control_task.py
@@ -54,7 +54,7 @@
 
 
 def make_snapshot(version, rollouts):
-    return config.seal(
+    return config.with_checksum(
         model.Snapshot(version=version, services=(SERVICE,), rollouts=rollouts)
     )
 
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -99,7 +99,7 @@
             idempotent=True,
         )
         after = dataclasses.replace(stale, version=3, routes=(route,))
-        world.commit(stale, config.seal(after))
+        world.commit(stale, config.with_checksum(after))
         world.act("a", snapshot=stale)
         self.assertEqual(0, world.rollout().share)
         self.assertEqual([3], world.asked)
--- a/tests/node/test_withdrawal.py
+++ b/tests/node/test_withdrawal.py
@@ -75,7 +75,7 @@
         )
         (rollout,) = planned.rollouts
         stepped = rollouts.step_rollout(planned, rollout, 250, now)
-        after = config.seal(dataclasses.replace(stepped, version=2))
+        after = config.with_checksum(dataclasses.replace(stepped, version=2))
         self.store = storage.open_store(
             table_url=self.fleet.platform_url,
             object_url=self.fleet.platform_url,
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -52,11 +52,13 @@
             team="t",
             versions=(model.VersionShare(version="v1", share=1000),),
         )
-        first = config.seal(model.Snapshot(version=1, services=(service,)))
+        first = config.with_checksum(
+            model.Snapshot(version=1, services=(service,))
+        )
         planned = rollouts.plan_rollout(
             first, "portal", "v2", FINISH_BY, STARTED_AT
         )
-        second = config.seal(dataclasses.replace(planned, version=2))
+        second = config.with_checksum(dataclasses.replace(planned, version=2))
         for before, after in (
             (model.EMPTY_SNAPSHOT, first),
             (first, second),
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -46,7 +46,7 @@
         )
         self.assertEqual("i-7", found.backend)
         self.assertEqual(
-            (12, 4, 17), (found.slots, found.sequence, found.born)
+            (12, 4, 17), (found.slots, found.sequence, found.started_at_ms)
         )
 
     def test_withdrawal_with_and_without_start(self):
@@ -54,7 +54,9 @@
         path = b"/v1/Instances.Deregister/i-7"
         for body, born in ((b"", 0), (b"{}", 0), (b'{"born": 9}', 9)):
             found = platform.parse_announcement(make_post(path, body))
-            self.assertEqual(("i-7", born), (found.backend, found.born))
+            self.assertEqual(
+                ("i-7", born), (found.backend, found.started_at_ms)
+            )
 
     def test_forged_heartbeats_name_no_server(self):
         """Guards against entries of another writer."""
@@ -68,14 +70,14 @@
         ):
             body = msgspec.json.encode({**BEAT, **change})
             with self.assertRaises(errors.MalformedMessage):
-                platform.parse_beat("i-7", body)
+                platform.parse_heartbeat("i-7", body)
 
     @settings(derandomize=True, max_examples=200)
     @given(strategies.binary(max_size=60))
     def test_any_bytes_raise_one_type(self, body):
         """Guards against bytes that end the task."""
         with self.assertRaises(errors.MalformedMessage):
-            platform.parse_beat("i-7", body)
+            platform.parse_heartbeat("i-7", body)
 
 
 class ConfigurationTest(unittest.TestCase):
@@ -149,7 +151,9 @@
         )
         for headers, fault in cases:
             response = http.Response(status=200, headers=headers)
-            self.assertEqual(fault, platform.response_faults(response, "q1"))
+            self.assertEqual(
+                fault, platform.find_response_fault(response, "q1")
+            )
 
 
 class RouteCacheTest(unittest.TestCase):
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -39,7 +39,7 @@
         team="t",
         versions=(model.VersionShare(version="v1", share=1000),),
     )
-    return config.seal(model.Snapshot(version=1, services=(service,)))
+    return config.with_checksum(model.Snapshot(version=1, services=(service,)))
 
 
 class StepTest(unittest.TestCase):
--- a/tests/rollout/test_watch.py
+++ b/tests/rollout/test_watch.py
@@ -36,7 +36,7 @@
         )
         for name in ("fieldbook", "portal")
     )
-    first = config.seal(model.Snapshot(version=1, services=services))
+    first = config.with_checksum(model.Snapshot(version=1, services=services))
     planned = rollouts.plan_rollout(first, "portal", "v2", 2000.0, 1000.0)
     instances = (
         make_instance("f", service="fieldbook"),
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -41,7 +41,7 @@
 def make_heartbeat(**changes):
     values = {
         "backend": "b",
-        "born": 1000,
+        "started_at_ms": 1000,
         "sequence": 1,
         "service": "portal",
         "version": "v1",
@@ -51,4 +51,4 @@
         "state": model.BackendState.READY,
         "cold_ms": 0,
     }
-    return model.BackendBeat(**{**values, **changes})
+    return model.Heartbeat(**{**values, **changes})
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -30,7 +30,7 @@
         rank=0,
     )
     exchange = types.SimpleNamespace(
-        request=http.Request(method=b"GET", target=b"/a/"), arrived=0.0
+        request=http.Request(method=b"GET", target=b"/a/"), arrived_at=0.0
     )
     head = platform.RequestHead(
         request_id="q", host="h", path="/a/", deadline_ms=1200
--- a/tests/sidecar/test_backend_server.py
+++ b/tests/sidecar/test_backend_server.py
@@ -29,7 +29,7 @@
             read_view=lambda: view,
             on_change=self.count_change,
             queue=self.queue,
-            client=types.SimpleNamespace(drop_idle=self.count_drop),
+            client=types.SimpleNamespace(close_idle=self.count_drop),
         )
 
     def count_change(self):
--- a/tests/sidecar/test_heartbeats.py
+++ b/tests/sidecar/test_heartbeats.py
@@ -27,20 +27,21 @@
 
     def test_heartbeat_of_the_former_server_is_ignored(self):
         """Guards against the sender's successor being replaced."""
-        self.take(backend="old", born=1000, sequence=90)
+        self.take(backend="old", started_at_ms=1000, sequence=90)
         self.assertIs(
             heartbeats.HeartbeatEffect.OTHER,
-            self.take(backend="new", born=2000),
+            self.take(backend="new", started_at_ms=2000),
         )
-        late = self.take(backend="old", born=1000, sequence=91)
+        late = self.take(backend="old", started_at_ms=1000, sequence=91)
         self.assertIs(heartbeats.HeartbeatEffect.NONE, late)
         self.assertEqual("new", self.presence.current.backend)
 
     def test_same_identifier_may_start_again(self):
         """Guards against a reborn server whose count starts anew."""
-        self.take(born=1000, sequence=50)
+        self.take(started_at_ms=1000, sequence=50)
         self.assertIs(
-            heartbeats.HeartbeatEffect.OTHER, self.take(born=3000, sequence=1)
+            heartbeats.HeartbeatEffect.OTHER,
+            self.take(started_at_ms=3000, sequence=1),
         )
 
     def test_left_server_does_not_return_by_a_late_heartbeat(self):
@@ -50,13 +51,14 @@
         self.assertIs(heartbeats.HeartbeatEffect.NONE, self.take(sequence=6))
         self.assertIsNone(self.presence.current)
         self.assertIs(
-            heartbeats.HeartbeatEffect.OTHER, self.take(born=2000, sequence=1)
+            heartbeats.HeartbeatEffect.OTHER,
+            self.take(started_at_ms=2000, sequence=1),
         )
 
     def test_late_deregistration_of_the_former_incarnation(self):
         """Guards against a reborn server that is taken for gone."""
-        self.take(born=1000)
-        self.take(born=2000)
+        self.take(started_at_ms=1000)
+        self.take(started_at_ms=2000)
         self.assertFalse(heartbeats.deregister(self.presence, "b", 1000))
         self.assertIsNotNone(self.presence.current)
 
@@ -124,5 +126,5 @@
         """Guards against a pause when a server is replaced."""
         self.take(0.0, backend="old", sequence=1)
         heartbeats.deregister(self.presence, "old", 0)
-        self.take(1.0, backend="new", born=2000, sequence=9)
+        self.take(1.0, backend="new", started_at_ms=2000, sequence=9)
         self.assertTrue(self.presence.confirmed)
--- a/tests/spread/fleets.py
+++ b/tests/spread/fleets.py
@@ -21,7 +21,7 @@
     that deltas which cross can leave a route without its service.
     """
     names = sorted({f"s{(version + k) % 5}" for k in range(services)})
-    return config.seal(
+    return config.with_checksum(
         model.Snapshot(
             version=version,
             services=tuple(
--- a/tests/spread/test_decisions.py
+++ b/tests/spread/test_decisions.py
@@ -306,7 +306,7 @@
             ),
         )
         self.fleet.history.append(
-            config.seal(
+            config.with_checksum(
                 dataclasses.replace(
                     first,
                     version=version,
--- a/tests/storage/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -29,7 +29,7 @@
 
 def make_change(before, *, author="ilze", request=None, number=None):
     version = before.version + 1
-    after = config.seal(
+    after = config.with_checksum(
         model.Snapshot(
             version=version, services=(make_service(number or version),)
         )
