--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 front: parses requests and sends answers in order."""
+"""HTTP/1.1 listener: parses requests and sends answers in order."""
 
 import asyncio
 import collections
--- a/bench/sidecar_overhead.py
+++ b/bench/sidecar_overhead.py
@@ -88,7 +88,7 @@
     world: mesh.Mesh, seconds: float
 ) -> tuple[list[float], list[float]]:
     """Call through the nodes and directly by turns, at random moments."""
-    draws = random.Random(SEED)
+    rng = random.Random(SEED)
     loop = asyncio.get_running_loop()
     entry = world.nodes[0].ports.callers
     backend = world.nodes[1].backend
@@ -109,7 +109,7 @@
         while loop.time() < end:
             for address in times:
                 group.create_task(call(address))
-                await asyncio.sleep(draws.expovariate(2 * RATE))
+                await asyncio.sleep(rng.expovariate(2 * RATE))
     return times[backend.address], times[entry]
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -111,29 +111,29 @@
     nodes : int
         Number of nodes.
     """
-    draws = random.Random(seed)
+    rng = random.Random(seed)
     kinds = tuple(kind for kind in Kind if kind is not Kind.ROLLOUT_BAD)
     end = seconds - RECOVERY_SECONDS
     found = list(_draw_rollout(seed, end))
     at = LEAD_SECONDS
     while True:
-        at += draws.expovariate(FAULTS_PER_SECOND)
-        kind = draws.choice(kinds)
-        lasts = draws.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
-        node = draws.randrange(nodes) if kind in OF_NODES else -1
+        at += rng.expovariate(FAULTS_PER_SECOND)
+        kind = rng.choice(kinds)
+        lasts = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
+        node = rng.randrange(nodes) if kind in OF_NODES else -1
         if at + lasts > end:
             break
         found.append(Fault(at=at, seconds=lasts, kind=kind, node=node))
-        again = at + lasts + draws.uniform(0.05, 1.0)
-        if draws.random() < SERIES_PART and again + lasts <= end:
+        again = at + lasts + rng.uniform(0.05, 1.0)
+        if rng.random() < SERIES_PART and again + lasts <= end:
             found.append(Fault(at=again, seconds=lasts, kind=kind, node=node))
     return tuple(sorted(found, key=lambda fault: fault.at))
 
 
 def _draw_rollout(seed: int, end: float) -> tuple[Fault, ...]:
     """Return the rollout of a run, if any, without changing its faults."""
-    draws = random.Random(f"rollout {seed}")
-    at = draws.uniform(0.0, LATEST_ROLLOUT_SECONDS)
-    if draws.random() >= ROLLOUT_PART or at + ROLLOUT_SECONDS > end:
+    rng = random.Random(f"rollout {seed}")
+    at = rng.uniform(0.0, LATEST_ROLLOUT_SECONDS)
+    if rng.random() >= ROLLOUT_PART or at + ROLLOUT_SECONDS > end:
         return ()
     return (Fault(at=at, seconds=ROLLOUT_SECONDS, kind=Kind.ROLLOUT_BAD),)
--- a/tests/admission/test_ranked.py
+++ b/tests/admission/test_ranked.py
@@ -85,7 +85,7 @@
         bear. What is served has to be served within its objective, and the
         slots must not idle.
         """
-        draws = random.Random(5)
+        rng = random.Random(5)
         queue = make_queue()
         entries, ends, in_time, served = {}, [], 0, 0
         for tick in range(20_000):
@@ -98,7 +98,7 @@
                     )
                     served += 1
                     in_time += now <= entries[name].objective_at
-            if draws.random() < 0.04:
+            if rng.random() < 0.04:
                 queued = make_entry(str(tick), at=now)
                 entries[queued.call] = queued
                 offer(queue, queued, now)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP front with raw bytes over loopback."""
+"""Tests of the HTTP listener with raw bytes over loopback."""
 
 import asyncio
 import unittest
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -19,7 +19,7 @@
     """Plays a service whose new version behaves as a function says."""
 
     def __init__(self, *, seed, new, old=None):
-        self.draws = random.Random(seed)
+        self.rng = random.Random(seed)
         self.versions = {
             "v1": old or (lambda now, load: (0.001, 1.0)),
             "v2": new,
@@ -64,9 +64,9 @@
         if self.trial.phase is trials.Phase.MOVING:
             load = share * SERVERS
         for _ in range(int(RATE * 0.05)):
-            version = "v2" if self.draws.random() < share else "v1"
+            version = "v2" if self.rng.random() < share else "v1"
             failing, slower = self.versions[version](now, load)
-            failed = self.draws.random() < failing
+            failed = self.rng.random() < failing
             self.exposed += version == "v2"
             if version == "v2" and (failed or slower > 3):
                 self.bad_answers += 1
@@ -75,7 +75,7 @@
             known = self.counts.get(version, evidence.Counts())
             latencies = known.latencies
             if not failed:
-                ran = 160 * slower * self.draws.lognormvariate(-0.125, 0.5)
+                ran = 160 * slower * self.rng.lognormvariate(-0.125, 0.5)
                 latencies = evidence.increment(
                     latencies, evidence.bucket_of(ran)
                 )
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -160,9 +160,9 @@
 
         Load: 24 requests between two reports, two servers with 12 slots.
         """
-        draws = random.Random(1)
+        rng = random.Random(1)
         pair = [make("a"), make("b")]
-        draws.shuffle(pair)
+        rng.shuffle(pair)
         for name in ("a", "b"):
             report(self.latency_model, name, 0)
         counts = {"a": 0, "b": 0}
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -45,12 +45,12 @@
 
     def test_no_window_exceeds_the_ratio(self):
         """Guards against retries that multiply a failure of the fleet."""
-        draws = random.Random(5)
+        rng = random.Random(5)
         budget = self.start()
         calls, spends = [], []
         now = 0.0
         for _ in range(2000):
-            now += draws.expovariate(4.0 if int(now / 15) % 2 else 0.5)
+            now += rng.expovariate(4.0 if int(now / 15) % 2 else 0.5)
             budget = earn(budget, now)
             calls.append(now)
             if int(now / 7) % 2:
