Name the peer that orders are requested from, and what evidence is kept

Orders are requested from any peer that is ahead, one of this data centre first; evidence of the named instances is kept.

--- a/apricotpost/http/__init__.py
+++ b/apricotpost/http/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 on the event loop: one listener and one client for every address."""
+"""HTTP/1.1 on the event loop: a listener and a client for every address."""
 
 from apricotpost.http.client import Client
 from apricotpost.http.client import Failure
--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -22,7 +22,7 @@
     "count",
     "describe",
     "take_undrained",
-    "remove_instances",
+    "keep_instances",
     "increment",
     "receive",
     "subtract",
@@ -241,7 +241,7 @@
     return EvidenceStore(newest=store.newest), store.undrained
 
 
-def remove_instances(
+def keep_instances(
     store: EvidenceStore, instances: Iterable[str]
 ) -> EvidenceStore:
     """Keep only the counts of the given instances."""
--- a/apricotpost/rollout/watch.py
+++ b/apricotpost/rollout/watch.py
@@ -88,7 +88,7 @@
         for name, at in watch.heard_at.items()
         if now - at <= GAP_SECONDS
     }
-    store = evidence.remove_instances(watch.evidence_store, heard)
+    store = evidence.keep_instances(watch.evidence_store, heard)
     usable = [entry for entry in found if full or entry.instance in heard]
     heard.update((entry.instance, now) for entry in usable)
     return dataclasses.replace(
@@ -124,7 +124,7 @@
     store, found = evidence.take_undrained(watch.evidence_store)
     names = [entry.instance for entry in members]
     watch = Watch(
-        evidence_store=evidence.remove_instances(store, names),
+        evidence_store=evidence.keep_instances(store, names),
         heard_at={
             name: at for name, at in watch.heard_at.items() if name in names
         },
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -373,7 +373,7 @@
                 return self.request_orders(state.node)
         return False
 
-    def request_from_remote_peer(self) -> None:
+    def request_from_any_peer(self) -> None:
         """Ask any node for missing orders while the store is lost."""
         now = self.loop.time()
         ahead = [
@@ -409,7 +409,7 @@
             events.emit(_LOG, events.STORE_LOST, error=error.message)
             self.peers.reaches_store = False
             self.peers.schedule_publish()
-        self.request_from_remote_peer()
+        self.request_from_any_peer()
 
     def record_store_regained(self) -> None:
         """Note a call of the store that was answered."""
