--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -10,11 +10,11 @@
 from apricotpost import http
 from apricotpost import model
 from apricotpost import platform
-from apricotpost.sidecar import beats
+from apricotpost.sidecar import backend_server
+from apricotpost.sidecar import heartbeats
 from apricotpost.sidecar import logs
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
-from apricotpost.sidecar import server
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -31,17 +31,17 @@
 Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
 
 
-class Work:
+class PendingOffer:
     """A request at the gate and who waits for it."""
 
-    __slots__ = ("fresh", "handle", "offer", "reply", "started")
+    __slots__ = ("use_new_connection", "handle", "offer", "reply", "started")
 
     def __init__(self, *, offer: wire.Offer, reply: Reply) -> None:
         self.offer = offer
         self.reply = reply
-        self.handle: http.Handle | None = None
+        self.handle: http.RequestHandle | None = None
         self.started = 0.0
-        self.fresh = False
+        self.use_new_connection = False
 
 
 class Gate:
@@ -74,7 +74,7 @@
         self.decisions = logs.Decisions(logger=_LOG)
         host, port = options.split_address(settings.backend_address)
         self.client = http.Client(host=host, port=port)
-        self.server = server.Server(
+        self.server = backend_server.BackendServer(
             settings=settings,
             read_view=read_view,
             on_change=on_change,
@@ -95,10 +95,10 @@
         if found is None:
             exchange.respond(http.Response(status=404))
             return
-        if isinstance(found, platform.Withdrawal):
-            self.take_withdrawal(found)
+        if isinstance(found, platform.Deregistration):
+            self.handle_deregistration(found)
         else:
-            self.take_beat(found)
+            self.handle_heartbeat(found)
         exchange.respond(
             http.Response(
                 status=200,
@@ -107,20 +107,25 @@
             )
         )
 
-    def take_beat(self, beat: model.BackendBeat) -> None:
+    def handle_heartbeat(self, heartbeat: model.Heartbeat) -> None:
         """Take a heartbeat of the backend server."""
-        news = self.server.take_beat(beat)
-        if news in (beats.News.CHANGED, beats.News.OTHER):
+        effect = self.server.handle_heartbeat(heartbeat)
+        if effect in (
+            heartbeats.HeartbeatEffect.CHANGED,
+            heartbeats.HeartbeatEffect.OTHER,
+        ):
             self.refuse_queue()
-        if news is not beats.News.NONE:
-            self.pump()
+        if effect is not heartbeats.HeartbeatEffect.NONE:
+            self.start_queued()
 
-    def take_withdrawal(self, withdrawal: platform.Withdrawal) -> None:
+    def handle_deregistration(
+        self, deregistration: platform.Deregistration
+    ) -> None:
         """Take the deregistration of the backend server."""
-        if self.server.take_withdrawal(withdrawal):
+        if self.server.handle_deregistration(deregistration):
             self.refuse_queue()
 
-    def leave(self) -> None:
+    def stop_accepting(self) -> None:
         """Take no more offers; the backend server may still run some."""
         self.server.leaving = True
 
@@ -141,41 +146,41 @@
             refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
             self.refuse(offer, reply, refusal)
             return
-        entry = ranked.Entry(
+        queued = ranked.QueuedRequest(
             call=offer.call,
             rank=offer.rank,
             route=offer.route,
-            patient=offer.patient,
-            arrived=now,
-            expires=now + offer.left_ms / 1000.0,
-            objective=now + offer.objective_ms / 1000.0,
-            work=Work(offer=offer, reply=reply),
+            accepts_late=offer.accepts_late,
+            arrived_at=now,
+            expires_at=now + offer.left_ms / 1000.0,
+            objective_at=now + offer.objective_ms / 1000.0,
+            payload=PendingOffer(offer=offer, reply=reply),
         )
-        refused = ranked.admit(self.queue, entry, now)
+        refused = ranked.admit(self.queue, queued, now)
         if refused is not None:
             self.refuse(offer, reply, refused)
             return
-        ranked.add(self.queue, entry)
+        ranked.enqueue(self.queue, queued)
 
     def cancel(self, call: str) -> None:
         """End a request whose caller is gone.
 
         One that may not be repeated runs to its end once it has started.
         """
-        entry = ranked.remove(self.queue, call)
-        if entry is not None:
+        queued = ranked.remove(self.queue, call)
+        if queued is not None:
             return
-        entry = self.queue.running.get(call)
-        if entry is None or not entry.work.offer.idempotent:
+        queued = self.queue.running.get(call)
+        if queued is None or not queued.payload.offer.idempotent:
             return
         now = self.loop.time()
-        elapsed_ms = (now - entry.work.started) * 1000.0
-        usual_ms = self.queue.service_ms.get(entry.route, self.queue.mean_ms)
+        elapsed_ms = (now - queued.payload.started) * 1000.0
+        usual_ms = self.queue.service_ms.get(queued.route, self.queue.mean_ms)
         if elapsed_ms > usual_ms:
             # The least that it would have taken: a server whose requests are
             # all given up must not look fast.
-            self.server.tallies.count(
-                entry.route, failed=False, ran_ms=elapsed_ms
+            self.server.outcomes.count(
+                queued.route, failed=False, ran_ms=elapsed_ms
             )
         ranked.finish(
             self.queue,
@@ -184,9 +189,9 @@
             failed=False,
             now=now,
         )
-        if entry.work.handle is not None:
-            entry.work.handle.cancel()
-        self.pump()
+        if queued.payload.handle is not None:
+            queued.payload.handle.cancel()
+        self.start_queued()
 
     def refuse_queue(self) -> None:
         """Refuse what waits if the backend server takes no more requests."""
@@ -197,8 +202,8 @@
             return
         waiting, self.queue.queue = self.queue.queue, []
         refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
-        for entry in waiting:
-            self.refuse(entry.work.offer, entry.work.reply, refusal)
+        for queued in waiting:
+            self.refuse(queued.payload.offer, queued.payload.reply, refusal)
 
     def refuse(
         self,
@@ -212,7 +217,7 @@
         self.instruments.offers.add("refused", refusal.reason)
         load = None
         if self.server.presence.current is not None:
-            load = ranked.describe(self.queue, self.loop.time())
+            load = ranked.describe_load(self.queue, self.loop.time())
         reply(
             wire.Refused(
                 call=offer.call,
@@ -223,27 +228,27 @@
             )
         )
 
-    def pump(self) -> None:
+    def start_queued(self) -> None:
         """Start the requests that have room."""
         now = self.loop.time()
         started, refused = ranked.start(self.queue, now)
-        for entry, refusal in refused:
-            self.refuse(entry.work.offer, entry.work.reply, refusal)
-        for entry in started:
-            entry.work.started = now
-            self.run(entry)
+        for queued, refusal in refused:
+            self.refuse(queued.payload.offer, queued.payload.reply, refusal)
+        for queued in started:
+            queued.payload.started = now
+            self.run(queued)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         due = ranked.next_start(self.queue, now)
         if due is not None:
-            self.timer = self.loop.call_at(due, self.pump)
+            self.timer = self.loop.call_at(due, self.start_queued)
 
-    def run(self, entry: ranked.Entry) -> None:
+    def run(self, queued: ranked.QueuedRequest) -> None:
         """Send a request to the backend server."""
-        work: Work = entry.work
-        offer = work.offer
-        left = entry.expires - self.loop.time()
+        pending: PendingOffer = queued.payload
+        offer = pending.offer
+        left = queued.expires_at - self.loop.time()
         request = http.Request(
             method=offer.method,
             target=offer.target,
@@ -256,53 +261,58 @@
             body=offer.body,
         )
         max_idle = None if offer.idempotent else TRUSTED_IDLE_SECONDS
-        if work.fresh:
+        if pending.use_new_connection:
             max_idle = -1.0
 
         def finish(result: http.Result) -> None:
-            self.finish(entry, result)
+            self.finish(queued, result)
 
-        work.handle = self.client.send(
+        pending.handle = self.client.send(
             request,
             finish,
             timeout=left + LATE_RESPONSE_SECONDS,
             max_idle=max_idle,
         )
 
-    def finish(self, entry: ranked.Entry, result: http.Result) -> None:
+    def finish(
+        self, queued: ranked.QueuedRequest, result: http.Result
+    ) -> None:
         """Answer the caller with what became of a request."""
-        work: Work = entry.work
-        offer = work.offer
+        pending: PendingOffer = queued.payload
+        offer = pending.offer
         now = self.loop.time()
         if (
             result.failure is http.Failure.CONNECTION_LOST
             and result.reused
             and offer.idempotent
-            and not work.fresh
+            and not pending.use_new_connection
         ):
             # The server had closed the kept connection.
-            work.fresh = True
-            self.run(entry)
+            pending.use_new_connection = True
+            self.run(queued)
             return
-        ran_ms = (now - work.started) * 1000.0
+        ran_ms = (now - pending.started) * 1000.0
         response = result.response
         if response is None:
-            self.fail(entry, result.failure, ran_ms)
+            self.fail(queued, result.failure, ran_ms)
         elif platform.is_not_run(response):
-            self.take_rejection(entry, response)
+            self.handle_rejection(queued, response)
         else:
-            fault = platform.response_faults(response, offer.request)
+            fault = platform.find_response_fault(response, offer.request)
             if fault:
-                self.fail(entry, http.Failure.MALFORMED, ran_ms, fault)
+                self.fail(queued, http.Failure.MALFORMED, ran_ms, fault)
             else:
-                self.deliver(entry, response, ran_ms)
-        self.pump()
+                self.deliver(queued, response, ran_ms)
+        self.start_queued()
 
     def deliver(
-        self, entry: ranked.Entry, response: http.Response, ran_ms: float
+        self,
+        queued: ranked.QueuedRequest,
+        response: http.Response,
+        ran_ms: float,
     ) -> None:
         """Hand the response to the caller."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         failed = response.status >= 500
         ranked.finish(
             self.queue,
@@ -311,24 +321,24 @@
             failed=failed,
             now=self.loop.time(),
         )
-        self.server.tallies.count(offer.route, failed=failed, ran_ms=ran_ms)
+        self.server.outcomes.count(offer.route, failed=failed, ran_ms=ran_ms)
         self.instruments.offers.add("answered", response.status)
-        entry.work.reply(
+        queued.payload.reply(
             wire.Delivered(
                 call=offer.call,
                 status=response.status,
                 headers=http.strip_hop_headers(response.headers),
                 body=response.body,
                 ran_ms=round(ran_ms, 1),
-                load=ranked.describe(self.queue, self.loop.time()),
+                load=ranked.describe_load(self.queue, self.loop.time()),
             )
         )
 
-    def take_rejection(
-        self, entry: ranked.Entry, response: http.Response
+    def handle_rejection(
+        self, queued: ranked.QueuedRequest, response: http.Response
     ) -> None:
         """Pass on that the backend server has not run a request."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         now = self.loop.time()
         ranked.finish(
             self.queue, offer.call, ran_ms=None, failed=False, now=now
@@ -338,7 +348,7 @@
             reason = wire.NotRunReason.NO_BACKEND_SERVER
             self.server.set_aside()
         else:
-            ranked.note_rejection(self.queue, now)
+            ranked.record_rejection(self.queue, now)
         self.decisions.report(
             events.GATE_REJECTED,
             request=offer.request,
@@ -349,20 +359,20 @@
         retry_ms = self.queue.mean_ms
         self.refuse(
             offer,
-            entry.work.reply,
+            queued.payload.reply,
             ranked.Refusal(reason=reason, retry_ms=retry_ms),
             offered=True,
         )
 
     def fail(
         self,
-        entry: ranked.Entry,
+        queued: ranked.QueuedRequest,
         failure: http.Failure | None,
         ran_ms: float,
         fault: str = "",
     ) -> None:
         """Answer that there is no usable response."""
-        offer = entry.work.offer
+        offer = queued.payload.offer
         if failure is http.Failure.NOT_CONNECTED:
             ranked.finish(
                 self.queue,
@@ -371,12 +381,12 @@
                 failed=False,
                 now=self.loop.time(),
             )
-            if self.server.lose(offer.backend):
+            if self.server.mark_unreachable(offer.backend):
                 self.refuse_queue()
             refusal = ranked.Refusal(
                 reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
             )
-            self.refuse(offer, entry.work.reply, refusal)
+            self.refuse(offer, queued.payload.reply, refusal)
             return
         ranked.finish(
             self.queue,
@@ -385,7 +395,7 @@
             failed=True,
             now=self.loop.time(),
         )
-        self.server.tallies.count(offer.route, failed=True, ran_ms=ran_ms)
+        self.server.outcomes.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
             reason = _REASONS[failure]
@@ -398,12 +408,12 @@
             fault=fault,
             ran_ms=round(ran_ms),
         )
-        entry.work.reply(
+        queued.payload.reply(
             wire.Failed(
                 call=offer.call,
                 reason=reason,
                 ran_ms=round(ran_ms, 1),
-                load=ranked.describe(self.queue, self.loop.time()),
+                load=ranked.describe_load(self.queue, self.loop.time()),
             )
         )
 
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -71,7 +71,7 @@
         Told of the revision and of the store's state.
     on_view : callable
         Called with the view before and after a change.
-    draws : random.Random
+    rng : random.Random
         Spreads retries in time.
     """
 
@@ -83,16 +83,16 @@
         known: fleet.Fleet,
         peers: gossip.Gossip,
         on_view: Callable[[views.TrafficView, views.TrafficView], None],
-        draws: random.Random,
+        rng: random.Random,
     ) -> None:
         self.settings = settings
         self.store = store
         self.known = known
         self.peers = peers
         self.on_view = on_view
-        self.draws = draws
+        self.rng = rng
         self.loop = asyncio.get_running_loop()
-        self.book = orders.OrderBook()
+        self.order_store = orders.OrderStore()
         self.view = views.EMPTY
         # Decoded routes of the configuration in force.
         self.routes = platform.RouteCache()
@@ -169,12 +169,12 @@
         try:
             await step()
         except errors.PlatformError as error:
-            self.note_lost(error)
-            spread = self.draws.uniform(0.6, 1.4)
+            self.record_store_lost(error)
+            spread = self.rng.uniform(0.6, 1.4)
             await asyncio.sleep(self.pause * spread)
             self.pause = min(self.pause * 2, MAX_PAUSE_SECONDS)
             return False
-        self.note_regained()
+        self.record_store_regained()
         return True
 
     async def join(self) -> None:
@@ -198,7 +198,9 @@
             except msgspec.DecodeError as error:
                 events.emit(_LOG, events.LINK_MALFORMED, error=str(error))
                 continue
-            self.peers.meet(row.key, found.address, found.data_centre)
+            self.peers.add_listed_node(
+                row.key, found.address, found.data_centre
+            )
         self.peers.update_contacts()
 
     async def read_all(self) -> None:
@@ -209,15 +211,17 @@
             row.key.startswith(platform.ROLLOUTS) for row in rows
         ):
             await self.before_rollouts()
-        after = self.book.revision
-        held = dict(self.book.rows)
-        news = orders.replace_all(self.book, rows, revision=page.revision)
+        after = self.order_store.revision
+        held = dict(self.order_store.rows)
+        news = orders.replace_all(
+            self.order_store, rows, revision=page.revision
+        )
         self.apply(news)
         self.push(news, held, after=after)
 
     async def watch(self) -> None:
         """Wait for changed orders and hand them to the data centre."""
-        after = self.book.revision
+        after = self.order_store.revision
         try:
             page = await self.store.watch(
                 platform.ORDERS, after, WATCH_SECONDS
@@ -227,9 +231,9 @@
             return
         if page.revision <= after:
             return
-        held = dict(self.book.rows)
+        held = dict(self.order_store.rows)
         news = orders.merge(
-            self.book,
+            self.order_store,
             map(_order_row, page.rows),
             after=after,
             revision=page.revision,
@@ -259,11 +263,11 @@
         if self.links is None or not rows:
             return
         message = wire.OrdersPush(
-            after=after, revision=self.book.revision, rows=rows
+            after=after, revision=self.order_store.revision, rows=rows
         )
-        self.peers.send_near(message)
+        self.peers.send_local(message)
 
-    def take_push(self, message: wire.OrdersPush) -> None:
+    def handle_push(self, message: wire.OrdersPush) -> None:
         """Take changed orders of another node.
 
         If a patch does not fit to what is held here, the gap stays and
@@ -272,15 +276,15 @@
         rows = []
         revision = message.revision
         for packed in message.rows:
-            if patches.is_current(packed, self.book):
+            if patches.is_current(packed, self.order_store):
                 continue
             try:
-                row = patches.unpack(packed, self.book)
+                row = patches.unpack(packed, self.order_store)
             except errors.MalformedMessage as error:
                 row = None
                 events.emit(_LOG, events.LINK_MALFORMED, error=error.message)
             if row is None:
-                revision = self.book.revision
+                revision = self.order_store.revision
                 events.emit(
                     _LOG,
                     events.ORDERS_GAP,
@@ -291,29 +295,31 @@
                 continue
             rows.append(row)
         news = orders.merge(
-            self.book, rows, after=message.after, revision=revision
+            self.order_store, rows, after=message.after, revision=revision
         )
         self.apply(news)
 
-    def take_pull(self, message: wire.OrdersPull) -> None:
+    def handle_pull(self, message: wire.OrdersPull) -> None:
         """Send another node the orders that it lacks."""
-        if self.links is None or message.after >= self.book.revision:
+        if self.links is None or message.after >= self.order_store.revision:
             return
         self.links.send(
             message.node,
             wire.OrdersPush(
                 after=message.after,
-                revision=self.book.revision,
+                revision=self.order_store.revision,
                 rows=tuple(
                     patches.pack(row, None)
-                    for row in orders.changed_after(self.book, message.after)
+                    for row in orders.changed_after(
+                        self.order_store, message.after
+                    )
                 ),
             ),
         )
 
     def apply(self, news: list[wire.OrderRow]) -> None:
         """Put changed orders in force."""
-        self.peers.orders = self.book.revision
+        self.peers.orders = self.order_store.revision
         if not news:
             return
         before = self.view
@@ -328,12 +334,12 @@
         events.emit(
             _LOG,
             events.ORDERS_APPLIED,
-            revision=self.book.revision,
+            revision=self.order_store.revision,
             version=self.view.version,
             keys=[row.key for row in news][:10],
         )
         self.on_view(before, self.view)
-        self.peers.announce()
+        self.peers.schedule_publish()
 
     def replace_view(self, view: views.TrafficView) -> None:
         """Put a view with another state of rollouts in force."""
@@ -344,7 +350,7 @@
         """Ask for missing orders if another node is ahead for long."""
         newest = fleet.newest_orders(self.known)
         now = self.loop.time()
-        if newest <= self.book.revision:
+        if newest <= self.order_store.revision:
             self.lagging_since = None
             return
         if self.lagging_since is None:
@@ -352,58 +358,60 @@
         if now - self.lagging_since < LAG_SECONDS:
             return
         self.lagging_since = None
-        if not self.ask_near(now):
+        if not self.request_from_local_peer(now):
             await self.attempt(self.watch)
 
-    def ask_near(self, now: float) -> bool:
+    def request_from_local_peer(self, now: float) -> bool:
         """Ask a node of this data centre for the missing orders."""
         if self.links is None:
             return False
         for state in fleet.live_nodes(self.known, now):
             if (
-                state.orders > self.book.revision
+                state.orders > self.order_store.revision
                 and state.data_centre == self.settings.data_centre
             ):
-                return self.ask(state.node)
+                return self.request_orders(state.node)
         return False
 
-    def ask_far(self) -> None:
+    def request_from_any_peer(self) -> None:
         """Ask any node for missing orders while the store is lost."""
         now = self.loop.time()
         ahead = [
             state
             for state in fleet.live_nodes(
-                self.known, now, within=relays.FAR_SILENT_SECONDS
+                self.known, now, within=relays.REMOTE_SILENT_SECONDS
             )
-            if state.orders > self.book.revision
+            if state.orders > self.order_store.revision
+        ]
+        local = [
+            s for s in ahead if s.data_centre == self.settings.data_centre
         ]
-        near = [s for s in ahead if s.data_centre == self.settings.data_centre]
         if not ahead:
             return
-        chosen = self.draws.choice(near or ahead).node
-        if not self.ask(chosen):
+        chosen = self.rng.choice(local or ahead).node
+        if not self.request_orders(chosen):
             # The next attempt finds it connected.
-            self.peers.reach(chosen)
+            self.peers.connect(chosen)
 
-    def ask(self, node: str) -> bool:
+    def request_orders(self, node: str) -> bool:
         """Ask a node for the orders that this one lacks."""
         if self.links is None:
             return False
         message = wire.OrdersPull(
-            node=self.settings.instance, after=self.book.revision
+            node=self.settings.instance, after=self.order_store.revision
         )
         return self.links.send(node, message)
 
-    def note_lost(self, error: errors.PlatformError) -> None:
+    def record_store_lost(self, error: errors.PlatformError) -> None:
         """Note a failed call of the store."""
         if self.lost_at is None:
             self.lost_at = self.loop.time()
             events.emit(_LOG, events.STORE_LOST, error=error.message)
             self.peers.reaches_store = False
-            self.peers.announce()
-        self.ask_far()
+            self.peers.schedule_publish()
+        self.request_from_any_peer()
 
-    def note_regained(self) -> None:
+    def record_store_regained(self) -> None:
         """Note a call of the store that was answered."""
         self.pause = MIN_PAUSE_SECONDS
         if self.lost_at is None:
@@ -412,7 +420,7 @@
         self.lost_at = None
         events.emit(_LOG, events.STORE_REGAINED, seconds=seconds)
         self.peers.reaches_store = True
-        self.peers.announce()
+        self.peers.schedule_publish()
 
 
 def _order_row(row: platform.Row) -> wire.OrderRow:
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -52,11 +52,13 @@
             team="t",
             versions=(model.VersionShare(version="v1", share=1000),),
         )
-        first = config.seal(model.Snapshot(version=1, services=(service,)))
+        first = config.with_checksum(
+            model.Snapshot(version=1, services=(service,))
+        )
         planned = rollouts.plan_rollout(
             first, "portal", "v2", FINISH_BY, STARTED_AT
         )
-        second = config.seal(dataclasses.replace(planned, version=2))
+        second = config.with_checksum(dataclasses.replace(planned, version=2))
         for before, after in (
             (model.EMPTY_SNAPSHOT, first),
             (first, second),
@@ -92,16 +94,16 @@
     def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
         snapshot = snapshot or self.read()
         rollout = rollouts.find_open(snapshot, "portal")
-        sight = None
+        observation = None
         if rollout is not None:
-            sight = watch.Sight(
+            observation = watch.Observation(
                 snapshot=snapshot,
                 rollout=rollout,
                 judgement=judgement or self.good(),
                 facts=facts,
                 is_first=True,
             )
-        holders.act(self.holders[name], sight)
+        holders.act(self.holders[name], observation)
 
     def outcomes(self):
         return storage.table.query(self.reader.table, pk="outcome")
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -7,7 +7,7 @@
 import unittest
 
 from apricotpost import http
-from apricotpost.sidecar import contacts
+from apricotpost.sidecar import connections
 
 from soak import __main__ as soak
 from soak import proxy
@@ -83,14 +83,14 @@
         that nobody wants are closed. Before, the requests were refused for
         as long as the processes lived.
         """
-        near = self.world.places[2]
-        near.backend.state = "draining"
-        await self.world.mesh.beat(near.node)
+        local = self.world.places[2]
+        local.backend.state = "draining"
+        await self.world.mesh.beat(local.node)
         await self.wait_for(200, 5.0)
         for place in self.world.places:
             place.to_node.set_mode(proxy.Mode.SILENT)
         await self.wait_for(503, 10.0)
-        await asyncio.sleep(contacts.KEEP_SECONDS + 5.0)
+        await asyncio.sleep(connections.KEEP_SECONDS + 5.0)
         for place in self.world.places:
             place.to_node.set_mode(proxy.Mode.PASS)
         await self.wait_for(200, 15.0)
