--- a/apricotpost/admission/gate.py
+++ b/apricotpost/admission/gate.py
@@ -1,4 +1,4 @@
-"""Decisions of the gate: admit, queue, refuse, run, answer."""
+"""Decisions of the gate: admit, queue, refuse or run calls and respond."""
 
 import dataclasses
 
@@ -42,7 +42,7 @@
     "next_expiry",
 ]
 
-# Longest wait in the queue; a caller is better off with another server.
+# A call that waits longer is refused, so that its caller tries another server.
 MAX_QUEUE_SECONDS = 0.2
 MIN_QUEUE_CALLS = 2
 
@@ -56,40 +56,40 @@
     policy: Policy,
     checksum: int = 0,
 ) -> states.Step:
-    """Decide what follows from an event.
+    """Return the state and the actions that follow from an event.
 
     Parameters
     ----------
     state : GateState
-        State before.
+        State before the event.
     event : Event
-        What happened.
+        Event to handle.
     now, wall : float
         Monotonic clock and Unix time, in seconds.
     policy : Policy
-        What the view in force says.
+        Rules from the view in force for the local backend server.
     checksum : int
-        Of the body of a finished call.
+        Checksum of the response body of a finished call.
     """
     state = adaptation.record_return_to_service(state, policy, now)
     if isinstance(event, Arrived):
-        return _arrive(state, event, now, wall, policy)
+        return _handle_arrival(state, event, now, wall, policy)
     if isinstance(event, Finished):
-        return _finish(state, event.result, now, wall, policy, checksum)
+        return _handle_result(state, event.result, now, wall, policy, checksum)
     if isinstance(event, Cancelled):
-        return _cancel(state, event.call)
+        return _handle_cancellation(state, event.call)
     if isinstance(event, Announced):
         return (
             adaptation.apply_announcement(state, event.announcement, now),
             (),
         )
     if isinstance(event, DrainStarted):
-        return _drain(state, event.refuse_from), ()
+        return _start_drain(state, event.refuse_from), ()
     return _start_queued(state, now, wall, policy)
 
 
 def describe_load(state: GateState) -> model.Load:
-    """Return the load that answers carry back to callers."""
+    """Return the load report that responses carry back to callers."""
     return model.Load(
         in_flight=len(state.running),
         limit=int(state.limit.value),
@@ -100,18 +100,18 @@
 
 
 def next_expiry(state: GateState) -> float | None:
-    """Return when a queued call has waited too long, in monotonic time."""
+    """Return when the oldest queued call times out, in monotonic seconds."""
     if not state.queue:
         return None
     return state.queue[0].since + MAX_QUEUE_SECONDS
 
 
 def is_idle(state: GateState) -> bool:
-    """Tell whether no call runs or waits."""
+    """Return whether no call is running or queued."""
     return not state.running and not state.queue
 
 
-def _arrive(
+def _handle_arrival(
     state: GateState,
     event: Arrived,
     now: float,
@@ -120,16 +120,18 @@
 ) -> states.Step:
     call = event.call
     if recent.is_known(state.known_calls, call.call):
-        # The first message decides; the second gets no answer.
+        # A duplicated message: the first one runs the call, and its response
+        # is the only one.
         return (
             dataclasses.replace(state, duplicates=state.duplicates + 1),
             (),
         )
     state = dataclasses.replace(
-        state, known_calls=recent.remember(state.known_calls, call.call, now)
+        state,
+        known_calls=recent.record_call(state.known_calls, call.call, now),
     )
     waiting = Waiting(reply_to=event.reply_to, call=call, since=now)
-    reason = _refusal(state, call, now, wall, policy)
+    reason = _find_refusal_reason(state, call, now, wall, policy)
     if reason is None and _is_leaving(state, now):
         reason = wire.NotRunReason.DRAINING
     if reason is not None:
@@ -146,22 +148,24 @@
     return dataclasses.replace(state, queue=(*state.queue, waiting)), ()
 
 
-def _drain(state: GateState, refuse_from: float) -> GateState:
-    """Start the drain; a second signal can only bring it forward."""
+def _start_drain(state: GateState, refuse_from: float) -> GateState:
+    """Start the drain; a second signal can only make it refuse earlier."""
     if state.draining:
-        refuse_from = min(refuse_from, state.drain_from)
-    return dataclasses.replace(state, draining=True, drain_from=refuse_from)
+        refuse_from = min(refuse_from, state.refuse_new_calls_at)
+    return dataclasses.replace(
+        state, draining=True, refuse_new_calls_at=refuse_from
+    )
 
 
 def _is_leaving(state: GateState, now: float) -> bool:
-    """Tell whether new calls are refused; queued ones still run."""
+    """Return whether new calls are refused; queued calls still run."""
     announced = state.announced
     if announced is not None and announced.leaving:
         return True
-    return state.draining and now >= state.drain_from
+    return state.draining and now >= state.refuse_new_calls_at
 
 
-def _refusal(
+def _find_refusal_reason(
     state: GateState,
     call: wire.Call,
     now: float,
@@ -173,7 +177,7 @@
         return wire.NotRunReason.DEADLINE_PASSED
     if announced is None or not policy.ready:
         return wire.NotRunReason.NOT_READY
-    if now - state.announced_at > adaptation.ANNOUNCEMENT_SECONDS:
+    if now - state.announced_at > adaptation.ANNOUNCEMENT_TIMEOUT_SECONDS:
         return wire.NotRunReason.NOT_READY
     if (announced.service, announced.version) != (call.service, call.version):
         return wire.NotRunReason.NOT_READY
@@ -184,7 +188,7 @@
     return None
 
 
-def _finish(
+def _handle_result(
     state: GateState,
     result: wire.BackendResult,
     now: float,
@@ -200,7 +204,9 @@
     state = dataclasses.replace(
         state,
         running=running,
-        limit=adaptation.adapt(state.limit, waiting.call.route, result, now),
+        limit=adaptation.apply_result(
+            state.limit, waiting.call.route, result, now
+        ),
         refused_connection=state.refused_connection
         or result.reason == wire.NotRunReason.NOT_SENT,
     )
@@ -238,8 +244,8 @@
     return Respond(reply_to=waiting.reply_to, message=message)
 
 
-def _cancel(state: GateState, call: str) -> states.Step:
-    """Drop a queued call; one that was sent runs to its end."""
+def _handle_cancellation(state: GateState, call: str) -> states.Step:
+    """Remove a queued call; a call that is already running is not stopped."""
     for waiting in state.queue:
         if waiting.call.call == call:
             queue = tuple(item for item in state.queue if item != waiting)
@@ -253,7 +259,7 @@
 def _start_queued(
     state: GateState, now: float, wall: float, policy: Policy
 ) -> states.Step:
-    """Run queued calls that fit and refuse those that waited too long."""
+    """Run queued calls up to the limit and refuse those that timed out."""
     if not state.queue:
         return state, ()
     actions: list[Action] = []
@@ -261,14 +267,14 @@
     queue = state.queue
     state = dataclasses.replace(state, queue=())
     for waiting in queue:
-        reason = _refusal(state, waiting.call, now, wall, policy)
+        reason = _find_refusal_reason(state, waiting.call, now, wall, policy)
         if reason is None and now - waiting.since > MAX_QUEUE_SECONDS:
             reason = wire.NotRunReason.GATE_FULL
         if reason is not None:
             actions.append(_not_run(state, waiting, reason))
         elif len(state.running) < int(state.limit.value):
-            state, more = _run(state, waiting)
-            actions.extend(more)
+            state, run_actions = _run(state, waiting)
+            actions.extend(run_actions)
         else:
             kept.append(waiting)
     return dataclasses.replace(state, queue=tuple(kept)), tuple(actions)
--- a/apricotpost/admission/limits.py
+++ b/apricotpost/admission/limits.py
@@ -1,4 +1,4 @@
-"""Concurrency limit of the local backend server."""
+"""Adaptive concurrency limit of the local backend server."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -16,51 +16,56 @@
     "start",
 ]
 
-# A cold backend server starts with one call at a time.
+# Limit at a cold start, and the lowest limit, in calls.
 COLD_LIMIT = 1.0
-# While it says that it is cold, it gets at most this part of its slots. Its
-# word may mislead and counts only for so long after a cold start.
-COLD_SHARE = 0.25
-COLD_WORD_SECONDS = 60.0
-# So many slow completions in a row show that a warm server turned cold.
-SLOW_IN_A_ROW = 3
-SLOW_FACTOR = 3.0
-# Below this latency a factor of three is noise: on a busy machine, answers
-# that usually take 5 ms took 22 ms at the 99th percentile.
-SLOW_FLOOR_MS = 20.0
+# A backend server that reports itself cold gets at most this fraction of its
+# slots. The report may be wrong, so it is ignored after this time since the
+# cold start.
+COLD_SLOTS_FRACTION = 0.25
+COLD_REPORT_SECONDS = 60.0
+# After this many slow calls in a row, a backend server counts as cold again.
+SLOW_CALLS_BEFORE_RESET = 3
+SLOW_LATENCY_RATIO = 3.0
+# Shorter latencies never count as slow, because three times the average is
+# noise there: on a busy machine, calls that usually take 5 ms took 22 ms at
+# the 99th percentile.
+MIN_SLOW_MS = 20.0
+# Weight of a new measurement in the average latency of a route.
 LATENCY_WEIGHT = 0.05
-HALVE_PAUSE_SECONDS = 0.2
+# The limit is halved at most once in this time, so that a burst of failures
+# does not reduce it to one.
+MIN_HALVING_INTERVAL_SECONDS = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Limit:
-    """How many calls the backend server gets at once.
+    """How many calls the backend server may run at the same time.
 
     Parameters
     ----------
     value : float
-        Limit; calls are admitted below its integer part.
+        Limit; a call is started while fewer than its integer part are running.
     slots : int
-        Announced slots, the highest limit.
+        Announced slots of the backend server, the upper bound of the limit.
     cold : bool
         Whether the limit is still rising after a cold start.
     usual_ms : mapping
         Moving average of latencies in milliseconds, by route.
-    slow : int
-        Slow completions in a row.
+    consecutive_slow : int
+        Number of slow completions in a row.
     halved_at : float
-        Last decrease, in seconds of the monotonic clock.
+        Time of the last halving, in seconds of the monotonic clock.
     reports_cold : bool
-        Whether the last answer said that the backend server is cold.
+        Whether the backend server called itself cold in its last response.
     cold_at : float
-        Last cold start, in seconds of the monotonic clock.
+        Time of the last cold start, in seconds of the monotonic clock.
     """
 
     value: float
     slots: int
     cold: bool
     usual_ms: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    slow: int = 0
+    consecutive_slow: int = 0
     halved_at: float = float("-inf")
     reports_cold: bool = False
     cold_at: float = float("-inf")
@@ -69,8 +74,8 @@
 def start(*, slots: int, cold: bool, now: float = 0.0) -> Limit:
     """Return the limit of a backend server that was just announced.
 
-    A server that calls itself warm starts at half of its slots: its word
-    may mislead, and the other half comes with the first answers.
+    A server that reports itself warm starts at half of its slots, because
+    the report may be wrong. The other half follows with the first responses.
     """
     value = COLD_LIMIT if cold else max(slots / 2, COLD_LIMIT)
     return Limit(
@@ -79,7 +84,7 @@
 
 
 def set_slots(limit: Limit, slots: int) -> Limit:
-    """Adopt a changed number of slots."""
+    """Set the number of slots and cap the limit at it."""
     return dataclasses.replace(
         limit, slots=slots, value=min(limit.value, float(slots))
     )
@@ -88,14 +93,14 @@
 def record_success(
     limit: Limit, route: str, duration_ms: float, now: float
 ) -> Limit:
-    """Account for a successful completion.
+    """Update the limit after a successful call.
 
     Parameters
     ----------
     limit : Limit
-        Before.
+        Limit before the call finished.
     route : str
-        Route of the call; routes differ in what is usual.
+        Route of the call; the average latency is kept by route.
     duration_ms : float
         Time that the backend server took, in milliseconds.
     now : float
@@ -103,25 +108,28 @@
     """
     usual_ms = limit.usual_ms.get(route, 0.0)
     if _is_slow(usual_ms, duration_ms):
-        if limit.slow + 1 >= SLOW_IN_A_ROW:
+        if limit.consecutive_slow + 1 >= SLOW_CALLS_BEFORE_RESET:
             return record_cold(limit, now)
-        return dataclasses.replace(limit, slow=limit.slow + 1)
-    # Doubles in about one round of answers while cold, then adds one.
-    gain = 1.0 if limit.cold else 1.0 / limit.value
-    highest = max(_highest(limit, now), limit.value)
-    value = min(limit.value + gain, highest)
+        return dataclasses.replace(
+            limit, consecutive_slow=limit.consecutive_slow + 1
+        )
+    # A round is as many successful calls as the limit. While cold, the limit
+    # about doubles in a round; afterwards it grows by one.
+    increase = 1.0 if limit.cold else 1.0 / limit.value
+    max_value = max(_max_limit(limit, now), limit.value)
+    value = min(limit.value + increase, max_value)
     return dataclasses.replace(
         limit,
         value=value,
         cold=limit.cold and value < limit.slots,
         usual_ms={**limit.usual_ms, route: _average(usual_ms, duration_ms)},
-        slow=0,
+        consecutive_slow=0,
     )
 
 
 def record_overload(limit: Limit, now: float) -> Limit:
-    """Halve the limit after a shed answer, a time-out or a refusal."""
-    if now - limit.halved_at < HALVE_PAUSE_SECONDS:
+    """Halve the limit after a shed or lost call or a refused connection."""
+    if now - limit.halved_at < MIN_HALVING_INTERVAL_SECONDS:
         return limit
     return dataclasses.replace(
         limit,
@@ -134,10 +142,10 @@
 def record_lost(
     limit: Limit, route: str, duration_ms: float, now: float
 ) -> Limit:
-    """Account for a call without a whole answer.
+    """Update the limit after a call without a complete response.
 
-    One that ended before the usual time says nothing about the backend
-    server: the caller gave it too little time.
+    A call that ended before the average latency of its route says nothing
+    about the backend server: the caller's time-out was too short.
     """
     if duration_ms < limit.usual_ms.get(route, 0.0):
         return limit
@@ -145,7 +153,7 @@
 
 
 def record_cold_report(limit: Limit, reports_cold: bool, now: float) -> Limit:
-    """Account for what an answer says: a warm server may turn cold."""
+    """Store the cold report of a response; a warm server may turn cold."""
     if reports_cold == limit.reports_cold:
         return limit
     if reports_cold and not limit.cold:
@@ -154,20 +162,25 @@
 
 
 def record_cold(limit: Limit, now: float) -> Limit:
-    """Return to the start of the cold ramp."""
+    """Restart the cold ramp at `COLD_LIMIT`."""
     return dataclasses.replace(
-        limit, value=COLD_LIMIT, cold=True, usual_ms={}, slow=0, cold_at=now
+        limit,
+        value=COLD_LIMIT,
+        cold=True,
+        usual_ms={},
+        consecutive_slow=0,
+        cold_at=now,
     )
 
 
-def _highest(limit: Limit, now: float) -> float:
-    if limit.reports_cold and now - limit.cold_at < COLD_WORD_SECONDS:
-        return max(limit.slots * COLD_SHARE, COLD_LIMIT)
+def _max_limit(limit: Limit, now: float) -> float:
+    if limit.reports_cold and now - limit.cold_at < COLD_REPORT_SECONDS:
+        return max(limit.slots * COLD_SLOTS_FRACTION, COLD_LIMIT)
     return float(limit.slots)
 
 
 def average_ms(limit: Limit) -> float:
-    """Return the usual latency over all routes, 0 before the first."""
+    """Return the mean of the routes' average latencies, 0 if none is known."""
     if not limit.usual_ms:
         return 0.0
     return sum(limit.usual_ms.values()) / len(limit.usual_ms)
@@ -176,8 +189,8 @@
 def _is_slow(usual_ms: float, duration_ms: float) -> bool:
     return (
         usual_ms > 0
-        and duration_ms > SLOW_FLOOR_MS
-        and duration_ms > SLOW_FACTOR * usual_ms
+        and duration_ms > MIN_SLOW_MS
+        and duration_ms > SLOW_LATENCY_RATIO * usual_ms
     )
 
 
--- a/apricotpost/admission/recent.py
+++ b/apricotpost/admission/recent.py
@@ -1,29 +1,30 @@
-"""Memory of recent call identifiers, in buckets of time."""
+"""Set of recent call identifiers, in time buckets."""
 
 import dataclasses
 
-__all__ = ["REMEMBER_SECONDS", "Recent", "is_known", "remember"]
+__all__ = ["RETENTION_SECONDS", "RecentCalls", "is_known", "record_call"]
 
-# Longer than the longest call, so that no identifier returns in time.
-REMEMBER_SECONDS = 60.0
-# Only the newest bucket is copied when an identifier is added; with one
-# mapping, each call copied the identifiers of a whole minute.
+# Longer than the longest call, so that a duplicate that arrives within the
+# call's deadline is recognised.
+RETENTION_SECONDS = 60.0
+# Adding an identifier copies only the newest bucket. With a single set, each
+# call would copy the identifiers of a whole minute.
 BUCKET_SECONDS = 2.0
-_BUCKETS = int(REMEMBER_SECONDS / BUCKET_SECONDS) + 1
+_MAX_BUCKETS = int(RETENTION_SECONDS / BUCKET_SECONDS) + 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Recent:
-    """Identifiers by the time at which they were seen.
+class RecentCalls:
+    """Recent call identifiers, grouped by the time of their arrival.
 
     Parameters
     ----------
     newest : frozenset of str
-        Seen since ``newest_at``.
+        Identifiers recorded since ``newest_at``.
     newest_at : float
         Start of the newest bucket, in seconds of the monotonic clock.
     older : tuple of frozenset of str
-        Full buckets with their starts, newest first.
+        Start time and identifiers of the earlier buckets, newest first.
     """
 
     newest: frozenset[str] = frozenset()
@@ -31,25 +32,25 @@
     older: tuple[tuple[float, frozenset[str]], ...] = ()
 
 
-def is_known(recent: Recent, call: str) -> bool:
-    """Tell whether an identifier was seen in the last minute."""
+def is_known(recent: RecentCalls, call: str) -> bool:
+    """Return whether a call was recorded within the retention time."""
     return call in recent.newest or any(
         call in bucket for _, bucket in recent.older
     )
 
 
-def remember(recent: Recent, call: str, now: float) -> Recent:
-    """Add an identifier and forget those that are too old."""
+def record_call(recent: RecentCalls, call: str, now: float) -> RecentCalls:
+    """Add an identifier and drop the buckets that are too old."""
     if now - recent.newest_at < BUCKET_SECONDS:
-        return Recent(
+        return RecentCalls(
             newest=recent.newest | {call},
             newest_at=recent.newest_at,
             older=recent.older,
         )
-    full = (recent.newest_at, recent.newest)
+    completed = (recent.newest_at, recent.newest)
     older = tuple(
-        entry
-        for entry in (full, *recent.older)[:_BUCKETS]
-        if entry[1] and now - entry[0] < REMEMBER_SECONDS + BUCKET_SECONDS
+        bucket
+        for bucket in (completed, *recent.older)[:_MAX_BUCKETS]
+        if bucket[1] and now - bucket[0] < RETENTION_SECONDS + BUCKET_SECONDS
     )
-    return Recent(newest=frozenset((call,)), newest_at=now, older=older)
+    return RecentCalls(newest=frozenset((call,)), newest_at=now, older=older)
--- a/apricotpost/admission/states.py
+++ b/apricotpost/admission/states.py
@@ -1,4 +1,4 @@
-"""Values of the gate: state, events and actions."""
+"""Data types of the gate: state, events and actions."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -27,14 +27,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Policy:
-    """What the view in force says about the local backend server.
+    """Rules from the view in force for the local backend server.
 
     Parameters
     ----------
     ready : bool
         Whether the node holds a configuration.
     data_centre_out : bool
-        Whether the data centre takes no new work.
+        Whether the data centre is taken out of service for new calls.
     withdrawn : bool
         Whether the backend server's version is withdrawn.
     """
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Waiting:
-    """A call and the task that waits for its answer."""
+    """A queued or running call and the task that waits for the response."""
 
     reply_to: bytes
     call: wire.Call
@@ -60,19 +60,19 @@
     limit: limits.Limit
     running: Mapping[str, Waiting] = dataclasses.field(default_factory=dict)
     queue: tuple[Waiting, ...] = ()
-    known_calls: recent.Recent = recent.Recent()
+    known_calls: recent.RecentCalls = recent.RecentCalls()
     announced: wire.BackendServerAnnounced | None = None
     announced_at: float = 0.0
     draining: bool = False
-    drain_from: float = 0.0
-    was_out: bool = False
+    refuse_new_calls_at: float = 0.0
+    data_centre_was_out: bool = False
     refused_connection: bool = False
     duplicates: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Arrived:
-    """A call came in."""
+    """A call arrived at the gate."""
 
     reply_to: bytes
     call: wire.Call
@@ -80,7 +80,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Cancelled:
-    """The caller of a call no longer waits."""
+    """The caller cancelled a call."""
 
     call: str
 
@@ -94,33 +94,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Announced:
-    """The backend server introduced itself."""
+    """The backend server announced itself."""
 
     announcement: wire.BackendServerAnnounced
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DrainStarted:
-    """From ``refuse_from`` on new calls are refused."""
+    """A drain began; new calls are refused from ``refuse_from`` on."""
 
     refuse_from: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
-    """Time has passed."""
+    """Timer event: queued calls may have timed out."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Run:
-    """Hand a call to a backend worker."""
+    """Pass a call to a backend worker."""
 
     call: wire.Call
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Respond:
-    """Answer the task that sent the call."""
+    """Send a response to the task that submitted the call."""
 
     reply_to: bytes
     message: wire.Answer | wire.NotRun | wire.OutcomeUnknown
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Gate:
-    """Runs the gate's decisions at a fake time."""
+    """Runs the gate's decisions on a fake clock."""
 
     state: gate.GateState
     policy: gate.Policy = gate.Policy()
@@ -120,7 +120,7 @@
         self.assertEqual(["cold"], self.reasons(actions[-1]))
 
     def test_queued_call_is_refused_after_200_ms(self):
-        """Guards against a call that waits while others are free."""
+        """Guards against a call that waits while other servers are free."""
         for number in range(5):
             self.gate.arrive(str(number))
         self.assertAlmostEqual(100.2, gate.next_expiry(self.gate.state))
@@ -130,7 +130,7 @@
         )
 
     def test_frozen_gate_runs_no_late_call(self):
-        """Guards against a process that resumes and runs old calls."""
+        """Guards against old calls that run after a process was frozen."""
         for number in range(4):
             self.gate.arrive(str(number))
         self.gate.arrive("queued", seconds=0.1)
@@ -152,7 +152,7 @@
         self.assertEqual(["not-ready"], self.reasons(actions[1:]))
 
     def test_policy_refuses_as_not_run(self):
-        """Guards against work in a data centre or version taken out."""
+        """Guards against calls to a data centre or version out of use."""
         self.gate.policy = gate.Policy(data_centre_out=True)
         self.assertEqual(
             ["data-centre-out"], self.reasons(self.gate.arrive("a"))
@@ -163,8 +163,8 @@
         )
         self.assertEqual(1.0, self.gate.state.limit.value)
 
-    def test_cancel_drops_only_queued_calls(self):
-        """Guards against "not run" for a call that was already sent."""
+    def test_cancel_removes_only_queued_calls(self):
+        """Guards against "not run" for a call that is already running."""
         for number in range(5):
             self.gate.arrive(str(number))
         self.assertEqual((), self.gate.handle(gate.Cancelled(call="0")))
@@ -172,7 +172,7 @@
         self.assertEqual(["cancelled"], self.reasons(actions))
 
     def test_drain_refuses_new_calls_and_runs_queued_ones(self):
-        """Guards against a shutdown that cuts accepted calls."""
+        """Guards against a shutdown that aborts queued calls."""
         for number in range(5):
             self.gate.arrive(str(number))
         self.gate.handle(gate.DrainStarted(refuse_from=102.0))
@@ -187,7 +187,7 @@
         self.assertEqual((), self.gate.finish("a"))
 
     def test_silent_backend_server_gets_no_calls(self):
-        """Guards against calls for a dead backend server."""
+        """Guards against calls to a backend server that has died."""
         self.gate.seconds += 16.0
         actions = self.gate.arrive("a", seconds=30.0)
         self.assertEqual(["not-ready"], self.reasons(actions))
@@ -195,7 +195,7 @@
 
 class LimitTest(unittest.TestCase):
     def test_announced_cold_server_starts_with_one_call(self):
-        """Guards against full load on a server in a cold start."""
+        """Guards against full load on a server during its cold start."""
         found = make_gate(cold=True)
         self.assertEqual(1.0, found.state.limit.value)
         cold = (("X-Backend-Cold", "1"),)
@@ -204,8 +204,8 @@
         found.run_and_finish(8)
         self.assertEqual(8.0, found.state.limit.value)
 
-    def test_cold_word_that_stays_does_not_hold_the_limit_forever(self):
-        """Guards against a misleading header that halves capacity."""
+    def test_lasting_cold_report_does_not_hold_the_limit_down(self):
+        """Guards against lost capacity if a server always reports cold."""
         found = make_gate(cold=True)
         cold = (("X-Backend-Cold", "1"),)
         for _ in range(15):
@@ -215,7 +215,7 @@
         self.assertEqual(8.0, found.state.limit.value)
 
     def test_unannounced_cold_start_resets_the_limit(self):
-        """Guards against full load on a warm server that turned cold."""
+        """Guards against full load on a server that turned cold silently."""
         found = make_gate()
         found.run_and_finish(20)
         self.assertEqual(8.0, found.state.limit.value)
@@ -223,14 +223,14 @@
         self.assertEqual(1.0, found.state.limit.value)
 
     def test_cold_header_of_a_warm_server_resets_the_limit(self):
-        """Guards against a cold start that only the answers tell."""
+        """Guards against a cold start that only response headers report."""
         found = make_gate()
         found.run_and_finish(20)
         found.run_and_finish(1, headers=(("X-Backend-Cold", "1"),))
         self.assertLessEqual(found.state.limit.value, 2.0)
 
     def test_restart_at_the_same_address_is_cold(self):
-        """Guards against full load after an outage of the backend server."""
+        """Guards against full load on a server that has just restarted."""
         found = make_gate()
         found.run_and_finish(20)
         found.arrive("x")
@@ -238,8 +238,8 @@
         found.announce(cold=False)
         self.assertEqual(1.0, found.state.limit.value)
 
-    def test_shed_answers_halve_once_per_round(self):
-        """Guards against a limit that falls to one on a single burst."""
+    def test_burst_of_shed_answers_halves_the_limit_once(self):
+        """Guards against a limit of one after a single burst of 503s."""
         found = make_gate()
         found.run_and_finish(20)
         found.run_and_finish(5, status=503)
@@ -258,8 +258,8 @@
             )
         self.assertEqual(8.0, limit.value)
 
-    def test_impatient_caller_does_not_lower_the_limit(self):
-        """Guards against callers with short time-outs that cut capacity."""
+    def test_short_caller_timeout_does_not_lower_the_limit(self):
+        """Guards against short time-outs of callers that lower the limit."""
         found = make_gate()
         found.run_and_finish(20)
         found.arrive("x")
@@ -274,10 +274,10 @@
 
 class RecentTest(unittest.TestCase):
     def test_identifiers_are_kept_for_a_minute_and_then_dropped(self):
-        """Guards against a repeated call and against growing memory."""
-        known = recent.Recent()
+        """Guards against a call that runs twice and against growing memory."""
+        known = recent.RecentCalls()
         for number in range(2000):
-            known = recent.remember(known, str(number), number * 0.1)
+            known = recent.record_call(known, str(number), number * 0.1)
         self.assertTrue(recent.is_known(known, str(1999 - 590)))
         kept = len(known.newest) + sum(len(b) for _, b in known.older)
         self.assertLess(kept, 670)
--- a/tests/admission/test_ranked.py
+++ b/tests/admission/test_ranked.py
@@ -1,4 +1,4 @@
-"""Tests of the ranked queue before a backend server."""
+"""Tests of the priority queue in front of a backend server."""
 
 import random
 import unittest
@@ -9,16 +9,22 @@
 __all__ = ["RankedQueueTest"]
 
 
-def make_entry(
-    name, *, rank=1, at=0.0, left=1.0, objective=0.5, patient=False
+def make_queued(
+    name,
+    *,
+    rank=1,
+    at=0.0,
+    seconds_left=1.0,
+    objective=0.5,
+    accepts_late=False,
 ):
     return ranked.QueuedRequest(
         call=name,
         rank=rank,
         route="r",
-        accepts_late=patient,
+        accepts_late=accepts_late,
         arrived_at=at,
-        expires_at=at + left,
+        expires_at=at + seconds_left,
         objective_at=at + objective,
     )
 
@@ -39,10 +45,10 @@
 
 class RankedQueueTest(unittest.TestCase):
     def test_urgent_requests_go_first(self):
-        """Guards against urgent requests behind less urgent ones."""
+        """Guards against urgent requests that wait behind less urgent ones."""
         queue = make_queue(slots=1)
         for name, rank in (("low", 2), ("nested", -1000), ("high", 0)):
-            ranked.enqueue(queue, make_entry(name, rank=rank))
+            ranked.enqueue(queue, make_queued(name, rank=rank))
         started = []
         while queue.queue:
             found, _ = ranked.start(queue, 0.0)
@@ -53,24 +59,27 @@
                 )
         self.assertEqual(["nested", "high", "low"], started)
 
-    def test_never_more_than_the_slots(self):
-        """Guards against a server that hangs when it cannot queue."""
+    def test_no_more_requests_run_than_slots(self):
+        """Guards against overload of a server that hangs when full."""
         queue = make_queue(slots=3)
         for index in range(9):
-            ranked.enqueue(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_queued(str(index)))
         ranked.start(queue, 0.0)
         ranked.start(queue, 0.01)
         self.assertEqual(3, len(queue.running))
 
     def test_refuses_at_once_what_would_miss_its_objective(self):
-        """Guards against requests that wait and are refused later.
+        """Guards against requests that are queued first and refused later.
 
         Load: 50 requests at once for 2 slots of 100 ms.
         """
         queue = make_queue()
-        refused = [offer(queue, make_entry(str(index))) for index in range(50)]
+        refused = [
+            offer(queue, make_queued(str(index))) for index in range(50)
+        ]
         admitted = refused.count(None)
-        # 450 ms hold four rounds of two, and two run at once.
+        # Two run at once, and answers are expected within 450 ms (0.9 of the
+        # objective), which is enough for four rounds of two.
         self.assertLessEqual(admitted, 10)
         self.assertGreaterEqual(admitted, 6)
         for refusal in refused:
@@ -81,13 +90,13 @@
     def test_lasting_overload_serves_in_time(self):
         """Guards against a queue in which every answer is late.
 
-        Load: 40 requests a second for 20 s, twice what 2 slots of 100 ms
-        bear. What is served has to be served within its objective, and the
-        slots must not idle.
+        Load: 40 requests a second for 20 s, twice the capacity of 2 slots
+        with 100 ms for each request. Requests that are served have to meet
+        their objective, and the slots must not be idle.
         """
         rng = random.Random(5)
         queue = make_queue()
-        entries, ends, in_time, served = {}, [], 0, 0
+        requests_by_name, ends, in_time, served = {}, [], 0, 0
         for tick in range(20_000):
             now = tick / 1000
             for end, name in list(ends):
@@ -97,10 +106,10 @@
                         queue, name, ran_ms=100.0, failed=False, now=0.0
                     )
                     served += 1
-                    in_time += now <= entries[name].objective_at
+                    in_time += now <= requests_by_name[name].objective_at
             if rng.random() < 0.04:
-                queued = make_entry(str(tick), at=now)
-                entries[queued.call] = queued
+                queued = make_queued(str(tick), at=now)
+                requests_by_name[queued.call] = queued
                 offer(queue, queued, now)
             started, refused = ranked.start(queue, now)
             self.assertEqual([], refused)
@@ -109,14 +118,14 @@
         self.assertGreater(in_time, 0.98 * served)
 
     def test_cold_server_gets_its_rate_in_every_second(self):
-        """Guards against the overload of a cold server across seconds."""
+        """Guards against a burst across the boundary of two seconds."""
         queue = make_queue(slots=50, mean_ms=1.0)
         queue.cold_rate = 16.0
         queue.cold_until = 100.0
         sent = []
         for tick in range(5000):
             now = tick / 1000
-            offer(queue, make_entry(str(tick), at=now), now)
+            offer(queue, make_queued(str(tick), at=now), now)
             started, _ = ranked.start(queue, now)
             for queued in started:
                 sent.append(now)
@@ -129,43 +138,43 @@
         self.assertGreater(len(sent), 16 * 5)
 
     def test_rejection_of_a_full_server_lowers_the_limit_for_a_while(self):
-        """Guards against sending on to a server that has no room."""
+        """Guards against further requests to a server that is full."""
         queue = make_queue(slots=10)
         for index in range(8):
-            ranked.enqueue(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_queued(str(index)))
         ranked.start(queue, 0.0)
         ranked.finish(queue, "7", ran_ms=None, failed=False, now=0.0)
         ranked.record_rejection(queue, 0.0)
         self.assertEqual(7, ranked.current_limit(queue, 0.0))
         self.assertEqual(10, ranked.current_limit(queue, 5.0))
 
-    def test_shedding_of_an_idle_server_keeps_the_limit(self):
-        """Guards against a faulty server that starves its own queue.
+    def test_rejection_of_an_idle_server_keeps_the_limit(self):
+        """Guards against a limit that falls to 1 and stays there.
 
-        A server that turns requests away with free slots is faulty, not
-        full; in a trial the limit fell to 1 and stayed there.
+        A server that rejects requests while it has free slots is faulty and
+        not full; each rejection lowered the limit.
         """
         queue = make_queue(slots=10)
-        ranked.enqueue(queue, make_entry("a"))
+        ranked.enqueue(queue, make_queued("a"))
         ranked.start(queue, 0.0)
         ranked.finish(queue, "a", ran_ms=None, failed=False, now=0.0)
         ranked.record_rejection(queue, 0.0)
         self.assertEqual(10, ranked.current_limit(queue, 0.0))
 
-    def test_hopeless_requests_are_refused_from_the_queue(self):
-        """Guards against runs whose answer comes after the deadline."""
+    def test_queued_requests_without_enough_time_are_refused(self):
+        """Guards against requests that run but cannot be answered in time."""
         queue = make_queue(slots=1)
-        ranked.enqueue(queue, make_entry("late", left=0.2))
+        ranked.enqueue(queue, make_queued("late", seconds_left=0.2))
         started, refused = ranked.start(queue, 0.19)
         self.assertEqual([], started)
         self.assertEqual(["late"], [queued.call for queued, _ in refused])
 
-    def test_server_without_answers_is_told(self):
-        """Guards against callers that take a hung server for a busy one."""
+    def test_load_reports_the_time_without_answers(self):
+        """Guards against callers that mistake a hung server for a busy one."""
         queue = make_queue()
         self.assertEqual(0, ranked.describe_load(queue, 5.0).quiet_ms)
         for name, now in (("a", 5.0), ("b", 5.1)):
-            offer(queue, make_entry(name, at=now), now)
+            offer(queue, make_queued(name, at=now), now)
             ranked.start(queue, now)
         self.assertEqual(500, ranked.describe_load(queue, 5.5).quiet_ms)
         ranked.finish(queue, "a", ran_ms=600.0, failed=False, now=5.6)
@@ -173,16 +182,17 @@
         ranked.finish(queue, "b", ran_ms=None, failed=False, now=5.8)
         self.assertEqual(0, ranked.describe_load(queue, 9.0).quiet_ms)
 
-    def test_failures_are_forgotten_while_nobody_calls(self):
+    def test_failure_ratio_decays_without_requests(self):
         """Guards against a server that is never tried again.
 
-        Callers avoid it for its failures, so no request shows that it is well.
+        Callers avoid a failing server, so no request can show that it has
+        recovered.
         """
         queue = make_queue()
         for index in range(30):
-            ranked.enqueue(queue, make_entry(str(index)))
+            ranked.enqueue(queue, make_queued(str(index)))
             ranked.start(queue, 0.0)
             ranked.finish(queue, str(index), ran_ms=None, failed=True, now=1.0)
         self.assertGreater(ranked.describe_load(queue, 1.0).failing, 0.8)
-        later = 1.0 + 2 * ranked.FAILING_HALF_LIFE_SECONDS
+        later = 1.0 + 2 * ranked.FAILURE_HALF_LIFE_SECONDS
         self.assertLess(ranked.describe_load(queue, later).failing, 0.25)
