--- a/apricotpost/routing/__init__.py
+++ b/apricotpost/routing/__init__.py
@@ -1,7 +1,8 @@
-"""Routes, choices, retries and the calls in flight."""
+"""Route matching, load balancing, retries and calls in flight."""
 
 import lazy_loader
 
-# Modules are imported on first use: a process that needs a few of them starts
-# faster and takes less memory. The names stand in the stub beside this file.
+# Modules are imported on first use, so that a process that needs only some of
+# them starts faster and uses less memory. The stub beside this file lists the
+# exported names.
 __getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/apricotpost/routing/call_states.py
+++ b/apricotpost/routing/call_states.py
@@ -1,4 +1,4 @@
-"""Values of calls in flight: state, events and actions."""
+"""Data types of calls in flight: state, events and actions."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Now:
-    """Both clocks: monotonic and Unix time, in seconds."""
+    """Current time on both clocks: monotonic and Unix time, in seconds."""
 
     monotonic: float
     wall: float
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Draws:
-    """Random numbers from 0 up to 1 for one choice."""
+    """Random numbers in [0, 1) for one choice of version and server."""
 
     version: float
     first: float
@@ -46,33 +46,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """A call that waits for its answer.
+    """A call that was sent to an instance and waits for its answer.
 
     Parameters
     ----------
     reply_to : bytes
-        Identity of the task that asked.
+        Identity of the task that submitted the request.
     request : apricotpost.wire.CallRequest
-        What it asked for.
+        Submitted request.
     call : str
-        Identifier of the present attempt.
+        Identifier of this attempt.
     number : int
-        Attempts so far, this one included.
+        Number of attempts so far, including this one.
     instance : str
-        Where the present attempt went.
-    tried : frozenset of str
-        Instances that failed or refused.
+        Instance to which this attempt was sent.
+    tried_instances : frozenset of str
+        Instances that failed or refused earlier attempts.
     retried : bool
-        Whether a call that may have run was repeated.
-    gives_up_at : float
-        Unix time in seconds.
+        Whether the request was repeated after an attempt that may have run.
+    expires_at : float
+        Unix time in seconds at which the attempt is hedged or given up.
     sibling : str
-        Identifier of another open attempt of the same request.
+        Identifier of the other open attempt of the same request, if any.
     fallback : apricotpost.wire.CallResult, optional
-        Result if no later attempt runs; set once an attempt may have run,
-        because "not run" would be untrue from then on.
+        Result if no later attempt runs. Set once an attempt may have run,
+        because "not run" would then be a wrong result.
     abandoned : bool
-        Whether the caller no longer waits; nothing is sent for it.
+        Whether the caller has disconnected; no further attempt is sent.
     """
 
     reply_to: bytes
@@ -80,9 +80,9 @@
     call: str
     number: int
     instance: str
-    tried: frozenset[str]
+    tried_instances: frozenset[str]
     retried: bool
-    gives_up_at: float
+    expires_at: float
     sibling: str = ""
     fallback: wire.CallResult | None = None
     abandoned: bool = False
@@ -90,7 +90,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallState:
-    """Calls in flight and what is known of backend servers' load."""
+    """Calls in flight and the known load of the backend servers."""
 
     data_centre: str
     attempts: Mapping[str, Attempt] = dataclasses.field(default_factory=dict)
@@ -103,7 +103,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Submitted:
-    """A task asks for a call."""
+    """A task submitted a request."""
 
     reply_to: bytes
     request: wire.CallRequest
@@ -118,21 +118,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answered:
-    """A gate answered."""
+    """A gate's response to a call arrived."""
 
     message: wire.Answer | wire.NotRun | wire.OutcomeUnknown
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendFailed:
-    """A call could not be handed to a connection; nothing was sent."""
+    """A call could not be passed to a connection; nothing was sent."""
 
     call: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TimedOut:
-    """Time has passed; overdue attempts are given up."""
+    """Timer event: expired attempts are hedged or given up."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -145,7 +145,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CancelCall:
-    """Tell an instance that nobody waits any more."""
+    """Notify an instance that the answer to a call is no longer needed."""
 
     instance: str
     call: str
@@ -153,7 +153,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Finish:
-    """Hand the result to the task that asked."""
+    """Return the result to the task that submitted the request."""
 
     reply_to: bytes
     result: wire.CallResult
--- a/apricotpost/routing/calls.py
+++ b/apricotpost/routing/calls.py
@@ -1,4 +1,4 @@
-"""Decisions about calls in flight, by event."""
+"""Decisions about calls in flight, one handler for each event."""
 
 import dataclasses
 
@@ -53,27 +53,27 @@
     table: tables.RoutingTable,
     draws: Draws,
 ) -> call_states.Step:
-    """Decide what follows from an event.
+    """Return the state and the actions that follow from an event.
 
     Parameters
     ----------
     state : CallState
-        State before.
+        State before the event.
     event : Event
-        What happened.
+        Event to handle.
     now : Now
-        When.
+        Current time on both clocks.
     table : RoutingTable
-        Derived from the view in force.
+        Lookup tables of the view in force.
     draws : Draws
-        Random numbers for the choice that may follow.
+        Random numbers for a choice of a backend server.
 
     Returns
     -------
     state : CallState
-        State after.
+        State after the event.
     actions : tuple of Action
-        What to do, in this order.
+        Actions to perform, in this order.
     """
     if isinstance(event, Submitted):
         return _submit(state, event, now, table, draws)
@@ -82,7 +82,7 @@
     if isinstance(event, TimedOut):
         return outcomes.expire(state, now, table, draws)
     if isinstance(event, CallerGone):
-        return _abandon(state, event.request)
+        return _handle_caller_gone(state, event.request)
     attempt = state.attempts.get(event.call)
     if attempt is None:
         return state, ()
@@ -93,9 +93,9 @@
 
 
 def next_expiry(state: CallState) -> float | None:
-    """Return the Unix time at which the next attempt is given up."""
+    """Return the Unix time at which the next attempt expires."""
     return min(
-        (attempt.gives_up_at for attempt in state.attempts.values()),
+        (attempt.expires_at for attempt in state.attempts.values()),
         default=None,
     )
 
@@ -114,9 +114,9 @@
         call="",
         number=0,
         instance="",
-        tried=frozenset(),
+        tried_instances=frozenset(),
         retried=request.retried,
-        gives_up_at=request.deadline,
+        expires_at=request.deadline,
     )
     if request.depth > contexts.MAX_DEPTH:
         return sending.refuse(state, attempt, wire.NotRunReason.LOOP)
@@ -130,17 +130,21 @@
     return sending.send(state, attempt, now, table, draws)
 
 
-def _abandon(state: CallState, request: str) -> call_states.Step:
-    """Cancel what is queued; the outcome is still handed over."""
-    found = [
+def _handle_caller_gone(state: CallState, request: str) -> call_states.Step:
+    """Cancel queued attempts of a request; its result is still returned."""
+    abandoned_attempts = [
         dataclasses.replace(attempt, abandoned=True)
         for attempt in state.attempts.values()
         if attempt.request.request == request
     ]
     state = dataclasses.replace(
         state,
-        attempts={**state.attempts, **{item.call: item for item in found}},
+        attempts={
+            **state.attempts,
+            **{item.call: item for item in abandoned_attempts},
+        },
     )
     return state, tuple(
-        CancelCall(instance=item.instance, call=item.call) for item in found
+        CancelCall(instance=item.instance, call=item.call)
+        for item in abandoned_attempts
     )
--- a/apricotpost/routing/choices.py
+++ b/apricotpost/routing/choices.py
@@ -15,30 +15,31 @@
     "effective_shares",
 ]
 
-# A load report older than this says nothing about the present load.
+# A load report older than this is ignored.
 LOAD_REPORT_SECONDS = 1.0
-# Backend servers of the own data centre are preferred below this load.
+# Backend servers in the own data centre are preferred while their load, in
+# calls per slot, is below this.
 LOCAL_PREFERENCE_LOAD = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PeerLoad:
-    """What this node knows about the load of one backend server.
+    """Load of one backend server, as known to this node.
 
     Parameters
     ----------
     reported : apricotpost.model.Load, optional
-        Load in the last answer.
+        Load report of the last answer.
     reported_at : float
-        When, in seconds of the monotonic clock.
+        Time of that answer, in seconds of the monotonic clock.
     sent_since : int
-        Calls sent after that.
+        Number of calls sent since that answer.
     unanswered : int
-        Calls of this node without an answer.
+        Number of calls of this node that have no answer yet.
     excluded_until : float
         End of the back-off, in seconds of the monotonic clock.
     failures : int
-        Failures in a row.
+        Number of failures in a row.
     """
 
     reported: model.Load | None = None
@@ -55,7 +56,7 @@
 def effective_shares(
     table: tables.RoutingTable, service: model.Service, *, wall: float
 ) -> dict[str, int]:
-    """Compute the shares of a service's versions at this moment.
+    """Return the shares of a service's versions at a given time.
 
     The share of a version that is withdrawn, or whose rollout did not finish
     in time, goes to the rollout's old version.
@@ -65,7 +66,7 @@
     table : RoutingTable
         Derived from the view in force.
     service : apricotpost.model.Service
-        Whose versions.
+        Service whose versions share the calls.
     wall : float
         Unix time in seconds.
 
@@ -77,13 +78,13 @@
     shares = {entry.version: entry.share for entry in service.versions}
     rollout = table.rollouts.get(service.name)
     if rollout is not None:
-        late = (
+        overdue = (
             rollout.state is model.RolloutState.RUNNING
             and wall >= rollout.finish_by
         )
-        if late or (service.name, rollout.new) in table.withdrawn:
-            moved = shares.pop(rollout.new, 0)
-            shares[rollout.old] = shares.get(rollout.old, 0) + moved
+        if overdue or (service.name, rollout.new) in table.withdrawn:
+            moved_share = shares.pop(rollout.new, 0)
+            shares[rollout.old] = shares.get(rollout.old, 0) + moved_share
     return shares
 
 
@@ -94,7 +95,9 @@
     wall: float,
     draw: float,
 ) -> str | None:
-    """Choose a version by its share among those with backend servers.
+    """Choose a version at random, weighted by the versions' shares.
+
+    Versions without a backend server are left out.
 
     Parameters
     ----------
@@ -105,12 +108,12 @@
     wall : float
         Unix time in seconds.
     draw : float
-        Random number from 0 up to 1.
+        Random number in [0, 1).
 
     Returns
     -------
     str or None
-        Version, or None when none can take the call.
+        Version, or None if no version with a share has a backend server.
     """
     shares = effective_shares(table, service, wall=wall)
     present = [
@@ -142,15 +145,15 @@
     Parameters
     ----------
     candidates : sequence of apricotpost.model.InstanceRecord
-        Backend servers that may take the call.
+        Backend servers that may run the call.
     loads : mapping
-        What is known of them, by instance.
+        Known load of the backend servers, by instance.
     data_centre : str
-        Own data centre, preferred while its servers have free slots.
+        Own data centre, preferred while its backend servers have free slots.
     now : float
         Monotonic clock in seconds.
     draws : tuple of float
-        Two random numbers from 0 up to 1.
+        Two random numbers in [0, 1).
 
     Notes
     -----
@@ -161,7 +164,8 @@
         for entry in candidates
         if loads.get(entry.instance, UNKNOWN_PEER).excluded_until <= now
     ]
-    # When all are in back-off, refusing every call would be worse.
+    # If all are in back-off, calls go to any of them, because refusing every
+    # call would be worse.
     usable = usable or list(candidates)
     if not usable:
         return None
@@ -177,8 +181,8 @@
         return first
     others = [entry for entry in pool if entry is not first]
     second = others[int(draws[1] * len(others))]
-    waits = _estimate_waits((first, second), loads, now=now)
-    return second if waits[1] < waits[0] else first
+    expected_ms = _estimate_latencies((first, second), loads, now=now)
+    return second if expected_ms[1] < expected_ms[0] else first
 
 
 def estimate_load(
@@ -187,7 +191,7 @@
     *,
     now: float,
 ) -> float:
-    """Estimate calls per free slot of a backend server."""
+    """Return the number of a backend server's calls divided by its limit."""
     peer = loads.get(entry.instance, UNKNOWN_PEER)
     if peer.reported is None:
         return peer.unanswered / max(entry.slots, 1)
@@ -198,24 +202,24 @@
     return max(busy + peer.sent_since, peer.unanswered) / limit
 
 
-def _estimate_waits(
+def _estimate_latencies(
     pair: tuple[model.InstanceRecord, model.InstanceRecord],
     loads: Mapping[str, PeerLoad],
     *,
     now: float,
 ) -> list[float]:
-    """Estimate how long one more call would take at each of two servers.
+    """Return the estimated relative time of one more call at two servers.
 
-    A server whose latency is not known counts as fast as the other, so that
-    it gets a call and a new report even when it used to be slow.
+    A server without a current latency is assumed to be as fast as the other
+    one, so that it gets a call and reports again even if it was slow before.
     """
-    usual = [_usual_ms(entry, loads, now=now) for entry in pair]
-    known = [value for value in usual if value]
-    other = known[0] if known else 1.0
+    latencies_ms = [_usual_ms(entry, loads, now=now) for entry in pair]
+    known_ms = [value for value in latencies_ms if value]
+    default_ms = known_ms[0] if known_ms else 1.0
     return [
         (estimate_load(entry, loads, now=now) + 1 / max(entry.slots, 1))
-        * (value or other)
-        for entry, value in zip(pair, usual, strict=True)
+        * (value or default_ms)
+        for entry, value in zip(pair, latencies_ms, strict=True)
     ]
 
 
--- a/apricotpost/routing/contexts.py
+++ b/apricotpost/routing/contexts.py
@@ -1,4 +1,4 @@
-"""Call context that travels in HTTP headers through backend servers."""
+"""Call context, propagated in HTTP headers through backend servers."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -22,10 +22,10 @@
 REASON_HEADER = "X-Apricotpost-Reason"
 RETRIED_HEADER = "X-Apricotpost-Retried"
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
-# Deeper calls are taken for a loop; the deepest known are 18 deep.
+# Deeper calls count as a loop; the deepest known call chain has 18 levels.
 MAX_DEPTH = 32
 
-_DROPPED = frozenset(
+_STRIPPED_HEADERS = frozenset(
     name.lower()
     for name in (
         "Connection",
@@ -58,9 +58,9 @@
     deadline : float
         Unix time in seconds.
     depth : int
-        Calls above this one.
+        Number of calls above this one in the call chain.
     retried : bool
-        Whether a call above is a retry.
+        Whether a call above this one in the chain is a retry.
     """
 
     deadline: float
@@ -75,12 +75,12 @@
     timeout_ms: int,
     trusted: bool,
 ) -> CallContext:
-    """Read the context of a call.
+    """Return the context of a call from its request headers.
 
     Parameters
     ----------
     headers : mapping
-        Lower-case names to values.
+        Header values by lower-case name.
     wall : float
         Unix time in seconds.
     timeout_ms : int
@@ -90,14 +90,14 @@
         callers from outside can only shorten the deadline.
     """
     deadline = wall + timeout_ms / 1000
-    own = _read_number(headers.get(TIMEOUT_HEADER.lower()))
-    if own is not None and own >= 0:
-        deadline = min(deadline, wall + own / 1000)
+    requested_ms = _read_number(headers.get(TIMEOUT_HEADER.lower()))
+    if requested_ms is not None and requested_ms >= 0:
+        deadline = min(deadline, wall + requested_ms / 1000)
     if not trusted:
         return CallContext(deadline=deadline)
-    inherited = _read_number(headers.get(DEADLINE_HEADER.lower()))
-    if inherited is not None:
-        deadline = min(deadline, inherited)
+    inherited_deadline = _read_number(headers.get(DEADLINE_HEADER.lower()))
+    if inherited_deadline is not None:
+        deadline = min(deadline, inherited_deadline)
     depth = _read_number(headers.get(DEPTH_HEADER.lower())) or 0
     return CallContext(
         deadline=deadline,
@@ -120,8 +120,8 @@
 def strip_headers(
     headers: tuple[tuple[str, str], ...],
 ) -> tuple[tuple[str, str], ...]:
-    """Drop the headers that hold for one connection or for the system."""
-    named = {
+    """Remove hop-by-hop headers and those that carry the call context."""
+    connection_headers = {
         token.strip().lower()
         for name, value in headers
         if name.lower() == "connection"
@@ -130,7 +130,8 @@
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _DROPPED and name.lower() not in named
+        if name.lower() not in _STRIPPED_HEADERS
+        and name.lower() not in connection_headers
     )
 
 
--- a/apricotpost/routing/outcomes.py
+++ b/apricotpost/routing/outcomes.py
@@ -1,4 +1,4 @@
-"""Decisions that follow the end of an attempt: finish or retry."""
+"""Decisions after an attempt ended or expired: finish, retry or hedge."""
 
 import dataclasses
 
@@ -12,7 +12,8 @@
 
 __all__ = ["after_message", "after_not_run", "expire"]
 
-# Pause for a server that refuses because it leaves; by then the view says so.
+# Back-off of a backend server that refuses calls because it is leaving or not
+# ready; by the end of it, the view shows this state.
 LEAVING_BACKOFF_SECONDS = 5.0
 
 _LEAVING_REASONS = frozenset(
@@ -32,10 +33,10 @@
     table: tables.RoutingTable,
     draws: call_states.Draws,
 ) -> call_states.Step:
-    """Decide what follows a gate's message."""
+    """Return the state and the actions that follow from a gate's response."""
     attempt = state.attempts.get(message.call)
     if attempt is None:
-        # The attempt was given up; its late answer belongs to nobody.
+        # The attempt has ended already; its late response is dropped.
         return state, ()
     state = peers.record_load(state, attempt.instance, message.load, now)
     if isinstance(message, wire.NotRun):
@@ -43,7 +44,7 @@
         return after_not_run(state, attempt, message.reason, now, table, draws)
     if isinstance(message, wire.OutcomeUnknown):
         state = peers.record_failure(state, attempt.instance, now)
-        result = _unknown(attempt, message.reason)
+        result = _unknown_outcome(attempt, message.reason)
         return _after_failure(state, attempt, result, now, table, draws)
     return _after_answer(state, attempt, message, now, table, draws)
 
@@ -56,12 +57,12 @@
     table: tables.RoutingTable,
     draws: call_states.Draws,
 ) -> call_states.Step:
-    """Try another server; nothing of this attempt ran."""
+    """Send a call that was not run to another server, or refuse it."""
     state = peers.remove(state, attempt)
     if attempt.sibling in state.attempts:
-        return _leave_to_sibling(state, attempt), ()
+        return _detach_from_sibling(state, attempt), ()
     attempt = dataclasses.replace(
-        attempt, tried=attempt.tried | {attempt.instance}
+        attempt, tried_instances=attempt.tried_instances | {attempt.instance}
     )
     if attempt.abandoned or not retries.may_retry_not_run(
         reason, attempts=attempt.number
@@ -76,17 +77,19 @@
     table: tables.RoutingTable,
     draws: call_states.Draws,
 ) -> call_states.Step:
-    """Give up attempts at their deadline, send others a second time."""
+    """Hedge expired attempts, or give them up at the request's deadline."""
     actions: list[call_states.Action] = []
     for call in tuple(state.attempts):
         attempt = state.attempts.get(call)
-        if attempt is None or attempt.gives_up_at > now.wall:
+        if attempt is None or attempt.expires_at > now.wall:
             continue
         if now.wall < attempt.request.deadline:
-            state, more = _send_second(state, attempt, now, table, draws)
+            state, next_actions = _send_hedge(
+                state, attempt, now, table, draws
+            )
         else:
-            state, more = _give_up(state, attempt, now)
-        actions.extend(more)
+            state, next_actions = _give_up(state, attempt, now)
+        actions.extend(next_actions)
     return state, tuple(actions)
 
 
@@ -139,12 +142,13 @@
     table: tables.RoutingTable,
     draws: call_states.Draws,
 ) -> call_states.Step:
-    """Repeat a call that may have run, or finish it with its result."""
+    """Retry a call that may have run, or finish it with its result."""
     if attempt.sibling in state.attempts:
-        return _leave_to_sibling(peers.remove(state, attempt), attempt), ()
+        return _detach_from_sibling(peers.remove(state, attempt), attempt), ()
     if not _may_repeat(state, attempt, now, table):
         if state.budget.tokens < 1.0:
-            # Nodes above must not spend their budgets on this call instead.
+            # The mark keeps nodes above in the call chain from spending their
+            # budgets on this call instead.
             result = dataclasses.replace(result, retried=True)
         return sending.finish(state, attempt, result)
     return sending.send(
@@ -154,7 +158,7 @@
         dataclasses.replace(
             attempt,
             retried=True,
-            tried=attempt.tried | {attempt.instance},
+            tried_instances=attempt.tried_instances | {attempt.instance},
             fallback=result,
         ),
         now,
@@ -163,7 +167,7 @@
     )
 
 
-def _send_second(
+def _send_hedge(
     state: call_states.CallState,
     attempt: call_states.Attempt,
     now: call_states.Now,
@@ -172,28 +176,28 @@
 ) -> call_states.Step:
     """Send a late call to another server and keep the first attempt open.
 
-    A backend server that needs more than half of the time still answers its
-    caller; one that is frozen does not use up all of the time.
+    A slow backend server can still answer after half of the time, and a
+    frozen one does not use up all of it.
     """
     deadline = attempt.request.deadline
-    waiting = dataclasses.replace(attempt, gives_up_at=deadline)
-    kept = dataclasses.replace(
+    waiting = dataclasses.replace(attempt, expires_at=deadline)
+    unhedged = dataclasses.replace(
         state, attempts={**state.attempts, attempt.call: waiting}
     )
     if not _may_repeat(state, attempt, now, table):
-        return kept, ()
-    kept = peers.record_failure(kept, attempt.instance, now)
-    fallback = _unknown(attempt, wire.UnknownReason.TIMEOUT)
-    second = dataclasses.replace(
+        return unhedged, ()
+    unhedged = peers.record_failure(unhedged, attempt.instance, now)
+    fallback = _unknown_outcome(attempt, wire.UnknownReason.TIMEOUT)
+    hedge = dataclasses.replace(
         waiting,
         retried=True,
-        tried=attempt.tried | {attempt.instance},
+        tried_instances=attempt.tried_instances | {attempt.instance},
         fallback=fallback,
         sibling=attempt.call,
     )
-    sent, actions = sending.send(kept, second, now, table, draws)
+    sent, actions = sending.send(unhedged, hedge, now, table, draws)
     if not isinstance(actions[0], call_states.SendCall):
-        return kept, ()
+        return unhedged, ()
     first = dataclasses.replace(
         waiting,
         retried=True,
@@ -217,7 +221,7 @@
         instance=attempt.instance, call=attempt.call
     )
     state = peers.record_failure(state, attempt.instance, now)
-    result = _unknown(attempt, wire.UnknownReason.TIMEOUT)
+    result = _unknown_outcome(attempt, wire.UnknownReason.TIMEOUT)
     state, actions = sending.finish(state, attempt, result)
     return state, (cancel, *actions)
 
@@ -242,7 +246,7 @@
     )
 
 
-def _leave_to_sibling(
+def _detach_from_sibling(
     state: call_states.CallState, attempt: call_states.Attempt
 ) -> call_states.CallState:
     sibling = dataclasses.replace(state.attempts[attempt.sibling], sibling="")
@@ -251,7 +255,7 @@
     )
 
 
-def _unknown(
+def _unknown_outcome(
     attempt: call_states.Attempt, reason: wire.UnknownReason
 ) -> wire.CallResult:
     timeout = reason is wire.UnknownReason.TIMEOUT
--- a/apricotpost/routing/peers.py
+++ b/apricotpost/routing/peers.py
@@ -1,4 +1,4 @@
-"""What dispatch notes about the backend servers that it calls."""
+"""Load and back-off of the backend servers that a node calls."""
 
 import dataclasses
 
@@ -15,11 +15,11 @@
     "record_success",
 ]
 
-# The functions that run for each call use constructors: `dataclasses.replace`
-# takes several times as long.
+# Functions that run for each call use the constructors, because
+# `dataclasses.replace` takes several times as long.
 
-# Back-off of a backend server after failures in a row: doubles from the
-# first to the last figure.
+# Back-off of a backend server after a failure. It doubles with each further
+# failure in a row, up to the maximum.
 BACKOFF_MIN_SECONDS = 0.5
 BACKOFF_MAX_SECONDS = 8.0
 MAX_DOUBLINGS = 4
@@ -28,8 +28,8 @@
 def record_sent(
     state: call_states.CallState, attempt: call_states.Attempt
 ) -> call_states.CallState:
-    """Add an attempt that is about to be sent."""
-    peer = _peer(state, attempt.instance)
+    """Record an attempt that is about to be sent."""
+    peer = _find_peer(state, attempt.instance)
     peer = choices.PeerLoad(
         reported=peer.reported,
         reported_at=peer.reported_at,
@@ -50,12 +50,12 @@
 def remove(
     state: call_states.CallState, attempt: call_states.Attempt
 ) -> call_states.CallState:
-    """Forget an attempt; a later answer to it belongs to nobody."""
+    """Remove an attempt; a later answer to it is dropped."""
     if attempt.call not in state.attempts:
         return state
     remaining = dict(state.attempts)
     del remaining[attempt.call]
-    peer = _peer(state, attempt.instance)
+    peer = _find_peer(state, attempt.instance)
     peer = choices.PeerLoad(
         reported=peer.reported,
         reported_at=peer.reported_at,
@@ -79,10 +79,10 @@
     load: model.Load | None,
     now: call_states.Now,
 ) -> call_states.CallState:
-    """Store the load that came with an answer."""
+    """Store the load report of an answer."""
     if load is None:
         return state
-    peer = _peer(state, instance)
+    peer = _find_peer(state, instance)
     peer = choices.PeerLoad(
         reported=load,
         reported_at=now.monotonic,
@@ -90,29 +90,33 @@
         excluded_until=peer.excluded_until,
         failures=peer.failures,
     )
-    return _put(state, instance, peer)
+    return _with_peer(state, instance, peer)
 
 
 def record_success(
     state: call_states.CallState, instance: str
 ) -> call_states.CallState:
     """End the back-off of a backend server that answered."""
-    peer = _peer(state, instance)
+    peer = _find_peer(state, instance)
     if not peer.failures and not peer.excluded_until:
         return state
     peer = dataclasses.replace(peer, failures=0, excluded_until=0.0)
-    return _put(state, instance, peer)
+    return _with_peer(state, instance, peer)
 
 
 def record_failure(
     state: call_states.CallState, instance: str, now: call_states.Now
 ) -> call_states.CallState:
     """Start or lengthen the back-off of a backend server."""
-    peer = _peer(state, instance)
+    peer = _find_peer(state, instance)
     doublings = min(peer.failures, MAX_DOUBLINGS)
-    pause = min(BACKOFF_MIN_SECONDS * 2.0**doublings, BACKOFF_MAX_SECONDS)
+    backoff_seconds = min(
+        BACKOFF_MIN_SECONDS * 2.0**doublings, BACKOFF_MAX_SECONDS
+    )
     peer = dataclasses.replace(peer, failures=peer.failures + 1)
-    return exclude(_put(state, instance, peer), instance, now, pause)
+    return exclude(
+        _with_peer(state, instance, peer), instance, now, backoff_seconds
+    )
 
 
 def exclude(
@@ -121,17 +125,21 @@
     now: call_states.Now,
     seconds: float,
 ) -> call_states.CallState:
-    """Choose a backend server again only after a pause."""
+    """Set the end of a backend server's back-off."""
     until = now.monotonic + seconds
-    peer = dataclasses.replace(_peer(state, instance), excluded_until=until)
-    return _put(state, instance, peer)
+    peer = dataclasses.replace(
+        _find_peer(state, instance), excluded_until=until
+    )
+    return _with_peer(state, instance, peer)
 
 
-def _peer(state: call_states.CallState, instance: str) -> choices.PeerLoad:
+def _find_peer(
+    state: call_states.CallState, instance: str
+) -> choices.PeerLoad:
     return state.loads.get(instance, choices.UNKNOWN_PEER)
 
 
-def _put(
+def _with_peer(
     state: call_states.CallState, instance: str, peer: choices.PeerLoad
 ) -> call_states.CallState:
     return call_states.CallState(
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -1,10 +1,11 @@
-"""Choice of the backend server that finishes a request first.
-
-The time to finish is the usual time of the route, times the relative speed of
-the backend server, plus the wait in its queue, plus the price of leaving the
-data centre. The speed is learnt from the own requests (exponential mean) and
-from the mean time that the backend server's node reports: in a large fleet, a
-node sends too few requests to each backend server to learn it by itself.
+"""Choice of the backend server with the lowest expected response time.
+
+The expected time is the mean latency of the route, times the relative latency
+of the backend server, plus the wait in its queue, plus penalties, such as that
+for leaving the data centre. The relative latency is estimated from the node's
+own requests (exponential mean) and from the mean time that the backend
+server's node reports: in a large fleet, a node sends too few requests to each
+backend server to estimate it from these alone.
 """
 
 import dataclasses
@@ -22,59 +23,67 @@
     "mean_reported_ms",
     "record_sent",
     "rank_candidates",
-    "relative_speed",
+    "relative_latency",
     "remote_penalty_ms",
 ]
 
-# Weight of a measurement in the usual time of a route and in the relative
-# speed of a backend server.
+# Weights of a measurement in the mean latency of a route, in the relative
+# latency of a backend server and in its failure ratio.
 ROUTE_WEIGHT = 0.05
-SPEED_WEIGHT = 0.12
+RELATIVE_LATENCY_WEIGHT = 0.12
 FAILURE_WEIGHT = 0.15
-# A backend server that failed is tried again: the evidence halves in this
-# time.
+# The failure ratio halves in this time while no request ends, so that a
+# backend server that failed is tried again.
 FAILURE_HALF_LIFE_SECONDS = 3.0
-# A failure costs the caller about as much as this wait.
-FAILURE_MS = 1200.0
-# Reported failures count less than the own ones: requests of other callers
-# may fail for reasons of their own.
-REPORTED_FAILING_PART = 0.7
-# Bytes between data centres are paid for, at about a fifth of what the
-# answer of a 5 KB request is worth to its caller. A shorter wait is worth
-# that only where the request would else miss its objective, so the penalty
-# is a part of the objective that grows with the size.
-REMOTE_PART_PER_KB = 0.4
-MAX_REMOTE_PART = 0.8
-# Headers of a request and its response on the way between two nodes.
+# A failure costs the caller about as much as a wait of this length. The
+# penalty is this time multiplied by the failure ratio.
+FAILURE_PENALTY_MS = 1200.0
+# Reported failures count less than the node's own: requests of other callers
+# may fail for reasons that do not concern this node.
+REPORTED_FAILURE_WEIGHT = 0.7
+# Traffic between data centres is charged: for a 5 KB request, it costs about a
+# fifth of the value of the answer to the caller. A shorter wait justifies this
+# only if the request would otherwise miss its objective. The penalty is
+# therefore a fraction of the objective, per KB of the request and response, up
+# to a maximum.
+REMOTE_PENALTY_FRACTION_PER_KB = 0.4
+MAX_REMOTE_PENALTY_FRACTION = 0.8
+# Size of the headers of a request and its response between two nodes.
 HEADER_BYTES = 700
-# Weight of a request in the mean size of its route.
+# Weight of a measurement in the mean size of a route's requests.
 SIZE_WEIGHT = 0.1
-# Backend servers slow down when they are nearly full.
-CROWDED_PART = 0.75
+# Backend servers get slower above this ratio of requests to their limit; the
+# slowdown is multiplied by the excess over the ratio.
+CROWDED_FILL_RATIO = 0.75
 CROWDED_SLOWDOWN = 0.6
 # A backend server that has just started takes about twice as long.
 COLD_SLOWDOWN = 2.0
-# Requests of other nodes arrive between two reports of the load.
-BALANCE_PART = 0.35
-# A backend server that has not reported for this long may be gone. States come
-# every half a second within a data centre and every 1.5 s from others.
+# Slowdown in proportion to the load, because requests of other nodes arrive
+# between two load reports.
+FILL_SLOWDOWN = 0.35
+# A backend server whose node has been silent for this long may be unreachable
+# and gets a penalty. State messages arrive every 0.5 s within a data centre
+# and every 1.5 s from others.
 STALE_LOCAL_SECONDS = 1.2
 STALE_REMOTE_SECONDS = 2.2
-STALE_MS = 300.0
-FIRST_ROUTE_MS = 100.0
-# A server is suspect when it has not answered anybody for this multiple of
-# its usual time although requests run there, when it takes this multiple of
-# the time of others, or when this share of its requests fails.
-QUIET_MULTIPLE = 1.5
-SUSPECT_SPEED = 2.0
-SUSPECT_FAILING = 0.15
-# Own requests that count as much as the report on a backend server, and
-# reported ones that count as much as no knowledge.
+STALE_PENALTY_MS_PER_SECOND = 300.0
+# Latency of a route or backend server before the first measurement.
+INITIAL_LATENCY_MS = 100.0
+# A backend server is suspect if it has sent no answer to any caller for this
+# multiple of its mean time although requests are running there, if its
+# relative latency is this high, or if this fraction of its requests fails.
+SUSPECT_QUIET_RATIO = 1.5
+SUSPECT_RELATIVE_LATENCY = 2.0
+SUSPECT_FAILURE_RATIO = 0.15
+# Weights of the estimates of the relative latency. With OWN_SAMPLES requests,
+# a node weighs its own measurement and the report equally; with
+# REPORT_SAMPLES requests behind a report, the report and the default of 1.0
+# weigh equally.
 OWN_SAMPLES = 10
 REPORT_SAMPLES = 4
-# Bounds of the speed that a report may tell: it covers all routes of the
-# service, which differ.
-REPORTED_SPEED = (0.4, 4.0)
+# Bounds of the relative latency from a report: it covers all routes of the
+# service, whose latencies differ.
+REPORTED_RELATIVE_LATENCY_BOUNDS = (0.4, 4.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,13 +93,13 @@
     Parameters
     ----------
     node, backend : str
-        Who it is.
+        Identifiers of the node and of its backend server.
     same_data_centre : bool
-        Whether the request stays in the data centre.
+        Whether the backend server is in this node's data centre.
     silent_seconds : float
-        Since its node was last heard.
+        Time since the last message of its node, in seconds.
     cold : bool
-        Whether it has just started and is slower than later.
+        Whether it has just started and is still slow.
     """
 
     node: str
@@ -101,16 +110,16 @@
 
 
 class ServerStats:
-    """What is known of one backend server."""
+    """Load, latency and failure statistics of one backend server."""
 
     __slots__ = (
-        "failed_at",
-        "failing",
+        "outcome_at",
+        "failure_ratio",
         "limit",
-        "occupied",
+        "reported_requests",
         "quiet_ms",
-        "reported_failing",
-        "samples",
+        "reported_failure_ratio",
+        "own_samples",
         "sent_since",
         "served",
         "speed",
@@ -119,20 +128,20 @@
 
     def __init__(self) -> None:
         self.speed = 1.0
-        self.samples = 0
+        self.own_samples = 0
         self.served = 0
-        self.occupied = 0
+        self.reported_requests = 0
         self.sent_since = 0
         self.limit = 1
-        self.usual_ms = FIRST_ROUTE_MS
-        self.failing = 0.0
-        self.failed_at = 0.0
-        self.reported_failing = 0.0
+        self.usual_ms = INITIAL_LATENCY_MS
+        self.failure_ratio = 0.0
+        self.outcome_at = 0.0
+        self.reported_failure_ratio = 0.0
         self.quiet_ms = 0
 
 
 class LatencyModel:
-    """Learnt times of routes and backend servers."""
+    """Measured latencies of routes and statistics of backend servers."""
 
     def __init__(self) -> None:
         self.routes: dict[str, float] = {}
@@ -140,7 +149,7 @@
         self.servers: dict[str, ServerStats] = {}
 
     def server(self, backend: str) -> ServerStats:
-        """Return what is known of a backend server."""
+        """Return the statistics of a backend server, created on first use."""
         found = self.servers.get(backend)
         if found is None:
             found = self.servers[backend] = ServerStats()
@@ -150,31 +159,42 @@
 def record_latency(
     latency_model: LatencyModel, *, route: str, backend: str, ran_ms: float
 ) -> None:
-    """Account for a served request."""
-    usual = latency_model.routes.get(route)
-    if usual is None:
+    """Record the time of a served request, in milliseconds."""
+    route_ms = latency_model.routes.get(route)
+    if route_ms is None:
         latency_model.routes[route] = max(ran_ms, 1.0)
         return
     server = latency_model.server(backend)
-    server.samples = min(server.samples + 1, OWN_SAMPLES)
-    server.speed += SPEED_WEIGHT * (min(ran_ms / usual, 8.0) - server.speed)
-    usual += ROUTE_WEIGHT * (min(ran_ms, 4.0 * usual) - usual)
-    latency_model.routes[route] = max(usual, 1.0)
+    server.own_samples = min(server.own_samples + 1, OWN_SAMPLES)
+    server.speed += RELATIVE_LATENCY_WEIGHT * (
+        min(ran_ms / route_ms, 8.0) - server.speed
+    )
+    route_ms += ROUTE_WEIGHT * (min(ran_ms, 4.0 * route_ms) - route_ms)
+    latency_model.routes[route] = max(route_ms, 1.0)
 
 
 def record_size(latency_model: LatencyModel, *, route: str, size: int) -> None:
-    """Account for the bytes of a request and its response."""
+    """Record the size of a request and its response, in bytes."""
     kilobytes = (size + HEADER_BYTES) / 1024.0
-    known = latency_model.kilobytes.get(route, kilobytes)
-    latency_model.kilobytes[route] = known + SIZE_WEIGHT * (kilobytes - known)
+    mean_kilobytes = latency_model.kilobytes.get(route, kilobytes)
+    latency_model.kilobytes[route] = mean_kilobytes + SIZE_WEIGHT * (
+        kilobytes - mean_kilobytes
+    )
 
 
 def remote_penalty_ms(
     latency_model: LatencyModel, *, route: str, objective_ms: float
 ) -> float:
-    """Return the wait that a request accepts to stay in its data centre."""
-    part = latency_model.kilobytes.get(route, 1.0) * REMOTE_PART_PER_KB
-    return objective_ms * min(part, MAX_REMOTE_PART)
+    """Return the penalty for sending a request to another data centre.
+
+    A request waits up to this many milliseconds longer to stay in its data
+    centre.
+    """
+    penalty_fraction = (
+        latency_model.kilobytes.get(route, 1.0)
+        * REMOTE_PENALTY_FRACTION_PER_KB
+    )
+    return objective_ms * min(penalty_fraction, MAX_REMOTE_PENALTY_FRACTION)
 
 
 def record_load(
@@ -189,31 +209,31 @@
     failing: float = 0.0,
     quiet_ms: int = 0,
 ) -> None:
-    """Account for a report of a backend server's load.
+    """Record a load report of a backend server.
 
     Parameters
     ----------
     latency_model : LatencyModel
-        What is known.
+        Model to update.
     backend : str
-        The backend server.
+        Identifier of the backend server.
     running, queued, limit : int
-        Requests there and before it, and how many may run.
+        Numbers of running and queued requests, and of those that may run.
     usual_ms : float
-        Mean time of its recent requests.
+        Mean service time of its recent requests, in milliseconds.
     served : int
-        Requests behind that mean.
+        Number of requests behind that mean.
     failing : float
-        Share of its recent requests that failed.
+        Fraction of its recent requests that failed.
     quiet_ms : int
-        Time without an answer while requests run there.
+        Time without an answer while requests are running, in milliseconds.
     """
     server = latency_model.server(backend)
-    server.occupied = running + queued
+    server.reported_requests = running + queued
     server.limit = max(limit, 1)
     server.usual_ms = usual_ms
     server.served = served
-    server.reported_failing = failing
+    server.reported_failure_ratio = failing
     server.quiet_ms = quiet_ms
     server.sent_since = 0
 
@@ -221,15 +241,17 @@
 def record_outcome(
     latency_model: LatencyModel, *, backend: str, failed: bool, now: float
 ) -> None:
-    """Account for the end of a request, in monotonic seconds."""
+    """Record whether a request failed, at a monotonic time in seconds."""
     server = latency_model.server(backend)
-    recent = _recent_failing(server, now)
-    server.failing = recent + FAILURE_WEIGHT * (float(failed) - recent)
-    server.failed_at = now
+    previous_ratio = _recent_failure_ratio(server, now)
+    server.failure_ratio = previous_ratio + FAILURE_WEIGHT * (
+        float(failed) - previous_ratio
+    )
+    server.outcome_at = now
 
 
 def record_sent(latency_model: LatencyModel, backend: str) -> None:
-    """Count a request that no report includes yet."""
+    """Count a request that the load reports do not include yet."""
     latency_model.server(backend).sent_since += 1
 
 
@@ -242,77 +264,83 @@
     now: float,
     mean_ms: float = 0.0,
 ) -> float:
-    """Return the expected time to finish, in milliseconds.
+    """Return the expected response time with penalties, in milliseconds.
 
     Parameters
     ----------
     latency_model : LatencyModel
-        What is known of routes and backend servers.
+        Latencies of routes and statistics of backend servers.
     candidate : Candidate
-        The backend server.
+        Backend server to estimate.
     route : str
         Route of the request.
     objective_ms : float
-        Its latency objective.
+        Latency objective of the request, in milliseconds.
     now : float
         Monotonic time, in seconds.
     mean_ms : float
         Mean time that the backend servers of the service report; 0 if unknown.
     """
     server = latency_model.server(candidate.backend)
-    usual = latency_model.routes.get(route, FIRST_ROUTE_MS)
-    occupied = server.occupied + server.sent_since
-    fill = occupied / server.limit
-    serve_ms = usual * relative_speed(server, mean_ms)
+    route_ms = latency_model.routes.get(route, INITIAL_LATENCY_MS)
+    outstanding = server.reported_requests + server.sent_since
+    fill_ratio = outstanding / server.limit
+    service_ms = route_ms * relative_latency(server, mean_ms)
     if candidate.cold:
-        serve_ms *= COLD_SLOWDOWN
-    serve_ms *= 1.0 + BALANCE_PART * min(fill, 1.0)
-    serve_ms *= 1.0 + CROWDED_SLOWDOWN * max(min(fill, 1.2) - CROWDED_PART, 0)
+        service_ms *= COLD_SLOWDOWN
+    service_ms *= 1.0 + FILL_SLOWDOWN * min(fill_ratio, 1.0)
+    service_ms *= 1.0 + CROWDED_SLOWDOWN * max(
+        min(fill_ratio, 1.2) - CROWDED_FILL_RATIO, 0
+    )
     wait_ms = (
-        max(occupied + 1 - server.limit, 0) * server.usual_ms / server.limit
+        max(outstanding + 1 - server.limit, 0) * server.usual_ms / server.limit
+    )
+    total_ms = (
+        service_ms
+        + wait_ms
+        + FAILURE_PENALTY_MS * _combined_failure_ratio(server, now)
     )
-    total = serve_ms + wait_ms + FAILURE_MS * _known_failing(server, now)
     stale_seconds = STALE_LOCAL_SECONDS
     if not candidate.same_data_centre:
         stale_seconds = STALE_REMOTE_SECONDS
-        total += remote_penalty_ms(
+        total_ms += remote_penalty_ms(
             latency_model, route=route, objective_ms=objective_ms
         )
     if candidate.silent_seconds > stale_seconds:
-        total += STALE_MS * candidate.silent_seconds
-    return total
+        total_ms += STALE_PENALTY_MS_PER_SECOND * candidate.silent_seconds
+    return total_ms
 
 
 def mean_reported_ms(
     latency_model: LatencyModel, candidates: list[Candidate]
 ) -> float:
-    """Return the mean time that backend servers report, in milliseconds.
+    """Return the mean of the backend servers' reported times, in milliseconds.
 
-    0 if none has served a request.
+    The mean is 0 if none has served a request.
     """
     servers = [latency_model.server(c.backend) for c in candidates]
-    known = [server.usual_ms for server in servers if server.served]
-    return sum(known) / len(known) if known else 0.0
+    reported_ms = [server.usual_ms for server in servers if server.served]
+    return sum(reported_ms) / len(reported_ms) if reported_ms else 0.0
 
 
-def relative_speed(server: ServerStats, mean_ms: float) -> float:
-    """Return a backend server's time divided by the usual one.
+def relative_latency(server: ServerStats, mean_ms: float) -> float:
+    """Return a backend server's latency divided by the usual one.
 
     Parameters
     ----------
     server : ServerStats
-        What is known of it.
+        Statistics of the backend server.
     mean_ms : float
         Mean time that the backend servers of the service report; 0 if unknown.
     """
     reported = 1.0
     if mean_ms > 0.0 and server.served:
-        low, high = REPORTED_SPEED
+        low, high = REPORTED_RELATIVE_LATENCY_BOUNDS
         weight = server.served / (server.served + REPORT_SAMPLES)
-        found = min(max(server.usual_ms / mean_ms, low), high)
-        reported += weight * (found - 1.0)
-    own = server.samples / (server.samples + OWN_SAMPLES)
-    return reported + own * (server.speed - reported)
+        clamped_ratio = min(max(server.usual_ms / mean_ms, low), high)
+        reported += weight * (clamped_ratio - 1.0)
+    own_weight = server.own_samples / (server.own_samples + OWN_SAMPLES)
+    return reported + own_weight * (server.speed - reported)
 
 
 def rank_candidates(
@@ -323,7 +351,7 @@
     objective_ms: float,
     now: float,
 ) -> list[Candidate]:
-    """Sort backend servers, the one that finishes first in front."""
+    """Return backend servers by expected response time, shortest first."""
     mean_ms = mean_reported_ms(latency_model, candidates)
     return sorted(
         candidates,
@@ -341,17 +369,17 @@
 def is_suspect(
     latency_model: LatencyModel, backend: str, *, now: float, mean_ms: float
 ) -> bool:
-    """Tell whether a late answer is rather the server's fault.
+    """Return whether the backend server is the likely cause of a late answer.
 
-    The work of a request is its own: another server takes as long for a
-    large one.
+    Otherwise, the request itself is expensive and would take as long at
+    another server.
 
     Parameters
     ----------
     latency_model : LatencyModel
-        What is known of the backend servers.
+        Statistics of the backend servers.
     backend : str
-        The backend server.
+        Identifier of the backend server.
     now : float
         Monotonic time, in seconds.
     mean_ms : float
@@ -359,22 +387,24 @@
     """
     server = latency_model.server(backend)
     return (
-        server.quiet_ms > QUIET_MULTIPLE * server.usual_ms
-        or relative_speed(server, mean_ms) >= SUSPECT_SPEED
-        or _known_failing(server, now) >= SUSPECT_FAILING
+        server.quiet_ms > SUSPECT_QUIET_RATIO * server.usual_ms
+        or relative_latency(server, mean_ms) >= SUSPECT_RELATIVE_LATENCY
+        or _combined_failure_ratio(server, now) >= SUSPECT_FAILURE_RATIO
     )
 
 
-def _known_failing(server: ServerStats, now: float) -> float:
+def _combined_failure_ratio(server: ServerStats, now: float) -> float:
     return max(
-        _recent_failing(server, now),
-        server.reported_failing * REPORTED_FAILING_PART,
+        _recent_failure_ratio(server, now),
+        server.reported_failure_ratio * REPORTED_FAILURE_WEIGHT,
     )
 
 
-def _recent_failing(server: ServerStats, now: float) -> float:
-    if not server.failing:
+def _recent_failure_ratio(server: ServerStats, now: float) -> float:
+    if not server.failure_ratio:
         return 0.0
-    age = max(now - server.failed_at, 0.0)
-    halved: float = server.failing * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
-    return halved
+    age = max(now - server.outcome_at, 0.0)
+    decayed: float = server.failure_ratio * 0.5 ** (
+        age / FAILURE_HALF_LIFE_SECONDS
+    )
+    return decayed
--- a/apricotpost/routing/prefixes.py
+++ b/apricotpost/routing/prefixes.py
@@ -1,4 +1,4 @@
-"""Routes by host and path prefix."""
+"""Route lookup by host and path prefix."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -21,10 +21,10 @@
 def match_prefix(
     table: PrefixTable, host: str, path: str
 ) -> model.TrafficRoute | None:
-    """Return the route with the longest prefix that begins the path.
+    """Return the route with the longest prefix of a path, or None.
 
-    Prefixes end with a slash, so only the slashes of the path are looked
-    up: the cost grows with its depth and not with the number of routes.
+    Prefixes end with a slash, so there is one lookup for each slash of the
+    path. The cost grows with the path's depth, not with the number of routes.
     """
     prefixes = table.get(host)
     if prefixes is None:
--- a/apricotpost/routing/retries.py
+++ b/apricotpost/routing/retries.py
@@ -1,4 +1,4 @@
-"""Which failed attempts are repeated."""
+"""Rules and token budget of retries."""
 
 import dataclasses
 import math
@@ -19,7 +19,7 @@
 TOKENS_PER_CALL = 0.1
 MAX_TOKENS = 10.0
 RETRIED_STATUSES = frozenset((502, 503, 504))
-# Another backend server does not change these.
+# For these reasons, a retry at another backend server would fail as well.
 _FINAL_REASONS = frozenset(
     (
         wire.NotRunReason.DEADLINE_PASSED,
@@ -35,22 +35,22 @@
     Parameters
     ----------
     tokens : float
-        What is left; one retry costs one.
+        Tokens left; a retry costs one.
     limit : float
-        Most tokens that are saved up.
+        Largest number of tokens that can be saved.
     per_call : float
-        Tokens earned by a call.
-    recent : float
-        Calls of about the last window.
-    seen : float
-        Monotonic time of the last call, in seconds.
+        Tokens earned for each call.
+    recent_calls : float
+        Number of calls in about the last window (decays exponentially).
+    last_call_at : float
+        Time of the last call, in seconds of the monotonic clock.
     """
 
     tokens: float = MAX_TOKENS
     limit: float = MAX_TOKENS
     per_call: float = TOKENS_PER_CALL
-    recent: float = 0.0
-    seen: float = 0.0
+    recent_calls: float = 0.0
+    last_call_at: float = 0.0
 
 
 def earn(budget: Budget) -> Budget:
@@ -70,34 +70,34 @@
     window: float,
     now: float,
 ) -> Budget:
-    """Credit a budget that counts in windows for one call.
+    """Credit a budget that is limited by the calls of a time window.
 
-    Tokens are saved up to a base and a part of the calls of the window, so
-    that failures that come together are repeated, and all nodes together
-    stay within what the window allows.
+    The limit is a base plus a fraction of the calls in the window. A burst
+    of failures can then be retried, and all nodes together still stay within
+    the retry ratio of the window.
 
     Parameters
     ----------
     budget : Budget
-        State before.
+        Budget before the call.
     base : float
-        Tokens that may be saved without any calls.
+        Number of tokens that can be saved without any calls.
     burst : float
-        Tokens that may be saved for each call of the window.
+        Number of tokens that can be saved for each call in the window.
     window : float
         Length of the window, in seconds.
     now : float
         Monotonic time, in seconds.
     """
-    decay = math.exp(-max(now - budget.seen, 0.0) / window)
-    recent = budget.recent * decay + 1.0
-    limit = base + burst * recent
+    decay = math.exp(-max(now - budget.last_call_at, 0.0) / window)
+    recent_calls = budget.recent_calls * decay + 1.0
+    limit = base + burst * recent_calls
     return dataclasses.replace(
         budget,
         tokens=min(budget.tokens + budget.per_call, limit),
         limit=limit,
-        recent=recent,
-        seen=now,
+        recent_calls=recent_calls,
+        last_call_at=now,
     )
 
 
@@ -107,9 +107,9 @@
 
 
 def may_retry_not_run(reason: wire.NotRunReason, *, attempts: int) -> bool:
-    """Tell whether a call that was not run may go to another server.
+    """Return whether a call that was not run may go to another server.
 
-    Nothing ran, so this holds for calls that may not be repeated, too.
+    Non-idempotent calls may, too, because nothing was run.
     """
     return attempts < MAX_ATTEMPTS and reason not in _FINAL_REASONS
 
@@ -121,19 +121,19 @@
     retried: bool,
     attempts: int,
 ) -> bool:
-    """Tell whether a call that may have run may be repeated.
+    """Return whether a call that may have run may be retried.
 
     Parameters
     ----------
     budget : Budget
-        Of this node.
+        Retry budget of this node.
     idempotent : bool
-        Whether the route allows it.
+        Whether the calls of the route are idempotent.
     retried : bool
-        Whether this call, one above or one below it is a retry already;
-        retries at several depths would multiply.
+        Whether this call, or one above or below it in the call chain, is
+        already a retry; retries at several depths would multiply.
     attempts : int
-        Attempts so far.
+        Number of attempts so far.
     """
     return (
         idempotent
--- a/apricotpost/routing/sending.py
+++ b/apricotpost/routing/sending.py
@@ -1,4 +1,4 @@
-"""Decisions about where an attempt goes and how long it may take."""
+"""Choice of the backend server and the expiry time of an attempt."""
 
 import dataclasses
 
@@ -12,9 +12,9 @@
 
 __all__ = ["finish", "refuse", "send"]
 
-# Part of the remaining time after which a call that may be repeated is sent
+# Fraction of the remaining time after which a call that may be retried is sent
 # to a second backend server; the first attempt stays open.
-ATTEMPT_SHARE = 0.5
+HEDGE_TIME_FRACTION = 0.5
 
 
 def send(
@@ -23,24 +23,25 @@
     now: call_states.Now,
     table: tables.RoutingTable,
     draws: call_states.Draws,
-    otherwise: wire.NotRunReason = wire.NotRunReason.NO_BACKEND_SERVER,
+    fallback_reason: wire.NotRunReason = wire.NotRunReason.NO_BACKEND_SERVER,
 ) -> call_states.Step:
-    """Send the next attempt, or refuse the call.
+    """Send the next attempt, or refuse the request.
 
     Parameters
     ----------
     state : CallState
-        State before.
+        State before the attempt.
     attempt : Attempt
-        The previous attempt, already dropped, or an empty first one.
+        The previous attempt, already removed from the state, or an empty one
+        before the first.
     now : Now
-        When.
+        Current time on both clocks.
     table : RoutingTable
-        Derived from the view in force.
+        Lookup tables of the view in force.
     draws : Draws
-        Random numbers for the choice.
-    otherwise : apricotpost.wire.NotRunReason
-        Reason when no backend server is left.
+        Random numbers for the choice of a backend server.
+    fallback_reason : apricotpost.wire.NotRunReason
+        Reason of the refusal if no backend server is left.
     """
     request = attempt.request
     if not table.ready:
@@ -52,16 +53,16 @@
         return refuse(state, attempt, wire.NotRunReason.NO_ROUTE)
     chosen = _choose(state, attempt, route, now, table, draws)
     if chosen is None:
-        return refuse(state, attempt, otherwise)
+        return refuse(state, attempt, fallback_reason)
     attempt = call_states.Attempt(
         reply_to=attempt.reply_to,
         request=request,
         call=f"{request.request}.{state.sequence + 1}",
         number=attempt.number + 1,
         instance=chosen.instance,
-        tried=attempt.tried,
+        tried_instances=attempt.tried_instances,
         retried=attempt.retried,
-        gives_up_at=_attempt_deadline(attempt, route, state, now),
+        expires_at=_attempt_deadline(attempt, route, state, now),
         sibling=attempt.sibling,
         fallback=attempt.fallback,
     )
@@ -75,7 +76,10 @@
     attempt: call_states.Attempt,
     reason: wire.NotRunReason,
 ) -> call_states.Step:
-    """Finish a call as not run, unless an attempt may have run."""
+    """Finish a request as not run, or with the result of an earlier attempt.
+
+    "Not run" would be wrong if an earlier attempt may have run.
+    """
     if attempt.fallback is not None:
         result = dataclasses.replace(
             attempt.fallback, attempts=attempt.number, retried=True
@@ -98,7 +102,7 @@
     attempt: call_states.Attempt,
     result: wire.CallResult,
 ) -> call_states.Step:
-    """Hand over the one result and cancel what is still open."""
+    """Return the only result of a request and cancel its other attempt."""
     state = peers.remove(state, attempt)
     actions: list[call_states.Action] = []
     sibling = state.attempts.get(attempt.sibling)
@@ -134,10 +138,10 @@
     candidates = [
         entry
         for entry in table.backend_servers[(route.service, version)]
-        if entry.instance not in attempt.tried
+        if entry.instance not in attempt.tried_instances
     ]
-    if not candidates and attempt.tried:
-        candidates = _other_versions(attempt, route, now, table)
+    if not candidates and attempt.tried_instances:
+        candidates = _untried_servers(attempt, route, now, table)
     return choices.choose_backend_server(
         candidates,
         state.loads,
@@ -147,13 +151,13 @@
     )
 
 
-def _other_versions(
+def _untried_servers(
     attempt: call_states.Attempt,
     route: model.Route,
     now: call_states.Now,
     table: tables.RoutingTable,
 ) -> list[model.InstanceRecord]:
-    """List untried servers of any version that has a share."""
+    """Return the untried backend servers of all versions that have a share."""
     service = table.services[route.service]
     shares = choices.effective_shares(table, service, wall=now.wall)
     return [
@@ -161,7 +165,7 @@
         for version, share in shares.items()
         if share
         for entry in table.backend_servers.get((service.name, version), ())
-        if entry.instance not in attempt.tried
+        if entry.instance not in attempt.tried_instances
     ]
 
 
@@ -171,7 +175,10 @@
     state: call_states.CallState,
     now: call_states.Now,
 ) -> float:
-    """Leave time for a second attempt where one is allowed."""
+    """Return when an attempt expires, in Unix time.
+
+    Time for a second attempt is left if one is allowed.
+    """
     deadline = attempt.request.deadline
     if not retries.may_retry_failure(
         state.budget,
@@ -180,7 +187,7 @@
         attempts=attempt.number + 1,
     ):
         return deadline
-    return now.wall + (deadline - now.wall) * ATTEMPT_SHARE
+    return now.wall + (deadline - now.wall) * HEDGE_TIME_FRACTION
 
 
 def _make_call(
--- a/apricotpost/routing/splits.py
+++ b/apricotpost/routing/splits.py
@@ -1,4 +1,4 @@
-"""Division of a route's requests among services by weight."""
+"""Weighted distribution of a route's requests among services."""
 
 from apricotpost import model
 
@@ -6,7 +6,7 @@
 
 
 class Splits:
-    """Credits of each service of each divided route."""
+    """Round-robin credits by route and service."""
 
     def __init__(self) -> None:
         self.credits: dict[str, dict[str, float]] = {}
@@ -15,9 +15,9 @@
 def choose_service(splits: Splits, route: model.TrafficRoute) -> str:
     """Return the service that gets the next request of a route.
 
-    Smooth weighted round robin: after every cycle each service has had
-    exactly its weight. A service without room keeps its turn, so that the
-    shares hold also under overload.
+    Smooth weighted round robin: in each cycle, every service gets exactly
+    its share. Services at capacity are not skipped, so that the shares also
+    hold under overload.
     """
     if len(route.targets) == 1:
         return route.targets[0].service
--- a/apricotpost/routing/tables.py
+++ b/apricotpost/routing/tables.py
@@ -1,4 +1,4 @@
-"""Lookup tables that a node derives once from each view."""
+"""Lookup tables, which a node derives once from each view."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -13,14 +13,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RoutingTable:
-    """Routes, shares and backend servers by what they are looked up by.
+    """Routes, services, rollouts and backend servers, indexed for lookup.
 
     Parameters
     ----------
     version : int
         Configuration version.
     ready : bool
-        Whether calls may be routed with it.
+        Whether calls may be routed with this table.
     routes : mapping
         Routes by name.
     by_method : mapping
@@ -30,9 +30,9 @@
     rollouts : mapping
         Open rollouts by service.
     withdrawn : frozenset
-        Pairs of service and version that take no calls.
+        Pairs of service and version that were withdrawn and get no calls.
     backend_servers : mapping
-        Instances that take calls, by service and version.
+        Instances that accept calls, by service and version.
     """
 
     version: int
@@ -46,7 +46,7 @@
 
 
 def build_table(view: model.View) -> RoutingTable:
-    """Derive the lookup tables of a view."""
+    """Return the lookup tables of a view."""
     snapshot = view.snapshot
     return RoutingTable(
         version=snapshot.version,
@@ -65,7 +65,7 @@
 
 
 def find_withdrawn(view: model.View) -> frozenset[tuple[str, str]]:
-    """Find the services' versions that open rollouts have withdrawn."""
+    """Return the pairs of service and version withdrawn in open rollouts."""
     open_identifiers = {
         rollout.identifier
         for rollout in view.snapshot.rollouts
@@ -81,10 +81,11 @@
 def match_route(
     table: RoutingTable, *, method: str, path: str
 ) -> model.Route | None:
-    """Find the route with the longest prefix of a path.
+    """Return the route with the longest prefix of a path, or None.
 
-    A prefix matches whole path segments only. A path with ".." matches no
-    route: a backend server might resolve it to a path of an internal route.
+    A prefix matches whole path segments only. A path with a ".." segment
+    matches no route, because a backend server might resolve it to a path of
+    an internal route.
     """
     if "/../" in path + "/":
         return None
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -1,4 +1,4 @@
-"""Values that the tests of the call path share."""
+"""Test data shared by the tests of the call path."""
 
 import dataclasses
 import typing
@@ -20,7 +20,7 @@
     idempotent: bool = True,
     ready: bool = True,
 ) -> routing.RoutingTable:
-    """Make the table of one service in one data centre."""
+    """Return the routing table of one service in one data centre."""
     route = model.Route(
         name="records",
         service="portal",
@@ -56,7 +56,7 @@
 def make_request(
     name: str = "r1", *, seconds: float = 4.0, **changes: typing.Any
 ) -> wire.CallRequest:
-    """Make a request that has some seconds left."""
+    """Return a request whose deadline is some seconds away."""
     request = wire.CallRequest(
         request=name,
         route="records",
@@ -73,14 +73,14 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Calls:
-    """Runs the decisions of dispatch at a fake time."""
+    """Runs the decisions of dispatch on a fake clock."""
 
     table: routing.RoutingTable
     state: calls.CallState = calls.CallState(data_centre="riga-1")
     seconds: float = 0.0
 
     def handle(self, event: calls.Event) -> tuple[calls.Action, ...]:
-        """Hand an event over and keep the state."""
+        """Handle an event, store the new state and return the actions."""
         self.state, actions = calls.handle(
             self.state,
             event,
@@ -95,12 +95,12 @@
         return self.handle(calls.Submitted(reply_to=b"t", request=request))[0]
 
     def refuse(self, call: str, reason: wire.NotRunReason) -> typing.Any:
-        """Let the gate refuse a call; returns the actions."""
+        """Handle a gate's refusal of a call and return the actions."""
         message = wire.NotRun(call=call, reason=reason, load=LOAD)
         return self.handle(calls.Answered(message=message))
 
     def lose(self, call: str) -> typing.Any:
-        """Let the outcome of a call be unknown; returns the actions."""
+        """Handle the unknown outcome of a call and return the actions."""
         message = wire.OutcomeUnknown(
             call=call, reason=wire.UnknownReason.CONNECTION_LOST
         )
@@ -114,7 +114,7 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
     ) -> typing.Any:
-        """Let a gate answer a call; returns the actions."""
+        """Handle a gate's answer to a call and return the actions."""
         message = wire.Answer(
             call=call,
             status=status,
@@ -126,6 +126,6 @@
         return self.handle(calls.Answered(message=message))
 
     def advance(self, seconds: float) -> tuple[calls.Action, ...]:
-        """Let time pass."""
+        """Advance the clock, handle time-outs and return the actions."""
         self.seconds += seconds
         return self.handle(calls.TimedOut())
--- a/tests/routing/test_amplification.py
+++ b/tests/routing/test_amplification.py
@@ -1,4 +1,4 @@
-"""Retries over nested calls, and overload, by the decisions alone."""
+"""Tests of retries in nested calls and of overload, without a network."""
 
 import collections
 import random
@@ -15,21 +15,22 @@
 
 
 class Chain:
-    """Services that call each other; the deepest one always fails.
+    """A chain of services that call each other; the deepest one always fails.
 
-    With ``marks``, backend servers pass the retry mark on in both ways, as
-    section 12 of the design asks; without, they drop it on answers.
+    With ``keeps_marks``, backend servers forward the retry mark on requests
+    and answers, as section 12 of the design requires. Without, they drop it
+    on answers.
     """
 
-    def __init__(self, *, marks):
-        self.marks = marks
+    def __init__(self, *, keeps_marks):
+        self.keeps_marks = keeps_marks
         self.executions = collections.Counter()
         self.nodes = [
             builders.Calls(table=builders.make_table()) for _ in range(DEPTH)
         ]
 
     def call(self, depth, number, *, retried=False):
-        """Call the service at a depth; returns status and retry mark."""
+        """Call the service at a depth and return its status and retry mark."""
         request = builders.make_request(
             f"{depth}.{number}.{sum(self.executions.values())}",
             depth=depth,
@@ -38,8 +39,10 @@
         node = self.nodes[depth]
         action = node.submit(request)
         while isinstance(action, calls.SendCall):
-            status, marked = self.execute(depth, number, action.call.retried)
-            headers = (("X-Apricotpost-Retried", "1"),) if marked else ()
+            status, retry_marked = self.execute(
+                depth, number, action.call.retried
+            )
+            headers = (("X-Apricotpost-Retried", "1"),) if retry_marked else ()
             action = node.answer(
                 action.call.call, status=status, headers=headers
             )[-1]
@@ -49,27 +52,27 @@
         self.executions[depth] += 1
         if depth + 1 == DEPTH:
             return 503, False
-        status, below = self.call(depth + 1, number, retried=retried)
-        return status, below and self.marks
+        status, retried_below = self.call(depth + 1, number, retried=retried)
+        return status, retried_below and self.keeps_marks
 
 
 class AmplificationTest(unittest.TestCase):
     def test_one_failure_is_retried_once_over_all_depths(self):
-        """Guards against retries that multiply to 2 to the power of 18."""
-        chain = Chain(marks=True)
+        """Guards against retries that multiply to 2**18 over 18 depths."""
+        chain = Chain(keeps_marks=True)
         self.assertEqual((503, True), chain.call(0, 0))
         self.assertEqual(2, chain.executions[DEPTH - 1])
         self.assertEqual(1, chain.executions[0])
 
     def test_without_marks_on_answers_retries_grow_linearly(self):
-        """Guards against growth where backend servers drop the mark."""
-        chain = Chain(marks=False)
+        """Guards against exponential growth if servers drop the mark."""
+        chain = Chain(keeps_marks=False)
         chain.call(0, 0)
         self.assertEqual(DEPTH + 1, chain.executions[DEPTH - 1])
 
     def test_budget_bounds_the_retries_of_a_long_outage(self):
-        """Guards against an outage in which retries double the load."""
-        chain = Chain(marks=True)
+        """Guards against retries that double the load during an outage."""
+        chain = Chain(keeps_marks=True)
         for number in range(200):
             chain.call(0, number)
         executions = chain.executions[DEPTH - 1]
@@ -78,7 +81,7 @@
 
 class OverloadTest(unittest.TestCase):
     def test_twice_the_load_still_serves_what_fits(self):
-        """Guards against a collapse when more calls come than fit."""
+        """Guards against lost throughput when load exceeds capacity."""
         rng = random.Random(18)
         found = test_gate.make_gate()
         found.run_and_finish(30)
@@ -95,7 +98,8 @@
             ]
             if step % 100 == 0:
                 found.announce()
-            # 1.6 calls in 10 ms are 160 a second; 80 fit into 8 slots.
+            # On average 1.6 calls in 10 ms, or 160 a second; 8 slots
+            # serve 80.
             for number in range(2 if rng.random() < 0.6 else 1):
                 actions += found.arrive(f"{step}.{number}", seconds=2.0)
             for action in actions:
--- a/tests/routing/test_machine.py
+++ b/tests/routing/test_machine.py
@@ -1,4 +1,4 @@
-"""State machine of a dispatch task, gates and a network between them."""
+"""Property-based test of dispatch, gates and an unreliable network."""
 
 import collections
 import dataclasses
@@ -28,7 +28,7 @@
 
 
 class CallMachine(stateful.RuleBasedStateMachine):
-    """Messages are delayed, crossed, duplicated and lost."""
+    """Delays, reorders, duplicates and loses messages."""
 
     idempotent = False
 
@@ -43,7 +43,7 @@
         self.network = []
         self.requests = {}
         self.results = collections.defaultdict(list)
-        self.runs = collections.Counter()
+        self.executions = collections.Counter()
         for number in range(SERVERS):
             name = f"i{number}"
             limit = limits.start(slots=1, cold=True)
@@ -64,34 +64,36 @@
             connections=10,
             cold=cold,
         )
-        self.to_gate(name, gate.Announced(announcement=message))
+        self.send_to_gate(name, gate.Announced(announcement=message))
 
-    def to_gate(self, name, event):
-        entry = self.gates[name]
-        entry.state, actions = gate.handle(
-            entry.state,
+    def send_to_gate(self, name, event):
+        node_gate = self.gates[name]
+        node_gate.state, actions = gate.handle(
+            node_gate.state,
             event,
             now=self.now,
             wall=builders.NOW + self.now,
-            policy=entry.policy,
+            policy=node_gate.policy,
         )
         for action in actions:
             if isinstance(action, gate.Run):
-                self.note_run(name, action.call)
+                self.record_run(name, action.call)
             else:
                 self.network.append(("dispatch", action.message))
 
-    def note_run(self, name, call):
+    def record_run(self, name, call):
         request = call.call.rpartition(".")[0]
-        self.runs[request] += 1
-        assert builders.NOW + self.now < call.deadline, "ran after deadline"
+        self.executions[request] += 1
+        assert (
+            builders.NOW + self.now < call.deadline
+        ), "call ran after its deadline"
         in_flight = len(self.gates[name].state.running)
         assert in_flight <= int(self.gates[name].state.limit.value)
 
-    def to_dispatch(self, event):
+    def send_to_dispatch(self, event):
         for action in self.dispatch.handle(event):
             if isinstance(action, calls.Finish):
-                self.note_result(action.result)
+                self.record_result(action.result)
             elif isinstance(action, calls.CancelCall):
                 cancel = gate.Cancelled(call=action.call)
                 self.network.append((action.instance, cancel))
@@ -99,17 +101,19 @@
                 arrived = gate.Arrived(reply_to=b"d", call=action.call)
                 self.network.append((action.instance.instance, arrived))
 
-    def note_result(self, result):
+    def record_result(self, result):
         self.results[result.request].append(result)
         if result.outcome is wire.Outcome.ANSWERED:
-            assert result.body == result.request.encode(), "not its own"
+            assert (
+                result.body == result.request.encode()
+            ), "answer of another request"
 
     @stateful.rule(seconds=st.sampled_from((0.05, 0.5, 4.0)))
     def submit(self, seconds):
         name = f"r{len(self.requests)}"
         request = builders.make_request(name, seconds=self.now + seconds)
         self.requests[name] = request
-        self.to_dispatch(calls.Submitted(reply_to=b"t", request=request))
+        self.send_to_dispatch(calls.Submitted(reply_to=b"t", request=request))
 
     @stateful.precondition(lambda self: self.network)
     @stateful.rule(data=st.data())
@@ -117,9 +121,9 @@
         index = data.draw(st.integers(0, len(self.network) - 1))
         target, message = self.network.pop(index)
         if target == "dispatch":
-            self.to_dispatch(calls.Answered(message=message))
+            self.send_to_dispatch(calls.Answered(message=message))
         else:
-            self.to_gate(target, message)
+            self.send_to_gate(target, message)
 
     @stateful.precondition(lambda self: self.network)
     @stateful.rule(data=st.data())
@@ -140,8 +144,8 @@
     def finish(self, data, status, cold):
         running = [
             (name, call)
-            for name, entry in self.gates.items()
-            for call in entry.state.running
+            for name, node_gate in self.gates.items()
+            for call in node_gate.state.running
         ]
         if not running:
             return
@@ -155,7 +159,7 @@
             body=call.rpartition(".")[0].encode(),
             duration_ms=data.draw(st.sampled_from((1.0, 60.0))),
         )
-        self.to_gate(name, gate.Finished(result=result))
+        self.send_to_gate(name, gate.Finished(result=result))
 
     @stateful.rule(data=st.data())
     def lose_outcome(self, data):
@@ -167,18 +171,18 @@
                 reason=wire.UnknownReason.CONNECTION_LOST.value,
                 duration_ms=5.0,
             )
-            self.to_gate(name, gate.Finished(result=result))
+            self.send_to_gate(name, gate.Finished(result=result))
 
     @stateful.rule(seconds=st.sampled_from((0.01, 0.06, 0.3, 2.0)))
     def wait(self, seconds):
         self.dispatch.seconds += seconds
-        self.to_dispatch(calls.TimedOut())
+        self.send_to_dispatch(calls.TimedOut())
 
     @stateful.rule(data=st.data())
     def tick(self, data):
-        # A gate that gets no tick for long is a frozen process.
+        # A gate without ticks for a long time stands for a frozen process.
         name = data.draw(st.sampled_from(sorted(self.gates)))
-        self.to_gate(name, gate.Tick())
+        self.send_to_gate(name, gate.Tick())
 
     @stateful.rule(data=st.data(), cold=st.booleans())
     def announce_again(self, data, cold):
@@ -190,14 +194,14 @@
 
     @stateful.rule(data=st.data(), out=st.booleans())
     def move_data_centre(self, data, out):
-        entry = self.gates[data.draw(st.sampled_from(sorted(self.gates)))]
-        entry.policy = gate.Policy(data_centre_out=out)
+        node_gate = self.gates[data.draw(st.sampled_from(sorted(self.gates)))]
+        node_gate.policy = gate.Policy(data_centre_out=out)
 
     @stateful.rule(data=st.data())
-    def leave(self, data):
+    def hang_up(self, data):
         if self.requests:
             name = data.draw(st.sampled_from(sorted(self.requests)))
-            self.to_dispatch(calls.CallerGone(request=name))
+            self.send_to_dispatch(calls.CallerGone(request=name))
 
     @stateful.invariant()
     def one_result_each(self):
@@ -208,23 +212,25 @@
     def not_run_is_true(self):
         for request, (result, *_) in self.results.items():
             if result.outcome is wire.Outcome.NOT_RUN:
-                assert not self.runs[request], f"{request} did run"
+                assert not self.executions[request], f"{request} did run"
 
     @stateful.invariant()
     def runs_are_bounded(self):
-        highest = 2 if self.idempotent else 1
-        for request, count in self.runs.items():
-            assert count <= highest, f"{request} ran {count} times"
+        max_executions = 2 if self.idempotent else 1
+        for request, count in self.executions.items():
+            assert count <= max_executions, f"{request} ran {count} times"
 
     def teardown(self):
         self.dispatch.seconds += 100.0
-        self.to_dispatch(calls.TimedOut())
-        assert set(self.results) == set(self.requests), "a result is missing"
+        self.send_to_dispatch(calls.TimedOut())
+        assert set(self.results) == set(
+            self.requests
+        ), "requests without a result"
         assert not self.dispatch.state.attempts
 
 
 class IdempotentMachine(CallMachine):
-    """The same for calls that may be repeated once."""
+    """The same machine with idempotent calls, which may be retried once."""
 
     idempotent = True
 
@@ -240,13 +246,16 @@
 
 class OnceTest(unittest.TestCase):
     def test_calls_that_run_at_most_once(self):
-        """Guards against lost, crossed and repeated messages (P7 to P9)."""
+        """Guards against calls that run twice or get a wrong result.
+
+        Messages are lost, reordered and duplicated (P7 to P9).
+        """
         stateful.run_state_machine_as_test(CallMachine, settings=SETTINGS)
 
 
 class IdempotentTest(unittest.TestCase):
     def test_calls_that_may_be_repeated(self):
-        """Guards against retries that mix up or multiply results."""
+        """Guards against retries that swap or duplicate results."""
         stateful.run_state_machine_as_test(
             IdempotentMachine, settings=SETTINGS
         )
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of a backend server by its time to finish."""
+"""Tests of the choice of a backend server by expected response time."""
 
 import random
 import unittest
@@ -8,12 +8,14 @@
 __all__ = ["PlacementTest"]
 
 
-def make(name, *, local=True, silent=0.0, cold=False):
+def make_candidate(
+    name, *, same_data_centre=True, silent_seconds=0.0, cold=False
+):
     return placement.Candidate(
         node=name,
         backend=name,
-        same_data_centre=local,
-        silent_seconds=silent,
+        same_data_centre=same_data_centre,
+        silent_seconds=silent_seconds,
         cold=cold,
     )
 
@@ -43,7 +45,7 @@
         self.latency_model.routes["r"] = 160.0
 
     def test_prefers_the_faster_server(self):
-        """Guards against slow servers that get as much as fast ones."""
+        """Guards against slow servers that get as many requests as others."""
         for _ in range(50):
             for name, ran_ms in (("slow", 256.0), ("fast", 112.0)):
                 placement.record_latency(
@@ -51,92 +53,101 @@
                 )
         report(self.latency_model, "slow", 4)
         report(self.latency_model, "fast", 4)
-        found = choose(self.latency_model, [make("slow"), make("fast")])
+        found = choose(
+            self.latency_model,
+            [make_candidate("slow"), make_candidate("fast")],
+        )
         self.assertEqual("fast", found)
 
-    def test_reports_tell_the_speed_before_own_requests(self):
-        """Guards against slow servers in a fleet where each node calls few.
+    def test_reported_latency_counts_before_own_requests(self):
+        """Guards against slow servers that each node has to detect itself.
 
         Load: 80 nodes call 41 backend servers, so that a node sends each
         backend server one request in three seconds.
         """
         report(self.latency_model, "slow", 3, usual_ms=330.0, served=20)
         report(self.latency_model, "fast", 5, usual_ms=150.0, served=20)
-        pair = [make("slow"), make("fast")]
+        pair = [make_candidate("slow"), make_candidate("fast")]
         self.assertEqual("fast", choose(self.latency_model, pair))
 
     def test_reported_failures_set_a_server_aside(self):
-        """Guards against a faulty server that each node has to find itself."""
-        report(self.latency_model, "grey", 1, failing=0.4)
-        report(self.latency_model, "sound", 6)
-        pair = [make("grey"), make("sound")]
-        self.assertEqual("sound", choose(self.latency_model, pair))
+        """Guards against faulty servers that each node has to detect."""
+        report(self.latency_model, "faulty", 1, failing=0.4)
+        report(self.latency_model, "healthy", 6)
+        pair = [make_candidate("faulty"), make_candidate("healthy")]
+        self.assertEqual("healthy", choose(self.latency_model, pair))
 
-    def test_started_server_is_used_once_the_others_are_full(self):
-        """Guards against requests that are late at a cold server.
+    def test_cold_server_is_used_once_the_others_are_full(self):
+        """Guards against late requests because a cold server has no load.
 
         Load: a release starts idle servers beside others that are half full.
         """
         report(self.latency_model, "cold", 0)
-        pair = [make("cold", cold=True), make("warm")]
+        pair = [make_candidate("cold", cold=True), make_candidate("warm")]
         report(self.latency_model, "warm", 6)
         self.assertEqual("warm", choose(self.latency_model, pair))
         report(self.latency_model, "warm", 30)
         self.assertEqual("cold", choose(self.latency_model, pair))
 
     def test_silent_slow_or_failing_server_is_suspect(self):
-        """Guards against waiting for a server that hangs."""
+        """Guards against requests that wait for a hung server."""
 
-        def suspect(**changes):
+        def is_suspect_with(**changes):
             values = {"served": 30, "usual_ms": 100.0, **changes}
             report(self.latency_model, "s", 4, **values)
             return placement.is_suspect(
                 self.latency_model, "s", now=0.0, mean_ms=100.0
             )
 
-        self.assertFalse(suspect())
-        self.assertFalse(suspect(quiet_ms=100))
-        self.assertTrue(suspect(quiet_ms=200))
-        self.assertTrue(suspect(usual_ms=250.0))
-        self.assertTrue(suspect(failing=0.3))
+        self.assertFalse(is_suspect_with())
+        self.assertFalse(is_suspect_with(quiet_ms=100))
+        self.assertTrue(is_suspect_with(quiet_ms=200))
+        self.assertTrue(is_suspect_with(usual_ms=250.0))
+        self.assertTrue(is_suspect_with(failing=0.3))
 
-    def test_few_reported_requests_tell_little(self):
-        """Guards against one long request that sets a backend server aside."""
+    def test_few_reported_requests_have_little_weight(self):
+        """Guards against a backend server that one long request excludes."""
         report(self.latency_model, "unlucky", 0, usual_ms=480.0, served=1)
         report(self.latency_model, "usual", 8, usual_ms=160.0, served=20)
         server = self.latency_model.server("unlucky")
-        self.assertLess(placement.relative_speed(server, 320.0), 1.2)
+        self.assertLess(placement.relative_latency(server, 320.0), 1.2)
 
     def test_own_requests_outweigh_a_report_of_other_routes(self):
-        """Guards against a server that is judged by its short requests."""
+        """Guards against reports on other routes that outweigh own data."""
         for _ in range(60):
             placement.record_latency(
                 self.latency_model, route="r", backend="steady", ran_ms=160.0
             )
         report(self.latency_model, "steady", 0, usual_ms=320.0, served=30)
         server = self.latency_model.server("steady")
-        self.assertLess(placement.relative_speed(server, 160.0), 1.5)
+        self.assertLess(placement.relative_latency(server, 160.0), 1.5)
 
     def test_stays_in_the_data_centre_for_a_short_wait(self):
-        """Guards against bytes that are paid for without need."""
+        """Guards against needless, charged traffic between data centres."""
         placement.record_size(self.latency_model, route="r", size=5000)
-        report(self.latency_model, "near", 10)
-        report(self.latency_model, "far", 0)
-        pair = [make("near"), make("far", local=False)]
-        self.assertEqual("near", choose(self.latency_model, pair))
+        report(self.latency_model, "local", 10)
+        report(self.latency_model, "remote", 0)
+        pair = [
+            make_candidate("local"),
+            make_candidate("remote", same_data_centre=False),
+        ]
+        self.assertEqual("local", choose(self.latency_model, pair))
 
     def test_leaves_the_data_centre_for_a_full_server(self):
-        """Guards against a queue while others are idle."""
+        """Guards against a queue while a remote server is idle."""
         placement.record_size(self.latency_model, route="r", size=5000)
-        report(self.latency_model, "near", 60)
-        report(self.latency_model, "far", 0)
-        pair = [make("near"), make("far", local=False)]
-        self.assertEqual("far", choose(self.latency_model, pair))
+        report(self.latency_model, "local", 60)
+        report(self.latency_model, "remote", 0)
+        pair = [
+            make_candidate("local"),
+            make_candidate("remote", same_data_centre=False),
+        ]
+        self.assertEqual("remote", choose(self.latency_model, pair))
 
     def test_avoids_a_failing_server_and_tries_it_again(self):
-        """Guards against a faulty backend server that is chosen for its speed.
+        """Guards against a faulty server that is chosen because it is idle.
 
-        After some seconds without evidence it gets a request again.
+        After some seconds without requests it is tried again.
         """
         for name in ("bad", "good"):
             report(self.latency_model, name, 2 if name == "good" else 0)
@@ -144,24 +155,27 @@
             placement.record_outcome(
                 self.latency_model, backend="bad", failed=True, now=0.0
             )
-        pair = [make("bad"), make("good")]
+        pair = [make_candidate("bad"), make_candidate("good")]
         self.assertEqual("good", choose(self.latency_model, pair))
         self.assertEqual("bad", choose(self.latency_model, pair, now=60.0))
 
     def test_avoids_a_silent_node(self):
-        """Guards against requests to a node that was cut off or froze."""
-        pair = [make("silent", silent=2.5), make("heard")]
+        """Guards against requests to a disconnected or frozen node."""
+        pair = [
+            make_candidate("silent", silent_seconds=2.5),
+            make_candidate("responsive"),
+        ]
         report(self.latency_model, "silent", 0)
-        report(self.latency_model, "heard", 6)
-        self.assertEqual("heard", choose(self.latency_model, pair))
+        report(self.latency_model, "responsive", 6)
+        self.assertEqual("responsive", choose(self.latency_model, pair))
 
     def test_load_is_spread_between_reports(self):
-        """Guards against all requests to one server until its next report.
+        """Guards against sending all requests to one server at a time.
 
-        Load: 24 requests between two reports, two servers with 12 slots.
+        Load: 24 requests between two load reports, two servers of 12 slots.
         """
         rng = random.Random(1)
-        pair = [make("a"), make("b")]
+        pair = [make_candidate("a"), make_candidate("b")]
         rng.shuffle(pair)
         for name in ("a", "b"):
             report(self.latency_model, name, 0)
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -1,4 +1,4 @@
-"""Tests of the retry budget of a window."""
+"""Tests of the retry budget of a time window."""
 
 import random
 import unittest
@@ -31,11 +31,11 @@
     def start(self):
         return retries.Budget(tokens=BASE, per_call=PER_CALL)
 
-    def test_failures_that_come_together_are_repeated(self):
-        """Guards against a budget that is lost while nothing fails.
+    def test_burst_of_failures_is_retried(self):
+        """Guards against a budget too small for a burst of failures.
 
-        Load: 4 calls a second for 20 s, then failures only. One token was
-        the most that a node of a large fleet could save.
+        Load: 4 calls a second for 20 s, then only failures. The limit used to
+        be one token for a node of a large fleet.
         """
         budget = self.start()
         for index in range(80):
@@ -44,7 +44,7 @@
         self.assertGreaterEqual(spent, 3)
 
     def test_no_window_exceeds_the_ratio(self):
-        """Guards against retries that multiply a failure of the fleet."""
+        """Guards against retries that amplify an outage of the whole fleet."""
         rng = random.Random(5)
         budget = self.start()
         calls, spends = [], []
@@ -64,7 +64,7 @@
             )
 
     def test_quiet_node_keeps_the_base_only(self):
-        """Guards against tokens of calls that are long past."""
+        """Guards against tokens saved from calls of long ago."""
         budget = self.start()
         for index in range(200):
             budget = earn(budget, index * 0.1)
--- a/tests/routing/test_splits.py
+++ b/tests/routing/test_splits.py
@@ -1,4 +1,4 @@
-"""Tests of the division of requests by weight, and of prefixes."""
+"""Tests of the weighted distribution of requests and of prefix lookup."""
 
 import unittest
 
@@ -28,7 +28,7 @@
 
 class SplitTest(unittest.TestCase):
     def test_shares_follow_the_weights_exactly(self):
-        """Guards against shares that only hold on average."""
+        """Guards against shares that hold only on average."""
         state = splits.Splits()
         route = make_route(a=90, b=10)
         found = [splits.choose_service(state, route) for _ in range(100)]
@@ -36,7 +36,7 @@
         self.assertEqual(1, found[:10].count("b"))
 
     def test_changed_weights_hold_at_once(self):
-        """Guards against credits that are paid back after a change."""
+        """Guards against old credits that distort the new shares."""
         state = splits.Splits()
         for _ in range(55):
             splits.choose_service(state, make_route(a=50, b=50))
@@ -45,7 +45,7 @@
         self.assertAlmostEqual(90, found.count("b"), delta=2)
 
     def test_weight_zero_gets_nothing(self):
-        """Guards against requests to a service that is taken out."""
+        """Guards against requests to a service with weight 0."""
         state = splits.Splits()
         route = make_route(a=1, b=0)
         found = {splits.choose_service(state, route) for _ in range(20)}
@@ -63,7 +63,7 @@
         )
 
     def test_longest_prefix_of_the_host_wins(self):
-        """Guards against a route of another host or a shorter prefix."""
+        """Guards against a match of another host or a shorter prefix."""
         cases = (
             ("h", "/a/x", "short"),
             ("h", "/a/b/x", "long"),
--- a/tests/routing/test_tables.py
+++ b/tests/routing/test_tables.py
@@ -1,4 +1,4 @@
-"""Tests of the lookup tables."""
+"""Tests of the routing tables."""
 
 import dataclasses
 import unittest
@@ -31,21 +31,21 @@
 
 class TableTest(unittest.TestCase):
     def test_data_centre_that_is_out_gets_no_calls(self):
-        """Guards against new work in a data centre taken out."""
+        """Guards against new calls to a data centre that is out of service."""
         out = dataclasses.replace(CENTRE, state=model.DataCentreState.OUT)
         self.assertEqual({("portal", "v1"): (SERVER,)}, build(SERVER))
         self.assertEqual({}, build(SERVER, centre=out))
 
     def test_leaving_and_dead_servers_get_no_calls(self):
-        """Guards against new work for a server that leaves."""
+        """Guards against new calls to leaving, down or starting servers."""
         for state in ("leaving", "down", "starting"):
             record = dataclasses.replace(
                 SERVER, state=model.InstanceState(state)
             )
             self.assertEqual({}, build(record), state)
 
-    def test_route_with_the_longest_prefix_answers(self):
-        """Guards against a call that reaches another route's service."""
+    def test_longest_prefix_matches(self):
+        """Guards against a call that is sent to another route's service."""
         routes = tuple(
             model.Route(
                 name=name,
--- a/tests/routing/test_traces.py
+++ b/tests/routing/test_traces.py
@@ -1,4 +1,4 @@
-"""Replay of recorded traces against their stated outcomes."""
+"""Replay of recorded traces, compared with their recorded outcomes."""
 
 import collections
 import dataclasses
@@ -21,13 +21,13 @@
 FOLDER = pathlib.Path(__file__).parents[2] / "traces"
 
 
-def read(value: typing.Any, kind: typing.Any) -> typing.Any:
+def convert_value(value: typing.Any, kind: typing.Any) -> typing.Any:
     return msgspec.convert(value, kind)
 
 
 @dataclasses.dataclass(kw_only=True)
 class Replay:
-    """Decisions that follow from the events of one trace."""
+    """Replays the events of a trace and collects the results."""
 
     dispatch: calls.CallState = calls.CallState(data_centre="riga-1")
     admission: gate.GateState = gate.GateState(
@@ -37,33 +37,37 @@
     results: dict[str, wire.CallResult] = dataclasses.field(
         default_factory=dict
     )
-    runs: list[str] = dataclasses.field(default_factory=list)
+    executed_calls: list[str] = dataclasses.field(default_factory=list)
     refusals: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
     limits: list[float] = dataclasses.field(default_factory=list)
 
-    def feed(self, line):
+    def replay_line(self, line):
         if line["side"] == "view":
-            self.table = routing.build_table(read(line["view"], model.View))
+            self.table = routing.build_table(
+                convert_value(line["view"], model.View)
+            )
         elif line["side"] == "dispatch":
-            self.feed_dispatch(line)
+            self.replay_dispatch(line)
         else:
-            self.feed_gate(line)
+            self.replay_gate(line)
 
-    def feed_dispatch(self, line):
+    def replay_dispatch(self, line):
         event = line["event"]
         if line["kind"] == "Answered":
             kind = getattr(wire, line["message"])
-            event = calls.Answered(message=read(event["message"], kind))
+            event = calls.Answered(
+                message=convert_value(event["message"], kind)
+            )
         else:
-            event = read(event, getattr(calls, line["kind"]))
+            event = convert_value(event, getattr(calls, line["kind"]))
         self.dispatch, actions = calls.handle(
             self.dispatch,
             event,
-            read(line["now"], calls.Now),
+            convert_value(line["now"], calls.Now),
             table=self.table,
-            draws=read(line["draws"], calls.Draws),
+            draws=convert_value(line["draws"], calls.Draws),
         )
         for action in actions:
             if isinstance(action, calls.Finish):
@@ -71,37 +75,37 @@
                 assert name not in self.results, f"two results for {name}"
                 self.results[name] = action.result
 
-    def feed_gate(self, line):
+    def replay_gate(self, line):
         self.admission, actions = gate.handle(
             self.admission,
-            read(line["event"], getattr(gate, line["kind"])),
+            convert_value(line["event"], getattr(gate, line["kind"])),
             now=line["now"],
             wall=line["wall"],
-            policy=read(line["policy"], gate.Policy),
+            policy=convert_value(line["policy"], gate.Policy),
             checksum=line["checksum"],
         )
         self.limits.append(self.admission.limit.value)
         for action in actions:
             if isinstance(action, gate.Run):
                 assert line["wall"] < action.call.deadline
-                self.runs.append(action.call.call)
+                self.executed_calls.append(action.call.call)
             elif isinstance(action.message, wire.NotRun):
                 self.refusals[action.message.reason.value] += 1
 
 
 def replay(name: str) -> tuple[Replay, dict[str, typing.Any]]:
-    """Replay a trace; returns the decisions and the stated outcome."""
+    """Replay a trace and return the replay and the recorded outcome."""
     with open(FOLDER / f"calls-{name}.jsonl", encoding="utf-8") as file:
         lines = [json.loads(line) for line in file]
     found = Replay()
     for line in lines[:-1]:
-        found.feed(line)
+        found.replay_line(line)
     return found, lines[-1]["outcome"]
 
 
 class TraceTest(unittest.TestCase):
     def test_killed_peer(self):
-        """Guards against other results than the callers of a run saw."""
+        """Guards against results that differ from the recorded ones."""
         found, outcome = replay("killed")
         counts = collections.Counter(
             result.outcome.value for result in found.results.values()
@@ -110,22 +114,24 @@
         self.assertFalse(found.dispatch.attempts)
 
     def test_frozen_gate(self):
-        """Guards against a run after the freeze of a recorded gate."""
+        """Guards against calls that run after their gate was frozen."""
         found, outcome = replay("frozen")
-        self.assertEqual(outcome["executions"], len(found.runs))
+        self.assertEqual(outcome["executions"], len(found.executed_calls))
         self.assertTrue(found.refusals["deadline-passed"])
 
     def test_server_that_turns_cold(self):
         """Guards against a full limit for a server that turned cold."""
         found, outcome = replay("cold")
-        self.assertEqual(outcome["executions"], len(found.runs))
+        self.assertEqual(outcome["executions"], len(found.executed_calls))
         warm = found.limits.index(max(found.limits))
         self.assertEqual(1.0, min(found.limits[warm:]))
 
     def test_draining_gate(self):
         """Guards against a drain that loses a call or runs a new one."""
         found, outcome = replay("draining")
-        self.assertEqual(outcome["executions"], len(found.runs))
-        self.assertEqual(len(set(found.runs)), len(found.runs))
+        self.assertEqual(outcome["executions"], len(found.executed_calls))
+        self.assertEqual(
+            len(set(found.executed_calls)), len(found.executed_calls)
+        )
         self.assertTrue(found.refusals["draining"])
         self.assertTrue(gate.is_idle(found.admission))
