Reword idempotency keys, records and retries

A record of a call that is about to run comes from records.make_record, jobs of the backlog count retries and have a due_at, and the docstring of records.decide lists each decision. The error for a malformed outcome says that it belongs to a keyed call.

--- a/apricotpost/idempotency/backlog.py
+++ b/apricotpost/idempotency/backlog.py
@@ -1,4 +1,4 @@
-"""Steps of keyed calls that are tried again after the caller's answer."""
+"""Queue of failed steps of keyed calls that are retried in the background."""
 
 import dataclasses
 import enum
@@ -19,17 +19,18 @@
     "pop_due",
 ]
 
-# An outage of the table that lasts longer leaves records `started`.
-GIVE_UP_SECONDS = 60.0
-PAUSE_MIN_SECONDS = 0.5
-PAUSE_MAX_SECONDS = 8.0
+# A job is retried for at most this long. After a longer outage of the table,
+# records stay without an outcome until they expire.
+MAX_RETRY_SECONDS = 60.0
+MIN_PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 8.0
 MAX_JOBS = 256
-# Answers are up to 8 MiB; a node has 32 MB for control.
+# One answer has up to 8 MiB, and a node has 32 MB for its control tasks.
 MAX_BYTES = 8 * 1024 * 1024
 
 
 class JobKind(enum.StrEnum):
-    """What is left to do."""
+    """Step of a keyed call that is retried."""
 
     FINISH = "finish"
     ABANDON = "abandon"
@@ -38,82 +39,88 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Job:
-    """A step that failed.
+    """Failed step of a keyed call that waits for its next attempt.
 
     Parameters
     ----------
     kind : JobKind
-        The step.
+        Step to retry.
     claim : Claim
-        The call.
+        Call of the step.
     outcome : Outcome, optional
-        What is to be stored.
+        Outcome to store.
     since : float
-        Unix time of the failure in seconds.
-    tries : int
-        Times that it was tried again.
-    due : float
-        Unix time of the next try in seconds.
+        Unix time of the first failure in seconds.
+    retries : int
+        Number of retries so far.
+    due_at : float
+        Unix time of the next attempt in seconds.
     """
 
     kind: JobKind
     claim: keys.Claim
     since: float
     outcome: records.Outcome | None = None
-    tries: int = 0
-    due: float = 0.0
+    retries: int = 0
+    due_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Backlog:
-    """Jobs that wait, in the order in which they came."""
+    """Waiting jobs, in the order in which they were added."""
 
     jobs: tuple[Job, ...] = ()
 
 
 def add(backlog: Backlog, job: Job, now: float) -> tuple[Backlog, bool]:
-    """Add a job; returns whether there was room for it."""
+    """Add a job; return whether there was room for it."""
     if len(backlog.jobs) >= MAX_JOBS:
         return backlog, False
     if sum(map(_size, backlog.jobs)) + _size(job) > MAX_BYTES:
         return backlog, False
-    waiting = dataclasses.replace(job, due=now + PAUSE_MIN_SECONDS)
-    return Backlog(jobs=(*backlog.jobs, waiting)), True
+    scheduled = dataclasses.replace(job, due_at=now + MIN_PAUSE_SECONDS)
+    return Backlog(jobs=(*backlog.jobs, scheduled)), True
 
 
 def pop_due(backlog: Backlog, now: float) -> tuple[Backlog, Job | None]:
-    """Take out the first job that is due."""
+    """Remove and return the first job that is due."""
     for job in backlog.jobs:
-        if job.due <= now:
-            rest = tuple(other for other in backlog.jobs if other is not job)
-            return Backlog(jobs=rest), job
+        if job.due_at <= now:
+            remaining = tuple(
+                other for other in backlog.jobs if other is not job
+            )
+            return Backlog(jobs=remaining), job
     return backlog, None
 
 
 def reschedule(backlog: Backlog, job: Job, now: float) -> tuple[Backlog, bool]:
-    """Put back a job that failed again; returns whether it is tried again."""
-    pause = min(PAUSE_MIN_SECONDS * 2.0 ** (job.tries + 1), PAUSE_MAX_SECONDS)
-    if now + pause > job.since + GIVE_UP_SECONDS:
+    """Add a job that failed again; return whether it will be retried."""
+    pause = min(
+        MIN_PAUSE_SECONDS * 2.0 ** (job.retries + 1), MAX_PAUSE_SECONDS
+    )
+    if now + pause > job.since + MAX_RETRY_SECONDS:
         return backlog, False
-    waiting = dataclasses.replace(job, tries=job.tries + 1, due=now + pause)
-    return Backlog(jobs=(*backlog.jobs, waiting)), True
+    scheduled = dataclasses.replace(
+        job, retries=job.retries + 1, due_at=now + pause
+    )
+    return Backlog(jobs=(*backlog.jobs, scheduled)), True
 
 
 def next_due(backlog: Backlog) -> float | None:
-    """Return the Unix time of the next job in seconds."""
-    return min((job.due for job in backlog.jobs), default=None)
+    """Return when the next job is due, as Unix time in seconds."""
+    return min((job.due_at for job in backlog.jobs), default=None)
 
 
 def attempt(store: storage.Store, job: Job) -> bool:
-    """Try a job again; returns whether it is done.
+    """Run a job once more; return whether it is done.
 
-    A second owner of the key is not possible: each write is on condition
-    that the record still belongs to the call.
+    This cannot affect another call that owns the key meanwhile: each write
+    has the condition that the record still belongs to this call.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        It is not done.
+        The job failed and may be retried.
     """
     if job.kind is JobKind.RELEASE:
         return calls.release(store, job.claim)
--- a/apricotpost/idempotency/calls.py
+++ b/apricotpost/idempotency/calls.py
@@ -1,4 +1,4 @@
-"""Steps of a keyed call at the table: begin, finish, abandon."""
+"""Operations of a keyed call on the table: begin, finish, abandon."""
 
 from collections.abc import Callable
 import dataclasses
@@ -20,26 +20,28 @@
     "replay",
 ]
 
-# An item of the table has at most 400 KiB.
+# Larger outcomes go to the object store: an item of the table has at most
+# 400 KiB.
 MAX_INLINE_BYTES = 256 * 1024
-# A rule of the bucket may remove objects with this prefix after two days.
+# With this prefix, a lifecycle rule of the bucket can remove the objects after
+# two days.
 OBJECT_PREFIX = "outcomes/"
-BEGIN_TRIES = 2
+MAX_BEGIN_ATTEMPTS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Begun:
-    """What a call may do.
+    """Result of `begin`.
 
     Parameters
     ----------
     verdict : Verdict
-        Only after ``RUN`` may the call run.
+        The call may run only if this is ``RUN``.
     record : Record, optional
-        The record of the call that came first.
+        Record of the earlier call with the key.
     uncertain : bool
-        This call does not run, but its record may have been written or may
-        still be; `release` removes it.
+        Whether the record of this call may have been written, or may still
+        be, although the call does not run; `release` removes it.
     """
 
     verdict: records.Verdict
@@ -53,46 +55,46 @@
     *,
     clock: Callable[[], float],
 ) -> Begun:
-    """Take a key for a call if it is free.
+    """Claim a key for a call if it is free.
 
     Parameters
     ----------
     store : Store
-        The platform; each answer is waited for until the deadline at most.
+        Store of the platform. No answer is awaited beyond the deadline.
     claim : Claim
-        The call.
+        Call that asks for the key.
     clock : callable
         Returns Unix time in seconds.
 
     Returns
     -------
     Begun
-        What the call may do. Without an answer of the table, the call may
+        Decision on the call. Without an answer from the table, the call may
         not run.
 
     Raises
     ------
     apricotpost.errors.PlatformDataDamaged
-        The record of the key is not usable; this call may not run.
+        The record of the key is malformed; this call may not run.
     """
-    write = table.Put(
-        item=records.encode(claim, records.started(claim)),
-        condition=_free(clock()),
+    request = table.Put(
+        item=records.encode(claim, records.make_record(claim)),
+        condition=_if_free(clock()),
     )
-    for _ in range(BEGIN_TRIES):
-        limited = _until(store, claim.deadline, clock)
+    for _ in range(MAX_BEGIN_ATTEMPTS):
+        bounded_store = _bound_to_deadline(store, claim.deadline, clock)
         try:
-            item = table.put_or_get(limited.table, write)
+            item = table.put_or_get(bounded_store.table, request)
         except errors.TransactionRejected:
-            # The record in the way was removed meanwhile.
+            # The record that failed the condition was removed meanwhile.
             continue
         except errors.PlatformUnavailable:
             break
         except errors.PlatformOutcomeUnknown:
-            return _resolve(store, claim, clock)
+            return _resolve_lost_answer(store, claim, clock)
         if item is None:
             return Begun(verdict=records.Verdict.RUN)
-        return _judge(records.decode(item), claim, clock())
+        return _decide_for_record(records.decode(item), claim, clock())
     return Begun(verdict=records.Verdict.UNAVAILABLE)
 
 
@@ -104,12 +106,12 @@
     Raises
     ------
     apricotpost.errors.TransactionRejected
-        The record is no longer this call's; nothing was written.
+        The record no longer belongs to this call; nothing was written.
     apricotpost.errors.PlatformError
-        The outcome may not have been stored; `finish_again` tries again.
+        The outcome may not have been stored; `finish_again` retries.
     """
     body = records.encode_outcome(outcome)
-    record = records.started(claim)
+    record = records.make_record(claim)
     if len(body) <= MAX_INLINE_BYTES:
         record = dataclasses.replace(record, outcome=body)
     else:
@@ -118,18 +120,18 @@
         )
         record = dataclasses.replace(record, outcome_object=name)
     item = records.encode(claim, record)
-    table.put(store.table, table.Put(item=item, condition=_owned(claim)))
+    table.put(store.table, table.Put(item=item, condition=_if_owned(claim)))
 
 
 def finish_again(
     store: storage.Store, claim: keys.Claim, outcome: records.Outcome
 ) -> None:
-    """Store an outcome unless the record shows that it is stored.
+    """Store an outcome unless the record already has one.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        As `finish`.
+        The outcome may not have been stored, as for `finish`.
     """
     item = table.get(store.table, records.record_key(claim))
     if item is not None:
@@ -147,13 +149,13 @@
     apricotpost.errors.PlatformError
         The record may still be there.
     """
-    write = table.Delete(
-        key=records.record_key(claim), condition=_owned(claim)
+    request = table.Delete(
+        key=records.record_key(claim), condition=_if_owned(claim)
     )
     try:
-        table.delete(store.table, write)
+        table.delete(store.table, request)
     except errors.TransactionRejected:
-        # It has been removed, or the key belongs to another call.
+        # The record has been removed, or the key belongs to another call.
         return
 
 
@@ -163,7 +165,8 @@
     Returns
     -------
     bool
-        Whether there was a record. Without one, it may still arrive.
+        Whether there was a record of this call. If not, its write may still
+        reach the table.
 
     Raises
     ------
@@ -183,7 +186,7 @@
     Raises
     ------
     apricotpost.errors.PlatformError
-        The object store does not return it.
+        The outcome could not be read from the object store.
     """
     body = record.outcome
     if body is None:
@@ -192,13 +195,13 @@
     return records.decode_outcome(body)
 
 
-def _resolve(
+def _resolve_lost_answer(
     store: storage.Store, claim: keys.Claim, clock: Callable[[], float]
 ) -> Begun:
-    """Settle a lost answer by reading whose record it is."""
-    limited = _until(store, claim.deadline, clock)
+    """Decide after a lost answer by reading who owns the record."""
+    bounded_store = _bound_to_deadline(store, claim.deadline, clock)
     try:
-        item = table.get(limited.table, records.record_key(claim))
+        item = table.get(bounded_store.table, records.record_key(claim))
     except errors.PlatformUnavailable:
         item = None
     if item is None:
@@ -208,20 +211,23 @@
         return Begun(verdict=records.Verdict.RUN)
     if record.expires_at <= clock():
         return Begun(verdict=records.Verdict.UNAVAILABLE, uncertain=True)
-    begun = _judge(record, claim, clock())
+    begun = _decide_for_record(record, claim, clock())
     return dataclasses.replace(begun, uncertain=True)
 
 
-def _judge(record: records.Record, claim: keys.Claim, now: float) -> Begun:
-    """Decide about a record for which the condition did not hold."""
+def _decide_for_record(
+    record: records.Record, claim: keys.Claim, now: float
+) -> Begun:
+    """Decide on a call whose write was rejected for an existing record."""
     verdict = records.decide(record, claim, now)
     if verdict is records.Verdict.RUN and record.attempt != claim.attempt:
-        # It expired after the condition was checked; the key is not taken.
+        # The record expired after the condition was checked, so the write
+        # was rejected and the key is not claimed for this call.
         verdict = records.Verdict.UNAVAILABLE
     return Begun(verdict=verdict, record=record)
 
 
-def _free(now: float) -> table.Condition:
+def _if_free(now: float) -> table.Condition:
     return table.Condition(
         expression="attribute_not_exists(pk) OR #expires_at <= :now",
         names={"#expires_at": "expires_at"},
@@ -229,11 +235,11 @@
     )
 
 
-def _owned(claim: keys.Claim) -> table.Condition:
+def _if_owned(claim: keys.Claim) -> table.Condition:
     return table.equals(attempt=claim.attempt)
 
 
-def _until(
+def _bound_to_deadline(
     store: storage.Store, deadline: float, clock: Callable[[], float]
 ) -> storage.Store:
     return storage.bounded(store, deadline - clock())
--- a/apricotpost/idempotency/records.py
+++ b/apricotpost/idempotency/records.py
@@ -1,4 +1,4 @@
-"""Records of keyed calls, and what follows from one for a call."""
+"""Records of keyed calls, and the decision whether a call may run."""
 
 import dataclasses
 import enum
@@ -20,7 +20,7 @@
     "encode",
     "encode_outcome",
     "record_key",
-    "started",
+    "make_record",
 ]
 
 LIFETIME_SECONDS = 24 * 3600
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outcome:
-    """The first answer to a keyed call."""
+    """Answer that the first call with a key got."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -37,22 +37,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
-    """What the table holds for a key.
+    """Record of a key in the table.
 
     Parameters
     ----------
     attempt : str
-        The call that owns the key.
+        Identifier of the call that owns the key.
     fingerprint : str
-        Hash of its request.
+        Hash of that call's request.
     deadline : float
         Unix time in seconds at which that call ends.
     expires_at : int
         Unix time in seconds at which the key is free again.
     outcome : bytes, optional
-        Its encoded outcome.
+        Encoded outcome of that call.
     outcome_object : str, optional
-        Name of the object that holds its encoded outcome.
+        Name of the stored object with the encoded outcome, if it is too
+        large for the table.
     """
 
     attempt: str
@@ -64,7 +65,7 @@
 
 
 class Verdict(enum.StrEnum):
-    """What a call with a key may do."""
+    """Decision on a call with a key."""
 
     RUN = "run"
     REPLAY = "replay"
@@ -80,18 +81,20 @@
     Parameters
     ----------
     record : Record, optional
-        What the table holds.
+        Record of the key in the table.
     claim : Claim
-        The call.
+        Call that asks for the key.
     now : float
         Unix time in seconds.
 
     Returns
     -------
     Verdict
-        ``RUN`` says that the key is free or belongs to this very call.
-        ``CONFLICT`` says that the first call has ended without an outcome,
-        so it may have run.
+        ``RUN``: the key is free or belongs to this call. ``MISMATCH``: the
+        key was used with another request. ``REPLAY``: the outcome of the
+        first call is stored. ``IN_PROGRESS``: the first call has not ended.
+        ``CONFLICT``: the first call has ended without a stored outcome, so
+        it may have run.
     """
     if record is None or record.expires_at <= now:
         return Verdict.RUN
@@ -106,7 +109,7 @@
     return Verdict.CONFLICT
 
 
-def started(claim: keys.Claim) -> Record:
+def make_record(claim: keys.Claim) -> Record:
     """Return the record of a call that is about to run."""
     return Record(
         attempt=claim.attempt,
@@ -122,9 +125,10 @@
 
 
 def encode(claim: keys.Claim, record: Record) -> table.Item:
-    """Return the item of a record.
+    """Return the table item of a record.
 
-    ``expires_at`` has the form that the table's time to live takes.
+    The table's time to live reads ``expires_at``, which must be an integer
+    of Unix time in seconds.
     """
     attributes: dict[str, table.Value] = {
         "attempt": record.attempt,
@@ -140,7 +144,7 @@
 
 
 def decode(item: table.Item) -> Record:
-    """Read the item of a record.
+    """Return the record in a table item.
 
     Raises
     ------
@@ -165,16 +169,16 @@
 
 
 def decode_outcome(body: bytes) -> Outcome:
-    """Read the stored form of an outcome.
+    """Return the outcome from its stored form.
 
     Raises
     ------
     apricotpost.errors.PlatformDataDamaged
-        It is malformed.
+        The stored form is malformed.
     """
     try:
         return msgspec.msgpack.decode(body, type=Outcome)
     except msgspec.DecodeError as error:
         raise errors.PlatformDataDamaged(
-            f"a stored outcome is malformed: {error}"
+            f"the stored outcome of a keyed call is malformed: {error}"
         ) from error
--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -1,4 +1,4 @@
-"""Tests of single steps of keyed calls at the table."""
+"""Tests of single operations of keyed calls on the table."""
 
 import dataclasses
 import unittest
@@ -36,13 +36,13 @@
     def setUp(self):
         self.state = platform.State()
         self.script = []
-        self.late = []
+        self.delayed = []
         self.store = direct.open_store(self.state, self.answer)
 
     def answer(self, exchange):
         step = self.script.pop(0) if self.script else "deliver"
         if step == "late":
-            self.late.append(exchange)
+            self.delayed.append(exchange)
             raise LOST
         reply = exchange.carry_out()
         if step == "lost":
@@ -53,8 +53,11 @@
         now = claim.started_at if now is None else now
         return idempotency.begin(self.store, claim, clock=lambda: now)
 
-    def test_lost_answer_is_settled_by_the_owner_of_the_record(self):
-        """Guards against a run without the key, and a key without a run."""
+    def test_owner_of_the_record_decides_after_a_lost_answer(self):
+        """Guards against a call that runs without owning its key.
+
+        Also guards against a call that owns its key and does not run.
+        """
         self.script = ["lost"]
         verdict = idempotency.Verdict.RUN
         self.assertEqual(verdict, self.begin(make_claim()).verdict)
@@ -64,18 +67,22 @@
         self.assertEqual(1, self.state.tables.writes)
 
     def test_lost_begin_behind_another_call_is_uncertain(self):
-        """Guards against a key held for a day by a call that never ran."""
+        """Guards against a key that a call which never ran holds for a day.
+
+        Its write reaches the table late, after the first owner freed the
+        key.
+        """
         self.begin(make_claim())
         self.script = ["late"]
         begun = self.begin(make_claim("two"))
         self.assertTrue(begun.uncertain)
         idempotency.abandon(self.store, make_claim())
-        self.late[0].carry_out()
+        self.delayed[0].carry_out()
         self.assertTrue(calls.release(self.store, make_claim("two")))
         verdict = idempotency.Verdict.RUN
         self.assertEqual(verdict, self.begin(make_claim("three")).verdict)
 
-    def test_late_removal_spares_the_next_owner(self):
+    def test_late_removal_does_not_affect_the_next_owner(self):
         """Guards against a key freed while another call runs under it."""
         self.begin(make_claim())
         self.script = ["late"]
@@ -83,12 +90,12 @@
             idempotency.abandon(self.store, make_claim())
         idempotency.abandon(self.store, make_claim())
         self.begin(make_claim("two"))
-        self.late[0].carry_out()
+        self.delayed[0].carry_out()
         begun = self.begin(make_claim("three"))
         self.assertEqual(idempotency.Verdict.IN_PROGRESS, begun.verdict)
 
-    def test_late_outcome_spares_the_next_owner(self):
-        """Guards against an outcome of a call that expired."""
+    def test_late_outcome_does_not_affect_the_next_owner(self):
+        """Guards against an expired call that overwrites the next record."""
         claim = make_claim()
         self.begin(claim)
         self.script = ["late"]
@@ -97,12 +104,12 @@
         later = make_claim("two", at=1000.0 + 24 * 3600)
         verdict = idempotency.Verdict.RUN
         self.assertEqual(verdict, self.begin(later).verdict)
-        self.late[0].carry_out()
+        self.delayed[0].carry_out()
         begun = self.begin(later)
         self.assertIsNone(begun.record.outcome)
 
-    def test_key_is_taken_until_it_expires(self):
-        """Guards against a key that is forgotten early, or never."""
+    def test_key_is_taken_until_its_record_expires(self):
+        """Guards against a key that is freed too early or never."""
         self.begin(make_claim())
         day = 24 * 3600
         early = self.begin(make_claim("two", at=1000.0 + day - 1))
@@ -111,7 +118,7 @@
         self.assertEqual({"N": str(1000 + day)}, rows["k"]["expires_at"])
 
     def test_outcome_in_the_table_and_in_the_object_store(self):
-        """Guards against an outcome that is cut or too large to store."""
+        """Guards against an outcome that is truncated or is not stored."""
         sizes = {10: 0, calls.MAX_INLINE_BYTES + 1: 1, 1_000_000: 2}
         for number, (size, objects) in enumerate(sizes.items()):
             claim = dataclasses.replace(make_claim(), key=f"k{number}")
@@ -125,7 +132,7 @@
             self.assertEqual(objects, len(self.state.objects))
 
     def test_lost_finish_is_not_written_again(self):
-        """Guards against a blind second write of an outcome."""
+        """Guards against a second write of an outcome that is stored."""
         claim = make_claim()
         self.begin(claim)
         self.script = ["lost"]
@@ -140,8 +147,8 @@
         self.assertTrue(backlog.attempt(self.store, job))
         self.assertEqual(2, self.state.tables.writes)
 
-    def test_damaged_record_has_a_type(self):
-        """Guards against a call that runs beside a damaged record."""
+    def test_damaged_record_raises_its_own_error(self):
+        """Guards against a call that runs although its record is damaged."""
         self.begin(make_claim())
         rows = self.state.tables.items["apricotpost"]["call#reports"]
         del rows["k"]["attempt"]
