--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -1,4 +1,4 @@
-"""Counts of finished calls: made by gates, merged by rollout tasks."""
+"""Counts of finished calls, made by gates and merged by rollout tasks."""
 
 import bisect
 from collections.abc import Iterable
@@ -9,10 +9,10 @@
 from apricotpost import model
 
 __all__ = [
-    "BOUNDS_MS",
-    "BOUNDS_MS",
+    "BUCKET_BOUNDS_MS",
+    "BUCKET_BOUNDS_MS",
     "EvidenceStore",
-    "CallKind",
+    "CallOutcome",
     "Counts",
     "Finished",
     "OutcomeCounts",
@@ -22,28 +22,31 @@
     "count",
     "describe",
     "take_undrained",
-    "remove_instances",
+    "retain_instances",
     "increment",
     "receive",
     "subtract",
 ]
 
-# Upper bounds of the latency buckets; they grow by 1.5 from 1 ms to above
-# the longest call (25 s). One more bucket takes everything beyond.
-BOUNDS_MS = tuple(1.5**power for power in range(26))
+# Upper bounds of the latency buckets, in milliseconds. They grow by a factor
+# of 1.5 from 1 ms to above the longest call (25 s). One more bucket holds
+# the latencies above the last bound.
+BUCKET_BOUNDS_MS = tuple(1.5**power for power in range(26))
 SHED_STATUS = 503
-# A time-out of a caller that granted less than this part of the route's
-# timeout says nothing about the backend server.
-FAIR_TIMEOUT_SHARE = 0.25
-# Calls that a server may answer as cold before their latencies count; more
-# than any warm-up needs, so a slow version cannot hide behind the header.
+# A call that timed out is not counted if its caller granted less than this
+# fraction of the route's timeout: the backend server had too little time.
+MIN_GRANTED_RATIO = 0.25
+# Successful calls of a version and route that a gate accepts as cold. The
+# latencies of later ones count even if the server reports that it is cold,
+# so a slow version cannot avoid the latency test by always sending the
+# header. No warm-up needs as many calls.
 MAX_COLD_CALLS = 500
 
-Key = tuple[str, str, str]
+CountsKey = tuple[str, str, str]
 
 
-class CallKind(enum.Enum):
-    """What a finished call says about the backend server's version."""
+class CallOutcome(enum.Enum):
+    """How a finished call counts for the backend server's version."""
 
     SUCCESS = "success"
     FAILURE = "failure"
@@ -52,12 +55,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Finished:
-    """How a call ended at the backend server.
+    """Result of one call to the backend server.
 
     Parameters
     ----------
     answered : bool
-        Whether a whole answer arrived.
+        Whether a complete answer arrived.
     status : int
         HTTP status of the answer, 0 without one.
     timed_out : bool
@@ -65,11 +68,11 @@
     expired : bool
         Whether the deadline had passed before the call was sent.
     granted_share : float
-        Time that the caller granted, as a part of the route's timeout.
+        Time that the caller granted, as a fraction of the route's timeout.
     alone : bool
-        Whether no other call was running there.
+        Whether the backend server was running no other call.
     cold : bool
-        Whether the answer says that the server is cold.
+        Whether the answer reports that the backend server is cold.
     duration_ms : float
         Time that the backend server took, in milliseconds.
     """
@@ -86,9 +89,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Counts:
-    """Calls, failures and latencies of the successes.
+    """Numbers of calls and failures, and latencies of successful calls.
 
-    ``latencies`` ends with the last bucket that is not empty.
+    Parameters
+    ----------
+    calls, failures : int
+        Number of calls, and how many of them failed.
+    latencies : tuple of int
+        Successful calls by latency bucket, up to the last bucket that is
+        not empty.
     """
 
     calls: int = 0
@@ -98,80 +107,96 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OutcomeCounts:
-    """Cumulative counts of one gate by service, version and route."""
+    """Cumulative counts of one gate by service, version and route.
 
-    counts: Mapping[Key, Counts] = dataclasses.field(default_factory=dict)
-    cold_calls: Mapping[Key, int] = dataclasses.field(default_factory=dict)
+    Parameters
+    ----------
+    counts : mapping
+        Calls, failures and latencies.
+    cold_calls : mapping
+        Successful calls whose latencies were left out because the server
+        was cold.
+    """
+
+    counts: Mapping[CountsKey, Counts] = dataclasses.field(
+        default_factory=dict
+    )
+    cold_calls: Mapping[CountsKey, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EvidenceStore:
-    """What a rollout task received.
+    """Counts that a rollout task received from gates.
 
     Parameters
     ----------
     newest : mapping
         Newest cumulative counts by instance, service, version and route.
     undrained : mapping
-        Sums over all instances since the last `take_undrained`, by service,
-        version and route.
+        Counts added since the last `take_undrained`, summed over all
+        instances, by service, version and route.
     """
 
     newest: Mapping[tuple[str, str, str, str], model.Evidence] = (
         dataclasses.field(default_factory=dict)
     )
-    undrained: Mapping[Key, Counts] = dataclasses.field(default_factory=dict)
+    undrained: Mapping[CountsKey, Counts] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def bucket_of(duration_ms: float) -> int:
-    """Return the number of the bucket of a latency in milliseconds."""
-    return bisect.bisect_left(BOUNDS_MS, duration_ms)
+    """Return the index of the bucket of a latency in milliseconds."""
+    return bisect.bisect_left(BUCKET_BOUNDS_MS, duration_ms)
 
 
-def classify(finished: Finished) -> CallKind:
-    """Decide what a finished call counts as.
+def classify(finished: Finished) -> CallOutcome:
+    """Classify a finished call as success, failure or neither.
 
     Notes
     -----
-    A status 4xx is the caller's fault. A 503 is load shedding, and counts
-    as neither, where load is plausible: other calls were running or the
-    server says that it is cold. A 503 of a warm server without any other
-    call is a failure. A time-out counts unless the caller granted too
-    little time, and a refused connection or lost answer always counts.
+    A status of 4xx is the caller's fault and counts as neither. A 503 is
+    taken for load shedding, and counts as neither, if other calls were
+    running or the server reports that it is cold. A 503 of a warm server
+    that runs no other call is a failure. A call that timed out is a failure
+    unless its caller granted too little time. A refused connection and a
+    lost answer are always failures.
     """
     if finished.expired:
-        return CallKind.NEITHER
+        return CallOutcome.NEITHER
     if finished.timed_out:
-        fair = finished.granted_share >= FAIR_TIMEOUT_SHARE
-        return CallKind.FAILURE if fair else CallKind.NEITHER
+        long_enough = finished.granted_share >= MIN_GRANTED_RATIO
+        return CallOutcome.FAILURE if long_enough else CallOutcome.NEITHER
     if not finished.answered:
-        return CallKind.FAILURE
+        return CallOutcome.FAILURE
     if finished.status == SHED_STATUS:
         shed = finished.cold or not finished.alone
-        return CallKind.NEITHER if shed else CallKind.FAILURE
+        return CallOutcome.NEITHER if shed else CallOutcome.FAILURE
     if finished.status >= 500:
-        return CallKind.FAILURE
+        return CallOutcome.FAILURE
     if finished.status >= 400:
-        return CallKind.NEITHER
-    return CallKind.SUCCESS
+        return CallOutcome.NEITHER
+    return CallOutcome.SUCCESS
 
 
 def count(
-    outcomes: OutcomeCounts, key: Key, finished: Finished
+    outcomes: OutcomeCounts, key: CountsKey, finished: Finished
 ) -> OutcomeCounts:
     """Add one finished call to a gate's counts.
 
-    Latencies of a cold server are left out: they describe its age, not
-    its version.
+    Latencies of a cold server are left out: they show that the server was
+    started recently, not how fast its version is.
     """
     kind = classify(finished)
-    if kind is CallKind.NEITHER:
+    if kind is CallOutcome.NEITHER:
         return outcomes
     before = outcomes.counts.get(key, Counts())
-    failures = before.failures + (kind is CallKind.FAILURE)
+    failures = before.failures + (kind is CallOutcome.FAILURE)
     latencies = before.latencies
     cold_calls = outcomes.cold_calls
-    if kind is CallKind.SUCCESS:
+    if kind is CallOutcome.SUCCESS:
         cold = cold_calls.get(key, 0)
         if finished.cold and cold < MAX_COLD_CALLS:
             cold_calls = {**cold_calls, key: cold + 1}
@@ -188,7 +213,7 @@
 def describe(
     outcomes: OutcomeCounts, *, instance: str, epoch: int
 ) -> tuple[model.Evidence, ...]:
-    """Return a gate's counts in the form that nodes exchange."""
+    """Return a gate's counts as the records that nodes exchange."""
     return tuple(
         model.Evidence(
             instance=instance,
@@ -207,47 +232,47 @@
 def receive(
     store: EvidenceStore, evidence: Iterable[model.Evidence]
 ) -> EvidenceStore:
-    """Account for cumulative counts from a gate.
+    """Add the increase of a gate's cumulative counts to the store.
 
     Notes
     -----
-    The first report of an instance only sets its starting point, because
-    its counts may be older than the rollout. Counts that are not newer
-    than the known ones are dropped, so a report that arrives twice or
-    late changes nothing. After a restart (higher epoch) counts start at 0.
+    The first report of an instance only sets the baseline, because it may
+    include calls from before the rollout. Counts that are not newer than
+    the stored ones are ignored, so a report that arrives twice or late
+    changes nothing. After a restart (higher epoch) counts start at 0.
     """
     newest = dict(store.newest)
     undrained = dict(store.undrained)
-    for entry in evidence:
-        key = (entry.instance, entry.service, entry.version, entry.route)
+    for report in evidence:
+        key = (report.instance, report.service, report.version, report.route)
         known = newest.get(key)
-        if known is not None and not _is_newer(entry, known):
+        if known is not None and not _is_newer(report, known):
             continue
-        newest[key] = entry
-        if known is None and not _is_known(store, entry):
+        newest[key] = report
+        if known is None and not _has_reported(store, report):
             continue
         before = Counts()
-        if known is not None and known.epoch == entry.epoch:
+        if known is not None and known.epoch == report.epoch:
             before = _counts_of(known)
-        increment = subtract(_counts_of(entry), before)
+        increment = subtract(_counts_of(report), before)
         undrained[key[1:]] = add(undrained.get(key[1:], Counts()), increment)
     return EvidenceStore(newest=newest, undrained=undrained)
 
 
 def take_undrained(
     store: EvidenceStore,
-) -> tuple[EvidenceStore, Mapping[Key, Counts]]:
-    """Take the sums since the last call."""
+) -> tuple[EvidenceStore, Mapping[CountsKey, Counts]]:
+    """Return the sums since the last call and remove them from the store."""
     return EvidenceStore(newest=store.newest), store.undrained
 
 
-def remove_instances(
+def retain_instances(
     store: EvidenceStore, instances: Iterable[str]
 ) -> EvidenceStore:
-    """Keep only the counts of the given instances."""
+    """Remove the counts of all other instances from the store."""
     kept = frozenset(instances)
     newest = {
-        key: entry for key, entry in store.newest.items() if key[0] in kept
+        key: report for key, report in store.newest.items() if key[0] in kept
     }
     return dataclasses.replace(store, newest=newest)
 
@@ -257,40 +282,40 @@
     return Counts(
         calls=left.calls + right.calls,
         failures=left.failures + right.failures,
-        latencies=_combine(left.latencies, right.latencies, 1),
+        latencies=_combine_buckets(left.latencies, right.latencies, 1),
     )
 
 
-def _is_newer(entry: model.Evidence, known: model.Evidence) -> bool:
-    return (entry.epoch, entry.calls) > (known.epoch, known.calls)
+def _is_newer(report: model.Evidence, known: model.Evidence) -> bool:
+    return (report.epoch, report.calls) > (known.epoch, known.calls)
 
 
-def _is_known(store: EvidenceStore, entry: model.Evidence) -> bool:
-    """Whether this run of the instance has reported before."""
+def _has_reported(store: EvidenceStore, report: model.Evidence) -> bool:
+    """Return whether the instance has reported since its last restart."""
     return any(
-        key[0] == entry.instance and known.epoch == entry.epoch
+        key[0] == report.instance and known.epoch == report.epoch
         for key, known in store.newest.items()
     )
 
 
-def _counts_of(entry: model.Evidence) -> Counts:
+def _counts_of(report: model.Evidence) -> Counts:
     return Counts(
-        calls=entry.calls,
-        failures=entry.failures,
-        latencies=entry.latency_counts,
+        calls=report.calls,
+        failures=report.failures,
+        latencies=report.latency_counts,
     )
 
 
 def subtract(after: Counts, before: Counts) -> Counts:
-    """Return what cumulative counts gained since earlier ones."""
+    """Return the increase of cumulative counts since earlier ones."""
     return Counts(
         calls=after.calls - before.calls,
         failures=max(after.failures - before.failures, 0),
-        latencies=_combine(after.latencies, before.latencies, -1),
+        latencies=_combine_buckets(after.latencies, before.latencies, -1),
     )
 
 
-def _combine(
+def _combine_buckets(
     left: tuple[int, ...], right: tuple[int, ...], sign: int
 ) -> tuple[int, ...]:
     length = max(len(left), len(right))
@@ -303,6 +328,6 @@
 
 
 def increment(latencies: tuple[int, ...], bucket: int) -> tuple[int, ...]:
-    """Count one more latency in a bucket."""
+    """Return the latency counts with one more call in a bucket."""
     padded = latencies + (0,) * (bucket + 1 - len(latencies))
     return padded[:bucket] + (padded[bucket] + 1,) + padded[bucket + 1 :]
--- a/apricotpost/rollout/judges.py
+++ b/apricotpost/rollout/judges.py
@@ -1,4 +1,4 @@
-"""Which nodes judge a rollout, and what a node sends them when."""
+"""Choice of the nodes that judge a rollout, and reports to them."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -9,8 +9,8 @@
 from apricotpost import spread
 
 __all__ = [
-    "FULL_SECONDS",
-    "JUDGES",
+    "FULL_REPORT_SECONDS",
+    "JUDGE_COUNT",
     "SentReports",
     "SentReport",
     "ReportPlan",
@@ -18,23 +18,24 @@
     "plan_reports",
 ]
 
-# The first is the holder; the others have the evidence when it dies.
-JUDGES = 3
-# A lost report is repaired by the next full one, because counts are
-# cumulative.
-FULL_SECONDS = 5.0
+# Number of judges. The first is the holder; the others receive the same
+# evidence, so that one of them can take over if the holder fails.
+JUDGE_COUNT = 3
+# Interval between full reports. Counts are cumulative, so the next full report
+# makes up for a lost one.
+FULL_REPORT_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SentReport:
-    """What a judge was sent.
+    """Counts that a judge was sent.
 
     Parameters
     ----------
     full_at : float
-        Time of the last full report, in seconds.
+        Time of the last full report, in monotonic seconds.
     sent : frozenset of Evidence
-        Newest counts sent of each route.
+        Newest counts that were sent for each route.
     """
 
     full_at: float
@@ -43,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SentReports:
-    """What each present judge was sent, by its name."""
+    """Counts that each present judge was sent, by the judge's name."""
 
     by_judge: Mapping[str, SentReport] = dataclasses.field(
         default_factory=dict
@@ -52,7 +53,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReportPlan:
-    """Counts that one judge is to be sent now."""
+    """Report that one judge is to be sent now.
+
+    Parameters
+    ----------
+    judge : str
+        Name of the judge.
+    evidence : tuple of Evidence
+        Counts to send.
+    full : bool
+        Whether these are all counts of the gate.
+    """
 
     judge: str
     evidence: tuple[model.Evidence, ...]
@@ -68,7 +79,9 @@
         for entry in instances
         if entry.service == service and entry.state is model.InstanceState.UP
     }
-    return tuple(live[name] for name in spread.rank(live, service)[:JUDGES])
+    return tuple(
+        live[name] for name in spread.rank(live, service)[:JUDGE_COUNT]
+    )
 
 
 def plan_reports(
@@ -82,27 +95,27 @@
     Parameters
     ----------
     state : SentReports
-        State before.
+        Counts sent so far.
     evidence : tuple of Evidence
-        All counts of the own gate.
+        All counts of this node's gate.
     judges : sequence of str
-        Present judges other than this node. One that was no judge at the
-        last call gets a full report.
+        Present judges other than this node. One that was not a judge at the
+        previous call gets a full report.
     now : float
         Monotonic time in seconds.
     """
     by_judge: dict[str, SentReport] = {}
     reports: list[ReportPlan] = []
-    everything = frozenset(evidence)
+    all_counts = frozenset(evidence)
     for judge in judges:
         known = state.by_judge.get(judge)
-        if known is None or now - known.full_at >= FULL_SECONDS:
-            by_judge[judge] = SentReport(full_at=now, sent=everything)
+        if known is None or now - known.full_at >= FULL_REPORT_SECONDS:
+            by_judge[judge] = SentReport(full_at=now, sent=all_counts)
             reports.append(
                 ReportPlan(judge=judge, evidence=evidence, full=True)
             )
             continue
-        by_judge[judge] = dataclasses.replace(known, sent=everything)
+        by_judge[judge] = dataclasses.replace(known, sent=all_counts)
         changed = tuple(entry for entry in evidence if entry not in known.sent)
         if changed:
             reports.append(
--- a/apricotpost/rollout/plans.py
+++ b/apricotpost/rollout/plans.py
@@ -1,4 +1,4 @@
-"""Configuration changes of a rollout: start, step and end."""
+"""Changes of the configuration that start, step and end a rollout."""
 
 import dataclasses
 
@@ -12,7 +12,7 @@
 
 
 def find_open(snapshot: model.Snapshot, service: str) -> model.Rollout | None:
-    """Return the open rollout of a service."""
+    """Return the open rollout of a service, or None."""
     for entry in snapshot.rollouts:
         if entry.service == service and entry.state in _OPEN_STATES:
             return entry
@@ -26,7 +26,7 @@
     finish_by: float,
     now: float,
 ) -> model.Snapshot:
-    """Start a rollout.
+    """Return a configuration with a new rollout.
 
     Parameters
     ----------
@@ -40,44 +40,47 @@
     Returns
     -------
     apricotpost.model.Snapshot
-        With the rollout at share 0, the same version number and no
-        checksum, so that the rows of a sheet can be applied one after the
-        other. The caller numbers and seals the result.
+        Configuration with the rollout at share 0. It has the same version
+        number and no checksum, so that the rows of a sheet can be applied
+        one after the other. The caller sets the version number and the
+        checksum of the result.
 
     Raises
     ------
     apricotpost.errors.RolloutRefused
         The service is unknown, another rollout of it is open, the version
-        carries its calls already, or the time is too short.
+        already gets all its calls, several versions get calls, or the time
+        is too short.
     """
     entry = _find_service(snapshot, service)
-    other = find_open(snapshot, service)
-    if other is not None:
+    open_rollout = find_open(snapshot, service)
+    if open_rollout is not None:
         raise errors.RolloutRefused(
-            f"service {service}: rollout {other.identifier} to "
-            f"{other.new} is still {other.state}"
+            f"service {service}: rollout {open_rollout.identifier} to "
+            f"{open_rollout.new} is still {open_rollout.state}"
         )
-    carrying = [item.version for item in entry.versions if item.share]
-    if carrying == [version]:
+    active_versions = [item.version for item in entry.versions if item.share]
+    if active_versions == [version]:
         raise errors.RolloutRefused(
             f"service {service}: version {version} is already in force"
         )
-    if len(carrying) != 1:
+    if len(active_versions) != 1:
         raise errors.RolloutRefused(
-            f"service {service}: {len(carrying)} versions carry calls, "
+            f"service {service}: {len(active_versions)} versions get calls, "
             "expected 1"
         )
     if finish_by <= now + steps.MARGIN_SECONDS:
-        # The settings' step time decides how much more is needed.
+        # This is only the lower limit. The time that the steps need depends
+        # on the settings.
         raise errors.RolloutRefused(
             f"service {service}: finish_by is {finish_by - now:.0f} s ahead, "
             f"full share is due {steps.MARGIN_SECONDS:.0f} s before it"
         )
     rollout = model.Rollout(
-        # Sorts by configuration version in the history.
+        # Fixed width, so that the history sorts by configuration version.
         identifier=f"{snapshot.version + 1:012d}-{service}",
         service=service,
-        old=carrying[0],
+        old=active_versions[0],
         new=version,
         state=model.RolloutState.RUNNING,
         share=0,
@@ -85,8 +88,8 @@
         finish_by=finish_by,
         changed_at=now,
     )
-    # Only the last ended rollout of a service stays in the configuration;
-    # the table keeps all outcomes.
+    # The configuration keeps only the latest rollout of a service; the
+    # outcomes of all rollouts are in the table.
     others = [item for item in snapshot.rollouts if item.service != service]
     return _rebuild(snapshot, (*others, rollout), rollout)
 
@@ -94,7 +97,10 @@
 def step_rollout(
     snapshot: model.Snapshot, rollout: model.Rollout, share: int, now: float
 ) -> model.Snapshot:
-    """Raise the share of an open rollout; full share starts the bake."""
+    """Return a configuration with a higher share.
+
+    Full share starts the bake.
+    """
     state = model.RolloutState.RUNNING
     if share >= model.TOTAL_SHARE:
         state, share = model.RolloutState.BAKING, steps.BAKING_SHARE
@@ -111,18 +117,20 @@
     reason: str,
     now: float,
 ) -> model.Snapshot:
-    """End an open rollout; one version gets all calls.
+    """Return a configuration in which an open rollout has ended.
+
+    One of the versions gets all calls.
 
     Parameters
     ----------
     snapshot : apricotpost.model.Snapshot
         Configuration to change.
     rollout : apricotpost.model.Rollout
-        Its open rollout.
+        Open rollout of the configuration.
     done : bool
-        Whether the new version stays; otherwise it is withdrawn.
+        Whether the new version gets all calls; otherwise it is withdrawn.
     reason : str
-        Kept in the configuration and shown to the owner.
+        Reason that the configuration keeps and the owner is shown.
     now : float
         Unix time in seconds.
     """
--- a/apricotpost/rollout/route_trials.py
+++ b/apricotpost/rollout/route_trials.py
@@ -1,4 +1,4 @@
-"""Tests of one route: failures and slow calls of both versions."""
+"""Sequential tests of one route for failures and slow calls."""
 
 import dataclasses
 
@@ -10,85 +10,106 @@
     "RouteTrial",
     "close_slice",
     "collect",
-    "is_missing",
+    "lacks_usable_answers",
     "levels",
     "start",
 ]
 
-# A slice waits this long for calls of both versions. A longer slice would
-# compare different periods.
+# A slice with calls of the new version waits this long for calls of the old
+# one. A longer slice would compare different periods.
 MAX_SLICE_SECONDS = 30.0
-# Calls of the old version before its 90th percentile is used.
+# Calls of the old version that its 90th percentile needs.
 MIN_REFERENCE_CALLS = 20.0
-# The percentile is that of about so many calls.
+# The percentile is taken over about this many recent calls.
 REFERENCE_CALLS = 200.0
-SLOW_PART = 0.1
-# A route on which less than a quarter of the expected calls of the new
-# version are counted, after an allowance for chance, is answered
-# differently by the new version.
-MIN_EXPECTED_PART = 0.25
+# Fraction of the old version's calls above the 90th percentile.
+SLOW_FRACTION = 0.1
+# If less than a quarter of the expected calls of the new version are counted
+# on a route, after an allowance for chance, the new version answers the
+# route differently: only successes and failures are counted, not 4xx or load
+# shedding.
+MIN_EXPECTED_RATIO = 0.25
 EXPECTED_ALLOWANCE_CALLS = 8.0
-# Above this share calls of the old version are too few to expect from.
-FULL_SHARE = 900
-# Calls on a route of which the old version has seen none.
-NEW_ROUTE_CALLS = 20
-
-FAILURES = sequential.Plan(
-    excesses=(0.03, 0.15, 0.5, 0.95),
-    tolerance=0.005,
-    pardon=2.0,
-    least_rate=0.002,
+# From this share on, the old version has too few calls to derive the expected
+# calls of the new version from them.
+REFERENCE_SHARE_LIMIT = 900
+# Calls of the new version on a route, without any of the old version, from
+# which on the route is taken for a new one.
+MIN_NEW_ROUTE_CALLS = 20
+
+FAILURES = sequential.TestParameters(
+    excess_rates=(0.03, 0.15, 0.5, 0.95),
+    allowance_per_call=0.005,
+    initial_allowance=2.0,
+    min_old_rate=0.002,
 )
-# Without the old version's calls on a route, its other routes are all there
-# is to compare with, so more is tolerated.
-NEW_ROUTE_FAILURES = sequential.Plan(
-    excesses=(0.2, 0.5, 0.95), tolerance=0.05, pardon=3.0, least_rate=0.01
+# A new route can only be compared with the old version's other routes, so
+# more failures are allowed.
+NEW_ROUTE_FAILURES = sequential.TestParameters(
+    excess_rates=(0.2, 0.5, 0.95),
+    allowance_per_call=0.05,
+    initial_allowance=3.0,
+    min_old_rate=0.01,
 )
-# A bucket above the 90th percentile's may be 1 % slower; only a marked
-# excess of such calls is evidence.
-SLOWER = sequential.Plan(
-    excesses=(0.5, 0.9), tolerance=0.3, pardon=2.0, least_rate=0.02
+# Calls in a bucket above that of the old version's 90th percentile may be only
+# 1 % slower, so only a large excess of such calls is evidence.
+SLOWER = sequential.TestParameters(
+    excess_rates=(0.5, 0.9),
+    allowance_per_call=0.3,
+    initial_allowance=2.0,
+    min_old_rate=0.02,
 )
-# Two buckets above is at least 1.5 times slower.
-MUCH_SLOWER = sequential.Plan(
-    excesses=(0.1, 0.4, 0.9), tolerance=0.05, pardon=2.0, least_rate=0.02
+# Calls two buckets above are at least 1.5 times slower.
+MUCH_SLOWER = sequential.TestParameters(
+    excess_rates=(0.1, 0.4, 0.9),
+    allowance_per_call=0.05,
+    initial_allowance=2.0,
+    min_old_rate=0.02,
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RouteTrial:
-    """Tests of one route and the calls that wait for a full slice.
+    """State of the tests of one route, and calls of the present slice.
 
     Parameters
     ----------
+    failures : TestState
+        Test for failures.
+    new_route : TestState
+        Test for failures if the old version has no calls on the route.
+    slower, much_slower : TestState
+        Tests for slow calls, one and two buckets above the old version's
+        90th percentile.
     new, old : Counts
         Calls of the present slice.
-    since : float
-        Start of the present slice.
-    reference : tuple of float
-        Fading latency counts of the old version before this slice.
+    slice_started_at : float
+        Start of the present slice, Unix time in seconds.
+    reference_latencies : tuple of float
+        Latency counts of the old version before this slice, decayed so that
+        old calls lose weight.
     new_calls, old_calls : int
         All calls so far.
-    step_calls : int
+    calls_in_step : int
         Calls of the new version since the last step.
-    expected : float
-        Calls of the new version to be expected from those of the old one
-        before full share; with full share a call of the old version stands
-        for 49, which says nothing.
+    expected_calls : float
+        Calls of the new version that are expected from those of the old
+        one. Calls during the bake are left out: one call of the old version
+        then stands for 49 of the new one, so the estimate is useless.
     """
 
-    failures: sequential.Test
-    new_route: sequential.Test
-    slower: sequential.Test
-    much_slower: sequential.Test
+    failures: sequential.TestState
+    new_route: sequential.TestState
+    slower: sequential.TestState
+    much_slower: sequential.TestState
     new: evidence.Counts = evidence.Counts()
     old: evidence.Counts = evidence.Counts()
-    since: float = 0.0
-    reference: tuple[float, ...] = ()
+    slice_started_at: float = 0.0
+    reference_latencies: tuple[float, ...] = ()
     new_calls: int = 0
     old_calls: int = 0
-    step_calls: int = 0
-    expected: float = 0.0
+    calls_in_step: int = 0
+    expected_calls: float = 0.0
 
 
 def start(now: float) -> RouteTrial:
@@ -98,150 +119,169 @@
         new_route=sequential.start(NEW_ROUTE_FAILURES),
         slower=sequential.start(SLOWER),
         much_slower=sequential.start(MUCH_SLOWER),
-        since=now,
+        slice_started_at=now,
     )
 
 
 def collect(
-    entry: RouteTrial, new: evidence.Counts, old: evidence.Counts, share: int
+    trial: RouteTrial, new: evidence.Counts, old: evidence.Counts, share: int
 ) -> RouteTrial:
     """Add calls to the present slice."""
-    expected = 0.0
-    if share < FULL_SHARE:
-        expected = old.calls * share / (model.TOTAL_SHARE - share)
+    expected_calls = 0.0
+    if share < REFERENCE_SHARE_LIMIT:
+        expected_calls = old.calls * share / (model.TOTAL_SHARE - share)
     return dataclasses.replace(
-        entry,
-        new=evidence.add(entry.new, new),
-        old=evidence.add(entry.old, old),
-        new_calls=entry.new_calls + new.calls,
-        old_calls=entry.old_calls + old.calls,
-        step_calls=entry.step_calls + new.calls,
-        expected=entry.expected + expected,
+        trial,
+        new=evidence.add(trial.new, new),
+        old=evidence.add(trial.old, old),
+        new_calls=trial.new_calls + new.calls,
+        old_calls=trial.old_calls + old.calls,
+        calls_in_step=trial.calls_in_step + new.calls,
+        expected_calls=trial.expected_calls + expected_calls,
     )
 
 
 def close_slice(
-    entry: RouteTrial, pooled: evidence.Counts, *, baking: bool, now: float
+    trial: RouteTrial, pooled: evidence.Counts, *, baking: bool, now: float
 ) -> RouteTrial:
-    """Test the present slice when both versions have calls in it."""
-    only_new = not entry.old_calls and entry.new_calls >= NEW_ROUTE_CALLS
-    if only_new and pooled.calls:
-        return _test_new_route(entry, pooled, now)
-    if entry.new.calls and entry.old.calls:
-        return _test_slice(entry, baking=baking, now=now)
-    # Calls of one version only say nothing; they must not meet calls of
-    # the other version from a later period.
-    waits = entry.new.calls and now - entry.since <= MAX_SLICE_SECONDS
-    if waits:
-        return entry
-    return _next_slice(entry, now)
-
-
-def levels(entry: RouteTrial) -> dict[str, float]:
-    """Return the evidence against the new version by kind of event."""
+    """Test the present slice once both versions have calls in it.
+
+    On a new route, ``pooled`` takes the place of the old version's calls:
+    its calls on all routes that it answers.
+    """
+    is_new_route = (
+        not trial.old_calls and trial.new_calls >= MIN_NEW_ROUTE_CALLS
+    )
+    if is_new_route and pooled.calls:
+        return _test_new_route(trial, pooled, now)
+    if trial.new.calls and trial.old.calls:
+        return _test_slice(trial, baking=baking, now=now)
+    # Calls of only one version are no evidence. They must not be compared
+    # with calls of the other version from a later period.
+    keep_waiting = (
+        trial.new.calls and now - trial.slice_started_at <= MAX_SLICE_SECONDS
+    )
+    if keep_waiting:
+        return trial
+    return _start_slice(trial, now)
+
+
+def levels(trial: RouteTrial) -> dict[str, float]:
+    """Return the evidence levels against the new version by kind of event."""
     return {
         "failures": max(
-            sequential.level(entry.failures),
-            sequential.level(entry.new_route),
+            sequential.level(trial.failures),
+            sequential.level(trial.new_route),
         ),
         "slow calls": max(
-            sequential.level(entry.slower),
-            sequential.level(entry.much_slower),
+            sequential.level(trial.slower),
+            sequential.level(trial.much_slower),
         ),
     }
 
 
-def is_missing(entry: RouteTrial) -> bool:
-    """Whether the new version gives far fewer usable answers than due."""
-    expected = entry.expected - EXPECTED_ALLOWANCE_CALLS
-    return entry.new_calls < MIN_EXPECTED_PART * expected
+def lacks_usable_answers(trial: RouteTrial) -> bool:
+    """Return whether the new version has far fewer calls than expected.
+
+    Only successes and failures count, so a route that the new version
+    answers with 4xx, for example, lacks calls.
+    """
+    expected_calls = trial.expected_calls - EXPECTED_ALLOWANCE_CALLS
+    return trial.new_calls < MIN_EXPECTED_RATIO * expected_calls
 
 
-def _test_slice(entry: RouteTrial, *, baking: bool, now: float) -> RouteTrial:
+def _test_slice(trial: RouteTrial, *, baking: bool, now: float) -> RouteTrial:
     failures = sequential.update(
-        entry.failures,
+        trial.failures,
         FAILURES,
         sequential.Slice(
-            new_calls=entry.new.calls,
-            new_events=entry.new.failures,
-            old_calls=entry.old.calls,
-            old_events=entry.old.failures,
+            new_calls=trial.new.calls,
+            new_events=trial.new.failures,
+            old_calls=trial.old.calls,
+            old_events=trial.old.failures,
         ),
     )
-    slower, much_slower = entry.slower, entry.much_slower
-    limit = _find_limit(entry.reference)
-    if limit is not None:
+    slower, much_slower = trial.slower, trial.much_slower
+    percentile_bucket = _find_percentile_bucket(trial.reference_latencies)
+    if percentile_bucket is not None:
         much_slower = sequential.update(
-            much_slower, MUCH_SLOWER, _slow_slice(entry, limit + 1)
+            much_slower, MUCH_SLOWER, _slow_slice(trial, percentile_bucket + 1)
         )
-        # While baking the new version's servers carry 49 times the calls;
-        # a small difference then comes from the load.
+        # During the bake the new version gets 49 times the calls of the old
+        # one, so a small difference in latency may come from the load.
         if not baking:
             slower = sequential.update(
-                slower, SLOWER, _slow_slice(entry, limit)
+                slower, SLOWER, _slow_slice(trial, percentile_bucket)
             )
     tested = dataclasses.replace(
-        entry, failures=failures, slower=slower, much_slower=much_slower
+        trial, failures=failures, slower=slower, much_slower=much_slower
     )
-    return _next_slice(tested, now)
+    return _start_slice(tested, now)
 
 
 def _test_new_route(
-    entry: RouteTrial, pooled: evidence.Counts, now: float
+    trial: RouteTrial, pooled: evidence.Counts, now: float
 ) -> RouteTrial:
-    """Test failures of a route that the old version does not answer."""
-    found = sequential.Slice(
-        new_calls=entry.new.calls,
-        new_events=entry.new.failures,
+    """Test failures on a route that the old version does not answer."""
+    counts = sequential.Slice(
+        new_calls=trial.new.calls,
+        new_events=trial.new.failures,
         old_calls=pooled.calls,
         old_events=pooled.failures,
     )
-    new_route = sequential.update(entry.new_route, NEW_ROUTE_FAILURES, found)
-    return _next_slice(dataclasses.replace(entry, new_route=new_route), now)
+    new_route = sequential.update(trial.new_route, NEW_ROUTE_FAILURES, counts)
+    return _start_slice(dataclasses.replace(trial, new_route=new_route), now)
 
 
-def _next_slice(entry: RouteTrial, now: float) -> RouteTrial:
+def _start_slice(trial: RouteTrial, now: float) -> RouteTrial:
     return dataclasses.replace(
-        entry,
+        trial,
         new=evidence.Counts(),
         old=evidence.Counts(),
-        since=now,
-        reference=_fade(entry.reference, entry.old.latencies),
+        slice_started_at=now,
+        reference_latencies=_add_decayed(
+            trial.reference_latencies, trial.old.latencies
+        ),
     )
 
 
-def _fade(
-    reference: tuple[float, ...], latencies: tuple[int, ...]
+def _add_decayed(
+    reference_latencies: tuple[float, ...], latencies: tuple[int, ...]
 ) -> tuple[float, ...]:
     if not latencies:
-        return reference
-    kept = max(1 - sum(latencies) / REFERENCE_CALLS, 0.0)
-    length = max(len(reference), len(latencies))
-    known = reference + (0.0,) * (length - len(reference))
+        return reference_latencies
+    decay = max(1 - sum(latencies) / REFERENCE_CALLS, 0.0)
+    length = max(len(reference_latencies), len(latencies))
+    known = reference_latencies + (0.0,) * (length - len(reference_latencies))
     added = latencies + (0,) * (length - len(latencies))
     return tuple(
-        kept * before + count
+        decay * before + count
         for before, count in zip(known, added, strict=True)
     )
 
 
-def _find_limit(reference: tuple[float, ...]) -> int | None:
-    """Return the bucket of the 90th percentile before this slice."""
-    total = sum(reference)
+def _find_percentile_bucket(
+    reference_latencies: tuple[float, ...],
+) -> int | None:
+    """Return the bucket of the old version's 90th percentile.
+
+    It is None if there are too few calls.
+    """
+    total = sum(reference_latencies)
     if total < MIN_REFERENCE_CALLS:
         return None
     above = 0.0
-    for bucket in range(len(reference) - 1, -1, -1):
-        above += reference[bucket]
-        if above > SLOW_PART * total:
+    for bucket in range(len(reference_latencies) - 1, -1, -1):
+        above += reference_latencies[bucket]
+        if above > SLOW_FRACTION * total:
             return bucket
     return 0
 
 
-def _slow_slice(entry: RouteTrial, limit: int) -> sequential.Slice:
+def _slow_slice(trial: RouteTrial, percentile_bucket: int) -> sequential.Slice:
     return sequential.Slice(
-        new_calls=sum(entry.new.latencies),
-        new_events=sum(entry.new.latencies[limit + 1 :]),
-        old_calls=sum(entry.old.latencies),
-        old_events=sum(entry.old.latencies[limit + 1 :]),
+        new_calls=sum(trial.new.latencies),
+        new_events=sum(trial.new.latencies[percentile_bucket + 1 :]),
+        old_calls=sum(trial.old.latencies),
+        old_events=sum(trial.old.latencies[percentile_bucket + 1 :]),
     )
--- a/apricotpost/rollout/sequential.py
+++ b/apricotpost/rollout/sequential.py
@@ -1,11 +1,13 @@
 """Sequential probability ratio test of two versions at the same time.
 
-Calls are compared in slices that cover the same period for both versions.
-Within a slice both have a common event rate if the new version is no worse,
-whatever that rate is. The likelihood ratio of a slice is taken against the
-weighted mean of the two alternatives' rates. Its expectation is at most 1
-for every common rate, so a general slowdown is no evidence, and the product
-over slices crosses ``1 / FALSE_ALARM_RATE`` with at most that probability.
+An event is a failed or a slow call. Calls are compared in slices that cover
+the same period for both versions. If the new version is no worse, both have
+the same event rate within a slice, whatever that rate is. The alternative
+hypothesis gives each version a rate of its own; its likelihood is divided by
+that of the common rate which is the mean of the two, weighted by calls. The
+expectation of this ratio is at most 1 for every common rate, so a slowdown
+of both versions is no evidence. The product over all slices exceeds
+``1 / FALSE_ALARM_RATE`` with a probability of at most ``FALSE_ALARM_RATE``.
 
 References
 ----------
@@ -21,9 +23,9 @@
     "ALARM",
     "FALSE_ALARM_RATE",
     "MISS_RATE",
-    "Plan",
+    "TestParameters",
     "Slice",
-    "Test",
+    "TestState",
     "level",
     "start",
     "update",
@@ -31,41 +33,44 @@
 
 FALSE_ALARM_RATE = 1e-4
 MISS_RATE = 1e-2
-# Wald's boundaries. A test that reaches the lower one stays there instead
-# of ending, so that a fault that begins later is still found.
+# Wald's boundaries of the logarithm of the likelihood ratio. A test that
+# reaches the lower one stays there instead of ending, so that a fault that
+# begins later is still found.
 ALARM = math.log((1 - MISS_RATE) / FALSE_ALARM_RATE)
-FLOOR = math.log(MISS_RATE / (1 - FALSE_ALARM_RATE))
-# Gates report at different moments of a second, so the onset of a general
-# fault reaches the two versions' counts up to two slices apart. Two slices
-# alone must not raise the alarm.
-MAX_GAIN = 0.45 * ALARM
-# The old version's event rate is estimated from about so many calls. Memory
-# by calls and not by time keeps the estimate sharp when calls are few.
-MEMORY_CALLS = 200.0
-MAX_SAVED_EVENTS = 10.0
+LOWER_BOUNDARY = math.log(MISS_RATE / (1 - FALSE_ALARM_RATE))
+# Largest increase of the logarithm in one slice. Gates report at different
+# moments of a second, so a fault of both versions may appear in the counts
+# of one version up to two slices before the other. Two slices alone must
+# therefore not raise the alarm.
+MAX_SLICE_GAIN = 0.45 * ALARM
+# The old version's event rate is estimated from about this many recent
+# calls. A window of calls, not of time, keeps the estimate precise when
+# there are few calls a second.
+RATE_HISTORY_CALLS = 200.0
+MAX_ALLOWANCE_EVENTS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Plan:
-    """What one test looks for.
+class TestParameters:
+    """Parameters of one test.
 
     Parameters
     ----------
-    excesses : tuple of float
-        Alternatives: additional probability of an event in a call of the
-        new version that has none in the old version.
-    tolerance : float
-        Part of the new version's calls whose events are overlooked.
-    pardon : float
-        Events that are overlooked in addition, once.
-    least_rate : float
-        Lowest rate assumed for the old version.
+    excess_rates : tuple of float
+        Alternative hypotheses: probability that a call of the new version
+        has an event where the same call of the old version has none.
+    allowance_per_call : float
+        Events of the new version that are ignored, per call.
+    initial_allowance : float
+        Events of the new version that are ignored in addition, once.
+    min_old_rate : float
+        Lowest event rate assumed for the old version.
     """
 
-    excesses: tuple[float, ...]
-    tolerance: float
-    pardon: float
-    least_rate: float
+    excess_rates: tuple[float, ...]
+    allowance_per_call: float
+    initial_allowance: float
+    min_old_rate: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,84 +84,110 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Test:
-    """State of one test.
+class TestState:
+    """State of one sequential test.
 
     Parameters
     ----------
-    logs : tuple of float
+    log_ratios : tuple of float
         Logarithm of the likelihood ratio for each alternative.
+    allowance : float
+        Events of the new version that may still be ignored.
     old_calls, old_events : float
-        Recent history of the old version, fading.
-    saved : float
-        Events that may still be overlooked.
+        Calls and events of the old version, decayed so that old ones lose
+        weight.
     """
 
-    logs: tuple[float, ...]
-    saved: float
+    log_ratios: tuple[float, ...]
+    allowance: float
     old_calls: float = 0.0
     old_events: float = 0.0
 
 
-def start(plan: Plan) -> Test:
+def start(parameters: TestParameters) -> TestState:
     """Return the state before the first call."""
-    return Test(logs=(0.0,) * len(plan.excesses), saved=plan.pardon)
+    return TestState(
+        log_ratios=(0.0,) * len(parameters.excess_rates),
+        allowance=parameters.initial_allowance,
+    )
 
 
-def update(test: Test, plan: Plan, found: Slice) -> Test:
-    """Account for one slice.
+def update(
+    state: TestState, parameters: TestParameters, counts: Slice
+) -> TestState:
+    """Return the state after one slice.
 
-    The alternatives are fixed before the slice is looked at: the rate of
-    the old version is estimated from earlier slices only.
+    The alternatives must be fixed before the slice is evaluated, so the
+    rate of the old version is estimated from earlier slices only.
     """
-    saved = test.saved + plan.tolerance * found.new_calls
-    overlooked = min(found.new_events, int(saved))
-    saved = min(saved - overlooked, max(MAX_SAVED_EVENTS, plan.pardon))
-    tested = dataclasses.replace(
-        found, new_events=found.new_events - overlooked
+    allowance = (
+        state.allowance + parameters.allowance_per_call * counts.new_calls
+    )
+    ignored = min(counts.new_events, int(allowance))
+    allowance = min(
+        allowance - ignored,
+        max(MAX_ALLOWANCE_EVENTS, parameters.initial_allowance),
+    )
+    counted = dataclasses.replace(
+        counts, new_events=counts.new_events - ignored
     )
-    rate = _estimate(test, plan)
-    logs = tuple(
-        max(log + min(_log_ratio(tested, rate, excess), MAX_GAIN), FLOOR)
-        for log, excess in zip(test.logs, plan.excesses, strict=True)
+    rate = _estimate_old_rate(state, parameters)
+    log_ratios = tuple(
+        max(
+            log_ratio
+            + min(
+                _log_likelihood_ratio(counted, rate, excess), MAX_SLICE_GAIN
+            ),
+            LOWER_BOUNDARY,
+        )
+        for log_ratio, excess in zip(
+            state.log_ratios, parameters.excess_rates, strict=True
+        )
     )
-    kept = max(1 - found.old_calls / MEMORY_CALLS, 0.0)
-    return Test(
-        logs=logs,
-        saved=saved,
-        old_calls=kept * test.old_calls + found.old_calls,
-        old_events=kept * test.old_events + found.old_events,
+    decay = max(1 - counts.old_calls / RATE_HISTORY_CALLS, 0.0)
+    return TestState(
+        log_ratios=log_ratios,
+        allowance=allowance,
+        old_calls=decay * state.old_calls + counts.old_calls,
+        old_events=decay * state.old_events + counts.old_events,
     )
 
 
-def level(test: Test) -> float:
-    """Return the evidence; at `ALARM` the new version is worse.
+def level(state: TestState) -> float:
+    """Return the evidence level; from `ALARM` on the new version is worse.
 
-    The best alternative, reduced by the logarithm of their number, is below
-    the mixture of all, for which the false alarm rate holds.
+    The false alarm rate holds for the mean of the alternatives' likelihood
+    ratios. The largest one, divided by the number of alternatives, is a
+    lower bound of that mean.
     """
-    return max(test.logs) - math.log(len(test.logs))
+    return max(state.log_ratios) - math.log(len(state.log_ratios))
 
 
-def _estimate(test: Test, plan: Plan) -> float:
-    rate = (test.old_events + 0.5) / (test.old_calls + 1.0)
-    return min(max(rate, plan.least_rate), 0.95)
+def _estimate_old_rate(state: TestState, parameters: TestParameters) -> float:
+    rate = (state.old_events + 0.5) / (state.old_calls + 1.0)
+    return min(max(rate, parameters.min_old_rate), 0.95)
 
 
-def _log_ratio(found: Slice, old_rate: float, excess: float) -> float:
-    calls = found.new_calls + found.old_calls
-    if not found.new_calls or not found.old_calls:
+def _log_likelihood_ratio(
+    counts: Slice, old_rate: float, excess: float
+) -> float:
+    calls = counts.new_calls + counts.old_calls
+    if not counts.new_calls or not counts.old_calls:
         return 0.0
     new_rate = 1 - (1 - old_rate) * (1 - excess)
-    common = (found.new_calls * new_rate + found.old_calls * old_rate) / calls
+    common_rate = (
+        counts.new_calls * new_rate + counts.old_calls * old_rate
+    ) / calls
     return _log_likelihood(
-        found.new_calls, found.new_events, new_rate, common
-    ) + _log_likelihood(found.old_calls, found.old_events, old_rate, common)
+        counts.new_calls, counts.new_events, new_rate, common_rate
+    ) + _log_likelihood(
+        counts.old_calls, counts.old_events, old_rate, common_rate
+    )
 
 
 def _log_likelihood(
-    calls: int, hits: int, rate: float, common: float
+    calls: int, events: int, rate: float, common_rate: float
 ) -> float:
-    return hits * math.log(rate / common) + (calls - hits) * math.log(
-        (1 - rate) / (1 - common)
+    return events * math.log(rate / common_rate) + (calls - events) * math.log(
+        (1 - rate) / (1 - common_rate)
     )
--- a/apricotpost/rollout/steps.py
+++ b/apricotpost/rollout/steps.py
@@ -1,4 +1,4 @@
-"""Decisions of a rollout's holder: step, wait, withdraw, bake, finish."""
+"""Decisions of a rollout's holder: advance, hold, withdraw, bake, finish."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -23,37 +23,44 @@
     "shortest_seconds",
 ]
 
+# Shares of the new version, step by step, in thousandths.
 SHARES = (10, 50, 250, 500, model.TOTAL_SHARE)
-# While baking the old version keeps the rest to be compared with.
+# Share of the new version during the bake. The old version keeps the rest, so
+# that the two can be compared.
 BAKING_SHARE = 980
-# A version reaches everyone within 8 s; clocks differ by less than 2 s.
+# Full share is due this long before ``finish_by``: a configuration reaches all
+# nodes within 8 s, and their clocks differ by less than 2 s.
 MARGIN_SECONDS = 10.0
-# The commit of full share may take so long: a lost answer is read back.
+# Time allowed for the commit of the full share: if its answer is lost, the
+# result must be read from the store.
 COMMIT_SECONDS = 4.0
-# Evidence older than this is no reason for a step forward.
-FRESH_SECONDS = 5.0
-# A first share below this is skipped when it would give too few calls for a
-# step: at 30 calls a second, 1 % takes more than a minute for 20 calls.
-QUIET_SHARE = 50
-# With much time left a step still does not wait longer than this.
+# The share does not rise on evidence that is older than this.
+MAX_EVIDENCE_AGE_SECONDS = 5.0
+# A share below this is skipped if it would give too few calls for a step: at
+# 30 calls a second, a share of 1 % needs more than a minute for 20 calls.
+SKIPPABLE_BELOW_SHARE = 50
+# Longest planned interval between two steps, however much time is left.
 MAX_SPACING_SECONDS = 30.0
-# Part of the remaining time that the steps are spread over; the rest is
-# for steps that are held.
-SPREAD = 0.5
-# Slots of a server that came up less long ago are not counted: it is cold.
+# Fraction of the remaining time over which the steps are distributed. The rest
+# is a reserve for steps that are held.
+STEP_TIME_FRACTION = 0.5
+# The slots of a server of the new version that came up less than this long
+# ago are not counted, because the server is cold.
 COLD_SECONDS = 5.0
-# Slots needed for each call in work, so that a server's failure is borne.
-HEADROOM = 2.0
-# From this share on the new version may not depend on one server.
-PAIR_SHARE = 250
-# A bake ends at the latest after so many bake times. A version that is
-# still suspect then is withdrawn.
-MAX_BAKES = 3.0
+# Slots needed for each call in progress, so that the others can carry the
+# calls of a server that fails.
+HEADROOM_FACTOR = 2.0
+# From this share on, the new version needs two servers (if the old one has
+# two), so that it does not depend on a single one.
+TWO_SERVERS_SHARE = 250
+# Longest bake, as a multiple of the bake time. If the evidence then still
+# suggests that the new version is worse, it is withdrawn.
+MAX_BAKE_RATIO = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Times:
-    """Shortest time between steps and bake time, in seconds."""
+    """Shortest time between steps, and bake time, in seconds."""
 
     step_seconds: float = 5.0
     bake_seconds: float = 60.0
@@ -61,7 +68,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Facts:
-    """Backend servers of both versions that take calls.
+    """Numbers of backend servers and slots of both versions.
 
     Parameters
     ----------
@@ -70,7 +77,7 @@
     old_slots, new_slots : int
         Their slots; those of cold servers are left out for the new version.
     withdrawn : str
-        Reason of a withdrawal that some node decided, or empty.
+        Reason of a withdrawal that any node has decided, or empty.
     """
 
     old_servers: int
@@ -89,12 +96,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartBaking:
-    """Give the new version the full share."""
+    """Give the new version the baking share and start the bake."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Hold:
-    """Change nothing for now."""
+    """Keep the present share."""
 
     reason: str
 
@@ -108,7 +115,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Finish:
-    """End the old version's share."""
+    """End the rollout; the new version gets all calls."""
 
 
 Decision = Advance | StartBaking | Hold | Withdraw | Finish
@@ -121,20 +128,20 @@
     now: float,
     times: Times,
 ) -> Decision:
-    """Decide what an open rollout needs.
+    """Return the next decision on an open rollout.
 
     Parameters
     ----------
     rollout : apricotpost.model.Rollout
-        As the configuration in force has it.
+        Rollout from the configuration in force.
     judgement : apricotpost.rollout.verdicts.Judgement
-        What the evidence allows.
+        Judgement from the evidence so far.
     facts : Facts
-        Backend servers.
+        Numbers of backend servers and slots.
     now : float
         Unix time in seconds.
     times : Times
-        Settings.
+        Step and bake times from the settings.
     """
     if facts.withdrawn:
         return Withdraw(reason=facts.withdrawn)
@@ -148,7 +155,7 @@
 
 
 def shortest_seconds(times: Times) -> float:
-    """Return the least time from the start of a rollout to its end."""
+    """Return the shortest time from start to ``finish_by``, in seconds."""
     return len(SHARES) * times.step_seconds + MARGIN_SECONDS + COMMIT_SECONDS
 
 
@@ -166,13 +173,14 @@
     rollout : apricotpost.model.Rollout
         Names the service and the versions.
     instances : iterable of apricotpost.model.InstanceRecord
-        All known.
+        All known instances.
     up_since : mapping
-        When this node first saw an instance up with its present version.
+        Time at which this node first saw each instance up with its present
+        version.
     now : float
-        On the same clock as ``up_since``.
+        Present time, on the same clock as ``up_since``.
     withdrawn : str
-        Passed on.
+        Reason of a withdrawal, copied into the result.
     """
     up = [
         entry
@@ -203,55 +211,63 @@
     now: float,
     times: Times,
 ) -> Decision:
-    left = rollout.finish_by - MARGIN_SECONDS - COMMIT_SECONDS - now
-    ahead = [share for share in SHARES if share > rollout.share]
-    waited = now - rollout.changed_at
-    shortest = max(times.step_seconds - waited, 0.0)
+    seconds_left = rollout.finish_by - MARGIN_SECONDS - COMMIT_SECONDS - now
+    remaining_shares = [share for share in SHARES if share > rollout.share]
+    elapsed = now - rollout.changed_at
+    min_wait = max(times.step_seconds - elapsed, 0.0)
     if rollout.share == 0:
-        # The first step has no step before it.
-        shortest = 0.0
-    if left < shortest + (len(ahead) - 1) * times.step_seconds:
+        # No earlier step has to be waited for.
+        min_wait = 0.0
+    if (
+        seconds_left
+        < min_wait + (len(remaining_shares) - 1) * times.step_seconds
+    ):
         return Withdraw(
-            reason=f"full share cannot be reached by finish_by from "
-            f"{rollout.share} of 1000: {_why_late(judgement, facts, rollout)}"
+            reason="full share cannot be reached in time before finish_by "
+            f"from a share of {rollout.share} of 1000: "
+            f"{_explain_delay(judgement, facts, rollout)}"
         )
-    spacing = _spacing(left + waited, len(ahead), times)
-    share = _next_share(ahead, judgement, spacing)
+    spacing = _compute_spacing(
+        seconds_left + elapsed, len(remaining_shares), times
+    )
+    share = _next_share(remaining_shares, judgement, spacing)
     obstacle = _find_obstacle(rollout, judgement, facts, now, share)
     if obstacle:
         return Hold(reason=obstacle)
-    if rollout.share and waited < spacing:
-        return Hold(reason="the last step is too recent")
+    if rollout.share and elapsed < spacing:
+        return Hold(reason="the interval since the last step is too short")
     if share >= model.TOTAL_SHARE:
         return StartBaking()
     return Advance(share=share)
 
 
 def _next_share(
-    ahead: list[int], judgement: verdicts.Judgement, spacing: float
+    remaining_shares: list[int], judgement: verdicts.Judgement, spacing: float
 ) -> int:
-    """Skip a small share that would not give enough calls in time."""
-    for share in ahead:
+    """Return the next share that gives enough calls within the interval."""
+    for share in remaining_shares:
         rate = judgement.calls_per_second * share / model.TOTAL_SHARE
-        if share >= QUIET_SHARE:
+        if share >= SKIPPABLE_BELOW_SHARE:
             return share
         if rate * spacing >= verdicts.MIN_CALLS:
             return share
-    return ahead[-1]
+    return remaining_shares[-1]
 
 
-def _why_late(
+def _explain_delay(
     judgement: verdicts.Judgement, facts: Facts, rollout: model.Rollout
 ) -> str:
     if not facts.new_servers:
         return f"no server of {rollout.new} is up"
-    return judgement.doubt or "the time was too short"
+    return judgement.doubt or "too little time was left for the steps"
 
 
-def _spacing(time_left: float, steps_left: int, times: Times) -> float:
-    """Spread the steps over part of the time left."""
-    spread = SPREAD * time_left / steps_left
-    return min(max(spread, times.step_seconds), MAX_SPACING_SECONDS)
+def _compute_spacing(
+    seconds_left: float, steps_left: int, times: Times
+) -> float:
+    """Return the interval between steps, in seconds."""
+    interval = STEP_TIME_FRACTION * seconds_left / steps_left
+    return min(max(interval, times.step_seconds), MAX_SPACING_SECONDS)
 
 
 def _find_obstacle(
@@ -261,36 +277,45 @@
     now: float,
     share: int,
 ) -> str:
-    """Say why the share may not rise, or return an empty string."""
+    """Return why the share may not rise, or an empty string."""
     if not facts.new_servers:
         return f"no server of {rollout.new} is up"
-    pair = min(facts.old_servers, 2)
-    if share >= PAIR_SHARE and facts.new_servers < pair:
-        return f"{facts.new_servers} servers of {rollout.new}, {pair} needed"
-    if not _has_room(judgement, facts, share):
+    required = min(facts.old_servers, 2)
+    if share >= TWO_SERVERS_SHARE and facts.new_servers < required:
+        return (
+            f"{facts.new_servers} servers of {rollout.new} are up, "
+            f"{required} are needed"
+        )
+    if not _has_capacity(judgement, facts, share):
         return (
             f"{facts.new_slots} warm slots of {rollout.new} are too few "
-            f"for a share of {share}"
+            f"for a share of {share} of 1000"
         )
     if not rollout.share:
         return ""
     if judgement.doubt:
         return judgement.doubt
-    if now - judgement.heard_at > FRESH_SECONDS:
+    if now - judgement.heard_at > MAX_EVIDENCE_AGE_SECONDS:
         return f"no recent evidence about {rollout.new}"
     return ""
 
 
-def _has_room(judgement: verdicts.Judgement, facts: Facts, share: int) -> bool:
-    """Compare slots with the old version's and with the calls in work."""
+def _has_capacity(
+    judgement: verdicts.Judgement, facts: Facts, share: int
+) -> bool:
+    """Return whether the new version's warm slots suffice for a share.
+
+    They suffice if they match that share of the old version's slots, or of
+    the calls in progress with a reserve.
+    """
     if not facts.new_slots:
         return False
-    part = share / model.TOTAL_SHARE
-    if facts.new_slots >= part * facts.old_slots:
+    fraction = share / model.TOTAL_SHARE
+    if facts.new_slots >= fraction * facts.old_slots:
         return True
-    measured = judgement.busy_slots > 0
-    needed = HEADROOM * judgement.busy_slots * part
-    return measured and facts.new_slots >= needed
+    is_measured = judgement.busy_slots > 0
+    needed = HEADROOM_FACTOR * judgement.busy_slots * fraction
+    return is_measured and facts.new_slots >= needed
 
 
 def _decide_baking(
@@ -299,15 +324,15 @@
     now: float,
     times: Times,
 ) -> Decision:
-    waited = now - rollout.changed_at
-    if waited < times.bake_seconds:
+    elapsed = now - rollout.changed_at
+    if elapsed < times.bake_seconds:
         return Hold(reason="baking")
-    if waited >= MAX_BAKES * times.bake_seconds:
-        if judgement.suspect:
+    if elapsed >= MAX_BAKE_RATIO * times.bake_seconds:
+        if judgement.may_be_worse:
             return Withdraw(reason=judgement.doubt)
         return Finish()
     if judgement.doubt:
         return Hold(reason=judgement.doubt)
-    if now - judgement.heard_at > FRESH_SECONDS:
+    if now - judgement.heard_at > MAX_EVIDENCE_AGE_SECONDS:
         return Hold(reason=f"no recent evidence about {rollout.new}")
     return Finish()
--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -1,8 +1,9 @@
-"""Short rollouts: a small share, a judgement, and the whole service at once.
+"""Short rollouts: evaluate a small share, then move the whole service.
 
-Orders end within seconds, so there are no steps by evidence as in
-`apricotpost.rollout.steps`. Both versions are compared over the same slices
-of time with the sequential tests of `apricotpost.rollout.sequential`.
+An order must be carried out within seconds, so the share is not raised step
+by step as in `apricotpost.rollout.steps`. Both versions are compared over the
+same slices of time with the sequential tests of
+`apricotpost.rollout.sequential`.
 """
 
 from collections.abc import Mapping
@@ -28,73 +29,83 @@
     "new_version_share",
 ]
 
-# Part of the requests of a running trial; with the final test it stays below
-# a tenth of all requests of the order's time.
+# Share of the requests that the new version gets while the trial runs. With
+# the test under load, a faulty version gets less than a tenth of all
+# requests during the order's time.
 TRIAL_SHARE = 0.04
-# A fault under load shows on one server that gets what each will get later,
-# which exposes fewer requests than loading all of them. The old version
-# keeps the rest: without its requests in the same slice of time there is
-# nothing to compare with.
+# A fault that occurs only under load is found on one server of the new
+# version that gets the load which each will have later. This exposes fewer
+# requests than loading all its servers. The old version keeps at least half
+# of the requests: without them in the same slice of time there is nothing to
+# compare with.
 MAX_MOVING_SHARE = 0.5
-# Parts of the order's time: when the service moves, and when a trial without
-# enough calls is given up.
-MOVE_PART = 0.55
-GIVE_UP_PART = 0.8
-# Evidence under load: requests end, are reported, and fill three slices.
-MOVE_SECONDS = 2.4
-# While most requests are at stake, less evidence is enough: a good version
-# is taken back in about one of 150 rollouts.
-MOVING_ALARM = 5.0
-# The old version's requests end before it is stopped.
-SETTLE_SECONDS = 0.8
+# Fractions of the order's time: from the first on, the service may move to
+# the new version; at the second, a trial without enough evidence is rolled
+# back.
+MOVE_AT_FRACTION = 0.55
+GIVE_UP_AT_FRACTION = 0.8
+# Shortest time of the test under load: requests must end, be reported, and
+# fill three slices.
+MIN_MOVING_SECONDS = 2.4
+# Alarm level in the phases of `LOADED`. It is lower than
+# `sequential.ALARM` because a bad version then affects more requests; a good
+# version is rolled back in about one of 150 rollouts.
+LOADED_ALARM_LEVEL = 5.0
+# Time for the old version's requests to end before it is stopped.
+SETTLING_SECONDS = 0.8
+# Responses of the new version that the move to it needs.
 MIN_CALLS = 15
-# Evidence that is not yet an alarm but too much for a move.
-DOUBT = 2.5
-# A response is slow beyond this multiple of the old version's mean.
+# From this evidence level on, the service does not move to the new version
+# although there is no alarm yet.
+DOUBT_LEVEL = 2.5
+# A response is slow above this multiple of the old version's mean latency.
 SLOW_FACTOR = 3.0
 SLICE_SECONDS = 0.3
 
-_PLAN = sequential.Plan(
-    excesses=(0.15, 0.35), tolerance=0.01, pardon=1.0, least_rate=0.01
+_TEST_PARAMETERS = sequential.TestParameters(
+    excess_rates=(0.15, 0.35),
+    allowance_per_call=0.01,
+    initial_allowance=1.0,
+    min_old_rate=0.01,
 )
 
 
 class Phase(enum.StrEnum):
-    """Where a trial stands."""
+    """Phase of a trial."""
 
     RUNNING = "running"
-    # One server of the new version is under its full load.
+    # One server of the new version gets its full load.
     MOVING = "moving"
-    # All requests go to the new version.
+    # All new requests go to the new version; older ones are ending.
     SETTLING = "settling"
     COMPLETED = "completed"
     ROLLED_BACK = "rolled-back"
 
 
 FINAL = frozenset((Phase.COMPLETED, Phase.ROLLED_BACK))
-# The new version carries most requests; evidence is reported more often.
+# Phases with more load on the new version; nodes report more often.
 LOADED = frozenset((Phase.MOVING, Phase.SETTLING))
-_ORDER = {phase: number for number, phase in enumerate(Phase)}
+_PHASE_ORDER = {phase: number for number, phase in enumerate(Phase)}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Trial:
-    """One rollout; times are of the monotonic clock, in seconds.
+    """State of one rollout; times are monotonic, in seconds.
 
     Parameters
     ----------
     service, old, new : str
-        What is rolled out.
+        Service and its two versions.
     order : int
         Store revision of the order.
     started, seconds : float
-        When the order was seen, and how long it may take.
+        Time at which the order was received, and time allowed for it.
     phase : Phase
-        Where it stands.
+        Present phase.
     since : float
-        Start of the phase.
+        Start of the present phase.
     reason : str
-        Why it was rolled back.
+        Why the new version was rolled back, or empty.
     """
 
     service: str
@@ -109,40 +120,52 @@
 
 
 class Judge:
-    """Evidence of all nodes on the two versions of a trial."""
+    """Evidence of all nodes about the two versions of a trial.
+
+    Attributes
+    ----------
+    counts : dict
+        Newest cumulative counts by node, boot, backend server and route.
+    slices, totals : dict
+        Counts of the present slice and of the whole trial, by version and
+        route.
+    tests : dict
+        Tests by route and kind of event.
+    judged_at : float
+        Monotonic time of the last evaluation, in seconds.
+    """
 
     def __init__(self) -> None:
-        # Newest cumulative counts by node, boot, backend server and route.
         self.counts: dict[tuple[str, int, str, str], wire.VersionCounts] = {}
         self.slices: dict[tuple[str, str], evidence.Counts] = {}
         self.totals: dict[tuple[str, str], evidence.Counts] = {}
-        self.tests: dict[tuple[str, str], sequential.Test] = {}
-        self.judged = 0.0
+        self.tests: dict[tuple[str, str], sequential.TestState] = {}
+        self.judged_at = 0.0
 
 
 def may_follow(known: Phase, after: Phase) -> bool:
-    """Tell whether a trial may go from one phase to another."""
+    """Return whether a trial may go from one phase to another."""
     if known in FINAL:
         return False
-    return _ORDER[after] > _ORDER[known]
+    return _PHASE_ORDER[after] > _PHASE_ORDER[known]
 
 
 def is_alarm(trial: Trial, level: float) -> bool:
-    """Tell whether the evidence is enough to take the new version back."""
+    """Return whether the evidence is enough to roll the version back."""
     if trial.phase in LOADED:
-        return level >= MOVING_ALARM
+        return level >= LOADED_ALARM_LEVEL
     return level >= sequential.ALARM
 
 
 def new_version_share(trial: Trial, servers: int) -> float:
-    """Return the part of new requests that the new version gets.
+    """Return the fraction of new requests that the new version gets.
 
     Parameters
     ----------
     trial : Trial
-        Its state.
+        State of the rollout.
     servers : int
-        Backend servers of the new version.
+        Number of backend servers of the new version.
     """
     if trial.phase is Phase.RUNNING:
         return TRIAL_SHARE
@@ -154,7 +177,7 @@
 
 
 def observe(judge: Judge, state: wire.NodeState, trial: Trial) -> None:
-    """Take the counts of a node's backend server."""
+    """Add the new calls of a node's backend server to the evidence."""
     server = state.server
     if server is None or server.service != trial.service:
         return
@@ -166,22 +189,22 @@
         if before is not None and before.calls >= counts.calls:
             continue
         judge.counts[key] = counts
-        found = _difference(counts, before)
-        place = (server.version, counts.route)
-        for table in (judge.slices, judge.totals):
-            known = table.get(place)
-            table[place] = (
-                found if known is None else evidence.add(known, found)
+        increase = _difference(counts, before)
+        version_route = (server.version, counts.route)
+        for sums in (judge.slices, judge.totals):
+            known = sums.get(version_route)
+            sums[version_route] = (
+                increase if known is None else evidence.add(known, increase)
             )
 
 
 def judge_slice(judge: Judge, trial: Trial, now: float) -> float:
-    """Account for the slice since the last call; return the evidence.
+    """Test the present slice if it is complete; return the evidence level.
 
-    At `sequential.ALARM` the new version is worse.
+    From `sequential.ALARM` on the new version is worse.
     """
-    if now - judge.judged >= SLICE_SECONDS:
-        judge.judged = now
+    if now - judge.judged_at >= SLICE_SECONDS:
+        judge.judged_at = now
         slices = judge.slices
         judge.slices = {}
         for route in {route for _, route in slices}:
@@ -192,7 +215,7 @@
 
 
 def count_new_calls(judge: Judge, trial: Trial) -> int:
-    """Return how many responses of the new version were judged."""
+    """Return the number of responses of the new version so far."""
     return sum(
         counts.calls
         for (version, _), counts in judge.totals.items()
@@ -203,46 +226,63 @@
 def advance(
     trial: Trial, *, level: float, new_calls: int, now: float
 ) -> Trial:
-    """Decide what follows from the evidence and the time.
+    """Return the trial after the decision on its next phase.
 
     Parameters
     ----------
     trial : Trial
-        A trial that is not over.
+        Present state.
     level : float
-        Evidence against the new version.
+        Evidence level against the new version.
     new_calls : int
-        Responses of the new version.
+        Responses of the new version so far.
     now : float
         Monotonic time, in seconds.
     """
     if trial.phase in FINAL:
         return trial
     if is_alarm(trial, level):
-        return _enter(trial, Phase.ROLLED_BACK, now, "worse than the old one")
+        return _enter_phase(
+            trial,
+            Phase.ROLLED_BACK,
+            now,
+            "more failures or slow responses than the old version",
+        )
     elapsed = now - trial.started
     if trial.phase is Phase.MOVING:
-        if now - trial.since < MOVE_SECONDS:
+        if now - trial.since < MIN_MOVING_SECONDS:
             return trial
-        if level >= DOUBT and elapsed < trial.seconds * GIVE_UP_PART:
+        if (
+            level >= DOUBT_LEVEL
+            and elapsed < trial.seconds * GIVE_UP_AT_FRACTION
+        ):
             return trial
-        if level >= DOUBT:
-            return _enter(trial, Phase.ROLLED_BACK, now, "doubt remains")
-        return _enter(trial, Phase.SETTLING, now, "")
+        if level >= DOUBT_LEVEL:
+            return _enter_phase(
+                trial,
+                Phase.ROLLED_BACK,
+                now,
+                "the new version may still be worse",
+            )
+        return _enter_phase(trial, Phase.SETTLING, now, "")
     if trial.phase is Phase.SETTLING:
-        if now - trial.since < SETTLE_SECONDS:
+        if now - trial.since < SETTLING_SECONDS:
             return trial
-        return _enter(trial, Phase.COMPLETED, now, "")
-    if elapsed >= trial.seconds * GIVE_UP_PART:
-        reason = "too few calls" if new_calls < MIN_CALLS else "doubt remains"
-        return _enter(trial, Phase.ROLLED_BACK, now, reason)
-    ready = new_calls >= MIN_CALLS and level < DOUBT
-    if ready and elapsed >= trial.seconds * MOVE_PART:
-        return _enter(trial, Phase.MOVING, now, "")
+        return _enter_phase(trial, Phase.COMPLETED, now, "")
+    if elapsed >= trial.seconds * GIVE_UP_AT_FRACTION:
+        reason = (
+            "too few responses of the new version"
+            if new_calls < MIN_CALLS
+            else "the new version may still be worse"
+        )
+        return _enter_phase(trial, Phase.ROLLED_BACK, now, reason)
+    ready = new_calls >= MIN_CALLS and level < DOUBT_LEVEL
+    if ready and elapsed >= trial.seconds * MOVE_AT_FRACTION:
+        return _enter_phase(trial, Phase.MOVING, now, "")
     return trial
 
 
-def _enter(trial: Trial, phase: Phase, now: float, reason: str) -> Trial:
+def _enter_phase(trial: Trial, phase: Phase, now: float, reason: str) -> Trial:
     return dataclasses.replace(trial, phase=phase, since=now, reason=reason)
 
 
@@ -255,20 +295,22 @@
     empty = evidence.Counts()
     old = slices.get((trial.old, route), empty)
     new = slices.get((trial.new, route), empty)
-    usual = judge.totals.get((trial.old, route), empty)
-    threshold = _slow_bucket(usual.latencies)
+    old_total = judge.totals.get((trial.old, route), empty)
+    first_slow_bucket = _find_slow_bucket(old_total.latencies)
     events = {
         "failure": (new.failures, old.failures),
         "slow": (
-            sum(new.latencies[threshold:]),
-            sum(old.latencies[threshold:]),
+            sum(new.latencies[first_slow_bucket:]),
+            sum(old.latencies[first_slow_bucket:]),
         ),
     }
     for kind, (new_events, old_events) in events.items():
-        test = judge.tests.get((route, kind)) or sequential.start(_PLAN)
+        test = judge.tests.get((route, kind)) or sequential.start(
+            _TEST_PARAMETERS
+        )
         judge.tests[(route, kind)] = sequential.update(
             test,
-            _PLAN,
+            _TEST_PARAMETERS,
             sequential.Slice(
                 new_calls=new.calls,
                 new_events=min(new_events, new.calls),
@@ -278,13 +320,13 @@
         )
 
 
-def _slow_bucket(latencies: tuple[int, ...]) -> int:
-    """Return the first bucket of responses that count as slow."""
+def _find_slow_bucket(latencies: tuple[int, ...]) -> int:
+    """Return the first bucket whose responses count as slow."""
     calls = sum(latencies)
     if not calls:
-        return len(evidence.BOUNDS_MS)
-    # The last bucket has no bound of its own.
-    bounds = (*evidence.BOUNDS_MS, evidence.BOUNDS_MS[-1])
+        return len(evidence.BUCKET_BOUNDS_MS)
+    # The last bucket has no upper bound; the bound below it is used.
+    bounds = (*evidence.BUCKET_BOUNDS_MS, evidence.BUCKET_BOUNDS_MS[-1])
     total = sum(n * bound for n, bound in zip(latencies, bounds, strict=False))
     return evidence.bucket_of(total / calls * SLOW_FACTOR) + 1
 
@@ -297,9 +339,9 @@
     return evidence.subtract(_counts_of(after), _counts_of(before))
 
 
-def _counts_of(found: wire.VersionCounts) -> evidence.Counts:
+def _counts_of(counts: wire.VersionCounts) -> evidence.Counts:
     return evidence.Counts(
-        calls=found.calls,
-        failures=found.failures,
-        latencies=found.latencies,
+        calls=counts.calls,
+        failures=counts.failures,
+        latencies=counts.latencies,
     )
--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/verdicts.py
@@ -1,16 +1,17 @@
-"""Verdict on a new version, from the evidence about both versions.
+"""Judgement on a new version, from the evidence about both versions.
 
 Notes
 -----
-Measured with ``bench/verdict_rates.py``, tests of failures over 100 s at 80
-calls a second: no alarm in 10,000 tests without a difference. With 30 % more
-failures: no miss in 5,000 tests with an old version that fails in at most
-1 % of its calls, and 89 misses in 2,500 with one that fails in 10 %, all of
-them at a share of 10. Against an old version that fails in half of its calls
-most tests at shares of 10 and 980 miss within 100 s.
-
-Measured with ``bench/moves.py``, 2,372 rollouts: none of 891 good versions
-was withdrawn by a verdict (two had too few calls to finish on time), and all
+``bench/verdict_rates.py`` measured the tests of failures over 100 s at 80
+calls a second. Without a difference between the versions, 10,000 tests gave
+no alarm. With 30 % more failures, 5,000 tests gave no miss against an old
+version that fails in at most 1 % of its calls, and 2,500 tests gave 89 misses
+against one that fails in 10 %, all of them at a share of 10 (of 1000).
+Against an old version that fails in half of its calls, most tests at shares
+of 10 and 980 miss the fault within 100 s.
+
+``bench/moves.py`` measured 2,372 rollouts. None of 891 good versions was
+withdrawn on the evidence (two had too few calls to finish on time), and all
 1,481 bad ones were withdrawn. A version that always fails got at most 17
 calls, one that fails in 20 % of its calls at most 93.
 """
@@ -31,40 +32,50 @@
     "start",
 ]
 
-# Calls of the new version that a step forward needs.
+# Calls of the new version that each step needs before the share may rise.
 MIN_CALLS = 20
-# A step forward waits while the evidence favours "worse" at all: shares of
-# about one half tell most, and the full share tells least.
-DOUBT = 0.0
-# A version above this level (1 in 20) at the end of the bake is withdrawn.
-SUSPICION = 3.0
-# A busier second is remembered for some ten seconds.
-BUSY_MEMORY = 0.9
+# The share does not rise while the evidence level is at least this, that is
+# while the evidence favours "worse" at all. Shares of about one half give the
+# most evidence and the full share gives the least.
+DOUBT_LEVEL = 0.0
+# A version whose evidence level is at least this (a likelihood ratio of 20)
+# when the longest bake ends is withdrawn.
+SUSPICION_LEVEL = 3.0
+# Factor for each observation by which an earlier peak of busy slots decays:
+# a peak has an effect for about ten observations, one a second.
+BUSY_DECAY = 0.9
 
-Key = evidence.Key
+CountsKey = evidence.CountsKey
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Trial:
-    """Evidence about one rollout.
+    """State of the tests of one rollout.
 
     Parameters
     ----------
     rollout : str
-        Identifier.
+        Identifier of the rollout.
     share : int
         Share of the new version, in thousandths.
+    old, new : str
+        The two versions.
+    started_at, observed_at : float
+        Times of the start and of the last observation, Unix time in
+        seconds.
+    overall : RouteTrial
+        Test of the sum of all routes that both versions answer. It finds a
+        fault that affects all routes before any single route has enough
+        calls.
     routes : mapping
         Tests by route.
-    overall : RouteTrial
-        Test of all routes together that both versions answer. It finds a
-        fault of every route before the calls of any single one suffice.
     heard_at : float
-        Last time that calls of the new version were reported.
+        Last time that calls of the new version were reported, Unix time in
+        seconds.
     busy_slots : float
-        Average number of calls in work in both versions.
+        Average number of calls in progress in both versions.
     bad : str
-        Why the new version is bad; stays once it is set.
+        Why the new version is worse, or empty. Once set, it stays.
     """
 
     rollout: str
@@ -84,31 +95,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Judgement:
-    """What the evidence allows.
+    """Judgement on the new version from the evidence so far.
 
     Parameters
     ----------
     bad : str
         Why the new version must be withdrawn, or empty.
     doubt : str
-        Why no step forward is allowed yet, or empty.
-    suspect : bool
-        Whether the doubt is that the new version may be worse.
+        Why the share may not rise yet, or empty.
+    may_be_worse : bool
+        Whether the evidence suggests that the new version is worse.
     calls : int
         Calls of the new version since the last step.
     heard_at : float
-        Last report of calls of the new version, Unix time in seconds.
+        Last time that calls of the new version were reported, Unix time in
+        seconds.
     busy_slots : float
-        Average number of calls in work in both versions.
+        Average number of calls in progress in both versions.
     calls_per_second : float
-        Calls of both versions since the first observation.
+        Calls of both versions a second since the start.
     summary : str
-        The figures, for the outcome record.
+        Numbers of calls and evidence levels, for the outcome record.
     """
 
     bad: str = ""
     doubt: str = ""
-    suspect: bool = False
+    may_be_worse: bool = False
     calls: int = 0
     heard_at: float = float("-inf")
     busy_slots: float = 0.0
@@ -133,25 +145,25 @@
 
 def observe(
     trial: Trial,
-    found: Mapping[Key, evidence.Counts],
+    new_counts: Mapping[CountsKey, evidence.Counts],
     *,
     service: str,
     share: int,
     baking: bool,
     now: float,
 ) -> Trial:
-    """Account for the calls since the last observation.
+    """Return the state after the calls since the last observation.
 
     Parameters
     ----------
     trial : Trial
-        State before.
-    found : mapping
+        Present state.
+    new_counts : mapping
         New calls by service, version and route.
     service : str
         Service of the rollout.
     share : int
-        Present share; a change starts a new step.
+        Present share, in thousandths; a change starts a new step.
     baking : bool
         Whether the new version has the full share.
     now : float
@@ -159,23 +171,23 @@
     """
     if share != trial.share:
         trial = _start_step(trial, share)
-    names = {key[2] for key in found if key[0] == service}
+    route_names = {key[2] for key in new_counts if key[0] == service}
     pooled_new, pooled_old = evidence.Counts(), evidence.Counts()
     heard_at = trial.heard_at
-    known = dict(trial.routes)
-    for name in sorted(names | known.keys()):
-        new = found.get((service, trial.new, name), evidence.Counts())
-        old = found.get((service, trial.old, name), evidence.Counts())
+    routes = dict(trial.routes)
+    for name in sorted(route_names | routes.keys()):
+        new = new_counts.get((service, trial.new, name), evidence.Counts())
+        old = new_counts.get((service, trial.old, name), evidence.Counts())
         if new.calls:
             heard_at = now
-        before = known.get(name) or route_trials.start(now)
-        known[name] = route_trials.collect(before, new, old, share)
-        if known[name].old_calls:
+        before = routes.get(name) or route_trials.start(now)
+        routes[name] = route_trials.collect(before, new, old, share)
+        if routes[name].old_calls:
             pooled_new = evidence.add(pooled_new, new)
             pooled_old = evidence.add(pooled_old, old)
-    for name, entry in known.items():
-        known[name] = route_trials.close_slice(
-            entry, pooled_old, baking=baking, now=now
+    for name, route_trial in routes.items():
+        routes[name] = route_trials.close_slice(
+            route_trial, pooled_old, baking=baking, now=now
         )
     overall = route_trials.collect(
         trial.overall, pooled_new, pooled_old, share
@@ -183,113 +195,125 @@
     seconds = max(now - trial.observed_at, 0.1)
     trial = dataclasses.replace(
         trial,
-        routes=known,
+        routes=routes,
         overall=route_trials.close_slice(
             overall, pooled_old, baking=baking, now=now
         ),
         heard_at=heard_at,
         observed_at=now,
-        busy_slots=_average_busy(trial, found, service, seconds),
+        busy_slots=_estimate_busy_slots(trial, new_counts, service, seconds),
     )
-    return dataclasses.replace(trial, bad=trial.bad or _find_bad(trial))
+    return dataclasses.replace(trial, bad=trial.bad or _find_alarm(trial))
 
 
 def judge(trial: Trial) -> Judgement:
-    """Say what the evidence so far allows."""
-    calls = sum(entry.step_calls for entry in trial.routes.values())
+    """Return the judgement from the evidence so far."""
+    calls = sum(
+        route_trial.calls_in_step for route_trial in trial.routes.values()
+    )
     doubt = ""
     if calls < MIN_CALLS:
-        doubt = f"{calls} calls of {trial.new}, {MIN_CALLS} are needed"
-    suspect = False
-    for name, entry in _all_trials(trial):
-        worst = max(route_trials.levels(entry).values())
-        suspect = suspect or worst >= SUSPICION
-        if worst >= DOUBT:
-            doubt = f"{name} may be worse (level {worst:.1f})"
-        elif route_trials.is_missing(entry):
-            suspect = True
+        doubt = (
+            f"{calls} calls of {trial.new}, {MIN_CALLS} are needed for a step"
+        )
+    may_be_worse = False
+    for name, route_trial in _all_trials(trial):
+        highest_level = max(route_trials.levels(route_trial).values())
+        may_be_worse = may_be_worse or highest_level >= SUSPICION_LEVEL
+        if highest_level >= DOUBT_LEVEL:
+            doubt = f"{name} may be worse (evidence level {highest_level:.1f})"
+        elif route_trials.lacks_usable_answers(route_trial):
+            may_be_worse = True
             doubt = (
-                f"{name}: {entry.new_calls} usable answers of "
-                f"{trial.new}, about {entry.expected:.0f} expected"
+                f"{name}: {route_trial.new_calls} usable answers of "
+                f"{trial.new}, about {route_trial.expected_calls:.0f} expected"
             )
     return Judgement(
         bad=trial.bad,
         doubt=doubt,
-        suspect=suspect,
+        may_be_worse=may_be_worse,
         calls=calls,
         heard_at=trial.heard_at,
         busy_slots=trial.busy_slots,
-        calls_per_second=_rate(trial),
+        calls_per_second=_calls_per_second(trial),
         summary=_summarize(trial),
     )
 
 
-def _rate(trial: Trial) -> float:
-    """Return the calls a second since the first observation."""
+def _calls_per_second(trial: Trial) -> float:
+    """Return the calls of both versions a second since the start."""
     seconds = trial.observed_at - trial.started_at
     if seconds <= 0:
         return 0.0
     calls = sum(
-        entry.new_calls + entry.old_calls for entry in trial.routes.values()
+        route_trial.new_calls + route_trial.old_calls
+        for route_trial in trial.routes.values()
     )
     return calls / seconds
 
 
-def _find_bad(trial: Trial) -> str:
-    for name, entry in _all_trials(trial):
-        for what, found in route_trials.levels(entry).items():
-            if found >= sequential.ALARM:
+def _find_alarm(trial: Trial) -> str:
+    for name, route_trial in _all_trials(trial):
+        for event_kind, level in route_trials.levels(route_trial).items():
+            if level >= sequential.ALARM:
                 return (
-                    f"more {what} than {trial.old} on {name} "
-                    f"(level {found:.1f})"
+                    f"more {event_kind} than {trial.old} on {name} "
+                    f"(evidence level {level:.1f})"
                 )
     return ""
 
 
-def _average_busy(
+def _estimate_busy_slots(
     trial: Trial,
-    found: Mapping[Key, evidence.Counts],
+    new_counts: Mapping[CountsKey, evidence.Counts],
     service: str,
     seconds: float,
 ) -> float:
-    """Estimate calls in work by Little's law, from latency buckets."""
+    """Estimate the calls in progress by Little's law.
+
+    The total time of the calls, from their latency buckets, is divided by
+    the length of the period. An earlier peak decays slowly.
+    """
     busy_ms = 0.0
-    for key, counts in found.items():
+    for key, counts in new_counts.items():
         if key[0] == service:
             busy_ms += sum(
-                number * evidence.BOUNDS_MS[min(bucket, 25)]
+                number * evidence.BUCKET_BOUNDS_MS[min(bucket, 25)]
                 for bucket, number in enumerate(counts.latencies)
             )
-    present = busy_ms / 1000 / seconds
-    return max(present, BUSY_MEMORY * trial.busy_slots)
+    current = busy_ms / 1000 / seconds
+    return max(current, BUSY_DECAY * trial.busy_slots)
 
 
 def _all_trials(
     trial: Trial,
 ) -> tuple[tuple[str, route_trials.RouteTrial], ...]:
-    named = [(f"route {name}", entry) for name, entry in trial.routes.items()]
+    named = [
+        (f"route {name}", route_trial)
+        for name, route_trial in trial.routes.items()
+    ]
     return (*named, ("all routes", trial.overall))
 
 
 def _start_step(trial: Trial, share: int) -> Trial:
-    known = {
-        name: dataclasses.replace(entry, step_calls=0)
-        for name, entry in trial.routes.items()
+    routes = {
+        name: dataclasses.replace(route_trial, calls_in_step=0)
+        for name, route_trial in trial.routes.items()
     }
-    overall = dataclasses.replace(trial.overall, step_calls=0)
+    overall = dataclasses.replace(trial.overall, calls_in_step=0)
     return dataclasses.replace(
-        trial, share=share, routes=known, overall=overall
+        trial, share=share, routes=routes, overall=overall
     )
 
 
 def _summarize(trial: Trial) -> str:
     parts = []
-    for name, entry in _all_trials(trial):
-        found = route_trials.levels(entry)
+    for name, route_trial in _all_trials(trial):
+        levels = route_trials.levels(route_trial)
         parts.append(
-            f"{name}: {entry.new_calls} calls of {trial.new}, "
-            f"{entry.old_calls} of {trial.old}, levels "
-            f"{found['failures']:.1f} failures, "
-            f"{found['slow calls']:.1f} slow"
+            f"{name}: {route_trial.new_calls} calls of {trial.new}, "
+            f"{route_trial.old_calls} of {trial.old}, evidence levels "
+            f"{levels['failures']:.1f} for failures, "
+            f"{levels['slow calls']:.1f} for slow calls"
         )
     return "; ".join(parts)
--- a/apricotpost/rollout/watch.py
+++ b/apricotpost/rollout/watch.py
@@ -1,4 +1,4 @@
-"""What a node of a service keeps while a rollout of it is open."""
+"""State that a node keeps about the open rollout of its own service."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -13,26 +13,27 @@
 
 __all__ = ["Observation", "Watch", "evaluate", "receive"]
 
-# After two full reports in a row were lost, or while this node was no judge,
-# the calls in between may belong to another step or rollout.
-GAP_SECONDS = 3 * judges.FULL_SECONDS
+# A report after a longer gap sets a new baseline. The gap arises when two full
+# reports in a row are lost or this node was no judge; the calls in between
+# may belong to another step or rollout.
+MAX_REPORT_GAP_SECONDS = 3 * judges.FULL_REPORT_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Watch:
-    """Evidence, its evaluation and the ages of backend servers.
+    """Evidence about a rollout, its evaluation, and times of server starts.
 
     Parameters
     ----------
     evidence_store : EvidenceStore
-        Counts received.
+        Counts received from gates.
     heard_at : mapping
-        When each instance with counts in the book last reported, in
-        monotonic seconds.
+        Time of the last report of each instance, in monotonic seconds.
     trial : Trial, optional
-        Evidence about the open rollout.
+        State of the tests of the open rollout.
     up_since : mapping
-        Version and Unix time since when an instance is up with it.
+        For each instance that is up, its version and the Unix time at which
+        it was first seen up with this version.
     """
 
     evidence_store: evidence.EvidenceStore = evidence.EvidenceStore()
@@ -45,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Observation:
-    """An open rollout as this node sees it at one moment.
+    """State of an open rollout as this node sees it.
 
     Parameters
     ----------
@@ -54,11 +55,12 @@
     rollout : apricotpost.model.Rollout
         Open rollout of the service.
     judgement : Judgement
-        Verdict of this node.
+        Judgement of this node.
     facts : Facts
-        Backend servers, and a withdrawal by any node.
+        Numbers of backend servers and slots, and a withdrawal by any node.
     is_first : bool
-        Whether this node is to be the holder.
+        Whether this node ranks first among the judges, so that it should be
+        the holder.
     """
 
     snapshot: model.Snapshot
@@ -70,66 +72,68 @@
 
 def receive(
     watch: Watch,
-    found: Iterable[model.Evidence],
+    counts: Iterable[model.Evidence],
     *,
     full: bool,
     now: float,
 ) -> Watch:
-    """Account for a report of a gate.
+    """Return the state after a report of a gate's counts.
 
     Notes
     -----
-    The first report, or the first after a gap, must be full: it sets the
-    starting point. Had a partial one set it, the older calls of the routes
-    left out of it would later count as new ones.
+    The first report of an instance, and the first after a gap, must be full
+    because it sets the baseline. A partial report leaves out routes, whose
+    older calls would later count as new ones.
     """
-    heard = {
+    recent = {
         name: at
         for name, at in watch.heard_at.items()
-        if now - at <= GAP_SECONDS
+        if now - at <= MAX_REPORT_GAP_SECONDS
     }
-    store = evidence.remove_instances(watch.evidence_store, heard)
-    usable = [entry for entry in found if full or entry.instance in heard]
-    heard.update((entry.instance, now) for entry in usable)
+    store = evidence.retain_instances(watch.evidence_store, recent)
+    accepted = [entry for entry in counts if full or entry.instance in recent]
+    recent.update((entry.instance, now) for entry in accepted)
     return dataclasses.replace(
-        watch, evidence_store=evidence.receive(store, usable), heard_at=heard
+        watch,
+        evidence_store=evidence.receive(store, accepted),
+        heard_at=recent,
     )
 
 
 def evaluate(
     watch: Watch, view: model.View, *, instance: str, now: float
 ) -> tuple[Watch, Observation | None]:
-    """Evaluate the evidence since the last look.
+    """Evaluate the evidence since the last evaluation.
 
     Parameters
     ----------
     watch : Watch
-        State before.
+        Present state.
     view : apricotpost.model.View
         View in force.
     instance : str
-        Own name; rollouts of other services are none of its business.
+        Name of the own instance; only rollouts of its service are evaluated.
     now : float
         Unix time in seconds.
 
     Returns
     -------
     watch : Watch
-        State after.
+        New state.
     observation : Observation, optional
         The open rollout of the own service, if there is one.
     """
     service = _service_of(view, instance)
     members = [entry for entry in view.instances if entry.service == service]
-    store, found = evidence.take_undrained(watch.evidence_store)
+    store, counts = evidence.take_undrained(watch.evidence_store)
     names = [entry.instance for entry in members]
     watch = Watch(
-        evidence_store=evidence.remove_instances(store, names),
+        evidence_store=evidence.retain_instances(store, names),
         heard_at={
             name: at for name, at in watch.heard_at.items() if name in names
         },
         trial=watch.trial,
-        up_since=_note_ages(watch.up_since, members, now),
+        up_since=_update_up_since(watch.up_since, members, now),
     )
     rollout = plans.find_open(view.snapshot, service) if service else None
     if rollout is None:
@@ -145,7 +149,7 @@
         )
     trial = verdicts.observe(
         trial,
-        found,
+        counts,
         service=service,
         share=rollout.share,
         baking=rollout.state is model.RolloutState.BAKING,
@@ -171,8 +175,8 @@
 def _is_first(
     service: str, members: Iterable[model.InstanceRecord], instance: str
 ) -> bool:
-    found = judges.find_judges(service, members)
-    return bool(found) and found[0].instance == instance
+    ranked = judges.find_judges(service, members)
+    return bool(ranked) and ranked[0].instance == instance
 
 
 def _service_of(view: model.View, instance: str) -> str:
@@ -182,21 +186,21 @@
     return ""
 
 
-def _note_ages(
+def _update_up_since(
     known: Mapping[str, tuple[str, float]],
     members: Iterable[model.InstanceRecord],
     now: float,
 ) -> dict[str, tuple[str, float]]:
-    ages: dict[str, tuple[str, float]] = {}
+    updated: dict[str, tuple[str, float]] = {}
     for entry in members:
         if entry.state is not model.InstanceState.UP:
             continue
         before = known.get(entry.instance)
         same = before is not None and before[0] == entry.version
-        ages[entry.instance] = (
+        updated[entry.instance] = (
             before if same and before is not None else (entry.version, now)
         )
-    return ages
+    return updated
 
 
 def _find_withdrawal(view: model.View, rollout: model.Rollout) -> str:
--- a/tests/rollout/test_evidence.py
+++ b/tests/rollout/test_evidence.py
@@ -34,9 +34,13 @@
         finished = evidence.Finished(**fields)
         self.assertIs(kind, evidence.classify(finished))
 
-    def test_callers_faults_and_shedding_count_as_neither(self):
-        """Guards against a good version blamed for its callers or load."""
-        neither = evidence.CallKind.NEITHER
+    def test_caller_faults_and_shedding_count_as_neither(self):
+        """Guards against a good version that is judged by its callers or load.
+
+        A 4xx, load shedding, and a time-out after a short granted time are
+        not failures of the version.
+        """
+        neither = evidence.CallOutcome.NEITHER
         self.check(neither, answered=True, status=404)
         self.check(neither, answered=True, status=503)
         self.check(neither, answered=True, status=503, alone=True, cold=True)
@@ -44,15 +48,18 @@
         self.check(neither, answered=False, timed_out=True, granted_share=0.1)
 
     def test_failures_of_the_version_count(self):
-        """Guards against a bad version whose failures are not seen."""
-        failure = evidence.CallKind.FAILURE
+        """Guards against failures of a bad version that are not counted."""
+        failure = evidence.CallOutcome.FAILURE
         self.check(failure, answered=True, status=500)
         self.check(failure, answered=True, status=503, alone=True)
         self.check(failure, answered=False)
         self.check(failure, answered=False, timed_out=True)
 
-    def test_cold_header_does_not_hide_slowness_for_ever(self):
-        """Guards against a slow version that always calls itself cold."""
+    def test_cold_header_hides_limited_number_of_latencies(self):
+        """Guards against a slow version that always reports that it is cold.
+
+        The latencies of its calls would never be tested.
+        """
         outcomes = evidence.OutcomeCounts()
         finished = evidence.Finished(
             answered=True, status=200, cold=True, duration_ms=50.0
@@ -64,7 +71,7 @@
 
 class ReceiveTest(unittest.TestCase):
     def test_restart_counts_from_zero(self):
-        """Guards against negative counts after a node's restart."""
+        """Guards against negative increases after the restart of a node."""
         store = evidence.EvidenceStore()
         for report in (
             make_report(100),
@@ -81,7 +88,7 @@
         strategies.randoms(use_true_random=False),
     )
     def test_repeated_and_late_reports_change_nothing(self, increments, rng):
-        """Guards against evidence that is counted twice or out of order."""
+        """Guards against calls that repeated or late reports count twice."""
         totals = [7]
         for increment in increments:
             totals.append(totals[-1] + increment)
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -1,4 +1,4 @@
-"""Tests of who judges a rollout and who gets which counts."""
+"""Tests of the choice of judges and of the reports to them."""
 
 import dataclasses
 import unittest
@@ -12,14 +12,14 @@
 from apricotpost.rollout import watch
 from tests.rollout import test_watch
 
-__all__ = ["JudgesTest", "ReportsTest", "TakeOverTest"]
+__all__ = ["JudgesTest", "ReportsTest", "TakeoverTest"]
 
 NAMES = tuple(f"p{number}" for number in range(15))
 ROUTES = ("records", "search", "export")
 
 
 def make_counts(calls, instance="p0"):
-    """Return the counts of a gate, by the calls of each route."""
+    """Return a gate's counts for the given number of calls of each route."""
     return tuple(
         model.Evidence(
             instance=instance,
@@ -36,12 +36,15 @@
 
 
 class JudgesTest(unittest.TestCase):
-    def test_dead_judge_is_replaced_by_the_next(self):
-        """Guards against evidence that goes to nodes that cannot judge."""
+    def test_suspect_judge_is_replaced_by_the_next(self):
+        """Guards against evidence that is sent to nodes that cannot judge.
+
+        These are nodes of other services and nodes that are not up.
+        """
         records = [test_watch.make_instance(name) for name in NAMES]
         records.append(test_watch.make_instance("f", service="fieldbook"))
         first = judges.find_judges("portal", records)
-        self.assertEqual(judges.JUDGES, len(first))
+        self.assertEqual(judges.JUDGE_COUNT, len(first))
         self.assertNotIn("f", [entry.instance for entry in first])
         dead = dataclasses.replace(first[0], state=model.InstanceState.SUSPECT)
         changed = [dead if entry == first[0] else entry for entry in records]
@@ -50,7 +53,7 @@
         self.assertNotIn(after[2], first)
 
     def test_holder_is_the_first_judge(self):
-        """Guards against a holder that is not sent the evidence."""
+        """Guards against a holder that does not receive the evidence."""
         for size in range(1, 8):
             instances = tuple(
                 test_watch.make_instance(name) for name in NAMES[:size]
@@ -61,7 +64,7 @@
             holders = [
                 name
                 for name in NAMES[:size]
-                if test_watch.look(view, name).is_first
+                if test_watch.observe(view, name).is_first
             ]
             first = judges.find_judges("portal", instances)[0]
             self.assertEqual([first.instance], holders)
@@ -72,7 +75,7 @@
         self.state = judges.SentReports()
 
     def plan(self, calls, now, names=("x",)):
-        """Return by judge whether the report is full and its routes."""
+        """Return, by judge, whether its report is full and its routes."""
         self.state, reports = judges.plan_reports(
             self.state, make_counts(calls), names, now
         )
@@ -84,8 +87,8 @@
             for report in reports
         }
 
-    def test_only_changed_routes_go_between_full_reports(self):
-        """Guards against bytes for counts that the judge has."""
+    def test_reports_between_full_ones_have_only_changed_routes(self):
+        """Guards against traffic for counts that the judge already has."""
         full = {"x": (True, list(ROUTES))}
         self.assertEqual(full, self.plan((1, 1, 1), 0.0))
         changed = {"x": (False, ["search"])}
@@ -96,7 +99,10 @@
         self.assertEqual({}, self.plan((1, 2, 1), 6.0))
 
     def test_new_judge_gets_a_full_report(self):
-        """Guards against a judge without a starting point."""
+        """Guards against a new judge without a baseline.
+
+        It must count only the increase since its first full report.
+        """
         self.plan((1, 1, 1), 0.0)
         full = (True, list(ROUTES))
         self.assertEqual(
@@ -107,37 +113,41 @@
         self.assertEqual({"y": full}, self.plan((1, 2, 1), 3.0, ("x", "y")))
 
 
-class TakeOverTest(unittest.TestCase):
+class TakeoverTest(unittest.TestCase):
     def receive(self, state, calls, now, *, full=True):
-        """Return the state and the new calls by route."""
+        """Return the state after a report, and its new calls by route."""
         counts = [entry for entry in make_counts(calls) if entry.calls]
         state = watch.receive(state, counts, full=full, now=now)
         store, found = evidence.take_undrained(state.evidence_store)
-        fresh = {key[2]: entry.calls for key, entry in found.items()}
-        return dataclasses.replace(state, evidence_store=store), fresh
+        new_calls = {key[2]: entry.calls for key, entry in found.items()}
+        return dataclasses.replace(state, evidence_store=store), new_calls
 
     def test_new_judge_counts_from_its_first_full_report(self):
-        """Guards against old calls as new ones, and against none ever."""
-        state, fresh = self.receive(
+        """Guards against calls from before the takeover that count as new.
+
+        A partial report sets no baseline; after the first full one, new
+        calls must count.
+        """
+        state, new_calls = self.receive(
             watch.Watch(), (0, 900, 0), 100.0, full=False
         )
-        self.assertEqual({}, fresh)
-        state, fresh = self.receive(state, (700, 901, 0), 101.0)
-        self.assertEqual({}, fresh)
-        state, fresh = self.receive(state, (0, 904, 1), 102.0, full=False)
-        self.assertEqual({"search": 3, "export": 1}, fresh)
-
-    def test_judge_of_earlier_times_starts_anew(self):
-        """Guards against the calls of a gap as calls of one second."""
+        self.assertEqual({}, new_calls)
+        state, new_calls = self.receive(state, (700, 901, 0), 101.0)
+        self.assertEqual({}, new_calls)
+        state, new_calls = self.receive(state, (0, 904, 1), 102.0, full=False)
+        self.assertEqual({"search": 3, "export": 1}, new_calls)
+
+    def test_returning_judge_starts_from_a_new_baseline(self):
+        """Guards against the calls of a whole gap that count in one second."""
         state, _ = self.receive(watch.Watch(), (10, 10, 10), 100.0)
-        state, fresh = self.receive(state, (11, 0, 0), 115.0, full=False)
-        self.assertEqual({"records": 1}, fresh)
-        state, fresh = self.receive(state, (50, 0, 0), 131.0, full=False)
-        self.assertEqual({}, fresh)
-        state, fresh = self.receive(state, (60, 60, 60), 132.0)
-        self.assertEqual({}, fresh)
-        _, fresh = self.receive(state, (0, 61, 0), 133.0, full=False)
-        self.assertEqual({"search": 1}, fresh)
+        state, new_calls = self.receive(state, (11, 0, 0), 115.0, full=False)
+        self.assertEqual({"records": 1}, new_calls)
+        state, new_calls = self.receive(state, (50, 0, 0), 131.0, full=False)
+        self.assertEqual({}, new_calls)
+        state, new_calls = self.receive(state, (60, 60, 60), 132.0)
+        self.assertEqual({}, new_calls)
+        _, new_calls = self.receive(state, (0, 61, 0), 133.0, full=False)
+        self.assertEqual({"search": 1}, new_calls)
 
     @hypothesis.settings(
         derandomize=True, deadline=None, max_examples=100, database=None
@@ -150,11 +160,12 @@
             max_size=30,
         )
     )
-    def test_lost_reports_lose_and_double_no_calls(self, seconds):
-        """Guards against counts that a lost report leaves wrong."""
+    def test_lost_reports_neither_lose_nor_repeat_calls(self, seconds):
+        """Guards against counts that stay wrong after a lost report."""
         sent, state = judges.SentReports(), watch.Watch()
         calls, now = [5, 5, 5], 0.0
-        # Reports arrive at first and at last; the gap stays below the limit.
+        # The first and the last reports arrive, and no gap between arriving
+        # reports reaches the limit for a new baseline.
         plan = [("search", True), *seconds]
         plan.extend([("search", True)] * 6)
         heard = now
@@ -170,7 +181,7 @@
                         state, report.evidence, full=report.full, now=now
                     )
             now += 1.0
-        _, fresh = evidence.take_undrained(state.evidence_store)
-        found = sum(entry.calls for entry in fresh.values())
-        # The call of the first second belongs to the starting point.
+        _, new_calls = evidence.take_undrained(state.evidence_store)
+        found = sum(entry.calls for entry in new_calls.values())
+        # The call of the first second is part of the baseline.
         self.assertEqual(len(plan) - 1, found)
--- a/tests/rollout/test_quiet.py
+++ b/tests/rollout/test_quiet.py
@@ -28,11 +28,11 @@
         return steps.decide(rollout, judgement, FACTS, 0.0, steps.Times())
 
     def test_quiet_service_starts_with_a_larger_share(self):
-        """Guards against a rollout that never sees 20 calls of 1 %."""
+        """Guards against a first share of 1 % that never gives 20 calls."""
         decision = self.decide(calls_per_second=30.0, seconds_left=300.0)
         self.assertEqual(steps.Advance(share=50), decision)
 
     def test_busy_service_starts_with_the_smallest_share(self):
-        """Guards against more calls to a bad version than are needed."""
+        """Guards against more calls to a bad version than its test needs."""
         decision = self.decide(calls_per_second=1000.0, seconds_left=300.0)
         self.assertEqual(steps.Advance(share=10), decision)
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -18,7 +18,7 @@
 
 
 def make_rollout(share=50, state=model.RolloutState.RUNNING):
-    """Return a rollout that has to be complete at 1120."""
+    """Return a rollout whose finish_by is 1120."""
     return model.Rollout(
         identifier="r",
         service="portal",
@@ -54,13 +54,13 @@
         )
 
     def test_step_needs_fresh_evidence(self):
-        """Guards against a share that rises on old evidence."""
+        """Guards against a share that rises on stale evidence."""
         self.assertEqual(steps.Advance(share=250), self.decide(1030.0))
-        held = self.decide(1030.0, heard_at=1020.0)
-        self.assertIsInstance(held, steps.Hold)
+        decision = self.decide(1030.0, heard_at=1020.0)
+        self.assertIsInstance(decision, steps.Hold)
 
     def test_step_needs_servers_with_room(self):
-        """Guards against more calls than the new servers can bear."""
+        """Guards against more calls than the new servers can handle."""
         for change in (
             {"new_servers": 0},
             {"new_slots": 0},
@@ -72,14 +72,14 @@
                 self.assertIsInstance(
                     self.decide(1030.0, facts=facts), steps.Hold
                 )
-        # Eleven slots are enough when few calls are in work.
+        # Eleven slots are enough when few calls are in progress.
         facts = dataclasses.replace(SERVERS, new_slots=11)
         self.assertIsInstance(
             self.decide(1030.0, facts=facts, busy_slots=10.0), steps.Advance
         )
 
     def test_full_share_in_time_or_withdrawn(self):
-        """Guards against full share less than 10 s before finish_by."""
+        """Guards against full share later than 10 s before finish_by."""
         last = make_rollout(share=500)
         self.assertIsInstance(
             self.decide(1105.0, rollout=last), steps.StartBaking
@@ -87,11 +87,11 @@
         self.assertIsInstance(
             self.decide(1107.0, rollout=last), steps.Withdraw
         )
-        # Three steps of 5 s no longer fit.
+        # The time left is too short for the remaining steps of 5 s.
         self.assertIsInstance(self.decide(1100.0), steps.Withdraw)
 
     def test_late_evidence_withdraws_while_baking(self):
-        """Guards against a bad version kept because it is complete."""
+        """Guards against a bad version that is kept once it has full share."""
         baking = make_rollout(share=980, state=model.RolloutState.BAKING)
         self.assertIsInstance(
             self.decide(1010.0, rollout=baking, bad="fails"), steps.Withdraw
@@ -102,7 +102,7 @@
         )
 
     def test_recent_servers_are_cold(self):
-        """Guards against a step onto servers that just came up."""
+        """Guards against a step that relies on servers that just came up."""
         record = model.InstanceRecord(
             instance="i",
             data_centre="d",
@@ -123,7 +123,7 @@
 
 class PlanTest(unittest.TestCase):
     def test_refusals(self):
-        """Guards against a rollout that cannot work being accepted."""
+        """Guards against accepting a rollout that cannot succeed."""
         first = make_snapshot()
         second = rollouts.plan_rollout(first, "portal", "v2", 2000.0, 1000.0)
         for snapshot, service, version, finish_by, reason in (
--- a/tests/rollout/test_traces.py
+++ b/tests/rollout/test_traces.py
@@ -1,4 +1,4 @@
-"""Replay of recorded rollouts against their stated outcomes."""
+"""Replay of recorded rollouts against their recorded outcomes."""
 
 import json
 import pathlib
@@ -27,11 +27,11 @@
 
 
 class TraceTest(unittest.TestCase):
-    def test_every_trace_ends_as_stated(self):
+    def test_every_trace_ends_as_recorded(self):
         """Guards against good versions withdrawn and bad ones kept.
 
-        Each look at the evidence must lead to the step that the trace
-        recorded, at the same time, and the last one to the outcome.
+        Each evaluation must lead to the decision that the trace recorded
+        at that time, and the last one to the recorded outcome.
         """
         paths = sorted(FOLDER.glob("rollout-*.jsonl"))
         self.assertGreaterEqual(len(paths), 19)
@@ -57,14 +57,17 @@
                 view, share = self.configure(view, event, decision, share)
                 decision = None
             elif kind == "evidence":
-                self.assertIsNone(decision, "a step is missing")
+                self.assertIsNone(
+                    decision, "the trace has no step for the last decision"
+                )
                 # Traces leave out unchanged counts and have no lost reports,
-                # so the time of a report says nothing about a gap.
+                # so a long time between two reports is no gap: all reports
+                # are received at the same time.
                 state = watch.receive(
                     state, _decode(event["counts"]), full=True, now=0.0
                 )
             elif kind == "look":
-                state, decision = _look(state, view, event["at"])
+                state, decision = _evaluate(state, view, event["at"])
             else:
                 self.check_end(event["state"], decision)
 
@@ -95,7 +98,7 @@
     ]
 
 
-def _look(state, view, at):
+def _evaluate(state, view, at):
     instance = view.instances[0].instance
     state, observation = watch.evaluate(state, view, instance=instance, now=at)
     decision = steps.decide(
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -1,4 +1,4 @@
-"""Tests of short rollouts against played versions."""
+"""Tests of short rollouts with simulated versions."""
 
 import random
 import unittest
@@ -15,8 +15,17 @@
 SECONDS = 15.0
 
 
-class Played:
-    """Plays a service whose new version behaves as a function says."""
+class SimulatedRollout:
+    """Simulation of a service during a rollout.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random numbers.
+    new, old : callable
+        Failure rate and latency factor of a version, from the time in
+        seconds and the load of its server (1 is the full load).
+    """
 
     def __init__(self, *, seed, new, old=None):
         self.rng = random.Random(seed)
@@ -36,14 +45,15 @@
         )
         self.exposed = 0
         self.bad_answers = 0
-        self.fiftieth = None
+        self.fiftieth_at = None
 
-    def play(self):
+    def run(self):
         now = 0.0
         while now < SECONDS and self.trial.phase not in trials.FINAL:
             now += 0.05
             self.serve(now)
-            # Nodes report at different moments, and more often under load.
+            # Nodes report at different times, and more often in the phases
+            # of LOADED.
             period = 5 if self.trial.phase in trials.LOADED else 10
             for offset, version in enumerate(self.versions):
                 if (round(now / 0.05) + 3 * offset) % period == 0:
@@ -59,25 +69,28 @@
 
     def serve(self, now):
         share = trials.new_version_share(self.trial, SERVERS)
-        # Load of a server, as a part of what it has after the rollout.
+        # Load of a server of the new version, as a fraction of its load after
+        # the rollout.
         load = share
         if self.trial.phase is trials.Phase.MOVING:
             load = share * SERVERS
         for _ in range(int(RATE * 0.05)):
             version = "v2" if self.rng.random() < share else "v1"
-            failing, slower = self.versions[version](now, load)
-            failed = self.rng.random() < failing
+            failure_rate, latency_factor = self.versions[version](now, load)
+            failed = self.rng.random() < failure_rate
             self.exposed += version == "v2"
-            if version == "v2" and (failed or slower > 3):
+            if version == "v2" and (failed or latency_factor > 3):
                 self.bad_answers += 1
                 if self.bad_answers == 50:
-                    self.fiftieth = now
+                    self.fiftieth_at = now
             known = self.counts.get(version, evidence.Counts())
             latencies = known.latencies
             if not failed:
-                ran = 160 * slower * self.rng.lognormvariate(-0.125, 0.5)
+                latency_ms = (
+                    160 * latency_factor * self.rng.lognormvariate(-0.125, 0.5)
+                )
                 latencies = evidence.increment(
-                    latencies, evidence.bucket_of(ran)
+                    latencies, evidence.bucket_of(latency_ms)
                 )
             self.counts[version] = evidence.Counts(
                 calls=known.calls + 1,
@@ -105,60 +118,64 @@
 class TrialTest(unittest.TestCase):
     def check_bad(self, new):
         for seed in range(10):
-            played = Played(seed=seed, new=new)
-            now = played.play()
-            self.assertIs(trials.Phase.ROLLED_BACK, played.trial.phase)
+            rollout = SimulatedRollout(seed=seed, new=new)
+            now = rollout.run()
+            self.assertIs(trials.Phase.ROLLED_BACK, rollout.trial.phase)
             allowed = 0.1 * RATE * SECONDS + 50
-            self.assertLessEqual(played.exposed, allowed)
-            if played.fiftieth is not None:
-                self.assertLessEqual(now - played.fiftieth, 5.0)
+            self.assertLessEqual(rollout.exposed, allowed)
+            if rollout.fiftieth_at is not None:
+                self.assertLessEqual(now - rollout.fiftieth_at, 5.0)
 
     def test_good_version_is_completed_in_time(self):
-        """Guards against good versions that are not finished."""
+        """Guards against good versions that are not completed in time."""
         for seed in range(20):
-            played = Played(seed=seed, new=lambda now, load: (0.001, 1.0))
-            now = played.play()
-            self.assertIs(trials.Phase.COMPLETED, played.trial.phase)
+            rollout = SimulatedRollout(
+                seed=seed, new=lambda now, load: (0.001, 1.0)
+            )
+            now = rollout.run()
+            self.assertIs(trials.Phase.COMPLETED, rollout.trial.phase)
             self.assertLess(now, SECONDS - 2.0)
 
-    def test_version_on_slow_copies_is_good(self):
-        """Guards against a good version that only has slower servers."""
+    def test_version_on_slow_servers_is_good(self):
+        """Guards against the rollback of a good version on slower servers."""
         for seed in range(10):
-            played = Played(seed=seed, new=lambda now, load: (0.001, 1.6))
-            played.play()
-            self.assertIs(trials.Phase.COMPLETED, played.trial.phase)
+            rollout = SimulatedRollout(
+                seed=seed, new=lambda now, load: (0.001, 1.6)
+            )
+            rollout.run()
+            self.assertIs(trials.Phase.COMPLETED, rollout.trial.phase)
 
     def test_failing_version_is_rolled_back(self):
         """Guards against a version that fails half of its requests."""
         self.check_bad(lambda now, load: (0.5, 1.0))
 
     def test_slow_version_is_rolled_back(self):
-        """Guards against a version that answers eight times slower."""
+        """Guards against a version that is periodically eight times slower."""
         self.check_bad(
             lambda now, load: (0.0, 8.0 if now * 20 % 2 < 1 else 1.0)
         )
 
-    def test_late_failures_are_found(self):
-        """Guards against a version that is good for its first seconds."""
+    def test_failures_that_begin_later_are_found(self):
+        """Guards against a version that fails only after its first seconds."""
         self.check_bad(lambda now, load: (0.45 if now > 3 else 0.0, 1.0))
 
     def test_failures_under_load_are_found_before_the_end(self):
-        """Guards against a version that fails under the whole load only."""
+        """Guards against a version that fails only under full load."""
         self.check_bad(lambda now, load: (0.5 if load > 0.9 else 0.0, 1.0))
 
     def test_fault_of_both_versions_is_no_evidence(self):
-        """Guards against a rollback for a failing dependency."""
+        """Guards against a rollback for a fault of a shared dependency."""
 
         def both(now, load):
             return (0.4 if 3 < now < 6 else 0.001, 1.0)
 
         for seed in range(10):
-            played = Played(seed=seed, new=both, old=both)
-            played.play()
-            self.assertIs(trials.Phase.COMPLETED, played.trial.phase)
+            rollout = SimulatedRollout(seed=seed, new=both, old=both)
+            rollout.run()
+            self.assertIs(trials.Phase.COMPLETED, rollout.trial.phase)
 
     def test_final_phases_stay(self):
-        """Guards against a withdrawn version that comes back."""
+        """Guards against a rolled-back version that gets requests again."""
         phases = trials.Phase
         self.assertFalse(
             trials.may_follow(phases.ROLLED_BACK, phases.COMPLETED)
--- a/tests/rollout/test_verdicts.py
+++ b/tests/rollout/test_verdicts.py
@@ -1,4 +1,4 @@
-"""Tests of the verdict on single situations."""
+"""Tests of the judgement on a new version in single situations."""
 
 import unittest
 
@@ -7,10 +7,10 @@
 
 __all__ = ["VerdictTest"]
 
-FAST, SLOW = 3, 9
+FAST_BUCKET, SLOW_BUCKET = 3, 9
 
 
-def make_counts(calls, failures=0, bucket=FAST):
+def make_counts(calls, failures=0, bucket=FAST_BUCKET):
     """Return counts whose successes share one latency bucket."""
     latencies = (0,) * bucket + (calls - failures,)
     return evidence.Counts(calls=calls, failures=failures, latencies=latencies)
@@ -23,8 +23,13 @@
             rollout="r", old="v1", new="v2", share=10, now=self.now
         )
 
-    def feed(self, seconds, new, old, *, share=10, baking=False, route="a"):
-        """Feed the same counts each second until a verdict."""
+    def observe_for(
+        self, seconds, new, old, *, share=10, baking=False, route="a"
+    ):
+        """Observe the same counts each second until the version is bad.
+
+        Return the number of seconds, or None if the version is not bad.
+        """
         for second in range(seconds):
             self.now += 1.0
             found = {}
@@ -46,39 +51,48 @@
 
     def test_failing_version_is_found_within_few_calls(self):
         """Guards against many calls to a version that always fails."""
-        seconds = self.feed(30, make_counts(1, 1), make_counts(99))
+        seconds = self.observe_for(30, make_counts(1, 1), make_counts(99))
         self.assertIsNotNone(seconds)
         self.assertLessEqual(seconds, 12)
 
     def test_general_fault_is_no_evidence(self):
-        """Guards against a withdrawal for a failing dependency."""
-        self.feed(20, make_counts(5), make_counts(95))
+        """Guards against a withdrawal for a fault of a shared dependency."""
+        self.observe_for(20, make_counts(5), make_counts(95))
         self.assertIsNone(
-            self.feed(30, make_counts(5, 4), make_counts(95, 76))
+            self.observe_for(30, make_counts(5, 4), make_counts(95, 76))
         )
         self.assertIsNone(
-            self.feed(
-                30, make_counts(5, bucket=SLOW), make_counts(95, bucket=SLOW)
+            self.observe_for(
+                30,
+                make_counts(5, bucket=SLOW_BUCKET),
+                make_counts(95, bucket=SLOW_BUCKET),
             )
         )
 
-    def test_onset_that_reaches_one_report_earlier_is_no_evidence(self):
-        """Guards against a verdict on reports that are a second apart."""
-        self.feed(20, make_counts(50), make_counts(50), share=500)
-        self.feed(2, make_counts(50, 50), make_counts(50), share=500)
+    def test_fault_reported_earlier_for_one_version_is_no_evidence(self):
+        """Guards against a withdrawal because reports are a second apart.
+
+        A fault of both versions then appears first in the counts of one.
+        """
+        self.observe_for(20, make_counts(50), make_counts(50), share=500)
+        self.observe_for(2, make_counts(50, 50), make_counts(50), share=500)
         self.assertIsNone(
-            self.feed(20, make_counts(50, 50), make_counts(50, 50), share=500)
+            self.observe_for(
+                20, make_counts(50, 50), make_counts(50, 50), share=500
+            )
         )
 
     def test_failing_old_version_does_not_harm_the_new_one(self):
-        """Guards against a good version kept back by a bad old one."""
-        self.assertIsNone(self.feed(30, make_counts(5), make_counts(95, 40)))
+        """Guards against a good version that is held because the old fails."""
+        self.assertIsNone(
+            self.observe_for(30, make_counts(5), make_counts(95, 40))
+        )
         self.assertEqual("", verdicts.judge(self.trial).doubt)
 
     def test_late_fault_after_full_share_is_found(self):
-        """Guards against good history that outweighs a late fault."""
-        self.feed(120, make_counts(98), make_counts(2), share=980)
-        seconds = self.feed(
+        """Guards against a late fault that is missed after a good history."""
+        self.observe_for(120, make_counts(98), make_counts(2), share=980)
+        seconds = self.observe_for(
             20,
             make_counts(98, 60),
             make_counts(2),
@@ -87,24 +101,33 @@
         )
         self.assertIsNotNone(seconds)
 
-    def test_small_slowdown_under_the_whole_load_is_no_evidence(self):
-        """Guards against a good version blamed for 49 times the calls."""
-        slower = make_counts(98, bucket=FAST + 1)
-        self.feed(60, make_counts(98), make_counts(2), share=980)
+    def test_small_slowdown_under_full_load_is_no_evidence(self):
+        """Guards against a withdrawal for the load of 49 times the calls."""
+        slower = make_counts(98, bucket=FAST_BUCKET + 1)
+        self.observe_for(60, make_counts(98), make_counts(2), share=980)
         self.assertIsNone(
-            self.feed(60, slower, make_counts(2), share=980, baking=True)
+            self.observe_for(
+                60, slower, make_counts(2), share=980, baking=True
+            )
         )
         self.assertIsNotNone(
-            self.feed(60, make_counts(50, bucket=FAST + 1), make_counts(50))
+            self.observe_for(
+                60, make_counts(50, bucket=FAST_BUCKET + 1), make_counts(50)
+            )
         )
 
     def test_route_of_the_new_version_only(self):
-        """Guards against a new route that fails without comparison."""
-        self.feed(5, make_counts(10), make_counts(90))
-        self.assertIsNone(self.feed(10, make_counts(5), None, route="new"))
+        """Guards against a new route whose failures are not tested.
+
+        The old version has no calls on it to compare with.
+        """
+        self.observe_for(5, make_counts(10), make_counts(90))
+        self.assertIsNone(
+            self.observe_for(10, make_counts(5), None, route="new")
+        )
         for _ in range(30):
-            self.feed(1, make_counts(10), make_counts(90))
-            self.feed(1, make_counts(5, 4), None, route="new")
+            self.observe_for(1, make_counts(10), make_counts(90))
+            self.observe_for(1, make_counts(5, 4), None, route="new")
             pooled = {
                 ("portal", "v2", "new"): make_counts(5, 4),
                 ("portal", "v1", "a"): make_counts(90),
@@ -122,17 +145,17 @@
         self.assertIn("route new", self.trial.bad)
 
     def test_route_without_usable_answers_is_in_doubt(self):
-        """Guards against a step while a route answers 404 in v2 only."""
-        self.feed(10, make_counts(50), make_counts(50), share=500)
-        self.feed(10, None, make_counts(50), share=500, route="b")
+        """Guards against a step while only the new version answers 404."""
+        self.observe_for(10, make_counts(50), make_counts(50), share=500)
+        self.observe_for(10, None, make_counts(50), share=500, route="b")
         self.assertIn("route b", verdicts.judge(self.trial).doubt)
 
     def test_few_calls_are_not_enough(self):
-        """Guards against a step forward on almost no evidence."""
-        self.feed(19, make_counts(1), make_counts(99))
+        """Guards against a step on too few calls."""
+        self.observe_for(19, make_counts(1), make_counts(99))
         self.assertIn("20 are needed", verdicts.judge(self.trial).doubt)
-        self.feed(1, make_counts(1), make_counts(99))
+        self.observe_for(1, make_counts(1), make_counts(99))
         self.assertEqual("", verdicts.judge(self.trial).doubt)
-        # A new step needs new calls.
-        self.feed(1, make_counts(5), make_counts(95), share=50)
+        # The calls are counted from zero in each step.
+        self.observe_for(1, make_counts(5), make_counts(95), share=50)
         self.assertIn("20 are needed", verdicts.judge(self.trial).doubt)
--- a/tests/rollout/test_watch.py
+++ b/tests/rollout/test_watch.py
@@ -1,4 +1,4 @@
-"""Tests of what a node sees of the rollout of its own service."""
+"""Tests of how a node evaluates the rollout of its own service."""
 
 import dataclasses
 import unittest
@@ -47,24 +47,24 @@
     return model.View(snapshot=planned, instances=instances)
 
 
-def look(view, instance, state=None, now=1001.0):
-    """Return what an instance sees."""
+def observe(view, instance, state=None, now=1001.0):
+    """Return the observation of an instance."""
     return watch.evaluate(
         state or watch.Watch(), view, instance=instance, now=now
     )[1]
 
 
 class WatchTest(unittest.TestCase):
-    def test_node_of_another_service_sees_nothing(self):
+    def test_node_of_another_service_has_no_observation(self):
         """Guards against work that grows with the number of services."""
-        self.assertIsNone(look(make_view(), "f"))
-        self.assertIsNotNone(look(make_view(), "p1"))
+        self.assertIsNone(observe(make_view(), "f"))
+        self.assertIsNotNone(observe(make_view(), "p1"))
 
     def test_one_live_node_is_first_and_the_next_takes_over(self):
-        """Guards against no holder, or two, while all views agree."""
+        """Guards against no holder or two holders while all views agree."""
         view = make_view()
         names = ("p1", "p2", "p3")
-        first = [name for name in names if look(view, name).is_first]
+        first = [name for name in names if observe(view, name).is_first]
         self.assertEqual(1, len(first))
         instances = tuple(
             (
@@ -75,12 +75,12 @@
             for entry in view.instances
         )
         view = dataclasses.replace(view, instances=instances)
-        after = [name for name in names if look(view, name).is_first]
+        after = [name for name in names if observe(view, name).is_first]
         self.assertEqual(1, len(after))
         self.assertNotEqual(first, after)
 
-    def test_withdrawal_of_this_rollout_only(self):
-        """Guards against an old notice that ends a new rollout."""
+    def test_only_withdrawal_of_this_rollout_counts(self):
+        """Guards against an old withdrawal that ends a new rollout."""
         view = make_view()
         for rollout, expected in (
             (view.snapshot.rollouts[0].identifier, "fails"),
@@ -93,11 +93,13 @@
                 reason="fails",
                 at=1000.0,
             )
-            seen = look(dataclasses.replace(view, withdrawals=(notice,)), "p1")
-            self.assertEqual(expected, seen.facts.withdrawn)
+            observation = observe(
+                dataclasses.replace(view, withdrawals=(notice,)), "p1"
+            )
+            self.assertEqual(expected, observation.facts.withdrawn)
 
     def test_server_that_changes_its_version_is_cold_again(self):
-        """Guards against slots that are counted before the warm-up."""
+        """Guards against slots that count as warm after a version change."""
         view = make_view()
         state, _ = watch.evaluate(
             watch.Watch(), view, instance="p1", now=1000.0
@@ -111,6 +113,6 @@
             for entry in view.instances
         )
         changed = dataclasses.replace(view, instances=instances)
-        seen = look(changed, "p1", state=state, now=1020.0)
-        self.assertEqual(2, seen.facts.new_servers)
-        self.assertEqual(12, seen.facts.new_slots)
+        observation = observe(changed, "p1", state=state, now=1020.0)
+        self.assertEqual(2, observation.facts.new_servers)
+        self.assertEqual(12, observation.facts.new_slots)
