--- a/apricotpost/membership/__init__.py
+++ b/apricotpost/membership/__init__.py
@@ -2,6 +2,7 @@
 
 import lazy_loader
 
-# Modules are imported on first use: a process that needs a few of them starts
-# faster and takes less memory. The names stand in the stub beside this file.
+# Modules are imported on first use, which shortens the start and saves memory
+# in processes that need only some of them. The stub beside this file lists the
+# names.
 __getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -1,4 +1,4 @@
-"""Joins, repairs, expiry and what messages tell about their senders."""
+"""Joins, periodic comparison of records, and expiry."""
 
 import dataclasses
 import random
@@ -12,7 +12,7 @@
     "expire",
     "handle",
     "record_contact",
-    "live_names",
+    "live_peer_names",
     "maintain",
     "send_to",
 ]
@@ -21,10 +21,10 @@
 def handle(
     state: members.Membership, event: members.Received, now: float
 ) -> members.Step:
-    """Handle the messages that exchange all records."""
+    """Handle joins, full exchanges of records and digests."""
     message = event.message
     if isinstance(message, wire.Members):
-        state = records.merge(state, message.records, now, passes_on=False)
+        state = records.merge(state, message.records, now, disseminate=False)
         return state, ()
     if isinstance(message, wire.Join):
         state = records.merge(state, (message.record,), now)
@@ -46,34 +46,41 @@
     message: wire.Ping | wire.Ack,
     now: float,
 ) -> members.Membership:
-    """Take over what a probe or its answer tells."""
+    """Merge the records and the version that a probe or its answer carries."""
     state = records.merge(state, message.records, now)
     return _record_version(state, message.sender, message.version, now)
 
 
-def live_names(state: members.Membership) -> list[str]:
-    """List the other instances that are not gone, sorted."""
+def live_peer_names(state: members.Membership) -> list[str]:
+    """Return the sorted names of the other instances, live ones only.
+
+    Instances that are leaving or down are not live.
+    """
     return sorted(
         name
         for name, member in state.members.items()
-        if name != state.own and not records.is_gone(member.record)
+        if name != state.own and not records.is_leaving_or_down(member.record)
     )
 
 
 def expire(state: members.Membership, now: float) -> members.Membership:
-    """Declare suspects down and forget instances that are long gone."""
+    """Declare suspects down and remove expired records.
+
+    Indirect probes that are older than a period are removed as well.
+    """
     limit = now - state.parameters.suspicion_seconds
-    for name, since in tuple(state.suspects.items()):
+    for name, suspected_at in tuple(state.suspects.items()):
         member = state.members.get(name)
-        if since > limit or member is None:
+        if suspected_at > limit or member is None:
             continue
         if state.record.state is model.InstanceState.LEAVING:
-            # Nobody tells a leaving node of a refutation any more, and its
-            # last calls still need the suspect.
+            # Other nodes no longer probe a leaving node, so a refutation
+            # might not reach it, and its last calls may need the suspect.
             continue
         if records.is_partitioned(state, member.record.data_centre):
-            # When the cut ends, the rest gets twice the time to refute,
-            # since all of them do so at once.
+            # While a data centre is partitioned, its suspects get twice the
+            # time to refute, since all of them refute at once when the
+            # partition ends.
             later = now + state.parameters.suspicion_seconds
             state = dataclasses.replace(
                 state, suspects={**state.suspects, name: later}
@@ -82,29 +89,29 @@
         down = dataclasses.replace(
             member.record, state=model.InstanceState.DOWN
         )
-        state = records.put(state, down, now)
-    relays = {
-        sequence: relay
-        for sequence, relay in state.relays.items()
-        if now - relay.started_at < state.parameters.period_seconds
+        state = records.store_record(state, down, now)
+    indirect_probes = {
+        sequence: indirect_probe
+        for sequence, indirect_probe in state.indirect_probes.items()
+        if now - indirect_probe.started_at < state.parameters.period_seconds
     }
-    if len(relays) != len(state.relays):
-        state = dataclasses.replace(state, relays=relays)
-    if now < state.expire_at:
+    if len(indirect_probes) != len(state.indirect_probes):
+        state = dataclasses.replace(state, indirect_probes=indirect_probes)
+    if now < state.next_expiry_at:
         return state
     centres = {entry.record.data_centre for entry in state.members.values()}
-    cut_off = {c for c in centres if records.is_partitioned(state, c)}
+    partitioned = {c for c in centres if records.is_partitioned(state, c)}
     parameters = state.parameters
     kept = {
         name: member
         for name, member in state.members.items()
         if name == state.own
-        or not records.is_gone(member.record)
-        or now - member.since
+        or not records.is_leaving_or_down(member.record)
+        or now - member.recorded_at
         < parameters.expiry_seconds
         * (
-            parameters.cut_off_expiries
-            if member.record.data_centre in cut_off
+            parameters.partition_expiry_factor
+            if member.record.data_centre in partitioned
             else 1
         )
     }
@@ -112,38 +119,43 @@
         state,
         members=kept,
         revision=state.revision + (len(kept) < len(state.members)),
-        expire_at=now + state.parameters.expiry_seconds / 10,
+        next_expiry_at=now + state.parameters.expiry_seconds / 10,
     )
 
 
 def maintain(
     state: members.Membership, rng: random.Random, now: float
 ) -> members.Step:
-    """Compare records with a random peer and try a down instance."""
+    """Compare records with a random peer and probe a random down instance.
+
+    Each is done when its interval is over.
+    """
     actions: list[members.Action] = []
     parameters = state.parameters
-    if now >= state.repair_at:
+    if now >= state.next_sync_at:
         state = dataclasses.replace(
-            state, repair_at=now + parameters.repair_seconds
+            state, next_sync_at=now + parameters.sync_interval_seconds
         )
-        names = live_names(state)
+        names = live_peer_names(state)
         if names:
             request = wire.MembersRequest(
                 sender=state.own, digest=records.compute_digest(state)
             )
             actions.append(send_to(state, rng.choice(names), request))
-    if now >= state.revive_at:
+    if now >= state.next_down_probe_at:
         state = dataclasses.replace(
-            state, revive_at=now + parameters.revive_seconds
+            state,
+            next_down_probe_at=now + parameters.down_probe_interval_seconds,
         )
-        gone = sorted(
+        down = sorted(
             name
             for name, member in state.members.items()
             if member.record.state is model.InstanceState.DOWN
         )
-        if gone:
-            target = state.members[rng.choice(gone)].record
-            # Sequence 0 belongs to no probe; the answer refutes the record.
+        if down:
+            target = state.members[rng.choice(down)].record
+            # Sequence 0 matches no probe. If the instance is alive, its answer
+            # refutes the enclosed record.
             ping = wire.Ping(
                 sender=state.own,
                 sequence=0,
@@ -173,17 +185,17 @@
         members.Reply(
             reply_to=reply_to,
             message=wire.Members(
-                sender=state.own, records=tuple(found[at : at + size])
+                sender=state.own, records=tuple(found[start : start + size])
             ),
         )
-        for at in range(0, len(found), size)
+        for start in range(0, len(found), size)
     )
 
 
 def send_to(
     state: members.Membership, name: str, message: wire.Message
 ) -> members.Send:
-    """Address a message to a member."""
+    """Return the action that sends a message to a member."""
     return members.Send(
         address=state.members[name].record.control_address, message=message
     )
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -1,4 +1,4 @@
-"""Nodes of the fleet as they describe themselves."""
+"""States that the nodes of the fleet publish about themselves."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -20,17 +20,20 @@
     "record_contact",
 ]
 
-# States come every half a second within a data centre; two may be late.
+# Nodes send their state every 0.5 s within a data centre; two may be late.
 SILENT_SECONDS = 1.6
-# Nodes of a data centre that look for the return of the store, and the pause
-# of those that have others to do so.
-PROBERS = 2
+# Nodes of each data centre that probe an unreachable store often, and the
+# pause between the probes of the other nodes.
+PROBING_NODES = 2
 SLOW_PROBE_SECONDS = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KnownNode:
-    """Newest state of a node, and when it was heard, in monotonic seconds."""
+    """Newest state of a node and when the node was last heard from.
+
+    ``heard_at`` is in monotonic seconds.
+    """
 
     state: wire.NodeState
     heard_at: float
@@ -42,7 +45,7 @@
     Parameters
     ----------
     node, data_centre : str
-        The node that keeps this.
+        Name and data centre of the node that holds this object.
     """
 
     def __init__(self, *, node: str, data_centre: str) -> None:
@@ -54,20 +57,25 @@
 def record_state(
     fleet: Fleet, state: wire.NodeState, now: float, *, age: float = 0.0
 ) -> bool:
-    """Take a state and tell whether the node's process is a new one.
+    """Store a state unless a newer one of the node is known.
 
-    States may overtake each other; an older one changes nothing.
+    States can arrive out of order.
 
     Parameters
     ----------
     fleet : Fleet
         Known nodes.
     state : wire.NodeState
-        The state.
+        Received state.
     now : float
         Monotonic time, in seconds.
     age : float
-        How long ago the node was heard by the one that handed it on.
+        How long ago the forwarding node heard from the node, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether the state comes from a new process of the node.
     """
     known = fleet.nodes.get(state.node)
     if known is not None:
@@ -79,14 +87,14 @@
 
 
 def record_contact(fleet: Fleet, node: str, now: float) -> None:
-    """Note a sign of life that is not a state."""
+    """Record that a message other than a state came from a node."""
     known = fleet.nodes.get(node)
     if known is not None:
         fleet.nodes[node] = dataclasses.replace(known, heard_at=now)
 
 
 def set_address(fleet: Fleet, node: str, address: str) -> None:
-    """Note the address at which a silent node has registered."""
+    """Set the address at which a silent node has registered with the store."""
     known = fleet.nodes[node]
     state = msgspec.structs.replace(known.state, address=address)
     fleet.nodes[node] = dataclasses.replace(known, state=state)
@@ -95,17 +103,17 @@
 def live_nodes(
     fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
 ) -> Iterable[wire.NodeState]:
-    """Yield the nodes that were heard within a time, in seconds."""
+    """Yield the states of the nodes heard from within a time, in seconds."""
     for known in fleet.nodes.values():
         if now - known.heard_at <= within:
             yield known.state
 
 
 def is_reader(fleet: Fleet, now: float, *, reaches_store: bool) -> bool:
-    """Tell whether this node watches the store for its data centre.
+    """Return whether this node watches the store for its data centre.
 
-    The first node by name that reaches the store does. A node that cannot
-    hear the others watches by itself.
+    The first live node by name that reaches the store is the reader. A node
+    that hears from no other node is a reader if it reaches the store.
     """
     if not reaches_store:
         return False
@@ -120,11 +128,11 @@
 
 
 def probe_seconds(fleet: Fleet, now: float) -> float:
-    """Return how long a node that lost the store waits between its probes.
+    """Return the minimum pause between probes of an unreachable store.
 
-    Two nodes of each data centre probe often. The others get the orders from
-    their neighbours, and hundreds of nodes would else call a store that has
-    just returned.
+    The pause is in seconds. It is 0 for two nodes of each data centre. The
+    others get the orders from their neighbours; otherwise hundreds of nodes
+    would call a store that has just become reachable again.
 
     Parameters
     ----------
@@ -133,20 +141,20 @@
     now : float
         Monotonic time, in seconds.
     """
-    before = 0
+    preceding = 0
     for state in live_nodes(fleet, now):
         if state.node == fleet.node or state.data_centre != fleet.data_centre:
             continue
         if state.store and not state.leaving:
             return SLOW_PROBE_SECONDS
-        before += state.node < fleet.node
-    return SLOW_PROBE_SECONDS if before >= PROBERS else 0.0
+        preceding += state.node < fleet.node
+    return SLOW_PROBE_SECONDS if preceding >= PROBING_NODES else 0.0
 
 
 def silent_data_centres(
     fleet: Fleet, now: float, data_centres: Iterable[str], *, within: float
 ) -> tuple[str, ...]:
-    """Return the data centres of which no node was heard within a time.
+    """Return the data centres without a node heard from in a given time.
 
     Parameters
     ----------
@@ -155,15 +163,15 @@
     now : float
         Monotonic time, in seconds.
     data_centres : iterable of str
-        All data centres.
+        Names of all data centres.
     within : float
-        In seconds.
+        Length of that time, in seconds.
     """
-    heard = {s.data_centre for s in live_nodes(fleet, now, within=within)}
-    heard.add(fleet.data_centre)
-    return tuple(name for name in data_centres if name not in heard)
+    live = {s.data_centre for s in live_nodes(fleet, now, within=within)}
+    live.add(fleet.data_centre)
+    return tuple(name for name in data_centres if name not in live)
 
 
 def newest_orders(fleet: Fleet) -> int:
-    """Return the newest store revision that any node holds."""
+    """Return the highest orders' revision that any known node holds."""
     return max((k.state.orders for k in fleet.nodes.values()), default=0)
--- a/apricotpost/membership/members.py
+++ b/apricotpost/membership/members.py
@@ -1,4 +1,4 @@
-"""State, events and actions of the failure detection."""
+"""State, events and actions of the failure detector."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -15,7 +15,7 @@
     "Parameters",
     "Probe",
     "Received",
-    "Relay",
+    "IndirectProbe",
     "Reply",
     "Send",
     "Step",
@@ -26,58 +26,67 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Parameters:
-    """Times in seconds and bounds of the failure detection."""
+    """Intervals, time-outs and limits of the failure detector."""
 
     period_seconds: float = 1.0
-    probe_seconds: float = 0.3
-    indirect_probes: int = 2
+    probe_timeout_seconds: float = 0.3
+    indirect_probe_count: int = 2
     suspicion_seconds: float = 3.0
     expiry_seconds: float = 600.0
-    # Regions lose each other for an hour; their records outlast that.
-    cut_off_expiries: int = 12
-    # A repair compares digests, so it costs little where nothing is missing.
-    repair_seconds: float = 60.0
-    # Down instances are tried now and then, so that both sides of a cut
-    # within a data centre find each other again.
-    revive_seconds: float = 10.0
-    # With this bound a probe stays below 2 KB.
+    # Records of a partitioned data centre are kept this many times as long:
+    # partitions between regions can last an hour.
+    partition_expiry_factor: int = 12
+    # A comparison sends a digest, and the records only if the digests differ.
+    sync_interval_seconds: float = 60.0
+    # Instances that are down are probed as well; otherwise the two sides of a
+    # partition within a data centre would never reconnect.
+    down_probe_interval_seconds: float = 10.0
+    # Keeps a probe below 2 KB.
     records_per_message: int = 6
     records_per_exchange: int = 64
-    # Transmissions of a record per tenfold growth of the fleet. With 3 the
-    # expected share of instances that a record misses is below 1 in 1,000.
-    retransmissions: int = 3
+    # Each node sends a new record this many times per factor of ten in the
+    # size of the fleet. With 3, a record is expected to miss fewer than one
+    # instance in 1,000.
+    transmissions_per_decade: int = 3
     leave_messages: int = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
-    """A record and when its state was learnt (monotonic seconds)."""
+    """Record of an instance and when it was stored, in monotonic seconds."""
 
     record: model.InstanceRecord
-    since: float
+    recorded_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Update:
-    """A record that is still to be spread and how often it was sent."""
+    """Instance whose record is queued for dissemination.
+
+    ``transmissions`` counts how often this node has sent the record.
+    """
 
     instance: str
-    sent: int = 0
+    transmissions: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Probe:
-    """The probe under way; ``relayed`` once indirect probes were sent."""
+    """Probe without an answer so far.
+
+    ``indirect_requested`` is set once other nodes were asked to probe the
+    target.
+    """
 
     sequence: int
     target: str
     started_at: float
-    relayed: bool = False
+    indirect_requested: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Relay:
-    """A probe on behalf of another node."""
+class IndirectProbe:
+    """Probe on behalf of another node, which gets the answer."""
 
     reply_to: bytes
     sequence: int
@@ -87,24 +96,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Membership:
-    """What a node knows about the fleet.
+    """State of a node's failure detector.
 
     Parameters
     ----------
     own : str
-        Own instance name; its record is among the members.
+        Own instance name; ``members`` contains its record.
     members : mapping
         Members by instance name.
     suspects : mapping
-        When each suspect was first suspected.
+        When the suspicion timeout of each suspect began.
     updates : tuple of Update
-        Records to spread, the least often sent first.
+        Records to disseminate, the least often sent first.
     revision : int
-        Rises with each change but that of a version held.
-    accused : str
-        Instance that did not answer this node's last failed probe.
-    order : tuple of str
-        Instances still to be probed in this round.
+        Counts changes of records, except changes of configuration versions
+        alone.
+    newest_suspect : str
+        Target of this node's last failed probe; empty if there is none or it
+        is no longer suspect.
+    probe_order : tuple of str
+        Instances still to be probed in this round, next one first.
     """
 
     own: str
@@ -113,16 +124,18 @@
     suspects: Mapping[str, float] = dataclasses.field(default_factory=dict)
     updates: tuple[Update, ...] = ()
     revision: int = 0
-    accused: str = ""
-    order: tuple[str, ...] = ()
+    newest_suspect: str = ""
+    probe_order: tuple[str, ...] = ()
     probe: Probe | None = None
-    relays: Mapping[int, Relay] = dataclasses.field(default_factory=dict)
+    indirect_probes: Mapping[int, IndirectProbe] = dataclasses.field(
+        default_factory=dict
+    )
     sequence: int = 0
     ticked_at: float = 0.0
-    period_at: float = 0.0
-    repair_at: float = 0.0
-    revive_at: float = 0.0
-    expire_at: float = 0.0
+    next_period_at: float = 0.0
+    next_sync_at: float = 0.0
+    next_down_probe_at: float = 0.0
+    next_expiry_at: float = 0.0
 
     @property
     def record(self) -> model.InstanceRecord:
@@ -132,14 +145,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
-    """Time has passed; ``draw`` seeds the random choices."""
+    """A timer expired; ``draw`` seeds the random choices."""
 
     draw: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Received:
-    """A message came in; ``reply_to`` is the way back to its sender."""
+    """A message arrived; ``reply_to`` routes answers to its sender."""
 
     message: wire.Message
     reply_to: bytes = b""
@@ -149,7 +162,8 @@
 class OwnChanged:
     """Own record changed; ``draw`` seeds the random choices.
 
-    ``spread`` is false for a change that only probes carry to others.
+    If ``spread`` is false, only the configuration version changed. Other nodes
+    then get it from the version field of probes, and the incarnation stays.
     """
 
     record: model.InstanceRecord
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -1,4 +1,4 @@
-"""Decisions of the failure detection."""
+"""Decisions of the failure detector (SWIM)."""
 
 import dataclasses
 import random
@@ -11,9 +11,9 @@
 
 __all__ = ["handle", "next_tick", "start"]
 
-# A longer pause between two ticks means that this process stood still, and
-# that missing answers say nothing about others.
-FROZEN_PERIODS = 1.5
+# A longer interval between two ticks means that this process was frozen, so
+# missing answers do not indicate that other instances failed.
+FREEZE_THRESHOLD_PERIODS = 1.5
 
 
 def start(
@@ -30,19 +30,22 @@
         own=record.instance,
         parameters=parameters,
         ticked_at=now,
-        period_at=now + offset * parameters.period_seconds,
-        repair_at=now + offset * parameters.repair_seconds,
-        revive_at=now + offset * parameters.revive_seconds,
-        expire_at=now + parameters.expiry_seconds / 10,
+        next_period_at=now + offset * parameters.period_seconds,
+        next_sync_at=now + offset * parameters.sync_interval_seconds,
+        next_down_probe_at=now
+        + offset * parameters.down_probe_interval_seconds,
+        next_expiry_at=now + parameters.expiry_seconds / 10,
     )
-    return records.put(state, record, now)
+    return records.store_record(state, record, now)
 
 
 def next_tick(state: members.Membership) -> float:
     """Return when the next tick is due, in monotonic seconds."""
-    due = [state.period_at]
-    if state.probe is not None and not state.probe.relayed:
-        due.append(state.probe.started_at + state.parameters.probe_seconds)
+    due = [state.next_period_at]
+    if state.probe is not None and not state.probe.indirect_requested:
+        due.append(
+            state.probe.started_at + state.parameters.probe_timeout_seconds
+        )
     if state.suspects:
         first = min(state.suspects.values())
         due.append(first + state.parameters.suspicion_seconds)
@@ -52,7 +55,7 @@
 def handle(
     state: members.Membership, event: members.Event, now: float
 ) -> members.Step:
-    """Decide what follows from an event.
+    """Return the new state and the actions that follow from an event.
 
     Parameters
     ----------
@@ -77,7 +80,7 @@
     if isinstance(message, wire.Ping):
         known = message.sender in state.members
         state = exchanges.record_contact(state, message, now)
-        state, updates = records.take_updates(
+        state, updates = records.select_updates(
             state, message.sender, message.records
         )
         ack = wire.Ack(
@@ -92,7 +95,7 @@
     if isinstance(message, wire.Ack):
         return _acknowledge(state, message, now)
     if isinstance(message, wire.PingRequest):
-        return _relay(state, message, event.reply_to, now)
+        return _start_indirect_probe(state, message, event.reply_to, now)
     return exchanges.handle(state, event, now)
 
 
@@ -101,40 +104,46 @@
 ) -> members.Step:
     state = exchanges.record_contact(state, message, now)
     if not message.known:
-        state = records.put(state, state.record, now)
+        state = records.store_record(state, state.record, now)
     probe = state.probe
     if probe is not None and probe.sequence == message.sequence:
         state = dataclasses.replace(state, probe=None)
-    relay = state.relays.get(message.sequence)
-    if relay is None:
+    indirect_probe = state.indirect_probes.get(message.sequence)
+    if indirect_probe is None:
         return state, ()
-    rest = {k: v for k, v in state.relays.items() if k != message.sequence}
+    rest = {
+        k: v for k, v in state.indirect_probes.items() if k != message.sequence
+    }
     answer = wire.Ack(
         sender=state.own,
-        sequence=relay.sequence,
-        subject=relay.target,
+        sequence=indirect_probe.sequence,
+        subject=indirect_probe.target,
         version=state.record.config_version,
     )
-    return dataclasses.replace(state, relays=rest), (
-        members.Reply(reply_to=relay.reply_to, message=answer),
+    return dataclasses.replace(state, indirect_probes=rest), (
+        members.Reply(reply_to=indirect_probe.reply_to, message=answer),
     )
 
 
-def _relay(
+def _start_indirect_probe(
     state: members.Membership,
     message: wire.PingRequest,
     reply_to: bytes,
     now: float,
 ) -> members.Step:
     state, ping = _make_ping(state, message.target)
-    relay = members.Relay(
+    indirect_probe = members.IndirectProbe(
         reply_to=reply_to,
         sequence=message.sequence,
         target=message.target,
         started_at=now,
     )
     state = dataclasses.replace(
-        state, relays={**state.relays, ping.sequence: relay}
+        state,
+        indirect_probes={
+            **state.indirect_probes,
+            ping.sequence: indirect_probe,
+        },
     )
     return state, (members.Send(address=message.target_address, message=ping),)
 
@@ -142,7 +151,7 @@
 def _make_ping(
     state: members.Membership, target: str
 ) -> tuple[members.Membership, wire.Ping]:
-    state, updates = records.take_updates(state, target)
+    state, updates = records.select_updates(state, target)
     sequence = state.sequence + 1
     ping = wire.Ping(
         sender=state.own,
@@ -158,19 +167,19 @@
 ) -> members.Step:
     own = state.record
     if not event.spread:
-        quiet = dataclasses.replace(
+        updated = dataclasses.replace(
             own, config_version=event.record.config_version
         )
-        member = dataclasses.replace(state.members[state.own], record=quiet)
+        member = dataclasses.replace(state.members[state.own], record=updated)
         known = {**state.members, state.own: member}
         return dataclasses.replace(state, members=known), ()
     raised = dataclasses.replace(event.record, incarnation=own.incarnation + 1)
-    state = records.put(state, raised, now)
+    state = records.store_record(state, raised, now)
     if raised.state is not model.InstanceState.LEAVING:
         return state, ()
-    # A leaving node may be gone before its next probes.
+    # A leaving node may stop before its next probes would carry the record.
     actions: list[members.Action] = []
-    targets = exchanges.live_names(state)
+    targets = exchanges.live_peer_names(state)
     count = min(state.parameters.leave_messages, len(targets))
     for name in random.Random(event.draw).sample(targets, count):
         state, ping = _make_ping(state, name)
@@ -182,21 +191,21 @@
 
 def _tick(state: members.Membership, draw: int, now: float) -> members.Step:
     rng = random.Random(draw)
-    state = _forgive_freeze(state, now)
+    state = _compensate_for_freeze(state, now)
     state = exchanges.expire(state, now)
     state, actions = _check_probe(state, rng, now)
-    if now >= state.period_at:
+    if now >= state.next_period_at:
         state, more = _start_period(state, rng, now)
         actions = (*actions, *more)
     return state, actions
 
 
-def _forgive_freeze(
+def _compensate_for_freeze(
     state: members.Membership, now: float
 ) -> members.Membership:
     pause = now - state.ticked_at
     state = dataclasses.replace(state, ticked_at=now)
-    if pause <= FROZEN_PERIODS * state.parameters.period_seconds:
+    if pause <= FREEZE_THRESHOLD_PERIODS * state.parameters.period_seconds:
         return state
     return dataclasses.replace(
         state,
@@ -209,14 +218,18 @@
     state: members.Membership, rng: random.Random, now: float
 ) -> members.Step:
     probe = state.probe
-    limit = state.parameters.probe_seconds
-    if probe is None or probe.relayed or now - probe.started_at < limit:
+    limit = state.parameters.probe_timeout_seconds
+    if (
+        probe is None
+        or probe.indirect_requested
+        or now - probe.started_at < limit
+    ):
         return state, ()
     target = state.members.get(probe.target)
     if target is None:
         return dataclasses.replace(state, probe=None), ()
-    names = [n for n in exchanges.live_names(state) if n != probe.target]
-    count = min(state.parameters.indirect_probes, len(names))
+    names = [n for n in exchanges.live_peer_names(state) if n != probe.target]
+    count = min(state.parameters.indirect_probe_count, len(names))
     request = wire.PingRequest(
         sender=state.own,
         sequence=probe.sequence,
@@ -224,7 +237,7 @@
         target_address=target.record.control_address,
     )
     state = dataclasses.replace(
-        state, probe=dataclasses.replace(probe, relayed=True)
+        state, probe=dataclasses.replace(probe, indirect_requested=True)
     )
     return state, tuple(
         exchanges.send_to(state, name, request)
@@ -235,62 +248,64 @@
 def _start_period(
     state: members.Membership, rng: random.Random, now: float
 ) -> members.Step:
-    state, warnings = _warn_accused(_fail_probe(state, now))
+    state, notifications = _notify_suspect(_fail_probe(state, now))
     parameters = state.parameters
     state = dataclasses.replace(
-        state, period_at=now + parameters.period_seconds
+        state, next_period_at=now + parameters.period_seconds
     )
     state, extra = exchanges.maintain(state, rng, now)
-    extra = (*warnings, *extra)
-    order = state.order or _shuffle(state, rng)
-    while order:
-        name, order = order[0], order[1:]
+    extra = (*notifications, *extra)
+    probe_order = state.probe_order or _shuffle(state, rng)
+    while probe_order:
+        name, probe_order = probe_order[0], probe_order[1:]
         member = state.members.get(name)
-        if member is None or records.is_gone(member.record):
+        if member is None or records.is_leaving_or_down(member.record):
             continue
         state, ping = _make_ping(state, name)
         probe = members.Probe(
             sequence=ping.sequence, target=name, started_at=now
         )
-        state = dataclasses.replace(state, order=order, probe=probe)
+        state = dataclasses.replace(
+            state, probe_order=probe_order, probe=probe
+        )
         return state, (*extra, exchanges.send_to(state, name, ping))
-    return dataclasses.replace(state, order=()), extra
+    return dataclasses.replace(state, probe_order=()), extra
 
 
 def _fail_probe(state: members.Membership, now: float) -> members.Membership:
-    """Suspect the instance that did not answer in the last period."""
+    """Suspect the target of the last period's probe if it did not answer."""
     probe = state.probe
     if probe is None:
         return state
     state = dataclasses.replace(state, probe=None)
     member = state.members.get(probe.target)
-    if member is None or records.is_gone(member.record):
+    if member is None or records.is_leaving_or_down(member.record):
         return state
     if member.record.state is model.InstanceState.SUSPECT:
         return state
     suspect = dataclasses.replace(
         member.record, state=model.InstanceState.SUSPECT
     )
-    state = records.put(state, suspect, now)
-    return dataclasses.replace(state, accused=probe.target)
+    state = records.store_record(state, suspect, now)
+    return dataclasses.replace(state, newest_suspect=probe.target)
 
 
-def _warn_accused(state: members.Membership) -> members.Step:
-    """Tell the accused of the suspicion, so that it can refute in time.
+def _notify_suspect(state: members.Membership) -> members.Step:
+    """Send the newest suspect a probe that carries the suspicion.
 
-    Its refutation then spreads right behind the suspicion. Without this, it
-    hears of it only when a node that knows of it happens to probe it.
+    The suspect can then refute it at once. Without this probe it would get the
+    suspicion only when a node that holds it probes the suspect by chance.
     """
-    accused = state.members.get(state.accused)
-    if accused is None:
+    newest_suspect = state.members.get(state.newest_suspect)
+    if newest_suspect is None:
         return state, ()
-    if accused.record.state is not model.InstanceState.SUSPECT:
-        return dataclasses.replace(state, accused=""), ()
-    state, ping = _make_ping(state, state.accused)
-    return state, (exchanges.send_to(state, state.accused, ping),)
+    if newest_suspect.record.state is not model.InstanceState.SUSPECT:
+        return dataclasses.replace(state, newest_suspect=""), ()
+    state, ping = _make_ping(state, state.newest_suspect)
+    return state, (exchanges.send_to(state, state.newest_suspect, ping),)
 
 
 def _shuffle(state: members.Membership, rng: random.Random) -> tuple[str, ...]:
-    names = exchanges.live_names(state)
+    names = exchanges.live_peer_names(state)
     rng.shuffle(names)
     return tuple(names)
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -1,4 +1,4 @@
-"""Which record of an instance wins, and what callers see of it."""
+"""Precedence, dissemination and visibility of instance records."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -13,23 +13,23 @@
 __all__ = [
     "compute_digest",
     "count_transmissions",
-    "is_gone",
+    "is_leaving_or_down",
     "is_partitioned",
     "list_visible",
     "merge",
-    "put",
+    "store_record",
     "supersedes",
-    "take_updates",
+    "select_updates",
 ]
 
-_RANKS = {
+_SEVERITIES = {
     model.InstanceState.STARTING: 0,
     model.InstanceState.UP: 0,
     model.InstanceState.SUSPECT: 1,
     model.InstanceState.LEAVING: 2,
     model.InstanceState.DOWN: 3,
 }
-_GONE = (model.InstanceState.LEAVING, model.InstanceState.DOWN)
+_LEAVING_OR_DOWN = (model.InstanceState.LEAVING, model.InstanceState.DOWN)
 
 
 def supersedes(
@@ -41,12 +41,15 @@
     """
     if record.incarnation != known.incarnation:
         return record.incarnation > known.incarnation
-    return _RANKS[record.state] > _RANKS[known.state]
+    return _SEVERITIES[record.state] > _SEVERITIES[known.state]
 
 
-def is_gone(record: model.InstanceRecord) -> bool:
-    """Return whether an instance is left out of probes and choices."""
-    return record.state in _GONE
+def is_leaving_or_down(record: model.InstanceRecord) -> bool:
+    """Return whether an instance is leaving or down.
+
+    Such an instance is left out of regular probes and exchanges.
+    """
+    return record.state in _LEAVING_OR_DOWN
 
 
 def merge(
@@ -54,22 +57,22 @@
     records: Iterable[model.InstanceRecord],
     now: float,
     *,
-    passes_on: bool = True,
+    disseminate: bool = True,
 ) -> members.Membership:
-    """Merge records from another node and refute those about oneself.
+    """Merge records from another node; refute wrong ones about this node.
 
     Parameters
     ----------
     state : Membership
         State before.
     records : iterable of apricotpost.model.InstanceRecord
-        What the other node knows.
+        Records from the other node.
     now : float
         Monotonic clock in seconds.
-    passes_on : bool
-        Whether records that are new to this node are spread. Those of a
-        full exchange are old to the others, and a started node would repeat
-        the whole fleet to them.
+    disseminate : bool
+        Whether records that are new to this node are sent on to others. The
+        others already hold the records of a full exchange, and a started node
+        would send them the records of the whole fleet again.
     """
     for record in records:
         if record.instance == state.own:
@@ -77,24 +80,25 @@
             continue
         known = state.members.get(record.instance)
         if known is not None and not supersedes(record, known.record):
-            state = _note_version(state, known, record)
+            state = _record_version(state, known, record)
         elif known is not None or record.state is not model.InstanceState.DOWN:
-            state = put(state, record, now, passes_on=passes_on)
+            state = store_record(state, record, now, disseminate=disseminate)
     return state
 
 
-def put(
+def store_record(
     state: members.Membership,
     record: model.InstanceRecord,
     now: float,
     *,
-    passes_on: bool = True,
+    disseminate: bool = True,
 ) -> members.Membership:
-    """Store a record and queue it for spreading."""
+    """Store a record and queue it for dissemination."""
     name = record.instance
     known = state.members.get(name)
     if known is not None:
-        # A restarted instance starts at 0; others remember what it held.
+        # The record of a restarted instance starts at version 0; the highest
+        # version that the instance held is kept.
         version = max(record.config_version, known.record.config_version)
         record = dataclasses.replace(record, config_version=version)
     suspects = state.suspects
@@ -107,67 +111,79 @@
         state,
         members={
             **state.members,
-            name: members.Member(record=record, since=now),
+            name: members.Member(record=record, recorded_at=now),
         },
         suspects=suspects,
         updates=(
-            (members.Update(instance=name), *others) if passes_on else others
+            (members.Update(instance=name), *others) if disseminate else others
         ),
         revision=state.revision + 1,
     )
 
 
 def count_transmissions(state: members.Membership) -> int:
-    """Return how often a record is sent by one node."""
+    """Return how often one node sends each new record.
+
+    The number grows with the logarithm of the fleet's size.
+    """
     decades = math.log10(len(state.members) + 1)
-    return max(1, math.ceil(state.parameters.retransmissions * decades))
+    return max(
+        1, math.ceil(state.parameters.transmissions_per_decade * decades)
+    )
 
 
-def take_updates(
+def select_updates(
     state: members.Membership,
-    about: str = "",
-    heard: Iterable[model.InstanceRecord] = (),
+    receiver: str = "",
+    received: Iterable[model.InstanceRecord] = (),
 ) -> tuple[members.Membership, tuple[model.InstanceRecord, ...]]:
-    """Take the records for one message, the least often sent first.
+    """Select the queued records for one message, the least often sent first.
 
     Parameters
     ----------
     state : Membership
         State before.
-    about : str
-        Receiver, which is told first when it is held for suspect or gone.
-    heard : iterable of apricotpost.model.InstanceRecord
-        What the receiver said; outdated records are corrected.
+    receiver : str
+        Name of the receiver. Its own record comes first if it is suspect,
+        leaving or down, so that the receiver can refute it.
+    received : iterable of apricotpost.model.InstanceRecord
+        Records from the receiver. For each outdated one the newer record is
+        selected.
     """
     limit = state.parameters.records_per_message
-    known = state.members.get(about)
-    first = () if known is None or _is_well(known.record) else (known.record,)
-    first = (*first, *_correct(state, heard))[:limit]
-    taken = state.updates[: limit - len(first)]
-    if not taken:
-        return state, first
-    most = count_transmissions(state)
-    again = (
-        members.Update(instance=entry.instance, sent=entry.sent + 1)
-        for entry in taken
-        if entry.sent + 1 < most
+    known = state.members.get(receiver)
+    priority = (
+        () if known is None or _is_healthy(known.record) else (known.record,)
+    )
+    priority = (*priority, *_newer_records(state, received))[:limit]
+    selected = state.updates[: limit - len(priority)]
+    if not selected:
+        return state, priority
+    max_transmissions = count_transmissions(state)
+    requeued = (
+        members.Update(
+            instance=entry.instance, transmissions=entry.transmissions + 1
+        )
+        for entry in selected
+        if entry.transmissions + 1 < max_transmissions
     )
     updates = sorted(
-        (*state.updates[len(taken) :], *again), key=lambda entry: entry.sent
+        (*state.updates[len(selected) :], *requeued),
+        key=lambda entry: entry.transmissions,
     )
     records = tuple(
         state.members[entry.instance].record
-        for entry in taken
+        for entry in selected
         if entry.instance in state.members
     )
     return (
         dataclasses.replace(state, updates=tuple(updates)),
-        (*first, *records),
+        (*priority, *records),
     )
 
 
 def compute_digest(state: members.Membership) -> int:
-    """Compute a digest of the records, whatever their order."""
+    """Compute a digest of the records that does not depend on their order."""
     digest = 0
     for member in state.members.values():
         record = member.record
@@ -177,24 +193,26 @@
 
 
 def is_partitioned(state: members.Membership, data_centre: str) -> bool:
-    """Return whether another data centre is taken for cut off.
+    """Return whether another data centre is considered partitioned.
 
-    That is so when more than half of its instances failed without leaving.
-    Those that were found first may be down already.
+    That is the case when more than half of its instances, not counting leaving
+    ones, are suspect or down. Down ones count as well, as the suspicion of the
+    first ones may have timed out already.
     """
     if data_centre == state.record.data_centre:
         return False
-    there = [
+    instance_states = [
         entry.record.state
         for entry in state.members.values()
         if entry.record.data_centre == data_centre
         and entry.record.state is not model.InstanceState.LEAVING
     ]
     failed = sum(
-        found in (model.InstanceState.SUSPECT, model.InstanceState.DOWN)
-        for found in there
+        instance_state
+        in (model.InstanceState.SUSPECT, model.InstanceState.DOWN)
+        for instance_state in instance_states
     )
-    return 2 * failed > len(there)
+    return 2 * failed > len(instance_states)
 
 
 def list_visible(
@@ -202,10 +220,11 @@
 ) -> Iterator[model.InstanceRecord]:
     """Yield the records as callers see them, sorted by name.
 
-    Suspects of a data centre that is cut off get no calls. A starting
-    instance with a service has lost its backend server.
+    Suspects in a partitioned data centre are reported as down, so that they
+    get no calls. So is a starting instance with a service: it has lost its
+    backend server.
     """
-    cut_off = {
+    partitioned = {
         centre
         for centre in {
             state.members[name].record.data_centre
@@ -218,40 +237,41 @@
         record = state.members[name].record
         suspect = record.state is model.InstanceState.SUSPECT
         lost = record.state is model.InstanceState.STARTING and record.service
-        if lost or (suspect and record.data_centre in cut_off):
+        if lost or (suspect and record.data_centre in partitioned):
             record = dataclasses.replace(
                 record, state=model.InstanceState.DOWN
             )
         yield record
 
 
-def _correct(
-    state: members.Membership, heard: Iterable[model.InstanceRecord]
+def _newer_records(
+    state: members.Membership, received: Iterable[model.InstanceRecord]
 ) -> Iterator[model.InstanceRecord]:
-    for record in heard:
+    for record in received:
         known = state.members.get(record.instance)
         if known is not None and supersedes(known.record, record):
             yield known.record
 
 
-def _is_well(record: model.InstanceRecord) -> bool:
-    return _RANKS[record.state] == 0
+def _is_healthy(record: model.InstanceRecord) -> bool:
+    return _SEVERITIES[record.state] == 0
 
 
 def _refute(
-    state: members.Membership, heard: model.InstanceRecord, now: float
+    state: members.Membership, received: model.InstanceRecord, now: float
 ) -> members.Membership:
-    """Answer a record about oneself that would win over one's own."""
+    """Raise the own incarnation if a received record supersedes the own."""
     own = state.record
-    if heard.incarnation < own.incarnation or (
-        heard.incarnation == own.incarnation and not supersedes(heard, own)
+    if received.incarnation < own.incarnation or (
+        received.incarnation == own.incarnation
+        and not supersedes(received, own)
     ):
         return state
-    raised = dataclasses.replace(own, incarnation=heard.incarnation + 1)
-    return put(state, raised, now)
+    raised = dataclasses.replace(own, incarnation=received.incarnation + 1)
+    return store_record(state, raised, now)
 
 
-def _note_version(
+def _record_version(
     state: members.Membership,
     known: members.Member,
     record: model.InstanceRecord,
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -1,11 +1,12 @@
-"""Which nodes carry states between data centres, and who connects to whom.
-
-Every node tells the nodes of its data centre of itself. Two relays of each
-data centre send the states of all its nodes to the relays of the others, which
-hand them on. So the bytes between data centres grow with the number of nodes
-and not with its square, and a node needs a connection to another data centre
-only for the backend servers that it calls. These are chosen by rendezvous
-hashing (Thaler and Ravishankar, 1998), so that the callers spread over them.
+"""Selection of relays and of remote backend servers.
+
+Every node sends its state to the nodes of its data centre. Two relays of each
+data centre send the states of all its nodes to the relays of the other data
+centres, which forward them to their own nodes. The bytes between data centres
+therefore grow linearly with the number of nodes and not with its square, and a
+node connects to another data centre only for the backend servers that it
+calls. These are selected by rendezvous hashing (Thaler and Ravishankar, 1998),
+which distributes the callers over them.
 """
 
 from collections.abc import Callable
@@ -33,39 +34,42 @@
     "unpack_states",
 ]
 
-# One relay may be lost without a gap.
+# Relays of each data centre; if one fails, the other still sends all states.
 RELAYS = 2
-# A data centre of which nobody is heard is cut off or without power, perhaps
-# for an hour. A relay tries its nodes in turn, each for so long that a
-# connection can be made.
-TRY_SECONDS = 3.0
-# The first relay sends all states every so many rounds of half a second, the
-# second one less often: its states are needed only if the first one is lost,
-# and what changes goes on both ways at once.
-FIRST_ROUNDS = 2
-SECOND_ROUNDS = 4
-# The states of a data centre differ in a third of their bytes.
-PACK_LEVEL = 1
+# A data centre from which no node is heard is partitioned or has lost power,
+# perhaps for an hour. A relay tries its nodes in turn, each for long enough to
+# open a connection.
+CONNECT_ATTEMPT_SECONDS = 3.0
+# Number of rounds of 0.5 s after which the first and the second relay send all
+# states. The second relay sends them less often: they are needed only if the
+# first relay fails, and both relays send changed states at once.
+FIRST_RELAY_ROUNDS = 2
+SECOND_RELAY_ROUNDS = 4
+# The states of a data centre have about two thirds of their bytes in common.
+COMPRESSION_LEVEL = 1
 MAX_PACKED_BYTES = 4 * 1024 * 1024
-# States of other data centres are sent each second and are up to half a
-# second old by then; one of them may be lost.
+# States of other data centres are sent each second and are up to 0.5 s old by
+# then; one of them may be lost.
 REMOTE_SILENT_SECONDS = 3.2
-# Backend servers of a service and version that a node can call in each of
-# the other data centres together.
+# Remote backend servers that a node can call for each service and version, in
+# all other data centres together.
 REMOTE_SERVERS = 6
-# As many if its own data centre has nearly none, so that fast ones are among
-# them and the load spreads.
+# The same if few are local: more servers make it likely that fast ones are
+# among them, and distribute the load.
 REMOTE_SERVERS_ALONE = 18
-# Backend servers of a service in the own data centre that are few.
-FEW_LOCAL = 2
-# Older states are not forwarded: the node is silent or gone.
-FORWARD_SECONDS = 5.0
+# Up to this number of local servers of a service and version count as few.
+FEW_LOCAL_SERVERS = 2
+# Older states are not forwarded: the node is silent or has stopped.
+MAX_FORWARD_AGE_SECONDS = 5.0
 
 
 def relays_of(
     known: fleet.Fleet, data_centre: str, now: float
 ) -> tuple[str, ...]:
-    """Return the relays of a data centre: its first live nodes by name."""
+    """Return the relays of a data centre: its first live nodes by name.
+
+    Leaving nodes are left out.
+    """
     within = REMOTE_SILENT_SECONDS
     if data_centre == known.data_centre:
         within = fleet.SILENT_SECONDS
@@ -80,35 +84,35 @@
 
 
 def is_relay(known: fleet.Fleet, now: float) -> bool:
-    """Tell whether this node is a relay."""
+    """Return whether this node is a relay of its data centre."""
     return known.node in relays_of(known, known.data_centre, now)
 
 
 def remote_targets(known: fleet.Fleet, now: float) -> tuple[str, ...]:
     """Return the nodes to which this relay sends its data centre's states.
 
-    The first relay serves the first ones of the other data centres, the
-    second one the second: each state arrives on two ways. Of a data centre
-    that is silent the known nodes are tried in turn.
+    The first relay sends to the first relay of each other data centre and the
+    second to the second, so each state arrives on two paths. The known nodes
+    of a silent data centre are tried in turn.
     """
     own = relays_of(known, known.data_centre, now)
     if known.node not in own:
         return ()
-    place = own.index(known.node)
+    position = own.index(known.node)
     found: list[str] = []
     for data_centre in _remote_data_centres(known):
         relays = relays_of(known, data_centre, now)
         if not relays:
-            relays = _silent_node(known, data_centre, now, place)
+            relays = _silent_node_to_try(known, data_centre, now, position)
         if len(own) == 1:
             found.extend(relays)
         elif relays:
-            found.append(relays[place % len(relays)])
+            found.append(relays[position % len(relays)])
     return tuple(found)
 
 
 def sends_full_round(known: fleet.Fleet, now: float, number: int) -> bool:
-    """Tell whether this relay sends all states in a round.
+    """Return whether this relay sends all states in a round.
 
     Parameters
     ----------
@@ -117,24 +121,24 @@
     now : float
         Monotonic time, in seconds.
     number : int
-        Of the round.
+        Number of the round.
     """
     first = relays_of(known, known.data_centre, now)[:1] == (known.node,)
-    return number % (FIRST_ROUNDS if first else SECOND_ROUNDS) == 0
+    return number % (FIRST_RELAY_ROUNDS if first else SECOND_RELAY_ROUNDS) == 0
 
 
 def pack_states(states: tuple[wire.AgedState, ...]) -> bytes:
-    """Compress states for the way to another data centre."""
+    """Encode and compress states for another data centre."""
     return _COMPRESSOR.compress(_ENCODER.encode(states))
 
 
 def unpack_states(packed: bytes) -> tuple[wire.AgedState, ...]:
-    """Restore states.
+    """Decompress and decode states.
 
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        They cannot be decompressed or decoded.
+        The states cannot be decompressed or decoded.
     """
     try:
         return _DECODER.decode(
@@ -142,7 +146,7 @@
         )
     except (zstandard.ZstdError, msgspec.DecodeError) as error:
         raise errors.MalformedMessage(
-            f"states cannot be read: {error}"
+            f"packed states cannot be decoded: {error}"
         ) from error
 
 
@@ -152,7 +156,9 @@
     *,
     wanted: Callable[[wire.NodeState], bool],
 ) -> tuple[wire.AgedState, ...]:
-    """Return the states of this data centre to forward.
+    """Return the recent states of this data centre's nodes to forward.
+
+    Nodes that are known only from the store have no process and are left out.
 
     Parameters
     ----------
@@ -161,7 +167,7 @@
     now : float
         Monotonic time, in seconds.
     wanted : callable
-        Tells whether a state is sent.
+        Returns whether to include a state.
     """
     return tuple(
         wire.AgedState(
@@ -170,7 +176,7 @@
         for node in known.nodes.values()
         if node.state.data_centre == known.data_centre
         and node.state.boot
-        and now - node.heard_at <= FORWARD_SECONDS
+        and now - node.heard_at <= MAX_FORWARD_AGE_SECONDS
         and wanted(node.state)
     )
 
@@ -183,7 +189,7 @@
     all_of: Iterable[tuple[str, str]] = (),
     evacuated: Collection[str] = (),
 ) -> set[str]:
-    """Return the nodes of other data centres that this node may call.
+    """Return the nodes of other data centres whose servers this node may call.
 
     Parameters
     ----------
@@ -192,14 +198,14 @@
     now : float
         Monotonic time, in seconds.
     services : iterable of str
-        Services that this node calls.
+        Names of the services that this node calls.
     all_of : iterable of tuple of str
-        Services and versions of which every server is wanted: during a
-        trial all nodes load the same one.
+        Services and versions of which every server is returned: during a
+        trial all nodes send load to the same server.
     evacuated : collection of str
-        Data centres that get no requests.
+        Names of data centres that get no requests.
     """
-    whole = frozenset(all_of)
+    unlimited = frozenset(all_of)
     called = frozenset(services)
     local: dict[tuple[str, str], int] = {}
     remote: dict[tuple[str, str], list[str]] = {}
@@ -222,14 +228,14 @@
             remote.setdefault(group, []).append(name)
     found: set[str] = set()
     for group, names in remote.items():
-        names.sort(key=lambda name: _score(known.node, name))
-        alone = local.get(group, 0) <= FEW_LOCAL
-        count = REMOTE_SERVERS_ALONE if alone else REMOTE_SERVERS
-        found.update(names if group in whole else names[:count])
+        names.sort(key=lambda name: _rendezvous_score(known.node, name))
+        few_local = local.get(group, 0) <= FEW_LOCAL_SERVERS
+        count = REMOTE_SERVERS_ALONE if few_local else REMOTE_SERVERS
+        found.update(names if group in unlimited else names[:count])
     return found
 
 
-_COMPRESSOR = zstandard.ZstdCompressor(level=PACK_LEVEL)
+_COMPRESSOR = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL)
 _DECOMPRESSOR = zstandard.ZstdDecompressor()
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(tuple[wire.AgedState, ...])
@@ -240,8 +246,8 @@
     return sorted(found - {known.data_centre})
 
 
-def _silent_node(
-    known: fleet.Fleet, data_centre: str, now: float, place: int
+def _silent_node_to_try(
+    known: fleet.Fleet, data_centre: str, now: float, position: int
 ) -> tuple[str, ...]:
     names = sorted(
         name
@@ -250,8 +256,10 @@
     )
     if not names:
         return ()
-    return (names[(int(now / TRY_SECONDS) + place) % len(names)],)
+    return (
+        names[(int(now / CONNECT_ATTEMPT_SECONDS) + position) % len(names)],
+    )
 
 
-def _score(node: str, other: str) -> int:
+def _rendezvous_score(node: str, other: str) -> int:
     return xxhash.xxh64_intdigest(f"{node}>{other}".encode())
--- a/apricotpost/spread/__init__.pyi
+++ b/apricotpost/spread/__init__.pyi
@@ -7,7 +7,7 @@
 from .state import Committed as Committed
 from .state import Event as Event
 from .state import Joining as Joining
-from .state import Noted as Noted
+from .state import NewWithdrawal as NewWithdrawal
 from .state import Peer as Peer
 from .state import Policy as Policy
 from .state import ReadTable as ReadTable
--- a/apricotpost/spread/decisions.py
+++ b/apricotpost/spread/decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of the distribution: compare, read, join, and what follows."""
+"""Decisions of the configuration distribution."""
 
 import dataclasses
 import random
@@ -16,26 +16,26 @@
 def start(
     own: str, now: float, *, draw: int, policy: states.Policy | None = None
 ) -> states.SpreadState:
-    """Return the state of a started node with an empty memory."""
+    """Return the state of a started node without a configuration."""
     policy = policy or states.Policy()
     rng = random.Random(draw)
     return states.SpreadState(
         own=own,
         policy=policy,
         joining=states.Joining(
-            ask_at=now + rng.random() * policy.join_jitter_seconds
+            next_join_at=now + rng.random() * policy.join_jitter_seconds
         ),
-        digest_at=now + rng.random() * policy.digest_seconds,
-        read_at=now + rng.random() * policy.poll_seconds,
+        next_digest_at=now + rng.random() * policy.digest_seconds,
+        next_read_at=now + rng.random() * policy.poll_seconds,
     )
 
 
 def next_tick(state: states.SpreadState, cluster: states.ClusterView) -> float:
     """Return when the next tick is due, in monotonic seconds."""
-    due = [state.digest_at]
+    due = [state.next_digest_at]
     if _is_reader(state, cluster) and not state.reading:
-        due.append(state.read_at)
-    if joins.is_open(state, cluster):
+        due.append(state.next_read_at)
+    if joins.is_joining(state, cluster):
         due.append(joins.next_tick(state))
     return min(due)
 
@@ -48,7 +48,7 @@
     cluster: states.ClusterView,
     draw: int,
 ) -> states.Step:
-    """Decide what follows from an event.
+    """Return the new state and the actions that follow from an event.
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
     now : float
         Monotonic clock in seconds.
     cluster : ClusterView
-        Whom the node can reach.
+        Nodes that this node can reach.
     draw : int
         Seed of the random choices.
     """
@@ -77,7 +77,7 @@
         state, actions = _tick(state, now, cluster, rng)
     if state.snapshot.version != held:
         state = notices.drop_ended(state, now)
-    return joins.settle(state), actions
+    return joins.update_readiness(state), actions
 
 
 def _receive(
@@ -103,7 +103,7 @@
     if isinstance(message, wire.ConfigRefused):
         return refusals.record(state, message, cluster)
     if isinstance(message, wire.Join):
-        return state, (joins.welcome(state, event.reply_to, event.floor),)
+        return state, (joins.make_welcome(state, event.reply_to, event.floor),)
     if isinstance(message, wire.Welcome):
         state, actions = joins.handle_welcome(
             state, message, event.reply_to, now
@@ -125,7 +125,7 @@
 ) -> states.Step:
     actions: list[states.Action] = []
     held = state.snapshot.version
-    missing = notices.find_missing(state, message)
+    missing = notices.lists_missing(state, message)
     if message.version > held:
         state, request = versions.request(
             state, message.version, reply_to, now
@@ -137,7 +137,7 @@
                 reply_to=reply_to, message=versions.make_digest(state)
             )
         )
-    actions.extend(notices.offer(state, message, reply_to))
+    actions.extend(notices.answer_digest(state, message, reply_to))
     return state, tuple(actions)
 
 
@@ -149,7 +149,7 @@
     rng: random.Random,
 ) -> states.Step:
     policy = state.policy
-    again = state.read_again and found.available
+    read_next = state.read_again and found.available
     failures = 0 if found.available else state.read_failures + 1
     pause = min(
         policy.poll_seconds * 2 ** min(failures, 10),
@@ -157,10 +157,10 @@
     )
     state = dataclasses.replace(
         state,
-        reading=again,
+        reading=read_next,
         read_again=False,
         read_failures=failures,
-        read_at=now + pause * (0.5 + rng.random()),
+        next_read_at=now + pause * (0.5 + rng.random()),
         joining=joins.record_table_read(state.joining, found),
     )
     actions: tuple[states.Action, ...] = ()
@@ -173,7 +173,7 @@
             state, found.deltas, now, cluster, rng
         )
         actions = (*actions, *more)
-    if again:
+    if read_next:
         read = states.ReadTable(have=state.snapshot.version)
         actions = (*actions, read)
     return state, actions
@@ -206,27 +206,30 @@
     rng: random.Random,
 ) -> states.Step:
     actions: list[states.Action] = []
-    if joins.is_open(state, cluster):
+    if joins.is_joining(state, cluster):
         state, more = joins.advance(state, now, cluster, rng)
         actions.extend(more)
     reads = _is_reader(state, cluster) and not state.reading
-    if reads and now >= state.read_at:
+    if reads and now >= state.next_read_at:
         state, read = versions.read_table(state)
         actions.append(read)
-    if now < state.digest_at:
+    if now < state.next_digest_at:
         return state, tuple(actions)
     state, more = refusals.forward(state, cluster, rng)
     actions.extend(more)
     state = notices.drop_ended(state, now)
     policy = state.policy
-    # Jitter keeps nodes that were started together from staying in step.
+    # Without jitter, nodes that started together would all send their digests
+    # at the same time.
     state = dataclasses.replace(
         state,
-        digest_at=now + policy.digest_seconds * (0.75 + rng.random() / 2),
-        round=state.round + 1,
+        next_digest_at=now + policy.digest_seconds * (0.75 + rng.random() / 2),
+        digest_round=state.digest_round + 1,
     )
-    distant = state.round % policy.remote_digest_every == 0
-    peers = (cluster.remote if distant else cluster.local) or cluster.local
+    is_remote_round = state.digest_round % policy.remote_digest_every == 0
+    peers = (
+        cluster.remote if is_remote_round else cluster.local
+    ) or cluster.local
     peers = peers or cluster.remote
     if peers:
         actions.append(
@@ -241,8 +244,9 @@
 def _is_reader(state: states.SpreadState, cluster: states.ClusterView) -> bool:
     """Return whether this node polls the table.
 
-    A started node that knows nobody yet would take itself for a reader, and
-    the return of a data centre would be a storm of reads.
+    A started node that knows no other node yet does not, unless it has no
+    seeds. Otherwise each node of a data centre that restarts would consider
+    itself a reader, and all of them would read the table at once.
     """
     knows = state.ready or cluster.local or cluster.remote or not cluster.seeds
     return cluster.reader and bool(knows)
--- a/apricotpost/spread/joins.py
+++ b/apricotpost/spread/joins.py
@@ -1,4 +1,4 @@
-"""How a started node comes to be ready."""
+"""Join of a started node until it is ready."""
 
 import dataclasses
 import random
@@ -9,24 +9,27 @@
 
 __all__ = [
     "advance",
-    "is_open",
+    "is_joining",
     "next_tick",
     "record_table_read",
-    "settle",
+    "update_readiness",
     "handle_welcome",
-    "welcome",
+    "make_welcome",
 ]
 
 
-def is_open(state: states.SpreadState, cluster: states.ClusterView) -> bool:
-    """Return whether the node is not ready or has found nobody yet."""
+def is_joining(state: states.SpreadState, cluster: states.ClusterView) -> bool:
+    """Return whether the node is not ready or knows no other node yet.
+
+    A ready node without seeds has no other node to find.
+    """
     alone = bool(cluster.seeds) and not cluster.local and not cluster.remote
     return not state.ready or alone
 
 
 def next_tick(state: states.SpreadState) -> float:
-    """Return when a node that is not ready has something to do."""
-    return min(state.joining.ask_at, *_read_times(state))
+    """Return when the next join request or read of the table is due."""
+    return min(state.joining.next_join_at, *_read_times(state))
 
 
 def advance(
@@ -35,11 +38,15 @@
     cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
-    """Ask peers, and check the table once they have answered."""
+    """Send join requests and read the table when they are due.
+
+    The table is read once the node holds its peers' version, or when the time
+    for that is over.
+    """
     actions: list[states.Action] = []
-    if now >= state.joining.ask_at:
-        state, asked = _ask(state, now, cluster, rng)
-        actions.extend(asked)
+    if now >= state.joining.next_join_at:
+        state, joins_sent = _send_joins(state, now, cluster, rng)
+        actions.extend(joins_sent)
     due = min(_read_times(state))
     if not state.reading and now >= due:
         state, read = versions.read_table(state)
@@ -47,12 +54,12 @@
     return state, tuple(actions)
 
 
-def welcome(
+def make_welcome(
     state: states.SpreadState,
     reply_to: bytes,
     floor: int,
 ) -> states.Action:
-    """Answer a joining node."""
+    """Return the answer to a joining node."""
     return states.Reply(
         reply_to=reply_to,
         message=wire.Welcome(
@@ -71,7 +78,7 @@
     reply_to: bytes,
     now: float,
 ) -> states.Step:
-    """Raise the floor and ask for what is missing."""
+    """Raise the floor and request a newer version from the sender."""
     if state.ready:
         return state, ()
     joining = state.joining
@@ -89,19 +96,22 @@
 def record_table_read(
     joining: states.Joining, found: wire.ConfigRead
 ) -> states.Joining:
-    """Take over what a read of the table says about the floor."""
+    """Record whether the table answered; raise the floor to its version."""
     if not found.available:
-        return dataclasses.replace(joining, table_out=True)
+        return dataclasses.replace(joining, table_failed=True)
     return dataclasses.replace(
-        joining, checked=True, floor=max(joining.floor, found.head)
+        joining, table_answered=True, floor=max(joining.floor, found.head)
     )
 
 
-def settle(state: states.SpreadState) -> states.SpreadState:
-    """Make the node ready once the rules hold; it stays so.
+def update_readiness(state: states.SpreadState) -> states.SpreadState:
+    """Mark the node ready once it holds a recent enough version.
 
-    The table knows of every version that the address can have held. While
-    it is out, nothing is committed, and peers have caught up with each other.
+    A ready node stays ready. The version has to reach the floor, unless this
+    node refused the floor's version. Moreover the table must have answered: it
+    knows every version that a node at this address can have held. If the table
+    failed, the answer of a peer is enough: nothing is committed meanwhile, and
+    the peers have caught up with each other.
     """
     if state.ready or not state.snapshot.version:
         return state
@@ -109,61 +119,65 @@
     if state.snapshot.version < joining.floor:
         if joining.floor not in state.refused:
             return state
-    if not joining.checked and not (joining.table_out and joining.welcomed):
+    if not joining.table_answered and not (
+        joining.table_failed and joining.welcomed
+    ):
         return state
     return dataclasses.replace(state, ready=True)
 
 
-def _ask(
+def _send_joins(
     state: states.SpreadState,
     now: float,
     cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     joining = state.joining
-    first = now if joining.asked_at is None else joining.asked_at
+    first_asked_at = (
+        now if joining.first_join_at is None else joining.first_join_at
+    )
     targets = [peer.address for peer in (*cluster.local, *cluster.remote)]
-    # Seeds count as well while only few others are known.
+    # Seeds are candidates as well, as only few other nodes may be known.
     targets.extend(seed for seed in cluster.seeds if seed not in targets)
     count = min(state.policy.join_peers, len(targets))
     if not targets:
-        # There is nobody to wait for.
-        first = now - state.policy.join_seconds
+        # No answer can come, so the table is read at once.
+        first_asked_at = now - state.policy.join_seconds
     chosen = rng.sample(targets, count)
-    pause = state.policy.ask_seconds
+    pause = state.policy.join_retry_seconds
     if joining.welcomed:
         pause = state.policy.join_seconds
     state = dataclasses.replace(
         state,
         joining=dataclasses.replace(
             joining,
-            asked_at=first,
-            ask_at=now + pause,
+            first_join_at=first_asked_at,
+            next_join_at=now + pause,
         ),
     )
-    whole = not cluster.local and not cluster.remote
+    knows_nobody = not cluster.local and not cluster.remote
     return state, tuple(
         states.Send(
             address=address,
             message=wire.Join(
                 sender=state.own,
                 record=cluster.record,
-                whole=whole and at < 1,
+                whole=knows_nobody and index < 1,
             ),
         )
-        for at, address in enumerate(chosen)
+        for index, address in enumerate(chosen)
     )
 
 
 def _read_times(state: states.SpreadState) -> tuple[float, ...]:
-    """Return when the table is to be read for the join."""
+    """Return when the table is to be read for the join; infinity if not."""
     joining = state.joining
     never = float("inf")
-    if joining.asked_at is None or state.reading or state.ready:
+    if joining.first_join_at is None or state.reading or state.ready:
         return (never,)
-    if joining.checked or state.read_failures:
-        return (state.read_at,)
+    if joining.table_answered or state.read_failures:
+        return (state.next_read_at,)
     held = state.snapshot.version
     if joining.welcomed and held >= joining.floor:
-        return (joining.asked_at,)
-    return (joining.asked_at + state.policy.join_seconds,)
+        return (joining.first_join_at,)
+    return (joining.first_join_at + state.policy.join_seconds,)
--- a/apricotpost/spread/notices.py
+++ b/apricotpost/spread/notices.py
@@ -1,4 +1,4 @@
-"""Withdrawals: note, spread, compare and drop."""
+"""Notices of withdrawals: record, push, compare and drop."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -9,9 +9,10 @@
 from apricotpost.spread import state as states
 from apricotpost import wire
 
-__all__ = ["drop_ended", "find_missing", "record", "offer"]
+__all__ = ["answer_digest", "drop_ended", "lists_missing", "record"]
 
-TOMBSTONE_TIMES = 10
+# Times of receipt are kept for this many times ``Policy.notice_seconds``.
+TOMBSTONE_FACTOR = 10
 _OPEN = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
 
 
@@ -22,7 +23,7 @@
     cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
-    """Take over withdrawals and push those that are new."""
+    """Record withdrawals and push those that are new to some peers."""
     new = {
         entry.rollout: entry
         for entry in withdrawals
@@ -33,44 +34,53 @@
     state = dataclasses.replace(
         state,
         notices={**state.notices, **new},
-        noted_at={**state.noted_at, **dict.fromkeys(new, now)},
+        notice_received_at={
+            **state.notice_received_at,
+            **dict.fromkeys(new, now),
+        },
     )
     message = wire.WithdrawalNotice(
         sender=state.own, withdrawals=tuple(new.values())
     )
     return state, (
-        *(states.Noted(withdrawal=entry) for entry in new.values()),
+        *(states.NewWithdrawal(withdrawal=entry) for entry in new.values()),
         *(
             states.Send(address=peer.address, message=message)
-            for peer in refusals.pick_peers(state, cluster, rng)
+            for peer in refusals.select_push_peers(state, cluster, rng)
         ),
     )
 
 
-def offer(
+def answer_digest(
     state: states.SpreadState, digest: wire.ConfigDigest, reply_to: bytes
 ) -> tuple[states.Action, ...]:
     """Answer a digest with the withdrawals that its sender lacks."""
-    lacking = tuple(
+    lacked = tuple(
         entry
         for rollout, entry in state.notices.items()
         if rollout not in digest.withdrawn
     )
-    # A sender that is ahead may have dropped them with their rollouts.
-    if not lacking or digest.version > state.snapshot.version:
+    # A sender with a newer version may have dropped them because their
+    # rollouts ended.
+    if not lacked or digest.version > state.snapshot.version:
         return ()
-    message = wire.WithdrawalNotice(sender=state.own, withdrawals=lacking)
+    message = wire.WithdrawalNotice(sender=state.own, withdrawals=lacked)
     return (states.Reply(reply_to=reply_to, message=message),)
 
 
-def find_missing(state: states.SpreadState, digest: wire.ConfigDigest) -> bool:
-    """Return whether the sender knows withdrawals that this node lacks."""
+def lists_missing(
+    state: states.SpreadState, digest: wire.ConfigDigest
+) -> bool:
+    """Return whether a digest lists withdrawals that this node lacks."""
     return any(_is_missing(state, rollout) for rollout in digest.withdrawn)
 
 
 def drop_ended(state: states.SpreadState, now: float) -> states.SpreadState:
-    """Drop the withdrawals whose rollout is no longer open."""
-    if not state.noted_at:
+    """Drop the withdrawals whose rollout is no longer running or baking.
+
+    Those of unknown rollouts are dropped after ``Policy.notice_seconds``.
+    """
+    if not state.notice_received_at:
         return state
     open_now = _list_rollouts(state, ended=False)
     ended = _list_rollouts(state, ended=True)
@@ -79,17 +89,22 @@
         rollout: entry
         for rollout, entry in state.notices.items()
         if rollout in open_now
-        or (rollout not in ended and state.noted_at[rollout] > horizon)
+        or (
+            rollout not in ended
+            and state.notice_received_at[rollout] > horizon
+        )
     }
-    # The time of a dropped notice stays for a while, so that peers which
-    # still hold it do not bring it back.
-    forget = now - TOMBSTONE_TIMES * state.policy.notice_seconds
-    noted_at = {
+    # The time of receipt outlasts a dropped notice, so that a peer which still
+    # holds the notice cannot bring it back.
+    tombstone_horizon = now - TOMBSTONE_FACTOR * state.policy.notice_seconds
+    notice_received_at = {
         rollout: at
-        for rollout, at in state.noted_at.items()
-        if rollout in kept or at > forget
+        for rollout, at in state.notice_received_at.items()
+        if rollout in kept or at > tombstone_horizon
     }
-    return dataclasses.replace(state, notices=kept, noted_at=noted_at)
+    return dataclasses.replace(
+        state, notices=kept, notice_received_at=notice_received_at
+    )
 
 
 def _is_missing(state: states.SpreadState, rollout: str) -> bool:
@@ -97,8 +112,9 @@
         state, ended=True
     ):
         return False
-    return rollout not in state.noted_at or rollout in _list_rollouts(
-        state, ended=False
+    return (
+        rollout not in state.notice_received_at
+        or rollout in _list_rollouts(state, ended=False)
     )
 
 
--- a/apricotpost/spread/orders.py
+++ b/apricotpost/spread/orders.py
@@ -1,4 +1,4 @@
-"""Orders of the operators, as far as this node holds them."""
+"""Copy of the operators' orders that a node holds."""
 
 from collections.abc import Iterable
 
@@ -13,9 +13,9 @@
 
 
 class OrderStore:
-    """Newest known row of every key.
+    """Newest known row of each key.
 
-    ``revision`` is the store's revision up to which no change is missing.
+    No change up to the orders' revision ``revision`` is missing.
     """
 
     def __init__(self) -> None:
@@ -30,44 +30,46 @@
     after: int,
     revision: int,
 ) -> list[wire.OrderRow]:
-    """Take rows that changed after one revision up to another.
+    """Merge the rows that changed after one revision and up to another.
 
     Returns
     -------
     list of wire.OrderRow
-        The rows that are news. A row never returns to an older revision.
+        Rows that are newer than the known ones. Older rows are ignored.
     """
-    news = []
+    changed = []
     for row in rows:
         known = order_store.rows.get(row.key)
         if known is not None and known.revision >= row.revision:
             continue
         order_store.rows[row.key] = row
-        news.append(row)
+        changed.append(row)
     if after <= order_store.revision < revision:
         order_store.revision = revision
-    return news
+    return changed
 
 
 def replace_all(
     order_store: OrderStore, rows: Iterable[wire.OrderRow], *, revision: int
 ) -> list[wire.OrderRow]:
-    """Take all rows of the table as of a revision.
+    """Merge all rows of the table as of a revision; return the changed ones.
 
-    Rows that the table lacks were removed, unless they are newer. An answer
-    of a store that lags behind changes nothing.
+    Known rows that the table lacks are marked as removed, unless they are
+    newer than the revision. A read of an outdated replica changes nothing.
     """
     if revision < order_store.revision:
         return []
-    found = {row.key: row for row in rows}
-    gone = [
+    read_rows = {row.key: row for row in rows}
+    removed_rows = [
         wire.OrderRow(key=key, value=b"", revision=revision, removed=True)
         for key, known in order_store.rows.items()
-        if key not in found and not known.removed and known.revision < revision
+        if key not in read_rows
+        and not known.removed
+        and known.revision < revision
     ]
     return merge(
         order_store,
-        [*found.values(), *gone],
+        [*read_rows.values(), *removed_rows],
         after=order_store.revision,
         revision=revision,
     )
--- a/apricotpost/spread/patches.py
+++ b/apricotpost/spread/patches.py
@@ -1,9 +1,9 @@
-"""Compression of orders on their way between nodes.
+"""Compression of orders that are sent between nodes.
 
-A configuration of some hundred kilobytes changes in a few places. Its new
-value is compressed with the old one as the dictionary (Zstandard, RFC 8878,
-as `zstd --patch-from` does), which leaves some hundred bytes for a link of a
-few megabits a second.
+A configuration of several hundred kilobytes usually changes in a few places.
+Its new value is compressed with the old one as the dictionary (Zstandard,
+RFC 8878, like `zstd --patch-from`). The patch takes several hundred bytes,
+which matters on links of a few megabits per second.
 """
 
 import zstandard
@@ -14,24 +14,24 @@
 
 __all__ = ["MAX_VALUE_BYTES", "is_current", "pack", "unpack"]
 
-# Largest value that is unpacked; a row of the store is far below.
+# Limit for the size of an unpacked value; rows of the store are far smaller.
 MAX_VALUE_BYTES = 16 * 1024 * 1024
-# Shorter values are sent as they are.
+# Shorter values are sent uncompressed.
 MIN_PACKED_BYTES = 256
-# The lowest level at which matches are found over the whole dictionary.
+# Lowest level at which Zstandard finds matches in the whole dictionary.
 PATCH_LEVEL = 3
 WHOLE_LEVEL = 1
 
 
 def pack(row: wire.OrderRow, base: wire.OrderRow | None) -> wire.PackedRow:
-    """Compress a row.
+    """Compress the value of a row, as a patch if a base is given.
 
     Parameters
     ----------
     row : wire.OrderRow
-        The row.
+        Row to be sent.
     base : wire.OrderRow or None
-        An earlier state of it that the receiver is expected to hold.
+        Earlier revision of the row that the receiver is expected to hold.
     """
     value = row.value
     form = wire.PackedForm.PLAIN
@@ -57,7 +57,7 @@
 def unpack(
     packed: wire.PackedRow, order_store: orders.OrderStore
 ) -> wire.OrderRow | None:
-    """Restore a row; None if its base is not held here.
+    """Restore a row; return None if the base of its patch is not held.
 
     Raises
     ------
@@ -89,7 +89,7 @@
 
 
 def is_current(packed: wire.PackedRow, order_store: orders.OrderStore) -> bool:
-    """Tell whether a row of this revision or a newer one is held."""
+    """Return whether this revision of a row or a newer one is held."""
     known = order_store.rows.get(packed.key)
     return known is not None and known.revision >= packed.revision
 
@@ -101,7 +101,7 @@
 
 
 def _compress_patch(value: bytes, base: bytes) -> bytes:
-    # The window has to hold both values for matches anywhere in the base.
+    # Matches anywhere in the base need a window that covers both values.
     window_log = max((len(value) + len(base)).bit_length(), 10)
     parameters = zstandard.ZstdCompressionParameters.from_level(
         PATCH_LEVEL, window_log=window_log, enable_ldm=True
--- a/apricotpost/spread/readers.py
+++ b/apricotpost/spread/readers.py
@@ -1,4 +1,4 @@
-"""Which nodes read the table, and whom a node can reach."""
+"""Selection of the nodes that read the table, and the cluster view."""
 
 from collections.abc import Iterable
 
@@ -8,14 +8,14 @@
 from apricotpost import model
 from apricotpost.spread import state as states
 
-__all__ = ["READERS", "make_cluster_view", "rank"]
+__all__ = ["READERS_PER_DATA_CENTRE", "make_cluster_view", "rank"]
 
-READERS = 2
-_GONE = (model.InstanceState.LEAVING, model.InstanceState.DOWN)
+READERS_PER_DATA_CENTRE = 2
+_LEAVING_OR_DOWN = (model.InstanceState.LEAVING, model.InstanceState.DOWN)
 
 
 def rank(names: Iterable[str], key: str) -> list[str]:
-    """Order names by rendezvous hash, the first choice first."""
+    """Sort names by their rendezvous hash for a key, preferred name first."""
     return sorted(
         names,
         key=lambda name: xxhash.xxh64_intdigest(f"{key} {name}".encode()),
@@ -32,14 +32,15 @@
     remote: list[states.Peer] = []
     for name in sorted(known.members):
         record = known.members[name].record
-        if name == known.own or record.state in _GONE:
+        if name == known.own or record.state in _LEAVING_OR_DOWN:
             continue
         peer = states.Peer(instance=name, address=record.control_address)
         if record.data_centre == own.data_centre:
             local.append(peer)
         elif record.state is not model.InstanceState.SUSPECT:
             remote.append(peer)
-    # A suspect may be dead for seconds; a doubled reader is harmless.
+    # A suspect may have failed seconds ago, so it is not counted as a reader.
+    # If it is alive, one node more than necessary reads, which is harmless.
     candidates = [known.own]
     candidates.extend(
         peer.instance
@@ -51,6 +52,7 @@
         record=own,
         local=tuple(local),
         remote=tuple(remote),
-        reader=known.own in rank(candidates, own.data_centre)[:READERS],
+        reader=known.own
+        in rank(candidates, own.data_centre)[:READERS_PER_DATA_CENTRE],
         seeds=tuple(seed for seed in seeds if seed != own.control_address),
     )
--- a/apricotpost/spread/refusals.py
+++ b/apricotpost/spread/refusals.py
@@ -1,4 +1,4 @@
-"""Count the refusals of a version and stop its distribution."""
+"""Refusals of versions; a version that half of the nodes refuse is stopped."""
 
 import dataclasses
 import random
@@ -6,10 +6,17 @@
 from apricotpost.spread import state as states
 from apricotpost import wire
 
-__all__ = ["add", "is_stopped", "record", "forward", "pick_peers"]
+__all__ = [
+    "add_refusers",
+    "is_stopped",
+    "record",
+    "forward",
+    "select_push_peers",
+]
 
-# Refusals of older versions no longer matter.
-KEPT_REFUSALS = 4
+# Refusals are kept for this many of the newest versions; those of older ones
+# no longer matter.
+KEPT_REFUSED_VERSIONS = 4
 MAX_REFUSERS_PER_MESSAGE = 64
 
 
@@ -18,18 +25,18 @@
     message: wire.ConfigRefused,
     cluster: states.ClusterView,
 ) -> states.Step:
-    """Count the instances that refused a version."""
+    """Record the refusals of a version from a message."""
     names = frozenset(message.refusers)
-    return add(state, message.version, names, cluster)
+    return add_refusers(state, message.version, names, cluster)
 
 
 def forward(
     state: states.SpreadState, cluster: states.ClusterView, rng: random.Random
 ) -> states.Step:
-    """Tell some peers of the refusals that are new to this node."""
+    """Send the refusals that are new to this node to some peers."""
     if not state.unsent:
         return state, ()
-    peers = pick_peers(state, cluster, rng)
+    peers = select_push_peers(state, cluster, rng)
     actions: list[states.Action] = []
     rest: dict[int, frozenset[str]] = {}
     for version, names in state.unsent.items():
@@ -49,10 +56,10 @@
     return dataclasses.replace(state, unsent=rest), tuple(actions)
 
 
-def pick_peers(
+def select_push_peers(
     state: states.SpreadState, cluster: states.ClusterView, rng: random.Random
 ) -> tuple[states.Peer, ...]:
-    """Choose the peers to which news are pushed."""
+    """Select random peers for a push, local and remote ones."""
     policy = state.policy
     local = rng.sample(
         cluster.local, min(policy.push_local, len(cluster.local))
@@ -66,7 +73,7 @@
 def is_stopped(
     state: states.SpreadState, version: int, cluster: states.ClusterView
 ) -> bool:
-    """Return whether half of the live members refused a version."""
+    """Return whether at least half of the live nodes refused a version."""
     known = state.refusals.get(version)
     if not known:
         return False
@@ -76,19 +83,19 @@
     return bool(refusers) and 2 * len(refusers) >= len(live)
 
 
-def add(
+def add_refusers(
     state: states.SpreadState,
     version: int,
     names: frozenset[str],
     cluster: states.ClusterView,
 ) -> states.Step:
-    """Add instances that refused a version."""
+    """Add refusers of a version; report when they stop its distribution."""
     known = state.refusals.get(version, frozenset())
     new = names - known
     if not new:
         return state, ()
     stopped = is_stopped(state, version, cluster)
-    kept = sorted({*state.refusals, version})[-KEPT_REFUSALS:]
+    kept = sorted({*state.refusals, version})[-KEPT_REFUSED_VERSIONS:]
     refusals = {**state.refusals, version: known | new}
     unsent = state.unsent.get(version, frozenset()) | new
     state = dataclasses.replace(
@@ -98,5 +105,5 @@
     )
     if stopped or not is_stopped(state, version, cluster):
         return state, ()
-    count = len(state.refusals[version])
-    return state, (states.Stopped(version=version, refusers=count),)
+    refuser_count = len(state.refusals[version])
+    return state, (states.Stopped(version=version, refusers=refuser_count),)
--- a/apricotpost/spread/state.py
+++ b/apricotpost/spread/state.py
@@ -1,4 +1,4 @@
-"""State, events and actions of the distribution."""
+"""State, events and actions of the configuration distribution."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -11,7 +11,7 @@
     "Committed",
     "Event",
     "Joining",
-    "Noted",
+    "NewWithdrawal",
     "Peer",
     "Policy",
     "ReadTable",
@@ -30,10 +30,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Policy:
-    """Times in seconds and bounds of the distribution."""
+    """Intervals, time-outs and limits of the distribution."""
 
     poll_seconds: float = 1.0
-    # Below the 8 s of convergence, so that a return of the table is noticed.
+    # Longest pause, before jitter, between reads of an unavailable table. It
+    # is below the convergence time of 8 s, so that nodes notice early enough
+    # that the table is available again.
     poll_backoff_seconds: float = 4.0
     digest_seconds: float = 2.0
     remote_digest_every: int = 5
@@ -42,17 +44,20 @@
     push_deltas: int = 8
     kept_deltas: int = 64
     snapshots_per_second: int = 20
-    # A second request goes out when the first was not answered.
+    # Time for an answer before a version is requested again.
     request_seconds: float = 0.5
-    # A damaged copy of a good version is refused as well.
+    # A refused version is tried again after this time, as only the received
+    # copy may have been damaged.
     refused_seconds: float = 10.0
     join_jitter_seconds: float = 2.0
     join_peers: int = 3
-    # Time for peers to answer before the table is read instead.
+    # Time for peers to answer before the table is read without them.
     join_seconds: float = 3.0
-    # A seed may have failed with the node that asks it.
-    ask_seconds: float = 1.0
-    # A notice may be faster than the version that starts its rollout.
+    # Pause between join requests until a peer answers. It is short, as a seed
+    # may have failed together with the joining node.
+    join_retry_seconds: float = 1.0
+    # Time for which notices of unknown rollouts are kept: a notice may arrive
+    # before the version that starts its rollout.
     notice_seconds: float = 60.0
 
 
@@ -66,18 +71,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ClusterView:
-    """What the distribution needs of the instance records.
+    """Other nodes and roles that follow from the instance records.
 
     Parameters
     ----------
     record : apricotpost.model.InstanceRecord
         Own record.
     local, remote : tuple of Peer
-        Live nodes of the own and of the other data centres.
+        Live nodes of the own data centre and of the other ones.
     reader : bool
         Whether this node reads the table.
     seeds : tuple of str
-        Control addresses from the settings.
+        Control addresses of the seeds from the settings.
     """
 
     record: model.InstanceRecord
@@ -89,50 +94,52 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Joining:
-    """How far a started node has come.
+    """Progress of a started node's join.
 
     Parameters
     ----------
-    ask_at : float
-        When peers are asked (again).
-    asked_at : float, optional
-        When peers were first asked.
+    next_join_at : float
+        When the next join requests are sent, in monotonic seconds.
+    first_join_at : float, optional
+        When join requests were first sent, in monotonic seconds.
     welcomed : bool
-        Whether a peer with a configuration answered.
+        Whether a peer that holds a configuration answered.
     floor : int
-        Lowest version with which the node may be ready.
-    checked, table_out : bool
-        Whether the table answered, and whether it failed to.
+        Lowest version with which the node may become ready.
+    table_answered, table_failed : bool
+        Whether a read of the table succeeded, and whether one failed.
     """
 
-    ask_at: float
-    asked_at: float | None = None
+    next_join_at: float
+    first_join_at: float | None = None
     welcomed: bool = False
     floor: int = 0
-    checked: bool = False
-    table_out: bool = False
+    table_answered: bool = False
+    table_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SpreadState:
-    """What a node holds and knows about the configuration.
+    """Configuration that a node holds, and state of its distribution.
 
     Parameters
     ----------
     deltas : tuple of apricotpost.model.Delta
-        Consecutive, ending at the version held.
+        Consecutive deltas that end at the held version.
     refused : mapping
-        Versions that this node refused and when.
+        When this node last refused each version, in monotonic seconds.
     refusals : mapping
-        Instances that refused a version.
+        Known refusers of each version.
     unsent : mapping
-        Those of them that were not passed on yet.
-    requested : tuple of int and float
-        Version last asked for and when.
-    snapshots : tuple of int and int
-        Second on the clock and snapshots served in it.
+        Refusers of each version that were not yet forwarded to peers.
+    last_request : tuple of int and float
+        Last requested version, and when it was requested.
+    snapshots_served : tuple of int and int
+        Current second of the monotonic clock, and the number of snapshots
+        served in it.
     notices : mapping
-        Withdrawals by rollout; ``noted_at`` is when each came in.
+        Withdrawals by rollout; ``notice_received_at`` holds when each was
+        received, also for some time after it was dropped.
     """
 
     own: str
@@ -148,28 +155,30 @@
     unsent: Mapping[int, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
-    requested: tuple[int, float] = (0, 0.0)
-    snapshots: tuple[int, int] = (0, 0)
-    digest_at: float = 0.0
-    round: int = 0
+    last_request: tuple[int, float] = (0, 0.0)
+    snapshots_served: tuple[int, int] = (0, 0)
+    next_digest_at: float = 0.0
+    digest_round: int = 0
     reading: bool = False
     read_again: bool = False
-    read_at: float = 0.0
+    next_read_at: float = 0.0
     read_failures: int = 0
     notices: Mapping[str, model.Withdrawal] = dataclasses.field(
         default_factory=dict
     )
-    noted_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    notice_received_at: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
-    """Time has passed."""
+    """A timer expired."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Received:
-    """A message came in; ``reply_to`` is the way back to its sender.
+    """A message arrived; ``reply_to`` routes answers to its sender.
 
     ``floor`` is the version that the sender of a `Join` was known to hold.
     """
@@ -181,7 +190,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TableRead:
-    """The platform task answered."""
+    """The platform task answered a read of the table."""
 
     found: wire.ConfigRead
 
@@ -212,14 +221,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReadTable:
-    """Ask the platform task for everything after ``have``."""
+    """Request all versions after ``have`` from the platform task."""
 
     have: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refused:
-    """Tell the owner that this node refused a version."""
+    """Report that this node refused a version."""
 
     version: int
     reason: str
@@ -227,19 +236,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Stopped:
-    """Tell the owner that a version spreads no further."""
+    """Report that the distribution of a version stopped."""
 
     version: int
     refusers: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Noted:
-    """Tell the owner of a withdrawal that is new to this node."""
+class NewWithdrawal:
+    """Report a withdrawal that is new to this node."""
 
     withdrawal: model.Withdrawal
 
 
 Event = Tick | Received | TableRead | Committed
-Action = Send | Reply | ReadTable | Refused | Stopped | Noted
+Action = Send | Reply | ReadTable | Refused | Stopped | NewWithdrawal
 Step = tuple[SpreadState, tuple[Action, ...]]
--- a/apricotpost/spread/versions.py
+++ b/apricotpost/spread/versions.py
@@ -1,4 +1,4 @@
-"""Take, refuse, push and serve configuration versions."""
+"""Apply, refuse, request, push and serve configuration versions."""
 
 from collections.abc import Sequence
 import dataclasses
@@ -12,7 +12,7 @@
 from apricotpost import wire
 
 __all__ = [
-    "is_blocked",
+    "was_refused_recently",
     "make_digest",
     "read_table",
     "request",
@@ -30,26 +30,27 @@
     rng: random.Random,
     reply_to: bytes = b"",
 ) -> states.Step:
-    """Apply the deltas that are new, or ask for those in between.
+    """Apply the new deltas, or request the versions missing before them.
 
     Parameters
     ----------
     state : SpreadState
         State before.
     deltas : sequence of apricotpost.model.Delta
-        Consecutive, oldest first.
+        Consecutive deltas, oldest first.
     now : float
         Monotonic clock in seconds.
     cluster : ClusterView
-        Whom the node can reach.
+        Nodes that this node can reach.
     rng : random.Random
-        For the choice of peers.
+        Random generator that selects peers.
     reply_to : bytes
-        Way back to the sender; empty for the table.
+        Route to the sender; empty if the deltas are from the table.
     """
     held = state.snapshot.version
     chain = [delta for delta in deltas if delta.version > held]
-    # A node that is not ready yet has no older version to keep.
+    # A node that is not ready accepts stopped versions: it has no older
+    # version to route calls with.
     while chain and state.ready:
         if not refusals.is_stopped(state, chain[-1].version, cluster):
             break
@@ -61,7 +62,7 @@
             return state, ()
         return request(state, chain[-1].version, reply_to, now)
     actions: list[states.Action] = []
-    while chain and not is_blocked(state, chain[-1].version, now):
+    while chain and not was_refused_recently(state, chain[-1].version, now):
         try:
             snapshot = config.apply_chain(state.snapshot, chain)
         except errors.ApricotpostError as error:
@@ -84,28 +85,36 @@
     cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
-    """Replace the version held by a newer, valid snapshot."""
+    """Replace the held version by a snapshot if it is newer and valid."""
     version = snapshot.version
-    if version <= state.snapshot.version or is_blocked(state, version, now):
+    if version <= state.snapshot.version or was_refused_recently(
+        state, version, now
+    ):
         return state, ()
     try:
-        taken = config.apply_snapshot(state.snapshot, snapshot)
+        applied = config.apply_snapshot(state.snapshot, snapshot)
     except errors.ApricotpostError as error:
         return _refuse(state, version, error.message, now, cluster, rng)
-    state = dataclasses.replace(state, snapshot=taken, deltas=())
+    state = dataclasses.replace(state, snapshot=applied, deltas=())
     return state, _push(state, (), cluster, rng)
 
 
 def request(
     state: states.SpreadState, version: int, reply_to: bytes, now: float
 ) -> states.Step:
-    """Ask a peer for what leads to a version, unless just asked."""
-    asked, asked_at = state.requested
-    recent = now - asked_at < state.policy.request_seconds
-    if is_blocked(state, version, now) or (recent and asked >= version):
+    """Request the changes up to a version from a peer.
+
+    No request is sent if this node refused the version recently, or if a
+    request for it or a newer version may still be answered.
+    """
+    requested_version, requested_at = state.last_request
+    recent = now - requested_at < state.policy.request_seconds
+    if was_refused_recently(state, version, now) or (
+        recent and requested_version >= version
+    ):
         return state, ()
     message = wire.ConfigRequest(sender=state.own, have=state.snapshot.version)
-    return dataclasses.replace(state, requested=(version, now)), (
+    return dataclasses.replace(state, last_request=(version, now)), (
         states.Reply(reply_to=reply_to, message=message),
     )
 
@@ -117,37 +126,39 @@
     now: float,
     cluster: states.ClusterView,
 ) -> states.Step:
-    """Answer a request with deltas or, at a bounded rate, a snapshot."""
+    """Answer a request with deltas or, at a limited rate, with a snapshot."""
     version = state.snapshot.version
     if message.have >= version or refusals.is_stopped(state, version, cluster):
         return state, ()
-    for at, delta in enumerate(state.deltas):
+    for index, delta in enumerate(state.deltas):
         if delta.base == message.have:
             answer = wire.ConfigDelta(
-                sender=state.own, deltas=state.deltas[at:]
+                sender=state.own, deltas=state.deltas[index:]
             )
             return state, (states.Reply(reply_to=reply_to, message=answer),)
-    second, served = state.snapshots
+    second, served = state.snapshots_served
     if second != int(now):
         second, served = int(now), 0
     if served >= state.policy.snapshots_per_second:
         return state, ()
-    whole = wire.ConfigSnapshot(sender=state.own, snapshot=state.snapshot)
-    state = dataclasses.replace(state, snapshots=(second, served + 1))
-    return state, (states.Reply(reply_to=reply_to, message=whole),)
+    snapshot_message = wire.ConfigSnapshot(
+        sender=state.own, snapshot=state.snapshot
+    )
+    state = dataclasses.replace(state, snapshots_served=(second, served + 1))
+    return state, (states.Reply(reply_to=reply_to, message=snapshot_message),)
 
 
 def read_table(
     state: states.SpreadState,
 ) -> tuple[states.SpreadState, states.ReadTable]:
-    """Start a read of the table."""
+    """Mark a read of the table as started and return its action."""
     return dataclasses.replace(state, reading=True), states.ReadTable(
         have=state.snapshot.version
     )
 
 
 def make_digest(state: states.SpreadState) -> wire.ConfigDigest:
-    """Describe what the node holds."""
+    """Return the digest of the configuration and the notices that are held."""
     return wire.ConfigDigest(
         sender=state.own,
         version=state.snapshot.version,
@@ -156,8 +167,13 @@
     )
 
 
-def is_blocked(state: states.SpreadState, version: int, now: float) -> bool:
-    """Return whether this node refused a version a short time ago."""
+def was_refused_recently(
+    state: states.SpreadState, version: int, now: float
+) -> bool:
+    """Return whether this node refused a version recently.
+
+    The time is ``Policy.refused_seconds``.
+    """
     at = state.refused.get(version)
     return at is not None and now - at < state.policy.refused_seconds
 
@@ -182,7 +198,7 @@
         message = wire.ConfigDelta(sender=state.own, deltas=tuple(chain))
     return tuple(
         states.Send(address=peer.address, message=message)
-        for peer in refusals.pick_peers(state, cluster, rng)
+        for peer in refusals.select_push_peers(state, cluster, rng)
     )
 
 
@@ -203,7 +219,7 @@
     state = dataclasses.replace(state, refused={**refused, version: now})
     if not first:
         return state, ()
-    state, actions = refusals.add(
+    state, actions = refusals.add_refusers(
         state, version, frozenset((state.own,)), cluster
     )
     message = wire.ConfigRefused(
@@ -214,7 +230,7 @@
     )
     reports = tuple(
         states.Send(address=peer.address, message=message)
-        for peer in refusals.pick_peers(state, cluster, rng)
+        for peer in refusals.select_push_peers(state, cluster, rng)
     )
     return state, (
         states.Refused(version=version, reason=reason),
--- a/tests/membership/fleets.py
+++ b/tests/membership/fleets.py
@@ -1,4 +1,4 @@
-"""A fake queue between many memberships; no sockets and no clock."""
+"""Simulated network of failure detectors, without sockets or a clock."""
 
 import dataclasses
 import random
@@ -7,36 +7,38 @@
 from apricotpost import model
 from apricotpost import wire
 
-__all__ = ["Queue", "make_record", "open_queue"]
+__all__ = ["SimulatedNetwork", "make_network", "make_record"]
 
 STEP_SECONDS = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
-class Queue:
-    """Memberships by name and what is under way between them.
+class SimulatedNetwork:
+    """Memberships by node name and the messages in flight between them.
 
-    ``silent`` nodes neither run nor receive; ``cut`` tells whether a message
-    between two nodes is lost.
+    Nodes in ``silent`` neither run nor receive. ``is_cut`` is None or a
+    function of two node names that returns whether a message from the first
+    to the second is lost. ``max_records`` is the largest number of records in
+    a probe or an answer so far.
     """
 
     states: dict[str, membership.Membership]
     rng: random.Random
     now: float = 0.0
-    pending: list[tuple[str, str, wire.Message]] = dataclasses.field(
+    in_flight: list[tuple[str, str, wire.Message]] = dataclasses.field(
         default_factory=list
     )
     silent: set[str] = dataclasses.field(default_factory=set)
-    cut: object = None
-    largest: int = 0
-    sent: int = 0
+    is_cut: object = None
+    max_records: int = 0
+    sent_count: int = 0
 
     def run(self, seconds: float) -> None:
-        """Let time pass in steps; each message takes one step."""
+        """Advance the time in steps; each message takes one step."""
         for _ in range(round(seconds / STEP_SECONDS)):
             self.now += STEP_SECONDS
-            arrived, self.pending = self.pending, []
-            for source, target, message in arrived:
+            delivered, self.in_flight = self.in_flight, []
+            for source, target, message in delivered:
                 if self.is_lost(source, target):
                     continue
                 event = membership.Received(
@@ -51,13 +53,13 @@
                     self.handle(name, membership.Tick(draw=draw))
 
     def is_lost(self, source: str, target: str) -> bool:
-        """Return whether a message does not arrive."""
+        """Return whether a message from source to target is lost."""
         if target in self.silent or target not in self.states:
             return True
-        return bool(self.cut and self.cut(source, target))
+        return bool(self.is_cut and self.is_cut(source, target))
 
     def handle(self, name: str, event: membership.Event) -> None:
-        """Run one decision and take up its messages."""
+        """Handle an event at a node and queue the messages that it sends."""
         state, actions = membership.handle(self.states[name], event, self.now)
         self.states[name] = state
         for action in actions:
@@ -68,12 +70,12 @@
             )
             records = getattr(action.message, "records", ())
             if isinstance(action.message, (wire.Ping, wire.Ack)):
-                self.largest = max(self.largest, len(records))
-            self.sent += 1
-            self.pending.append((name, target, action.message))
+                self.max_records = max(self.max_records, len(records))
+            self.sent_count += 1
+            self.in_flight.append((name, target, action.message))
 
-    def seen(self, subject: str) -> list[str]:
-        """Return the state of an instance as each other running node sees."""
+    def observed_states(self, subject: str) -> list[str]:
+        """Return an instance's state as each other running node sees it."""
         return [
             state.members[subject].record.state.value
             for name, state in self.states.items()
@@ -97,13 +99,15 @@
     )
 
 
-def open_queue(size: int, *, centres: int = 1, seed: int = 1) -> Queue:
-    """Make nodes that all know each other."""
+def make_network(
+    size: int, *, centres: int = 1, seed: int = 1
+) -> SimulatedNetwork:
+    """Return a network of nodes that all know each other."""
     rng = random.Random(seed)
     known = {
         f"n{number}": membership.Member(
             record=make_record(f"n{number}", f"dc{number % centres}"),
-            since=0.0,
+            recorded_at=0.0,
         )
         for number in range(size)
     }
@@ -111,4 +115,4 @@
     for name, member in known.items():
         state = membership.start(member.record, 0.0, draw=rng.getrandbits(32))
         states[name] = dataclasses.replace(state, members=known, updates=())
-    return Queue(states=states, rng=rng)
+    return SimulatedNetwork(states=states, rng=rng)
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -1,4 +1,4 @@
-"""Tests of the failure detection under loss, freezes and cuts."""
+"""Tests of the failure detector under loss, freezes and partitions."""
 
 import dataclasses
 import math
@@ -11,124 +11,134 @@
 
 __all__ = ["DetectionTest", "RecordTest"]
 
-# One period until the first probe, one until it has failed, the suspicion,
-# and two periods of margin; rumours double their reach each period.
-FIXED_PERIODS = 1 + 1 + 3 + 2
+# One period until the first probe, one until it has failed, three of suspicion
+# and two of margin. Dissemination adds log2 of the fleet's size, as a record
+# reaches twice as many nodes in each period.
+BASE_PERIODS = 1 + 1 + 3 + 2
 
 
 class DetectionTest(unittest.TestCase):
-    def detect(self, size):
-        queue = fleets.open_queue(size)
-        queue.silent.add("n7")
-        periods = FIXED_PERIODS + math.ceil(math.log2(size))
-        while queue.now < periods and set(queue.seen("n7")) != {"down"}:
-            queue.run(1.0)
-        self.assertEqual({"down"}, set(queue.seen("n7")))
-        self.assertLessEqual(queue.largest, 6)
+    def check_detection(self, size):
+        network = fleets.make_network(size)
+        network.silent.add("n7")
+        periods = BASE_PERIODS + math.ceil(math.log2(size))
+        while network.now < periods and set(network.observed_states("n7")) != {
+            "down"
+        }:
+            network.run(1.0)
+        self.assertEqual({"down"}, set(network.observed_states("n7")))
+        self.assertLessEqual(network.max_records, 6)
         others = {"up"}
-        self.assertEqual(others, set(queue.seen("n8")))
+        self.assertEqual(others, set(network.observed_states("n8")))
 
-    def test_dead_node_is_found_at_60_members(self):
-        """Guards against a dead instance that keeps getting calls."""
-        self.detect(60)
+    def test_dead_node_is_detected_at_60_members(self):
+        """Guards against a dead instance that keeps receiving calls."""
+        self.check_detection(60)
 
-    def test_dead_node_is_found_at_1200_members(self):
+    def test_dead_node_is_detected_at_1200_members(self):
         """Guards against a detection time that grows with the fleet."""
-        self.detect(1200)
+        self.check_detection(1200)
 
     def test_messages_do_not_grow_with_the_fleet(self):
-        """Guards against a cost for each node that grows with the fleet."""
+        """Guards against a load on each node that grows with the fleet."""
         rates = []
         for size in (30, 300):
-            queue = fleets.open_queue(size)
-            queue.run(20)
-            rates.append(queue.sent / size / 20)
+            network = fleets.make_network(size)
+            network.run(20)
+            rates.append(network.sent_count / size / 20)
         self.assertLessEqual(rates[1], 1.05 * rates[0])
 
     def test_lost_messages_do_not_take_down_live_nodes(self):
-        """Guards against a false alarm at a loss of one in ten."""
-        queue = fleets.open_queue(40)
-        queue.cut = lambda source, target: queue.rng.random() < 0.1
-        queue.run(60)
+        """Guards against false detections when 10 % of messages are lost."""
+        network = fleets.make_network(40)
+        network.is_cut = lambda source, target: network.rng.random() < 0.1
+        network.run(60)
         down = [
-            name for name in queue.states if queue.seen(name).count("down") > 0
+            name
+            for name in network.states
+            if network.observed_states(name).count("down") > 0
         ]
         self.assertEqual([], down)
 
     def test_frozen_node_refutes_when_it_returns(self):
-        """Guards against a node that stays excluded after a pause."""
-        queue = fleets.open_queue(20)
-        queue.silent.add("n3")
-        queue.run(15)
-        self.assertEqual({"down"}, set(queue.seen("n3")))
-        queue.silent.clear()
-        queue.run(12)
-        self.assertEqual({"up"}, set(queue.seen("n3")))
-        # The frozen node must not take the others for dead either.
-        for name in queue.states:
-            self.assertNotIn("down", queue.seen(name))
+        """Guards against a node that stays down after a freeze."""
+        network = fleets.make_network(20)
+        network.silent.add("n3")
+        network.run(15)
+        self.assertEqual({"down"}, set(network.observed_states("n3")))
+        network.silent.clear()
+        network.run(12)
+        self.assertEqual({"up"}, set(network.observed_states("n3")))
+        # The frozen node must not declare the others down either.
+        for name in network.states:
+            self.assertNotIn("down", network.observed_states(name))
 
     def test_lost_leave_message_is_covered_by_probes(self):
-        """Guards against calls to an instance that left unheard."""
-        queue = fleets.open_queue(20)
-        queue.cut = lambda source, target: source == "n5"
-        own = queue.states["n5"].record
+        """Guards against calls to an instance with lost leave messages."""
+        network = fleets.make_network(20)
+        network.is_cut = lambda source, target: source == "n5"
+        own = network.states["n5"].record
         leaving = dataclasses.replace(own, state=model.InstanceState.LEAVING)
         event = membership.OwnChanged(record=leaving, draw=1)
-        queue.handle("n5", event)
-        queue.run(0.2)
-        queue.silent.add("n5")
-        queue.run(FIXED_PERIODS + 5)
-        self.assertEqual({"down"}, set(queue.seen("n5")))
+        network.handle("n5", event)
+        network.run(0.2)
+        network.silent.add("n5")
+        network.run(BASE_PERIODS + 5)
+        self.assertEqual({"down"}, set(network.observed_states("n5")))
 
     def test_leave_reaches_all_within_two_seconds(self):
         """Guards against calls to an instance that is draining."""
-        queue = fleets.open_queue(20)
-        own = queue.states["n5"].record
+        network = fleets.make_network(20)
+        own = network.states["n5"].record
         leaving = dataclasses.replace(own, state=model.InstanceState.LEAVING)
-        queue.handle("n5", membership.OwnChanged(record=leaving, draw=1))
-        queue.run(2.0)
-        told = queue.seen("n5").count("leaving")
-        self.assertGreaterEqual(told, 15)
-        queue.run(2.0)
-        self.assertEqual({"leaving"}, set(queue.seen("n5")))
+        network.handle("n5", membership.OwnChanged(record=leaving, draw=1))
+        network.run(2.0)
+        informed_count = network.observed_states("n5").count("leaving")
+        self.assertGreaterEqual(informed_count, 15)
+        network.run(2.0)
+        self.assertEqual({"leaving"}, set(network.observed_states("n5")))
 
     def test_cut_off_data_centre_keeps_its_records(self):
-        """Guards against the loss of a region's records in a partition."""
-        queue = fleets.open_queue(24, centres=2)
+        """Guards against records of a region that are lost in a partition."""
+        network = fleets.make_network(24, centres=2)
         sides = {
             name: state.record.data_centre
-            for name, state in queue.states.items()
+            for name, state in network.states.items()
         }
-        queue.cut = lambda source, target: sides[source] != sides[target]
-        queue.run(60)
-        self.assertLessEqual(queue.largest, 6)
+        network.is_cut = lambda source, target: sides[source] != sides[target]
+        network.run(60)
+        self.assertLessEqual(network.max_records, 6)
         view = {
             record.instance: record.state
-            for record in membership.list_visible(queue.states["n0"])
+            for record in membership.list_visible(network.states["n0"])
         }
         remote = {view[name] for name in sides if sides[name] != "dc0"}
         self.assertEqual({model.InstanceState.DOWN}, remote)
-        queue.cut = None
-        queue.run(40)
+        network.is_cut = None
+        network.run(40)
         for name in sides:
-            self.assertEqual({"up"}, set(queue.seen(name)), name)
+            self.assertEqual({"up"}, set(network.observed_states(name)), name)
 
-    def test_both_halves_of_a_data_centre_find_each_other_again(self):
-        """Guards against a cut that outlives its cause."""
-        queue = fleets.open_queue(12)
-        queue.cut = lambda source, target: (int(source[1:]) < 3) != (
+    def test_split_data_centre_recovers_after_a_partition(self):
+        """Guards against a partition that persists after its cause has ended.
+
+        Each side has declared the other one down and no longer probes it
+        regularly.
+        """
+        network = fleets.make_network(12)
+        network.is_cut = lambda source, target: (int(source[1:]) < 3) != (
             int(target[1:]) < 3
         )
-        queue.run(40)
-        # Within a data centre a failed majority is down, not cut off.
+        network.run(40)
+        # Within a data centre a failed majority counts as down, not as
+        # partitioned.
         for number in range(3, 12):
-            seen = queue.seen(f"n{number}")
-            self.assertEqual(3, seen.count("down"), number)
-        queue.cut = None
-        queue.run(60)
-        for name in queue.states:
-            self.assertEqual({"up"}, set(queue.seen(name)), name)
+            observed_states = network.observed_states(f"n{number}")
+            self.assertEqual(3, observed_states.count("down"), number)
+        network.is_cut = None
+        network.run(60)
+        for name in network.states:
+            self.assertEqual({"up"}, set(network.observed_states(name)), name)
 
 
 class RecordTest(unittest.TestCase):
@@ -140,8 +150,8 @@
         self.state = state
         return state.members[record.instance].record
 
-    def test_restarted_instance_wins_and_keeps_its_floor(self):
-        """Guards against an older life of an instance that hides it."""
+    def test_restarted_instance_supersedes_and_keeps_its_version(self):
+        """Guards against an earlier process's record that hides a restart."""
         old = dataclasses.replace(
             fleets.make_record("b", incarnation=5),
             state=model.InstanceState.DOWN,
@@ -155,7 +165,10 @@
         self.assertEqual(6, self.merge(old).incarnation)
 
     def test_suspect_of_a_frozen_node_is_not_down_at_once(self):
-        """Guards against a node that condemns others when it resumes."""
+        """Guards against a resumed node that declares others down.
+
+        The suspicion timeout must not include the time of the freeze.
+        """
         up = fleets.make_record("b")
         self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
         for at in (2.0, 22.0):
@@ -166,10 +179,10 @@
         self.assertEqual(model.InstanceState.SUSPECT, found)
 
     def test_leaving_node_declares_nobody_down(self):
-        """Guards against a drain that refuses calls for want of servers.
+        """Guards against a drain that lacks servers for its last calls.
 
-        A leaving node hears no refutations, so that a suspect from before
-        its drain used to be down for the drain's last calls.
+        A leaving node receives no refutations. It used to declare a suspect
+        down that became suspect before the drain and was alive.
         """
         up = fleets.make_record("b")
         self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
@@ -192,8 +205,11 @@
         self.merge(down)
         self.assertEqual(down, self.merge(up))
 
-    def test_higher_incarnation_of_an_earlier_life_is_refuted(self):
-        """Guards against a restart with a clock that was set back."""
+    def test_higher_incarnation_of_an_earlier_process_is_refuted(self):
+        """Guards against a hidden restart with a clock that was set back.
+
+        The earlier process then has the higher incarnation.
+        """
         old = dataclasses.replace(
             fleets.make_record("a", incarnation=50),
             state=model.InstanceState.LEAVING,
@@ -203,7 +219,7 @@
         self.assertEqual(model.InstanceState.UP, own.state)
 
     def test_instance_without_its_backend_server_gets_no_calls(self):
-        """Guards against calls to a node whose backend server is gone."""
+        """Guards against calls to a node that has lost its backend server."""
         lost = dataclasses.replace(
             fleets.make_record("b"), state=model.InstanceState.STARTING
         )
@@ -212,7 +228,7 @@
         self.assertEqual(model.InstanceState.DOWN, visible[1].state)
 
     def test_record_expires(self):
-        """Guards against a memory that grows with each replacement."""
+        """Guards against memory use that grows with each replaced instance."""
         up = fleets.make_record("b")
         self.merge(up)
         self.merge(dataclasses.replace(up, state=model.InstanceState.DOWN))
@@ -223,7 +239,10 @@
         self.assertNotIn("b", self.state.members)
 
     def test_records_of_a_cut_off_data_centre_outlast_an_hour(self):
-        """Guards against regions that do not find each other again."""
+        """Guards against regions that cannot reconnect after a partition.
+
+        Only a data centre with most instances down counts as partitioned.
+        """
         kept = {}
         for failed in (1, 3):
             state = membership.start(fleets.make_record("a"), 0.0, draw=1)
@@ -239,8 +258,8 @@
             kept[failed] = len(state.members)
         self.assertEqual({1: 4, 3: 5}, kept)
 
-    def test_full_exchange_is_not_repeated_to_others(self):
-        """Guards against a start whose cost grows with the fleet."""
+    def test_records_of_a_full_exchange_are_not_disseminated(self):
+        """Guards against a start that resends the whole fleet's records."""
         known = tuple(fleets.make_record(f"n{k}") for k in range(100))
         message = wire.Members(sender="n0", records=known)
         state, _ = membership.handle(
@@ -249,8 +268,11 @@
         self.assertEqual(101, len(state.members))
         self.assertEqual(("a",), tuple(e.instance for e in state.updates))
 
-    def test_unknown_node_is_told_to_introduce_itself(self):
-        """Guards against a node that was forgotten during a long freeze."""
+    def test_unknown_node_is_asked_to_send_its_record(self):
+        """Guards against a node that stays unknown after a long freeze.
+
+        Its record has expired at the other nodes.
+        """
         ping = wire.Ping(sender="z", sequence=1)
         _, actions = membership.handle(
             self.state, membership.Received(message=ping), 1.0
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -1,4 +1,4 @@
-"""Tests of the nodes that carry states between data centres."""
+"""Tests of relays and of the selection of remote servers."""
 
 import unittest
 
@@ -11,11 +11,11 @@
 from apricotpost import wire
 from tests.sidecar import builders
 
-__all__ = ["FarServerTest", "RelayTest"]
+__all__ = ["RelayTest", "RemoteServerTest"]
 
 
 def make_fleet(own, **data_centres):
-    """Return a fleet seen by a node, with node names by data centre."""
+    """Return the fleet as known to a node, from node names by data centre."""
     known = fleet.Fleet(node=own, data_centre=own[:1])
     for data_centre, names in data_centres.items():
         for name in names:
@@ -25,8 +25,8 @@
 
 
 class RelayTest(unittest.TestCase):
-    def test_two_relays_send_on_two_ways(self):
-        """Guards against a data centre whose states hang on one node."""
+    def test_two_relays_send_to_different_remote_relays(self):
+        """Guards against a data centre that depends on a single relay."""
         names = {"a": ("a1", "a2", "a3"), "b": ("b1", "b2"), "c": ("c1",)}
         found = {
             name: relays.remote_targets(make_fleet(name, **names), 0.0)
@@ -36,13 +36,13 @@
         self.assertEqual(("b2", "c1"), found["a2"])
         self.assertEqual((), found["a3"])
 
-    def test_lone_relay_sends_to_both_others(self):
-        """Guards against states that pass through one relay only."""
+    def test_lone_relay_sends_to_both_remote_relays(self):
+        """Guards against states that reach only one relay of a data centre."""
         known = make_fleet("a1", a=("a1",), b=("b1", "b2", "b3"))
         self.assertEqual(("b1", "b2"), relays.remote_targets(known, 0.0))
 
     def test_silent_or_leaving_relay_is_replaced(self):
-        """Guards against states that stop with a relay."""
+        """Guards against states that are not sent after a relay stopped."""
         known = make_fleet("a3", a=("a1", "a2", "a3"), b=("b1",))
         self.assertFalse(relays.is_relay(known, 0.0))
         later = fleet.SILENT_SECONDS + 0.1
@@ -53,11 +53,11 @@
         fleet.record_state(known, state, 0.0)
         self.assertTrue(relays.is_relay(known, 0.0))
 
-    def test_silent_data_centre_is_tried_again_and_again(self):
-        """Guards against data centres that never meet again.
+    def test_nodes_of_a_silent_data_centre_are_tried_in_turn(self):
+        """Guards against data centres that do not reconnect after a partition.
 
-        Fault: no message passes between two regions for an hour. Each side
-        takes all nodes of the other one for silent.
+        For an hour no message passes between two regions, so all nodes of
+        each are silent for the other.
         """
         known = make_fleet("a1", a=("a1", "a2"), b=("b1", "b2", "b3"))
         later = 3600.0
@@ -65,7 +65,9 @@
             state = builders.make_state(node=name, data_centre="a", sequence=2)
             fleet.record_state(known, state, later)
         tried = {
-            relays.remote_targets(known, later + i * relays.TRY_SECONDS)
+            relays.remote_targets(
+                known, later + i * relays.CONNECT_ATTEMPT_SECONDS
+            )
             for i in range(3)
         }
         self.assertEqual({("b1",), ("b2",), ("b3",)}, tried)
@@ -73,9 +75,10 @@
         self.assertEqual((), relays.remote_targets(unknown, 0.0))
 
     def test_only_states_of_the_own_data_centre_are_forwarded(self):
-        """Guards against states that travel in circles, and against old ones.
+        """Guards against states forwarded in loops, and against outdated ones.
 
-        A node that the store lists and nobody has heard has no process.
+        A node that the store lists and that no node has heard from counts as
+        one without a process (``boot`` is 0); its state is not forwarded.
         """
         known = make_fleet("a1", a=("a1", "a2"), b=("b1",))
         unheard = builders.make_state(node="a9", data_centre="a", boot=0)
@@ -83,13 +86,13 @@
         found = relays.recent_states(known, 0.3, wanted=lambda state: True)
         self.assertEqual(["a1", "a2"], sorted(s.state.node for s in found))
         self.assertEqual({300}, {aged.age_ms for aged in found})
-        late = relays.FORWARD_SECONDS + 0.1
+        late = relays.MAX_FORWARD_AGE_SECONDS + 0.1
         self.assertFalse(
             relays.recent_states(known, late, wanted=lambda state: True)
         )
 
     def test_second_relay_sends_all_states_less_often(self):
-        """Guards against states that are paid for twice."""
+        """Guards against states that are sent twice on a charged link."""
         counts = {}
         for name in ("a1", "a2"):
             known = make_fleet(name, a=("a1", "a2"), b=("b1",))
@@ -101,8 +104,8 @@
         late = fleet.SILENT_SECONDS + 0.1
         self.assertTrue(relays.sends_full_round(known, late, 2))
 
-    def test_states_are_packed(self):
-        """Guards against states that are lost or grow on their way."""
+    def test_states_are_compressed(self):
+        """Guards against states that are altered or not compressed."""
         states = tuple(
             wire.AgedState(
                 state=builders.make_state(
@@ -120,7 +123,7 @@
         self.assertLess(len(packed), 0.5 * len(plain))
 
     def test_damaged_states_are_refused(self):
-        """Guards against a relay that stops the others."""
+        """Guards against an unexpected exception from a damaged batch."""
         packed = relays.pack_states(())
         for data in (b"", b"garbage", packed[:-1]):
             with self.assertRaises(errors.MalformedMessage):
@@ -129,15 +132,15 @@
         with self.assertRaises(errors.MalformedMessage):
             relays.unpack_states(wrong)
 
-    def test_age_counts_from_the_node_itself(self):
-        """Guards against a dead node that looks alive behind its relay."""
+    def test_age_includes_the_time_before_forwarding(self):
+        """Guards against a dead node that its relay makes appear live."""
         known = make_fleet("a1", a=("a1",))
         state = builders.make_state(node="b1", data_centre="b")
         fleet.record_state(known, state, 10.0, age=4.0)
         self.assertEqual(6.0, known.nodes["b1"].heard_at)
 
 
-class FarServerTest(unittest.TestCase):
+class RemoteServerTest(unittest.TestCase):
     def make(self, count):
         known = make_fleet("a1", a=("a1",))
         for index in range(count):
@@ -158,33 +161,33 @@
         )
 
     def test_connections_do_not_grow_with_the_fleet(self):
-        """Guards against two sockets for each node of the fleet."""
+        """Guards against connections to every node of the fleet."""
         found = self.find(self.make(200))
-        # For each of the two versions; none of them is near.
+        # For each of the two versions; neither has a local server.
         self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(found))
 
     def test_every_server_of_a_version_on_trial_is_reached(self):
-        """Guards against a load test that each node does elsewhere."""
+        """Guards against nodes that load different servers in a trial."""
         found = self.find(self.make(200), all_of=[("portal", "v2")])
         self.assertEqual(relays.REMOTE_SERVERS_ALONE + 40, len(found))
 
-    def add_near(self, known, count, **server):
+    def add_local(self, known, count, **server):
         for index in range(count):
             state = builders.make_state(
-                node=f"a-near{index}",
+                node=f"a-local{index}",
                 data_centre="a",
                 server=builders.make_server(backend=f"n{index}", **server),
             )
             fleet.record_state(known, state, 0.0)
 
-    def test_evacuated_and_leaving_servers_take_no_place(self):
-        """Guards against connections to servers that get no requests.
+    def test_evacuated_leaving_and_unready_servers_are_not_selected(self):
+        """Guards against selected servers that get no requests.
 
-        Load: a data centre is out; its callers found a third of their few
-        servers in another one that was out, too.
+        In a load test two data centres were out. A third of the few servers
+        that were selected for callers in one were in the other.
         """
         known = self.make(30)
-        self.add_near(known, 5)
+        self.add_local(known, 5)
         state = builders.make_state(
             node="c1", data_centre="c", server=builders.make_server()
         )
@@ -204,22 +207,22 @@
             fleet.record_state(known, state, 0.0)
             self.assertEqual(set(), self.find(known, evacuated=("b",)))
 
-    def test_more_servers_if_the_own_data_centre_has_none(self):
-        """Guards against callers that know slow servers only.
+    def test_more_remote_servers_if_few_are_local(self):
+        """Guards against callers that know only slow servers.
 
         A third of the servers take 2.3 times as long as the others.
         """
         known = self.make(200)
-        self.add_near(known, 5, version="v1")
+        self.add_local(known, 5, version="v1")
         found = self.find(known)
-        # None of the second version is near.
+        # The second version has no local server.
         many = relays.REMOTE_SERVERS + relays.REMOTE_SERVERS_ALONE
         self.assertEqual(many, len(found))
         alone = self.find(known, evacuated=("a",))
         self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(alone))
 
     def test_callers_spread_over_the_servers(self):
-        """Guards against servers that no other data centre calls."""
+        """Guards against servers that no remote caller selects."""
         names = {f"a{i}" for i in range(60)}
         counts = {}
         for name in names:
@@ -230,7 +233,7 @@
         self.assertEqual(40, len(counts))
 
     def test_own_data_centre_and_other_services_are_left_out(self):
-        """Guards against connections that nobody uses."""
+        """Guards against connections that are not used."""
         known = self.make(3)
         self.assertEqual(
             set(), relays.remote_servers(known, 0.0, services=("other",))
--- a/tests/spread/fleets.py
+++ b/tests/spread/fleets.py
@@ -1,4 +1,4 @@
-"""A fake network and platform around many distribution states."""
+"""Simulated network and platform of many distribution states."""
 
 import collections
 import dataclasses
@@ -9,7 +9,7 @@
 from apricotpost import spread
 from apricotpost import wire
 
-__all__ = ["Fleet", "Node", "make_snapshot", "open_fleet"]
+__all__ = ["Fleet", "Node", "make_snapshot", "make_fleet"]
 
 STEP_SECONDS = 0.25
 
@@ -17,8 +17,8 @@
 def make_snapshot(version: int, services: int = 2) -> model.Snapshot:
     """Return a configuration whose services and routes vary by version.
 
-    Each version drops a service together with its route and adds others, so
-    that deltas which cross can leave a route without its service.
+    Each version removes a service together with its route and adds another,
+    so that deltas applied out of order can leave a route without its service.
     """
     names = sorted({f"s{(version + k) % 5}" for k in range(services)})
     return config.with_checksum(
@@ -49,39 +49,46 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Node:
-    """One node and what its address held at most while ready."""
+    """One node, and the highest version that its address held while ready.
+
+    The node receives the versions in ``damaged_versions`` with a wrong
+    checksum. ``known_versions`` holds the highest version in a digest from
+    each other node. While ``knows_fleet`` is false, the node knows only seeds.
+    """
 
     record: model.InstanceRecord
     state: spread.SpreadState
-    best: int = 0
+    highest_ready_version: int = 0
     knows_fleet: bool = True
-    damages: frozenset[int] = frozenset()
-    known: dict[str, int] = dataclasses.field(default_factory=dict)
+    damaged_versions: frozenset[int] = frozenset()
+    known_versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(kw_only=True)
 class Fleet:
-    """Nodes, messages under way and the table.
+    """Nodes, messages and reads in flight, and the table.
 
-    ``cut`` names data centres that reach neither others nor the table.
+    ``history`` holds all committed versions. Data centres in
+    ``cut_data_centres`` reach neither the others nor the table.
+    ``delivered`` holds all delivered messages.
     """
 
     nodes: dict[str, Node]
     rng: random.Random
     now: float = 0.0
-    pending: list[tuple[str, str, wire.Message]] = dataclasses.field(
+    in_flight: list[tuple[str, str, wire.Message]] = dataclasses.field(
         default_factory=list
     )
-    reads: list[tuple[str, int, wire.ConfigRead]] = dataclasses.field(
+    pending_reads: list[tuple[str, int, wire.ConfigRead]] = dataclasses.field(
         default_factory=list
     )
     history: list[model.Snapshot] = dataclasses.field(
         default_factory=lambda: [model.EMPTY_SNAPSHOT]
     )
-    table_out: bool = False
-    cut: set[str] = dataclasses.field(default_factory=set)
-    lives: dict[str, int] = dataclasses.field(default_factory=dict)
-    sent: list[tuple[str, str, wire.Message]] = dataclasses.field(
+    table_unavailable: bool = False
+    cut_data_centres: set[str] = dataclasses.field(default_factory=set)
+    restart_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    delivered: list[tuple[str, str, wire.Message]] = dataclasses.field(
         default_factory=list
     )
     read_counts: collections.Counter[str] = dataclasses.field(
@@ -94,7 +101,7 @@
         self.history.append(make_snapshot(len(self.history)))
 
     def cluster(self, name: str) -> spread.ClusterView:
-        """Return whom a node knows."""
+        """Return the other nodes that a node knows."""
         node = self.nodes[name]
         others = [other for other in self.nodes if other != name]
         centre = node.record.data_centre
@@ -117,7 +124,7 @@
         )
 
     def handle(self, name: str, event: spread.Event) -> None:
-        """Run one decision, check its result and take up its actions."""
+        """Handle an event at a node, check its state and run the actions."""
         node = self.nodes[name]
         before = node.state.snapshot.version
         node.state, actions = spread.handle(
@@ -128,36 +135,47 @@
             draw=self.rng.getrandbits(32),
         )
         held = node.state.snapshot
-        assert held.version >= before, f"{name} went back to {held.version}"
-        assert not list(config.find_faults(held)), f"{name} holds faults"
-        if held.version and not node.damages:
+        assert (
+            held.version >= before
+        ), f"{name} went back to version {held.version}"
+        assert not list(
+            config.find_faults(held)
+        ), f"{name} holds a faulty configuration"
+        if held.version and not node.damaged_versions:
             assert held == self.history[held.version]
         if node.state.ready:
-            assert held.version >= node.best, f"{name} ready below its best"
-            node.best = held.version
+            assert (
+                held.version >= node.highest_ready_version
+            ), f"{name} is ready below a version that its address held"
+            node.highest_ready_version = held.version
         self.actions.extend(actions)
         for action in actions:
-            self.take_up(name, action)
+            self.perform(name, action)
 
-    def take_up(self, name: str, action: spread.Action) -> None:
-        """Put what an action causes under way."""
+    def perform(self, name: str, action: spread.Action) -> None:
+        """Queue the message or the read that an action causes."""
         if isinstance(action, spread.ReadTable):
             self.read_counts[name] += 1
-            self.reads.append((name, self.life(name), self.read(name, action)))
+            self.pending_reads.append(
+                (name, self.restart_count(name), self.read(name, action))
+            )
         elif isinstance(action, spread.Send):
-            self.pending.append((name, action.address, action.message))
+            self.in_flight.append((name, action.address, action.message))
         elif isinstance(action, spread.Reply):
             target = action.reply_to.decode()
-            self.pending.append((name, target, action.message))
+            self.in_flight.append((name, target, action.message))
 
-    def life(self, name: str) -> int:
+    def restart_count(self, name: str) -> int:
         """Return how often a node was restarted."""
-        return self.lives.get(name, 0)
+        return self.restart_counts.get(name, 0)
 
     def read(self, name: str, action: spread.ReadTable) -> wire.ConfigRead:
-        """Answer a read as of now; the answer may arrive much later."""
+        """Return the table's answer to a read as of now.
+
+        The answer may be delivered much later.
+        """
         centre = self.nodes[name].record.data_centre
-        if self.table_out or centre in self.cut:
+        if self.table_unavailable or centre in self.cut_data_centres:
             return wire.ConfigRead(available=False)
         head = len(self.history) - 1
         return wire.ConfigRead(
@@ -170,31 +188,31 @@
         )
 
     def deliver(self, index: int, *, keep: bool = False) -> None:
-        """Deliver one message under way; a kept one arrives again."""
-        source, target, message = self.pending[index]
+        """Deliver a message in flight; a kept one will be delivered again."""
+        source, target, message = self.in_flight[index]
         if not keep:
-            del self.pending[index]
+            del self.in_flight[index]
         if self.is_cut(source, target):
             return
-        self.sent.append((source, target, message))
+        self.delivered.append((source, target, message))
         node = self.nodes[target]
         message = self.damage(node, message)
         if isinstance(message, wire.ConfigDigest):
-            known = node.known.get(source, 0)
-            node.known[source] = max(known, message.version)
+            known = node.known_versions.get(source, 0)
+            node.known_versions[source] = max(known, message.version)
         if isinstance(message, wire.Welcome):
             node.knows_fleet = True
         event = spread.Received(
             message=message,
             reply_to=source.encode(),
-            floor=node.known.get(source, 0),
+            floor=node.known_versions.get(source, 0),
         )
         self.handle(target, event)
 
     def answer_read(self, index: int) -> None:
         """Deliver the answer to a read, unless its reader restarted."""
-        name, life, found = self.reads.pop(index)
-        if life != self.life(name):
+        name, restart_count, found = self.pending_reads.pop(index)
+        if restart_count != self.restart_count(name):
             return
         node = self.nodes[name]
         deltas = tuple(self.damage_delta(node, d) for d in found.deltas)
@@ -202,57 +220,57 @@
         self.handle(name, spread.TableRead(found=found))
 
     def is_cut(self, source: str, target: str) -> bool:
-        """Return whether a cut lies between two nodes."""
+        """Return whether two nodes are partitioned from each other."""
         centres = {
             self.nodes[name].record.data_centre for name in (source, target)
         }
-        return len(centres) > 1 and bool(centres & self.cut)
+        return len(centres) > 1 and bool(centres & self.cut_data_centres)
 
     def damage(self, node: Node, message: wire.Message) -> wire.Message:
-        """Make the node refuse the versions that it is to refuse."""
+        """Return the message, damaged if the node is to refuse its version."""
         if isinstance(message, wire.ConfigDelta):
             deltas = tuple(self.damage_delta(node, d) for d in message.deltas)
             return dataclasses.replace(message, deltas=deltas)
         if isinstance(message, wire.ConfigSnapshot):
-            if message.snapshot.version in node.damages:
+            if message.snapshot.version in node.damaged_versions:
                 broken = dataclasses.replace(message.snapshot, checksum="bad")
                 return dataclasses.replace(message, snapshot=broken)
         return message
 
     def damage_delta(self, node: Node, delta: model.Delta) -> model.Delta:
-        """Return the delta as the node gets it."""
-        if delta.version in node.damages:
+        """Return the delta, damaged if the node has to refuse its version."""
+        if delta.version in node.damaged_versions:
             return dataclasses.replace(delta, checksum="bad")
         return delta
 
     def restart(self, name: str) -> None:
-        """Replace a node by one with an empty memory."""
+        """Restart a node without its configuration and known nodes."""
         node = self.nodes[name]
-        self.lives[name] = self.life(name) + 1
+        self.restart_counts[name] = self.restart_count(name) + 1
         node.state = spread.start(
             name, self.now, draw=self.rng.getrandbits(32)
         )
         node.knows_fleet = False
-        node.known = {}
+        node.known_versions = {}
 
     def tick(self, name: str) -> None:
-        """Let a node do what is due."""
+        """Send a tick to a node if one is due."""
         state = self.nodes[name].state
         if self.now >= spread.next_tick(state, self.cluster(name)):
             self.handle(name, spread.Tick())
 
     def run(self, seconds: float) -> None:
-        """Let time pass without faults; each message takes one step."""
+        """Advance the time without faults; each message takes one step."""
         for _ in range(round(seconds / STEP_SECONDS)):
             self.now += STEP_SECONDS
-            for _ in range(len(self.pending)):
+            for _ in range(len(self.in_flight)):
                 self.deliver(0)
-            for _ in range(len(self.reads)):
+            for _ in range(len(self.pending_reads)):
                 self.answer_read(0)
             for name in self.nodes:
                 self.tick(name)
 
-    def versions(self) -> set[int]:
+    def ready_versions(self) -> set[int]:
         """Return the versions that nodes are ready with; -1 if not ready."""
         return {
             node.state.snapshot.version if node.state.ready else -1
@@ -260,10 +278,10 @@
         }
 
 
-def open_fleet(
+def make_fleet(
     size: int, *, centres: int = 2, seed: int = 1, versions: int = 1
 ) -> Fleet:
-    """Make ready nodes that hold the newest version."""
+    """Return a fleet of ready nodes that hold the newest version."""
     rng = random.Random(seed)
     nodes = {}
     for number in range(size):
--- a/tests/spread/test_decisions.py
+++ b/tests/spread/test_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of single rules of the distribution."""
+"""Tests of single rules of the configuration distribution."""
 
 import dataclasses
 import unittest
@@ -21,54 +21,57 @@
 
 
 class RefusalTest(unittest.TestCase):
-    def open(self, refusing):
-        fleet = fleets.open_fleet(12)
-        # The readers accept the version; otherwise it never spreads.
+    def make_fleet(self, refusing):
+        fleet = fleets.make_fleet(12)
+        # The readers accept the version; otherwise no node would push it.
         self.refusing = [
             name for name in fleet.nodes if not fleet.cluster(name).reader
         ][:refusing]
         for name in self.refusing:
-            fleet.nodes[name].damages = frozenset((2,))
+            fleet.nodes[name].damaged_versions = frozenset((2,))
         fleet.commit()
         return fleet
 
     def test_version_refused_by_half_stops(self):
-        """Guards against a bad version that goes on spreading."""
-        fleet = self.open(8)
+        """Guards against a faulty version that is still distributed."""
+        fleet = self.make_fleet(8)
         fleet.run(8)
         held = [fleet.nodes[n].state.snapshot for n in self.refusing]
         self.assertEqual([fleets.make_snapshot(1)] * 8, held)
         stops = [a for a in fleet.actions if isinstance(a, spread.Stopped)]
         self.assertEqual(12, len(stops))
-        fleet.sent.clear()
+        fleet.delivered.clear()
         fleet.run(20)
         pushed = [
             message
-            for _, _, message in fleet.sent
+            for _, _, message in fleet.delivered
             if isinstance(message, (wire.ConfigDelta, wire.ConfigSnapshot))
         ]
         self.assertEqual([], pushed)
 
     def test_correction_reaches_those_that_refused(self):
-        """Guards against a refused version that bars all later ones."""
-        fleet = self.open(8)
+        """Guards against a refused version that blocks all later ones."""
+        fleet = self.make_fleet(8)
         fleet.run(8)
         fleet.commit()
         fleet.run(8)
-        self.assertEqual({3}, fleet.versions())
+        self.assertEqual({3}, fleet.ready_versions())
 
     def test_damaged_copy_is_fetched_again(self):
-        """Guards against one damaged message that locks a node out."""
-        fleet = self.open(1)
+        """Guards against a node that refuses a valid version for good.
+
+        It received one damaged copy of the version.
+        """
+        fleet = self.make_fleet(1)
         fleet.run(2)
-        fleet.nodes[self.refusing[0]].damages = frozenset()
-        # Refused copies are tried again after 10 s.
+        fleet.nodes[self.refusing[0]].damaged_versions = frozenset()
+        # A refused version is tried again after 10 s.
         fleet.run(16)
-        self.assertEqual({2}, fleet.versions())
+        self.assertEqual({2}, fleet.ready_versions())
 
     def test_joining_node_is_not_held_up_by_a_stopped_version(self):
         """Guards against a restart that waits for a stopped version."""
-        fleet = self.open(8)
+        fleet = self.make_fleet(8)
         fleet.run(8)
         accepting = next(n for n in fleet.nodes if fleet.cluster(n).reader)
         for name in (self.refusing[0], accepting):
@@ -87,18 +90,18 @@
 
 class ReadTest(unittest.TestCase):
     def test_two_nodes_of_a_data_centre_read(self):
-        """Guards against reads that grow with the fleet."""
-        fleet = fleets.open_fleet(40, centres=2)
+        """Guards against a number of reads that grows with the fleet."""
+        fleet = fleets.make_fleet(40, centres=2)
         fleet.run(20)
-        # Four readers, each once a second with up to half of it as jitter.
+        # Four readers, each once a second with a jitter of up to 0.5 s.
         self.assertEqual(4, len(fleet.read_counts))
         self.assertLessEqual(fleet.read_counts.total(), 4 * 20 * 2)
         self.assertGreaterEqual(fleet.read_counts.total(), 4 * 20 / 1.5)
 
     def test_reads_back_off_while_the_table_is_out(self):
-        """Guards against a storm of reads in an outage."""
-        fleet = fleets.open_fleet(12, centres=1)
-        fleet.table_out = True
+        """Guards against a high rate of reads while the table is out."""
+        fleet = fleets.make_fleet(12, centres=1)
+        fleet.table_unavailable = True
         fleet.run(20)
         fleet.read_counts.clear()
         fleet.run(40)
@@ -106,29 +109,29 @@
         self.assertLessEqual(fleet.read_counts.total(), 2 * 40 / 2)
 
     def test_committed_delta_spreads_without_the_table(self):
-        """Guards against an accepted version lost in an outage."""
-        fleet = fleets.open_fleet(12)
+        """Guards against a committed version that is lost in an outage."""
+        fleet = fleets.make_fleet(12)
         fleet.commit()
-        fleet.table_out = True
+        fleet.table_unavailable = True
         fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
         fleet.run(8)
-        self.assertEqual({2}, fleet.versions())
+        self.assertEqual({2}, fleet.ready_versions())
 
     def test_commit_during_a_read_is_read_at_once(self):
-        """Guards against a commit that waits for the next poll."""
-        fleet = fleets.open_fleet(3)
+        """Guards against a commit that is read only at the next poll."""
+        fleet = fleets.make_fleet(3)
         state = dataclasses.replace(fleet.nodes["n0"].state, reading=True)
         fleet.nodes["n0"].state = state
         fleet.handle("n0", spread.Committed(version=2))
         old = wire.ConfigRead(available=True, head=1)
         fleet.handle("n0", spread.TableRead(found=old))
-        self.assertEqual("n0", fleet.reads[0][0])
+        self.assertEqual("n0", fleet.pending_reads[0][0])
 
     def test_readers_are_the_same_two_for_all(self):
-        """Guards against nodes that disagree on who reads."""
+        """Guards against nodes that disagree on which nodes are readers."""
         known = {
             f"n{number}": membership.Member(
-                record=records.make_record(f"n{number}"), since=0.0
+                record=records.make_record(f"n{number}"), recorded_at=0.0
             )
             for number in range(40)
         }
@@ -140,11 +143,11 @@
             ).reader
         ]
         self.assertEqual(2, len(readers))
-        # The next by rank takes over from one that is down.
-        gone = dataclasses.replace(
+        # The next node in rendezvous order replaces one that is down.
+        down = dataclasses.replace(
             known[readers[0]].record, state=model.InstanceState.DOWN
         )
-        known[readers[0]] = membership.Member(record=gone, since=0.0)
+        known[readers[0]] = membership.Member(record=down, recorded_at=0.0)
         others = [
             name
             for name in known
@@ -156,84 +159,90 @@
         self.assertEqual(2, len(others))
         self.assertIn(readers[1], others)
 
-    def test_comparison_repairs_lost_pushes(self):
-        """Guards against a node that misses a version for good."""
-        fleet = fleets.open_fleet(40)
+    def test_digests_repair_lost_pushes(self):
+        """Guards against a node that misses a version after lost pushes."""
+        fleet = fleets.make_fleet(40)
         fleet.commit()
         fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
-        fleet.table_out = True
-        fleet.pending.clear()
-        fleet.reads.clear()
+        fleet.table_unavailable = True
+        fleet.in_flight.clear()
+        fleet.pending_reads.clear()
         fleet.run(30)
-        self.assertEqual({2}, fleet.versions())
+        self.assertEqual({2}, fleet.ready_versions())
 
     def test_late_messages_do_not_bring_an_older_version_back(self):
-        """Guards against updates that overtook each other."""
-        fleet = fleets.open_fleet(3, versions=3)
+        """Guards against older versions from messages that arrive late."""
+        fleet = fleets.make_fleet(3, versions=3)
         for message in (
             wire.ConfigSnapshot(sender="n1", snapshot=fleet.history[2]),
             wire.ConfigDelta(sender="n1", deltas=(make_delta(1),)),
         ):
             event = spread.Received(message=message, reply_to=b"n1")
             fleet.handle("n0", event)
-        self.assertEqual({3}, fleet.versions())
+        self.assertEqual({3}, fleet.ready_versions())
 
 
 class JoinTest(unittest.TestCase):
     def test_restarted_data_centre_causes_bounded_reads(self):
-        """Guards against a storm of reads and snapshots on a return."""
-        fleet = fleets.open_fleet(80, centres=4, versions=200)
-        herd = [
+        """Guards against a burst of reads and snapshots after a restart.
+
+        All nodes of a data centre restart at once.
+        """
+        fleet = fleets.make_fleet(80, centres=4, versions=200)
+        restarted = [
             name
             for name, node in fleet.nodes.items()
             if node.record.data_centre == "dc1"
         ]
-        for name in herd:
+        for name in restarted:
             fleet.restart(name)
         fleet.run(8)
-        self.assertEqual({200}, fleet.versions())
-        # One check for each node, and the polls of the readers.
+        self.assertEqual({200}, fleet.ready_versions())
+        # One read for each node that is not a reader; readers poll as well.
         counts = {
             fleet.read_counts[name]
-            for name in herd
+            for name in restarted
             if not fleet.cluster(name).reader
         }
         self.assertEqual({1}, counts)
         snapshots = [
             target
-            for _, target, message in fleet.sent
+            for _, target, message in fleet.delivered
             if isinstance(message, wire.ConfigSnapshot)
         ]
-        self.assertLessEqual(len(snapshots), 3 * len(herd))
+        self.assertLessEqual(len(snapshots), 3 * len(restarted))
 
     def test_snapshots_are_served_at_a_bounded_rate(self):
-        """Guards against a node that only serves snapshots."""
-        fleet = fleets.open_fleet(2)
+        """Guards against a node that is busy with serving snapshots."""
+        fleet = fleets.make_fleet(2)
         for number in range(50):
             asked = wire.ConfigRequest(sender="n1", have=0)
             event = spread.Received(message=asked, reply_to=b"n1")
             fleet.now = number / 100
             fleet.handle("n0", event)
-        self.assertEqual(20, len(fleet.pending))
+        self.assertEqual(20, len(fleet.in_flight))
 
     def test_silent_seeds_are_asked_again_within_a_second(self):
-        """Guards against a return that waits for seeds that also failed."""
-        fleet = fleets.open_fleet(6)
+        """Guards against a start that waits for seeds that failed too."""
+        fleet = fleets.make_fleet(6)
         fleet.restart("n0")
         for pause in (2.0, 1.0):
-            fleet.pending.clear()
+            fleet.in_flight.clear()
             fleet.now += pause
             fleet.tick("n0")
             joins = [
                 message
-                for _, _, message in fleet.pending
+                for _, _, message in fleet.in_flight
                 if isinstance(message, wire.Join)
             ]
             self.assertEqual(3, len(joins))
 
-    def test_stale_peers_do_not_make_ready(self):
-        """Guards against a node that trusts peers which lag behind it."""
-        fleet = fleets.open_fleet(6, versions=2)
+    def test_stale_peers_do_not_make_a_node_ready(self):
+        """Guards against a ready node with an older version than before.
+
+        Its peers have not received the version that it held.
+        """
+        fleet = fleets.make_fleet(6, versions=2)
         fleet.commit()
         fleet.restart("n0")
         stale = wire.Welcome(sender="n1", version=2, checksum="", floor=0)
@@ -242,9 +251,9 @@
         fleet.handle("n0", spread.Received(message=whole, reply_to=b"n1"))
         self.assertFalse(fleet.nodes["n0"].state.ready)
 
-    def test_stale_welcome_and_stale_read_do_not_make_ready(self):
-        """Guards against a return to an older version after a restart."""
-        fleet = fleets.open_fleet(2, versions=3)
+    def test_stale_welcome_and_stale_read_do_not_make_a_node_ready(self):
+        """Guards against an older version after a restart."""
+        fleet = fleets.make_fleet(2, versions=3)
         fleet.restart("n0")
         state = fleet.nodes["n0"].state
         state = dataclasses.replace(state, snapshot=fleets.make_snapshot(2))
@@ -256,23 +265,23 @@
         self.assertFalse(fleet.nodes["n0"].state.ready)
 
     def test_node_without_peers_and_table_stays_not_ready(self):
-        """Guards against calls routed without a configuration."""
-        fleet = fleets.open_fleet(6)
-        fleet.table_out = True
+        """Guards against calls that are routed without a configuration."""
+        fleet = fleets.make_fleet(6)
+        fleet.table_unavailable = True
         fleet.restart("n0")
-        fleet.cut = {"dc0"}
+        fleet.cut_data_centres = {"dc0"}
         for name in ("n2", "n4"):
             fleet.restart(name)
         fleet.run(30)
-        self.assertEqual({1, -1}, fleet.versions())
-        fleet.cut = set()
+        self.assertEqual({1, -1}, fleet.ready_versions())
+        fleet.cut_data_centres = set()
         fleet.run(12)
-        self.assertEqual({1}, fleet.versions())
+        self.assertEqual({1}, fleet.ready_versions())
 
 
 class NoticeTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = fleets.open_fleet(12)
+        self.fleet = fleets.make_fleet(12)
         first = self.fleet.history[1]
         self.rollout = model.Rollout(
             identifier="r1",
@@ -294,8 +303,8 @@
             ),
         )
 
-    def hold(self, state, version):
-        """Let all nodes hold a version with the rollout in a state."""
+    def apply_version(self, state, version):
+        """Commit a version with the rollout in a state; wait for all nodes."""
         rollout = dataclasses.replace(self.rollout, state=state)
         first = self.fleet.history[1]
         service = dataclasses.replace(
@@ -316,30 +325,30 @@
             )
         )
         self.fleet.run(6)
-        self.assertEqual({version}, self.fleet.versions())
+        self.assertEqual({version}, self.fleet.ready_versions())
 
-    def holders(self):
+    def count_holders(self):
         nodes = self.fleet.nodes.values()
         return sum("r1" in node.state.notices for node in nodes)
 
     def test_notice_reaches_all_and_ends_with_its_rollout(self):
-        """Guards against a bad version that some nodes still choose."""
-        self.hold(model.RolloutState.RUNNING, 2)
+        """Guards against a withdrawn version that some nodes still select."""
+        self.apply_version(model.RolloutState.RUNNING, 2)
         event = spread.Received(message=self.notice)
         self.fleet.handle("n0", event)
-        # The first pushes are lost; comparisons repair them.
-        self.fleet.pending.clear()
+        # The first pushes are lost; the digests reveal the difference.
+        self.fleet.in_flight.clear()
         self.fleet.run(16)
-        self.assertEqual(12, self.holders())
-        self.hold(model.RolloutState.WITHDRAWN, 3)
-        self.assertEqual(0, self.holders())
+        self.assertEqual(12, self.count_holders())
+        self.apply_version(model.RolloutState.WITHDRAWN, 3)
+        self.assertEqual(0, self.count_holders())
         self.fleet.handle("n0", event)
-        self.assertEqual(0, self.holders())
+        self.assertEqual(0, self.count_holders())
 
-    def test_notice_of_an_unknown_rollout_dies_out(self):
-        """Guards against notices that nodes bring back to each other."""
+    def test_notice_of_an_unknown_rollout_expires(self):
+        """Guards against expired notices that peers bring back."""
         self.fleet.handle("n0", spread.Received(message=self.notice))
         self.fleet.run(10)
-        self.assertEqual(12, self.holders())
+        self.assertEqual(12, self.count_holders())
         self.fleet.run(spread.Policy().notice_seconds + 10)
-        self.assertEqual(0, self.holders())
+        self.assertEqual(0, self.count_holders())
--- a/tests/spread/test_orders.py
+++ b/tests/spread/test_orders.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' orders as a node holds them."""
+"""Tests of a node's copy of the operators' orders."""
 
 import unittest
 
@@ -9,7 +9,7 @@
 from apricotpost.spread import orders
 from apricotpost import wire
 
-__all__ = ["OrderBookTest"]
+__all__ = ["OrderStoreTest"]
 
 
 def make_row(key, revision, *, removed=False):
@@ -18,9 +18,9 @@
     )
 
 
-class OrderBookTest(unittest.TestCase):
-    def test_a_gap_does_not_count_as_seen(self):
-        """Guards against orders that are lost between two messages."""
+class OrderStoreTest(unittest.TestCase):
+    def test_revision_stays_below_a_gap(self):
+        """Guards against orders that are not requested after a lost push."""
         order_store = orders.OrderStore()
         orders.merge(order_store, [make_row("a", 3)], after=0, revision=3)
         orders.merge(order_store, [make_row("c", 9)], after=7, revision=9)
@@ -28,15 +28,17 @@
         self.assertIn("c", order_store.rows)
 
     def test_missing_rows_of_a_full_read_are_removed(self):
-        """Guards against an evacuation that never ends."""
+        """Guards against an evacuation that continues after its removal."""
         order_store = orders.OrderStore()
         orders.merge(order_store, [make_row("e", 3)], after=0, revision=3)
-        news = orders.replace_all(order_store, [make_row("c", 2)], revision=8)
-        gone = [row for row in news if row.removed]
-        self.assertEqual(["e"], [row.key for row in gone])
+        changed = orders.replace_all(
+            order_store, [make_row("c", 2)], revision=8
+        )
+        removed_rows = [row for row in changed if row.removed]
+        self.assertEqual(["e"], [row.key for row in removed_rows])
 
     def test_an_older_full_read_changes_nothing(self):
-        """Guards against a store that answers with an old state."""
+        """Guards against orders that an outdated replica's answer removes."""
         order_store = orders.OrderStore()
         orders.merge(order_store, [make_row("e", 9)], after=0, revision=9)
         self.assertEqual([], orders.replace_all(order_store, [], revision=5))
@@ -44,7 +46,7 @@
     @settings(derandomize=True, max_examples=200)
     @given(strategies.data())
     def test_any_order_of_pushes_ends_with_the_newest_rows(self, data):
-        """Guards against pushes that overtake each other."""
+        """Guards against older rows from pushes that arrive out of order."""
         changes = [(f"k{i % 3}", i + 1) for i in range(8)]
         cuts = sorted(
             data.draw(strategies.sets(strategies.integers(1, 7), max_size=4))
@@ -62,6 +64,6 @@
                 self.assertGreaterEqual(row.revision, newest.get(key, 0))
                 newest[key] = row.revision
         self.assertEqual({"k0": 7, "k1": 8, "k2": 6}, newest)
-        # What a node lacks is what it asks for.
+        # The rows after the revision are those that a node requests again.
         lacking = orders.changed_after(order_store, order_store.revision)
         self.assertTrue(order_store.revision == 8 or lacking or not cuts)
--- a/tests/spread/test_patches.py
+++ b/tests/spread/test_patches.py
@@ -1,4 +1,4 @@
-"""Tests of the compression of orders between nodes."""
+"""Tests of the compression of orders that are sent between nodes."""
 
 import unittest
 
@@ -32,34 +32,35 @@
         self.old = make_row(make_value(3000), 4)
         self.new = make_row(make_value(3000, changed=1500), 9)
 
-    def hold(self, row):
+    def store_row(self, row):
         orders.merge(self.order_store, [row], after=0, revision=row.revision)
 
     def test_small_change_takes_few_bytes(self):
-        """Guards against seconds on a slow link for a large configuration.
+        """Guards against seconds of transfer for a change on a slow link.
 
-        A reader on a link of 10 Mbit/s sends each change to 25 nodes.
+        A reader on a link of 10 Mbit/s sends each change of a large
+        configuration to 25 nodes.
         """
-        self.hold(self.old)
+        self.store_row(self.old)
         packed = patches.pack(self.new, self.old)
         self.assertLess(len(packed.value), len(self.new.value) / 100)
         self.assertEqual(self.new, patches.unpack(packed, self.order_store))
 
     def test_patch_on_another_base_is_not_applied(self):
-        """Guards against a configuration that nobody has written."""
+        """Guards against a corrupt configuration from a wrong base."""
         packed = patches.pack(self.new, self.old)
         self.assertIsNone(patches.unpack(packed, self.order_store))
-        self.hold(make_row(make_value(3000, changed=7), 6))
+        self.store_row(make_row(make_value(3000, changed=7), 6))
         self.assertIsNone(patches.unpack(packed, self.order_store))
 
     def test_whole_row_needs_no_base(self):
-        """Guards against a node that cannot join."""
+        """Guards against a node that cannot join as it holds no base."""
         packed = patches.pack(self.new, None)
         self.assertLess(len(packed.value), len(self.new.value) / 3)
         self.assertEqual(self.new, patches.unpack(packed, self.order_store))
 
     def test_damaged_value_is_refused(self):
-        """Guards against bytes of another writer."""
+        """Guards against an unexpected exception from undecodable bytes."""
         packed = wire.PackedRow(
             key="config",
             value=b"no frame",
@@ -71,7 +72,7 @@
             patches.unpack(packed, self.order_store)
 
     def test_short_and_removed_rows_are_sent_as_they_are(self):
-        """Guards against a removal that is lost."""
+        """Guards against a removal that is lost in the compression."""
         row = wire.OrderRow(
             key="evacuate/a", value=b"", revision=5, removed=True
         )
@@ -79,5 +80,5 @@
         self.assertIs(wire.PackedForm.PLAIN, packed.form)
         self.assertEqual(row, patches.unpack(packed, self.order_store))
         self.assertFalse(patches.is_current(packed, self.order_store))
-        self.hold(row)
+        self.store_row(row)
         self.assertTrue(patches.is_current(packed, self.order_store))
