--- a/apricotpost/sidecar/__init__.py
+++ b/apricotpost/sidecar/__init__.py
@@ -1,1 +1,1 @@
-"""The node as tasks of one event loop."""
+"""Node whose tasks share one asyncio event loop."""
--- a/apricotpost/sidecar/active_requests.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -1,4 +1,4 @@
-"""State of one caller's request, and the decisions on its attempts."""
+"""State of one caller's request, and its retry and hedging rules."""
 
 import asyncio
 import dataclasses
@@ -15,47 +15,51 @@
     "ActiveRequest",
     "NextAction",
     "RetryDecision",
-    "after_failure",
-    "after_refusal",
-    "hedge_seconds",
+    "decide_after_failure",
+    "decide_after_refusal",
+    "hedge_delay_seconds",
     "is_overdue",
     "may_hedge",
-    "recheck_seconds",
-    "refusal_seconds",
+    "recheck_delay_seconds",
+    "jittered_retry_seconds",
     "stop_timers",
 ]
 
-# Offers to gates for one request; each costs a round trip and no run.
+# Offers to gates for one request. A refused offer costs a round trip, but the
+# request does not run.
 MAX_OFFERS = 5
-# The last offer may wait beyond the objective, so few strict ones go first.
+# Offers that a gate refuses if the request would miss its objective. Later
+# ones may wait in a queue beyond the objective.
 STRICT_OFFERS = 3
-# A second run is not worth it with less than this part of the usual time.
-MIN_LEFT_PART = 0.8
+# A request is not run again when less than this multiple of the route's usual
+# time is left until its deadline.
+MIN_LEFT_RATIO = 0.8
 # A repeatable request is sent to a second server when the first has not
 # answered after a multiple of the usual time (a hedged request: Dean and
-# Barroso, The Tail at Scale, 2013). The work of a request is its own, so most
-# late ones are large and take as long elsewhere: of 249 hedges of a calm day
-# 16 were faster. So the first server has to be suspect at the first multiple;
-# at the second one, which one in sixty requests of the observed log-normal
-# times reaches, this no longer matters.
+# Barroso, The Tail at Scale, 2013). Most late requests are large and take as
+# long on any server: without faults, 16 of 249 hedges were faster than the
+# first attempt. So a hedge at HEDGE_MULTIPLE also requires that the first
+# server is suspect. At OVERDUE_MULTIPLE, which one in sixty requests reaches
+# (observed log-normal times), it does not.
 HEDGE_MULTIPLE = 2.5
 OVERDUE_MULTIPLE = 4.5
 RECHECK_MULTIPLE = 0.5
 MIN_HEDGE_SECONDS = 0.05
-# Clients that were refused together should not come back together.
-RETRY_SPREAD = (0.7, 1.4)
+# Range of the random factor of Retry-After: it keeps clients that were refused
+# together from retrying together.
+RETRY_JITTER = (0.7, 1.4)
 MIN_RETRY_SECONDS = 0.03
 MAX_RETRY_SECONDS = 2.0
 
-# Offers that another backend server may take.
-_MOVABLE = frozenset(wire.NotRunReason) - {
+# Refusals after which another backend server is tried.
+_RETRYABLE_REASONS = frozenset(wire.NotRunReason) - {
     wire.NotRunReason.DEADLINE_PASSED,
     wire.NotRunReason.CANCELLED,
 }
 
 
 class NextAction(enum.Enum):
-    """What follows after an attempt."""
+    """What to do after a refused or failed attempt."""
 
     OFFER = "offer"
     REFUSE = "refuse"
@@ -64,7 +68,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RetryDecision:
-    """What follows, and whether the next offer may wait in a queue."""
+    """Next action, and whether the next offer accepts a missed objective."""
 
     action: NextAction
     accepts_late: bool = False
@@ -72,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
-    """An offer that has no answer yet; `sent` is in monotonic seconds."""
+    """An offer without an answer yet; `sent_at` is in monotonic seconds."""
 
     node: str
     backend: str
@@ -136,7 +140,7 @@
         self.backend = ""
         self.version = ""
         self.offers = 0
-        # Requests that a backend server got, and those that may have run.
+        # Attempts that reached a backend server, and those that may have run.
         self.backend_attempts = 0
         self.possible_executions = 0
         self.accepts_late = False
@@ -144,13 +148,14 @@
         self.reason = ""
         self.retry_ms = 0
         self.deadline_timer: asyncio.TimerHandle | None = None
-        # Offers without an answer by call; two while a request is hedged.
+        # Offers without an answer by call identifier; two while a request is
+        # hedged.
         self.open_attempts: dict[str, Attempt] = {}
         self.hedge_timer: asyncio.TimerHandle | None = None
         self.hedged = False
 
 
-def after_refusal(
+def decide_after_refusal(
     active: ActiveRequest,
     refused: wire.Refused,
     budget: retries.Budget,
@@ -158,7 +163,7 @@
     now: float,
     untried: int,
 ) -> RetryDecision:
-    """Decide after a gate has not run the request.
+    """Return what to do after a gate has refused the request.
 
     Parameters
     ----------
@@ -167,13 +172,13 @@
     refused : wire.Refused
         Answer of the gate.
     budget : retries.Budget
-        Charged if the backend server itself turned the request away.
+        Needed if the backend server itself rejected the request.
     now : float
         Monotonic time, in seconds.
     untried : int
-        Backend servers that were not tried yet.
+        Number of backend servers that were not tried yet.
     """
-    if refused.reason not in _MOVABLE or now >= active.expires_at:
+    if refused.reason not in _RETRYABLE_REASONS or now >= active.expires_at:
         return RetryDecision(action=NextAction.REFUSE)
     if active.offers >= MAX_OFFERS or active.accepts_late:
         return RetryDecision(action=NextAction.REFUSE)
@@ -186,7 +191,7 @@
     return RetryDecision(action=NextAction.OFFER, accepts_late=True)
 
 
-def after_failure(
+def decide_after_failure(
     active: ActiveRequest,
     budget: retries.Budget,
     *,
@@ -194,14 +199,14 @@
     now: float,
     untried: int,
 ) -> RetryDecision:
-    """Decide after an attempt that may have run and failed."""
+    """Return what to do after an attempt that failed and may have run."""
     left_ms = (active.expires_at - now) * 1000.0
     if (
         active.route.idempotent
         and active.backend_attempts < active.route.max_attempts
         and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
-        and left_ms > usual_ms * MIN_LEFT_PART
+        and left_ms > usual_ms * MIN_LEFT_RATIO
         and untried
     ):
         return RetryDecision(action=NextAction.OFFER, accepts_late=True)
@@ -209,43 +214,43 @@
 
 
 def stop_timers(active: ActiveRequest) -> None:
-    """Stop what was to happen later to a request."""
+    """Cancel the timers of a request."""
     for timer in (active.deadline_timer, active.hedge_timer):
         if timer is not None:
             timer.cancel()
 
 
-def hedge_seconds(usual_ms: float) -> float:
-    """Return after which time a second server is asked, too.
+def hedge_delay_seconds(usual_ms: float) -> float:
+    """Return the delay after which a request may be hedged, in seconds.
 
     Parameters
     ----------
     usual_ms : float
-        Usual time of the route.
+        Usual time of the route, in milliseconds.
     """
     return max(usual_ms * HEDGE_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
 
-def recheck_seconds(usual_ms: float) -> float:
-    """Return the pause between two looks at the server of a late request.
+def recheck_delay_seconds(usual_ms: float) -> float:
+    """Return the interval of checks whether to hedge, in seconds.
 
     Parameters
     ----------
     usual_ms : float
-        Usual time of the route.
+        Usual time of the route, in milliseconds.
     """
     return max(usual_ms * RECHECK_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
 
 def is_overdue(active: ActiveRequest, *, usual_ms: float, now: float) -> bool:
-    """Tell whether a request is late whatever its work may be.
+    """Tell whether a request is hedged even if its server is not suspect.
 
     Parameters
     ----------
     active : ActiveRequest
         The request.
     usual_ms : float
-        Usual time of the route.
+        Usual time of the route, in milliseconds.
     now : float
         Monotonic time, in seconds.
     """
@@ -261,20 +266,20 @@
     now: float,
     untried: int,
 ) -> bool:
-    """Tell whether a request goes to a second server while the first runs.
+    """Tell whether a request may be sent to a second backend server.
 
     Parameters
     ----------
     active : ActiveRequest
         The request.
     budget : retries.Budget
-        Charged for it as for a retry.
+        Retry budget of the service, which also pays for hedges.
     usual_ms : float
-        Usual time of the route; 0 if it is not known.
+        Usual time of the route, in milliseconds; 0 if not known.
     now : float
         Monotonic time, in seconds.
     untried : int
-        Backend servers that were not tried yet.
+        Number of backend servers that were not tried yet.
     """
     left_ms = (active.expires_at - now) * 1000.0
     return (
@@ -285,21 +290,21 @@
         and active.backend_attempts + 1 < active.route.max_attempts
         and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
-        and left_ms > usual_ms * MIN_LEFT_PART
+        and left_ms > usual_ms * MIN_LEFT_RATIO
         and untried > 0
     )
 
 
-def refusal_seconds(retry_ms: float, draw: float) -> float:
-    """Return when a refused client may come back.
+def jittered_retry_seconds(retry_ms: float, random_fraction: float) -> float:
+    """Return the Retry-After of a refused request, with jitter, in seconds.
 
     Parameters
     ----------
     retry_ms : float
-        When there is room again, as the gate predicts.
-    draw : float
-        Between 0 and 1.
+        Time until the gate expects to have room, in milliseconds.
+    random_fraction : float
+        Random number between 0 and 1.
     """
-    low, high = RETRY_SPREAD
-    seconds = retry_ms / 1000.0 * (low + (high - low) * draw)
+    low, high = RETRY_JITTER
+    seconds = retry_ms / 1000.0 * (low + (high - low) * random_fraction)
     return min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -1,4 +1,4 @@
-"""The backend server beside the node: what it is and whether it serves."""
+"""State of the backend server beside the node."""
 
 import asyncio
 from collections.abc import Callable
@@ -20,36 +20,39 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A backend server whose heartbeats stop for so many periods is not used.
-SILENT_BEATS = 4.0
-# Part of the slots that is used at first for a backend server that may
-# still run requests of an earlier process of this node.
-UNKNOWN_START_PART = 0.5
-# A new server may have sent so many heartbeats before its node listened.
-FIRST_BEATS = 3
-# A health check of an idle server takes some milliseconds; a full one may
-# never answer it.
-HEALTH_SECONDS = 0.5
-# Part of the heartbeat period after which a second heartbeat shows that the
-# first one was not late: two held up together arrive together.
-CONFIRM_PART = 0.5
+# Heartbeat periods without a heartbeat after which the backend server gets no
+# more requests.
+MAX_SILENT_PERIODS = 4.0
+# Fraction of the slots that is the first limit of a backend server that may
+# still run requests from an earlier process of this node.
+UNKNOWN_START_FRACTION = 0.5
+# Heartbeats that a new backend server may have sent before its node listened.
+# A higher sequence number means that it has been running.
+MAX_STARTUP_HEARTBEATS = 3
+# A health check of an idle server takes a few milliseconds. A server without
+# free slots may not answer it at all.
+HEALTH_TIMEOUT_SECONDS = 0.5
+# Fraction of the heartbeat period that has to pass before a second heartbeat
+# confirms the server. Delayed heartbeats of a server that has left arrive
+# closer together.
+CONFIRM_PERIOD_FRACTION = 0.5
 
 
 class BackendServer:
-    """Presence, state and health of the backend server.
+    """Heartbeats, health and readiness of the backend server.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     read_view : callable
         Returns the orders in force.
     on_change : callable
-        Called when the backend server appears, drains or goes.
+        Called when the backend server appears, drains or leaves.
     queue : ranked.RankedQueue
-        Requests before and at the backend server.
+        Queued and running requests of the backend server.
     client : http.Client
-        Connections to it.
+        Connections to the backend server.
     """
 
     def __init__(
@@ -70,19 +73,21 @@
         self.presence = heartbeats.Presence()
         self.outcomes = outcome_counters.OutcomeCounters(read_view=read_view)
         self.leaving = False
-        self.checking = False
+        self.checking_health = False
 
     def handle_heartbeat(
         self, heartbeat: model.Heartbeat
     ) -> heartbeats.HeartbeatEffect:
-        """Take a heartbeat and tell what it changed."""
+        """Record a heartbeat and return what it changed."""
         now = self.loop.time()
         before = self.presence.current
         effect = heartbeats.record_heartbeat(
             self.presence,
             heartbeat,
             now,
-            confirm_seconds=CONFIRM_PART * self.settings.heartbeat_ms / 1000.0,
+            confirm_seconds=CONFIRM_PERIOD_FRACTION
+            * self.settings.heartbeat_ms
+            / 1000.0,
         )
         if effect is heartbeats.HeartbeatEffect.NONE:
             return effect
@@ -105,54 +110,57 @@
         return effect
 
     def check_health(self) -> None:
-        """Ask a backend server that was met in mid-life whether it serves."""
+        """Send a health check to a backend server that is not confirmed."""
         current = self.presence.current
-        if current is None or self.presence.confirmed or self.checking:
+        if current is None or self.presence.confirmed or self.checking_health:
             return
         rule = self.read_view().services.get(current.service)
         if rule is None:
             return
-        self.checking = True
+        self.checking_health = True
 
-        def handle(result: http.Result) -> None:
-            self.checking = False
+        def handle_result(result: http.Result) -> None:
+            self.checking_health = False
             self.handle_health(current, result)
 
         self.client.send(
             platform.health_request(rule.health_path, current.address),
-            handle,
-            timeout=HEALTH_SECONDS,
+            handle_result,
+            timeout=HEALTH_TIMEOUT_SECONDS,
         )
 
     def handle_health(
-        self, asked: model.Heartbeat, result: http.Result
+        self, checked: model.Heartbeat, result: http.Result
     ) -> None:
-        """Use the backend server if it says that it serves."""
+        """Confirm the backend server if its health check succeeded."""
         response = result.response
         status = response.status if response else str(result.failure)
-        well = (
+        healthy = (
             response is not None
             and platform.is_healthy(response)
-            and platform.backend_instance(response.headers) == asked.backend
+            and platform.backend_instance(response.headers) == checked.backend
         )
         events.emit(
             _LOG,
             events.BACKEND_HEALTH,
-            backend=asked.backend,
-            well=well,
+            backend=checked.backend,
+            well=healthy,
             status=status,
-            sequence=asked.sequence,
+            sequence=checked.sequence,
         )
-        if well and heartbeats.confirm(self.presence, asked.backend):
+        if healthy and heartbeats.confirm(self.presence, checked.backend):
             self.on_change()
 
     def start_incarnation(
         self, heartbeat: model.Heartbeat, now: float
     ) -> None:
-        """Forget what was known of the backend server before."""
+        """Reset limits, evidence and connections for a new incarnation."""
         limit = float(heartbeat.slots)
-        if heartbeat.sequence > FIRST_BEATS and not self.queue.slots:
-            limit = max(heartbeat.slots * UNKNOWN_START_PART, 1.0)
+        if (
+            heartbeat.sequence > MAX_STARTUP_HEARTBEATS
+            and not self.queue.slots
+        ):
+            limit = max(heartbeat.slots * UNKNOWN_START_FRACTION, 1.0)
         ranked.set_backend(
             self.queue, slots=heartbeat.slots, limit=limit, now=now
         )
@@ -160,11 +168,10 @@
         self.client.close_idle()
 
     def update_cold(self) -> None:
-        """Bound the rate while the backend server is cold.
+        """Limit the request rate while the backend server is cold.
 
-        Called after heartbeats and after new orders: the bearable rate
-        stands in the configuration, which may come later than the first
-        heartbeat.
+        Called after heartbeats and after new orders: the rate is part of the
+        configuration, which may arrive after the first heartbeat.
         """
         heartbeat = self.presence.current
         if heartbeat is None:
@@ -178,7 +185,7 @@
         self.check_health()
 
     def assume_cold(self) -> None:
-        """Bound the rate until two heartbeats tell that it is not cold."""
+        """Treat the backend server as cold for two heartbeat periods."""
         self.presence.assumed_cold_until = (
             self.loop.time() + 2 * self.settings.heartbeat_ms / 1000.0
         )
@@ -187,7 +194,13 @@
     def handle_deregistration(
         self, deregistration: platform.Deregistration
     ) -> bool:
-        """Take a deregistration and tell whether it is of this server."""
+        """Record a deregistration.
+
+        Returns
+        -------
+        bool
+            Whether the current incarnation has deregistered.
+        """
         if not heartbeats.deregister(
             self.presence, deregistration.backend, deregistration.started_at_ms
         ):
@@ -197,7 +210,7 @@
         return True
 
     def describe(self) -> wire.ServerState | None:
-        """Return what other nodes are told of the backend server."""
+        """Return the state of the backend server for other nodes."""
         current = self.presence.current
         if current is None:
             return None
@@ -212,17 +225,18 @@
         )
 
     def find_refusal(self, service: str) -> wire.NotRunReason | None:
-        """Return why no request of a service may run now."""
+        """Return why requests of a service are refused now, or None."""
         current = self.presence.current
         if current is None or current.service != service:
             return wire.NotRunReason.NO_BACKEND_SERVER
         if self.leaving or current.state is model.BackendState.DRAINING:
             return wire.NotRunReason.DRAINING
-        silent = self.loop.time() - self.presence.heard_at
+        silent_seconds = self.loop.time() - self.presence.heard_at
         if (
             self.presence.unreachable
             or not self.presence.confirmed
-            or silent > SILENT_BEATS * self.settings.heartbeat_ms / 1000.0
+            or silent_seconds
+            > MAX_SILENT_PERIODS * self.settings.heartbeat_ms / 1000.0
         ):
             return wire.NotRunReason.NOT_READY
         view = self.read_view()
@@ -239,15 +253,21 @@
             return wire.NotRunReason.VERSION_WITHDRAWN
         return None
 
-    def set_aside(self) -> None:
-        """Use the backend server no more until its next heartbeat."""
+    def suspend(self) -> None:
+        """Send the backend server no requests until its next heartbeat."""
         self.presence.unreachable = True
         self.on_change()
 
     def mark_unreachable(self, backend: str) -> bool:
-        """Note a failed connection and tell whether it is the first one."""
+        """Record a failed connection.
+
+        Returns
+        -------
+        bool
+            Whether it is the first one since the last heartbeat.
+        """
         if self.presence.unreachable:
             return False
         events.emit(_LOG, events.BACKEND_UNREACHABLE, backend=backend)
-        self.set_aside()
+        self.suspend()
         return True
--- a/apricotpost/sidecar/connections.py
+++ b/apricotpost/sidecar/connections.py
@@ -1,4 +1,4 @@
-"""Connections of this node: which are opened and kept."""
+"""Choice of the nodes to which this node keeps connections."""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -11,7 +11,7 @@
 __all__ = ["ConnectionManager"]
 
 # A connection that is no longer wanted is closed after this time, so that a
-# choice that changes to and fro does not open connections each time.
+# choice that alternates does not reopen connections each time.
 KEEP_SECONDS = 30.0
 
 
@@ -20,54 +20,54 @@
 
     Parameters
     ----------
-    known : fleet.Fleet
+    members : fleet.Fleet
         States of all nodes.
     peer_links : links.Links
-        The sockets.
+        Sockets to the other nodes.
     called_services : callable
         Returns the services that this node calls.
-    whole_versions : callable
-        Returns services and versions of which every server is wanted.
+    fully_connected_versions : callable
+        Returns services and versions; every server of these is connected.
     evacuated : callable
         Returns the data centres that get no requests.
     is_busy : callable
-        Tells whether requests are under way at a node.
+        Tells whether this node has open requests at a node.
     """
 
     def __init__(
         self,
         *,
-        known: fleet.Fleet,
+        members: fleet.Fleet,
         peer_links: links.Links,
         called_services: Callable[[], Iterable[str]],
-        whole_versions: Callable[[], Iterable[tuple[str, str]]],
+        fully_connected_versions: Callable[[], Iterable[tuple[str, str]]],
         evacuated: Callable[[], Collection[str]],
         is_busy: Callable[[str], bool],
     ) -> None:
-        self.known = known
+        self.members = members
         self.peer_links = peer_links
         self.called_services = called_services
-        self.whole_versions = whole_versions
+        self.fully_connected_versions = fully_connected_versions
         self.evacuated = evacuated
         self.is_busy = is_busy
         self.wanted_at: dict[str, float] = {}
 
     def wanted_nodes(self, now: float) -> set[str]:
-        """Return the nodes to which a connection is wanted."""
+        """Return the nodes that should be connected."""
         local = {
             name
-            for name, node in self.known.nodes.items()
-            if node.state.data_centre == self.known.data_centre
+            for name, node in self.members.nodes.items()
+            if node.state.data_centre == self.members.data_centre
         }
         remote = relays.remote_servers(
-            self.known,
+            self.members,
             now,
             services=self.called_services(),
-            all_of=self.whole_versions(),
+            all_of=self.fully_connected_versions(),
             evacuated=self.evacuated(),
         )
-        wanted = local | remote | set(relays.remote_targets(self.known, now))
-        wanted.discard(self.known.node)
+        wanted = local | remote | set(relays.remote_targets(self.members, now))
+        wanted.discard(self.members.node)
         return wanted
 
     def update(self, now: float) -> None:
@@ -80,14 +80,14 @@
                 self.close(name)
 
     def open(self, name: str, now: float) -> None:
-        """Open the connection to a known node unless it is open."""
-        node = self.known.nodes.get(name)
-        if node is None or name == self.known.node:
+        """Mark the connection to a node as wanted, and open it if needed."""
+        node = self.members.nodes.get(name)
+        if node is None or name == self.members.node:
             return
         self.wanted_at[name] = now
         self.peer_links.connect(name, node.state.address)
 
     def close(self, name: str) -> None:
-        """Close the connection to a node, if any."""
+        """Close the connection to a node, if it is open."""
         self.wanted_at.pop(name, None)
         self.peer_links.disconnect(name)
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -1,4 +1,4 @@
-"""Task that takes callers' requests and answers them."""
+"""Receives callers' requests, sends them to backend servers, answers them."""
 
 import asyncio
 from collections.abc import Callable
@@ -20,41 +20,44 @@
 
 __all__ = ["Dispatcher"]
 
-# The backend server's own answer to a passed deadline is awaited so long.
+# Time after a request's deadline during which the response of a backend
+# server that ends the request at the deadline itself is still awaited.
 ANSWER_SLACK_SECONDS = 0.08
-# An answer may come on another connection after the first was reset.
+# Time in which the answer of a request that may not be repeated may still
+# arrive on another connection after the connection to its node was lost.
 LOST_ANSWER_SECONDS = 0.6
-# A client whose request found no configuration or no backend server.
+# Retry-After of a request that found no configuration or no backend server.
 NOT_READY_RETRY_MS = 300
-# Calls of running requests go before all others: their callers hold slots.
-NESTED_RANK = -1000
-# Place of a request that a version on trial does not get.
+# Added to the rank of calls that the backend server beside this node makes:
+# they go before all others, because the requests that make them hold slots.
+NESTED_RANK_OFFSET = -1000
+# Draw that selects a version on trial only if there is no other version.
 LAST_VERSION_DRAW = 1.0
 
 SendOffer = Callable[[str, wire.Offer], bool]
 
 
 class Dispatcher:
-    """State of the task.
+    """State of the requests that this node has received from callers.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     boot : str
-        Identifies this process.
+        Identifier of this process; part of the identifiers of its calls.
     read_view : callable
         Returns the orders in force.
     servers : server_index.ServerIndex
         Known backend servers.
     send_offer : callable
-        Hands an offer to a node; False means that nothing was sent.
+        Sends an offer to a node; returns False if nothing was sent.
     send_cancel : callable
-        Tells a node that a caller is gone.
-    on_service : callable
-        Called when a service is called for the first time.
+        Cancels an offer at a node.
+    on_new_service : callable
+        Called when this node calls a service for the first time.
     instruments : metrics.Metrics
-        Counters.
+        Metrics of the node.
     rng : random.Random
         Source of randomness.
     """
@@ -68,12 +71,12 @@
         servers: server_index.ServerIndex,
         send_offer: SendOffer,
         send_cancel: Callable[[str, wire.Cancel], None],
-        on_service: Callable[[], None],
+        on_new_service: Callable[[], None],
         instruments: metrics.Metrics,
         rng: random.Random,
     ) -> None:
         self.settings = settings
-        self.prefix = f"{settings.instance}/{boot}/"
+        self.call_prefix = f"{settings.instance}/{boot}/"
         self.read_view = read_view
         self.servers = servers
         self.send_offer = send_offer
@@ -83,7 +86,7 @@
         self.balancer = load_balancer.LoadBalancer(
             read_view=read_view,
             servers=servers,
-            on_service=on_service,
+            on_new_service=on_new_service,
             rng=rng,
         )
         self.budgets = retry_budgets.RetryBudgets(
@@ -93,19 +96,19 @@
             read_view=read_view, instruments=instruments, rng=rng
         )
         self.active: dict[str, active_requests.ActiveRequest] = {}
-        self.next_call = 0
+        self.last_call_number = 0
         self.stopping = False
         self.backend_host = settings.backend_address.rpartition(":")[0]
 
     def apply_settings(self, settings: options.Options) -> None:
-        """Take up changed settings."""
+        """Apply changed settings."""
         self.settings = settings
         self.budgets.bounds = settings.bounds
 
     # Requests.
 
     def handle(self, exchange: http.Exchange) -> None:
-        """Take a request of a caller."""
+        """Answer a caller's request, or offer it to a backend server."""
         head = platform.read_head(exchange.request)
         view = self.read_view()
         if not head.request_id:
@@ -148,10 +151,10 @@
         )
         self.budgets.earn(service, self.loop.time())
 
-        def leave() -> None:
+        def handle_disconnect() -> None:
             self.abandon(active)
 
-        exchange.on_disconnect = leave
+        exchange.on_disconnect = handle_disconnect
         active.deadline_timer = self.loop.call_at(
             active.expires_at + ANSWER_SLACK_SECONDS, self.expire, active
         )
@@ -159,12 +162,14 @@
         usual_ms = self.balancer.usual_ms(route.name)
         if route.idempotent and active.open_attempts and usual_ms:
             active.hedge_timer = self.loop.call_later(
-                active_requests.hedge_seconds(usual_ms), self.hedge, active
+                active_requests.hedge_delay_seconds(usual_ms),
+                self.hedge,
+                active,
             )
 
     def offer(self, active: active_requests.ActiveRequest) -> None:
-        """Offer a request to the best backend server, or answer it."""
-        if self.send_best(active):
+        """Offer a request to a backend server; answer it if there is none."""
+        if self.send_to_best(active):
             return
         active.reason = active.reason or wire.NotRunReason.NO_BACKEND_SERVER
         if active.possible_executions:
@@ -173,23 +178,29 @@
             active.retry_ms = active.retry_ms or NOT_READY_RETRY_MS
             self.refuse(active)
 
-    def send_best(self, active: active_requests.ActiveRequest) -> bool:
-        """Send an offer to the best backend server that takes it."""
+    def send_to_best(self, active: active_requests.ActiveRequest) -> bool:
+        """Send an offer to the best backend server that can be reached.
+
+        Returns
+        -------
+        bool
+            Whether an offer was sent.
+        """
         now = self.loop.time()
         if active.offers:
-            # A second attempt is not made with a version on trial.
+            # Further attempts do not go to a version on trial.
             active.version_draw = LAST_VERSION_DRAW
         for candidate in self.balancer.rank_candidates(active):
-            if self.send(active, candidate, now):
+            if self.send_attempt(active, candidate, now):
                 return True
             active.tried_nodes.add(candidate.node)
         return False
 
     def hedge(self, active: active_requests.ActiveRequest) -> None:
-        """Ask a second backend server while the first one runs.
+        """Send a request to a second backend server while the first runs it.
 
-        If that seems sound it is looked at again until the request is
-        overdue.
+        If the first backend server is not suspect, this is checked again
+        until the request is overdue.
         """
         active.hedge_timer = None
         now = self.loop.time()
@@ -198,7 +209,7 @@
             active.service
         ) and active_requests.may_hedge(
             active,
-            self.budgets.of(active.service),
+            self.budgets.budget_of(active.service),
             usual_ms=usual_ms,
             now=now,
             untried=self.balancer.count_untried(active),
@@ -210,27 +221,35 @@
         )
         if not overdue and not self.balancer.is_suspect(active):
             active.hedge_timer = self.loop.call_later(
-                active_requests.recheck_seconds(usual_ms), self.hedge, active
+                active_requests.recheck_delay_seconds(usual_ms),
+                self.hedge,
+                active,
             )
             return
         active.hedged = True
-        if self.send_best(active):
+        if self.send_to_best(active):
             self.budgets.spend(active.service)
             self.instruments.retries.add("hedged")
 
-    def send(
+    def send_attempt(
         self,
         active: active_requests.ActiveRequest,
         candidate: placement.Candidate,
         now: float,
     ) -> bool:
-        """Send an offer; False means that nothing was sent."""
-        self.next_call += 1
+        """Send an offer to a backend server and record the attempt.
+
+        Returns
+        -------
+        bool
+            Whether the offer was sent.
+        """
+        self.last_call_number += 1
         request = active.exchange.request
-        active.call = f"{self.prefix}{self.next_call}"
+        active.call = f"{self.call_prefix}{self.last_call_number}"
         active.node = candidate.node
         active.backend = candidate.backend
-        rank = active.route.rank + (NESTED_RANK if active.nested else 0)
+        rank = active.route.rank + (NESTED_RANK_OFFSET if active.nested else 0)
         offer = wire.Offer(
             call=active.call,
             request=active.head.request_id,
@@ -264,20 +283,20 @@
     def close_attempt(
         self, call: str
     ) -> tuple[active_requests.ActiveRequest, active_requests.Attempt] | None:
-        """Return the request and the attempt that an answer belongs to."""
+        """Remove an attempt and return it with its request, if it is open."""
         active = self.active.pop(call, None)
         if active is None:
             return None
         return active, active.open_attempts.pop(call)
 
     def cancel_attempts(self, active: active_requests.ActiveRequest) -> None:
-        """Tell the nodes of all open attempts that nobody waits."""
+        """Cancel all open attempts of a request."""
         for call, attempt in tuple(active.open_attempts.items()):
             self.close_attempt(call)
             self.send_cancel(attempt.node, wire.Cancel(call=call))
 
     def is_busy(self, node: str) -> bool:
-        """Tell whether requests are under way at a node."""
+        """Tell whether a node has open attempts of this node's requests."""
         return any(
             active.open_attempts[call].node == node
             for call, active in self.active.items()
@@ -286,7 +305,7 @@
     # Answers.
 
     def handle_answer(self, message: wire.Message) -> None:
-        """Take the answer of a gate."""
+        """Process the answer of a gate to an offer."""
         found = self.close_attempt(message.call)
         if found is None:
             if isinstance(message, wire.Delivered):
@@ -308,7 +327,7 @@
         attempt: active_requests.Attempt,
         message: wire.Delivered,
     ) -> None:
-        """Answer the caller, or try a failed request once more."""
+        """Answer the caller, or retry if the response is an error."""
         failed = message.status >= 500
         self.balancer.record_outcome(attempt.backend, failed=failed)
         if not failed:
@@ -323,7 +342,7 @@
         if failed and active.open_attempts:
             # The other attempt may still succeed.
             return
-        if failed and self.repeat(active, f"status-{message.status}"):
+        if failed and self.retry(active, f"status-{message.status}"):
             return
         active.node = attempt.node
         active.backend = attempt.backend
@@ -332,7 +351,7 @@
         response = http.Response(
             status=message.status, headers=message.headers, body=message.body
         )
-        self.end(active, response, "answered", "")
+        self.finish(active, response, "answered", "")
 
     def handle_refused(
         self,
@@ -347,13 +366,13 @@
         if active.open_attempts:
             return
         active.reason = message.reason
-        wait = message.retry_ms
-        if not active.retry_ms or 0 < wait < active.retry_ms:
-            active.retry_ms = wait
-        decision = active_requests.after_refusal(
+        retry_ms = message.retry_ms
+        if not active.retry_ms or 0 < retry_ms < active.retry_ms:
+            active.retry_ms = retry_ms
+        decision = active_requests.decide_after_refusal(
             active,
             message,
-            self.budgets.of(active.service),
+            self.budgets.budget_of(active.service),
             now=self.loop.time(),
             untried=self.balancer.count_untried(active),
         )
@@ -377,23 +396,29 @@
         attempt: active_requests.Attempt,
         reason: str,
     ) -> None:
-        """Repeat a request whose outcome is unknown, or say so."""
+        """Retry a request whose outcome is unknown, or fail it."""
         self.balancer.record_outcome(attempt.backend, failed=True)
         active.backend_attempts += 1
         active.possible_executions += 1
         active.reason = reason
         if active.open_attempts:
             return
-        if not self.repeat(active, reason):
+        if not self.retry(active, reason):
             self.fail(active, 502)
 
-    def repeat(
+    def retry(
         self, active: active_requests.ActiveRequest, reason: str
     ) -> bool:
-        """Send a failed request to another backend server if it may be."""
-        decision = active_requests.after_failure(
+        """Offer a failed request again if rules and budget allow it.
+
+        Returns
+        -------
+        bool
+            Whether that was allowed.
+        """
+        decision = active_requests.decide_after_failure(
             active,
-            self.budgets.of(active.service),
+            self.budgets.budget_of(active.service),
             usual_ms=self.balancer.usual_ms(active.route.name),
             now=self.loop.time(),
             untried=self.balancer.count_untried(active),
@@ -406,10 +431,14 @@
         self.offer(active)
         return True
 
-    # Ends.
+    # Ends of requests.
 
     def handle_node_lost(self, node: str) -> None:
-        """Settle the requests at a node whose connection is lost."""
+        """Retry or fail the requests at a node whose connection is lost.
+
+        A request that may not be repeated fails only after
+        `LOST_ANSWER_SECONDS`, as its answer may come on another connection.
+        """
         lost = [
             (call, active)
             for call, active in self.active.items()
@@ -418,17 +447,17 @@
         for call, active in lost:
             if not active.route.idempotent:
                 self.loop.call_later(
-                    LOST_ANSWER_SECONDS, self.give_up, active, call
+                    LOST_ANSWER_SECONDS, self.fail_lost_attempt, active, call
                 )
                 continue
             found = self.close_attempt(call)
             if found is not None:
                 self.handle_failed(*found, wire.UnknownReason.NODE_LOST)
 
-    def give_up(
+    def fail_lost_attempt(
         self, active: active_requests.ActiveRequest, call: str
     ) -> None:
-        """Answer a request whose answer has not come another way."""
+        """Fail a request whose answer has not come on another connection."""
         if self.close_attempt(call) is None:
             return
         active.possible_executions += 1
@@ -436,7 +465,7 @@
         self.fail(active, 502)
 
     def expire(self, active: active_requests.ActiveRequest) -> None:
-        """Answer a request whose time is over."""
+        """Fail a request whose deadline has passed."""
         if not active.open_attempts:
             return
         for attempt in active.open_attempts.values():
@@ -446,17 +475,17 @@
         self.fail(active, 504)
 
     def abandon(self, active: active_requests.ActiveRequest) -> None:
-        """End a request whose caller has hung up."""
+        """End a request whose caller has disconnected."""
         active_requests.stop_timers(active)
         self.instruments.requests.add("abandoned", "caller-gone")
         self.cancel_attempts(active)
 
     def stop_accepting(self) -> None:
-        """Refuse new requests; those that were taken are finished."""
+        """Refuse new requests; those already accepted are finished."""
         self.stopping = True
 
-    def settle_all(self) -> None:
-        """Answer what is still open at the end of the process."""
+    def fail_open_requests(self) -> None:
+        """Fail the requests that are still open when the process ends."""
         for active in set(self.active.values()):
             for call in tuple(active.open_attempts):
                 self.close_attempt(call)
@@ -464,30 +493,30 @@
             self.fail(active, 504)
 
     def refuse(self, active: active_requests.ActiveRequest) -> None:
-        """Answer that a request has not run and will not run."""
+        """Answer 503: the request has not run and will not run."""
         seconds = self.responder.retry_after_seconds(active.retry_ms)
         response = http.Response(
             status=503,
             headers=platform.refusal_headers(active.head.request_id, seconds),
         )
-        self.end(active, response, "refused", active.reason)
+        self.finish(active, response, "refused", active.reason)
 
     def fail(self, active: active_requests.ActiveRequest, status: int) -> None:
-        """Answer that the outcome of a request is unknown."""
+        """Answer with an error: the request may have run."""
         response = http.Response(
             status=status,
             headers=platform.refusal_headers(active.head.request_id, 0.0),
         )
-        self.end(active, response, "failed", active.reason)
+        self.finish(active, response, "failed", active.reason)
 
-    def end(
+    def finish(
         self,
         active: active_requests.ActiveRequest,
         response: http.Response,
         outcome: str,
         reason: str,
     ) -> None:
-        """Answer a request and log the decision."""
+        """Cancel what is open of a request, answer and log it."""
         active_requests.stop_timers(active)
         self.cancel_attempts(active)
         self.responder.finish_request(active, response, outcome, reason)
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -1,4 +1,4 @@
-"""Task of the backend server beside the node: admits and runs requests."""
+"""Admission control in front of the backend server beside the node."""
 
 import asyncio
 from collections.abc import Callable
@@ -22,41 +22,49 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Idle time after which a kept connection is not trusted with a request that
-# may not be repeated: a server that closed it is noticed within this time.
+# Idle time after which a kept-alive connection is not used for a request that
+# may not be repeated. If the server has closed the connection, the node
+# notices within this time; otherwise the request could be lost.
 TRUSTED_IDLE_SECONDS = 0.25
-# The backend server ends late requests by itself; its response is awaited.
+# The backend server ends requests at their deadline itself. Its response is
+# awaited for this time after the deadline.
 LATE_RESPONSE_SECONDS = 0.3
 
 Reply = Callable[[wire.Delivered | wire.Refused | wire.Failed], None]
 
 
 class PendingOffer:
-    """A request at the gate and who waits for it."""
+    """An offer in the queue or at the backend server, and its reply."""
 
-    __slots__ = ("use_new_connection", "handle", "offer", "reply", "started")
+    __slots__ = (
+        "use_new_connection",
+        "handle",
+        "offer",
+        "reply",
+        "started_at",
+    )
 
     def __init__(self, *, offer: wire.Offer, reply: Reply) -> None:
         self.offer = offer
         self.reply = reply
         self.handle: http.RequestHandle | None = None
-        self.started = 0.0
+        self.started_at = 0.0
         self.use_new_connection = False
 
 
 class Gate:
-    """State of the gate.
+    """Queue, running requests and connections of the backend server.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     read_view : callable
         Returns the orders in force.
     on_change : callable
-        Called when the backend server appears, drains or goes.
+        Called when the backend server appears, drains or leaves.
     instruments : metrics.Metrics
-        Counters.
+        Metrics of the node.
     """
 
     def __init__(
@@ -70,7 +78,7 @@
         self.instruments = instruments
         self.loop = asyncio.get_running_loop()
         self.queue = ranked.RankedQueue()
-        self.timer: asyncio.TimerHandle | None = None
+        self.next_start_timer: asyncio.TimerHandle | None = None
         self.decisions = logs.Decisions(logger=_LOG)
         host, port = options.split_address(settings.backend_address)
         self.client = http.Client(host=host, port=port)
@@ -82,10 +90,10 @@
             client=self.client,
         )
 
-    # Announcements.
+    # Announcements of the backend server.
 
     def answer_announcement(self, exchange: http.Exchange) -> None:
-        """Answer a call of the backend server."""
+        """Process and answer an announcement of the backend server."""
         try:
             found = platform.parse_announcement(exchange.request)
         except errors.MalformedMessage as error:
@@ -108,7 +116,7 @@
         )
 
     def handle_heartbeat(self, heartbeat: model.Heartbeat) -> None:
-        """Take a heartbeat of the backend server."""
+        """Apply a heartbeat of the backend server to the queue."""
         effect = self.server.handle_heartbeat(heartbeat)
         if effect in (
             heartbeats.HeartbeatEffect.CHANGED,
@@ -121,18 +129,18 @@
     def handle_deregistration(
         self, deregistration: platform.Deregistration
     ) -> None:
-        """Take the deregistration of the backend server."""
+        """Refuse queued requests if the backend server has deregistered."""
         if self.server.handle_deregistration(deregistration):
             self.refuse_queue()
 
     def stop_accepting(self) -> None:
-        """Take no more offers; the backend server may still run some."""
+        """Refuse new offers; requests that run are finished."""
         self.server.leaving = True
 
     # Requests.
 
     def offer(self, offer: wire.Offer, reply: Reply) -> None:
-        """Admit or refuse a request; `pump` starts it."""
+        """Queue or refuse a request; `start_queued` starts it."""
         now = self.loop.time()
         reason = self.server.find_refusal(offer.service)
         current = self.server.presence.current
@@ -163,9 +171,9 @@
         ranked.enqueue(self.queue, queued)
 
     def cancel(self, call: str) -> None:
-        """End a request whose caller is gone.
+        """Cancel a request that its caller no longer waits for.
 
-        One that may not be repeated runs to its end once it has started.
+        A request that may not be repeated is not cancelled once it runs.
         """
         queued = ranked.remove(self.queue, call)
         if queued is not None:
@@ -174,11 +182,11 @@
         if queued is None or not queued.payload.offer.idempotent:
             return
         now = self.loop.time()
-        elapsed_ms = (now - queued.payload.started) * 1000.0
+        elapsed_ms = (now - queued.payload.started_at) * 1000.0
         usual_ms = self.queue.service_ms.get(queued.route, self.queue.mean_ms)
         if elapsed_ms > usual_ms:
-            # The least that it would have taken: a server whose requests are
-            # all given up must not look fast.
+            # The elapsed time is a lower bound of the latency. Without it, a
+            # server whose slow requests are all cancelled would look fast.
             self.server.outcomes.count(
                 queued.route, failed=False, ran_ms=elapsed_ms
             )
@@ -194,7 +202,7 @@
         self.start_queued()
 
     def refuse_queue(self) -> None:
-        """Refuse what waits if the backend server takes no more requests."""
+        """Refuse the queued requests if the server takes no requests."""
         current = self.server.presence.current
         service = current.service if current is not None else ""
         reason = self.server.find_refusal(service)
@@ -213,7 +221,7 @@
         *,
         offered: bool = False,
     ) -> None:
-        """Answer that a request has not run and will not run here."""
+        """Reply that a request has not run and will not run here."""
         self.instruments.offers.add("refused", refusal.reason)
         load = None
         if self.server.presence.current is not None:
@@ -229,33 +237,35 @@
         )
 
     def start_queued(self) -> None:
-        """Start the requests that have room."""
+        """Start the queued requests that the limits allow."""
         now = self.loop.time()
         started, refused = ranked.start(self.queue, now)
         for queued, refusal in refused:
             self.refuse(queued.payload.offer, queued.payload.reply, refusal)
         for queued in started:
-            queued.payload.started = now
+            queued.payload.started_at = now
             self.run(queued)
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        due = ranked.next_start(self.queue, now)
-        if due is not None:
-            self.timer = self.loop.call_at(due, self.start_queued)
+        if self.next_start_timer is not None:
+            self.next_start_timer.cancel()
+            self.next_start_timer = None
+        due_at = ranked.next_start(self.queue, now)
+        if due_at is not None:
+            self.next_start_timer = self.loop.call_at(
+                due_at, self.start_queued
+            )
 
     def run(self, queued: ranked.QueuedRequest) -> None:
         """Send a request to the backend server."""
         pending: PendingOffer = queued.payload
         offer = pending.offer
-        left = queued.expires_at - self.loop.time()
+        left_seconds = queued.expires_at - self.loop.time()
         request = http.Request(
             method=offer.method,
             target=offer.target,
             headers=platform.call_headers(
                 offer.headers,
                 backend=offer.backend,
-                left_ms=max(int(left * 1000), 1),
+                left_ms=max(int(left_seconds * 1000), 1),
                 caller=offer.caller,
             ),
             body=offer.body,
@@ -270,14 +280,14 @@
         pending.handle = self.client.send(
             request,
             finish,
-            timeout=left + LATE_RESPONSE_SECONDS,
+            timeout=left_seconds + LATE_RESPONSE_SECONDS,
             max_idle=max_idle,
         )
 
     def finish(
         self, queued: ranked.QueuedRequest, result: http.Result
     ) -> None:
-        """Answer the caller with what became of a request."""
+        """Process the result of a request and start queued ones."""
         pending: PendingOffer = queued.payload
         offer = pending.offer
         now = self.loop.time()
@@ -287,11 +297,11 @@
             and offer.idempotent
             and not pending.use_new_connection
         ):
-            # The server had closed the kept connection.
+            # The server had closed the kept-alive connection.
             pending.use_new_connection = True
             self.run(queued)
             return
-        ran_ms = (now - pending.started) * 1000.0
+        ran_ms = (now - pending.started_at) * 1000.0
         response = result.response
         if response is None:
             self.fail(queued, result.failure, ran_ms)
@@ -311,7 +321,7 @@
         response: http.Response,
         ran_ms: float,
     ) -> None:
-        """Hand the response to the caller."""
+        """Reply with the response of the backend server."""
         offer = queued.payload.offer
         failed = response.status >= 500
         ranked.finish(
@@ -337,7 +347,7 @@
     def handle_rejection(
         self, queued: ranked.QueuedRequest, response: http.Response
     ) -> None:
-        """Pass on that the backend server has not run a request."""
+        """Reply that the backend server has rejected a request unrun."""
         offer = queued.payload.offer
         now = self.loop.time()
         ranked.finish(
@@ -346,7 +356,7 @@
         reason = wire.NotRunReason.GATE_FULL
         if response.status == platform.NotRunStatus.MISDIRECTED:
             reason = wire.NotRunReason.NO_BACKEND_SERVER
-            self.server.set_aside()
+            self.server.suspend()
         else:
             ranked.record_rejection(self.queue, now)
         self.decisions.report(
@@ -371,7 +381,11 @@
         ran_ms: float,
         fault: str = "",
     ) -> None:
-        """Answer that there is no usable response."""
+        """Reply that there is no usable response.
+
+        Without a connection, the request was not sent and is refused.
+        Otherwise it may have run.
+        """
         offer = queued.payload.offer
         if failure is http.Failure.NOT_CONNECTED:
             ranked.finish(
@@ -398,7 +412,7 @@
         self.server.outcomes.count(offer.route, failed=True, ran_ms=ran_ms)
         reason = wire.UnknownReason.CONNECTION_LOST
         if failure is not None:
-            reason = _REASONS[failure]
+            reason = _UNKNOWN_REASONS[failure]
         self.instruments.offers.add("failed", reason)
         self.decisions.report(
             events.GATE_FAILED,
@@ -418,17 +432,17 @@
         )
 
     def is_idle(self) -> bool:
-        """Tell whether no request runs or waits."""
+        """Tell whether no request runs or is queued."""
         return not self.queue.running and not self.queue.queue
 
     def close(self) -> None:
         """Close the connections to the backend server."""
-        if self.timer is not None:
-            self.timer.cancel()
+        if self.next_start_timer is not None:
+            self.next_start_timer.cancel()
         self.client.close()
 
 
-_REASONS = {
+_UNKNOWN_REASONS = {
     http.Failure.CONNECTION_LOST: wire.UnknownReason.CONNECTION_LOST,
     http.Failure.MALFORMED: wire.UnknownReason.BODY_INCOMPLETE,
     http.Failure.TIMED_OUT: wire.UnknownReason.TIMEOUT,
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -1,8 +1,8 @@
-"""Task that tells other nodes of this one and learns of them.
+"""Task that exchanges node states with the other nodes.
 
 A node sends its state to the nodes of its data centre. A relay
-(`apricotpost.membership.relays`) also sends those of its data centre to other
-relays, and forwards what it receives from them.
+(`apricotpost.membership.relays`) also sends the states of its data centre to
+other relays, and forwards the states that it receives from them.
 """
 
 import asyncio
@@ -25,32 +25,33 @@
 
 _LOG = logging.getLogger(__name__)
 
-# States within a data centre, where bytes are free.
+# Interval of states within a data centre, where traffic costs nothing.
 LOCAL_SECONDS = 0.5
-# While a new version carries most requests of a service, the evidence on it
-# goes to all nodes at this interval.
+# Interval of states with evidence while a new version carries most requests of
+# a service.
 LOADED_SECONDS = 0.25
-# Changes that come together are forwarded together.
-GATHER_SECONDS = 0.02
-# A node that was not heard for so long is forgotten.
-FORGET_SECONDS = 180.0
+# Delay before changed states are forwarded; collects them in one batch.
+FORWARD_DELAY_SECONDS = 0.02
+# A node that was not heard for longer is removed.
+REMOVE_SILENT_SECONDS = 180.0
 
 
 class Gossip:
-    """State of the task.
+    """Publishes this node's state and receives those of the others.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     boot : int
-        Orders the processes of this node.
-    known : fleet.Fleet
+        Number of this process; later processes of a node have higher ones.
+    members : fleet.Fleet
         States of all nodes.
     servers : server_index.ServerIndex
-        Index of the backend servers, rebuilt after changes.
+        Index of the backend servers; rebuilt after changes.
     on_state : callable
-        Called with every newer state.
+        Called with each accepted state, and with whether it is the first one
+        of a new process of its node.
     """
 
     def __init__(
@@ -58,13 +59,13 @@
         *,
         settings: options.Options,
         boot: int,
-        known: fleet.Fleet,
+        members: fleet.Fleet,
         servers: server_index.ServerIndex,
         on_state: Callable[[wire.NodeState, bool], None],
     ) -> None:
         self.settings = settings
         self.boot = boot
-        self.known = known
+        self.members = members
         self.servers = servers
         self.on_state = on_state
         self.loop = asyncio.get_running_loop()
@@ -76,43 +77,43 @@
         self.links: links.Links | None = None
         self.gate: gate.Gate | None = None
         self.connections: connections.ConnectionManager | None = None
-        self.pending = False
-        # Nodes whose changed states a relay has still to forward.
+        self.publish_pending = False
+        # Nodes whose changed states wait to be forwarded by this relay.
         self.changed: set[str] = set()
 
     async def run(self) -> None:
-        """Publish at intervals."""
+        """Publish states at intervals."""
         while True:
             self.round += 1
             loaded = self.is_loaded()
             self.publish()
-            judged = self.send_remote()
+            has_evidence = self.send_remote()
             self.remove_silent_nodes()
-            self.update_contacts()
-            fast = loaded or judged
+            self.update_connections()
+            fast = loaded or has_evidence
             await asyncio.sleep(LOADED_SECONDS if fast else LOCAL_SECONDS)
 
-    def update_contacts(self) -> None:
-        """Open the connections that are wanted now."""
+    def update_connections(self) -> None:
+        """Open wanted connections and close those long unwanted."""
         if self.connections is not None:
             self.connections.update(self.loop.time())
 
     def schedule_publish(self) -> None:
-        """Publish a change to all nodes, once for several changes."""
-        if not self.pending:
-            self.pending = True
+        """Publish changes in the next turn of the loop, all at once."""
+        if not self.publish_pending:
+            self.publish_pending = True
             self.loop.call_soon(self.publish_change)
 
     def publish_change(self) -> None:
-        """Publish what `schedule_publish` asked for."""
-        self.pending = False
+        """Publish this node's state and forward it to other data centres."""
+        self.publish_pending = False
         self.publish()
         self.schedule_forward(self.settings.instance)
 
     def publish(self) -> None:
         """Send this node's state to its data centre."""
         state = self.describe()
-        fleet.record_state(self.known, state, self.loop.time())
+        fleet.record_state(self.members, state, self.loop.time())
         self.servers.rebuild()
         self.send_local(state)
         self.on_state(state, False)
@@ -124,7 +125,7 @@
         self.links.send_all(
             (
                 name
-                for name, known in self.known.nodes.items()
+                for name, known in self.members.nodes.items()
                 if known.state.data_centre == self.settings.data_centre
                 and name != self.settings.instance
             ),
@@ -136,20 +137,22 @@
     def send_remote(self) -> bool:
         """Send states to the other data centres if this node is a relay.
 
-        States with evidence go each round, all of them less often.
+        States with evidence are sent in each round, the others less often.
 
         Returns
         -------
         bool
-            Whether there is evidence.
+            Whether states with evidence were sent.
         """
         now = self.loop.time()
-        targets = relays.remote_targets(self.known, now)
+        targets = relays.remote_targets(self.members, now)
         if not targets:
             return False
-        whole = relays.sends_full_round(self.known, now, self.round)
+        full_round = relays.sends_full_round(self.members, now, self.round)
         states = relays.recent_states(
-            self.known, now, wanted=lambda state: whole or bool(state.counts)
+            self.members,
+            now,
+            wanted=lambda state: full_round or bool(state.counts),
         )
         self.send_batch(targets, states)
         return any(aged.state.counts for aged in states)
@@ -157,16 +160,16 @@
     def schedule_forward(self, node: str) -> None:
         """Forward a changed state to the other data centres."""
         if not self.changed:
-            self.loop.call_later(GATHER_SECONDS, self.forward_changed)
+            self.loop.call_later(FORWARD_DELAY_SECONDS, self.forward_changed)
         self.changed.add(node)
 
     def forward_changed(self) -> None:
         """Send the changed states to the other data centres."""
         changed, self.changed = self.changed, set()
         now = self.loop.time()
-        targets = relays.remote_targets(self.known, now)
+        targets = relays.remote_targets(self.members, now)
         states = relays.recent_states(
-            self.known, now, wanted=lambda state: state.node in changed
+            self.members, now, wanted=lambda state: state.node in changed
         )
         self.send_batch(targets, states)
 
@@ -181,7 +184,10 @@
             self.links.send_all(targets, batch)
 
     def handle_batch(self, batch: wire.StateBatch) -> None:
-        """Take states that relays have sent."""
+        """Record the states in a batch of a relay.
+
+        A batch from another data centre is forwarded to the local nodes.
+        """
         try:
             states = relays.unpack_states(batch.states)
         except errors.MalformedMessage as error:
@@ -197,7 +203,7 @@
     # States.
 
     def is_loaded(self) -> bool:
-        """Tell whether the evidence of this node is needed often."""
+        """Tell whether the backend server is part of a loaded trial."""
         server = self.gate.server.describe() if self.gate is not None else None
         return (
             server is not None
@@ -206,7 +212,7 @@
         )
 
     def describe(self) -> wire.NodeState:
-        """Return this node's state."""
+        """Return this node's state with the next sequence number."""
         self.sequence += 1
         server = self.gate.server.describe() if self.gate is not None else None
         counts: tuple[wire.VersionCounts, ...] = ()
@@ -226,37 +232,37 @@
         )
 
     def handle_state(self, state: wire.NodeState, *, age: float = 0.0) -> None:
-        """Take the state of another node.
+        """Record the state of another node.
 
         Parameters
         ----------
         state : wire.NodeState
             The state.
         age : float
-            How long ago its node was heard, in seconds.
+            Time since a relay received it from the node, in seconds.
         """
         if state.node == self.settings.instance:
             self.supersede_boot(state)
             return
-        before = self.known.nodes.get(state.node)
-        newer = fleet.record_state(
-            self.known, state, self.loop.time(), age=age
+        before = self.members.nodes.get(state.node)
+        new_process = fleet.record_state(
+            self.members, state, self.loop.time(), age=age
         )
-        if self.known.nodes[state.node].state is not state:
+        if self.members.nodes[state.node].state is not state:
             return
         local = state.data_centre == self.settings.data_centre
-        if newer:
+        if new_process:
             self.handle_new_process(state, local=local)
-        if before is None or _differs(before.state, state):
+        if before is None or _changes_index(before.state, state):
             self.servers.rebuild()
-            if local and relays.is_relay(self.known, self.loop.time()):
+            if local and relays.is_relay(self.members, self.loop.time()):
                 self.schedule_forward(state.node)
-        self.on_state(state, newer)
+        self.on_state(state, new_process)
 
     def handle_new_process(
         self, state: wire.NodeState, *, local: bool
     ) -> None:
-        """Introduce this node to a new process of another one."""
+        """Connect and send this node's state to a new process of a node."""
         events.emit(_LOG, events.NODE_MET, node=state.node, boot=state.boot)
         if self.connections is not None and local:
             self.connections.open(state.node, self.loop.time())
@@ -264,7 +270,10 @@
             self.links.send(state.node, self.describe())
 
     def supersede_boot(self, state: wire.NodeState) -> None:
-        """Order this process after an earlier one of the same node."""
+        """Raise the boot number above that of another process of this node.
+
+        Otherwise the other nodes would ignore the states of this process.
+        """
         if state.boot > self.boot:
             self.boot = state.boot + 1
             self.schedule_publish()
@@ -272,16 +281,19 @@
     def add_listed_node(
         self, name: str, address: str, data_centre: str
     ) -> None:
-        """Note a node that the store lists; `update_contacts` follows."""
+        """Add a node that the store lists, or update its address.
+
+        `update_connections` opens the connection.
+        """
         if name == self.settings.instance:
             return
-        known = self.known.nodes.get(name)
+        known = self.members.nodes.get(name)
         if known is not None:
             if (
                 self.loop.time() - known.heard_at
                 > relays.REMOTE_SILENT_SECONDS
             ):
-                fleet.set_address(self.known, name, address)
+                fleet.set_address(self.members, name, address)
             return
         unheard = wire.NodeState(
             node=name,
@@ -294,7 +306,7 @@
             orders=0,
             server=None,
         )
-        fleet.record_state(self.known, unheard, self.loop.time())
+        fleet.record_state(self.members, unheard, self.loop.time())
 
     def connect(self, name: str) -> None:
         """Open the connection to a node."""
@@ -302,39 +314,39 @@
             self.connections.open(name, self.loop.time())
 
     def send_state_to(self, name: str) -> None:
-        """Send the state to a node that has just become connected.
+        """Send this node's state to a node that has connected.
 
-        One in another data centre has it from the relays, unless these are
-        the ones that meet or nothing was heard from there.
+        A node of another data centre gets it from the relays, unless this
+        node is one of them or the other one was silent.
         """
         if self.links is not None and self.needs_own_state(name):
             self.links.send(name, self.describe())
 
     def needs_own_state(self, name: str) -> bool:
-        """Tell whether a node may not know this one from its relays."""
-        known = self.known.nodes.get(name)
+        """Tell whether a node may lack this node's state."""
+        known = self.members.nodes.get(name)
         now = self.loop.time()
         return (
             known is None
             or known.state.data_centre == self.settings.data_centre
-            or relays.is_relay(self.known, now)
+            or relays.is_relay(self.members, now)
             or now - known.heard_at > relays.REMOTE_SILENT_SECONDS
         )
 
     def remove_silent_nodes(self) -> None:
-        """Drop nodes that were not heard for a long time."""
+        """Remove nodes that were not heard for `REMOVE_SILENT_SECONDS`."""
         now = self.loop.time()
-        for name, known in tuple(self.known.nodes.items()):
-            if now - known.heard_at < FORGET_SECONDS:
+        for name, known in tuple(self.members.nodes.items()):
+            if now - known.heard_at < REMOVE_SILENT_SECONDS:
                 continue
-            del self.known.nodes[name]
+            del self.members.nodes[name]
             self.servers.rebuild()
             if self.connections is not None:
                 self.connections.close(name)
 
 
-def _differs(before: wire.NodeState, after: wire.NodeState) -> bool:
-    """Tell whether the index of backend servers changes."""
+def _changes_index(before: wire.NodeState, after: wire.NodeState) -> bool:
+    """Tell whether a new state changes the index of backend servers."""
     if before.leaving != after.leaving or before.address != after.address:
         return True
     if before.boot != after.boot:
--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -1,4 +1,4 @@
-"""Which incarnation of the backend server is the current one."""
+"""Current incarnation of the backend server, from its heartbeats."""
 
 import enum
 
@@ -13,28 +13,29 @@
     "deregister",
 ]
 
-# Sequence number of the heartbeat with which a backend server starts.
+# Sequence number of a backend server's first heartbeat.
 FIRST_SEQUENCE = 1
 
 
 class HeartbeatEffect(enum.Enum):
-    """What a heartbeat changed."""
+    """Change that a heartbeat caused."""
 
-    # It is older than what is known.
+    # None: it is older than the current heartbeat, or its sender has left.
     NONE = "none"
     SAME = "same"
-    # The same incarnation changed its state or was not reachable before.
+    # The current incarnation changed its state or became usable.
     CHANGED = "changed"
+    # Its sender is a new incarnation.
     OTHER = "other"
 
 
 class Presence:
-    """Newest heartbeat and the incarnations that are gone.
+    """Newest heartbeat, and the incarnations that have left.
 
-    A process that meets a backend server in the middle of its life does not
-    know whether it has left: the heartbeat may be a late one. `confirmed`
-    is False until the server itself has answered, or a second heartbeat has
-    come.
+    A node process that starts beside a running backend server cannot tell from
+    one heartbeat whether the server is still there: it may have left after a
+    heartbeat that arrives late. `confirmed` is False until the server has
+    answered a health check or has sent a second heartbeat.
     """
 
     def __init__(self) -> None:
@@ -43,7 +44,7 @@
         self.heard_at = 0.0
         self.unreachable = False
         self.assumed_cold_until = 0.0
-        # Start of the newest incarnation that left, by identifier.
+        # Start of the newest incarnation that has left, by identifier.
         self.departed: dict[str, int] = {}
 
 
@@ -54,44 +55,50 @@
     *,
     confirm_seconds: float = 0.0,
 ) -> HeartbeatEffect:
-    """Take a heartbeat and tell what it changed.
+    """Record a heartbeat and return what it changed.
 
-    A heartbeat may arrive after its sender has left or has been replaced,
-    and an identifier may be used again by a later incarnation.
+    A heartbeat may arrive after its sender has left or has been replaced, and
+    a later incarnation may use an identifier again.
 
     Parameters
     ----------
     presence : Presence
-        State.
+        State to update.
     heartbeat : model.Heartbeat
         The heartbeat.
     now : float
         Monotonic time, in seconds.
     confirm_seconds : float
-        A second heartbeat that comes so much later confirms the server.
+        Least time between two heartbeats that confirms the server.
     """
-    left = presence.departed.get(heartbeat.backend)
-    if left is not None and heartbeat.started_at_ms <= left:
+    departed_start_ms = presence.departed.get(heartbeat.backend)
+    if (
+        departed_start_ms is not None
+        and heartbeat.started_at_ms <= departed_start_ms
+    ):
         return HeartbeatEffect.NONE
     current = presence.current
     if current is not None and _is_older(heartbeat, current):
         return HeartbeatEffect.NONE
     was_usable = presence.confirmed and not presence.unreachable
-    other = current is None or (current.backend, current.started_at_ms) != (
+    new_incarnation = current is None or (
+        current.backend,
+        current.started_at_ms,
+    ) != (
         heartbeat.backend,
         heartbeat.started_at_ms,
     )
-    if other:
-        unknown = current is None and not presence.departed
+    if new_incarnation:
+        unobserved = current is None and not presence.departed
         presence.confirmed = (
-            not unknown or heartbeat.sequence <= FIRST_SEQUENCE
+            not unobserved or heartbeat.sequence <= FIRST_SEQUENCE
         )
     elif now - presence.heard_at >= confirm_seconds:
         presence.confirmed = True
     presence.current = heartbeat
     presence.heard_at = now
     presence.unreachable = False
-    if other:
+    if new_incarnation:
         return HeartbeatEffect.OTHER
     if current is not None and current.state is not heartbeat.state:
         return HeartbeatEffect.CHANGED
@@ -101,12 +108,12 @@
 
 
 def confirm(presence: Presence, backend: str) -> bool:
-    """Note that a backend server says itself that it takes requests.
+    """Record that a backend server has passed its health check.
 
     Returns
     -------
     bool
-        Whether that makes the current one usable.
+        Whether that makes the current incarnation usable.
     """
     current = presence.current
     if presence.confirmed or current is None or current.backend != backend:
@@ -116,25 +123,34 @@
 
 
 def deregister(presence: Presence, backend: str, started_at_ms: int) -> bool:
-    """Note that an incarnation leaves; tell whether it was the current one.
+    """Record that an incarnation leaves.
 
     Parameters
     ----------
     presence : Presence
-        State.
+        State to update.
     backend : str
-        Identifier.
+        Identifier of the backend server.
     started_at_ms : int
-        Start of the incarnation; 0 if it did not say.
+        Start of the incarnation, in Unix milliseconds; 0 if it is not known.
+
+    Returns
+    -------
+    bool
+        Whether it was the current incarnation.
     """
     current = presence.current
-    same = current is not None and current.backend == backend
-    if same and current is not None and not started_at_ms:
+    same_backend = current is not None and current.backend == backend
+    if same_backend and current is not None and not started_at_ms:
         started_at_ms = current.started_at_ms
     presence.departed[backend] = max(
         presence.departed.get(backend, 0), started_at_ms
     )
-    if not same or current is None or current.started_at_ms > started_at_ms:
+    if (
+        not same_backend
+        or current is None
+        or current.started_at_ms > started_at_ms
+    ):
         return False
     presence.current = None
     return True
--- a/apricotpost/sidecar/instruments.py
+++ b/apricotpost/sidecar/instruments.py
@@ -1,8 +1,8 @@
 """Counters, gauges and histograms in the text format of Prometheus.
 
-The client library of Prometheus imports the HTTP server and the URL opener of
-the standard library: 4.2 MB of the 32 MB that a node may take, and 7 in 100 of
-the processor time of its start. The text format (version 0.0.4) is small.
+The Prometheus client library imports the HTTP server and the URL opener of the
+standard library. These take 4.2 MB of the 32 MB that a node may use, and 7 %
+of the processor time of its start. The text format (version 0.0.4) is simple.
 """
 
 import bisect
@@ -13,12 +13,12 @@
 
 
 class Counter:
-    """Number of events by label values.
+    """Count of events by label values.
 
     Parameters
     ----------
     name, text : str
-        Name without the ending ``_total``, and description.
+        Name without the suffix ``_total``, and help text.
     labels : sequence of str
         Names of the labels.
     """
@@ -41,7 +41,7 @@
 
 
 class Gauge:
-    """A value that rises and falls."""
+    """A value that can go up and down."""
 
     def __init__(self, name: str, text: str) -> None:
         self.name = name
@@ -59,14 +59,14 @@
 
 
 class Histogram:
-    """Numbers of values up to each of some bounds.
+    """Cumulative counts of observed values by upper bound.
 
     Parameters
     ----------
     name, text : str
-        Name and description.
+        Name and help text.
     bounds : sequence of float
-        Upper bounds, rising.
+        Upper bounds of the buckets, ascending.
     """
 
     def __init__(self, name: str, text: str, bounds: Sequence[float]) -> None:
@@ -78,17 +78,17 @@
         self.total = 0.0
 
     def observe(self, value: float) -> None:
-        """Count a value."""
+        """Record a value."""
         self.counts[bisect.bisect_left(self.bounds, value)] += 1
         self.total += value
 
     def lines(self) -> Iterable[str]:
-        """Yield the samples; each bucket includes the smaller ones."""
-        below = 0
+        """Yield the samples; buckets are cumulative."""
+        cumulative = 0
         for bound, count in zip((*self.bounds, "+Inf"), self.counts):
-            below += count
-            yield f'{self.name}_bucket{{le="{bound}"}} {below}'
-        yield f"{self.name}_count {below}"
+            cumulative += count
+            yield f'{self.name}_bucket{{le="{bound}"}} {cumulative}'
+        yield f"{self.name}_count {cumulative}"
         yield f"{self.name}_sum {self.total}"
 
 
--- a/apricotpost/sidecar/links.py
+++ b/apricotpost/sidecar/links.py
@@ -1,4 +1,4 @@
-"""Task that owns the sockets to other nodes."""
+"""Sockets to the other nodes and the messages on them."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,11 +16,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Messages that are handled before other events of the loop get a turn.
+# Messages that are handled before the loop runs other events.
 BATCH_MESSAGES = 200
-# A caller gives up a lost answer of a request that may not be repeated after
-# 0.6 s.
-SOON_SECONDS = 0.6
+# Time for which an answer waits for a connection. The caller's node waits no
+# longer for a lost answer of a request that may not be repeated.
+QUEUED_ANSWER_SECONDS = 0.6
 
 OnInbox = Callable[[bytes, wire.Message], None]
 OnAnswer = Callable[[str, wire.Message], None]
@@ -36,7 +36,7 @@
         "monitor",
         "name",
         "socket",
-        "waiting",
+        "queued",
     )
 
     def __init__(
@@ -52,8 +52,8 @@
         self.socket = socket
         self.monitor = monitor
         self.connected = False
-        # Answers to send once it is connected, and until when.
-        self.waiting: list[tuple[float, wire.Message]] = []
+        # Answers to send once connected, each with the time until which.
+        self.queued: list[tuple[float, wire.Message]] = []
 
 
 class Links:
@@ -62,15 +62,16 @@
     Parameters
     ----------
     address : str
-        IP:PORT to listen on.
+        Address to listen on, as IP:PORT.
     on_inbox : callable
-        Takes a message and its sender's identity for `reply`.
+        Called with the sender's identity (for `reply`) and a message.
     on_answer : callable
-        Takes an answer and the name of the node that sent it.
+        Called with the name of a node and a message from the connection that
+        this node has opened to it.
     on_batch : callable
-        Called after all messages that had arrived.
+        Called after each batch of messages for `on_inbox`.
     on_change : callable
-        Takes the name of a node and whether it is connected.
+        Called with the name of a node and whether it is connected now.
     """
 
     def __init__(
@@ -89,15 +90,15 @@
         self.loop = asyncio.get_running_loop()
         self.links: dict[str, Link] = {}
         self.malformed = 0
-        # Messages and bytes by kind.
-        self.sent: dict[str, tuple[int, int]] = {}
+        # Sent messages and bytes by message class.
+        self.sent_counts: dict[str, tuple[int, int]] = {}
         self.closed = False
         self.context = sockets.make_context()
         self.inbox = sockets.bind_links(self.context, f"tcp://{address}")
-        self.loop.add_reader(self.inbox.fileno(), self.drain_inbox)
+        self.loop.add_reader(self.inbox.fileno(), self.read_inbox)
 
     def connect(self, name: str, address: str) -> None:
-        """Connect to a node, or to its new address."""
+        """Connect to a node, or reconnect if its address has changed."""
         known = self.links.get(name)
         if known is not None:
             if known.address == address:
@@ -108,9 +109,9 @@
         )
         link = Link(name=name, address=address, socket=socket, monitor=monitor)
         self.links[name] = link
-        self.loop.add_reader(socket.fileno(), self.drain_link, link)
-        self.loop.add_reader(monitor.fileno(), self.drain_monitor, link)
-        self.loop.call_soon(self.drain_monitor, link)
+        self.loop.add_reader(socket.fileno(), self.read_link, link)
+        self.loop.add_reader(monitor.fileno(), self.read_monitor, link)
+        self.loop.call_soon(self.read_monitor, link)
 
     def disconnect(self, name: str) -> None:
         """Close the connection to a node."""
@@ -131,50 +132,52 @@
         return link is not None and link.connected
 
     def send(self, name: str, message: wire.Message) -> bool:
-        """Send a message; False means that nothing was sent."""
+        """Send a message; return False if nothing was sent."""
         link = self.links.get(name)
         if link is None or not link.connected:
             return False
         size = sockets.send_sized(link.socket, message)
         self.count(message, size)
-        self.check_later(link.socket, self.drain_link, link)
+        self.schedule_read_if_readable(link.socket, self.read_link, link)
         return size > 0
 
     def send_all(self, names: Iterable[str], message: wire.Message) -> None:
-        """Send a message to several nodes, those that are connected."""
+        """Send a message to those of the nodes that are connected."""
         frames = wire.encode(message)
         for name in names:
             link = self.links.get(name)
             if link is not None and link.connected:
                 size = sockets.send_encoded(link.socket, frames)
                 self.count(message, size)
-                self.check_later(link.socket, self.drain_link, link)
+                self.schedule_read_if_readable(
+                    link.socket, self.read_link, link
+                )
 
-    def send_soon(self, name: str, message: wire.Message) -> None:
-        """Send a message now, or when the connection is open.
+    def send_or_queue(self, name: str, message: wire.Message) -> None:
+        """Send a message now, or when the connection opens.
 
-        An answer whose way back is lost takes this one. After
-        `SOON_SECONDS` nobody waits for it.
+        Used for answers to offers whose own connection was lost. A message is
+        dropped after `QUEUED_ANSWER_SECONDS`, when no caller waits for it.
         """
         link = self.links.get(name)
         if link is None or self.send(name, message):
             return
-        link.waiting.append((self.loop.time() + SOON_SECONDS, message))
+        link.queued.append((self.loop.time() + QUEUED_ANSWER_SECONDS, message))
 
     def reply(self, identity: bytes, message: wire.Message) -> bool:
-        """Answer the sender of a message; False if it is not connected."""
+        """Answer the sender of a message; return False if nothing was sent."""
         if self.closed:
             return False
         size = sockets.send_sized(self.inbox, message, identity)
         self.count(message, size)
-        self.check_later(self.inbox, self.drain_inbox)
+        self.schedule_read_if_readable(self.inbox, self.read_inbox)
         return size > 0
 
     def count(self, message: wire.Message, size: int) -> None:
-        """Count sent messages and their bytes by kind."""
+        """Count a sent message and its bytes."""
         kind = type(message).__name__
-        messages, total = self.sent.get(kind, (0, 0))
-        self.sent[kind] = (messages + 1, total + size)
+        messages, total = self.sent_counts.get(kind, (0, 0))
+        self.sent_counts[kind] = (messages + 1, total + size)
 
     def close(self) -> None:
         """Close all sockets."""
@@ -185,8 +188,8 @@
         self.inbox.close(linger=0)
         self.context.destroy(linger=0)
 
-    def drain_inbox(self) -> None:
-        """Take the messages of other nodes that have arrived."""
+    def read_inbox(self) -> None:
+        """Handle the messages that other nodes have sent."""
         if self.closed:
             return
         for _ in range(BATCH_MESSAGES):
@@ -195,15 +198,15 @@
             except zmq.Again:
                 break
             except errors.MalformedMessage as error:
-                self.note_malformed(error)
+                self.record_malformed(error)
                 continue
             self.on_inbox(identity, message)
         else:
-            self.loop.call_soon(self.drain_inbox)
+            self.loop.call_soon(self.read_inbox)
         self.on_batch()
 
-    def drain_link(self, link: Link) -> None:
-        """Take the answers of one node that have arrived."""
+    def read_link(self, link: Link) -> None:
+        """Handle the messages that one node has sent in answer."""
         if link.socket.closed:
             return
         for _ in range(BATCH_MESSAGES):
@@ -212,16 +215,16 @@
             except zmq.Again:
                 break
             except errors.MalformedMessage as error:
-                self.note_malformed(error)
+                self.record_malformed(error)
                 continue
             self.on_answer(link.name, message)
             if link.socket.closed:
                 return
         else:
-            self.loop.call_soon(self.drain_link, link)
+            self.loop.call_soon(self.read_link, link)
 
-    def drain_monitor(self, link: Link) -> None:
-        """Note connects and disconnects."""
+    def read_monitor(self, link: Link) -> None:
+        """Handle connects and disconnects of a link."""
         while not link.monitor.closed:
             try:
                 connected = sockets.receive_link_event(link.monitor)
@@ -230,31 +233,31 @@
             if connected != link.connected:
                 link.connected = connected
                 self.on_change(link.name, connected)
-                self.send_waiting(link)
+                self.send_queued(link)
 
-    def send_waiting(self, link: Link) -> None:
-        """Send the answers that waited for the connection."""
-        waiting, link.waiting = link.waiting, []
+    def send_queued(self, link: Link) -> None:
+        """Send the answers that have waited for the connection."""
+        queued, link.queued = link.queued, []
         now = self.loop.time()
-        for until, message in waiting:
-            if now < until:
-                self.send_soon(link.name, message)
+        for expires_at, message in queued:
+            if now < expires_at:
+                self.send_or_queue(link.name, message)
 
-    def check_later(
+    def schedule_read_if_readable(
         self,
         socket: sockets.Socket,
-        drain: Callable[..., None],
+        read: Callable[..., None],
         *arguments: Link,
     ) -> None:
-        """Look for messages whose wake-up a send has consumed.
+        """Schedule a read if messages arrived during a send.
 
-        The descriptor of a ZeroMQ socket reports changes only, and sending
-        processes them.
+        The descriptor of a ZeroMQ socket is edge-triggered, and sending
+        consumes its event, so the loop would not wake up for them.
         """
         if sockets.is_readable(socket):
-            self.loop.call_soon(drain, *arguments)
+            self.loop.call_soon(read, *arguments)
 
-    def note_malformed(self, error: errors.MalformedMessage) -> None:
-        """Report a message that cannot be decoded."""
+    def record_malformed(self, error: errors.MalformedMessage) -> None:
+        """Count and log a message that cannot be decoded."""
         self.malformed += 1
         events.emit(_LOG, events.LINK_MALFORMED, error=error.message)
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -1,4 +1,4 @@
-"""Choice of the backend server for a request, and what it learns from."""
+"""Choice of the backend server for a request, and the figures behind it."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,13 +16,13 @@
 
 __all__ = ["LoadBalancer"]
 
-# Fraction of the golden ratio: its multiples spread any number of places
-# evenly between 0 and 1.
+# Fractional part of the golden ratio. Its multiples modulo 1 are evenly spread
+# between 0 and 1, however many there are.
 GOLDEN_FRACTION = 0.6180339887498949
 
 
 class LoadBalancer:
-    """Learnt speeds, divisions among services and versions.
+    """State of the choice: latencies, service splits and version draws.
 
     Parameters
     ----------
@@ -30,8 +30,8 @@
         Returns the orders in force.
     servers : server_index.ServerIndex
         Known backend servers.
-    on_service : callable
-        Called when a service is called for the first time.
+    on_new_service : callable
+        Called when this node calls a service for the first time.
     rng : random.Random
         Source of randomness.
     """
@@ -41,35 +41,35 @@
         *,
         read_view: Callable[[], views.TrafficView],
         servers: server_index.ServerIndex,
-        on_service: Callable[[], None],
+        on_new_service: Callable[[], None],
         rng: random.Random,
     ) -> None:
         self.read_view = read_view
         self.servers = servers
-        self.on_service = on_service
+        self.on_new_service = on_new_service
         self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.latency_model = placement.LatencyModel()
         self.splits = splits.Splits()
-        # Last place in the division among versions, by service.
+        # Last version draw of each service.
         self.version_draws: dict[str, float] = {}
 
     def choose_service(self, route: model.TrafficRoute) -> str:
-        """Return the service that gets the next request of a route."""
+        """Return the service for the next request of a route."""
         return splits.choose_service(self.splits, route)
 
     def next_version_draw(self, service: str) -> float:
-        """Return the request's place in the division among versions."""
+        """Return a number between 0 and 1 that selects a request's version."""
         version_draw = self.version_draws.get(service)
         if version_draw is None:
             version_draw = self.version_draws[service] = self.rng.random()
-            self.on_service()
+            self.on_new_service()
         version_draw = (version_draw + GOLDEN_FRACTION) % 1.0
         self.version_draws[service] = version_draw
         return version_draw
 
     def called_services(self) -> Iterable[str]:
-        """Return the services that were called."""
+        """Return the services that this node has called."""
         return self.version_draws
 
     def candidates(
@@ -85,7 +85,7 @@
         )
 
     def count_untried(self, active: active_requests.ActiveRequest) -> int:
-        """Return how many backend servers were not tried yet."""
+        """Return the number of backend servers not tried for a request."""
         return sum(
             c.node not in active.tried_nodes for c in self.candidates(active)
         )
@@ -93,9 +93,10 @@
     def rank_candidates(
         self, active: active_requests.ActiveRequest
     ) -> list[placement.Candidate]:
-        """Return backend servers for the next offer, the best in front.
+        """Return the backend servers for the next offer, best first.
 
-        A patient offer goes to the shortest queue, tried before or not.
+        An offer that accepts a missed objective may go to a server that has
+        refused the request before, unless the request may have run.
         """
         found = self.candidates(active)
         if not active.accepts_late or active.possible_executions:
@@ -109,20 +110,20 @@
         )
 
     def usual_ms(self, route: str) -> float:
-        """Return the usual time of a route; 0 if it is not known."""
+        """Return the usual time of a route, in milliseconds; 0 if unknown."""
         return self.latency_model.routes.get(route, 0.0)
 
     def may_hedge(self, service: str) -> bool:
-        """Tell whether slow requests of a service are hedged now.
+        """Tell whether slow requests of a service may be hedged now.
 
-        While a version is judged its slow requests are evidence, and a hedge
-        ends them before they count as slow.
+        During a trial they may not: slow requests are evidence, and a hedge
+        would cancel them before they count as slow.
         """
         trial = self.read_view().service_trials.get(service)
         return trial is None or trial.phase in trials.FINAL
 
     def is_suspect(self, active: active_requests.ActiveRequest) -> bool:
-        """Tell whether the server of the open attempt seems to be faulty."""
+        """Tell whether the backend server of an open attempt is suspect."""
         mean_ms = placement.mean_reported_ms(
             self.latency_model, self.candidates(active)
         )
@@ -139,11 +140,11 @@
     # Evidence.
 
     def record_sent(self, backend: str) -> None:
-        """Count an offer that no report includes yet."""
+        """Count an offer that the backend server's load reports lack yet."""
         placement.record_sent(self.latency_model, backend)
 
     def record_load(self, backend: str, load: wire.ServerLoad) -> None:
-        """Take a report of a backend server's load."""
+        """Record a load report of a backend server."""
         placement.record_load(
             self.latency_model,
             backend=backend,
@@ -157,7 +158,7 @@
         )
 
     def record_outcome(self, backend: str, *, failed: bool) -> None:
-        """Take the outcome of an attempt."""
+        """Record whether an attempt failed."""
         placement.record_outcome(
             self.latency_model,
             backend=backend,
@@ -173,7 +174,7 @@
         ran_ms: float,
         response_bytes: int,
     ) -> None:
-        """Take the time and size of a served request."""
+        """Record the time and size of a served request."""
         placement.record_latency(
             self.latency_model,
             route=active.route.name,
@@ -191,10 +192,10 @@
         active: active_requests.ActiveRequest,
         attempt: active_requests.Attempt,
     ) -> None:
-        """Take an attempt whose hedge was faster.
+        """Record an attempt that was cancelled because its hedge was faster.
 
-        What has passed is the least that it would have taken. Without that,
-        a slow server would be known by its fast answers only.
+        The elapsed time is a lower bound of its latency. Without it, only the
+        fast responses of a slow server would be measured.
         """
         placement.record_latency(
             self.latency_model,
--- a/apricotpost/sidecar/logs.py
+++ b/apricotpost/sidecar/logs.py
@@ -11,23 +11,23 @@
 
 __all__ = ["Decisions", "OutputHandler", "configure"]
 
-# Lines that wait for a slow reader of standard output; more are dropped and
-# counted.
-MAX_WAITING_LINES = 2000
+# Lines that are queued for a slow reader of standard output; further lines are
+# dropped and counted.
+MAX_QUEUED_LINES = 2000
 MAX_LINE_BYTES = 4096
-# Lines about refused and failed requests in a second, and the part of the
-# served requests that is logged.
+# Limit of the lines about refused and failed requests, and how many served
+# requests there are for each one that is logged.
 MAX_DECISIONS_PER_SECOND = 40
 SERVED_PER_LINE = 200
 
 
 class OutputHandler(logging.Handler):
-    """Keeps lines until the event loop writes them.
+    """Queues log lines until the event loop writes them.
 
     Parameters
     ----------
     descriptor : int
-        Where lines are written; it does not block.
+        File descriptor for the lines; in non-blocking mode.
     """
 
     def __init__(self, *, descriptor: int) -> None:
@@ -37,14 +37,14 @@
         self.dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Keep one record."""
-        if len(self.lines) >= MAX_WAITING_LINES:
+        """Queue the line of a record."""
+        if len(self.lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
         self.lines.append(_format(record))
 
     def write_lines(self) -> None:
-        """Write what fits without waiting."""
+        """Write queued lines until the descriptor would block."""
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
             events.emit(
@@ -59,7 +59,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads any more; there is nowhere to say so.
+                # The reader is gone, and so is the place for an error message.
                 self.lines.clear()
                 return
             if written < len(line):
@@ -69,12 +69,12 @@
 
 
 class Decisions:
-    """Lines about requests: all refusals and failures up to a rate.
+    """Rate-limited log lines about requests.
 
     Parameters
     ----------
     logger : logging.Logger
-        Where they go.
+        Destination of the lines.
     """
 
     def __init__(self, *, logger: logging.Logger) -> None:
@@ -85,7 +85,7 @@
         self.served = 0
 
     def report(self, event: events.Event, **fields: object) -> None:
-        """Log a refusal or failure."""
+        """Log a refusal or failure unless this second's limit is reached."""
         second = int(time.monotonic())
         if second != self.second:
             if self.suppressed:
@@ -104,14 +104,14 @@
         events.emit(self.logger, event, **fields)
 
     def report_served(self, event: events.Event, **fields: object) -> None:
-        """Log one of many served requests."""
+        """Log one of `SERVED_PER_LINE` served requests."""
         self.served += 1
         if self.served % SERVED_PER_LINE == 1:
             events.emit(self.logger, event, **fields)
 
 
 def configure(*, descriptor: int = 1) -> OutputHandler:
-    """Send all records of this process to a descriptor as JSON lines."""
+    """Write all log records of this process to a descriptor as JSON lines."""
     os.set_blocking(descriptor, False)
     handler = OutputHandler(descriptor=descriptor)
     root = logging.getLogger()
--- a/apricotpost/sidecar/main.py
+++ b/apricotpost/sidecar/main.py
@@ -1,4 +1,4 @@
-"""``apricotpost-sidecar``: the node beside a backend server."""
+"""``apricotpost-sidecar``: command that runs a node of one event loop."""
 
 import argparse
 import logging
@@ -26,13 +26,13 @@
     Returns
     -------
     int
-        0 after a graceful stop, 2 for settings that cannot be used.
+        0 after a graceful stop, 2 if there are no valid settings.
     """
     parsed = _parse(arguments)
     path = parsed.settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         print(
-            f"no settings file: name one or set {SETTINGS_VARIABLE}",
+            f"no settings file: give its path or set {SETTINGS_VARIABLE}",
             file=sys.stderr,
         )
         return 2
@@ -53,16 +53,16 @@
 def _parse(arguments: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(
         prog="apricotpost-sidecar",
-        description="Carries the calls of a backend server and its clients.",
+        description="Runs the node beside a backend server.",
         epilog="example: apricotpost-sidecar --check /etc/apricotpost.jsonc",
     )
     parser.add_argument(
         "settings",
         nargs="?",
-        help=f"settings file; {SETTINGS_VARIABLE} names it otherwise",
+        help=f"settings file (default: ${SETTINGS_VARIABLE})",
     )
     parser.add_argument(
-        "--check", action="store_true", help="check the settings and end"
+        "--check", action="store_true", help="check the settings and exit"
     )
     return parser.parse_args(arguments)
 
--- a/apricotpost/sidecar/metrics.py
+++ b/apricotpost/sidecar/metrics.py
@@ -1,4 +1,4 @@
-"""Instruments of a node and their scrape."""
+"""Metrics of a node and the response to a scrape."""
 
 from apricotpost import http
 from apricotpost.sidecar import instruments
@@ -75,13 +75,13 @@
 
 
 def update(metrics: Metrics, **values: float) -> None:
-    """Set the gauges that are read at a scrape, by name."""
+    """Set gauges by attribute name before a scrape."""
     for name, value in values.items():
         getattr(metrics, name).set(value)
 
 
 def respond_to_scrape(metrics: Metrics, exchange: http.Exchange) -> None:
-    """Answer a scrape."""
+    """Respond to a scrape with all metrics."""
     body = instruments.format_text(vars(metrics).values())
     exchange.respond(
         http.Response(
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -1,4 +1,4 @@
-"""Wires the tasks of a node and runs them until SIGTERM."""
+"""Connects the tasks of a node and runs them until SIGTERM."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -37,31 +37,32 @@
 
 FLUSH_SECONDS = 0.2
 SETTINGS_CHECK_SECONDS = 1.0
-# Part of the memory for request bodies; each is copied once on its way.
-BUFFER_PART = 0.3
+# Fraction of the memory for buffered request bodies; each is copied once while
+# it is forwarded.
+BUFFER_FRACTION = 0.3
 TRAFFIC_REPORT_SECONDS = 15.0
-# The platform takes a node out after two missed readiness checks, one a
-# second; until then its clients still come. Later requests are refused: one
-# that is taken then may not end within the grace period.
+# Time after SIGTERM in which requests are still accepted. The platform sends
+# clients to a node until two readiness checks, one a second, have failed.
+# Later requests are refused, as they might not end within the grace period.
 STOP_MIN_SECONDS = 2.6
-# Left of the grace period for the last answers to be written.
+# Reserved at the end of the grace period for writing the last answers.
 STOP_MARGIN_SECONDS = 0.4
 STOP_CHECK_SECONDS = 0.05
-# Other nodes need this long to learn that this one leaves.
-LEAVE_SECONDS = 0.3
+# Time until the other nodes have received that this one leaves.
+LEAVE_NOTICE_SECONDS = 0.3
 
 
 class Node:
-    """All tasks of a node.
+    """The tasks of a node and the messages between them.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     path : pathlib.Path
-        Where the settings stand.
+        Settings file, for reloads.
     output : logs.OutputHandler
-        Takes the log lines.
+        Writes the log lines.
     """
 
     def __init__(
@@ -80,25 +81,25 @@
         boot = time.time_ns() // 1_000_000
         rng = random.Random(f"{settings.instance}-{boot}")
         self.metrics = metrics.Metrics()
-        self.known = fleet.Fleet(
+        self.members = fleet.Fleet(
             node=settings.instance, data_centre=settings.data_centre
         )
         self.links = links.Links(
             address=settings.addresses.links,
             on_inbox=self.handle_inbox,
             on_answer=self.handle_answer,
-            on_batch=self.end_batch,
+            on_batch=self.start_queued_offers,
             on_change=self.handle_link_change,
         )
         self.servers = server_index.ServerIndex(
-            known=self.known,
+            members=self.members,
             regions=settings.data_centres,
             is_connected=self.links.is_connected,
         )
         self.gossip = gossip.Gossip(
             settings=settings,
             boot=boot,
-            known=self.known,
+            members=self.members,
             servers=self.servers,
             on_state=self.handle_state,
         )
@@ -118,7 +119,7 @@
         self.orders = orders.Orders(
             settings=settings,
             store=self.store,
-            known=self.known,
+            members=self.members,
             peers=self.gossip,
             on_view=self.handle_view_change,
             rng=rng,
@@ -127,12 +128,12 @@
         self.rollouts = rollouts.Rollouts(
             settings=settings,
             store=self.store,
-            known=self.known,
+            members=self.members,
             servers=self.servers,
-            source=self.orders,
+            order_task=self.orders,
         )
         self.rollouts.links = self.links
-        self.orders.before_rollouts = self.rollouts.read_rows
+        self.orders.read_trials = self.rollouts.read_stored_trials
         self.dispatcher = dispatcher.Dispatcher(
             settings=settings,
             boot=format(boot, "x"),
@@ -140,15 +141,15 @@
             servers=self.servers,
             send_offer=self.send_offer,
             send_cancel=self.send_cancel,
-            on_service=self.gossip.update_contacts,
+            on_new_service=self.gossip.update_connections,
             instruments=self.metrics,
             rng=rng,
         )
         self.connections = connections.ConnectionManager(
-            known=self.known,
+            members=self.members,
             peer_links=self.links,
             called_services=self.dispatcher.balancer.called_services,
-            whole_versions=self.versions_on_trial,
+            fully_connected_versions=self.versions_on_trial,
             evacuated=lambda: self.orders.view.evacuated,
             is_busy=self.dispatcher.is_busy,
         )
@@ -168,7 +169,7 @@
         return self.orders.view
 
     def versions_on_trial(self) -> list[tuple[str, str]]:
-        """Return services and their new versions while these are judged."""
+        """Return the services on trial with their new versions."""
         return [
             (trial.service, trial.new)
             for trial in self.orders.view.service_trials.values()
@@ -176,7 +177,7 @@
         ]
 
     def send_offer(self, name: str, offer: wire.Offer) -> bool:
-        """Hand an offer to a node; False means that nothing was sent."""
+        """Send an offer to a node; return False if nothing was sent."""
         if name != self.settings.instance:
             return self.links.send(name, offer)
         self.gate.offer(offer, self.dispatcher.handle_answer)
@@ -184,14 +185,14 @@
         return True
 
     def send_cancel(self, name: str, cancel: wire.Cancel) -> None:
-        """Tell a node that a caller is gone."""
+        """Cancel an offer at a node."""
         if name == self.settings.instance:
             self.gate.cancel(cancel.call)
         else:
             self.links.send(name, cancel)
 
     def handle_inbox(self, identity: bytes, message: wire.Message) -> None:
-        """Take a message that another node sent by itself."""
+        """Dispatch a message on a connection that another node has opened."""
         if isinstance(message, wire.Offer):
             self.gate.offer(message, self.make_reply(identity, message))
         elif isinstance(message, wire.Cancel):
@@ -214,10 +215,10 @@
             )
 
     def make_reply(self, identity: bytes, offer: wire.Offer) -> gate.Reply:
-        """Return what answers an offer.
+        """Return the function that sends the answer to an offer.
 
-        If the connection of the offer is lost, the answer takes the one
-        that this node has opened to the sender.
+        If the connection of the offer is lost, the answer is sent on the
+        connection that this node opens to the sender.
         """
         sender = offer.call.split("/", 1)[0]
 
@@ -226,22 +227,22 @@
         ) -> None:
             if not self.links.reply(identity, message):
                 self.connections.open(sender, self.loop.time())
-                self.links.send_soon(sender, message)
+                self.links.send_or_queue(sender, message)
 
         return reply
 
     def handle_answer(self, name: str, message: wire.Message) -> None:
-        """Take a message on a connection that this node has opened."""
-        fleet.record_contact(self.known, name, self.loop.time())
+        """Process a message on a connection that this node has opened."""
+        fleet.record_contact(self.members, name, self.loop.time())
         if isinstance(message, ANSWERS):
             self.dispatcher.handle_answer(message)
 
-    def end_batch(self) -> None:
-        """Start the offers that were not cancelled in the same batch."""
+    def start_queued_offers(self) -> None:
+        """Start queued offers after a batch, which may have cancelled some."""
         self.gate.start_queued()
 
     def handle_link_change(self, name: str, connected: bool) -> None:
-        """Note that a node can or cannot be reached."""
+        """Send state and trials to a connected node, or drop a lost one."""
         state = "open" if connected else "lost"
         events.emit(_LOG, events.LINK_CHANGED, node=name, state=state)
         if connected:
@@ -250,28 +251,31 @@
         else:
             self.dispatcher.handle_node_lost(name)
 
-    def handle_state(self, state: wire.NodeState, newer: bool) -> None:
-        """Use the state of a node."""
+    def handle_state(self, state: wire.NodeState, new_process: bool) -> None:
+        """Pass a node's state to load balancing and rollouts."""
         server = state.server
         if server is not None:
             self.dispatcher.balancer.record_load(server.backend, server.load)
         self.rollouts.handle_state(state)
-        if newer:
+        if new_process:
             self.rollouts.send_all_notices(state.node)
 
     def handle_view_change(
         self, before: views.TrafficView, after: views.TrafficView
     ) -> None:
-        """Carry out changed orders."""
-        own = self.settings.data_centre
-        if own in before.evacuated and own not in after.evacuated:
-            # The backend servers may have become cold meanwhile.
+        """Apply a changed view to the tasks that depend on it."""
+        own_data_centre = self.settings.data_centre
+        if (
+            own_data_centre in before.evacuated
+            and own_data_centre not in after.evacuated
+        ):
+            # Without requests, the backend server may have become cold.
             self.gate.server.assume_cold()
         for service in after.rollouts:
             if after.rollouts[service] != before.rollouts.get(service):
                 self.rollouts.start_trial(service)
         if before.evacuated != after.evacuated:
-            self.gossip.update_contacts()
+            self.gossip.update_connections()
         self.gate.server.update_cold()
         self.gate.refuse_queue()
         self.metrics.configuration.set(after.version)
@@ -287,13 +291,13 @@
             )
 
     def buffer_bytes(self) -> int:
-        """Return the memory that bodies of requests may take."""
-        return int(self.settings.memory_mb * BUFFER_PART * 1024 * 1024)
+        """Return the memory for buffered request bodies, in bytes."""
+        return int(self.settings.memory_mb * BUFFER_FRACTION * 1024 * 1024)
 
-    # Addresses.
+    # Handlers of the addresses.
 
     def answer_readiness(self, exchange: http.Exchange) -> None:
-        """Answer whether clients may come."""
+        """Answer a readiness check of the platform."""
         ready = bool(self.orders.view.version) and not self.stopping.is_set()
         if ready != self.ready:
             self.ready = ready
@@ -313,10 +317,10 @@
         )
         metrics.respond_to_scrape(self.metrics, exchange)
 
-    # Life.
+    # Start, background tasks and stop.
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> None:
-        """Open all addresses."""
+        """Listen on all addresses."""
         for address, handler in self.handlers.items():
             listener = http.Listener(handler=handler, limits=http.Limits())
             stack.callback(listener.close)
@@ -333,20 +337,22 @@
         """Log the traffic between nodes at intervals."""
         while True:
             await asyncio.sleep(TRAFFIC_REPORT_SECONDS)
-            events.emit(_LOG, events.LINK_TRAFFIC, sent=dict(self.links.sent))
+            events.emit(
+                _LOG, events.LINK_TRAFFIC, sent=dict(self.links.sent_counts)
+            )
 
     async def watch_settings(self) -> None:
-        """Take up changed settings that came without a signal."""
-        seen = _stamp(self.path)
+        """Reload the settings when their file changes without a SIGHUP."""
+        seen = _read_file_stamp(self.path)
         while True:
             await asyncio.sleep(SETTINGS_CHECK_SECONDS)
-            stamp = _stamp(self.path)
+            stamp = _read_file_stamp(self.path)
             if stamp != seen:
                 seen = stamp
                 self.reload("a change of the file")
 
     def reload(self, cause: str) -> None:
-        """Check and take up the settings; bad ones change nothing."""
+        """Check and apply the settings; invalid ones change nothing."""
         try:
             settings = options.load_options(self.path)
         except errors.SettingsInvalid as error:
@@ -362,26 +368,26 @@
         events.emit(_LOG, events.SETTINGS_RELOADED, cause=cause)
 
     async def drain(self) -> None:
-        """Refuse new work, finish what runs and answer it."""
+        """Leave the fleet, refuse new requests and finish the open ones."""
         events.emit(
             _LOG, events.SIDECAR_STOPPING, instance=self.settings.instance
         )
-        began = self.loop.time()
+        stop_started_at = self.loop.time()
         grace = self.settings.bounds.grace_seconds
         self.gossip.leaving = True
         self.gossip.publish_change()
         callers = self.listeners[self.settings.addresses.callers]
         callers.start_closing()
-        self.loop.call_later(LEAVE_SECONDS, self.gate.stop_accepting)
+        self.loop.call_later(LEAVE_NOTICE_SECONDS, self.gate.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, self.dispatcher.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
-        while self.loop.time() - began < grace - STOP_MARGIN_SECONDS:
+        while self.loop.time() - stop_started_at < grace - STOP_MARGIN_SECONDS:
             await asyncio.sleep(STOP_CHECK_SECONDS)
-            if self.loop.time() - began < STOP_MIN_SECONDS:
+            if self.loop.time() - stop_started_at < STOP_MIN_SECONDS:
                 continue
             if not callers.open_exchanges() and self.gate.is_idle():
                 break
-        self.dispatcher.settle_all()
+        self.dispatcher.fail_open_requests()
         events.emit(
             _LOG,
             events.SIDECAR_STOPPED,
@@ -426,7 +432,7 @@
             "settings": node.watch_settings(),
         }
         running = [
-            loop.create_task(_guard(name, task, node.stopping))
+            loop.create_task(_run_task(name, task, node.stopping))
             for name, task in tasks.items()
         ]
         await node.stopping.wait()
@@ -437,23 +443,26 @@
     return 0
 
 
-async def _guard(
+async def _run_task(
     name: str,
     task: Coroutine[typing.Any, typing.Any, None],
     stopping: asyncio.Event,
 ) -> None:
-    """Drain the node if one of its tasks fails; it is started again."""
+    """Run a task; stop the node if the task fails.
+
+    The platform starts the node again.
+    """
     try:
         await task
     except asyncio.CancelledError:
         raise
     except Exception as error:
         events.emit(_LOG, events.TASK_ENDED, task=name, error=repr(error))
-        _LOG.exception("task %s failed", name)
+        _LOG.exception("task %s failed; the node stops", name)
         stopping.set()
 
 
-def _stamp(path: pathlib.Path) -> tuple[int, int]:
+def _read_file_stamp(path: pathlib.Path) -> tuple[int, int]:
     try:
         found = os.stat(path)
     except OSError:
--- a/apricotpost/sidecar/options.py
+++ b/apricotpost/sidecar/options.py
@@ -35,17 +35,17 @@
     Parameters
     ----------
     callers : str
-        Clients and the backend server beside the node.
+        For requests of clients and of the backend server beside the node.
     readiness : str
-        Readiness checks of the platform.
+        For readiness checks of the platform.
     announcements : str
-        Heartbeats of the backend server.
+        For heartbeats and deregistrations of the backend server.
     links : str
-        Other nodes.
+        For connections of other nodes.
     metrics : str
-        Scrapes of metrics.
+        For scrapes of metrics.
     advertised : str or None
-        Address that other nodes connect to, if it is not `links`.
+        Address that other nodes connect to, if not `links`.
     """
 
     callers: HostPort
@@ -62,12 +62,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoreOptions:
-    """The platform's store.
+    """Access to the platform's store.
 
     Parameters
     ----------
     address : str
-        IP:PORT.
+        Address of the store, as IP:PORT.
     """
 
     address: HostPort
@@ -80,15 +80,16 @@
     Parameters
     ----------
     drain_ms : float
-        Time in which a leaving backend server still takes requests.
+        Time in which a leaving backend server still accepts requests, in
+        milliseconds.
     grace_seconds : float
-        Time between SIGTERM and the end of the process.
+        Time between SIGTERM and the end of the process, in seconds.
     retry_ratio : float
-        Retries of the fleet, as a part of the requests.
+        Retries that the fleet may make, as a fraction of the requests.
     retry_slack : int
-        Retries of the fleet in each window beyond that part.
+        Retries that the fleet may make in each window beyond that fraction.
     retry_window_seconds : float
-        Length of a window.
+        Length of a window, in seconds.
     """
 
     drain_ms: Milliseconds
@@ -105,23 +106,23 @@
     Parameters
     ----------
     instance, data_centre, region : str
-        Where the node runs.
+        Name of the instance, and where it runs.
     data_centres : mapping
         Region of each data centre.
     addresses : AddressOptions
-        Where it listens.
+        Addresses on which the node listens.
     backend_address : str
-        IP:PORT of the backend server beside the node.
+        Address of the backend server beside the node, as IP:PORT.
     service : str
         Service of that backend server.
     heartbeat_ms : float
-        Time between two heartbeats of the backend server.
+        Time between two heartbeats of the backend server, in milliseconds.
     memory_mb : float
-        Memory that the process may use.
+        Memory that the process may use, in mebibytes.
     store : StoreOptions
         The platform's store.
     bounds : BoundOptions
-        Bounds to keep.
+        Bounds that the node keeps.
     """
 
     instance: Name
@@ -143,12 +144,12 @@
     Raises
     ------
     apricotpost.errors.SettingsInvalid
-        The file cannot be read or has faults; all are listed.
+        The file cannot be read or has errors; the exception lists all.
     """
     return settings.load_as(path, Options)
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split IP:PORT."""
+    """Return the host and the port of IP:PORT."""
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -28,26 +28,26 @@
 
 _LOG = logging.getLogger(__name__)
 
-Step = Callable[[], Coroutine[typing.Any, typing.Any, None]]
+StoreCall = Callable[[], Coroutine[typing.Any, typing.Any, None]]
 
-# A silent connection to the store must show before an order is late: orders
-# are in force within 2 s, counted from 3 s after the fault.
+# Duration of a watch. Orders have to be in force within 2 s, counted from 3 s
+# after a fault; a connection to the store that hangs has to be noticed before.
 WATCH_SECONDS = 2.0
-# Pauses after a failed call of the store, growing by a factor of two.
-MIN_PAUSE_SECONDS = 0.15
-MAX_PAUSE_SECONDS = 1.5
+# Pause after a failed call of the store; it doubles with each failure.
+MIN_RETRY_PAUSE_SECONDS = 0.15
+MAX_RETRY_PAUSE_SECONDS = 1.5
 CHECK_SECONDS = 0.2
-# A node that has started hears its neighbours, which tell their states each
-# half a second, before it takes itself for the reader of its data centre.
-SETTLE_SECONDS = 0.8
-# A data centre that is silent for so long is cut off, not just disturbed: its
-# nodes may be others by the time it returns. Relays read the list again then,
-# at intervals, for which 6 data centres pay 0.2 calls a second together.
+# Time in which a started node receives the states of its neighbours, which
+# they send every 0.5 s, before it may act as the reader of its data centre.
+DISCOVERY_SECONDS = 0.8
+# A data centre that was not heard for longer is taken to be cut off, and its
+# nodes may have been replaced when it returns. Relays then read the list of
+# nodes again every REREAD_SECONDS: 0.2 calls a second for 6 data centres.
 LONG_SILENT_SECONDS = 10.0
 REREAD_SECONDS = 60.0
-# A node that lags behind another for so long asks for what it misses.
+# A node that has lacked orders of another node for longer requests them.
 LAG_SECONDS = 0.3
-# The table in which nodes find each other.
+# Table in which the nodes register their addresses.
 NODES = "nodes"
 
 
@@ -57,22 +57,22 @@
 
 
 class Orders:
-    """State of the task.
+    """Orders of this node, and its access to the store.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     store : platform.Store
         The platform's store.
-    known : fleet.Fleet
+    members : fleet.Fleet
         States of all nodes.
     peers : gossip.Gossip
-        Told of the revision and of the store's state.
+        Publishes the orders' revision and whether the store is reached.
     on_view : callable
-        Called with the view before and after a change.
+        Called with the views before and after a change.
     rng : random.Random
-        Spreads retries in time.
+        Source of jitter and of the choice among peers.
     """
 
     def __init__(
@@ -80,14 +80,14 @@
         *,
         settings: options.Options,
         store: platform.Store,
-        known: fleet.Fleet,
+        members: fleet.Fleet,
         peers: gossip.Gossip,
         on_view: Callable[[views.TrafficView, views.TrafficView], None],
         rng: random.Random,
     ) -> None:
         self.settings = settings
         self.store = store
-        self.known = known
+        self.members = members
         self.peers = peers
         self.on_view = on_view
         self.rng = rng
@@ -97,31 +97,31 @@
         # Decoded routes of the configuration in force.
         self.routes = platform.RouteCache()
         self.links: links.Links | None = None
-        # Reads where the rollouts stand before their orders are in force.
-        self.before_rollouts: Step | None = None
+        # Reads the stored trials; called before rollout orders are in force.
+        self.read_trials: StoreCall | None = None
         self.reader = False
         self.lost_at: float | None = None
         self.probed_at = 0.0
-        self.pause = MIN_PAUSE_SECONDS
+        self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
         self.lagging_since: float | None = None
-        self.listed_at = 0.0
+        self.nodes_read_at = 0.0
 
     async def run(self) -> None:
-        """Register, then read or wait for what others have read."""
+        """Register, then read orders from the store or from peers."""
         await self.retry(self.join)
         if self.has_neighbours():
-            await asyncio.sleep(SETTLE_SECONDS)
+            await asyncio.sleep(DISCOVERY_SECONDS)
         while True:
             now = self.loop.time()
             reader = fleet.is_reader(
-                self.known, now, reaches_store=self.lost_at is None
+                self.members, now, reaches_store=self.lost_at is None
             )
             if reader != self.reader:
                 self.reader = reader
                 events.emit(_LOG, events.READER_CHANGED, reader=reader)
-            if self.misses_data_centre(now):
+            if self.should_read_nodes(now):
                 await self.attempt(self.read_nodes)
-            elif reader or self.may_probe(now):
+            elif reader or self.should_probe_store(now):
                 self.probed_at = now
                 await self.attempt(self.watch)
             else:
@@ -133,18 +133,21 @@
         return any(
             name != self.settings.instance
             and node.state.data_centre == self.settings.data_centre
-            for name, node in self.known.nodes.items()
+            for name, node in self.members.nodes.items()
         )
 
-    def misses_data_centre(self, now: float) -> bool:
-        """Tell whether to look for the nodes of a silent data centre now."""
+    def should_read_nodes(self, now: float) -> bool:
+        """Tell whether to read the list of nodes again now.
+
+        A relay does so while a data centre is silent.
+        """
         return (
-            now - self.listed_at >= REREAD_SECONDS
+            now - self.nodes_read_at >= REREAD_SECONDS
             and self.lost_at is None
-            and relays.is_relay(self.known, now)
+            and relays.is_relay(self.members, now)
             and bool(
                 fleet.silent_data_centres(
-                    self.known,
+                    self.members,
                     now,
                     self.settings.data_centres,
                     within=LONG_SILENT_SECONDS,
@@ -152,33 +155,41 @@
             )
         )
 
-    def may_probe(self, now: float) -> bool:
-        """Tell whether to look for the return of a lost store now."""
+    def should_probe_store(self, now: float) -> bool:
+        """Tell whether to call a lost store now."""
         if self.lost_at is None:
             return False
-        pause = fleet.probe_seconds(self.known, now)
+        pause = fleet.probe_seconds(self.members, now)
         return now - self.probed_at >= pause
 
-    async def retry(self, step: Step) -> None:
-        """Repeat a step until the store has done it."""
-        while not await self.attempt(step):
+    async def retry(self, call: StoreCall) -> None:
+        """Repeat a call of the store until it succeeds."""
+        while not await self.attempt(call):
             continue
 
-    async def attempt(self, step: Step) -> bool:
-        """Call the store once; wait after a failure."""
+    async def attempt(self, call: StoreCall) -> bool:
+        """Call the store once and pause after a failure.
+
+        Returns
+        -------
+        bool
+            Whether the call succeeded.
+        """
         try:
-            await step()
+            await call()
         except errors.PlatformError as error:
             self.record_store_lost(error)
-            spread = self.rng.uniform(0.6, 1.4)
-            await asyncio.sleep(self.pause * spread)
-            self.pause = min(self.pause * 2, MAX_PAUSE_SECONDS)
+            jitter = self.rng.uniform(0.6, 1.4)
+            await asyncio.sleep(self.retry_pause_seconds * jitter)
+            self.retry_pause_seconds = min(
+                self.retry_pause_seconds * 2, MAX_RETRY_PAUSE_SECONDS
+            )
             return False
         self.record_store_regained()
         return True
 
     async def join(self) -> None:
-        """Register this node and read who else is there and the orders."""
+        """Register this node, then read the orders and the other nodes."""
         row = _NodeRow(
             address=self.settings.addresses.for_peers(),
             data_centre=self.settings.data_centre,
@@ -189,8 +200,8 @@
         await self.read_nodes()
 
     async def read_nodes(self) -> None:
-        """Meet the nodes that have registered."""
-        self.listed_at = self.loop.time()
+        """Read the registered nodes and connect to them as needed."""
+        self.nodes_read_at = self.loop.time()
         page = await self.store.read(NODES)
         for row in page.rows:
             try:
@@ -201,26 +212,26 @@
             self.peers.add_listed_node(
                 row.key, found.address, found.data_centre
             )
-        self.peers.update_contacts()
+        self.peers.update_connections()
 
     async def read_all(self) -> None:
-        """Read all orders."""
+        """Read all orders from the store and push them to local peers."""
         page = await self.store.read(platform.ORDERS)
         rows = tuple(map(_order_row, page.rows))
-        if self.before_rollouts is not None and any(
+        if self.read_trials is not None and any(
             row.key.startswith(platform.ROLLOUTS) for row in rows
         ):
-            await self.before_rollouts()
+            await self.read_trials()
         after = self.order_store.revision
-        held = dict(self.order_store.rows)
-        news = orders.replace_all(
+        previous = dict(self.order_store.rows)
+        changed = orders.replace_all(
             self.order_store, rows, revision=page.revision
         )
-        self.apply(news)
-        self.push(news, held, after=after)
+        self.apply(changed)
+        self.push(changed, previous, after=after)
 
     async def watch(self) -> None:
-        """Wait for changed orders and hand them to the data centre."""
+        """Wait for changed orders and push them to local peers."""
         after = self.order_store.revision
         try:
             page = await self.store.watch(
@@ -231,20 +242,20 @@
             return
         if page.revision <= after:
             return
-        held = dict(self.order_store.rows)
-        news = orders.merge(
+        previous = dict(self.order_store.rows)
+        changed = orders.merge(
             self.order_store,
             map(_order_row, page.rows),
             after=after,
             revision=page.revision,
         )
-        self.apply(news)
-        self.push(news, held, after=after)
+        self.apply(changed)
+        self.push(changed, previous, after=after)
 
     def push(
         self,
-        news: Iterable[wire.OrderRow],
-        held: Mapping[str, wire.OrderRow],
+        changed: Iterable[wire.OrderRow],
+        previous: Mapping[str, wire.OrderRow],
         *,
         after: int,
     ) -> None:
@@ -252,14 +263,16 @@
 
         Parameters
         ----------
-        news : iterable of wire.OrderRow
+        changed : iterable of wire.OrderRow
             Changed rows.
-        held : mapping
-            Rows before the change, which the other nodes hold, too.
+        previous : mapping
+            Rows before the change, which the other nodes hold as well.
         after : int
             Revision before the change.
         """
-        rows = tuple(patches.pack(row, held.get(row.key)) for row in news)
+        rows = tuple(
+            patches.pack(row, previous.get(row.key)) for row in changed
+        )
         if self.links is None or not rows:
             return
         message = wire.OrdersPush(
@@ -268,10 +281,10 @@
         self.peers.send_local(message)
 
     def handle_push(self, message: wire.OrdersPush) -> None:
-        """Take changed orders of another node.
+        """Apply changed orders that another node has pushed.
 
-        If a patch does not fit to what is held here, the gap stays and
-        `catch_up` asks for whole rows.
+        If the base of a patch is not the row held here, the own revision
+        stays, and `catch_up` requests whole rows.
         """
         rows = []
         revision = message.revision
@@ -294,10 +307,10 @@
                 )
                 continue
             rows.append(row)
-        news = orders.merge(
+        changed = orders.merge(
             self.order_store, rows, after=message.after, revision=revision
         )
-        self.apply(news)
+        self.apply(changed)
 
     def handle_pull(self, message: wire.OrdersPull) -> None:
         """Send another node the orders that it lacks."""
@@ -317,13 +330,13 @@
             ),
         )
 
-    def apply(self, news: list[wire.OrderRow]) -> None:
-        """Put changed orders in force."""
+    def apply(self, changed: list[wire.OrderRow]) -> None:
+        """Put changed orders in force and publish the revision."""
         self.peers.orders = self.order_store.revision
-        if not news:
+        if not changed:
             return
         before = self.view
-        self.view, faults = views.apply_orders(before, news, self.routes)
+        self.view, faults = views.apply_orders(before, changed, self.routes)
         for fault in faults:
             events.emit(
                 _LOG,
@@ -336,19 +349,22 @@
             events.ORDERS_APPLIED,
             revision=self.order_store.revision,
             version=self.view.version,
-            keys=[row.key for row in news][:10],
+            keys=[row.key for row in changed][:10],
         )
         self.on_view(before, self.view)
         self.peers.schedule_publish()
 
     def replace_view(self, view: views.TrafficView) -> None:
-        """Put a view with another state of rollouts in force."""
+        """Put a view with a changed trial in force."""
         before, self.view = self.view, view
         self.on_view(before, view)
 
     async def catch_up(self) -> None:
-        """Ask for missing orders if another node is ahead for long."""
-        newest = fleet.newest_orders(self.known)
+        """Request missing orders if another node has been ahead for long.
+
+        Without a local peer that has them, the store is watched.
+        """
+        newest = fleet.newest_orders(self.members)
         now = self.loop.time()
         if newest <= self.order_store.revision:
             self.lagging_since = None
@@ -362,10 +378,16 @@
             await self.attempt(self.watch)
 
     def request_from_local_peer(self, now: float) -> bool:
-        """Ask a node of this data centre for the missing orders."""
+        """Request missing orders from a node of this data centre.
+
+        Returns
+        -------
+        bool
+            Whether a request was sent.
+        """
         if self.links is None:
             return False
-        for state in fleet.live_nodes(self.known, now):
+        for state in fleet.live_nodes(self.members, now):
             if (
                 state.orders > self.order_store.revision
                 and state.data_centre == self.settings.data_centre
@@ -374,12 +396,15 @@
         return False
 
     def request_from_remote_peer(self) -> None:
-        """Ask any node for missing orders while the store is lost."""
+        """Request missing orders from any node while the store is lost.
+
+        Nodes of this data centre are preferred.
+        """
         now = self.loop.time()
         ahead = [
             state
             for state in fleet.live_nodes(
-                self.known, now, within=relays.REMOTE_SILENT_SECONDS
+                self.members, now, within=relays.REMOTE_SILENT_SECONDS
             )
             if state.orders > self.order_store.revision
         ]
@@ -390,11 +415,17 @@
             return
         chosen = self.rng.choice(local or ahead).node
         if not self.request_orders(chosen):
-            # The next attempt finds it connected.
+            # The next attempt uses the connection.
             self.peers.connect(chosen)
 
     def request_orders(self, node: str) -> bool:
-        """Ask a node for the orders that this one lacks."""
+        """Request the orders that this node lacks from another one.
+
+        Returns
+        -------
+        bool
+            Whether the request was sent.
+        """
         if self.links is None:
             return False
         message = wire.OrdersPull(
@@ -403,7 +434,7 @@
         return self.links.send(node, message)
 
     def record_store_lost(self, error: errors.PlatformError) -> None:
-        """Note a failed call of the store."""
+        """Record a failed call of the store and request orders from peers."""
         if self.lost_at is None:
             self.lost_at = self.loop.time()
             events.emit(_LOG, events.STORE_LOST, error=error.message)
@@ -412,8 +443,8 @@
         self.request_from_remote_peer()
 
     def record_store_regained(self) -> None:
-        """Note a call of the store that was answered."""
-        self.pause = MIN_PAUSE_SECONDS
+        """Record a successful call of the store."""
+        self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
         if self.lost_at is None:
             return
         seconds = round(self.loop.time() - self.lost_at, 1)
--- a/apricotpost/sidecar/outcome_counters.py
+++ b/apricotpost/sidecar/outcome_counters.py
@@ -1,4 +1,4 @@
-"""Responses of the backend server, the evidence in a rollout."""
+"""Outcomes of the backend server's requests, the evidence of a trial."""
 
 from collections.abc import Callable
 
@@ -11,7 +11,7 @@
 
 
 class OutcomeCounters:
-    """Responses by route since the backend server was met.
+    """Outcomes by route since the current incarnation was first seen.
 
     Parameters
     ----------
@@ -24,11 +24,11 @@
         self.counts: dict[str, evidence.Counts] = {}
 
     def reset(self) -> None:
-        """Start for another backend server."""
+        """Discard the outcomes of an earlier incarnation."""
         self.counts = {}
 
     def count(self, route: str, *, failed: bool, ran_ms: float) -> None:
-        """Count a response, or a request that was given up as slow."""
+        """Count a response, a failure, or a request cancelled as slow."""
         known = self.counts.get(route, evidence.Counts())
         latencies = known.latencies
         if not failed:
@@ -41,7 +41,7 @@
         )
 
     def describe(self, service: str) -> tuple[wire.VersionCounts, ...]:
-        """Return the evidence while the service is on trial."""
+        """Return the evidence while the service is on trial, else nothing."""
         trial = self.read_view().service_trials.get(service)
         if trial is None or trial.phase in trials.FINAL:
             return ()
@@ -56,6 +56,6 @@
         )
 
     def is_loaded_trial(self, service: str) -> bool:
-        """Tell whether a new version carries most of the requests."""
+        """Tell whether a new version on trial carries most requests."""
         trial = self.read_view().service_trials.get(service)
         return trial is not None and trial.phase in trials.LOADED
--- a/apricotpost/sidecar/responses.py
+++ b/apricotpost/sidecar/responses.py
@@ -1,4 +1,4 @@
-"""Answers to callers, and the log lines and metrics about them."""
+"""Responses to callers, with their log lines and metrics."""
 
 import asyncio
 from collections.abc import Callable
@@ -26,9 +26,9 @@
     read_view : callable
         Returns the orders in force.
     instruments : metrics.Metrics
-        Counters.
+        Metrics of the node.
     rng : random.Random
-        Spreads the times at which refused clients return.
+        Source of the jitter of Retry-After.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         outcome: str,
         reason: str,
     ) -> None:
-        """Answer a request that was offered to backend servers."""
+        """Respond to a routed request, then log and count the outcome."""
         active.exchange.respond(response)
         seconds = self.loop.time() - active.exchange.arrived_at
         self.instruments.requests.add(outcome, reason)
@@ -86,20 +86,21 @@
         reason: str,
         retry_ms: int = 0,
     ) -> None:
-        """Answer a request that matches no route or cannot be served.
+        """Refuse a request that was not routed to a service.
 
         Parameters
         ----------
         exchange : http.Exchange
             The request.
         head : platform.RequestHead
-            What its headers say.
+            Fields of its headers.
         status : int
-            Of the answer.
+            Status of the response.
         reason : str
-            For the log and the metrics.
+            Reason for the log and the metrics.
         retry_ms : int
-            When the client may come back; 0 says nothing of it.
+            Time after which the client may retry, in milliseconds; 0 for a
+            response without Retry-After.
         """
         seconds = 0.0
         if retry_ms:
@@ -122,9 +123,11 @@
         )
 
     def retry_after_seconds(self, retry_ms: int) -> float:
-        """Return when a refused client may come back."""
-        return active_requests.refusal_seconds(retry_ms, self.rng.random())
+        """Return the Retry-After of a refused request, in seconds."""
+        return active_requests.jittered_retry_seconds(
+            retry_ms, self.rng.random()
+        )
 
     def report_late(self, call: str) -> None:
-        """Report an answer that came after its request had ended."""
+        """Log an answer that arrived after its request had ended."""
         self.decisions.report(events.ANSWER_LATE, call=call)
--- a/apricotpost/sidecar/retry_budgets.py
+++ b/apricotpost/sidecar/retry_budgets.py
@@ -1,4 +1,4 @@
-"""This node's part of the retry budget of each service."""
+"""This node's share of the retry budget of each service."""
 
 from collections.abc import Callable
 
@@ -7,22 +7,24 @@
 
 __all__ = ["RetryBudgets"]
 
-# Part of the fleet's retry budget that is handed out to the nodes.
-BUDGET_PART = 0.5
-# Part of the allowed ratio. The calls that a repeated run makes count as
-# repeats at the services that it calls, and those are not seen here.
-RATIO_PART = 0.35
-# Part of the allowed ratio that is saved up for failures that come together.
-BURST_PART = 0.3
+# Fraction of the fleet's retry slack that is divided among the nodes.
+BUDGET_FRACTION = 0.5
+# Fraction of the allowed retry ratio that this budget uses. The calls that a
+# retried request makes count as retries at the called services, too, and are
+# not counted here.
+RATIO_FRACTION = 0.35
+# Fraction of the allowed retry ratio that can be saved up for bursts of
+# failures.
+BURST_FRACTION = 0.3
 
 
 class RetryBudgets:
-    """Budgets by service.
+    """Retry budget of each service.
 
     Parameters
     ----------
     bounds : options.BoundOptions
-        What the fleet may spend in a window.
+        Retries that the fleet may make in a window.
     count_nodes : callable
         Returns the number of known nodes.
     """
@@ -37,7 +39,7 @@
         self.count_nodes = count_nodes
         self.budgets: dict[str, retries.Budget] = {}
 
-    def of(self, service: str) -> retries.Budget:
+    def budget_of(self, service: str) -> retries.Budget:
         """Return the budget of a service that was called."""
         return self.budgets[service]
 
@@ -53,16 +55,16 @@
         """
         bounds = self.bounds
         nodes = max(self.count_nodes(), 1)
-        base = max(bounds.retry_slack * BUDGET_PART / nodes, 1.0)
+        base = max(bounds.retry_slack * BUDGET_FRACTION / nodes, 1.0)
         budget = self.budgets.get(service)
         if budget is None:
             budget = retries.Budget(
-                tokens=base, per_call=bounds.retry_ratio * RATIO_PART
+                tokens=base, per_call=bounds.retry_ratio * RATIO_FRACTION
             )
         self.budgets[service] = retries.earn_in_window(
             budget,
             base=base,
-            burst=bounds.retry_ratio * BURST_PART,
+            burst=bounds.retry_ratio * BURST_FRACTION,
             window=bounds.retry_window_seconds,
             now=now,
         )
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -1,4 +1,4 @@
-"""Task that carries out rollout orders."""
+"""Task that carries out rollout orders: runs, judges and records trials."""
 
 import asyncio
 import dataclasses
@@ -24,14 +24,16 @@
 _LOG = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.2
-# Relays tell of trials again at this interval while they run, and for a
-# while after their end.
+# Relays send the state of each trial again at this interval, until
+# RECENT_SECONDS after it has ended.
 REPEAT_SECONDS = 1.0
 RECENT_SECONDS = 10.0
-# States of other data centres come every 1.5 s.
-HOLDER_SILENCE_SECONDS = 3.2
-# The table that orders the decisions of several holders: a row changes only
-# under the condition that it is still the one that was read.
+# States from other data centres arrive every 1.5 s. A node that was not heard
+# for longer is not considered as holder.
+HOLDER_SILENT_SECONDS = 3.2
+# Table of the trials in the store. A row is written only on the condition that
+# it has not changed since it was read, so that decisions of several holders
+# cannot overwrite each other.
 TRIALS = "trials"
 _STATUS = {
     trials.Phase.RUNNING: platform.TrialState.RUNNING,
@@ -50,20 +52,20 @@
 
 
 class Rollouts:
-    """State of the task.
+    """State of the trials on this node.
 
     Parameters
     ----------
     settings : options.Options
-        Of the node.
+        Settings of the node.
     store : platform.Store
         The platform's store.
-    known : fleet.Fleet
+    members : fleet.Fleet
         States of all nodes.
     servers : server_index.ServerIndex
-        Tells which versions are there.
-    source : orders.Orders
-        Holds the view.
+        Index of the backend servers and their versions.
+    order_task : orders.Orders
+        Task that holds the view.
     """
 
     def __init__(
@@ -71,40 +73,40 @@
         *,
         settings: options.Options,
         store: platform.Store,
-        known: fleet.Fleet,
+        members: fleet.Fleet,
         servers: server_index.ServerIndex,
-        source: orders.Orders,
+        order_task: orders.Orders,
     ) -> None:
         self.settings = settings
         self.store = store
-        self.known = known
+        self.members = members
         self.servers = servers
-        self.source = source
+        self.order_task = order_task
         self.loop = asyncio.get_running_loop()
         self.links: links.Links | None = None
         self.judges: dict[str, trials.Judge] = {}
-        # Revision and content of the row of each service, once read.
-        self.rows: dict[str, tuple[int, _TrialRow]] = {}
-        self.rows_read = False
-        self.repeated = 0.0
+        # Revision and content of the stored row of each service.
+        self.stored_trials: dict[str, tuple[int, _TrialRow]] = {}
+        self.stored_trials_read = False
+        self.repeated_at = 0.0
 
     async def run(self) -> None:
-        """Look after all orders at intervals."""
+        """Start, judge and advance all trials at intervals."""
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            for service in tuple(self.source.view.rollouts):
+            for service in tuple(self.order_task.view.rollouts):
                 self.start_trial(service)
-            for trial in tuple(self.source.view.service_trials.values()):
+            for trial in tuple(self.order_task.view.service_trials.values()):
                 await self.advance_trial(trial)
             self.repeat_notices()
 
-    async def read_rows(self) -> None:
+    async def read_stored_trials(self) -> None:
         """Read the trials of earlier processes and other holders.
 
         Raises
         ------
         apricotpost.errors.PlatformError
-            The store does not answer.
+            The store did not answer.
         """
         page = await self.store.read(TRIALS)
         for row in page.rows:
@@ -114,12 +116,12 @@
             except (msgspec.DecodeError, ValueError) as error:
                 events.emit(_LOG, events.ORDERS_REFUSED, error=str(error))
                 continue
-            self.rows[row.key] = (row.revision, found)
+            self.stored_trials[row.key] = (row.revision, found)
             self.apply_row(row.key, found)
-        self.rows_read = True
+        self.stored_trials_read = True
 
     def apply_row(self, service: str, row: _TrialRow) -> None:
-        """Take over what the store says of a trial."""
+        """Apply the state of a trial as read from the store."""
         self.handle_notice(
             wire.TrialNotice(
                 service=service,
@@ -132,9 +134,9 @@
         )
 
     def start_trial(self, service: str) -> None:
-        """Start the trial of an order that is not known yet."""
-        revision, order = self.source.view.rollouts[service]
-        known = self.source.view.service_trials.get(service)
+        """Start the trial of a service's rollout order, if it is a new one."""
+        revision, order = self.order_task.view.rollouts[service]
+        known = self.order_task.view.service_trials.get(service)
         if known is not None and known.order == revision:
             self.set_seconds(known, order.seconds)
             return
@@ -159,17 +161,17 @@
         )
 
     def set_seconds(self, trial: trials.Trial, seconds: float) -> None:
-        """Complete a trial that was learnt before its order."""
+        """Set the duration of a trial that was received before its order."""
         if not trial.seconds:
-            self.source.replace_view(
+            self.order_task.replace_view(
                 views.with_trial(
-                    self.source.view,
+                    self.order_task.view,
                     dataclasses.replace(trial, seconds=seconds),
                 )
             )
 
     def apply_trial(self, trial: trials.Trial) -> None:
-        """Put a state of a trial in force on this node."""
+        """Put the state of a trial in force on this node."""
         events.emit(
             _LOG,
             events.TRIAL_CHANGED,
@@ -180,22 +182,24 @@
             order=trial.order,
         )
         if trial.phase is trials.Phase.COMPLETED:
-            self.servers.settle_version(trial.service, trial.new)
-        self.source.replace_view(views.with_trial(self.source.view, trial))
+            self.servers.set_stable_version(trial.service, trial.new)
+        self.order_task.replace_view(
+            views.with_trial(self.order_task.view, trial)
+        )
 
     def handle_state(self, state: wire.NodeState) -> None:
-        """Take the evidence of a node."""
+        """Record the evidence in a node's state."""
         if state.server is None or not state.counts:
             return
-        trial = self.source.view.service_trials.get(state.server.service)
+        trial = self.order_task.view.service_trials.get(state.server.service)
         judge = self.judges.get(state.server.service)
         if trial is not None and judge is not None:
             trials.observe(judge, state, trial)
 
     def handle_notice(self, notice: wire.TrialNotice) -> None:
-        """Take the state of a trial that another node has found."""
+        """Apply the state of a trial from another node, if it is newer."""
         phase = trials.Phase(notice.phase)
-        known = self.source.view.service_trials.get(notice.service)
+        known = self.order_task.view.service_trials.get(notice.service)
         if known is not None:
             if known.order > notice.order or known.phase is phase:
                 return
@@ -205,7 +209,7 @@
                 return
         now = self.loop.time()
         if known is None or known.order != notice.order:
-            rollout = self.source.view.rollouts.get(notice.service)
+            rollout = self.order_task.view.rollouts.get(notice.service)
             seconds = rollout[1].seconds if rollout is not None else 0.0
             known = trials.Trial(
                 service=notice.service,
@@ -220,12 +224,12 @@
             known, phase=phase, since=now, reason=notice.reason
         )
         self.apply_trial(trial)
-        if relays.is_relay(self.known, now):
+        if relays.is_relay(self.members, now):
             self.broadcast_notice(trial)
 
     def send_all_notices(self, name: str) -> None:
-        """Tell a node that has just become connected of all trials."""
-        for trial in self.source.view.service_trials.values():
+        """Send all trials to a node that has connected or restarted."""
+        for trial in self.order_task.view.service_trials.values():
             self.send_notice(trial, name)
 
     def send_notice(self, trial: trials.Trial, name: str) -> None:
@@ -246,18 +250,18 @@
         )
 
     def repeat_notices(self) -> None:
-        """Tell of recent trials again if this node is a relay.
+        """Send recent trials again if this node is a relay.
 
-        A notice that was lost would leave nodes of another data centre with
-        an older phase.
+        Otherwise a lost notice would leave nodes of another data centre in an
+        older phase.
         """
         now = self.loop.time()
-        if now - self.repeated < REPEAT_SECONDS:
+        if now - self.repeated_at < REPEAT_SECONDS:
             return
-        self.repeated = now
-        if not relays.is_relay(self.known, now):
+        self.repeated_at = now
+        if not relays.is_relay(self.members, now):
             return
-        for trial in self.source.view.service_trials.values():
+        for trial in self.order_task.view.service_trials.values():
             if (
                 trial.phase not in trials.FINAL
                 or now - trial.since < RECENT_SECONDS
@@ -265,17 +269,20 @@
                 self.broadcast_notice(trial)
 
     def broadcast_notice(self, trial: trials.Trial) -> None:
-        """Send the state of a trial to all nodes that are connected."""
-        for name in self.known.nodes:
+        """Send the state of a trial to all connected nodes."""
+        for name in self.members.nodes:
             if name != self.settings.instance:
                 self.send_notice(trial, name)
 
     async def advance_trial(self, trial: trials.Trial) -> None:
-        """Judge a trial, and take it further if this node is the holder."""
+        """Judge a trial, and move it to its next phase if it is due.
+
+        Only the holder does so, except for a rollback.
+        """
         judge = self.judges.setdefault(trial.service, trials.Judge())
         now = self.loop.time()
         holder = self.is_holder(now)
-        # Without its order, only the phase of the trial is known.
+        # A trial whose order is not known has a phase, but no duration.
         if trial.phase not in trials.FINAL and trial.seconds:
             level = trials.judge_slice(judge, trial, now)
             after = trials.advance(
@@ -285,7 +292,7 @@
                 now=now,
             )
             decides = holder or (
-                # Each node takes a bad version back by itself.
+                # Each node rolls a bad version back without the holder.
                 after.phase is trials.Phase.ROLLED_BACK
                 and trials.is_alarm(trial, level)
             )
@@ -300,44 +307,45 @@
             await self.write_status(trial)
 
     async def complete(self, trial: trials.Trial) -> None:
-        """Complete a trial once the store holds that it is."""
+        """Put a completed trial in force after the store has recorded it."""
         if await self.write_status(trial):
             self.apply_trial(trial)
             self.broadcast_notice(trial)
 
     def is_holder(self, now: float) -> bool:
-        """Tell whether this node writes the status.
+        """Tell whether this node is the holder, which writes the status.
 
-        The first live node that reaches the store does. That two may think
-        so for a moment is harmless: the row in the store decides.
+        The holder is the first live node by name that reaches the store. Two
+        nodes may take themselves for the holder for a moment; the conditional
+        write of the store's row resolves that.
         """
-        if self.source.lost_at is not None:
+        if self.order_task.lost_at is not None:
             return False
         return not any(
             state.node < self.settings.instance
             and state.store
             and not state.leaving
             for state in fleet.live_nodes(
-                self.known, now, within=HOLDER_SILENCE_SECONDS
+                self.members, now, within=HOLDER_SILENT_SECONDS
             )
         )
 
     async def write_status(self, trial: trials.Trial) -> bool:
-        """Write the state of a trial if the store holds another one.
+        """Write the state of a trial unless the store has it.
 
         Returns
         -------
         bool
-            Whether the store holds it.
+            Whether the store has it now.
         """
         try:
-            if not self.rows_read:
-                await self.read_rows()
+            if not self.stored_trials_read:
+                await self.read_stored_trials()
             return await self.write_row(trial)
         except errors.TransactionRejected:
-            self.rows_read = False
+            self.stored_trials_read = False
         except errors.PlatformError as error:
-            self.rows_read = False
+            self.stored_trials_read = False
             events.emit(
                 _LOG,
                 events.TRIAL_UNWRITTEN,
@@ -347,8 +355,14 @@
         return False
 
     async def write_row(self, trial: trials.Trial) -> bool:
-        """Write one row under the condition that it is the one known."""
-        revision, known = self.rows.get(trial.service, (0, None))
+        """Write the row of a trial if it has not changed since it was read.
+
+        Returns
+        -------
+        bool
+            False if the stored phase cannot be followed by this one.
+        """
+        revision, known = self.stored_trials.get(trial.service, (0, None))
         status = _STATUS[trial.phase]
         if known is not None and known.order == trial.order:
             found = trials.Phase(known.phase)
@@ -374,5 +388,5 @@
             ),
         )
         written = await self.store.write(change)
-        self.rows[trial.service] = (written, row)
+        self.stored_trials[trial.service] = (written, row)
         return True
--- a/apricotpost/sidecar/server_index.py
+++ b/apricotpost/sidecar/server_index.py
@@ -1,4 +1,4 @@
-"""Backend servers of the fleet, by service, as the call path reads them."""
+"""Index of the fleet's backend servers by service, for the call path."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -11,24 +11,24 @@
 
 __all__ = ["ServerIndex"]
 
-# A node that was not heard for so long takes no new requests while others
-# can.
-LOST_SECONDS = 3.2
+# A node that was not heard for longer gets new requests only if the other
+# nodes that run the service are silent as well.
+MAX_SILENT_SECONDS = 3.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Server:
+class _IndexedServer:
     node: str
     data_centre: str
     server: wire.ServerState
 
 
 class ServerIndex:
-    """Index of the fleet's backend servers.
+    """Backend servers that take requests, by service.
 
     Parameters
     ----------
-    known : fleet.Fleet
+    members : fleet.Fleet
         States of all nodes.
     regions : mapping
         Region of each data centre.
@@ -39,27 +39,28 @@
     def __init__(
         self,
         *,
-        known: fleet.Fleet,
+        members: fleet.Fleet,
         regions: Mapping[str, str],
         is_connected: Callable[[str], bool],
     ) -> None:
-        self.known = known
+        self.members = members
         self.regions = regions
         self.is_connected = is_connected
-        self.services: dict[str, list[_Server]] = {}
-        # Versions of each service in the order in which they were seen.
+        self.services: dict[str, list[_IndexedServer]] = {}
+        # Versions of each service in the order in which they were first seen;
+        # that of a completed rollout is first.
         self.versions: dict[str, list[str]] = {}
 
     def rebuild(self) -> None:
-        """Index the states again after one of them has changed."""
-        services: dict[str, list[_Server]] = {}
-        for name, node in self.known.nodes.items():
+        """Rebuild the index after a node's state has changed."""
+        services: dict[str, list[_IndexedServer]] = {}
+        for name, node in self.members.nodes.items():
             state = node.state
             server = state.server
             if server is None or state.leaving or not server.ready:
                 continue
             services.setdefault(server.service, []).append(
-                _Server(
+                _IndexedServer(
                     node=name, data_centre=state.data_centre, server=server
                 )
             )
@@ -68,8 +69,11 @@
                 seen.append(server.version)
         self.services = services
 
-    def settle_version(self, service: str, version: str) -> None:
-        """Note the version that a completed rollout has left in place."""
+    def set_stable_version(self, service: str, version: str) -> None:
+        """Move the version of a completed rollout to the front.
+
+        Without a trial, requests go to the first known version.
+        """
         seen = self.versions.setdefault(service, [])
         if version in seen:
             seen.remove(version)
@@ -77,11 +81,11 @@
 
     def count_nodes(self) -> int:
         """Return the number of known nodes."""
-        return len(self.known.nodes)
+        return len(self.members.nodes)
 
     def version_of(self, node: str) -> str:
         """Return the version of the backend server beside a node."""
-        known = self.known.nodes.get(node)
+        known = self.members.nodes.get(node)
         if known is None or known.state.server is None:
             return ""
         return known.state.server.version
@@ -104,9 +108,9 @@
         service : str
             Service of the request.
         version_draw : float
-            Place in the division among versions.
+            Number between 0 and 1 that selects the version.
         regions : tuple of str
-            Where it may run; empty means everywhere.
+            Regions in which the request may run; empty means all.
         now : float
             Monotonic time, in seconds.
         """
@@ -120,30 +124,34 @@
         present = {entry.server.version for entry in usable}
         if len(present) > 1 or service in view.service_trials:
             usable = self.filter_versions(view, service, usable, version_draw)
-        heard = [(entry, self.silence(entry.node, now)) for entry in usable]
-        recent = [pair for pair in heard if pair[1] < LOST_SECONDS]
+        with_silence = [
+            (entry, self.silent_seconds(entry.node, now)) for entry in usable
+        ]
+        recent = [
+            pair for pair in with_silence if pair[1] < MAX_SILENT_SECONDS
+        ]
         return [
             placement.Candidate(
                 node=entry.node,
                 backend=entry.server.backend,
-                same_data_centre=entry.data_centre == self.known.data_centre,
+                same_data_centre=entry.data_centre == self.members.data_centre,
                 silent_seconds=silence,
                 cold=entry.server.cold,
             )
-            for entry, silence in recent or heard
+            for entry, silence in recent or with_silence
         ]
 
     def filter_versions(
         self,
         view: views.TrafficView,
         service: str,
-        usable: list[_Server],
+        usable: list[_IndexedServer],
         version_draw: float,
-    ) -> list[_Server]:
-        """Keep the backend servers of the versions that may be used."""
+    ) -> list[_IndexedServer]:
+        """Return the backend servers whose versions may get the request."""
         found = [entry.server.version for entry in usable]
         trial = view.service_trials.get(service)
-        allowed = views.choose_version(
+        allowed = views.choose_versions(
             view,
             service,
             [v for v in self.versions.get(service, ()) if v in found],
@@ -151,17 +159,17 @@
             servers=found.count(trial.new) if trial is not None else 0,
         )
         kept = [e for e in usable if e.server.version in allowed]
-        if views.loads_one_server(view, service, allowed):
-            # All nodes choose the same one.
+        if views.uses_one_server(view, service, allowed):
+            # All nodes have to choose the same backend server.
             return sorted(kept, key=lambda e: e.server.backend)[:1]
         return kept
 
     def is_reachable(self, node: str) -> bool:
         """Tell whether requests can be sent to a node."""
-        return node == self.known.node or self.is_connected(node)
+        return node == self.members.node or self.is_connected(node)
 
-    def silence(self, node: str, now: float) -> float:
-        """Return for how many seconds a node was not heard."""
-        if node == self.known.node:
+    def silent_seconds(self, node: str, now: float) -> float:
+        """Return the time since a node was last heard, in seconds."""
+        if node == self.members.node:
             return 0.0
-        return now - self.known.nodes[node].heard_at
+        return now - self.members.nodes[node].heard_at
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -1,4 +1,4 @@
-"""What the call path reads of the orders in force."""
+"""Immutable view of the orders in force, for the call path."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -15,32 +15,32 @@
     "EMPTY",
     "TrafficView",
     "apply_orders",
-    "choose_version",
-    "loads_one_server",
+    "choose_versions",
+    "uses_one_server",
     "with_trial",
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TrafficView:
-    """Orders in force; replaced as a whole.
+    """Orders in force, replaced as a whole by each change.
 
     Parameters
     ----------
     version : int
-        Of the configuration; 0 if there is none yet.
+        Version of the configuration; 0 if there is none yet.
     routes : PrefixTable
         Routes by host and prefix.
     services : mapping
-        Rules of each service.
+        Rule of each service.
     limits : model.ClientLimits or None
-        What clients may send.
+        Limits of clients' requests.
     evacuated : frozenset of str
         Data centres that get no requests.
     rollouts : mapping
         Revision and order of each service's rollout.
     service_trials : mapping
-        Where the rollout of each service stands.
+        Trial of each service.
     """
 
     version: int = 0
@@ -66,18 +66,18 @@
     rows: Iterable[wire.OrderRow],
     routes: platform.RouteCache | None = None,
 ) -> tuple[TrafficView, list[errors.ApricotpostError]]:
-    """Return the view after changed orders, and what was refused.
+    """Return the view with changed orders, and the rows' errors.
 
-    A row that cannot be decoded leaves what was in force before.
+    A row with an error is skipped: what it would replace stays in force.
 
     Parameters
     ----------
     view : TrafficView
-        What was in force before.
+        Orders in force before.
     rows : iterable of wire.OrderRow
         Changed orders.
     routes : platform.RouteCache, optional
-        Decoded routes of the configuration before; brought up to date.
+        Decoded routes of the previous configuration; updated.
     """
     faults: list[errors.ApricotpostError] = []
     for row in rows:
@@ -95,7 +95,7 @@
     )
 
 
-def choose_version(
+def choose_versions(
     view: TrafficView,
     service: str,
     versions: Iterable[str],
@@ -112,18 +112,18 @@
     service : str
         The service.
     versions : iterable of str
-        Versions with a backend server that takes requests, the one that was
-        known first in front.
+        Versions with a backend server that takes requests, the first known
+        version first.
     version_draw : float
-        Of this request, between 0 and 1; the new version of a trial gets
-        those below its share.
+        Number of this request between 0 and 1; the new version of a trial
+        gets the requests whose draw is below its share.
     servers : int
-        Backend servers of the new version that take requests.
+        Number of backend servers of the new version that take requests.
     """
     known = tuple(versions)
     trial = view.service_trials.get(service)
     if trial is None:
-        # A version without an order waits for its order to be seen.
+        # A version gets no requests before its rollout order is known.
         return frozenset(known[:1])
     if trial.phase is trials.Phase.ROLLED_BACK:
         return frozenset(v for v in known if v != trial.new)
@@ -135,10 +135,14 @@
     return others
 
 
-def loads_one_server(
+def uses_one_server(
     view: TrafficView, service: str, versions: frozenset[str]
 ) -> bool:
-    """Tell whether a request is part of the load on one new server."""
+    """Tell whether one backend server gets all requests of a new version.
+
+    It does in phase MOVING: a fault that shows only under load then affects
+    fewer requests than on all of its servers.
+    """
     trial = view.service_trials.get(service)
     return (
         trial is not None
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -1,4 +1,4 @@
-"""Values for tests of the event-loop node."""
+"""Messages with default values for tests of the event-loop node."""
 
 from apricotpost import model
 from apricotpost import wire
--- a/tests/sidecar/cases.py
+++ b/tests/sidecar/cases.py
@@ -1,4 +1,4 @@
-"""Base of the tests with event-loop nodes as processes."""
+"""Base class of tests with event-loop nodes as processes."""
 
 import asyncio
 import pathlib
@@ -14,7 +14,7 @@
 
 
 class MeshCase(unittest.IsolatedAsyncioTestCase):
-    """Base of the tests with processes."""
+    """Starts a mesh of nodes and calls it."""
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -23,9 +23,9 @@
         self.addAsyncCleanup(self.mesh.close)
         self.call = self.mesh.caller.call
 
-    async def start(self, *places, **options):
+    async def start(self, *data_centres, **options):
         routes = options.pop("routes", [SAFE, UNSAFE])
-        await self.mesh.start(places, routes=routes, **options)
+        await self.mesh.start(data_centres, routes=routes, **options)
         self.nodes = self.mesh.nodes
         self.backends = [node.backend for node in self.nodes]
 
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions on the attempts of a request."""
+"""Tests of the retry and hedging rules of a request."""
 
 import types
 import unittest
@@ -56,7 +56,7 @@
         "offered": False,
         "load": None,
     }
-    return active_requests.after_refusal(
+    return active_requests.decide_after_refusal(
         active,
         wire.Refused(**{**values, **changes}),
         retries.Budget(tokens=tokens),
@@ -66,7 +66,7 @@
 
 
 def fail(active, *, tokens=5.0, untried=2, now=0.1):
-    return active_requests.after_failure(
+    return active_requests.decide_after_failure(
         active,
         retries.Budget(tokens=tokens),
         usual_ms=100.0,
@@ -76,7 +76,7 @@
 
 
 class ActiveRequestTest(unittest.TestCase):
-    def test_time_is_the_shorter_of_deadline_and_timeout(self):
+    def test_expiry_is_the_earlier_of_deadline_and_timeout(self):
         """Guards against work beyond the route's timeout."""
         self.assertEqual(1.0, make_active_request().expires_at)
 
@@ -86,8 +86,8 @@
         self.assertEqual(active_requests.NextAction.OFFER, decision.action)
         self.assertFalse(decision.accepts_late)
 
-    def test_last_offer_is_patient_and_the_end(self):
-        """Guards against offers without end."""
+    def test_last_offer_accepts_late_and_is_final(self):
+        """Guards against an unbounded number of offers."""
         active = make_active_request(offers=3)
         self.assertTrue(refuse(active).accepts_late)
         active.accepts_late = True
@@ -96,10 +96,10 @@
         )
 
     def test_rejection_by_a_server_needs_budget(self):
-        """Guards against arrivals beyond the retry budget.
+        """Guards against backend attempts beyond the retry budget.
 
-        Requests that faulty servers turned away went to another server
-        without a bound: 485 arrivals in 10 s, of 462 allowed.
+        Requests that faulty servers had rejected were sent to other servers
+        without a limit: 485 attempts in 10 s, where 462 were allowed.
         """
         active = make_active_request(backend_attempts=1)
         found = refuse(active, offered=True, tokens=0.5)
@@ -108,44 +108,47 @@
         self.assertEqual(active_requests.NextAction.OFFER, found.action)
 
     def test_passed_deadline_is_final(self):
-        """Guards against offers that nobody waits for."""
+        """Guards against offers of requests whose callers have given up."""
         reason = wire.NotRunReason.DEADLINE_PASSED
         found = refuse(make_active_request(), reason=reason)
         self.assertEqual(active_requests.NextAction.REFUSE, found.action)
 
-    def test_only_idempotent_requests_are_repeated(self):
-        """Guards against a request that runs twice."""
-        offer, over = (
+    def test_only_idempotent_requests_are_retried(self):
+        """Guards against a second run of a non-idempotent request."""
+        offer, fail_action = (
             active_requests.NextAction.OFFER,
             active_requests.NextAction.FAIL,
         )
         self.assertEqual(offer, fail(make_active_request(backend_attempts=1)))
         unsafe = make_active_request(idempotent=False, backend_attempts=1)
-        self.assertEqual(over, fail(unsafe))
+        self.assertEqual(fail_action, fail(unsafe))
 
-    def test_repeats_are_bounded(self):
-        """Guards against repeats without budget, time or servers."""
-        over = active_requests.NextAction.FAIL
+    def test_retries_are_bounded(self):
+        """Guards against retries without budget, time or servers."""
+        fail_action = active_requests.NextAction.FAIL
         active = make_active_request(backend_attempts=1)
-        self.assertEqual(over, fail(active, tokens=0.9))
-        self.assertEqual(over, fail(active, now=0.95))
-        self.assertEqual(over, fail(active, untried=0))
-        self.assertEqual(over, fail(make_active_request(backend_attempts=2)))
+        self.assertEqual(fail_action, fail(active, tokens=0.9))
+        self.assertEqual(fail_action, fail(active, now=0.95))
+        self.assertEqual(fail_action, fail(active, untried=0))
+        self.assertEqual(
+            fail_action, fail(make_active_request(backend_attempts=2))
+        )
 
-    def test_returning_clients_are_spread(self):
-        """Guards against refused clients that come back together."""
+    def test_retry_after_is_jittered(self):
+        """Guards against refused clients that all retry at once."""
         times = [
-            active_requests.refusal_seconds(500, i / 10) for i in range(11)
+            active_requests.jittered_retry_seconds(500, i / 10)
+            for i in range(11)
         ]
         self.assertGreater(max(times), 1.5 * min(times))
         self.assertLessEqual(
-            active_requests.refusal_seconds(99_000, 1.0),
+            active_requests.jittered_retry_seconds(99_000, 1.0),
             active_requests.MAX_RETRY_SECONDS,
         )
 
 
 class HedgeTest(unittest.TestCase):
-    """A second server is asked while the first one has not answered."""
+    """Rules for sending a request to a second server as well."""
 
     def may(self, active, *, tokens=3.0, now=0.3, untried=1, usual_ms=100.0):
         return active_requests.may_hedge(
@@ -163,12 +166,12 @@
         )
         return active
 
-    def test_a_request_that_is_late_is_sent_once_more(self):
-        """Guards against callers that wait for a server that hangs."""
+    def test_late_request_may_be_hedged(self):
+        """Guards against callers that wait for a hung server."""
         self.assertTrue(self.may(self.make()))
 
-    def test_bounds(self):
-        """Guards against hedges that double the load or run twice."""
+    def test_hedges_are_bounded(self):
+        """Guards against hedges that double the load or an unsafe run."""
         self.assertFalse(self.may(self.make(idempotent=False)))
         self.assertFalse(self.may(self.make(), tokens=0.9))
         self.assertFalse(self.may(self.make(), untried=0))
@@ -180,15 +183,15 @@
         again.hedged = True
         self.assertFalse(self.may(again))
 
-    def test_an_answered_request_is_not_sent(self):
-        """Guards against work for a caller that has its answer."""
+    def test_answered_request_is_not_hedged(self):
+        """Guards against work for a caller that has been answered."""
         self.assertFalse(self.may(make_active_request()))
 
-    def test_large_request_of_a_sound_server_waits(self):
-        """Guards against second runs of requests that are large themselves.
+    def test_late_request_is_overdue_at_4_5_times_the_usual_time(self):
+        """Guards against hedges of requests that are slow on any server.
 
-        Load: of 249 hedges of a calm day 16 were faster than the first
-        attempt, and the late requests are the ones with most work.
+        Late requests are mostly large ones: without faults, 16 of 249 hedges
+        were faster than the first attempt.
         """
         active = self.make()
         self.assertFalse(
@@ -198,10 +201,10 @@
             active_requests.is_overdue(active, usual_ms=100.0, now=0.45)
         )
 
-    def test_time_follows_the_usual_time_of_the_route(self):
+    def test_hedge_delay_follows_the_usual_time_of_the_route(self):
         """Guards against hedges of ordinary requests."""
-        self.assertEqual(0.5, active_requests.hedge_seconds(200.0))
+        self.assertEqual(0.5, active_requests.hedge_delay_seconds(200.0))
         self.assertEqual(
             active_requests.MIN_HEDGE_SECONDS,
-            active_requests.hedge_seconds(1.0),
+            active_requests.hedge_delay_seconds(1.0),
         )
--- a/tests/sidecar/test_backend_server.py
+++ b/tests/sidecar/test_backend_server.py
@@ -16,7 +16,7 @@
 class BackendServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.changes = 0
-        self.dropped = 0
+        self.closed_idle = 0
         self.queue = ranked.RankedQueue()
         rule = types.SimpleNamespace(cold_per_second=12.0, health_path="/h")
         view = types.SimpleNamespace(
@@ -29,29 +29,29 @@
             read_view=lambda: view,
             on_change=self.count_change,
             queue=self.queue,
-            client=types.SimpleNamespace(close_idle=self.count_drop),
+            client=types.SimpleNamespace(close_idle=self.count_close_idle),
         )
 
     def count_change(self):
         self.changes += 1
 
-    def count_drop(self):
-        self.dropped += 1
+    def count_close_idle(self):
+        self.closed_idle += 1
 
     def refusal(self):
         return self.server.find_refusal("portal")
 
     async def test_announced_server_takes_requests(self):
-        """Guards against a server that is used before it is known."""
+        """Guards against requests to a server before its first heartbeat."""
         reason = wire.NotRunReason.NO_BACKEND_SERVER
         self.assertIs(reason, self.refusal())
         self.server.handle_heartbeat(builders.make_heartbeat())
         self.assertIsNone(self.refusal())
         self.assertEqual(8, self.queue.slots)
-        self.assertEqual((1, 1), (self.changes, self.dropped))
+        self.assertEqual((1, 1), (self.changes, self.closed_idle))
 
-    async def test_lost_server_is_told_once_and_comes_back(self):
-        """Guards against a change for each request that finds no server."""
+    async def test_unreachable_server_is_published_once_and_returns(self):
+        """Guards against a state update for each failed connection."""
         self.server.handle_heartbeat(builders.make_heartbeat())
         self.assertTrue(self.server.mark_unreachable("b"))
         self.assertFalse(self.server.mark_unreachable("b"))
@@ -60,8 +60,8 @@
         self.server.handle_heartbeat(builders.make_heartbeat(sequence=2))
         self.assertIsNone(self.refusal())
 
-    async def test_draining_server_and_leaving_node_take_nothing(self):
-        """Guards against requests after an acknowledgement."""
+    async def test_draining_server_and_leaving_node_refuse(self):
+        """Guards against requests after the drain was acknowledged."""
         draining = model.BackendState.DRAINING
         self.server.handle_heartbeat(builders.make_heartbeat())
         self.server.leaving = True
@@ -72,7 +72,7 @@
         )
         self.assertIs(wire.NotRunReason.DRAINING, self.refusal())
 
-    async def test_cold_server_is_bounded(self):
+    async def test_cold_server_has_a_rate_limit(self):
         """Guards against a burst on a server that has just started."""
         self.server.handle_heartbeat(builders.make_heartbeat(cold_ms=3000))
         self.assertEqual(12.0, self.queue.cold_rate)
@@ -80,7 +80,7 @@
         self.assertAlmostEqual(3.0, left, delta=0.2)
 
     async def test_unknown_configuration_refuses(self):
-        """Guards against requests without limits for the server."""
+        """Guards against requests before the service's rule is known."""
         self.server.read_view = lambda: views.EMPTY
         self.server.handle_heartbeat(builders.make_heartbeat())
         self.assertIs(wire.NotRunReason.NOT_READY, self.refusal())
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -1,4 +1,4 @@
-"""Tests of requests through event-loop nodes as processes."""
+"""Tests of requests through event-loop nodes that run as processes."""
 
 import asyncio
 
@@ -9,10 +9,10 @@
 
 
 class CallTest(cases.MeshCase):
-    """Requests on a calm day and with misbehaving backend servers."""
+    """Requests to sound and to faulty backend servers."""
 
-    async def test_request_crosses_nodes_whole(self):
-        """Guards against a changed request or answer on the way."""
+    async def test_request_crosses_nodes_unchanged(self):
+        """Guards against requests or responses that nodes alter."""
         routes = [{"prefix": "/reports/", "service": "fieldbook"}]
         await self.start(
             "dc-a", "dc-b", services=("portal", "fieldbook"), routes=routes
@@ -39,15 +39,15 @@
         self.assertLessEqual(int(headers[b"x-deadline-ms"]), 2000)
 
     async def test_call_reaches_a_server_behind_the_relays(self):
-        """Guards against servers that only the relays know.
+        """Guards against servers that only the relays can reach.
 
-        The third nodes of both data centres are no relays. A node that
-        starts first takes itself for a relay and may have connected to some.
+        The third nodes of both data centres are not relays. The node that
+        starts first takes itself for one and may have connected to others.
         """
         routes = [{"prefix": "/reports/", "service": "fieldbook"}]
         services = ("portal",) * 5 + ("fieldbook",)
-        places = ("dc-a",) * 3 + ("dc-b",) * 3
-        await self.start(*places, services=services, routes=routes)
+        data_centres = ("dc-a",) * 3 + ("dc-b",) * 3
+        await self.start(*data_centres, services=services, routes=routes)
         caller = self.nodes[2]
         peers = await self.mesh.metric(caller, "apricotpost_peers_connected")
         self.assertLess(peers, len(self.nodes) - 1)
@@ -61,13 +61,13 @@
         self.backends[5].state = "draining"
         await self.mesh.beat(self.nodes[5])
         await asyncio.sleep(0.5)
-        before = len(self.backends[5].runs)
+        runs_before = len(self.backends[5].runs)
         result = await self.call(caller.ports.callers, "/reports/1")
         self.assertEqual(503, result.response.status)
-        self.assertEqual(before, len(self.backends[5].runs))
+        self.assertEqual(runs_before, len(self.backends[5].runs))
 
-    async def test_lost_answer_of_unsafe_request_is_not_repeated(self):
-        """Guards against a request that runs twice."""
+    async def test_lost_answer_of_unsafe_request_is_not_retried(self):
+        """Guards against a second run of an unsafe request."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.mode = "reset"
@@ -75,16 +75,16 @@
         self.assertEqual([502] * 6, found)
         self.assertEqual(6, self.ran())
 
-    async def test_lost_answer_of_safe_request_is_repeated(self):
-        """Guards against failures that another server would not have."""
+    async def test_lost_answer_of_safe_request_is_retried(self):
+        """Guards against failures that a retry would have avoided."""
         await self.start("dc-a", "dc-a")
         self.backends[0].mode = "reset"
         self.assertEqual([200, 200], await self.call_all(2))
 
     async def test_slow_server_is_hedged(self):
-        """Guards against a repeatable request that waits for a hung server.
+        """Guards against an idempotent request that waits for a hung server.
 
-        Load: one of two servers takes 3 s instead of 20 ms.
+        One of two servers takes 3 s instead of 20 ms.
         """
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
@@ -93,24 +93,24 @@
             await self.call_all(2)
         slow = self.backends[0]
         slow.work_seconds = 3.0
-        before = len(slow.runs)
+        runs_before = len(slow.runs)
         loop = asyncio.get_running_loop()
-        # On a busy machine the slow server may have been the slower one
-        # before; more calls at once reach it in any case.
+        # On a busy machine the load balancer may avoid this server already;
+        # more concurrent calls reach it in any case.
         for count in range(2, 12):
-            began = loop.time()
+            started_at = loop.time()
             found = await self.call_all(count)
             self.assertEqual([200] * count, found)
-            self.assertLess(loop.time() - began, 1.0)
-            if len(slow.runs) > before:
+            self.assertLess(loop.time() - started_at, 1.0)
+            if len(slow.runs) > runs_before:
                 break
-        self.assertGreater(len(slow.runs), before)
+        self.assertGreater(len(slow.runs), runs_before)
         await self.wait_until(lambda: slow.cancelled, seconds=0.5)
 
-    async def test_given_up_server_is_known_as_slow(self):
-        """Guards against a server that is judged by its fast answers only.
+    async def test_server_with_cancelled_requests_counts_as_slow(self):
+        """Guards against a slow server measured by its fast responses only.
 
-        Its slow requests are hedged and given up, so none of them ends.
+        Its slow requests are hedged and cancelled, so none of them ends.
         """
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
@@ -121,25 +121,25 @@
         slow.work_seconds = 3.0
         for _ in range(10):
             await self.call_all(2)
-        before = len(slow.runs)
+        runs_before = len(slow.runs)
         for _ in range(10):
             await self.call_all(2)
-        self.assertLess(len(slow.runs) - before, 5)
+        self.assertLess(len(slow.runs) - runs_before, 5)
 
-    async def test_request_that_may_not_be_repeated_is_not_hedged(self):
-        """Guards against a hedge that runs a request twice."""
+    async def test_unsafe_request_is_not_hedged(self):
+        """Guards against a hedge that runs an unsafe request twice."""
         await self.start("dc-a", "dc-a")
         for _ in range(20):
             await self.call_all(2, "/reports/1", method=b"POST")
-        before = self.ran()
+        runs_before = self.ran()
         for backend in self.backends:
             backend.work_seconds = 0.8
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
-        self.assertEqual(before + 4, self.ran())
+        self.assertEqual(runs_before + 4, self.ran())
 
-    async def test_wrong_and_cut_answers_are_not_delivered(self):
-        """Guards against a half answer or that of another request."""
+    async def test_wrong_and_truncated_responses_are_not_delivered(self):
+        """Guards against truncated responses and those of other requests."""
         await self.start("dc-a")
         for mode in ("wrong", "cut"):
             self.backends[0].mode = mode
@@ -147,15 +147,15 @@
             self.assertEqual([502], found)
 
     async def test_rejected_request_goes_to_another_server(self):
-        """Guards against giving up a request that has not run."""
+        """Guards against a failed request that could still run elsewhere."""
         await self.start("dc-a", "dc-a")
         self.backends[0].mode = "shed"
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
         self.assertEqual(4, self.ran())
 
-    async def test_refusal_is_not_run_and_says_when_to_return(self):
-        """Guards against a promise that is not kept."""
+    async def test_refused_request_has_not_run_and_gets_retry_after(self):
+        """Guards against a run of a request that was answered as not run."""
         await self.start("dc-a")
         self.backends[0].state = "draining"
         await self.mesh.beat(self.nodes[0])
@@ -168,7 +168,7 @@
         self.assertEqual(0, self.ran())
 
     async def test_server_never_gets_more_than_its_slots(self):
-        """Guards against servers that hang when they cannot queue."""
+        """Guards against servers that hang beyond their slots."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.work_seconds = 0.05
@@ -178,10 +178,11 @@
             self.assertLessEqual(backend.most_at_once, backend.slots)
 
     async def test_overload_is_refused_at_once(self):
-        """Guards against requests that wait and are refused later.
+        """Guards against requests that are queued and refused later.
 
-        Load: 200 requests at once for 8 slots of 100 ms, objective 500 ms;
-        then the server takes 5 s. The refusals come before any answer.
+        200 requests arrive at once at a server with 8 slots that has taken
+        100 ms per request (objective 500 ms) and now takes 5 s. The refusals
+        have to come before any other response.
         """
         routes = [{**cases.SAFE, "timeout_ms": 9000}]
         await self.start("dc-a", routes=routes)
@@ -202,14 +203,14 @@
             if result.response.status != 503:
                 break
             refused += 1
-            # Later ones start when the first 8 have ended.
+            # Queued requests start when the first 8 have ended.
             runs = len(backend.runs)
-        # 8 run, and 450 ms hold about 40 more.
+        # 8 run, and about 40 more fit into a queue of 450 ms.
         self.assertGreater(refused, 140)
         self.assertLessEqual(runs, 40 + 8)
 
-    async def test_hang_up_ends_a_safe_run(self):
-        """Guards against work for callers that have left."""
+    async def test_disconnect_of_the_caller_cancels_a_safe_request(self):
+        """Guards against work for callers that have disconnected."""
         await self.start("dc-a")
         backend = self.backends[0]
         backend.work_seconds = 1.5
@@ -219,21 +220,21 @@
         await self.wait_until(lambda: backend.cancelled, seconds=0.5)
 
     async def test_answer_comes_at_the_timeout_of_the_route(self):
-        """Guards against callers that are kept waiting."""
+        """Guards against callers that wait beyond the timeout."""
         routes = [{**cases.SAFE, "timeout_ms": 300}]
         await self.start("dc-a", routes=routes)
         self.backends[0].work_seconds = 2.0
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        started_at = loop.time()
         self.assertEqual([504], await self.call_all(1))
-        self.assertLess(loop.time() - began, 0.8)
+        self.assertLess(loop.time() - started_at, 0.8)
 
-    async def test_cold_server_gets_its_rate_only(self):
+    async def test_cold_server_gets_only_its_rate(self):
         """Guards against the overload of a server that has just started."""
         await self.start("dc-a")
         backend = self.backends[0]
         backend.cold_ms = 5000
         await self.mesh.beat(self.nodes[0])
         await self.call_all(100)
-        # 20 a second are borne, half as many more and 5 are allowed.
+        # The rate is 20 a second; half as many more and 5 are allowed.
         self.assertLessEqual(self.ran(), 35)
