--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -12,7 +12,7 @@
 
 
 class OrderTest(cases.MeshCase):
-    """Orders of the operators."""
+    """Nodes apply the operators' orders."""
 
     async def wait_status(self, path, status, *, seconds=2.0, node=0):
         address = self.nodes[node].ports.callers
@@ -28,7 +28,7 @@
         self.mesh.store.put("op", "config", config)
 
     async def test_configuration_is_in_force_and_stays(self):
-        """Guards against late and returning configurations."""
+        """Guards against late configurations and against older ones."""
         await self.start("dc-a", "dc-a", "dc-b")
         self.put_config(5, [{"prefix": "/new/", "service": "portal"}])
         for node in range(3):
@@ -39,16 +39,16 @@
         await self.wait_status("/new/1", 200, seconds=0.2)
 
     async def test_undecodable_configuration_changes_nothing(self):
-        """Guards against a bad row that takes routes away."""
+        """Guards against an invalid row that removes routes."""
         await self.start("dc-a")
         self.mesh.store.put("op", "config", b'{"version": 9, "resou')
         await asyncio.sleep(0.5)
         self.assertEqual([200], await self.call_all(1))
-        numbers = {line["event"] for line in self.nodes[0].lines()}
-        self.assertIn(734, numbers)
+        event_numbers = {line["event"] for line in self.nodes[0].lines()}
+        self.assertIn(734, event_numbers)
 
-    async def test_evacuated_data_centre_gets_nothing(self):
-        """Guards against work in a data centre that is taken out."""
+    async def test_evacuated_data_centre_gets_no_requests(self):
+        """Guards against requests in an evacuated data centre."""
         await self.start("dc-a", "dc-b")
         self.mesh.store.put("op", "evacuate/dc-a", b"{}")
         await asyncio.sleep(1.0)
@@ -60,8 +60,8 @@
         await self.call_all(10)
         self.assertGreater(len(self.backends[0].runs), before)
 
-    async def test_lost_history_is_read_anew(self):
-        """Guards against a watch that never continues."""
+    async def test_orders_are_read_again_after_lost_history(self):
+        """Guards against a watch that fails for ever."""
         await self.start("dc-a")
         self.mesh.store.put("other", "row", b"x")
         self.mesh.store.drop_history()
@@ -71,10 +71,10 @@
 
 
 class FaultTest(cases.MeshCase):
-    """Nodes and stores that fail."""
+    """Failures of nodes, of the store and of their input."""
 
-    async def test_calls_go_on_while_the_store_is_down(self):
-        """Guards against a call path that needs the store."""
+    async def test_calls_succeed_while_the_store_is_down(self):
+        """Guards against a call path that depends on the store."""
         await self.start("dc-a", "dc-a")
         for conditions in (
             rows.Conditions(status=503),
@@ -85,10 +85,10 @@
             self.assertEqual([200] * 8, await self.call_all(8))
 
     async def test_outage_is_probed_by_two_nodes_of_a_data_centre(self):
-        """Guards against calls that grow with the fleet while nobody serves.
+        """Guards against store calls that grow with the fleet in an outage.
 
-        6 nodes called each 1.1 s at the mean. Two still do; the others call
-        once when they lose the store, and each 6 s.
+        Each of 6 nodes called the store every 1.1 s on average. Now two do;
+        the others call once when they lose the store, and then every 6 s.
         """
         await self.start(*("dc-a",) * 6)
         self.mesh.store.conditions = rows.Conditions(status=503)
@@ -106,7 +106,7 @@
             result = await self.call(node.ports.callers, "/new/1")
             self.assertEqual(200, result.response.status)
 
-    async def test_restarted_node_learns_from_peers_without_store(self):
+    async def test_restarted_node_gets_orders_from_peers_without_store(self):
         """Guards against a node that waits for the store to return."""
         await self.start("dc-a", "dc-a")
         self.mesh.store.conditions = rows.Conditions(status=503)
@@ -117,8 +117,8 @@
         result = await self.call(address)
         self.assertEqual(200, result.response.status)
 
-    async def test_killed_node_costs_no_safe_request(self):
-        """Guards against requests that die with another node."""
+    async def test_killed_node_fails_no_safe_request(self):
+        """Guards against requests that fail with another node."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.work_seconds = 0.2
@@ -127,8 +127,8 @@
         self.nodes[1].kill()
         self.assertEqual([200] * 8, await calls)
 
-    async def test_stop_cuts_no_request(self):
-        """Guards against a stop that breaks running requests off."""
+    async def test_stop_fails_no_request(self):
+        """Guards against a stop that aborts running requests."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.work_seconds = 0.8
@@ -145,10 +145,10 @@
             self.assertEqual(0, await ended)
 
     async def test_late_request_after_stop_is_refused(self):
-        """Guards against a request that is taken and never answered.
+        """Guards against a request that is accepted and never answered.
 
-        A node under SIGTERM took requests until its end, and closed their
-        connections without an answer.
+        After SIGTERM, a node accepted requests until it exited, and closed
+        their connections without a response.
         """
         await self.start("dc-a")
         self.backends[0].work_seconds = 4.5
@@ -168,11 +168,11 @@
         for task in (running, *kept):
             self.assertIsInstance((await task)[0], int)
 
-    async def test_late_heartbeat_after_restart_revives_nothing(self):
-        """Guards against a left server that a new process uses again.
+    async def test_late_heartbeat_after_restart_restores_no_server(self):
+        """Guards against a deregistered server that is used again.
 
-        The process before had acknowledged the deregistration; a heartbeat
-        that was sent earlier reaches the new one.
+        The previous node process had acknowledged the deregistration; a
+        heartbeat that was sent before reaches the new process.
         """
         await self.start("dc-a")
         node = self.nodes[0]
@@ -202,18 +202,18 @@
                     return True
                 await asyncio.sleep(0.05)
 
-    async def test_bad_settings_change_nothing(self):
+    async def test_invalid_settings_change_nothing(self):
         """Guards against a reload that breaks a running node."""
         await self.start("dc-a")
         self.nodes[0].path.write_text("{ not settings", encoding="utf-8")
         self.nodes[0].signal(signal.SIGHUP)
         await asyncio.sleep(0.5)
         self.assertEqual([200], await self.call_all(1))
-        numbers = {line["event"] for line in self.nodes[0].lines()}
-        self.assertIn(704, numbers)
+        event_numbers = {line["event"] for line in self.nodes[0].lines()}
+        self.assertIn(704, event_numbers)
 
     async def test_malformed_heartbeat_is_ignored(self):
-        """Guards against an announcement of another writer."""
+        """Guards against a malformed heartbeat that stops the requests."""
         await self.start("dc-a")
         for body in (b"{", b'{"service": 3}', b"\xff\xfe", b"[]"):
             result = await self.mesh.announce(
--- a/tests/sidecar/test_instruments.py
+++ b/tests/sidecar/test_instruments.py
@@ -1,4 +1,4 @@
-"""Tests of the instruments and their text."""
+"""Tests of the metrics and their text format."""
 
 import unittest
 
@@ -11,7 +11,7 @@
 
 
 def parse(families):
-    """Return the samples as the parser of Prometheus reads them."""
+    """Return the samples as parsed by the Prometheus client library."""
     text = instruments.format_text(families).decode()
     return {
         (sample.name, tuple(sorted(sample.labels.items()))): sample.value
@@ -21,8 +21,8 @@
 
 
 class InstrumentTest(unittest.TestCase):
-    def test_counts_by_label_values(self):
-        """Guards against a scrape that other tools cannot read."""
+    def test_counter_counts_by_label_values(self):
+        """Guards against a scrape that Prometheus cannot parse."""
         counter = instruments.Counter("calls", "Calls.", ("reason",))
         for reason in ("full", "full", 'a "b"\\\n'):
             counter.add(reason)
@@ -30,8 +30,8 @@
         self.assertEqual(2, found["calls_total", (("reason", "full"),)])
         self.assertEqual(1, found["calls_total", (("reason", 'a "b"\\\n'),)])
 
-    def test_buckets_include_the_smaller_ones(self):
-        """Guards against latencies that seem faster than they are."""
+    def test_buckets_are_cumulative(self):
+        """Guards against quantiles that are too low."""
         histogram = instruments.Histogram("seconds", "Time.", (0.1, 0.5))
         for value in (0.1, 0.2, 0.4, 9.0):
             histogram.observe(value)
@@ -42,8 +42,8 @@
         self.assertEqual(4, found["seconds_count", ()])
         self.assertAlmostEqual(9.7, found["seconds_sum", ()])
 
-    def test_all_instruments_of_a_node_are_told(self):
-        """Guards against an instrument that the scrape leaves out."""
+    def test_scrape_has_all_metrics_of_a_node(self):
+        """Guards against a metric that is missing in the scrape."""
         found = metrics.Metrics()
         found.requests.add("refused", "gate-full")
         found.peers.set(3)
--- a/tests/sidecar/test_load_balancer.py
+++ b/tests/sidecar/test_load_balancer.py
@@ -1,4 +1,4 @@
-"""Tests of what the choice of a backend server learns."""
+"""Tests of the load balancer's records and of outcome counters."""
 
 import random
 import types
@@ -34,19 +34,19 @@
         self.balancer = load_balancer.LoadBalancer(
             read_view=lambda: self.view,
             servers=server_index.ServerIndex(
-                known=fleet.Fleet(node="n0", data_centre="dc-a"),
+                members=fleet.Fleet(node="n0", data_centre="dc-a"),
                 regions={},
                 is_connected=lambda name: True,
             ),
-            on_service=lambda: None,
+            on_new_service=lambda: None,
             rng=random.Random(1),
         )
 
-    async def test_no_hedges_while_a_version_is_judged(self):
-        """Guards against a slow version whose slow requests never end.
+    async def test_no_hedges_during_a_trial(self):
+        """Guards against a slow version without slow requests as evidence.
 
-        A hedge gives a request up at 2.5 times the usual time, and 3 times
-        count as slow.
+        A request counts as slow at 3 times the usual time. A hedge at 2.5
+        times would cancel it before.
         """
         self.assertTrue(self.balancer.may_hedge("portal"))
         for phase in trials.Phase:
@@ -55,8 +55,8 @@
             self.assertEqual(phase in trials.FINAL, allowed, phase)
             self.assertTrue(self.balancer.may_hedge("fieldbook"))
 
-    async def test_given_up_server_becomes_slow(self):
-        """Guards against a hung server that keeps its good name."""
+    async def test_cancelled_attempts_make_a_server_slow(self):
+        """Guards against a hung server that still counts as fast."""
         self.balancer.latency_model.routes["r"] = 10.0
         active = types.SimpleNamespace(route=types.SimpleNamespace(name="r"))
         attempt = active_requests.Attempt(
@@ -66,8 +66,8 @@
             self.balancer.record_cancelled(active, attempt)
         self.assertGreater(self.balancer.latency_model.server("b1").speed, 2.0)
 
-    async def test_turns_spread_evenly(self):
-        """Guards against a share of a new version that comes in clumps."""
+    async def test_version_draws_are_evenly_spread(self):
+        """Guards against bursts of requests to a new version."""
         version_draws = [
             self.balancer.next_version_draw("portal") for _ in range(100)
         ]
@@ -80,8 +80,8 @@
 
 
 class OutcomeCountersTest(unittest.TestCase):
-    def test_evidence_is_told_during_a_trial_only(self):
-        """Guards against bytes that nobody needs, and lost evidence."""
+    def test_evidence_is_sent_during_a_trial_only(self):
+        """Guards against needless traffic, and against lost evidence."""
         view = views.EMPTY
         found = outcome_counters.OutcomeCounters(read_view=lambda: view)
         found.count("r", failed=True, ran_ms=5.0)
--- a/tests/sidecar/test_views.py
+++ b/tests/sidecar/test_views.py
@@ -1,4 +1,4 @@
-"""Tests of the orders in force and of the versions that may be used."""
+"""Tests of the view of the orders and of the index of servers."""
 
 import unittest
 
@@ -11,7 +11,7 @@
 from standins import mesh
 from tests.sidecar import builders
 
-__all__ = ["RosterTest", "ViewTest"]
+__all__ = ["ServerIndexTest", "ViewTest"]
 
 
 def make_row(key, value=b"{}", *, revision=1, removed=False):
@@ -45,8 +45,8 @@
         self.assertIs(view, after)
         self.assertEqual(1, len(faults))
 
-    def test_one_bad_row_does_not_stop_the_others(self):
-        """Guards against an evacuation lost behind a bad row."""
+    def test_invalid_row_does_not_stop_the_others(self):
+        """Guards against an evacuation that is lost with an invalid row."""
         view, faults = views.apply_orders(
             views.EMPTY,
             [make_row("config", b"{"), make_row("evacuate/dc-a")],
@@ -54,8 +54,8 @@
         self.assertEqual(frozenset(("dc-a",)), view.evacuated)
         self.assertEqual(1, len(faults))
 
-    def test_removed_orders_end(self):
-        """Guards against a data centre that stays out."""
+    def test_removed_orders_are_no_longer_in_force(self):
+        """Guards against a data centre that stays evacuated."""
         value = b'{"service": "portal", "to": "v2", "duration_s": 12}'
         rows = [make_row("evacuate/dc-a"), make_row("rollout/portal", value)]
         view, _ = views.apply_orders(views.EMPTY, rows)
@@ -71,7 +71,7 @@
         view = views.EMPTY
         if phase is not None:
             view = views.with_trial(view, make_trial(phase))
-        return views.choose_version(
+        return views.choose_versions(
             view,
             "portal",
             versions,
@@ -79,12 +79,12 @@
             servers=servers,
         )
 
-    def test_version_without_order_waits(self):
+    def test_version_without_order_gets_no_requests(self):
         """Guards against requests to a version that nobody ordered."""
         self.assertEqual({"v1"}, self.choose(None, 0.0))
 
     def test_shares_of_a_trial(self):
-        """Guards against a version that is exposed too much."""
+        """Guards against too many requests to an unproven version."""
         phases = trials.Phase
         cases = (
             (phases.RUNNING, 0.03, {"v2"}),
@@ -112,20 +112,22 @@
         )
 
 
-class RosterTest(unittest.TestCase):
+class ServerIndexTest(unittest.TestCase):
     def setUp(self):
         self.fleet = fleet.Fleet(node="n0", data_centre="dc-a")
-        self.cut = set()
+        self.disconnected = set()
         self.index = server_index.ServerIndex(
-            known=self.fleet,
+            members=self.fleet,
             regions={"dc-a": "r1", "dc-b": "r2"},
-            is_connected=lambda name: name not in self.cut,
+            is_connected=lambda name: name not in self.disconnected,
         )
 
-    def add(self, node, *, now=0.0, place="dc-a", leaving=False, **server):
+    def add(
+        self, node, *, now=0.0, data_centre="dc-a", leaving=False, **server
+    ):
         state = builders.make_state(
             node=node,
-            data_centre=place,
+            data_centre=data_centre,
             leaving=leaving,
             server=builders.make_server(backend=f"b-{node}", **server),
         )
@@ -139,33 +141,33 @@
         return {candidate.node for candidate in found}
 
     def test_only_servers_that_take_requests(self):
-        """Guards against requests to leaving, cut and other servers."""
+        """Guards against requests to leaving, cut-off or wrong servers."""
         self.add("n0")
         self.add("n1", ready=False)
         self.add("n2", leaving=True)
         self.add("n3", service="fieldbook")
         self.add("n4")
         self.add("n5")
-        self.cut.add("n5")
+        self.disconnected.add("n5")
         self.assertEqual({"n0", "n4"}, self.find())
 
-    def test_evacuation_and_regions_bind(self):
-        """Guards against work where it may not run."""
+    def test_evacuations_and_regions_are_respected(self):
+        """Guards against requests that run where they may not."""
         self.add("n1")
-        self.add("n2", place="dc-b")
+        self.add("n2", data_centre="dc-b")
         view, _ = views.apply_orders(views.EMPTY, [make_row("evacuate/dc-a")])
         self.assertEqual({"n2"}, self.find(view))
         self.assertEqual({"n1"}, self.find(regions=("r1",)))
 
     def test_silent_nodes_are_the_last_choice(self):
-        """Guards against requests to a node that was lost."""
+        """Guards against requests to a lost node."""
         self.add("n1", now=0.0)
         self.add("n2", now=9.0)
         self.assertEqual({"n2"}, self.find(now=10.0))
         self.assertEqual({"n1", "n2"}, self.find(now=30.0))
 
-    def test_one_server_takes_the_load_of_a_trial(self):
-        """Guards against a fault under load that shows too late."""
+    def test_one_server_gets_the_load_of_a_trial(self):
+        """Guards against a fault that shows only with all servers loaded."""
         self.add("n1")
         for name in ("n2", "n3", "n4"):
             self.add(name, version="v2")
