--- a/apricotpost/sidecar/connections.py
+++ b/apricotpost/sidecar/connections.py
@@ -30,8 +30,8 @@
         Returns services and versions; every server of these is connected.
     evacuated : callable
         Returns the data centres that get no requests.
-    is_busy : callable
-        Tells whether this node has open requests at a node.
+    has_open_attempts : callable
+        Tells whether a node has open attempts of this node's requests.
     """
 
     def __init__(
@@ -42,14 +42,14 @@
         called_services: Callable[[], Iterable[str]],
         fully_connected_versions: Callable[[], Iterable[tuple[str, str]]],
         evacuated: Callable[[], Collection[str]],
-        is_busy: Callable[[str], bool],
+        has_open_attempts: Callable[[str], bool],
     ) -> None:
         self.members = members
         self.peer_links = peer_links
         self.called_services = called_services
         self.fully_connected_versions = fully_connected_versions
         self.evacuated = evacuated
-        self.is_busy = is_busy
+        self.has_open_attempts = has_open_attempts
         self.wanted_at: dict[str, float] = {}
 
     def wanted_nodes(self, now: float) -> set[str]:
@@ -76,7 +76,7 @@
             self.open(name, now)
         for name in tuple(self.peer_links.links):
             idle = now - self.wanted_at.setdefault(name, now)
-            if idle > KEEP_SECONDS and not self.is_busy(name):
+            if idle > KEEP_SECONDS and not self.has_open_attempts(name):
                 self.close(name)
 
     def open(self, name: str, now: float) -> None:
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -95,7 +95,7 @@
         self.responder = responses.Responder(
             read_view=read_view, instruments=instruments, rng=rng
         )
-        self.active: dict[str, active_requests.ActiveRequest] = {}
+        self.active_by_call: dict[str, active_requests.ActiveRequest] = {}
         self.last_call_number = 0
         self.stopping = False
         self.backend_host = settings.backend_address.rpartition(":")[0]
@@ -107,7 +107,7 @@
 
     # Requests.
 
-    def handle(self, exchange: http.Exchange) -> None:
+    def handle_request(self, exchange: http.Exchange) -> None:
         """Answer a caller's request, or offer it to a backend server."""
         head = platform.read_head(exchange.request)
         view = self.read_view()
@@ -268,7 +268,7 @@
             headers=active.headers,
             body=request.body,
         )
-        self.active[active.call] = active
+        self.active_by_call[active.call] = active
         active.open_attempts[active.call] = active_requests.Attempt(
             node=candidate.node, backend=candidate.backend, sent_at=now
         )
@@ -284,7 +284,7 @@
         self, call: str
     ) -> tuple[active_requests.ActiveRequest, active_requests.Attempt] | None:
         """Remove an attempt and return it with its request, if it is open."""
-        active = self.active.pop(call, None)
+        active = self.active_by_call.pop(call, None)
         if active is None:
             return None
         return active, active.open_attempts.pop(call)
@@ -295,11 +295,11 @@
             self.close_attempt(call)
             self.send_cancel(attempt.node, wire.Cancel(call=call))
 
-    def is_busy(self, node: str) -> bool:
+    def has_open_attempts(self, node: str) -> bool:
         """Tell whether a node has open attempts of this node's requests."""
         return any(
             active.open_attempts[call].node == node
-            for call, active in self.active.items()
+            for call, active in self.active_by_call.items()
         )
 
     # Answers.
@@ -441,7 +441,7 @@
         """
         lost = [
             (call, active)
-            for call, active in self.active.items()
+            for call, active in self.active_by_call.items()
             if active.open_attempts[call].node == node
         ]
         for call, active in lost:
@@ -486,7 +486,7 @@
 
     def fail_open_requests(self) -> None:
         """Fail the requests that are still open when the process ends."""
-        for active in set(self.active.values()):
+        for active in set(self.active_by_call.values()):
             for call in tuple(active.open_attempts):
                 self.close_attempt(call)
             active.reason = wire.UnknownReason.TIMEOUT
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -139,7 +139,7 @@
 
     # Requests.
 
-    def offer(self, offer: wire.Offer, reply: Reply) -> None:
+    def handle_offer(self, offer: wire.Offer, reply: Reply) -> None:
         """Queue or refuse a request; `start_queued` starts it."""
         now = self.loop.time()
         reason = self.server.find_refusal(offer.service)
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -73,7 +73,7 @@
         self.round = 0
         self.leaving = False
         self.reaches_store = True
-        self.orders = 0
+        self.orders_revision = 0
         self.links: links.Links | None = None
         self.gate: gate.Gate | None = None
         self.connections: connections.ConnectionManager | None = None
@@ -221,12 +221,12 @@
         return wire.NodeState(
             node=self.settings.instance,
             data_centre=self.settings.data_centre,
-            address=self.settings.addresses.for_peers(),
+            address=self.settings.addresses.peer_address(),
             boot=self.boot,
             sequence=self.sequence,
             leaving=self.leaving,
             store=self.reaches_store,
-            orders=self.orders,
+            orders=self.orders_revision,
             server=server,
             counts=counts,
         )
--- a/apricotpost/sidecar/links.py
+++ b/apricotpost/sidecar/links.py
@@ -52,7 +52,7 @@
         self.socket = socket
         self.monitor = monitor
         self.connected = False
-        # Answers to send once connected, each with the time until which.
+        # Answers to send once connected, each with its expiry time.
         self.queued: list[tuple[float, wire.Message]] = []
 
 
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -151,11 +151,11 @@
             called_services=self.dispatcher.balancer.called_services,
             fully_connected_versions=self.versions_on_trial,
             evacuated=lambda: self.orders.view.evacuated,
-            is_busy=self.dispatcher.is_busy,
+            has_open_attempts=self.dispatcher.has_open_attempts,
         )
         self.gossip.connections = self.connections
         self.handlers = {
-            settings.addresses.callers: self.dispatcher.handle,
+            settings.addresses.callers: self.dispatcher.handle_request,
             settings.addresses.readiness: self.answer_readiness,
             settings.addresses.announcements: self.gate.answer_announcement,
             settings.addresses.metrics: self.answer_scrape,
@@ -180,7 +180,7 @@
         """Send an offer to a node; return False if nothing was sent."""
         if name != self.settings.instance:
             return self.links.send(name, offer)
-        self.gate.offer(offer, self.dispatcher.handle_answer)
+        self.gate.handle_offer(offer, self.dispatcher.handle_answer)
         self.gate.start_queued()
         return True
 
@@ -194,7 +194,7 @@
     def handle_inbox(self, identity: bytes, message: wire.Message) -> None:
         """Dispatch a message on a connection that another node has opened."""
         if isinstance(message, wire.Offer):
-            self.gate.offer(message, self.make_reply(identity, message))
+            self.gate.handle_offer(message, self.make_reply(identity, message))
         elif isinstance(message, wire.Cancel):
             self.gate.cancel(message.call)
         elif isinstance(message, wire.NodeState):
@@ -349,7 +349,7 @@
             stamp = _read_file_stamp(self.path)
             if stamp != seen:
                 seen = stamp
-                self.reload("a change of the file")
+                self.reload("settings file changed")
 
     def reload(self, cause: str) -> None:
         """Check and apply the settings; invalid ones change nothing."""
@@ -373,7 +373,7 @@
             _LOG, events.SIDECAR_STOPPING, instance=self.settings.instance
         )
         stop_started_at = self.loop.time()
-        grace = self.settings.bounds.grace_seconds
+        grace_seconds = self.settings.bounds.grace_seconds
         self.gossip.leaving = True
         self.gossip.publish_change()
         callers = self.listeners[self.settings.addresses.callers]
@@ -381,7 +381,10 @@
         self.loop.call_later(LEAVE_NOTICE_SECONDS, self.gate.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, self.dispatcher.stop_accepting)
         self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
-        while self.loop.time() - stop_started_at < grace - STOP_MARGIN_SECONDS:
+        while (
+            self.loop.time() - stop_started_at
+            < grace_seconds - STOP_MARGIN_SECONDS
+        ):
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if self.loop.time() - stop_started_at < STOP_MIN_SECONDS:
                 continue
@@ -450,7 +453,7 @@
 ) -> None:
     """Run a task; stop the node if the task fails.
 
-    The platform starts the node again.
+    The supervisor of the process starts it again.
     """
     try:
         await task
--- a/apricotpost/sidecar/options.py
+++ b/apricotpost/sidecar/options.py
@@ -55,7 +55,7 @@
     metrics: HostPort
     advertised: HostPort | None = None
 
-    def for_peers(self) -> str:
+    def peer_address(self) -> str:
         """Return the address that other nodes connect to."""
         return self.advertised or self.links
 
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -100,8 +100,8 @@
         # Reads the stored trials; called before rollout orders are in force.
         self.read_trials: StoreCall | None = None
         self.reader = False
-        self.lost_at: float | None = None
-        self.probed_at = 0.0
+        self.store_lost_at: float | None = None
+        self.store_probed_at = 0.0
         self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
         self.lagging_since: float | None = None
         self.nodes_read_at = 0.0
@@ -114,7 +114,7 @@
         while True:
             now = self.loop.time()
             reader = fleet.is_reader(
-                self.members, now, reaches_store=self.lost_at is None
+                self.members, now, reaches_store=self.store_lost_at is None
             )
             if reader != self.reader:
                 self.reader = reader
@@ -122,7 +122,7 @@
             if self.should_read_nodes(now):
                 await self.attempt(self.read_nodes)
             elif reader or self.should_probe_store(now):
-                self.probed_at = now
+                self.store_probed_at = now
                 await self.attempt(self.watch)
             else:
                 await self.catch_up()
@@ -143,7 +143,7 @@
         """
         return (
             now - self.nodes_read_at >= REREAD_SECONDS
-            and self.lost_at is None
+            and self.store_lost_at is None
             and relays.is_relay(self.members, now)
             and bool(
                 fleet.silent_data_centres(
@@ -157,10 +157,10 @@
 
     def should_probe_store(self, now: float) -> bool:
         """Tell whether to call a lost store now."""
-        if self.lost_at is None:
+        if self.store_lost_at is None:
             return False
         pause = fleet.probe_seconds(self.members, now)
-        return now - self.probed_at >= pause
+        return now - self.store_probed_at >= pause
 
     async def retry(self, call: StoreCall) -> None:
         """Repeat a call of the store until it succeeds."""
@@ -191,7 +191,7 @@
     async def join(self) -> None:
         """Register this node, then read the orders and the other nodes."""
         row = _NodeRow(
-            address=self.settings.addresses.for_peers(),
+            address=self.settings.addresses.peer_address(),
             data_centre=self.settings.data_centre,
         )
         put = (NODES, self.settings.instance, msgspec.json.encode(row))
@@ -283,8 +283,8 @@
     def handle_push(self, message: wire.OrdersPush) -> None:
         """Apply changed orders that another node has pushed.
 
-        If the base of a patch is not the row held here, the own revision
-        stays, and `catch_up` requests whole rows.
+        If the base of a patch is not the row held here, this node's revision
+        does not advance, and `catch_up` requests whole rows.
         """
         rows = []
         revision = message.revision
@@ -332,7 +332,7 @@
 
     def apply(self, changed: list[wire.OrderRow]) -> None:
         """Put changed orders in force and publish the revision."""
-        self.peers.orders = self.order_store.revision
+        self.peers.orders_revision = self.order_store.revision
         if not changed:
             return
         before = self.view
@@ -435,8 +435,8 @@
 
     def record_store_lost(self, error: errors.PlatformError) -> None:
         """Record a failed call of the store and request orders from peers."""
-        if self.lost_at is None:
-            self.lost_at = self.loop.time()
+        if self.store_lost_at is None:
+            self.store_lost_at = self.loop.time()
             events.emit(_LOG, events.STORE_LOST, error=error.message)
             self.peers.reaches_store = False
             self.peers.schedule_publish()
@@ -445,10 +445,10 @@
     def record_store_regained(self) -> None:
         """Record a successful call of the store."""
         self.retry_pause_seconds = MIN_RETRY_PAUSE_SECONDS
-        if self.lost_at is None:
+        if self.store_lost_at is None:
             return
-        seconds = round(self.loop.time() - self.lost_at, 1)
-        self.lost_at = None
+        seconds = round(self.loop.time() - self.store_lost_at, 1)
+        self.store_lost_at = None
         events.emit(_LOG, events.STORE_REGAINED, seconds=seconds)
         self.peers.reaches_store = True
         self.peers.schedule_publish()
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -138,7 +138,7 @@
         revision, order = self.order_task.view.rollouts[service]
         known = self.order_task.view.service_trials.get(service)
         if known is not None and known.order == revision:
-            self.set_seconds(known, order.seconds)
+            self.set_duration(known, order.seconds)
             return
         if known is not None and known.order > revision:
             return
@@ -160,7 +160,7 @@
             )
         )
 
-    def set_seconds(self, trial: trials.Trial, seconds: float) -> None:
+    def set_duration(self, trial: trials.Trial, seconds: float) -> None:
         """Set the duration of a trial that was received before its order."""
         if not trial.seconds:
             self.order_task.replace_view(
@@ -319,7 +319,7 @@
         nodes may take themselves for the holder for a moment; the conditional
         write of the store's row resolves that.
         """
-        if self.order_task.lost_at is not None:
+        if self.order_task.store_lost_at is not None:
             return False
         return not any(
             state.node < self.settings.instance
--- a/tests/sidecar/cases.py
+++ b/tests/sidecar/cases.py
@@ -46,5 +46,5 @@
             while not check():
                 await asyncio.sleep(0.01)
 
-    def ran(self):
+    def count_runs(self):
         return sum(len(backend.runs) for backend in self.backends)
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -73,7 +73,7 @@
             backend.mode = "reset"
         found = await self.call_all(6, "/reports/1", method=b"POST")
         self.assertEqual([502] * 6, found)
-        self.assertEqual(6, self.ran())
+        self.assertEqual(6, self.count_runs())
 
     async def test_lost_answer_of_safe_request_is_retried(self):
         """Guards against failures that a retry would have avoided."""
@@ -131,12 +131,12 @@
         await self.start("dc-a", "dc-a")
         for _ in range(20):
             await self.call_all(2, "/reports/1", method=b"POST")
-        runs_before = self.ran()
+        runs_before = self.count_runs()
         for backend in self.backends:
             backend.work_seconds = 0.8
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
-        self.assertEqual(runs_before + 4, self.ran())
+        self.assertEqual(runs_before + 4, self.count_runs())
 
     async def test_wrong_and_truncated_responses_are_not_delivered(self):
         """Guards against truncated responses and those of other requests."""
@@ -152,7 +152,7 @@
         self.backends[0].mode = "shed"
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
-        self.assertEqual(4, self.ran())
+        self.assertEqual(4, self.count_runs())
 
     async def test_refused_request_has_not_run_and_gets_retry_after(self):
         """Guards against a run of a request that was answered as not run."""
@@ -165,7 +165,7 @@
         self.assertEqual(503, result.response.status)
         retry = http.find_header(result.response.headers, b"retry-after")
         self.assertGreater(float(retry), 0.0)
-        self.assertEqual(0, self.ran())
+        self.assertEqual(0, self.count_runs())
 
     async def test_server_never_gets_more_than_its_slots(self):
         """Guards against servers that hang beyond their slots."""
@@ -237,4 +237,4 @@
         await self.mesh.beat(self.nodes[0])
         await self.call_all(100)
         # The rate is 20 a second; half as many more and 5 are allowed.
-        self.assertLessEqual(self.ran(), 35)
+        self.assertLessEqual(self.count_runs(), 35)
--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -161,10 +161,10 @@
         await asyncio.sleep(0.1)
         self.nodes[0].signal(signal.SIGTERM)
         await asyncio.sleep(3.2)
-        before = self.ran()
+        before = self.count_runs()
         found = await self.call_all(1, deadline_ms=9000)
         self.assertIn(found[0], (503, http.Failure.NOT_CONNECTED))
-        self.assertEqual(before, self.ran())
+        self.assertEqual(before, self.count_runs())
         for task in (running, *kept):
             self.assertIsInstance((await task)[0], int)
 
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -38,12 +38,12 @@
         self.store = CountingStore()
         self.members = fleet.Fleet(node="n2", data_centre="dc-a")
         peers = types.SimpleNamespace(
-            orders=0,
+            orders_revision=0,
             reaches_store=True,
             update_connections=lambda: None,
             schedule_publish=lambda: None,
         )
-        addresses = types.SimpleNamespace(for_peers=lambda: "127.0.0.1:1")
+        addresses = types.SimpleNamespace(peer_address=lambda: "127.0.0.1:1")
         return orders.Orders(
             settings=types.SimpleNamespace(
                 instance="n2",
@@ -119,5 +119,5 @@
         silent = later + orders.LONG_SILENT_SECONDS + 0.1
         fleet.record_contact(self.members, "n2", silent)
         self.assertTrue(task.should_read_nodes(silent))
-        task.lost_at = later
+        task.store_lost_at = later
         self.assertFalse(task.should_read_nodes(silent))
