--- a/apricotpost/sidecar/logs.py
+++ b/apricotpost/sidecar/logs.py
@@ -59,7 +59,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # The reader is gone, and so is the place for an error message.
+                # The reader has closed the pipe; no error can be logged.
                 self.lines.clear()
                 return
             if written < len(line):
--- a/apricotpost/sidecar/main.py
+++ b/apricotpost/sidecar/main.py
@@ -1,4 +1,4 @@
-"""``apricotpost-sidecar``: command that runs a node of one event loop."""
+"""``apricotpost-sidecar``: runs the event-loop node of a backend server."""
 
 import argparse
 import logging
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -315,9 +315,9 @@
     def is_holder(self, now: float) -> bool:
         """Tell whether this node is the holder, which writes the status.
 
-        The holder is the first live node by name that reaches the store. Two
-        nodes may take themselves for the holder for a moment; the conditional
-        write of the store's row resolves that.
+        The holder is the first live node by name that reaches the store. For
+        a moment two nodes may consider themselves the holder; the conditional
+        write of the store's row decides then.
         """
         if self.order_task.store_lost_at is not None:
             return False
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -41,8 +41,9 @@
     async def test_call_reaches_a_server_behind_the_relays(self):
         """Guards against servers that only the relays can reach.
 
-        The third nodes of both data centres are not relays. The node that
-        starts first takes itself for one and may have connected to others.
+        The third nodes of both data centres are not relays. A node that starts
+        first acts as a relay until it knows the others, and may have connected
+        to some in the other data centre.
         """
         routes = [{"prefix": "/reports/", "service": "fieldbook"}]
         services = ("portal",) * 5 + ("fieldbook",)
