--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -347,7 +347,7 @@
     def handle_rejection(
         self, queued: ranked.QueuedRequest, response: http.Response
     ) -> None:
-        """Reply that the backend server has rejected a request unrun."""
+        """Reply that the backend server has refused to run a request."""
         offer = queued.payload.offer
         now = self.loop.time()
         ranked.finish(
