Reword the HTTP client and listener

Private names say what they hold: Connection.broken is ignores_input, Exchange.output encoded_response, Client.idle idle_connections, and keep is release. Test methods name the behaviour that they check. The docstring of Client.send adds that a negative max_idle forces a new connection.

--- a/apricotpost/http/__init__.py
+++ b/apricotpost/http/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 on the event loop: one listener and one client for every address."""
+"""HTTP/1.1 server and client on the event loop, one object per address."""
 
 from apricotpost.http.client import Client
 from apricotpost.http.client import Failure
--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client of one address with kept connections."""
+"""HTTP/1.1 client of one address with persistent connections."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,15 +13,15 @@
 
 __all__ = ["Client", "Failure", "RequestHandle", "Result"]
 
-# A connection that is used this close to its announced end may cross the
-# server's close.
+# The server may already be closing a connection whose announced keep-alive
+# time-out ends within this time.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-_TIMEOUT = re.compile(rb"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
 class Failure(enum.StrEnum):
-    """Why a request has no response."""
+    """Why a request failed without a response."""
 
     NOT_CONNECTED = "not-connected"
     CONNECTION_LOST = "connection-lost"
@@ -31,17 +31,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Result:
-    """End of a request.
+    """Response to a request, or the reason why there is none.
 
     Parameters
     ----------
     response : messages.Response or None
-        The whole response.
+        The complete response.
     failure : Failure or None
-        Why there is none. Only after `Failure.NOT_CONNECTED` is it certain
-        that the server has not seen the request.
+        Why there is no response. Only `Failure.NOT_CONNECTED` guarantees
+        that the server has not received the request.
     reused : bool
-        Whether the connection had carried a request before.
+        Whether the connection had carried an earlier request.
     """
 
     response: messages.Response | None = None
@@ -49,22 +49,22 @@
     reused: bool = False
 
 
-Done = Callable[[Result], None]
+ResultCallback = Callable[[Result], None]
 
 
 class RequestHandle:
-    """A request that is under way."""
+    """A request in progress."""
 
     __slots__ = ("connection", "done", "task", "timer")
 
-    def __init__(self, *, done: Done) -> None:
-        self.done: Done | None = done
+    def __init__(self, *, done: ResultCallback) -> None:
+        self.done: ResultCallback | None = done
         self.connection: Connection | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
     def finish(self, result: Result) -> None:
-        """Report the end once."""
+        """Report the result, unless the request has ended already."""
         done = self.done
         self.done = None
         if self.timer is not None:
@@ -73,7 +73,7 @@
             done(result)
 
     def cancel(self) -> None:
-        """Give the request up and close its connection."""
+        """Cancel the request and close its connection."""
         self.done = None
         if self.timer is not None:
             self.timer.cancel()
@@ -83,7 +83,7 @@
             self.connection.abort()
 
     def expire(self) -> None:
-        """End the request for lack of time."""
+        """Cancel the request and report that it timed out."""
         done = self.done
         self.cancel()
         if done is not None:
@@ -91,7 +91,7 @@
 
 
 class Client:
-    """Connections to one address.
+    """HTTP client with a pool of connections to one address.
 
     Parameters
     ----------
@@ -100,9 +100,10 @@
     port : int
         TCP port.
     connect_seconds : float
-        Longest time for a new connection.
+        Time limit for opening a connection.
     max_idle_seconds : float
-        Longest idle time of a kept connection, unless the server says less.
+        Longest idle time before a connection is reused, unless the server
+        announces a shorter one.
     """
 
     def __init__(
@@ -118,30 +119,31 @@
         self.connect_seconds = connect_seconds
         self.max_idle_seconds = max_idle_seconds
         self.loop = asyncio.get_running_loop()
-        self.idle: list[Connection] = []
+        self.idle_connections: list[Connection] = []
         self.connections: set[Connection] = set()
-        self.opened = 0
+        self.opened_count = 0
 
     def send(
         self,
         request: messages.Request,
-        done: Done,
+        done: ResultCallback,
         *,
         timeout: float,
         max_idle: float | None = None,
     ) -> RequestHandle:
-        """Send a request.
+        """Send a request on an idle or a new connection.
 
         Parameters
         ----------
         request : messages.Request
-            What to send.
+            The request to send.
         done : callable
             Called once with the `Result`, unless the request is cancelled.
         timeout : float
-            Longest time for the whole response, in seconds.
+            Time limit for the complete response, in seconds.
         max_idle : float, optional
-            Longest idle time, in seconds, of a connection used for it.
+            Longest time, in seconds, that a reused connection may have been
+            idle. A negative value forces a new connection.
         """
         handle = RequestHandle(done=done)
         handle.timer = self.loop.call_later(timeout, handle.expire)
@@ -149,26 +151,31 @@
         if connection is not None:
             connection.start(request, handle)
         else:
-            handle.task = self.loop.create_task(self.open(request, handle))
+            handle.task = self.loop.create_task(
+                self.open_and_send(request, handle)
+            )
         return handle
 
     def acquire_idle(self, max_idle: float | None) -> "Connection | None":
-        """Return a kept connection that is fresh enough, if any."""
+        """Remove and return a recently used idle connection, if any."""
         now = self.loop.time()
-        while self.idle:
-            connection = self.idle[-1]
-            age = now - connection.idle_since
-            if not connection.is_open() or age > connection.keep_seconds:
-                self.idle.pop()
+        while self.idle_connections:
+            connection = self.idle_connections[-1]
+            idle_seconds = now - connection.idle_since
+            if (
+                not connection.is_open()
+                or idle_seconds > connection.reuse_seconds
+            ):
+                self.idle_connections.pop()
                 connection.abort()
                 continue
-            if max_idle is not None and age > max_idle:
+            if max_idle is not None and idle_seconds > max_idle:
                 return None
-            self.idle.pop()
+            self.idle_connections.pop()
             return connection
         return None
 
-    async def open(
+    async def open_and_send(
         self, request: messages.Request, handle: RequestHandle
     ) -> None:
         """Open a connection and send the request on it."""
@@ -182,92 +189,92 @@
             handle.finish(Result(failure=Failure.NOT_CONNECTED))
             return
         handle.task = None
-        self.opened += 1
+        self.opened_count += 1
         if handle.done is None:
             connection.abort()
             return
         connection.start(request, handle)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, including those with open requests."""
         for connection in tuple(self.connections):
             connection.abort()
 
     def close_idle(self) -> None:
-        """Close the connections that carry no request."""
-        for connection in tuple(self.idle):
+        """Close the idle connections."""
+        for connection in tuple(self.idle_connections):
             connection.abort()
-        self.idle.clear()
+        self.idle_connections.clear()
 
 
 class Connection(asyncio.Protocol):
-    """One connection; it carries one request at a time."""
+    """A connection, which carries one request at a time."""
 
     def __init__(self, *, client: Client) -> None:
         self.client = client
         self.transport: typing.Any = None
         self.handle: RequestHandle | None = None
         self.parser: typing.Any = None
-        self.head = False
-        self.uses = 0
+        self.is_head_request = False
+        self.request_count = 0
         self.idle_since = 0.0
-        self.keep_seconds = client.max_idle_seconds
-        self.reset_message()
+        self.reuse_seconds = client.max_idle_seconds
+        self.reset_response()
 
-    def reset_message(self) -> None:
-        """Forget the response before."""
+    def reset_response(self) -> None:
+        """Clear the state of the previous response."""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.body_bytes = 0
-        self.in_body = False
-        self.complete = False
-        self.extra = False
+        self.has_headers = False
+        self.is_complete = False
+        self.has_extra_data = False
         self.status = 0
         self.keep_alive = False
 
     def start(self, request: messages.Request, handle: RequestHandle) -> None:
-        """Send a request."""
-        self.uses += 1
+        """Send a request on this connection."""
+        self.request_count += 1
         self.handle = handle
         handle.connection = self
-        self.head = request.method == b"HEAD"
+        self.is_head_request = request.method == b"HEAD"
         self.parser = httptools.HttpResponseParser(self)
-        self.reset_message()
+        self.reset_response()
         if not self.is_open():
-            self.fail(Failure.CONNECTION_LOST)
+            self.report_failure(Failure.CONNECTION_LOST)
             return
         self.transport.write(messages.encode_request(request))
 
     def is_open(self) -> bool:
-        """Tell whether the connection can carry a request."""
+        """Return whether the connection can carry a request."""
         return self.transport is not None and not self.transport.is_closing()
 
     def abort(self) -> None:
-        """Close at once."""
+        """Close the connection without sending buffered data."""
         if self.transport is not None:
             self.transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Store the transport and register with the client."""
         self.transport = transport
         self.client.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the request, if any."""
+        """Complete or fail the open request, if any."""
         self.transport = None
         self.client.connections.discard(self)
-        if self in self.client.idle:
-            self.client.idle.remove(self)
+        if self in self.client.idle_connections:
+            self.client.idle_connections.remove(self)
         if self.handle is None:
             return
-        if exc is None and self.in_body and self.ends_with_connection():
-            self.finish_message()
-            self.deliver()
+        if exc is None and self.has_headers and self.is_delimited_by_close():
+            self.finish_response()
+            self.report_response()
             return
-        self.fail(Failure.CONNECTION_LOST)
+        self.report_failure(Failure.CONNECTION_LOST)
 
-    def ends_with_connection(self) -> bool:
-        """Tell whether the response has no length of its own."""
+    def is_delimited_by_close(self) -> bool:
+        """Return whether only the close of the connection ends the body."""
         headers = tuple(self.headers)
         return (
             messages.find_header(headers, b"content-length") is None
@@ -275,32 +282,34 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of the response."""
+        """Parse a chunk of the response."""
         if self.handle is None:
-            # Nothing was asked for: an additional answer or garbage.
+            # No request is open, so these bytes belong to no response.
             self.abort()
             return
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self.complete:
+            if not self.is_complete:
                 self.abort()
-                self.fail(Failure.MALFORMED)
+                self.report_failure(Failure.MALFORMED)
                 return
-            self.extra = True
-        if self.complete:
-            self.deliver()
+            self.has_extra_data = True
+        if self.is_complete:
+            self.report_response()
 
-    def fail(self, failure: Failure) -> None:
-        """Report that there is no response."""
+    def report_failure(self, failure: Failure) -> None:
+        """Fail the open request."""
         handle = self.handle
         self.handle = None
         if handle is not None:
             handle.connection = None
-            handle.finish(Result(failure=failure, reused=self.uses > 1))
+            handle.finish(
+                Result(failure=failure, reused=self.request_count > 1)
+            )
 
-    def deliver(self) -> None:
-        """Report the response and keep or close the connection."""
+    def report_response(self) -> None:
+        """Report the response, and pool or close the connection."""
         handle = self.handle
         self.handle = None
         headers = tuple(self.headers)
@@ -309,58 +318,64 @@
             headers=headers,
             body=b"".join(self.body),
         )
-        self.keep(headers)
+        self.release(headers)
         if handle is not None:
             handle.connection = None
-            handle.finish(Result(response=response, reused=self.uses > 1))
+            handle.finish(
+                Result(response=response, reused=self.request_count > 1)
+            )
 
-    def keep(self, headers: messages.Headers) -> None:
-        """Keep the connection for later requests where that is safe."""
+    def release(self, headers: messages.Headers) -> None:
+        """Return the connection to the pool, or close it if not reusable."""
         if not self.is_open():
             return
         if (
-            self.extra
-            or self.head
+            self.has_extra_data
+            or self.is_head_request
             or not self.keep_alive
-            or self.ends_with_connection()
+            or self.is_delimited_by_close()
             or self.transport.get_write_buffer_size()
         ):
             self.transport.close()
             return
-        self.keep_seconds = self.client.max_idle_seconds
+        self.reuse_seconds = self.client.max_idle_seconds
         announced = messages.find_header(headers, b"keep-alive")
-        found = _TIMEOUT.search(announced) if announced is not None else None
+        found = (
+            _KEEP_ALIVE_TIMEOUT.search(announced)
+            if announced is not None
+            else None
+        )
         if found is not None:
-            self.keep_seconds = min(
-                self.keep_seconds,
+            self.reuse_seconds = min(
+                self.reuse_seconds,
                 int(found.group(1)) - KEEP_ALIVE_MARGIN_SECONDS,
             )
         self.idle_since = self.client.loop.time()
-        self.client.idle.append(self)
+        self.client.idle_connections.append(self)
 
-    # Callbacks of the parser.
+    # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
-        """Note a second response in the same bytes."""
-        if self.complete:
-            self.extra = True
+        """Record that another message follows the complete response."""
+        if self.is_complete:
+            self.has_extra_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        if not self.complete:
+        """Store a header."""
+        if not self.is_complete:
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Finish a response without a body."""
-        if self.complete:
+        """Finish the response if the request was HEAD."""
+        if self.is_complete:
             return
-        self.in_body = True
-        if self.head:
-            self.finish_message()
+        self.has_headers = True
+        if self.is_head_request:
+            self.finish_response()
 
     def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        if self.complete:
+        """Store a chunk of the body, and abort if the body is too large."""
+        if self.is_complete:
             return
         self.body_bytes += len(body)
         if self.body_bytes > MAX_RESPONSE_BYTES:
@@ -369,16 +384,16 @@
         self.body.append(body)
 
     def on_message_complete(self) -> None:
-        """Finish the response, unless it is an interim one."""
-        if self.complete:
+        """Finish the response, or discard an interim (1xx) one."""
+        if self.is_complete:
             return
         if 100 <= self.parser.get_status_code() < 200:
-            self.reset_message()
+            self.reset_response()
             return
-        self.finish_message()
+        self.finish_response()
 
-    def finish_message(self) -> None:
-        """Keep what belongs to this response; more bytes may follow."""
-        self.complete = True
+    def finish_response(self) -> None:
+        """Store the status and keep-alive flag before more data is parsed."""
+        self.is_complete = True
         self.status = self.parser.get_status_code()
         self.keep_alive = self.parser.should_keep_alive()
--- a/apricotpost/http/messages.py
+++ b/apricotpost/http/messages.py
@@ -1,4 +1,4 @@
-"""HTTP messages as values, and their encoding."""
+"""HTTP requests and responses, and their encoding."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -16,7 +16,8 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
-# RFC 9110, section 7.6.1: these concern one connection only.
+# Hop-by-hop headers (RFC 9110, section 7.6.1): they apply to one connection
+# and are not forwarded.
 _HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -32,12 +33,14 @@
     )
 )
 _CONTENT_LENGTH = b"content-length"
-_REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
+_REASON_PHRASES = {
+    known.value: known.phrase.encode() for known in http.HTTPStatus
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
-    """A request with its whole body."""
+    """A request with its complete body."""
 
     method: bytes
     target: bytes
@@ -47,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
-    """A response with its whole body."""
+    """A response with its complete body."""
 
     status: int
     headers: Headers = ()
@@ -55,32 +58,44 @@
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the value of the first header of a lower-case name."""
+    """Return the value of the first header with a name.
+
+    Parameters
+    ----------
+    headers : Headers
+        Headers to search.
+    name : bytes
+        Name in lower case.
+    """
     for key, value in headers:
         if len(key) == len(name) and key.lower() == name:
             return value
     return None
 
 
-def strip_hop_headers(headers: Headers, also: Iterable[bytes] = ()) -> Headers:
-    """Drop the headers of one connection and the lengths.
+def strip_hop_headers(
+    headers: Headers, further_names: Iterable[bytes] = ()
+) -> Headers:
+    """Return the headers without the hop-by-hop headers and Content-Length.
 
     Parameters
     ----------
     headers : Headers
-        As received.
-    also : iterable of bytes
-        Further names to drop, in lower case.
+        Headers as received.
+    further_names : iterable of bytes
+        Names of further headers to drop, in lower case.
     """
-    dropped = {*_HOP_HEADERS, _CONTENT_LENGTH, *also}
-    named = find_header(headers, b"connection")
-    if named is not None:
-        dropped.update(n.strip().lower() for n in named.split(b","))
+    dropped = {*_HOP_HEADERS, _CONTENT_LENGTH, *further_names}
+    connection_header = find_header(headers, b"connection")
+    if connection_header is not None:
+        dropped.update(
+            n.strip().lower() for n in connection_header.split(b",")
+        )
     return tuple(h for h in headers if h[0].lower() not in dropped)
 
 
 def encode_request(request: Request) -> bytes:
-    """Encode a request that keeps its connection open."""
+    """Encode a request without a Connection header."""
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     lines.extend(b"%b: %b\r\n" % header for header in request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -98,13 +113,13 @@
     Parameters
     ----------
     response : Response
-        What to send.
+        The response to encode.
     close : bool
-        Whether the connection closes afterwards.
+        Whether to announce that the connection closes after the response.
     head : bool
         Whether the request was HEAD, whose response has no body.
     """
-    reason = _REASONS.get(response.status, b"Unknown")
+    reason = _REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %b\r\n" % (response.status, reason)]
     lines.extend(b"%b: %b\r\n" % header for header in response.headers)
     if response.status >= 200 and response.status not in (204, 304):
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 listener: parses requests and sends answers in order."""
+"""HTTP/1.1 listener: parses requests and sends responses in order."""
 
 import asyncio
 import collections
@@ -13,9 +13,10 @@
 __all__ = ["Exchange", "Listener", "Limits"]
 
 BACKLOG_CONNECTIONS = 1024
-# Requests of one connection that are handled at the same time.
+# Requests of one connection that may be open at the same time; reading is
+# paused at this number.
 MAX_PIPELINED_REQUESTS = 32
-# How often a connection looks for an expired header or idle time.
+# Interval at which a connection checks its header and idle time-outs.
 TIMEOUT_CHECK_SECONDS = 1.0
 
 Handler = Callable[["Exchange"], None]
@@ -23,18 +24,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """What a client may send.
+    """Limits on what clients may send.
 
     Parameters
     ----------
     header_bytes, body_bytes : int
-        Largest request head and body.
+        Largest request head and largest body.
     header_seconds : float
-        Longest time for a request head.
+        Time limit for receiving a request head.
     idle_seconds : float
-        Longest time without a request.
+        Longest time that a connection may be idle.
     buffered_bytes : int
-        Bodies of all requests that are held at the same time.
+        Largest total size of the request bodies that the listener holds.
     """
 
     header_bytes: int = 16_384
@@ -45,18 +46,18 @@
 
 
 class Exchange:
-    """One request and the place of its response.
+    """One request and its response.
 
     Parameters
     ----------
     connection : Connection
-        Where the request came in.
+        Connection that received the request.
     request : messages.Request
-        The whole request.
+        The complete request.
     keep_alive : bool
-        Whether the client keeps the connection.
+        Whether the connection stays open after the response.
     arrived_at : float
-        Monotonic time, in seconds.
+        Time on the event loop's clock, in seconds.
     """
 
     __slots__ = (
@@ -64,7 +65,7 @@
         "connection",
         "keep_alive",
         "on_disconnect",
-        "output",
+        "encoded_response",
         "request",
     )
 
@@ -81,19 +82,22 @@
         self.keep_alive = keep_alive
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
-        self.output: bytes | None = None
+        self.encoded_response: bytes | None = None
 
     def respond(
         self, response: messages.Response, *, close: bool = False
     ) -> None:
-        """Send the response as soon as those before it are sent."""
-        if self.output is not None:
+        """Send the response once all earlier ones on the connection are sent.
+
+        Later calls for the same request have no effect.
+        """
+        if self.encoded_response is not None:
             return
         self.on_disconnect = None
-        self.connection.listener.buffered -= len(self.request.body)
+        self.connection.listener.buffered_body_bytes -= len(self.request.body)
         if close or self.connection.listener.closing:
             self.keep_alive = False
-        self.output = messages.encode_response(
+        self.encoded_response = messages.encode_response(
             response,
             close=not self.keep_alive,
             head=self.request.method == b"HEAD",
@@ -102,14 +106,14 @@
 
 
 class Listener:
-    """A listening address.
+    """HTTP server on one address.
 
     Parameters
     ----------
     handler : callable
-        Called with each `Exchange`; it or a later event responds.
+        Called with each `Exchange`; `Exchange.respond` may be called later.
     limits : Limits
-        Replaced when the configuration changes.
+        Current limits; replaced when the configuration changes.
     """
 
     def __init__(self, *, handler: Handler, limits: Limits) -> None:
@@ -117,11 +121,11 @@
         self.limits = limits
         self.connections: set[Connection] = set()
         self.closing = False
-        self.buffered = 0
+        self.buffered_body_bytes = 0
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Start to listen.
+        """Start listening.
 
         Raises
         ------
@@ -138,20 +142,20 @@
         )
 
     def start_closing(self) -> None:
-        """Announce the end of connections with every response from now."""
+        """Send ``Connection: close`` with every response from now on."""
         self.closing = True
 
     def stop_listening(self) -> None:
-        """Take no new connections; those that are open stay."""
+        """Accept no new connections; open ones stay open."""
         if self.server is not None:
             self.server.close()
 
     def open_exchanges(self) -> int:
-        """Return how many requests have no complete response yet."""
+        """Return the number of requests whose response is not written yet."""
         return sum(len(c.exchanges) for c in self.connections)
 
     def close(self) -> None:
-        """Stop to listen and close all connections."""
+        """Stop listening and close all connections."""
         if self.server is not None:
             self.server.close()
         for connection in tuple(self.connections):
@@ -159,7 +163,7 @@
 
 
 class Connection(asyncio.Protocol):
-    """One client's connection."""
+    """Connection of one client."""
 
     def __init__(
         self, *, listener: Listener, loop: asyncio.AbstractEventLoop
@@ -170,72 +174,72 @@
         self.peer_host = ""
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: collections.deque[Exchange] = collections.deque()
-        self.last_activity = loop.time()
+        self.last_activity_at = loop.time()
         self.timer: asyncio.TimerHandle | None = None
-        self.broken = False
+        self.ignores_input = False
         self.reading_paused = False
-        self.in_message = False
-        self.url = b""
+        self.receiving_request = False
+        self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.header_bytes = 0
         self.body_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the checks of time limits."""
+        """Register the connection and start its time-out checks."""
         self.transport = transport
-        peer = transport.get_extra_info("peername")
-        self.peer_host = peer[0] if peer else ""
+        peer_address = transport.get_extra_info("peername")
+        self.peer_host = peer_address[0] if peer_address else ""
         self.listener.connections.add(self)
         self.timer = self.loop.call_later(
             TIMEOUT_CHECK_SECONDS, self.check_timeouts
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the handlers of open requests that the client is gone."""
+        """Notify the handlers of open requests of the disconnect."""
         self.listener.connections.discard(self)
         if self.timer is not None:
             self.timer.cancel()
         self.transport = None
-        self.listener.buffered -= self.body_bytes
+        self.listener.buffered_body_bytes -= self.body_bytes
         for exchange in self.exchanges:
-            if exchange.output is None:
-                self.listener.buffered -= len(exchange.request.body)
+            if exchange.encoded_response is None:
+                self.listener.buffered_body_bytes -= len(exchange.request.body)
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
                 exchange.on_disconnect = None
         self.exchanges.clear()
 
     def is_from(self, host: str) -> bool:
-        """Tell whether the client has a certain IP address."""
+        """Return whether the client's IP address is `host`."""
         return self.peer_host == host
 
     def eof_received(self) -> bool:
-        """Close; a client that ended its side takes no response."""
+        """Close the connection; a client that half-closes gets no response."""
         return False
 
     def close(self) -> None:
-        """Close after the data that is already written."""
+        """Close the connection after buffered data is sent."""
         if self.transport is not None:
             self.transport.close()
 
     def data_received(self, data: bytes) -> None:
-        """Parse what the client sent."""
-        self.last_activity = self.loop.time()
-        if self.broken:
+        """Parse data from the client."""
+        self.last_activity_at = self.loop.time()
+        if self.ignores_input:
             return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.broken = True
+            self.ignores_input = True
         except httptools.HttpParserError:
             self.refuse(400)
 
     def refuse(self, status: int) -> None:
-        """Answer a request that is not handled, and end the connection."""
-        if self.broken:
+        """Respond with an error status, and close the connection after it."""
+        if self.ignores_input:
             return
-        self.broken = True
+        self.ignores_input = True
         exchange = Exchange(
             connection=self,
             request=messages.Request(method=b"GET", target=b""),
@@ -246,107 +250,119 @@
         exchange.respond(messages.Response(status=status), close=True)
 
     def flush(self) -> None:
-        """Write the responses that are next in order."""
-        while self.exchanges and self.exchanges[0].output is not None:
+        """Write the responses that are ready, in the order of requests."""
+        while (
+            self.exchanges and self.exchanges[0].encoded_response is not None
+        ):
             exchange = self.exchanges.popleft()
             if self.transport is None:
                 continue
-            self.transport.write(exchange.output)
+            self.transport.write(exchange.encoded_response)
             if not exchange.keep_alive:
                 self.exchanges.clear()
-                self.broken = True
+                self.ignores_input = True
                 self.transport.close()
                 return
-        self.last_activity = self.loop.time()
+        self.last_activity_at = self.loop.time()
         if self.reading_paused and self.transport is not None:
             self.reading_paused = False
             self.transport.resume_reading()
 
     def check_timeouts(self) -> None:
-        """End a connection that is idle or whose request head is late."""
+        """Close the connection if it is idle or its request head is late."""
         if self.transport is None:
             return
         limits = self.listener.limits
-        idle = self.loop.time() - self.last_activity
+        idle_seconds = self.loop.time() - self.last_activity_at
         if not self.exchanges:
-            if self.in_message and idle > limits.header_seconds:
+            if self.receiving_request and idle_seconds > limits.header_seconds:
                 self.refuse(408)
                 return
-            if idle > limits.idle_seconds:
+            if idle_seconds > limits.idle_seconds:
                 self.transport.close()
                 return
         self.timer = self.loop.call_later(
             TIMEOUT_CHECK_SECONDS, self.check_timeouts
         )
 
-    # Callbacks of the parser.
+    # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
-        """Start a request."""
-        self.in_message = True
-        self.url = b""
+        """Reset the state for a new request."""
+        self.receiving_request = True
+        self.target = b""
         self.headers = []
         self.body = []
         self.header_bytes = 0
         self.body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
-        """Take a part of the target."""
-        self.url += url
-        self.count_header(len(url))
+        """Append a chunk of the request target."""
+        self.target += url
+        self.add_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Store a header."""
         self.headers.append((name, value))
-        self.count_header(len(name) + len(value) + 4)
+        self.add_header_bytes(len(name) + len(value) + 4)
 
-    def count_header(self, size: int) -> None:
-        """Refuse a head that is too large."""
+    def add_header_bytes(self, size: int) -> None:
+        """Add to the size of the request head, and refuse it if too large."""
         self.header_bytes += size
         if self.header_bytes > self.listener.limits.header_bytes:
             self.refuse(431)
 
     def on_headers_complete(self) -> None:
-        """Refuse ambiguous heads and let the client send the body."""
+        """Refuse an ambiguous head, or send 100 Continue if expected.
+
+        A head is ambiguous unless it has exactly one Host header.
+        """
         headers = tuple(self.headers)
-        hosts = sum(name.lower() == b"host" for name, _ in headers)
-        if hosts != 1:
+        host_count = sum(name.lower() == b"host" for name, _ in headers)
+        if host_count != 1:
             self.refuse(400)
             return
-        expected = messages.find_header(headers, b"expect")
-        if expected is not None and not self.exchanges and not self.broken:
+        expect_header = messages.find_header(headers, b"expect")
+        if (
+            expect_header is not None
+            and not self.exchanges
+            and not self.ignores_input
+        ):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Take a part of the body."""
-        if self.broken:
+        """Store a chunk of the body, and refuse it if it exceeds a limit."""
+        if self.ignores_input:
             return
         if self.body_bytes + len(body) > self.listener.limits.body_bytes:
             self.refuse(413)
             return
         self.body_bytes += len(body)
-        self.listener.buffered += len(body)
+        self.listener.buffered_body_bytes += len(body)
         self.body.append(body)
-        if self.listener.buffered > self.listener.limits.buffered_bytes:
+        if (
+            self.listener.buffered_body_bytes
+            > self.listener.limits.buffered_bytes
+        ):
             self.refuse(503)
 
     def on_message_complete(self) -> None:
-        """Hand the request to the handler."""
-        self.in_message = False
-        if self.broken:
+        """Pass the request to the handler."""
+        self.receiving_request = False
+        if self.ignores_input:
             return
         exchange = Exchange(
             connection=self,
             request=messages.Request(
                 method=self.parser.get_method(),
-                target=self.url,
+                target=self.target,
                 headers=tuple(self.headers),
                 body=b"".join(self.body),
             ),
             keep_alive=self.parser.should_keep_alive(),
             arrived_at=self.loop.time(),
         )
-        # The exchange accounts for the body from now.
+        # From here on the exchange accounts for the buffered body.
         self.body_bytes = 0
         self.exchanges.append(exchange)
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP client against raw answers over loopback."""
+"""Tests of the HTTP client against raw responses over loopback."""
 
 import asyncio
 import socket
@@ -14,10 +14,10 @@
 
 
 class ClientTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, *answers, end="keep"):
-        self.answers = list(answers)
+    async def start_server(self, *responses, end="keep"):
+        self.responses = list(responses)
         self.end = end
-        self.accepted = 0
+        self.accepted_count = 0
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
@@ -25,14 +25,14 @@
         self.addCleanup(self.client.close)
 
     async def serve(self, reader, writer):
-        self.accepted += 1
+        self.accepted_count += 1
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                writer.write(self.answers.pop(0))
+                writer.write(self.responses.pop(0))
                 await writer.drain()
                 if self.end == "reset":
-                    # Without a linger time, closing sends a reset.
+                    # With a linger time of zero, closing sends a reset.
                     writer.get_extra_info("socket").setsockopt(
                         socket.SOL_SOCKET,
                         socket.SO_LINGER,
@@ -49,87 +49,90 @@
             writer.close()
 
     async def send(self, *, timeout=1.0, **options):
-        ended = asyncio.get_running_loop().create_future()
-        self.client.send(GET, ended.set_result, timeout=timeout, **options)
-        return await ended
+        future = asyncio.get_running_loop().create_future()
+        self.client.send(GET, future.set_result, timeout=timeout, **options)
+        return await future
 
     async def test_keeps_connections(self):
-        """Guards against a connection for every request."""
-        await self.start(OK, OK)
+        """Guards against opening a new connection for every request."""
+        await self.start_server(OK, OK)
         for _ in range(2):
-            found = await self.send()
-            self.assertEqual(b"ok", found.response.body)
-        self.assertEqual(1, self.accepted)
+            result = await self.send()
+            self.assertEqual(b"ok", result.response.body)
+        self.assertEqual(1, self.accepted_count)
 
-    async def test_old_connections_are_not_trusted(self):
-        """Guards against unsafe requests on a forgotten connection."""
-        await self.start(OK, OK)
+    async def test_long_idle_connection_is_not_reused(self):
+        """Guards against losing a request on a connection closed as idle.
+
+        A request that must not be repeated sets a limit with ``max_idle``.
+        """
+        await self.start_server(OK, OK)
         await self.send()
         await asyncio.sleep(0.15)
         await self.send(max_idle=0.1)
-        self.assertEqual(2, self.accepted)
+        self.assertEqual(2, self.accepted_count)
 
-    async def test_announced_idle_time_is_kept(self):
-        """Guards against requests that cross the server's close."""
-        answer = OK.replace(b"\r\n", b"\r\nKeep-Alive: timeout=0\r\n", 1)
-        await self.start(answer, OK)
+    async def test_announced_keep_alive_timeout_is_respected(self):
+        """Guards against sending while the server closes the connection."""
+        response = OK.replace(b"\r\n", b"\r\nKeep-Alive: timeout=0\r\n", 1)
+        await self.start_server(response, OK)
         await self.send()
         await self.send()
-        self.assertEqual(2, self.accepted)
+        self.assertEqual(2, self.accepted_count)
 
-    async def test_answer_ends_with_the_connection(self):
-        """Guards against answers without a length taken for cut ones."""
-        await self.start(b"HTTP/1.1 200 OK\r\n\r\nall", end="close")
-        found = await self.send()
-        self.assertEqual(b"all", found.response.body)
+    async def test_close_delimits_response_without_length(self):
+        """Guards against reporting a close-delimited response as truncated."""
+        await self.start_server(b"HTTP/1.1 200 OK\r\n\r\nall", end="close")
+        result = await self.send()
+        self.assertEqual(b"all", result.response.body)
 
-    async def test_reset_answer_is_not_complete(self):
-        """Guards against half an answer taken for a whole one."""
-        for answer in (
+    async def test_reset_response_is_a_failure(self):
+        """Guards against accepting a truncated response as complete."""
+        for response in (
             b"HTTP/1.1 200 OK\r\n\r\nhalf",
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf",
         ):
-            await self.start(answer, end="reset")
-            found = await self.send()
-            self.assertIs(http.Failure.CONNECTION_LOST, found.failure)
+            await self.start_server(response, end="reset")
+            result = await self.send()
+            self.assertIs(http.Failure.CONNECTION_LOST, result.failure)
 
-    async def test_second_answer_belongs_to_no_request(self):
-        """Guards against answers that arrive for the next request."""
-        await self.start(OK + OK.replace(b"ok", b"no"), OK)
+    async def test_surplus_response_is_discarded(self):
+        """Guards against matching a surplus response to the next request."""
+        await self.start_server(OK + OK.replace(b"ok", b"no"), OK)
         self.assertEqual(b"ok", (await self.send()).response.body)
         self.assertEqual(b"ok", (await self.send()).response.body)
-        self.assertEqual(2, self.accepted)
+        self.assertEqual(2, self.accepted_count)
 
-    async def test_late_bytes_end_a_kept_connection(self):
-        """Guards against additional bytes while no request waits."""
-        await self.start(OK, OK)
+    async def test_data_on_idle_connection_closes_it(self):
+        """Guards against reading unsolicited data as the next response."""
+        await self.start_server(OK, OK)
         await self.send()
-        connection = self.client.idle[0]
+        connection = self.client.idle_connections[0]
         connection.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
         self.assertEqual(b"ok", (await self.send()).response.body)
-        self.assertEqual(2, self.accepted)
-
-    async def test_garbage_is_a_failure(self):
-        """Guards against bytes that are no answer."""
-        await self.start(b"no answer at all\r\n\r\n")
-        found = await self.send()
-        self.assertIs(http.Failure.MALFORMED, found.failure)
-
-    async def test_silence_ends_in_time(self):
-        """Guards against a server that never answers."""
-        await self.start(b"")
-        found = await self.send(timeout=0.2)
-        self.assertIs(http.Failure.TIMED_OUT, found.failure)
-
-    async def test_closed_port_means_not_sent(self):
-        """Guards against an unknown outcome of what was never sent."""
-        await self.start()
+        self.assertEqual(2, self.accepted_count)
+
+    async def test_malformed_response_is_a_failure(self):
+        """Guards against accepting data that is not an HTTP response."""
+        await self.start_server(b"no answer at all\r\n\r\n")
+        result = await self.send()
+        self.assertIs(http.Failure.MALFORMED, result.failure)
+
+    async def test_silent_server_times_out(self):
+        """Guards against waiting forever for a server that never responds."""
+        await self.start_server(b"")
+        result = await self.send(timeout=0.2)
+        self.assertIs(http.Failure.TIMED_OUT, result.failure)
+
+    async def test_refused_connection_means_not_connected(self):
+        """Guards against an unknown outcome for a request never sent."""
+        await self.start_server()
         self.client.port = 1
-        found = await self.send()
-        self.assertIs(http.Failure.NOT_CONNECTED, found.failure)
+        result = await self.send()
+        self.assertIs(http.Failure.NOT_CONNECTED, result.failure)
 
-    async def test_interim_answers_are_skipped(self):
-        """Guards against a 100 taken for the answer."""
-        await self.start(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+    async def test_interim_response_is_skipped(self):
+        """Guards against reporting a 100 response as the final one."""
+        await self.start_server(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
         self.assertEqual(200, (await self.send()).response.status)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -11,10 +11,10 @@
 
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, **limits):
+    async def start_listener(self, **limits):
         self.exchanges = []
-        self.gone = []
-        self.answer = True
+        self.disconnected = []
+        self.responds = True
         self.listener = http.Listener(
             handler=self.handle, limits=http.Limits(**limits)
         )
@@ -26,23 +26,23 @@
 
     def handle(self, exchange):
         self.exchanges.append(exchange)
-        exchange.on_disconnect = lambda: self.gone.append(exchange)
-        if self.answer:
+        exchange.on_disconnect = lambda: self.disconnected.append(exchange)
+        if self.responds:
             exchange.respond(
                 http.Response(status=200, body=exchange.request.body)
             )
 
-    async def talk(self, data, *, until_close=True):
+    async def exchange_data(self, data, *, until_close=True):
         self.writer.write(data)
         async with asyncio.timeout(3):
             if until_close:
                 return await self.reader.read()
             return await self.reader.readuntil(b"\r\n\r\n")
 
-    async def test_answers_pipelined_requests_in_order(self):
-        """Guards against answers that belong to another request."""
-        await self.start()
-        self.answer = False
+    async def test_pipelined_responses_keep_request_order(self):
+        """Guards against matching a response to another request."""
+        await self.start_listener()
+        self.responds = False
         self.writer.write(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
         self.writer.write(
             b"GET /2 HTTP/1.1\r\n" + HEAD + b"Connection: close\r\n\r\n"
@@ -57,10 +57,10 @@
         self.assertLess(data.index(b"/1"), data.index(b"/2"))
         self.assertIn(b"Connection: close", data)
 
-    async def test_takes_chunked_bodies(self):
-        """Guards against bodies without a length."""
-        await self.start()
-        data = await self.talk(
+    async def test_accepts_chunked_body(self):
+        """Guards against losing bodies without a Content-Length."""
+        await self.start_listener()
+        data = await self.exchange_data(
             b"POST / HTTP/1.1\r\n" + HEAD + b"Connection: close\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde"
             b"\r\n0\r\n\r\n"
@@ -68,8 +68,8 @@
         self.assertTrue(data.endswith(b"\r\n\r\nabcde"))
 
     async def test_refuses_ambiguous_requests(self):
-        """Guards against requests that are smuggled inside others."""
-        cases = (
+        """Guards against request smuggling."""
+        requests = (
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n",
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
@@ -79,73 +79,81 @@
             b"nonsense\r\n\r\n",
             b"GET / HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n",
         )
-        for case in cases:
-            await self.start()
-            data = await self.talk(case)
-            self.assertTrue(data.startswith(b"HTTP/1.1 400"), case)
-            self.assertEqual([], self.exchanges, case)
-
-    async def test_bounds_heads_and_bodies(self):
-        """Guards against clients that send without end."""
-        await self.start(header_bytes=200, body_bytes=10)
-        data = await self.talk(
+        for request in requests:
+            await self.start_listener()
+            data = await self.exchange_data(request)
+            self.assertTrue(data.startswith(b"HTTP/1.1 400"), request)
+            self.assertEqual([], self.exchanges, request)
+
+    async def test_refuses_oversized_head_and_body(self):
+        """Guards against clients that send an unlimited amount of data."""
+        await self.start_listener(header_bytes=200, body_bytes=10)
+        data = await self.exchange_data(
             b"GET / HTTP/1.1\r\n" + HEAD + b"A: " + b"a" * 300 + b"\r\n\r\n"
         )
         self.assertTrue(data.startswith(b"HTTP/1.1 431"))
-        await self.start(header_bytes=200, body_bytes=10)
-        data = await self.talk(
+        await self.start_listener(header_bytes=200, body_bytes=10)
+        data = await self.exchange_data(
             b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 11\r\n\r\n"
             b"aaaaaaaaaaa"
         )
         self.assertTrue(data.startswith(b"HTTP/1.1 413"))
 
-    async def test_ends_late_heads_and_idle_connections(self):
-        """Guards against connections that are held for nothing."""
-        await self.start(header_seconds=0.5, idle_seconds=0.5)
-        data = await self.talk(b"GET / HTTP/1.1\r\nHos")
+    async def test_closes_late_and_idle_connections(self):
+        """Guards against keeping connections that send no requests."""
+        await self.start_listener(header_seconds=0.5, idle_seconds=0.5)
+        data = await self.exchange_data(b"GET / HTTP/1.1\r\nHos")
         self.assertTrue(data.startswith(b"HTTP/1.1 408"))
-        await self.start(header_seconds=0.5, idle_seconds=0.5)
-        self.assertEqual(b"", await self.talk(b""))
+        await self.start_listener(header_seconds=0.5, idle_seconds=0.5)
+        self.assertEqual(b"", await self.exchange_data(b""))
 
-    async def test_tells_that_a_client_has_hung_up(self):
-        """Guards against work for callers that are gone."""
-        await self.start()
-        self.answer = False
+    async def test_client_disconnect_is_reported(self):
+        """Guards against continuing requests of disconnected callers."""
+        await self.start_listener()
+        self.responds = False
         self.writer.write(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
         async with asyncio.timeout(3):
             while not self.exchanges:
                 await asyncio.sleep(0.01)
             self.writer.close()
-            while not self.gone:
+            while not self.disconnected:
                 await asyncio.sleep(0.01)
 
-    async def test_closing_front_ends_connections_after_their_answer(self):
-        """Guards against requests that cross a close."""
-        await self.start()
+    async def test_closing_listener_sends_connection_close(self):
+        """Guards against losing requests sent while the listener closes.
+
+        Without the Connection header, the client may send its next request
+        on a connection that is about to close.
+        """
+        await self.start_listener()
         self.listener.start_closing()
-        data = await self.talk(b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n")
+        data = await self.exchange_data(
+            b"GET /1 HTTP/1.1\r\n" + HEAD + b"\r\n"
+        )
         self.assertIn(b"HTTP/1.1 200", data)
         self.assertIn(b"Connection: close", data)
 
     async def test_expected_continue_is_sent(self):
-        """Guards against clients that wait to send their body."""
-        await self.start()
-        data = await self.talk(
+        """Guards against clients waiting in vain for 100 Continue."""
+        await self.start_listener()
+        data = await self.exchange_data(
             b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 2\r\n"
             b"Expect: 100-continue\r\n\r\n",
             until_close=False,
         )
         self.assertTrue(data.startswith(b"HTTP/1.1 100"))
 
-    async def test_bodies_of_all_requests_are_bounded(self):
-        """Guards against a process that is killed for its memory."""
-        await self.start(buffered_bytes=10)
-        self.answer = False
+    async def test_total_size_of_bodies_is_limited(self):
+        """Guards against out-of-memory from the bodies of many requests."""
+        await self.start_listener(buffered_bytes=10)
+        self.responds = False
         head = b"POST / HTTP/1.1\r\n" + HEAD + b"Content-Length: 8\r\n\r\n"
         self.writer.write(head + b"a" * 8)
         self.writer.write(head + b"a" * 8)
         async with asyncio.timeout(3):
-            while not self.exchanges or self.listener.buffered <= 10:
+            while (
+                not self.exchanges or self.listener.buffered_body_bytes <= 10
+            ):
                 await asyncio.sleep(0.01)
         self.exchanges[0].respond(http.Response(status=200))
         data = await self.reader.read()
@@ -155,4 +163,4 @@
         async with asyncio.timeout(3):
             while self.listener.connections:
                 await asyncio.sleep(0.01)
-        self.assertEqual(0, self.listener.buffered)
+        self.assertEqual(0, self.listener.buffered_body_bytes)
