Reword the platform adapter

Comments at the fields of the platform's messages say what its names hold: zone is the data centre, ver a revision, priority a rank. Keys, paths and header names stay. Messages of the store's errors name the request or status that failed; no test or tool matches them.

--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -1,6 +1,7 @@
-"""Adapter of the users' platform: its names, formats and calls.
+"""Adapter for the platform: its names, formats and API calls.
 
-Nothing here decides, and nothing outside uses the platform's names.
+The package makes no decisions, and no other package uses the platform's
+names.
 """
 
 from apricotpost.platform.announcements import Deregistration
--- a/apricotpost/platform/announcements.py
+++ b/apricotpost/platform/announcements.py
@@ -1,4 +1,4 @@
-"""Calls with which backend servers announce themselves."""
+"""Decoding of heartbeats and deregistrations of backend servers."""
 
 import dataclasses
 import typing
@@ -12,34 +12,46 @@
 __all__ = ["Deregistration", "parse_announcement", "parse_heartbeat"]
 
 _HEARTBEAT_PATH = b"/v1/Instances.Heartbeat/"
-_LEAVE_PATH = b"/v1/Instances.Deregister/"
+_DEREGISTRATION_PATH = b"/v1/Instances.Deregister/"
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
     service: str
     address: str
+    # Data centre.
     zone: str
     version: str
+    # Requests that the backend server processes at the same time.
     slots: int
     state: typing.Literal["ready", "draining"]
+    # Number of the heartbeat since the start.
     seq: int
     cold_remaining_ms: int = 0
-    # Unix milliseconds of the start; absent on platforms where an
-    # identifier is never used again.
+    # Start time in Unix milliseconds; absent on platforms that never reuse
+    # an instance identifier.
     born: int = 0
 
 
-class _Leave(msgspec.Struct, frozen=True):
+class _DeregistrationBody(msgspec.Struct, frozen=True):
+    # Start time in Unix milliseconds; absent as in a heartbeat.
     born: int = 0
 
 
-_HEARTBEAT = msgspec.json.Decoder(_Heartbeat)
-_LEAVE = msgspec.json.Decoder(_Leave)
+_HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
+_DEREGISTRATION_DECODER = msgspec.json.Decoder(_DeregistrationBody)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Deregistration:
-    """A backend server says that it is going."""
+    """Notice that a backend server is shutting down.
+
+    Parameters
+    ----------
+    backend : str
+        Identifier of the backend server.
+    started_at_ms : int
+        Start time in Unix milliseconds; 0 if not stated.
+    """
 
     backend: str
     started_at_ms: int
@@ -48,17 +60,17 @@
 def parse_announcement(
     request: http.Request,
 ) -> model.Heartbeat | Deregistration | None:
-    """Decode a call of a backend server.
+    """Decode a heartbeat or deregistration of a backend server.
 
     Returns
     -------
     model.Heartbeat or Deregistration or None
-        None if the path is none of these calls.
+        None if the request is neither of these calls.
 
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        The body does not have the expected form.
+        The body cannot be decoded or has an invalid field.
     """
     path = request.target.split(b"?", 1)[0]
     if request.method != b"POST":
@@ -66,8 +78,8 @@
     if path.startswith(_HEARTBEAT_PATH):
         backend = path[len(_HEARTBEAT_PATH) :].decode("latin-1")
         return parse_heartbeat(backend, request.body)
-    if path.startswith(_LEAVE_PATH):
-        backend = path[len(_LEAVE_PATH) :].decode("latin-1")
+    if path.startswith(_DEREGISTRATION_PATH):
+        backend = path[len(_DEREGISTRATION_PATH) :].decode("latin-1")
         return Deregistration(
             backend=backend, started_at_ms=_read_started_at_ms(request.body)
         )
@@ -80,16 +92,18 @@
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        A field is missing or has another type.
+        A field is missing, has the wrong type or is out of range.
     """
     try:
-        heartbeat = _HEARTBEAT.decode(body)
+        heartbeat = _HEARTBEAT_DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.MalformedMessage(
             f"heartbeat of {backend} cannot be decoded: {error}"
         ) from error
     if not backend or heartbeat.slots < 1:
-        raise errors.MalformedMessage(f"heartbeat of {backend!r} has no slots")
+        raise errors.MalformedMessage(
+            f"heartbeat of {backend!r} has no identifier or no slots"
+        )
     return model.Heartbeat(
         backend=backend,
         started_at_ms=heartbeat.born,
@@ -108,7 +122,7 @@
     if not body.strip():
         return 0
     try:
-        return _LEAVE.decode(body).born
+        return _DEREGISTRATION_DECODER.decode(body).born
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.MalformedMessage(
             f"deregistration cannot be decoded: {error}"
--- a/apricotpost/platform/configuration.py
+++ b/apricotpost/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decoding of the operators' configuration."""
+"""Decoding of the traffic configuration that operators write."""
 
 import typing
 
@@ -10,14 +10,14 @@
 __all__ = ["RouteCache", "parse_configuration"]
 
 
-class _Meta(msgspec.Struct, frozen=True):
+class _Metadata(msgspec.Struct, frozen=True):
     name: str = ""
 
 
 class _Resource(msgspec.Struct, frozen=True):
     resource_type: str
     spec: msgspec.Raw
-    metadata: _Meta = _Meta()
+    metadata: _Metadata = _Metadata()
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -25,7 +25,7 @@
     resources: tuple[_Resource, ...]
 
 
-class _Weighted(msgspec.Struct, frozen=True):
+class _WeightedService(msgspec.Struct, frozen=True):
     service: str
     weight: int
 
@@ -33,23 +33,26 @@
 class _Route(msgspec.Struct, frozen=True):
     host: str
     prefix: str
-    # What may be repeated, not the kind of a resource.
+    # Whether requests may be repeated; not the type of a resource.
     type: typing.Literal["safe", "unsafe"]
     timeout_ms: int
+    # Latency objective.
     target_latency_ms: int
     max_attempts: int
-    # 0 is the most urgent.
+    # Rank; 0 is the most urgent.
     priority: int = 0
     service: str | None = None
-    weighted_services: tuple[_Weighted, ...] = ()
-    # Where the route may run.
+    weighted_services: tuple[_WeightedService, ...] = ()
+    # Regions in which the route may run; empty means everywhere.
     allowed_regions: tuple[str, ...] = ()
 
 
 class _Service(msgspec.Struct, frozen=True):
     health_path: str
     max_connections: int
+    # How long a started backend server stays cold.
     cold_start_s: float = 0.0
+    # Requests a second that a cold backend server can process.
     cold_per_s: float = 0.0
 
 
@@ -60,17 +63,17 @@
     idle_timeout_ms: int
 
 
-_CONFIGURATION = msgspec.json.Decoder(_Configuration)
-_ROUTE = msgspec.json.Decoder(_Route)
-_SERVICE = msgspec.json.Decoder(_Service)
-_LIMITS = msgspec.json.Decoder(_Limits)
+_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+_ROUTE_DECODER = msgspec.json.Decoder(_Route)
+_SERVICE_DECODER = msgspec.json.Decoder(_Service)
+_LIMITS_DECODER = msgspec.json.Decoder(_Limits)
 
 
 class RouteCache:
-    """Decoded routes of the last configuration by name and encoded form.
+    """Decoded routes of the last configuration, by name and encoded form.
 
-    A change leaves nearly all routes as they were, and decoding them again
-    would take most of the time.
+    Most configuration changes leave nearly all routes unchanged, and decoding
+    the routes would take most of the time.
     """
 
     def __init__(self) -> None:
@@ -80,63 +83,67 @@
 def parse_configuration(
     body: bytes, cache: RouteCache | None = None
 ) -> model.TrafficConfig:
-    """Decode a whole configuration.
+    """Decode a complete configuration.
 
     Parameters
     ----------
     body : bytes
-        As the operator wrote it.
+        Configuration as JSON, as the operator wrote it.
     cache : RouteCache, optional
-        Routes of the configuration before; replaced by those of this one.
+        Routes of the previous configuration; replaced by those of this one
+        unless it is invalid.
 
     Raises
     ------
     apricotpost.errors.ConfigurationInvalid
-        A part of it is malformed or refers to a service that it lacks.
+        The configuration is malformed, or a route has no service or refers
+        to a service that the configuration does not define.
     """
     try:
-        found = _CONFIGURATION.decode(body)
-        return _assemble(found, cache or RouteCache())
+        configuration = _CONFIGURATION_DECODER.decode(body)
+        return _assemble(configuration, cache or RouteCache())
     except msgspec.DecodeError as error:
         raise errors.ConfigurationInvalid(
             f"configuration cannot be decoded: {error}"
         ) from error
 
 
-def _assemble(found: _Configuration, cache: RouteCache) -> model.TrafficConfig:
+def _assemble(
+    configuration: _Configuration, cache: RouteCache
+) -> model.TrafficConfig:
     routes = []
     services = {}
     decoded: dict[tuple[str, bytes], model.TrafficRoute] = {}
     limits = None
-    for resource in found.resources:
+    for resource in configuration.resources:
         name = resource.metadata.name
         if resource.resource_type == "routes":
             key = (name, bytes(resource.spec))
             route = cache.routes.get(key)
             if route is None:
-                route = _make_route(name, _ROUTE.decode(resource.spec))
+                route = _make_route(name, _ROUTE_DECODER.decode(resource.spec))
             decoded[key] = route
             routes.append(route)
         elif resource.resource_type == "services":
             services[name] = _make_service(
-                name, _SERVICE.decode(resource.spec)
+                name, _SERVICE_DECODER.decode(resource.spec)
             )
         elif resource.resource_type == "limits":
-            limits = _make_limits(_LIMITS.decode(resource.spec))
+            limits = _make_limits(_LIMITS_DECODER.decode(resource.spec))
     faults = tuple(
-        f"route {route.name} needs unknown service {target.service}"
+        f"route {route.name} refers to unknown service {target.service}"
         for route in routes
         for target in route.targets
         if target.service not in services
     )
     if faults:
         raise errors.ConfigurationInvalid(
-            f"configuration {found.version} has {len(faults)} faults",
+            f"configuration {configuration.version} has {len(faults)} faults",
             faults=faults,
         )
     cache.routes = decoded
     return model.TrafficConfig(
-        version=found.version,
+        version=configuration.version,
         routes=tuple(routes),
         services=services,
         limits=limits,
@@ -146,8 +153,8 @@
 def _make_route(name: str, route: _Route) -> model.TrafficRoute:
     if route.weighted_services:
         targets = tuple(
-            model.Target(service=w.service, weight=w.weight)
-            for w in route.weighted_services
+            model.Target(service=weighted.service, weight=weighted.weight)
+            for weighted in route.weighted_services
         )
     elif route.service is not None:
         targets = (model.Target(service=route.service, weight=1),)
--- a/apricotpost/platform/headers.py
+++ b/apricotpost/platform/headers.py
@@ -1,4 +1,4 @@
-"""Headers of the platform on requests and responses."""
+"""Request and response headers that the platform defines."""
 
 import dataclasses
 import enum
@@ -22,14 +22,14 @@
 _DEADLINE = b"x-deadline-ms"
 _EXPECT_INSTANCE = b"x-expect-instance"
 _CALLER = b"x-caller-service"
-_SEAL = b"x-response-seal"
-_NOT_RUN = b"x-not-executed"
+_SIGNATURE = b"x-response-seal"
+_NOT_EXECUTED = b"x-not-executed"
 _INSTANCE = b"x-instance-id"
-_SET_BY_US = (_DEADLINE, _EXPECT_INSTANCE, _CALLER)
+_SET_BY_NODE = (_DEADLINE, _EXPECT_INSTANCE, _CALLER)
 
 
 class NotRunStatus(enum.IntEnum):
-    """Statuses that promise that the request has not run."""
+    """Response statuses that mean that the request was not executed."""
 
     OVERLOADED = 503
     MISDIRECTED = 421
@@ -37,18 +37,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestHead:
-    """What the platform's headers say of a client's request.
+    """Fields from the head of a client's request.
 
     Parameters
     ----------
     request_id : str
         Identifier of this attempt; empty if there is none.
     host : str
-        Lower case, without a port.
+        Requested host in lower case, without the port.
     path : str
-        Target without the query.
+        Request target without the query.
     deadline_ms : int or None
-        How long the client waits.
+        Time in milliseconds that the client waits; None if not stated.
     """
 
     request_id: str
@@ -81,20 +81,20 @@
 def call_headers(
     headers: http.Headers, *, backend: str, left_ms: int, caller: str
 ) -> http.Headers:
-    """Return the headers with which a backend server gets a request.
+    """Return the headers of a request to a backend server.
 
     Parameters
     ----------
     headers : http.Headers
-        Of the client, without those of its connection.
+        Headers of the client's request, without hop-by-hop headers.
     backend : str
-        Identifier of the only backend server that may run the request.
+        Identifier of the only backend server that may execute the request.
     left_ms : int
-        Time left for it.
+        Time in milliseconds that is left until the deadline.
     caller : str
-        Service of the instance where the request began.
+        Service of the instance where the request originated.
     """
-    kept = tuple(h for h in headers if h[0].lower() not in _SET_BY_US)
+    kept = tuple(h for h in headers if h[0].lower() not in _SET_BY_NODE)
     return (
         *kept,
         (b"X-Deadline-Ms", b"%d" % left_ms),
@@ -104,20 +104,24 @@
 
 
 def is_not_run(response: http.Response) -> bool:
-    """Tell whether a backend server says that it did not run the request."""
+    """Return whether a backend server did not execute the request."""
     return (
         response.status == NotRunStatus.MISDIRECTED
-        or http.find_header(response.headers, _NOT_RUN) is not None
+        or http.find_header(response.headers, _NOT_EXECUTED) is not None
     )
 
 
 def find_response_fault(response: http.Response, request_id: str) -> str:
-    """Return why a response cannot be the backend server's own, or ''."""
+    """Return why a response is not authentic, or an empty string.
+
+    A response must echo the request's identifier. A successful one must be
+    signed and must not have a content coding.
+    """
     echoed = http.find_header(response.headers, _REQUEST_ID)
     if echoed is None or echoed.decode("latin-1") != request_id:
         return "request-id"
     if 200 <= response.status < 300:
-        if http.find_header(response.headers, _SEAL) is None:
+        if http.find_header(response.headers, _SIGNATURE) is None:
             return "unsigned"
         if http.find_header(response.headers, b"content-encoding"):
             return "content-encoding"
@@ -125,13 +129,13 @@
 
 
 def backend_instance(headers: http.Headers) -> str:
-    """Return the identifier of the backend server that responded, or ''."""
+    """Return the identifier of the responding backend server, or ''."""
     value = http.find_header(headers, _INSTANCE)
     return "" if value is None else value.decode("latin-1")
 
 
 def health_request(path: str, host: str) -> http.Request:
-    """Return the request that asks a backend server whether it is well."""
+    """Return the health check request for a backend server."""
     return http.Request(
         method=b"GET",
         target=path.encode("latin-1"),
@@ -140,15 +144,25 @@
 
 
 def is_healthy(response: http.Response) -> bool:
-    """Tell whether a backend server is healthy and not leaving."""
+    """Return whether a backend server is healthy and not draining."""
     return response.status == 200
 
 
-def refusal_headers(request_id: str, retry_seconds: float) -> http.Headers:
-    """Return the headers of a response of our own."""
+def refusal_headers(
+    request_id: str, retry_after_seconds: float
+) -> http.Headers:
+    """Return the headers of a response that the node itself creates.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the refused request; empty if there is none.
+    retry_after_seconds : float
+        Time after which the client may retry; 0 for no Retry-After header.
+    """
     headers: http.Headers = ()
     if request_id:
         headers = ((b"X-Request-Id", request_id.encode("latin-1")),)
-    if retry_seconds <= 0:
+    if retry_after_seconds <= 0:
         return headers
-    return (*headers, (b"Retry-After", b"%.3f" % retry_seconds))
+    return (*headers, (b"Retry-After", b"%.3f" % retry_after_seconds))
--- a/apricotpost/platform/orders.py
+++ b/apricotpost/platform/orders.py
@@ -1,4 +1,4 @@
-"""Operators' rows in the store, and the status rows written for them."""
+"""Operators' orders in the store, and the status rows of rollouts."""
 
 import enum
 
@@ -19,17 +19,18 @@
     "status_key",
 ]
 
-# Tables.
+# Names of tables in the store.
 ORDERS = "op"
 STATUS = "status"
-# Keys of the table of orders: one row, and two prefixes that a name follows.
+# Keys in the table of orders. The configuration is one row; the two prefixes
+# are followed by a name.
 CONFIGURATION = "config"
 ROLLOUTS = "rollout/"
 EVACUATIONS = "evacuate/"
 
 
 class TrialState(enum.StrEnum):
-    """State of a rollout as operators read it."""
+    """State of a rollout in the status row that operators read."""
 
     RUNNING = "running"
     COMPLETED = "completed"
@@ -38,24 +39,24 @@
 
 class _Rollout(msgspec.Struct, frozen=True):
     service: str
-    # The version to move to.
+    # Version to roll out.
     to: str
     duration_s: float
 
 
-_ROLLOUT = msgspec.json.Decoder(_Rollout)
+_ROLLOUT_DECODER = msgspec.json.Decoder(_Rollout)
 
 
 def parse_rollout(body: bytes) -> model.RolloutOrder:
-    """Decode an order to roll out a version.
+    """Decode a rollout order.
 
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        The order does not have the expected form.
+        The order cannot be decoded.
     """
     try:
-        order = _ROLLOUT.decode(body)
+        order = _ROLLOUT_DECODER.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.MalformedMessage(
             f"rollout order cannot be decoded: {error}"
@@ -71,5 +72,5 @@
 
 
 def encode_status(state: TrialState, version: str) -> bytes:
-    """Encode the status of a rollout."""
+    """Encode the status row of a rollout."""
     return msgspec.json.encode({"state": state.value, "to": version})
--- a/apricotpost/platform/store.py
+++ b/apricotpost/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store."""
+"""Client for the platform's store."""
 
 import asyncio
 import base64
@@ -13,27 +13,28 @@
 
 __all__ = ["Change", "Page", "Row", "Store"]
 
-# An answer takes 4 ms and a slow store takes 50 times as long, on top of the
-# wait for a rate limit of a second.
+# The store usually answers in 4 ms. A slow store takes 50 times as long, and
+# its rate limit may delay the answer by another second.
 CALL_SECONDS = 2.0
-# A watch whose answer is this late sits on a silent connection.
+# A watch whose answer is overdue by more than this time is taken to be on a
+# dead connection.
 WATCH_MARGIN_SECONDS = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
-    """A row, or where one was removed.
+    """A row of the store, or the record of its removal.
 
     Parameters
     ----------
     table, key : str
-        Where it stands.
+        Table and key of the row.
     value : bytes
-        Empty if removed.
+        Content; empty if the row was removed.
     revision : int
-        Of the last change; grows over all tables.
+        Store revision of the last change; increases across all tables.
     removed : bool
-        Whether the row is gone.
+        Whether the row was removed.
     """
 
     table: str
@@ -45,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Page:
-    """Rows, and the store's newest revision when they were read."""
+    """Rows, and the revision of the store when they were read."""
 
     rows: tuple[Row, ...]
     revision: int
@@ -53,12 +54,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Change:
-    """Conditional write.
+    """Transaction of conditional writes.
 
     Parameters
     ----------
     expected : tuple of (table, key, revision)
-        Revisions that the rows must have; 0 means that there is no row.
+        Revisions that the rows must have; 0 if the row must not exist.
     put : tuple of (table, key, value)
         Rows to write.
     remove : tuple of (table, key)
@@ -70,38 +71,43 @@
     remove: tuple[tuple[str, str], ...] = ()
 
 
-class _Row(msgspec.Struct, frozen=True):
+class _EncodedRow(msgspec.Struct, frozen=True):
     table: str
     key: str
+    # Store revision of the last change.
     ver: int = 0
+    # Base64.
     value: str = ""
     tombstone: bool = False
+    # The node uses only rows in which this is empty.
     part: str = ""
 
 
-class _Rows(msgspec.Struct, frozen=True):
+class _RowsResponse(msgspec.Struct, frozen=True):
+    # Revision of the store.
     ver: int
-    rows: tuple[_Row, ...] = ()
+    rows: tuple[_EncodedRow, ...] = ()
     has_more: bool = False
 
 
-class _Written(msgspec.Struct, frozen=True):
+class _WriteResponse(msgspec.Struct, frozen=True):
+    # Store revision of the write.
     ver: int = 0
 
 
-_ROWS = msgspec.json.Decoder(_Rows)
-_WRITTEN = msgspec.json.Decoder(_Written)
+_ROWS_DECODER = msgspec.json.Decoder(_RowsResponse)
+_WRITE_DECODER = msgspec.json.Decoder(_WriteResponse)
 
 
 class Store:
-    """Calls of the store on one client.
+    """Client for the platform's store.
 
     Parameters
     ----------
     client : http.Client
-        Of the store's address.
+        HTTP client for the store's address.
     host : str
-        For the Host header.
+        Value of the Host header.
     """
 
     def __init__(self, *, client: http.Client, host: str) -> None:
@@ -115,7 +121,8 @@
         Raises
         ------
         apricotpost.errors.PlatformError
-            The store does not answer, refuses or sends garbage.
+            The store does not answer, refuses the request or sends a
+            malformed answer.
         """
         rows: list[Row] = []
         start = ""
@@ -123,45 +130,57 @@
             query = {"table": table, "part": ""}
             if start:
                 query["from"] = start
-            found = await self._get("/v1/rows-get", query)
-            rows.extend(_decode_rows(found.rows))
-            if not found.has_more or not rows:
-                return Page(rows=tuple(rows), revision=found.ver)
-            # The smallest key after the last one.
+            answer = await self._get("/v1/rows-get", query)
+            rows.extend(_decode_rows(answer.rows))
+            if not answer.has_more or not rows:
+                return Page(rows=tuple(rows), revision=answer.ver)
+            # The smallest key that sorts after the last one.
             start = rows[-1].key + "\x00"
 
     async def watch(self, table: str, after: int, seconds: float) -> Page:
-        """Wait for changes of a table after a revision.
+        """Wait for changes to a table after a revision.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        after : int
+            Store revision after which changes are returned.
+        seconds : float
+            Longest time that the store waits for a change.
 
         Raises
         ------
         apricotpost.errors.HistoryLost
-            The changes after that revision are no longer kept.
+            The store no longer keeps the changes after that revision.
         apricotpost.errors.PlatformError
-            The store does not answer, refuses or sends garbage.
+            The store does not answer, refuses the request or sends a
+            malformed answer.
         """
         query = {
             "table": table,
             "after": str(after),
             "wait_ms": str(int(seconds * 1000)),
         }
-        found = await self._get(
+        answer = await self._get(
             "/v1/rows-feed", query, timeout=seconds + WATCH_MARGIN_SECONDS
         )
-        rows = tuple(_decode_rows(found.rows))
-        return Page(rows=rows, revision=found.ver)
+        rows = tuple(_decode_rows(answer.rows))
+        return Page(rows=rows, revision=answer.ver)
 
     async def write(self, change: Change) -> int:
-        """Write under conditions and return the revision.
+        """Write rows if the conditions hold, and return the new revision.
 
         Raises
         ------
         apricotpost.errors.TransactionRejected
             A condition does not hold.
         apricotpost.errors.PlatformOutcomeUnknown
-            No answer; the write may have been done or be done later.
+            There is no usable answer; the write may have been done or may
+            be done later.
         apricotpost.errors.PlatformError
-            The store refused and did nothing.
+            The store refused the write or could not be reached, and
+            changed nothing.
         """
         body = msgspec.json.encode(
             {
@@ -187,13 +206,15 @@
         request = self._request(b"POST", "/v1/rows-tx", body)
         response = await self._send(request, CALL_SECONDS)
         if response.status == 412:
-            raise errors.TransactionRejected("a row was changed by another")
+            raise errors.TransactionRejected(
+                "transaction rejected: a row has an unexpected revision"
+            )
         _check_status(response)
         try:
-            return _WRITTEN.decode(response.body).ver
+            return _WRITE_DECODER.decode(response.body).ver
         except msgspec.DecodeError as error:
             raise errors.PlatformOutcomeUnknown(
-                f"answer to a write cannot be decoded: {error}"
+                f"store's answer to a write cannot be decoded: {error}"
             ) from error
 
     async def _get(
@@ -201,15 +222,15 @@
         path: str,
         query: dict[str, str],
         timeout: float = CALL_SECONDS,
-    ) -> _Rows:
+    ) -> _RowsResponse:
         target = f"{path}?{parse.urlencode(query)}"
         response = await self._send(self._request(b"GET", target), timeout)
         _check_status(response)
         try:
-            return _ROWS.decode(response.body)
+            return _ROWS_DECODER.decode(response.body)
         except msgspec.DecodeError as error:
             raise errors.PlatformDataDamaged(
-                f"answer of the store cannot be decoded: {error}"
+                f"store's answer to a read cannot be decoded: {error}"
             ) from error
 
     def _request(
@@ -227,24 +248,24 @@
     ) -> http.Response:
         self.calls += 1
         loop = asyncio.get_running_loop()
-        ended: asyncio.Future[http.Result] = loop.create_future()
+        future: asyncio.Future[http.Result] = loop.create_future()
 
         def finish(result: http.Result) -> None:
-            if not ended.done():
-                ended.set_result(result)
+            if not future.done():
+                future.set_result(result)
 
         handle = self.client.send(request, finish, timeout=timeout)
         try:
-            result = await ended
+            result = await future
         except asyncio.CancelledError:
             handle.cancel()
             raise
         if result.response is not None:
             return result.response
         if result.failure is http.Failure.NOT_CONNECTED:
-            raise errors.PlatformUnavailable("no connection to the store")
+            raise errors.PlatformUnavailable("cannot connect to the store")
         raise errors.PlatformOutcomeUnknown(
-            f"no answer of the store: {result.failure}"
+            f"no answer from the store: {result.failure}"
         )
 
 
@@ -253,13 +274,19 @@
     if status == 200:
         return
     if status == 410:
-        raise errors.HistoryLost("the store no longer keeps these changes")
+        raise errors.HistoryLost(
+            "the store no longer keeps the requested changes"
+        )
     if status == 429:
-        raise errors.PlatformThrottled("the store is over its rate")
-    raise errors.PlatformUnavailable(f"the store answered {status}")
+        raise errors.PlatformThrottled(
+            "request exceeds the store's rate limit (status 429)"
+        )
+    raise errors.PlatformUnavailable(
+        f"the store answered with status {status}"
+    )
 
 
-def _decode_rows(rows: Iterable[_Row]) -> Iterable[Row]:
+def _decode_rows(rows: Iterable[_EncodedRow]) -> Iterable[Row]:
     for row in rows:
         if row.part:
             continue
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter's decoding against forged and malformed input."""
+"""Tests of the platform adapter against forged and malformed input."""
 
 import unittest
 
@@ -19,7 +19,7 @@
     "RouteCacheTest",
 ]
 
-BEAT = {
+HEARTBEAT = {
     "service": "portal",
     "address": "127.0.0.1:1",
     "zone": "dc-a",
@@ -38,10 +38,10 @@
 
 class AnnouncementTest(unittest.TestCase):
     def test_heartbeat(self):
-        """Guards against a field that is taken for another."""
+        """Guards against mixing up the fields of a heartbeat."""
         found = platform.parse_announcement(
             make_post(
-                b"/v1/Instances.Heartbeat/i-7", msgspec.json.encode(BEAT)
+                b"/v1/Instances.Heartbeat/i-7", msgspec.json.encode(HEARTBEAT)
             )
         )
         self.assertEqual("i-7", found.backend)
@@ -49,17 +49,17 @@
             (12, 4, 17), (found.slots, found.sequence, found.started_at_ms)
         )
 
-    def test_withdrawal_with_and_without_start(self):
-        """Guards against a deregistration that is not understood."""
+    def test_deregistration_with_and_without_start_time(self):
+        """Guards against failing to decode a deregistration."""
         path = b"/v1/Instances.Deregister/i-7"
-        for body, born in ((b"", 0), (b"{}", 0), (b'{"born": 9}', 9)):
+        for body, started_at_ms in ((b"", 0), (b"{}", 0), (b'{"born": 9}', 9)):
             found = platform.parse_announcement(make_post(path, body))
             self.assertEqual(
-                ("i-7", born), (found.backend, found.started_at_ms)
+                ("i-7", started_at_ms), (found.backend, found.started_at_ms)
             )
 
-    def test_forged_heartbeats_name_no_server(self):
-        """Guards against entries of another writer."""
+    def test_malformed_heartbeats_are_refused(self):
+        """Guards against storing a heartbeat with an invalid field."""
         for change in (
             {"slots": "12"},
             {"slots": 0},
@@ -68,21 +68,21 @@
             {"seq": 1.5},
             {"born": "x"},
         ):
-            body = msgspec.json.encode({**BEAT, **change})
+            body = msgspec.json.encode({**HEARTBEAT, **change})
             with self.assertRaises(errors.MalformedMessage):
                 platform.parse_heartbeat("i-7", body)
 
     @settings(derandomize=True, max_examples=200)
     @given(strategies.binary(max_size=60))
-    def test_any_bytes_raise_one_type(self, body):
-        """Guards against bytes that end the task."""
+    def test_random_bytes_raise_malformed_message(self, body):
+        """Guards against an unhandled exception that ends the task."""
         with self.assertRaises(errors.MalformedMessage):
             platform.parse_heartbeat("i-7", body)
 
 
 class ConfigurationTest(unittest.TestCase):
-    def test_route_with_weights(self):
-        """Guards against weights that are lost on the way."""
+    def test_weighted_services_become_targets(self):
+        """Guards against losing or reordering the weights of a route."""
         body = mesh.make_config(
             7,
             routes=[
@@ -101,8 +101,8 @@
         self.assertEqual([("portal", 90), ("fieldbook", 10)], weights)
         self.assertEqual(20.0, found.services["portal"].cold_per_second)
 
-    def test_route_to_unknown_service_refuses_all(self):
-        """Guards against a configuration that is applied in part."""
+    def test_unknown_service_refuses_whole_configuration(self):
+        """Guards against applying only the valid part of a configuration."""
         body = mesh.make_config(
             7,
             routes=[
@@ -116,8 +116,8 @@
 
     @settings(derandomize=True, max_examples=100)
     @given(strategies.integers(0, 400))
-    def test_cut_configurations_are_refused(self, length):
-        """Guards against a row that is cut short."""
+    def test_truncated_configuration_is_refused(self, length):
+        """Guards against applying a truncated row."""
         body = mesh.make_config(
             7, routes=[{"prefix": "/a/", "service": "portal"}]
         )
@@ -127,7 +127,7 @@
 
 class HeaderTest(unittest.TestCase):
     def test_forged_headers_are_replaced(self):
-        """Guards against a client that names another caller."""
+        """Guards against a client that forges the calling service."""
         found = platform.call_headers(
             ((b"x-caller-service", b"forged"), (b"X-Deadline-Ms", b"9")),
             backend="b",
@@ -137,17 +137,17 @@
         self.assertEqual(3, len(found))
         self.assertIn((b"X-Caller-Service", b"portal"), found)
 
-    def test_success_needs_the_seal_and_the_identifier(self):
-        """Guards against answers of another request or sender."""
-        mine = (b"X-Request-Id", b"q1")
-        seal = (b"X-Response-Seal", b"s")
-        zipped = (b"Content-Encoding", b"gzip")
+    def test_success_needs_signature_and_request_id(self):
+        """Guards against responses to another request or of another sender."""
+        request_id = (b"X-Request-Id", b"q1")
+        signature = (b"X-Response-Seal", b"s")
+        compressed = (b"Content-Encoding", b"gzip")
         cases = (
-            ((mine, seal), ""),
-            ((mine,), "unsigned"),
-            ((seal,), "request-id"),
-            (((b"X-Request-Id", b"q2"), seal), "request-id"),
-            ((mine, seal, zipped), "content-encoding"),
+            ((request_id, signature), ""),
+            ((request_id,), "unsigned"),
+            ((signature,), "request-id"),
+            (((b"X-Request-Id", b"q2"), signature), "request-id"),
+            ((request_id, signature, compressed), "content-encoding"),
         )
         for headers, fault in cases:
             response = http.Response(status=200, headers=headers)
@@ -157,16 +157,16 @@
 
 
 class RouteCacheTest(unittest.TestCase):
-    """Decoding of a configuration after an earlier one."""
+    """Decoding of a configuration with the routes of the previous one."""
 
     def parse(self, version, routes, cache):
         body = mesh.make_config(version, routes=routes)
         return platform.parse_configuration(body, cache)
 
-    def test_cached_routes_are_those_of_the_new_version(self):
-        """Guards against routes of an older version.
+    def test_only_unchanged_routes_are_reused(self):
+        """Guards against routes of an older configuration version.
 
-        Only routes with the same name and the same content are kept.
+        Only routes with the same name and the same content are reused.
         """
         cache = platform.RouteCache()
         first = {"prefix": "/a/", "service": "portal"}
@@ -176,12 +176,12 @@
         after = self.parse(2, [first, changed], cache)
         self.assertIs(before.routes[0], after.routes[0])
         self.assertEqual(77, after.routes[1].timeout_ms)
-        fewer = self.parse(3, [changed], cache)
-        self.assertEqual(["/b/"], [route.prefix for route in fewer.routes])
+        reduced = self.parse(3, [changed], cache)
+        self.assertEqual(["/b/"], [route.prefix for route in reduced.routes])
         self.assertEqual(1, len(cache.routes))
 
-    def test_refused_configuration_leaves_the_cache(self):
-        """Guards against a bad configuration that empties the cache."""
+    def test_refused_configuration_keeps_the_cache(self):
+        """Guards against an invalid configuration emptying the cache."""
         cache = platform.RouteCache()
         good = {"prefix": "/a/", "service": "portal"}
         self.parse(1, [good], cache)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""Tests of the client of the store against a failing stand-in."""
+"""Tests of the store client against a stand-in that can fail."""
 
 import unittest
 
@@ -20,15 +20,15 @@
         self.addCleanup(client.close)
         self.store = platform.Store(client=client, host=host)
 
-    async def test_reads_every_page(self):
-        """Guards against rows beyond the first page that are lost."""
+    async def test_read_returns_every_page(self):
+        """Guards against losing the rows after the first page."""
         for index in range(rows.MAX_ROWS + 20):
             self.standin.put("t", f"k{index:04}", b"v")
         page = await self.store.read("t")
         self.assertEqual(rows.MAX_ROWS + 20, len(page.rows))
 
-    async def test_conditions_hold(self):
-        """Guards against two writers that both succeed."""
+    async def test_write_checks_expected_revision(self):
+        """Guards against two writers that both create the same row."""
         change = platform.Change(
             expected=(("t", "k", 0),), put=(("t", "k", b"v"),)
         )
@@ -36,8 +36,8 @@
         with self.assertRaises(errors.TransactionRejected):
             await self.store.write(change)
 
-    async def test_watch_sees_changes_and_removals(self):
-        """Guards against removed rows that stay."""
+    async def test_watch_returns_changes_and_removals(self):
+        """Guards against missing the removal of a row."""
         self.standin.put("t", "k", b"v")
         self.standin.remove("t", "k")
         page = await self.store.watch("t", 0, 0.1)
@@ -45,14 +45,14 @@
         page = await self.store.watch("t", page.revision, 0.1)
         self.assertEqual((), page.rows)
 
-    async def test_failures_have_types(self):
-        """Guards against failures that look like an empty answer."""
-        for status, kind in (
+    async def test_each_failure_raises_its_error(self):
+        """Guards against reading a failure as an empty answer."""
+        for status, error in (
             (503, errors.PlatformUnavailable),
             (429, errors.PlatformThrottled),
         ):
             self.standin.conditions = rows.Conditions(status=status)
-            with self.assertRaises(kind):
+            with self.assertRaises(error):
                 await self.store.read("t")
         self.standin.conditions = rows.Conditions(lose_answers=True)
         with self.assertRaises(errors.PlatformOutcomeUnknown):
@@ -62,8 +62,8 @@
         with self.assertRaises(errors.HistoryLost):
             await self.store.watch("t", 0, 0.1)
 
-    async def test_silent_watch_ends(self):
-        """Guards against a watch on a connection that went silent."""
+    async def test_silent_watch_times_out(self):
+        """Guards against waiting forever for a watch on a dead connection."""
         self.standin.conditions = rows.Conditions(silent=True)
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             await self.store.watch("t", 0, 0.1)
