Reword the protocol's messages and sockets

The module carriage is sidecar_messages; it is imported only within apricotpost/wire. Message classes, fields and kind numbers stay. Docstrings of messages say who sends them to whom and what the fields hold.

--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -1,21 +1,5 @@
-"""Inner protocol: messages, codec and sockets."""
+"""Protocol between nodes and tasks: messages, codec and sockets."""
 
-from apricotpost.wire.carriage import AgedState
-from apricotpost.wire.carriage import Delivered
-from apricotpost.wire.carriage import Failed
-from apricotpost.wire.carriage import NodeState
-from apricotpost.wire.carriage import Offer
-from apricotpost.wire.carriage import OrderRow
-from apricotpost.wire.carriage import OrdersPull
-from apricotpost.wire.carriage import OrdersPush
-from apricotpost.wire.carriage import PackedForm
-from apricotpost.wire.carriage import PackedRow
-from apricotpost.wire.carriage import Refused
-from apricotpost.wire.carriage import ServerLoad
-from apricotpost.wire.carriage import ServerState
-from apricotpost.wire.carriage import StateBatch
-from apricotpost.wire.carriage import TrialNotice
-from apricotpost.wire.carriage import VersionCounts
 from apricotpost.wire.codec import decode
 from apricotpost.wire.codec import encode
 from apricotpost.wire.codec import Message
@@ -40,6 +24,22 @@
 from apricotpost.wire.messages import UnknownReason
 from apricotpost.wire.messages import Welcome
 from apricotpost.wire.messages import WithdrawalNotice
+from apricotpost.wire.sidecar_messages import AgedState
+from apricotpost.wire.sidecar_messages import Delivered
+from apricotpost.wire.sidecar_messages import Failed
+from apricotpost.wire.sidecar_messages import NodeState
+from apricotpost.wire.sidecar_messages import Offer
+from apricotpost.wire.sidecar_messages import OrderRow
+from apricotpost.wire.sidecar_messages import OrdersPull
+from apricotpost.wire.sidecar_messages import OrdersPush
+from apricotpost.wire.sidecar_messages import PackedForm
+from apricotpost.wire.sidecar_messages import PackedRow
+from apricotpost.wire.sidecar_messages import Refused
+from apricotpost.wire.sidecar_messages import ServerLoad
+from apricotpost.wire.sidecar_messages import ServerState
+from apricotpost.wire.sidecar_messages import StateBatch
+from apricotpost.wire.sidecar_messages import TrialNotice
+from apricotpost.wire.sidecar_messages import VersionCounts
 from apricotpost.wire import sockets
 from apricotpost.wire.tasks import BackendJob
 from apricotpost.wire.tasks import BackendResult
--- a/apricotpost/wire/codec.py
+++ b/apricotpost/wire/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages: a kind frame and a msgpack frame."""
+"""Encoding of messages as a kind frame and a msgpack body frame."""
 
 from collections.abc import Sequence
 import typing
@@ -6,13 +6,13 @@
 import msgspec
 
 from apricotpost import errors
-from apricotpost.wire import carriage
 from apricotpost.wire import messages
+from apricotpost.wire import sidecar_messages
 from apricotpost.wire import tasks
 
 __all__ = ["KINDS", "Message", "decode", "encode"]
 
-# A kind number is never reused for another message.
+# Message type of each kind number. A number is never reused for another type.
 KINDS: dict[int, type] = {
     1: messages.Call,
     2: messages.Answer,
@@ -34,25 +34,28 @@
     30: messages.EvidenceReport,
     31: messages.WithdrawalNotice,
 }
-for _number, _type in (*tasks.KINDS.items(), *carriage.KINDS.items()):
+for _number, _type in (*tasks.KINDS.items(), *sidecar_messages.KINDS.items()):
     KINDS[_number] = _type
 
 Message = typing.Any
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODERS: dict[int, msgspec.msgpack.Decoder[typing.Any]] = {
-    n: msgspec.msgpack.Decoder(t) for n, t in KINDS.items()
+    number: msgspec.msgpack.Decoder(message_type)
+    for number, message_type in KINDS.items()
+}
+_KIND_FRAMES = {
+    message_type: bytes((number,)) for number, message_type in KINDS.items()
 }
-_KIND_FRAMES = {t: bytes((n,)) for n, t in KINDS.items()}
 
 
 def encode(message: Message) -> list[bytes]:
-    """Encode a message to its frames.
+    """Encode a message as frames.
 
     Parameters
     ----------
     message : data class
-        One of the types in `KINDS`.
+        Message of one of the types in `KINDS`.
 
     Returns
     -------
@@ -73,18 +76,20 @@
     Returns
     -------
     data class
-        The message.
+        The decoded message.
 
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        The kind is unknown or the body does not have its type.
+        The kind is unknown or the body does not match its type.
     """
     if len(frames) != 2 or len(frames[0]) != 1:
-        raise errors.MalformedMessage("expected a kind frame and a body")
+        raise errors.MalformedMessage(
+            "message does not consist of a kind frame and a body frame"
+        )
     decoder = _DECODERS.get(frames[0][0])
     if decoder is None:
-        raise errors.MalformedMessage(f"unknown kind {frames[0][0]}")
+        raise errors.MalformedMessage(f"unknown message kind {frames[0][0]}")
     try:
         return decoder.decode(frames[1])
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
--- a/apricotpost/wire/messages.py
+++ b/apricotpost/wire/messages.py
@@ -62,20 +62,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
-    """A caller's request on its way to a backend server.
+    """A caller's request to a backend server.
 
     Parameters
     ----------
     call : str
-        Unique identifier of this attempt.
+        Unique identifier of the attempt.
     deadline : float
         Unix time in seconds after which the call must not start.
     depth : int
-        Number of calls above this one.
+        Number of calls that this call is nested in.
     retried : bool
-        Whether this attempt, or one above it, is a retry.
+        Whether this attempt, or one that it is nested in, is a retry.
     config_version : int
-        Configuration version under which it was routed.
+        Configuration version by which the call was routed.
     """
 
     call: str
@@ -95,7 +95,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
-    """The backend server's whole answer; ``checksum`` covers the body."""
+    """The backend server's complete answer.
+
+    ``checksum`` is the checksum of the body.
+    """
 
     call: str
     status: int
@@ -116,7 +119,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OutcomeUnknown:
-    """The call may have run."""
+    """The call may have been executed."""
 
     call: str
     reason: UnknownReason
@@ -134,7 +137,7 @@
 class ConfigDigest:
     """Configuration version that the sender holds.
 
-    ``withdrawn`` lists the rollouts whose withdrawal the sender knows.
+    ``withdrawn`` lists the rollouts whose withdrawals the sender holds.
     """
 
     sender: str
@@ -145,7 +148,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRequest:
-    """Asks for everything after ``have``."""
+    """Request for the configuration after version ``have``."""
 
     sender: str
     have: int
@@ -153,7 +156,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigDelta:
-    """Consecutive deltas, oldest first."""
+    """Consecutive deltas of the configuration, oldest first."""
 
     sender: str
     deltas: tuple[model.Delta, ...]
@@ -169,7 +172,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRefused:
-    """Instances that found a configuration version invalid."""
+    """Notice that instances refused a configuration version as invalid.
+
+    ``refusers`` lists these instances.
+    """
 
     sender: str
     version: int
@@ -179,7 +185,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ping:
-    """Liveness probe with instance records to spread.
+    """Liveness probe that also carries instance records.
 
     ``version`` is the configuration version that the sender holds.
     """
@@ -194,7 +200,7 @@
 class Ack:
     """Answer to a probe of ``subject``.
 
-    ``known`` says whether the sender has a record of the prober.
+    ``known`` states whether the sender has a record of the prober.
     """
 
     sender: str
@@ -207,7 +213,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PingRequest:
-    """Asks the receiver to probe ``target`` for the sender."""
+    """Request to probe ``target`` on behalf of the sender."""
 
     sender: str
     sequence: int
@@ -217,7 +223,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MembersRequest:
-    """Asks for all instance records unless the digests are equal."""
+    """Request for all instance records, unless the digests are equal."""
 
     sender: str
     digest: int = 0
@@ -233,9 +239,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Join:
-    """A starting node introduces itself.
+    """Request of a starting node to join the mesh.
 
-    ``whole`` asks for all instance records, which follow as `Members`.
+    ``whole`` requests all instance records, which follow as `Members`.
     """
 
     sender: str
@@ -263,7 +269,7 @@
 class EvidenceReport:
     """Cumulative outcome counts of the sender's backend server.
 
-    A report that is not full leaves out the routes that did not change.
+    Unless ``full`` is set, the report omits routes that did not change.
     """
 
     sender: str
@@ -273,7 +279,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WithdrawalNotice:
-    """Withdrawals that the sender knows."""
+    """Withdrawals of versions that the sender holds."""
 
     sender: str
     withdrawals: tuple[model.Withdrawal, ...]
--- a/apricotpost/wire/sidecar_messages.py
+++ b/apricotpost/wire/sidecar_messages.py
@@ -1,7 +1,7 @@
-"""Messages between the event-loop nodes: calls, states and orders.
+"""Messages between sidecar nodes: calls, node states and orders.
 
-They are encoded as arrays. As maps, the member names would be a third of the
-bytes of a node state, and bytes between data centres are paid for.
+They are encoded as arrays. In maps, the field names would take a third of the
+bytes of a node state, and traffic between data centres is paid for.
 """
 
 import enum
@@ -32,22 +32,23 @@
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Load of a backend server as its node sees it.
+    """Load of a backend server, measured by its node.
 
     Parameters
     ----------
     running, queued : int
-        Requests at the backend server and before it.
+        Requests in process at the backend server, and waiting at its gate.
     limit : int
-        Requests that it may process at the same time.
+        Current concurrency limit of the backend server.
     usual_ms : float
-        Mean time of a request there.
+        Mean latency in milliseconds.
     failing : float
-        Recent share of failed requests.
+        Fraction of recent requests that failed.
     served : int
-        Requests behind `usual_ms`, up to some tens.
+        Number of samples in `usual_ms`, which is capped at some tens.
     quiet_ms : int
-        Time without an answer while requests run there; 0 if none runs.
+        Time in milliseconds since the last response while requests are in
+        process; 0 if there are none.
     """
 
     running: int
@@ -60,30 +61,33 @@
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A request for the backend server beside the receiving node.
+    """A request for the backend server of the receiving node.
 
     Parameters
     ----------
     call : str
-        Identifier of this attempt, unique for the sending node's process.
+        Identifier of this attempt, unique within the sending process.
     request : str
-        Identifier of the client's request, for logs.
+        Identifier of the client's request; logged, and echoed by the backend
+        server's response.
     backend : str
-        Identifier of the backend server that is meant.
+        Identifier of the backend server that the sender chose.
     route, service, version : str
-        What the sender chose.
+        Route, service and version that the sender chose.
     caller : str
-        Service of the instance where the request began.
+        Service of the instance where the request originated.
     rank : int
-        Priority; 0 is the most urgent, below are nested requests.
+        Priority; lower is more urgent. Routes start at 0, and nested
+        requests have negative ranks.
     idempotent : bool
-        Whether the request may run more than once.
+        Whether the request may be executed more than once.
     accepts_late : bool
-        Whether it waits in the queue even if it misses its objective.
+        Whether the request stays queued even if it will miss its objective.
     left_ms, objective_ms : int
-        Time left for the answer, and time left to meet the objective.
+        Time in milliseconds left until the deadline and until the latency
+        objective is missed.
     method, target, headers, body
-        The request.
+        Content of the HTTP request.
     """
 
     call: str
@@ -105,7 +109,7 @@
 
 
 class Delivered(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Whole response of the backend server."""
+    """Complete response of the backend server."""
 
     call: str
     status: int
@@ -116,20 +120,20 @@
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """The request has not run and will not run there.
+    """The request was not executed at the receiver and will not be.
 
     Parameters
     ----------
     call : str
         Identifier of the attempt.
     reason : messages.NotRunReason
-        Why.
+        Reason of the refusal.
     retry_ms : int
-        When there may be room again.
+        Time in milliseconds after which there may be capacity again.
     offered : bool
-        Whether the backend server itself turned it away.
+        Whether the backend server itself rejected the request.
     load : ServerLoad or None
-        None if there is no backend server.
+        Load of the backend server; None if there is no backend server.
     """
 
     call: str
@@ -140,7 +144,7 @@
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """The request may have run, and there is no usable response."""
+    """The request may have been executed, but has no usable response."""
 
     call: str
     reason: messages.UnknownReason
@@ -149,7 +153,7 @@
 
 
 class ServerState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Backend server beside a node."""
+    """State of a node's backend server."""
 
     backend: str
     service: str
@@ -162,16 +166,16 @@
 class VersionCounts(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True
 ):
-    """Responses of a backend server since its node met it.
+    """Counts of responses on a route since the node first saw the server.
 
     Parameters
     ----------
     route : str
         Name of the route.
     calls, failures : int
-        Responses and failed ones among them.
+        Number of responses, and of failed ones among them.
     latencies : tuple of int
-        Responses in each latency bucket.
+        Number of responses in each latency bucket.
     """
 
     route: str
@@ -181,26 +185,27 @@
 
 
 class NodeState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """What a node tells its peers of itself.
+    """State that a node publishes to its peers.
 
     Parameters
     ----------
     node, data_centre, address : str
-        Who and where; the address takes messages of other nodes.
+        Identifier of the node, its data centre, and its address for
+        messages of other nodes.
     boot : int
-        Orders the processes of a node.
+        Identifies the process of the node; higher is newer.
     sequence : int
-        Orders the states of one process.
+        Identifies the state of the process; higher is newer.
     leaving : bool
-        Whether it takes no new calls.
+        Whether the node accepts no new calls.
     store : bool
-        Whether it reaches the platform's store.
+        Whether the node can reach the platform's store.
     orders : int
-        Store revision up to which it holds all orders.
+        Store revision up to which the node holds all orders.
     server : ServerState or None
-        Its backend server, if that has announced itself.
+        Backend server of the node; None before its first heartbeat.
     counts : tuple of VersionCounts
-        Only during a rollout of that service.
+        Counts by route; sent only during a rollout of the service.
     """
 
     node: str
@@ -216,7 +221,7 @@
 
 
 class AgedState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A state and how many milliseconds ago its node was heard."""
+    """A node state and the time since the node was last heard from."""
 
     state: NodeState
     age_ms: int
@@ -228,9 +233,9 @@
     Parameters
     ----------
     states : bytes
-        Compressed (`apricotpost.membership.relays.pack_states`).
+        States, compressed by `apricotpost.membership.relays.pack_states`.
     forwarded : bool
-        Whether a relay of the receiver's data centre has sent it.
+        Whether a relay of the receiver's data centre forwarded the batch.
     """
 
     states: bytes
@@ -238,7 +243,7 @@
 
 
 class OrderRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A row of the operators, as read from the store."""
+    """A row with an order, as read from the store."""
 
     key: str
     value: bytes
@@ -247,25 +252,26 @@
 
 
 class PackedForm(enum.IntEnum):
-    """How the value of a row is sent."""
+    """Encoding of a row's value between nodes."""
 
     PLAIN = 0
+    # Compressed without a dictionary.
     WHOLE = 1
-    # Compressed with an earlier value as the dictionary.
+    # Compressed with an earlier value of the row as the dictionary.
     PATCH = 2
 
 
 class PackedRow(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """A row of the operators on its way between nodes.
+    """A row with an order, as sent between nodes.
 
     Parameters
     ----------
     key, revision, removed
         As in `OrderRow`.
     value : bytes
-        In the form that `form` tells.
+        Value, encoded as `form` states.
     base : int
-        Revision of the earlier value that a patch needs.
+        Store revision of the earlier value that a patch is based on.
     """
 
     key: str
@@ -277,7 +283,7 @@
 
 
 class OrdersPush(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """All changed orders after one store revision up to another."""
+    """All orders that changed after one store revision, up to another."""
 
     after: int
     revision: int
@@ -285,29 +291,29 @@
 
 
 class OrdersPull(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Request for the orders after a revision."""
+    """Request for the orders that changed after a store revision."""
 
     node: str
     after: int
 
 
 class TrialNotice(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """State of a rollout that some node found or read.
+    """State of a trial that a node determined or read.
 
     Parameters
     ----------
     service, version : str
-        What is rolled out.
+        Service, and the version that is rolled out.
     order : int
-        Store revision of the order.
+        Store revision of the rollout order.
     phase : str
-        Name of a phase of `apricotpost.rollout.trials`.
+        Name of a phase in `apricotpost.rollout.trials`.
     old : str
-        Version before.
+        Version that the service ran before.
     reason : str
-        Why.
+        Reason for the phase.
     elapsed : float
-        Seconds since the order was seen.
+        Time in seconds since the trial started.
     """
 
     service: str
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -1,4 +1,4 @@
-"""ZeroMQ sockets with the options that the protocol relies on."""
+"""ZeroMQ sockets with the options that the protocol requires."""
 
 from collections.abc import Sequence
 import sys
@@ -37,32 +37,34 @@
 Poller = zmq.Poller
 Socket = zmq.Socket[bytes]
 
-# Two sockets for each of 1,200 peers and those of the own tasks.
+# Two sockets for each of 1,200 peers, and those of the process's own tasks.
 MAX_SOCKETS = 4096
 # Frames above this size are refused before they are read into memory.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-# A peer that does not answer a connect is tried again after these pauses.
+# Range of the pause before a failed connection is retried.
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2000
-# TCP connections without a sign of life are closed after this time.
+# A TCP connection whose peer answers no heartbeat within the time-out is
+# closed.
 HEARTBEAT_INTERVAL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 6000
-# Links between event-loop nodes: calls last about a second, so a silent
-# connection is given up while its callers still wait.
+# Links between sidecar nodes: calls last about a second, so an unresponsive
+# connection is closed while its callers still wait.
 LINK_HEARTBEAT_INTERVAL_MS = 700
 LINK_HEARTBEAT_TIMEOUT_MS = 1500
-LINK_CONNECT_MS = 1000
+LINK_CONNECT_TIMEOUT_MS = 1000
 LINK_RECONNECT_MAX_MS = 400
-# A request or response body, and room for its headers.
+# The largest request or response body, plus space for the headers.
 MAX_LINK_MESSAGE_BYTES = 65 * 1024 * 1024
-# Control messages that wait for a connection; later ones are dropped, since
-# a peer that cannot be reached is repaired by comparison.
-CONTROL_QUEUE_MESSAGES = 32
+# Control messages that may wait for a connection. Further ones are dropped: a
+# peer that was unreachable catches up later by comparing digests.
+MAX_QUEUED_CONTROL_MESSAGES = 32
 
-# The methods below `zmq.Socket` and plain integers: the flag types and
-# checks of the upper layer take 19 of 20 microseconds of a send and receive.
+# Methods of the backend class below `zmq.Socket`, called with plain integers:
+# the flag types and checks of `zmq.Socket` take 19 of the 20 microseconds of a
+# send and a receive.
 _SEND = zmq.backend.Socket.send
-_RECV = zmq.backend.Socket.recv
+_RECEIVE = zmq.backend.Socket.recv
 _GET = zmq.backend.Socket.get
 _NOBLOCK = int(zmq.NOBLOCK)
 _NOBLOCK_SNDMORE = int(zmq.NOBLOCK | zmq.SNDMORE)
@@ -73,7 +75,7 @@
 
 
 def make_context() -> Context:
-    """Make the context of a process, without a limit on its sockets."""
+    """Make the context of a process for up to `MAX_SOCKETS` sockets."""
     context = zmq.Context()
     context.max_sockets = MAX_SOCKETS
     return context
@@ -101,7 +103,7 @@
 
 
 def connect_dealer(context: Context, address: str) -> Socket:
-    """Make a DEALER socket connected to a task of this process."""
+    """Make a DEALER socket connected to a task of the same process."""
     socket = context.socket(zmq.DEALER)
     socket.linger = 0
     socket.connect(address)
@@ -111,7 +113,7 @@
 def connect_peer(context: Context, address: str) -> Socket:
     """Make a DEALER socket connected to another node.
 
-    ``IMMEDIATE`` keeps messages from queueing for a peer that has no
+    With ``IMMEDIATE``, messages are not queued for a peer without an
     established connection, so a failed send means that nothing was sent.
     """
     socket = context.socket(zmq.DEALER)
@@ -129,12 +131,12 @@
 def connect_control_peer(context: Context, address: str) -> Socket:
     """Make a DEALER socket to the control address of another node.
 
-    Messages wait for the connection, and there are no heartbeats: probes
-    find dead peers, and the socket closes when it is not used.
+    Messages are queued until the connection is established. There are no
+    heartbeats: probes detect dead peers, and unused sockets are closed.
     """
     socket = context.socket(zmq.DEALER)
     socket.linger = 0
-    socket.sndhwm = CONTROL_QUEUE_MESSAGES
+    socket.sndhwm = MAX_QUEUED_CONTROL_MESSAGES
     socket.maxmsgsize = MAX_MESSAGE_BYTES
     socket.reconnect_ivl = RECONNECT_MIN_MS
     socket.reconnect_ivl_max = RECONNECT_MAX_MS
@@ -143,9 +145,9 @@
 
 
 def bind_links(context: Context, address: str) -> Socket:
-    """Make the ROUTER socket that other event-loop nodes connect to.
+    """Make the ROUTER socket that other sidecar nodes connect to.
 
-    A message for a peer that is gone is refused instead of dropped.
+    Sending to a disconnected peer fails instead of dropping the message.
 
     Raises
     ------
@@ -166,19 +168,20 @@
 
 
 def connect_link(context: Context, address: str) -> tuple[Socket, Socket]:
-    """Connect to another event-loop node.
+    """Connect to another sidecar node.
 
     Returns
     -------
     tuple of zmq.Socket
-        A DEALER socket, and one that reports connects and disconnects.
+        A DEALER socket, and a monitor socket that reports connects and
+        disconnects.
     """
     socket = context.socket(zmq.DEALER)
     _set_link_options(socket)
     socket.immediate = True
     socket.reconnect_ivl = RECONNECT_MIN_MS
     socket.reconnect_ivl_max = LINK_RECONNECT_MAX_MS
-    socket.connect_timeout = LINK_CONNECT_MS
+    socket.connect_timeout = LINK_CONNECT_TIMEOUT_MS
     monitor = socket.get_monitor_socket(
         zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
     )
@@ -187,12 +190,17 @@
 
 
 def is_readable(socket: Socket) -> bool:
-    """Tell whether a message has arrived."""
+    """Return whether a message can be received."""
     return bool(typing.cast(int, _GET(socket, _EVENTS)) & _POLLIN)
 
 
 def receive_link_event(monitor: Socket) -> bool:
-    """Return whether the next reported event is a connect.
+    """Return whether the next event of a link is a connect.
+
+    Parameters
+    ----------
+    monitor : zmq.Socket
+        Monitor socket from `connect_link`.
 
     Raises
     ------
@@ -217,7 +225,8 @@
     Returns
     -------
     bool
-        Whether it was handed to a connection. If not, nothing was sent.
+        Whether the message was queued on a connection. If not, nothing was
+        sent.
     """
     return _send_frames(socket, codec.encode(message))
 
@@ -235,7 +244,7 @@
     Returns
     -------
     int
-        Bytes of the frames; 0 if nothing was sent.
+        Size of the frames in bytes; 0 if nothing was sent.
     """
     return sum(map(len, frames)) if _send_frames(socket, frames) else 0
 
@@ -243,12 +252,21 @@
 def send_sized(
     socket: Socket, message: codec.Message, identity: bytes | None = None
 ) -> int:
-    """Send a message, to one peer of a ROUTER socket if it is named.
+    """Send a message without blocking, and return its size.
+
+    Parameters
+    ----------
+    socket : zmq.Socket
+        DEALER or ROUTER socket.
+    message : codec.Message
+        The message to send.
+    identity : bytes, optional
+        Peer of a ROUTER socket.
 
     Returns
     -------
     int
-        Bytes of the kind and body frames; 0 if nothing was sent.
+        Size of the kind and body frames in bytes; 0 if nothing was sent.
     """
     frames = codec.encode(message)
     prefix = [] if identity is None else [identity]
@@ -260,7 +278,7 @@
 def receive_sized(
     socket: Socket, *, routed: bool
 ) -> tuple[bytes, codec.Message, int]:
-    """Receive a message with its sender's identity and size in bytes.
+    """Receive a message with its sender's identity and its size in bytes.
 
     Raises
     ------
@@ -278,9 +296,9 @@
     Parameters
     ----------
     socket : zmq.Socket
-        Where the message arrives.
+        Socket to receive from.
     wait : bool
-        Whether to wait for as long as the socket's ``rcvtimeo`` says.
+        Whether to block for up to the socket's ``rcvtimeo``.
 
     Raises
     ------
@@ -306,36 +324,38 @@
     return frames[0], codec.decode(frames[1:])
 
 
-def wait(socket: Socket, other: int | None, *, seconds: float) -> list[bool]:
-    """Wait for a message or for activity of a file descriptor.
+def wait(
+    socket: Socket, descriptor: int | None, *, seconds: float
+) -> list[bool]:
+    """Wait until a message or data on a file descriptor can be read.
 
     Parameters
     ----------
     socket : zmq.Socket
-        Where a message may arrive.
-    other : int, optional
-        File descriptor that may become readable.
+        Socket to wait for.
+    descriptor : int, optional
+        File descriptor to wait for.
     seconds : float
-        Longest wait.
+        Longest time to wait.
 
     Returns
     -------
     list of bool
-        Whether a message and whether the file descriptor are there.
+        Whether the socket and whether the file descriptor is readable.
     """
     watched: list[tuple[typing.Any, int]] = [(socket, _POLLIN)]
-    if other is not None:
-        watched.append((other, _POLLIN))
-    found = [
+    if descriptor is not None:
+        watched.append((descriptor, _POLLIN))
+    readable = [
         entry for entry, _ in zmq.backend.zmq_poll(watched, int(seconds * 1e3))
     ]
-    return [socket in found, other in found]
+    return [socket in readable, descriptor in readable]
 
 
 def _receive_frames(socket: Socket, flags: int) -> list[bytes]:
-    frames = [_RECV(socket, flags, True, False)]
+    frames = [_RECEIVE(socket, flags, True, False)]
     while _GET(socket, _RCVMORE):
-        frames.append(_RECV(socket, flags, True, False))
+        frames.append(_RECEIVE(socket, flags, True, False))
     return frames
 
 
--- a/apricotpost/wire/tasks.py
+++ b/apricotpost/wire/tasks.py
@@ -1,4 +1,4 @@
-"""Messages between the tasks of one node; they never leave the process."""
+"""Messages between the tasks of one node, sent only within its process."""
 
 import dataclasses
 import enum
@@ -32,7 +32,7 @@
 
 
 class Outcome(enum.StrEnum):
-    """What is known about a call when it ends."""
+    """Outcome of a call as far as it is known."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
@@ -41,10 +41,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallRequest:
-    """Ingress asks dispatch to carry a call out.
+    """Request of ingress to dispatch to carry out a call.
 
-    ``request`` is unique; the result repeats it, so that a late result is
-    never taken for that of a later request.
+    ``request`` is a unique identifier. The result repeats it, so that a late
+    result is never matched to a later request.
     """
 
     request: str
@@ -60,9 +60,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLeft:
-    """Ingress tells dispatch that a request's caller hung up.
+    """Notice from ingress to dispatch that a caller has disconnected.
 
-    The result is still handed over, as the call may have run.
+    Dispatch still sends the result, as the call may have been executed.
     """
 
     request: str
@@ -70,9 +70,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallResult:
-    """Dispatch tells ingress how a call ended.
+    """Result of a call, sent by dispatch to ingress.
 
-    ``retried`` says whether a failed attempt was repeated, here or below.
+    ``retried`` states whether a failed attempt was repeated, here or in a
+    nested call.
     """
 
     request: str
@@ -87,9 +88,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendJob:
-    """The gate hands a call to a backend worker.
+    """Call that the gate assigns to a backend worker.
 
-    ``address`` is that of the backend server, as IP:PORT.
+    ``address`` is the address of the backend server, as IP:PORT.
     """
 
     call: messages.Call
@@ -98,14 +99,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerReady:
-    """A backend worker waits for its first call."""
+    """Notice that a backend worker is ready for its first call."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendResult:
-    """A backend worker finished a call.
+    """Result of a call that a backend worker finished.
 
-    ``duration_ms`` is the time the backend server took, in milliseconds.
+    ``duration_ms`` is the time that the backend server took, in milliseconds.
     """
 
     call: str
@@ -119,9 +120,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServerAnnounced:
-    """The backend server beside this node introduced itself.
+    """Notice that the node's own backend server announced itself.
 
-    ``leaving`` says that it asks for no more calls.
+    ``leaving`` states that it accepts no more calls.
     """
 
     service: str
@@ -135,9 +136,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GateControl:
-    """The main thread tells the gate to start a drain.
+    """Request of the main thread to the gate to start a drain.
 
-    New calls are refused after ``notice_seconds``; a later message can only
+    New calls are refused after ``notice_seconds``. A later message can only
     shorten that time.
     """
 
@@ -147,7 +148,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GateReport:
-    """The gate tells control its load and outcome counts once a second."""
+    """Load and outcome counts that the gate sends to control each second."""
 
     load: model.Load
     backend_server_up: bool
@@ -156,17 +157,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReadConfig:
-    """Control asks the platform task for everything after ``have``."""
+    """Request of control to the platform task to read the configuration.
+
+    ``have`` is the version that control already holds.
+    """
 
     have: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigRead:
-    """What the platform task found.
+    """Configuration that the platform task read.
 
-    ``available`` says whether the table answered. ``snapshot`` is set when
-    the deltas after ``have`` were not all there.
+    ``available`` states whether the table could be read. ``snapshot`` is set
+    if some deltas after ``have`` were missing from the table.
     """
 
     available: bool
@@ -177,9 +181,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigCommitted:
-    """A version was committed at this node.
+    """Notice that a configuration version was committed at this node.
 
-    With its ``delta`` it spreads even when the table goes out at once.
+    ``delta`` lets the version reach other nodes even if the table becomes
+    unavailable right after the commit.
     """
 
     version: int
@@ -188,17 +193,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaveAnnounced:
-    """The node is about to drain and tells its peers."""
+    """Request to control to notify the peers that the node will drain."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StatusRequest:
-    """Asks control for its state."""
+    """Request to control for the state of the node."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StatusReply:
-    """State of a node for operators."""
+    """State of a node, as shown to operators."""
 
     instance: str
     data_centre: str
@@ -213,7 +218,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallMeasured:
-    """Ingress tells the levels task how a call ended.
+    """Outcome of a call, sent by ingress to the levels task.
 
     ``duration_ms`` is the time that the caller waited, in milliseconds.
     """
@@ -225,12 +230,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LevelsRequest:
-    """Asks the levels task for its counts."""
+    """Request to the levels task for its counts."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LevelsReply:
-    """Service levels that a node counted.
+    """Service levels that a node measured.
 
     ``since`` and ``at`` are Unix times in seconds: when counting started,
     and when the counts were read.
@@ -243,7 +248,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StopTask:
-    """Asks a task to close its sockets and end."""
+    """Request to a task to close its sockets and end."""
 
 
 KINDS: dict[int, type] = {
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,4 +1,4 @@
-"""Tests of the codec."""
+"""Tests of the message codec."""
 
 import unittest
 
@@ -10,8 +10,8 @@
 
 
 class CodecTest(unittest.TestCase):
-    def test_message_survives_the_wire(self):
-        """Guards against a member that is lost in encoding."""
+    def test_decoding_restores_the_message(self):
+        """Guards against losing a field in encoding."""
         message = wire.Call(
             call="a.1",
             route="records",
@@ -30,18 +30,18 @@
         self.assertEqual(message, wire.decode(wire.encode(message)))
 
     def test_unknown_kind_is_refused(self):
-        """Guards against a newer node's message taken for another."""
+        """Guards against decoding a newer node's message as another type."""
         with self.assertRaises(errors.MalformedMessage):
             wire.decode([b"\xff", b"\x80"])
 
-    def test_wrong_type_is_refused(self):
-        """Guards against a body that does not match its kind."""
+    def test_wrong_field_type_is_refused(self):
+        """Guards against accepting a body that does not match its kind."""
         frames = wire.encode(wire.Cancel(call="a"))
         with self.assertRaises(errors.MalformedMessage):
             wire.decode([frames[0], b"\x81\xa4call\x01"])
 
     def test_truncated_body_is_refused(self):
-        """Guards against half a message taken as a whole one."""
+        """Guards against accepting a truncated message."""
         frames = wire.encode(wire.Cancel(call="abcdef"))
         with self.assertRaises(errors.MalformedMessage):
             wire.decode([frames[0], frames[1][:-2]])
