Describe the model, the configuration and the errors by their fields

The docstrings of apricotpost.model now say for each field what it holds, in which unit, and the ones of apricotpost.errors when an error is raised. Private functions of apricotpost.config have names that say what they find or apply.

Two messages of refused deltas name the versions more clearly. Event texts are unchanged, because a test compares them with the events page.

--- a/apricotpost/__init__.py
+++ b/apricotpost/__init__.py
@@ -1,4 +1,4 @@
-"""Configuration distribution for a service mesh."""
+"""Service mesh: carries calls and distributes configuration."""
 
 __all__ = ["__version__"]
 
--- a/apricotpost/config/__init__.py
+++ b/apricotpost/config/__init__.py
@@ -1,4 +1,4 @@
-"""Checks, checksums and deltas of the configuration."""
+"""Validation, checksums and deltas of configuration versions."""
 
 from apricotpost.config.checksums import compute_checksum
 from apricotpost.config.checksums import with_checksum
--- a/apricotpost/config/checksums.py
+++ b/apricotpost/config/checksums.py
@@ -18,17 +18,18 @@
     Parameters
     ----------
     snapshot : apricotpost.model.Snapshot
-        Its ``checksum`` member is left out.
+        Its ``checksum`` field is not included.
 
     Returns
     -------
     str
-        XXH128 in hexadecimal. It detects errors, not attacks.
+        XXH128 in hexadecimal. It detects accidental damage only; it is not
+        a cryptographic hash.
     """
     content = dataclasses.replace(snapshot, checksum="")
     return xxhash.xxh128_hexdigest(_ENCODER.encode(content))
 
 
 def with_checksum(snapshot: model.Snapshot) -> model.Snapshot:
-    """Return the snapshot with its checksum filled in."""
+    """Return a copy of the snapshot with its checksum set."""
     return dataclasses.replace(snapshot, checksum=compute_checksum(snapshot))
--- a/apricotpost/config/deltas.py
+++ b/apricotpost/config/deltas.py
@@ -1,4 +1,4 @@
-"""Compute and apply deltas between configuration versions."""
+"""Computation and application of deltas between configuration versions."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -13,17 +13,22 @@
 
 __all__ = ["apply_chain", "apply_delta", "apply_snapshot", "compute_delta"]
 
-T = typing.TypeVar("T")
+Entry = typing.TypeVar("Entry")
 
 
 def compute_delta(
     before: model.Snapshot, after: model.Snapshot
 ) -> model.Delta:
-    """Compute the change from one sealed snapshot to a later one."""
-    services = _compare(before.services, after.services, _by_name)
-    routes = _compare(before.routes, after.routes, _by_name)
-    centres = _compare(before.data_centres, after.data_centres, _by_name)
-    rollouts = _compare(before.rollouts, after.rollouts, _by_identifier)
+    """Compute the change from one snapshot to a later one.
+
+    The checksum of ``after`` must be set.
+    """
+    services = _find_changes(before.services, after.services, _by_name)
+    routes = _find_changes(before.routes, after.routes, _by_name)
+    data_centres = _find_changes(
+        before.data_centres, after.data_centres, _by_name
+    )
+    rollouts = _find_changes(before.rollouts, after.rollouts, _by_identifier)
     return model.Delta(
         base=before.version,
         version=after.version,
@@ -32,8 +37,8 @@
         remove_services=services[1],
         put_routes=routes[0],
         remove_routes=routes[1],
-        put_data_centres=centres[0],
-        remove_data_centres=centres[1],
+        put_data_centres=data_centres[0],
+        remove_data_centres=data_centres[1],
         put_rollouts=rollouts[0],
         remove_rollouts=rollouts[1],
     )
@@ -42,28 +47,28 @@
 def apply_delta(
     snapshot: model.Snapshot, delta: model.Delta
 ) -> model.Snapshot:
-    """Apply a delta to a copy of a snapshot.
+    """Return the snapshot that results from a delta.
 
     Parameters
     ----------
     snapshot : apricotpost.model.Snapshot
-        Configuration in force; it stays unchanged.
+        Configuration in force.
     delta : apricotpost.model.Delta
-        Change that starts at the version in force.
+        Change whose base is the version in force.
 
     Returns
     -------
     apricotpost.model.Snapshot
-        The whole, checked result.
+        The complete and validated result.
 
     Raises
     ------
     apricotpost.errors.ConfigurationOutdated
         The delta does not lead to a newer version.
     apricotpost.errors.DeltaBaseMissing
-        The delta starts at another version.
+        The base of the delta is another version.
     apricotpost.errors.ConfigurationInvalid
-        The result fails validation or its checksum.
+        The result fails validation or does not match its checksum.
     """
     return apply_chain(snapshot, (delta,))
 
@@ -71,77 +76,81 @@
 def apply_chain(
     snapshot: model.Snapshot, chain: Sequence[model.Delta]
 ) -> model.Snapshot:
-    """Apply consecutive deltas as one change; only the result is checked.
+    """Apply consecutive deltas as one change and validate only the result.
 
-    A version that is refused does not bar the way to its correction.
+    An invalid version in between thus does not prevent an update to the
+    version that corrects it.
 
     Parameters
     ----------
     snapshot : apricotpost.model.Snapshot
-        Configuration in force; it stays unchanged.
+        Configuration in force.
     chain : sequence of apricotpost.model.Delta
-        At least one, the first of which starts at the version in force.
+        At least one delta; the base of the first is the version in force.
 
     Returns
     -------
     apricotpost.model.Snapshot
-        The whole, checked result.
+        The complete and validated result.
 
     Raises
     ------
     apricotpost.errors.ApricotpostError
-        As `apply_delta`.
+        See `apply_delta`.
     """
     result = snapshot
     for delta in chain:
-        result = _apply(result, delta)
-    _check(result)
+        result = _apply_unchecked(result, delta)
+    _validate(result)
     return result
 
 
 def apply_snapshot(
     current: model.Snapshot, snapshot: model.Snapshot
 ) -> model.Snapshot:
-    """Check that a received snapshot may replace the one in force.
+    """Return a received snapshot if it may replace the one in force.
 
     Raises
     ------
     apricotpost.errors.ConfigurationOutdated
         The snapshot is not newer.
     apricotpost.errors.ConfigurationInvalid
-        It fails validation or its checksum.
+        The snapshot fails validation or does not match its checksum.
     """
     _require_newer(current, snapshot.version)
-    _check(snapshot)
+    _validate(snapshot)
     return snapshot
 
 
-def _apply(snapshot: model.Snapshot, delta: model.Delta) -> model.Snapshot:
+def _apply_unchecked(
+    snapshot: model.Snapshot, delta: model.Delta
+) -> model.Snapshot:
     _require_newer(snapshot, delta.version)
     if delta.base != snapshot.version:
         raise errors.DeltaBaseMissing(
-            f"delta starts at {delta.base}, version {snapshot.version} held"
+            f"delta with base version {delta.base} cannot be applied to "
+            f"version {snapshot.version}"
         )
     return dataclasses.replace(
         snapshot,
         version=delta.version,
         checksum=delta.checksum,
-        services=_merge(
+        services=_apply_changes(
             snapshot.services,
             delta.put_services,
             delta.remove_services,
             _by_name,
         ),
-        routes=_merge(
+        routes=_apply_changes(
             snapshot.routes, delta.put_routes, delta.remove_routes, _by_name
         ),
-        data_centres=_merge(
+        data_centres=_apply_changes(
             snapshot.data_centres,
             delta.put_data_centres,
             delta.remove_data_centres,
             _by_name,
         ),
-        rollouts=_merge(
+        rollouts=_apply_changes(
             snapshot.rollouts,
             delta.put_rollouts,
             delta.remove_rollouts,
@@ -153,11 +162,11 @@
 def _require_newer(snapshot: model.Snapshot, version: int) -> None:
     if version <= snapshot.version:
         raise errors.ConfigurationOutdated(
-            f"version {version} is not newer than {snapshot.version}"
+            f"configuration {version} is not newer than {snapshot.version}"
         )
 
 
-def _check(snapshot: model.Snapshot) -> None:
+def _validate(snapshot: model.Snapshot) -> None:
     expected = checksums.compute_checksum(snapshot)
     if snapshot.checksum != expected:
         raise errors.ConfigurationInvalid(
@@ -175,9 +184,11 @@
     return str(entry.identifier)
 
 
-def _compare(
-    before: Iterable[T], after: Iterable[T], key: Callable[[T], str]
-) -> tuple[tuple[T, ...], tuple[str, ...]]:
+def _find_changes(
+    before: Iterable[Entry],
+    after: Iterable[Entry],
+    key: Callable[[Entry], str],
+) -> tuple[tuple[Entry, ...], tuple[str, ...]]:
     old = {key(entry): entry for entry in before}
     new = {key(entry): entry for entry in after}
     put = tuple(entry for name, entry in new.items() if old.get(name) != entry)
@@ -185,12 +196,12 @@
     return put, removed
 
 
-def _merge(
-    entries: Iterable[T],
-    put: Iterable[T],
+def _apply_changes(
+    entries: Iterable[Entry],
+    put: Iterable[Entry],
     remove: Iterable[str],
-    key: Callable[[T], str],
-) -> tuple[T, ...]:
+    key: Callable[[Entry], str],
+) -> tuple[Entry, ...]:
     result = {key(entry): entry for entry in entries}
     for name in remove:
         result.pop(name, None)
--- a/apricotpost/config/validation.py
+++ b/apricotpost/config/validation.py
@@ -1,4 +1,4 @@
-"""Checks that a configuration is complete and consistent."""
+"""Validation of configurations for completeness and consistency."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -8,7 +8,8 @@
 
 __all__ = ["MAX_TIMEOUT_MS", "find_faults", "validate"]
 
-# Below the drain time and the time that a gate remembers call identifiers.
+# A call must end within the default drain time (30 s) and while a gate still
+# remembers its identifier (60 s).
 MAX_TIMEOUT_MS = 25_000
 _METHODS = frozenset(
     ("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE")
@@ -16,12 +17,12 @@
 
 
 def validate(snapshot: model.Snapshot) -> None:
-    """Check a snapshot as a whole.
+    """Validate a complete snapshot.
 
     Raises
     ------
     apricotpost.errors.ConfigurationInvalid
-        With every fault found.
+        The snapshot has faults; the error lists all of them.
     """
     faults = tuple(find_faults(snapshot))
     if faults:
@@ -33,37 +34,37 @@
 
 
 def find_faults(snapshot: model.Snapshot) -> Iterator[str]:
-    """Yield each fault of a snapshot as one sentence."""
+    """Yield a description of each fault of a snapshot."""
     services = {service.name: service for service in snapshot.services}
-    yield from _order_faults(
+    yield from _find_name_faults(
         "services", [service.name for service in snapshot.services]
     )
-    yield from _order_faults(
+    yield from _find_name_faults(
         "routes", [route.name for route in snapshot.routes]
     )
-    yield from _order_faults(
+    yield from _find_name_faults(
         "data_centres", [centre.name for centre in snapshot.data_centres]
     )
-    yield from _order_faults(
+    yield from _find_name_faults(
         "rollouts", [rollout.identifier for rollout in snapshot.rollouts]
     )
     for service in snapshot.services:
-        yield from _service_faults(service)
+        yield from _find_service_faults(service)
     for route in snapshot.routes:
-        yield from _route_faults(route, services)
-    yield from _prefix_faults(snapshot.routes)
+        yield from _find_route_faults(route, services)
+    yield from _find_prefix_conflicts(snapshot.routes)
     for rollout in snapshot.rollouts:
-        yield from _rollout_faults(rollout, services)
+        yield from _find_rollout_faults(rollout, services)
 
 
-def _order_faults(what: str, names: list[str]) -> Iterator[str]:
+def _find_name_faults(collection: str, names: list[str]) -> Iterator[str]:
     if names != sorted(set(names)):
-        yield f"{what} are not sorted by unique name"
+        yield f"{collection} are not sorted by unique name"
     if "" in names:
-        yield f"{what} contain an empty name"
+        yield f"{collection} contain an empty name"
 
 
-def _service_faults(service: model.Service) -> Iterator[str]:
+def _find_service_faults(service: model.Service) -> Iterator[str]:
     total = sum(entry.share for entry in service.versions)
     if total != model.TOTAL_SHARE:
         yield (
@@ -77,7 +78,7 @@
         yield f"service {service.name}: versions are not unique names"
 
 
-def _route_faults(
+def _find_route_faults(
     route: model.Route, services: dict[str, model.Service]
 ) -> Iterator[str]:
     if route.service not in services:
@@ -93,11 +94,11 @@
         )
 
 
-def _prefix_faults(routes: Iterable[model.Route]) -> Iterator[str]:
-    owners: dict[tuple[str, str], str] = {}
+def _find_prefix_conflicts(routes: Iterable[model.Route]) -> Iterator[str]:
+    route_names: dict[tuple[str, str], str] = {}
     for route in routes:
         for method in route.methods:
-            other = owners.setdefault((route.prefix, method), route.name)
+            other = route_names.setdefault((route.prefix, method), route.name)
             if other != route.name:
                 yield (
                     f"route {route.name}: {method} {route.prefix} already "
@@ -105,7 +106,7 @@
                 )
 
 
-def _rollout_faults(
+def _find_rollout_faults(
     rollout: model.Rollout, services: dict[str, model.Service]
 ) -> Iterator[str]:
     service = services.get(rollout.service)
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -1,4 +1,4 @@
-"""Types of every failure, with stable codes."""
+"""Exceptions of the package, with stable codes for users and scripts."""
 
 from collections.abc import Iterable
 
@@ -31,7 +31,7 @@
 ]
 
 
-# Exit code of a command for the status of the node's answer.
+# Exit code of a command for the HTTP status of the node's response.
 _EXIT_CODES = {
     400: 2,
     404: 2,
@@ -51,7 +51,7 @@
     message : str
         What failed and what was expected.
     faults : tuple of str
-        Single faults, where there can be more than one.
+        Descriptions of the single faults, if there can be several.
 
     Attributes
     ----------
@@ -74,7 +74,7 @@
 
 
 class SettingsInvalid(ApricotpostError):
-    """Settings are missing, malformed or out of range."""
+    """Settings or credentials are missing, malformed or out of range."""
 
     code = "AP101"
     exit_code = 2
@@ -88,7 +88,7 @@
 
 
 class MalformedMessage(ApricotpostError):
-    """A message from another node cannot be decoded."""
+    """A received message cannot be decoded."""
 
     code = "AP201"
 
@@ -108,13 +108,13 @@
 
 
 class DeltaBaseMissing(ApricotpostError):
-    """A delta does not start at the version in force."""
+    """The base of a delta is not the version in force."""
 
     code = "AP303"
 
 
 class PlatformError(ApricotpostError):
-    """Base of the failures of the table service and object store."""
+    """Base of the errors of the platform's table service and object store."""
 
     code = "AP400"
     exit_code = 4
@@ -122,44 +122,44 @@
 
 
 class PlatformUnavailable(PlatformError):
-    """The platform refused or could not be reached; nothing was written."""
+    """The platform refused a request or was not reached; no write happened."""
 
     code = "AP401"
 
 
 class PlatformOutcomeUnknown(PlatformError):
-    """The answer to a write was lost; it may or may not have taken effect."""
+    """A write may have taken effect or not, as its response was lost."""
 
     code = "AP402"
 
 
 class PlatformThrottled(PlatformUnavailable):
-    """The table is over its rate or busy with the same item."""
+    """The platform throttled the request, or the item was busy."""
 
     code = "AP405"
 
 
 class PlatformDataDamaged(PlatformError):
-    """A record or an object of the platform cannot be used as it is."""
+    """A record or object that was read from the platform is damaged."""
 
     code = "AP406"
 
 
 class HistoryLost(PlatformError):
-    """The changes that a watch asks for are no longer kept."""
+    """The store no longer keeps the changes that a watch requests."""
 
     code = "AP407"
 
 
 class TransactionRejected(PlatformError):
-    """A condition of a write to the table did not hold."""
+    """A condition of a write to the table did not hold; no write happened."""
 
     code = "AP403"
     status = 409
 
 
 class LeaseLost(PlatformError):
-    """A lease has another holder or a higher fencing number."""
+    """The lease has another holder or a higher fencing number."""
 
     code = "AP404"
 
@@ -173,7 +173,7 @@
 
 
 class AccessDenied(ApricotpostError):
-    """The token's team may not make this change."""
+    """The token does not permit this request."""
 
     code = "AP502"
     exit_code = 3
@@ -189,7 +189,7 @@
 
 
 class SheetInvalid(ApricotpostError):
-    """The morning sheet has faults; none of it was accepted."""
+    """A sheet of changes has faults; no row of it was accepted."""
 
     code = "AP504"
     exit_code = 2
@@ -197,7 +197,7 @@
 
 
 class ChangeConflict(ApricotpostError):
-    """Another change was accepted first."""
+    """The change conflicts with one that was accepted earlier."""
 
     code = "AP505"
     exit_code = 3
@@ -205,7 +205,7 @@
 
 
 class NodeRefused(ApricotpostError):
-    """A node answered with an error, whose code and status it keeps."""
+    """A node sent an error response; carries its code and status."""
 
     def __init__(
         self, message: str, *, code: str, status: int, faults: Iterable[str]
@@ -224,7 +224,7 @@
 
 
 class RolloutRefused(ApricotpostError):
-    """A rollout cannot be started; the message says why."""
+    """A rollout cannot be started; the message gives the reason."""
 
     code = "AP601"
     exit_code = 3
@@ -240,6 +240,6 @@
 
 
 def describe(error: ApricotpostError) -> str:
-    """Return the code, the message and each fault on a line of its own."""
-    head = f"{error.code}: {error.message}"
-    return "\n".join([head, *(f"  {fault}" for fault in error.faults)])
+    """Return the code and message, followed by one line per fault."""
+    summary = f"{error.code}: {error.message}"
+    return "\n".join([summary, *(f"  {fault}" for fault in error.faults)])
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -1,4 +1,4 @@
-"""Catalogue of the numbered log events."""
+"""Catalogue of log events; operators look their numbers up."""
 
 import dataclasses
 import logging
@@ -10,14 +10,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Event:
-    """One kind of log event.
+    """A type of log event.
 
     Parameters
     ----------
     number : int
-        Stable number.
+        Stable number, written as ``AP-<number>``.
     level : int
-        Level of `logging`.
+        Log level of the `logging` module.
     text : str
         Message with named fields in ``%(name)s`` form.
     """
@@ -30,102 +30,102 @@
 CATALOGUE: dict[int, Event] = {}
 
 
-def _event(number: int, level: int, text: str) -> Event:
-    entry = Event(number=number, level=level, text=text)
+def _define(number: int, level: int, text: str) -> Event:
+    event = Event(number=number, level=level, text=text)
     assert number not in CATALOGUE
-    CATALOGUE[number] = entry
-    return entry
+    CATALOGUE[number] = event
+    return event
 
 
 # Node life cycle: 100 to 199.
-NODE_STARTED = _event(
+NODE_STARTED = _define(
     100, logging.INFO, "node %(instance)s started in %(data_centre)s"
 )
-NODE_READY = _event(101, logging.INFO, "ready with version %(version)s")
-DRAIN_STARTED = _event(102, logging.INFO, "drain started")
-NODE_STOPPED = _event(103, logging.INFO, "node stopped")
-TASK_FAILED = _event(104, logging.ERROR, "task %(task)s failed: %(error)s")
-BACKEND_ANNOUNCED = _event(
+NODE_READY = _define(101, logging.INFO, "ready with version %(version)s")
+DRAIN_STARTED = _define(102, logging.INFO, "drain started")
+NODE_STOPPED = _define(103, logging.INFO, "node stopped")
+TASK_FAILED = _define(104, logging.ERROR, "task %(task)s failed: %(error)s")
+BACKEND_ANNOUNCED = _define(
     105,
     logging.INFO,
     "backend server of %(service)s %(version)s announced at %(address)s",
 )
-DRAIN_CUT = _event(
+DRAIN_CUT = _define(
     106,
     logging.WARNING,
     "drain ended after %(seconds)s s with calls in flight",
 )
-NOTICE_ENDED = _event(107, logging.INFO, "notice period ended by a signal")
+NOTICE_ENDED = _define(107, logging.INFO, "notice period ended by a signal")
 # Configuration: 200 to 299.
-CONFIG_APPLIED = _event(
+CONFIG_APPLIED = _define(
     200, logging.INFO, "configuration %(version)s in force"
 )
-CONFIG_REFUSED = _event(
+CONFIG_REFUSED = _define(
     201, logging.ERROR, "configuration %(version)s refused: %(reason)s"
 )
-CONFIG_COMMITTED = _event(
+CONFIG_COMMITTED = _define(
     202, logging.INFO, "configuration %(version)s committed by %(author)s"
 )
-PLATFORM_LOST = _event(210, logging.WARNING, "table not reachable: %(error)s")
-PLATFORM_BACK = _event(211, logging.INFO, "table reachable again")
-CONFIG_STOPPED = _event(
+PLATFORM_LOST = _define(210, logging.WARNING, "table not reachable: %(error)s")
+PLATFORM_BACK = _define(211, logging.INFO, "table reachable again")
+CONFIG_STOPPED = _define(
     203,
     logging.ERROR,
     "configuration %(version)s spreads no further, refused by %(refusers)s",
 )
-WITHDRAWAL_NOTED = _event(
+WITHDRAWAL_NOTED = _define(
     204,
     logging.WARNING,
     "version %(version)s of %(service)s is withdrawn: %(reason)s",
 )
-SNAPSHOT_DAMAGED = _event(
+SNAPSHOT_DAMAGED = _define(
     212,
     logging.ERROR,
     "stored snapshot not usable, reading all deltas instead: %(error)s",
 )
 # Keyed calls: 220 to 229.
-OUTCOME_NOT_STORED = _event(
+OUTCOME_NOT_STORED = _define(
     220,
     logging.ERROR,
     "record of key %(key)s on route %(route)s stays as it is: %(error)s",
 )
-OUTCOME_UNREADABLE = _event(
+OUTCOME_UNREADABLE = _define(
     221,
     logging.ERROR,
     "outcome of key %(key)s on route %(route)s not readable: %(error)s",
 )
 # Messages between nodes: 300 to 399.
-MESSAGE_MALFORMED = _event(
+MESSAGE_MALFORMED = _define(
     300, logging.WARNING, "malformed message dropped: %(error)s"
 )
-INSTANCE_STATE = _event(
+INSTANCE_STATE = _define(
     310, logging.INFO, "instance %(instance)s is %(state)s"
 )
-CONTROL_COUNTERS = _event(320, logging.DEBUG, "control counters %(counters)s")
+CONTROL_COUNTERS = _define(320, logging.DEBUG, "control counters %(counters)s")
 # Administration: 500 to 599.
-ADMIN_REFUSED = _event(
+ADMIN_REFUSED = _define(
     500,
     logging.WARNING,
     "administration request %(method)s %(path)s refused: "
     "%(code)s %(message)s",
 )
-ADMIN_FAILED = _event(
+ADMIN_FAILED = _define(
     501,
     logging.ERROR,
     "administration request %(path)s failed: %(error)s",
 )
-MOVE_DONE = _event(
+MOVE_DONE = _define(
     510,
     logging.INFO,
     "data centre move %(move)s done after %(seconds).1f s",
 )
-MOVE_LATE = _event(
+MOVE_LATE = _define(
     511,
     logging.WARNING,
     "data centre move %(move)s done after %(seconds).1f s, later than its "
     "finish_by",
 )
-MOVE_OVERDUE = _event(
+MOVE_OVERDUE = _define(
     512,
     logging.ERROR,
     "data centre move %(move)s is past its finish_by; outstanding: "
@@ -133,31 +133,31 @@
 )
 
 # Rollouts: 400 to 499.
-ROLLOUT_STARTED = _event(
+ROLLOUT_STARTED = _define(
     400,
     logging.INFO,
     "rollout %(rollout)s observed: %(service)s from %(old)s to %(new)s",
 )
-ROLLOUT_STEP = _event(
+ROLLOUT_STEP = _define(
     401, logging.INFO, "rollout %(rollout)s: share %(share)s of 1000"
 )
-ROLLOUT_HELD = _event(
+ROLLOUT_HELD = _define(
     402, logging.INFO, "rollout %(rollout)s held: %(reason)s"
 )
-ROLLOUT_WITHDRAWN = _event(
+ROLLOUT_WITHDRAWN = _define(
     403, logging.WARNING, "rollout %(rollout)s withdrawn: %(reason)s"
 )
-ROLLOUT_DONE = _event(404, logging.INFO, "rollout %(rollout)s done")
-ROLLOUT_BAD = _event(
+ROLLOUT_DONE = _define(404, logging.INFO, "rollout %(rollout)s done")
+ROLLOUT_BAD = _define(
     405, logging.WARNING, "version %(version)s is bad: %(reason)s"
 )
-LEASE_TAKEN = _event(
+LEASE_TAKEN = _define(
     410, logging.INFO, "lease of %(service)s taken with number %(fence)s"
 )
-LEASE_LOST = _event(
+LEASE_LOST = _define(
     411, logging.WARNING, "lease of %(service)s lost: %(reason)s"
 )
-ROLLOUT_RETRY = _event(
+ROLLOUT_RETRY = _define(
     412,
     logging.WARNING,
     "rollout %(rollout)s: table failed, again in %(seconds).1f s: %(error)s",
@@ -165,110 +165,110 @@
 
 
 # Event-loop node, requests: 600 to 699.
-REQUEST_SERVED = _event(
+REQUEST_SERVED = _define(
     600, logging.INFO, "request %(request)s %(outcome)s with %(status)s"
 )
-REQUEST_ENDED = _event(
+REQUEST_ENDED = _define(
     601,
     logging.WARNING,
     "request %(request)s %(outcome)s with %(status)s: %(reason)s",
 )
-REQUEST_UNROUTED = _event(
+REQUEST_UNROUTED = _define(
     602,
     logging.WARNING,
     "request %(request)s for %(host)s not routed: %(reason)s",
 )
-ANSWER_LATE = _event(
+ANSWER_LATE = _define(
     603, logging.INFO, "answer to %(call)s came after its request had ended"
 )
-GATE_REJECTED = _event(
+GATE_REJECTED = _define(
     610,
     logging.WARNING,
     "backend server %(backend)s turned request %(request)s away",
 )
-GATE_FAILED = _event(
+GATE_FAILED = _define(
     611,
     logging.WARNING,
     "request %(request)s failed at backend server %(backend)s: %(reason)s",
 )
-DECISIONS_SUPPRESSED = _event(
+DECISIONS_SUPPRESSED = _define(
     620, logging.WARNING, "%(lines)s lines about requests were not written"
 )
-LINES_DROPPED = _event(
+LINES_DROPPED = _define(
     621, logging.ERROR, "%(lines)s lines were dropped, output is blocked"
 )
 
 # Event-loop node, state: 700 to 799.
-SIDECAR_STARTED = _event(
+SIDECAR_STARTED = _define(
     700, logging.INFO, "node %(instance)s started in %(data_centre)s"
 )
-SIDECAR_STOPPING = _event(
+SIDECAR_STOPPING = _define(
     701, logging.INFO, "node %(instance)s got SIGTERM and drains"
 )
-SIDECAR_STOPPED = _event(
+SIDECAR_STOPPED = _define(
     702, logging.INFO, "node %(instance)s stopped with %(open)s requests open"
 )
-SETTINGS_RELOADED = _event(
+SETTINGS_RELOADED = _define(
     703, logging.INFO, "settings reloaded after %(cause)s"
 )
-SETTINGS_REFUSED = _event(
+SETTINGS_REFUSED = _define(
     704, logging.ERROR, "changed settings refused: %(error)s"
 )
-TASK_ENDED = _event(705, logging.ERROR, "task %(task)s failed: %(error)s")
-READINESS_CHANGED = _event(706, logging.INFO, "readiness is now %(ready)s")
-BACKEND_STATE = _event(
+TASK_ENDED = _define(705, logging.ERROR, "task %(task)s failed: %(error)s")
+READINESS_CHANGED = _define(706, logging.INFO, "readiness is now %(ready)s")
+BACKEND_STATE = _define(
     710, logging.INFO, "backend server %(backend)s is %(state)s"
 )
-BACKEND_LEFT = _event(
+BACKEND_LEFT = _define(
     711, logging.INFO, "backend server %(backend)s deregistered"
 )
-BACKEND_UNREACHABLE = _event(
+BACKEND_UNREACHABLE = _define(
     712, logging.WARNING, "backend server %(backend)s refuses connections"
 )
-BEAT_MALFORMED = _event(
+BEAT_MALFORMED = _define(
     713, logging.WARNING, "announcement refused: %(error)s"
 )
-BACKEND_HEALTH = _event(
+BACKEND_HEALTH = _define(
     714,
     logging.INFO,
     "health check of backend server %(backend)s: %(status)s",
 )
-LINK_CHANGED = _event(
+LINK_CHANGED = _define(
     720, logging.INFO, "connection to node %(node)s is %(state)s"
 )
-LINK_MALFORMED = _event(
+LINK_MALFORMED = _define(
     721, logging.WARNING, "message of another node refused: %(error)s"
 )
-NODE_MET = _event(722, logging.INFO, "node %(node)s met with boot %(boot)s")
-LINK_TRAFFIC = _event(
+NODE_MET = _define(722, logging.INFO, "node %(node)s met with boot %(boot)s")
+LINK_TRAFFIC = _define(
     723, logging.INFO, "messages and bytes sent to other nodes: %(sent)s"
 )
-STORE_LOST = _event(730, logging.WARNING, "store lost: %(error)s")
-STORE_REGAINED = _event(
+STORE_LOST = _define(730, logging.WARNING, "store lost: %(error)s")
+STORE_REGAINED = _define(
     731, logging.INFO, "store regained after %(seconds)s s"
 )
-READER_CHANGED = _event(
+READER_CHANGED = _define(
     732, logging.INFO, "this node reads the store: %(reader)s"
 )
-ORDERS_APPLIED = _event(
+ORDERS_APPLIED = _define(
     733,
     logging.INFO,
     "orders up to revision %(revision)s in force, configuration %(version)s",
 )
-ORDERS_REFUSED = _event(
+ORDERS_REFUSED = _define(
     734, logging.ERROR, "orders refused, the last ones stay: %(error)s"
 )
-ORDERS_GAP = _event(
+ORDERS_GAP = _define(
     735,
     logging.INFO,
     "order %(key)s lacks its base %(base)s, the whole row is asked for",
 )
-TRIAL_CHANGED = _event(
+TRIAL_CHANGED = _define(
     740,
     logging.INFO,
     "rollout of %(service)s to %(version)s is %(phase)s: %(reason)s",
 )
-TRIAL_UNWRITTEN = _event(
+TRIAL_UNWRITTEN = _define(
     741,
     logging.WARNING,
     "status of the rollout of %(service)s not written: %(error)s",
@@ -276,20 +276,21 @@
 
 
 def emit(logger: logging.Logger, event: Event, **fields: typing.Any) -> None:
-    """Log one event.
+    """Write one event to the log.
 
     Parameters
     ----------
     logger : logging.Logger
         Logger of the calling module.
     event : Event
-        Entry of the catalogue.
+        Event of the catalogue.
     **fields
-        Values of the event's named fields.
+        Values of the event's named fields, and fields that only the JSON
+        format shows.
     """
     if not logger.isEnabledFor(event.level):
         return
-    # logging takes a single mapping as the values of named fields.
+    # logging accepts the values of named fields only as a single mapping.
     arguments = (fields,) if fields else ()
     logger.log(
         event.level,
@@ -300,7 +301,7 @@
 
 
 def configure(*, style: str, level: str = "INFO") -> None:
-    """Send log records to standard error.
+    """Write log records to standard error.
 
     Parameters
     ----------
@@ -310,13 +311,13 @@
         Lowest level that is written.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_formatter(style))
+    handler.setFormatter(_make_formatter(style))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
 
 
-def _formatter(style: str) -> logging.Formatter:
+def _make_formatter(style: str) -> logging.Formatter:
     if style != "json":
         return logging.Formatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s"
--- a/apricotpost/model/__init__.py
+++ b/apricotpost/model/__init__.py
@@ -1,4 +1,4 @@
-"""Frozen values shared by all packages."""
+"""Immutable data classes shared by all packages."""
 
 from apricotpost.model.configuration import DataCentre
 from apricotpost.model.configuration import DataCentreState
--- a/apricotpost/model/configuration.py
+++ b/apricotpost/model/configuration.py
@@ -1,4 +1,4 @@
-"""Frozen values of the configuration."""
+"""Immutable data classes of the mesh configuration."""
 
 import dataclasses
 import enum
@@ -17,19 +17,22 @@
     "VersionShare",
 ]
 
-# Shares are given in thousandths of a service's calls.
+# A version's share of its service's calls is given in thousandths.
 TOTAL_SHARE = 1000
 
 
 class DataCentreState(enum.StrEnum):
-    """Whether a data centre takes new work."""
+    """Whether a data centre receives new calls."""
 
     IN = "in"
     OUT = "out"
 
 
 class RolloutState(enum.StrEnum):
-    """Where a rollout stands."""
+    """Phase of a rollout.
+
+    While baking, the new version gets all calls and is still observed.
+    """
 
     RUNNING = "running"
     BAKING = "baking"
@@ -39,14 +42,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VersionShare:
-    """Share of a service's calls for one backend server version.
+    """Share of a service's calls that one backend server version gets.
 
     Parameters
     ----------
     version : str
         Backend server version.
     share : int
-        Share in thousandths.
+        Share in thousandths of the service's calls.
     """
 
     version: str
@@ -55,7 +58,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A service, the team that owns it and its versions in use."""
+    """A service.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    team : str
+        Team that owns the service.
+    versions : tuple of VersionShare
+        Backend server versions in use; the shares add up to `TOTAL_SHARE`.
+    """
 
     name: str
     team: str
@@ -64,24 +77,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """Calls that one service answers.
+    """Calls with a path prefix and the service that handles them.
 
     Parameters
     ----------
     name : str
         Unique name.
     service : str
-        Service that answers.
+        Name of the service that handles the calls.
     prefix : str
         Path prefix, starting with a slash.
     methods : tuple of str
         HTTP methods in upper case.
     idempotent : bool
-        Whether a call may be repeated.
+        Whether a call may be executed more than once.
     internal : bool
-        Whether only the user's own services may call it.
+        Whether only backend servers of the mesh may call the route, not
+        callers from outside.
     timeout_ms : int
-        Longest duration of a call in milliseconds.
+        Timeout of a call in milliseconds.
     """
 
     name: str
@@ -95,7 +109,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DataCentre:
-    """A data centre and whether it takes new work."""
+    """A data centre and whether it receives new calls."""
 
     name: str
     region: str
@@ -104,22 +118,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Rollout:
-    """A move of a service's calls from one version to another.
+    """Gradual shift of a service's calls from one version to another.
 
     Parameters
     ----------
     identifier : str
         Unique identifier.
-    service, old, new : str
-        Service and its versions before and after.
+    service : str
+        Name of the service.
+    old, new : str
+        Version that is replaced and the version that replaces it.
     state : RolloutState
-        Where the rollout stands.
+        Phase of the rollout.
     share : int
-        Share of the new version in thousandths.
+        Share of the new version in thousandths of the calls.
     started_at, finish_by, changed_at : float
-        Unix time in seconds.
+        Start, deadline and last change, as Unix times in seconds.
     reason : str
-        Why it ended, for an ended rollout.
+        Why the rollout ended; empty while it is open.
     """
 
     identifier: str
@@ -136,7 +152,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
-    """One complete configuration version; members are sorted by name."""
+    """One complete configuration version.
+
+    Services, routes and data centres are sorted by name and rollouts by
+    identifier. ``checksum`` is described in `apricotpost.config.checksums`.
+    """
 
     version: int
     services: tuple[Service, ...] = ()
@@ -151,9 +171,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Delta:
-    """Change from one configuration version to the next.
+    """Change from one configuration version to a later one.
 
-    ``checksum`` is that of the resulting snapshot.
+    Parameters
+    ----------
+    base, version : int
+        Version that the delta applies to and version that results.
+    checksum : str
+        Checksum of the resulting snapshot.
+    put_services, put_routes, put_data_centres, put_rollouts
+        Entries that are added or replaced.
+    remove_services, remove_routes, remove_data_centres : tuple of str
+        Names of the entries that are removed.
+    remove_rollouts : tuple of str
+        Identifiers of the rollouts that are removed.
     """
 
     base: int
--- a/apricotpost/model/instances.py
+++ b/apricotpost/model/instances.py
@@ -1,4 +1,4 @@
-"""Frozen values of instances and what is known about them."""
+"""Immutable data classes on instances, their load and their outcomes."""
 
 import dataclasses
 import enum
@@ -16,7 +16,7 @@
 
 
 class InstanceState(enum.StrEnum):
-    """Liveness of an instance as others see it."""
+    """Liveness of an instance as seen by the other nodes."""
 
     STARTING = "starting"
     UP = "up"
@@ -27,26 +27,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceRecord:
-    """What nodes tell each other about one instance.
+    """State of one instance, as the nodes exchange it.
 
     Parameters
     ----------
     instance : str
-        Unique name.
+        Unique name of the instance.
     data_centre, region : str
-        Where it runs.
+        Location of the instance.
     call_address, control_address : str
-        ZeroMQ endpoints of its node.
+        ZeroMQ endpoints of the instance's node.
     service, version : str
-        Announced backend server; empty before the announcement.
+        Service and version of the backend server; empty until it has
+        announced itself.
     incarnation : int
-        Rises each time the instance speaks about itself anew.
+        Raised by the instance with each new record of itself; of two
+        records, the one with the higher incarnation is newer.
     state : InstanceState
-        Liveness.
+        Liveness of the instance.
     slots : int
-        Calls that the backend server handles at once.
+        Calls that the backend server handles concurrently.
     config_version : int
-        Configuration version that the node holds.
+        Configuration version in force at the node.
     """
 
     instance: str
@@ -66,8 +68,18 @@
 class Load:
     """Load of one backend server as its node reports it.
 
-    ``usual_ms`` is the moving average of its latency in milliseconds, 0
-    while it is not known.
+    Parameters
+    ----------
+    in_flight : int
+        Calls that the backend server is handling.
+    limit : int
+        Most calls that the gate sends to it concurrently.
+    queued : int
+        Calls that wait at the gate.
+    cold : bool
+        Whether the gate still limits the backend server as cold.
+    usual_ms : float
+        Moving average of its latency in milliseconds; 0 if not known.
     """
 
     in_flight: int
@@ -79,7 +91,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Withdrawal:
-    """Notice that a rollout's new version takes no more calls."""
+    """Notice that a rollout's new version gets no more calls.
+
+    Parameters
+    ----------
+    rollout : str
+        Identifier of the rollout.
+    service, version : str
+        Service and the version that is withdrawn.
+    reason : str
+        Why the version is withdrawn.
+    at : float
+        Unix time of the decision in seconds.
+    """
 
     rollout: str
     service: str
@@ -95,13 +119,13 @@
     Parameters
     ----------
     instance, service, version, route : str
-        What was counted.
+        Backend server and route to which the counts belong.
     epoch : int
-        Changes when the sender restarts its counts.
+        Raised when the sender restarts and counts from 0 again.
     calls, failures : int
-        Calls finished and calls failed.
+        Finished calls, and those of them that failed.
     latency_counts : tuple of int
-        Calls per latency bucket, see `apricotpost.rollout`.
+        Finished calls per latency bucket, see `apricotpost.rollout`.
     """
 
     instance: str
@@ -116,7 +140,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class View:
-    """Immutable state that the call path reads; control swaps it."""
+    """State that the call path reads, replaced whole by the control task.
+
+    Parameters
+    ----------
+    snapshot : apricotpost.model.Snapshot
+        Configuration in force.
+    instances : tuple of InstanceRecord
+        Known instances.
+    withdrawals : tuple of Withdrawal
+        Versions that must not get calls.
+    ready : bool
+        Whether the node may serve calls.
+    """
 
     snapshot: configuration.Snapshot
     instances: tuple[InstanceRecord, ...] = ()
--- a/apricotpost/model/levels.py
+++ b/apricotpost/model/levels.py
@@ -1,4 +1,4 @@
-"""Frozen values of service levels."""
+"""Immutable data classes on service levels."""
 
 import dataclasses
 
@@ -12,11 +12,12 @@
     Parameters
     ----------
     availability_percent : float
-        Share of calls that are answered without a server error.
+        Share of calls, in percent, that must be answered without a
+        server error.
     latency_ms : float
-        Longest duration of a call that is not slow, in milliseconds.
+        Latency in milliseconds above which a call counts as slow.
     latency_percent : float
-        Share of answered calls that are not slow.
+        Share of answered calls, in percent, that must not be slow.
     """
 
     availability_percent: float
@@ -26,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LevelCounts:
-    """Calls that were good, failed, or were answered too slowly."""
+    """Numbers of good calls, failed calls, and calls answered too slowly."""
 
     good: int = 0
     bad: int = 0
@@ -35,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LevelBucket:
-    """Counts of one stretch of time; ``start`` is Unix time in seconds."""
+    """Counts of one time bucket; ``start`` is a Unix time in seconds."""
 
     start: int
     counts: LevelCounts
@@ -43,20 +44,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RouteLevel:
-    """What one node counted for one route.
+    """Service level of one route, as counted by one node.
 
     Parameters
     ----------
-    route, service : str
-        What was counted; the service is empty for a removed route.
+    route : str
+        Name of the route.
+    service : str
+        Service that handles the route; empty if the route was removed.
     objective : Objective
-        In force at the node.
+        Objective in force at the node.
     windows : tuple of LevelCounts
-        Sums over the windows of `apricotpost.report.levels`.
+        Counts within each window of `apricotpost.report.levels`.
     buckets : tuple of LevelBucket
         Buckets of 15 minutes that have calls, oldest first.
     latencies : str
-        `hdrhistogram` of the last hour or two, in milliseconds, encoded.
+        Encoded `hdrhistogram` of the latencies of the last one to two
+        hours, in milliseconds.
     """
 
     route: str
--- a/apricotpost/model/traffic.py
+++ b/apricotpost/model/traffic.py
@@ -1,4 +1,7 @@
-"""Traffic configuration that operators put in force through the store."""
+"""Immutable data classes on traffic rules, orders and heartbeats.
+
+Operators set the rules and orders in the platform's store.
+"""
 
 from collections.abc import Mapping
 import dataclasses
@@ -18,7 +21,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Target:
-    """A service that takes a part of a route's requests."""
+    """A service that gets a share of a route's requests.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    weight : int
+        The share is this weight divided by the sum of all weights.
+    """
 
     service: str
     weight: int
@@ -26,26 +37,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TrafficRoute:
-    """Requests of one host below one path.
+    """Requests to one host below one path, and how they are handled.
 
     Parameters
     ----------
-    name, host, prefix : str
-        The prefix begins and ends with a slash.
+    name : str
+        Unique name.
+    host : str
+        Host of the requests.
+    prefix : str
+        Path prefix of the requests; begins and ends with a slash.
     targets : tuple of Target
-        Services that carry the route.
+        Services that handle the requests.
     idempotent : bool
-        Whether a request may run more than once.
+        Whether a request may be executed more than once.
     timeout_ms : int
-        Longest time that a client is kept waiting.
+        Longest time until the client gets a response, in milliseconds.
     objective_ms : int
-        Latency objective.
+        Latency objective in milliseconds.
     max_attempts : int
-        Most backend servers that one request may be sent to.
+        Most backend servers to which one request may be sent.
     rank : int
-        Priority; 0 is the most urgent.
+        Priority; lower is more urgent, 0 is the most urgent.
     regions : tuple of str
-        Where the route may run; empty means everywhere.
+        Regions whose backend servers may handle the requests; empty means
+        all.
     """
 
     name: str
@@ -62,18 +78,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceRule:
-    """What holds for all backend servers of a service.
+    """Properties of all backend servers of a service.
 
     Parameters
     ----------
-    name, health_path : str
-        The path answers health checks.
+    name : str
+        Name of the service.
+    health_path : str
+        Path of the health check.
     max_connections : int
         Most connections that a backend server accepts.
     cold_seconds : float
-        How long a started backend server stays cold.
+        Time for which a started backend server stays cold, in seconds.
     cold_per_second : float
-        Requests a second that a cold backend server bears.
+        Most requests per second that a cold backend server may get.
     """
 
     name: str
@@ -85,7 +103,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ClientLimits:
-    """Bounds on what clients send."""
+    """Limits on the requests and connections of clients.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Largest header section and body of a request.
+    header_ms : int
+        Longest time for receiving the header section, in milliseconds.
+    idle_ms : int
+        Time after which an idle connection is closed, in milliseconds.
+    """
 
     header_bytes: int
     body_bytes: int
@@ -105,7 +133,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutOrder:
-    """Order to move a service to a version within a time."""
+    """Order to roll a version of a service out within some seconds."""
 
     service: str
     version: str
@@ -113,7 +141,7 @@
 
 
 class BackendState(enum.StrEnum):
-    """What a backend server says of itself."""
+    """State that a backend server reports in its heartbeats."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -128,17 +156,20 @@
     backend : str
         Identifier of the backend server.
     started_at_ms : int
-        Unix milliseconds of its start; orders its incarnations.
+        Unix time of its start in milliseconds; a later start of the same
+        identifier replaces an earlier one.
     sequence : int
-        Counts its heartbeats since the start.
-    service, version, data_centre, address : str
-        What it runs and where.
+        Number of its heartbeats since the start.
+    service, version : str
+        Service and version that it runs.
+    data_centre, address : str
+        Its data centre, and the address at which it accepts requests.
     slots : int
-        Requests that it processes at the same time.
+        Requests that it processes concurrently.
     state : BackendState
-        Whether it takes requests.
+        Whether it accepts requests.
     cold_ms : int
-        How much longer it stays cold.
+        Remaining time for which it stays cold, in milliseconds.
     """
 
     backend: str
--- a/tests/config/test_deltas.py
+++ b/tests/config/test_deltas.py
@@ -1,4 +1,4 @@
-"""Tests of applying deltas and snapshots."""
+"""Tests of the application of deltas and snapshots."""
 
 import dataclasses
 import unittest
@@ -58,7 +58,7 @@
             config.apply_snapshot(self.second, self.first)
 
     def test_delta_without_its_base_is_refused(self):
-        """Guards against a guess when a delta in between is missing."""
+        """Guards against a wrong result when a delta is missing."""
         delta = dataclasses.replace(self.delta, base=5, version=6)
         with self.assertRaises(errors.DeltaBaseMissing):
             config.apply_delta(self.second, delta)
@@ -73,7 +73,7 @@
             config.apply_delta(self.first, delta)
 
     def test_wrong_checksum_is_refused(self):
-        """Guards against a damaged delta applied in part."""
+        """Guards against the application of a damaged delta."""
         delta = dataclasses.replace(self.delta, checksum="0" * 32)
         with self.assertRaises(errors.ConfigurationInvalid):
             config.apply_delta(self.first, delta)
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,4 @@
-"""Passes over failures of exactly the tests named in KNOWN-RED.txt."""
+"""Plugin of nose2 that tolerates failures of tests in KNOWN-RED.txt."""
 
 import pathlib
 
@@ -7,17 +7,20 @@
 
 __all__ = ["KnownRed"]
 
-LIST = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+LIST_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
 class KnownRed(events.Plugin):
-    """Prints the listed tests and reports their failures as skipped."""
+    """Reports failures of the listed tests as skipped.
+
+    The names of the listed tests are printed at the start of each run.
+    """
 
     configSection = "known-red"
     alwaysOn = True
 
     def __init__(self):
-        lines = LIST.read_text(encoding="utf-8").splitlines()
+        lines = LIST_PATH.read_text(encoding="utf-8").splitlines()
         self.names = {
             line.split()[1] for line in lines if line.startswith("test: ")
         }
@@ -25,7 +28,7 @@
             print(f"known red: {name}")
 
     def setTestOutcome(self, event):
-        """Turn a failure of a listed test into a skip with its reason."""
+        """Report a failure of a listed test as skipped, with the reason."""
         failed = event.outcome in (result.FAIL, result.ERROR)
         if failed and event.test.id() in self.names:
             print(f"known red, failed in this run: {event.test.id()}")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Tests that the catalogue of events and its page agree."""
+"""Tests that the events page matches the catalogue of events."""
 
 import logging
 import pathlib
@@ -15,7 +15,7 @@
 
 class EventsPageTest(unittest.TestCase):
     def test_page_lists_exactly_the_catalogue(self):
-        """Guards against an event that operators cannot look up."""
+        """Guards against an event that operators do not find on the page."""
         rows = [
             (int(number), level, text)
             for number, level, text, _ in ROW.findall(
@@ -23,7 +23,7 @@
             )
         ]
         expected = [
-            (entry.number, logging.getLevelName(entry.level), entry.text)
-            for _, entry in sorted(events.CATALOGUE.items())
+            (event.number, logging.getLevelName(event.level), event.text)
+            for _, event in sorted(events.CATALOGUE.items())
         ]
         self.assertEqual(expected, rows)
