--- a/apricotpost/settings/__init__.py
+++ b/apricotpost/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Settings in JSON with comments."""
+"""Settings files in JSON with comments: schema, loader and manual page."""
 
 from apricotpost.settings.loader import find_faults
 from apricotpost.settings.loader import load
--- a/apricotpost/settings/loader.py
+++ b/apricotpost/settings/loader.py
@@ -1,4 +1,4 @@
-"""Load settings from JSON with comments and list every fault."""
+"""Load settings from JSON with comments and report all faults at once."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -14,13 +14,13 @@
 
 __all__ = ["find_faults", "load", "load_as", "parse", "parse_as"]
 
-Kind = typing.TypeVar("Kind")
+Settings = typing.TypeVar("Settings")
 
 _UNITS = {"_seconds": "seconds", "_ms": "milliseconds", "_bytes": "bytes"}
 
 
 def load(path: pathlib.Path) -> schema.NodeSettings:
-    """Read and check a settings file.
+    """Read and validate the settings file of a node.
 
     Raises
     ------
@@ -30,8 +30,8 @@
     return load_as(path, schema.NodeSettings)
 
 
-def load_as(path: pathlib.Path, kind: type[Kind]) -> Kind:
-    """Read and check a settings file of some program.
+def load_as(path: pathlib.Path, settings_type: type[Settings]) -> Settings:
+    """Read a settings file and validate it against a data class.
 
     Raises
     ------
@@ -44,11 +44,11 @@
         raise errors.SettingsInvalid(
             f"cannot read settings {path}: {error}"
         ) from error
-    return parse_as(text, kind)
+    return parse_as(text, settings_type)
 
 
 def parse(text: str) -> schema.NodeSettings:
-    """Check the text of a settings file.
+    """Validate the text of a node's settings file and decode it.
 
     Raises
     ------
@@ -58,8 +58,8 @@
     return parse_as(text, schema.NodeSettings)
 
 
-def parse_as(text: str, kind: type[Kind]) -> Kind:
-    """Check the text of a settings file of some program.
+def parse_as(text: str, settings_type: type[Settings]) -> Settings:
+    """Validate the text of a settings file and decode it into a data class.
 
     Raises
     ------
@@ -72,67 +72,70 @@
         raise errors.SettingsInvalid(
             f"settings are not JSON with comments: {error}"
         ) from error
-    faults = tuple(find_faults(raw, kind, "$"))
+    faults = tuple(find_faults(raw, settings_type, "$"))
     if faults:
         raise errors.SettingsInvalid(
             f"settings have {len(faults)} faults", faults=faults
         )
-    return msgspec.convert(raw, kind)
+    return msgspec.convert(raw, settings_type)
 
 
 def find_faults(
-    value: typing.Any, kind: typing.Any, path: str
+    value: typing.Any, expected_type: typing.Any, path: str
 ) -> Iterator[str]:
-    """Yield each difference between a decoded value and a type.
+    """Yield a description of each way in which a value violates a type.
 
     Parameters
     ----------
     value : object
-        Decoded JSON.
-    kind : type
-        A data class, a tuple of one type or a type of `msgspec`.
+        Decoded JSON value.
+    expected_type : type
+        A data class, a tuple type of one element type, or another type that
+        `msgspec` can validate.
     path : str
-        Where the value stands, put before each fault.
+        Path of the value, with which each description begins.
     """
-    if dataclasses.is_dataclass(kind):
-        yield from _find_object_faults(value, kind, path)
+    if dataclasses.is_dataclass(expected_type):
+        yield from _find_object_faults(value, expected_type, path)
         return
-    item = _list_item(kind)
-    if item is not None and isinstance(value, list):
+    item_type = _find_item_type(expected_type)
+    if item_type is not None and isinstance(value, list):
         for index, entry in enumerate(value):
-            yield from find_faults(entry, item, f"{path}[{index}]")
+            yield from find_faults(entry, item_type, f"{path}[{index}]")
         return
     try:
-        msgspec.convert(value, kind)
+        msgspec.convert(value, expected_type)
     except msgspec.ValidationError as error:
-        yield f"{path}: {error}{_unit(path)}"
+        yield f"{path}: {error}{_describe_unit(path)}"
 
 
 def _find_object_faults(
-    value: typing.Any, kind: typing.Any, path: str
+    value: typing.Any, expected_type: typing.Any, path: str
 ) -> Iterator[str]:
     if not isinstance(value, dict):
         yield f"{path}: expected an object"
         return
-    hints = typing.get_type_hints(kind, include_extras=True)
+    field_types = typing.get_type_hints(expected_type, include_extras=True)
     for key in value:
-        if key not in hints:
+        if key not in field_types:
             yield f"{path}.{key}: unknown setting"
-    for field in dataclasses.fields(kind):
-        child = f"{path}.{field.name}"
+    for field in dataclasses.fields(expected_type):
+        field_path = f"{path}.{field.name}"
         if field.name in value:
-            yield from find_faults(value[field.name], hints[field.name], child)
+            yield from find_faults(
+                value[field.name], field_types[field.name], field_path
+            )
         elif field.default is dataclasses.MISSING:
-            yield f"{child}: missing"
+            yield f"{field_path}: missing"
 
 
-def _list_item(kind: typing.Any) -> typing.Any:
-    if typing.get_origin(kind) is tuple:
-        return typing.get_args(kind)[0]
+def _find_item_type(expected_type: typing.Any) -> typing.Any:
+    if typing.get_origin(expected_type) is tuple:
+        return typing.get_args(expected_type)[0]
     return None
 
 
-def _unit(path: str) -> str:
+def _describe_unit(path: str) -> str:
     for suffix, unit in _UNITS.items():
         if path.endswith(suffix):
             return f" (in {unit})"
--- a/apricotpost/settings/pages.py
+++ b/apricotpost/settings/pages.py
@@ -1,4 +1,4 @@
-"""Text of ``docs/settings.md``, made from the schema."""
+"""Generator of ``docs/settings.md`` from the schema."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -11,7 +11,7 @@
 
 __all__ = ["format_page"]
 
-_HEAD = """# Settings
+_INTRODUCTION = """# Settings
 
 A node reads one file in JSON with comments:
 
@@ -25,39 +25,48 @@
 This page is made from the schema: `python -m apricotpost.settings.pages`
 prints it, and a test compares them.
 """
-_FIELD = re.compile(r"^    (\w+(?:, \w+)*) : .*$")
-_TYPES = {str: "text", int: "whole number", float: "number", bool: "boolean"}
-_FORMS = {
+_PARAMETER = re.compile(r"^    (\w+(?:, \w+)*) : .*$")
+_TYPE_NAMES = {
+    str: "text",
+    int: "whole number",
+    float: "number",
+    bool: "boolean",
+}
+_FORMATS = {
     schema.HostPort: "IP:PORT",
-    schema.Hash: "64 hexadecimal digits",
-    schema.Variable: "name of an environment variable",
+    schema.Sha256Digest: "64 hexadecimal digits",
+    schema.VariableName: "name of an environment variable",
     schema.Name: "name of lower case letters, digits, `.` and `-`",
 }
 
 
 def format_page() -> str:
-    """Return the page as Markdown."""
-    lines = [_HEAD]
-    for path, kind in _walk(schema.NodeSettings, ""):
+    """Return the settings page in Markdown."""
+    lines = [_INTRODUCTION]
+    for path, settings_type in _walk_objects(schema.NodeSettings, ""):
         lines.append(f"## `{path}`\n" if path else "## Top level\n")
         lines.append("| Setting | Type | Default | Meaning |")
         lines.append("|---|---|---|---|")
-        lines.extend(_rows(kind, path))
+        lines.extend(_format_rows(settings_type, path))
         lines.append("")
     return "\n".join(lines).rstrip() + "\n"
 
 
-def _walk(kind: typing.Any, path: str) -> Iterator[tuple[str, typing.Any]]:
-    yield path, kind
-    hints = typing.get_type_hints(kind)
-    for field in dataclasses.fields(kind):
-        child, suffix = _object_type(hints[field.name])
-        if child is not None:
+def _walk_objects(
+    settings_type: typing.Any, path: str
+) -> Iterator[tuple[str, typing.Any]]:
+    yield path, settings_type
+    field_types = typing.get_type_hints(settings_type)
+    for field in dataclasses.fields(settings_type):
+        child_type, suffix = _find_object_type(field_types[field.name])
+        if child_type is not None:
             prefix = f"{path}." if path else ""
-            yield from _walk(child, f"{prefix}{field.name}{suffix}")
+            yield from _walk_objects(
+                child_type, f"{prefix}{field.name}{suffix}"
+            )
 
 
-def _object_type(hint: typing.Any) -> tuple[typing.Any, str]:
+def _find_object_type(hint: typing.Any) -> tuple[typing.Any, str]:
     if dataclasses.is_dataclass(hint):
         return hint, ""
     arguments = typing.get_args(hint)
@@ -66,31 +75,33 @@
     return arguments[0], "[]" if typing.get_origin(hint) is tuple else ""
 
 
-def _rows(kind: typing.Any, path: str) -> Iterator[str]:
-    hints = typing.get_type_hints(kind, include_extras=True)
-    meanings = _read_meanings(kind.__doc__ or "")
-    for field in dataclasses.fields(kind):
-        meaning = meanings.get(field.name, "").replace("|", "\\|")
+def _format_rows(settings_type: typing.Any, path: str) -> Iterator[str]:
+    field_types = typing.get_type_hints(settings_type, include_extras=True)
+    descriptions = _parse_parameters(settings_type.__doc__ or "")
+    for field in dataclasses.fields(settings_type):
+        description = descriptions.get(field.name, "").replace("|", "\\|")
         yield (
-            f"| `{field.name}` | {_describe_type(hints[field.name])} "
-            f"| {_describe_default(field)} | {meaning} |"
+            f"| `{field.name}` | {_describe_type(field_types[field.name])} "
+            f"| {_describe_default(field)} | {description} |"
         )
 
 
-def _read_meanings(text: str) -> dict[str, str]:
-    """Read the parameters of a numpydoc docstring."""
-    found: dict[str, str] = {}
+def _parse_parameters(text: str) -> dict[str, str]:
+    """Return the descriptions of the parameters in a numpydoc docstring."""
+    descriptions: dict[str, str] = {}
     names: list[str] = []
     for line in text.splitlines():
-        match = _FIELD.match(line)
+        match = _PARAMETER.match(line)
         if match:
             names = match[1].split(", ")
         elif names and line.startswith(" " * 8):
             for name in names:
-                found[name] = f"{found.get(name, '')} {line.strip()}".strip()
+                descriptions[name] = (
+                    f"{descriptions.get(name, '')} {line.strip()}".strip()
+                )
         else:
             names = []
-    return found
+    return descriptions
 
 
 def _describe_type(hint: typing.Any) -> str:
@@ -101,26 +112,26 @@
         return f"list of {_describe_type(arguments[0])}"
     if origin is typing.Literal:
         return " or ".join(f"`{value}`" for value in arguments)
-    if hint in _FORMS:
-        return _FORMS[hint]
+    if hint in _FORMATS:
+        return _FORMATS[hint]
     if origin is typing.Annotated:
         return _describe_range(arguments[0], arguments[1])
     if type(None) in arguments:
         return _describe_type(arguments[0]) + ", or `null`"
-    return _TYPES[hint]
+    return _TYPE_NAMES[hint]
 
 
-def _describe_range(kind: typing.Any, meta: msgspec.Meta) -> str:
+def _describe_range(number_type: typing.Any, constraint: msgspec.Meta) -> str:
     bounds: list[str] = []
     for word, bound in (
-        ("from", meta.ge),
-        ("above", meta.gt),
-        ("to", meta.le),
-        ("below", meta.lt),
+        ("from", constraint.ge),
+        ("above", constraint.gt),
+        ("to", constraint.le),
+        ("below", constraint.lt),
     ):
         if bound is not None:
             bounds.append(f"{word} {bound:g}")
-    return ", ".join([_TYPES[kind], *bounds])
+    return ", ".join([_TYPE_NAMES[number_type], *bounds])
 
 
 def _describe_default(field: "dataclasses.Field[typing.Any]") -> str:
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -1,4 +1,4 @@
-"""Settings of a node; each has a type, a unit, a range and a default."""
+"""Settings of a node: types, units, ranges and defaults."""
 
 import dataclasses
 import typing
@@ -24,19 +24,19 @@
 HostPort = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
 ]
-Hash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-Variable = typing.Annotated[
+Sha256Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+VariableName = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]*$")
 ]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=3600)]
 Percent = typing.Annotated[float, msgspec.Meta(ge=50, lt=100)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=60_000)]
-Threads = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
+ThreadCount = typing.Annotated[int, msgspec.Meta(ge=1, le=256)]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AddressSettings:
-    """Addresses on which the node listens, each as IP:PORT.
+    """Listening addresses of the node, each as IP:PORT, by who connects.
 
     Parameters
     ----------
@@ -72,14 +72,14 @@
     """
 
     region: Name
-    access_key_variable: Variable = "AWS_ACCESS_KEY_ID"
-    secret_key_variable: Variable = "AWS_SECRET_ACCESS_KEY"
-    session_token_variable: Variable | None = None
+    access_key_variable: VariableName = "AWS_ACCESS_KEY_ID"
+    secret_key_variable: VariableName = "AWS_SECRET_ACCESS_KEY"
+    session_token_variable: VariableName | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlatformSettings:
-    """The platform's services.
+    """Access to the platform's table service and object store.
 
     Parameters
     ----------
@@ -103,7 +103,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TokenSettings:
-    """One administration token.
+    """One bearer token of the administration API.
 
     Parameters
     ----------
@@ -117,7 +117,7 @@
         What it allows.
     """
 
-    sha256: Hash
+    sha256: Sha256Digest
     author: str
     team: Name
     rights: tuple[typing.Literal["read", "change", "data-centres"], ...] = (
@@ -127,7 +127,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TimeSettings:
-    """Times in seconds.
+    """Durations, all in seconds.
 
     Parameters
     ----------
@@ -171,7 +171,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MetricSettings:
-    """Metrics.
+    """Export of metrics to a statsd server.
 
     Parameters
     ----------
@@ -209,7 +209,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LevelSettings:
-    """Service level objectives of all routes.
+    """Default service level objectives, and exceptions for single routes.
 
     Parameters
     ----------
@@ -231,7 +231,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeSettings:
-    """All settings of a node.
+    """Top level of a node's settings file.
 
     Parameters
     ----------
@@ -270,5 +270,5 @@
     logs: LogSettings = LogSettings()
     metrics: MetricSettings = MetricSettings()
     levels: LevelSettings = LevelSettings()
-    ingress_threads: Threads = 24
-    local_threads: Threads = 12
+    ingress_threads: ThreadCount = 24
+    local_threads: ThreadCount = 12
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -1,4 +1,4 @@
-"""Tests of the settings and of their page."""
+"""Tests of the settings loader and of the settings page."""
 
 import contextlib
 import io
@@ -32,7 +32,7 @@
 
 class LoaderTest(unittest.TestCase):
     def test_all_faults_are_listed_with_path_and_unit(self):
-        """Guards against a start that shows one fault at a time."""
+        """Guards against a report of only the first fault."""
         with self.assertRaises(errors.SettingsInvalid) as caught:
             settings.parse(FAULTY)
         text = "\n".join(caught.exception.faults)
@@ -57,7 +57,7 @@
         self.assertEqual(12, len(caught.exception.faults), text)
 
     def test_faulty_settings_end_the_node_with_2(self):
-        """Guards against a node that runs on settings it misread."""
+        """Guards against a node that starts with faulty settings."""
         error = io.StringIO()
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "node.jsonc"
@@ -68,13 +68,13 @@
         self.assertIn("$.levels.latency_ms", error.getvalue())
 
     def test_page_is_made_from_the_schema(self):
-        """Guards against a setting that the page lacks or misstates."""
+        """Guards against a settings page that differs from the schema."""
         text = PAGE.read_text(encoding="utf-8")
         self.assertEqual(pages.format_page(), text)
         self.assertNotIn("|  |", text)
 
     def test_text_that_is_not_an_object_is_a_fault(self):
-        """Guards against an untyped failure on an odd file."""
+        """Guards against an untyped error for an empty or malformed file."""
         for text in ("", "[]", "{", json.dumps("x")):
             with self.assertRaises(errors.SettingsInvalid):
                 settings.parse(text)
