--- a/apricotpost/storage/__init__.py
+++ b/apricotpost/storage/__init__.py
@@ -1,4 +1,4 @@
-"""The platform's table service and object store."""
+"""Clients of the platform's table service and object store."""
 
 from apricotpost.storage.changes import Change
 from apricotpost.storage.changes import Fence
--- a/apricotpost/storage/changes.py
+++ b/apricotpost/storage/changes.py
@@ -1,4 +1,4 @@
-"""A change of the configuration and the writes that it consists of."""
+"""Configuration changes and the table writes that commit them."""
 
 import dataclasses
 
@@ -9,12 +9,22 @@
 from apricotpost.storage import store as stores
 from apricotpost.storage import table
 
-__all__ = ["Change", "Fence", "change_writes", "request_key"]
+__all__ = ["Change", "Fence", "make_writes", "request_key"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Fence:
-    """Proof that the writer still holds a lease."""
+    """Check, made by the table, that the writer still holds a lease.
+
+    Parameters
+    ----------
+    key : Key
+        Key of the lease's item.
+    holder : str
+        Holder that the item must name.
+    number : int
+        Fencing number that the item must have.
+    """
 
     key: table.Key
     holder: str
@@ -23,22 +33,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Change:
-    """A new configuration and who asked for it.
+    """A new configuration version and the request that it is based on.
 
     Parameters
     ----------
     before, after : apricotpost.model.Snapshot
-        Sealed; ``after`` has the next version number.
+        Current and new configuration, each with its checksum; ``after`` has
+        the next version number.
     author, reason : str
-        Kept in the audit record.
+        Who made the change and why, for the audit record.
     request : str
         Unique identifier of the request.
     at : float
-        Unix time in seconds.
+        Unix time of the change in seconds.
     fence : Fence, optional
-        Checked in the same transaction.
+        Lease that the writer must hold; checked in the same transaction.
     extra : tuple of Write
-        Carried out in the same transaction.
+        Further writes of the same transaction.
     """
 
     before: model.Snapshot
@@ -51,11 +62,11 @@
     extra: tuple[table.Write, ...] = ()
 
 
-def change_writes(change: Change) -> list[table.Write]:
-    """Return the writes of a change, which are carried out together."""
+def make_writes(change: Change) -> list[table.Write]:
+    """Return the writes of a change, to be executed in one transaction."""
     version = change.after.version
     delta = config.compute_delta(change.before, change.after)
-    record: dict[str, table.Value] = {
+    audit_record: dict[str, table.Value] = {
         "author": change.author,
         "reason": change.reason,
         "request": change.request,
@@ -75,14 +86,18 @@
         ),
         table.Put(
             item=table.Item(
-                key=stores.numbered("version", version),
-                attributes={**record, "delta": msgspec.msgpack.encode(delta)},
+                key=stores.version_key("version", version),
+                attributes={
+                    **audit_record,
+                    "delta": msgspec.msgpack.encode(delta),
+                },
             ),
             condition=table.absent(),
         ),
         table.Put(
             item=table.Item(
-                key=stores.numbered("audit", version), attributes=record
+                key=stores.version_key("audit", version),
+                attributes=audit_record,
             )
         ),
         table.Put(
--- a/apricotpost/storage/commits.py
+++ b/apricotpost/storage/commits.py
@@ -1,4 +1,4 @@
-"""Changes of the configuration, each one transaction of the table."""
+"""Commits of configuration changes, each in one table transaction."""
 
 from collections.abc import Callable
 import time
@@ -15,10 +15,12 @@
 
 __all__ = ["SNAPSHOT_EVERY_VERSIONS", "commit"]
 
-# A node without a usable base reads one snapshot and about so many deltas.
+# A node that starts without a usable version reads one snapshot and about as
+# many deltas as this.
 SNAPSHOT_EVERY_VERSIONS = 16
-# Pauses before a refused transaction is sent again. Throttling and conflicts
-# with another transaction pass within a second, and nothing was written.
+# Pauses before a throttled transaction is retried. Throttling and conflicts
+# with another transaction usually end within a second, and retries are safe
+# because nothing was written.
 THROTTLED_PAUSES_SECONDS = (0.1, 0.3, 0.6)
 
 
@@ -28,16 +30,16 @@
     *,
     pause: Callable[[float], None] = time.sleep,
 ) -> int:
-    """Make a configuration the current one.
+    """Commit a change, after which its configuration is the current one.
 
     Parameters
     ----------
     store : Store
-        Where to write.
+        Store to write to.
     change : Change
-        What to write.
+        Change to commit.
     pause : callable
-        Waits for some seconds.
+        Sleeps for a number of seconds.
 
     Returns
     -------
@@ -49,33 +51,36 @@
     apricotpost.errors.ConfigurationInvalid
         The new configuration has faults; nothing was written.
     apricotpost.errors.RequestInvalid
-        The change is too large for a transaction; nothing was written.
+        The change exceeds a limit of the table; nothing was written.
     apricotpost.errors.ChangeConflict
-        Another change was accepted first; the message names it.
+        Another change was accepted first, or the request identifier was
+        used before; the message says which, and nothing was written.
     apricotpost.errors.LeaseLost
-        The fence does not hold; nothing was written.
+        The writer does not hold the lease any more; nothing was written.
     apricotpost.errors.PlatformUnavailable
         The change was not accepted and will not be.
     apricotpost.errors.PlatformOutcomeUnknown
-        The answer was lost and the table did not answer afterwards. The
-        message names the request identifier, which tells later.
+        The response was lost and the table did not respond afterwards. The
+        message contains the request identifier, with which the outcome can
+        be looked up later.
 
     Notes
     -----
-    When the answer is lost and there is no record of the request, the
-    transaction may still be on its way. A mark under the request identifier
-    then makes its conditions fail for good, so the refusal is final.
+    When the response is lost and there is no record of the request, the
+    transaction may still arrive at the table. A placeholder record under the
+    request identifier then makes its condition fail whenever it arrives, so
+    that a change that was reported as not accepted stays so.
     """
     config.validate(change.after)
-    writes = changes.change_writes(change) + _snapshot_writes(store, change)
+    writes = changes.make_writes(change) + _snapshot_writes(store, change)
     try:
-        _transact(store, writes, _token(change), pause)
+        _transact(store, writes, _make_token(change), pause)
     except errors.PlatformOutcomeUnknown:
-        _resolve(store, change)
+        _resolve_unknown(store, change)
     except errors.TransactionRejected as error:
         if _was_accepted(store, change):
             return change.after.version
-        raise _explain_rejection(store, change) from error
+        raise _make_rejection_error(store, change) from error
     return change.after.version
 
 
@@ -93,30 +98,36 @@
     return table.transact(store.table, writes, token=token)
 
 
-def _token(change: changes.Change) -> str:
-    """Return the token of a change; another content has another token."""
+def _make_token(change: changes.Change) -> str:
+    """Return an idempotency token that differs between different changes."""
     after = change.after
-    text = f"{change.request}\n{after.version}\n{after.checksum}"
-    return xxhash.xxh128_hexdigest(text.encode())
+    content = f"{change.request}\n{after.version}\n{after.checksum}"
+    return xxhash.xxh128_hexdigest(content.encode())
 
 
 def _snapshot_writes(
     store: stores.Store, change: changes.Change
 ) -> list[table.Write]:
-    """Store a snapshot if the last one is 16 versions old or older."""
+    """Store a snapshot if the stored one is at least 16 versions old.
+
+    Returns the write of the reference to it, if any.
+    """
     version = change.after.version
     if version < SNAPSHOT_EVERY_VERSIONS:
         return []
     try:
         item = table.get(store.table, stores.SNAPSHOT)
-        last = stores.read_number(item, "version") if item is not None else 0
-        if version - last < SNAPSHOT_EVERY_VERSIONS:
+        stored_version = (
+            stores.read_number(item, "version") if item is not None else 0
+        )
+        if version - stored_version < SNAPSHOT_EVERY_VERSIONS:
             return []
         name = objects.put_object(
             store.objects, msgspec.msgpack.encode(change.after)
         )
     except errors.PlatformError:
-        # The deltas are enough; the next change tries again.
+        # The snapshot is optional, as all deltas are stored; the next commit
+        # tries again.
         return []
     return [
         table.Put(
@@ -128,90 +139,104 @@
     ]
 
 
-def _resolve(store: stores.Store, change: changes.Change) -> None:
-    """Settle a change whose answer was lost; returns if it was accepted."""
+def _resolve_unknown(store: stores.Store, change: changes.Change) -> None:
+    """Resolve a change whose response was lost; return if it was accepted.
+
+    Raises
+    ------
+    apricotpost.errors.PlatformUnavailable
+        The change was not accepted and will not be.
+    apricotpost.errors.PlatformOutcomeUnknown
+        The table did not respond.
+    """
     try:
         if _was_accepted(store, change):
             return
-        mark = table.Item(
+        placeholder = table.Item(
             key=changes.request_key(change.request),
             attributes={"version": 0, "checksum": ""},
         )
-        table.put(store.table, table.Put(item=mark, condition=table.absent()))
+        table.put(
+            store.table, table.Put(item=placeholder, condition=table.absent())
+        )
     except errors.TransactionRejected:
         if _was_accepted(store, change):
             return
     except errors.PlatformError as error:
-        raise _unknown(change) from error
+        raise _make_unknown_error(change) from error
     raise errors.PlatformUnavailable(
-        f"request {change.request} was not accepted: the table lost the "
-        "answer and holds no record of it; nothing was written, submit the "
-        "change again under a new request identifier"
+        f"request {change.request} was not accepted: the response was lost "
+        "and the table has no record of the request; nothing was written, "
+        "submit the change again under a new request identifier"
     )
 
 
 def _was_accepted(store: stores.Store, change: changes.Change) -> bool:
-    """Look a change up by its request identifier.
+    """Return whether the record of the request shows an accepted change.
 
     Raises
     ------
     apricotpost.errors.ChangeConflict
-        The identifier belongs to another change.
+        The request identifier was used for another change.
     apricotpost.errors.PlatformOutcomeUnknown
-        The table did not answer.
+        The table did not respond.
     """
     try:
         item = table.get(store.table, changes.request_key(change.request))
     except errors.PlatformError as error:
-        raise _unknown(change) from error
+        raise _make_unknown_error(change) from error
     if item is None:
         return False
-    accepted = stores.read_number(item, "version")
-    if not accepted:
+    accepted_version = stores.read_number(item, "version")
+    if not accepted_version:
         return False
-    if (accepted, item.attributes.get("checksum")) != (
+    if (accepted_version, item.attributes.get("checksum")) != (
         change.after.version,
         change.after.checksum,
     ):
         raise errors.ChangeConflict(
             f"request {change.request} was used before, for version "
-            f"{accepted}; this change was not written"
+            f"{accepted_version}; this change was not written"
         )
     return True
 
 
-def _unknown(change: changes.Change) -> errors.PlatformOutcomeUnknown:
+def _make_unknown_error(
+    change: changes.Change,
+) -> errors.PlatformOutcomeUnknown:
     return errors.PlatformOutcomeUnknown(
-        f"request {change.request}: the table's answer was lost and it does "
-        f"not answer now; version {change.after.version} may or may not have "
-        "been accepted, the audit record of that version tells"
+        f"request {change.request}: the table's response was lost and it "
+        f"does not respond now; version {change.after.version} may or may "
+        "not have been accepted; see the audit record of that version"
     )
 
 
-def _explain_rejection(
+def _make_rejection_error(
     store: stores.Store, change: changes.Change
 ) -> errors.ApricotpostError:
-    """Say why a transaction was rejected; nothing was written by it."""
+    """Return the error that explains why a transaction was rejected."""
     version = change.after.version
     try:
-        winner = table.get(store.table, stores.numbered("audit", version))
-        mark = table.get(store.table, changes.request_key(change.request))
+        accepted = table.get(store.table, stores.version_key("audit", version))
+        placeholder = table.get(
+            store.table, changes.request_key(change.request)
+        )
     except errors.PlatformError:
         return errors.ChangeConflict(
             f"version {version} was not written: another change was accepted "
-            "first or the lease was lost; the table does not answer now"
+            "first or the lease was lost; the table does not respond now"
         )
-    if winner is not None:
+    if accepted is not None:
         return errors.ChangeConflict(
             f"version {version} was accepted first, from "
-            f"{winner.attributes.get('author')!s}: "
-            f"{winner.attributes.get('reason')!s}; "
+            f"{accepted.attributes.get('author')!s}: "
+            f"{accepted.attributes.get('reason')!s}; "
             "this change was not written"
         )
-    if mark is not None:
+    if placeholder is not None:
         return errors.ChangeConflict(
-            f"request {change.request} was given up before; submit the "
-            "change again under a new request identifier"
+            f"request {change.request} was marked as not accepted before; "
+            "submit the change again under a new request identifier"
         )
     if change.fence is not None:
         return errors.LeaseLost(
--- a/apricotpost/storage/faults.py
+++ b/apricotpost/storage/faults.py
@@ -1,4 +1,4 @@
-"""Refusals of the table service, sorted by what they mean."""
+"""Classification of the table service's error responses."""
 
 import typing
 
@@ -7,14 +7,19 @@
 from apricotpost import errors
 from apricotpost.storage import http
 
-__all__ = ["decode_answer", "decode_fault", "failure", "is_rejection"]
+__all__ = [
+    "decode_error",
+    "decode_success",
+    "is_condition_failure",
+    "make_exception",
+]
 
-# A mismatch says that the token was used before for another content.
-_REJECTED = frozenset(
+# IdempotentParameterMismatch: the token was used before for another content.
+_CONDITION_FAILED = frozenset(
     ("ConditionalCheckFailed", "IdempotentParameterMismatch")
 )
-# Nothing was written, and the same request may succeed a moment later.
-_BUSY = frozenset(
+# Nothing was written, and a retry of the same request may succeed.
+_THROTTLED = frozenset(
     (
         "ProvisionedThroughputExceeded",
         "RequestLimitExceeded",
@@ -23,61 +28,63 @@
         "TransactionConflict",
     )
 )
-# An earlier request with the same token has not ended.
+# An earlier request with the same token is still being executed.
 _IN_PROGRESS = "TransactionInProgress"
 
 
-def decode_answer(operation: str, reply: http.Reply) -> dict[str, typing.Any]:
-    """Read an answer with status 200.
+def decode_success(
+    operation: str, response: http.Response
+) -> dict[str, typing.Any]:
+    """Decode the body of a response with status 200.
 
     Raises
     ------
     apricotpost.errors.PlatformOutcomeUnknown
-        It is malformed, so it confirms nothing.
+        The body is malformed, so it does not confirm the operation.
     """
     try:
-        return msgspec.json.decode(reply.body, type=dict[str, typing.Any])
+        return msgspec.json.decode(response.body, type=dict[str, typing.Any])
     except msgspec.DecodeError as error:
         raise errors.PlatformOutcomeUnknown(
-            f"{operation}: malformed answer: {error}"
+            f"{operation}: malformed response: {error}"
         ) from error
 
 
-def decode_fault(reply: http.Reply) -> dict[str, typing.Any]:
-    """Read an answer with another status than 200."""
+def decode_error(response: http.Response) -> dict[str, typing.Any]:
+    """Decode the body of a response with a status other than 200."""
     try:
-        return msgspec.json.decode(reply.body, type=dict[str, typing.Any])
+        return msgspec.json.decode(response.body, type=dict[str, typing.Any])
     except msgspec.DecodeError:
-        return {"message": reply.body[:300].decode("utf-8", "replace")}
+        return {"message": response.body[:300].decode("utf-8", "replace")}
 
 
-def is_rejection(fault: dict[str, typing.Any]) -> bool:
-    """Tell whether a condition did not hold."""
-    return bool(_codes(fault) & _REJECTED)
+def is_condition_failure(error_body: dict[str, typing.Any]) -> bool:
+    """Return whether an error means that a condition did not hold."""
+    return bool(_error_codes(error_body) & _CONDITION_FAILED)
 
 
-def failure(
-    operation: str, reply: http.Reply, fault: dict[str, typing.Any]
+def make_exception(
+    operation: str, response: http.Response, error_body: dict[str, typing.Any]
 ) -> errors.PlatformError:
-    """Return the error for a refused request."""
-    codes = _codes(fault)
-    text = (
-        f"{operation}: status {reply.status} {'/'.join(sorted(codes))}: "
-        f"{fault.get('message') or fault.get('Message') or ''}"
+    """Return the exception for an error response."""
+    codes = _error_codes(error_body)
+    message = (
+        f"{operation}: status {response.status} {'/'.join(sorted(codes))}: "
+        f"{error_body.get('message') or error_body.get('Message') or ''}"
     )
-    if codes & _REJECTED:
-        return errors.TransactionRejected(f"{text}; nothing was written")
+    if codes & _CONDITION_FAILED:
+        return errors.TransactionRejected(f"{message}; nothing was written")
     if _IN_PROGRESS in codes:
-        return errors.PlatformOutcomeUnknown(text)
-    if codes & _BUSY:
-        return errors.PlatformThrottled(f"{text}; nothing was written")
-    return errors.PlatformUnavailable(f"{text}; nothing was written")
+        return errors.PlatformOutcomeUnknown(message)
+    if codes & _THROTTLED:
+        return errors.PlatformThrottled(f"{message}; nothing was written")
+    return errors.PlatformUnavailable(f"{message}; nothing was written")
 
 
-def _codes(fault: dict[str, typing.Any]) -> set[str]:
-    """Return the codes of a fault, those of single writes included."""
-    kind = str(fault.get("__type", "")).rpartition("#")[2]
-    codes = {kind.removesuffix("Exception")}
-    reasons = fault.get("CancellationReasons") or ()
+def _error_codes(error_body: dict[str, typing.Any]) -> set[str]:
+    """Return the codes of an error and of the single writes' errors."""
+    error_type = str(error_body.get("__type", "")).rpartition("#")[2]
+    codes = {error_type.removesuffix("Exception")}
+    reasons = error_body.get("CancellationReasons") or ()
     codes.update(str(reason.get("Code", "None")) for reason in reasons)
     return codes - {"None"}
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -1,4 +1,4 @@
-"""HTTP to the platform, with failures sorted by what they mean."""
+"""HTTP client of the platform; errors say whether a write may have run."""
 
 import dataclasses
 import time
@@ -9,25 +9,26 @@
 from apricotpost import errors
 from apricotpost.storage import signing
 
-__all__ = ["Channel", "Reply", "bounded", "open_channel", "request"]
+__all__ = ["Channel", "Response", "bounded", "open_channel", "request"]
 
-READ_BYTES = 64 * 1024
-# A larger answer is none of the protocols' and would not fit in a node.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+READ_CHUNK_BYTES = 64 * 1024
+# No response of the two protocols is larger, and a larger one would take too
+# much of a node's memory.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Channel:
-    """One kept-alive connection for each host, owned by one thread.
+    """HTTP client with one persistent connection per host, for one thread.
 
     Parameters
     ----------
     pool : urllib3.PoolManager
-        Holds the connections.
+        Pool of the connections.
     timeout_seconds : float
-        Longest wait for one answer, in seconds.
+        Longest time until a response is complete, in seconds.
     credentials : Credentials, optional
-        Requests are signed with them.
+        Credentials with which requests are signed.
     """
 
     pool: urllib3.PoolManager
@@ -36,8 +37,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Reply:
-    """Status and body of an answer."""
+class Response:
+    """Status and body of an HTTP response."""
 
     status: int
     body: bytes
@@ -48,7 +49,7 @@
     timeout_seconds: float,
     credentials: signing.Credentials | None = None,
 ) -> Channel:
-    """Make a channel; the caller closes its pool with ``clear()``."""
+    """Return a new channel; the caller closes its pool with ``clear()``."""
     return Channel(
         pool=urllib3.PoolManager(
             num_pools=2, maxsize=1, retries=False, block=False
@@ -59,7 +60,7 @@
 
 
 def bounded(channel: Channel, seconds: float) -> Channel:
-    """Return the channel with at most this time for one answer."""
+    """Return the channel with its timeout limited to these seconds."""
     return dataclasses.replace(
         channel, timeout_seconds=min(channel.timeout_seconds, seconds)
     )
@@ -73,29 +74,29 @@
     url: str,
     headers: dict[str, str],
     body: bytes | None = None,
-) -> Reply:
-    """Send one request; nothing is repeated.
+) -> Response:
+    """Send one request, without retries and redirects.
 
     Parameters
     ----------
     channel : Channel
-        Connection to use.
+        Channel to use.
     service : {'dynamodb', 's3'}
         Name of the service in the signature.
     method, url, headers, body
-        The request.
+        Content of the request.
 
     Raises
     ------
     apricotpost.errors.PlatformUnavailable
-        Nothing was sent.
+        The request was not sent.
     apricotpost.errors.PlatformOutcomeUnknown
-        The request may have been carried out: the answer is missing, late,
-        cut off or has a status of 500 or more.
+        The request may have been executed: the response is missing, late,
+        truncated or has a status of 500 or more.
     """
     if channel.timeout_seconds <= 0:
         raise errors.PlatformUnavailable(
-            f"{method} {url}: not sent: no time left"
+            f"{method} {url}: not sent: no time left before the deadline"
         )
     if channel.credentials is not None:
         headers = signing.sign(
@@ -108,7 +109,7 @@
             at=time.time(),
         )
     try:
-        status, data = _exchange(channel, method, url, headers, body)
+        status, content = _send(channel, method, url, headers, body)
     except (
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ConnectTimeoutError,
@@ -118,14 +119,14 @@
         ) from error
     except urllib3.exceptions.HTTPError as error:
         raise errors.PlatformOutcomeUnknown(
-            f"{method} {url}: no whole answer: {error}"
+            f"{method} {url}: no complete response: {error}"
         ) from error
     if status >= 500:
         raise errors.PlatformOutcomeUnknown(f"{method} {url}: status {status}")
-    return Reply(status=status, body=data)
+    return Response(status=status, body=content)
 
 
-def _exchange(
+def _send(
     channel: Channel,
     method: str,
     url: str,
@@ -142,31 +143,34 @@
         redirect=False,
         preload_content=False,
     )
-    framed = {"content-length", "transfer-encoding"} & {
+    length_headers = {"content-length", "transfer-encoding"} & {
         name.lower() for name in response.headers
     }
-    if not framed and response.status != 204:
-        # Without a length, an answer that was cut off looks complete.
+    if not length_headers and response.status != 204:
+        # Without a length, a truncated response looks complete.
         response.close()
-        raise urllib3.exceptions.ProtocolError("the answer has no length")
+        raise urllib3.exceptions.ProtocolError(
+            "the response has neither Content-Length nor Transfer-Encoding"
+        )
     return response.status, _read_body(response, ends_at)
 
 
 def _read_body(response: typing.Any, ends_at: float) -> bytes:
-    """Read a body within a total time.
+    """Read a body until a time of `time.monotonic`.
 
-    The socket's time-out holds for single reads only; without the total, an
-    answer that drips would hold the thread for as long as it drips.
+    The socket's timeout applies to each read; without the total time, a
+    response that arrives byte by byte would block the thread without limit.
     """
-    parts: list[bytes] = []
+    chunks: list[bytes] = []
     size = 0
-    while part := response.read1(READ_BYTES):
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES or time.monotonic() > ends_at:
+    while chunk := response.read1(READ_CHUNK_BYTES):
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_RESPONSE_BYTES or time.monotonic() > ends_at:
             response.close()
             raise urllib3.exceptions.ProtocolError(
-                f"gave up inside the answer after {size} bytes"
+                "response is too large or too slow: stopped after "
+                f"{size} bytes"
             )
     response.release_conn()
-    return b"".join(parts)
+    return b"".join(chunks)
--- a/apricotpost/storage/items.py
+++ b/apricotpost/storage/items.py
@@ -1,4 +1,4 @@
-"""Items, conditions and writes of the table, and their JSON form."""
+"""Items, conditions and writes of the table, with their JSON encoding."""
 
 import base64
 import binascii
@@ -29,7 +29,7 @@
     "equals",
 ]
 
-# Limits of the protocol: writes and bytes of a transaction, bytes of an item.
+# Limits of DynamoDB.
 MAX_TRANSACTION_WRITES = 100
 MAX_TRANSACTION_BYTES = 4 * 1024 * 1024
 MAX_ITEM_BYTES = 400 * 1024
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Key:
-    """Partition and sort key of an item."""
+    """Primary key of an item: partition key and sort key."""
 
     pk: str
     sk: str
@@ -55,7 +55,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Condition:
-    """Condition of a write: an expression and its values."""
+    """Condition of a write.
+
+    Parameters
+    ----------
+    expression : str
+        Condition expression of DynamoDB.
+    names, values : mapping
+        Attribute names and values for the placeholders in the expression.
+    """
 
     expression: str
     names: Mapping[str, str] = dataclasses.field(default_factory=dict)
@@ -64,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Put:
-    """Write of a whole item."""
+    """Write that creates or replaces an item."""
 
     item: Item
     condition: Condition | None = None
@@ -72,7 +80,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Check:
-    """Check of an item that is not written."""
+    """Condition of a transaction on an item that it does not write."""
 
     key: Key
     condition: Condition
@@ -80,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Delete:
-    """Removal of an item."""
+    """Write that removes an item."""
 
     key: Key
     condition: Condition | None = None
@@ -90,12 +98,12 @@
 
 
 def absent() -> Condition:
-    """Return the condition that no item has this key."""
+    """Return the condition that no item has the key of the write."""
     return Condition(expression="attribute_not_exists(pk)")
 
 
 def equals(**values: Value) -> Condition:
-    """Return the condition that attributes have these values."""
+    """Return the condition that the named attributes have these values."""
     terms = [f"#{name} = :{name}" for name in values]
     return Condition(
         expression=" AND ".join(terms),
@@ -105,69 +113,70 @@
 
 
 def check_limits(writes: Iterable[Write]) -> None:
-    """Check writes that are carried out together against the protocol.
+    """Check the writes of a transaction against the limits of DynamoDB.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
-        A limit is exceeded; the message says that nothing was written.
+        A limit is exceeded or two writes have the same key. The message
+        says that nothing was written.
     """
     keys: set[Key] = set()
-    total = 0
+    total_bytes = 0
     for write in writes:
         key = write.item.key if isinstance(write, Put) else write.key
         if key in keys:
-            raise _too_large(f"item {key.pk}/{key.sk} occurs twice")
+            raise _make_limit_error(f"item {key.pk}/{key.sk} is written twice")
         keys.add(key)
-        size = _size(write)
-        if size > MAX_ITEM_BYTES:
-            raise _too_large(
-                f"item {key.pk}/{key.sk} has {size} bytes; "
+        item_bytes = _estimate_size(write)
+        if item_bytes > MAX_ITEM_BYTES:
+            raise _make_limit_error(
+                f"item {key.pk}/{key.sk} has {item_bytes} bytes; "
                 f"the limit is {MAX_ITEM_BYTES}"
             )
-        total += size
+        total_bytes += item_bytes
     if len(keys) > MAX_TRANSACTION_WRITES:
-        raise _too_large(
+        raise _make_limit_error(
             f"{len(keys)} items; the limit is {MAX_TRANSACTION_WRITES}"
         )
-    if total > MAX_TRANSACTION_BYTES:
-        raise _too_large(
-            f"{total} bytes; the limit is {MAX_TRANSACTION_BYTES}"
+    if total_bytes > MAX_TRANSACTION_BYTES:
+        raise _make_limit_error(
+            f"{total_bytes} bytes; the limit is {MAX_TRANSACTION_BYTES}"
         )
 
 
 def encode_write(table: str, write: Write) -> dict[str, typing.Any]:
-    """Return the fields of a write."""
-    fields: dict[str, typing.Any] = {"TableName": table}
+    """Encode a write as the fields of a request."""
+    encoded: dict[str, typing.Any] = {"TableName": table}
     condition = write.condition
     if condition is not None:
-        fields["ConditionExpression"] = condition.expression
+        encoded["ConditionExpression"] = condition.expression
         if condition.names:
-            fields["ExpressionAttributeNames"] = dict(condition.names)
+            encoded["ExpressionAttributeNames"] = dict(condition.names)
         if condition.values:
-            fields["ExpressionAttributeValues"] = {
+            encoded["ExpressionAttributeValues"] = {
                 name: _encode_value(value)
                 for name, value in condition.values.items()
             }
     if isinstance(write, Put):
-        fields["Item"] = _encode_item(write.item)
+        encoded["Item"] = _encode_item(write.item)
     else:
-        fields["Key"] = encode_key(write.key)
-    return fields
+        encoded["Key"] = encode_key(write.key)
+    return encoded
 
 
 def encode_key(key: Key) -> dict[str, typing.Any]:
-    """Return the key attributes of an item."""
+    """Encode a key as the key attributes of an item."""
     return {"pk": {"S": key.pk}, "sk": {"S": key.sk}}
 
 
 def decode_item(raw: typing.Any) -> Item:
-    """Read an item.
+    """Decode an item.
 
     Raises
     ------
     apricotpost.errors.PlatformDataDamaged
-        It is not an item of this table.
+        The value is not an encoded item of this table.
     """
     try:
         attributes = {
@@ -189,25 +198,27 @@
     return Item(key=key, attributes=attributes)
 
 
-def _too_large(reason: str) -> errors.RequestInvalid:
+def _make_limit_error(reason: str) -> errors.RequestInvalid:
     return errors.RequestInvalid(
         f"the change exceeds the table's limits, nothing was written: {reason}"
     )
 
 
-def _size(write: Write) -> int:
+def _estimate_size(write: Write) -> int:
     if not isinstance(write, Put):
         return 0
     item = write.item
-    size = len(item.key.pk.encode()) + len(item.key.sk.encode()) + 4
+    item_bytes = len(item.key.pk.encode()) + len(item.key.sk.encode()) + 4
     for name, value in item.attributes.items():
-        size += len(name)
+        item_bytes += len(name)
         if isinstance(value, int):
-            # Two digits take a byte, and a number one byte more.
-            size += len(str(value)) // 2 + 2
+            # A number takes a byte for each two digits and one more byte.
+            item_bytes += len(str(value)) // 2 + 2
         else:
-            size += len(value.encode() if isinstance(value, str) else value)
-    return size
+            item_bytes += len(
+                value.encode() if isinstance(value, str) else value
+            )
+    return item_bytes
 
 
 def _encode_item(item: Item) -> dict[str, typing.Any]:
--- a/apricotpost/storage/leases.py
+++ b/apricotpost/storage/leases.py
@@ -1,17 +1,18 @@
-"""Leases in the table, with a fencing number.
+"""Leases of services, kept in the table, with fencing numbers.
 
 Notes
 -----
-The table has no clock. The holder writes the Unix time at which its lease
-ends; another node takes the lease only when its own clock is
-`MARGIN_SECONDS` past that time, which is more than the difference between
-two clocks. The holder stops by its own clock `MARGIN_SECONDS` before it.
+The table has no clock that a condition could use. The holder writes the Unix
+time at which its lease expires; another node acquires the lease only when its
+own clock is `CLOCK_MARGIN_SECONDS` past that time, which is more than the
+difference between two clocks. The holder stops using the lease when its own
+clock is `CLOCK_MARGIN_SECONDS` before that time.
 
 A wrong clock or a paused holder can still make two nodes believe that they
 hold the lease. That is harmless: each acquisition raises the fencing number
-in the item, and every change of a holder is a transaction that checks holder
-and number. Once the number has risen, no transaction of an earlier holder
-can be carried out, whenever it arrives.
+in the item, and every change that a holder makes is a transaction that
+checks holder and number. Once the number has risen, every transaction of an
+earlier holder is rejected, no matter how late it arrives.
 """
 
 import dataclasses
@@ -24,9 +25,9 @@
 from apricotpost.storage import table
 
 __all__ = [
+    "CLOCK_MARGIN_SECONDS",
     "LEASE_SECONDS",
     "Lease",
-    "MARGIN_SECONDS",
     "RENEW_SECONDS",
     "acquire",
     "fence_of",
@@ -38,7 +39,7 @@
 LEASE_SECONDS = 10.0
 RENEW_SECONDS = 3.0
 # Clocks are assumed to agree within 0.1 s.
-MARGIN_SECONDS = 1.0
+CLOCK_MARGIN_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,14 +49,15 @@
     Parameters
     ----------
     service : str
-        What it is for.
+        Service whose rollouts the holder may control.
     holder : str
-        Unique to one run of a process, so that a lost answer can be
-        resolved by reading the item.
+        Identifier of the holder, unique to one run of a process, so that
+        the holder can read in the item whether a write succeeded whose
+        response was lost.
     fence : int
-        Rises with each acquisition.
+        Fencing number, raised by each acquisition.
     expires_at : float
-        Unix time in seconds.
+        Unix time of the expiry in seconds.
     """
 
     service: str
@@ -67,81 +69,87 @@
 def acquire(
     store: stores.Store, *, service: str, holder: str, now: float
 ) -> Lease:
-    """Take a lease that is free or has expired.
+    """Acquire a lease that is free or has expired.
 
     Raises
     ------
     apricotpost.errors.LeaseLost
-        Another holder has it.
+        Another holder has the lease.
     apricotpost.errors.PlatformError
-        The table did not answer. If the lease was taken all the same, the
-        next attempt by the same holder takes it again at once.
+        The table did not respond. If the lease was acquired nevertheless,
+        the same holder can acquire it again without waiting for its expiry.
     """
     item = table.get(store.table, _key(service))
     if item is None:
-        lease = _next(service, holder, 1, now)
-        return _put(store, lease, table.absent())
-    known = _decode(service, item)
-    free = known.holder in ("", holder)
-    if not free and now < known.expires_at + MARGIN_SECONDS:
+        lease = _make_lease(service, holder, 1, now)
+        return _write_lease(store, lease, table.absent())
+    stored = _decode(service, item)
+    available = stored.holder in ("", holder)
+    if not available and now < stored.expires_at + CLOCK_MARGIN_SECONDS:
         raise errors.LeaseLost(
-            f"lease of {service} is held by {known.holder} for "
-            f"{known.expires_at - now:.1f} s"
+            f"lease of {service} is held by {stored.holder} for "
+            f"{stored.expires_at - now:.1f} s"
         )
-    # A renewal since the read changes the time and defeats this write.
+    # A renewal after the read changes the time, so this write is rejected.
     condition = table.equals(
-        holder=known.holder,
-        fence=known.fence,
-        expires_ms=_milliseconds(known.expires_at),
+        holder=stored.holder,
+        fence=stored.fence,
+        expires_ms=_to_milliseconds(stored.expires_at),
+    )
+    return _write_lease(
+        store, _make_lease(service, holder, stored.fence + 1, now), condition
     )
-    return _put(store, _next(service, holder, known.fence + 1, now), condition)
 
 
 def renew(store: stores.Store, lease: Lease, *, now: float) -> Lease:
-    """Extend a lease.
+    """Extend a lease by `LEASE_SECONDS` from now.
 
     Raises
     ------
     apricotpost.errors.LeaseLost
-        Another holder has it.
+        Another holder has the lease.
     apricotpost.errors.PlatformError
-        The table did not answer; the lease still ends as before.
+        The table did not respond; the holder must assume the old expiry.
     """
-    renewed = _next(lease.service, lease.holder, lease.fence, now)
-    return _put(store, renewed, _held(lease))
+    renewed = _make_lease(lease.service, lease.holder, lease.fence, now)
+    return _write_lease(store, renewed, _make_holder_condition(lease))
 
 
 def release(store: stores.Store, lease: Lease) -> None:
-    """Give a lease up so that the next holder need not wait.
+    """Release a lease, so that the next holder need not wait for its expiry.
 
-    The fencing number stays in the item, so that it never falls.
+    The item keeps the fencing number, which must never decrease.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        The table did not answer; the lease ends by time.
+        The table did not respond; the lease expires by itself.
     """
-    free = dataclasses.replace(lease, holder="", expires_at=0.0)
+    released = dataclasses.replace(lease, holder="", expires_at=0.0)
     table.transact(
         store.table,
-        [table.Put(item=_encode(free), condition=_held(lease))],
-        token=_token(free),
+        [
+            table.Put(
+                item=_encode(released), condition=_make_holder_condition(lease)
+            )
+        ],
+        token=_make_token(released),
     )
 
 
 def is_usable(lease: Lease, *, now: float) -> bool:
-    """Whether the holder may still act on its lease."""
-    return now < lease.expires_at - MARGIN_SECONDS
+    """Return whether the holder may still use its lease."""
+    return now < lease.expires_at - CLOCK_MARGIN_SECONDS
 
 
 def fence_of(lease: Lease) -> changes.Fence:
-    """Return the proof that changes of the holder carry."""
+    """Return the fence that the holder's changes must contain."""
     return changes.Fence(
         key=_key(lease.service), holder=lease.holder, number=lease.fence
     )
 
 
-def _next(service: str, holder: str, fence: int, now: float) -> Lease:
+def _make_lease(service: str, holder: str, fence: int, now: float) -> Lease:
     return Lease(
         service=service,
         holder=holder,
@@ -150,18 +158,18 @@
     )
 
 
-def _put(
+def _write_lease(
     store: stores.Store, lease: Lease, condition: table.Condition
 ) -> Lease:
     write = table.Put(item=_encode(lease), condition=condition)
     try:
-        table.transact(store.table, [write], token=_token(lease))
+        table.transact(store.table, [write], token=_make_token(lease))
     except errors.PlatformOutcomeUnknown:
         if not _is_stored(store, lease):
             raise
     except errors.TransactionRejected as error:
         raise errors.LeaseLost(
-            f"lease of {lease.service} was taken by another holder"
+            f"lease of {lease.service} was acquired by another holder"
         ) from error
     return lease
 
@@ -171,7 +179,7 @@
     return item is not None and item.attributes == _encode(lease).attributes
 
 
-def _held(lease: Lease) -> table.Condition:
+def _make_holder_condition(lease: Lease) -> table.Condition:
     return table.equals(holder=lease.holder, fence=lease.fence)
 
 
@@ -185,7 +193,7 @@
         attributes={
             "holder": lease.holder,
             "fence": lease.fence,
-            "expires_ms": _milliseconds(lease.expires_at),
+            "expires_ms": _to_milliseconds(lease.expires_at),
         },
     )
 
@@ -199,14 +207,14 @@
     )
 
 
-def _milliseconds(seconds: float) -> int:
+def _to_milliseconds(seconds: float) -> int:
     return round(seconds * 1000)
 
 
-def _token(lease: Lease) -> str:
-    """Identify a write; only an equal write has an equal token."""
-    text = (
+def _make_token(lease: Lease) -> str:
+    """Return an idempotency token that differs between different writes."""
+    content = (
         f"{lease.service}/{lease.holder}/{lease.fence}/"
-        f"{_milliseconds(lease.expires_at)}"
+        f"{_to_milliseconds(lease.expires_at)}"
     )
-    return xxhash.xxh128_hexdigest(text.encode())
+    return xxhash.xxh128_hexdigest(content.encode())
--- a/apricotpost/storage/objects.py
+++ b/apricotpost/storage/objects.py
@@ -1,4 +1,4 @@
-"""Client of the object store, which speaks the S3 REST protocol."""
+"""Client of the object store, which implements the S3 REST protocol."""
 
 import dataclasses
 
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectStore:
-    """A bucket and the channel to it."""
+    """A bucket and the channel for requests to it."""
 
     channel: http.Channel
     url: str
@@ -20,31 +20,31 @@
 
 
 def put_object(store: ObjectStore, body: bytes, *, prefix: str = "") -> str:
-    """Store a body under its hash, which makes a repeat harmless.
+    """Store a body under its hash, which makes a retry harmless.
 
     Parameters
     ----------
     store : ObjectStore
-        Where to write.
+        Object store to write to.
     body : bytes
-        What to write.
+        Content of the object.
     prefix : str
-        Start of the name, for a rule of the bucket on its expiry.
+        Prefix of the name, to which an expiry rule of the bucket can apply.
 
     Returns
     -------
     str
-        The object's name.
+        Name of the object: the prefix and the hash.
 
     Raises
     ------
     apricotpost.errors.PlatformUnavailable
-        It was not stored.
+        The object was not stored.
     apricotpost.errors.PlatformOutcomeUnknown
-        It may have been stored.
+        The object may have been stored.
     """
     name = prefix + xxhash.xxh128_hexdigest(body)
-    reply = http.request(
+    response = http.request(
         store.channel,
         service="s3",
         method="PUT",
@@ -52,25 +52,25 @@
         headers={"Content-Type": "application/octet-stream"},
         body=body,
     )
-    if reply.status not in (200, 201, 204):
+    if response.status not in (200, 201, 204):
         raise errors.PlatformUnavailable(
-            f"object {name} was not stored: status {reply.status}"
+            f"object {name} was not stored: status {response.status}"
         )
     return name
 
 
 def get_object(store: ObjectStore, name: str) -> bytes:
-    """Read an object and check it against its name.
+    """Read an object and verify its content with the hash in its name.
 
     Raises
     ------
     apricotpost.errors.PlatformUnavailable
-        The object store did not answer or refused.
+        The object store did not respond or refused the request.
     apricotpost.errors.PlatformDataDamaged
-        The object is missing or is not the one that was stored.
+        The object is missing, or its content does not match its name.
     """
     try:
-        reply = http.request(
+        response = http.request(
             store.channel,
             service="s3",
             method="GET",
@@ -81,15 +81,18 @@
         raise errors.PlatformUnavailable(
             f"object {name} could not be read: {error.message}"
         ) from error
-    if reply.status == 404:
+    if response.status == 404:
         raise errors.PlatformDataDamaged(f"object {name} is missing")
-    if reply.status != 200:
+    if response.status != 200:
         raise errors.PlatformUnavailable(
-            f"object {name} could not be read: status {reply.status}"
+            f"object {name} could not be read: status {response.status}"
         )
-    if xxhash.xxh128_hexdigest(reply.body) != name.rpartition("/")[2]:
-        raise errors.PlatformDataDamaged(f"object {name} is damaged")
-    return reply.body
+    if xxhash.xxh128_hexdigest(response.body) != name.rpartition("/")[2]:
+        raise errors.PlatformDataDamaged(
+            f"object {name} is damaged: its content does not match the hash "
+            "in its name"
+        )
+    return response.body
 
 
 def _url(store: ObjectStore, name: str) -> str:
--- a/apricotpost/storage/outcomes.py
+++ b/apricotpost/storage/outcomes.py
@@ -1,4 +1,4 @@
-"""Records of ended rollouts, as ``outcome/<rollout>`` in the table."""
+"""Records of ended rollouts; the keys are ``outcome/<rollout>``."""
 
 from apricotpost import model
 from apricotpost.storage import table
@@ -13,19 +13,20 @@
     evidence: str,
     author: str,
 ) -> table.Put:
-    """Make the write that belongs into the transaction of the end.
+    """Return the write of the record that a rollout ended with a result.
 
-    It needs no condition: the change that it is part of is based on a
-    configuration in which the rollout is open.
+    It belongs to the transaction that ends the rollout. It needs no
+    condition, because that change is based on a configuration in which the
+    rollout is open.
 
     Parameters
     ----------
     before, after : apricotpost.model.Rollout
-        The open rollout and the ended one.
+        The rollout before and after its end.
     evidence : str
-        Summary for the owner.
+        Summary of the evidence for the team that owns the service.
     author : str
-        Who ended it.
+        Who ended the rollout.
     """
     attributes: dict[str, table.Value] = {
         "kind": "rollout",
--- a/apricotpost/storage/signing.py
+++ b/apricotpost/storage/signing.py
@@ -1,4 +1,4 @@
-"""Signature of requests to the platform.
+"""Signing of requests to the platform.
 
 References
 ----------
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Credentials:
-    """Access key, its secret and the region it is used in."""
+    """Access key, its secret and the region in which it is used."""
 
     access_key: str
     secret_key: str = dataclasses.field(repr=False)
@@ -44,26 +44,26 @@
     Raises
     ------
     apricotpost.errors.SettingsInvalid
-        A variable is not set or empty.
+        A variable is not set or is empty; the error lists all of them.
     """
-    values = os.environ if environment is None else environment
-    names = [access_key_variable, secret_key_variable]
+    variables = os.environ if environment is None else environment
+    variable_names = [access_key_variable, secret_key_variable]
     if session_token_variable:
-        names.append(session_token_variable)
+        variable_names.append(session_token_variable)
     faults = tuple(
         f"environment variable {name} is not set or empty"
-        for name in names
-        if not values.get(name)
+        for name in variable_names
+        if not variables.get(name)
     )
     if faults:
         raise errors.SettingsInvalid(
             "the platform's credentials are incomplete", faults=faults
         )
     return Credentials(
-        access_key=values[access_key_variable],
-        secret_key=values[secret_key_variable],
+        access_key=variables[access_key_variable],
+        secret_key=variables[secret_key_variable],
         region=region,
-        session_token=values.get(session_token_variable, ""),
+        session_token=variables.get(session_token_variable, ""),
     )
 
 
@@ -77,53 +77,63 @@
     body: bytes,
     at: float,
 ) -> dict[str, str]:
-    """Return the headers of a request with its signature.
+    """Return the headers of a request together with its signature.
 
     Parameters
     ----------
     credentials : Credentials
-        Who signs.
+        Credentials that sign the request.
     service : str
-        Name of the service in the scope.
+        Name of the service in the credential scope.
     method, url, headers, body
-        The request; all of its headers are signed.
+        Content of the request; all headers are signed.
     at : float
-        Unix time in seconds.
+        Unix time of the signature in seconds.
     """
-    moment = datetime.datetime.fromtimestamp(at, datetime.UTC)
-    stamp = moment.strftime("%Y%m%dT%H%M%SZ")
-    parts = urllib.parse.urlsplit(url)
-    signed = {**headers, "Host": parts.netloc, "X-Amz-Date": stamp}
+    signed_at = datetime.datetime.fromtimestamp(at, datetime.UTC)
+    timestamp = signed_at.strftime("%Y%m%dT%H%M%SZ")
+    url_parts = urllib.parse.urlsplit(url)
+    all_headers = {
+        **headers,
+        "Host": url_parts.netloc,
+        "X-Amz-Date": timestamp,
+    }
     payload_hash = hashlib.sha256(body).hexdigest()
     if service == "s3":
-        signed["X-Amz-Content-Sha256"] = payload_hash
+        all_headers["X-Amz-Content-Sha256"] = payload_hash
     if credentials.session_token:
-        signed["X-Amz-Security-Token"] = credentials.session_token
-    entries = sorted(
+        all_headers["X-Amz-Security-Token"] = credentials.session_token
+    canonical_headers = sorted(
         (name.lower(), " ".join(value.split()))
-        for name, value in signed.items()
+        for name, value in all_headers.items()
     )
-    names = ";".join(name for name, _ in entries)
-    canonical = "\n".join(
+    signed_header_names = ";".join(name for name, _ in canonical_headers)
+    canonical_request = "\n".join(
         (
             method,
-            _canonical_path(parts.path, service),
-            _canonical_query(parts.query),
-            "".join(f"{name}:{value}\n" for name, value in entries),
-            names,
+            _canonical_path(url_parts.path, service),
+            _canonical_query(url_parts.query),
+            "".join(f"{name}:{value}\n" for name, value in canonical_headers),
+            signed_header_names,
             payload_hash,
         )
     )
-    scope = f"{stamp[:8]}/{credentials.region}/{service}/aws4_request"
-    canonical_hash = hashlib.sha256(canonical.encode()).hexdigest()
-    text = "\n".join((ALGORITHM, stamp, scope, canonical_hash))
-    key = _signing_key(credentials, stamp[:8], service)
-    signature = hmac.new(key, text.encode(), hashlib.sha256).hexdigest()
-    signed["Authorization"] = (
-        f"{ALGORITHM} Credential={credentials.access_key}/{scope}, "
-        f"SignedHeaders={names}, Signature={signature}"
+    credential_scope = (
+        f"{timestamp[:8]}/{credentials.region}/{service}/aws4_request"
     )
-    return signed
+    request_hash = hashlib.sha256(canonical_request.encode()).hexdigest()
+    string_to_sign = "\n".join(
+        (ALGORITHM, timestamp, credential_scope, request_hash)
+    )
+    key = _signing_key(credentials, timestamp[:8], service)
+    signature = hmac.new(
+        key, string_to_sign.encode(), hashlib.sha256
+    ).hexdigest()
+    all_headers["Authorization"] = (
+        f"{ALGORITHM} Credential={credentials.access_key}/{credential_scope}, "
+        f"SignedHeaders={signed_header_names}, Signature={signature}"
+    )
+    return all_headers
 
 
 def _signing_key(credentials: Credentials, date: str, service: str) -> bytes:
@@ -134,7 +144,7 @@
 
 
 def _canonical_path(path: str, service: str) -> str:
-    """Encode a path; all services but S3 encode it a second time."""
+    """Encode a path; all services except S3 encode it a second time."""
     if service == "s3":
         path = urllib.parse.unquote(path)
     return urllib.parse.quote(path or "/", safe="/" + _UNRESERVED)
--- a/apricotpost/storage/store.py
+++ b/apricotpost/storage/store.py
@@ -1,4 +1,4 @@
-"""Reads of the configuration in the table and the object store."""
+"""Reading of the configuration from the table and the object store."""
 
 import dataclasses
 import logging
@@ -20,17 +20,17 @@
     "SNAPSHOT",
     "Store",
     "bounded",
-    "numbered",
     "open_store",
     "read_head",
     "read_newer",
     "read_number",
     "read_snapshot",
+    "version_key",
 ]
 
 LOG = logging.getLogger(__name__)
 
-# More missing deltas than this are replaced by a snapshot.
+# A node that lacks more deltas than this reads a snapshot instead.
 MAX_DELTAS = 64
 DELTAS_PER_QUERY = 100
 
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Store:
-    """The platform's services as one thread uses them."""
+    """Table and object store, reached through one thread's channel."""
 
     channel: http.Channel
     table: table.Table
@@ -58,7 +58,7 @@
     timeout_seconds: float,
     credentials: signing.Credentials | None = None,
 ) -> Store:
-    """Make a store with a connection of its own."""
+    """Return a store with a channel of its own."""
     channel = http.open_channel(
         timeout_seconds=timeout_seconds, credentials=credentials
     )
@@ -72,7 +72,7 @@
 
 
 def bounded(store: Store, seconds: float) -> Store:
-    """Return the store with at most this time for one answer."""
+    """Return the store with its timeout limited to these seconds."""
     channel = http.bounded(store.channel, seconds)
     return Store(
         channel=channel,
@@ -82,101 +82,102 @@
 
 
 def read_head(store: Store) -> int:
-    """Read the current configuration version.
+    """Read the number of the current configuration version.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        The table did not answer, or its answer is damaged.
+        The table did not respond, or its response is damaged.
     """
     item = table.get(store.table, HEAD)
     return read_number(item, "version") if item is not None else 0
 
 
 def read_newer(
-    store: Store, have: int
+    store: Store, held_version: int
 ) -> tuple[int, tuple[model.Delta, ...], model.Snapshot | None]:
-    """Read what leads from a version to the current one.
+    """Read the deltas from a version to the current one, or a snapshot.
 
     Parameters
     ----------
     store : Store
-        Where to read.
-    have : int
-        Version held.
+        Store to read from.
+    held_version : int
+        Version that the reader already has.
 
     Returns
     -------
     head : int
         Current version.
     deltas : tuple of apricotpost.model.Delta
-        Consecutive deltas after ``have``.
+        Consecutive deltas after ``held_version``.
     snapshot : apricotpost.model.Snapshot, optional
-        The whole configuration, where the deltas were too many.
+        Current configuration, if there are too many deltas to read.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        The platform did not answer, or a record is damaged.
+        The platform did not respond, or a record is damaged.
     apricotpost.errors.ConfigurationInvalid
-        The records do not add up.
+        The records do not result in a valid configuration.
     """
     head = read_head(store)
-    if head <= have:
+    if head <= held_version:
         return head, (), None
-    if head - have > MAX_DELTAS:
+    if head - held_version > MAX_DELTAS:
         return head, (), read_snapshot(store, head)
-    return head, tuple(_read_deltas(store, have, head)), None
+    return head, tuple(_read_deltas(store, held_version, head)), None
 
 
 def read_snapshot(store: Store, version: int) -> model.Snapshot:
-    """Build a version from the last stored snapshot and later deltas.
+    """Build a version from the last stored snapshot and the deltas after it.
 
-    A snapshot that is missing or damaged is replaced by all deltas from the
-    first; while the object store does not answer, the caller waits, because
-    all nodes reading all deltas would overload the table.
+    If the snapshot is missing or damaged, all deltas from the first one are
+    read. If the object store does not respond, an error is raised instead,
+    because the table would be overloaded by all nodes reading all deltas.
 
     Raises
     ------
     apricotpost.errors.PlatformError
-        The platform did not answer, or a record is damaged.
+        The platform did not respond, or a record is damaged.
     apricotpost.errors.ConfigurationInvalid
-        The records do not add up.
+        The records do not result in a valid configuration.
     """
-    base = model.EMPTY_SNAPSHOT
+    snapshot = model.EMPTY_SNAPSHOT
     item = table.get(store.table, SNAPSHOT)
     if item is not None and read_number(item, "version") <= version:
         try:
-            base = _read_object(store, item)
+            snapshot = _read_snapshot_object(store, item)
         except errors.PlatformDataDamaged as error:
             events.emit(LOG, events.SNAPSHOT_DAMAGED, error=error)
-    for delta in _read_deltas(store, base.version, version):
-        base = config.apply_delta(base, delta)
-    return base
+    for delta in _read_deltas(store, snapshot.version, version):
+        snapshot = config.apply_delta(snapshot, delta)
+    return snapshot
 
 
 def read_number(item: table.Item, name: str) -> int:
-    """Return a number of an item.
+    """Return an integer attribute of an item.
 
     Raises
     ------
     apricotpost.errors.PlatformDataDamaged
-        The item has no such number.
+        The item has no integer attribute of this name.
     """
     value = item.attributes.get(name)
     if not isinstance(value, int):
         raise errors.PlatformDataDamaged(
-            f"item {item.key.pk}/{item.key.sk} has no number {name!r}"
+            f"item {item.key.pk}/{item.key.sk} has no integer attribute "
+            f"{name!r}"
         )
     return value
 
 
-def numbered(partition: str, version: int) -> table.Key:
-    """Return the key of a record of one version."""
-    return table.Key(pk=partition, sk=_number(version))
+def version_key(partition: str, version: int) -> table.Key:
+    """Return the key of a version's record in a partition."""
+    return table.Key(pk=partition, sk=_format_version(version))
 
 
-def _read_object(store: Store, item: table.Item) -> model.Snapshot:
+def _read_snapshot_object(store: Store, item: table.Item) -> model.Snapshot:
     name = str(item.attributes.get("name"))
     body = objects.get_object(store.objects, name)
     try:
@@ -187,28 +188,29 @@
         ) from error
     if snapshot.version != read_number(item, "version"):
         raise errors.PlatformDataDamaged(
-            f"object {name} holds version {snapshot.version}"
+            f"object {name} contains version {snapshot.version}, which is not "
+            "the version of the reference to it"
         )
     return snapshot
 
 
 def _read_deltas(
-    store: Store, have: int, head: int
+    store: Store, version: int, head: int
 ) -> typing.Iterator[model.Delta]:
-    while have < head:
-        found = table.query(
+    while version < head:
+        records = table.query(
             store.table,
             pk="version",
-            after=_number(have),
-            limit=min(head - have, DELTAS_PER_QUERY),
+            after=_format_version(version),
+            limit=min(head - version, DELTAS_PER_QUERY),
         )
-        if not found:
+        if not records:
             raise errors.PlatformDataDamaged(
-                f"there is no record of version {have + 1}"
+                f"the record of version {version + 1} is missing"
             )
-        for item in found:
-            have += 1
-            yield _decode_delta(item, have)
+        for item in records:
+            version += 1
+            yield _decode_delta(item, version)
 
 
 def _decode_delta(item: table.Item, version: int) -> model.Delta:
@@ -231,5 +233,5 @@
     return delta
 
 
-def _number(version: int) -> str:
+def _format_version(version: int) -> str:
     return f"{version:012d}"
--- a/apricotpost/storage/table.py
+++ b/apricotpost/storage/table.py
@@ -1,4 +1,4 @@
-"""Client of the table service, which speaks the DynamoDB JSON protocol.
+"""Client of the table service, which implements the DynamoDB JSON protocol.
 
 References
 ----------
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Table:
-    """A table and the channel to it."""
+    """A table and the channel for requests to it."""
 
     channel: http.Channel
     url: str
@@ -64,16 +64,16 @@
     Raises
     ------
     apricotpost.errors.PlatformUnavailable
-        The table did not answer.
+        The table did not respond.
     apricotpost.errors.PlatformDataDamaged
-        The answer is not an item.
+        The response does not contain a valid item.
     """
-    answer = _read(
+    response = _send_read(
         table,
         "GetItem",
         {"Key": items.encode_key(key), "ConsistentRead": True},
     )
-    raw = answer.get("Item")
+    raw = response.get("Item")
     return items.decode_item(raw) if raw else None
 
 
@@ -82,46 +82,47 @@
 ) -> tuple[Item, ...]:
     """Read the items of a partition in the order of their sort keys.
 
-    The table may return fewer items than asked for in one answer, even none;
-    only ``LastEvaluatedKey`` tells whether there are more.
+    A response may contain fewer items than requested, or even none, although
+    more follow; it is the last one only if it has no ``LastEvaluatedKey``.
 
     Parameters
     ----------
     table : Table
-        Where to read.
+        Table to read from.
     pk : str
         Partition key.
     after : str
         Only items with a greater sort key are returned.
     limit : int
-        Largest number of items.
+        Largest number of items to return.
 
     Raises
     ------
     apricotpost.errors.PlatformUnavailable
-        The table did not answer.
+        The table did not respond.
     apricotpost.errors.PlatformDataDamaged
-        An answer is malformed.
+        A response is malformed, or the pages do not advance.
     """
-    found: list[Item] = []
-    start = after
+    collected: list[Item] = []
+    previous_key = after
     body: dict[str, typing.Any] = _query_body(pk, after)
-    while len(found) < limit:
-        body["Limit"] = limit - len(found)
-        answer = _read(table, "Query", body)
-        raw_items = answer.get("Items", ())
-        found.extend(items.decode_item(raw) for raw in raw_items)
-        last = answer.get("LastEvaluatedKey")
-        if not last:
+    while len(collected) < limit:
+        body["Limit"] = limit - len(collected)
+        response = _send_read(table, "Query", body)
+        page = response.get("Items", ())
+        collected.extend(items.decode_item(raw) for raw in page)
+        last_key = response.get("LastEvaluatedKey")
+        if not last_key:
             break
-        position = items.decode_item(last).key.sk
-        if position <= start:
+        sort_key = items.decode_item(last_key).key.sk
+        if sort_key <= previous_key:
             raise errors.PlatformDataDamaged(
-                f"Query of {pk}: the pages do not advance past {start!r}"
+                f"Query of {pk}: the pages do not advance past "
+                f"{previous_key!r}"
             )
-        start = position
-        body["ExclusiveStartKey"] = last
-    return tuple(found[:limit])
+        previous_key = sort_key
+        body["ExclusiveStartKey"] = last_key
+    return tuple(collected[:limit])
 
 
 def put(table: Table, write: Put) -> None:
@@ -134,91 +135,95 @@
     apricotpost.errors.PlatformUnavailable
         Nothing was written.
     apricotpost.errors.PlatformOutcomeUnknown
-        It may have been written.
+        The item may have been written.
     """
-    _write(table, "PutItem", items.encode_write(table.name, write))
+    _send_write(table, "PutItem", items.encode_write(table.name, write))
 
 
 def put_or_get(table: Table, write: Put) -> Item | None:
-    """Write one item, or return the one that stands in the way.
+    """Write one item, or return the existing item that prevents it.
 
     Returns
     -------
     Item or None
-        None when the item was written. Otherwise nothing was written, and
-        this is the item for which the condition did not hold.
+        None if the item was written. Otherwise nothing was written, and
+        this is the existing item, for which the condition did not hold.
 
     Raises
     ------
     apricotpost.errors.TransactionRejected
-        The condition did not hold, and the item has gone since.
+        The condition did not hold, and the item has been removed since.
     apricotpost.errors.PlatformUnavailable
         Nothing was written.
     apricotpost.errors.PlatformOutcomeUnknown
-        It may have been written.
+        The item may have been written.
     """
     fields = items.encode_write(table.name, write)
-    # Saves the read of the other item after a rejection.
+    # With the existing item in the response, no read of it is needed.
     fields["ReturnValuesOnConditionCheckFailure"] = "ALL_OLD"
-    reply = _post(table, "PutItem", fields)
-    if reply.status == 200:
-        faults.decode_answer("PutItem", reply)
+    response = _post(table, "PutItem", fields)
+    if response.status == 200:
+        faults.decode_success("PutItem", response)
         return None
-    fault = faults.decode_fault(reply)
-    if not faults.is_rejection(fault):
-        raise faults.failure("PutItem", reply, fault)
-    if fault.get("Item"):
-        return items.decode_item(fault["Item"])
-    current = get(table, write.item.key)
-    if current is None:
-        raise errors.TransactionRejected("PutItem: nothing was written")
-    return current
+    error_body = faults.decode_error(response)
+    if not faults.is_condition_failure(error_body):
+        raise faults.make_exception("PutItem", response, error_body)
+    if error_body.get("Item"):
+        return items.decode_item(error_body["Item"])
+    existing = get(table, write.item.key)
+    if existing is None:
+        raise errors.TransactionRejected(
+            "PutItem: the condition did not hold and the item was removed "
+            "since; nothing was written"
+        )
+    return existing
 
 
 def delete(table: Table, write: Delete) -> None:
-    """Remove one item; see `put` for the failures."""
-    _write(table, "DeleteItem", items.encode_write(table.name, write))
+    """Remove one item; raises the same errors as `put`."""
+    _send_write(table, "DeleteItem", items.encode_write(table.name, write))
 
 
 def transact(table: Table, writes: Iterable[Write], *, token: str) -> None:
-    """Carry out writes and checks together or not at all.
+    """Execute writes and checks in one transaction.
 
     Parameters
     ----------
     table : Table
-        Where to write.
+        Table to write to.
     writes : iterable of Write
-        At most 100, each of another item.
+        At most 100 writes, each of a different item.
     token : str
-        Identifier of the request, at most 36 characters. The table takes a
-        repeated token for the same request, so it must be unique.
+        Idempotency token of at most 36 characters. The table treats requests
+        with the same token as one request, so it must be unique.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
-        The writes exceed a limit of the protocol; nothing was written.
+        The writes exceed a limit of DynamoDB; nothing was written.
     apricotpost.errors.TransactionRejected
         A condition did not hold; nothing was written.
     apricotpost.errors.PlatformThrottled
-        The table is over its rate or busy; nothing was written.
+        The table throttled the request, or an item was busy; nothing was
+        written.
     apricotpost.errors.PlatformUnavailable
         Nothing was written.
     apricotpost.errors.PlatformOutcomeUnknown
-        It may have been carried out.
+        The transaction may have been executed.
     """
-    entries = tuple(writes)
-    items.check_limits(entries)
+    all_writes = tuple(writes)
+    items.check_limits(all_writes)
     body = {
         "TransactItems": [
-            {_KINDS[type(entry)]: items.encode_write(table.name, entry)}
-            for entry in entries
+            {_OPERATIONS[type(entry)]: items.encode_write(table.name, entry)}
+            for entry in all_writes
         ],
         "ClientRequestToken": token,
     }
-    _write(table, "TransactWriteItems", body)
+    _send_write(table, "TransactWriteItems", body)
 
 
-_KINDS = {Put: "Put", Check: "ConditionCheck", Delete: "Delete"}
+_OPERATIONS = {Put: "Put", Check: "ConditionCheck", Delete: "Delete"}
 
 
 def _query_body(pk: str, after: str) -> dict[str, typing.Any]:
@@ -234,36 +239,43 @@
     }
 
 
-def _read(
+def _send_read(
     table: Table, operation: str, body: dict[str, typing.Any]
 ) -> dict[str, typing.Any]:
-    """Read; every failure means that nothing is known and nothing changed."""
+    """Send a read, which cannot have changed anything if it fails."""
     body["TableName"] = table.name
     try:
-        reply = _post(table, operation, body)
+        response = _post(table, operation, body)
     except errors.PlatformOutcomeUnknown as error:
         raise errors.PlatformUnavailable(
-            f"{operation}: the table did not answer a read: {error.message}"
+            f"{operation}: the table did not respond to a read: "
+            f"{error.message}"
         ) from error
-    if reply.status != 200:
-        raise faults.failure(operation, reply, faults.decode_fault(reply))
+    if response.status != 200:
+        raise faults.make_exception(
+            operation, response, faults.decode_error(response)
+        )
     try:
-        return faults.decode_answer(operation, reply)
+        return faults.decode_success(operation, response)
     except errors.PlatformOutcomeUnknown as error:
         raise errors.PlatformDataDamaged(error.message) from error
 
 
-def _write(table: Table, operation: str, body: dict[str, typing.Any]) -> None:
-    reply = _post(table, operation, body)
-    if reply.status == 200:
-        faults.decode_answer(operation, reply)
+def _send_write(
+    table: Table, operation: str, body: dict[str, typing.Any]
+) -> None:
+    response = _post(table, operation, body)
+    if response.status == 200:
+        faults.decode_success(operation, response)
         return
-    raise faults.failure(operation, reply, faults.decode_fault(reply))
+    raise faults.make_exception(
+        operation, response, faults.decode_error(response)
+    )
 
 
 def _post(
     table: Table, operation: str, body: dict[str, typing.Any]
-) -> http.Reply:
+) -> http.Response:
     return http.request(
         table.channel,
         service="dynamodb",
--- a/tests/storage/local.py
+++ b/tests/storage/local.py
@@ -1,4 +1,4 @@
-"""Stores on the stand-in's tables in this process, with faults."""
+"""Stores on the platform stand-in in this process, with injected faults."""
 
 import dataclasses
 import io
@@ -16,7 +16,7 @@
 
 
 class Paused(Exception):
-    """The process stopped after it had sent a request."""
+    """Raised in place of a process that is stopped after it sent a request."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -26,26 +26,30 @@
     headers: dict[str, str]
 
     def read1(self, size: int) -> bytes:
-        """Read a part of the body."""
+        """Return the next bytes of the body."""
         return self.body.read(size)
 
     def release_conn(self) -> None:
-        """Do nothing; there is no connection."""
+        """Do nothing, as there is no connection."""
 
 
 @dataclasses.dataclass(kw_only=True)
 class LocalPool:
-    """Takes the place of the connection pool.
+    """Replacement of ``urllib3.PoolManager`` that injects faults.
 
     Parameters
     ----------
     state : standins.platform.State
-        Shared by all stores of a test.
+        State of the stand-in, shared by all stores of a test.
     fault : str
-        Applies to writes, and "down" to everything: "down" refuses,
-        "lost" carries the write out and loses the answer, "unsent" loses
-        the request, "late" keeps it for `carry_out_late`, and so does
-        "paused", which raises `Paused` for a process that is stopped.
+        Fault of all requests ("down") or of writes: "down" refuses the
+        connection, "lost" executes the write and loses the response,
+        "unsent" loses the request, "late" and "paused" keep it for
+        `carry_out_late`, where "paused" raises `Paused`.
+    requests : int
+        Number of requests so far.
+    late : list of tuple of (str, bytes)
+        Operation and body of each delayed write.
     """
 
     state: standin.State
@@ -62,39 +66,41 @@
         headers: dict[str, str],
         **_: typing.Any,
     ) -> _Response:
-        """Carry out one request or fail in the way that is set."""
+        """Execute one request, or fail as ``fault`` says."""
         self.requests += 1
         if self.fault == "down":
             raise urllib3.exceptions.ConnectTimeoutError("down")
         operation = headers.get("X-Amz-Target", "")
-        write = operation.endswith("TransactWriteItems")
-        if write and self.fault in ("late", "paused"):
+        is_write = operation.endswith("TransactWriteItems")
+        if is_write and self.fault in ("late", "paused"):
             self.late.append((operation, body or b""))
-        if write and self.fault == "paused":
+        if is_write and self.fault == "paused":
             raise Paused
-        if write and self.fault in ("late", "unsent"):
-            raise urllib3.exceptions.ReadTimeoutError(None, url, "no answer")
-        status, answer = _carry_out(self.state, method, url, operation, body)
-        if write and self.fault == "lost":
+        if is_write and self.fault in ("late", "unsent"):
+            raise urllib3.exceptions.ReadTimeoutError(None, url, "no response")
+        status, response_body = _execute(
+            self.state, method, url, operation, body
+        )
+        if is_write and self.fault == "lost":
             raise urllib3.exceptions.ProtocolError("connection reset")
         return _Response(
             status=int(status[:3]),
-            body=io.BytesIO(answer),
-            headers={"Content-Length": str(len(answer))},
+            body=io.BytesIO(response_body),
+            headers={"Content-Length": str(len(response_body))},
         )
 
     def carry_out_late(self) -> None:
-        """Carry out the writes that were delayed."""
+        """Execute the delayed writes."""
         for operation, body in self.late:
-            _carry_out(self.state, "POST", "/", operation, body)
+            _execute(self.state, "POST", "/", operation, body)
         self.late.clear()
 
     def clear(self) -> None:
-        """Do nothing; there is no connection."""
+        """Do nothing, as there is no connection."""
 
 
 def make_store(pool: LocalPool) -> storage.Store:
-    """Make a store on a pool."""
+    """Return a store that sends its requests to a pool."""
     channel = http.Channel(
         pool=typing.cast(urllib3.PoolManager, pool), timeout_seconds=1.0
     )
@@ -105,7 +111,7 @@
     )
 
 
-def _carry_out(
+def _execute(
     state: standin.State,
     method: str,
     url: str,
--- a/tests/storage/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -1,4 +1,4 @@
-"""Tests of commits and reads of the configuration under failure."""
+"""Tests of commits and reads of the configuration with platform faults."""
 
 import dataclasses
 import unittest
@@ -16,7 +16,7 @@
 
 __all__ = ["CommitTest", "SnapshotTest"]
 
-LOST = urllib3.exceptions.ProtocolError("connection cut")
+CONNECTION_LOST = urllib3.exceptions.ProtocolError("connection cut")
 
 
 def make_service(number):
@@ -49,10 +49,10 @@
         self.state = standin.State()
         self.script = {}
         self.late = []
-        self.store = direct.open_store(self.state, self.answer)
+        self.store = direct.open_store(self.state, self.respond)
         self.pauses = []
 
-    def answer(self, exchange):
+    def respond(self, exchange):
         steps = self.script.get(exchange.operation, [])
         step = steps.pop(0) if steps else "deliver"
         if step == "deliver":
@@ -63,7 +63,7 @@
             self.late.append(exchange)
         if step == "down":
             return 503, b""
-        raise LOST
+        raise CONNECTION_LOST
 
     def commit(self, change):
         return storage.commit(self.store, change, pause=self.pauses.append)
@@ -78,15 +78,18 @@
 
 
 class CommitTest(_Case):
-    def test_lost_answer_is_accepted(self):
-        """Guards against a change that is reported as lost but in force."""
+    def test_change_with_lost_response_is_accepted(self):
+        """Guards against a change reported as failed that is in force."""
         self.script = {"TransactWriteItems": ["lost"]}
         self.assertEqual(1, self.commit(make_change(model.EMPTY_SNAPSHOT)))
         self.assertEqual(1, storage.read_head(self.store))
         self.assertEqual(1, self.state.requests["TransactWriteItems"])
 
     def test_lost_request_is_refused_for_good(self):
-        """Guards against a refused change that takes effect later."""
+        """Guards against a change that takes effect after it was refused.
+
+        The transaction arrives at the table after its client has given up.
+        """
         change = make_change(model.EMPTY_SNAPSHOT)
         self.script = {"TransactWriteItems": ["late"]}
         with self.assertRaises(errors.PlatformUnavailable) as caught:
@@ -98,26 +101,33 @@
         with self.assertRaises(errors.ChangeConflict) as caught:
             self.commit(change)
         self.assertIn("new request identifier", str(caught.exception))
-        again = dataclasses.replace(change, request="ilze-1b")
-        self.assertEqual(1, self.commit(again))
+        retried = dataclasses.replace(change, request="ilze-1b")
+        self.assertEqual(1, self.commit(retried))
+
+    def test_request_that_arrives_before_the_placeholder(self):
+        """Guards against a change that is reported as refused but in force.
 
-    def test_request_that_arrives_while_it_is_given_up(self):
-        """Guards against a change both refused and in force."""
+        The transaction arrives between the read of the request's record and
+        the write of the placeholder.
+        """
         self.script = {"TransactWriteItems": ["late"], "GetItem": ["first"]}
 
-        def answer(exchange):
+        def respond(exchange):
             if self.script["GetItem"] and exchange.operation == "GetItem":
                 found = exchange.carry_out()
                 self.script["GetItem"].pop()
                 self.late[0].carry_out()
                 return found
-            return self.answer(exchange)
+            return self.respond(exchange)
 
-        self.store = direct.open_store(self.state, answer)
+        self.store = direct.open_store(self.state, respond)
         self.assertEqual(1, self.commit(make_change(model.EMPTY_SNAPSHOT)))
 
-    def test_table_down_after_the_lost_answer(self):
-        """Guards against a guess; the message names the identifier."""
+    def test_table_down_after_the_lost_response(self):
+        """Guards against reporting an unknown outcome as success or refusal.
+
+        The message contains the request identifier for a later look-up.
+        """
         self.script = {
             "TransactWriteItems": ["lost"],
             "GetItem": ["down"],
@@ -127,21 +137,21 @@
         self.assertIn("request ilze-1", str(caught.exception))
         self.assertEqual(1, storage.read_head(self.store))
 
-    def test_table_down_while_the_request_is_marked(self):
-        """Guards against a refusal that is not final."""
+    def test_table_down_at_the_write_of_the_placeholder(self):
+        """Guards against a refusal while the transaction may still arrive."""
         self.script = {"TransactWriteItems": ["late"], "PutItem": ["down"]}
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             self.commit(make_change(model.EMPTY_SNAPSHOT))
 
-    def test_loser_of_a_race_is_told_the_winner(self):
-        """Guards against a lost update, and a loser told nothing."""
+    def test_conflict_names_the_winner(self):
+        """Guards against a lost update, and a conflict without the winner."""
         self.commit(make_change(model.EMPTY_SNAPSHOT, author="ilze"))
         with self.assertRaises(errors.ChangeConflict) as caught:
             self.commit(make_change(model.EMPTY_SNAPSHOT, author="janis"))
         self.assertIn("from ilze", str(caught.exception))
 
-    def test_loser_of_a_race_while_the_table_is_down(self):
-        """Guards against an unknown outcome of a change not written."""
+    def test_conflict_while_the_table_is_down(self):
+        """Guards against an unknown outcome reported for a rejected change."""
         self.commit(make_change(model.EMPTY_SNAPSHOT, author="ilze"))
         self.script = {"GetItem": ["deliver", "down"]}
         with self.assertRaises(errors.ChangeConflict) as caught:
@@ -149,27 +159,30 @@
         self.assertIn("was not written", str(caught.exception))
 
     def test_request_identifier_of_another_change(self):
-        """Guards against a change taken for another's accepted one."""
+        """Guards against a change mistaken for another, accepted change."""
         self.commit(make_change(model.EMPTY_SNAPSHOT, request="r"))
         other = make_change(model.EMPTY_SNAPSHOT, request="r", number=9)
         with self.assertRaises(errors.ChangeConflict):
             self.commit(other)
 
-    def test_identifiers_with_the_same_start(self):
-        """Guards against a token cut short: a change lost as a repeat."""
+    def test_identifiers_with_the_same_prefix(self):
+        """Guards against a change that is lost as a supposed retry.
+
+        The table would do so if the token were a truncated identifier.
+        """
         first = make_change(model.EMPTY_SNAPSHOT, request="x" * 40 + "1")
         self.commit(first)
         self.commit(make_change(first.after, request="x" * 40 + "2"))
         self.assertEqual(2, storage.read_head(self.store))
 
     def test_throttled_commit_is_sent_again(self):
-        """Guards against an operator's change lost to a busy second."""
+        """Guards against a change that fails because of brief throttling."""
         self.state.faults = standin.Faults(throttle=2)
         self.assertEqual(1, self.commit(make_change(model.EMPTY_SNAPSHOT)))
         self.assertEqual([0.1, 0.3], self.pauses)
 
     def test_lasting_throttling_is_not_written(self):
-        """Guards against an endless wait, and against a false unknown."""
+        """Guards against endless retries and a false "outcome unknown"."""
         self.state.faults = standin.Faults(throttle=9)
         with self.assertRaises(errors.PlatformThrottled) as caught:
             self.commit(make_change(model.EMPTY_SNAPSHOT))
@@ -177,7 +190,7 @@
         self.assertEqual(0, self.state.tables.writes)
 
     def test_lost_lease(self):
-        """Guards against a paused holder that changes the configuration."""
+        """Guards against a change by a paused node that lost its lease."""
         fence = storage.Fence(
             key=storage.table.Key(pk="lease", sk="portal"),
             holder="n1",
@@ -191,7 +204,7 @@
 
 class SnapshotTest(_Case):
     def test_object_store_down_at_the_sixteenth_version(self):
-        """Guards against commits that wait for the object store."""
+        """Guards against commits that fail when the object store is down."""
         self.state.faults = standin.Faults(objects_down=True)
         last = self.commit_until(17)
         self.assertEqual(17, storage.read_head(self.store))
@@ -202,7 +215,7 @@
         self.assertEqual(18, item.attributes["version"])
 
     def test_rebuilt_from_object_and_deltas(self):
-        """Guards against a restart that reads every delta ever made."""
+        """Guards against a restart that reads all deltas from the first."""
         last = self.commit_until(18)
         before = self.state.requests["Query"]
         self.assertEqual(last, storage.read_snapshot(self.store, 18))
@@ -210,12 +223,12 @@
         self.assertEqual(1, self.state.requests["object GET"])
 
     def test_every_sixteenth_version_has_a_snapshot(self):
-        """Guards against a snapshot for each change, or for none."""
+        """Guards against a snapshot for every change, or none at all."""
         self.commit_until(33)
         self.assertEqual(2, self.state.requests["object PUT"])
 
     def test_damaged_or_missing_object(self):
-        """Guards against a node that cannot start for a damaged object."""
+        """Guards against a node that cannot start with a damaged object."""
         last = self.commit_until(17)
         (name,) = self.state.objects
         cases = (
@@ -232,7 +245,10 @@
             self.assertEqual(last, found)
 
     def test_unreachable_object_store(self):
-        """Guards against all nodes reading all deltas in an outage."""
+        """Guards against an overload of the table in an object store outage.
+
+        Nodes without a snapshot would all read all deltas.
+        """
         self.commit_until(17)
         self.state.faults = standin.Faults(objects_down=True)
         with self.assertRaises(errors.PlatformUnavailable):
@@ -240,18 +256,21 @@
         head, deltas, _ = storage.read_newer(self.store, 10)
         self.assertEqual((17, 7), (head, len(deltas)))
 
-    def test_damaged_records_have_a_type(self):
-        """Guards against a reading task that ends at a damaged record."""
+    def test_damaged_records_raise_a_typed_error(self):
+        """Guards against a reading task that ends at a damaged record.
+
+        The task handles only errors of the package.
+        """
         self.commit_until(3)
         rows = self.state.tables.items["apricotpost"]["version"]
         second = rows["000000000002"]
-        damages = (
+        damaged_rows = (
             dict(second, delta=rows["000000000001"]["delta"]),
             dict(second, delta={"B": "AAAA"}),
             dict(second, delta={"S": "x"}),
             None,
         )
-        for damaged in damages:
+        for damaged in damaged_rows:
             rows["000000000002"] = damaged
             if damaged is None:
                 del rows["000000000002"]
--- a/tests/storage/test_http.py
+++ b/tests/storage/test_http.py
@@ -1,4 +1,4 @@
-"""Tests of what each failure of an exchange with the platform means."""
+"""Tests of the errors that failed requests to the platform raise."""
 
 import contextlib
 import logging
@@ -19,12 +19,12 @@
     def setUp(self):
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
-        # urllib3 logs a cut head with a stack trace.
+        # urllib3 logs a stack trace for a truncated header section.
         logging.disable(logging.WARNING)
         self.addCleanup(logging.disable, logging.NOTSET)
 
     def exchange(self, chunks, *, pause=0.0, timeout=5.0):
-        """Send a request to a server that answers with these chunks."""
+        """Send a request to a server that responds with these chunks."""
         listener = self.stack.enter_context(socket.create_server(("", 0)))
         ended = threading.Event()
         self.stack.callback(ended.set)
@@ -32,7 +32,7 @@
         def serve():
             connection, _ = listener.accept()
             with connection, contextlib.suppress(OSError):
-                # A close with unread bytes would cut the answer, too.
+                # Closing with unread bytes would also truncate the response.
                 request = b""
                 while not request.endswith(b"{}"):
                     request += connection.recv(65536)
@@ -59,29 +59,29 @@
             body=b"{}",
         )
 
-    def test_whole_answer(self):
-        """Guards against a body that is lost when it comes in pieces."""
-        reply = self.exchange([HEAD, BODY[:4], BODY[4:]])
-        self.assertEqual((200, BODY), (reply.status, reply.body))
+    def test_response_in_several_chunks(self):
+        """Guards against a truncated body if it arrives in several chunks."""
+        response = self.exchange([HEAD, BODY[:4], BODY[4:]])
+        self.assertEqual((200, BODY), (response.status, response.body))
 
     def test_refused_connection_was_not_sent(self):
-        """Guards against a refusal that is reported as unknown."""
+        """Guards against an unknown outcome reported for an unsent request."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
             port = listener.getsockname()[1]
         with self.assertRaises(errors.PlatformUnavailable):
             self.request(port)
 
     def test_no_time_left_sends_nothing(self):
-        """Guards against a request that outlives its caller."""
+        """Guards against a request that is sent after its deadline."""
         with self.assertRaises(errors.PlatformUnavailable):
             self.request(9, timeout=0.0)
 
-    def test_answer_without_certainty(self):
-        """Guards against a write reported as not done though it may be."""
+    def test_incomplete_response_is_unknown(self):
+        """Guards against a write reported as failed that may have happened."""
         cases = {
-            "closed without an answer": [],
-            "cut inside the head": [HEAD[:20]],
-            "cut inside the body": [HEAD, BODY[:4]],
+            "closed without a response": [],
+            "truncated in the headers": [HEAD[:20]],
+            "truncated in the body": [HEAD, BODY[:4]],
             "not HTTP": [b"\0\1\2 garbage\r\n\r\n"],
             "status 500": [HEAD.replace(b"200 OK", b"500 No"), BODY],
             "status 503": [HEAD.replace(b"200 OK", b"503 No"), BODY],
@@ -91,13 +91,13 @@
                 with self.assertRaises(errors.PlatformOutcomeUnknown):
                     self.exchange(chunks)
 
-    def test_silence_ends_with_the_time_out(self):
-        """Guards against a thread held by a platform that hangs."""
+    def test_missing_response_ends_with_the_timeout(self):
+        """Guards against a thread blocked by a platform that hangs."""
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             self.exchange([b""], pause=30.0, timeout=0.2)
 
-    def test_dripping_answer_ends_with_the_time_out(self):
-        """Guards against a time-out that starts anew with each byte."""
+    def test_slow_response_ends_with_the_timeout(self):
+        """Guards against a timeout that restarts with each received byte."""
         head = HEAD.replace(b": 9", b": 40")
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             self.exchange([head, *[b"x"] * 40], pause=0.05, timeout=0.3)
--- a/tests/storage/test_signing.py
+++ b/tests/storage/test_signing.py
@@ -1,4 +1,4 @@
-"""Tests of the signature of requests."""
+"""Tests of request signing."""
 
 import unittest
 
@@ -19,7 +19,10 @@
 
 class SigningTest(unittest.TestCase):
     def test_published_example(self):
-        """Guards against a signature that only the stand-in accepts."""
+        """Guards against a signature that only the stand-in accepts.
+
+        The expected value is from the AWS documentation.
+        """
         headers = signing.sign(
             CREDENTIALS,
             service="iam",
@@ -43,26 +46,28 @@
         )
 
     def test_stand_in_accepts_only_the_right_key(self):
-        """Guards against requests of either service that are not signed."""
+        """Guards against unsigned requests to either service."""
         secret = "secret-of-the-test"
         state = standin.State(keys={"AK1": secret})
         app = standin.make_app(state)
         with standin.serve(app, host="127.0.0.1", port=0, threads=2) as port:
-            right = self.open(port, secret)
-            self.assertIsNone(table.get(right.table, table.Key(pk="p", sk="")))
+            authorized = self.open_store(port, secret)
+            self.assertIsNone(
+                table.get(authorized.table, table.Key(pk="p", sk=""))
+            )
             name = storage.objects.put_object(
-                right.objects, b"body", prefix="outcomes/"
+                authorized.objects, b"body", prefix="outcomes/"
             )
             self.assertEqual(
-                b"body", storage.objects.get_object(right.objects, name)
+                b"body", storage.objects.get_object(authorized.objects, name)
             )
-            wrong = self.open(port, "another-secret")
+            unauthorized = self.open_store(port, "another-secret")
             with self.assertRaises(errors.PlatformUnavailable):
-                table.get(wrong.table, table.Key(pk="p", sk=""))
+                table.get(unauthorized.table, table.Key(pk="p", sk=""))
             with self.assertRaises(errors.PlatformUnavailable):
-                storage.objects.put_object(wrong.objects, b"body")
+                storage.objects.put_object(unauthorized.objects, b"body")
 
-    def open(self, port, secret):
+    def open_store(self, port, secret):
         credentials = storage.read_credentials(
             region="lv-riga",
             access_key_variable="KEY",
