--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -1,4 +1,4 @@
-"""Catalogue of log events; operators look their numbers up."""
+"""Catalogue of log events, each with a stable number."""
 
 import dataclasses
 import logging
