--- a/apricotpost/node/addresses.py
+++ b/apricotpost/node/addresses.py
@@ -1,4 +1,4 @@
-"""Names of the sockets inside a node and forms of addresses."""
+"""Endpoints of the tasks inside a node, and the form of TCP endpoints."""
 
 __all__ = [
     "BACKEND",
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -29,13 +29,13 @@
 def make_app(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.NodeSettings,
 ) -> App:
-    """Make the WSGI application of the admin address."""
+    """Make the WSGI application that serves the admin address."""
     local = threading.local()
 
-    def announce(delta: model.Delta, author: str) -> None:
+    def notify_control(delta: model.Delta, author: str) -> None:
         events.emit(
             LOG,
             events.CONFIG_COMMITTED,
@@ -52,7 +52,7 @@
         )
 
     def read_levels() -> typing.Any:
-        reply = levels.ask(context)
+        reply = levels.request_levels(context)
         return {
             "instance": options.instance,
             "since": reply.since,
@@ -65,7 +65,7 @@
         open_store=lambda: stores.open_store(options.platform),
         read_view=lambda: current.view,
         read_fleet=lambda: status.read_fleet(context, current),
-        announce=announce,
+        announce=notify_control,
         read_levels=read_levels,
     )
     return admin.make_app(shared)
@@ -75,19 +75,20 @@
     start: Callable[[str, Callable[[], None]], None],
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.NodeSettings,
 ) -> None:
-    """Start the tasks that work for operators.
+    """Start the tasks that serve operators: service levels and moves.
 
     Parameters
     ----------
     start : callable
-        Starts a task whose commands arrive at an address.
+        Starts a task; its arguments are the endpoint at which the task
+        receives commands and the task's function.
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     options : NodeSettings
         Settings of the node.
     """
--- a/apricotpost/node/announcements.py
+++ b/apricotpost/node/announcements.py
@@ -1,4 +1,4 @@
-"""WSGI application for the announcements of the backend server."""
+"""WSGI application that receives the backend server's announcements."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -36,16 +36,16 @@
 
 def make_app(
     context: wire.sockets.Context,
-    other: Callable[..., Iterable[bytes]],
+    fallback: Callable[..., Iterable[bytes]],
 ) -> Callable[..., Iterable[bytes]]:
-    """Make an application that takes announcements.
+    """Make an application that handles announcements.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    other : callable
-        WSGI application for all other paths.
+        ZeroMQ context of this process.
+    fallback : callable
+        WSGI application that serves all other paths.
     """
     local = threading.local()
 
@@ -53,20 +53,20 @@
         environ: dict[str, typing.Any], start: Callable[..., typing.Any]
     ) -> Iterable[bytes]:
         if environ["PATH_INFO"] != PATH:
-            return other(environ, start)
+            return fallback(environ, start)
         if getattr(local, "sockets", None) is None:
             local.sockets = (
                 wire.sockets.connect_dealer(context, addresses.GATE),
                 wire.sockets.connect_dealer(context, addresses.CONTROL),
             )
-        status, body = _announce(environ, local.sockets)
+        status, body = _handle_announcement(environ, local.sockets)
         start(status, [("Content-Length", str(len(body)))])
         return [body]
 
     return app
 
 
-def _announce(
+def _handle_announcement(
     environ: dict[str, typing.Any],
     sockets: tuple[wire.sockets.Socket, ...],
 ) -> tuple[str, bytes]:
@@ -74,17 +74,17 @@
     if length > MAX_BODY_BYTES:
         return "413 Content Too Large", b""
     try:
-        found = _DECODER.decode(environ["wsgi.input"].read(length))
+        announcement = _DECODER.decode(environ["wsgi.input"].read(length))
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
         return "400 Bad Request", str(error).encode()
     message = wire.BackendServerAnnounced(
-        service=found.service,
-        version=found.version,
-        address=found.address,
-        slots=found.slots,
-        connections=found.connections,
-        cold=found.cold,
-        leaving=found.leaving,
+        service=announcement.service,
+        version=announcement.version,
+        address=announcement.address,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        cold=announcement.cold,
+        leaving=announcement.leaving,
     )
     for socket in sockets:
         wire.sockets.send(socket, message)
--- a/apricotpost/node/at_most_once.py
+++ b/apricotpost/node/at_most_once.py
@@ -1,4 +1,4 @@
-"""One keyed call on an ingress thread: begin, run, finish or abandon."""
+"""Execution of one keyed call: begin, run, then finish or abandon."""
 
 import contextlib
 import logging
@@ -15,14 +15,16 @@
 from apricotpost import storage
 from apricotpost import wire
 
-__all__ = ["KEY_INVALID", "carry"]
+__all__ = ["KEY_INVALID", "execute"]
 
 LOG = logging.getLogger(__name__)
 
-# Longest wait for a slot at the table; a healthy table frees one in a few ms.
-SLOT_SECONDS = 0.1
-# The caller's answer waits so long for its outcome to be stored.
-FINISH_SECONDS = 0.5
+# Longest wait for one of the slots for table requests. A healthy table frees
+# a slot within a few milliseconds.
+SLOT_TIMEOUT_SECONDS = 0.1
+# Longest time for storing an outcome or releasing a key. The caller's response
+# is delayed by at most this time.
+STORE_TIMEOUT_SECONDS = 0.5
 KEY_INVALID = "key-invalid"
 KEY_MISMATCH = "key-mismatch"
 KEY_IN_PROGRESS = "key-in-progress"
@@ -30,17 +32,17 @@
 OUTCOME_UNAVAILABLE = "key-outcome-unavailable"
 
 
-def carry(
+def execute(
     keyed: keyed_calls.KeyedCalls,
     *,
     key: str,
     request: wire.CallRequest,
     dispatch: keyed_calls.Dispatch,
 ) -> wire.CallResult:
-    """Carry a keyed call; see `keyed_calls.carry`."""
+    """Execute a keyed call; see `keyed_calls.execute`."""
     parsed = idempotency.parse_key(key)
     if parsed is None:
-        return _not_run(request, 400, KEY_INVALID)
+        return _make_not_run_result(request, 400, KEY_INVALID)
     claim = idempotency.Claim(
         route=request.route,
         key=parsed,
@@ -56,7 +58,9 @@
         return refusal
     if keyed.clock() >= claim.deadline:
         _abandon(keyed, claim)
-        return _not_run(request, 503, wire.NotRunReason.DEADLINE_PASSED.value)
+        return _make_not_run_result(
+            request, 503, wire.NotRunReason.DEADLINE_PASSED.value
+        )
     result = dispatch()
     if result.outcome is wire.Outcome.ANSWERED:
         _finish(keyed, claim, result)
@@ -70,20 +74,23 @@
     claim: idempotency.Claim,
     request: wire.CallRequest,
 ) -> wire.CallResult | None:
-    """Take the key, or return the result of a call that does not run."""
-    with _table_slot(keyed) as free:
-        if not free:
-            return _unavailable(request)
+    """Claim the key; return a result if the call must not run, else None."""
+    with _table_slot(keyed) as acquired:
+        if not acquired:
+            return _make_unavailable_result(request)
         store = keyed_calls.get_store(keyed)
         try:
             begun = idempotency.begin(store, claim, clock=keyed.clock)
             if begun.uncertain:
-                _hand_over(keyed, backlog.JobKind.RELEASE, claim)
+                _schedule_retry(keyed, backlog.JobKind.RELEASE, claim)
             if begun.verdict is idempotency.Verdict.RUN:
                 return None
-            return _answer(store, begun, request, keyed.clock())
+            return _make_result_without_run(
+                store, begun, request, keyed.clock()
+            )
         except errors.PlatformError as error:
-            # An earlier call may have run, so this is not "not run".
+            # An earlier call with this key may have run, so the outcome must
+            # not be reported as NOT_RUN.
             events.emit(
                 LOG,
                 events.OUTCOME_UNREADABLE,
@@ -91,10 +98,10 @@
                 key=claim.key,
                 error=error,
             )
-            return _unknown(request, 503, OUTCOME_UNAVAILABLE)
+            return _make_unknown_result(request, 503, OUTCOME_UNAVAILABLE)
 
 
-def _answer(
+def _make_result_without_run(
     store: storage.Store,
     begun: idempotency.Begun,
     request: wire.CallRequest,
@@ -103,14 +110,16 @@
     verdict = begun.verdict
     if verdict is idempotency.Verdict.REPLAY and begun.record is not None:
         limited = storage.bounded(store, request.deadline - now)
-        return _replayed(request, idempotency.replay(limited, begun.record))
+        return _make_replayed_result(
+            request, idempotency.replay(limited, begun.record)
+        )
     if verdict is idempotency.Verdict.MISMATCH:
-        return _not_run(request, 422, KEY_MISMATCH)
+        return _make_not_run_result(request, 422, KEY_MISMATCH)
     if verdict is idempotency.Verdict.IN_PROGRESS:
-        return _unknown(request, 409, KEY_IN_PROGRESS)
+        return _make_unknown_result(request, 409, KEY_IN_PROGRESS)
     if verdict is idempotency.Verdict.CONFLICT:
-        return _unknown(request, 409, KEY_OUTCOME_UNKNOWN)
-    return _unavailable(request)
+        return _make_unknown_result(request, 409, KEY_OUTCOME_UNKNOWN)
+    return _make_unavailable_result(request)
 
 
 def _finish(
@@ -118,87 +127,89 @@
     claim: idempotency.Claim,
     result: wire.CallResult,
 ) -> None:
-    """Store the outcome; the caller gets its answer in any case."""
+    """Store the outcome; a failure does not change the caller's response."""
     outcome = idempotency.Outcome(
         status=result.status, headers=result.headers, body=result.body
     )
-    with _table_slot(keyed) as free:
-        if free:
+    with _table_slot(keyed) as acquired:
+        if acquired:
             store = _bounded_store(keyed, claim)
             try:
                 return idempotency.finish(store, claim, outcome)
             except errors.TransactionRejected as error:
-                return outcome_retries.emit_loss(LOG, claim, error)
+                return outcome_retries.log_unstored_outcome(LOG, claim, error)
             except errors.PlatformError:
-                pass  # Tried again below.
-    _hand_over(keyed, backlog.JobKind.FINISH, claim, outcome)
+                pass  # Retried by the job that is scheduled below.
+    _schedule_retry(keyed, backlog.JobKind.FINISH, claim, outcome)
 
 
 def _abandon(keyed: keyed_calls.KeyedCalls, claim: idempotency.Claim) -> None:
-    """Free the key of a call that was not run."""
-    with _table_slot(keyed) as free:
-        if free:
-            # The caller may repeat at once, so the wait is worth its time
-            # even when the call's own time is up.
+    """Release the key of a call that did not run."""
+    with _table_slot(keyed) as acquired:
+        if acquired:
+            # The caller may repeat the call at once and needs the key free,
+            # so the write is not limited to the call's deadline.
             store = storage.bounded(
-                keyed_calls.get_store(keyed), FINISH_SECONDS
+                keyed_calls.get_store(keyed), STORE_TIMEOUT_SECONDS
             )
             try:
                 return idempotency.abandon(store, claim)
             except errors.PlatformError:
-                pass  # Tried again below.
-    _hand_over(keyed, backlog.JobKind.ABANDON, claim)
+                pass  # Retried by the job that is scheduled below.
+    _schedule_retry(keyed, backlog.JobKind.ABANDON, claim)
 
 
 def _bounded_store(
     keyed: keyed_calls.KeyedCalls, claim: idempotency.Claim
 ) -> storage.Store:
-    left = claim.deadline - keyed.clock()
+    remaining = claim.deadline - keyed.clock()
     return storage.bounded(
-        keyed_calls.get_store(keyed), min(left, FINISH_SECONDS)
+        keyed_calls.get_store(keyed), min(remaining, STORE_TIMEOUT_SECONDS)
     )
 
 
 @contextlib.contextmanager
 def _table_slot(keyed: keyed_calls.KeyedCalls) -> typing.Iterator[bool]:
-    free = keyed.table_slots.acquire(timeout=SLOT_SECONDS)
+    acquired = keyed.table_slots.acquire(timeout=SLOT_TIMEOUT_SECONDS)
     try:
-        yield free
+        yield acquired
     finally:
-        if free:
+        if acquired:
             keyed.table_slots.release()
 
 
-def _hand_over(
+def _schedule_retry(
     keyed: keyed_calls.KeyedCalls,
     kind: backlog.JobKind,
     claim: idempotency.Claim,
     outcome: idempotency.Outcome | None = None,
 ) -> None:
-    """Give a step to the task that tries again."""
+    """Queue a failed table write for the retry thread."""
     job = backlog.Job(
         kind=kind, claim=claim, outcome=outcome, since=keyed.clock()
     )
     with keyed.lock:
-        if keyed.worker is None:
-            keyed.worker = threading.Thread(
+        if keyed.retry_thread is None:
+            keyed.retry_thread = threading.Thread(
                 target=outcome_retries.run,
                 kwargs={
-                    "inbox": keyed.inbox,
+                    "inbox": keyed.retry_queue,
                     "open_store": keyed.open_store,
                     "clock": keyed.clock,
                 },
                 name="outcome-retries",
                 daemon=True,
             )
-            keyed.worker.start()
+            keyed.retry_thread.start()
     try:
-        keyed.inbox.put_nowait(job)
+        keyed.retry_queue.put_nowait(job)
     except queue.Full:
-        outcome_retries.emit_loss(LOG, claim, "too many jobs wait")
+        outcome_retries.log_unstored_outcome(
+            LOG, claim, "the queue of outcome retries is full"
+        )
 
 
-def _replayed(
+def _make_replayed_result(
     request: wire.CallRequest, outcome: idempotency.Outcome
 ) -> wire.CallResult:
     headers = tuple(
@@ -215,12 +226,12 @@
     )
 
 
-def _unavailable(request: wire.CallRequest) -> wire.CallResult:
+def _make_unavailable_result(request: wire.CallRequest) -> wire.CallResult:
     reason = wire.NotRunReason.PLATFORM_UNAVAILABLE.value
-    return _not_run(request, 503, reason)
+    return _make_not_run_result(request, 503, reason)
 
 
-def _not_run(
+def _make_not_run_result(
     request: wire.CallRequest, status: int, reason: str
 ) -> wire.CallResult:
     return wire.CallResult(
@@ -231,7 +242,7 @@
     )
 
 
-def _unknown(
+def _make_unknown_result(
     request: wire.CallRequest, status: int, reason: str
 ) -> wire.CallResult:
     return wire.CallResult(
--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -1,4 +1,4 @@
-"""Tasks that send calls to the backend server beside the node."""
+"""Worker tasks that send calls to the backend server beside the node."""
 
 import contextlib
 import dataclasses
@@ -18,16 +18,17 @@
 # A connection idle for longer may be closed by the backend server just as
 # a call is sent, which would leave the outcome unknown.
 MAX_IDLE_SECONDS = 2.0
-CONNECT_SECONDS = 1.0
-WAIT_MS = 1000
+CONNECT_TIMEOUT_SECONDS = 1.0
+RECEIVE_TIMEOUT_MS = 1000
 CHUNK_BYTES = 64 * 1024
-# Below the largest message, so that the answer still fits into one.
+# Below the size limit of messages between nodes, so that a response fits into
+# one message.
 MAX_BODY_BYTES = 12 * 1024 * 1024
 
 
 @dataclasses.dataclass(kw_only=True)
 class Connection:
-    """A worker's one connection to the backend server."""
+    """Connection of one worker to the backend server."""
 
     address: str = ""
     channel: urllib3.connection.HTTPConnection | None = None
@@ -35,18 +36,18 @@
 
 
 def run(*, context: wire.sockets.Context) -> None:
-    """Send calls one after the other until asked to stop.
+    """Send calls one at a time until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
+        ZeroMQ context of this process.
     """
     with contextlib.ExitStack() as stack:
         socket = stack.enter_context(
             wire.sockets.connect_dealer(context, addresses.BACKEND)
         )
-        socket.rcvtimeo = WAIT_MS
+        socket.rcvtimeo = RECEIVE_TIMEOUT_MS
         connection = Connection()
         stack.callback(_close, connection)
         wire.sockets.send(socket, wire.WorkerReady())
@@ -64,38 +65,40 @@
 
 
 def send(connection: Connection, job: wire.BackendJob) -> wire.BackendResult:
-    """Send one call and read the whole answer.
+    """Send one call and read the whole response.
 
     Parameters
     ----------
     connection : Connection
-        Owned by the calling thread.
+        Connection of the calling thread.
     job : apricotpost.wire.BackendJob
-        What to send where.
+        Call to send and address of the backend server.
 
     Returns
     -------
     apricotpost.wire.BackendResult
-        Its outcome is "not run" only where no byte was sent.
+        Response or failure. The outcome is NOT_RUN only if no byte was sent.
     """
     call = job.call
-    started = time.monotonic()
+    started_at = time.monotonic()
     remaining = call.deadline - time.time()
     if remaining <= 0:
-        return _not_run(call, wire.NotRunReason.DEADLINE_PASSED)
+        return _make_not_run_result(call, wire.NotRunReason.DEADLINE_PASSED)
     _close_idle(connection)
     try:
         channel = _connect(connection, job.address, remaining)
     except (urllib3.exceptions.HTTPError, OSError):
         _close(connection)
-        return _not_run(call, wire.NotRunReason.NOT_SENT)
+        return _make_not_run_result(call, wire.NotRunReason.NOT_SENT)
     if time.time() >= call.deadline:
-        return _not_run(call, wire.NotRunReason.DEADLINE_PASSED)
+        return _make_not_run_result(call, wire.NotRunReason.DEADLINE_PASSED)
     try:
-        result = _exchange(channel, call, started)
+        result = _send_request(channel, call, started_at)
     except Exception as error:
         _close(connection)
-        return _unknown(call, _reason(error), started)
+        return _make_unknown_result(
+            call, _find_unknown_reason(error), started_at
+        )
     connection.used_at = time.monotonic()
     return result
 
@@ -103,7 +106,7 @@
 def _connect(
     connection: Connection, address: str, remaining: float
 ) -> urllib3.connection.HTTPConnection:
-    """Return an open connection; nothing is sent on it yet."""
+    """Return an open connection without sending anything on it."""
     channel = connection.channel
     if channel is not None and connection.address == address:
         if channel.is_connected:
@@ -113,7 +116,7 @@
     channel = urllib3.connection.HTTPConnection(
         host.strip("[]"),
         int(port),
-        timeout=min(CONNECT_SECONDS, remaining),
+        timeout=min(CONNECT_TIMEOUT_SECONDS, remaining),
     )
     channel.connect()
     connection.channel = channel
@@ -121,15 +124,17 @@
     return channel
 
 
-def _exchange(
-    channel: urllib3.connection.HTTPConnection, call: wire.Call, started: float
+def _send_request(
+    channel: urllib3.connection.HTTPConnection,
+    call: wire.Call,
+    started_at: float,
 ) -> wire.BackendResult:
-    _limit_wait(channel, call)
+    _set_read_timeout(channel, call)
     channel.request(
         call.method,
         call.target,
         body=call.body or None,
-        headers=_headers(call),
+        headers=_make_headers(call),
         preload_content=False,
         decode_content=False,
     )
@@ -141,7 +146,7 @@
         status=response.status,
         headers=tuple(response.headers.items()),
         body=body,
-        duration_ms=(time.monotonic() - started) * 1000,
+        duration_ms=(time.monotonic() - started_at) * 1000,
     )
 
 
@@ -150,38 +155,38 @@
     response: urllib3.HTTPResponse,
     call: wire.Call,
 ) -> bytes:
-    """Read to the end of the body or to the deadline."""
-    parts: list[bytes] = []
+    """Read until the end of the body or the deadline."""
+    chunks: list[bytes] = []
     size = 0
     while response.length_remaining != 0:
-        _limit_wait(channel, call)
-        part = response.read1(CHUNK_BYTES)
-        if not part:
+        _set_read_timeout(channel, call)
+        chunk = response.read1(CHUNK_BYTES)
+        if not chunk:
             break
-        parts.append(part)
-        size += len(part)
+        chunks.append(chunk)
+        size += len(chunk)
         if size > MAX_BODY_BYTES:
             raise urllib3.exceptions.IncompleteRead(size, 0)
     if not response.closed:
         response.read()
-    return b"".join(parts)
+    return b"".join(chunks)
 
 
-def _limit_wait(
+def _set_read_timeout(
     channel: urllib3.connection.HTTPConnection, call: wire.Call
 ) -> None:
-    """Let the next read end at the deadline."""
+    """Set the socket's time-out to the time left until the deadline."""
     remaining = call.deadline - time.time()
     if remaining <= 0:
         raise TimeoutError
-    # urllib3 sets the socket's time-out again from this attribute.
+    # urllib3 overwrites the socket's time-out with this attribute.
     channel.timeout = remaining
     if channel.sock is not None:
         channel.sock.settimeout(remaining)
 
 
-def _reason(error: Exception) -> wire.UnknownReason:
-    """Name the failure; urllib3 wraps some causes in ProtocolError."""
+def _find_unknown_reason(error: Exception) -> wire.UnknownReason:
+    """Classify a failure; urllib3 wraps some causes in ProtocolError."""
     causes = (error, *error.args, error.__cause__, error.__context__)
     if any(
         isinstance(cause, (TimeoutError, urllib3.exceptions.TimeoutError))
@@ -204,7 +209,7 @@
         connection.channel = None
 
 
-def _headers(call: wire.Call) -> dict[str, str]:
+def _make_headers(call: wire.Call) -> dict[str, str]:
     headers: dict[str, str] = {}
     for name, value in call.headers:
         previous = headers.get(name)
@@ -216,18 +221,20 @@
     return headers
 
 
-def _not_run(call: wire.Call, reason: wire.NotRunReason) -> wire.BackendResult:
+def _make_not_run_result(
+    call: wire.Call, reason: wire.NotRunReason
+) -> wire.BackendResult:
     return wire.BackendResult(
         call=call.call, outcome=wire.Outcome.NOT_RUN, reason=reason.value
     )
 
 
-def _unknown(
-    call: wire.Call, reason: wire.UnknownReason, started: float
+def _make_unknown_result(
+    call: wire.Call, reason: wire.UnknownReason, started_at: float
 ) -> wire.BackendResult:
     return wire.BackendResult(
         call=call.call,
         outcome=wire.Outcome.UNKNOWN,
         reason=reason.value,
-        duration_ms=(time.monotonic() - started) * 1000,
+        duration_ms=(time.monotonic() - started_at) * 1000,
     )
--- a/apricotpost/node/callers.py
+++ b/apricotpost/node/callers.py
@@ -1,4 +1,4 @@
-"""Connections of callers, as seen by the threads that serve them."""
+"""Access of the ingress threads to the sockets of their callers."""
 
 import socket
 import typing
@@ -6,21 +6,24 @@
 from cheroot import server
 from cheroot import wsgi
 
-__all__ = ["KEY", "has_hung_up", "make_gateway"]
+__all__ = ["SOCKET_KEY", "has_disconnected", "make_gateway"]
 
 # Key of the caller's socket in the WSGI environment.
-KEY = "apricotpost.caller"
+SOCKET_KEY = "apricotpost.caller"
 
 
 def make_gateway(request: server.HTTPRequest) -> wsgi.Gateway:
-    """Make a gateway that shows the caller's socket to the application."""
+    """Make a gateway that adds the caller's socket to the WSGI environment."""
     gateway: typing.Any = wsgi.Gateway_10(request)
-    gateway.env[KEY] = request.conn.socket
+    gateway.env[SOCKET_KEY] = request.conn.socket
     return typing.cast(wsgi.Gateway, gateway)
 
 
-def has_hung_up(caller: socket.socket) -> bool:
-    """Tell an end of the connection from a further request in it."""
+def has_disconnected(caller: socket.socket) -> bool:
+    """Return whether the caller has closed its connection.
+
+    Data in the socket is a further request and does not count as closed.
+    """
     try:
         return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -1,4 +1,4 @@
-"""Task that holds the configuration and the instance records."""
+"""Control task: owns the configuration and the instance records."""
 
 import contextlib
 import logging
@@ -25,13 +25,13 @@
 
 LOG = logging.getLogger(__name__)
 MAX_WAIT_SECONDS = 1.0
-HOUSEKEEPING_SECONDS = 5.0
+HOUSEKEEPING_INTERVAL_SECONDS = 5.0
 
 
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.NodeSettings,
     rng: random.Random,
 ) -> None:
@@ -40,13 +40,13 @@
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference that this task alone replaces.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force; only this task replaces it.
     options : NodeSettings
         Settings of the node.
     rng : random.Random
-        Source of the random choices.
+        Source of the random numbers.
     """
     with contextlib.ExitStack() as stack:
         router = stack.enter_context(
@@ -76,13 +76,13 @@
         )
         for socket in (router, commands, task.platform, task.rollout):
             poller.register(socket, zmq.POLLIN)
-        while _turn(task, commands):
+        while _run_once(task, commands):
             pass
 
 
 def _make_task(
     *,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.NodeSettings,
     rng: random.Random,
     peers: control_peers.Peers,
@@ -96,7 +96,8 @@
         region=options.region,
         call_address=addresses.tcp(options.addresses.call),
         control_address=addresses.tcp(options.addresses.control),
-        # Above that of an earlier process with the same name.
+        # The incarnation must exceed that of an earlier process with the same
+        # name.
         incarnation=time.time_ns(),
     )
     members = membership.start(record, now, draw=rng.getrandbits(32))
@@ -122,19 +123,19 @@
     )
 
 
-def _turn(
+def _run_once(
     task: control_state.ControlTask, commands: wire.sockets.Socket
 ) -> bool:
-    """Handle what has arrived and what is due; return whether to go on."""
+    """Handle received messages and due timers; return False to stop."""
     for socket, _ in task.peers.poller.poll(_wait_ms(task)):
         if socket is commands:
             if not _receive_commands(task, commands):
                 return False
         elif socket is task.platform or socket is task.rollout:
-            _receive_answers(task, socket)
+            _receive_replies(task, socket)
         else:
             for reply_to, message in control_peers.receive(task.peers, socket):
-                _on_peer(task, reply_to, message)
+                _handle_peer_message(task, reply_to, message)
     now = time.monotonic()
     if now >= membership.next_tick(task.members):
         control_records.handle(
@@ -142,34 +143,34 @@
         )
     if now >= spread.next_tick(task.distribution, task.cluster):
         control_config.handle(task, spread.Tick())
-    if now - task.housekept_at >= HOUSEKEEPING_SECONDS:
-        task.housekept_at = now
-        _housekeep(task, now)
+    if now - task.last_housekeeping_at >= HOUSEKEEPING_INTERVAL_SECONDS:
+        task.last_housekeeping_at = now
+        _run_housekeeping(task, now)
     return True
 
 
 def _wait_ms(task: control_state.ControlTask) -> int:
-    due = min(
+    due_at = min(
         membership.next_tick(task.members),
         spread.next_tick(task.distribution, task.cluster),
     )
-    wait = min(max(due - time.monotonic(), 0.0), MAX_WAIT_SECONDS)
-    return int(wait * 1000) + 1
+    wait_seconds = min(max(due_at - time.monotonic(), 0.0), MAX_WAIT_SECONDS)
+    return int(wait_seconds * 1000) + 1
 
 
-def _housekeep(task: control_state.ControlTask, now: float) -> None:
+def _run_housekeeping(task: control_state.ControlTask, now: float) -> None:
     control_peers.close_idle(task.peers, now)
     if LOG.isEnabledFor(events.CONTROL_COUNTERS.level):
-        counters = dict(control_config.describe(task).counters)
+        counters = dict(control_config.make_status(task).counters)
         events.emit(LOG, events.CONTROL_COUNTERS, counters=counters)
 
 
-def _on_peer(
+def _handle_peer_message(
     task: control_state.ControlTask, reply_to: bytes, message: wire.Message
 ) -> None:
-    """Hand a message of another node to the decisions that it concerns."""
+    """Pass a message of another node to the modules that handle its type."""
     if isinstance(message, wire.EvidenceReport):
-        control_config.pass_evidence(task, message)
+        control_config.send_to_rollout_task(task, message)
     elif isinstance(
         message,
         (
@@ -212,22 +213,22 @@
         if isinstance(message, wire.StopTask):
             return False
         if isinstance(message, wire.StatusRequest):
-            reply = control_config.describe(task)
+            reply = control_config.make_status(task)
             wire.sockets.send_routed(commands, identity, reply)
         else:
-            _on_command(task, message)
+            _handle_command(task, message)
 
 
-def _on_command(
+def _handle_command(
     task: control_state.ControlTask, message: wire.Message
 ) -> None:
     if isinstance(message, wire.BackendServerAnnounced):
         control_records.handle_announcement(task, message)
     elif isinstance(message, wire.GateReport):
-        control_records.record_report(task, message)
-        control_config.forward_evidence(task, message.evidence)
+        control_records.record_gate_report(task, message)
+        control_config.report_evidence(task, message.evidence)
     elif isinstance(message, wire.LeaveAnnounced):
-        control_records.leave(task)
+        control_records.announce_leaving(task)
     elif isinstance(message, wire.ConfigCommitted):
         event = spread.Committed(version=message.version, delta=message.delta)
         control_config.handle(task, event)
@@ -235,7 +236,7 @@
         control_config.handle(task, spread.Received(message=message))
 
 
-def _receive_answers(
+def _receive_replies(
     task: control_state.ControlTask, socket: wire.sockets.Socket
 ) -> None:
     while True:
@@ -249,4 +250,4 @@
         if isinstance(message, wire.ConfigRead):
             control_config.handle(task, spread.TableRead(found=message))
         else:
-            _on_command(task, message)
+            _handle_command(task, message)
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -12,16 +12,17 @@
 from apricotpost import spread
 from apricotpost import wire
 
-__all__ = ["describe", "forward_evidence", "handle", "pass_evidence"]
+__all__ = ["make_status", "report_evidence", "handle", "send_to_rollout_task"]
 
 LOG = logging.getLogger(__name__)
-_OPEN = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
-# Counts that come in after the end of a rollout still explain it.
-WATCHED_SECONDS = 60.0
+_OPEN_STATES = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
+# Evidence about a rollout is sent to its judges for this long after its end,
+# because late counts still explain the decision.
+LATE_EVIDENCE_SECONDS = 60.0
 
 
 def handle(task: control_state.ControlTask, event: spread.Event) -> None:
-    """Carry out a step of the distribution."""
+    """Apply an event to the distribution state and execute its actions."""
     now = time.monotonic()
     before = task.distribution
     task.distribution, actions = spread.handle(
@@ -32,7 +33,7 @@
         draw=task.rng.getrandbits(32),
     )
     for action in actions:
-        _carry_out(task, action, now)
+        _execute(task, action, now)
     if task.distribution.snapshot is not before.snapshot:
         control_records.record_version(task)
         version = task.distribution.snapshot.version
@@ -48,27 +49,27 @@
         events.emit(LOG, events.NODE_READY, version=version)
 
 
-def pass_evidence(
+def send_to_rollout_task(
     task: control_state.ControlTask, report: wire.EvidenceReport
 ) -> None:
-    """Hand evidence to the rollout task."""
+    """Send evidence to the rollout task of this node."""
     wire.sockets.send(task.rollout, report)
 
 
-def forward_evidence(
+def report_evidence(
     task: control_state.ControlTask, evidence: tuple[model.Evidence, ...]
 ) -> None:
-    """Send the own gate's evidence to the judges of the same service."""
+    """Send this gate's evidence to the rollout task and the other judges."""
     if not evidence:
         return
     own = task.members.record
     report = wire.EvidenceReport(sender=own.instance, evidence=evidence)
-    pass_evidence(task, report)
+    send_to_rollout_task(task, report)
     now = time.monotonic()
-    _watch_rollouts(task, now)
+    _update_watched_services(task, now)
     addresses: dict[str, str] = {}
-    if own.service in task.watched:
-        # The rollout task finds the holder in the same view.
+    if own.service in task.watched_until:
+        # The rollout task chooses the holder from the same view.
         instances = task.current.view.instances
         for record in judges.find_judges(own.service, instances):
             if record.instance != own.instance:
@@ -83,8 +84,8 @@
         control_peers.send(task.peers, addresses[planned.judge], report, now)
 
 
-def describe(task: control_state.ControlTask) -> wire.StatusReply:
-    """Describe the node for operators."""
+def make_status(task: control_state.ControlTask) -> wire.StatusReply:
+    """Make the status of this node for operators."""
     snapshot = task.distribution.snapshot
     counters = {
         **task.peers.counters,
@@ -107,7 +108,7 @@
     )
 
 
-def _carry_out(
+def _execute(
     task: control_state.ControlTask, action: spread.Action, now: float
 ) -> None:
     if isinstance(action, spread.Send):
@@ -142,10 +143,12 @@
         )
 
 
-def _watch_rollouts(task: control_state.ControlTask, now: float) -> None:
+def _update_watched_services(
+    task: control_state.ControlTask, now: float
+) -> None:
     for rollout in task.distribution.snapshot.rollouts:
-        if rollout.state in _OPEN:
-            task.watched[rollout.service] = now + WATCHED_SECONDS
-    for service, until in tuple(task.watched.items()):
+        if rollout.state in _OPEN_STATES:
+            task.watched_until[rollout.service] = now + LATE_EVIDENCE_SECONDS
+    for service, until in tuple(task.watched_until.items()):
         if until < now:
-            del task.watched[service]
+            del task.watched_until[service]
--- a/apricotpost/node/control_peers.py
+++ b/apricotpost/node/control_peers.py
@@ -1,4 +1,4 @@
-"""Sockets of the control task to and from other nodes."""
+"""Sockets between the control task and other nodes."""
 
 import collections
 from collections.abc import Iterator
@@ -14,15 +14,16 @@
 __all__ = ["Peers", "close", "close_idle", "receive", "reply", "send"]
 
 LOG = logging.getLogger(__name__)
-# A probe reaches each peer once in as many seconds as there are nodes, so
-# that fleets below this size keep their connections. Each takes about 80 KB.
+# A node probes each peer once in as many seconds as there are nodes, so fleets
+# of fewer nodes than this number keep all connections open. Each connection
+# takes about 80 KB.
 IDLE_SECONDS = 15.0
 _ROUTER, _DEALER = b"r", b"d"
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Link:
-    """A connection to a peer and when it was last used."""
+    """Connection to a peer and the time of its last use."""
 
     address: str
     socket: wire.sockets.Socket
@@ -31,13 +32,13 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Peers:
-    """The bound socket and the connections that are open."""
+    """The bound socket and the open connections to peers."""
 
     context: wire.sockets.Context
     router: wire.sockets.Socket
     poller: wire.sockets.Poller
     links: dict[str, _Link] = dataclasses.field(default_factory=dict)
-    by_socket: dict[wire.sockets.Socket, _Link] = dataclasses.field(
+    links_by_socket: dict[wire.sockets.Socket, _Link] = dataclasses.field(
         default_factory=dict
     )
     counters: collections.Counter[str] = dataclasses.field(
@@ -48,13 +49,13 @@
 def send(
     peers: Peers, address: str, message: wire.Message, now: float
 ) -> None:
-    """Send a message to a control address, connecting if need be."""
+    """Send a message to a control address, connecting first if needed."""
     link = peers.links.get(address)
     if link is None:
         socket = wire.sockets.connect_control_peer(peers.context, address)
         link = _Link(address=address, socket=socket, used_at=now)
         peers.links[address] = link
-        peers.by_socket[socket] = link
+        peers.links_by_socket[socket] = link
         peers.poller.register(socket, zmq.POLLIN)
     link.used_at = now
     _count_sent(peers, wire.sockets.send_sized(link.socket, message))
@@ -63,21 +64,21 @@
 def reply(
     peers: Peers, reply_to: bytes, message: wire.Message, now: float
 ) -> None:
-    """Answer a message on the connection on which it came in."""
-    kind, name = reply_to[:1], reply_to[1:]
-    if kind == _ROUTER:
-        size = wire.sockets.send_sized(peers.router, message, name)
+    """Reply to a message on the connection on which it arrived."""
+    socket_type, return_address = reply_to[:1], reply_to[1:]
+    if socket_type == _ROUTER:
+        size = wire.sockets.send_sized(peers.router, message, return_address)
         _count_sent(peers, size)
-    elif kind == _DEALER:
-        send(peers, name.decode(), message, now)
+    elif socket_type == _DEALER:
+        send(peers, return_address.decode(), message, now)
 
 
 def receive(
     peers: Peers, socket: wire.sockets.Socket
 ) -> Iterator[tuple[bytes, wire.Message]]:
-    """Yield the waiting messages of a socket and the way back."""
+    """Yield the pending messages of a socket with their reply addresses."""
     routed = socket is peers.router
-    link = peers.by_socket.get(socket)
+    link = peers.links_by_socket.get(socket)
     while not socket.closed:
         try:
             identity, message, size = wire.sockets.receive_sized(
@@ -98,7 +99,7 @@
 
 
 def close_idle(peers: Peers, now: float) -> None:
-    """Close the connections that were not used for a while."""
+    """Close the connections that have been idle for IDLE_SECONDS."""
     for link in tuple(peers.links.values()):
         if now - link.used_at > IDLE_SECONDS:
             _close_link(peers, link)
@@ -113,7 +114,7 @@
 def _close_link(peers: Peers, link: _Link) -> None:
     peers.poller.unregister(link.socket)
     del peers.links[link.address]
-    del peers.by_socket[link.socket]
+    del peers.links_by_socket[link.socket]
     link.socket.close()
 
 
--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -1,4 +1,4 @@
-"""Instance records in the control task."""
+"""Handling of instance records in the control task."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -17,20 +17,21 @@
 __all__ = [
     "handle_announcement",
     "handle",
-    "leave",
-    "record_report",
+    "announce_leaving",
+    "record_gate_report",
     "record_version",
     "publish",
 ]
 
 LOG = logging.getLogger(__name__)
-# A report that the gate made before it heard of a new backend server is
-# older than the announcement.
+# For this long after an announcement the gate's reports are ignored for the
+# state of the backend server: they may have been made before the gate received
+# the announcement.
 REPORT_GRACE_SECONDS = 1.5
 
 
 def handle(task: control_state.ControlTask, event: membership.Event) -> None:
-    """Carry out a step of the membership."""
+    """Apply an event to the membership state and execute its actions."""
     now = time.monotonic()
     before = task.members
     task.members, actions = membership.handle(task.members, event, now)
@@ -42,7 +43,7 @@
                 task.peers, action.reply_to, action.message, now
             )
     if task.members.revision != before.revision:
-        _report_changes(task, before.members)
+        _log_state_changes(task, before.members)
         task.cluster = spread.make_cluster_view(
             task.members, task.cluster.seeds
         )
@@ -52,47 +53,47 @@
 def handle_announcement(
     task: control_state.ControlTask, message: wire.BackendServerAnnounced
 ) -> None:
-    """Take over the announcement of the backend server."""
+    """Update the own record from the backend server's announcement."""
     if message != task.announced:
         task.announced_at = time.monotonic()
     task.announced = message
     task.backend_server_up = True
-    _update_own(task)
+    _update_own_record(task)
 
 
-def record_report(
+def record_gate_report(
     task: control_state.ControlTask, report: wire.GateReport
 ) -> None:
-    """Take over what the gate says about the backend server."""
+    """Update load and state of the backend server from a gate report."""
     task.load = report.load
     if time.monotonic() - task.announced_at > REPORT_GRACE_SECONDS:
         task.backend_server_up = report.backend_server_up
-        _update_own(task)
+        _update_own_record(task)
 
 
-def leave(task: control_state.ControlTask) -> None:
-    """Tell peers that this node is about to drain."""
+def announce_leaving(task: control_state.ControlTask) -> None:
+    """Announce to peers that this node is about to drain."""
     task.leaving = True
-    _update_own(task)
+    _update_own_record(task)
 
 
 def record_version(task: control_state.ControlTask) -> None:
-    """Put the version held into the own record.
+    """Write the held configuration version into the own record.
 
-    Probes, their answers and digests carry it, so that each node hears it
-    from each other node within as many seconds as there are nodes. A record
-    that spreads with each version would cost more than all else.
+    Probes, their replies and digests include it, so each node receives it
+    from each other node within as many seconds as there are nodes. Spreading
+    the record at each version would cost more than all other traffic.
     """
     version = task.distribution.snapshot.version
     if version != task.members.record.config_version:
         record = dataclasses.replace(
             task.members.record, config_version=version
         )
-        handle(task, _own_changed(task, record, spreads=False))
+        handle(task, _make_own_changed(task, record, spreads=False))
 
 
 def publish(task: control_state.ControlTask) -> None:
-    """Replace the view if something that the call path reads changed."""
+    """Replace the view if a field that the call path reads has changed."""
     view = task.current.view
     snapshot = task.distribution.snapshot
     withdrawals = tuple(
@@ -104,23 +105,24 @@
         view.snapshot is snapshot
         and view.ready == task.distribution.ready
         and view.withdrawals == withdrawals
-        and _call_fields(view.instances) == _call_fields(visible)
+        and _list_routing_fields(view.instances)
+        == _list_routing_fields(visible)
     ):
         return
-    following = model.View(
+    next_view = model.View(
         snapshot=snapshot,
         instances=visible,
         withdrawals=withdrawals,
         ready=task.distribution.ready,
     )
-    views.swap(task.current, following)
+    views.swap(task.current, next_view)
 
 
-def _update_own(task: control_state.ControlTask) -> None:
-    """Spread the own record if what is known of the backend server changed.
+def _update_own_record(task: control_state.ControlTask) -> None:
+    """Spread the own record if the state of the backend server changed.
 
-    A starting instance with a service has lost its backend server; callers
-    see it as down, while its node goes on answering probes.
+    STARTING with a service set means that the backend server is lost: callers
+    treat the instance as down, while its node still answers probes.
     """
     record = task.members.record
     announced = task.announced
@@ -138,10 +140,10 @@
         state = model.InstanceState.LEAVING
     record = dataclasses.replace(record, state=state)
     if record != task.members.record:
-        handle(task, _own_changed(task, record, spreads=True))
+        handle(task, _make_own_changed(task, record, spreads=True))
 
 
-def _own_changed(
+def _make_own_changed(
     task: control_state.ControlTask,
     record: model.InstanceRecord,
     *,
@@ -152,7 +154,7 @@
     )
 
 
-def _call_fields(
+def _list_routing_fields(
     records: tuple[model.InstanceRecord, ...],
 ) -> list[tuple[str, ...]]:
     return [
@@ -170,7 +172,7 @@
     ]
 
 
-def _report_changes(
+def _log_state_changes(
     task: control_state.ControlTask,
     before: Mapping[str, membership.Member],
 ) -> None:
--- a/apricotpost/node/control_state.py
+++ b/apricotpost/node/control_state.py
@@ -1,4 +1,4 @@
-"""What the control task owns."""
+"""State of the control task."""
 
 import dataclasses
 import random
@@ -24,14 +24,15 @@
     announced : BackendServerAnnounced, optional
         Last announcement of the backend server.
     announced_at : float
-        When it last changed, in monotonic seconds.
-    watched : dict
-        Services whose rollout was open, and until when it counts as such.
+        Time at which the announcement last changed, in monotonic seconds.
+    watched_until : dict
+        Services with an open or recently ended rollout, and the monotonic
+        time in seconds until which their evidence is sent to judges.
     sent_reports : SentReports
-        Evidence that the judges of the open rollout were sent.
+        Evidence already sent to the judges of the open rollout.
     """
 
-    current: views.Current
+    current: views.CurrentView
     options: settings.NodeSettings
     rng: random.Random
     peers: control_peers.Peers
@@ -45,8 +46,8 @@
     backend_server_up: bool = False
     leaving: bool = False
     load: model.Load | None = None
-    watched: dict[str, float] = dataclasses.field(default_factory=dict)
+    watched_until: dict[str, float] = dataclasses.field(default_factory=dict)
     sent_reports: judges.SentReports = judges.SentReports()
     table_reads: int = 0
     refusals: int = 0
-    housekept_at: float = 0.0
+    last_housekeeping_at: float = 0.0
--- a/apricotpost/node/dispatch.py
+++ b/apricotpost/node/dispatch.py
@@ -20,36 +20,36 @@
 __all__ = ["run"]
 
 LOG = logging.getLogger(__name__)
-IDLE_MS = 500
-# A call waits so long for the first connection to its backend server's node.
-CONNECT_SECONDS = 0.1
+MAX_POLL_MS = 500
+# Longest wait of a call for a new connection to a backend server's node.
+CONNECT_TIMEOUT_SECONDS = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Peer:
-    """Connection to another node and calls that wait for it."""
+    """Connection to another node and the calls that wait for it."""
 
     socket: wire.sockets.Socket
     address: str
-    made_at: float
+    opened_at: float
     waiting: dict[str, wire.Call] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Task:
-    """What the dispatch task owns."""
+    """Sockets and state of the dispatch task."""
 
     context: wire.sockets.Context
-    current: views.Current
+    current: views.CurrentView
     rng: random.Random
     router: wire.sockets.Socket
     poller: wire.sockets.Poller
     state: calls.CallState
-    derived: views.Derived
+    derived: views.DerivedState
     metrics: metrics.Recorder
     peers: dict[str, _Peer] = dataclasses.field(default_factory=dict)
     connecting: set[str] = dataclasses.field(default_factory=set)
-    started: dict[str, tuple[str, float]] = dataclasses.field(
+    request_starts: dict[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -57,25 +57,25 @@
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     data_centre: str,
     rng: random.Random,
     recorder: metrics.Recorder,
 ) -> None:
-    """Carry calls until the task is asked to stop.
+    """Dispatch calls until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     data_centre : str
-        Own data centre.
+        Data centre of this node.
     rng : random.Random
-        Source of the random choices.
+        Source of the random numbers.
     recorder : apricotpost.node.metrics.Recorder
-        Takes outcome and latency of each call.
+        Records outcome and latency of each call.
     """
     with contextlib.ExitStack() as stack:
         router = stack.enter_context(
@@ -94,22 +94,22 @@
             metrics=recorder,
         )
         stack.callback(_close_peers, task)
-        while _turn(task):
+        while _run_once(task):
             pass
 
 
-def _turn(task: _Task) -> bool:
-    """Handle what has arrived; return whether to go on."""
+def _run_once(task: _Task) -> bool:
+    """Handle received messages and due timers; return False to stop."""
     ready = task.poller.poll(_wait_ms(task))
-    _refresh_table(task)
+    _apply_current_view(task)
     if task.connecting:
-        _flush(task)
+        _send_waiting(task)
     for socket, _ in ready:
         if socket is task.router:
             if not _receive_request(task):
                 return False
         else:
-            _receive_answer(task, socket)
+            _receive_response(task, socket)
     expiry = calls.next_expiry(task.state)
     if expiry is not None and expiry <= time.time():
         _handle(task, calls.TimedOut())
@@ -118,17 +118,17 @@
 
 
 def _wait_ms(task: _Task) -> int:
-    waits = [IDLE_MS / 1000]
+    wait_seconds = [MAX_POLL_MS / 1000]
     expiry = calls.next_expiry(task.state)
     if expiry is not None:
-        waits.append(expiry - time.time())
+        wait_seconds.append(expiry - time.time())
     for name in task.connecting:
-        waited = time.monotonic() - task.peers[name].made_at
-        waits.append(CONNECT_SECONDS - waited)
-    return max(int(min(waits) * 1000) + 1, 0)
+        elapsed_seconds = time.monotonic() - task.peers[name].opened_at
+        wait_seconds.append(CONNECT_TIMEOUT_SECONDS - elapsed_seconds)
+    return max(int(min(wait_seconds) * 1000) + 1, 0)
 
 
-def _refresh_table(task: _Task) -> None:
+def _apply_current_view(task: _Task) -> None:
     derived = task.current.derived
     if derived is task.derived:
         return
@@ -149,14 +149,17 @@
     if isinstance(message, wire.StopTask):
         return False
     if isinstance(message, wire.CallRequest):
-        task.started[message.request] = (message.route, time.monotonic())
+        task.request_starts[message.request] = (
+            message.route,
+            time.monotonic(),
+        )
         _handle(task, calls.Submitted(reply_to=identity, request=message))
     elif isinstance(message, wire.CallerLeft):
         _handle(task, calls.CallerGone(request=message.request))
     return True
 
 
-def _receive_answer(task: _Task, socket: wire.sockets.Socket) -> None:
+def _receive_response(task: _Task, socket: wire.sockets.Socket) -> None:
     try:
         message = wire.sockets.receive(socket)
     except zmq.Again:
@@ -165,12 +168,14 @@
         events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
         return
     if isinstance(message, wire.Answer):
-        message = _check_body(message)
+        message = _verify_checksum(message)
     if isinstance(message, (wire.Answer, wire.NotRun, wire.OutcomeUnknown)):
         _handle(task, calls.Answered(message=message))
 
 
-def _check_body(message: wire.Answer) -> wire.Answer | wire.OutcomeUnknown:
+def _verify_checksum(
+    message: wire.Answer,
+) -> wire.Answer | wire.OutcomeUnknown:
     if xxhash.xxh64_intdigest(message.body) == message.checksum:
         return message
     return wire.OutcomeUnknown(
@@ -195,15 +200,15 @@
             ),
         )
         for action in actions:
-            failed = _carry_out(task, action)
-            if failed is not None:
-                pending.append(failed)
+            send_failure = _execute(task, action)
+            if send_failure is not None:
+                pending.append(send_failure)
 
 
-def _carry_out(task: _Task, action: calls.Action) -> calls.SendFailed | None:
+def _execute(task: _Task, action: calls.Action) -> calls.SendFailed | None:
     if isinstance(action, calls.Finish):
         wire.sockets.send_routed(task.router, action.reply_to, action.result)
-        _record(task, action.result)
+        _record_metrics(task, action.result)
         return None
     if isinstance(action, calls.SendCall):
         return _send(task, action)
@@ -214,19 +219,19 @@
     return None
 
 
-def _record(task: _Task, result: wire.CallResult) -> None:
-    route, since = task.started.pop(result.request, ("", 0.0))
-    taken_ms = (time.monotonic() - since) * 1000
-    task.metrics.call(route, result.outcome.value, taken_ms)
+def _record_metrics(task: _Task, result: wire.CallResult) -> None:
+    route, started_at = task.request_starts.pop(result.request, ("", 0.0))
+    latency_ms = (time.monotonic() - started_at) * 1000
+    task.metrics.record_call(route, result.outcome.value, latency_ms)
 
 
 def _send(task: _Task, action: calls.SendCall) -> calls.SendFailed | None:
-    """Send a call; a new connection has a moment to be established."""
+    """Send a call, or queue it while a new connection is being opened."""
     name = action.instance.instance
     peer = _connect(task, name, action.instance.call_address)
     if wire.sockets.send(peer.socket, action.call):
         return None
-    if time.monotonic() - peer.made_at >= CONNECT_SECONDS:
+    if time.monotonic() - peer.opened_at >= CONNECT_TIMEOUT_SECONDS:
         return calls.SendFailed(call=action.call.call)
     peer.waiting[action.call.call] = action.call
     task.connecting.add(name)
@@ -235,7 +240,7 @@
 
 
 def _connect(task: _Task, name: str, address: str) -> _Peer:
-    """Return the connection to an instance; a new address replaces it."""
+    """Return the connection to an instance, renewed if its address changed."""
     peer = task.peers.get(name)
     if peer is not None and peer.address == address:
         return peer
@@ -243,7 +248,7 @@
         _disconnect(task, name)
     socket = wire.sockets.connect_peer(task.context, address)
     task.poller.register(socket, zmq.POLLIN)
-    peer = _Peer(socket=socket, address=address, made_at=time.monotonic())
+    peer = _Peer(socket=socket, address=address, opened_at=time.monotonic())
     task.peers[name] = peer
     return peer
 
@@ -262,8 +267,8 @@
         _handle(task, calls.SendFailed(call=call))
 
 
-def _flush(task: _Task) -> None:
-    """Send the calls that waited for a connection, or give them up."""
+def _send_waiting(task: _Task) -> None:
+    """Send the calls that wait for connections; fail those past time-out."""
     for name in tuple(task.connecting):
         peer = task.peers.get(name)
         if peer is None:
@@ -271,8 +276,10 @@
         for call in tuple(peer.waiting.values()):
             if wire.sockets.send(peer.socket, call):
                 peer.waiting.pop(call.call, None)
-        late = time.monotonic() - peer.made_at >= CONNECT_SECONDS
-        if peer.waiting and not late:
+        timed_out = (
+            time.monotonic() - peer.opened_at >= CONNECT_TIMEOUT_SECONDS
+        )
+        if peer.waiting and not timed_out:
             continue
         task.connecting.discard(name)
         task.poller.register(peer.socket, zmq.POLLIN)
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -27,16 +27,16 @@
 __all__ = ["run"]
 
 LOG = logging.getLogger(__name__)
-REPORT_SECONDS = 1.0
-LINGER_MS = 1000
+REPORT_INTERVAL_SECONDS = 1.0
+CLOSE_LINGER_MS = 1000
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Task:
-    """What the gate task owns."""
+    """Sockets and state of the gate task."""
 
     context: wire.sockets.Context
-    current: views.Current
+    current: views.CurrentView
     data_centre: str
     instance: str
     epoch: int
@@ -45,7 +45,7 @@
     backend: wire.sockets.Socket
     control: wire.sockets.Socket
     state: gate.GateState
-    idle: collections.deque[bytes]
+    idle_workers: collections.deque[bytes]
     backlog: collections.deque[wire.Call]
     workers: list[threading.Thread]
     metrics: metrics.Recorder
@@ -56,28 +56,28 @@
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     data_centre: str,
     call_address: str,
     recorder: metrics.Recorder,
     instance: str = "",
 ) -> None:
-    """Admit and run calls until the task is asked to stop.
+    """Admit and run calls until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     data_centre : str
-        Own data centre.
+        Data centre of this node.
     call_address : str
-        Endpoint on which other nodes send calls.
+        Endpoint at which other nodes send calls.
     instance : str
-        Own name, under which the outcome counts are reported.
+        Name of this instance; outcome counts are reported under it.
     recorder : apricotpost.node.metrics.Recorder
-        Takes the load once a second.
+        Records the load once a second.
 
     Raises
     ------
@@ -104,7 +104,7 @@
                 wire.sockets.connect_dealer(context, addresses.CONTROL)
             ),
             state=gate.GateState(limit=limits.start(slots=1, cold=True)),
-            idle=collections.deque(),
+            idle_workers=collections.deque(),
             backlog=collections.deque(),
             workers=[],
             metrics=recorder,
@@ -112,41 +112,41 @@
         poller = wire.sockets.Poller()
         for socket in (task.calls, task.commands, task.backend):
             poller.register(socket, zmq.POLLIN)
-        while _turn(task, poller):
+        while _run_once(task, poller):
             pass
         _stop_workers(task)
-        # The last answers must not be lost with the socket.
-        task.calls.linger = LINGER_MS
+        # Closing the socket must not discard the last responses.
+        task.calls.linger = CLOSE_LINGER_MS
 
 
-def _turn(task: _Task, poller: wire.sockets.Poller) -> bool:
-    """Handle what has arrived; return whether to go on."""
+def _run_once(task: _Task, poller: wire.sockets.Poller) -> bool:
+    """Handle received messages and due timers; return False to stop."""
     ready = dict(poller.poll(_wait_ms(task)))
     if task.backend in ready:
-        _receive(task, task.backend, _on_backend)
+        _receive(task, task.backend, _handle_backend_message)
     if task.commands in ready:
-        if not _receive(task, task.commands, _on_command):
+        if not _receive(task, task.commands, _handle_command):
             return False
     if task.calls in ready:
-        _receive(task, task.calls, _on_call)
+        _receive(task, task.calls, _handle_call_message)
     now = time.monotonic()
     expiry = gate.next_expiry(task.state)
     if expiry is not None and now > expiry:
         _handle(task, gate.Tick())
-    if now - task.reported_at >= REPORT_SECONDS:
+    if now - task.reported_at >= REPORT_INTERVAL_SECONDS:
         task.reported_at = now
-        _report(task)
-        task.metrics.load(gate.describe_load(task.state))
+        _send_report(task)
+        task.metrics.record_load(gate.describe_load(task.state))
         task.metrics.flush()
     return True
 
 
 def _wait_ms(task: _Task) -> int:
-    until = task.reported_at + REPORT_SECONDS
+    due_at = task.reported_at + REPORT_INTERVAL_SECONDS
     expiry = gate.next_expiry(task.state)
     if expiry is not None:
-        until = min(until, expiry)
-    return max(int((until - time.monotonic()) * 1000) + 1, 0)
+        due_at = min(due_at, expiry)
+    return max(int((due_at - time.monotonic()) * 1000) + 1, 0)
 
 
 def _receive(
@@ -154,10 +154,10 @@
     socket: wire.sockets.Socket,
     handler: Callable[[_Task, bytes, wire.Message], bool],
 ) -> bool:
-    """Hand the next message of a socket to a handler.
+    """Pass the next message of a socket to a handler.
 
-    One message a turn: another poll costs less than the exception that
-    tells that no further message has arrived.
+    Only one message is read for each poll: a further poll costs less than
+    the exception that signals an empty socket.
     """
     try:
         identity, message = wire.sockets.receive_routed(socket)
@@ -169,7 +169,9 @@
     return handler(task, identity, message)
 
 
-def _on_call(task: _Task, identity: bytes, message: wire.Message) -> bool:
+def _handle_call_message(
+    task: _Task, identity: bytes, message: wire.Message
+) -> bool:
     if isinstance(message, wire.Call):
         _handle(task, gate.Arrived(reply_to=identity, call=message))
     elif isinstance(message, wire.Cancel):
@@ -177,19 +179,24 @@
     return True
 
 
-def _on_backend(task: _Task, identity: bytes, message: wire.Message) -> bool:
+def _handle_backend_message(
+    task: _Task, identity: bytes, message: wire.Message
+) -> bool:
     if isinstance(message, wire.BackendResult):
-        _count(task, message)
+        _count_outcome(task, message)
         checksum = xxhash.xxh64_intdigest(message.body)
         _handle(task, gate.Finished(result=message), checksum)
-    # The last worker to finish has the warmest connection and goes first.
-    task.idle.append(identity)
+    # The worker that finished last is chosen first, because its connection
+    # has been idle for the shortest time.
+    task.idle_workers.append(identity)
     if task.backlog:
-        _hand_out(task, task.backlog.popleft())
+        _assign_to_worker(task, task.backlog.popleft())
     return True
 
 
-def _on_command(task: _Task, identity: bytes, message: wire.Message) -> bool:
+def _handle_command(
+    task: _Task, identity: bytes, message: wire.Message
+) -> bool:
     if isinstance(message, wire.StopTask):
         return False
     if isinstance(message, wire.BackendServerAnnounced):
@@ -199,7 +206,7 @@
         refuse_from = time.monotonic() + message.notice_seconds
         _handle(task, gate.DrainStarted(refuse_from=refuse_from))
     elif isinstance(message, wire.StatusRequest):
-        wire.sockets.send_routed(task.commands, identity, _describe(task))
+        wire.sockets.send_routed(task.commands, identity, _make_report(task))
     return True
 
 
@@ -209,44 +216,44 @@
         event,
         now=time.monotonic(),
         wall=time.time(),
-        policy=_policy(task),
+        policy=_make_policy(task),
         checksum=checksum,
     )
     for action in actions:
         if isinstance(action, gate.Run):
-            _hand_out(task, action.call)
+            _assign_to_worker(task, action.call)
         else:
             wire.sockets.send_routed(
                 task.calls, action.reply_to, action.message
             )
 
 
-def _policy(task: _Task) -> gate.Policy:
-    """Return what the view in force says about the backend server."""
+def _make_policy(task: _Task) -> gate.Policy:
+    """Derive the admission policy of the backend server from the view."""
     derived = task.current.derived
     announced = task.state.announced
-    out = any(
+    is_out = any(
         centre.name == task.data_centre
         and centre.state is model.DataCentreState.OUT
         for centre in derived.view.snapshot.data_centres
     )
     return gate.Policy(
         ready=derived.table.ready,
-        data_centre_out=out,
+        data_centre_out=is_out,
         withdrawn=announced is not None
         and (announced.service, announced.version) in derived.table.withdrawn,
     )
 
 
-def _hand_out(task: _Task, call: wire.Call) -> None:
-    """Give a call to an idle worker, or keep it until one is idle."""
-    if not task.idle:
+def _assign_to_worker(task: _Task, call: wire.Call) -> None:
+    """Assign a call to an idle worker, or queue it until one is idle."""
+    if not task.idle_workers:
         task.backlog.append(call)
         return
     announced = task.state.announced
     address = announced.address if announced is not None else ""
     job = wire.BackendJob(call=call, address=address)
-    wire.sockets.send_routed(task.backend, task.idle.pop(), job)
+    wire.sockets.send_routed(task.backend, task.idle_workers.pop(), job)
 
 
 def _start_workers(task: _Task, slots: int) -> None:
@@ -262,15 +269,15 @@
 
 
 def _stop_workers(task: _Task) -> None:
-    while task.idle:
+    while task.idle_workers:
         wire.sockets.send_routed(
-            task.backend, task.idle.pop(), wire.StopTask()
+            task.backend, task.idle_workers.pop(), wire.StopTask()
         )
     for worker in task.workers:
         worker.join(1.0)
 
 
-def _count(task: _Task, result: wire.BackendResult) -> None:
+def _count_outcome(task: _Task, result: wire.BackendResult) -> None:
     """Add a finished call to the evidence about its version."""
     waiting = task.state.running.get(result.call)
     if waiting is None:
@@ -286,7 +293,7 @@
     task.outcomes = evidence.count(task.outcomes, key, finished)
 
 
-def _describe(task: _Task) -> wire.GateReport:
+def _make_report(task: _Task) -> wire.GateReport:
     return wire.GateReport(
         load=gate.describe_load(task.state),
         backend_server_up=task.state.announced is not None
@@ -297,5 +304,5 @@
     )
 
 
-def _report(task: _Task) -> None:
-    wire.sockets.send(task.control, _describe(task))
+def _send_report(task: _Task) -> None:
+    wire.sockets.send(task.control, _make_report(task))
--- a/apricotpost/node/gate_evidence.py
+++ b/apricotpost/node/gate_evidence.py
@@ -1,4 +1,4 @@
-"""What a finished call at the gate says about its version."""
+"""Evidence that a finished call at the gate gives about its version."""
 
 import time
 
@@ -18,18 +18,18 @@
     snapshot: model.Snapshot,
     alone: bool,
 ) -> evidence.Finished:
-    """Describe how a call ended.
+    """Describe the end of a call as evidence about its version.
 
     Parameters
     ----------
     result : apricotpost.wire.BackendResult
-        From the backend worker.
+        Result from the backend worker.
     waiting : apricotpost.admission.gate.Waiting
-        The call.
+        The finished call, as the gate admitted it.
     snapshot : apricotpost.model.Snapshot
         Configuration in force.
     alone : bool
-        Whether no other call was running.
+        Whether no other call was running at the gate.
     """
     call = waiting.call
     timeout_ms = next(
@@ -40,8 +40,8 @@
         ),
         0,
     )
-    elapsed = time.monotonic() - waiting.since
-    granted_seconds = call.deadline - time.time() + elapsed
+    elapsed_seconds = time.monotonic() - waiting.since
+    granted_seconds = call.deadline - time.time() + elapsed_seconds
     return evidence.Finished(
         answered=result.outcome is wire.Outcome.ANSWERED,
         status=result.status,
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -1,10 +1,10 @@
-"""Lease and commits of a rollout's holder.
+"""Lease and commits of the node that holds a rollout.
 
 Every write is conditional on the configuration version that it is based on
-and on the fencing number of the lease. After a failure nothing is repeated
-as it was: the decision is made anew. If a write whose answer was lost had
-taken effect, the next one is refused as a conflict, and control is asked to
-read the version that the table holds.
+and on the fencing number of the lease. After a failure the same write is not
+repeated; the decision is computed again. If a write took effect although its
+response was lost, the next write fails as a conflict, and the control task is
+asked to read the version that the table holds.
 """
 
 from collections.abc import Callable
@@ -23,14 +23,14 @@
 from apricotpost.rollout import watch
 from apricotpost import storage
 
-__all__ = ["Holder", "act", "leave"]
+__all__ = ["Holder", "advance_rollout", "release_lease"]
 
 LOG = logging.getLogger(__name__)
 BACKOFF_MIN_SECONDS = 0.5
 BACKOFF_MAX_SECONDS = 8.0
-# Control reads a committed version at once; if it does not show up in the
-# view after this time, control is asked again.
-CATCH_UP_SECONDS = 3.0
+# The control task is asked to read a committed version at once. The request is
+# repeated if the version is not in the view after this time.
+CATCH_UP_TIMEOUT_SECONDS = 3.0
 _DIGITS = re.compile(r"[0-9]+")
 
 
@@ -41,86 +41,89 @@
     Parameters
     ----------
     name : str
-        Unique to this run of the process.
+        Name of the holder, unique to this run of the process.
     store : apricotpost.storage.Store
-        Owned by the same task.
+        Connection to the store; owned by the same task.
     times : Times
-        Settings.
+        Step and bake times from the settings.
     clock : callable
         Returns Unix time in seconds.
-    committed : callable
-        Gets each configuration version that control should read, and its
-        delta if this node committed it.
+    notify_committed : callable
+        Called with each configuration version that the control task should
+        read, and with its delta if this node committed it.
     rng : random.Random
-        Spreads the retries.
+        Source of the random jitter of retries.
     """
 
     name: str
     store: storage.Store
     times: steps.Times
     clock: Callable[[], float]
-    committed: Callable[[int, model.Delta | None], None]
+    notify_committed: Callable[[int, model.Delta | None], None]
     rng: random.Random
     lease: storage.leases.Lease | None = None
     renewed_at: float = 0.0
     retry_at: float = 0.0
     failures: int = 0
-    awaited: int = 0
-    asked_at: float = 0.0
-    held: str = ""
+    awaited_version: int = 0
+    requested_at: float = 0.0
+    logged_hold_reason: str = ""
 
 
-def act(holder: Holder, observation: watch.Observation | None) -> None:
-    """Do what the open rollout needs, if this node is to be its holder.
+def advance_rollout(
+    holder: Holder, observation: watch.Observation | None
+) -> None:
+    """Advance the open rollout if this node should be its holder.
 
     Parameters
     ----------
     holder : Holder
-        Changed in place.
+        State of this node as a holder; changed in place.
     observation : Observation, optional
-        The open rollout; without one nothing touches the table but the
+        The open rollout. Without one, the only access to the table is the
         release of a lease.
     """
     if observation is None or not observation.is_first:
-        leave(holder)
+        release_lease(holder)
         return
     if holder.clock() < holder.retry_at:
         return
     try:
-        lease = _hold_lease(holder, observation.rollout.service)
+        lease = _ensure_lease(holder, observation.rollout.service)
         if _is_behind(holder, observation.snapshot):
             return
         decision = _decide(holder, observation)
         if isinstance(decision, steps.Hold):
             _log_hold(holder, observation, decision)
             return
-        _carry_out(holder, observation, lease, decision)
+        _commit_decision(holder, observation, lease, decision)
         holder.failures = 0
     except errors.LeaseLost as error:
         _drop_lease(holder, observation, error)
     except errors.ChangeConflict:
-        # An operator's change came first; the decision is made anew on it.
-        _await(holder, observation.snapshot.version + 1)
+        # An operator's change was committed first. The decision is computed
+        # again once the view has it.
+        _request_version(holder, observation.snapshot.version + 1)
     except errors.ApricotpostError as error:
         _back_off(holder, observation, error)
 
 
-def leave(holder: Holder) -> None:
+def release_lease(holder: Holder) -> None:
     """Release the lease, if there is one."""
     lease, holder.lease = holder.lease, None
-    holder.held = ""
+    holder.logged_hold_reason = ""
     if lease is None:
         return
-    # A lease that cannot be released ends by time.
+    # A lease that cannot be released expires.
     with contextlib.suppress(errors.PlatformError):
         storage.leases.release(holder.store, lease)
 
 
-def _hold_lease(holder: Holder, service: str) -> storage.leases.Lease:
+def _ensure_lease(holder: Holder, service: str) -> storage.leases.Lease:
     now = holder.clock()
     lease = holder.lease
     if lease is not None and lease.service != service:
-        leave(holder)
+        release_lease(holder)
         lease = None
     if lease is None or not storage.leases.is_usable(lease, now=now):
         holder.lease = None
@@ -139,20 +142,20 @@
 
 
 def _is_behind(holder: Holder, snapshot: model.Snapshot) -> bool:
-    """Whether the view lacks a version that is known to exist."""
-    if snapshot.version >= holder.awaited:
+    """Return whether the view lacks a version that is known to exist."""
+    if snapshot.version >= holder.awaited_version:
         return False
-    if holder.clock() - holder.asked_at >= CATCH_UP_SECONDS:
-        _await(holder, holder.awaited)
+    if holder.clock() - holder.requested_at >= CATCH_UP_TIMEOUT_SECONDS:
+        _request_version(holder, holder.awaited_version)
     return True
 
 
-def _await(
+def _request_version(
     holder: Holder, version: int, delta: model.Delta | None = None
 ) -> None:
-    holder.awaited = version
-    holder.asked_at = holder.clock()
-    holder.committed(version, delta)
+    holder.awaited_version = version
+    holder.requested_at = holder.clock()
+    holder.notify_committed(version, delta)
 
 
 def _decide(holder: Holder, observation: watch.Observation) -> steps.Decision:
@@ -165,7 +168,7 @@
     )
 
 
-def _carry_out(
+def _commit_decision(
     holder: Holder,
     observation: watch.Observation,
     lease: storage.leases.Lease,
@@ -181,8 +184,10 @@
     )
     version = storage.commit(holder.store, change)
     _log_commit(observation, decision)
-    holder.held = ""
-    _await(holder, version, config.compute_delta(change.before, change.after))
+    holder.logged_hold_reason = ""
+    _request_version(
+        holder, version, config.compute_delta(change.before, change.after)
+    )
 
 
 def _log_commit(
@@ -209,10 +214,10 @@
     holder: Holder, observation: watch.Observation, decision: steps.Hold
 ) -> None:
     """Log a reason once, not each time that a figure in it changes."""
-    kind = _DIGITS.sub("", decision.reason)
-    if kind == holder.held:
+    reason_without_figures = _DIGITS.sub("", decision.reason)
+    if reason_without_figures == holder.logged_hold_reason:
         return
-    holder.held = kind
+    holder.logged_hold_reason = reason_without_figures
     events.emit(
         LOG,
         events.ROLLOUT_HELD,
@@ -242,16 +247,16 @@
     observation: watch.Observation,
     error: errors.ApricotpostError,
 ) -> None:
-    seconds = min(
+    wait_seconds = min(
         BACKOFF_MIN_SECONDS * 2.0**holder.failures, BACKOFF_MAX_SECONDS
     )
-    seconds *= 0.5 + holder.rng.random() / 2
+    wait_seconds *= 0.5 + holder.rng.random() / 2
     holder.failures += 1
-    holder.retry_at = holder.clock() + seconds
+    holder.retry_at = holder.clock() + wait_seconds
     events.emit(
         LOG,
         events.ROLLOUT_RETRY,
         rollout=observation.rollout.identifier,
-        seconds=seconds,
+        seconds=wait_seconds,
         error=error,
     )
--- a/apricotpost/node/ingress.py
+++ b/apricotpost/node/ingress.py
@@ -1,4 +1,4 @@
-"""WSGI application that takes callers' requests."""
+"""WSGI application that serves callers' requests."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -26,37 +26,38 @@
 StartResponse = Callable[..., typing.Any]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Dispatch answers by the deadline; after this extra time it has failed.
-GRACE_SECONDS = 1.0
+# The dispatch task replies by the deadline. If it has not replied this long
+# after the deadline, it has failed.
+DISPATCH_GRACE_SECONDS = 1.0
 _PHRASES = {entry.value: entry.phrase for entry in http.HTTPStatus}
 _WITHOUT_BODY = (204, 304)
 
 
 @dataclasses.dataclass(kw_only=True)
 class Ingress:
-    """What the threads of one listening address share.
+    """State that the threads of one listening address share.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     instance : str
-        Name of the instance, part of request identifiers.
+        Name of the instance; prefix of request identifiers.
     trusted : bool
-        Whether callers are the backend server beside the node.
+        Whether the only caller is the backend server beside the node.
     keyed : KeyedCalls
-        State of the calls with ``Idempotency-Key``.
+        State of the calls with an ``Idempotency-Key`` header.
     """
 
     context: wire.sockets.Context
-    current: views.Current
+    current: views.CurrentView
     instance: str
     trusted: bool
     keyed: keyed_calls.KeyedCalls
     started_ns: int = dataclasses.field(default_factory=time.time_ns)
-    numbers: typing.Iterator[int] = dataclasses.field(
+    request_numbers: typing.Iterator[int] = dataclasses.field(
         default_factory=itertools.count
     )
     local: threading.local = dataclasses.field(default_factory=threading.local)
@@ -68,7 +69,7 @@
 
     def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
         result = _serve(ingress, environ)
-        return _write(ingress, environ, result, start)
+        return _write_response(ingress, environ, result, start)
 
     return app
 
@@ -79,26 +80,26 @@
         return body
     table = ingress.current.derived.table
     if not table.ready:
-        return _not_run(503, wire.NotRunReason.NOT_READY)
+        return _make_not_run_result(503, wire.NotRunReason.NOT_READY)
     route = routing.match_route(
         table,
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"] or "/",
     )
     if route is None or (route.internal and not ingress.trusted):
-        return _not_run(404, wire.NotRunReason.NO_ROUTE)
+        return _make_not_run_result(404, wire.NotRunReason.NO_ROUTE)
     request = _make_request(ingress, environ, route, body)
-    return levels.measured(
+    return levels.measure_call(
         ingress.context,
         ingress.local,
         route.name,
-        lambda: keyed_calls.carry(
+        lambda: keyed_calls.execute(
             ingress.keyed,
             key=environ.get("HTTP_IDEMPOTENCY_KEY"),
             route=route,
             request=request,
             dispatch=lambda: _dispatch(
-                ingress, request, environ.get(callers.KEY)
+                ingress, request, environ.get(callers.SOCKET_KEY)
             ),
         ),
     )
@@ -106,41 +107,41 @@
 
 def _read_body(environ: Environ) -> bytes | wire.CallResult:
     stream = environ["wsgi.input"]
-    text = environ.get("CONTENT_LENGTH")
-    if not text:
+    length_header = environ.get("CONTENT_LENGTH")
+    if not length_header:
         if "HTTP_TRANSFER_ENCODING" not in environ:
             return b""
         body = stream.read(MAX_BODY_BYTES + 1)
         if len(body) > MAX_BODY_BYTES:
-            return _bad_request(413, "body-too-large")
+            return _make_bad_request_result(413, "body-too-large")
         return bytes(body)
-    if not text.isdecimal():
-        return _bad_request(400, "length-invalid")
-    length = int(text)
+    if not length_header.isdecimal():
+        return _make_bad_request_result(400, "length-invalid")
+    length = int(length_header)
     if length > MAX_BODY_BYTES:
-        return _bad_request(413, "body-too-large")
+        return _make_bad_request_result(413, "body-too-large")
     body = stream.read(length)
     if len(body) != length:
-        return _bad_request(400, "body-incomplete")
+        return _make_bad_request_result(400, "body-incomplete")
     return bytes(body)
 
 
 def _make_request(
     ingress: Ingress, environ: Environ, route: model.Route, body: bytes
 ) -> wire.CallRequest:
-    headers = _headers(environ)
+    headers = _read_headers(environ)
     context = contexts.read_context(
         {name.lower(): value for name, value in headers},
         wall=time.time(),
         timeout_ms=route.timeout_ms,
         trusted=ingress.trusted,
     )
-    number = next(ingress.numbers)
+    number = next(ingress.request_numbers)
     return wire.CallRequest(
         request=f"{ingress.instance}-{ingress.started_ns:x}-{number:x}",
         route=route.name,
         method=environ["REQUEST_METHOD"],
-        target=_target(environ),
+        target=_read_target(environ),
         headers=contexts.strip_headers(headers),
         body=body,
         deadline=context.deadline,
@@ -149,7 +150,7 @@
     )
 
 
-def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+def _read_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
     headers = [
         (name[5:].replace("_", "-").title(), value)
         for name, value in environ.items()
@@ -160,7 +161,7 @@
     return tuple(headers)
 
 
-def _target(environ: Environ) -> str:
+def _read_target(environ: Environ) -> str:
     target = str(environ.get("REQUEST_URI") or environ["PATH_INFO"])
     if not target.startswith("/"):
         target = str(environ["PATH_INFO"])
@@ -174,26 +175,28 @@
     request: wire.CallRequest,
     caller: socket.socket | None = None,
 ) -> wire.CallResult:
-    """Hand a request to dispatch and wait for its result.
+    """Send a request to the dispatch task and wait for its result.
 
-    When the caller hangs up, dispatch is told once; the result of the call
-    is still awaited, as it may have run.
+    If the caller disconnects, the dispatch task is notified once. The result
+    is still awaited, because the call may have run.
     """
-    dealer = _socket(ingress)
+    dealer = _get_dispatch_socket(ingress)
     wire.sockets.send(dealer, request)
-    gives_up_at = request.deadline + GRACE_SECONDS
+    timeout_at = request.deadline + DISPATCH_GRACE_SECONDS
     while True:
-        remaining = gives_up_at - time.time()
+        remaining = timeout_at - time.time()
         if remaining <= 0:
-            return _timed_out(request)
-        watched = None if caller is None else caller.fileno()
-        arrived, active = wire.sockets.wait(dealer, watched, seconds=remaining)
-        if active and caller is not None:
-            if callers.has_hung_up(caller):
-                left = wire.CallerLeft(request=request.request)
-                wire.sockets.send(dealer, left)
+            return _make_timed_out_result(request)
+        caller_fd = None if caller is None else caller.fileno()
+        has_result, caller_is_readable = wire.sockets.wait(
+            dealer, caller_fd, seconds=remaining
+        )
+        if caller_is_readable and caller is not None:
+            if callers.has_disconnected(caller):
+                notice = wire.CallerLeft(request=request.request)
+                wire.sockets.send(dealer, notice)
             caller = None
-        if not arrived:
+        if not has_result:
             continue
         result = wire.sockets.receive(dealer)
         if (
@@ -203,7 +206,7 @@
             return result
 
 
-def _timed_out(request: wire.CallRequest) -> wire.CallResult:
+def _make_timed_out_result(request: wire.CallRequest) -> wire.CallResult:
     return wire.CallResult(
         request=request.request,
         outcome=wire.Outcome.UNKNOWN,
@@ -212,8 +215,8 @@
     )
 
 
-def _socket(ingress: Ingress) -> wire.sockets.Socket:
-    """Return the calling thread's socket to dispatch."""
+def _get_dispatch_socket(ingress: Ingress) -> wire.sockets.Socket:
+    """Return the calling thread's socket to the dispatch task."""
     local = ingress.local
     if getattr(local, "socket", None) is None:
         local.socket = wire.sockets.connect_dealer(
@@ -222,7 +225,7 @@
     return typing.cast(wire.sockets.Socket, local.socket)
 
 
-def _write(
+def _write_response(
     ingress: Ingress,
     environ: Environ,
     result: wire.CallResult,
@@ -231,14 +234,14 @@
     headers = list(contexts.strip_headers(result.headers))
     body = result.body
     if result.outcome is not wire.Outcome.ANSWERED:
-        body = _error_body(result)
+        body = _make_error_body(result)
         headers = [("Content-Type", "application/json")]
         headers.append((contexts.REASON_HEADER, result.reason))
     headers.append((contexts.OUTCOME_HEADER, result.outcome.value))
     if result.retried:
         headers.append((contexts.RETRIED_HEADER, "1"))
     if environ["REQUEST_METHOD"] == "HEAD":
-        headers.extend(_length_of(result))
+        headers.extend(_find_content_length(result))
     elif result.status not in _WITHOUT_BODY:
         headers.append(("Content-Length", str(len(body))))
     if ingress.draining:
@@ -248,24 +251,26 @@
     return [body]
 
 
-def _length_of(result: wire.CallResult) -> list[tuple[str, str]]:
-    """Return the length that the answer to a GET request would have."""
-    found = [
+def _find_content_length(result: wire.CallResult) -> list[tuple[str, str]]:
+    """Return the Content-Length header that a GET response would have."""
+    lengths = [
         (name, value)
         for name, value in result.headers
         if name.lower() == "content-length"
     ]
-    return found or [("Content-Length", "0")]
+    return lengths or [("Content-Length", "0")]
 
 
-def _error_body(result: wire.CallResult) -> bytes:
+def _make_error_body(result: wire.CallResult) -> bytes:
     return (
         f'{{"outcome": "{result.outcome.value}", '
         f'"reason": "{result.reason}", "attempts": {result.attempts}}}'
     ).encode()
 
 
-def _not_run(status: int, reason: wire.NotRunReason) -> wire.CallResult:
+def _make_not_run_result(
+    status: int, reason: wire.NotRunReason
+) -> wire.CallResult:
     return wire.CallResult(
         request="",
         outcome=wire.Outcome.NOT_RUN,
@@ -274,7 +279,7 @@
     )
 
 
-def _bad_request(status: int, reason: str) -> wire.CallResult:
+def _make_bad_request_result(status: int, reason: str) -> wire.CallResult:
     return wire.CallResult(
         request="",
         outcome=wire.Outcome.NOT_RUN,
--- a/apricotpost/node/keyed_calls.py
+++ b/apricotpost/node/keyed_calls.py
@@ -1,4 +1,4 @@
-"""Calls with ``Idempotency-Key`` on the ingress threads."""
+"""Calls with an ``Idempotency-Key`` header on the ingress threads."""
 
 from collections.abc import Callable
 import contextlib
@@ -12,26 +12,26 @@
 from apricotpost import storage
 from apricotpost import wire
 
-__all__ = ["Dispatch", "KeyedCalls", "carry", "close", "get_store"]
+__all__ = ["Dispatch", "KeyedCalls", "execute", "close", "get_store"]
 
 Dispatch = Callable[[], wire.CallResult]
 
-# Jobs on their way to the task that tries them again.
-INBOX_JOBS = 64
-JOIN_SECONDS = 5.0
+# Jobs that may wait for the thread that retries table writes.
+RETRY_QUEUE_CAPACITY = 64
+JOIN_TIMEOUT_SECONDS = 5.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class KeyedCalls:
-    """What the ingress threads share for keyed calls.
+    """State that the ingress threads share for keyed calls.
 
     Parameters
     ----------
     open_store : callable
         Opens a store for the calling thread.
     table_slots : threading.Semaphore
-        Calls that may wait for the table at once. The other threads stay
-        free for calls without a key while the table is slow.
+        Limits how many calls may wait for the table at once, so that a slow
+        table leaves the other threads free for calls without a key.
     clock : callable
         Returns Unix time in seconds.
     """
@@ -41,14 +41,14 @@
     clock: Callable[[], float] = time.time
     local: threading.local = dataclasses.field(default_factory=threading.local)
     stores: list[storage.Store] = dataclasses.field(default_factory=list)
-    inbox: queue.Queue[typing.Any] = dataclasses.field(
-        default_factory=lambda: queue.Queue(INBOX_JOBS)
+    retry_queue: queue.Queue[typing.Any] = dataclasses.field(
+        default_factory=lambda: queue.Queue(RETRY_QUEUE_CAPACITY)
     )
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
-    worker: threading.Thread | None = None
+    retry_thread: threading.Thread | None = None
 
 
-def carry(
+def execute(
     keyed: KeyedCalls,
     *,
     key: str | None,
@@ -56,30 +56,31 @@
     request: wire.CallRequest,
     dispatch: Dispatch,
 ) -> wire.CallResult:
-    """Carry a call, at most once if it has a key.
+    """Execute a call, at most once if it has a key.
 
-    Keys are not used on idempotent routes: a repeat does no harm there, and
-    the table's writes are few.
+    Keys are ignored on idempotent routes: repeating such a call is safe, and
+    the table's write capacity is small.
 
     Parameters
     ----------
     keyed : KeyedCalls
         Shared state.
     key : str, optional
-        Value of the header ``Idempotency-Key``.
+        Value of the ``Idempotency-Key`` header.
     route : apricotpost.model.Route
         Route of the call.
     request : apricotpost.wire.CallRequest
         The call.
     dispatch : callable
-        Runs the call.
+        Sends the call to a backend server and returns its result.
     """
     if key is None or route.idempotent:
         return dispatch()
-    # Loaded with the first key; most nodes never see one.
+    # Imported with the first key: most nodes never receive one, and the
+    # import costs memory and start time.
     from apricotpost.node import at_most_once
 
-    return at_most_once.carry(
+    return at_most_once.execute(
         keyed, key=key, request=request, dispatch=dispatch
     )
 
@@ -93,10 +94,15 @@
 
 
 def close(keyed: KeyedCalls) -> None:
-    """End the task and close the connections; the threads have ended."""
-    if keyed.worker is not None:
+    """Stop the retry thread and close the stores.
+
+    The ingress threads must have ended before.
+    """
+    if keyed.retry_thread is not None:
         with contextlib.suppress(queue.Full):
-            keyed.inbox.put(wire.StopTask(), timeout=JOIN_SECONDS)
-        keyed.worker.join(JOIN_SECONDS)
+            keyed.retry_queue.put(
+                wire.StopTask(), timeout=JOIN_TIMEOUT_SECONDS
+            )
+        keyed.retry_thread.join(JOIN_TIMEOUT_SECONDS)
     for store in keyed.stores:
         store.channel.pool.clear()
--- a/apricotpost/node/levels.py
+++ b/apricotpost/node/levels.py
@@ -1,4 +1,4 @@
-"""Task that counts the service levels of the calls of this node."""
+"""Task that counts this node's calls against the service objectives."""
 
 from collections.abc import Callable
 import contextlib
@@ -17,19 +17,19 @@
 from apricotpost import settings
 from apricotpost import wire
 
-__all__ = ["ask", "measured", "run"]
+__all__ = ["request_levels", "measure_call", "run"]
 
-# Measurements wait in their socket for so long. Waking up for each call
-# would cost more than counting it.
-READ_SECONDS = 1.0
-ASK_SECONDS = 2.0
+# Measurements are read from their socket at this interval. Waking up for each
+# call would cost more than counting it.
+READ_INTERVAL_SECONDS = 1.0
+REPLY_TIMEOUT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Task:
-    """What the task owns."""
+    """Sockets and state of the levels task."""
 
-    current: views.Current
+    current: views.CurrentView
     options: settings.LevelSettings
     commands: wire.sockets.Socket
     measurements: wire.sockets.Socket
@@ -42,7 +42,7 @@
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.LevelSettings,
 ) -> None:
     """Count calls until asked to stop.
@@ -50,11 +50,11 @@
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     options : LevelSettings
-        Objectives.
+        Service objectives from the settings.
     """
     with contextlib.ExitStack() as stack:
         task = _Task(
@@ -69,39 +69,41 @@
             since=time.time(),
         )
         while True:
-            asked = task.commands.poll(int(READ_SECONDS * 1000), zmq.POLLIN)
+            has_command = task.commands.poll(
+                int(READ_INTERVAL_SECONDS * 1000), zmq.POLLIN
+            )
             _read_measurements(task)
-            if not asked:
+            if not has_command:
                 continue
             identity, message = wire.sockets.receive_routed(task.commands)
             if isinstance(message, wire.StopTask):
                 return
             if isinstance(message, wire.LevelsRequest):
                 wire.sockets.send_routed(
-                    task.commands, identity, _describe(task)
+                    task.commands, identity, _make_reply(task)
                 )
 
 
-def measured(
+def measure_call(
     context: wire.sockets.Context,
     local: threading.local,
     route: str,
     dispatch: Callable[[], wire.CallResult],
 ) -> wire.CallResult:
-    """Carry a call out and hand its outcome and duration to the task.
+    """Run a call and send its outcome and duration to the levels task.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
+        ZeroMQ context of this process.
     local : threading.local
-        Keeps the calling thread's socket.
+        Holds the calling thread's socket to the levels task.
     route : str
         Name of the call's route.
     dispatch : callable
-        Carries the call out.
+        Runs the call.
     """
-    started = time.monotonic()
+    started_at = time.monotonic()
     result = dispatch()
     if getattr(local, "measurements", None) is None:
         local.measurements = wire.sockets.connect_dealer(
@@ -111,26 +113,28 @@
         route=route,
         failed=result.outcome is not wire.Outcome.ANSWERED
         or result.status >= 500,
-        duration_ms=(time.monotonic() - started) * 1000,
+        duration_ms=(time.monotonic() - started_at) * 1000,
     )
-    # A full queue, of about a thousand for each thread, loses the count but
-    # never the call.
+    # If the socket's queue is full, at about a thousand messages for each
+    # thread, the measurement is dropped and the call is unaffected.
     wire.sockets.send(local.measurements, measurement)
     return result
 
 
-def ask(context: wire.sockets.Context) -> wire.LevelsReply:
-    """Read the counts of this node.
+def request_levels(context: wire.sockets.Context) -> wire.LevelsReply:
+    """Request the counts of this node from the levels task.
 
     Raises
     ------
     apricotpost.errors.NodeUnreachable
-        The task did not answer.
+        The levels task did not reply in time.
     """
     with wire.sockets.connect_dealer(context, addresses.LEVELS) as socket:
         wire.sockets.send(socket, wire.LevelsRequest())
-        if not socket.poll(int(ASK_SECONDS * 1000), zmq.POLLIN):
-            raise errors.NodeUnreachable("the levels task does not answer")
+        if not socket.poll(int(REPLY_TIMEOUT_SECONDS * 1000), zmq.POLLIN):
+            raise errors.NodeUnreachable(
+                "the levels task did not reply in time"
+            )
         reply = wire.sockets.receive(socket)
     return typing.cast(wire.LevelsReply, reply)
 
@@ -151,24 +155,28 @@
             counts,
             failed=message.failed,
             duration_ms=message.duration_ms,
-            objective=_objective(task.options, message.route),
+            objective=_find_objective(task.options, message.route),
             now=now,
         )
 
 
-def _objective(options: settings.LevelSettings, route: str) -> model.Objective:
-    found: settings.LevelSettings | settings.RouteLevelSettings = options
+def _find_objective(
+    options: settings.LevelSettings, route: str
+) -> model.Objective:
+    objective_options: settings.LevelSettings | settings.RouteLevelSettings = (
+        options
+    )
     for entry in options.routes:
         if entry.route == route:
-            found = entry
+            objective_options = entry
     return model.Objective(
-        availability_percent=found.availability_percent,
-        latency_ms=found.latency_ms,
-        latency_percent=found.latency_percent,
+        availability_percent=objective_options.availability_percent,
+        latency_ms=objective_options.latency_ms,
+        latency_percent=objective_options.latency_percent,
     )
 
 
-def _describe(task: _Task) -> wire.LevelsReply:
+def _make_reply(task: _Task) -> wire.LevelsReply:
     now = time.time()
     services = {
         route.name: route.service
@@ -181,7 +189,7 @@
             model.RouteLevel(
                 route=route,
                 service=services.get(route, ""),
-                objective=_objective(task.options, route),
+                objective=_find_objective(task.options, route),
                 windows=levels.read_windows(counts, now),
                 buckets=levels.read_buckets(counts, now),
                 latencies=levels.read_latencies(counts, now),
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -40,12 +40,14 @@
 __all__ = ["main", "run"]
 
 LOG = logging.getLogger(__name__)
-DESCRIPTION = "Carry the calls of one backend server and its configuration."
+DESCRIPTION = (
+    "Run the node that carries one backend server's calls and configuration."
+)
 EXAMPLES = """examples:
   apricotpost-node /etc/apricotpost/node.jsonc
   apricotpost-node --check /etc/apricotpost/node.jsonc
 """
-JOIN_SECONDS = 5.0
+JOIN_TIMEOUT_SECONDS = 5.0
 CLOSE_LINGER_MS = 1000
 
 App = Callable[..., Iterable[bytes]]
@@ -53,11 +55,11 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Node:
-    """What the main thread owns."""
+    """State of the main thread."""
 
     options: settings.NodeSettings
     context: wire.sockets.Context
-    current: views.Current
+    current: views.CurrentView
     stack: contextlib.ExitStack
     signals: queue.SimpleQueue[int]
     servers: list[wsgi.Server] = dataclasses.field(default_factory=list)
@@ -65,12 +67,12 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run the command line.
+    """Run the command line and return its exit status.
 
     Returns
     -------
     int
-        0 after a drain, 2 for wrong settings, 3 for an occupied address.
+        0 after a drain, 2 for invalid settings, 3 for an occupied address.
     """
     parser = argparse.ArgumentParser(
         prog="apricotpost-node",
@@ -96,12 +98,12 @@
 
 
 def run(options: settings.NodeSettings) -> None:
-    """Run a node until SIGTERM and drain it.
+    """Run a node until SIGTERM or SIGINT, then drain it.
 
     Parameters
     ----------
     options : NodeSettings
-        Checked settings.
+        Validated settings.
 
     Raises
     ------
@@ -117,12 +119,12 @@
         node = _Node(
             options=options,
             context=context,
-            current=views.Current(),
+            current=views.CurrentView(),
             stack=stack,
             signals=signals,
         )
         _start_tasks(node)
-        outside = _start_servers(node)
+        external_ingress = _start_servers(node)
         events.emit(
             LOG,
             events.NODE_STARTED,
@@ -130,7 +132,7 @@
             data_centre=options.data_centre,
         )
         signals.get()
-        outside.draining = True
+        external_ingress.draining = True
         shutdown.drain(
             context=context,
             servers=node.servers,
@@ -143,10 +145,10 @@
 
 
 def _close_context(context: wire.sockets.Context) -> None:
-    """Close the context unless a thread is still inside a call.
+    """Close the context unless another thread still runs.
 
-    libzmq aborts the process when a socket in use is closed from here; the
-    end of the process closes it as well.
+    libzmq aborts the process if a socket is closed here while its thread uses
+    it. In that case the sockets are closed by the end of the process.
     """
     if threading.active_count() == 1:
         context.destroy(linger=CLOSE_LINGER_MS)
@@ -154,7 +156,7 @@
 
 def _start_tasks(node: _Node) -> None:
     options = node.options
-    start = functools.partial(_start, node)
+    start = functools.partial(_start_task, node)
     store = stores.open_store(options.platform)
     seed = f"{options.instance}-{time.time_ns()}"
     start(
@@ -209,10 +211,10 @@
     )
 
 
-def _start(node: _Node, address: str, target: Callable[[], None]) -> None:
-    """Start a task whose commands arrive at an address."""
+def _start_task(node: _Node, address: str, target: Callable[[], None]) -> None:
+    """Start a task in a thread; it receives commands at an endpoint."""
 
-    def guarded() -> None:
+    def run_guarded() -> None:
         try:
             target()
         except Exception as error:
@@ -220,12 +222,12 @@
             node.failures.append(error)
             node.signals.put(signal.SIGTERM)
 
-    thread = threading.Thread(target=guarded, name=address, daemon=True)
+    thread = threading.Thread(target=run_guarded, name=address, daemon=True)
 
     def stop() -> None:
         socket = wire.sockets.connect_dealer(node.context, address)
         wire.sockets.send(socket, wire.StopTask())
-        thread.join(JOIN_SECONDS)
+        thread.join(JOIN_TIMEOUT_SECONDS)
         socket.close()
 
     thread.start()
@@ -240,33 +242,33 @@
         table_slots=threading.BoundedSemaphore(max(threads // 2, 1)),
     )
     node.stack.callback(keyed_calls.close, keyed)
-    outside = ingress.Ingress(
+    external_ingress = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-o",
         trusted=False,
         keyed=keyed,
     )
-    inside = ingress.Ingress(
+    local_ingress = ingress.Ingress(
         context=node.context,
         current=node.current,
         instance=options.instance + "-l",
         trusted=True,
         keyed=keyed,
     )
-    _serve(
+    _start_server(
         node,
         options.addresses.ingress,
-        ingress.make_app(outside),
+        ingress.make_app(external_ingress),
         options.ingress_threads,
     )
-    _serve(
+    _start_server(
         node,
         options.addresses.local,
-        announcements.make_app(node.context, ingress.make_app(inside)),
+        announcements.make_app(node.context, ingress.make_app(local_ingress)),
         options.local_threads,
     )
-    _serve(
+    _start_server(
         node,
         options.addresses.admin,
         admin.make_app(
@@ -274,10 +276,10 @@
         ),
         admin.THREADS,
     )
-    return outside
+    return external_ingress
 
 
-def _serve(node: _Node, address: str, app: App, threads: int) -> None:
+def _start_server(node: _Node, address: str, app: App, threads: int) -> None:
     host, _, port = address.rpartition(":")
     server = wsgi.Server(
         (host.strip("[]"), int(port)),
@@ -300,7 +302,7 @@
 
     def stop() -> None:
         server.stop()
-        thread.join(JOIN_SECONDS)
+        thread.join(JOIN_TIMEOUT_SECONDS)
 
     node.stack.callback(stop)
 
--- a/apricotpost/node/moves.py
+++ b/apricotpost/node/moves.py
@@ -1,4 +1,4 @@
-"""Task that records the ends of data centre moves."""
+"""Task that records the outcomes of data centre moves."""
 
 import contextlib
 import dataclasses
@@ -23,39 +23,39 @@
 __all__ = ["is_recorder", "run"]
 
 LOG = logging.getLogger(__name__)
-# One node of the fleet reads the pending moves at this interval.
-POLL_SECONDS = 1.0
+# Only one node of the fleet reads the pending moves at this interval.
+POLL_INTERVAL_SECONDS = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Task:
-    """What the task owns."""
+    """State of the moves task."""
 
     context: wire.sockets.Context
-    current: views.Current
+    current: views.CurrentView
     store: storage.Store
-    overdue: set[str] = dataclasses.field(default_factory=set)
+    logged_overdue: set[str] = dataclasses.field(default_factory=set)
 
 
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     instance: str,
     store: storage.Store,
 ) -> None:
-    """Record the ends of moves until asked to stop.
+    """Record the outcomes of moves until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     instance : str
-        Own name.
+        Name of this instance.
     store : apricotpost.storage.Store
-        Owned by this task from here on.
+        Connection to the store; this task owns and closes it.
     """
     with contextlib.ExitStack() as stack:
         stack.callback(store.channel.pool.clear)
@@ -64,7 +64,7 @@
         )
         task = _Task(context=context, current=current, store=store)
         while True:
-            if socket.poll(int(POLL_SECONDS * 1000), zmq.POLLIN):
+            if socket.poll(int(POLL_INTERVAL_SECONDS * 1000), zmq.POLLIN):
                 _, message = wire.sockets.receive_routed(socket)
                 if isinstance(message, wire.StopTask):
                     return
@@ -73,10 +73,10 @@
 
 
 def is_recorder(view: model.View, instance: str) -> bool:
-    """Whether this node is the first of the fleet by rendezvous hash.
+    """Return whether rendezvous hashing selects this node to record moves.
 
-    Nodes with different views may both be; the condition on the record lets
-    only one of them write.
+    Nodes with different views may both be selected; the condition on the
+    write lets only one of them record a move.
     """
     live = [
         record.instance
@@ -84,10 +84,10 @@
         if record.state
         in (model.InstanceState.UP, model.InstanceState.STARTING)
     ]
-    return view.ready and instance == min(live, key=_rank, default="")
+    return view.ready and instance == min(live, key=_hash_instance, default="")
 
 
-def _rank(instance: str) -> int:
+def _hash_instance(instance: str) -> int:
     return xxhash.xxh64_intdigest(f"moves/{instance}".encode())
 
 
@@ -119,7 +119,7 @@
             token=uuid.uuid4().hex,
         )
     except errors.TransactionRejected:
-        return  # Another node recorded it first.
+        return  # Another node has recorded the outcome.
     events.emit(
         LOG,
         events.MOVE_LATE if outcome.late else events.MOVE_DONE,
@@ -131,10 +131,10 @@
 def _log_overdue(
     task: _Task, move: moves.PendingMove, view: model.View, now: float
 ) -> None:
-    """Log once that a move is late, with the first outstanding instances."""
-    if now <= move.finish_by or move.identifier in task.overdue:
+    """Log once that a move is overdue, with up to 5 outstanding instances."""
+    if now <= move.finish_by or move.identifier in task.logged_overdue:
         return
-    task.overdue.add(move.identifier)
+    task.logged_overdue.add(move.identifier)
     progress = moves.measure_progress(move, view.instances)
     events.emit(
         LOG,
--- a/apricotpost/node/outcome_retries.py
+++ b/apricotpost/node/outcome_retries.py
@@ -1,4 +1,4 @@
-"""Task that tries failed steps of keyed calls again."""
+"""Task that retries failed table writes of keyed calls."""
 
 from collections.abc import Callable
 import contextlib
@@ -13,13 +13,14 @@
 from apricotpost import storage
 from apricotpost import wire
 
-__all__ = ["emit_loss", "run", "try_job"]
+__all__ = ["log_unstored_outcome", "run", "attempt_job"]
 
 LOG = logging.getLogger(__name__)
-IDLE_SECONDS = 5.0
-# After the request to stop, each job is tried once more with this bound.
-LAST_TRY_SECONDS = 0.2
-LAST_TRIES = 8
+MAX_WAIT_SECONDS = 5.0
+# After the request to stop, up to MAX_FINAL_ATTEMPTS jobs are attempted once
+# more, each with this time limit.
+FINAL_ATTEMPT_TIMEOUT_SECONDS = 0.2
+MAX_FINAL_ATTEMPTS = 8
 
 
 def run(
@@ -28,12 +29,12 @@
     open_store: Callable[[], storage.Store],
     clock: Callable[[], float],
 ) -> None:
-    """Try jobs again until asked to stop.
+    """Retry jobs until asked to stop.
 
     Parameters
     ----------
     inbox : queue.Queue
-        Brings jobs of the ingress threads and the request to stop.
+        Delivers jobs of the ingress threads and the request to stop.
     open_store : callable
         Opens the store that this task owns.
     clock : callable
@@ -48,42 +49,42 @@
             if isinstance(message, wire.StopTask):
                 break
             if message is not None:
-                state = _add(state, message, clock())
+                state = _enqueue(state, message, clock())
             state, job = backlog.pop_due(state, clock())
             if job is not None:
-                state = try_job(store, state, job, clock)
-        limited = storage.bounded(store, LAST_TRY_SECONDS)
-        for job in state.jobs[:LAST_TRIES]:
-            try_job(limited, state, job, clock)
+                state = attempt_job(store, state, job, clock)
+        limited = storage.bounded(store, FINAL_ATTEMPT_TIMEOUT_SECONDS)
+        for job in state.jobs[:MAX_FINAL_ATTEMPTS]:
+            attempt_job(limited, state, job, clock)
 
 
-def try_job(
+def attempt_job(
     store: storage.Store,
     state: backlog.Backlog,
     job: backlog.Job,
     clock: Callable[[], float],
 ) -> backlog.Backlog:
-    """Try a job; it is put off if it fails."""
+    """Attempt a job and reschedule it if it fails."""
     try:
         if backlog.attempt(store, job):
             return state
     except errors.TransactionRejected as error:
-        emit_loss(LOG, job.claim, error)
+        log_unstored_outcome(LOG, job.claim, error)
         return state
     except errors.PlatformError as error:
         failure: Exception | None = error
     else:
         failure = None
-    state, again = backlog.reschedule(state, job, clock())
-    if not again and failure is not None:
-        emit_loss(LOG, job.claim, failure)
+    state, rescheduled = backlog.reschedule(state, job, clock())
+    if not rescheduled and failure is not None:
+        log_unstored_outcome(LOG, job.claim, failure)
     return state
 
 
-def emit_loss(
+def log_unstored_outcome(
     logger: logging.Logger, claim: idempotency.Claim, error: object
 ) -> None:
-    """Log that a record keeps its state until it expires."""
+    """Log that a record was not updated and stays until it expires."""
     events.emit(
         logger,
         events.OUTCOME_NOT_STORED,
@@ -96,18 +97,22 @@
 def _receive(
     inbox: queue.Queue[typing.Any], state: backlog.Backlog, now: float
 ) -> typing.Any:
-    due = backlog.next_due(state)
-    wait = IDLE_SECONDS if due is None else max(due - now, 0.0)
+    due_at = backlog.next_due(state)
+    wait_seconds = (
+        MAX_WAIT_SECONDS if due_at is None else max(due_at - now, 0.0)
+    )
     try:
-        return inbox.get(timeout=min(wait, IDLE_SECONDS))
+        return inbox.get(timeout=min(wait_seconds, MAX_WAIT_SECONDS))
     except queue.Empty:
         return None
 
 
-def _add(
+def _enqueue(
     state: backlog.Backlog, job: backlog.Job, now: float
 ) -> backlog.Backlog:
     state, added = backlog.add(state, job, now)
     if not added:
-        emit_loss(LOG, job.claim, "too many jobs wait")
+        log_unstored_outcome(
+            LOG, job.claim, "the queue of outcome retries is full"
+        )
     return state
--- a/apricotpost/node/platform.py
+++ b/apricotpost/node/platform.py
@@ -14,18 +14,18 @@
 __all__ = ["run"]
 
 LOG = logging.getLogger(__name__)
-WAIT_MS = 1000
+POLL_TIMEOUT_MS = 1000
 
 
 def run(*, context: wire.sockets.Context, store: storage.Store) -> None:
-    """Answer control's requests until asked to stop.
+    """Serve the control task's read requests until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
+        ZeroMQ context of this process.
     store : apricotpost.storage.Store
-        Owned by this task from here on.
+        Connection to the store; this task owns and closes it.
     """
     with contextlib.ExitStack() as stack:
         stack.callback(store.channel.pool.clear)
@@ -34,18 +34,18 @@
         )
         available = True
         while True:
-            if not socket.poll(WAIT_MS, zmq.POLLIN):
+            if not socket.poll(POLL_TIMEOUT_MS, zmq.POLLIN):
                 continue
             identity, message = wire.sockets.receive_routed(socket)
             if isinstance(message, wire.StopTask):
                 return
             if isinstance(message, wire.ReadConfig):
-                found = _read(store, message.have, available)
-                available = found.available
-                wire.sockets.send_routed(socket, identity, found)
+                config_read = _read_config(store, message.have, available)
+                available = config_read.available
+                wire.sockets.send_routed(socket, identity, config_read)
 
 
-def _read(
+def _read_config(
     store: storage.Store, have: int, was_available: bool
 ) -> wire.ConfigRead:
     try:
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -1,4 +1,4 @@
-"""Configuration changes that carry out the decisions of a holder."""
+"""Configuration changes that implement the decisions of a holder."""
 
 import dataclasses
 
@@ -22,14 +22,14 @@
     fence: storage.Fence,
     now: float,
 ) -> storage.Change:
-    """Make the change that carries out a decision other than to hold.
+    """Make the change that implements a decision other than to hold.
 
     Parameters
     ----------
     observation : Observation
-        What the decision is based on.
+        State of the rollout that the decision is based on.
     decision : Decision
-        Step or end.
+        Step of the rollout, or its end.
     holder : str
         Unique name of the holder.
     fence : apricotpost.storage.Fence
@@ -39,15 +39,17 @@
     """
     before, rollout = observation.snapshot, observation.rollout
     extra: tuple[storage.table.Write, ...] = ()
-    reason = _describe(rollout, decision)
+    reason = _describe_change(rollout, decision)
     author = f"rollout at {holder}"
     if isinstance(decision, steps.Finish | steps.Withdraw):
         done = isinstance(decision, steps.Finish)
-        text = "" if isinstance(decision, steps.Finish) else decision.reason
+        end_reason = (
+            "" if isinstance(decision, steps.Finish) else decision.reason
+        )
         after = rollouts.end_rollout(
-            before, rollout, done=done, reason=text, now=now
+            before, rollout, done=done, reason=end_reason, now=now
         )
-        extra = (_outcome_write(observation, after, author),)
+        extra = (_make_outcome_write(observation, after, author),)
     else:
         share = model.TOTAL_SHARE
         if isinstance(decision, steps.Advance):
@@ -56,7 +58,8 @@
     after = config.with_checksum(
         dataclasses.replace(after, version=before.version + 1)
     )
-    # Unique to this attempt: an equal identifier would count as carried out.
+    # Unique to this attempt: a change with the identifier of an earlier one
+    # counts as already committed.
     request = f"{holder}/{rollout.identifier}/{before.version}/{now!r}"
     return storage.Change(
         before=before,
@@ -70,7 +73,7 @@
     )
 
 
-def _outcome_write(
+def _make_outcome_write(
     observation: watch.Observation, after: model.Snapshot, author: str
 ) -> storage.table.Put:
     ended = next(
@@ -86,7 +89,7 @@
     )
 
 
-def _describe(rollout: model.Rollout, decision: steps.Decision) -> str:
+def _describe_change(rollout: model.Rollout, decision: steps.Decision) -> str:
     name = f"rollout {rollout.identifier}"
     if isinstance(decision, steps.Withdraw):
         return f"{name} withdrawn: {decision.reason}"
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -1,4 +1,4 @@
-"""Task that judges the rollout of the own service and steps it as holder."""
+"""Task that judges its service's rollout and advances it as the holder."""
 
 import contextlib
 import dataclasses
@@ -23,46 +23,46 @@
 __all__ = ["run"]
 
 LOG = logging.getLogger(__name__)
-LOOK_SECONDS = 1.0
+EVALUATION_INTERVAL_SECONDS = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Task:
-    """What the rollout task owns."""
+    """Sockets and state of the rollout task."""
 
     instance: str
-    current: views.Current
+    current: views.CurrentView
     commands: wire.sockets.Socket
     control: wire.sockets.Socket
     holder: holders.Holder
-    seen: watch.Watch = watch.Watch()
-    looked_at: float = 0.0
-    observed: str = ""
-    reported_bad: str = ""
+    watch_state: watch.Watch = watch.Watch()
+    evaluated_at: float = 0.0
+    logged_rollout: str = ""
+    logged_bad_rollout: str = ""
 
 
 def run(
     *,
     context: wire.sockets.Context,
-    current: views.Current,
+    current: views.CurrentView,
     options: settings.NodeSettings,
     store: storage.Store,
     rng: random.Random,
 ) -> None:
-    """Judge and step rollouts until asked to stop.
+    """Judge and advance rollouts until asked to stop.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
-    current : Current
-        Reference to the view in force.
+        ZeroMQ context of this process.
+    current : CurrentView
+        Reference to the view in force, shared by the node's tasks.
     options : NodeSettings
         Settings of the node.
     store : apricotpost.storage.Store
-        Owned by this task from here on.
+        Connection to the store; this task owns and closes it.
     rng : random.Random
-        Spreads the retries.
+        Source of the random jitter of retries.
     """
     with contextlib.ExitStack() as stack:
         stack.callback(store.channel.pool.clear)
@@ -80,7 +80,7 @@
                 bake_seconds=options.times.bake_seconds,
             ),
             clock=time.time,
-            committed=lambda version, delta: _tell_committed(
+            notify_committed=lambda version, delta: _notify_committed(
                 control, version, delta
             ),
             rng=rng,
@@ -92,27 +92,29 @@
             control=control,
             holder=holder,
         )
-        while _turn(task):
+        while _run_once(task):
             pass
-        holders.leave(holder)
+        holders.release_lease(holder)
 
 
-def _tell_committed(
+def _notify_committed(
     control: wire.sockets.Socket, version: int, delta: model.Delta | None
 ) -> None:
     message = wire.ConfigCommitted(version=version, delta=delta)
     wire.sockets.send(control, message)
 
 
-def _turn(task: _Task) -> bool:
-    """Handle what has arrived; return whether to go on."""
-    remaining = task.looked_at + LOOK_SECONDS - time.monotonic()
-    if task.commands.poll(max(int(remaining * 1000), 0), zmq.POLLIN):
+def _run_once(task: _Task) -> bool:
+    """Handle received messages and due timers; return False to stop."""
+    wait_seconds = (
+        task.evaluated_at + EVALUATION_INTERVAL_SECONDS - time.monotonic()
+    )
+    if task.commands.poll(max(int(wait_seconds * 1000), 0), zmq.POLLIN):
         if not _receive_all(task):
             return False
-    if time.monotonic() - task.looked_at >= LOOK_SECONDS:
-        task.looked_at = time.monotonic()
-        _look(task)
+    if time.monotonic() - task.evaluated_at >= EVALUATION_INTERVAL_SECONDS:
+        task.evaluated_at = time.monotonic()
+        _evaluate(task)
     return True
 
 
@@ -128,31 +130,34 @@
         if isinstance(message, wire.StopTask):
             return False
         if isinstance(message, wire.EvidenceReport):
-            task.seen = watch.receive(
-                task.seen,
+            task.watch_state = watch.receive(
+                task.watch_state,
                 message.evidence,
                 full=message.full,
                 now=time.monotonic(),
             )
 
 
-def _look(task: _Task) -> None:
-    """Judge first: a withdrawal must not wait for the table."""
+def _evaluate(task: _Task) -> None:
+    """Judge the rollout, then advance it if this node is the holder.
+
+    The withdrawal is sent first, so that it does not wait for the table.
+    """
     now = time.time()
-    task.seen, observation = watch.evaluate(
-        task.seen, task.current.view, instance=task.instance, now=now
+    task.watch_state, observation = watch.evaluate(
+        task.watch_state, task.current.view, instance=task.instance, now=now
     )
     if observation is not None:
         _log_start(task, observation.rollout)
         if observation.judgement.bad and not observation.facts.withdrawn:
-            _withdraw(task, observation, now)
-    holders.act(task.holder, observation)
+            _send_withdrawal(task, observation, now)
+    holders.advance_rollout(task.holder, observation)
 
 
 def _log_start(task: _Task, rollout: model.Rollout) -> None:
-    if task.observed == rollout.identifier:
+    if task.logged_rollout == rollout.identifier:
         return
-    task.observed = rollout.identifier
+    task.logged_rollout = rollout.identifier
     events.emit(
         LOG,
         events.ROLLOUT_STARTED,
@@ -163,11 +168,16 @@
     )
 
 
-def _withdraw(task: _Task, observation: watch.Observation, now: float) -> None:
-    """Tell control, again each second until the view has it."""
+def _send_withdrawal(
+    task: _Task, observation: watch.Observation, now: float
+) -> None:
+    """Send a withdrawal to the control task.
+
+    Repeated each second until the view contains the withdrawal.
+    """
     rollout = observation.rollout
-    if task.reported_bad != rollout.identifier:
-        task.reported_bad = rollout.identifier
+    if task.logged_bad_rollout != rollout.identifier:
+        task.logged_bad_rollout = rollout.identifier
         events.emit(
             LOG,
             events.ROLLOUT_BAD,
--- a/apricotpost/node/shutdown.py
+++ b/apricotpost/node/shutdown.py
@@ -1,4 +1,4 @@
-"""Graceful shutdown: announce it, wait for the calls, then close."""
+"""Graceful shutdown: announce it, wait for open calls, then close."""
 
 from collections.abc import Sequence
 import contextlib
@@ -19,12 +19,12 @@
 __all__ = ["drain"]
 
 LOG = logging.getLogger(__name__)
-TURN_SECONDS = 0.05
-# A caller's idle connection is closed after this time; before, the caller
-# might just be sending its next request.
+POLL_INTERVAL_SECONDS = 0.05
+# An idle connection of a caller is closed after this time. Closing it at once
+# could cut off a request that the caller is just sending.
 IDLE_CLOSE_SECONDS = 2.0
-# No call may be seen for so long before the sockets close.
-QUIET_SECONDS = 0.5
+# The sockets are closed only after this time without a call.
+MIN_QUIET_SECONDS = 0.5
 
 
 def drain(
@@ -34,40 +34,43 @@
     signals: queue.SimpleQueue[int],
     times: settings.TimeSettings,
 ) -> None:
-    """Wait until all accepted calls have finished.
+    """Drain the node: wait until all accepted calls have finished.
 
     Parameters
     ----------
     context : zmq.Context
-        Of this process.
+        ZeroMQ context of this process.
     servers : sequence of cheroot.wsgi.Server
-        That take calls.
+        HTTP servers that accept calls.
     signals : queue.SimpleQueue
-        Further signals; the next one ends the notice period.
+        Signals received after the first; the next one ends the notice
+        period.
     times : apricotpost.settings.TimeSettings
         Drain time and notice period.
     """
-    started = time.monotonic()
+    started_at = time.monotonic()
     events.emit(LOG, events.DRAIN_STARTED)
     with contextlib.ExitStack() as stack:
         control = _connect(stack, context, addresses.CONTROL)
         gate = _connect(stack, context, addresses.GATE)
         wire.sockets.send(control, wire.LeaveAnnounced())
-        notice = times.leave_notice_seconds
-        _refuse_calls(gate, notice)
+        notice_seconds = times.leave_notice_seconds
+        _start_gate_drain(gate, notice_seconds)
         for server in servers:
             server.timeout = IDLE_CLOSE_SECONDS
-        closes_at = started + notice + IDLE_CLOSE_SECONDS
-        quiet_since = started
-        while time.monotonic() - started < times.drain_seconds:
-            if _is_signalled(signals):
+        closes_at = started_at + notice_seconds + IDLE_CLOSE_SECONDS
+        quiet_since = started_at
+        while time.monotonic() - started_at < times.drain_seconds:
+            if _wait_for_signal(signals):
                 events.emit(LOG, events.NOTICE_ENDED)
-                _refuse_calls(gate, 0.0)
-                closes_at = min(closes_at, time.monotonic() + QUIET_SECONDS)
+                _start_gate_drain(gate, 0.0)
+                closes_at = min(
+                    closes_at, time.monotonic() + MIN_QUIET_SECONDS
+                )
             if _is_busy(gate, servers):
                 quiet_since = time.monotonic()
             now = time.monotonic()
-            if now >= closes_at and now - quiet_since >= QUIET_SECONDS:
+            if now >= closes_at and now - quiet_since >= MIN_QUIET_SECONDS:
                 return
     events.emit(LOG, events.DRAIN_CUT, seconds=times.drain_seconds)
 
@@ -80,16 +83,18 @@
     return socket
 
 
-def _refuse_calls(gate: wire.sockets.Socket, notice: float) -> None:
+def _start_gate_drain(
+    gate: wire.sockets.Socket, notice_seconds: float
+) -> None:
     wire.sockets.send(
-        gate, wire.GateControl(drain=True, notice_seconds=notice)
+        gate, wire.GateControl(drain=True, notice_seconds=notice_seconds)
     )
 
 
-def _is_signalled(signals: queue.SimpleQueue[int]) -> bool:
-    """Wait for one turn or for a signal."""
+def _wait_for_signal(signals: queue.SimpleQueue[int]) -> bool:
+    """Wait for one poll interval; return whether a signal arrived."""
     try:
-        signals.get(timeout=TURN_SECONDS)
+        signals.get(timeout=POLL_INTERVAL_SECONDS)
     except queue.Empty:
         return False
     return True
@@ -98,16 +103,16 @@
 def _is_busy(
     gate: wire.sockets.Socket, servers: Sequence[wsgi.Server]
 ) -> bool:
-    """Tell whether a call is at the gate or a request in a thread."""
+    """Return whether a thread serves a request or the gate has a call."""
     for server in servers:
-        threads = server.requests
-        if threads.qsize or threads.idle < threads.min:
+        pool = server.requests
+        if pool.qsize or pool.idle < pool.min:
             return True
-    report = _ask_gate(gate)
+    report = _request_gate_report(gate)
     return report is None or bool(report.load.in_flight + report.load.queued)
 
 
-def _ask_gate(gate: wire.sockets.Socket) -> wire.GateReport | None:
+def _request_gate_report(gate: wire.sockets.Socket) -> wire.GateReport | None:
     wire.sockets.send(gate, wire.StatusRequest())
     while gate.poll(1000, zmq.POLLIN):
         with contextlib.suppress(errors.MalformedMessage):
--- a/apricotpost/node/status.py
+++ b/apricotpost/node/status.py
@@ -1,4 +1,4 @@
-"""Asks control for all that it knows of the instances."""
+"""Requests the instance records from the control task."""
 
 import dataclasses
 
@@ -12,25 +12,27 @@
 
 __all__ = ["read_fleet"]
 
-ASK_SECONDS = 2.0
+REPLY_TIMEOUT_SECONDS = 2.0
 
 
 def read_fleet(
-    context: wire.sockets.Context, current: views.Current
+    context: wire.sockets.Context, current: views.CurrentView
 ) -> model.View:
-    """Return the view with the versions that instances hold by now.
+    """Return the view with the latest records of all instances.
 
-    The view in force is replaced only when something changes that the call
-    path reads, so the versions in it may be old.
+    The view in force is replaced only if a field changes that the call path
+    reads, so the configuration versions in its records may be outdated.
 
     Raises
     ------
     apricotpost.errors.NodeUnreachable
-        Control did not answer.
+        The control task did not reply in time.
     """
     with wire.sockets.connect_dealer(context, addresses.CONTROL) as socket:
         wire.sockets.send(socket, wire.StatusRequest())
-        if not socket.poll(int(ASK_SECONDS * 1000), zmq.POLLIN):
-            raise errors.NodeUnreachable("the control task does not answer")
+        if not socket.poll(int(REPLY_TIMEOUT_SECONDS * 1000), zmq.POLLIN):
+            raise errors.NodeUnreachable(
+                "the control task did not reply in time"
+            )
         reply = wire.sockets.receive(socket)
     return dataclasses.replace(current.view, instances=reply.instances)
--- a/apricotpost/node/stores.py
+++ b/apricotpost/node/stores.py
@@ -1,4 +1,4 @@
-"""Connections to the platform as the settings describe it."""
+"""Connections to the platform's store, made from the settings."""
 
 from apricotpost import settings
 from apricotpost import storage
@@ -7,7 +7,7 @@
 
 
 def open_store(options: settings.PlatformSettings) -> storage.Store:
-    """Make a store with a connection of its own.
+    """Open a store with its own connection pool.
 
     Raises
     ------
@@ -16,12 +16,13 @@
     """
     credentials = None
     if options.credentials is not None:
-        names = options.credentials
+        credential_options = options.credentials
         credentials = storage.read_credentials(
-            region=names.region,
-            access_key_variable=names.access_key_variable,
-            secret_key_variable=names.secret_key_variable,
-            session_token_variable=names.session_token_variable or "",
+            region=credential_options.region,
+            access_key_variable=credential_options.access_key_variable,
+            secret_key_variable=credential_options.secret_key_variable,
+            session_token_variable=credential_options.session_token_variable
+            or "",
         )
     return storage.open_store(
         table_url=options.table_url,
--- a/apricotpost/node/views.py
+++ b/apricotpost/node/views.py
@@ -1,39 +1,38 @@
-"""The one reference that tasks of a node share."""
+"""The one reference that the tasks of a node share: the view in force."""
 
 import dataclasses
 
 from apricotpost import model
 from apricotpost import routing
 
-__all__ = ["Current", "Derived", "swap"]
+__all__ = ["CurrentView", "DerivedState", "swap"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Derived:
+class DerivedState:
     """A view and the routing table derived from it.
 
     Parameters
     ----------
     view : View
-        State that the call path reads.
+        Configuration and instances, as the call path reads them.
     table : RoutingTable
-        Lookup tables of this view.
+        Lookup tables built from this view.
     """
 
     view: model.View
     table: routing.RoutingTable
 
 
-class Current:
-    """Holds the view in force; only the control task replaces it.
+class CurrentView:
+    """Reference to the view in force; only the control task replaces it.
 
-    A reader that needs the view and the table of the same moment reads
-    `derived` once.
+    A reader that needs a view and its own routing table reads `derived` once.
 
     Parameters
     ----------
     view : View, optional
-        First view, by default one without a configuration.
+        Initial view; by default one with the empty configuration.
     """
 
     def __init__(self, *, view: model.View | None = None) -> None:
@@ -47,10 +46,10 @@
         return self.derived.view
 
 
-def swap(current: Current, view: model.View) -> None:
-    """Replace the view and its table by one assignment."""
+def swap(current: CurrentView, view: model.View) -> None:
+    """Replace the view and its routing table in one assignment."""
     current.derived = _derive(view)
 
 
-def _derive(view: model.View) -> Derived:
-    return Derived(view=view, table=routing.build_table(view))
+def _derive(view: model.View) -> DerivedState:
+    return DerivedState(view=view, table=routing.build_table(view))
--- a/tests/node/actors.py
+++ b/tests/node/actors.py
@@ -1,4 +1,4 @@
-"""Threads that run one step at a time, in an order that a test chooses."""
+"""Threads that advance one step at a time, in an order set by the test."""
 
 import threading
 
@@ -8,7 +8,7 @@
 
 __all__ = ["Actor", "Crash", "FAULTS", "open_store"]
 
-LOST = urllib3.exceptions.ProtocolError("answer lost")
+ANSWER_LOST = urllib3.exceptions.ProtocolError("answer lost")
 THROTTLED = (400, b'{"__type": "#ProvisionedThroughputExceededException"}')
 FAULTS = (
     "deliver",
@@ -23,11 +23,11 @@
 
 
 class Crash(BaseException):
-    """The process ends here."""
+    """Simulated end of the process at this point."""
 
 
 class Actor:
-    """A thread that stops at each point until the test lets it go on."""
+    """Thread that blocks at each step until the test sends a command."""
 
     def __init__(self, target):
         self.resumed = threading.Semaphore(0)
@@ -43,13 +43,13 @@
         self.stopped.acquire()
 
     def step(self, command):
-        """Let the thread go on to its next point."""
+        """Send a command and wait until the thread blocks or ends."""
         self.command = command
         self.resumed.release()
         self.stopped.acquire()
 
-    def point(self):
-        """Wait, in the thread, for the test's command."""
+    def wait_for_command(self):
+        """Block the calling thread until the test sends a command."""
         self.stopped.release()
         self.resumed.acquire()
         return self.command
@@ -64,17 +64,18 @@
 
 
 def open_store(machine):
-    """Open a store whose exchanges are steps of the calling actor.
+    """Open a store whose HTTP exchanges are steps of the calling actor.
 
     Parameters
     ----------
     machine : object
-        With ``state`` of the stand-in, ``late`` for requests on their way,
-        and ``advance`` for the clock.
+        Has ``state``, the state of the stand-in platform; ``late``, the list
+        of requests that are still to be delivered; and ``advance``, which
+        moves the clock by seconds.
     """
 
-    def hook(exchange):
-        command = threading.current_thread().actor.point()
+    def carry_out_exchange(exchange):
+        command = threading.current_thread().actor.wait_for_command()
         if command == "crash-before":
             raise Crash
         if command == "refuse":
@@ -82,14 +83,14 @@
         if command == "late":
             machine.late.append(exchange)
         if command in ("late", "drop"):
-            raise LOST
+            raise ANSWER_LOST
         if command == "slow":
             machine.advance(13.0)
         reply = exchange.carry_out()
         if command == "crash-after":
             raise Crash
         if command == "lose":
-            raise LOST
+            raise ANSWER_LOST
         return reply
 
-    return direct.open_store(machine.state, hook)
+    return direct.open_store(machine.state, carry_out_exchange)
--- a/tests/node/loads.py
+++ b/tests/node/loads.py
@@ -1,4 +1,4 @@
-"""Load and a misbehaving backend server for tests of real processes."""
+"""Load generator and faulty backend server for tests of real processes."""
 
 import contextlib
 import dataclasses
@@ -14,12 +14,12 @@
 
 __all__ = ["Result", "announce", "executions", "load", "send", "snapshot"]
 
-_NUMBERS = itertools.count()
+_REQUEST_NUMBERS = itertools.count()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
-    """How a request ended for its caller; status 0 is a broken connection."""
+    """Result of a request; status 0 means that the connection broke."""
 
     request: str
     status: int
@@ -56,8 +56,8 @@
 
 
 def send(connection, path, *, timeout_ms=4000):
-    """Post one request with an identifier of its own."""
-    request = f"q{next(_NUMBERS)}"
+    """Send one POST request with a unique identifier."""
+    request = f"q{next(_REQUEST_NUMBERS)}"
     headers = {
         "X-Request-Id": request,
         "X-Request-Timeout-Ms": str(timeout_ms),
@@ -83,26 +83,31 @@
 def load(addresses, path, *, threads=6, timeout_ms=4000):
     """Send requests until the block ends; yields the list of results.
 
-    A caller that is asked to close its connection goes to the next address.
+    A caller whose response says ``Connection: close`` connects to the next
+    address.
     """
     stopped = threading.Event()
     results = []
 
-    def work(index):
-        found = itertools.cycle(addresses[index:] + addresses[:index])
-        connection = http.client.HTTPConnection(next(found), timeout=10)
+    def send_until_stopped(index):
+        next_addresses = itertools.cycle(addresses[index:] + addresses[:index])
+        connection = http.client.HTTPConnection(
+            next(next_addresses), timeout=10
+        )
         while not stopped.wait(0.02):
             result = send(connection, path, timeout_ms=timeout_ms)
             results.append(result)
             if result.closes:
                 connection.close()
                 connection = http.client.HTTPConnection(
-                    next(found), timeout=10
+                    next(next_addresses), timeout=10
                 )
         connection.close()
 
     workers = [
-        threading.Thread(target=work, args=(number % len(addresses),))
+        threading.Thread(
+            target=send_until_stopped, args=(number % len(addresses),)
+        )
         for number in range(threads)
     ]
     for worker in workers:
@@ -116,7 +121,7 @@
 
 
 def executions(fleet, *members):
-    """Add up how often the backend servers ran each request."""
+    """Count how often the members' backend servers ran each request."""
     counts = {}
     for member in members:
         state = fleets.call_json(fleet, f"http://{member.backend}", "/-/state")
@@ -126,7 +131,7 @@
 
 
 def announce(fleet, member, address):
-    """Announce a backend server of a member's service at an address."""
+    """Announce a backend server of the member's service at an address."""
     body = {
         "service": member.service,
         "version": member.version,
@@ -138,7 +143,7 @@
     return fleets.call_json(fleet, base, "/-/backend-server", body)
 
 
-class _Handler(socketserver.StreamRequestHandler):
+class _FakeBackendHandler(socketserver.StreamRequestHandler):
     def handle(self):
         while True:
             line = self.rfile.readline()
@@ -168,32 +173,33 @@
         if path.endswith("/slow"):
             time.sleep(1.2)
         if path.endswith("/crossed"):
-            # Even requests are answered late, so that answers overtake.
+            # Odd-numbered requests are answered 0.3 s late, so that later
+            # responses overtake them.
             time.sleep(0.3 if int(body[1:]) % 2 else 0.0)
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         self.wfile.write(head.encode() + body)
         return True
 
 
-class Server(socketserver.ThreadingTCPServer):
-    """Fake backend server whose answers depend on the path."""
+class FakeBackendServer(socketserver.ThreadingTCPServer):
+    """Fake backend server whose responses depend on the path."""
 
     daemon_threads = True
     allow_reuse_address = True
 
 
 @contextlib.contextmanager
-def serve_faults():
-    """Serve the fake backend server; yields its address."""
-    with Server((fleets.HOST, 0), _Handler) as server:
+def serve_fake_backend():
+    """Run the fake backend server; yields its address."""
+    with FakeBackendServer((fleets.HOST, 0), _FakeBackendHandler) as server:
         thread = threading.Thread(target=server.serve_forever, daemon=True)
         thread.start()
         yield f"{fleets.HOST}:{server.server_address[1]}"
         server.shutdown()
 
 
-def dump(results):
-    """Describe results for the message of a failed test."""
+def describe_results(results):
+    """Format the first results for the message of a failed test."""
     return json.dumps(
-        [dataclasses.asdict(r) for r in results[:5]], default=str
+        [dataclasses.asdict(result) for result in results[:5]], default=str
     )
--- a/tests/node/test_at_most_once_faults.py
+++ b/tests/node/test_at_most_once_faults.py
@@ -1,4 +1,4 @@
-"""Proof under faults that a keyed call runs at most once."""
+"""Stateful test under faults that a keyed call runs at most once."""
 
 import collections
 import threading
@@ -27,7 +27,7 @@
 )
 MAX_ACTORS = 6
 FAULTS = strategies.sampled_from(("deliver",) * 6 + actors.FAULTS)
-MOVES = strategies.lists(
+STEPS = strategies.lists(
     strategies.tuples(strategies.integers(0, MAX_ACTORS - 1), FAULTS),
     min_size=4,
     max_size=10,
@@ -35,7 +35,7 @@
 
 
 class AtMostOnceFaults(stateful.RuleBasedStateMachine):
-    """Callers and nodes use the same keys while everything fails."""
+    """Concurrent calls with shared keys while table and nodes fail."""
 
     def __init__(self):
         super().__init__()
@@ -47,8 +47,8 @@
         self.executions = collections.defaultdict(list)
         self.bodies = collections.defaultdict(set)
         self.executed = set()
-        # Keys of which a call may have run unseen.
-        self.open = set()
+        # Keys with a call that may have run without a known outcome.
+        self.uncertain_keys = set()
         self.nodes = [self.make_node() for _ in range(2)]
 
     def make_node(self):
@@ -56,7 +56,7 @@
             open_store=lambda: actors.open_store(self),
             table_slots=threading.BoundedSemaphore(100),
             clock=lambda: self.now,
-            worker=threading.Thread(),
+            retry_thread=threading.Thread(),
         )
 
     def advance(self, seconds):
@@ -94,8 +94,8 @@
         )
         self.bodies[key].add(body)
 
-        def carry():
-            return keyed_calls.carry(
+        def execute():
+            return keyed_calls.execute(
                 node,
                 key=key,
                 route=ROUTE,
@@ -103,12 +103,12 @@
                 dispatch=lambda: self.dispatch(key, request),
             )
 
-        actor = actors.Actor(carry)
+        actor = actors.Actor(execute)
         actor.key, actor.request = key, request
         return actor
 
     def dispatch(self, key, request):
-        command = threading.current_thread().actor.point()
+        command = threading.current_thread().actor.wait_for_command()
         if command == "crash-before":
             raise actors.Crash
         if command in ("refuse", "drop"):
@@ -125,7 +125,7 @@
         if command == "crash-after":
             raise actors.Crash
         if command in ("lose", "late"):
-            self.open.add(key)
+            self.uncertain_keys.add(key)
             return wire.CallResult(
                 request=request.request,
                 outcome=wire.Outcome.UNKNOWN,
@@ -140,33 +140,33 @@
         )
 
     @stateful.precondition(lambda self: self.live)
-    @stateful.rule(moves=MOVES)
-    def step(self, moves):
-        for pick, fault in moves:
+    @stateful.rule(steps=STEPS)
+    def step(self, steps):
+        for index, fault in steps:
             if not self.live:
                 return
-            actor = self.live[pick % len(self.live)]
+            actor = self.live[index % len(self.live)]
             actor.step(fault)
-            self.settle(actor)
+            self.check_ended_actor(actor)
             self.each_key_runs_at_most_once()
 
     @stateful.precondition(lambda self: self.late)
-    @stateful.rule(pick=strategies.integers(0, 99))
-    def arrive_late(self, pick):
-        self.late.pop(pick % len(self.late)).carry_out()
+    @stateful.rule(index=strategies.integers(0, 99))
+    def deliver_late_request(self, index):
+        self.late.pop(index % len(self.late)).carry_out()
 
     @stateful.precondition(lambda self: len(self.live) < MAX_ACTORS)
     @stateful.rule(node=strategies.integers(0, 1))
     def retry(self, node):
-        inbox = self.nodes[node].inbox
-        if inbox.empty():
+        retry_queue = self.nodes[node].retry_queue
+        if retry_queue.empty():
             return
-        job = inbox.get_nowait()
-        actor = self.start_job(inbox, job)
+        job = retry_queue.get_nowait()
+        actor = self.start_job(retry_queue, job)
         if not actor.done:
             self.live.append(actor)
 
-    def start_job(self, inbox, job):
+    def start_job(self, retry_queue, job):
         def attempt():
             try:
                 done = backlog.attempt(actors.open_store(self), job)
@@ -175,7 +175,7 @@
             except errors.PlatformError:
                 done = False
             if not done:
-                inbox.put_nowait(job)
+                retry_queue.put_nowait(job)
 
         actor = actors.Actor(attempt)
         actor.key, actor.request = job.claim.key, None
@@ -185,13 +185,13 @@
     def wait(self, seconds):
         self.advance(seconds)
 
-    def settle(self, actor):
-        """Check what an ended actor's caller was told."""
+    def check_ended_actor(self, actor):
+        """Check the result that an ended actor's caller got."""
         if not actor.done:
             return
         self.live.remove(actor)
         if actor.crashed:
-            self.open.add(actor.key)
+            self.uncertain_keys.add(actor.key)
         elif actor.request is not None:
             self.check_result(actor)
 
@@ -213,19 +213,21 @@
             assert len(runs) <= 1, (key, runs)
 
     def teardown(self):
-        """End the faults; keys without an open call must work again."""
+        """Stop the faults; keys without an uncertain call must work again."""
         try:
             while self.live:
                 self.step([(0, "deliver")])
             while self.late:
                 self.late.pop().carry_out()
             for node in self.nodes:
-                for _ in range(node.inbox.qsize()):
+                for _ in range(node.retry_queue.qsize()):
                     self.finish(
-                        self.start_job(node.inbox, node.inbox.get_nowait())
+                        self.start_job(
+                            node.retry_queue, node.retry_queue.get_nowait()
+                        )
                     )
             self.each_key_runs_at_most_once()
-            for key in set(self.bodies) - self.open:
+            for key in set(self.bodies) - self.uncertain_keys:
                 self.check_key(key)
         finally:
             for actor in self.live:
@@ -253,6 +255,6 @@
     max_examples=150,
     stateful_step_count=25,
     suppress_health_check=list(hypothesis.HealthCheck),
-    # Shrinking replays threads step by step and takes minutes.
+    # Without shrinking, which replays threads step by step and takes minutes.
     phases=(hypothesis.Phase.generate,),
 )
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -14,7 +14,7 @@
 
 class SendTest(unittest.TestCase):
     def setUp(self):
-        self.address = self.enterContext(loads.serve_faults())
+        self.address = self.enterContext(loads.serve_fake_backend())
         self.connection = backend.Connection()
 
     def send(self, path, body=b"q1", *, seconds=2.0, address=None):
@@ -29,17 +29,17 @@
         return backend.send(self.connection, job)
 
     def test_answer_after_a_time_out_is_its_own(self):
-        """Guards against a late answer read by the next call (P7)."""
+        """Guards against a late response that the next call reads (P7)."""
         self.send("/x")
         late = self.send("/crossed", seconds=0.1)
         self.assertEqual("timeout", late.reason)
-        found = self.send("/x", body=b"q2")
-        self.assertEqual((200, b"q2"), (found.status, found.body))
+        result = self.send("/x", body=b"q2")
+        self.assertEqual((200, b"q2"), (result.status, result.body))
 
     def test_slow_call_has_time_until_its_deadline(self):
-        """Guards against a call cut at the time-out for connecting."""
-        found = self.send("/slow", seconds=5.0)
-        self.assertEqual((200, b"q1"), (found.status, found.body))
+        """Guards against a call cut off by the connect time-out."""
+        result = self.send("/slow", seconds=5.0)
+        self.assertEqual((200, b"q1"), (result.status, result.body))
 
     def test_connection_is_kept(self):
         """Guards against a new connection for each call."""
@@ -50,14 +50,14 @@
         self.assertIs(channel, self.connection.channel)
 
     def test_refused_connection_is_not_run(self):
-        """Guards against an unknown outcome where nothing was sent."""
+        """Guards against an unknown outcome of a call that was not sent."""
         (port,) = fleets.free_ports(1)
-        found = self.send("/x", address=f"{fleets.HOST}:{port}")
+        result = self.send("/x", address=f"{fleets.HOST}:{port}")
         self.assertEqual(
-            (wire.Outcome.NOT_RUN, "not-sent"), (found.outcome, found.reason)
+            (wire.Outcome.NOT_RUN, "not-sent"), (result.outcome, result.reason)
         )
 
     def test_call_past_its_deadline_is_not_sent(self):
-        """Guards against a worker that was frozen and sends a late call."""
-        found = self.send("/x", seconds=-1.0)
-        self.assertEqual("deadline-passed", found.reason)
+        """Guards against a late call sent by a worker that was frozen."""
+        result = self.send("/x", seconds=-1.0)
+        self.assertEqual("deadline-passed", result.reason)
--- a/tests/node/test_call_processes.py
+++ b/tests/node/test_call_processes.py
@@ -1,4 +1,4 @@
-"""Tests of the call path with real processes that die, freeze or leave."""
+"""Tests of the call path while node processes die, freeze or drain."""
 
 import contextlib
 import http.client
@@ -23,7 +23,7 @@
         fleets.commit_first(
             cls.fleet, loads.snapshot("certdesk", "fieldbook", "portal")
         )
-        cls.entry, cls.one, cls.two, cls.fake = (
+        cls.ingress_node, cls.one, cls.two, cls.fake_member = (
             fleets.start_member(
                 cls.fleet,
                 instance=f"node-{number}",
@@ -36,8 +36,8 @@
                 ("certdesk", "portal", "portal", "fieldbook")
             )
         )
-        cls.wait_ready(cls.entry.ingress, "/portal/x")
-        cls.wait_ready(cls.entry.ingress, "/fieldbook/x")
+        cls.wait_ready(cls.ingress_node.ingress, "/portal/x")
+        cls.wait_ready(cls.ingress_node.ingress, "/fieldbook/x")
 
     @classmethod
     def wait_ready(cls, address, path, *, served_by=()):
@@ -56,7 +56,11 @@
         assert fleets.wait_for(is_ready, seconds=30) is not None
 
     def check_executions(self, results):
-        """Check P7 to P9 for all results."""
+        """Check properties P7 to P9 for all results.
+
+        A call runs at most once, one that is reported as not run does not
+        run, and a response belongs to its own request.
+        """
         counts = loads.executions(self.fleet, self.one, self.two)
         for result in results:
             count = counts.get(result.request, 0)
@@ -68,27 +72,37 @@
                 self.assertIn(result.request.encode(), result.body)
 
     def test_killed_node_repeats_no_call(self):
-        """Guards against posts that run twice when their node dies."""
+        """Guards against POST requests that run twice when a node dies."""
         self.wait_ready(
-            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+            self.ingress_node.ingress,
+            "/portal/x",
+            served_by=(self.one, self.two),
         )
-        with loads.load([self.entry.ingress], "/portal/x") as results:
+        with loads.load([self.ingress_node.ingress], "/portal/x") as results:
             time.sleep(0.5)
             self.one.node.kill()
             self.one.node.wait()
             time.sleep(1.0)
         fleets.start_node(self.fleet, self.one)
         self.check_executions(results)
-        good = [r for r in results if r.status == 200]
-        self.assertGreater(len(good), len(results) * 0.8, loads.dump(results))
+        answered = [r for r in results if r.status == 200]
+        self.assertGreater(
+            len(answered), len(results) * 0.8, loads.describe_results(results)
+        )
 
     def test_frozen_node_runs_nothing_late(self):
-        """Guards against calls that run after their callers gave up."""
+        """Guards against calls that run after their deadline.
+
+        The node is stopped with SIGSTOP while it has calls, and resumed
+        after the callers' time-out.
+        """
         self.wait_ready(
-            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+            self.ingress_node.ingress,
+            "/portal/x",
+            served_by=(self.one, self.two),
         )
         with loads.load(
-            [self.entry.ingress], "/portal/x", timeout_ms=300
+            [self.ingress_node.ingress], "/portal/x", timeout_ms=300
         ) as results:
             time.sleep(0.3)
             self.one.node.send_signal(signal.SIGSTOP)
@@ -105,9 +119,11 @@
     def test_graceful_stop_fails_no_call(self):
         """Guards against a shutdown that interrupts requests."""
         self.wait_ready(
-            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+            self.ingress_node.ingress,
+            "/portal/x",
+            served_by=(self.one, self.two),
         )
-        addresses = [self.entry.ingress, self.two.ingress]
+        addresses = [self.ingress_node.ingress, self.two.ingress]
         with loads.load(addresses, "/portal/x") as results:
             time.sleep(0.3)
             self.two.node.send_signal(signal.SIGTERM)
@@ -115,8 +131,8 @@
             time.sleep(0.3)
         fleets.start_node(self.fleet, self.two)
         self.assertEqual(0, code)
-        bad = [r for r in results if r.status != 200]
-        self.assertEqual([], bad)
+        failed = [r for r in results if r.status != 200]
+        self.assertEqual([], failed)
         self.assertTrue(any(r.closes for r in results))
         self.check_executions(results)
 
@@ -129,12 +145,14 @@
     def test_second_signal_cuts_no_accepted_call(self):
         """Guards against a second SIGTERM that cuts accepted calls."""
         self.wait_ready(
-            self.entry.ingress, "/portal/x", served_by=(self.one, self.two)
+            self.ingress_node.ingress,
+            "/portal/x",
+            served_by=(self.one, self.two),
         )
         self.set_duration(3000.0)
         self.addCleanup(self.set_duration, 5.0)
         with loads.load(
-            [self.entry.ingress], "/portal/x", threads=4
+            [self.ingress_node.ingress], "/portal/x", threads=4
         ) as results:
             time.sleep(0.4)
             self.two.node.send_signal(signal.SIGTERM)
@@ -148,18 +166,23 @@
         self.assertIn("AP-107", log)
 
     def test_broken_and_crossed_answers(self):
-        """Guards against half a body, and another request's answer (P7)."""
-        fleets.stop(self.fake.backend_server)
-        with loads.serve_faults() as address:
-            loads.announce(self.fleet, self.fake, address)
-            self.wait_ready(self.entry.ingress, "/fieldbook/x")
+        """Guards against truncated and crossed responses (P7).
+
+        A crossed response belongs to another request.
+        """
+        fleets.stop(self.fake_member.backend_server)
+        with loads.serve_fake_backend() as address:
+            loads.announce(self.fleet, self.fake_member, address)
+            self.wait_ready(self.ingress_node.ingress, "/fieldbook/x")
             expected = {
                 "half": "body-incomplete",
                 "half-chunk": "body-incomplete",
                 "hang-up": "connection-lost",
             }
             for path, reason in expected.items():
-                connection = http.client.HTTPConnection(self.entry.ingress)
+                connection = http.client.HTTPConnection(
+                    self.ingress_node.ingress
+                )
                 found = loads.send(connection, f"/fieldbook/{path}")
                 connection.close()
                 self.assertEqual(
@@ -167,7 +190,9 @@
                     (found.status, found.outcome, found.reason),
                 )
             with loads.load(
-                [self.entry.ingress], "/fieldbook/crossed", timeout_ms=200
+                [self.ingress_node.ingress],
+                "/fieldbook/crossed",
+                timeout_ms=200,
             ) as results:
                 time.sleep(1.0)
         statuses = {r.status for r in results}
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -1,4 +1,4 @@
-"""Tests of the distribution between real node processes."""
+"""Tests of configuration distribution between real node processes."""
 
 import contextlib
 import unittest
@@ -34,7 +34,7 @@
                 with_backend_server=False,
             )
         self.require_version(1)
-        # A pushed version may be in force before the join has ended.
+        # A pushed version may be in force before the join completes.
         self.wait_for(
             lambda: all(
                 observations.list_ready(self.fleet, member)
@@ -57,19 +57,23 @@
         found = fleets.wait_for(condition, seconds=WAIT_SECONDS)
         self.assertIsNotNone(found)
 
-    def test_readers_killed_and_table_out(self):
-        """Guards against a version lost with its readers or the table."""
-        there = self.fleet.members[0::2]
+    def test_readers_killed_and_table_down(self):
+        """Guards against a version that is lost with the nodes that read it.
+
+        Two nodes that read the table are killed right after a commit; then
+        the table fails once one node has the next version.
+        """
+        first_data_centre = self.fleet.members[0::2]
         self.wait_for(
             lambda: any(
                 observations.read_counters(self.fleet, member).get(
                     "table_reads", 0
                 )
                 > 2
-                for member in there
+                for member in first_data_centre
             )
         )
-        readers = observations.find_readers(self.fleet, there)[:2]
+        readers = observations.find_readers(self.fleet, first_data_centre)[:2]
         version = self.commit()
         for member in readers:
             member.node.kill()
@@ -88,24 +92,24 @@
         self.require_version(version)
 
     def test_data_centre_restarts(self):
-        """Guards against an older version after a return."""
+        """Guards against restarted nodes that use an older version."""
         version = self.commit()
         self.require_version(version)
-        herd = self.fleet.members[0::2]
-        for member in herd:
+        restarted = self.fleet.members[0::2]
+        for member in restarted:
             member.node.kill()
             member.node.wait()
             before = observations.list_ready(self.fleet, member)
             self.assertEqual(1, len(before))
-        for member in herd:
+        for member in restarted:
             fleets.start_node(self.fleet, member)
         self.wait_for(
             lambda: all(
                 len(observations.list_ready(self.fleet, member)) == 2
-                for member in herd
+                for member in restarted
             )
         )
-        for member in herd:
+        for member in restarted:
             ready = observations.list_ready(self.fleet, member)[-1]
             self.assertEqual(version, ready[0])
 
--- a/tests/node/test_control_task.py
+++ b/tests/node/test_control_task.py
@@ -61,15 +61,15 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Node:
-    """A control task and what the test holds in place of its neighbours."""
+    """Control task under test, and the sockets of the tasks around it."""
 
-    current: views.Current
+    current: views.CurrentView
     platform: wire.sockets.Socket
     rollout: wire.sockets.Socket
     commands: wire.sockets.Socket
 
     def answer_reads(self, snapshot):
-        """Answer the waiting reads of the table with a snapshot."""
+        """Reply to the pending table reads with a snapshot."""
         while self.platform.poll(0):
             identity, message = wire.sockets.receive_routed(self.platform)
             newer = snapshot if snapshot.version > message.have else None
@@ -78,8 +78,8 @@
             )
             wire.sockets.send_routed(self.platform, identity, found)
 
-    def take_evidence(self):
-        """Return the senders of the evidence that arrived."""
+    def receive_evidence_senders(self):
+        """Return the senders of the evidence received so far."""
         found = set()
         while self.rollout.poll(0):
             _, message = wire.sockets.receive_routed(self.rollout)
@@ -122,7 +122,9 @@
         enter = self.stack.enter_context
         platform = enter(wire.sockets.bind_router(context, addresses.PLATFORM))
         rollout = enter(wire.sockets.bind_router(context, addresses.ROLLOUT))
-        current = views.Current(view=model.View(snapshot=model.EMPTY_SNAPSHOT))
+        current = views.CurrentView(
+            view=model.View(snapshot=model.EMPTY_SNAPSHOT)
+        )
         thread = threading.Thread(
             target=control.run,
             kwargs={
@@ -169,7 +171,7 @@
                 node.answer_reads(self.snapshot)
             time.sleep(0.02)
 
-    def hold(self, snapshot):
+    def put_in_force(self, snapshot):
         self.snapshot = snapshot
         committed = wire.ConfigCommitted(version=snapshot.version)
         wire.sockets.send(self.a.commands, committed)
@@ -181,17 +183,17 @@
         )
 
     def test_evidence_goes_to_peers_of_a_rollout_only(self):
-        """Guards against evidence that costs bytes without a rollout."""
+        """Guards against evidence sent to peers while no rollout is open."""
         self.report()
-        self.wait_for(lambda: self.a.take_evidence() == {"a"})
-        self.hold(make_snapshot(2, (ROLLOUT,)))
-        self.assertEqual(set(), self.b.take_evidence())
+        self.wait_for(lambda: self.a.receive_evidence_senders() == {"a"})
+        self.put_in_force(make_snapshot(2, (ROLLOUT,)))
+        self.assertEqual(set(), self.b.receive_evidence_senders())
         self.report()
-        self.wait_for(lambda: self.b.take_evidence() == {"a"})
+        self.wait_for(lambda: self.b.receive_evidence_senders() == {"a"})
 
     def test_withdrawal_reaches_the_view_of_both(self):
-        """Guards against a bad version that a peer still chooses."""
-        self.hold(make_snapshot(2, (ROLLOUT,)))
+        """Guards against a peer that still chooses a withdrawn version."""
+        self.put_in_force(make_snapshot(2, (ROLLOUT,)))
         withdrawal = model.Withdrawal(
             rollout="r1", service="portal", version="v2", reason="", at=1.0
         )
@@ -207,24 +209,25 @@
         ended = dataclasses.replace(
             ROLLOUT, state=model.RolloutState.WITHDRAWN
         )
-        self.hold(make_snapshot(3, (ended,)))
+        self.put_in_force(make_snapshot(3, (ended,)))
         for node in nodes:
             self.assertEqual((), node.current.view.withdrawals)
 
     def test_lost_backend_server_is_down_for_callers(self):
-        """Guards against calls to a node whose backend server is gone."""
+        """Guards against calls to a node whose backend server is lost."""
 
         def states():
             view = self.b.current.view
             return [entry.state.value for entry in view.instances]
 
-        # A report right after an announcement may be older than it.
+        # Reports are ignored right after an announcement, because they may
+        # be older than it.
         self.wait_for(lambda: self.report(up=False) or states()[0] == "down")
         self.announce(self.a, "v3")
         self.wait_for(lambda: states() == ["up", "up"])
 
     def test_view_is_replaced_for_callers_only(self):
-        """Guards against lookup tables that are built for each probe."""
+        """Guards against lookup tables that are rebuilt for each probe."""
         before = self.b.current.view
         a, b = before.instances
         newer = dataclasses.replace(a, incarnation=a.incarnation + 5)
@@ -237,8 +240,8 @@
         self.assertTrue(peer.poll(WAIT_SECONDS * 1000, zmq.POLLIN))
         self.assertIs(before, self.b.current.view)
 
-    def test_status_counts_what_control_costs(self):
-        """Guards against operators who cannot see the cost."""
+    def test_status_includes_the_cost_of_the_control_task(self):
+        """Guards against a status without the cost of the control task."""
         wire.sockets.send(self.a.commands, wire.StatusRequest())
         self.assertTrue(self.a.commands.poll(WAIT_SECONDS * 1000, zmq.POLLIN))
         status = wire.sockets.receive(self.a.commands)
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -1,4 +1,4 @@
-"""Tests of the holder's commits on the stand-in's tables."""
+"""Tests of the holder's commits to the stand-in platform's table."""
 
 import dataclasses
 import logging
@@ -30,36 +30,41 @@
     def setUp(self):
         self.world = worlds.World()
 
-    def play(self, name, seconds, judgement=None):
+    def act_for_seconds(self, name, seconds, judgement=None):
         for _ in range(seconds):
             self.world.now += 1.0
             self.world.act(name, judgement)
 
     def test_good_version_is_done_on_time(self):
-        """Guards against a good version that misses finish_by."""
-        seen = []
+        """Guards against a good version whose rollout misses finish_by."""
+        changes = []
         for _ in range(150):
             self.world.now += 1.0
             self.world.act("a")
             rollout = self.world.rollout()
-            if not seen or seen[-1][0] != rollout.share:
-                seen.append((rollout.share, self.world.now))
+            if not changes or changes[-1][0] != rollout.share:
+                changes.append((rollout.share, self.world.now))
         self.assertEqual(
-            [10, 50, 250, 500, 980, 1000], [share for share, _ in seen]
+            [10, 50, 250, 500, 980, 1000], [share for share, _ in changes]
         )
-        self.assertLessEqual(seen[4][1], worlds.FINISH_BY - 10.0)
+        self.assertLessEqual(changes[4][1], worlds.FINISH_BY - 10.0)
         (outcome,) = self.world.outcomes()
         self.assertEqual("done", outcome.attributes["result"])
         (service,) = self.world.read().services
         self.assertEqual(("v2",), tuple(v.version for v in service.versions))
 
     def test_paused_holder_changes_nothing(self):
-        """Guards against a step by a holder whose lease was taken."""
+        """Guards against a step by a holder that has lost its lease.
+
+        The holder pauses during a write for longer than its lease; the write
+        arrives after another node has acquired the lease.
+        """
         world = self.world
-        self.play("a", 2)
+        self.act_for_seconds("a", 2)
         stale = world.read()
         before = world.rollout().share
-        # The write of the paused holder arrives after the take-over.
+        # The write of the paused holder arrives after the other node has
+        # acquired the lease.
         world.pools["a"].fault = "paused"
         world.now += 20.0
         world.holders["a"].lease = dataclasses.replace(
@@ -78,17 +83,20 @@
         self.assertEqual(before, world.rollout().share)
 
     def test_lost_answer_does_not_step_twice(self):
-        """Guards against a second step after a commit that took effect."""
+        """Guards against a second step after a commit that took effect.
+
+        The response to the commit is lost, so the holder sees a failure.
+        """
         self.world.act("a")
         self.world.pools["a"].fault = "lost"
-        self.play("a", 25)
+        self.act_for_seconds("a", 25)
         versions = self.world.read().version
         changes = storage.table.query(self.world.reader.table, pk="audit")
         self.assertEqual(versions, len(changes))
         self.assertEqual(50, self.world.rollout().share)
 
     def test_operators_change_wins_and_the_step_follows(self):
-        """Guards against an operator's change undone by a step."""
+        """Guards against a step that undoes an operator's change."""
         world = self.world
         stale = world.read()
         route = model.Route(
@@ -102,49 +110,49 @@
         world.commit(stale, config.with_checksum(after))
         world.act("a", snapshot=stale)
         self.assertEqual(0, world.rollout().share)
-        self.assertEqual([3], world.asked)
+        self.assertEqual([3], world.requested)
         world.act("a")
         self.assertEqual(10, world.rollout().share)
         self.assertEqual((route,), world.read().routes)
 
     def test_withdrawal_becomes_durable_when_the_table_is_back(self):
-        """Guards against a withdrawal forgotten during an outage."""
+        """Guards against a withdrawal that is lost in a table outage."""
         world = self.world
-        self.play("a", 10)
+        self.act_for_seconds("a", 10)
         bad = verdicts.Judgement(bad="fails", summary="figures")
         world.pools["a"].fault = "down"
         before = world.pools["a"].requests
-        self.play("a", 30, bad)
+        self.act_for_seconds("a", 30, bad)
         self.assertEqual((), world.outcomes())
-        # Back-off: far fewer attempts than seconds.
+        # With back-off there are far fewer requests than seconds.
         self.assertLess(world.pools["a"].requests - before, 15)
         world.pools["a"].fault = ""
-        self.play("a", 10, bad)
+        self.act_for_seconds("a", 10, bad)
         (outcome,) = world.outcomes()
-        self.assertEqual(("withdrawn", "fails"), _end(outcome))
+        self.assertEqual(("withdrawn", "fails"), _read_result(outcome))
         self.assertEqual("figures", outcome.attributes["evidence"])
 
     def test_finish_by_passes_while_the_table_is_down(self):
-        """Guards against a step after finish_by when the table is back."""
+        """Guards against a step after finish_by once the table is back."""
         world = self.world
-        self.play("a", 10)
+        self.act_for_seconds("a", 10)
         world.pools["a"].fault = "down"
         world.now = worlds.FINISH_BY + 1.0
         world.act("a")
         world.pools["a"].fault = ""
-        self.play("a", 20)
+        self.act_for_seconds("a", 20)
         (outcome,) = world.outcomes()
         self.assertEqual("withdrawn", outcome.attributes["result"])
         self.assertIn("finish_by", outcome.attributes["reason"])
 
     def test_no_open_rollout_means_no_table_traffic(self):
-        """Guards against table traffic that grows with the fleet."""
+        """Guards against table traffic of nodes without an open rollout."""
         for _ in range(10):
-            holders.act(self.world.holders["a"], None)
+            holders.advance_rollout(self.world.holders["a"], None)
         self.assertEqual(0, self.world.pools["a"].requests)
 
 
-def _end(outcome):
+def _read_result(outcome):
     return outcome.attributes["result"], outcome.attributes["reason"]
 
 
@@ -169,17 +177,18 @@
     )
     @hypothesis.given(EVENTS)
     def test_rules_hold_under_failures(self, events):
-        """Guards against breaks of sections 8 and 12 under failures.
+        """Guards against violations of the rules in sections 8 and 12.
 
-        Two nodes believe to be the holder, with old views, lost answers,
-        outages, pauses and evidence of every kind.
+        The rules concern steps, their evidence and spacing, finish_by and
+        withdrawals. Two nodes both act as the holder, with outdated views,
+        lost responses, outages, pauses and evidence of every kind.
         """
         world = worlds.World()
         old = world.read()
         for name, fault, kind, seconds, lagging in events:
             world.now += seconds
             world.pools[name].fault = fault
-            judgement = _judgement(kind, world)
+            judgement = _make_judgement(kind, world)
             before = world.read()
             world.act(name, judgement, snapshot=old if lagging else None)
             after = world.read()
@@ -188,9 +197,9 @@
                 old = after
 
 
-def _judgement(kind, world):
+def _make_judgement(kind, world):
     return {
-        "good": world.good(),
+        "good": world.make_good_judgement(),
         "stale": verdicts.Judgement(
             calls=50,
             calls_per_second=worlds.BUSY_PER_SECOND,
--- a/tests/node/test_ingress.py
+++ b/tests/node/test_ingress.py
@@ -1,4 +1,4 @@
-"""Tests of the application that takes callers' requests."""
+"""Tests of the WSGI application that serves callers' requests."""
 
 import dataclasses
 import io
@@ -40,7 +40,7 @@
         )
         self.ingress = ingress.Ingress(
             context=context,
-            current=views.Current(view=view),
+            current=views.CurrentView(view=view),
             instance="i1",
             trusted=False,
             keyed=keyed_calls.KeyedCalls(
@@ -56,12 +56,12 @@
                 socket.close()
 
     def call(self, path, *, method="GET", results=(), caller=None):
-        """Call the application while a thread answers as dispatch."""
+        """Call the application while a thread acts as the dispatch task."""
         environ = {
             "REQUEST_METHOD": method,
             "PATH_INFO": path,
             "wsgi.input": io.BytesIO(),
-            callers.KEY: caller,
+            callers.SOCKET_KEY: caller,
         }
         found = {}
 
@@ -78,11 +78,11 @@
         thread.join()
         return found
 
-    def answer(self, results, leaves):
+    def answer(self, results, caller_leaves):
         if results and self.router.poll(5000):
             identity, request = wire.sockets.receive_routed(self.router)
-            if leaves and self.router.poll(2000):
-                self.left = wire.sockets.receive_routed(self.router)[1]
+            if caller_leaves and self.router.poll(2000):
+                self.notice = wire.sockets.receive_routed(self.router)[1]
             for result in results:
                 name = result.request or request.request
                 result = dataclasses.replace(result, request=name)
@@ -95,7 +95,7 @@
         return dataclasses.replace(result, **changes)
 
     def test_late_result_of_another_request_is_dropped(self):
-        """Guards against a result handed to the next request (P7)."""
+        """Guards against a result that is given to the next request (P7)."""
         other = self.make_result(request="old", body=b"other")
         found = self.call("/portal/x", results=(other, self.make_result()))
         self.assertEqual(b"own", found["body"])
@@ -110,26 +110,26 @@
             )
 
     def test_answers_have_the_phrase_and_length_of_their_status(self):
-        """Guards against answers that callers cannot parse."""
+        """Guards against responses that callers cannot parse."""
         empty = self.make_result(status=204, body=b"")
         found = self.call("/portal/x", results=(empty,))
         self.assertEqual("204 No Content", found["status"])
         self.assertNotIn("Content-Length", found["headers"])
 
-    def test_dispatch_is_told_that_the_caller_hung_up(self):
-        """Guards against queued work for a caller that has gone."""
-        ours, theirs = socket.socketpair()
-        self.addCleanup(ours.close)
-        theirs.close()
-        self.left = None
+    def test_dispatch_is_notified_when_the_caller_disconnects(self):
+        """Guards against queued calls of a caller that has disconnected."""
+        server_end, caller_end = socket.socketpair()
+        self.addCleanup(server_end.close)
+        caller_end.close()
+        self.notice = None
         found = self.call(
-            "/portal/x", results=(self.make_result(),), caller=ours
+            "/portal/x", results=(self.make_result(),), caller=server_end
         )
-        self.assertIsInstance(self.left, wire.CallerLeft)
+        self.assertIsInstance(self.notice, wire.CallerLeft)
         self.assertEqual("200 OK", found["status"])
 
     def test_draining_node_closes_connections(self):
-        """Guards against callers that stay with a leaving node (P11)."""
+        """Guards against callers that stay with a draining node (P11)."""
         self.ingress.draining = True
         found = self.call("/portal/x", results=(self.make_result(),))
         self.assertEqual("close", found["headers"]["Connection"])
--- a/tests/node/test_keyed_processes.py
+++ b/tests/node/test_keyed_processes.py
@@ -1,4 +1,4 @@
-"""Proof with real processes that a keyed call runs at most once."""
+"""Tests with real processes that a keyed call runs at most once."""
 
 import concurrent.futures
 import contextlib
@@ -68,7 +68,7 @@
         return False
 
     def post(self, member, key):
-        """Post a report; the request identifier equals the key."""
+        """Send a report by POST; the request identifier equals the key."""
         return self.pool.request(
             "POST",
             f"http://{member.ingress}/reports",
@@ -86,7 +86,7 @@
         ]
         return sum(state["executions"].get(key, 0) for state in states)
 
-    def inject(self, **faults):
+    def set_faults(self, **faults):
         fleets.call_json(
             self.fleet, self.fleet.platform_url, "/-/faults", faults
         )
@@ -101,12 +101,15 @@
             )
 
     def test_two_data_centres_at_once_under_lost_answers(self):
-        """Guards against one report filed by both data centres."""
+        """Guards against a report that both data centres file.
+
+        Both get the call at once, while the table's responses are lost.
+        """
         answered = 0
         with concurrent.futures.ThreadPoolExecutor(4) as threads:
             for number in range(15):
                 key = f"both-{number}"
-                self.inject(lose_answers=number % 4)
+                self.set_faults(lose_answers=number % 4)
                 results = list(
                     threads.map(lambda m, k=key: self.post(m, k), self.members)
                 )
@@ -114,13 +117,13 @@
                 self.assertIn(statuses, ([200, 200], [200, 409]))
                 self.assertEqual(1, self.executions(key))
                 answered += statuses == [200, 200]
-                self.inject()
+                self.set_faults()
                 self.assert_replayed_everywhere(key)
                 self.assertEqual(1, self.executions(key))
         self.assertLess(answered, 15)
 
     def assert_replayed_everywhere(self, key):
-        """Wait until lost outcomes are stored, then repeat the call."""
+        """Repeat the call at each member until its outcome is replayed."""
         for member in self.members:
             found = []
 
@@ -133,7 +136,7 @@
             self.assertEqual("1", headers.get("X-Apricotpost-Replayed"))
 
     def test_node_killed_between_begin_and_answer(self):
-        """Guards against a second run after the ingress has died."""
+        """Guards against a second run after the first node has died."""
         first, second = self.members
         self.set_service_ms(800)
         with concurrent.futures.ThreadPoolExecutor(1) as threads:
@@ -152,17 +155,17 @@
         self.assertEqual(200, self.post(second, "another").status)
 
     def test_table_down_between_begin_and_answer(self):
-        """Guards against an outcome that an outage loses for good."""
+        """Guards against an outcome that is lost in a table outage."""
         first, second = self.members
         self.set_service_ms(800)
         with concurrent.futures.ThreadPoolExecutor(1) as threads:
             pending = threads.submit(self.post, first, "outage")
             time.sleep(0.3)
-            self.inject(table_down=True)
+            self.set_faults(table_down=True)
             self.assertEqual(200, pending.result().status)
         refused = self.post(second, "outage")
         reason = refused.headers["X-Apricotpost-Reason"]
         self.assertEqual("platform-unavailable", reason)
-        self.inject()
+        self.set_faults()
         self.assert_replayed_everywhere("outage")
         self.assertEqual(1, self.executions("outage"))
--- a/tests/node/test_metrics.py
+++ b/tests/node/test_metrics.py
@@ -1,4 +1,4 @@
-"""Tests of the metrics for a statsd server."""
+"""Tests of the metrics that are sent to a statsd server."""
 
 import socket
 import unittest
@@ -12,8 +12,8 @@
 
 
 class MetricsTest(unittest.TestCase):
-    def test_second_is_sent_in_the_protocol_of_statsd(self):
-        """Guards against metrics that a statsd server cannot read."""
+    def test_metrics_are_sent_in_the_statsd_protocol(self):
+        """Guards against metrics that a statsd server cannot parse."""
         server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(server.close)
         server.bind(("127.0.0.1", 0))
@@ -24,8 +24,8 @@
                 settings.MetricSettings(statsd=address, prefix="mesh")
             )
             for _ in range(2):
-                recorder.call("records.v1", "answered", 12.5)
-            recorder.load(model.Load(in_flight=3, limit=8, queued=1))
+                recorder.record_call("records.v1", "answered", 12.5)
+            recorder.record_load(model.Load(in_flight=3, limit=8, queued=1))
             recorder.flush()
             now.return_value = 11.0
             recorder.flush()
--- a/tests/node/test_moves.py
+++ b/tests/node/test_moves.py
@@ -1,4 +1,4 @@
-"""Tests of data centre moves through real nodes."""
+"""Tests of data centre moves with real nodes."""
 
 import dataclasses
 import json
@@ -15,8 +15,8 @@
 
 
 class RecorderTest(unittest.TestCase):
-    def test_one_live_node_records(self):
-        """Guards against moves that no node, or every node, records."""
+    def test_one_live_node_is_the_recorder(self):
+        """Guards against moves that no node, or each node, records."""
         view = test_moves.make_view(9, 9, 9)
         view = dataclasses.replace(view, ready=True)
 
@@ -68,7 +68,7 @@
         )
 
     def test_outcome_is_kept_once_every_node_holds_the_version(self):
-        """Guards against a move whose end is lost or comes too early."""
+        """Guards against a move outcome that is missing or too early."""
         first, second = self.members
 
         def both_are_known():
--- a/tests/node/test_stores.py
+++ b/tests/node/test_stores.py
@@ -1,4 +1,4 @@
-"""Tests of stores that are opened as the settings say."""
+"""Tests of the stores that are opened from the settings."""
 
 import os
 import unittest
@@ -23,7 +23,7 @@
 
 class StoresTest(unittest.TestCase):
     def test_credentials_come_from_the_named_variables(self):
-        """Guards against unsigned requests, and secrets in logs."""
+        """Guards against unsigned requests and against secrets in logs."""
         environment = {"TEST_KEY": "key", "TEST_SECRET": "hidden"}
         with mock.patch.dict(os.environ, environment):
             store = stores.open_store(OPTIONS)
@@ -32,6 +32,6 @@
         self.assertNotIn("hidden", repr(store))
 
     def test_missing_variables_are_a_fault_of_the_settings(self):
-        """Guards against a node that runs without access."""
+        """Guards against a node that starts without its credentials."""
         with self.assertRaises(errors.SettingsInvalid):
             stores.open_store(OPTIONS)
--- a/tests/node/test_withdrawal.py
+++ b/tests/node/test_withdrawal.py
@@ -1,4 +1,4 @@
-"""Test with real processes: a bad version while the table is down."""
+"""Test with real processes: withdrawal of a version in a table outage."""
 
 import concurrent.futures
 import contextlib
@@ -68,7 +68,7 @@
         self.addCleanup(self.stopped.set)
 
     def start_rollout(self, first):
-        """Commit a rollout that already has a quarter of the calls."""
+        """Commit a rollout whose new version gets a quarter of the calls."""
         now = time.time()
         planned = rollouts.plan_rollout(
             first, "portal", "v2", now + 300.0, now
@@ -95,15 +95,15 @@
         storage.commit(self.store, change)
 
     def call(self):
-        """Call one of the old version's nodes over and over."""
+        """Call a node of the old version until the test stops."""
         url = f"http://{self.members[0].ingress}/records/1"
         while not self.stopped.is_set():
-            # The node may not listen yet.
+            # The node may not be listening yet.
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 self.fleet.pool.request("GET", url, timeout=10.0)
 
-    def served(self, version):
-        """Count the calls that the servers of a version answered."""
+    def count_served(self, version):
+        """Count the calls that backend servers of a version answered."""
         states = [
             fleet.call_json(self.fleet, f"http://{m.backend}", "/-/state")
             for m in self.members
@@ -111,8 +111,8 @@
         ]
         return sum(state["served"] for state in states if state)
 
-    def withdrawals(self):
-        """List the withdrawals that each node knows."""
+    def list_withdrawals(self):
+        """List the withdrawals in each node's status."""
         answers = [
             fleet.call_json(
                 self.fleet,
@@ -133,8 +133,10 @@
         return storage.table.query(self.store.table, pk="outcome")
 
     def test_bad_version_is_withdrawn_while_the_table_is_down(self):
-        """Guards against a withdrawal that waits for the platform."""
-        reached = fleet.wait_for(lambda: self.served("v2") > 100, seconds=40)
+        """Guards against a withdrawal that waits for the table."""
+        reached = fleet.wait_for(
+            lambda: self.count_served("v2") > 100, seconds=40
+        )
         self.assertIsNotNone(reached, "the new version gets no calls")
         self.set_faults(table_down=True)
         for member in self.members[2:]:
@@ -144,17 +146,19 @@
                 "/-/behaviour",
                 {"failure_rate": 0.5},
             )
-        known = fleet.wait_for(lambda: all(self.withdrawals()), seconds=40)
+        known = fleet.wait_for(
+            lambda: all(self.list_withdrawals()), seconds=40
+        )
         self.assertIsNotNone(known, "not every node knows the withdrawal")
-        # Calls in work end; after that the new version gets no more.
+        # Open calls end; after that the new version gets no further calls.
         fleet.wait_for(lambda: self._is_idle("v2"), seconds=10)
-        before = self.served("v2")
-        old = self.served("v1")
+        before = self.count_served("v2")
+        old = self.count_served("v1")
         moved = fleet.wait_for(
-            lambda: self.served("v1") > old + 100, seconds=20
+            lambda: self.count_served("v1") > old + 100, seconds=20
         )
         self.assertIsNotNone(moved, "the old version gets no calls")
-        self.assertEqual(before, self.served("v2"))
+        self.assertEqual(before, self.count_served("v2"))
         self.set_faults()
         ended = fleet.wait_for(self.outcomes, seconds=40)
         self.assertIsNotNone(ended, "the withdrawal is not durable")
@@ -163,6 +167,6 @@
         self.assertIn("failures", outcome.attributes["reason"])
 
     def _is_idle(self, version):
-        before = self.served(version)
+        before = self.count_served(version)
         time.sleep(0.3)
-        return self.served(version) == before
+        return self.count_served(version) == before
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -1,4 +1,4 @@
-"""A table, a clock and holders of a rollout, for tests."""
+"""Simulated table, clock and rollout holders for tests."""
 
 import dataclasses
 import random
@@ -17,21 +17,21 @@
 __all__ = ["FINISH_BY", "SERVERS", "World"]
 
 STARTED_AT = 1000.0
-# Enough calls for the smallest first share.
+# High enough that the smallest first share gets enough calls to be judged.
 BUSY_PER_SECOND = 10_000.0
 FINISH_BY = STARTED_AT + 120.0
 SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
 
 
 class World:
-    """A table, a clock and holders that see it through views."""
+    """Table, clock and holders that read the table through views."""
 
     def __init__(self, names=("a", "b")):
         self.state = standin.State()
         self.now = STARTED_AT
         self.pools = {}
         self.holders = {}
-        self.asked = []
+        self.requested = []
         for name in names:
             pool = local.LocalPool(state=self.state)
             self.pools[name] = pool
@@ -40,7 +40,9 @@
                 store=local.make_store(pool),
                 times=steps.Times(bake_seconds=20.0),
                 clock=lambda: self.now,
-                committed=lambda version, _: self.asked.append(version),
+                notify_committed=lambda version, _: self.requested.append(
+                    version
+                ),
                 rng=random.Random(1),
             )
         self.reader = local.make_store(local.LocalPool(state=self.state))
@@ -86,7 +88,7 @@
     def rollout(self):
         return self.read().rollouts[0]
 
-    def good(self):
+    def make_good_judgement(self):
         return verdicts.Judgement(
             calls_per_second=BUSY_PER_SECOND, calls=50, heard_at=self.now
         )
@@ -99,11 +101,11 @@
             observation = watch.Observation(
                 snapshot=snapshot,
                 rollout=rollout,
-                judgement=judgement or self.good(),
+                judgement=judgement or self.make_good_judgement(),
                 facts=facts,
                 is_first=True,
             )
-        holders.act(self.holders[name], observation)
+        holders.advance_rollout(self.holders[name], observation)
 
     def outcomes(self):
         return storage.table.query(self.reader.table, pk="outcome")
