--- a/apricotpost/admin/__init__.py
+++ b/apricotpost/admin/__init__.py
@@ -1,4 +1,4 @@
-"""Administration API: tokens, the sheet, changes and what operators see."""
+"""Administration API: tokens, sheets, configuration changes and status."""
 
 from apricotpost.admin.app import make_app
 from apricotpost.admin.handlers import Admin
--- a/apricotpost/admin/app.py
+++ b/apricotpost/admin/app.py
@@ -25,10 +25,12 @@
 
 
 def make_app(admin: handlers.Admin) -> Callable[..., Iterable[bytes]]:
-    """Make the WSGI application."""
+    """Return the WSGI application that serves ``admin``."""
 
-    def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
-        status, payload = _serve(admin, environ)
+    def app(
+        environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        status, payload = _respond(admin, environ)
         body = msgspec.json.encode(payload)
         headers = [
             ("Content-Type", "application/json"),
@@ -37,29 +39,35 @@
         ]
         if status == 401:
             headers.append(("WWW-Authenticate", "Bearer"))
-        start(f"{status} {http.HTTPStatus(status).phrase}", headers)
+        start_response(f"{status} {http.HTTPStatus(status).phrase}", headers)
         return [body]
 
     return app
 
 
-def _serve(admin: handlers.Admin, environ: Environ) -> tuple[int, typing.Any]:
+def _respond(
+    admin: handlers.Admin, environ: Environ
+) -> tuple[int, typing.Any]:
     try:
-        return 200, _answer(admin, environ)
+        return 200, _handle_request(admin, environ)
     except errors.ApricotpostError as error:
-        _log_refusal(environ, error)
+        _log_refused_request(environ, error)
         return error.status, _describe_error(error)
     except Exception as error:
-        # The caller gets a typed answer whatever failed inside.
+        # Unexpected exceptions are answered with the same JSON fields as
+        # other errors.
         events.emit(
             LOG, events.ADMIN_FAILED, path=environ["PATH_INFO"], error=error
         )
-        failure = errors.ApricotpostError("the node failed on this request")
+        failure = errors.ApricotpostError(
+            "internal error of the node; its log has the cause"
+        )
         return failure.status, _describe_error(failure)
 
 
-def _answer(admin: handlers.Admin, environ: Environ) -> typing.Any:
-    # The token comes first: without one not even a path is confirmed.
+def _handle_request(admin: handlers.Admin, environ: Environ) -> typing.Any:
+    # Authenticate before routing: without a token a caller must not be
+    # able to find out which paths exist.
     actor = tokens.authenticate(
         environ.get("HTTP_AUTHORIZATION", ""), admin.options.tokens
     )
@@ -97,7 +105,9 @@
         )
     body = environ["wsgi.input"].read(int(text)) if int(text) else b""
     if len(body) != int(text):
-        raise errors.RequestInvalid("the body is incomplete")
+        raise errors.RequestInvalid(
+            "the body is shorter than its Content-Length"
+        )
     return bytes(body)
 
 
@@ -109,7 +119,9 @@
     }
 
 
-def _log_refusal(environ: Environ, error: errors.ApricotpostError) -> None:
+def _log_refused_request(
+    environ: Environ, error: errors.ApricotpostError
+) -> None:
     events.emit(
         LOG,
         events.ADMIN_REFUSED,
--- a/apricotpost/admin/changes.py
+++ b/apricotpost/admin/changes.py
@@ -1,4 +1,4 @@
-"""Changes of the configuration: snapshot and request to new snapshot."""
+"""Changes of the configuration: apply a request to a snapshot."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -15,7 +15,7 @@
 
 __all__ = ["apply_change"]
 
-_ACTIVE = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
+_ACTIVE_STATES = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
 
 
 def apply_change(
@@ -23,9 +23,9 @@
     request: requests.ChangeRequest,
     *,
     actor: tokens.Actor,
-    policy: requests.Policy,
+    minimum_durations: requests.MinimumDurations,
     now: float,
-) -> requests.Applied:
+) -> requests.AppliedChange:
     """Apply a request to a configuration.
 
     Parameters
@@ -33,50 +33,59 @@
     snapshot : apricotpost.model.Snapshot
         Configuration in force.
     request : ChangeRequest
-        What is asked for.
+        Change to make.
     actor : Actor
-        Who asks.
-    policy : Policy
-        Shortest times of moves.
+        Who requests the change.
+    minimum_durations : MinimumDurations
+        Minimum durations of moves.
     now : float
         Unix time in seconds.
 
     Returns
     -------
-    Applied
-        Its snapshot is valid and one version newer, or the one before.
+    AppliedChange
+        Its snapshot is valid and one version newer, or ``snapshot`` if
+        nothing changed.
 
     Raises
     ------
     apricotpost.errors.AccessDenied
         The actor may not make this change.
     apricotpost.errors.ConfigurationInvalid
-        The result has faults.
+        The resulting configuration has faults.
     apricotpost.errors.RequestInvalid, apricotpost.errors.SheetInvalid
         The request has faults; all are listed.
     apricotpost.errors.ResourceUnknown
         The request names something that does not exist.
     """
     if isinstance(request, requests.SheetChange):
-        applied = _apply_sheet(snapshot, request, actor, policy, now)
+        applied = _apply_sheet(
+            snapshot, request, actor, minimum_durations, now
+        )
     elif isinstance(request, requests.Definitions):
         applied = definitions.apply_definitions(snapshot, request, actor)
     elif isinstance(request, requests.DataCentreChange):
-        applied = _apply_data_centre(snapshot, request, actor, policy, now)
+        applied = _apply_data_centre(
+            snapshot, request, actor, minimum_durations, now
+        )
     else:
         applied = _withdraw(snapshot, request, actor, now)
-    return _seal(snapshot, applied)
+    return _finalize(snapshot, applied)
 
 
 def _apply_sheet(
     snapshot: model.Snapshot,
     request: requests.SheetChange,
     actor: tokens.Actor,
-    policy: requests.Policy,
+    minimum_durations: requests.MinimumDurations,
     now: float,
-) -> requests.Applied:
+) -> requests.AppliedChange:
     checked = sheet.check_sheet(
-        request.text, snapshot, actor=actor, policy=policy, now=now
+        request.text,
+        snapshot,
+        actor=actor,
+        minimum_durations=minimum_durations,
+        now=now,
     )
     after = snapshot
     changed: list[str] = []
@@ -91,7 +100,7 @@
             after = _set_data_centre(after, move)
             changed.append(f"data centre {move.data_centre} {move.state}")
             moves.append(move)
-    return requests.Applied(
+    return requests.AppliedChange(
         snapshot=after,
         changed=tuple(changed),
         unchanged=checked.unchanged,
@@ -103,28 +112,30 @@
     snapshot: model.Snapshot,
     request: requests.DataCentreChange,
     actor: tokens.Actor,
-    policy: requests.Policy,
+    minimum_durations: requests.MinimumDurations,
     now: float,
-) -> requests.Applied:
+) -> requests.AppliedChange:
     tokens.require_right(actor, tokens.DATA_CENTRES)
     centre = _find(snapshot.data_centres, "data centre", request.name)
-    sentence = f"data centre {request.name} {request.state}"
+    description = f"data centre {request.name} {request.state}"
     if centre.state is request.state:
-        return requests.Applied(snapshot=snapshot, unchanged=(sentence,))
-    shortest = now + policy.data_centre_seconds
-    if request.finish_by and request.finish_by < shortest:
+        return requests.AppliedChange(
+            snapshot=snapshot, unchanged=(description,)
+        )
+    earliest_finish = now + minimum_durations.data_centre_seconds
+    if request.finish_by and request.finish_by < earliest_finish:
         raise errors.RequestInvalid(
             "finish_by is too soon: the move takes at least "
-            f"{policy.data_centre_seconds:.0f} s"
+            f"{minimum_durations.data_centre_seconds:.0f} s"
         )
     move = requests.DataCentreMove(
         data_centre=request.name,
         state=request.state,
-        finish_by=request.finish_by or shortest,
+        finish_by=request.finish_by or earliest_finish,
     )
-    return requests.Applied(
+    return requests.AppliedChange(
         snapshot=_set_data_centre(snapshot, move),
-        changed=(sentence,),
+        changed=(description,),
         moves=(move,),
     )
 
@@ -134,7 +145,7 @@
     request: requests.WithdrawRollout,
     actor: tokens.Actor,
     now: float,
-) -> requests.Applied:
+) -> requests.AppliedChange:
     tokens.require_right(actor, tokens.CHANGE)
     rollout = _find(snapshot.rollouts, "rollout", request.rollout)
     service = _find(snapshot.services, "service", rollout.service)
@@ -143,10 +154,12 @@
             f"{service.name} belongs to team {service.team}; "
             f"{actor.author} of team {actor.team} may not change it"
         )
-    sentence = f"rollout {rollout.identifier} withdrawn"
+    description = f"rollout {rollout.identifier} withdrawn"
     if rollout.state is model.RolloutState.WITHDRAWN:
-        return requests.Applied(snapshot=snapshot, unchanged=(sentence,))
-    if rollout.state not in _ACTIVE:
+        return requests.AppliedChange(
+            snapshot=snapshot, unchanged=(description,)
+        )
+    if rollout.state not in _ACTIVE_STATES:
         raise errors.RequestInvalid(
             f"rollout {rollout.identifier} is {rollout.state.value}; "
             f"submit a sheet that names {rollout.old} to return to it"
@@ -155,8 +168,8 @@
         snapshot, rollout, done=False, reason=request.reason, now=now
     )
     ended = _find(after.rollouts, "rollout", request.rollout)
-    return requests.Applied(
-        snapshot=after, changed=(sentence,), withdrawn=((rollout, ended),)
+    return requests.AppliedChange(
+        snapshot=after, changed=(description,), withdrawn=((rollout, ended),)
     )
 
 
@@ -166,16 +179,16 @@
     centre = _find(snapshot.data_centres, "data centre", move.data_centre)
     return dataclasses.replace(
         snapshot,
-        data_centres=_put(
+        data_centres=_replace(
             snapshot.data_centres,
             dataclasses.replace(centre, state=move.state),
         ),
     )
 
 
-def _seal(
-    before: model.Snapshot, applied: requests.Applied
-) -> requests.Applied:
+def _finalize(
+    before: model.Snapshot, applied: requests.AppliedChange
+) -> requests.AppliedChange:
     content = dataclasses.replace(
         applied.snapshot, version=before.version, checksum=before.checksum
     )
@@ -188,14 +201,14 @@
     return dataclasses.replace(applied, snapshot=after)
 
 
-def _find(entries: Iterable[typing.Any], what: str, name: str) -> typing.Any:
+def _find(entries: Iterable[typing.Any], kind: str, name: str) -> typing.Any:
     for entry in entries:
         if name == getattr(entry, "identifier", getattr(entry, "name", "")):
             return entry
-    raise errors.ResourceUnknown(f"there is no {what} {name!r}")
+    raise errors.ResourceUnknown(f"there is no {kind} {name!r}")
 
 
-def _put(
+def _replace(
     entries: Iterable[typing.Any], changed: typing.Any
 ) -> tuple[typing.Any, ...]:
     return tuple(
--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -1,4 +1,4 @@
-"""Commit a change on the newest configuration, once for each request."""
+"""Commits of changes to the newest configuration, once for each request."""
 
 from collections.abc import Callable
 import hashlib
@@ -17,67 +17,77 @@
 from apricotpost.storage import table
 
 __all__ = [
-    "check",
-    "make_identifier",
+    "check_change",
+    "make_request_identifier",
     "read_current",
     "submit",
 ]
 
-# A change without a base version is tried on so many newer versions.
+# A change without a base version is retried on a newer version when another
+# change is accepted first, with at most this many attempts.
 MAX_ATTEMPTS = 5
 
-_RESULTS = "result"
+_RESULT_PARTITION = "result"
 
 
-def make_identifier(actor: tokens.Actor, key: str) -> str:
-    """Return the request identifier of a client's key.
+def make_request_identifier(actor: tokens.Actor, key: str) -> str:
+    """Return the request identifier for an idempotency key.
 
-    It is scoped by author and leaves room for a suffix within the 36
-    characters that the table takes.
+    It is scoped by team and author, and short enough for a suffix within the
+    36 characters that the table accepts as a token.
     """
     text = f"{actor.team}\n{actor.author}\n{key}"
     return hashlib.sha256(text.encode()).hexdigest()[:24]
 
 
-def read_current(store: storage.Store, held: model.Snapshot) -> model.Snapshot:
-    """Read the newest configuration, starting from the one held.
+def read_current(
+    store: storage.Store, snapshot: model.Snapshot
+) -> model.Snapshot:
+    """Return the newest configuration, reading only what is new.
+
+    Parameters
+    ----------
+    store : apricotpost.storage.Store
+        Connection to the platform.
+    snapshot : apricotpost.model.Snapshot
+        Configuration to start from; only newer versions are read.
 
     Raises
     ------
     apricotpost.errors.PlatformError
         The platform did not answer.
     """
-    _, deltas, snapshot = storage.read_newer(store, held.version)
-    if snapshot is not None:
-        held = config.apply_snapshot(held, snapshot)
+    _, deltas, newer_snapshot = storage.read_newer(store, snapshot.version)
+    if newer_snapshot is not None:
+        snapshot = config.apply_snapshot(snapshot, newer_snapshot)
     for delta in deltas:
-        held = config.apply_delta(held, delta)
-    return held
+        snapshot = config.apply_delta(snapshot, delta)
+    return snapshot
 
 
 def submit(
     store: storage.Store,
     submission: submissions.Submission,
-    apply: Callable[[model.Snapshot], requests.Applied],
+    apply: Callable[[model.Snapshot], requests.AppliedChange],
     *,
     announce: Callable[[model.Delta], None],
-    held: model.Snapshot,
+    snapshot: model.Snapshot,
     now: float,
-) -> submissions.Accepted:
+) -> submissions.AcceptedChange:
     """Apply a change to the newest configuration and commit it.
 
     Parameters
     ----------
     store : apricotpost.storage.Store
-        Where to read and write.
+        Connection to the platform.
     submission : Submission
-        Who asks, and as which request.
+        Author and identifier of the request.
     apply : callable
         Returns the change applied to a snapshot.
     announce : callable
-        Called with the change once it is committed.
-    held : apricotpost.model.Snapshot
-        Configuration of this node, from which reading starts.
+        Called with the delta once it is committed.
+    snapshot : apricotpost.model.Snapshot
+        Configuration of this node; only newer versions are read.
     now : float
         Unix time in seconds.
 
@@ -92,58 +102,60 @@
 
     Notes
     -----
-    The result is put on condition that there is none, so a request takes
-    effect once, however often and at however many nodes it is repeated. Each
-    attempt has an identifier of its own, because one whose answer was lost
-    may be given up for good.
+    The result is written on condition that the request has none yet, so a
+    request takes effect once, however often and at however many nodes it is
+    repeated. Each attempt has an identifier of its own: if the answer to an
+    attempt is lost, `storage.commit` may block that identifier permanently.
     """
     for attempt in range(1, MAX_ATTEMPTS + 1):
-        held = read_current(store, held)
-        first = _find_first(store, submission)
-        if first is not None:
-            return first
-        _check_base(store, submission, held)
-        applied = apply(held)
-        accepted = _describe(submission, held, applied)
+        snapshot = read_current(store, snapshot)
+        previous = _find_previous_result(store, submission)
+        if previous is not None:
+            return previous
+        _check_base(store, submission, snapshot)
+        applied = apply(snapshot)
+        accepted = _make_result(submission, snapshot, applied)
         try:
-            _write(store, submission, held, applied, accepted, now)
+            _write(store, submission, snapshot, applied, accepted, now)
         except errors.ChangeConflict:
-            # The next attempt finds a repetition that won, or the change
-            # that a base version lost to.
+            # The next attempt returns the result of a repetition that was
+            # accepted first, or applies the change to the newer version.
+            # With a base version it raises an error that names the accepted
+            # change instead.
             if attempt == MAX_ATTEMPTS:
                 raise
             continue
-        if applied.snapshot != held:
-            announce(config.compute_delta(held, applied.snapshot))
+        if applied.snapshot != snapshot:
+            announce(config.compute_delta(snapshot, applied.snapshot))
         return accepted
     raise AssertionError("every attempt returns or raises")
 
 
-def check(
+def check_change(
     store: storage.Store,
     submission: submissions.Submission,
-    apply: Callable[[model.Snapshot], requests.Applied],
+    apply: Callable[[model.Snapshot], requests.AppliedChange],
     *,
-    held: model.Snapshot,
-) -> submissions.Accepted:
-    """Return what `submit` would accept, without writing anything.
+    snapshot: model.Snapshot,
+) -> submissions.AcceptedChange:
+    """Return what `submit` would return, without writing anything.
 
     Raises
     ------
     apricotpost.errors.ApricotpostError
-        As in `submit`.
+        As raised by `submit`.
     """
-    held = read_current(store, held)
-    _check_base(store, submission, held)
-    return _describe(submission, held, apply(held))
+    snapshot = read_current(store, snapshot)
+    _check_base(store, submission, snapshot)
+    return _make_result(submission, snapshot, apply(snapshot))
 
 
-def _find_first(
+def _find_previous_result(
     store: storage.Store, submission: submissions.Submission
-) -> submissions.Accepted | None:
+) -> submissions.AcceptedChange | None:
     """Return the result of an earlier submission of the same request."""
     item = table.get(
-        store.table, table.Key(pk=_RESULTS, sk=submission.request)
+        store.table, table.Key(pk=_RESULT_PARTITION, sk=submission.request)
     )
     if item is None:
         return None
@@ -153,47 +165,47 @@
             f"change, accepted as version {item.attributes['version']!s}"
         )
     return msgspec.json.decode(
-        str(item.attributes["result"]), type=submissions.Accepted
+        str(item.attributes["result"]), type=submissions.AcceptedChange
     )
 
 
 def _check_base(
     store: storage.Store,
     submission: submissions.Submission,
-    held: model.Snapshot,
+    snapshot: model.Snapshot,
 ) -> None:
-    if submission.base is None or submission.base == held.version:
+    if submission.base is None or submission.base == snapshot.version:
         return
-    if submission.base > held.version:
+    if submission.base > snapshot.version:
         raise errors.ChangeConflict(
             f"base version {submission.base} does not exist; the newest is "
-            f"{held.version}"
+            f"{snapshot.version}"
         )
-    lost_to = submission.base + 1
+    accepted_version = submission.base + 1
     record = table.get(
-        store.table, table.Key(pk="audit", sk=f"{lost_to:012d}")
+        store.table, table.Key(pk="audit", sk=f"{accepted_version:012d}")
     )
-    who: typing.Any = record.attributes if record is not None else {}
+    accepted: typing.Any = record.attributes if record is not None else {}
     raise errors.ChangeConflict(
-        f"version {lost_to} was accepted first, from "
-        f"{who.get('author', 'unknown')}: {who.get('reason', '')}; "
-        f"the newest version is {held.version}"
+        f"version {accepted_version} was accepted first, from "
+        f"{accepted.get('author', 'unknown')}: {accepted.get('reason', '')}; "
+        f"the newest version is {snapshot.version}"
     )
 
 
-def _describe(
+def _make_result(
     submission: submissions.Submission,
     before: model.Snapshot,
-    applied: requests.Applied,
-) -> submissions.Accepted:
+    applied: requests.AppliedChange,
+) -> submissions.AcceptedChange:
     after = applied.snapshot
-    known = {entry.identifier for entry in before.rollouts}
+    known_rollouts = {entry.identifier for entry in before.rollouts}
     started = [
         entry.identifier
         for entry in after.rollouts
-        if entry.identifier not in known
+        if entry.identifier not in known_rollouts
     ]
-    return submissions.Accepted(
+    return submissions.AcceptedChange(
         version=after.version,
         base=before.version,
         request=submission.request,
@@ -211,13 +223,13 @@
     store: storage.Store,
     submission: submissions.Submission,
     before: model.Snapshot,
-    applied: requests.Applied,
-    accepted: submissions.Accepted,
+    applied: requests.AppliedChange,
+    accepted: submissions.AcceptedChange,
     now: float,
 ) -> None:
     result = table.Put(
         item=table.Item(
-            key=table.Key(pk=_RESULTS, sk=submission.request),
+            key=table.Key(pk=_RESULT_PARTITION, sk=submission.request),
             attributes={
                 "digest": submission.digest,
                 "version": accepted.version,
@@ -228,7 +240,8 @@
     )
     identifier = f"{submission.request}-{uuid.uuid4().hex[:8]}"
     if applied.snapshot == before:
-        # The result is kept, so that a repetition does not act later.
+        # Store the result, so that a later repetition of this request does
+        # not apply the change to another configuration.
         _write_result(store, result, identifier)
         return
     storage.commit(
--- a/apricotpost/admin/definitions.py
+++ b/apricotpost/admin/definitions.py
@@ -1,4 +1,4 @@
-"""Definitions of services, routes and data centres."""
+"""Changes to the definitions of services, routes and data centres."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -17,8 +17,8 @@
     snapshot: model.Snapshot,
     request: requests.Definitions,
     actor: tokens.Actor,
-) -> requests.Applied:
-    """Put and remove services, routes and data centres.
+) -> requests.AppliedChange:
+    """Create, replace and remove services, routes and data centres.
 
     The versions of an existing service stay as they are; they change only
     through a rollout.
@@ -26,11 +26,11 @@
     Raises
     ------
     apricotpost.errors.AccessDenied
-        With every entry that belongs to another team.
+        The actor may not make some of the changes; all are listed.
     apricotpost.errors.RequestInvalid
-        With every entry that cannot be put or removed.
+        Some entries cannot be defined or removed; all are listed.
     """
-    before = _Maps(
+    before = _EntriesByName(
         services={entry.name: entry for entry in snapshot.services},
         routes={entry.name: entry for entry in snapshot.routes},
         data_centres={entry.name: entry for entry in snapshot.data_centres},
@@ -46,7 +46,7 @@
         raise errors.RequestInvalid(
             f"the definitions have {len(faults)} faults", faults=faults
         )
-    after = _Maps(
+    after = _EntriesByName(
         services=_merge(
             before.services,
             {
@@ -70,7 +70,7 @@
         ),
     )
     changed, unchanged = _describe(before, after, request)
-    return requests.Applied(
+    return requests.AppliedChange(
         snapshot=dataclasses.replace(
             snapshot,
             services=tuple(after.services.values()),
@@ -88,19 +88,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Maps:
+class _EntriesByName:
     services: dict[str, model.Service]
     routes: dict[str, model.Route]
     data_centres: dict[str, model.DataCentre]
 
 
 def _find_denials(
-    before: _Maps, request: requests.Definitions, actor: tokens.Actor
+    before: _EntriesByName, request: requests.Definitions, actor: tokens.Actor
 ) -> Iterator[str]:
     if request.data_centres or request.remove_data_centres:
         if tokens.DATA_CENTRES not in actor.rights:
             yield f"data_centres: needs the right {tokens.DATA_CENTRES}"
-    if tokens.CHANGE not in actor.rights and _touches_services(request):
+    if tokens.CHANGE not in actor.rights and _changes_services(request):
         yield f"services and routes: need the right {tokens.CHANGE}"
     teams = {name: entry.team for name, entry in before.services.items()}
     for entry in request.services:
@@ -110,12 +110,12 @@
     for name in request.remove_services:
         if teams.get(name, actor.team) != actor.team:
             yield f"service {name}: belongs to team {teams[name]}"
-    for name, service in _touched_routes(before, request):
+    for name, service in _find_changed_routes(before, request):
         if teams.get(service, actor.team) != actor.team:
             yield f"route {name}: belongs to team {teams[service]}"
 
 
-def _touches_services(request: requests.Definitions) -> bool:
+def _changes_services(request: requests.Definitions) -> bool:
     return bool(
         request.services
         or request.routes
@@ -124,10 +124,10 @@
     )
 
 
-def _touched_routes(
-    before: _Maps, request: requests.Definitions
+def _find_changed_routes(
+    before: _EntriesByName, request: requests.Definitions
 ) -> Iterator[tuple[str, str]]:
-    """Yield each route with the service it leaves and the one it joins."""
+    """Yield the name of each changed route with its new or old service."""
     for entry in request.routes:
         yield entry.name, entry.service
     for name in (*request.remove_routes, *(r.name for r in request.routes)):
@@ -136,7 +136,7 @@
 
 
 def _find_faults(
-    before: _Maps, request: requests.Definitions
+    before: _EntriesByName, request: requests.Definitions
 ) -> Iterator[str]:
     for entry in request.services:
         if entry.name not in before.services and not entry.first_version:
@@ -156,51 +156,55 @@
             request.data_centres,
         ),
     )
-    for what, known, removed, put in kinds:
-        names = [entry.name for entry in put]
+    for kind, existing, removed, defined in kinds:
+        names = [entry.name for entry in defined]
         for name in removed:
-            if name not in known:
-                yield f"{what} {name}: does not exist"
+            if name not in existing:
+                yield f"{kind} {name}: does not exist"
         for name in sorted({each for each in names if names.count(each) > 1}):
-            yield f"{what} {name}: is defined twice"
+            yield f"{kind} {name}: is defined twice"
         for name in sorted(set(names) & set(removed)):
-            yield f"{what} {name}: is both defined and removed"
+            yield f"{kind} {name}: is both defined and removed"
 
 
 def _make_service(
-    before: _Maps, entry: requests.ServiceDefinition
+    before: _EntriesByName, entry: requests.ServiceDefinition
 ) -> model.Service:
-    known = before.services.get(entry.name)
-    if known is not None:
-        return dataclasses.replace(known, team=entry.team)
-    first = model.VersionShare(
+    existing = before.services.get(entry.name)
+    if existing is not None:
+        return dataclasses.replace(existing, team=entry.team)
+    first_share = model.VersionShare(
         version=entry.first_version, share=model.TOTAL_SHARE
     )
-    return model.Service(name=entry.name, team=entry.team, versions=(first,))
+    return model.Service(
+        name=entry.name, team=entry.team, versions=(first_share,)
+    )
 
 
 def _make_data_centre(
-    before: _Maps, entry: requests.DataCentreDefinition
+    before: _EntriesByName, entry: requests.DataCentreDefinition
 ) -> model.DataCentre:
-    known = before.data_centres.get(entry.name)
-    if known is not None:
-        return dataclasses.replace(known, region=entry.region)
+    existing = before.data_centres.get(entry.name)
+    if existing is not None:
+        return dataclasses.replace(existing, region=entry.region)
     return model.DataCentre(name=entry.name, region=entry.region)
 
 
 def _merge(
-    known: dict[str, typing.Any],
-    put: dict[str, typing.Any],
-    remove: Iterable[str],
+    existing: dict[str, typing.Any],
+    defined: dict[str, typing.Any],
+    removed: Iterable[str],
 ) -> dict[str, typing.Any]:
-    result = {**known, **put}
-    for name in remove:
+    result = {**existing, **defined}
+    for name in removed:
         result.pop(name, None)
     return {name: result[name] for name in sorted(result)}
 
 
 def _describe(
-    before: _Maps, after: _Maps, request: requests.Definitions
+    before: _EntriesByName,
+    after: _EntriesByName,
+    request: requests.Definitions,
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     changed: list[str] = []
     unchanged: list[str] = []
@@ -214,11 +218,11 @@
             request.data_centres,
         ),
     )
-    for what, old, new, entries in kinds:
+    for kind, old, new, entries in kinds:
         for entry in entries:
             same = old.get(entry.name) == new.get(entry.name)
-            (unchanged if same else changed).append(f"{what} {entry.name}")
+            (unchanged if same else changed).append(f"{kind} {entry.name}")
         changed.extend(
-            f"{what} {name} removed" for name in old if name not in new
+            f"{kind} {name} removed" for name in old if name not in new
         )
     return tuple(changed), tuple(unchanged)
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -1,4 +1,4 @@
-"""What each path of the administration API does."""
+"""Request handlers of the administration API, one for each path."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -22,31 +22,33 @@
 from apricotpost import settings
 from apricotpost import storage
 
-__all__ = ["Admin", "Request", "find_handler", "make_policy"]
+__all__ = ["Admin", "Request", "find_handler", "make_minimum_durations"]
 
-KEY_HEADER = "idempotency-key"
-BASE_HEADER = "if-match"
+IDEMPOTENCY_KEY_HEADER = "idempotency-key"
+BASE_VERSION_HEADER = "if-match"
 
 
 @dataclasses.dataclass(kw_only=True)
 class Admin:
-    """What the administration threads share.
+    """State shared by the threads that serve the administration API.
 
     Parameters
     ----------
     options : NodeSettings
         Settings of the node.
     open_store : callable
-        Makes a connection to the platform for one thread.
+        Opens a connection to the platform for one thread.
     read_view : callable
         Returns the view in force.
     read_fleet : callable
-        Returns it with the versions that instances hold by now.
+        Returns the view in force with the configuration version that each
+        instance holds now.
     announce : callable
-        Tells control that this node committed a version.
+        Reports a newly committed version to the control task; called with
+        the delta and the author.
     read_levels : callable
-        Returns the service levels that this node counted.
-    local : threading.local
+        Returns the service level counts of this node.
+    thread_local : threading.local
         Holds each thread's connection to the platform.
     """
 
@@ -56,7 +58,9 @@
     read_fleet: Callable[[], model.View]
     announce: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
-    local: threading.local = dataclasses.field(default_factory=threading.local)
+    thread_local: threading.local = dataclasses.field(
+        default_factory=threading.local
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,11 +70,11 @@
     Parameters
     ----------
     name : str
-        Variable part of the path.
+        Variable part of the path; empty if the path has none.
     query : mapping of str to str
         Parameters of the URL.
     headers : mapping of str to str
-        By name in lower case.
+        Header values by lower-case name.
     """
 
     actor: tokens.Actor
@@ -91,18 +95,20 @@
     Raises
     ------
     apricotpost.errors.ResourceUnknown
-        There is no such path for this method.
+        No handler has this method and path.
     """
-    for known, pattern, handler in _PATHS:
-        match = re.fullmatch(pattern, path)
-        if match and known == method:
-            return handler, "".join(match.groups())
+    for handler_method, pattern, handler in _HANDLERS:
+        path_match = re.fullmatch(pattern, path)
+        if path_match and handler_method == method:
+            return handler, "".join(path_match.groups())
     raise errors.ResourceUnknown(f"there is no {method} {path}")
 
 
-def make_policy(times: settings.TimeSettings) -> requests.Policy:
-    """Return the shortest times of moves that the settings allow."""
-    return requests.Policy(
+def make_minimum_durations(
+    times: settings.TimeSettings,
+) -> requests.MinimumDurations:
+    """Return the minimum durations of moves under these settings."""
+    return requests.MinimumDurations(
         rollout_seconds=steps.shortest_seconds(
             steps.Times(step_seconds=times.step_seconds)
         ),
@@ -130,25 +136,28 @@
 
 def _get_history(admin: Admin, request: Request) -> typing.Any:
     return reads.read_history(
-        _store(admin),
+        _thread_store(admin),
         admin.read_fleet(),
         service=request.query.get("service", ""),
-        limit=_number(request, "limit", reads.PAGE_ITEMS, 1000),
+        limit=_parse_count(request, "limit", reads.DEFAULT_PAGE_ITEMS, 1000),
     )
 
 
 def _get_move(admin: Admin, request: Request) -> typing.Any:
     return reads.read_move(
-        _store(admin), admin.read_fleet(), request.name, now=time.time()
+        _thread_store(admin),
+        admin.read_fleet(),
+        request.name,
+        now=time.time(),
     )
 
 
 def _get_audit(admin: Admin, request: Request) -> typing.Any:
-    newest = storage.read_head(_store(admin)) + 1
+    newest = storage.read_head(_thread_store(admin)) + 1
     return reads.read_audit(
-        _store(admin),
-        before=_number(request, "before", newest, newest),
-        limit=_number(request, "limit", reads.PAGE_ITEMS, 1000),
+        _thread_store(admin),
+        before=_parse_count(request, "before", newest, newest),
+        limit=_parse_count(request, "limit", reads.DEFAULT_PAGE_ITEMS, 1000),
     )
 
 
@@ -165,73 +174,78 @@
         ) from error
     reason = request.query.get("reason", "morning sheet")
     change = requests.SheetChange(text=text, reason=reason)
-    return _change(admin, request, change)
+    return _submit_change(admin, request, change)
 
 
 def _post_services(admin: Admin, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.Definitions)
-    return _change(admin, request, change)
+    return _submit_change(admin, request, change)
 
 
 def _post_data_centre(admin: Admin, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.DataCentreChange)
     change = dataclasses.replace(change, name=request.name)
-    return _change(admin, request, change)
+    return _submit_change(admin, request, change)
 
 
 def _post_withdraw(admin: Admin, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.WithdrawRollout)
     change = dataclasses.replace(change, rollout=request.name)
-    return _change(admin, request, change)
+    return _submit_change(admin, request, change)
 
 
-def _change(
+def _submit_change(
     admin: Admin, request: Request, change: requests.ChangeRequest
-) -> submissions.Accepted:
-    """Commit a change, or only check it for the parameter ``check``."""
+) -> submissions.AcceptedChange:
+    """Commit a change, or only check it if ``check`` is in the URL."""
     if not request.actor.rights & {tokens.CHANGE, tokens.DATA_CENTRES}:
         tokens.require_right(request.actor, tokens.CHANGE)
     now = time.time()
 
-    def apply(snapshot: model.Snapshot) -> requests.Applied:
+    def apply(snapshot: model.Snapshot) -> requests.AppliedChange:
         return changes.apply_change(
             snapshot,
             change,
             actor=request.actor,
-            policy=make_policy(admin.options.times),
+            minimum_durations=make_minimum_durations(admin.options.times),
             now=now,
         )
 
-    store, held = _store(admin), admin.read_view().snapshot
+    store, node_snapshot = (
+        _thread_store(admin),
+        admin.read_view().snapshot,
+    )
     submission = _make_submission(request, change.reason)
     if request.query.get("check"):
-        return commits.check(store, submission, apply, held=held)
+        return commits.check_change(
+            store, submission, apply, snapshot=node_snapshot
+        )
     return commits.submit(
         store,
         submission,
         apply,
         announce=lambda delta: admin.announce(delta, request.actor.author),
-        held=held,
+        snapshot=node_snapshot,
         now=now,
     )
 
 
 def _make_submission(request: Request, reason: str) -> submissions.Submission:
-    key = request.headers.get(KEY_HEADER) or uuid.uuid4().hex
+    key = request.headers.get(IDEMPOTENCY_KEY_HEADER) or uuid.uuid4().hex
     digest = hashlib.sha256(
         f"{request.method} {request.path}\n".encode() + request.body
     )
     return submissions.Submission(
         actor=request.actor,
-        request=commits.make_identifier(request.actor, key),
+        request=commits.make_request_identifier(request.actor, key),
         digest=digest.hexdigest(),
         reason=reason,
-        base=_base_version(request),
+        base=_parse_base_version(request),
     )
 
 
-def _base_version(request: Request) -> int | None:
-    text = request.headers.get(BASE_HEADER, "").strip().strip('"')
+def _parse_base_version(request: Request) -> int | None:
+    text = request.headers.get(BASE_VERSION_HEADER, "").strip().strip('"')
     if not text:
         return None
     if not re.fullmatch("[0-9]{1,12}", text):
@@ -241,34 +255,36 @@
     return int(text)
 
 
-def _number(request: Request, name: str, default: int, most: int) -> int:
+def _parse_count(
+    request: Request, name: str, default: int, maximum: int
+) -> int:
     text = request.query.get(name, str(default))
     if not re.fullmatch("[0-9]{1,12}", text) or int(text) < 1:
         raise errors.RequestInvalid(
-            f"{name} is {text!r}, expected a number from 1"
+            f"{name} is {text!r}, expected an integer of 1 or more"
         )
-    return min(int(text), most)
+    return min(int(text), maximum)
 
 
-def _store(admin: Admin) -> storage.Store:
+def _thread_store(admin: Admin) -> storage.Store:
     """Return the calling thread's connection to the platform."""
-    local = admin.local
-    if getattr(local, "store", None) is None:
-        local.store = admin.open_store()
-    return typing.cast(storage.Store, local.store)
+    thread_local = admin.thread_local
+    if getattr(thread_local, "store", None) is None:
+        thread_local.store = admin.open_store()
+    return typing.cast(storage.Store, thread_local.store)
 
 
-_NAME = r"([A-Za-z0-9][A-Za-z0-9._+-]*)"
-_PATHS: tuple[tuple[str, str, Handler], ...] = (
+_NAME_PATTERN = r"([A-Za-z0-9][A-Za-z0-9._+-]*)"
+_HANDLERS: tuple[tuple[str, str, Handler], ...] = (
     ("GET", "/v1/status", _get_status),
     ("GET", "/v1/config", _get_config),
     ("GET", "/v1/instances", _get_instances),
     ("GET", "/v1/history", _get_history),
-    ("GET", f"/v1/history/{_NAME}", _get_move),
+    ("GET", f"/v1/history/{_NAME_PATTERN}", _get_move),
     ("GET", "/v1/audit", _get_audit),
     ("GET", "/v1/levels", _get_levels),
     ("POST", "/v1/sheet", _post_sheet),
     ("POST", "/v1/services", _post_services),
-    ("POST", f"/v1/data-centres/{_NAME}", _post_data_centre),
-    ("POST", f"/v1/rollouts/{_NAME}/withdraw", _post_withdraw),
+    ("POST", f"/v1/data-centres/{_NAME_PATTERN}", _post_data_centre),
+    ("POST", f"/v1/rollouts/{_NAME_PATTERN}/withdraw", _post_withdraw),
 )
--- a/apricotpost/admin/moves.py
+++ b/apricotpost/admin/moves.py
@@ -1,4 +1,4 @@
-"""Data centre moves: their pending records and their recorded ends."""
+"""Data centre moves: their pending records and their outcomes."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -20,25 +20,25 @@
 PENDING = "move"
 OUTCOME = "outcome"
 
-_EXISTS = table.Condition(expression="attribute_exists(pk)")
+_ITEM_EXISTS = table.Condition(expression="attribute_exists(pk)")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PendingMove:
-    """A data centre move that is not in force everywhere yet.
+    """A data centre move that not every instance has applied yet.
 
     Parameters
     ----------
     identifier : str
         ``VERSION-NAME``; sorts by configuration version.
     data_centre, state : str
-        What moves, and to which state.
+        Name of the data centre and its new state.
     version : int
         Configuration version that contains the move.
     started_at, finish_by : float
         Unix time in seconds.
     author : str
-        Who asked for it.
+        Who submitted the change.
     """
 
     identifier: str
@@ -52,7 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Progress:
-    """Instances that report the version, and those that do not yet."""
+    """Number of instances that hold the version of a move, and the others."""
 
     reported: int
     outstanding: tuple[str, ...]
@@ -60,7 +60,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MoveOutcome:
-    """End of a move; ``late`` says whether it came after ``finish_by``."""
+    """End of a move.
+
+    ``at`` is Unix time in seconds; ``late`` says whether it is after the
+    move's ``finish_by``.
+    """
 
     move: PendingMove
     at: float
@@ -72,8 +76,8 @@
 ) -> Progress:
     """Count the known instances that hold the version of a move.
 
-    Instances that are down hold nothing. A suspect one still counts: behind
-    a partition it may go on with the older version.
+    Instances that are down are ignored. Suspect ones are counted: behind a
+    network partition an instance may still use the older version.
     """
     known = [
         record
@@ -93,7 +97,7 @@
 def decide_outcome(
     move: PendingMove, view: model.View, now: float
 ) -> MoveOutcome | None:
-    """Return the end of a move once every known instance reports it."""
+    """Return the outcome of a move, None until all instances hold it."""
     progress = measure_progress(move, view.instances)
     if progress.outstanding or not progress.reported:
         return None
@@ -111,7 +115,7 @@
 
 
 def decode_pending(item: table.Item) -> PendingMove:
-    """Read a pending move from its item."""
+    """Decode a pending move from its table item."""
     values = item.attributes
     return PendingMove(
         identifier=item.key.sk,
@@ -127,13 +131,14 @@
 def end_writes(outcome: MoveOutcome) -> tuple[table.Write, ...]:
     """Return the writes that replace a pending move by its outcome.
 
-    The condition lets only the first of several writers record the end.
+    The conditions let only the first of several nodes record the outcome.
     """
     move = outcome.move
     taken_ms = int((outcome.at - move.started_at) * 1000)
     return (
         table.Delete(
-            key=table.Key(pk=PENDING, sk=move.identifier), condition=_EXISTS
+            key=table.Key(pk=PENDING, sk=move.identifier),
+            condition=_ITEM_EXISTS,
         ),
         table.Put(
             item=table.Item(
--- a/apricotpost/admin/reads.py
+++ b/apricotpost/admin/reads.py
@@ -1,4 +1,4 @@
-"""What operators see: values for JSON answers, from the view and the table."""
+"""JSON values for operators, read from the view and the platform's table."""
 
 from collections.abc import Iterable
 import typing
@@ -10,7 +10,7 @@
 from apricotpost.storage import table
 
 __all__ = [
-    "PAGE_ITEMS",
+    "DEFAULT_PAGE_ITEMS",
     "describe_rollout",
     "describe_status",
     "read_audit",
@@ -18,11 +18,11 @@
     "read_move",
 ]
 
-PAGE_ITEMS = 200
-# History shows the moves of so many versions, about 3 days at the target
-# size.
+DEFAULT_PAGE_ITEMS = 200
+# The history covers moves that started in this many newest configuration
+# versions, about 3 days at the target size.
 HISTORY_VERSIONS = 10_000
-QUERY_ITEMS = 1000
+QUERY_PAGE_ITEMS = 1000
 
 Json = dict[str, typing.Any]
 
@@ -60,8 +60,9 @@
 ) -> Json:
     """Describe a rollout as nodes treat it at this moment.
 
-    A withdrawal, or the passing of ``finish_by`` while it is running, counts
-    before it is durable.
+    A rollout is reported as withdrawn once a withdrawal is known, or once
+    ``finish_by`` has passed while it is running, even before the withdrawal
+    is stored.
     """
     state, reason = rollout.state, rollout.reason
     for entry in withdrawals:
@@ -88,16 +89,16 @@
 def read_history(
     store: storage.Store, view: model.View, *, service: str, limit: int
 ) -> Json:
-    """Read the last ended moves, and data centre moves under way.
+    """Return the newest outcomes of moves and the running data centre moves.
 
     Parameters
     ----------
     store : apricotpost.storage.Store
-        Where to read.
+        Connection to the platform.
     view : apricotpost.model.View
-        From which the progress of moves is counted.
+        Instances from which the progress of moves is counted.
     service : str
-        Only its rollouts are returned; empty for all moves.
+        Service whose rollouts are returned; empty for all moves.
     limit : int
         Largest number of outcomes.
 
@@ -122,7 +123,7 @@
 def read_move(
     store: storage.Store, view: model.View, identifier: str, *, now: float
 ) -> Json:
-    """Read how one rollout or data centre move stands.
+    """Return the state of one rollout or data centre move.
 
     Raises
     ------
@@ -145,7 +146,7 @@
 
 
 def read_audit(store: storage.Store, *, before: int, limit: int) -> Json:
-    """Read the audit records below a version, newest first.
+    """Return the audit records of versions below ``before``, newest first.
 
     Raises
     ------
@@ -167,17 +168,18 @@
 def _read_outcomes(
     store: storage.Store, version: int
 ) -> typing.Iterator[table.Item]:
-    """Yield the ends of moves that began in the last versions.
+    """Yield the outcomes of moves that started in the newest versions.
 
-    Their identifiers start with the configuration version that began them.
+    The identifier of a move starts with the configuration version that
+    started it.
     """
     after = f"{max(version - HISTORY_VERSIONS, 0):012d}"
     while True:
         page = table.query(
-            store.table, pk=moves.OUTCOME, after=after, limit=QUERY_ITEMS
+            store.table, pk=moves.OUTCOME, after=after, limit=QUERY_PAGE_ITEMS
         )
         yield from page
-        if len(page) < QUERY_ITEMS:
+        if len(page) < QUERY_PAGE_ITEMS:
             return
         after = page[-1].key.sk
 
@@ -219,7 +221,10 @@
 
 
 def _describe_outcome(item: table.Item) -> Json:
-    """Describe an outcome; bytes are left out, as they are not for people."""
+    """Describe an outcome.
+
+    Binary attributes are omitted, as operators cannot read them.
+    """
     values: Json = {
         name: value
         for name, value in item.attributes.items()
--- a/apricotpost/admin/requests.py
+++ b/apricotpost/admin/requests.py
@@ -1,4 +1,4 @@
-"""Frozen requests for changes and what follows from one."""
+"""Data classes of change requests and of their results."""
 
 import dataclasses
 import typing
@@ -10,14 +10,14 @@
 from apricotpost import settings
 
 __all__ = [
-    "Applied",
+    "AppliedChange",
     "ChangeRequest",
     "DataCentreChange",
     "DataCentreDefinition",
     "DataCentreMove",
     "Definitions",
     "Move",
-    "Policy",
+    "MinimumDurations",
     "ServiceDefinition",
     "SheetChange",
     "VersionMove",
@@ -32,15 +32,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Policy:
-    """Shortest times that a move may take.
+class MinimumDurations:
+    """Minimum durations of moves.
 
     Parameters
     ----------
     rollout_seconds : float
-        From the change to the end of a rollout, in seconds.
+        From the accepted change to the end of a rollout, in seconds.
     data_centre_seconds : float
-        From the change to the end of a data centre move, in seconds.
+        From the accepted change to the end of a data centre move, in
+        seconds.
     """
 
     rollout_seconds: float
@@ -49,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SheetChange:
-    """The morning sheet as CSV text."""
+    """A submitted sheet; ``text`` is CSV."""
 
     text: str
     reason: str = "morning sheet"
@@ -57,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceDefinition:
-    """A service; ``first_version`` counts only for a new service."""
+    """A service; ``first_version`` is used only for a new service."""
 
     name: Name
     team: Name
@@ -74,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Definitions:
-    """Services, routes and data centres to put or to remove."""
+    """Services, routes and data centres to create, replace or remove."""
 
     services: tuple[ServiceDefinition, ...] = ()
     routes: tuple[model.Route, ...] = ()
@@ -87,9 +88,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DataCentreChange:
-    """Take a data centre out or return it.
+    """Take a data centre out of service or return it to service.
 
-    ``finish_by`` is Unix time in seconds; 0 stands for the shortest time.
+    ``finish_by`` is Unix time in seconds; 0 selects the earliest time that
+    the minimum duration allows.
     """
 
     state: model.DataCentreState
@@ -100,7 +102,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WithdrawRollout:
-    """End a rollout; the old version takes all calls again."""
+    """Withdraw a rollout; the old version receives all calls again."""
 
     rollout: str = ""
     reason: str = "withdrawn by an operator"
@@ -111,7 +113,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VersionMove:
-    """Move a service to a version; ``finish_by`` is Unix time."""
+    """Move a service to a version.
+
+    ``finish_by`` is Unix time in seconds.
+    """
 
     service: str
     version: str
@@ -120,7 +125,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DataCentreMove:
-    """Move a data centre in or out; ``finish_by`` is Unix time."""
+    """Move a data centre in or out of service.
+
+    ``finish_by`` is Unix time in seconds.
+    """
 
     data_centre: str
     state: model.DataCentreState
@@ -131,19 +139,20 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Applied:
+class AppliedChange:
     """A change applied to a snapshot, not yet committed.
 
     Parameters
     ----------
     snapshot : apricotpost.model.Snapshot
-        Sealed; the one before if nothing changed.
+        With its checksum; the previous snapshot if nothing changed.
     changed, unchanged : tuple of str
-        What changes and what already held, one sentence each.
+        Descriptions of what changes and of what is in force already.
     moves : tuple of DataCentreMove
-        Data centre moves, whose end is recorded later.
+        Data centre moves that start with this change; their outcomes are
+        recorded later.
     withdrawn : tuple of (apricotpost.model.Rollout, ...)
-        Rollouts that the change ended, each before and after.
+        Rollouts that the change ended, each as it was before and after.
     """
 
     snapshot: model.Snapshot
@@ -154,12 +163,13 @@
 
 
 def decode(body: bytes, kind: type[T]) -> T:
-    """Decode a JSON body and list every fault.
+    """Decode the JSON body of a request.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
-        The body is not JSON or does not have the type.
+        The body is not JSON or does not match the type; all faults are
+        listed.
     """
     try:
         raw = msgspec.json.decode(body or b"{}")
--- a/apricotpost/admin/sheet.py
+++ b/apricotpost/admin/sheet.py
@@ -1,4 +1,8 @@
-"""The morning sheet: CSV text to moves, with every fault listed."""
+"""Validation of the sheet, in which operators state what they want.
+
+Each row sets the version of a service or the state of a data centre. The CSV
+text becomes moves, or an error that lists every fault.
+"""
 
 from collections.abc import Iterator
 import dataclasses
@@ -12,16 +16,16 @@
 
 __all__ = ["CheckedSheet", "check_sheet"]
 
-_VERSION = re.compile(r"[A-Za-z0-9][A-Za-z0-9._+-]{0,62}")
+_VERSION_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._+-]{0,62}")
 _COLUMN_ORDER = {
     name: index for index, name in enumerate(("-", *sheet_text.HEADER))
 }
-_ACTIVE = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
+_ACTIVE_STATES = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CheckedSheet:
-    """Moves that the sheet asks for, and rows that already hold."""
+    """Moves that the sheet asks for, and what is in force already."""
 
     moves: tuple[requests.Move, ...]
     unchanged: tuple[str, ...]
@@ -29,13 +33,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Context:
-    """What rows are checked against."""
+    """Configuration, actor and limits that rows are checked against."""
 
     services: dict[str, model.Service]
     data_centres: dict[str, model.DataCentre]
     active: dict[str, model.Rollout]
     actor: tokens.Actor
-    policy: requests.Policy
+    minimum_durations: requests.MinimumDurations
     now: float
 
 
@@ -44,10 +48,10 @@
     snapshot: model.Snapshot,
     *,
     actor: tokens.Actor,
-    policy: requests.Policy,
+    minimum_durations: requests.MinimumDurations,
     now: float,
 ) -> CheckedSheet:
-    """Check a sheet as a whole against the configuration in force.
+    """Check all rows of a sheet against the configuration in force.
 
     Parameters
     ----------
@@ -57,17 +61,17 @@
         Configuration in force.
     actor : Actor
         Who submits the sheet.
-    policy : Policy
-        Shortest times of moves.
+    minimum_durations : MinimumDurations
+        Minimum durations of moves.
     now : float
         Unix time in seconds.
 
     Raises
     ------
     apricotpost.errors.SheetInvalid
-        With every fault by row and column.
+        The sheet has faults; all are listed by row and column.
     apricotpost.errors.AccessDenied
-        The actor lacks rights for some rows, which are otherwise in order.
+        The actor lacks rights for some rows, and there is no other fault.
     """
     rows, faults = sheet_text.parse_text(text)
     context = _Context(
@@ -76,39 +80,39 @@
         active={
             entry.service: entry
             for entry in snapshot.rollouts
-            if entry.state in _ACTIVE
+            if entry.state in _ACTIVE_STATES
         },
         actor=actor,
-        policy=policy,
+        minimum_durations=minimum_durations,
         now=now,
     )
     faults.extend(_find_duplicates(rows))
     moves: list[requests.Move] = []
     unchanged: list[str] = []
     for row in rows:
-        found = list(_find_row_faults(row, context))
-        faults.extend(found)
-        if not found and _holds(row, context):
+        row_faults = list(_find_row_faults(row, context))
+        faults.extend(row_faults)
+        if not row_faults and _is_in_force(row, context):
             unchanged.append(_describe(row))
-        elif not found:
+        elif not row_faults:
             moves.append(_make_move(row))
-    _raise_faults(faults)
+    _raise_if_faulty(faults)
     return CheckedSheet(moves=tuple(moves), unchanged=tuple(unchanged))
 
 
 def _find_duplicates(rows: list[sheet_text.Row]) -> Iterator[sheet_text.Fault]:
-    first: dict[tuple[str, str], int] = {}
+    first_rows: dict[tuple[str, str], int] = {}
     for row in rows:
         for column, name in (
             ("service", row.service),
             ("data_centre", row.data_centre),
         ):
-            earlier = first.setdefault((column, name), row.number)
-            if name and earlier != row.number:
+            first_row = first_rows.setdefault((column, name), row.number)
+            if name and first_row != row.number:
                 yield sheet_text.Fault(
                     row=row.number,
                     column=column,
-                    text=f"{name} already stands in row {earlier}",
+                    text=f"{name} is already listed in row {first_row}",
                 )
 
 
@@ -118,7 +122,7 @@
     about_service = bool(row.service or row.version)
     about_centre = bool(row.data_centre or row.state)
     if about_service == about_centre:
-        yield _fault(
+        yield _make_fault(
             row,
             "service",
             "a row names either a service and a version, "
@@ -136,20 +140,20 @@
 ) -> Iterator[sheet_text.Fault]:
     service = context.services.get(row.service)
     if not row.service:
-        yield _fault(row, "service", "missing")
+        yield _make_fault(row, "service", "missing")
     elif service is None:
         known = ", ".join(context.services) or "none"
-        yield _fault(
+        yield _make_fault(
             row, "service", f"unknown service {row.service!r}; known: {known}"
         )
-    if not _VERSION.fullmatch(row.version):
-        yield _fault(row, "version", f"{row.version!r} is not a version")
-    if service is None or _holds(row, context):
+    if not _VERSION_PATTERN.fullmatch(row.version):
+        yield _make_fault(row, "version", f"{row.version!r} is not a version")
+    if service is None or _is_in_force(row, context):
         return
     yield from _find_team_faults(row, service, context)
     rollout = context.active.get(row.service)
     if rollout is not None:
-        yield _fault(
+        yield _make_fault(
             row,
             "version",
             f"rollout {rollout.identifier} to {rollout.new} is "
@@ -162,7 +166,7 @@
 ) -> Iterator[sheet_text.Fault]:
     actor = context.actor
     if service.team != actor.team or tokens.CHANGE not in actor.rights:
-        yield _fault(
+        yield _make_fault(
             row,
             "service",
             f"{row.service} belongs to team {service.team}; "
@@ -175,22 +179,22 @@
     row: sheet_text.Row, context: _Context
 ) -> Iterator[sheet_text.Fault]:
     if not row.data_centre:
-        yield _fault(row, "data_centre", "missing")
+        yield _make_fault(row, "data_centre", "missing")
     elif row.data_centre not in context.data_centres:
         known = ", ".join(context.data_centres) or "none"
-        yield _fault(
+        yield _make_fault(
             row,
             "data_centre",
             f"unknown data centre {row.data_centre!r}; known: {known}",
         )
     if row.state not in ("in", "out"):
-        yield _fault(row, "state", f"{row.state!r} is not 'in' or 'out'")
+        yield _make_fault(row, "state", f"{row.state!r} is not 'in' or 'out'")
     elif (
         row.data_centre in context.data_centres
-        and not _holds(row, context)
+        and not _is_in_force(row, context)
         and tokens.DATA_CENTRES not in context.actor.rights
     ):
-        yield _fault(
+        yield _make_fault(
             row,
             "data_centre",
             f"{context.actor.author} lacks the right "
@@ -204,36 +208,36 @@
 ) -> Iterator[sheet_text.Fault]:
     finish_by = sheet_text.parse_time(row.finish_by)
     if row.finish_by and finish_by is None:
-        yield _fault(
+        yield _make_fault(
             row,
             "finish_by",
             f"{row.finish_by!r} is not a time in RFC 3339 format, "
             "such as 2027-01-15T09:30:00+02:00",
         )
         return
-    if _holds(row, context):
+    if _is_in_force(row, context):
         return
     if finish_by is None:
-        yield _fault(row, "finish_by", "missing")
+        yield _make_fault(row, "finish_by", "missing")
         return
-    shortest = (
-        context.policy.data_centre_seconds
+    minimum_seconds = (
+        context.minimum_durations.data_centre_seconds
         if row.data_centre
-        else context.policy.rollout_seconds
+        else context.minimum_durations.rollout_seconds
     )
-    remaining = finish_by - context.now
-    if remaining <= 0:
-        yield _fault(row, "finish_by", f"{row.finish_by} is in the past")
-    elif remaining < shortest:
-        yield _fault(
+    remaining_seconds = finish_by - context.now
+    if remaining_seconds <= 0:
+        yield _make_fault(row, "finish_by", f"{row.finish_by} is in the past")
+    elif remaining_seconds < minimum_seconds:
+        yield _make_fault(
             row,
             "finish_by",
-            f"{row.finish_by} is too soon: {remaining:.0f} s remain, "
-            f"the move takes at least {shortest:.0f} s",
+            f"{row.finish_by} is too soon: {remaining_seconds:.0f} s remain, "
+            f"the move takes at least {minimum_seconds:.0f} s",
         )
 
 
-def _fault(
+def _make_fault(
     row: sheet_text.Row, column: str, text: str, *, denied: bool = False
 ) -> sheet_text.Fault:
     return sheet_text.Fault(
@@ -241,8 +245,8 @@
     )
 
 
-def _holds(row: sheet_text.Row, context: _Context) -> bool:
-    """Whether the configuration already says what the row asks for."""
+def _is_in_force(row: sheet_text.Row, context: _Context) -> bool:
+    """Return whether the configuration already matches the row."""
     centre = context.data_centres.get(row.data_centre)
     if centre is not None:
         return centre.state.value == row.state
@@ -281,7 +285,7 @@
     return f"data centre {row.data_centre} {row.state}"
 
 
-def _raise_faults(faults: list[sheet_text.Fault]) -> None:
+def _raise_if_faulty(faults: list[sheet_text.Fault]) -> None:
     if not faults:
         return
     faults.sort(key=lambda fault: (fault.row, _COLUMN_ORDER[fault.column]))
--- a/apricotpost/admin/sheet_text.py
+++ b/apricotpost/admin/sheet_text.py
@@ -1,4 +1,4 @@
-"""Text of the morning sheet: CSV to rows."""
+"""Parser of the sheet: CSV text to rows."""
 
 from collections.abc import Iterator
 import csv
@@ -10,14 +10,14 @@
 __all__ = ["Fault", "HEADER", "Row", "parse_text", "parse_time"]
 
 HEADER = ("service", "version", "data_centre", "state", "finish_by")
-_TIME = re.compile(
+_TIME_PATTERN = re.compile(
     r"\d{4}-\d{2}-\d{2}[Tt]\d{2}:\d{2}:\d{2}(\.\d+)?([Zz]|[+-]\d{2}:\d{2})"
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Fault:
-    """One fault; ``denied`` marks a lack of rights."""
+    """A validation error in a cell; ``denied`` marks missing rights."""
 
     row: int
     column: str
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
-    """One row as it stands in the sheet; the header is row 1."""
+    """One row with its cells as text; the header is row 1."""
 
     number: int
     service: str
@@ -41,8 +41,8 @@
 
 
 def parse_text(text: str) -> tuple[list[Row], list[Fault]]:
-    """Read the rows of a sheet; without its header there are none."""
-    # Spreadsheet programs put a byte order mark in front.
+    """Parse the rows of a sheet; none without a valid header."""
+    # Spreadsheet programs write a byte order mark at the start.
     reader = csv.reader(io.StringIO(text.removeprefix("\ufeff")), strict=True)
     rows: list[Row] = []
     faults: list[Fault] = []
@@ -56,20 +56,20 @@
                 if any(fields):
                     rows.append(_make_row(number, fields))
             elif any(fields):
-                faults.append(_count_fault(number, len(fields)))
+                faults.append(_make_column_fault(number, len(fields)))
     except csv.Error as error:
         faults.append(Fault(row=number + 1, column="-", text=str(error)))
     if number == 0:
         faults.append(Fault(row=1, column="-", text="the sheet is empty"))
     if faults and not all(fault.row > 1 for fault in faults):
-        # Without its header no column can be trusted.
+        # Without a valid header the order of the columns is unknown.
         return [], [fault for fault in faults if fault.row == 1]
     return rows, faults
 
 
 def parse_time(text: str) -> float | None:
-    """Return the Unix time of an RFC 3339 text, None for another form."""
-    if not _TIME.fullmatch(text):
+    """Return the Unix time of an RFC 3339 text, None if it is not one."""
+    if not _TIME_PATTERN.fullmatch(text):
         return None
     try:
         parsed = datetime.datetime.fromisoformat(text.upper())
@@ -91,7 +91,7 @@
     )
 
 
-def _count_fault(number: int, count: int) -> Fault:
+def _make_column_fault(number: int, count: int) -> Fault:
     return Fault(
         row=number,
         column="-",
--- a/apricotpost/admin/submissions.py
+++ b/apricotpost/admin/submissions.py
@@ -1,4 +1,4 @@
-"""Submissions of changes, their results and their records."""
+"""Submitted changes, their results and the records stored with them."""
 
 import dataclasses
 import typing
@@ -9,25 +9,27 @@
 from apricotpost import storage
 from apricotpost.storage import table
 
-__all__ = ["Accepted", "Submission", "extra_writes", "move_identifier"]
+__all__ = ["AcceptedChange", "Submission", "extra_writes", "move_identifier"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Submission:
-    """A change to commit.
+    """Identity and origin of a change to commit.
 
     Parameters
     ----------
     actor : Actor
-        Who asks.
+        Who submits the change.
     request : str
-        Identifier of the request; a repetition has the same one.
+        Identifier of the request; a repeated request has the same one.
     digest : str
-        Hash of what was asked; tells a repetition from another change.
+        Hash of the request's content; tells a repeated request from another
+        one with the same identifier.
     reason : str
-        Kept in the audit record.
+        Text for the audit record.
     base : int, optional
-        Version on which the change must build.
+        Configuration version that must be the newest for the change to be
+        accepted.
     """
 
     actor: tokens.Actor
@@ -38,10 +40,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Accepted:
+class AcceptedChange:
     """Result of an accepted change.
 
-    ``rollouts`` and ``moves`` identify what `apricotpost-ctl watch` follows.
+    ``rollouts`` and ``moves`` hold the identifiers of the moves that the
+    change started.
     """
 
     version: int
@@ -54,9 +57,9 @@
 
 
 def extra_writes(
-    submission: Submission, applied: requests.Applied, now: float
+    submission: Submission, applied: requests.AppliedChange, now: float
 ) -> typing.Iterator[table.Write]:
-    """Yield the writes that belong to a change besides its version."""
+    """Yield the writes to commit together with the new version."""
     version = applied.snapshot.version
     for move in applied.moves:
         yield moves.pending_write(
@@ -80,5 +83,5 @@
 
 
 def move_identifier(version: int, move: requests.DataCentreMove) -> str:
-    """Return the identifier of a move; it sorts by version."""
+    """Return the identifier of a move; identifiers sort by version."""
     return f"{version:012d}-{move.data_centre}"
--- a/apricotpost/admin/tokens.py
+++ b/apricotpost/admin/tokens.py
@@ -1,4 +1,4 @@
-"""Bearer tokens: who asks, for which team, with which rights."""
+"""Bearer tokens: authentication of actors and their rights."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -26,14 +26,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Actor:
-    """Who makes a request.
+    """Authenticated person or program that makes a request.
 
     Parameters
     ----------
     author : str
         Name kept in the audit record.
     team : str
-        Team whose services may be changed.
+        Team whose services the actor may change.
     rights : frozenset of str
         Any of `READ`, `CHANGE` and `DATA_CENTRES`.
     """
@@ -48,8 +48,8 @@
 ) -> Actor:
     """Find the owner of the token in an ``Authorization`` header.
 
-    Every known hash is compared in constant time, so that the duration says
-    nothing about which of them is close.
+    Every known hash is compared in constant time, so that the response time
+    does not reveal how much of a hash matched.
 
     Raises
     ------
@@ -59,9 +59,9 @@
     scheme, _, token = header.partition(" ")
     digest = hashlib.sha256(token.strip().encode()).hexdigest()
     found = None
-    for entry in tokens:
-        if hmac.compare_digest(entry.sha256, digest):
-            found = entry
+    for known_token in tokens:
+        if hmac.compare_digest(known_token.sha256, digest):
+            found = known_token
     if found is None or scheme.lower() != _SCHEME or not token.strip():
         raise errors.AuthenticationFailed(
             "expected 'Authorization: Bearer TOKEN' with a known token"
@@ -72,12 +72,12 @@
 
 
 def require_right(actor: Actor, right: str) -> None:
-    """Check that an actor holds a right.
+    """Raise an error unless an actor holds a right.
 
     Raises
     ------
     apricotpost.errors.AccessDenied
-        It does not.
+        The actor lacks the right.
     """
     if right not in actor.rights:
         raise errors.AccessDenied(
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -1,4 +1,4 @@
-"""Administration API against the platform stand-in, without a node."""
+"""Administration API with the platform stand-in, without a node."""
 
 import contextlib
 import dataclasses
@@ -16,7 +16,7 @@
 
 __all__ = ["Api", "TOKENS", "open_api"]
 
-# Token to author, team and rights.
+# Author, team and rights of each token.
 TOKENS = {
     "t-portal": ("ilze", "portal-team", ("read", "change", "data-centres")),
     "t-second": ("juris", "portal-team", ("read", "change")),
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Api:
-    """The application, the stand-in's state and what was announced."""
+    """The application, the stand-in's state and the announced deltas."""
 
     app: object
     platform: stand_in.State
@@ -36,7 +36,7 @@
     announced: list[model.Delta]
 
     def call(self, method, target, body=b"", *, token="t-portal", **headers):
-        """Send a request; returns the status and the decoded answer."""
+        """Send a request; return the status and the decoded answer."""
         path, _, query = target.partition("?")
         data = body.encode() if isinstance(body, str) else body
         environ = {
@@ -50,9 +50,11 @@
             environ["HTTP_AUTHORIZATION"] = f"Bearer {token}"
         for name, value in headers.items():
             environ["HTTP_" + name.upper()] = value
-        found = []
-        (answer,) = self.app(environ, lambda status, _: found.append(status))
-        return int(found[0].split()[0]), json.loads(answer)
+        statuses = []
+        (answer,) = self.app(
+            environ, lambda status, _: statuses.append(status)
+        )
+        return int(statuses[0].split()[0]), json.loads(answer)
 
     def items(self, pk):
         """Return the sort keys of a partition of the table."""
@@ -61,7 +63,7 @@
 
 @contextlib.contextmanager
 def open_api():
-    """Serve the platform and make an application in front of it."""
+    """Serve the platform stand-in and make an application that uses it."""
     state = stand_in.State()
     logger = logging.getLogger("apricotpost.admin.app")
     logger.disabled = True
--- a/tests/admin/test_app.py
+++ b/tests/admin/test_app.py
@@ -1,4 +1,4 @@
-"""Tests of the administration API in front of the platform stand-in."""
+"""Tests of the administration API with the platform stand-in."""
 
 import datetime
 import json
@@ -29,7 +29,7 @@
 
 
 def later(seconds=600):
-    """Return a time ahead in RFC 3339 format."""
+    """Return a time in the future in RFC 3339 format."""
     moment = datetime.datetime.now(datetime.UTC)
     moment += datetime.timedelta(seconds=seconds)
     return moment.isoformat(timespec="seconds")
@@ -50,7 +50,10 @@
         return self.api.call("POST", target, body, **headers)
 
     def test_nothing_is_shown_without_a_token(self):
-        """Guards against an open path, also one that does not exist."""
+        """Guards against a path that answers without a valid token.
+
+        Unknown paths are refused alike, so that they cannot be told apart.
+        """
         for method, path in (
             ("GET", "/v1/status"),
             ("GET", "/v1/nothing"),
@@ -61,15 +64,15 @@
                 self.assertEqual((401, "AP501"), (status, answer["code"]))
 
     def test_wrong_team_and_rights_change_nothing(self):
-        """Guards against a change that a token does not allow."""
+        """Guards against a change that the token's team or rights forbid."""
         routes = {"routes": [{**DEFINITIONS["routes"][0], "timeout_ms": 9}]}
-        stolen = {"services": [{"name": "portal", "team": "cert-team"}]}
+        other_team = {"services": [{"name": "portal", "team": "cert-team"}]}
         centres = {"data_centres": [{"name": "x", "region": "r"}]}
         for token, path, body in (
             ("t-cert", "/v1/sheet", self.sheet),
             ("t-reader", "/v1/sheet", self.sheet),
             ("t-cert", "/v1/services", routes),
-            ("t-cert", "/v1/services", stolen),
+            ("t-cert", "/v1/services", other_team),
             ("t-cert", "/v1/services", {"remove_services": ["portal"]}),
             ("t-second", "/v1/services", centres),
             ("t-second", "/v1/data-centres/riga-1", {"state": "out"}),
@@ -81,7 +84,7 @@
         self.assertEqual(1, len(self.audit()))
 
     def test_sheet_is_one_version_with_an_audit_record(self):
-        """Guards against a sheet spread over several versions."""
+        """Guards against a sheet that is committed as several versions."""
         sheet = self.sheet + f",,riga-1,out,{later()}\n"
         status, answer = self.post("/v1/sheet", sheet)
         self.assertEqual((200, 2), (status, answer["version"]))
@@ -93,13 +96,17 @@
         self.assertEqual(answer["moves"], self.api.items("move"))
 
     def test_check_writes_nothing(self):
-        """Guards against a dry run that takes effect."""
+        """Guards against a check that commits the change."""
         status, answer = self.post("/v1/sheet?check=1", self.sheet)
         self.assertEqual((200, 2), (status, answer["version"]))
         self.assertEqual(1, len(self.audit()))
 
     def test_repeated_request_returns_the_first_result(self):
-        """Guards against a change made twice after a lost answer."""
+        """Guards against a change committed twice.
+
+        A client whose answer was lost sends the same request again, here
+        after another change was accepted.
+        """
         key = {"idempotency_key": "morning-1"}
         first = self.post("/v1/sheet", self.sheet, **key)
         removal = {"remove_routes": ["records"], "remove_services": ["portal"]}
@@ -111,14 +118,20 @@
         self.assertEqual((400, "AP503"), (status, answer["code"]))
 
     def test_lost_answer_of_the_table_is_resolved_by_reading(self):
-        """Guards against a change reported as failed, or written twice."""
+        """Guards against a change reported as failed, or committed twice.
+
+        The table commits the change, but its answer is lost.
+        """
         self.api.platform.faults = stand_in.Faults(lose_answers=1)
         status, answer = self.post("/v1/sheet", self.sheet)
         self.assertEqual((200, 2), (status, answer["version"]), answer)
         self.assertEqual(2, len(self.audit()))
 
     def test_table_down_is_a_typed_refusal(self):
-        """Guards against a half done change and an untyped failure."""
+        """Guards against an untyped error and a partly written change.
+
+        The table is unavailable, then available again.
+        """
         self.api.platform.faults = stand_in.Faults(table_down=True)
         for method, path in (("POST", "/v1/sheet"), ("GET", "/v1/audit")):
             status, answer = self.api.call(method, path, self.sheet)
@@ -128,8 +141,11 @@
         self.assertEqual(1, len(self.audit()))
         self.assertEqual(200, self.post("/v1/sheet", self.sheet)[0])
 
-    def test_conflict_names_the_winner(self):
-        """Guards against an operator who does not learn what won."""
+    def test_conflict_names_the_accepted_change(self):
+        """Guards against a conflict that does not name the accepted change.
+
+        Both changes build on the same base version.
+        """
         self.post("/v1/sheet?reason=new+totals", self.sheet, if_match='"1"')
         status, answer = self.post(
             "/v1/services",
@@ -142,10 +158,13 @@
         self.assertIn("ilze: new totals", answer["message"])
 
     def test_racing_operators_all_get_an_answer(self):
-        """Guards against a change lost between two operators."""
+        """Guards against a change lost when two operators submit at once.
+
+        Without a base version both are accepted; with one only the first.
+        """
         results = []
 
-        def rename(name, headers):
+        def add_route(name, headers):
             route = {**DEFINITIONS["routes"][0], "name": name}
             route["prefix"] = f"/{name}"
             result = self.post("/v1/services", {"routes": [route]}, **headers)
@@ -155,7 +174,7 @@
             results.clear()
             names = [f"r{len(self.audit())}-{n}" for n in range(2)]
             threads = [
-                threading.Thread(target=rename, args=(name, headers))
+                threading.Thread(target=add_route, args=(name, headers))
                 for name in names
             ]
             for thread in threads:
@@ -171,7 +190,7 @@
         self.assertEqual(4, len(self.audit()))
 
     def test_withdrawal_restores_the_old_version(self):
-        """Guards against a withdrawn version that keeps its share."""
+        """Guards against a withdrawn version that keeps receiving calls."""
         _, answer = self.post("/v1/sheet", self.sheet)
         (rollout,) = answer["rollouts"]
         path = f"/v1/rollouts/{rollout}/withdraw"
@@ -187,7 +206,7 @@
         self.assertEqual(["service portal at v1"], answer["unchanged"])
 
     def test_malformed_definitions_are_listed_whole(self):
-        """Guards against a misspelt field that is silently ignored."""
+        """Guards against a misspelt field that is ignored without an error."""
         route = {"name": 1, "idempotant": True, "service": "portal"}
         status, answer = self.post("/v1/services", {"routes": [route]})
         self.assertEqual(400, status)
--- a/tests/admin/test_moves.py
+++ b/tests/admin/test_moves.py
@@ -1,4 +1,4 @@
-"""Tests of the ends of data centre moves."""
+"""Tests of the outcomes of data centre moves."""
 
 import dataclasses
 import unittest
@@ -38,7 +38,10 @@
 
 class MovesTest(unittest.TestCase):
     def test_done_only_when_every_instance_reports_the_version(self):
-        """Guards against a move called done while some callers lag."""
+        """Guards against a move reported as done too early.
+
+        An instance with an older version still routes by the old state.
+        """
         self.assertIsNone(moves.decide_outcome(MOVE, make_view(9, 8), 105.0))
         self.assertIsNone(moves.decide_outcome(MOVE, make_view(), 105.0))
         ended = moves.decide_outcome(MOVE, make_view(9, 10), 105.0)
@@ -46,7 +49,11 @@
         self.assertTrue(moves.decide_outcome(MOVE, make_view(9), 110.5).late)
 
     def test_suspect_instances_count_and_down_ones_do_not(self):
-        """Guards against a partition that counts as agreement."""
+        """Guards against a move reported as done during a network partition.
+
+        A suspect instance may still run behind the partition with the older
+        version; one that is down does not.
+        """
         suspect = model.InstanceState.SUSPECT
         view = make_view(9, 8, state=suspect)
         self.assertIsNone(moves.decide_outcome(MOVE, view, 105.0))
@@ -57,7 +64,7 @@
         self.assertIsNotNone(moves.decide_outcome(MOVE, view, 105.0))
 
     def test_outcome_keeps_the_time_it_took(self):
-        """Guards against an end without its duration."""
+        """Guards against an outcome without its duration or lateness."""
         ended = moves.decide_outcome(MOVE, make_view(9), 112.5)
         _, put = moves.end_writes(ended)
         self.assertEqual(12_500, put.item.attributes["taken_ms"])
--- a/tests/admin/test_sheet.py
+++ b/tests/admin/test_sheet.py
@@ -1,4 +1,4 @@
-"""Tests of the morning sheet."""
+"""Tests of the validation of the sheet."""
 
 import datetime
 import unittest
@@ -13,12 +13,20 @@
 from apricotpost import errors
 from apricotpost import model
 
-__all__ = ["NOW", "OPERATOR", "POLICY", "SheetTest", "make_snapshot"]
+__all__ = [
+    "NOW",
+    "OPERATOR",
+    "MINIMUM_DURATIONS",
+    "SheetTest",
+    "make_snapshot",
+]
 
 NOW = datetime.datetime(2027, 1, 15, 8, tzinfo=datetime.UTC).timestamp()
 HEADER = "service,version,data_centre,state,finish_by\n"
 LATER = "2027-01-15T09:00:00Z"
-POLICY = requests.Policy(rollout_seconds=30, data_centre_seconds=10)
+MINIMUM_DURATIONS = requests.MinimumDurations(
+    rollout_seconds=30, data_centre_seconds=10
+)
 OPERATOR = tokens.Actor(
     author="ilze",
     team="portal-team",
@@ -47,20 +55,26 @@
 
 
 def check(text, *, actor=OPERATOR, snapshot=None):
-    """Check a sheet against the small configuration."""
+    """Check a sheet against a small configuration."""
     return sheet.check_sheet(
-        text, snapshot or make_snapshot(), actor=actor, policy=POLICY, now=NOW
+        text,
+        snapshot or make_snapshot(),
+        actor=actor,
+        minimum_durations=MINIMUM_DURATIONS,
+        now=NOW,
     )
 
 
 class SheetTest(unittest.TestCase):
-    def assert_faults(self, rows, expected, kind=errors.SheetInvalid, **more):
-        with self.assertRaises(kind) as caught:
-            check(HEADER + "\n".join(rows), **more)
+    def assert_faults(
+        self, rows, expected, error_type=errors.SheetInvalid, **options
+    ):
+        with self.assertRaises(error_type) as caught:
+            check(HEADER + "\n".join(rows), **options)
         self.assertEqual(expected, list(caught.exception.faults))
 
     def test_rows_become_moves(self):
-        """Guards against lost rows, a byte order mark and CRLF endings."""
+        """Guards against rows lost to a byte order mark or CRLF line ends."""
         text = "\ufeff" + HEADER + f"portal,v2,,,{LATER}\n\n"
         text += ",,riga-2,out,2027-01-15T11:00:00+02:00\n"
         checked = check(text.replace("\n", "\r\n"))
@@ -93,10 +107,10 @@
                 ",,riga-1,out,",
             ],
             [
-                "row 3, column service: portal already stands in row 2",
+                "row 3, column service: portal is already listed in row 2",
                 "row 4, column service: unknown service 'nothere'; known: "
                 "certdesk, portal",
-                "row 5, column service: portal already stands in row 2",
+                "row 5, column service: portal is already listed in row 2",
                 "row 5, column service: a row names either a service and a "
                 "version, or a data centre and a state",
                 "row 6, column data_centre: unknown data centre 'riga-9'; "
@@ -111,32 +125,40 @@
                 "row 8, column finish_by: 2027-01-15T08:00:05Z is too soon: "
                 "5 s remain, the move takes at least 10 s",
                 "row 9, column -: 2 columns, expected 5",
-                "row 10, column data_centre: riga-1 already stands in row 5",
+                "row 10, column data_centre: riga-1 is already listed in "
+                "row 5",
                 "row 10, column finish_by: missing",
             ],
         )
 
     def test_header_with_semicolons_is_explained(self):
-        """Guards against a spreadsheet's separator read as one column."""
+        """Guards against an unclear error for a sheet with semicolons.
+
+        Some spreadsheet programs write semicolons between the columns, and
+        the header then reads as one column.
+        """
         with self.assertRaises(errors.SheetInvalid) as caught:
             check(HEADER.replace(",", ";") + f"portal;v2;;;{LATER}\n")
         (fault,) = caught.exception.faults
         self.assertIn("use commas", fault)
 
     def test_unclosed_quote_is_a_fault(self):
-        """Guards against rows swallowed by an unclosed quote."""
+        """Guards against rows lost in a cell whose quote is not closed."""
         with self.assertRaises(errors.SheetInvalid) as caught:
             check(HEADER + f'portal,"v2,,,{LATER}\n')
         self.assertIn("row 2", caught.exception.faults[0])
 
     def test_rows_that_hold_are_unchanged(self):
-        """Guards against yesterday's rows being refused as in the past."""
+        """Guards against refusing rows that are in force already.
+
+        Such rows may remain in the sheet with a time in the past.
+        """
         checked = check(HEADER + "portal,v1,,,2020-01-01T00:00:00Z\n")
         self.assertEqual((), checked.moves)
         self.assertEqual(("service portal at v1",), checked.unchanged)
 
     def test_another_version_during_a_rollout_is_a_fault(self):
-        """Guards against two rollouts of one service at once."""
+        """Guards against two concurrent rollouts of one service."""
         rollout = model.Rollout(
             identifier="r1",
             service="portal",
@@ -168,7 +190,7 @@
         self.assert_faults(
             [f",,riga-2,out,{LATER}"],
             ["row 2, column data_centre: ana lacks the right data-centres"],
-            kind=errors.AccessDenied,
+            error_type=errors.AccessDenied,
             actor=actor,
         )
 
@@ -195,6 +217,9 @@
         self.assertEqual(len(filled), len(checked.moves + checked.unchanged))
 
     def test_times_need_a_date_and_an_offset(self):
-        """Guards against local times that mean another moment elsewhere."""
+        """Guards against times without a valid date or a UTC offset.
+
+        Their moment would depend on the reader's time zone.
+        """
         for text in ("2027-01-15T09:00:00", "09:00", "2027-02-30T09:00:00Z"):
             self.assertIsNone(sheet_text.parse_time(text), text)
