--- a/apricotpost/ctl/__init__.py
+++ b/apricotpost/ctl/__init__.py
@@ -1,1 +1,1 @@
-"""Command line of operators."""
+"""Command line for operators."""
--- a/apricotpost/ctl/client.py
+++ b/apricotpost/ctl/client.py
@@ -11,18 +11,18 @@
 
 from apricotpost import errors
 
-__all__ = ["Client", "call", "open_client", "read_nodes", "read_token"]
+__all__ = ["Client", "send_request", "open_client", "read_nodes", "read_token"]
 
 NODES_VARIABLE = "APRICOTPOST_NODES"
 TOKEN_VARIABLE = "APRICOTPOST_TOKEN"
-# Longer than a node waits for the platform in the worst case.
+# Longer than the longest time that a node waits for the platform.
 TIMEOUT_SECONDS = 20.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Client:
-    """Nodes, in the order in which they are tried, and the token."""
+    """Nodes in the order in which they are tried, token and connections."""
 
     nodes: tuple[str, ...]
     token: str
@@ -30,7 +30,7 @@
 
 
 def open_client(*, nodes: Iterable[str], token: str) -> Client:
-    """Make a client; nothing is connected yet."""
+    """Return a client; connections are opened by the first request."""
     return Client(
         nodes=tuple(nodes),
         token=token,
@@ -39,31 +39,31 @@
 
 
 def read_nodes(given: Iterable[str], environ: Mapping[str, str]) -> list[str]:
-    """Return the nodes of the command line or of the environment.
+    """Return the nodes from the command line, else from the environment.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
-        There is none.
+        No node is given.
     """
     names = list(given) or environ.get(NODES_VARIABLE, "").split(",")
     nodes = [name.strip() for name in names if name.strip()]
     if not nodes:
         raise errors.RequestInvalid(
-            f"no node: give --node IP:PORT or set {NODES_VARIABLE}"
+            f"no node is given: use --node IP:PORT or set {NODES_VARIABLE}"
         )
     return nodes
 
 
 def read_token(path: pathlib.Path | None, environ: Mapping[str, str]) -> str:
-    """Return the token of a file or of the environment.
+    """Return the token from a file, else from the environment.
 
-    It is not taken from the command line, which other users can see.
+    It is not accepted on the command line, which other users can see.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
-        There is none.
+        The file cannot be read, or no token is given.
     """
     token = environ.get(TOKEN_VARIABLE, "")
     if path is not None:
@@ -75,12 +75,12 @@
             ) from error
     if not token.strip():
         raise errors.RequestInvalid(
-            f"no token: give --token-file or set {TOKEN_VARIABLE}"
+            f"no token is given: use --token-file or set {TOKEN_VARIABLE}"
         )
     return token.strip()
 
 
-def call(
+def send_request(
     client: Client,
     method: str,
     path: str,
@@ -88,35 +88,37 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
 ) -> typing.Any:
-    """Send a request to the first node that can carry it out.
+    """Send a request to the nodes in turn until one carries it out.
 
-    A change must have an ``Idempotency-Key``, since it is sent to the next
-    node when an answer is lost.
+    A change needs an ``Idempotency-Key`` header, because the request is sent
+    to the next node if the answer of one is lost.
 
     Raises
     ------
     apricotpost.errors.NodeRefused
-        A node refused the request.
+        A node refused the request, or none could carry it out.
     apricotpost.errors.NodeUnreachable
         No node answered.
     """
-    failures: list[str] = []
+    unreachable: list[str] = []
     refusal: errors.NodeRefused | None = None
     for node in client.nodes:
         try:
-            return _call_node(client, node, method, path, body, headers or {})
+            return _send_to_node(
+                client, node, method, path, body, headers or {}
+            )
         except urllib3.exceptions.HTTPError as error:
-            failures.append(f"{node}: {error}")
+            unreachable.append(f"{node}: {error}")
         except errors.NodeRefused as error:
             if error.status < 500:
                 raise
             refusal = error
     if refusal is not None:
         raise refusal
-    raise errors.NodeUnreachable("no node answered", faults=failures)
+    raise errors.NodeUnreachable("no node answered", faults=unreachable)
 
 
-def _call_node(
+def _send_to_node(
     client: Client,
     node: str,
     method: str,
@@ -134,7 +136,7 @@
         ),
         redirect=False,
     )
-    answer = _decode(node, response.data)
+    answer = _decode_answer(node, response.data)
     if response.status == 200:
         return answer
     raise errors.NodeRefused(
@@ -145,10 +147,10 @@
     )
 
 
-def _decode(node: str, body: bytes) -> typing.Any:
+def _decode_answer(node: str, body: bytes) -> typing.Any:
     try:
         return json.loads(body)
     except ValueError as error:
         raise urllib3.exceptions.HTTPError(
-            f"{node} does not speak the administration API"
+            f"{node} did not answer with JSON; it is not an admin address"
         ) from error
--- a/apricotpost/ctl/commands.py
+++ b/apricotpost/ctl/commands.py
@@ -1,4 +1,4 @@
-"""What each command of ``apricotpost-ctl`` does."""
+"""Commands of ``apricotpost-ctl``, one function for each."""
 
 import argparse
 from collections.abc import Callable
@@ -28,18 +28,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Session:
-    """What a command works with.
+    """Connection, options and output of one run of a command.
 
     Parameters
     ----------
     client : Client
-        Connection to the nodes.
+        Client of the nodes.
     options : argparse.Namespace
         Parsed command line.
     write : callable
-        Prints a line for people or for programs.
+        Prints the result, as text or as JSON.
     warn : callable
-        Prints a line about a fault.
+        Prints a warning or an error.
     """
 
     client: client.Client
@@ -50,16 +50,18 @@
 
 def _check(session: Session) -> int:
     text = _read_file(session.options.sheet)
-    answer = _send(session, "/v1/sheet?check=1", text, "text/csv")
-    _show(session, answer, tables.format_accepted(answer, checked=True))
+    answer = _send_change(session, "/v1/sheet?check=1", text, "text/csv")
+    _write_answer(
+        session, answer, tables.format_accepted(answer, checked=True)
+    )
     return 0
 
 
 def _submit(session: Session) -> int:
     text = _read_file(session.options.sheet)
     query = urllib.parse.urlencode({"reason": session.options.reason})
-    answer = _send(session, f"/v1/sheet?{query}", text, "text/csv")
-    return _finish_change(session, answer)
+    answer = _send_change(session, f"/v1/sheet?{query}", text, "text/csv")
+    return _report_change(session, answer)
 
 
 def _apply(session: Session) -> int:
@@ -71,8 +73,8 @@
         ) from error
     if isinstance(raw, dict) and session.options.reason:
         raw["reason"] = session.options.reason
-    answer = _send_json(session, "/v1/services", raw)
-    return _finish_change(session, answer)
+    answer = _send_json_change(session, "/v1/services", raw)
+    return _report_change(session, answer)
 
 
 def _data_centre(session: Session) -> int:
@@ -87,20 +89,22 @@
             )
         body["finish_by"] = finish_by
     name = urllib.parse.quote(options.name, safe="")
-    answer = _send_json(session, f"/v1/data-centres/{name}", body)
-    return _finish_change(session, answer)
+    answer = _send_json_change(session, f"/v1/data-centres/{name}", body)
+    return _report_change(session, answer)
 
 
 def _withdraw(session: Session) -> int:
     rollout = urllib.parse.quote(session.options.rollout, safe="")
     body = {"reason": session.options.reason}
-    answer = _send_json(session, f"/v1/rollouts/{rollout}/withdraw", body)
-    return _finish_change(session, answer)
+    answer = _send_json_change(
+        session, f"/v1/rollouts/{rollout}/withdraw", body
+    )
+    return _report_change(session, answer)
 
 
 def _status(session: Session) -> int:
-    answer = client.call(session.client, "GET", "/v1/status")
-    _show(session, answer, tables.format_status(answer))
+    answer = client.send_request(session.client, "GET", "/v1/status")
+    _write_answer(session, answer, tables.format_status(answer))
     return 0
 
 
@@ -108,8 +112,8 @@
     query = urllib.parse.urlencode(
         {"service": session.options.service, "limit": session.options.limit}
     )
-    answer = client.call(session.client, "GET", f"/v1/history?{query}")
-    _show(session, answer, tables.format_history(answer))
+    answer = client.send_request(session.client, "GET", f"/v1/history?{query}")
+    _write_answer(session, answer, tables.format_history(answer))
     return 0
 
 
@@ -118,18 +122,20 @@
     if session.options.before:
         query["before"] = session.options.before
     path = "/v1/audit?" + urllib.parse.urlencode(query)
-    answer = client.call(session.client, "GET", path)
-    _show(session, answer, tables.format_audit(answer))
+    answer = client.send_request(session.client, "GET", path)
+    _write_answer(session, answer, tables.format_audit(answer))
     return 0
 
 
 def _watch(session: Session) -> int:
-    return _follow(session, session.options.moves or _find_running(session))
+    return _follow_moves(
+        session, session.options.moves or _find_running_moves(session)
+    )
 
 
-def _find_running(session: Session) -> list[str]:
-    status = client.call(session.client, "GET", "/v1/status")
-    history = client.call(session.client, "GET", "/v1/history?limit=1")
+def _find_running_moves(session: Session) -> list[str]:
+    status = client.send_request(session.client, "GET", "/v1/status")
+    history = client.send_request(session.client, "GET", "/v1/history?limit=1")
     moves = [*status["rollouts"], *history["pending"]]
     return [
         move["identifier"]
@@ -138,14 +144,16 @@
     ]
 
 
-def _follow(session: Session, identifiers: list[str]) -> int:
+def _follow_moves(session: Session, identifiers: list[str]) -> int:
     if not identifiers:
-        session.write("[]" if session.options.json else "nothing is moving")
+        session.write("[]" if session.options.json else "no move is running")
         return 0
     ended = watching.follow(
         watching.Watch(
             read=lambda name: _read_move(session, name),
-            report=lambda move: _show(session, move, tables.format_move(move)),
+            report=lambda move: _write_answer(
+                session, move, tables.format_move(move)
+            ),
             warn=session.warn,
             clock=time.monotonic,
             sleep=time.sleep,
@@ -158,38 +166,47 @@
 
 def _read_move(session: Session, identifier: str) -> Json:
     name = urllib.parse.quote(identifier, safe="")
-    answer: Json = client.call(session.client, "GET", f"/v1/history/{name}")
+    answer: Json = client.send_request(
+        session.client, "GET", f"/v1/history/{name}"
+    )
     return answer
 
 
-def _finish_change(session: Session, answer: Json) -> int:
-    _show(session, answer, tables.format_accepted(answer, checked=False))
+def _report_change(session: Session, answer: Json) -> int:
+    _write_answer(
+        session, answer, tables.format_accepted(answer, checked=False)
+    )
     if not session.options.watch:
         return 0
-    return _follow(session, [*answer["rollouts"], *answer["moves"]])
+    return _follow_moves(session, [*answer["rollouts"], *answer["moves"]])
 
 
-def _send_json(session: Session, path: str, body: typing.Any) -> Json:
-    return _send(session, path, json.dumps(body).encode(), "application/json")
+def _send_json_change(session: Session, path: str, body: typing.Any) -> Json:
+    return _send_change(
+        session, path, json.dumps(body).encode(), "application/json"
+    )
 
 
-def _send(session: Session, path: str, body: bytes, kind: str) -> Json:
-    """Send a change; the request identifier makes a repetition harmless."""
+def _send_change(
+    session: Session, path: str, body: bytes, content_type: str
+) -> Json:
+    """Send a change with an idempotency key, so that it can be repeated."""
     options = session.options
     headers = {
-        "Content-Type": kind,
+        "Content-Type": content_type,
         "Idempotency-Key": options.request or uuid.uuid4().hex,
     }
     if options.base is not None:
         headers["If-Match"] = str(options.base)
     try:
-        answer: Json = client.call(
+        answer: Json = client.send_request(
             session.client, "POST", path, body=body, headers=headers
         )
     except (errors.NodeUnreachable, errors.NodeRefused) as error:
         if error.exit_code == 4:
             session.warn(
-                "repeat it with --request " + headers["Idempotency-Key"]
+                "to retry, repeat the command with --request "
+                + headers["Idempotency-Key"]
             )
         raise
     return answer
@@ -204,7 +221,7 @@
         raise errors.RequestInvalid(f"cannot read {name}: {error}") from error
 
 
-def _show(session: Session, answer: Json, text: str) -> None:
+def _write_answer(session: Session, answer: Json, text: str) -> None:
     session.write(json.dumps(answer) if session.options.json else text)
 
 
--- a/apricotpost/ctl/explain.py
+++ b/apricotpost/ctl/explain.py
@@ -1,4 +1,4 @@
-"""Log lines about one request from the logs of several nodes."""
+"""Log lines about one request, joined from the logs of several nodes."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -13,9 +13,9 @@
 
 __all__ = ["LogLine", "read_logs", "summarize_request"]
 
-# Events that change what a node believes: they explain a decision that was
-# made a few seconds later.
-CONTEXT = frozenset(
+# Events that change the state on which a node bases its decisions; they
+# explain decisions of the following seconds.
+CONTEXT_EVENTS = frozenset(
     event.number
     for event in (
         events.SIDECAR_STARTED,
@@ -32,8 +32,8 @@
         events.TRIAL_CHANGED,
     )
 )
-# Fields that a line shows behind its message, in this order.
-SHOWN = (
+# Fields that are shown after a line's message, in this order.
+SHOWN_FIELDS = (
     "route",
     "service",
     "outcome",
@@ -64,19 +64,19 @@
 
     Parameters
     ----------
-    log : str
-        Name of the file without its suffix: the node.
+    node : str
+        Node that wrote the line: the file's name without its suffix.
     time : float
         Unix time in seconds.
     event : int
         Number of the event.
     message, request : str
-        Text, and the request that it is about, if any.
+        Text of the line, and identifier of its request or an empty string.
     fields : mapping
-        All members of the line.
+        All members of the line's JSON object.
     """
 
-    log: str
+    node: str
     time: float
     event: int
     message: str
@@ -87,14 +87,14 @@
 def read_logs(paths: Iterable[pathlib.Path]) -> list[LogLine]:
     """Read the logs of nodes, sorted by time.
 
-    Lines that are not of a node, such as a traceback, are left out.
+    Lines in another format, such as those of a traceback, are skipped.
 
     Raises
     ------
     apricotpost.errors.RequestInvalid
         A file cannot be read.
     """
-    found = []
+    lines = []
     for path in paths:
         try:
             content = path.read_bytes()
@@ -105,52 +105,55 @@
         for line in content.splitlines():
             parsed = _parse(path.stem, line)
             if parsed is not None:
-                found.append(parsed)
-    return sorted(found, key=lambda line: line.time)
+                lines.append(parsed)
+    return sorted(lines, key=lambda line: line.time)
 
 
 def summarize_request(
     lines: Sequence[LogLine], request: str, *, seconds: float
 ) -> list[str]:
-    """Return the lines about a request and what went before them.
+    """Return the lines about a request and the state changes before them.
 
     Parameters
     ----------
     lines : sequence of LogLine
         Of all nodes, sorted by time.
     request : str
-        Identifier.
+        Identifier of the request.
     seconds : float
-        How far back changes are shown, on the nodes that took part.
+        Length of time before the request's first line, in seconds. State
+        changes since then on the nodes that took part are shown, too.
     """
-    own = [line for line in lines if line.request == request]
-    if not own:
+    request_lines = [line for line in lines if line.request == request]
+    if not request_lines:
         return []
-    involved = {line.log for line in own}
-    involved.update(line.fields.get("node", "") for line in own)
-    first = own[0].time
-    last = own[-1].time
+    involved_nodes = {line.node for line in request_lines}
+    involved_nodes.update(
+        line.fields.get("node", "") for line in request_lines
+    )
+    first_at = request_lines[0].time
+    last_at = request_lines[-1].time
     shown = [
         line
         for line in lines
         if line.request == request
         or (
-            line.event in CONTEXT
-            and line.log in involved
-            and first - seconds <= line.time <= last
+            line.event in CONTEXT_EVENTS
+            and line.node in involved_nodes
+            and first_at - seconds <= line.time <= last_at
         )
     ]
-    return [_format(line, last) for line in shown]
+    return [_format(line, last_at) for line in shown]
 
 
-def _parse(log: str, line: bytes) -> LogLine | None:
+def _parse(node: str, line: bytes) -> LogLine | None:
     try:
         record = msgspec.json.decode(line, type=_Record)
         fields = msgspec.json.decode(line, type=dict[str, typing.Any])
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     return LogLine(
-        log=log,
+        node=node,
         time=record.time,
         event=record.event,
         message=record.message,
@@ -159,11 +162,11 @@
     )
 
 
-def _format(line: LogLine, end: float) -> str:
-    shown = " ".join(
+def _format(line: LogLine, last_at: float) -> str:
+    fields = " ".join(
         f"{name}={line.fields[name]}"
-        for name in SHOWN
+        for name in SHOWN_FIELDS
         if line.request and line.fields.get(name) not in (None, "")
     )
-    text = f"{line.time - end:+9.3f} s  {line.log}  {line.message}"
-    return f"{text}  [{shown}]" if shown else text
+    text = f"{line.time - last_at:+9.3f} s  {line.node}  {line.message}"
+    return f"{text}  [{fields}]" if fields else text
--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -13,12 +13,13 @@
 __all__ = ["main", "make_parser"]
 
 DESCRIPTION = "Change and read the configuration of apricotpost."
-# A change that explains a decision was made a few seconds before it.
-EXPLAIN_SECONDS = 5.0
+# State changes from this long before a request's first log line are shown: a
+# routing decision follows from the state of the last few seconds.
+EXPLAIN_CONTEXT_SECONDS = 5.0
 EPILOG = """exit codes:
   0  done
   2  bad input: wrong arguments, faults in the sheet or the definitions
-  3  refused (token, team or rights) or lost to another change
+  3  refused (token, team or rights), or another change was accepted first
   4  no node answered, or the platform is not available
   5  a watched move was withdrawn
 
@@ -66,68 +67,68 @@
 
 
 def make_parser() -> argparse.ArgumentParser:
-    """Make the parser of the command line."""
+    """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog="apricotpost-ctl",
         description=DESCRIPTION,
         epilog=EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    adders = parser.add_subparsers(dest="command", required=True)
+    subparsers = parser.add_subparsers(dest="command", required=True)
     common = _common_options()
-    check = adders.add_parser(
+    check = subparsers.add_parser(
         "check", parents=[common], help="check a sheet; change nothing"
     )
     check.add_argument("sheet", help="CSV file, or - for standard input")
     check.set_defaults(request=None, base=None)
-    submit = adders.add_parser(
+    submit = subparsers.add_parser(
         "submit",
         parents=[common, _change_options("morning sheet")],
         help="submit a sheet",
     )
     submit.add_argument("sheet", help="CSV file, or - for standard input")
-    apply = adders.add_parser(
+    apply = subparsers.add_parser(
         "apply",
         parents=[common, _change_options()],
-        help="put services, routes and data centres",
+        help="define services, routes and data centres",
     )
     apply.add_argument("file", help="JSON with comments, or -")
-    move = adders.add_parser(
+    move = subparsers.add_parser(
         "data-centre",
         parents=[common, _change_options()],
-        help="take a data centre out or return it",
+        help="take a data centre out of service or return it",
     )
     move.add_argument("state", choices=["out", "in"])
     move.add_argument("name")
     move.add_argument("--finish-by", default="", metavar="TIME")
-    withdraw = adders.add_parser(
+    withdraw = subparsers.add_parser(
         "withdraw",
         parents=[common, _change_options("withdrawn by an operator")],
         help="end a rollout",
     )
     withdraw.add_argument("rollout")
-    _add_reads(adders, common)
+    _add_read_commands(subparsers, common)
     return parser
 
 
-def _add_reads(
-    adders: "argparse._SubParsersAction[argparse.ArgumentParser]",
+def _add_read_commands(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
     common: argparse.ArgumentParser,
 ) -> None:
-    adders.add_parser(
+    subparsers.add_parser(
         "status", parents=[common], help="show versions and moves"
     )
-    watch = adders.add_parser(
+    watch = subparsers.add_parser(
         "watch", parents=[common], help="follow moves until they end"
     )
-    watch.add_argument("moves", nargs="*", help="default: all that run")
-    history = adders.add_parser(
+    watch.add_argument("moves", nargs="*", help="default: all running moves")
+    history = subparsers.add_parser(
         "history", parents=[common], help="show how moves ended"
     )
     history.add_argument("--service", default="")
     history.add_argument("--limit", type=int, default=200)
-    explain_parser = adders.add_parser(
-        "explain", help="tell from logs what became of a request"
+    explain_parser = subparsers.add_parser(
+        "explain", help="show from node logs what happened to a request"
     )
     explain_parser.add_argument("request", help="identifier of the request")
     explain_parser.add_argument(
@@ -136,10 +137,10 @@
     explain_parser.add_argument(
         "--seconds",
         type=float,
-        default=EXPLAIN_SECONDS,
-        help="how far back changes of the nodes are shown",
+        default=EXPLAIN_CONTEXT_SECONDS,
+        help="show node state changes from this long before the request",
     )
-    audit = adders.add_parser(
+    audit = subparsers.add_parser(
         "audit", parents=[common], help="show who changed what"
     )
     audit.add_argument("--before", type=int, default=0, metavar="VERSION")
@@ -153,7 +154,7 @@
         action="append",
         default=[],
         metavar="IP:PORT",
-        help="admin address of a node; repeat it for others to try",
+        help="admin address of a node; repeat for more nodes to try in order",
     )
     parser.add_argument(
         "--token-file", type=pathlib.Path, help="file that holds the token"
@@ -166,7 +167,9 @@
 
 def _change_options(reason: str = "") -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(add_help=False)
-    parser.add_argument("--reason", default=reason, help="kept in the audit")
+    parser.add_argument(
+        "--reason", default=reason, help="text for the audit record"
+    )
     parser.add_argument(
         "--base",
         type=int,
@@ -176,7 +179,7 @@
     parser.add_argument(
         "--request",
         metavar="KEY",
-        help="identifier of an earlier try, whose result is returned",
+        help="idempotency key of an earlier try, whose result is returned",
     )
     parser.add_argument(
         "--watch", action="store_true", help="follow the moves until they end"
@@ -193,7 +196,8 @@
         _write(line)
     if not summary:
         _warn(
-            f"no line about request {options.request}; served ones are sampled"
+            f"no log line mentions request {options.request}; "
+            "only a sample of served requests is logged"
         )
     return 0 if summary else 2
 
--- a/apricotpost/ctl/tables.py
+++ b/apricotpost/ctl/tables.py
@@ -1,4 +1,4 @@
-"""Text for people: tables and times."""
+"""Answers of the administration API as tables and lines of text."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -21,7 +21,7 @@
 def format_table(
     header: Sequence[str], rows: Iterable[Sequence[typing.Any]]
 ) -> str:
-    """Align columns to the left under their headings."""
+    """Return left-aligned columns under their headings."""
     lines = [[str(cell) for cell in row] for row in (header, *rows)]
     widths = [max(len(cell) for cell in column) for column in zip(*lines)]
     return "\n".join(
@@ -33,7 +33,7 @@
 
 
 def format_time(seconds: float) -> str:
-    """Return Unix time as local time with its offset."""
+    """Return Unix time as local time with its UTC offset, - for 0."""
     if not seconds:
         return "-"
     moment = datetime.datetime.fromtimestamp(seconds).astimezone()
@@ -41,27 +41,29 @@
 
 
 def format_accepted(answer: Json, *, checked: bool) -> str:
-    """Say what a change did, or would do."""
+    """Describe the effect of a change, or of one that was only checked."""
     lines = [f"  changed    {text}" for text in answer["changed"]]
     lines += [f"  unchanged  {text}" for text in answer["unchanged"]]
     if checked:
-        head = "in order; nothing was changed"
+        headline = "valid; nothing was changed"
     elif answer["changed"]:
-        head = f"accepted as version {answer['version']}"
+        headline = f"accepted as version {answer['version']}"
     else:
-        head = f"version {answer['version']} already says this"
+        headline = (
+            f"version {answer['version']} already matches; nothing was changed"
+        )
     moves = [*answer["rollouts"], *answer["moves"]]
     if moves and not checked:
         lines.append(
             "follow it with: apricotpost-ctl watch " + " ".join(moves)
         )
-    return "\n".join([head, *lines])
+    return "\n".join([headline, *lines])
 
 
 def format_status(answer: Json) -> str:
-    """Show versions, data centres and rollouts."""
+    """Return tables of versions, data centres and rollouts."""
     ready = "ready" if answer["ready"] else "NOT READY"
-    parts = [
+    sections = [
         f"{answer['instance']} in {answer['data_centre']}: {ready}, "
         f"configuration {answer['version']}",
         format_table(
@@ -74,31 +76,31 @@
         format_table(
             ("DATA CENTRE", "REGION", "STATE", "UP", "STARTING", "SUSPECT")
             + ("LEAVING", "DOWN", "BEHIND"),
-            [_data_centre_row(entry) for entry in answer["data_centres"]],
+            [_make_data_centre_row(entry) for entry in answer["data_centres"]],
         ),
     ]
     if answer["rollouts"]:
-        parts.append(
+        sections.append(
             format_table(
                 ("ROLLOUT", "FROM", "TO", "STATE", "SHARE", "FINISH BY")
                 + ("REASON",),
-                [_rollout_row(entry) for entry in answer["rollouts"]],
+                [_make_rollout_row(entry) for entry in answer["rollouts"]],
             )
         )
-    return "\n\n".join(parts)
+    return "\n\n".join(sections)
 
 
 def format_history(answer: Json) -> str:
-    """Show moves under way and ended moves."""
-    rows = [_history_row(entry) for entry in answer["pending"]]
-    rows += [_history_row(entry) for entry in answer["outcomes"]]
+    """Return a table of running and ended moves."""
+    rows = [_make_history_row(entry) for entry in answer["pending"]]
+    rows += [_make_history_row(entry) for entry in answer["outcomes"]]
     return format_table(
         ("MOVE", "WHAT", "STATE", "ENDED", "TOOK", "REASON"), rows
     )
 
 
 def format_audit(answer: Json) -> str:
-    """Show who changed what, newest first."""
+    """Return a table of accepted changes, newest first."""
     text = format_table(
         ("VERSION", "BASE", "AT", "AUTHOR", "REASON", "REQUEST"),
         [
@@ -119,16 +121,16 @@
 
 
 def format_move(move: Json) -> str:
-    """Say in one line how a move stands."""
-    text = f"{move['identifier']}: {_what(move)}: {move['state']}"
+    """Return the state of a move in one line."""
+    text = f"{move['identifier']}: {_describe_move(move)}: {move['state']}"
     if move["state"] in ("running", "baking"):
         text += f", finish by {format_time(move.get('finish_by', 0))}"
     if "share" in move and move["state"] == "running":
         text += f", share {move['share'] / 10:.1f} %"
     if "outstanding" in move:
-        waiting = move["outstanding"]
-        text += f", {move['reported']} instances report it"
-        text += f", {len(waiting)} do not: {', '.join(waiting[:3])}"
+        outstanding = move["outstanding"]
+        text += f", {move['reported']} instances hold it"
+        text += f", {len(outstanding)} do not: {', '.join(outstanding[:3])}"
     if move.get("taken_ms"):
         text += f", took {move['taken_ms'] / 1000:.1f} s"
     if move.get("reason"):
@@ -143,7 +145,7 @@
     )
 
 
-def _data_centre_row(entry: Json) -> Sequence[typing.Any]:
+def _make_data_centre_row(entry: Json) -> Sequence[typing.Any]:
     counts = entry["instances"]
     names = ("up", "starting", "suspect", "leaving", "down", "behind")
     return (
@@ -154,7 +156,7 @@
     )
 
 
-def _rollout_row(entry: Json) -> Sequence[typing.Any]:
+def _make_rollout_row(entry: Json) -> Sequence[typing.Any]:
     return (
         entry["identifier"],
         entry["old"],
@@ -166,20 +168,24 @@
     )
 
 
-def _history_row(entry: Json) -> Sequence[typing.Any]:
-    ended, started = entry.get("at_ms", 0), entry.get("started_at_ms", 0)
-    took = max(ended - started, 0) / 1000 if started else 0.0
+def _make_history_row(entry: Json) -> Sequence[typing.Any]:
+    ended_at_ms, started_at_ms = entry.get("at_ms", 0), entry.get(
+        "started_at_ms", 0
+    )
+    duration_seconds = (
+        max(ended_at_ms - started_at_ms, 0) / 1000 if started_at_ms else 0.0
+    )
     return (
         entry["identifier"],
-        _what(entry),
+        _describe_move(entry),
         entry["state"],
-        format_time(ended / 1000),
-        f"{took:.1f} s" if took else "-",
+        format_time(ended_at_ms / 1000),
+        f"{duration_seconds:.1f} s" if duration_seconds else "-",
         entry.get("reason", ""),
     )
 
 
-def _what(move: Json) -> str:
+def _describe_move(move: Json) -> str:
     if move.get("kind") == "data-centre":
         return f"data centre {move['data_centre']} {move['to']}"
     return (
--- a/apricotpost/ctl/watching.py
+++ b/apricotpost/ctl/watching.py
@@ -7,31 +7,32 @@
 
 from apricotpost import errors
 
-__all__ = ["UNKNOWN_SECONDS", "Watch", "follow"]
+__all__ = ["UNKNOWN_MOVE_SECONDS", "Watch", "follow"]
 
-POLL_SECONDS = 1.0
-# A node may learn of a new move only some seconds after it was accepted.
-UNKNOWN_SECONDS = 15.0
-# Without any answer for this time the nodes count as not reachable.
-SILENT_SECONDS = 60.0
+POLL_INTERVAL_SECONDS = 1.0
+# A node may receive a new move only some seconds after it was accepted; an
+# unknown move counts as an error only after this time.
+UNKNOWN_MOVE_SECONDS = 15.0
+# After this time without any answer the nodes count as unreachable.
+UNREACHABLE_SECONDS = 60.0
 
 Json = dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Watch:
-    """How moves are read and reported.
+    """Functions with which moves are read and reported.
 
     Parameters
     ----------
     read : callable
-        Returns how a move stands.
+        Returns the state of a move, given its identifier.
     report : callable
-        Called with a move each time that it changed.
+        Called with a move each time it has changed.
     warn : callable
-        Called with a sentence about a failed read.
+        Called with a message about a failed read.
     clock, sleep : callable
-        Monotonic time in seconds and a pause in seconds.
+        Return the monotonic time in seconds; wait for some seconds.
     """
 
     read: Callable[[str], Json]
@@ -42,56 +43,60 @@
 
 
 def follow(watch: Watch, identifiers: Iterable[str]) -> tuple[Json, ...]:
-    """Wait until all moves have ended.
+    """Poll moves until all have ended.
 
     Returns
     -------
     tuple of dict
-        Their last states.
+        Last answer about each move.
 
     Raises
     ------
     apricotpost.errors.NodeRefused
         A move is unknown, or the token is not accepted.
     apricotpost.errors.NodeUnreachable
-        No node answered for a longer time.
+        No node answered for `UNREACHABLE_SECONDS`.
     """
-    waiting = list(dict.fromkeys(identifiers))
-    seen: dict[str, Json] = {}
-    started = answered = watch.clock()
+    unfinished = list(dict.fromkeys(identifiers))
+    latest: dict[str, Json] = {}
+    started_at = answered_at = watch.clock()
     while True:
-        for identifier in tuple(waiting):
+        for identifier in tuple(unfinished):
             try:
                 move = watch.read(identifier)
             except errors.ApricotpostError as error:
-                _judge_failure(
-                    error, watch.clock(), started, answered, identifier in seen
+                _raise_if_permanent(
+                    error,
+                    watch.clock(),
+                    started_at,
+                    answered_at,
+                    identifier in latest,
                 )
                 watch.warn(f"{identifier}: {error.message}")
                 continue
-            answered = watch.clock()
-            if seen.get(identifier) != move:
+            answered_at = watch.clock()
+            if latest.get(identifier) != move:
                 watch.report(move)
-            seen[identifier] = move
+            latest[identifier] = move
             if move["state"] not in ("running", "baking"):
-                waiting.remove(identifier)
-        if not waiting:
-            return tuple(seen.values())
-        watch.sleep(POLL_SECONDS)
+                unfinished.remove(identifier)
+        if not unfinished:
+            return tuple(latest.values())
+        watch.sleep(POLL_INTERVAL_SECONDS)
 
 
-def _judge_failure(
+def _raise_if_permanent(
     error: errors.ApricotpostError,
     now: float,
-    started: float,
-    answered: float,
+    started_at: float,
+    answered_at: float,
     known: bool,
 ) -> None:
-    """Raise a failure that waiting does not mend."""
+    """Raise an error that further polling cannot resolve."""
     if error.status == 404:
-        if not known and now - started > UNKNOWN_SECONDS:
+        if not known and now - started_at > UNKNOWN_MOVE_SECONDS:
             raise error
     elif isinstance(error, errors.NodeRefused) and error.status < 500:
         raise error
-    elif now - answered > SILENT_SECONDS:
+    elif now - answered_at > UNREACHABLE_SECONDS:
         raise error
--- a/apricotpost/report/__init__.py
+++ b/apricotpost/report/__init__.py
@@ -1,1 +1,1 @@
-"""Service levels: counts, burn of the error budget and its report."""
+"""Service levels: counts of calls, burn rates and error budgets."""
--- a/apricotpost/report/burn.py
+++ b/apricotpost/report/burn.py
@@ -18,7 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeLevels:
-    """Answer of one node."""
+    """Service level counts of one node.
+
+    ``since`` and ``at`` are the start and the end of counting, in Unix time.
+    """
 
     instance: str
     since: float
@@ -33,19 +36,19 @@
     Parameters
     ----------
     service, route : str
-        What is reported.
+        Names of the service and the route.
     objective : apricotpost.model.Objective
-        The strictest that a node has.
+        Strictest objective of any node.
     windows : tuple of apricotpost.model.LevelCounts
-        Sums over `levels.WINDOWS_SECONDS`.
+        Counts of each of the `levels.WINDOWS_SECONDS`.
     availability_burn, latency_burn : tuple of float
-        For each window, how many times faster than allowed the error budget
-        is used; 1 uses it up exactly.
+        Burn rate in each window: the ratio of failed or slow calls to the
+        ratio that the objective allows. 1 uses up the error budget exactly.
     availability_left, latency_left : float
-        Part of the budget of the longest window that is left; below 0 it is
-        overspent.
+        Fraction of the error budget of the longest window that is left;
+        negative if more than the budget was used.
     latency_ms : tuple of float
-        Percentiles `PERCENTILES` of answered calls, in milliseconds.
+        `PERCENTILES` of the durations of answered calls, in milliseconds.
     buckets : tuple of apricotpost.model.LevelBucket
         Counts over time, oldest first.
     """
@@ -63,65 +66,81 @@
 
 
 def decode_node(answer: typing.Any) -> NodeLevels:
-    """Check the answer of a node.
+    """Return the decoded answer of a node.
 
     Raises
     ------
     apricotpost.errors.MalformedMessage
-        It does not have the expected form.
+        The answer does not have the expected fields or types.
     """
     try:
         return msgspec.convert(answer, NodeLevels)
     except msgspec.ValidationError as error:
-        raise errors.MalformedMessage(f"levels of a node: {error}") from error
+        raise errors.MalformedMessage(
+            f"service levels from a node are malformed: {error}"
+        ) from error
 
 
 def merge_nodes(nodes: Iterable[NodeLevels]) -> tuple[RouteReport, ...]:
-    """Add up the counts of nodes by service and route."""
-    found: dict[tuple[str, str], list[model.RouteLevel]] = {}
+    """Sum the counts of nodes by service and route."""
+    levels_by_route: dict[tuple[str, str], list[model.RouteLevel]] = {}
     for node in nodes:
         for level in node.levels:
-            found.setdefault((level.service, level.route), []).append(level)
-    return tuple(_report(found[key]) for key in sorted(found))
+            levels_by_route.setdefault(
+                (level.service, level.route), []
+            ).append(level)
+    return tuple(
+        _make_report(levels_by_route[key]) for key in sorted(levels_by_route)
+    )
 
 
-def _report(parts: list[model.RouteLevel]) -> RouteReport:
-    objective = _strictest([part.objective for part in parts])
+def _make_report(route_levels: list[model.RouteLevel]) -> RouteReport:
+    objective = _strictest_objective(
+        [level.objective for level in route_levels]
+    )
     windows = tuple(
-        _add(counts) for counts in zip(*(part.windows for part in parts))
+        _sum_counts(counts)
+        for counts in zip(*(level.windows for level in route_levels))
     )
-    unavailable = 1 - objective.availability_percent / 100
-    slow = 1 - objective.latency_percent / 100
-    availability = tuple(
-        _burn(entry.bad, entry.good + entry.slow + entry.bad, unavailable)
+    allowed_failed_ratio = 1 - objective.availability_percent / 100
+    allowed_slow_ratio = 1 - objective.latency_percent / 100
+    availability_burn = tuple(
+        _burn_rate(
+            entry.bad,
+            entry.good + entry.slow + entry.bad,
+            allowed_failed_ratio,
+        )
         for entry in windows
     )
-    latency = tuple(
-        _burn(entry.slow, entry.good + entry.slow, slow) for entry in windows
+    latency_burn = tuple(
+        _burn_rate(entry.slow, entry.good + entry.slow, allowed_slow_ratio)
+        for entry in windows
     )
     return RouteReport(
-        service=parts[0].service,
-        route=parts[0].route,
+        service=route_levels[0].service,
+        route=route_levels[0].route,
         objective=objective,
         windows=windows,
-        availability_burn=availability,
-        latency_burn=latency,
-        availability_left=1 - availability[-1],
-        latency_left=1 - latency[-1],
-        latency_ms=_percentiles(parts),
-        buckets=_merge_buckets(parts),
+        availability_burn=availability_burn,
+        latency_burn=latency_burn,
+        availability_left=1 - availability_burn[-1],
+        latency_left=1 - latency_burn[-1],
+        latency_ms=_merge_percentiles(route_levels),
+        buckets=_merge_buckets(route_levels),
     )
 
 
-def _strictest(objectives: list[model.Objective]) -> model.Objective:
+def _strictest_objective(objectives: list[model.Objective]) -> model.Objective:
     return model.Objective(
-        availability_percent=max(e.availability_percent for e in objectives),
-        latency_ms=min(e.latency_ms for e in objectives),
-        latency_percent=max(e.latency_percent for e in objectives),
+        availability_percent=max(
+            entry.availability_percent for entry in objectives
+        ),
+        latency_ms=min(entry.latency_ms for entry in objectives),
+        latency_percent=max(entry.latency_percent for entry in objectives),
     )
 
 
-def _add(counts: Iterable[model.LevelCounts]) -> model.LevelCounts:
+def _sum_counts(counts: Iterable[model.LevelCounts]) -> model.LevelCounts:
     entries = tuple(counts)
     return model.LevelCounts(
         good=sum(entry.good for entry in entries),
@@ -130,16 +149,18 @@
     )
 
 
-def _burn(failed: int, total: int, allowed: float) -> float:
-    return failed / total / allowed if total else 0.0
+def _burn_rate(failed: int, total: int, allowed_ratio: float) -> float:
+    return failed / total / allowed_ratio if total else 0.0
 
 
-def _percentiles(parts: list[model.RouteLevel]) -> tuple[float, ...]:
+def _merge_percentiles(
+    route_levels: list[model.RouteLevel],
+) -> tuple[float, ...]:
     merged = histogram.HdrHistogram(
         1, levels.MAX_LATENCY_MS, levels.SIGNIFICANT_DIGITS
     )
-    for part in parts:
-        merged.add(histogram.HdrHistogram.decode(part.latencies.encode()))
+    for level in route_levels:
+        merged.add(histogram.HdrHistogram.decode(level.latencies.encode()))
     return tuple(
         float(merged.get_value_at_percentile(percentile))
         for percentile in PERCENTILES
@@ -147,13 +168,13 @@
 
 
 def _merge_buckets(
-    parts: list[model.RouteLevel],
+    route_levels: list[model.RouteLevel],
 ) -> tuple[model.LevelBucket, ...]:
     by_start: dict[int, list[model.LevelCounts]] = {}
-    for part in parts:
-        for bucket in part.buckets:
+    for level in route_levels:
+        for bucket in level.buckets:
             by_start.setdefault(bucket.start, []).append(bucket.counts)
     return tuple(
-        model.LevelBucket(start=start, counts=_add(by_start[start]))
+        model.LevelBucket(start=start, counts=_sum_counts(by_start[start]))
         for start in sorted(by_start)
     )
--- a/apricotpost/report/levels.py
+++ b/apricotpost/report/levels.py
@@ -1,4 +1,4 @@
-"""Counts of good, bad and slow calls by route, in rings of buckets."""
+"""Counts of good, bad and slow calls of a route, in ring buffers."""
 
 import array
 import dataclasses
@@ -8,7 +8,7 @@
 from apricotpost import model
 
 __all__ = [
-    "BUCKET_SECONDS",
+    "COARSE_BUCKET_SECONDS",
     "RouteCounts",
     "WINDOWS_SECONDS",
     "make_counts",
@@ -18,25 +18,29 @@
     "record_call",
 ]
 
-# Windows of the burn rate: 5 min, 1 h, 6 h and 3 d.
+# Windows of the burn rates: 5 min, 1 h, 6 h and 3 d.
 WINDOWS_SECONDS = (300, 3600, 21_600, 259_200)
-# The two short windows are summed from minutes, the two long ones from
-# quarters of an hour. Minutes for 3 d would take 69 kB for each route.
-MINUTE_SECONDS = 60
-BUCKET_SECONDS = 900
-FINE_WINDOWS = 2
-# A histogram covers an hour; the one before it is kept too.
+# The two short windows are summed from buckets of a minute, the two long ones
+# from buckets of 15 minutes: minutes for 3 d would take 69 kB for each route.
+FINE_BUCKET_SECONDS = 60
+COARSE_BUCKET_SECONDS = 900
+FINE_WINDOW_COUNT = 2
+# A histogram covers an hour; that of the previous hour is kept as well.
 HISTOGRAM_SECONDS = 3600
 MAX_LATENCY_MS = 60_000
 SIGNIFICANT_DIGITS = 2
 
 
 @dataclasses.dataclass(kw_only=True)
-class _Ring:
-    """Buckets by time; ``stamps`` tells which stretch each one holds."""
+class _RingBuffer:
+    """Ring buffer of counts in buckets of equal duration.
 
-    seconds: int
-    stamps: "array.array[int]"
+    ``periods`` holds the period of each bucket: its start in Unix time
+    divided by ``bucket_seconds``.
+    """
+
+    bucket_seconds: int
+    periods: "array.array[int]"
     good: "array.array[int]"
     bad: "array.array[int]"
     slow: "array.array[int]"
@@ -44,21 +48,29 @@
 
 @dataclasses.dataclass(kw_only=True)
 class RouteCounts:
-    """All that a node counts for one route."""
+    """Counts and latencies that a node records for one route.
 
-    fine: _Ring
-    coarse: _Ring
-    histogram_number: int
+    ``histogram`` covers the hour ``histogram_hour``, in hours since the Unix
+    epoch, and ``previous`` the hour before.
+    """
+
+    fine_ring: _RingBuffer
+    coarse_ring: _RingBuffer
+    histogram_hour: int
     histogram: histogram.HdrHistogram
     previous: histogram.HdrHistogram
 
 
 def make_counts() -> RouteCounts:
-    """Return counts without any call."""
+    """Return empty counts for a route."""
     return RouteCounts(
-        fine=_make_ring(MINUTE_SECONDS, WINDOWS_SECONDS[FINE_WINDOWS - 1]),
-        coarse=_make_ring(BUCKET_SECONDS, WINDOWS_SECONDS[-1]),
-        histogram_number=0,
+        fine_ring=_make_ring_buffer(
+            FINE_BUCKET_SECONDS, WINDOWS_SECONDS[FINE_WINDOW_COUNT - 1]
+        ),
+        coarse_ring=_make_ring_buffer(
+            COARSE_BUCKET_SECONDS, WINDOWS_SECONDS[-1]
+        ),
+        histogram_hour=0,
         histogram=_make_histogram(),
         previous=_make_histogram(),
     )
@@ -77,19 +89,19 @@
     Parameters
     ----------
     counts : RouteCounts
-        Of the call's route.
+        Counts of the call's route.
     failed : bool
-        Whether it was refused, its outcome is unknown, or the backend server
-        answered with a status of 500 or more.
+        Whether the call was refused, its outcome is unknown, or the backend
+        server answered with a status of 500 or more.
     duration_ms : float
-        As the caller saw it, in milliseconds.
+        Duration of the call as the caller saw it, in milliseconds.
     objective : apricotpost.model.Objective
-        Says from when on an answer is slow.
+        Gives the latency above which an answer is slow.
     now : float
         Unix time in seconds.
     """
-    for ring in (counts.fine, counts.coarse):
-        index = _turn_to(ring, now)
+    for ring in (counts.fine_ring, counts.coarse_ring):
+        index = _select_bucket(ring, now)
         if failed:
             ring.bad[index] += 1
         elif duration_ms > objective.latency_ms:
@@ -97,7 +109,7 @@
         else:
             ring.good[index] += 1
     if not failed:
-        _turn_histograms(counts, now)
+        _rotate_histograms(counts, now)
         value = min(max(round(duration_ms), 1), MAX_LATENCY_MS)
         counts.histogram.record_value(value)
 
@@ -105,45 +117,55 @@
 def read_windows(
     counts: RouteCounts, now: float
 ) -> tuple[model.LevelCounts, ...]:
-    """Return the sums over `WINDOWS_SECONDS` that end now."""
+    """Return the counts of each of the `WINDOWS_SECONDS`, up to now."""
     return tuple(
-        _sum(counts.fine if index < FINE_WINDOWS else counts.coarse, span, now)
-        for index, span in enumerate(WINDOWS_SECONDS)
+        _sum_window(
+            (
+                counts.fine_ring
+                if index < FINE_WINDOW_COUNT
+                else counts.coarse_ring
+            ),
+            window_seconds,
+            now,
+        )
+        for index, window_seconds in enumerate(WINDOWS_SECONDS)
     )
 
 
 def read_buckets(
     counts: RouteCounts, now: float
 ) -> tuple[model.LevelBucket, ...]:
-    """Return the buckets of the longest window that have calls."""
-    ring = counts.coarse
-    newest = int(now) // ring.seconds
-    found = (
+    """Return the buckets of the longest window that have calls, by time."""
+    ring = counts.coarse_ring
+    newest = int(now) // ring.bucket_seconds
+    buckets = (
         model.LevelBucket(
-            start=stamp * ring.seconds, counts=_read(ring, index)
+            start=period * ring.bucket_seconds,
+            counts=_read_bucket(ring, index),
         )
-        for index, stamp in enumerate(ring.stamps)
-        if newest - len(ring.stamps) < stamp <= newest
+        for index, period in enumerate(ring.periods)
+        if newest - len(ring.periods) < period <= newest
     )
-    return tuple(sorted(found, key=lambda bucket: bucket.start))
+    return tuple(sorted(buckets, key=lambda bucket: bucket.start))
 
 
 def read_latencies(counts: RouteCounts, now: float) -> str:
-    """Return the latencies of this hour and the one before, encoded."""
-    _turn_histograms(counts, now)
+    """Return the encoded latencies of this hour and the previous one."""
+    _rotate_histograms(counts, now)
     merged = _make_histogram()
     merged.add(counts.histogram)
     merged.add(counts.previous)
     return bytes(merged.encode()).decode()
 
 
-def _make_ring(seconds: int, span: int) -> _Ring:
-    # One bucket more than the window, as the newest is not full yet.
-    size = span // seconds + 1
+def _make_ring_buffer(bucket_seconds: int, window_seconds: int) -> _RingBuffer:
+    # One bucket more than the window needs, as the newest covers only part
+    # of its period.
+    size = window_seconds // bucket_seconds + 1
     zeros = [0] * size
-    return _Ring(
-        seconds=seconds,
-        stamps=array.array("L", zeros),
+    return _RingBuffer(
+        bucket_seconds=bucket_seconds,
+        periods=array.array("L", zeros),
         good=array.array("L", zeros),
         bad=array.array("L", zeros),
         slow=array.array("L", zeros),
@@ -154,36 +176,38 @@
     return histogram.HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
 
 
-def _turn_to(ring: _Ring, now: float) -> int:
-    """Return the index of the present bucket, emptied if it was older."""
-    stamp = int(now) // ring.seconds
-    index = stamp % len(ring.stamps)
-    if ring.stamps[index] != stamp:
-        ring.stamps[index] = stamp
+def _select_bucket(ring: _RingBuffer, now: float) -> int:
+    """Return the index of the current bucket, cleared if it was outdated."""
+    period = int(now) // ring.bucket_seconds
+    index = period % len(ring.periods)
+    if ring.periods[index] != period:
+        ring.periods[index] = period
         ring.good[index] = ring.bad[index] = ring.slow[index] = 0
     return index
 
 
-def _turn_histograms(counts: RouteCounts, now: float) -> None:
-    number = int(now) // HISTOGRAM_SECONDS
-    if number == counts.histogram_number:
+def _rotate_histograms(counts: RouteCounts, now: float) -> None:
+    hour = int(now) // HISTOGRAM_SECONDS
+    if hour == counts.histogram_hour:
         return
     counts.previous = (
         counts.histogram
-        if number == counts.histogram_number + 1
+        if hour == counts.histogram_hour + 1
         else _make_histogram()
     )
     counts.histogram = _make_histogram()
-    counts.histogram_number = number
+    counts.histogram_hour = hour
 
 
-def _sum(ring: _Ring, span: int, now: float) -> model.LevelCounts:
-    newest = int(now) // ring.seconds
-    oldest = newest - span // ring.seconds
+def _sum_window(
+    ring: _RingBuffer, window_seconds: int, now: float
+) -> model.LevelCounts:
+    newest = int(now) // ring.bucket_seconds
+    oldest = newest - window_seconds // ring.bucket_seconds
     indexes = [
         index
-        for index, stamp in enumerate(ring.stamps)
-        if oldest < stamp <= newest
+        for index, period in enumerate(ring.periods)
+        if oldest < period <= newest
     ]
     return model.LevelCounts(
         good=sum(ring.good[index] for index in indexes),
@@ -192,7 +216,7 @@
     )
 
 
-def _read(ring: _Ring, index: int) -> model.LevelCounts:
+def _read_bucket(ring: _RingBuffer, index: int) -> model.LevelCounts:
     return model.LevelCounts(
         good=ring.good[index], bad=ring.bad[index], slow=ring.slow[index]
     )
--- a/apricotpost/report/main.py
+++ b/apricotpost/report/main.py
@@ -1,4 +1,4 @@
-"""Program ``apricotpost-report``: burn of the error budgets."""
+"""Program ``apricotpost-report``: service levels and error budgets."""
 
 import argparse
 from collections.abc import Iterable
@@ -16,7 +16,7 @@
 from apricotpost.report import pages
 from apricotpost.report import texts
 
-__all__ = ["ask_nodes", "main"]
+__all__ = ["fetch_levels", "main"]
 
 DESCRIPTION = "Show service levels and how fast error budgets are used."
 EPILOG = """exit codes:
@@ -26,7 +26,8 @@
   4  no node answered
 
 The admin addresses of nodes come from --node or APRICOTPOST_NODES. With
---port every instance that the first node knows is asked at its own IP.
+--port all instances that the first reachable node knows are queried, each
+at its own IP address.
 
 examples:
   apricotpost-report --port 7003 --node 10.0.0.5:7003
@@ -37,33 +38,33 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the command line; see the help text for the exit codes."""
-    options = _parse(arguments)
+    options = _parse_arguments(arguments)
     try:
         nodes = client.read_nodes(options.node, os.environ)
         token = client.read_token(options.token_file, os.environ)
         if options.port:
-            nodes = _find_nodes(nodes, token, options.port)
-        answers, failures = ask_nodes(nodes, token)
+            nodes = _list_nodes(nodes, token, options.port)
+        answers, failures = fetch_levels(nodes, token)
         reports = burn.merge_nodes(answers)
     except errors.ApricotpostError as error:
         print(errors.describe(error), file=sys.stderr)
         return error.exit_code
     notes = _make_notes(answers, failures)
-    print(_format(options.format, reports, notes))
+    print(_format_report(options.format, reports, notes))
     return 0
 
 
-def ask_nodes(
+def fetch_levels(
     nodes: Iterable[str], token: str
 ) -> tuple[tuple[burn.NodeLevels, ...], tuple[str, ...]]:
-    """Read the levels of nodes.
+    """Fetch the service level counts of nodes.
 
     Returns
     -------
     answers : tuple of NodeLevels
-        Of the nodes that answered.
+        Counts of the nodes that answered.
     failures : tuple of str
-        Why others did not.
+        Address and error of each other node.
 
     Raises
     ------
@@ -74,12 +75,12 @@
     """
     answers: list[burn.NodeLevels] = []
     failures: list[str] = []
-    with futures.ThreadPoolExecutor(CONCURRENT_NODES) as pool:
-        asked = {
-            node: pool.submit(_ask_node, node, token)
+    with futures.ThreadPoolExecutor(CONCURRENT_NODES) as executor:
+        pending = {
+            node: executor.submit(_fetch_node_levels, node, token)
             for node in dict.fromkeys(nodes)
         }
-        for node, future in asked.items():
+        for node, future in pending.items():
             try:
                 answers.append(future.result())
             except errors.NodeRefused as error:
@@ -93,16 +94,16 @@
     return tuple(answers), tuple(failures)
 
 
-def _ask_node(node: str, token: str) -> burn.NodeLevels:
-    connection = client.open_client(nodes=(node,), token=token)
-    answer = client.call(connection, "GET", "/v1/levels")
-    connection.pool.clear()
+def _fetch_node_levels(node: str, token: str) -> burn.NodeLevels:
+    node_client = client.open_client(nodes=(node,), token=token)
+    answer = client.send_request(node_client, "GET", "/v1/levels")
+    node_client.pool.clear()
     return burn.decode_node(answer)
 
 
-def _find_nodes(nodes: Iterable[str], token: str, port: int) -> list[str]:
-    connection = client.open_client(nodes=nodes, token=token)
-    answer = client.call(connection, "GET", "/v1/instances")
+def _list_nodes(nodes: Iterable[str], token: str, port: int) -> list[str]:
+    nodes_client = client.open_client(nodes=nodes, token=token)
+    answer = client.send_request(nodes_client, "GET", "/v1/instances")
     hosts = {
         record["call_address"].removeprefix("tcp://").rpartition(":")[0]
         for record in answer["instances"]
@@ -114,29 +115,31 @@
 def _make_notes(
     answers: Iterable[burn.NodeLevels], failures: Iterable[str]
 ) -> list[str]:
-    entries = tuple(answers)
-    newest = max(entries, key=lambda entry: entry.since)
+    node_levels = tuple(answers)
+    newest = max(node_levels, key=lambda node: node.since)
     hours = (newest.at - newest.since) / 3600
     notes = [
-        f"Nodes that answered: {len(entries)}.",
-        "A node loses its counts when it restarts; the last that did, "
+        f"Nodes that answered: {len(node_levels)}.",
+        "A node loses its counts when it restarts; the last to restart, "
         f"{newest.instance}, has counted for {hours:.1f} h.",
-        "The budget is that of the last 3 days.",
+        "The error budget is that of the last 3 days.",
     ]
     return notes + [f"Not counted: {failure}" for failure in failures]
 
 
-def _format(
+def _format_report(
     style: str, reports: tuple[burn.RouteReport, ...], notes: list[str]
 ) -> str:
     if style == "json":
-        return msgspec.json.encode(texts.describe(reports, notes)).decode()
+        return msgspec.json.encode(
+            texts.describe_report(reports, notes)
+        ).decode()
     if style == "html":
         return pages.format_page(reports, notes, now=time.time())
     return texts.format_text(reports, notes)
 
 
-def _parse(arguments: list[str] | None) -> argparse.Namespace:
+def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(
         prog="apricotpost-report",
         description=DESCRIPTION,
@@ -146,7 +149,9 @@
     parser.add_argument(
         "--node", action="append", default=[], metavar="IP:PORT"
     )
-    parser.add_argument("--port", type=int, help="admin port of all instances")
+    parser.add_argument(
+        "--port", type=int, help="query all instances, at this admin port"
+    )
     parser.add_argument(
         "--token-file", type=pathlib.Path, help="file that holds the token"
     )
--- a/apricotpost/report/pages.py
+++ b/apricotpost/report/pages.py
@@ -1,4 +1,4 @@
-"""The report as one HTML page without outside parts."""
+"""The report as one self-contained HTML page."""
 
 from collections.abc import Iterable
 import datetime
@@ -46,32 +46,36 @@
     *,
     now: float,
 ) -> str:
-    """Plot the share of failed and of slow calls over the longest window.
+    """Return an SVG plot of the ratios of failed and slow calls over 3 days.
 
-    The dashed line is the share that the availability objective allows.
+    The dashed line is the ratio of failed calls that the availability
+    objective allows.
     """
-    allowed = 1 - objective.availability_percent / 100
+    allowed_ratio = 1 - objective.availability_percent / 100
     points = [
-        (entry.start, *_shares(entry.counts))
+        (entry.start, *_failed_and_slow_ratios(entry.counts))
         for entry in buckets
         if entry.start >= now - levels.WINDOWS_SECONDS[-1]
     ]
-    highest = max(
-        [allowed * 2, *(share for point in points for share in point[1:])]
+    max_ratio = max(
+        [
+            allowed_ratio * 2,
+            *(ratio for point in points for ratio in point[1:]),
+        ]
     )
     bars = [
-        _bar(start, share, highest, colour, now)
+        _format_bar(start, ratio, max_ratio, colour, now)
         for start, failed, slow in points
-        for share, colour in ((slow, "#d9a441"), (failed, "#b3372b"))
-        if share
+        for ratio, colour in ((slow, "#d9a441"), (failed, "#b3372b"))
+        if ratio
     ]
-    line = HEIGHT * (1 - allowed / highest)
-    label = f"failed (red) and slow (yellow), up to {highest * 100:.2f} %"
+    line_y = HEIGHT * (1 - allowed_ratio / max_ratio)
+    label = f"failed (red) and slow (yellow), up to {max_ratio * 100:.2f} %"
     return (
         f'<svg role="img" aria-label="{label}" width="{WIDTH}" '
         f'height="{HEIGHT + 20}" viewBox="0 0 {WIDTH} {HEIGHT + 20}">'
         + "".join(bars)
-        + f'<line x1="0" x2="{WIDTH}" y1="{line:.1f}" y2="{line:.1f}" '
+        + f'<line x1="0" x2="{WIDTH}" y1="{line_y:.1f}" y2="{line_y:.1f}" '
         'stroke="#444" stroke-dasharray="4 3"/>'
         f'<text x="4" y="{HEIGHT + 15}" font-size="12">3 days ago; '
         f'{label}</text><text x="{WIDTH - 4}" y="{HEIGHT + 15}" '
@@ -79,20 +83,20 @@
     )
 
 
-def _bar(
-    start: int, share: float, highest: float, colour: str, now: float
+def _format_bar(
+    start: int, ratio: float, max_ratio: float, colour: str, now: float
 ) -> str:
-    span = levels.WINDOWS_SECONDS[-1]
-    width = WIDTH * levels.BUCKET_SECONDS / span
-    left = WIDTH * (1 - (now - start) / span)
-    height = HEIGHT * share / highest
+    window_seconds = levels.WINDOWS_SECONDS[-1]
+    width = WIDTH * levels.COARSE_BUCKET_SECONDS / window_seconds
+    x = WIDTH * (1 - (now - start) / window_seconds)
+    height = HEIGHT * ratio / max_ratio
     return (
-        f'<rect x="{left:.1f}" y="{HEIGHT - height:.1f}" '
+        f'<rect x="{x:.1f}" y="{HEIGHT - height:.1f}" '
         f'width="{width:.1f}" height="{height:.1f}" fill="{colour}"/>'
     )
 
 
-def _shares(counts: model.LevelCounts) -> tuple[float, float]:
+def _failed_and_slow_ratios(counts: model.LevelCounts) -> tuple[float, float]:
     total = counts.good + counts.bad + counts.slow
     if not total:
         return 0.0, 0.0
@@ -100,28 +104,35 @@
 
 
 def _format_route(report: burn.RouteReport, now: float) -> str:
-    name = html.escape(f"{report.service or '(removed)'}: {report.route}")
-    answered, fast = texts.describe_objectives(report.objective)
-    heads = "".join(f"<th>burn {entry}</th>" for entry in texts.WINDOW_NAMES)
-    middle, high = report.latency_ms
+    title = html.escape(f"{report.service or '(removed)'}: {report.route}")
+    availability, latency = texts.describe_objectives(report.objective)
+    headings = "".join(
+        f"<th>burn {entry}</th>" for entry in texts.WINDOW_NAMES
+    )
+    p50_ms, p99_ms = report.latency_ms
     return (
-        f"<h2>{name}</h2><p>Half of the answered calls took at most "
-        f"{middle:.0f} ms, 99 in 100 at most {high:.0f} ms.</p>"
-        f"<table><tr><th>objective</th>{heads}<th>budget left</th></tr>"
-        + _row(answered, report.availability_burn, report.availability_left)
-        + _row(fast, report.latency_burn, report.latency_left)
+        f"<h2>{title}</h2><p>Half of the answered calls took at most "
+        f"{p50_ms:.0f} ms, 99 in 100 at most {p99_ms:.0f} ms.</p>"
+        f"<table><tr><th>objective</th>{headings}<th>budget left</th></tr>"
+        + _format_row(
+            availability, report.availability_burn, report.availability_left
+        )
+        + _format_row(latency, report.latency_burn, report.latency_left)
         + "</table>"
         + format_plot(report.buckets, report.objective, now=now)
     )
 
 
-def _row(name: str, rates: Iterable[float], left: float) -> str:
+def _format_row(
+    objective: str, rates: Iterable[float], budget_left: float
+) -> str:
     cells = "".join(
         f'<td class="{"spent" if rate > 1 else ""}">{rate:.2f}</td>'
         for rate in rates
     )
-    kind = "spent" if left <= 0 else ""
+    css_class = "spent" if budget_left <= 0 else ""
     return (
-        f"<tr><td>{html.escape(name)}</td>{cells}"
-        f'<td class="{kind}">{texts.format_percent(left)}</td></tr>'
+        f"<tr><td>{html.escape(objective)}</td>{cells}"
+        f'<td class="{css_class}">'
+        f"{texts.format_percent(budget_left)}</td></tr>"
     )
--- a/apricotpost/report/texts.py
+++ b/apricotpost/report/texts.py
@@ -1,4 +1,4 @@
-"""The report as text and as values for JSON."""
+"""The report as text tables and as values for JSON."""
 
 from collections.abc import Iterable
 import typing
@@ -10,7 +10,7 @@
 
 __all__ = [
     "WINDOW_NAMES",
-    "describe",
+    "describe_report",
     "describe_objectives",
     "format_percent",
     "format_text",
@@ -22,8 +22,8 @@
 def format_text(
     reports: Iterable[burn.RouteReport], notes: Iterable[str]
 ) -> str:
-    """Return the report as tables."""
-    rows = [row for report in reports for row in _rows(report)]
+    """Return the report as text tables."""
+    rows = [row for report in reports for row in _make_rows(report)]
     header = (
         *("SERVICE", "ROUTE", "OBJECTIVE", "CALLS 3 D"),
         *(f"BURN {name.upper()}" for name in WINDOW_NAMES),
@@ -33,10 +33,10 @@
     return "\n".join([text, "", *notes])
 
 
-def describe(
+def describe_report(
     reports: Iterable[burn.RouteReport], notes: Iterable[str]
 ) -> dict[str, typing.Any]:
-    """Return the report for JSON."""
+    """Return the report as values for JSON."""
     return {
         "windows_seconds": levels.WINDOWS_SECONDS,
         "percentiles": burn.PERCENTILES,
@@ -45,9 +45,9 @@
     }
 
 
-def format_percent(share: float) -> str:
-    """Return a share of 1 in percent."""
-    return f"{share * 100:.1f} %"
+def format_percent(ratio: float) -> str:
+    """Return a ratio as a percentage."""
+    return f"{ratio * 100:.1f} %"
 
 
 def describe_objectives(objective: model.Objective) -> tuple[str, str]:
@@ -58,27 +58,27 @@
     )
 
 
-def _rows(report: burn.RouteReport) -> Iterable[tuple[typing.Any, ...]]:
-    last = report.windows[-1]
-    calls = last.good + last.slow + last.bad
-    answered, fast = describe_objectives(report.objective)
-    middle, high = report.latency_ms
+def _make_rows(report: burn.RouteReport) -> Iterable[tuple[typing.Any, ...]]:
+    counts = report.windows[-1]
+    calls = counts.good + counts.slow + counts.bad
+    availability, latency = describe_objectives(report.objective)
+    p50_ms, p99_ms = report.latency_ms
     service = report.service or "(removed)"
     yield (
         service,
         report.route,
-        answered,
+        availability,
         calls,
         *(f"{rate:.2f}" for rate in report.availability_burn),
         format_percent(report.availability_left),
-        f"{middle:.0f}",
-        f"{high:.0f}",
+        f"{p50_ms:.0f}",
+        f"{p99_ms:.0f}",
     )
     yield (
         service,
         report.route,
-        fast,
-        last.good + last.slow,
+        latency,
+        counts.good + counts.slow,
         *(f"{rate:.2f}" for rate in report.latency_burn),
         format_percent(report.latency_left),
         "",
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -1,4 +1,4 @@
-"""Tests of the summary of a request, also with the logs of real nodes."""
+"""Tests of the summary of a request, also with logs of real nodes."""
 
 import asyncio
 import contextlib
@@ -12,7 +12,7 @@
 from apricotpost.ctl import main
 from standins import mesh
 
-__all__ = ["ExplainTest", "PlayedFailureTest"]
+__all__ = ["ExplainTest", "RealNodeFailureTest"]
 
 
 def make_line(time, event, message, **fields):
@@ -37,8 +37,11 @@
         )
 
     def test_lines_of_the_nodes_that_took_part_are_joined(self):
-        """Guards against a cause that stands in the log of another node."""
-        entry = self.write(
+        """Guards against a summary without the cause of a failure.
+
+        The cause may be in the log of another node than the caller's.
+        """
+        dispatcher = self.write(
             "n0",
             make_line(
                 103.0,
@@ -54,7 +57,7 @@
         )
         gate = self.write("n1", make_line(101.0, 700, "started"), "Traceback")
         other = self.write("n2", make_line(101.5, 720, "not involved"))
-        summary = self.summarize("q", entry, gate, other)
+        summary = self.summarize("q", dispatcher, gate, other)
         self.assertEqual(3, len(summary))
         for text, line in zip(
             ("started", "is lost", "reason=node-lost"), summary, strict=True
@@ -62,7 +65,7 @@
             self.assertIn(text, line)
 
     def test_unknown_request_and_unreadable_file(self):
-        """Guards against an empty summary that looks like an answer."""
+        """Guards against an empty summary with exit code 0."""
         path = self.write("n0", make_line(1.0, 601, "failed", request="q"))
         for arguments in (
             ["explain", "other", str(path)],
@@ -74,12 +77,15 @@
             self.assertTrue(text.getvalue())
 
 
-class PlayedFailureTest(unittest.IsolatedAsyncioTestCase):
+class RealNodeFailureTest(unittest.IsolatedAsyncioTestCase):
     async def test_lost_answer_is_explained_from_its_id(self):
-        """Guards against a failure whose logs do not tell its cause."""
+        """Guards against a failure whose cause is not in the logs.
+
+        The backend server resets the connection of an unsafe request.
+        """
         with tempfile.TemporaryDirectory() as folder:
-            world = mesh.Mesh(folder=pathlib.Path(folder))
-            self.addAsyncCleanup(world.close)
+            test_mesh = mesh.Mesh(folder=pathlib.Path(folder))
+            self.addAsyncCleanup(test_mesh.close)
             routes = [
                 {
                     "prefix": "/reports/",
@@ -87,22 +93,26 @@
                     "type": "unsafe",
                 }
             ]
-            await world.start(
+            await test_mesh.start(
                 ("dc-a", "dc-a"),
                 services=("portal", "fieldbook"),
                 routes=routes,
             )
-            world.nodes[1].backend.mode = "reset"
-            result = await world.caller.call(
-                world.nodes[0].ports.callers, "/reports/1", method=b"POST"
+            test_mesh.nodes[1].backend.mode = "reset"
+            result = await test_mesh.caller.call(
+                test_mesh.nodes[0].ports.callers, "/reports/1", method=b"POST"
             )
             self.assertEqual(502, result.response.status)
             await asyncio.sleep(0.5)
-            request = f"q{world.caller.sent}"
+            request = f"q{test_mesh.caller.sent}"
             text = io.StringIO()
             with contextlib.redirect_stdout(text):
                 code = main.main(
-                    ["explain", request, *(str(n.log) for n in world.nodes)]
+                    [
+                        "explain",
+                        request,
+                        *(str(n.log) for n in test_mesh.nodes),
+                    ]
                 )
         self.assertEqual(0, code)
         summary = text.getvalue()
--- a/tests/ctl/test_main.py
+++ b/tests/ctl/test_main.py
@@ -56,7 +56,7 @@
 
     @classmethod
     def run_ctl(cls, *arguments, token=fleet.TOKEN, nodes=None):
-        """Run the program; returns its exit code and both outputs."""
+        """Run the program; return its exit code, output and error output."""
         environ = {
             client.TOKEN_VARIABLE: token,
             client.NODES_VARIABLE: ",".join(nodes or cls.nodes),
@@ -80,7 +80,10 @@
         return self.write("sheet.csv", text)
 
     def test_sheet_from_check_to_withdrawn(self):
-        """Guards against a wrong exit code on the operators' usual way."""
+        """Guards against a wrong exit code in the operators' usual sequence.
+
+        A sheet is checked and submitted, its rollout withdrawn and watched.
+        """
         code, output, _ = self.run_ctl("check", self.sheet("v2"))
         self.assertEqual((0, True), (code, "nothing was changed" in output))
         code, output, error = self.run_ctl(
@@ -101,7 +104,7 @@
         self.assertIn("portal", self.run_ctl("status")[1])
 
     def test_bad_input_ends_with_2(self):
-        """Guards against faults that are not shown."""
+        """Guards against bad input whose faults are not reported."""
         path = self.write("bad.csv", HEADER + "other,v2,,,soon\n")
         code, _, error = self.run_ctl("submit", path)
         self.assertEqual(2, code)
@@ -113,7 +116,7 @@
         self.assertEqual(2, self.run_ctl("submit", "/nowhere.csv")[0])
 
     def test_refusal_and_conflict_end_with_3(self):
-        """Guards against a refused change that looks like a success."""
+        """Guards against a refused change that is reported as accepted."""
         code, _, error = self.run_ctl("status", token="wrong")
         self.assertEqual((3, True), (code, "AP501" in error))
         code, _, error = self.run_ctl(
@@ -123,7 +126,7 @@
         self.assertIn("version 1 was accepted first, from operator", error)
 
     def test_no_node_or_no_platform_ends_with_4(self):
-        """Guards against an outage that looks like a refusal."""
+        """Guards against an outage that is reported as a refusal."""
         self.assertEqual(4, self.run_ctl("status", nodes=self.nodes[:1])[0])
         url = self.fleet.platform_url
         fleet.call_json(self.fleet, url, "/-/faults", {"table_down": True})
--- a/tests/ctl/test_watching.py
+++ b/tests/ctl/test_watching.py
@@ -8,8 +8,8 @@
 __all__ = ["FollowTest"]
 
 
-def refusal(status):
-    """Return the error of an answer with a status."""
+def make_refusal(status):
+    """Return the error for an answer with this status."""
     return errors.NodeRefused(
         "refused", code="AP000", status=status, faults=()
     )
@@ -17,13 +17,13 @@
 
 class FollowTest(unittest.TestCase):
     def follow(self, *answers):
-        """Follow one move through prepared answers, a second apart."""
+        """Follow one move through prepared answers, one for each poll."""
         self.now = 0.0
         self.shown, self.warnings = [], []
-        left = list(answers)
+        remaining = list(answers)
 
         def read(identifier):
-            answer = left.pop(0) if len(left) > 1 else left[0]
+            answer = remaining.pop(0) if len(remaining) > 1 else remaining[0]
             if isinstance(answer, Exception):
                 raise answer
             return {"identifier": identifier, "state": answer}
@@ -41,23 +41,26 @@
         return [move["state"] for move in watching.follow(watch, ["m1"])]
 
     def test_ends_with_the_last_state(self):
-        """Guards against a watch that never ends or repeats itself."""
+        """Guards against a watch that never ends or repeats a state."""
         ended = self.follow("running", "running", "baking", "withdrawn")
         self.assertEqual(["withdrawn"], ended)
         self.assertEqual(["running", "baking", "withdrawn"], self.shown)
 
     def test_outage_of_the_platform_is_waited_out(self):
-        """Guards against a watch that ends with the first failed read."""
-        down = [refusal(503)] * 20
+        """Guards against a watch that ends at the first failed read.
+
+        The platform is unavailable for 20 polls.
+        """
+        down = [make_refusal(503)] * 20
         self.assertEqual(["done"], self.follow("running", *down, "done"))
         self.assertEqual(20, len(self.warnings))
 
     def test_silence_and_refusals_end_the_watch(self):
-        """Guards against waiting for what cannot get better."""
+        """Guards against polling on after a permanent error."""
         for answer, seconds in (
-            (errors.NodeUnreachable("none"), watching.SILENT_SECONDS),
-            (refusal(404), watching.UNKNOWN_SECONDS),
-            (refusal(403), 0.0),
+            (errors.NodeUnreachable("none"), watching.UNREACHABLE_SECONDS),
+            (make_refusal(404), watching.UNKNOWN_MOVE_SECONDS),
+            (make_refusal(403), 0.0),
         ):
             with self.assertRaises(type(answer)):
                 self.follow(answer)
--- a/tests/report/test_burn.py
+++ b/tests/report/test_burn.py
@@ -1,4 +1,4 @@
-"""Tests of burn rates, error budgets and the report's forms."""
+"""Tests of burn rates, error budgets and the formats of the report."""
 
 import unittest
 import xml.etree.ElementTree
@@ -37,7 +37,7 @@
 
 class BurnTest(unittest.TestCase):
     def test_burn_is_failures_over_allowed_failures(self):
-        """Guards against an average of averages over unequal nodes."""
+        """Guards against averaging the rates of nodes with unequal traffic."""
         (report,) = burn.merge_nodes(
             [make_node(good=890, bad=10), make_node(good=98, slow=2)]
         )
@@ -49,19 +49,19 @@
         self.assertEqual(988, report.buckets[0].counts.good)
 
     def test_strictest_objective_counts(self):
-        """Guards against a node with old settings that hides a burn."""
+        """Guards against old settings of a node that hide a high burn rate."""
         nodes = [make_node(bad=1), make_node(availability=99.9)]
         (report,) = burn.merge_nodes(nodes)
         self.assertEqual(99.9, report.objective.availability_percent)
 
     def test_no_calls_burn_nothing(self):
-        """Guards against a division by zero on a quiet route."""
+        """Guards against a division by zero on a route without calls."""
         (report,) = burn.merge_nodes([make_node()])
         self.assertEqual((0.0,) * 4, report.availability_burn)
         self.assertEqual(1.0, report.availability_left)
 
-    def test_page_stands_alone_and_escapes_names(self):
-        """Guards against outside parts and against markup in names."""
+    def test_page_is_self_contained_and_escapes_names(self):
+        """Guards against external resources and against markup in names."""
         reports = burn.merge_nodes([make_node(bad=1, slow=1, route="a<b")])
         page = pages.format_page(reports, ["note <1>"], now=START + 900)
         self.assertNotIn("a<b", page)
--- a/tests/report/test_levels.py
+++ b/tests/report/test_levels.py
@@ -1,4 +1,4 @@
-"""Tests of counting service levels."""
+"""Tests of the counts of service levels."""
 
 import random
 import unittest
@@ -29,7 +29,7 @@
 
 class LevelsTest(unittest.TestCase):
     def test_calls_are_sorted_into_good_bad_and_slow(self):
-        """Guards against a failed call that counts as fast."""
+        """Guards against a failed call that is counted as good or slow."""
         counts = levels.make_counts()
         record(counts, START)
         record(counts, START, duration_ms=100.1)
@@ -37,28 +37,28 @@
         expected = model.LevelCounts(good=1, bad=1, slow=1)
         self.assertEqual((expected,) * 4, levels.read_windows(counts, START))
 
-    def test_windows_equal_a_full_list(self):
-        """Guards against buckets that are reused without being emptied."""
+    def test_windows_match_counts_from_all_calls(self):
+        """Guards against buckets that are reused without being cleared."""
         rng = random.Random(4)
         counts = levels.make_counts()
-        moments = []
+        call_times = []
         now = START
         for _ in range(3000):
             now += rng.choice([0, 1, 30, 200, 3000])
-            moments.append(now)
+            call_times.append(now)
             record(counts, now)
         windows = levels.read_windows(counts, now)
         for index, span in enumerate(levels.WINDOWS_SECONDS):
-            width = 60 if index < 2 else levels.BUCKET_SECONDS
+            width = 60 if index < 2 else levels.COARSE_BUCKET_SECONDS
             oldest = now // width - span // width
-            kept = [at for at in moments if at // width > oldest]
+            kept = [at for at in call_times if at // width > oldest]
             self.assertEqual(len(kept), windows[index].good, span)
         buckets = levels.read_buckets(counts, now)
         starts = [bucket.start for bucket in buckets]
         self.assertEqual(sorted(set(starts)), starts)
 
-    def test_old_latencies_are_forgotten(self):
-        """Guards against percentiles of last week."""
+    def test_old_latencies_are_dropped(self):
+        """Guards against percentiles with latencies of earlier hours."""
         counts = levels.make_counts()
         record(counts, START, duration_ms=90.0)
         text = levels.read_latencies(counts, START + 60)
--- a/tests/report/test_main.py
+++ b/tests/report/test_main.py
@@ -1,4 +1,4 @@
-"""Test of the report against a real node."""
+"""Test of the report with a real node."""
 
 import contextlib
 import io
@@ -64,7 +64,7 @@
         return code, output.getvalue()
 
     def test_counted_calls_are_those_that_callers_made(self):
-        """Guards against calls that are lost or counted twice."""
+        """Guards against calls that are not counted or are counted twice."""
 
         def is_up():
             with contextlib.suppress(Exception):
