--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -53,9 +53,13 @@
 DRAIN_CUT = _define(
     106,
     logging.WARNING,
-    "drain ended after %(seconds)s s with calls in flight",
+    "drain stopped at its limit of %(seconds)s s with calls in flight",
+)
+NOTICE_ENDED = _define(
+    107,
+    logging.INFO,
+    "another signal received, notice period ended early",
 )
-NOTICE_ENDED = _define(107, logging.INFO, "notice period ended by a signal")
 # Configuration: 200 to 299.
 CONFIG_APPLIED = _define(
     200, logging.INFO, "configuration %(version)s in force"
@@ -66,12 +70,22 @@
 CONFIG_COMMITTED = _define(
     202, logging.INFO, "configuration %(version)s committed by %(author)s"
 )
-PLATFORM_LOST = _define(210, logging.WARNING, "table not reachable: %(error)s")
-PLATFORM_BACK = _define(211, logging.INFO, "table reachable again")
+PLATFORM_LOST = _define(
+    210,
+    logging.WARNING,
+    "configuration not read from the platform, the one in force stays: "
+    "%(error)s",
+)
+PLATFORM_BACK = _define(
+    211,
+    logging.INFO,
+    "configuration can be read from the platform again",
+)
 CONFIG_STOPPED = _define(
     203,
     logging.ERROR,
-    "configuration %(version)s spreads no further, refused by %(refusers)s",
+    "configuration %(version)s is not distributed further, refused by "
+    "%(refusers)s",
 )
 WITHDRAWAL_NOTED = _define(
     204,
@@ -81,18 +95,20 @@
 SNAPSHOT_DAMAGED = _define(
     212,
     logging.ERROR,
-    "stored snapshot not usable, reading all deltas instead: %(error)s",
+    "stored snapshot damaged or missing, reading all deltas instead: "
+    "%(error)s",
 )
 # Keyed calls: 220 to 229.
 OUTCOME_NOT_STORED = _define(
     220,
     logging.ERROR,
-    "record of key %(key)s on route %(route)s stays as it is: %(error)s",
+    "outcome of key %(key)s on route %(route)s not stored, its record "
+    "stays unchanged until it expires: %(error)s",
 )
 OUTCOME_UNREADABLE = _define(
     221,
     logging.ERROR,
-    "outcome of key %(key)s on route %(route)s not readable: %(error)s",
+    "outcome of key %(key)s on route %(route)s cannot be read: %(error)s",
 )
 # Messages between nodes: 300 to 399.
 MESSAGE_MALFORMED = _define(
@@ -139,7 +155,9 @@
     "rollout %(rollout)s observed: %(service)s from %(old)s to %(new)s",
 )
 ROLLOUT_STEP = _define(
-    401, logging.INFO, "rollout %(rollout)s: share %(share)s of 1000"
+    401,
+    logging.INFO,
+    "rollout %(rollout)s: new version gets %(share)s of 1000 calls",
 )
 ROLLOUT_HELD = _define(
     402, logging.INFO, "rollout %(rollout)s held: %(reason)s"
@@ -149,10 +167,14 @@
 )
 ROLLOUT_DONE = _define(404, logging.INFO, "rollout %(rollout)s done")
 ROLLOUT_BAD = _define(
-    405, logging.WARNING, "version %(version)s is bad: %(reason)s"
+    405,
+    logging.WARNING,
+    "version %(version)s failed its evaluation: %(reason)s",
 )
 LEASE_TAKEN = _define(
-    410, logging.INFO, "lease of %(service)s taken with number %(fence)s"
+    410,
+    logging.INFO,
+    "lease of %(service)s acquired with fencing number %(fence)s",
 )
 LEASE_LOST = _define(
     411, logging.WARNING, "lease of %(service)s lost: %(reason)s"
@@ -160,7 +182,8 @@
 ROLLOUT_RETRY = _define(
     412,
     logging.WARNING,
-    "rollout %(rollout)s: table failed, again in %(seconds).1f s: %(error)s",
+    "rollout %(rollout)s: table request failed, next attempt in "
+    "%(seconds).1f s: %(error)s",
 )
 
 
@@ -179,12 +202,14 @@
     "request %(request)s for %(host)s not routed: %(reason)s",
 )
 ANSWER_LATE = _define(
-    603, logging.INFO, "answer to %(call)s came after its request had ended"
+    603,
+    logging.INFO,
+    "response to call %(call)s arrived after its request had ended",
 )
 GATE_REJECTED = _define(
     610,
     logging.WARNING,
-    "backend server %(backend)s turned request %(request)s away",
+    "backend server %(backend)s rejected request %(request)s",
 )
 GATE_FAILED = _define(
     611,
@@ -192,10 +217,14 @@
     "request %(request)s failed at backend server %(backend)s: %(reason)s",
 )
 DECISIONS_SUPPRESSED = _define(
-    620, logging.WARNING, "%(lines)s lines about requests were not written"
+    620,
+    logging.WARNING,
+    "%(lines)s log lines on requests suppressed by the rate limit",
 )
 LINES_DROPPED = _define(
-    621, logging.ERROR, "%(lines)s lines were dropped, output is blocked"
+    621,
+    logging.ERROR,
+    "%(lines)s log lines dropped because the log output is blocked",
 )
 
 # Event-loop node, state: 700 to 799.
@@ -203,7 +232,9 @@
     700, logging.INFO, "node %(instance)s started in %(data_centre)s"
 )
 SIDECAR_STOPPING = _define(
-    701, logging.INFO, "node %(instance)s got SIGTERM and drains"
+    701,
+    logging.INFO,
+    "node %(instance)s received SIGTERM and is draining",
 )
 SIDECAR_STOPPED = _define(
     702, logging.INFO, "node %(instance)s stopped with %(open)s requests open"
@@ -226,7 +257,9 @@
     712, logging.WARNING, "backend server %(backend)s refuses connections"
 )
 BEAT_MALFORMED = _define(
-    713, logging.WARNING, "announcement refused: %(error)s"
+    713,
+    logging.WARNING,
+    "malformed announcement of a backend server refused: %(error)s",
 )
 BACKEND_HEALTH = _define(
     714,
@@ -237,18 +270,32 @@
     720, logging.INFO, "connection to node %(node)s is %(state)s"
 )
 LINK_MALFORMED = _define(
-    721, logging.WARNING, "message of another node refused: %(error)s"
+    721,
+    logging.WARNING,
+    "message from another node refused: %(error)s",
+)
+NODE_MET = _define(
+    722,
+    logging.INFO,
+    "first contact with process %(boot)s of node %(node)s",
 )
-NODE_MET = _define(722, logging.INFO, "node %(node)s met with boot %(boot)s")
 LINK_TRAFFIC = _define(
     723, logging.INFO, "messages and bytes sent to other nodes: %(sent)s"
 )
-STORE_LOST = _define(730, logging.WARNING, "store lost: %(error)s")
+STORE_LOST = _define(
+    730,
+    logging.WARNING,
+    "store unreachable: %(error)s",
+)
 STORE_REGAINED = _define(
-    731, logging.INFO, "store regained after %(seconds)s s"
+    731,
+    logging.INFO,
+    "store reachable again after %(seconds)s s",
 )
 READER_CHANGED = _define(
-    732, logging.INFO, "this node reads the store: %(reader)s"
+    732,
+    logging.INFO,
+    "this node reads orders from the store: %(reader)s",
 )
 ORDERS_APPLIED = _define(
     733,
@@ -256,12 +303,15 @@
     "orders up to revision %(revision)s in force, configuration %(version)s",
 )
 ORDERS_REFUSED = _define(
-    734, logging.ERROR, "orders refused, the last ones stay: %(error)s"
+    734,
+    logging.ERROR,
+    "orders refused, the previous ones stay in force: %(error)s",
 )
 ORDERS_GAP = _define(
     735,
     logging.INFO,
-    "order %(key)s lacks its base %(base)s, the whole row is asked for",
+    "change of order %(key)s needs base %(base)s, which is missing, "
+    "requesting the whole row",
 )
 TRIAL_CHANGED = _define(
     740,
--- a/apricotpost/settings/schema.py
+++ b/apricotpost/settings/schema.py
@@ -41,13 +41,13 @@
     Parameters
     ----------
     ingress : str
-        Callers from outside.
+        For callers from outside.
     local : str
-        The backend server beside the node.
+        For the backend server beside the node.
     admin : str
-        Operators.
+        For operators.
     call, control : str
-        Other nodes.
+        For other nodes.
     """
 
     ingress: HostPort
@@ -68,7 +68,8 @@
     access_key_variable, secret_key_variable : str
         Names of variables; the values never appear in the settings.
     session_token_variable : str
-        For temporary credentials.
+        Name of the variable with the session token of temporary
+        credentials.
     """
 
     region: Name
@@ -84,13 +85,13 @@
     Parameters
     ----------
     table_url, object_url : str
-        HTTP endpoints.
+        URLs of the table service and the object store.
     table, bucket : str
         Names of the table and the bucket.
     timeout_seconds : float
-        Longest wait for one answer, in seconds.
+        Timeout of one request, in seconds.
     credentials : CredentialSettings, optional
-        Requests are signed with these.
+        Credentials with which requests are signed.
     """
 
     table_url: str
@@ -110,11 +111,11 @@
     sha256 : str
         SHA-256 of the token, in hexadecimal.
     author : str
-        Who it was given to.
+        Person or program that uses the token.
     team : str
-        Team whose services it may change.
+        Team whose services may be changed with the token.
     rights : tuple of {'read', 'change', 'data-centres'}
-        What it allows.
+        Kinds of requests that the token permits.
     """
 
     sha256: Sha256Digest
@@ -134,15 +135,16 @@
     drain_seconds : float
         Longest drain after SIGTERM.
     leave_notice_seconds : float
-        Time for callers to hear that the instance leaves.
+        Time for which calls are still accepted after the node has announced
+        that it leaves.
     poll_seconds : float
-        Pause between two reads of the table by a reader.
+        Pause between two reads of the table by a node that reads it.
     bake_seconds : float
         Time at full share before a rollout is done.
     step_seconds : float
         Shortest time between two steps of a rollout.
     join_seconds : float
-        Longest random pause before a started node joins.
+        Longest random delay before a started node joins the other nodes.
     """
 
     drain_seconds: Seconds = 30.0
@@ -178,7 +180,7 @@
     statsd : str, optional
         Address of the statsd server; without it nothing is sent.
     prefix : str
-        First part of the names.
+        Prefix of the names of the metrics.
     """
 
     statsd: HostPort | None = None
@@ -196,7 +198,7 @@
     availability_percent : float
         Share of calls that must not fail, in percent.
     latency_ms : float
-        Longest duration of a call that is not slow, in milliseconds.
+        Latency in milliseconds above which a call counts as slow.
     latency_percent : float
         Share of answered calls that must not be slow, in percent.
     """
@@ -216,7 +218,7 @@
     availability_percent : float
         Share of calls that must not fail, in percent.
     latency_ms : float
-        Longest duration of a call that is not slow, in milliseconds.
+        Latency in milliseconds above which a call counts as slow.
     latency_percent : float
         Share of answered calls that must not be slow, in percent.
     routes : tuple of RouteLevelSettings
@@ -236,15 +238,16 @@
     Parameters
     ----------
     instance, data_centre, region : str
-        Name and place of the instance.
+        Name and location of the instance.
     addresses : AddressSettings
-        Where the node listens.
+        Listening addresses of the node.
     seeds : tuple of str
         Control addresses of some other nodes, as IP:PORT.
     platform : PlatformSettings
-        The platform's services.
+        Access to the platform's services.
     tokens : tuple of TokenSettings
-        Tokens of the administration API; without any it refuses everyone.
+        Tokens of the administration API; without any, all requests are
+        refused.
     times : TimeSettings
         Times in seconds.
     logs : LogSettings
