--- a/apricotpost/admin/app.py
+++ b/apricotpost/admin/app.py
@@ -24,7 +24,7 @@
 MAX_BODY_BYTES = 1024 * 1024
 
 
-def make_app(admin: handlers.Admin) -> Callable[..., Iterable[bytes]]:
+def make_app(admin: handlers.AdminState) -> Callable[..., Iterable[bytes]]:
     """Return the WSGI application that serves ``admin``."""
 
     def app(
@@ -46,7 +46,7 @@
 
 
 def _respond(
-    admin: handlers.Admin, environ: Environ
+    admin: handlers.AdminState, environ: Environ
 ) -> tuple[int, typing.Any]:
     try:
         return 200, _handle_request(admin, environ)
@@ -65,7 +65,9 @@
         return failure.status, _describe_error(failure)
 
 
-def _handle_request(admin: handlers.Admin, environ: Environ) -> typing.Any:
+def _handle_request(
+    admin: handlers.AdminState, environ: Environ
+) -> typing.Any:
     # Authenticate before routing: without a token a caller must not be
     # able to find out which paths exist.
     actor = tokens.authenticate(
--- a/apricotpost/admin/commits.py
+++ b/apricotpost/admin/commits.py
@@ -57,7 +57,7 @@
     apricotpost.errors.PlatformError
         The platform did not answer.
     """
-    _, deltas, newer_snapshot = storage.read_newer(store, snapshot.version)
+    _, deltas, newer_snapshot = storage.read_updates(store, snapshot.version)
     if newer_snapshot is not None:
         snapshot = config.apply_snapshot(snapshot, newer_snapshot)
     for delta in deltas:
@@ -70,7 +70,7 @@
     submission: submissions.Submission,
     apply: Callable[[model.Snapshot], requests.AppliedChange],
     *,
-    announce: Callable[[model.Delta], None],
+    notify_committed: Callable[[model.Delta], None],
     snapshot: model.Snapshot,
     now: float,
 ) -> submissions.AcceptedChange:
@@ -84,7 +84,7 @@
         Author and identifier of the request.
     apply : callable
         Returns the change applied to a snapshot.
-    announce : callable
+    notify_committed : callable
         Called with the delta once it is committed.
     snapshot : apricotpost.model.Snapshot
         Configuration of this node; only newer versions are read.
@@ -126,7 +126,7 @@
                 raise
             continue
         if applied.snapshot != snapshot:
-            announce(config.compute_delta(snapshot, applied.snapshot))
+            notify_committed(config.compute_delta(snapshot, applied.snapshot))
         return accepted
     raise AssertionError("every attempt returns or raises")
 
--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -22,14 +22,14 @@
 from apricotpost import settings
 from apricotpost import storage
 
-__all__ = ["Admin", "Request", "find_handler", "make_minimum_durations"]
+__all__ = ["AdminState", "Request", "find_handler", "make_minimum_durations"]
 
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 BASE_VERSION_HEADER = "if-match"
 
 
 @dataclasses.dataclass(kw_only=True)
-class Admin:
+class AdminState:
     """State shared by the threads that serve the administration API.
 
     Parameters
@@ -40,10 +40,10 @@
         Opens a connection to the platform for one thread.
     read_view : callable
         Returns the view in force.
-    read_fleet : callable
+    read_current_instances : callable
         Returns the view in force with the configuration version that each
         instance holds now.
-    announce : callable
+    notify_committed : callable
         Reports a newly committed version to the control task; called with
         the delta and the author.
     read_levels : callable
@@ -55,8 +55,8 @@
     options: settings.NodeSettings
     open_store: Callable[[], storage.Store]
     read_view: Callable[[], model.View]
-    read_fleet: Callable[[], model.View]
-    announce: Callable[[model.Delta, str], None]
+    read_current_instances: Callable[[], model.View]
+    notify_committed: Callable[[model.Delta, str], None]
     read_levels: Callable[[], typing.Any]
     thread_local: threading.local = dataclasses.field(
         default_factory=threading.local
@@ -86,7 +86,7 @@
     body: bytes
 
 
-Handler = Callable[[Admin, Request], typing.Any]
+Handler = Callable[[AdminState, Request], typing.Any]
 
 
 def find_handler(method: str, path: str) -> tuple[Handler, str]:
@@ -116,43 +116,45 @@
     )
 
 
-def _get_status(admin: Admin, request: Request) -> typing.Any:
+def _get_status(admin: AdminState, request: Request) -> typing.Any:
     return {
         "instance": admin.options.instance,
         "data_centre": admin.options.data_centre,
         "region": admin.options.region,
         "now": time.time(),
-        **reads.describe_status(admin.read_fleet(), now=time.time()),
+        **reads.describe_status(
+            admin.read_current_instances(), now=time.time()
+        ),
     }
 
 
-def _get_config(admin: Admin, request: Request) -> typing.Any:
+def _get_config(admin: AdminState, request: Request) -> typing.Any:
     return admin.read_view().snapshot
 
 
-def _get_instances(admin: Admin, request: Request) -> typing.Any:
-    return {"instances": admin.read_fleet().instances}
+def _get_instances(admin: AdminState, request: Request) -> typing.Any:
+    return {"instances": admin.read_current_instances().instances}
 
 
-def _get_history(admin: Admin, request: Request) -> typing.Any:
+def _get_history(admin: AdminState, request: Request) -> typing.Any:
     return reads.read_history(
         _thread_store(admin),
-        admin.read_fleet(),
+        admin.read_current_instances(),
         service=request.query.get("service", ""),
         limit=_parse_count(request, "limit", reads.DEFAULT_PAGE_ITEMS, 1000),
     )
 
 
-def _get_move(admin: Admin, request: Request) -> typing.Any:
+def _get_move(admin: AdminState, request: Request) -> typing.Any:
     return reads.read_move(
         _thread_store(admin),
-        admin.read_fleet(),
+        admin.read_current_instances(),
         request.name,
         now=time.time(),
     )
 
 
-def _get_audit(admin: Admin, request: Request) -> typing.Any:
+def _get_audit(admin: AdminState, request: Request) -> typing.Any:
     newest = storage.read_head(_thread_store(admin)) + 1
     return reads.read_audit(
         _thread_store(admin),
@@ -161,11 +163,11 @@
     )
 
 
-def _get_levels(admin: Admin, request: Request) -> typing.Any:
+def _get_levels(admin: AdminState, request: Request) -> typing.Any:
     return admin.read_levels()
 
 
-def _post_sheet(admin: Admin, request: Request) -> typing.Any:
+def _post_sheet(admin: AdminState, request: Request) -> typing.Any:
     try:
         text = request.body.decode("utf-8")
     except UnicodeDecodeError as error:
@@ -177,25 +179,25 @@
     return _submit_change(admin, request, change)
 
 
-def _post_services(admin: Admin, request: Request) -> typing.Any:
+def _post_services(admin: AdminState, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.Definitions)
     return _submit_change(admin, request, change)
 
 
-def _post_data_centre(admin: Admin, request: Request) -> typing.Any:
+def _post_data_centre(admin: AdminState, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.DataCentreChange)
     change = dataclasses.replace(change, name=request.name)
     return _submit_change(admin, request, change)
 
 
-def _post_withdraw(admin: Admin, request: Request) -> typing.Any:
+def _post_withdraw(admin: AdminState, request: Request) -> typing.Any:
     change = requests.decode(request.body, requests.WithdrawRollout)
     change = dataclasses.replace(change, rollout=request.name)
     return _submit_change(admin, request, change)
 
 
 def _submit_change(
-    admin: Admin, request: Request, change: requests.ChangeRequest
+    admin: AdminState, request: Request, change: requests.ChangeRequest
 ) -> submissions.AcceptedChange:
     """Commit a change, or only check it if ``check`` is in the URL."""
     if not request.actor.rights & {tokens.CHANGE, tokens.DATA_CENTRES}:
@@ -224,7 +226,9 @@
         store,
         submission,
         apply,
-        announce=lambda delta: admin.announce(delta, request.actor.author),
+        notify_committed=lambda delta: admin.notify_committed(
+            delta, request.actor.author
+        ),
         snapshot=node_snapshot,
         now=now,
     )
@@ -266,7 +270,7 @@
     return min(int(text), maximum)
 
 
-def _thread_store(admin: Admin) -> storage.Store:
+def _thread_store(admin: AdminState) -> storage.Store:
     """Return the calling thread's connection to the platform."""
     thread_local = admin.thread_local
     if getattr(thread_local, "store", None) is None:
--- a/apricotpost/admin/moves.py
+++ b/apricotpost/admin/moves.py
@@ -12,13 +12,13 @@
     "Progress",
     "decide_outcome",
     "decode_pending",
-    "end_writes",
+    "make_outcome_writes",
     "measure_progress",
     "pending_write",
 ]
 
-PENDING = "move"
-OUTCOME = "outcome"
+PENDING_PARTITION = "move"
+OUTCOME_PARTITION = "outcome"
 
 _ITEM_EXISTS = table.Condition(expression="attribute_exists(pk)")
 
@@ -108,7 +108,7 @@
     """Return the write that records a move as pending."""
     return table.Put(
         item=table.Item(
-            key=table.Key(pk=PENDING, sk=move.identifier),
+            key=table.Key(pk=PENDING_PARTITION, sk=move.identifier),
             attributes=_encode(move),
         )
     )
@@ -128,7 +128,7 @@
     )
 
 
-def end_writes(outcome: MoveOutcome) -> tuple[table.Write, ...]:
+def make_outcome_writes(outcome: MoveOutcome) -> tuple[table.Write, ...]:
     """Return the writes that replace a pending move by its outcome.
 
     The conditions let only the first of several nodes record the outcome.
@@ -137,12 +137,12 @@
     taken_ms = int((outcome.at - move.started_at) * 1000)
     return (
         table.Delete(
-            key=table.Key(pk=PENDING, sk=move.identifier),
+            key=table.Key(pk=PENDING_PARTITION, sk=move.identifier),
             condition=_ITEM_EXISTS,
         ),
         table.Put(
             item=table.Item(
-                key=table.Key(pk=OUTCOME, sk=move.identifier),
+                key=table.Key(pk=OUTCOME_PARTITION, sk=move.identifier),
                 attributes={
                     **_encode(move),
                     "kind": "data-centre",
--- a/apricotpost/admin/reads.py
+++ b/apricotpost/admin/reads.py
@@ -113,7 +113,9 @@
         if not service or item.attributes.get("service") == service
     ]
     ended.sort(key=lambda entry: int(entry.get("at_ms", 0)), reverse=True)
-    pending = () if service else table.query(store.table, pk=moves.PENDING)
+    pending = (
+        () if service else table.query(store.table, pk=moves.PENDING_PARTITION)
+    )
     return {
         "outcomes": ended[:limit],
         "pending": [_describe_pending(item, view) for item in pending],
@@ -135,11 +137,13 @@
     for rollout in view.snapshot.rollouts:
         if rollout.identifier == identifier:
             return describe_rollout(rollout, view.withdrawals, now=now)
-    key = table.Key(pk=moves.PENDING, sk=identifier)
+    key = table.Key(pk=moves.PENDING_PARTITION, sk=identifier)
     pending = table.get(store.table, key)
     if pending is not None:
         return _describe_pending(pending, view)
-    ended = table.get(store.table, table.Key(pk=moves.OUTCOME, sk=identifier))
+    ended = table.get(
+        store.table, table.Key(pk=moves.OUTCOME_PARTITION, sk=identifier)
+    )
     if ended is None:
         raise errors.ResourceUnknown(f"there is no move {identifier!r}")
     return _describe_outcome(ended)
@@ -176,7 +180,10 @@
     after = f"{max(version - HISTORY_VERSIONS, 0):012d}"
     while True:
         page = table.query(
-            store.table, pk=moves.OUTCOME, after=after, limit=QUERY_PAGE_ITEMS
+            store.table,
+            pk=moves.OUTCOME_PARTITION,
+            after=after,
+            limit=QUERY_PAGE_ITEMS,
         )
         yield from page
         if len(page) < QUERY_PAGE_ITEMS:
--- a/apricotpost/admin/submissions.py
+++ b/apricotpost/admin/submissions.py
@@ -74,7 +74,7 @@
             )
         )
     for before, after in applied.withdrawn:
-        yield storage.outcomes.outcome_write(
+        yield storage.outcomes.make_outcome_write(
             before,
             after,
             evidence="",
--- a/apricotpost/ctl/client.py
+++ b/apricotpost/ctl/client.py
@@ -11,7 +11,7 @@
 
 from apricotpost import errors
 
-__all__ = ["Client", "send_request", "open_client", "read_nodes", "read_token"]
+__all__ = ["Client", "open_client", "read_nodes", "read_token", "send_request"]
 
 NODES_VARIABLE = "APRICOTPOST_NODES"
 TOKEN_VARIABLE = "APRICOTPOST_TOKEN"
@@ -95,13 +95,13 @@
 
     Raises
     ------
-    apricotpost.errors.NodeRefused
+    apricotpost.errors.NodeErrorResponse
         A node refused the request, or none could carry it out.
     apricotpost.errors.NodeUnreachable
         No node answered.
     """
     unreachable: list[str] = []
-    refusal: errors.NodeRefused | None = None
+    refusal: errors.NodeErrorResponse | None = None
     for node in client.nodes:
         try:
             return _send_to_node(
@@ -109,7 +109,7 @@
             )
         except urllib3.exceptions.HTTPError as error:
             unreachable.append(f"{node}: {error}")
-        except errors.NodeRefused as error:
+        except errors.NodeErrorResponse as error:
             if error.status < 500:
                 raise
             refusal = error
@@ -139,7 +139,7 @@
     answer = _decode_answer(node, response.data)
     if response.status == 200:
         return answer
-    raise errors.NodeRefused(
+    raise errors.NodeErrorResponse(
         str(answer.get("message", f"status {response.status}")),
         code=str(answer.get("code", "AP000")),
         status=response.status,
--- a/apricotpost/ctl/commands.py
+++ b/apricotpost/ctl/commands.py
@@ -202,7 +202,7 @@
         answer: Json = client.send_request(
             session.client, "POST", path, body=body, headers=headers
         )
-    except (errors.NodeUnreachable, errors.NodeRefused) as error:
+    except (errors.NodeUnreachable, errors.NodeErrorResponse) as error:
         if error.exit_code == 4:
             session.warn(
                 "to retry, repeat the command with --request "
--- a/apricotpost/ctl/main.py
+++ b/apricotpost/ctl/main.py
@@ -60,7 +60,7 @@
         )
         return commands.COMMANDS[options.command](session)
     except errors.ApricotpostError as error:
-        _warn(errors.describe(error))
+        _warn(errors.format_error(error))
         return error.exit_code
     except KeyboardInterrupt:
         return 130
--- a/apricotpost/ctl/watching.py
+++ b/apricotpost/ctl/watching.py
@@ -52,7 +52,7 @@
 
     Raises
     ------
-    apricotpost.errors.NodeRefused
+    apricotpost.errors.NodeErrorResponse
         A move is unknown, or the token is not accepted.
     apricotpost.errors.NodeUnreachable
         No node answered for `UNREACHABLE_SECONDS`.
@@ -96,7 +96,7 @@
     if error.status == 404:
         if not known and now - started_at > UNKNOWN_MOVE_SECONDS:
             raise error
-    elif isinstance(error, errors.NodeRefused) and error.status < 500:
+    elif isinstance(error, errors.NodeErrorResponse) and error.status < 500:
         raise error
     elif now - answered_at > UNREACHABLE_SECONDS:
         raise error
--- a/apricotpost/errors.py
+++ b/apricotpost/errors.py
@@ -4,30 +4,30 @@
 
 __all__ = [
     "AccessDenied",
+    "AddressInUse",
     "ApricotpostError",
     "AuthenticationFailed",
     "ChangeConflict",
     "ConfigurationInvalid",
     "ConfigurationOutdated",
     "DeltaBaseMissing",
-    "HistoryLost",
+    "HistoryExpired",
     "LeaseLost",
     "MalformedMessage",
-    "NodeRefused",
+    "NodeErrorResponse",
     "NodeUnreachable",
     "PlatformDataDamaged",
     "PlatformError",
     "PlatformOutcomeUnknown",
     "PlatformThrottled",
     "PlatformUnavailable",
-    "PortOccupied",
     "RequestInvalid",
-    "RolloutRefused",
     "ResourceUnknown",
+    "RolloutRefused",
     "SettingsInvalid",
     "SheetInvalid",
     "TransactionRejected",
-    "describe",
+    "format_error",
 ]
 
 
@@ -80,7 +80,7 @@
     exit_code = 2
 
 
-class PortOccupied(ApricotpostError):
+class AddressInUse(ApricotpostError):
     """A listening address is already in use."""
 
     code = "AP102"
@@ -145,7 +145,7 @@
     code = "AP406"
 
 
-class HistoryLost(PlatformError):
+class HistoryExpired(PlatformError):
     """The store no longer keeps the changes that a watch requests."""
 
     code = "AP407"
@@ -204,7 +204,7 @@
     status = 409
 
 
-class NodeRefused(ApricotpostError):
+class NodeErrorResponse(ApricotpostError):
     """A node sent an error response; carries its code and status."""
 
     def __init__(
@@ -239,7 +239,7 @@
     status = 404
 
 
-def describe(error: ApricotpostError) -> str:
+def format_error(error: ApricotpostError) -> str:
     """Return the code and message, followed by one line per fault."""
     summary = f"{error.code}: {error.message}"
     return "\n".join([summary, *(f"  {fault}" for fault in error.faults)])
--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -50,12 +50,12 @@
     logging.INFO,
     "backend server of %(service)s %(version)s announced at %(address)s",
 )
-DRAIN_CUT = _define(
+DRAIN_TIMED_OUT = _define(
     106,
     logging.WARNING,
     "drain stopped at its limit of %(seconds)s s with calls in flight",
 )
-NOTICE_ENDED = _define(
+NOTICE_PERIOD_SHORTENED = _define(
     107,
     logging.INFO,
     "another signal received, notice period ended early",
@@ -70,24 +70,24 @@
 CONFIG_COMMITTED = _define(
     202, logging.INFO, "configuration %(version)s committed by %(author)s"
 )
-PLATFORM_LOST = _define(
+CONFIG_READ_FAILED = _define(
     210,
     logging.WARNING,
     "configuration not read from the platform, the one in force stays: "
     "%(error)s",
 )
-PLATFORM_BACK = _define(
+CONFIG_READ_RECOVERED = _define(
     211,
     logging.INFO,
     "configuration can be read from the platform again",
 )
-CONFIG_STOPPED = _define(
+CONFIG_DISTRIBUTION_STOPPED = _define(
     203,
     logging.ERROR,
     "configuration %(version)s is not distributed further, refused by "
     "%(refusers)s",
 )
-WITHDRAWAL_NOTED = _define(
+VERSION_WITHDRAWN = _define(
     204,
     logging.WARNING,
     "version %(version)s of %(service)s is withdrawn: %(reason)s",
@@ -166,12 +166,12 @@
     403, logging.WARNING, "rollout %(rollout)s withdrawn: %(reason)s"
 )
 ROLLOUT_DONE = _define(404, logging.INFO, "rollout %(rollout)s done")
-ROLLOUT_BAD = _define(
+VERSION_FAILED_EVALUATION = _define(
     405,
     logging.WARNING,
     "version %(version)s failed its evaluation: %(reason)s",
 )
-LEASE_TAKEN = _define(
+LEASE_ACQUIRED = _define(
     410,
     logging.INFO,
     "lease of %(service)s acquired with fencing number %(fence)s",
@@ -201,7 +201,7 @@
     logging.WARNING,
     "request %(request)s for %(host)s not routed: %(reason)s",
 )
-ANSWER_LATE = _define(
+RESPONSE_LATE = _define(
     603,
     logging.INFO,
     "response to call %(call)s arrived after its request had ended",
@@ -256,7 +256,7 @@
 BACKEND_UNREACHABLE = _define(
     712, logging.WARNING, "backend server %(backend)s refuses connections"
 )
-BEAT_MALFORMED = _define(
+ANNOUNCEMENT_MALFORMED = _define(
     713,
     logging.WARNING,
     "malformed announcement of a backend server refused: %(error)s",
@@ -274,7 +274,7 @@
     logging.WARNING,
     "message from another node refused: %(error)s",
 )
-NODE_MET = _define(
+NODE_PROCESS_DISCOVERED = _define(
     722,
     logging.INFO,
     "first contact with process %(boot)s of node %(node)s",
@@ -282,12 +282,12 @@
 LINK_TRAFFIC = _define(
     723, logging.INFO, "messages and bytes sent to other nodes: %(sent)s"
 )
-STORE_LOST = _define(
+STORE_UNREACHABLE = _define(
     730,
     logging.WARNING,
     "store unreachable: %(error)s",
 )
-STORE_REGAINED = _define(
+STORE_REACHABLE = _define(
     731,
     logging.INFO,
     "store reachable again after %(seconds)s s",
@@ -307,7 +307,7 @@
     logging.ERROR,
     "orders refused, the previous ones stay in force: %(error)s",
 )
-ORDERS_GAP = _define(
+ORDER_BASE_MISSING = _define(
     735,
     logging.INFO,
     "change of order %(key)s needs base %(base)s, which is missing, "
@@ -318,7 +318,7 @@
     logging.INFO,
     "rollout of %(service)s to %(version)s is %(phase)s: %(reason)s",
 )
-TRIAL_UNWRITTEN = _define(
+TRIAL_STATUS_NOT_STORED = _define(
     741,
     logging.WARNING,
     "status of the rollout of %(service)s not written: %(error)s",
--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -129,7 +129,7 @@
         done: ResultCallback,
         *,
         timeout: float,
-        max_idle: float | None = None,
+        max_idle_seconds: float | None = None,
     ) -> RequestHandle:
         """Send a request on an idle or a new connection.
 
@@ -141,13 +141,13 @@
             Called once with the `Result`, unless the request is cancelled.
         timeout : float
             Time limit for the complete response, in seconds.
-        max_idle : float, optional
+        max_idle_seconds : float, optional
             Longest time, in seconds, that a reused connection may have been
             idle. A negative value forces a new connection.
         """
         handle = RequestHandle(done=done)
         handle.timer = self.loop.call_later(timeout, handle.expire)
-        connection = self.acquire_idle(max_idle)
+        connection = self.acquire_idle(max_idle_seconds)
         if connection is not None:
             connection.start(request, handle)
         else:
@@ -156,7 +156,9 @@
             )
         return handle
 
-    def acquire_idle(self, max_idle: float | None) -> "Connection | None":
+    def acquire_idle(
+        self, max_idle_seconds: float | None
+    ) -> "Connection | None":
         """Remove and return a recently used idle connection, if any."""
         now = self.loop.time()
         while self.idle_connections:
@@ -169,7 +171,10 @@
                 self.idle_connections.pop()
                 connection.abort()
                 continue
-            if max_idle is not None and idle_seconds > max_idle:
+            if (
+                max_idle_seconds is not None
+                and idle_seconds > max_idle_seconds
+            ):
                 return None
             self.idle_connections.pop()
             return connection
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -10,7 +10,7 @@
 
 from apricotpost.http import messages
 
-__all__ = ["Exchange", "Listener", "Limits"]
+__all__ = ["Exchange", "Limits", "Listener"]
 
 BACKLOG_CONNECTIONS = 1024
 # Requests of one connection that may be open at the same time; reading is
@@ -150,7 +150,7 @@
         if self.server is not None:
             self.server.close()
 
-    def open_exchanges(self) -> int:
+    def count_open_exchanges(self) -> int:
         """Return the number of requests whose response is not written yet."""
         return sum(len(c.exchanges) for c in self.connections)
 
--- a/apricotpost/idempotency/calls.py
+++ b/apricotpost/idempotency/calls.py
@@ -242,4 +242,4 @@
 def _bound_to_deadline(
     store: storage.Store, deadline: float, clock: Callable[[], float]
 ) -> storage.Store:
-    return storage.bounded(store, deadline - clock())
+    return storage.with_time_limit(store, deadline - clock())
--- a/apricotpost/node/admin.py
+++ b/apricotpost/node/admin.py
@@ -60,12 +60,14 @@
             "levels": reply.levels,
         }
 
-    shared = admin.Admin(
+    shared = admin.AdminState(
         options=options,
         open_store=lambda: stores.open_store(options.platform),
         read_view=lambda: current.view,
-        read_fleet=lambda: status.read_fleet(context, current),
-        announce=notify_control,
+        read_current_instances=lambda: status.read_current_instances(
+            context, current
+        ),
+        notify_committed=notify_control,
         read_levels=read_levels,
     )
     return admin.make_app(shared)
--- a/apricotpost/node/at_most_once.py
+++ b/apricotpost/node/at_most_once.py
@@ -109,7 +109,7 @@
 ) -> wire.CallResult:
     verdict = begun.verdict
     if verdict is idempotency.Verdict.REPLAY and begun.record is not None:
-        limited = storage.bounded(store, request.deadline - now)
+        limited = storage.with_time_limit(store, request.deadline - now)
         return _make_replayed_result(
             request, idempotency.replay(limited, begun.record)
         )
@@ -149,7 +149,7 @@
         if acquired:
             # The caller may repeat the call at once and needs the key free,
             # so the write is not limited to the call's deadline.
-            store = storage.bounded(
+            store = storage.with_time_limit(
                 keyed_calls.get_store(keyed), STORE_TIMEOUT_SECONDS
             )
             try:
@@ -163,7 +163,7 @@
     keyed: keyed_calls.KeyedCalls, claim: idempotency.Claim
 ) -> storage.Store:
     remaining = claim.deadline - keyed.clock()
-    return storage.bounded(
+    return storage.with_time_limit(
         keyed_calls.get_store(keyed), min(remaining, STORE_TIMEOUT_SECONDS)
     )
 
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -12,7 +12,7 @@
 from apricotpost import spread
 from apricotpost import wire
 
-__all__ = ["make_status", "report_evidence", "handle", "send_to_rollout_task"]
+__all__ = ["handle", "make_status", "report_evidence", "send_to_rollout_task"]
 
 LOG = logging.getLogger(__name__)
 _OPEN_STATES = (model.RolloutState.RUNNING, model.RolloutState.BAKING)
@@ -129,14 +129,14 @@
     elif isinstance(action, spread.Stopped):
         events.emit(
             LOG,
-            events.CONFIG_STOPPED,
+            events.CONFIG_DISTRIBUTION_STOPPED,
             version=action.version,
             refusers=action.refusers,
         )
     else:
         events.emit(
             LOG,
-            events.WITHDRAWAL_NOTED,
+            events.VERSION_WITHDRAWN,
             service=action.withdrawal.service,
             version=action.withdrawal.version,
             reason=action.withdrawal.reason,
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -81,7 +81,7 @@
 
     Raises
     ------
-    apricotpost.errors.PortOccupied
+    apricotpost.errors.AddressInUse
         The call address is in use.
     """
     with contextlib.ExitStack() as stack:
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -131,10 +131,10 @@
             holder.store, service=service, holder=holder.name, now=now
         )
         events.emit(
-            LOG, events.LEASE_TAKEN, service=service, fence=lease.fence
+            LOG, events.LEASE_ACQUIRED, service=service, fence=lease.fence
         )
         holder.renewed_at, holder.failures = now, 0
-    elif now - holder.renewed_at >= storage.leases.RENEW_SECONDS:
+    elif now - holder.renewed_at >= storage.leases.RENEW_INTERVAL_SECONDS:
         lease = storage.leases.renew(holder.store, lease, now=now)
         holder.renewed_at, holder.failures = now, 0
     holder.lease = lease
@@ -179,7 +179,7 @@
         observation,
         decision,
         holder=holder.name,
-        fence=storage.leases.fence_of(lease),
+        fence=storage.leases.make_fence(lease),
         now=now,
     )
     version = storage.commit(holder.store, change)
@@ -239,7 +239,7 @@
             reason=error,
         )
     holder.lease = None
-    holder.retry_at = holder.clock() + storage.leases.RENEW_SECONDS
+    holder.retry_at = holder.clock() + storage.leases.RENEW_INTERVAL_SECONDS
 
 
 def _back_off(
--- a/apricotpost/node/levels.py
+++ b/apricotpost/node/levels.py
@@ -17,7 +17,7 @@
 from apricotpost import settings
 from apricotpost import wire
 
-__all__ = ["request_levels", "measure_call", "run"]
+__all__ = ["measure_call", "request_levels", "run"]
 
 # Measurements are read from their socket at this interval. Waking up for each
 # call would cost more than counting it.
@@ -150,7 +150,7 @@
             continue
         counts = task.counts.get(message.route)
         if counts is None:
-            counts = task.counts[message.route] = levels.make_counts()
+            counts = task.counts[message.route] = levels.make_route_counts()
         levels.record_call(
             counts,
             failed=message.failed,
@@ -192,7 +192,7 @@
                 objective=_find_objective(task.options, route),
                 windows=levels.read_windows(counts, now),
                 buckets=levels.read_buckets(counts, now),
-                latencies=levels.read_latencies(counts, now),
+                latencies=levels.encode_latencies(counts, now),
             )
             for route, counts in sorted(task.counts.items())
         ),
--- a/apricotpost/node/main.py
+++ b/apricotpost/node/main.py
@@ -92,7 +92,7 @@
         events.configure(style=options.logs.style, level=options.logs.level)
         run(options)
     except errors.ApricotpostError as error:
-        print(errors.describe(error), file=sys.stderr)
+        print(errors.format_error(error), file=sys.stderr)
         return error.exit_code
     return 0
 
@@ -107,7 +107,7 @@
 
     Raises
     ------
-    apricotpost.errors.PortOccupied
+    apricotpost.errors.AddressInUse
         A listening address is in use.
     """
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()
@@ -293,7 +293,7 @@
     try:
         server.prepare()
     except OSError as error:
-        raise errors.PortOccupied(
+        raise errors.AddressInUse(
             f"cannot listen on {address}: {error}"
         ) from error
     thread = threading.Thread(target=server.serve, name=address, daemon=True)
--- a/apricotpost/node/moves.py
+++ b/apricotpost/node/moves.py
@@ -93,10 +93,10 @@
 
 def _record_ends(task: _Task) -> None:
     try:
-        pending = table.query(task.store.table, pk=moves.PENDING)
+        pending = table.query(task.store.table, pk=moves.PENDING_PARTITION)
         if not pending:
             return
-        view = status.read_fleet(task.context, task.current)
+        view = status.read_current_instances(task.context, task.current)
         for item in pending:
             _record_end(task, moves.decode_pending(item), view)
     except (errors.PlatformError, errors.NodeUnreachable):
@@ -115,7 +115,7 @@
     try:
         table.transact(
             task.store.table,
-            moves.end_writes(outcome),
+            moves.make_outcome_writes(outcome),
             token=uuid.uuid4().hex,
         )
     except errors.TransactionRejected:
--- a/apricotpost/node/outcome_retries.py
+++ b/apricotpost/node/outcome_retries.py
@@ -13,7 +13,7 @@
 from apricotpost import storage
 from apricotpost import wire
 
-__all__ = ["log_unstored_outcome", "run", "attempt_job"]
+__all__ = ["attempt_job", "log_unstored_outcome", "run"]
 
 LOG = logging.getLogger(__name__)
 MAX_WAIT_SECONDS = 5.0
@@ -53,7 +53,7 @@
             state, job = backlog.pop_due(state, clock())
             if job is not None:
                 state = attempt_job(store, state, job, clock)
-        limited = storage.bounded(store, FINAL_ATTEMPT_TIMEOUT_SECONDS)
+        limited = storage.with_time_limit(store, FINAL_ATTEMPT_TIMEOUT_SECONDS)
         for job in state.jobs[:MAX_FINAL_ATTEMPTS]:
             attempt_job(limited, state, job, clock)
 
--- a/apricotpost/node/platform.py
+++ b/apricotpost/node/platform.py
@@ -49,13 +49,13 @@
     store: storage.Store, have: int, was_available: bool
 ) -> wire.ConfigRead:
     try:
-        head, deltas, snapshot = storage.read_newer(store, have)
+        head, deltas, snapshot = storage.read_updates(store, have)
     except errors.ApricotpostError as error:
         if was_available:
-            events.emit(LOG, events.PLATFORM_LOST, error=error)
+            events.emit(LOG, events.CONFIG_READ_FAILED, error=error)
         return wire.ConfigRead(available=False)
     if not was_available:
-        events.emit(LOG, events.PLATFORM_BACK)
+        events.emit(LOG, events.CONFIG_READ_RECOVERED)
     return wire.ConfigRead(
         available=True, head=head, deltas=deltas, snapshot=snapshot
     )
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -81,7 +81,7 @@
         for entry in after.rollouts
         if entry.identifier == observation.rollout.identifier
     )
-    return storage.outcomes.outcome_write(
+    return storage.outcomes.make_outcome_write(
         observation.rollout,
         ended,
         evidence=observation.judgement.summary,
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -180,7 +180,7 @@
         task.logged_bad_rollout = rollout.identifier
         events.emit(
             LOG,
-            events.ROLLOUT_BAD,
+            events.VERSION_FAILED_EVALUATION,
             version=rollout.new,
             reason=observation.judgement.bad,
         )
--- a/apricotpost/node/shutdown.py
+++ b/apricotpost/node/shutdown.py
@@ -62,7 +62,7 @@
         quiet_since = started_at
         while time.monotonic() - started_at < times.drain_seconds:
             if _wait_for_signal(signals):
-                events.emit(LOG, events.NOTICE_ENDED)
+                events.emit(LOG, events.NOTICE_PERIOD_SHORTENED)
                 _start_gate_drain(gate, 0.0)
                 closes_at = min(
                     closes_at, time.monotonic() + MIN_QUIET_SECONDS
@@ -72,7 +72,7 @@
             now = time.monotonic()
             if now >= closes_at and now - quiet_since >= MIN_QUIET_SECONDS:
                 return
-    events.emit(LOG, events.DRAIN_CUT, seconds=times.drain_seconds)
+    events.emit(LOG, events.DRAIN_TIMED_OUT, seconds=times.drain_seconds)
 
 
 def _connect(
--- a/apricotpost/node/status.py
+++ b/apricotpost/node/status.py
@@ -10,12 +10,12 @@
 from apricotpost.node import views
 from apricotpost import wire
 
-__all__ = ["read_fleet"]
+__all__ = ["read_current_instances"]
 
 REPLY_TIMEOUT_SECONDS = 2.0
 
 
-def read_fleet(
+def read_current_instances(
     context: wire.sockets.Context, current: views.CurrentView
 ) -> model.View:
     """Return the view with the latest records of all instances.
--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -9,15 +9,15 @@
 from apricotpost.platform.announcements import parse_heartbeat
 from apricotpost.platform.configuration import parse_configuration
 from apricotpost.platform.configuration import RouteCache
-from apricotpost.platform.headers import backend_instance
-from apricotpost.platform.headers import call_headers
 from apricotpost.platform.headers import find_response_fault
-from apricotpost.platform.headers import health_request
 from apricotpost.platform.headers import is_healthy
 from apricotpost.platform.headers import is_not_run
+from apricotpost.platform.headers import make_call_headers
+from apricotpost.platform.headers import make_health_request
+from apricotpost.platform.headers import make_local_response_headers
 from apricotpost.platform.headers import NotRunStatus
+from apricotpost.platform.headers import read_backend_instance
 from apricotpost.platform.headers import read_head
-from apricotpost.platform.headers import refusal_headers
 from apricotpost.platform.headers import RequestHead
 from apricotpost.platform.orders import CONFIGURATION
 from apricotpost.platform.orders import encode_status
@@ -28,14 +28,14 @@
 from apricotpost.platform.orders import STATUS
 from apricotpost.platform.orders import status_key
 from apricotpost.platform.orders import TrialState
-from apricotpost.platform.store import Change
 from apricotpost.platform.store import Page
 from apricotpost.platform.store import Row
 from apricotpost.platform.store import Store
+from apricotpost.platform.store import Transaction
 
 __all__ = [
     "CONFIGURATION",
-    "Change",
+    "Deregistration",
     "EVACUATIONS",
     "NotRunStatus",
     "ORDERS",
@@ -46,20 +46,20 @@
     "Row",
     "STATUS",
     "Store",
+    "Transaction",
     "TrialState",
-    "Deregistration",
-    "backend_instance",
-    "call_headers",
     "encode_status",
-    "health_request",
-    "is_not_run",
+    "find_response_fault",
     "is_healthy",
+    "is_not_run",
+    "make_call_headers",
+    "make_health_request",
+    "make_local_response_headers",
     "parse_announcement",
-    "parse_heartbeat",
     "parse_configuration",
+    "parse_heartbeat",
     "parse_rollout",
+    "read_backend_instance",
     "read_head",
-    "refusal_headers",
-    "find_response_fault",
     "status_key",
 ]
--- a/apricotpost/platform/headers.py
+++ b/apricotpost/platform/headers.py
@@ -8,14 +8,14 @@
 __all__ = [
     "NotRunStatus",
     "RequestHead",
-    "backend_instance",
-    "call_headers",
-    "health_request",
-    "is_not_run",
+    "find_response_fault",
     "is_healthy",
+    "is_not_run",
+    "make_call_headers",
+    "make_health_request",
+    "make_local_response_headers",
+    "read_backend_instance",
     "read_head",
-    "refusal_headers",
-    "find_response_fault",
 ]
 
 _REQUEST_ID = b"x-request-id"
@@ -78,7 +78,7 @@
     )
 
 
-def call_headers(
+def make_call_headers(
     headers: http.Headers, *, backend: str, left_ms: int, caller: str
 ) -> http.Headers:
     """Return the headers of a request to a backend server.
@@ -128,13 +128,13 @@
     return ""
 
 
-def backend_instance(headers: http.Headers) -> str:
+def read_backend_instance(headers: http.Headers) -> str:
     """Return the identifier of the responding backend server, or ''."""
     value = http.find_header(headers, _INSTANCE)
     return "" if value is None else value.decode("latin-1")
 
 
-def health_request(path: str, host: str) -> http.Request:
+def make_health_request(path: str, host: str) -> http.Request:
     """Return the health check request for a backend server."""
     return http.Request(
         method=b"GET",
@@ -148,7 +148,7 @@
     return response.status == 200
 
 
-def refusal_headers(
+def make_local_response_headers(
     request_id: str, retry_after_seconds: float
 ) -> http.Headers:
     """Return the headers of a response that the node itself creates.
--- a/apricotpost/platform/store.py
+++ b/apricotpost/platform/store.py
@@ -11,7 +11,7 @@
 from apricotpost import errors
 from apricotpost import http
 
-__all__ = ["Change", "Page", "Row", "Store"]
+__all__ = ["Page", "Row", "Store", "Transaction"]
 
 # The store usually answers in 4 ms. A slow store takes 50 times as long, and
 # its rate limit may delay the answer by another second.
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Change:
+class Transaction:
     """Transaction of conditional writes.
 
     Parameters
@@ -113,7 +113,7 @@
     def __init__(self, *, client: http.Client, host: str) -> None:
         self.client = client
         self.host = host.encode()
-        self.calls = 0
+        self.call_count = 0
 
     async def read(self, table: str) -> Page:
         """Read all rows of a table.
@@ -151,7 +151,7 @@
 
         Raises
         ------
-        apricotpost.errors.HistoryLost
+        apricotpost.errors.HistoryExpired
             The store no longer keeps the changes after that revision.
         apricotpost.errors.PlatformError
             The store does not answer, refuses the request or sends a
@@ -168,7 +168,7 @@
         rows = tuple(_decode_rows(answer.rows))
         return Page(rows=rows, revision=answer.ver)
 
-    async def write(self, change: Change) -> int:
+    async def write(self, transaction: Transaction) -> int:
         """Write rows if the conditions hold, and return the new revision.
 
         Raises
@@ -186,7 +186,7 @@
             {
                 "expected_revision": [
                     {"table": t, "part": "", "key": k, "ver": r}
-                    for t, k, r in change.expected
+                    for t, k, r in transaction.expected
                 ],
                 "put": [
                     {
@@ -195,11 +195,11 @@
                         "key": k,
                         "value": base64.b64encode(v).decode(),
                     }
-                    for t, k, v in change.put
+                    for t, k, v in transaction.put
                 ],
                 "remove": [
                     {"table": t, "part": "", "key": k}
-                    for t, k in change.remove
+                    for t, k in transaction.remove
                 ],
             }
         )
@@ -246,7 +246,7 @@
     async def _send(
         self, request: http.Request, timeout: float
     ) -> http.Response:
-        self.calls += 1
+        self.call_count += 1
         loop = asyncio.get_running_loop()
         future: asyncio.Future[http.Result] = loop.create_future()
 
@@ -274,7 +274,7 @@
     if status == 200:
         return
     if status == 410:
-        raise errors.HistoryLost(
+        raise errors.HistoryExpired(
             "the store no longer keeps the requested changes"
         )
     if status == 429:
--- a/apricotpost/report/levels.py
+++ b/apricotpost/report/levels.py
@@ -11,9 +11,9 @@
     "COARSE_BUCKET_SECONDS",
     "RouteCounts",
     "WINDOWS_SECONDS",
-    "make_counts",
+    "encode_latencies",
+    "make_route_counts",
     "read_buckets",
-    "read_latencies",
     "read_windows",
     "record_call",
 ]
@@ -61,7 +61,7 @@
     previous: histogram.HdrHistogram
 
 
-def make_counts() -> RouteCounts:
+def make_route_counts() -> RouteCounts:
     """Return empty counts for a route."""
     return RouteCounts(
         fine_ring=_make_ring_buffer(
@@ -149,7 +149,7 @@
     return tuple(sorted(buckets, key=lambda bucket: bucket.start))
 
 
-def read_latencies(counts: RouteCounts, now: float) -> str:
+def encode_latencies(counts: RouteCounts, now: float) -> str:
     """Return the encoded latencies of this hour and the previous one."""
     _rotate_histograms(counts, now)
     merged = _make_histogram()
--- a/apricotpost/report/main.py
+++ b/apricotpost/report/main.py
@@ -47,7 +47,7 @@
         answers, failures = fetch_levels(nodes, token)
         reports = burn.merge_nodes(answers)
     except errors.ApricotpostError as error:
-        print(errors.describe(error), file=sys.stderr)
+        print(errors.format_error(error), file=sys.stderr)
         return error.exit_code
     notes = _make_notes(answers, failures)
     print(_format_report(options.format, reports, notes))
@@ -70,7 +70,7 @@
     ------
     apricotpost.errors.NodeUnreachable
         No node answered.
-    apricotpost.errors.NodeRefused
+    apricotpost.errors.NodeErrorResponse
         A node does not accept the token.
     """
     answers: list[burn.NodeLevels] = []
@@ -83,7 +83,7 @@
         for node, future in pending.items():
             try:
                 answers.append(future.result())
-            except errors.NodeRefused as error:
+            except errors.NodeErrorResponse as error:
                 if error.status in (401, 403):
                     raise
                 failures.append(f"{node}: {error.message}")
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -124,7 +124,7 @@
             self.handle_health(current, result)
 
         self.client.send(
-            platform.health_request(rule.health_path, current.address),
+            platform.make_health_request(rule.health_path, current.address),
             handle_result,
             timeout=HEALTH_TIMEOUT_SECONDS,
         )
@@ -138,7 +138,8 @@
         healthy = (
             response is not None
             and platform.is_healthy(response)
-            and platform.backend_instance(response.headers) == checked.backend
+            and platform.read_backend_instance(response.headers)
+            == checked.backend
         )
         events.emit(
             _LOG,
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -497,7 +497,9 @@
         seconds = self.responder.retry_after_seconds(active.retry_ms)
         response = http.Response(
             status=503,
-            headers=platform.refusal_headers(active.head.request_id, seconds),
+            headers=platform.make_local_response_headers(
+                active.head.request_id, seconds
+            ),
         )
         self.finish(active, response, "refused", active.reason)
 
@@ -505,7 +507,9 @@
         """Answer with an error: the request may have run."""
         response = http.Response(
             status=status,
-            headers=platform.refusal_headers(active.head.request_id, 0.0),
+            headers=platform.make_local_response_headers(
+                active.head.request_id, 0.0
+            ),
         )
         self.finish(active, response, "failed", active.reason)
 
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -97,7 +97,9 @@
         try:
             found = platform.parse_announcement(exchange.request)
         except errors.MalformedMessage as error:
-            events.emit(_LOG, events.BEAT_MALFORMED, error=error.message)
+            events.emit(
+                _LOG, events.ANNOUNCEMENT_MALFORMED, error=error.message
+            )
             exchange.respond(http.Response(status=400))
             return
         if found is None:
@@ -262,7 +264,7 @@
         request = http.Request(
             method=offer.method,
             target=offer.target,
-            headers=platform.call_headers(
+            headers=platform.make_call_headers(
                 offer.headers,
                 backend=offer.backend,
                 left_ms=max(int(left_seconds * 1000), 1),
@@ -270,9 +272,9 @@
             ),
             body=offer.body,
         )
-        max_idle = None if offer.idempotent else TRUSTED_IDLE_SECONDS
+        max_idle_seconds = None if offer.idempotent else TRUSTED_IDLE_SECONDS
         if pending.use_new_connection:
-            max_idle = -1.0
+            max_idle_seconds = -1.0
 
         def finish(result: http.Result) -> None:
             self.finish(queued, result)
@@ -281,7 +283,7 @@
             request,
             finish,
             timeout=left_seconds + LATE_RESPONSE_SECONDS,
-            max_idle=max_idle,
+            max_idle_seconds=max_idle_seconds,
         )
 
     def finish(
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -263,7 +263,12 @@
         self, state: wire.NodeState, *, local: bool
     ) -> None:
         """Connect and send this node's state to a new process of a node."""
-        events.emit(_LOG, events.NODE_MET, node=state.node, boot=state.boot)
+        events.emit(
+            _LOG,
+            events.NODE_PROCESS_DISCOVERED,
+            node=state.node,
+            boot=state.boot,
+        )
         if self.connections is not None and local:
             self.connections.open(state.node, self.loop.time())
         if self.links is not None and self.needs_own_state(state.node):
--- a/apricotpost/sidecar/main.py
+++ b/apricotpost/sidecar/main.py
@@ -39,7 +39,7 @@
     try:
         settings = options.load_options(pathlib.Path(path))
     except errors.SettingsInvalid as error:
-        print(errors.describe(error), file=sys.stderr)
+        print(errors.format_error(error), file=sys.stderr)
         return error.exit_code
     if parsed.check:
         print(f"{path} is valid")
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -310,7 +310,7 @@
             self.metrics,
             running=len(self.gate.queue.running),
             queued=len(self.gate.queue.queue),
-            store_calls=self.store.calls,
+            store_calls=self.store.call_count,
             orders=self.orders.order_store.revision,
             servers=sum(map(len, self.servers.services.values())),
             peers=sum(link.connected for link in self.links.links.values()),
@@ -388,14 +388,14 @@
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if self.loop.time() - stop_started_at < STOP_MIN_SECONDS:
                 continue
-            if not callers.open_exchanges() and self.gate.is_idle():
+            if not callers.count_open_exchanges() and self.gate.is_idle():
                 break
         self.dispatcher.fail_open_requests()
         events.emit(
             _LOG,
             events.SIDECAR_STOPPED,
             instance=self.settings.instance,
-            open=callers.open_exchanges(),
+            open=callers.count_open_exchanges(),
         )
 
 
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -195,7 +195,7 @@
             data_centre=self.settings.data_centre,
         )
         put = (NODES, self.settings.instance, msgspec.json.encode(row))
-        await self.store.write(platform.Change(put=(put,)))
+        await self.store.write(platform.Transaction(put=(put,)))
         await self.read_all()
         await self.read_nodes()
 
@@ -237,7 +237,7 @@
             page = await self.store.watch(
                 platform.ORDERS, after, WATCH_SECONDS
             )
-        except errors.HistoryLost:
+        except errors.HistoryExpired:
             await self.read_all()
             return
         if page.revision <= after:
@@ -300,7 +300,7 @@
                 revision = self.order_store.revision
                 events.emit(
                     _LOG,
-                    events.ORDERS_GAP,
+                    events.ORDER_BASE_MISSING,
                     key=packed.key,
                     base=packed.base,
                     revision=packed.revision,
@@ -395,7 +395,7 @@
                 return self.request_orders(state.node)
         return False
 
-    def request_from_remote_peer(self) -> None:
+    def request_from_any_peer(self) -> None:
         """Request missing orders from any node while the store is lost.
 
         Nodes of this data centre are preferred.
@@ -437,10 +437,10 @@
         """Record a failed call of the store and request orders from peers."""
         if self.store_lost_at is None:
             self.store_lost_at = self.loop.time()
-            events.emit(_LOG, events.STORE_LOST, error=error.message)
+            events.emit(_LOG, events.STORE_UNREACHABLE, error=error.message)
             self.peers.reaches_store = False
             self.peers.schedule_publish()
-        self.request_from_remote_peer()
+        self.request_from_any_peer()
 
     def record_store_regained(self) -> None:
         """Record a successful call of the store."""
@@ -449,7 +449,7 @@
             return
         seconds = round(self.loop.time() - self.store_lost_at, 1)
         self.store_lost_at = None
-        events.emit(_LOG, events.STORE_REGAINED, seconds=seconds)
+        events.emit(_LOG, events.STORE_REACHABLE, seconds=seconds)
         self.peers.reaches_store = True
         self.peers.schedule_publish()
 
--- a/apricotpost/sidecar/responses.py
+++ b/apricotpost/sidecar/responses.py
@@ -108,7 +108,9 @@
         exchange.respond(
             http.Response(
                 status=status,
-                headers=platform.refusal_headers(head.request_id, seconds),
+                headers=platform.make_local_response_headers(
+                    head.request_id, seconds
+                ),
             )
         )
         self.instruments.requests.add("refused", reason)
@@ -130,4 +132,4 @@
 
     def report_late(self, call: str) -> None:
         """Log an answer that arrived after its request had ended."""
-        self.decisions.report(events.ANSWER_LATE, call=call)
+        self.decisions.report(events.RESPONSE_LATE, call=call)
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -348,7 +348,7 @@
             self.stored_trials_read = False
             events.emit(
                 _LOG,
-                events.TRIAL_UNWRITTEN,
+                events.TRIAL_STATUS_NOT_STORED,
                 service=trial.service,
                 error=error.message,
             )
@@ -376,7 +376,7 @@
             old=trial.old,
             phase=str(trial.phase),
         )
-        change = platform.Change(
+        change = platform.Transaction(
             expected=((TRIALS, trial.service, revision),),
             put=(
                 (TRIALS, trial.service, msgspec.json.encode(row)),
--- a/apricotpost/storage/__init__.py
+++ b/apricotpost/storage/__init__.py
@@ -10,12 +10,12 @@
 from apricotpost.storage import outcomes
 from apricotpost.storage.signing import Credentials
 from apricotpost.storage.signing import read_credentials
-from apricotpost.storage.store import bounded
 from apricotpost.storage.store import open_store
 from apricotpost.storage.store import read_head
-from apricotpost.storage.store import read_newer
 from apricotpost.storage.store import read_snapshot
+from apricotpost.storage.store import read_updates
 from apricotpost.storage.store import Store
+from apricotpost.storage.store import with_time_limit
 from apricotpost.storage import table
 
 __all__ = [
@@ -24,7 +24,6 @@
     "Credentials",
     "Fence",
     "Store",
-    "bounded",
     "commit",
     "leases",
     "objects",
@@ -33,7 +32,8 @@
     "outcomes",
     "read_credentials",
     "read_head",
-    "read_newer",
     "read_snapshot",
+    "read_updates",
     "table",
+    "with_time_limit",
 ]
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -9,7 +9,7 @@
 from apricotpost import errors
 from apricotpost.storage import signing
 
-__all__ = ["Channel", "Response", "bounded", "open_channel", "request"]
+__all__ = ["Channel", "Response", "open_channel", "request", "with_time_limit"]
 
 READ_CHUNK_BYTES = 64 * 1024
 # No response of the two protocols is larger, and a larger one would take too
@@ -59,7 +59,7 @@
     )
 
 
-def bounded(channel: Channel, seconds: float) -> Channel:
+def with_time_limit(channel: Channel, seconds: float) -> Channel:
     """Return the channel with its timeout limited to these seconds."""
     return dataclasses.replace(
         channel, timeout_seconds=min(channel.timeout_seconds, seconds)
--- a/apricotpost/storage/leases.py
+++ b/apricotpost/storage/leases.py
@@ -28,16 +28,16 @@
     "CLOCK_MARGIN_SECONDS",
     "LEASE_SECONDS",
     "Lease",
-    "RENEW_SECONDS",
+    "RENEW_INTERVAL_SECONDS",
     "acquire",
-    "fence_of",
     "is_usable",
+    "make_fence",
     "release",
     "renew",
 ]
 
 LEASE_SECONDS = 10.0
-RENEW_SECONDS = 3.0
+RENEW_INTERVAL_SECONDS = 3.0
 # Clocks are assumed to agree within 0.1 s.
 CLOCK_MARGIN_SECONDS = 1.0
 
@@ -142,7 +142,7 @@
     return now < lease.expires_at - CLOCK_MARGIN_SECONDS
 
 
-def fence_of(lease: Lease) -> changes.Fence:
+def make_fence(lease: Lease) -> changes.Fence:
     """Return the fence that the holder's changes must contain."""
     return changes.Fence(
         key=_key(lease.service), holder=lease.holder, number=lease.fence
--- a/apricotpost/storage/outcomes.py
+++ b/apricotpost/storage/outcomes.py
@@ -3,10 +3,10 @@
 from apricotpost import model
 from apricotpost.storage import table
 
-__all__ = ["outcome_write"]
+__all__ = ["make_outcome_write"]
 
 
-def outcome_write(
+def make_outcome_write(
     before: model.Rollout,
     after: model.Rollout,
     *,
--- a/apricotpost/storage/store.py
+++ b/apricotpost/storage/store.py
@@ -19,13 +19,13 @@
     "HEAD",
     "SNAPSHOT",
     "Store",
-    "bounded",
     "open_store",
     "read_head",
-    "read_newer",
     "read_number",
     "read_snapshot",
+    "read_updates",
     "version_key",
+    "with_time_limit",
 ]
 
 LOG = logging.getLogger(__name__)
@@ -71,9 +71,9 @@
     )
 
 
-def bounded(store: Store, seconds: float) -> Store:
+def with_time_limit(store: Store, seconds: float) -> Store:
     """Return the store with its timeout limited to these seconds."""
-    channel = http.bounded(store.channel, seconds)
+    channel = http.with_time_limit(store.channel, seconds)
     return Store(
         channel=channel,
         table=dataclasses.replace(store.table, channel=channel),
@@ -93,7 +93,7 @@
     return read_number(item, "version") if item is not None else 0
 
 
-def read_newer(
+def read_updates(
     store: Store, held_version: int
 ) -> tuple[int, tuple[model.Delta, ...], model.Snapshot | None]:
     """Read the deltas from a version to the current one, or a snapshot.
--- a/apricotpost/wire/sockets.py
+++ b/apricotpost/wire/sockets.py
@@ -86,7 +86,7 @@
 
     Raises
     ------
-    apricotpost.errors.PortOccupied
+    apricotpost.errors.AddressInUse
         The address is in use or not one of this instance's.
     """
     socket = context.socket(zmq.ROUTER)
@@ -96,7 +96,7 @@
         socket.bind(address)
     except zmq.ZMQError as error:
         socket.close()
-        raise errors.PortOccupied(
+        raise errors.AddressInUse(
             f"cannot listen on {address}: {error}"
         ) from error
     return socket
@@ -151,7 +151,7 @@
 
     Raises
     ------
-    apricotpost.errors.PortOccupied
+    apricotpost.errors.AddressInUse
         The address is in use or not one of this instance's.
     """
     socket = context.socket(zmq.ROUTER)
@@ -161,7 +161,7 @@
         socket.bind(address)
     except zmq.ZMQError as error:
         socket.close()
-        raise errors.PortOccupied(
+        raise errors.AddressInUse(
             f"cannot listen on {address}: {error}"
         ) from error
     return socket
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -78,12 +78,14 @@
             announced=[],
         )
         api.app = admin.make_app(
-            admin.Admin(
+            admin.AdminState(
                 options=options,
                 open_store=lambda: stores.open_store(options.platform),
                 read_view=lambda: api.view,
-                read_fleet=lambda: api.view,
-                announce=lambda delta, author: api.announced.append(delta),
+                read_current_instances=lambda: api.view,
+                notify_committed=lambda delta, author: api.announced.append(
+                    delta
+                ),
                 read_levels=lambda: {},
             )
         )
--- a/tests/admin/test_moves.py
+++ b/tests/admin/test_moves.py
@@ -66,7 +66,7 @@
     def test_outcome_keeps_the_time_it_took(self):
         """Guards against an outcome without its duration or lateness."""
         ended = moves.decide_outcome(MOVE, make_view(9), 112.5)
-        _, put = moves.end_writes(ended)
+        _, put = moves.make_outcome_writes(ended)
         self.assertEqual(12_500, put.item.attributes["taken_ms"])
         self.assertEqual("done late", put.item.attributes["result"])
         item = moves.pending_write(MOVE).item
--- a/tests/ctl/test_watching.py
+++ b/tests/ctl/test_watching.py
@@ -10,7 +10,7 @@
 
 def make_refusal(status):
     """Return the error for an answer with this status."""
-    return errors.NodeRefused(
+    return errors.NodeErrorResponse(
         "refused", code="AP000", status=status, faults=()
     )
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -64,12 +64,13 @@
     async def test_long_idle_connection_is_not_reused(self):
         """Guards against losing a request on a connection closed as idle.
 
-        A request that must not be repeated sets a limit with ``max_idle``.
+        A request that must not be repeated sets a limit with
+        ``max_idle_seconds``.
         """
         await self.start_server(OK, OK)
         await self.send()
         await asyncio.sleep(0.15)
-        await self.send(max_idle=0.1)
+        await self.send(max_idle_seconds=0.1)
         self.assertEqual(2, self.accepted_count)
 
     async def test_announced_keep_alive_timeout_is_respected(self):
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -71,7 +71,7 @@
             world.holders["a"].lease, expires_at=world.now + 10.0
         )
         world.holders["a"].renewed_at = world.now
-        with self.assertRaises(local.Paused):
+        with self.assertRaises(local.ProcessPaused):
             world.act("a", snapshot=stale)
         (write,) = world.pools["a"].late
         self.assertIn(b"version", write[1])
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -128,7 +128,7 @@
 class HeaderTest(unittest.TestCase):
     def test_forged_headers_are_replaced(self):
         """Guards against a client that forges the calling service."""
-        found = platform.call_headers(
+        found = platform.make_call_headers(
             ((b"x-caller-service", b"forged"), (b"X-Deadline-Ms", b"9")),
             backend="b",
             left_ms=5,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -29,7 +29,7 @@
 
     async def test_write_checks_expected_revision(self):
         """Guards against two writers that both create the same row."""
-        change = platform.Change(
+        change = platform.Transaction(
             expected=(("t", "k", 0),), put=(("t", "k", b"v"),)
         )
         await self.store.write(change)
@@ -56,10 +56,12 @@
                 await self.store.read("t")
         self.standin.conditions = rows.Conditions(lose_answers=True)
         with self.assertRaises(errors.PlatformOutcomeUnknown):
-            await self.store.write(platform.Change(put=(("t", "k", b"v"),)))
+            await self.store.write(
+                platform.Transaction(put=(("t", "k", b"v"),))
+            )
         self.standin.conditions = rows.Conditions()
         self.standin.drop_history()
-        with self.assertRaises(errors.HistoryLost):
+        with self.assertRaises(errors.HistoryExpired):
             await self.store.watch("t", 0, 0.1)
 
     async def test_silent_watch_times_out(self):
--- a/tests/report/test_burn.py
+++ b/tests/report/test_burn.py
@@ -28,7 +28,7 @@
         ),
         windows=(counts,) * len(levels.WINDOWS_SECONDS),
         buckets=(bucket,),
-        latencies=levels.read_latencies(levels.make_counts(), START),
+        latencies=levels.encode_latencies(levels.make_route_counts(), START),
     )
     return burn.NodeLevels(
         instance="a1", since=START, at=START + 60, levels=(level,)
--- a/tests/report/test_levels.py
+++ b/tests/report/test_levels.py
@@ -30,7 +30,7 @@
 class LevelsTest(unittest.TestCase):
     def test_calls_are_sorted_into_good_bad_and_slow(self):
         """Guards against a failed call that is counted as good or slow."""
-        counts = levels.make_counts()
+        counts = levels.make_route_counts()
         record(counts, START)
         record(counts, START, duration_ms=100.1)
         record(counts, START, failed=True, duration_ms=500.0)
@@ -40,7 +40,7 @@
     def test_windows_match_counts_from_all_calls(self):
         """Guards against buckets that are reused without being cleared."""
         rng = random.Random(4)
-        counts = levels.make_counts()
+        counts = levels.make_route_counts()
         call_times = []
         now = START
         for _ in range(3000):
@@ -59,11 +59,11 @@
 
     def test_old_latencies_are_dropped(self):
         """Guards against percentiles with latencies of earlier hours."""
-        counts = levels.make_counts()
+        counts = levels.make_route_counts()
         record(counts, START, duration_ms=90.0)
-        text = levels.read_latencies(counts, START + 60)
+        text = levels.encode_latencies(counts, START + 60)
         decoded = histogram.HdrHistogram.decode(text.encode())
         self.assertEqual(1, decoded.get_total_count())
-        text = levels.read_latencies(counts, START + 3 * 3600)
+        text = levels.encode_latencies(counts, START + 3 * 3600)
         decoded = histogram.HdrHistogram.decode(text.encode())
         self.assertEqual(0, decoded.get_total_count())
--- a/tests/storage/local.py
+++ b/tests/storage/local.py
@@ -12,10 +12,10 @@
 from apricotpost.storage import table
 from standins import platform as standin
 
-__all__ = ["LocalPool", "Paused", "make_store"]
+__all__ = ["LocalPool", "ProcessPaused", "make_store"]
 
 
-class Paused(Exception):
+class ProcessPaused(Exception):
     """Raised in place of a process that is stopped after it sent a request."""
 
 
@@ -45,7 +45,7 @@
         Fault of all requests ("down") or of writes: "down" refuses the
         connection, "lost" executes the write and loses the response,
         "unsent" loses the request, "late" and "paused" keep it for
-        `carry_out_late`, where "paused" raises `Paused`.
+        `carry_out_late`, where "paused" raises `ProcessPaused`.
     requests : int
         Number of requests so far.
     late : list of tuple of (str, bytes)
@@ -75,7 +75,7 @@
         if is_write and self.fault in ("late", "paused"):
             self.late.append((operation, body or b""))
         if is_write and self.fault == "paused":
-            raise Paused
+            raise ProcessPaused
         if is_write and self.fault in ("late", "unsent"):
             raise urllib3.exceptions.ReadTimeoutError(None, url, "no response")
         status, response_body = _execute(
--- a/tests/storage/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -253,7 +253,7 @@
         self.state.faults = standin.Faults(objects_down=True)
         with self.assertRaises(errors.PlatformUnavailable):
             storage.read_snapshot(self.store, 17)
-        head, deltas, _ = storage.read_newer(self.store, 10)
+        head, deltas, _ = storage.read_updates(self.store, 10)
         self.assertEqual((17, 7), (head, len(deltas)))
 
     def test_damaged_records_raise_a_typed_error(self):
@@ -275,7 +275,7 @@
             if damaged is None:
                 del rows["000000000002"]
             with self.assertRaises(errors.PlatformDataDamaged):
-                storage.read_newer(self.store, 0)
+                storage.read_updates(self.store, 0)
         config_rows = self.state.tables.items["apricotpost"]["config"]
         del config_rows["head"]["version"]
         with self.assertRaises(errors.PlatformDataDamaged):
