--- a/apricotpost/spread/__init__.pyi
+++ b/apricotpost/distribution/__init__.pyi
@@ -16,7 +16,7 @@
 from .state import Reply as Reply
 from .state import ClusterView as ClusterView
 from .state import Send as Send
-from .state import SpreadState as SpreadState
+from .state import DistributionState as DistributionState
 from .state import Step as Step
 from .state import Stopped as Stopped
 from .state import TableRead as TableRead
--- a/apricotpost/spread/decisions.py
+++ b/apricotpost/distribution/decisions.py
@@ -3,23 +3,23 @@
 import dataclasses
 import random
 
-from apricotpost.spread import joins
-from apricotpost.spread import notices
-from apricotpost.spread import refusals
-from apricotpost.spread import state as states
-from apricotpost.spread import versions
+from apricotpost.distribution import joins
+from apricotpost.distribution import notices
+from apricotpost.distribution import refusals
+from apricotpost.distribution import state as states
+from apricotpost.distribution import versions
 from apricotpost import wire
 
 __all__ = ["handle", "next_tick", "start"]
 
 
 def start(
-    own: str, now: float, *, draw: int, policy: states.Policy | None = None
-) -> states.SpreadState:
+    own: str, now: float, *, seed: int, policy: states.Policy | None = None
+) -> states.DistributionState:
     """Return the state of a started node without a configuration."""
     policy = policy or states.Policy()
-    rng = random.Random(draw)
-    return states.SpreadState(
+    rng = random.Random(seed)
+    return states.DistributionState(
         own=own,
         policy=policy,
         joining=states.Joining(
@@ -30,7 +30,9 @@
     )
 
 
-def next_tick(state: states.SpreadState, cluster: states.ClusterView) -> float:
+def next_tick(
+    state: states.DistributionState, cluster: states.ClusterView
+) -> float:
     """Return when the next tick is due, in monotonic seconds."""
     due = [state.next_digest_at]
     if _is_reader(state, cluster) and not state.reading:
@@ -41,18 +43,18 @@
 
 
 def handle(
-    state: states.SpreadState,
+    state: states.DistributionState,
     event: states.Event,
     now: float,
     *,
     cluster: states.ClusterView,
-    draw: int,
+    seed: int,
 ) -> states.Step:
     """Return the new state and the actions that follow from an event.
 
     Parameters
     ----------
-    state : SpreadState
+    state : DistributionState
         State before.
     event : Event
         What happened.
@@ -60,16 +62,16 @@
         Monotonic clock in seconds.
     cluster : ClusterView
         Nodes that this node can reach.
-    draw : int
+    seed : int
         Seed of the random choices.
     """
-    rng = random.Random(draw)
+    rng = random.Random(seed)
     held = state.snapshot.version
     if isinstance(event, states.Received):
         state, actions = _receive(state, event, now, cluster, rng)
     elif isinstance(event, states.TableRead):
         state, actions = _handle_table_read(
-            state, event.found, now, cluster, rng
+            state, event.result, now, cluster, rng
         )
     elif isinstance(event, states.Committed):
         state, actions = _commit(state, event, now, cluster, rng)
@@ -81,7 +83,7 @@
 
 
 def _receive(
-    state: states.SpreadState,
+    state: states.DistributionState,
     event: states.Received,
     now: float,
     cluster: states.ClusterView,
@@ -103,7 +105,9 @@
     if isinstance(message, wire.ConfigRefused):
         return refusals.record(state, message, cluster)
     if isinstance(message, wire.Join):
-        return state, (joins.make_welcome(state, event.reply_to, event.floor),)
+        return state, (
+            joins.make_welcome(state, event.reply_to, event.min_version),
+        )
     if isinstance(message, wire.Welcome):
         state, actions = joins.handle_welcome(
             state, message, event.reply_to, now
@@ -118,7 +122,7 @@
 
 
 def _compare(
-    state: states.SpreadState,
+    state: states.DistributionState,
     message: wire.ConfigDigest,
     reply_to: bytes,
     now: float,
@@ -142,7 +146,7 @@
 
 
 def _handle_table_read(
-    state: states.SpreadState,
+    state: states.DistributionState,
     found: wire.ConfigRead,
     now: float,
     cluster: states.ClusterView,
@@ -174,13 +178,13 @@
         )
         actions = (*actions, *more)
     if read_next:
-        read = states.ReadTable(have=state.snapshot.version)
+        read = states.ReadTable(held_version=state.snapshot.version)
         actions = (*actions, read)
     return state, actions
 
 
 def _commit(
-    state: states.SpreadState,
+    state: states.DistributionState,
     event: states.Committed,
     now: float,
     cluster: states.ClusterView,
@@ -200,7 +204,7 @@
 
 
 def _tick(
-    state: states.SpreadState,
+    state: states.DistributionState,
     now: float,
     cluster: states.ClusterView,
     rng: random.Random,
@@ -241,7 +245,9 @@
     return state, tuple(actions)
 
 
-def _is_reader(state: states.SpreadState, cluster: states.ClusterView) -> bool:
+def _is_reader(
+    state: states.DistributionState, cluster: states.ClusterView
+) -> bool:
     """Return whether this node polls the table.
 
     A started node that knows no other node yet does not, unless it has no
@@ -249,4 +255,4 @@
     itself a reader, and all of them would read the table at once.
     """
     knows = state.ready or cluster.local or cluster.remote or not cluster.seeds
-    return cluster.reader and bool(knows)
+    return cluster.is_reader and bool(knows)
--- a/apricotpost/spread/joins.py
+++ b/apricotpost/distribution/joins.py
@@ -3,22 +3,24 @@
 import dataclasses
 import random
 
-from apricotpost.spread import state as states
-from apricotpost.spread import versions
+from apricotpost.distribution import state as states
+from apricotpost.distribution import versions
 from apricotpost import wire
 
 __all__ = [
     "advance",
+    "handle_welcome",
     "is_joining",
+    "make_welcome",
     "next_tick",
     "record_table_read",
     "update_readiness",
-    "handle_welcome",
-    "make_welcome",
 ]
 
 
-def is_joining(state: states.SpreadState, cluster: states.ClusterView) -> bool:
+def is_joining(
+    state: states.DistributionState, cluster: states.ClusterView
+) -> bool:
     """Return whether the node is not ready or knows no other node yet.
 
     A ready node without seeds has no other node to find.
@@ -27,13 +29,13 @@
     return not state.ready or alone
 
 
-def next_tick(state: states.SpreadState) -> float:
+def next_tick(state: states.DistributionState) -> float:
     """Return when the next join request or read of the table is due."""
     return min(state.joining.next_join_at, *_read_times(state))
 
 
 def advance(
-    state: states.SpreadState,
+    state: states.DistributionState,
     now: float,
     cluster: states.ClusterView,
     rng: random.Random,
@@ -55,9 +57,9 @@
 
 
 def make_welcome(
-    state: states.SpreadState,
+    state: states.DistributionState,
     reply_to: bytes,
-    floor: int,
+    min_version: int,
 ) -> states.Action:
     """Return the answer to a joining node."""
     return states.Reply(
@@ -66,26 +68,26 @@
             sender=state.own,
             version=state.snapshot.version,
             checksum=state.snapshot.checksum,
-            floor=floor,
-            withdrawals=tuple(state.notices.values()),
+            floor=min_version,
+            withdrawals=tuple(state.withdrawals.values()),
         ),
     )
 
 
 def handle_welcome(
-    state: states.SpreadState,
+    state: states.DistributionState,
     message: wire.Welcome,
     reply_to: bytes,
     now: float,
 ) -> states.Step:
-    """Raise the floor and request a newer version from the sender."""
+    """Raise the minimum version and request a newer one from the sender."""
     if state.ready:
         return state, ()
     joining = state.joining
     joining = dataclasses.replace(
         joining,
         welcomed=joining.welcomed or message.version > 0,
-        floor=max(joining.floor, message.floor, message.version),
+        min_version=max(joining.min_version, message.floor, message.version),
     )
     state = dataclasses.replace(state, joining=joining)
     if message.version <= state.snapshot.version:
@@ -96,28 +98,32 @@
 def record_table_read(
     joining: states.Joining, found: wire.ConfigRead
 ) -> states.Joining:
-    """Record whether the table answered; raise the floor to its version."""
+    """Record whether the table answered; raise the minimum to its version."""
     if not found.available:
         return dataclasses.replace(joining, table_failed=True)
     return dataclasses.replace(
-        joining, table_answered=True, floor=max(joining.floor, found.head)
+        joining,
+        table_answered=True,
+        min_version=max(joining.min_version, found.head),
     )
 
 
-def update_readiness(state: states.SpreadState) -> states.SpreadState:
+def update_readiness(
+    state: states.DistributionState,
+) -> states.DistributionState:
     """Mark the node ready once it holds a recent enough version.
 
-    A ready node stays ready. The version has to reach the floor, unless this
-    node refused the floor's version. Moreover the table must have answered: it
-    knows every version that a node at this address can have held. If the table
+    A ready node stays ready. The version has to reach the minimum version,
+    unless this node refused that version. Moreover the table must have
+    answered: it knows every version that a node at this address can have held. If the table
     failed, the answer of a peer is enough: nothing is committed meanwhile, and
     the peers have caught up with each other.
     """
     if state.ready or not state.snapshot.version:
         return state
     joining = state.joining
-    if state.snapshot.version < joining.floor:
-        if joining.floor not in state.refused:
+    if state.snapshot.version < joining.min_version:
+        if joining.min_version not in state.refused:
             return state
     if not joining.table_answered and not (
         joining.table_failed and joining.welcomed
@@ -127,7 +133,7 @@
 
 
 def _send_joins(
-    state: states.SpreadState,
+    state: states.DistributionState,
     now: float,
     cluster: states.ClusterView,
     rng: random.Random,
@@ -142,11 +148,11 @@
     count = min(state.policy.join_peers, len(targets))
     if not targets:
         # No answer can come, so the table is read at once.
-        first_asked_at = now - state.policy.join_seconds
+        first_asked_at = now - state.policy.join_timeout_seconds
     chosen = rng.sample(targets, count)
     pause = state.policy.join_retry_seconds
     if joining.welcomed:
-        pause = state.policy.join_seconds
+        pause = state.policy.join_timeout_seconds
     state = dataclasses.replace(
         state,
         joining=dataclasses.replace(
@@ -169,7 +175,7 @@
     )
 
 
-def _read_times(state: states.SpreadState) -> tuple[float, ...]:
+def _read_times(state: states.DistributionState) -> tuple[float, ...]:
     """Return when the table is to be read for the join; infinity if not."""
     joining = state.joining
     never = float("inf")
@@ -178,6 +184,6 @@
     if joining.table_answered or state.read_failures:
         return (state.next_read_at,)
     held = state.snapshot.version
-    if joining.welcomed and held >= joining.floor:
+    if joining.welcomed and held >= joining.min_version:
         return (joining.first_join_at,)
-    return (joining.first_join_at + state.policy.join_seconds,)
+    return (joining.first_join_at + state.policy.join_timeout_seconds,)
--- a/apricotpost/spread/notices.py
+++ b/apricotpost/distribution/notices.py
@@ -4,9 +4,9 @@
 import dataclasses
 import random
 
+from apricotpost.distribution import refusals
+from apricotpost.distribution import state as states
 from apricotpost import model
-from apricotpost.spread import refusals
-from apricotpost.spread import state as states
 from apricotpost import wire
 
 __all__ = ["answer_digest", "drop_ended", "lists_missing", "record"]
@@ -17,7 +17,7 @@
 
 
 def record(
-    state: states.SpreadState,
+    state: states.DistributionState,
     withdrawals: Iterable[model.Withdrawal],
     now: float,
     cluster: states.ClusterView,
@@ -33,7 +33,7 @@
         return state, ()
     state = dataclasses.replace(
         state,
-        notices={**state.notices, **new},
+        withdrawals={**state.withdrawals, **new},
         notice_received_at={
             **state.notice_received_at,
             **dict.fromkeys(new, now),
@@ -52,12 +52,12 @@
 
 
 def answer_digest(
-    state: states.SpreadState, digest: wire.ConfigDigest, reply_to: bytes
+    state: states.DistributionState, digest: wire.ConfigDigest, reply_to: bytes
 ) -> tuple[states.Action, ...]:
     """Answer a digest with the withdrawals that its sender lacks."""
     lacked = tuple(
         entry
-        for rollout, entry in state.notices.items()
+        for rollout, entry in state.withdrawals.items()
         if rollout not in digest.withdrawn
     )
     # A sender with a newer version may have dropped them because their
@@ -69,13 +69,15 @@
 
 
 def lists_missing(
-    state: states.SpreadState, digest: wire.ConfigDigest
+    state: states.DistributionState, digest: wire.ConfigDigest
 ) -> bool:
     """Return whether a digest lists withdrawals that this node lacks."""
     return any(_is_missing(state, rollout) for rollout in digest.withdrawn)
 
 
-def drop_ended(state: states.SpreadState, now: float) -> states.SpreadState:
+def drop_ended(
+    state: states.DistributionState, now: float
+) -> states.DistributionState:
     """Drop the withdrawals whose rollout is no longer running or baking.
 
     Those of unknown rollouts are dropped after ``Policy.notice_seconds``.
@@ -87,7 +89,7 @@
     horizon = now - state.policy.notice_seconds
     kept = {
         rollout: entry
-        for rollout, entry in state.notices.items()
+        for rollout, entry in state.withdrawals.items()
         if rollout in open_now
         or (
             rollout not in ended
@@ -103,12 +105,12 @@
         if rollout in kept or at > tombstone_horizon
     }
     return dataclasses.replace(
-        state, notices=kept, notice_received_at=notice_received_at
+        state, withdrawals=kept, notice_received_at=notice_received_at
     )
 
 
-def _is_missing(state: states.SpreadState, rollout: str) -> bool:
-    if rollout in state.notices or rollout in _list_rollouts(
+def _is_missing(state: states.DistributionState, rollout: str) -> bool:
+    if rollout in state.withdrawals or rollout in _list_rollouts(
         state, ended=True
     ):
         return False
@@ -119,7 +121,7 @@
 
 
 def _list_rollouts(
-    state: states.SpreadState, *, ended: bool
+    state: states.DistributionState, *, ended: bool
 ) -> frozenset[str]:
     return frozenset(
         entry.identifier
--- a/apricotpost/spread/patches.py
+++ b/apricotpost/distribution/patches.py
@@ -8,8 +8,8 @@
 
 import zstandard
 
+from apricotpost.distribution import orders
 from apricotpost import errors
-from apricotpost.spread import orders
 from apricotpost import wire
 
 __all__ = ["MAX_VALUE_BYTES", "is_current", "pack", "unpack"]
--- a/apricotpost/spread/readers.py
+++ b/apricotpost/distribution/readers.py
@@ -4,9 +4,9 @@
 
 import xxhash
 
+from apricotpost.distribution import state as states
 from apricotpost import membership
 from apricotpost import model
-from apricotpost.spread import state as states
 
 __all__ = ["READERS_PER_DATA_CENTRE", "make_cluster_view", "rank"]
 
@@ -52,7 +52,7 @@
         record=own,
         local=tuple(local),
         remote=tuple(remote),
-        reader=known.own
+        is_reader=known.own
         in rank(candidates, own.data_centre)[:READERS_PER_DATA_CENTRE],
         seeds=tuple(seed for seed in seeds if seed != own.control_address),
     )
--- a/apricotpost/spread/refusals.py
+++ b/apricotpost/distribution/refusals.py
@@ -3,14 +3,14 @@
 import dataclasses
 import random
 
-from apricotpost.spread import state as states
+from apricotpost.distribution import state as states
 from apricotpost import wire
 
 __all__ = [
     "add_refusers",
+    "forward",
     "is_stopped",
     "record",
-    "forward",
     "select_push_peers",
 ]
 
@@ -21,7 +21,7 @@
 
 
 def record(
-    state: states.SpreadState,
+    state: states.DistributionState,
     message: wire.ConfigRefused,
     cluster: states.ClusterView,
 ) -> states.Step:
@@ -31,7 +31,9 @@
 
 
 def forward(
-    state: states.SpreadState, cluster: states.ClusterView, rng: random.Random
+    state: states.DistributionState,
+    cluster: states.ClusterView,
+    rng: random.Random,
 ) -> states.Step:
     """Send the refusals that are new to this node to some peers."""
     if not state.unsent:
@@ -57,7 +59,9 @@
 
 
 def select_push_peers(
-    state: states.SpreadState, cluster: states.ClusterView, rng: random.Random
+    state: states.DistributionState,
+    cluster: states.ClusterView,
+    rng: random.Random,
 ) -> tuple[states.Peer, ...]:
     """Select random peers for a push, local and remote ones."""
     policy = state.policy
@@ -71,7 +75,7 @@
 
 
 def is_stopped(
-    state: states.SpreadState, version: int, cluster: states.ClusterView
+    state: states.DistributionState, version: int, cluster: states.ClusterView
 ) -> bool:
     """Return whether at least half of the live nodes refused a version."""
     known = state.refusals.get(version)
@@ -84,7 +88,7 @@
 
 
 def add_refusers(
-    state: states.SpreadState,
+    state: states.DistributionState,
     version: int,
     names: frozenset[str],
     cluster: states.ClusterView,
--- a/apricotpost/spread/state.py
+++ b/apricotpost/distribution/state.py
@@ -8,7 +8,9 @@
 
 __all__ = [
     "Action",
+    "ClusterView",
     "Committed",
+    "DistributionState",
     "Event",
     "Joining",
     "NewWithdrawal",
@@ -18,9 +20,7 @@
     "Received",
     "Refused",
     "Reply",
-    "ClusterView",
     "Send",
-    "SpreadState",
     "Step",
     "Stopped",
     "TableRead",
@@ -52,7 +52,7 @@
     join_jitter_seconds: float = 2.0
     join_peers: int = 3
     # Time for peers to answer before the table is read without them.
-    join_seconds: float = 3.0
+    join_timeout_seconds: float = 3.0
     # Pause between join requests until a peer answers. It is short, as a seed
     # may have failed together with the joining node.
     join_retry_seconds: float = 1.0
@@ -79,7 +79,7 @@
         Own record.
     local, remote : tuple of Peer
         Live nodes of the own data centre and of the other ones.
-    reader : bool
+    is_reader : bool
         Whether this node reads the table.
     seeds : tuple of str
         Control addresses of the seeds from the settings.
@@ -88,7 +88,7 @@
     record: model.InstanceRecord
     local: tuple[Peer, ...] = ()
     remote: tuple[Peer, ...] = ()
-    reader: bool = True
+    is_reader: bool = True
     seeds: tuple[str, ...] = ()
 
 
@@ -104,7 +104,7 @@
         When join requests were first sent, in monotonic seconds.
     welcomed : bool
         Whether a peer that holds a configuration answered.
-    floor : int
+    min_version : int
         Lowest version with which the node may become ready.
     table_answered, table_failed : bool
         Whether a read of the table succeeded, and whether one failed.
@@ -113,13 +113,13 @@
     next_join_at: float
     first_join_at: float | None = None
     welcomed: bool = False
-    floor: int = 0
+    min_version: int = 0
     table_answered: bool = False
     table_failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SpreadState:
+class DistributionState:
     """Configuration that a node holds, and state of its distribution.
 
     Parameters
@@ -137,7 +137,7 @@
     snapshots_served : tuple of int and int
         Current second of the monotonic clock, and the number of snapshots
         served in it.
-    notices : mapping
+    withdrawals : mapping
         Withdrawals by rollout; ``notice_received_at`` holds when each was
         received, also for some time after it was dropped.
     """
@@ -163,7 +163,7 @@
     read_again: bool = False
     next_read_at: float = 0.0
     read_failures: int = 0
-    notices: Mapping[str, model.Withdrawal] = dataclasses.field(
+    withdrawals: Mapping[str, model.Withdrawal] = dataclasses.field(
         default_factory=dict
     )
     notice_received_at: Mapping[str, float] = dataclasses.field(
@@ -180,19 +180,20 @@
 class Received:
     """A message arrived; ``reply_to`` routes answers to its sender.
 
-    ``floor`` is the version that the sender of a `Join` was known to hold.
+    ``min_version`` is the version that the sender of a `Join` was known to
+    hold.
     """
 
     message: wire.Message
     reply_to: bytes = b""
-    floor: int = 0
+    min_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TableRead:
     """The platform task answered a read of the table."""
 
-    found: wire.ConfigRead
+    result: wire.ConfigRead
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -221,9 +222,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReadTable:
-    """Request all versions after ``have`` from the platform task."""
+    """Request all versions after ``held_version`` from the platform task."""
 
-    have: int
+    held_version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -251,4 +252,4 @@
 
 Event = Tick | Received | TableRead | Committed
 Action = Send | Reply | ReadTable | Refused | Stopped | NewWithdrawal
-Step = tuple[SpreadState, tuple[Action, ...]]
+Step = tuple[DistributionState, tuple[Action, ...]]
--- a/apricotpost/spread/versions.py
+++ b/apricotpost/distribution/versions.py
@@ -5,25 +5,25 @@
 import random
 
 from apricotpost import config
+from apricotpost.distribution import refusals
+from apricotpost.distribution import state as states
 from apricotpost import errors
 from apricotpost import model
-from apricotpost.spread import refusals
-from apricotpost.spread import state as states
 from apricotpost import wire
 
 __all__ = [
-    "was_refused_recently",
+    "handle_deltas",
+    "handle_snapshot",
     "make_digest",
     "read_table",
     "request",
     "serve",
-    "handle_deltas",
-    "handle_snapshot",
+    "was_refused_recently",
 ]
 
 
 def handle_deltas(
-    state: states.SpreadState,
+    state: states.DistributionState,
     deltas: Sequence[model.Delta],
     now: float,
     cluster: states.ClusterView,
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    state : SpreadState
+    state : DistributionState
         State before.
     deltas : sequence of apricotpost.model.Delta
         Consecutive deltas, oldest first.
@@ -79,7 +79,7 @@
 
 
 def handle_snapshot(
-    state: states.SpreadState,
+    state: states.DistributionState,
     snapshot: model.Snapshot,
     now: float,
     cluster: states.ClusterView,
@@ -100,7 +100,7 @@
 
 
 def request(
-    state: states.SpreadState, version: int, reply_to: bytes, now: float
+    state: states.DistributionState, version: int, reply_to: bytes, now: float
 ) -> states.Step:
     """Request the changes up to a version from a peer.
 
@@ -120,7 +120,7 @@
 
 
 def serve(
-    state: states.SpreadState,
+    state: states.DistributionState,
     message: wire.ConfigRequest,
     reply_to: bytes,
     now: float,
@@ -149,26 +149,26 @@
 
 
 def read_table(
-    state: states.SpreadState,
-) -> tuple[states.SpreadState, states.ReadTable]:
+    state: states.DistributionState,
+) -> tuple[states.DistributionState, states.ReadTable]:
     """Mark a read of the table as started and return its action."""
     return dataclasses.replace(state, reading=True), states.ReadTable(
-        have=state.snapshot.version
+        held_version=state.snapshot.version
     )
 
 
-def make_digest(state: states.SpreadState) -> wire.ConfigDigest:
+def make_digest(state: states.DistributionState) -> wire.ConfigDigest:
     """Return the digest of the configuration and the notices that are held."""
     return wire.ConfigDigest(
         sender=state.own,
         version=state.snapshot.version,
         checksum=state.snapshot.checksum,
-        withdrawn=tuple(sorted(state.notices)),
+        withdrawn=tuple(sorted(state.withdrawals)),
     )
 
 
 def was_refused_recently(
-    state: states.SpreadState, version: int, now: float
+    state: states.DistributionState, version: int, now: float
 ) -> bool:
     """Return whether this node refused a version recently.
 
@@ -186,7 +186,7 @@
 
 
 def _push(
-    state: states.SpreadState,
+    state: states.DistributionState,
     chain: Sequence[model.Delta],
     cluster: states.ClusterView,
     rng: random.Random,
@@ -203,7 +203,7 @@
 
 
 def _refuse(
-    state: states.SpreadState,
+    state: states.DistributionState,
     version: int,
     reason: str,
     now: float,
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -11,13 +11,13 @@
     "Fleet",
     "KnownNode",
     "is_reader",
-    "record_state",
     "live_nodes",
-    "set_address",
     "newest_orders",
-    "silent_data_centres",
-    "probe_seconds",
+    "probe_interval_seconds",
     "record_contact",
+    "record_state",
+    "set_address",
+    "silent_data_centres",
 ]
 
 # Nodes send their state every 0.5 s within a data centre; two may be late.
@@ -127,7 +127,7 @@
     )
 
 
-def probe_seconds(fleet: Fleet, now: float) -> float:
+def probe_interval_seconds(fleet: Fleet, now: float) -> float:
     """Return the minimum pause between probes of an unreachable store.
 
     The pause is in seconds. It is 0 for two nodes of each data centre. The
--- a/apricotpost/membership/members.py
+++ b/apricotpost/membership/members.py
@@ -9,13 +9,13 @@
 __all__ = [
     "Action",
     "Event",
+    "IndirectProbe",
     "Member",
     "Membership",
     "OwnChanged",
     "Parameters",
     "Probe",
     "Received",
-    "IndirectProbe",
     "Reply",
     "Send",
     "Step",
@@ -145,9 +145,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
-    """A timer expired; ``draw`` seeds the random choices."""
+    """A timer expired; ``seed`` seeds the random choices."""
 
-    draw: int
+    seed: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -160,15 +160,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OwnChanged:
-    """Own record changed; ``draw`` seeds the random choices.
+    """Own record changed; ``seed`` seeds the random choices.
 
-    If ``spread`` is false, only the configuration version changed. Other nodes
-    then get it from the version field of probes, and the incarnation stays.
+    If ``disseminate`` is false, only the configuration version changed. Other
+    nodes then get it from the version field of probes, and the incarnation
+    stays.
     """
 
     record: model.InstanceRecord
-    draw: int
-    spread: bool = True
+    seed: int
+    disseminate: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -20,12 +20,12 @@
     record: model.InstanceRecord,
     now: float,
     *,
-    draw: int,
+    seed: int,
     parameters: members.Parameters | None = None,
 ) -> members.Membership:
     """Return the state of a started node that knows only itself."""
     parameters = parameters or members.Parameters()
-    offset = random.Random(draw).random()
+    offset = random.Random(seed).random()
     state = members.Membership(
         own=record.instance,
         parameters=parameters,
@@ -67,7 +67,7 @@
         Monotonic clock in seconds.
     """
     if isinstance(event, members.Tick):
-        return _tick(state, event.draw, now)
+        return _tick(state, event.seed, now)
     if isinstance(event, members.OwnChanged):
         return _change_own(state, event, now)
     return _receive(state, event, now)
@@ -166,7 +166,7 @@
     state: members.Membership, event: members.OwnChanged, now: float
 ) -> members.Step:
     own = state.record
-    if not event.spread:
+    if not event.disseminate:
         updated = dataclasses.replace(
             own, config_version=event.record.config_version
         )
@@ -181,7 +181,7 @@
     actions: list[members.Action] = []
     targets = exchanges.live_peer_names(state)
     count = min(state.parameters.leave_messages, len(targets))
-    for name in random.Random(event.draw).sample(targets, count):
+    for name in random.Random(event.seed).sample(targets, count):
         state, ping = _make_ping(state, name)
         if raised not in ping.records:
             ping = dataclasses.replace(ping, records=(raised, *ping.records))
@@ -189,8 +189,8 @@
     return state, tuple(actions)
 
 
-def _tick(state: members.Membership, draw: int, now: float) -> members.Step:
-    rng = random.Random(draw)
+def _tick(state: members.Membership, seed: int, now: float) -> members.Step:
+    rng = random.Random(seed)
     state = _compensate_for_freeze(state, now)
     state = exchanges.expire(state, now)
     state, actions = _check_probe(state, rng, now)
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -22,14 +22,14 @@
 from apricotpost import wire
 
 __all__ = [
-    "REMOTE_SILENT_SECONDS",
     "RELAYS",
-    "remote_servers",
-    "remote_targets",
-    "recent_states",
+    "REMOTE_SILENT_SECONDS",
     "is_relay",
     "pack_states",
+    "recent_states",
     "relays_of",
+    "remote_servers",
+    "remote_targets",
     "sends_full_round",
     "unpack_states",
 ]
@@ -56,7 +56,7 @@
 REMOTE_SERVERS = 6
 # The same if few are local: more servers make it likely that fast ones are
 # among them, and distribute the load.
-REMOTE_SERVERS_ALONE = 18
+REMOTE_SERVERS_FEW_LOCAL = 18
 # Up to this number of local servers of a service and version count as few.
 FEW_LOCAL_SERVERS = 2
 # Older states are not forwarded: the node is silent or has stopped.
@@ -186,7 +186,7 @@
     now: float,
     *,
     services: Iterable[str],
-    all_of: Iterable[tuple[str, str]] = (),
+    fully_connected_versions: Iterable[tuple[str, str]] = (),
     evacuated: Collection[str] = (),
 ) -> set[str]:
     """Return the nodes of other data centres whose servers this node may call.
@@ -199,13 +199,13 @@
         Monotonic time, in seconds.
     services : iterable of str
         Names of the services that this node calls.
-    all_of : iterable of tuple of str
+    fully_connected_versions : iterable of tuple of str
         Services and versions of which every server is returned: during a
         trial all nodes send load to the same server.
     evacuated : collection of str
         Names of data centres that get no requests.
     """
-    unlimited = frozenset(all_of)
+    unlimited = frozenset(fully_connected_versions)
     called = frozenset(services)
     local: dict[tuple[str, str], int] = {}
     remote: dict[tuple[str, str], list[str]] = {}
@@ -230,7 +230,7 @@
     for group, names in remote.items():
         names.sort(key=lambda name: _rendezvous_score(known.node, name))
         few_local = local.get(group, 0) <= FEW_LOCAL_SERVERS
-        count = REMOTE_SERVERS_ALONE if few_local else REMOTE_SERVERS
+        count = REMOTE_SERVERS_FEW_LOCAL if few_local else REMOTE_SERVERS
         found.update(names if group in unlimited else names[:count])
     return found
 
--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -7,6 +7,7 @@
 
 import zmq
 
+from apricotpost import distribution
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import membership
@@ -18,7 +19,6 @@
 from apricotpost.node import control_state
 from apricotpost.node import views
 from apricotpost import settings
-from apricotpost import spread
 from apricotpost import wire
 
 __all__ = ["run"]
@@ -100,7 +100,7 @@
         # name.
         incarnation=time.time_ns(),
     )
-    members = membership.start(record, now, draw=rng.getrandbits(32))
+    members = membership.start(record, now, seed=rng.getrandbits(32))
     seeds = tuple(addresses.tcp(seed) for seed in options.seeds)
     return control_state.ControlTask(
         current=current,
@@ -110,16 +110,16 @@
         platform=platform,
         rollout=rollout,
         members=members,
-        distribution=spread.start(
+        distribution_state=distribution.start(
             options.instance,
             now,
-            draw=rng.getrandbits(32),
-            policy=spread.Policy(
+            seed=rng.getrandbits(32),
+            policy=distribution.Policy(
                 poll_seconds=options.times.poll_seconds,
                 join_jitter_seconds=options.times.join_seconds,
             ),
         ),
-        cluster=spread.make_cluster_view(members, seeds),
+        cluster=distribution.make_cluster_view(members, seeds),
     )
 
 
@@ -139,10 +139,10 @@
     now = time.monotonic()
     if now >= membership.next_tick(task.members):
         control_records.handle(
-            task, membership.Tick(draw=task.rng.getrandbits(32))
+            task, membership.Tick(seed=task.rng.getrandbits(32))
         )
-    if now >= spread.next_tick(task.distribution, task.cluster):
-        control_config.handle(task, spread.Tick())
+    if now >= distribution.next_tick(task.distribution_state, task.cluster):
+        control_config.handle(task, distribution.Tick())
     if now - task.last_housekeeping_at >= HOUSEKEEPING_INTERVAL_SECONDS:
         task.last_housekeeping_at = now
         _run_housekeeping(task, now)
@@ -152,7 +152,7 @@
 def _wait_ms(task: control_state.ControlTask) -> int:
     due_at = min(
         membership.next_tick(task.members),
-        spread.next_tick(task.distribution, task.cluster),
+        distribution.next_tick(task.distribution_state, task.cluster),
     )
     wait_seconds = min(max(due_at - time.monotonic(), 0.0), MAX_WAIT_SECONDS)
     return int(wait_seconds * 1000) + 1
@@ -185,17 +185,19 @@
             task, membership.Received(message=message, reply_to=reply_to)
         )
     else:
-        floor = 0
+        min_version = 0
         if isinstance(message, wire.Join):
             known = task.members.members.get(message.sender)
-            floor = 0 if known is None else known.record.config_version
+            min_version = 0 if known is None else known.record.config_version
         if isinstance(message, (wire.Join, wire.ConfigDigest)):
             control_records.handle(
                 task, membership.Received(message=message, reply_to=reply_to)
             )
         control_config.handle(
             task,
-            spread.Received(message=message, reply_to=reply_to, floor=floor),
+            distribution.Received(
+                message=message, reply_to=reply_to, min_version=min_version
+            ),
         )
 
 
@@ -230,10 +232,12 @@
     elif isinstance(message, wire.LeaveAnnounced):
         control_records.announce_leaving(task)
     elif isinstance(message, wire.ConfigCommitted):
-        event = spread.Committed(version=message.version, delta=message.delta)
+        event = distribution.Committed(
+            version=message.version, delta=message.delta
+        )
         control_config.handle(task, event)
     elif isinstance(message, wire.WithdrawalNotice):
-        control_config.handle(task, spread.Received(message=message))
+        control_config.handle(task, distribution.Received(message=message))
 
 
 def _receive_replies(
@@ -248,6 +252,6 @@
             events.emit(LOG, events.MESSAGE_MALFORMED, error=error)
             continue
         if isinstance(message, wire.ConfigRead):
-            control_config.handle(task, spread.TableRead(found=message))
+            control_config.handle(task, distribution.TableRead(result=message))
         else:
             _handle_command(task, message)
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -3,13 +3,13 @@
 import logging
 import time
 
+from apricotpost import distribution
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import control_peers
 from apricotpost.node import control_records
 from apricotpost.node import control_state
 from apricotpost.rollout import judges
-from apricotpost import spread
 from apricotpost import wire
 
 __all__ = ["handle", "make_status", "report_evidence", "send_to_rollout_task"]
@@ -21,31 +21,31 @@
 LATE_EVIDENCE_SECONDS = 60.0
 
 
-def handle(task: control_state.ControlTask, event: spread.Event) -> None:
+def handle(task: control_state.ControlTask, event: distribution.Event) -> None:
     """Apply an event to the distribution state and execute its actions."""
     now = time.monotonic()
-    before = task.distribution
-    task.distribution, actions = spread.handle(
-        task.distribution,
+    before = task.distribution_state
+    task.distribution_state, actions = distribution.handle(
+        task.distribution_state,
         event,
         now,
         cluster=task.cluster,
-        draw=task.rng.getrandbits(32),
+        seed=task.rng.getrandbits(32),
     )
     for action in actions:
         _execute(task, action, now)
-    if task.distribution.snapshot is not before.snapshot:
+    if task.distribution_state.snapshot is not before.snapshot:
         control_records.record_version(task)
-        version = task.distribution.snapshot.version
+        version = task.distribution_state.snapshot.version
         control_records.publish(task)
         events.emit(LOG, events.CONFIG_APPLIED, version=version)
     elif (
-        task.distribution.ready != before.ready
-        or task.distribution.notices != before.notices
+        task.distribution_state.ready != before.ready
+        or task.distribution_state.withdrawals != before.withdrawals
     ):
         control_records.publish(task)
-    if task.distribution.ready and not before.ready:
-        version = task.distribution.snapshot.version
+    if task.distribution_state.ready and not before.ready:
+        version = task.distribution_state.snapshot.version
         events.emit(LOG, events.NODE_READY, version=version)
 
 
@@ -86,7 +86,7 @@
 
 def make_status(task: control_state.ControlTask) -> wire.StatusReply:
     """Make the status of this node for operators."""
-    snapshot = task.distribution.snapshot
+    snapshot = task.distribution_state.snapshot
     counters = {
         **task.peers.counters,
         "open_peers": len(task.peers.links),
@@ -98,7 +98,7 @@
     return wire.StatusReply(
         instance=task.options.instance,
         data_centre=task.options.data_centre,
-        ready=task.distribution.ready,
+        ready=task.distribution_state.ready,
         version=snapshot.version,
         checksum=snapshot.checksum,
         instances=tuple(members[name].record for name in sorted(members)),
@@ -109,16 +109,18 @@
 
 
 def _execute(
-    task: control_state.ControlTask, action: spread.Action, now: float
+    task: control_state.ControlTask, action: distribution.Action, now: float
 ) -> None:
-    if isinstance(action, spread.Send):
+    if isinstance(action, distribution.Send):
         control_peers.send(task.peers, action.address, action.message, now)
-    elif isinstance(action, spread.Reply):
+    elif isinstance(action, distribution.Reply):
         control_peers.reply(task.peers, action.reply_to, action.message, now)
-    elif isinstance(action, spread.ReadTable):
+    elif isinstance(action, distribution.ReadTable):
         task.table_reads += 1
-        wire.sockets.send(task.platform, wire.ReadConfig(have=action.have))
-    elif isinstance(action, spread.Refused):
+        wire.sockets.send(
+            task.platform, wire.ReadConfig(have=action.held_version)
+        )
+    elif isinstance(action, distribution.Refused):
         task.refusals += 1
         events.emit(
             LOG,
@@ -126,7 +128,7 @@
             version=action.version,
             reason=action.reason,
         )
-    elif isinstance(action, spread.Stopped):
+    elif isinstance(action, distribution.Stopped):
         events.emit(
             LOG,
             events.CONFIG_DISTRIBUTION_STOPPED,
@@ -146,7 +148,7 @@
 def _update_watched_services(
     task: control_state.ControlTask, now: float
 ) -> None:
-    for rollout in task.distribution.snapshot.rollouts:
+    for rollout in task.distribution_state.snapshot.rollouts:
         if rollout.state in _OPEN_STATES:
             task.watched_until[rollout.service] = now + LATE_EVIDENCE_SECONDS
     for service, until in tuple(task.watched_until.items()):
--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -5,22 +5,22 @@
 import logging
 import time
 
+from apricotpost import distribution
 from apricotpost import events
 from apricotpost import membership
 from apricotpost import model
 from apricotpost.node import control_peers
 from apricotpost.node import control_state
 from apricotpost.node import views
-from apricotpost import spread
 from apricotpost import wire
 
 __all__ = [
-    "handle_announcement",
-    "handle",
     "announce_leaving",
+    "handle",
+    "handle_announcement",
+    "publish",
     "record_gate_report",
     "record_version",
-    "publish",
 ]
 
 LOG = logging.getLogger(__name__)
@@ -44,7 +44,7 @@
             )
     if task.members.revision != before.revision:
         _log_state_changes(task, before.members)
-        task.cluster = spread.make_cluster_view(
+        task.cluster = distribution.make_cluster_view(
             task.members, task.cluster.seeds
         )
         publish(task)
@@ -84,26 +84,26 @@
     from each other node within as many seconds as there are nodes. Spreading
     the record at each version would cost more than all other traffic.
     """
-    version = task.distribution.snapshot.version
+    version = task.distribution_state.snapshot.version
     if version != task.members.record.config_version:
         record = dataclasses.replace(
             task.members.record, config_version=version
         )
-        handle(task, _make_own_changed(task, record, spreads=False))
+        handle(task, _make_own_changed(task, record, disseminate=False))
 
 
 def publish(task: control_state.ControlTask) -> None:
     """Replace the view if a field that the call path reads has changed."""
     view = task.current.view
-    snapshot = task.distribution.snapshot
+    snapshot = task.distribution_state.snapshot
     withdrawals = tuple(
-        task.distribution.notices[name]
-        for name in sorted(task.distribution.notices)
+        task.distribution_state.withdrawals[name]
+        for name in sorted(task.distribution_state.withdrawals)
     )
     visible = tuple(membership.list_visible(task.members))
     if (
         view.snapshot is snapshot
-        and view.ready == task.distribution.ready
+        and view.ready == task.distribution_state.ready
         and view.withdrawals == withdrawals
         and _list_routing_fields(view.instances)
         == _list_routing_fields(visible)
@@ -113,7 +113,7 @@
         snapshot=snapshot,
         instances=visible,
         withdrawals=withdrawals,
-        ready=task.distribution.ready,
+        ready=task.distribution_state.ready,
     )
     views.swap(task.current, next_view)
 
@@ -140,17 +140,17 @@
         state = model.InstanceState.LEAVING
     record = dataclasses.replace(record, state=state)
     if record != task.members.record:
-        handle(task, _make_own_changed(task, record, spreads=True))
+        handle(task, _make_own_changed(task, record, disseminate=True))
 
 
 def _make_own_changed(
     task: control_state.ControlTask,
     record: model.InstanceRecord,
     *,
-    spreads: bool,
+    disseminate: bool,
 ) -> membership.OwnChanged:
     return membership.OwnChanged(
-        record=record, draw=task.rng.getrandbits(32), spread=spreads
+        record=record, seed=task.rng.getrandbits(32), disseminate=disseminate
     )
 
 
--- a/apricotpost/node/control_state.py
+++ b/apricotpost/node/control_state.py
@@ -3,13 +3,13 @@
 import dataclasses
 import random
 
+from apricotpost import distribution
 from apricotpost import membership
 from apricotpost import model
 from apricotpost.node import control_peers
 from apricotpost.node import views
 from apricotpost.rollout import judges
 from apricotpost import settings
-from apricotpost import spread
 from apricotpost import wire
 
 __all__ = ["ControlTask"]
@@ -39,8 +39,8 @@
     platform: wire.sockets.Socket
     rollout: wire.sockets.Socket
     members: membership.Membership
-    distribution: spread.SpreadState
-    cluster: spread.ClusterView
+    distribution_state: distribution.DistributionState
+    cluster: distribution.ClusterView
     announced: wire.BackendServerAnnounced | None = None
     announced_at: float = 0.0
     backend_server_up: bool = False
--- a/apricotpost/rollout/judges.py
+++ b/apricotpost/rollout/judges.py
@@ -5,15 +5,15 @@
 from collections.abc import Sequence
 import dataclasses
 
+from apricotpost import distribution
 from apricotpost import model
-from apricotpost import spread
 
 __all__ = [
     "FULL_REPORT_SECONDS",
     "JUDGE_COUNT",
-    "SentReports",
-    "SentReport",
     "ReportPlan",
+    "SentReport",
+    "SentReports",
     "find_judges",
     "plan_reports",
 ]
@@ -80,7 +80,7 @@
         if entry.service == service and entry.state is model.InstanceState.UP
     }
     return tuple(
-        live[name] for name in spread.rank(live, service)[:JUDGE_COUNT]
+        live[name] for name in distribution.rank(live, service)[:JUDGE_COUNT]
     )
 
 
--- a/apricotpost/sidecar/connections.py
+++ b/apricotpost/sidecar/connections.py
@@ -63,7 +63,7 @@
             self.members,
             now,
             services=self.called_services(),
-            all_of=self.fully_connected_versions(),
+            fully_connected_versions=self.fully_connected_versions(),
             evacuated=self.evacuated(),
         )
         wanted = local | remote | set(relays.remote_targets(self.members, now))
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from apricotpost.distribution import orders
+from apricotpost.distribution import patches
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.membership import fleet
@@ -20,8 +22,6 @@
 from apricotpost.sidecar import links
 from apricotpost.sidecar import options
 from apricotpost.sidecar import views
-from apricotpost.spread import orders
-from apricotpost.spread import patches
 from apricotpost import wire
 
 __all__ = ["Orders"]
@@ -159,7 +159,7 @@
         """Tell whether to call a lost store now."""
         if self.store_lost_at is None:
             return False
-        pause = fleet.probe_seconds(self.members, now)
+        pause = fleet.probe_interval_seconds(self.members, now)
         return now - self.store_probed_at >= pause
 
     async def retry(self, call: StoreCall) -> None:
--- a/tests/spread/fleets.py
+++ b/tests/distribution/simulation.py
@@ -5,11 +5,11 @@
 import random
 
 from apricotpost import config
+from apricotpost import distribution
 from apricotpost import model
-from apricotpost import spread
 from apricotpost import wire
 
-__all__ = ["Fleet", "Node", "make_snapshot", "make_fleet"]
+__all__ = ["Fleet", "Node", "make_fleet", "make_snapshot"]
 
 STEP_SECONDS = 0.25
 
@@ -57,7 +57,7 @@
     """
 
     record: model.InstanceRecord
-    state: spread.SpreadState
+    state: distribution.DistributionState
     highest_ready_version: int = 0
     knows_fleet: bool = True
     damaged_versions: frozenset[int] = frozenset()
@@ -94,45 +94,47 @@
     read_counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    actions: list[spread.Action] = dataclasses.field(default_factory=list)
+    actions: list[distribution.Action] = dataclasses.field(
+        default_factory=list
+    )
 
     def commit(self) -> None:
         """Commit the next version to the table."""
         self.history.append(make_snapshot(len(self.history)))
 
-    def cluster(self, name: str) -> spread.ClusterView:
+    def cluster(self, name: str) -> distribution.ClusterView:
         """Return the other nodes that a node knows."""
         node = self.nodes[name]
         others = [other for other in self.nodes if other != name]
         centre = node.record.data_centre
         if not node.knows_fleet:
-            return spread.ClusterView(
+            return distribution.ClusterView(
                 record=node.record, seeds=tuple(others[:3])
             )
         local, remote = [], []
         for other in others:
             same = self.nodes[other].record.data_centre == centre
-            peer = spread.Peer(instance=other, address=other)
+            peer = distribution.Peer(instance=other, address=other)
             (local if same else remote).append(peer)
         candidates = [name, *(peer.instance for peer in local)]
-        return spread.ClusterView(
+        return distribution.ClusterView(
             record=node.record,
             local=tuple(local),
             remote=tuple(remote),
-            reader=name in spread.rank(candidates, centre)[:2],
+            is_reader=name in distribution.rank(candidates, centre)[:2],
             seeds=tuple(others[:3]),
         )
 
-    def handle(self, name: str, event: spread.Event) -> None:
+    def handle(self, name: str, event: distribution.Event) -> None:
         """Handle an event at a node, check its state and run the actions."""
         node = self.nodes[name]
         before = node.state.snapshot.version
-        node.state, actions = spread.handle(
+        node.state, actions = distribution.handle(
             node.state,
             event,
             self.now,
             cluster=self.cluster(name),
-            draw=self.rng.getrandbits(32),
+            seed=self.rng.getrandbits(32),
         )
         held = node.state.snapshot
         assert (
@@ -152,16 +154,16 @@
         for action in actions:
             self.perform(name, action)
 
-    def perform(self, name: str, action: spread.Action) -> None:
+    def perform(self, name: str, action: distribution.Action) -> None:
         """Queue the message or the read that an action causes."""
-        if isinstance(action, spread.ReadTable):
+        if isinstance(action, distribution.ReadTable):
             self.read_counts[name] += 1
             self.pending_reads.append(
                 (name, self.restart_count(name), self.read(name, action))
             )
-        elif isinstance(action, spread.Send):
+        elif isinstance(action, distribution.Send):
             self.in_flight.append((name, action.address, action.message))
-        elif isinstance(action, spread.Reply):
+        elif isinstance(action, distribution.Reply):
             target = action.reply_to.decode()
             self.in_flight.append((name, target, action.message))
 
@@ -169,7 +171,9 @@
         """Return how often a node was restarted."""
         return self.restart_counts.get(name, 0)
 
-    def read(self, name: str, action: spread.ReadTable) -> wire.ConfigRead:
+    def read(
+        self, name: str, action: distribution.ReadTable
+    ) -> wire.ConfigRead:
         """Return the table's answer to a read as of now.
 
         The answer may be delivered much later.
@@ -183,7 +187,7 @@
             head=head,
             deltas=tuple(
                 config.compute_delta(self.history[at], self.history[at + 1])
-                for at in range(action.have, head)
+                for at in range(action.held_version, head)
             ),
         )
 
@@ -202,10 +206,10 @@
             node.known_versions[source] = max(known, message.version)
         if isinstance(message, wire.Welcome):
             node.knows_fleet = True
-        event = spread.Received(
+        event = distribution.Received(
             message=message,
             reply_to=source.encode(),
-            floor=node.known_versions.get(source, 0),
+            min_version=node.known_versions.get(source, 0),
         )
         self.handle(target, event)
 
@@ -217,7 +221,7 @@
         node = self.nodes[name]
         deltas = tuple(self.damage_delta(node, d) for d in found.deltas)
         found = dataclasses.replace(found, deltas=deltas)
-        self.handle(name, spread.TableRead(found=found))
+        self.handle(name, distribution.TableRead(result=found))
 
     def is_cut(self, source: str, target: str) -> bool:
         """Return whether two nodes are partitioned from each other."""
@@ -247,8 +251,8 @@
         """Restart a node without its configuration and known nodes."""
         node = self.nodes[name]
         self.restart_counts[name] = self.restart_count(name) + 1
-        node.state = spread.start(
-            name, self.now, draw=self.rng.getrandbits(32)
+        node.state = distribution.start(
+            name, self.now, seed=self.rng.getrandbits(32)
         )
         node.knows_fleet = False
         node.known_versions = {}
@@ -256,8 +260,8 @@
     def tick(self, name: str) -> None:
         """Send a tick to a node if one is due."""
         state = self.nodes[name].state
-        if self.now >= spread.next_tick(state, self.cluster(name)):
-            self.handle(name, spread.Tick())
+        if self.now >= distribution.next_tick(state, self.cluster(name)):
+            self.handle(name, distribution.Tick())
 
     def run(self, seconds: float) -> None:
         """Advance the time without faults; each message takes one step."""
@@ -293,7 +297,7 @@
             call_address=name,
             control_address=name,
         )
-        state = spread.start(name, 0.0, draw=rng.getrandbits(32))
+        state = distribution.start(name, 0.0, seed=rng.getrandbits(32))
         nodes[name] = Node(
             record=record,
             state=dataclasses.replace(
--- a/tests/spread/test_decisions.py
+++ b/tests/distribution/test_decisions.py
@@ -4,28 +4,28 @@
 import unittest
 
 from apricotpost import config
+from apricotpost import distribution
 from apricotpost import membership
 from apricotpost import model
-from apricotpost import spread
 from apricotpost import wire
-from tests.membership import fleets as records
-from tests.spread import fleets
+from tests.distribution import simulation
+from tests.membership import simulation as records
 
 __all__ = ["JoinTest", "NoticeTest", "ReadTest", "RefusalTest"]
 
 
 def make_delta(base):
     return config.compute_delta(
-        fleets.make_snapshot(base), fleets.make_snapshot(base + 1)
+        simulation.make_snapshot(base), simulation.make_snapshot(base + 1)
     )
 
 
 class RefusalTest(unittest.TestCase):
     def make_fleet(self, refusing):
-        fleet = fleets.make_fleet(12)
+        fleet = simulation.make_fleet(12)
         # The readers accept the version; otherwise no node would push it.
         self.refusing = [
-            name for name in fleet.nodes if not fleet.cluster(name).reader
+            name for name in fleet.nodes if not fleet.cluster(name).is_reader
         ][:refusing]
         for name in self.refusing:
             fleet.nodes[name].damaged_versions = frozenset((2,))
@@ -37,8 +37,10 @@
         fleet = self.make_fleet(8)
         fleet.run(8)
         held = [fleet.nodes[n].state.snapshot for n in self.refusing]
-        self.assertEqual([fleets.make_snapshot(1)] * 8, held)
-        stops = [a for a in fleet.actions if isinstance(a, spread.Stopped)]
+        self.assertEqual([simulation.make_snapshot(1)] * 8, held)
+        stops = [
+            a for a in fleet.actions if isinstance(a, distribution.Stopped)
+        ]
         self.assertEqual(12, len(stops))
         fleet.delivered.clear()
         fleet.run(20)
@@ -73,7 +75,7 @@
         """Guards against a restart that waits for a stopped version."""
         fleet = self.make_fleet(8)
         fleet.run(8)
-        accepting = next(n for n in fleet.nodes if fleet.cluster(n).reader)
+        accepting = next(n for n in fleet.nodes if fleet.cluster(n).is_reader)
         for name in (self.refusing[0], accepting):
             fleet.restart(name)
         refused = wire.ConfigRefused(
@@ -82,7 +84,7 @@
             reason="",
             refusers=tuple(self.refusing),
         )
-        fleet.handle(accepting, spread.Received(message=refused))
+        fleet.handle(accepting, distribution.Received(message=refused))
         fleet.run(15)
         for name in (self.refusing[0], accepting):
             self.assertTrue(fleet.nodes[name].state.ready, name)
@@ -91,7 +93,7 @@
 class ReadTest(unittest.TestCase):
     def test_two_nodes_of_a_data_centre_read(self):
         """Guards against a number of reads that grows with the fleet."""
-        fleet = fleets.make_fleet(40, centres=2)
+        fleet = simulation.make_fleet(40, centres=2)
         fleet.run(20)
         # Four readers, each once a second with a jitter of up to 0.5 s.
         self.assertEqual(4, len(fleet.read_counts))
@@ -100,7 +102,7 @@
 
     def test_reads_back_off_while_the_table_is_out(self):
         """Guards against a high rate of reads while the table is out."""
-        fleet = fleets.make_fleet(12, centres=1)
+        fleet = simulation.make_fleet(12, centres=1)
         fleet.table_unavailable = True
         fleet.run(20)
         fleet.read_counts.clear()
@@ -110,21 +112,23 @@
 
     def test_committed_delta_spreads_without_the_table(self):
         """Guards against a committed version that is lost in an outage."""
-        fleet = fleets.make_fleet(12)
+        fleet = simulation.make_fleet(12)
         fleet.commit()
         fleet.table_unavailable = True
-        fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
+        fleet.handle(
+            "n3", distribution.Committed(version=2, delta=make_delta(1))
+        )
         fleet.run(8)
         self.assertEqual({2}, fleet.ready_versions())
 
     def test_commit_during_a_read_is_read_at_once(self):
         """Guards against a commit that is read only at the next poll."""
-        fleet = fleets.make_fleet(3)
+        fleet = simulation.make_fleet(3)
         state = dataclasses.replace(fleet.nodes["n0"].state, reading=True)
         fleet.nodes["n0"].state = state
-        fleet.handle("n0", spread.Committed(version=2))
+        fleet.handle("n0", distribution.Committed(version=2))
         old = wire.ConfigRead(available=True, head=1)
-        fleet.handle("n0", spread.TableRead(found=old))
+        fleet.handle("n0", distribution.TableRead(result=old))
         self.assertEqual("n0", fleet.pending_reads[0][0])
 
     def test_readers_are_the_same_two_for_all(self):
@@ -138,9 +142,9 @@
         readers = [
             name
             for name in known
-            if spread.make_cluster_view(
+            if distribution.make_cluster_view(
                 membership.Membership(own=name, members=known), ()
-            ).reader
+            ).is_reader
         ]
         self.assertEqual(2, len(readers))
         # The next node in rendezvous order replaces one that is down.
@@ -152,18 +156,20 @@
             name
             for name in known
             if name != readers[0]
-            and spread.make_cluster_view(
+            and distribution.make_cluster_view(
                 membership.Membership(own=name, members=known), ()
-            ).reader
+            ).is_reader
         ]
         self.assertEqual(2, len(others))
         self.assertIn(readers[1], others)
 
     def test_digests_repair_lost_pushes(self):
         """Guards against a node that misses a version after lost pushes."""
-        fleet = fleets.make_fleet(40)
+        fleet = simulation.make_fleet(40)
         fleet.commit()
-        fleet.handle("n3", spread.Committed(version=2, delta=make_delta(1)))
+        fleet.handle(
+            "n3", distribution.Committed(version=2, delta=make_delta(1))
+        )
         fleet.table_unavailable = True
         fleet.in_flight.clear()
         fleet.pending_reads.clear()
@@ -172,12 +178,12 @@
 
     def test_late_messages_do_not_bring_an_older_version_back(self):
         """Guards against older versions from messages that arrive late."""
-        fleet = fleets.make_fleet(3, versions=3)
+        fleet = simulation.make_fleet(3, versions=3)
         for message in (
             wire.ConfigSnapshot(sender="n1", snapshot=fleet.history[2]),
             wire.ConfigDelta(sender="n1", deltas=(make_delta(1),)),
         ):
-            event = spread.Received(message=message, reply_to=b"n1")
+            event = distribution.Received(message=message, reply_to=b"n1")
             fleet.handle("n0", event)
         self.assertEqual({3}, fleet.ready_versions())
 
@@ -188,7 +194,7 @@
 
         All nodes of a data centre restart at once.
         """
-        fleet = fleets.make_fleet(80, centres=4, versions=200)
+        fleet = simulation.make_fleet(80, centres=4, versions=200)
         restarted = [
             name
             for name, node in fleet.nodes.items()
@@ -202,7 +208,7 @@
         counts = {
             fleet.read_counts[name]
             for name in restarted
-            if not fleet.cluster(name).reader
+            if not fleet.cluster(name).is_reader
         }
         self.assertEqual({1}, counts)
         snapshots = [
@@ -214,17 +220,17 @@
 
     def test_snapshots_are_served_at_a_bounded_rate(self):
         """Guards against a node that is busy with serving snapshots."""
-        fleet = fleets.make_fleet(2)
+        fleet = simulation.make_fleet(2)
         for number in range(50):
             asked = wire.ConfigRequest(sender="n1", have=0)
-            event = spread.Received(message=asked, reply_to=b"n1")
+            event = distribution.Received(message=asked, reply_to=b"n1")
             fleet.now = number / 100
             fleet.handle("n0", event)
         self.assertEqual(20, len(fleet.in_flight))
 
     def test_silent_seeds_are_asked_again_within_a_second(self):
         """Guards against a start that waits for seeds that failed too."""
-        fleet = fleets.make_fleet(6)
+        fleet = simulation.make_fleet(6)
         fleet.restart("n0")
         for pause in (2.0, 1.0):
             fleet.in_flight.clear()
@@ -242,31 +248,39 @@
 
         Its peers have not received the version that it held.
         """
-        fleet = fleets.make_fleet(6, versions=2)
+        fleet = simulation.make_fleet(6, versions=2)
         fleet.commit()
         fleet.restart("n0")
         stale = wire.Welcome(sender="n1", version=2, checksum="", floor=0)
-        fleet.handle("n0", spread.Received(message=stale, reply_to=b"n1"))
+        fleet.handle(
+            "n0", distribution.Received(message=stale, reply_to=b"n1")
+        )
         whole = wire.ConfigSnapshot(sender="n1", snapshot=fleet.history[2])
-        fleet.handle("n0", spread.Received(message=whole, reply_to=b"n1"))
+        fleet.handle(
+            "n0", distribution.Received(message=whole, reply_to=b"n1")
+        )
         self.assertFalse(fleet.nodes["n0"].state.ready)
 
     def test_stale_welcome_and_stale_read_do_not_make_a_node_ready(self):
         """Guards against an older version after a restart."""
-        fleet = fleets.make_fleet(2, versions=3)
+        fleet = simulation.make_fleet(2, versions=3)
         fleet.restart("n0")
         state = fleet.nodes["n0"].state
-        state = dataclasses.replace(state, snapshot=fleets.make_snapshot(2))
+        state = dataclasses.replace(
+            state, snapshot=simulation.make_snapshot(2)
+        )
         fleet.nodes["n0"].state = state
         stale = wire.Welcome(sender="n1", version=2, checksum="", floor=3)
-        fleet.handle("n0", spread.Received(message=stale, reply_to=b"n1"))
+        fleet.handle(
+            "n0", distribution.Received(message=stale, reply_to=b"n1")
+        )
         old = wire.ConfigRead(available=True, head=2)
-        fleet.handle("n0", spread.TableRead(found=old))
+        fleet.handle("n0", distribution.TableRead(result=old))
         self.assertFalse(fleet.nodes["n0"].state.ready)
 
     def test_node_without_peers_and_table_stays_not_ready(self):
         """Guards against calls that are routed without a configuration."""
-        fleet = fleets.make_fleet(6)
+        fleet = simulation.make_fleet(6)
         fleet.table_unavailable = True
         fleet.restart("n0")
         fleet.cut_data_centres = {"dc0"}
@@ -281,7 +295,7 @@
 
 class NoticeTest(unittest.TestCase):
     def setUp(self):
-        self.fleet = fleets.make_fleet(12)
+        self.fleet = simulation.make_fleet(12)
         first = self.fleet.history[1]
         self.rollout = model.Rollout(
             identifier="r1",
@@ -329,12 +343,12 @@
 
     def count_holders(self):
         nodes = self.fleet.nodes.values()
-        return sum("r1" in node.state.notices for node in nodes)
+        return sum("r1" in node.state.withdrawals for node in nodes)
 
     def test_notice_reaches_all_and_ends_with_its_rollout(self):
         """Guards against a withdrawn version that some nodes still select."""
         self.apply_version(model.RolloutState.RUNNING, 2)
-        event = spread.Received(message=self.notice)
+        event = distribution.Received(message=self.notice)
         self.fleet.handle("n0", event)
         # The first pushes are lost; the digests reveal the difference.
         self.fleet.in_flight.clear()
@@ -347,8 +361,8 @@
 
     def test_notice_of_an_unknown_rollout_expires(self):
         """Guards against expired notices that peers bring back."""
-        self.fleet.handle("n0", spread.Received(message=self.notice))
+        self.fleet.handle("n0", distribution.Received(message=self.notice))
         self.fleet.run(10)
         self.assertEqual(12, self.count_holders())
-        self.fleet.run(spread.Policy().notice_seconds + 10)
+        self.fleet.run(distribution.Policy().notice_seconds + 10)
         self.assertEqual(0, self.count_holders())
--- a/tests/spread/test_faults.py
+++ b/tests/distribution/test_faults.py
@@ -4,7 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from tests.spread import fleets
+from tests.distribution import simulation
 
 __all__ = ["FaultsTest"]
 
@@ -27,7 +27,7 @@
 
     @stateful.initialize(seed=strategies.integers(0, 999))
     def start(self, seed):
-        self.fleet = fleets.make_fleet(len(NODES), seed=seed)
+        self.fleet = simulation.make_fleet(len(NODES), seed=seed)
 
     @stateful.rule()
     def commit(self):
--- a/tests/spread/test_orders.py
+++ b/tests/distribution/test_orders.py
@@ -6,7 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from apricotpost.spread import orders
+from apricotpost.distribution import orders
 from apricotpost import wire
 
 __all__ = ["OrderStoreTest"]
--- a/tests/spread/test_patches.py
+++ b/tests/distribution/test_patches.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from apricotpost.distribution import orders
+from apricotpost.distribution import patches
 from apricotpost import errors
-from apricotpost.spread import orders
-from apricotpost.spread import patches
 from apricotpost import wire
 
 __all__ = ["PatchTest"]
--- a/tests/membership/fleets.py
+++ b/tests/membership/simulation.py
@@ -49,8 +49,8 @@
                 if name in self.silent:
                     continue
                 if self.now >= membership.next_tick(state):
-                    draw = self.rng.getrandbits(32)
-                    self.handle(name, membership.Tick(draw=draw))
+                    seed = self.rng.getrandbits(32)
+                    self.handle(name, membership.Tick(seed=seed))
 
     def is_lost(self, source: str, target: str) -> bool:
         """Return whether a message from source to target is lost."""
@@ -113,6 +113,6 @@
     }
     states = {}
     for name, member in known.items():
-        state = membership.start(member.record, 0.0, draw=rng.getrandbits(32))
+        state = membership.start(member.record, 0.0, seed=rng.getrandbits(32))
         states[name] = dataclasses.replace(state, members=known, updates=())
     return SimulatedNetwork(states=states, rng=rng)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -84,21 +84,21 @@
         store, so each of them called the store every second.
         """
         self.record(node="a1", store=False)
-        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
+        self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
         self.record(node="c", store=False)
         self.record(node="a9", data_centre="dc-b", store=False)
-        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
+        self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
         self.record(node="a2", store=False)
         slow = fleet.SLOW_PROBE_SECONDS
-        self.assertEqual(slow, fleet.probe_seconds(self.fleet, 0.0))
+        self.assertEqual(slow, fleet.probe_interval_seconds(self.fleet, 0.0))
         # The two preceding nodes are silent now.
         later = fleet.SILENT_SECONDS + 0.1
-        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, later))
+        self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, later))
 
     def test_node_probes_slowly_if_a_neighbour_reaches_the_store(self):
         """Guards against unnecessary calls of the store, which are charged."""
         self.record(node="c", store=True)
         slow = fleet.SLOW_PROBE_SECONDS
-        self.assertEqual(slow, fleet.probe_seconds(self.fleet, 0.0))
+        self.assertEqual(slow, fleet.probe_interval_seconds(self.fleet, 0.0))
         self.record(node="c", sequence=2, store=True, leaving=True)
-        self.assertEqual(0.0, fleet.probe_seconds(self.fleet, 0.0))
+        self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -7,7 +7,7 @@
 from apricotpost import membership
 from apricotpost import model
 from apricotpost import wire
-from tests.membership import fleets
+from tests.membership import simulation
 
 __all__ = ["DetectionTest", "RecordTest"]
 
@@ -19,7 +19,7 @@
 
 class DetectionTest(unittest.TestCase):
     def check_detection(self, size):
-        network = fleets.make_network(size)
+        network = simulation.make_network(size)
         network.silent.add("n7")
         periods = BASE_PERIODS + math.ceil(math.log2(size))
         while network.now < periods and set(network.observed_states("n7")) != {
@@ -43,14 +43,14 @@
         """Guards against a load on each node that grows with the fleet."""
         rates = []
         for size in (30, 300):
-            network = fleets.make_network(size)
+            network = simulation.make_network(size)
             network.run(20)
             rates.append(network.sent_count / size / 20)
         self.assertLessEqual(rates[1], 1.05 * rates[0])
 
     def test_lost_messages_do_not_take_down_live_nodes(self):
         """Guards against false detections when 10 % of messages are lost."""
-        network = fleets.make_network(40)
+        network = simulation.make_network(40)
         network.is_cut = lambda source, target: network.rng.random() < 0.1
         network.run(60)
         down = [
@@ -62,7 +62,7 @@
 
     def test_frozen_node_refutes_when_it_returns(self):
         """Guards against a node that stays down after a freeze."""
-        network = fleets.make_network(20)
+        network = simulation.make_network(20)
         network.silent.add("n3")
         network.run(15)
         self.assertEqual({"down"}, set(network.observed_states("n3")))
@@ -75,11 +75,11 @@
 
     def test_lost_leave_message_is_covered_by_probes(self):
         """Guards against calls to an instance with lost leave messages."""
-        network = fleets.make_network(20)
+        network = simulation.make_network(20)
         network.is_cut = lambda source, target: source == "n5"
         own = network.states["n5"].record
         leaving = dataclasses.replace(own, state=model.InstanceState.LEAVING)
-        event = membership.OwnChanged(record=leaving, draw=1)
+        event = membership.OwnChanged(record=leaving, seed=1)
         network.handle("n5", event)
         network.run(0.2)
         network.silent.add("n5")
@@ -88,10 +88,10 @@
 
     def test_leave_reaches_all_within_two_seconds(self):
         """Guards against calls to an instance that is draining."""
-        network = fleets.make_network(20)
+        network = simulation.make_network(20)
         own = network.states["n5"].record
         leaving = dataclasses.replace(own, state=model.InstanceState.LEAVING)
-        network.handle("n5", membership.OwnChanged(record=leaving, draw=1))
+        network.handle("n5", membership.OwnChanged(record=leaving, seed=1))
         network.run(2.0)
         informed_count = network.observed_states("n5").count("leaving")
         self.assertGreaterEqual(informed_count, 15)
@@ -100,7 +100,7 @@
 
     def test_cut_off_data_centre_keeps_its_records(self):
         """Guards against records of a region that are lost in a partition."""
-        network = fleets.make_network(24, centres=2)
+        network = simulation.make_network(24, centres=2)
         sides = {
             name: state.record.data_centre
             for name, state in network.states.items()
@@ -125,7 +125,7 @@
         Each side has declared the other one down and no longer probes it
         regularly.
         """
-        network = fleets.make_network(12)
+        network = simulation.make_network(12)
         network.is_cut = lambda source, target: (int(source[1:]) < 3) != (
             int(target[1:]) < 3
         )
@@ -143,7 +143,7 @@
 
 class RecordTest(unittest.TestCase):
     def setUp(self):
-        self.state = membership.start(fleets.make_record("a"), 0.0, draw=1)
+        self.state = membership.start(simulation.make_record("a"), 0.0, seed=1)
 
     def merge(self, record):
         state = membership.merge(self.state, (record,), 1.0)
@@ -153,13 +153,13 @@
     def test_restarted_instance_supersedes_and_keeps_its_version(self):
         """Guards against an earlier process's record that hides a restart."""
         old = dataclasses.replace(
-            fleets.make_record("b", incarnation=5),
+            simulation.make_record("b", incarnation=5),
             state=model.InstanceState.DOWN,
             config_version=9,
         )
-        self.merge(fleets.make_record("b", incarnation=5))
+        self.merge(simulation.make_record("b", incarnation=5))
         self.merge(old)
-        new = self.merge(fleets.make_record("b", incarnation=6))
+        new = self.merge(simulation.make_record("b", incarnation=6))
         self.assertEqual(model.InstanceState.UP, new.state)
         self.assertEqual(9, new.config_version)
         self.assertEqual(6, self.merge(old).incarnation)
@@ -169,11 +169,11 @@
 
         The suspicion timeout must not include the time of the freeze.
         """
-        up = fleets.make_record("b")
+        up = simulation.make_record("b")
         self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
         for at in (2.0, 22.0):
             self.state, _ = membership.handle(
-                self.state, membership.Tick(draw=1), at
+                self.state, membership.Tick(seed=1), at
             )
         found = self.state.members["b"].record.state
         self.assertEqual(model.InstanceState.SUSPECT, found)
@@ -184,22 +184,24 @@
         A leaving node receives no refutations. It used to declare a suspect
         down that became suspect before the drain and was alive.
         """
-        up = fleets.make_record("b")
+        up = simulation.make_record("b")
         self.merge(dataclasses.replace(up, state=model.InstanceState.SUSPECT))
         leaving = dataclasses.replace(
             self.state.record, state=model.InstanceState.LEAVING
         )
-        change = membership.OwnChanged(record=leaving, draw=1, spread=True)
+        change = membership.OwnChanged(
+            record=leaving, seed=1, disseminate=True
+        )
         self.state, _ = membership.handle(self.state, change, 0.5)
         for second in range(1, 12):
-            tick = membership.Tick(draw=1)
+            tick = membership.Tick(seed=1)
             self.state, _ = membership.handle(self.state, tick, float(second))
         found = self.state.members["b"].record.state
         self.assertEqual(model.InstanceState.SUSPECT, found)
 
     def test_worse_state_wins_at_equal_incarnation(self):
         """Guards against a late record that revives a dead instance."""
-        up = fleets.make_record("b")
+        up = simulation.make_record("b")
         self.merge(up)
         down = dataclasses.replace(up, state=model.InstanceState.DOWN)
         self.merge(down)
@@ -211,7 +213,7 @@
         The earlier process then has the higher incarnation.
         """
         old = dataclasses.replace(
-            fleets.make_record("a", incarnation=50),
+            simulation.make_record("a", incarnation=50),
             state=model.InstanceState.LEAVING,
         )
         own = self.merge(old)
@@ -221,7 +223,7 @@
     def test_instance_without_its_backend_server_gets_no_calls(self):
         """Guards against calls to a node that has lost its backend server."""
         lost = dataclasses.replace(
-            fleets.make_record("b"), state=model.InstanceState.STARTING
+            simulation.make_record("b"), state=model.InstanceState.STARTING
         )
         self.merge(lost)
         visible = tuple(membership.list_visible(self.state))
@@ -229,12 +231,12 @@
 
     def test_record_expires(self):
         """Guards against memory use that grows with each replaced instance."""
-        up = fleets.make_record("b")
+        up = simulation.make_record("b")
         self.merge(up)
         self.merge(dataclasses.replace(up, state=model.InstanceState.DOWN))
         for at in range(0, 700, 10):
             self.state, _ = membership.handle(
-                self.state, membership.Tick(draw=1), float(at)
+                self.state, membership.Tick(seed=1), float(at)
             )
         self.assertNotIn("b", self.state.members)
 
@@ -245,22 +247,22 @@
         """
         kept = {}
         for failed in (1, 3):
-            state = membership.start(fleets.make_record("a"), 0.0, draw=1)
-            remote = [fleets.make_record(f"f{k}", "b") for k in range(4)]
+            state = membership.start(simulation.make_record("a"), 0.0, seed=1)
+            remote = [simulation.make_record(f"f{k}", "b") for k in range(4)]
             down = [
                 dataclasses.replace(entry, state=model.InstanceState.DOWN)
                 for entry in remote[:failed]
             ]
             state = membership.merge(state, (*remote, *down), 0.0)
             state, _ = membership.handle(
-                state, membership.Tick(draw=1), 3600.0
+                state, membership.Tick(seed=1), 3600.0
             )
             kept[failed] = len(state.members)
         self.assertEqual({1: 4, 3: 5}, kept)
 
     def test_records_of_a_full_exchange_are_not_disseminated(self):
         """Guards against a start that resends the whole fleet's records."""
-        known = tuple(fleets.make_record(f"n{k}") for k in range(100))
+        known = tuple(simulation.make_record(f"n{k}") for k in range(100))
         message = wire.Members(sender="n0", records=known)
         state, _ = membership.handle(
             self.state, membership.Received(message=message), 1.0
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -164,12 +164,14 @@
         """Guards against connections to every node of the fleet."""
         found = self.find(self.make(200))
         # For each of the two versions; neither has a local server.
-        self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(found))
+        self.assertEqual(2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(found))
 
     def test_every_server_of_a_version_on_trial_is_reached(self):
         """Guards against nodes that load different servers in a trial."""
-        found = self.find(self.make(200), all_of=[("portal", "v2")])
-        self.assertEqual(relays.REMOTE_SERVERS_ALONE + 40, len(found))
+        found = self.find(
+            self.make(200), fully_connected_versions=[("portal", "v2")]
+        )
+        self.assertEqual(relays.REMOTE_SERVERS_FEW_LOCAL + 40, len(found))
 
     def add_local(self, known, count, **server):
         for index in range(count):
@@ -216,10 +218,10 @@
         self.add_local(known, 5, version="v1")
         found = self.find(known)
         # The second version has no local server.
-        many = relays.REMOTE_SERVERS + relays.REMOTE_SERVERS_ALONE
+        many = relays.REMOTE_SERVERS + relays.REMOTE_SERVERS_FEW_LOCAL
         self.assertEqual(many, len(found))
         alone = self.find(known, evacuated=("a",))
-        self.assertEqual(2 * relays.REMOTE_SERVERS_ALONE, len(alone))
+        self.assertEqual(2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(alone))
 
     def test_callers_spread_over_the_servers(self):
         """Guards against servers that no remote caller selects."""
