--- a/apricotpost/admin/handlers.py
+++ b/apricotpost/admin/handlers.py
@@ -112,7 +112,7 @@
         rollout_seconds=steps.shortest_seconds(
             steps.Times(step_seconds=times.step_seconds)
         ),
-        data_centre_seconds=steps.MARGIN_SECONDS,
+        data_centre_seconds=steps.FINISH_MARGIN_SECONDS,
     )
 
 
--- a/apricotpost/distribution/joins.py
+++ b/apricotpost/distribution/joins.py
@@ -115,9 +115,9 @@
 
     A ready node stays ready. The version has to reach the minimum version,
     unless this node refused that version. Moreover the table must have
-    answered: it knows every version that a node at this address can have held. If the table
-    failed, the answer of a peer is enough: nothing is committed meanwhile, and
-    the peers have caught up with each other.
+    answered: it knows every version that a node at this address can have held.
+    If the table failed, the answer of a peer is enough: nothing is committed
+    meanwhile, and the peers have caught up with each other.
     """
     if state.ready or not state.snapshot.version:
         return state
--- a/apricotpost/idempotency/__init__.py
+++ b/apricotpost/idempotency/__init__.py
@@ -3,7 +3,7 @@
 from apricotpost.idempotency import backlog
 from apricotpost.idempotency.calls import abandon
 from apricotpost.idempotency.calls import begin
-from apricotpost.idempotency.calls import Begun
+from apricotpost.idempotency.calls import BeginResult
 from apricotpost.idempotency.calls import finish
 from apricotpost.idempotency.calls import replay
 from apricotpost.idempotency.keys import Claim
@@ -12,24 +12,24 @@
 from apricotpost.idempotency.keys import parse_key
 from apricotpost.idempotency.keys import REPLAYED_HEADER
 from apricotpost.idempotency.records import decide
+from apricotpost.idempotency.records import KeyDecision
 from apricotpost.idempotency.records import Outcome
 from apricotpost.idempotency.records import Record
-from apricotpost.idempotency.records import Verdict
 
 __all__ = [
-    "Begun",
+    "BeginResult",
     "Claim",
     "KEY_HEADER",
+    "KeyDecision",
     "Outcome",
     "REPLAYED_HEADER",
     "Record",
-    "Verdict",
     "abandon",
     "backlog",
     "begin",
     "decide",
-    "finish",
     "fingerprint",
+    "finish",
     "parse_key",
     "replay",
 ]
--- a/apricotpost/idempotency/backlog.py
+++ b/apricotpost/idempotency/backlog.py
@@ -15,8 +15,8 @@
     "add",
     "attempt",
     "next_due",
-    "reschedule",
     "pop_due",
+    "reschedule",
 ]
 
 # A job is retried for at most this long. After a longer outage of the table,
@@ -49,7 +49,7 @@
         Call of the step.
     outcome : Outcome, optional
         Outcome to store.
-    since : float
+    failed_at : float
         Unix time of the first failure in seconds.
     retries : int
         Number of retries so far.
@@ -59,7 +59,7 @@
 
     kind: JobKind
     claim: keys.Claim
-    since: float
+    failed_at: float
     outcome: records.Outcome | None = None
     retries: int = 0
     due_at: float = 0.0
@@ -98,7 +98,7 @@
     pause = min(
         MIN_PAUSE_SECONDS * 2.0 ** (job.retries + 1), MAX_PAUSE_SECONDS
     )
-    if now + pause > job.since + MAX_RETRY_SECONDS:
+    if now + pause > job.failed_at + MAX_RETRY_SECONDS:
         return backlog, False
     scheduled = dataclasses.replace(
         job, retries=job.retries + 1, due_at=now + pause
--- a/apricotpost/idempotency/calls.py
+++ b/apricotpost/idempotency/calls.py
@@ -10,7 +10,7 @@
 from apricotpost.storage import table
 
 __all__ = [
-    "Begun",
+    "BeginResult",
     "MAX_INLINE_BYTES",
     "abandon",
     "begin",
@@ -30,12 +30,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Begun:
+class BeginResult:
     """Result of `begin`.
 
     Parameters
     ----------
-    verdict : Verdict
+    decision : KeyDecision
         The call may run only if this is ``RUN``.
     record : Record, optional
         Record of the earlier call with the key.
@@ -44,7 +44,7 @@
         be, although the call does not run; `release` removes it.
     """
 
-    verdict: records.Verdict
+    decision: records.KeyDecision
     record: records.Record | None = None
     uncertain: bool = False
 
@@ -54,7 +54,7 @@
     claim: keys.Claim,
     *,
     clock: Callable[[], float],
-) -> Begun:
+) -> BeginResult:
     """Claim a key for a call if it is free.
 
     Parameters
@@ -68,7 +68,7 @@
 
     Returns
     -------
-    Begun
+    BeginResult
         Decision on the call. Without an answer from the table, the call may
         not run.
 
@@ -93,9 +93,9 @@
         except errors.PlatformOutcomeUnknown:
             return _resolve_lost_answer(store, claim, clock)
         if item is None:
-            return Begun(verdict=records.Verdict.RUN)
+            return BeginResult(decision=records.KeyDecision.RUN)
         return _decide_for_record(records.decode(item), claim, clock())
-    return Begun(verdict=records.Verdict.UNAVAILABLE)
+    return BeginResult(decision=records.KeyDecision.UNAVAILABLE)
 
 
 def finish(
@@ -197,7 +197,7 @@
 
 def _resolve_lost_answer(
     store: storage.Store, claim: keys.Claim, clock: Callable[[], float]
-) -> Begun:
+) -> BeginResult:
     """Decide after a lost answer by reading who owns the record."""
     bounded_store = _bound_to_deadline(store, claim.deadline, clock)
     try:
@@ -205,26 +205,30 @@
     except errors.PlatformUnavailable:
         item = None
     if item is None:
-        return Begun(verdict=records.Verdict.UNAVAILABLE, uncertain=True)
+        return BeginResult(
+            decision=records.KeyDecision.UNAVAILABLE, uncertain=True
+        )
     record = records.decode(item)
     if record.attempt == claim.attempt:
-        return Begun(verdict=records.Verdict.RUN)
+        return BeginResult(decision=records.KeyDecision.RUN)
     if record.expires_at <= clock():
-        return Begun(verdict=records.Verdict.UNAVAILABLE, uncertain=True)
+        return BeginResult(
+            decision=records.KeyDecision.UNAVAILABLE, uncertain=True
+        )
     begun = _decide_for_record(record, claim, clock())
     return dataclasses.replace(begun, uncertain=True)
 
 
 def _decide_for_record(
     record: records.Record, claim: keys.Claim, now: float
-) -> Begun:
+) -> BeginResult:
     """Decide on a call whose write was rejected for an existing record."""
-    verdict = records.decide(record, claim, now)
-    if verdict is records.Verdict.RUN and record.attempt != claim.attempt:
+    decision = records.decide(record, claim, now)
+    if decision is records.KeyDecision.RUN and record.attempt != claim.attempt:
         # The record expired after the condition was checked, so the write
         # was rejected and the key is not claimed for this call.
-        verdict = records.Verdict.UNAVAILABLE
-    return Begun(verdict=verdict, record=record)
+        decision = records.KeyDecision.UNAVAILABLE
+    return BeginResult(decision=decision, record=record)
 
 
 def _if_free(now: float) -> table.Condition:
--- a/apricotpost/idempotency/records.py
+++ b/apricotpost/idempotency/records.py
@@ -10,17 +10,17 @@
 from apricotpost.storage import table
 
 __all__ = [
+    "KeyDecision",
     "LIFETIME_SECONDS",
     "Outcome",
     "Record",
-    "Verdict",
     "decide",
     "decode",
     "decode_outcome",
     "encode",
     "encode_outcome",
-    "record_key",
     "make_record",
+    "record_key",
 ]
 
 LIFETIME_SECONDS = 24 * 3600
@@ -64,7 +64,7 @@
     outcome_object: str | None = None
 
 
-class Verdict(enum.StrEnum):
+class KeyDecision(enum.StrEnum):
     """Decision on a call with a key."""
 
     RUN = "run"
@@ -75,7 +75,9 @@
     UNAVAILABLE = "unavailable"
 
 
-def decide(record: Record | None, claim: keys.Claim, now: float) -> Verdict:
+def decide(
+    record: Record | None, claim: keys.Claim, now: float
+) -> KeyDecision:
     """Decide what a call may do, given the record of its key.
 
     Parameters
@@ -89,7 +91,7 @@
 
     Returns
     -------
-    Verdict
+    KeyDecision
         ``RUN``: the key is free or belongs to this call. ``MISMATCH``: the
         key was used with another request. ``REPLAY``: the outcome of the
         first call is stored. ``IN_PROGRESS``: the first call has not ended.
@@ -97,16 +99,16 @@
         it may have run.
     """
     if record is None or record.expires_at <= now:
-        return Verdict.RUN
+        return KeyDecision.RUN
     if record.fingerprint != claim.fingerprint:
-        return Verdict.MISMATCH
+        return KeyDecision.MISMATCH
     if record.outcome is not None or record.outcome_object is not None:
-        return Verdict.REPLAY
+        return KeyDecision.REPLAY
     if record.attempt == claim.attempt:
-        return Verdict.RUN
+        return KeyDecision.RUN
     if now < record.deadline:
-        return Verdict.IN_PROGRESS
-    return Verdict.CONFLICT
+        return KeyDecision.IN_PROGRESS
+    return KeyDecision.CONFLICT
 
 
 def make_record(claim: keys.Claim) -> Record:
--- a/apricotpost/node/at_most_once.py
+++ b/apricotpost/node/at_most_once.py
@@ -83,7 +83,7 @@
             begun = idempotency.begin(store, claim, clock=keyed.clock)
             if begun.uncertain:
                 _schedule_retry(keyed, backlog.JobKind.RELEASE, claim)
-            if begun.verdict is idempotency.Verdict.RUN:
+            if begun.decision is idempotency.KeyDecision.RUN:
                 return None
             return _make_result_without_run(
                 store, begun, request, keyed.clock()
@@ -103,21 +103,21 @@
 
 def _make_result_without_run(
     store: storage.Store,
-    begun: idempotency.Begun,
+    begun: idempotency.BeginResult,
     request: wire.CallRequest,
     now: float,
 ) -> wire.CallResult:
-    verdict = begun.verdict
-    if verdict is idempotency.Verdict.REPLAY and begun.record is not None:
+    decision = begun.decision
+    if decision is idempotency.KeyDecision.REPLAY and begun.record is not None:
         limited = storage.with_time_limit(store, request.deadline - now)
         return _make_replayed_result(
             request, idempotency.replay(limited, begun.record)
         )
-    if verdict is idempotency.Verdict.MISMATCH:
+    if decision is idempotency.KeyDecision.MISMATCH:
         return _make_not_run_result(request, 422, KEY_MISMATCH)
-    if verdict is idempotency.Verdict.IN_PROGRESS:
+    if decision is idempotency.KeyDecision.IN_PROGRESS:
         return _make_unknown_result(request, 409, KEY_IN_PROGRESS)
-    if verdict is idempotency.Verdict.CONFLICT:
+    if decision is idempotency.KeyDecision.CONFLICT:
         return _make_unknown_result(request, 409, KEY_OUTCOME_UNKNOWN)
     return _make_unavailable_result(request)
 
@@ -186,7 +186,7 @@
 ) -> None:
     """Queue a failed table write for the retry thread."""
     job = backlog.Job(
-        kind=kind, claim=claim, outcome=outcome, since=keyed.clock()
+        kind=kind, claim=claim, outcome=outcome, failed_at=keyed.clock()
     )
     with keyed.lock:
         if keyed.retry_thread is None:
--- a/apricotpost/node/control_config.py
+++ b/apricotpost/node/control_config.py
@@ -79,7 +79,9 @@
     )
     for planned in reports:
         report = wire.EvidenceReport(
-            sender=own.instance, evidence=planned.evidence, full=planned.full
+            sender=own.instance,
+            evidence=planned.evidence,
+            full=planned.is_full,
         )
         control_peers.send(task.peers, addresses[planned.judge], report, now)
 
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -286,11 +286,11 @@
         result,
         waiting,
         snapshot=task.current.view.snapshot,
-        alone=len(task.state.running) == 1,
+        is_only_call=len(task.state.running) == 1,
     )
     call = waiting.call
     key = (call.service, call.version, call.route)
-    task.outcomes = evidence.count(task.outcomes, key, finished)
+    task.outcomes = evidence.record_call(task.outcomes, key, finished)
 
 
 def _make_report(task: _Task) -> wire.GateReport:
@@ -298,7 +298,7 @@
         load=gate.describe_load(task.state),
         backend_server_up=task.state.announced is not None
         and not task.state.announced.leaving,
-        evidence=evidence.describe(
+        evidence=evidence.describe_counts(
             task.outcomes, instance=task.instance, epoch=task.epoch
         ),
     )
--- a/apricotpost/node/gate_evidence.py
+++ b/apricotpost/node/gate_evidence.py
@@ -16,8 +16,8 @@
     waiting: gate.Waiting,
     *,
     snapshot: model.Snapshot,
-    alone: bool,
-) -> evidence.Finished:
+    is_only_call: bool,
+) -> evidence.FinishedCall:
     """Describe the end of a call as evidence about its version.
 
     Parameters
@@ -28,7 +28,7 @@
         The finished call, as the gate admitted it.
     snapshot : apricotpost.model.Snapshot
         Configuration in force.
-    alone : bool
+    is_only_call : bool
         Whether no other call was running at the gate.
     """
     call = waiting.call
@@ -42,13 +42,13 @@
     )
     elapsed_seconds = time.monotonic() - waiting.since
     granted_seconds = call.deadline - time.time() + elapsed_seconds
-    return evidence.Finished(
+    return evidence.FinishedCall(
         answered=result.outcome is wire.Outcome.ANSWERED,
         status=result.status,
         timed_out=result.reason == wire.UnknownReason.TIMEOUT.value,
         expired=result.reason == wire.NotRunReason.DEADLINE_PASSED.value,
-        granted_share=granted_seconds * 1000 / max(timeout_ms, 1),
-        alone=alone,
+        granted_ratio=granted_seconds * 1000 / max(timeout_ms, 1),
+        is_only_call=is_only_call,
         cold=admission.reports_cold(result),
         duration_ms=result.duration_ms,
     )
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -19,8 +19,8 @@
 from apricotpost import events
 from apricotpost import model
 from apricotpost.node import rollout_changes
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 from apricotpost import storage
 
 __all__ = ["Holder", "advance_rollout", "release_lease"]
@@ -71,7 +71,7 @@
 
 
 def advance_rollout(
-    holder: Holder, observation: watch.Observation | None
+    holder: Holder, observation: monitor.Observation | None
 ) -> None:
     """Advance the open rollout if this node should be its holder.
 
@@ -83,7 +83,7 @@
         The open rollout. Without one, the only access to the table is the
         release of a lease.
     """
-    if observation is None or not observation.is_first:
+    if observation is None or not observation.is_holder_candidate:
         release_lease(holder)
         return
     if holder.clock() < holder.retry_at:
@@ -158,11 +158,13 @@
     holder.notify_committed(version, delta)
 
 
-def _decide(holder: Holder, observation: watch.Observation) -> steps.Decision:
+def _decide(
+    holder: Holder, observation: monitor.Observation
+) -> steps.Decision:
     return steps.decide(
         observation.rollout,
         observation.judgement,
-        observation.facts,
+        observation.server_counts,
         holder.clock(),
         holder.times,
     )
@@ -170,7 +172,7 @@
 
 def _commit_decision(
     holder: Holder,
-    observation: watch.Observation,
+    observation: monitor.Observation,
     lease: storage.leases.Lease,
     decision: steps.Decision,
 ) -> None:
@@ -191,7 +193,7 @@
 
 
 def _log_commit(
-    observation: watch.Observation, decision: steps.Decision
+    observation: monitor.Observation, decision: steps.Decision
 ) -> None:
     rollout = observation.rollout.identifier
     if isinstance(decision, steps.Withdraw):
@@ -211,7 +213,7 @@
 
 
 def _log_hold(
-    holder: Holder, observation: watch.Observation, decision: steps.Hold
+    holder: Holder, observation: monitor.Observation, decision: steps.Hold
 ) -> None:
     """Log a reason once, not each time that a figure in it changes."""
     reason_without_figures = _DIGITS.sub("", decision.reason)
@@ -228,7 +230,7 @@
 
 def _drop_lease(
     holder: Holder,
-    observation: watch.Observation,
+    observation: monitor.Observation,
     error: errors.ApricotpostError,
 ) -> None:
     if holder.lease is not None:
@@ -244,7 +246,7 @@
 
 def _back_off(
     holder: Holder,
-    observation: watch.Observation,
+    observation: monitor.Observation,
     error: errors.ApricotpostError,
 ) -> None:
     wait_seconds = min(
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -7,15 +7,15 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost import rollout as rollouts
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 from apricotpost import storage
 
 __all__ = ["make_change"]
 
 
 def make_change(
-    observation: watch.Observation,
+    observation: monitor.Observation,
     decision: steps.Decision,
     *,
     holder: str,
@@ -74,7 +74,7 @@
 
 
 def _make_outcome_write(
-    observation: watch.Observation, after: model.Snapshot, author: str
+    observation: monitor.Observation, after: model.Snapshot, author: str
 ) -> storage.table.Put:
     ended = next(
         entry
--- a/apricotpost/node/rollouts.py
+++ b/apricotpost/node/rollouts.py
@@ -14,8 +14,8 @@
 from apricotpost.node import addresses
 from apricotpost.node import holders
 from apricotpost.node import views
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 from apricotpost import settings
 from apricotpost import storage
 from apricotpost import wire
@@ -35,7 +35,7 @@
     commands: wire.sockets.Socket
     control: wire.sockets.Socket
     holder: holders.Holder
-    watch_state: watch.Watch = watch.Watch()
+    monitor_state: monitor.RolloutMonitor = monitor.RolloutMonitor()
     evaluated_at: float = 0.0
     logged_rollout: str = ""
     logged_bad_rollout: str = ""
@@ -130,8 +130,8 @@
         if isinstance(message, wire.StopTask):
             return False
         if isinstance(message, wire.EvidenceReport):
-            task.watch_state = watch.receive(
-                task.watch_state,
+            task.monitor_state = monitor.receive(
+                task.monitor_state,
                 message.evidence,
                 full=message.full,
                 now=time.monotonic(),
@@ -144,12 +144,15 @@
     The withdrawal is sent first, so that it does not wait for the table.
     """
     now = time.time()
-    task.watch_state, observation = watch.evaluate(
-        task.watch_state, task.current.view, instance=task.instance, now=now
+    task.monitor_state, observation = monitor.evaluate(
+        task.monitor_state, task.current.view, instance=task.instance, now=now
     )
     if observation is not None:
         _log_start(task, observation.rollout)
-        if observation.judgement.bad and not observation.facts.withdrawn:
+        if (
+            observation.judgement.withdraw_reason
+            and not observation.server_counts.withdrawal_reason
+        ):
             _send_withdrawal(task, observation, now)
     holders.advance_rollout(task.holder, observation)
 
@@ -169,7 +172,7 @@
 
 
 def _send_withdrawal(
-    task: _Task, observation: watch.Observation, now: float
+    task: _Task, observation: monitor.Observation, now: float
 ) -> None:
     """Send a withdrawal to the control task.
 
@@ -182,13 +185,13 @@
             LOG,
             events.VERSION_FAILED_EVALUATION,
             version=rollout.new,
-            reason=observation.judgement.bad,
+            reason=observation.judgement.withdraw_reason,
         )
     notice = model.Withdrawal(
         rollout=rollout.identifier,
         service=rollout.service,
         version=rollout.new,
-        reason=observation.judgement.bad,
+        reason=observation.judgement.withdraw_reason,
         at=now,
     )
     wire.sockets.send(
--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -11,21 +11,21 @@
 __all__ = [
     "BUCKET_BOUNDS_MS",
     "BUCKET_BOUNDS_MS",
-    "EvidenceStore",
     "CallOutcome",
     "Counts",
-    "Finished",
+    "EvidenceStore",
+    "FinishedCall",
     "OutcomeCounts",
     "add",
     "bucket_of",
     "classify",
-    "count",
-    "describe",
-    "take_undrained",
-    "retain_instances",
+    "describe_counts",
     "increment",
     "receive",
+    "record_call",
+    "retain_instances",
     "subtract",
+    "take_undrained",
 ]
 
 # Upper bounds of the latency buckets, in milliseconds. They grow by a factor
@@ -54,7 +54,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Finished:
+class FinishedCall:
     """Result of one call to the backend server.
 
     Parameters
@@ -67,9 +67,9 @@
         Whether the deadline passed while the call ran.
     expired : bool
         Whether the deadline had passed before the call was sent.
-    granted_share : float
+    granted_ratio : float
         Time that the caller granted, as a fraction of the route's timeout.
-    alone : bool
+    is_only_call : bool
         Whether the backend server was running no other call.
     cold : bool
         Whether the answer reports that the backend server is cold.
@@ -81,8 +81,8 @@
     status: int = 0
     timed_out: bool = False
     expired: bool = False
-    granted_share: float = 1.0
-    alone: bool = False
+    granted_ratio: float = 1.0
+    is_only_call: bool = False
     cold: bool = False
     duration_ms: float = 0.0
 
@@ -152,7 +152,7 @@
     return bisect.bisect_left(BUCKET_BOUNDS_MS, duration_ms)
 
 
-def classify(finished: Finished) -> CallOutcome:
+def classify(finished: FinishedCall) -> CallOutcome:
     """Classify a finished call as success, failure or neither.
 
     Notes
@@ -167,12 +167,12 @@
     if finished.expired:
         return CallOutcome.NEITHER
     if finished.timed_out:
-        long_enough = finished.granted_share >= MIN_GRANTED_RATIO
+        long_enough = finished.granted_ratio >= MIN_GRANTED_RATIO
         return CallOutcome.FAILURE if long_enough else CallOutcome.NEITHER
     if not finished.answered:
         return CallOutcome.FAILURE
     if finished.status == SHED_STATUS:
-        shed = finished.cold or not finished.alone
+        shed = finished.cold or not finished.is_only_call
         return CallOutcome.NEITHER if shed else CallOutcome.FAILURE
     if finished.status >= 500:
         return CallOutcome.FAILURE
@@ -181,8 +181,8 @@
     return CallOutcome.SUCCESS
 
 
-def count(
-    outcomes: OutcomeCounts, key: CountsKey, finished: Finished
+def record_call(
+    outcomes: OutcomeCounts, key: CountsKey, finished: FinishedCall
 ) -> OutcomeCounts:
     """Add one finished call to a gate's counts.
 
@@ -210,7 +210,7 @@
     )
 
 
-def describe(
+def describe_counts(
     outcomes: OutcomeCounts, *, instance: str, epoch: int
 ) -> tuple[model.Evidence, ...]:
     """Return a gate's counts as the records that nodes exchange."""
--- a/apricotpost/rollout/verdicts.py
+++ b/apricotpost/rollout/judgements.py
@@ -74,7 +74,7 @@
         seconds.
     busy_slots : float
         Average number of calls in progress in both versions.
-    bad : str
+    withdraw_reason : str
         Why the new version is worse, or empty. Once set, it stays.
     """
 
@@ -90,7 +90,7 @@
     )
     heard_at: float = float("-inf")
     busy_slots: float = 0.0
-    bad: str = ""
+    withdraw_reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -99,9 +99,9 @@
 
     Parameters
     ----------
-    bad : str
+    withdraw_reason : str
         Why the new version must be withdrawn, or empty.
-    doubt : str
+    hold_reason : str
         Why the share may not rise yet, or empty.
     may_be_worse : bool
         Whether the evidence suggests that the new version is worse.
@@ -118,8 +118,8 @@
         Numbers of calls and evidence levels, for the outcome record.
     """
 
-    bad: str = ""
-    doubt: str = ""
+    withdraw_reason: str = ""
+    hold_reason: str = ""
     may_be_worse: bool = False
     calls: int = 0
     heard_at: float = float("-inf")
@@ -203,7 +203,9 @@
         observed_at=now,
         busy_slots=_estimate_busy_slots(trial, new_counts, service, seconds),
     )
-    return dataclasses.replace(trial, bad=trial.bad or _find_alarm(trial))
+    return dataclasses.replace(
+        trial, withdraw_reason=trial.withdraw_reason or _find_alarm(trial)
+    )
 
 
 def judge(trial: Trial) -> Judgement:
@@ -211,9 +213,9 @@
     calls = sum(
         route_trial.calls_in_step for route_trial in trial.routes.values()
     )
-    doubt = ""
+    hold_reason = ""
     if calls < MIN_CALLS:
-        doubt = (
+        hold_reason = (
             f"{calls} calls of {trial.new}, {MIN_CALLS} are needed for a step"
         )
     may_be_worse = False
@@ -221,16 +223,18 @@
         highest_level = max(route_trials.levels(route_trial).values())
         may_be_worse = may_be_worse or highest_level >= SUSPICION_LEVEL
         if highest_level >= DOUBT_LEVEL:
-            doubt = f"{name} may be worse (evidence level {highest_level:.1f})"
+            hold_reason = (
+                f"{name} may be worse (evidence level {highest_level:.1f})"
+            )
         elif route_trials.lacks_usable_answers(route_trial):
             may_be_worse = True
-            doubt = (
+            hold_reason = (
                 f"{name}: {route_trial.new_calls} usable answers of "
                 f"{trial.new}, about {route_trial.expected_calls:.0f} expected"
             )
     return Judgement(
-        bad=trial.bad,
-        doubt=doubt,
+        withdraw_reason=trial.withdraw_reason,
+        hold_reason=hold_reason,
         may_be_worse=may_be_worse,
         calls=calls,
         heard_at=trial.heard_at,
@@ -255,7 +259,7 @@
 def _find_alarm(trial: Trial) -> str:
     for name, route_trial in _all_trials(trial):
         for event_kind, level in route_trials.levels(route_trial).items():
-            if level >= sequential.ALARM:
+            if level >= sequential.ALARM_LEVEL:
                 return (
                     f"more {event_kind} than {trial.old} on {name} "
                     f"(evidence level {level:.1f})"
--- a/apricotpost/rollout/judges.py
+++ b/apricotpost/rollout/judges.py
@@ -61,13 +61,13 @@
         Name of the judge.
     evidence : tuple of Evidence
         Counts to send.
-    full : bool
+    is_full : bool
         Whether these are all counts of the gate.
     """
 
     judge: str
     evidence: tuple[model.Evidence, ...]
-    full: bool
+    is_full: bool
 
 
 def find_judges(
@@ -112,13 +112,13 @@
         if known is None or now - known.full_at >= FULL_REPORT_SECONDS:
             by_judge[judge] = SentReport(full_at=now, sent=all_counts)
             reports.append(
-                ReportPlan(judge=judge, evidence=evidence, full=True)
+                ReportPlan(judge=judge, evidence=evidence, is_full=True)
             )
             continue
         by_judge[judge] = dataclasses.replace(known, sent=all_counts)
         changed = tuple(entry for entry in evidence if entry not in known.sent)
         if changed:
             reports.append(
-                ReportPlan(judge=judge, evidence=changed, full=False)
+                ReportPlan(judge=judge, evidence=changed, is_full=False)
             )
     return SentReports(by_judge=by_judge), tuple(reports)
--- a/apricotpost/rollout/watch.py
+++ b/apricotpost/rollout/monitor.py
@@ -6,12 +6,12 @@
 
 from apricotpost import model
 from apricotpost.rollout import evidence
+from apricotpost.rollout import judgements
 from apricotpost.rollout import judges
 from apricotpost.rollout import plans
 from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
 
-__all__ = ["Observation", "Watch", "evaluate", "receive"]
+__all__ = ["Observation", "RolloutMonitor", "evaluate", "receive"]
 
 # A report after a longer gap sets a new baseline. The gap arises when two full
 # reports in a row are lost or this node was no judge; the calls in between
@@ -20,7 +20,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Watch:
+class RolloutMonitor:
     """Evidence about a rollout, its evaluation, and times of server starts.
 
     Parameters
@@ -38,7 +38,7 @@
 
     evidence_store: evidence.EvidenceStore = evidence.EvidenceStore()
     heard_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    trial: verdicts.Trial | None = None
+    trial: judgements.Trial | None = None
     up_since: Mapping[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -56,27 +56,27 @@
         Open rollout of the service.
     judgement : Judgement
         Judgement of this node.
-    facts : Facts
+    server_counts : ServerCounts
         Numbers of backend servers and slots, and a withdrawal by any node.
-    is_first : bool
+    is_holder_candidate : bool
         Whether this node ranks first among the judges, so that it should be
         the holder.
     """
 
     snapshot: model.Snapshot
     rollout: model.Rollout
-    judgement: verdicts.Judgement
-    facts: steps.Facts
-    is_first: bool
+    judgement: judgements.Judgement
+    server_counts: steps.ServerCounts
+    is_holder_candidate: bool
 
 
 def receive(
-    watch: Watch,
+    monitor: RolloutMonitor,
     counts: Iterable[model.Evidence],
     *,
     full: bool,
     now: float,
-) -> Watch:
+) -> RolloutMonitor:
     """Return the state after a report of a gate's counts.
 
     Notes
@@ -87,27 +87,27 @@
     """
     recent = {
         name: at
-        for name, at in watch.heard_at.items()
+        for name, at in monitor.heard_at.items()
         if now - at <= MAX_REPORT_GAP_SECONDS
     }
-    store = evidence.retain_instances(watch.evidence_store, recent)
+    store = evidence.retain_instances(monitor.evidence_store, recent)
     accepted = [entry for entry in counts if full or entry.instance in recent]
     recent.update((entry.instance, now) for entry in accepted)
     return dataclasses.replace(
-        watch,
+        monitor,
         evidence_store=evidence.receive(store, accepted),
         heard_at=recent,
     )
 
 
 def evaluate(
-    watch: Watch, view: model.View, *, instance: str, now: float
-) -> tuple[Watch, Observation | None]:
+    monitor: RolloutMonitor, view: model.View, *, instance: str, now: float
+) -> tuple[RolloutMonitor, Observation | None]:
     """Evaluate the evidence since the last evaluation.
 
     Parameters
     ----------
-    watch : Watch
+    monitor : RolloutMonitor
         Present state.
     view : apricotpost.model.View
         View in force.
@@ -118,36 +118,36 @@
 
     Returns
     -------
-    watch : Watch
+    monitor : RolloutMonitor
         New state.
     observation : Observation, optional
         The open rollout of the own service, if there is one.
     """
     service = _service_of(view, instance)
     members = [entry for entry in view.instances if entry.service == service]
-    store, counts = evidence.take_undrained(watch.evidence_store)
+    store, counts = evidence.take_undrained(monitor.evidence_store)
     names = [entry.instance for entry in members]
-    watch = Watch(
+    monitor = RolloutMonitor(
         evidence_store=evidence.retain_instances(store, names),
         heard_at={
-            name: at for name, at in watch.heard_at.items() if name in names
+            name: at for name, at in monitor.heard_at.items() if name in names
         },
-        trial=watch.trial,
-        up_since=_update_up_since(watch.up_since, members, now),
+        trial=monitor.trial,
+        up_since=_update_up_since(monitor.up_since, members, now),
     )
     rollout = plans.find_open(view.snapshot, service) if service else None
     if rollout is None:
-        return dataclasses.replace(watch, trial=None), None
-    trial = watch.trial
+        return dataclasses.replace(monitor, trial=None), None
+    trial = monitor.trial
     if trial is None or trial.rollout != rollout.identifier:
-        trial = verdicts.start(
+        trial = judgements.start(
             rollout=rollout.identifier,
             old=rollout.old,
             new=rollout.new,
             share=rollout.share,
             now=now,
         )
-    trial = verdicts.observe(
+    trial = judgements.observe(
         trial,
         counts,
         service=service,
@@ -155,24 +155,24 @@
         baking=rollout.state is model.RolloutState.BAKING,
         now=now,
     )
-    watch = dataclasses.replace(watch, trial=trial)
+    monitor = dataclasses.replace(monitor, trial=trial)
     observation = Observation(
         snapshot=view.snapshot,
         rollout=rollout,
-        judgement=verdicts.judge(trial),
-        facts=steps.count_servers(
+        judgement=judgements.judge(trial),
+        server_counts=steps.count_servers(
             rollout,
             members,
-            {name: since for name, (_, since) in watch.up_since.items()},
+            {name: since for name, (_, since) in monitor.up_since.items()},
             now,
             _find_withdrawal(view, rollout),
         ),
-        is_first=_is_first(service, members, instance),
+        is_holder_candidate=_is_holder_candidate(service, members, instance),
     )
-    return watch, observation
+    return monitor, observation
 
 
-def _is_first(
+def _is_holder_candidate(
     service: str, members: Iterable[model.InstanceRecord], instance: str
 ) -> bool:
     ranked = judges.find_judges(service, members)
--- a/apricotpost/rollout/plans.py
+++ b/apricotpost/rollout/plans.py
@@ -69,12 +69,12 @@
             f"service {service}: {len(active_versions)} versions get calls, "
             "expected 1"
         )
-    if finish_by <= now + steps.MARGIN_SECONDS:
+    if finish_by <= now + steps.FINISH_MARGIN_SECONDS:
         # This is only the lower limit. The time that the steps need depends
         # on the settings.
         raise errors.RolloutRefused(
             f"service {service}: finish_by is {finish_by - now:.0f} s ahead, "
-            f"full share is due {steps.MARGIN_SECONDS:.0f} s before it"
+            f"full share is due {steps.FINISH_MARGIN_SECONDS:.0f} s before it"
         )
     rollout = model.Rollout(
         # Fixed width, so that the history sorts by configuration version.
--- a/apricotpost/rollout/route_trials.py
+++ b/apricotpost/rollout/route_trials.py
@@ -37,7 +37,7 @@
 # which on the route is taken for a new one.
 MIN_NEW_ROUTE_CALLS = 20
 
-FAILURES = sequential.TestParameters(
+FAILURE_TEST = sequential.TestParameters(
     excess_rates=(0.03, 0.15, 0.5, 0.95),
     allowance_per_call=0.005,
     initial_allowance=2.0,
@@ -45,7 +45,7 @@
 )
 # A new route can only be compared with the old version's other routes, so
 # more failures are allowed.
-NEW_ROUTE_FAILURES = sequential.TestParameters(
+NEW_ROUTE_FAILURE_TEST = sequential.TestParameters(
     excess_rates=(0.2, 0.5, 0.95),
     allowance_per_call=0.05,
     initial_allowance=3.0,
@@ -115,8 +115,8 @@
 def start(now: float) -> RouteTrial:
     """Return the state before the first call."""
     return RouteTrial(
-        failures=sequential.start(FAILURES),
-        new_route=sequential.start(NEW_ROUTE_FAILURES),
+        failures=sequential.start(FAILURE_TEST),
+        new_route=sequential.start(NEW_ROUTE_FAILURE_TEST),
         slower=sequential.start(SLOWER),
         much_slower=sequential.start(MUCH_SLOWER),
         slice_started_at=now,
@@ -170,12 +170,12 @@
     """Return the evidence levels against the new version by kind of event."""
     return {
         "failures": max(
-            sequential.level(trial.failures),
-            sequential.level(trial.new_route),
+            sequential.evidence_level(trial.failures),
+            sequential.evidence_level(trial.new_route),
         ),
         "slow calls": max(
-            sequential.level(trial.slower),
-            sequential.level(trial.much_slower),
+            sequential.evidence_level(trial.slower),
+            sequential.evidence_level(trial.much_slower),
         ),
     }
 
@@ -193,7 +193,7 @@
 def _test_slice(trial: RouteTrial, *, baking: bool, now: float) -> RouteTrial:
     failures = sequential.update(
         trial.failures,
-        FAILURES,
+        FAILURE_TEST,
         sequential.Slice(
             new_calls=trial.new.calls,
             new_events=trial.new.failures,
@@ -229,7 +229,9 @@
         old_calls=pooled.calls,
         old_events=pooled.failures,
     )
-    new_route = sequential.update(trial.new_route, NEW_ROUTE_FAILURES, counts)
+    new_route = sequential.update(
+        trial.new_route, NEW_ROUTE_FAILURE_TEST, counts
+    )
     return _start_slice(dataclasses.replace(trial, new_route=new_route), now)
 
 
--- a/apricotpost/rollout/sequential.py
+++ b/apricotpost/rollout/sequential.py
@@ -20,13 +20,13 @@
 import math
 
 __all__ = [
-    "ALARM",
+    "ALARM_LEVEL",
     "FALSE_ALARM_RATE",
     "MISS_RATE",
-    "TestParameters",
     "Slice",
+    "TestParameters",
     "TestState",
-    "level",
+    "evidence_level",
     "start",
     "update",
 ]
@@ -36,13 +36,13 @@
 # Wald's boundaries of the logarithm of the likelihood ratio. A test that
 # reaches the lower one stays there instead of ending, so that a fault that
 # begins later is still found.
-ALARM = math.log((1 - MISS_RATE) / FALSE_ALARM_RATE)
+ALARM_LEVEL = math.log((1 - MISS_RATE) / FALSE_ALARM_RATE)
 LOWER_BOUNDARY = math.log(MISS_RATE / (1 - FALSE_ALARM_RATE))
 # Largest increase of the logarithm in one slice. Gates report at different
 # moments of a second, so a fault of both versions may appear in the counts
 # of one version up to two slices before the other. Two slices alone must
 # therefore not raise the alarm.
-MAX_SLICE_GAIN = 0.45 * ALARM
+MAX_SLICE_GAIN = 0.45 * ALARM_LEVEL
 # The old version's event rate is estimated from about this many recent
 # calls. A window of calls, not of time, keeps the estimate precise when
 # there are few calls a second.
@@ -153,8 +153,10 @@
     )
 
 
-def level(state: TestState) -> float:
-    """Return the evidence level; from `ALARM` on the new version is worse.
+def evidence_level(state: TestState) -> float:
+    """Return the evidence level.
+
+    From `ALARM_LEVEL` on the new version is worse.
 
     The false alarm rate holds for the mean of the alternatives' likelihood
     ratios. The largest one, divided by the number of alternatives, is a
--- a/apricotpost/rollout/steps.py
+++ b/apricotpost/rollout/steps.py
@@ -5,16 +5,16 @@
 import dataclasses
 
 from apricotpost import model
-from apricotpost.rollout import verdicts
+from apricotpost.rollout import judgements
 
 __all__ = [
-    "BAKING_SHARE",
     "Advance",
+    "BAKING_SHARE",
     "Decision",
-    "Facts",
     "Finish",
     "Hold",
     "SHARES",
+    "ServerCounts",
     "StartBaking",
     "Times",
     "Withdraw",
@@ -30,7 +30,7 @@
 BAKING_SHARE = 980
 # Full share is due this long before ``finish_by``: a configuration reaches all
 # nodes within 8 s, and their clocks differ by less than 2 s.
-MARGIN_SECONDS = 10.0
+FINISH_MARGIN_SECONDS = 10.0
 # Time allowed for the commit of the full share: if its answer is lost, the
 # result must be read from the store.
 COMMIT_SECONDS = 4.0
@@ -67,7 +67,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Facts:
+class ServerCounts:
     """Numbers of backend servers and slots of both versions.
 
     Parameters
@@ -76,7 +76,7 @@
         Servers that are up.
     old_slots, new_slots : int
         Their slots; those of cold servers are left out for the new version.
-    withdrawn : str
+    withdrawal_reason : str
         Reason of a withdrawal that any node has decided, or empty.
     """
 
@@ -84,7 +84,7 @@
     new_servers: int
     old_slots: int
     new_slots: int
-    withdrawn: str = ""
+    withdrawal_reason: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -123,8 +123,8 @@
 
 def decide(
     rollout: model.Rollout,
-    judgement: verdicts.Judgement,
-    facts: Facts,
+    judgement: judgements.Judgement,
+    server_counts: ServerCounts,
     now: float,
     times: Times,
 ) -> Decision:
@@ -134,21 +134,21 @@
     ----------
     rollout : apricotpost.model.Rollout
         Rollout from the configuration in force.
-    judgement : apricotpost.rollout.verdicts.Judgement
+    judgement : apricotpost.rollout.judgements.Judgement
         Judgement from the evidence so far.
-    facts : Facts
+    server_counts : ServerCounts
         Numbers of backend servers and slots.
     now : float
         Unix time in seconds.
     times : Times
         Step and bake times from the settings.
     """
-    if facts.withdrawn:
-        return Withdraw(reason=facts.withdrawn)
-    if judgement.bad:
-        return Withdraw(reason=judgement.bad)
+    if server_counts.withdrawal_reason:
+        return Withdraw(reason=server_counts.withdrawal_reason)
+    if judgement.withdraw_reason:
+        return Withdraw(reason=judgement.withdraw_reason)
     if rollout.state is model.RolloutState.RUNNING:
-        return _decide_running(rollout, judgement, facts, now, times)
+        return _decide_running(rollout, judgement, server_counts, now, times)
     if rollout.state is model.RolloutState.BAKING:
         return _decide_baking(rollout, judgement, now, times)
     return Hold(reason="the rollout has ended")
@@ -156,7 +156,11 @@
 
 def shortest_seconds(times: Times) -> float:
     """Return the shortest time from start to ``finish_by``, in seconds."""
-    return len(SHARES) * times.step_seconds + MARGIN_SECONDS + COMMIT_SECONDS
+    return (
+        len(SHARES) * times.step_seconds
+        + FINISH_MARGIN_SECONDS
+        + COMMIT_SECONDS
+    )
 
 
 def count_servers(
@@ -164,8 +168,8 @@
     instances: Iterable[model.InstanceRecord],
     up_since: Mapping[str, float],
     now: float,
-    withdrawn: str = "",
-) -> Facts:
+    withdrawal_reason: str = "",
+) -> ServerCounts:
     """Count the backend servers of both versions.
 
     Parameters
@@ -179,7 +183,7 @@
         version.
     now : float
         Present time, on the same clock as ``up_since``.
-    withdrawn : str
+    withdrawal_reason : str
         Reason of a withdrawal, copied into the result.
     """
     up = [
@@ -195,23 +199,25 @@
         for entry in new
         if now - up_since.get(entry.instance, now) >= COLD_SECONDS
     ]
-    return Facts(
+    return ServerCounts(
         old_servers=len(old),
         new_servers=len(new),
         old_slots=sum(entry.slots for entry in old),
         new_slots=sum(entry.slots for entry in warm),
-        withdrawn=withdrawn,
+        withdrawal_reason=withdrawal_reason,
     )
 
 
 def _decide_running(
     rollout: model.Rollout,
-    judgement: verdicts.Judgement,
-    facts: Facts,
+    judgement: judgements.Judgement,
+    server_counts: ServerCounts,
     now: float,
     times: Times,
 ) -> Decision:
-    seconds_left = rollout.finish_by - MARGIN_SECONDS - COMMIT_SECONDS - now
+    seconds_left = (
+        rollout.finish_by - FINISH_MARGIN_SECONDS - COMMIT_SECONDS - now
+    )
     remaining_shares = [share for share in SHARES if share > rollout.share]
     elapsed = now - rollout.changed_at
     min_wait = max(times.step_seconds - elapsed, 0.0)
@@ -225,13 +231,13 @@
         return Withdraw(
             reason="full share cannot be reached in time before finish_by "
             f"from a share of {rollout.share} of 1000: "
-            f"{_explain_delay(judgement, facts, rollout)}"
+            f"{_explain_delay(judgement, server_counts, rollout)}"
         )
     spacing = _compute_spacing(
         seconds_left + elapsed, len(remaining_shares), times
     )
     share = _next_share(remaining_shares, judgement, spacing)
-    obstacle = _find_obstacle(rollout, judgement, facts, now, share)
+    obstacle = _find_obstacle(rollout, judgement, server_counts, now, share)
     if obstacle:
         return Hold(reason=obstacle)
     if rollout.share and elapsed < spacing:
@@ -242,24 +248,28 @@
 
 
 def _next_share(
-    remaining_shares: list[int], judgement: verdicts.Judgement, spacing: float
+    remaining_shares: list[int],
+    judgement: judgements.Judgement,
+    spacing: float,
 ) -> int:
     """Return the next share that gives enough calls within the interval."""
     for share in remaining_shares:
         rate = judgement.calls_per_second * share / model.TOTAL_SHARE
         if share >= SKIPPABLE_BELOW_SHARE:
             return share
-        if rate * spacing >= verdicts.MIN_CALLS:
+        if rate * spacing >= judgements.MIN_CALLS:
             return share
     return remaining_shares[-1]
 
 
 def _explain_delay(
-    judgement: verdicts.Judgement, facts: Facts, rollout: model.Rollout
+    judgement: judgements.Judgement,
+    server_counts: ServerCounts,
+    rollout: model.Rollout,
 ) -> str:
-    if not facts.new_servers:
+    if not server_counts.new_servers:
         return f"no server of {rollout.new} is up"
-    return judgement.doubt or "too little time was left for the steps"
+    return judgement.hold_reason or "too little time was left for the steps"
 
 
 def _compute_spacing(
@@ -272,55 +282,55 @@
 
 def _find_obstacle(
     rollout: model.Rollout,
-    judgement: verdicts.Judgement,
-    facts: Facts,
+    judgement: judgements.Judgement,
+    server_counts: ServerCounts,
     now: float,
     share: int,
 ) -> str:
     """Return why the share may not rise, or an empty string."""
-    if not facts.new_servers:
+    if not server_counts.new_servers:
         return f"no server of {rollout.new} is up"
-    required = min(facts.old_servers, 2)
-    if share >= TWO_SERVERS_SHARE and facts.new_servers < required:
+    required = min(server_counts.old_servers, 2)
+    if share >= TWO_SERVERS_SHARE and server_counts.new_servers < required:
         return (
-            f"{facts.new_servers} servers of {rollout.new} are up, "
+            f"{server_counts.new_servers} servers of {rollout.new} are up, "
             f"{required} are needed"
         )
-    if not _has_capacity(judgement, facts, share):
+    if not _has_capacity(judgement, server_counts, share):
         return (
-            f"{facts.new_slots} warm slots of {rollout.new} are too few "
-            f"for a share of {share} of 1000"
+            f"{server_counts.new_slots} warm slots of {rollout.new} are "
+            f"too few for a share of {share} of 1000"
         )
     if not rollout.share:
         return ""
-    if judgement.doubt:
-        return judgement.doubt
+    if judgement.hold_reason:
+        return judgement.hold_reason
     if now - judgement.heard_at > MAX_EVIDENCE_AGE_SECONDS:
         return f"no recent evidence about {rollout.new}"
     return ""
 
 
 def _has_capacity(
-    judgement: verdicts.Judgement, facts: Facts, share: int
+    judgement: judgements.Judgement, server_counts: ServerCounts, share: int
 ) -> bool:
     """Return whether the new version's warm slots suffice for a share.
 
     They suffice if they match that share of the old version's slots, or of
     the calls in progress with a reserve.
     """
-    if not facts.new_slots:
+    if not server_counts.new_slots:
         return False
     fraction = share / model.TOTAL_SHARE
-    if facts.new_slots >= fraction * facts.old_slots:
+    if server_counts.new_slots >= fraction * server_counts.old_slots:
         return True
     is_measured = judgement.busy_slots > 0
     needed = HEADROOM_FACTOR * judgement.busy_slots * fraction
-    return is_measured and facts.new_slots >= needed
+    return is_measured and server_counts.new_slots >= needed
 
 
 def _decide_baking(
     rollout: model.Rollout,
-    judgement: verdicts.Judgement,
+    judgement: judgements.Judgement,
     now: float,
     times: Times,
 ) -> Decision:
@@ -329,10 +339,10 @@
         return Hold(reason="baking")
     if elapsed >= MAX_BAKE_RATIO * times.bake_seconds:
         if judgement.may_be_worse:
-            return Withdraw(reason=judgement.doubt)
+            return Withdraw(reason=judgement.hold_reason)
         return Finish()
-    if judgement.doubt:
-        return Hold(reason=judgement.doubt)
+    if judgement.hold_reason:
+        return Hold(reason=judgement.hold_reason)
     if now - judgement.heard_at > MAX_EVIDENCE_AGE_SECONDS:
         return Hold(reason=f"no recent evidence about {rollout.new}")
     return Finish()
--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -15,18 +15,18 @@
 from apricotpost import wire
 
 __all__ = [
-    "FINAL",
-    "Judge",
-    "LOADED",
+    "FINAL_PHASES",
+    "LOADED_PHASES",
     "Phase",
     "Trial",
+    "TrialEvidence",
     "advance",
     "count_new_calls",
+    "evaluate_slice",
     "is_alarm",
-    "judge_slice",
     "may_follow",
-    "observe",
     "new_version_share",
+    "observe",
 ]
 
 # Share of the requests that the new version gets while the trial runs. With
@@ -47,9 +47,9 @@
 # Shortest time of the test under load: requests must end, be reported, and
 # fill three slices.
 MIN_MOVING_SECONDS = 2.4
-# Alarm level in the phases of `LOADED`. It is lower than
-# `sequential.ALARM` because a bad version then affects more requests; a good
-# version is rolled back in about one of 150 rollouts.
+# Alarm level in the phases of `LOADED_PHASES`. It is lower than
+# `sequential.ALARM_LEVEL` because a bad version then affects more requests; a
+# good version is rolled back in about one of 150 rollouts.
 LOADED_ALARM_LEVEL = 5.0
 # Time for the old version's requests to end before it is stopped.
 SETTLING_SECONDS = 0.8
@@ -82,9 +82,9 @@
     ROLLED_BACK = "rolled-back"
 
 
-FINAL = frozenset((Phase.COMPLETED, Phase.ROLLED_BACK))
+FINAL_PHASES = frozenset((Phase.COMPLETED, Phase.ROLLED_BACK))
 # Phases with more load on the new version; nodes report more often.
-LOADED = frozenset((Phase.MOVING, Phase.SETTLING))
+LOADED_PHASES = frozenset((Phase.MOVING, Phase.SETTLING))
 _PHASE_ORDER = {phase: number for number, phase in enumerate(Phase)}
 
 
@@ -96,13 +96,13 @@
     ----------
     service, old, new : str
         Service and its two versions.
-    order : int
+    order_revision : int
         Store revision of the order.
-    started, seconds : float
+    started_at, duration_seconds : float
         Time at which the order was received, and time allowed for it.
     phase : Phase
         Present phase.
-    since : float
+    phase_started_at : float
         Start of the present phase.
     reason : str
         Why the new version was rolled back, or empty.
@@ -111,15 +111,15 @@
     service: str
     old: str
     new: str
-    order: int
-    started: float
-    seconds: float
+    order_revision: int
+    started_at: float
+    duration_seconds: float
     phase: Phase = Phase.RUNNING
-    since: float = 0.0
+    phase_started_at: float = 0.0
     reason: str = ""
 
 
-class Judge:
+class TrialEvidence:
     """Evidence of all nodes about the two versions of a trial.
 
     Attributes
@@ -131,7 +131,7 @@
         route.
     tests : dict
         Tests by route and kind of event.
-    judged_at : float
+    evaluated_at : float
         Monotonic time of the last evaluation, in seconds.
     """
 
@@ -140,21 +140,21 @@
         self.slices: dict[tuple[str, str], evidence.Counts] = {}
         self.totals: dict[tuple[str, str], evidence.Counts] = {}
         self.tests: dict[tuple[str, str], sequential.TestState] = {}
-        self.judged_at = 0.0
+        self.evaluated_at = 0.0
 
 
 def may_follow(known: Phase, after: Phase) -> bool:
     """Return whether a trial may go from one phase to another."""
-    if known in FINAL:
+    if known in FINAL_PHASES:
         return False
     return _PHASE_ORDER[after] > _PHASE_ORDER[known]
 
 
 def is_alarm(trial: Trial, level: float) -> bool:
     """Return whether the evidence is enough to roll the version back."""
-    if trial.phase in LOADED:
+    if trial.phase in LOADED_PHASES:
         return level >= LOADED_ALARM_LEVEL
-    return level >= sequential.ALARM
+    return level >= sequential.ALARM_LEVEL
 
 
 def new_version_share(trial: Trial, servers: int) -> float:
@@ -176,7 +176,9 @@
     return 1.0
 
 
-def observe(judge: Judge, state: wire.NodeState, trial: Trial) -> None:
+def observe(
+    trial_evidence: TrialEvidence, state: wire.NodeState, trial: Trial
+) -> None:
     """Add the new calls of a node's backend server to the evidence."""
     server = state.server
     if server is None or server.service != trial.service:
@@ -185,40 +187,46 @@
         return
     for counts in state.counts:
         key = (state.node, state.boot, server.backend, counts.route)
-        before = judge.counts.get(key)
+        before = trial_evidence.counts.get(key)
         if before is not None and before.calls >= counts.calls:
             continue
-        judge.counts[key] = counts
+        trial_evidence.counts[key] = counts
         increase = _difference(counts, before)
         version_route = (server.version, counts.route)
-        for sums in (judge.slices, judge.totals):
+        for sums in (trial_evidence.slices, trial_evidence.totals):
             known = sums.get(version_route)
             sums[version_route] = (
                 increase if known is None else evidence.add(known, increase)
             )
 
 
-def judge_slice(judge: Judge, trial: Trial, now: float) -> float:
+def evaluate_slice(
+    trial_evidence: TrialEvidence, trial: Trial, now: float
+) -> float:
     """Test the present slice if it is complete; return the evidence level.
 
-    From `sequential.ALARM` on the new version is worse.
+    From `sequential.ALARM_LEVEL` on the new version is worse.
     """
-    if now - judge.judged_at >= SLICE_SECONDS:
-        judge.judged_at = now
-        slices = judge.slices
-        judge.slices = {}
+    if now - trial_evidence.evaluated_at >= SLICE_SECONDS:
+        trial_evidence.evaluated_at = now
+        slices = trial_evidence.slices
+        trial_evidence.slices = {}
         for route in {route for _, route in slices}:
-            _judge_route(judge, trial, route, slices)
+            _evaluate_route(trial_evidence, trial, route, slices)
     return max(
-        (sequential.level(test) for test in judge.tests.values()), default=0.0
+        (
+            sequential.evidence_level(test)
+            for test in trial_evidence.tests.values()
+        ),
+        default=0.0,
     )
 
 
-def count_new_calls(judge: Judge, trial: Trial) -> int:
+def count_new_calls(trial_evidence: TrialEvidence, trial: Trial) -> int:
     """Return the number of responses of the new version so far."""
     return sum(
         counts.calls
-        for (version, _), counts in judge.totals.items()
+        for (version, _), counts in trial_evidence.totals.items()
         if version == trial.new
     )
 
@@ -239,7 +247,7 @@
     now : float
         Monotonic time, in seconds.
     """
-    if trial.phase in FINAL:
+    if trial.phase in FINAL_PHASES:
         return trial
     if is_alarm(trial, level):
         return _enter_phase(
@@ -248,13 +256,13 @@
             now,
             "more failures or slow responses than the old version",
         )
-    elapsed = now - trial.started
+    elapsed = now - trial.started_at
     if trial.phase is Phase.MOVING:
-        if now - trial.since < MIN_MOVING_SECONDS:
+        if now - trial.phase_started_at < MIN_MOVING_SECONDS:
             return trial
         if (
             level >= DOUBT_LEVEL
-            and elapsed < trial.seconds * GIVE_UP_AT_FRACTION
+            and elapsed < trial.duration_seconds * GIVE_UP_AT_FRACTION
         ):
             return trial
         if level >= DOUBT_LEVEL:
@@ -266,10 +274,10 @@
             )
         return _enter_phase(trial, Phase.SETTLING, now, "")
     if trial.phase is Phase.SETTLING:
-        if now - trial.since < SETTLING_SECONDS:
+        if now - trial.phase_started_at < SETTLING_SECONDS:
             return trial
         return _enter_phase(trial, Phase.COMPLETED, now, "")
-    if elapsed >= trial.seconds * GIVE_UP_AT_FRACTION:
+    if elapsed >= trial.duration_seconds * GIVE_UP_AT_FRACTION:
         reason = (
             "too few responses of the new version"
             if new_calls < MIN_CALLS
@@ -277,17 +285,19 @@
         )
         return _enter_phase(trial, Phase.ROLLED_BACK, now, reason)
     ready = new_calls >= MIN_CALLS and level < DOUBT_LEVEL
-    if ready and elapsed >= trial.seconds * MOVE_AT_FRACTION:
+    if ready and elapsed >= trial.duration_seconds * MOVE_AT_FRACTION:
         return _enter_phase(trial, Phase.MOVING, now, "")
     return trial
 
 
 def _enter_phase(trial: Trial, phase: Phase, now: float, reason: str) -> Trial:
-    return dataclasses.replace(trial, phase=phase, since=now, reason=reason)
+    return dataclasses.replace(
+        trial, phase=phase, phase_started_at=now, reason=reason
+    )
 
 
-def _judge_route(
-    judge: Judge,
+def _evaluate_route(
+    trial_evidence: TrialEvidence,
     trial: Trial,
     route: str,
     slices: Mapping[tuple[str, str], evidence.Counts],
@@ -295,7 +305,7 @@
     empty = evidence.Counts()
     old = slices.get((trial.old, route), empty)
     new = slices.get((trial.new, route), empty)
-    old_total = judge.totals.get((trial.old, route), empty)
+    old_total = trial_evidence.totals.get((trial.old, route), empty)
     first_slow_bucket = _find_slow_bucket(old_total.latencies)
     events = {
         "failure": (new.failures, old.failures),
@@ -305,10 +315,10 @@
         ),
     }
     for kind, (new_events, old_events) in events.items():
-        test = judge.tests.get((route, kind)) or sequential.start(
+        test = trial_evidence.tests.get((route, kind)) or sequential.start(
             _TEST_PARAMETERS
         )
-        judge.tests[(route, kind)] = sequential.update(
+        trial_evidence.tests[(route, kind)] = sequential.update(
             test,
             _TEST_PARAMETERS,
             sequential.Slice(
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -120,7 +120,7 @@
         would cancel them before they count as slow.
         """
         trial = self.read_view().service_trials.get(service)
-        return trial is None or trial.phase in trials.FINAL
+        return trial is None or trial.phase in trials.FINAL_PHASES
 
     def is_suspect(self, active: active_requests.ActiveRequest) -> bool:
         """Tell whether the backend server of an open attempt is suspect."""
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -173,7 +173,7 @@
         return [
             (trial.service, trial.new)
             for trial in self.orders.view.service_trials.values()
-            if trial.phase not in trials.FINAL
+            if trial.phase not in trials.FINAL_PHASES
         ]
 
     def send_offer(self, name: str, offer: wire.Offer) -> bool:
--- a/apricotpost/sidecar/outcome_counters.py
+++ b/apricotpost/sidecar/outcome_counters.py
@@ -43,7 +43,7 @@
     def describe(self, service: str) -> tuple[wire.VersionCounts, ...]:
         """Return the evidence while the service is on trial, else nothing."""
         trial = self.read_view().service_trials.get(service)
-        if trial is None or trial.phase in trials.FINAL:
+        if trial is None or trial.phase in trials.FINAL_PHASES:
             return ()
         return tuple(
             wire.VersionCounts(
@@ -58,4 +58,4 @@
     def is_loaded_trial(self, service: str) -> bool:
         """Tell whether a new version on trial carries most requests."""
         trial = self.read_view().service_trials.get(service)
-        return trial is not None and trial.phase in trials.LOADED
+        return trial is not None and trial.phase in trials.LOADED_PHASES
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -84,7 +84,7 @@
         self.order_task = order_task
         self.loop = asyncio.get_running_loop()
         self.links: links.Links | None = None
-        self.judges: dict[str, trials.Judge] = {}
+        self.trial_evidence: dict[str, trials.TrialEvidence] = {}
         # Revision and content of the stored row of each service.
         self.stored_trials: dict[str, tuple[int, _TrialRow]] = {}
         self.stored_trials_read = False
@@ -126,9 +126,9 @@
             wire.TrialNotice(
                 service=service,
                 version=row.version,
-                order=row.order,
+                order_revision=row.order,
                 phase=row.phase,
-                old=row.old,
+                old_version=row.old,
                 reason="read from the store",
             )
         )
@@ -137,36 +137,36 @@
         """Start the trial of a service's rollout order, if it is a new one."""
         revision, order = self.order_task.view.rollouts[service]
         known = self.order_task.view.service_trials.get(service)
-        if known is not None and known.order == revision:
+        if known is not None and known.order_revision == revision:
             self.set_duration(known, order.seconds)
             return
-        if known is not None and known.order > revision:
+        if known is not None and known.order_revision > revision:
             return
         seen = self.servers.versions.get(service, [])
         old = next((v for v in seen if v != order.version), "")
         if known is not None and known.phase is trials.Phase.COMPLETED:
             old = known.new
         now = self.loop.time()
-        self.judges[service] = trials.Judge()
+        self.trial_evidence[service] = trials.TrialEvidence()
         self.apply_trial(
             trials.Trial(
                 service=service,
                 old=old,
                 new=order.version,
-                order=revision,
-                started=now,
-                seconds=order.seconds,
-                since=now,
+                order_revision=revision,
+                started_at=now,
+                duration_seconds=order.seconds,
+                phase_started_at=now,
             )
         )
 
     def set_duration(self, trial: trials.Trial, seconds: float) -> None:
         """Set the duration of a trial that was received before its order."""
-        if not trial.seconds:
+        if not trial.duration_seconds:
             self.order_task.replace_view(
                 views.with_trial(
                     self.order_task.view,
-                    dataclasses.replace(trial, seconds=seconds),
+                    dataclasses.replace(trial, duration_seconds=seconds),
                 )
             )
 
@@ -179,7 +179,7 @@
             version=trial.new,
             phase=str(trial.phase),
             reason=trial.reason,
-            order=trial.order,
+            order=trial.order_revision,
         )
         if trial.phase is trials.Phase.COMPLETED:
             self.servers.set_stable_version(trial.service, trial.new)
@@ -192,36 +192,42 @@
         if state.server is None or not state.counts:
             return
         trial = self.order_task.view.service_trials.get(state.server.service)
-        judge = self.judges.get(state.server.service)
-        if trial is not None and judge is not None:
-            trials.observe(judge, state, trial)
+        trial_evidence = self.trial_evidence.get(state.server.service)
+        if trial is not None and trial_evidence is not None:
+            trials.observe(trial_evidence, state, trial)
 
     def handle_notice(self, notice: wire.TrialNotice) -> None:
         """Apply the state of a trial from another node, if it is newer."""
         phase = trials.Phase(notice.phase)
         known = self.order_task.view.service_trials.get(notice.service)
         if known is not None:
-            if known.order > notice.order or known.phase is phase:
+            if (
+                known.order_revision > notice.order_revision
+                or known.phase is phase
+            ):
                 return
-            if known.order == notice.order and not trials.may_follow(
-                known.phase, phase
+            if (
+                known.order_revision == notice.order_revision
+                and not trials.may_follow(known.phase, phase)
             ):
                 return
         now = self.loop.time()
-        if known is None or known.order != notice.order:
+        if known is None or known.order_revision != notice.order_revision:
             rollout = self.order_task.view.rollouts.get(notice.service)
             seconds = rollout[1].seconds if rollout is not None else 0.0
             known = trials.Trial(
                 service=notice.service,
-                old=notice.old,
+                old=notice.old_version,
                 new=notice.version,
-                order=notice.order,
-                started=now - notice.elapsed,
-                seconds=seconds,
+                order_revision=notice.order_revision,
+                started_at=now - notice.elapsed_seconds,
+                duration_seconds=seconds,
+            )
+            self.trial_evidence.setdefault(
+                notice.service, trials.TrialEvidence()
             )
-            self.judges.setdefault(notice.service, trials.Judge())
         trial = dataclasses.replace(
-            known, phase=phase, since=now, reason=notice.reason
+            known, phase=phase, phase_started_at=now, reason=notice.reason
         )
         self.apply_trial(trial)
         if relays.is_relay(self.members, now):
@@ -241,11 +247,11 @@
             wire.TrialNotice(
                 service=trial.service,
                 version=trial.new,
-                order=trial.order,
+                order_revision=trial.order_revision,
                 phase=str(trial.phase),
-                old=trial.old,
+                old_version=trial.old,
                 reason=trial.reason,
-                elapsed=round(self.loop.time() - trial.started, 2),
+                elapsed_seconds=round(self.loop.time() - trial.started_at, 2),
             ),
         )
 
@@ -263,8 +269,8 @@
             return
         for trial in self.order_task.view.service_trials.values():
             if (
-                trial.phase not in trials.FINAL
-                or now - trial.since < RECENT_SECONDS
+                trial.phase not in trials.FINAL_PHASES
+                or now - trial.phase_started_at < RECENT_SECONDS
             ):
                 self.broadcast_notice(trial)
 
@@ -275,20 +281,22 @@
                 self.send_notice(trial, name)
 
     async def advance_trial(self, trial: trials.Trial) -> None:
-        """Judge a trial, and move it to its next phase if it is due.
+        """Evaluate a trial, and move it to its next phase if it is due.
 
         Only the holder does so, except for a rollback.
         """
-        judge = self.judges.setdefault(trial.service, trials.Judge())
+        trial_evidence = self.trial_evidence.setdefault(
+            trial.service, trials.TrialEvidence()
+        )
         now = self.loop.time()
         holder = self.is_holder(now)
         # A trial whose order is not known has a phase, but no duration.
-        if trial.phase not in trials.FINAL and trial.seconds:
-            level = trials.judge_slice(judge, trial, now)
+        if trial.phase not in trials.FINAL_PHASES and trial.duration_seconds:
+            level = trials.evaluate_slice(trial_evidence, trial, now)
             after = trials.advance(
                 trial,
                 level=level,
-                new_calls=trials.count_new_calls(judge, trial),
+                new_calls=trials.count_new_calls(trial_evidence, trial),
                 now=now,
             )
             decides = holder or (
@@ -364,14 +372,14 @@
         """
         revision, known = self.stored_trials.get(trial.service, (0, None))
         status = _STATUS[trial.phase]
-        if known is not None and known.order == trial.order:
+        if known is not None and known.order == trial.order_revision:
             found = trials.Phase(known.phase)
             if _STATUS[found] is status:
                 return True
             if not trials.may_follow(found, trial.phase):
                 return False
         row = _TrialRow(
-            order=trial.order,
+            order=trial.order_revision,
             version=trial.new,
             old=trial.old,
             phase=str(trial.phase),
--- a/apricotpost/wire/sidecar_messages.py
+++ b/apricotpost/wire/sidecar_messages.py
@@ -304,25 +304,25 @@
     ----------
     service, version : str
         Service, and the version that is rolled out.
-    order : int
+    order_revision : int
         Store revision of the rollout order.
     phase : str
         Name of a phase in `apricotpost.rollout.trials`.
-    old : str
+    old_version : str
         Version that the service ran before.
     reason : str
         Reason for the phase.
-    elapsed : float
+    elapsed_seconds : float
         Time in seconds since the trial started.
     """
 
     service: str
     version: str
-    order: int
+    order_revision: int
     phase: str
-    old: str
+    old_version: str
     reason: str
-    elapsed: float = 0.0
+    elapsed_seconds: float = 0.0
 
 
 KINDS: dict[int, type] = {
--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -59,11 +59,11 @@
         Also guards against a call that owns its key and does not run.
         """
         self.script = ["lost"]
-        verdict = idempotency.Verdict.RUN
-        self.assertEqual(verdict, self.begin(make_claim()).verdict)
+        decision = idempotency.KeyDecision.RUN
+        self.assertEqual(decision, self.begin(make_claim()).decision)
         self.script = ["lost"]
         begun = self.begin(make_claim("two"))
-        self.assertEqual(idempotency.Verdict.IN_PROGRESS, begun.verdict)
+        self.assertEqual(idempotency.KeyDecision.IN_PROGRESS, begun.decision)
         self.assertEqual(1, self.state.tables.writes)
 
     def test_lost_begin_behind_another_call_is_uncertain(self):
@@ -79,8 +79,8 @@
         idempotency.abandon(self.store, make_claim())
         self.delayed[0].carry_out()
         self.assertTrue(calls.release(self.store, make_claim("two")))
-        verdict = idempotency.Verdict.RUN
-        self.assertEqual(verdict, self.begin(make_claim("three")).verdict)
+        decision = idempotency.KeyDecision.RUN
+        self.assertEqual(decision, self.begin(make_claim("three")).decision)
 
     def test_late_removal_does_not_affect_the_next_owner(self):
         """Guards against a key freed while another call runs under it."""
@@ -92,7 +92,7 @@
         self.begin(make_claim("two"))
         self.delayed[0].carry_out()
         begun = self.begin(make_claim("three"))
-        self.assertEqual(idempotency.Verdict.IN_PROGRESS, begun.verdict)
+        self.assertEqual(idempotency.KeyDecision.IN_PROGRESS, begun.decision)
 
     def test_late_outcome_does_not_affect_the_next_owner(self):
         """Guards against an expired call that overwrites the next record."""
@@ -102,8 +102,8 @@
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             idempotency.finish(self.store, claim, OUTCOME)
         later = make_claim("two", at=1000.0 + 24 * 3600)
-        verdict = idempotency.Verdict.RUN
-        self.assertEqual(verdict, self.begin(later).verdict)
+        decision = idempotency.KeyDecision.RUN
+        self.assertEqual(decision, self.begin(later).decision)
         self.delayed[0].carry_out()
         begun = self.begin(later)
         self.assertIsNone(begun.record.outcome)
@@ -113,7 +113,7 @@
         self.begin(make_claim())
         day = 24 * 3600
         early = self.begin(make_claim("two", at=1000.0 + day - 1))
-        self.assertEqual(idempotency.Verdict.CONFLICT, early.verdict)
+        self.assertEqual(idempotency.KeyDecision.CONFLICT, early.decision)
         rows = self.state.tables.items["apricotpost"]["call#reports"]
         self.assertEqual({"N": str(1000 + day)}, rows["k"]["expires_at"])
 
@@ -126,7 +126,7 @@
             self.begin(claim)
             idempotency.finish(self.store, claim, outcome)
             begun = self.begin(dataclasses.replace(claim, attempt="two"))
-            self.assertEqual(idempotency.Verdict.REPLAY, begun.verdict)
+            self.assertEqual(idempotency.KeyDecision.REPLAY, begun.decision)
             found = idempotency.replay(self.store, begun.record)
             self.assertEqual(outcome, found)
             self.assertEqual(objects, len(self.state.objects))
@@ -142,7 +142,7 @@
             kind=backlog.JobKind.FINISH,
             claim=claim,
             outcome=OUTCOME,
-            since=1000.0,
+            failed_at=1000.0,
         )
         self.assertTrue(backlog.attempt(self.store, job))
         self.assertEqual(2, self.state.tables.writes)
--- a/tests/idempotency/test_decisions.py
+++ b/tests/idempotency/test_decisions.py
@@ -63,7 +63,7 @@
             kind=backlog.JobKind.FINISH,
             claim=CLAIM,
             outcome=outcome,
-            since=1000.0,
+            failed_at=1000.0,
         )
 
     def test_retries_pause_and_end(self):
--- a/tests/node/test_holders.py
+++ b/tests/node/test_holders.py
@@ -10,7 +10,7 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost.node import holders
-from apricotpost.rollout import verdicts
+from apricotpost.rollout import judgements
 from apricotpost import storage
 from tests.node import worlds
 from tests.storage import local
@@ -76,7 +76,8 @@
         (write,) = world.pools["a"].late
         self.assertIn(b"version", write[1])
         world.act(
-            "b", facts=dataclasses.replace(worlds.SERVERS, new_servers=0)
+            "b",
+            server_counts=dataclasses.replace(worlds.SERVERS, new_servers=0),
         )
         self.assertEqual(2, world.holders["b"].lease.fence)
         world.pools["a"].carry_out_late()
@@ -119,7 +120,7 @@
         """Guards against a withdrawal that is lost in a table outage."""
         world = self.world
         self.act_for_seconds("a", 10)
-        bad = verdicts.Judgement(bad="fails", summary="figures")
+        bad = judgements.Judgement(withdraw_reason="fails", summary="figures")
         world.pools["a"].fault = "down"
         before = world.pools["a"].requests
         self.act_for_seconds("a", 30, bad)
@@ -200,19 +201,19 @@
 def _make_judgement(kind, world):
     return {
         "good": world.make_good_judgement(),
-        "stale": verdicts.Judgement(
+        "stale": judgements.Judgement(
             calls=50,
             calls_per_second=worlds.BUSY_PER_SECOND,
             heard_at=world.now - 6.0,
         ),
-        "few": verdicts.Judgement(
+        "few": judgements.Judgement(
             calls=3,
             calls_per_second=worlds.BUSY_PER_SECOND,
-            doubt="3 calls of v2",
+            hold_reason="3 calls of v2",
             heard_at=world.now,
         ),
-        "bad": verdicts.Judgement(
-            bad="fails",
+        "bad": judgements.Judgement(
+            withdraw_reason="fails",
             calls_per_second=worlds.BUSY_PER_SECOND,
             heard_at=world.now,
         ),
--- a/tests/node/worlds.py
+++ b/tests/node/worlds.py
@@ -7,9 +7,9 @@
 from apricotpost import model
 from apricotpost.node import holders
 from apricotpost import rollout as rollouts
+from apricotpost.rollout import judgements
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
-from apricotpost.rollout import watch
 from apricotpost import storage
 from standins import platform as standin
 from tests.storage import local
@@ -20,7 +20,9 @@
 # High enough that the smallest first share gets enough calls to be judged.
 BUSY_PER_SECOND = 10_000.0
 FINISH_BY = STARTED_AT + 120.0
-SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
+SERVERS = steps.ServerCounts(
+    old_servers=4, new_servers=4, old_slots=48, new_slots=48
+)
 
 
 class World:
@@ -89,21 +91,21 @@
         return self.read().rollouts[0]
 
     def make_good_judgement(self):
-        return verdicts.Judgement(
+        return judgements.Judgement(
             calls_per_second=BUSY_PER_SECOND, calls=50, heard_at=self.now
         )
 
-    def act(self, name, judgement=None, snapshot=None, facts=SERVERS):
+    def act(self, name, judgement=None, snapshot=None, server_counts=SERVERS):
         snapshot = snapshot or self.read()
         rollout = rollouts.find_open(snapshot, "portal")
         observation = None
         if rollout is not None:
-            observation = watch.Observation(
+            observation = monitor.Observation(
                 snapshot=snapshot,
                 rollout=rollout,
                 judgement=judgement or self.make_good_judgement(),
-                facts=facts,
-                is_first=True,
+                server_counts=server_counts,
+                is_holder_candidate=True,
             )
         holders.advance_rollout(self.holders[name], observation)
 
--- a/tests/rollout/test_evidence.py
+++ b/tests/rollout/test_evidence.py
@@ -31,7 +31,7 @@
 
 class ClassifyTest(unittest.TestCase):
     def check(self, kind, **fields):
-        finished = evidence.Finished(**fields)
+        finished = evidence.FinishedCall(**fields)
         self.assertIs(kind, evidence.classify(finished))
 
     def test_caller_faults_and_shedding_count_as_neither(self):
@@ -43,15 +43,17 @@
         neither = evidence.CallOutcome.NEITHER
         self.check(neither, answered=True, status=404)
         self.check(neither, answered=True, status=503)
-        self.check(neither, answered=True, status=503, alone=True, cold=True)
+        self.check(
+            neither, answered=True, status=503, is_only_call=True, cold=True
+        )
         self.check(neither, answered=False, expired=True)
-        self.check(neither, answered=False, timed_out=True, granted_share=0.1)
+        self.check(neither, answered=False, timed_out=True, granted_ratio=0.1)
 
     def test_failures_of_the_version_count(self):
         """Guards against failures of a bad version that are not counted."""
         failure = evidence.CallOutcome.FAILURE
         self.check(failure, answered=True, status=500)
-        self.check(failure, answered=True, status=503, alone=True)
+        self.check(failure, answered=True, status=503, is_only_call=True)
         self.check(failure, answered=False)
         self.check(failure, answered=False, timed_out=True)
 
@@ -61,11 +63,11 @@
         The latencies of its calls would never be tested.
         """
         outcomes = evidence.OutcomeCounts()
-        finished = evidence.Finished(
+        finished = evidence.FinishedCall(
             answered=True, status=200, cold=True, duration_ms=50.0
         )
         for _ in range(evidence.MAX_COLD_CALLS + 3):
-            outcomes = evidence.count(outcomes, KEY, finished)
+            outcomes = evidence.record_call(outcomes, KEY, finished)
         self.assertEqual(3, sum(outcomes.counts[KEY].latencies))
 
 
--- a/tests/rollout/test_verdicts.py
+++ b/tests/rollout/test_judgements.py
@@ -3,9 +3,9 @@
 import unittest
 
 from apricotpost.rollout import evidence
-from apricotpost.rollout import verdicts
+from apricotpost.rollout import judgements
 
-__all__ = ["VerdictTest"]
+__all__ = ["JudgementTest"]
 
 FAST_BUCKET, SLOW_BUCKET = 3, 9
 
@@ -16,10 +16,10 @@
     return evidence.Counts(calls=calls, failures=failures, latencies=latencies)
 
 
-class VerdictTest(unittest.TestCase):
+class JudgementTest(unittest.TestCase):
     def setUp(self):
         self.now = 1000.0
-        self.trial = verdicts.start(
+        self.trial = judgements.start(
             rollout="r", old="v1", new="v2", share=10, now=self.now
         )
 
@@ -37,7 +37,7 @@
                 found[("portal", "v2", route)] = new
             if old is not None:
                 found[("portal", "v1", route)] = old
-            self.trial = verdicts.observe(
+            self.trial = judgements.observe(
                 self.trial,
                 found,
                 service="portal",
@@ -45,7 +45,7 @@
                 baking=baking,
                 now=self.now,
             )
-            if self.trial.bad:
+            if self.trial.withdraw_reason:
                 return second + 1
         return None
 
@@ -87,7 +87,7 @@
         self.assertIsNone(
             self.observe_for(30, make_counts(5), make_counts(95, 40))
         )
-        self.assertEqual("", verdicts.judge(self.trial).doubt)
+        self.assertEqual("", judgements.judge(self.trial).hold_reason)
 
     def test_late_fault_after_full_share_is_found(self):
         """Guards against a late fault that is missed after a good history."""
@@ -134,7 +134,7 @@
                 ("portal", "v2", "a"): make_counts(10),
             }
             self.now += 1.0
-            self.trial = verdicts.observe(
+            self.trial = judgements.observe(
                 self.trial,
                 pooled,
                 service="portal",
@@ -142,20 +142,24 @@
                 baking=False,
                 now=self.now,
             )
-        self.assertIn("route new", self.trial.bad)
+        self.assertIn("route new", self.trial.withdraw_reason)
 
     def test_route_without_usable_answers_is_in_doubt(self):
         """Guards against a step while only the new version answers 404."""
         self.observe_for(10, make_counts(50), make_counts(50), share=500)
         self.observe_for(10, None, make_counts(50), share=500, route="b")
-        self.assertIn("route b", verdicts.judge(self.trial).doubt)
+        self.assertIn("route b", judgements.judge(self.trial).hold_reason)
 
     def test_few_calls_are_not_enough(self):
         """Guards against a step on too few calls."""
         self.observe_for(19, make_counts(1), make_counts(99))
-        self.assertIn("20 are needed", verdicts.judge(self.trial).doubt)
+        self.assertIn(
+            "20 are needed", judgements.judge(self.trial).hold_reason
+        )
         self.observe_for(1, make_counts(1), make_counts(99))
-        self.assertEqual("", verdicts.judge(self.trial).doubt)
+        self.assertEqual("", judgements.judge(self.trial).hold_reason)
         # The calls are counted from zero in each step.
         self.observe_for(1, make_counts(5), make_counts(95), share=50)
-        self.assertIn("20 are needed", verdicts.judge(self.trial).doubt)
+        self.assertIn(
+            "20 are needed", judgements.judge(self.trial).hold_reason
+        )
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -9,8 +9,8 @@
 from apricotpost import model
 from apricotpost.rollout import evidence
 from apricotpost.rollout import judges
-from apricotpost.rollout import watch
-from tests.rollout import test_watch
+from apricotpost.rollout import monitor
+from tests.rollout import test_monitor
 
 __all__ = ["JudgesTest", "ReportsTest", "TakeoverTest"]
 
@@ -41,8 +41,8 @@
 
         These are nodes of other services and nodes that are not up.
         """
-        records = [test_watch.make_instance(name) for name in NAMES]
-        records.append(test_watch.make_instance("f", service="fieldbook"))
+        records = [test_monitor.make_instance(name) for name in NAMES]
+        records.append(test_monitor.make_instance("f", service="fieldbook"))
         first = judges.find_judges("portal", records)
         self.assertEqual(judges.JUDGE_COUNT, len(first))
         self.assertNotIn("f", [entry.instance for entry in first])
@@ -56,15 +56,15 @@
         """Guards against a holder that does not receive the evidence."""
         for size in range(1, 8):
             instances = tuple(
-                test_watch.make_instance(name) for name in NAMES[:size]
+                test_monitor.make_instance(name) for name in NAMES[:size]
             )
             view = dataclasses.replace(
-                test_watch.make_view(), instances=instances
+                test_monitor.make_view(), instances=instances
             )
             holders = [
                 name
                 for name in NAMES[:size]
-                if test_watch.observe(view, name).is_first
+                if test_monitor.observe(view, name).is_holder_candidate
             ]
             first = judges.find_judges("portal", instances)[0]
             self.assertEqual([first.instance], holders)
@@ -81,7 +81,7 @@
         )
         return {
             report.judge: (
-                report.full,
+                report.is_full,
                 [entry.route for entry in report.evidence],
             )
             for report in reports
@@ -117,7 +117,7 @@
     def receive(self, state, calls, now, *, full=True):
         """Return the state after a report, and its new calls by route."""
         counts = [entry for entry in make_counts(calls) if entry.calls]
-        state = watch.receive(state, counts, full=full, now=now)
+        state = monitor.receive(state, counts, full=full, now=now)
         store, found = evidence.take_undrained(state.evidence_store)
         new_calls = {key[2]: entry.calls for key, entry in found.items()}
         return dataclasses.replace(state, evidence_store=store), new_calls
@@ -129,7 +129,7 @@
         calls must count.
         """
         state, new_calls = self.receive(
-            watch.Watch(), (0, 900, 0), 100.0, full=False
+            monitor.RolloutMonitor(), (0, 900, 0), 100.0, full=False
         )
         self.assertEqual({}, new_calls)
         state, new_calls = self.receive(state, (700, 901, 0), 101.0)
@@ -139,7 +139,7 @@
 
     def test_returning_judge_starts_from_a_new_baseline(self):
         """Guards against the calls of a whole gap that count in one second."""
-        state, _ = self.receive(watch.Watch(), (10, 10, 10), 100.0)
+        state, _ = self.receive(monitor.RolloutMonitor(), (10, 10, 10), 100.0)
         state, new_calls = self.receive(state, (11, 0, 0), 115.0, full=False)
         self.assertEqual({"records": 1}, new_calls)
         state, new_calls = self.receive(state, (50, 0, 0), 131.0, full=False)
@@ -162,7 +162,7 @@
     )
     def test_lost_reports_neither_lose_nor_repeat_calls(self, seconds):
         """Guards against counts that stay wrong after a lost report."""
-        sent, state = judges.SentReports(), watch.Watch()
+        sent, state = judges.SentReports(), monitor.RolloutMonitor()
         calls, now = [5, 5, 5], 0.0
         # The first and the last reports arrive, and no gap between arriving
         # reports reaches the limit for a new baseline.
@@ -177,8 +177,8 @@
             for report in reports:
                 if arrives or now - heard >= 14.0:
                     heard = now
-                    state = watch.receive(
-                        state, report.evidence, full=report.full, now=now
+                    state = monitor.receive(
+                        state, report.evidence, full=report.is_full, now=now
                     )
             now += 1.0
         _, new_calls = evidence.take_undrained(state.evidence_store)
--- a/tests/rollout/test_watch.py
+++ b/tests/rollout/test_monitor.py
@@ -6,9 +6,9 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost import rollout as rollouts
-from apricotpost.rollout import watch
+from apricotpost.rollout import monitor
 
-__all__ = ["WatchTest"]
+__all__ = ["RolloutMonitorTest"]
 
 
 def make_instance(name, service="portal", version="v1"):
@@ -49,12 +49,12 @@
 
 def observe(view, instance, state=None, now=1001.0):
     """Return the observation of an instance."""
-    return watch.evaluate(
-        state or watch.Watch(), view, instance=instance, now=now
+    return monitor.evaluate(
+        state or monitor.RolloutMonitor(), view, instance=instance, now=now
     )[1]
 
 
-class WatchTest(unittest.TestCase):
+class RolloutMonitorTest(unittest.TestCase):
     def test_node_of_another_service_has_no_observation(self):
         """Guards against work that grows with the number of services."""
         self.assertIsNone(observe(make_view(), "f"))
@@ -64,7 +64,9 @@
         """Guards against no holder or two holders while all views agree."""
         view = make_view()
         names = ("p1", "p2", "p3")
-        first = [name for name in names if observe(view, name).is_first]
+        first = [
+            name for name in names if observe(view, name).is_holder_candidate
+        ]
         self.assertEqual(1, len(first))
         instances = tuple(
             (
@@ -75,7 +77,9 @@
             for entry in view.instances
         )
         view = dataclasses.replace(view, instances=instances)
-        after = [name for name in names if observe(view, name).is_first]
+        after = [
+            name for name in names if observe(view, name).is_holder_candidate
+        ]
         self.assertEqual(1, len(after))
         self.assertNotEqual(first, after)
 
@@ -96,13 +100,15 @@
             observation = observe(
                 dataclasses.replace(view, withdrawals=(notice,)), "p1"
             )
-            self.assertEqual(expected, observation.facts.withdrawn)
+            self.assertEqual(
+                expected, observation.server_counts.withdrawal_reason
+            )
 
     def test_server_that_changes_its_version_is_cold_again(self):
         """Guards against slots that count as warm after a version change."""
         view = make_view()
-        state, _ = watch.evaluate(
-            watch.Watch(), view, instance="p1", now=1000.0
+        state, _ = monitor.evaluate(
+            monitor.RolloutMonitor(), view, instance="p1", now=1000.0
         )
         instances = tuple(
             (
@@ -114,5 +120,5 @@
         )
         changed = dataclasses.replace(view, instances=instances)
         observation = observe(changed, "p1", state=state, now=1020.0)
-        self.assertEqual(2, observation.facts.new_servers)
-        self.assertEqual(12, observation.facts.new_slots)
+        self.assertEqual(2, observation.server_counts.new_servers)
+        self.assertEqual(12, observation.server_counts.new_slots)
--- a/tests/rollout/test_quiet.py
+++ b/tests/rollout/test_quiet.py
@@ -3,12 +3,14 @@
 import unittest
 
 from apricotpost import model
+from apricotpost.rollout import judgements
 from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
 
 __all__ = ["QuietServiceTest"]
 
-FACTS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
+FACTS = steps.ServerCounts(
+    old_servers=4, new_servers=4, old_slots=48, new_slots=48
+)
 
 
 class QuietServiceTest(unittest.TestCase):
@@ -24,7 +26,7 @@
             finish_by=seconds_left,
             changed_at=0.0,
         )
-        judgement = verdicts.Judgement(calls_per_second=calls_per_second)
+        judgement = judgements.Judgement(calls_per_second=calls_per_second)
         return steps.decide(rollout, judgement, FACTS, 0.0, steps.Times())
 
     def test_quiet_service_starts_with_a_larger_share(self):
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -7,13 +7,15 @@
 from apricotpost import errors
 from apricotpost import model
 from apricotpost import rollout as rollouts
+from apricotpost.rollout import judgements
 from apricotpost.rollout import steps
-from apricotpost.rollout import verdicts
 from apricotpost import routing
 
 __all__ = ["PlanTest", "StepTest"]
 
-SERVERS = steps.Facts(old_servers=4, new_servers=4, old_slots=48, new_slots=48)
+SERVERS = steps.ServerCounts(
+    old_servers=4, new_servers=4, old_slots=48, new_slots=48
+)
 TIMES = steps.Times()
 
 
@@ -43,12 +45,12 @@
 
 
 class StepTest(unittest.TestCase):
-    def decide(self, now, *, facts=SERVERS, rollout=None, **judgement):
+    def decide(self, now, *, server_counts=SERVERS, rollout=None, **judgement):
         fields = {"calls": 50, "heard_at": now, **judgement}
         return steps.decide(
             rollout or make_rollout(),
-            verdicts.Judgement(**fields),
-            facts,
+            judgements.Judgement(**fields),
+            server_counts,
             now,
             TIMES,
         )
@@ -67,15 +69,17 @@
             {"new_servers": 1},
             {"new_slots": 11},
         ):
-            facts = dataclasses.replace(SERVERS, **change)
+            server_counts = dataclasses.replace(SERVERS, **change)
             with self.subTest(change):
                 self.assertIsInstance(
-                    self.decide(1030.0, facts=facts), steps.Hold
+                    self.decide(1030.0, server_counts=server_counts),
+                    steps.Hold,
                 )
         # Eleven slots are enough when few calls are in progress.
-        facts = dataclasses.replace(SERVERS, new_slots=11)
+        server_counts = dataclasses.replace(SERVERS, new_slots=11)
         self.assertIsInstance(
-            self.decide(1030.0, facts=facts, busy_slots=10.0), steps.Advance
+            self.decide(1030.0, server_counts=server_counts, busy_slots=10.0),
+            steps.Advance,
         )
 
     def test_full_share_in_time_or_withdrawn(self):
@@ -94,7 +98,8 @@
         """Guards against a bad version that is kept once it has full share."""
         baking = make_rollout(share=980, state=model.RolloutState.BAKING)
         self.assertIsInstance(
-            self.decide(1010.0, rollout=baking, bad="fails"), steps.Withdraw
+            self.decide(1010.0, rollout=baking, withdraw_reason="fails"),
+            steps.Withdraw,
         )
         self.assertIsInstance(self.decide(1059.0, rollout=baking), steps.Hold)
         self.assertIsInstance(
@@ -115,10 +120,10 @@
             slots=12,
         )
         for since, slots in ((1000.0, 12), (1008.0, 0)):
-            facts = steps.count_servers(
+            server_counts = steps.count_servers(
                 make_rollout(), [record], {"i": since}, 1010.0
             )
-            self.assertEqual(slots, facts.new_slots)
+            self.assertEqual(slots, server_counts.new_slots)
 
 
 class PlanTest(unittest.TestCase):
--- a/tests/rollout/test_traces.py
+++ b/tests/rollout/test_traces.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from apricotpost import model
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 
 __all__ = ["TraceTest"]
 
@@ -41,7 +41,7 @@
 
     def replay(self, lines):
         events = [json.loads(line) for line in lines]
-        view, state, decision = None, watch.Watch(), None
+        view, state, decision = None, monitor.RolloutMonitor(), None
         share = 0
         for event in events:
             kind = event["event"]
@@ -63,7 +63,7 @@
                 # Traces leave out unchanged counts and have no lost reports,
                 # so a long time between two reports is no gap: all reports
                 # are received at the same time.
-                state = watch.receive(
+                state = monitor.receive(
                     state, _decode(event["counts"]), full=True, now=0.0
                 )
             elif kind == "look":
@@ -100,11 +100,13 @@
 
 def _evaluate(state, view, at):
     instance = view.instances[0].instance
-    state, observation = watch.evaluate(state, view, instance=instance, now=at)
+    state, observation = monitor.evaluate(
+        state, view, instance=instance, now=at
+    )
     decision = steps.decide(
         observation.rollout,
         observation.judgement,
-        observation.facts,
+        observation.server_counts,
         at,
         TIMES,
     )
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -34,14 +34,14 @@
             "v2": new,
         }
         self.counts = {}
-        self.judge = trials.Judge()
+        self.trial_evidence = trials.TrialEvidence()
         self.trial = trials.Trial(
             service="portal",
             old="v1",
             new="v2",
-            order=1,
-            started=0.0,
-            seconds=SECONDS,
+            order_revision=1,
+            started_at=0.0,
+            duration_seconds=SECONDS,
         )
         self.exposed = 0
         self.bad_answers = 0
@@ -49,20 +49,22 @@
 
     def run(self):
         now = 0.0
-        while now < SECONDS and self.trial.phase not in trials.FINAL:
+        while now < SECONDS and self.trial.phase not in trials.FINAL_PHASES:
             now += 0.05
             self.serve(now)
             # Nodes report at different times, and more often in the phases
-            # of LOADED.
-            period = 5 if self.trial.phase in trials.LOADED else 10
+            # of LOADED_PHASES.
+            period = 5 if self.trial.phase in trials.LOADED_PHASES else 10
             for offset, version in enumerate(self.versions):
                 if (round(now / 0.05) + 3 * offset) % period == 0:
                     self.observe(version)
-            level = trials.judge_slice(self.judge, self.trial, now)
+            level = trials.evaluate_slice(self.trial_evidence, self.trial, now)
             self.trial = trials.advance(
                 self.trial,
                 level=level,
-                new_calls=trials.count_new_calls(self.judge, self.trial),
+                new_calls=trials.count_new_calls(
+                    self.trial_evidence, self.trial
+                ),
                 now=now,
             )
         return now
@@ -112,7 +114,7 @@
                 ),
             ),
         )
-        trials.observe(self.judge, state, self.trial)
+        trials.observe(self.trial_evidence, state, self.trial)
 
 
 class TrialTest(unittest.TestCase):
--- a/tests/sidecar/test_load_balancer.py
+++ b/tests/sidecar/test_load_balancer.py
@@ -20,9 +20,9 @@
         service="portal",
         old="v1",
         new="v2",
-        order=3,
-        started=0.0,
-        seconds=12.0,
+        order_revision=3,
+        started_at=0.0,
+        duration_seconds=12.0,
         phase=phase,
     )
     return views.with_trial(views.EMPTY, trial)
@@ -52,7 +52,7 @@
         for phase in trials.Phase:
             self.view = make_view(phase)
             allowed = self.balancer.may_hedge("portal")
-            self.assertEqual(phase in trials.FINAL, allowed, phase)
+            self.assertEqual(phase in trials.FINAL_PHASES, allowed, phase)
             self.assertTrue(self.balancer.may_hedge("fieldbook"))
 
     async def test_cancelled_attempts_make_a_server_slow(self):
--- a/tests/sidecar/test_views.py
+++ b/tests/sidecar/test_views.py
@@ -25,9 +25,9 @@
         service="portal",
         old="v1",
         new="v2",
-        order=1,
-        started=0.0,
-        seconds=12.0,
+        order_revision=1,
+        started_at=0.0,
+        duration_seconds=12.0,
         phase=phase,
     )
 
