--- a/apricotpost/admission/gate.py
+++ b/apricotpost/admission/gate.py
@@ -14,11 +14,11 @@
 from apricotpost.admission.states import Event
 from apricotpost.admission.states import Finished
 from apricotpost.admission.states import GateState
+from apricotpost.admission.states import PendingCall
 from apricotpost.admission.states import Policy
 from apricotpost.admission.states import Respond
 from apricotpost.admission.states import Run
 from apricotpost.admission.states import Tick
-from apricotpost.admission.states import Waiting
 from apricotpost import model
 from apricotpost import wire
 
@@ -31,11 +31,11 @@
     "Event",
     "Finished",
     "GateState",
+    "PendingCall",
     "Policy",
     "Respond",
     "Run",
     "Tick",
-    "Waiting",
     "describe_load",
     "handle",
     "is_idle",
@@ -103,7 +103,7 @@
     """Return when the oldest queued call times out, in monotonic seconds."""
     if not state.queue:
         return None
-    return state.queue[0].since + MAX_QUEUE_SECONDS
+    return state.queue[0].arrived_at + MAX_QUEUE_SECONDS
 
 
 def is_idle(state: GateState) -> bool:
@@ -130,22 +130,22 @@
         state,
         known_calls=recent.record_call(state.known_calls, call.call, now),
     )
-    waiting = Waiting(reply_to=event.reply_to, call=call, since=now)
+    pending = PendingCall(reply_to=event.reply_to, call=call, arrived_at=now)
     reason = _find_refusal_reason(state, call, now, wall, policy)
     if reason is None and _is_leaving(state, now):
         reason = wire.NotRunReason.DRAINING
     if reason is not None:
-        return state, (_not_run(state, waiting, reason),)
+        return state, (_not_run(state, pending, reason),)
     if len(state.running) < int(state.limit.value):
-        return _run(state, waiting)
+        return _run(state, pending)
     if len(state.queue) >= max(int(state.limit.value), MIN_QUEUE_CALLS):
         reason = (
             wire.NotRunReason.COLD
             if state.limit.cold
             else wire.NotRunReason.GATE_FULL
         )
-        return state, (_not_run(state, waiting, reason),)
-    return dataclasses.replace(state, queue=(*state.queue, waiting)), ()
+        return state, (_not_run(state, pending, reason),)
+    return dataclasses.replace(state, queue=(*state.queue, pending)), ()
 
 
 def _start_drain(state: GateState, refuse_from: float) -> GateState:
@@ -196,8 +196,8 @@
     policy: Policy,
     checksum: int,
 ) -> states.Step:
-    waiting = state.running.get(result.call)
-    if waiting is None:
+    pending = state.running.get(result.call)
+    if pending is None:
         return state, ()
     running = dict(state.running)
     del running[result.call]
@@ -205,24 +205,24 @@
         state,
         running=running,
         limit=adaptation.apply_result(
-            state.limit, waiting.call.route, result, now
+            state.limit, pending.call.route, result, now
         ),
         refused_connection=state.refused_connection
         or result.reason == wire.NotRunReason.NOT_SENT,
     )
-    response = _respond(state, waiting, result, checksum)
+    response = _respond(state, pending, result, checksum)
     state, actions = _start_queued(state, now, wall, policy)
     return state, (response, *actions)
 
 
 def _respond(
     state: GateState,
-    waiting: Waiting,
+    pending: PendingCall,
     result: wire.BackendResult,
     checksum: int,
 ) -> Respond:
     load = describe_load(state)
-    call = waiting.call.call
+    call = pending.call.call
     message: wire.Answer | wire.NotRun | wire.OutcomeUnknown
     if result.outcome is wire.Outcome.ANSWERED:
         message = wire.Answer(
@@ -241,17 +241,17 @@
         message = wire.OutcomeUnknown(
             call=call, reason=wire.UnknownReason(result.reason), load=load
         )
-    return Respond(reply_to=waiting.reply_to, message=message)
+    return Respond(reply_to=pending.reply_to, message=message)
 
 
 def _handle_cancellation(state: GateState, call: str) -> states.Step:
     """Remove a queued call; a call that is already running is not stopped."""
-    for waiting in state.queue:
-        if waiting.call.call == call:
-            queue = tuple(item for item in state.queue if item != waiting)
+    for pending in state.queue:
+        if pending.call.call == call:
+            queue = tuple(item for item in state.queue if item != pending)
             state = dataclasses.replace(state, queue=queue)
             return state, (
-                _not_run(state, waiting, wire.NotRunReason.CANCELLED),
+                _not_run(state, pending, wire.NotRunReason.CANCELLED),
             )
     return state, ()
 
@@ -263,36 +263,36 @@
     if not state.queue:
         return state, ()
     actions: list[Action] = []
-    kept: list[Waiting] = []
+    kept: list[PendingCall] = []
     queue = state.queue
     state = dataclasses.replace(state, queue=())
-    for waiting in queue:
-        reason = _find_refusal_reason(state, waiting.call, now, wall, policy)
-        if reason is None and now - waiting.since > MAX_QUEUE_SECONDS:
+    for pending in queue:
+        reason = _find_refusal_reason(state, pending.call, now, wall, policy)
+        if reason is None and now - pending.arrived_at > MAX_QUEUE_SECONDS:
             reason = wire.NotRunReason.GATE_FULL
         if reason is not None:
-            actions.append(_not_run(state, waiting, reason))
+            actions.append(_not_run(state, pending, reason))
         elif len(state.running) < int(state.limit.value):
-            state, run_actions = _run(state, waiting)
+            state, run_actions = _run(state, pending)
             actions.extend(run_actions)
         else:
-            kept.append(waiting)
+            kept.append(pending)
     return dataclasses.replace(state, queue=tuple(kept)), tuple(actions)
 
 
-def _run(state: GateState, waiting: Waiting) -> states.Step:
-    running = {**state.running, waiting.call.call: waiting}
+def _run(state: GateState, pending: PendingCall) -> states.Step:
+    running = {**state.running, pending.call.call: pending}
     state = dataclasses.replace(state, running=running)
-    return state, (Run(call=waiting.call),)
+    return state, (Run(call=pending.call),)
 
 
 def _not_run(
-    state: GateState, waiting: Waiting, reason: wire.NotRunReason
+    state: GateState, pending: PendingCall, reason: wire.NotRunReason
 ) -> Respond:
     return Respond(
-        reply_to=waiting.reply_to,
+        reply_to=pending.reply_to,
         message=wire.NotRun(
-            call=waiting.call.call,
+            call=pending.call.call,
             reason=reason,
             load=describe_load(state),
         ),
--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -16,13 +16,13 @@
     "QueuedRequest",
     "RankedQueue",
     "Refusal",
-    "enqueue",
     "admit",
     "describe_load",
+    "enqueue",
     "finish",
     "next_start",
-    "record_rejection",
     "recent_failure_ratio",
+    "record_rejection",
     "remove",
     "set_backend",
     "start",
@@ -41,7 +41,7 @@
 INITIAL_SERVICE_MS = 100.0
 # Counting of served requests stops here, because earlier requests hardly
 # influence the mean service time.
-MAX_SERVED_COUNT = 30
+MAX_SAMPLE_COUNT = 30
 # A request is refused when its remaining time is below this fraction of the
 # route's mean service time, because it would not be answered in time.
 MIN_SERVICE_TIME_FRACTION = 0.6
@@ -105,7 +105,7 @@
     """Reason for a refusal and the suggested delay of a retry."""
 
     reason: wire.NotRunReason
-    retry_ms: float
+    retry_after_ms: float
 
 
 class RankedQueue:
@@ -125,7 +125,7 @@
         self.queue: list[QueuedRequest] = []
         self.service_ms: dict[str, float] = {}
         self.mean_ms = INITIAL_SERVICE_MS
-        self.served = 0
+        self.sample_count = 0
         self.failure_ratio = 0.0
         self.failure_ratio_at = 0.0
         self.cold_until = 0.0
@@ -133,7 +133,7 @@
         self.recent_starts: collections.deque[float] = collections.deque()
         # Time of the last answer, or of the start of the first request after
         # no request was running.
-        self.quiet_since = 0.0
+        self.silent_since = 0.0
 
 
 def set_backend(
@@ -157,7 +157,7 @@
     state.limit = min(limit, float(slots))
     state.limit_at = now
     state.failure_ratio = 0.0
-    state.served = 0
+    state.sample_count = 0
 
 
 def admit(
@@ -165,13 +165,15 @@
 ) -> Refusal | None:
     """Return why a request is refused, or None if it may be queued."""
     remaining_ms = (queued.expires_at - now) * 1000.0
-    usual_ms = state.service_ms.get(queued.route, state.mean_ms)
-    if remaining_ms <= usual_ms * MIN_SERVICE_TIME_FRACTION:
-        return Refusal(reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0)
+    route_mean_ms = state.service_ms.get(queued.route, state.mean_ms)
+    if remaining_ms <= route_mean_ms * MIN_SERVICE_TIME_FRACTION:
+        return Refusal(
+            reason=wire.NotRunReason.DEADLINE_PASSED, retry_after_ms=0.0
+        )
     wait_ms = predict_wait_ms(state, queued, now)
     if wait_ms <= 0.0:
         return None
-    answer_ms = wait_ms + usual_ms
+    answer_ms = wait_ms + route_mean_ms
     objective_fraction = (
         LATE_OBJECTIVE_FRACTION if queued.accepts_late else OBJECTIVE_FRACTION
     )
@@ -184,7 +186,7 @@
     reason = wire.NotRunReason.GATE_FULL
     if now < state.cold_until:
         reason = wire.NotRunReason.COLD
-    return Refusal(reason=reason, retry_ms=max(wait_ms, MIN_RETRY_MS))
+    return Refusal(reason=reason, retry_after_ms=max(wait_ms, MIN_RETRY_MS))
 
 
 def predict_wait_ms(
@@ -255,7 +257,7 @@
         )
         state.queue.remove(best)
         if not state.running:
-            state.quiet_since = now
+            state.silent_since = now
         state.running[best.call] = best
         state.recent_starts.append(now)
         started.append(best)
@@ -309,12 +311,12 @@
         float(failed) - state.failure_ratio
     )
     if ran_ms is not None:
-        state.quiet_since = now
+        state.silent_since = now
         route_ms = state.service_ms.get(queued.route, ran_ms)
         route_ms += SERVICE_TIME_WEIGHT * (ran_ms - route_ms)
         state.service_ms[queued.route] = route_ms
-        state.served = min(state.served + 1, MAX_SERVED_COUNT)
-        weight = max(SERVICE_TIME_WEIGHT, 1.0 / state.served)
+        state.sample_count = min(state.sample_count + 1, MAX_SAMPLE_COUNT)
+        weight = max(SERVICE_TIME_WEIGHT, 1.0 / state.sample_count)
         state.mean_ms += weight * (ran_ms - state.mean_ms)
     return queued
 
@@ -355,17 +357,17 @@
         running=len(state.running),
         queued=len(state.queue),
         limit=limit,
-        usual_ms=round(state.mean_ms, 1),
-        failing=round(recent_failure_ratio(state, now), 3),
-        served=state.served,
-        quiet_ms=_quiet_ms(state, now),
+        mean_ms=round(state.mean_ms, 1),
+        failure_ratio=round(recent_failure_ratio(state, now), 3),
+        sample_count=state.sample_count,
+        silent_ms=_silent_ms(state, now),
     )
 
 
-def _quiet_ms(state: RankedQueue, now: float) -> int:
+def _silent_ms(state: RankedQueue, now: float) -> int:
     if not state.running:
         return 0
-    return int((now - state.quiet_since) * 1000.0)
+    return int((now - state.silent_since) * 1000.0)
 
 
 def _remove_expiring(
@@ -373,13 +375,13 @@
 ) -> list[tuple[QueuedRequest, Refusal]]:
     refused = []
     for queued in tuple(state.queue):
-        usual_ms = state.service_ms.get(queued.route, state.mean_ms)
+        route_mean_ms = state.service_ms.get(queued.route, state.mean_ms)
         if (
             queued.expires_at - now
-        ) * 1000.0 <= usual_ms * MIN_SERVICE_TIME_FRACTION:
+        ) * 1000.0 <= route_mean_ms * MIN_SERVICE_TIME_FRACTION:
             state.queue.remove(queued)
             refusal = Refusal(
-                reason=wire.NotRunReason.DEADLINE_PASSED, retry_ms=0.0
+                reason=wire.NotRunReason.DEADLINE_PASSED, retry_after_ms=0.0
             )
             refused.append((queued, refusal))
     return refused
@@ -388,6 +390,6 @@
 def _start_order(
     state: RankedQueue, queued: QueuedRequest, now: float
 ) -> tuple[int, bool, float]:
-    usual_ms = state.service_ms.get(queued.route, state.mean_ms)
-    misses_objective = (queued.objective_at - now) * 1000.0 < usual_ms
+    route_mean_ms = state.service_ms.get(queued.route, state.mean_ms)
+    misses_objective = (queued.objective_at - now) * 1000.0 < route_mean_ms
     return (queued.rank, misses_objective, queued.arrived_at)
--- a/apricotpost/admission/states.py
+++ b/apricotpost/admission/states.py
@@ -16,12 +16,12 @@
     "Event",
     "Finished",
     "GateState",
+    "PendingCall",
     "Policy",
     "Respond",
     "Run",
     "Step",
     "Tick",
-    "Waiting",
 ]
 
 
@@ -45,12 +45,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Waiting:
+class PendingCall:
     """A queued or running call and the task that waits for the response."""
 
     reply_to: bytes
     call: wire.Call
-    since: float
+    arrived_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,8 +58,10 @@
     """State of the gate; times are of the monotonic clock, in seconds."""
 
     limit: limits.Limit
-    running: Mapping[str, Waiting] = dataclasses.field(default_factory=dict)
-    queue: tuple[Waiting, ...] = ()
+    running: Mapping[str, PendingCall] = dataclasses.field(
+        default_factory=dict
+    )
+    queue: tuple[PendingCall, ...] = ()
     known_calls: recent.RecentCalls = recent.RecentCalls()
     announced: wire.BackendServerAnnounced | None = None
     announced_at: float = 0.0
--- a/apricotpost/distribution/orders.py
+++ b/apricotpost/distribution/orders.py
@@ -27,7 +27,7 @@
     order_store: OrderStore,
     rows: Iterable[wire.OrderRow],
     *,
-    after: int,
+    after_revision: int,
     revision: int,
 ) -> list[wire.OrderRow]:
     """Merge the rows that changed after one revision and up to another.
@@ -44,7 +44,7 @@
             continue
         order_store.rows[row.key] = row
         changed.append(row)
-    if after <= order_store.revision < revision:
+    if after_revision <= order_store.revision < revision:
         order_store.revision = revision
     return changed
 
@@ -70,7 +70,7 @@
     return merge(
         order_store,
         [*read_rows.values(), *removed_rows],
-        after=order_store.revision,
+        after_revision=order_store.revision,
         revision=revision,
     )
 
--- a/apricotpost/distribution/patches.py
+++ b/apricotpost/distribution/patches.py
@@ -20,7 +20,7 @@
 MIN_PACKED_BYTES = 256
 # Lowest level at which Zstandard finds matches in the whole dictionary.
 PATCH_LEVEL = 3
-WHOLE_LEVEL = 1
+COMPRESSED_LEVEL = 1
 
 
 def pack(row: wire.OrderRow, base: wire.OrderRow | None) -> wire.PackedRow:
@@ -42,8 +42,10 @@
             revision = base.revision
             value = _compress_patch(value, base.value)
         else:
-            form = wire.PackedForm.WHOLE
-            value = zstandard.ZstdCompressor(level=WHOLE_LEVEL).compress(value)
+            form = wire.PackedForm.COMPRESSED
+            value = zstandard.ZstdCompressor(level=COMPRESSED_LEVEL).compress(
+                value
+            )
     return wire.PackedRow(
         key=row.key,
         value=value,
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -120,7 +120,7 @@
     return not any(
         state.node < fleet.node
         and state.data_centre == fleet.data_centre
-        and state.store
+        and state.store_reachable
         and not state.leaving
         for state in live_nodes(fleet, now)
         if state.node != fleet.node
@@ -145,7 +145,7 @@
     for state in live_nodes(fleet, now):
         if state.node == fleet.node or state.data_centre != fleet.data_centre:
             continue
-        if state.store and not state.leaving:
+        if state.store_reachable and not state.leaving:
             return SLOW_PROBE_SECONDS
         preceding += state.node < fleet.node
     return SLOW_PROBE_SECONDS if preceding >= PROBING_NODES else 0.0
@@ -174,4 +174,6 @@
 
 def newest_orders(fleet: Fleet) -> int:
     """Return the highest orders' revision that any known node holds."""
-    return max((k.state.orders for k in fleet.nodes.values()), default=0)
+    return max(
+        (k.state.orders_revision for k in fleet.nodes.values()), default=0
+    )
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -279,16 +279,16 @@
 
 def _count_outcome(task: _Task, result: wire.BackendResult) -> None:
     """Add a finished call to the evidence about its version."""
-    waiting = task.state.running.get(result.call)
-    if waiting is None:
+    pending = task.state.running.get(result.call)
+    if pending is None:
         return
     finished = gate_evidence.describe_finished(
         result,
-        waiting,
+        pending,
         snapshot=task.current.view.snapshot,
         is_only_call=len(task.state.running) == 1,
     )
-    call = waiting.call
+    call = pending.call
     key = (call.service, call.version, call.route)
     task.outcomes = evidence.record_call(task.outcomes, key, finished)
 
--- a/apricotpost/node/gate_evidence.py
+++ b/apricotpost/node/gate_evidence.py
@@ -13,7 +13,7 @@
 
 def describe_finished(
     result: wire.BackendResult,
-    waiting: gate.Waiting,
+    pending: gate.PendingCall,
     *,
     snapshot: model.Snapshot,
     is_only_call: bool,
@@ -24,14 +24,14 @@
     ----------
     result : apricotpost.wire.BackendResult
         Result from the backend worker.
-    waiting : apricotpost.admission.gate.Waiting
+    pending : apricotpost.admission.gate.PendingCall
         The finished call, as the gate admitted it.
     snapshot : apricotpost.model.Snapshot
         Configuration in force.
     is_only_call : bool
         Whether no other call was running at the gate.
     """
-    call = waiting.call
+    call = pending.call
     timeout_ms = next(
         (
             entry.timeout_ms
@@ -40,7 +40,7 @@
         ),
         0,
     )
-    elapsed_seconds = time.monotonic() - waiting.since
+    elapsed_seconds = time.monotonic() - pending.arrived_at
     granted_seconds = call.deadline - time.time() + elapsed_seconds
     return evidence.FinishedCall(
         answered=result.outcome is wire.Outcome.ANSWERED,
--- a/apricotpost/platform/headers.py
+++ b/apricotpost/platform/headers.py
@@ -79,7 +79,7 @@
 
 
 def make_call_headers(
-    headers: http.Headers, *, backend: str, left_ms: int, caller: str
+    headers: http.Headers, *, backend: str, remaining_ms: int, caller: str
 ) -> http.Headers:
     """Return the headers of a request to a backend server.
 
@@ -89,7 +89,7 @@
         Headers of the client's request, without hop-by-hop headers.
     backend : str
         Identifier of the only backend server that may execute the request.
-    left_ms : int
+    remaining_ms : int
         Time in milliseconds that is left until the deadline.
     caller : str
         Service of the instance where the request originated.
@@ -97,7 +97,7 @@
     kept = tuple(h for h in headers if h[0].lower() not in _SET_BY_NODE)
     return (
         *kept,
-        (b"X-Deadline-Ms", b"%d" % left_ms),
+        (b"X-Deadline-Ms", b"%d" % remaining_ms),
         (b"X-Expect-Instance", backend.encode("latin-1")),
         (b"X-Caller-Service", caller.encode("latin-1")),
     )
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -12,17 +12,17 @@
 
 __all__ = [
     "Candidate",
-    "ServerStats",
     "LatencyModel",
+    "ServerStats",
     "estimate_ms",
     "is_suspect",
-    "record_outcome",
-    "record_load",
-    "record_size",
-    "record_latency",
     "mean_reported_ms",
-    "record_sent",
     "rank_candidates",
+    "record_latency",
+    "record_load",
+    "record_outcome",
+    "record_sent",
+    "record_size",
     "relative_latency",
     "remote_penalty_ms",
 ]
@@ -72,7 +72,7 @@
 # A backend server is suspect if it has sent no answer to any caller for this
 # multiple of its mean time although requests are running there, if its
 # relative latency is this high, or if this fraction of its requests fails.
-SUSPECT_QUIET_RATIO = 1.5
+SUSPECT_SILENT_RATIO = 1.5
 SUSPECT_RELATIVE_LATENCY = 2.0
 SUSPECT_FAILURE_RATIO = 0.15
 # Weights of the estimates of the relative latency. With OWN_SAMPLES requests,
@@ -117,34 +117,34 @@
         "failure_ratio",
         "limit",
         "reported_requests",
-        "quiet_ms",
+        "silent_ms",
         "reported_failure_ratio",
         "own_samples",
         "sent_since",
-        "served",
-        "speed",
-        "usual_ms",
+        "sample_count",
+        "own_relative_latency",
+        "mean_ms",
     )
 
     def __init__(self) -> None:
-        self.speed = 1.0
+        self.own_relative_latency = 1.0
         self.own_samples = 0
-        self.served = 0
+        self.sample_count = 0
         self.reported_requests = 0
         self.sent_since = 0
         self.limit = 1
-        self.usual_ms = INITIAL_LATENCY_MS
+        self.mean_ms = INITIAL_LATENCY_MS
         self.failure_ratio = 0.0
         self.outcome_at = 0.0
         self.reported_failure_ratio = 0.0
-        self.quiet_ms = 0
+        self.silent_ms = 0
 
 
 class LatencyModel:
     """Measured latencies of routes and statistics of backend servers."""
 
     def __init__(self) -> None:
-        self.routes: dict[str, float] = {}
+        self.route_mean_ms: dict[str, float] = {}
         self.kilobytes: dict[str, float] = {}
         self.servers: dict[str, ServerStats] = {}
 
@@ -160,17 +160,17 @@
     latency_model: LatencyModel, *, route: str, backend: str, ran_ms: float
 ) -> None:
     """Record the time of a served request, in milliseconds."""
-    route_ms = latency_model.routes.get(route)
+    route_ms = latency_model.route_mean_ms.get(route)
     if route_ms is None:
-        latency_model.routes[route] = max(ran_ms, 1.0)
+        latency_model.route_mean_ms[route] = max(ran_ms, 1.0)
         return
     server = latency_model.server(backend)
     server.own_samples = min(server.own_samples + 1, OWN_SAMPLES)
-    server.speed += RELATIVE_LATENCY_WEIGHT * (
-        min(ran_ms / route_ms, 8.0) - server.speed
+    server.own_relative_latency += RELATIVE_LATENCY_WEIGHT * (
+        min(ran_ms / route_ms, 8.0) - server.own_relative_latency
     )
     route_ms += ROUTE_WEIGHT * (min(ran_ms, 4.0 * route_ms) - route_ms)
-    latency_model.routes[route] = max(route_ms, 1.0)
+    latency_model.route_mean_ms[route] = max(route_ms, 1.0)
 
 
 def record_size(latency_model: LatencyModel, *, route: str, size: int) -> None:
@@ -204,10 +204,10 @@
     running: int,
     queued: int,
     limit: int,
-    usual_ms: float,
-    served: int = 0,
-    failing: float = 0.0,
-    quiet_ms: int = 0,
+    mean_ms: float,
+    sample_count: int = 0,
+    failure_ratio: float = 0.0,
+    silent_ms: int = 0,
 ) -> None:
     """Record a load report of a backend server.
 
@@ -219,22 +219,22 @@
         Identifier of the backend server.
     running, queued, limit : int
         Numbers of running and queued requests, and of those that may run.
-    usual_ms : float
+    mean_ms : float
         Mean service time of its recent requests, in milliseconds.
-    served : int
+    sample_count : int
         Number of requests behind that mean.
-    failing : float
+    failure_ratio : float
         Fraction of its recent requests that failed.
-    quiet_ms : int
+    silent_ms : int
         Time without an answer while requests are running, in milliseconds.
     """
     server = latency_model.server(backend)
     server.reported_requests = running + queued
     server.limit = max(limit, 1)
-    server.usual_ms = usual_ms
-    server.served = served
-    server.reported_failure_ratio = failing
-    server.quiet_ms = quiet_ms
+    server.mean_ms = mean_ms
+    server.sample_count = sample_count
+    server.reported_failure_ratio = failure_ratio
+    server.silent_ms = silent_ms
     server.sent_since = 0
 
 
@@ -262,7 +262,7 @@
     route: str,
     objective_ms: float,
     now: float,
-    mean_ms: float = 0.0,
+    service_mean_ms: float = 0.0,
 ) -> float:
     """Return the expected response time with penalties, in milliseconds.
 
@@ -278,14 +278,14 @@
         Latency objective of the request, in milliseconds.
     now : float
         Monotonic time, in seconds.
-    mean_ms : float
+    service_mean_ms : float
         Mean time that the backend servers of the service report; 0 if unknown.
     """
     server = latency_model.server(candidate.backend)
-    route_ms = latency_model.routes.get(route, INITIAL_LATENCY_MS)
+    route_ms = latency_model.route_mean_ms.get(route, INITIAL_LATENCY_MS)
     outstanding = server.reported_requests + server.sent_since
     fill_ratio = outstanding / server.limit
-    service_ms = route_ms * relative_latency(server, mean_ms)
+    service_ms = route_ms * relative_latency(server, service_mean_ms)
     if candidate.cold:
         service_ms *= COLD_SLOWDOWN
     service_ms *= 1.0 + FILL_SLOWDOWN * min(fill_ratio, 1.0)
@@ -293,7 +293,7 @@
         min(fill_ratio, 1.2) - CROWDED_FILL_RATIO, 0
     )
     wait_ms = (
-        max(outstanding + 1 - server.limit, 0) * server.usual_ms / server.limit
+        max(outstanding + 1 - server.limit, 0) * server.mean_ms / server.limit
     )
     total_ms = (
         service_ms
@@ -319,28 +319,28 @@
     The mean is 0 if none has served a request.
     """
     servers = [latency_model.server(c.backend) for c in candidates]
-    reported_ms = [server.usual_ms for server in servers if server.served]
+    reported_ms = [server.mean_ms for server in servers if server.sample_count]
     return sum(reported_ms) / len(reported_ms) if reported_ms else 0.0
 
 
-def relative_latency(server: ServerStats, mean_ms: float) -> float:
-    """Return a backend server's latency divided by the usual one.
+def relative_latency(server: ServerStats, service_mean_ms: float) -> float:
+    """Return a backend server's latency divided by the service's mean.
 
     Parameters
     ----------
     server : ServerStats
         Statistics of the backend server.
-    mean_ms : float
+    service_mean_ms : float
         Mean time that the backend servers of the service report; 0 if unknown.
     """
     reported = 1.0
-    if mean_ms > 0.0 and server.served:
+    if service_mean_ms > 0.0 and server.sample_count:
         low, high = REPORTED_RELATIVE_LATENCY_BOUNDS
-        weight = server.served / (server.served + REPORT_SAMPLES)
-        clamped_ratio = min(max(server.usual_ms / mean_ms, low), high)
+        weight = server.sample_count / (server.sample_count + REPORT_SAMPLES)
+        clamped_ratio = min(max(server.mean_ms / service_mean_ms, low), high)
         reported += weight * (clamped_ratio - 1.0)
     own_weight = server.own_samples / (server.own_samples + OWN_SAMPLES)
-    return reported + own_weight * (server.speed - reported)
+    return reported + own_weight * (server.own_relative_latency - reported)
 
 
 def rank_candidates(
@@ -352,7 +352,7 @@
     now: float,
 ) -> list[Candidate]:
     """Return backend servers by expected response time, shortest first."""
-    mean_ms = mean_reported_ms(latency_model, candidates)
+    service_mean_ms = mean_reported_ms(latency_model, candidates)
     return sorted(
         candidates,
         key=lambda c: estimate_ms(
@@ -361,13 +361,17 @@
             route=route,
             objective_ms=objective_ms,
             now=now,
-            mean_ms=mean_ms,
+            service_mean_ms=service_mean_ms,
         ),
     )
 
 
 def is_suspect(
-    latency_model: LatencyModel, backend: str, *, now: float, mean_ms: float
+    latency_model: LatencyModel,
+    backend: str,
+    *,
+    now: float,
+    service_mean_ms: float,
 ) -> bool:
     """Return whether the backend server is the likely cause of a late answer.
 
@@ -382,13 +386,14 @@
         Identifier of the backend server.
     now : float
         Monotonic time, in seconds.
-    mean_ms : float
+    service_mean_ms : float
         Mean time that the backend servers of the service report; 0 if unknown.
     """
     server = latency_model.server(backend)
     return (
-        server.quiet_ms > SUSPECT_QUIET_RATIO * server.usual_ms
-        or relative_latency(server, mean_ms) >= SUSPECT_RELATIVE_LATENCY
+        server.silent_ms > SUSPECT_SILENT_RATIO * server.mean_ms
+        or relative_latency(server, service_mean_ms)
+        >= SUSPECT_RELATIVE_LATENCY
         or _combined_failure_ratio(server, now) >= SUSPECT_FAILURE_RATIO
     )
 
--- a/apricotpost/routing/retries.py
+++ b/apricotpost/routing/retries.py
@@ -65,9 +65,9 @@
 def earn_in_window(
     budget: Budget,
     *,
-    base: float,
-    burst: float,
-    window: float,
+    base_limit: float,
+    limit_per_call: float,
+    window_seconds: float,
     now: float,
 ) -> Budget:
     """Credit a budget that is limited by the calls of a time window.
@@ -80,18 +80,18 @@
     ----------
     budget : Budget
         Budget before the call.
-    base : float
+    base_limit : float
         Number of tokens that can be saved without any calls.
-    burst : float
+    limit_per_call : float
         Number of tokens that can be saved for each call in the window.
-    window : float
+    window_seconds : float
         Length of the window, in seconds.
     now : float
         Monotonic time, in seconds.
     """
-    decay = math.exp(-max(now - budget.last_call_at, 0.0) / window)
+    decay = math.exp(-max(now - budget.last_call_at, 0.0) / window_seconds)
     recent_calls = budget.recent_calls * decay + 1.0
-    limit = base + burst * recent_calls
+    limit = base_limit + limit_per_call * recent_calls
     return dataclasses.replace(
         budget,
         tokens=min(budget.tokens + budget.per_call, limit),
--- a/apricotpost/routing/splits.py
+++ b/apricotpost/routing/splits.py
@@ -2,17 +2,19 @@
 
 from apricotpost import model
 
-__all__ = ["Splits", "choose_service"]
+__all__ = ["RoundRobinCredits", "choose_service"]
 
 
-class Splits:
+class RoundRobinCredits:
     """Round-robin credits by route and service."""
 
     def __init__(self) -> None:
         self.credits: dict[str, dict[str, float]] = {}
 
 
-def choose_service(splits: Splits, route: model.TrafficRoute) -> str:
+def choose_service(
+    round_robin: RoundRobinCredits, route: model.TrafficRoute
+) -> str:
     """Return the service that gets the next request of a route.
 
     Smooth weighted round robin: in each cycle, every service gets exactly
@@ -22,7 +24,7 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     total = sum(target.weight for target in route.targets)
-    known = splits.credits.setdefault(route.name, {})
+    known = round_robin.credits.setdefault(route.name, {})
     credits = {
         target.service: known.get(target.service, 0.0) + target.weight / total
         for target in route.targets
@@ -33,5 +35,5 @@
         default=route.targets[0],
     )
     credits[chosen.service] -= 1.0
-    splits.credits[route.name] = credits
+    round_robin.credits[route.name] = credits
     return chosen.service
--- a/apricotpost/sidecar/active_requests.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -11,17 +11,17 @@
 from apricotpost import wire
 
 __all__ = [
-    "Attempt",
     "ActiveRequest",
+    "Attempt",
     "NextAction",
     "RetryDecision",
     "decide_after_failure",
     "decide_after_refusal",
     "hedge_delay_seconds",
     "is_overdue",
+    "jittered_retry_seconds",
     "may_hedge",
     "recheck_delay_seconds",
-    "jittered_retry_seconds",
     "stop_timers",
 ]
 
@@ -31,11 +31,11 @@
 # Offers that a gate refuses if the request would miss its objective. Later
 # ones may wait in a queue beyond the objective.
 STRICT_OFFERS = 3
-# A request is not run again when less than this multiple of the route's usual
+# A request is not run again when less than this multiple of the route's mean
 # time is left until its deadline.
-MIN_LEFT_RATIO = 0.8
+MIN_REMAINING_RATIO = 0.8
 # A repeatable request is sent to a second server when the first has not
-# answered after a multiple of the usual time (a hedged request: Dean and
+# answered after a multiple of the mean time (a hedged request: Dean and
 # Barroso, The Tail at Scale, 2013). Most late requests are large and take as
 # long on any server: without faults, 16 of 249 hedges were faster than the
 # first attempt. So a hedge at HEDGE_MULTIPLE also requires that the first
@@ -103,7 +103,7 @@
         "open_attempts",
         "accepts_late",
         "reason",
-        "retry_ms",
+        "retry_after_ms",
         "route",
         "possible_executions",
         "service",
@@ -123,9 +123,9 @@
         nested: bool,
         version_draw: float,
     ) -> None:
-        left_ms = route.timeout_ms
+        remaining_ms = route.timeout_ms
         if head.deadline_ms is not None:
-            left_ms = min(left_ms, head.deadline_ms)
+            remaining_ms = min(remaining_ms, head.deadline_ms)
         self.exchange = exchange
         self.head = head
         self.route = route
@@ -133,7 +133,7 @@
         self.nested = nested
         self.version_draw = version_draw
         self.headers = http.strip_hop_headers(exchange.request.headers)
-        self.expires_at = exchange.arrived_at + left_ms / 1000.0
+        self.expires_at = exchange.arrived_at + remaining_ms / 1000.0
         self.objective_at = exchange.arrived_at + route.objective_ms / 1000.0
         self.call = ""
         self.node = ""
@@ -146,7 +146,7 @@
         self.accepts_late = False
         self.tried_nodes: set[str] = set()
         self.reason = ""
-        self.retry_ms = 0
+        self.retry_after_ms = 0
         self.deadline_timer: asyncio.TimerHandle | None = None
         # Offers without an answer by call identifier; two while a request is
         # hedged.
@@ -184,7 +184,7 @@
         return RetryDecision(action=NextAction.REFUSE)
     if active.backend_attempts >= active.route.max_attempts:
         return RetryDecision(action=NextAction.REFUSE)
-    if refused.offered and budget.tokens < 1.0:
+    if refused.rejected_by_backend and budget.tokens < 1.0:
         return RetryDecision(action=NextAction.REFUSE)
     if untried and active.offers < STRICT_OFFERS:
         return RetryDecision(action=NextAction.OFFER)
@@ -195,18 +195,18 @@
     active: ActiveRequest,
     budget: retries.Budget,
     *,
-    usual_ms: float,
+    mean_ms: float,
     now: float,
     untried: int,
 ) -> RetryDecision:
     """Return what to do after an attempt that failed and may have run."""
-    left_ms = (active.expires_at - now) * 1000.0
+    remaining_ms = (active.expires_at - now) * 1000.0
     if (
         active.route.idempotent
         and active.backend_attempts < active.route.max_attempts
         and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
-        and left_ms > usual_ms * MIN_LEFT_RATIO
+        and remaining_ms > mean_ms * MIN_REMAINING_RATIO
         and untried
     ):
         return RetryDecision(action=NextAction.OFFER, accepts_late=True)
@@ -220,49 +220,49 @@
             timer.cancel()
 
 
-def hedge_delay_seconds(usual_ms: float) -> float:
+def hedge_delay_seconds(mean_ms: float) -> float:
     """Return the delay after which a request may be hedged, in seconds.
 
     Parameters
     ----------
-    usual_ms : float
-        Usual time of the route, in milliseconds.
+    mean_ms : float
+        Mean time of the route, in milliseconds.
     """
-    return max(usual_ms * HEDGE_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
+    return max(mean_ms * HEDGE_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
 
-def recheck_delay_seconds(usual_ms: float) -> float:
+def recheck_delay_seconds(mean_ms: float) -> float:
     """Return the interval of checks whether to hedge, in seconds.
 
     Parameters
     ----------
-    usual_ms : float
-        Usual time of the route, in milliseconds.
+    mean_ms : float
+        Mean time of the route, in milliseconds.
     """
-    return max(usual_ms * RECHECK_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
+    return max(mean_ms * RECHECK_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
 
-def is_overdue(active: ActiveRequest, *, usual_ms: float, now: float) -> bool:
+def is_overdue(active: ActiveRequest, *, mean_ms: float, now: float) -> bool:
     """Tell whether a request is hedged even if its server is not suspect.
 
     Parameters
     ----------
     active : ActiveRequest
         The request.
-    usual_ms : float
-        Usual time of the route, in milliseconds.
+    mean_ms : float
+        Mean time of the route, in milliseconds.
     now : float
         Monotonic time, in seconds.
     """
     waited_ms = (now - active.exchange.arrived_at) * 1000.0
-    return waited_ms >= usual_ms * OVERDUE_MULTIPLE
+    return waited_ms >= mean_ms * OVERDUE_MULTIPLE
 
 
 def may_hedge(
     active: ActiveRequest,
     budget: retries.Budget,
     *,
-    usual_ms: float,
+    mean_ms: float,
     now: float,
     untried: int,
 ) -> bool:
@@ -274,37 +274,39 @@
         The request.
     budget : retries.Budget
         Retry budget of the service, which also pays for hedges.
-    usual_ms : float
-        Usual time of the route, in milliseconds; 0 if not known.
+    mean_ms : float
+        Mean time of the route, in milliseconds; 0 if not known.
     now : float
         Monotonic time, in seconds.
     untried : int
         Number of backend servers that were not tried yet.
     """
-    left_ms = (active.expires_at - now) * 1000.0
+    remaining_ms = (active.expires_at - now) * 1000.0
     return (
-        usual_ms > 0
+        mean_ms > 0
         and active.route.idempotent
         and len(active.open_attempts) == 1
         and not active.hedged
         and active.backend_attempts + 1 < active.route.max_attempts
         and active.offers < MAX_OFFERS
         and budget.tokens >= 1.0
-        and left_ms > usual_ms * MIN_LEFT_RATIO
+        and remaining_ms > mean_ms * MIN_REMAINING_RATIO
         and untried > 0
     )
 
 
-def jittered_retry_seconds(retry_ms: float, random_fraction: float) -> float:
+def jittered_retry_seconds(
+    retry_after_ms: float, random_fraction: float
+) -> float:
     """Return the Retry-After of a refused request, with jitter, in seconds.
 
     Parameters
     ----------
-    retry_ms : float
+    retry_after_ms : float
         Time until the gate expects to have room, in milliseconds.
     random_fraction : float
         Random number between 0 and 1.
     """
     low, high = RETRY_JITTER
-    seconds = retry_ms / 1000.0 * (low + (high - low) * random_fraction)
+    seconds = retry_after_ms / 1000.0 * (low + (high - low) * random_fraction)
     return min(max(seconds, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -159,10 +159,10 @@
             active.expires_at + ANSWER_SLACK_SECONDS, self.expire, active
         )
         self.offer(active)
-        usual_ms = self.balancer.usual_ms(route.name)
-        if route.idempotent and active.open_attempts and usual_ms:
+        mean_ms = self.balancer.mean_ms(route.name)
+        if route.idempotent and active.open_attempts and mean_ms:
             active.hedge_timer = self.loop.call_later(
-                active_requests.hedge_delay_seconds(usual_ms),
+                active_requests.hedge_delay_seconds(mean_ms),
                 self.hedge,
                 active,
             )
@@ -175,7 +175,7 @@
         if active.possible_executions:
             self.fail(active, 502)
         else:
-            active.retry_ms = active.retry_ms or NOT_READY_RETRY_MS
+            active.retry_after_ms = active.retry_after_ms or NOT_READY_RETRY_MS
             self.refuse(active)
 
     def send_to_best(self, active: active_requests.ActiveRequest) -> bool:
@@ -204,24 +204,22 @@
         """
         active.hedge_timer = None
         now = self.loop.time()
-        usual_ms = self.balancer.usual_ms(active.route.name)
+        mean_ms = self.balancer.mean_ms(active.route.name)
         allowed = self.balancer.may_hedge(
             active.service
         ) and active_requests.may_hedge(
             active,
             self.budgets.budget_of(active.service),
-            usual_ms=usual_ms,
+            mean_ms=mean_ms,
             now=now,
             untried=self.balancer.count_untried(active),
         )
         if not allowed:
             return
-        overdue = active_requests.is_overdue(
-            active, usual_ms=usual_ms, now=now
-        )
+        overdue = active_requests.is_overdue(active, mean_ms=mean_ms, now=now)
         if not overdue and not self.balancer.is_suspect(active):
             active.hedge_timer = self.loop.call_later(
-                active_requests.recheck_delay_seconds(usual_ms),
+                active_requests.recheck_delay_seconds(mean_ms),
                 self.hedge,
                 active,
             )
@@ -261,7 +259,7 @@
             rank=rank,
             idempotent=active.route.idempotent,
             accepts_late=active.accepts_late,
-            left_ms=int((active.expires_at - now) * 1000),
+            remaining_ms=int((active.expires_at - now) * 1000),
             objective_ms=int((active.objective_at - now) * 1000),
             method=request.method,
             target=request.target,
@@ -360,15 +358,18 @@
         message: wire.Refused,
     ) -> None:
         """Try another backend server, or refuse the request."""
-        active.backend_attempts += int(message.offered)
-        if message.offered:
+        active.backend_attempts += int(message.rejected_by_backend)
+        if message.rejected_by_backend:
             self.balancer.record_outcome(attempt.backend, failed=True)
         if active.open_attempts:
             return
         active.reason = message.reason
-        retry_ms = message.retry_ms
-        if not active.retry_ms or 0 < retry_ms < active.retry_ms:
-            active.retry_ms = retry_ms
+        retry_after_ms = message.retry_after_ms
+        if (
+            not active.retry_after_ms
+            or 0 < retry_after_ms < active.retry_after_ms
+        ):
+            active.retry_after_ms = retry_after_ms
         decision = active_requests.decide_after_refusal(
             active,
             message,
@@ -377,7 +378,7 @@
             untried=self.balancer.count_untried(active),
         )
         if (
-            message.offered
+            message.rejected_by_backend
             and decision.action is active_requests.NextAction.OFFER
         ):
             self.budgets.spend(active.service)
@@ -419,7 +420,7 @@
         decision = active_requests.decide_after_failure(
             active,
             self.budgets.budget_of(active.service),
-            usual_ms=self.balancer.usual_ms(active.route.name),
+            mean_ms=self.balancer.mean_ms(active.route.name),
             now=self.loop.time(),
             untried=self.balancer.count_untried(active),
         )
@@ -494,7 +495,7 @@
 
     def refuse(self, active: active_requests.ActiveRequest) -> None:
         """Answer 503: the request has not run and will not run."""
-        seconds = self.responder.retry_after_seconds(active.retry_ms)
+        seconds = self.responder.retry_after_seconds(active.retry_after_ms)
         response = http.Response(
             status=503,
             headers=platform.make_local_response_headers(
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -153,7 +153,7 @@
         ):
             reason = wire.NotRunReason.NO_BACKEND_SERVER
         if reason is not None:
-            refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
+            refusal = ranked.Refusal(reason=reason, retry_after_ms=0.0)
             self.refuse(offer, reply, refusal)
             return
         queued = ranked.QueuedRequest(
@@ -162,7 +162,7 @@
             route=offer.route,
             accepts_late=offer.accepts_late,
             arrived_at=now,
-            expires_at=now + offer.left_ms / 1000.0,
+            expires_at=now + offer.remaining_ms / 1000.0,
             objective_at=now + offer.objective_ms / 1000.0,
             payload=PendingOffer(offer=offer, reply=reply),
         )
@@ -185,8 +185,10 @@
             return
         now = self.loop.time()
         elapsed_ms = (now - queued.payload.started_at) * 1000.0
-        usual_ms = self.queue.service_ms.get(queued.route, self.queue.mean_ms)
-        if elapsed_ms > usual_ms:
+        route_mean_ms = self.queue.service_ms.get(
+            queued.route, self.queue.mean_ms
+        )
+        if elapsed_ms > route_mean_ms:
             # The elapsed time is a lower bound of the latency. Without it, a
             # server whose slow requests are all cancelled would look fast.
             self.server.outcomes.count(
@@ -195,7 +197,7 @@
         ranked.finish(
             self.queue,
             call,
-            ran_ms=elapsed_ms if elapsed_ms > usual_ms else None,
+            ran_ms=elapsed_ms if elapsed_ms > route_mean_ms else None,
             failed=False,
             now=now,
         )
@@ -211,7 +213,7 @@
         if reason is None:
             return
         waiting, self.queue.queue = self.queue.queue, []
-        refusal = ranked.Refusal(reason=reason, retry_ms=0.0)
+        refusal = ranked.Refusal(reason=reason, retry_after_ms=0.0)
         for queued in waiting:
             self.refuse(queued.payload.offer, queued.payload.reply, refusal)
 
@@ -221,7 +223,7 @@
         reply: Reply,
         refusal: ranked.Refusal,
         *,
-        offered: bool = False,
+        rejected_by_backend: bool = False,
     ) -> None:
         """Reply that a request has not run and will not run here."""
         self.instruments.offers.add("refused", refusal.reason)
@@ -232,8 +234,8 @@
             wire.Refused(
                 call=offer.call,
                 reason=refusal.reason,
-                retry_ms=int(refusal.retry_ms),
-                offered=offered,
+                retry_after_ms=int(refusal.retry_after_ms),
+                rejected_by_backend=rejected_by_backend,
                 load=load,
             )
         )
@@ -260,14 +262,14 @@
         """Send a request to the backend server."""
         pending: PendingOffer = queued.payload
         offer = pending.offer
-        left_seconds = queued.expires_at - self.loop.time()
+        remaining_seconds = queued.expires_at - self.loop.time()
         request = http.Request(
             method=offer.method,
             target=offer.target,
             headers=platform.make_call_headers(
                 offer.headers,
                 backend=offer.backend,
-                left_ms=max(int(left_seconds * 1000), 1),
+                remaining_ms=max(int(remaining_seconds * 1000), 1),
                 caller=offer.caller,
             ),
             body=offer.body,
@@ -282,7 +284,7 @@
         pending.handle = self.client.send(
             request,
             finish,
-            timeout=left_seconds + LATE_RESPONSE_SECONDS,
+            timeout=remaining_seconds + LATE_RESPONSE_SECONDS,
             max_idle_seconds=max_idle_seconds,
         )
 
@@ -368,12 +370,12 @@
             status=response.status,
             running=len(self.queue.running),
         )
-        retry_ms = self.queue.mean_ms
+        retry_after_ms = self.queue.mean_ms
         self.refuse(
             offer,
             queued.payload.reply,
-            ranked.Refusal(reason=reason, retry_ms=retry_ms),
-            offered=True,
+            ranked.Refusal(reason=reason, retry_after_ms=retry_after_ms),
+            rejected_by_backend=True,
         )
 
     def fail(
@@ -400,7 +402,7 @@
             if self.server.mark_unreachable(offer.backend):
                 self.refuse_queue()
             refusal = ranked.Refusal(
-                reason=wire.NotRunReason.NOT_SENT, retry_ms=0.0
+                reason=wire.NotRunReason.NOT_SENT, retry_after_ms=0.0
             )
             self.refuse(offer, queued.payload.reply, refusal)
             return
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -225,8 +225,8 @@
             boot=self.boot,
             sequence=self.sequence,
             leaving=self.leaving,
-            store=self.reaches_store,
-            orders=self.orders_revision,
+            store_reachable=self.reaches_store,
+            orders_revision=self.orders_revision,
             server=server,
             counts=counts,
         )
@@ -307,8 +307,8 @@
             boot=0,
             sequence=0,
             leaving=False,
-            store=False,
-            orders=0,
+            store_reachable=False,
+            orders_revision=0,
             server=None,
         )
         fleet.record_state(self.members, unheard, self.loop.time())
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -50,13 +50,13 @@
         self.rng = rng
         self.loop = asyncio.get_running_loop()
         self.latency_model = placement.LatencyModel()
-        self.splits = splits.Splits()
+        self.round_robin_credits = splits.RoundRobinCredits()
         # Last version draw of each service.
         self.version_draws: dict[str, float] = {}
 
     def choose_service(self, route: model.TrafficRoute) -> str:
         """Return the service for the next request of a route."""
-        return splits.choose_service(self.splits, route)
+        return splits.choose_service(self.round_robin_credits, route)
 
     def next_version_draw(self, service: str) -> float:
         """Return a number between 0 and 1 that selects a request's version."""
@@ -109,9 +109,9 @@
             now=self.loop.time(),
         )
 
-    def usual_ms(self, route: str) -> float:
-        """Return the usual time of a route, in milliseconds; 0 if unknown."""
-        return self.latency_model.routes.get(route, 0.0)
+    def mean_ms(self, route: str) -> float:
+        """Return the mean time of a route, in milliseconds; 0 if unknown."""
+        return self.latency_model.route_mean_ms.get(route, 0.0)
 
     def may_hedge(self, service: str) -> bool:
         """Tell whether slow requests of a service may be hedged now.
@@ -124,7 +124,7 @@
 
     def is_suspect(self, active: active_requests.ActiveRequest) -> bool:
         """Tell whether the backend server of an open attempt is suspect."""
-        mean_ms = placement.mean_reported_ms(
+        service_mean_ms = placement.mean_reported_ms(
             self.latency_model, self.candidates(active)
         )
         return any(
@@ -132,7 +132,7 @@
                 self.latency_model,
                 attempt.backend,
                 now=self.loop.time(),
-                mean_ms=mean_ms,
+                service_mean_ms=service_mean_ms,
             )
             for attempt in active.open_attempts.values()
         )
@@ -151,10 +151,10 @@
             running=load.running,
             queued=load.queued,
             limit=load.limit,
-            usual_ms=load.usual_ms,
-            served=load.served,
-            failing=load.failing,
-            quiet_ms=load.quiet_ms,
+            mean_ms=load.mean_ms,
+            sample_count=load.sample_count,
+            failure_ratio=load.failure_ratio,
+            silent_ms=load.silent_ms,
         )
 
     def record_outcome(self, backend: str, *, failed: bool) -> None:
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -222,42 +222,42 @@
             row.key.startswith(platform.ROLLOUTS) for row in rows
         ):
             await self.read_trials()
-        after = self.order_store.revision
+        after_revision = self.order_store.revision
         previous = dict(self.order_store.rows)
         changed = orders.replace_all(
             self.order_store, rows, revision=page.revision
         )
         self.apply(changed)
-        self.push(changed, previous, after=after)
+        self.push(changed, previous, after_revision=after_revision)
 
     async def watch(self) -> None:
         """Wait for changed orders and push them to local peers."""
-        after = self.order_store.revision
+        after_revision = self.order_store.revision
         try:
             page = await self.store.watch(
-                platform.ORDERS, after, WATCH_SECONDS
+                platform.ORDERS, after_revision, WATCH_SECONDS
             )
         except errors.HistoryExpired:
             await self.read_all()
             return
-        if page.revision <= after:
+        if page.revision <= after_revision:
             return
         previous = dict(self.order_store.rows)
         changed = orders.merge(
             self.order_store,
             map(_order_row, page.rows),
-            after=after,
+            after_revision=after_revision,
             revision=page.revision,
         )
         self.apply(changed)
-        self.push(changed, previous, after=after)
+        self.push(changed, previous, after_revision=after_revision)
 
     def push(
         self,
         changed: Iterable[wire.OrderRow],
         previous: Mapping[str, wire.OrderRow],
         *,
-        after: int,
+        after_revision: int,
     ) -> None:
         """Send changed orders to the nodes of this data centre.
 
@@ -267,7 +267,7 @@
             Changed rows.
         previous : mapping
             Rows before the change, which the other nodes hold as well.
-        after : int
+        after_revision : int
             Revision before the change.
         """
         rows = tuple(
@@ -276,7 +276,9 @@
         if self.links is None or not rows:
             return
         message = wire.OrdersPush(
-            after=after, revision=self.order_store.revision, rows=rows
+            after_revision=after_revision,
+            revision=self.order_store.revision,
+            rows=rows,
         )
         self.peers.send_local(message)
 
@@ -308,23 +310,29 @@
                 continue
             rows.append(row)
         changed = orders.merge(
-            self.order_store, rows, after=message.after, revision=revision
+            self.order_store,
+            rows,
+            after_revision=message.after_revision,
+            revision=revision,
         )
         self.apply(changed)
 
     def handle_pull(self, message: wire.OrdersPull) -> None:
         """Send another node the orders that it lacks."""
-        if self.links is None or message.after >= self.order_store.revision:
+        if (
+            self.links is None
+            or message.after_revision >= self.order_store.revision
+        ):
             return
         self.links.send(
             message.node,
             wire.OrdersPush(
-                after=message.after,
+                after_revision=message.after_revision,
                 revision=self.order_store.revision,
                 rows=tuple(
                     patches.pack(row, None)
                     for row in orders.changed_after(
-                        self.order_store, message.after
+                        self.order_store, message.after_revision
                     )
                 ),
             ),
@@ -389,7 +397,7 @@
             return False
         for state in fleet.live_nodes(self.members, now):
             if (
-                state.orders > self.order_store.revision
+                state.orders_revision > self.order_store.revision
                 and state.data_centre == self.settings.data_centre
             ):
                 return self.request_orders(state.node)
@@ -406,7 +414,7 @@
             for state in fleet.live_nodes(
                 self.members, now, within=relays.REMOTE_SILENT_SECONDS
             )
-            if state.orders > self.order_store.revision
+            if state.orders_revision > self.order_store.revision
         ]
         local = [
             s for s in ahead if s.data_centre == self.settings.data_centre
@@ -429,7 +437,8 @@
         if self.links is None:
             return False
         message = wire.OrdersPull(
-            node=self.settings.instance, after=self.order_store.revision
+            node=self.settings.instance,
+            after_revision=self.order_store.revision,
         )
         return self.links.send(node, message)
 
--- a/apricotpost/sidecar/responses.py
+++ b/apricotpost/sidecar/responses.py
@@ -84,7 +84,7 @@
         head: platform.RequestHead,
         status: int,
         reason: str,
-        retry_ms: int = 0,
+        retry_after_ms: int = 0,
     ) -> None:
         """Refuse a request that was not routed to a service.
 
@@ -98,13 +98,13 @@
             Status of the response.
         reason : str
             Reason for the log and the metrics.
-        retry_ms : int
+        retry_after_ms : int
             Time after which the client may retry, in milliseconds; 0 for a
             response without Retry-After.
         """
         seconds = 0.0
-        if retry_ms:
-            seconds = self.retry_after_seconds(retry_ms)
+        if retry_after_ms:
+            seconds = self.retry_after_seconds(retry_after_ms)
         exchange.respond(
             http.Response(
                 status=status,
@@ -124,10 +124,10 @@
             version=self.read_view().version,
         )
 
-    def retry_after_seconds(self, retry_ms: int) -> float:
+    def retry_after_seconds(self, retry_after_ms: int) -> float:
         """Return the Retry-After of a refused request, in seconds."""
         return active_requests.jittered_retry_seconds(
-            retry_ms, self.rng.random()
+            retry_after_ms, self.rng.random()
         )
 
     def report_late(self, call: str) -> None:
--- a/apricotpost/sidecar/retry_budgets.py
+++ b/apricotpost/sidecar/retry_budgets.py
@@ -55,17 +55,17 @@
         """
         bounds = self.bounds
         nodes = max(self.count_nodes(), 1)
-        base = max(bounds.retry_slack * BUDGET_FRACTION / nodes, 1.0)
+        base_limit = max(bounds.retry_slack * BUDGET_FRACTION / nodes, 1.0)
         budget = self.budgets.get(service)
         if budget is None:
             budget = retries.Budget(
-                tokens=base, per_call=bounds.retry_ratio * RATIO_FRACTION
+                tokens=base_limit, per_call=bounds.retry_ratio * RATIO_FRACTION
             )
         self.budgets[service] = retries.earn_in_window(
             budget,
-            base=base,
-            burst=bounds.retry_ratio * BURST_FRACTION,
-            window=bounds.retry_window_seconds,
+            base_limit=base_limit,
+            limit_per_call=bounds.retry_ratio * BURST_FRACTION,
+            window_seconds=bounds.retry_window_seconds,
             now=now,
         )
 
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -331,7 +331,7 @@
             return False
         return not any(
             state.node < self.settings.instance
-            and state.store
+            and state.store_reachable
             and not state.leaving
             for state in fleet.live_nodes(
                 self.members, now, within=HOLDER_SILENT_SECONDS
--- a/apricotpost/wire/sidecar_messages.py
+++ b/apricotpost/wire/sidecar_messages.py
@@ -40,13 +40,13 @@
         Requests in process at the backend server, and waiting at its gate.
     limit : int
         Current concurrency limit of the backend server.
-    usual_ms : float
+    mean_ms : float
         Mean latency in milliseconds.
-    failing : float
+    failure_ratio : float
         Fraction of recent requests that failed.
-    served : int
-        Number of samples in `usual_ms`, which is capped at some tens.
-    quiet_ms : int
+    sample_count : int
+        Number of samples in `mean_ms`, which is capped at some tens.
+    silent_ms : int
         Time in milliseconds since the last response while requests are in
         process; 0 if there are none.
     """
@@ -54,10 +54,10 @@
     running: int
     queued: int
     limit: int
-    usual_ms: float
-    failing: float = 0.0
-    served: int = 0
-    quiet_ms: int = 0
+    mean_ms: float
+    failure_ratio: float = 0.0
+    sample_count: int = 0
+    silent_ms: int = 0
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -83,7 +83,7 @@
         Whether the request may be executed more than once.
     accepts_late : bool
         Whether the request stays queued even if it will miss its objective.
-    left_ms, objective_ms : int
+    remaining_ms, objective_ms : int
         Time in milliseconds left until the deadline and until the latency
         objective is missed.
     method, target, headers, body
@@ -100,7 +100,7 @@
     rank: int
     idempotent: bool
     accepts_late: bool
-    left_ms: int
+    remaining_ms: int
     objective_ms: int
     method: bytes
     target: bytes
@@ -128,9 +128,9 @@
         Identifier of the attempt.
     reason : messages.NotRunReason
         Reason of the refusal.
-    retry_ms : int
+    retry_after_ms : int
         Time in milliseconds after which there may be capacity again.
-    offered : bool
+    rejected_by_backend : bool
         Whether the backend server itself rejected the request.
     load : ServerLoad or None
         Load of the backend server; None if there is no backend server.
@@ -138,8 +138,8 @@
 
     call: str
     reason: messages.NotRunReason
-    retry_ms: int
-    offered: bool
+    retry_after_ms: int
+    rejected_by_backend: bool
     load: ServerLoad | None
 
 
@@ -198,9 +198,9 @@
         Identifies the state of the process; higher is newer.
     leaving : bool
         Whether the node accepts no new calls.
-    store : bool
+    store_reachable : bool
         Whether the node can reach the platform's store.
-    orders : int
+    orders_revision : int
         Store revision up to which the node holds all orders.
     server : ServerState or None
         Backend server of the node; None before its first heartbeat.
@@ -214,8 +214,8 @@
     boot: int
     sequence: int
     leaving: bool
-    store: bool
-    orders: int
+    store_reachable: bool
+    orders_revision: int
     server: ServerState | None
     counts: tuple[VersionCounts, ...] = ()
 
@@ -256,7 +256,7 @@
 
     PLAIN = 0
     # Compressed without a dictionary.
-    WHOLE = 1
+    COMPRESSED = 1
     # Compressed with an earlier value of the row as the dictionary.
     PATCH = 2
 
@@ -285,7 +285,7 @@
 class OrdersPush(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """All orders that changed after one store revision, up to another."""
 
-    after: int
+    after_revision: int
     revision: int
     rows: tuple[PackedRow, ...]
 
@@ -294,7 +294,7 @@
     """Request for the orders that changed after a store revision."""
 
     node: str
-    after: int
+    after_revision: int
 
 
 class TrialNotice(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/tests/admission/test_ranked.py
+++ b/tests/admission/test_ranked.py
@@ -85,7 +85,7 @@
         for refusal in refused:
             if refusal is not None:
                 self.assertIs(wire.NotRunReason.GATE_FULL, refusal.reason)
-                self.assertGreater(refusal.retry_ms, 0)
+                self.assertGreater(refusal.retry_after_ms, 0)
 
     def test_lasting_overload_serves_in_time(self):
         """Guards against a queue in which every answer is late.
@@ -172,15 +172,15 @@
     def test_load_reports_the_time_without_answers(self):
         """Guards against callers that mistake a hung server for a busy one."""
         queue = make_queue()
-        self.assertEqual(0, ranked.describe_load(queue, 5.0).quiet_ms)
+        self.assertEqual(0, ranked.describe_load(queue, 5.0).silent_ms)
         for name, now in (("a", 5.0), ("b", 5.1)):
             offer(queue, make_queued(name, at=now), now)
             ranked.start(queue, now)
-        self.assertEqual(500, ranked.describe_load(queue, 5.5).quiet_ms)
+        self.assertEqual(500, ranked.describe_load(queue, 5.5).silent_ms)
         ranked.finish(queue, "a", ran_ms=600.0, failed=False, now=5.6)
-        self.assertEqual(100, ranked.describe_load(queue, 5.7).quiet_ms)
+        self.assertEqual(100, ranked.describe_load(queue, 5.7).silent_ms)
         ranked.finish(queue, "b", ran_ms=None, failed=False, now=5.8)
-        self.assertEqual(0, ranked.describe_load(queue, 9.0).quiet_ms)
+        self.assertEqual(0, ranked.describe_load(queue, 9.0).silent_ms)
 
     def test_failure_ratio_decays_without_requests(self):
         """Guards against a server that is never tried again.
@@ -193,6 +193,6 @@
             ranked.enqueue(queue, make_queued(str(index)))
             ranked.start(queue, 0.0)
             ranked.finish(queue, str(index), ran_ms=None, failed=True, now=1.0)
-        self.assertGreater(ranked.describe_load(queue, 1.0).failing, 0.8)
+        self.assertGreater(ranked.describe_load(queue, 1.0).failure_ratio, 0.8)
         later = 1.0 + 2 * ranked.FAILURE_HALF_LIFE_SECONDS
-        self.assertLess(ranked.describe_load(queue, later).failing, 0.25)
+        self.assertLess(ranked.describe_load(queue, later).failure_ratio, 0.25)
--- a/tests/distribution/test_orders.py
+++ b/tests/distribution/test_orders.py
@@ -22,15 +22,21 @@
     def test_revision_stays_below_a_gap(self):
         """Guards against orders that are not requested after a lost push."""
         order_store = orders.OrderStore()
-        orders.merge(order_store, [make_row("a", 3)], after=0, revision=3)
-        orders.merge(order_store, [make_row("c", 9)], after=7, revision=9)
+        orders.merge(
+            order_store, [make_row("a", 3)], after_revision=0, revision=3
+        )
+        orders.merge(
+            order_store, [make_row("c", 9)], after_revision=7, revision=9
+        )
         self.assertEqual(3, order_store.revision)
         self.assertIn("c", order_store.rows)
 
     def test_missing_rows_of_a_full_read_are_removed(self):
         """Guards against an evacuation that continues after its removal."""
         order_store = orders.OrderStore()
-        orders.merge(order_store, [make_row("e", 3)], after=0, revision=3)
+        orders.merge(
+            order_store, [make_row("e", 3)], after_revision=0, revision=3
+        )
         changed = orders.replace_all(
             order_store, [make_row("c", 2)], revision=8
         )
@@ -40,7 +46,9 @@
     def test_an_older_full_read_changes_nothing(self):
         """Guards against orders that an outdated replica's answer removes."""
         order_store = orders.OrderStore()
-        orders.merge(order_store, [make_row("e", 9)], after=0, revision=9)
+        orders.merge(
+            order_store, [make_row("e", 9)], after_revision=0, revision=9
+        )
         self.assertEqual([], orders.replace_all(order_store, [], revision=5))
 
     @settings(derandomize=True, max_examples=200)
@@ -59,7 +67,7 @@
         order_store = orders.OrderStore()
         newest = {}
         for low, high, rows in data.draw(strategies.permutations(pushes)):
-            orders.merge(order_store, rows, after=low, revision=high)
+            orders.merge(order_store, rows, after_revision=low, revision=high)
             for key, row in order_store.rows.items():
                 self.assertGreaterEqual(row.revision, newest.get(key, 0))
                 newest[key] = row.revision
--- a/tests/distribution/test_patches.py
+++ b/tests/distribution/test_patches.py
@@ -33,7 +33,9 @@
         self.new = make_row(make_value(3000, changed=1500), 9)
 
     def store_row(self, row):
-        orders.merge(self.order_store, [row], after=0, revision=row.revision)
+        orders.merge(
+            self.order_store, [row], after_revision=0, revision=row.revision
+        )
 
     def test_small_change_takes_few_bytes(self):
         """Guards against seconds of transfer for a change on a slow link.
@@ -66,7 +68,7 @@
             value=b"no frame",
             revision=3,
             removed=False,
-            form=wire.PackedForm.WHOLE,
+            form=wire.PackedForm.COMPRESSED,
         )
         with self.assertRaises(errors.MalformedMessage):
             patches.unpack(packed, self.order_store)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -20,8 +20,12 @@
     def test_older_states_change_nothing(self):
         """Guards against an older state that arrives after a newer one."""
         self.assertTrue(self.record(node="a", boot=2, sequence=5))
-        self.assertFalse(self.record(node="a", boot=2, sequence=4, orders=9))
-        self.assertFalse(self.record(node="a", boot=1, sequence=99, orders=9))
+        self.assertFalse(
+            self.record(node="a", boot=2, sequence=4, orders_revision=9)
+        )
+        self.assertFalse(
+            self.record(node="a", boot=1, sequence=99, orders_revision=9)
+        )
         self.assertEqual(0, fleet.newest_orders(self.fleet))
         self.assertTrue(self.record(node="a", boot=3, sequence=1))
 
@@ -62,7 +66,7 @@
         The first node does not reach the store, is leaving or is silent.
         """
         for change in (
-            {"store": False},
+            {"store_reachable": False},
             {"leaving": True},
         ):
             self.record(node="a", boot=5, sequence=1)
@@ -83,12 +87,12 @@
         In an outage of 8 s no node had a preceding node that reached the
         store, so each of them called the store every second.
         """
-        self.record(node="a1", store=False)
+        self.record(node="a1", store_reachable=False)
         self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
-        self.record(node="c", store=False)
-        self.record(node="a9", data_centre="dc-b", store=False)
+        self.record(node="c", store_reachable=False)
+        self.record(node="a9", data_centre="dc-b", store_reachable=False)
         self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
-        self.record(node="a2", store=False)
+        self.record(node="a2", store_reachable=False)
         slow = fleet.SLOW_PROBE_SECONDS
         self.assertEqual(slow, fleet.probe_interval_seconds(self.fleet, 0.0))
         # The two preceding nodes are silent now.
@@ -97,8 +101,8 @@
 
     def test_node_probes_slowly_if_a_neighbour_reaches_the_store(self):
         """Guards against unnecessary calls of the store, which are charged."""
-        self.record(node="c", store=True)
+        self.record(node="c", store_reachable=True)
         slow = fleet.SLOW_PROBE_SECONDS
         self.assertEqual(slow, fleet.probe_interval_seconds(self.fleet, 0.0))
-        self.record(node="c", sequence=2, store=True, leaving=True)
+        self.record(node="c", sequence=2, store_reachable=True, leaving=True)
         self.assertEqual(0.0, fleet.probe_interval_seconds(self.fleet, 0.0))
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -131,7 +131,7 @@
         found = platform.make_call_headers(
             ((b"x-caller-service", b"forged"), (b"X-Deadline-Ms", b"9")),
             backend="b",
-            left_ms=5,
+            remaining_ms=5,
             caller="portal",
         )
         self.assertEqual(3, len(found))
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -27,14 +27,14 @@
     return found[0].node
 
 
-def report(latency_model, name, running, limit=12, usual_ms=160.0, **load):
+def report(latency_model, name, running, limit=12, mean_ms=160.0, **load):
     placement.record_load(
         latency_model,
         backend=name,
         running=running,
         queued=0,
         limit=limit,
-        usual_ms=usual_ms,
+        mean_ms=mean_ms,
         **load,
     )
 
@@ -42,7 +42,7 @@
 class PlacementTest(unittest.TestCase):
     def setUp(self):
         self.latency_model = placement.LatencyModel()
-        self.latency_model.routes["r"] = 160.0
+        self.latency_model.route_mean_ms["r"] = 160.0
 
     def test_prefers_the_faster_server(self):
         """Guards against slow servers that get as many requests as others."""
@@ -65,14 +65,14 @@
         Load: 80 nodes call 41 backend servers, so that a node sends each
         backend server one request in three seconds.
         """
-        report(self.latency_model, "slow", 3, usual_ms=330.0, served=20)
-        report(self.latency_model, "fast", 5, usual_ms=150.0, served=20)
+        report(self.latency_model, "slow", 3, mean_ms=330.0, sample_count=20)
+        report(self.latency_model, "fast", 5, mean_ms=150.0, sample_count=20)
         pair = [make_candidate("slow"), make_candidate("fast")]
         self.assertEqual("fast", choose(self.latency_model, pair))
 
     def test_reported_failures_set_a_server_aside(self):
         """Guards against faulty servers that each node has to detect."""
-        report(self.latency_model, "faulty", 1, failing=0.4)
+        report(self.latency_model, "faulty", 1, failure_ratio=0.4)
         report(self.latency_model, "healthy", 6)
         pair = [make_candidate("faulty"), make_candidate("healthy")]
         self.assertEqual("healthy", choose(self.latency_model, pair))
@@ -93,22 +93,22 @@
         """Guards against requests that wait for a hung server."""
 
         def is_suspect_with(**changes):
-            values = {"served": 30, "usual_ms": 100.0, **changes}
+            values = {"sample_count": 30, "mean_ms": 100.0, **changes}
             report(self.latency_model, "s", 4, **values)
             return placement.is_suspect(
-                self.latency_model, "s", now=0.0, mean_ms=100.0
+                self.latency_model, "s", now=0.0, service_mean_ms=100.0
             )
 
         self.assertFalse(is_suspect_with())
-        self.assertFalse(is_suspect_with(quiet_ms=100))
-        self.assertTrue(is_suspect_with(quiet_ms=200))
-        self.assertTrue(is_suspect_with(usual_ms=250.0))
-        self.assertTrue(is_suspect_with(failing=0.3))
+        self.assertFalse(is_suspect_with(silent_ms=100))
+        self.assertTrue(is_suspect_with(silent_ms=200))
+        self.assertTrue(is_suspect_with(mean_ms=250.0))
+        self.assertTrue(is_suspect_with(failure_ratio=0.3))
 
     def test_few_reported_requests_have_little_weight(self):
         """Guards against a backend server that one long request excludes."""
-        report(self.latency_model, "unlucky", 0, usual_ms=480.0, served=1)
-        report(self.latency_model, "usual", 8, usual_ms=160.0, served=20)
+        report(self.latency_model, "unlucky", 0, mean_ms=480.0, sample_count=1)
+        report(self.latency_model, "usual", 8, mean_ms=160.0, sample_count=20)
         server = self.latency_model.server("unlucky")
         self.assertLess(placement.relative_latency(server, 320.0), 1.2)
 
@@ -118,7 +118,7 @@
             placement.record_latency(
                 self.latency_model, route="r", backend="steady", ran_ms=160.0
             )
-        report(self.latency_model, "steady", 0, usual_ms=320.0, served=30)
+        report(self.latency_model, "steady", 0, mean_ms=320.0, sample_count=30)
         server = self.latency_model.server("steady")
         self.assertLess(placement.relative_latency(server, 160.0), 1.5)
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -7,15 +7,19 @@
 
 __all__ = ["WindowBudgetTest"]
 
-BASE = 1.25
-BURST = 0.06
+BASE_LIMIT = 1.25
+LIMIT_PER_CALL = 0.06
 PER_CALL = 0.07
-WINDOW = 10.0
+WINDOW_SECONDS = 10.0
 
 
 def earn(budget, now):
     return retries.earn_in_window(
-        budget, base=BASE, burst=BURST, window=WINDOW, now=now
+        budget,
+        base_limit=BASE_LIMIT,
+        limit_per_call=LIMIT_PER_CALL,
+        window_seconds=WINDOW_SECONDS,
+        now=now,
     )
 
 
@@ -29,7 +33,7 @@
 
 class WindowBudgetTest(unittest.TestCase):
     def start(self):
-        return retries.Budget(tokens=BASE, per_call=PER_CALL)
+        return retries.Budget(tokens=BASE_LIMIT, per_call=PER_CALL)
 
     def test_burst_of_failures_is_retried(self):
         """Guards against a budget too small for a burst of failures.
@@ -57,10 +61,11 @@
                 budget, spent = spend_all(budget)
                 spends.extend([now] * spent)
         for end in spends:
-            within = [t for t in spends if end - WINDOW < t <= end]
-            seen = [t for t in calls if end - 2 * WINDOW < t <= end]
+            within = [t for t in spends if end - WINDOW_SECONDS < t <= end]
+            seen = [t for t in calls if end - 2 * WINDOW_SECONDS < t <= end]
             self.assertLessEqual(
-                len(within), 1.0 + BASE + (BURST + PER_CALL) * len(seen)
+                len(within),
+                1.0 + BASE_LIMIT + (LIMIT_PER_CALL + PER_CALL) * len(seen),
             )
 
     def test_quiet_node_keeps_the_base_only(self):
@@ -69,4 +74,4 @@
         for index in range(200):
             budget = earn(budget, index * 0.1)
         budget = earn(budget, 120.0)
-        self.assertLess(budget.tokens, BASE + 0.1)
+        self.assertLess(budget.tokens, BASE_LIMIT + 0.1)
--- a/tests/routing/test_splits.py
+++ b/tests/routing/test_splits.py
@@ -29,7 +29,7 @@
 class SplitTest(unittest.TestCase):
     def test_shares_follow_the_weights_exactly(self):
         """Guards against shares that hold only on average."""
-        state = splits.Splits()
+        state = splits.RoundRobinCredits()
         route = make_route(a=90, b=10)
         found = [splits.choose_service(state, route) for _ in range(100)]
         self.assertEqual(10, found.count("b"))
@@ -37,7 +37,7 @@
 
     def test_changed_weights_hold_at_once(self):
         """Guards against old credits that distort the new shares."""
-        state = splits.Splits()
+        state = splits.RoundRobinCredits()
         for _ in range(55):
             splits.choose_service(state, make_route(a=50, b=50))
         route = make_route(a=10, b=90)
@@ -46,7 +46,7 @@
 
     def test_weight_zero_gets_nothing(self):
         """Guards against requests to a service with weight 0."""
-        state = splits.Splits()
+        state = splits.RoundRobinCredits()
         route = make_route(a=1, b=0)
         found = {splits.choose_service(state, route) for _ in range(20)}
         self.assertEqual({"a"}, found)
--- a/tests/sidecar/builders.py
+++ b/tests/sidecar/builders.py
@@ -7,7 +7,7 @@
 
 
 def make_load(**changes):
-    values = {"running": 0, "queued": 0, "limit": 8, "usual_ms": 100.0}
+    values = {"running": 0, "queued": 0, "limit": 8, "mean_ms": 100.0}
     return wire.ServerLoad(**{**values, **changes})
 
 
@@ -31,8 +31,8 @@
         "boot": 1,
         "sequence": 1,
         "leaving": False,
-        "store": True,
-        "orders": 0,
+        "store_reachable": True,
+        "orders_revision": 0,
         "server": None,
     }
     return wire.NodeState(**{**values, **changes})
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -52,8 +52,8 @@
     values = {
         "call": "c",
         "reason": FULL,
-        "retry_ms": 0,
-        "offered": False,
+        "retry_after_ms": 0,
+        "rejected_by_backend": False,
         "load": None,
     }
     return active_requests.decide_after_refusal(
@@ -69,7 +69,7 @@
     return active_requests.decide_after_failure(
         active,
         retries.Budget(tokens=tokens),
-        usual_ms=100.0,
+        mean_ms=100.0,
         now=now,
         untried=untried,
     ).action
@@ -102,9 +102,9 @@
         without a limit: 485 attempts in 10 s, where 462 were allowed.
         """
         active = make_active_request(backend_attempts=1)
-        found = refuse(active, offered=True, tokens=0.5)
+        found = refuse(active, rejected_by_backend=True, tokens=0.5)
         self.assertEqual(active_requests.NextAction.REFUSE, found.action)
-        found = refuse(active, offered=True, tokens=1.0)
+        found = refuse(active, rejected_by_backend=True, tokens=1.0)
         self.assertEqual(active_requests.NextAction.OFFER, found.action)
 
     def test_passed_deadline_is_final(self):
@@ -150,11 +150,11 @@
 class HedgeTest(unittest.TestCase):
     """Rules for sending a request to a second server as well."""
 
-    def may(self, active, *, tokens=3.0, now=0.3, untried=1, usual_ms=100.0):
+    def may(self, active, *, tokens=3.0, now=0.3, untried=1, mean_ms=100.0):
         return active_requests.may_hedge(
             active,
             retries.Budget(tokens=tokens),
-            usual_ms=usual_ms,
+            mean_ms=mean_ms,
             now=now,
             untried=untried,
         )
@@ -176,7 +176,7 @@
         self.assertFalse(self.may(self.make(), tokens=0.9))
         self.assertFalse(self.may(self.make(), untried=0))
         self.assertFalse(self.may(self.make(), now=0.95))
-        self.assertFalse(self.may(self.make(), usual_ms=0.0))
+        self.assertFalse(self.may(self.make(), mean_ms=0.0))
         self.assertFalse(self.may(self.make(max_attempts=1)))
         self.assertFalse(self.may(self.make(backend_attempts=1)))
         again = self.make()
@@ -195,10 +195,10 @@
         """
         active = self.make()
         self.assertFalse(
-            active_requests.is_overdue(active, usual_ms=100.0, now=0.4)
+            active_requests.is_overdue(active, mean_ms=100.0, now=0.4)
         )
         self.assertTrue(
-            active_requests.is_overdue(active, usual_ms=100.0, now=0.45)
+            active_requests.is_overdue(active, mean_ms=100.0, now=0.45)
         )
 
     def test_hedge_delay_follows_the_usual_time_of_the_route(self):
--- a/tests/sidecar/test_load_balancer.py
+++ b/tests/sidecar/test_load_balancer.py
@@ -45,7 +45,7 @@
     async def test_no_hedges_during_a_trial(self):
         """Guards against a slow version without slow requests as evidence.
 
-        A request counts as slow at 3 times the usual time. A hedge at 2.5
+        A request counts as slow at 3 times the mean time. A hedge at 2.5
         times would cancel it before.
         """
         self.assertTrue(self.balancer.may_hedge("portal"))
@@ -57,14 +57,16 @@
 
     async def test_cancelled_attempts_make_a_server_slow(self):
         """Guards against a hung server that still counts as fast."""
-        self.balancer.latency_model.routes["r"] = 10.0
+        self.balancer.latency_model.route_mean_ms["r"] = 10.0
         active = types.SimpleNamespace(route=types.SimpleNamespace(name="r"))
         attempt = active_requests.Attempt(
             node="n1", backend="b1", sent_at=self.balancer.loop.time() - 1.0
         )
         for _ in range(5):
             self.balancer.record_cancelled(active, attempt)
-        self.assertGreater(self.balancer.latency_model.server("b1").speed, 2.0)
+        self.assertGreater(
+            self.balancer.latency_model.server("b1").own_relative_latency, 2.0
+        )
 
     async def test_version_draws_are_evenly_spread(self):
         """Guards against bursts of requests to a new version."""
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -60,7 +60,10 @@
 
     def record_state(self, node, data_centre="dc-a", boot=1):
         state = builders.make_state(
-            node=node, data_centre=data_centre, boot=boot, store=bool(boot)
+            node=node,
+            data_centre=data_centre,
+            boot=boot,
+            store_reachable=bool(boot),
         )
         fleet.record_state(
             self.members, state, asyncio.get_running_loop().time()
