--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -119,7 +119,7 @@
 
 
 def _update_own_record(task: control_state.ControlTask) -> None:
-    """Spread the own record if the state of the backend server changed.
+    """Disseminate the own record if the state of the backend server changed.
 
     STARTING with a service set means that the backend server is lost: callers
     treat the instance as down, while its node still answers probes.
--- a/tests/rollout/test_quiet.py
+++ b/tests/rollout/test_quiet.py
@@ -8,7 +8,7 @@
 
 __all__ = ["QuietServiceTest"]
 
-FACTS = steps.ServerCounts(
+SERVER_COUNTS = steps.ServerCounts(
     old_servers=4, new_servers=4, old_slots=48, new_slots=48
 )
 
@@ -27,7 +27,9 @@
             changed_at=0.0,
         )
         judgement = judgements.Judgement(calls_per_second=calls_per_second)
-        return steps.decide(rollout, judgement, FACTS, 0.0, steps.Times())
+        return steps.decide(
+            rollout, judgement, SERVER_COUNTS, 0.0, steps.Times()
+        )
 
     def test_quiet_service_starts_with_a_larger_share(self):
         """Guards against a first share of 1 % that never gives 20 calls."""
