--- a/soak/world.py
+++ b/soak/world.py
@@ -265,7 +265,7 @@
             checks.Run(request=request, backend=backend.identifier, at=at)
             for backend in self.backends
             for request, at in zip(
-                backend.runs, backend.run_times, strict=True
+                backend.runs, backend.run_started_at, strict=True
             )
         ]
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -1,8 +1,8 @@
 """Stand-in for a backend server.
 
 It announces itself to the node beside it, starts cold, sheds load above its
-slots, falls over when a cold start is overloaded, drains on SIGTERM and can
-be given the faults of a bad version.
+slots, refuses all calls for a time when it is overloaded while cold, drains
+on SIGTERM, and can be given the faults of a bad version.
 """
 
 import argparse
@@ -26,34 +26,35 @@
 Environ = dict[str, typing.Any]
 StartResponse = Callable[..., typing.Any]
 
-# Calls at once above which a cold backend server falls over.
-COLD_CAPACITY = 4
-FALL_OVER_SECONDS = 2.0
-ANNOUNCE_SECONDS = 1.0
+# A cold backend server that gets more concurrent calls than this refuses all
+# calls for `OUTAGE_SECONDS`.
+MAX_COLD_CALLS = 4
+OUTAGE_SECONDS = 2.0
+ANNOUNCEMENT_INTERVAL_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Behaviour:
-    """How the backend server acts.
+    """Behaviour of the backend server; its JSON form has the same keys.
 
     Parameters
     ----------
     slots : int
-        Calls handled at once; more are shed.
+        Largest number of concurrent calls; calls above it are shed.
     service_ms : float
-        Duration of a call in milliseconds.
+        Duration of a call, in milliseconds.
     warm_after : int
-        Calls after which it is no longer cold.
+        Number of calls after which the backend server is no longer cold.
     failure_rate : float
-        Share of calls answered with status 500.
+        Fraction of the faulty calls that get status 500.
     slow_factor : float
-        Factor on the duration.
+        Factor on the duration of the faulty calls.
     fault_prefix : str
-        Path prefix to which the fault is limited.
+        Only calls with this path prefix are faulty.
     fault_after_seconds : float
-        Time after the start when the fault begins.
+        Calls are faulty from this time after the start on, in seconds.
     fault_in_flight : int
-        Calls in flight at which the fault begins.
+        Calls are faulty while at least this many calls are in flight.
     """
 
     slots: int = 12
@@ -68,7 +69,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class State:
-    """Counters of a running backend server."""
+    """State and counters of a running backend server."""
 
     behaviour: Behaviour
     version: str
@@ -77,7 +78,7 @@
     in_flight: int = 0
     served: int = 0
     shed: int = 0
-    falls: int = 0
+    outages: int = 0
     max_in_flight: int = 0
     down_until: float = 0.0
     cold: bool = True
@@ -90,7 +91,9 @@
 def make_app(state: State) -> Callable[..., Iterable[bytes]]:
     """Make the WSGI application."""
 
-    def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
+    def app(
+        environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = environ["wsgi.input"].read(length) if length else b""
         status, answer = _handle(state, environ, body)
@@ -101,7 +104,7 @@
         ]
         if state.cold:
             headers.append(("X-Backend-Cold", "1"))
-        start(status, headers)
+        start_response(status, headers)
         return [answer]
 
     return app
@@ -110,14 +113,14 @@
 def _handle(state: State, environ: Environ, body: bytes) -> tuple[str, bytes]:
     path = environ["PATH_INFO"]
     if path == "/-/state":
-        return "200 OK", _describe(state)
+        return "200 OK", _encode_state(state)
     if path == "/-/behaviour":
         changes = json.loads(body)
         if changes.pop("cold", False):
             state.cold, state.served = True, 0
         state.behaviour = dataclasses.replace(state.behaviour, **changes)
         return "200 OK", b"{}"
-    if not _enter(state):
+    if not _admit(state):
         return "503 Service Unavailable", b'{"shed": true}'
     try:
         return _serve(state, environ, path, body)
@@ -126,14 +129,14 @@
             state.in_flight -= 1
 
 
-def _enter(state: State) -> bool:
+def _admit(state: State) -> bool:
     now = time.monotonic()
     with state.lock:
         if now < state.down_until:
             return False
-        if state.cold and state.in_flight >= COLD_CAPACITY:
-            state.falls += 1
-            state.down_until = now + FALL_OVER_SECONDS
+        if state.cold and state.in_flight >= MAX_COLD_CALLS:
+            state.outages += 1
+            state.down_until = now + OUTAGE_SECONDS
             return False
         if state.in_flight >= state.behaviour.slots:
             state.shed += 1
@@ -148,23 +151,23 @@
 ) -> tuple[str, bytes]:
     behaviour = state.behaviour
     faulty = _is_faulty(state, path)
-    factor = behaviour.slow_factor if faulty else 1.0
+    slowdown = behaviour.slow_factor if faulty else 1.0
     if state.cold:
-        factor *= 2.0
-    time.sleep(behaviour.service_ms * factor / 1000)
+        slowdown *= 2.0
+    time.sleep(behaviour.service_ms * slowdown / 1000)
     with state.lock:
         state.served += 1
         state.cold = state.cold and state.served < behaviour.warm_after
-        draw = state.rng.random()
-        request = environ.get("HTTP_X_REQUEST_ID", "")
-        if request:
-            state.executions[request] += 1
-    if faulty and draw < behaviour.failure_rate:
+        random_value = state.rng.random()
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        if request_id:
+            state.executions[request_id] += 1
+    if faulty and random_value < behaviour.failure_rate:
         return "500 Internal Server Error", b'{"failed": true}'
     answer = {
         "version": state.version,
         "path": path,
-        "request": request,
+        "request": request_id,
         "body": body.decode("utf-8", "replace"),
     }
     return "200 OK", json.dumps(answer).encode()
@@ -180,7 +183,7 @@
     )
 
 
-def _describe(state: State) -> bytes:
+def _encode_state(state: State) -> bytes:
     with state.lock:
         return json.dumps(
             {
@@ -189,14 +192,14 @@
                 "max_in_flight": state.max_in_flight,
                 "served": state.served,
                 "shed": state.shed,
-                "falls": state.falls,
+                "falls": state.outages,
                 "cold": state.cold,
                 "executions": dict(state.executions),
             }
         ).encode()
 
 
-def _announce(
+def _send_announcements(
     options: argparse.Namespace, state: State, stopped: threading.Event
 ) -> None:
     pool = urllib3.PoolManager(maxsize=1, retries=False)
@@ -218,8 +221,8 @@
                 timeout=2.0,
             )
         except urllib3.exceptions.HTTPError:
-            pass  # The node may not be there yet; the next round tells it.
-        if stopped.is_set() or stopped.wait(ANNOUNCE_SECONDS):
+            pass  # The node may not run yet; the next announcement repeats it.
+        if stopped.is_set() or stopped.wait(ANNOUNCEMENT_INTERVAL_SECONDS):
             break
 
 
@@ -229,7 +232,7 @@
         time.sleep(0.05)
 
 
-def _parse() -> argparse.Namespace:
+def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
@@ -245,8 +248,8 @@
 
 
 def main() -> int:
-    """Run the stand-in until SIGTERM, then drain."""
-    options = _parse()
+    """Run the stand-in until SIGTERM, then drain it."""
+    options = _parse_arguments()
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     state = State(
@@ -261,7 +264,7 @@
         port=options.port,
         threads=state.behaviour.slots + 8,
     ):
-        _announce(options, state, stopped)
+        _send_announcements(options, state, stopped)
         _wait_idle(state, 10.0)
     return 0
 
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -1,4 +1,4 @@
-"""Backend servers that count what they run and can misbehave."""
+"""Stand-ins of backend servers that record requests and inject faults."""
 
 import asyncio
 import time
@@ -11,12 +11,16 @@
 
 
 class Backend:
-    """A backend server that counts what it runs and can misbehave.
+    """Backend server that records the requests it executes.
 
     Parameters
     ----------
-    identifier, service, version, host : str
-        Who and where it is.
+    identifier : str
+        Identifier of the backend server.
+    service, version : str
+        Service and version that it runs.
+    host : str
+        IP address to listen on.
     """
 
     def __init__(
@@ -37,12 +41,12 @@
         self.work_seconds = 0.005
         self.mode = "answer"
         self.sequence = 0
-        self.born = time.time_ns() // 1_000_000
+        self.started_at_ms = time.time_ns() // 1_000_000
         self.runs: list[str] = []
-        # Monotonic time of each run, in seconds.
-        self.run_times: list[float] = []
+        # Monotonic time of the start of each of `runs`, in seconds.
+        self.run_started_at: list[float] = []
         self.requests: list[http.Request] = []
-        self.at_once = 0
+        self.active_requests = 0
         self.most_at_once = 0
         self.cancelled = 0
         self.listener = http.Listener(
@@ -52,59 +56,62 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, port: int = 0) -> None:
-        """Listen on a port; 0 takes a free one."""
+        """Listen on a port; 0 chooses a free one."""
         await self.listener.listen(self.host, port)
         port = self.listener.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
 
     def close(self) -> None:
-        """Crash."""
+        """Abort all requests and close all connections, as in a crash."""
         for task in self.tasks:
             task.cancel()
         self.listener.close()
 
     def handle(self, exchange: http.Exchange) -> None:
-        """Run a request in a task of its own."""
-        task = asyncio.get_running_loop().create_task(self.run(exchange))
+        """Execute a request in a task of its own."""
+        task = asyncio.get_running_loop().create_task(self.execute(exchange))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def run(self, exchange: http.Exchange) -> None:
-        """Run a request as `mode` says."""
+    async def execute(self, exchange: http.Exchange) -> None:
+        """Execute a request, or refuse it, as `mode` says."""
         headers = {
-            k.lower().decode(): v.decode() for k, v in exchange.request.headers
+            name.lower().decode(): value.decode()
+            for name, value in exchange.request.headers
         }
         identifier = headers.get("x-request-id", "")
         if exchange.request.target == b"/health":
-            self.answer_health(exchange)
+            self.respond_to_health_check(exchange)
             return
         if headers.get("x-expect-instance") != self.identifier:
             exchange.respond(http.Response(status=421))
             return
         if self.mode == "shed":
-            not_run = ((b"X-Not-Executed", b"1"),)
-            exchange.respond(http.Response(status=503, headers=not_run))
+            not_run_headers = ((b"X-Not-Executed", b"1"),)
+            exchange.respond(
+                http.Response(status=503, headers=not_run_headers)
+            )
             return
         self.runs.append(identifier)
-        self.run_times.append(time.monotonic())
+        self.run_started_at.append(time.monotonic())
         self.requests.append(exchange.request)
-        self.at_once += 1
-        self.most_at_once = max(self.most_at_once, self.at_once)
-        gone = asyncio.Event()
-        exchange.on_disconnect = gone.set
+        self.active_requests += 1
+        self.most_at_once = max(self.most_at_once, self.active_requests)
+        disconnected = asyncio.Event()
+        exchange.on_disconnect = disconnected.set
         try:
             async with asyncio.timeout(self.work_seconds):
-                await gone.wait()
+                await disconnected.wait()
             self.cancelled += 1
             return
         except TimeoutError:
             pass
         finally:
-            self.at_once -= 1
-        self.answer(exchange, identifier)
+            self.active_requests -= 1
+        self.respond(exchange, identifier)
 
-    def answer_health(self, exchange: http.Exchange) -> None:
-        """Answer whether requests are taken."""
+    def respond_to_health_check(self, exchange: http.Exchange) -> None:
+        """Respond to a health check with 200 if ready, else with 503."""
         exchange.respond(
             http.Response(
                 status=200 if self.state == "ready" else 503,
@@ -112,8 +119,8 @@
             )
         )
 
-    def answer(self, exchange: http.Exchange, identifier: str) -> None:
-        """Answer as `mode` says."""
+    def respond(self, exchange: http.Exchange, identifier: str) -> None:
+        """Respond to an executed request as `mode` says."""
         if self.mode == "reset":
             exchange.connection.transport.abort()
             return
@@ -140,7 +147,7 @@
         )
 
     def beat(self) -> bytes:
-        """Return the body of the next heartbeat."""
+        """Return the next heartbeat, as the body of a request."""
         self.sequence += 1
         return msgspec.json.encode(
             {
@@ -152,6 +159,6 @@
                 "state": self.state,
                 "cold_remaining_ms": self.cold_ms,
                 "seq": self.sequence,
-                "born": self.born,
+                "born": self.started_at_ms,
             }
         )
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -8,7 +8,7 @@
 
 import urllib3
 
-from apricotpost import storage as client
+from apricotpost import storage
 from apricotpost.storage import http
 from apricotpost.storage import objects
 from apricotpost.storage import table
@@ -19,29 +19,31 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Exchange:
-    """One request on its way to the stand-in.
+    """Request that the stand-in has not handled yet.
 
     Parameters
     ----------
     operation : str
-        Operation of the table, or method and path of the object store.
+        Operation of the table service, or method and path of a request to
+        the object store.
     carry_out : callable
-        Hands the request over and returns status and body of the answer.
+        Makes the stand-in handle the request; returns the status and the
+        body of the response.
     """
 
     operation: str
     carry_out: Callable[[], tuple[int, bytes]]
 
 
-Hook = Callable[[Exchange], tuple[int, bytes]]
+RequestHook = Callable[[Exchange], tuple[int, bytes]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Pool:
-    """Takes the place of ``urllib3.PoolManager``."""
+    """Replacement of ``urllib3.PoolManager`` that opens no connection."""
 
     state: platform.State
-    hook: Hook
+    hook: RequestHook
 
     def request(
         self,
@@ -56,22 +58,22 @@
         target = headers.get("X-Amz-Target", "")
 
         def carry_out() -> tuple[int, bytes]:
-            status, answer = platform.handle(
+            status, response_body = platform.handle(
                 self.state,
                 method=method,
                 path=path,
                 target=target,
                 body=body or b"",
             )
-            return int(status.split()[0]), answer
+            return int(status.split()[0]), response_body
 
         operation = target.rpartition(".")[2] or f"{method} {path}"
-        status, answer = self.hook(
+        status, response_body = self.hook(
             Exchange(operation=operation, carry_out=carry_out)
         )
         return urllib3.HTTPResponse(
-            body=io.BytesIO(answer),
-            headers={"Content-Length": str(len(answer))},
+            body=io.BytesIO(response_body),
+            headers={"Content-Length": str(len(response_body))},
             status=status,
             preload_content=False,
         )
@@ -82,23 +84,24 @@
 
 def open_store(
     state: platform.State,
-    hook: Hook = lambda exchange: exchange.carry_out(),
-) -> client.Store:
-    """Make a store over a stand-in of the same process.
+    hook: RequestHook = lambda exchange: exchange.carry_out(),
+) -> storage.Store:
+    """Return a store on a platform stand-in in the same process.
 
     Parameters
     ----------
     state : State
-        The stand-in's.
+        State of the stand-in.
     hook : callable
-        Sees each request; it may raise errors of ``urllib3`` before or after
-        the request is carried out.
+        Called with each request; returns the status and body of the
+        response. It may raise errors of ``urllib3`` before or after the
+        request is carried out.
     """
     channel = http.Channel(
         pool=typing.cast(urllib3.PoolManager, _Pool(state=state, hook=hook)),
         timeout_seconds=2.0,
     )
-    return client.Store(
+    return storage.Store(
         channel=channel,
         table=table.Table(
             channel=channel, url="http://platform", name="apricotpost"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -38,15 +38,16 @@
 HOST = "127.0.0.1"
 TOKEN = "operator-token-of-the-stand-ins"
 STOP_SECONDS = 40.0
-PORTS = (10_000, 32_000)
-_RANDOM = random.SystemRandom()
-# A member that is still starting does not listen on its ports yet.
-_HANDED_OUT: set[int] = set()
+PORT_RANGE = (10_000, 32_000)
+_RNG = random.SystemRandom()
+# Ports that were assigned already. A process that is still starting does not
+# listen on its ports yet, so that a bind would succeed.
+_ASSIGNED_PORTS: set[int] = set()
 
 
 @dataclasses.dataclass(kw_only=True)
 class Member:
-    """A node, the backend server beside it and their ports."""
+    """A node, the backend server beside it, and their addresses."""
 
     instance: str
     data_centre: str
@@ -66,7 +67,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Fleet:
-    """A platform stand-in and the members around it."""
+    """A platform stand-in and the members that use it."""
 
     stack: contextlib.ExitStack
     folder: pathlib.Path
@@ -78,23 +79,23 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on.
+    """Return ports of the loopback address on which nothing listens.
 
-    They lie below the range from which outgoing connections take theirs,
-    since a node that starts a moment later would find its port in use.
+    They lie below the system's range for outgoing connections. Otherwise a
+    connection could use a port before the node that it is for has started.
     """
     found: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
-            port = _RANDOM.randrange(*PORTS)
-            entry = stack.enter_context(socket.socket())
-            if port in _HANDED_OUT:
+            port = _RNG.randrange(*PORT_RANGE)
+            candidate = stack.enter_context(socket.socket())
+            if port in _ASSIGNED_PORTS:
                 continue
             try:
-                entry.bind((HOST, port))
+                candidate.bind((HOST, port))
             except OSError:
                 continue
-            _HANDED_OUT.add(port)
+            _ASSIGNED_PORTS.add(port)
             found.append(port)
     return found
 
@@ -103,7 +104,7 @@
 def open_fleet(
     overrides: dict[str, typing.Any] | None = None,
 ) -> typing.Iterator[Fleet]:
-    """Start the platform stand-in; all processes end with the block."""
+    """Start the platform stand-in; stop all processes at the block's end."""
     with contextlib.ExitStack() as stack:
         folder = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
@@ -140,7 +141,7 @@
     behaviour: dict[str, typing.Any] | None = None,
     with_backend_server: bool = True,
 ) -> Member:
-    """Start a node and, if asked for, the backend server beside it."""
+    """Start a node and, unless disabled, the backend server beside it."""
     ports = [f"{HOST}:{port}" for port in free_ports(6)]
     member = Member(
         instance=instance,
@@ -197,7 +198,7 @@
 
 
 def start_node(fleet: Fleet, member: Member) -> None:
-    """Start, or start again, a member's node."""
+    """Start or restart the node of a member."""
     member.node = start_process(
         fleet.folder,
         f"{member.instance}-node",
@@ -212,7 +213,7 @@
     version: str | None = None,
     behaviour: dict[str, typing.Any] | None = None,
 ) -> None:
-    """Start, or start again, a member's backend server."""
+    """Start or restart the backend server of a member."""
     member.version = version or member.version
     host, _, port = member.backend.rpartition(":")
     member.backend_server = start_process(
@@ -240,7 +241,7 @@
 def start_process(
     folder: pathlib.Path, name: str, arguments: typing.Iterable[typing.Any]
 ) -> subprocess.Popen[bytes]:
-    """Start a Python program whose output goes to a file."""
+    """Start a Python program and append its output to a log file."""
     with open(folder / f"{name}.log", "ab") as output:
         return subprocess.Popen(
             [sys.executable, *map(str, arguments)],
@@ -251,7 +252,7 @@
 
 
 def stop(process: subprocess.Popen[bytes] | None) -> int | None:
-    """End a process by SIGTERM, or by SIGKILL when it does not end."""
+    """Stop a process with SIGTERM, or SIGKILL if it does not exit in time."""
     if process is None:
         return None
     if process.poll() is None:
@@ -270,7 +271,7 @@
     body: typing.Any = None,
     headers: dict[str, str] | None = None,
 ) -> typing.Any:
-    """Call a JSON interface; returns None when it cannot be reached."""
+    """Call a JSON API; return None if there was no response."""
     try:
         response = fleet.pool.request(
             "GET" if body is None else "POST",
@@ -292,19 +293,21 @@
     Returns
     -------
     float or None
-        Seconds that it took, or None when it did not come to hold.
+        Seconds that it took, or None if the condition did not hold in time.
     """
-    started = time.monotonic()
-    while time.monotonic() - started < seconds:
+    started_at = time.monotonic()
+    while time.monotonic() - started_at < seconds:
         if condition():
-            return time.monotonic() - started
+            return time.monotonic() - started_at
         time.sleep(0.05)
     return None
 
 
 def commit_first(fleet: Fleet, snapshot: model.Snapshot) -> model.Snapshot:
-    """Commit the first configuration straight to the table."""
-    sealed = config.with_checksum(dataclasses.replace(snapshot, version=1))
+    """Commit the first configuration directly to the table."""
+    first_snapshot = config.with_checksum(
+        dataclasses.replace(snapshot, version=1)
+    )
     store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
@@ -316,7 +319,7 @@
         store,
         storage.Change(
             before=model.EMPTY_SNAPSHOT,
-            after=sealed,
+            after=first_snapshot,
             author="stand-ins",
             reason="first configuration",
             request="first-configuration",
@@ -324,7 +327,7 @@
         ),
     )
     store.channel.pool.clear()
-    return sealed
+    return first_snapshot
 
 
 def _stop_members(fleet: Fleet) -> None:
--- a/standins/load.py
+++ b/standins/load.py
@@ -1,4 +1,4 @@
-"""Callers that send requests at a steady rate and keep every outcome."""
+"""Callers that send requests at a constant rate and record the outcomes."""
 
 import collections
 from collections.abc import Callable
@@ -22,21 +22,22 @@
     Parameters
     ----------
     at : float
-        Start in seconds of the monotonic clock.
+        Monotonic time of the start, in seconds.
     request : str
         Value of ``X-Request-Id``.
     path : str
-        What was called.
+        Path of the request, without the leading slash.
     status : int
-        HTTP status, 0 where no answer came.
+        HTTP status; 0 if there was no response.
     outcome : str
-        Value of ``X-Apricotpost-Outcome``, or the caller's own error.
+        Values of ``X-Apricotpost-Outcome`` and ``X-Apricotpost-Reason``, or
+        the name of the client's error.
     version : str
-        Backend server version that answered.
+        Version of the backend server that responded.
     seconds : float
-        Duration.
+        Duration of the request.
     echoed : str
-        Request identifier inside the answer.
+        Request identifier in the body of the response.
     """
 
     at: float
@@ -51,7 +52,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Load:
-    """Running callers and what they have recorded."""
+    """Running callers and the requests that they have recorded."""
 
     records: list[Record] = dataclasses.field(default_factory=list)
     stopped: threading.Event = dataclasses.field(
@@ -73,29 +74,31 @@
     Parameters
     ----------
     addresses : sequence of str or callable
-        IP:PORT of the nodes, used in turn.
+        IP:PORT of the nodes, used in turn. A callable is evaluated before
+        each request.
     per_second : float
-        Requests a second of all threads together.
+        Requests per second of all threads together.
     requests : sequence of tuple
-        Method and path, used in turn.
+        Methods and paths, used in turn.
     threads : int
-        Callers; each waits for its answer before its next request.
+        Number of callers. Each waits for the response to its request before
+        it sends the next one.
     timeout_seconds : float
-        Longest wait of a caller, in seconds.
+        Timeout of a request.
     """
     load = Load()
     numbers = itertools.count()
-    started = time.monotonic()
+    started_at = time.monotonic()
     targets = addresses if callable(addresses) else lambda: addresses
     pool = urllib3.PoolManager(
         num_pools=64, maxsize=threads, retries=False, block=False
     )
 
-    def work() -> None:
+    def send_requests() -> None:
         while not load.stopped.is_set():
             number = next(numbers)
-            due = started + number / per_second
-            if load.stopped.wait(max(due - time.monotonic(), 0)):
+            due_at = started_at + number / per_second
+            if load.stopped.wait(max(due_at - time.monotonic(), 0)):
                 return
             nodes = targets()
             method, path = requests[number % len(requests)]
@@ -105,7 +108,8 @@
             )
 
     workers = [
-        threading.Thread(target=work, daemon=True) for _ in range(threads)
+        threading.Thread(target=send_requests, daemon=True)
+        for _ in range(threads)
     ]
     for worker in workers:
         worker.start()
@@ -119,27 +123,27 @@
 
 
 def summarize(records: Sequence[Record]) -> dict[str, typing.Any]:
-    """Count outcomes and give percentiles of the answered requests."""
+    """Count the outcomes and return percentiles of the successful requests."""
     outcomes = collections.Counter(
         f"{record.status} {record.outcome}" for record in records
     )
-    good = [record for record in records if record.status == 200]
+    successes = [record for record in records if record.status == 200]
     return {
         "requests": len(records),
-        "good": len(good),
-        "success": len(good) / len(records) if records else 0.0,
-        "p50_ms": percentile_ms(good, 0.50),
-        "p99_ms": percentile_ms(good, 0.99),
+        "good": len(successes),
+        "success": len(successes) / len(records) if records else 0.0,
+        "p50_ms": percentile_ms(successes, 0.50),
+        "p99_ms": percentile_ms(successes, 0.99),
         "outcomes": dict(outcomes),
     }
 
 
-def percentile_ms(records: Sequence[Record], share: float) -> float:
-    """Return a percentile of the durations in milliseconds."""
+def percentile_ms(records: Sequence[Record], fraction: float) -> float:
+    """Return a percentile of the durations, in milliseconds."""
     durations = sorted(record.seconds for record in records)
     if not durations:
         return 0.0
-    return durations[int(len(durations) * share)] * 1000
+    return durations[int(len(durations) * fraction)] * 1000
 
 
 def _send(
@@ -149,7 +153,7 @@
     request: str,
     timeout_seconds: float,
 ) -> Record:
-    started = time.monotonic()
+    started_at = time.monotonic()
     status, outcome, version, echoed = 0, "", "", ""
     try:
         response = pool.request(
@@ -170,12 +174,12 @@
     except urllib3.exceptions.HTTPError as error:
         outcome = type(error).__name__
     return Record(
-        at=started,
+        at=started_at,
         request=request,
         path=url.partition("//")[2].partition("/")[2],
         status=status,
         outcome=outcome,
         version=version,
-        seconds=time.monotonic() - started,
+        seconds=time.monotonic() - started_at,
         echoed=echoed,
     )
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -1,4 +1,4 @@
-"""Stand-ins around event-loop nodes: backend servers, clients, processes."""
+"""Fleets of event-loop nodes as processes, with stand-ins around them."""
 
 import asyncio
 import dataclasses
@@ -20,12 +20,13 @@
 __all__ = ["Caller", "Mesh", "NodeProcess", "make_config"]
 
 HEARTBEAT_SECONDS = 0.3
-# Ports below those that the system gives to outgoing connections: one of
-# these may be taken between its choice and the start of the node.
+# The ports lie below the system's range for outgoing connections, which could
+# use one between its choice and the start of the node.
 FIRST_PORT = 20000
-PORTS = 10000
-_PORTS = itertools.cycle(
-    FIRST_PORT + (os.getpid() * 101 + index) % PORTS for index in range(PORTS)
+PORT_COUNT = 10000
+_CANDIDATE_PORTS = itertools.cycle(
+    FIRST_PORT + (os.getpid() * 101 + index) % PORT_COUNT
+    for index in range(PORT_COUNT)
 )
 START_SECONDS = 10.0
 
@@ -36,11 +37,11 @@
     routes: list[dict[str, object]],
     services: tuple[str, ...] = ("portal",),
 ) -> bytes:
-    """Return a configuration as operators write it."""
+    """Return a configuration in the form that operators write."""
     resources = [
         {
             "resource_type": "routes",
-            "metadata": {"name": f"r{i}"},
+            "metadata": {"name": f"r{index}"},
             "spec": {
                 "host": "mesh.example",
                 "type": "safe",
@@ -51,7 +52,7 @@
                 **spec,
             },
         }
-        for i, spec in enumerate(routes)
+        for index, spec in enumerate(routes)
     ]
     resources += [
         {
@@ -71,7 +72,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ports:
-    """Addresses of a node."""
+    """Addresses on which a node listens."""
 
     callers: str
     readiness: str
@@ -81,20 +82,20 @@
 
 
 class NodeProcess:
-    """A node as a process of its own, with the backend server beside it.
+    """Process of a node, with the backend server beside it.
 
     Parameters
     ----------
     name, data_centre : str
-        Who and where it is.
+        Instance and data centre of the node.
     folder : pathlib.Path
-        Where its settings and its log are kept.
+        Directory of the settings file and the log.
     backend : backends.Backend
-        Its backend server.
+        Backend server beside the node.
     store : str
-        Address of the store.
+        Address of the platform's store, as IP:PORT.
     host : str
-        Address on which it listens.
+        IP address on which the node listens.
     """
 
     def __init__(
@@ -158,13 +159,13 @@
         os.kill(self.process.pid, number)
 
     def kill(self) -> None:
-        """Kill the process and wait for its end."""
+        """Kill the process and wait until it has exited."""
         if self.process is not None:
             self.process.kill()
             self.process.wait()
 
     def lines(self) -> list[dict[str, object]]:
-        """Return the log lines so far."""
+        """Return the complete lines of the log, decoded."""
         text = self.log.read_text(encoding="utf-8")
         return [
             json.loads(line)
@@ -174,7 +175,7 @@
 
 
 class Caller:
-    """A client of nodes."""
+    """HTTP client of the nodes."""
 
     def __init__(self) -> None:
         self.sent = 0
@@ -190,7 +191,7 @@
         deadline_ms: int = 2000,
         headers: http.Headers = (),
     ) -> http.Result:
-        """Send one request and wait for its end."""
+        """Send a request with a new identifier and return its result."""
         self.sent += 1
         return await self.send(
             address,
@@ -211,16 +212,16 @@
     async def send(
         self, address: str, request: http.Request, *, timeout: float = 3.0
     ) -> http.Result:
-        """Send any request and wait for its end."""
+        """Send a request as given and return its result."""
         client = self.clients.get(address)
         if client is None:
             host, _, port = address.rpartition(":")
             client = http.Client(host=host, port=int(port))
             self.clients[address] = client
-        ended = asyncio.get_running_loop().create_future()
-        handle = client.send(request, ended.set_result, timeout=timeout)
+        completed = asyncio.get_running_loop().create_future()
+        handle = client.send(request, completed.set_result, timeout=timeout)
         try:
-            return await ended
+            return await completed
         except asyncio.CancelledError:
             handle.cancel()
             raise
@@ -232,12 +233,12 @@
 
 
 class Mesh:
-    """A store and some nodes with their backend servers.
+    """A store stand-in and nodes with their backend servers.
 
     Parameters
     ----------
     folder : pathlib.Path
-        For settings and logs.
+        Directory of the settings and logs.
     """
 
     def __init__(self, *, folder: pathlib.Path) -> None:
@@ -249,39 +250,42 @@
 
     async def start(
         self,
-        places: tuple[str, ...],
+        data_centres: tuple[str, ...],
         *,
         services: tuple[str, ...] = (),
         routes: list[dict[str, object]] | None = None,
     ) -> None:
-        """Start one node for each data centre named, and wait for them."""
+        """Start a node per listed data centre; wait until all are ready."""
         await self.store.listen()
         routes = routes or [{"prefix": "/records/", "service": "portal"}]
-        named = tuple(dict.fromkeys(("portal", *services)))
-        config = make_config(1, routes=routes, services=named)
+        service_names = tuple(dict.fromkeys(("portal", *services)))
+        config = make_config(1, routes=routes, services=service_names)
         self.store.put("op", "config", config)
-        for index, place in enumerate(places):
+        for index, data_centre in enumerate(data_centres):
             service = services[index] if services else "portal"
-            await self.add(place, service=service)
-        self.beats = asyncio.get_running_loop().create_task(self.beat_all())
+            await self.add(data_centre, service=service)
+        self.beats = asyncio.get_running_loop().create_task(
+            self.send_heartbeats()
+        )
         await self.wait_ready()
 
     async def add(
-        self, place: str, *, service: str = "portal", version: str = "v1"
+        self, data_centre: str, *, service: str = "portal", version: str = "v1"
     ) -> NodeProcess:
-        """Start one more node and backend server."""
+        """Start another node with its backend server."""
         index = len(self.nodes)
         backend = backends.Backend(
             identifier=f"b{index}",
             service=service,
             version=version,
-            # A client that shares the address would count as its backend.
+            # A node treats a client with the IP address of its backend
+            # server as that backend server.
             host=f"127.0.2.{index + 1}",
         )
         await backend.listen()
         node = NodeProcess(
             name=f"n{index}",
-            data_centre=place,
+            data_centre=data_centre,
             folder=self.folder,
             backend=backend,
             store=self.store.address,
@@ -290,27 +294,27 @@
         self.nodes.append(node)
         return node
 
-    async def beat_all(self) -> None:
-        """Send the heartbeats of all backend servers."""
+    async def send_heartbeats(self) -> None:
+        """Send the heartbeats of all backend servers until cancelled."""
         while True:
             await asyncio.gather(*(self.beat(node) for node in self.nodes))
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def beat(self, node: NodeProcess) -> http.Result:
-        """Send one heartbeat."""
+        """Send the next heartbeat of a backend server to its node."""
         return await self.announce(
             node, "Heartbeat", node.backend.identifier, node.backend.beat()
         )
 
     async def announce(
-        self, node: NodeProcess, call: str, identifier: str, body: bytes
+        self, node: NodeProcess, call_name: str, identifier: str, body: bytes
     ) -> http.Result:
-        """Send a call of a backend server to its node."""
+        """Send an announcement of a backend server to its node."""
         return await self.caller.send(
             node.ports.announcements,
             http.Request(
                 method=b"POST",
-                target=f"/v1/Instances.{call}/{identifier}".encode(),
+                target=f"/v1/Instances.{call_name}/{identifier}".encode(),
                 headers=((b"Host", b"node"),),
                 body=body,
             ),
@@ -318,24 +322,24 @@
         )
 
     async def wait_ready(self) -> None:
-        """Wait until every node serves a request of every other one."""
+        """Wait until every node is ready and knows all others."""
         for node in self.nodes:
             await self.wait_for(node, self.is_ready)
 
     async def wait_for(self, node, check) -> None:
-        """Wait until a check of a node holds.
+        """Wait until a check of a node returns true.
 
         Raises
         ------
         TimeoutError
-            It does not hold in time.
+            The check was still false after `START_SECONDS`.
         """
         async with asyncio.timeout(START_SECONDS):
             while not await check(node):
                 await asyncio.sleep(0.05)
 
     async def is_ready(self, node: NodeProcess) -> bool:
-        """Tell whether a node is ready and knows all others."""
+        """Return whether a node is ready and knows all others."""
         request = http.Request(
             method=b"GET",
             target=b"/v1/ready",
@@ -346,11 +350,15 @@
             return False
         peers = await self.metric(node, "apricotpost_peers_connected")
         servers = await self.metric(node, "apricotpost_servers_known")
-        local = [n for n in self.nodes if n.data_centre == node.data_centre]
+        local = [
+            other
+            for other in self.nodes
+            if other.data_centre == node.data_centre
+        ]
         return peers >= len(local) - 1 and servers >= len(self.nodes)
 
     async def metric(self, node: NodeProcess, name: str) -> float:
-        """Return a metric of a node, summed over its labels."""
+        """Return the value of a node's metric, summed over its labels."""
         request = http.Request(
             method=b"GET",
             target=b"/metrics",
@@ -366,7 +374,7 @@
         )
 
     async def close(self) -> None:
-        """End everything that was started."""
+        """Stop all nodes, backend servers, clients and the store."""
         if self.beats is not None:
             self.beats.cancel()
         for node in self.nodes:
@@ -377,7 +385,7 @@
 
 
 def _free_address(host: str) -> str:
-    for port in _PORTS:
+    for port in _CANDIDATE_PORTS:
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
--- a/standins/observations.py
+++ b/standins/observations.py
@@ -1,4 +1,4 @@
-"""Observe a fleet of real processes from outside, and change it."""
+"""Observe a fleet of real processes by its logs, and change it."""
 
 import ast
 import dataclasses
@@ -24,10 +24,10 @@
     "wait_for_version",
 ]
 
-_APPLIED = re.compile(r"^(\S+ \S+) .*AP-200 configuration (\d+) in force")
-_READY = re.compile(r"^(\S+ \S+) .*AP-101 ready with version (\d+)")
-_STATE = re.compile(r"AP-310 instance (\S+) is (\w+)")
-_COUNTERS = re.compile(r"AP-320 control counters (\{.*\})")
+_APPLIED_LINE = re.compile(r"^(\S+ \S+) .*AP-200 configuration (\d+) in force")
+_READY_LINE = re.compile(r"^(\S+ \S+) .*AP-101 ready with version (\d+)")
+_STATE_TEXT = re.compile(r"AP-310 instance (\S+) is (\w+)")
+_COUNTERS_TEXT = re.compile(r"AP-320 control counters (\{.*\})")
 
 
 def make_configuration(timeout_ms: int = 1000) -> model.Snapshot:
@@ -59,7 +59,7 @@
 
 
 def commit_next(fleet: fleets.Fleet, before: model.Snapshot) -> model.Snapshot:
-    """Commit a change of one route straight to the table."""
+    """Commit a change of one route directly to the table."""
     version = before.version + 1
     route = dataclasses.replace(before.routes[0], timeout_ms=1000 + version)
     after = config.with_checksum(
@@ -88,20 +88,20 @@
 def list_applied(
     fleet: fleets.Fleet, member: fleets.Member
 ) -> list[tuple[int, float]]:
-    """Return the versions a node put in force and when (Unix time)."""
-    return _scan(fleet, member, _APPLIED)
+    """Return the versions that a node applied, with their Unix times."""
+    return _scan_log(fleet, member, _APPLIED_LINE)
 
 
 def list_ready(
     fleet: fleets.Fleet, member: fleets.Member
 ) -> list[tuple[int, float]]:
-    """Return with which versions a node became ready and when."""
-    return _scan(fleet, member, _READY)
+    """Return the versions with which a node became ready, with Unix times."""
+    return _scan_log(fleet, member, _READY_LINE)
 
 
 def list_states(fleet: fleets.Fleet, member: fleets.Member) -> dict[str, str]:
-    """Return the state of each other instance as a node logged it last."""
-    return dict(_STATE.findall(_read_log(fleet, member)))
+    """Return the last state that a node logged for each other instance."""
+    return dict(_STATE_TEXT.findall(_read_log(fleet, member)))
 
 
 def wait_for_version(
@@ -111,34 +111,34 @@
     *,
     seconds: float,
 ) -> bool:
-    """Wait until the nodes hold a version."""
-    waiting = list(members)
+    """Wait until all nodes have applied a version or a newer one."""
+    pending = list(members)
 
-    def done() -> bool:
-        waiting[:] = [
+    def all_applied() -> bool:
+        pending[:] = [
             member
-            for member in waiting
+            for member in pending
             if not any(
                 found >= version for found, _ in list_applied(fleet, member)
             )
         ]
-        return not waiting
+        return not pending
 
-    return fleets.wait_for(done, seconds=seconds) is not None
+    return fleets.wait_for(all_applied, seconds=seconds) is not None
 
 
 def read_counters(
     fleet: fleets.Fleet, member: fleets.Member
 ) -> dict[str, int]:
-    """Return the last control counters that a node logged."""
-    found = _COUNTERS.findall(_read_log(fleet, member))
+    """Return the control counters that a node logged last."""
+    found = _COUNTERS_TEXT.findall(_read_log(fleet, member))
     return dict(ast.literal_eval(found[-1])) if found else {}
 
 
 def find_readers(
     fleet: fleets.Fleet, members: typing.Iterable[fleets.Member]
 ) -> list[fleets.Member]:
-    """Return the nodes, the one with the most reads of the table first."""
+    """Return the members by table reads of their node, most first."""
     return sorted(
         members,
         key=lambda member: read_counters(fleet, member).get("table_reads", 0),
@@ -147,11 +147,11 @@
 
 
 def set_faults(fleet: fleets.Fleet, **faults: typing.Any) -> None:
-    """Put faults of the platform stand-in in force."""
+    """Set the faults of the platform stand-in; others are cleared."""
     fleets.call_json(fleet, fleet.platform_url, "/-/faults", faults)
 
 
-def _scan(
+def _scan_log(
     fleet: fleets.Fleet, member: fleets.Member, pattern: re.Pattern[str]
 ) -> list[tuple[int, float]]:
     found = []
--- a/standins/operations.py
+++ b/standins/operations.py
@@ -1,4 +1,4 @@
-"""What demo, benchmarks and tests do to a running fleet."""
+"""Operations on a running fleet, for the demo, benchmarks and tests."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -24,11 +24,11 @@
 
 
 @contextlib.contextmanager
-def open_store(opened: fleet.Fleet) -> typing.Iterator[storage.Store]:
+def open_store(running_fleet: fleet.Fleet) -> typing.Iterator[storage.Store]:
     """Open a connection to the platform stand-in."""
     store = storage.open_store(
-        table_url=opened.platform_url,
-        object_url=opened.platform_url,
+        table_url=running_fleet.platform_url,
+        object_url=running_fleet.platform_url,
         table_name="apricotpost",
         bucket="apricotpost",
         timeout_seconds=5.0,
@@ -40,13 +40,13 @@
 
 
 def change(
-    opened: fleet.Fleet,
+    running_fleet: fleet.Fleet,
     edit: Callable[[model.Snapshot], model.Snapshot],
     *,
     reason: str,
 ) -> int:
-    """Commit a change straight to the table; returns the version."""
-    with open_store(opened) as store:
+    """Commit a change directly to the table; return the new version."""
+    with open_store(running_fleet) as store:
         before = storage.read_snapshot(store, storage.read_head(store))
         version = before.version + 1
         after = config.with_checksum(
@@ -66,41 +66,43 @@
 
 
 def move_data_centre(
-    opened: fleet.Fleet, name: str, state: model.DataCentreState
+    running_fleet: fleet.Fleet, name: str, state: model.DataCentreState
 ) -> int:
-    """Take a data centre out or return it; returns the version."""
+    """Evacuate a data centre or return it; return the new version."""
 
     def edit(snapshot: model.Snapshot) -> model.Snapshot:
-        centres = tuple(
+        data_centres = tuple(
             (
-                dataclasses.replace(centre, state=state)
-                if centre.name == name
-                else centre
+                dataclasses.replace(data_centre, state=state)
+                if data_centre.name == name
+                else data_centre
             )
-            for centre in snapshot.data_centres
+            for data_centre in snapshot.data_centres
         )
-        return dataclasses.replace(snapshot, data_centres=centres)
+        return dataclasses.replace(snapshot, data_centres=data_centres)
 
-    return change(opened, edit, reason=f"data centre {name} {state.value}")
+    return change(
+        running_fleet, edit, reason=f"data centre {name} {state.value}"
+    )
 
 
 def wait_serving(
-    opened: fleet.Fleet,
+    running_fleet: fleet.Fleet,
     requests: Sequence[tuple[str, str]],
     *,
     seconds: float = 30.0,
 ) -> float | None:
-    """Wait until every node answers every request.
+    """Wait until every node answers every request with status 200.
 
     Returns
     -------
     float or None
-        Seconds that it took, or None when it did not come to hold.
+        Seconds that it took, or None if some node did not in time.
     """
     return fleet.wait_for(
         lambda: all(
-            _answers(opened, member.ingress, method, path)
-            for member in opened.members
+            _is_served(running_fleet, member.ingress, method, path)
+            for member in running_fleet.members
             for method, path in requests
         ),
         seconds=seconds,
@@ -108,18 +110,18 @@
 
 
 def backend_state(
-    opened: fleet.Fleet, member: fleet.Member
+    running_fleet: fleet.Fleet, member: fleet.Member
 ) -> dict[str, typing.Any]:
     """Return the counters of a member's backend server."""
     base = f"http://{member.backend}"
-    return dict(fleet.call_json(opened, base, "/-/state") or {})
+    return dict(fleet.call_json(running_fleet, base, "/-/state") or {})
 
 
-def _answers(
-    opened: fleet.Fleet, address: str, method: str, path: str
+def _is_served(
+    running_fleet: fleet.Fleet, address: str, method: str, path: str
 ) -> bool:
     try:
-        response = opened.pool.request(
+        response = running_fleet.pool.request(
             method, f"http://{address}{path}", timeout=5.0
         )
     except urllib3.exceptions.HTTPError:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform: a table service and an object store.
 
-Speaks the parts of the DynamoDB JSON and S3 REST protocols that a node uses.
-``POST /-/faults`` injects outages, slowness and lost answers.
+It implements the parts of the DynamoDB JSON and S3 REST protocols that a
+node uses. ``POST /-/faults`` injects outages, delays and lost responses.
 """
 
 import argparse
@@ -38,18 +38,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Faults:
-    """Faults in force.
+    """Injected faults.
 
     Parameters
     ----------
     table_down, objects_down : bool
-        Requests are refused with status 503 and nothing is carried out.
+        Whether requests are refused with status 503 and not executed.
     delay_seconds : float
-        Pause before each request is carried out.
+        Delay before each request is executed.
     lose_answers : int
-        So many next writes are carried out and answered with status 500.
+        Number of next writes that are executed and answered with status
+        500.
     throttle : int
-        So many next writes to the table are refused as over the rate.
+        Number of next table writes that are refused as over the provisioned
+        rate.
     """
 
     table_down: bool = False
@@ -61,7 +63,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class State:
-    """All that the stand-in holds."""
+    """Stored data, faults and counters of the stand-in."""
 
     tables: platform_tables.Tables = dataclasses.field(
         default_factory=platform_tables.Tables
@@ -78,12 +80,14 @@
 def make_app(state: State) -> Callable[..., Iterable[bytes]]:
     """Make the WSGI application."""
 
-    def app(environ: Environ, start: StartResponse) -> Iterable[bytes]:
+    def app(
+        environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = environ["wsgi.input"].read(length) if length else b""
-        status, answer = _handle(state, environ, body)
-        start(status, [("Content-Length", str(len(answer)))])
-        return [answer]
+        status, response_body = _handle(state, environ, body)
+        start_response(status, [("Content-Length", str(len(response_body)))])
+        return [response_body]
 
     return app
 
@@ -94,11 +98,13 @@
         state.faults = Faults(**json.loads(body))
         return "200 OK", b"{}"
     if path == "/-/counters":
-        return "200 OK", json.dumps(_counters(state)).encode()
+        return "200 OK", json.dumps(_read_counters(state)).encode()
     if state.keys:
-        fault = platform_signatures.find_fault(environ, body, state.keys)
-        if fault:
-            return "403 Forbidden", _fault(fault, "")
+        signature_error = platform_signatures.find_error(
+            environ, body, state.keys
+        )
+        if signature_error:
+            return "403 Forbidden", _encode_error(signature_error, "")
     return handle(
         state,
         method=environ["REQUEST_METHOD"],
@@ -111,7 +117,7 @@
 def handle(
     state: State, *, method: str, path: str, target: str, body: bytes
 ) -> tuple[str, bytes]:
-    """Carry out one request; returns its status and the answer's body."""
+    """Execute one request; return the status and body of the response."""
     if state.faults.delay_seconds:
         time.sleep(state.faults.delay_seconds)
     if target:
@@ -119,7 +125,7 @@
     return _handle_object(state, method, path, body)
 
 
-def _counters(state: State) -> dict[str, int]:
+def _read_counters(state: State) -> dict[str, int]:
     return {
         "items_read": state.tables.reads,
         "items_written": state.tables.writes,
@@ -133,33 +139,39 @@
 ) -> tuple[str, bytes]:
     state.requests[operation] += 1
     if state.faults.table_down:
-        return "503 Service Unavailable", _fault("ServiceUnavailable", "")
+        return "503 Service Unavailable", _encode_error(
+            "ServiceUnavailable", ""
+        )
     if operation not in _OPERATIONS:
-        return "400 Bad Request", _fault("UnknownOperationException", "")
-    if operation in _WRITES and _take(state, "throttle"):
-        return "400 Bad Request", _fault(
+        return "400 Bad Request", _encode_error(
+            "UnknownOperationException", ""
+        )
+    if operation in _WRITES and _consume_fault(state, "throttle"):
+        return "400 Bad Request", _encode_error(
             "ProvisionedThroughputExceededException", "over the rate"
         )
     try:
-        answer = _OPERATIONS[operation](state.tables, json.loads(body))
+        response = _OPERATIONS[operation](state.tables, json.loads(body))
     except platform_tables.Refused as error:
-        return "400 Bad Request", _fault(
-            error.kind, str(error), **error.fields
+        return "400 Bad Request", _encode_error(
+            error.error_type, str(error), **error.fields
+        )
+    if operation in _WRITES and _consume_fault(state, "lose_answers"):
+        return "500 Internal Server Error", _encode_error(
+            "InternalServerError", ""
         )
-    if operation in _WRITES and _take(state, "lose_answers"):
-        return "500 Internal Server Error", _fault("InternalServerError", "")
-    return "200 OK", json.dumps(answer).encode()
+    return "200 OK", json.dumps(response).encode()
 
 
-def _take(state: State, name: str) -> bool:
-    """Use up one of a number of faults."""
+def _consume_fault(state: State, fault_name: str) -> bool:
+    """Decrement the count of a fault; return whether the fault applies."""
     with state.lock:
-        left = getattr(state.faults, name)
-        if left:
+        remaining = getattr(state.faults, fault_name)
+        if remaining:
             state.faults = dataclasses.replace(
-                state.faults, **{name: left - 1}
+                state.faults, **{fault_name: remaining - 1}
             )
-        return bool(left)
+        return bool(remaining)
 
 
 def _handle_object(
@@ -176,9 +188,11 @@
     return "404 Not Found", b""
 
 
-def _fault(kind: str, message: str, **fields: typing.Any) -> bytes:
+def _encode_error(
+    error_type: str, message: str, **fields: typing.Any
+) -> bytes:
     return json.dumps(
-        {"__type": f"com.amazonaws.dynamodb.v20120810#{kind}"}
+        {"__type": f"com.amazonaws.dynamodb.v20120810#{error_type}"}
         | {"message": message}
         | fields
     ).encode()
@@ -192,7 +206,7 @@
     port: int,
     threads: int,
 ) -> typing.Iterator[int]:
-    """Serve an application from a thread; yields the port."""
+    """Serve an application from a thread; yield the port."""
     server = wsgi.Server(
         (host, port), app, numthreads=threads, request_queue_size=1024
     )
@@ -220,7 +234,7 @@
     options = parser.parse_args()
     stopped = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    keys = dict(entry.split(":", 1) for entry in options.key)
+    keys = dict(key_pair.split(":", 1) for key_pair in options.key)
     app = make_app(State(keys=keys))
     with serve(app, host=options.host, port=options.port, threads=32):
         stopped.wait()
--- a/standins/platform_conditions.py
+++ b/standins/platform_conditions.py
@@ -3,32 +3,32 @@
 import re
 import typing
 
-__all__ = ["holds"]
+__all__ = ["is_met"]
 
-_TERM = re.compile(r"(\S+)\s*(<=|>=|=|<|>)\s*(:\S+)")
+_COMPARISON = re.compile(r"(\S+)\s*(<=|>=|=|<|>)\s*(:\S+)")
 _FUNCTION = re.compile(r"(attribute_exists|attribute_not_exists)\((\S+)\)")
 
 Attributes = dict[str, typing.Any]
 
 
-def holds(item: Attributes | None, fields: Attributes) -> bool:
-    """Tell whether a request's condition holds for an item.
+def is_met(item: Attributes | None, fields: Attributes) -> bool:
+    """Return whether an item meets the condition of a request.
 
-    ``AND`` binds more closely than ``OR``; there are no brackets.
+    ``AND`` takes precedence over ``OR``; parentheses are not supported.
     """
     expression = fields.get("ConditionExpression")
     if not expression:
         return True
     return any(
         all(
-            _term_holds(term.strip(), item, fields)
+            _is_term_met(term.strip(), item, fields)
             for term in alternative.split(" AND ")
         )
         for alternative in expression.split(" OR ")
     )
 
 
-def _term_holds(
+def _is_term_met(
     term: str, item: Attributes | None, fields: Attributes
 ) -> bool:
     names = fields.get("ExpressionAttributeNames", {})
@@ -37,7 +37,7 @@
         name = names.get(function[2], function[2])
         present = item is not None and name in item
         return present == (function[1] == "attribute_exists")
-    comparison = _TERM.fullmatch(term)
+    comparison = _COMPARISON.fullmatch(term)
     if comparison is None:
         raise ValueError(f"condition {term!r} is not supported")
     name = names.get(comparison[1], comparison[1])
@@ -48,11 +48,11 @@
 
 
 def _compare(value: Attributes, operator: str, expected: Attributes) -> bool:
-    ((kind, left),) = value.items()
-    ((other_kind, right),) = expected.items()
-    if kind != other_kind:
+    ((value_type, left),) = value.items()
+    ((expected_type, right),) = expected.items()
+    if value_type != expected_type:
         return False
-    if kind == "N":
+    if value_type == "N":
         left, right = int(left), int(right)
     return {
         "=": left == right,
--- a/standins/platform_signatures.py
+++ b/standins/platform_signatures.py
@@ -1,4 +1,4 @@
-"""Check of request signatures, written apart from the code that signs."""
+"""Check of request signatures, independent of the code that signs."""
 
 import hashlib
 import hmac
@@ -6,7 +6,7 @@
 import typing
 import urllib.parse
 
-__all__ = ["find_fault"]
+__all__ = ["find_error"]
 
 _AUTHORIZATION = re.compile(
     r"AWS4-HMAC-SHA256 Credential=([^/]+)/(\d{8})/([^/]+)/([^/]+)/"
@@ -14,39 +14,42 @@
 )
 
 
-def find_fault(
+def find_error(
     environ: dict[str, typing.Any], body: bytes, keys: dict[str, str]
 ) -> str | None:
-    """Return what is wrong with the signature of a WSGI request.
+    """Return the error code for the signature of a WSGI request, if any.
 
     Parameters
     ----------
     environ : dict
-        Of the request.
+        WSGI environment of the request.
     body : bytes
-        Of the request.
+        Body of the request.
     keys : dict
         Secret keys by access key.
     """
-    found = _AUTHORIZATION.fullmatch(environ.get("HTTP_AUTHORIZATION", ""))
-    if not found:
+    match = _AUTHORIZATION.fullmatch(environ.get("HTTP_AUTHORIZATION", ""))
+    if not match:
         return "MissingAuthenticationToken"
-    access_key, date, region, service, names, signature = found.groups()
+    access_key, date, region, service, signed_names, signature = match.groups()
     if access_key not in keys:
         return "UnrecognizedClientException"
-    stamp = environ.get("HTTP_X_AMZ_DATE", "")
-    if not stamp.startswith(date) or "host" not in names.split(";"):
+    timestamp = environ.get("HTTP_X_AMZ_DATE", "")
+    if not timestamp.startswith(date) or "host" not in signed_names.split(";"):
         return "IncompleteSignature"
-    lines = [environ["REQUEST_METHOD"], _path(environ, service)]
-    lines.append(environ.get("QUERY_STRING", ""))
-    for name in names.split(";"):
+    canonical_lines = [
+        environ["REQUEST_METHOD"],
+        _canonical_path(environ, service),
+    ]
+    canonical_lines.append(environ.get("QUERY_STRING", ""))
+    for name in signed_names.split(";"):
         key = name.upper().replace("-", "_")
         value = environ.get("HTTP_" + key, environ.get(key, ""))
-        lines.append(f"{name}:{value.strip()}")
-    lines += ["", names, hashlib.sha256(body).hexdigest()]
-    digest = hashlib.sha256("\n".join(lines).encode()).hexdigest()
+        canonical_lines.append(f"{name}:{value.strip()}")
+    canonical_lines += ["", signed_names, hashlib.sha256(body).hexdigest()]
+    digest = hashlib.sha256("\n".join(canonical_lines).encode()).hexdigest()
     scope = "/".join((date, region, service, "aws4_request"))
-    message = "\n".join(("AWS4-HMAC-SHA256", stamp, scope, digest))
+    message = "\n".join(("AWS4-HMAC-SHA256", timestamp, scope, digest))
     secret = ("AWS4" + keys[access_key]).encode()
     for part in scope.split("/"):
         secret = hmac.digest(secret, part.encode(), "sha256")
@@ -56,7 +59,7 @@
     return None
 
 
-def _path(environ: dict[str, typing.Any], service: str) -> str:
+def _canonical_path(environ: dict[str, typing.Any], service: str) -> str:
     raw = str(environ.get("REQUEST_URI") or environ["PATH_INFO"])
     path = raw.partition("?")[0] or "/"
     return path if service == "s3" else urllib.parse.quote(path, safe="/~")
--- a/standins/platform_tables.py
+++ b/standins/platform_tables.py
@@ -26,11 +26,13 @@
 
 
 class Refused(Exception):
-    """The request is refused and nothing was written."""
+    """Error response to a request; nothing was written."""
 
-    def __init__(self, kind: str, message: str, **fields: typing.Any) -> None:
+    def __init__(
+        self, error_type: str, message: str, **fields: typing.Any
+    ) -> None:
         super().__init__(message)
-        self.kind = kind
+        self.error_type = error_type
         self.fields = fields
 
 
@@ -38,8 +40,8 @@
 class Tables:
     """Contents of all tables, by table, partition and sort key.
 
-    ``writes`` counts items written, ``rejected`` those whose condition did
-    not hold; the service charges for both.
+    ``writes`` counts the written items, ``rejected`` the items of writes whose
+    condition was not met; the service charges for both.
     """
 
     items: dict[str, dict[str, dict[str, Attributes]]] = dataclasses.field(
@@ -51,21 +53,21 @@
     reads: int = 0
     writes: int = 0
     rejected: int = 0
-    writes_of: collections.Counter[str] = dataclasses.field(
+    writes_by_partition: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
 
 
 def get_item(tables: Tables, body: Attributes) -> Attributes:
-    """Carry out GetItem."""
+    """Execute GetItem."""
     with tables.lock:
         tables.reads += 1
-        item = _find(tables, body["TableName"], body["Key"])
+        item = _find_item(tables, body["TableName"], body["Key"])
     return {} if item is None else {"Item": item}
 
 
 def query(tables: Tables, body: Attributes) -> Attributes:
-    """Carry out Query on ``pk = :pk`` with or without ``AND sk > :sk``."""
+    """Execute Query on ``pk = :pk`` with or without ``AND sk > :sk``."""
     values = body["ExpressionAttributeValues"]
     after = values[":sk"]["S"] if ":sk" in values else ""
     if "ExclusiveStartKey" in body:
@@ -84,30 +86,34 @@
             found.append(rows[key])
             if len(found) == body.get("Limit"):
                 break
-    answer: Attributes = {"Items": found, "Count": len(found)}
+    response: Attributes = {"Items": found, "Count": len(found)}
     if len(found) < len(keys):
-        last = found[-1]
-        answer["LastEvaluatedKey"] = {"pk": last["pk"], "sk": last["sk"]}
-    return answer
+        last_item = found[-1]
+        response["LastEvaluatedKey"] = {
+            "pk": last_item["pk"],
+            "sk": last_item["sk"],
+        }
+    return response
 
 
 def put_item(tables: Tables, body: Attributes) -> Attributes:
-    """Carry out PutItem."""
+    """Execute PutItem."""
     return _write_one(tables, "Put", body)
 
 
 def delete_item(tables: Tables, body: Attributes) -> Attributes:
-    """Carry out DeleteItem."""
+    """Execute DeleteItem."""
     return _write_one(tables, "Delete", body)
 
 
 def transact(tables: Tables, body: Attributes) -> Attributes:
-    """Carry out TransactWriteItems.
+    """Execute TransactWriteItems.
 
     Raises
     ------
     Refused
-        Nothing was written.
+        A limit is exceeded, a condition is not met, or the token was used
+        with other content. Nothing was written.
     """
     entries = [
         (operation, fields)
@@ -122,17 +128,17 @@
             if tables.tokens[token] != content:
                 raise Refused("IdempotentParameterMismatchException", token)
             return {}
-        held = [_holds(tables, fields) for _, fields in entries]
-        if not all(held):
+        met = [_meets_condition(tables, fields) for _, fields in entries]
+        if not all(met):
             tables.rejected += len(entries)
-            codes = ["None" if ok else "ConditionalCheckFailed" for ok in held]
+            codes = ["None" if ok else "ConditionalCheckFailed" for ok in met]
             raise Refused(
                 "TransactionCanceledException",
                 f"Transaction cancelled, reasons {codes}",
                 CancellationReasons=[{"Code": code} for code in codes],
             )
         for operation, fields in entries:
-            _write(tables, operation, fields)
+            _apply_write(tables, operation, fields)
         if token:
             tables.tokens[token] = content
     return {}
@@ -143,24 +149,26 @@
 ) -> Attributes:
     _check_limits([(operation, fields)])
     with tables.lock:
-        if not _holds(tables, fields):
+        if not _meets_condition(tables, fields):
             tables.rejected += 1
-            more = {}
+            extra_fields = {}
             if fields.get("ReturnValuesOnConditionCheckFailure") == "ALL_OLD":
-                item = _find(tables, fields["TableName"], _key_of(fields))
-                more = {} if item is None else {"Item": item}
+                item = _find_item(
+                    tables, fields["TableName"], _read_key(fields)
+                )
+                extra_fields = {} if item is None else {"Item": item}
             raise Refused(
                 "ConditionalCheckFailedException",
                 "The conditional request failed",
-                **more,
+                **extra_fields,
             )
-        _write(tables, operation, fields)
+        _apply_write(tables, operation, fields)
     return {}
 
 
 def _check_limits(entries: list[tuple[str, Attributes]]) -> None:
     keys = [
-        (fields["TableName"], json.dumps(_key_of(fields), sort_keys=True))
+        (fields["TableName"], json.dumps(_read_key(fields), sort_keys=True))
         for _, fields in entries
     ]
     sizes = [len(json.dumps(fields.get("Item", {}))) for _, fields in entries]
@@ -168,37 +176,40 @@
         raise Refused("ValidationException", "one item occurs twice")
     if len(keys) > MAX_TRANSACTION_WRITES:
         raise Refused("ValidationException", "too many items")
-    # Base64 makes an item up to a third longer than what is stored of it.
+    # The request encodes binary values as Base64, which makes an item up to a
+    # third longer than the stored item, to which the limits apply.
     if max(sizes) > MAX_ITEM_BYTES * 4 / 3 + 1024:
         raise Refused("ValidationException", "an item is too large")
     if sum(sizes) > MAX_TRANSACTION_BYTES * 4 / 3:
         raise Refused("ValidationException", "the transaction is too large")
 
 
-def _holds(tables: Tables, fields: Attributes) -> bool:
-    item = _find(tables, fields["TableName"], _key_of(fields))
-    return platform_conditions.holds(item, fields)
+def _meets_condition(tables: Tables, fields: Attributes) -> bool:
+    item = _find_item(tables, fields["TableName"], _read_key(fields))
+    return platform_conditions.is_met(item, fields)
 
 
-def _write(tables: Tables, operation: str, fields: Attributes) -> None:
+def _apply_write(tables: Tables, operation: str, fields: Attributes) -> None:
     if operation == "ConditionCheck":
         return
-    key = _key_of(fields)
+    key = _read_key(fields)
     table = tables.items.setdefault(fields["TableName"], {})
     partition = table.setdefault(key["pk"]["S"], {})
     tables.writes += 1
-    tables.writes_of[key["pk"]["S"]] += 1
+    tables.writes_by_partition[key["pk"]["S"]] += 1
     if operation == "Put":
         partition[key["sk"]["S"]] = fields["Item"]
     else:
         partition.pop(key["sk"]["S"], None)
 
 
-def _key_of(fields: Attributes) -> Attributes:
+def _read_key(fields: Attributes) -> Attributes:
     source = fields.get("Item") or fields["Key"]
     return {"pk": source["pk"], "sk": source["sk"]}
 
 
-def _find(tables: Tables, name: str, key: Attributes) -> Attributes | None:
+def _find_item(
+    tables: Tables, name: str, key: Attributes
+) -> Attributes | None:
     partition = tables.items.get(name, {}).get(key["pk"]["S"], {})
     return partition.get(key["sk"]["S"])
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's store: rows, watches, transactions, objects.
 
-It speaks the published calls over HTTP and can be made to fail: silent,
-busy, slow, with answers lost or late, and with its history dropped.
+It speaks the published API over HTTP. Its faults are calls without a response,
+error statuses, delays, lost responses to writes, and a dropped history.
 """
 
 import asyncio
@@ -21,18 +21,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Conditions:
-    """How the store behaves.
+    """Injected faults of the store.
 
     Parameters
     ----------
     status : int
-        Answer to every call; 0 for normal service.
+        HTTP status of the response to every call; 0 for normal service.
     silent : bool
-        Whether calls get no answer.
+        Whether calls get no response.
     delay_seconds : float
-        Added to every answer.
+        Delay of every response.
     lose_answers : bool
-        Whether writes are done and not answered.
+        Whether writes are executed and the connection is then closed without
+        a response.
     """
 
     status: int = 0
@@ -42,22 +43,22 @@
 
 
 class RowStore:
-    """State of the store and its listening address."""
+    """Contents of the store and its HTTP listener."""
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.changes: list[tuple[str, str, bytes, int, bool]] = []
-        self.history_from = 0
+        self.history_start = 0
         self.revision = 0
         self.objects: dict[str, bytes] = {}
         self.conditions = Conditions()
         self.calls: list[str] = []
-        self.changed = asyncio.Event()
+        self.change_event = asyncio.Event()
         self.listener = http.Listener(
             handler=self.handle, limits=http.Limits()
         )
         self.address = ""
-        self.waiting: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
@@ -66,53 +67,55 @@
         self.address = f"{host}:{port}"
 
     def close(self) -> None:
-        """Stop to listen."""
-        for task in self.waiting:
+        """Stop listening and cancel all calls."""
+        for task in self.tasks:
             task.cancel()
         self.listener.close()
 
     def put(self, table: str, key: str, value: bytes) -> int:
-        """Write a row as an operator does."""
+        """Write a row, as an operator does."""
         self.revision += 1
         self.rows[(table, key)] = (value, self.revision)
-        self.note(table, key, value, removed=False)
+        self.record_change(table, key, value, removed=False)
         return self.revision
 
     def remove(self, table: str, key: str) -> int:
-        """Remove a row as an operator does."""
+        """Remove a row, as an operator does."""
         self.revision += 1
         self.rows.pop((table, key), None)
-        self.note(table, key, b"", removed=True)
+        self.record_change(table, key, b"", removed=True)
         return self.revision
 
     def drop_history(self) -> None:
-        """Forget all changes; watches get 410 from now."""
+        """Delete the change history; watches of older revisions get 410."""
         self.changes.clear()
-        self.history_from = self.revision
-        self.wake()
+        self.history_start = self.revision
+        self.wake_watches()
 
-    def note(
+    def record_change(
         self, table: str, key: str, value: bytes, *, removed: bool
     ) -> None:
-        """Keep a change and wake the watches."""
+        """Add a change to the history and wake all watches."""
         self.changes.append((table, key, value, self.revision, removed))
-        self.wake()
+        self.wake_watches()
 
-    def wake(self) -> None:
-        """Let the watches look again."""
-        self.changed.set()
-        self.changed = asyncio.Event()
+    def wake_watches(self) -> None:
+        """Make all waiting watches check for changes."""
+        self.change_event.set()
+        self.change_event = asyncio.Event()
 
     def handle(self, exchange: http.Exchange) -> None:
-        """Answer a call in a task of its own."""
-        task = asyncio.get_running_loop().create_task(self.answer(exchange))
-        self.waiting.add(task)
-        task.add_done_callback(self.waiting.discard)
+        """Handle a call in a task of its own."""
+        task = asyncio.get_running_loop().create_task(
+            self.handle_call(exchange)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    async def answer(self, exchange: http.Exchange) -> None:
-        """Answer a call under the conditions."""
+    async def handle_call(self, exchange: http.Exchange) -> None:
+        """Handle a call under the injected faults."""
         request = exchange.request
-        path, _, text = request.target.decode().partition("?")
+        path, _, query_text = request.target.decode().partition("?")
         self.calls.append(path)
         conditions = self.conditions
         if conditions.silent:
@@ -122,7 +125,7 @@
         if conditions.status:
             exchange.respond(http.Response(status=conditions.status))
             return
-        query = dict(parse.parse_qsl(text))
+        query = dict(parse.parse_qsl(query_text))
         response = await self.serve(path, query, request.body)
         if path == "/v1/rows-tx" and conditions.lose_answers:
             exchange.connection.close()
@@ -132,11 +135,11 @@
     async def serve(
         self, path: str, query: dict[str, str], body: bytes
     ) -> http.Response:
-        """Carry a call out."""
+        """Execute a call and return its response."""
         if path == "/v1/rows-get":
-            return self.get(query)
+            return self.read_rows(query)
         if path == "/v1/rows-feed":
-            return await self.feed(query)
+            return await self.watch_rows(query)
         if path == "/v1/rows-tx":
             return self.transact(msgspec.json.decode(body))
         name = path.rpartition("/")[2]
@@ -147,8 +150,8 @@
             return http.Response(status=200, body=self.objects[name])
         return http.Response(status=404)
 
-    def get(self, query: dict[str, str]) -> http.Response:
-        """Read rows of a table in the order of their keys."""
+    def read_rows(self, query: dict[str, str]) -> http.Response:
+        """Return a page of a table's rows in the order of their keys."""
         table = query["table"]
         found = sorted(
             (key, value, revision)
@@ -156,56 +159,59 @@
             if name == table and key >= query.get("from", "")
         )
         limit = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS)
-        rows = [_row(table, k, v, r) for k, v, r in found[:limit]]
-        return self.make_answer(rows=rows, has_more=len(found) > limit)
-
-    async def feed(self, query: dict[str, str]) -> http.Response:
-        """Wait for changes of a table after a revision."""
+        rows = [
+            _encode_row(table, row_key, row_value, row_revision)
+            for row_key, row_value, row_revision in found[:limit]
+        ]
+        return self.make_response(rows=rows, has_more=len(found) > limit)
+
+    async def watch_rows(self, query: dict[str, str]) -> http.Response:
+        """Wait for changes of a table after a revision and return them."""
         table = query["table"]
         after = int(query["after"])
         seconds = min(int(query["wait_ms"]) / 1000.0, MAX_WATCH_SECONDS)
         loop = asyncio.get_running_loop()
-        end = loop.time() + seconds
+        deadline = loop.time() + seconds
         while True:
-            if after < self.history_from:
+            if after < self.history_start:
                 return http.Response(status=410)
             rows = [
-                _row(t, k, v, r, removed=removed)
-                for t, k, v, r, removed in self.changes
-                if t == table and r > after
+                _encode_row(name, key, value, revision, removed=removed)
+                for name, key, value, revision, removed in self.changes
+                if name == table and revision > after
             ]
-            left = end - loop.time()
-            if rows or left <= 0:
-                return self.make_answer(rows=rows)
+            remaining_seconds = deadline - loop.time()
+            if rows or remaining_seconds <= 0:
+                return self.make_response(rows=rows)
             try:
-                async with asyncio.timeout(left):
-                    await self.changed.wait()
+                async with asyncio.timeout(remaining_seconds):
+                    await self.change_event.wait()
             except TimeoutError:
                 continue
 
     def transact(self, call: dict[str, list[dict[str, object]]]) -> object:
-        """Apply all entries of a transaction, or none."""
+        """Apply a transaction if all expected revisions match."""
         for entry in call["expected_revision"]:
-            place = (entry["table"], entry["key"])
-            found = self.rows.get(place, (b"", 0))[1]
-            if found != entry["ver"]:
+            row_key = (entry["table"], entry["key"])
+            found_revision = self.rows.get(row_key, (b"", 0))[1]
+            if found_revision != entry["ver"]:
                 return http.Response(status=412, body=b'{"rows":[]}')
         for entry in call["put"]:
             value = base64.b64decode(entry["value"])
             self.put(entry["table"], entry["key"], value)
         for entry in call["remove"]:
             self.remove(entry["table"], entry["key"])
-        return self.make_answer()
+        return self.make_response()
 
-    def make_answer(self, **members: object) -> http.Response:
-        """Return an answer with the newest revision."""
+    def make_response(self, **fields: object) -> http.Response:
+        """Return a response with the current revision."""
         body = msgspec.json.encode(
-            {"ver": self.revision, "now_ms": 0, **members}
+            {"ver": self.revision, "now_ms": 0, **fields}
         )
         return http.Response(status=200, body=body)
 
 
-def _row(
+def _encode_row(
     table: str, key: str, value: bytes, revision: int, *, removed=False
 ) -> dict[str, object]:
     row = {
--- a/standins/users.py
+++ b/standins/users.py
@@ -1,4 +1,4 @@
-"""The two users at their sizes of today, as first configurations."""
+"""First configurations of the two user organisations."""
 
 from apricotpost import model
 from standins import fleet
@@ -10,22 +10,22 @@
     "start_user",
 ]
 
-_BALTKALNS_CENTRES = ("riga-a", "riga-b", "riga-c", "riga-d")
-_CITATNIK_CENTRES = ("zagreb", "split", "osijek")
+_BALTKALNS_DATA_CENTRES = ("riga-a", "riga-b", "riga-c", "riga-d")
+_CITATNIK_DATA_CENTRES = ("zagreb", "split", "osijek")
 
-# Backend servers of each service and slots of each backend server.
+# Number of backend servers of each service, and slots of each of them.
 SERVICES = {
     "baltkalns": ({"portal": 4, "fieldbook": 4, "certdesk": 4}, 12),
     "citatnik": ({"preview-svc": 5, "export-svc": 4, "library-svc": 3}, 18),
 }
 
 
-def _service(name: str, team: str) -> model.Service:
+def _make_service(name: str, team: str) -> model.Service:
     share = model.VersionShare(version="v1", share=model.TOTAL_SHARE)
     return model.Service(name=name, team=team, versions=(share,))
 
 
-def _read(
+def _make_read_route(
     name: str, service: str, prefix: str, *, internal: bool = False
 ) -> model.Route:
     return model.Route(
@@ -39,7 +39,7 @@
     )
 
 
-def _write(name: str, service: str, prefix: str) -> model.Route:
+def _make_write_route(name: str, service: str, prefix: str) -> model.Route:
     return model.Route(
         name=name,
         service=service,
@@ -53,38 +53,40 @@
 BALTKALNS = model.Snapshot(
     version=1,
     services=tuple(
-        _service(name, "baltkalns")
+        _make_service(name, "baltkalns")
         for name in ("certdesk", "fieldbook", "portal")
     ),
     routes=(
-        _write("certificates", "certdesk", "/certificates"),
-        _write("defect-reports", "fieldbook", "/reports"),
-        _read("records", "portal", "/records"),
+        _make_write_route("certificates", "certdesk", "/certificates"),
+        _make_write_route("defect-reports", "fieldbook", "/reports"),
+        _make_read_route("records", "portal", "/records"),
     ),
     data_centres=tuple(
         model.DataCentre(name=name, region="lv-riga")
-        for name in _BALTKALNS_CENTRES
+        for name in _BALTKALNS_DATA_CENTRES
     ),
 )
 
 CITATNIK = model.Snapshot(
     version=1,
     services=tuple(
-        _service(name, "citatnik")
+        _make_service(name, "citatnik")
         for name in ("export-svc", "library-svc", "preview-svc")
     ),
     routes=(
-        _write("bibliographies", "library-svc", "/bibliographies"),
-        _write("exports", "export-svc", "/exports"),
-        _read("previews", "preview-svc", "/previews"),
-        _read(
+        _make_write_route("bibliographies", "library-svc", "/bibliographies"),
+        _make_write_route("exports", "export-svc", "/exports"),
+        _make_read_route("previews", "preview-svc", "/previews"),
+        _make_read_route(
             "source-records", "library-svc", "/source-records", internal=True
         ),
-        _read("style-rules", "library-svc", "/style-rules", internal=True),
+        _make_read_route(
+            "style-rules", "library-svc", "/style-rules", internal=True
+        ),
     ),
     data_centres=tuple(
         model.DataCentre(name=name, region="hr-central")
-        for name in sorted(_CITATNIK_CENTRES)
+        for name in sorted(_CITATNIK_DATA_CENTRES)
     ),
 )
 
@@ -92,21 +94,21 @@
 def start_user(
     open_fleet: fleet.Fleet, user: str, *, slots: int | None = None
 ) -> None:
-    """Commit a user's configuration and start all of its instances."""
+    """Commit an organisation's configuration and start its instances."""
     snapshot = BALTKALNS if user == "baltkalns" else CITATNIK
     fleet.commit_first(open_fleet, snapshot)
     services, user_slots = SERVICES[user]
-    centres = snapshot.data_centres
-    number = 0
+    data_centres = snapshot.data_centres
+    instance_number = 0
     for service, count in services.items():
         for index in range(count):
-            centre = centres[number % len(centres)]
-            number += 1
+            data_centre = data_centres[instance_number % len(data_centres)]
+            instance_number += 1
             fleet.start_member(
                 open_fleet,
                 instance=f"{service}-{index}",
-                data_centre=centre.name,
-                region=centre.region,
+                data_centre=data_centre.name,
+                region=data_centre.region,
                 service=service,
                 version="v1",
                 behaviour={"slots": slots or user_slots},
--- a/tests/standins/test_platform_tables.py
+++ b/tests/standins/test_platform_tables.py
@@ -1,4 +1,7 @@
-"""Tests of the stand-in's conditional writes, on which proofs depend."""
+"""Tests of the conditional writes of the platform stand-in.
+
+Other tests rely on them for at-most-once execution and leases.
+"""
 
 import json
 import threading
@@ -21,7 +24,7 @@
 
 class ConditionsTest(unittest.TestCase):
     def test_expressions(self):
-        """Guards against a condition that holds when it must not."""
+        """Guards against a condition that is evaluated wrongly."""
         item = {"pk": {"S": "p"}, "n": {"N": "10"}, "s": {"S": "x"}}
         cases = (
             ("attribute_not_exists(pk)", item, False),
@@ -37,7 +40,7 @@
             ("#n = :ten AND s = :x", item, True),
             ("#n = :ten AND s = :ten OR #n = :nine", item, False),
         )
-        for expression, found, expected in cases:
+        for expression, stored_item, expected in cases:
             fields = {
                 "ConditionExpression": expression,
                 "ExpressionAttributeNames": {"#n": "n"},
@@ -48,43 +51,43 @@
                 },
             }
             with self.subTest(expression):
-                held = platform_conditions.holds(found, fields)
-                self.assertEqual(expected, held)
+                is_met = platform_conditions.is_met(stored_item, fields)
+                self.assertEqual(expected, is_met)
 
 
 class TablesTest(unittest.TestCase):
     def setUp(self):
         self.tables = platform_tables.Tables()
 
-    def test_one_of_many_writers_wins(self):
-        """Guards against two holders of one key in the proofs."""
-        won = []
+    def test_one_of_concurrent_writers_succeeds(self):
+        """Guards against concurrent conditional writes that all succeed."""
+        winners = []
         start = threading.Barrier(8)
 
-        def write(number):
+        def write_item(number):
             start.wait()
             try:
                 put = make_put(n=str(number), **ABSENT)
                 platform_tables.put_item(self.tables, put)
-                won.append(number)
+                winners.append(number)
             except platform_tables.Refused:
                 pass
 
         threads = [
-            threading.Thread(target=write, args=(number,))
+            threading.Thread(target=write_item, args=(number,))
             for number in range(8)
         ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual((1, 1, 7), self.counts(won))
+        self.assertEqual((1, 1, 7), self.read_counts(winners))
 
-    def counts(self, won):
-        return len(won), self.tables.writes, self.tables.rejected
+    def read_counts(self, winners):
+        return len(winners), self.tables.writes, self.tables.rejected
 
-    def test_transaction_is_written_whole_or_not(self):
-        """Guards against a stand-in that writes half a transaction."""
+    def test_transaction_is_atomic(self):
+        """Guards against a transaction that is written partially."""
         platform_tables.put_item(self.tables, make_put("b"))
         entries = [{"Put": make_put("a")}, {"Put": make_put("b", **ABSENT)}]
         with self.assertRaises(platform_tables.Refused) as caught:
@@ -96,7 +99,7 @@
         self.assertEqual(1, self.tables.writes)
 
     def test_token_is_used_once(self):
-        """Guards against a repeat that is written again or swallowed."""
+        """Guards against a token whose repetition writes or hides a change."""
         self.transact([{"Put": make_put()}], "t1")
         self.transact([{"Put": make_put()}], "t1")
         self.assertEqual(1, self.tables.writes)
@@ -107,8 +110,8 @@
         body = {"TransactItems": entries, "ClientRequestToken": token}
         platform_tables.transact(self.tables, body)
 
-    def test_removal_on_condition(self):
-        """Guards against a removal of another owner's record."""
+    def test_conditional_delete(self):
+        """Guards against the deletion of an item that another owner wrote."""
         platform_tables.put_item(self.tables, make_put(n="2"))
         body = {
             "TableName": "t",
@@ -121,8 +124,8 @@
             platform_tables.delete_item(self.tables, body)
         self.assertEqual({"N": "2"}, caught.exception.fields["Item"]["n"])
 
-    def test_lost_answer_was_carried_out(self):
-        """Guards against lost answers in the proofs that wrote nothing."""
+    def test_write_with_lost_response_is_executed(self):
+        """Guards against a lost response whose write was not executed."""
         state = platform.State(faults=platform.Faults(lose_answers=1))
         statuses = [
             platform.handle(
