--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Randomized soak of event-loop nodes as processes, with injected faults."""
+"""Randomized soak test of event-loop node processes with injected faults."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,11 +6,11 @@
 
     python -m soak --seeds 50
 
-One seed again, with the logs of its processes kept::
+A single seed, keeping the logs of its processes::
 
     python -m soak --seed 17 --keep out/soak-17
 
-Its report as text and as a page with plots::
+The same seed with a report as text and as an HTML page with plots::
 
     python -m soak --seed 17 --report out/soak-17.html
 """
@@ -26,82 +26,86 @@
 
 from soak import checks
 from soak import faults
+from soak import fleets
 from soak import report
 from soak import schedule
-from soak import world
 from standins import mesh
 
 __all__ = ["main", "run_seed"]
 
 DEFAULT_SECONDS = 20.0
 DEFAULT_NODES = 8
-# Loopback networks for runs at the same time.
-NETWORKS = 250
+# Loopback networks, of which concurrent runs use different ones.
+LOOPBACK_NETWORKS = 250
 BOUNDS = checks.Bounds()
 
 
 async def run_seed(
     *, seed: int, seconds: float, nodes: int, folder: pathlib.Path
-) -> report.Outcome:
-    """Run one seed.
+) -> report.RunResult:
+    """Run the soak with one seed.
 
     Parameters
     ----------
     seed : int
-        Draws the faults.
+        Seed of the schedule of faults.
     seconds : float
-        Length of the load.
+        Duration of the load.
     nodes : int
-        Number of nodes, each a process.
+        Number of nodes. Each is a process.
     folder : pathlib.Path
-        For settings and logs.
+        Directory of the settings and logs.
 
     Returns
     -------
-    report.Outcome
-        Broken promises, answers and faults.
+    report.RunResult
+        Broken promises, results of the requests, and faults.
     """
-    drawn = schedule.draw(seed=seed, seconds=seconds, nodes=nodes)
-    network = 1 + os.getpid() % NETWORKS
-    fleet = world.World(folder=folder, network=network)
+    drawn_faults = schedule.draw(seed=seed, seconds=seconds, nodes=nodes)
+    network = 1 + os.getpid() % LOOPBACK_NETWORKS
+    fleet = fleets.Fleet(folder=folder, network=network)
     try:
         try:
             await fleet.start(nodes)
         except TimeoutError:
             detail = f"not ready within {mesh.START_SECONDS} s"
-            failed = checks.Violation(promise="start", detail=detail)
-            return report.Outcome(seed=seed, violations=(failed,))
-        started = time.monotonic()
+            start_failure = checks.Violation(promise="start", detail=detail)
+            return report.RunResult(seed=seed, violations=(start_failure,))
+        load_started_at = time.monotonic()
         async with asyncio.TaskGroup() as group:
-            for fault in drawn:
-                group.create_task(faults.inject(fleet, fault, started=started))
-        # The processes that were stopped last need some time to start.
+            for fault in drawn_faults:
+                group.create_task(
+                    faults.inject(
+                        fleet, fault, load_started_at=load_started_at
+                    )
+                )
+        # Nodes that were restarted last need some time until they serve.
         await asyncio.sleep(schedule.RECOVERY_SECONDS / 2)
-        calm = time.monotonic()
+        recovery_since = time.monotonic()
         await asyncio.sleep(schedule.RECOVERY_SECONDS / 2)
-        fleet.stopped = True
-        await asyncio.sleep(world.DEADLINE_MS / 1000 + 1.2)
-        answers = tuple(fleet.answers.values())
-        runs = fleet.runs()
-        found = [
-            *checks.check_runs(fleet.answers, runs),
-            *checks.check_answers(answers),
-            *checks.check_configurations(answers),
-            *checks.check_departures(runs, fleet.departures),
-            *checks.check_exposure(runs, fleet.rollouts, BOUNDS),
+        fleet.load_stopped = True
+        await asyncio.sleep(fleets.DEADLINE_MS / 1000 + 1.2)
+        results = tuple(fleet.results.values())
+        executions = fleet.executions()
+        violations = [
+            *checks.check_executions(fleet.results, executions),
+            *checks.check_integrity(results),
+            *checks.check_configurations(results),
+            *checks.check_exclusions(executions, fleet.exclusions),
+            *checks.check_exposure(executions, fleet.rollouts, BOUNDS),
             *checks.check_recovery(
-                answers, since=calm, share=BOUNDS.recovery_share
+                results, since=recovery_since, min_ratio=BOUNDS.recovery_ratio
             ),
             *fleet.check_resources(),
         ]
-        return report.Outcome(
+        return report.RunResult(
             seed=seed,
-            violations=tuple(found),
-            answers=answers,
-            faults=drawn,
-            started=started,
+            violations=tuple(violations),
+            results=results,
+            faults=drawn_faults,
+            started_at=load_started_at,
             reasons=report.count_reasons(
-                place.node.log for place in fleet.places
+                instance.node.log for instance in fleet.instances
             ),
         )
     finally:
@@ -109,12 +113,12 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run the command line.
+    """Run the soak as the command line says.
 
     Returns
     -------
     int
-        0 if every promise held in every run.
+        0 if no promise was broken in any run, else 1.
     """
     parser = argparse.ArgumentParser(
         prog="python -m soak", description="Randomized soak with faults."
@@ -133,7 +137,7 @@
         "several seeds it shows the last one.",
     )
     options = parser.parse_args(arguments)
-    broken = 0
+    broken_runs = 0
     for seed in range(options.seed, options.seed + options.seeds):
         with contextlib.ExitStack() as stack:
             folder = options.keep
@@ -143,7 +147,7 @@
                 )
             folder = folder / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            outcome = asyncio.run(
+            run_result = asyncio.run(
                 run_seed(
                     seed=seed,
                     seconds=options.seconds,
@@ -151,17 +155,17 @@
                     folder=folder,
                 )
             )
-        broken += bool(outcome.violations)
-        verdict = "BROKEN" if outcome.violations else "held"
-        statuses = dict(outcome.statuses())
+        broken_runs += bool(run_result.violations)
+        verdict = "BROKEN" if run_result.violations else "held"
+        statuses = dict(run_result.count_statuses())
         print(f"seed {seed}: {verdict}, answers {statuses}", flush=True)
-        for violation in outcome.violations:
+        for violation in run_result.violations:
             print(f"  {violation.promise}: {violation.detail}", flush=True)
         if options.report is not None:
-            print(report.format_text(outcome), flush=True)
-            report.write_page(outcome, options.report)
-    print(f"{options.seeds} runs, {broken} with a broken promise")
-    return 1 if broken else 0
+            print(report.format_text(run_result), flush=True)
+            report.write_page(run_result, options.report)
+    print(f"{options.seeds} runs, {broken_runs} with a broken promise")
+    return 1 if broken_runs else 0
 
 
 if __name__ == "__main__":
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,80 +1,85 @@
-"""Promises of the pages, checked on what callers and servers have seen."""
+"""Checks of the promised guarantees on what callers and servers saw."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
 __all__ = [
-    "Answer",
     "Bounds",
-    "Departure",
+    "CallResult",
+    "Exclusion",
+    "Execution",
     "Rollout",
-    "Run",
     "Violation",
-    "check_answers",
     "check_configurations",
-    "check_departures",
+    "check_exclusions",
+    "check_executions",
     "check_exposure",
+    "check_integrity",
     "check_recovery",
-    "check_runs",
 ]
 
-# Bad answers after which a version has to be withdrawn.
-BAD_ANSWERS = 50
+# Failed requests after which a bad version has to be withdrawn.
+FAILURES_BEFORE_ROLLBACK = 50
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Bounds:
-    """Times that the promises allow, in seconds.
+    """Limits that the promised guarantees set.
 
     Parameters
     ----------
-    drain : float
-        Requests to a server that has said that it leaves.
-    evacuation : float
-        Requests in a data centre that is taken out.
-    recovery_share : float
-        Part of the repeatable requests that succeed once all faults are
-        over.
-    exposure_share, exposure_slack : float, int
-        Requests that a bad version may get: a part of those of its service,
-        and so many more.
-    rollback : float
-        Requests to a bad version after its 50th bad answer.
-    stretch : float
-        Added to that while the store is disturbed.
+    drain_seconds : float
+        Longest time for which a server still receives requests after its
+        announcement that it drains was acknowledged.
+    evacuation_seconds : float
+        Longest time for which servers of an evacuated data centre still
+        receive requests after the order.
+    recovery_ratio : float
+        Fraction of the idempotent requests that have to succeed once all
+        faults are over.
+    exposure_ratio, exposure_slack_requests : float, int
+        Requests that a bad version may receive: this fraction of the
+        requests of its service, plus this number.
+    rollback_seconds : float
+        Longest time for which a bad version still receives requests after
+        its 50th failure.
+    store_fault_seconds : float
+        Added to the rollback time, since the store may be faulty then.
     """
 
-    drain: float = 2.0
-    evacuation: float = 5.0
-    recovery_share: float = 0.9
-    exposure_share: float = 0.1
-    exposure_slack: int = 50
-    rollback: float = 5.0
-    stretch: float = 5.0
+    drain_seconds: float = 2.0
+    evacuation_seconds: float = 5.0
+    recovery_ratio: float = 0.9
+    exposure_ratio: float = 0.1
+    exposure_slack_requests: int = 50
+    rollback_seconds: float = 5.0
+    store_fault_seconds: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
-    """What a caller got for a request.
+class CallResult:
+    """Result of a request, as its caller saw it.
 
     Parameters
     ----------
     request : str
-        Identifier.
+        Identifier of the request.
     node : str
-        Node that was called, with the number of its process.
+        Name of the called node and sequence number of its process.
     sent, ended : float
-        Monotonic times, in seconds.
+        Monotonic times of the start and the end, in seconds.
     idempotent : bool
         Whether the route allows repetition.
     status : int
-        0 if there was no answer.
-    whole : bool
-        Whether a 2xx is the server's answer to this very request.
+        HTTP status; 0 if there was no response.
+    intact : bool
+        False if a response with status 200 is not the backend server's
+        complete response to this request.
     generation : int
-        Configuration that the request tests; 0 for ordinary requests.
+        Version of the configuration whose route the request uses; 0 for
+        ordinary requests.
     """
 
     request: str
@@ -83,31 +88,32 @@
     ended: float
     idempotent: bool
     status: int
-    whole: bool = True
+    intact: bool = True
     generation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Run:
-    """A request that a backend server began to run."""
+class Execution:
+    """A request that a backend server started to execute."""
 
     request: str
     backend: str
-    at: float
+    started_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Departure:
-    """A backend server that may get no requests in a time.
+class Exclusion:
+    """Period in which a backend server must not receive requests.
 
     Parameters
     ----------
     backend : str
-        Identifier.
+        Identifier of the backend server.
     since, until : float
-        Monotonic times, in seconds, with the time allowed included.
+        Monotonic times, in seconds. The period begins after the time that
+        the promise allows.
     cause : str
-        Which promise it is.
+        Name of the promise: ``drain`` or ``evacuation``.
     """
 
     backend: str
@@ -118,175 +124,205 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Rollout:
-    """A bad version that was ordered.
+    """Ordered rollout of a bad version.
 
     Parameters
     ----------
     backend : str
-        The server that runs it.
-    others : frozenset of str
-        All other servers of its service.
+        Identifier of the backend server that runs the bad version.
+    other_backends : frozenset of str
+        Identifiers of all other backend servers of its service.
     since, until : float
-        Order and deadline, in monotonic seconds.
+        Monotonic times of the order and of its deadline, in seconds.
     """
 
     backend: str
-    others: frozenset[str]
+    other_backends: frozenset[str]
     since: float
     until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Violation:
-    """A promise that was broken."""
+    """A broken promise."""
 
     promise: str
     detail: str
 
 
-def check_runs(
-    answers: Mapping[str, Answer], runs: Iterable[Run]
+def check_executions(
+    results: Mapping[str, CallResult], executions: Iterable[Execution]
 ) -> list[Violation]:
-    """Check at-most-once, true refusals and that requests are callers'."""
-    found = []
+    """Check what was executed against what the callers were told.
+
+    A request that is not idempotent is executed at most once, and not at
+    all if it was refused. Every executed request was sent by a caller.
+    """
+    violations = []
     counts: dict[str, int] = {}
-    for run in runs:
-        counts[run.request] = counts.get(run.request, 0) + 1
+    for execution in executions:
+        counts[execution.request] = counts.get(execution.request, 0) + 1
     for request, count in counts.items():
-        answer = answers.get(request)
-        if answer is None:
-            found.append(Violation(promise="own-requests", detail=request))
-        elif not answer.idempotent and count > 1:
-            found.append(
+        result = results.get(request)
+        if result is None:
+            violations.append(
+                Violation(promise="own-requests", detail=request)
+            )
+        elif not result.idempotent and count > 1:
+            violations.append(
                 Violation(
                     promise="at-most-once",
-                    detail=f"{request} ran {count} times",
+                    detail=f"{request} was executed {count} times",
                 )
             )
-        elif not answer.idempotent and answer.status in NOT_RUN_STATUSES:
-            found.append(
+        elif not result.idempotent and result.status in NOT_RUN_STATUSES:
+            violations.append(
                 Violation(
                     promise="true-refusal",
-                    detail=f"{request} got {answer.status} and ran",
+                    detail=(
+                        f"{request} got {result.status} " "and was executed"
+                    ),
                 )
             )
-    return found
+    return violations
 
 
-def check_answers(answers: Iterable[Answer]) -> list[Violation]:
-    """Check that each 2xx is the whole answer to its request."""
+def check_integrity(results: Iterable[CallResult]) -> list[Violation]:
+    """Check that each 200 carries the complete response to its request."""
     return [
         Violation(
             promise="whole-answer",
-            detail=f"{answer.request} from {answer.node}",
+            detail=f"{result.request} from {result.node}",
         )
-        for answer in answers
-        if not answer.whole
+        for result in results
+        if not result.intact
     ]
 
 
-def check_configurations(answers: Iterable[Answer]) -> list[Violation]:
+def check_configurations(results: Iterable[CallResult]) -> list[Violation]:
     """Check that no process returns to an older configuration.
 
-    A process that has answered by a route of a configuration may not refuse
-    it with 404 later. Requests under way at the same time prove nothing.
+    A process that has served a route of a configuration must not answer it
+    with 404 later. Requests that overlapped in time are not compared, as
+    their order at the node is unknown.
     """
-    found = []
-    served: dict[tuple[str, int], float] = {}
-    for answer in sorted(answers, key=lambda answer: answer.sent):
-        key = (answer.node, answer.generation)
-        if not answer.generation or not answer.status:
+    violations = []
+    served_at: dict[tuple[str, int], float] = {}
+    for result in sorted(results, key=lambda result: result.sent):
+        key = (result.node, result.generation)
+        if not result.generation or not result.status:
             continue
-        if answer.status != 404:
-            served[key] = min(served.get(key, answer.ended), answer.ended)
-        elif key in served and served[key] < answer.sent:
-            found.append(
+        if result.status != 404:
+            served_at[key] = min(
+                served_at.get(key, result.ended), result.ended
+            )
+        elif key in served_at and served_at[key] < result.sent:
+            violations.append(
                 Violation(
                     promise="never-older",
-                    detail=f"{answer.request} at {answer.node}",
+                    detail=f"{result.request} at {result.node}",
                 )
             )
-    return found
+    return violations
 
 
-def check_departures(
-    runs: Iterable[Run], departures: Iterable[Departure]
+def check_exclusions(
+    executions: Iterable[Execution], exclusions: Iterable[Exclusion]
 ) -> list[Violation]:
-    """Check that servers get nothing after they were taken out."""
-    found = []
-    by_backend: dict[str, list[Run]] = {}
-    for run in runs:
-        by_backend.setdefault(run.backend, []).append(run)
-    for departure in departures:
+    """Check that excluded backend servers receive no requests."""
+    violations = []
+    by_backend: dict[str, list[Execution]] = {}
+    for execution in executions:
+        by_backend.setdefault(execution.backend, []).append(execution)
+    for exclusion in exclusions:
         late = [
-            run
-            for run in by_backend.get(departure.backend, ())
-            if departure.since < run.at < departure.until
+            execution
+            for execution in by_backend.get(exclusion.backend, ())
+            if exclusion.since < execution.started_at < exclusion.until
         ]
         if late:
             first = late[0]
-            found.append(
+            violations.append(
                 Violation(
-                    promise=departure.cause,
+                    promise=exclusion.cause,
                     detail=(
-                        f"{len(late)} runs at {departure.backend}, "
-                        f"{first.request} "
-                        f"{first.at - departure.since:.2f} s late"
+                        f"{len(late)} requests at {exclusion.backend}, "
+                        f"the first, {first.request}, "
+                        f"{first.started_at - exclusion.since:.2f} s late"
                     ),
                 )
             )
-    return found
+    return violations
 
 
 def check_exposure(
-    runs: Iterable[Run], rollouts: Iterable[Rollout], bounds: Bounds
+    executions: Iterable[Execution],
+    rollouts: Iterable[Rollout],
+    bounds: Bounds,
 ) -> list[Violation]:
-    """Check how much a bad version gets, and that it gets no more later.
+    """Check how many requests a bad version receives, and until when.
 
-    The second check allows the longest time of the promise, since faults
-    of the store are drawn without regard to the rollout.
+    The check of the rollback always allows for a faulty store, since store
+    faults are drawn independently of the rollout.
     """
-    found = []
-    ordered = sorted(runs, key=lambda run: run.at)
+    violations = []
+    ordered = sorted(executions, key=lambda execution: execution.started_at)
     for rollout in rollouts:
-        bad = [run for run in ordered if run.backend == rollout.backend]
-        within = [r for r in bad if rollout.since <= r.at <= rollout.until]
-        others = sum(
-            run.backend in rollout.others
-            and rollout.since <= run.at <= rollout.until
-            for run in ordered
+        bad_executions = [
+            execution
+            for execution in ordered
+            if execution.backend == rollout.backend
+        ]
+        exposed = [
+            candidate
+            for candidate in bad_executions
+            if rollout.since <= candidate.started_at <= rollout.until
+        ]
+        other_executions = sum(
+            execution.backend in rollout.other_backends
+            and rollout.since <= execution.started_at <= rollout.until
+            for execution in ordered
         )
-        allowed = bounds.exposure_slack + bounds.exposure_share * (
-            others + len(within)
+        allowed = bounds.exposure_slack_requests + bounds.exposure_ratio * (
+            other_executions + len(exposed)
         )
-        if len(within) > allowed:
-            detail = f"{len(within)} runs, {allowed:.0f} allowed"
-            found.append(Violation(promise="exposure", detail=detail))
-        if len(bad) < BAD_ANSWERS:
+        if len(exposed) > allowed:
+            detail = f"{len(exposed)} requests, {allowed:.0f} allowed"
+            violations.append(Violation(promise="exposure", detail=detail))
+        if len(bad_executions) < FAILURES_BEFORE_ROLLBACK:
             continue
-        end = bad[BAD_ANSWERS - 1].at + bounds.rollback + bounds.stretch
-        late = sum(run.at > end for run in bad)
-        if late:
-            detail = f"{late} runs after the rollback"
-            found.append(Violation(promise="rollback", detail=detail))
-    return found
+        rollback_due_at = (
+            bad_executions[FAILURES_BEFORE_ROLLBACK - 1].started_at
+            + bounds.rollback_seconds
+            + bounds.store_fault_seconds
+        )
+        late_count = sum(
+            execution.started_at > rollback_due_at
+            for execution in bad_executions
+        )
+        if late_count:
+            detail = f"{late_count} requests after the rollback was due"
+            violations.append(Violation(promise="rollback", detail=detail))
+    return violations
 
 
 def check_recovery(
-    answers: Iterable[Answer], *, since: float, share: float
+    results: Iterable[CallResult], *, since: float, min_ratio: float
 ) -> list[Violation]:
-    """Check that requests are served again after the faults."""
-    late = [
-        answer
-        for answer in answers
-        if answer.sent >= since and answer.idempotent and not answer.generation
+    """Check that requests are served again once the faults are over."""
+    recovery_results = [
+        result
+        for result in results
+        if result.sent >= since and result.idempotent and not result.generation
     ]
-    served = sum(answer.status == 200 for answer in late)
-    if late and served >= share * len(late):
+    served = sum(result.status == 200 for result in recovery_results)
+    if recovery_results and served >= min_ratio * len(recovery_results):
         return []
     return [
         Violation(
             promise="recovery",
-            detail=f"{served} of {len(late)} served after the faults",
+            detail=(
+                f"{served} of {len(recovery_results)} served after the faults"
+            ),
         )
     ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,4 +1,4 @@
-"""Injection of the drawn faults into a fleet."""
+"""Injection of the scheduled faults into a fleet."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,225 +9,256 @@
 import typing
 
 from soak import checks
+from soak import fleets
 from soak import proxy
 from soak import schedule
-from soak import world
 from standins import rows
 
-__all__ = ["ACTIONS", "inject"]
+__all__ = ["INJECTORS", "inject"]
 
-Action = Callable[
-    [world.World, schedule.Fault], Coroutine[typing.Any, typing.Any, None]
+Injector = Callable[
+    [fleets.Fleet, schedule.Fault], Coroutine[typing.Any, typing.Any, None]
 ]
-# After SIGTERM a process has its grace period and ends.
-GRACE_SECONDS = 7.0
-# Beyond the promised time: an arrival, and the turn of this process.
+# Longest wait for the exit of a process, which has a grace period of 6 s
+# after SIGTERM.
+EXIT_TIMEOUT_SECONDS = 7.0
+# Added to the promised times, for the delivery of a request and for delays
+# of this process.
 SLACK_SECONDS = 0.5
 BOUNDS = checks.Bounds()
 
 
 async def inject(
-    fleet: world.World, fault: schedule.Fault, *, started: float
+    fleet: fleets.Fleet, fault: schedule.Fault, *, load_started_at: float
 ) -> None:
-    """Wait for the time of a fault and carry it out.
+    """Wait for the start of a fault and inject it.
 
     Parameters
     ----------
-    fleet : world.World
-        The fleet.
+    fleet : fleets.Fleet
+        Fleet that the fault affects.
     fault : schedule.Fault
-        What happens.
-    started : float
+        Fault to inject.
+    load_started_at : float
         Monotonic time of the start of the load, in seconds.
     """
-    await asyncio.sleep(max(started + fault.at - time.monotonic(), 0.0))
-    await ACTIONS[fault.kind](fleet, fault)
+    await asyncio.sleep(
+        max(load_started_at + fault.starts_at - time.monotonic(), 0.0)
+    )
+    await INJECTORS[fault.kind](fleet, fault)
 
 
-async def _restart(place: world.Place) -> None:
-    """Start a node again once its process has ended."""
+async def _restart_after_exit(instance: fleets.Instance) -> None:
+    """Start a node again once its process has exited."""
     loop = asyncio.get_running_loop()
-    process = place.node.process
-    await loop.run_in_executor(None, process.wait, GRACE_SECONDS)
-    if place.node.process is process:
-        place.starts += 1
-        place.node.start()
+    process = instance.node.process
+    await loop.run_in_executor(None, process.wait, EXIT_TIMEOUT_SECONDS)
+    if instance.node.process is process:
+        instance.start_count += 1
+        instance.node.start()
 
 
-async def _kill(fleet: world.World, fault: schedule.Fault) -> None:
-    place = fleet.places[fault.node]
-    process = place.node.process
+async def _kill_node(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    instance = fleet.instances[fault.node]
+    process = instance.node.process
     process.kill()
-    await asyncio.sleep(fault.seconds / 4)
-    if place.node.process is process:
-        await _restart(place)
+    await asyncio.sleep(fault.duration_seconds / 4)
+    if instance.node.process is process:
+        await _restart_after_exit(instance)
 
 
-async def _terminate(fleet: world.World, fault: schedule.Fault) -> None:
-    place = fleet.places[fault.node]
-    place.node.signal(signal.SIGTERM)
-    await _restart(place)
+async def _terminate_node(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    instance = fleet.instances[fault.node]
+    instance.node.signal(signal.SIGTERM)
+    await _restart_after_exit(instance)
 
 
-async def _pause(fleet: world.World, fault: schedule.Fault) -> None:
-    process = fleet.places[fault.node].node.process
+async def _pause_node(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    process = fleet.instances[fault.node].node.process
     process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(fault.seconds)
+    await asyncio.sleep(fault.duration_seconds)
     process.send_signal(signal.SIGCONT)
 
 
-async def _reload(fleet: world.World, fault: schedule.Fault) -> None:
-    fleet.places[fault.node].node.process.send_signal(signal.SIGHUP)
+async def _reload_settings(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    fleet.instances[fault.node].node.process.send_signal(signal.SIGHUP)
 
 
-def _proxy_action(which: str, mode: proxy.Mode) -> Action:
-    async def act(fleet: world.World, fault: schedule.Fault) -> None:
-        chosen: proxy.Proxy = getattr(fleet.places[fault.node], which)
-        chosen.set_mode(mode)
-        await asyncio.sleep(fault.seconds)
-        chosen.set_mode(proxy.Mode.PASS)
+def _make_proxy_injector(proxy_name: str, mode: proxy.Mode) -> Injector:
+    async def inject_fault(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+        selected: proxy.Proxy = getattr(
+            fleet.instances[fault.node], proxy_name
+        )
+        selected.set_mode(mode)
+        await asyncio.sleep(fault.duration_seconds)
+        selected.set_mode(proxy.Mode.PASS)
 
-    return act
+    return inject_fault
 
 
-def _store_action(conditions: rows.Conditions) -> Action:
-    async def act(fleet: world.World, fault: schedule.Fault) -> None:
+def _make_store_injector(conditions: rows.Conditions) -> Injector:
+    async def inject_fault(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
         fleet.mesh.store.conditions = conditions
-        await asyncio.sleep(fault.seconds)
+        await asyncio.sleep(fault.duration_seconds)
         fleet.mesh.store.conditions = rows.Conditions()
 
-    return act
+    return inject_fault
 
 
-def _server_action(mode: str) -> Action:
-    async def act(fleet: world.World, fault: schedule.Fault) -> None:
-        backend = fleet.places[fault.node].backend
+def _make_backend_injector(mode: str) -> Injector:
+    async def inject_fault(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+        backend = fleet.instances[fault.node].backend
         backend.mode = mode
-        await asyncio.sleep(fault.seconds)
+        await asyncio.sleep(fault.duration_seconds)
         backend.mode = "answer"
 
-    return act
+    return inject_fault
 
 
-async def _forget(fleet: world.World, fault: schedule.Fault) -> None:
+async def _drop_store_history(
+    fleet: fleets.Fleet, fault: schedule.Fault
+) -> None:
     fleet.mesh.store.drop_history()
 
 
-async def _slow(fleet: world.World, fault: schedule.Fault) -> None:
-    backend = fleet.places[fault.node].backend
-    backend.work_seconds = world.WORK_SECONDS * 20
-    await asyncio.sleep(fault.seconds)
-    backend.work_seconds = world.WORK_SECONDS
+async def _slow_backend(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    backend = fleet.instances[fault.node].backend
+    backend.work_seconds = fleets.WORK_SECONDS * 20
+    await asyncio.sleep(fault.duration_seconds)
+    backend.work_seconds = fleets.WORK_SECONDS
 
 
-async def _replace(fleet: world.World, fault: schedule.Fault) -> None:
-    """Drain a backend server and start another one at its address."""
-    place = fleet.places[fault.node]
-    old = place.backend
-    if old.state != "ready":
+async def _replace_backend(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    """Drain a backend server and start its successor at the same address."""
+    instance = fleet.instances[fault.node]
+    old_backend = instance.backend
+    if old_backend.state != "ready":
         return
-    old.state = "draining"
-    acknowledged = await fleet.mesh.beat(place.node)
-    if acknowledged.response and acknowledged.response.status == 200:
-        now = time.monotonic()
-        fleet.departures.append(
-            checks.Departure(
-                backend=old.identifier,
-                since=now + BOUNDS.drain + SLACK_SECONDS,
+    old_backend.state = "draining"
+    heartbeat_result = await fleet.mesh.beat(instance.node)
+    if heartbeat_result.response and heartbeat_result.response.status == 200:
+        acknowledged_at = time.monotonic()
+        fleet.exclusions.append(
+            checks.Exclusion(
+                backend=old_backend.identifier,
+                since=acknowledged_at + BOUNDS.drain_seconds + SLACK_SECONDS,
                 until=float("inf"),
                 cause="drain",
             )
         )
-    await asyncio.sleep(world.LEAVE_SECONDS)
-    await fleet.mesh.announce(place.node, "Deregister", old.identifier, b"")
-    old.close()
-    name, _, incarnation = old.identifier.rpartition("-")
-    new = fleet.make_backend(
-        f"{name}-{int(incarnation) + 1}", fault.node, old.host
+    await asyncio.sleep(fleets.DRAIN_SECONDS)
+    await fleet.mesh.announce(
+        instance.node, "Deregister", old_backend.identifier, b""
+    )
+    old_backend.close()
+    name, _, incarnation = old_backend.identifier.rpartition("-")
+    new_backend = fleet.make_backend(
+        f"{name}-{int(incarnation) + 1}", fault.node, old_backend.host
     )
-    await new.listen(int(old.address.rpartition(":")[2]))
-    place.cold_until = time.monotonic() + world.COLD_SECONDS
-    place.backend = place.node.backend = new
+    await new_backend.listen(int(old_backend.address.rpartition(":")[2]))
+    instance.cold_until = time.monotonic() + fleets.COLD_SECONDS
+    instance.backend = instance.node.backend = new_backend
 
 
-async def _configure(fleet: world.World, fault: schedule.Fault) -> None:
-    fleet.version += 1
-    fleet.put_configuration()
+async def _publish_configuration(
+    fleet: fleets.Fleet, fault: schedule.Fault
+) -> None:
+    fleet.config_version += 1
+    fleet.publish_configuration()
+
 
+async def _evacuate_data_centre(
+    fleet: fleets.Fleet, fault: schedule.Fault
+) -> None:
+    """Evacuate a data centre and return it to service.
 
-async def _evacuate(fleet: world.World, fault: schedule.Fault) -> None:
-    """Take a data centre out and back; a second order at once is left out."""
-    key = ("op", "evacuate/dc-a")
-    if key in fleet.mesh.store.rows:
+    Nothing is done if the data centre is evacuated already.
+    """
+    row_key = ("op", "evacuate/dc-a")
+    if row_key in fleet.mesh.store.rows:
         return
-    fleet.mesh.store.put(*key, b"{}")
-    since = time.monotonic() + BOUNDS.evacuation + SLACK_SECONDS
-    await asyncio.sleep(fault.seconds + BOUNDS.evacuation)
+    fleet.mesh.store.put(*row_key, b"{}")
+    since = time.monotonic() + BOUNDS.evacuation_seconds + SLACK_SECONDS
+    await asyncio.sleep(fault.duration_seconds + BOUNDS.evacuation_seconds)
     until = time.monotonic()
-    fleet.mesh.store.remove(*key)
-    fleet.departures.extend(
-        checks.Departure(
-            backend=place.backend.identifier,
+    fleet.mesh.store.remove(*row_key)
+    fleet.exclusions.extend(
+        checks.Exclusion(
+            backend=instance.backend.identifier,
             since=since,
             until=until,
             cause="evacuation",
         )
-        for place in fleet.places
-        if place.data_centre == "dc-a"
+        for instance in fleet.instances
+        if instance.data_centre == "dc-a"
     )
 
 
-async def _roll_out(fleet: world.World, fault: schedule.Fault) -> None:
-    """Order a version of which every answer is a failure."""
-    service = world.SERVICES[0]
-    others = frozenset(
+async def _order_bad_rollout(
+    fleet: fleets.Fleet, fault: schedule.Fault
+) -> None:
+    """Order a rollout of a version that fails every request."""
+    service = fleets.SERVICES[0]
+    other_backends = frozenset(
         backend.identifier
         for backend in fleet.backends
         if backend.service == service
     )
-    place = await fleet.add(len(fleet.places), service=service, version="v2")
-    place.backend.mode = "fail"
-    order = {"service": service, "to": "v2", "duration_s": fault.seconds}
+    instance = await fleet.add_instance(
+        len(fleet.instances), service=service, version="v2"
+    )
+    instance.backend.mode = "fail"
+    order = {
+        "service": service,
+        "to": "v2",
+        "duration_s": fault.duration_seconds,
+    }
     fleet.mesh.store.put(
         "op", f"rollout/{service}", json.dumps(order).encode()
     )
     since = time.monotonic()
     fleet.rollouts.append(
         checks.Rollout(
-            backend=place.backend.identifier,
-            others=others,
+            backend=instance.backend.identifier,
+            other_backends=other_backends,
             since=since,
-            until=since + fault.seconds,
+            until=since + fault.duration_seconds,
         )
     )
 
 
 _KINDS = schedule.Kind
-ACTIONS: dict[schedule.Kind, Action] = {
-    _KINDS.KILL: _kill,
-    _KINDS.TERMINATE: _terminate,
-    _KINDS.PAUSE: _pause,
-    _KINDS.RELOAD: _reload,
-    _KINDS.LINK_DELAY: _proxy_action("to_node", proxy.Mode.DELAY),
-    _KINDS.LINK_RESET: _proxy_action("to_node", proxy.Mode.RESET),
-    _KINDS.LINK_SILENT: _proxy_action("to_node", proxy.Mode.SILENT),
-    _KINDS.LINK_ONE_WAY: _proxy_action("to_node", proxy.Mode.ONE_WAY),
-    _KINDS.BACKEND_RESET: _proxy_action("to_backend", proxy.Mode.RESET),
-    _KINDS.BACKEND_SILENT: _proxy_action("to_backend", proxy.Mode.SILENT),
-    _KINDS.STORE_PATH_SILENT: _proxy_action("to_store", proxy.Mode.SILENT),
-    _KINDS.STORE_DOWN: _store_action(rows.Conditions(status=503)),
-    _KINDS.STORE_SLOW: _store_action(rows.Conditions(delay_seconds=0.4)),
-    _KINDS.STORE_LOSES_ANSWERS: _store_action(
+INJECTORS: dict[schedule.Kind, Injector] = {
+    _KINDS.KILL: _kill_node,
+    _KINDS.TERMINATE: _terminate_node,
+    _KINDS.PAUSE: _pause_node,
+    _KINDS.RELOAD: _reload_settings,
+    _KINDS.LINK_DELAY: _make_proxy_injector("to_node", proxy.Mode.DELAY),
+    _KINDS.LINK_RESET: _make_proxy_injector("to_node", proxy.Mode.RESET),
+    _KINDS.LINK_SILENT: _make_proxy_injector("to_node", proxy.Mode.SILENT),
+    _KINDS.LINK_ONE_WAY: _make_proxy_injector("to_node", proxy.Mode.ONE_WAY),
+    _KINDS.BACKEND_RESET: _make_proxy_injector("to_backend", proxy.Mode.RESET),
+    _KINDS.BACKEND_SILENT: _make_proxy_injector(
+        "to_backend", proxy.Mode.SILENT
+    ),
+    _KINDS.STORE_PATH_SILENT: _make_proxy_injector(
+        "to_store", proxy.Mode.SILENT
+    ),
+    _KINDS.STORE_DOWN: _make_store_injector(rows.Conditions(status=503)),
+    _KINDS.STORE_SLOW: _make_store_injector(
+        rows.Conditions(delay_seconds=0.4)
+    ),
+    _KINDS.STORE_LOSES_ANSWERS: _make_store_injector(
         rows.Conditions(lose_answers=True)
     ),
-    _KINDS.STORE_FORGETS: _forget,
-    _KINDS.ANSWERS_LOST: _server_action("reset"),
-    _KINDS.ANSWERS_WRONG: _server_action("wrong"),
-    _KINDS.ANSWERS_CUT: _server_action("cut"),
-    _KINDS.SERVER_SLOW: _slow,
-    _KINDS.SERVER_SHEDS: _server_action("shed"),
-    _KINDS.SERVER_REPLACED: _replace,
-    _KINDS.CONFIGURATION: _configure,
-    _KINDS.EVACUATION: _evacuate,
-    _KINDS.ROLLOUT_BAD: _roll_out,
+    _KINDS.STORE_FORGETS: _drop_store_history,
+    _KINDS.ANSWERS_LOST: _make_backend_injector("reset"),
+    _KINDS.ANSWERS_WRONG: _make_backend_injector("wrong"),
+    _KINDS.ANSWERS_CUT: _make_backend_injector("cut"),
+    _KINDS.SERVER_SLOW: _slow_backend,
+    _KINDS.SERVER_SHEDS: _make_backend_injector("shed"),
+    _KINDS.SERVER_REPLACED: _replace_backend,
+    _KINDS.CONFIGURATION: _publish_configuration,
+    _KINDS.EVACUATION: _evacuate_data_centre,
+    _KINDS.ROLLOUT_BAD: _order_bad_rollout,
 }
--- a/soak/world.py
+++ b/soak/fleets.py
@@ -1,4 +1,4 @@
-"""Processes, stand-ins and proxies of a run, and the load on them."""
+"""Node processes, stand-ins and proxies of a run, and the load on them."""
 
 import asyncio
 import dataclasses
@@ -14,18 +14,19 @@
 from standins import backends
 from standins import mesh
 
-__all__ = ["Place", "World"]
+__all__ = ["Fleet", "Instance"]
 
 HEARTBEAT_SECONDS = 0.3
-# Requests a second that each caller sends; two callers for each node.
-CALLER_RATE = 12.0
-CALLERS = 2
+# Highest rate of a caller, which pauses for its inverse after each request.
+REQUESTS_PER_CALLER_SECOND = 12.0
+CALLERS_PER_NODE = 2
 DEADLINE_MS = 1500
 WORK_SECONDS = 0.03
 COLD_SECONDS = 1.0
-# A leaving server goes on so long after its acknowledgement.
-LEAVE_SECONDS = 3.0
-# A process that runs a soak may take so much.
+# Time for which a draining backend server keeps running after its
+# announcement was acknowledged.
+DRAIN_SECONDS = 3.0
+# Limits of a node process under the load of a run.
 MAX_MEMORY_MB = 150
 MAX_DESCRIPTORS = 400
 ROUTES = (
@@ -36,8 +37,8 @@
 
 
 @dataclasses.dataclass(kw_only=True)
-class Place:
-    """A node, its backend server and the proxies around them."""
+class Instance:
+    """A node, its backend server and the proxies in front of both."""
 
     node: mesh.NodeProcess
     data_centre: str
@@ -45,24 +46,24 @@
     to_node: proxy.Proxy
     to_backend: proxy.Proxy
     to_store: proxy.Proxy
-    starts: int = 1
+    start_count: int = 1
     cold_until: float = 0.0
 
-    def label(self) -> str:
-        """Return the name of the node's current process."""
-        return f"{self.node.name}#{self.starts}"
+    def process_label(self) -> str:
+        """Return the node's name and the sequence number of its process."""
+        return f"{self.node.name}#{self.start_count}"
 
 
-class World:
-    """A fleet on loopback.
+class Fleet:
+    """Instances, store and callers on loopback addresses.
 
     Parameters
     ----------
     folder : pathlib.Path
-        For settings and logs.
+        Directory of the settings and logs.
     network : int
-        Second part of the loopback addresses; runs at the same time need
-        different ones, since ports are chosen before they are used.
+        Second byte of the loopback addresses. Concurrent runs need different
+        ones, since a port is chosen before a process binds it.
     """
 
     def __init__(self, *, folder: pathlib.Path, network: int) -> None:
@@ -70,34 +71,34 @@
         self.folder = folder
         self.host = f"127.{network}.0.1"
         self.backend_net = f"127.{network}.2"
-        self.places: list[Place] = []
+        self.instances: list[Instance] = []
         self.backends: list[backends.Backend] = []
-        self.answers: dict[str, checks.Answer] = {}
-        self.departures: list[checks.Departure] = []
+        self.results: dict[str, checks.CallResult] = {}
+        self.exclusions: list[checks.Exclusion] = []
         self.rollouts: list[checks.Rollout] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.version = 1
-        self.requests = 0
-        self.stopped = False
+        self.config_version = 1
+        self.request_count = 0
+        self.load_stopped = False
 
     # Fleet.
 
     async def start(self, nodes: int) -> None:
-        """Start the fleet and wait until it serves."""
+        """Start the fleet, wait until it is ready, and start the load."""
         await self.mesh.store.listen(self.host)
-        self.put_configuration()
+        self.publish_configuration()
         for index in range(nodes):
-            await self.add(index)
+            await self.add_instance(index)
         loop = asyncio.get_running_loop()
         await self.mesh.wait_ready()
-        for place in self.places:
-            for _ in range(CALLERS):
-                self.tasks.append(loop.create_task(self.call_all(place)))
+        for instance in self.instances:
+            for _ in range(CALLERS_PER_NODE):
+                self.tasks.append(loop.create_task(self.run_caller(instance)))
 
-    async def add(
+    async def add_instance(
         self, index: int, *, service: str = "", version: str = "v1"
-    ) -> Place:
-        """Start one node with its backend server."""
+    ) -> Instance:
+        """Start a node with its backend server and proxies."""
         data_centre = ("dc-a", "dc-b")[index % 2]
         host = f"{self.backend_net}.{index + 1}"
         backend = self.make_backend(f"b{index}-1", index, host)
@@ -129,7 +130,7 @@
         )
         node.start()
         self.mesh.nodes.append(node)
-        place = Place(
+        instance = Instance(
             node=node,
             data_centre=data_centre,
             backend=backend,
@@ -137,16 +138,16 @@
             to_backend=to_backend,
             to_store=to_store,
         )
-        self.places.append(place)
-        announcing = self.announce_all(place)
+        self.instances.append(instance)
+        heartbeats = self.send_heartbeats(instance)
         loop = asyncio.get_running_loop()
-        self.tasks.append(loop.create_task(announcing))
-        return place
+        self.tasks.append(loop.create_task(heartbeats))
+        return instance
 
     def make_backend(
         self, identifier: str, index: int, host: str
     ) -> backends.Backend:
-        """Make a backend server of one of the services."""
+        """Create a backend server of the service of an instance."""
         backend = backends.Backend(
             identifier=identifier,
             service=SERVICES[index // 2 % len(SERVICES)],
@@ -156,90 +157,100 @@
         self.backends.append(backend)
         return backend
 
-    def put_configuration(self) -> None:
-        """Write the next configuration with a route of its own."""
-        own = [
+    def publish_configuration(self) -> None:
+        """Write the configuration, with a route for each version since 2."""
+        own_routes = [
             {"prefix": f"/generation-{number}/", "service": "portal"}
-            for number in range(2, self.version + 1)
+            for number in range(2, self.config_version + 1)
         ]
         self.mesh.store.put(
             "op",
             "config",
             mesh.make_config(
-                self.version, routes=[*ROUTES, *own], services=SERVICES
+                self.config_version,
+                routes=[*ROUTES, *own_routes],
+                services=SERVICES,
             ),
         )
 
-    async def announce_all(self, place: Place) -> None:
-        """Send the heartbeats of a backend server."""
+    async def send_heartbeats(self, instance: Instance) -> None:
+        """Send the heartbeats of an instance's current backend server."""
         while True:
-            left = place.cold_until - time.monotonic()
-            place.backend.cold_ms = max(int(left * 1000), 0)
-            await self.mesh.beat(place.node)
+            cold_seconds = instance.cold_until - time.monotonic()
+            instance.backend.cold_ms = max(int(cold_seconds * 1000), 0)
+            await self.mesh.beat(instance.node)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def close(self) -> None:
-        """End everything that was started."""
+        """Stop all tasks, processes, proxies and stand-ins."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for place in self.places:
-            if place.node.process.poll() is None:
-                place.node.signal(signal.SIGCONT)
-            for own in (place.to_node, place.to_backend, place.to_store):
-                own.close()
+        for instance in self.instances:
+            if instance.node.process.poll() is None:
+                instance.node.signal(signal.SIGCONT)
+            for link in (
+                instance.to_node,
+                instance.to_backend,
+                instance.to_store,
+            ):
+                link.close()
         for backend in self.backends:
             backend.close()
         await self.mesh.close()
 
     # Load.
 
-    async def call_all(self, place: Place) -> None:
-        """Send requests to a node, one after the other."""
-        while not self.stopped:
-            self.requests += 1
-            number = self.requests
+    async def run_caller(self, instance: Instance) -> None:
+        """Send requests to a node in turn until the load is stopped."""
+        while not self.load_stopped:
+            self.request_count += 1
+            number = self.request_count
             if number % 3 == 0:
-                await self.call(place, number, "/reports/1", b"POST")
-            elif number % 10 == 1 and self.version > 1:
-                generation = 2 + number % (self.version - 1)
+                await self.send_request(
+                    instance, number, "/reports/1", b"POST"
+                )
+            elif number % 10 == 1 and self.config_version > 1:
+                generation = 2 + number % (self.config_version - 1)
                 path = f"/generation-{generation}/1"
-                await self.call(place, number, path, generation=generation)
+                await self.send_request(
+                    instance, number, path, generation=generation
+                )
             else:
-                await self.call(place, number, "/records/1")
-            await asyncio.sleep(1.0 / CALLER_RATE)
+                await self.send_request(instance, number, "/records/1")
+            await asyncio.sleep(1.0 / REQUESTS_PER_CALLER_SECOND)
 
-    async def call(
+    async def send_request(
         self,
-        place: Place,
+        instance: Instance,
         number: int,
         path: str,
         method: bytes = b"GET",
         *,
         generation: int = 0,
     ) -> None:
-        """Send a request and note what came of it."""
-        request = f"s{number}"
-        label = place.label()
-        sent = time.monotonic()
-        pending = checks.Answer(
-            request=request,
+        """Send a request and record its result."""
+        request_id = f"s{number}"
+        label = instance.process_label()
+        sent_at = time.monotonic()
+        pending = checks.CallResult(
+            request=request_id,
             node=label,
-            sent=sent,
-            ended=sent,
+            sent=sent_at,
+            ended=sent_at,
             idempotent=method == b"GET",
             status=0,
             generation=generation,
         )
-        self.answers[request] = pending
+        self.results[request_id] = pending
         result = await self.mesh.caller.send(
-            place.node.ports.callers,
+            instance.node.ports.callers,
             http.Request(
                 method=method,
                 target=path.encode(),
                 headers=(
                     (b"Host", b"mesh.example"),
-                    (b"X-Request-Id", request.encode()),
+                    (b"X-Request-Id", request_id.encode()),
                     (b"X-Deadline-Ms", b"%d" % DEADLINE_MS),
                 ),
                 body=b"content" if method == b"POST" else b"",
@@ -248,50 +259,55 @@
         )
         response = result.response
         status = response.status if response is not None else 0
-        self.answers[request] = dataclasses.replace(
+        self.results[request_id] = dataclasses.replace(
             pending,
-            # An answer of the next process proves nothing for this one.
-            node=label if label == place.label() else f"{label}+",
+            # Another process may have answered after a restart, so that the
+            # result says nothing about the configuration of this one.
+            node=(label if label == instance.process_label() else f"{label}+"),
             ended=time.monotonic(),
             status=status,
-            whole=status != 200 or _is_own(response, request, path),
+            intact=status != 200 or _is_intact(response, request_id, path),
         )
 
-    # Evidence.
+    # Observations.
 
-    def runs(self) -> list[checks.Run]:
-        """Return what all backend servers have run."""
+    def executions(self) -> list[checks.Execution]:
+        """Return the requests that all backend servers executed."""
         return [
-            checks.Run(request=request, backend=backend.identifier, at=at)
+            checks.Execution(
+                request=request_id,
+                backend=backend.identifier,
+                started_at=at,
+            )
             for backend in self.backends
-            for request, at in zip(
+            for request_id, at in zip(
                 backend.runs, backend.run_started_at, strict=True
             )
         ]
 
     def check_resources(self) -> list[checks.Violation]:
-        """Check that memory and descriptors are bounded."""
-        found = []
-        for place in self.places:
-            process = psutil.Process(place.node.process.pid)
-            memory = process.memory_info().rss / 2**20
+        """Check the memory and file descriptors of all node processes."""
+        violations = []
+        for instance in self.instances:
+            process = psutil.Process(instance.node.process.pid)
+            memory_mb = process.memory_info().rss / 2**20
             descriptors = process.num_fds()
-            if memory > MAX_MEMORY_MB or descriptors > MAX_DESCRIPTORS:
-                found.append(
+            if memory_mb > MAX_MEMORY_MB or descriptors > MAX_DESCRIPTORS:
+                violations.append(
                     checks.Violation(
                         promise="bounded-resources",
                         detail=(
-                            f"{place.label()}: {memory:.0f} MB, "
+                            f"{instance.process_label()}: {memory_mb:.0f} MB, "
                             f"{descriptors} descriptors"
                         ),
                     )
                 )
-        return found
+        return violations
 
 
-def _is_own(response: http.Response, request: str, path: str) -> bool:
+def _is_intact(response: http.Response, request_id: str, path: str) -> bool:
     seal = http.find_header(response.headers, b"x-response-seal")
     return (
-        seal == b"seal-" + request.encode()
+        seal == b"seal-" + request_id.encode()
         and response.body == b"body of " + path.encode()
     )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy that delays, resets or silences connections."""
+"""Loopback TCP proxy that delays, resets or blocks connections."""
 
 import asyncio
 import contextlib
@@ -13,34 +13,34 @@
 
 
 class Mode(enum.StrEnum):
-    """What becomes of the bytes."""
+    """What the proxy does with the bytes that it receives."""
 
     PASS = "pass"
     DELAY = "delay"
-    # New connections are reset, too.
+    # Open and new connections are reset.
     RESET = "reset"
-    # Nothing passes until the mode changes; no connection is closed.
+    # All bytes are held back until the mode changes; connections stay open.
     SILENT = "silent"
-    # As `SILENT`, for what the target sends only.
+    # Only the bytes that the target sends are held back.
     ONE_WAY = "one-way"
 
 
 class Proxy:
-    """One listening address that forwards to another one.
+    """TCP proxy from a listening address to one target.
 
     Parameters
     ----------
     target : str
-        IP:PORT.
+        Address to connect to, as IP:PORT.
     host : str
-        Address to listen on.
+        IP address to listen on.
     """
 
     def __init__(self, *, target: str, host: str = "127.0.0.1") -> None:
         self.target = target
         self.host = host
         self.mode = Mode.PASS
-        self.changed = asyncio.Event()
+        self.mode_changed = asyncio.Event()
         self.address = ""
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -49,22 +49,22 @@
     async def listen(self) -> None:
         """Listen on a free port."""
         self.server = await asyncio.start_server(
-            self.accept, self.host, 0, limit=CHUNK_BYTES
+            self.handle_connection, self.host, 0, limit=CHUNK_BYTES
         )
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
 
     def set_mode(self, mode: Mode) -> None:
-        """Change what becomes of the bytes."""
+        """Change the mode, for open and new connections."""
         self.mode = mode
-        changed, self.changed = self.changed, asyncio.Event()
-        changed.set()
+        mode_changed, self.mode_changed = self.mode_changed, asyncio.Event()
+        mode_changed.set()
         if mode is Mode.RESET:
             for writer in tuple(self.writers):
                 _reset(writer)
 
     def close(self) -> None:
-        """Close all connections and stop to listen."""
+        """Close all connections and stop listening."""
         if self.server is not None:
             self.server.close()
         for task in self.tasks:
@@ -72,7 +72,7 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
-    async def accept(
+    async def handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forward a connection until one side closes it."""
@@ -81,52 +81,58 @@
             return
         host, _, port = self.target.rpartition(":")
         try:
-            back_reader, back = await asyncio.open_connection(host, int(port))
+            target_reader, target_writer = await asyncio.open_connection(
+                host, int(port)
+            )
         except OSError:
             writer.transport.abort()
             return
-        self.writers.update((writer, back))
-        pumps = [
-            asyncio.ensure_future(self.pump(reader, back, reply=False)),
-            asyncio.ensure_future(self.pump(back_reader, writer, reply=True)),
+        self.writers.update((writer, target_writer))
+        forwarders = [
+            asyncio.ensure_future(
+                self.forward(reader, target_writer, from_target=False)
+            ),
+            asyncio.ensure_future(
+                self.forward(target_reader, writer, from_target=True)
+            ),
         ]
-        self.tasks.update(pumps)
-        # Cancelled only at the end of the run.
+        self.tasks.update(forwarders)
+        # This task is cancelled only at the end of the run.
         with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-        for pump in pumps:
-            pump.cancel()
-            self.tasks.discard(pump)
-        for end in (writer, back):
-            self.writers.discard(end)
-            end.close()
-
-    async def pump(
+            await asyncio.wait(forwarders, return_when=asyncio.FIRST_COMPLETED)
+        for forwarder in forwarders:
+            forwarder.cancel()
+            self.tasks.discard(forwarder)
+        for stream in (writer, target_writer):
+            self.writers.discard(stream)
+            stream.close()
+
+    async def forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
-        reply: bool,
+        from_target: bool,
     ) -> None:
-        """Forward one direction."""
+        """Forward the bytes of one direction."""
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(CHUNK_BYTES):
-                while self.holds(reply=reply):
-                    await self.changed.wait()
+                while self.is_blocked(from_target=from_target):
+                    await self.mode_changed.wait()
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
                 writer.write(data)
                 await writer.drain()
 
-    def holds(self, *, reply: bool) -> bool:
-        """Tell whether bytes of a direction wait."""
+    def is_blocked(self, *, from_target: bool) -> bool:
+        """Return whether the bytes of a direction are held back."""
         return self.mode is Mode.SILENT or (
-            self.mode is Mode.ONE_WAY and reply
+            self.mode is Mode.ONE_WAY and from_target
         )
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset instead of an end."""
+    """Close a connection with RST instead of FIN."""
     connection = writer.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(
--- a/soak/report.py
+++ b/soak/report.py
@@ -1,4 +1,4 @@
-"""Report of a soak run: as text, and as a page with plots."""
+"""Report of a soak run, as text and as an HTML page with plots."""
 
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -16,97 +16,97 @@
 from soak import schedule
 
 __all__ = [
-    "Outcome",
-    "Second",
+    "RunResult",
+    "SecondCounts",
+    "count_by_second",
     "count_reasons",
-    "count_seconds",
     "format_text",
     "percentile",
     "write_page",
 ]
 
-KINDS = {True: "repeatable", False: "not repeatable"}
-# Event of a request that this node refused or failed.
+ROUTE_KINDS = {True: "repeatable", False: "not repeatable"}
+# Number of the log event of a request that a node refused or failed.
 REQUEST_ENDED = 601
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Outcome:
-    """What came of a run.
+class RunResult:
+    """Result of one soak run.
 
     Parameters
     ----------
     seed : int
-        Of the faults.
+        Seed of the faults.
     violations : tuple of checks.Violation
         Broken promises.
-    answers : tuple of checks.Answer
-        Of all callers.
+    results : tuple of checks.CallResult
+        Results of the requests of all callers.
     faults : tuple of schedule.Fault
-        What was injected.
-    started : float
-        Monotonic time of the load's start, in seconds.
+        Injected faults.
+    started_at : float
+        Monotonic time of the start of the load, in seconds.
     reasons : Counter
-        Refusals and failures by the reason that the nodes logged; their
-        lines are bounded, so these are the least.
+        Refusals and failures by logged reason. These are lower bounds, since
+        nodes limit their log lines.
     """
 
     seed: int
     violations: tuple[checks.Violation, ...]
-    answers: tuple[checks.Answer, ...] = ()
+    results: tuple[checks.CallResult, ...] = ()
     faults: tuple[schedule.Fault, ...] = ()
-    started: float = 0.0
+    started_at: float = 0.0
     reasons: Counter[str] = dataclasses.field(default_factory=Counter)
 
-    def statuses(self) -> Counter[int]:
-        """Return the number of answers by status; 0 is none."""
-        return Counter(answer.status for answer in self.answers)
+    def count_statuses(self) -> Counter[int]:
+        """Count the results by HTTP status; 0 stands for no response."""
+        return Counter(result.status for result in self.results)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Second:
-    """Requests that were sent in one second."""
+class SecondCounts:
+    """Outcomes of the requests sent in one second of the run."""
 
-    at: int
+    second_index: int
     served: int
     refused: int
     failed: int
 
 
 def count_reasons(logs: Iterable[pathlib.Path]) -> Counter[str]:
-    """Return refusals and failures by reason, from the nodes' logs."""
-    found: Counter[str] = Counter()
+    """Count refusals and failures by reason, from the nodes' logs."""
+    counts: Counter[str] = Counter()
     for path in logs:
         for line in path.read_text(encoding="utf-8").splitlines():
             try:
-                entry = json.loads(line)
+                record = json.loads(line)
             except ValueError:
-                # A killed process may leave half a line.
+                # The last line of a killed process may be incomplete.
                 continue
-            if entry.get("event") == REQUEST_ENDED:
-                found[f"{entry['outcome']}: {entry['reason']}"] += 1
-    return found
+            if record.get("event") == REQUEST_ENDED:
+                counts[f"{record['outcome']}: {record['reason']}"] += 1
+    return counts
 
 
-def count_seconds(outcome: Outcome) -> tuple[Second, ...]:
-    """Return what became of the requests of each second of the run."""
+def count_by_second(run_result: RunResult) -> tuple[SecondCounts, ...]:
+    """Count the outcomes of the requests sent in each second of the run."""
     counts: dict[int, Counter[str]] = {}
-    for answer in outcome.answers:
-        at = int(answer.sent - outcome.started)
-        counts.setdefault(at, Counter())[_name_end(answer)] += 1
+    for result in run_result.results:
+        second_index = int(result.sent - run_result.started_at)
+        counts.setdefault(second_index, Counter())[_classify(result)] += 1
     return tuple(
-        Second(
-            at=at,
-            served=counts[at]["served"],
-            refused=counts[at]["refused"],
-            failed=counts[at]["failed"],
+        SecondCounts(
+            second_index=second_index,
+            served=counts[second_index]["served"],
+            refused=counts[second_index]["refused"],
+            failed=counts[second_index]["failed"],
         )
-        for at in sorted(counts)
+        for second_index in sorted(counts)
     )
 
 
 def percentile(values: Iterable[float], percent: float) -> float:
-    """Return a percentile by the nearest rank; 0 without values."""
+    """Return a percentile by nearest rank, or 0 if there are no values."""
     ordered = sorted(values)
     if not ordered:
         return 0.0
@@ -114,33 +114,38 @@
     return ordered[min(rank, len(ordered)) - 1]
 
 
-def format_text(outcome: Outcome) -> str:
+def format_text(run_result: RunResult) -> str:
     """Return the report as text."""
-    verdict = "BROKEN" if outcome.violations else "held"
-    lines = [f"seed {outcome.seed}: {verdict}"]
-    lines += [f"  {v.promise}: {v.detail}" for v in outcome.violations]
-    for idempotent, kind in KINDS.items():
-        own = [a for a in outcome.answers if a.idempotent is idempotent]
-        ends = Counter(map(_name_end, own))
-        times = _served_ms(own)
+    verdict = "BROKEN" if run_result.violations else "held"
+    lines = [f"seed {run_result.seed}: {verdict}"]
+    lines += [f"  {v.promise}: {v.detail}" for v in run_result.violations]
+    for idempotent, kind in ROUTE_KINDS.items():
+        kind_results = [
+            result
+            for result in run_result.results
+            if result.idempotent is idempotent
+        ]
+        outcomes = Counter(map(_classify, kind_results))
+        latencies_ms = _list_served_ms(kind_results)
         lines.append(
-            f"{kind}: {len(own)} requests, {ends['served']} served, "
-            f"{ends['refused']} refused, {ends['failed']} failed; "
-            f"p50 {percentile(times, 50):.0f} ms, "
-            f"p99 {percentile(times, 99):.0f} ms"
+            f"{kind}: {len(kind_results)} requests, "
+            f"{outcomes['served']} served, "
+            f"{outcomes['refused']} refused, {outcomes['failed']} failed; "
+            f"p50 {percentile(latencies_ms, 50):.0f} ms, "
+            f"p99 {percentile(latencies_ms, 99):.0f} ms"
         )
-    for reason, count in outcome.reasons.most_common():
+    for reason, count in run_result.reasons.most_common():
         lines.append(f"{reason}: {count}")
-    for fault in outcome.faults:
-        where = f" at n{fault.node}" if fault.node >= 0 else ""
+    for fault in run_result.faults:
+        location = f" at n{fault.node}" if fault.node >= 0 else ""
         lines.append(
-            f"{fault.at:5.1f} s  {fault.kind}{where} "
-            f"for {fault.seconds:.1f} s"
+            f"{fault.starts_at:5.1f} s  {fault.kind}{location} "
+            f"for {fault.duration_seconds:.1f} s"
         )
     return "\n".join(lines)
 
 
-def write_page(outcome: Outcome, path: pathlib.Path) -> None:
+def write_page(run_result: RunResult, path: pathlib.Path) -> None:
     """Write the report as one HTML page with plots.
 
     Raises
@@ -148,53 +153,55 @@
     OSError
         The page cannot be written.
     """
-    title = f"Soak, seed {outcome.seed}"
+    title = f"Soak, seed {run_result.seed}"
     path.write_text(
         "<!DOCTYPE html>\n"
         f'<html lang="en"><head><meta charset="utf-8"><title>{title}</title>'
         f"</head><body><h1>{title}</h1>\n"
-        f"{_draw(outcome)}\n"
-        f"<pre>{html.escape(format_text(outcome))}</pre>\n"
+        f"{_plot(run_result)}\n"
+        f"<pre>{html.escape(format_text(run_result))}</pre>\n"
         "</body></html>\n",
         encoding="utf-8",
     )
 
 
-def _name_end(answer: checks.Answer) -> str:
-    if 200 <= answer.status < 300:
+def _classify(result: checks.CallResult) -> str:
+    if 200 <= result.status < 300:
         return "served"
-    if answer.status in checks.NOT_RUN_STATUSES:
+    if result.status in checks.NOT_RUN_STATUSES:
         return "refused"
     return "failed"
 
 
-def _served_ms(answers: Iterable[checks.Answer]) -> list[float]:
+def _list_served_ms(results: Iterable[checks.CallResult]) -> list[float]:
     return [
-        (answer.ended - answer.sent) * 1000.0
-        for answer in answers
-        if _name_end(answer) == "served"
+        (result.ended - result.sent) * 1000.0
+        for result in results
+        if _classify(result) == "served"
     ]
 
 
-def _draw(outcome: Outcome) -> str:
+def _plot(run_result: RunResult) -> str:
     """Return the plots as SVG."""
-    drawing = figure.Figure(figsize=(11, 13), layout="constrained")
-    ends, latency, faults, reasons = drawing.subplots(4, 1)
-    _draw_ends(ends, count_seconds(outcome))
-    _draw_latency(latency, outcome)
-    _draw_faults(faults, outcome.faults)
-    faults.sharex(ends)
-    latency.sharex(ends)
-    _draw_reasons(reasons, outcome.reasons)
+    plot_figure = figure.Figure(figsize=(11, 13), layout="constrained")
+    outcome_axes, latency_axes, fault_axes, reason_axes = plot_figure.subplots(
+        4, 1
+    )
+    _plot_outcomes(outcome_axes, count_by_second(run_result))
+    _plot_latency(latency_axes, run_result)
+    _plot_faults(fault_axes, run_result.faults)
+    fault_axes.sharex(outcome_axes)
+    latency_axes.sharex(outcome_axes)
+    _plot_reasons(reason_axes, run_result.reasons)
     output = io.StringIO()
-    drawing.savefig(output, format="svg")
+    plot_figure.savefig(output, format="svg")
     svg = output.getvalue()
     return svg[svg.index("<svg") :]
 
 
-def _draw_ends(axes: plots.Axes, seconds: Sequence[Second]) -> None:
-    at = [second.at for second in seconds]
-    below = [0] * len(seconds)
+def _plot_outcomes(axes: plots.Axes, seconds: Sequence[SecondCounts]) -> None:
+    second_indexes = [second.second_index for second in seconds]
+    bar_bottoms = [0] * len(seconds)
     for name, colour in (
         ("served", "tab:green"),
         ("refused", "tab:orange"),
@@ -202,33 +209,49 @@
     ):
         values = [getattr(second, name) for second in seconds]
         axes.bar(
-            at, values, 1.0, below, align="edge", color=colour, label=name
+            second_indexes,
+            values,
+            1.0,
+            bar_bottoms,
+            align="edge",
+            color=colour,
+            label=name,
         )
-        below = [low + value for low, value in zip(below, values)]
+        bar_bottoms = [
+            bottom + value for bottom, value in zip(bar_bottoms, values)
+        ]
     axes.set(title="Requests by second", ylabel="requests")
     axes.legend()
 
 
-def _draw_latency(axes: plots.Axes, outcome: Outcome) -> None:
-    for idempotent, kind in KINDS.items():
-        by_second: dict[int, list[checks.Answer]] = {}
-        for answer in outcome.answers:
-            if answer.idempotent is idempotent:
-                at = int(answer.sent - outcome.started)
-                by_second.setdefault(at, []).append(answer)
-        at = sorted(by_second)
+def _plot_latency(axes: plots.Axes, run_result: RunResult) -> None:
+    for idempotent, kind in ROUTE_KINDS.items():
+        by_second: dict[int, list[checks.CallResult]] = {}
+        for result in run_result.results:
+            if result.idempotent is idempotent:
+                second_index = int(result.sent - run_result.started_at)
+                by_second.setdefault(second_index, []).append(result)
+        second_indexes = sorted(by_second)
         for percent, style in ((50, "-"), (99, ":")):
             values = [
-                percentile(_served_ms(by_second[s]), percent) for s in at
+                percentile(_list_served_ms(by_second[s]), percent)
+                for s in second_indexes
             ]
-            axes.plot(at, values, style, label=f"{kind}, p{percent}")
+            axes.plot(
+                second_indexes, values, style, label=f"{kind}, p{percent}"
+            )
     axes.set(title="Latency of served requests", ylabel="ms")
     axes.legend()
 
 
-def _draw_faults(axes: plots.Axes, faults: Sequence[schedule.Fault]) -> None:
+def _plot_faults(axes: plots.Axes, faults: Sequence[schedule.Fault]) -> None:
     for row, fault in enumerate(faults):
-        axes.barh(row, max(fault.seconds, 0.1), left=fault.at, color="tab:red")
+        axes.barh(
+            row,
+            max(fault.duration_seconds, 0.1),
+            left=fault.starts_at,
+            color="tab:red",
+        )
     axes.set(title="Faults", xlabel="seconds since the start of the load")
     labels = [
         f"{f.kind} n{f.node}" if f.node >= 0 else str(f.kind) for f in faults
@@ -236,7 +259,7 @@
     axes.set_yticks(range(len(faults)), labels, fontsize=7)
 
 
-def _draw_reasons(axes: plots.Axes, reasons: Counter[str]) -> None:
+def _plot_reasons(axes: plots.Axes, reasons: Counter[str]) -> None:
     names = [name for name, _ in reasons.most_common()]
     axes.barh(names, [reasons[name] for name in names])
     axes.set(title="Refusals and failures by reason", xlabel="requests")
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,4 +1,4 @@
-"""Faults of a run, drawn from its seed."""
+"""Random schedule of the faults of a run, determined by its seed."""
 
 import dataclasses
 import enum
@@ -8,14 +8,15 @@
 
 
 class Kind(enum.StrEnum):
-    """What happens."""
+    """Kinds of faults."""
 
     # Processes.
     KILL = "kill"
     TERMINATE = "terminate"
     PAUSE = "pause"
     RELOAD = "reload"
-    # Connections, by the proxies before nodes, backend servers and the store.
+    # Connections, by the proxies in front of nodes, backend servers and the
+    # store.
     LINK_DELAY = "link-delay"
     LINK_RESET = "link-reset"
     LINK_SILENT = "link-silent"
@@ -41,8 +42,8 @@
     ROLLOUT_BAD = "rollout-bad"
 
 
-# Kinds that concern one node or its backend server.
-OF_NODES = frozenset(
+# Kinds that affect one node or its backend server.
+NODE_KINDS = frozenset(
     {
         Kind.KILL,
         Kind.TERMINATE,
@@ -63,77 +64,101 @@
         Kind.SERVER_REPLACED,
     }
 )
-# Faults a second; at a mean of two seconds each some overlap.
+# A fault lasts 2.15 s on average, so some overlap.
 FAULTS_PER_SECOND = 1.2
-LONGEST_SECONDS = 4.0
-SHORTEST_SECONDS = 0.3
-# Part of the faults that are followed by the same one once more.
-SERIES_PART = 0.25
-# A rollout is judged within 12 to 20 s on the users' sites. At most one is
-# under way in a run, begun early enough to be judged in a short one.
-ROLLOUT_PART = 0.5
+MAX_FAULT_SECONDS = 4.0
+MIN_FAULT_SECONDS = 0.3
+# Probability that a fault is injected a second time at the same node.
+REPEAT_PROBABILITY = 0.25
+# The users' sites judge a rollout within 12 to 20 s. A run has at most one,
+# which starts early enough to be judged in a short run.
+ROLLOUT_PROBABILITY = 0.5
 ROLLOUT_SECONDS = 8.0
-LATEST_ROLLOUT_SECONDS = 2.0
-# Without faults at the start and, to see the recovery, at the end.
-LEAD_SECONDS = 1.0
+MAX_ROLLOUT_DELAY_SECONDS = 2.0
+# Times without faults at the start of the run and, for the check of the
+# recovery, at its end.
+WARM_UP_SECONDS = 1.0
 RECOVERY_SECONDS = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Fault:
-    """One fault; times in seconds since the start of the load.
+    """One scheduled fault.
 
     Parameters
     ----------
-    at, seconds : float
-        When it begins and how long it lasts.
+    starts_at : float
+        Start of the fault, in seconds since the start of the load.
+    duration_seconds : float
+        Duration of the fault.
     kind : Kind
-        What happens.
+        Kind of the fault.
     node : int
-        Index of the node concerned; -1 if it concerns none.
+        Index of the affected node; -1 if it affects none in particular.
     """
 
-    at: float
-    seconds: float
+    starts_at: float
+    duration_seconds: float
     kind: Kind
     node: int = -1
 
 
 def draw(*, seed: int, seconds: float, nodes: int) -> tuple[Fault, ...]:
-    """Return the faults of a run, in the order of their times.
+    """Return the faults of a run, ordered by their start.
 
     Parameters
     ----------
     seed : int
-        The same seed gives the same faults.
+        Seed of the random numbers. The same seed gives the same faults.
     seconds : float
-        Length of the run.
+        Duration of the load.
     nodes : int
         Number of nodes.
     """
     rng = random.Random(seed)
     kinds = tuple(kind for kind in Kind if kind is not Kind.ROLLOUT_BAD)
     end = seconds - RECOVERY_SECONDS
-    found = list(_draw_rollout(seed, end))
-    at = LEAD_SECONDS
+    faults = list(_draw_rollout(seed, end))
+    at = WARM_UP_SECONDS
     while True:
         at += rng.expovariate(FAULTS_PER_SECOND)
         kind = rng.choice(kinds)
-        lasts = rng.uniform(SHORTEST_SECONDS, LONGEST_SECONDS)
-        node = rng.randrange(nodes) if kind in OF_NODES else -1
-        if at + lasts > end:
+        duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        node = rng.randrange(nodes) if kind in NODE_KINDS else -1
+        if at + duration > end:
             break
-        found.append(Fault(at=at, seconds=lasts, kind=kind, node=node))
-        again = at + lasts + rng.uniform(0.05, 1.0)
-        if rng.random() < SERIES_PART and again + lasts <= end:
-            found.append(Fault(at=again, seconds=lasts, kind=kind, node=node))
-    return tuple(sorted(found, key=lambda fault: fault.at))
+        faults.append(
+            Fault(
+                starts_at=at, duration_seconds=duration, kind=kind, node=node
+            )
+        )
+        repeat_at = at + duration + rng.uniform(0.05, 1.0)
+        if rng.random() < REPEAT_PROBABILITY and repeat_at + duration <= end:
+            faults.append(
+                Fault(
+                    starts_at=repeat_at,
+                    duration_seconds=duration,
+                    kind=kind,
+                    node=node,
+                )
+            )
+    return tuple(sorted(faults, key=lambda fault: fault.starts_at))
 
 
 def _draw_rollout(seed: int, end: float) -> tuple[Fault, ...]:
-    """Return the rollout of a run, if any, without changing its faults."""
+    """Return the rollout of a run, if any.
+
+    It has random numbers of its own, so that the other faults of a seed do
+    not depend on it.
+    """
     rng = random.Random(f"rollout {seed}")
-    at = rng.uniform(0.0, LATEST_ROLLOUT_SECONDS)
-    if rng.random() >= ROLLOUT_PART or at + ROLLOUT_SECONDS > end:
+    at = rng.uniform(0.0, MAX_ROLLOUT_DELAY_SECONDS)
+    if rng.random() >= ROLLOUT_PROBABILITY or at + ROLLOUT_SECONDS > end:
         return ()
-    return (Fault(at=at, seconds=ROLLOUT_SECONDS, kind=Kind.ROLLOUT_BAD),)
+    return (
+        Fault(
+            starts_at=at,
+            duration_seconds=ROLLOUT_SECONDS,
+            kind=Kind.ROLLOUT_BAD,
+        ),
+    )
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,4 +1,4 @@
-"""Tests of the proxy that disturbs connections."""
+"""Tests of the proxy that injects connection faults."""
 
 import asyncio
 import contextlib
@@ -30,14 +30,14 @@
         self.addCleanup(writer.close)
         return reader, writer
 
-    async def test_bytes_pass(self):
-        """Guards against a proxy that disturbs a calm run."""
+    async def test_bytes_are_forwarded(self):
+        """Guards against a proxy that changes the bytes without a fault."""
         reader, writer = await self.connect()
         writer.write(b"abc")
         self.assertEqual(b"abc", await reader.readexactly(3))
 
-    async def test_silence_holds_bytes_and_closes_nothing(self):
-        """Guards against a silence that looks like a close."""
+    async def test_silent_mode_holds_bytes_and_keeps_connections(self):
+        """Guards against a silent mode that closes the connection."""
         reader, writer = await self.connect()
         for mode in (proxy.Mode.SILENT, proxy.Mode.ONE_WAY):
             self.proxy.set_mode(mode)
@@ -49,7 +49,7 @@
             self.assertEqual(b"abc", await reader.readexactly(3))
 
     async def test_reset_ends_open_and_new_connections(self):
-        """Guards against a reset that spares some connections."""
+        """Guards against a reset that leaves some connections open."""
         reader, writer = await self.connect()
         writer.write(b"abc")
         await reader.readexactly(3)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,4 +1,4 @@
-"""Short seeded soaks with real processes."""
+"""Tests that run short soaks of real processes with fixed seeds."""
 
 import asyncio
 import pathlib
@@ -10,27 +10,27 @@
 from apricotpost.sidecar import connections
 
 from soak import __main__ as soak
+from soak import fleets
 from soak import proxy
-from soak import world
 
-__all__ = ["LongCutTest", "SoakTest"]
+__all__ = ["LongPartitionTest", "SoakTest"]
 
-# Seeds that are run in CI. A seed that has failed once is added with a line
-# on its cause.
+# Seeds that CI runs. Add each seed that has failed, with a comment on the
+# cause.
 SEEDS = (1,)
 SECONDS = 14.0
 NODES = 6
 
 
 class SoakTest(unittest.TestCase):
-    def test_promises_hold_under_drawn_faults(self):
-        """Guards against promises that hold only without faults."""
+    def test_promises_hold_under_random_faults(self):
+        """Guards against promises that are broken under injected faults."""
         for seed in SEEDS:
             with (
                 self.subTest(seed=seed),
                 tempfile.TemporaryDirectory() as folder,
             ):
-                outcome = asyncio.run(
+                run_result = asyncio.run(
                     soak.run_seed(
                         seed=seed,
                         seconds=SECONDS,
@@ -38,25 +38,27 @@
                         folder=pathlib.Path(folder),
                     )
                 )
-                self.assertEqual((), outcome.violations)
-                self.assertGreater(outcome.statuses()[200], 500)
+                self.assertEqual((), run_result.violations)
+                self.assertGreater(run_result.count_statuses()[200], 500)
 
 
-class LongCutTest(unittest.IsolatedAsyncioTestCase):
-    """Nodes whose messages are lost for longer than connections are kept."""
+class LongPartitionTest(unittest.IsolatedAsyncioTestCase):
+    """Partition that lasts longer than idle connections are kept."""
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.world = world.World(folder=pathlib.Path(folder.name), network=251)
-        self.addAsyncCleanup(self.world.close)
-        await self.world.start(4)
-        self.world.stopped = True
+        self.fleet = fleets.Fleet(
+            folder=pathlib.Path(folder.name), network=251
+        )
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(4)
+        self.fleet.load_stopped = True
 
-    async def ask(self):
+    async def send_remote_request(self):
         """Return the status of a request that only dc-b can serve."""
-        result = await self.world.mesh.caller.send(
-            self.world.places[0].node.ports.callers,
+        result = await self.fleet.mesh.caller.send(
+            self.fleet.instances[0].node.ports.callers,
             http.Request(
                 method=b"POST",
                 target=b"/reports/1",
@@ -73,24 +75,24 @@
 
     async def wait_for(self, status, seconds):
         async with asyncio.timeout(seconds):
-            while await self.ask() != status:
+            while await self.send_remote_request() != status:
                 await asyncio.sleep(0.2)
 
-    async def test_data_centres_meet_again(self):
-        """Guards against data centres that stay apart after a long cut.
+    async def test_data_centres_reconnect_after_long_partition(self):
+        """Guards against data centres that stay disconnected for good.
 
-        Fault: all messages between nodes are lost until the connections
-        that nobody wants are closed. Before, the requests were refused for
-        as long as the processes lived.
+        The proxies hold back all messages between the nodes until the nodes
+        have closed their unused connections. The nodes did not connect again
+        after that, and refused the requests until they were restarted.
         """
-        local = self.world.places[2]
+        local = self.fleet.instances[2]
         local.backend.state = "draining"
-        await self.world.mesh.beat(local.node)
+        await self.fleet.mesh.beat(local.node)
         await self.wait_for(200, 5.0)
-        for place in self.world.places:
-            place.to_node.set_mode(proxy.Mode.SILENT)
+        for instance in self.fleet.instances:
+            instance.to_node.set_mode(proxy.Mode.SILENT)
         await self.wait_for(503, 10.0)
         await asyncio.sleep(connections.KEEP_SECONDS + 5.0)
-        for place in self.world.places:
-            place.to_node.set_mode(proxy.Mode.PASS)
+        for instance in self.fleet.instances:
+            instance.to_node.set_mode(proxy.Mode.PASS)
         await self.wait_for(200, 15.0)
