--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,18 +10,18 @@
 __all__ = ["BENCHMARKS", "main"]
 
 BENCHMARKS = {
-    "balance": "Choice of the backend server against other policies.",
-    "control_cost": "Bytes, processor time and memory of control per node.",
-    "convergence": "From accepted to in force on every node.",
-    "data_centre_move": "Service while a data centre leaves and returns.",
-    "handover": "Hand-overs between tasks: threads against asyncio.",
+    "balance": "Load balancing compared with other policies.",
+    "control_cost": "Bytes, processor time and memory of the control task.",
+    "convergence": "Time until a change is in force on every node.",
+    "data_centre_move": "Failed requests while a data centre is out.",
+    "handover": "Latency between tasks: threads against asyncio.",
     "keyed_calls": "Cost of calls with an Idempotency-Key.",
-    "moves": "Good versions on time, bad versions taken back.",
-    "overhead": "Latency and processor time added to a call.",
-    "restart_storm": "Load on table and peers when a data centre restarts.",
+    "moves": "Rollouts that finish on time or are withdrawn.",
+    "overhead": "Latency and processor time that nodes add to a call.",
+    "restart_storm": "Table reads and messages when a data centre restarts.",
     "sidecar_overhead": "Latency that two event-loop nodes add to a call.",
-    "state_at_target": "Memory and processor time of the state at 1,200.",
-    "verdict_rates": "False alarms and misses of a rollout's verdict.",
+    "state_at_target": "Memory and processor time of 1,200 instance records.",
+    "verdict_rates": "False alarms and misses of the sequential test.",
 }
 BASELINE = pathlib.Path(__file__).with_name("baseline.json")
 
@@ -34,18 +34,18 @@
     Returns
     -------
     int
-        0 when every figure is within its bound, 1 when one is not.
+        0 if every benchmark meets its target, otherwise 1.
     """
     parser = argparse.ArgumentParser(prog="python -m bench")
     parser.add_argument("name", choices=["list", "all", *BENCHMARKS])
     parser.add_argument("--json", action="store_true")
     parser.add_argument(
-        "--full", action="store_true", help="larger fleets, several minutes"
+        "--full", action="store_true", help="larger fleets or longer runs"
     )
     options = parser.parse_args(arguments)
     if options.name == "list":
-        for name, text in BENCHMARKS.items():
-            print(f"{name:18} {text}")
+        for name, description in BENCHMARKS.items():
+            print(f"{name:18} {description}")
         return 0
     names = list(BENCHMARKS) if options.name == "all" else [options.name]
     results = [run_benchmark(name, options.full) for name in names]
@@ -63,7 +63,7 @@
     result: Result = {**module.run(full), "name": name}
     baseline = json.loads(BASELINE.read_text()).get(name)
     if baseline is not None and not full:
-        # A figure may be worse than its baseline by this factor.
+        # A value above the baseline times its factor is a regression.
         limit = baseline["value"] * baseline["factor"]
         result["regression_limit"] = limit
         result["regressed"] = result["value"] > limit
@@ -81,12 +81,12 @@
     if row["target"] is None:
         print(f"{row['name']:36} {row['value']:12.4g} {row['unit']}")
         return
-    holds = "yes" if row["holds"] else "NO"
+    status = "yes" if row["holds"] else "NO"
     if row["regressed"]:
-        holds += ", worse than the baseline"
+        status += ", worse than the baseline"
     print(
         f"{row['name']:36} {row['value']:12.4g} {row['unit']:10} "
-        f"{row['target']:12.4g} {holds}"
+        f"{row['target']:12.4g} {status}"
     )
 
 
--- a/bench/balance.py
+++ b/bench/balance.py
@@ -1,7 +1,7 @@
-"""Compare the choice of the backend server with other policies.
+"""Compare the load balancing of a node with other policies.
 
-A discrete-event replay of the choice function alone: Poisson arrivals from
-several callers, exponential service times, one slow and one cold server.
+A discrete-event simulation of the balancing function alone: Poisson arrivals
+at several callers, exponential service times, one slow and one cold server.
 """
 
 from collections.abc import Callable
@@ -19,21 +19,21 @@
 CALLERS = 4
 SERVERS = 8
 SLOTS = 12
-SERVICE_SECONDS = 0.010
-SLOW_FACTOR = 4.0
+MEAN_SERVICE_SECONDS = 0.010
+SLOW_SERVER_FACTOR = 4.0
 COLD_CALLS = 200
-COLD_FACTOR = 3.0
-# Offered load as a part of what all servers together can do.
+COLD_SERVER_FACTOR = 3.0
+# Offered load as a fraction of the capacity of all servers.
 UTILIZATION = 0.6
 SEEDS = 5
 
-Pick = Callable[["_Caller", float], model.InstanceRecord]
+Policy = Callable[["_Caller", float], model.InstanceRecord]
 
 
 @dataclasses.dataclass(kw_only=True)
 class _Server:
     record: model.InstanceRecord
-    factor: float
+    latency_factor: float
     busy: int = 0
     queue: list[tuple[float, int, typing.Any]] = dataclasses.field(
         default_factory=list
@@ -48,11 +48,11 @@
     rng: random.Random
     servers: list[_Server]
     loads: dict[str, choices.PeerLoad]
-    turn: typing.Iterator[int]
+    next_index: typing.Iterator[int]
 
 
 def _round_robin(caller: _Caller, now: float) -> model.InstanceRecord:
-    index = next(caller.turn) % len(caller.servers)
+    index = next(caller.next_index) % len(caller.servers)
     return caller.servers[index].record
 
 
@@ -61,42 +61,42 @@
 
 
 def _least_in_flight(caller: _Caller, now: float) -> model.InstanceRecord:
-    best = min(
+    chosen = min(
         caller.servers,
         key=lambda server: (
             caller.loads[server.record.instance].unanswered,
             caller.rng.random(),
         ),
     )
-    return best.record
+    return chosen.record
 
 
-def _two_choices_own(caller: _Caller, now: float) -> model.InstanceRecord:
-    pair = caller.rng.sample(caller.servers, 2)
-    best = min(
-        pair,
+def _two_random_choices(caller: _Caller, now: float) -> model.InstanceRecord:
+    candidates = caller.rng.sample(caller.servers, 2)
+    chosen = min(
+        candidates,
         key=lambda server: caller.loads[server.record.instance].unanswered,
     )
-    return best.record
+    return chosen.record
 
 
 def _apricotpost(caller: _Caller, now: float) -> model.InstanceRecord:
-    found = choices.choose_backend_server(
+    chosen = choices.choose_backend_server(
         [server.record for server in caller.servers],
         caller.loads,
         data_centre="other",
         now=now,
         draws=(caller.rng.random(), caller.rng.random()),
     )
-    assert found is not None
-    return found
+    assert chosen is not None
+    return chosen
 
 
-POLICIES: dict[str, Pick] = {
+POLICIES: dict[str, Policy] = {
     "round robin": _round_robin,
     "random": _random_choice,
     "least in flight": _least_in_flight,
-    "two choices, own calls": _two_choices_own,
+    "two choices, own calls": _two_random_choices,
     "apricotpost": _apricotpost,
 }
 
@@ -107,20 +107,20 @@
     Returns
     -------
     dict
-        The value is the 99th percentile with our choice divided by that of
-        the best other policy.
+        The value is the 99th percentile of the latency with apricotpost's
+        policy divided by that with the best other policy.
     """
     calls = 60_000 if full else 12_000
     raw = {
-        name: _measure(pick, calls, seeds=SEEDS)
-        for name, pick in POLICIES.items()
+        name: _measure(policy, calls, seeds=SEEDS)
+        for name, policy in POLICIES.items()
     }
-    others = [
+    other_p99_ms = [
         figures["p99_ms"]
         for name, figures in raw.items()
         if name != "apricotpost"
     ]
-    value = raw["apricotpost"]["p99_ms"] / min(others)
+    value = raw["apricotpost"]["p99_ms"] / min(other_p99_ms)
     return {
         "name": "balance",
         "value": value,
@@ -131,10 +131,10 @@
     }
 
 
-def _measure(pick: Pick, calls: int, *, seeds: int) -> dict[str, float]:
+def _measure(policy: Policy, calls: int, *, seeds: int) -> dict[str, float]:
     latencies: list[float] = []
     for seed in range(seeds):
-        latencies.extend(_simulate(pick, calls, random.Random(seed)))
+        latencies.extend(_simulate(policy, calls, random.Random(seed)))
     latencies.sort()
     return {
         "p50_ms": latencies[len(latencies) // 2] * 1000,
@@ -142,49 +142,51 @@
     }
 
 
-def _simulate(pick: Pick, calls: int, rng: random.Random) -> list[float]:
+def _simulate(policy: Policy, calls: int, rng: random.Random) -> list[float]:
     servers = [_make_server(index) for index in range(SERVERS)]
-    by_name = {server.record.instance: server for server in servers}
+    servers_by_name = {server.record.instance: server for server in servers}
     callers = [
         _Caller(
             rng=random.Random(rng.random()),
             servers=servers,
-            loads={name: choices.PeerLoad() for name in by_name},
-            turn=itertools.count(index),
+            loads={name: choices.PeerLoad() for name in servers_by_name},
+            next_index=itertools.count(index),
         )
         for index in range(CALLERS)
     ]
-    capacity = sum(SLOTS / (SERVICE_SECONDS * s.factor) for s in servers)
+    capacity = sum(
+        SLOTS / (MEAN_SERVICE_SECONDS * s.latency_factor) for s in servers
+    )
     rate = UTILIZATION * capacity
     events: list[tuple[float, int, str, typing.Any]] = []
-    order = itertools.count()
+    sequence = itertools.count()
     now = 0.0
     for _ in range(calls):
         now += rng.expovariate(rate)
-        heapq.heappush(events, (now, next(order), "arrive", None))
+        heapq.heappush(events, (now, next(sequence), "arrive", None))
     latencies = []
     while events:
-        now, _, kind, data = heapq.heappop(events)
-        if kind == "arrive":
+        now, _, event_kind, data = heapq.heappop(events)
+        if event_kind == "arrive":
             caller = rng.choice(callers)
-            server = by_name[pick(caller, now).instance]
-            _note_sent(caller, server)
-            server.queue.append((now, next(order), caller))
+            server = servers_by_name[policy(caller, now).instance]
+            _record_sent(caller, server)
+            server.queue.append((now, next(sequence), caller))
         else:
-            server, caller, since, duration = data
-            _note_duration(server, duration)
+            server, caller, arrived_at, duration_seconds = data
+            _record_duration(server, duration_seconds)
             server.busy -= 1
             server.served += 1
-            _note_answer(caller, server, now)
-            latencies.append(now - since)
+            _record_answer(caller, server, now)
+            latencies.append(now - arrived_at)
         while server.queue and server.busy < SLOTS:
-            since, _, owner = server.queue.pop(0)
+            arrived_at, _, queued_caller = server.queue.pop(0)
             server.busy += 1
-            duration = rng.expovariate(1 / _duration(server))
-            ends = now + duration
-            data = (server, owner, since, duration)
-            entry = (ends, next(order), "finish", data)
-            heapq.heappush(events, entry)
+            duration_seconds = rng.expovariate(1 / _mean_seconds(server))
+            ends_at = now + duration_seconds
+            data = (server, queued_caller, arrived_at, duration_seconds)
+            finish_event = (ends_at, next(sequence), "finish", data)
+            heapq.heappush(events, finish_event)
     return latencies
 
 
@@ -197,35 +199,43 @@
         control_address="",
         slots=SLOTS,
     )
-    factor = SLOW_FACTOR if index == 0 else 1.0
-    return _Server(record=record, factor=factor, cold=index == 1)
+    latency_factor = SLOW_SERVER_FACTOR if index == 0 else 1.0
+    return _Server(
+        record=record, latency_factor=latency_factor, cold=index == 1
+    )
 
 
-def _duration(server: _Server) -> float:
+def _mean_seconds(server: _Server) -> float:
     cold = server.cold and server.served < COLD_CALLS
-    return SERVICE_SECONDS * server.factor * (COLD_FACTOR if cold else 1.0)
+    return (
+        MEAN_SERVICE_SECONDS
+        * server.latency_factor
+        * (COLD_SERVER_FACTOR if cold else 1.0)
+    )
 
 
-def _note_duration(server: _Server, duration: float) -> None:
-    """Average the latency as the gate does."""
-    before = server.usual_ms or duration * 1000
-    server.usual_ms = before + 0.05 * (duration * 1000 - before)
+def _record_duration(server: _Server, duration_seconds: float) -> None:
+    """Update the moving average of the latency as the gate does."""
+    previous_ms = server.usual_ms or duration_seconds * 1000
+    server.usual_ms = previous_ms + 0.05 * (
+        duration_seconds * 1000 - previous_ms
+    )
 
 
-def _note_sent(caller: _Caller, server: _Server) -> None:
-    name = server.record.instance
-    load = caller.loads[name]
-    caller.loads[name] = dataclasses.replace(
+def _record_sent(caller: _Caller, server: _Server) -> None:
+    instance = server.record.instance
+    load = caller.loads[instance]
+    caller.loads[instance] = dataclasses.replace(
         load,
         sent_since=load.sent_since + 1,
         unanswered=load.unanswered + 1,
     )
 
 
-def _note_answer(caller: _Caller, server: _Server, now: float) -> None:
-    name = server.record.instance
-    load = caller.loads[name]
-    caller.loads[name] = dataclasses.replace(
+def _record_answer(caller: _Caller, server: _Server, now: float) -> None:
+    instance = server.record.instance
+    load = caller.loads[instance]
+    caller.loads[instance] = dataclasses.replace(
         load,
         reported=model.Load(
             in_flight=server.busy,
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -1,4 +1,4 @@
-"""Time from the acceptance of a change until it is in force everywhere."""
+"""Time from the commit of a change until it is in force on all nodes."""
 
 import statistics
 import time
@@ -13,7 +13,7 @@
 
 TARGET_SECONDS = 8.0
 CHANGES = 6
-LIMIT_SECONDS = 30.0
+APPLY_TIMEOUT_SECONDS = 30.0
 
 
 def run(full: bool) -> dict[str, typing.Any]:
@@ -28,22 +28,22 @@
     raw: dict[str, typing.Any] = {}
     for size in sizes:
         with processes.open_nodes(size) as (fleet, snapshot):
-            snapshot, times = _measure_changes(fleet, snapshot)
-            raw[f"{size} nodes"] = _summarize(times)
-            snapshot, taken = _measure_reader_killed(fleet, snapshot)
-            raw[f"{size} nodes, reader killed"] = taken
-            taken = _measure_table_out(fleet, snapshot)
-            raw[f"{size} nodes, table out after one node has it"] = taken
-    worst = max(
-        entry["max"] if isinstance(entry, dict) else entry
-        for entry in raw.values()
+            snapshot, durations = _measure_changes(fleet, snapshot)
+            raw[f"{size} nodes"] = _summarize(durations)
+            snapshot, seconds = _measure_readers_killed(fleet, snapshot)
+            raw[f"{size} nodes, reader killed"] = seconds
+            seconds = _measure_table_unavailable(fleet, snapshot)
+            raw[f"{size} nodes, table out after one node has it"] = seconds
+    slowest_seconds = max(
+        figures["max"] if isinstance(figures, dict) else figures
+        for figures in raw.values()
     )
     return {
         "name": "convergence",
-        "value": round(worst, 3),
+        "value": round(slowest_seconds, 3),
         "unit": "s",
         "target": TARGET_SECONDS,
-        "holds": worst <= TARGET_SECONDS,
+        "holds": slowest_seconds <= TARGET_SECONDS,
         "raw": raw,
     }
 
@@ -51,77 +51,95 @@
 def _measure_changes(
     fleet: fleets.Fleet, snapshot: model.Snapshot
 ) -> tuple[model.Snapshot, list[float]]:
-    times = []
+    durations = []
     for _ in range(CHANGES):
         snapshot = observations.commit_next(fleet, snapshot)
-        at = time.time()
-        times.append(_wait(fleet, fleet.members, snapshot.version, at))
-    return snapshot, times
+        committed_at = time.time()
+        durations.append(
+            _measure_apply_seconds(
+                fleet, fleet.members, snapshot.version, committed_at
+            )
+        )
+    return snapshot, durations
 
 
-def _measure_reader_killed(
+def _measure_readers_killed(
     fleet: fleets.Fleet, snapshot: model.Snapshot
 ) -> tuple[model.Snapshot, float]:
-    """Kill both readers of a data centre and commit at the same moment."""
-    centre = fleet.members[0].data_centre
-    there = [m for m in fleet.members if m.data_centre == centre]
-    readers = observations.find_readers(fleet, there)[:2]
+    """Kill both readers of a data centre and commit a change right after."""
+    data_centre = fleet.members[0].data_centre
+    local_members = [m for m in fleet.members if m.data_centre == data_centre]
+    readers = observations.find_readers(fleet, local_members)[:2]
     for member in readers:
         if member.node is not None:
             member.node.kill()
     snapshot = observations.commit_next(fleet, snapshot)
-    at = time.time()
+    committed_at = time.time()
     for member in readers:
         fleet.members.remove(member)
         if member.node is not None:
             member.node.wait()
-    return snapshot, _wait(fleet, fleet.members, snapshot.version, at)
+    return snapshot, _measure_apply_seconds(
+        fleet, fleet.members, snapshot.version, committed_at
+    )
 
 
-def _measure_table_out(fleet: fleets.Fleet, snapshot: model.Snapshot) -> float:
-    """Take the table out as soon as one node holds a new version."""
+def _measure_table_unavailable(
+    fleet: fleets.Fleet, snapshot: model.Snapshot
+) -> float:
+    """Make the table unavailable once one node has applied a new version."""
     snapshot = observations.commit_next(fleet, snapshot)
-    at = time.time()
+    committed_at = time.time()
     version = snapshot.version
     fleets.wait_for(
         lambda: any(
-            found == version
+            applied_version == version
             for member in fleet.members
-            for found, _ in observations.list_applied(fleet, member)
+            for applied_version, _ in observations.list_applied(fleet, member)
         ),
-        seconds=LIMIT_SECONDS,
+        seconds=APPLY_TIMEOUT_SECONDS,
     )
     observations.set_faults(fleet, table_down=True)
-    taken = _wait(fleet, fleet.members, version, at)
+    seconds = _measure_apply_seconds(
+        fleet, fleet.members, version, committed_at
+    )
     observations.set_faults(fleet)
-    return taken
+    return seconds
 
 
-def _wait(
+def _measure_apply_seconds(
     fleet: fleets.Fleet,
     members: list[fleets.Member],
     version: int,
-    at: float,
+    committed_at: float,
 ) -> float:
-    """Return how long the last node took, or infinity."""
+    """Return the time until the last node applied a version.
+
+    Returns
+    -------
+    float
+        Seconds since ``committed_at``, or infinity after a time-out.
+    """
     if not observations.wait_for_version(
-        fleet, members, version, seconds=LIMIT_SECONDS
+        fleet, members, version, seconds=APPLY_TIMEOUT_SECONDS
     ):
         return float("inf")
-    last = max(
+    last_applied_at = max(
         min(
-            when
-            for found, when in observations.list_applied(fleet, member)
-            if found >= version
+            applied_at
+            for applied_version, applied_at in observations.list_applied(
+                fleet, member
+            )
+            if applied_version >= version
         )
         for member in members
     )
-    return round(max(last - at, 0.0), 3)
+    return round(max(last_applied_at - committed_at, 0.0), 3)
 
 
-def _summarize(times: list[float]) -> dict[str, float]:
+def _summarize(durations: list[float]) -> dict[str, float]:
     return {
-        "p50": round(statistics.median(times), 3),
-        "max": max(times),
-        "changes": len(times),
+        "p50": round(statistics.median(durations), 3),
+        "max": max(durations),
+        "changes": len(durations),
     }
--- a/bench/handover.py
+++ b/bench/handover.py
@@ -1,7 +1,7 @@
-"""Time of the hand-overs between tasks of two nodes, without any HTTP.
+"""Latency of messages between the tasks of two nodes, without HTTP.
 
-The same four hand-overs (asking task, dispatch, gate, worker and back) are
-made by threads with blocking sockets and by tasks of one asyncio loop a node.
+The same path, from a calling task through dispatch and gate to a worker and
+back, is run by threads with blocking sockets and by tasks of an asyncio loop.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 
 __all__ = ["run"]
 
+# 10 s at 83 calls per second.
 ROUNDS = 83 * 10
 PAUSE_SECONDS = 1 / 83
 BODY = b"x" * 300
@@ -29,12 +30,12 @@
     Returns
     -------
     dict
-        The value is the 99th percentile with threads; half of the 2 ms that
-        the system may add is the bound.
+        The value is the 99th percentile with threads. Its target is half
+        of the 2 ms that the nodes may add to a call.
     """
     rounds = ROUNDS * (4 if full else 1)
     threads = _percentiles(_run_threads(rounds))
-    loop = _percentiles(asyncio.run(_run_asyncio(rounds)))
+    event_loop = _percentiles(asyncio.run(_run_asyncio(rounds)))
     value = threads["p99_ms"]
     return {
         "name": "handover",
@@ -42,12 +43,12 @@
         "unit": "ms",
         "target": 1.0,
         "holds": value <= 1.0,
-        "raw": {"threads": threads, "asyncio": loop},
+        "raw": {"threads": threads, "asyncio": event_loop},
     }
 
 
-def _percentiles(seconds: list[float]) -> dict[str, float]:
-    ordered = sorted(seconds)
+def _percentiles(durations: list[float]) -> dict[str, float]:
+    ordered = sorted(durations)
     return {
         "p50_ms": ordered[len(ordered) // 2] * 1000,
         "p99_ms": ordered[int(len(ordered) * 0.99)] * 1000,
@@ -59,13 +60,15 @@
     with contextlib.ExitStack() as stack:
         context = stack.enter_context(zmq.Context())
         ready = threading.Barrier(4)
-        for front, back in (
+        for bind_address, connect_address in (
             ("inproc://dispatch", f"tcp://127.0.0.1:{port}"),
             (f"tcp://127.0.0.1:{port}", "inproc://worker"),
             ("inproc://worker", ""),
         ):
             threading.Thread(
-                target=_relay, args=(context, front, back, ready), daemon=True
+                target=_run_proxy,
+                args=(context, bind_address, connect_address, ready),
+                daemon=True,
             ).start()
         ready.wait(10)
         socket = stack.enter_context(context.socket(zmq.DEALER))
@@ -83,24 +86,24 @@
     return durations
 
 
-def _relay(
+def _run_proxy(
     context: zmq.Context[zmq.Socket[bytes]],
-    front: str,
-    back: str,
+    bind_address: str,
+    connect_address: str,
     ready: threading.Barrier,
 ) -> None:
-    """Pass messages on and answers back; the last relay echoes."""
+    """Forward messages and return answers; the last proxy echoes."""
     with contextlib.ExitStack() as stack:
         router = stack.enter_context(context.socket(zmq.ROUTER))
         router.linger = 200
-        router.bind(front)
+        router.bind(bind_address)
         poller = zmq.Poller()
         poller.register(router, zmq.POLLIN)
         dealer = None
-        if back:
+        if connect_address:
             dealer = stack.enter_context(context.socket(zmq.DEALER))
             dealer.linger = 200
-            dealer.connect(back)
+            dealer.connect(connect_address)
             poller.register(dealer, zmq.POLLIN)
         ready.wait(10)
         body = b""
@@ -119,21 +122,23 @@
     with contextlib.ExitStack() as stack:
         context = stack.enter_context(zmq.asyncio.Context())
         tasks = []
-        for front, back in (
+        for bind_address, connect_address in (
             ("inproc://worker", ""),
             (f"tcp://127.0.0.1:{port}", "inproc://worker"),
             ("inproc://dispatch", f"tcp://127.0.0.1:{port}"),
         ):
             router = stack.enter_context(context.socket(zmq.ROUTER))
             router.linger = 0
-            router.bind(front)
+            router.bind(bind_address)
             dealer = None
-            if back:
+            if connect_address:
                 dealer = stack.enter_context(context.socket(zmq.DEALER))
                 dealer.linger = 0
-                dealer.connect(back)
-                tasks.append(asyncio.create_task(_copy(dealer, router)))
-            tasks.append(asyncio.create_task(_copy(router, dealer or router)))
+                dealer.connect(connect_address)
+                tasks.append(asyncio.create_task(_forward(dealer, router)))
+            tasks.append(
+                asyncio.create_task(_forward(router, dealer or router))
+            )
         socket = stack.enter_context(context.socket(zmq.DEALER))
         socket.linger = 0
         socket.connect("inproc://dispatch")
@@ -150,7 +155,7 @@
     return durations
 
 
-async def _copy(
+async def _forward(
     source: zmq.asyncio.Socket, target: zmq.asyncio.Socket
 ) -> None:
     while True:
--- a/bench/keyed_calls.py
+++ b/bench/keyed_calls.py
@@ -1,4 +1,4 @@
-"""Cost of keyed calls: writes, reads and latency, against unkeyed ones."""
+"""Table items and latency that an Idempotency-Key adds to a call."""
 
 import statistics
 import time
@@ -13,10 +13,10 @@
 __all__ = ["run"]
 
 WRITES_PER_CALL_TARGET = 2.0
-# The platform handles several hundred writes a second; so many are planned.
+# The table handles several hundred writes a second; this many are planned for.
 TABLE_WRITES_PER_SECOND = 300
 TARGET_CALLS_PER_SECOND = 100_000
-CALLS_A_SECOND = 50.0
+CALLS_PER_SECOND = 50.0
 
 CONFIGURATION = model.Snapshot(
     version=1,
@@ -41,7 +41,7 @@
 
 
 def run(full: bool) -> dict[str, typing.Any]:
-    """Measure keyed and unkeyed posts, one after the other in turn.
+    """Send keyed and unkeyed posts alternately.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
     Returns
     -------
     dict
-        Writes to the table per keyed call, with its target and raw figures.
+        The value is the number of items written per keyed call.
     """
     count = 1500 if full else 250
     with fleets.open_fleet() as fleet:
@@ -63,45 +63,55 @@
             service="fieldbook",
             version="v1",
         )
-        caller = urllib3.PoolManager(maxsize=1, retries=False)
-        ready = fleets.wait_for(lambda: _is_warm(caller, member), seconds=30)
+        pool = urllib3.PoolManager(maxsize=1, retries=False)
+        ready = fleets.wait_for(
+            lambda: _is_warmed_up(pool, member), seconds=30
+        )
         if ready is None:
-            raise RuntimeError("the node did not become ready")
-        latencies, costs = _measure(fleet, caller, member, count)
-        latencies["table_put"] = _time_puts(fleet, count)
-        caller.clear()
-    return _describe(latencies, costs, count)
+            raise RuntimeError(
+                "node fieldbook-1 did not answer 30 calls in a row within 30 s"
+            )
+        latencies, item_counts = _measure(fleet, pool, member, count)
+        latencies["table_put"] = _measure_puts(fleet, count)
+        pool.clear()
+    return _make_result(latencies, item_counts, count)
 
 
 def _measure(
     fleet: fleets.Fleet,
-    caller: urllib3.PoolManager,
+    pool: urllib3.PoolManager,
     member: fleets.Member,
     count: int,
 ) -> tuple[dict[str, list[float]], dict[str, int]]:
-    """Send calls in turn at an even pace; the platform counts its items."""
+    """Send calls alternately at a constant rate; the table counts items."""
     latencies: dict[str, list[float]] = {"keyed": [], "unkeyed": []}
-    costs = dict.fromkeys(("written", "rejected", "read"), 0)
+    item_counts = dict.fromkeys(("written", "rejected", "read"), 0)
     started = time.monotonic()
-    before = _counters(fleet)
+    counters_before = _read_counters(fleet)
     for number in range(count):
         for kind, key in (("keyed", f"k{number}"), ("unkeyed", None)):
-            latencies[kind].append(_post(caller, member, key))
-        pause = started + (number + 1) * 2 / CALLS_A_SECOND - time.monotonic()
-        time.sleep(max(pause, 0.0))
-    after = _counters(fleet)
-    for name in costs:
-        costs[name] = after[f"items_{name}"] - before[f"items_{name}"]
+            latencies[kind].append(_post(pool, member, key))
+        pause_seconds = (
+            started + (number + 1) * 2 / CALLS_PER_SECOND - time.monotonic()
+        )
+        time.sleep(max(pause_seconds, 0.0))
+    counters_after = _read_counters(fleet)
+    for name in item_counts:
+        item_counts[name] = (
+            counters_after[f"items_{name}"] - counters_before[f"items_{name}"]
+        )
     seconds = time.monotonic() - started
-    # Reads of the configuration go on during the run; they are measured
-    # without calls and taken off.
-    idle = _idle_reads(fleet)
-    costs["read"] = max(round(costs["read"] - idle * seconds), 0)
-    return latencies, costs
+    # The node also reads the configuration during the run. The rate of
+    # these reads is measured without calls, and they are subtracted.
+    idle_reads_per_second = _measure_idle_reads(fleet)
+    item_counts["read"] = max(
+        round(item_counts["read"] - idle_reads_per_second * seconds), 0
+    )
+    return latencies, item_counts
 
 
-def _time_puts(fleet: fleets.Fleet, count: int) -> list[float]:
-    """Time single writes to the table, which the added latency consists of."""
+def _measure_puts(fleet: fleets.Fleet, count: int) -> list[float]:
+    """Measure single writes to the table, which cause the added latency."""
     store = storage.open_store(
         table_url=fleet.platform_url,
         object_url=fleet.platform_url,
@@ -109,37 +119,39 @@
         bucket="bench",
         timeout_seconds=5.0,
     )
-    values = []
+    latencies_ms = []
     for number in range(count):
         key = storage.table.Key(pk="bench", sk=str(number))
         item = storage.table.Item(key=key, attributes={"n": number})
         started = time.perf_counter()
         storage.table.put(store.table, storage.table.Put(item=item))
-        values.append((time.perf_counter() - started) * 1000)
+        latencies_ms.append((time.perf_counter() - started) * 1000)
     store.channel.pool.clear()
-    return values
+    return latencies_ms
 
 
-def _idle_reads(fleet: fleets.Fleet) -> float:
-    before = _counters(fleet)
+def _measure_idle_reads(fleet: fleets.Fleet) -> float:
+    counters_before = _read_counters(fleet)
     started = time.monotonic()
     time.sleep(4.0)
-    after = _counters(fleet)
+    counters_after = _read_counters(fleet)
     seconds = time.monotonic() - started
-    return (after["items_read"] - before["items_read"]) / seconds
+    return (
+        counters_after["items_read"] - counters_before["items_read"]
+    ) / seconds
 
 
-def _counters(fleet: fleets.Fleet) -> dict[str, int]:
-    found = fleets.call_json(fleet, fleet.platform_url, "/-/counters")
-    return typing.cast(dict[str, int], found)
+def _read_counters(fleet: fleets.Fleet) -> dict[str, int]:
+    counters = fleets.call_json(fleet, fleet.platform_url, "/-/counters")
+    return typing.cast(dict[str, int], counters)
 
 
 def _post(
-    caller: urllib3.PoolManager, member: fleets.Member, key: str | None
+    pool: urllib3.PoolManager, member: fleets.Member, key: str | None
 ) -> float:
     headers = {"Idempotency-Key": key} if key else {}
     started = time.perf_counter()
-    response = caller.request(
+    response = pool.request(
         "POST",
         f"http://{member.ingress}/reports",
         body=b'{"defect": "crack"}',
@@ -148,32 +160,36 @@
     )
     elapsed_ms = (time.perf_counter() - started) * 1000
     if response.status != 200:
-        raise RuntimeError(f"status {response.status}: {response.data!r}")
+        raise RuntimeError(
+            f"POST /reports: status {response.status}: {response.data!r}"
+        )
     return elapsed_ms
 
 
-def _is_warm(caller: urllib3.PoolManager, member: fleets.Member) -> bool:
-    """Tell whether 30 calls in a row were answered."""
+def _is_warmed_up(pool: urllib3.PoolManager, member: fleets.Member) -> bool:
+    """Return whether 30 keyed calls in a row succeed."""
     try:
         for number in range(30):
-            _post(caller, member, f"warm-{time.time_ns()}-{number}")
+            _post(pool, member, f"warm-{time.time_ns()}-{number}")
     except (RuntimeError, urllib3.exceptions.HTTPError):
         return False
     return True
 
 
-def _describe(
-    latencies: dict[str, list[float]], costs: dict[str, int], count: int
+def _make_result(
+    latencies: dict[str, list[float]], item_counts: dict[str, int], count: int
 ) -> dict[str, typing.Any]:
-    writes = (costs["written"] + costs["rejected"]) / count
-    rate = TABLE_WRITES_PER_SECOND / writes
+    writes = (item_counts["written"] + item_counts["rejected"]) / count
+    keyed_calls_per_second = TABLE_WRITES_PER_SECOND / writes
     raw: dict[str, typing.Any] = {
         "calls_of_each_kind": count,
-        "items_written": costs["written"],
-        "items_rejected": costs["rejected"],
-        "items_read_per_keyed_call": round(costs["read"] / count, 3),
-        "keyed_calls_per_second_at_300_writes": rate,
-        "share_of_100000_calls_percent": rate / TARGET_CALLS_PER_SECOND * 100,
+        "items_written": item_counts["written"],
+        "items_rejected": item_counts["rejected"],
+        "items_read_per_keyed_call": round(item_counts["read"] / count, 3),
+        "keyed_calls_per_second_at_300_writes": keyed_calls_per_second,
+        "share_of_100000_calls_percent": keyed_calls_per_second
+        / TARGET_CALLS_PER_SECOND
+        * 100,
     }
     for kind, values in latencies.items():
         raw[f"{kind}_p50_ms"] = _percentile(values, 50)
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,4 +1,4 @@
-"""Benchmark of rollouts: good versions on time, bad ones withdrawn."""
+"""Check that good versions finish on time and bad ones are withdrawn."""
 
 from collections.abc import Iterable
 import concurrent.futures
@@ -7,46 +7,47 @@
 from bench import rollout_cases
 from bench import rollout_faults
 
-__all__ = ["figures_of", "run"]
+__all__ = ["run", "summarize_results"]
 
 QUICK_SEEDS = 4
 FULL_SEEDS = 100
 PROCESSES = 4
-# Follows from the stated miss rate of a bad version, 1e-2.
+# The sequential test may miss a bad version with a probability of 1e-2.
 TARGET = 0.99
 
 
 def run(full: bool) -> dict[str, typing.Any]:
-    """Play seeded rollouts of every kind.
+    """Simulate seeded rollouts of every kind.
 
     Parameters
     ----------
     full : bool
-        Whether to play all seeds rather than a few of each kind.
+        Whether to run 100 seeds of each kind instead of 4.
 
     Returns
     -------
     dict
-        Share of rollouts that ended as they must, and figures by kind.
+        The value is the share of rollouts that ended as expected;
+        ``kinds`` has the figures of each kind.
     """
     seeds = FULL_SEEDS if full else QUICK_SEEDS
     kinds = (*rollout_faults.GOOD_KINDS, *rollout_faults.BAD_KINDS)
     jobs = [(kind, seed) for kind in kinds for seed in range(seeds)]
     with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
-        results = list(pool.map(_play, jobs, chunksize=4))
-    return figures_of(results)
+        results = list(pool.map(_simulate, jobs, chunksize=4))
+    return summarize_results(results)
 
 
-def figures_of(
+def summarize_results(
     results: Iterable[rollout_cases.Result],
 ) -> dict[str, typing.Any]:
-    """Summarize results."""
+    """Return the benchmark's result for simulated rollouts."""
     results = list(results)
-    right = [entry for entry in results if _is_right(entry)]
+    expected = [result for result in results if _ended_as_expected(result)]
     by_kind: dict[str, list[rollout_cases.Result]] = {}
-    for entry in results:
-        by_kind.setdefault(entry.kind, []).append(entry)
-    value = len(right) / len(results)
+    for result in results:
+        by_kind.setdefault(result.kind, []).append(result)
+    value = len(expected) / len(results)
     return {
         "name": "moves",
         "value": round(value, 5),
@@ -55,45 +56,54 @@
         "holds": value >= TARGET,
         "rollouts": len(results),
         "wrong": [
-            {"kind": entry.kind, "seed": entry.seed, "reason": entry.reason}
-            for entry in results
-            if not _is_right(entry)
+            {"kind": result.kind, "seed": result.seed, "reason": result.reason}
+            for result in results
+            if not _ended_as_expected(result)
         ],
-        "kinds": {kind: _summary(found) for kind, found in by_kind.items()},
+        "kinds": {
+            kind: _summarize_kind(kind_results)
+            for kind, kind_results in by_kind.items()
+        },
     }
 
 
-def _play(job: tuple[str, int]) -> rollout_cases.Result:
-    return rollout_cases.play(rollout_faults.make_case(*job))
+def _simulate(job: tuple[str, int]) -> rollout_cases.Result:
+    return rollout_cases.simulate(rollout_faults.make_case(*job))
 
 
-def _is_right(entry: rollout_cases.Result) -> bool:
-    if entry.bad:
-        return entry.state == "withdrawn"
-    return entry.state == "done" and entry.on_time
+def _ended_as_expected(result: rollout_cases.Result) -> bool:
+    if result.bad:
+        return result.state == "withdrawn"
+    return result.state == "done" and result.on_time
 
 
-def _summary(found: list[rollout_cases.Result]) -> dict[str, typing.Any]:
-    withdrawn = [entry for entry in found if entry.state == "withdrawn"]
+def _summarize_kind(
+    results: list[rollout_cases.Result],
+) -> dict[str, typing.Any]:
+    withdrawn = [result for result in results if result.state == "withdrawn"]
     summary: dict[str, typing.Any] = {
-        "rollouts": len(found),
+        "rollouts": len(results),
         "withdrawn": len(withdrawn),
     }
-    if not found[0].bad:
-        full = [entry.full_at for entry in found if entry.full_at is not None]
-        summary["on_time"] = sum(entry.on_time for entry in found)
-        summary["full_share_seconds"] = _quantiles(full)
+    if not results[0].bad:
+        full_share_seconds = [
+            result.full_at for result in results if result.full_at is not None
+        ]
+        summary["on_time"] = sum(result.on_time for result in results)
+        summary["full_share_seconds"] = _quantiles(full_share_seconds)
         return summary
-    calls = [entry.faulty_calls for entry in found]
-    shares = [entry.faulty_calls / entry.all_calls for entry in found]
-    delays = [
-        entry.seconds - entry.fault_at
-        for entry in withdrawn
-        if entry.fault_at is not None
+    faulty_calls = [result.faulty_calls for result in results]
+    faulty_fractions = [
+        result.faulty_calls / result.all_calls for result in results
+    ]
+    withdrawal_seconds = [
+        result.seconds - result.fault_at
+        for result in withdrawn
+        if result.fault_at is not None
     ]
-    summary["faulty_calls"] = _quantiles(calls)
-    summary["faulty_share_of_calls"] = _quantiles(shares)
-    summary["withdrawn_after_seconds"] = _quantiles(delays)
+    summary["faulty_calls"] = _quantiles(faulty_calls)
+    summary["faulty_share_of_calls"] = _quantiles(faulty_fractions)
+    summary["withdrawn_after_seconds"] = _quantiles(withdrawal_seconds)
     return summary
 
 
@@ -101,9 +111,9 @@
     ordered = sorted(values)
     if not ordered:
         return {}
-    last = len(ordered) - 1
+    last_index = len(ordered) - 1
     return {
-        "median": round(ordered[last // 2], 5),
-        "p95": round(ordered[int(0.95 * last)], 5),
+        "median": round(ordered[last_index // 2], 5),
+        "p95": round(ordered[int(0.95 * last_index)], 5),
         "max": round(ordered[-1], 5),
     }
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -15,10 +15,10 @@
 __all__ = ["open_pair", "run"]
 
 TARGET_MS = 2.0
-RATE = 83.0
-RISING_RATES = (83.0, 166.0, 250.0, 330.0, 420.0, 500.0)
-# A rate is beyond the knee when calls of the 99th percentile wait longer.
-KNEE_MS = 50.0
+CALLS_PER_SECOND = 83.0
+RISING_CALLS_PER_SECOND = (83.0, 166.0, 250.0, 330.0, 420.0, 500.0)
+# A 99th percentile above this shows that the nodes are saturated.
+SATURATED_P99_MS = 50.0
 SERVICE_MS = 2.0
 
 
@@ -28,45 +28,55 @@
     Parameters
     ----------
     full : bool
-        Whether to measure for longer and at rising rates up to the knee.
+        Whether to measure for longer and at rising rates until the
+        nodes are saturated.
 
     Returns
     -------
     dict
-        The value is the 99th percentile added to a call; ``rows`` has the
-        other figures.
+        The value is the difference between the 99th percentiles through
+        the nodes and without them; ``rows`` has the other figures.
     """
     with open_pair() as members:
-        side_by_side = _measure_side_by_side(
+        comparison = _compare_with_direct_calls(
             members, seconds=30.0 if full else 8.0
         )
-        rising = _measure_rising(members) if full else []
-    added = side_by_side["added_p99_ms"]
+        rate_steps = _measure_rising_rates(members) if full else []
+    added_p99_ms = comparison["added_p99_ms"]
     rows = [
-        _row("latency added to a call, median", side_by_side["added_p50_ms"]),
-        _row("latency added to a call, 99th percentile", added, TARGET_MS),
+        _row("latency added to a call, median", comparison["added_p50_ms"]),
+        _row(
+            "latency added to a call, 99th percentile", added_p99_ms, TARGET_MS
+        ),
         _row(
             "processor time of the nodes per call",
-            side_by_side["processor_ms_per_call"],
+            comparison["processor_ms_per_call"],
         ),
     ]
-    knee = [entry["rate"] for entry in rising if entry["holds"]]
-    if knee:
-        rows.append(_row("calls a second per node", max(knee), RATE, "1/s"))
+    sustained_rates = [step["rate"] for step in rate_steps if step["holds"]]
+    if sustained_rates:
+        rows.append(
+            _row(
+                "calls a second per node",
+                max(sustained_rates),
+                CALLS_PER_SECOND,
+                "1/s",
+            )
+        )
     return {
         "name": "overhead",
-        "value": added,
+        "value": added_p99_ms,
         "unit": "ms",
         "target": TARGET_MS,
-        "holds": added <= TARGET_MS,
+        "holds": added_p99_ms <= TARGET_MS,
         "rows": rows,
-        "raw": {"compare": side_by_side, "rising": rising},
+        "raw": {"compare": comparison, "rising": rate_steps},
     }
 
 
 @contextlib.contextmanager
 def open_pair() -> typing.Iterator[list[fleets.Member]]:
-    """Start two nodes; each takes calls for the other's backend server."""
+    """Start two nodes, each called for the other's backend server."""
     services = ("portal", "fieldbook")
     snapshot = model.Snapshot(
         version=1,
@@ -101,50 +111,58 @@
                 version="v1",
                 behaviour={"service_ms": SERVICE_MS, "slots": 64},
             )
-        for target in _through(fleet.members):
-            fleets.wait_for(lambda: _call(target) == 200, seconds=20)
+        for target in _targets_through_nodes(fleet.members):
+            fleets.wait_for(lambda: _request_status(target) == 200, seconds=20)
         _warm_up(fleet.members)
         yield fleet.members
 
 
 def _warm_up(members: list[fleets.Member]) -> None:
-    targets = [*_through(members), *_direct(members)]
-    streams.run_streams(targets, rate=RATE, seconds=2.0, from_schedule=False)
+    targets = [*_targets_through_nodes(members), *_direct_targets(members)]
+    streams.run_streams(
+        targets, rate=CALLS_PER_SECOND, seconds=2.0, from_schedule=False
+    )
 
 
-def _through(members: list[fleets.Member]) -> list[streams.Target]:
-    one, two = members
+def _targets_through_nodes(
+    members: list[fleets.Member],
+) -> list[streams.Target]:
+    first, second = members
     return [
-        streams.Target(address=one.ingress, path=f"/{two.service}/x"),
-        streams.Target(address=two.ingress, path=f"/{one.service}/x"),
+        streams.Target(address=first.ingress, path=f"/{second.service}/x"),
+        streams.Target(address=second.ingress, path=f"/{first.service}/x"),
     ]
 
 
-def _direct(members: list[fleets.Member]) -> list[streams.Target]:
+def _direct_targets(members: list[fleets.Member]) -> list[streams.Target]:
     return [
         streams.Target(address=member.backend, path=f"/{member.service}/x")
         for member in members
     ]
 
 
-def _measure_side_by_side(
+def _compare_with_direct_calls(
     members: list[fleets.Member], *, seconds: float
 ) -> dict[str, float]:
     nodes = _node_processes(members)
-    before = _processor_seconds(nodes)
+    seconds_before = _processor_seconds(nodes)
     samples = streams.run_streams(
-        [*_through(members), *_direct(members)],
-        rate=RATE,
+        [*_targets_through_nodes(members), *_direct_targets(members)],
+        rate=CALLS_PER_SECOND,
         seconds=seconds,
         from_schedule=False,
     )
-    spent = _processor_seconds(nodes) - before
-    idle_before = _processor_seconds(nodes)
+    used_seconds = _processor_seconds(nodes) - seconds_before
+    idle_seconds_before = _processor_seconds(nodes)
     time.sleep(2.0)
-    idle = (_processor_seconds(nodes) - idle_before) / 2.0 * seconds
-    through, direct = streams.join(samples[:2]), streams.join(samples[2:])
+    idle_seconds = (
+        (_processor_seconds(nodes) - idle_seconds_before) / 2.0 * seconds
+    )
+    through, direct = streams.combine(samples[:2]), streams.combine(
+        samples[2:]
+    )
     return {
-        "rate": RATE,
+        "rate": CALLS_PER_SECOND,
         "seconds": seconds,
         "calls": through.calls,
         "failed": through.failed + direct.failed,
@@ -156,22 +174,29 @@
         - statistics.fmean(direct.latencies_ms),
         "added_p50_ms": through.percentile(0.5) - direct.percentile(0.5),
         "added_p99_ms": through.percentile(0.99) - direct.percentile(0.99),
-        "processor_ms_per_call": (spent - idle) * 1000 / through.calls,
+        "processor_ms_per_call": (used_seconds - idle_seconds)
+        * 1000
+        / through.calls,
     }
 
 
-def _measure_rising(
+def _measure_rising_rates(
     members: list[fleets.Member],
 ) -> list[dict[str, typing.Any]]:
-    found = []
-    for rate in RISING_RATES:
-        sample = streams.join(
+    steps = []
+    for rate in RISING_CALLS_PER_SECOND:
+        sample = streams.combine(
             streams.run_streams(
-                _through(members), rate=rate, seconds=6.0, from_schedule=True
+                _targets_through_nodes(members),
+                rate=rate,
+                seconds=6.0,
+                from_schedule=True,
             )
         )
-        holds = not sample.failed and sample.percentile(0.99) < KNEE_MS
-        found.append(
+        holds = (
+            not sample.failed and sample.percentile(0.99) < SATURATED_P99_MS
+        )
+        steps.append(
             {
                 "rate": rate,
                 "calls": sample.calls,
@@ -183,10 +208,10 @@
         )
         if not holds:
             break
-    return found
+    return steps
 
 
-def _call(target: streams.Target) -> int:
+def _request_status(target: streams.Target) -> int:
     connection = http.client.HTTPConnection(target.address, timeout=5)
     try:
         connection.request("GET", target.path)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,9 +9,9 @@
 from standins import fleet as fleets
 from standins import observations
 
-__all__ = ["DATA_CENTRES", "open_nodes"]
+__all__ = ["DATA_CENTRE_COUNT", "open_nodes"]
 
-DATA_CENTRES = 4
+DATA_CENTRE_COUNT = 4
 SETTLE_SECONDS = 3.0
 OVERRIDES: dict[str, typing.Any] = {
     "logs": {"level": "DEBUG"},
@@ -22,16 +22,16 @@
 
 @contextlib.contextmanager
 def open_nodes(
-    size: int, *, centres: int = DATA_CENTRES
+    size: int, *, data_centres: int = DATA_CENTRE_COUNT
 ) -> Iterator[tuple[fleets.Fleet, model.Snapshot]]:
-    """Start a fleet and wait until all nodes are ready.
+    """Start a fleet and wait until every node is ready.
 
     Parameters
     ----------
     size : int
         Number of nodes.
-    centres : int
-        Number of data centres, between which the nodes alternate.
+    data_centres : int
+        Number of data centres; nodes are assigned to them in turn.
     """
     with fleets.open_fleet(OVERRIDES) as fleet:
         snapshot = fleets.commit_first(
@@ -41,7 +41,7 @@
             fleets.start_member(
                 fleet,
                 instance=f"n{number}",
-                data_centre=f"dc{number % centres + 1}",
+                data_centre=f"dc{number % data_centres + 1}",
                 service="portal",
                 version="v1",
                 with_backend_server=False,
@@ -49,6 +49,6 @@
         if not observations.wait_for_version(
             fleet, fleet.members, 1, seconds=60 + size
         ):
-            raise TimeoutError(f"{size} nodes did not become ready")
+            raise TimeoutError(f"not all of {size} nodes became ready")
         time.sleep(SETTLE_SECONDS)
         yield fleet, snapshot
--- a/bench/recorder.py
+++ b/bench/recorder.py
@@ -1,7 +1,7 @@
-"""Run a node and record the events that its decisions handle.
+"""Run a node and record the events of its call and gate state machines.
 
-``python -m bench.recorder OUTPUT SETTINGS`` writes one JSON event a line;
-`bench.traces` adds the stated outcome as the last line.
+``python -m bench.recorder OUTPUT SETTINGS`` writes one JSON event per line;
+`bench.traces` appends the outcome as the last line.
 """
 
 from collections.abc import Callable
@@ -19,21 +19,21 @@
 
 __all__ = ["install", "main"]
 
-Write = Callable[[dict[str, typing.Any]], None]
+WriteLine = Callable[[dict[str, typing.Any]], None]
 
 
-def install(write: Write) -> None:
-    """Record all events of dispatch and gate in this process."""
-    views: dict[int, tuple[routing.RoutingTable, model.View]] = {}
-    build_table = routing.build_table
-    last: list[int] = [0]
+def install(write_line: WriteLine) -> None:
+    """Wrap the event handlers of dispatch and gate to record each event."""
+    recorded_views: dict[int, tuple[routing.RoutingTable, model.View]] = {}
+    original_build_table = routing.build_table
+    last_table_id: list[int] = [0]
 
-    def build(view: model.View) -> routing.RoutingTable:
-        table = build_table(view)
-        views[id(table)] = (table, view)
+    def build_recorded_table(view: model.View) -> routing.RoutingTable:
+        table = original_build_table(view)
+        recorded_views[id(table)] = (table, view)
         return table
 
-    def handle_call(
+    def record_call_event(
         state: calls.CallState,
         event: calls.Event,
         now: calls.Now,
@@ -41,10 +41,10 @@
         table: routing.RoutingTable,
         draws: calls.Draws,
     ) -> typing.Any:
-        if last[0] != id(table):
-            last[0] = id(table)
-            write({"side": "view", "view": views[id(table)][1]})
-        write(
+        if last_table_id[0] != id(table):
+            last_table_id[0] = id(table)
+            write_line({"side": "view", "view": recorded_views[id(table)][1]})
+        write_line(
             {
                 "side": "dispatch",
                 "kind": type(event).__name__,
@@ -54,35 +54,37 @@
                 "message": type(getattr(event, "message", None)).__name__,
             }
         )
-        return decide_call(state, event, now, table=table, draws=draws)
+        return original_call_handler(
+            state, event, now, table=table, draws=draws
+        )
 
-    def handle_gate(
-        state: gate.GateState, event: gate.Event, **values: typing.Any
+    def record_gate_event(
+        state: gate.GateState, event: gate.Event, **fields: typing.Any
     ) -> typing.Any:
         line = {"side": "gate", "kind": type(event).__name__, "event": event}
-        write({**line, **values})
-        return decide_gate(state, event, **values)
+        write_line({**line, **fields})
+        return original_gate_handler(state, event, **fields)
 
-    decide_call, decide_gate = calls.handle, gate.handle
-    routing.build_table = build
-    calls.handle = handle_call
-    gate.handle = handle_gate
+    original_call_handler, original_gate_handler = calls.handle, gate.handle
+    routing.build_table = build_recorded_table
+    calls.handle = record_call_event
+    gate.handle = record_gate_event
 
 
 def main() -> int:
-    """Run the node of a settings file and record it."""
-    output, settings = sys.argv[1:]
+    """Run a node with the given settings file and record its events."""
+    output_path, settings_path = sys.argv[1:]
     lock = threading.Lock()
     encoder = msgspec.json.Encoder()
-    with open(output, "ab", buffering=0) as file:
+    with open(output_path, "ab", buffering=0) as file:
 
-        def write(line: dict[str, typing.Any]) -> None:
-            text = encoder.encode(line) + b"\n"
+        def write_line(line: dict[str, typing.Any]) -> None:
+            encoded = encoder.encode(line) + b"\n"
             with lock:
-                file.write(text)
+                file.write(encoded)
 
-        install(write)
-        return node.main([settings])
+        install(write_line)
+        return node.main([settings_path])
 
 
 if __name__ == "__main__":
--- a/bench/restart_storm.py
+++ b/bench/restart_storm.py
@@ -1,4 +1,4 @@
-"""Reads, messages and time to ready when a data centre restarts."""
+"""Table reads, messages and recovery time after a data centre restarts."""
 
 import time
 import typing
@@ -10,14 +10,14 @@
 __all__ = ["run"]
 
 TARGET_SECONDS = 8.0
-CENTRES = 3
-LIMIT_SECONDS = 60.0
+DATA_CENTRE_COUNT = 3
+READY_TIMEOUT_SECONDS = 60.0
 
 
 def run(full: bool) -> dict[str, typing.Any]:
-    """Kill all nodes of one of three data centres and start them again.
+    """Kill all nodes of one of three data centres and restart them at once.
 
-    The time includes the start of the processes, all at the same moment.
+    The value includes the time that the processes need to start.
 
     Parameters
     ----------
@@ -25,72 +25,82 @@
         Whether to use 90 instead of 30 nodes.
     """
     size = 90 if full else 30
-    with processes.open_nodes(size, centres=CENTRES) as (fleet, snapshot):
+    with processes.open_nodes(size, data_centres=DATA_CENTRE_COUNT) as (
+        fleet,
+        snapshot,
+    ):
         for _ in range(3):
             snapshot = observations.commit_next(fleet, snapshot)
             observations.wait_for_version(
                 fleet, fleet.members, snapshot.version, seconds=30
             )
-        herd = [m for m in fleet.members if m.data_centre == "dc1"]
-        _kill(herd)
-        reads_before = _count_reads(fleet)
-        started = time.time()
-        for member in herd:
+        restarted = [m for m in fleet.members if m.data_centre == "dc1"]
+        _kill_nodes(restarted)
+        reads_before = _count_table_reads(fleet)
+        started_at = time.time()
+        for member in restarted:
             fleets.start_node(fleet, member)
-        ready = _wait_ready(fleet, herd, started)
-        seconds = time.time() - started
-        reads = _count_reads(fleet) - reads_before
+        ready = _wait_ready(fleet, restarted, started_at)
+        seconds = time.time() - started_at
+        reads = _count_table_reads(fleet) - reads_before
         time.sleep(6.0)
-        counters = [observations.read_counters(fleet, m) for m in herd]
+        counters = [observations.read_counters(fleet, m) for m in restarted]
     messages = [
-        entry.get("sent_messages", 0) + entry.get("received_messages", 0)
-        for entry in counters
+        node_counters.get("sent_messages", 0)
+        + node_counters.get("received_messages", 0)
+        for node_counters in counters
     ]
-    below = [v for v, _ in ready.values() if v < snapshot.version]
-    worst = max(at - started for _, at in ready.values())
+    behind = [
+        version for version, _ in ready.values() if version < snapshot.version
+    ]
+    last_ready_seconds = max(
+        ready_at - started_at for _, ready_at in ready.values()
+    )
     return {
         "name": "restart of a data centre, last node ready",
-        "value": round(worst, 3),
+        "value": round(last_ready_seconds, 3),
         "unit": "s",
         "target": TARGET_SECONDS,
-        "holds": worst <= TARGET_SECONDS and not below,
+        "holds": last_ready_seconds <= TARGET_SECONDS and not behind,
         "raw": {
-            "restarted": len(herd),
+            "restarted": len(restarted),
             "fleet": size,
             "table_reads": reads,
-            # Two readers for each data centre that polls once a second.
-            "table_reads_of_polls": round(2 * CENTRES * seconds),
+            # Each data centre has two readers that poll once a second.
+            "table_reads_of_polls": round(2 * DATA_CENTRE_COUNT * seconds),
             "messages_per_restarted_node": sum(messages) / len(messages),
-            "ready_below_last_version": len(below),
+            "ready_below_last_version": len(behind),
         },
     }
 
 
-def _kill(members: list[fleets.Member]) -> None:
+def _kill_nodes(members: list[fleets.Member]) -> None:
     for member in members:
         if member.node is not None:
             member.node.kill()
             member.node.wait()
 
 
-def _count_reads(fleet: fleets.Fleet) -> int:
-    found = fleets.call_json(fleet, fleet.platform_url, "/-/counters")
-    return int(found.get("GetItem", 0)) + int(found.get("Query", 0))
+def _count_table_reads(fleet: fleets.Fleet) -> int:
+    counters = fleets.call_json(fleet, fleet.platform_url, "/-/counters")
+    return int(counters.get("GetItem", 0)) + int(counters.get("Query", 0))
 
 
 def _wait_ready(
-    fleet: fleets.Fleet, members: list[fleets.Member], since: float
+    fleet: fleets.Fleet, members: list[fleets.Member], started_at: float
 ) -> dict[str, tuple[int, float]]:
-    """Return with which version and when each node became ready."""
+    """Return the version and Unix time at which each node became ready."""
     ready: dict[str, tuple[int, float]] = {}
 
-    def done() -> bool:
+    def all_ready() -> bool:
         for member in members:
-            for version, at in observations.list_ready(fleet, member):
-                if at >= since:
-                    ready[member.instance] = (version, at)
+            for version, ready_at in observations.list_ready(fleet, member):
+                if ready_at >= started_at:
+                    ready[member.instance] = (version, ready_at)
         return len(ready) == len(members)
 
-    if fleets.wait_for(done, seconds=LIMIT_SECONDS) is None:
-        raise TimeoutError(f"only {len(ready)} of {len(members)} are ready")
+    if fleets.wait_for(all_ready, seconds=READY_TIMEOUT_SECONDS) is None:
+        raise TimeoutError(
+            f"only {len(ready)} of {len(members)} restarted nodes became ready"
+        )
     return ready
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -1,8 +1,8 @@
-"""Seeded cases of rollouts: calls of both versions as gates count them.
+"""Simulate seeded rollouts: gates count the calls of both versions.
 
-Gates report cumulative counts once a second, each at its own moment of the
-second, as in a fleet. The generator feeds them to the same decisions that a
-node runs, with a clock of its own.
+Each gate reports its cumulative counts once a second, at its own phase of the
+second, as in a fleet. The counts are passed to the decision functions that a
+node uses, in simulated time.
 """
 
 from collections.abc import Callable
@@ -22,23 +22,41 @@
 from apricotpost.rollout import watch
 from bench import rollout_faults
 
-__all__ = ["Result", "Record", "play"]
+__all__ = ["RecordEvent", "Result", "simulate"]
 
-Record = Callable[[dict[str, typing.Any]], None]
+RecordEvent = Callable[[dict[str, typing.Any]], None]
 
 SERVICE = "portal"
 OLD, NEW = rollout_faults.OLD, rollout_faults.NEW
 STARTED_AT = 1000.0
-# Time for a committed step to reach all callers.
-SPREAD_SECONDS = 1.0
+# Time until all callers use a committed step.
+PROPAGATION_SECONDS = 1.0
 
-# Full share counts as on time so long before finish_by.
-ON_TIME_SECONDS = 10.0
+# A rollout is on time if it has the full share this long before finish_by.
+ON_TIME_MARGIN_SECONDS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Result:
-    """How a rollout ended and what the new version got until then."""
+    """Outcome of a rollout and the number of calls until then.
+
+    Times are in seconds since the start of the rollout.
+
+    Parameters
+    ----------
+    seconds : float
+        When the rollout ended.
+    full_at : float, optional
+        When the new version got the full share.
+    fault_at : float, optional
+        When a call of the new version first met its fault.
+    new_calls : int
+        Calls of the new version.
+    faulty_calls : int
+        Calls of the new version that met its fault.
+    all_calls : int
+        Calls of both versions.
+    """
 
     kind: str
     seed: int
@@ -56,50 +74,54 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Fleet:
-    """Counts of all gates and the calls of the second in progress."""
+    """State of the simulated gates, and counts of all calls so far."""
 
     case: rollout_faults.Case
     rng: random.Random
     outcomes: dict[str, evidence.OutcomeCounts]
-    phases: dict[str, float]
-    versions: dict[str, str]
+    report_phases: dict[str, float]
+    instance_versions: dict[str, str]
     new_calls: int = 0
     faulty_calls: int = 0
     all_calls: int = 0
     fault_at: float | None = None
 
 
-def play(case: rollout_faults.Case, record: Record | None = None) -> Result:
-    """Play a rollout to its end.
+def simulate(
+    case: rollout_faults.Case, record: RecordEvent | None = None
+) -> Result:
+    """Simulate a rollout to its end.
 
     Parameters
     ----------
     case : Case
-        What happens.
+        Rollout to simulate.
     record : callable, optional
-        Gets each event of a trace.
+        Called with each event of the trace.
     """
     fleet = _make_fleet(case, random.Random(f"{case.kind}-{case.seed}"))
-    note = record or (lambda event: None)
+    record_event = record or (lambda event: None)
     times = steps.Times(bake_seconds=case.bake_seconds)
-    instances = _instances(case)
-    view = model.View(snapshot=_first_snapshot(case), instances=instances)
-    note({"event": "instances", "instances": msgspec.to_builtins(instances)})
-    note(_configuration(view))
-    shares = [(STARTED_AT, 0)]
+    instances = _make_instances(case)
+    view = model.View(snapshot=_make_first_snapshot(case), instances=instances)
+    record_event(
+        {"event": "instances", "instances": msgspec.to_builtins(instances)}
+    )
+    record_event(_configuration_event(view))
+    share_history = [(STARTED_AT, 0)]
     full_at = None
     state = watch.Watch()
     now = STARTED_AT
     while True:
         now += 1.0
-        share = _effective(shares, now)
-        for report in _second(fleet, now - 1.0 - STARTED_AT, share):
+        share = _effective_share(share_history, now)
+        for report in _simulate_second(fleet, now - 1.0 - STARTED_AT, share):
             state = watch.receive(state, report, full=True, now=now)
-            note(_evidence(report))
+            record_event(_evidence_event(report))
         state, observation = watch.evaluate(
             state, view, instance=instances[0].instance, now=now
         )
-        note({"event": "look", "at": now})
+        record_event({"event": "look", "at": now})
         assert observation is not None
         decision = steps.decide(
             observation.rollout,
@@ -109,7 +131,7 @@
             times,
         )
         if isinstance(decision, steps.Withdraw | steps.Finish):
-            return _result(fleet, decision, now, full_at)
+            return _make_result(fleet, decision, now, full_at)
         if isinstance(decision, steps.Hold):
             continue
         share = model.TOTAL_SHARE
@@ -121,21 +143,23 @@
             view.snapshot, observation.rollout, share, now
         )
         view = dataclasses.replace(view, snapshot=snapshot)
-        shares.append((now, min(share, steps.BAKING_SHARE)))
-        note(_configuration(view))
+        share_history.append((now, min(share, steps.BAKING_SHARE)))
+        record_event(_configuration_event(view))
 
 
-def _configuration(view: model.View) -> dict[str, typing.Any]:
+def _configuration_event(view: model.View) -> dict[str, typing.Any]:
     snapshot = msgspec.to_builtins(view.snapshot)
     return {"event": "configuration", "snapshot": snapshot}
 
 
-def _evidence(report: tuple[model.Evidence, ...]) -> dict[str, typing.Any]:
-    counts = [dataclasses.astuple(entry) for entry in report]
+def _evidence_event(
+    report: tuple[model.Evidence, ...],
+) -> dict[str, typing.Any]:
+    counts = [dataclasses.astuple(counts_entry) for counts_entry in report]
     return {"event": "evidence", "counts": counts}
 
 
-def _first_snapshot(case: rollout_faults.Case) -> model.Snapshot:
+def _make_first_snapshot(case: rollout_faults.Case) -> model.Snapshot:
     versions = (model.VersionShare(version=OLD, share=1000),)
     service = model.Service(name=SERVICE, team="demo", versions=versions)
     first = model.Snapshot(version=1, services=(service,))
@@ -145,7 +169,9 @@
     return config.with_checksum(planned)
 
 
-def _instances(case: rollout_faults.Case) -> tuple[model.InstanceRecord, ...]:
+def _make_instances(
+    case: rollout_faults.Case,
+) -> tuple[model.InstanceRecord, ...]:
     return tuple(
         model.InstanceRecord(
             instance=f"{version}-{number}",
@@ -164,41 +190,47 @@
 
 
 def _make_fleet(case: rollout_faults.Case, rng: random.Random) -> _Fleet:
-    names = [entry.instance for entry in _instances(case)]
+    names = [entry.instance for entry in _make_instances(case)]
     return _Fleet(
         case=case,
         rng=rng,
         outcomes={name: evidence.OutcomeCounts() for name in names},
-        phases={name: rng.random() for name in names},
-        versions={name: name.partition("-")[0] for name in names},
+        report_phases={name: rng.random() for name in names},
+        instance_versions={name: name.partition("-")[0] for name in names},
     )
 
 
-def _effective(shares: list[tuple[float, int]], now: float) -> int:
-    """Return the share that callers already use."""
-    known = [share for at, share in shares if at + SPREAD_SECONDS <= now]
-    return known[-1] if known else 0
+def _effective_share(
+    share_history: list[tuple[float, int]], now: float
+) -> int:
+    """Return the share of the new version that callers already use."""
+    effective_shares = [
+        share for at, share in share_history if at + PROPAGATION_SECONDS <= now
+    ]
+    return effective_shares[-1] if effective_shares else 0
 
 
-def _second(
+def _simulate_second(
     fleet: _Fleet, started: float, share: int
 ) -> Iterator[tuple[model.Evidence, ...]]:
-    """Carry out the calls of one second and yield the gates' reports."""
+    """Simulate the calls of one second and yield the gates' reports."""
     case, rng = fleet.case, fleet.rng
     calls = [
         (rng.random(), *_draw_target(fleet, share))
-        for _ in range(_poisson(rng, case.calls_per_second))
+        for _ in range(_draw_poisson(rng, case.calls_per_second))
     ]
     calls.sort()
-    # Each gate reports in the middle of the second, at its own phase.
-    reported = sorted((phase, name) for name, phase in fleet.phases.items())
-    position = 0
-    for phase, name in reported:
-        while position < len(calls) and calls[position][0] < phase:
-            _run_call(fleet, started, share, calls[position])
-            position += 1
-        yield _report(fleet, name)
-    for call in calls[position:]:
+    # Each gate reports at its own phase of the second.
+    report_order = sorted(
+        (phase, name) for name, phase in fleet.report_phases.items()
+    )
+    next_call = 0
+    for phase, name in report_order:
+        while next_call < len(calls) and calls[next_call][0] < phase:
+            _run_call(fleet, started, share, calls[next_call])
+            next_call += 1
+        yield _make_report(fleet, name)
+    for call in calls[next_call:]:
         _run_call(fleet, started, share, call)
 
 
@@ -206,10 +238,12 @@
     rng = fleet.rng
     version = NEW if rng.random() * 1000 < share else OLD
     number = int(rng.random() * fleet.case.servers)
-    draw = rng.random() * sum(part for _, part in fleet.case.routes)
-    for route, part in fleet.case.routes:
-        draw -= part
-        if draw < 0:
+    remaining_weight = rng.random() * sum(
+        weight for _, weight in fleet.case.routes
+    )
+    for route, weight in fleet.case.routes:
+        remaining_weight -= weight
+        if remaining_weight < 0:
             break
     return f"{version}-{number}", route
 
@@ -221,9 +255,9 @@
     call: tuple[float, str, str],
 ) -> None:
     case, rng = fleet.case, fleet.rng
-    moment, name, route = call
-    version = fleet.versions[name]
-    at = started + moment
+    offset, name, route = call
+    version = fleet.instance_versions[name]
+    at = started + offset
     fault = case.faults(at, share, route, version)
     healthy = case.faults(at, share, route, OLD)
     fleet.all_calls += 1
@@ -232,12 +266,12 @@
         if fault != healthy:
             fleet.faulty_calls += 1
             fleet.fault_at = at if fleet.fault_at is None else fleet.fault_at
-    failed = rng.random() < max(case.base_failures, fault.failure_rate)
-    served = sum(
+    failed = rng.random() < max(case.base_failure_rate, fault.failure_rate)
+    served_calls = sum(
         counts.calls for counts in fleet.outcomes[name].counts.values()
     )
-    cold = version == NEW and served < case.cold_calls
-    duration = case.median_ms * math.exp(rng.gauss(0.0, case.spread))
+    cold = version == NEW and served_calls < case.cold_calls
+    duration = case.median_ms * math.exp(rng.gauss(0.0, case.latency_sigma))
     duration *= fault.slow_factor * (2.0 if cold else 1.0)
     finished = evidence.Finished(
         answered=True,
@@ -250,22 +284,22 @@
     )
 
 
-def _report(fleet: _Fleet, name: str) -> tuple[model.Evidence, ...]:
+def _make_report(fleet: _Fleet, name: str) -> tuple[model.Evidence, ...]:
     return evidence.describe(fleet.outcomes[name], instance=name, epoch=1)
 
 
-def _poisson(rng: random.Random, mean: float) -> int:
+def _draw_poisson(rng: random.Random, mean: float) -> int:
     # The normal approximation is close enough for means above 30.
     if mean > 30:
         return max(0, round(rng.gauss(mean, math.sqrt(mean))))
-    limit, number, product = math.exp(-mean), 0, rng.random()
+    limit, count, product = math.exp(-mean), 0, rng.random()
     while product > limit:
-        number += 1
+        count += 1
         product *= rng.random()
-    return number
+    return count
 
 
-def _result(
+def _make_result(
     fleet: _Fleet,
     decision: steps.Withdraw | steps.Finish,
     now: float,
@@ -282,7 +316,8 @@
         seconds=now - STARTED_AT,
         full_at=None if full_at is None else full_at - STARTED_AT,
         on_time=full_at is not None
-        and full_at <= STARTED_AT + case.finish_seconds - ON_TIME_SECONDS,
+        and full_at
+        <= STARTED_AT + case.finish_seconds - ON_TIME_MARGIN_SECONDS,
         fault_at=fleet.fault_at,
         new_calls=fleet.new_calls,
         faulty_calls=fleet.faulty_calls,
--- a/bench/rollout_faults.py
+++ b/bench/rollout_faults.py
@@ -1,4 +1,4 @@
-"""Seeded cases of rollouts: kinds of badness and of noise."""
+"""Seeded rollout cases: kinds of faults and of disturbances."""
 
 from collections.abc import Callable
 import dataclasses
@@ -21,16 +21,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Fault:
-    """What is wrong with calls at some moment.
+    """Effect of a fault on a call.
 
     Parameters
     ----------
     failure_rate : float
-        Part of the calls that fail.
+        Probability that the call fails.
     slow_factor : float
-        Factor on latencies.
+        Factor by which the latency is multiplied.
     rejected : bool
-        Whether calls are answered with status 404.
+        Whether the call is answered with status 404.
     """
 
     failure_rate: float = 0.0
@@ -38,7 +38,7 @@
     rejected: bool = False
 
 
-Faults = Callable[[float, int, str, str], Fault]
+FaultFunction = Callable[[float, int, str, str], Fault]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,19 +48,27 @@
     Parameters
     ----------
     kind : str
-        Name of the kind of badness or noise.
+        Name of the kind of fault or disturbance.
     bad : bool
         Whether the new version must be withdrawn.
     calls_per_second : float
-        Of the whole service.
+        Calls of the whole service.
     servers : int
-        Of each version.
+        Backend servers of each version.
     finish_seconds : float
         Time until ``finish_by``.
-    spread : float
+    median_ms : float
+        Median latency.
+    latency_sigma : float
         Standard deviation of the logarithm of latencies.
+    base_failure_rate : float
+        Fraction of the calls that fail in both versions.
     faults : callable
         ``(seconds since the start, share, route, version) -> Fault``.
+    cold_calls : int
+        First calls of a server of the new version; they take twice as long.
+    routes : tuple
+        Name and share of the calls of each route.
     """
 
     kind: str
@@ -70,9 +78,9 @@
     servers: int
     finish_seconds: float
     median_ms: float
-    spread: float
-    base_failures: float
-    faults: Faults
+    latency_sigma: float
+    base_failure_rate: float
+    faults: FaultFunction
     bake_seconds: float = 60.0
     cold_calls: int = 20
     routes: tuple[tuple[str, float], ...] = ROUTES
@@ -82,15 +90,15 @@
     return Fault()
 
 
-def _only_new(fault: Fault) -> Faults:
+def _new_version_always(fault: Fault) -> FaultFunction:
     return lambda at, share, route, version: (
         fault if version == NEW else Fault()
     )
 
 
-def _when(
+def _new_version_when(
     condition: Callable[[float, int, str], bool], fault: Fault
-) -> Faults:
+) -> FaultFunction:
     def faults(at: float, share: int, route: str, version: str) -> Fault:
         if version == NEW and condition(at, share, route):
             return fault
@@ -99,15 +107,19 @@
     return faults
 
 
-def _general(at: float, share: int, route: str, version: str) -> Fault:
+def _general_slowdown(
+    at: float, share: int, route: str, version: str
+) -> Fault:
     return Fault(slow_factor=4.0) if 15 <= at < 40 else Fault()
 
 
-def _dependency(at: float, share: int, route: str, version: str) -> Fault:
+def _failing_dependency(
+    at: float, share: int, route: str, version: str
+) -> Fault:
     return Fault(failure_rate=0.5) if 20 <= at < 35 else Fault()
 
 
-def _outage(at: float, share: int, route: str, version: str) -> Fault:
+def _short_outage(at: float, share: int, route: str, version: str) -> Fault:
     return Fault(failure_rate=1.0) if 22 <= at < 27 else Fault()
 
 
@@ -115,13 +127,11 @@
     return Fault(failure_rate=0.2) if version == OLD else Fault()
 
 
-def _little_different(
-    at: float, share: int, route: str, version: str
-) -> Fault:
+def _slightly_slower(at: float, share: int, route: str, version: str) -> Fault:
     return Fault(slow_factor=1.1) if version == NEW else Fault()
 
 
-def _late(at: float, share: int, route: str) -> bool:
+def _after_45_seconds(at: float, share: int, route: str) -> bool:
     return at >= 45.0
 
 
@@ -135,49 +145,51 @@
     return _new_route(at, share, route, version)
 
 
-GOOD_KINDS: dict[str, Faults] = {
+GOOD_KINDS: dict[str, FaultFunction] = {
     "good": _healthy,
-    "good-general-slowdown": _general,
-    "good-failing-dependency": _dependency,
-    "good-short-outage": _outage,
+    "good-general-slowdown": _general_slowdown,
+    "good-failing-dependency": _failing_dependency,
+    "good-short-outage": _short_outage,
     "good-old-fails": _old_fails,
-    "good-10-percent-slower": _little_different,
+    "good-10-percent-slower": _slightly_slower,
     "good-quiet-route": _healthy,
     "good-low-traffic": _healthy,
     "good-new-route": _new_route,
 }
-BAD_KINDS: dict[str, Faults] = {
-    "fails-always": _only_new(Fault(failure_rate=1.0)),
-    "fails-20-percent": _only_new(Fault(failure_rate=0.2)),
-    "fails-5-percent": _only_new(Fault(failure_rate=0.05)),
-    "slow-5-times": _only_new(Fault(slow_factor=5.0)),
-    "slow-2-times": _only_new(Fault(slow_factor=2.0)),
-    "fails-on-one-route": _when(
+BAD_KINDS: dict[str, FaultFunction] = {
+    "fails-always": _new_version_always(Fault(failure_rate=1.0)),
+    "fails-20-percent": _new_version_always(Fault(failure_rate=0.2)),
+    "fails-5-percent": _new_version_always(Fault(failure_rate=0.05)),
+    "slow-5-times": _new_version_always(Fault(slow_factor=5.0)),
+    "slow-2-times": _new_version_always(Fault(slow_factor=2.0)),
+    "fails-on-one-route": _new_version_when(
         lambda at, share, route: route == "export", Fault(failure_rate=0.5)
     ),
-    "slow-on-one-route": _when(
+    "slow-on-one-route": _new_version_when(
         lambda at, share, route: route == "export", Fault(slow_factor=4.0)
     ),
-    "fails-later": _when(_late, Fault(failure_rate=0.3)),
-    "slow-later": _when(_late, Fault(slow_factor=4.0)),
-    "fails-under-load": _when(
+    "fails-later": _new_version_when(
+        _after_45_seconds, Fault(failure_rate=0.3)
+    ),
+    "slow-later": _new_version_when(_after_45_seconds, Fault(slow_factor=4.0)),
+    "fails-under-load": _new_version_when(
         lambda at, share, route: share >= 500, Fault(failure_rate=0.3)
     ),
-    "slow-under-load": _when(
+    "slow-under-load": _new_version_when(
         lambda at, share, route: share >= 500, Fault(slow_factor=4.0)
     ),
-    "fails-after-full-share": _when(
+    "fails-after-full-share": _new_version_when(
         lambda at, share, route: share >= 980, Fault(failure_rate=0.3)
     ),
-    "slow-after-full-share": _when(
+    "slow-after-full-share": _new_version_when(
         lambda at, share, route: share >= 980, Fault(slow_factor=4.0)
     ),
     "fails-on-new-route": _bad_new_route,
-    "rejects-one-route": _when(
+    "rejects-one-route": _new_version_when(
         lambda at, share, route: route == "export", Fault(rejected=True)
     ),
 }
-_CHANGES: dict[str, dict[str, typing.Any]] = {
+_CASE_CHANGES: dict[str, dict[str, typing.Any]] = {
     "good-quiet-route": {"routes": (*ROUTES, ("quiet", 0.0005))},
     "good-low-traffic": {"calls_per_second": 8.0, "finish_seconds": 900.0},
     "good-new-route": {"routes": (("preview", 0.1), *ROUTES)},
@@ -186,7 +198,7 @@
 
 
 def make_case(kind: str, seed: int, **changes: typing.Any) -> Case:
-    """Make a case of a kind; the seed draws the service around it."""
+    """Make a case of a kind; the seed determines load, size and latencies."""
     rng = random.Random(f"case-{kind}-{seed}")
     bad = kind in BAD_KINDS
     case = Case(
@@ -197,9 +209,9 @@
         servers=rng.choice((2, 4)),
         finish_seconds=rng.choice((120.0, 180.0, 300.0)),
         median_ms=rng.choice((2.0, 5.0, 12.0, 40.0)),
-        spread=rng.choice((0.1, 0.3, 0.6)),
-        base_failures=rng.choice((0.0, 0.001, 0.01)),
+        latency_sigma=rng.choice((0.1, 0.3, 0.6)),
+        base_failure_rate=rng.choice((0.0, 0.001, 0.01)),
         faults=BAD_KINDS[kind] if bad else GOOD_KINDS[kind],
     )
-    changes = {**changes, **_CHANGES.get(kind, {})}
+    changes = {**changes, **_CASE_CHANGES.get(kind, {})}
     return dataclasses.replace(case, **changes)
--- a/bench/rollout_traces.py
+++ b/bench/rollout_traces.py
@@ -1,7 +1,7 @@
 """Write the recorded traces that tests/rollout/test_traces.py replays.
 
-The outcome of a trace follows from its kind; a run that ends otherwise is
-an error and writes nothing.
+The kind of a trace determines its outcome. A simulation that ends otherwise
+is an error and its trace is not written.
 """
 
 import argparse
@@ -24,7 +24,7 @@
     Raises
     ------
     RuntimeError
-        The run does not end as its kind demands.
+        The simulation does not end as expected for its kind.
     """
     case = rollout_faults.make_case(
         kind,
@@ -32,38 +32,40 @@
         calls_per_second=60.0,
         servers=2,
         finish_seconds=90.0,
-        base_failures=0.001,
-        spread=0.3,
+        base_failure_rate=0.001,
+        latency_sigma=0.3,
         bake_seconds=30.0,
     )
     expected = "withdrawn" if case.bad else "done"
     events: list[dict[str, typing.Any]] = []
-    result = rollout_cases.play(case, record=events.append)
+    result = rollout_cases.simulate(case, record=events.append)
     if result.state != expected:
-        raise RuntimeError(f"{kind}: {result.state}, expected {expected}")
+        raise RuntimeError(
+            f"rollout {kind} ended {result.state}, not {expected}"
+        )
     outcome = {"event": "outcome", "state": expected, "kind": kind}
     lines = [
         json.dumps(event, separators=(",", ":"))
-        for event in (*_shorten(events), outcome)
+        for event in (*_drop_unchanged_counts(events), outcome)
     ]
     path = folder / f"rollout-{kind}.jsonl"
     path.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
 
-def _shorten(
+def _drop_unchanged_counts(
     events: list[dict[str, typing.Any]],
 ) -> list[dict[str, typing.Any]]:
-    """Leave out counts that have not changed since the last report."""
-    known: dict[tuple[typing.Any, ...], typing.Any] = {}
+    """Drop counts that have not changed since the previous report."""
+    reported: dict[tuple[typing.Any, ...], typing.Any] = {}
     kept = []
     for event in events:
         if event["event"] == "evidence":
             counts = [
                 entry
                 for entry in event["counts"]
-                if known.get(entry[:4]) != entry
+                if reported.get(entry[:4]) != entry
             ]
-            known.update({entry[:4]: entry for entry in counts})
+            reported.update({entry[:4]: entry for entry in counts})
             if not counts:
                 continue
             event = {**event, "counts": counts}
--- a/bench/sidecar_overhead.py
+++ b/bench/sidecar_overhead.py
@@ -15,10 +15,10 @@
 __all__ = ["run"]
 
 TARGET_MS = 2.0
-# Calls a second of each node at the target's size.
-RATE = 83.0
+# Calls per second of each node in a fleet of the target size.
+CALLS_PER_SECOND = 83.0
 SERVICE_SECONDS = 0.002
-WARM_CALLS = 200
+WARM_UP_CALLS = 200
 SEED = 7
 
 
@@ -33,89 +33,99 @@
     Returns
     -------
     dict
-        The value is the 99th percentile added to a call, in milliseconds.
+        The value is the difference between the 99th percentiles through
+        the nodes and without them, in milliseconds.
     """
-    found = asyncio.run(_measure(30.0 if full else 8.0))
-    added = found["through_p99_ms"] - found["direct_p99_ms"]
+    figures = asyncio.run(_measure(30.0 if full else 8.0))
+    added = figures["through_p99_ms"] - figures["direct_p99_ms"]
     return {
         "name": "sidecar_overhead",
         "value": round(added, 2),
         "unit": "ms",
         "target": TARGET_MS,
         "holds": added <= TARGET_MS,
-        **found,
+        **figures,
     }
 
 
 async def _measure(seconds: float) -> dict[str, float]:
     with tempfile.TemporaryDirectory() as folder:
-        world = mesh.Mesh(folder=pathlib.Path(folder))
+        running_mesh = mesh.Mesh(folder=pathlib.Path(folder))
         try:
-            return await _measure_in(world, seconds)
+            return await _measure_mesh(running_mesh, seconds)
         finally:
-            await world.close()
+            await running_mesh.close()
 
 
-async def _measure_in(world: mesh.Mesh, seconds: float) -> dict[str, float]:
-    await world.start(
+async def _measure_mesh(
+    running_mesh: mesh.Mesh, seconds: float
+) -> dict[str, float]:
+    await running_mesh.start(
         ("dc-a", "dc-a"),
         services=("portal", "fieldbook"),
         routes=[{"prefix": "/records/", "service": "fieldbook"}],
     )
-    backend = world.nodes[1].backend
+    backend = running_mesh.nodes[1].backend
     backend.work_seconds = SERVICE_SECONDS
     backend.slots = 64
-    entry = world.nodes[0].ports.callers
-    for _ in range(WARM_CALLS):
-        await world.caller.call(entry)
-    processes = [psutil.Process(node.process.pid) for node in world.nodes]
-    before = sum(_processor_ms(p) for p in processes)
-    direct, through = await _call_both(world, seconds)
-    after = sum(_processor_ms(p) for p in processes)
-    resident = max(p.memory_info().rss for p in processes)
+    node_address = running_mesh.nodes[0].ports.callers
+    for _ in range(WARM_UP_CALLS):
+        await running_mesh.caller.call(node_address)
+    processes = [
+        psutil.Process(node.process.pid) for node in running_mesh.nodes
+    ]
+    processor_ms_before = sum(_processor_ms(process) for process in processes)
+    direct, through = await _call_both(running_mesh, seconds)
+    processor_ms_after = sum(_processor_ms(process) for process in processes)
+    resident_bytes = max(process.memory_info().rss for process in processes)
     return {
         "direct_p50_ms": round(_percentile(direct, 50), 2),
         "direct_p99_ms": round(_percentile(direct, 99), 2),
         "through_p50_ms": round(_percentile(through, 50), 2),
         "through_p99_ms": round(_percentile(through, 99), 2),
-        "processor_ms_per_call": round((after - before) / len(through), 2),
-        "resident_mb": round(resident / 1e6, 1),
+        "processor_ms_per_call": round(
+            (processor_ms_after - processor_ms_before) / len(through), 2
+        ),
+        "resident_mb": round(resident_bytes / 1e6, 1),
         "calls": len(through),
     }
 
 
 async def _call_both(
-    world: mesh.Mesh, seconds: float
+    running_mesh: mesh.Mesh, seconds: float
 ) -> tuple[list[float], list[float]]:
-    """Call through the nodes and directly by turns, at random moments."""
+    """Alternate calls through the nodes and direct calls at random times."""
     rng = random.Random(SEED)
     loop = asyncio.get_running_loop()
-    entry = world.nodes[0].ports.callers
-    backend = world.nodes[1].backend
-    named: http.Headers = (
+    node_address = running_mesh.nodes[0].ports.callers
+    backend = running_mesh.nodes[1].backend
+    headers: http.Headers = (
         (b"X-Expect-Instance", backend.identifier.encode()),
     )
-    times: dict[str, list[float]] = {entry: [], backend.address: []}
+    latencies_ms: dict[str, list[float]] = {
+        node_address: [],
+        backend.address: [],
+    }
 
     async def call(address: str) -> None:
-        began = loop.time()
-        result = await world.caller.call(address, headers=named)
+        started_at = loop.time()
+        result = await running_mesh.caller.call(address, headers=headers)
         if result.response is None or result.response.status != 200:
-            raise RuntimeError(f"call of {address} failed: {result}")
-        times[address].append((loop.time() - began) * 1000.0)
+            raise RuntimeError(f"call to {address} failed: {result}")
+        latencies_ms[address].append((loop.time() - started_at) * 1000.0)
 
-    end = loop.time() + seconds
+    end_at = loop.time() + seconds
     async with asyncio.TaskGroup() as group:
-        while loop.time() < end:
-            for address in times:
+        while loop.time() < end_at:
+            for address in latencies_ms:
                 group.create_task(call(address))
-                await asyncio.sleep(rng.expovariate(2 * RATE))
-    return times[backend.address], times[entry]
+                await asyncio.sleep(rng.expovariate(2 * CALLS_PER_SECOND))
+    return latencies_ms[backend.address], latencies_ms[node_address]
 
 
 def _processor_ms(process: psutil.Process) -> float:
-    times = process.cpu_times()
-    return (times.user + times.system) * 1000.0
+    cpu_times = process.cpu_times()
+    return (cpu_times.user + cpu_times.system) * 1000.0
 
 
 def _percentile(values: list[float], percent: int) -> float:
--- a/bench/state_at_target.py
+++ b/bench/state_at_target.py
@@ -1,7 +1,7 @@
-"""Memory and processor time of a node's state at the target's size.
+"""Memory and processor time of a node's state at the target fleet size.
 
-The values themselves are built at a quarter, half and all of the target, so
-that the slope per instance and per service can be read off.
+The view and the routing table are built at a quarter, half and all of the
+target size, which shows the cost per instance and per service.
 """
 
 from collections.abc import Callable
@@ -22,14 +22,14 @@
 TARGET_INSTANCES = 1200
 TARGET_SERVICES = 81
 ROUTES_PER_SERVICE = 4
-DATA_CENTRES = 6
+DATA_CENTRE_COUNT = 6
 REPEATS = 20
 CHANGES_PER_DAY = 3300
 SECONDS_PER_DAY = 86_400
 # Records change when instances are replaced, fail or report a new version;
-# the control task publishes at most one view in this time.
+# the control task publishes at most this many views per second.
 VIEWS_PER_SECOND = 1.0
-CORE_SHARE_LIMIT = 0.016
+TARGET_CORES = 0.016
 
 
 def make_view(instances: int, services: int) -> model.View:
@@ -47,25 +47,25 @@
     Returns
     -------
     dict
-        The value is the share of a core for applying changes and publishing
-        views at the target's size.
+        The value is the fraction of a processor core that applying changes
+        and building routing tables takes at the target fleet size.
     """
     raw = [
-        _measure(TARGET_INSTANCES // part, TARGET_SERVICES // part)
-        for part in (4, 2, 1)
+        _measure(TARGET_INSTANCES // divisor, TARGET_SERVICES // divisor)
+        for divisor in (4, 2, 1)
     ]
     largest = raw[-1]
-    changes_a_second = CHANGES_PER_DAY / SECONDS_PER_DAY
+    changes_per_second = CHANGES_PER_DAY / SECONDS_PER_DAY
     value = (
-        largest["apply_ms"] * changes_a_second
+        largest["apply_ms"] * changes_per_second
         + largest["table_ms"] * VIEWS_PER_SECOND
     ) / 1000
     return {
         "name": "state_at_target",
         "value": value,
         "unit": "cores",
-        "target": CORE_SHARE_LIMIT,
-        "holds": value <= CORE_SHARE_LIMIT,
+        "target": TARGET_CORES,
+        "holds": value <= TARGET_CORES,
         "raw": raw,
     }
 
@@ -75,34 +75,36 @@
     view = make_view(instances, services)
     view_bytes, _ = tracemalloc.get_traced_memory()
     table = routing.build_table(view)
-    both_bytes, _ = tracemalloc.get_traced_memory()
+    view_and_table_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    after = _next_version(view.snapshot)
-    delta = config.compute_delta(view.snapshot, after)
+    next_snapshot = _next_version(view.snapshot)
+    delta = config.compute_delta(view.snapshot, next_snapshot)
     message = wire.ConfigDelta(sender="portal-0", deltas=(delta,))
     del table
     return {
         "instances": instances,
         "services": services,
         "view_kb": view_bytes / 1024,
-        "table_kb": (both_bytes - view_bytes) / 1024,
+        "table_kb": (view_and_table_bytes - view_bytes) / 1024,
         "snapshot_kb": len(msgspec.msgpack.encode(view.snapshot)) / 1024,
         "record_bytes": len(msgspec.msgpack.encode(view.instances[0])),
         "delta_bytes": sum(map(len, wire.encode(message))),
-        "apply_ms": _time_ms(lambda: config.apply_delta(view.snapshot, delta)),
-        "table_ms": _time_ms(lambda: routing.build_table(view)),
+        "apply_ms": _measure_ms(
+            lambda: config.apply_delta(view.snapshot, delta)
+        ),
+        "table_ms": _measure_ms(lambda: routing.build_table(view)),
     }
 
 
-def _time_ms(operation: Callable[[], object]) -> float:
-    started = time.process_time()
+def _measure_ms(operation: Callable[[], object]) -> float:
+    started_seconds = time.process_time()
     for _ in range(REPEATS):
         operation()
-    return (time.process_time() - started) / REPEATS * 1000
+    return (time.process_time() - started_seconds) / REPEATS * 1000
 
 
 def _next_version(snapshot: model.Snapshot) -> model.Snapshot:
-    """Change the shares of one service, as a rollout's step does."""
+    """Change the shares of one service, as a step of a rollout does."""
     first = snapshot.services[0]
     versions = (
         model.VersionShare(version="v1", share=950),
@@ -131,12 +133,12 @@
 
 
 def _make_snapshot(services: int) -> model.Snapshot:
-    share = (model.VersionShare(version="v1", share=model.TOTAL_SHARE),)
+    versions = (model.VersionShare(version="v1", share=model.TOTAL_SHARE),)
     names = [f"service-{number:02}" for number in range(services)]
     return model.Snapshot(
         version=1,
         services=tuple(
-            model.Service(name=name, team="team", versions=share)
+            model.Service(name=name, team="team", versions=versions)
             for name in names
         ),
         routes=tuple(
@@ -152,7 +154,7 @@
         ),
         data_centres=tuple(
             model.DataCentre(name=f"dc{number}", region=f"r{number % 2}")
-            for number in range(DATA_CENTRES)
+            for number in range(DATA_CENTRE_COUNT)
         ),
     )
 
@@ -160,7 +162,7 @@
 def _make_record(number: int, services: int) -> model.InstanceRecord:
     return model.InstanceRecord(
         instance=f"instance-{number:04}",
-        data_centre=f"dc{number % DATA_CENTRES}",
+        data_centre=f"dc{number % DATA_CENTRE_COUNT}",
         region=f"r{number % 2}",
         call_address=f"tcp://10.0.{number // 250}.{number % 250}:7001",
         control_address=f"tcp://10.0.{number // 250}.{number % 250}:7002",
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -1,7 +1,7 @@
 """Record traces of the call path from real runs into ``traces/``.
 
-``python -m bench.traces`` runs each scenario; the last line of a trace is
-what the callers saw.
+``python -m bench.traces`` runs each scenario; the last line of a trace
+holds the outcomes that the callers received.
 """
 
 import collections
@@ -24,7 +24,7 @@
 Scenario = Callable[[fleets.Fleet, list[fleets.Member]], list[loads.Result]]
 
 
-def record(name: str, scenario: Scenario, *, recorded: int) -> None:
+def record(name: str, scenario: Scenario, *, recorded_index: int) -> None:
     """Run a scenario and record one of its nodes."""
     with fleets.open_fleet() as fleet:
         fleets.commit_first(fleet, loads.snapshot(*set(SERVICES)))
@@ -37,27 +37,29 @@
                 version="v1",
                 behaviour={"slots": 8, "warm_after": 10, "service_ms": 20.0},
             )
-        member = fleet.members[recorded]
+        member = fleet.members[recorded_index]
         fleets.stop(member.node)
-        output = fleet.folder / "trace.jsonl"
+        output_path = fleet.folder / "trace.jsonl"
         member.node = fleets.start_process(
             fleet.folder,
             "recorder",
-            ["-m", "bench.recorder", output, member.settings_path],
+            ["-m", "bench.recorder", output_path, member.settings_path],
         )
         results = scenario(fleet, fleet.members)
         fleets.stop(member.node)
         FOLDER.mkdir(exist_ok=True)
-        runs = loads.executions(fleet, member)
-        outcome = {"outcome": _summarise(results, sum(runs.values()))}
-        text = output.read_text() + json.dumps(outcome) + "\n"
+        executions = loads.executions(fleet, member)
+        outcome = {
+            "outcome": _summarize_outcome(results, sum(executions.values()))
+        }
+        text = output_path.read_text() + json.dumps(outcome) + "\n"
         (FOLDER / f"calls-{name}.jsonl").write_text(text)
 
 
-def _summarise(
+def _summarize_outcome(
     results: list[loads.Result], executions: int
 ) -> dict[str, typing.Any]:
-    """State what callers and the recorded node's backend server saw."""
+    """Count the callers' outcomes and the backend server's executions."""
     counts = collections.Counter(result.outcome for result in results)
     return {
         "callers": dict(sorted(counts.items())),
@@ -65,47 +67,47 @@
     }
 
 
-def _send_many(
+def _send_load(
     address: str,
     *,
     seconds: float,
-    between: Callable[[], None],
+    inject_fault: Callable[[], None],
     threads: int = 3,
 ) -> list[loads.Result]:
     with loads.load(
         [address], "/portal/x", threads=threads, timeout_ms=800
     ) as results:
         time.sleep(seconds / 2)
-        between()
+        inject_fault()
         time.sleep(seconds / 2)
     return results
 
 
-def _wait(fleet: fleets.Fleet, member: fleets.Member) -> None:
-    """Wait for the recorded node to be known and to know the others."""
+def _wait_for_discovery(fleet: fleets.Fleet, member: fleets.Member) -> None:
+    """Give the recorded node and the others time to discover each other."""
     time.sleep(4.0)
 
 
-def _killed(
+def _kill_serving_node(
     fleet: fleets.Fleet, members: list[fleets.Member]
 ) -> list[loads.Result]:
-    _wait(fleet, members[0])
+    _wait_for_discovery(fleet, members[0])
     node = members[1].node
     assert node is not None
-    return _send_many(members[0].ingress, seconds=1.2, between=node.kill)
+    return _send_load(members[0].ingress, seconds=1.2, inject_fault=node.kill)
 
 
-def _frozen(
+def _freeze_gate(
     fleet: fleets.Fleet, members: list[fleets.Member]
 ) -> list[loads.Result]:
-    """Freeze the recorded gate past its callers' deadlines."""
-    _wait(fleet, members[1])
+    """Freeze the recorded gate until its callers' deadlines have passed."""
+    _wait_for_discovery(fleet, members[1])
     node = members[1].node
     assert node is not None
-    results = _send_many(
+    results = _send_load(
         members[0].ingress,
         seconds=1.2,
-        between=lambda: node.send_signal(signal.SIGSTOP),
+        inject_fault=lambda: node.send_signal(signal.SIGSTOP),
         threads=8,
     )
     time.sleep(1.0)
@@ -114,13 +116,13 @@
     return results
 
 
-def _cold(
+def _make_backend_cold(
     fleet: fleets.Fleet, members: list[fleets.Member]
 ) -> list[loads.Result]:
-    """Let the warm backend server of the recorded gate turn cold."""
-    _wait(fleet, members[1])
+    """Make the warm backend server of the recorded gate cold."""
+    _wait_for_discovery(fleet, members[1])
 
-    def turn_cold() -> None:
+    def set_cold() -> None:
         fleets.call_json(
             fleet,
             f"http://{members[1].backend}",
@@ -128,38 +130,40 @@
             {"cold": True, "warm_after": 15},
         )
 
-    return _send_many(members[0].ingress, seconds=1.6, between=turn_cold)
+    return _send_load(members[0].ingress, seconds=1.6, inject_fault=set_cold)
 
 
-def _draining(
+def _drain_gate(
     fleet: fleets.Fleet, members: list[fleets.Member]
 ) -> list[loads.Result]:
-    """Stop the recorded gate while calls arrive."""
-    _wait(fleet, members[1])
+    """Stop the node of the recorded gate while calls arrive."""
+    _wait_for_discovery(fleet, members[1])
     node = members[1].node
     assert node is not None
 
-    def leave() -> None:
+    def terminate_twice() -> None:
         node.send_signal(signal.SIGTERM)
         time.sleep(0.3)
         node.send_signal(signal.SIGTERM)
 
-    return _send_many(members[0].ingress, seconds=1.2, between=leave)
+    return _send_load(
+        members[0].ingress, seconds=1.2, inject_fault=terminate_twice
+    )
 
 
 SCENARIOS: dict[str, tuple[Scenario, int]] = {
-    "killed": (_killed, 0),
-    "frozen": (_frozen, 1),
-    "cold": (_cold, 1),
-    "draining": (_draining, 1),
+    "killed": (_kill_serving_node, 0),
+    "frozen": (_freeze_gate, 1),
+    "cold": (_make_backend_cold, 1),
+    "draining": (_drain_gate, 1),
 }
 
 
 def main() -> None:
     """Record all scenarios."""
     with contextlib.suppress(KeyboardInterrupt):
-        for name, (scenario, recorded) in SCENARIOS.items():
-            record(name, scenario, recorded=recorded)
+        for name, (scenario, recorded_index) in SCENARIOS.items():
+            record(name, scenario, recorded_index=recorded_index)
 
 
 if __name__ == "__main__":
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,33 +1,33 @@
-"""Run the whole path against the stand-ins: ``python -m demo``."""
+"""Run the demo against the stand-ins: ``python -m demo``."""
 
 import sys
 import time
 
+from demo import environment
 from demo import outcomes
 from demo import steps
-from demo import world
 
 __all__ = ["main"]
 
 
 def main() -> int:
-    """Run all steps.
+    """Run all steps of the demo.
 
     Returns
     -------
     int
-        0 only if every outcome holds.
+        0 if every outcome is as expected, otherwise 1.
     """
-    started = time.monotonic()
-    seen: list[outcomes.Outcome] = []
-    with world.open_world() as opened:
+    started_at = time.monotonic()
+    results: list[outcomes.Outcome] = []
+    with environment.open_environment() as running:
         for step in steps.STEPS:
-            outcome = step(opened)
+            outcome = step(running)
             print("." if outcome.holds else "F", end="", flush=True)
-            seen.append(outcome)
-    outcomes.print_table(seen)
-    print(f"total {time.monotonic() - started:.0f} s")
-    return 0 if all(outcome.holds for outcome in seen) else 1
+            results.append(outcome)
+    outcomes.print_table(results)
+    print(f"total {time.monotonic() - started_at:.0f} s")
+    return 0 if all(outcome.holds for outcome in results) else 1
 
 
 if __name__ == "__main__":
--- a/demo/outcomes.py
+++ b/demo/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of the demo: what was expected, what was seen, how long."""
+"""Outcomes of the steps of the demo, and their table."""
 
 import dataclasses
 
@@ -7,18 +7,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outcome:
-    """One outcome of the demo.
+    """Outcome of one step.
 
     Parameters
     ----------
     name : str
-        What was done.
+        Action of the step.
     expected, seen : str
-        In words.
+        Expected and observed result, as text.
     holds : bool
-        Whether what was seen is what was expected.
+        Whether the observed result is as expected.
     seconds : float
-        How long it took.
+        Duration of the step.
     """
 
     name: str
@@ -29,12 +29,12 @@
 
 
 def print_table(outcomes: list[Outcome]) -> None:
-    """Print one block per outcome and a summary line."""
+    """Print a block for each outcome and a summary line."""
     print()
     for outcome in outcomes:
-        mark = "ok  " if outcome.holds else "FAIL"
-        print(f"{mark} {outcome.name} ({outcome.seconds:.1f} s)")
+        label = "ok  " if outcome.holds else "FAIL"
+        print(f"{label} {outcome.name} ({outcome.seconds:.1f} s)")
         print(f"       expected: {outcome.expected}")
         print(f"       seen:     {outcome.seen}")
-    good = sum(outcome.holds for outcome in outcomes)
-    print(f"\n{good} of {len(outcomes)} outcomes hold")
+    as_expected = sum(outcome.holds for outcome in outcomes)
+    print(f"\n{as_expected} of {len(outcomes)} outcomes hold")
