--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -158,7 +158,9 @@
     idle_seconds = (
         (_processor_seconds(nodes) - idle_seconds_before) / 2.0 * seconds
     )
-    through, direct = streams.join(samples[:2]), streams.join(samples[2:])
+    through, direct = streams.combine(samples[:2]), streams.combine(
+        samples[2:]
+    )
     return {
         "rate": CALLS_PER_SECOND,
         "seconds": seconds,
@@ -183,7 +185,7 @@
 ) -> list[dict[str, typing.Any]]:
     steps = []
     for rate in RISING_CALLS_PER_SECOND:
-        sample = streams.join(
+        sample = streams.combine(
             streams.run_streams(
                 _targets_through_nodes(members),
                 rate=rate,
