--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -128,7 +128,7 @@
         request: messages.Request,
         done: ResultCallback,
         *,
-        timeout: float,
+        timeout_seconds: float,
         max_idle_seconds: float | None = None,
     ) -> RequestHandle:
         """Send a request on an idle or a new connection.
@@ -139,14 +139,14 @@
             The request to send.
         done : callable
             Called once with the `Result`, unless the request is cancelled.
-        timeout : float
+        timeout_seconds : float
             Time limit for the complete response, in seconds.
         max_idle_seconds : float, optional
             Longest time, in seconds, that a reused connection may have been
             idle. A negative value forces a new connection.
         """
         handle = RequestHandle(done=done)
-        handle.timer = self.loop.call_later(timeout, handle.expire)
+        handle.timer = self.loop.call_later(timeout_seconds, handle.expire)
         connection = self.acquire_idle(max_idle_seconds)
         if connection is not None:
             connection.start(request, handle)
--- a/apricotpost/platform/store.py
+++ b/apricotpost/platform/store.py
@@ -254,7 +254,7 @@
             if not future.done():
                 future.set_result(result)
 
-        handle = self.client.send(request, finish, timeout=timeout)
+        handle = self.client.send(request, finish, timeout_seconds=timeout)
         try:
             result = await future
         except asyncio.CancelledError:
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -126,7 +126,7 @@
         self.client.send(
             platform.make_health_request(rule.health_path, current.address),
             handle_result,
-            timeout=HEALTH_TIMEOUT_SECONDS,
+            timeout_seconds=HEALTH_TIMEOUT_SECONDS,
         )
 
     def handle_health(
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -284,7 +284,7 @@
         pending.handle = self.client.send(
             request,
             finish,
-            timeout=remaining_seconds + LATE_RESPONSE_SECONDS,
+            timeout_seconds=remaining_seconds + LATE_RESPONSE_SECONDS,
             max_idle_seconds=max_idle_seconds,
         )
 
--- a/bench/rollout_cases.py
+++ b/bench/rollout_cases.py
@@ -18,8 +18,8 @@
 from apricotpost import model
 from apricotpost import rollout as rollouts
 from apricotpost.rollout import evidence
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 from bench import rollout_faults
 
 __all__ = ["RecordEvent", "Result", "simulate"]
@@ -110,15 +110,15 @@
     record_event(_configuration_event(view))
     share_history = [(STARTED_AT, 0)]
     full_at = None
-    state = watch.Watch()
+    state = monitor.RolloutMonitor()
     now = STARTED_AT
     while True:
         now += 1.0
         share = _effective_share(share_history, now)
         for report in _simulate_second(fleet, now - 1.0 - STARTED_AT, share):
-            state = watch.receive(state, report, full=True, now=now)
+            state = monitor.receive(state, report, full=True, now=now)
             record_event(_evidence_event(report))
-        state, observation = watch.evaluate(
+        state, observation = monitor.evaluate(
             state, view, instance=instances[0].instance, now=now
         )
         record_event({"event": "look", "at": now})
@@ -126,7 +126,7 @@
         decision = steps.decide(
             observation.rollout,
             observation.judgement,
-            observation.facts,
+            observation.server_counts,
             now,
             times,
         )
@@ -273,19 +273,21 @@
     cold = version == NEW and served_calls < case.cold_calls
     duration = case.median_ms * math.exp(rng.gauss(0.0, case.latency_sigma))
     duration *= fault.slow_factor * (2.0 if cold else 1.0)
-    finished = evidence.Finished(
+    finished = evidence.FinishedCall(
         answered=True,
         status=404 if fault.rejected else 500 if failed else 200,
         cold=cold,
         duration_ms=duration,
     )
-    fleet.outcomes[name] = evidence.count(
+    fleet.outcomes[name] = evidence.record_call(
         fleet.outcomes[name], (SERVICE, version, route), finished
     )
 
 
 def _make_report(fleet: _Fleet, name: str) -> tuple[model.Evidence, ...]:
-    return evidence.describe(fleet.outcomes[name], instance=name, epoch=1)
+    return evidence.describe_counts(
+        fleet.outcomes[name], instance=name, epoch=1
+    )
 
 
 def _draw_poisson(rng: random.Random, mean: float) -> int:
--- a/bench/verdict_rates.py
+++ b/bench/verdict_rates.py
@@ -90,7 +90,7 @@
     rng: random.Random, share: int, rate: float, excess: float
 ) -> int | None:
     """Return the calls of the new version until the alarm, or None."""
-    plan = route_trials.FAILURES
+    plan = route_trials.FAILURE_TEST
     test_state = sequential.start(plan)
     new_rate = 1 - (1 - rate) * (1 - excess)
     total_new_calls = 0
@@ -105,7 +105,7 @@
             old_events=_binomial(rng, old_calls, rate),
         )
         test_state = sequential.update(test_state, plan, slice_counts)
-        if sequential.level(test_state) >= sequential.ALARM:
+        if sequential.evidence_level(test_state) >= sequential.ALARM_LEVEL:
             return total_new_calls
     return None
 
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -219,7 +219,9 @@
             client = http.Client(host=host, port=int(port))
             self.clients[address] = client
         completed = asyncio.get_running_loop().create_future()
-        handle = client.send(request, completed.set_result, timeout=timeout)
+        handle = client.send(
+            request, completed.set_result, timeout_seconds=timeout
+        )
         try:
             return await completed
         except asyncio.CancelledError:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -50,7 +50,9 @@
 
     async def send(self, *, timeout=1.0, **options):
         future = asyncio.get_running_loop().create_future()
-        self.client.send(GET, future.set_result, timeout=timeout, **options)
+        self.client.send(
+            GET, future.set_result, timeout_seconds=timeout, **options
+        )
         return await future
 
     async def test_keeps_connections(self):
