--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -11,13 +11,13 @@
     "Fleet",
     "KnownNode",
     "is_reader",
-    "record_state",
     "live_nodes",
-    "set_address",
     "newest_orders",
-    "silent_data_centres",
-    "probe_seconds",
+    "probe_interval_seconds",
     "record_contact",
+    "record_state",
+    "set_address",
+    "silent_data_centres",
 ]
 
 # Nodes send their state every 0.5 s within a data centre; two may be late.
@@ -120,14 +120,14 @@
     return not any(
         state.node < fleet.node
         and state.data_centre == fleet.data_centre
-        and state.store
+        and state.store_reachable
         and not state.leaving
         for state in live_nodes(fleet, now)
         if state.node != fleet.node
     )
 
 
-def probe_seconds(fleet: Fleet, now: float) -> float:
+def probe_interval_seconds(fleet: Fleet, now: float) -> float:
     """Return the minimum pause between probes of an unreachable store.
 
     The pause is in seconds. It is 0 for two nodes of each data centre. The
@@ -145,7 +145,7 @@
     for state in live_nodes(fleet, now):
         if state.node == fleet.node or state.data_centre != fleet.data_centre:
             continue
-        if state.store and not state.leaving:
+        if state.store_reachable and not state.leaving:
             return SLOW_PROBE_SECONDS
         preceding += state.node < fleet.node
     return SLOW_PROBE_SECONDS if preceding >= PROBING_NODES else 0.0
@@ -174,4 +174,6 @@
 
 def newest_orders(fleet: Fleet) -> int:
     """Return the highest orders' revision that any known node holds."""
-    return max((k.state.orders for k in fleet.nodes.values()), default=0)
+    return max(
+        (k.state.orders_revision for k in fleet.nodes.values()), default=0
+    )
--- a/apricotpost/node/gate.py
+++ b/apricotpost/node/gate.py
@@ -81,7 +81,7 @@
 
     Raises
     ------
-    apricotpost.errors.PortOccupied
+    apricotpost.errors.AddressInUse
         The call address is in use.
     """
     with contextlib.ExitStack() as stack:
@@ -279,18 +279,18 @@
 
 def _count_outcome(task: _Task, result: wire.BackendResult) -> None:
     """Add a finished call to the evidence about its version."""
-    waiting = task.state.running.get(result.call)
-    if waiting is None:
+    pending = task.state.running.get(result.call)
+    if pending is None:
         return
     finished = gate_evidence.describe_finished(
         result,
-        waiting,
+        pending,
         snapshot=task.current.view.snapshot,
-        alone=len(task.state.running) == 1,
+        is_only_call=len(task.state.running) == 1,
     )
-    call = waiting.call
+    call = pending.call
     key = (call.service, call.version, call.route)
-    task.outcomes = evidence.count(task.outcomes, key, finished)
+    task.outcomes = evidence.record_call(task.outcomes, key, finished)
 
 
 def _make_report(task: _Task) -> wire.GateReport:
@@ -298,7 +298,7 @@
         load=gate.describe_load(task.state),
         backend_server_up=task.state.announced is not None
         and not task.state.announced.leaving,
-        evidence=evidence.describe(
+        evidence=evidence.describe_counts(
             task.outcomes, instance=task.instance, epoch=task.epoch
         ),
     )
--- a/apricotpost/node/rollout_changes.py
+++ b/apricotpost/node/rollout_changes.py
@@ -7,15 +7,15 @@
 from apricotpost import config
 from apricotpost import model
 from apricotpost import rollout as rollouts
+from apricotpost.rollout import monitor
 from apricotpost.rollout import steps
-from apricotpost.rollout import watch
 from apricotpost import storage
 
 __all__ = ["make_change"]
 
 
 def make_change(
-    observation: watch.Observation,
+    observation: monitor.Observation,
     decision: steps.Decision,
     *,
     holder: str,
@@ -74,14 +74,14 @@
 
 
 def _make_outcome_write(
-    observation: watch.Observation, after: model.Snapshot, author: str
+    observation: monitor.Observation, after: model.Snapshot, author: str
 ) -> storage.table.Put:
     ended = next(
         entry
         for entry in after.rollouts
         if entry.identifier == observation.rollout.identifier
     )
-    return storage.outcomes.outcome_write(
+    return storage.outcomes.make_outcome_write(
         observation.rollout,
         ended,
         evidence=observation.judgement.summary,
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -225,8 +225,8 @@
             boot=self.boot,
             sequence=self.sequence,
             leaving=self.leaving,
-            store=self.reaches_store,
-            orders=self.orders_revision,
+            store_reachable=self.reaches_store,
+            orders_revision=self.orders_revision,
             server=server,
             counts=counts,
         )
@@ -263,7 +263,12 @@
         self, state: wire.NodeState, *, local: bool
     ) -> None:
         """Connect and send this node's state to a new process of a node."""
-        events.emit(_LOG, events.NODE_MET, node=state.node, boot=state.boot)
+        events.emit(
+            _LOG,
+            events.NODE_PROCESS_DISCOVERED,
+            node=state.node,
+            boot=state.boot,
+        )
         if self.connections is not None and local:
             self.connections.open(state.node, self.loop.time())
         if self.links is not None and self.needs_own_state(state.node):
@@ -302,8 +307,8 @@
             boot=0,
             sequence=0,
             leaving=False,
-            store=False,
-            orders=0,
+            store_reachable=False,
+            orders_revision=0,
             server=None,
         )
         fleet.record_state(self.members, unheard, self.loop.time())
