--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -103,7 +103,7 @@
         last, last_cpu_seconds = _sum_counters(fleet), _cpu_seconds(fleet)
         seconds = time.monotonic() - started
         for _ in range(CHANGES):
-            snapshot = observations.commit_next(fleet, snapshot)
+            snapshot = observations.commit_route_change(fleet, snapshot)
             observations.wait_for_version(
                 fleet, fleet.members, snapshot.version, seconds=30
             )
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -53,7 +53,7 @@
 ) -> tuple[model.Snapshot, list[float]]:
     durations = []
     for _ in range(CHANGES):
-        snapshot = observations.commit_next(fleet, snapshot)
+        snapshot = observations.commit_route_change(fleet, snapshot)
         committed_at = time.time()
         durations.append(
             _measure_apply_seconds(
@@ -69,11 +69,11 @@
     """Kill both readers of a data centre and commit a change right after."""
     data_centre = fleet.members[0].data_centre
     local_members = [m for m in fleet.members if m.data_centre == data_centre]
-    readers = observations.find_readers(fleet, local_members)[:2]
+    readers = observations.sort_by_table_reads(fleet, local_members)[:2]
     for member in readers:
         if member.node is not None:
             member.node.kill()
-    snapshot = observations.commit_next(fleet, snapshot)
+    snapshot = observations.commit_route_change(fleet, snapshot)
     committed_at = time.time()
     for member in readers:
         fleet.members.remove(member)
@@ -88,14 +88,16 @@
     fleet: fleets.Fleet, snapshot: model.Snapshot
 ) -> float:
     """Make the table unavailable once one node has applied a new version."""
-    snapshot = observations.commit_next(fleet, snapshot)
+    snapshot = observations.commit_route_change(fleet, snapshot)
     committed_at = time.time()
     version = snapshot.version
     fleets.wait_for(
         lambda: any(
             applied_version == version
             for member in fleet.members
-            for applied_version, _ in observations.list_applied(fleet, member)
+            for applied_version, _ in observations.list_applied_versions(
+                fleet, member
+            )
         ),
         seconds=APPLY_TIMEOUT_SECONDS,
     )
@@ -127,10 +129,10 @@
     last_applied_at = max(
         min(
             applied_at
-            for applied_version, applied_at in observations.list_applied(
+            for applied, applied_at in observations.list_applied_versions(
                 fleet, member
             )
-            if applied_version >= version
+            if applied >= version
         )
         for member in members
     )
--- a/bench/data_centre_move.py
+++ b/bench/data_centre_move.py
@@ -53,8 +53,8 @@
 def _measure(user: str, phase_seconds: float) -> dict[str, typing.Any]:
     data_centre, requests = USERS[user]
     with fleet.open_fleet() as running_fleet:
-        users.start_user(running_fleet, user)
-        operations.wait_serving(running_fleet, requests)
+        users.start_organisation(running_fleet, user)
+        operations.wait_until_serving(running_fleet, requests)
         nodes = [member.ingress for member in running_fleet.members]
         with load.run_load(
             nodes, per_second=REQUESTS_PER_SECOND, requests=requests
@@ -105,6 +105,6 @@
     for member in running_fleet.members:
         if member.data_centre != data_centre:
             continue
-        state = operations.backend_state(running_fleet, member)
+        state = operations.read_backend_state(running_fleet, member)
         count += len(late_requests.intersection(state["executions"]))
     return count
--- a/bench/keyed_calls.py
+++ b/bench/keyed_calls.py
@@ -55,7 +55,7 @@
     """
     count = 1500 if full else 250
     with fleets.open_fleet() as fleet:
-        fleets.commit_first(fleet, CONFIGURATION)
+        fleets.commit_first_snapshot(fleet, CONFIGURATION)
         member = fleets.start_member(
             fleet,
             instance="fieldbook-1",
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -101,7 +101,7 @@
         data_centres=(model.DataCentre(name="riga-1", region="lv-riga"),),
     )
     with fleets.open_fleet() as fleet:
-        fleets.commit_first(fleet, snapshot)
+        fleets.commit_first_snapshot(fleet, snapshot)
         for number, service in enumerate(services):
             fleets.start_member(
                 fleet,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -34,7 +34,7 @@
         Number of data centres; nodes are assigned to them in turn.
     """
     with fleets.open_fleet(OVERRIDES) as fleet:
-        snapshot = fleets.commit_first(
+        snapshot = fleets.commit_first_snapshot(
             fleet, observations.make_configuration()
         )
         for number in range(size):
--- a/bench/restart_storm.py
+++ b/bench/restart_storm.py
@@ -30,7 +30,7 @@
         snapshot,
     ):
         for _ in range(3):
-            snapshot = observations.commit_next(fleet, snapshot)
+            snapshot = observations.commit_route_change(fleet, snapshot)
             observations.wait_for_version(
                 fleet, fleet.members, snapshot.version, seconds=30
             )
@@ -94,7 +94,9 @@
 
     def all_ready() -> bool:
         for member in members:
-            for version, ready_at in observations.list_ready(fleet, member):
+            for version, ready_at in observations.list_ready_versions(
+                fleet, member
+            ):
                 if ready_at >= started_at:
                     ready[member.instance] = (version, ready_at)
         return len(ready) == len(members)
--- a/bench/sidecar_overhead.py
+++ b/bench/sidecar_overhead.py
@@ -66,7 +66,7 @@
         routes=[{"prefix": "/records/", "service": "fieldbook"}],
     )
     backend = running_mesh.nodes[1].backend
-    backend.work_seconds = SERVICE_SECONDS
+    backend.service_seconds = SERVICE_SECONDS
     backend.slots = 64
     node_address = running_mesh.nodes[0].ports.callers
     for _ in range(WARM_UP_CALLS):
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -27,7 +27,9 @@
 def record(name: str, scenario: Scenario, *, recorded_index: int) -> None:
     """Run a scenario and record one of its nodes."""
     with fleets.open_fleet() as fleet:
-        fleets.commit_first(fleet, loads.snapshot(*set(SERVICES)))
+        fleets.commit_first_snapshot(
+            fleet, loads.make_snapshot(*set(SERVICES))
+        )
         for number, service in enumerate(SERVICES):
             fleets.start_member(
                 fleet,
@@ -48,7 +50,7 @@
         results = scenario(fleet, fleet.members)
         fleets.stop(member.node)
         FOLDER.mkdir(exist_ok=True)
-        executions = loads.executions(fleet, member)
+        executions = loads.count_executions(fleet, member)
         outcome = {
             "outcome": _summarize_outcome(results, sum(executions.values()))
         }
@@ -74,7 +76,7 @@
     inject_fault: Callable[[], None],
     threads: int = 3,
 ) -> list[loads.Result]:
-    with loads.load(
+    with loads.run_load(
         [address], "/portal/x", threads=threads, timeout_ms=800
     ) as results:
         time.sleep(seconds / 2)
--- a/demo/environment.py
+++ b/demo/environment.py
@@ -89,7 +89,7 @@
     ----------
     fleet : standins.fleet.Fleet
         Nodes, backend servers and the platform.
-    load : standins.load.Load
+    load : standins.load.LoadRun
         Calls sent so far.
     nodes : list of str
         Addresses of the nodes that calls are sent to.
@@ -98,7 +98,7 @@
     """
 
     fleet: fleet.Fleet
-    load: load.Load
+    load: load.LoadRun
     nodes: list[str]
     startup_seconds: float
 
@@ -110,7 +110,7 @@
         {"times": ROLLOUT_TIMES, **THREAD_COUNTS}
     ) as running_fleet:
         started_at = time.monotonic()
-        fleet.commit_first(running_fleet, FIRST_SNAPSHOT)
+        fleet.commit_first_snapshot(running_fleet, FIRST_SNAPSHOT)
         for instance, data_centre, service, version, behaviour in _MEMBERS:
             fleet.start_member(
                 running_fleet,
@@ -120,7 +120,9 @@
                 version=version,
                 behaviour={"slots": 12, **behaviour},
             )
-        serving_seconds = operations.wait_serving(running_fleet, REQUESTS)
+        serving_seconds = operations.wait_until_serving(
+            running_fleet, REQUESTS
+        )
         if serving_seconds is None:
             raise SystemExit(
                 "not every node answered every request within 30 s"
--- a/demo/steps.py
+++ b/demo/steps.py
@@ -201,7 +201,7 @@
     records = list(environment.load.records)
     summary = load.summarize(records)
     wrong_answers = sum(
-        r.status == 200 and r.echoed != r.request for r in records
+        r.status == 200 and r.echoed_request_id != r.request for r in records
     )
     executions = _count_executions(environment)
     posts = [r for r in records if r.path.startswith("reports")]
@@ -291,7 +291,7 @@
     count = 0
     for member in environment.fleet.members:
         if member.data_centre == data_centre:
-            state = operations.backend_state(environment.fleet, member)
+            state = operations.read_backend_state(environment.fleet, member)
             count += len(recent.intersection(state["executions"]))
     return count
 
@@ -299,7 +299,7 @@
 def _count_executions(environment: Environment) -> dict[str, int]:
     executions: dict[str, int] = {}
     for member in environment.fleet.members:
-        state = operations.backend_state(environment.fleet, member)
+        state = operations.read_backend_state(environment.fleet, member)
         for request, count in state["executions"].items():
             executions[request] = executions.get(request, 0) + count
     return executions
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -105,7 +105,7 @@
             faults=drawn_faults,
             started_at=load_started_at,
             reasons=report.count_reasons(
-                instance.node.log for instance in fleet.instances
+                instance.node.log_path for instance in fleet.instances
             ),
         )
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -96,11 +96,11 @@
     return inject_fault
 
 
-def _make_store_injector(conditions: rows.Conditions) -> Injector:
+def _make_store_injector(faults: rows.Faults) -> Injector:
     async def inject_fault(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
-        fleet.mesh.store.conditions = conditions
+        fleet.mesh.store.faults = faults
         await asyncio.sleep(fault.duration_seconds)
-        fleet.mesh.store.conditions = rows.Conditions()
+        fleet.mesh.store.faults = rows.Faults()
 
     return inject_fault
 
@@ -108,9 +108,9 @@
 def _make_backend_injector(mode: str) -> Injector:
     async def inject_fault(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
         backend = fleet.instances[fault.node].backend
-        backend.mode = mode
+        backend.fault_mode = mode
         await asyncio.sleep(fault.duration_seconds)
-        backend.mode = "answer"
+        backend.fault_mode = "answer"
 
     return inject_fault
 
@@ -123,9 +123,9 @@
 
 async def _slow_backend(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
     backend = fleet.instances[fault.node].backend
-    backend.work_seconds = fleets.WORK_SECONDS * 20
+    backend.service_seconds = fleets.SERVICE_SECONDS * 20
     await asyncio.sleep(fault.duration_seconds)
-    backend.work_seconds = fleets.WORK_SECONDS
+    backend.service_seconds = fleets.SERVICE_SECONDS
 
 
 async def _replace_backend(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
@@ -135,7 +135,7 @@
     if old_backend.state != "ready":
         return
     old_backend.state = "draining"
-    heartbeat_result = await fleet.mesh.beat(instance.node)
+    heartbeat_result = await fleet.mesh.send_heartbeat(instance.node)
     if heartbeat_result.response and heartbeat_result.response.status == 200:
         acknowledged_at = time.monotonic()
         fleet.exclusions.append(
@@ -207,7 +207,7 @@
     instance = await fleet.add_instance(
         len(fleet.instances), service=service, version="v2"
     )
-    instance.backend.mode = "fail"
+    instance.backend.fault_mode = "fail"
     order = {
         "service": service,
         "to": "v2",
@@ -244,12 +244,10 @@
     _KINDS.STORE_PATH_SILENT: _make_proxy_injector(
         "to_store", proxy.Mode.SILENT
     ),
-    _KINDS.STORE_DOWN: _make_store_injector(rows.Conditions(status=503)),
-    _KINDS.STORE_SLOW: _make_store_injector(
-        rows.Conditions(delay_seconds=0.4)
-    ),
+    _KINDS.STORE_DOWN: _make_store_injector(rows.Faults(status=503)),
+    _KINDS.STORE_SLOW: _make_store_injector(rows.Faults(delay_seconds=0.4)),
     _KINDS.STORE_LOSES_ANSWERS: _make_store_injector(
-        rows.Conditions(lose_answers=True)
+        rows.Faults(lose_answers=True)
     ),
     _KINDS.STORE_FORGETS: _drop_store_history,
     _KINDS.ANSWERS_LOST: _make_backend_injector("reset"),
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -21,7 +21,7 @@
 REQUESTS_PER_CALLER_SECOND = 12.0
 CALLERS_PER_NODE = 2
 DEADLINE_MS = 1500
-WORK_SECONDS = 0.03
+SERVICE_SECONDS = 0.03
 COLD_SECONDS = 1.0
 # Time for which a draining backend server keeps running after its
 # announcement was acknowledged.
@@ -153,7 +153,7 @@
             service=SERVICES[index // 2 % len(SERVICES)],
             host=host,
         )
-        backend.work_seconds = WORK_SECONDS
+        backend.service_seconds = SERVICE_SECONDS
         self.backends.append(backend)
         return backend
 
@@ -178,7 +178,7 @@
         while True:
             cold_seconds = instance.cold_until - time.monotonic()
             instance.backend.cold_ms = max(int(cold_seconds * 1000), 0)
-            await self.mesh.beat(instance.node)
+            await self.mesh.send_heartbeat(instance.node)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def close(self) -> None:
@@ -281,7 +281,7 @@
             )
             for backend in self.backends
             for request_id, at in zip(
-                backend.runs, backend.run_started_at, strict=True
+                backend.executed_ids, backend.run_started_at, strict=True
             )
         ]
 
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -38,16 +38,16 @@
         self.slots = 8
         self.state = "ready"
         self.cold_ms = 0
-        self.work_seconds = 0.005
-        self.mode = "answer"
+        self.service_seconds = 0.005
+        self.fault_mode = "answer"
         self.sequence = 0
         self.started_at_ms = time.time_ns() // 1_000_000
-        self.runs: list[str] = []
-        # Monotonic time of the start of each of `runs`, in seconds.
+        self.executed_ids: list[str] = []
+        # Monotonic time of the start of each of `executed_ids`, in seconds.
         self.run_started_at: list[float] = []
-        self.requests: list[http.Request] = []
+        self.executed_requests: list[http.Request] = []
         self.active_requests = 0
-        self.most_at_once = 0
+        self.max_active_requests = 0
         self.cancelled = 0
         self.listener = http.Listener(
             handler=self.handle, limits=http.Limits()
@@ -74,7 +74,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def execute(self, exchange: http.Exchange) -> None:
-        """Execute a request, or refuse it, as `mode` says."""
+        """Execute a request, or refuse it, as `fault_mode` says."""
         headers = {
             name.lower().decode(): value.decode()
             for name, value in exchange.request.headers
@@ -86,21 +86,23 @@
         if headers.get("x-expect-instance") != self.identifier:
             exchange.respond(http.Response(status=421))
             return
-        if self.mode == "shed":
+        if self.fault_mode == "shed":
             not_run_headers = ((b"X-Not-Executed", b"1"),)
             exchange.respond(
                 http.Response(status=503, headers=not_run_headers)
             )
             return
-        self.runs.append(identifier)
+        self.executed_ids.append(identifier)
         self.run_started_at.append(time.monotonic())
-        self.requests.append(exchange.request)
+        self.executed_requests.append(exchange.request)
         self.active_requests += 1
-        self.most_at_once = max(self.most_at_once, self.active_requests)
+        self.max_active_requests = max(
+            self.max_active_requests, self.active_requests
+        )
         disconnected = asyncio.Event()
         exchange.on_disconnect = disconnected.set
         try:
-            async with asyncio.timeout(self.work_seconds):
+            async with asyncio.timeout(self.service_seconds):
                 await disconnected.wait()
             self.cancelled += 1
             return
@@ -120,11 +122,11 @@
         )
 
     def respond(self, exchange: http.Exchange, identifier: str) -> None:
-        """Respond to an executed request as `mode` says."""
-        if self.mode == "reset":
+        """Respond to an executed request as `fault_mode` says."""
+        if self.fault_mode == "reset":
             exchange.connection.transport.abort()
             return
-        if self.mode == "cut":
+        if self.fault_mode == "cut":
             exchange.connection.transport.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
                 b"X-Response-Seal: s\r\nX-Request-Id: "
@@ -133,11 +135,11 @@
             )
             exchange.connection.close()
             return
-        if self.mode == "wrong":
+        if self.fault_mode == "wrong":
             identifier = "another"
         exchange.respond(
             http.Response(
-                status=500 if self.mode == "fail" else 200,
+                status=500 if self.fault_mode == "fail" else 200,
                 headers=(
                     (b"X-Request-Id", identifier.encode()),
                     (b"X-Response-Seal", b"seal-" + identifier.encode()),
@@ -146,7 +148,7 @@
             )
         )
 
-    def beat(self) -> bytes:
+    def make_heartbeat(self) -> bytes:
         """Return the next heartbeat, as the body of a request."""
         self.sequence += 1
         return msgspec.json.encode(
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -14,11 +14,11 @@
 from apricotpost.storage import table
 from standins import platform
 
-__all__ = ["Exchange", "open_store"]
+__all__ = ["PendingRequest", "open_store"]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Exchange:
+class PendingRequest:
     """Request that the stand-in has not handled yet.
 
     Parameters
@@ -26,16 +26,16 @@
     operation : str
         Operation of the table service, or method and path of a request to
         the object store.
-    carry_out : callable
+    execute : callable
         Makes the stand-in handle the request; returns the status and the
         body of the response.
     """
 
     operation: str
-    carry_out: Callable[[], tuple[int, bytes]]
+    execute: Callable[[], tuple[int, bytes]]
 
 
-RequestHook = Callable[[Exchange], tuple[int, bytes]]
+RequestHook = Callable[[PendingRequest], tuple[int, bytes]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,7 +57,7 @@
         path = urllib.parse.urlsplit(url).path
         target = headers.get("X-Amz-Target", "")
 
-        def carry_out() -> tuple[int, bytes]:
+        def execute() -> tuple[int, bytes]:
             status, response_body = platform.handle(
                 self.state,
                 method=method,
@@ -69,7 +69,7 @@
 
         operation = target.rpartition(".")[2] or f"{method} {path}"
         status, response_body = self.hook(
-            Exchange(operation=operation, carry_out=carry_out)
+            PendingRequest(operation=operation, execute=execute)
         )
         return urllib3.HTTPResponse(
             body=io.BytesIO(response_body),
@@ -84,7 +84,7 @@
 
 def open_store(
     state: platform.State,
-    hook: RequestHook = lambda exchange: exchange.carry_out(),
+    hook: RequestHook = lambda exchange: exchange.execute(),
 ) -> storage.Store:
     """Return a store on a platform stand-in in the same process.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,7 +25,7 @@
     "Member",
     "TOKEN",
     "call_json",
-    "commit_first",
+    "commit_first_snapshot",
     "free_ports",
     "open_fleet",
     "start_backend_server",
@@ -303,7 +303,9 @@
     return None
 
 
-def commit_first(fleet: Fleet, snapshot: model.Snapshot) -> model.Snapshot:
+def commit_first_snapshot(
+    fleet: Fleet, snapshot: model.Snapshot
+) -> model.Snapshot:
     """Commit the first configuration directly to the table."""
     first_snapshot = config.with_checksum(
         dataclasses.replace(snapshot, version=1)
--- a/standins/load.py
+++ b/standins/load.py
@@ -12,7 +12,7 @@
 
 import urllib3
 
-__all__ = ["Load", "Record", "percentile_ms", "run_load", "summarize"]
+__all__ = ["LoadRun", "Record", "percentile_ms", "run_load", "summarize"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,7 +36,7 @@
         Version of the backend server that responded.
     seconds : float
         Duration of the request.
-    echoed : str
+    echoed_request_id : str
         Request identifier in the body of the response.
     """
 
@@ -47,11 +47,11 @@
     outcome: str
     version: str
     seconds: float
-    echoed: str = ""
+    echoed_request_id: str = ""
 
 
 @dataclasses.dataclass(kw_only=True)
-class Load:
+class LoadRun:
     """Running callers and the requests that they have recorded."""
 
     records: list[Record] = dataclasses.field(default_factory=list)
@@ -68,7 +68,7 @@
     requests: Sequence[tuple[str, str]],
     threads: int = 16,
     timeout_seconds: float = 10.0,
-) -> typing.Iterator[Load]:
+) -> typing.Iterator[LoadRun]:
     """Send requests to ingress addresses while the block runs.
 
     Parameters
@@ -86,7 +86,7 @@
     timeout_seconds : float
         Timeout of a request.
     """
-    load = Load()
+    load = LoadRun()
     numbers = itertools.count()
     started_at = time.monotonic()
     targets = addresses if callable(addresses) else lambda: addresses
@@ -154,7 +154,7 @@
     timeout_seconds: float,
 ) -> Record:
     started_at = time.monotonic()
-    status, outcome, version, echoed = 0, "", "", ""
+    status, outcome, version, echoed_request_id = 0, "", "", ""
     try:
         response = pool.request(
             method,
@@ -170,7 +170,7 @@
         outcome = f"{outcome} {reason}".strip()
         version = response.headers.get("X-Backend-Version", "")
         if status == 200:
-            echoed = response.json().get("request", "")
+            echoed_request_id = response.json().get("request", "")
     except urllib3.exceptions.HTTPError as error:
         outcome = type(error).__name__
     return Record(
@@ -181,5 +181,5 @@
         outcome=outcome,
         version=version,
         seconds=time.monotonic() - started_at,
-        echoed=echoed,
+        echoed_request_id=echoed_request_id,
     )
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -112,8 +112,8 @@
         self.data_centre = data_centre
         self.backend = backend
         self.store = store
-        self.path = folder / f"{name}.jsonc"
-        self.log = folder / f"{name}.log"
+        self.settings_path = folder / f"{name}.jsonc"
+        self.log_path = folder / f"{name}.log"
         self.ports = Ports(
             **{f.name: _free_address(host) for f in dataclasses.fields(Ports)}
         )
@@ -143,13 +143,18 @@
             **changes,
         }
         text = "// settings of a test\n" + json.dumps(content)
-        self.path.write_text(text, encoding="utf-8")
+        self.settings_path.write_text(text, encoding="utf-8")
 
     def start(self) -> None:
         """Start the process."""
-        with self.log.open("ab") as log:
+        with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "apricotpost.sidecar.main", self.path],
+                [
+                    sys.executable,
+                    "-m",
+                    "apricotpost.sidecar.main",
+                    self.settings_path,
+                ],
                 stdout=log,
                 stderr=log,
             )
@@ -164,9 +169,9 @@
             self.process.kill()
             self.process.wait()
 
-    def lines(self) -> list[dict[str, object]]:
+    def read_log(self) -> list[dict[str, object]]:
         """Return the complete lines of the log, decoded."""
-        text = self.log.read_text(encoding="utf-8")
+        text = self.log_path.read_text(encoding="utf-8")
         return [
             json.loads(line)
             for line in text.splitlines()
@@ -178,7 +183,7 @@
     """HTTP client of the nodes."""
 
     def __init__(self) -> None:
-        self.sent = 0
+        self.sent_count = 0
         self.clients: dict[str, http.Client] = {}
 
     async def call(
@@ -192,7 +197,7 @@
         headers: http.Headers = (),
     ) -> http.Result:
         """Send a request with a new identifier and return its result."""
-        self.sent += 1
+        self.sent_count += 1
         return await self.send(
             address,
             http.Request(
@@ -200,7 +205,7 @@
                 target=path.encode(),
                 headers=(
                     (b"Host", b"mesh.example"),
-                    (b"X-Request-Id", b"q%d" % self.sent),
+                    (b"X-Request-Id", b"q%d" % self.sent_count),
                     (b"X-Deadline-Ms", b"%d" % deadline_ms),
                     *headers,
                 ),
@@ -246,7 +251,7 @@
         self.store = rows.RowStore()
         self.nodes: list[NodeProcess] = []
         self.caller = Caller()
-        self.beats: asyncio.Task[None] | None = None
+        self.heartbeat_task: asyncio.Task[None] | None = None
 
     async def start(
         self,
@@ -264,7 +269,7 @@
         for index, data_centre in enumerate(data_centres):
             service = services[index] if services else "portal"
             await self.add(data_centre, service=service)
-        self.beats = asyncio.get_running_loop().create_task(
+        self.heartbeat_task = asyncio.get_running_loop().create_task(
             self.send_heartbeats()
         )
         await self.wait_ready()
@@ -297,13 +302,18 @@
     async def send_heartbeats(self) -> None:
         """Send the heartbeats of all backend servers until cancelled."""
         while True:
-            await asyncio.gather(*(self.beat(node) for node in self.nodes))
+            await asyncio.gather(
+                *(self.send_heartbeat(node) for node in self.nodes)
+            )
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    async def beat(self, node: NodeProcess) -> http.Result:
+    async def send_heartbeat(self, node: NodeProcess) -> http.Result:
         """Send the next heartbeat of a backend server to its node."""
         return await self.announce(
-            node, "Heartbeat", node.backend.identifier, node.backend.beat()
+            node,
+            "Heartbeat",
+            node.backend.identifier,
+            node.backend.make_heartbeat(),
         )
 
     async def announce(
@@ -348,8 +358,8 @@
         result = await self.caller.send(node.ports.readiness, request)
         if result.response is None or result.response.status != 200:
             return False
-        peers = await self.metric(node, "apricotpost_peers_connected")
-        servers = await self.metric(node, "apricotpost_servers_known")
+        peers = await self.read_metric(node, "apricotpost_peers_connected")
+        servers = await self.read_metric(node, "apricotpost_servers_known")
         local = [
             other
             for other in self.nodes
@@ -357,7 +367,7 @@
         ]
         return peers >= len(local) - 1 and servers >= len(self.nodes)
 
-    async def metric(self, node: NodeProcess, name: str) -> float:
+    async def read_metric(self, node: NodeProcess, name: str) -> float:
         """Return the value of a node's metric, summed over its labels."""
         request = http.Request(
             method=b"GET",
@@ -375,8 +385,8 @@
 
     async def close(self) -> None:
         """Stop all nodes, backend servers, clients and the store."""
-        if self.beats is not None:
-            self.beats.cancel()
+        if self.heartbeat_task is not None:
+            self.heartbeat_task.cancel()
         for node in self.nodes:
             node.kill()
             node.backend.close()
--- a/standins/observations.py
+++ b/standins/observations.py
@@ -13,14 +13,14 @@
 from standins import fleet as fleets
 
 __all__ = [
-    "commit_next",
-    "find_readers",
-    "list_applied",
-    "list_ready",
+    "commit_route_change",
+    "list_applied_versions",
+    "list_ready_versions",
     "list_states",
     "make_configuration",
     "read_counters",
     "set_faults",
+    "sort_by_table_reads",
     "wait_for_version",
 ]
 
@@ -58,7 +58,9 @@
     )
 
 
-def commit_next(fleet: fleets.Fleet, before: model.Snapshot) -> model.Snapshot:
+def commit_route_change(
+    fleet: fleets.Fleet, before: model.Snapshot
+) -> model.Snapshot:
     """Commit a change of one route directly to the table."""
     version = before.version + 1
     route = dataclasses.replace(before.routes[0], timeout_ms=1000 + version)
@@ -85,14 +87,14 @@
     return after
 
 
-def list_applied(
+def list_applied_versions(
     fleet: fleets.Fleet, member: fleets.Member
 ) -> list[tuple[int, float]]:
     """Return the versions that a node applied, with their Unix times."""
     return _scan_log(fleet, member, _APPLIED_LINE)
 
 
-def list_ready(
+def list_ready_versions(
     fleet: fleets.Fleet, member: fleets.Member
 ) -> list[tuple[int, float]]:
     """Return the versions with which a node became ready, with Unix times."""
@@ -119,7 +121,8 @@
             member
             for member in pending
             if not any(
-                found >= version for found, _ in list_applied(fleet, member)
+                found >= version
+                for found, _ in list_applied_versions(fleet, member)
             )
         ]
         return not pending
@@ -135,7 +138,7 @@
     return dict(ast.literal_eval(found[-1])) if found else {}
 
 
-def find_readers(
+def sort_by_table_reads(
     fleet: fleets.Fleet, members: typing.Iterable[fleets.Member]
 ) -> list[fleets.Member]:
     """Return the members by table reads of their node, most first."""
--- a/standins/operations.py
+++ b/standins/operations.py
@@ -15,11 +15,11 @@
 from standins import fleet
 
 __all__ = [
-    "backend_state",
-    "change",
+    "commit_change",
     "move_data_centre",
     "open_store",
-    "wait_serving",
+    "read_backend_state",
+    "wait_until_serving",
 ]
 
 
@@ -39,7 +39,7 @@
         store.channel.pool.clear()
 
 
-def change(
+def commit_change(
     running_fleet: fleet.Fleet,
     edit: Callable[[model.Snapshot], model.Snapshot],
     *,
@@ -81,12 +81,12 @@
         )
         return dataclasses.replace(snapshot, data_centres=data_centres)
 
-    return change(
+    return commit_change(
         running_fleet, edit, reason=f"data centre {name} {state.value}"
     )
 
 
-def wait_serving(
+def wait_until_serving(
     running_fleet: fleet.Fleet,
     requests: Sequence[tuple[str, str]],
     *,
@@ -109,7 +109,7 @@
     )
 
 
-def backend_state(
+def read_backend_state(
     running_fleet: fleet.Fleet, member: fleet.Member
 ) -> dict[str, typing.Any]:
     """Return the counters of a member's backend server."""
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -13,14 +13,14 @@
 
 from apricotpost import http
 
-__all__ = ["Conditions", "RowStore"]
+__all__ = ["Faults", "RowStore"]
 
 MAX_WATCH_SECONDS = 30.0
 MAX_ROWS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Conditions:
+class Faults:
     """Injected faults of the store.
 
     Parameters
@@ -51,7 +51,7 @@
         self.history_start = 0
         self.revision = 0
         self.objects: dict[str, bytes] = {}
-        self.conditions = Conditions()
+        self.faults = Faults()
         self.calls: list[str] = []
         self.change_event = asyncio.Event()
         self.listener = http.Listener(
@@ -117,17 +117,17 @@
         request = exchange.request
         path, _, query_text = request.target.decode().partition("?")
         self.calls.append(path)
-        conditions = self.conditions
-        if conditions.silent:
+        faults = self.faults
+        if faults.silent:
             return
-        if conditions.delay_seconds:
-            await asyncio.sleep(conditions.delay_seconds)
-        if conditions.status:
-            exchange.respond(http.Response(status=conditions.status))
+        if faults.delay_seconds:
+            await asyncio.sleep(faults.delay_seconds)
+        if faults.status:
+            exchange.respond(http.Response(status=faults.status))
             return
         query = dict(parse.parse_qsl(query_text))
         response = await self.serve(path, query, request.body)
-        if path == "/v1/rows-tx" and conditions.lose_answers:
+        if path == "/v1/rows-tx" and faults.lose_answers:
             exchange.connection.close()
             return
         exchange.respond(response)
--- a/standins/users.py
+++ b/standins/users.py
@@ -7,7 +7,7 @@
     "BALTKALNS",
     "CITATNIK",
     "SERVICES",
-    "start_user",
+    "start_organisation",
 ]
 
 _BALTKALNS_DATA_CENTRES = ("riga-a", "riga-b", "riga-c", "riga-d")
@@ -91,12 +91,12 @@
 )
 
 
-def start_user(
+def start_organisation(
     open_fleet: fleet.Fleet, user: str, *, slots: int | None = None
 ) -> None:
     """Commit an organisation's configuration and start its instances."""
     snapshot = BALTKALNS if user == "baltkalns" else CITATNIK
-    fleet.commit_first(open_fleet, snapshot)
+    fleet.commit_first_snapshot(open_fleet, snapshot)
     services, user_slots = SERVICES[user]
     data_centres = snapshot.data_centres
     instance_number = 0
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -98,20 +98,20 @@
                 services=("portal", "fieldbook"),
                 routes=routes,
             )
-            test_mesh.nodes[1].backend.mode = "reset"
+            test_mesh.nodes[1].backend.fault_mode = "reset"
             result = await test_mesh.caller.call(
                 test_mesh.nodes[0].ports.callers, "/reports/1", method=b"POST"
             )
             self.assertEqual(502, result.response.status)
             await asyncio.sleep(0.5)
-            request = f"q{test_mesh.caller.sent}"
+            request = f"q{test_mesh.caller.sent_count}"
             text = io.StringIO()
             with contextlib.redirect_stdout(text):
                 code = main.main(
                     [
                         "explain",
                         request,
-                        *(str(n.log) for n in test_mesh.nodes),
+                        *(str(n.log_path) for n in test_mesh.nodes),
                     ]
                 )
         self.assertEqual(0, code)
--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -44,7 +44,7 @@
         if step == "late":
             self.delayed.append(exchange)
             raise LOST
-        reply = exchange.carry_out()
+        reply = exchange.execute()
         if step == "lost":
             raise LOST
         return reply
@@ -77,7 +77,7 @@
         begun = self.begin(make_claim("two"))
         self.assertTrue(begun.uncertain)
         idempotency.abandon(self.store, make_claim())
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         self.assertTrue(calls.release(self.store, make_claim("two")))
         verdict = idempotency.Verdict.RUN
         self.assertEqual(verdict, self.begin(make_claim("three")).verdict)
@@ -90,7 +90,7 @@
             idempotency.abandon(self.store, make_claim())
         idempotency.abandon(self.store, make_claim())
         self.begin(make_claim("two"))
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         begun = self.begin(make_claim("three"))
         self.assertEqual(idempotency.Verdict.IN_PROGRESS, begun.verdict)
 
@@ -104,7 +104,7 @@
         later = make_claim("two", at=1000.0 + 24 * 3600)
         verdict = idempotency.Verdict.RUN
         self.assertEqual(verdict, self.begin(later).verdict)
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         begun = self.begin(later)
         self.assertIsNone(begun.record.outcome)
 
--- a/tests/node/actors.py
+++ b/tests/node/actors.py
@@ -86,7 +86,7 @@
             raise ANSWER_LOST
         if command == "slow":
             machine.advance(13.0)
-        reply = exchange.carry_out()
+        reply = exchange.execute()
         if command == "crash-after":
             raise Crash
         if command == "lose":
--- a/tests/node/loads.py
+++ b/tests/node/loads.py
@@ -12,7 +12,14 @@
 from apricotpost import model
 from standins import fleet as fleets
 
-__all__ = ["Result", "announce", "executions", "load", "send", "snapshot"]
+__all__ = [
+    "Result",
+    "announce",
+    "count_executions",
+    "make_snapshot",
+    "run_load",
+    "send",
+]
 
 _REQUEST_NUMBERS = itertools.count()
 
@@ -29,7 +36,7 @@
     closes: bool = False
 
 
-def snapshot(*services):
+def make_snapshot(*services):
     """Make a configuration with one route for each service."""
     return model.Snapshot(
         version=1,
@@ -80,7 +87,7 @@
 
 
 @contextlib.contextmanager
-def load(addresses, path, *, threads=6, timeout_ms=4000):
+def run_load(addresses, path, *, threads=6, timeout_ms=4000):
     """Send requests until the block ends; yields the list of results.
 
     A caller whose response says ``Connection: close`` connects to the next
@@ -120,7 +127,7 @@
             worker.join()
 
 
-def executions(fleet, *members):
+def count_executions(fleet, *members):
     """Count how often the members' backend servers ran each request."""
     counts = {}
     for member in members:
--- a/tests/node/test_at_most_once.py
+++ b/tests/node/test_at_most_once.py
@@ -31,7 +31,7 @@
             headers=(("X-Backend-Version", "v1"),),
             body=BODY,
         )
-        self.hook = lambda exchange: exchange.carry_out()
+        self.hook = lambda exchange: exchange.execute()
         self.keyed = keyed_calls.KeyedCalls(
             open_store=lambda: direct.open_store(
                 self.state, lambda exchange: self.hook(exchange)
@@ -147,7 +147,7 @@
         """
 
         def slow(exchange):
-            reply = exchange.carry_out()
+            reply = exchange.execute()
             self.now = 1006.0
             return reply
 
@@ -199,7 +199,7 @@
                 status = next(failures, None)
                 if status:
                     return status, b""
-            return exchange.carry_out()
+            return exchange.execute()
 
         self.hook = fail
         self.execute()
--- a/tests/node/test_at_most_once_faults.py
+++ b/tests/node/test_at_most_once_faults.py
@@ -153,7 +153,7 @@
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(index=strategies.integers(0, 99))
     def deliver_late_request(self, index):
-        self.late.pop(index % len(self.late)).carry_out()
+        self.late.pop(index % len(self.late)).execute()
 
     @stateful.precondition(lambda self: len(self.live) < MAX_ACTORS)
     @stateful.rule(node=strategies.integers(0, 1))
@@ -218,7 +218,7 @@
             while self.live:
                 self.step([(0, "deliver")])
             while self.late:
-                self.late.pop().carry_out()
+                self.late.pop().execute()
             for node in self.nodes:
                 for _ in range(node.retry_queue.qsize()):
                     self.finish(
--- a/tests/node/test_call_processes.py
+++ b/tests/node/test_call_processes.py
@@ -20,8 +20,8 @@
         cls.stack = contextlib.ExitStack()
         cls.addClassCleanup(cls.stack.close)
         cls.fleet = cls.stack.enter_context(fleets.open_fleet())
-        fleets.commit_first(
-            cls.fleet, loads.snapshot("certdesk", "fieldbook", "portal")
+        fleets.commit_first_snapshot(
+            cls.fleet, loads.make_snapshot("certdesk", "fieldbook", "portal")
         )
         cls.ingress_node, cls.one, cls.two, cls.fake_member = (
             fleets.start_member(
@@ -48,11 +48,12 @@
             found = loads.send(connection, path)
             connection.close()
             return found.status == 200 and all(
-                found.request and loads.executions(cls.fleet, member) != before
+                found.request
+                and loads.count_executions(cls.fleet, member) != before
                 for member, before in seen
             )
 
-        seen = [(m, loads.executions(cls.fleet, m)) for m in served_by]
+        seen = [(m, loads.count_executions(cls.fleet, m)) for m in served_by]
         assert fleets.wait_for(is_ready, seconds=30) is not None
 
     def check_executions(self, results):
@@ -61,7 +62,7 @@
         A call runs at most once, one that is reported as not run does not
         run, and a response belongs to its own request.
         """
-        counts = loads.executions(self.fleet, self.one, self.two)
+        counts = loads.count_executions(self.fleet, self.one, self.two)
         for result in results:
             count = counts.get(result.request, 0)
             self.assertLessEqual(count, 1, result)
@@ -78,7 +79,9 @@
             "/portal/x",
             served_by=(self.one, self.two),
         )
-        with loads.load([self.ingress_node.ingress], "/portal/x") as results:
+        with loads.run_load(
+            [self.ingress_node.ingress], "/portal/x"
+        ) as results:
             time.sleep(0.5)
             self.one.node.kill()
             self.one.node.wait()
@@ -101,17 +104,17 @@
             "/portal/x",
             served_by=(self.one, self.two),
         )
-        with loads.load(
+        with loads.run_load(
             [self.ingress_node.ingress], "/portal/x", timeout_ms=300
         ) as results:
             time.sleep(0.3)
             self.one.node.send_signal(signal.SIGSTOP)
             time.sleep(0.5)
-            before = loads.executions(self.fleet, self.one)
+            before = loads.count_executions(self.fleet, self.one)
         time.sleep(0.4)
         self.one.node.send_signal(signal.SIGCONT)
         time.sleep(0.5)
-        self.assertEqual(before, loads.executions(self.fleet, self.one))
+        self.assertEqual(before, loads.count_executions(self.fleet, self.one))
         self.check_executions(results)
         lost = [r for r in results if r.outcome == "unknown"]
         self.assertTrue(lost, "no call was at the frozen node")
@@ -124,7 +127,7 @@
             served_by=(self.one, self.two),
         )
         addresses = [self.ingress_node.ingress, self.two.ingress]
-        with loads.load(addresses, "/portal/x") as results:
+        with loads.run_load(addresses, "/portal/x") as results:
             time.sleep(0.3)
             self.two.node.send_signal(signal.SIGTERM)
             code = self.two.node.wait(30)
@@ -151,7 +154,7 @@
         )
         self.set_duration(3000.0)
         self.addCleanup(self.set_duration, 5.0)
-        with loads.load(
+        with loads.run_load(
             [self.ingress_node.ingress], "/portal/x", threads=4
         ) as results:
             time.sleep(0.4)
@@ -189,7 +192,7 @@
                     (502, "unknown", reason),
                     (found.status, found.outcome, found.reason),
                 )
-            with loads.load(
+            with loads.run_load(
                 [self.ingress_node.ingress],
                 "/fieldbook/crossed",
                 timeout_ms=200,
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -23,7 +23,7 @@
         self.addCleanup(stack.close)
         self.fleet = stack.enter_context(fleets.open_fleet(OVERRIDES))
         first = observations.make_configuration()
-        self.snapshot = fleets.commit_first(self.fleet, first)
+        self.snapshot = fleets.commit_first_snapshot(self.fleet, first)
         for number in range(6):
             fleets.start_member(
                 self.fleet,
@@ -37,7 +37,7 @@
         # A pushed version may be in force before the join completes.
         self.wait_for(
             lambda: all(
-                observations.list_ready(self.fleet, member)
+                observations.list_ready_versions(self.fleet, member)
                 for member in self.fleet.members
             )
         )
@@ -50,7 +50,9 @@
         )
 
     def commit(self):
-        self.snapshot = observations.commit_next(self.fleet, self.snapshot)
+        self.snapshot = observations.commit_route_change(
+            self.fleet, self.snapshot
+        )
         return self.snapshot.version
 
     def wait_for(self, condition):
@@ -73,7 +75,9 @@
                 for member in first_data_centre
             )
         )
-        readers = observations.find_readers(self.fleet, first_data_centre)[:2]
+        readers = observations.sort_by_table_reads(
+            self.fleet, first_data_centre
+        )[:2]
         version = self.commit()
         for member in readers:
             member.node.kill()
@@ -85,7 +89,9 @@
             lambda: any(
                 version == found
                 for member in self.fleet.members
-                for found, _ in observations.list_applied(self.fleet, member)
+                for found, _ in observations.list_applied_versions(
+                    self.fleet, member
+                )
             )
         )
         observations.set_faults(self.fleet, table_down=True)
@@ -99,18 +105,18 @@
         for member in restarted:
             member.node.kill()
             member.node.wait()
-            before = observations.list_ready(self.fleet, member)
+            before = observations.list_ready_versions(self.fleet, member)
             self.assertEqual(1, len(before))
         for member in restarted:
             fleets.start_node(self.fleet, member)
         self.wait_for(
             lambda: all(
-                len(observations.list_ready(self.fleet, member)) == 2
+                len(observations.list_ready_versions(self.fleet, member)) == 2
                 for member in restarted
             )
         )
         for member in restarted:
-            ready = observations.list_ready(self.fleet, member)[-1]
+            ready = observations.list_ready_versions(self.fleet, member)[-1]
             self.assertEqual(version, ready[0])
 
     def test_leaving_node_is_known_to_the_others(self):
--- a/tests/node/test_ingress.py
+++ b/tests/node/test_ingress.py
@@ -24,7 +24,7 @@
         self.addCleanup(context.term)
         self.router = wire.sockets.bind_router(context, addresses.DISPATCH)
         self.addCleanup(self.router.close)
-        snapshot = loads.snapshot("portal")
+        snapshot = loads.make_snapshot("portal")
         routes = snapshot.routes + (
             model.Route(
                 name="records",
--- a/tests/node/test_keyed_processes.py
+++ b/tests/node/test_keyed_processes.py
@@ -43,7 +43,7 @@
         stack = contextlib.ExitStack()
         self.addCleanup(stack.close)
         self.fleet = stack.enter_context(fleets.open_fleet())
-        fleets.commit_first(self.fleet, CONFIGURATION)
+        fleets.commit_first_snapshot(self.fleet, CONFIGURATION)
         self.members = [
             fleets.start_member(
                 self.fleet,
--- a/tests/node/test_moves.py
+++ b/tests/node/test_moves.py
@@ -41,7 +41,7 @@
 class MovesTest(unittest.TestCase):
     def setUp(self):
         self.fleet = self.enterContext(fleet.open_fleet())
-        fleet.commit_first(
+        fleet.commit_first_snapshot(
             self.fleet,
             model.Snapshot(
                 version=1,
--- a/tests/node/test_withdrawal.py
+++ b/tests/node/test_withdrawal.py
@@ -39,7 +39,7 @@
             fleet.open_fleet({"times": {"join_seconds": 0.1}})
         )
         centre = model.DataCentre(name="riga-1", region="lv-riga")
-        first = fleet.commit_first(
+        first = fleet.commit_first_snapshot(
             self.fleet,
             model.Snapshot(
                 version=1,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -51,19 +51,19 @@
             (503, errors.PlatformUnavailable),
             (429, errors.PlatformThrottled),
         ):
-            self.standin.conditions = rows.Conditions(status=status)
+            self.standin.faults = rows.Faults(status=status)
             with self.assertRaises(error):
                 await self.store.read("t")
-        self.standin.conditions = rows.Conditions(lose_answers=True)
+        self.standin.faults = rows.Faults(lose_answers=True)
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             await self.store.write(platform.Change(put=(("t", "k", b"v"),)))
-        self.standin.conditions = rows.Conditions()
+        self.standin.faults = rows.Faults()
         self.standin.drop_history()
         with self.assertRaises(errors.HistoryLost):
             await self.store.watch("t", 0, 0.1)
 
     async def test_silent_watch_times_out(self):
         """Guards against waiting forever for a watch on a dead connection."""
-        self.standin.conditions = rows.Conditions(silent=True)
+        self.standin.faults = rows.Faults(silent=True)
         with self.assertRaises(errors.PlatformOutcomeUnknown):
             await self.store.watch("t", 0, 0.1)
--- a/tests/report/test_main.py
+++ b/tests/report/test_main.py
@@ -27,7 +27,7 @@
             methods=("GET",),
             idempotent=False,
         )
-        fleet.commit_first(
+        fleet.commit_first_snapshot(
             self.fleet,
             model.Snapshot(
                 version=1,
--- a/tests/sidecar/cases.py
+++ b/tests/sidecar/cases.py
@@ -47,4 +47,4 @@
                 await asyncio.sleep(0.01)
 
     def count_runs(self):
-        return sum(len(backend.runs) for backend in self.backends)
+        return sum(len(backend.executed_ids) for backend in self.backends)
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -30,7 +30,7 @@
         self.assertEqual(b"body of /reports/7?x=1", response.body)
         seal = http.find_header(response.headers, b"x-response-seal")
         self.assertEqual(b"seal-q1", seal)
-        seen = self.backends[1].requests[0]
+        seen = self.backends[1].executed_requests[0]
         self.assertEqual(body, seen.body)
         self.assertEqual(b"/reports/7?x=1", seen.target)
         headers = dict((k.lower(), v) for k, v in seen.headers)
@@ -50,7 +50,9 @@
         data_centres = ("dc-a",) * 3 + ("dc-b",) * 3
         await self.start(*data_centres, services=services, routes=routes)
         caller = self.nodes[2]
-        peers = await self.mesh.metric(caller, "apricotpost_peers_connected")
+        peers = await self.mesh.read_metric(
+            caller, "apricotpost_peers_connected"
+        )
         self.assertLess(peers, len(self.nodes) - 1)
         statuses = []
         for _ in range(20):
@@ -60,18 +62,18 @@
         self.assertIn(200, statuses)
         self.assertEqual({200}, set(statuses[10:]))
         self.backends[5].state = "draining"
-        await self.mesh.beat(self.nodes[5])
+        await self.mesh.send_heartbeat(self.nodes[5])
         await asyncio.sleep(0.5)
-        runs_before = len(self.backends[5].runs)
+        runs_before = len(self.backends[5].executed_ids)
         result = await self.call(caller.ports.callers, "/reports/1")
         self.assertEqual(503, result.response.status)
-        self.assertEqual(runs_before, len(self.backends[5].runs))
+        self.assertEqual(runs_before, len(self.backends[5].executed_ids))
 
     async def test_lost_answer_of_unsafe_request_is_not_retried(self):
         """Guards against a second run of an unsafe request."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.mode = "reset"
+            backend.fault_mode = "reset"
         found = await self.call_all(6, "/reports/1", method=b"POST")
         self.assertEqual([502] * 6, found)
         self.assertEqual(6, self.count_runs())
@@ -79,7 +81,7 @@
     async def test_lost_answer_of_safe_request_is_retried(self):
         """Guards against failures that a retry would have avoided."""
         await self.start("dc-a", "dc-a")
-        self.backends[0].mode = "reset"
+        self.backends[0].fault_mode = "reset"
         self.assertEqual([200, 200], await self.call_all(2))
 
     async def test_slow_server_is_hedged(self):
@@ -89,12 +91,12 @@
         """
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.work_seconds = 0.02
+            backend.service_seconds = 0.02
         for _ in range(20):
             await self.call_all(2)
         slow = self.backends[0]
-        slow.work_seconds = 3.0
-        runs_before = len(slow.runs)
+        slow.service_seconds = 3.0
+        runs_before = len(slow.executed_ids)
         loop = asyncio.get_running_loop()
         # On a busy machine the load balancer may avoid this server already;
         # more concurrent calls reach it in any case.
@@ -103,9 +105,9 @@
             found = await self.call_all(count)
             self.assertEqual([200] * count, found)
             self.assertLess(loop.time() - started_at, 1.0)
-            if len(slow.runs) > runs_before:
+            if len(slow.executed_ids) > runs_before:
                 break
-        self.assertGreater(len(slow.runs), runs_before)
+        self.assertGreater(len(slow.executed_ids), runs_before)
         await self.wait_until(lambda: slow.cancelled, seconds=0.5)
 
     async def test_server_with_cancelled_requests_counts_as_slow(self):
@@ -115,17 +117,17 @@
         """
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.work_seconds = 0.02
+            backend.service_seconds = 0.02
         for _ in range(20):
             await self.call_all(2)
         slow, sound = self.backends
-        slow.work_seconds = 3.0
+        slow.service_seconds = 3.0
         for _ in range(10):
             await self.call_all(2)
-        runs_before = len(slow.runs)
+        runs_before = len(slow.executed_ids)
         for _ in range(10):
             await self.call_all(2)
-        self.assertLess(len(slow.runs) - runs_before, 5)
+        self.assertLess(len(slow.executed_ids) - runs_before, 5)
 
     async def test_unsafe_request_is_not_hedged(self):
         """Guards against a hedge that runs an unsafe request twice."""
@@ -134,7 +136,7 @@
             await self.call_all(2, "/reports/1", method=b"POST")
         runs_before = self.count_runs()
         for backend in self.backends:
-            backend.work_seconds = 0.8
+            backend.service_seconds = 0.8
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
         self.assertEqual(runs_before + 4, self.count_runs())
@@ -143,14 +145,14 @@
         """Guards against truncated responses and those of other requests."""
         await self.start("dc-a")
         for mode in ("wrong", "cut"):
-            self.backends[0].mode = mode
+            self.backends[0].fault_mode = mode
             found = await self.call_all(1, "/reports/1", method=b"POST")
             self.assertEqual([502], found)
 
     async def test_rejected_request_goes_to_another_server(self):
         """Guards against a failed request that could still run elsewhere."""
         await self.start("dc-a", "dc-a")
-        self.backends[0].mode = "shed"
+        self.backends[0].fault_mode = "shed"
         found = await self.call_all(4, "/reports/1", method=b"POST")
         self.assertEqual([200] * 4, found)
         self.assertEqual(4, self.count_runs())
@@ -159,7 +161,7 @@
         """Guards against a run of a request that was answered as not run."""
         await self.start("dc-a")
         self.backends[0].state = "draining"
-        await self.mesh.beat(self.nodes[0])
+        await self.mesh.send_heartbeat(self.nodes[0])
         result = await self.call(
             self.nodes[0].ports.callers, "/reports/1", method=b"POST"
         )
@@ -172,11 +174,11 @@
         """Guards against servers that hang beyond their slots."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.work_seconds = 0.05
+            backend.service_seconds = 0.05
         found = await self.call_all(60)
         self.assertIn(200, found)
         for backend in self.backends:
-            self.assertLessEqual(backend.most_at_once, backend.slots)
+            self.assertLessEqual(backend.max_active_requests, backend.slots)
 
     async def test_overload_is_refused_at_once(self):
         """Guards against requests that are queued and refused later.
@@ -188,9 +190,9 @@
         routes = [{**cases.SAFE, "timeout_ms": 9000}]
         await self.start("dc-a", routes=routes)
         backend = self.backends[0]
-        backend.work_seconds = 0.1
+        backend.service_seconds = 0.1
         await self.call_all(40, deadline_ms=9000)
-        backend.work_seconds = 5.0
+        backend.service_seconds = 5.0
         address = self.nodes[0].ports.callers
         calls = [
             asyncio.create_task(self.call(address, deadline_ms=9000))
@@ -205,7 +207,7 @@
                 break
             refused += 1
             # Queued requests start when the first 8 have ended.
-            runs = len(backend.runs)
+            runs = len(backend.executed_ids)
         # 8 run, and about 40 more fit into a queue of 450 ms.
         self.assertGreater(refused, 140)
         self.assertLessEqual(runs, 40 + 8)
@@ -214,9 +216,9 @@
         """Guards against work for callers that have disconnected."""
         await self.start("dc-a")
         backend = self.backends[0]
-        backend.work_seconds = 1.5
+        backend.service_seconds = 1.5
         task = asyncio.create_task(self.call(self.nodes[0].ports.callers))
-        await self.wait_until(lambda: backend.runs)
+        await self.wait_until(lambda: backend.executed_ids)
         task.cancel()
         await self.wait_until(lambda: backend.cancelled, seconds=0.5)
 
@@ -224,7 +226,7 @@
         """Guards against callers that wait beyond the timeout."""
         routes = [{**cases.SAFE, "timeout_ms": 300}]
         await self.start("dc-a", routes=routes)
-        self.backends[0].work_seconds = 2.0
+        self.backends[0].service_seconds = 2.0
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         self.assertEqual([504], await self.call_all(1))
@@ -235,7 +237,7 @@
         await self.start("dc-a")
         backend = self.backends[0]
         backend.cold_ms = 5000
-        await self.mesh.beat(self.nodes[0])
+        await self.mesh.send_heartbeat(self.nodes[0])
         await self.call_all(100)
         # The rate is 20 a second; half as many more and 5 are allowed.
         self.assertLessEqual(self.count_runs(), 35)
--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -44,7 +44,7 @@
         self.mesh.store.put("op", "config", b'{"version": 9, "resou')
         await asyncio.sleep(0.5)
         self.assertEqual([200], await self.call_all(1))
-        event_numbers = {line["event"] for line in self.nodes[0].lines()}
+        event_numbers = {line["event"] for line in self.nodes[0].read_log()}
         self.assertIn(734, event_numbers)
 
     async def test_evacuated_data_centre_gets_no_requests(self):
@@ -52,13 +52,13 @@
         await self.start("dc-a", "dc-b")
         self.mesh.store.put("op", "evacuate/dc-a", b"{}")
         await asyncio.sleep(1.0)
-        before = len(self.backends[0].runs)
+        before = len(self.backends[0].executed_ids)
         self.assertEqual([200] * 10, await self.call_all(10))
-        self.assertEqual(before, len(self.backends[0].runs))
+        self.assertEqual(before, len(self.backends[0].executed_ids))
         self.mesh.store.remove("op", "evacuate/dc-a")
         await asyncio.sleep(1.0)
         await self.call_all(10)
-        self.assertGreater(len(self.backends[0].runs), before)
+        self.assertGreater(len(self.backends[0].executed_ids), before)
 
     async def test_orders_are_read_again_after_lost_history(self):
         """Guards against a watch that fails for ever."""
@@ -76,11 +76,11 @@
     async def test_calls_succeed_while_the_store_is_down(self):
         """Guards against a call path that depends on the store."""
         await self.start("dc-a", "dc-a")
-        for conditions in (
-            rows.Conditions(status=503),
-            rows.Conditions(silent=True),
+        for faults in (
+            rows.Faults(status=503),
+            rows.Faults(silent=True),
         ):
-            self.mesh.store.conditions = conditions
+            self.mesh.store.faults = faults
             await asyncio.sleep(0.5)
             self.assertEqual([200] * 8, await self.call_all(8))
 
@@ -91,12 +91,12 @@
         the others call once when they lose the store, and then every 6 s.
         """
         await self.start(*("dc-a",) * 6)
-        self.mesh.store.conditions = rows.Conditions(status=503)
+        self.mesh.store.faults = rows.Faults(status=503)
         await asyncio.sleep(3.0)
         before = len(self.mesh.store.calls)
         await asyncio.sleep(5.0)
         self.assertLess(len(self.mesh.store.calls) - before, 20)
-        self.mesh.store.conditions = rows.Conditions()
+        self.mesh.store.faults = rows.Faults()
         config = mesh.make_config(
             9, routes=[{"prefix": "/new/", "service": "portal"}]
         )
@@ -109,7 +109,7 @@
     async def test_restarted_node_gets_orders_from_peers_without_store(self):
         """Guards against a node that waits for the store to return."""
         await self.start("dc-a", "dc-a")
-        self.mesh.store.conditions = rows.Conditions(status=503)
+        self.mesh.store.faults = rows.Faults(status=503)
         self.nodes[1].kill()
         self.nodes[1].start()
         await self.mesh.wait_for(self.nodes[1], self.mesh.is_ready)
@@ -121,7 +121,7 @@
         """Guards against requests that fail with another node."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.work_seconds = 0.2
+            backend.service_seconds = 0.2
         calls = asyncio.create_task(self.call_all(8))
         await asyncio.sleep(0.1)
         self.nodes[1].kill()
@@ -131,7 +131,7 @@
         """Guards against a stop that aborts running requests."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
-            backend.work_seconds = 0.8
+            backend.service_seconds = 0.8
         calls = asyncio.create_task(
             self.call_all(8, "/reports/1", method=b"POST")
         )
@@ -151,7 +151,7 @@
         their connections without a response.
         """
         await self.start("dc-a")
-        self.backends[0].work_seconds = 4.5
+        self.backends[0].service_seconds = 4.5
         running = asyncio.create_task(self.call_all(1, deadline_ms=9000))
         await asyncio.sleep(0.1)
         kept = [
@@ -176,9 +176,9 @@
         """
         await self.start("dc-a")
         node = self.nodes[0]
-        self.mesh.beats.cancel()
+        self.mesh.heartbeat_task.cancel()
         node.backend.sequence = 20
-        late = node.backend.beat()
+        late = node.backend.make_heartbeat()
         node.backend.state = "draining"
         await self.mesh.announce(node, "Deregister", "b0", b"")
         node.kill()
@@ -205,11 +205,13 @@
     async def test_invalid_settings_change_nothing(self):
         """Guards against a reload that breaks a running node."""
         await self.start("dc-a")
-        self.nodes[0].path.write_text("{ not settings", encoding="utf-8")
+        self.nodes[0].settings_path.write_text(
+            "{ not settings", encoding="utf-8"
+        )
         self.nodes[0].signal(signal.SIGHUP)
         await asyncio.sleep(0.5)
         self.assertEqual([200], await self.call_all(1))
-        event_numbers = {line["event"] for line in self.nodes[0].lines()}
+        event_numbers = {line["event"] for line in self.nodes[0].read_log()}
         self.assertIn(704, event_numbers)
 
     async def test_malformed_heartbeat_is_ignored(self):
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -87,7 +87,7 @@
         """
         local = self.fleet.instances[2]
         local.backend.state = "draining"
-        await self.fleet.mesh.beat(local.node)
+        await self.fleet.mesh.send_heartbeat(local.node)
         await self.wait_for(200, 5.0)
         for instance in self.fleet.instances:
             instance.to_node.set_mode(proxy.Mode.SILENT)
--- a/tests/storage/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -56,9 +56,9 @@
         steps = self.script.get(exchange.operation, [])
         step = steps.pop(0) if steps else "deliver"
         if step == "deliver":
-            return exchange.carry_out()
+            return exchange.execute()
         if step == "lost":
-            exchange.carry_out()
+            exchange.execute()
         if step == "late":
             self.late.append(exchange)
         if step == "down":
@@ -95,7 +95,7 @@
         with self.assertRaises(errors.PlatformUnavailable) as caught:
             self.commit(change)
         self.assertIn("nothing was written", str(caught.exception))
-        status, _ = self.late[0].carry_out()
+        status, _ = self.late[0].execute()
         self.assertEqual(400, status)
         self.assertEqual(0, storage.read_head(self.store))
         with self.assertRaises(errors.ChangeConflict) as caught:
@@ -114,9 +114,9 @@
 
         def respond(exchange):
             if self.script["GetItem"] and exchange.operation == "GetItem":
-                found = exchange.carry_out()
+                found = exchange.execute()
                 self.script["GetItem"].pop()
-                self.late[0].carry_out()
+                self.late[0].execute()
                 return found
             return self.respond(exchange)
 
--- a/tests/storage/test_table.py
+++ b/tests/storage/test_table.py
@@ -28,7 +28,7 @@
     def respond(self, exchange):
         if self.responses:
             return self.responses.pop(0)
-        return exchange.carry_out()
+        return exchange.execute()
 
     def queue_error(self, kind, **fields):
         body = {"__type": f"com.amazonaws.dynamodb.v20120810#{kind}"}
