--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -44,7 +44,7 @@
         if step == "late":
             self.delayed.append(exchange)
             raise LOST
-        reply = exchange.carry_out()
+        reply = exchange.execute()
         if step == "lost":
             raise LOST
         return reply
@@ -77,7 +77,7 @@
         begun = self.begin(make_claim("two"))
         self.assertTrue(begun.uncertain)
         idempotency.abandon(self.store, make_claim())
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         self.assertTrue(calls.release(self.store, make_claim("two")))
         decision = idempotency.KeyDecision.RUN
         self.assertEqual(decision, self.begin(make_claim("three")).decision)
@@ -90,7 +90,7 @@
             idempotency.abandon(self.store, make_claim())
         idempotency.abandon(self.store, make_claim())
         self.begin(make_claim("two"))
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         begun = self.begin(make_claim("three"))
         self.assertEqual(idempotency.KeyDecision.IN_PROGRESS, begun.decision)
 
@@ -104,7 +104,7 @@
         later = make_claim("two", at=1000.0 + 24 * 3600)
         decision = idempotency.KeyDecision.RUN
         self.assertEqual(decision, self.begin(later).decision)
-        self.delayed[0].carry_out()
+        self.delayed[0].execute()
         begun = self.begin(later)
         self.assertIsNone(begun.record.outcome)
 
