--- a/apricotpost/admission/limits.py
+++ b/apricotpost/admission/limits.py
@@ -56,7 +56,7 @@
     halved_at : float
         Time of the last halving, in seconds of the monotonic clock.
     reports_cold : bool
-        Whether the backend server called itself cold in its last response.
+        Whether the backend server's last response reported it as cold.
     cold_at : float
         Time of the last cold start, in seconds of the monotonic clock.
     """
--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -87,7 +87,7 @@
     objective_at : float
         Time at which the latency objective ends.
     payload : object
-        Data of the caller of this module, which is passed through.
+        Data of the calling code, returned unchanged with the request.
     """
 
     call: str
@@ -324,8 +324,8 @@
 def recent_failure_ratio(state: RankedQueue, now: float) -> float:
     """Return the fraction of recent requests that failed.
 
-    It decays while no request ends, so that a server that callers avoid
-    because of its failures is tried again.
+    The ratio decays while no request ends, so that callers retry a server
+    that they have avoided because of its failures.
     """
     age = max(now - state.failure_ratio_at, 0.0)
     decayed: float = state.failure_ratio * 0.5 ** (
--- a/apricotpost/rollout/judgements.py
+++ b/apricotpost/rollout/judgements.py
@@ -34,9 +34,9 @@
 
 # Calls of the new version that each step needs before the share may rise.
 MIN_CALLS = 20
-# The share does not rise while the evidence level is at least this, that is
-# while the evidence favours "worse" at all. Shares of about one half give the
-# most evidence and the full share gives the least.
+# The share does not rise while the evidence level is at least this: above 0,
+# the evidence is more likely if the new version is worse. Shares of about one
+# half give the most evidence and the full share gives the least.
 DOUBT_LEVEL = 0.0
 # A version whose evidence level is at least this (a likelihood ratio of 20)
 # when the longest bake ends is withdrawn.
@@ -165,7 +165,7 @@
     share : int
         Present share, in thousandths; a change starts a new step.
     baking : bool
-        Whether the new version has the full share.
+        Whether the rollout is in its bake.
     now : float
         Unix time in seconds.
     """
@@ -180,8 +180,8 @@
         old = new_counts.get((service, trial.old, name), evidence.Counts())
         if new.calls:
             heard_at = now
-        before = routes.get(name) or route_trials.start(now)
-        routes[name] = route_trials.collect(before, new, old, share)
+        previous = routes.get(name) or route_trials.start(now)
+        routes[name] = route_trials.collect(previous, new, old, share)
         if routes[name].old_calls:
             pooled_new = evidence.add(pooled_new, new)
             pooled_old = evidence.add(pooled_old, old)
@@ -311,13 +311,13 @@
 
 
 def _summarize(trial: Trial) -> str:
-    parts = []
+    descriptions = []
     for name, route_trial in _all_trials(trial):
         levels = route_trials.levels(route_trial)
-        parts.append(
+        descriptions.append(
             f"{name}: {route_trial.new_calls} calls of {trial.new}, "
             f"{route_trial.old_calls} of {trial.old}, evidence levels "
             f"{levels['failures']:.1f} for failures, "
             f"{levels['slow calls']:.1f} for slow calls"
         )
-    return "; ".join(parts)
+    return "; ".join(descriptions)
--- a/apricotpost/rollout/judges.py
+++ b/apricotpost/rollout/judges.py
@@ -108,15 +108,20 @@
     reports: list[ReportPlan] = []
     all_counts = frozenset(evidence)
     for judge in judges:
-        known = state.by_judge.get(judge)
-        if known is None or now - known.full_at >= FULL_REPORT_SECONDS:
+        last_report = state.by_judge.get(judge)
+        if (
+            last_report is None
+            or now - last_report.full_at >= FULL_REPORT_SECONDS
+        ):
             by_judge[judge] = SentReport(full_at=now, sent=all_counts)
             reports.append(
                 ReportPlan(judge=judge, evidence=evidence, is_full=True)
             )
             continue
-        by_judge[judge] = dataclasses.replace(known, sent=all_counts)
-        changed = tuple(entry for entry in evidence if entry not in known.sent)
+        by_judge[judge] = dataclasses.replace(last_report, sent=all_counts)
+        changed = tuple(
+            entry for entry in evidence if entry not in last_report.sent
+        )
         if changed:
             reports.append(
                 ReportPlan(judge=judge, evidence=changed, is_full=False)
--- a/apricotpost/rollout/monitor.py
+++ b/apricotpost/rollout/monitor.py
@@ -1,4 +1,4 @@
-"""State that a node keeps about the open rollout of its own service."""
+"""Evidence and judgement of the open rollout of a node's own service."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -13,15 +13,15 @@
 
 __all__ = ["Observation", "RolloutMonitor", "evaluate", "receive"]
 
-# A report after a longer gap sets a new baseline. The gap arises when two full
-# reports in a row are lost or this node was no judge; the calls in between
-# may belong to another step or rollout.
+# A report after a longer gap sets a new baseline, because the calls in the
+# gap may belong to another step or rollout. Such a gap arises when two full
+# reports in a row are lost, or while this node is not a judge.
 MAX_REPORT_GAP_SECONDS = 3 * judges.FULL_REPORT_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutMonitor:
-    """Evidence about a rollout, its evaluation, and times of server starts.
+    """Evidence about a rollout, state of its trial, start times of servers.
 
     Parameters
     ----------
@@ -79,24 +79,37 @@
 ) -> RolloutMonitor:
     """Return the state after a report of a gate's counts.
 
+    Parameters
+    ----------
+    monitor : RolloutMonitor
+        State before the report.
+    counts : iterable of apricotpost.model.Evidence
+        Counts in the report.
+    full : bool
+        Whether the report has the counts of all routes.
+    now : float
+        Monotonic time in seconds.
+
     Notes
     -----
     The first report of an instance, and the first after a gap, must be full
     because it sets the baseline. A partial report leaves out routes, whose
     older calls would later count as new ones.
     """
-    recent = {
+    reported_at = {
         name: at
         for name, at in monitor.heard_at.items()
         if now - at <= MAX_REPORT_GAP_SECONDS
     }
-    store = evidence.retain_instances(monitor.evidence_store, recent)
-    accepted = [entry for entry in counts if full or entry.instance in recent]
-    recent.update((entry.instance, now) for entry in accepted)
+    store = evidence.retain_instances(monitor.evidence_store, reported_at)
+    accepted = [
+        item for item in counts if full or item.instance in reported_at
+    ]
+    reported_at.update((item.instance, now) for item in accepted)
     return dataclasses.replace(
         monitor,
         evidence_store=evidence.receive(store, accepted),
-        heard_at=recent,
+        heard_at=reported_at,
     )
 
 
@@ -187,7 +200,7 @@
 
 
 def _update_up_since(
-    known: Mapping[str, tuple[str, float]],
+    previous: Mapping[str, tuple[str, float]],
     members: Iterable[model.InstanceRecord],
     now: float,
 ) -> dict[str, tuple[str, float]]:
@@ -195,10 +208,14 @@
     for entry in members:
         if entry.state is not model.InstanceState.UP:
             continue
-        before = known.get(entry.instance)
-        same = before is not None and before[0] == entry.version
+        last_seen = previous.get(entry.instance)
+        is_same_version = (
+            last_seen is not None and last_seen[0] == entry.version
+        )
         updated[entry.instance] = (
-            before if same and before is not None else (entry.version, now)
+            last_seen
+            if is_same_version and last_seen is not None
+            else (entry.version, now)
         )
     return updated
 
--- a/apricotpost/rollout/route_trials.py
+++ b/apricotpost/rollout/route_trials.py
@@ -254,11 +254,11 @@
         return reference_latencies
     decay = max(1 - sum(latencies) / REFERENCE_CALLS, 0.0)
     length = max(len(reference_latencies), len(latencies))
-    known = reference_latencies + (0.0,) * (length - len(reference_latencies))
+    padded = reference_latencies + (0.0,) * (length - len(reference_latencies))
     added = latencies + (0,) * (length - len(latencies))
     return tuple(
-        decay * before + count
-        for before, count in zip(known, added, strict=True)
+        decay * weight + count
+        for weight, count in zip(padded, added, strict=True)
     )
 
 
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -138,7 +138,7 @@
         self.assertEqual({"search": 3, "export": 1}, new_calls)
 
     def test_returning_judge_starts_from_a_new_baseline(self):
-        """Guards against the calls of a whole gap that count in one second."""
+        """Guards against calls of a gap that all count as one second's."""
         state, _ = self.receive(monitor.RolloutMonitor(), (10, 10, 10), 100.0)
         state, new_calls = self.receive(state, (11, 0, 0), 115.0, full=False)
         self.assertEqual({"records": 1}, new_calls)
@@ -168,20 +168,20 @@
         # reports reaches the limit for a new baseline.
         plan = [("search", True), *seconds]
         plan.extend([("search", True)] * 6)
-        heard = now
+        received_at = now
         for route, arrives in plan:
             calls[ROUTES.index(route)] += 1
             sent, reports = judges.plan_reports(
                 sent, make_counts(calls), ("x",), now
             )
             for report in reports:
-                if arrives or now - heard >= 14.0:
-                    heard = now
+                if arrives or now - received_at >= 14.0:
+                    received_at = now
                     state = monitor.receive(
                         state, report.evidence, full=report.is_full, now=now
                     )
             now += 1.0
         _, new_calls = evidence.take_undrained(state.evidence_store)
-        found = sum(entry.calls for entry in new_calls.values())
+        call_count = sum(entry.calls for entry in new_calls.values())
         # The call of the first second is part of the baseline.
-        self.assertEqual(len(plan) - 1, found)
+        self.assertEqual(len(plan) - 1, call_count)
