Name previous, stored and new counts by what they hold

The docstrings of the evidence level and of the hedge say what is returned and why the first attempt stays open.

--- a/apricotpost/rollout/evidence.py
+++ b/apricotpost/rollout/evidence.py
@@ -192,9 +192,9 @@
     kind = classify(finished)
     if kind is CallOutcome.NEITHER:
         return outcomes
-    before = outcomes.counts.get(key, Counts())
-    failures = before.failures + (kind is CallOutcome.FAILURE)
-    latencies = before.latencies
+    previous = outcomes.counts.get(key, Counts())
+    failures = previous.failures + (kind is CallOutcome.FAILURE)
+    latencies = previous.latencies
     cold_calls = outcomes.cold_calls
     if kind is CallOutcome.SUCCESS:
         cold = cold_calls.get(key, 0)
@@ -202,11 +202,11 @@
             cold_calls = {**cold_calls, key: cold + 1}
         else:
             latencies = increment(latencies, bucket_of(finished.duration_ms))
-    after = Counts(
-        calls=before.calls + 1, failures=failures, latencies=latencies
+    updated = Counts(
+        calls=previous.calls + 1, failures=failures, latencies=latencies
     )
     return OutcomeCounts(
-        counts={**outcomes.counts, key: after}, cold_calls=cold_calls
+        counts={**outcomes.counts, key: updated}, cold_calls=cold_calls
     )
 
 
@@ -245,17 +245,17 @@
     undrained = dict(store.undrained)
     for report in evidence:
         key = (report.instance, report.service, report.version, report.route)
-        known = newest.get(key)
-        if known is not None and not _is_newer(report, known):
+        stored = newest.get(key)
+        if stored is not None and not _is_newer(report, stored):
             continue
         newest[key] = report
-        if known is None and not _has_reported(store, report):
+        if stored is None and not _has_reported(store, report):
             continue
-        before = Counts()
-        if known is not None and known.epoch == report.epoch:
-            before = _counts_of(known)
-        increment = subtract(_counts_of(report), before)
-        undrained[key[1:]] = add(undrained.get(key[1:], Counts()), increment)
+        baseline = Counts()
+        if stored is not None and stored.epoch == report.epoch:
+            baseline = _counts_of(stored)
+        increase = subtract(_counts_of(report), baseline)
+        undrained[key[1:]] = add(undrained.get(key[1:], Counts()), increase)
     return EvidenceStore(newest=newest, undrained=undrained)
 
 
@@ -286,15 +286,15 @@
     )
 
 
-def _is_newer(report: model.Evidence, known: model.Evidence) -> bool:
-    return (report.epoch, report.calls) > (known.epoch, known.calls)
+def _is_newer(report: model.Evidence, stored: model.Evidence) -> bool:
+    return (report.epoch, report.calls) > (stored.epoch, stored.calls)
 
 
 def _has_reported(store: EvidenceStore, report: model.Evidence) -> bool:
     """Return whether the instance has reported since its last restart."""
     return any(
-        key[0] == report.instance and known.epoch == report.epoch
-        for key, known in store.newest.items()
+        key[0] == report.instance and stored.epoch == report.epoch
+        for key, stored in store.newest.items()
     )
 
 
--- a/apricotpost/rollout/plans.py
+++ b/apricotpost/rollout/plans.py
@@ -130,7 +130,7 @@
     done : bool
         Whether the new version gets all calls; otherwise it is withdrawn.
     reason : str
-        Reason that the configuration keeps and the owner is shown.
+        Reason, stored in the configuration and shown to the owner.
     now : float
         Unix time in seconds.
     """
--- a/apricotpost/rollout/sequential.py
+++ b/apricotpost/rollout/sequential.py
@@ -154,9 +154,9 @@
 
 
 def evidence_level(state: TestState) -> float:
-    """Return the evidence level.
+    """Return the log-likelihood ratio for a worse new version.
 
-    From `ALARM_LEVEL` on the new version is worse.
+    At `ALARM_LEVEL` or above, the new version counts as worse.
 
     The false alarm rate holds for the mean of the alternatives' likelihood
     ratios. The largest one, divided by the number of alternatives, is a
--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -143,11 +143,11 @@
         self.evaluated_at = 0.0
 
 
-def may_follow(known: Phase, after: Phase) -> bool:
-    """Return whether a trial may go from one phase to another."""
-    if known in FINAL_PHASES:
+def may_follow(current: Phase, proposed: Phase) -> bool:
+    """Return whether a trial may change from one phase to another."""
+    if current in FINAL_PHASES:
         return False
-    return _PHASE_ORDER[after] > _PHASE_ORDER[known]
+    return _PHASE_ORDER[proposed] > _PHASE_ORDER[current]
 
 
 def is_alarm(trial: Trial, level: float) -> bool:
@@ -187,16 +187,16 @@
         return
     for counts in state.counts:
         key = (state.node, state.boot, server.backend, counts.route)
-        before = trial_evidence.counts.get(key)
-        if before is not None and before.calls >= counts.calls:
+        previous = trial_evidence.counts.get(key)
+        if previous is not None and previous.calls >= counts.calls:
             continue
         trial_evidence.counts[key] = counts
-        increase = _difference(counts, before)
+        increase = _difference(counts, previous)
         version_route = (server.version, counts.route)
         for sums in (trial_evidence.slices, trial_evidence.totals):
-            known = sums.get(version_route)
+            total = sums.get(version_route)
             sums[version_route] = (
-                increase if known is None else evidence.add(known, increase)
+                increase if total is None else evidence.add(total, increase)
             )
 
 
@@ -205,7 +205,7 @@
 ) -> float:
     """Test the present slice if it is complete; return the evidence level.
 
-    From `sequential.ALARM_LEVEL` on the new version is worse.
+    The new version counts as worse if `is_alarm` holds for this level.
     """
     if now - trial_evidence.evaluated_at >= SLICE_SECONDS:
         trial_evidence.evaluated_at = now
@@ -342,11 +342,11 @@
 
 
 def _difference(
-    after: wire.VersionCounts, before: wire.VersionCounts | None
+    newest: wire.VersionCounts, previous: wire.VersionCounts | None
 ) -> evidence.Counts:
-    if before is None:
-        return _counts_of(after)
-    return evidence.subtract(_counts_of(after), _counts_of(before))
+    if previous is None:
+        return _counts_of(newest)
+    return evidence.subtract(_counts_of(newest), _counts_of(previous))
 
 
 def _counts_of(counts: wire.VersionCounts) -> evidence.Counts:
--- a/apricotpost/routing/outcomes.py
+++ b/apricotpost/routing/outcomes.py
@@ -147,8 +147,8 @@
         return _detach_from_sibling(peers.remove(state, attempt), attempt), ()
     if not _may_repeat(state, attempt, now, table):
         if state.budget.tokens < 1.0:
-            # The mark keeps nodes above in the call chain from spending their
-            # budgets on this call instead.
+            # Marked as retried, so that nodes above in the call chain do not
+            # spend their budgets on this call instead.
             result = dataclasses.replace(result, retried=True)
         return sending.finish(state, attempt, result)
     return sending.send(
@@ -174,10 +174,10 @@
     table: tables.RoutingTable,
     draws: call_states.Draws,
 ) -> call_states.Step:
-    """Send a late call to another server and keep the first attempt open.
+    """Send an expired call to another server; keep the first attempt open.
 
-    A slow backend server can still answer after half of the time, and a
-    frozen one does not use up all of it.
+    A slow backend server may still answer the first attempt; a frozen one
+    leaves half of the time for the second attempt.
     """
     deadline = attempt.request.deadline
     waiting = dataclasses.replace(attempt, expires_at=deadline)
--- a/apricotpost/routing/placement.py
+++ b/apricotpost/routing/placement.py
@@ -150,10 +150,10 @@
 
     def server(self, backend: str) -> ServerStats:
         """Return the statistics of a backend server, created on first use."""
-        found = self.servers.get(backend)
-        if found is None:
-            found = self.servers[backend] = ServerStats()
-        return found
+        stats = self.servers.get(backend)
+        if stats is None:
+            stats = self.servers[backend] = ServerStats()
+        return stats
 
 
 def record_latency(
--- a/apricotpost/routing/sending.py
+++ b/apricotpost/routing/sending.py
@@ -1,4 +1,4 @@
-"""Choice of the backend server and the expiry time of an attempt."""
+"""Sending of attempts, and the only result of each request."""
 
 import dataclasses
 
--- a/apricotpost/routing/splits.py
+++ b/apricotpost/routing/splits.py
@@ -24,9 +24,10 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     total = sum(target.weight for target in route.targets)
-    known = round_robin.credits.setdefault(route.name, {})
+    previous_credits = round_robin.credits.setdefault(route.name, {})
     credits = {
-        target.service: known.get(target.service, 0.0) + target.weight / total
+        target.service: previous_credits.get(target.service, 0.0)
+        + target.weight / total
         for target in route.targets
     }
     chosen = max(
--- a/apricotpost/routing/tables.py
+++ b/apricotpost/routing/tables.py
@@ -105,9 +105,13 @@
             result.setdefault(method, []).append(route)
     return {
         method: tuple(
-            sorted(found, key=lambda route: len(route.prefix), reverse=True)
+            sorted(
+                method_routes,
+                key=lambda route: len(route.prefix),
+                reverse=True,
+            )
         )
-        for method, found in result.items()
+        for method, method_routes in result.items()
     }
 
 
@@ -127,4 +131,4 @@
             continue
         key = (record.service, record.version)
         groups.setdefault(key, []).append(record)
-    return {key: tuple(found) for key, found in groups.items()}
+    return {key: tuple(records) for key, records in groups.items()}
--- a/tests/rollout/test_judgements.py
+++ b/tests/rollout/test_judgements.py
@@ -102,7 +102,7 @@
         self.assertIsNotNone(seconds)
 
     def test_small_slowdown_under_full_load_is_no_evidence(self):
-        """Guards against a withdrawal for the load of 49 times the calls."""
+        """Guards against a withdrawal because of 49 times as many calls."""
         slower = make_counts(98, bucket=FAST_BUCKET + 1)
         self.observe_for(60, make_counts(98), make_counts(2), share=980)
         self.assertIsNone(
