--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -70,8 +70,8 @@
     def arrive(
         self, name: str, seconds: float = 4.0, **changes
     ) -> tuple[typing.Any, ...]:
-        left = self.seconds - 100.0 + seconds
-        call = make_call(name, seconds=left, **changes)
+        deadline_seconds = self.seconds - 100.0 + seconds
+        call = make_call(name, seconds=deadline_seconds, **changes)
         return self.handle(gate.Arrived(reply_to=b"d", call=call))
 
     def finish(self, name: str, **changes) -> tuple[typing.Any, ...]:
@@ -92,9 +92,11 @@
 
 
 def make_gate(**changes) -> Gate:
-    found = Gate(state=gate.GateState(limit=limits.start(slots=1, cold=True)))
-    found.announce(**changes)
-    return found
+    node_gate = Gate(
+        state=gate.GateState(limit=limits.start(slots=1, cold=True))
+    )
+    node_gate.announce(**changes)
+    return node_gate
 
 
 class GateTest(unittest.TestCase):
@@ -196,54 +198,54 @@
 class LimitTest(unittest.TestCase):
     def test_announced_cold_server_starts_with_one_call(self):
         """Guards against full load on a server during its cold start."""
-        found = make_gate(cold=True)
-        self.assertEqual(1.0, found.state.limit.value)
+        node_gate = make_gate(cold=True)
+        self.assertEqual(1.0, node_gate.state.limit.value)
         cold = (("X-Backend-Cold", "1"),)
-        found.run_and_finish(30, headers=cold)
-        self.assertEqual(2.0, found.state.limit.value)
-        found.run_and_finish(8)
-        self.assertEqual(8.0, found.state.limit.value)
+        node_gate.run_and_finish(30, headers=cold)
+        self.assertEqual(2.0, node_gate.state.limit.value)
+        node_gate.run_and_finish(8)
+        self.assertEqual(8.0, node_gate.state.limit.value)
 
     def test_lasting_cold_report_does_not_hold_the_limit_down(self):
         """Guards against lost capacity if a server always reports cold."""
-        found = make_gate(cold=True)
+        node_gate = make_gate(cold=True)
         cold = (("X-Backend-Cold", "1"),)
         for _ in range(15):
-            found.run_and_finish(20, headers=cold)
-            found.seconds += 5.0
-            found.announce(cold=True)
-        self.assertEqual(8.0, found.state.limit.value)
+            node_gate.run_and_finish(20, headers=cold)
+            node_gate.seconds += 5.0
+            node_gate.announce(cold=True)
+        self.assertEqual(8.0, node_gate.state.limit.value)
 
     def test_unannounced_cold_start_resets_the_limit(self):
         """Guards against full load on a server that turned cold silently."""
-        found = make_gate()
-        found.run_and_finish(20)
-        self.assertEqual(8.0, found.state.limit.value)
-        found.run_and_finish(3, duration_ms=40.0)
-        self.assertEqual(1.0, found.state.limit.value)
+        node_gate = make_gate()
+        node_gate.run_and_finish(20)
+        self.assertEqual(8.0, node_gate.state.limit.value)
+        node_gate.run_and_finish(3, duration_ms=40.0)
+        self.assertEqual(1.0, node_gate.state.limit.value)
 
     def test_cold_header_of_a_warm_server_resets_the_limit(self):
         """Guards against a cold start that only response headers report."""
-        found = make_gate()
-        found.run_and_finish(20)
-        found.run_and_finish(1, headers=(("X-Backend-Cold", "1"),))
-        self.assertLessEqual(found.state.limit.value, 2.0)
+        node_gate = make_gate()
+        node_gate.run_and_finish(20)
+        node_gate.run_and_finish(1, headers=(("X-Backend-Cold", "1"),))
+        self.assertLessEqual(node_gate.state.limit.value, 2.0)
 
     def test_restart_at_the_same_address_is_cold(self):
         """Guards against full load on a server that has just restarted."""
-        found = make_gate()
-        found.run_and_finish(20)
-        found.arrive("x")
-        found.finish("x", outcome=wire.Outcome.NOT_RUN, reason="not-sent")
-        found.announce(cold=False)
-        self.assertEqual(1.0, found.state.limit.value)
+        node_gate = make_gate()
+        node_gate.run_and_finish(20)
+        node_gate.arrive("x")
+        node_gate.finish("x", outcome=wire.Outcome.NOT_RUN, reason="not-sent")
+        node_gate.announce(cold=False)
+        self.assertEqual(1.0, node_gate.state.limit.value)
 
     def test_burst_of_shed_answers_halves_the_limit_once(self):
         """Guards against a limit of one after a single burst of 503s."""
-        found = make_gate()
-        found.run_and_finish(20)
-        found.run_and_finish(5, status=503)
-        self.assertEqual(4.0, found.state.limit.value)
+        node_gate = make_gate()
+        node_gate.run_and_finish(20)
+        node_gate.run_and_finish(5, status=503)
+        self.assertEqual(4.0, node_gate.state.limit.value)
 
     def test_slow_route_does_not_look_like_a_cold_start(self):
         """Guards against a reset because routes differ in latency."""
@@ -260,24 +262,28 @@
 
     def test_short_caller_timeout_does_not_lower_the_limit(self):
         """Guards against short time-outs of callers that lower the limit."""
-        found = make_gate()
-        found.run_and_finish(20)
-        found.arrive("x")
-        found.finish(
+        node_gate = make_gate()
+        node_gate.run_and_finish(20)
+        node_gate.arrive("x")
+        node_gate.finish(
             "x",
             outcome=wire.Outcome.UNKNOWN,
             reason="timeout",
             duration_ms=0.5,
         )
-        self.assertEqual(8.0, found.state.limit.value)
+        self.assertEqual(8.0, node_gate.state.limit.value)
 
 
 class RecentTest(unittest.TestCase):
     def test_identifiers_are_kept_for_a_minute_and_then_dropped(self):
         """Guards against a call that runs twice and against growing memory."""
-        known = recent.RecentCalls()
+        recent_calls = recent.RecentCalls()
         for number in range(2000):
-            known = recent.record_call(known, str(number), number * 0.1)
-        self.assertTrue(recent.is_known(known, str(1999 - 590)))
-        kept = len(known.newest) + sum(len(b) for _, b in known.older)
+            recent_calls = recent.record_call(
+                recent_calls, str(number), number * 0.1
+            )
+        self.assertTrue(recent.is_known(recent_calls, str(1999 - 590)))
+        kept = len(recent_calls.newest) + sum(
+            len(b) for _, b in recent_calls.older
+        )
         self.assertLess(kept, 670)
--- a/tests/admission/test_ranked.py
+++ b/tests/admission/test_ranked.py
@@ -51,9 +51,9 @@
             ranked.enqueue(queue, make_queued(name, rank=rank))
         started = []
         while queue.queue:
-            found, _ = ranked.start(queue, 0.0)
-            started.extend(queued.call for queued in found)
-            for queued in found:
+            batch, _ = ranked.start(queue, 0.0)
+            started.extend(queued.call for queued in batch)
+            for queued in batch:
                 ranked.finish(
                     queue, queued.call, ran_ms=100.0, failed=False, now=0.0
                 )
--- a/tests/rollout/test_evidence.py
+++ b/tests/rollout/test_evidence.py
@@ -104,7 +104,7 @@
         for report in disturbed:
             store = evidence.receive(store, report)
             if rng.random() < 0.5:
-                store, found = evidence.take_undrained(store)
-                counted += sum(counts.calls for counts in found.values())
+                store, new_counts = evidence.take_undrained(store)
+                counted += sum(counts.calls for counts in new_counts.values())
         counted += sum(counts.calls for counts in store.undrained.values())
         self.assertEqual(sum(increments), counted)
--- a/tests/rollout/test_judgements.py
+++ b/tests/rollout/test_judgements.py
@@ -32,14 +32,14 @@
         """
         for second in range(seconds):
             self.now += 1.0
-            found = {}
+            new_counts = {}
             if new is not None:
-                found[("portal", "v2", route)] = new
+                new_counts[("portal", "v2", route)] = new
             if old is not None:
-                found[("portal", "v1", route)] = old
+                new_counts[("portal", "v1", route)] = old
             self.trial = judgements.observe(
                 self.trial,
-                found,
+                new_counts,
                 service="portal",
                 share=share,
                 baking=baking,
@@ -83,7 +83,7 @@
         )
 
     def test_failing_old_version_does_not_harm_the_new_one(self):
-        """Guards against a good version that is held because the old fails."""
+        """Guards against a hold because of failures of the old version."""
         self.assertIsNone(
             self.observe_for(30, make_counts(5), make_counts(95, 40))
         )
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -48,9 +48,9 @@
         self.assertNotIn("f", [entry.instance for entry in first])
         dead = dataclasses.replace(first[0], state=model.InstanceState.SUSPECT)
         changed = [dead if entry == first[0] else entry for entry in records]
-        after = judges.find_judges("portal", reversed(changed))
-        self.assertEqual(first[1:], after[:2])
-        self.assertNotIn(after[2], first)
+        next_judges = judges.find_judges("portal", reversed(changed))
+        self.assertEqual(first[1:], next_judges[:2])
+        self.assertNotIn(next_judges[2], first)
 
     def test_holder_is_the_first_judge(self):
         """Guards against a holder that does not receive the evidence."""
@@ -118,8 +118,8 @@
         """Return the state after a report, and its new calls by route."""
         counts = [entry for entry in make_counts(calls) if entry.calls]
         state = monitor.receive(state, counts, full=full, now=now)
-        store, found = evidence.take_undrained(state.evidence_store)
-        new_calls = {key[2]: entry.calls for key, entry in found.items()}
+        store, new_counts = evidence.take_undrained(state.evidence_store)
+        new_calls = {key[2]: entry.calls for key, entry in new_counts.items()}
         return dataclasses.replace(state, evidence_store=store), new_calls
 
     def test_new_judge_counts_from_its_first_full_report(self):
--- a/tests/rollout/test_monitor.py
+++ b/tests/rollout/test_monitor.py
@@ -77,11 +77,11 @@
             for entry in view.instances
         )
         view = dataclasses.replace(view, instances=instances)
-        after = [
+        successors = [
             name for name in names if observe(view, name).is_holder_candidate
         ]
-        self.assertEqual(1, len(after))
-        self.assertNotEqual(first, after)
+        self.assertEqual(1, len(successors))
+        self.assertNotEqual(first, successors)
 
     def test_only_withdrawal_of_this_rollout_counts(self):
         """Guards against an old withdrawal that ends a new rollout."""
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -85,8 +85,8 @@
                 self.bad_answers += 1
                 if self.bad_answers == 50:
                     self.fiftieth_at = now
-            known = self.counts.get(version, evidence.Counts())
-            latencies = known.latencies
+            counts = self.counts.get(version, evidence.Counts())
+            latencies = counts.latencies
             if not failed:
                 latency_ms = (
                     160 * latency_factor * self.rng.lognormvariate(-0.125, 0.5)
@@ -95,8 +95,8 @@
                     latencies, evidence.bucket_of(latency_ms)
                 )
             self.counts[version] = evidence.Counts(
-                calls=known.calls + 1,
-                failures=known.failures + failed,
+                calls=counts.calls + 1,
+                failures=counts.failures + failed,
                 latencies=latencies,
             )
 
--- a/tests/routing/test_amplification.py
+++ b/tests/routing/test_amplification.py
@@ -83,28 +83,28 @@
     def test_twice_the_load_still_serves_what_fits(self):
         """Guards against lost throughput when load exceeds capacity."""
         rng = random.Random(18)
-        found = test_gate.make_gate()
-        found.run_and_finish(30)
+        node_gate = test_gate.make_gate()
+        node_gate.run_and_finish(30)
         slots, service, steps = 8, 0.1, 3000
         finishes, served, refused = {}, 0, 0
         for step in range(steps):
-            found.seconds += 0.01
-            done = [k for k, at in finishes.items() if at <= found.seconds]
+            node_gate.seconds += 0.01
+            done = [k for k, at in finishes.items() if at <= node_gate.seconds]
             actions = [
                 action
                 for name in done
                 if finishes.pop(name)
-                for action in found.finish(name, duration_ms=100.0)
+                for action in node_gate.finish(name, duration_ms=100.0)
             ]
             if step % 100 == 0:
-                found.announce()
+                node_gate.announce()
             # On average 1.6 calls in 10 ms, or 160 a second; 8 slots
             # serve 80.
             for number in range(2 if rng.random() < 0.6 else 1):
-                actions += found.arrive(f"{step}.{number}", seconds=2.0)
+                actions += node_gate.arrive(f"{step}.{number}", seconds=2.0)
             for action in actions:
                 if isinstance(action, test_gate.gate.Run):
-                    finishes[action.call.call] = found.seconds + service
+                    finishes[action.call.call] = node_gate.seconds + service
                 elif isinstance(action.message, wire.NotRun):
                     refused += 1
                 else:
--- a/tests/routing/test_machine.py
+++ b/tests/routing/test_machine.py
@@ -28,7 +28,10 @@
 
 
 class CallMachine(stateful.RuleBasedStateMachine):
-    """Delays, reorders, duplicates and loses messages."""
+    """Calls over an unreliable network.
+
+    Messages are delayed, reordered, duplicated and lost.
+    """
 
     idempotent = False
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -21,10 +21,10 @@
 
 
 def choose(latency_model, candidates, now=0.0):
-    found = placement.rank_candidates(
+    candidates_by_time = placement.rank_candidates(
         latency_model, candidates, route="r", objective_ms=500, now=now
     )
-    return found[0].node
+    return candidates_by_time[0].node
 
 
 def report(latency_model, name, running, limit=12, mean_ms=160.0, **load):
@@ -53,11 +53,11 @@
                 )
         report(self.latency_model, "slow", 4)
         report(self.latency_model, "fast", 4)
-        found = choose(
+        chosen = choose(
             self.latency_model,
             [make_candidate("slow"), make_candidate("fast")],
         )
-        self.assertEqual("fast", found)
+        self.assertEqual("fast", chosen)
 
     def test_reported_latency_counts_before_own_requests(self):
         """Guards against slow servers that each node has to detect itself.
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -62,10 +62,14 @@
                 spends.extend([now] * spent)
         for end in spends:
             within = [t for t in spends if end - WINDOW_SECONDS < t <= end]
-            seen = [t for t in calls if end - 2 * WINDOW_SECONDS < t <= end]
+            window_calls = [
+                t for t in calls if end - 2 * WINDOW_SECONDS < t <= end
+            ]
             self.assertLessEqual(
                 len(within),
-                1.0 + BASE_LIMIT + (LIMIT_PER_CALL + PER_CALL) * len(seen),
+                1.0
+                + BASE_LIMIT
+                + (LIMIT_PER_CALL + PER_CALL) * len(window_calls),
             )
 
     def test_quiet_node_keeps_the_base_only(self):
--- a/tests/routing/test_splits.py
+++ b/tests/routing/test_splits.py
@@ -31,9 +31,11 @@
         """Guards against shares that hold only on average."""
         state = splits.RoundRobinCredits()
         route = make_route(a=90, b=10)
-        found = [splits.choose_service(state, route) for _ in range(100)]
-        self.assertEqual(10, found.count("b"))
-        self.assertEqual(1, found[:10].count("b"))
+        chosen_services = [
+            splits.choose_service(state, route) for _ in range(100)
+        ]
+        self.assertEqual(10, chosen_services.count("b"))
+        self.assertEqual(1, chosen_services[:10].count("b"))
 
     def test_changed_weights_hold_at_once(self):
         """Guards against old credits that distort the new shares."""
@@ -41,15 +43,19 @@
         for _ in range(55):
             splits.choose_service(state, make_route(a=50, b=50))
         route = make_route(a=10, b=90)
-        found = [splits.choose_service(state, route) for _ in range(100)]
-        self.assertAlmostEqual(90, found.count("b"), delta=2)
+        chosen_services = [
+            splits.choose_service(state, route) for _ in range(100)
+        ]
+        self.assertAlmostEqual(90, chosen_services.count("b"), delta=2)
 
     def test_weight_zero_gets_nothing(self):
         """Guards against requests to a service with weight 0."""
         state = splits.RoundRobinCredits()
         route = make_route(a=1, b=0)
-        found = {splits.choose_service(state, route) for _ in range(20)}
-        self.assertEqual({"a"}, found)
+        chosen_services = {
+            splits.choose_service(state, route) for _ in range(20)
+        }
+        self.assertEqual({"a"}, chosen_services)
 
 
 class PrefixTest(unittest.TestCase):
@@ -74,5 +80,5 @@
             ("other", "/any", "root"),
         )
         for host, path, expected in cases:
-            found = prefixes.match_prefix(self.table, host, path)
-            self.assertEqual(expected, found.name if found else None)
+            matched = prefixes.match_prefix(self.table, host, path)
+            self.assertEqual(expected, matched.name if matched else None)
--- a/tests/routing/test_traces.py
+++ b/tests/routing/test_traces.py
@@ -97,41 +97,41 @@
     """Replay a trace and return the replay and the recorded outcome."""
     with open(FOLDER / f"calls-{name}.jsonl", encoding="utf-8") as file:
         lines = [json.loads(line) for line in file]
-    found = Replay()
+    replayed = Replay()
     for line in lines[:-1]:
-        found.replay_line(line)
-    return found, lines[-1]["outcome"]
+        replayed.replay_line(line)
+    return replayed, lines[-1]["outcome"]
 
 
 class TraceTest(unittest.TestCase):
     def test_killed_peer(self):
         """Guards against results that differ from the recorded ones."""
-        found, outcome = replay("killed")
+        replayed, outcome = replay("killed")
         counts = collections.Counter(
-            result.outcome.value for result in found.results.values()
+            result.outcome.value for result in replayed.results.values()
         )
         self.assertEqual(outcome["callers"], dict(counts))
-        self.assertFalse(found.dispatch.attempts)
+        self.assertFalse(replayed.dispatch.attempts)
 
     def test_frozen_gate(self):
         """Guards against calls that run after their gate was frozen."""
-        found, outcome = replay("frozen")
-        self.assertEqual(outcome["executions"], len(found.executed_calls))
-        self.assertTrue(found.refusals["deadline-passed"])
+        replayed, outcome = replay("frozen")
+        self.assertEqual(outcome["executions"], len(replayed.executed_calls))
+        self.assertTrue(replayed.refusals["deadline-passed"])
 
     def test_server_that_turns_cold(self):
         """Guards against a full limit for a server that turned cold."""
-        found, outcome = replay("cold")
-        self.assertEqual(outcome["executions"], len(found.executed_calls))
-        warm = found.limits.index(max(found.limits))
-        self.assertEqual(1.0, min(found.limits[warm:]))
+        replayed, outcome = replay("cold")
+        self.assertEqual(outcome["executions"], len(replayed.executed_calls))
+        warm = replayed.limits.index(max(replayed.limits))
+        self.assertEqual(1.0, min(replayed.limits[warm:]))
 
     def test_draining_gate(self):
         """Guards against a drain that loses a call or runs a new one."""
-        found, outcome = replay("draining")
-        self.assertEqual(outcome["executions"], len(found.executed_calls))
+        replayed, outcome = replay("draining")
+        self.assertEqual(outcome["executions"], len(replayed.executed_calls))
         self.assertEqual(
-            len(set(found.executed_calls)), len(found.executed_calls)
+            len(set(replayed.executed_calls)), len(replayed.executed_calls)
         )
-        self.assertTrue(found.refusals["draining"])
-        self.assertTrue(gate.is_idle(found.admission))
+        self.assertTrue(replayed.refusals["draining"])
+        self.assertTrue(gate.is_idle(replayed.admission))
