--- a/tests/rollout/test_judgements.py
+++ b/tests/rollout/test_judgements.py
@@ -32,14 +32,14 @@
         """
         for second in range(seconds):
             self.now += 1.0
-            found = {}
+            new_counts = {}
             if new is not None:
-                found[("portal", "v2", route)] = new
+                new_counts[("portal", "v2", route)] = new
             if old is not None:
-                found[("portal", "v1", route)] = old
+                new_counts[("portal", "v1", route)] = old
             self.trial = judgements.observe(
                 self.trial,
-                found,
+                new_counts,
                 service="portal",
                 share=share,
                 baking=baking,
@@ -83,7 +83,7 @@
         )
 
     def test_failing_old_version_does_not_harm_the_new_one(self):
-        """Guards against a good version that is held because the old fails."""
+        """Guards against a hold because of failures of the old version."""
         self.assertIsNone(
             self.observe_for(30, make_counts(5), make_counts(95, 40))
         )
@@ -102,7 +102,7 @@
         self.assertIsNotNone(seconds)
 
     def test_small_slowdown_under_full_load_is_no_evidence(self):
-        """Guards against a withdrawal for the load of 49 times the calls."""
+        """Guards against a withdrawal because of 49 times as many calls."""
         slower = make_counts(98, bucket=FAST_BUCKET + 1)
         self.observe_for(60, make_counts(98), make_counts(2), share=980)
         self.assertIsNone(
--- a/tests/rollout/test_judges.py
+++ b/tests/rollout/test_judges.py
@@ -48,9 +48,9 @@
         self.assertNotIn("f", [entry.instance for entry in first])
         dead = dataclasses.replace(first[0], state=model.InstanceState.SUSPECT)
         changed = [dead if entry == first[0] else entry for entry in records]
-        after = judges.find_judges("portal", reversed(changed))
-        self.assertEqual(first[1:], after[:2])
-        self.assertNotIn(after[2], first)
+        next_judges = judges.find_judges("portal", reversed(changed))
+        self.assertEqual(first[1:], next_judges[:2])
+        self.assertNotIn(next_judges[2], first)
 
     def test_holder_is_the_first_judge(self):
         """Guards against a holder that does not receive the evidence."""
@@ -118,8 +118,8 @@
         """Return the state after a report, and its new calls by route."""
         counts = [entry for entry in make_counts(calls) if entry.calls]
         state = monitor.receive(state, counts, full=full, now=now)
-        store, found = evidence.take_undrained(state.evidence_store)
-        new_calls = {key[2]: entry.calls for key, entry in found.items()}
+        store, new_counts = evidence.take_undrained(state.evidence_store)
+        new_calls = {key[2]: entry.calls for key, entry in new_counts.items()}
         return dataclasses.replace(state, evidence_store=store), new_calls
 
     def test_new_judge_counts_from_its_first_full_report(self):
@@ -138,7 +138,7 @@
         self.assertEqual({"search": 3, "export": 1}, new_calls)
 
     def test_returning_judge_starts_from_a_new_baseline(self):
-        """Guards against the calls of a whole gap that count in one second."""
+        """Guards against calls of a gap that all count as one second's."""
         state, _ = self.receive(monitor.RolloutMonitor(), (10, 10, 10), 100.0)
         state, new_calls = self.receive(state, (11, 0, 0), 115.0, full=False)
         self.assertEqual({"records": 1}, new_calls)
@@ -168,20 +168,20 @@
         # reports reaches the limit for a new baseline.
         plan = [("search", True), *seconds]
         plan.extend([("search", True)] * 6)
-        heard = now
+        received_at = now
         for route, arrives in plan:
             calls[ROUTES.index(route)] += 1
             sent, reports = judges.plan_reports(
                 sent, make_counts(calls), ("x",), now
             )
             for report in reports:
-                if arrives or now - heard >= 14.0:
-                    heard = now
+                if arrives or now - received_at >= 14.0:
+                    received_at = now
                     state = monitor.receive(
                         state, report.evidence, full=report.is_full, now=now
                     )
             now += 1.0
         _, new_calls = evidence.take_undrained(state.evidence_store)
-        found = sum(entry.calls for entry in new_calls.values())
+        call_count = sum(entry.calls for entry in new_calls.values())
         # The call of the first second is part of the baseline.
-        self.assertEqual(len(plan) - 1, found)
+        self.assertEqual(len(plan) - 1, call_count)
