--- a/apricotpost/distribution/decisions.py
+++ b/apricotpost/distribution/decisions.py
@@ -147,14 +147,14 @@
 
 def _handle_table_read(
     state: states.DistributionState,
-    found: wire.ConfigRead,
+    table_read: wire.ConfigRead,
     now: float,
     cluster: states.ClusterView,
     rng: random.Random,
 ) -> states.Step:
     policy = state.policy
-    read_next = state.read_again and found.available
-    failures = 0 if found.available else state.read_failures + 1
+    read_next = state.read_again and table_read.available
+    failures = 0 if table_read.available else state.read_failures + 1
     pause = min(
         policy.poll_seconds * 2 ** min(failures, 10),
         max(policy.poll_backoff_seconds, policy.poll_seconds),
@@ -165,16 +165,16 @@
         read_again=False,
         read_failures=failures,
         next_read_at=now + pause * (0.5 + rng.random()),
-        joining=joins.record_table_read(state.joining, found),
+        joining=joins.record_table_read(state.joining, table_read),
     )
     actions: tuple[states.Action, ...] = ()
-    if found.snapshot is not None:
+    if table_read.snapshot is not None:
         state, actions = versions.handle_snapshot(
-            state, found.snapshot, now, cluster, rng
+            state, table_read.snapshot, now, cluster, rng
         )
-    if found.deltas:
+    if table_read.deltas:
         state, more = versions.handle_deltas(
-            state, found.deltas, now, cluster, rng
+            state, table_read.deltas, now, cluster, rng
         )
         actions = (*actions, *more)
     if read_next:
@@ -254,5 +254,7 @@
     seeds. Otherwise each node of a data centre that restarts would consider
     itself a reader, and all of them would read the table at once.
     """
-    knows = state.ready or cluster.local or cluster.remote or not cluster.seeds
-    return cluster.is_reader and bool(knows)
+    may_read = (
+        state.ready or cluster.local or cluster.remote or not cluster.seeds
+    )
+    return cluster.is_reader and bool(may_read)
--- a/apricotpost/distribution/joins.py
+++ b/apricotpost/distribution/joins.py
@@ -96,15 +96,15 @@
 
 
 def record_table_read(
-    joining: states.Joining, found: wire.ConfigRead
+    joining: states.Joining, table_read: wire.ConfigRead
 ) -> states.Joining:
     """Record whether the table answered; raise the minimum to its version."""
-    if not found.available:
+    if not table_read.available:
         return dataclasses.replace(joining, table_failed=True)
     return dataclasses.replace(
         joining,
         table_answered=True,
-        min_version=max(joining.min_version, found.head),
+        min_version=max(joining.min_version, table_read.head),
     )
 
 
@@ -115,7 +115,7 @@
 
     A ready node stays ready. The version has to reach the minimum version,
     unless this node refused that version. Moreover the table must have
-    answered: it knows every version that a node at this address can have held.
+    answered: it holds every version that a node at this address can have held.
     If the table failed, the answer of a peer is enough: nothing is committed
     meanwhile, and the peers have caught up with each other.
     """
--- a/apricotpost/distribution/notices.py
+++ b/apricotpost/distribution/notices.py
@@ -24,26 +24,29 @@
     rng: random.Random,
 ) -> states.Step:
     """Record withdrawals and push those that are new to some peers."""
-    new = {
-        entry.rollout: entry
-        for entry in withdrawals
-        if _is_missing(state, entry.rollout)
+    new_withdrawals = {
+        withdrawal.rollout: withdrawal
+        for withdrawal in withdrawals
+        if _is_missing(state, withdrawal.rollout)
     }
-    if not new:
+    if not new_withdrawals:
         return state, ()
     state = dataclasses.replace(
         state,
-        withdrawals={**state.withdrawals, **new},
+        withdrawals={**state.withdrawals, **new_withdrawals},
         notice_received_at={
             **state.notice_received_at,
-            **dict.fromkeys(new, now),
+            **dict.fromkeys(new_withdrawals, now),
         },
     )
     message = wire.WithdrawalNotice(
-        sender=state.own, withdrawals=tuple(new.values())
+        sender=state.own, withdrawals=tuple(new_withdrawals.values())
     )
     return state, (
-        *(states.NewWithdrawal(withdrawal=entry) for entry in new.values()),
+        *(
+            states.NewWithdrawal(withdrawal=withdrawal)
+            for withdrawal in new_withdrawals.values()
+        ),
         *(
             states.Send(address=peer.address, message=message)
             for peer in refusals.select_push_peers(state, cluster, rng)
@@ -56,8 +59,8 @@
 ) -> tuple[states.Action, ...]:
     """Answer a digest with the withdrawals that its sender lacks."""
     lacked = tuple(
-        entry
-        for rollout, entry in state.withdrawals.items()
+        withdrawal
+        for rollout, withdrawal in state.withdrawals.items()
         if rollout not in digest.withdrawn
     )
     # A sender with a newer version may have dropped them because their
@@ -88,8 +91,8 @@
     ended = _list_rollouts(state, ended=True)
     horizon = now - state.policy.notice_seconds
     kept = {
-        rollout: entry
-        for rollout, entry in state.withdrawals.items()
+        rollout: withdrawal
+        for rollout, withdrawal in state.withdrawals.items()
         if rollout in open_now
         or (
             rollout not in ended
@@ -97,7 +100,7 @@
         )
     }
     # The time of receipt outlasts a dropped notice, so that a peer which still
-    # holds the notice cannot bring it back.
+    # holds the notice cannot reintroduce it.
     tombstone_horizon = now - TOMBSTONE_FACTOR * state.policy.notice_seconds
     notice_received_at = {
         rollout: at
@@ -124,7 +127,7 @@
     state: states.DistributionState, *, ended: bool
 ) -> frozenset[str]:
     return frozenset(
-        entry.identifier
-        for entry in state.snapshot.rollouts
-        if (entry.state not in _OPEN) is ended
+        rollout.identifier
+        for rollout in state.snapshot.rollouts
+        if (rollout.state not in _OPEN) is ended
     )
--- a/apricotpost/distribution/orders.py
+++ b/apricotpost/distribution/orders.py
@@ -39,8 +39,8 @@
     """
     changed = []
     for row in rows:
-        known = order_store.rows.get(row.key)
-        if known is not None and known.revision >= row.revision:
+        held_row = order_store.rows.get(row.key)
+        if held_row is not None and held_row.revision >= row.revision:
             continue
         order_store.rows[row.key] = row
         changed.append(row)
@@ -62,10 +62,10 @@
     read_rows = {row.key: row for row in rows}
     removed_rows = [
         wire.OrderRow(key=key, value=b"", revision=revision, removed=True)
-        for key, known in order_store.rows.items()
+        for key, held_row in order_store.rows.items()
         if key not in read_rows
-        and not known.removed
-        and known.revision < revision
+        and not held_row.removed
+        and held_row.revision < revision
     ]
     return merge(
         order_store,
--- a/apricotpost/distribution/patches.py
+++ b/apricotpost/distribution/patches.py
@@ -92,8 +92,8 @@
 
 def is_current(packed: wire.PackedRow, order_store: orders.OrderStore) -> bool:
     """Return whether this revision of a row or a newer one is held."""
-    known = order_store.rows.get(packed.key)
-    return known is not None and known.revision >= packed.revision
+    held_row = order_store.rows.get(packed.key)
+    return held_row is not None and held_row.revision >= packed.revision
 
 
 def _dictionary(value: bytes) -> zstandard.ZstdCompressionDict:
--- a/apricotpost/distribution/readers.py
+++ b/apricotpost/distribution/readers.py
@@ -24,15 +24,15 @@
 
 
 def make_cluster_view(
-    known: membership.Membership, seeds: tuple[str, ...]
+    membership_state: membership.Membership, seeds: tuple[str, ...]
 ) -> states.ClusterView:
     """Derive the cluster view from the instance records."""
-    own = known.record
+    own = membership_state.record
     local: list[states.Peer] = []
     remote: list[states.Peer] = []
-    for name in sorted(known.members):
-        record = known.members[name].record
-        if name == known.own or record.state in _LEAVING_OR_DOWN:
+    for name in sorted(membership_state.members):
+        record = membership_state.members[name].record
+        if name == membership_state.own or record.state in _LEAVING_OR_DOWN:
             continue
         peer = states.Peer(instance=name, address=record.control_address)
         if record.data_centre == own.data_centre:
@@ -41,18 +41,18 @@
             remote.append(peer)
     # A suspect may have failed seconds ago, so it is not counted as a reader.
     # If it is alive, one node more than necessary reads, which is harmless.
-    candidates = [known.own]
+    candidates = [membership_state.own]
     candidates.extend(
         peer.instance
         for peer in local
-        if known.members[peer.instance].record.state
+        if membership_state.members[peer.instance].record.state
         is not model.InstanceState.SUSPECT
     )
     return states.ClusterView(
         record=own,
         local=tuple(local),
         remote=tuple(remote),
-        is_reader=known.own
+        is_reader=membership_state.own
         in rank(candidates, own.data_centre)[:READERS_PER_DATA_CENTRE],
         seeds=tuple(seed for seed in seeds if seed != own.control_address),
     )
--- a/apricotpost/distribution/refusals.py
+++ b/apricotpost/distribution/refusals.py
@@ -40,11 +40,11 @@
         return state, ()
     peers = select_push_peers(state, cluster, rng)
     actions: list[states.Action] = []
-    rest: dict[int, frozenset[str]] = {}
+    remaining: dict[int, frozenset[str]] = {}
     for version, names in state.unsent.items():
         sent = tuple(sorted(names))[:MAX_REFUSERS_PER_MESSAGE]
         if len(sent) < len(names):
-            rest[version] = names.difference(sent)
+            remaining[version] = names.difference(sent)
         message = wire.ConfigRefused(
             sender=state.own,
             version=version,
@@ -55,7 +55,7 @@
             states.Send(address=peer.address, message=message)
             for peer in peers
         )
-    return dataclasses.replace(state, unsent=rest), tuple(actions)
+    return dataclasses.replace(state, unsent=remaining), tuple(actions)
 
 
 def select_push_peers(
@@ -78,12 +78,12 @@
     state: states.DistributionState, version: int, cluster: states.ClusterView
 ) -> bool:
     """Return whether at least half of the live nodes refused a version."""
-    known = state.refusals.get(version)
-    if not known:
+    known_refusers = state.refusals.get(version)
+    if not known_refusers:
         return False
     live = {peer.instance for peer in (*cluster.local, *cluster.remote)}
     live.add(state.own)
-    refusers = known & live
+    refusers = known_refusers & live
     return bool(refusers) and 2 * len(refusers) >= len(live)
 
 
@@ -94,14 +94,14 @@
     cluster: states.ClusterView,
 ) -> states.Step:
     """Add refusers of a version; report when they stop its distribution."""
-    known = state.refusals.get(version, frozenset())
-    new = names - known
-    if not new:
+    known_refusers = state.refusals.get(version, frozenset())
+    new_refusers = names - known_refusers
+    if not new_refusers:
         return state, ()
     stopped = is_stopped(state, version, cluster)
     kept = sorted({*state.refusals, version})[-KEPT_REFUSED_VERSIONS:]
-    refusals = {**state.refusals, version: known | new}
-    unsent = state.unsent.get(version, frozenset()) | new
+    refusals = {**state.refusals, version: known_refusers | new_refusers}
+    unsent = state.unsent.get(version, frozenset()) | new_refusers
     state = dataclasses.replace(
         state,
         refusals={number: refusals[number] for number in kept},
--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -345,15 +345,15 @@
             return
         self.reuse_seconds = self.client.max_idle_seconds
         announced = messages.find_header(headers, b"keep-alive")
-        found = (
+        timeout_match = (
             _KEEP_ALIVE_TIMEOUT.search(announced)
             if announced is not None
             else None
         )
-        if found is not None:
+        if timeout_match is not None:
             self.reuse_seconds = min(
                 self.reuse_seconds,
-                int(found.group(1)) - KEEP_ALIVE_MARGIN_SECONDS,
+                int(timeout_match.group(1)) - KEEP_ALIVE_MARGIN_SECONDS,
             )
         self.idle_since = self.client.loop.time()
         self.client.idle_connections.append(self)
--- a/apricotpost/http/messages.py
+++ b/apricotpost/http/messages.py
@@ -34,7 +34,8 @@
 )
 _CONTENT_LENGTH = b"content-length"
 _REASON_PHRASES = {
-    known.value: known.phrase.encode() for known in http.HTTPStatus
+    known_status.value: known_status.phrase.encode()
+    for known_status in http.HTTPStatus
 }
 
 
--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -169,10 +169,10 @@
 def _record_version(
     state: members.Membership, sender: str, version: int, now: float
 ) -> members.Membership:
-    known = state.members.get(sender)
-    if known is None or known.record.config_version >= version:
+    member = state.members.get(sender)
+    if member is None or member.record.config_version >= version:
         return state
-    newer = dataclasses.replace(known.record, config_version=version)
+    newer = dataclasses.replace(member.record, config_version=version)
     return records.merge(state, (newer,), now)
 
 
@@ -180,15 +180,18 @@
     state: members.Membership, reply_to: bytes
 ) -> tuple[members.Action, ...]:
     size = state.parameters.records_per_exchange
-    found = [state.members[name].record for name in sorted(state.members)]
+    member_records = [
+        state.members[name].record for name in sorted(state.members)
+    ]
     return tuple(
         members.Reply(
             reply_to=reply_to,
             message=wire.Members(
-                sender=state.own, records=tuple(found[start : start + size])
+                sender=state.own,
+                records=tuple(member_records[start : start + size]),
             ),
         )
-        for start in range(0, len(found), size)
+        for start in range(0, len(member_records), size)
     )
 
 
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -77,36 +77,36 @@
     bool
         Whether the state comes from a new process of the node.
     """
-    known = fleet.nodes.get(state.node)
-    if known is not None:
-        newest = (known.state.boot, known.state.sequence)
+    known_node = fleet.nodes.get(state.node)
+    if known_node is not None:
+        newest = (known_node.state.boot, known_node.state.sequence)
         if (state.boot, state.sequence) <= newest:
             return False
     fleet.nodes[state.node] = KnownNode(state=state, heard_at=now - age)
-    return known is None or known.state.boot != state.boot
+    return known_node is None or known_node.state.boot != state.boot
 
 
 def record_contact(fleet: Fleet, node: str, now: float) -> None:
     """Record that a message other than a state came from a node."""
-    known = fleet.nodes.get(node)
-    if known is not None:
-        fleet.nodes[node] = dataclasses.replace(known, heard_at=now)
+    known_node = fleet.nodes.get(node)
+    if known_node is not None:
+        fleet.nodes[node] = dataclasses.replace(known_node, heard_at=now)
 
 
 def set_address(fleet: Fleet, node: str, address: str) -> None:
     """Set the address at which a silent node has registered with the store."""
-    known = fleet.nodes[node]
-    state = msgspec.structs.replace(known.state, address=address)
-    fleet.nodes[node] = dataclasses.replace(known, state=state)
+    known_node = fleet.nodes[node]
+    state = msgspec.structs.replace(known_node.state, address=address)
+    fleet.nodes[node] = dataclasses.replace(known_node, state=state)
 
 
 def live_nodes(
     fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
 ) -> Iterable[wire.NodeState]:
     """Yield the states of the nodes heard from within a time, in seconds."""
-    for known in fleet.nodes.values():
-        if now - known.heard_at <= within:
-            yield known.state
+    for known_node in fleet.nodes.values():
+        if now - known_node.heard_at <= within:
+            yield known_node.state
 
 
 def is_reader(fleet: Fleet, now: float, *, reaches_store: bool) -> bool:
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -78,7 +78,7 @@
 ) -> members.Step:
     message = event.message
     if isinstance(message, wire.Ping):
-        known = message.sender in state.members
+        is_member = message.sender in state.members
         state = exchanges.record_contact(state, message, now)
         state, updates = records.select_updates(
             state, message.sender, message.records
@@ -88,7 +88,7 @@
             sequence=message.sequence,
             subject=state.own,
             version=state.record.config_version,
-            known=known,
+            known=is_member,
             records=updates,
         )
         return state, (members.Reply(reply_to=event.reply_to, message=ack),)
@@ -111,7 +111,7 @@
     indirect_probe = state.indirect_probes.get(message.sequence)
     if indirect_probe is None:
         return state, ()
-    rest = {
+    remaining_probes = {
         k: v for k, v in state.indirect_probes.items() if k != message.sequence
     }
     answer = wire.Ack(
@@ -120,7 +120,7 @@
         subject=indirect_probe.target,
         version=state.record.config_version,
     )
-    return dataclasses.replace(state, indirect_probes=rest), (
+    return dataclasses.replace(state, indirect_probes=remaining_probes), (
         members.Reply(reply_to=indirect_probe.reply_to, message=answer),
     )
 
@@ -171,8 +171,8 @@
             own, config_version=event.record.config_version
         )
         member = dataclasses.replace(state.members[state.own], record=updated)
-        known = {**state.members, state.own: member}
-        return dataclasses.replace(state, members=known), ()
+        updated_members = {**state.members, state.own: member}
+        return dataclasses.replace(state, members=updated_members), ()
     raised = dataclasses.replace(event.record, incarnation=own.incarnation + 1)
     state = records.store_record(state, raised, now)
     if raised.state is not model.InstanceState.LEAVING:
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -33,15 +33,15 @@
 
 
 def supersedes(
-    record: model.InstanceRecord, known: model.InstanceRecord
+    record: model.InstanceRecord, known_record: model.InstanceRecord
 ) -> bool:
     """Return whether a record replaces the known one.
 
     The higher incarnation wins; at equal incarnation the worse state wins.
     """
-    if record.incarnation != known.incarnation:
-        return record.incarnation > known.incarnation
-    return _SEVERITIES[record.state] > _SEVERITIES[known.state]
+    if record.incarnation != known_record.incarnation:
+        return record.incarnation > known_record.incarnation
+    return _SEVERITIES[record.state] > _SEVERITIES[known_record.state]
 
 
 def is_leaving_or_down(record: model.InstanceRecord) -> bool:
@@ -78,10 +78,12 @@
         if record.instance == state.own:
             state = _refute(state, record, now)
             continue
-        known = state.members.get(record.instance)
-        if known is not None and not supersedes(record, known.record):
-            state = _record_version(state, known, record)
-        elif known is not None or record.state is not model.InstanceState.DOWN:
+        member = state.members.get(record.instance)
+        if member is not None and not supersedes(record, member.record):
+            state = _record_version(state, member, record)
+        elif (
+            member is not None or record.state is not model.InstanceState.DOWN
+        ):
             state = store_record(state, record, now, disseminate=disseminate)
     return state
 
@@ -95,18 +97,20 @@
 ) -> members.Membership:
     """Store a record and queue it for dissemination."""
     name = record.instance
-    known = state.members.get(name)
-    if known is not None:
+    member = state.members.get(name)
+    if member is not None:
         # The record of a restarted instance starts at version 0; the highest
         # version that the instance held is kept.
-        version = max(record.config_version, known.record.config_version)
+        version = max(record.config_version, member.record.config_version)
         record = dataclasses.replace(record, config_version=version)
     suspects = state.suspects
     if name in suspects:
         suspects = {k: v for k, v in suspects.items() if k != name}
     if record.state is model.InstanceState.SUSPECT:
         suspects = {**suspects, name: now}
-    others = tuple(entry for entry in state.updates if entry.instance != name)
+    others = tuple(
+        update for update in state.updates if update.instance != name
+    )
     return dataclasses.replace(
         state,
         members={
@@ -151,9 +155,11 @@
         selected.
     """
     limit = state.parameters.records_per_message
-    known = state.members.get(receiver)
+    receiving_member = state.members.get(receiver)
     priority = (
-        () if known is None or _is_healthy(known.record) else (known.record,)
+        ()
+        if receiving_member is None or _is_healthy(receiving_member.record)
+        else (receiving_member.record,)
     )
     priority = (*priority, *_newer_records(state, received))[:limit]
     selected = state.updates[: limit - len(priority)]
@@ -162,19 +168,19 @@
     max_transmissions = count_transmissions(state)
     requeued = (
         members.Update(
-            instance=entry.instance, transmissions=entry.transmissions + 1
+            instance=update.instance, transmissions=update.transmissions + 1
         )
-        for entry in selected
-        if entry.transmissions + 1 < max_transmissions
+        for update in selected
+        if update.transmissions + 1 < max_transmissions
     )
     updates = sorted(
         (*state.updates[len(selected) :], *requeued),
-        key=lambda entry: entry.transmissions,
+        key=lambda update: update.transmissions,
     )
     records = tuple(
-        state.members[entry.instance].record
-        for entry in selected
-        if entry.instance in state.members
+        state.members[update.instance].record
+        for update in selected
+        if update.instance in state.members
     )
     return (
         dataclasses.replace(state, updates=tuple(updates)),
@@ -248,9 +254,9 @@
     state: members.Membership, received: Iterable[model.InstanceRecord]
 ) -> Iterator[model.InstanceRecord]:
     for record in received:
-        known = state.members.get(record.instance)
-        if known is not None and supersedes(known.record, record):
-            yield known.record
+        member = state.members.get(record.instance)
+        if member is not None and supersedes(member.record, record):
+            yield member.record
 
 
 def _is_healthy(record: model.InstanceRecord) -> bool:
@@ -273,18 +279,18 @@
 
 def _record_version(
     state: members.Membership,
-    known: members.Member,
+    member: members.Member,
     record: model.InstanceRecord,
 ) -> members.Membership:
-    if record.config_version <= known.record.config_version:
+    if record.config_version <= member.record.config_version:
         return state
     newer = dataclasses.replace(
-        known.record, config_version=record.config_version
+        member.record, config_version=record.config_version
     )
     return dataclasses.replace(
         state,
         members={
             **state.members,
-            record.instance: dataclasses.replace(known, record=newer),
+            record.instance: dataclasses.replace(member, record=newer),
         },
     )
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -64,66 +64,74 @@
 
 
 def relays_of(
-    known: fleet.Fleet, data_centre: str, now: float
+    fleet_state: fleet.Fleet, data_centre: str, now: float
 ) -> tuple[str, ...]:
     """Return the relays of a data centre: its first live nodes by name.
 
     Leaving nodes are left out.
     """
     within = REMOTE_SILENT_SECONDS
-    if data_centre == known.data_centre:
+    if data_centre == fleet_state.data_centre:
         within = fleet.SILENT_SECONDS
-    found = sorted(
+    live_names = sorted(
         name
-        for name, node in known.nodes.items()
+        for name, node in fleet_state.nodes.items()
         if node.state.data_centre == data_centre
         and not node.state.leaving
-        and (name == known.node or now - node.heard_at <= within)
+        and (name == fleet_state.node or now - node.heard_at <= within)
     )
-    return tuple(found[:RELAYS])
+    return tuple(live_names[:RELAYS])
 
 
-def is_relay(known: fleet.Fleet, now: float) -> bool:
+def is_relay(fleet_state: fleet.Fleet, now: float) -> bool:
     """Return whether this node is a relay of its data centre."""
-    return known.node in relays_of(known, known.data_centre, now)
+    return fleet_state.node in relays_of(
+        fleet_state, fleet_state.data_centre, now
+    )
 
 
-def remote_targets(known: fleet.Fleet, now: float) -> tuple[str, ...]:
+def remote_targets(fleet_state: fleet.Fleet, now: float) -> tuple[str, ...]:
     """Return the nodes to which this relay sends its data centre's states.
 
     The first relay sends to the first relay of each other data centre and the
     second to the second, so each state arrives on two paths. The known nodes
     of a silent data centre are tried in turn.
     """
-    own = relays_of(known, known.data_centre, now)
-    if known.node not in own:
+    own = relays_of(fleet_state, fleet_state.data_centre, now)
+    if fleet_state.node not in own:
         return ()
-    position = own.index(known.node)
-    found: list[str] = []
-    for data_centre in _remote_data_centres(known):
-        relays = relays_of(known, data_centre, now)
+    position = own.index(fleet_state.node)
+    targets: list[str] = []
+    for data_centre in _remote_data_centres(fleet_state):
+        relays = relays_of(fleet_state, data_centre, now)
         if not relays:
-            relays = _silent_node_to_try(known, data_centre, now, position)
+            relays = _silent_node_to_try(
+                fleet_state, data_centre, now, position
+            )
         if len(own) == 1:
-            found.extend(relays)
+            targets.extend(relays)
         elif relays:
-            found.append(relays[position % len(relays)])
-    return tuple(found)
+            targets.append(relays[position % len(relays)])
+    return tuple(targets)
 
 
-def sends_full_round(known: fleet.Fleet, now: float, number: int) -> bool:
+def sends_full_round(
+    fleet_state: fleet.Fleet, now: float, number: int
+) -> bool:
     """Return whether this relay sends all states in a round.
 
     Parameters
     ----------
-    known : fleet.Fleet
+    fleet_state : fleet.Fleet
         States of all nodes.
     now : float
         Monotonic time, in seconds.
     number : int
         Number of the round.
     """
-    first = relays_of(known, known.data_centre, now)[:1] == (known.node,)
+    first = relays_of(fleet_state, fleet_state.data_centre, now)[:1] == (
+        fleet_state.node,
+    )
     return number % (FIRST_RELAY_ROUNDS if first else SECOND_RELAY_ROUNDS) == 0
 
 
@@ -151,7 +159,7 @@
 
 
 def recent_states(
-    known: fleet.Fleet,
+    fleet_state: fleet.Fleet,
     now: float,
     *,
     wanted: Callable[[wire.NodeState], bool],
@@ -162,7 +170,7 @@
 
     Parameters
     ----------
-    known : fleet.Fleet
+    fleet_state : fleet.Fleet
         States of all nodes.
     now : float
         Monotonic time, in seconds.
@@ -173,8 +181,8 @@
         wire.AgedState(
             state=node.state, age_ms=max(int((now - node.heard_at) * 1000), 0)
         )
-        for node in known.nodes.values()
-        if node.state.data_centre == known.data_centre
+        for node in fleet_state.nodes.values()
+        if node.state.data_centre == fleet_state.data_centre
         and node.state.boot
         and now - node.heard_at <= MAX_FORWARD_AGE_SECONDS
         and wanted(node.state)
@@ -182,7 +190,7 @@
 
 
 def remote_servers(
-    known: fleet.Fleet,
+    fleet_state: fleet.Fleet,
     now: float,
     *,
     services: Iterable[str],
@@ -193,7 +201,7 @@
 
     Parameters
     ----------
-    known : fleet.Fleet
+    fleet_state : fleet.Fleet
         States of all nodes.
     now : float
         Monotonic time, in seconds.
@@ -209,7 +217,7 @@
     called = frozenset(services)
     local: dict[tuple[str, str], int] = {}
     remote: dict[tuple[str, str], list[str]] = {}
-    for name, node in known.nodes.items():
+    for name, node in fleet_state.nodes.items():
         state = node.state
         server = state.server
         if (
@@ -222,17 +230,17 @@
         ):
             continue
         group = (server.service, server.version)
-        if state.data_centre == known.data_centre:
+        if state.data_centre == fleet_state.data_centre:
             local[group] = local.get(group, 0) + 1
         else:
             remote.setdefault(group, []).append(name)
-    found: set[str] = set()
+    selected: set[str] = set()
     for group, names in remote.items():
-        names.sort(key=lambda name: _rendezvous_score(known.node, name))
+        names.sort(key=lambda name: _rendezvous_score(fleet_state.node, name))
         few_local = local.get(group, 0) <= FEW_LOCAL_SERVERS
         count = REMOTE_SERVERS_FEW_LOCAL if few_local else REMOTE_SERVERS
-        found.update(names if group in unlimited else names[:count])
-    return found
+        selected.update(names if group in unlimited else names[:count])
+    return selected
 
 
 _COMPRESSOR = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL)
@@ -241,17 +249,19 @@
 _DECODER = msgspec.msgpack.Decoder(tuple[wire.AgedState, ...])
 
 
-def _remote_data_centres(known: fleet.Fleet) -> list[str]:
-    found = {node.state.data_centre for node in known.nodes.values()}
-    return sorted(found - {known.data_centre})
+def _remote_data_centres(fleet_state: fleet.Fleet) -> list[str]:
+    data_centres = {
+        node.state.data_centre for node in fleet_state.nodes.values()
+    }
+    return sorted(data_centres - {fleet_state.data_centre})
 
 
 def _silent_node_to_try(
-    known: fleet.Fleet, data_centre: str, now: float, position: int
+    fleet_state: fleet.Fleet, data_centre: str, now: float, position: int
 ) -> tuple[str, ...]:
     names = sorted(
         name
-        for name, node in known.nodes.items()
+        for name, node in fleet_state.nodes.items()
         if node.state.data_centre == data_centre
     )
     if not names:
