Reword join locals and name test variables after their content

Tests named results 'found', 'known' or 'after'; they now say which record, fleet or message they hold.

--- a/apricotpost/distribution/joins.py
+++ b/apricotpost/distribution/joins.py
@@ -42,8 +42,8 @@
 ) -> states.Step:
     """Send join requests and read the table when they are due.
 
-    The table is read once the node holds its peers' version, or when the time
-    for that is over.
+    The table is read once the node holds its peers' version, or after
+    ``Policy.join_timeout_seconds``.
     """
     actions: list[states.Action] = []
     if now >= state.joining.next_join_at:
@@ -139,7 +139,7 @@
     rng: random.Random,
 ) -> states.Step:
     joining = state.joining
-    first_asked_at = (
+    first_sent_at = (
         now if joining.first_join_at is None else joining.first_join_at
     )
     targets = [peer.address for peer in (*cluster.local, *cluster.remote)]
@@ -148,7 +148,7 @@
     count = min(state.policy.join_peers, len(targets))
     if not targets:
         # No answer can come, so the table is read at once.
-        first_asked_at = now - state.policy.join_timeout_seconds
+        first_sent_at = now - state.policy.join_timeout_seconds
     chosen = rng.sample(targets, count)
     pause = state.policy.join_retry_seconds
     if joining.welcomed:
@@ -157,18 +157,18 @@
         state,
         joining=dataclasses.replace(
             joining,
-            first_join_at=first_asked_at,
+            first_join_at=first_sent_at,
             next_join_at=now + pause,
         ),
     )
-    knows_nobody = not cluster.local and not cluster.remote
+    has_no_peers = not cluster.local and not cluster.remote
     return state, tuple(
         states.Send(
             address=address,
             message=wire.Join(
                 sender=state.own,
                 record=cluster.record,
-                whole=knows_nobody and index < 1,
+                whole=has_no_peers and index < 1,
             ),
         )
         for index, address in enumerate(chosen)
--- a/apricotpost/membership/exchanges.py
+++ b/apricotpost/membership/exchanges.py
@@ -99,7 +99,7 @@
         state = dataclasses.replace(state, indirect_probes=indirect_probes)
     if now < state.next_expiry_at:
         return state
-    centres = {entry.record.data_centre for entry in state.members.values()}
+    centres = {listed.record.data_centre for listed in state.members.values()}
     partitioned = {c for c in centres if records.is_partitioned(state, c)}
     parameters = state.parameters
     kept = {
--- a/tests/distribution/simulation.py
+++ b/tests/distribution/simulation.py
@@ -202,8 +202,8 @@
         node = self.nodes[target]
         message = self.damage(node, message)
         if isinstance(message, wire.ConfigDigest):
-            known = node.known_versions.get(source, 0)
-            node.known_versions[source] = max(known, message.version)
+            known_version = node.known_versions.get(source, 0)
+            node.known_versions[source] = max(known_version, message.version)
         if isinstance(message, wire.Welcome):
             node.knows_fleet = True
         event = distribution.Received(
@@ -215,13 +215,13 @@
 
     def answer_read(self, index: int) -> None:
         """Deliver the answer to a read, unless its reader restarted."""
-        name, restart_count, found = self.pending_reads.pop(index)
+        name, restart_count, table_read = self.pending_reads.pop(index)
         if restart_count != self.restart_count(name):
             return
         node = self.nodes[name]
-        deltas = tuple(self.damage_delta(node, d) for d in found.deltas)
-        found = dataclasses.replace(found, deltas=deltas)
-        self.handle(name, distribution.TableRead(result=found))
+        deltas = tuple(self.damage_delta(node, d) for d in table_read.deltas)
+        table_read = dataclasses.replace(table_read, deltas=deltas)
+        self.handle(name, distribution.TableRead(result=table_read))
 
     def is_cut(self, source: str, target: str) -> bool:
         """Return whether two nodes are partitioned from each other."""
--- a/tests/distribution/test_decisions.py
+++ b/tests/distribution/test_decisions.py
@@ -133,7 +133,7 @@
 
     def test_readers_are_the_same_two_for_all(self):
         """Guards against nodes that disagree on which nodes are readers."""
-        known = {
+        all_members = {
             f"n{number}": membership.Member(
                 record=records.make_record(f"n{number}"), recorded_at=0.0
             )
@@ -141,23 +141,25 @@
         }
         readers = [
             name
-            for name in known
+            for name in all_members
             if distribution.make_cluster_view(
-                membership.Membership(own=name, members=known), ()
+                membership.Membership(own=name, members=all_members), ()
             ).is_reader
         ]
         self.assertEqual(2, len(readers))
         # The next node in rendezvous order replaces one that is down.
         down = dataclasses.replace(
-            known[readers[0]].record, state=model.InstanceState.DOWN
+            all_members[readers[0]].record, state=model.InstanceState.DOWN
+        )
+        all_members[readers[0]] = membership.Member(
+            record=down, recorded_at=0.0
         )
-        known[readers[0]] = membership.Member(record=down, recorded_at=0.0)
         others = [
             name
-            for name in known
+            for name in all_members
             if name != readers[0]
             and distribution.make_cluster_view(
-                membership.Membership(own=name, members=known), ()
+                membership.Membership(own=name, members=all_members), ()
             ).is_reader
         ]
         self.assertEqual(2, len(others))
--- a/tests/membership/test_protocol.py
+++ b/tests/membership/test_protocol.py
@@ -175,8 +175,8 @@
             self.state, _ = membership.handle(
                 self.state, membership.Tick(seed=1), at
             )
-        found = self.state.members["b"].record.state
-        self.assertEqual(model.InstanceState.SUSPECT, found)
+        observed = self.state.members["b"].record.state
+        self.assertEqual(model.InstanceState.SUSPECT, observed)
 
     def test_leaving_node_declares_nobody_down(self):
         """Guards against a drain that lacks servers for its last calls.
@@ -196,8 +196,8 @@
         for second in range(1, 12):
             tick = membership.Tick(seed=1)
             self.state, _ = membership.handle(self.state, tick, float(second))
-        found = self.state.members["b"].record.state
-        self.assertEqual(model.InstanceState.SUSPECT, found)
+        observed = self.state.members["b"].record.state
+        self.assertEqual(model.InstanceState.SUSPECT, observed)
 
     def test_worse_state_wins_at_equal_incarnation(self):
         """Guards against a late record that revives a dead instance."""
@@ -250,8 +250,8 @@
             state = membership.start(simulation.make_record("a"), 0.0, seed=1)
             remote = [simulation.make_record(f"f{k}", "b") for k in range(4)]
             down = [
-                dataclasses.replace(entry, state=model.InstanceState.DOWN)
-                for entry in remote[:failed]
+                dataclasses.replace(record, state=model.InstanceState.DOWN)
+                for record in remote[:failed]
             ]
             state = membership.merge(state, (*remote, *down), 0.0)
             state, _ = membership.handle(
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -16,42 +16,42 @@
 
 def make_fleet(own, **data_centres):
     """Return the fleet as known to a node, from node names by data centre."""
-    known = fleet.Fleet(node=own, data_centre=own[:1])
+    fleet_state = fleet.Fleet(node=own, data_centre=own[:1])
     for data_centre, names in data_centres.items():
         for name in names:
             state = builders.make_state(node=name, data_centre=data_centre)
-            fleet.record_state(known, state, 0.0)
-    return known
+            fleet.record_state(fleet_state, state, 0.0)
+    return fleet_state
 
 
 class RelayTest(unittest.TestCase):
     def test_two_relays_send_to_different_remote_relays(self):
         """Guards against a data centre that depends on a single relay."""
         names = {"a": ("a1", "a2", "a3"), "b": ("b1", "b2"), "c": ("c1",)}
-        found = {
+        targets = {
             name: relays.remote_targets(make_fleet(name, **names), 0.0)
             for name in names["a"]
         }
-        self.assertEqual(("b1", "c1"), found["a1"])
-        self.assertEqual(("b2", "c1"), found["a2"])
-        self.assertEqual((), found["a3"])
+        self.assertEqual(("b1", "c1"), targets["a1"])
+        self.assertEqual(("b2", "c1"), targets["a2"])
+        self.assertEqual((), targets["a3"])
 
     def test_lone_relay_sends_to_both_remote_relays(self):
         """Guards against states that reach only one relay of a data centre."""
-        known = make_fleet("a1", a=("a1",), b=("b1", "b2", "b3"))
-        self.assertEqual(("b1", "b2"), relays.remote_targets(known, 0.0))
+        fleet_state = make_fleet("a1", a=("a1",), b=("b1", "b2", "b3"))
+        self.assertEqual(("b1", "b2"), relays.remote_targets(fleet_state, 0.0))
 
     def test_silent_or_leaving_relay_is_replaced(self):
         """Guards against states that are not sent after a relay stopped."""
-        known = make_fleet("a3", a=("a1", "a2", "a3"), b=("b1",))
-        self.assertFalse(relays.is_relay(known, 0.0))
+        fleet_state = make_fleet("a3", a=("a1", "a2", "a3"), b=("b1",))
+        self.assertFalse(relays.is_relay(fleet_state, 0.0))
         later = fleet.SILENT_SECONDS + 0.1
-        self.assertTrue(relays.is_relay(known, later))
+        self.assertTrue(relays.is_relay(fleet_state, later))
         state = builders.make_state(
             node="a1", data_centre="a", sequence=2, leaving=True
         )
-        fleet.record_state(known, state, 0.0)
-        self.assertTrue(relays.is_relay(known, 0.0))
+        fleet.record_state(fleet_state, state, 0.0)
+        self.assertTrue(relays.is_relay(fleet_state, 0.0))
 
     def test_nodes_of_a_silent_data_centre_are_tried_in_turn(self):
         """Guards against data centres that do not reconnect after a partition.
@@ -59,14 +59,14 @@
         For an hour no message passes between two regions, so all nodes of
         each are silent for the other.
         """
-        known = make_fleet("a1", a=("a1", "a2"), b=("b1", "b2", "b3"))
+        fleet_state = make_fleet("a1", a=("a1", "a2"), b=("b1", "b2", "b3"))
         later = 3600.0
         for name in ("a1", "a2"):
             state = builders.make_state(node=name, data_centre="a", sequence=2)
-            fleet.record_state(known, state, later)
+            fleet.record_state(fleet_state, state, later)
         tried = {
             relays.remote_targets(
-                known, later + i * relays.CONNECT_ATTEMPT_SECONDS
+                fleet_state, later + i * relays.CONNECT_ATTEMPT_SECONDS
             )
             for i in range(3)
         }
@@ -80,29 +80,31 @@
         A node that the store lists and that no node has heard from counts as
         one without a process (``boot`` is 0); its state is not forwarded.
         """
-        known = make_fleet("a1", a=("a1", "a2"), b=("b1",))
+        fleet_state = make_fleet("a1", a=("a1", "a2"), b=("b1",))
         unheard = builders.make_state(node="a9", data_centre="a", boot=0)
-        fleet.record_state(known, unheard, 0.0)
-        found = relays.recent_states(known, 0.3, wanted=lambda state: True)
-        self.assertEqual(["a1", "a2"], sorted(s.state.node for s in found))
-        self.assertEqual({300}, {aged.age_ms for aged in found})
+        fleet.record_state(fleet_state, unheard, 0.0)
+        forwarded = relays.recent_states(
+            fleet_state, 0.3, wanted=lambda state: True
+        )
+        self.assertEqual(["a1", "a2"], sorted(s.state.node for s in forwarded))
+        self.assertEqual({300}, {aged.age_ms for aged in forwarded})
         late = relays.MAX_FORWARD_AGE_SECONDS + 0.1
         self.assertFalse(
-            relays.recent_states(known, late, wanted=lambda state: True)
+            relays.recent_states(fleet_state, late, wanted=lambda state: True)
         )
 
     def test_second_relay_sends_all_states_less_often(self):
         """Guards against states that are sent twice on a charged link."""
         counts = {}
         for name in ("a1", "a2"):
-            known = make_fleet(name, a=("a1", "a2"), b=("b1",))
+            fleet_state = make_fleet(name, a=("a1", "a2"), b=("b1",))
             rounds = [
-                relays.sends_full_round(known, 0.0, i) for i in range(40)
+                relays.sends_full_round(fleet_state, 0.0, i) for i in range(40)
             ]
             counts[name] = sum(rounds)
         self.assertEqual({"a1": 20, "a2": 10}, counts)
         late = fleet.SILENT_SECONDS + 0.1
-        self.assertTrue(relays.sends_full_round(known, late, 2))
+        self.assertTrue(relays.sends_full_round(fleet_state, late, 2))
 
     def test_states_are_compressed(self):
         """Guards against states that are altered or not compressed."""
@@ -134,15 +136,15 @@
 
     def test_age_includes_the_time_before_forwarding(self):
         """Guards against a dead node that its relay makes appear live."""
-        known = make_fleet("a1", a=("a1",))
+        fleet_state = make_fleet("a1", a=("a1",))
         state = builders.make_state(node="b1", data_centre="b")
-        fleet.record_state(known, state, 10.0, age=4.0)
-        self.assertEqual(6.0, known.nodes["b1"].heard_at)
+        fleet.record_state(fleet_state, state, 10.0, age=4.0)
+        self.assertEqual(6.0, fleet_state.nodes["b1"].heard_at)
 
 
 class RemoteServerTest(unittest.TestCase):
     def make(self, count):
-        known = make_fleet("a1", a=("a1",))
+        fleet_state = make_fleet("a1", a=("a1",))
         for index in range(count):
             version = "v2" if index % 5 == 0 else "v1"
             state = builders.make_state(
@@ -152,35 +154,35 @@
                     backend=f"s{index}", version=version
                 ),
             )
-            fleet.record_state(known, state, 0.0)
-        return known
+            fleet.record_state(fleet_state, state, 0.0)
+        return fleet_state
 
-    def find(self, known, **options):
+    def find(self, fleet_state, **options):
         return relays.remote_servers(
-            known, 0.0, services=("portal",), **options
+            fleet_state, 0.0, services=("portal",), **options
         )
 
     def test_connections_do_not_grow_with_the_fleet(self):
         """Guards against connections to every node of the fleet."""
-        found = self.find(self.make(200))
+        selected = self.find(self.make(200))
         # For each of the two versions; neither has a local server.
-        self.assertEqual(2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(found))
+        self.assertEqual(2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(selected))
 
     def test_every_server_of_a_version_on_trial_is_reached(self):
         """Guards against nodes that load different servers in a trial."""
-        found = self.find(
+        selected = self.find(
             self.make(200), fully_connected_versions=[("portal", "v2")]
         )
-        self.assertEqual(relays.REMOTE_SERVERS_FEW_LOCAL + 40, len(found))
+        self.assertEqual(relays.REMOTE_SERVERS_FEW_LOCAL + 40, len(selected))
 
-    def add_local(self, known, count, **server):
+    def add_local(self, fleet_state, count, **server):
         for index in range(count):
             state = builders.make_state(
                 node=f"a-local{index}",
                 data_centre="a",
                 server=builders.make_server(backend=f"n{index}", **server),
             )
-            fleet.record_state(known, state, 0.0)
+            fleet.record_state(fleet_state, state, 0.0)
 
     def test_evacuated_leaving_and_unready_servers_are_not_selected(self):
         """Guards against selected servers that get no requests.
@@ -188,14 +190,14 @@
         In a load test two data centres were out. A third of the few servers
         that were selected for callers in one were in the other.
         """
-        known = self.make(30)
-        self.add_local(known, 5)
+        fleet_state = self.make(30)
+        self.add_local(fleet_state, 5)
         state = builders.make_state(
             node="c1", data_centre="c", server=builders.make_server()
         )
-        fleet.record_state(known, state, 0.0)
-        found = self.find(known, evacuated=("b",))
-        self.assertEqual({"c1"}, found)
+        fleet.record_state(fleet_state, state, 0.0)
+        selected = self.find(fleet_state, evacuated=("b",))
+        self.assertEqual({"c1"}, selected)
         for change in (
             {"leaving": True},
             {"server": builders.make_server(ready=False)},
@@ -203,44 +205,47 @@
             state = builders.make_state(
                 node="c1",
                 data_centre="c",
-                sequence=known.nodes["c1"].state.sequence + 1,
+                sequence=fleet_state.nodes["c1"].state.sequence + 1,
                 **change,
             )
-            fleet.record_state(known, state, 0.0)
-            self.assertEqual(set(), self.find(known, evacuated=("b",)))
+            fleet.record_state(fleet_state, state, 0.0)
+            self.assertEqual(set(), self.find(fleet_state, evacuated=("b",)))
 
     def test_more_remote_servers_if_few_are_local(self):
         """Guards against callers that know only slow servers.
 
         A third of the servers take 2.3 times as long as the others.
         """
-        known = self.make(200)
-        self.add_local(known, 5, version="v1")
-        found = self.find(known)
+        fleet_state = self.make(200)
+        self.add_local(fleet_state, 5, version="v1")
+        selected = self.find(fleet_state)
         # The second version has no local server.
         many = relays.REMOTE_SERVERS + relays.REMOTE_SERVERS_FEW_LOCAL
-        self.assertEqual(many, len(found))
-        alone = self.find(known, evacuated=("a",))
-        self.assertEqual(2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(alone))
+        self.assertEqual(many, len(selected))
+        without_local = self.find(fleet_state, evacuated=("a",))
+        self.assertEqual(
+            2 * relays.REMOTE_SERVERS_FEW_LOCAL, len(without_local)
+        )
 
     def test_callers_spread_over_the_servers(self):
         """Guards against servers that no remote caller selects."""
         names = {f"a{i}" for i in range(60)}
         counts = {}
         for name in names:
-            known = self.make(40)
-            known.node = name
-            for server in self.find(known):
+            fleet_state = self.make(40)
+            fleet_state.node = name
+            for server in self.find(fleet_state):
                 counts[server] = counts.get(server, 0) + 1
         self.assertEqual(40, len(counts))
 
     def test_own_data_centre_and_other_services_are_left_out(self):
         """Guards against connections that are not used."""
-        known = self.make(3)
+        fleet_state = self.make(3)
         self.assertEqual(
-            set(), relays.remote_servers(known, 0.0, services=("other",))
+            set(), relays.remote_servers(fleet_state, 0.0, services=("other",))
         )
         silent = relays.REMOTE_SILENT_SECONDS + 1
         self.assertEqual(
-            set(), relays.remote_servers(known, silent, services=("portal",))
+            set(),
+            relays.remote_servers(fleet_state, silent, services=("portal",)),
         )
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -39,23 +39,29 @@
 class AnnouncementTest(unittest.TestCase):
     def test_heartbeat(self):
         """Guards against mixing up the fields of a heartbeat."""
-        found = platform.parse_announcement(
+        announcement = platform.parse_announcement(
             make_post(
                 b"/v1/Instances.Heartbeat/i-7", msgspec.json.encode(HEARTBEAT)
             )
         )
-        self.assertEqual("i-7", found.backend)
+        self.assertEqual("i-7", announcement.backend)
         self.assertEqual(
-            (12, 4, 17), (found.slots, found.sequence, found.started_at_ms)
+            (12, 4, 17),
+            (
+                announcement.slots,
+                announcement.sequence,
+                announcement.started_at_ms,
+            ),
         )
 
     def test_deregistration_with_and_without_start_time(self):
         """Guards against failing to decode a deregistration."""
         path = b"/v1/Instances.Deregister/i-7"
         for body, started_at_ms in ((b"", 0), (b"{}", 0), (b'{"born": 9}', 9)):
-            found = platform.parse_announcement(make_post(path, body))
+            announcement = platform.parse_announcement(make_post(path, body))
             self.assertEqual(
-                ("i-7", started_at_ms), (found.backend, found.started_at_ms)
+                ("i-7", started_at_ms),
+                (announcement.backend, announcement.started_at_ms),
             )
 
     def test_malformed_heartbeats_are_refused(self):
@@ -96,10 +102,14 @@
             ],
             services=("portal", "fieldbook"),
         )
-        found = platform.parse_configuration(body)
-        weights = [(t.service, t.weight) for t in found.routes[0].targets]
+        configuration = platform.parse_configuration(body)
+        weights = [
+            (t.service, t.weight) for t in configuration.routes[0].targets
+        ]
         self.assertEqual([("portal", 90), ("fieldbook", 10)], weights)
-        self.assertEqual(20.0, found.services["portal"].cold_per_second)
+        self.assertEqual(
+            20.0, configuration.services["portal"].cold_per_second
+        )
 
     def test_unknown_service_refuses_whole_configuration(self):
         """Guards against applying only the valid part of a configuration."""
@@ -128,14 +138,14 @@
 class HeaderTest(unittest.TestCase):
     def test_forged_headers_are_replaced(self):
         """Guards against a client that forges the calling service."""
-        found = platform.make_call_headers(
+        headers = platform.make_call_headers(
             ((b"x-caller-service", b"forged"), (b"X-Deadline-Ms", b"9")),
             backend="b",
             remaining_ms=5,
             caller="portal",
         )
-        self.assertEqual(3, len(found))
-        self.assertIn((b"X-Caller-Service", b"portal"), found)
+        self.assertEqual(3, len(headers))
+        self.assertIn((b"X-Caller-Service", b"portal"), headers)
 
     def test_success_needs_signature_and_request_id(self):
         """Guards against responses to another request or of another sender."""
@@ -171,11 +181,11 @@
         cache = platform.RouteCache()
         first = {"prefix": "/a/", "service": "portal"}
         second = {"prefix": "/b/", "service": "portal"}
-        before = self.parse(1, [first, second], cache)
+        old_configuration = self.parse(1, [first, second], cache)
         changed = {**second, "timeout_ms": 77}
-        after = self.parse(2, [first, changed], cache)
-        self.assertIs(before.routes[0], after.routes[0])
-        self.assertEqual(77, after.routes[1].timeout_ms)
+        new_configuration = self.parse(2, [first, changed], cache)
+        self.assertIs(old_configuration.routes[0], new_configuration.routes[0])
+        self.assertEqual(77, new_configuration.routes[1].timeout_ms)
         reduced = self.parse(3, [changed], cache)
         self.assertEqual(["/b/"], [route.prefix for route in reduced.routes])
         self.assertEqual(1, len(cache.routes))
