Name step actions and updated records; reword comments on silence

Comments on silent data centres, readers and the age of forwarded states now state the condition and the unit.

--- a/apricotpost/distribution/decisions.py
+++ b/apricotpost/distribution/decisions.py
@@ -173,10 +173,10 @@
             state, table_read.snapshot, now, cluster, rng
         )
     if table_read.deltas:
-        state, more = versions.handle_deltas(
+        state, delta_actions = versions.handle_deltas(
             state, table_read.deltas, now, cluster, rng
         )
-        actions = (*actions, *more)
+        actions = (*actions, *delta_actions)
     if read_next:
         read = states.ReadTable(held_version=state.snapshot.version)
         actions = (*actions, read)
@@ -211,16 +211,16 @@
 ) -> states.Step:
     actions: list[states.Action] = []
     if joins.is_joining(state, cluster):
-        state, more = joins.advance(state, now, cluster, rng)
-        actions.extend(more)
-    reads = _is_reader(state, cluster) and not state.reading
-    if reads and now >= state.next_read_at:
+        state, step_actions = joins.advance(state, now, cluster, rng)
+        actions.extend(step_actions)
+    should_read = _is_reader(state, cluster) and not state.reading
+    if should_read and now >= state.next_read_at:
         state, read = versions.read_table(state)
         actions.append(read)
     if now < state.next_digest_at:
         return state, tuple(actions)
-    state, more = refusals.forward(state, cluster, rng)
-    actions.extend(more)
+    state, step_actions = refusals.forward(state, cluster, rng)
+    actions.extend(step_actions)
     state = notices.drop_ended(state, now)
     policy = state.policy
     # Without jitter, nodes that started together would all send their digests
--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -70,7 +70,8 @@
     now : float
         Monotonic time, in seconds.
     age : float
-        How long ago the forwarding node heard from the node, in seconds.
+        Seconds between the node's last message to the forwarding node and
+        the forwarding.
 
     Returns
     -------
@@ -113,7 +114,7 @@
     """Return whether this node watches the store for its data centre.
 
     The first live node by name that reaches the store is the reader. A node
-    that hears from no other node is a reader if it reaches the store.
+    without live neighbours is a reader if it reaches the store.
     """
     if not reaches_store:
         return False
--- a/apricotpost/membership/protocol.py
+++ b/apricotpost/membership/protocol.py
@@ -173,9 +173,11 @@
         member = dataclasses.replace(state.members[state.own], record=updated)
         updated_members = {**state.members, state.own: member}
         return dataclasses.replace(state, members=updated_members), ()
-    raised = dataclasses.replace(event.record, incarnation=own.incarnation + 1)
-    state = records.store_record(state, raised, now)
-    if raised.state is not model.InstanceState.LEAVING:
+    new_record = dataclasses.replace(
+        event.record, incarnation=own.incarnation + 1
+    )
+    state = records.store_record(state, new_record, now)
+    if new_record.state is not model.InstanceState.LEAVING:
         return state, ()
     # A leaving node may stop before its next probes would carry the record.
     actions: list[members.Action] = []
@@ -183,8 +185,10 @@
     count = min(state.parameters.leave_messages, len(targets))
     for name in random.Random(event.seed).sample(targets, count):
         state, ping = _make_ping(state, name)
-        if raised not in ping.records:
-            ping = dataclasses.replace(ping, records=(raised, *ping.records))
+        if new_record not in ping.records:
+            ping = dataclasses.replace(
+                ping, records=(new_record, *ping.records)
+            )
         actions.append(exchanges.send_to(state, name, ping))
     return state, tuple(actions)
 
@@ -195,8 +199,8 @@
     state = exchanges.expire(state, now)
     state, actions = _check_probe(state, rng, now)
     if now >= state.next_period_at:
-        state, more = _start_period(state, rng, now)
-        actions = (*actions, *more)
+        state, period_actions = _start_period(state, rng, now)
+        actions = (*actions, *period_actions)
     return state, actions
 
 
@@ -253,8 +257,8 @@
     state = dataclasses.replace(
         state, next_period_at=now + parameters.period_seconds
     )
-    state, extra = exchanges.maintain(state, rng, now)
-    extra = (*notifications, *extra)
+    state, other_actions = exchanges.maintain(state, rng, now)
+    other_actions = (*notifications, *other_actions)
     probe_order = state.probe_order or _shuffle(state, rng)
     while probe_order:
         name, probe_order = probe_order[0], probe_order[1:]
@@ -268,8 +272,8 @@
         state = dataclasses.replace(
             state, probe_order=probe_order, probe=probe
         )
-        return state, (*extra, exchanges.send_to(state, name, ping))
-    return dataclasses.replace(state, probe_order=()), extra
+        return state, (*other_actions, exchanges.send_to(state, name, ping))
+    return dataclasses.replace(state, probe_order=()), other_actions
 
 
 def _fail_probe(state: members.Membership, now: float) -> members.Membership:
--- a/apricotpost/membership/records.py
+++ b/apricotpost/membership/records.py
@@ -208,10 +208,10 @@
     if data_centre == state.record.data_centre:
         return False
     instance_states = [
-        entry.record.state
-        for entry in state.members.values()
-        if entry.record.data_centre == data_centre
-        and entry.record.state is not model.InstanceState.LEAVING
+        member.record.state
+        for member in state.members.values()
+        if member.record.data_centre == data_centre
+        and member.record.state is not model.InstanceState.LEAVING
     ]
     failed = sum(
         instance_state
@@ -273,8 +273,8 @@
         and not supersedes(received, own)
     ):
         return state
-    raised = dataclasses.replace(own, incarnation=received.incarnation + 1)
-    return store_record(state, raised, now)
+    refutation = dataclasses.replace(own, incarnation=received.incarnation + 1)
+    return store_record(state, refutation, now)
 
 
 def _record_version(
--- a/apricotpost/membership/relays.py
+++ b/apricotpost/membership/relays.py
@@ -36,9 +36,8 @@
 
 # Relays of each data centre; if one fails, the other still sends all states.
 RELAYS = 2
-# A data centre from which no node is heard is partitioned or has lost power,
-# perhaps for an hour. A relay tries its nodes in turn, each for long enough to
-# open a connection.
+# A silent data centre is partitioned or has lost power, perhaps for an hour. A
+# relay tries its nodes in turn, each for long enough to open a connection.
 CONNECT_ATTEMPT_SECONDS = 3.0
 # Number of rounds of 0.5 s after which the first and the second relay send all
 # states. The second relay sends them less often: they are needed only if the
--- a/tests/distribution/test_decisions.py
+++ b/tests/distribution/test_decisions.py
@@ -101,7 +101,7 @@
         self.assertGreaterEqual(fleet.read_counts.total(), 4 * 20 / 1.5)
 
     def test_reads_back_off_while_the_table_is_out(self):
-        """Guards against a high rate of reads while the table is out."""
+        """Guards against frequent reads while the table is unavailable."""
         fleet = simulation.make_fleet(12, centres=1)
         fleet.table_unavailable = True
         fleet.run(20)
@@ -362,7 +362,7 @@
         self.assertEqual(0, self.count_holders())
 
     def test_notice_of_an_unknown_rollout_expires(self):
-        """Guards against expired notices that peers bring back."""
+        """Guards against expired notices that peers reintroduce."""
         self.fleet.handle("n0", distribution.Received(message=self.notice))
         self.fleet.run(10)
         self.assertEqual(12, self.count_holders())
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -37,9 +37,9 @@
         self.assertFalse(self.record(node="a", boot=2, sequence=4))
 
     def test_data_centre_is_silent_without_a_live_node(self):
-        """Guards against reads of the store for nodes that are known to live.
+        """Guards against reads of the store for nodes that are alive.
 
-        The store is read if no node of a data centre is heard from.
+        The store is read only for data centres without a live node.
         """
         self.record(node="a", data_centre="dc-b")
         names = ("dc-a", "dc-b", "dc-c")
--- a/tests/membership/test_relays.py
+++ b/tests/membership/test_relays.py
@@ -81,8 +81,10 @@
         one without a process (``boot`` is 0); its state is not forwarded.
         """
         fleet_state = make_fleet("a1", a=("a1", "a2"), b=("b1",))
-        unheard = builders.make_state(node="a9", data_centre="a", boot=0)
-        fleet.record_state(fleet_state, unheard, 0.0)
+        registered_only = builders.make_state(
+            node="a9", data_centre="a", boot=0
+        )
+        fleet.record_state(fleet_state, registered_only, 0.0)
         forwarded = relays.recent_states(
             fleet_state, 0.3, wanted=lambda state: True
         )
