--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -155,7 +155,7 @@
 def silent_data_centres(
     fleet: Fleet, now: float, data_centres: Iterable[str], *, within: float
 ) -> tuple[str, ...]:
-    """Return the data centres without a node heard from in a given time.
+    """Return the data centres without a node that was live in a given time.
 
     Parameters
     ----------
@@ -166,7 +166,7 @@
     data_centres : iterable of str
         Names of all data centres.
     within : float
-        Length of that time, in seconds.
+        Time since the last message above which a node is silent, in seconds.
     """
     live = {s.data_centre for s in live_nodes(fleet, now, within=within)}
     live.add(fleet.data_centre)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -39,7 +39,7 @@
     def test_data_centre_is_silent_without_a_live_node(self):
         """Guards against reads of the store for nodes that are alive.
 
-        The store is read only for data centres without a live node.
+        Nodes of a data centre are read from the store if none of them is live.
         """
         self.record(node="a", data_centre="dc-b")
         names = ("dc-a", "dc-b", "dc-c")
