--- a/apricotpost/membership/fleet.py
+++ b/apricotpost/membership/fleet.py
@@ -70,50 +70,51 @@
     now : float
         Monotonic time, in seconds.
     age : float
-        How long ago the forwarding node heard from the node, in seconds.
+        Seconds between the node's last message to the forwarding node and
+        the forwarding.
 
     Returns
     -------
     bool
         Whether the state comes from a new process of the node.
     """
-    known = fleet.nodes.get(state.node)
-    if known is not None:
-        newest = (known.state.boot, known.state.sequence)
+    known_node = fleet.nodes.get(state.node)
+    if known_node is not None:
+        newest = (known_node.state.boot, known_node.state.sequence)
         if (state.boot, state.sequence) <= newest:
             return False
     fleet.nodes[state.node] = KnownNode(state=state, heard_at=now - age)
-    return known is None or known.state.boot != state.boot
+    return known_node is None or known_node.state.boot != state.boot
 
 
 def record_contact(fleet: Fleet, node: str, now: float) -> None:
     """Record that a message other than a state came from a node."""
-    known = fleet.nodes.get(node)
-    if known is not None:
-        fleet.nodes[node] = dataclasses.replace(known, heard_at=now)
+    known_node = fleet.nodes.get(node)
+    if known_node is not None:
+        fleet.nodes[node] = dataclasses.replace(known_node, heard_at=now)
 
 
 def set_address(fleet: Fleet, node: str, address: str) -> None:
     """Set the address at which a silent node has registered with the store."""
-    known = fleet.nodes[node]
-    state = msgspec.structs.replace(known.state, address=address)
-    fleet.nodes[node] = dataclasses.replace(known, state=state)
+    known_node = fleet.nodes[node]
+    state = msgspec.structs.replace(known_node.state, address=address)
+    fleet.nodes[node] = dataclasses.replace(known_node, state=state)
 
 
 def live_nodes(
     fleet: Fleet, now: float, *, within: float = SILENT_SECONDS
 ) -> Iterable[wire.NodeState]:
     """Yield the states of the nodes heard from within a time, in seconds."""
-    for known in fleet.nodes.values():
-        if now - known.heard_at <= within:
-            yield known.state
+    for known_node in fleet.nodes.values():
+        if now - known_node.heard_at <= within:
+            yield known_node.state
 
 
 def is_reader(fleet: Fleet, now: float, *, reaches_store: bool) -> bool:
     """Return whether this node watches the store for its data centre.
 
     The first live node by name that reaches the store is the reader. A node
-    that hears from no other node is a reader if it reaches the store.
+    without live neighbours is a reader if it reaches the store.
     """
     if not reaches_store:
         return False
@@ -154,7 +155,7 @@
 def silent_data_centres(
     fleet: Fleet, now: float, data_centres: Iterable[str], *, within: float
 ) -> tuple[str, ...]:
-    """Return the data centres without a node heard from in a given time.
+    """Return the data centres without a node that was live in a given time.
 
     Parameters
     ----------
@@ -165,7 +166,7 @@
     data_centres : iterable of str
         Names of all data centres.
     within : float
-        Length of that time, in seconds.
+        Time since the last message above which a node is silent, in seconds.
     """
     live = {s.data_centre for s in live_nodes(fleet, now, within=within)}
     live.add(fleet.data_centre)
--- a/tests/distribution/test_decisions.py
+++ b/tests/distribution/test_decisions.py
@@ -101,7 +101,7 @@
         self.assertGreaterEqual(fleet.read_counts.total(), 4 * 20 / 1.5)
 
     def test_reads_back_off_while_the_table_is_out(self):
-        """Guards against a high rate of reads while the table is out."""
+        """Guards against frequent reads while the table is unavailable."""
         fleet = simulation.make_fleet(12, centres=1)
         fleet.table_unavailable = True
         fleet.run(20)
@@ -133,7 +133,7 @@
 
     def test_readers_are_the_same_two_for_all(self):
         """Guards against nodes that disagree on which nodes are readers."""
-        known = {
+        all_members = {
             f"n{number}": membership.Member(
                 record=records.make_record(f"n{number}"), recorded_at=0.0
             )
@@ -141,23 +141,25 @@
         }
         readers = [
             name
-            for name in known
+            for name in all_members
             if distribution.make_cluster_view(
-                membership.Membership(own=name, members=known), ()
+                membership.Membership(own=name, members=all_members), ()
             ).is_reader
         ]
         self.assertEqual(2, len(readers))
         # The next node in rendezvous order replaces one that is down.
         down = dataclasses.replace(
-            known[readers[0]].record, state=model.InstanceState.DOWN
+            all_members[readers[0]].record, state=model.InstanceState.DOWN
+        )
+        all_members[readers[0]] = membership.Member(
+            record=down, recorded_at=0.0
         )
-        known[readers[0]] = membership.Member(record=down, recorded_at=0.0)
         others = [
             name
-            for name in known
+            for name in all_members
             if name != readers[0]
             and distribution.make_cluster_view(
-                membership.Membership(own=name, members=known), ()
+                membership.Membership(own=name, members=all_members), ()
             ).is_reader
         ]
         self.assertEqual(2, len(others))
@@ -360,7 +362,7 @@
         self.assertEqual(0, self.count_holders())
 
     def test_notice_of_an_unknown_rollout_expires(self):
-        """Guards against expired notices that peers bring back."""
+        """Guards against expired notices that peers reintroduce."""
         self.fleet.handle("n0", distribution.Received(message=self.notice))
         self.fleet.run(10)
         self.assertEqual(12, self.count_holders())
