Name local variables of the sidecar by what they hold

Variables such as found, known and after become the row, trial or node that they hold; three comments on trials are clearer.

--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -304,12 +304,12 @@
 
     def handle_answer(self, message: wire.Message) -> None:
         """Process the answer of a gate to an offer."""
-        found = self.close_attempt(message.call)
-        if found is None:
+        closed = self.close_attempt(message.call)
+        if closed is None:
             if isinstance(message, wire.Delivered):
                 self.responder.report_late(message.call)
             return
-        active, attempt = found
+        active, attempt = closed
         if message.load is not None:
             self.balancer.record_load(attempt.backend, message.load)
         if isinstance(message, wire.Delivered):
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -95,20 +95,20 @@
     def answer_announcement(self, exchange: http.Exchange) -> None:
         """Process and answer an announcement of the backend server."""
         try:
-            found = platform.parse_announcement(exchange.request)
+            announcement = platform.parse_announcement(exchange.request)
         except errors.MalformedMessage as error:
             events.emit(
                 _LOG, events.ANNOUNCEMENT_MALFORMED, error=error.message
             )
             exchange.respond(http.Response(status=400))
             return
-        if found is None:
+        if announcement is None:
             exchange.respond(http.Response(status=404))
             return
-        if isinstance(found, platform.Deregistration):
-            self.handle_deregistration(found)
+        if isinstance(announcement, platform.Deregistration):
+            self.handle_deregistration(announcement)
         else:
-            self.handle_heartbeat(found)
+            self.handle_heartbeat(announcement)
         exchange.respond(
             http.Response(
                 status=200,
@@ -212,9 +212,9 @@
         reason = self.server.find_refusal(service)
         if reason is None:
             return
-        waiting, self.queue.queue = self.queue.queue, []
+        refused, self.queue.queue = self.queue.queue, []
         refusal = ranked.Refusal(reason=reason, retry_after_ms=0.0)
-        for queued in waiting:
+        for queued in refused:
             self.refuse(queued.payload.offer, queued.payload.reply, refusal)
 
     def refuse(
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -125,8 +125,8 @@
         self.links.send_all(
             (
                 name
-                for name, known in self.members.nodes.items()
-                if known.state.data_centre == self.settings.data_centre
+                for name, node in self.members.nodes.items()
+                if node.state.data_centre == self.settings.data_centre
                 and name != self.settings.instance
             ),
             message,
@@ -292,12 +292,9 @@
         """
         if name == self.settings.instance:
             return
-        known = self.members.nodes.get(name)
-        if known is not None:
-            if (
-                self.loop.time() - known.heard_at
-                > relays.REMOTE_SILENT_SECONDS
-            ):
+        node = self.members.nodes.get(name)
+        if node is not None:
+            if self.loop.time() - node.heard_at > relays.REMOTE_SILENT_SECONDS:
                 fleet.set_address(self.members, name, address)
             return
         unheard = wire.NodeState(
@@ -329,20 +326,20 @@
 
     def needs_own_state(self, name: str) -> bool:
         """Tell whether a node may lack this node's state."""
-        known = self.members.nodes.get(name)
+        node = self.members.nodes.get(name)
         now = self.loop.time()
         return (
-            known is None
-            or known.state.data_centre == self.settings.data_centre
+            node is None
+            or node.state.data_centre == self.settings.data_centre
             or relays.is_relay(self.members, now)
-            or now - known.heard_at > relays.REMOTE_SILENT_SECONDS
+            or now - node.heard_at > relays.REMOTE_SILENT_SECONDS
         )
 
     def remove_silent_nodes(self) -> None:
         """Remove nodes that were not heard for `REMOVE_SILENT_SECONDS`."""
         now = self.loop.time()
-        for name, known in tuple(self.members.nodes.items()):
-            if now - known.heard_at < REMOVE_SILENT_SECONDS:
+        for name, node in tuple(self.members.nodes.items()):
+            if now - node.heard_at < REMOVE_SILENT_SECONDS:
                 continue
             del self.members.nodes[name]
             self.servers.rebuild()
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -98,12 +98,14 @@
         An offer that accepts a missed objective may go to a server that has
         refused the request before, unless the request may have run.
         """
-        found = self.candidates(active)
+        candidates = self.candidates(active)
         if not active.accepts_late or active.possible_executions:
-            found = [c for c in found if c.node not in active.tried_nodes]
+            candidates = [
+                c for c in candidates if c.node not in active.tried_nodes
+            ]
         return placement.rank_candidates(
             self.latency_model,
-            found,
+            candidates,
             route=active.route.name,
             objective_ms=active.route.objective_ms,
             now=self.loop.time(),
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -205,12 +205,12 @@
         page = await self.store.read(NODES)
         for row in page.rows:
             try:
-                found = msgspec.json.decode(row.value, type=_NodeRow)
+                node_row = msgspec.json.decode(row.value, type=_NodeRow)
             except msgspec.DecodeError as error:
                 events.emit(_LOG, events.LINK_MALFORMED, error=str(error))
                 continue
             self.peers.add_listed_node(
-                row.key, found.address, found.data_centre
+                row.key, node_row.address, node_row.data_centre
             )
         self.peers.update_connections()
 
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -28,8 +28,8 @@
 # RECENT_SECONDS after it has ended.
 REPEAT_SECONDS = 1.0
 RECENT_SECONDS = 10.0
-# States from other data centres arrive every 1.5 s. A node that was not heard
-# for longer is not considered as holder.
+# States from other data centres arrive every 1.5 s. A node whose last state is
+# older than this is not considered as holder.
 HOLDER_SILENT_SECONDS = 3.2
 # Table of the trials in the store. A row is written only on the condition that
 # it has not changed since it was read, so that decisions of several holders
@@ -111,13 +111,13 @@
         page = await self.store.read(TRIALS)
         for row in page.rows:
             try:
-                found = msgspec.json.decode(row.value, type=_TrialRow)
-                trials.Phase(found.phase)
+                trial_row = msgspec.json.decode(row.value, type=_TrialRow)
+                trials.Phase(trial_row.phase)
             except (msgspec.DecodeError, ValueError) as error:
                 events.emit(_LOG, events.ORDERS_REFUSED, error=str(error))
                 continue
-            self.stored_trials[row.key] = (row.revision, found)
-            self.apply_row(row.key, found)
+            self.stored_trials[row.key] = (row.revision, trial_row)
+            self.apply_row(row.key, trial_row)
         self.stored_trials_read = True
 
     def apply_row(self, service: str, row: _TrialRow) -> None:
@@ -136,16 +136,16 @@
     def start_trial(self, service: str) -> None:
         """Start the trial of a service's rollout order, if it is a new one."""
         revision, order = self.order_task.view.rollouts[service]
-        known = self.order_task.view.service_trials.get(service)
-        if known is not None and known.order_revision == revision:
-            self.set_duration(known, order.seconds)
+        current = self.order_task.view.service_trials.get(service)
+        if current is not None and current.order_revision == revision:
+            self.set_duration(current, order.seconds)
             return
-        if known is not None and known.order_revision > revision:
+        if current is not None and current.order_revision > revision:
             return
-        seen = self.servers.versions.get(service, [])
-        old = next((v for v in seen if v != order.version), "")
-        if known is not None and known.phase is trials.Phase.COMPLETED:
-            old = known.new
+        versions = self.servers.versions.get(service, [])
+        old = next((v for v in versions if v != order.version), "")
+        if current is not None and current.phase is trials.Phase.COMPLETED:
+            old = current.new
         now = self.loop.time()
         self.trial_evidence[service] = trials.TrialEvidence()
         self.apply_trial(
@@ -199,23 +199,23 @@
     def handle_notice(self, notice: wire.TrialNotice) -> None:
         """Apply the state of a trial from another node, if it is newer."""
         phase = trials.Phase(notice.phase)
-        known = self.order_task.view.service_trials.get(notice.service)
-        if known is not None:
+        current = self.order_task.view.service_trials.get(notice.service)
+        if current is not None:
             if (
-                known.order_revision > notice.order_revision
-                or known.phase is phase
+                current.order_revision > notice.order_revision
+                or current.phase is phase
             ):
                 return
             if (
-                known.order_revision == notice.order_revision
-                and not trials.may_follow(known.phase, phase)
+                current.order_revision == notice.order_revision
+                and not trials.may_follow(current.phase, phase)
             ):
                 return
         now = self.loop.time()
-        if known is None or known.order_revision != notice.order_revision:
+        if current is None or current.order_revision != notice.order_revision:
             rollout = self.order_task.view.rollouts.get(notice.service)
             seconds = rollout[1].seconds if rollout is not None else 0.0
-            known = trials.Trial(
+            current = trials.Trial(
                 service=notice.service,
                 old=notice.old_version,
                 new=notice.version,
@@ -227,7 +227,7 @@
                 notice.service, trials.TrialEvidence()
             )
         trial = dataclasses.replace(
-            known, phase=phase, phase_started_at=now, reason=notice.reason
+            current, phase=phase, phase_started_at=now, reason=notice.reason
         )
         self.apply_trial(trial)
         if relays.is_relay(self.members, now):
@@ -290,27 +290,27 @@
         )
         now = self.loop.time()
         holder = self.is_holder(now)
-        # A trial whose order is not known has a phase, but no duration.
+        # A trial whose order has not arrived has a phase, but no duration.
         if trial.phase not in trials.FINAL_PHASES and trial.duration_seconds:
             level = trials.evaluate_slice(trial_evidence, trial, now)
-            after = trials.advance(
+            next_trial = trials.advance(
                 trial,
                 level=level,
                 new_calls=trials.count_new_calls(trial_evidence, trial),
                 now=now,
             )
             decides = holder or (
-                # Each node rolls a bad version back without the holder.
-                after.phase is trials.Phase.ROLLED_BACK
+                # Any node may roll back a failing version by itself.
+                next_trial.phase is trials.Phase.ROLLED_BACK
                 and trials.is_alarm(trial, level)
             )
-            if after is not trial and decides:
-                if after.phase is trials.Phase.COMPLETED:
-                    await self.complete(after)
+            if next_trial is not trial and decides:
+                if next_trial.phase is trials.Phase.COMPLETED:
+                    await self.complete(next_trial)
                     return
-                self.apply_trial(after)
-                self.broadcast_notice(after)
-                trial = after
+                self.apply_trial(next_trial)
+                self.broadcast_notice(next_trial)
+                trial = next_trial
         if holder:
             await self.write_status(trial)
 
@@ -370,13 +370,13 @@
         bool
             False if the stored phase cannot be followed by this one.
         """
-        revision, known = self.stored_trials.get(trial.service, (0, None))
+        revision, stored = self.stored_trials.get(trial.service, (0, None))
         status = _STATUS[trial.phase]
-        if known is not None and known.order == trial.order_revision:
-            found = trials.Phase(known.phase)
-            if _STATUS[found] is status:
+        if stored is not None and stored.order == trial.order_revision:
+            stored_phase = trials.Phase(stored.phase)
+            if _STATUS[stored_phase] is status:
                 return True
-            if not trials.may_follow(found, trial.phase):
+            if not trials.may_follow(stored_phase, trial.phase):
                 return False
         row = _TrialRow(
             order=trial.order_revision,
