Reword comments of the sidecar and name more local variables

Silence of a node is described as the age of its last state. Idempotent replaces repeatable and unsafe, and mean service time replaces mean time where these are parameters or tests.

--- a/apricotpost/sidecar/active_requests.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -34,7 +34,7 @@
 # A request is not run again when less than this multiple of the route's mean
 # time is left until its deadline.
 MIN_REMAINING_RATIO = 0.8
-# A repeatable request is sent to a second server when the first has not
+# An idempotent request is sent to a second server when the first has not
 # answered after a multiple of the mean time (a hedged request: Dean and
 # Barroso, The Tail at Scale, 2013). Most late requests are large and take as
 # long on any server: without faults, 16 of 249 hedges were faster than the
@@ -226,7 +226,7 @@
     Parameters
     ----------
     mean_ms : float
-        Mean time of the route, in milliseconds.
+        Mean service time of the route, in milliseconds.
     """
     return max(mean_ms * HEDGE_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
@@ -237,7 +237,7 @@
     Parameters
     ----------
     mean_ms : float
-        Mean time of the route, in milliseconds.
+        Mean service time of the route, in milliseconds.
     """
     return max(mean_ms * RECHECK_MULTIPLE / 1000.0, MIN_HEDGE_SECONDS)
 
@@ -250,7 +250,7 @@
     active : ActiveRequest
         The request.
     mean_ms : float
-        Mean time of the route, in milliseconds.
+        Mean service time of the route, in milliseconds.
     now : float
         Monotonic time, in seconds.
     """
@@ -275,7 +275,7 @@
     budget : retries.Budget
         Retry budget of the service, which also pays for hedges.
     mean_ms : float
-        Mean time of the route, in milliseconds; 0 if not known.
+        Mean service time of the route, in milliseconds; 0 if not known.
     now : float
         Monotonic time, in seconds.
     untried : int
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -23,11 +23,11 @@
 # Heartbeat periods without a heartbeat after which the backend server gets no
 # more requests.
 MAX_SILENT_PERIODS = 4.0
-# Fraction of the slots that is the first limit of a backend server that may
-# still run requests from an earlier process of this node.
+# Initial limit, as a fraction of the slots, of a backend server that may still
+# run requests from an earlier process of this node.
 UNKNOWN_START_FRACTION = 0.5
 # Heartbeats that a new backend server may have sent before its node listened.
-# A higher sequence number means that it has been running.
+# A higher sequence number means that it was already running.
 MAX_STARTUP_HEARTBEATS = 3
 # A health check of an idle server takes a few milliseconds. A server without
 # free slots may not answer it at all.
--- a/apricotpost/sidecar/connections.py
+++ b/apricotpost/sidecar/connections.py
@@ -71,7 +71,7 @@
         return wanted
 
     def update(self, now: float) -> None:
-        """Open the wanted connections and close those long unwanted."""
+        """Open wanted connections; close those unwanted for `KEEP_SECONDS`."""
         for name in self.wanted_nodes(now):
             self.open(name, now)
         for name in tuple(self.peer_links.links):
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -26,7 +26,8 @@
 # Time in which the answer of a request that may not be repeated may still
 # arrive on another connection after the connection to its node was lost.
 LOST_ANSWER_SECONDS = 0.6
-# Retry-After of a request that found no configuration or no backend server.
+# Retry-After of a request that is refused because the node is draining or has
+# no configuration, or because there is no backend server.
 NOT_READY_RETRY_MS = 300
 # Added to the rank of calls that the backend server beside this node makes:
 # they go before all others, because the requests that make them hold slots.
@@ -438,7 +439,7 @@
         """Retry or fail the requests at a node whose connection is lost.
 
         A request that may not be repeated fails only after
-        `LOST_ANSWER_SECONDS`, as its answer may come on another connection.
+        `LOST_ANSWER_SECONDS`, as its answer may arrive on another connection.
         """
         lost = [
             (call, active)
@@ -451,14 +452,14 @@
                     LOST_ANSWER_SECONDS, self.fail_lost_attempt, active, call
                 )
                 continue
-            found = self.close_attempt(call)
-            if found is not None:
-                self.handle_failed(*found, wire.UnknownReason.NODE_LOST)
+            closed = self.close_attempt(call)
+            if closed is not None:
+                self.handle_failed(*closed, wire.UnknownReason.NODE_LOST)
 
     def fail_lost_attempt(
         self, active: active_requests.ActiveRequest, call: str
     ) -> None:
-        """Fail a request whose answer has not come on another connection."""
+        """Fail a request if no other connection has delivered its answer."""
         if self.close_attempt(call) is None:
             return
         active.possible_executions += 1
@@ -521,7 +522,7 @@
         outcome: str,
         reason: str,
     ) -> None:
-        """Cancel what is open of a request, answer and log it."""
+        """Cancel the open attempts of a request, answer it and log it."""
         active_requests.stop_timers(active)
         self.cancel_attempts(active)
         self.responder.finish_request(active, response, outcome, reason)
--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -30,9 +30,9 @@
 # Interval of states with evidence while a new version carries most requests of
 # a service.
 LOADED_SECONDS = 0.25
-# Delay before changed states are forwarded; collects them in one batch.
+# Changed states are collected for this time and forwarded in one batch.
 FORWARD_DELAY_SECONDS = 0.02
-# A node that was not heard for longer is removed.
+# A node whose last state is older than this is removed.
 REMOVE_SILENT_SECONDS = 180.0
 
 
@@ -78,7 +78,7 @@
         self.gate: gate.Gate | None = None
         self.connections: connections.ConnectionManager | None = None
         self.publish_pending = False
-        # Nodes whose changed states wait to be forwarded by this relay.
+        # Nodes whose changed states this relay has still to forward.
         self.changed: set[str] = set()
 
     async def run(self) -> None:
@@ -94,7 +94,7 @@
             await asyncio.sleep(LOADED_SECONDS if fast else LOCAL_SECONDS)
 
     def update_connections(self) -> None:
-        """Open wanted connections and close those long unwanted."""
+        """Open wanted connections and close those no longer wanted."""
         if self.connections is not None:
             self.connections.update(self.loop.time())
 
@@ -319,7 +319,7 @@
         """Send this node's state to a node that has connected.
 
         A node of another data centre gets it from the relays, unless this
-        node is one of them or the other one was silent.
+        node is a relay or has received no recent state of the other node.
         """
         if self.links is not None and self.needs_own_state(name):
             self.links.send(name, self.describe())
@@ -336,7 +336,7 @@
         )
 
     def remove_silent_nodes(self) -> None:
-        """Remove nodes that were not heard for `REMOVE_SILENT_SECONDS`."""
+        """Remove nodes without a new state for `REMOVE_SILENT_SECONDS`."""
         now = self.loop.time()
         for name, node in tuple(self.members.nodes.items()):
             if now - node.heard_at < REMOVE_SILENT_SECONDS:
--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -20,7 +20,7 @@
 class HeartbeatEffect(enum.Enum):
     """Change that a heartbeat caused."""
 
-    # None: it is older than the current heartbeat, or its sender has left.
+    # No change: it is older than the current heartbeat or its sender has left.
     NONE = "none"
     SAME = "same"
     # The current incarnation changed its state or became usable.
@@ -89,9 +89,9 @@
         heartbeat.started_at_ms,
     )
     if new_incarnation:
-        unobserved = current is None and not presence.departed
+        first_heartbeat = current is None and not presence.departed
         presence.confirmed = (
-            not unobserved or heartbeat.sequence <= FIRST_SEQUENCE
+            not first_heartbeat or heartbeat.sequence <= FIRST_SEQUENCE
         )
     elif now - presence.heard_at >= confirm_seconds:
         presence.confirmed = True
--- a/apricotpost/sidecar/links.py
+++ b/apricotpost/sidecar/links.py
@@ -99,9 +99,9 @@
 
     def connect(self, name: str, address: str) -> None:
         """Connect to a node, or reconnect if its address has changed."""
-        known = self.links.get(name)
-        if known is not None:
-            if known.address == address:
+        existing = self.links.get(name)
+        if existing is not None:
+            if existing.address == address:
                 return
             self.disconnect(name)
         socket, monitor = sockets.connect_link(
@@ -175,9 +175,9 @@
 
     def count(self, message: wire.Message, size: int) -> None:
         """Count a sent message and its bytes."""
-        kind = type(message).__name__
-        messages, total = self.sent_counts.get(kind, (0, 0))
-        self.sent_counts[kind] = (messages + 1, total + size)
+        class_name = type(message).__name__
+        messages, total_bytes = self.sent_counts.get(class_name, (0, 0))
+        self.sent_counts[class_name] = (messages + 1, total_bytes + size)
 
     def close(self) -> None:
         """Close all sockets."""
--- a/apricotpost/sidecar/load_balancer.py
+++ b/apricotpost/sidecar/load_balancer.py
@@ -142,7 +142,7 @@
     # Evidence.
 
     def record_sent(self, backend: str) -> None:
-        """Count an offer that the backend server's load reports lack yet."""
+        """Count an offer that no load report of its server includes yet."""
         placement.record_sent(self.latency_model, backend)
 
     def record_load(self, backend: str, load: wire.ServerLoad) -> None:
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -48,7 +48,7 @@
 # Reserved at the end of the grace period for writing the last answers.
 STOP_MARGIN_SECONDS = 0.4
 STOP_CHECK_SECONDS = 0.05
-# Time until the other nodes have received that this one leaves.
+# Time in which the other nodes receive the state that marks this one leaving.
 LEAVE_NOTICE_SECONDS = 0.3
 
 
@@ -343,12 +343,12 @@
 
     async def watch_settings(self) -> None:
         """Reload the settings when their file changes without a SIGHUP."""
-        seen = _read_file_stamp(self.path)
+        last_stamp = _read_file_stamp(self.path)
         while True:
             await asyncio.sleep(SETTINGS_CHECK_SECONDS)
             stamp = _read_file_stamp(self.path)
-            if stamp != seen:
-                seen = stamp
+            if stamp != last_stamp:
+                last_stamp = stamp
                 self.reload("settings file changed")
 
     def reload(self, cause: str) -> None:
@@ -467,7 +467,7 @@
 
 def _read_file_stamp(path: pathlib.Path) -> tuple[int, int]:
     try:
-        found = os.stat(path)
+        status = os.stat(path)
     except OSError:
         return (0, 0)
-    return (found.st_mtime_ns, found.st_size)
+    return (status.st_mtime_ns, status.st_size)
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -31,7 +31,7 @@
 StoreCall = Callable[[], Coroutine[typing.Any, typing.Any, None]]
 
 # Duration of a watch. Orders have to be in force within 2 s, counted from 3 s
-# after a fault; a connection to the store that hangs has to be noticed before.
+# after a fault; a hung connection to the store has to be detected before that.
 WATCH_SECONDS = 2.0
 # Pause after a failed call of the store; it doubles with each failure.
 MIN_RETRY_PAUSE_SECONDS = 0.15
@@ -40,9 +40,9 @@
 # Time in which a started node receives the states of its neighbours, which
 # they send every 0.5 s, before it may act as the reader of its data centre.
 DISCOVERY_SECONDS = 0.8
-# A data centre that was not heard for longer is taken to be cut off, and its
-# nodes may have been replaced when it returns. Relays then read the list of
-# nodes again every REREAD_SECONDS: 0.2 calls a second for 6 data centres.
+# A data centre without a new state for longer is treated as cut off, and its
+# nodes may have been replaced when it is reachable again. Relays then read the
+# list of nodes every REREAD_SECONDS: 0.2 calls a second for 6 data centres.
 LONG_SILENT_SECONDS = 10.0
 REREAD_SECONDS = 60.0
 # A node that has lacked orders of another node for longer requests them.
@@ -368,13 +368,13 @@
         self.on_view(before, view)
 
     async def catch_up(self) -> None:
-        """Request missing orders if another node has been ahead for long.
+        """Request missing orders if another node is ahead for `LAG_SECONDS`.
 
         Without a local peer that has them, the store is watched.
         """
-        newest = fleet.newest_orders(self.members)
+        newest_revision = fleet.newest_orders(self.members)
         now = self.loop.time()
-        if newest <= self.order_store.revision:
+        if newest_revision <= self.order_store.revision:
             self.lagging_since = None
             return
         if self.lagging_since is None:
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -299,12 +299,12 @@
                 new_calls=trials.count_new_calls(trial_evidence, trial),
                 now=now,
             )
-            decides = holder or (
+            may_apply = holder or (
                 # Any node may roll back a failing version by itself.
                 next_trial.phase is trials.Phase.ROLLED_BACK
                 and trials.is_alarm(trial, level)
             )
-            if next_trial is not trial and decides:
+            if next_trial is not trial and may_apply:
                 if next_trial.phase is trials.Phase.COMPLETED:
                     await self.complete(next_trial)
                     return
@@ -339,12 +339,12 @@
         )
 
     async def write_status(self, trial: trials.Trial) -> bool:
-        """Write the state of a trial unless the store has it.
+        """Write the state of a trial unless it is already stored.
 
         Returns
         -------
         bool
-            Whether the store has it now.
+            Whether the state is in the store now.
         """
         try:
             if not self.stored_trials_read:
@@ -395,6 +395,6 @@
                 ),
             ),
         )
-        written = await self.store.write(change)
-        self.stored_trials[trial.service] = (written, row)
+        new_revision = await self.store.write(change)
+        self.stored_trials[trial.service] = (new_revision, row)
         return True
--- a/apricotpost/sidecar/server_index.py
+++ b/apricotpost/sidecar/server_index.py
@@ -11,8 +11,8 @@
 
 __all__ = ["ServerIndex"]
 
-# A node that was not heard for longer gets new requests only if the other
-# nodes that run the service are silent as well.
+# A node whose last state is older than this gets new requests only if the
+# other nodes that run the service are silent as well.
 MAX_SILENT_SECONDS = 3.2
 
 
@@ -47,8 +47,8 @@
         self.regions = regions
         self.is_connected = is_connected
         self.services: dict[str, list[_IndexedServer]] = {}
-        # Versions of each service in the order in which they were first seen;
-        # that of a completed rollout is first.
+        # Versions of each service in the order in which they first appeared;
+        # the version of a completed rollout is first.
         self.versions: dict[str, list[str]] = {}
 
     def rebuild(self) -> None:
@@ -64,9 +64,9 @@
                     node=name, data_centre=state.data_centre, server=server
                 )
             )
-            seen = self.versions.setdefault(server.service, [])
-            if server.version not in seen:
-                seen.append(server.version)
+            versions = self.versions.setdefault(server.service, [])
+            if server.version not in versions:
+                versions.append(server.version)
         self.services = services
 
     def set_stable_version(self, service: str, version: str) -> None:
@@ -74,10 +74,10 @@
 
         Without a trial, requests go to the first known version.
         """
-        seen = self.versions.setdefault(service, [])
-        if version in seen:
-            seen.remove(version)
-        seen.insert(0, version)
+        versions = self.versions.setdefault(service, [])
+        if version in versions:
+            versions.remove(version)
+        versions.insert(0, version)
 
     def count_nodes(self) -> int:
         """Return the number of known nodes."""
@@ -85,10 +85,10 @@
 
     def version_of(self, node: str) -> str:
         """Return the version of the backend server beside a node."""
-        known = self.members.nodes.get(node)
-        if known is None or known.state.server is None:
+        member = self.members.nodes.get(node)
+        if member is None or member.state.server is None:
             return ""
-        return known.state.server.version
+        return member.state.server.version
 
     def candidates(
         self,
@@ -115,30 +115,36 @@
             Monotonic time, in seconds.
         """
         usable = [
-            entry
-            for entry in self.services.get(service, ())
-            if entry.data_centre not in view.evacuated
-            and (not regions or self.regions.get(entry.data_centre) in regions)
-            and self.is_reachable(entry.node)
+            indexed
+            for indexed in self.services.get(service, ())
+            if indexed.data_centre not in view.evacuated
+            and (
+                not regions or self.regions.get(indexed.data_centre) in regions
+            )
+            and self.is_reachable(indexed.node)
         ]
-        present = {entry.server.version for entry in usable}
-        if len(present) > 1 or service in view.service_trials:
+        usable_versions = {indexed.server.version for indexed in usable}
+        if len(usable_versions) > 1 or service in view.service_trials:
             usable = self.filter_versions(view, service, usable, version_draw)
-        with_silence = [
-            (entry, self.silent_seconds(entry.node, now)) for entry in usable
+        servers_with_silence = [
+            (indexed, self.silent_seconds(indexed.node, now))
+            for indexed in usable
         ]
         recent = [
-            pair for pair in with_silence if pair[1] < MAX_SILENT_SECONDS
+            pair
+            for pair in servers_with_silence
+            if pair[1] < MAX_SILENT_SECONDS
         ]
         return [
             placement.Candidate(
-                node=entry.node,
-                backend=entry.server.backend,
-                same_data_centre=entry.data_centre == self.members.data_centre,
+                node=indexed.node,
+                backend=indexed.server.backend,
+                same_data_centre=indexed.data_centre
+                == self.members.data_centre,
                 silent_seconds=silence,
-                cold=entry.server.cold,
+                cold=indexed.server.cold,
             )
-            for entry, silence in recent or with_silence
+            for indexed, silence in recent or servers_with_silence
         ]
 
     def filter_versions(
@@ -149,14 +155,20 @@
         version_draw: float,
     ) -> list[_IndexedServer]:
         """Return the backend servers whose versions may get the request."""
-        found = [entry.server.version for entry in usable]
+        usable_versions = [indexed.server.version for indexed in usable]
         trial = view.service_trials.get(service)
         allowed = views.choose_versions(
             view,
             service,
-            [v for v in self.versions.get(service, ()) if v in found],
+            [
+                v
+                for v in self.versions.get(service, ())
+                if v in usable_versions
+            ],
             version_draw=version_draw,
-            servers=found.count(trial.new) if trial is not None else 0,
+            servers=(
+                usable_versions.count(trial.new) if trial is not None else 0
+            ),
         )
         kept = [e for e in usable if e.server.version in allowed]
         if views.uses_one_server(view, service, allowed):
@@ -169,7 +181,7 @@
         return node == self.members.node or self.is_connected(node)
 
     def silent_seconds(self, node: str, now: float) -> float:
-        """Return the time since a node was last heard, in seconds."""
+        """Return the time since a node's last state, in seconds."""
         if node == self.members.node:
             return 0.0
         return now - self.members.nodes[node].heard_at
--- a/apricotpost/sidecar/views.py
+++ b/apricotpost/sidecar/views.py
@@ -120,15 +120,15 @@
     servers : int
         Number of backend servers of the new version that take requests.
     """
-    known = tuple(versions)
+    available = tuple(versions)
     trial = view.service_trials.get(service)
     if trial is None:
-        # A version gets no requests before its rollout order is known.
-        return frozenset(known[:1])
+        # A version gets no requests before its rollout order has arrived.
+        return frozenset(available[:1])
     if trial.phase is trials.Phase.ROLLED_BACK:
-        return frozenset(v for v in known if v != trial.new)
-    others = frozenset(v for v in known if v != trial.new)
-    if trial.new not in known:
+        return frozenset(v for v in available if v != trial.new)
+    others = frozenset(v for v in available if v != trial.new)
+    if trial.new not in available:
         return others
     if version_draw < trials.new_version_share(trial, servers) or not others:
         return frozenset((trial.new,))
@@ -158,10 +158,10 @@
     if key == platform.CONFIGURATION:
         return _apply_configuration(view, row, routes)
     if key.startswith(platform.EVACUATIONS):
-        name = frozenset((key[len(platform.EVACUATIONS) :],))
-        kept = view.evacuated - name
+        data_centre = frozenset((key[len(platform.EVACUATIONS) :],))
+        others = view.evacuated - data_centre
         return dataclasses.replace(
-            view, evacuated=kept if row.removed else kept | name
+            view, evacuated=others if row.removed else others | data_centre
         )
     if key.startswith(platform.ROLLOUTS):
         service = key[len(platform.ROLLOUTS) :]
@@ -179,15 +179,15 @@
 ) -> TrafficView:
     if row.removed:
         return view
-    found = platform.parse_configuration(row.value, routes)
-    if found.version <= view.version:
+    config = platform.parse_configuration(row.value, routes)
+    if config.version <= view.version:
         raise errors.ConfigurationOutdated(
-            f"configuration {found.version} is not newer than {view.version}"
+            f"configuration {config.version} is not newer than {view.version}"
         )
     return dataclasses.replace(
         view,
-        version=found.version,
-        routes=prefixes.build_prefixes(found.routes),
-        services=found.services,
-        limits=found.limits,
+        version=config.version,
+        routes=prefixes.build_prefixes(config.routes),
+        services=config.services,
+        limits=config.limits,
     )
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -102,16 +102,16 @@
         without a limit: 485 attempts in 10 s, where 462 were allowed.
         """
         active = make_active_request(backend_attempts=1)
-        found = refuse(active, rejected_by_backend=True, tokens=0.5)
-        self.assertEqual(active_requests.NextAction.REFUSE, found.action)
-        found = refuse(active, rejected_by_backend=True, tokens=1.0)
-        self.assertEqual(active_requests.NextAction.OFFER, found.action)
+        decision = refuse(active, rejected_by_backend=True, tokens=0.5)
+        self.assertEqual(active_requests.NextAction.REFUSE, decision.action)
+        decision = refuse(active, rejected_by_backend=True, tokens=1.0)
+        self.assertEqual(active_requests.NextAction.OFFER, decision.action)
 
     def test_passed_deadline_is_final(self):
         """Guards against offers of requests whose callers have given up."""
         reason = wire.NotRunReason.DEADLINE_PASSED
-        found = refuse(make_active_request(), reason=reason)
-        self.assertEqual(active_requests.NextAction.REFUSE, found.action)
+        decision = refuse(make_active_request(), reason=reason)
+        self.assertEqual(active_requests.NextAction.REFUSE, decision.action)
 
     def test_only_idempotent_requests_are_retried(self):
         """Guards against a second run of a non-idempotent request."""
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -9,7 +9,7 @@
 
 
 class CallTest(cases.MeshCase):
-    """Requests to sound and to faulty backend servers."""
+    """Requests to healthy and to faulty backend servers."""
 
     async def test_request_crosses_nodes_unchanged(self):
         """Guards against requests or responses that nodes alter."""
@@ -30,10 +30,10 @@
         self.assertEqual(b"body of /reports/7?x=1", response.body)
         seal = http.find_header(response.headers, b"x-response-seal")
         self.assertEqual(b"seal-q1", seal)
-        seen = self.backends[1].executed_requests[0]
-        self.assertEqual(body, seen.body)
-        self.assertEqual(b"/reports/7?x=1", seen.target)
-        headers = dict((k.lower(), v) for k, v in seen.headers)
+        executed = self.backends[1].executed_requests[0]
+        self.assertEqual(body, executed.body)
+        self.assertEqual(b"/reports/7?x=1", executed.target)
+        headers = dict((k.lower(), v) for k, v in executed.headers)
         self.assertEqual(b"portal", headers[b"x-caller-service"])
         self.assertEqual(b"kept", headers[b"x-own"])
         self.assertLessEqual(int(headers[b"x-deadline-ms"]), 2000)
@@ -70,12 +70,12 @@
         self.assertEqual(runs_before, len(self.backends[5].executed_ids))
 
     async def test_lost_answer_of_unsafe_request_is_not_retried(self):
-        """Guards against a second run of an unsafe request."""
+        """Guards against a second run of a non-idempotent request."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.fault_mode = "reset"
-        found = await self.call_all(6, "/reports/1", method=b"POST")
-        self.assertEqual([502] * 6, found)
+        statuses = await self.call_all(6, "/reports/1", method=b"POST")
+        self.assertEqual([502] * 6, statuses)
         self.assertEqual(6, self.count_runs())
 
     async def test_lost_answer_of_safe_request_is_retried(self):
@@ -102,8 +102,8 @@
         # more concurrent calls reach it in any case.
         for count in range(2, 12):
             started_at = loop.time()
-            found = await self.call_all(count)
-            self.assertEqual([200] * count, found)
+            statuses = await self.call_all(count)
+            self.assertEqual([200] * count, statuses)
             self.assertLess(loop.time() - started_at, 1.0)
             if len(slow.executed_ids) > runs_before:
                 break
@@ -130,15 +130,15 @@
         self.assertLess(len(slow.executed_ids) - runs_before, 5)
 
     async def test_unsafe_request_is_not_hedged(self):
-        """Guards against a hedge that runs an unsafe request twice."""
+        """Guards against a hedge that runs a non-idempotent request twice."""
         await self.start("dc-a", "dc-a")
         for _ in range(20):
             await self.call_all(2, "/reports/1", method=b"POST")
         runs_before = self.count_runs()
         for backend in self.backends:
             backend.service_seconds = 0.8
-        found = await self.call_all(4, "/reports/1", method=b"POST")
-        self.assertEqual([200] * 4, found)
+        statuses = await self.call_all(4, "/reports/1", method=b"POST")
+        self.assertEqual([200] * 4, statuses)
         self.assertEqual(runs_before + 4, self.count_runs())
 
     async def test_wrong_and_truncated_responses_are_not_delivered(self):
@@ -146,15 +146,15 @@
         await self.start("dc-a")
         for mode in ("wrong", "cut"):
             self.backends[0].fault_mode = mode
-            found = await self.call_all(1, "/reports/1", method=b"POST")
-            self.assertEqual([502], found)
+            statuses = await self.call_all(1, "/reports/1", method=b"POST")
+            self.assertEqual([502], statuses)
 
     async def test_rejected_request_goes_to_another_server(self):
         """Guards against a failed request that could still run elsewhere."""
         await self.start("dc-a", "dc-a")
         self.backends[0].fault_mode = "shed"
-        found = await self.call_all(4, "/reports/1", method=b"POST")
-        self.assertEqual([200] * 4, found)
+        statuses = await self.call_all(4, "/reports/1", method=b"POST")
+        self.assertEqual([200] * 4, statuses)
         self.assertEqual(4, self.count_runs())
 
     async def test_refused_request_has_not_run_and_gets_retry_after(self):
@@ -175,8 +175,8 @@
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.service_seconds = 0.05
-        found = await self.call_all(60)
-        self.assertIn(200, found)
+        statuses = await self.call_all(60)
+        self.assertIn(200, statuses)
         for backend in self.backends:
             self.assertLessEqual(backend.max_active_requests, backend.slots)
 
@@ -239,5 +239,5 @@
         backend.cold_ms = 5000
         await self.mesh.send_heartbeat(self.nodes[0])
         await self.call_all(100)
-        # The rate is 20 a second; half as many more and 5 are allowed.
+        # The rate is 20 a second; the test allows half as many more, and 5.
         self.assertLessEqual(self.count_runs(), 35)
--- a/tests/sidecar/test_instruments.py
+++ b/tests/sidecar/test_instruments.py
@@ -26,28 +26,28 @@
         counter = instruments.Counter("calls", "Calls.", ("reason",))
         for reason in ("full", "full", 'a "b"\\\n'):
             counter.add(reason)
-        found = parse([counter])
-        self.assertEqual(2, found["calls_total", (("reason", "full"),)])
-        self.assertEqual(1, found["calls_total", (("reason", 'a "b"\\\n'),)])
+        samples = parse([counter])
+        self.assertEqual(2, samples["calls_total", (("reason", "full"),)])
+        self.assertEqual(1, samples["calls_total", (("reason", 'a "b"\\\n'),)])
 
     def test_buckets_are_cumulative(self):
         """Guards against quantiles that are too low."""
         histogram = instruments.Histogram("seconds", "Time.", (0.1, 0.5))
         for value in (0.1, 0.2, 0.4, 9.0):
             histogram.observe(value)
-        found = parse([histogram])
+        samples = parse([histogram])
         bounds = ("0.1", "0.5", "+Inf")
-        counts = [found["seconds_bucket", (("le", b),)] for b in bounds]
+        counts = [samples["seconds_bucket", (("le", b),)] for b in bounds]
         self.assertEqual([1, 3, 4], counts)
-        self.assertEqual(4, found["seconds_count", ()])
-        self.assertAlmostEqual(9.7, found["seconds_sum", ()])
+        self.assertEqual(4, samples["seconds_count", ()])
+        self.assertAlmostEqual(9.7, samples["seconds_sum", ()])
 
     def test_scrape_has_all_metrics_of_a_node(self):
         """Guards against a metric that is missing in the scrape."""
-        found = metrics.Metrics()
-        found.requests.add("refused", "gate-full")
-        found.peers.set(3)
-        names = {name for name, _ in parse(vars(found).values())}
+        node_metrics = metrics.Metrics()
+        node_metrics.requests.add("refused", "gate-full")
+        node_metrics.peers.set(3)
+        names = {name for name, _ in parse(vars(node_metrics).values())}
         self.assertIn("apricotpost_requests_total", names)
         self.assertIn("apricotpost_request_seconds_bucket", names)
         self.assertIn("apricotpost_peers_connected", names)
--- a/tests/sidecar/test_load_balancer.py
+++ b/tests/sidecar/test_load_balancer.py
@@ -85,14 +85,14 @@
     def test_evidence_is_sent_during_a_trial_only(self):
         """Guards against needless traffic, and against lost evidence."""
         view = views.EMPTY
-        found = outcome_counters.OutcomeCounters(read_view=lambda: view)
-        found.count("r", failed=True, ran_ms=5.0)
-        found.count("r", failed=False, ran_ms=5.0)
-        self.assertEqual((), found.describe("portal"))
+        counters = outcome_counters.OutcomeCounters(read_view=lambda: view)
+        counters.count("r", failed=True, ran_ms=5.0)
+        counters.count("r", failed=False, ran_ms=5.0)
+        self.assertEqual((), counters.describe("portal"))
         view = make_view(trials.Phase.MOVING)
-        (counts,) = found.describe("portal")
+        (counts,) = counters.describe("portal")
         self.assertEqual((2, 1), (counts.calls, counts.failures))
         self.assertEqual(1, sum(counts.latencies))
-        self.assertTrue(found.is_loaded_trial("portal"))
-        found.reset()
-        self.assertEqual((), found.describe("portal"))
+        self.assertTrue(counters.is_loaded_trial("portal"))
+        counters.reset()
+        self.assertEqual((), counters.describe("portal"))
