--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -242,7 +242,7 @@
         self.gate.start_queued()
 
     def handle_link_change(self, name: str, connected: bool) -> None:
-        """Send state and trials to a connected node, or drop a lost one."""
+        """Send state and trials to a connected node, or handle its loss."""
         state = "open" if connected else "lost"
         events.emit(_LOG, events.LINK_CHANGED, node=name, state=state)
         if connected:
--- a/apricotpost/sidecar/outcome_counters.py
+++ b/apricotpost/sidecar/outcome_counters.py
@@ -11,7 +11,7 @@
 
 
 class OutcomeCounters:
-    """Outcomes by route since the current incarnation was first seen.
+    """Outcomes by route since the current incarnation's first heartbeat.
 
     Parameters
     ----------
@@ -29,14 +29,14 @@
 
     def count(self, route: str, *, failed: bool, ran_ms: float) -> None:
         """Count a response, a failure, or a request cancelled as slow."""
-        known = self.counts.get(route, evidence.Counts())
-        latencies = known.latencies
+        current = self.counts.get(route, evidence.Counts())
+        latencies = current.latencies
         if not failed:
             bucket = evidence.bucket_of(ran_ms)
             latencies = evidence.increment(latencies, bucket)
         self.counts[route] = evidence.Counts(
-            calls=known.calls + 1,
-            failures=known.failures + int(failed),
+            calls=current.calls + 1,
+            failures=current.failures + int(failed),
             latencies=latencies,
         )
 
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -171,7 +171,7 @@
         self.assertTrue(self.may(self.make()))
 
     def test_hedges_are_bounded(self):
-        """Guards against hedges that double the load or an unsafe run."""
+        """Guards against hedges that double the load or an unsafe request."""
         self.assertFalse(self.may(self.make(idempotent=False)))
         self.assertFalse(self.may(self.make(), tokens=0.9))
         self.assertFalse(self.may(self.make(), untried=0))
@@ -184,7 +184,7 @@
         self.assertFalse(self.may(again))
 
     def test_answered_request_is_not_hedged(self):
-        """Guards against work for a caller that has been answered."""
+        """Guards against work for a caller that already has its response."""
         self.assertFalse(self.may(make_active_request()))
 
     def test_late_request_is_overdue_at_4_5_times_the_usual_time(self):
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -42,8 +42,8 @@
         """Guards against servers that only the relays can reach.
 
         The third nodes of both data centres are not relays. A node that starts
-        first acts as a relay until it knows the others, and may have connected
-        to some in the other data centre.
+        first acts as a relay until it has the others' states, and may have
+        connected to nodes of the other data centre.
         """
         routes = [{"prefix": "/reports/", "service": "fieldbook"}]
         services = ("portal",) * 5 + ("fieldbook",)
@@ -113,14 +113,14 @@
     async def test_server_with_cancelled_requests_counts_as_slow(self):
         """Guards against a slow server measured by its fast responses only.
 
-        Its slow requests are hedged and cancelled, so none of them ends.
+        Its slow requests are hedged and cancelled, so none of them completes.
         """
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.service_seconds = 0.02
         for _ in range(20):
             await self.call_all(2)
-        slow, sound = self.backends
+        slow, healthy = self.backends
         slow.service_seconds = 3.0
         for _ in range(10):
             await self.call_all(2)
@@ -171,7 +171,7 @@
         self.assertEqual(0, self.count_runs())
 
     async def test_server_never_gets_more_than_its_slots(self):
-        """Guards against servers that hang beyond their slots."""
+        """Guards against more requests than slots, at which a server hangs."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.service_seconds = 0.05
--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -87,8 +87,8 @@
     async def test_outage_is_probed_by_two_nodes_of_a_data_centre(self):
         """Guards against store calls that grow with the fleet in an outage.
 
-        Each of 6 nodes called the store every 1.1 s on average. Now two do;
-        the others call once when they lose the store, and then every 6 s.
+        Each of 6 nodes called the store every 1.1 s on average. Only two may
+        do so; the others call once when they lose the store, then every 6 s.
         """
         await self.start(*("dc-a",) * 6)
         self.mesh.store.faults = rows.Faults(status=503)
@@ -118,7 +118,7 @@
         self.assertEqual(200, result.response.status)
 
     async def test_killed_node_fails_no_safe_request(self):
-        """Guards against requests that fail with another node."""
+        """Guards against idempotent requests that fail with a killed node."""
         await self.start("dc-a", "dc-a")
         for backend in self.backends:
             backend.service_seconds = 0.2
@@ -154,7 +154,7 @@
         self.backends[0].service_seconds = 4.5
         running = asyncio.create_task(self.call_all(1, deadline_ms=9000))
         await asyncio.sleep(0.1)
-        kept = [
+        accepted = [
             asyncio.create_task(self.call_all(1, deadline_ms=9000))
             for _ in range(2)
         ]
@@ -162,10 +162,10 @@
         self.nodes[0].signal(signal.SIGTERM)
         await asyncio.sleep(3.2)
         before = self.count_runs()
-        found = await self.call_all(1, deadline_ms=9000)
-        self.assertIn(found[0], (503, http.Failure.NOT_CONNECTED))
+        statuses = await self.call_all(1, deadline_ms=9000)
+        self.assertIn(statuses[0], (503, http.Failure.NOT_CONNECTED))
         self.assertEqual(before, self.count_runs())
-        for task in (running, *kept):
+        for task in (running, *accepted):
             self.assertIsInstance((await task)[0], int)
 
     async def test_late_heartbeat_after_restart_restores_no_server(self):
@@ -195,10 +195,10 @@
         )
         async with asyncio.timeout(5):
             while True:
-                found = await self.mesh.caller.send(
+                result = await self.mesh.caller.send(
                     node.ports.readiness, request
                 )
-                if found.response and found.response.status == 200:
+                if result.response and result.response.status == 200:
                     return True
                 await asyncio.sleep(0.05)
 
--- a/tests/sidecar/test_views.py
+++ b/tests/sidecar/test_views.py
@@ -41,8 +41,8 @@
     def test_older_configuration_is_refused(self):
         """Guards against a return to an older version."""
         view, _ = views.apply_orders(views.EMPTY, [make_config(5)])
-        after, faults = views.apply_orders(view, [make_config(4, "/b/")])
-        self.assertIs(view, after)
+        new_view, faults = views.apply_orders(view, [make_config(4, "/b/")])
+        self.assertIs(view, new_view)
         self.assertEqual(1, len(faults))
 
     def test_invalid_row_does_not_stop_the_others(self):
@@ -80,7 +80,7 @@
         )
 
     def test_version_without_order_gets_no_requests(self):
-        """Guards against requests to a version that nobody ordered."""
+        """Guards against requests to a version without a rollout order."""
         self.assertEqual({"v1"}, self.choose(None, 0.0))
 
     def test_shares_of_a_trial(self):
@@ -135,10 +135,10 @@
         self.index.rebuild()
 
     def find(self, view=views.EMPTY, *, version_draw=0.5, regions=(), now=0.1):
-        found = self.index.candidates(
+        candidates = self.index.candidates(
             view, "portal", version_draw=version_draw, regions=regions, now=now
         )
-        return {candidate.node for candidate in found}
+        return {candidate.node for candidate in candidates}
 
     def test_only_servers_that_take_requests(self):
         """Guards against requests to leaving, cut-off or wrong servers."""
