--- a/apricotpost/sidecar/gossip.py
+++ b/apricotpost/sidecar/gossip.py
@@ -30,9 +30,9 @@
 # Interval of states with evidence while a new version carries most requests of
 # a service.
 LOADED_SECONDS = 0.25
-# Delay before changed states are forwarded; collects them in one batch.
+# Changed states are collected for this time and forwarded in one batch.
 FORWARD_DELAY_SECONDS = 0.02
-# A node that was not heard for longer is removed.
+# A node whose last state is older than this is removed.
 REMOVE_SILENT_SECONDS = 180.0
 
 
@@ -78,7 +78,7 @@
         self.gate: gate.Gate | None = None
         self.connections: connections.ConnectionManager | None = None
         self.publish_pending = False
-        # Nodes whose changed states wait to be forwarded by this relay.
+        # Nodes whose changed states this relay has still to forward.
         self.changed: set[str] = set()
 
     async def run(self) -> None:
@@ -94,7 +94,7 @@
             await asyncio.sleep(LOADED_SECONDS if fast else LOCAL_SECONDS)
 
     def update_connections(self) -> None:
-        """Open wanted connections and close those long unwanted."""
+        """Open wanted connections and close those no longer wanted."""
         if self.connections is not None:
             self.connections.update(self.loop.time())
 
@@ -125,8 +125,8 @@
         self.links.send_all(
             (
                 name
-                for name, known in self.members.nodes.items()
-                if known.state.data_centre == self.settings.data_centre
+                for name, node in self.members.nodes.items()
+                if node.state.data_centre == self.settings.data_centre
                 and name != self.settings.instance
             ),
             message,
@@ -292,12 +292,9 @@
         """
         if name == self.settings.instance:
             return
-        known = self.members.nodes.get(name)
-        if known is not None:
-            if (
-                self.loop.time() - known.heard_at
-                > relays.REMOTE_SILENT_SECONDS
-            ):
+        node = self.members.nodes.get(name)
+        if node is not None:
+            if self.loop.time() - node.heard_at > relays.REMOTE_SILENT_SECONDS:
                 fleet.set_address(self.members, name, address)
             return
         unheard = wire.NodeState(
@@ -322,27 +319,27 @@
         """Send this node's state to a node that has connected.
 
         A node of another data centre gets it from the relays, unless this
-        node is one of them or the other one was silent.
+        node is a relay or has received no recent state of the other node.
         """
         if self.links is not None and self.needs_own_state(name):
             self.links.send(name, self.describe())
 
     def needs_own_state(self, name: str) -> bool:
         """Tell whether a node may lack this node's state."""
-        known = self.members.nodes.get(name)
+        node = self.members.nodes.get(name)
         now = self.loop.time()
         return (
-            known is None
-            or known.state.data_centre == self.settings.data_centre
+            node is None
+            or node.state.data_centre == self.settings.data_centre
             or relays.is_relay(self.members, now)
-            or now - known.heard_at > relays.REMOTE_SILENT_SECONDS
+            or now - node.heard_at > relays.REMOTE_SILENT_SECONDS
         )
 
     def remove_silent_nodes(self) -> None:
-        """Remove nodes that were not heard for `REMOVE_SILENT_SECONDS`."""
+        """Remove nodes without a new state for `REMOVE_SILENT_SECONDS`."""
         now = self.loop.time()
-        for name, known in tuple(self.members.nodes.items()):
-            if now - known.heard_at < REMOVE_SILENT_SECONDS:
+        for name, node in tuple(self.members.nodes.items()):
+            if now - node.heard_at < REMOVE_SILENT_SECONDS:
                 continue
             del self.members.nodes[name]
             self.servers.rebuild()
--- a/tests/sidecar/test_active_requests.py
+++ b/tests/sidecar/test_active_requests.py
@@ -102,16 +102,16 @@
         without a limit: 485 attempts in 10 s, where 462 were allowed.
         """
         active = make_active_request(backend_attempts=1)
-        found = refuse(active, rejected_by_backend=True, tokens=0.5)
-        self.assertEqual(active_requests.NextAction.REFUSE, found.action)
-        found = refuse(active, rejected_by_backend=True, tokens=1.0)
-        self.assertEqual(active_requests.NextAction.OFFER, found.action)
+        decision = refuse(active, rejected_by_backend=True, tokens=0.5)
+        self.assertEqual(active_requests.NextAction.REFUSE, decision.action)
+        decision = refuse(active, rejected_by_backend=True, tokens=1.0)
+        self.assertEqual(active_requests.NextAction.OFFER, decision.action)
 
     def test_passed_deadline_is_final(self):
         """Guards against offers of requests whose callers have given up."""
         reason = wire.NotRunReason.DEADLINE_PASSED
-        found = refuse(make_active_request(), reason=reason)
-        self.assertEqual(active_requests.NextAction.REFUSE, found.action)
+        decision = refuse(make_active_request(), reason=reason)
+        self.assertEqual(active_requests.NextAction.REFUSE, decision.action)
 
     def test_only_idempotent_requests_are_retried(self):
         """Guards against a second run of a non-idempotent request."""
@@ -171,7 +171,7 @@
         self.assertTrue(self.may(self.make()))
 
     def test_hedges_are_bounded(self):
-        """Guards against hedges that double the load or an unsafe run."""
+        """Guards against hedges that double the load or an unsafe request."""
         self.assertFalse(self.may(self.make(idempotent=False)))
         self.assertFalse(self.may(self.make(), tokens=0.9))
         self.assertFalse(self.may(self.make(), untried=0))
@@ -184,7 +184,7 @@
         self.assertFalse(self.may(again))
 
     def test_answered_request_is_not_hedged(self):
-        """Guards against work for a caller that has been answered."""
+        """Guards against work for a caller that already has its response."""
         self.assertFalse(self.may(make_active_request()))
 
     def test_late_request_is_overdue_at_4_5_times_the_usual_time(self):
