Name local variables by what they hold in the node and the stand-ins

Local variables named found, known, after or met are named by their content, and a few docstrings of the node and the soak checks are clearer.

--- a/apricotpost/node/control.py
+++ b/apricotpost/node/control.py
@@ -187,8 +187,8 @@
     else:
         min_version = 0
         if isinstance(message, wire.Join):
-            known = task.members.members.get(message.sender)
-            min_version = 0 if known is None else known.record.config_version
+            member = task.members.members.get(message.sender)
+            min_version = 0 if member is None else member.record.config_version
         if isinstance(message, (wire.Join, wire.ConfigDigest)):
             control_records.handle(
                 task, membership.Received(message=message, reply_to=reply_to)
--- a/apricotpost/node/control_records.py
+++ b/apricotpost/node/control_records.py
@@ -78,11 +78,12 @@
 
 
 def record_version(task: control_state.ControlTask) -> None:
-    """Write the held configuration version into the own record.
+    """Write this node's configuration version into its own record.
 
-    Probes, their replies and digests include it, so each node receives it
-    from each other node within as many seconds as there are nodes. Spreading
-    the record at each version would cost more than all other traffic.
+    Probes, their replies and digests include the version, so each node
+    receives it from each other node within as many seconds as there are
+    nodes. Disseminating the record at each version would cost more than all
+    other traffic.
     """
     version = task.distribution_state.snapshot.version
     if version != task.members.record.config_version:
@@ -179,8 +180,8 @@
     if not LOG.isEnabledFor(events.INSTANCE_STATE.level):
         return
     for name, member in task.members.members.items():
-        known = before.get(name)
-        if known is None or known.record.state != member.record.state:
+        previous = before.get(name)
+        if previous is None or previous.record.state != member.record.state:
             events.emit(
                 LOG,
                 events.INSTANCE_STATE,
--- a/apricotpost/node/dispatch.py
+++ b/apricotpost/node/dispatch.py
@@ -133,8 +133,8 @@
     if derived is task.derived:
         return
     task.derived = derived
-    known = {record.instance for record in derived.view.instances}
-    for name in [name for name in task.peers if name not in known]:
+    instance_names = {record.instance for record in derived.view.instances}
+    for name in [name for name in task.peers if name not in instance_names]:
         _disconnect(task, name)
 
 
--- a/apricotpost/node/holders.py
+++ b/apricotpost/node/holders.py
@@ -142,7 +142,7 @@
 
 
 def _is_behind(holder: Holder, snapshot: model.Snapshot) -> bool:
-    """Return whether the view lacks a version that is known to exist."""
+    """Return whether the view still lacks the awaited version."""
     if snapshot.version >= holder.awaited_version:
         return False
     if holder.clock() - holder.requested_at >= CATCH_UP_TIMEOUT_SECONDS:
@@ -215,7 +215,7 @@
 def _log_hold(
     holder: Holder, observation: monitor.Observation, decision: steps.Hold
 ) -> None:
-    """Log a reason once, not each time that a figure in it changes."""
+    """Log why a rollout is held, unless only figures in it have changed."""
     reason_without_figures = _DIGITS.sub("", decision.reason)
     if reason_without_figures == holder.logged_hold_reason:
         return
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,4 +1,4 @@
-"""Checks of the promised guarantees on what callers and servers saw."""
+"""Checks of the promised guarantees on the recorded calls of a run."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -153,7 +153,7 @@
 def check_executions(
     results: Mapping[str, CallResult], executions: Iterable[Execution]
 ) -> list[Violation]:
-    """Check what was executed against what the callers were told.
+    """Check the executions against the results that the callers received.
 
     A request that is not idempotent is executed at most once, and not at
     all if it was refused. Every executed request was sent by a caller.
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -148,8 +148,8 @@
 def _draw_rollout(seed: int, end: float) -> tuple[Fault, ...]:
     """Return the rollout of a run, if any.
 
-    It has random numbers of its own, so that the other faults of a seed do
-    not depend on it.
+    It is drawn from a separate random generator, so that the other faults of
+    a seed do not depend on it.
     """
     rng = random.Random(f"rollout {seed}")
     at = rng.uniform(0.0, MAX_ROLLOUT_DELAY_SECONDS)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -84,9 +84,9 @@
     They lie below the system's range for outgoing connections. Otherwise a
     connection could use a port before the node that it is for has started.
     """
-    found: list[int] = []
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        while len(found) < count:
+        while len(ports) < count:
             port = _RNG.randrange(*PORT_RANGE)
             candidate = stack.enter_context(socket.socket())
             if port in _ASSIGNED_PORTS:
@@ -96,8 +96,8 @@
             except OSError:
                 continue
             _ASSIGNED_PORTS.add(port)
-            found.append(port)
-    return found
+            ports.append(port)
+    return ports
 
 
 @contextlib.contextmanager
--- a/standins/observations.py
+++ b/standins/observations.py
@@ -121,8 +121,8 @@
             member
             for member in pending
             if not any(
-                found >= version
-                for found, _ in list_applied_versions(fleet, member)
+                applied_version >= version
+                for applied_version, _ in list_applied_versions(fleet, member)
             )
         ]
         return not pending
@@ -134,8 +134,10 @@
     fleet: fleets.Fleet, member: fleets.Member
 ) -> dict[str, int]:
     """Return the control counters that a node logged last."""
-    found = _COUNTERS_TEXT.findall(_read_log(fleet, member))
-    return dict(ast.literal_eval(found[-1])) if found else {}
+    logged_counters = _COUNTERS_TEXT.findall(_read_log(fleet, member))
+    return (
+        dict(ast.literal_eval(logged_counters[-1])) if logged_counters else {}
+    )
 
 
 def sort_by_table_reads(
@@ -157,15 +159,15 @@
 def _scan_log(
     fleet: fleets.Fleet, member: fleets.Member, pattern: re.Pattern[str]
 ) -> list[tuple[int, float]]:
-    found = []
+    entries = []
     for line in _read_log(fleet, member).splitlines():
         match = pattern.match(line)
         if match:
             at = datetime.datetime.strptime(
                 match.group(1), "%Y-%m-%d %H:%M:%S,%f"
             )
-            found.append((int(match.group(2)), at.timestamp()))
-    return found
+            entries.append((int(match.group(2)), at.timestamp()))
+    return entries
 
 
 def _read_log(fleet: fleets.Fleet, member: fleets.Member) -> str:
--- a/standins/platform_tables.py
+++ b/standins/platform_tables.py
@@ -69,26 +69,26 @@
 def query(tables: Tables, body: Attributes) -> Attributes:
     """Execute Query on ``pk = :pk`` with or without ``AND sk > :sk``."""
     values = body["ExpressionAttributeValues"]
-    after = values[":sk"]["S"] if ":sk" in values else ""
+    start_key = values[":sk"]["S"] if ":sk" in values else ""
     if "ExclusiveStartKey" in body:
-        after = max(after, body["ExclusiveStartKey"]["sk"]["S"])
-    found: list[Attributes] = []
+        start_key = max(start_key, body["ExclusiveStartKey"]["sk"]["S"])
+    page: list[Attributes] = []
     size = 0
     with tables.lock:
         tables.reads += 1
         table = tables.items.get(body["TableName"], {})
         rows = table.get(values[":pk"]["S"], {})
-        keys = sorted(key for key in rows if key > after)
+        keys = sorted(key for key in rows if key > start_key)
         for key in keys:
             size += len(json.dumps(rows[key]))
-            if found and size > tables.page_bytes:
+            if page and size > tables.page_bytes:
                 break
-            found.append(rows[key])
-            if len(found) == body.get("Limit"):
+            page.append(rows[key])
+            if len(page) == body.get("Limit"):
                 break
-    response: Attributes = {"Items": found, "Count": len(found)}
-    if len(found) < len(keys):
-        last_item = found[-1]
+    response: Attributes = {"Items": page, "Count": len(page)}
+    if len(page) < len(keys):
+        last_item = page[-1]
         response["LastEvaluatedKey"] = {
             "pk": last_item["pk"],
             "sk": last_item["sk"],
@@ -128,10 +128,15 @@
             if tables.tokens[token] != content:
                 raise Refused("IdempotentParameterMismatchException", token)
             return {}
-        met = [_meets_condition(tables, fields) for _, fields in entries]
-        if not all(met):
+        conditions_met = [
+            _meets_condition(tables, fields) for _, fields in entries
+        ]
+        if not all(conditions_met):
             tables.rejected += len(entries)
-            codes = ["None" if ok else "ConditionalCheckFailed" for ok in met]
+            codes = [
+                "None" if ok else "ConditionalCheckFailed"
+                for ok in conditions_met
+            ]
             raise Refused(
                 "TransactionCanceledException",
                 f"Transaction cancelled, reasons {codes}",
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -153,7 +153,7 @@
     def read_rows(self, query: dict[str, str]) -> http.Response:
         """Return a page of a table's rows in the order of their keys."""
         table = query["table"]
-        found = sorted(
+        matching_rows = sorted(
             (key, value, revision)
             for (name, key), (value, revision) in self.rows.items()
             if name == table and key >= query.get("from", "")
@@ -161,9 +161,11 @@
         limit = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS)
         rows = [
             _encode_row(table, row_key, row_value, row_revision)
-            for row_key, row_value, row_revision in found[:limit]
+            for row_key, row_value, row_revision in matching_rows[:limit]
         ]
-        return self.make_response(rows=rows, has_more=len(found) > limit)
+        return self.make_response(
+            rows=rows, has_more=len(matching_rows) > limit
+        )
 
     async def watch_rows(self, query: dict[str, str]) -> http.Response:
         """Wait for changes of a table after a revision and return them."""
