--- a/apricotpost/idempotency/backlog.py
+++ b/apricotpost/idempotency/backlog.py
@@ -25,7 +25,7 @@
 MIN_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 8.0
 MAX_JOBS = 256
-# One answer has up to 8 MiB, and a node has 32 MB for its control tasks.
+# One response has up to 8 MiB, and a node has 32 MB for its control tasks.
 MAX_BYTES = 8 * 1024 * 1024
 
 
--- a/apricotpost/idempotency/calls.py
+++ b/apricotpost/idempotency/calls.py
@@ -60,7 +60,7 @@
     Parameters
     ----------
     store : Store
-        Store of the platform. No answer is awaited beyond the deadline.
+        Store of the platform. Its requests time out at the call's deadline.
     claim : Claim
         Call that asks for the key.
     clock : callable
@@ -69,7 +69,7 @@
     Returns
     -------
     BeginResult
-        Decision on the call. Without an answer from the table, the call may
+        Decision on the call. If the table does not respond, the call may
         not run.
 
     Raises
@@ -91,7 +91,7 @@
         except errors.PlatformUnavailable:
             break
         except errors.PlatformOutcomeUnknown:
-            return _resolve_lost_answer(store, claim, clock)
+            return _resolve_lost_response(store, claim, clock)
         if item is None:
             return BeginResult(decision=records.KeyDecision.RUN)
         return _decide_for_record(records.decode(item), claim, clock())
@@ -195,10 +195,10 @@
     return records.decode_outcome(body)
 
 
-def _resolve_lost_answer(
+def _resolve_lost_response(
     store: storage.Store, claim: keys.Claim, clock: Callable[[], float]
 ) -> BeginResult:
-    """Decide after a lost answer by reading who owns the record."""
+    """Decide after a lost response by reading which call owns the record."""
     bounded_store = _bound_to_deadline(store, claim.deadline, clock)
     try:
         item = table.get(bounded_store.table, records.record_key(claim))
--- a/apricotpost/idempotency/records.py
+++ b/apricotpost/idempotency/records.py
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outcome:
-    """Answer that the first call with a key got."""
+    """Response to the first call with a key."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -113,7 +113,7 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run the soak as the command line says.
+    """Run the soak with the given command-line arguments.
 
     Returns
     -------
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -159,7 +159,7 @@
 
     def publish_configuration(self) -> None:
         """Write the configuration, with a route for each version since 2."""
-        own_routes = [
+        version_routes = [
             {"prefix": f"/generation-{number}/", "service": "portal"}
             for number in range(2, self.config_version + 1)
         ]
@@ -168,7 +168,7 @@
             "config",
             mesh.make_config(
                 self.config_version,
-                routes=[*ROUTES, *own_routes],
+                routes=[*ROUTES, *version_routes],
                 services=SERVICES,
             ),
         )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -19,9 +19,9 @@
     DELAY = "delay"
     # Open and new connections are reset.
     RESET = "reset"
-    # All bytes are held back until the mode changes; connections stay open.
+    # No bytes are forwarded until the mode changes; connections stay open.
     SILENT = "silent"
-    # Only the bytes that the target sends are held back.
+    # The same, but only for bytes that the target sends.
     ONE_WAY = "one-way"
 
 
@@ -125,7 +125,7 @@
                 await writer.drain()
 
     def is_blocked(self, *, from_target: bool) -> bool:
-        """Return whether the bytes of a direction are held back."""
+        """Return whether the bytes of a direction are not forwarded now."""
         return self.mode is Mode.SILENT or (
             self.mode is Mode.ONE_WAY and from_target
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -82,7 +82,8 @@
     """Return ports of the loopback address on which nothing listens.
 
     They lie below the system's range for outgoing connections. Otherwise a
-    connection could use a port before the node that it is for has started.
+    connection could use a port before the node to which it is assigned has
+    started.
     """
     ports: list[int] = []
     with contextlib.ExitStack() as stack:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -334,7 +334,7 @@
         )
 
     async def wait_ready(self) -> None:
-        """Wait until every node is ready and knows all others."""
+        """Wait until `is_ready` returns true for every node."""
         for node in self.nodes:
             await self.wait_for(node, self.is_ready)
 
@@ -351,7 +351,11 @@
                 await asyncio.sleep(0.05)
 
     async def is_ready(self, node: NodeProcess) -> bool:
-        """Return whether a node is ready and knows all others."""
+        """Return whether a node is ready and has a complete view.
+
+        The view is complete if the node is connected to the other nodes of
+        its data centre and lists the backend servers of all nodes.
+        """
         request = http.Request(
             method=b"GET",
             target=b"/v1/ready",
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -170,17 +170,17 @@
     async def watch_rows(self, query: dict[str, str]) -> http.Response:
         """Wait for changes of a table after a revision and return them."""
         table = query["table"]
-        after = int(query["after"])
+        after_revision = int(query["after"])
         seconds = min(int(query["wait_ms"]) / 1000.0, MAX_WATCH_SECONDS)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         while True:
-            if after < self.history_start:
+            if after_revision < self.history_start:
                 return http.Response(status=410)
             rows = [
                 _encode_row(name, key, value, revision, removed=removed)
                 for name, key, value, revision, removed in self.changes
-                if name == table and revision > after
+                if name == table and revision > after_revision
             ]
             remaining_seconds = deadline - loop.time()
             if rows or remaining_seconds <= 0:
@@ -195,8 +195,8 @@
         """Apply a transaction if all expected revisions match."""
         for entry in call["expected_revision"]:
             row_key = (entry["table"], entry["key"])
-            found_revision = self.rows.get(row_key, (b"", 0))[1]
-            if found_revision != entry["ver"]:
+            current_revision = self.rows.get(row_key, (b"", 0))[1]
+            if current_revision != entry["ver"]:
                 return http.Response(status=412, body=b'{"rows":[]}')
         for entry in call["put"]:
             value = base64.b64decode(entry["value"])
--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -67,7 +67,7 @@
         self.assertEqual(1, self.state.tables.writes)
 
     def test_lost_begin_behind_another_call_is_uncertain(self):
-        """Guards against a key that a call which never ran holds for a day.
+        """Guards against a key claimed for a day by a call that never ran.
 
         Its write reaches the table late, after the first owner freed the
         key.
--- a/tests/node/test_ingress.py
+++ b/tests/node/test_ingress.py
@@ -129,7 +129,7 @@
         self.assertEqual("200 OK", found["status"])
 
     def test_draining_node_closes_connections(self):
-        """Guards against callers that stay with a draining node (P11)."""
+        """Guards against connections kept open by a draining node (P11)."""
         self.ingress.draining = True
         found = self.call("/portal/x", results=(self.make_result(),))
         self.assertEqual("close", found["headers"]["Connection"])
