--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -127,8 +127,8 @@
             idempotency.finish(self.store, claim, outcome)
             begun = self.begin(dataclasses.replace(claim, attempt="two"))
             self.assertEqual(idempotency.KeyDecision.REPLAY, begun.decision)
-            found = idempotency.replay(self.store, begun.record)
-            self.assertEqual(outcome, found)
+            replayed = idempotency.replay(self.store, begun.record)
+            self.assertEqual(outcome, replayed)
             self.assertEqual(objects, len(self.state.objects))
 
     def test_lost_finish_is_not_written_again(self):
--- a/tests/node/test_at_most_once.py
+++ b/tests/node/test_at_most_once.py
@@ -67,8 +67,8 @@
         )
 
     def assert_result(self, result, outcome, status, reason):
-        found = (result.outcome.value, result.status, result.reason)
-        self.assertEqual((outcome, status, reason), found)
+        actual = (result.outcome.value, result.status, result.reason)
+        self.assertEqual((outcome, status, reason), actual)
 
     def test_repeat_gets_the_first_answer(self):
         """Guards against a repeated call that files a report twice."""
--- a/tests/node/test_call_processes.py
+++ b/tests/node/test_call_processes.py
@@ -45,15 +45,17 @@
 
         def is_ready():
             connection = http.client.HTTPConnection(address, timeout=10)
-            found = loads.send(connection, path)
+            result = loads.send(connection, path)
             connection.close()
-            return found.status == 200 and all(
-                found.request
+            return result.status == 200 and all(
+                result.request
                 and loads.count_executions(cls.fleet, member) != before
-                for member, before in seen
+                for member, before in counts_before
             )
 
-        seen = [(m, loads.count_executions(cls.fleet, m)) for m in served_by]
+        counts_before = [
+            (m, loads.count_executions(cls.fleet, m)) for m in served_by
+        ]
         assert fleets.wait_for(is_ready, seconds=30) is not None
 
     def check_executions(self, results):
@@ -186,11 +188,15 @@
                 connection = http.client.HTTPConnection(
                     self.ingress_node.ingress
                 )
-                found = loads.send(connection, f"/fieldbook/{path}")
+                call_result = loads.send(connection, f"/fieldbook/{path}")
                 connection.close()
                 self.assertEqual(
                     (502, "unknown", reason),
-                    (found.status, found.outcome, found.reason),
+                    (
+                        call_result.status,
+                        call_result.outcome,
+                        call_result.reason,
+                    ),
                 )
             with loads.run_load(
                 [self.ingress_node.ingress],
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -56,8 +56,8 @@
         return self.snapshot.version
 
     def wait_for(self, condition):
-        found = fleets.wait_for(condition, seconds=WAIT_SECONDS)
-        self.assertIsNotNone(found)
+        elapsed_seconds = fleets.wait_for(condition, seconds=WAIT_SECONDS)
+        self.assertIsNotNone(elapsed_seconds)
 
     def test_readers_killed_and_table_down(self):
         """Guards against a version that is lost with the nodes that read it.
@@ -87,9 +87,9 @@
         version = self.commit()
         self.wait_for(
             lambda: any(
-                version == found
+                version == applied_version
                 for member in self.fleet.members
-                for found, _ in observations.list_applied_versions(
+                for applied_version, _ in observations.list_applied_versions(
                     self.fleet, member
                 )
             )
--- a/tests/node/test_control_task.py
+++ b/tests/node/test_control_task.py
@@ -73,18 +73,18 @@
         while self.platform.poll(0):
             identity, message = wire.sockets.receive_routed(self.platform)
             newer = snapshot if snapshot.version > message.have else None
-            found = wire.ConfigRead(
+            config_read = wire.ConfigRead(
                 available=True, head=snapshot.version, snapshot=newer
             )
-            wire.sockets.send_routed(self.platform, identity, found)
+            wire.sockets.send_routed(self.platform, identity, config_read)
 
     def receive_evidence_senders(self):
         """Return the senders of the evidence received so far."""
-        found = set()
+        senders = set()
         while self.rollout.poll(0):
             _, message = wire.sockets.receive_routed(self.rollout)
-            found.add(message.sender)
-        return found
+            senders.add(message.sender)
+        return senders
 
 
 class ControlTaskTest(unittest.TestCase):
--- a/tests/node/test_ingress.py
+++ b/tests/node/test_ingress.py
@@ -63,20 +63,20 @@
             "wsgi.input": io.BytesIO(),
             callers.SOCKET_KEY: caller,
         }
-        found = {}
+        response = {}
 
         def start(status, headers):
-            found.update(status=status, headers=dict(headers))
+            response.update(status=status, headers=dict(headers))
 
         thread = threading.Thread(
             target=self.answer, args=(results, caller is not None)
         )
         thread.start()
-        found["body"] = b"".join(
+        response["body"] = b"".join(
             ingress.make_app(self.ingress)(environ, start)
         )
         thread.join()
-        return found
+        return response
 
     def answer(self, results, caller_leaves):
         if results and self.router.poll(5000):
@@ -97,24 +97,24 @@
     def test_late_result_of_another_request_is_dropped(self):
         """Guards against a result that is given to the next request (P7)."""
         other = self.make_result(request="old", body=b"other")
-        found = self.call("/portal/x", results=(other, self.make_result()))
-        self.assertEqual(b"own", found["body"])
+        response = self.call("/portal/x", results=(other, self.make_result()))
+        self.assertEqual(b"own", response["body"])
 
     def test_outside_caller_reaches_no_internal_route(self):
         """Guards against internal routes that outside callers reach."""
         for path in ("/portal/internal/x", "/portal/a/../internal/x"):
-            found = self.call(path)
-            self.assertEqual("404 Not Found", found["status"])
+            response = self.call(path)
+            self.assertEqual("404 Not Found", response["status"])
             self.assertEqual(
-                "not-run", found["headers"]["X-Apricotpost-Outcome"]
+                "not-run", response["headers"]["X-Apricotpost-Outcome"]
             )
 
     def test_answers_have_the_phrase_and_length_of_their_status(self):
         """Guards against responses that callers cannot parse."""
         empty = self.make_result(status=204, body=b"")
-        found = self.call("/portal/x", results=(empty,))
-        self.assertEqual("204 No Content", found["status"])
-        self.assertNotIn("Content-Length", found["headers"])
+        response = self.call("/portal/x", results=(empty,))
+        self.assertEqual("204 No Content", response["status"])
+        self.assertNotIn("Content-Length", response["headers"])
 
     def test_dispatch_is_notified_when_the_caller_disconnects(self):
         """Guards against queued calls of a caller that has disconnected."""
@@ -122,14 +122,14 @@
         self.addCleanup(server_end.close)
         caller_end.close()
         self.notice = None
-        found = self.call(
+        response = self.call(
             "/portal/x", results=(self.make_result(),), caller=server_end
         )
         self.assertIsInstance(self.notice, wire.CallerLeft)
-        self.assertEqual("200 OK", found["status"])
+        self.assertEqual("200 OK", response["status"])
 
     def test_draining_node_closes_connections(self):
         """Guards against connections kept open by a draining node (P11)."""
         self.ingress.draining = True
-        found = self.call("/portal/x", results=(self.make_result(),))
-        self.assertEqual("close", found["headers"]["Connection"])
+        response = self.call("/portal/x", results=(self.make_result(),))
+        self.assertEqual("close", response["headers"]["Connection"])
--- a/tests/node/test_keyed_processes.py
+++ b/tests/node/test_keyed_processes.py
@@ -125,14 +125,14 @@
     def assert_replayed_everywhere(self, key):
         """Repeat the call at each member until its outcome is replayed."""
         for member in self.members:
-            found = []
+            responses = []
 
-            def is_replayed(member=member, found=found):
-                found[:] = [self.post(member, key)]
-                return found[0].status == 200
+            def is_replayed(member=member, responses=responses):
+                responses[:] = [self.post(member, key)]
+                return responses[0].status == 200
 
             self.assertIsNotNone(fleets.wait_for(is_replayed, seconds=20))
-            headers = found[0].headers
+            headers = responses[0].headers
             self.assertEqual("1", headers.get("X-Apricotpost-Replayed"))
 
     def test_node_killed_between_begin_and_answer(self):
--- a/tests/node/test_withdrawal.py
+++ b/tests/node/test_withdrawal.py
@@ -146,10 +146,12 @@
                 "/-/behaviour",
                 {"failure_rate": 0.5},
             )
-        known = fleet.wait_for(
+        elapsed_seconds = fleet.wait_for(
             lambda: all(self.list_withdrawals()), seconds=40
         )
-        self.assertIsNotNone(known, "not every node knows the withdrawal")
+        self.assertIsNotNone(
+            elapsed_seconds, "not every node knows the withdrawal"
+        )
         # Open calls end; after that the new version gets no further calls.
         fleet.wait_for(lambda: self._is_idle("v2"), seconds=10)
         before = self.count_served("v2")
--- a/tests/storage/test_commits.py
+++ b/tests/storage/test_commits.py
@@ -114,10 +114,10 @@
 
         def respond(exchange):
             if self.script["GetItem"] and exchange.operation == "GetItem":
-                found = exchange.execute()
+                response = exchange.execute()
                 self.script["GetItem"].pop()
                 self.late[0].execute()
-                return found
+                return response
             return self.respond(exchange)
 
         self.store = direct.open_store(self.state, respond)
