--- a/standins/rows.py
+++ b/standins/rows.py
@@ -153,7 +153,7 @@
     def read_rows(self, query: dict[str, str]) -> http.Response:
         """Return a page of a table's rows in the order of their keys."""
         table = query["table"]
-        found = sorted(
+        matching_rows = sorted(
             (key, value, revision)
             for (name, key), (value, revision) in self.rows.items()
             if name == table and key >= query.get("from", "")
@@ -161,24 +161,26 @@
         limit = min(int(query.get("limit", MAX_ROWS)), MAX_ROWS)
         rows = [
             _encode_row(table, row_key, row_value, row_revision)
-            for row_key, row_value, row_revision in found[:limit]
+            for row_key, row_value, row_revision in matching_rows[:limit]
         ]
-        return self.make_response(rows=rows, has_more=len(found) > limit)
+        return self.make_response(
+            rows=rows, has_more=len(matching_rows) > limit
+        )
 
     async def watch_rows(self, query: dict[str, str]) -> http.Response:
         """Wait for changes of a table after a revision and return them."""
         table = query["table"]
-        after = int(query["after"])
+        after_revision = int(query["after"])
         seconds = min(int(query["wait_ms"]) / 1000.0, MAX_WATCH_SECONDS)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         while True:
-            if after < self.history_start:
+            if after_revision < self.history_start:
                 return http.Response(status=410)
             rows = [
                 _encode_row(name, key, value, revision, removed=removed)
                 for name, key, value, revision, removed in self.changes
-                if name == table and revision > after
+                if name == table and revision > after_revision
             ]
             remaining_seconds = deadline - loop.time()
             if rows or remaining_seconds <= 0:
@@ -193,8 +195,8 @@
         """Apply a transaction if all expected revisions match."""
         for entry in call["expected_revision"]:
             row_key = (entry["table"], entry["key"])
-            found_revision = self.rows.get(row_key, (b"", 0))[1]
-            if found_revision != entry["ver"]:
+            current_revision = self.rows.get(row_key, (b"", 0))[1]
+            if current_revision != entry["ver"]:
                 return http.Response(status=412, body=b'{"rows":[]}')
         for entry in call["put"]:
             value = base64.b64decode(entry["value"])
--- a/tests/idempotency/test_calls.py
+++ b/tests/idempotency/test_calls.py
@@ -67,7 +67,7 @@
         self.assertEqual(1, self.state.tables.writes)
 
     def test_lost_begin_behind_another_call_is_uncertain(self):
-        """Guards against a key that a call which never ran holds for a day.
+        """Guards against a key claimed for a day by a call that never ran.
 
         Its write reaches the table late, after the first owner freed the
         key.
@@ -127,8 +127,8 @@
             idempotency.finish(self.store, claim, outcome)
             begun = self.begin(dataclasses.replace(claim, attempt="two"))
             self.assertEqual(idempotency.KeyDecision.REPLAY, begun.decision)
-            found = idempotency.replay(self.store, begun.record)
-            self.assertEqual(outcome, found)
+            replayed = idempotency.replay(self.store, begun.record)
+            self.assertEqual(outcome, replayed)
             self.assertEqual(objects, len(self.state.objects))
 
     def test_lost_finish_is_not_written_again(self):
