--- a/review/1/case.py
+++ b/review/1/case.py
@@ -104,19 +104,25 @@
         writer.close()
 
 
+def read_used_mb(machine):
+    """Return the memory that a node uses, in mebibytes."""
+    path = pathlib.Path("/proc") / str(machine.process.pid) / "status"
+    for line in path.read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
 async def enforce_memory(machine, record):
     """Kill a node that exceeds its memory and start it again."""
     ends = 0
-    status = pathlib.Path("/proc") / str(machine.process.pid) / "status"
-    highest = 0
+    highest = 0.0
     while True:
         await asyncio.sleep(0.02)
-        for line in status.read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                used_mb = int(line.split()[1]) / 1024
-                if used_mb > highest + 20:
-                    highest = used_mb
-                    record.write(f"{machine.name} uses {used_mb:.0f} MB")
+        used_mb = read_used_mb(machine)
+        if used_mb > highest + 20:
+            highest = used_mb
+            record.write(f"{machine.name} uses {used_mb:.0f} MB")
         if used_mb > harness.MEMORY_MB:
             machine.signal(signal.SIGKILL)
             machine.process.wait()
@@ -127,8 +133,7 @@
             )
             await asyncio.sleep(RESTART_SECONDS)
             machine.start_node()
-            status = pathlib.Path("/proc") / str(machine.process.pid) / "status"
-            highest = 0
+            highest = 0.0
 
 
 async def run(deployment, trouble):
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -198,7 +198,9 @@
         task = asyncio.current_task()
         self.connections.add(task)
         with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            asyncio.CancelledError,
         ):
             while True:
                 await self.serve_one(reader, writer)
@@ -359,9 +361,7 @@
     """Open a client's connection with the window and segments of a link."""
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES
-    )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
     connection.setblocking(False)
     await asyncio.get_running_loop().sock_connect(connection, (ip, port))
     return await asyncio.open_connection(sock=connection, limit=1 << 16)
@@ -386,7 +386,8 @@
     data = json.dumps(body).encode()
     head = (
         f"POST {path} HTTP/1.1\r\nHost: node\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(data)}\r\n\r\n"
     )
     answer = await call(ip, PORTS["control"], head.encode() + data, 1.0)
     return answer.status
@@ -631,9 +632,7 @@
             try:
                 for port in ports:
                     probe = stack.enter_context(socket.socket())
-                    probe.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
-                    )
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     probe.bind((address, port))
             except OSError:
                 continue
