--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -24,7 +24,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
 from standins import rows  # noqa: E402
