Report buffered bytes and peak memory of a node

The gauges apricotpost_buffered_request_bytes, apricotpost_buffered_response_bytes and apricotpost_peak_resident_bytes tell bodies that the limits count from memory that they don't.

--- a/apricotpost/sidecar/metrics.py
+++ b/apricotpost/sidecar/metrics.py
@@ -73,6 +73,18 @@
             "Logged events by number, those without a line included.",
             ("event",),
         )
+        self.buffered_request_bytes = instruments.Gauge(
+            "apricotpost_buffered_request_bytes",
+            "Bytes of request bodies that the node holds.",
+        )
+        self.buffered_response_bytes = instruments.Gauge(
+            "apricotpost_buffered_response_bytes",
+            "Bytes of incomplete response bodies of the backend server.",
+        )
+        self.peak_resident_bytes = instruments.Gauge(
+            "apricotpost_peak_resident_bytes",
+            "Largest resident memory of the process since its start.",
+        )
         self.peers = instruments.Gauge(
             "apricotpost_peers_connected",
             "Other nodes with an open connection.",
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import time
 import typing
@@ -323,6 +324,13 @@
             orders=self.orders.order_store.revision,
             servers=sum(map(len, self.servers.list_services().values())),
             peers=sum(link.connected for link in self.links.links.values()),
+            buffered_request_bytes=self.listeners[
+                self.settings.addresses.callers
+            ].buffered_body_bytes,
+            buffered_response_bytes=self.gate.client.buffered_bytes,
+            # Linux reports KiB.
+            peak_resident_bytes=1024
+            * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         )
         metrics.respond_to_scrape(self.metrics, exchange)
 
