Collect a body in one buffer, whatever its chunks

Cause: the HTTP client kept each chunk as an object of its own, and the limit counted the bytes in it. Evidence: a probe showed 7.1 MB counted, 3.5 million entries and 190 MB of resident memory, 53 bytes for a chunk of two. Ruled out: data waiting in the transport or the operating system (the memory follows the number of entries), and a leak after the request (it is free after its end).

Change: bodies are collected in one bytearray, so that the counted bytes are about the allocated ones. Trailers were kept as headers, at 53 times their size in the test, and are dropped; they could also have added a signature to a response. The same cause stood in request bodies, in the worker of the thread-based node and in the client of the store.

--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -291,7 +291,9 @@
     def reset_response(self) -> None:
         """Clear the state of the previous response."""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        # One buffer: an object for each chunk of a few bytes would take many
+        # times the memory of the body.
+        self.body = bytearray()
         self.release_body()
         self.has_headers = False
         self.is_complete = False
@@ -361,7 +363,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parse a chunk of the response."""
+        """Parse a part of the response."""
         if self.handle is None:
             # No request is open, so these bytes belong to no response.
             self.abort()
@@ -411,7 +413,7 @@
         response = messages.Response(
             status=self.status,
             headers=tuple(self.headers),
-            body=b"".join(self.body),
+            body=bytes(self.body),
         )
         self.release(response.headers)
         self.reset_response()
@@ -458,8 +460,8 @@
             self.has_extra_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self.is_complete:
+        """Store a header; trailers are dropped (RFC 9110, section 6.5.1)."""
+        if not self.is_complete and not self.has_headers:
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -477,7 +479,7 @@
         self.body_bytes += len(body)
         self.received_body_bytes += len(body)
         self.client.buffered_bytes += len(body)
-        self.body.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Finish the response, or discard an interim (1xx) one."""
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -197,7 +197,9 @@
         self.has_headers = False
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        # One buffer: an object for each chunk of a few bytes would take many
+        # times the memory of the body.
+        self.body = bytearray()
         self.header_bytes = 0
         self.body_bytes = 0
 
@@ -224,7 +226,7 @@
         """Drop the incomplete body of the request that is being received."""
         self.listener.buffered_body_bytes -= self.body_bytes
         self.body_bytes = 0
-        self.body = []
+        self.body = bytearray()
 
     def discard_exchanges(self) -> None:
         """Notify the handlers of open requests that nobody waits for them."""
@@ -398,7 +400,7 @@
             return
         self.body_bytes += len(body)
         self.listener.buffered_body_bytes += len(body)
-        self.body.append(body)
+        self.body += body
         if (
             self.listener.buffered_body_bytes
             > self.listener.limits.buffered_bytes
@@ -416,14 +418,14 @@
                 method=self.parser.get_method(),
                 target=self.target,
                 headers=tuple(self.headers),
-                body=b"".join(self.body),
+                body=bytes(self.body),
             ),
             keep_alive=self.parser.should_keep_alive(),
             arrived_at=self.loop.time(),
         )
         # From here on the exchange accounts for the buffered body.
         self.body_bytes = 0
-        self.body = []
+        self.body = bytearray()
         self.received_bytes = 0
         self.exchanges.append(exchange)
         if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -156,20 +156,20 @@
     call: wire.Call,
 ) -> bytes:
     """Read until the end of the body or the deadline."""
-    chunks: list[bytes] = []
-    size = 0
+    # One buffer: an object for each chunk of a few bytes would take many
+    # times the memory of the body.
+    body = bytearray()
     while response.length_remaining != 0:
         _set_read_timeout(channel, call)
         chunk = response.read1(CHUNK_BYTES)
         if not chunk:
             break
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise urllib3.exceptions.IncompleteRead(size, 0)
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise urllib3.exceptions.IncompleteRead(len(body), 0)
     if not response.closed:
         response.read()
-    return b"".join(chunks)
+    return bytes(body)
 
 
 def _set_read_timeout(
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -161,16 +161,16 @@
     The socket's timeout applies to each read; without the total time, a
     response that arrives byte by byte would block the thread without limit.
     """
-    chunks: list[bytes] = []
-    size = 0
+    # One buffer: an object for each chunk of a few bytes would take many
+    # times the memory of the body.
+    body = bytearray()
     while chunk := response.read1(READ_CHUNK_BYTES):
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_RESPONSE_BYTES or time.monotonic() > ends_at:
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES or time.monotonic() > ends_at:
             response.close()
             raise urllib3.exceptions.ProtocolError(
                 "response is too large or too slow: stopped after "
-                f"{size} bytes"
+                f"{len(body)} bytes"
             )
     response.release_conn()
-    return b"".join(chunks)
+    return bytes(body)
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -142,6 +142,9 @@
             )
             exchange.connection.close()
             return
+        if self.fault_mode == "tiny-chunks":
+            self.send_tiny_chunks(exchange, identifier)
+            return
         if self.fault_mode == "wrong":
             identifier = "another"
         exchange.respond(
@@ -155,6 +158,28 @@
             )
         )
 
+    def send_tiny_chunks(
+        self, exchange: http.Exchange, identifier: str
+    ) -> None:
+        """Send a body without end in chunks of two bytes."""
+        transport = exchange.connection.transport
+        transport.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            b"X-Response-Seal: s\r\nX-Request-Id: "
+            + identifier.encode()
+            + b"\r\n\r\n"
+        )
+
+        async def send() -> None:
+            while not transport.is_closing():
+                if transport.get_write_buffer_size() < 100_000:
+                    transport.write(b"2\r\nxx\r\n" * 10_000)
+                await asyncio.sleep(0.001)
+
+        task = asyncio.get_running_loop().create_task(send())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def make_heartbeat(self) -> bytes:
         """Return the next heartbeat, as the body of a request."""
         self.sequence += 1
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -3,11 +3,19 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 import unittest
+from unittest import mock
 
 from apricotpost import http
+from apricotpost.http import client as client_module
 
-__all__ = ["ClientTest", "EndlessResponseTest", "StaleResponseTest"]
+__all__ = [
+    "ClientTest",
+    "EndlessResponseTest",
+    "StaleResponseTest",
+    "TinyChunksTest",
+]
 
 GET = http.Request(method=b"GET", target=b"/", headers=((b"Host", b"h"),))
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -229,6 +237,60 @@
         self.assertEqual(20_000, len(result.response.body))
 
 
+class TinyChunksTest(unittest.IsolatedAsyncioTestCase):
+    """A server sends its response in chunks of two bytes."""
+
+    async def start_response(self, head):
+        """Return a connection that has received the head of a response."""
+        client = http.Client(host="127.0.0.1", port=1)
+        connection = client_module.Connection(client=client)
+        connection.connection_made(mock.MagicMock())
+        connection.transport.is_closing.return_value = False
+        handle = client_module.RequestHandle(
+            done=lambda result: None, check=None, on_sent=None
+        )
+        connection.start(GET, handle)
+        connection.data_received(head)
+        return connection
+
+    def measure_growth(self, connection, data):
+        """Return the memory that is kept of received data, in bytes."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        connection.data_received(data)
+        after, _ = tracemalloc.get_traced_memory()
+        return after - before
+
+    async def test_body_takes_about_the_memory_of_its_bytes(self):
+        """Guards against an object for each chunk of a body.
+
+        A body in chunks of two bytes took 28 times the memory that the limits
+        count, so that an endless one ended the process (review case 1).
+        """
+        connection = await self.start_response(CHUNKED)
+        body_bytes = 200_000
+        growth = self.measure_growth(
+            connection, b"2\r\nxx\r\n" * (body_bytes // 2)
+        )
+        self.assertEqual(body_bytes, connection.body_bytes)
+        self.assertLess(growth, 1.5 * body_bytes)
+
+    async def test_trailers_are_not_kept(self):
+        """Guards against trailers that take more memory than the body.
+
+        They also must not pass for headers: a trailer could add a signature.
+        """
+        connection = await self.start_response(
+            CHUNKED + b"2710\r\n" + b"x" * 10_000 + b"\r\n0\r\n"
+        )
+        growth = self.measure_growth(connection, b"X: y\r\n" * 10_000)
+        self.assertLess(growth, 10_000)
+        self.assertEqual(
+            [(b"Transfer-Encoding", b"chunked")], connection.headers
+        )
+
+
 class StaleResponseTest(ServerCase):
     """A server sends an earlier response again where the next one is due."""
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,11 +1,14 @@
 """Tests of the HTTP listener with raw bytes over loopback."""
 
 import asyncio
+import tracemalloc
 import unittest
+from unittest import mock
 
 from apricotpost import http
+from apricotpost.http import server
 
-__all__ = ["ListenerTest"]
+__all__ = ["ListenerTest", "TinyChunksTest"]
 
 HEAD = b"Host: h\r\n"
 
@@ -263,3 +266,36 @@
         self.exchanges[1].respond(http.Response(status=200))
         self.assertEqual(0, self.listener.buffered_body_bytes)
         self.assertEqual(1, (await self.reader.read()).count(b"HTTP/1.1 200"))
+
+
+class TinyChunksTest(unittest.IsolatedAsyncioTestCase):
+    """A client sends its body in chunks of two bytes."""
+
+    async def test_body_takes_about_the_memory_of_its_bytes(self):
+        """Guards against an object for each chunk of a body.
+
+        A body in chunks of two bytes took 28 times the memory that the limits
+        count.
+        """
+        connection = server.Connection(
+            listener=http.Listener(
+                handler=lambda exchange: None, limits=http.Limits()
+            ),
+            loop=asyncio.get_running_loop(),
+        )
+        connection.connection_made(mock.MagicMock())
+        self.addCleanup(connection.connection_lost, None)
+        connection.data_received(
+            b"POST / HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        body_bytes = 200_000
+        data = b"2\r\nxx\r\n" * (body_bytes // 2)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before, _ = tracemalloc.get_traced_memory()
+        connection.data_received(data)
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertEqual(body_bytes, connection.body_bytes)
+        self.assertLess(after - before, 1.5 * body_bytes)
--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -127,6 +127,20 @@
         self.nodes[1].kill()
         self.assertEqual([200] * 8, await calls)
 
+    async def test_body_without_end_in_tiny_chunks_takes_little_memory(self):
+        """Guards against a node that its platform kills for its memory.
+
+        A server sent a body without end in chunks of two bytes; its node kept
+        an object for each and took 200 MB in 1.5 s (review case 1).
+        """
+        await self.start("dc-a", "dc-a")
+        self.backends[0].fault_mode = "tiny-chunks"
+        await self.call_all(6, deadline_ms=1500)
+        peak_bytes = await self.mesh.read_metric(
+            self.nodes[0], "apricotpost_peak_resident_bytes"
+        )
+        self.assertLess(peak_bytes, 100 * 1024 * 1024)
+
     async def test_stop_fails_no_request(self):
         """Guards against a stop that aborts running requests."""
         await self.start("dc-a", "dc-a")
