Let other events run between two reads of a connection

While a backend server sent a body in tiny chunks, its node answered hardly anything else: scrapes and readiness checks waited for over a second, and so would the heartbeats of other nodes' connections.

Cause: uvloop reads up to 32 times 256 KiB in a row while data is available. A probe showed stops of the event loop of 1,317 ms, in each of which 2.34 million body bytes were parsed, 8 MiB on the wire.

Change: connections of the client and the listener read 32 KiB at a time into a buffer of their owner, and stop reading until the loop's next turn after a read that filled it.

--- a/apricotpost/http/client.py
+++ b/apricotpost/http/client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from apricotpost.http import messages
+from apricotpost.http import reading
 
 __all__ = ["Client", "Failure", "RequestHandle", "Result", "Verdict"]
 
@@ -161,6 +162,7 @@
         self.connect_seconds = connect_seconds
         self.max_idle_seconds = max_idle_seconds
         self.loop = asyncio.get_running_loop()
+        self.reader = reading.PortionReader()
         self.idle_connections: list[Connection] = []
         self.connections: set[Connection] = set()
         self.opened_count = 0
@@ -265,7 +267,7 @@
         self.idle_connections.clear()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection, which carries one request at a time."""
 
     def __init__(self, *, client: Client) -> None:
@@ -362,6 +364,21 @@
             and messages.find_header(headers, b"transfer-encoding") is None
         )
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self.client.reader.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read, and pause if more is available."""
+        reader = self.client.reader
+        self.data_received(reader.take(nbytes))
+        reader.pause_if_full(self.transport, nbytes, self.resume_reading)
+
+    def resume_reading(self) -> None:
+        """Read on after a pause."""
+        if self.is_open():
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response."""
         if self.handle is None:
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from apricotpost.http import messages
+from apricotpost.http import reading
 
 __all__ = ["Exchange", "Limits", "Listener"]
 
@@ -133,6 +134,7 @@
         self.closing = False
         self.buffered_body_bytes = 0
         self.server: asyncio.Server | None = None
+        self.reader = reading.PortionReader()
 
     async def listen(self, host: str, port: int) -> None:
         """Start listening.
@@ -172,7 +174,7 @@
             connection.close()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Connection of one client."""
 
     def __init__(
@@ -255,6 +257,21 @@
             self.closing_since = self.loop.time()
             self.transport.close()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self.listener.reader.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read, and pause if more is available."""
+        reader = self.listener.reader
+        self.data_received(reader.take(nbytes))
+        reader.pause_if_full(self.transport, nbytes, self.resume_reading)
+
+    def resume_reading(self) -> None:
+        """Read on after a pause, unless too many requests are open."""
+        if self.transport is not None and not self.reading_paused:
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Parse data from the client."""
         self.last_activity_at = self.loop.time()
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -1,18 +1,23 @@
 """Tests of the HTTP client against raw responses over loopback."""
 
 import asyncio
+import collections
 import socket
 import struct
+import threading
 import tracemalloc
 import unittest
 from unittest import mock
 
+import uvloop
+
 from apricotpost import http
 from apricotpost.http import client as client_module
 
 __all__ = [
     "ClientTest",
     "EndlessResponseTest",
+    "FairReadingTest",
     "StaleResponseTest",
     "TinyChunksTest",
 ]
@@ -291,6 +296,63 @@
         )
 
 
+class FairReadingTest(unittest.TestCase):
+    """A server sends faster than the client can parse."""
+
+    def test_other_events_run_between_two_reads(self):
+        """Guards against a response that stops the event loop for a second.
+
+        uvloop reads up to 32 times in a row while data is available. With
+        chunks of two bytes, parsing 8 MiB took 1.3 s, in which the process
+        handled no other connection.
+        """
+        data = CHUNKED + b"2\r\nxx\r\n" * 600_000
+        received = []
+        turns = 0
+
+        async def receive(port):
+            nonlocal turns
+            client = http.Client(host="127.0.0.1", port=port)
+            loop = asyncio.get_running_loop()
+            completed = loop.create_future()
+            client.send(GET, completed.set_result, timeout_seconds=30.0)
+            while not completed.done():
+                await asyncio.sleep(0)
+                turns += 1
+            client.close()
+
+        def record(connection, data):
+            received.append((turns, len(data)))
+            receive_data(connection, data)
+
+        receive_data = client_module.Connection.data_received
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            mock.patch.object(
+                client_module.Connection, "data_received", record
+            ),
+        ):
+            server = threading.Thread(
+                target=send_and_close, args=(listener, data)
+            )
+            server.start()
+            uvloop.run(receive(listener.getsockname()[1]))
+            server.join()
+        bytes_by_turn = collections.Counter()
+        for turn, size in received:
+            bytes_by_turn[turn] += size
+        self.assertEqual(len(data), bytes_by_turn.total())
+        self.assertLessEqual(max(bytes_by_turn.values()), 64 * 1024)
+
+
+def send_and_close(listener, data):
+    """Send data on the first connection of a listener, then close it."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65536)
+        connection.sendall(data)
+
+
 class StaleResponseTest(ServerCase):
     """A server sends an earlier response again where the next one is due."""
 
