Reject a response whose head is cut off

The event-loop node is not affected: its parser reports a response only after a complete head. A test cuts a response at each byte, and one calls a node whose server does it (502).

The thread-based node was: http.client takes the end of a connection for the end of the head, so that the header with the length is missing and the body seems to be empty. The client of the store had the same fault where the length was cut off: a write without a usable answer counted as done. Ruled out: the framing on the way to the caller, which follows the body that the worker reports.

Change: a connection of urllib3 that raises IncompleteRead unless the head ends with an empty line; both use it.

--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -11,6 +11,7 @@
 
 from apricotpost.node import addresses
 from apricotpost.routing import contexts
+from apricotpost.storage import connections
 from apricotpost import wire
 
 __all__ = ["Connection", "run", "send"]
@@ -113,7 +114,7 @@
             return channel
     _close(connection)
     host, _, port = address.rpartition(":")
-    channel = urllib3.connection.HTTPConnection(
+    channel = connections.Connection(
         host.strip("[]"),
         int(port),
         timeout=min(CONNECT_TIMEOUT_SECONDS, remaining),
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from apricotpost import errors
+from apricotpost.storage import connections
 from apricotpost.storage import signing
 
 __all__ = ["Channel", "Response", "open_channel", "request", "with_time_limit"]
@@ -51,7 +52,7 @@
 ) -> Channel:
     """Return a new channel; the caller closes its pool with ``clear()``."""
     return Channel(
-        pool=urllib3.PoolManager(
+        pool=connections.make_pool(
             num_pools=2, maxsize=1, retries=False, block=False
         ),
         timeout_seconds=timeout_seconds,
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -142,6 +142,14 @@
             )
             exchange.connection.close()
             return
+        if self.fault_mode == "cut-head":
+            exchange.connection.transport.write(
+                b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: "
+                + identifier.encode()
+                + b"\r\nContent-Le"
+            )
+            exchange.connection.close()
+            return
         if self.fault_mode == "tiny-chunks":
             self.send_tiny_chunks(exchange, identifier)
             return
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -117,6 +117,15 @@
             result = await self.send()
             self.assertIs(http.Failure.CONNECTION_LOST, result.failure)
 
+    async def test_response_cut_in_its_head_is_a_failure(self):
+        """Guards against an empty body that is taken for the whole one."""
+        for head in (OK[:-2], b"HTTP/1.1 100 Continue\r\n\r\n" + OK[:-2]):
+            for size in range(1, len(head)):
+                with self.subTest(head=head[:size]):
+                    await self.start_server(head[:size], end="close")
+                    result = await self.send()
+                    self.assertIsNone(result.response)
+
     async def test_surplus_response_is_discarded(self):
         """Guards against matching a surplus response to the next request."""
         await self.start_server(OK + OK.replace(b"ok", b"no"), OK)
--- a/tests/node/loads.py
+++ b/tests/node/loads.py
@@ -13,6 +13,7 @@
 from standins import fleet as fleets
 
 __all__ = [
+    "CUT_HEAD",
     "Result",
     "announce",
     "count_executions",
@@ -21,6 +22,8 @@
     "send",
 ]
 
+# Response that ends early for the path "/cut-head".
+CUT_HEAD = b"HTTP/1.1 200 OK\r\nX-Kind: a\r\nContent-Length: 14\r\n\r\n"
 _REQUEST_NUMBERS = itertools.count()
 
 
@@ -177,6 +180,10 @@
             return False
         if path.endswith("/hang-up"):
             return False
+        if path.endswith("/cut-head"):
+            # The body of the request tells after how many bytes.
+            self.wfile.write(CUT_HEAD[: int(body)])
+            return False
         if path.endswith("/slow"):
             time.sleep(1.2)
         if path.endswith("/crossed"):
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -49,6 +49,17 @@
         self.send("/x")
         self.assertIs(channel, self.connection.channel)
 
+    def test_response_cut_in_its_head_is_no_response(self):
+        """Guards against an empty body that is delivered as the whole one.
+
+        A server stopped in the middle of the head and closed; without the
+        header with the length, the response seemed to end there.
+        """
+        for size in range(len(loads.CUT_HEAD)):
+            with self.subTest(size=size):
+                result = self.send("/cut-head", body=b"%d" % size)
+                self.assertEqual(wire.Outcome.UNKNOWN, result.outcome)
+
     def test_refused_connection_is_not_run(self):
         """Guards against an unknown outcome of a call that was not sent."""
         (port,) = fleets.free_ports(1)
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -144,7 +144,7 @@
     async def test_wrong_and_truncated_responses_are_not_delivered(self):
         """Guards against truncated responses and those of other requests."""
         await self.start("dc-a")
-        for mode in ("wrong", "cut"):
+        for mode in ("wrong", "cut", "cut-head"):
             self.backends[0].fault_mode = mode
             statuses = await self.call_all(1, "/reports/1", method=b"POST")
             self.assertEqual([502], statuses)
--- a/tests/storage/test_http.py
+++ b/tests/storage/test_http.py
@@ -91,6 +91,17 @@
                 with self.assertRaises(errors.PlatformOutcomeUnknown):
                     self.exchange(chunks)
 
+    def test_response_cut_in_its_head_is_unknown(self):
+        """Guards against an empty response to a request that failed.
+
+        The store's process stopped in the middle of the head; without a
+        usable length, the response seemed to end there.
+        """
+        for size in range(len(HEAD)):
+            with self.subTest(size=size):
+                with self.assertRaises(errors.PlatformOutcomeUnknown):
+                    self.exchange([HEAD[:size]])
+
     def test_missing_response_ends_with_the_timeout(self):
         """Guards against a thread blocked by a platform that hangs."""
         with self.assertRaises(errors.PlatformOutcomeUnknown):
