Keep the cold rate until the cold time has ended

Cause: a server states the rest of its cold time in whole milliseconds, and the event loop's clock is that of the start of its turn, so the node took the server for warm up to some milliseconds early and filled all its slots at once. Evidence: the log of the sends has the last 7 to 11 of the counted requests 2.999 to 3.000 s after the start of a cold time of 3 s. The same clock made the window of a second up to a millisecond short: 38 cold servers got 27 or more requests, with a limit of 26. Ruled out: evacuations that the node had not heard of (heartbeats told of the cold time within 41 ms), repeats by the gate (none among the counted requests), requests that wait for a connection (counted before they are sent).

Change: a server counts as cold for 0.1 s longer than it says, also when a heartbeat says that it is warm. Sends are recorded with the time at which they happen. Both come before the server's own end of the cold time, so that the burst falls after it.

The new test failed before (28 requests in a second, 23 allowed).

--- a/apricotpost/admission/ranked.py
+++ b/apricotpost/admission/ranked.py
@@ -22,6 +22,7 @@
     "finish",
     "next_start",
     "recent_failure_ratio",
+    "record_cold_time",
     "record_rejection",
     "record_send",
     "remove",
@@ -33,6 +34,10 @@
 # Length of the sliding window in which the requests sent to a cold backend
 # server are counted.
 COLD_WINDOW_SECONDS = 1.0
+# A backend server states the rest of its cold time in whole milliseconds, and
+# the event loop's clock is that of the start of its turn. A server that is
+# taken for warm too early gets all its slots filled beyond the rate.
+COLD_END_MARGIN_SECONDS = 0.1
 # Fraction of the allowed slack that is used in a window. The rest is room for
 # requests that reach the backend server late and fall into the next window.
 COLD_SLACK_FRACTION = 0.5
@@ -249,6 +254,27 @@
     state.cold_limit = max(int(rate * ratio + slack * COLD_SLACK_FRACTION), 1)
 
 
+def record_cold_time(
+    state: RankedQueue, *, remaining_ms: float, now: float
+) -> None:
+    """Record how long the backend server says that it remains cold.
+
+    Parameters
+    ----------
+    state : RankedQueue
+        State of the queue.
+    remaining_ms : float
+        Rest of the cold time in milliseconds; 0 if the server is warm.
+    now : float
+        Time of the statement, in seconds of the monotonic clock.
+    """
+    margin_ends_at = now + COLD_END_MARGIN_SECONDS
+    if remaining_ms > 0:
+        state.cold_until = margin_ends_at + remaining_ms / 1000.0
+    else:
+        state.cold_until = min(state.cold_until, margin_ends_at)
+
+
 def cold_capacity(state: RankedQueue, now: float) -> int:
     """Return how many more requests may be sent to a cold server now."""
     _discard_old_sends(state, now)
@@ -261,6 +287,16 @@
 
     A new connection takes time to open, so that requests which were started
     in different windows could arrive in one.
+
+    Parameters
+    ----------
+    state : RankedQueue
+        State of the queue.
+    call : str
+        Identifier of the attempt.
+    now : float
+        Time of the send, in seconds of the monotonic clock. The event loop's
+        clock is not exact enough, as it stands still during a turn.
     """
     state.unsent.discard(call)
     state.recent_sends.append(now)
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -185,9 +185,13 @@
             ratio=bounds.cold_ratio,
             slack=bounds.cold_slack,
         )
+        ranked.record_cold_time(
+            self.queue,
+            remaining_ms=heartbeat.cold_ms,
+            now=self.presence.heard_at,
+        )
         self.queue.cold_until = max(
-            self.presence.heard_at + heartbeat.cold_ms / 1000.0,
-            self.presence.assumed_cold_until,
+            self.queue.cold_until, self.presence.assumed_cold_until
         )
         self.check_health()
 
--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import time
 
 from apricotpost.admission import ranked
 from apricotpost import errors
@@ -309,7 +310,7 @@
             )
 
         def record_send() -> None:
-            ranked.record_send(self.queue, offer.call, self.loop.time())
+            ranked.record_send(self.queue, offer.call, time.monotonic())
 
         pending.handle = self.client.send(
             request,
--- a/tests/sidecar/test_backend_server.py
+++ b/tests/sidecar/test_backend_server.py
@@ -8,6 +8,7 @@
 from apricotpost.sidecar import backend_server
 from apricotpost.sidecar import views
 from apricotpost import wire
+from tests.admission import test_ranked
 from tests.sidecar import builders
 
 __all__ = ["BackendServerTest"]
@@ -82,6 +83,52 @@
         left = self.queue.cold_until - self.server.loop.time()
         self.assertAlmostEqual(3.0, left, delta=0.2)
 
+    async def test_cold_rate_holds_until_the_cold_time_has_ended(self):
+        """Guards against a burst in the last moments of the cold time.
+
+        A server states its remaining time in whole milliseconds, and the
+        clock of the event loop is that of the start of its turn. A node took
+        the server for warm up to some milliseconds early, and filled all its
+        slots beyond the rate.
+        """
+        turn_seconds = 0.01
+        cold_end = 13.0 + turn_seconds
+        now = 10.0
+        self.server.loop = types.SimpleNamespace(time=lambda: now)
+        self.server.handle_heartbeat(builders.make_heartbeat(cold_ms=3000))
+        sent, running = [], []
+        for tick in range(400):
+            now = 10.0 + tick * turn_seconds
+            while running and running[0][0] <= now:
+                ranked.finish(
+                    self.queue,
+                    running.pop(0)[1],
+                    ran_ms=150.0,
+                    failed=False,
+                    now=now,
+                )
+            if tick in (200, 299):
+                # The next heartbeats of the same server.
+                self.server.handle_heartbeat(
+                    builders.make_heartbeat(
+                        sequence=tick, cold_ms=max(2990 - tick * 10, 0)
+                    )
+                )
+            ranked.enqueue(
+                self.queue, test_ranked.make_queued(str(tick), at=now)
+            )
+            for queued in ranked.start(self.queue, now)[0]:
+                sent_at = now + 0.9 * turn_seconds
+                ranked.record_send(self.queue, queued.call, sent_at)
+                sent.append(sent_at)
+                running.append((now + 0.15, queued.call))
+        for first in sent:
+            count = sum(
+                first <= at < min(first + 1.0, cold_end) for at in sent
+            )
+            self.assertLessEqual(count, 1.5 * 12.0 + 5.0)
+        self.assertGreater(len(sent), 1.5 * 12.0 * 3)
+
     async def test_unknown_configuration_refuses(self):
         """Guards against requests before the service's rule is known."""
         self.server.read_view = lambda: views.EMPTY
