Refuse requests that cannot end within the grace period

Operators of systems like ours reported that requests which came late in the grace period of a planned stop were passed on and cut at its end, among them requests that may not be repeated (LOST).

Cause: a node accepted requests until 2.6 s after SIGTERM, whatever the grace period and the time that a request needs, and cut what was open 0.4 s before the end of the grace period. With the 6 s and 10 s of the users' sites 3 s or more lie between the two; with 3 s it is the same moment. Ruled out: requests on kept connections after 2.6 s (refused with 503, as a test with a grace period of 6 s shows).

The decision is a pure function in admission/draining.py.

--- a/apricotpost/sidecar/active_requests.py
+++ b/apricotpost/sidecar/active_requests.py
@@ -17,6 +17,7 @@
     "RetryDecision",
     "decide_after_failure",
     "decide_after_refusal",
+    "find_deadline",
     "hedge_delay_seconds",
     "is_overdue",
     "jittered_retry_seconds",
@@ -140,9 +141,6 @@
         nested: bool,
         version_draw: float,
     ) -> None:
-        remaining_ms = route.timeout_ms
-        if head.deadline_ms is not None:
-            remaining_ms = min(remaining_ms, head.deadline_ms)
         self.exchange = exchange
         self.head = head
         self.route = route
@@ -150,7 +148,7 @@
         self.nested = nested
         self.version_draw = version_draw
         self.headers = http.strip_hop_headers(exchange.request.headers)
-        self.expires_at = exchange.arrived_at + remaining_ms / 1000.0
+        self.expires_at = find_deadline(exchange, head, route)
         self.objective_at = exchange.arrived_at + route.objective_ms / 1000.0
         self.call = ""
         self.node = ""
@@ -175,6 +173,18 @@
         self.hedged = False
 
 
+def find_deadline(
+    exchange: http.Exchange,
+    head: platform.RequestHead,
+    route: model.TrafficRoute,
+) -> float:
+    """Return the deadline of a request, in seconds of the loop's clock."""
+    remaining_ms = route.timeout_ms
+    if head.deadline_ms is not None:
+        remaining_ms = min(remaining_ms, head.deadline_ms)
+    return exchange.arrived_at + remaining_ms / 1000.0
+
+
 def decide_after_refusal(
     active: ActiveRequest,
     refused: wire.Refused,
--- a/apricotpost/sidecar/dispatcher.py
+++ b/apricotpost/sidecar/dispatcher.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 import random
 
+from apricotpost.admission import draining
 from apricotpost import http
+from apricotpost import model
 from apricotpost import platform
 from apricotpost.routing import placement
 from apricotpost.routing import prefixes
@@ -103,7 +105,7 @@
         self.held = held_requests.HeldRequests(handle=self.handle_request)
         self.active_by_call: dict[str, active_requests.ActiveRequest] = {}
         self.last_call_number = 0
-        self.stopping = False
+        self.stop_schedule: draining.StopSchedule | None = None
         self.backend_host = settings.backend_address.rpartition(":")[0]
 
     def apply_settings(self, settings: options.Options) -> None:
@@ -133,7 +135,13 @@
                 NOT_READY_RETRY_MS,
             )
             return
-        if self.stopping:
+        route = prefixes.match_prefix(view.routes, head.host, head.path)
+        if route is None:
+            self.responder.respond_locally(
+                exchange, head, 404, wire.NotRunReason.NO_ROUTE
+            )
+            return
+        if not self.can_finish(exchange, head, route):
             self.responder.respond_locally(
                 exchange,
                 head,
@@ -142,12 +150,6 @@
                 NOT_READY_RETRY_MS,
             )
             return
-        route = prefixes.match_prefix(view.routes, head.host, head.path)
-        if route is None:
-            self.responder.respond_locally(
-                exchange, head, 404, wire.NotRunReason.NO_ROUTE
-            )
-            return
         service = self.balancer.choose_service(route)
         if not self.servers.list_usable(view, service) and self.held.hold(
             exchange
@@ -179,6 +181,24 @@
                 active,
             )
 
+    def can_finish(
+        self,
+        exchange: http.Exchange,
+        head: platform.RequestHead,
+        route: model.TrafficRoute,
+    ) -> bool:
+        """Tell whether a request can end before this process does."""
+        if self.stop_schedule is None:
+            return True
+        return draining.can_finish(
+            self.stop_schedule,
+            now=self.loop.time(),
+            expires_at=active_requests.find_deadline(exchange, head, route),
+            expected_ms=self.balancer.mean_ms(route.name)
+            or route.objective_ms,
+            idempotent=route.idempotent,
+        )
+
     def offer(self, active: active_requests.ActiveRequest) -> None:
         """Offer a request to a backend server; answer it if there is none."""
         if self.send_to_best(active):
@@ -506,9 +526,9 @@
         self.instruments.requests.add("abandoned", "caller-gone")
         self.cancel_attempts(active)
 
-    def stop_accepting(self) -> None:
-        """Refuse new requests; those already accepted are finished."""
-        self.stopping = True
+    def start_stopping(self, schedule: draining.StopSchedule) -> None:
+        """Refuse the requests that cannot end in time from now on."""
+        self.stop_schedule = schedule
 
     def fail_open_requests(self) -> None:
         """Fail the requests that are still open when the process ends."""
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from apricotpost.admission import draining
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import http
@@ -42,12 +43,6 @@
 # it is forwarded.
 BUFFER_FRACTION = 0.3
 TRAFFIC_REPORT_SECONDS = 15.0
-# Time after SIGTERM in which requests are still accepted. The platform sends
-# clients to a node until two readiness checks, one a second, have failed.
-# Later requests are refused, as they might not end within the grace period.
-STOP_MIN_SECONDS = 2.6
-# Reserved at the end of the grace period for writing the last answers.
-STOP_MARGIN_SECONDS = 0.4
 STOP_CHECK_SECONDS = 0.05
 # Longest wait for the store at the end of a stop.
 UNREGISTER_SECONDS = 0.2
@@ -395,21 +390,20 @@
         events.emit(
             _LOG, events.SIDECAR_STOPPING, instance=self.settings.instance
         )
-        stop_started_at = self.loop.time()
-        grace_seconds = self.settings.bounds.grace_seconds
+        schedule = draining.make_schedule(
+            started_at=self.loop.time(),
+            grace_seconds=self.settings.bounds.grace_seconds,
+        )
         self.gossip.leaving = True
         self.gossip.publish_change()
         callers = self.listeners[self.settings.addresses.callers]
         callers.start_closing()
         self.loop.call_later(LEAVE_NOTICE_SECONDS, self.gate.stop_accepting)
-        self.loop.call_later(STOP_MIN_SECONDS, self.dispatcher.stop_accepting)
-        self.loop.call_later(STOP_MIN_SECONDS, callers.stop_listening)
-        while (
-            self.loop.time() - stop_started_at
-            < grace_seconds - STOP_MARGIN_SECONDS
-        ):
+        self.dispatcher.start_stopping(schedule)
+        self.loop.call_at(schedule.accepts_until, callers.stop_listening)
+        while self.loop.time() < schedule.answers_until:
             await asyncio.sleep(STOP_CHECK_SECONDS)
-            if self.loop.time() - stop_started_at < STOP_MIN_SECONDS:
+            if self.loop.time() < schedule.accepts_until:
                 continue
             if not callers.count_open_exchanges() and self.gate.is_idle():
                 break
