Wait at a stop until responses are received

Cause: the drain ended once each response was handed to its transport, and the process exited without what was not sent. Responses on their way to another node were dropped with the sockets. Apart from stops, a closing connection was aborted 5 s after its last response, however much its client received in that time. Ruled out for the second: a linger time of ZeroMQ, with which the new test still lost the response in 5 of 13 runs, as data that the closing process has not read resets the connection.

Change: a response is open until its transport has sent it. A stopping node asks for a receipt of each response to another node, and waits for it until the caller's deadline. Only 5 s without progress abort a closing connection.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -242,7 +242,10 @@
     "node %(instance)s received SIGTERM and is draining",
 )
 SIDECAR_STOPPED = _define(
-    702, logging.INFO, "node %(instance)s stopped with %(open)s requests open"
+    702,
+    logging.INFO,
+    "node %(instance)s stopped with %(open)s requests open and "
+    "%(unsent_bytes)s bytes of responses unsent",
 )
 SETTINGS_RELOADED = _define(
     703, logging.INFO, "settings reloaded after %(cause)s"
--- a/apricotpost/http/server.py
+++ b/apricotpost/http/server.py
@@ -26,8 +26,8 @@
 # chunk of one byte takes five more bytes.
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_PER_BODY_BYTE = 8
-# Time in which a client has to read the last response after its connection
-# was closed.
+# Time after which a closing connection is aborted if its client reads nothing
+# of the last response.
 CLOSE_SECONDS = 5.0
 
 Handler = Callable[["Exchange"], None]
@@ -166,6 +166,10 @@
         """Return the number of requests whose response is not written yet."""
         return sum(len(c.exchanges) for c in self.connections)
 
+    def count_unsent_bytes(self) -> int:
+        """Return the size of the responses that wait for their clients."""
+        return sum(c.count_unsent_bytes() for c in self.connections)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self.server is not None:
@@ -194,6 +198,8 @@
         # Start of the request that is being received, and of closing.
         self.request_began_at = 0.0
         self.closing_since: float | None = None
+        # Unsent bytes at the last check of a closing connection.
+        self.unsent_bytes = 0
         # Bytes received since the last request began or ended.
         self.received_bytes = 0
         self.has_headers = False
@@ -251,12 +257,35 @@
         """Close the connection; a client that half-closes gets no response."""
         return False
 
+    def count_unsent_bytes(self) -> int:
+        """Return the size of the data that waits for the client."""
+        if self.transport is None:
+            return 0
+        size: int = self.transport.get_write_buffer_size()
+        return size
+
     def close(self) -> None:
         """Close the connection after buffered data is sent."""
         if self.transport is not None:
             self.closing_since = self.loop.time()
+            self.unsent_bytes = self.count_unsent_bytes()
             self.transport.close()
 
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether the client of a closing connection has stopped reading.
+
+        A large response takes long on a slow link, so only the time since the
+        last progress counts.
+        """
+        unsent_bytes = self.count_unsent_bytes()
+        if unsent_bytes < self.unsent_bytes:
+            self.unsent_bytes = unsent_bytes
+            self.closing_since = now
+        return (
+            self.closing_since is not None
+            and now - self.closing_since > CLOSE_SECONDS
+        )
+
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read."""
         return self.listener.reader.buffer
@@ -340,7 +369,7 @@
         idle_seconds = now - self.last_activity_at
         receiving_seconds = now - self.request_began_at
         if self.closing_since is not None:
-            if now - self.closing_since > CLOSE_SECONDS:
+            if self.is_stalled(now):
                 self.transport.abort()
                 return
         elif not self.exchanges:
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -1,6 +1,7 @@
 """Connects the tasks of a node and runs them until SIGTERM."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import contextlib
 import logging
@@ -28,6 +29,7 @@
 from apricotpost.sidecar import metrics
 from apricotpost.sidecar import options
 from apricotpost.sidecar import orders
+from apricotpost.sidecar import receipts
 from apricotpost.sidecar import rollouts
 from apricotpost.sidecar import server_index
 from apricotpost.sidecar import views
@@ -79,6 +81,7 @@
         boot = time.time_ns() // 1_000_000
         rng = random.Random(f"{settings.instance}-{boot}")
         self.metrics = metrics.Metrics()
+        self.receipts = receipts.Receipts()
         self.members = fleet.Fleet(
             node=settings.instance, data_centre=settings.data_centre
         )
@@ -206,7 +209,12 @@
             self.orders.handle_pull(message)
         elif isinstance(message, wire.TrialNotice):
             self.rollouts.handle_notice(message)
+        elif isinstance(message, wire.Receipt):
+            self.receipts.record(message.call)
         elif isinstance(message, ANSWERS):
+            self.confirm(
+                message, lambda receipt: self.links.reply(identity, receipt)
+            )
             self.dispatcher.handle_answer(message)
         else:
             events.emit(
@@ -220,10 +228,13 @@
         connection that this node opens to the sender.
         """
         sender = offer.call.split("/", 1)[0]
+        expires_at = self.loop.time() + offer.remaining_ms / 1000.0
 
         def reply(
             message: wire.Delivered | wire.Refused | wire.Failed,
         ) -> None:
+            if self.stopping.is_set():
+                message = self.receipts.request(message, expires_at)
             if not self.links.reply(identity, message):
                 self.connections.open(sender, self.loop.time())
                 self.links.send_or_queue(sender, message)
@@ -233,9 +244,21 @@
     def handle_answer(self, name: str, message: wire.Message) -> None:
         """Process a message on a connection that this node has opened."""
         fleet.record_contact(self.members, name, self.loop.time())
-        if isinstance(message, ANSWERS):
+        if isinstance(message, wire.Receipt):
+            self.receipts.record(message.call)
+        elif isinstance(message, ANSWERS):
+            self.confirm(
+                message, lambda receipt: self.links.send(name, receipt)
+            )
             self.dispatcher.handle_answer(message)
 
+    def confirm(
+        self, message: wire.Message, send: Callable[[wire.Receipt], object]
+    ) -> None:
+        """Confirm a response to the node that has sent it if it asks so."""
+        if isinstance(message, wire.Delivered) and message.wants_receipt:
+            send(wire.Receipt(call=message.call))
+
     def start_queued_offers(self) -> None:
         """Start queued offers after a batch, which may have cancelled some."""
         self.gate.start_queued()
@@ -405,7 +428,12 @@
             await asyncio.sleep(STOP_CHECK_SECONDS)
             if self.loop.time() < schedule.accepts_until:
                 continue
-            if not callers.count_open_exchanges() and self.gate.is_idle():
+            if not (
+                callers.count_open_exchanges()
+                or callers.count_unsent_bytes()
+                or self.receipts.has_pending(self.loop.time())
+                or not self.gate.is_idle()
+            ):
                 break
         self.dispatcher.fail_open_requests()
         await self.unregister()
@@ -414,6 +442,7 @@
             events.SIDECAR_STOPPED,
             instance=self.settings.instance,
             open=callers.count_open_exchanges(),
+            unsent_bytes=callers.count_unsent_bytes(),
         )
 
     async def unregister(self) -> None:
--- a/apricotpost/wire/__init__.py
+++ b/apricotpost/wire/__init__.py
@@ -24,6 +24,7 @@
 from apricotpost.wire.sidecar_messages import OrdersPush
 from apricotpost.wire.sidecar_messages import PackedForm
 from apricotpost.wire.sidecar_messages import PackedRow
+from apricotpost.wire.sidecar_messages import Receipt
 from apricotpost.wire.sidecar_messages import Refused
 from apricotpost.wire.sidecar_messages import ServerLoad
 from apricotpost.wire.sidecar_messages import ServerState
@@ -47,6 +48,7 @@
     "OrdersPush",
     "PackedForm",
     "PackedRow",
+    "Receipt",
     "Refused",
     "ServerLoad",
     "ServerState",
--- a/apricotpost/wire/__init__.pyi
+++ b/apricotpost/wire/__init__.pyi
@@ -32,6 +32,7 @@
 from apricotpost.wire.sidecar_messages import OrdersPush as OrdersPush
 from apricotpost.wire.sidecar_messages import PackedForm as PackedForm
 from apricotpost.wire.sidecar_messages import PackedRow as PackedRow
+from apricotpost.wire.sidecar_messages import Receipt as Receipt
 from apricotpost.wire.sidecar_messages import Refused as Refused
 from apricotpost.wire.sidecar_messages import ServerLoad as ServerLoad
 from apricotpost.wire.sidecar_messages import ServerState as ServerState
--- a/apricotpost/wire/sidecar_messages.py
+++ b/apricotpost/wire/sidecar_messages.py
@@ -23,6 +23,7 @@
     "OrdersPush",
     "PackedForm",
     "PackedRow",
+    "Receipt",
     "Refused",
     "ServerLoad",
     "ServerState",
@@ -119,7 +120,21 @@
 
 
 class Delivered(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Complete response of the backend server."""
+    """Complete response of the backend server.
+
+    Parameters
+    ----------
+    call : str
+        Identifier of the attempt.
+    status, headers, body
+        Content of the HTTP response.
+    ran_ms : float
+        Time from the request to the response, in milliseconds.
+    load : ServerLoad
+        Load of the backend server.
+    wants_receipt : bool
+        Whether the receiver confirms the message with a `Receipt`.
+    """
 
     call: str
     status: int
@@ -127,6 +142,13 @@
     body: bytes
     ran_ms: decoding.Finite
     load: ServerLoad
+    wants_receipt: bool = False
+
+
+class Receipt(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The response to a call has arrived at the node that made it."""
+
+    call: str
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -345,4 +367,5 @@
     72: OrdersPull,
     73: TrialNotice,
     74: StateBatch,
+    75: Receipt,
 }
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -41,6 +41,8 @@
         self.service_seconds = 0.005
         self.fault_mode = "answer"
         self.last_refusal = b""
+        # Size of the body of each response; 0 for a short text.
+        self.body_bytes = 0
         self.sequence = 0
         self.started_at_ms = time.time_ns() // 1_000_000
         self.executed_ids: list[str] = []
@@ -162,7 +164,8 @@
                     (b"X-Request-Id", identifier.encode()),
                     (b"X-Response-Seal", b"seal-" + identifier.encode()),
                 ),
-                body=b"body of " + exchange.request.target,
+                body=b"x" * self.body_bytes
+                or b"body of " + exchange.request.target,
             )
         )
 
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -8,7 +8,7 @@
 from apricotpost import http
 from apricotpost.http import server
 
-__all__ = ["ListenerTest", "TinyChunksTest"]
+__all__ = ["ListenerTest", "SlowReaderTest", "TinyChunksTest"]
 
 HEAD = b"Host: h\r\n"
 
@@ -268,6 +268,61 @@
         self.assertEqual(1, (await self.reader.read()).count(b"HTTP/1.1 200"))
 
 
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """A client receives the last response of a connection slowly."""
+
+    async def asyncSetUp(self):
+        for name, seconds in (
+            ("CLOSE_SECONDS", 0.3),
+            ("TIMEOUT_CHECK_SECONDS", 0.05),
+        ):
+            self.enterContext(mock.patch.object(server, name, seconds))
+        self.body = b"x" * 40_000_000
+        self.listener = http.Listener(
+            handler=lambda exchange: exchange.respond(
+                http.Response(status=200, body=self.body), close=True
+            ),
+            limits=http.Limits(),
+        )
+        await self.listener.listen("127.0.0.1", 0)
+        self.addCleanup(self.listener.close)
+
+    async def read(self, *, pause):
+        port = self.listener.server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", port, limit=65536
+        )
+        writer.write(b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        size = 0
+        try:
+            while piece := await reader.read(200_000):
+                size += len(piece)
+                await asyncio.sleep(pause)
+        except ConnectionError:
+            pass
+        writer.close()
+        return size
+
+    async def test_slow_client_receives_all(self):
+        """Guards against a large response that is cut on a slow link.
+
+        The connection was aborted 5 s after the last response was written,
+        however much of it the client received in that time.
+        """
+        self.assertEqual(len(self.body), await self.read(pause=0.004))
+
+    async def test_client_that_stops_reading_is_disconnected(self):
+        """Guards against a response that is held without end."""
+        reading = asyncio.create_task(self.read(pause=20.0))
+        async with asyncio.timeout(5):
+            while not self.listener.count_unsent_bytes():
+                await asyncio.sleep(0.01)
+            while self.listener.connections:
+                await asyncio.sleep(0.01)
+        reading.cancel()
+
+
 class TinyChunksTest(unittest.IsolatedAsyncioTestCase):
     """A client sends its body in chunks of two bytes."""
 
--- a/tests/sidecar/test_stops.py
+++ b/tests/sidecar/test_stops.py
@@ -2,12 +2,24 @@
 
 import asyncio
 import signal
+import socket
 
 from tests.sidecar import cases
 
 __all__ = ["StopTest"]
 
 CALLERS = 8
+ROUTES = (
+    cases.SAFE,
+    cases.UNSAFE,
+    {
+        "prefix": "/long/",
+        "service": "portal",
+        "type": "unsafe",
+        "timeout_ms": 9000,
+        "target_latency_ms": 5000,
+    },
+)
 
 
 class StopTest(cases.MeshCase):
@@ -15,7 +27,7 @@
 
     async def start_with_grace(self, grace_seconds):
         # The server beside a stopping node soon takes no requests.
-        await self.start("dc-a", "dc-a")
+        await self.start("dc-a", "dc-a", routes=[*ROUTES])
         self.node = self.nodes[0]
         bounds = {
             "drain_ms": 2000,
@@ -96,3 +108,79 @@
             backend.service_seconds = 0.7
         results = await self.stop_under_load("/reports/1")
         self.assert_none_cut(results)
+
+    async def read_slowly(self, bytes_per_second):
+        """Send a request and read its response slowly; return its size."""
+        host, _, port = self.node.ports.callers.rpartition(":")
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(connection, (host, int(port)))
+        reader, writer = await asyncio.open_connection(
+            sock=connection, limit=65536
+        )
+        writer.write(
+            b"GET /records/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+            b"X-Request-Id: slow\r\nX-Deadline-Ms: 2000\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head)
+        size = 0
+        while piece := await reader.read(65536):
+            size += len(piece)
+            await asyncio.sleep(len(piece) / bytes_per_second)
+            if size == self.backends[0].body_bytes:
+                break
+        writer.close()
+        return size
+
+    async def test_stop_waits_until_a_response_is_received(self):
+        """Guards against a response that ends in the middle.
+
+        The node exited when a response was in its buffers, although its
+        caller was still receiving it (review case 2).
+        """
+        await self.start_with_grace(6)
+        for backend in self.backends:
+            backend.body_bytes = 12_000_000
+        caller = asyncio.create_task(self.read_slowly(2_800_000))
+        await asyncio.sleep(0.5)
+        self.node.signal(signal.SIGTERM)
+        self.assertEqual(12_000_000, await caller)
+        loop = asyncio.get_running_loop()
+        ended = loop.run_in_executor(None, self.node.process.wait, 7)
+        self.assertEqual(0, await ended)
+
+    async def test_stop_waits_until_another_node_has_the_response(self):
+        """Guards against a response that is dropped on its way to a node.
+
+        The node beside the server exited while the other one was not reading,
+        and dropped what it had not yet sent.
+        """
+        await self.start_with_grace(6)
+        self.backends[1].state = "draining"
+        await self.mesh.send_heartbeat(self.nodes[1])
+        await asyncio.sleep(0.3)
+        self.backends[0].body_bytes = 12_000_000
+        self.backends[0].service_seconds = 3.2
+        call = asyncio.create_task(
+            self.call(
+                self.nodes[1].ports.callers,
+                "/long/1",
+                method=b"POST",
+                deadline_ms=9000,
+            )
+        )
+        await asyncio.sleep(0.3)
+        self.node.signal(signal.SIGTERM)
+        await asyncio.sleep(2.7)
+        # A connection counts as lost 1.5 s after the last heartbeat, which may
+        # be 0.7 s old.
+        self.nodes[1].signal(signal.SIGSTOP)
+        await asyncio.sleep(0.6)
+        self.nodes[1].signal(signal.SIGCONT)
+        result = await call
+        self.assertIsNotNone(result.response)
+        self.assertEqual(200, result.response.status)
+        self.assertEqual(12_000_000, len(result.response.body))
