Keep a server in use after heartbeats of another writer

Cause: any heartbeat with a later start than the current one made its sender the current server, whose own heartbeats then counted as older.

Change: a heartbeat of an unknown service or of another address replaces no other server; a new identifier beside a sound server is confirmed by a health check, and the replaced server is restored if it answers; a server that goes on while the current one is silent for 1.2 periods becomes current, whatever start or sequence number was stated before. A late heartbeat still ends no drain.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -274,6 +274,12 @@
     logging.INFO,
     "health check of backend server %(backend)s: %(status)s",
 )
+BACKEND_RESTORED = _define(
+    715,
+    logging.WARNING,
+    "backend server %(backend)s runs; the heartbeat that had replaced it is "
+    "another writer's",
+)
 LINK_CHANGED = _define(
     720, logging.INFO, "connection to node %(node)s is %(state)s"
 )
--- a/apricotpost/sidecar/backend_server.py
+++ b/apricotpost/sidecar/backend_server.py
@@ -36,6 +36,9 @@
 # confirms the server. Delayed heartbeats of a server that has left arrive
 # closer together.
 CONFIRM_PERIOD_FRACTION = 0.5
+# Heartbeat periods for which a server counts as sound after a heartbeat. Its
+# heartbeats come about one period apart.
+SOUND_PERIODS = 1.2
 
 
 class BackendServer:
@@ -81,13 +84,17 @@
         """Record a heartbeat and return what it changed."""
         now = self.loop.time()
         before = self.presence.current
+        period_seconds = self.settings.heartbeat_ms / 1000.0
         effect = heartbeats.record_heartbeat(
             self.presence,
             heartbeat,
             now,
-            confirm_seconds=CONFIRM_PERIOD_FRACTION
-            * self.settings.heartbeat_ms
-            / 1000.0,
+            periods=heartbeats.Periods(
+                confirm=CONFIRM_PERIOD_FRACTION * period_seconds,
+                sound=SOUND_PERIODS * period_seconds,
+            ),
+            plausible=self.is_plausible(heartbeat),
+            current_plausible=before is not None and self.is_plausible(before),
         )
         if effect is heartbeats.HeartbeatEffect.NONE:
             return effect
@@ -109,6 +116,16 @@
         self.check_health()
         return effect
 
+    def is_plausible(self, heartbeat: model.Heartbeat) -> bool:
+        """Tell whether a heartbeat may be of the server beside this node.
+
+        Other writers send heartbeats of services that no configuration has.
+        """
+        services = self.read_view().services
+        return heartbeat.address == self.settings.backend_address and (
+            not services or heartbeat.service in services
+        )
+
     def check_health(self) -> None:
         """Send a health check to a backend server that is not confirmed."""
         current = self.presence.current
@@ -132,14 +149,21 @@
     def handle_health(
         self, checked: model.Heartbeat, result: http.Result
     ) -> None:
-        """Confirm the backend server if its health check succeeded."""
+        """Confirm the backend server if its health check succeeded.
+
+        If the server that it has replaced answers, that one is current again.
+        """
         response = result.response
         status = response.status if response else str(result.failure)
+        answering = (
+            platform.read_backend_instance(response.headers)
+            if response is not None
+            else ""
+        )
         healthy = (
             response is not None
             and platform.is_healthy(response)
-            and platform.read_backend_instance(response.headers)
-            == checked.backend
+            and answering == checked.backend
         )
         events.emit(
             _LOG,
@@ -151,6 +175,23 @@
         )
         if healthy and heartbeats.confirm(self.presence, checked.backend):
             self.on_change()
+        elif heartbeats.restore(self.presence, answering, self.loop.time()):
+            self.restore_incarnation()
+
+    def restore_incarnation(self) -> None:
+        """Apply the restored state of a server that had been replaced."""
+        current = self.presence.current
+        if current is None:
+            return
+        events.emit(
+            _LOG,
+            events.BACKEND_RESTORED,
+            backend=current.backend,
+            service=current.service,
+        )
+        self.start_incarnation(current, self.loop.time())
+        self.update_cold()
+        self.on_change()
 
     def start_incarnation(
         self, heartbeat: model.Heartbeat, now: float
--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -1,5 +1,11 @@
-"""Current incarnation of the backend server, from its heartbeats."""
+"""Current incarnation of the backend server, from its heartbeats.
 
+Heartbeats may be late, may come from a server that has been replaced, and may
+be forged by another writer. Whatever arrives, a sound server that sends
+heartbeats is current again within two heartbeat periods.
+"""
+
+import dataclasses
 import enum
 
 from apricotpost import model
@@ -7,16 +13,35 @@
 __all__ = [
     "FIRST_SEQUENCE",
     "HeartbeatEffect",
+    "Periods",
     "Presence",
     "confirm",
-    "record_heartbeat",
     "deregister",
+    "record_heartbeat",
+    "restore",
 ]
 
 # Sequence number of a backend server's first heartbeat.
 FIRST_SEQUENCE = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Periods:
+    """Times that depend on the heartbeat period, in seconds.
+
+    Parameters
+    ----------
+    confirm : float
+        Least time between two heartbeats that confirm a server. Delayed
+        heartbeats of a server that has left arrive closer together.
+    sound : float
+        Time since its last heartbeat for which a server counts as sound.
+    """
+
+    confirm: float = 0.0
+    sound: float = 0.0
+
+
 class HeartbeatEffect(enum.Enum):
     """Change that a heartbeat caused."""
 
@@ -44,6 +69,12 @@
         self.heard_at = 0.0
         self.unreachable = False
         self.assumed_cold_until = 0.0
+        # The sound server that the unconfirmed current one has replaced.
+        self.replaced: model.Heartbeat | None = None
+        # First heartbeat that seems to be earlier than the current one while
+        # that is silent, and the time at which it arrived.
+        self.earlier: model.Heartbeat | None = None
+        self.earlier_at = 0.0
         # Start of the newest incarnation that has left, by identifier.
         self.departed: dict[str, int] = {}
 
@@ -53,7 +84,9 @@
     heartbeat: model.Heartbeat,
     now: float,
     *,
-    confirm_seconds: float = 0.0,
+    periods: Periods = Periods(),
+    plausible: bool = True,
+    current_plausible: bool = True,
 ) -> HeartbeatEffect:
     """Record a heartbeat and return what it changed.
 
@@ -68,8 +101,11 @@
         The heartbeat.
     now : float
         Monotonic time, in seconds.
-    confirm_seconds : float
-        Least time between two heartbeats that confirms the server.
+    periods : Periods
+        Times that depend on the heartbeat period.
+    plausible, current_plausible : bool
+        Whether the sender of this heartbeat, and that of the current one, may
+        be the backend server beside this node.
     """
     departed_start_ms = presence.departed.get(heartbeat.backend)
     if (
@@ -78,27 +114,40 @@
     ):
         return HeartbeatEffect.NONE
     current = presence.current
-    if current is not None and _is_older(heartbeat, current):
-        return HeartbeatEffect.NONE
-    was_usable = presence.confirmed and not presence.unreachable
-    new_incarnation = current is None or (
-        current.backend,
-        current.started_at_ms,
-    ) != (
-        heartbeat.backend,
-        heartbeat.started_at_ms,
+    same_incarnation = current is not None and _is_same_incarnation(
+        heartbeat, current
     )
-    if new_incarnation:
-        first_heartbeat = current is None and not presence.departed
-        presence.confirmed = (
-            not first_heartbeat or heartbeat.sequence <= FIRST_SEQUENCE
+    if current is not None and not same_incarnation:
+        if current_plausible and not plausible:
+            return HeartbeatEffect.NONE
+        if (
+            current_plausible
+            and heartbeat.started_at_ms < current.started_at_ms
+            and not _outlives_current(presence, heartbeat, now, periods)
+        ):
+            return HeartbeatEffect.NONE
+    if (
+        same_incarnation
+        and current is not None
+        and heartbeat.sequence <= current.sequence
+        # A late heartbeat must not end a drain.
+        and (
+            current.state is not model.BackendState.READY
+            or not _outlives_current(presence, heartbeat, now, periods)
         )
-    elif now - presence.heard_at >= confirm_seconds:
+    ):
+        return HeartbeatEffect.NONE
+    was_usable = presence.confirmed and not presence.unreachable
+    if not same_incarnation:
+        _replace(presence, heartbeat, now, periods)
+    elif now - presence.heard_at >= periods.confirm:
         presence.confirmed = True
+        presence.replaced = None
     presence.current = heartbeat
     presence.heard_at = now
     presence.unreachable = False
-    if new_incarnation:
+    presence.earlier = None
+    if not same_incarnation:
         return HeartbeatEffect.OTHER
     if current is not None and current.state is not heartbeat.state:
         return HeartbeatEffect.CHANGED
@@ -119,6 +168,40 @@
     if presence.confirmed or current is None or current.backend != backend:
         return False
     presence.confirmed = True
+    presence.replaced = None
+    return True
+
+
+def restore(presence: Presence, backend: str, now: float) -> bool:
+    """Restore the replaced server if a health check has shown that it runs.
+
+    Parameters
+    ----------
+    presence : Presence
+        State to update.
+    backend : str
+        Identifier of the server that has answered the health check.
+    now : float
+        Monotonic time, in seconds.
+
+    Returns
+    -------
+    bool
+        Whether the server that had been replaced is current again.
+    """
+    replaced = presence.replaced
+    if (
+        presence.confirmed
+        or replaced is None
+        or replaced.backend != backend
+        or presence.current is None
+        or presence.current.backend == backend
+    ):
+        return False
+    presence.current = replaced
+    presence.confirmed = True
+    presence.replaced = None
+    presence.heard_at = now
     return True
 
 
@@ -156,10 +239,64 @@
     return True
 
 
-def _is_older(heartbeat: model.Heartbeat, current: model.Heartbeat) -> bool:
+def _is_same_incarnation(
+    heartbeat: model.Heartbeat, other: model.Heartbeat
+) -> bool:
+    return (heartbeat.backend, heartbeat.started_at_ms) == (
+        other.backend,
+        other.started_at_ms,
+    )
+
+
+def _outlives_current(
+    presence: Presence,
+    heartbeat: model.Heartbeat,
+    now: float,
+    periods: Periods,
+) -> bool:
+    """Tell whether an earlier server goes on while the current one is silent.
+
+    The start or the sequence number of the current heartbeat may be forged, or
+    the start lies in the future, because the time of day was wrong.
+    """
+    if now - presence.heard_at < periods.sound:
+        presence.earlier = None
+    earlier = presence.earlier
     if (
-        heartbeat.backend == current.backend
-        and heartbeat.started_at_ms == current.started_at_ms
+        earlier is None
+        or not _is_same_incarnation(heartbeat, earlier)
+        or heartbeat.sequence <= earlier.sequence
     ):
-        return heartbeat.sequence <= current.sequence
-    return heartbeat.started_at_ms < current.started_at_ms
+        presence.earlier = heartbeat
+        presence.earlier_at = now
+        return False
+    return (
+        now - presence.heard_at >= periods.sound
+        and now - presence.earlier_at >= periods.confirm
+    )
+
+
+def _replace(
+    presence: Presence,
+    heartbeat: model.Heartbeat,
+    now: float,
+    periods: Periods,
+) -> None:
+    """Set whether a new incarnation has to be confirmed."""
+    current = presence.current
+    first_heartbeat = current is None and not presence.departed
+    was_sound = (
+        current is not None
+        and presence.confirmed
+        and not presence.unreachable
+        and current.backend != heartbeat.backend
+        and now - presence.heard_at < periods.sound
+    )
+    if not presence.confirmed and presence.replaced is not None:
+        # The one before the unconfirmed one may still run.
+        was_sound = True
+    elif was_sound:
+        presence.replaced = current
+    presence.confirmed = (
+        not first_heartbeat or heartbeat.sequence <= FIRST_SEQUENCE
+    ) and not was_sound
--- a/tests/sidecar/test_backend_server.py
+++ b/tests/sidecar/test_backend_server.py
@@ -27,6 +27,7 @@
             settings=types.SimpleNamespace(
                 heartbeat_ms=1000,
                 data_centre="dc-a",
+                backend_address="127.0.0.1:1",
                 bounds=types.SimpleNamespace(cold_ratio=1.5, cold_slack=5.0),
             ),
             read_view=lambda: view,
--- a/tests/sidecar/test_heartbeats.py
+++ b/tests/sidecar/test_heartbeats.py
@@ -80,7 +80,10 @@
 
     def record(self, now, **changes):
         return heartbeats.record_heartbeat(
-            self.presence, make_heartbeat(**changes), now, confirm_seconds=0.7
+            self.presence,
+            make_heartbeat(**changes),
+            now,
+            periods=heartbeats.Periods(confirm=0.7),
         )
 
     def test_running_server_is_not_used_at_once(self):
