Leave the repeat of a lost request to its caller's node

Cause: when a kept connection was lost, the gate sent a safe request again by itself, as if the server had closed the connection while it was idle. This repeat asked neither the retry budget nor the attempts, nor whether the server was cold or leaving. Ruled out: the dispatcher's repeats, which are charged; the second arrival came to the same server within 1 ms.

Change: the gate reports the lost connection, and the caller's node decides on the repeat as on any other. No request uses a connection that has been idle for over 0.25 s, as before those that may not be repeated.

--- a/apricotpost/sidecar/gate.py
+++ b/apricotpost/sidecar/gate.py
@@ -23,9 +23,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Idle time after which a kept-alive connection is not used for a request that
-# may not be repeated. If the server has closed the connection, the node
-# notices within this time; otherwise the request could be lost.
+# Idle time after which a kept-alive connection is not used. If the server has
+# closed the connection, the node notices within this time; otherwise the
+# request could be lost.
 TRUSTED_IDLE_SECONDS = 0.25
 # The backend server ends requests at their deadline itself. Its response is
 # awaited for this time after the deadline.
@@ -46,7 +46,6 @@
     """An offer in the queue or at the backend server, and its reply."""
 
     __slots__ = (
-        "use_new_connection",
         "handle",
         "offer",
         "reply",
@@ -58,7 +57,6 @@
         self.reply = reply
         self.handle: http.RequestHandle | None = None
         self.started_at = 0.0
-        self.use_new_connection = False
 
 
 class Gate:
@@ -294,8 +292,8 @@
             ),
             body=offer.body,
         )
-        max_idle_seconds = None if offer.idempotent else TRUSTED_IDLE_SECONDS
-        if pending.use_new_connection or offer.request in self.sent:
+        max_idle_seconds = TRUSTED_IDLE_SECONDS
+        if offer.request in self.sent:
             # A repeated response to the first attempt has the same identifier
             # as the second one. Only a new connection keeps them apart.
             max_idle_seconds = -1.0
@@ -324,20 +322,14 @@
     def finish(
         self, queued: ranked.QueuedRequest, result: http.Result
     ) -> None:
-        """Process the result of a request and start queued ones."""
+        """Process the result of a request and start queued ones.
+
+        A request whose connection is lost may have run. Whether it runs again
+        is decided by the node of its caller, which charges the retry budget.
+        """
         pending: PendingOffer = queued.payload
         offer = pending.offer
         now = self.loop.time()
-        if (
-            result.failure is http.Failure.CONNECTION_LOST
-            and result.reused
-            and offer.idempotent
-            and not pending.use_new_connection
-        ):
-            # The server had closed the kept-alive connection.
-            pending.use_new_connection = True
-            self.run(queued)
-            return
         ran_ms = (now - pending.started_at) * 1000.0
         response = result.response
         fault = ""
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from apricotpost.admission import ranked
 from apricotpost import http
@@ -37,8 +38,23 @@
 
     def run_one(self, response):
         """Return the failure ratio that the load report has afterwards."""
+        self.finish_one(http.Result(response=response), idempotent=False)
+        load = ranked.describe_load(self.gate.queue, self.now)
+        return load.failure_ratio
+
+    def finish_one(self, result, *, idempotent):
+        """Process the result of a running request."""
         offer = types.SimpleNamespace(
-            call="c1", request="q1", backend="b", idempotent=False, route="r"
+            call="c1",
+            request="q1",
+            backend="b",
+            idempotent=idempotent,
+            route="r",
+            method=b"GET",
+            target=b"/",
+            headers=(),
+            caller="portal",
+            body=b"",
         )
         queued = ranked.QueuedRequest(
             call="c1",
@@ -51,9 +67,7 @@
             payload=gate.PendingOffer(offer=offer, reply=self.replies.append),
         )
         self.gate.queue.running["c1"] = queued
-        self.gate.finish(queued, http.Result(response=response))
-        load = ranked.describe_load(self.gate.queue, self.now)
-        return load.failure_ratio
+        self.gate.finish(queued, result)
 
     async def test_rejections_are_part_of_the_load_report(self):
         """Guards against a rejecting server that each caller must find out.
@@ -80,3 +94,16 @@
         )
         self.run_one(rejection)
         self.assertEqual("Failed", type(self.replies[0]).__name__)
+
+    async def test_lost_connection_is_reported(self):
+        """Guards against repeats that no retry budget is charged for.
+
+        The gate sent a safe request again by itself when a kept connection
+        was lost, although the server may have run it, without asking whether
+        the server was cold or leaving (review case 5).
+        """
+        lost = http.Result(failure=http.Failure.CONNECTION_LOST, reused=True)
+        with mock.patch.object(self.gate.client, "send") as send:
+            self.finish_one(lost, idempotent=True)
+        send.assert_not_called()
+        self.assertEqual("Failed", type(self.replies[0]).__name__)
