Compare the starts of servers that are equally plausible

With another address in the settings than in the heartbeats, as with a proxy in front of the server, no heartbeat is plausible. The rule that a plausible one replaces an implausible server, whatever its start, was applied to these, too: a late heartbeat of a replaced server made it the current one again. Found by reading the soak, whose settings do this.

The new test failed before.

--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -121,7 +121,7 @@
         if current_plausible and not plausible:
             return HeartbeatEffect.NONE
         if (
-            current_plausible
+            current_plausible is plausible
             and heartbeat.started_at_ms < current.started_at_ms
             and not _outlives_current(presence, heartbeat, now, periods)
         ):
--- a/tests/sidecar/test_forged_heartbeats.py
+++ b/tests/sidecar/test_forged_heartbeats.py
@@ -94,6 +94,21 @@
         )
         self.assertIsNone(self.world.refusal())
 
+    def test_late_heartbeat_of_another_address_replaces_nothing(self):
+        """Guards against a replaced server that becomes current again.
+
+        The settings may name another address than the heartbeats, as with a
+        proxy in front of the server.
+        """
+        world = self.world = World()
+        for backend, born in (("old", 1000), ("new", 2000), ("old", 1000)):
+            world.now += 5.0
+            world.running = "new"
+            world.beat(
+                backend=backend, address="127.0.0.9:1", started_at_ms=born
+            )
+        self.assertEqual("new", world.current.backend)
+
     def test_running_server_is_restored_at_once(self):
         """Guards against a forged successor of a server that runs."""
         self.world.now += 0.3
