--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -93,6 +93,14 @@
             *checks.check_configurations(results),
             *checks.check_exclusions(executions, fleet.exclusions),
             *checks.check_exposure(executions, fleet.rollouts, BOUNDS),
+            *checks.check_budget(
+                executions,
+                {
+                    backend.identifier: backend.service
+                    for backend in fleet.backends
+                },
+                BOUNDS,
+            ),
             *checks.check_recovery(
                 results, since=recovery_since, min_ratio=BOUNDS.recovery_ratio
             ),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,7 @@
     "Execution",
     "Rollout",
     "Violation",
+    "check_budget",
     "check_configurations",
     "check_exclusions",
     "check_executions",
@@ -47,6 +48,11 @@
         its 50th failure.
     store_fault_seconds : float
         Added to the rollback time, since the store may be faulty then.
+    budget_ratio, budget_slack_requests : float, int
+        Executions of a service beyond the first of each request in a window:
+        this fraction of its requests, plus this number.
+    budget_seconds : float
+        Length of these windows.
     """
 
     drain_seconds: float = 2.0
@@ -56,6 +62,9 @@
     exposure_slack_requests: int = 50
     rollback_seconds: float = 5.0
     store_fault_seconds: float = 5.0
+    budget_ratio: float = 0.2
+    budget_slack_requests: int = 50
+    budget_seconds: float = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -326,3 +335,45 @@
             ),
         )
     ]
+
+
+def check_budget(
+    executions: Iterable[Execution],
+    services: Mapping[str, str],
+    bounds: Bounds,
+) -> list[Violation]:
+    """Check that repeats stay within the retry budget of each service.
+
+    Parameters
+    ----------
+    executions : iterable of Execution
+        Executions by all backend servers.
+    services : mapping
+        Service of each backend server, by identifier.
+    bounds : Bounds
+        Limits that the promises set.
+    """
+    firsts: dict[str, list[float]] = {}
+    repeats: dict[str, list[float]] = {}
+    seen: set[str] = set()
+    for execution in sorted(executions, key=lambda e: e.started_at):
+        times = repeats if execution.request in seen else firsts
+        seen.add(execution.request)
+        service = services[execution.backend]
+        times.setdefault(service, []).append(execution.started_at)
+    violations = []
+    for service, times in repeats.items():
+        for end in times:
+            since = end - bounds.budget_seconds
+            count = sum(since < at <= end for at in times)
+            requests = sum(since < at <= end for at in firsts[service])
+            allowed = (
+                bounds.budget_ratio * requests + bounds.budget_slack_requests
+            )
+            if count > allowed:
+                detail = f"{service}: {count} repeats, {allowed:.0f} allowed"
+                violations.append(
+                    Violation(promise="retry-budget", detail=detail)
+                )
+                break
+    return violations
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak import fleets
 from soak import proxy
 from soak import schedule
+from standins import backends
 from standins import rows
 
 __all__ = ["INJECTORS", "inject"]
@@ -160,6 +161,25 @@
     instance.backend = instance.node.backend = new_backend
 
 
+async def _forge_heartbeat(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
+    """Send a node a heartbeat of another writer.
+
+    It names a service that no configuration has, and states a start after
+    that of the backend server.
+    """
+    instance = fleet.instances[fault.node]
+    forged = backends.Backend(
+        identifier=f"other-{fault.node}", service="nobody"
+    )
+    forged.address = instance.backend.address
+    await fleet.mesh.announce(
+        instance.node,
+        "Heartbeat",
+        forged.identifier,
+        forged.make_heartbeat(),
+    )
+
+
 async def _publish_configuration(
     fleet: fleets.Fleet, fault: schedule.Fault
 ) -> None:
@@ -253,6 +273,9 @@
     _KINDS.ANSWERS_LOST: _make_backend_injector("reset"),
     _KINDS.ANSWERS_WRONG: _make_backend_injector("wrong"),
     _KINDS.ANSWERS_CUT: _make_backend_injector("cut"),
+    _KINDS.ANSWERS_CUT_IN_HEAD: _make_backend_injector("cut-head"),
+    _KINDS.ANSWERS_WITHOUT_END: _make_backend_injector("tiny-chunks"),
+    _KINDS.HEARTBEAT_FORGED: _forge_heartbeat,
     _KINDS.SERVER_SLOW: _slow_backend,
     _KINDS.SERVER_SHEDS: _make_backend_injector("shed"),
     _KINDS.SERVER_REPLACED: _replace_backend,
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -1,6 +1,7 @@
 """Node processes, stand-ins and proxies of a run, and the load on them."""
 
 import asyncio
+import contextlib
 import dataclasses
 import pathlib
 import signal
@@ -26,9 +27,11 @@
 # Time for which a draining backend server keeps running after its
 # announcement was acknowledged.
 DRAIN_SECONDS = 3.0
-# Limits of a node process under the load of a run.
+# Limits of a node process under the load of a run. A machine of the users'
+# sites has 200 MB or more for it.
 MAX_MEMORY_MB = 150
 MAX_DESCRIPTORS = 400
+MEMORY_CHECK_SECONDS = 0.2
 ROUTES = (
     {"prefix": "/records/", "service": "portal"},
     {"prefix": "/reports/", "service": "fieldbook", "type": "unsafe"},
@@ -80,6 +83,8 @@
         self.config_version = 1
         self.request_count = 0
         self.load_stopped = False
+        # Largest memory of each process, in mebibytes, by its label.
+        self.peak_memory_mb: dict[str, float] = {}
 
     # Fleet.
 
@@ -91,6 +96,7 @@
             await self.add_instance(index)
         loop = asyncio.get_running_loop()
         await self.mesh.wait_ready()
+        self.tasks.append(loop.create_task(self.watch_memory()))
         for instance in self.instances:
             for _ in range(CALLERS_PER_NODE):
                 self.tasks.append(loop.create_task(self.run_caller(instance)))
@@ -285,19 +291,37 @@
             )
         ]
 
+    async def watch_memory(self) -> None:
+        """Record the largest memory of each node process."""
+        while True:
+            for instance in self.instances:
+                with contextlib.suppress(psutil.Error):
+                    process = psutil.Process(instance.node.process.pid)
+                    memory_mb = process.memory_info().rss / 2**20
+                    label = instance.process_label()
+                    peak_mb = self.peak_memory_mb.get(label, 0.0)
+                    self.peak_memory_mb[label] = max(peak_mb, memory_mb)
+            await asyncio.sleep(MEMORY_CHECK_SECONDS)
+
     def check_resources(self) -> list[checks.Violation]:
         """Check the memory and file descriptors of all node processes."""
-        violations = []
+        violations = [
+            checks.Violation(
+                promise="bounded-resources",
+                detail=f"{label}: {memory_mb:.0f} MB",
+            )
+            for label, memory_mb in self.peak_memory_mb.items()
+            if memory_mb > MAX_MEMORY_MB
+        ]
         for instance in self.instances:
             process = psutil.Process(instance.node.process.pid)
-            memory_mb = process.memory_info().rss / 2**20
             descriptors = process.num_fds()
-            if memory_mb > MAX_MEMORY_MB or descriptors > MAX_DESCRIPTORS:
+            if descriptors > MAX_DESCRIPTORS:
                 violations.append(
                     checks.Violation(
                         promise="bounded-resources",
                         detail=(
-                            f"{instance.process_label()}: {memory_mb:.0f} MB, "
+                            f"{instance.process_label()}: "
                             f"{descriptors} descriptors"
                         ),
                     )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,9 +33,12 @@
     ANSWERS_LOST = "answers-lost"
     ANSWERS_WRONG = "answers-wrong"
     ANSWERS_CUT = "answers-cut"
+    ANSWERS_CUT_IN_HEAD = "answers-cut-in-head"
+    ANSWERS_WITHOUT_END = "answers-without-end"
     SERVER_SLOW = "server-slow"
     SERVER_SHEDS = "server-sheds"
     SERVER_REPLACED = "server-replaced"
+    HEARTBEAT_FORGED = "heartbeat-forged"
     # Operators.
     CONFIGURATION = "configuration"
     EVACUATION = "evacuation"
@@ -59,6 +62,9 @@
         Kind.ANSWERS_LOST,
         Kind.ANSWERS_WRONG,
         Kind.ANSWERS_CUT,
+        Kind.ANSWERS_CUT_IN_HEAD,
+        Kind.ANSWERS_WITHOUT_END,
+        Kind.HEARTBEAT_FORGED,
         Kind.SERVER_SLOW,
         Kind.SERVER_SHEDS,
         Kind.SERVER_REPLACED,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -142,3 +142,24 @@
         ):
             found = checks.check_recovery(results, since=0.0, min_ratio=0.9)
             self.assertEqual(expected, list_promises(found))
+
+    def test_repeats_beyond_the_budget(self):
+        """Guards against a check that misses repeats beyond the budget."""
+        bounds = checks.Bounds()
+        services = {"b": "portal"}
+        executions = [
+            make_execution(f"q{index}", index / 10) for index in range(100)
+        ]
+        allowed = int(bounds.budget_ratio * 100 + bounds.budget_slack_requests)
+        repeats = [
+            make_execution(f"q{index}", 9.95) for index in range(allowed + 1)
+        ]
+        for count, promises in (
+            (allowed, []),
+            (allowed + 1, ["retry-budget"]),
+        ):
+            with self.subTest(count=count):
+                found = checks.check_budget(
+                    executions + repeats[:count], services, bounds
+                )
+                self.assertEqual(promises, list_promises(found))
