--- a/apricotpost/sidecar/heartbeats.py
+++ b/apricotpost/sidecar/heartbeats.py
@@ -1,8 +1,8 @@
 """Current incarnation of the backend server, from its heartbeats.
 
 Heartbeats may be late, may come from a server that has been replaced, and may
-be forged by another writer. Whatever arrives, a sound server that sends
-heartbeats is current again within two heartbeat periods.
+be forged by another writer. Whatever arrived, a sound server that sends
+heartbeats is current again within three heartbeat periods.
 """
 
 import dataclasses
