Report the peak memory of the process itself

Cause: resource.getrusage includes the memory of the parent process at the start of a process. A child of a process of 300 MB reports 312 MB by it and 12.7 MB by VmHWM. Alone, the test runs in a small process and held.

Change: the metric reads VmHWM from /proc/self/status; it is NaN where the system does not tell. A new test starts a child from a large process; it and the test of the chunks hold.

--- a/apricotpost/sidecar/metrics.py
+++ b/apricotpost/sidecar/metrics.py
@@ -1,9 +1,14 @@
 """Metrics of a node and the response to a scrape."""
 
+import math
+import pathlib
+
 from apricotpost import http
 from apricotpost.sidecar import instruments
 
-__all__ = ["Metrics", "respond_to_scrape", "update"]
+__all__ = ["Metrics", "read_peak_memory", "respond_to_scrape", "update"]
+
+STATUS_PATH = pathlib.Path("/proc/self/status")
 
 LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -97,6 +102,24 @@
         getattr(metrics, name).set(value)
 
 
+def read_peak_memory() -> float:
+    """Return the largest resident memory of this process, in bytes.
+
+    The figure of `resource.getrusage` is not used: it includes the memory of
+    the parent process at the start of this one. NaN means that the system
+    does not tell.
+    """
+    try:
+        text = STATUS_PATH.read_text(encoding="utf-8", errors="replace")
+    except OSError:
+        return math.nan
+    for line in text.splitlines():
+        name, _, value = line.partition(":")
+        if name == "VmHWM":
+            return int(value.split()[0]) * 1024
+    return math.nan
+
+
 def respond_to_scrape(metrics: Metrics, exchange: http.Exchange) -> None:
     """Respond to a scrape with all metrics."""
     body = instruments.format_text(vars(metrics).values())
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import random
-import resource
 import signal
 import time
 import typing
@@ -346,9 +345,7 @@
                 self.settings.addresses.callers
             ].buffered_body_bytes,
             buffered_response_bytes=self.gate.client.buffered_bytes,
-            # Linux reports KiB.
-            peak_resident_bytes=1024
-            * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+            peak_resident_bytes=metrics.read_peak_memory(),
         )
         metrics.respond_to_scrape(self.metrics, exchange)
 
--- a/tests/sidecar/test_instruments.py
+++ b/tests/sidecar/test_instruments.py
@@ -1,5 +1,7 @@
 """Tests of the metrics and their text format."""
 
+import subprocess
+import sys
 import unittest
 
 from prometheus_client import parser
@@ -42,6 +44,22 @@
         self.assertEqual(4, samples["seconds_count", ()])
         self.assertAlmostEqual(9.7, samples["seconds_sum", ()])
 
+    def test_peak_memory_is_that_of_the_process(self):
+        """Guards against the memory of the parent process in a metric.
+
+        A node that a large process had started reported 351 MB, as
+        `resource.getrusage` includes the parent at the start.
+        """
+        ballast = bytearray(200 * 1024 * 1024)
+        code = (
+            "from apricotpost.sidecar import metrics\n"
+            "print(metrics.read_peak_memory())"
+        )
+        output = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, check=True
+        ).stdout
+        self.assertLess(int(output), len(ballast) / 2)
+
     def test_scrape_has_all_metrics_of_a_node(self):
         """Guards against a metric that is missing in the scrape."""
         node_metrics = metrics.Metrics()
