--- a/review/common_2/fleet.py
+++ b/review/common_2/fleet.py
@@ -252,7 +252,9 @@
         self.last_number = 0
 
     def log(self, text: str) -> None:
-        """Write a line of the record."""
+        """Write a line of the record, unless the case has ended."""
+        if self.record.closed:
+            return
         seconds = time.monotonic() - self.began_at
         self.record.write(f"{seconds:9.4f} {text}\n")
 
