Reject responses whose status is not 100 to 599

Callers got an answer that no client can interpret: a backend server in trouble sent the status 000, and the node passed it on, encoded as "HTTP/1.1 0 Unknown".

Cause: the parser takes any three digits as a status, and the client checked only the identity of a response, its signature if it is a 2xx, and its content coding. A status of 000 to 099 or 600 to 999 was neither interim nor a failure, so the gate delivered it.

The client now checks the status as soon as the head is complete (RFC 9110, section 15). Such a response is malformed, like bytes that are no response: a request that may be repeated goes to another server within the retry budget, others get 502, the connection is closed, and it counts as a failure of the server. The rule is in apricotpost.heads, so that other clients can share it.

--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from apricotpost import heads
 from apricotpost.http import bodies
 from apricotpost.http import messages
 from apricotpost.http import reading
@@ -305,9 +306,18 @@
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Finish the response if the request was HEAD."""
+        """Check the head; finish the response if the request was HEAD.
+
+        Raises
+        ------
+        ValueError
+            The head is invalid; the parser then stops with an error.
+        """
         if self.is_complete:
             return
+        fault = heads.find_fault(status=self.parser.get_status_code())
+        if fault:
+            raise ValueError(fault)
         self.has_headers = True
         if self.is_head_request:
             self.finish_response()
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -41,6 +41,9 @@
         self.service_seconds = 0.005
         self.fault_mode = "answer"
         self.last_refusal = b""
+        # Sent as it is in the mode "raw"; %b stands for the request's
+        # identifier.
+        self.raw_response = b""
         # Size of the body of each response; 0 for a short text.
         self.body_bytes = 0
         self.sequence = 0
@@ -152,6 +155,11 @@
             )
             exchange.connection.close()
             return
+        if self.fault_mode == "raw":
+            exchange.connection.transport.write(
+                self.raw_response % identifier.encode()
+            )
+            return
         if self.fault_mode == "tiny-chunks":
             self.send_tiny_chunks(exchange, identifier)
             return
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -148,6 +148,26 @@
         result = await self.send()
         self.assertIs(http.Failure.MALFORMED, result.failure)
 
+    async def test_status_out_of_range_is_a_failure(self):
+        """Guards against an answer whose status no client can interpret.
+
+        The parser takes any three digits; statuses are 100 to 599 (RFC 9110,
+        section 15).
+        """
+        for status in (b"000", b"099", b"600", b"999"):
+            for start in (b"", b"HTTP/1.1 100 Continue\r\n\r\n"):
+                with self.subTest(status=status, start=start):
+                    await self.start_server(start + OK.replace(b"200", status))
+                    result = await self.send()
+                    self.assertIs(http.Failure.MALFORMED, result.failure)
+
+    async def test_first_and_last_status_are_responses(self):
+        """Guards against a range that excludes a valid status."""
+        for status in (200, 599):
+            await self.start_server(OK.replace(b"200", b"%d" % status))
+            result = await self.send()
+            self.assertEqual(status, result.response.status)
+
     async def test_silent_server_times_out(self):
         """Guards against waiting forever for a server that never responds."""
         await self.start_server(b"")
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -7,6 +7,16 @@
 
 __all__ = ["CallTest"]
 
+# The end of a response that is otherwise accepted.
+SIGNED_BODY = (
+    b"X-Response-Seal: s\r\nX-Request-Id: %b\r\n"
+    b"Content-Length: 2\r\n\r\nok"
+)
+INVALID_HEADS = (
+    b"HTTP/1.1 000 Zero\r\n",
+    b"HTTP/1.1 600 Unknown\r\n",
+)
+
 
 class CallTest(cases.MeshCase):
     """Requests to healthy and to faulty backend servers."""
@@ -149,6 +159,25 @@
             statuses = await self.call_all(1, "/reports/1", method=b"POST")
             self.assertEqual([502], statuses)
 
+    async def test_response_with_invalid_head_is_not_delivered(self):
+        """Guards against an answer that is none, passed on to a client.
+
+        The status 000 of a server in trouble reached clients. A request that
+        may be repeated is sent to another server.
+        """
+        await self.start("dc-a", "dc-a")
+        for head in INVALID_HEADS:
+            self.backends[0].fault_mode = "raw"
+            self.backends[0].raw_response = head + SIGNED_BODY
+            self.backends[1].fault_mode = "answer"
+            with self.subTest(head=head, repeated=True):
+                self.assertEqual([200] * 4, await self.call_all(4))
+            self.backends[1].fault_mode = "raw"
+            self.backends[1].raw_response = head + SIGNED_BODY
+            with self.subTest(head=head, repeated=False):
+                statuses = await self.call_all(2, "/reports/1", method=b"POST")
+                self.assertEqual([502] * 2, statuses)
+
     async def test_rejected_request_goes_to_another_server(self):
         """Guards against a failed request that could still run elsewhere."""
         await self.start("dc-a", "dc-a")
