Test that a response with invalid header fields is none

Other systems delivered responses whose head held a field name with a blank or a control byte. The event-loop node does not: its parser refuses each byte that is not allowed in a name, folded lines, bare CR and LF, control bytes in values, a second length, and a length beside chunks.

--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import socket
+import string
 import struct
 import threading
 import tracemalloc
@@ -18,6 +19,7 @@
     "ClientTest",
     "EndlessResponseTest",
     "FairReadingTest",
+    "HeadTest",
     "StaleResponseTest",
     "TinyChunksTest",
 ]
@@ -187,6 +189,69 @@
         self.assertEqual(200, (await self.send()).response.status)
 
 
+# Bytes that may be in the name of a header field (RFC 9110, section 5.6.2).
+TOKEN_BYTES = frozenset(
+    b"!#$%&'*+-.^_`|~" + string.ascii_letters.encode() + b"0123456789"
+)
+
+
+class HeadTest(unittest.IsolatedAsyncioTestCase):
+    """A server sends a head that is faulty or unusual."""
+
+    async def receive(self, *pieces, request=GET):
+        """Return the results of a request that gets these bytes."""
+        client = http.Client(host="127.0.0.1", port=1)
+        connection = client_connections.Connection(client=client)
+        connection.connection_made(mock.MagicMock())
+        connection.transport.is_closing.return_value = False
+        connection.transport.get_write_buffer_size.return_value = 0
+        results = []
+        handle = http.RequestHandle(
+            done=results.append, check=None, on_sent=None
+        )
+        connection.start(request, handle)
+        for piece in pieces:
+            connection.data_received(piece)
+        return results
+
+    async def check_malformed(self, data):
+        """Check that there is no response, however its bytes arrive."""
+        results = await self.receive(data)
+        failures = [result.failure for result in results]
+        self.assertEqual([http.Failure.MALFORMED], failures, data)
+        single_bytes = [data[i : i + 1] for i in range(len(data))]
+        results = await self.receive(*single_bytes)
+        self.assertIsNone(results[0].response, data)
+
+    async def test_invalid_name_of_a_header_is_no_response(self):
+        """Guards against a head that is passed on with a broken line.
+
+        A name with a blank or a control byte also hides the line, for example
+        one with the length of the body.
+        """
+        self.assertEqual(77, len(TOKEN_BYTES))
+        for byte in frozenset(range(256)) - TOKEN_BYTES - frozenset(b":"):
+            for name in (b"X%cY", b"Content-Length%c"):
+                line = b"\r\n" + name % byte + b": 2\r\n"
+                await self.check_malformed(OK.replace(b"\r\n", line, 1))
+
+    async def test_line_that_is_no_header_is_no_response(self):
+        """Guards against lines that other clients read as other headers."""
+        for line in (
+            b": 1",
+            b"X",
+            b"X: 1\r\n folded",
+            b"X: 1\nY: 1",
+            b"X: 1\rY: 1",
+            b"X: \x00",
+            b"X: \x7f",
+            b"Content-Length: 1",
+            b"Transfer-Encoding: chunked",
+        ):
+            line = b"\r\n" + line + b"\r\n"
+            await self.check_malformed(OK.replace(b"\r\n", line, 1))
+
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
