Reject responses with an invalid status line

Callers got an answer from bytes that are no HTTP/1 response: a status line with HTTP/2.0 or HTTP/0.9, or with control bytes in its reason phrase.

Cause: the parser knows these versions and does not look at the reason phrase, and the client asked it for neither. The client now does, when the head is complete; such a response is malformed. The status 101 is refused by the same rule, as no request offers another protocol to a backend server; before, it failed only because the parser stopped after it.

Before the change, test_invalid_status_line_is_no_response and two cases of test_response_with_invalid_head_is_not_delivered (nodes as processes: 200 delivered instead of 502) failed; all tests of the client pass now. The stand-in closes its connection after a raw response: once one was accepted, later requests on that connection had no answer.

--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -54,6 +54,7 @@
 
     def reset_response(self) -> None:
         """Clear the state of the previous response."""
+        self.reason = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.discard_body()
         self.has_headers = False
@@ -300,6 +301,11 @@
         if self.is_complete:
             self.has_extra_data = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Store a piece of the reason phrase."""
+        if not self.is_complete:
+            self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped (RFC 9110, section 6.5.1)."""
         if not self.is_complete and not self.has_headers:
@@ -315,7 +321,11 @@
         """
         if self.is_complete:
             return
-        fault = heads.find_fault(status=self.parser.get_status_code())
+        fault = heads.find_fault(
+            version=self.parser.get_http_version(),
+            status=self.parser.get_status_code(),
+            reason=self.reason,
+        )
         if fault:
             raise ValueError(fault)
         self.has_headers = True
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -159,6 +159,7 @@
             exchange.connection.transport.write(
                 self.raw_response % identifier.encode()
             )
+            exchange.connection.close()
             return
         if self.fault_mode == "tiny-chunks":
             self.send_tiny_chunks(exchange, identifier)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -251,6 +251,21 @@
             line = b"\r\n" + line + b"\r\n"
             await self.check_malformed(OK.replace(b"\r\n", line, 1))
 
+    async def test_invalid_status_line_is_no_response(self):
+        """Guards against another protocol's bytes, delivered as a response.
+
+        The parser accepts every version that exists, and control bytes in the
+        reason phrase.
+        """
+        for line in (
+            b"HTTP/2.0 200 OK",
+            b"HTTP/0.9 200 OK",
+            b"HTTP/1.1 200 O\x00K",
+            b"HTTP/1.1 200 \x7f",
+            b"HTTP/1.1 101 Switching Protocols",
+        ):
+            await self.check_malformed(OK.replace(b"HTTP/1.1 200 OK", line))
+
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -15,6 +15,8 @@
 INVALID_HEADS = (
     b"HTTP/1.1 000 Zero\r\n",
     b"HTTP/1.1 600 Unknown\r\n",
+    b"HTTP/2.0 200 OK\r\n",
+    b"HTTP/1.1 200 O\x00K\r\n",
     b"HTTP/1.1 200 OK\r\nX Y: 1\r\n",
     b"HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n",
 )
