Reject responses with a transfer coding other than chunked

Callers would get compressed bytes as if they were the body: of a response with "Transfer-Encoding: gzip, chunked", the client decoded the chunks only, and the header is not passed on.

Cause: the parser looks for chunked as the last coding, and the client did not look at the others. No request of a node asks for a coding (RFC 9112, section 7.4), so such a response is malformed now; chunks of HTTP/1.0, or applied twice, as well (section 6.1).

Before the change, test_other_codings_than_chunks_are_no_response failed: the response was delivered.

--- a/apricotpost/heads.py
+++ b/apricotpost/heads.py
@@ -2,9 +2,11 @@
 
 All clients of the package parse responses with `httptools`, which checks the
 names and values of header fields and the framing. It takes any three digits as
-a status, all versions of HTTP, and any bytes as a reason phrase.
+a status, all versions of HTTP, any bytes as a reason phrase, and codings that
+it does not decode.
 """
 
+from collections.abc import Iterable
 import re
 
 __all__ = ["find_fault"]
@@ -19,7 +21,13 @@
 _CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
-def find_fault(*, version: str, status: int, reason: bytes) -> str:
+def find_fault(
+    *,
+    version: str,
+    status: int,
+    reason: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+) -> str:
     """Return why the head of a response is invalid, or an empty string.
 
     Parameters
@@ -30,6 +38,8 @@
         Status of the response.
     reason : bytes
         Reason phrase.
+    headers : iterable of (name, value)
+        Header fields.
     """
     if version not in VERSIONS:
         return f"the version is HTTP/{version}"
@@ -37,4 +47,12 @@
         return f"the status is {status:03}"
     if _CONTROL_BYTE.search(reason):
         return "the reason phrase holds a control byte"
+    codings = [
+        value.strip().lower()
+        for name, value in headers
+        if name.lower() == b"transfer-encoding"
+    ]
+    # HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
+    if codings and (codings != [b"chunked"] or version == "1.0"):
+        return "the body has a transfer coding other than chunked"
     return ""
--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -325,6 +325,7 @@
             version=self.parser.get_http_version(),
             status=self.parser.get_status_code(),
             reason=self.reason,
+            headers=self.headers,
         )
         if fault:
             raise ValueError(fault)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -266,6 +266,25 @@
         ):
             await self.check_malformed(OK.replace(b"HTTP/1.1 200 OK", line))
 
+    async def test_other_codings_than_chunks_are_no_response(self):
+        """Guards against compressed bytes, delivered as the body itself.
+
+        Nodes do not ask for a transfer coding, and do not pass its name on.
+        """
+        body = b"\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        for start in (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+            b"Transfer-Encoding: chunked",
+            b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+        ):
+            await self.check_malformed(start + body)
+        [result] = await self.receive(
+            b"HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked" + body
+        )
+        self.assertEqual(b"ok", result.response.body)
+
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
