Skip interim responses to HEAD requests

A caller of HEAD got an interim response, such as 103, as its answer, and would wait for the final one without end.

Cause: the client ended a response to HEAD with its head, and did not look at the status. An interim response is skipped now, as for other methods.

Before the change, test_interim_response_to_head_is_skipped failed (103 instead of 404).

--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -321,16 +321,17 @@
         """
         if self.is_complete:
             return
+        status = self.parser.get_status_code()
         fault = heads.find_fault(
             version=self.parser.get_http_version(),
-            status=self.parser.get_status_code(),
+            status=status,
             reason=self.reason,
             headers=self.headers,
         )
         if fault:
             raise ValueError(fault)
         self.has_headers = True
-        if self.is_head_request:
+        if self.is_head_request and status >= 200:
             self.finish_response()
 
     def on_body(self, body: bytes) -> None:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -285,6 +285,19 @@
         )
         self.assertEqual(b"ok", result.response.body)
 
+    async def test_interim_response_to_head_is_skipped(self):
+        """Guards against a client that waits for ever behind an interim one.
+
+        It was reported as the response to the request.
+        """
+        head = http.Request(method=b"HEAD", target=b"/", headers=GET.headers)
+        [result] = await self.receive(
+            b"HTTP/1.1 103 Early Hints\r\n\r\n",
+            b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n",
+            request=head,
+        )
+        self.assertEqual(404, result.response.status)
+
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
