Bound the bytes of a response between two parts of its body

A backend server could make its node grow and stop answering: it sent a body in chunks, and then a trailer field without end.

Cause: the parser keeps an incomplete field to itself and copies it with each read. The client limited only the sum of the bytes that are no body, and this limit grows by eight times the size of the body, for bodies in tiny chunks. None of these bytes counted in the memory budget. Ruled out: endless heads, bodies, chunk extensions and interim responses, which have tests since the first report of this kind.

The client now also counts the bytes since the last part of the body, as the server does for requests; more than 64 KiB are no response.

Before the change, test_trailer_without_end_fails_the_request failed: all of 800,000 bytes were kept.

--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -41,6 +41,8 @@
         # was sent.
         self.received_bytes = 0
         self.received_body_bytes = 0
+        # Bytes received when the last part of a body came.
+        self.parsed_bytes = 0
         # The body that is being received, and its wait for memory.
         self.body: bodies.BodyBuffer | None = None
         self.wait: memory.Wait | None = None
@@ -83,6 +85,7 @@
         self.request_count += 1
         self.received_bytes = 0
         self.received_body_bytes = 0
+        self.parsed_bytes = 0
         self.out_of_step = False
         self.lacks_memory = False
         self.handle = handle
@@ -214,13 +217,19 @@
         self.report_failure(requests.Failure.NO_MEMORY)
 
     def exceeds_limits(self) -> bool:
-        """Return whether the response is too large or is no response."""
+        """Return whether the response is too large or is no response.
+
+        The parser keeps an incomplete header, chunk size or trailer to
+        itself, so that only the bytes since the last body show them.
+        """
         overhead_bytes = self.received_bytes - self.received_body_bytes
+        unparsed_bytes = self.received_bytes - self.parsed_bytes
         size = self.body_bytes
         if self.body is not None:
             size = max(size, self.body.declared_bytes or 0)
         return (
             size > self.client.max_response_bytes
+            or unparsed_bytes > MAX_OVERHEAD_BYTES
             or overhead_bytes
             > MAX_OVERHEAD_BYTES
             + OVERHEAD_PER_BODY_BYTE * self.received_body_bytes
@@ -338,6 +347,7 @@
         """Store a chunk of the body, if there is memory for its start."""
         if self.is_complete or self.lacks_memory:
             return
+        self.parsed_bytes = self.received_bytes
         if self.body is None:
             room = self.client.room
             self.body = bodies.BodyBuffer(
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -422,6 +422,25 @@
         self.assertEqual(body_bytes, connection.body_bytes)
         self.assertLess(growth, 1.5 * body_bytes)
 
+    async def test_trailer_without_end_fails_the_request(self):
+        """Guards against a field that grows while the parser waits for it.
+
+        The parser keeps an incomplete field. The limit of bytes that are no
+        body grows with the body, to eight times its size.
+        """
+        body = b"30d40\r\n" + b"x" * 200_000 + b"\r\n0\r\n"
+        connection = await self.start_response(CHUNKED + body)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        connection.data_received(b"X: ")
+        before, _ = tracemalloc.get_traced_memory()
+        for _ in range(40):
+            if connection.handle is not None:
+                connection.data_received(b"x" * 20_000)
+        after, _ = tracemalloc.get_traced_memory()
+        self.assertLess(after - before, 200_000)
+        self.assertIsNone(connection.handle)
+
     async def test_trailers_are_not_kept(self):
         """Guards against trailers that take more memory than the body.
 
