Limit the header fields of a response to 1,000

Heads of a backend server took 25 times their size, outside the memory budget: 100 connections with 63 KB each, in fields of two letters and just short of the limit, took a process from 22 to 173 MB, for as long as the requests waited.

Cause: the objects of a field take over a hundred bytes beside its text, and only the bytes of a head are limited, to 64 KiB. A response with more than 1,000 fields is malformed now; usual responses have a few dozen.

The 63 tests of tests/http pass.

--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -23,6 +23,9 @@
 # the allowance for each byte of the body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 OVERHEAD_PER_BODY_BYTE = 8
+# The objects of a header take over a hundred bytes beside its text, so that
+# the bytes of a head do not bound its memory.
+MAX_HEADERS = 1000
 # More digits than nine are no time-out that a server can mean.
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
@@ -316,9 +319,18 @@
             self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are dropped (RFC 9110, section 6.5.1)."""
-        if not self.is_complete and not self.has_headers:
-            self.headers.append((name, value))
+        """Store a header; trailers are dropped (RFC 9110, section 6.5.1).
+
+        Raises
+        ------
+        ValueError
+            There are too many; the parser then stops with an error.
+        """
+        if self.is_complete or self.has_headers:
+            return
+        if len(self.headers) >= MAX_HEADERS:
+            raise ValueError(f"the head has over {MAX_HEADERS} fields")
+        self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head; finish the response if the request was HEAD.
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -285,6 +285,13 @@
         )
         self.assertEqual(b"ok", result.response.body)
 
+    async def test_many_headers_are_a_response(self):
+        """Guards against a limit that refuses a correct response."""
+        [result] = await self.receive(
+            OK.replace(b"\r\n", b"\r\n" + b"a: b\r\n" * 900, 1)
+        )
+        self.assertEqual(901, len(result.response.headers))
+
     async def test_interim_response_to_head_is_skipped(self):
         """Guards against a client that waits for ever behind an interim one.
 
@@ -441,6 +448,16 @@
         self.assertLess(after - before, 200_000)
         self.assertIsNone(connection.handle)
 
+    async def test_tiny_headers_take_little_memory(self):
+        """Guards against a head that takes many times its bytes.
+
+        A server may send one on each connection, just short of the limit.
+        """
+        connection = await self.start_response(b"HTTP/1.1 200 OK\r\n")
+        growth = self.measure_growth(connection, b"a:b\r\n" * 12_000)
+        self.assertLess(growth, 200_000)
+        self.assertIsNone(connection.handle)
+
     async def test_trailers_are_not_kept(self):
         """Guards against trailers that take more memory than the body.
 
