--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -9,9 +9,9 @@
 import urllib3.connection
 import zmq
 
+from apricotpost import connections
 from apricotpost.node import addresses
 from apricotpost.routing import contexts
-from apricotpost.storage import connections
 from apricotpost import wire
 
 __all__ = ["Connection", "run", "send"]
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -6,8 +6,8 @@
 
 import urllib3
 
+from apricotpost import connections
 from apricotpost import errors
-from apricotpost.storage import connections
 from apricotpost.storage import signing
 
 __all__ = ["Channel", "Response", "open_channel", "request", "with_time_limit"]
