Accept only well-formed responses in the thread-based node and the store

Callers of the thread-based node got broken answers as whole ones, and the client of the store read data that the store had not sent:

- headers of a response were lost or another body was delivered, after a line whose name held a blank or a control byte, after a folded line, or with a length such as "+2" or "2, 2";
- statuses 600 to 999, "+200" and "2_00" were delivered, and an interim response, such as 103, as the final one;
- bodies with invalid chunk sizes or ends of chunks were taken for whole, and the framing of chunks for the body if there was another coding beside.

The status 000 was a failure already.

Cause: http.client, below urllib3, parses numbers with int(), skips what is no header field, knows no other interim status than 100, and drops the bytes behind a chunk unseen. urllib3 logs invalid heads and goes on. Interim responses and trailers without end kept a worker for ever.

--- a/apricotpost/connections.py
+++ b/apricotpost/connections.py
@@ -1,66 +1,211 @@
-"""Connections of urllib3 that reject a response without a complete head.
+"""Connections of urllib3 that accept only well-formed responses.
 
-`http.client` takes the end of a connection for the end of the head. A server
-that stops in the middle of the head would seem to have sent a response with an
-empty body: the header with its length is missing or cut off.
+`http.client` is lenient: it takes the end of a connection for the end of the
+head, ignores the header fields after a line that is none, and reads bodies
+with invalid chunk sizes. Such a response would be delivered without some of
+its headers or with another body. Here, `httptools` checks each head and
+decodes the chunked bodies, as in the event-loop node.
 """
 
 import http.client
+import io
 import typing
 
+import httptools
 import urllib3
 import urllib3.connection
 
-__all__ = ["Connection", "make_pool"]
+from apricotpost import heads
 
+__all__ = ["Connection", "MalformedResponse", "make_pool"]
 
-class _HeadReader:
-    """Reads lines from a file and keeps the last one."""
+READ_BYTES = 64 * 1024
+# Bytes of a head, with the interim responses before it; also the bytes of
+# chunk sizes and trailers between two parts of a body.
+MAX_OVERHEAD_BYTES = 64 * 1024
 
-    def __init__(self, *, file: typing.BinaryIO) -> None:
+
+class MalformedResponse(http.client.HTTPException):
+    """The server has sent bytes that are no response."""
+
+
+class _Decoder:
+    """Parser of one response and the decoded part of its body."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.reason = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.is_complete = False
+        self.body = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes; those after the response are ignored.
+
+        Raises
+        ------
+        MalformedResponse
+            The bytes are no part of a response.
+        """
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
+            if not self.is_complete:
+                raise MalformedResponse(str(e.__context__ or e)) from e
+
+    # Callbacks of the httptools parser.
+
+    def on_status(self, reason: bytes) -> None:
+        """Store the reason phrase."""
+        self.reason = reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; trailers are dropped (RFC 9110, section 6.5.1)."""
+        if not self.status:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        if self.is_complete:
+            return
+        status = self.parser.get_status_code()
+        fault = heads.find_fault(
+            version=self.parser.get_http_version(),
+            status=status,
+            reason=self.reason,
+            headers=self.headers,
+        )
+        if fault:
+            raise ValueError(fault)
+        self.status = status
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body."""
+        if not self.is_complete:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        """Record the end of the response."""
+        self.is_complete = True
+
+
+class _ChunkReader(io.RawIOBase):
+    """Reads the decoded body of a response in chunks.
+
+    Parameters
+    ----------
+    file : io.BufferedReader
+        The response after its head.
+    decoder : _Decoder
+        Decoder that has parsed the head.
+    """
+
+    def __init__(self, *, file: io.BufferedReader, decoder: _Decoder) -> None:
         self.file = file
-        self.last_line = b""
+        self.decoder = decoder
 
-    def readline(self, limit: int = -1) -> bytes:
-        """Return the next line."""
-        self.last_line = self.file.readline(limit)
-        return self.last_line
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Decode the next part of the body, and return its size.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            The connection ended before the body.
+        MalformedResponse
+            The bytes are no chunked body.
+        """
+        body = self.decoder.body
+        overhead_bytes = 0
+        while not body and not self.decoder.is_complete:
+            if overhead_bytes > MAX_OVERHEAD_BYTES:
+                raise MalformedResponse(
+                    f"{overhead_bytes} bytes of chunk sizes or trailers"
+                )
+            data = self.file.read1(READ_BYTES)
+            if not data:
+                raise http.client.IncompleteRead(b"")
+            self.decoder.feed(data)
+            overhead_bytes += len(data)
+        size = min(len(buffer), len(body))
+        buffer[:size] = body[:size]
+        del body[:size]
+        return size
 
     def close(self) -> None:
         """Close the file."""
         self.file.close()
+        super().close()
 
 
 class _Response(http.client.HTTPResponse):
-    """Response whose head has to end with an empty line."""
+    """Response whose head, and whose chunks, are well-formed."""
 
     fp: typing.Any
 
     def begin(self) -> None:
-        """Read the head of the response.
+        """Read the head of the response, and skip interim responses.
 
         Raises
         ------
         http.client.IncompleteRead
             The connection ended in the middle of the head.
+        MalformedResponse
+            The head is invalid or too long.
         """
         if self.headers is not None:
             return
         file = self.fp
-        reader = _HeadReader(file=file)
-        self.fp = reader
+        head, decoder = _read_final_head(file)
+        self.fp = io.BytesIO(head)
         try:
             super().begin()
         finally:
-            if self.fp is reader:
-                self.fp = file
-        if reader.last_line not in (b"\r\n", b"\n"):
-            self.close()
-            raise http.client.IncompleteRead(reader.last_line)
+            self.fp = file
+        if self.chunked:
+            self.fp = io.BufferedReader(
+                _ChunkReader(file=file, decoder=decoder), READ_BYTES
+            )
+            # The reader decodes the chunks.
+            self.chunked = False
+
+
+def _read_final_head(file: io.BufferedReader) -> tuple[bytes, _Decoder]:
+    """Return the first head that is not interim, and its decoder."""
+    size = 0
+    while True:
+        head = _read_head(file, MAX_OVERHEAD_BYTES - size)
+        size += len(head)
+        decoder = _Decoder()
+        decoder.feed(head)
+        if not decoder.status:
+            raise MalformedResponse("the response has no status line")
+        if decoder.status >= 200:
+            return head, decoder
+
+
+def _read_head(file: io.BufferedReader, max_bytes: int) -> bytes:
+    """Read lines up to an empty one."""
+    head = b""
+    line = b""
+    while line not in (b"\r\n", b"\n"):
+        line = file.readline(max_bytes - len(head) + 1)
+        head += line
+        if not head:
+            raise http.client.RemoteDisconnected("there is no response")
+        if len(head) > max_bytes:
+            raise MalformedResponse(f"the head has over {max_bytes} bytes")
+        if not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(head)
+    return head
 
 
 class Connection(urllib3.connection.HTTPConnection):
-    """Connection that rejects a response without a complete head."""
+    """Connection that accepts only well-formed responses."""
 
     response_class = _Response
 
--- a/apricotpost/node/backend.py
+++ b/apricotpost/node/backend.py
@@ -21,6 +21,7 @@
 MAX_IDLE_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
 RECEIVE_TIMEOUT_MS = 1000
+INVALID_RESPONSE = (http.client.IncompleteRead, connections.MalformedResponse)
 CHUNK_BYTES = 64 * 1024
 # Below the size limit of messages between nodes, so that a response fits into
 # one message.
@@ -194,7 +195,7 @@
         for cause in causes
     ):
         return wire.UnknownReason.TIMEOUT
-    if any(isinstance(cause, http.client.IncompleteRead) for cause in causes):
+    if any(isinstance(cause, INVALID_RESPONSE) for cause in causes):
         return wire.UnknownReason.BODY_INCOMPLETE
     return wire.UnknownReason.CONNECTION_LOST
 
--- a/tests/node/loads.py
+++ b/tests/node/loads.py
@@ -184,6 +184,13 @@
             # The body of the request tells after how many bytes.
             self.wfile.write(CUT_HEAD[: int(body)])
             return False
+        if path.endswith("/raw"):
+            # The body of the request is the response.
+            self.wfile.write(body)
+            return False
+        if path.endswith("/endless"):
+            self.repeat(*body.split(b"|"))
+            return False
         if path.endswith("/slow"):
             time.sleep(1.2)
         if path.endswith("/crossed"):
@@ -194,6 +201,17 @@
         self.wfile.write(head.encode() + body)
         return True
 
+    def repeat(self, start, piece, pause):
+        """Send the start of a response, then a piece until the client ends.
+
+        ``pause`` is the time after each piece, in seconds.
+        """
+        with contextlib.suppress(OSError):
+            self.wfile.write(start)
+            while True:
+                self.wfile.write(piece)
+                time.sleep(float(pause))
+
 
 class FakeBackendServer(socketserver.ThreadingTCPServer):
     """Fake backend server whose responses depend on the path."""
--- a/tests/storage/test_http.py
+++ b/tests/storage/test_http.py
@@ -102,6 +102,26 @@
                 with self.assertRaises(errors.PlatformOutcomeUnknown):
                     self.exchange([HEAD[:size]])
 
+    def test_malformed_response_is_unknown(self):
+        """Guards against data of a store that are not what it has sent.
+
+        `http.client` takes invalid statuses and chunk sizes for numbers, and
+        ignores the header fields after a line that is none.
+        """
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "status": [HEAD.replace(b"200", b"2_00"), BODY],
+            "name": [HEAD.replace(b"\r\n\r\n", b"\r\nX Y: 1\r\n\r\n"), BODY],
+            "chunk size": [chunked, b"+9\r\n" + BODY + b"\r\n0\r\n\r\n"],
+            "end of a chunk": [chunked, b"9\r\n" + BODY + b"--0\r\n\r\n"],
+        }
+        for name, chunks in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(errors.PlatformOutcomeUnknown):
+                    self.exchange(chunks)
+        body = b"9\r\n" + BODY + b"\r\n0\r\n\r\n"
+        self.assertEqual(BODY, self.exchange([chunked, body]).body)
+
     def test_missing_response_ends_with_the_timeout(self):
         """Guards against a thread blocked by a platform that hangs."""
         with self.assertRaises(errors.PlatformOutcomeUnknown):
