Limit the time of a whole response in the thread-based node

A backend server that sent its response byte by byte, without end, kept a worker of the thread-based node for ever; with one such call for each worker, the node serves nobody.

Cause: the time-out of a socket restarts with each byte, and the worker looked at the deadline only between two parts of the body, not within a head, a chunk size or a trailer.

Connections now read with the time-out that the socket has when the response begins, as a limit for all of the response. For a worker this is the time left until the deadline, for the client of the store its time limit.

Before the change, the three calls of test_single_bytes_without_end_time_out, with 0.5 s until their deadline, had no result after ten seconds. All pass now.

--- a/apricotpost/connections.py
+++ b/apricotpost/connections.py
@@ -9,6 +9,7 @@
 
 import http.client
 import io
+import time
 import typing
 
 import httptools
@@ -90,6 +91,44 @@
         self.is_complete = True
 
 
+class _TimedReader(io.RawIOBase):
+    """Reads a response from a socket within the socket's time-out.
+
+    The time-out of a socket restarts with each read, so that it does not end
+    a response that comes byte by byte.
+    """
+
+    def __init__(self, *, sock: typing.Any, file: io.RawIOBase) -> None:
+        self.sock = sock
+        self.file = file
+        seconds: float | None = sock.gettimeout()
+        self.ends_at = None if seconds is None else time.monotonic() + seconds
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int | None:
+        """Read what is there into a buffer, and return the number of bytes.
+
+        Raises
+        ------
+        TimeoutError
+            The time for the whole response has passed.
+        """
+        if self.ends_at is not None:
+            remaining = self.ends_at - time.monotonic()
+            if remaining <= 0:
+                raise TimeoutError("the response takes too long")
+            self.sock.settimeout(remaining)
+        return self.file.readinto(buffer)
+
+    def close(self) -> None:
+        """Close the file."""
+        self.file.close()
+        super().close()
+
+
 class _ChunkReader(io.RawIOBase):
     """Reads the decoded body of a response in chunks.
 
@@ -147,6 +186,14 @@
 
     fp: typing.Any
 
+    def __init__(
+        self, sock: typing.Any, *args: typing.Any, **kwargs: typing.Any
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp = io.BufferedReader(
+            _TimedReader(sock=sock, file=self.fp.detach())
+        )
+
     def begin(self) -> None:
         """Read the head of the response, and skip interim responses.
 
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -167,6 +167,19 @@
                 )
                 self.assertEqual(wire.Outcome.UNKNOWN, result.outcome)
 
+    def test_single_bytes_without_end_time_out(self):
+        """Guards against a time limit that each byte restarts."""
+        for start in (
+            b"HTTP/1.1 200 OK\r\nX: ",
+            CHUNKED + b"1;",
+            CHUNKED + b"2\r\nok\r\n0\r\nX: ",
+        ):
+            with self.subTest(start=start):
+                [result] = self.send_for_a_while(
+                    start, b"x", pause=b"0.05", seconds=0.5
+                )
+                self.assertEqual("timeout", result.reason)
+
     def test_refused_connection_is_not_run(self):
         """Guards against an unknown outcome of a call that was not sent."""
         (port,) = fleets.free_ports(1)
