Read answers of nodes strictly and within limits in apricotpost-ctl

The command line showed broken answers as those of a node (a status of 600, a head with an invalid field name, a length or chunk size that is no number), and read an answer without end until the memory of its machine was used up.

Cause: both clients of the command line used urllib3 as it is, which reads whole bodies into memory.

They now use the connections of the worker and of the store, and read at most 16 MiB. An invalid answer counts as none: the next node is asked. The client of the store reads its bodies with the same function; its own check of the time is gone, as the connection limits the time of a response.

--- a/apricotpost/connections.py
+++ b/apricotpost/connections.py
@@ -18,7 +18,7 @@
 
 from apricotpost import heads
 
-__all__ = ["Connection", "MalformedResponse", "make_pool"]
+__all__ = ["Connection", "MalformedResponse", "make_pool", "read_body"]
 
 READ_BYTES = 64 * 1024
 # Bytes of a head, with the interim responses before it; also the bytes of
@@ -280,3 +280,32 @@
     pool = urllib3.PoolManager(**options)
     pool.pool_classes_by_scheme = {"http": _Pool, "https": _SecurePool}
     return pool
+
+
+def read_body(response: urllib3.BaseHTTPResponse, *, max_bytes: int) -> bytes:
+    """Read the body of a response whose content is not preloaded.
+
+    Parameters
+    ----------
+    response : urllib3.BaseHTTPResponse
+        Response of a connection of this module, which limits its time.
+    max_bytes : int
+        Largest size of the body.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        The body is too large, late, incomplete or malformed.
+    """
+    # One buffer: an object for each chunk of a few bytes would take many
+    # times the memory of the body.
+    body = bytearray()
+    while chunk := response.read1(READ_BYTES):
+        body += chunk
+        if len(body) > max_bytes:
+            response.close()
+            raise urllib3.exceptions.ProtocolError(
+                f"the body of the response has over {max_bytes} bytes"
+            )
+    response.release_conn()
+    return bytes(body)
--- a/apricotpost/ctl/client.py
+++ b/apricotpost/ctl/client.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from apricotpost import connections
 from apricotpost import decoding
 from apricotpost import errors
 
@@ -18,6 +19,8 @@
 # Longer than the longest time that a node waits for the platform.
 TIMEOUT_SECONDS = 20.0
 CONNECT_TIMEOUT_SECONDS = 2.0
+# Far above the sheet of 1,200 instances.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,7 +37,7 @@
     return Client(
         nodes=tuple(nodes),
         token=token,
-        pool=urllib3.PoolManager(retries=False),
+        pool=connections.make_pool(retries=False),
     )
 
 
@@ -135,8 +138,11 @@
             connect=CONNECT_TIMEOUT_SECONDS, read=TIMEOUT_SECONDS
         ),
         redirect=False,
+        preload_content=False,
+        decode_content=False,
     )
-    answer = _decode_answer(node, response.data)
+    content = connections.read_body(response, max_bytes=MAX_ANSWER_BYTES)
+    answer = _decode_answer(node, content)
     if response.status == 200:
         return answer
     raise errors.NodeErrorResponse(
--- a/apricotpost/ctl/explain_route.py
+++ b/apricotpost/ctl/explain_route.py
@@ -7,12 +7,15 @@
 import msgspec
 import urllib3
 
+from apricotpost import connections
 from apricotpost import decoding
 from apricotpost import errors
 
 __all__ = ["Answer", "fetch_explanation", "format_explanation"]
 
 TIMEOUT_SECONDS = 5.0
+# Far above the explanation of a service of 1,200 backend servers.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Backend servers that the text shows for each service.
 SHOWN_SERVERS = 8
 
@@ -95,12 +98,18 @@
     if deadline_ms is not None:
         query["deadline_ms"] = deadline_ms
     try:
-        response = urllib3.PoolManager(retries=False).request(
-            "GET",
-            f"http://{node}/explain?{parse.urlencode(query)}",
-            timeout=TIMEOUT_SECONDS,
-            redirect=False,
-        )
+        with connections.make_pool(retries=False) as pool:
+            response = pool.request(
+                "GET",
+                f"http://{node}/explain?{parse.urlencode(query)}",
+                timeout=TIMEOUT_SECONDS,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+            content = connections.read_body(
+                response, max_bytes=MAX_ANSWER_BYTES
+            )
     except urllib3.exceptions.HTTPError as error:
         raise errors.NodeUnreachable(
             "no node answered", faults=(f"{node}: {error}",)
@@ -112,8 +121,8 @@
             status=response.status,
             faults=(),
         )
-    answer: Answer = _decode_answer(response.data)
-    return response.data, answer
+    answer: Answer = _decode_answer(content)
+    return content, answer
 
 
 def format_explanation(answer: Answer) -> list[str]:
--- a/apricotpost/storage/http.py
+++ b/apricotpost/storage/http.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import time
-import typing
 
 import urllib3
 
@@ -12,7 +11,6 @@
 
 __all__ = ["Channel", "Response", "open_channel", "request", "with_time_limit"]
 
-READ_CHUNK_BYTES = 64 * 1024
 # No response of the two protocols is larger, and a larger one would take too
 # much of a node's memory.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -134,7 +132,6 @@
     headers: dict[str, str],
     body: bytes | None,
 ) -> tuple[int, bytes]:
-    ends_at = time.monotonic() + channel.timeout_seconds
     response = channel.pool.request(
         method,
         url,
@@ -153,25 +150,6 @@
         raise urllib3.exceptions.ProtocolError(
             "the response has neither Content-Length nor Transfer-Encoding"
         )
-    return response.status, _read_body(response, ends_at)
-
-
-def _read_body(response: typing.Any, ends_at: float) -> bytes:
-    """Read a body until a time of `time.monotonic`.
-
-    The socket's timeout applies to each read; without the total time, a
-    response that arrives byte by byte would block the thread without limit.
-    """
-    # One buffer: an object for each chunk of a few bytes would take many
-    # times the memory of the body.
-    body = bytearray()
-    while chunk := response.read1(READ_CHUNK_BYTES):
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES or time.monotonic() > ends_at:
-            response.close()
-            raise urllib3.exceptions.ProtocolError(
-                "response is too large or too slow: stopped after "
-                f"{len(body)} bytes"
-            )
-    response.release_conn()
-    return bytes(body)
+    return response.status, connections.read_body(
+        response, max_bytes=MAX_RESPONSE_BYTES
+    )
