Test responses without end against a node as a process

The stand-in sends a status line, a field, a chunk extension or a trailer without end. The node closes the connection at its limit, the request gets 502 and the next one is served.

--- a/standins/backends.py
+++ b/standins/backends.py
@@ -41,9 +41,13 @@
         self.service_seconds = 0.005
         self.fault_mode = "answer"
         self.last_refusal = b""
-        # Sent as it is in the mode "raw"; %b stands for the request's
-        # identifier.
+        # Sent as it is in the modes "raw" and "endless"; %b stands for the
+        # request's identifier.
         self.raw_response = b""
+        # Sent again and again after it in the mode "endless", and the number
+        # of bytes that were sent so.
+        self.endless_piece = b""
+        self.endless_bytes = 0
         # Size of the body of each response; 0 for a short text.
         self.body_bytes = 0
         self.sequence = 0
@@ -157,12 +161,26 @@
             return
         if self.fault_mode == "raw":
             exchange.connection.transport.write(
-                self.raw_response % identifier.encode()
+                self.raw_response.replace(b"%b", identifier.encode())
             )
             exchange.connection.close()
             return
+        if self.fault_mode == "endless":
+            self.send_without_end(
+                exchange,
+                self.raw_response.replace(b"%b", identifier.encode()),
+                self.endless_piece,
+            )
+            return
         if self.fault_mode == "tiny-chunks":
-            self.send_tiny_chunks(exchange, identifier)
+            self.send_without_end(
+                exchange,
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                b"X-Response-Seal: s\r\nX-Request-Id: "
+                + identifier.encode()
+                + b"\r\n\r\n",
+                b"2\r\nxx\r\n" * 10_000,
+            )
             return
         if self.fault_mode == "wrong":
             identifier = "another"
@@ -178,22 +196,18 @@
             )
         )
 
-    def send_tiny_chunks(
-        self, exchange: http.Exchange, identifier: str
+    def send_without_end(
+        self, exchange: http.Exchange, start: bytes, piece: bytes
     ) -> None:
-        """Send a body without end in chunks of two bytes."""
+        """Send the start of a response, then a piece until the node ends."""
         transport = exchange.connection.transport
-        transport.write(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-            b"X-Response-Seal: s\r\nX-Request-Id: "
-            + identifier.encode()
-            + b"\r\n\r\n"
-        )
+        transport.write(start)
 
         async def send() -> None:
             while not transport.is_closing():
                 if transport.get_write_buffer_size() < 100_000:
-                    transport.write(b"2\r\nxx\r\n" * 10_000)
+                    transport.write(piece)
+                    self.endless_bytes += len(piece)
                 await asyncio.sleep(0.001)
 
         task = asyncio.get_running_loop().create_task(send())
--- a/tests/sidecar/test_faults.py
+++ b/tests/sidecar/test_faults.py
@@ -141,6 +141,35 @@
         )
         self.assertLess(peak_bytes, 100 * 1024 * 1024)
 
+    async def test_response_without_end_is_not_read_on(self):
+        """Guards against a node that keeps what is no response.
+
+        A server sent a trailer without end after a body of 8 MB. Its node kept
+        the trailer, and copied it with each read.
+        """
+        await self.start("dc-a")
+        backend = self.backends[0]
+        head = b"HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: %b\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        body = b"7a1200\r\n" + b"x" * 8_000_000 + b"\r\n0\r\n"
+        for start in (
+            b"HTTP/1.1 200 ",
+            head + b"X: ",
+            chunked + b"1;",
+            chunked + body + b"X: ",
+        ):
+            with self.subTest(start=start[-40:]):
+                backend.fault_mode = "endless"
+                backend.raw_response = start
+                backend.endless_piece = b"x" * 50_000
+                backend.endless_bytes = 0
+                statuses = await self.call_all(1, "/reports/1", method=b"POST")
+                self.assertEqual([502], statuses)
+                # More than the sockets hold.
+                self.assertLess(backend.endless_bytes, 16_000_000)
+                backend.fault_mode = "answer"
+                self.assertEqual([200], await self.call_all(1))
+
     async def test_stop_fails_no_request(self):
         """Guards against a stop that aborts running requests."""
         await self.start("dc-a", "dc-a")
