Reject responses of RTSP and ICE

A response that began with RTSP/1.0 or ICE/1.0 was delivered by the event-loop node: its parser takes these protocols as well, and reports their version alone. The first byte tells them apart from HTTP. Blank lines before a response are allowed, as before.

Before the change, test_invalid_status_line_is_no_response failed for RTSP. The decoder of the thread-based node keeps a reason phrase that comes in several pieces whole.

--- a/apricotpost/connections.py
+++ b/apricotpost/connections.py
@@ -58,8 +58,8 @@
     # Callbacks of the httptools parser.
 
     def on_status(self, reason: bytes) -> None:
-        """Store the reason phrase."""
-        self.reason = reason
+        """Store a piece of the reason phrase."""
+        self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped (RFC 9110, section 6.5.1)."""
--- a/apricotpost/http/client_connections.py
+++ b/apricotpost/http/client_connections.py
@@ -170,13 +170,16 @@
             # No request is open, so these bytes belong to no response.
             self.abort()
             return
+        if not self.received_bytes and data.lstrip(b"\r\n")[:1] not in b"H":
+            # The parser also takes responses of RTSP and ICE.
+            self.fail_as_malformed()
+            return
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self.is_complete:
-                self.abort()
-                self.report_failure(requests.Failure.MALFORMED)
+                self.fail_as_malformed()
                 return
             self.has_extra_data = True
         if self.is_complete:
@@ -185,8 +188,7 @@
             self.fail_for_memory()
         elif self.handle is not None and self.exceeds_limits():
             # Bytes that are no response may come without end.
-            self.abort()
-            self.report_failure(requests.Failure.MALFORMED)
+            self.fail_as_malformed()
         elif self.body is not None:
             self.reserve_next(self.body)
 
@@ -213,6 +215,11 @@
         if has_waited:
             self.resume_reading()
 
+    def fail_as_malformed(self) -> None:
+        """Fail the request, as the server sends what is no response."""
+        self.abort()
+        self.report_failure(requests.Failure.MALFORMED)
+
     def fail_for_memory(self) -> None:
         """Fail the request, as its response does not fit into memory."""
         self.wait = None
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -260,6 +260,8 @@
         for line in (
             b"HTTP/2.0 200 OK",
             b"HTTP/0.9 200 OK",
+            b"RTSP/1.0 200 OK",
+            b"ICE/1.0 200 OK",
             b"HTTP/1.1 200 O\x00K",
             b"HTTP/1.1 200 \x7f",
             b"HTTP/1.1 101 Switching Protocols",
