--- a/tests/ctl/test_client.py
+++ b/tests/ctl/test_client.py
@@ -26,7 +26,9 @@
 
     def serve(self, start, piece=b""):
         """Answer one request, then repeat a piece; return the address."""
-        listener = self.stack.enter_context(socket.create_server(("", 0)))
+        listener = self.stack.enter_context(
+            socket.create_server(("127.0.0.1", 0))
+        )
 
         def answer():
             connection, _ = listener.accept()
