Judge a rollout that starts before any server is known

Cause: a node that starts reads the order before it has heard of any backend server, so the trial had an empty old version, for good. The responses of the true old version were dropped, and missing evidence counted as a good version.

Change: the old version is set once a server of another version is known or another node names it, in the stored row, too. A trial moves on only with responses of both versions. A trial after a rollback keeps the old version.

--- a/apricotpost/events.py
+++ b/apricotpost/events.py
@@ -352,6 +352,11 @@
     logging.WARNING,
     "status of the rollout of %(service)s not written: %(error)s",
 )
+TRIAL_OLD_VERSION_FOUND = _define(
+    742,
+    logging.INFO,
+    "rollout of %(service)s to %(version)s is compared with version %(old)s",
+)
 ORDER_CONTACT_CHANGED = _define(
     750,
     logging.WARNING,
--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -21,7 +21,7 @@
     "Trial",
     "TrialEvidence",
     "advance",
-    "count_new_calls",
+    "count_calls",
     "evaluate_slice",
     "is_alarm",
     "may_follow",
@@ -53,7 +53,7 @@
 LOADED_ALARM_LEVEL = 5.0
 # Time for the old version's requests to end before it is stopped.
 SETTLING_SECONDS = 0.8
-# Responses of the new version that the move to it needs.
+# Responses of each version that the move to the new one needs.
 MIN_CALLS = 15
 # From this evidence level on, the service does not move to the new version
 # although there is no alarm yet.
@@ -95,7 +95,9 @@
     Parameters
     ----------
     service, old, new : str
-        Service and its two versions.
+        Service and its two versions. The old one is empty while no server of
+        another version is known: a node that has just started has not heard
+        of the backend servers yet.
     order_revision : int
         Store revision of the order.
     started_at, duration_seconds : float
@@ -222,32 +224,37 @@
     )
 
 
-def count_new_calls(trial_evidence: TrialEvidence, trial: Trial) -> int:
-    """Return the number of responses of the new version so far."""
+def count_calls(trial_evidence: TrialEvidence, version: str) -> int:
+    """Return the number of responses of a version so far."""
     return sum(
         counts.calls
-        for (version, _), counts in trial_evidence.totals.items()
-        if version == trial.new
+        for (counted_version, _), counts in trial_evidence.totals.items()
+        if counted_version == version
     )
 
 
 def advance(
-    trial: Trial, *, level: float, new_calls: int, now: float
+    trial: Trial, *, level: float, new_calls: int, old_calls: int, now: float
 ) -> Trial:
     """Return the trial after the decision on its next phase.
 
+    Without enough responses of the old version, the evidence level says
+    nothing about the new one, so the service does not move to it. While the
+    old version is not known, there is none to return to either, and the
+    trial stays in its phase.
+
     Parameters
     ----------
     trial : Trial
         Present state.
     level : float
         Evidence level against the new version.
-    new_calls : int
-        Responses of the new version so far.
+    new_calls, old_calls : int
+        Responses of the two versions so far.
     now : float
         Monotonic time, in seconds.
     """
-    if trial.phase in FINAL_PHASES:
+    if trial.phase in FINAL_PHASES or not trial.old:
         return trial
     if is_alarm(trial, level):
         return _enter_phase(
@@ -278,13 +285,14 @@
             return trial
         return _enter_phase(trial, Phase.COMPLETED, now, "")
     if elapsed >= trial.duration_seconds * GIVE_UP_AT_FRACTION:
-        reason = (
-            "too few responses of the new version"
-            if new_calls < MIN_CALLS
-            else "the new version may still be worse"
-        )
+        if new_calls < MIN_CALLS:
+            reason = "too few responses of the new version"
+        elif old_calls < MIN_CALLS:
+            reason = "too few responses of the old version to compare with"
+        else:
+            reason = "the new version may still be worse"
         return _enter_phase(trial, Phase.ROLLED_BACK, now, reason)
-    ready = new_calls >= MIN_CALLS and level < DOUBT_LEVEL
+    ready = min(new_calls, old_calls) >= MIN_CALLS and level < DOUBT_LEVEL
     if ready and elapsed >= trial.duration_seconds * MOVE_AT_FRACTION:
         return _enter_phase(trial, Phase.MOVING, now, "")
     return trial
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -148,14 +148,20 @@
         revision, order = self.order_task.view.rollouts[service]
         current = self.order_task.view.service_trials.get(service)
         if current is not None and current.order_revision == revision:
-            self.set_duration(current, order.seconds)
+            self.complete_details(
+                current,
+                seconds=order.seconds,
+                old=self.find_old_version(service, order.version),
+            )
             return
         if current is not None and current.order_revision > revision:
             return
-        versions = self.servers.list_versions(service)
-        old = next((v for v in versions if v != order.version), "")
+        old = self.find_old_version(service, order.version)
         if current is not None and current.phase is trials.Phase.COMPLETED:
             old = current.new
+        elif current is not None and current.old not in ("", order.version):
+            # The servers of a version that was rolled back may still be there.
+            old = current.old
         now = self.loop.time()
         self.trial_evidence[service] = trials.TrialEvidence()
         self.apply_trial(
@@ -170,15 +176,39 @@
             )
         )
 
-    def set_duration(self, trial: trials.Trial, seconds: float) -> None:
-        """Set the duration of a trial that was received before its order."""
-        if not trial.duration_seconds:
-            self.order_task.replace_view(
-                views.with_trial(
-                    self.order_task.view,
-                    dataclasses.replace(trial, duration_seconds=seconds),
-                )
+    def find_old_version(self, service: str, new: str) -> str:
+        """Return the stable version of a service; empty if none is known."""
+        versions = self.servers.list_versions(service)
+        return next((v for v in versions if v != new), "")
+
+    def complete_details(
+        self, trial: trials.Trial, *, seconds: float = 0.0, old: str = ""
+    ) -> trials.Trial:
+        """Set what was not known when the trial started on this node.
+
+        The duration is missing if the trial was received before its order,
+        the old version if it started before any of its servers was heard of.
+        """
+        completed = dataclasses.replace(
+            trial,
+            duration_seconds=trial.duration_seconds or seconds,
+            old=trial.old or old,
+        )
+        if completed == trial:
+            return trial
+        if completed.old != trial.old:
+            events.emit(
+                _LOG,
+                events.TRIAL_OLD_VERSION_FOUND,
+                service=trial.service,
+                version=trial.new,
+                old=completed.old,
+                order=trial.order_revision,
             )
+        self.order_task.replace_view(
+            views.with_trial(self.order_task.view, completed)
+        )
+        return completed
 
     def apply_trial(self, trial: trials.Trial) -> None:
         """Put the state of a trial in force on this node."""
@@ -187,6 +217,7 @@
             events.TRIAL_CHANGED,
             service=trial.service,
             version=trial.new,
+            old=trial.old,
             phase=str(trial.phase),
             reason=trial.reason,
             order=trial.order_revision,
@@ -221,11 +252,14 @@
         if current is not None:
             if current.order_revision > notice.order_revision:
                 return
-            if current.order_revision == notice.order_revision and (
-                current.phase is phase
-                or not trials.may_follow(current.phase, phase)
-            ):
-                return
+            if current.order_revision == notice.order_revision:
+                current = self.complete_details(
+                    current, old=notice.old_version
+                )
+                if current.phase is phase or not trials.may_follow(
+                    current.phase, phase
+                ):
+                    return
         now = self.loop.time()
         if current is None or current.order_revision != notice.order_revision:
             rollout = self.order_task.view.rollouts.get(notice.service)
@@ -311,7 +345,8 @@
             next_trial = trials.advance(
                 trial,
                 level=level,
-                new_calls=trials.count_new_calls(trial_evidence, trial),
+                new_calls=trials.count_calls(trial_evidence, trial.new),
+                old_calls=trials.count_calls(trial_evidence, trial.old),
                 now=now,
             )
             may_apply = holder or (
@@ -388,10 +423,11 @@
         revision, stored = self.stored_trials.get(trial.service, (0, None))
         status = _STATUS[trial.phase]
         if stored is not None and stored.order == trial.order_revision:
-            if _STATUS[stored.phase] is status:
+            if _STATUS[stored.phase] is not status:
+                if not trials.may_follow(stored.phase, trial.phase):
+                    return False
+            elif stored.old or not trial.old:
                 return True
-            if not trials.may_follow(stored.phase, trial.phase):
-                return False
         row = _TrialRow(
             order=trial.order_revision,
             version=trial.new,
--- a/tests/rollout/test_trials.py
+++ b/tests/rollout/test_trials.py
@@ -1,5 +1,6 @@
 """Tests of short rollouts with simulated versions."""
 
+import dataclasses
 import random
 import unittest
 
@@ -62,9 +63,8 @@
             self.trial = trials.advance(
                 self.trial,
                 level=level,
-                new_calls=trials.count_new_calls(
-                    self.trial_evidence, self.trial
-                ),
+                new_calls=trials.count_calls(self.trial_evidence, "v2"),
+                old_calls=trials.count_calls(self.trial_evidence, "v1"),
                 now=now,
             )
         return now
@@ -176,6 +176,30 @@
             rollout.run()
             self.assertIs(trials.Phase.COMPLETED, rollout.trial.phase)
 
+    def test_unjudged_version_is_not_completed(self):
+        """Guards against missing evidence that counts as a good version.
+
+        Without responses of the old version, the level stays 0 whatever the
+        new one does. A bad version then got all requests and completed.
+        """
+        rollout = SimulatedRollout(seed=1, new=lambda now, load: (0.5, 1.0))
+        rollout.counts["v2"] = evidence.Counts(calls=40, failures=20)
+        rollout.observe("v2")
+        for old, phase in (
+            ("", trials.Phase.RUNNING),
+            ("v1", trials.Phase.ROLLED_BACK),
+        ):
+            with self.subTest(old=old):
+                trial = dataclasses.replace(rollout.trial, old=old)
+                for now in (SECONDS * 0.6, SECONDS * 0.7, SECONDS * 0.9):
+                    level = trials.evaluate_slice(
+                        rollout.trial_evidence, trial, now
+                    )
+                    trial = trials.advance(
+                        trial, level=level, new_calls=40, old_calls=0, now=now
+                    )
+                self.assertIs(phase, trial.phase)
+
     def test_final_phases_stay(self):
         """Guards against a rolled-back version that gets requests again."""
         phases = trials.Phase
