Discard the evidence of the last rollout with a notice of the next

A node that heard of a new rollout from another node before it had read the order kept the tests of the last one. Their alarm would have rolled the new version back at once.

--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -272,9 +272,7 @@
                 started_at=now - notice.elapsed_seconds,
                 duration_seconds=seconds,
             )
-            self.trial_evidence.setdefault(
-                notice.service, trials.TrialEvidence()
-            )
+            self.trial_evidence[notice.service] = trials.TrialEvidence()
         trial = dataclasses.replace(
             current, phase=phase, phase_started_at=now, reason=notice.reason
         )
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/test_rollouts.py
@@ -154,6 +154,24 @@
         self.give_order(revision=ORDER_REVISION + 1, version="v3")
         self.assertEqual("v1", self.trial.old)
 
+    async def test_notice_of_a_new_order_discards_the_evidence(self):
+        """Guards against a rollback for what another version did.
+
+        A notice may arrive before the order itself. The tests of the version
+        that was rolled back before then still held their alarm.
+        """
+        self.hear("v1")
+        self.give_order()
+        self.hear("v2", calls=40, failures=40)
+        notice = self.make_notice(old_version="v1")
+        self.task.handle_notice(
+            msgspec.structs.replace(
+                notice, version="v3", order_revision=ORDER_REVISION + 1
+            )
+        )
+        trial_evidence = self.task.trial_evidence["portal"]
+        self.assertEqual(0, trials.count_calls(trial_evidence, "v2"))
+
     def make_notice(self, *, phase="running", old_version=""):
         return wire.TrialNotice(
             service="portal",
