Keep the result of a rollout when its order is written again

Callers: after the store returned from an older copy, a version that had been rolled back would have been tried again.

Change: across eras, an order of the same version is the same order, and the trial takes its revision. Stored trials are read again in a new era, so a lost status is written again; a status does not turn back to running.

--- a/apricotpost/rollout/trials.py
+++ b/apricotpost/rollout/trials.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 
+from apricotpost import revisions
 from apricotpost.rollout import evidence
 from apricotpost.rollout import sequential
 from apricotpost import wire
@@ -24,6 +25,7 @@
     "count_calls",
     "evaluate_slice",
     "is_alarm",
+    "is_same_order",
     "may_follow",
     "new_version_share",
     "observe",
@@ -152,6 +154,28 @@
     return _PHASE_ORDER[proposed] > _PHASE_ORDER[current]
 
 
+def is_same_order(trial: Trial, order_revision: int, version: str) -> bool:
+    """Return whether an order is the one that a trial carries out.
+
+    In a new era of the store, operators write the orders again that it has
+    lost. Such an order has another revision, and names the same version.
+
+    Parameters
+    ----------
+    trial : Trial
+        State of a rollout.
+    order_revision : int
+        Store revision of the order.
+    version : str
+        Version that the order rolls out.
+    """
+    if revisions.era_of(trial.order_revision) == revisions.era_of(
+        order_revision
+    ):
+        return trial.order_revision == order_revision
+    return trial.new == version
+
+
 def is_alarm(trial: Trial, level: float) -> bool:
     """Return whether the evidence is enough to roll the version back."""
     if trial.phase in LOADED_PHASES:
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -151,6 +151,7 @@
         )
         self.rollouts.links = self.links
         self.orders.read_trials = self.rollouts.read_stored_trials
+        self.store.on_new_era = self.rollouts.forget_stored_trials
         self.dispatcher = dispatcher.Dispatcher(
             settings=settings,
             boot=format(boot, "x"),
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -377,7 +377,9 @@
         changed = [
             row
             for row in changed
-            if orders.has_new_content(row, previous.get(row.key))
+            # A trial follows its order into a new era.
+            if row.key.startswith(platform.ROLLOUTS)
+            or orders.has_new_content(row, previous.get(row.key))
         ]
         if not changed:
             return
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -114,6 +114,7 @@
             The store did not answer.
         """
         page = await self.store.read(TRIALS)
+        self.stored_trials.clear()
         for row in page.rows:
             try:
                 trial_row = _parse_trial_row(row)
@@ -130,6 +131,13 @@
             self.apply_row(row.key, trial_row)
         self.stored_trials_read = True
 
+    def forget_stored_trials(self) -> None:
+        """Read the stored trials again before the next write.
+
+        The store has returned from an older copy and may have lost some.
+        """
+        self.stored_trials_read = False
+
     def apply_row(self, service: str, row: _TrialRow) -> None:
         """Apply the state of a trial as read from the store."""
         self.handle_notice(
@@ -147,9 +155,12 @@
         """Start the trial of a service's rollout order, if it is a new one."""
         revision, order = self.order_task.view.rollouts[service]
         current = self.order_task.view.service_trials.get(service)
-        if current is not None and current.order_revision == revision:
+        if current is not None and trials.is_same_order(
+            current, revision, order.version
+        ):
             self.complete_details(
                 current,
+                order_revision=revision,
                 seconds=order.seconds,
                 old=self.find_old_version(service, order.version),
             )
@@ -182,15 +193,22 @@
         return next((v for v in versions if v != new), "")
 
     def complete_details(
-        self, trial: trials.Trial, *, seconds: float = 0.0, old: str = ""
+        self,
+        trial: trials.Trial,
+        *,
+        order_revision: int,
+        seconds: float = 0.0,
+        old: str = "",
     ) -> trials.Trial:
         """Set what was not known when the trial started on this node.
 
         The duration is missing if the trial was received before its order,
         the old version if it started before any of its servers was heard of.
+        In a new era of the store, the order has a new revision.
         """
         completed = dataclasses.replace(
             trial,
+            order_revision=max(trial.order_revision, order_revision),
             duration_seconds=trial.duration_seconds or seconds,
             old=trial.old or old,
         )
@@ -249,19 +267,25 @@
             )
             return
         current = self.order_task.view.service_trials.get(notice.service)
+        same_order = False
         if current is not None:
-            if current.order_revision > notice.order_revision:
-                return
-            if current.order_revision == notice.order_revision:
+            same_order = trials.is_same_order(
+                current, notice.order_revision, notice.version
+            )
+            if same_order:
                 current = self.complete_details(
-                    current, old=notice.old_version
+                    current,
+                    order_revision=notice.order_revision,
+                    old=notice.old_version,
                 )
                 if current.phase is phase or not trials.may_follow(
                     current.phase, phase
                 ):
                     return
+            elif current.order_revision > notice.order_revision:
+                return
         now = self.loop.time()
-        if current is None or current.order_revision != notice.order_revision:
+        if current is None or not same_order:
             rollout = self.order_task.view.rollouts.get(notice.service)
             seconds = rollout[1].seconds if rollout is not None else 0.0
             current = trials.Trial(
@@ -420,11 +444,15 @@
         """
         revision, stored = self.stored_trials.get(trial.service, (0, None))
         status = _STATUS[trial.phase]
-        if stored is not None and stored.order == trial.order_revision:
+        if stored is not None and trials.is_same_order(
+            trial, stored.order, stored.version
+        ):
             if _STATUS[stored.phase] is not status:
                 if not trials.may_follow(stored.phase, trial.phase):
                     return False
-            elif stored.old or not trial.old:
+            elif stored.order == trial.order_revision and (
+                stored.old or not trial.old
+            ):
                 return True
         row = _TrialRow(
             order=trial.order_revision,
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/test_rollouts.py
@@ -1,6 +1,7 @@
 """Tests of the task that carries out rollout orders."""
 
 import asyncio
+import dataclasses
 import types
 import unittest
 
@@ -9,6 +10,7 @@
 from apricotpost.membership import fleet
 from apricotpost import model
 from apricotpost import platform
+from apricotpost import revisions
 from apricotpost.rollout import trials
 from apricotpost.sidecar import rollouts
 from apricotpost.sidecar import server_index
@@ -16,7 +18,7 @@
 from apricotpost import wire
 from tests.sidecar import builders
 
-__all__ = ["OldVersionTest"]
+__all__ = ["EraTest", "OldVersionTest"]
 
 ORDER_REVISION = 7
 
@@ -89,6 +91,23 @@
         self.servers.invalidate()
         self.task.handle_state(state)
 
+    def make_notice(
+        self,
+        *,
+        phase="running",
+        old_version="",
+        version="v2",
+        revision=ORDER_REVISION,
+    ):
+        return wire.TrialNotice(
+            service="portal",
+            version=version,
+            order_revision=revision,
+            phase=phase,
+            old_version=old_version,
+            reason="",
+        )
+
     @property
     def trial(self):
         return self.orders.view.service_trials["portal"]
@@ -163,21 +182,80 @@
         self.hear("v1")
         self.give_order()
         self.hear("v2", calls=40, failures=40)
-        notice = self.make_notice(old_version="v1")
         self.task.handle_notice(
-            msgspec.structs.replace(
-                notice, version="v3", order_revision=ORDER_REVISION + 1
+            self.make_notice(
+                old_version="v1", version="v3", revision=ORDER_REVISION + 1
             )
         )
         trial_evidence = self.task.trial_evidence["portal"]
         self.assertEqual(0, trials.count_calls(trial_evidence, "v2"))
 
-    def make_notice(self, *, phase="running", old_version=""):
-        return wire.TrialNotice(
-            service="portal",
-            version="v2",
-            order_revision=ORDER_REVISION,
-            phase=phase,
-            old_version=old_version,
-            reason="",
+
+class EraTest(RolloutCase):
+    """Trials after the store has returned from an older copy."""
+
+    def in_new_era(self, version=ORDER_REVISION):
+        return revisions.compose(era=1, version=version)
+
+    async def test_rolled_back_version_stays_so_when_ordered_again(self):
+        """Guards against a bad version that starts with the store's return.
+
+        The operator writes the lost order again, with another revision.
+        """
+        self.hear("v1")
+        self.give_order()
+        self.task.handle_notice(self.make_notice(phase="rolled-back"))
+        self.give_order(revision=self.in_new_era())
+        self.assertIs(trials.Phase.ROLLED_BACK, self.trial.phase)
+
+    async def test_order_within_the_new_era_starts_a_trial(self):
+        """Guards against an order that is taken for one written again."""
+        self.hear("v1")
+        self.give_order()
+        self.task.handle_notice(self.make_notice(phase="rolled-back"))
+        for revision in (self.in_new_era(), self.in_new_era() + 1):
+            self.give_order(revision=revision)
+        self.assertIs(trials.Phase.RUNNING, self.trial.phase)
+
+    async def test_new_version_with_a_lower_store_version_is_tried(self):
+        """Guards against a rollout that is never begun."""
+        self.hear("v1")
+        self.give_order()
+        self.give_order(revision=self.in_new_era(2), version="v3")
+        self.assertEqual("v3", self.trial.new)
+
+    async def test_node_that_restarted_learns_of_the_rollback(self):
+        """Guards against a restarted node that starts a bad version again.
+
+        It has read the order in the new era; the others rolled the version
+        back in the former one.
+        """
+        self.hear("v1")
+        self.give_order(revision=self.in_new_era(2))
+        self.task.handle_notice(self.make_notice(phase="rolled-back"))
+        self.assertIs(trials.Phase.ROLLED_BACK, self.trial.phase)
+        self.assertEqual(self.in_new_era(2), self.trial.order_revision)
+
+    async def test_lost_status_is_written_again(self):
+        """Guards against operators who wait for a status that was lost."""
+        self.hear("v1")
+        self.give_order()
+        await self.task.write_status(self.trial)
+        self.store.rows.clear()
+        self.task.forget_stored_trials()
+        await self.task.write_status(self.trial)
+        self.assertEqual("running", self.read_row()["phase"])
+
+    async def test_running_trial_does_not_replace_a_stored_rollback(self):
+        """Guards against a status that turns back to running."""
+        self.hear("v1")
+        self.give_order()
+        self.task.handle_notice(self.make_notice(phase="rolled-back"))
+        await self.task.write_status(self.trial)
+        running = dataclasses.replace(
+            self.trial,
+            phase=trials.Phase.RUNNING,
+            order_revision=self.in_new_era(2),
         )
+        self.assertFalse(await self.task.write_status(running))
+        self.assertEqual("rolled-back", self.read_row()["phase"])
