Split the records of trials, order requests and store messages off

The rows of trials, the requests for orders to other nodes and the messages of the store are modules of their own now.

--- a/apricotpost/platform/__init__.py
+++ b/apricotpost/platform/__init__.py
@@ -36,9 +36,9 @@
 from apricotpost.platform.orders import status_key
 from apricotpost.platform.orders import TrialState
 from apricotpost.platform.store import Page
-from apricotpost.platform.store import Row
 from apricotpost.platform.store import Store
 from apricotpost.platform.store import Transaction
+from apricotpost.platform.store_messages import Row
 from apricotpost.platform.usage import classify_report
 from apricotpost.platform.usage import encode_usage
 from apricotpost.platform.usage import make_usage_request
--- a/apricotpost/platform/store.py
+++ b/apricotpost/platform/store.py
@@ -3,22 +3,19 @@
 import asyncio
 import base64
 from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 import logging
-import typing
 from urllib import parse
 
 import msgspec
 
-from apricotpost import decoding
 from apricotpost import errors
 from apricotpost import events
 from apricotpost import http
+from apricotpost.platform import store_messages
 from apricotpost import revisions
 
-__all__ = ["Page", "Row", "Store", "Transaction"]
+__all__ = ["Page", "Store", "Transaction"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -32,39 +29,12 @@
 # copy of itself.
 ERA_HEADER = b"store-era"
 
-_Version = typing.Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_VERSION)]
-_Era = typing.Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_ERA)]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Row:
-    """A row of the store, or the record of its removal.
-
-    Parameters
-    ----------
-    table, key : str
-        Table and key of the row.
-    value : bytes
-        Content; empty if the row was removed.
-    revision : int
-        Store revision of the last change, as in `apricotpost.revisions`;
-        increases across all tables.
-    removed : bool
-        Whether the row was removed.
-    """
-
-    table: str
-    key: str
-    value: bytes
-    revision: int
-    removed: bool = False
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Page:
     """Rows, and the revision of the store when they were read."""
 
-    rows: tuple[Row, ...]
+    rows: tuple[store_messages.Row, ...]
     revision: int
 
 
@@ -87,37 +57,6 @@
     remove: tuple[tuple[str, str], ...] = ()
 
 
-class _EncodedRow(msgspec.Struct, frozen=True):
-    table: decoding.Name
-    key: decoding.Name
-    # Version of the last change.
-    ver: _Version = 0
-    # Base64.
-    value: str = ""
-    tombstone: bool = False
-    # The node uses only rows in which this is empty.
-    part: str = ""
-
-
-class _RowsResponse(msgspec.Struct, frozen=True):
-    # Version of the store.
-    ver: _Version
-    # Decoded one by one, so that a malformed row does not hide the others.
-    rows: tuple[msgspec.Raw, ...] = ()
-    has_more: bool = False
-
-
-class _WriteResponse(msgspec.Struct, frozen=True):
-    # Version of the write.
-    ver: _Version = 0
-
-
-_decode_response = decoding.json_decoder("answer to a read", _RowsResponse)
-_decode_row = decoding.json_decoder("row", _EncodedRow)
-_decode_write = decoding.json_decoder("answer to a write", _WriteResponse)
-_decode_era = decoding.json_decoder("era of the store", _Era)
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Answer:
     """An answer of the store, and the era in which it was given."""
@@ -155,7 +94,7 @@
             The store does not answer, refuses the request or sends a
             malformed answer.
         """
-        rows: list[Row] = []
+        rows: list[store_messages.Row] = []
         start = ""
         first_era: int | None = None
         while True:
@@ -169,7 +108,7 @@
                     f"{table} was read"
                 )
             first_era = era
-            rows.extend(_decode_rows(answer.rows, era))
+            rows.extend(store_messages.decode_rows(answer.rows, era))
             if not answer.has_more:
                 revision = revisions.compose(era=era, version=answer.ver)
                 return Page(rows=tuple(rows), revision=revision)
@@ -214,7 +153,7 @@
         # The versions between may have been given out twice.
         _check_era(after, era)
         return Page(
-            rows=tuple(_decode_rows(answer.rows, era)),
+            rows=tuple(store_messages.decode_rows(answer.rows, era)),
             revision=revisions.compose(era=era, version=answer.ver),
         )
 
@@ -284,7 +223,7 @@
                 "the store returned from an older copy during a write"
             )
         try:
-            version: int = _decode_write(response.body).ver
+            version: int = store_messages.decode_write(response.body).ver
         except errors.MalformedMessage as error:
             raise errors.PlatformOutcomeUnknown(error.message) from error
         return revisions.compose(era=answer.era, version=version)
@@ -294,12 +233,14 @@
         path: str,
         query: dict[str, str],
         timeout: float = CALL_SECONDS,
-    ) -> tuple[_RowsResponse, int]:
+    ) -> tuple[store_messages.RowsResponse, int]:
         target = f"{path}?{parse.urlencode(query)}"
         answer = await self._send(self._request(b"GET", target), timeout)
         _check_status(answer.response)
         try:
-            rows: _RowsResponse = _decode_response(answer.response.body)
+            rows: store_messages.RowsResponse = store_messages.decode_response(
+                answer.response.body
+            )
         except errors.MalformedMessage as error:
             raise errors.PlatformDataDamaged(error.message) from error
         return rows, answer.era
@@ -347,7 +288,7 @@
         if value is None:
             return self.era
         try:
-            era: int = _decode_era(value)
+            era: int = store_messages.decode_era(value)
         except errors.MalformedMessage as error:
             events.emit(_LOG, events.STORE_ERA_INVALID, error=error.message)
             return self.era
@@ -390,25 +331,3 @@
         raise errors.HistoryExpired(
             "the store has returned from an older copy since the revision"
         )
-
-
-def _decode_rows(
-    encoded_rows: Iterable[msgspec.Raw], era: int
-) -> Iterator[Row]:
-    """Yield the rows that can be decoded; the others are logged."""
-    for encoded in encoded_rows:
-        try:
-            row: _EncodedRow = _decode_row(bytes(encoded))
-            if row.part:
-                continue
-            value = decoding.decode_base64(f"row {row.key}", row.value)
-        except errors.MalformedMessage as error:
-            events.emit(_LOG, events.ROW_MALFORMED, error=error.message)
-            continue
-        yield Row(
-            table=row.table,
-            key=row.key,
-            value=value,
-            revision=revisions.compose(era=era, version=row.ver),
-            removed=row.tombstone,
-        )
--- a/apricotpost/sidecar/node.py
+++ b/apricotpost/sidecar/node.py
@@ -142,6 +142,7 @@
             rng=rng,
         )
         self.orders.links = self.links
+        self.orders.requests.links = self.links
         self.rollouts = rollouts.Rollouts(
             settings=settings,
             store=self.store,
@@ -150,8 +151,8 @@
             order_task=self.orders,
         )
         self.rollouts.links = self.links
-        self.orders.read_trials = self.rollouts.read_stored_trials
-        self.store.on_new_era = self.rollouts.forget_stored_trials
+        self.orders.read_trials = self.rollouts.records.read
+        self.store.on_new_era = self.rollouts.records.forget
         self.dispatcher = dispatcher.Dispatcher(
             settings=settings,
             boot=format(boot, "x"),
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -14,13 +14,13 @@
 from apricotpost import errors
 from apricotpost import events
 from apricotpost.membership import fleet
-from apricotpost.membership import relays
 from apricotpost import platform
 from apricotpost import revisions
 from apricotpost.sidecar import gossip
 from apricotpost.sidecar import links
 from apricotpost.sidecar import options
 from apricotpost.sidecar import order_contact
+from apricotpost.sidecar import order_requests
 from apricotpost.sidecar import registrations
 from apricotpost.sidecar import views
 from apricotpost import wire
@@ -97,6 +97,12 @@
         self.registry = registrations.Registry(
             settings=settings, store=store, members=members, peers=peers
         )
+        self.requests = order_requests.OrderRequests(
+            members=members,
+            peers=peers,
+            order_store=self.order_store,
+            rng=rng,
+        )
         self.links: links.Links | None = None
         # Reads the stored trials; called before rollout orders are in force.
         self.read_trials: StoreCall | None = None
@@ -423,7 +429,7 @@
         lag_seconds = now - self.lagging_since
         if lag_seconds < LAG_SECONDS:
             return
-        if self.request_from_local_peer(now):
+        if self.requests.send_to_local_peer(now):
             self.lagging_since = None
             return
         if (
@@ -434,63 +440,6 @@
         self.lagging_since = None
         await self.attempt(self.watch)
 
-    def request_from_local_peer(self, now: float) -> bool:
-        """Request missing orders from a node of this data centre.
-
-        Returns
-        -------
-        bool
-            Whether a request was sent.
-        """
-        if self.links is None:
-            return False
-        for state in fleet.live_nodes(self.members, now):
-            if (
-                state.orders_revision > self.order_store.revision
-                and state.data_centre == self.settings.data_centre
-            ):
-                return self.request_orders(state.node)
-        return False
-
-    def request_from_any_peer(self) -> None:
-        """Request missing orders from any node while the store is lost.
-
-        Nodes of this data centre are preferred.
-        """
-        now = self.loop.time()
-        ahead = [
-            state
-            for state in fleet.live_nodes(
-                self.members, now, within=relays.REMOTE_SILENT_SECONDS
-            )
-            if state.orders_revision > self.order_store.revision
-        ]
-        local = [
-            s for s in ahead if s.data_centre == self.settings.data_centre
-        ]
-        if not ahead:
-            return
-        chosen = self.rng.choice(local or ahead).node
-        if not self.request_orders(chosen):
-            # The next attempt uses the connection.
-            self.peers.connect(chosen)
-
-    def request_orders(self, node: str) -> bool:
-        """Request the orders that this node lacks from another one.
-
-        Returns
-        -------
-        bool
-            Whether the request was sent.
-        """
-        if self.links is None:
-            return False
-        message = wire.OrdersPull(
-            node=self.settings.instance,
-            after_revision=self.order_store.revision,
-        )
-        return self.links.send(node, message)
-
     def record_store_lost(self, error: errors.PlatformError) -> None:
         """Record a failed call of the store and request orders from peers."""
         if self.store_lost_at is None:
@@ -498,7 +447,7 @@
             events.emit(_LOG, events.STORE_UNREACHABLE, error=error.message)
             self.peers.reaches_store = False
             self.peers.schedule_publish()
-        self.request_from_any_peer()
+        self.requests.send_to_any_peer()
 
     def record_store_regained(self) -> None:
         """Record a successful call of the store."""
--- a/apricotpost/sidecar/rollouts.py
+++ b/apricotpost/sidecar/rollouts.py
@@ -4,10 +4,6 @@
 import dataclasses
 import logging
 
-import msgspec
-
-from apricotpost import decoding
-from apricotpost import errors
 from apricotpost import events
 from apricotpost.membership import fleet
 from apricotpost.membership import relays
@@ -17,6 +13,7 @@
 from apricotpost.sidecar import options
 from apricotpost.sidecar import orders
 from apricotpost.sidecar import server_index
+from apricotpost.sidecar import trial_records
 from apricotpost.sidecar import views
 from apricotpost import wire
 
@@ -32,28 +29,7 @@
 # States from other data centres arrive every 1.5 s. A node whose last state is
 # older than this is not considered as holder.
 HOLDER_SILENT_SECONDS = 3.2
-# Table of the trials in the store. A row is written only on the condition that
-# it has not changed since it was read, so that decisions of several holders
-# cannot overwrite each other.
-TRIALS = "trials"
 MAX_LOGGED_CHARACTERS = 40
-_STATUS = {
-    trials.Phase.RUNNING: platform.TrialState.RUNNING,
-    trials.Phase.MOVING: platform.TrialState.RUNNING,
-    trials.Phase.SETTLING: platform.TrialState.RUNNING,
-    trials.Phase.COMPLETED: platform.TrialState.COMPLETED,
-    trials.Phase.ROLLED_BACK: platform.TrialState.ROLLED_BACK,
-}
-
-
-class _TrialRow(msgspec.Struct, frozen=True):
-    order: decoding.Count
-    version: decoding.Name
-    old: decoding.Name
-    phase: trials.Phase
-
-
-_decode_trial_row = decoding.json_decoder("row of a trial", _TrialRow)
 
 
 class Rollouts:
@@ -83,16 +59,15 @@
         order_task: orders.Orders,
     ) -> None:
         self.settings = settings
-        self.store = store
         self.members = members
         self.servers = servers
         self.order_task = order_task
         self.loop = asyncio.get_running_loop()
         self.links: links.Links | None = None
         self.trial_evidence: dict[str, trials.TrialEvidence] = {}
-        # Revision and content of the stored row of each service.
-        self.stored_trials: dict[str, tuple[int, _TrialRow]] = {}
-        self.stored_trials_read = False
+        self.records = trial_records.TrialRecords(
+            store=store, on_row=self.apply_row
+        )
         self.repeated_at = 0.0
 
     async def run(self) -> None:
@@ -105,40 +80,7 @@
                 await self.advance_trial(trial)
             self.repeat_notices()
 
-    async def read_stored_trials(self) -> None:
-        """Read the trials of earlier processes and other holders.
-
-        Raises
-        ------
-        apricotpost.errors.PlatformError
-            The store did not answer.
-        """
-        page = await self.store.read(TRIALS)
-        self.stored_trials.clear()
-        for row in page.rows:
-            try:
-                trial_row = _parse_trial_row(row)
-            except errors.MalformedMessage as error:
-                events.emit(
-                    _LOG,
-                    events.ROW_MALFORMED,
-                    table=TRIALS,
-                    key=row.key,
-                    error=error.message,
-                )
-                continue
-            self.stored_trials[row.key] = (row.revision, trial_row)
-            self.apply_row(row.key, trial_row)
-        self.stored_trials_read = True
-
-    def forget_stored_trials(self) -> None:
-        """Read the stored trials again before the next write.
-
-        The store has returned from an older copy and may have lost some.
-        """
-        self.stored_trials_read = False
-
-    def apply_row(self, service: str, row: _TrialRow) -> None:
+    def apply_row(self, service: str, row: trial_records.TrialRow) -> None:
         """Apply the state of a trial as read from the store."""
         self.handle_notice(
             wire.TrialNotice(
@@ -384,11 +326,11 @@
                 self.broadcast_notice(next_trial)
                 trial = next_trial
         if holder:
-            await self.write_status(trial)
+            await self.records.write(trial)
 
     async def complete(self, trial: trials.Trial) -> None:
         """Put a completed trial in force after the store has recorded it."""
-        if await self.write_status(trial):
+        if await self.records.write(trial):
             self.apply_trial(trial)
             self.broadcast_notice(trial)
 
@@ -409,86 +351,3 @@
                 self.members, now, within=HOLDER_SILENT_SECONDS
             )
         )
-
-    async def write_status(self, trial: trials.Trial) -> bool:
-        """Write the state of a trial unless it is already stored.
-
-        Returns
-        -------
-        bool
-            Whether the state is in the store now.
-        """
-        try:
-            if not self.stored_trials_read:
-                await self.read_stored_trials()
-            return await self.write_row(trial)
-        except errors.TransactionRejected:
-            self.stored_trials_read = False
-        except errors.PlatformError as error:
-            self.stored_trials_read = False
-            events.emit(
-                _LOG,
-                events.TRIAL_STATUS_NOT_STORED,
-                service=trial.service,
-                error=error.message,
-            )
-        return False
-
-    async def write_row(self, trial: trials.Trial) -> bool:
-        """Write the row of a trial if it has not changed since it was read.
-
-        Returns
-        -------
-        bool
-            False if the stored phase cannot be followed by this one.
-        """
-        revision, stored = self.stored_trials.get(trial.service, (0, None))
-        status = _STATUS[trial.phase]
-        if stored is not None and trials.is_same_order(
-            trial, stored.order, stored.version
-        ):
-            if _STATUS[stored.phase] is not status:
-                if not trials.may_follow(stored.phase, trial.phase):
-                    return False
-            elif stored.order == trial.order_revision and (
-                stored.old or not trial.old
-            ):
-                return True
-        row = _TrialRow(
-            order=trial.order_revision,
-            version=trial.new,
-            old=trial.old,
-            phase=trial.phase,
-        )
-        change = platform.Transaction(
-            expected=((TRIALS, trial.service, revision),),
-            put=(
-                (TRIALS, trial.service, msgspec.json.encode(row)),
-                (
-                    platform.STATUS,
-                    platform.status_key(trial.service),
-                    platform.encode_status(status, trial.new),
-                ),
-            ),
-        )
-        new_revision = await self.store.write(change)
-        self.stored_trials[trial.service] = (new_revision, row)
-        return True
-
-
-def _parse_trial_row(row: platform.Row) -> _TrialRow:
-    """Decode the row of a trial.
-
-    Raises
-    ------
-    apricotpost.errors.MalformedMessage
-        The row cannot be decoded, or refers to an order that is newer than
-        the row itself. Such a row would hide all later orders.
-    """
-    trial_row: _TrialRow = _decode_trial_row(row.value)
-    if trial_row.order >= row.revision:
-        raise errors.MalformedMessage(
-            f"trial refers to order {trial_row.order}, but its row has "
-            f"revision {row.revision}"
-        )
-    return trial_row
--- a/tests/sidecar/test_rollouts.py
+++ b/tests/sidecar/test_rollouts.py
@@ -14,6 +14,7 @@
 from apricotpost.rollout import trials
 from apricotpost.sidecar import rollouts
 from apricotpost.sidecar import server_index
+from apricotpost.sidecar import trial_records
 from apricotpost.sidecar import views
 from apricotpost import wire
 from tests.sidecar import builders
@@ -113,7 +114,7 @@
         return self.orders.view.service_trials["portal"]
 
     def read_row(self):
-        row = self.store.rows[(rollouts.TRIALS, "portal")]
+        row = self.store.rows[(trial_records.TRIALS, "portal")]
         return msgspec.json.decode(row)
 
 
@@ -153,11 +154,11 @@
     async def test_stored_row_gets_the_old_version(self):
         """Guards against a stored trial that misleads the next holder."""
         self.give_order()
-        await self.task.write_status(self.trial)
+        await self.task.records.write(self.trial)
         self.assertEqual("", self.read_row()["old"])
         self.hear("v1")
         self.task.start_trial("portal")
-        await self.task.write_status(self.trial)
+        await self.task.records.write(self.trial)
         self.assertEqual("v1", self.read_row()["old"])
 
     async def test_next_order_after_a_rollback_keeps_the_old_version(self):
@@ -240,10 +241,10 @@
         """Guards against operators who wait for a status that was lost."""
         self.hear("v1")
         self.give_order()
-        await self.task.write_status(self.trial)
+        await self.task.records.write(self.trial)
         self.store.rows.clear()
-        self.task.forget_stored_trials()
-        await self.task.write_status(self.trial)
+        self.task.records.forget()
+        await self.task.records.write(self.trial)
         self.assertEqual("running", self.read_row()["phase"])
 
     async def test_running_trial_does_not_replace_a_stored_rollback(self):
@@ -251,11 +252,11 @@
         self.hear("v1")
         self.give_order()
         self.task.handle_notice(self.make_notice(phase="rolled-back"))
-        await self.task.write_status(self.trial)
+        await self.task.records.write(self.trial)
         running = dataclasses.replace(
             self.trial,
             phase=trials.Phase.RUNNING,
             order_revision=self.in_new_era(2),
         )
-        self.assertFalse(await self.task.write_status(running))
+        self.assertFalse(await self.task.records.write(running))
         self.assertEqual("rolled-back", self.read_row()["phase"])
