Play the return of an older store in the soak, check what is in force

The soak had no check that a confirmed configuration is in force on each node after the faults, and its store never went back.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -85,12 +85,14 @@
         await asyncio.sleep(schedule.RECOVERY_SECONDS / 2)
         fleet.load_stopped = True
         await asyncio.sleep(fleets.DEADLINE_MS / 1000 + 1.2)
+        versions = await fleet.read_configurations()
         results = tuple(fleet.results.values())
         executions = fleet.executions()
         violations = [
             *checks.check_executions(fleet.results, executions),
             *checks.check_integrity(results),
             *checks.check_configurations(results),
+            *checks.check_in_force(versions, fleet.config_version),
             *checks.check_exclusions(executions, fleet.exclusions),
             *checks.check_exposure(executions, fleet.rollouts, BOUNDS),
             *checks.check_budget(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
     "check_exclusions",
     "check_executions",
     "check_exposure",
+    "check_in_force",
     "check_integrity",
     "check_recovery",
 ]
@@ -235,6 +236,28 @@
     return violations
 
 
+def check_in_force(
+    versions: Mapping[str, int], newest: int
+) -> list[Violation]:
+    """Check that every node has the newest configuration after the faults.
+
+    Parameters
+    ----------
+    versions : mapping
+        Version of the configuration in force on each node, by its name.
+    newest : int
+        Newest version that an operator has written.
+    """
+    return [
+        Violation(
+            promise="in-force",
+            detail=f"{node} has version {version}, {newest} was confirmed",
+        )
+        for node, version in versions.items()
+        if version != newest
+    ]
+
+
 def check_exclusions(
     executions: Iterable[Execution], exclusions: Iterable[Exclusion]
 ) -> list[Violation]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,10 @@
 # Added to the promised times, for the delivery of a request and for delays
 # of this process.
 SLACK_SECONDS = 0.5
+# Time for which the store is away before it returns from an older copy, and
+# after which the operator writes again what it has lost.
+STORE_AWAY_SECONDS = 0.5
+REWRITE_SECONDS = 0.7
 BOUNDS = checks.Bounds()
 
 
@@ -122,6 +126,44 @@
     fleet.mesh.store.drop_history()
 
 
+async def _return_older_store(
+    fleet: fleets.Fleet, fault: schedule.Fault
+) -> None:
+    """Replace the store by a copy that is as old as the fault is long.
+
+    The operator writes the lost orders again after a moment.
+    """
+    store = fleet.mesh.store
+    copy = store.copy()
+    await asyncio.sleep(fault.duration_seconds)
+    store.faults = rows.Faults(status=503)
+    await asyncio.sleep(STORE_AWAY_SECONDS)
+    store.faults = rows.Faults()
+    orders = _read_orders(store)
+    store.restore(copy)
+    await asyncio.sleep(REWRITE_SECONDS)
+    # Meanwhile, other faults may have written newer orders.
+    written = {
+        key
+        for table, key, _, revision, _ in store.changes
+        if table == "op" and revision > copy.revision
+    }
+    restored = _read_orders(store)
+    for key in sorted((orders.keys() | restored.keys()) - written):
+        if key not in orders:
+            store.remove("op", key)
+        elif orders[key] != restored.get(key):
+            store.put("op", key, orders[key])
+
+
+def _read_orders(store: rows.RowStore) -> dict[str, bytes]:
+    return {
+        key: value
+        for (table, key), (value, _) in store.rows.items()
+        if table == "op"
+    }
+
+
 async def _slow_backend(fleet: fleets.Fleet, fault: schedule.Fault) -> None:
     backend = fleet.instances[fault.node].backend
     backend.service_seconds = fleets.SERVICE_SECONDS * 20
@@ -270,6 +312,7 @@
         rows.Faults(lose_answers=True)
     ),
     _KINDS.STORE_FORGETS: _drop_store_history,
+    _KINDS.STORE_RETURNS_OLDER: _return_older_store,
     _KINDS.ANSWERS_LOST: _make_backend_injector("reset"),
     _KINDS.ANSWERS_WRONG: _make_backend_injector("wrong"),
     _KINDS.ANSWERS_CUT: _make_backend_injector("cut"),
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -291,6 +291,14 @@
             )
         ]
 
+    async def read_configurations(self) -> dict[str, int]:
+        """Return the version of the configuration that each node has."""
+        name = "apricotpost_configuration_version"
+        return {
+            node.name: int(await self.mesh.read_metric(node, name))
+            for node in self.mesh.nodes
+        }
+
     async def watch_memory(self) -> None:
         """Record the largest memory of each node process."""
         while True:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,6 +29,7 @@
     STORE_SLOW = "store-slow"
     STORE_LOSES_ANSWERS = "store-loses-answers"
     STORE_FORGETS = "store-forgets"
+    STORE_RETURNS_OLDER = "store-returns-older"
     # Backend servers.
     ANSWERS_LOST = "answers-lost"
     ANSWERS_WRONG = "answers-wrong"
@@ -70,6 +71,8 @@
         Kind.SERVER_REPLACED,
     }
 )
+# Kinds that occur at most once in a run, drawn from generators of their own.
+_SINGLE_KINDS = frozenset({Kind.ROLLOUT_BAD, Kind.STORE_RETURNS_OLDER})
 # A fault lasts 2.15 s on average, so some overlap.
 FAULTS_PER_SECOND = 1.2
 MAX_FAULT_SECONDS = 4.0
@@ -81,6 +84,10 @@
 ROLLOUT_PROBABILITY = 0.5
 ROLLOUT_SECONDS = 8.0
 MAX_ROLLOUT_DELAY_SECONDS = 2.0
+# In part of the runs, the store returns from an older copy once.
+RETURN_PROBABILITY = 0.5
+# Time after the loss in which the store is away and operators write again.
+RETURN_SECONDS = 1.5
 # Times without faults at the start of the run and, for the check of the
 # recovery, at its end.
 WARM_UP_SECONDS = 1.0
@@ -122,9 +129,9 @@
         Number of nodes.
     """
     rng = random.Random(seed)
-    kinds = tuple(kind for kind in Kind if kind is not Kind.ROLLOUT_BAD)
+    kinds = tuple(kind for kind in Kind if kind not in _SINGLE_KINDS)
     end = seconds - RECOVERY_SECONDS
-    faults = list(_draw_rollout(seed, end))
+    faults = [*_draw_rollout(seed, end), *_draw_return(seed, end)]
     at = WARM_UP_SECONDS
     while True:
         at += rng.expovariate(FAULTS_PER_SECOND)
@@ -168,3 +175,23 @@
             kind=Kind.ROLLOUT_BAD,
         ),
     )
+
+
+def _draw_return(seed: int, end: float) -> tuple[Fault, ...]:
+    """Return the return of the store from an older copy, if there is one.
+
+    The duration of the fault is the age of the copy. It is drawn from a
+    separate random generator, as the rollout is.
+    """
+    rng = random.Random(f"return {seed}")
+    age = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+    latest = end - age - RETURN_SECONDS
+    if rng.random() >= RETURN_PROBABILITY or latest < WARM_UP_SECONDS:
+        return ()
+    return (
+        Fault(
+            starts_at=rng.uniform(WARM_UP_SECONDS, latest),
+            duration_seconds=age,
+            kind=Kind.STORE_RETURNS_OLDER,
+        ),
+    )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -35,6 +35,14 @@
             checks.check_executions({result.request: result}, executions)
         )
 
+    def test_configuration_that_is_not_in_force(self):
+        """Guards against a check that misses a node with an older one."""
+        versions = {"n0": 5, "n1": 4}
+        self.assertEqual([], checks.check_in_force({"n0": 5}, 5))
+        (violation,) = checks.check_in_force(versions, 5)
+        self.assertEqual("in-force", violation.promise)
+        self.assertIn("n1", violation.detail)
+
     def test_request_executed_twice(self):
         """Guards against a check that misses a second execution."""
         twice = (make_execution(), make_execution(started_at=2.0))
