--- a/soak/faults.py
+++ b/soak/faults.py
@@ -131,7 +131,8 @@
 ) -> None:
     """Replace the store by a copy that is as old as the fault is long.
 
-    The operator writes the lost orders again after a moment.
+    The operator writes the lost orders again after a moment, and then a new
+    configuration.
     """
     store = fleet.mesh.store
     copy = store.copy()
@@ -154,6 +155,9 @@
             store.remove("op", key)
         elif orders[key] != restored.get(key):
             store.put("op", key, orders[key])
+    # The next change gets a version that the store has given out before.
+    fleet.config_version += 1
+    fleet.publish_configuration()
 
 
 def _read_orders(store: rows.RowStore) -> dict[str, bytes]:
