--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,8 @@
 # after which the operator writes again what it has lost.
 STORE_AWAY_SECONDS = 0.5
 REWRITE_SECONDS = 0.7
+# Interval of the writes of the store's other users.
+OTHER_WRITE_SECONDS = 0.02
 BOUNDS = checks.Bounds()
 
 
@@ -136,7 +138,11 @@
     """
     store = fleet.mesh.store
     copy = store.copy()
-    await asyncio.sleep(fault.duration_seconds)
+    # Other users of the store write as well. Without them, the versions catch
+    # up with those that the nodes hold before the next order.
+    for _ in range(int(fault.duration_seconds / OTHER_WRITE_SECONDS)):
+        store.put("other", "row", b"x")
+        await asyncio.sleep(OTHER_WRITE_SECONDS)
     store.faults = rows.Faults(status=503)
     await asyncio.sleep(STORE_AWAY_SECONDS)
     store.faults = rows.Faults()
