--- a/soak/faults.py
+++ b/soak/faults.py
@@ -247,13 +247,16 @@
     Nothing is done if the data centre is evacuated already.
     """
     row_key = ("op", "evacuate/dc-a")
-    if row_key in fleet.mesh.store.rows:
+    # The store may have lost the row of an evacuation that goes on.
+    if fleet.evacuated:
         return
+    fleet.evacuated = True
     fleet.mesh.store.put(*row_key, b"{}")
     since = time.monotonic() + BOUNDS.evacuation_seconds + SLACK_SECONDS
     await asyncio.sleep(fault.duration_seconds + BOUNDS.evacuation_seconds)
     until = time.monotonic()
     fleet.mesh.store.remove(*row_key)
+    fleet.evacuated = False
     fleet.exclusions.extend(
         checks.Exclusion(
             backend=instance.backend.identifier,
--- a/soak/fleets.py
+++ b/soak/fleets.py
@@ -83,6 +83,8 @@
         self.config_version = 1
         self.request_count = 0
         self.load_stopped = False
+        # Whether an operator has ordered the evacuation of dc-a.
+        self.evacuated = False
         # Largest memory of each process, in mebibytes, by its label.
         self.peak_memory_mb: dict[str, float] = {}
 
