--- a/apricotpost/distribution/orders.py
+++ b/apricotpost/distribution/orders.py
@@ -23,7 +23,7 @@
 ]
 
 # Tells by the content of two rows whether the second is older than the first.
-# It is asked about rows of different eras only.
+# It decides only between rows of different eras; within one, revisions do.
 IsOutdated = Callable[[wire.OrderRow, wire.OrderRow], bool]
 
 
--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -46,12 +46,12 @@
 # After the store has returned from an older copy, operators write again what
 # it has lost. For this time, only configurations that are newer than the one
 # in force are taken from it; it is read at the interval below meanwhile.
-SETTLING_SECONDS = 2.0
-SETTLING_READ_SECONDS = 0.25
+RECOVERY_SECONDS = 2.0
+RECOVERY_READ_SECONDS = 0.25
 # A node that lacks orders of a new era watches the store itself only after
-# this time. Before, the reader of its data centre may be settling, and all the
+# this time. Before, the reader of its data centre may be waiting, and all the
 # others would call the store.
-NEW_ERA_LAG_SECONDS = 2 * SETTLING_SECONDS
+NEW_ERA_LAG_SECONDS = 2 * RECOVERY_SECONDS
 
 
 class Orders:
@@ -203,27 +203,43 @@
             await self.read_trials()
         after_revision = self.order_store.revision
         previous = dict(self.order_store.rows)
-        if self.is_settling(page.revision):
-            changed = orders.merge(
-                self.order_store,
-                orders.find_updates(
-                    self.order_store, rows, is_outdated=is_outdated
-                ),
-                after_revision=after_revision,
-                revision=after_revision,
-                is_outdated=is_outdated,
-            )
-        else:
-            changed = orders.replace_all(
+        changed = self.merge_read(rows, page.revision)
+        self.apply(changed, previous)
+        self.push(changed, previous, after_revision=after_revision)
+
+    def merge_read(
+        self, rows: tuple[wire.OrderRow, ...], revision: int
+    ) -> list[wire.OrderRow]:
+        """Merge all orders of the store; return the changed ones.
+
+        While the store recovers, only newer configurations are merged, and
+        the revision of this node's orders stays.
+
+        Parameters
+        ----------
+        rows : tuple of wire.OrderRow
+            Rows of all orders.
+        revision : int
+            Revision of the store at which they were read.
+        """
+        if not self.is_recovering(revision):
+            return orders.replace_all(
                 self.order_store,
                 rows,
-                revision=page.revision,
+                revision=revision,
                 is_outdated=is_outdated,
             )
-        self.apply(changed, previous)
-        self.push(changed, previous, after_revision=after_revision)
+        return orders.merge(
+            self.order_store,
+            orders.find_updates(
+                self.order_store, rows, is_outdated=is_outdated
+            ),
+            after_revision=self.order_store.revision,
+            revision=self.order_store.revision,
+            is_outdated=is_outdated,
+        )
 
-    def is_settling(self, revision: int) -> bool:
+    def is_recovering(self, revision: int) -> bool:
         """Tell whether operators may still be writing lost orders again.
 
         Parameters
@@ -238,7 +254,7 @@
             self.era_since = now
         return (
             orders.follows_new_era(self.order_store, revision)
-            and now - self.era_since < SETTLING_SECONDS
+            and now - self.era_since < RECOVERY_SECONDS
         )
 
     async def watch(self) -> None:
@@ -251,8 +267,8 @@
         except errors.HistoryExpired:
             await self.read_all()
             if self.order_store.revision == after_revision:
-                # The store is settling, or an outdated replica has answered.
-                await asyncio.sleep(SETTLING_READ_SECONDS)
+                # The store is recovering, or an outdated replica has answered.
+                await asyncio.sleep(RECOVERY_READ_SECONDS)
             return
         self.contact.record_read(self.loop.time())
         if page.revision <= after_revision:
--- a/apricotpost/sidecar/trial_records.py
+++ b/apricotpost/sidecar/trial_records.py
@@ -61,6 +61,7 @@
         self.on_row = on_row
         # Revision and content of the row of each service.
         self.rows: dict[str, tuple[int, TrialRow]] = {}
+        # Whether `rows` has all rows of the store, as far as this node knows.
         self.complete = False
 
     async def read(self) -> None:
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -241,10 +241,10 @@
         await task.read_all()
         return task
 
-    async def settle(self, task):
-        """Read in the new era, first at once, then when it has settled."""
+    async def recover(self, task):
+        """Read in the new era, first at once, then when the store has recovered."""
         await task.read_all()
-        task.era_since -= orders.SETTLING_SECONDS
+        task.era_since -= orders.RECOVERY_SECONDS
         await task.read_all()
 
     async def test_newer_configuration_of_a_new_era_is_taken_at_once(self):
@@ -271,7 +271,7 @@
         task = await self.start()
         lost = ("evacuate/dc-a", 92, b"{}")
         self.set_page(92, ("config", 91, self.config(4)), lost, era=2)
-        await self.settle(task)
+        await self.recover(task)
         self.assertEqual({"dc-a"}, task.view.evacuated)
         self.assertEqual(4, task.view.version)
         self.assertEqual(self.page.revision, task.order_store.revision)
@@ -283,7 +283,7 @@
         task.on_view = lambda before, after: changes.append(after)
         again = ("evacuate/dc-b", 95, b"{}")
         self.set_page(95, ("config", 94, self.config(4)), again, era=2)
-        await self.settle(task)
+        await self.recover(task)
         self.assertEqual([], changes)
 
     async def test_outdated_answer_to_a_full_read_is_not_called_again(self):
