--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -242,7 +242,7 @@
         return task
 
     async def recover(self, task):
-        """Read in the new era, first at once, then when the store has recovered."""
+        """Read in the new era, at first and after the recovery."""
         await task.read_all()
         task.era_since -= orders.RECOVERY_SECONDS
         await task.read_all()
