Push all orders since the revision that a push names

Cause: a configuration that is taken while the store recovers is pushed without a new revision. The push after the recovery had only the rows changed then, so a node that had missed the first one took the new revision without the configuration and never requested it.

Change: a push has all rows after its first revision, as an answer to a request has.

--- a/apricotpost/sidecar/orders.py
+++ b/apricotpost/sidecar/orders.py
@@ -205,7 +205,8 @@
         previous = dict(self.order_store.rows)
         changed = self.merge_read(rows, page.revision)
         self.apply(changed, previous)
-        self.push(changed, previous, after_revision=after_revision)
+        if changed or self.order_store.revision > after_revision:
+            self.push(previous, after_revision=after_revision)
 
     def merge_read(
         self, rows: tuple[wire.OrderRow, ...], revision: int
@@ -282,28 +283,31 @@
             is_outdated=is_outdated,
         )
         self.apply(changed, previous)
-        self.push(changed, previous, after_revision=after_revision)
+        if changed or self.order_store.revision > after_revision:
+            self.push(previous, after_revision=after_revision)
 
     def push(
         self,
-        changed: Iterable[wire.OrderRow],
         previous: Mapping[str, wire.OrderRow],
         *,
         after_revision: int,
     ) -> None:
         """Send changed orders to the nodes of this data centre.
 
+        All rows since the revision are sent, also those that were merged
+        before without a new revision, while the store recovered: a node that
+        missed them would not request them after the new revision.
+
         Parameters
         ----------
-        changed : iterable of wire.OrderRow
-            Changed rows.
         previous : mapping
             Rows before the change, which the other nodes hold as well.
         after_revision : int
             Revision before the change.
         """
         rows = tuple(
-            patches.pack(row, previous.get(row.key)) for row in changed
+            patches.pack(row, previous.get(row.key))
+            for row in orders.changed_after(self.order_store, after_revision)
         )
         if self.links is None or not rows:
             return
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -286,6 +286,34 @@
         await self.recover(task)
         self.assertEqual([], changes)
 
+    async def test_push_after_the_recovery_has_all_rows_since_before(self):
+        """Guards against a node that keeps an older configuration for good.
+
+        A node missed the push of a configuration that was taken during the
+        recovery. The push after it held the new revision without that row.
+        """
+        task = await self.start()
+        other = self.make()
+        other.handle_push(self.pull(task))
+        sent = []
+        task.links = object()
+        task.peers.send_local = sent.append
+        self.set_page(95, ("config", 95, self.config(5)), era=2)
+        await self.recover(task)
+        lost, push = sent
+        other.handle_push(push)
+        missing = other.order_store.revision < task.order_store.revision
+        self.assertTrue(missing or other.view.version == 5)
+
+    def pull(self, task):
+        """Return the push with which a node answers a request for orders."""
+        answers = []
+        task.links = types.SimpleNamespace(
+            send=lambda node, message: answers.append(message)
+        )
+        task.handle_pull(wire.OrdersPull(node="n3", after_revision=0))
+        return answers[0]
+
     async def test_outdated_answer_to_a_full_read_is_not_called_again(self):
         """Guards against a node that calls the store without a pause.
 
