--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -318,7 +318,7 @@
         """Guards against a node that calls the store without a pause.
 
         A watch had no history, and the full read after it was outdated: 8
-        nodes called the store 12,900 times in 20 s.
+        nodes called the store 12,943 times in one run.
         """
         task = await self.start()
         self.set_page(90, ("config", 80, self.config(3)))
