Review: show what registrations that the store loses do to callers

A machine that joins after the store has returned from an older copy never learns of those that joined in the lost seconds, and refuses all requests to them.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -168,10 +168,18 @@
         routes: list[dict[str, object]],
         *,
         changes: dict[str, object] | None = None,
+        extra_services: tuple[str, ...] = (),
     ) -> None:
-        """Start a node for each (data centre, service, version)."""
+        """Start a node for each (data centre, service, version).
+
+        ``extra_services`` are configured and have no server yet.
+        """
         await self.store.listen()
-        services = tuple(dict.fromkeys(service for _, service, _ in servers))
+        services = tuple(
+            dict.fromkeys(
+                (*(service for _, service, _ in servers), *extra_services)
+            )
+        )
         self.put_config(1, routes, services)
         for data_centre, service, version in servers:
             await self.add(data_centre, service, version, changes=changes)
@@ -214,7 +222,11 @@
             folder=self.folder,
             backend=backend,
             store=store or self.store.address,
-            changes=changes,
+            # Later machines do not start with the whole system.
+            changes={
+                "first_start": self.heartbeats is None,
+                **(changes or {}),
+            },
         )
         node.start()
         self.nodes.append(node)
